--- /dev/null
+++ b/Makefile
@@ -0,0 +1,60 @@
+# Builds the library, the programs, the stand-ins and the tests.
+-include config.mk
+
+BUILD ?= build
+CFLAGS ?= -O2 -g
+WARNINGS = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes
+ALL_CFLAGS = -std=gnu11 $(WARNINGS) $(CFLAGS) -fPIC -Iinclude -Iprocess \
+  -Iversion -Irequest -Iconnection -Ifakes $(PKG_CFLAGS) $(EXTRA)
+
+LIB_SRC = $(wildcard process/*.c version/*.c request/*.c connection/*.c)
+LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
+FAKE_COMMON = $(BUILD)/fakes/fake_http.o
+PROGRAMS = $(BUILD)/ibisloomd $(BUILD)/ibisctl
+FAKES = $(BUILD)/fake_engine $(BUILD)/fake_service $(BUILD)/fake_platform
+BENCH = $(BUILD)/ibisload $(BUILD)/ibismicro
+TESTS = $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test_*.c))
+
+all: $(BUILD)/libibisloom.a $(BUILD)/libibisloom.so $(PROGRAMS) $(FAKES) $(BENCH)
+
+config.mk:
+	./configure
+
+$(BUILD)/%.o: %.c config.mk
+	@mkdir -p $(@D)
+	$(CC) $(ALL_CFLAGS) -MMD -c $< -o $@
+
+$(BUILD)/libibisloom.a: $(LIB_OBJ)
+	@rm -f $@
+	$(AR) rcs $@ $^
+
+$(BUILD)/libibisloom.so: $(LIB_OBJ)
+	$(CC) $(CFLAGS) $(EXTRA) -shared $^ -o $@ $(PKG_LIBS)
+
+$(BUILD)/ibisloomd: $(BUILD)/daemon/ibisloomd.o $(BUILD)/libibisloom.a
+	$(CC) $(CFLAGS) $(EXTRA) $^ -o $@ $(PKG_LIBS)
+
+$(BUILD)/ibisctl: $(BUILD)/daemon/ibisctl.o $(BUILD)/libibisloom.a
+	$(CC) $(CFLAGS) $(EXTRA) $^ -o $@ $(PKG_LIBS)
+
+$(BUILD)/fake_%: $(BUILD)/fakes/fake_%.o $(FAKE_COMMON) $(BUILD)/libibisloom.a
+	$(CC) $(CFLAGS) $(EXTRA) $^ -o $@ $(PKG_LIBS)
+
+LOAD_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard bench/load*.c))
+$(BUILD)/ibisload: $(LOAD_OBJ) $(BUILD)/libibisloom.a
+	$(CC) $(CFLAGS) $(EXTRA) $^ -o $@ $(PKG_LIBS)
+
+$(BUILD)/ibismicro: $(BUILD)/bench/micro.o $(BUILD)/libibisloom.a
+	$(CC) $(CFLAGS) $(EXTRA) $^ -o $@ $(PKG_LIBS)
+
+$(BUILD)/tests/test_%: $(BUILD)/tests/test_%.o $(BUILD)/libibisloom.a
+	$(CC) $(CFLAGS) $(EXTRA) $^ -o $@ $(PKG_LIBS) -lcunit
+
+tests: $(TESTS)
+
+clean:
+	rm -rf build config.mk
+
+.PHONY: all clean tests
+.SECONDARY:
+-include $(shell find $(BUILD) -name '*.d' 2> /dev/null)
--- /dev/null
+++ b/bench/fleet.sh
@@ -0,0 +1,165 @@
+# Starts and stops stand-ins and a small fleet on loopback; sourced by demo,
+# bench/run and the regress driver.  Set deployment, domains, instances and
+# the other variables below before fleet_start.
+
+: "${BUILD:=build}"
+: "${deployment:=feriamapa}"
+: "${domains:=amba-a amba-b amba-c}"
+: "${region:=amba}"
+: "${chat_service:=asistente}"
+: "${plain_service:=reservas}"
+: "${instances:=3}"
+: "${engines:=12}"
+: "${workers:=3}"
+: "${slots:=8}"
+: "${cache_tokens:=200000}"
+: "${prefill_us:=20}"
+: "${itl_ms:=20}"
+: "${service_ms:=3}"
+: "${platform_ms:=2}"
+: "${customers:=10}"
+: "${load_factor:=1.25}"
+: "${queue_ms:=1500}"
+: "${silence_ms:=600}"
+: "${attempt_ms:=600}"
+: "${threads:=1}"
+: "${control_bytes:=4096}"
+: "${port:=21000}"
+: "${extra_settings:=}"
+
+pids=
+dir=
+
+platform_port () { echo $((port)); }
+engine_port () { echo $((port + 101 + $1)); }
+service_port () { echo $((port + 51 + $1)); }
+caller_port () { echo $((port + 200 + $1)); }
+peer_port () { echo $((port + 300 + $1)); }
+operator_port () { echo $((port + 400 + $1)); }
+
+# Name of the failure domain that number $1 belongs to.
+domain_of () {
+  set -- "$1" $domains
+  local n=$(($1 % ($# - 1)))
+  shift $((n + 1))
+  echo "$1"
+}
+
+wait_port () {
+  local i=0
+  while ! (exec 3<> "/dev/tcp/127.0.0.1/$1") 2> /dev/null; do
+    i=$((i + 1))
+    [ "$i" -lt 200 ] || { echo "port $1 does not answer" >&2; return 1; }
+    sleep 0.02
+  done
+}
+
+start () {
+  "$@" >> "$dir/out.log" 2>> "$dir/err.log" &
+  started=$!
+  pids="$pids $started"
+}
+
+write_settings () {
+  local i=$1 j
+  {
+    echo "instance: $(domain_of "$i")-$i"
+    echo "deployment: $deployment"
+    echo "failure_domain: $(domain_of "$i")"
+    echo "region: $region"
+    echo "listen: 127.0.0.1:$(caller_port "$i")"
+    echo "peer_listen: 127.0.0.1:$(peer_port "$i")"
+    echo "operator_listen: 127.0.0.1:$(operator_port "$i")"
+    echo "platform: 127.0.0.1:${platform_via:-$(platform_port)}"
+    echo "cluster_key_file: $dir/cluster.key"
+    echo "operator_token_file: $dir/operator.token"
+    echo "workers: $threads"
+    echo "log_level: ${log_level:-warn}"
+    echo "control_bytes_per_s: $control_bytes"
+    echo "peers:"
+    for ((j = 0; j < instances; j++)); do
+      echo "  - 127.0.0.1:$(peer_port "$j")"
+    done
+    [ -z "$extra_settings" ] || echo "$extra_settings"
+  } > "$dir/instance-$i.yaml"
+}
+
+put_object () {
+  curl -sf -X PUT --data-binary "$2" \
+    "http://127.0.0.1:$(platform_port)/v1/objects/$deployment/config/$1" > /dev/null
+}
+
+preset_json () {
+  echo "{\"load_factor\":$load_factor,\"queue_ms\":$queue_ms${preset_extra:-}}"
+}
+
+# Writes the configuration of one deployment to the platform.
+configure_platform () {
+  local i list=
+  for ((i = 0; i < engines; i++)); do
+    list="$list${list:+,}{\"name\":\"engine-$i\",\"address\":\"127.0.0.1:$(engine_port "$i")\",\"failure_domain\":\"$(domain_of "$i")\",\"slots\":$slots}"
+  done
+  put_object "services/$chat_service" "{\"kind\":\"chat\",\"silence_ms\":$silence_ms,\"deadline_ms\":${chat_deadline_ms:-30000},\"targets\":[$list]}"
+  list=
+  for ((i = 0; i < workers; i++)); do
+    list="$list${list:+,}{\"name\":\"worker-$i\",\"address\":\"127.0.0.1:$(service_port "$i")\",\"failure_domain\":\"$(domain_of "$i")\"}"
+  done
+  put_object "services/$plain_service" "{\"kind\":\"plain\",\"attempt_timeout_ms\":$attempt_ms,\"deadline_ms\":${plain_deadline_ms:-8000},\"targets\":[$list]}"
+  for ((i = 0; i < customers; i++)); do
+    put_object "customers/customer-$i" "{\"weight\":1}"
+  done
+  put_object presets/ordinary "$(preset_json)"
+  put_object presets/peak "$(preset_json)"
+  put_object in-force "{\"preset\":\"ordinary\",\"settings\":$(preset_json),\"by\":\"setup\"}"
+}
+
+start_stand_ins () {
+  start "$BUILD/fake_platform" "$(platform_port)" "$platform_ms"
+  platform_pid=$started
+  start "$BUILD/fake_engine" "$(engine_port 0)" "$engines" "$slots" "$cache_tokens" "$prefill_us" "$itl_ms"
+  engine_pid=$started
+  start "$BUILD/fake_service" "$(service_port 0)" "$workers" "$service_ms"
+  service_pid=$started
+  wait_port "$(platform_port)" && wait_port $(($(engine_port 0) - 1)) \
+    && wait_port $(($(service_port 0) - 1))
+}
+
+# Starts instance $1 and leaves its process in instance_pid[$1].
+start_instance () {
+  start "$BUILD/ibisloomd" --settings "$dir/instance-$1.yaml"
+  instance_pid[$1]=$started
+}
+
+wait_ready () {
+  local i=0
+  until curl -sf "http://127.0.0.1:$(caller_port "$1")/readyz" > /dev/null; do
+    i=$((i + 1))
+    [ "$i" -lt 250 ] || { echo "instance $1 is not ready" >&2; return 1; }
+    sleep 0.02
+  done
+}
+
+start_fleet () {
+  local i
+  declare -ga instance_pid
+  for ((i = 0; i < instances; i++)); do write_settings "$i"; done
+  for ((i = 0; i < instances; i++)); do start_instance "$i"; done
+  for ((i = 0; i < instances; i++)); do wait_ready "$i" || return 1; done
+}
+
+fleet_start () {
+  dir=$(mktemp -d "${TMPDIR:-/tmp}/ibisloom.XXXXXX")
+  head -c 24 /dev/urandom | od -An -tx1 | tr -d ' \n' > "$dir/cluster.key"
+  head -c 24 /dev/urandom | od -An -tx1 | tr -d ' \n' > "$dir/operator.token"
+  trap fleet_stop EXIT
+  start_stand_ins && configure_platform && start_fleet
+}
+
+fleet_stop () {
+  local pid
+  trap - EXIT
+  for pid in $pids; do kill -9 "$pid" 2> /dev/null; done
+  wait 2> /dev/null
+  pids=
+  [ -n "${keep_dir:-}" ] || rm -rf "$dir"
+}
--- /dev/null
+++ b/connection/back.c
@@ -0,0 +1,421 @@
+/* Connections to targets, on libcurl's multi interface. */
+#include <string.h>
+#include <sys/epoll.h>
+
+#include "ibisloom/log.h"
+#include "libconnection.h"
+
+enum
+{
+  CONNECT_TIMEOUT_MS = 250,
+  CONNECTIONS_KEPT = 512,
+  IDLE_HANDLES_MAX = 512,
+  OUT_PAUSE_BYTES = 262144,
+  OUT_RESUME_BYTES = 65536,
+  TIMER_NEVER_MS = 1000,
+  CANCEL_TIMEOUT_MS = 1000,
+  BUFFER_BYTES = 16384
+};
+
+static int on_socket (CURL *easy, curl_socket_t fd, int what, void *closure,
+                      void *known);
+static int on_timer (CURLM *multi, long timeout_ms, void *closure);
+static size_t on_body (char *data, size_t size, size_t count, void *closure);
+static size_t on_header (char *data, size_t size, size_t count, void *closure);
+static size_t on_ignored (char *data, size_t size, size_t count,
+                          void *closure);
+static CURL *take_handle (struct worker *worker);
+static void keep_handle (struct worker *worker, CURL *easy);
+static void set_method (struct req *req, CURL *easy);
+static void set_common (CURL *easy, const char *url);
+static void add_headers (struct req *req);
+static int has_prefix (const char *data, size_t length, const char *prefix);
+static char *header_value (const char *data, size_t length);
+
+/* Prepares the multi handle of WORKER.  */
+void
+back_init (struct worker *worker)
+{
+  worker->multi = curl_multi_init ();
+  worker->idle = g_ptr_array_new ();
+  curl_multi_setopt (worker->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+  curl_multi_setopt (worker->multi, CURLMOPT_SOCKETDATA, worker);
+  curl_multi_setopt (worker->multi, CURLMOPT_TIMERFUNCTION, on_timer);
+  curl_multi_setopt (worker->multi, CURLMOPT_TIMERDATA, worker);
+  curl_multi_setopt (worker->multi, CURLMOPT_PIPELINING, 0L);
+  curl_multi_setopt (worker->multi, CURLMOPT_MAXCONNECTS,
+                     (long)CONNECTIONS_KEPT);
+}
+
+/* Frees the handles of WORKER.  */
+void
+back_free (struct worker *worker)
+{
+  for (guint i = 0; i < worker->idle->len; i++)
+    curl_easy_cleanup (g_ptr_array_index (worker->idle, i));
+  g_ptr_array_free (worker->idle, TRUE);
+  curl_multi_cleanup (worker->multi);
+}
+
+/* Lets libcurl act on the ready socket FD.  */
+void
+back_socket_ready (struct worker *worker, int fd, uint32_t events)
+{
+  int flags = 0;
+  int running;
+
+  if (events & EPOLLIN)
+    flags |= CURL_CSELECT_IN;
+  if (events & EPOLLOUT)
+    flags |= CURL_CSELECT_OUT;
+  if (events & (EPOLLERR | EPOLLHUP))
+    flags |= CURL_CSELECT_ERR;
+  curl_multi_socket_action (worker->multi, fd, flags, &running);
+}
+
+/* Lets libcurl act on its timer.  */
+void
+back_timeout (struct worker *worker)
+{
+  int running;
+
+  worker->multi_due_ms = clk_now (clk_monotonic ()) + TIMER_NEVER_MS;
+  curl_multi_socket_action (worker->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+}
+
+/* Passes on the attempts that have ended.  */
+void
+back_collect (struct worker *worker)
+{
+  CURLMsg *message;
+  int left;
+
+  while ((message = curl_multi_info_read (worker->multi, &left)) != NULL)
+    {
+      CURL *easy = message->easy_handle;
+      CURLcode code = message->data.result;
+      char *closure = NULL;
+
+      if (message->msg != CURLMSG_DONE)
+        continue;
+      curl_easy_getinfo (easy, CURLINFO_PRIVATE, &closure);
+      if (closure != NULL)
+        {
+          struct req *req = (struct req *)(void *)closure;
+
+          curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE,
+                             &req->attempt.status);
+          req_on_attempt_end (req, (int)code);
+        }
+      else
+        {
+          curl_multi_remove_handle (worker->multi, easy);
+          keep_handle (worker, easy);
+        }
+    }
+}
+
+/* Sends REQ to TARGET; the attempt's outcome comes through req_on_data and
+   req_on_attempt_end.  A call that may not be repeated gets a connection of
+   its own, since one that died unnoticed would leave its fate unknown.  */
+void
+back_send (struct req *req, const struct ver_target *target)
+{
+  struct req_attempt *attempt = &req->attempt;
+  char *host = settings_format_address (&target->address);
+  CURL *easy = take_handle (req->worker);
+  int fresh = !req->repeatable || req->tries > 0;
+
+  met_inc (MET_TRIES);
+  memset (attempt, 0, sizeof *attempt);
+  attempt->easy = easy;
+  attempt->target = target->id;
+  attempt->is_resume = req->resume_target != 0;
+  attempt->offset_at_start = req->events.offset;
+  attempt->started_ms = clk_now (clk_monotonic ());
+  attempt->last_byte_ms = attempt->started_ms;
+  attempt->answer_headers = g_ptr_array_new_with_free_func (g_free);
+  if (attempt->is_resume)
+    g_snprintf (attempt->url, sizeof attempt->url,
+                "http://%s/v1/streams/%s?offset=%" G_GINT64_FORMAT, host,
+                req->id_text, (gint64)req->events.offset);
+  else
+    g_snprintf (attempt->url, sizeof attempt->url, "http://%s%s", host,
+                req->path);
+  g_free (host);
+  set_common (easy, attempt->url);
+  set_method (req, easy);
+  add_headers (req);
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, attempt->headers);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_body);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, req);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, req);
+  curl_easy_setopt (easy, CURLOPT_PRIVATE, req);
+  curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, fresh ? 1L : 0L);
+  curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, req->repeatable ? 0L : 1L);
+  curl_multi_add_handle (req->worker->multi, easy);
+}
+
+/* Ends REQ's attempt; a transfer still under way takes its connection with
+   it.  */
+void
+back_abort (struct req *req)
+{
+  struct req_attempt *attempt = &req->attempt;
+
+  if (attempt->easy != NULL)
+    {
+      curl_multi_remove_handle (req->worker->multi, attempt->easy);
+      keep_handle (req->worker, attempt->easy);
+    }
+  curl_slist_free_all (attempt->headers);
+  if (attempt->answer_headers != NULL)
+    g_ptr_array_free (attempt->answer_headers, TRUE);
+  g_free (attempt->content_type);
+  memset (attempt, 0, sizeof *attempt);
+}
+
+/* Tells the target to stop working on REQ's stream, without waiting.  */
+void
+back_cancel_stream (struct req *req)
+{
+  const struct ver_target *target
+      = ver_target_find (req->worker->version, req->target);
+  char url[sizeof req->attempt.url];
+  char *host;
+  CURL *easy;
+
+  if (target == NULL)
+    return;
+  host = settings_format_address (&target->address);
+  g_snprintf (url, sizeof url, "http://%s/v1/streams/%s", host, req->id_text);
+  g_free (host);
+  easy = take_handle (req->worker);
+  set_common (easy, url);
+  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, "DELETE");
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)CANCEL_TIMEOUT_MS);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_ignored);
+  curl_easy_setopt (easy, CURLOPT_PRIVATE, NULL);
+  curl_multi_add_handle (req->worker->multi, easy);
+}
+
+/* Lets the target's data flow again when the caller has taken enough.  */
+void
+back_unpause (struct req *req)
+{
+  struct req_attempt *attempt = &req->attempt;
+
+  if (!attempt->paused || req->out->len - req->out_at > OUT_RESUME_BYTES)
+    return;
+  attempt->paused = 0;
+  attempt->last_byte_ms = clk_now (clk_monotonic ());
+  req->worker->multi_due_ms = 0;
+  curl_easy_pause (attempt->easy, CURLPAUSE_CONT);
+}
+
+/* Sets what all calls to targets have in common.  */
+static void
+set_common (CURL *easy, const char *url)
+{
+  curl_easy_setopt (easy, CURLOPT_URL, url);
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_PATH_AS_IS, 1L);
+  curl_easy_setopt (easy, CURLOPT_BUFFERSIZE, (long)BUFFER_BYTES);
+  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_TIMEOUT_MS);
+}
+
+/* Sets the method and the body.  */
+static void
+set_method (struct req *req, CURL *easy)
+{
+  if (req->attempt.is_resume)
+    return;
+  if (strcmp (req->method, "HEAD") == 0)
+    curl_easy_setopt (easy, CURLOPT_NOBODY, 1L);
+  if (req->body->len > 0 || strcmp (req->method, "POST") == 0)
+    {
+      curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE, (long)req->body->len);
+      curl_easy_setopt (easy, CURLOPT_POSTFIELDS, req->body->str);
+    }
+  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, req->method);
+}
+
+/* Collects the attempt's headers: the caller's end-to-end ones and ours.  */
+static void
+add_headers (struct req *req)
+{
+  struct curl_slist *list = NULL;
+  char line[128];
+
+  for (const struct curl_slist *at = req->forward; at != NULL; at = at->next)
+    list = curl_slist_append (list, at->data);
+  g_snprintf (line, sizeof line, "X-Request-Id: %s", req->id_text);
+  list = curl_slist_append (list, line);
+  list = curl_slist_append (list, "Expect:");
+  if (req->kind == VER_KIND_CHAT)
+    {
+      list = curl_slist_append (list, "Accept: text/event-stream");
+      g_snprintf (line, sizeof line, "X-Priority: %d", req->priority);
+      list = curl_slist_append (list, line);
+      g_snprintf (line, sizeof line, "X-Chat: %016" G_GINT64_MODIFIER "x",
+                  req->chat);
+      list = curl_slist_append (list, line);
+      g_snprintf (line, sizeof line, "X-Continue-At: %" G_GINT64_FORMAT,
+                  (gint64)req->events.offset);
+      list = curl_slist_append (list, line);
+    }
+  if (req->idempotency_key != NULL)
+    {
+      char *key
+          = g_strdup_printf ("Idempotency-Key: %s", req->idempotency_key);
+
+      list = curl_slist_append (list, key);
+      g_free (key);
+    }
+  req->attempt.headers = list;
+}
+
+/* Takes a piece of the answer; pauses the transfer while the caller is
+   slow.  */
+static size_t
+on_body (char *data, size_t size, size_t count, void *closure)
+{
+  struct req *req = closure;
+  struct req_attempt *attempt = &req->attempt;
+
+  if (req->stream && req->out->len - req->out_at > OUT_PAUSE_BYTES)
+    {
+      attempt->paused = 1;
+      return CURL_WRITEFUNC_PAUSE;
+    }
+  attempt->last_byte_ms = clk_now (clk_monotonic ());
+  if (!attempt->got_bytes)
+    {
+      attempt->got_bytes = 1;
+      curl_easy_getinfo (attempt->easy, CURLINFO_RESPONSE_CODE,
+                         &attempt->status);
+    }
+  return req_on_data (req, data, size * count) == 0 ? size * count : 0;
+}
+
+/* Takes one line of the answer's headers.  */
+static size_t
+on_header (char *data, size_t size, size_t count, void *closure)
+{
+  static const char *const passed[]
+      = { "ETag:",          "Location:", "Retry-After:", "Cache-Control:",
+          "Last-Modified:", "Vary:",     "Allow:",       "X-Executions:" };
+  struct req *req = closure;
+  struct req_attempt *attempt = &req->attempt;
+  size_t length = size * count;
+
+  attempt->last_byte_ms = clk_now (clk_monotonic ());
+  if (has_prefix (data, length, "X-Request-Id:"))
+    {
+      char *value = header_value (data, length);
+
+      attempt->id_seen = 1;
+      attempt->id_matches = strcmp (value, req->id_text) == 0;
+      g_free (value);
+    }
+  else if (has_prefix (data, length, "X-Not-Run:"))
+    attempt->not_run = 1;
+  else if (has_prefix (data, length, "Content-Type:"))
+    {
+      g_free (attempt->content_type);
+      attempt->content_type = header_value (data, length);
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (passed); i++)
+    if (has_prefix (data, length, passed[i]))
+      g_ptr_array_add (attempt->answer_headers,
+                       g_strchomp (g_strndup (data, length)));
+  return length;
+}
+
+/* Drops the answer to a cancellation.  */
+static size_t
+on_ignored (char *data, size_t size, size_t count, void *closure)
+{
+  (void)data;
+  (void)closure;
+  return size * count;
+}
+
+/* Returns whether the LENGTH bytes of DATA start with PREFIX, in any case.  */
+static int
+has_prefix (const char *data, size_t length, const char *prefix)
+{
+  size_t size = strlen (prefix);
+
+  return length >= size && g_ascii_strncasecmp (data, prefix, size) == 0;
+}
+
+/* Returns the newly allocated value of the header line DATA.  */
+static char *
+header_value (const char *data, size_t length)
+{
+  const char *colon = memchr (data, ':', length);
+
+  return g_strstrip (
+      g_strndup (colon + 1, length - (size_t)(colon + 1 - data)));
+}
+
+/* Watches a socket as libcurl asks.  */
+static int
+on_socket (CURL *easy, curl_socket_t fd, int what, void *closure, void *known)
+{
+  struct worker *worker = closure;
+  struct epoll_event event = { .data.fd = fd };
+
+  (void)easy;
+  if (what == CURL_POLL_REMOVE)
+    {
+      epoll_ctl (worker->epoll, EPOLL_CTL_DEL, fd, NULL);
+      return 0;
+    }
+  if (what & CURL_POLL_IN)
+    event.events |= EPOLLIN;
+  if (what & CURL_POLL_OUT)
+    event.events |= EPOLLOUT;
+  epoll_ctl (worker->epoll, known ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, fd, &event);
+  curl_multi_assign (worker->multi, fd, worker);
+  return 0;
+}
+
+/* Notes when libcurl wants to be called.  */
+static int
+on_timer (CURLM *multi, long timeout_ms, void *closure)
+{
+  struct worker *worker = closure;
+  clk_ms now = clk_now (clk_monotonic ());
+
+  (void)multi;
+  worker->multi_due_ms
+      = now + (timeout_ms >= 0 ? timeout_ms : (clk_ms)TIMER_NEVER_MS);
+  return 0;
+}
+
+/* Returns a handle with no option set.  */
+static CURL *
+take_handle (struct worker *worker)
+{
+  CURL *easy;
+
+  if (worker->idle->len == 0)
+    return curl_easy_init ();
+  easy = g_ptr_array_steal_index_fast (worker->idle, worker->idle->len - 1);
+  curl_easy_reset (easy);
+  return easy;
+}
+
+/* Keeps EASY for take_handle.  */
+static void
+keep_handle (struct worker *worker, CURL *easy)
+{
+  if (worker->idle->len < IDLE_HANDLES_MAX)
+    g_ptr_array_add (worker->idle, easy);
+  else
+    curl_easy_cleanup (easy);
+}
--- /dev/null
+++ b/connection/control_operator.c
@@ -0,0 +1,322 @@
+/* Calls of operators: configuration, presets, drains, status. */
+#include <stdlib.h>
+#include <string.h>
+
+#include <ck_pr.h>
+#include <sodium.h>
+
+#include "libcontrol.h"
+
+enum
+{
+  CHANGE_ID_BYTES = 8
+};
+
+static void serve_status (struct control_call *call, const char *rest);
+static void serve_list (struct control_call *call, const char *rest);
+static void serve_object (struct control_call *call, const char *rest);
+static void put_object (struct control_call *call, const char *rest);
+static void switch_preset (struct control_call *call, const char *rest);
+static void drain_target (struct control_call *call, const char *rest);
+static void restore_target (struct control_call *call, const char *rest);
+static void stop_instance (struct control_call *call, const char *rest);
+static void set_leaving (struct control_call *call, const char *rest,
+                         int leaving);
+static char *full_name (struct control_call *call, const char *name);
+static int write_object (struct control_call *call, const char *name,
+                         const char *text);
+static int expected_revision (struct control_call *call, const char *full,
+                              uint64_t *expected);
+static void report_conflict (struct control_call *call, const char *full,
+                             GError *error);
+static char *read_object (struct control_call *call, const char *name,
+                          uint64_t *revision, GError **error);
+static char *change_id (void);
+
+const struct control_route control_operator_routes[]
+    = { { "GET", "/operator/status", serve_status },
+        { "GET", "/operator/objects/", serve_object },
+        { "GET", "/operator/objects", serve_list },
+        { "PUT", "/operator/objects/", put_object },
+        { "POST", "/operator/switch/", switch_preset },
+        { "POST", "/operator/drain/", drain_target },
+        { "POST", "/operator/restore/", restore_target },
+        { "POST", "/operator/stop", stop_instance },
+        { NULL, NULL, NULL } };
+
+/* Tells the state of this instance and what it sees of the others.  */
+static void
+serve_status (struct control_call *call, const char *rest)
+{
+  (void)rest;
+  control_answer (call, MHD_HTTP_OK,
+                  server_status_json (call->listener->server));
+}
+
+/* Lists the configuration objects in force here.  */
+static void
+serve_list (struct control_call *call, const char *rest)
+{
+  (void)rest;
+  control_answer (call, MHD_HTTP_OK,
+                  ver_store_since (call->listener->server->store, 0));
+}
+
+/* Gives one object as the platform holds it.  */
+static void
+serve_object (struct control_call *call, const char *rest)
+{
+  GError *error = NULL;
+  uint64_t revision = 0;
+  char *text = read_object (call, rest, &revision, &error);
+  json_t *json;
+
+  if (text == NULL)
+    {
+      control_gerror (call, error);
+      return;
+    }
+  json = json_pack ("{s:s,s:I,s:s}", "name", rest, "revision",
+                    (json_int_t)revision, "value", text);
+  control_answer (call, MHD_HTTP_OK, json_dumps (json, JSON_COMPACT));
+  json_decref (json);
+  g_free (text);
+}
+
+/* Checks and writes one object.  "in-force" is only written by a switch.  */
+static void
+put_object (struct control_call *call, const char *rest)
+{
+  GError *error = NULL;
+
+  if (strcmp (rest, "in-force") == 0)
+    err_set (&error, ERR_INVALID, "in-force: use a preset switch");
+  else
+    ver_check (rest, call->body->str, &error);
+  if (error != NULL)
+    control_gerror (call, error);
+  else
+    write_object (call, rest, call->body->str);
+}
+
+/* Puts the preset REST in force: one conditional write that names it and
+   holds its settings.  */
+static void
+switch_preset (struct control_call *call, const char *rest)
+{
+  const char *operator_name = control_argument (call, "by");
+  char *name = g_strdup_printf ("presets/%s", rest);
+  GError *error = NULL;
+  uint64_t revision;
+  char *preset = read_object (call, name, &revision, &error);
+  char *change;
+  json_t *json;
+  char *text;
+
+  g_free (name);
+  if (preset == NULL)
+    {
+      control_gerror (call, error);
+      return;
+    }
+  change = change_id ();
+  json = json_pack ("{s:s,s:o,s:s,s:s}", "preset", rest, "settings",
+                    json_loads (preset, 0, NULL), "by",
+                    operator_name ? operator_name : "unknown", "change",
+                    change);
+  text = json_dumps (json, JSON_COMPACT);
+  json_decref (json);
+  g_free (change);
+  g_free (preset);
+  write_object (call, "in-force", text);
+  free (text);
+}
+
+/* Takes the target REST, "SERVICE/NAME", out of use.  */
+static void
+drain_target (struct control_call *call, const char *rest)
+{
+  set_leaving (call, rest, 1);
+}
+
+/* Takes the target REST, "SERVICE/NAME", into use again.  */
+static void
+restore_target (struct control_call *call, const char *rest)
+{
+  set_leaving (call, rest, 0);
+}
+
+/* Begins a graceful stop of this instance.  */
+static void
+stop_instance (struct control_call *call, const char *rest)
+{
+  (void)rest;
+  server_request_stop (call->listener->server);
+  control_answer (call, MHD_HTTP_ACCEPTED, strdup ("{\"stopping\":true}"));
+}
+
+/* Sets the mark LEAVING of the target "SERVICE/NAME" in its service's
+   object.  */
+static void
+set_leaving (struct control_call *call, const char *rest, int leaving)
+{
+  char **parts = g_strsplit (rest, "/", 2);
+  char *name = g_strdup_printf ("services/%s", parts[0] ? parts[0] : "");
+  GError *error = NULL;
+  uint64_t revision = 0;
+  char *text = read_object (call, name, &revision, &error);
+  json_t *json = text != NULL ? json_loads (text, 0, NULL) : NULL;
+  json_t *target;
+  size_t i;
+  int found = 0;
+
+  g_free (text);
+  json_array_foreach (json_object_get (json, "targets"), i, target)
+  {
+    if (g_strcmp0 (json_string_value (json_object_get (target, "name")),
+                   parts[0] ? parts[1] : NULL)
+        != 0)
+      continue;
+    json_object_set_new (target, "leaving", json_boolean (leaving));
+    found = 1;
+  }
+  if (error == NULL && !found)
+    err_set (&error, ERR_NOT_FOUND, "target %s", rest);
+  if (error != NULL)
+    control_gerror (call, error);
+  else
+    {
+      text = json_dumps (json, JSON_COMPACT);
+      call->expected = revision;
+      write_object (call, name, text);
+      free (text);
+    }
+  json_decref (json);
+  g_free (name);
+  g_strfreev (parts);
+}
+
+/* Writes TEXT as object NAME on condition of the revision that the caller
+   named, else of the one just read, and answers CALL.  Returns 0 if it is
+   accepted.  */
+static int
+write_object (struct control_call *call, const char *name, const char *text)
+{
+  struct control_listener *listener = call->listener;
+  char *full = full_name (call, name);
+  GError *error = NULL;
+  uint64_t expected = 0;
+  uint64_t revision = 0;
+  char *message;
+  json_t *json;
+
+  if (expected_revision (call, full, &expected) != 0)
+    {
+      g_free (full);
+      return -1;
+    }
+  if (plat_put_sure (listener->plat, full, text, expected, &revision, &error)
+      != 0)
+    {
+      if (g_error_matches (error, ERR_DOMAIN, ERR_CONFLICT))
+        report_conflict (call, full, error);
+      else
+        control_gerror (call, error);
+      g_free (full);
+      return -1;
+    }
+  json = json_pack ("{s:s,s:I}", "name", name, "revision",
+                    (json_int_t)revision);
+  message = json_dumps (json, JSON_COMPACT);
+  json_decref (json);
+  control_answer (call, MHD_HTTP_OK, message);
+  g_free (full);
+  return 0;
+}
+
+/* Finds the revision that a write of FULL is conditional on.  Returns 0, or
+   -1 with CALL answered.  */
+static int
+expected_revision (struct control_call *call, const char *full,
+                   uint64_t *expected)
+{
+  const char *named = control_argument (call, "expected");
+  GError *error = NULL;
+  char *held;
+
+  *expected = call->expected;
+  if (call->expected > 0)
+    return 0;
+  if (named != NULL)
+    {
+      *expected = g_ascii_strtoull (named, NULL, 10);
+      return 0;
+    }
+  held = plat_get (call->listener->plat, full, expected, &error);
+  g_free (held);
+  if (held != NULL)
+    return 0;
+  *expected = PLAT_ABSENT;
+  if (g_error_matches (error, ERR_DOMAIN, ERR_NOT_FOUND))
+    {
+      g_error_free (error);
+      return 0;
+    }
+  control_gerror (call, error);
+  return -1;
+}
+
+/* Answers CALL that another write of FULL was first, and whose.  */
+static void
+report_conflict (struct control_call *call, const char *full, GError *error)
+{
+  uint64_t revision = 0;
+  char *held = plat_get (call->listener->plat, full, &revision, NULL);
+  json_t *json = held != NULL ? json_loads (held, 0, NULL) : NULL;
+  const char *by = json_string_value (json_object_get (json, "by"));
+  const char *preset = json_string_value (json_object_get (json, "preset"));
+  GError *told = NULL;
+
+  if (by != NULL && preset != NULL)
+    err_set (&told, ERR_CONFLICT,
+             "%s: %s put preset %s in force at revision %" G_GUINT64_FORMAT,
+             full, by, preset, (guint64)revision);
+  else
+    err_set (&told, ERR_CONFLICT, "%s: changed to revision %" G_GUINT64_FORMAT,
+             full, (guint64)revision);
+  g_error_free (error);
+  json_decref (json);
+  g_free (held);
+  control_gerror (call, told);
+}
+
+/* Reads object NAME from the platform.  */
+static char *
+read_object (struct control_call *call, const char *name, uint64_t *revision,
+             GError **error)
+{
+  char *full = full_name (call, name);
+  char *text = plat_get (call->listener->plat, full, revision, error);
+
+  g_free (full);
+  return text;
+}
+
+/* Returns the newly allocated platform name of configuration object NAME.  */
+static char *
+full_name (struct control_call *call, const char *name)
+{
+  return g_strdup_printf ("%s/config/%s",
+                          call->listener->server->settings->deployment, name);
+}
+
+/* Returns a newly allocated identifier that makes a write distinct.  */
+static char *
+change_id (void)
+{
+  unsigned char bytes[CHANGE_ID_BYTES];
+  char text[2 * CHANGE_ID_BYTES + 1];
+
+  randombytes_buf (bytes, sizeof bytes);
+  return g_strdup (sodium_bin2hex (text, sizeof text, bytes, sizeof bytes));
+}
--- /dev/null
+++ b/connection/control_peer.c
@@ -0,0 +1,58 @@
+/* Calls that peers make over HTTP: configuration and ledger. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "libcontrol.h"
+
+static void serve_config (struct control_call *call, const char *rest);
+static void serve_ledger (struct control_call *call, const char *rest);
+static void on_batch (void *closure, char *json);
+
+const struct control_route control_peer_routes[]
+    = { { "GET", "/peer/config", serve_config },
+        { "POST", "/peer/ledger", serve_ledger },
+        { NULL, NULL, NULL } };
+
+/* Gives the objects that changed after the revision "since".  */
+static void
+serve_config (struct control_call *call, const char *rest)
+{
+  struct server *server = call->listener->server;
+  const char *since = control_argument (call, "since");
+  char *text;
+
+  (void)rest;
+  text = ver_store_since (server->store,
+                          since ? g_ascii_strtoull (since, NULL, 10) : 0);
+  if (!peer_budget (server->peer, 1, (int64_t)strlen (text)))
+    {
+      free (text);
+      control_error (call, MHD_HTTP_SERVICE_UNAVAILABLE, ERR_IO,
+                     "control budget spent");
+      return;
+    }
+  met_add (MET_SENT_CONFIG_BYTES, strlen (text));
+  control_answer (call, MHD_HTTP_OK, text);
+}
+
+/* Carries out ledger operations of another instance; the call waits until
+   they are durable.  */
+static void
+serve_ledger (struct control_call *call, const char *rest)
+{
+  (void)rest;
+  call->suspended = 1;
+  MHD_suspend_connection (call->connection);
+  led_serve (call->listener->server->ledger, call->body->str, on_batch, call);
+}
+
+/* Answers the call CLOSURE with the results JSON.  */
+static void
+on_batch (void *closure, char *json)
+{
+  if (json == NULL)
+    control_error (closure, MHD_HTTP_BAD_REQUEST, ERR_INVALID,
+                   "malformed batch");
+  else
+    control_answer (closure, MHD_HTTP_OK, json);
+}
--- /dev/null
+++ b/connection/front.c
@@ -0,0 +1,178 @@
+/* Connections of callers, on libmicrohttpd. */
+#include <string.h>
+
+#include <ck_pr.h>
+
+#include "ibisloom/error.h"
+#include "libconnection.h"
+
+enum
+{
+  CONNECTION_MEMORY_BYTES = 32768,
+  CONNECTIONS_MAX = 16384
+};
+
+static enum MHD_Result on_request (void *closure,
+                                   struct MHD_Connection *connection,
+                                   const char *url, const char *method,
+                                   const char *version, const char *data,
+                                   size_t *size, void **state);
+static void on_completed (void *closure, struct MHD_Connection *connection,
+                          void **state, enum MHD_RequestTerminationCode code);
+static enum MHD_Result take_body (struct req *req, const char *data,
+                                  size_t *size);
+static enum MHD_Result queue (struct req *req);
+
+/* Starts the listener of WORKER; all workers share the address, and the
+   kernel spreads the connections.  */
+struct MHD_Daemon *
+front_start (struct worker *worker, GError **error)
+{
+  const struct settings *settings = worker->server->settings;
+  unsigned flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_TURBO;
+  char *certificate = NULL;
+  char *key = NULL;
+  struct MHD_Daemon *daemon;
+  struct MHD_OptionItem options[] = {
+    { MHD_OPTION_SOCK_ADDR, 0, (void *)(uintptr_t)&settings->listen },
+    { MHD_OPTION_LISTENING_ADDRESS_REUSE, 1, NULL },
+    { MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONNECTION_MEMORY_BYTES, NULL },
+    { MHD_OPTION_CONNECTION_LIMIT, CONNECTIONS_MAX, NULL },
+    { MHD_OPTION_CONNECTION_TIMEOUT, (intptr_t)settings->header_timeout_s,
+      NULL },
+    { MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)on_completed, worker },
+    { MHD_OPTION_STRICT_FOR_CLIENT, 1, NULL },
+    { MHD_OPTION_END, 0, NULL },
+    { MHD_OPTION_END, 0, NULL },
+    { MHD_OPTION_END, 0, NULL },
+  };
+  size_t last = G_N_ELEMENTS (options) - 3;
+
+  if (settings->tls_certificate_file != NULL)
+    {
+      if (!g_file_get_contents (settings->tls_certificate_file, &certificate,
+                                NULL, NULL)
+          || !g_file_get_contents (settings->tls_key_file, &key, NULL, NULL))
+        {
+          err_set (error, ERR_SETTINGS, "cannot read %s or %s",
+                   settings->tls_certificate_file, settings->tls_key_file);
+          g_free (certificate);
+          return NULL;
+        }
+      flags |= MHD_USE_TLS;
+      options[last].option = MHD_OPTION_HTTPS_MEM_CERT;
+      options[last].ptr_value = certificate;
+      options[last + 1].option = MHD_OPTION_HTTPS_MEM_KEY;
+      options[last + 1].ptr_value = key;
+    }
+  daemon = MHD_start_daemon (flags, ntohs (settings->listen.sin_port), NULL,
+                             NULL, on_request, worker, MHD_OPTION_ARRAY,
+                             options, MHD_OPTION_END);
+  g_free (certificate);
+  g_free (key);
+  if (daemon == NULL)
+    err_set (error, ERR_IO, "listen: port %u cannot be used",
+             ntohs (settings->listen.sin_port));
+  return daemon;
+}
+
+/* Lets REQ's connection go on.  */
+void
+front_resume (struct req *req)
+{
+  if (!req->suspended || req->connection == NULL)
+    return;
+  req->suspended = 0;
+  req->worker->front_due = 1;
+  MHD_resume_connection (req->connection);
+}
+
+/* Holds REQ's connection until front_resume.  */
+void
+front_suspend (struct req *req)
+{
+  if (req->suspended)
+    return;
+  req->suspended = 1;
+  MHD_suspend_connection (req->connection);
+}
+
+/* Handles the stages of one request as libmicrohttpd calls them: headers,
+   pieces of the body, the end of the body, and again after a resume.  */
+static enum MHD_Result
+on_request (void *closure, struct MHD_Connection *connection, const char *url,
+            const char *method, const char *version, const char *data,
+            size_t *size, void **state)
+{
+  struct worker *worker = closure;
+  struct req *req = *state;
+
+  (void)version;
+  if (req == NULL)
+    {
+      req = req_new (worker, connection, method);
+      *state = req;
+      if (req_open (req, url) != 0)
+        return queue (req);
+      return MHD_YES;
+    }
+  if (*size > 0)
+    return take_body (req, data, size);
+  if (req->response == NULL && req->phase == REQ_READING)
+    req_begin (req);
+  if (req->response != NULL)
+    return queue (req);
+  front_suspend (req);
+  return MHD_YES;
+}
+
+/* Appends a piece of the body, up to the limit of the settings.  */
+static enum MHD_Result
+take_body (struct req *req, const char *data, size_t *size)
+{
+  size_t limit = (size_t)req->worker->server->settings->max_body_bytes;
+
+  if (req->response == NULL && req->body->len + *size > limit)
+    {
+      req->close = 1;
+      req_refuse (req, REFUSE_TOO_LARGE, REQ_NOT_RUN);
+    }
+  if (req->response == NULL)
+    g_string_append_len (req->body, data, (gssize)*size);
+  *size = 0;
+  return MHD_YES;
+}
+
+/* Hands REQ's response to libmicrohttpd, once.  */
+static enum MHD_Result
+queue (struct req *req)
+{
+  enum MHD_Result result;
+
+  if (req->response_queued)
+    return MHD_YES;
+  req->response_queued = 1;
+  result = MHD_queue_response (req->connection, req->response_status,
+                               req->response);
+  MHD_destroy_response (req->response);
+  return result;
+}
+
+/* Ends the request: the whole answer was sent, or the caller is gone.  */
+static void
+on_completed (void *closure, struct MHD_Connection *connection, void **state,
+              enum MHD_RequestTerminationCode code)
+{
+  struct req *req = *state;
+
+  (void)closure;
+  (void)connection;
+  *state = NULL;
+  if (req == NULL)
+    return;
+  req->connection = NULL;
+  if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK && req->phase != REQ_DONE
+      && req->phase != REQ_READING)
+    met_inc (MET_CLIENT_GONE);
+  req_cancel (req);
+}
--- /dev/null
+++ b/connection/sync.c
@@ -0,0 +1,333 @@
+/* Keeps the configuration of this instance up to date.
+
+   A few instances of each failure domain wait for changes at the platform;
+   the others hear of new revisions by heartbeat and fetch them from the
+   instance that sent it.  A new instance asks both, so that it can start
+   while the platform is down. */
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include <ck_pr.h>
+#include <jansson.h>
+
+#include "ibisloom/fetch.h"
+#include "ibisloom/log.h"
+#include "ibisloom/platform.h"
+#include "libconnection.h"
+
+enum
+{
+  WATCHERS = 2,
+  WATCH_WAIT_MS = 4000,
+  PLATFORM_TIMEOUT_MS = 500,
+  FETCH_TIMEOUT_MS = 500,
+  IDLE_MS = 100,
+  BACKOFF_MIN_MS = 100,
+  BACKOFF_MAX_MS = 1000,
+  LIST_INTERVAL_MS = 500,
+  SETTLE_MS = 700,
+  LEAVING_MAX = 256,
+  URL_MAX_BYTES = 256,
+  HTTP_OK = 200
+};
+
+struct sync
+{
+  struct server *server;
+  char *prefix;
+  pthread_t threads[3];
+  pthread_mutex_t lock;
+  pthread_cond_t ready;
+  struct sockaddr_in source; /* the peer to fetch from */
+  int has_source;
+  int stopping;
+  int platform_read;
+  clk_ms started_ms;
+};
+
+static void *run_watch (void *closure);
+static void *run_fetch (void *closure);
+static void *run_list (void *closure);
+static void on_revision (void *closure, const struct sockaddr_in *peer);
+static int watch_once (struct sync *sync, struct plat *plat, int64_t wait_ms);
+static void fetch_once (struct sync *sync, struct fetch *fetch,
+                        const struct sockaddr_in *peer);
+static void merge (struct sync *sync, const char *json,
+                   enum met_counter counter);
+static void list_once (struct sync *sync, struct plat *plat);
+static void sleep_ms (int64_t ms);
+static int is_stopping (struct sync *sync);
+
+/* Returns the keeper of SERVER's configuration, not running yet.  */
+struct sync *
+sync_new (struct server *server)
+{
+  struct sync *sync = g_new0 (struct sync, 1);
+
+  sync->server = server;
+  sync->prefix = g_strdup_printf ("%s/config/", server->settings->deployment);
+  pthread_mutex_init (&sync->lock, NULL);
+  pthread_cond_init (&sync->ready, NULL);
+  peer_on_revision (server->peer, on_revision, sync);
+  return sync;
+}
+
+/* Starts the threads.  */
+void
+sync_start (struct sync *sync)
+{
+  sync->started_ms = clk_now (clk_monotonic ());
+  pthread_create (&sync->threads[0], NULL, run_watch, sync);
+  pthread_create (&sync->threads[1], NULL, run_fetch, sync);
+  pthread_create (&sync->threads[2], NULL, run_list, sync);
+}
+
+/* Ends the threads and frees SYNC.  */
+void
+sync_stop (struct sync *sync)
+{
+  pthread_mutex_lock (&sync->lock);
+  ck_pr_store_int (&sync->stopping, 1);
+  pthread_cond_broadcast (&sync->ready);
+  pthread_mutex_unlock (&sync->lock);
+  for (size_t i = 0; i < G_N_ELEMENTS (sync->threads); i++)
+    pthread_join (sync->threads[i], NULL);
+  pthread_mutex_destroy (&sync->lock);
+  pthread_cond_destroy (&sync->ready);
+  g_free (sync->prefix);
+  g_free (sync);
+}
+
+/* Returns whether this instance has the newest version that it can learn of:
+   from the platform, or else from every member it has heard.  */
+int
+sync_has_version (struct sync *sync)
+{
+  struct server *server = sync->server;
+  struct mem_member members[64];
+  size_t count;
+  uint64_t revision = ver_store_revision (server->store);
+  uint64_t in_force = 0;
+  char *text = ver_store_get (server->store, "in-force", &in_force);
+
+  g_free (text);
+  if (text == NULL)
+    return 0;
+  if (clk_now (clk_monotonic ()) - sync->started_ms < SETTLE_MS)
+    return 0;
+  if (ck_pr_load_int (&sync->platform_read))
+    return 1;
+  count = mem_list (peer_members (server->peer), members,
+                    G_N_ELEMENTS (members));
+  for (size_t i = 0; i < count; i++)
+    if (!members[i].gone && members[i].revision > revision)
+      return 0;
+  return count > 0;
+}
+
+/* Returns a new session with the platform for the calling thread.  */
+struct plat *
+sync_platform (struct server *server)
+{
+  return plat_http_new (&server->settings->platform, PLATFORM_TIMEOUT_MS);
+}
+
+/* Waits for changes at the platform while it is this instance's duty.  After
+   an error it waits for a time that doubles and is drawn at random, so that
+   the watchers do not come back together.  */
+static void *
+run_watch (void *closure)
+{
+  struct sync *sync = closure;
+  struct plat *plat = sync_platform (sync->server);
+  GRand *random = g_rand_new ();
+  int64_t backoff_ms = BACKOFF_MIN_MS;
+
+  while (!is_stopping (sync))
+    {
+      int first = !ck_pr_load_int (&sync->platform_read);
+
+      if (!first && !peer_is_duty (sync->server->peer, "watch", WATCHERS))
+        {
+          sleep_ms (IDLE_MS);
+          continue;
+        }
+      if (watch_once (sync, plat, first ? 0 : WATCH_WAIT_MS) == 0)
+        {
+          backoff_ms = BACKOFF_MIN_MS;
+          continue;
+        }
+      sleep_ms (g_rand_int_range (random, BACKOFF_MIN_MS / 2,
+                                  (gint32)backoff_ms + 1));
+      backoff_ms = MIN (backoff_ms * 2, (int64_t)BACKOFF_MAX_MS);
+    }
+  g_rand_free (random);
+  plat_free (plat);
+  return NULL;
+}
+
+/* Fetches from peers that have a higher revision.  */
+static void *
+run_fetch (void *closure)
+{
+  struct sync *sync = closure;
+  struct fetch *fetch = fetch_new ();
+
+  for (;;)
+    {
+      struct sockaddr_in source;
+
+      pthread_mutex_lock (&sync->lock);
+      while (!sync->has_source && !is_stopping (sync))
+        pthread_cond_wait (&sync->ready, &sync->lock);
+      source = sync->source;
+      sync->has_source = 0;
+      pthread_mutex_unlock (&sync->lock);
+      if (is_stopping (sync))
+        break;
+      fetch_once (sync, fetch, &source);
+    }
+  fetch_free (fetch);
+  return NULL;
+}
+
+/* Reads the platform's list of leaving targets while it is this instance's
+   duty.  */
+static void *
+run_list (void *closure)
+{
+  struct sync *sync = closure;
+  struct plat *plat = sync_platform (sync->server);
+
+  while (!is_stopping (sync))
+    {
+      if (peer_is_duty (sync->server->peer, "list", 1))
+        list_once (sync, plat);
+      sleep_ms (LIST_INTERVAL_MS);
+    }
+  plat_free (plat);
+  return NULL;
+}
+
+/* Notes that PEER has a higher revision; called on the peer thread.  */
+static void
+on_revision (void *closure, const struct sockaddr_in *peer)
+{
+  struct sync *sync = closure;
+
+  pthread_mutex_lock (&sync->lock);
+  sync->source = *peer;
+  sync->has_source = 1;
+  pthread_cond_signal (&sync->ready);
+  pthread_mutex_unlock (&sync->lock);
+}
+
+/* Waits once for changes, at most WAIT_MS.  Returns 0 if the platform
+   answered.  */
+static int
+watch_once (struct sync *sync, struct plat *plat, int64_t wait_ms)
+{
+  GError *error = NULL;
+  char *json
+      = plat_watch (plat, sync->prefix,
+                    ver_store_revision (sync->server->store), wait_ms, &error);
+
+  if (json == NULL)
+    {
+      log_debug ("sync", NULL, "watch_failed", "%s", error->message);
+      g_clear_error (&error);
+      return -1;
+    }
+  merge (sync, json, MET_COUNTER_COUNT);
+  g_free (json);
+  ck_pr_store_int (&sync->platform_read, 1);
+  return 0;
+}
+
+/* Fetches once from PEER.  */
+static void
+fetch_once (struct sync *sync, struct fetch *fetch,
+            const struct sockaddr_in *peer)
+{
+  struct fetch_answer answer = { .body = g_string_new (NULL) };
+  char *host = settings_format_address (peer);
+  char url[URL_MAX_BYTES];
+  struct fetch_call call = { .method = "GET",
+                             .url = url,
+                             .bearer = sync->server->settings->cluster_key,
+                             .timeout_ms = FETCH_TIMEOUT_MS };
+
+  g_snprintf (url, sizeof url,
+              "http://%s/peer/config?since=%" G_GUINT64_FORMAT, host,
+              (guint64)ver_store_revision (sync->server->store));
+  fetch_do (fetch, &call, &answer);
+  if (answer.status == HTTP_OK)
+    merge (sync, answer.body->str, MET_CONFIG_FROM_PEER);
+  g_string_free (answer.body, TRUE);
+  g_free (host);
+}
+
+/* Merges JSON; if anything came into force, counts it and tells the peers.  */
+static void
+merge (struct sync *sync, const char *json, enum met_counter counter)
+{
+  GError *error = NULL;
+  int adopted = ver_store_merge (sync->server->store, json, &error);
+
+  if (adopted < 0)
+    {
+      log_warn ("sync", NULL, "bad_message", "%s", error->message);
+      g_clear_error (&error);
+      return;
+    }
+  if (adopted == 0)
+    return;
+  if (counter != MET_COUNTER_COUNT)
+    met_inc (counter);
+  peer_announce (sync->server->peer);
+}
+
+/* Reads the list once.  */
+static void
+list_once (struct sync *sync, struct plat *plat)
+{
+  char *text = plat_instances (plat, NULL);
+  json_t *json = text != NULL ? json_loads (text, 0, NULL) : NULL;
+  uint64_t leaving[LEAVING_MAX];
+  size_t count = 0;
+  json_t *item;
+  size_t i;
+
+  json_array_foreach (json_object_get (json, "targets"), i, item)
+  {
+    const char *service
+        = json_string_value (json_object_get (item, "service"));
+    const char *name = json_string_value (json_object_get (item, "name"));
+    const char *state = json_string_value (json_object_get (item, "state"));
+
+    if (service != NULL && name != NULL && count < LEAVING_MAX
+        && g_strcmp0 (state, "leaving") == 0)
+      leaving[count++] = rank_hash_parts (sync->server->settings->deployment,
+                                          service, name);
+  }
+  peer_set_leaving (sync->server->peer, leaving, count);
+  json_decref (json);
+  g_free (text);
+}
+
+/* Returns whether sync_stop was called.  */
+static int
+is_stopping (struct sync *sync)
+{
+  return ck_pr_load_int (&sync->stopping);
+}
+
+/* Sleeps for MS milliseconds.  */
+static void
+sleep_ms (int64_t ms)
+{
+  struct timespec duration = { ms / 1000, ms % 1000 * 1000000 };
+
+  nanosleep (&duration, NULL);
+}
--- /dev/null
+++ b/connection/worker.c
@@ -0,0 +1,307 @@
+/* Event loop of one worker thread: callers, targets, mail and timers. */
+#include <errno.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <ck_pr.h>
+
+#include "ibisloom/error.h"
+#include "libconnection.h"
+
+enum
+{
+  EVENTS_MAX = 256,
+  TICK_MS = 10,
+  STOP_CHECK_MS = 50
+};
+
+enum mail_kind
+{
+  MAIL_REPLY,
+  MAIL_LEDGER
+};
+
+/* A message from another thread to one request. */
+struct mail
+{
+  enum mail_kind kind;
+  uint64_t tag;
+  struct peer_reply reply;
+  struct led_reply ledger;
+  char *content_type;
+  char *body;
+};
+
+static void *run (void *closure);
+static void post (struct worker *worker, struct mail *mail);
+static void deliver (struct worker *worker);
+static void deliver_one (struct worker *worker, struct mail *mail);
+static int wait_ms (struct worker *worker, clk_ms now);
+static void handle_events (struct worker *worker,
+                           const struct epoll_event *events, int count);
+static void tick (struct worker *worker, clk_ms now);
+static int add_fd (struct worker *worker, int fd);
+
+/* Returns worker INDEX of SERVER with its listener bound, or NULL with ERROR
+   set.  */
+struct worker *
+worker_new (struct server *server, int index, GError **error)
+{
+  struct worker *worker = g_new0 (struct worker, 1);
+  const union MHD_DaemonInfo *info;
+
+  worker->server = server;
+  worker->index = index;
+  worker->epoll = epoll_create1 (EPOLL_CLOEXEC);
+  worker->mail_fd = eventfd (0, EFD_NONBLOCK | EFD_CLOEXEC);
+  pthread_mutex_init (&worker->mail_lock, NULL);
+  g_queue_init (&worker->mail);
+  worker->requests = g_hash_table_new (g_int64_hash, g_int64_equal);
+  worker->random = g_rand_new ();
+  worker->front = front_start (worker, error);
+  if (worker->front == NULL)
+    return NULL;
+  info = MHD_get_daemon_info (worker->front, MHD_DAEMON_INFO_EPOLL_FD);
+  worker->front_fd = info->epoll_fd;
+  back_init (worker);
+  if (add_fd (worker, worker->front_fd) != 0
+      || add_fd (worker, worker->mail_fd) != 0)
+    {
+      err_set (error, ERR_IO, "epoll: %s", g_strerror (errno));
+      return NULL;
+    }
+  return worker;
+}
+
+/* Starts WORKER's thread.  */
+void
+worker_start (struct worker *worker)
+{
+  pthread_create (&worker->thread, NULL, run, worker);
+}
+
+/* Waits until WORKER's thread has ended, which it does when the server is
+   stopping.  */
+void
+worker_join (struct worker *worker)
+{
+  worker_wake (worker);
+  pthread_join (worker->thread, NULL);
+}
+
+/* Frees WORKER after worker_join.  */
+void
+worker_free (struct worker *worker)
+{
+  MHD_stop_daemon (worker->front);
+  back_free (worker);
+  g_hash_table_destroy (worker->requests);
+  g_rand_free (worker->random);
+  close (worker->epoll);
+  close (worker->mail_fd);
+  pthread_mutex_destroy (&worker->mail_lock);
+  g_free (worker);
+}
+
+/* Passes REPLY to the request TAG of the worker CLOSURE, from any thread.  */
+void
+worker_post_reply (void *closure, uint64_t tag, const struct peer_reply *reply)
+{
+  struct mail *mail = g_new0 (struct mail, 1);
+
+  mail->kind = MAIL_REPLY;
+  mail->tag = tag;
+  mail->reply = *reply;
+  post (closure, mail);
+}
+
+/* Passes a copy of REPLY to the request TAG of the worker CLOSURE, from any
+   thread.  */
+void
+worker_post_ledger (void *closure, uint64_t tag, const struct led_reply *reply)
+{
+  struct mail *mail = g_new0 (struct mail, 1);
+
+  mail->kind = MAIL_LEDGER;
+  mail->tag = tag;
+  mail->ledger = *reply;
+  mail->content_type = g_strdup (reply->content_type);
+  mail->body = g_memdup2 (reply->body, reply->body_length);
+  mail->ledger.content_type = mail->content_type;
+  mail->ledger.body = mail->body;
+  post (closure, mail);
+}
+
+/* Makes WORKER's loop go round.  */
+void
+worker_wake (struct worker *worker)
+{
+  uint64_t one = 1;
+
+  if (write (worker->mail_fd, &one, sizeof one) < 0)
+    return;
+}
+
+/* Queues MAIL and wakes WORKER if it may be asleep.  */
+static void
+post (struct worker *worker, struct mail *mail)
+{
+  int was_empty;
+
+  pthread_mutex_lock (&worker->mail_lock);
+  was_empty = g_queue_is_empty (&worker->mail);
+  g_queue_push_tail (&worker->mail, mail);
+  pthread_mutex_unlock (&worker->mail_lock);
+  if (was_empty)
+    worker_wake (worker);
+}
+
+/* Runs the loop until the server stops and no request is open.  The version
+   in force is held through one round, so that all decisions of a round rest
+   on the same one.  */
+static void *
+run (void *closure)
+{
+  struct worker *worker = closure;
+  struct epoll_event events[EVENTS_MAX];
+
+  worker->reader = ver_reader_new (worker->server->store);
+  while (ck_pr_load_int (&worker->server->stopping) < 2
+         || g_hash_table_size (worker->requests) > 0)
+    {
+      clk_ms now = clk_now (clk_monotonic ());
+      int count = epoll_wait (worker->epoll, events, EVENTS_MAX,
+                              wait_ms (worker, now));
+
+      if (ck_pr_load_int (&worker->server->stopping) > 2)
+        break;
+      worker->version = ver_enter (worker->server->store, worker->reader);
+      handle_events (worker, events, count);
+      now = clk_now (clk_monotonic ());
+      if (now >= worker->multi_due_ms)
+        back_timeout (worker);
+      back_collect (worker);
+      deliver (worker);
+      if (now >= worker->next_tick_ms)
+        tick (worker, now);
+      if (worker->front_due)
+        {
+          worker->front_due = 0;
+          MHD_run (worker->front);
+        }
+      ver_exit (worker->reader);
+    }
+  ver_reader_free (worker->reader);
+  return NULL;
+}
+
+/* Returns how long the loop may sleep, in milliseconds.  */
+static int
+wait_ms (struct worker *worker, clk_ms now)
+{
+  clk_ms due = MIN (worker->next_tick_ms, worker->multi_due_ms);
+  MHD_UNSIGNED_LONG_LONG front_ms;
+
+  if (worker->front_due)
+    return 0;
+  if (MHD_get_timeout (worker->front, &front_ms) == MHD_YES)
+    {
+      if (front_ms == 0)
+        {
+          worker->front_due = 1;
+          return 0;
+        }
+      due = MIN (due, now + (clk_ms)front_ms);
+    }
+  if (!g_queue_is_empty (&worker->mail))
+    return 0;
+  return due > now ? (int)(due - now) : 0;
+}
+
+/* Hands COUNT ready EVENTS to their owners.  */
+static void
+handle_events (struct worker *worker, const struct epoll_event *events,
+               int count)
+{
+  uint64_t ignored;
+
+  for (int i = 0; i < count; i++)
+    {
+      int fd = events[i].data.fd;
+
+      if (fd == worker->front_fd)
+        worker->front_due = 1;
+      else if (fd != worker->mail_fd)
+        back_socket_ready (worker, fd, events[i].events);
+      else if (read (worker->mail_fd, &ignored, sizeof ignored) < 0)
+        continue;
+    }
+}
+
+/* Delivers all mail.  */
+static void
+deliver (struct worker *worker)
+{
+  for (;;)
+    {
+      struct mail *mail;
+
+      pthread_mutex_lock (&worker->mail_lock);
+      mail = g_queue_pop_head (&worker->mail);
+      pthread_mutex_unlock (&worker->mail_lock);
+      if (mail == NULL)
+        return;
+      deliver_one (worker, mail);
+      g_free (mail->content_type);
+      g_free (mail->body);
+      g_free (mail);
+    }
+}
+
+/* Delivers MAIL; what comes for a request that is gone is given back.  */
+static void
+deliver_one (struct worker *worker, struct mail *mail)
+{
+  struct req *req = g_hash_table_lookup (worker->requests, &mail->tag);
+
+  if (mail->kind == MAIL_LEDGER)
+    {
+      if (req != NULL)
+        req_on_ledger (req, &mail->ledger);
+      return;
+    }
+  if (req != NULL && req->grant == mail->reply.grant
+      && req->phase == REQ_PLACING)
+    req_on_reply (req, &mail->reply);
+  else if (mail->reply.verdict == OWN_GRANT)
+    peer_release (worker->server->peer, mail->reply.grant,
+                  OWN_OUTCOME_UNKNOWN);
+}
+
+/* Runs the timers of all requests.  */
+static void
+tick (struct worker *worker, clk_ms now)
+{
+  GPtrArray *due = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+
+  worker->next_tick_ms = now + TICK_MS;
+  g_hash_table_iter_init (&iter, worker->requests);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((struct req *)value)->timer_ms <= now)
+      g_ptr_array_add (due, value);
+  for (guint i = 0; i < due->len; i++)
+    req_on_timer (g_ptr_array_index (due, i), now);
+  g_ptr_array_free (due, TRUE);
+}
+
+/* Watches FD for input.  */
+static int
+add_fd (struct worker *worker, int fd)
+{
+  struct epoll_event event = { .events = EPOLLIN, .data.fd = fd };
+
+  return epoll_ctl (worker->epoll, EPOLL_CTL_ADD, fd, &event);
+}
--- /dev/null
+++ b/daemon/ibisloomd.c
@@ -0,0 +1,121 @@
+/* ibisloomd: one entry instance. */
+#include <argp.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "ibisloom/error.h"
+#include "ibisloom/log.h"
+#include "ibisloom/server.h"
+
+enum
+{
+  EXIT_BAD_SETTINGS = 2,
+  EXIT_CANNOT_START = 3
+};
+
+struct arguments
+{
+  const char *settings;
+  int check;
+};
+
+static error_t parse_option (int key, char *value, struct argp_state *state);
+static struct settings *load (const char *path);
+static void on_signal (int number);
+
+const char *argp_program_version = "ibisloomd 0.1";
+
+static const struct argp_option options[]
+    = { { "settings", 's', "FILE", 0, "read settings from FILE", 0 },
+        { "check-settings", 'c', "FILE", 0,
+          "check FILE, tell every mistake, and exit", 0 },
+        { 0 } };
+
+static const struct argp argument_parser
+    = { options,
+        parse_option,
+        NULL,
+        "One entry instance of an ibisloom router fleet."
+        "\vExit status: 0 after a graceful stop or a check without mistakes, "
+        "2 for mistakes in the settings, 3 if it cannot start, 64 for a wrong "
+        "command line.",
+        NULL,
+        NULL,
+        NULL };
+
+static struct server *running;
+
+/* Runs one instance until SIGTERM or SIGINT.  */
+int
+main (int argc, char **argv)
+{
+  struct arguments arguments = { 0 };
+  struct settings *settings;
+  GError *error = NULL;
+
+  argp_parse (&argument_parser, argc, argv, 0, NULL, &arguments);
+  settings = load (arguments.settings);
+  if (settings == NULL)
+    return EXIT_BAD_SETTINGS;
+  if (arguments.check)
+    {
+      settings_free (settings);
+      return EXIT_SUCCESS;
+    }
+  log_set_level ((enum log_level)settings->log_level);
+  log_set_instance (settings->instance);
+  signal (SIGPIPE, SIG_IGN);
+  running = server_new (settings, &error);
+  if (running == NULL || server_start (running, &error) != 0)
+    {
+      log_error ("server", NULL, "cannot_start", "%s", error->message);
+      return EXIT_CANNOT_START;
+    }
+  signal (SIGTERM, on_signal);
+  signal (SIGINT, on_signal);
+  server_run (running);
+  server_stop (running);
+  log_info ("server", NULL, "stopped", "all requests finished");
+  server_free (running);
+  settings_free (settings);
+  return EXIT_SUCCESS;
+}
+
+/* Takes one option for argp.  */
+static error_t
+parse_option (int key, char *value, struct argp_state *state)
+{
+  struct arguments *arguments = state->input;
+
+  if (key == 's' || key == 'c')
+    {
+      arguments->settings = value;
+      arguments->check = key == 'c';
+      return 0;
+    }
+  if (key == ARGP_KEY_END && arguments->settings == NULL)
+    argp_error (state, "name a settings file with --settings");
+  return key == ARGP_KEY_END ? 0 : ARGP_ERR_UNKNOWN;
+}
+
+/* Loads the settings of PATH and prints every mistake.  */
+static struct settings *
+load (const char *path)
+{
+  GPtrArray *mistakes = g_ptr_array_new_with_free_func (g_free);
+  struct settings *settings = settings_load (path, mistakes);
+
+  for (guint i = 0; i < mistakes->len; i++)
+    fprintf (stderr, "%s\n", (char *)g_ptr_array_index (mistakes, i));
+  g_ptr_array_free (mistakes, TRUE);
+  return settings;
+}
+
+/* Begins a graceful stop.  */
+static void
+on_signal (int number)
+{
+  (void)number;
+  server_request_stop (running);
+}
--- /dev/null
+++ b/fakes/fake_http.c
@@ -0,0 +1,188 @@
+/* Small HTTP server for the stand-ins. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include <arpa/inet.h>
+
+#include "fake_http.h"
+
+enum
+{
+  BACKLOG = 1024,
+  TIMEOUT_S = 120
+};
+
+static enum MHD_Result on_request (void *closure,
+                                   struct MHD_Connection *connection,
+                                   const char *url, const char *method,
+                                   const char *version, const char *data,
+                                   size_t *size, void **state);
+static void on_completed (void *closure, struct MHD_Connection *connection,
+                          void **state, enum MHD_RequestTerminationCode code);
+
+/* Serves HANDLER on PORT of the loopback address; ends the process if that
+   cannot be.  */
+void
+fake_listen (struct fake_server *server, int port, fake_handler handler,
+             void *closure)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET,
+                                 .sin_port = htons ((uint16_t)port),
+                                 .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+
+  server->port = port;
+  server->handler = handler;
+  server->closure = closure;
+  server->daemon = MHD_start_daemon (
+      MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD
+          | MHD_USE_POLL,
+      (uint16_t)port, NULL, NULL, on_request, server, MHD_OPTION_SOCK_ADDR,
+      &address, MHD_OPTION_LISTEN_BACKLOG_SIZE, (unsigned)BACKLOG,
+      MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)TIMEOUT_S,
+      MHD_OPTION_THREAD_STACK_SIZE, (size_t)262144,
+      MHD_OPTION_CONNECTION_LIMIT, (unsigned)8192,
+      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_NOTIFY_COMPLETED,
+      on_completed, NULL, MHD_OPTION_END);
+  if (server->daemon != NULL)
+    return;
+  fprintf (stderr, "port %d cannot be used\n", port);
+  exit (EXIT_FAILURE);
+}
+
+/* Refuses new connections of SERVER until fake_listen is called again; open
+   ones go on.  */
+void
+fake_close (struct fake_server *server)
+{
+  MHD_socket fd = MHD_quiesce_daemon (server->daemon);
+
+  if (fd != MHD_INVALID_SOCKET)
+    close (fd);
+}
+
+/* Answers CALL with TEXT.  */
+void
+fake_answer (struct fake_call *call, unsigned status, const char *text)
+{
+  call->status = status;
+  call->response = MHD_create_response_from_buffer (
+      strlen (text), (void *)(uintptr_t)text, MHD_RESPMEM_MUST_COPY);
+  MHD_add_response_header (call->response, "Content-Type", "application/json");
+}
+
+/* Answers CALL with JSON, which is released.  */
+void
+fake_answer_json (struct fake_call *call, unsigned status, json_t *json)
+{
+  char *text = json_dumps (json, JSON_COMPACT);
+
+  fake_answer (call, status, text);
+  free (text);
+  json_decref (json);
+}
+
+/* Closes CALL's connection without an answer.  */
+void
+fake_drop (struct fake_call *call)
+{
+  call->dropped = 1;
+}
+
+/* Returns the header NAME of CALL, or NULL.  */
+const char *
+fake_header (struct fake_call *call, const char *name)
+{
+  return MHD_lookup_connection_value (call->connection, MHD_HEADER_KIND, name);
+}
+
+/* Returns the query argument NAME of CALL, or NULL.  */
+const char *
+fake_argument (struct fake_call *call, const char *name)
+{
+  return MHD_lookup_connection_value (call->connection, MHD_GET_ARGUMENT_KIND,
+                                      name);
+}
+
+/* Gives the request's identifier back with the answer.  */
+void
+fake_echo_id (struct fake_call *call)
+{
+  const char *id = fake_header (call, "X-Request-Id");
+
+  if (id != NULL && call->response != NULL)
+    MHD_add_response_header (call->response, "X-Request-Id", id);
+}
+
+/* Blocks for MS milliseconds.  */
+void
+fake_sleep (int64_t ms)
+{
+  struct timespec duration = { ms / 1000, ms % 1000 * 1000000 };
+
+  if (ms > 0)
+    nanosleep (&duration, NULL);
+}
+
+/* Returns the monotonic time in milliseconds, the same in all processes of
+   the machine.  */
+int64_t
+fake_now (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_MONOTONIC, &now);
+  return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
+}
+
+/* Collects the body, then calls the handler.  */
+static enum MHD_Result
+on_request (void *closure, struct MHD_Connection *connection, const char *url,
+            const char *method, const char *version, const char *data,
+            size_t *size, void **state)
+{
+  struct fake_server *server = closure;
+  struct fake_call *call = *state;
+  enum MHD_Result result;
+
+  (void)version;
+  if (call == NULL)
+    {
+      call = g_new0 (struct fake_call, 1);
+      call->connection = connection;
+      call->body = g_string_new (NULL);
+      *state = call;
+      return MHD_YES;
+    }
+  if (*size > 0)
+    {
+      g_string_append_len (call->body, data, (gssize)*size);
+      *size = 0;
+      return MHD_YES;
+    }
+  call->url = url;
+  call->method = method;
+  server->handler (call, server->closure);
+  if (call->dropped || call->response == NULL)
+    return MHD_NO;
+  result = MHD_queue_response (connection, call->status, call->response);
+  MHD_destroy_response (call->response);
+  return result;
+}
+
+/* Frees the call.  */
+static void
+on_completed (void *closure, struct MHD_Connection *connection, void **state,
+              enum MHD_RequestTerminationCode code)
+{
+  struct fake_call *call = *state;
+
+  (void)closure;
+  (void)connection;
+  (void)code;
+  if (call == NULL)
+    return;
+  g_string_free (call->body, TRUE);
+  g_free (call);
+}
--- /dev/null
+++ b/fakes/fake_platform.c
@@ -0,0 +1,343 @@
+/* Stand-in for the platform's object API.
+
+   Usage: fake_platform PORT DELAY_MS
+   Objects with revisions, conditional writes, a long-polling watch and a list
+   of instances; faults by /control/fault?mode=ok|down|hang|lose&percent=P
+   &delay_ms=D&from=FIRST_PEER_PORT..., history by /control/history. */
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "fake_http.h"
+
+enum
+{
+  WATCH_BYTES_MAX = 4194304,
+  HANG_MS = 3000
+};
+
+enum mode
+{
+  MODE_OK,
+  MODE_DOWN,
+  MODE_HANG,
+  MODE_LOSE /* writes take effect, their answers are lost */
+};
+
+struct object
+{
+  char *name;
+  char *text; /* NULL: removed */
+  uint64_t revision;
+};
+
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static pthread_cond_t changed = PTHREAD_COND_INITIALIZER;
+static GHashTable *objects;
+static uint64_t last_revision;
+static enum mode mode;
+static int percent = 100;
+static unsigned seed = 1;
+static int64_t delay_ms;
+static int64_t reads;
+static int64_t writes;
+static int64_t watches;
+static char *instances;
+static GString *history;
+
+static void serve (struct fake_call *call, void *closure);
+static int suffer (struct fake_call *call, int is_write, int *lose);
+static void get_object (struct fake_call *call, const char *name);
+static void put_object (struct fake_call *call, const char *name, int remove);
+static void watch (struct fake_call *call);
+static json_t *changes (const char *prefix, uint64_t since, uint64_t *until,
+                        int *more);
+static void control (struct fake_call *call);
+static gint by_revision (gconstpointer a, gconstpointer b);
+static void set_etag (struct fake_call *call, uint64_t revision);
+
+int
+main (int argc, char **argv)
+{
+  struct fake_server server;
+
+  if (argc != 3)
+    {
+      fprintf (stderr, "usage: fake_platform PORT DELAY_MS\n");
+      return EXIT_FAILURE;
+    }
+  delay_ms = atoll (argv[2]);
+  objects = g_hash_table_new (g_str_hash, g_str_equal);
+  instances = g_strdup ("{\"targets\":[]}");
+  history = g_string_new (NULL);
+  fake_listen (&server, atoi (argv[1]), serve, NULL);
+  pause ();
+  return EXIT_SUCCESS;
+}
+
+/* Serves one call.  */
+static void
+serve (struct fake_call *call, void *closure)
+{
+  static const char prefix[] = "/v1/objects/";
+  const char *name = call->url + sizeof prefix - 1;
+  int is_object = g_str_has_prefix (call->url, prefix);
+  int is_write = strcmp (call->method, "GET") != 0;
+  int lose = 0;
+
+  (void)closure;
+  if (g_str_has_prefix (call->url, "/control/"))
+    {
+      control (call);
+      return;
+    }
+  if (suffer (call, is_write, &lose))
+    return;
+  if (strcmp (call->url, "/v1/watch") == 0)
+    watch (call);
+  else if (strcmp (call->url, "/v1/instances") == 0)
+    {
+      pthread_mutex_lock (&lock);
+      fake_answer (call, 200, instances);
+      pthread_mutex_unlock (&lock);
+    }
+  else if (!is_object)
+    fake_answer (call, 404, "{}");
+  else if (is_write)
+    put_object (call, name, strcmp (call->method, "DELETE") == 0);
+  else
+    get_object (call, name);
+  if (lose)
+    fake_drop (call);
+}
+
+/* Counts the call and lets the fault in force hit it.  Returns whether the
+   call is over; sets LOSE if its answer is to be lost.  */
+static int
+suffer (struct fake_call *call, int is_write, int *lose)
+{
+  enum mode hit = MODE_OK;
+  int64_t wait_ms;
+
+  pthread_mutex_lock (&lock);
+  if (is_write)
+    writes++;
+  else if (strcmp (call->url, "/v1/watch") == 0)
+    watches++;
+  else
+    reads++;
+  if (mode != MODE_OK && rand_r (&seed) % 100 < percent)
+    hit = mode;
+  wait_ms = delay_ms;
+  pthread_mutex_unlock (&lock);
+  *lose = hit == MODE_LOSE && is_write;
+  if (hit == MODE_HANG)
+    fake_sleep (HANG_MS);
+  if (hit == MODE_DOWN)
+    {
+      fake_answer (call, 503, "{}");
+      return 1;
+    }
+  if (hit == MODE_HANG)
+    {
+      fake_drop (call);
+      return 1;
+    }
+  fake_sleep (wait_ms);
+  return 0;
+}
+
+/* Reads one object.  */
+static void
+get_object (struct fake_call *call, const char *name)
+{
+  const struct object *object;
+
+  pthread_mutex_lock (&lock);
+  object = g_hash_table_lookup (objects, name);
+  if (object == NULL || object->text == NULL)
+    fake_answer (call, 404, "{}");
+  else
+    {
+      fake_answer (call, 200, object->text);
+      set_etag (call, object->revision);
+    }
+  pthread_mutex_unlock (&lock);
+}
+
+/* Writes or removes one object under the conditions of the call.  */
+static void
+put_object (struct fake_call *call, const char *name, int remove)
+{
+  const char *match = fake_header (call, "If-Match");
+  const char *none = fake_header (call, "If-None-Match");
+  struct object *object;
+  int exists;
+
+  pthread_mutex_lock (&lock);
+  object = g_hash_table_lookup (objects, name);
+  exists = object != NULL && object->text != NULL;
+  if ((none != NULL && exists)
+      || (match != NULL
+          && (!exists || strtoull (match + 1, NULL, 10) != object->revision)))
+    {
+      fake_answer (call, 412, "{}");
+      pthread_mutex_unlock (&lock);
+      return;
+    }
+  if (object == NULL)
+    {
+      object = g_new0 (struct object, 1);
+      object->name = g_strdup (name);
+      g_hash_table_insert (objects, object->name, object);
+    }
+  g_free (object->text);
+  object->text = remove ? NULL : g_strdup (call->body->str);
+  object->revision = ++last_revision;
+  if (strstr (name, "/ledger/") == NULL)
+    g_string_append_printf (history,
+                            "%s{\"t\":%ld,\"name\":\"%s\",\"revision\":%lu}",
+                            history->len ? "," : "", (long)fake_now (), name,
+                            (unsigned long)object->revision);
+  fake_answer (call, 200, "{}");
+  set_etag (call, object->revision);
+  pthread_cond_broadcast (&changed);
+  pthread_mutex_unlock (&lock);
+}
+
+/* Waits for objects under a prefix to change after a revision.  */
+static void
+watch (struct fake_call *call)
+{
+  const char *prefix = fake_argument (call, "prefix");
+  const char *since = fake_argument (call, "since");
+  const char *wait = fake_argument (call, "wait_ms");
+  uint64_t after = since ? strtoull (since, NULL, 10) : 0;
+  int64_t wait_ms = wait ? atoll (wait) : 0;
+  struct timespec until;
+  uint64_t revision;
+  json_t *list;
+  int more;
+
+  clock_gettime (CLOCK_REALTIME, &until);
+  until.tv_sec += wait_ms / 1000;
+  pthread_mutex_lock (&lock);
+  for (;;)
+    {
+      list = changes (prefix ? prefix : "", after, &revision, &more);
+      if (json_array_size (list) > 0 || wait_ms == 0)
+        break;
+      json_decref (list);
+      if (pthread_cond_timedwait (&changed, &lock, &until) != 0)
+        {
+          list = json_array ();
+          revision = MAX (after, last_revision);
+          break;
+        }
+    }
+  pthread_mutex_unlock (&lock);
+  fake_answer_json (call, 200,
+                    json_pack ("{s:I,s:b,s:o}", "revision",
+                               (json_int_t)revision, "more", more, "objects",
+                               list));
+}
+
+/* Returns the objects under PREFIX changed after SINCE in the order of their
+   revisions, as many as fit, and the revision UNTIL which they are all.  */
+static json_t *
+changes (const char *prefix, uint64_t since, uint64_t *until, int *more)
+{
+  GList *found = NULL;
+  json_t *list = json_array ();
+  size_t bytes = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, objects);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct object *object = value;
+
+      if (object->revision > since && g_str_has_prefix (object->name, prefix))
+        found = g_list_prepend (found, value);
+    }
+  found = g_list_sort (found, by_revision);
+  *until = MAX (last_revision, since);
+  *more = 0;
+  for (GList *at = found; at != NULL; at = at->next)
+    {
+      const struct object *object = at->data;
+
+      if (bytes > WATCH_BYTES_MAX)
+        {
+          *more = 1;
+          break;
+        }
+      bytes += object->text ? strlen (object->text) : 0;
+      json_array_append_new (list, json_pack ("{s:s,s:I,s:s?}", "name",
+                                              object->name, "revision",
+                                              (json_int_t)object->revision,
+                                              "value", object->text));
+      if (at->next != NULL && bytes > WATCH_BYTES_MAX)
+        *until = object->revision;
+    }
+  g_list_free (found);
+  return list;
+}
+
+/* Orders objects by revision.  */
+static gint
+by_revision (gconstpointer a, gconstpointer b)
+{
+  const struct object *left = a;
+  const struct object *right = b;
+
+  return (left->revision > right->revision)
+         - (left->revision < right->revision);
+}
+
+/* Serves faults, the list of instances and the history.  */
+static void
+control (struct fake_call *call)
+{
+  static const char *const modes[] = { "ok", "down", "hang", "lose" };
+  const char *name = fake_argument (call, "mode");
+  const char *share = fake_argument (call, "percent");
+  const char *delay = fake_argument (call, "delay_ms");
+
+  pthread_mutex_lock (&lock);
+  if (strcmp (call->url, "/control/instances") == 0)
+    {
+      g_free (instances);
+      instances = g_strdup (call->body->str);
+    }
+  for (size_t i = 0; name != NULL && i < G_N_ELEMENTS (modes); i++)
+    if (strcmp (name, modes[i]) == 0)
+      {
+        mode = (enum mode)i;
+        percent = share ? atoi (share) : 100;
+      }
+  if (delay != NULL)
+    delay_ms = atoll (delay);
+  fake_answer_json (
+      call, 200,
+      json_pack ("{s:I,s:I,s:I,s:o}", "reads", (json_int_t)reads, "writes",
+                 (json_int_t)writes, "watches", (json_int_t)watches, "changes",
+                 strcmp (call->url, "/control/history") == 0 ? json_loads (
+                     g_strdup_printf ("[%s]", history->str), 0, NULL)
+                                                             : json_null ()));
+  pthread_mutex_unlock (&lock);
+}
+
+/* Adds the revision to the answer.  */
+static void
+set_etag (struct fake_call *call, uint64_t revision)
+{
+  char text[32];
+
+  g_snprintf (text, sizeof text, "\"%lu\"", (unsigned long)revision);
+  MHD_add_response_header (call->response, "ETag", text);
+}
--- /dev/null
+++ b/fakes/fake_service.c
@@ -0,0 +1,192 @@
+/* Stand-in for plain services that counts what it runs.
+
+   Usage: fake_service BASE_PORT COUNT DELAY_MS
+   Worker i listens on BASE_PORT + i, faults and history on BASE_PORT - 1. */
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "fake_http.h"
+
+enum
+{
+  WORKERS_MAX = 64
+};
+
+enum mode
+{
+  MODE_OK,
+  MODE_ERROR,
+  MODE_REFUSE,
+  MODE_BEFORE, /* dies before it runs the call */
+  MODE_DURING, /* runs the call and dies without an answer */
+  MODE_HANG,
+  MODE_BUSY
+};
+
+struct worker
+{
+  struct fake_server server;
+  enum mode mode;
+  int percent; /* of the calls that the mode hits */
+  unsigned seed;
+};
+
+static struct worker workers[WORKERS_MAX];
+static int worker_count;
+static int64_t delay_ms;
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static GHashTable *executions; /* key to count */
+static int64_t calls;
+
+static void serve (struct fake_call *call, void *closure);
+static void serve_control (struct fake_call *call, void *closure);
+static int execute (const char *key);
+static void set_fault (struct fake_call *call);
+
+int
+main (int argc, char **argv)
+{
+  struct fake_server control;
+  int base;
+
+  if (argc != 4)
+    {
+      fprintf (stderr, "usage: fake_service BASE_PORT COUNT DELAY_MS\n");
+      return EXIT_FAILURE;
+    }
+  base = atoi (argv[1]);
+  worker_count = MIN (atoi (argv[2]), WORKERS_MAX);
+  delay_ms = atoll (argv[3]);
+  executions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  for (int i = 0; i < worker_count; i++)
+    fake_listen (&workers[i].server, base + i, serve, &workers[i]);
+  fake_listen (&control, base - 1, serve_control, NULL);
+  pause ();
+  return EXIT_SUCCESS;
+}
+
+/* Runs one call unless a fault hits it.  */
+static void
+serve (struct fake_call *call, void *closure)
+{
+  struct worker *worker = closure;
+  const char *key = fake_header (call, "Idempotency-Key");
+  enum mode mode = MODE_OK;
+  int count;
+
+  pthread_mutex_lock (&lock);
+  calls++;
+  if (worker->mode != MODE_OK
+      && rand_r (&worker->seed) % 100 < worker->percent)
+    mode = worker->mode;
+  pthread_mutex_unlock (&lock);
+  if (mode == MODE_BEFORE)
+    {
+      fake_drop (call);
+      return;
+    }
+  if (mode == MODE_ERROR || mode == MODE_BUSY)
+    {
+      fake_answer (call, mode == MODE_BUSY ? 503 : 500, "{}");
+      if (mode == MODE_BUSY)
+        MHD_add_response_header (call->response, "X-Not-Run", "1");
+      fake_echo_id (call);
+      return;
+    }
+  if (mode == MODE_HANG)
+    {
+      fake_sleep (10000);
+      fake_drop (call);
+      return;
+    }
+  fake_sleep (delay_ms);
+  count = execute (key);
+  if (mode == MODE_DURING)
+    {
+      fake_drop (call);
+      return;
+    }
+  fake_answer_json (call, 200,
+                    json_pack ("{s:s,s:i,s:s%}", "key", key ? key : "",
+                               "executions", count, "echo", call->body->str,
+                               call->body->len));
+  fake_echo_id (call);
+}
+
+/* Counts one execution of KEY; returns the new count.  */
+static int
+execute (const char *key)
+{
+  int count;
+
+  if (key == NULL)
+    return 0;
+  pthread_mutex_lock (&lock);
+  count = GPOINTER_TO_INT (g_hash_table_lookup (executions, key)) + 1;
+  g_hash_table_replace (executions, g_strdup (key), GINT_TO_POINTER (count));
+  pthread_mutex_unlock (&lock);
+  return count;
+}
+
+/* Serves /fault?worker=I&mode=NAME&percent=P&seed=S and /history.  */
+static void
+serve_control (struct fake_call *call, void *closure)
+{
+  json_t *json;
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  (void)closure;
+  if (strcmp (call->url, "/fault") == 0)
+    {
+      set_fault (call);
+      return;
+    }
+  json = json_object ();
+  pthread_mutex_lock (&lock);
+  g_hash_table_iter_init (&iter, executions);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    json_object_set_new (json, key, json_integer (GPOINTER_TO_INT (value)));
+  json = json_pack ("{s:o,s:I}", "executions", json, "calls",
+                    (json_int_t)calls);
+  pthread_mutex_unlock (&lock);
+  fake_answer_json (call, 200, json);
+}
+
+/* Sets the fault of one worker.  */
+static void
+set_fault (struct fake_call *call)
+{
+  static const char *const modes[]
+      = { "ok", "error", "refuse", "before", "during", "hang", "busy" };
+  const char *number = fake_argument (call, "worker");
+  const char *mode = fake_argument (call, "mode");
+  const char *percent = fake_argument (call, "percent");
+  const char *seed = fake_argument (call, "seed");
+  struct worker *worker;
+
+  if (number == NULL || mode == NULL)
+    {
+      fake_answer (call, 400, "{}");
+      return;
+    }
+  worker = &workers[atoi (number) % WORKERS_MAX];
+  for (size_t i = 0; i < G_N_ELEMENTS (modes); i++)
+    if (strcmp (mode, modes[i]) == 0)
+      {
+        enum mode old = worker->mode;
+
+        worker->percent = percent ? atoi (percent) : 100;
+        worker->seed = seed ? (unsigned)atoi (seed) : 1;
+        worker->mode = (enum mode)i;
+        if (worker->mode == MODE_REFUSE && old != MODE_REFUSE)
+          fake_close (&worker->server);
+        if (worker->mode != MODE_REFUSE && old == MODE_REFUSE)
+          fake_listen (&worker->server, worker->server.port, serve, worker);
+      }
+  fake_answer (call, 200, "{}");
+}
--- /dev/null
+++ b/include/ibisloom/clock.h
@@ -0,0 +1,34 @@
+/* Time source in milliseconds, real or virtual. */
+#ifndef IBISLOOM_CLOCK_H
+#define IBISLOOM_CLOCK_H
+
+#include <stdint.h>
+
+typedef int64_t clk_ms;
+
+struct clk;
+
+struct clk_ops
+{
+  clk_ms (*now) (const struct clk *clk);
+};
+
+struct clk
+{
+  const struct clk_ops *ops;
+};
+
+/* A clock that only its owner advances. */
+struct clk_virtual
+{
+  struct clk base;
+  clk_ms now_ms;
+};
+
+const struct clk *clk_monotonic (void);
+void clk_virtual_init (struct clk_virtual *clk, clk_ms start_ms);
+void clk_virtual_advance (struct clk_virtual *clk, clk_ms delta_ms);
+clk_ms clk_now (const struct clk *clk);
+clk_ms clk_wall_ms (void);
+
+#endif
--- /dev/null
+++ b/include/ibisloom/peer.h
@@ -0,0 +1,69 @@
+/* Datagram exchange with the other instances: members, loads, admission. */
+#ifndef IBISLOOM_PEER_H
+#define IBISLOOM_PEER_H
+
+#include <glib.h>
+
+#include "ibisloom/members.h"
+#include "ibisloom/owner.h"
+#include "ibisloom/settings.h"
+#include "ibisloom/version.h"
+
+enum peer_verdict
+{
+  /* Values below PEER_TIMEOUT are those of enum own_verdict. */
+  PEER_TIMEOUT = OWN_VERDICT_COUNT
+};
+
+struct peer_reply
+{
+  uint32_t grant;
+  uint32_t verdict;
+  uint64_t elsewhere;
+};
+
+/* Called on the peer thread, or before peer_ask returns. */
+typedef void (*peer_reply_fn) (void *closure, uint64_t tag,
+                               const struct peer_reply *reply);
+
+/* Called on the peer thread when a peer has a higher revision. */
+typedef void (*peer_revision_fn) (void *closure,
+                                  const struct sockaddr_in *peer);
+
+struct peer_query
+{
+  uint64_t target;
+  uint32_t domain;
+  uint64_t chat;
+  uint64_t customer;
+  uint32_t flags;
+};
+
+struct peer;
+
+struct peer *peer_new (const struct settings *settings,
+                       struct ver_store *store, GError **error);
+void peer_on_revision (struct peer *peer, peer_revision_fn fn, void *closure);
+void peer_start (struct peer *peer);
+void peer_stop (struct peer *peer);
+void peer_free (struct peer *peer);
+uint32_t peer_ask (struct peer *peer, const struct ver_snapshot *version,
+                   const struct peer_query *query, peer_reply_fn fn,
+                   void *closure, uint64_t tag);
+void peer_release (struct peer *peer, uint32_t grant,
+                   enum own_outcome outcome);
+void peer_note (struct peer *peer, const struct own_note *note,
+                uint32_t domain);
+void peer_set_state (struct peer *peer, enum mem_state state);
+void peer_hand_over (struct peer *peer);
+void peer_announce (struct peer *peer);
+void peer_set_leaving (struct peer *peer, const uint64_t *targets,
+                       size_t count);
+int peer_is_leaving (struct peer *peer, uint64_t target);
+int peer_is_duty (struct peer *peer, const char *duty, size_t holders);
+struct mem *peer_members (struct peer *peer);
+int peer_budget (struct peer *peer, int use, int64_t bytes);
+char *peer_status_json (struct peer *peer);
+uint32_t peer_id (const char *instance);
+
+#endif
--- /dev/null
+++ b/include/ibisloom/settings.h
@@ -0,0 +1,44 @@
+/* Settings of one process, read from a checked YAML file. */
+#ifndef IBISLOOM_SETTINGS_H
+#define IBISLOOM_SETTINGS_H
+
+#include <stdint.h>
+#include <glib.h>
+#include <netinet/in.h>
+
+#include "ibisloom/log.h"
+
+struct settings
+{
+  char *instance;
+  char *deployment;
+  char *failure_domain;
+  char *region;
+  struct sockaddr_in listen;
+  struct sockaddr_in peer_listen;
+  struct sockaddr_in operator_listen;
+  struct sockaddr_in platform;
+  GArray *peers; /* of struct sockaddr_in */
+  char *cluster_key_file;
+  char *operator_token_file;
+  char *tls_certificate_file;
+  char *tls_key_file;
+  int64_t workers;
+  int64_t log_level;
+  int64_t control_bytes_per_s;
+  int64_t max_body_bytes;
+  int64_t header_timeout_s;
+  int64_t stop_timeout_ms;
+  int64_t ledger_interval_ms;
+  int64_t ledger_retention_s;
+  char *cluster_key;
+  char *operator_token;
+};
+
+struct settings *settings_load (const char *path, GPtrArray *mistakes);
+void settings_free (struct settings *settings);
+int settings_parse_address (const char *text, struct sockaddr_in *address);
+char *settings_format_address (const struct sockaddr_in *address);
+char *settings_read_secret (const char *path, GError **error);
+
+#endif
--- /dev/null
+++ b/include/ibisloom/wire.h
@@ -0,0 +1,146 @@
+/* Datagrams between instances: msgpack, versioned and authenticated. */
+#ifndef IBISLOOM_WIRE_H
+#define IBISLOOM_WIRE_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+enum
+{
+  WIRE_VERSION = 1,
+  WIRE_MAC_BYTES = 16,
+  WIRE_MAX_BYTES = 1200,
+  WIRE_SUMS_MAX = 8,
+  WIRE_LEAVING_MAX = 16,
+  WIRE_DIGESTS_MAX = 8,
+  WIRE_GRANTS_MAX = 64,
+  WIRE_NOTES_MAX = 24
+};
+
+enum wire_kind
+{
+  WIRE_HEARTBEAT,
+  WIRE_ASK,
+  WIRE_ANSWER,
+  WIRE_RELEASE,
+  WIRE_HOLD,
+  WIRE_NOTE,
+  WIRE_KIND_COUNT
+};
+
+enum wire_status
+{
+  WIRE_OK,
+  WIRE_BAD_MAC,
+  WIRE_BAD_FORM,
+  WIRE_OLD_VERSION
+};
+
+/* Load granted by the sender to the targets of one service that it owns. */
+struct wire_sum
+{
+  uint64_t service;
+  uint32_t load;
+  uint32_t targets;
+};
+
+/* Third-hand news of a member. */
+struct wire_digest
+{
+  uint32_t instance;
+  uint32_t ip;
+  uint16_t port;
+  uint32_t domain;
+  uint64_t incarnation;
+  uint32_t age_ms;
+};
+
+struct wire_heartbeat
+{
+  uint64_t revision;
+  uint32_t domain;
+  uint8_t state;
+  uint8_t wants_reply;
+  uint32_t sum_count;
+  struct wire_sum sums[WIRE_SUMS_MAX];
+  uint32_t leaving_count;
+  uint64_t leaving[WIRE_LEAVING_MAX];
+  uint32_t digest_count;
+  struct wire_digest digests[WIRE_DIGESTS_MAX];
+};
+
+struct wire_ask
+{
+  uint64_t target;
+  uint64_t chat;
+  uint64_t customer;
+  uint32_t grant;
+  uint32_t flags;
+};
+
+struct wire_answer
+{
+  uint32_t grant;
+  uint8_t verdict;
+  uint64_t elsewhere;
+};
+
+struct wire_release
+{
+  uint64_t target;
+  uint32_t grant;
+  uint8_t outcome;
+};
+
+struct wire_hold
+{
+  uint64_t target;
+  uint32_t count;
+  uint32_t grants[WIRE_GRANTS_MAX];
+};
+
+struct wire_note
+{
+  uint64_t home;
+  uint64_t chat;
+  uint64_t target;
+  uint32_t ttl_ms;
+};
+
+struct wire_notes
+{
+  uint32_t count;
+  struct wire_note note[WIRE_NOTES_MAX];
+};
+
+struct wire_message
+{
+  enum wire_kind kind;
+  uint32_t deployment;
+  uint32_t sender;
+  uint64_t incarnation;
+  uint64_t sequence;
+  union
+  {
+    struct wire_heartbeat heartbeat;
+    struct wire_ask ask;
+    struct wire_answer answer;
+    struct wire_release release;
+    struct wire_hold hold;
+    struct wire_notes notes;
+  } u;
+};
+
+struct wire_key
+{
+  unsigned char bytes[32];
+};
+
+void wire_key_derive (struct wire_key *key, const char *secret);
+size_t wire_encode (const struct wire_message *message,
+                    const struct wire_key *key, unsigned char *out);
+enum wire_status wire_decode (struct wire_message *message,
+                              const struct wire_key *key,
+                              const unsigned char *data, size_t length);
+
+#endif
--- /dev/null
+++ b/process/fetch.c
@@ -0,0 +1,129 @@
+/* Blocking HTTP calls of one thread on kept-alive connections. */
+#include <stdlib.h>
+#include <string.h>
+
+#include <curl/curl.h>
+
+#include "ibisloom/fetch.h"
+
+enum
+{
+  CONNECT_TIMEOUT_MS = 300,
+  ANSWER_MAX_BYTES = 8388608
+};
+
+struct fetch
+{
+  CURL *easy;
+};
+
+static size_t on_body (char *data, size_t size, size_t count, void *closure);
+static size_t on_header (char *data, size_t size, size_t count, void *closure);
+static struct curl_slist *add_header (struct curl_slist *list,
+                                      const char *name, const char *value);
+
+/* Returns a session; it keeps its connections open between calls.  */
+struct fetch *
+fetch_new (void)
+{
+  struct fetch *fetch = g_new0 (struct fetch, 1);
+
+  fetch->easy = curl_easy_init ();
+  return fetch;
+}
+
+/* Frees FETCH.  */
+void
+fetch_free (struct fetch *fetch)
+{
+  curl_easy_cleanup (fetch->easy);
+  g_free (fetch);
+}
+
+/* Makes CALL and fills ANSWER, whose body the caller gives as an empty
+   GString or NULL.  A connection that failed or timed out is closed, so a
+   silent one is never used again.  */
+void
+fetch_do (struct fetch *fetch, const struct fetch_call *call,
+          struct fetch_answer *answer)
+{
+  CURL *easy = fetch->easy;
+  struct curl_slist *headers = NULL;
+  CURLcode code;
+
+  answer->status = 0;
+  answer->etag = 0;
+  curl_easy_reset (easy);
+  headers = add_header (headers, "Authorization: Bearer", call->bearer);
+  headers = add_header (headers, "If-Match:", call->if_match);
+  headers = add_header (headers, "If-None-Match:", call->if_none_match);
+  headers = curl_slist_append (headers, "Expect:");
+  curl_easy_setopt (easy, CURLOPT_URL, call->url);
+  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, call->method);
+  if (call->body != NULL)
+    {
+      headers = curl_slist_append (headers, "Content-Type: application/json");
+      curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE,
+                        (long)strlen (call->body));
+      curl_easy_setopt (easy, CURLOPT_POSTFIELDS, call->body);
+    }
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, headers);
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_TIMEOUT_MS);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)call->timeout_ms);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_body);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, answer);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, answer);
+  code = curl_easy_perform (easy);
+  answer->sent = code != CURLE_COULDNT_CONNECT;
+  if (code == CURLE_OK)
+    curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &answer->status);
+  curl_slist_free_all (headers);
+}
+
+/* Appends the header NAME with VALUE to LIST unless VALUE is NULL.  */
+static struct curl_slist *
+add_header (struct curl_slist *list, const char *name, const char *value)
+{
+  char *line;
+
+  if (value == NULL)
+    return list;
+  line = g_strdup_printf ("%s %s", name, value);
+  list = curl_slist_append (list, line);
+  g_free (line);
+  return list;
+}
+
+/* Collects the body for libcurl.  */
+static size_t
+on_body (char *data, size_t size, size_t count, void *closure)
+{
+  struct fetch_answer *answer = closure;
+
+  if (answer->body == NULL)
+    return size * count;
+  if (answer->body->len + size * count > ANSWER_MAX_BYTES)
+    return 0;
+  g_string_append_len (answer->body, data, (gssize)(size * count));
+  return size * count;
+}
+
+/* Picks the ETag out of the headers for libcurl.  */
+static size_t
+on_header (char *data, size_t size, size_t count, void *closure)
+{
+  struct fetch_answer *answer = closure;
+  size_t length = size * count;
+
+  if (length > 6 && g_ascii_strncasecmp (data, "ETag:", 5) == 0)
+    {
+      const char *digits = memchr (data, '"', length);
+
+      if (digits != NULL)
+        answer->etag = strtoull (digits + 1, NULL, 10);
+    }
+  return length;
+}
--- /dev/null
+++ b/process/libpeer.h
@@ -0,0 +1,129 @@
+/* Private to process/peer*.c. */
+#ifndef LIBPEER_H
+#define LIBPEER_H
+
+#include <pthread.h>
+
+#include "ibisloom/budget.h"
+#include "ibisloom/metrics.h"
+#include "ibisloom/peer.h"
+#include "ibisloom/wire.h"
+
+enum
+{
+  PEER_TICK_MS = 10,
+  PEER_HEARTBEAT_MS = 300,
+  PEER_FANOUT = 8,
+  PEER_FANOUT_LARGE = 3,
+  PEER_ASK_TIMEOUT_MS = 60,
+  PEER_HOLD_MS = 2000,
+  PEER_VIEW_MS = 100,
+  PEER_UNOWNED_MS = 3000,
+  PEER_MEMBERS_MAX = 256,
+  PEER_MEAN_SLOTS = 8,
+  PEER_MEAN_SLOT_MS = 250,
+  PEER_ASK_SHARDS = 16
+};
+
+/* An ask that waits for its answer. */
+struct peer_pending
+{
+  struct wire_ask ask;
+  uint32_t domain;
+  uint32_t attempt;
+  clk_ms sent_ms;
+  peer_reply_fn fn;
+  void *closure;
+  uint64_t tag;
+};
+
+struct peer_ask_shard
+{
+  pthread_mutex_t lock;
+  GHashTable *pending; /* grant to struct peer_pending */
+  GHashTable *held;    /* grant to struct peer_held */
+};
+
+/* A grant in use by a request of this instance. */
+struct peer_held
+{
+  uint32_t grant;
+  uint64_t target;
+  uint32_t domain;
+  uint32_t owner;
+};
+
+/* Mean load of one service's targets as this instance sees it. */
+struct peer_mean
+{
+  uint64_t service;
+  double now;
+  double low[PEER_MEAN_SLOTS];
+  clk_ms slot_ms[PEER_MEAN_SLOTS];
+  uint32_t targets;
+};
+
+struct peer
+{
+  const struct settings *settings;
+  struct ver_store *store;
+  struct ver_reader *reader;
+  struct own *own;
+  struct mem *mem;
+  struct wire_key key;
+  struct bud bud;
+  pthread_mutex_t bud_lock;
+  uint32_t self;
+  uint32_t domain;
+  uint32_t deployment;
+  uint64_t incarnation;
+  uint64_t sequence;
+  uint32_t next_grant;
+  enum mem_state state;
+  int udp;
+  int stopping;
+  int announce;
+  pthread_t thread;
+  clk_ms next_beat_ms;
+  clk_ms next_view_ms;
+  size_t rotation;
+  struct peer_ask_shard asks[PEER_ASK_SHARDS];
+  pthread_mutex_t mean_lock;
+  GArray *means;          /* of struct peer_mean */
+  GHashTable *unowned;    /* target to clk_ms; peer thread only */
+  GHashTable *hold_owner; /* target to last owner; peer thread only */
+  clk_ms next_hold_ms;
+  pthread_mutex_t leaving_lock;
+  GArray *leaving; /* of struct peer_leaving */
+  peer_revision_fn revision_fn;
+  void *revision_closure;
+};
+
+/* A target that the platform's list or a peer says is leaving. */
+struct peer_leaving
+{
+  uint64_t target;
+  clk_ms until_ms;
+  int own_list;
+};
+
+int peer_send (struct peer *peer, const struct sockaddr_in *to,
+               struct wire_message *message, enum bud_class use,
+               enum met_counter counter);
+void admit_ask (struct peer *peer, const struct wire_message *message,
+                const struct sockaddr_in *from, clk_ms now);
+void admit_answer (struct peer *peer, const struct wire_answer *answer);
+void admit_release (struct peer *peer, const struct wire_message *message,
+                    clk_ms now);
+void admit_hold (struct peer *peer, const struct wire_message *message,
+                 clk_ms now);
+void admit_notes (struct peer *peer, const struct wire_message *message,
+                  clk_ms now);
+void admit_timeouts (struct peer *peer, clk_ms now);
+void admit_view (struct peer *peer, const struct ver_snapshot *version,
+                 clk_ms now);
+void admit_sums (struct peer *peer, struct wire_heartbeat *beat);
+void admit_free (struct peer *peer);
+void admit_init (struct peer *peer);
+
+#endif
--- /dev/null
+++ b/process/peer.c
@@ -0,0 +1,589 @@
+/* Datagram exchange with the other instances: socket and heartbeats. */
+#include <errno.h>
+#include <poll.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <ck_pr.h>
+#include <jansson.h>
+
+#include "ibisloom/error.h"
+#include "ibisloom/log.h"
+#include "libpeer.h"
+
+enum
+{
+  RECEIVE_BATCH = 256,
+  REVISION_STEP_MS = 20,
+  LEAVING_TTL_MS = 5000,
+  SOCKET_BUFFER_BYTES = 4194304
+};
+
+typedef void (*message_handler) (struct peer *peer,
+                                 const struct wire_message *message,
+                                 const struct sockaddr_in *from, clk_ms now);
+
+static void *run (void *closure);
+static void receive_all (struct peer *peer);
+static void receive_one (struct peer *peer, const unsigned char *data,
+                         size_t length, const struct sockaddr_in *from);
+static void on_heartbeat (struct peer *peer,
+                          const struct wire_message *message,
+                          const struct sockaddr_in *from, clk_ms now);
+static void on_answer (struct peer *peer, const struct wire_message *message,
+                       const struct sockaddr_in *from, clk_ms now);
+static void on_release (struct peer *peer, const struct wire_message *message,
+                        const struct sockaddr_in *from, clk_ms now);
+static void on_hold (struct peer *peer, const struct wire_message *message,
+                     const struct sockaddr_in *from, clk_ms now);
+static void on_notes (struct peer *peer, const struct wire_message *message,
+                      const struct sockaddr_in *from, clk_ms now);
+static void tick (struct peer *peer, clk_ms now);
+static void expire (struct peer *peer, clk_ms now);
+static void beat_all (struct peer *peer, clk_ms now);
+static void beat_seeds (struct peer *peer, struct wire_message *beat,
+                        const struct mem_member *members, size_t count);
+static void fill_beat (struct peer *peer, struct wire_message *message,
+                       const struct mem_member *members, size_t count,
+                       int digests, clk_ms now);
+static void learn_leaving (struct peer *peer, uint64_t target, int own_list,
+                           clk_ms now);
+static size_t copy_leaving (struct peer *peer, uint64_t *targets,
+                            size_t capacity, clk_ms now);
+
+static const message_handler handlers[WIRE_KIND_COUNT] = {
+  [WIRE_HEARTBEAT] = on_heartbeat, [WIRE_ASK] = admit_ask,
+  [WIRE_ANSWER] = on_answer,       [WIRE_RELEASE] = on_release,
+  [WIRE_HOLD] = on_hold,           [WIRE_NOTE] = on_notes,
+};
+
+static const enum met_counter drop_counters[] = {
+  [WIRE_BAD_MAC] = MET_UDP_BAD_MAC,
+  [WIRE_BAD_FORM] = MET_UDP_BAD_FORM,
+  [WIRE_OLD_VERSION] = MET_UDP_OLD_VERSION,
+};
+
+static const char *const state_names[MEM_STATE_COUNT]
+    = { "starting", "ready", "leaving" };
+
+/* Returns the identifier of the instance called INSTANCE.  */
+uint32_t
+peer_id (const char *instance)
+{
+  return (uint32_t)rank_hash (instance);
+}
+
+/* Binds the datagram socket of SETTINGS.  Returns NULL with ERROR set if the
+   address cannot be used.  */
+struct peer *
+peer_new (const struct settings *settings, struct ver_store *store,
+          GError **error)
+{
+  struct peer *peer;
+  int size = SOCKET_BUFFER_BYTES;
+  int udp = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+  if (udp < 0
+      || bind (udp, (const struct sockaddr *)&settings->peer_listen,
+               sizeof settings->peer_listen)
+             != 0)
+    {
+      err_set (error, ERR_IO, "peer_listen: %s", strerror (errno));
+      if (udp >= 0)
+        close (udp);
+      return NULL;
+    }
+  setsockopt (udp, SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
+  peer = g_new0 (struct peer, 1);
+  peer->settings = settings;
+  peer->store = store;
+  peer->udp = udp;
+  peer->self = peer_id (settings->instance);
+  peer->domain = (uint32_t)rank_hash (settings->failure_domain);
+  peer->deployment = (uint32_t)rank_hash (settings->deployment);
+  peer->incarnation = (uint64_t)clk_wall_ms ();
+  peer->own = own_new ();
+  peer->mem = mem_new (peer->self, peer->domain);
+  wire_key_derive (&peer->key, settings->cluster_key);
+  bud_init (&peer->bud, settings->control_bytes_per_s,
+            clk_now (clk_monotonic ()));
+  pthread_mutex_init (&peer->bud_lock, NULL);
+  pthread_mutex_init (&peer->mean_lock, NULL);
+  pthread_mutex_init (&peer->leaving_lock, NULL);
+  peer->leaving = g_array_new (FALSE, FALSE, sizeof (struct peer_leaving));
+  admit_init (peer);
+  return peer;
+}
+
+/* Sets FN to be called with CLOSURE when a peer has a higher revision.  */
+void
+peer_on_revision (struct peer *peer, peer_revision_fn fn, void *closure)
+{
+  peer->revision_fn = fn;
+  peer->revision_closure = closure;
+}
+
+/* Starts the thread that exchanges datagrams.  */
+void
+peer_start (struct peer *peer)
+{
+  pthread_create (&peer->thread, NULL, run, peer);
+}
+
+/* Ends the thread.  */
+void
+peer_stop (struct peer *peer)
+{
+  ck_pr_store_int (&peer->stopping, 1);
+  pthread_join (peer->thread, NULL);
+}
+
+/* Frees PEER after peer_stop.  */
+void
+peer_free (struct peer *peer)
+{
+  admit_free (peer);
+  close (peer->udp);
+  own_free (peer->own);
+  mem_free (peer->mem);
+  g_array_free (peer->leaving, TRUE);
+  g_free (peer);
+}
+
+/* Returns the view of the other instances.  */
+struct mem *
+peer_members (struct peer *peer)
+{
+  return peer->mem;
+}
+
+/* Sets the state that heartbeats tell.  */
+void
+peer_set_state (struct peer *peer, enum mem_state state)
+{
+  peer->state = state;
+  mem_set_self (peer->mem, state);
+  peer_announce (peer);
+}
+
+/* Sends a round of heartbeats at once, so that peers learn a new state or
+   revision without waiting for the next round.  */
+void
+peer_announce (struct peer *peer)
+{
+  ck_pr_store_int (&peer->announce, 1);
+}
+
+/* Takes BYTES from the control budget for class USE; returns 0 if spent.  */
+int
+peer_budget (struct peer *peer, int use, int64_t bytes)
+{
+  int allowed;
+
+  pthread_mutex_lock (&peer->bud_lock);
+  allowed = bud_take (&peer->bud, (enum bud_class)use, bytes,
+                      clk_now (clk_monotonic ()));
+  pthread_mutex_unlock (&peer->bud_lock);
+  if (!allowed)
+    met_inc (MET_BUDGET_DROPPED);
+  return allowed;
+}
+
+/* Returns whether this instance is among the HOLDERS of DUTY in its failure
+   domain.  */
+int
+peer_is_duty (struct peer *peer, const char *duty, size_t holders)
+{
+  clk_ms now = clk_now (clk_monotonic ());
+  struct mem_member owner;
+
+  for (size_t i = 0; i < holders; i++)
+    if (mem_owner (peer->mem, rank_hash (duty), peer->domain, i, now, &owner)
+        == 0)
+      return 1;
+  return 0;
+}
+
+/* Replaces what the platform's list says about leaving targets.  */
+void
+peer_set_leaving (struct peer *peer, const uint64_t *targets, size_t count)
+{
+  clk_ms now = clk_now (clk_monotonic ());
+
+  for (size_t i = 0; i < count; i++)
+    learn_leaving (peer, targets[i], 1, now);
+}
+
+/* Returns whether TARGET is known to be leaving.  */
+int
+peer_is_leaving (struct peer *peer, uint64_t target)
+{
+  clk_ms now = clk_now (clk_monotonic ());
+  int found = 0;
+
+  pthread_mutex_lock (&peer->leaving_lock);
+  for (guint i = 0; i < peer->leaving->len; i++)
+    {
+      const struct peer_leaving *entry
+          = &g_array_index (peer->leaving, struct peer_leaving, i);
+
+      if (entry->target == target && now < entry->until_ms)
+        found = 1;
+    }
+  pthread_mutex_unlock (&peer->leaving_lock);
+  return found;
+}
+
+/* Returns the members as newly allocated JSON for operators.  */
+char *
+peer_status_json (struct peer *peer)
+{
+  struct mem_member members[PEER_MEMBERS_MAX];
+  size_t count = mem_list (peer->mem, members, PEER_MEMBERS_MAX);
+  clk_ms now = clk_now (clk_monotonic ());
+  json_t *list = json_array ();
+  char *text;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      const struct mem_member *member = &members[i];
+      char *address = settings_format_address (&member->address);
+
+      json_array_append_new (
+          list, json_pack ("{s:s,s:s,s:I,s:I,s:b,s:b}", "address", address,
+                           "state", state_names[member->state], "revision",
+                           (json_int_t)member->revision, "silent_ms",
+                           (json_int_t)(now - member->heard_ms), "usable",
+                           mem_usable (member, now), "gone", member->gone));
+      g_free (address);
+    }
+  text = json_dumps (list, JSON_COMPACT);
+  json_decref (list);
+  return text;
+}
+
+/* Signs and sends MESSAGE within the budget.  Returns 0 if it was sent, -1
+   if it was dropped.  Safe to call from any thread.  */
+int
+peer_send (struct peer *peer, const struct sockaddr_in *to,
+           struct wire_message *message, enum bud_class use,
+           enum met_counter counter)
+{
+  unsigned char data[WIRE_MAX_BYTES];
+  size_t length;
+
+  message->deployment = peer->deployment;
+  message->sender = peer->self;
+  message->incarnation = peer->incarnation;
+  message->sequence = ck_pr_faa_64 (&peer->sequence, 1) + 1;
+  length = wire_encode (message, &peer->key, data);
+  if (length == 0 || !peer_budget (peer, use, (int64_t)length))
+    return -1;
+  if (sendto (peer->udp, data, length, 0, (const struct sockaddr *)to,
+              sizeof *to)
+      < 0)
+    return -1;
+  met_add (counter, length);
+  return 0;
+}
+
+/* Receives and ticks until peer_stop.  */
+static void *
+run (void *closure)
+{
+  struct peer *peer = closure;
+  struct pollfd fd = { .fd = peer->udp, .events = POLLIN };
+
+  peer->reader = ver_reader_new (peer->store);
+  while (!ck_pr_load_int (&peer->stopping))
+    {
+      poll (&fd, 1, PEER_TICK_MS);
+      receive_all (peer);
+      tick (peer, clk_now (clk_monotonic ()));
+    }
+  ver_reader_free (peer->reader);
+  return NULL;
+}
+
+/* Takes what has arrived, a bounded number so that ticks stay on time.  */
+static void
+receive_all (struct peer *peer)
+{
+  unsigned char data[WIRE_MAX_BYTES + 1];
+
+  for (int i = 0; i < RECEIVE_BATCH; i++)
+    {
+      struct sockaddr_in from;
+      socklen_t size = sizeof from;
+      ssize_t length = recvfrom (peer->udp, data, sizeof data, 0,
+                                 (struct sockaddr *)&from, &size);
+
+      if (length < 0)
+        return;
+      receive_one (peer, data, (size_t)length, &from);
+    }
+}
+
+/* Checks one datagram and hands it to its handler; what is not genuine, not
+   new or of another deployment is dropped and counted.  */
+static void
+receive_one (struct peer *peer, const unsigned char *data, size_t length,
+             const struct sockaddr_in *from)
+{
+  struct wire_message message;
+  enum wire_status status = wire_decode (&message, &peer->key, data, length);
+
+  if (status != WIRE_OK)
+    met_inc (drop_counters[status]);
+  else if (message.deployment != peer->deployment
+           || message.sender == peer->self)
+    met_inc (MET_UDP_FOREIGN);
+  else if (!mem_fresh (peer->mem, message.sender, message.incarnation,
+                       message.sequence))
+    met_inc (MET_UDP_REPLAYED);
+  else
+    handlers[message.kind](peer, &message, from, clk_now (clk_monotonic ()));
+}
+
+/* Takes a heartbeat and the news it carries.  */
+static void
+on_heartbeat (struct peer *peer, const struct wire_message *message,
+              const struct sockaddr_in *from, clk_ms now)
+{
+  const struct wire_heartbeat *beat = &message->u.heartbeat;
+  struct wire_message answer;
+  unsigned news;
+
+  if (beat->state >= MEM_STATE_COUNT)
+    {
+      met_inc (MET_UDP_BAD_FORM);
+      return;
+    }
+  news = mem_heard (peer->mem, message, from, now);
+  if (news & MEM_NEWS_STALE)
+    {
+      met_inc (MET_UDP_REPLAYED);
+      return;
+    }
+  if (news & MEM_NEWS_REPLACED)
+    own_forget_instance (peer->own, message->sender);
+  for (uint32_t i = 0; i < beat->digest_count; i++)
+    mem_digest (peer->mem, &beat->digests[i], now);
+  for (uint32_t i = 0; i < beat->leaving_count; i++)
+    learn_leaving (peer, beat->leaving[i], 0, now);
+  if (beat->revision > ver_store_revision (peer->store)
+      && peer->revision_fn != NULL)
+    peer->revision_fn (peer->revision_closure, from);
+  if (!beat->wants_reply)
+    return;
+  fill_beat (peer, &answer, NULL, 0, 0, now);
+  answer.u.heartbeat.wants_reply = 0;
+  peer_send (peer, from, &answer, BUD_HEARTBEAT, MET_SENT_HEARTBEAT_BYTES);
+}
+
+/* Adapts admit_answer to the handler table.  */
+static void
+on_answer (struct peer *peer, const struct wire_message *message,
+           const struct sockaddr_in *from, clk_ms now)
+{
+  (void)from;
+  (void)now;
+  admit_answer (peer, &message->u.answer);
+}
+
+/* Adapts admit_release to the handler table.  */
+static void
+on_release (struct peer *peer, const struct wire_message *message,
+            const struct sockaddr_in *from, clk_ms now)
+{
+  (void)from;
+  admit_release (peer, message, now);
+}
+
+/* Adapts admit_hold to the handler table.  */
+static void
+on_hold (struct peer *peer, const struct wire_message *message,
+         const struct sockaddr_in *from, clk_ms now)
+{
+  (void)from;
+  admit_hold (peer, message, now);
+}
+
+/* Adapts admit_notes to the handler table.  */
+static void
+on_notes (struct peer *peer, const struct wire_message *message,
+          const struct sockaddr_in *from, clk_ms now)
+{
+  (void)from;
+  admit_notes (peer, message, now);
+}
+
+/* Does all that is due at NOW.  */
+static void
+tick (struct peer *peer, clk_ms now)
+{
+  admit_timeouts (peer, now);
+  if (now >= peer->next_view_ms)
+    {
+      const struct ver_snapshot *version
+          = ver_enter (peer->store, peer->reader);
+
+      peer->next_view_ms = now + PEER_VIEW_MS;
+      expire (peer, now);
+      admit_view (peer, version, now);
+      ver_exit (peer->reader);
+    }
+  if (ck_pr_fas_int (&peer->announce, 0) || now >= peer->next_beat_ms)
+    {
+      peer->next_beat_ms = now + PEER_HEARTBEAT_MS;
+      beat_all (peer, now);
+    }
+}
+
+/* Forgets the grants of members that are gone.  */
+static void
+expire (struct peer *peer, clk_ms now)
+{
+  uint32_t gone[PEER_FANOUT];
+  size_t count = mem_expire (peer->mem, now, gone, PEER_FANOUT);
+
+  for (size_t i = 0; i < count; i++)
+    {
+      log_info ("peer", NULL, "member_gone", "instance %08x", gone[i]);
+      own_forget_instance (peer->own, gone[i]);
+    }
+}
+
+/* Sends one round of heartbeats.  A small fleet hears every instance in each
+   round.  In a larger one, a round goes to a few in rotation and carries
+   digests of others, so that what one instance sends does not grow with the
+   fleet.  */
+static void
+beat_all (struct peer *peer, clk_ms now)
+{
+  struct mem_member members[PEER_MEMBERS_MAX];
+  struct wire_message beat;
+  size_t count = mem_list (peer->mem, members, PEER_MEMBERS_MAX);
+  int large = count > PEER_FANOUT;
+  size_t fanout = large ? PEER_FANOUT_LARGE : count;
+
+  fill_beat (peer, &beat, members, count, large, now);
+  for (size_t i = 0; i < fanout; i++)
+    {
+      const struct mem_member *to = &members[(peer->rotation + i) % count];
+
+      beat.u.heartbeat.wants_reply = to->gone;
+      peer_send (peer, &to->address, &beat, BUD_HEARTBEAT,
+                 MET_SENT_HEARTBEAT_BYTES);
+    }
+  peer->rotation += fanout;
+  beat_seeds (peer, &beat, members, count);
+}
+
+/* Sends BEAT to one of the peers named in the settings that no member of the
+   view answers for: that is how instances find each other at the start and
+   after a partition.  */
+static void
+beat_seeds (struct peer *peer, struct wire_message *beat,
+            const struct mem_member *members, size_t count)
+{
+  const GArray *seeds = peer->settings->peers;
+  size_t budget = peer->state == MEM_STARTING ? seeds->len : 1;
+
+  for (guint i = 0; i < seeds->len && budget > 0; i++)
+    {
+      guint at = (guint)((peer->rotation + i) % seeds->len);
+      const struct sockaddr_in *seed
+          = &g_array_index (seeds, struct sockaddr_in, at);
+      int known
+          = memcmp (seed, &peer->settings->peer_listen, sizeof *seed) == 0;
+
+      for (size_t j = 0; j < count && !known; j++)
+        known = members[j].address.sin_port == seed->sin_port
+                && members[j].address.sin_addr.s_addr == seed->sin_addr.s_addr;
+      if (known)
+        continue;
+      beat->u.heartbeat.wants_reply = 1;
+      peer_send (peer, seed, beat, BUD_HEARTBEAT, MET_SENT_HEARTBEAT_BYTES);
+      budget--;
+    }
+}
+
+/* Fills MESSAGE with this instance's heartbeat, with DIGESTS of a few of the
+   COUNT MEMBERS.  */
+static void
+fill_beat (struct peer *peer, struct wire_message *message,
+           const struct mem_member *members, size_t count, int digests,
+           clk_ms now)
+{
+  struct wire_heartbeat *beat = &message->u.heartbeat;
+
+  memset (message, 0, sizeof *message);
+  message->kind = WIRE_HEARTBEAT;
+  beat->revision = ver_store_revision (peer->store);
+  beat->domain = peer->domain;
+  beat->state = (uint8_t)peer->state;
+  admit_sums (peer, beat);
+  beat->leaving_count
+      = (uint32_t)copy_leaving (peer, beat->leaving, WIRE_LEAVING_MAX, now);
+  for (size_t i = 0; digests && i < WIRE_DIGESTS_MAX && i < count; i++)
+    {
+      const struct mem_member *member
+          = &members[(peer->rotation * WIRE_DIGESTS_MAX + i) % count];
+      struct wire_digest *digest = &beat->digests[beat->digest_count];
+
+      if (!mem_usable (member, now))
+        continue;
+      beat->digest_count++;
+      digest->instance = member->id;
+      digest->ip = member->address.sin_addr.s_addr;
+      digest->port = member->address.sin_port;
+      digest->domain = member->domain;
+      digest->incarnation = member->incarnation;
+      digest->age_ms = (uint32_t)(now - member->heard_ms);
+    }
+}
+
+/* Remembers that TARGET is leaving.  What comes from a peer expires sooner
+   than it is repeated for, so that news cannot go round for ever.  */
+static void
+learn_leaving (struct peer *peer, uint64_t target, int own_list, clk_ms now)
+{
+  struct peer_leaving entry = { target, now + LEAVING_TTL_MS, own_list };
+
+  pthread_mutex_lock (&peer->leaving_lock);
+  for (guint i = peer->leaving->len; i > 0; i--)
+    {
+      struct peer_leaving *old
+          = &g_array_index (peer->leaving, struct peer_leaving, i - 1);
+
+      if (old->target == target)
+        entry.own_list |= old->own_list && now < old->until_ms;
+      if (old->target == target || now >= old->until_ms)
+        g_array_remove_index_fast (peer->leaving, i - 1);
+    }
+  g_array_append_val (peer->leaving, entry);
+  pthread_mutex_unlock (&peer->leaving_lock);
+}
+
+/* Copies the leaving targets that this instance has from the platform's own
+   list; returns how many.  */
+static size_t
+copy_leaving (struct peer *peer, uint64_t *targets, size_t capacity,
+              clk_ms now)
+{
+  size_t count = 0;
+
+  pthread_mutex_lock (&peer->leaving_lock);
+  for (guint i = 0; i < peer->leaving->len && count < capacity; i++)
+    {
+      const struct peer_leaving *entry
+          = &g_array_index (peer->leaving, struct peer_leaving, i);
+
+      if (entry->own_list && now < entry->until_ms)
+        targets[count++] = entry->target;
+    }
+  pthread_mutex_unlock (&peer->leaving_lock);
+  return count;
+}
--- /dev/null
+++ b/process/peer_admit.c
@@ -0,0 +1,737 @@
+/* Datagram exchange with the other instances: admission to targets. */
+#include <math.h>
+#include <string.h>
+
+#include <ck_pr.h>
+
+#include "libpeer.h"
+
+enum
+{
+  ASK_ATTEMPTS = 2
+};
+
+static struct peer_ask_shard *shard_of (struct peer *peer, uint32_t grant);
+static void decide_locally (struct peer *peer, const struct wire_ask *ask,
+                            const struct ver_snapshot *version,
+                            uint32_t instance, struct own_reply *reply,
+                            clk_ms now);
+static int send_ask (struct peer *peer, const struct ver_snapshot *version,
+                     struct peer_pending *pending, clk_ms now,
+                     struct peer_reply *reply);
+static void ask_again (struct peer *peer, struct peer_pending *pending,
+                       clk_ms now);
+static void finish (struct peer *peer, struct peer_pending *pending,
+                    const struct peer_reply *reply);
+static void hold_add (struct peer *peer, const struct peer_pending *pending);
+static void observe_mean (struct peer_mean *mean, double value, clk_ms now);
+static double lowest (const struct peer_mean *mean, clk_ms now);
+static double mean_for (struct peer *peer, uint64_t service, double factor,
+                        clk_ms now);
+static struct peer_mean *mean_get (struct peer *peer, uint64_t service);
+static void update_owned (struct peer *peer,
+                          const struct ver_snapshot *version,
+                          struct wire_heartbeat *sums, clk_ms now);
+static void update_means (struct peer *peer,
+                          const struct wire_heartbeat *own_sums, clk_ms now);
+static void send_holds (struct peer *peer, clk_ms now);
+static void add_emptied (struct peer *peer, GHashTable *by_target);
+static void send_hold (struct peer *peer, uint64_t target, uint32_t domain,
+                       const GArray *grants, int due, clk_ms now);
+
+/* Prepares the admission state of PEER.  */
+void
+admit_init (struct peer *peer)
+{
+  for (int i = 0; i < PEER_ASK_SHARDS; i++)
+    {
+      struct peer_ask_shard *shard = &peer->asks[i];
+
+      pthread_mutex_init (&shard->lock, NULL);
+      shard->pending
+          = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, NULL);
+      shard->held = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL,
+                                           g_free);
+    }
+  peer->means = g_array_new (FALSE, TRUE, sizeof (struct peer_mean));
+  peer->unowned
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  peer->hold_owner
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+}
+
+/* Frees the admission state of PEER.  */
+void
+admit_free (struct peer *peer)
+{
+  for (int i = 0; i < PEER_ASK_SHARDS; i++)
+    {
+      g_hash_table_destroy (peer->asks[i].pending);
+      g_hash_table_destroy (peer->asks[i].held);
+    }
+  g_array_free (peer->means, TRUE);
+  g_hash_table_destroy (peer->unowned);
+  g_hash_table_destroy (peer->hold_owner);
+}
+
+/* Asks the owner of a target of VERSION for admission.  FN is called once with
+   CLOSURE, TAG and the reply: before this returns if the owner is this
+   instance or there is none, else on the peer thread.  Returns the grant's
+   number, which is to be released if it is granted.  */
+uint32_t
+peer_ask (struct peer *peer, const struct ver_snapshot *version,
+          const struct peer_query *query, peer_reply_fn fn, void *closure,
+          uint64_t tag)
+{
+  struct peer_pending *pending = g_new0 (struct peer_pending, 1);
+  uint32_t grant = ck_pr_faa_32 (&peer->next_grant, 1) + 1;
+  struct peer_ask_shard *shard = shard_of (peer, grant);
+  struct peer_reply reply;
+  clk_ms now = clk_now (clk_monotonic ());
+
+  pending->ask.target = query->target;
+  pending->ask.chat = query->chat;
+  pending->ask.customer = query->customer;
+  pending->ask.flags = query->flags;
+  pending->ask.grant = grant;
+  pending->domain = query->domain;
+  pending->fn = fn;
+  pending->closure = closure;
+  pending->tag = tag;
+  pthread_mutex_lock (&shard->lock);
+  g_hash_table_insert (shard->pending, GUINT_TO_POINTER (grant), pending);
+  pthread_mutex_unlock (&shard->lock);
+  if (send_ask (peer, version, pending, now, &reply) == 0)
+    return grant;
+  pthread_mutex_lock (&shard->lock);
+  g_hash_table_remove (shard->pending, GUINT_TO_POINTER (grant));
+  pthread_mutex_unlock (&shard->lock);
+  finish (peer, pending, &reply);
+  return grant;
+}
+
+/* Ends GRANT and tells its owner; a lost message is made good by the next
+   hold.  */
+void
+peer_release (struct peer *peer, uint32_t grant, enum own_outcome outcome)
+{
+  struct peer_ask_shard *shard = shard_of (peer, grant);
+  struct wire_message message = { .kind = WIRE_RELEASE };
+  clk_ms now = clk_now (clk_monotonic ());
+  struct peer_held *held;
+  struct peer_held copy;
+  struct mem_member owner;
+
+  pthread_mutex_lock (&shard->lock);
+  held = g_hash_table_lookup (shard->held, GUINT_TO_POINTER (grant));
+  if (held != NULL)
+    {
+      copy = *held;
+      g_hash_table_remove (shard->held, GUINT_TO_POINTER (grant));
+    }
+  pthread_mutex_unlock (&shard->lock);
+  if (held == NULL)
+    return;
+  message.u.release.target = copy.target;
+  message.u.release.grant = grant;
+  message.u.release.outcome = (uint8_t)outcome;
+  if (mem_owner (peer->mem, copy.target, copy.domain, 0, now, &owner) == 1)
+    peer_send (peer, &owner.address, &message, BUD_ADMISSION,
+               MET_SENT_RELEASE_BYTES);
+  else
+    own_release (peer->own, copy.target, peer->self, grant, outcome, now);
+}
+
+/* Tells the owner of a chat's home in DOMAIN where the chat was served.  */
+void
+peer_note (struct peer *peer, const struct own_note *note, uint32_t domain)
+{
+  struct wire_message message = { .kind = WIRE_NOTE };
+  clk_ms now = clk_now (clk_monotonic ());
+  struct wire_note *wire = &message.u.notes.note[0];
+  struct mem_member owner;
+
+  if (mem_owner (peer->mem, note->home, domain, 0, now, &owner) != 1)
+    {
+      own_note_put (peer->own, note);
+      return;
+    }
+  message.u.notes.count = 1;
+  wire->home = note->home;
+  wire->chat = note->chat;
+  wire->target = note->target;
+  wire->ttl_ms = (uint32_t)MAX (note->expires_ms - now, 0);
+  peer_send (peer, &owner.address, &message, BUD_NOTE, MET_SENT_NOTE_BYTES);
+}
+
+/* Hands the notes kept here to the instances that own their homes next; call
+   after the state was set to leaving, which excludes this instance.  */
+void
+peer_hand_over (struct peer *peer)
+{
+  enum
+  {
+    HAND_OVER_MAX = 4096
+  };
+  struct own_note *notes = g_new (struct own_note, HAND_OVER_MAX);
+  size_t count = own_notes (peer->own, notes, HAND_OVER_MAX);
+  struct ver_reader *reader = ver_reader_new (peer->store);
+  const struct ver_snapshot *version = ver_enter (peer->store, reader);
+
+  for (size_t i = 0; i < count; i++)
+    {
+      const struct ver_target *home = ver_target_find (version, notes[i].home);
+
+      if (home != NULL)
+        peer_note (peer, &notes[i], home->domain_id);
+    }
+  ver_exit (reader);
+  ver_reader_free (reader);
+  g_free (notes);
+}
+
+/* Decides an ask of another instance and answers it.  */
+void
+admit_ask (struct peer *peer, const struct wire_message *message,
+           const struct sockaddr_in *from, clk_ms now)
+{
+  const struct ver_snapshot *version = ver_enter (peer->store, peer->reader);
+  struct wire_message answer = { .kind = WIRE_ANSWER };
+  struct own_reply reply;
+
+  decide_locally (peer, &message->u.ask, version, message->sender, &reply,
+                  now);
+  ver_exit (peer->reader);
+  answer.u.answer.grant = message->u.ask.grant;
+  answer.u.answer.verdict = (uint8_t)reply.verdict;
+  answer.u.answer.elsewhere = reply.elsewhere;
+  peer_send (peer, from, &answer, BUD_ADMISSION, MET_SENT_ANSWER_BYTES);
+}
+
+/* Ends the ask that ANSWER is for; one that comes late is given back by the
+   next hold, which does not name it.  */
+void
+admit_answer (struct peer *peer, const struct wire_answer *answer)
+{
+  struct peer_ask_shard *shard = shard_of (peer, answer->grant);
+  struct peer_pending *pending;
+  struct peer_reply reply
+      = { answer->grant, answer->verdict, answer->elsewhere };
+
+  if (answer->verdict >= OWN_VERDICT_COUNT)
+    {
+      met_inc (MET_UDP_BAD_FORM);
+      return;
+    }
+  pthread_mutex_lock (&shard->lock);
+  pending
+      = g_hash_table_lookup (shard->pending, GUINT_TO_POINTER (answer->grant));
+  if (pending != NULL)
+    g_hash_table_remove (shard->pending, GUINT_TO_POINTER (answer->grant));
+  pthread_mutex_unlock (&shard->lock);
+  if (pending != NULL)
+    finish (peer, pending, &reply);
+}
+
+/* Ends a grant of another instance.  */
+void
+admit_release (struct peer *peer, const struct wire_message *message,
+               clk_ms now)
+{
+  const struct wire_release *release = &message->u.release;
+
+  if (release->outcome <= OWN_OUTCOME_UNKNOWN)
+    own_release (peer->own, release->target, message->sender, release->grant,
+                 (enum own_outcome)release->outcome, now);
+}
+
+/* Takes the list of grants that another instance holds for a target.  */
+void
+admit_hold (struct peer *peer, const struct wire_message *message, clk_ms now)
+{
+  const struct wire_hold *hold = &message->u.hold;
+  int repaired = own_hold (peer->own, hold->target, message->sender,
+                           hold->grants, hold->count, now);
+
+  met_add (MET_HOLD_REPAIRED, (uint64_t)repaired);
+}
+
+/* Takes notes of displaced chats.  */
+void
+admit_notes (struct peer *peer, const struct wire_message *message, clk_ms now)
+{
+  const struct wire_notes *notes = &message->u.notes;
+
+  for (uint32_t i = 0; i < notes->count; i++)
+    {
+      struct own_note note
+          = { notes->note[i].home, notes->note[i].chat, notes->note[i].target,
+              now + notes->note[i].ttl_ms };
+
+      own_note_put (peer->own, &note);
+    }
+}
+
+/* Asks once more, the next instance in the owner's ranking, where an answer
+   is overdue; then reports a timeout.  */
+void
+admit_timeouts (struct peer *peer, clk_ms now)
+{
+  for (int i = 0; i < PEER_ASK_SHARDS; i++)
+    {
+      struct peer_ask_shard *shard = &peer->asks[i];
+      GPtrArray *overdue = g_ptr_array_new ();
+      GHashTableIter iter;
+      gpointer value;
+
+      pthread_mutex_lock (&shard->lock);
+      g_hash_table_iter_init (&iter, shard->pending);
+      while (g_hash_table_iter_next (&iter, NULL, &value))
+        {
+          struct peer_pending *pending = value;
+
+          if (pending->sent_ms == 0
+              || now - pending->sent_ms < PEER_ASK_TIMEOUT_MS)
+            continue;
+          g_ptr_array_add (overdue, pending);
+          g_hash_table_iter_remove (&iter);
+        }
+      pthread_mutex_unlock (&shard->lock);
+      for (guint j = 0; j < overdue->len; j++)
+        ask_again (peer, g_ptr_array_index (overdue, j), now);
+      g_ptr_array_free (overdue, TRUE);
+    }
+}
+
+/* Sends PENDING, which is overdue, to the next instance, or reports that no
+   owner answered.  */
+static void
+ask_again (struct peer *peer, struct peer_pending *pending, clk_ms now)
+{
+  uint32_t grant = pending->ask.grant;
+  struct peer_ask_shard *shard = shard_of (peer, grant);
+  struct peer_reply reply = { grant, PEER_TIMEOUT, 0 };
+  int awaited;
+
+  met_inc (MET_ASK_TIMEOUT);
+  if (++pending->attempt < ASK_ATTEMPTS)
+    {
+      const struct ver_snapshot *version
+          = ver_enter (peer->store, peer->reader);
+
+      pthread_mutex_lock (&shard->lock);
+      g_hash_table_insert (shard->pending, GUINT_TO_POINTER (grant), pending);
+      pthread_mutex_unlock (&shard->lock);
+      awaited = send_ask (peer, version, pending, now, &reply) == 0;
+      ver_exit (peer->reader);
+      if (awaited)
+        return;
+      pthread_mutex_lock (&shard->lock);
+      g_hash_table_remove (shard->pending, GUINT_TO_POINTER (grant));
+      pthread_mutex_unlock (&shard->lock);
+    }
+  finish (peer, pending, &reply);
+}
+
+/* Brings ownership, mean loads and holds up to date with the members.  */
+void
+admit_view (struct peer *peer, const struct ver_snapshot *version, clk_ms now)
+{
+  struct wire_heartbeat sums = { 0 };
+
+  update_owned (peer, version, &sums, now);
+  update_means (peer, &sums, now);
+  send_holds (peer, now);
+}
+
+/* Copies to BEAT the loads of the targets owned here, by service.  */
+void
+admit_sums (struct peer *peer, struct wire_heartbeat *beat)
+{
+  const struct ver_snapshot *version = ver_enter (peer->store, peer->reader);
+
+  update_owned (peer, version, beat, clk_now (clk_monotonic ()));
+  ver_exit (peer->reader);
+}
+
+/* Sends PENDING's ask to the owner of its target.  Returns 0 if an answer is
+   awaited, 1 if REPLY holds it already.  */
+static int
+send_ask (struct peer *peer, const struct ver_snapshot *version,
+          struct peer_pending *pending, clk_ms now, struct peer_reply *reply)
+{
+  struct wire_message message = { .kind = WIRE_ASK };
+  struct mem_member owner;
+  struct own_reply decision;
+  int found = mem_owner (peer->mem, pending->ask.target, pending->domain,
+                         pending->attempt, now, &owner);
+
+  reply->grant = pending->ask.grant;
+  reply->verdict = PEER_TIMEOUT;
+  reply->elsewhere = 0;
+  if (found == 1)
+    {
+      met_inc (MET_ASK_REMOTE);
+      message.u.ask = pending->ask;
+      pending->sent_ms = now;
+      if (peer_send (peer, &owner.address, &message, BUD_ADMISSION,
+                     MET_SENT_ASK_BYTES)
+          == 0)
+        return 0;
+      return 1;
+    }
+  if (found < 0)
+    return 1;
+  met_inc (MET_ASK_LOCAL);
+  decide_locally (peer, &pending->ask, version, peer->self, &decision, now);
+  reply->verdict = decision.verdict;
+  reply->elsewhere = decision.elsewhere;
+  return 1;
+}
+
+/* Reports REPLY, after recording the grant if it is one.  */
+static void
+finish (struct peer *peer, struct peer_pending *pending,
+        const struct peer_reply *reply)
+{
+  if (reply->verdict == OWN_GRANT)
+    hold_add (peer, pending);
+  pending->fn (pending->closure, pending->tag, reply);
+  g_free (pending);
+}
+
+/* Records a grant in use here.  */
+static void
+hold_add (struct peer *peer, const struct peer_pending *pending)
+{
+  struct peer_ask_shard *shard = shard_of (peer, pending->ask.grant);
+  struct peer_held *held = g_new0 (struct peer_held, 1);
+
+  held->grant = pending->ask.grant;
+  held->target = pending->ask.target;
+  held->domain = pending->domain;
+  pthread_mutex_lock (&shard->lock);
+  g_hash_table_insert (shard->held, GUINT_TO_POINTER (held->grant), held);
+  pthread_mutex_unlock (&shard->lock);
+}
+
+/* Decides ASK of INSTANCE as the owner, with the limits of VERSION.  */
+static void
+decide_locally (struct peer *peer, const struct wire_ask *ask,
+                const struct ver_snapshot *version, uint32_t instance,
+                struct own_reply *reply, clk_ms now)
+{
+  const struct ver_target *target = ver_target_find (version, ask->target);
+  const struct ver_service *service;
+  struct own_limits limits = { 0 };
+  struct own_ask own_ask = { .target = ask->target,
+                             .chat = ask->chat,
+                             .customer = ask->customer,
+                             .instance = instance,
+                             .grant = ask->grant,
+                             .flags = ask->flags };
+
+  if (target == NULL)
+    {
+      memset (reply, 0, sizeof *reply);
+      reply->verdict = OWN_DENY_LEAVING;
+      return;
+    }
+  service = &g_array_index (version->services, struct ver_service,
+                            target->service);
+  limits.load_factor = version->preset.load_factor;
+  limits.reserve_share = version->preset.reserve_share;
+  limits.slots = target->slots;
+  limits.leaving = target->leaving || peer_is_leaving (peer, target->id);
+  limits.customer_weight = ver_customer_weight (version, ask->customer);
+  limits.mean_load = mean_for (peer, service->id, limits.load_factor, now);
+  own_decide (peer->own, &own_ask, &limits, now, reply);
+}
+
+/* Returns the mean load to bound against: the lowest of the last seconds, so
+   that a target filled up to the bound still keeps it when other requests
+   end, but enough for any target that is not above the mean now.  The new
+   request counts too.  */
+static double
+mean_for (struct peer *peer, uint64_t service, double factor, clk_ms now)
+{
+  struct peer_mean *mean;
+  double low;
+  double enough;
+
+  pthread_mutex_lock (&peer->mean_lock);
+  mean = mean_get (peer, service);
+  low = lowest (mean, now);
+  if (mean->targets > 0)
+    low += 1.0 / mean->targets;
+  enough = (floor (mean->now) + 1) / factor;
+  pthread_mutex_unlock (&peer->mean_lock);
+  return low > enough ? low : enough;
+}
+
+/* Returns the mean of SERVICE, made at first use; needs the lock.  */
+static struct peer_mean *
+mean_get (struct peer *peer, uint64_t service)
+{
+  struct peer_mean fresh = { .service = service };
+
+  for (guint i = 0; i < peer->means->len; i++)
+    if (g_array_index (peer->means, struct peer_mean, i).service == service)
+      return &g_array_index (peer->means, struct peer_mean, i);
+  g_array_append_val (peer->means, fresh);
+  return &g_array_index (peer->means, struct peer_mean, peer->means->len - 1);
+}
+
+/* Sums the loads of the targets of VERSION owned here into SUMS.  A target
+   that has not been owned here for a while is forgotten.  */
+static void
+update_owned (struct peer *peer, const struct ver_snapshot *version,
+              struct wire_heartbeat *sums, clk_ms now)
+{
+  struct mem_member owner;
+
+  sums->sum_count = 0;
+  for (guint i = 0; i < version->services->len; i++)
+    {
+      const struct ver_service *service
+          = &g_array_index (version->services, struct ver_service, i);
+      struct wire_sum sum = { .service = service->id };
+
+      if (service->kind != VER_KIND_CHAT)
+        continue;
+      for (uint32_t j = 0; j < service->target_count; j++)
+        {
+          const struct ver_target *target
+              = ver_target_at (version, service->first_target + j);
+          clk_ms *since;
+
+          if (mem_owner (peer->mem, target->id, target->domain_id, 0, now,
+                         &owner)
+              == 0)
+            {
+              g_hash_table_remove (peer->unowned, &target->id);
+              sum.load += (uint32_t)own_load (peer->own, target->id);
+              sum.targets += target->leaving ? 0 : 1;
+              continue;
+            }
+          since = g_hash_table_lookup (peer->unowned, &target->id);
+          if (since == NULL)
+            {
+              uint64_t *key = g_new (uint64_t, 1);
+
+              *key = target->id;
+              since = g_new (clk_ms, 1);
+              *since = now;
+              g_hash_table_insert (peer->unowned, key, since);
+            }
+          else if (*since != 0 && now - *since > PEER_UNOWNED_MS)
+            {
+              own_forget_target (peer->own, target->id);
+              *since = 0;
+            }
+        }
+      if (sum.targets > 0 && sums->sum_count < WIRE_SUMS_MAX)
+        sums->sums[sums->sum_count++] = sum;
+    }
+}
+
+/* Adds up OWN_SUMS and what the members told, and observes the means.  */
+static void
+update_means (struct peer *peer, const struct wire_heartbeat *own_sums,
+              clk_ms now)
+{
+  struct mem_member members[PEER_MEMBERS_MAX];
+  size_t count = mem_list (peer->mem, members, PEER_MEMBERS_MAX);
+  GArray *totals = g_array_new (FALSE, TRUE, sizeof (struct wire_sum));
+
+  for (size_t i = 0; i <= count; i++)
+    {
+      const struct wire_sum *sums
+          = i < count ? members[i].sums : own_sums->sums;
+      uint32_t n = i < count ? members[i].sum_count : own_sums->sum_count;
+
+      if (i < count && !mem_usable (&members[i], now))
+        continue;
+      for (uint32_t j = 0; j < n; j++)
+        {
+          guint k = 0;
+
+          while (k < totals->len
+                 && g_array_index (totals, struct wire_sum, k).service
+                        != sums[j].service)
+            k++;
+          if (k == totals->len)
+            g_array_append_val (totals, sums[j]);
+          else
+            {
+              g_array_index (totals, struct wire_sum, k).load += sums[j].load;
+              g_array_index (totals, struct wire_sum, k).targets
+                  += sums[j].targets;
+            }
+        }
+    }
+  pthread_mutex_lock (&peer->mean_lock);
+  for (guint i = 0; i < totals->len; i++)
+    {
+      const struct wire_sum *total
+          = &g_array_index (totals, struct wire_sum, i);
+      struct peer_mean *mean = mean_get (peer, total->service);
+
+      mean->targets = total->targets;
+      observe_mean (mean, (double)total->load / total->targets, now);
+    }
+  pthread_mutex_unlock (&peer->mean_lock);
+  g_array_free (totals, TRUE);
+}
+
+/* Records VALUE as the mean load at NOW.  */
+static void
+observe_mean (struct peer_mean *mean, double value, clk_ms now)
+{
+  clk_ms start = now - now % PEER_MEAN_SLOT_MS;
+  size_t i = (size_t)(now / PEER_MEAN_SLOT_MS) % PEER_MEAN_SLOTS;
+
+  mean->now = value;
+  if (mean->slot_ms[i] == start && mean->low[i] <= value)
+    return;
+  mean->slot_ms[i] = start;
+  mean->low[i] = value;
+}
+
+/* Returns the lowest mean load of the last seconds.  */
+static double
+lowest (const struct peer_mean *mean, clk_ms now)
+{
+  double low = mean->now;
+
+  for (size_t i = 0; i < PEER_MEAN_SLOTS; i++)
+    if (now - mean->slot_ms[i] <= PEER_MEAN_SLOTS * PEER_MEAN_SLOT_MS
+        && mean->low[i] < low)
+      low = mean->low[i];
+  return low;
+}
+
+/* Tells owners which grants are held here: all now and then, and at once
+   those whose target has a new owner.  */
+static void
+send_holds (struct peer *peer, clk_ms now)
+{
+  GHashTable *by_target = g_hash_table_new_full (
+      g_int64_hash, g_int64_equal, g_free, (GDestroyNotify)g_array_unref);
+  GHashTable *domains = g_hash_table_new (g_int64_hash, g_int64_equal);
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+  int due = now >= peer->next_hold_ms;
+
+  for (int i = 0; i < PEER_ASK_SHARDS; i++)
+    {
+      struct peer_ask_shard *shard = &peer->asks[i];
+
+      pthread_mutex_lock (&shard->lock);
+      g_hash_table_iter_init (&iter, shard->held);
+      while (g_hash_table_iter_next (&iter, NULL, &value))
+        {
+          const struct peer_held *held = value;
+          GArray *grants = g_hash_table_lookup (by_target, &held->target);
+
+          if (grants == NULL)
+            {
+              uint64_t *target = g_new (uint64_t, 1);
+
+              *target = held->target;
+              grants = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+              g_hash_table_insert (by_target, target, grants);
+              g_hash_table_insert (domains, target,
+                                   GUINT_TO_POINTER (held->domain));
+            }
+          g_array_append_val (grants, held->grant);
+        }
+      pthread_mutex_unlock (&shard->lock);
+    }
+  if (due)
+    peer->next_hold_ms = now + PEER_HOLD_MS;
+  if (due)
+    add_emptied (peer, by_target);
+  g_hash_table_iter_init (&iter, by_target);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    send_hold (peer, *(uint64_t *)key,
+               GPOINTER_TO_UINT (g_hash_table_lookup (domains, key)), value,
+               due, now);
+  g_hash_table_destroy (domains);
+  g_hash_table_destroy (by_target);
+}
+
+/* Adds to BY_TARGET an empty list for each target of which grants were held
+   when last told but none is now, so that its owner drops what it missed the
+   release of.  */
+static void
+add_emptied (struct peer *peer, GHashTable *by_target)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, peer->hold_owner);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      uint64_t *target;
+
+      if (g_hash_table_contains (by_target, key))
+        continue;
+      target = g_new (uint64_t, 1);
+      *target = *(const uint64_t *)key;
+      g_hash_table_insert (by_target, target,
+                           g_array_new (FALSE, FALSE, sizeof (uint32_t)));
+    }
+}
+
+/* Sends the GRANTS held for TARGET to its owner if that is DUE or new.  */
+static void
+send_hold (struct peer *peer, uint64_t target, uint32_t domain,
+           const GArray *grants, int due, clk_ms now)
+{
+  struct wire_message message = { .kind = WIRE_HOLD };
+  struct mem_member owner = { 0 };
+  gpointer last;
+  uint64_t *key;
+  int found = mem_owner (peer->mem, target, domain, 0, now, &owner);
+
+  if (found < 0)
+    return;
+  if (found == 0)
+    owner.id = peer->self;
+  last = g_hash_table_lookup (peer->hold_owner, &target);
+  if (!due && GPOINTER_TO_UINT (last) == owner.id)
+    return;
+  if (grants->len == 0)
+    g_hash_table_remove (peer->hold_owner, &target);
+  else
+    {
+      key = g_new (uint64_t, 1);
+      *key = target;
+      g_hash_table_replace (peer->hold_owner, key,
+                            GUINT_TO_POINTER (owner.id));
+    }
+  if (found == 0)
+    {
+      own_hold (peer->own, target, peer->self,
+                (const uint32_t *)(const void *)grants->data, grants->len,
+                now);
+      return;
+    }
+  if (grants->len > WIRE_GRANTS_MAX)
+    return;
+  message.u.hold.target = target;
+  message.u.hold.count = grants->len;
+  if (grants->len > 0)
+    memcpy (message.u.hold.grants, grants->data,
+            grants->len * sizeof (uint32_t));
+  peer_send (peer, &owner.address, &message, BUD_REPAIR, MET_SENT_HOLD_BYTES);
+}
+
+/* Returns the shard that holds GRANT.  */
+static struct peer_ask_shard *
+shard_of (struct peer *peer, uint32_t grant)
+{
+  return &peer->asks[grant % PEER_ASK_SHARDS];
+}
--- /dev/null
+++ b/process/settings.c
@@ -0,0 +1,425 @@
+/* Settings of one process, read from a checked YAML file. */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+
+#include <yaml.h>
+
+#include "ibisloom/error.h"
+#include "ibisloom/settings.h"
+
+enum
+{
+  SECRET_MIN_BYTES = 16,
+  SECRET_MAX_BYTES = 4096,
+  PORT_MAX = 65535
+};
+
+struct field;
+
+struct parser
+{
+  yaml_document_t document;
+  const char *path;
+  GPtrArray *mistakes;
+};
+
+typedef void (*field_reader) (struct parser *parser, const struct field *field,
+                              yaml_node_t *value, void *slot);
+
+struct field
+{
+  const char *key;
+  field_reader read;
+  size_t offset;
+  int required;
+  int64_t min;
+  int64_t max;
+  int64_t initial;
+};
+
+static void read_name (struct parser *parser, const struct field *field,
+                       yaml_node_t *value, void *slot);
+static void read_path (struct parser *parser, const struct field *field,
+                       yaml_node_t *value, void *slot);
+static void read_address (struct parser *parser, const struct field *field,
+                          yaml_node_t *value, void *slot);
+static void read_addresses (struct parser *parser, const struct field *field,
+                            yaml_node_t *value, void *slot);
+static void read_number (struct parser *parser, const struct field *field,
+                         yaml_node_t *value, void *slot);
+static void read_level (struct parser *parser, const struct field *field,
+                        yaml_node_t *value, void *slot);
+static void mistake (struct parser *parser, const yaml_node_t *node,
+                     const char *format, ...) G_GNUC_PRINTF (3, 4);
+static const char *scalar (const yaml_node_t *node);
+static const struct field *find_field (const char *key);
+static void read_pairs (struct parser *parser, yaml_node_t *root,
+                        struct settings *settings);
+static void load_secrets (struct parser *parser, struct settings *settings);
+static int is_name (const char *text);
+
+#define SLOT(member) offsetof (struct settings, member)
+
+static const struct field fields[] = {
+  { "instance", read_name, SLOT (instance), 1, 0, 0, 0 },
+  { "deployment", read_name, SLOT (deployment), 1, 0, 0, 0 },
+  { "failure_domain", read_name, SLOT (failure_domain), 1, 0, 0, 0 },
+  { "region", read_name, SLOT (region), 1, 0, 0, 0 },
+  { "listen", read_address, SLOT (listen), 1, 0, 0, 0 },
+  { "peer_listen", read_address, SLOT (peer_listen), 1, 0, 0, 0 },
+  { "operator_listen", read_address, SLOT (operator_listen), 1, 0, 0, 0 },
+  { "platform", read_address, SLOT (platform), 1, 0, 0, 0 },
+  { "peers", read_addresses, SLOT (peers), 0, 0, 0, 0 },
+  { "cluster_key_file", read_path, SLOT (cluster_key_file), 1, 0, 0, 0 },
+  { "operator_token_file", read_path, SLOT (operator_token_file), 1, 0, 0, 0 },
+  { "tls_certificate_file", read_path, SLOT (tls_certificate_file), 0, 0, 0,
+    0 },
+  { "tls_key_file", read_path, SLOT (tls_key_file), 0, 0, 0, 0 },
+  { "workers", read_number, SLOT (workers), 0, 1, 64, 2 },
+  { "log_level", read_level, SLOT (log_level), 0, 0, 0, LOG_LEVEL_INFO },
+  { "control_bytes_per_s", read_number, SLOT (control_bytes_per_s), 0, 512,
+    1048576, 4096 },
+  { "max_body_bytes", read_number, SLOT (max_body_bytes), 0, 1024, 67108864,
+    1048576 },
+  { "header_timeout_s", read_number, SLOT (header_timeout_s), 0, 1, 300, 10 },
+  { "stop_timeout_ms", read_number, SLOT (stop_timeout_ms), 0, 1000, 600000,
+    30000 },
+  { "ledger_interval_ms", read_number, SLOT (ledger_interval_ms), 0, 0, 1000,
+    8 },
+  { "ledger_retention_s", read_number, SLOT (ledger_retention_s), 0, 60,
+    2592000, 86400 },
+};
+
+/* Reads PATH.  Every mistake is appended to MISTAKES as a newly allocated
+   line "file:line: key: what was found; remedy".  Returns NULL if there was
+   any, else settings to be freed with settings_free.  */
+struct settings *
+settings_load (const char *path, GPtrArray *mistakes)
+{
+  struct parser parser = { .path = path, .mistakes = mistakes };
+  struct settings *settings;
+  yaml_parser_t yaml;
+  yaml_node_t *root;
+  FILE *file = fopen (path, "rb");
+
+  if (file == NULL)
+    {
+      mistake (&parser, NULL, "file: %s; name a readable file",
+               strerror (errno));
+      return NULL;
+    }
+  settings = g_new0 (struct settings, 1);
+  settings->peers = g_array_new (FALSE, FALSE, sizeof (struct sockaddr_in));
+  yaml_parser_initialize (&yaml);
+  yaml_parser_set_input_file (&yaml, file);
+  if (!yaml_parser_load (&yaml, &parser.document))
+    g_ptr_array_add (mistakes,
+                     g_strdup_printf ("%s:%zu: syntax: %s; correct the YAML",
+                                      path, yaml.problem_mark.line + 1,
+                                      yaml.problem));
+  else
+    {
+      root = yaml_document_get_root_node (&parser.document);
+      if (root == NULL || root->type != YAML_MAPPING_NODE)
+        mistake (&parser, root, "file: not a mapping; write 'key: value'");
+      else
+        read_pairs (&parser, root, settings);
+      yaml_document_delete (&parser.document);
+    }
+  yaml_parser_delete (&yaml);
+  fclose (file);
+  if (mistakes->len == 0)
+    load_secrets (&parser, settings);
+  if (mistakes->len == 0)
+    return settings;
+  settings_free (settings);
+  return NULL;
+}
+
+/* Frees SETTINGS; NULL is allowed.  */
+void
+settings_free (struct settings *settings)
+{
+  if (settings == NULL)
+    return;
+  g_free (settings->instance);
+  g_free (settings->deployment);
+  g_free (settings->failure_domain);
+  g_free (settings->region);
+  g_free (settings->cluster_key_file);
+  g_free (settings->operator_token_file);
+  g_free (settings->tls_certificate_file);
+  g_free (settings->tls_key_file);
+  g_free (settings->cluster_key);
+  g_free (settings->operator_token);
+  g_array_free (settings->peers, TRUE);
+  g_free (settings);
+}
+
+/* Parses "A.B.C.D:PORT" into ADDRESS.  Returns 0, or -1 if malformed.  */
+int
+settings_parse_address (const char *text, struct sockaddr_in *address)
+{
+  const char *colon = strrchr (text, ':');
+  char host[INET_ADDRSTRLEN];
+  char *end;
+  long port;
+
+  if (colon == NULL || (size_t)(colon - text) >= sizeof host)
+    return -1;
+  memcpy (host, text, (size_t)(colon - text));
+  host[colon - text] = '\0';
+  port = strtol (colon + 1, &end, 10);
+  if (end == colon + 1 || *end != '\0' || port < 1 || port > PORT_MAX)
+    return -1;
+  memset (address, 0, sizeof *address);
+  address->sin_family = AF_INET;
+  address->sin_port = htons ((uint16_t)port);
+  return inet_pton (AF_INET, host, &address->sin_addr) == 1 ? 0 : -1;
+}
+
+/* Returns ADDRESS as newly allocated "A.B.C.D:PORT".  */
+char *
+settings_format_address (const struct sockaddr_in *address)
+{
+  char host[INET_ADDRSTRLEN];
+
+  inet_ntop (AF_INET, &address->sin_addr, host, sizeof host);
+  return g_strdup_printf ("%s:%u", host, ntohs (address->sin_port));
+}
+
+/* Reads a secret from PATH without its trailing white space.  Returns it
+   newly allocated, or NULL with ERROR set if it is unreadable or too short
+   to be one.  */
+char *
+settings_read_secret (const char *path, GError **error)
+{
+  char *text = NULL;
+  gsize length;
+
+  if (!g_file_get_contents (path, &text, &length, NULL))
+    {
+      err_set (error, ERR_SETTINGS, "cannot read %s", path);
+      return NULL;
+    }
+  g_strchomp (text);
+  length = strlen (text);
+  if (length >= SECRET_MIN_BYTES && length <= SECRET_MAX_BYTES)
+    return text;
+  err_set (error, ERR_SETTINGS, "%s must hold %d to %d characters", path,
+           SECRET_MIN_BYTES, SECRET_MAX_BYTES);
+  g_free (text);
+  return NULL;
+}
+
+/* Reads all pairs of ROOT into SETTINGS: unknown, repeated and missing keys
+   are mistakes, absent optional ones take their initial value.  */
+static void
+read_pairs (struct parser *parser, yaml_node_t *root,
+            struct settings *settings)
+{
+  int seen[G_N_ELEMENTS (fields)] = { 0 };
+  yaml_node_pair_t *pair;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (fields); i++)
+    if (fields[i].read == read_number || fields[i].read == read_level)
+      *(int64_t *)((char *)settings + fields[i].offset) = fields[i].initial;
+  for (pair = root->data.mapping.pairs.start;
+       pair < root->data.mapping.pairs.top; pair++)
+    {
+      yaml_node_t *key = yaml_document_get_node (&parser->document, pair->key);
+      yaml_node_t *value
+          = yaml_document_get_node (&parser->document, pair->value);
+      const struct field *field = find_field (scalar (key));
+
+      if (field == NULL)
+        mistake (parser, key, "%s: unknown key; remove it or correct its name",
+                 scalar (key));
+      else if (seen[field - fields]++)
+        mistake (parser, key, "%s: given twice; keep one", field->key);
+      else
+        field->read (parser, field, value, (char *)settings + field->offset);
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (fields); i++)
+    if (fields[i].required && !seen[i])
+      mistake (parser, root, "%s: missing; add it", fields[i].key);
+}
+
+/* Reads the files that hold secrets into SETTINGS.  */
+static void
+load_secrets (struct parser *parser, struct settings *settings)
+{
+  GError *error = NULL;
+
+  settings->cluster_key
+      = settings_read_secret (settings->cluster_key_file, &error);
+  if (error == NULL)
+    settings->operator_token
+        = settings_read_secret (settings->operator_token_file, &error);
+  if (error != NULL)
+    {
+      mistake (parser, NULL, "%s", error->message);
+      g_clear_error (&error);
+    }
+  if ((settings->tls_certificate_file == NULL)
+      != (settings->tls_key_file == NULL))
+    mistake (parser, NULL,
+             "tls_key_file: TLS needs a certificate and a key; set both");
+}
+
+/* Returns the field called KEY, or NULL.  */
+static const struct field *
+find_field (const char *key)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (fields); i++)
+    if (strcmp (fields[i].key, key) == 0)
+      return &fields[i];
+  return NULL;
+}
+
+/* Returns the text of scalar NODE, or "" for any other node.  */
+static const char *
+scalar (const yaml_node_t *node)
+{
+  if (node == NULL || node->type != YAML_SCALAR_NODE)
+    return "";
+  return (const char *)node->data.scalar.value;
+}
+
+/* Appends a mistake found at NODE (NULL: the file as a whole).  */
+static void
+mistake (struct parser *parser, const yaml_node_t *node, const char *format,
+         ...)
+{
+  va_list args;
+  char *what;
+
+  va_start (args, format);
+  what = g_strdup_vprintf (format, args);
+  va_end (args);
+  g_ptr_array_add (parser->mistakes,
+                   g_strdup_printf ("%s:%zu: %s", parser->path,
+                                    node ? node->start_mark.line + 1 : 1,
+                                    what));
+  g_free (what);
+}
+
+/* Returns whether TEXT is a name: letters, digits, '-', '_', '.'.  */
+static int
+is_name (const char *text)
+{
+  size_t length = strlen (text);
+
+  return length >= 1 && length <= 63
+         && strspn (text,
+                    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+                    "0123456789-_.")
+                == length;
+}
+
+/* Reads a name into the char * at SLOT.  */
+static void
+read_name (struct parser *parser, const struct field *field,
+           yaml_node_t *value, void *slot)
+{
+  const char *text = scalar (value);
+
+  if (is_name (text))
+    *(char **)slot = g_strdup (text);
+  else
+    mistake (parser, value,
+             "%s: found '%s'; use 1 to 63 letters, digits, '-', '_' or '.'",
+             field->key, text);
+}
+
+/* Reads a file name into the char * at SLOT.  */
+static void
+read_path (struct parser *parser, const struct field *field,
+           yaml_node_t *value, void *slot)
+{
+  const char *text = scalar (value);
+
+  if (*text != '\0')
+    *(char **)slot = g_strdup (text);
+  else
+    mistake (parser, value, "%s: found nothing; name a file", field->key);
+}
+
+/* Reads "A.B.C.D:PORT" into the struct sockaddr_in at SLOT.  */
+static void
+read_address (struct parser *parser, const struct field *field,
+              yaml_node_t *value, void *slot)
+{
+  if (settings_parse_address (scalar (value), slot) != 0)
+    mistake (parser, value, "%s: found '%s'; write IP:PORT, port 1 to 65535",
+             field->key, scalar (value));
+}
+
+/* Reads a sequence of addresses into the GArray at SLOT.  */
+static void
+read_addresses (struct parser *parser, const struct field *field,
+                yaml_node_t *value, void *slot)
+{
+  struct sockaddr_in address;
+  yaml_node_item_t *item;
+
+  if (value->type != YAML_SEQUENCE_NODE)
+    {
+      mistake (parser, value, "%s: not a list; write '- IP:PORT' lines",
+               field->key);
+      return;
+    }
+  for (item = value->data.sequence.items.start;
+       item < value->data.sequence.items.top; item++)
+    {
+      yaml_node_t *node = yaml_document_get_node (&parser->document, *item);
+
+      memset (&address, 0, sizeof address);
+      read_address (parser, field, node, &address);
+      g_array_append_val (*(GArray **)slot, address);
+    }
+}
+
+/* Reads a plain decimal number within the field's range into the int64_t at
+   SLOT; a suffix such as "5s" is a mistake, as the unit is in the key.  */
+static void
+read_number (struct parser *parser, const struct field *field,
+             yaml_node_t *value, void *slot)
+{
+  const char *text = scalar (value);
+  char *end;
+  gint64 number;
+
+  errno = 0;
+  number = g_ascii_strtoll (text, &end, 10);
+  if (end == text || *end != '\0' || errno != 0)
+    mistake (parser, value,
+             "%s: found '%s'; write a whole number, its unit is in the key",
+             field->key, text);
+  else if (number < field->min || number > field->max)
+    mistake (parser, value,
+             "%s: found %" G_GINT64_FORMAT "; allowed are %" G_GINT64_FORMAT
+             " to %" G_GINT64_FORMAT,
+             field->key, number, (gint64)field->min, (gint64)field->max);
+  else
+    *(int64_t *)slot = number;
+}
+
+/* Reads a log level into the int64_t at SLOT.  */
+static void
+read_level (struct parser *parser, const struct field *field,
+            yaml_node_t *value, void *slot)
+{
+  enum log_level level;
+
+  if (log_level_parse (scalar (value), &level) == 0)
+    *(int64_t *)slot = level;
+  else
+    mistake (parser, value, "%s: found '%s'; use error, warn, info or debug",
+             field->key, scalar (value));
+}
--- /dev/null
+++ b/process/wire.c
@@ -0,0 +1,415 @@
+/* Datagrams between instances: msgpack, versioned and authenticated. */
+#include <string.h>
+
+#include <msgpack.h>
+#include <sodium.h>
+
+#include "ibisloom/wire.h"
+
+enum
+{
+  HEADER_ITEMS = 6
+};
+
+/* Walks the items of a decoded array; a wrong type or a missing item sets
+   FAILED, and later reads return 0. */
+struct reader
+{
+  const msgpack_object *at;
+  uint32_t left;
+  int failed;
+};
+
+typedef void (*body_packer) (msgpack_packer *packer,
+                             const struct wire_message *message);
+typedef void (*body_reader) (struct reader *reader,
+                             struct wire_message *message);
+
+static void pack_heartbeat (msgpack_packer *packer,
+                            const struct wire_message *message);
+static void pack_ask (msgpack_packer *packer,
+                      const struct wire_message *message);
+static void pack_answer (msgpack_packer *packer,
+                         const struct wire_message *message);
+static void pack_release (msgpack_packer *packer,
+                          const struct wire_message *message);
+static void pack_hold (msgpack_packer *packer,
+                       const struct wire_message *message);
+static void pack_notes (msgpack_packer *packer,
+                        const struct wire_message *message);
+static void read_heartbeat (struct reader *reader,
+                            struct wire_message *message);
+static void read_ask (struct reader *reader, struct wire_message *message);
+static void read_answer (struct reader *reader, struct wire_message *message);
+static void read_release (struct reader *reader, struct wire_message *message);
+static void read_hold (struct reader *reader, struct wire_message *message);
+static void read_notes (struct reader *reader, struct wire_message *message);
+static uint64_t next (struct reader *reader, uint64_t max);
+static struct reader next_list (struct reader *reader, uint32_t max);
+static void seal (unsigned char *out, size_t length,
+                  const struct wire_key *key);
+static enum wire_status read_message (struct wire_message *message,
+                                      const msgpack_object *object);
+
+static const struct
+{
+  body_packer pack;
+  body_reader read;
+} kinds[WIRE_KIND_COUNT] = {
+  [WIRE_HEARTBEAT] = { pack_heartbeat, read_heartbeat },
+  [WIRE_ASK] = { pack_ask, read_ask },
+  [WIRE_ANSWER] = { pack_answer, read_answer },
+  [WIRE_RELEASE] = { pack_release, read_release },
+  [WIRE_HOLD] = { pack_hold, read_hold },
+  [WIRE_NOTE] = { pack_notes, read_notes },
+};
+
+/* Derives the MAC key from the cluster's SECRET.  */
+void
+wire_key_derive (struct wire_key *key, const char *secret)
+{
+  crypto_generichash (key->bytes, sizeof key->bytes,
+                      (const unsigned char *)secret, strlen (secret), NULL, 0);
+}
+
+/* Writes MESSAGE and its MAC to OUT, which has WIRE_MAX_BYTES.  Returns the
+   length, or 0 if it does not fit.  */
+size_t
+wire_encode (const struct wire_message *message, const struct wire_key *key,
+             unsigned char *out)
+{
+  msgpack_sbuffer buffer;
+  msgpack_packer packer;
+  size_t length;
+
+  msgpack_sbuffer_init (&buffer);
+  msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
+  msgpack_pack_array (&packer, HEADER_ITEMS + 1);
+  msgpack_pack_uint64 (&packer, WIRE_VERSION);
+  msgpack_pack_uint64 (&packer, message->kind);
+  msgpack_pack_uint64 (&packer, message->deployment);
+  msgpack_pack_uint64 (&packer, message->sender);
+  msgpack_pack_uint64 (&packer, message->incarnation);
+  msgpack_pack_uint64 (&packer, message->sequence);
+  kinds[message->kind].pack (&packer, message);
+  length = buffer.size;
+  if (length + WIRE_MAC_BYTES > WIRE_MAX_BYTES)
+    length = 0;
+  else
+    {
+      memcpy (out, buffer.data, length);
+      seal (out, length, key);
+      length += WIRE_MAC_BYTES;
+    }
+  msgpack_sbuffer_destroy (&buffer);
+  return length;
+}
+
+/* Checks and reads LENGTH bytes of DATA into MESSAGE.  */
+enum wire_status
+wire_decode (struct wire_message *message, const struct wire_key *key,
+             const unsigned char *data, size_t length)
+{
+  unsigned char mac[WIRE_MAC_BYTES];
+  msgpack_unpacked unpacked;
+  enum wire_status status = WIRE_BAD_FORM;
+  size_t offset = 0;
+
+  if (length <= WIRE_MAC_BYTES || length > WIRE_MAX_BYTES)
+    return WIRE_BAD_FORM;
+  length -= WIRE_MAC_BYTES;
+  crypto_generichash (mac, sizeof mac, data, length, key->bytes,
+                      sizeof key->bytes);
+  if (sodium_memcmp (mac, data + length, sizeof mac) != 0)
+    return WIRE_BAD_MAC;
+  msgpack_unpacked_init (&unpacked);
+  if (msgpack_unpack_next (&unpacked, (const char *)data, length, &offset)
+          == MSGPACK_UNPACK_SUCCESS
+      && offset == length)
+    status = read_message (message, &unpacked.data);
+  msgpack_unpacked_destroy (&unpacked);
+  return status;
+}
+
+/* Appends the MAC of the LENGTH bytes at OUT behind them.  */
+static void
+seal (unsigned char *out, size_t length, const struct wire_key *key)
+{
+  crypto_generichash (out + length, WIRE_MAC_BYTES, out, length, key->bytes,
+                      sizeof key->bytes);
+}
+
+/* Reads the header and the body of a decoded array.  */
+static enum wire_status
+read_message (struct wire_message *message, const msgpack_object *object)
+{
+  struct reader reader = { 0 };
+  uint64_t version;
+
+  if (object->type != MSGPACK_OBJECT_ARRAY)
+    return WIRE_BAD_FORM;
+  reader.at = object->via.array.ptr;
+  reader.left = object->via.array.size;
+  version = next (&reader, UINT64_MAX);
+  if (!reader.failed && version != WIRE_VERSION)
+    return WIRE_OLD_VERSION;
+  memset (message, 0, sizeof *message);
+  message->kind = (enum wire_kind)next (&reader, WIRE_KIND_COUNT - 1);
+  message->deployment = (uint32_t)next (&reader, UINT32_MAX);
+  message->sender = (uint32_t)next (&reader, UINT32_MAX);
+  message->incarnation = next (&reader, UINT64_MAX);
+  message->sequence = next (&reader, UINT64_MAX);
+  if (reader.failed)
+    return WIRE_BAD_FORM;
+  kinds[message->kind].read (&reader, message);
+  return reader.failed || reader.left > 0 ? WIRE_BAD_FORM : WIRE_OK;
+}
+
+/* Returns the next unsigned integer, which may be at most MAX.  */
+static uint64_t
+next (struct reader *reader, uint64_t max)
+{
+  const msgpack_object *object = reader->at;
+
+  if (reader->failed || reader->left == 0
+      || object->type != MSGPACK_OBJECT_POSITIVE_INTEGER
+      || object->via.u64 > max)
+    {
+      reader->failed = 1;
+      return 0;
+    }
+  reader->at++;
+  reader->left--;
+  return object->via.u64;
+}
+
+/* Returns a reader of the next list, which may have at most MAX items.  */
+static struct reader
+next_list (struct reader *reader, uint32_t max)
+{
+  const msgpack_object *object = reader->at;
+  struct reader list = { 0 };
+
+  if (reader->failed || reader->left == 0
+      || object->type != MSGPACK_OBJECT_ARRAY || object->via.array.size > max)
+    {
+      reader->failed = 1;
+      return list;
+    }
+  list.at = object->via.array.ptr;
+  list.left = object->via.array.size;
+  reader->at++;
+  reader->left--;
+  return list;
+}
+
+/* Packs a heartbeat as one list.  */
+static void
+pack_heartbeat (msgpack_packer *packer, const struct wire_message *message)
+{
+  const struct wire_heartbeat *beat = &message->u.heartbeat;
+
+  msgpack_pack_array (packer, 6 + beat->sum_count * 3 + beat->leaving_count
+                                  + beat->digest_count * 6);
+  msgpack_pack_uint64 (packer, beat->revision);
+  msgpack_pack_uint64 (packer, beat->domain);
+  msgpack_pack_uint64 (packer, beat->state);
+  msgpack_pack_uint64 (packer, beat->wants_reply);
+  msgpack_pack_uint64 (packer, beat->sum_count);
+  for (uint32_t i = 0; i < beat->sum_count; i++)
+    {
+      msgpack_pack_uint64 (packer, beat->sums[i].service);
+      msgpack_pack_uint64 (packer, beat->sums[i].load);
+      msgpack_pack_uint64 (packer, beat->sums[i].targets);
+    }
+  msgpack_pack_uint64 (packer, beat->leaving_count);
+  for (uint32_t i = 0; i < beat->leaving_count; i++)
+    msgpack_pack_uint64 (packer, beat->leaving[i]);
+  for (uint32_t i = 0; i < beat->digest_count; i++)
+    {
+      const struct wire_digest *digest = &beat->digests[i];
+
+      msgpack_pack_uint64 (packer, digest->instance);
+      msgpack_pack_uint64 (packer, digest->ip);
+      msgpack_pack_uint64 (packer, digest->port);
+      msgpack_pack_uint64 (packer, digest->domain);
+      msgpack_pack_uint64 (packer, digest->incarnation);
+      msgpack_pack_uint64 (packer, digest->age_ms);
+    }
+}
+
+/* Reads what pack_heartbeat wrote.  */
+static void
+read_heartbeat (struct reader *reader, struct wire_message *message)
+{
+  struct wire_heartbeat *beat = &message->u.heartbeat;
+  struct reader list = next_list (
+      reader, 6 + WIRE_SUMS_MAX * 3 + WIRE_LEAVING_MAX + WIRE_DIGESTS_MAX * 6);
+
+  beat->revision = next (&list, UINT64_MAX);
+  beat->domain = (uint32_t)next (&list, UINT32_MAX);
+  beat->state = (uint8_t)next (&list, UINT8_MAX);
+  beat->wants_reply = (uint8_t)next (&list, 1);
+  beat->sum_count = (uint32_t)next (&list, WIRE_SUMS_MAX);
+  for (uint32_t i = 0; i < beat->sum_count; i++)
+    {
+      beat->sums[i].service = next (&list, UINT64_MAX);
+      beat->sums[i].load = (uint32_t)next (&list, UINT32_MAX);
+      beat->sums[i].targets = (uint32_t)next (&list, UINT32_MAX);
+    }
+  beat->leaving_count = (uint32_t)next (&list, WIRE_LEAVING_MAX);
+  for (uint32_t i = 0; i < beat->leaving_count; i++)
+    beat->leaving[i] = next (&list, UINT64_MAX);
+  while (!list.failed && list.left > 0
+         && beat->digest_count < WIRE_DIGESTS_MAX)
+    {
+      struct wire_digest *digest = &beat->digests[beat->digest_count++];
+
+      digest->instance = (uint32_t)next (&list, UINT32_MAX);
+      digest->ip = (uint32_t)next (&list, UINT32_MAX);
+      digest->port = (uint16_t)next (&list, UINT16_MAX);
+      digest->domain = (uint32_t)next (&list, UINT32_MAX);
+      digest->incarnation = next (&list, UINT64_MAX);
+      digest->age_ms = (uint32_t)next (&list, UINT32_MAX);
+    }
+  reader->failed |= list.failed || list.left > 0;
+}
+
+/* Packs an ask for admission.  */
+static void
+pack_ask (msgpack_packer *packer, const struct wire_message *message)
+{
+  const struct wire_ask *ask = &message->u.ask;
+
+  msgpack_pack_array (packer, 5);
+  msgpack_pack_uint64 (packer, ask->target);
+  msgpack_pack_uint64 (packer, ask->chat);
+  msgpack_pack_uint64 (packer, ask->customer);
+  msgpack_pack_uint64 (packer, ask->grant);
+  msgpack_pack_uint64 (packer, ask->flags);
+}
+
+/* Reads what pack_ask wrote.  */
+static void
+read_ask (struct reader *reader, struct wire_message *message)
+{
+  struct wire_ask *ask = &message->u.ask;
+  struct reader list = next_list (reader, 5);
+
+  ask->target = next (&list, UINT64_MAX);
+  ask->chat = next (&list, UINT64_MAX);
+  ask->customer = next (&list, UINT64_MAX);
+  ask->grant = (uint32_t)next (&list, UINT32_MAX);
+  ask->flags = (uint32_t)next (&list, UINT32_MAX);
+  reader->failed |= list.failed;
+}
+
+/* Packs the answer to an ask.  */
+static void
+pack_answer (msgpack_packer *packer, const struct wire_message *message)
+{
+  const struct wire_answer *answer = &message->u.answer;
+
+  msgpack_pack_array (packer, 3);
+  msgpack_pack_uint64 (packer, answer->grant);
+  msgpack_pack_uint64 (packer, answer->verdict);
+  msgpack_pack_uint64 (packer, answer->elsewhere);
+}
+
+/* Reads what pack_answer wrote.  */
+static void
+read_answer (struct reader *reader, struct wire_message *message)
+{
+  struct wire_answer *answer = &message->u.answer;
+  struct reader list = next_list (reader, 3);
+
+  answer->grant = (uint32_t)next (&list, UINT32_MAX);
+  answer->verdict = (uint8_t)next (&list, UINT8_MAX);
+  answer->elsewhere = next (&list, UINT64_MAX);
+  reader->failed |= list.failed;
+}
+
+/* Packs the end of a grant.  */
+static void
+pack_release (msgpack_packer *packer, const struct wire_message *message)
+{
+  const struct wire_release *release = &message->u.release;
+
+  msgpack_pack_array (packer, 3);
+  msgpack_pack_uint64 (packer, release->target);
+  msgpack_pack_uint64 (packer, release->grant);
+  msgpack_pack_uint64 (packer, release->outcome);
+}
+
+/* Reads what pack_release wrote.  */
+static void
+read_release (struct reader *reader, struct wire_message *message)
+{
+  struct wire_release *release = &message->u.release;
+  struct reader list = next_list (reader, 3);
+
+  release->target = next (&list, UINT64_MAX);
+  release->grant = (uint32_t)next (&list, UINT32_MAX);
+  release->outcome = (uint8_t)next (&list, UINT8_MAX);
+  reader->failed |= list.failed;
+}
+
+/* Packs the list of grants that the sender holds for one target.  */
+static void
+pack_hold (msgpack_packer *packer, const struct wire_message *message)
+{
+  const struct wire_hold *hold = &message->u.hold;
+
+  msgpack_pack_array (packer, 1 + hold->count);
+  msgpack_pack_uint64 (packer, hold->target);
+  for (uint32_t i = 0; i < hold->count; i++)
+    msgpack_pack_uint64 (packer, hold->grants[i]);
+}
+
+/* Reads what pack_hold wrote.  */
+static void
+read_hold (struct reader *reader, struct wire_message *message)
+{
+  struct wire_hold *hold = &message->u.hold;
+  struct reader list = next_list (reader, 1 + WIRE_GRANTS_MAX);
+
+  hold->target = next (&list, UINT64_MAX);
+  while (!list.failed && list.left > 0)
+    hold->grants[hold->count++] = (uint32_t)next (&list, UINT32_MAX);
+  reader->failed |= list.failed;
+}
+
+/* Packs notes of displaced chats.  */
+static void
+pack_notes (msgpack_packer *packer, const struct wire_message *message)
+{
+  const struct wire_notes *notes = &message->u.notes;
+
+  msgpack_pack_array (packer, notes->count * 4);
+  for (uint32_t i = 0; i < notes->count; i++)
+    {
+      msgpack_pack_uint64 (packer, notes->note[i].home);
+      msgpack_pack_uint64 (packer, notes->note[i].chat);
+      msgpack_pack_uint64 (packer, notes->note[i].target);
+      msgpack_pack_uint64 (packer, notes->note[i].ttl_ms);
+    }
+}
+
+/* Reads what pack_notes wrote.  */
+static void
+read_notes (struct reader *reader, struct wire_message *message)
+{
+  struct wire_notes *notes = &message->u.notes;
+  struct reader list = next_list (reader, WIRE_NOTES_MAX * 4);
+
+  while (!list.failed && list.left > 0)
+    {
+      struct wire_note *note = &notes->note[notes->count++];
+
+      note->home = next (&list, UINT64_MAX);
+      note->chat = next (&list, UINT64_MAX);
+      note->target = next (&list, UINT64_MAX);
+      note->ttl_ms = (uint32_t)next (&list, UINT32_MAX);
+    }
+  reader->failed |= list.failed;
+}
--- /dev/null
+++ b/request/librequest.h
@@ -0,0 +1,187 @@
+/* Private to request/ and connection/: one request on its way. */
+#ifndef LIBREQUEST_H
+#define LIBREQUEST_H
+
+#include <curl/curl.h>
+#include <microhttpd.h>
+
+#include "ibisloom/metrics.h"
+#include "ibisloom/place.h"
+#include "ibisloom/retry.h"
+#include "ibisloom/server.h"
+
+enum
+{
+  REQ_ID_BYTES = 33,
+  REQ_EXCLUDED_MAX = PLACE_EXCLUDED_MAX
+};
+
+enum req_phase
+{
+  REQ_READING,
+  REQ_CLAIMING,
+  REQ_PLACING,
+  REQ_WAITING,
+  REQ_SENDING,
+  REQ_STORING,
+  REQ_DONE
+};
+
+enum req_run
+{
+  REQ_NOT_RUN,
+  REQ_RAN,
+  REQ_MAY_HAVE_RUN
+};
+
+enum req_refusal
+{
+  REFUSE_BAD_REQUEST,
+  REFUSE_UNKNOWN_CUSTOMER,
+  REFUSE_UNKNOWN_SERVICE,
+  REFUSE_MISSING_KEY,
+  REFUSE_KEY_REUSED,
+  REFUSE_TOO_LARGE,
+  REFUSE_NO_TARGET,
+  REFUSE_CAPACITY,
+  REFUSE_CUSTOMER_SHARE,
+  REFUSE_RETRY_BUDGET,
+  REFUSE_DEADLINE,
+  REFUSE_LEDGER_DOWN,
+  REFUSE_IN_PROGRESS,
+  REFUSE_MAY_HAVE_RUN,
+  REFUSE_STOPPING,
+  REFUSE_NOT_READY,
+  REFUSE_TARGETS_FAILED,
+  REFUSE_COUNT
+};
+
+/* Server-sent events of one attempt, cut at their ends. */
+struct req_events
+{
+  GString *partial;
+  int64_t offset; /* events delivered to the caller over all attempts */
+  int done;       /* the last event was seen */
+  int gap;        /* an event's number was not the next one */
+};
+
+/* One try at one target. */
+struct req_attempt
+{
+  CURL *easy;
+  struct curl_slist *headers;
+  char url[256];
+  uint64_t target;
+  int is_resume;
+  int got_bytes;
+  int id_matches;
+  int id_seen;
+  int not_run; /* the target said that it did not run it */
+  int paused;
+  long status;
+  int64_t offset_at_start;
+  clk_ms started_ms;
+  clk_ms last_byte_ms;
+  char *content_type;
+  GPtrArray *answer_headers; /* of char *, "Name: value" */
+};
+
+struct req
+{
+  uint64_t id;
+  char id_text[REQ_ID_BYTES];
+  struct worker *worker;
+  struct MHD_Connection *connection;
+  int suspended;
+  enum req_phase phase;
+  enum ver_kind kind;
+  char service[VER_NAME_MAX_BYTES];
+  uint64_t service_id;
+  int64_t silence_ms;
+  int64_t attempt_timeout_ms;
+  char customer[VER_NAME_MAX_BYTES];
+  uint64_t customer_id;
+  uint64_t chat;
+  char method[16];
+  char *path;
+  char *idempotency_key;
+  struct curl_slist *forward; /* the caller's end-to-end headers */
+  GString *body;
+  int priority;
+  int stream;
+  int repeatable;
+  int close; /* the caller's connection is to be closed afterwards */
+  clk_ms arrived_ms;
+  clk_ms deadline_ms;
+  clk_ms timer_ms;
+  struct place place;
+  uint64_t asked_target;
+  uint32_t grant;
+  int has_grant;
+  int holds_plain;
+  uint64_t target;
+  uint64_t resume_target;
+  uint64_t excluded[REQ_EXCLUDED_MAX];
+  size_t excluded_count;
+  uint32_t tries;
+  uint32_t resumes;
+  int may_have_run;
+  struct req_attempt attempt;
+  struct req_events events;
+  struct led_call call;
+  int claimed;
+  int ledger_open; /* operations whose reply is awaited */
+  clk_ms claim_ms;
+  GString *content; /* text of a chat that is not streamed to the caller */
+  GString *out;
+  size_t out_at;
+  int out_done;
+  int out_broken;
+  int first_byte_seen;
+  struct MHD_Response *response;
+  unsigned response_status;
+  int response_queued;
+};
+
+/* request_start.c */
+struct req *req_new (struct worker *worker, struct MHD_Connection *connection,
+                     const char *method);
+void req_free (struct req *req);
+int req_open (struct req *req, const char *url);
+void req_begin (struct req *req);
+
+/* request.c */
+void req_claim (struct req *req);
+void req_place (struct req *req);
+void req_on_reply (struct req *req, const struct peer_reply *reply);
+void req_on_ledger (struct req *req, const struct led_reply *reply);
+void req_on_timer (struct req *req, clk_ms now);
+int req_on_data (struct req *req, const char *data, size_t length);
+void req_on_attempt_end (struct req *req, int code);
+void req_fault (struct req *req, enum retry_fault fault);
+void req_cancel (struct req *req);
+
+/* request_answer.c */
+void req_refuse (struct req *req, enum req_refusal refusal, enum req_run run);
+void req_answer_body (struct req *req, unsigned status,
+                      const char *content_type, const char *body,
+                      size_t length);
+void req_answer_stream (struct req *req);
+void req_respond (struct req *req, unsigned status,
+                  struct MHD_Response *response);
+char *req_refusal_json (const struct req *req, enum req_refusal refusal,
+                        enum req_run run, int64_t retry_after_s);
+
+/* request_chat.c */
+int chat_parse (struct req *req);
+int chat_events (struct req *req, const char *data, size_t length);
+char *chat_whole_json (const struct req *req);
+
+/* request_plain.c */
+uint64_t plain_choose (struct req *req, const struct ver_snapshot *version,
+                       const struct ver_service *service);
+void plain_release (struct server *server, uint64_t target,
+                    enum own_outcome outcome);
+void plain_free (gpointer state);
+
+#endif
--- /dev/null
+++ b/request/owner.c
@@ -0,0 +1,500 @@
+/* Admission to the targets that this instance owns. */
+#include <math.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "ibisloom/metrics.h"
+#include "ibisloom/owner.h"
+
+enum
+{
+  SHARD_COUNT = 16,
+  CUSTOMER_IDLE_MS = 2000,
+  HOLD_GRACE_MS = 400,
+  FAILURES_TO_OPEN = 2,
+  OPEN_MIN_MS = 250,
+  OPEN_MAX_MS = 8000,
+  NOTES_MAX_PER_SHARD = 16384
+};
+
+struct grant
+{
+  uint64_t customer;
+  clk_ms since_ms;
+  uint32_t instance;
+  uint32_t id;
+};
+
+struct asker
+{
+  uint64_t customer;
+  double weight;
+  clk_ms last_ms;
+};
+
+/* Circuit breaker of one target. */
+struct breaker
+{
+  int32_t failures;
+  int64_t open_ms;
+  clk_ms retry_at_ms;
+};
+
+struct owned
+{
+  GArray *grants; /* of struct grant */
+  GArray *askers; /* of struct asker */
+  struct breaker breaker;
+};
+
+struct shard
+{
+  pthread_mutex_t lock;
+  GHashTable *targets; /* id to struct owned */
+  GHashTable *notes;   /* chat to struct own_note */
+};
+
+struct own
+{
+  struct shard shards[SHARD_COUNT];
+};
+
+static void owned_free (gpointer data);
+static struct shard *shard_of (struct own *own, uint64_t target);
+static struct owned *owned_get (struct shard *shard, uint64_t target);
+static enum own_verdict judge (struct owned *owned, const struct own_ask *ask,
+                               const struct own_limits *limits, clk_ms now,
+                               struct own_reply *reply);
+static int is_known (const struct owned *owned, const struct own_ask *ask);
+static double fair_share (struct owned *owned, const struct own_ask *ask,
+                          const struct own_limits *limits, clk_ms now);
+static int32_t held_by (const struct owned *owned, uint64_t customer);
+static int is_open (struct breaker *breaker, clk_ms now);
+static void record_outcome (struct breaker *breaker, enum own_outcome outcome,
+                            clk_ms now);
+static const struct own_note *
+note_find (struct shard *shard, const struct own_ask *ask, clk_ms now);
+static int contains (const uint32_t *ids, size_t count, uint32_t id);
+
+/* Returns the state of an instance that owns no target yet.  */
+struct own *
+own_new (void)
+{
+  struct own *own = g_new0 (struct own, 1);
+
+  for (int i = 0; i < SHARD_COUNT; i++)
+    {
+      struct shard *shard = &own->shards[i];
+
+      pthread_mutex_init (&shard->lock, NULL);
+      shard->targets = g_hash_table_new_full (g_int64_hash, g_int64_equal,
+                                              g_free, owned_free);
+      shard->notes
+          = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+    }
+  return own;
+}
+
+/* Frees OWN.  */
+void
+own_free (struct own *own)
+{
+  for (int i = 0; i < SHARD_COUNT; i++)
+    {
+      g_hash_table_destroy (own->shards[i].targets);
+      g_hash_table_destroy (own->shards[i].notes);
+      pthread_mutex_destroy (&own->shards[i].lock);
+    }
+  g_free (own);
+}
+
+/* Decides at time NOW whether ASK may send a request to its target, and
+   records the grant if so.  An ask that was granted before (a lost answer)
+   is granted again.  If the chat was last served elsewhere and the asker did
+   not insist, the reply names that target instead.  */
+void
+own_decide (struct own *own, const struct own_ask *ask,
+            const struct own_limits *limits, clk_ms now,
+            struct own_reply *reply)
+{
+  struct shard *shard = shard_of (own, ask->target);
+  const struct own_note *note;
+  struct owned *owned;
+
+  memset (reply, 0, sizeof *reply);
+  pthread_mutex_lock (&shard->lock);
+  owned = owned_get (shard, ask->target);
+  note = note_find (shard, ask, now);
+  if (note != NULL && !(ask->flags & OWN_ASK_HERE))
+    {
+      reply->verdict = OWN_ELSEWHERE;
+      reply->elsewhere = note->target;
+    }
+  else
+    {
+      reply->verdict = judge (owned, ask, limits, now, reply);
+      if (reply->verdict == OWN_GRANT && note != NULL)
+        g_hash_table_remove (shard->notes, &ask->chat);
+    }
+  pthread_mutex_unlock (&shard->lock);
+}
+
+/* Returns the highest load that a target may carry: LOAD_FACTOR times the
+   mean once the new request counts, rounded up, and never below one.  */
+int32_t
+own_bound (double mean_load, double load_factor)
+{
+  int32_t bound = (int32_t)ceil (mean_load * load_factor - 1e-9);
+
+  return bound < 1 ? 1 : bound;
+}
+
+/* Ends a grant; OUTCOME feeds the target's circuit breaker.  */
+void
+own_release (struct own *own, uint64_t target, uint32_t instance,
+             uint32_t grant, enum own_outcome outcome, clk_ms now)
+{
+  struct shard *shard = shard_of (own, target);
+  struct owned *owned;
+
+  pthread_mutex_lock (&shard->lock);
+  owned = owned_get (shard, target);
+  for (guint i = 0; i < owned->grants->len; i++)
+    {
+      const struct grant *held
+          = &g_array_index (owned->grants, struct grant, i);
+
+      if (held->instance != instance || held->id != grant)
+        continue;
+      g_array_remove_index_fast (owned->grants, i);
+      break;
+    }
+  record_outcome (&owned->breaker, outcome, now);
+  pthread_mutex_unlock (&shard->lock);
+}
+
+/* Makes INSTANCE's grants for TARGET equal to the COUNT it says it holds.
+   Grants younger than the time a message may be under way are kept.  Returns
+   how many entries had to be repaired.  */
+int
+own_hold (struct own *own, uint64_t target, uint32_t instance,
+          const uint32_t *grants, size_t count, clk_ms now)
+{
+  struct shard *shard = shard_of (own, target);
+  struct owned *owned;
+  GArray *known = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+  int repaired = 0;
+
+  pthread_mutex_lock (&shard->lock);
+  owned = owned_get (shard, target);
+  for (guint i = owned->grants->len; i > 0; i--)
+    {
+      const struct grant *held
+          = &g_array_index (owned->grants, struct grant, i - 1);
+
+      if (held->instance != instance)
+        continue;
+      if (contains (grants, count, held->id)
+          || now - held->since_ms < HOLD_GRACE_MS)
+        {
+          g_array_append_val (known, held->id);
+          continue;
+        }
+      g_array_remove_index_fast (owned->grants, i - 1);
+      repaired++;
+    }
+  for (size_t i = 0; i < count; i++)
+    {
+      struct grant grant
+          = { .since_ms = now, .instance = instance, .id = grants[i] };
+
+      if (contains ((const uint32_t *)(void *)known->data, known->len,
+                    grants[i]))
+        continue;
+      g_array_append_val (owned->grants, grant);
+      repaired++;
+    }
+  pthread_mutex_unlock (&shard->lock);
+  g_array_free (known, TRUE);
+  return repaired;
+}
+
+/* Drops all grants of INSTANCE, whose requests died with it.  */
+void
+own_forget_instance (struct own *own, uint32_t instance)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  for (int i = 0; i < SHARD_COUNT; i++)
+    {
+      struct shard *shard = &own->shards[i];
+
+      pthread_mutex_lock (&shard->lock);
+      g_hash_table_iter_init (&iter, shard->targets);
+      while (g_hash_table_iter_next (&iter, NULL, &value))
+        {
+          GArray *grants = ((struct owned *)value)->grants;
+
+          for (guint j = grants->len; j > 0; j--)
+            if (g_array_index (grants, struct grant, j - 1).instance
+                == instance)
+              g_array_remove_index_fast (grants, j - 1);
+        }
+      pthread_mutex_unlock (&shard->lock);
+    }
+}
+
+/* Forgets TARGET, which another instance owns now.  */
+void
+own_forget_target (struct own *own, uint64_t target)
+{
+  struct shard *shard = shard_of (own, target);
+
+  pthread_mutex_lock (&shard->lock);
+  g_hash_table_remove (shard->targets, &target);
+  pthread_mutex_unlock (&shard->lock);
+}
+
+/* Notes that a chat was served away from its home; a note whose target is 0
+   or the home removes one.  When the shard is full the note is dropped,
+   which costs one cache miss.  */
+void
+own_note_put (struct own *own, const struct own_note *note)
+{
+  struct shard *shard = shard_of (own, note->home);
+  struct own_note *copy;
+
+  pthread_mutex_lock (&shard->lock);
+  if (note->target == 0 || note->target == note->home)
+    g_hash_table_remove (shard->notes, &note->chat);
+  else if (g_hash_table_size (shard->notes) < NOTES_MAX_PER_SHARD
+           || g_hash_table_contains (shard->notes, &note->chat))
+    {
+      copy = g_new (struct own_note, 1);
+      *copy = *note;
+      g_hash_table_replace (shard->notes, &copy->chat, copy);
+    }
+  pthread_mutex_unlock (&shard->lock);
+}
+
+/* Copies up to CAPACITY notes for handing them over; returns how many.  */
+size_t
+own_notes (struct own *own, struct own_note *notes, size_t capacity)
+{
+  size_t count = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  for (int i = 0; i < SHARD_COUNT; i++)
+    {
+      struct shard *shard = &own->shards[i];
+
+      pthread_mutex_lock (&shard->lock);
+      g_hash_table_iter_init (&iter, shard->notes);
+      while (count < capacity && g_hash_table_iter_next (&iter, NULL, &value))
+        notes[count++] = *(const struct own_note *)value;
+      pthread_mutex_unlock (&shard->lock);
+    }
+  return count;
+}
+
+/* Returns the number of requests granted to TARGET.  */
+int32_t
+own_load (struct own *own, uint64_t target)
+{
+  struct shard *shard = shard_of (own, target);
+  const struct owned *owned;
+  int32_t load = 0;
+
+  pthread_mutex_lock (&shard->lock);
+  owned = g_hash_table_lookup (shard->targets, &target);
+  if (owned != NULL)
+    load = (int32_t)owned->grants->len;
+  pthread_mutex_unlock (&shard->lock);
+  return load;
+}
+
+/* Judges ASK against the breaker, the bounds and the customer's share, in
+   this order, and appends the grant if nothing speaks against it.  */
+static enum own_verdict
+judge (struct owned *owned, const struct own_ask *ask,
+       const struct own_limits *limits, clk_ms now, struct own_reply *reply)
+{
+  int32_t load = (int32_t)owned->grants->len;
+  int32_t bound = own_bound (limits->mean_load, limits->load_factor);
+  int32_t open_slots
+      = (int32_t)floor (limits->slots * (1 - limits->reserve_share));
+  struct grant grant = { .customer = ask->customer,
+                         .since_ms = now,
+                         .instance = ask->instance,
+                         .id = ask->grant };
+  double share = fair_share (owned, ask, limits, now);
+
+  reply->load = load;
+  reply->limit = bound < limits->slots ? bound : limits->slots;
+  if (is_known (owned, ask))
+    return OWN_GRANT;
+  if (limits->leaving)
+    return OWN_DENY_LEAVING;
+  if (is_open (&owned->breaker, now))
+    return OWN_DENY_DOWN;
+  if (load >= limits->slots)
+    return OWN_DENY_CAPACITY;
+  if (load >= bound)
+    return OWN_DENY_BOUND;
+  if (load >= open_slots && held_by (owned, ask->customer) + 1 > share)
+    return OWN_DENY_SHARE;
+  g_array_append_val (owned->grants, grant);
+  return OWN_GRANT;
+}
+
+/* Returns whether ASK was granted already.  */
+static int
+is_known (const struct owned *owned, const struct own_ask *ask)
+{
+  for (guint i = 0; i < owned->grants->len; i++)
+    {
+      const struct grant *held
+          = &g_array_index (owned->grants, struct grant, i);
+
+      if (held->instance == ask->instance && held->id == ask->grant)
+        return 1;
+    }
+  return 0;
+}
+
+/* Returns how many of the target's slots ASK's customer may hold when all
+   are wanted: its weight's part among the customers that asked lately, at
+   least one.  */
+static double
+fair_share (struct owned *owned, const struct own_ask *ask,
+            const struct own_limits *limits, clk_ms now)
+{
+  struct asker self = { ask->customer, limits->customer_weight, now };
+  double total = self.weight;
+  double share;
+
+  for (guint i = owned->askers->len; i > 0; i--)
+    {
+      const struct asker *asker
+          = &g_array_index (owned->askers, struct asker, i - 1);
+
+      if (asker->customer == ask->customer
+          || now - asker->last_ms > CUSTOMER_IDLE_MS)
+        g_array_remove_index_fast (owned->askers, i - 1);
+      else
+        total += asker->weight;
+    }
+  g_array_append_val (owned->askers, self);
+  share = total > 0 ? limits->slots * self.weight / total : 0;
+  return share < 1 ? 1 : share;
+}
+
+/* Returns how many grants CUSTOMER holds.  */
+static int32_t
+held_by (const struct owned *owned, uint64_t customer)
+{
+  int32_t count = 0;
+
+  for (guint i = 0; i < owned->grants->len; i++)
+    if (g_array_index (owned->grants, struct grant, i).customer == customer)
+      count++;
+  return count;
+}
+
+/* Returns whether BREAKER keeps requests away at NOW.  One request is let
+   through each time the waiting time is over.  */
+static int
+is_open (struct breaker *breaker, clk_ms now)
+{
+  if (breaker->failures < FAILURES_TO_OPEN)
+    return 0;
+  if (now < breaker->retry_at_ms)
+    return 1;
+  breaker->retry_at_ms = now + breaker->open_ms;
+  return 0;
+}
+
+/* Feeds OUTCOME to BREAKER: the waiting time doubles with each failure past
+   the threshold, and a success closes it.  */
+static void
+record_outcome (struct breaker *breaker, enum own_outcome outcome, clk_ms now)
+{
+  if (outcome == OWN_OUTCOME_UNKNOWN)
+    return;
+  if (outcome == OWN_OUTCOME_OK)
+    {
+      memset (breaker, 0, sizeof *breaker);
+      return;
+    }
+  breaker->failures++;
+  if (breaker->failures < FAILURES_TO_OPEN)
+    return;
+  breaker->open_ms = CLAMP (breaker->open_ms * 2, OPEN_MIN_MS, OPEN_MAX_MS);
+  breaker->retry_at_ms = now + breaker->open_ms;
+}
+
+/* Returns the note for ASK's chat if its home is the asked target and it has
+   not expired.  */
+static const struct own_note *
+note_find (struct shard *shard, const struct own_ask *ask, clk_ms now)
+{
+  const struct own_note *note = g_hash_table_lookup (shard->notes, &ask->chat);
+
+  if (note == NULL || note->home != ask->target)
+    return NULL;
+  if (now < note->expires_ms)
+    return note;
+  g_hash_table_remove (shard->notes, &ask->chat);
+  return NULL;
+}
+
+/* Returns whether ID is among COUNT IDS.  */
+static int
+contains (const uint32_t *ids, size_t count, uint32_t id)
+{
+  for (size_t i = 0; i < count; i++)
+    if (ids[i] == id)
+      return 1;
+  return 0;
+}
+
+/* Returns the shard that holds TARGET.  */
+static struct shard *
+shard_of (struct own *own, uint64_t target)
+{
+  return &own->shards[target % SHARD_COUNT];
+}
+
+/* Returns the entry of TARGET, made at first use.  */
+static struct owned *
+owned_get (struct shard *shard, uint64_t target)
+{
+  struct owned *owned = g_hash_table_lookup (shard->targets, &target);
+  uint64_t *key;
+
+  if (owned != NULL)
+    return owned;
+  owned = g_new0 (struct owned, 1);
+  owned->grants = g_array_new (FALSE, FALSE, sizeof (struct grant));
+  owned->askers = g_array_new (FALSE, FALSE, sizeof (struct asker));
+  key = g_new (uint64_t, 1);
+  *key = target;
+  g_hash_table_insert (shard->targets, key, owned);
+  return owned;
+}
+
+/* Frees a struct owned.  */
+static void
+owned_free (gpointer data)
+{
+  struct owned *owned = data;
+
+  g_array_free (owned->grants, TRUE);
+  g_array_free (owned->askers, TRUE);
+  g_free (owned);
+}
--- /dev/null
+++ b/request/rank.c
@@ -0,0 +1,105 @@
+/* Weighted rendezvous hashing. */
+#include <math.h>
+#include <string.h>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include "ibisloom/rank.h"
+
+struct scored
+{
+  double score;
+  size_t index;
+};
+
+static int is_uniform (const struct rank_node *nodes, size_t count);
+static size_t insert (struct scored *best, size_t filled, size_t capacity,
+                      struct scored item);
+
+/* Hashes the string TEXT to an identifier.  */
+uint64_t
+rank_hash (const char *text)
+{
+  return XXH3_64bits (text, strlen (text));
+}
+
+/* Hashes three strings so that no two different triples of strings run
+   together: each part's terminator is hashed too.  */
+uint64_t
+rank_hash_parts (const char *first, const char *second, const char *third)
+{
+  XXH3_state_t state;
+
+  XXH3_64bits_reset (&state);
+  XXH3_64bits_update (&state, first, strlen (first) + 1);
+  XXH3_64bits_update (&state, second, strlen (second) + 1);
+  XXH3_64bits_update (&state, third, strlen (third) + 1);
+  return XXH3_64bits_digest (&state);
+}
+
+/* Writes to TOP the indexes of the TOP_COUNT (at most RANK_TOP_MAX) best of
+   COUNT NODES for KEY, best first, and returns how many there are.  Nodes of
+   weight 0 are left out.  A node wins a share of the keys in proportion to
+   its weight, and a change of one node moves only that node's keys (Thaler
+   and Ravishankar 1998; weights by -w / ln u).  With equal weights the order
+   of the scores is the order of the hashes, and the logarithm is saved.  */
+size_t
+rank_top (uint64_t key, const struct rank_node *nodes, size_t count,
+          size_t *top, size_t top_count)
+{
+  struct scored best[RANK_TOP_MAX];
+  int uniform = is_uniform (nodes, count);
+  size_t filled = 0;
+
+  if (top_count > RANK_TOP_MAX)
+    top_count = RANK_TOP_MAX;
+  for (size_t i = 0; i < count; i++)
+    {
+      struct scored item = { .index = i };
+      uint64_t hash;
+
+      if (nodes[i].weight <= 0)
+        continue;
+      hash = XXH3_64bits_withSeed (&key, sizeof key, nodes[i].id);
+      item.score = (double)(hash >> 11) + 0.5;
+      if (!uniform)
+        item.score = -nodes[i].weight / log (item.score * 0x1p-53);
+      filled = insert (best, filled, top_count, item);
+    }
+  for (size_t i = 0; i < filled; i++)
+    top[i] = best[i].index;
+  return filled;
+}
+
+/* Returns whether all NODES have one positive weight.  */
+static int
+is_uniform (const struct rank_node *nodes, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    if (nodes[i].weight <= 0 || nodes[i].weight != nodes[0].weight)
+      return 0;
+  return 1;
+}
+
+/* Inserts ITEM into the FILLED best scores, best first, at most CAPACITY.
+   Returns the new number.  */
+static size_t
+insert (struct scored *best, size_t filled, size_t capacity,
+        struct scored item)
+{
+  size_t at = filled;
+
+  if (filled == capacity)
+    {
+      if (capacity == 0 || item.score <= best[filled - 1].score)
+        return filled;
+      at = filled - 1;
+    }
+  else
+    filled++;
+  for (; at > 0 && best[at - 1].score < item.score; at--)
+    best[at] = best[at - 1];
+  best[at] = item;
+  return filled;
+}
