--- /dev/null
+++ b/request/request.c
@@ -0,0 +1,741 @@
+/* Life of a request: record, placement, attempts, answer. */
+#include <string.h>
+
+#include <ck_pr.h>
+
+#include "ibisloom/log.h"
+#include "libconnection.h"
+
+enum
+{
+  CLAIM_WAIT_MS = 185,
+  CLAIM_POLL_MS = 100,
+  CLAIM_POLL_MAX_MS = 3000,
+  ANSWER_MAX_BYTES = 8388608,
+  WAIT_JITTER_MS = 10,
+  HTTP_SERVER_ERROR = 500,
+  HTTP_UNAVAILABLE = 503,
+  HTTP_BAD_REQUEST = 400
+};
+
+typedef void (*ledger_handler) (struct req *req,
+                                const struct led_reply *reply);
+typedef void (*step_handler) (struct req *req, const struct place_step *step);
+
+static void step_ask (struct req *req, const struct place_step *step);
+static void step_take (struct req *req, const struct place_step *step);
+static void step_wait (struct req *req, const struct place_step *step);
+static void step_refuse (struct req *req, const struct place_step *step);
+static void place_plain (struct req *req, const struct ver_service *service);
+static void send_to (struct req *req, uint64_t target);
+static void count_placement (struct req *req, uint32_t verdict);
+static void on_claimed (struct req *req, const struct led_reply *reply);
+static void on_answered (struct req *req, const struct led_reply *reply);
+static void on_unfinished (struct req *req, const struct led_reply *reply);
+static void on_mismatch (struct req *req, const struct led_reply *reply);
+static void on_down (struct req *req, const struct led_reply *reply);
+static void on_stored (struct req *req, const struct led_reply *reply);
+static void release (struct req *req, enum own_outcome outcome);
+static void end_attempt (struct req *req, enum own_outcome outcome);
+static void succeed (struct req *req);
+static void leave_note (struct req *req);
+static void store_outcome (struct req *req);
+static void answer_plain (struct req *req);
+static void seal_not_run (struct req *req);
+static void give_up (struct req *req, const struct retry_decision *decision);
+static struct retry_budget *budget_get (struct server *server,
+                                        uint64_t service);
+static void deposit (struct req *req);
+static int is_connect_fault (struct req *req, int code);
+static void judge_answer (struct req *req);
+static clk_ms next_silence (const struct req *req);
+static void refuse_at_deadline (struct req *req);
+static void free_if_over (struct req *req);
+
+static const step_handler step_handlers[] = {
+  [PLACE_ASK] = step_ask,
+  [PLACE_TAKE] = step_take,
+  [PLACE_WAIT] = step_wait,
+  [PLACE_REFUSE] = step_refuse,
+};
+
+static const ledger_handler ledger_handlers[LED_VERDICT_COUNT] = {
+  [LED_CLAIMED] = on_claimed,
+  [LED_ANSWERED] = on_answered,
+  [LED_UNFINISHED] = on_unfinished,
+  [LED_MISMATCH] = on_mismatch,
+  [LED_DOWN] = on_down,
+  [LED_STORED] = on_stored,
+};
+
+static const enum met_counter denial_counters[] = {
+  [OWN_DENY_BOUND] = MET_DENIED_BOUND,
+  [OWN_DENY_CAPACITY] = MET_DENIED_CAPACITY,
+  [OWN_DENY_SHARE] = MET_DENIED_SHARE,
+  [OWN_DENY_DOWN] = MET_DENIED_DOWN,
+  [OWN_DENY_LEAVING] = MET_DENIED_LEAVING,
+};
+
+static const enum met_counter fault_counters[RETRY_FAULT_COUNT] = {
+  [RETRY_FAULT_CONNECT] = MET_RETRY_CONNECT,
+  [RETRY_FAULT_STATUS] = MET_RETRY_STATUS,
+  [RETRY_FAULT_BUSY] = MET_RETRY_STATUS,
+  [RETRY_FAULT_BROKEN] = MET_RETRY_BROKEN,
+  [RETRY_FAULT_SILENT] = MET_RETRY_SILENT,
+  [RETRY_FAULT_WRONG] = MET_RETRY_WRONG_ANSWER,
+};
+
+static const enum req_refusal give_up_refusals[] = {
+  [RETRY_REASON_NONE] = REFUSE_TARGETS_FAILED,
+  [RETRY_REASON_DEADLINE] = REFUSE_DEADLINE,
+  [RETRY_REASON_BUDGET] = REFUSE_RETRY_BUDGET,
+  [RETRY_REASON_TRIES] = REFUSE_TARGETS_FAILED,
+  [RETRY_REASON_MAY_HAVE_RUN] = REFUSE_MAY_HAVE_RUN,
+};
+
+static const enum req_refusal place_refusals[] = {
+  [PLACE_NO_TARGET] = REFUSE_NO_TARGET,
+  [PLACE_CAPACITY] = REFUSE_CAPACITY,
+  [PLACE_CUSTOMER_SHARE] = REFUSE_CUSTOMER_SHARE,
+};
+
+/* Asks the ledger for the record without which REQ must not be sent.  */
+void
+req_claim (struct req *req)
+{
+  clk_ms now = clk_now (clk_monotonic ());
+
+  req->phase = REQ_CLAIMING;
+  req->claim_ms = now;
+  req->timer_ms = MIN (now + CLAIM_WAIT_MS, req->deadline_ms);
+  req->ledger_open++;
+  led_claim (req->worker->server->ledger, &req->call, worker_post_ledger,
+             req->worker, req->id);
+}
+
+/* Chooses a target for REQ and sends it there.  Targets that failed it are
+   left out until all have.  */
+void
+req_place (struct req *req)
+{
+  const struct ver_snapshot *version = req->worker->version;
+  const struct ver_service *service = ver_service_find (version, req->service);
+  clk_ms now = clk_now (clk_monotonic ());
+  struct place_step step;
+
+  if (service == NULL)
+    {
+      req_refuse (req, REFUSE_UNKNOWN_SERVICE, REQ_NOT_RUN);
+      return;
+    }
+  if (req->tries == 0)
+    deposit (req);
+  if (req->excluded_count >= service->ready_count)
+    req->excluded_count = 0;
+  req->phase = REQ_PLACING;
+  req->timer_ms = req->deadline_ms;
+  if (service->kind == VER_KIND_PLAIN)
+    {
+      place_plain (req, service);
+      return;
+    }
+  place_start (&req->place, version, service, req->chat, req->excluded,
+               req->excluded_count,
+               MIN (now + version->preset.queue_ms, req->deadline_ms), &step);
+  step_handlers[step.action](req, &step);
+}
+
+/* Goes on with the owner's REPLY.  */
+void
+req_on_reply (struct req *req, const struct peer_reply *reply)
+{
+  struct place_step step = { 0 };
+
+  if (reply->verdict >= OWN_DENY_BOUND && reply->verdict <= OWN_DENY_LEAVING)
+    met_inc (denial_counters[reply->verdict]);
+  place_next (&req->place, reply->verdict, reply->elsewhere,
+              clk_now (clk_monotonic ()), &step);
+  if (step.action == PLACE_TAKE)
+    {
+      req->has_grant = reply->verdict == OWN_GRANT;
+      count_placement (req, reply->verdict);
+    }
+  step_handlers[step.action](req, &step);
+}
+
+/* Goes on with the ledger's REPLY.  A record that comes after the caller was
+   told "not run" is sealed.  */
+void
+req_on_ledger (struct req *req, const struct led_reply *reply)
+{
+  req->ledger_open--;
+  met_observe (MET_HIST_LEDGER_MS, clk_now (clk_monotonic ()) - req->claim_ms);
+  if (req->phase == REQ_CLAIMING || req->phase == REQ_STORING)
+    ledger_handlers[reply->verdict](req, reply);
+  else if (reply->verdict == LED_CLAIMED && !req->claimed)
+    seal_not_run (req);
+  free_if_over (req);
+}
+
+/* Acts on what is due for REQ at NOW.  */
+void
+req_on_timer (struct req *req, clk_ms now)
+{
+  struct place_step step = { 0 };
+
+  if (req->phase == REQ_DONE || req->phase == REQ_READING)
+    {
+      req->timer_ms = INT64_MAX;
+      return;
+    }
+  if (req->phase == REQ_CLAIMING && req->ledger_open == 0
+      && now < req->deadline_ms)
+    req_claim (req);
+  else if (req->phase == REQ_CLAIMING)
+    req_refuse (req, REFUSE_LEDGER_DOWN, REQ_NOT_RUN);
+  else if (req->phase == REQ_STORING)
+    answer_plain (req);
+  else if (now >= req->deadline_ms)
+    refuse_at_deadline (req);
+  else if (req->phase == REQ_WAITING)
+    {
+      req->phase = REQ_PLACING;
+      req->timer_ms = req->deadline_ms;
+      place_next (&req->place, 0, 0, now, &step);
+      step_handlers[step.action](req, &step);
+    }
+  else if (req->phase == REQ_SENDING)
+    {
+      req->timer_ms = next_silence (req);
+      if (now >= req->timer_ms)
+        req_fault (req, RETRY_FAULT_SILENT);
+    }
+  free_if_over (req);
+}
+
+/* Takes LENGTH bytes of the target's answer.  Returns 0, or -1 if the
+   transfer is to be broken off.  Called from within libcurl, so the attempt
+   must not be ended here.  */
+int
+req_on_data (struct req *req, const char *data, size_t length)
+{
+  struct req_attempt *attempt = &req->attempt;
+  size_t before = req->out->len;
+
+  if (attempt->id_seen && !attempt->id_matches)
+    return -1;
+  if (!req->first_byte_seen)
+    {
+      req->first_byte_seen = 1;
+      met_observe (MET_HIST_FIRST_BYTE_MS,
+                   clk_now (clk_monotonic ()) - req->arrived_ms);
+    }
+  if (req->kind == VER_KIND_PLAIN || attempt->status != MHD_HTTP_OK)
+    {
+      if (req->kind == VER_KIND_CHAT)
+        return 0;
+      if (req->out->len + length > ANSWER_MAX_BYTES)
+        return -1;
+      g_string_append_len (req->out, data, (gssize)length);
+      return 0;
+    }
+  if (chat_events (req, data, length) != 0)
+    return -1;
+  if (!req->stream || req->out->len == before)
+    return 0;
+  if (req->response == NULL)
+    req_answer_stream (req);
+  else
+    front_resume (req);
+  return 0;
+}
+
+/* Judges the attempt that libcurl ended with CODE.  */
+void
+req_on_attempt_end (struct req *req, int code)
+{
+  struct req_attempt *attempt = &req->attempt;
+
+  if (attempt->id_seen && !attempt->id_matches)
+    {
+      met_inc (MET_CROSSED_DROPPED);
+      req_fault (req, RETRY_FAULT_WRONG);
+    }
+  else if (is_connect_fault (req, code))
+    req_fault (req, RETRY_FAULT_CONNECT);
+  else if (code != CURLE_OK)
+    req_fault (req, req->events.gap ? RETRY_FAULT_WRONG : RETRY_FAULT_BROKEN);
+  else
+    judge_answer (req);
+  free_if_over (req);
+}
+
+/* Decides what follows FAULT and does it.  */
+void
+req_fault (struct req *req, enum retry_fault fault)
+{
+  struct server *server = req->worker->server;
+  struct req_attempt *attempt = &req->attempt;
+  clk_ms now = clk_now (clk_monotonic ());
+  uint64_t target = req->target;
+  struct retry_state state = { .fault = fault,
+                               .repeatable = req->repeatable,
+                               .is_stream = req->kind == VER_KIND_CHAT,
+                               .may_have_run = req->may_have_run,
+                               .tokens = req->events.offset,
+                               .tries = req->tries,
+                               .deadline_ms = req->deadline_ms };
+  struct retry_decision decision;
+
+  if (req->events.done)
+    {
+      succeed (req);
+      return;
+    }
+  met_inc (fault_counters[fault]);
+  if (req->events.offset > attempt->offset_at_start)
+    req->resumes = 0;
+  state.resumes = req->resumes;
+  if (fault != RETRY_FAULT_CONNECT && fault != RETRY_FAULT_BUSY)
+    req->may_have_run = 1;
+  pthread_mutex_lock (&server->budget_lock);
+  retry_decide (&state, budget_get (server, req->service_id), now, &decision);
+  pthread_mutex_unlock (&server->budget_lock);
+  log_debug ("request", req->id_text, met_name (fault_counters[fault]),
+             "attempt %u, action %d", req->tries, (int)decision.action);
+  req->events.gap = 0;
+  g_string_truncate (req->events.partial, 0);
+  if (req->kind == VER_KIND_PLAIN)
+    g_string_truncate (req->out, 0);
+  if (decision.action == RETRY_RESUME)
+    {
+      met_inc (MET_RETRY_RESUME);
+      back_abort (req);
+      req->resumes++;
+      req->resume_target = target;
+      send_to (req, target);
+      return;
+    }
+  end_attempt (req, fault == RETRY_FAULT_BUSY ? OWN_OUTCOME_UNKNOWN
+                                              : OWN_OUTCOME_FAILED);
+  req->resume_target = 0;
+  req->resumes = 0;
+  if (decision.action == RETRY_GIVE_UP)
+    {
+      give_up (req, &decision);
+      return;
+    }
+  if (decision.action == RETRY_RESTART)
+    met_inc (MET_RETRY_RESTART);
+  if (req->excluded_count < REQ_EXCLUDED_MAX)
+    req->excluded[req->excluded_count++] = target;
+  req_place (req);
+}
+
+/* Ends REQ whose caller is gone or has the whole answer.  A call with a
+   record goes on until its outcome is stored.  */
+void
+req_cancel (struct req *req)
+{
+  req->suspended = 0;
+  if (!req->repeatable && req->phase != REQ_DONE && req->phase != REQ_READING)
+    return;
+  if (req->kind == VER_KIND_CHAT && req->phase == REQ_SENDING)
+    back_cancel_stream (req);
+  end_attempt (req, OWN_OUTCOME_UNKNOWN);
+  req->phase = REQ_DONE;
+  free_if_over (req);
+}
+
+/* Asks the owner of STEP's target for admission.  */
+static void
+step_ask (struct req *req, const struct place_step *step)
+{
+  const struct ver_snapshot *version = req->worker->version;
+  const struct ver_target *target = ver_target_find (version, step->target);
+  struct peer_query query = { .target = step->target,
+                              .domain = target ? target->domain_id : 0,
+                              .chat = req->chat,
+                              .customer = req->customer_id,
+                              .flags = step->flags };
+
+  req->asked_target = step->target;
+  req->grant = peer_ask (req->worker->server->peer, version, &query,
+                         worker_post_reply, req->worker, req->id);
+}
+
+/* Sends REQ to the target that was asked last.  */
+static void
+step_take (struct req *req, const struct place_step *step)
+{
+  (void)step;
+  send_to (req, req->asked_target);
+}
+
+/* Waits for the time of STEP.  */
+static void
+step_wait (struct req *req, const struct place_step *step)
+{
+  met_inc (MET_QUEUED);
+  req->phase = REQ_WAITING;
+  req->timer_ms = clk_now (clk_monotonic ()) + step->wait_ms
+                  + g_rand_int_range (req->worker->random, 0, WAIT_JITTER_MS);
+}
+
+/* Refuses REQ for the reason of STEP.  */
+static void
+step_refuse (struct req *req, const struct place_step *step)
+{
+  seal_not_run (req);
+  req_refuse (req, place_refusals[step->reason],
+              req->may_have_run ? REQ_MAY_HAVE_RUN : REQ_NOT_RUN);
+}
+
+/* Sends a call to a target of the plain SERVICE.  */
+static void
+place_plain (struct req *req, const struct ver_service *service)
+{
+  uint64_t target = plain_choose (req, req->worker->version, service);
+  struct place_step step
+      = { .action = PLACE_REFUSE, .reason = PLACE_NO_TARGET };
+
+  if (target == 0)
+    {
+      step_refuse (req, &step);
+      return;
+    }
+  req->holds_plain = 1;
+  send_to (req, target);
+}
+
+/* Starts an attempt at TARGET.  */
+static void
+send_to (struct req *req, uint64_t target)
+{
+  const struct ver_target *entry
+      = ver_target_find (req->worker->version, target);
+
+  req->target = target;
+  req->phase = REQ_SENDING;
+  if (entry == NULL)
+    {
+      req_fault (req, RETRY_FAULT_CONNECT);
+      return;
+    }
+  back_send (req, entry);
+  req->tries++;
+  req->timer_ms = next_silence (req);
+}
+
+/* Counts how REQ found its target.  */
+static void
+count_placement (struct req *req, uint32_t verdict)
+{
+  if (verdict == PEER_TIMEOUT)
+    met_inc (MET_PLACED_UNOWNED);
+  else if (req->asked_target == place_home (&req->place))
+    met_inc (MET_PLACED_HOME);
+  else if (req->asked_target == req->place.noted)
+    met_inc (MET_PLACED_NOTE);
+  else
+    met_inc (MET_PLACED_WALK);
+}
+
+/* The record is made: send.  */
+static void
+on_claimed (struct req *req, const struct led_reply *reply)
+{
+  (void)reply;
+  req->claimed = 1;
+  req_place (req);
+}
+
+/* It ran before: give the stored answer.  */
+static void
+on_answered (struct req *req, const struct led_reply *reply)
+{
+  met_inc (MET_REPLAYED_ANSWER);
+  req_answer_body (req, (unsigned)reply->status, reply->content_type,
+                   reply->body, reply->body_length);
+}
+
+/* Another attempt has the record: look again until it has an outcome.  */
+static void
+on_unfinished (struct req *req, const struct led_reply *reply)
+{
+  clk_ms now = clk_now (clk_monotonic ());
+
+  (void)reply;
+  if (now + CLAIM_POLL_MS
+      < MIN (req->arrived_ms + CLAIM_POLL_MAX_MS, req->deadline_ms))
+    req->timer_ms = now + CLAIM_POLL_MS;
+  else
+    req_refuse (req, REFUSE_IN_PROGRESS, REQ_MAY_HAVE_RUN);
+}
+
+/* The key belongs to another request.  */
+static void
+on_mismatch (struct req *req, const struct led_reply *reply)
+{
+  (void)reply;
+  req_refuse (req, REFUSE_KEY_REUSED, REQ_NOT_RUN);
+}
+
+/* No record could be made.  */
+static void
+on_down (struct req *req, const struct led_reply *reply)
+{
+  (void)reply;
+  if (req->phase == REQ_STORING)
+    answer_plain (req);
+  else
+    req_refuse (req, REFUSE_LEDGER_DOWN, REQ_NOT_RUN);
+}
+
+/* The outcome is durable: give the answer.  */
+static void
+on_stored (struct req *req, const struct led_reply *reply)
+{
+  (void)reply;
+  if (req->phase == REQ_STORING)
+    answer_plain (req);
+}
+
+/* Judges an answer that arrived whole.  */
+static void
+judge_answer (struct req *req)
+{
+  struct req_attempt *attempt = &req->attempt;
+
+  if (attempt->not_run)
+    req_fault (req, RETRY_FAULT_BUSY);
+  else if (req->kind == VER_KIND_CHAT && attempt->status == MHD_HTTP_OK)
+    {
+      if (req->events.done)
+        succeed (req);
+      else
+        req_fault (req, RETRY_FAULT_BROKEN);
+    }
+  else if (attempt->status >= HTTP_SERVER_ERROR && req->repeatable)
+    req_fault (req, RETRY_FAULT_STATUS);
+  else if (attempt->is_resume)
+    req_fault (req, RETRY_FAULT_BROKEN);
+  else
+    succeed (req);
+}
+
+/* Gives the caller the whole answer of the target.  */
+static void
+succeed (struct req *req)
+{
+  char *text;
+
+  if (req->kind == VER_KIND_PLAIN)
+    {
+      req->holds_plain = 0;
+      plain_release (req->worker->server, req->target, OWN_OUTCOME_OK);
+      if (req->claimed)
+        store_outcome (req);
+      else
+        answer_plain (req);
+      return;
+    }
+  if (req->attempt.status != MHD_HTTP_OK)
+    {
+      req_answer_body (req, (unsigned)req->attempt.status, "application/json",
+                       "{}", 2);
+      end_attempt (req, OWN_OUTCOME_OK);
+      return;
+    }
+  end_attempt (req, OWN_OUTCOME_OK);
+  leave_note (req);
+  if (req->stream)
+    {
+      met_inc (MET_ANSWERED);
+      met_observe (MET_HIST_TOTAL_MS,
+                   clk_now (clk_monotonic ()) - req->arrived_ms);
+      req->phase = REQ_DONE;
+      req->out_done = 1;
+      front_resume (req);
+      return;
+    }
+  text = chat_whole_json (req);
+  req_answer_body (req, MHD_HTTP_OK, "application/json", text, strlen (text));
+  free (text);
+}
+
+/* Notes where a displaced chat's context is now.  */
+static void
+leave_note (struct req *req)
+{
+  const struct ver_snapshot *version = req->worker->version;
+  uint64_t home = place_home (&req->place);
+  const struct ver_target *entry = ver_target_find (version, home);
+  struct own_note note = { .home = home,
+                           .chat = req->chat,
+                           .target = req->target,
+                           .expires_ms = clk_now (clk_monotonic ())
+                                         + version->preset.note_ttl_ms };
+
+  if (entry == NULL || req->target == home || req->target == req->place.noted)
+    return;
+  peer_note (req->worker->server->peer, &note, entry->domain_id);
+}
+
+/* Stores the outcome of a call with a record; the answer waits for it.  */
+static void
+store_outcome (struct req *req)
+{
+  static const char too_large[]
+      = "{\"error\":{\"code\":\"answer_not_kept\",\"run\":\"ran\"}}";
+  struct led_outcome outcome = { .status = (int)req->attempt.status,
+                                 .content_type = req->attempt.content_type,
+                                 .body = req->out->str,
+                                 .body_length = req->out->len };
+
+  if (outcome.body_length > LED_ANSWER_MAX_BYTES)
+    {
+      outcome.content_type = "application/json";
+      outcome.body = too_large;
+      outcome.body_length = sizeof too_large - 1;
+    }
+  req->phase = REQ_STORING;
+  req->claim_ms = clk_now (clk_monotonic ());
+  req->timer_ms = req->deadline_ms;
+  req->ledger_open++;
+  led_finish (req->worker->server->ledger, &req->call, &outcome,
+              worker_post_ledger, req->worker, req->id);
+}
+
+/* Gives the caller the plain answer that is buffered.  */
+static void
+answer_plain (struct req *req)
+{
+  req_answer_body (req, (unsigned)req->attempt.status,
+                   req->attempt.content_type, req->out->str, req->out->len);
+  end_attempt (req, OWN_OUTCOME_OK);
+}
+
+/* Records that a claimed call was not sent.  */
+static void
+seal_not_run (struct req *req)
+{
+  struct led_outcome outcome = { .not_run = 1 };
+
+  if (req->repeatable || req->may_have_run)
+    return;
+  led_finish (req->worker->server->ledger, &req->call, &outcome, NULL, NULL,
+              0);
+}
+
+/* Ends REQ as DECISION says.  */
+static void
+give_up (struct req *req, const struct retry_decision *decision)
+{
+  if (decision->run == RETRY_NOT_RUN)
+    seal_not_run (req);
+  req_refuse (req, give_up_refusals[decision->reason],
+              (enum req_run)decision->run);
+}
+
+/* Ends REQ whose time is up.  */
+static void
+refuse_at_deadline (struct req *req)
+{
+  int sent = req->phase == REQ_SENDING || req->may_have_run;
+
+  if (req->kind == VER_KIND_CHAT && req->phase == REQ_SENDING)
+    back_cancel_stream (req);
+  end_attempt (req, OWN_OUTCOME_UNKNOWN);
+  if (!sent)
+    seal_not_run (req);
+  req_refuse (req, REFUSE_DEADLINE, sent ? REQ_MAY_HAVE_RUN : REQ_NOT_RUN);
+}
+
+/* Returns when the attempt under way counts as silent.  A call that may not
+   be repeated is waited for until its deadline, as nothing else could be done
+   about it.  */
+static clk_ms
+next_silence (const struct req *req)
+{
+  int64_t limit_ms
+      = req->kind == VER_KIND_CHAT ? req->silence_ms : req->attempt_timeout_ms;
+
+  if (!req->repeatable || req->attempt.paused)
+    return req->deadline_ms;
+  return MIN (req->attempt.last_byte_ms + limit_ms, req->deadline_ms);
+}
+
+/* Returns whether libcurl's CODE means that nothing was sent.  */
+static int
+is_connect_fault (struct req *req, int code)
+{
+  long sent = 0;
+
+  if (code == CURLE_COULDNT_CONNECT)
+    return 1;
+  curl_easy_getinfo (req->attempt.easy, CURLINFO_REQUEST_SIZE, &sent);
+  return code == CURLE_OPERATION_TIMEDOUT && sent == 0;
+}
+
+/* Ends the attempt and gives back what it held.  */
+static void
+end_attempt (struct req *req, enum own_outcome outcome)
+{
+  back_abort (req);
+  release (req, outcome);
+}
+
+/* Gives back the grant or the place of REQ.  */
+static void
+release (struct req *req, enum own_outcome outcome)
+{
+  if (req->has_grant)
+    peer_release (req->worker->server->peer, req->grant, outcome);
+  if (req->holds_plain)
+    plain_release (req->worker->server, req->target, outcome);
+  req->has_grant = 0;
+  req->holds_plain = 0;
+}
+
+/* Credits the retry budget of REQ's service.  */
+static void
+deposit (struct req *req)
+{
+  struct server *server = req->worker->server;
+
+  pthread_mutex_lock (&server->budget_lock);
+  retry_budget_deposit (budget_get (server, req->service_id),
+                        req->worker->version->preset.retry_share);
+  pthread_mutex_unlock (&server->budget_lock);
+}
+
+/* Returns the retry budget of SERVICE, made at first use; needs the lock.  */
+static struct retry_budget *
+budget_get (struct server *server, uint64_t service)
+{
+  struct retry_budget *budget
+      = g_hash_table_lookup (server->budgets, &service);
+  uint64_t *key;
+
+  if (budget != NULL)
+    return budget;
+  budget = g_new0 (struct retry_budget, 1);
+  retry_budget_init (budget);
+  key = g_new (uint64_t, 1);
+  *key = service;
+  g_hash_table_insert (server->budgets, key, budget);
+  return budget;
+}
+
+/* Frees REQ when its caller, its attempt and the ledger are done with it.  */
+static void
+free_if_over (struct req *req)
+{
+  if (req->connection == NULL && req->phase == REQ_DONE
+      && req->ledger_open == 0)
+    {
+      end_attempt (req, OWN_OUTCOME_UNKNOWN);
+      req_free (req);
+    }
+}
--- /dev/null
+++ b/request/request_chat.c
@@ -0,0 +1,185 @@
+/* Chat requests: the body, and the engine's stream of events. */
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "libconnection.h"
+
+static int refuse (struct req *req);
+static const char *text_field (json_t *json, const char *key);
+static int take_event (struct req *req, const char *event, size_t length);
+static void collect_content (struct req *req, const char *data, size_t length);
+static const char *field (const char *event, size_t length, const char *name,
+                          size_t *value_length);
+
+/* Reads REQ's body.  Returns 0, or -1 with the response set.  */
+int
+chat_parse (struct req *req)
+{
+  json_t *json = json_loadb (req->body->str, req->body->len,
+                             JSON_REJECT_DUPLICATES, NULL);
+  const char *model = text_field (json, "model");
+  const char *chat = text_field (json, "chat_id");
+  const struct ver_service *service;
+
+  if (!json_is_object (json) || model == NULL || chat == NULL
+      || !json_is_array (json_object_get (json, "messages")))
+    {
+      json_decref (json);
+      return refuse (req);
+    }
+  service = ver_service_find (req->worker->version, model);
+  if (service == NULL || service->kind != VER_KIND_CHAT)
+    {
+      json_decref (json);
+      req_refuse (req, REFUSE_UNKNOWN_SERVICE, REQ_NOT_RUN);
+      return -1;
+    }
+  req->service_id = service->id;
+  req->silence_ms = service->silence_ms;
+  req->attempt_timeout_ms = service->attempt_timeout_ms;
+  req->deadline_ms = req->arrived_ms + service->deadline_ms;
+  g_strlcpy (req->service, service->name, sizeof req->service);
+  req->chat = rank_hash_parts (req->customer, service->name, chat);
+  req->stream = json_is_true (json_object_get (json, "stream"));
+  if (!req->stream)
+    req->content = g_string_new (NULL);
+  json_decref (json);
+  return 0;
+}
+
+/* Takes LENGTH bytes of the engine's stream.  Complete events are passed on
+   once each, by their numbers: an event that was delivered before is dropped,
+   and a missing one is a fault.  Returns 0, or -1 if the stream is not this
+   request's next part.  */
+int
+chat_events (struct req *req, const char *data, size_t length)
+{
+  struct req_events *events = &req->events;
+  size_t at = 0;
+  int result = 0;
+
+  g_string_append_len (events->partial, data, (gssize)length);
+  for (;;)
+    {
+      const char *start = events->partial->str + at;
+      const char *end = strstr (start, "\n\n");
+
+      if (end == NULL)
+        break;
+      result = take_event (req, start, (size_t)(end + 2 - start));
+      at = (size_t)(end + 2 - events->partial->str);
+      if (result != 0)
+        break;
+    }
+  g_string_erase (events->partial, 0, (gssize)at);
+  return result;
+}
+
+/* Returns the newly allocated answer to a chat that is not streamed.  */
+char *
+chat_whole_json (const struct req *req)
+{
+  json_t *json = json_pack (
+      "{s:s,s:s,s:s,s:[{s:i,s:{s:s,s:s},s:s}],s:{s:I}}", "id", req->id_text,
+      "object", "chat.completion", "model", req->service, "choices", "index",
+      0, "message", "role", "assistant", "content", req->content->str,
+      "finish_reason", "stop", "usage", "completion_tokens",
+      (json_int_t)req->events.offset);
+  char *text = json_dumps (json, JSON_COMPACT);
+
+  json_decref (json);
+  return text;
+}
+
+/* Refuses a body that is no chat.  */
+static int
+refuse (struct req *req)
+{
+  req_refuse (req, REFUSE_BAD_REQUEST, REQ_NOT_RUN);
+  return -1;
+}
+
+/* Returns the non-empty string under KEY, or NULL.  */
+static const char *
+text_field (json_t *json, const char *key)
+{
+  const char *text = json_string_value (json_object_get (json, key));
+
+  return text != NULL && *text != '\0' ? text : NULL;
+}
+
+/* Takes one EVENT of LENGTH bytes, its empty line included.  Comments are
+   heartbeats of the engine and go no further.  */
+static int
+take_event (struct req *req, const char *event, size_t length)
+{
+  struct req_events *events = &req->events;
+  size_t data_length;
+  size_t id_length;
+  const char *data = field (event, length, "data: ", &data_length);
+  const char *id = field (event, length, "id: ", &id_length);
+
+  if (data == NULL)
+    return 0;
+  if (data_length == 6 && memcmp (data, "[DONE]", 6) == 0)
+    events->done = 1;
+  else if (id != NULL)
+    {
+      int64_t number = strtoll (id, NULL, 10);
+
+      if (number < events->offset)
+        return 0;
+      if (number > events->offset)
+        {
+          events->gap = 1;
+          return -1;
+        }
+      events->offset++;
+    }
+  if (req->stream)
+    g_string_append_len (req->out, event, (gssize)length);
+  else if (!events->done)
+    collect_content (req, data, data_length);
+  return 0;
+}
+
+/* Appends the text of one event's JSON to the whole answer.  */
+static void
+collect_content (struct req *req, const char *data, size_t length)
+{
+  json_t *json = json_loadb (data, length, 0, NULL);
+  json_t *choice = json_array_get (json_object_get (json, "choices"), 0);
+  const char *text = json_string_value (
+      json_object_get (json_object_get (choice, "delta"), "content"));
+
+  if (text != NULL)
+    g_string_append (req->content, text);
+  json_decref (json);
+}
+
+/* Returns the value of the line of EVENT that starts with NAME, and its
+   VALUE_LENGTH, or NULL.  */
+static const char *
+field (const char *event, size_t length, const char *name,
+       size_t *value_length)
+{
+  size_t size = strlen (name);
+  const char *end = event + length;
+
+  for (const char *line = event; line < end;)
+    {
+      const char *stop = memchr (line, '\n', (size_t)(end - line));
+
+      if (stop == NULL)
+        return NULL;
+      if ((size_t)(stop - line) >= size && memcmp (line, name, size) == 0)
+        {
+          *value_length = (size_t)(stop - line) - size;
+          return line + size;
+        }
+      line = stop + 1;
+    }
+  return NULL;
+}
--- /dev/null
+++ b/request/request_start.c
@@ -0,0 +1,394 @@
+/* Start of a request: what the caller's headers and body say. */
+#include <string.h>
+
+#include <ck_pr.h>
+#include <sodium.h>
+
+#include "libconnection.h"
+
+enum
+{
+  ID_BYTES = 16,
+  KEY_MAX_BYTES = 255,
+  PRIORITY_MAX = 9,
+  PRIORITY_INITIAL = 5,
+  UNSET_DEADLINE_MS = 60000
+};
+
+typedef int (*route_handler) (struct req *req, const char *rest);
+
+static int open_chat (struct req *req, const char *rest);
+static int open_service (struct req *req, const char *rest);
+static int answer_health (struct req *req, const char *rest);
+static int answer_ready (struct req *req, const char *rest);
+static int answer_metrics (struct req *req, const char *rest);
+static int check_framing (struct req *req);
+static int read_customer (struct req *req);
+static int read_service (struct req *req, const char *name);
+static int read_key (struct req *req);
+static enum MHD_Result collect_header (void *closure, enum MHD_ValueKind kind,
+                                       const char *name, const char *value);
+static enum MHD_Result collect_argument (void *closure,
+                                         enum MHD_ValueKind kind,
+                                         const char *name, const char *value);
+static const char *header (struct req *req, const char *name);
+static int is_repeatable_method (const char *method);
+
+static const struct
+{
+  const char *method; /* NULL: any */
+  const char *prefix;
+  route_handler open;
+} routes[] = {
+  { "POST", "/v1/chat/completions", open_chat },
+  { NULL, "/v1/services/", open_service },
+  { "GET", "/healthz", answer_health },
+  { "GET", "/readyz", answer_ready },
+  { "GET", "/metrics", answer_metrics },
+};
+
+/* Headers that end at this hop (RFC 9110, 7.6.1), or that are set anew. */
+static const char *const own_headers[] = { "Connection",
+                                           "Keep-Alive",
+                                           "Proxy-Authenticate",
+                                           "Proxy-Authorization",
+                                           "TE",
+                                           "Trailer",
+                                           "Transfer-Encoding",
+                                           "Upgrade",
+                                           "Host",
+                                           "Content-Length",
+                                           "Expect",
+                                           "Proxy-Connection",
+                                           "X-Request-Id",
+                                           "X-Continue-At",
+                                           "X-Chat",
+                                           "X-Priority",
+                                           "Idempotency-Key",
+                                           "Accept",
+                                           "Accept-Encoding" };
+
+static const char *const repeatable_methods[]
+    = { "GET", "HEAD", "OPTIONS", "PUT", "DELETE" };
+
+/* Returns a request of CONNECTION with an identifier of its own.  */
+struct req *
+req_new (struct worker *worker, struct MHD_Connection *connection,
+         const char *method)
+{
+  struct req *req = g_new0 (struct req, 1);
+  unsigned char id[ID_BYTES];
+
+  randombytes_buf (id, sizeof id);
+  sodium_bin2hex (req->id_text, sizeof req->id_text, id, sizeof id);
+  req->id = ++worker->next_id;
+  req->worker = worker;
+  req->connection = connection;
+  req->body = g_string_new (NULL);
+  req->out = g_string_new (NULL);
+  req->events.partial = g_string_new (NULL);
+  req->arrived_ms = clk_now (clk_monotonic ());
+  req->timer_ms = INT64_MAX;
+  req->deadline_ms = req->arrived_ms + UNSET_DEADLINE_MS;
+  g_strlcpy (req->method, method, sizeof req->method);
+  g_hash_table_insert (worker->requests, &req->id, req);
+  ck_pr_inc_64 ((uint64_t *)&worker->server->open_requests);
+  return req;
+}
+
+/* Frees REQ, which has no attempt, grant or connection any more.  */
+void
+req_free (struct req *req)
+{
+  g_hash_table_remove (req->worker->requests, &req->id);
+  ck_pr_dec_64 ((uint64_t *)&req->worker->server->open_requests);
+  curl_slist_free_all (req->forward);
+  g_string_free (req->body, TRUE);
+  g_string_free (req->out, TRUE);
+  g_string_free (req->events.partial, TRUE);
+  if (req->content != NULL)
+    g_string_free (req->content, TRUE);
+  g_free (req->path);
+  g_free (req->idempotency_key);
+  g_free (req);
+}
+
+/* Reads the headers for URL.  Returns 0 if the body is wanted, or -1 with the
+   response set.  */
+int
+req_open (struct req *req, const char *url)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (routes); i++)
+    {
+      const char *rest;
+
+      if (!g_str_has_prefix (url, routes[i].prefix)
+          || (routes[i].method != NULL
+              && strcmp (routes[i].method, req->method) != 0))
+        continue;
+      rest = url + strlen (routes[i].prefix);
+      if (routes[i].method != NULL && *rest != '\0')
+        continue;
+      return routes[i].open (req, rest);
+    }
+  met_inc (MET_REQUESTS);
+  req_refuse (req, REFUSE_UNKNOWN_SERVICE, REQ_NOT_RUN);
+  return -1;
+}
+
+/* Goes on when the whole body is there.  */
+void
+req_begin (struct req *req)
+{
+  if (req->kind == VER_KIND_CHAT && chat_parse (req) != 0)
+    return;
+  if (req->repeatable)
+    {
+      req_place (req);
+      return;
+    }
+  led_key (req->call.key, req->customer, req->service, req->idempotency_key);
+  led_nonce (req->call.nonce);
+  req->call.fingerprint
+      = rank_hash_parts (req->method, req->path, req->body->str) >> 1;
+  req_claim (req);
+}
+
+/* Opens a chat request.  */
+static int
+open_chat (struct req *req, const char *rest)
+{
+  const char *model = header (req, "X-Service");
+
+  (void)rest;
+  met_inc (MET_REQUESTS);
+  req->kind = VER_KIND_CHAT;
+  req->repeatable = 1;
+  req->path = g_strdup ("/v1/chat/completions");
+  if (check_framing (req) != 0 || read_customer (req) != 0)
+    return -1;
+  if (model != NULL && read_service (req, model) != 0)
+    return -1;
+  MHD_get_connection_values (req->connection, MHD_HEADER_KIND, collect_header,
+                             req);
+  return 0;
+}
+
+/* Opens a call of "/v1/services/NAME/REST".  */
+static int
+open_service (struct req *req, const char *rest)
+{
+  const char *slash = strchr (rest, '/');
+  char name[VER_NAME_MAX_BYTES];
+  GString *path;
+
+  met_inc (MET_REQUESTS);
+  g_strlcpy (name, rest, sizeof name);
+  if (slash != NULL && (size_t)(slash - rest) < sizeof name)
+    name[slash - rest] = '\0';
+  if (check_framing (req) != 0 || read_customer (req) != 0
+      || read_service (req, name) != 0)
+    return -1;
+  if (req->kind != VER_KIND_PLAIN)
+    {
+      req_refuse (req, REFUSE_UNKNOWN_SERVICE, REQ_NOT_RUN);
+      return -1;
+    }
+  path = g_string_new (slash != NULL ? slash : "/");
+  MHD_get_connection_values (req->connection, MHD_GET_ARGUMENT_KIND,
+                             collect_argument, path);
+  req->path = g_string_free (path, FALSE);
+  MHD_get_connection_values (req->connection, MHD_HEADER_KIND, collect_header,
+                             req);
+  return read_key (req);
+}
+
+/* Answers that the process lives.  */
+static int
+answer_health (struct req *req, const char *rest)
+{
+  (void)rest;
+  req_answer_body (req, MHD_HTTP_OK, "text/plain", "ok\n", 3);
+  return -1;
+}
+
+/* Answers whether the balancer should send requests here.  */
+static int
+answer_ready (struct req *req, const char *rest)
+{
+  const struct server *server = req->worker->server;
+  int ready
+      = ck_pr_load_int (&server->ready) && !ck_pr_load_int (&server->stopping);
+  const char *text = ready ? "ready\n" : "not ready\n";
+
+  (void)rest;
+  req_answer_body (req, ready ? MHD_HTTP_OK : MHD_HTTP_SERVICE_UNAVAILABLE,
+                   "text/plain", text, strlen (text));
+  return -1;
+}
+
+/* Answers with all counters.  */
+static int
+answer_metrics (struct req *req, const char *rest)
+{
+  GString *text = g_string_new (NULL);
+
+  (void)rest;
+  met_print (text);
+  req_answer_body (req, MHD_HTTP_OK, "text/plain; version=0.0.4", text->str,
+                   text->len);
+  g_string_free (text, TRUE);
+  return -1;
+}
+
+/* Refuses requests whose length is told in conflicting ways, on which caller
+   and target could disagree, and requests while not ready.  */
+static int
+check_framing (struct req *req)
+{
+  const struct server *server = req->worker->server;
+  const char *length = header (req, MHD_HTTP_HEADER_CONTENT_LENGTH);
+  const char *coding = header (req, MHD_HTTP_HEADER_TRANSFER_ENCODING);
+
+  if (ck_pr_load_int (&server->stopping))
+    req->close = 1;
+  if (!ck_pr_load_int (&server->ready))
+    {
+      req->close = 1;
+      req_refuse (req, REFUSE_NOT_READY, REQ_NOT_RUN);
+      return -1;
+    }
+  if (length != NULL
+      && (coding != NULL || strspn (length, "0123456789") != strlen (length)))
+    {
+      req->close = 1;
+      req_refuse (req, REFUSE_BAD_REQUEST, REQ_NOT_RUN);
+      return -1;
+    }
+  if (length != NULL
+      && g_ascii_strtoull (length, NULL, 10)
+             > (guint64)server->settings->max_body_bytes)
+    {
+      req->close = 1;
+      req_refuse (req, REFUSE_TOO_LARGE, REQ_NOT_RUN);
+      return -1;
+    }
+  return 0;
+}
+
+/* Reads the customer, who must be known.  */
+static int
+read_customer (struct req *req)
+{
+  const char *name = header (req, "X-Customer");
+  const struct ver_customer *customer
+      = name != NULL ? ver_customer_find (req->worker->version, name) : NULL;
+  const char *priority = header (req, "X-Priority");
+
+  if (customer == NULL)
+    {
+      req_refuse (req, REFUSE_UNKNOWN_CUSTOMER, REQ_NOT_RUN);
+      return -1;
+    }
+  g_strlcpy (req->customer, customer->name, sizeof req->customer);
+  req->customer_id = customer->id;
+  req->priority = PRIORITY_INITIAL;
+  if (priority != NULL)
+    req->priority
+        = CLAMP ((int)g_ascii_strtoll (priority, NULL, 10), 0, PRIORITY_MAX);
+  return 0;
+}
+
+/* Copies the settings of the service called NAME.  */
+static int
+read_service (struct req *req, const char *name)
+{
+  const struct ver_service *service
+      = ver_service_find (req->worker->version, name);
+
+  if (service == NULL
+      || (req->kind == VER_KIND_CHAT && service->kind != VER_KIND_CHAT
+          && req->path != NULL))
+    {
+      req_refuse (req, REFUSE_UNKNOWN_SERVICE, REQ_NOT_RUN);
+      return -1;
+    }
+  req->kind = service->kind;
+  req->service_id = service->id;
+  req->silence_ms = service->silence_ms;
+  req->attempt_timeout_ms = service->attempt_timeout_ms;
+  req->deadline_ms = req->arrived_ms + service->deadline_ms;
+  req->repeatable = service->kind == VER_KIND_CHAT || service->repeat_all
+                    || is_repeatable_method (req->method);
+  g_strlcpy (req->service, service->name, sizeof req->service);
+  return 0;
+}
+
+/* Reads the key that a call that may not be repeated must have.  */
+static int
+read_key (struct req *req)
+{
+  const char *key = header (req, "Idempotency-Key");
+
+  if (key != NULL && *key != '\0' && strlen (key) <= KEY_MAX_BYTES)
+    req->idempotency_key = g_strdup (key);
+  if (req->repeatable || req->idempotency_key != NULL)
+    return 0;
+  req_refuse (req, REFUSE_MISSING_KEY, REQ_NOT_RUN);
+  return -1;
+}
+
+/* Keeps a caller's header for the target unless it ends at this hop.  */
+static enum MHD_Result
+collect_header (void *closure, enum MHD_ValueKind kind, const char *name,
+                const char *value)
+{
+  struct req *req = closure;
+  char *line;
+
+  (void)kind;
+  for (size_t i = 0; i < G_N_ELEMENTS (own_headers); i++)
+    if (g_ascii_strcasecmp (name, own_headers[i]) == 0)
+      return MHD_YES;
+  line = g_strdup_printf ("%s: %s", name, value != NULL ? value : "");
+  req->forward = curl_slist_append (req->forward, line);
+  g_free (line);
+  return MHD_YES;
+}
+
+/* Appends one query argument to the path.  */
+static enum MHD_Result
+collect_argument (void *closure, enum MHD_ValueKind kind, const char *name,
+                  const char *value)
+{
+  GString *path = closure;
+  char *escaped = g_uri_escape_string (name, NULL, FALSE);
+
+  (void)kind;
+  g_string_append_c (path, strchr (path->str, '?') != NULL ? '&' : '?');
+  g_string_append (path, escaped);
+  g_free (escaped);
+  if (value == NULL)
+    return MHD_YES;
+  escaped = g_uri_escape_string (value, NULL, FALSE);
+  g_string_append_printf (path, "=%s", escaped);
+  g_free (escaped);
+  return MHD_YES;
+}
+
+/* Returns the caller's header NAME, or NULL.  */
+static const char *
+header (struct req *req, const char *name)
+{
+  return MHD_lookup_connection_value (req->connection, MHD_HEADER_KIND, name);
+}
+
+/* Returns whether METHOD is idempotent by definition (RFC 9110, 9.2.2).  */
+static int
+is_repeatable_method (const char *method)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (repeatable_methods); i++)
+    if (strcmp (method, repeatable_methods[i]) == 0)
+      return 1;
+  return 0;
+}
--- /dev/null
+++ b/request/retry.c
@@ -0,0 +1,95 @@
+/* What to do after an attempt that did not bring the whole answer. */
+#include "ibisloom/retry.h"
+
+enum
+{
+  TRIES_MAX = 6,
+  RESUMES_MAX = 1,
+  MARGIN_MS = 20
+};
+
+static const double BUDGET_MAX = 100;
+static const double BUDGET_INITIAL = 20;
+
+static void give_up (const struct retry_state *state, enum retry_reason reason,
+                     struct retry_decision *decision);
+
+/* What a fault says about a call that may not be repeated. */
+static const enum retry_run run_by_fault[RETRY_FAULT_COUNT] = {
+  [RETRY_FAULT_CONNECT] = RETRY_NOT_RUN,
+  [RETRY_FAULT_STATUS] = RETRY_MAY_HAVE_RUN,
+  [RETRY_FAULT_BUSY] = RETRY_NOT_RUN,
+  [RETRY_FAULT_BROKEN] = RETRY_MAY_HAVE_RUN,
+  [RETRY_FAULT_SILENT] = RETRY_MAY_HAVE_RUN,
+  [RETRY_FAULT_WRONG] = RETRY_MAY_HAVE_RUN,
+};
+
+/* Prepares BUDGET with a small reserve for the first faults.  */
+void
+retry_budget_init (struct retry_budget *budget)
+{
+  budget->tokens = BUDGET_INITIAL;
+}
+
+/* Credits BUDGET with one request, of which SHARE may be spent on retries. */
+void
+retry_budget_deposit (struct retry_budget *budget, double share)
+{
+  budget->tokens += share;
+  if (budget->tokens > BUDGET_MAX)
+    budget->tokens = BUDGET_MAX;
+}
+
+/* Decides at NOW what follows the fault in STATE.  A call that may not be
+   repeated moves only if it cannot have run.  A stream that has begun is
+   resumed first, which repeats no work and so costs no budget, and restarted
+   elsewhere only if resuming brings nothing.  */
+void
+retry_decide (const struct retry_state *state, struct retry_budget *budget,
+              clk_ms now, struct retry_decision *decision)
+{
+  decision->reason = RETRY_REASON_NONE;
+  decision->run = RETRY_NOT_RUN;
+  if (!state->repeatable && run_by_fault[state->fault] != RETRY_NOT_RUN)
+    {
+      give_up (state, RETRY_REASON_MAY_HAVE_RUN, decision);
+      return;
+    }
+  if (now + MARGIN_MS >= state->deadline_ms)
+    {
+      give_up (state, RETRY_REASON_DEADLINE, decision);
+      return;
+    }
+  if (state->is_stream && state->tokens > 0 && state->resumes < RESUMES_MAX
+      && (state->fault == RETRY_FAULT_BROKEN
+          || state->fault == RETRY_FAULT_SILENT))
+    {
+      decision->action = RETRY_RESUME;
+      return;
+    }
+  if (state->tries >= TRIES_MAX)
+    {
+      give_up (state, RETRY_REASON_TRIES, decision);
+      return;
+    }
+  if (budget->tokens < 1)
+    {
+      give_up (state, RETRY_REASON_BUDGET, decision);
+      return;
+    }
+  budget->tokens -= 1;
+  decision->action = state->tokens > 0 ? RETRY_RESTART : RETRY_MOVE;
+}
+
+/* Ends the request for REASON and says whether it ran: "not run" only if no
+   attempt, this one included, can have reached a target.  */
+static void
+give_up (const struct retry_state *state, enum retry_reason reason,
+         struct retry_decision *decision)
+{
+  decision->action = RETRY_GIVE_UP;
+  decision->reason = reason;
+  decision->run = run_by_fault[state->fault];
+  if (state->may_have_run)
+    decision->run = RETRY_MAY_HAVE_RUN;
+}
--- /dev/null
+++ b/version/ledger_log.c
@@ -0,0 +1,401 @@
+/* Log of ledger records in numbered segment objects.
+
+   Records are appended to the open segment, the one with the highest number,
+   by rewriting it under a condition on its revision.  A full segment is
+   sealed by its last write, and only then may the next one be created, on
+   condition that it does not exist.  So each append is a conditional write to
+   the end of one sequence: a writer whose view is out of date cannot append,
+   whoever else believes to be the writer.  */
+#include <stdlib.h>
+#include <string.h>
+
+#include "ibisloom/error.h"
+#include "ibisloom/metrics.h"
+#include "libledger.h"
+
+enum
+{
+  SEGMENT_SEAL_BYTES = 65536
+};
+
+static void entry_free (gpointer data);
+static int take_segment (struct led_log *log, json_t *item, GError **error);
+static int64_t segment_number (const struct led_log *log, const char *name);
+static void copy_text (char *slot, size_t size, json_t *value);
+static char *segment_text (const GString *records, int sealed);
+static void append_text (GString *text, json_t *records);
+
+/* Prepares the empty log of DEPLOYMENT.  */
+void
+log_init (struct led_log *log, const char *deployment)
+{
+  memset (log, 0, sizeof *log);
+  g_snprintf (log->prefix, sizeof log->prefix, "%s/ledger/", deployment);
+  log->entries
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, entry_free);
+  log->open_records = g_string_new (NULL);
+  log->first = -1;
+  log->open = -1;
+}
+
+/* Frees what LOG holds.  */
+void
+log_clear (struct led_log *log)
+{
+  g_hash_table_destroy (log->entries);
+  g_string_free (log->open_records, TRUE);
+}
+
+/* Reads all segments changed since the last read.  Returns 0, or -1 with
+   ERROR set; LOG must not be appended to then.  */
+int
+log_load (struct led_log *log, struct plat *plat, GError **error)
+{
+  int result;
+  int complete;
+
+  log->loaded = 0;
+  do
+    {
+      uint64_t before = log->read_revision;
+      char *json
+          = plat_watch (plat, log->prefix, log->read_revision, 0, error);
+
+      met_inc (MET_LEDGER_READS);
+      if (json == NULL)
+        return -1;
+      result = log_take (log, json, error);
+      g_free (json);
+      complete = result == 0 || log->read_revision == before;
+    }
+  while (result > 0 && !complete);
+  if (result < 0)
+    return -1;
+  log->loaded = 1;
+  return 0;
+}
+
+/* Takes the segments of JSON, an answer of the platform's watch.  Returns 1
+   if the answer says that more follow, 0 if not, -1 with ERROR set if it is
+   malformed.  */
+int
+log_take (struct led_log *log, const char *json, GError **error)
+{
+  json_t *answer = json_loads (json, 0, NULL);
+  json_t *item;
+  size_t i;
+  int more;
+
+  if (!json_is_array (json_object_get (answer, "objects")))
+    {
+      json_decref (answer);
+      err_set (error, ERR_INVALID, "ledger: malformed list of segments");
+      return -1;
+    }
+  json_array_foreach (json_object_get (answer, "objects"), i, item)
+  {
+    if (take_segment (log, item, error) != 0)
+      {
+        json_decref (answer);
+        return -1;
+      }
+  }
+  log->read_revision
+      = (uint64_t)json_integer_value (json_object_get (answer, "revision"));
+  more = json_is_true (json_object_get (answer, "more"));
+  json_decref (answer);
+  return more;
+}
+
+/* Judges OP by what is known.  Returns 1 and the VERDICT, with the ENTRY that
+   it rests on, if nothing needs to be written, else 0.  */
+int
+log_judge (const struct led_log *log, const struct led_op *op,
+           const struct led_entry **entry, enum led_verdict *verdict)
+{
+  const struct led_entry *held
+      = g_hash_table_lookup (log->entries, op->call.key);
+  int same = held != NULL && strcmp (held->nonce, op->call.nonce) == 0;
+
+  *entry = held;
+  if (op->kind == LED_OP_FINISH)
+    {
+      if (!same && held != NULL && !op->not_run)
+        *verdict = LED_DOWN;
+      else if (held != NULL && (!same || held->finished))
+        *verdict = LED_STORED;
+      else
+        return 0;
+      return 1;
+    }
+  if (held == NULL)
+    return 0;
+  if (held->not_run)
+    {
+      *verdict = LED_DOWN;
+      return same;
+    }
+  if (held->fingerprint != op->call.fingerprint)
+    *verdict = LED_MISMATCH;
+  else if (held->finished)
+    *verdict = LED_ANSWERED;
+  else
+    *verdict = same ? LED_CLAIMED : LED_UNFINISHED;
+  return 1;
+}
+
+/* Returns the record that OP appends at TIME_MS, time of day.  */
+json_t *
+log_record (const struct led_op *op, int64_t time_ms)
+{
+  json_t *record = json_pack (
+      "{s:s,s:s,s:I,s:I}", "k", op->call.key, "n", op->call.nonce, "f",
+      (json_int_t)op->call.fingerprint, "t", (json_int_t)time_ms);
+
+  if (op->kind == LED_OP_CLAIM)
+    return record;
+  if (op->not_run)
+    {
+      json_object_set_new (record, "x", json_true ());
+      return record;
+    }
+  json_object_set_new (record, "s", json_integer (op->status));
+  json_object_set_new (record, "c",
+                       json_string (op->content_type ? op->content_type : ""));
+  json_object_set_new (record, "b", json_string (op->body ? op->body : ""));
+  return record;
+}
+
+/* Brings the entry of RECORD's key up to date.  A finished entry never
+   changes, and an outcome counts only for the attempt that holds the claim.
+   Returns 0, or -1 if the record is malformed.  */
+int
+log_apply_record (struct led_log *log, json_t *record)
+{
+  const char *key = json_string_value (json_object_get (record, "k"));
+  const char *nonce = json_string_value (json_object_get (record, "n"));
+  json_t *status = json_object_get (record, "s");
+  struct led_entry *entry;
+  int not_run = json_is_true (json_object_get (record, "x"));
+
+  if (key == NULL || nonce == NULL || strlen (key) >= LED_ID_BYTES)
+    return -1;
+  entry = g_hash_table_lookup (log->entries, key);
+  if (entry == NULL || (entry->not_run && strcmp (entry->nonce, nonce) != 0))
+    {
+      entry = g_new0 (struct led_entry, 1);
+      g_strlcpy (entry->key, key, sizeof entry->key);
+      copy_text (entry->nonce, sizeof entry->nonce,
+                 json_object_get (record, "n"));
+      entry->fingerprint
+          = (uint64_t)json_integer_value (json_object_get (record, "f"));
+      g_hash_table_replace (log->entries, entry->key, entry);
+    }
+  entry->time_ms = json_integer_value (json_object_get (record, "t"));
+  if (strcmp (entry->nonce, nonce) != 0 || entry->finished)
+    return 0;
+  if (not_run)
+    entry->not_run = 1;
+  if (status == NULL || entry->not_run)
+    return 0;
+  entry->finished = 1;
+  entry->status = (int)json_integer_value (status);
+  entry->content_type
+      = g_strdup (json_string_value (json_object_get (record, "c")));
+  entry->body = g_strdup (json_string_value (json_object_get (record, "b")));
+  return 0;
+}
+
+/* Appends RECORDS, an array, in one write and applies them.  Returns 0, or -1
+   with ERROR set: ERR_CONFLICT if another writer appended, so that the log
+   must be loaded and the operations judged again.  After any other error too
+   the log must be loaded first.  */
+int
+log_append (struct led_log *log, struct plat *plat, json_t *records,
+            GError **error)
+{
+  char name[PLAT_NAME_MAX_BYTES];
+  GString *text = g_string_new (log->open_records->str);
+  int64_t number = log->open < 0 ? 0 : log->open;
+  uint64_t revision = 0;
+  char *object;
+  json_t *record;
+  size_t i;
+  int sealed;
+  int result;
+
+  append_text (text, records);
+  sealed = text->len >= SEGMENT_SEAL_BYTES;
+  object = segment_text (text, sealed);
+  g_snprintf (name, sizeof name, "%s%010" G_GINT64_FORMAT, log->prefix,
+              (gint64)number);
+  met_inc (MET_LEDGER_WRITES);
+  result = plat_put_sure (plat, name, object, log->open_revision, &revision,
+                          error);
+  g_free (object);
+  if (result != 0)
+    {
+      g_string_free (text, TRUE);
+      log->loaded = 0;
+      return -1;
+    }
+  json_array_foreach (records, i, record) log_apply_record (log, record);
+  if (log->first < 0)
+    log->first = number;
+  /* Nobody else appended between the last read and this write.  */
+  log->read_revision = MAX (log->read_revision, revision);
+  log->open = sealed ? number + 1 : number;
+  log->open_revision = sealed ? PLAT_ABSENT : revision;
+  g_string_assign (log->open_records, sealed ? "" : text->str);
+  g_string_free (text, TRUE);
+  return 0;
+}
+
+/* Removes the oldest sealed segment if all its keys were last written before
+   BEFORE_MS, and their entries.  Entries carry their own times, so those that
+   were renewed in later segments stay.  */
+void
+log_expire (struct led_log *log, struct plat *plat, int64_t before_ms)
+{
+  char name[PLAT_NAME_MAX_BYTES];
+  uint64_t revision;
+  json_t *segment;
+  json_t *record;
+  size_t i;
+  int64_t newest_ms = 0;
+  char *text;
+
+  if (!log->loaded || log->first < 0 || log->first >= log->open)
+    return;
+  g_snprintf (name, sizeof name, "%s%010" G_GINT64_FORMAT, log->prefix,
+              (gint64)log->first);
+  text = plat_get (plat, name, &revision, NULL);
+  if (text == NULL)
+    return;
+  segment = json_loads (text, 0, NULL);
+  g_free (text);
+  json_array_foreach (json_object_get (segment, "records"), i, record)
+  {
+    newest_ms
+        = MAX (newest_ms, json_integer_value (json_object_get (record, "t")));
+  }
+  if (newest_ms < before_ms && plat_remove (plat, name, NULL) == 0)
+    {
+      json_array_foreach (json_object_get (segment, "records"), i, record)
+      {
+        const char *key = json_string_value (json_object_get (record, "k"));
+        const struct led_entry *entry
+            = key ? g_hash_table_lookup (log->entries, key) : NULL;
+
+        if (entry != NULL && entry->time_ms < before_ms)
+          g_hash_table_remove (log->entries, key);
+      }
+      log->first++;
+    }
+  json_decref (segment);
+}
+
+/* Applies one segment of the platform's answer.  */
+static int
+take_segment (struct led_log *log, json_t *item, GError **error)
+{
+  const char *name = json_string_value (json_object_get (item, "name"));
+  const char *value = json_string_value (json_object_get (item, "value"));
+  int64_t number = name ? segment_number (log, name) : -1;
+  json_t *segment;
+  json_t *records;
+  json_t *record;
+  size_t i;
+
+  if (number >= 0 && value == NULL)
+    {
+      log->first = MAX (log->first, number + 1);
+      return 0;
+    }
+  segment = value ? json_loads (value, 0, NULL) : NULL;
+  records = json_object_get (segment, "records");
+  if (number < 0 || !json_is_array (records))
+    {
+      json_decref (segment);
+      err_set (error, ERR_INVALID, "ledger: malformed segment %s",
+               name ? name : "");
+      return -1;
+    }
+  json_array_foreach (records, i, record) log_apply_record (log, record);
+  if (log->first < 0 || number < log->first)
+    log->first = number;
+  if (number >= log->open)
+    {
+      int sealed = json_is_true (json_object_get (segment, "sealed"));
+
+      log->open = sealed ? number + 1 : number;
+      log->open_revision = sealed ? PLAT_ABSENT
+                                  : (uint64_t)json_integer_value (
+                                      json_object_get (item, "revision"));
+      g_string_truncate (log->open_records, 0);
+      if (!sealed)
+        append_text (log->open_records, records);
+    }
+  json_decref (segment);
+  return 0;
+}
+
+/* Returns the number of the segment called NAME, -1 if it is none.  */
+static int64_t
+segment_number (const struct led_log *log, const char *name)
+{
+  char *end;
+  int64_t number;
+
+  if (!g_str_has_prefix (name, log->prefix))
+    return -1;
+  name += strlen (log->prefix);
+  number = g_ascii_strtoll (name, &end, 10);
+  return end == name || *end != '\0' ? -1 : number;
+}
+
+/* Copies the string VALUE, "" if it is none, to SLOT of SIZE bytes.  */
+static void
+copy_text (char *slot, size_t size, json_t *value)
+{
+  const char *text = json_string_value (value);
+
+  g_strlcpy (slot, text ? text : "", size);
+}
+
+/* Returns the newly allocated text of a segment.  */
+static char *
+segment_text (const GString *records, int sealed)
+{
+  return g_strdup_printf ("{\"sealed\":%s,\"records\":[%s]}",
+                          sealed ? "true" : "false", records->str);
+}
+
+/* Appends RECORDS to TEXT, separated by commas.  */
+static void
+append_text (GString *text, json_t *records)
+{
+  json_t *record;
+  size_t i;
+
+  json_array_foreach (records, i, record)
+  {
+    char *line = json_dumps (record, JSON_COMPACT);
+
+    if (text->len > 0)
+      g_string_append_c (text, ',');
+    g_string_append (text, line);
+    free (line);
+  }
+}
+
+/* Frees a struct led_entry.  */
+static void
+entry_free (gpointer data)
+{
+  struct led_entry *entry = data;
+
+  g_free (entry->content_type);
+  g_free (entry->body);
+  g_free (entry);
+}
--- /dev/null
+++ b/version/ledger_writer.c
@@ -0,0 +1,292 @@
+/* Writer of the ledger: group commit of the operations of all instances. */
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "ibisloom/error.h"
+#include "ibisloom/log.h"
+#include "ibisloom/metrics.h"
+#include "libledger.h"
+
+enum
+{
+  BATCH_MAX = 512,
+  CONFLICTS_MAX = 8,
+  PLATFORM_TIMEOUT_MS = 150,
+  EXPIRE_MS = 1000,
+  IDLE_MS = 200,
+  NS_PER_MS = 1000000,
+  MS_PER_S = 1000
+};
+
+struct led_writer
+{
+  const struct settings *settings;
+  pthread_mutex_t lock;
+  pthread_cond_t ready;
+  GQueue queue; /* of struct led_op */
+  int stopping;
+  pthread_t thread;
+  struct led_log log;
+  struct plat *plat;
+  clk_ms last_write_ms;
+  clk_ms next_expire_ms;
+};
+
+static void *run (void *closure);
+static void wait_for_work (struct led_writer *writer);
+static void pace (struct led_writer *writer);
+static GPtrArray *take_batch (struct led_writer *writer);
+static void commit (struct led_writer *writer, GPtrArray *ops);
+static int try_commit (struct led_writer *writer, GPtrArray *ops,
+                       GError **error);
+static void reply_committed (struct led_writer *writer, GPtrArray *ops);
+static void fail_all (GPtrArray *ops);
+static void drop_late (GPtrArray *ops);
+static void sleep_ms (int64_t ms);
+
+/* Returns a writer that has read nothing yet.  */
+struct led_writer *
+writer_new (const struct settings *settings)
+{
+  struct led_writer *writer = g_new0 (struct led_writer, 1);
+  pthread_condattr_t attributes;
+
+  writer->settings = settings;
+  pthread_mutex_init (&writer->lock, NULL);
+  pthread_condattr_init (&attributes);
+  pthread_condattr_setclock (&attributes, CLOCK_MONOTONIC);
+  pthread_cond_init (&writer->ready, &attributes);
+  pthread_condattr_destroy (&attributes);
+  g_queue_init (&writer->queue);
+  writer->plat = plat_http_new (&settings->platform, PLATFORM_TIMEOUT_MS);
+  log_init (&writer->log, settings->deployment);
+  return writer;
+}
+
+/* Starts WRITER's thread.  */
+void
+writer_start (struct led_writer *writer)
+{
+  pthread_create (&writer->thread, NULL, run, writer);
+}
+
+/* Ends WRITER's thread after what is queued.  */
+void
+writer_stop (struct led_writer *writer)
+{
+  pthread_mutex_lock (&writer->lock);
+  writer->stopping = 1;
+  pthread_cond_signal (&writer->ready);
+  pthread_mutex_unlock (&writer->lock);
+  pthread_join (writer->thread, NULL);
+}
+
+/* Frees WRITER after writer_stop.  */
+void
+writer_free (struct led_writer *writer)
+{
+  log_clear (&writer->log);
+  plat_free (writer->plat);
+  pthread_mutex_destroy (&writer->lock);
+  pthread_cond_destroy (&writer->ready);
+  g_free (writer);
+}
+
+/* Queues OP; its reply comes on the writer's thread.  */
+void
+writer_push (struct led_writer *writer, struct led_op *op)
+{
+  pthread_mutex_lock (&writer->lock);
+  g_queue_push_tail (&writer->queue, op);
+  pthread_cond_signal (&writer->ready);
+  pthread_mutex_unlock (&writer->lock);
+}
+
+/* Commits batches until writer_stop.  */
+static void *
+run (void *closure)
+{
+  struct led_writer *writer = closure;
+
+  for (;;)
+    {
+      GPtrArray *ops;
+
+      wait_for_work (writer);
+      pace (writer);
+      ops = take_batch (writer);
+      if (ops == NULL)
+        return NULL;
+      drop_late (ops);
+      if (ops->len > 0)
+        commit (writer, ops);
+      g_ptr_array_free (ops, TRUE);
+    }
+}
+
+/* Returns when operations are queued, the writer stops, or some time is over
+   that is used for expiry.  */
+static void
+wait_for_work (struct led_writer *writer)
+{
+  clk_ms now = clk_now (clk_monotonic ());
+  struct timespec until;
+
+  until.tv_sec = (now + IDLE_MS) / MS_PER_S;
+  until.tv_nsec = (now + IDLE_MS) % MS_PER_S * NS_PER_MS;
+  pthread_mutex_lock (&writer->lock);
+  if (g_queue_is_empty (&writer->queue) && !writer->stopping)
+    pthread_cond_timedwait (&writer->ready, &writer->lock, &until);
+  pthread_mutex_unlock (&writer->lock);
+  if (now < writer->next_expire_ms)
+    return;
+  writer->next_expire_ms = now + EXPIRE_MS;
+  log_expire (&writer->log, writer->plat,
+              clk_wall_ms ()
+                  - writer->settings->ledger_retention_s * MS_PER_S);
+}
+
+/* Keeps writes apart by the interval of the settings, so that each carries
+   what arrived meanwhile.  The first write after a pause is not delayed.  */
+static void
+pace (struct led_writer *writer)
+{
+  clk_ms due = writer->last_write_ms + writer->settings->ledger_interval_ms;
+  clk_ms now = clk_now (clk_monotonic ());
+
+  if (now < due)
+    sleep_ms (due - now);
+  writer->last_write_ms = clk_now (clk_monotonic ());
+}
+
+/* Takes what is queued.  Returns NULL when the writer is to end.  */
+static GPtrArray *
+take_batch (struct led_writer *writer)
+{
+  GPtrArray *ops = g_ptr_array_new ();
+
+  pthread_mutex_lock (&writer->lock);
+  while (ops->len < BATCH_MAX && !g_queue_is_empty (&writer->queue))
+    g_ptr_array_add (ops, g_queue_pop_head (&writer->queue));
+  if (ops->len == 0 && writer->stopping)
+    {
+      g_ptr_array_free (ops, TRUE);
+      ops = NULL;
+    }
+  pthread_mutex_unlock (&writer->lock);
+  return ops;
+}
+
+/* Answers operations whose caller has given up by now.  */
+static void
+drop_late (GPtrArray *ops)
+{
+  clk_ms now = clk_now (clk_monotonic ());
+
+  for (guint i = ops->len; i > 0; i--)
+    {
+      struct led_op *op = g_ptr_array_index (ops, i - 1);
+
+      if (now <= op->deadline_ms)
+        continue;
+      g_ptr_array_remove_index (ops, i - 1);
+      op_reply (op, LED_DOWN, NULL);
+    }
+}
+
+/* Commits OPS and answers them all.  */
+static void
+commit (struct led_writer *writer, GPtrArray *ops)
+{
+  GError *error = NULL;
+
+  for (int i = 0; i < CONFLICTS_MAX && ops->len > 0; i++)
+    {
+      g_clear_error (&error);
+      if (try_commit (writer, ops, &error) == 0)
+        return;
+      if (!g_error_matches (error, ERR_DOMAIN, ERR_CONFLICT))
+        break;
+      met_inc (MET_LEDGER_CONFLICTS);
+    }
+  if (error != NULL)
+    log_warn ("ledger", NULL, "commit_failed", "%s", error->message);
+  g_clear_error (&error);
+  fail_all (ops);
+}
+
+/* Judges OPS by the log, answers those that need no write, and appends the
+   records of the others.  A key that stands twice in the batch is judged
+   again once its first record is applied.  Returns 0 if all are answered.  */
+static int
+try_commit (struct led_writer *writer, GPtrArray *ops, GError **error)
+{
+  json_t *records;
+  GHashTable *keys;
+  int64_t time_ms = clk_wall_ms ();
+  int result;
+
+  if (!writer->log.loaded)
+    {
+      met_inc (MET_LEDGER_TAKEOVERS);
+      if (log_load (&writer->log, writer->plat, error) != 0)
+        return -1;
+    }
+  reply_committed (writer, ops);
+  if (ops->len == 0)
+    return 0;
+  records = json_array ();
+  keys = g_hash_table_new (g_str_hash, g_str_equal);
+  for (guint i = 0; i < ops->len; i++)
+    {
+      const struct led_op *op = g_ptr_array_index (ops, i);
+
+      if (g_hash_table_add (keys, (gpointer)op->call.key))
+        json_array_append_new (records, log_record (op, time_ms));
+    }
+  g_hash_table_destroy (keys);
+  result = log_append (&writer->log, writer->plat, records, error);
+  json_decref (records);
+  if (result != 0)
+    return -1;
+  reply_committed (writer, ops);
+  if (ops->len > 0)
+    return try_commit (writer, ops, error);
+  return 0;
+}
+
+/* Answers and removes the operations that the log decides.  */
+static void
+reply_committed (struct led_writer *writer, GPtrArray *ops)
+{
+  for (guint i = ops->len; i > 0; i--)
+    {
+      struct led_op *op = g_ptr_array_index (ops, i - 1);
+      const struct led_entry *entry;
+      enum led_verdict verdict;
+
+      if (!log_judge (&writer->log, op, &entry, &verdict))
+        continue;
+      g_ptr_array_remove_index (ops, i - 1);
+      op_reply (op, verdict, entry);
+    }
+}
+
+/* Answers all OPS that no record could be made.  */
+static void
+fail_all (GPtrArray *ops)
+{
+  for (guint i = 0; i < ops->len; i++)
+    op_reply (g_ptr_array_index (ops, i), LED_DOWN, NULL);
+  g_ptr_array_set_size (ops, 0);
+}
+
+/* Sleeps for MS milliseconds.  */
+static void
+sleep_ms (int64_t ms)
+{
+  struct timespec duration = { ms / MS_PER_S, ms % MS_PER_S * NS_PER_MS };
+
+  nanosleep (&duration, NULL);
+}
--- /dev/null
+++ b/version/libledger.h
@@ -0,0 +1,98 @@
+/* Private to version/ledger*.c. */
+#ifndef LIBLEDGER_H
+#define LIBLEDGER_H
+
+#include <pthread.h>
+#include <jansson.h>
+
+#include "ibisloom/clock.h"
+#include "ibisloom/ledger.h"
+#include "ibisloom/platform.h"
+
+enum led_kind
+{
+  LED_OP_CLAIM,
+  LED_OP_FINISH
+};
+
+enum
+{
+  LEDGER_NAME_MAX_BYTES = 128
+};
+
+struct led_batch;
+
+/* One operation on its way to the ledger and back. */
+struct led_op
+{
+  enum led_kind kind;
+  struct led_call call;
+  int not_run;
+  int status;
+  char *content_type;
+  char *body; /* base64 */
+  clk_ms deadline_ms;
+  clk_ms queued_ms;
+  int tries;
+  led_reply_fn fn;
+  void *closure;
+  uint64_t tag;
+  struct led_batch *batch; /* of another instance, or NULL */
+  size_t batch_index;
+};
+
+/* The state of one key. */
+struct led_entry
+{
+  char key[LED_ID_BYTES];
+  char nonce[LED_ID_BYTES];
+  uint64_t fingerprint;
+  int64_t time_ms;
+  int finished;
+  int not_run;
+  int status;
+  char *content_type;
+  char *body; /* base64 */
+};
+
+/* What one partition's log holds, as far as it was read, and its open
+   segment. */
+struct led_log
+{
+  char prefix[LEDGER_NAME_MAX_BYTES];
+  GHashTable *entries; /* key to struct led_entry */
+  int loaded;
+  uint64_t read_revision;
+  int64_t first;
+  int64_t open;
+  uint64_t open_revision;
+  GString *open_records;
+  int64_t open_newest_ms;
+};
+
+void log_init (struct led_log *log, const char *deployment);
+void log_clear (struct led_log *log);
+int log_load (struct led_log *log, struct plat *plat, GError **error);
+int log_take (struct led_log *log, const char *json, GError **error);
+int log_judge (const struct led_log *log, const struct led_op *op,
+               const struct led_entry **entry, enum led_verdict *verdict);
+json_t *log_record (const struct led_op *op, int64_t time_ms);
+int log_apply_record (struct led_log *log, json_t *record);
+int log_append (struct led_log *log, struct plat *plat, json_t *records,
+                GError **error);
+void log_expire (struct led_log *log, struct plat *plat, int64_t before_ms);
+
+void op_free (struct led_op *op);
+void op_reply (struct led_op *op, enum led_verdict verdict,
+               const struct led_entry *entry);
+json_t *op_to_json (const struct led_op *op);
+struct led_op *op_from_json (json_t *json);
+
+struct led_writer;
+struct led_writer *writer_new (const struct settings *settings);
+void writer_start (struct led_writer *writer);
+void writer_stop (struct led_writer *writer);
+void writer_free (struct led_writer *writer);
+void writer_push (struct led_writer *writer, struct led_op *op);
+
+#endif
--- /dev/null
+++ b/version/libversion.h
@@ -0,0 +1,13 @@
+/* Private to version/: building one snapshot from objects. */
+#ifndef LIBVERSION_H
+#define LIBVERSION_H
+
+#include <jansson.h>
+
+#include "ibisloom/version.h"
+
+struct ver_snapshot *snapshot_build (const char *deployment,
+                                     GHashTable *objects, GError **error);
+void snapshot_free (struct ver_snapshot *version);
+
+#endif
--- /dev/null
+++ b/version/version_store.c
@@ -0,0 +1,368 @@
+/* The newest version of each configuration object known to this process. */
+#include <pthread.h>
+#include <string.h>
+
+#include "ibisloom/error.h"
+#include "ibisloom/log.h"
+#include "ibisloom/metrics.h"
+#include "libversion.h"
+
+struct ver_store
+{
+  char *deployment;
+  char *prefix;
+  pthread_mutex_t lock;
+  GHashTable *objects; /* name to struct ver_object */
+  uint64_t revision;
+  struct ver_snapshot *current;
+  ck_epoch_t epoch;
+  ck_epoch_record_t writer;
+};
+
+CK_EPOCH_CONTAINER (struct ver_snapshot, epoch_entry, snapshot_of_entry)
+
+static void object_free (gpointer data);
+static void destroy_entry (ck_epoch_entry_t *entry);
+static void swap_snapshot (struct ver_store *store,
+                           struct ver_snapshot *version);
+static int apply_locked (struct ver_store *store, const char *name,
+                         uint64_t revision, const char *text, GError **error);
+static int object_changes (struct ver_store *store, const char *name,
+                           uint64_t revision);
+
+/* Returns an empty store for the objects of DEPLOYMENT.  */
+struct ver_store *
+ver_store_new (const char *deployment)
+{
+  struct ver_store *store = g_new0 (struct ver_store, 1);
+
+  store->deployment = g_strdup (deployment);
+  store->prefix = g_strdup_printf ("%s/config/", deployment);
+  pthread_mutex_init (&store->lock, NULL);
+  store->objects
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, object_free);
+  ck_epoch_init (&store->epoch);
+  ck_epoch_register (&store->epoch, &store->writer, NULL);
+  store->current = snapshot_build (deployment, store->objects, NULL);
+  return store;
+}
+
+/* Frees STORE after all its readers are gone.  */
+void
+ver_store_free (struct ver_store *store)
+{
+  ck_epoch_barrier (&store->writer);
+  snapshot_free (store->current);
+  g_hash_table_destroy (store->objects);
+  pthread_mutex_destroy (&store->lock);
+  g_free (store->deployment);
+  g_free (store->prefix);
+  g_free (store);
+}
+
+/* Adopts TEXT (NULL: deleted) as object NAME at REVISION.  Returns 1 if it is
+   in force now, 0 if the same or a higher revision was known already, -1 with
+   ERROR set if the configuration would be malformed: then the old version
+   stays in force.  */
+int
+ver_store_apply (struct ver_store *store, const char *name, uint64_t revision,
+                 const char *text, GError **error)
+{
+  int result;
+
+  pthread_mutex_lock (&store->lock);
+  result = apply_locked (store, name, revision, text, error);
+  pthread_mutex_unlock (&store->lock);
+  return result;
+}
+
+/* Returns the highest revision known.  */
+uint64_t
+ver_store_revision (struct ver_store *store)
+{
+  uint64_t revision;
+
+  pthread_mutex_lock (&store->lock);
+  revision = store->revision;
+  pthread_mutex_unlock (&store->lock);
+  return revision;
+}
+
+/* Notes that nothing changed up to REVISION, so that peers are not asked for
+   revisions that hold no configuration.  */
+void
+ver_store_observe (struct ver_store *store, uint64_t revision)
+{
+  pthread_mutex_lock (&store->lock);
+  if (revision > store->revision)
+    store->revision = revision;
+  pthread_mutex_unlock (&store->lock);
+}
+
+/* Returns all objects changed after REVISION as newly allocated JSON for
+   ver_store_merge.  */
+char *
+ver_store_since (struct ver_store *store, uint64_t revision)
+{
+  json_t *list = json_array ();
+  json_t *message;
+  GHashTableIter iter;
+  gpointer name;
+  gpointer value;
+  char *text;
+
+  pthread_mutex_lock (&store->lock);
+  g_hash_table_iter_init (&iter, store->objects);
+  while (g_hash_table_iter_next (&iter, &name, &value))
+    {
+      const struct ver_object *object = value;
+
+      if (object->revision > revision)
+        json_array_append_new (list, json_pack ("{s:s,s:I,s:s?}", "name", name,
+                                                "revision",
+                                                (json_int_t)object->revision,
+                                                "value", object->text));
+    }
+  message = json_pack ("{s:I,s:o}", "revision", (json_int_t)store->revision,
+                       "objects", list);
+  pthread_mutex_unlock (&store->lock);
+  text = json_dumps (message, JSON_COMPACT);
+  json_decref (message);
+  return text;
+}
+
+/* Returns a copy of object NAME and its REVISION, or NULL if there is none. */
+char *
+ver_store_get (struct ver_store *store, const char *name, uint64_t *revision)
+{
+  const struct ver_object *object;
+  char *text = NULL;
+
+  pthread_mutex_lock (&store->lock);
+  object = g_hash_table_lookup (store->objects, name);
+  if (object != NULL)
+    {
+      text = g_strdup (object->text);
+      *revision = object->revision;
+    }
+  pthread_mutex_unlock (&store->lock);
+  return text;
+}
+
+/* Applies the objects of JSON, as made by ver_store_since or by the
+   platform's watch.  Returns how many came into force, or -1 with ERROR set
+   if the message is malformed.  An object that is refused is counted and
+   logged, and does not keep the others back.  */
+int
+ver_store_merge (struct ver_store *store, const char *json, GError **error)
+{
+  json_t *message = json_loads (json, 0, NULL);
+  json_t *item;
+  size_t i;
+  int adopted = 0;
+
+  if (!json_is_array (json_object_get (message, "objects")))
+    {
+      err_set (error, ERR_INVALID, "not a list of objects");
+      json_decref (message);
+      return -1;
+    }
+  json_array_foreach (json_object_get (message, "objects"), i, item)
+  {
+    const char *name = json_string_value (json_object_get (item, "name"));
+    const char *text = json_string_value (json_object_get (item, "value"));
+    json_int_t revision
+        = json_integer_value (json_object_get (item, "revision"));
+    GError *refusal = NULL;
+    int result;
+
+    if (name == NULL || revision <= 0)
+      continue;
+    if (g_str_has_prefix (name, store->prefix))
+      name += strlen (store->prefix);
+    result = ver_store_apply (store, name, (uint64_t)revision, text, &refusal);
+    if (result == 0)
+      met_inc (MET_CONFIG_STALE);
+    else if (result > 0)
+      adopted++;
+    else
+      {
+        met_inc (MET_CONFIG_REJECTED);
+        log_warn ("version", NULL, "config_rejected", "%s", refusal->message);
+        g_clear_error (&refusal);
+      }
+  }
+  ver_store_observe (store, (uint64_t)json_integer_value (
+                                json_object_get (message, "revision")));
+  json_decref (message);
+  return adopted;
+}
+
+/* Registers the calling thread as a reader of STORE's snapshots.  */
+struct ver_reader *
+ver_reader_new (struct ver_store *store)
+{
+  struct ver_reader *reader = g_new0 (struct ver_reader, 1);
+
+  reader->record = g_new0 (ck_epoch_record_t, 1);
+  pthread_mutex_lock (&store->lock);
+  ck_epoch_register (&store->epoch, reader->record, NULL);
+  pthread_mutex_unlock (&store->lock);
+  return reader;
+}
+
+/* Unregisters READER.  The record stays allocated, as the epoch keeps it.  */
+void
+ver_reader_free (struct ver_reader *reader)
+{
+  ck_epoch_unregister (reader->record);
+  g_free (reader);
+}
+
+/* Returns the version in force, valid until ver_exit.  */
+const struct ver_snapshot *
+ver_enter (struct ver_store *store, struct ver_reader *reader)
+{
+  ck_epoch_begin (reader->record, NULL);
+  return ck_pr_load_ptr (&store->current);
+}
+
+/* Ends the use of what ver_enter returned.  */
+void
+ver_exit (struct ver_reader *reader)
+{
+  ck_epoch_end (reader->record, NULL);
+}
+
+/* Returns the service called NAME, or NULL.  */
+const struct ver_service *
+ver_service_find (const struct ver_snapshot *version, const char *name)
+{
+  for (guint i = 0; i < version->services->len; i++)
+    {
+      const struct ver_service *service
+          = &g_array_index (version->services, struct ver_service, i);
+
+      if (strcmp (service->name, name) == 0)
+        return service;
+    }
+  return NULL;
+}
+
+/* Returns the target at INDEX.  */
+const struct ver_target *
+ver_target_at (const struct ver_snapshot *version, uint32_t index)
+{
+  return &g_array_index (version->targets, struct ver_target, index);
+}
+
+/* Returns the target with identifier ID, or NULL.  */
+const struct ver_target *
+ver_target_find (const struct ver_snapshot *version, uint64_t id)
+{
+  guint position
+      = GPOINTER_TO_UINT (g_hash_table_lookup (version->index, &id));
+
+  return position > 0 ? ver_target_at (version, position - 1) : NULL;
+}
+
+/* Returns the customer called NAME, or NULL.  */
+const struct ver_customer *
+ver_customer_find (const struct ver_snapshot *version, const char *name)
+{
+  uint64_t id = rank_hash (name);
+  const struct ver_customer *customer
+      = g_hash_table_lookup (version->customers, &id);
+
+  if (customer != NULL && strcmp (customer->name, name) == 0)
+    return customer;
+  return NULL;
+}
+
+/* Returns the weight of the customer with identifier ID, 1 if unknown.  */
+double
+ver_customer_weight (const struct ver_snapshot *version, uint64_t id)
+{
+  const struct ver_customer *customer
+      = g_hash_table_lookup (version->customers, &id);
+
+  return customer != NULL ? customer->weight : 1;
+}
+
+/* Does the work of ver_store_apply under the lock.  */
+static int
+apply_locked (struct ver_store *store, const char *name, uint64_t revision,
+              const char *text, GError **error)
+{
+  struct ver_object *object;
+  struct ver_object *old;
+  struct ver_snapshot *version;
+  char *key;
+
+  if (!object_changes (store, name, revision))
+    return 0;
+  object = g_new0 (struct ver_object, 1);
+  object->revision = revision;
+  object->text = g_strdup (text);
+  if (!g_hash_table_steal_extended (store->objects, name, (gpointer *)&key,
+                                    (gpointer *)&old))
+    {
+      key = NULL;
+      old = NULL;
+    }
+  g_hash_table_insert (store->objects, g_strdup (name), object);
+  version = snapshot_build (store->deployment, store->objects, error);
+  if (version == NULL)
+    {
+      g_hash_table_remove (store->objects, name);
+      if (old != NULL)
+        g_hash_table_insert (store->objects, key, old);
+      return -1;
+    }
+  g_free (key);
+  if (old != NULL)
+    object_free (old);
+  swap_snapshot (store, version);
+  met_inc (MET_CONFIG_ADOPTED);
+  return 1;
+}
+
+/* Returns whether REVISION is above the one held for NAME.  */
+static int
+object_changes (struct ver_store *store, const char *name, uint64_t revision)
+{
+  const struct ver_object *held = g_hash_table_lookup (store->objects, name);
+
+  return held == NULL || revision > held->revision;
+}
+
+/* Makes VERSION the one in force and reclaims the old one once no reader can
+   hold it.  */
+static void
+swap_snapshot (struct ver_store *store, struct ver_snapshot *version)
+{
+  struct ver_snapshot *old = store->current;
+
+  ck_pr_store_ptr (&store->current, version);
+  if (version->revision > store->revision)
+    store->revision = version->revision;
+  ck_epoch_call (&store->writer, &old->epoch_entry, destroy_entry);
+  ck_epoch_poll (&store->writer);
+}
+
+/* Frees the snapshot that ENTRY is part of.  */
+static void
+destroy_entry (ck_epoch_entry_t *entry)
+{
+  snapshot_free (snapshot_of_entry (entry));
+}
+
+/* Frees a struct ver_object.  */
+static void
+object_free (gpointer data)
+{
+  struct ver_object *object = data;
+
+  g_free (object->text);
+  g_free (object);
+}
