--- /dev/null
+++ b/bench/load_client.c
@@ -0,0 +1,427 @@
+/* Callers: many requests at once through a balancer that checks readiness. */
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include <curl/curl.h>
+#include <jansson.h>
+
+#include "load.h"
+
+enum
+{
+  CHECK_INTERVAL_US = 200000,
+  CHECK_TIMEOUT_MS = 150,
+  CONNECT_TIMEOUT_MS = 400,
+  REQUEST_TIMEOUT_MS = 40000,
+  CONNECT_RETRIES = 3,
+  US_PER_MS = 1000,
+  US_PER_S = 1000000
+};
+
+struct transfer
+{
+  struct load_client *client;
+  struct load_request request;
+  CURL *easy;
+  struct curl_slist *headers;
+  GString *answer;
+  size_t parsed;
+  int64_t last_us;
+  int connect_tries;
+  int check_of; /* instance plus one whose readiness this checks */
+};
+
+struct load_client
+{
+  const struct load_options *options;
+  CURLM *multi;
+  GQueue idle; /* of CURL * */
+  int open;
+  int ready[LOAD_INSTANCES_MAX];
+  int64_t checked_us;
+  GRand *random;
+};
+
+static void start (struct transfer *transfer);
+static void finish (struct transfer *transfer, CURLcode code);
+static void collect (struct load_client *client);
+static void check_all (struct load_client *client);
+static size_t on_data (char *data, size_t size, size_t count, void *closure);
+static size_t on_header (char *data, size_t size, size_t count, void *closure);
+static void parse_events (struct transfer *transfer, int64_t now);
+static void parse_event (struct transfer *transfer, const char *event,
+                         const char *end, int64_t now);
+static void parse_tokens (struct transfer *transfer, const char *text);
+static void parse_refusal (struct load_record *record, const char *json,
+                           size_t length);
+static void judge_chat (struct transfer *transfer);
+
+/* Returns the monotonic time in microseconds.  */
+int64_t
+load_now_us (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_MONOTONIC, &now);
+  return (int64_t)now.tv_sec * US_PER_S + now.tv_nsec / 1000;
+}
+
+/* Returns a client for the instances of OPTIONS.  */
+struct load_client *
+load_client_new (const struct load_options *options)
+{
+  struct load_client *client = g_new0 (struct load_client, 1);
+
+  curl_global_init (CURL_GLOBAL_ALL);
+  client->options = options;
+  client->multi = curl_multi_init ();
+  curl_multi_setopt (client->multi, CURLMOPT_MAXCONNECTS, 4096L);
+  g_queue_init (&client->idle);
+  client->random = g_rand_new_with_seed (options->seed ^ 0x5eed);
+  for (int i = 0; i < options->instances; i++)
+    client->ready[i] = 1;
+  return client;
+}
+
+/* Frees CLIENT when nothing is open.  */
+void
+load_client_free (struct load_client *client)
+{
+  curl_multi_cleanup (client->multi);
+  g_rand_free (client->random);
+  g_free (client);
+}
+
+/* Returns how many requests are open.  */
+int
+load_client_open (struct load_client *client)
+{
+  return client->open;
+}
+
+/* Returns an instance whose readiness check passed, at random.  */
+int
+load_client_pick (struct load_client *client)
+{
+  int count = client->options->instances;
+  int at = g_rand_int_range (client->random, 0, count);
+
+  for (int i = 0; i < count; i++)
+    if (client->ready[(at + i) % count])
+      return (at + i) % count;
+  return at;
+}
+
+/* Sends REQUEST, which is copied; its function is called once.  */
+void
+load_client_send (struct load_client *client, struct load_request *request)
+{
+  struct transfer *transfer = g_new0 (struct transfer, 1);
+
+  transfer->client = client;
+  transfer->request = *request;
+  transfer->answer = g_string_new (NULL);
+  transfer->request.record.start_us = load_now_us ();
+  transfer->last_us = transfer->request.record.start_us;
+  client->open++;
+  start (transfer);
+}
+
+/* Lets transfers go on until UNTIL_US.  */
+void
+load_client_run (struct load_client *client, int64_t until_us)
+{
+  int running;
+
+  for (;;)
+    {
+      int64_t now = load_now_us ();
+
+      if (client->options->direct_port == 0
+          && now - client->checked_us > CHECK_INTERVAL_US)
+        check_all (client);
+      curl_multi_perform (client->multi, &running);
+      collect (client);
+      now = load_now_us ();
+      if (now >= until_us)
+        return;
+      curl_multi_poll (client->multi, NULL, 0,
+                       (int)MIN ((until_us - now + 999) / US_PER_MS, 20),
+                       NULL);
+    }
+}
+
+/* Starts or restarts TRANSFER at its instance.  */
+static void
+start (struct transfer *transfer)
+{
+  struct load_client *client = transfer->client;
+  const struct load_request *request = &transfer->request;
+  const struct load_options *options = client->options;
+  CURL *easy = g_queue_pop_head (&client->idle);
+  char url[192];
+  char line[96];
+  int port = options->direct_port
+                 ? options->direct_port
+                 : options->base_port + request->record.instance;
+
+  if (easy == NULL)
+    easy = curl_easy_init ();
+  else
+    curl_easy_reset (easy);
+  transfer->easy = easy;
+  g_snprintf (url, sizeof url, "http://127.0.0.1:%d%s", port,
+              request->url_path);
+  curl_easy_setopt (easy, CURLOPT_URL, url);
+  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, request->method);
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  if (request->body != NULL)
+    {
+      curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE,
+                        (long)strlen (request->body));
+      curl_easy_setopt (easy, CURLOPT_POSTFIELDS, request->body);
+    }
+  g_snprintf (line, sizeof line, "X-Customer: customer-%d",
+              request->record.customer);
+  transfer->headers = curl_slist_append (NULL, line);
+  transfer->headers = curl_slist_append (transfer->headers, "Expect:");
+  if (request->record.key[0] != '\0')
+    {
+      g_snprintf (line, sizeof line, "Idempotency-Key: %s",
+                  request->record.key);
+      transfer->headers = curl_slist_append (transfer->headers, line);
+    }
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, transfer->headers);
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_TIMEOUT_MS);
+  curl_easy_setopt (
+      easy, CURLOPT_TIMEOUT_MS,
+      (long)(transfer->check_of ? CHECK_TIMEOUT_MS : REQUEST_TIMEOUT_MS));
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_data);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, transfer);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, transfer);
+  curl_easy_setopt (easy, CURLOPT_PRIVATE, transfer);
+  curl_multi_add_handle (client->multi, easy);
+}
+
+/* Passes on the transfers that have ended.  */
+static void
+collect (struct load_client *client)
+{
+  CURLMsg *message;
+  int left;
+
+  while ((message = curl_multi_info_read (client->multi, &left)) != NULL)
+    {
+      struct transfer *transfer;
+      CURLcode code = message->data.result;
+      CURL *easy = message->easy_handle;
+
+      curl_easy_getinfo (easy, CURLINFO_PRIVATE, (char **)&transfer);
+      finish (transfer, code);
+    }
+}
+
+/* Ends TRANSFER.  A connection that could not be made is tried at another
+   instance, as the balancer would.  */
+static void
+finish (struct transfer *transfer, CURLcode code)
+{
+  struct load_client *client = transfer->client;
+  struct load_record *record = &transfer->request.record;
+  long status = 0;
+
+  curl_easy_getinfo (transfer->easy, CURLINFO_RESPONSE_CODE, &status);
+  curl_multi_remove_handle (client->multi, transfer->easy);
+  g_queue_push_head (&client->idle, transfer->easy);
+  curl_slist_free_all (transfer->headers);
+  if (transfer->check_of > 0)
+    client->ready[transfer->check_of - 1] = code == CURLE_OK && status == 200;
+  else if (code == CURLE_COULDNT_CONNECT
+           && transfer->connect_tries++ < CONNECT_RETRIES)
+    {
+      client->ready[record->instance] = 0;
+      record->instance = load_client_pick (client);
+      start (transfer);
+      return;
+    }
+  else
+    {
+      record->end_us = load_now_us ();
+      record->status = (int)status;
+      record->cut = code != CURLE_OK;
+      if (transfer->request.is_chat && status == 200)
+        judge_chat (transfer);
+      else
+        {
+          record->whole = code == CURLE_OK && status == 200;
+          record->body_hash = g_str_hash (transfer->answer->str);
+        }
+      if (status != 200 || strstr (transfer->answer->str, "event: error"))
+        parse_refusal (record, transfer->answer->str, transfer->answer->len);
+      client->open--;
+      transfer->request.fn (transfer->request.closure, record,
+                            transfer->answer->str, transfer->answer->len);
+      g_free (transfer->request.body);
+    }
+  g_string_free (transfer->answer, TRUE);
+  g_free (transfer);
+}
+
+/* Starts a readiness check of each instance.  */
+static void
+check_all (struct load_client *client)
+{
+  client->checked_us = load_now_us ();
+  for (int i = 0; i < client->options->instances; i++)
+    {
+      struct transfer *transfer = g_new0 (struct transfer, 1);
+
+      transfer->client = client;
+      transfer->check_of = i + 1;
+      transfer->answer = g_string_new (NULL);
+      transfer->request.method = "GET";
+      transfer->request.record.instance = i;
+      g_strlcpy (transfer->request.url_path, "/readyz",
+                 sizeof transfer->request.url_path);
+      start (transfer);
+    }
+}
+
+/* Takes a piece of the answer.  */
+static size_t
+on_data (char *data, size_t size, size_t count, void *closure)
+{
+  struct transfer *transfer = closure;
+  int64_t now = load_now_us ();
+
+  if (transfer->request.record.first_us == 0)
+    transfer->request.record.first_us = now;
+  g_string_append_len (transfer->answer, data, (gssize)(size * count));
+  if (transfer->request.is_chat)
+    parse_events (transfer, now);
+  return size * count;
+}
+
+/* Takes one header line.  */
+static size_t
+on_header (char *data, size_t size, size_t count, void *closure)
+{
+  struct transfer *transfer = closure;
+  struct load_record *record = &transfer->request.record;
+  size_t length = size * count;
+
+  if (length > 12 && g_ascii_strncasecmp (data, "Retry-After:", 12) == 0)
+    record->retry_after_s = atoi (data + 12);
+  if (length > 13 && g_ascii_strncasecmp (data, "X-Request-Id:", 13) == 0)
+    {
+      char *value = g_strstrip (g_strndup (data + 13, length - 13));
+
+      g_strlcpy (record->request_id, value, sizeof record->request_id);
+      g_free (value);
+    }
+  return length;
+}
+
+/* Parses the complete events that have come.  */
+static void
+parse_events (struct transfer *transfer, int64_t now)
+{
+  for (;;)
+    {
+      const char *start_of = transfer->answer->str + transfer->parsed;
+      const char *end = strstr (start_of, "\n\n");
+
+      if (end == NULL)
+        return;
+      parse_event (transfer, start_of, end, now);
+      transfer->parsed = (size_t)(end + 2 - transfer->answer->str);
+    }
+}
+
+/* Parses one event.  */
+static void
+parse_event (struct transfer *transfer, const char *event, const char *end,
+             int64_t now)
+{
+  struct load_record *record = &transfer->request.record;
+  const char *content = strstr (event, "\"content\":\"");
+
+  record->gap_us = MAX (record->gap_us, now - transfer->last_us);
+  transfer->last_us = now;
+  if (content != NULL && content < end)
+    parse_tokens (transfer, content + strlen ("\"content\":\""));
+  else if (g_str_has_prefix (event, "data: [DONE]"))
+    record->whole = 1;
+}
+
+/* Checks the tokens of TEXT, "TAG-NUMBER " each: they must be this request's
+   and come in order.  */
+static void
+parse_tokens (struct transfer *transfer, const char *text)
+{
+  struct load_record *record = &transfer->request.record;
+  size_t tag_length = strlen (transfer->request.tag);
+
+  while (*text != '"' && *text != '\0')
+    {
+      const char *end = strchr (text, ' ');
+
+      if (end == NULL)
+        return;
+      if (strncmp (text, transfer->request.tag, tag_length) != 0
+          || text[tag_length] != '-')
+        record->crossed = 1;
+      else if (strtoll (text + tag_length + 1, NULL, 10) != record->got)
+        record->broken_order = 1;
+      record->got++;
+      text = end + 1;
+    }
+}
+
+/* Decides whether a chat's answer is whole.  */
+static void
+judge_chat (struct transfer *transfer)
+{
+  struct load_record *record = &transfer->request.record;
+  const char *content = strstr (transfer->answer->str, "\"content\":\"");
+
+  if (record->got == 0 && content != NULL)
+    {
+      parse_tokens (transfer, content + strlen ("\"content\":\""));
+      record->whole = 1;
+    }
+  record->whole = record->whole && record->got == record->tokens
+                  && !record->crossed && !record->broken_order && !record->cut;
+}
+
+/* Reads code and run state of a refusal.  */
+static void
+parse_refusal (struct load_record *record, const char *text, size_t length)
+{
+  const char *start_of = strstr (text, "{\"error\"");
+  json_t *json;
+  json_t *error;
+  const char *run;
+
+  if (start_of == NULL)
+    return;
+  length -= (size_t)(start_of - text);
+  json = json_loadb (start_of, length, JSON_DISABLE_EOF_CHECK, NULL);
+  error = json_object_get (json, "error");
+  run = json_string_value (json_object_get (error, "run"));
+  g_strlcpy (record->code,
+             json_string_value (json_object_get (error, "code"))
+                 ? json_string_value (json_object_get (error, "code"))
+                 : "",
+             sizeof record->code);
+  if (g_strcmp0 (run, "not_run") == 0)
+    record->run = LOAD_RUN_NOT_RUN;
+  else if (g_strcmp0 (run, "ran") == 0)
+    record->run = LOAD_RUN_RAN;
+  else if (run != NULL)
+    record->run = LOAD_RUN_MAY_HAVE_RUN;
+  json_decref (json);
+}
--- /dev/null
+++ b/bench/load_policies.c
@@ -0,0 +1,524 @@
+/* Routing policies replayed on the trace of a run, for comparison.
+
+   Each policy sees the requests of the run in their order, with the durations
+   that they had, and engines with caches of the same size.  */
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "ibisloom/rank.h"
+#include "load.h"
+
+enum
+{
+  US_PER_MS = 1000,
+  SAMPLE_US = 50000,
+  LAG_US = 2000000
+};
+
+struct engine
+{
+  int up;
+  int load;
+  int reported;
+  int64_t reported_us;
+  int64_t cached_tokens;
+  GHashTable *cached; /* chat to its link in recent */
+  GQueue recent;
+};
+
+struct context
+{
+  int chat;
+  int64_t tokens;
+};
+
+struct running
+{
+  int64_t end_us;
+  int engine;
+  int instance;
+};
+
+struct replay
+{
+  const struct load_options *options;
+  struct engine engines[LOAD_ENGINES_MAX];
+  GArray *running; /* of struct running */
+  int own[LOAD_INSTANCES_MAX][LOAD_ENGINES_MAX];
+  struct rank_node nodes[LOAD_ENGINES_MAX];
+  int turn;
+  GRand *random;
+  int64_t reused;
+  int64_t prompted;
+  int64_t violations;
+  GArray *ratios;
+};
+
+struct change
+{
+  int64_t at_us;
+  int engine;
+  int up;
+};
+
+typedef int (*policy) (struct replay *replay,
+                       const struct load_record *record);
+
+static int choose_best (struct replay *replay,
+                        const struct load_record *record);
+static int choose_in_turn (struct replay *replay,
+                           const struct load_record *record);
+static int choose_least (struct replay *replay,
+                         const struct load_record *record);
+static int choose_of_two (struct replay *replay,
+                          const struct load_record *record);
+static int choose_own_share (struct replay *replay,
+                             const struct load_record *record);
+static void run (struct replay *replay, policy choose, GArray *records,
+                 const GArray *changes);
+static void advance (struct replay *replay, int64_t now, const GArray *changes,
+                     guint *next_change, int64_t *next_sample);
+static void finish_until (struct replay *replay, int64_t now);
+static void sample (struct replay *replay);
+static void report_loads (struct replay *replay, int64_t now);
+static int64_t cached_at (struct engine *engine, int chat);
+static void use_cache (struct replay *replay, struct engine *engine, int chat,
+                       int64_t tokens);
+static int bound (const struct replay *replay);
+static int ups (const struct replay *replay);
+static GArray *read_changes (const char *path);
+static int by_start (const void *a, const void *b);
+static double quantile (GArray *values, double q);
+static int by_value (const void *a, const void *b);
+static int64_t reused_in_run (const char *history, int64_t from_ms,
+                              int64_t *prompted);
+
+static const struct
+{
+  const char *name;
+  policy choose;
+} policies[] = {
+  { "best", choose_best },          { "roundrobin", choose_in_turn },
+  { "leastloaded", choose_least },  { "twochoices", choose_of_two },
+  { "ownshare", choose_own_share },
+};
+
+/* Prints the reuse of the run in HISTORY against the policies on RECORDS, and
+   the policies' violations WITH_BOUNDS.  */
+void
+load_policies (const struct load_options *options, GArray *records,
+               const char *history, int with_bounds)
+{
+  GArray *changes = read_changes (options->events);
+  int64_t prompted = 0;
+  int64_t reused = reused_in_run (history, 0, &prompted);
+  int64_t best = 1;
+
+  qsort (records->data, records->len, sizeof (struct load_record), by_start);
+  for (size_t i = 0; i < G_N_ELEMENTS (policies); i++)
+    {
+      struct replay replay = { .options = options };
+      char name[64];
+
+      run (&replay, policies[i].choose, records, changes);
+      if (i == 0)
+        {
+          best = MAX (replay.reused, 1);
+          load_figure ("reuse_of_best", (double)reused / (double)best,
+                       "ratio");
+          load_figure ("reused_share", (double)reused / (double)prompted,
+                       "ratio");
+        }
+      else
+        {
+          g_snprintf (name, sizeof name, "reuse_of_%s", policies[i].name);
+          load_figure (name, (double)replay.reused / (double)best, "ratio");
+        }
+      if (!with_bounds)
+        continue;
+      g_snprintf (name, sizeof name, "%s_bound_violations", policies[i].name);
+      load_figure (name, (double)replay.violations, "samples");
+      g_snprintf (name, sizeof name, "%s_skew_max_over_mean_p99",
+                  policies[i].name);
+      load_figure (name, quantile (replay.ratios, 0.99), "ratio");
+    }
+  g_array_free (changes, TRUE);
+}
+
+/* Replays RECORDS with policy CHOOSE.  */
+static void
+run (struct replay *replay, policy choose, GArray *records,
+     const GArray *changes)
+{
+  guint next_change = 0;
+  int64_t next_sample = 0;
+
+  replay->running = g_array_new (FALSE, FALSE, sizeof (struct running));
+  replay->ratios = g_array_new (FALSE, FALSE, sizeof (double));
+  replay->random = g_rand_new_with_seed (replay->options->seed);
+  for (int i = 0; i < replay->options->engines; i++)
+    {
+      char name[32];
+
+      replay->engines[i].up = 1;
+      replay->engines[i].cached
+          = g_hash_table_new (g_direct_hash, g_direct_equal);
+      g_queue_init (&replay->engines[i].recent);
+      g_snprintf (name, sizeof name, "engine-%d", i);
+      replay->nodes[i].id = rank_hash (name);
+      replay->nodes[i].weight = 1;
+    }
+  for (guint i = 0; i < records->len; i++)
+    {
+      const struct load_record *record
+          = &g_array_index (records, struct load_record, i);
+      struct running entry = { record->end_us, 0, record->instance };
+      struct engine *engine;
+
+      if (record->status != 200)
+        continue;
+      advance (replay, record->start_us, changes, &next_change, &next_sample);
+      entry.engine = choose (replay, record);
+      engine = &replay->engines[entry.engine];
+      engine->load++;
+      replay->own[record->instance][entry.engine]++;
+      replay->reused += MIN (cached_at (engine, record->chat), record->prompt);
+      replay->prompted += record->prompt;
+      use_cache (replay, engine, record->chat,
+                 record->prompt + record->tokens);
+      g_array_append_val (replay->running, entry);
+    }
+}
+
+/* Lets time pass until NOW.  */
+static void
+advance (struct replay *replay, int64_t now, const GArray *changes,
+         guint *next_change, int64_t *next_sample)
+{
+  if (*next_sample == 0)
+    *next_sample = now;
+  while (*next_sample < now)
+    {
+      finish_until (replay, *next_sample);
+      sample (replay);
+      report_loads (replay, *next_sample);
+      *next_sample += SAMPLE_US;
+    }
+  finish_until (replay, now);
+  while (*next_change < changes->len
+         && g_array_index (changes, struct change, *next_change).at_us <= now)
+    {
+      const struct change *change
+          = &g_array_index (changes, struct change, *next_change);
+
+      replay->engines[change->engine].up = change->up;
+      replay->nodes[change->engine].weight = change->up;
+      (*next_change)++;
+    }
+}
+
+/* Ends the requests whose time is over.  */
+static void
+finish_until (struct replay *replay, int64_t now)
+{
+  for (guint i = replay->running->len; i > 0; i--)
+    {
+      const struct running *entry
+          = &g_array_index (replay->running, struct running, i - 1);
+
+      if (entry->end_us > now)
+        continue;
+      replay->engines[entry->engine].load--;
+      replay->own[entry->instance][entry->engine]--;
+      g_array_remove_index_fast (replay->running, i - 1);
+    }
+}
+
+/* Takes one sample of the loads.  */
+static void
+sample (struct replay *replay)
+{
+  int total = 0;
+  int highest = 0;
+  int count = ups (replay);
+  double mean;
+  double ratio;
+
+  for (int i = 0; i < replay->options->engines; i++)
+    {
+      total += replay->engines[i].load;
+      highest = MAX (highest, replay->engines[i].load);
+    }
+  if (total == 0 || count == 0)
+    return;
+  mean = (double)total / count;
+  ratio = highest / mean;
+  g_array_append_val (replay->ratios, ratio);
+  if (highest > ceil (replay->options->load_factor * mean - 1e-9))
+    replay->violations++;
+}
+
+/* Brings the loads that the engines report up to date, LAG_US late.  */
+static void
+report_loads (struct replay *replay, int64_t now)
+{
+  for (int i = 0; i < replay->options->engines; i++)
+    {
+      struct engine *engine = &replay->engines[i];
+
+      if (now - engine->reported_us < LAG_US)
+        continue;
+      engine->reported = engine->load;
+      engine->reported_us = now;
+    }
+}
+
+/* The all-knowing router: the longest cached context among the engines that
+   stay within the bound.  */
+static int
+choose_best (struct replay *replay, const struct load_record *record)
+{
+  int limit = bound (replay);
+  int chosen = 0;
+  int64_t most = -1;
+
+  for (int i = 0; i < replay->options->engines; i++)
+    {
+      struct engine *engine = &replay->engines[i];
+      int64_t cached = cached_at (engine, record->chat);
+
+      if (!engine->up || engine->load + 1 > limit)
+        continue;
+      if (cached > most
+          || (cached == most && engine->load < replay->engines[chosen].load))
+        {
+          most = cached;
+          chosen = i;
+        }
+    }
+  return most >= 0 ? chosen : choose_in_turn (replay, record);
+}
+
+/* One engine after another.  */
+static int
+choose_in_turn (struct replay *replay, const struct load_record *record)
+{
+  (void)record;
+  for (;;)
+    {
+      replay->turn = (replay->turn + 1) % replay->options->engines;
+      if (replay->engines[replay->turn].up)
+        return replay->turn;
+    }
+}
+
+/* The lowest load of the lagging reports.  */
+static int
+choose_least (struct replay *replay, const struct load_record *record)
+{
+  int chosen = -1;
+
+  (void)record;
+  for (int i = 0; i < replay->options->engines; i++)
+    if (replay->engines[i].up
+        && (chosen < 0
+            || replay->engines[i].reported < replay->engines[chosen].reported))
+      chosen = i;
+  return chosen;
+}
+
+/* The lower load of two engines drawn at random (Mitzenmacher 2001).  */
+static int
+choose_of_two (struct replay *replay, const struct load_record *record)
+{
+  int first;
+  int second;
+
+  (void)record;
+  do
+    first = g_rand_int_range (replay->random, 0, replay->options->engines);
+  while (!replay->engines[first].up);
+  do
+    second = g_rand_int_range (replay->random, 0, replay->options->engines);
+  while (!replay->engines[second].up);
+  return replay->engines[second].reported < replay->engines[first].reported
+             ? second
+             : first;
+}
+
+/* The home, or the next in the ranking whose load, guessed as this instance's
+   own requests times the number of instances, keeps the bound on the mean
+   guessed the same way.  */
+static int
+choose_own_share (struct replay *replay, const struct load_record *record)
+{
+  const int *own = replay->own[record->instance];
+  size_t top[RANK_TOP_MAX];
+  size_t count
+      = rank_top ((uint64_t)record->chat, replay->nodes,
+                  (size_t)replay->options->engines, top, RANK_TOP_MAX);
+  int total = 1;
+  double mean;
+
+  for (int i = 0; i < replay->options->engines; i++)
+    total += own[i];
+  mean = (double)total * replay->options->instances / ups (replay);
+  for (size_t i = 0; i < count; i++)
+    if ((own[top[i]] + 1) * replay->options->instances
+        <= ceil (replay->options->load_factor * mean - 1e-9))
+      return (int)top[i];
+  return (int)top[0];
+}
+
+/* Returns the highest load allowed once one more request runs.  */
+static int
+bound (const struct replay *replay)
+{
+  double total = replay->running->len + 1;
+
+  return MIN (
+      replay->options->slots,
+      (int)ceil (replay->options->load_factor * total / ups (replay) - 1e-9));
+}
+
+/* Returns how many engines are up.  */
+static int
+ups (const struct replay *replay)
+{
+  int count = 0;
+
+  for (int i = 0; i < replay->options->engines; i++)
+    count += replay->engines[i].up;
+  return count;
+}
+
+/* Returns how many tokens of CHAT's context ENGINE has.  */
+static int64_t
+cached_at (struct engine *engine, int chat)
+{
+  GList *link
+      = g_hash_table_lookup (engine->cached, GINT_TO_POINTER (chat + 1));
+
+  return link != NULL ? ((struct context *)link->data)->tokens : 0;
+}
+
+/* Makes TOKENS of CHAT's context the latest in ENGINE's cache.  */
+static void
+use_cache (struct replay *replay, struct engine *engine, int chat,
+           int64_t tokens)
+{
+  GList *link
+      = g_hash_table_lookup (engine->cached, GINT_TO_POINTER (chat + 1));
+  struct context *context;
+
+  if (link != NULL)
+    {
+      context = link->data;
+      g_queue_unlink (&engine->recent, link);
+    }
+  else
+    {
+      context = g_new0 (struct context, 1);
+      context->chat = chat;
+      link = g_list_alloc ();
+      link->data = context;
+      g_hash_table_insert (engine->cached, GINT_TO_POINTER (chat + 1), link);
+    }
+  engine->cached_tokens += MAX (tokens, context->tokens) - context->tokens;
+  context->tokens = MAX (tokens, context->tokens);
+  g_queue_push_head_link (&engine->recent, link);
+  while (engine->cached_tokens > replay->options->cache_tokens
+         && engine->recent.length > 1)
+    {
+      struct context *oldest = g_queue_pop_tail (&engine->recent);
+
+      engine->cached_tokens -= oldest->tokens;
+      g_hash_table_remove (engine->cached, GINT_TO_POINTER (oldest->chat + 1));
+      g_free (oldest);
+    }
+}
+
+/* Reads lines "MS engine I up|down" of PATH.  */
+static GArray *
+read_changes (const char *path)
+{
+  GArray *changes = g_array_new (FALSE, FALSE, sizeof (struct change));
+  char *text = NULL;
+  char **lines;
+
+  if (path == NULL || !g_file_get_contents (path, &text, NULL, NULL))
+    return changes;
+  lines = g_strsplit (text, "\n", -1);
+  for (char **line = lines; *line != NULL; line++)
+    {
+      char **words = g_strsplit (*line, " ", 4);
+
+      if (g_strv_length (words) == 4 && strcmp (words[1], "engine") == 0)
+        {
+          struct change change
+              = { atoll (words[0]) * US_PER_MS, atoi (words[2]),
+                  strcmp (words[3], "up") == 0 };
+
+          g_array_append_val (changes, change);
+        }
+      g_strfreev (words);
+    }
+  g_strfreev (lines);
+  g_free (text);
+  return changes;
+}
+
+/* Returns the prompt tokens that the engines had cached, from FROM_MS on.  */
+static int64_t
+reused_in_run (const char *history, int64_t from_ms, int64_t *prompted)
+{
+  json_t *json = json_loads (history, 0, NULL);
+  json_t *entry;
+  size_t i;
+  int64_t reused = 0;
+
+  json_array_foreach (json_object_get (json, "runs"), i, entry)
+  {
+    if (json_integer_value (json_object_get (entry, "t")) < from_ms)
+      continue;
+    reused += json_integer_value (json_object_get (entry, "cached"));
+    *prompted += json_integer_value (json_object_get (entry, "prompt"));
+  }
+  json_decref (json);
+  return reused;
+}
+
+/* Orders records by their start.  */
+static int
+by_start (const void *a, const void *b)
+{
+  const struct load_record *left = a;
+  const struct load_record *right = b;
+
+  return (left->start_us > right->start_us)
+         - (left->start_us < right->start_us);
+}
+
+/* Returns quantile Q of VALUES.  */
+static double
+quantile (GArray *values, double q)
+{
+  if (values->len == 0)
+    return 0;
+  qsort (values->data, values->len, sizeof (double), by_value);
+  return g_array_index (values, double,
+                        MIN ((guint)(q * values->len), values->len - 1));
+}
+
+/* Orders numbers.  */
+static int
+by_value (const void *a, const void *b)
+{
+  double left = *(const double *)a;
+  double right = *(const double *)b;
+
+  return (left > right) - (left < right);
+}
--- /dev/null
+++ b/bench/load_store.c
@@ -0,0 +1,80 @@
+/* Records on file, and histories of the stand-ins. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <curl/curl.h>
+
+#include "load.h"
+
+enum
+{
+  FETCH_TIMEOUT_MS = 10000
+};
+
+static size_t on_data (char *data, size_t size, size_t count, void *closure);
+
+/* Writes RECORDS to PATH for load_read.  */
+void
+load_write (const char *path, const GArray *records)
+{
+  FILE *file = fopen (path, "wb");
+
+  if (file == NULL
+      || fwrite (records->data, sizeof (struct load_record), records->len,
+                 file)
+             != records->len)
+    {
+      fprintf (stderr, "ibisload: cannot write %s\n", path);
+      exit (EXIT_FAILURE);
+    }
+  fclose (file);
+}
+
+/* Reads the records of PATH.  */
+GArray *
+load_read (const char *path)
+{
+  GArray *records = g_array_new (FALSE, FALSE, sizeof (struct load_record));
+  struct load_record record;
+  FILE *file = fopen (path, "rb");
+
+  if (file == NULL)
+    {
+      fprintf (stderr, "ibisload: cannot read %s\n", path);
+      exit (EXIT_FAILURE);
+    }
+  while (fread (&record, sizeof record, 1, file) == 1)
+    g_array_append_val (records, record);
+  fclose (file);
+  return records;
+}
+
+/* Returns what PORT of the loopback address answers to PATH, newly
+   allocated, or NULL.  */
+char *
+load_fetch (int port, const char *path)
+{
+  GString *text = g_string_new (NULL);
+  CURL *easy = curl_easy_init ();
+  char url[256];
+  CURLcode code;
+
+  g_snprintf (url, sizeof url, "http://127.0.0.1:%d%s", port, path);
+  curl_easy_setopt (easy, CURLOPT_URL, url);
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)FETCH_TIMEOUT_MS);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_data);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, text);
+  code = curl_easy_perform (easy);
+  curl_easy_cleanup (easy);
+  return g_string_free (text, code != CURLE_OK);
+}
+
+/* Collects the answer.  */
+static size_t
+on_data (char *data, size_t size, size_t count, void *closure)
+{
+  g_string_append_len (closure, data, (gssize)(size * count));
+  return size * count;
+}
--- /dev/null
+++ b/bench/load_workloads.c
@@ -0,0 +1,413 @@
+/* Workloads: returning chats, calls that may not be repeated, closed loops. */
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "load.h"
+
+enum
+{
+  US_PER_MS = 1000,
+  US_PER_S = 1000000,
+  SETTLE_US = 20000000,
+  RETRY_US = 150000,
+  LONG_ANSWER_FACTOR = 4,
+  LONG_ANSWER_EVERY = 10,
+  PICK_TRIES = 20
+};
+
+struct chat
+{
+  int64_t context;
+  int busy;
+};
+
+struct workload
+{
+  const struct load_options *options;
+  struct load_client *client;
+  GArray *records;
+  GRand *random;
+  struct chat *chats;
+  double *cumulative; /* of the Zipf weights of the chats */
+  int64_t began_us;
+  int64_t serial;
+  GArray *waiting; /* of struct again */
+};
+
+/* A keyed call that its caller sends again. */
+struct again
+{
+  int64_t at_us;
+  int left;
+  struct load_request request;
+};
+
+static void init (struct workload *workload,
+                  const struct load_options *options);
+static void settle (struct workload *workload);
+static int pick_chat (struct workload *workload, int customer);
+static int pick_customer (struct workload *workload);
+static void send_chat (struct workload *workload);
+static void on_chat (void *closure, const struct load_record *record,
+                     const char *body, size_t length);
+static void send_call (struct workload *workload);
+static void on_call (void *closure, const struct load_record *record,
+                     const char *body, size_t length);
+static void send_waiting (struct workload *workload);
+static void on_closed (void *closure, const struct load_record *record,
+                       const char *body, size_t length);
+static void send_closed (struct workload *workload);
+static double arrivals_factor (const struct workload *workload);
+
+/* Runs returning chats that arrive at random at the rate of OPTIONS.  */
+GArray *
+load_run_chats (const struct load_options *options)
+{
+  struct workload workload;
+  int64_t next;
+
+  init (&workload, options);
+  next = workload.began_us;
+  while (load_now_us () < workload.began_us + options->duration_ms * US_PER_MS)
+    {
+      load_client_run (workload.client, next);
+      send_chat (&workload);
+      next += (int64_t)(-log (g_rand_double_range (workload.random, 1e-9, 1))
+                        / (options->rate * arrivals_factor (&workload))
+                        * US_PER_S);
+    }
+  settle (&workload);
+  return workload.records;
+}
+
+/* Runs keyed calls, each sent again until its caller knows the outcome.  */
+GArray *
+load_run_calls (const struct load_options *options)
+{
+  struct workload workload;
+  int64_t next;
+
+  init (&workload, options);
+  next = workload.began_us;
+  while (load_now_us () < workload.began_us + options->duration_ms * US_PER_MS)
+    {
+      load_client_run (workload.client, next);
+      send_waiting (&workload);
+      send_call (&workload);
+      next += (int64_t)(-log (g_rand_double_range (workload.random, 1e-9, 1))
+                        / options->rate * US_PER_S);
+    }
+  while (workload.waiting->len > 0
+         && load_now_us () < workload.began_us
+                                 + options->duration_ms * US_PER_MS
+                                 + SETTLE_US / 2)
+    {
+      load_client_run (workload.client, load_now_us () + 5 * US_PER_MS);
+      send_waiting (&workload);
+    }
+  settle (&workload);
+  return workload.records;
+}
+
+/* Keeps a number of requests open and sends the next as each ends.  */
+GArray *
+load_run_closed (const struct load_options *options)
+{
+  struct workload workload;
+
+  init (&workload, options);
+  for (int i = 0; i < options->concurrency; i++)
+    send_closed (&workload);
+  load_client_run (workload.client,
+                   workload.began_us + options->duration_ms * US_PER_MS);
+  workload.serial = -1;
+  settle (&workload);
+  return workload.records;
+}
+
+/* Prepares WORKLOAD.  */
+static void
+init (struct workload *workload, const struct load_options *options)
+{
+  double sum = 0;
+
+  memset (workload, 0, sizeof *workload);
+  workload->options = options;
+  workload->client = load_client_new (options);
+  workload->records = g_array_new (FALSE, TRUE, sizeof (struct load_record));
+  workload->waiting = g_array_new (FALSE, TRUE, sizeof (struct again));
+  workload->random = g_rand_new_with_seed (options->seed);
+  workload->chats = g_new0 (struct chat, options->chats);
+  workload->cumulative = g_new0 (double, options->chats);
+  for (int i = 0; i < options->chats; i++)
+    {
+      sum += 1 / pow (i + 1, options->zipf);
+      workload->cumulative[i] = sum;
+    }
+  workload->began_us = load_now_us ();
+}
+
+/* Waits for what is open, for a bounded time.  */
+static void
+settle (struct workload *workload)
+{
+  int64_t until = load_now_us () + SETTLE_US;
+
+  while (load_client_open (workload->client) > 0 && load_now_us () < until)
+    load_client_run (workload->client, load_now_us () + 10 * US_PER_MS);
+  load_client_free (workload->client);
+}
+
+/* Returns how much faster arrivals are than at the start.  */
+static double
+arrivals_factor (const struct workload *workload)
+{
+  const struct load_options *options = workload->options;
+  int64_t age_ms = (load_now_us () - workload->began_us) / US_PER_MS;
+
+  if (options->surge_at_ms == 0 || age_ms < options->surge_at_ms)
+    return 1;
+  return 1 + 3.0 / options->customers * (options->surge_factor - 1);
+}
+
+/* Returns a chat of CUSTOMER without an open request, the first ones most
+   often, or -1.  Chat I belongs to customer I modulo their number.  */
+static int
+pick_chat (struct workload *workload, int customer)
+{
+  const struct load_options *options = workload->options;
+  int count = options->chats;
+
+  for (int i = 0; i < PICK_TRIES; i++)
+    {
+      double point
+          = g_rand_double (workload->random) * workload->cumulative[count - 1];
+      int low = 0;
+      int high = count - 1;
+
+      while (low < high)
+        {
+          int middle = (low + high) / 2;
+
+          if (workload->cumulative[middle] < point)
+            low = middle + 1;
+          else
+            high = middle;
+        }
+      low = low - low % options->customers + customer;
+      if (low < count && !workload->chats[low].busy)
+        return low;
+    }
+  return -1;
+}
+
+/* Returns the customer of the next request.  */
+static int
+pick_customer (struct workload *workload)
+{
+  const struct load_options *options = workload->options;
+  double surge = arrivals_factor (workload) > 1 ? options->surge_factor : 1;
+  double total = 3 * surge + options->customers - 3;
+  double point = g_rand_double (workload->random);
+
+  if (options->big_share > 0)
+    return point < options->big_share
+               ? 0
+               : g_rand_int_range (workload->random, 1, options->customers);
+  if (surge <= 1)
+    return g_rand_int_range (workload->random, 0, options->customers);
+  point *= total;
+  if (point < 3 * surge)
+    return (int)(point / surge);
+  return MIN (3 + (int)(point - 3 * surge), options->customers - 1);
+}
+
+/* Sends the next turn of some chat.  */
+static void
+send_chat (struct workload *workload)
+{
+  const struct load_options *options = workload->options;
+  struct load_request request = { .method = "POST", .is_chat = 1 };
+  int customer = pick_customer (workload);
+  int index = pick_chat (workload, customer);
+  struct chat *chat;
+
+  if (index < 0)
+    return;
+  chat = &workload->chats[index];
+  chat->busy = 1;
+  request.record.chat = index;
+  request.record.customer = customer;
+  request.record.tokens = options->tokens;
+  if (options->mixed
+      && g_rand_int_range (workload->random, 0, LONG_ANSWER_EVERY) == 0)
+    request.record.tokens *= LONG_ANSWER_FACTOR;
+  request.record.prompt = (chat->context > 0 ? chat->context : options->prompt)
+                          + options->growth;
+  request.record.instance = load_client_pick (workload->client);
+  g_snprintf (request.tag, sizeof request.tag, "r%ld",
+              (long)++workload->serial);
+  g_strlcpy (request.url_path, "/v1/chat/completions",
+             sizeof request.url_path);
+  request.body = g_strdup_printf (
+      "{\"model\":\"%s\",\"chat_id\":\"chat-%d\",\"messages\":[],"
+      "\"stream\":%s,\"prompt_tokens\":%ld,\"max_tokens\":%ld,"
+      "\"tag\":\"%s\"}",
+      options->service, index, options->stream ? "true" : "false",
+      (long)request.record.prompt, (long)request.record.tokens, request.tag);
+  request.fn = on_chat;
+  request.closure = workload;
+  load_client_send (workload->client, &request);
+}
+
+/* Records the end of a turn; the context grows only by a whole answer.  */
+static void
+on_chat (void *closure, const struct load_record *record, const char *body,
+         size_t length)
+{
+  struct workload *workload = closure;
+  struct chat *chat = &workload->chats[record->chat];
+
+  (void)body;
+  (void)length;
+  chat->busy = 0;
+  if (record->whole)
+    chat->context = record->prompt + record->tokens;
+  g_array_append_val (workload->records, *record);
+}
+
+/* Sends a keyed call, at times twice at once at different instances.  */
+static void
+send_call (struct workload *workload)
+{
+  const struct load_options *options = workload->options;
+  struct load_request request = { .method = options->method };
+  int copies
+      = g_rand_double (workload->random) < options->repeat_share ? 2 : 1;
+
+  request.record.customer
+      = g_rand_int_range (workload->random, 0, options->customers);
+  request.record.chat = options->retries;
+  g_snprintf (request.record.key, sizeof request.record.key, "key-%u-%ld",
+              options->seed, (long)++workload->serial);
+  g_snprintf (request.url_path, sizeof request.url_path, "/v1/services/%s%s",
+              options->service, options->path);
+  request.fn = on_call;
+  request.closure = workload;
+  if (strcmp (options->method, "POST") != 0)
+    request.record.key[0] = '\0';
+  for (int i = 0; i < copies; i++)
+    {
+      struct load_request copy = request;
+
+      copy.record.instance = load_client_pick (workload->client);
+      copy.body = strcmp (options->method, "POST") == 0
+                      ? g_strdup_printf ("fee=%ld", (long)workload->serial)
+                      : NULL;
+      load_client_send (workload->client, &copy);
+    }
+}
+
+/* Records an answer; an unclear one is asked for again with the same key, and
+   a clear one once in a while too.  The field "chat" holds the repeats
+   left.  */
+static void
+on_call (void *closure, const struct load_record *record, const char *body,
+         size_t length)
+{
+  struct workload *workload = closure;
+  struct again again = { .left = record->chat };
+  int unclear = record->status == 0 || record->status >= 409 || record->cut;
+
+  (void)body;
+  (void)length;
+  g_array_append_val (workload->records, *record);
+  if (record->chat <= 0 || record->key[0] == '\0')
+    return;
+  if (!unclear && g_rand_int_range (workload->random, 0, 10) != 0)
+    return;
+  again.at_us = load_now_us () + RETRY_US
+                + g_rand_int_range (workload->random, 0, RETRY_US);
+  again.request.method = workload->options->method;
+  g_snprintf (again.request.url_path, sizeof again.request.url_path,
+              "/v1/services/%s%s", workload->options->service,
+              workload->options->path);
+  again.request.record.customer = record->customer;
+  again.request.record.chat = record->chat - 1;
+  g_strlcpy (again.request.record.key, record->key,
+             sizeof again.request.record.key);
+  again.request.body
+      = g_strdup_printf ("fee=%s", strrchr (record->key, '-') + 1);
+  again.request.fn = on_call;
+  again.request.closure = workload;
+  g_array_append_val (workload->waiting, again);
+}
+
+/* Sends the repeats that are due.  */
+static void
+send_waiting (struct workload *workload)
+{
+  int64_t now = load_now_us ();
+
+  for (guint i = workload->waiting->len; i > 0; i--)
+    {
+      struct again again
+          = g_array_index (workload->waiting, struct again, i - 1);
+
+      if (again.at_us > now)
+        continue;
+      g_array_remove_index_fast (workload->waiting, i - 1);
+      again.request.record.instance = load_client_pick (workload->client);
+      load_client_send (workload->client, &again.request);
+    }
+}
+
+/* Sends one request of a closed loop.  */
+static void
+send_closed (struct workload *workload)
+{
+  const struct load_options *options = workload->options;
+  struct load_request request = { .method = options->method };
+
+  request.record.customer = 0;
+  request.record.tokens = options->tokens;
+  request.record.instance = load_client_pick (workload->client);
+  request.is_chat = options->stream;
+  g_snprintf (request.tag, sizeof request.tag, "r%ld",
+              (long)++workload->serial);
+  if (options->stream)
+    {
+      g_strlcpy (request.url_path, "/v1/chat/completions",
+                 sizeof request.url_path);
+      request.body = g_strdup_printf (
+          "{\"model\":\"%s\",\"chat_id\":\"chat-%ld\",\"messages\":[],"
+          "\"stream\":true,\"prompt_tokens\":10,\"max_tokens\":%ld,"
+          "\"tag\":\"%s\"}",
+          options->service, (long)workload->serial, (long)options->tokens,
+          request.tag);
+    }
+  else if (options->direct_port)
+    g_strlcpy (request.url_path, options->path, sizeof request.url_path);
+  else
+    g_snprintf (request.url_path, sizeof request.url_path, "/v1/services/%s%s",
+                options->service, options->path);
+  request.fn = on_closed;
+  request.closure = workload;
+  load_client_send (workload->client, &request);
+}
+
+/* Records the end of a request and sends the next.  */
+static void
+on_closed (void *closure, const struct load_record *record, const char *body,
+           size_t length)
+{
+  struct workload *workload = closure;
+
+  (void)body;
+  (void)length;
+  g_array_append_val (workload->records, *record);
+  if (workload->serial >= 0)
+    send_closed (workload);
+}
--- /dev/null
+++ b/bench/micro.c
@@ -0,0 +1,230 @@
+/* ibismicro: times and shares of single decisions, without processes. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include <sodium.h>
+
+#include "ibisloom/members.h"
+#include "ibisloom/owner.h"
+#include "ibisloom/rank.h"
+#include "ibisloom/wire.h"
+
+enum
+{
+  ROUNDS = 20000,
+  KEYS = 200000,
+  RANKED = 16
+};
+
+static int64_t now_ns (void);
+static int by_value (const void *a, const void *b);
+static void time_rank (size_t targets);
+static void share_moved (void);
+static void time_owner (void);
+static void time_wire (void);
+static void time_members (size_t instances);
+
+int
+main (void)
+{
+  if (sodium_init () < 0)
+    return EXIT_FAILURE;
+  time_rank (12);
+  time_rank (750);
+  time_rank (12000);
+  share_moved ();
+  time_owner ();
+  time_wire ();
+  time_members (9);
+  time_members (100);
+  return EXIT_SUCCESS;
+}
+
+/* Returns the monotonic time in nanoseconds.  */
+static int64_t
+now_ns (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_MONOTONIC, &now);
+  return (int64_t)now.tv_sec * 1000000000 + now.tv_nsec;
+}
+
+/* Orders numbers.  */
+static int
+by_value (const void *a, const void *b)
+{
+  int64_t left = *(const int64_t *)a;
+  int64_t right = *(const int64_t *)b;
+
+  return (left > right) - (left < right);
+}
+
+/* Times one ranking among TARGETS.  */
+static void
+time_rank (size_t targets)
+{
+  struct rank_node *nodes = calloc (targets, sizeof *nodes);
+  int64_t *times = calloc (ROUNDS, sizeof *times);
+  size_t top[RANKED];
+  int64_t sum = 0;
+
+  for (size_t i = 0; i < targets; i++)
+    nodes[i] = (struct rank_node){ 0x9e3779b97f4a7c15ULL * (i + 1), 1 };
+  for (int i = 0; i < ROUNDS; i++)
+    {
+      int64_t start = now_ns ();
+
+      rank_top ((uint64_t)i * 0x2545f4914f6cdd1dULL, nodes, targets, top,
+                RANKED);
+      times[i] = now_ns () - start;
+      sum += times[i];
+    }
+  qsort (times, ROUNDS, sizeof *times, by_value);
+  printf ("figure rank_%zu_us %.3f us\n", targets,
+          (double)sum / ROUNDS / 1000);
+  printf ("figure rank_%zu_p99_us %.3f us\n", targets,
+          (double)times[ROUNDS * 99 / 100] / 1000);
+  free (nodes);
+  free (times);
+}
+
+/* Counts the chats whose home changes when one of 12 targets leaves.  */
+static void
+share_moved (void)
+{
+  struct rank_node nodes[12];
+  size_t top[1];
+  int moved = 0;
+
+  for (size_t i = 0; i < 12; i++)
+    nodes[i] = (struct rank_node){ 0x9e3779b97f4a7c15ULL * (i + 1), 1 };
+  for (uint64_t key = 1; key <= KEYS; key++)
+    {
+      size_t before;
+
+      nodes[5].weight = 1;
+      rank_top (key, nodes, 12, top, 1);
+      before = top[0];
+      nodes[5].weight = 0;
+      rank_top (key, nodes, 12, top, 1);
+      moved += before != top[0];
+    }
+  printf ("figure moved_chats_share %.4f ratio\n", (double)moved / KEYS);
+  printf ("figure moved_chats_ideal %.4f ratio\n", 1.0 / 12);
+}
+
+/* Times one admission and its release.  */
+static void
+time_owner (void)
+{
+  struct own *own = own_new ();
+  struct own_limits limits = {
+    .mean_load = 1000, .load_factor = 1.25, .customer_weight = 1, .slots = 64
+  };
+  int64_t start = now_ns ();
+
+  for (uint32_t i = 0; i < ROUNDS * 10; i++)
+    {
+      struct own_ask ask = { .target = i % 12 + 1,
+                             .chat = i,
+                             .customer = i % 10,
+                             .instance = i % 9,
+                             .grant = i };
+      struct own_reply reply;
+
+      own_decide (own, &ask, &limits, i / 100, &reply);
+      if (i >= 360)
+        own_release (own, (i - 360) % 12 + 1, (i - 360) % 9, i - 360,
+                     OWN_OUTCOME_OK, i / 100);
+    }
+  printf ("figure admission_us %.3f us\n",
+          (double)(now_ns () - start) / ROUNDS / 10 / 1000);
+  own_free (own);
+}
+
+/* Times one ask on the wire and prints the sizes of messages.  */
+static void
+time_wire (void)
+{
+  struct wire_message message = { .kind = WIRE_ASK,
+                                  .deployment = 0x12345678,
+                                  .sender = 0x87654321,
+                                  .incarnation = 1796350980266,
+                                  .sequence = 100000 };
+  unsigned char data[WIRE_MAX_BYTES];
+  struct wire_key key;
+  size_t length = 0;
+  int64_t start;
+
+  wire_key_derive (&key, "a secret for the bench only");
+  message.u.ask.target = message.u.ask.chat = message.u.ask.customer
+      = UINT64_MAX / 3;
+  message.u.ask.grant = 1000000;
+  start = now_ns ();
+  for (int i = 0; i < ROUNDS; i++)
+    {
+      struct wire_message copy;
+
+      length = wire_encode (&message, &key, data);
+      if (wire_decode (&copy, &key, data, length) != WIRE_OK)
+        abort ();
+    }
+  printf ("figure wire_round_us %.3f us\n",
+          (double)(now_ns () - start) / ROUNDS / 1000);
+  printf ("figure ask_bytes %zu bytes\n", length);
+  message.kind = WIRE_ANSWER;
+  memset (&message.u, 0, sizeof message.u);
+  message.u.answer.grant = 1000000;
+  printf ("figure answer_bytes %zu bytes\n",
+          wire_encode (&message, &key, data));
+  message.kind = WIRE_RELEASE;
+  message.u.release.target = UINT64_MAX / 3;
+  message.u.release.grant = 1000000;
+  printf ("figure release_bytes %zu bytes\n",
+          wire_encode (&message, &key, data));
+  message.kind = WIRE_HEARTBEAT;
+  memset (&message.u, 0, sizeof message.u);
+  message.u.heartbeat.revision = 100000;
+  message.u.heartbeat.domain = UINT32_MAX / 3;
+  message.u.heartbeat.sum_count = 1;
+  message.u.heartbeat.sums[0] = (struct wire_sum){ UINT64_MAX / 3, 100, 2 };
+  printf ("figure heartbeat_bytes %zu bytes\n",
+          wire_encode (&message, &key, data));
+  message.u.heartbeat.digest_count = WIRE_DIGESTS_MAX;
+  for (int i = 0; i < WIRE_DIGESTS_MAX; i++)
+    message.u.heartbeat.digests[i]
+        = (struct wire_digest){ UINT32_MAX / 3, UINT32_MAX / 3, 20000,
+                                UINT32_MAX / 3, 1796350980266,  300 };
+  printf ("figure heartbeat_digests_bytes %zu bytes\n",
+          wire_encode (&message, &key, data));
+}
+
+/* Times finding an owner among INSTANCES members.  */
+static void
+time_members (size_t instances)
+{
+  struct mem *mem = mem_new (1, 7);
+  struct mem_member owner;
+  struct sockaddr_in address = { 0 };
+  int64_t start;
+
+  mem_set_self (mem, MEM_READY);
+  for (uint32_t i = 2; i <= instances; i++)
+    {
+      struct wire_message beat
+          = { .kind = WIRE_HEARTBEAT, .sender = i, .incarnation = 1 };
+
+      beat.u.heartbeat.domain = 7;
+      beat.u.heartbeat.state = MEM_READY;
+      mem_heard (mem, &beat, &address, 1000);
+    }
+  start = now_ns ();
+  for (uint64_t i = 0; i < ROUNDS; i++)
+    mem_owner (mem, i * 0x9e3779b97f4a7c15ULL, 7, 0, 1100, &owner);
+  printf ("figure owner_among_%zu_us %.3f us\n", instances,
+          (double)(now_ns () - start) / ROUNDS / 1000);
+  mem_free (mem);
+}
--- a/connection/control_operator.c
+++ b/connection/control_operator.c
@@ -19,6 +19,9 @@
 static void switch_preset (struct control_call *call, const char *rest);
 static void drain_target (struct control_call *call, const char *rest);
 static void restore_target (struct control_call *call, const char *rest);
+static void show_operation (struct control_call *call, const char *rest);
+static void on_lookup (void *closure, uint64_t tag,
+                       const struct led_reply *reply);
 static void stop_instance (struct control_call *call, const char *rest);
 static void set_leaving (struct control_call *call, const char *rest,
                          int leaving);
@@ -41,6 +44,7 @@
         { "POST", "/operator/switch/", switch_preset },
         { "POST", "/operator/drain/", drain_target },
         { "POST", "/operator/restore/", restore_target },
+        { "GET", "/operator/operation", show_operation },
         { "POST", "/operator/stop", stop_instance },
         { NULL, NULL, NULL } };
 
@@ -146,6 +150,56 @@
   set_leaving (call, rest, 0);
 }
 
+/* Tells what the ledger holds for a customer's key at a service.  */
+static void
+show_operation (struct control_call *call, const char *rest)
+{
+  const char *customer = control_argument (call, "customer");
+  const char *service = control_argument (call, "service");
+  const char *key = control_argument (call, "key");
+  struct led_call record = { 0 };
+
+  (void)rest;
+  if (customer == NULL || service == NULL || key == NULL)
+    {
+      control_error (call, MHD_HTTP_BAD_REQUEST, ERR_INVALID,
+                     "name customer, service and key");
+      return;
+    }
+  led_key (record.key, customer, service, key);
+  call->suspended = 1;
+  MHD_suspend_connection (call->connection);
+  led_lookup (call->listener->server->ledger, &record, on_lookup, call);
+}
+
+/* Answers the call CLOSURE with what a look-up found.  */
+static void
+on_lookup (void *closure, uint64_t tag, const struct led_reply *reply)
+{
+  static const char *const states[LED_VERDICT_COUNT] = {
+    [LED_ANSWERED] = "ran",
+    [LED_UNFINISHED] = "may have run",
+    [LED_ABSENT] = "not run",
+  };
+  const char *state = states[reply->verdict];
+  json_t *json;
+
+  (void)tag;
+  if (state == NULL)
+    {
+      control_error (closure, MHD_HTTP_SERVICE_UNAVAILABLE, ERR_PLATFORM_DOWN,
+                     "the ledger cannot be read");
+      return;
+    }
+  json = json_pack ("{s:s,s:i,s:s%}", "state", state, "status", reply->status,
+                    "answer", reply->body ? reply->body : "",
+                    reply->body ? reply->body_length : (size_t)0);
+  control_answer (closure, MHD_HTTP_OK,
+                  json ? json_dumps (json, JSON_COMPACT)
+                       : strdup ("{\"state\":\"ran\"}"));
+  json_decref (json);
+}
+
 /* Begins a graceful stop of this instance.  */
 static void
 stop_instance (struct control_call *call, const char *rest)
--- a/connection/sync.c
+++ b/connection/sync.c
@@ -89,6 +89,7 @@
 {
   pthread_mutex_lock (&sync->lock);
   ck_pr_store_int (&sync->stopping, 1);
+  ck_pr_store_int (&sync->server->stopping_now, 1);
   pthread_cond_broadcast (&sync->ready);
   pthread_mutex_unlock (&sync->lock);
   for (size_t i = 0; i < G_N_ELEMENTS (sync->threads); i++)
@@ -130,7 +131,8 @@
 struct plat *
 sync_platform (struct server *server)
 {
-  return plat_http_new (&server->settings->platform, PLATFORM_TIMEOUT_MS);
+  return plat_http_new (&server->settings->platform, PLATFORM_TIMEOUT_MS,
+                        &server->stopping_now);
 }
 
 /* Waits for changes at the platform while it is this instance's duty.  After
--- /dev/null
+++ b/daemon/ibisctl.c
@@ -0,0 +1,523 @@
+/* ibisctl: presets, configuration and state of a fleet, for operators. */
+#include <argp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <curl/curl.h>
+#include <jansson.h>
+
+#include "ibisloom/error.h"
+#include "ibisloom/fetch.h"
+#include "ibisloom/settings.h"
+
+enum
+{
+  EXIT_REFUSED = 1,
+  EXIT_UNREACHABLE = 2,
+  EXIT_USAGE = 64,
+  TIMEOUT_MS = 5000,
+  WORDS_MAX = 6,
+  SERVERS_MAX = 64,
+  HTTP_ERROR = 300
+};
+
+struct session
+{
+  struct fetch *fetch;
+  const char *servers[SERVERS_MAX];
+  int server_count;
+  const char *token_file;
+  const char *expected;
+  const char *by;
+  char *token;
+  int json;
+  char *words[WORDS_MAX];
+  int word_count;
+};
+
+typedef int (*command_handler) (struct session *session);
+
+static error_t parse_option (int key, char *value, struct argp_state *state);
+static int presets_list (struct session *session);
+static int presets_show (struct session *session);
+static int presets_put (struct session *session);
+static int presets_switch (struct session *session);
+static int config_list (struct session *session);
+static int config_show (struct session *session);
+static int config_put (struct session *session);
+static int status (struct session *session);
+static int drain_target (struct session *session);
+static int restore_target (struct session *session);
+static int drain_instance (struct session *session);
+static int operation_show (struct session *session);
+static int list (struct session *session, const char *prefix);
+static int show (struct session *session, const char *name);
+static int put (struct session *session, const char *name, const char *file);
+static int change (struct session *session, const char *method, char *path,
+                   const char *body);
+static json_t *call (struct session *session, const char *server,
+                     const char *method, const char *path, const char *body,
+                     int *exit_status);
+static int print (struct session *session, json_t *json, int exit_status);
+static void print_instance (const char *server, json_t *json);
+static void print_targets (json_t *json);
+static void print_counters (json_t *json);
+
+const char *argp_program_version = "ibisctl 0.1";
+
+static const struct argp_option options[]
+    = { { "server", 's', "IP:PORT", 0,
+          "operators' address of an instance; repeat it to see several", 0 },
+        { "token-file", 't', "FILE", 0, "file with the operators' token", 0 },
+        { "json", 'j', NULL, 0, "print JSON instead of tables", 0 },
+        { "expected", 'e', "REVISION", 0,
+          "write only if the object has this revision (0: does not exist)",
+          0 },
+        { "by", 'b', "NAME", 0, "who switches the preset", 0 },
+        { 0 } };
+
+static const struct argp argument_parser
+    = { options,
+        parse_option,
+        "COMMAND",
+        "Operates an ibisloom router fleet.\v"
+        "Commands:\n"
+        "  presets list | show NAME | put NAME FILE | switch NAME\n"
+        "  config list | show NAME | put NAME FILE\n"
+        "  status\n"
+        "  drain target SERVICE/NAME | drain instance\n"
+        "  restore target SERVICE/NAME\n"
+        "  operation show CUSTOMER SERVICE KEY\n\n"
+        "Exit status: 0 done, 1 refused, 2 no instance answered, 64 wrong "
+        "command line.",
+        NULL,
+        NULL,
+        NULL };
+
+static const struct
+{
+  const char *first;
+  const char *second; /* NULL: the command is one word */
+  int arguments;
+  command_handler run;
+} commands[] = {
+  { "presets", "list", 0, presets_list },
+  { "presets", "show", 1, presets_show },
+  { "presets", "put", 2, presets_put },
+  { "presets", "switch", 1, presets_switch },
+  { "config", "list", 0, config_list },
+  { "config", "show", 1, config_show },
+  { "config", "put", 2, config_put },
+  { "status", NULL, 0, status },
+  { "drain", "target", 1, drain_target },
+  { "drain", "instance", 0, drain_instance },
+  { "restore", "target", 1, restore_target },
+  { "operation", "show", 3, operation_show },
+};
+
+/* Runs one command.  */
+int
+main (int argc, char **argv)
+{
+  struct session session = { .by = g_get_user_name () };
+  GError *error = NULL;
+
+  argp_parse (&argument_parser, argc, argv, 0, NULL, &session);
+  curl_global_init (CURL_GLOBAL_ALL);
+  session.token = settings_read_secret (session.token_file, &error);
+  if (session.token == NULL)
+    {
+      fprintf (stderr, "ibisctl: %s\n", error->message);
+      return EXIT_USAGE;
+    }
+  session.fetch = fetch_new ();
+  for (size_t i = 0; i < G_N_ELEMENTS (commands); i++)
+    {
+      int words = commands[i].second != NULL ? 2 : 1;
+
+      if (strcmp (session.words[0], commands[i].first) == 0
+          && (words == 1
+              || g_strcmp0 (session.words[1], commands[i].second) == 0)
+          && session.word_count == words + commands[i].arguments)
+        return commands[i].run (&session);
+    }
+  fprintf (stderr, "ibisctl: no such command; see ibisctl --help\n");
+  return EXIT_USAGE;
+}
+
+/* Takes one option or word for argp.  */
+static error_t
+parse_option (int key, char *value, struct argp_state *state)
+{
+  struct session *session = state->input;
+  const char **slots[] = { ['t'] = &session->token_file,
+                           ['e'] = &session->expected,
+                           ['b'] = &session->by };
+
+  if (key == 's' && session->server_count < SERVERS_MAX)
+    session->servers[session->server_count++] = value;
+  else if (key == 'j')
+    session->json = 1;
+  else if (key == 't' || key == 'e' || key == 'b')
+    *slots[key] = value;
+  else if (key == ARGP_KEY_ARG && session->word_count < WORDS_MAX)
+    session->words[session->word_count++] = value;
+  else if (key == ARGP_KEY_END
+           && (session->word_count == 0 || session->server_count == 0
+               || session->token_file == NULL))
+    argp_error (state, "give --server, --token-file and a command");
+  else if (key != ARGP_KEY_END)
+    return ARGP_ERR_UNKNOWN;
+  return 0;
+}
+
+/* presets list */
+static int
+presets_list (struct session *session)
+{
+  return list (session, "presets/");
+}
+
+/* presets show NAME */
+static int
+presets_show (struct session *session)
+{
+  char *name = g_strdup_printf ("presets/%s", session->words[2]);
+
+  return show (session, name);
+}
+
+/* presets put NAME FILE */
+static int
+presets_put (struct session *session)
+{
+  char *name = g_strdup_printf ("presets/%s", session->words[2]);
+
+  return put (session, name, session->words[3]);
+}
+
+/* presets switch NAME */
+static int
+presets_switch (struct session *session)
+{
+  char *by = g_uri_escape_string (session->by, NULL, FALSE);
+  char *path
+      = g_strdup_printf ("/operator/switch/%s?by=%s", session->words[2], by);
+
+  g_free (by);
+  return change (session, "POST", path, "");
+}
+
+/* config list */
+static int
+config_list (struct session *session)
+{
+  return list (session, "");
+}
+
+/* config show NAME */
+static int
+config_show (struct session *session)
+{
+  return show (session, session->words[2]);
+}
+
+/* config put NAME FILE */
+static int
+config_put (struct session *session)
+{
+  return put (session, session->words[2], session->words[3]);
+}
+
+/* drain target SERVICE/NAME */
+static int
+drain_target (struct session *session)
+{
+  return change (session, "POST",
+                 g_strdup_printf ("/operator/drain/%s?", session->words[2]),
+                 "");
+}
+
+/* restore target SERVICE/NAME */
+static int
+restore_target (struct session *session)
+{
+  return change (session, "POST",
+                 g_strdup_printf ("/operator/restore/%s?", session->words[2]),
+                 "");
+}
+
+/* drain instance */
+static int
+drain_instance (struct session *session)
+{
+  return change (session, "POST", g_strdup ("/operator/stop?"), "");
+}
+
+/* operation show CUSTOMER SERVICE KEY */
+static int
+operation_show (struct session *session)
+{
+  char *key = g_uri_escape_string (session->words[4], NULL, FALSE);
+  char *path
+      = g_strdup_printf ("/operator/operation?customer=%s&service=%s&key=%s",
+                         session->words[2], session->words[3], key);
+  int exit_status;
+  json_t *json
+      = call (session, session->servers[0], "GET", path, NULL, &exit_status);
+
+  return print (session, json, exit_status);
+}
+
+/* status: each named instance, then targets and counters of the first that
+   answers.  */
+static int
+status (struct session *session)
+{
+  int exit_status = EXIT_SUCCESS;
+  json_t *first = NULL;
+  json_t *all = json_array ();
+
+  if (!session->json)
+    printf ("%-22s %-14s %-9s %9s %-12s %5s %s\n", "SERVER", "INSTANCE",
+            "STATE", "REVISION", "PRESET", "OPEN", "HEARS");
+  for (int i = 0; i < session->server_count; i++)
+    {
+      int one;
+      json_t *json = call (session, session->servers[i], "GET",
+                           "/operator/status", NULL, &one);
+
+      if (one != EXIT_SUCCESS)
+        {
+          if (!session->json)
+            printf ("%-22s not heard from\n", session->servers[i]);
+          exit_status = one;
+          continue;
+        }
+      json_array_append_new (all, json);
+      first = first ? first : json;
+      if (!session->json)
+        print_instance (session->servers[i], json);
+    }
+  if (session->json)
+    return print (session, all, exit_status);
+  if (first != NULL)
+    {
+      print_targets (first);
+      print_counters (first);
+    }
+  json_decref (all);
+  return exit_status;
+}
+
+/* Lists the configuration objects whose names start with PREFIX.  */
+static int
+list (struct session *session, const char *prefix)
+{
+  int exit_status;
+  json_t *json = call (session, session->servers[0], "GET",
+                       "/operator/objects", NULL, &exit_status);
+  json_t *item;
+  size_t i;
+
+  if (session->json || exit_status != EXIT_SUCCESS)
+    return print (session, json, exit_status);
+  printf ("%9s %s\n", "REVISION", "NAME");
+  json_array_foreach (json_object_get (json, "objects"), i, item)
+  {
+    const char *name = json_string_value (json_object_get (item, "name"));
+
+    if (name != NULL && g_str_has_prefix (name, prefix))
+      printf (
+          "%9lld %s\n",
+          (long long)json_integer_value (json_object_get (item, "revision")),
+          name);
+  }
+  json_decref (json);
+  return EXIT_SUCCESS;
+}
+
+/* Shows one configuration object.  */
+static int
+show (struct session *session, const char *name)
+{
+  char *path = g_strdup_printf ("/operator/objects/%s", name);
+  int exit_status;
+  json_t *json
+      = call (session, session->servers[0], "GET", path, NULL, &exit_status);
+
+  g_free (path);
+  if (session->json || exit_status != EXIT_SUCCESS)
+    return print (session, json, exit_status);
+  printf ("revision %lld\n%s\n",
+          (long long)json_integer_value (json_object_get (json, "revision")),
+          json_string_value (json_object_get (json, "value")));
+  json_decref (json);
+  return EXIT_SUCCESS;
+}
+
+/* Writes the contents of FILE as object NAME.  */
+static int
+put (struct session *session, const char *name, const char *file)
+{
+  char *text = NULL;
+
+  if (!g_file_get_contents (file, &text, NULL, NULL))
+    {
+      fprintf (stderr, "ibisctl: cannot read %s; name a readable file\n",
+               file);
+      return EXIT_USAGE;
+    }
+  return change (session, "PUT",
+                 g_strdup_printf ("/operator/objects/%s?", name), text);
+}
+
+/* Makes a change at PATH, which is freed, on condition of the expected
+   revision.  */
+static int
+change (struct session *session, const char *method, char *path,
+        const char *body)
+{
+  char *full = session->expected ? g_strdup_printf ("%s&expected=%s", path,
+                                                    session->expected)
+                                 : g_strdup (path);
+  int exit_status;
+  json_t *json
+      = call (session, session->servers[0], method, full, body, &exit_status);
+
+  g_free (path);
+  g_free (full);
+  return print (session, json, exit_status);
+}
+
+/* Calls SERVER.  Returns its answer and sets EXIT_STATUS; an error is printed
+   here.  */
+static json_t *
+call (struct session *session, const char *server, const char *method,
+      const char *path, const char *body, int *exit_status)
+{
+  char *url = g_strdup_printf ("http://%s%s", server, path);
+  struct fetch_call request = { .method = method,
+                                .url = url,
+                                .body = body,
+                                .bearer = session->token,
+                                .timeout_ms = TIMEOUT_MS };
+  struct fetch_answer answer = { .body = g_string_new (NULL) };
+  json_t *json;
+  const char *message;
+
+  fetch_do (session->fetch, &request, &answer);
+  json = json_loads (answer.body->str, 0, NULL);
+  *exit_status = EXIT_SUCCESS;
+  if (answer.status == 0)
+    {
+      fprintf (stderr, "ibisctl: %s does not answer; try another instance\n",
+               server);
+      *exit_status = EXIT_UNREACHABLE;
+    }
+  else if (answer.status >= HTTP_ERROR)
+    {
+      message = json_string_value (
+          json_object_get (json_object_get (json, "error"), "message"));
+      fprintf (stderr, "ibisctl: %s\n", message ? message : "refused");
+      *exit_status = EXIT_REFUSED;
+    }
+  g_string_free (answer.body, TRUE);
+  g_free (url);
+  return json;
+}
+
+/* Prints JSON unless the call failed; returns EXIT_STATUS.  */
+static int
+print (struct session *session, json_t *json, int exit_status)
+{
+  const char *key;
+  json_t *value;
+
+  if (exit_status != EXIT_SUCCESS && !session->json)
+    return exit_status;
+  if (session->json)
+    {
+      json_dumpf (json, stdout, JSON_INDENT (2) | JSON_ENCODE_ANY);
+      putchar ('\n');
+      return exit_status;
+    }
+  json_object_foreach (json, key, value)
+  {
+    char *text = json_dumps (value, JSON_ENCODE_ANY | JSON_COMPACT);
+
+    printf ("%-10s %s\n", key,
+            json_is_string (value) ? json_string_value (value) : text);
+    free (text);
+  }
+  return exit_status;
+}
+
+/* Prints one line about an instance.  */
+static void
+print_instance (const char *server, json_t *json)
+{
+  const char *preset = json_string_value (json_object_get (json, "preset"));
+  json_t *members = json_object_get (json, "members");
+  json_t *member;
+  size_t i;
+  int usable = 0;
+
+  json_array_foreach (members, i, member)
+  {
+    usable += json_is_true (json_object_get (member, "usable"));
+  }
+  printf (
+      "%-22s %-14s %-9s %9lld %-12s %5lld %d of %zu\n", server,
+      json_string_value (json_object_get (json, "instance")),
+      json_is_true (json_object_get (json, "stopping")) ? "stopping"
+      : json_is_true (json_object_get (json, "ready"))  ? "ready"
+                                                        : "starting",
+      (long long)json_integer_value (json_object_get (json, "revision")),
+      preset ? preset : "-",
+      (long long)json_integer_value (json_object_get (json, "open_requests")),
+      usable, json_array_size (members));
+}
+
+/* Prints the table of targets.  */
+static void
+print_targets (json_t *json)
+{
+  json_t *target;
+  size_t i;
+
+  printf ("\n%-16s %-14s %-12s %-8s %5s %5s\n", "SERVICE", "TARGET", "DOMAIN",
+          "STATE", "SLOTS", "LOAD");
+  json_array_foreach (json_object_get (json, "targets"), i, target)
+  {
+    json_t *load = json_object_get (target, "load");
+
+    printf ("%-16s %-14s %-12s %-8s %5lld ",
+            json_string_value (json_object_get (target, "service")),
+            json_string_value (json_object_get (target, "name")),
+            json_string_value (json_object_get (target, "failure_domain")),
+            json_string_value (json_object_get (target, "state")),
+            (long long)json_integer_value (json_object_get (target, "slots")));
+    if (load != NULL)
+      printf ("%5lld\n", (long long)json_integer_value (load));
+    else
+      printf ("%5s\n", "-");
+  }
+}
+
+/* Prints the refusals, retries and denials.  */
+static void
+print_counters (json_t *json)
+{
+  const char *name;
+  json_t *value;
+
+  printf ("\n%10s %s\n", "COUNT", "REFUSALS, RETRIES AND DENIALS");
+  json_object_foreach (json_object_get (json, "counters"), name, value)
+  {
+    if (strstr (name, "refused") || strstr (name, "retries")
+        || strstr (name, "denied"))
+      printf ("%10lld %s\n", (long long)json_integer_value (value), name);
+  }
+}
--- a/fakes/fake_service.c
+++ b/fakes/fake_service.c
@@ -38,12 +38,12 @@
 static int worker_count;
 static int64_t delay_ms;
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
-static GHashTable *executions; /* key to count */
+static json_t *executions; /* key to the identifiers of its requests */
 static int64_t calls;
 
 static void serve (struct fake_call *call, void *closure);
 static void serve_control (struct fake_call *call, void *closure);
-static int execute (const char *key);
+static int execute (const char *key, const char *request_id);
 static void set_fault (struct fake_call *call);
 
 int
@@ -60,7 +60,7 @@
   base = atoi (argv[1]);
   worker_count = MIN (atoi (argv[2]), WORKERS_MAX);
   delay_ms = atoll (argv[3]);
-  executions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  executions = json_object ();
   for (int i = 0; i < worker_count; i++)
     fake_listen (&workers[i].server, base + i, serve, &workers[i]);
   fake_listen (&control, base - 1, serve_control, NULL);
@@ -103,7 +103,7 @@
       return;
     }
   fake_sleep (delay_ms);
-  count = execute (key);
+  count = execute (key, fake_header (call, "X-Request-Id"));
   if (mode == MODE_DURING)
     {
       fake_drop (call);
@@ -116,17 +116,24 @@
   fake_echo_id (call);
 }
 
-/* Counts one execution of KEY; returns the new count.  */
+/* Records one execution of KEY by REQUEST_ID; returns how many there are.  */
 static int
-execute (const char *key)
+execute (const char *key, const char *request_id)
 {
+  json_t *list;
   int count;
 
   if (key == NULL)
     return 0;
   pthread_mutex_lock (&lock);
-  count = GPOINTER_TO_INT (g_hash_table_lookup (executions, key)) + 1;
-  g_hash_table_replace (executions, g_strdup (key), GINT_TO_POINTER (count));
+  list = json_object_get (executions, key);
+  if (list == NULL)
+    {
+      json_object_set_new (executions, key, json_array ());
+      list = json_object_get (executions, key);
+    }
+  json_array_append_new (list, json_string (request_id ? request_id : ""));
+  count = (int)json_array_size (list);
   pthread_mutex_unlock (&lock);
   return count;
 }
@@ -136,9 +143,6 @@
 serve_control (struct fake_call *call, void *closure)
 {
   json_t *json;
-  GHashTableIter iter;
-  gpointer key;
-  gpointer value;
 
   (void)closure;
   if (strcmp (call->url, "/fault") == 0)
@@ -146,13 +150,9 @@
       set_fault (call);
       return;
     }
-  json = json_object ();
   pthread_mutex_lock (&lock);
-  g_hash_table_iter_init (&iter, executions);
-  while (g_hash_table_iter_next (&iter, &key, &value))
-    json_object_set_new (json, key, json_integer (GPOINTER_TO_INT (value)));
-  json = json_pack ("{s:o,s:I}", "executions", json, "calls",
-                    (json_int_t)calls);
+  json = json_pack ("{s:o,s:I}", "executions", json_deep_copy (executions),
+                    "calls", (json_int_t)calls);
   pthread_mutex_unlock (&lock);
   fake_answer_json (call, 200, json);
 }
--- a/include/ibisloom/fetch.h
+++ b/include/ibisloom/fetch.h
@@ -28,6 +28,7 @@
 
 struct fetch *fetch_new (void);
 void fetch_free (struct fetch *fetch);
+void fetch_abort_on (struct fetch *fetch, const int *abort);
 void fetch_do (struct fetch *fetch, const struct fetch_call *call,
                struct fetch_answer *answer);
 
--- a/include/ibisloom/ledger.h
+++ b/include/ibisloom/ledger.h
@@ -22,6 +22,7 @@
   LED_MISMATCH,   /* the key stands for another request */
   LED_DOWN,       /* no record could be made in time */
   LED_STORED,     /* the outcome is durable */
+  LED_ABSENT,     /* a look-up found no record */
   LED_VERDICT_COUNT
 };
 
@@ -67,6 +68,8 @@
 void led_finish (struct led *led, const struct led_call *call,
                  const struct led_outcome *outcome, led_reply_fn fn,
                  void *closure, uint64_t tag);
+void led_lookup (struct led *led, const struct led_call *call, led_reply_fn fn,
+                 void *closure);
 size_t led_backlog (struct led *led);
 
 /* The writer's side of calls that come from another instance. */
--- a/include/ibisloom/peer.h
+++ b/include/ibisloom/peer.h
@@ -61,6 +61,7 @@
                        size_t count);
 int peer_is_leaving (struct peer *peer, uint64_t target);
 int peer_is_duty (struct peer *peer, const char *duty, size_t holders);
+int32_t peer_owned_load (struct peer *peer, const struct ver_target *target);
 struct mem *peer_members (struct peer *peer);
 int peer_budget (struct peer *peer, int use, int64_t bytes);
 char *peer_status_json (struct peer *peer);
--- a/include/ibisloom/platform.h
+++ b/include/ibisloom/platform.h
@@ -35,7 +35,7 @@
 };
 
 struct plat *plat_http_new (const struct sockaddr_in *address,
-                            int64_t timeout_ms);
+                            int64_t timeout_ms, const int *abort);
 char *plat_get (struct plat *plat, const char *name, uint64_t *revision,
                 GError **error);
 int plat_put (struct plat *plat, const char *name, const char *text,
--- a/process/fetch.c
+++ b/process/fetch.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <ck_pr.h>
 #include <curl/curl.h>
 
 #include "ibisloom/fetch.h"
@@ -15,10 +16,13 @@
 struct fetch
 {
   CURL *easy;
+  const int *abort;
 };
 
 static size_t on_body (char *data, size_t size, size_t count, void *closure);
 static size_t on_header (char *data, size_t size, size_t count, void *closure);
+static int on_progress (void *closure, curl_off_t down_total, curl_off_t down,
+                        curl_off_t up_total, curl_off_t up);
 static struct curl_slist *add_header (struct curl_slist *list,
                                       const char *name, const char *value);
 
@@ -40,6 +44,13 @@
   g_free (fetch);
 }
 
+/* Breaks off calls of FETCH, within a second, once *ABORT is not 0.  */
+void
+fetch_abort_on (struct fetch *fetch, const int *abort)
+{
+  fetch->abort = abort;
+}
+
 /* Makes CALL and fills ANSWER, whose body the caller gives as an empty
    GString or NULL.  A connection that failed or timed out is closed, so a
    silent one is never used again.  */
@@ -76,6 +87,12 @@
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, answer);
   curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
   curl_easy_setopt (easy, CURLOPT_HEADERDATA, answer);
+  if (fetch->abort != NULL)
+    {
+      curl_easy_setopt (easy, CURLOPT_NOPROGRESS, 0L);
+      curl_easy_setopt (easy, CURLOPT_XFERINFOFUNCTION, on_progress);
+      curl_easy_setopt (easy, CURLOPT_XFERINFODATA, fetch);
+    }
   code = curl_easy_perform (easy);
   answer->sent = code != CURLE_COULDNT_CONNECT;
   if (code == CURLE_OK)
@@ -97,6 +114,20 @@
   return list;
 }
 
+/* Tells libcurl whether to break off.  */
+static int
+on_progress (void *closure, curl_off_t down_total, curl_off_t down,
+             curl_off_t up_total, curl_off_t up)
+{
+  const struct fetch *fetch = closure;
+
+  (void)down_total;
+  (void)down;
+  (void)up_total;
+  (void)up;
+  return ck_pr_load_int (fetch->abort);
+}
+
 /* Collects the body for libcurl.  */
 static size_t
 on_body (char *data, size_t size, size_t count, void *closure)
--- a/process/peer_admit.c
+++ b/process/peer_admit.c
@@ -190,6 +190,20 @@
   g_free (notes);
 }
 
+/* Returns the number of requests granted to TARGET, or -1 if another instance
+   owns it.  */
+int32_t
+peer_owned_load (struct peer *peer, const struct ver_target *target)
+{
+  struct mem_member owner;
+
+  if (mem_owner (peer->mem, target->id, target->domain_id, 0,
+                 clk_now (clk_monotonic ()), &owner)
+      != 0)
+    return -1;
+  return own_load (peer->own, target->id);
+}
+
 /* Decides an ask of another instance and answers it.  */
 void
 admit_ask (struct peer *peer, const struct wire_message *message,
--- a/process/platform.c
+++ b/process/platform.c
@@ -41,14 +41,17 @@
                                           http_remove,    http_watch,
                                           http_instances, http_free };
 
-/* Returns a session with the object API at ADDRESS.  */
+/* Returns a session with the object API at ADDRESS.  Calls that last are
+   broken off once *ABORT, if given, is not 0.  */
 struct plat *
-plat_http_new (const struct sockaddr_in *address, int64_t timeout_ms)
+plat_http_new (const struct sockaddr_in *address, int64_t timeout_ms,
+               const int *abort)
 {
   struct http *http = g_new0 (struct http, 1);
 
   http->base.ops = &http_ops;
   http->fetch = fetch_new ();
+  fetch_abort_on (http->fetch, abort);
   http->host = settings_format_address (address);
   http->timeout_ms = timeout_ms;
   return &http->base;
--- a/version/ledger.c
+++ b/version/ledger.c
@@ -20,6 +20,7 @@
   SEND_BATCH_MAX = 256,
   CLAIM_DEADLINE_MS = 170,
   FINISH_DEADLINE_MS = 600000,
+  LOOKUP_DEADLINE_MS = 2000,
   REMOTE_TIMEOUT_MS = 120,
   FINISH_TIMEOUT_MS = 400,
   RETRY_MIN_MS = 20,
@@ -226,6 +227,23 @@
   push (led, op);
 }
 
+/* Looks up what the ledger holds for CALL's key.  FN is called once, on
+   another thread: LED_ANSWERED, LED_UNFINISHED, LED_ABSENT or LED_DOWN.  */
+void
+led_lookup (struct led *led, const struct led_call *call, led_reply_fn fn,
+            void *closure)
+{
+  struct led_op *op = g_new0 (struct led_op, 1);
+
+  op->kind = LED_OP_LOOKUP;
+  op->call = *call;
+  op->deadline_ms = clk_now (clk_monotonic ()) + LOOKUP_DEADLINE_MS;
+  op->fn = fn;
+  op->closure = closure;
+  ck_pr_inc_64 (&led->backlog);
+  writer_push (led->writer, local_copy (led, op));
+}
+
 /* Returns how many operations of this instance are not answered yet.  */
 size_t
 led_backlog (struct led *led)
@@ -450,7 +468,7 @@
           g_ptr_array_remove_index_fast (ops, i - 1);
           conclude (led, op, &reply);
         }
-      else if (!remote || op->tries % 2 == 1)
+      else if (!remote || op->tries % 2 == 1 || op->kind == LED_OP_LOOKUP)
         {
           g_ptr_array_remove_index_fast (ops, i - 1);
           writer_push (led->writer, local_copy (led, op));
--- a/version/ledger_log.c
+++ b/version/ledger_log.c
@@ -118,6 +118,13 @@
   int same = held != NULL && strcmp (held->nonce, op->call.nonce) == 0;
 
   *entry = held;
+  if (op->kind == LED_OP_LOOKUP)
+    {
+      *verdict = held == NULL || held->not_run ? LED_ABSENT
+                 : held->finished              ? LED_ANSWERED
+                                               : LED_UNFINISHED;
+      return 1;
+    }
   if (op->kind == LED_OP_FINISH)
     {
       if (!same && held != NULL && !op->not_run)
--- a/version/ledger_writer.c
+++ b/version/ledger_writer.c
@@ -59,7 +59,8 @@
   pthread_cond_init (&writer->ready, &attributes);
   pthread_condattr_destroy (&attributes);
   g_queue_init (&writer->queue);
-  writer->plat = plat_http_new (&settings->platform, PLATFORM_TIMEOUT_MS);
+  writer->plat
+      = plat_http_new (&settings->platform, PLATFORM_TIMEOUT_MS, NULL);
   log_init (&writer->log, settings->deployment);
   return writer;
 }
@@ -227,6 +228,9 @@
   int64_t time_ms = clk_wall_ms ();
   int result;
 
+  for (guint i = 0; i < ops->len; i++)
+    if (((struct led_op *)g_ptr_array_index (ops, i))->kind == LED_OP_LOOKUP)
+      writer->log.loaded = 0;
   if (!writer->log.loaded)
     {
       met_inc (MET_LEDGER_TAKEOVERS);
--- a/version/libledger.h
+++ b/version/libledger.h
@@ -12,7 +12,8 @@
 enum led_kind
 {
   LED_OP_CLAIM,
-  LED_OP_FINISH
+  LED_OP_FINISH,
+  LED_OP_LOOKUP
 };
 
 enum
