Make admission cheap on the wire and walk by told loads

Cause: each denial cost an ask, and each ask 69 bytes; the control budget was spent and placements fell back to no owner at all.

Change: identifiers of 32 bits (the configuration is checked for collisions), 8 byte MACs keyed by deployment, answers and heartbeats that tell the load of each owned target, and a walk that asks only targets that seem to have room.

--- a/bench/micro.c
+++ b/bench/micro.c
@@ -150,18 +150,17 @@
 time_wire (void)
 {
   struct wire_message message = { .kind = WIRE_ASK,
-                                  .deployment = 0x12345678,
                                   .sender = 0x87654321,
-                                  .incarnation = 1796350980266,
+                                  .incarnation = 900000000,
                                   .sequence = 100000 };
   unsigned char data[WIRE_MAX_BYTES];
   struct wire_key key;
   size_t length = 0;
   int64_t start;
 
-  wire_key_derive (&key, "a secret for the bench only");
-  message.u.ask.target = message.u.ask.chat = message.u.ask.customer
-      = UINT64_MAX / 3;
+  wire_key_derive (&key, "a secret for the bench only", "bench");
+  message.u.ask.chat = UINT64_MAX / 3;
+  message.u.ask.target = message.u.ask.customer = UINT32_MAX / 3;
   message.u.ask.grant = 1000000;
   start = now_ns ();
   for (int i = 0; i < ROUNDS; i++)
@@ -181,7 +180,7 @@
   printf ("figure answer_bytes %zu bytes\n",
           wire_encode (&message, &key, data));
   message.kind = WIRE_RELEASE;
-  message.u.release.target = UINT64_MAX / 3;
+  message.u.release.target = UINT32_MAX / 3;
   message.u.release.grant = 1000000;
   printf ("figure release_bytes %zu bytes\n",
           wire_encode (&message, &key, data));
@@ -189,8 +188,9 @@
   memset (&message.u, 0, sizeof message.u);
   message.u.heartbeat.revision = 100000;
   message.u.heartbeat.domain = UINT32_MAX / 3;
-  message.u.heartbeat.sum_count = 1;
-  message.u.heartbeat.sums[0] = (struct wire_sum){ UINT64_MAX / 3, 100, 2 };
+  message.u.heartbeat.load_count = 2;
+  message.u.heartbeat.loads[0] = (struct wire_load){ UINT32_MAX / 3, 20 };
+  message.u.heartbeat.loads[1] = (struct wire_load){ UINT32_MAX / 3, 20 };
   printf ("figure heartbeat_bytes %zu bytes\n",
           wire_encode (&message, &key, data));
   message.u.heartbeat.digest_count = WIRE_DIGESTS_MAX;
--- a/include/ibisloom/members.h
+++ b/include/ibisloom/members.h
@@ -40,8 +40,6 @@
   int32_t flaps;
   clk_ms flapped_ms;
   int gone;
-  uint32_t sum_count;
-  struct wire_sum sums[WIRE_SUMS_MAX];
 };
 
 /* What one heartbeat changed. */
--- a/include/ibisloom/peer.h
+++ b/include/ibisloom/peer.h
@@ -47,6 +47,8 @@
 void peer_start (struct peer *peer);
 void peer_stop (struct peer *peer);
 void peer_free (struct peer *peer);
+int peer_has_room (struct peer *peer, const struct ver_snapshot *version,
+                   uint64_t target);
 uint32_t peer_ask (struct peer *peer, const struct ver_snapshot *version,
                    const struct peer_query *query, peer_reply_fn fn,
                    void *closure, uint64_t tag);
--- a/include/ibisloom/place.h
+++ b/include/ibisloom/place.h
@@ -35,13 +35,18 @@
   enum place_reason reason;
 };
 
+/* Tells whether a target seems to have room, to ask likely ones first. */
+typedef int (*place_room_fn) (void *closure, uint64_t target);
+
 /* Progress of one choice; the caller carries out each step and reports what
    came of it. */
 struct place
 {
   uint64_t candidates[RANK_TOP_MAX];
   size_t count;
-  size_t at;
+  unsigned asked; /* bit I: candidate I was asked in this round */
+  place_room_fn has_room;
+  void *closure;
   uint64_t noted;
   int back_home;
   clk_ms give_up_ms;
@@ -53,7 +58,8 @@
 void place_start (struct place *place, const struct ver_snapshot *version,
                   const struct ver_service *service, uint64_t chat,
                   const uint64_t *excluded, size_t excluded_count,
-                  clk_ms give_up_ms, struct place_step *step);
+                  place_room_fn has_room, void *closure, clk_ms give_up_ms,
+                  struct place_step *step);
 void place_next (struct place *place, uint32_t verdict, uint64_t elsewhere,
                  clk_ms now, struct place_step *step);
 uint64_t place_home (const struct place *place);
--- a/include/ibisloom/rank.h
+++ b/include/ibisloom/rank.h
@@ -17,6 +17,7 @@
 };
 
 uint64_t rank_hash (const char *text);
+uint64_t rank_id (const char *first, const char *second, const char *third);
 uint64_t rank_hash_parts (const char *first, const char *second,
                           const char *third);
 size_t rank_top (uint64_t key, const struct rank_node *nodes, size_t count,
--- a/include/ibisloom/wire.h
+++ b/include/ibisloom/wire.h
@@ -8,9 +8,9 @@
 enum
 {
   WIRE_VERSION = 1,
-  WIRE_MAC_BYTES = 16,
+  WIRE_MAC_BYTES = 8,
   WIRE_MAX_BYTES = 1200,
-  WIRE_SUMS_MAX = 8,
+  WIRE_LOADS_MAX = 32,
   WIRE_LEAVING_MAX = 16,
   WIRE_DIGESTS_MAX = 8,
   WIRE_GRANTS_MAX = 64,
@@ -36,12 +36,11 @@
   WIRE_OLD_VERSION
 };
 
-/* Load granted by the sender to the targets of one service that it owns. */
-struct wire_sum
+/* Load granted by the sender to one target that it owns. */
+struct wire_load
 {
-  uint64_t service;
+  uint64_t target;
   uint32_t load;
-  uint32_t targets;
 };
 
 /* Third-hand news of a member. */
@@ -61,8 +60,8 @@
   uint32_t domain;
   uint8_t state;
   uint8_t wants_reply;
-  uint32_t sum_count;
-  struct wire_sum sums[WIRE_SUMS_MAX];
+  uint32_t load_count;
+  struct wire_load loads[WIRE_LOADS_MAX];
   uint32_t leaving_count;
   uint64_t leaving[WIRE_LEAVING_MAX];
   uint32_t digest_count;
@@ -82,6 +81,7 @@
 {
   uint32_t grant;
   uint8_t verdict;
+  uint32_t load;
   uint64_t elsewhere;
 };
 
@@ -116,7 +116,6 @@
 struct wire_message
 {
   enum wire_kind kind;
-  uint32_t deployment;
   uint32_t sender;
   uint64_t incarnation;
   uint64_t sequence;
@@ -136,7 +135,8 @@
   unsigned char bytes[32];
 };
 
-void wire_key_derive (struct wire_key *key, const char *secret);
+void wire_key_derive (struct wire_key *key, const char *secret,
+                      const char *deployment);
 size_t wire_encode (const struct wire_message *message,
                     const struct wire_key *key, unsigned char *out);
 enum wire_status wire_decode (struct wire_message *message,
--- a/process/libpeer.h
+++ b/process/libpeer.h
@@ -20,6 +20,7 @@
   PEER_VIEW_MS = 100,
   PEER_UNOWNED_MS = 3000,
   PEER_MEMBERS_MAX = 256,
+  PEER_LOAD_TTL_MS = 3000,
   PEER_MEAN_SLOTS = 8,
   PEER_MEAN_SLOT_MS = 250,
   PEER_ASK_SHARDS = 16
@@ -53,6 +54,14 @@
   uint32_t owner;
 };
 
+/* Load of a target that another instance owns, as last told. */
+struct peer_load
+{
+  uint64_t target;
+  int32_t load;
+  clk_ms told_ms;
+};
+
 /* Mean load of one service's targets as this instance sees it. */
 struct peer_mean
 {
@@ -75,7 +84,6 @@
   pthread_mutex_t bud_lock;
   uint32_t self;
   uint32_t domain;
-  uint32_t deployment;
   uint64_t incarnation;
   uint64_t sequence;
   uint32_t next_grant;
@@ -89,8 +97,10 @@
   size_t rotation;
   struct peer_ask_shard asks[PEER_ASK_SHARDS];
   pthread_mutex_t mean_lock;
-  GArray *means;          /* of struct peer_mean */
-  GHashTable *unowned;    /* target to clk_ms; peer thread only */
+  GArray *means;       /* of struct peer_mean */
+  GHashTable *loads;   /* target to struct peer_load, under mean_lock */
+  GArray *owned;       /* of uint64_t: targets owned here; peer thread only */
+  GHashTable *unowned; /* target to clk_ms; peer thread only */
   GHashTable *hold_owner; /* target to last owner; peer thread only */
   clk_ms next_hold_ms;
   pthread_mutex_t leaving_lock;
@@ -122,7 +132,9 @@
 void admit_timeouts (struct peer *peer, clk_ms now);
 void admit_view (struct peer *peer, const struct ver_snapshot *version,
                  clk_ms now);
-void admit_sums (struct peer *peer, struct wire_heartbeat *beat);
+void admit_fill_loads (struct peer *peer, struct wire_heartbeat *beat);
+void admit_learn_loads (struct peer *peer, const struct wire_heartbeat *beat,
+                        clk_ms now);
 void admit_free (struct peer *peer);
 void admit_init (struct peer *peer);
 
--- a/process/members.c
+++ b/process/members.c
@@ -99,8 +99,6 @@
   member->state = (enum mem_state)beat->state;
   member->heard_ms = now;
   member->direct_ms = now;
-  member->sum_count = beat->sum_count;
-  memcpy (member->sums, beat->sums, sizeof beat->sums);
   pthread_mutex_unlock (&mem->lock);
   return news;
 }
@@ -179,7 +177,6 @@
       if (member->gone || now - member->heard_ms < MEM_GONE_MS)
         continue;
       member->gone = 1;
-      member->sum_count = 0;
       gone[count++] = member->id;
     }
   pthread_mutex_unlock (&mem->lock);
--- a/process/peer.c
+++ b/process/peer.c
@@ -17,9 +17,14 @@
   RECEIVE_BATCH = 256,
   REVISION_STEP_MS = 20,
   LEAVING_TTL_MS = 5000,
-  SOCKET_BUFFER_BYTES = 4194304
+  SOCKET_BUFFER_BYTES = 4194304,
+  INCARNATION_MS = 100
 };
 
+/* Start of 2024, from which incarnations are counted in INCARNATION_MS, so
+   that they stay short on the wire. */
+static const clk_ms INCARNATION_EPOCH_MS = 1704067200000;
+
 typedef void (*message_handler) (struct peer *peer,
                                  const struct wire_message *message,
                                  const struct sockaddr_in *from, clk_ms now);
@@ -101,11 +106,11 @@
   peer->udp = udp;
   peer->self = peer_id (settings->instance);
   peer->domain = (uint32_t)rank_hash (settings->failure_domain);
-  peer->deployment = (uint32_t)rank_hash (settings->deployment);
-  peer->incarnation = (uint64_t)clk_wall_ms ();
+  peer->incarnation
+      = (uint64_t)((clk_wall_ms () - INCARNATION_EPOCH_MS) / INCARNATION_MS);
   peer->own = own_new ();
   peer->mem = mem_new (peer->self, peer->domain);
-  wire_key_derive (&peer->key, settings->cluster_key);
+  wire_key_derive (&peer->key, settings->cluster_key, settings->deployment);
   bud_init (&peer->bud, settings->control_bytes_per_s,
             clk_now (clk_monotonic ()));
   pthread_mutex_init (&peer->bud_lock, NULL);
@@ -273,7 +278,6 @@
   unsigned char data[WIRE_MAX_BYTES];
   size_t length;
 
-  message->deployment = peer->deployment;
   message->sender = peer->self;
   message->incarnation = peer->incarnation;
   message->sequence = ck_pr_faa_64 (&peer->sequence, 1) + 1;
@@ -336,8 +340,7 @@
 
   if (status != WIRE_OK)
     met_inc (drop_counters[status]);
-  else if (message.deployment != peer->deployment
-           || message.sender == peer->self)
+  else if (message.sender == peer->self)
     met_inc (MET_UDP_FOREIGN);
   else if (!mem_fresh (peer->mem, message.sender, message.incarnation,
                        message.sequence))
@@ -368,6 +371,7 @@
     }
   if (news & MEM_NEWS_REPLACED)
     own_forget_instance (peer->own, message->sender);
+  admit_learn_loads (peer, beat, now);
   for (uint32_t i = 0; i < beat->digest_count; i++)
     mem_digest (peer->mem, &beat->digests[i], now);
   for (uint32_t i = 0; i < beat->leaving_count; i++)
@@ -524,7 +528,7 @@
   beat->revision = ver_store_revision (peer->store);
   beat->domain = peer->domain;
   beat->state = (uint8_t)peer->state;
-  admit_sums (peer, beat);
+  admit_fill_loads (peer, beat);
   beat->leaving_count
       = (uint32_t)copy_leaving (peer, beat->leaving, WIRE_LEAVING_MAX, now);
   for (size_t i = 0; digests && i < WIRE_DIGESTS_MAX && i < count; i++)
--- a/process/peer_admit.c
+++ b/process/peer_admit.c
@@ -30,10 +30,12 @@
                         clk_ms now);
 static struct peer_mean *mean_get (struct peer *peer, uint64_t service);
 static void update_owned (struct peer *peer,
-                          const struct ver_snapshot *version,
-                          struct wire_heartbeat *sums, clk_ms now);
+                          const struct ver_snapshot *version, clk_ms now);
+static void forget_unowned (struct peer *peer, uint64_t target, clk_ms now);
+static void learn_load (struct peer *peer, uint64_t target, int32_t load,
+                        clk_ms now);
 static void update_means (struct peer *peer,
-                          const struct wire_heartbeat *own_sums, clk_ms now);
+                          const struct ver_snapshot *version, clk_ms now);
 static void send_holds (struct peer *peer, clk_ms now);
 static void add_emptied (struct peer *peer, GHashTable *by_target);
 static void send_hold (struct peer *peer, uint64_t target, uint32_t domain,
@@ -53,6 +55,9 @@
       shard->held = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL,
                                            g_free);
     }
+  peer->loads
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  peer->owned = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   peer->means = g_array_new (FALSE, TRUE, sizeof (struct peer_mean));
   peer->unowned
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
@@ -70,6 +75,8 @@
       g_hash_table_destroy (peer->asks[i].held);
     }
   g_array_free (peer->means, TRUE);
+  g_array_free (peer->owned, TRUE);
+  g_hash_table_destroy (peer->loads);
   g_hash_table_destroy (peer->unowned);
   g_hash_table_destroy (peer->hold_owner);
 }
@@ -218,6 +225,7 @@
   ver_exit (peer->reader);
   answer.u.answer.grant = message->u.ask.grant;
   answer.u.answer.verdict = (uint8_t)reply.verdict;
+  answer.u.answer.load = (uint32_t)reply.load;
   answer.u.answer.elsewhere = reply.elsewhere;
   peer_send (peer, from, &answer, BUD_ADMISSION, MET_SENT_ANSWER_BYTES);
 }
@@ -243,8 +251,12 @@
   if (pending != NULL)
     g_hash_table_remove (shard->pending, GUINT_TO_POINTER (answer->grant));
   pthread_mutex_unlock (&shard->lock);
-  if (pending != NULL)
-    finish (peer, pending, &reply);
+  if (pending == NULL)
+    return;
+  if (answer->verdict != OWN_ELSEWHERE)
+    learn_load (peer, pending->ask.target, (int32_t)answer->load,
+                clk_now (clk_monotonic ()));
+  finish (peer, pending, &reply);
 }
 
 /* Ends a grant of another instance.  */
@@ -351,21 +363,81 @@
 void
 admit_view (struct peer *peer, const struct ver_snapshot *version, clk_ms now)
 {
-  struct wire_heartbeat sums = { 0 };
-
-  update_owned (peer, version, &sums, now);
-  update_means (peer, &sums, now);
+  update_owned (peer, version, now);
+  update_means (peer, version, now);
   send_holds (peer, now);
 }
 
-/* Copies to BEAT the loads of the targets owned here, by service.  */
+/* Copies to BEAT the loads of the targets owned here.  */
 void
-admit_sums (struct peer *peer, struct wire_heartbeat *beat)
+admit_fill_loads (struct peer *peer, struct wire_heartbeat *beat)
 {
-  const struct ver_snapshot *version = ver_enter (peer->store, peer->reader);
+  guint count = MIN (peer->owned->len, (guint)WIRE_LOADS_MAX);
 
-  update_owned (peer, version, beat, clk_now (clk_monotonic ()));
-  ver_exit (peer->reader);
+  for (guint i = 0; i < count; i++)
+    {
+      struct wire_load *load = &beat->loads[beat->load_count++];
+
+      load->target = g_array_index (peer->owned, uint64_t, i);
+      load->load = (uint32_t)own_load (peer->own, load->target);
+    }
+}
+
+/* Takes the loads that the owner of targets told at NOW.  */
+void
+admit_learn_loads (struct peer *peer, const struct wire_heartbeat *beat,
+                   clk_ms now)
+{
+  for (uint32_t i = 0; i < beat->load_count; i++)
+    learn_load (peer, beat->loads[i].target, (int32_t)beat->loads[i].load,
+                now);
+}
+
+/* Returns whether TARGET seems to have room for one more request, by what its
+   owner told last; yes if nothing is known.  It only orders the asks: the
+   owner decides.  */
+int
+peer_has_room (struct peer *peer, const struct ver_snapshot *version,
+               uint64_t target)
+{
+  const struct ver_target *entry = ver_target_find (version, target);
+  clk_ms now = clk_now (clk_monotonic ());
+  const struct ver_service *service;
+  const struct peer_load *told;
+  double factor = version->preset.load_factor;
+  int32_t bound;
+  int room = 1;
+
+  if (entry == NULL || peer_is_leaving (peer, target))
+    return 0;
+  service
+      = &g_array_index (version->services, struct ver_service, entry->service);
+  bound = own_bound (mean_for (peer, service->id, factor, now), factor);
+  pthread_mutex_lock (&peer->mean_lock);
+  told = g_hash_table_lookup (peer->loads, &target);
+  if (told != NULL && now - told->told_ms < PEER_LOAD_TTL_MS)
+    room = told->load < MIN (bound, entry->slots);
+  pthread_mutex_unlock (&peer->mean_lock);
+  return room;
+}
+
+/* Remembers what the owner of TARGET told.  */
+static void
+learn_load (struct peer *peer, uint64_t target, int32_t load, clk_ms now)
+{
+  struct peer_load *told;
+
+  pthread_mutex_lock (&peer->mean_lock);
+  told = g_hash_table_lookup (peer->loads, &target);
+  if (told == NULL)
+    {
+      told = g_new0 (struct peer_load, 1);
+      told->target = target;
+      g_hash_table_insert (peer->loads, &told->target, told);
+    }
+  told->load = load;
+  told->told_ms = now;
+  pthread_mutex_unlock (&peer->mean_lock);
 }
 
 /* Sends PENDING's ask to the owner of its target.  Returns 0 if an answer is
@@ -496,106 +568,100 @@
   return &g_array_index (peer->means, struct peer_mean, peer->means->len - 1);
 }
 
-/* Sums the loads of the targets of VERSION owned here into SUMS.  A target
-   that has not been owned here for a while is forgotten.  */
+/* Notes which targets of VERSION are owned here.  A target that has not been
+   owned here for a while is forgotten.  */
 static void
 update_owned (struct peer *peer, const struct ver_snapshot *version,
-              struct wire_heartbeat *sums, clk_ms now)
+              clk_ms now)
 {
   struct mem_member owner;
 
-  sums->sum_count = 0;
-  for (guint i = 0; i < version->services->len; i++)
+  g_array_set_size (peer->owned, 0);
+  for (guint i = 0; i < version->targets->len; i++)
     {
-      const struct ver_service *service
-          = &g_array_index (version->services, struct ver_service, i);
-      struct wire_sum sum = { .service = service->id };
+      const struct ver_target *target = ver_target_at (version, i);
 
-      if (service->kind != VER_KIND_CHAT)
+      if (g_array_index (version->services, struct ver_service,
+                         target->service)
+              .kind
+          != VER_KIND_CHAT)
         continue;
-      for (uint32_t j = 0; j < service->target_count; j++)
+      if (mem_owner (peer->mem, target->id, target->domain_id, 0, now, &owner)
+          != 0)
         {
-          const struct ver_target *target
-              = ver_target_at (version, service->first_target + j);
-          clk_ms *since;
+          forget_unowned (peer, target->id, now);
+          continue;
+        }
+      g_hash_table_remove (peer->unowned, &target->id);
+      g_array_append_val (peer->owned, target->id);
+    }
+}
 
-          if (mem_owner (peer->mem, target->id, target->domain_id, 0, now,
-                         &owner)
-              == 0)
-            {
-              g_hash_table_remove (peer->unowned, &target->id);
-              sum.load += (uint32_t)own_load (peer->own, target->id);
-              sum.targets += target->leaving ? 0 : 1;
-              continue;
-            }
-          since = g_hash_table_lookup (peer->unowned, &target->id);
-          if (since == NULL)
-            {
-              uint64_t *key = g_new (uint64_t, 1);
+/* Forgets TARGET once another instance has owned it for PEER_UNOWNED_MS.  */
+static void
+forget_unowned (struct peer *peer, uint64_t target, clk_ms now)
+{
+  clk_ms *since = g_hash_table_lookup (peer->unowned, &target);
+  uint64_t *key;
 
-              *key = target->id;
-              since = g_new (clk_ms, 1);
-              *since = now;
-              g_hash_table_insert (peer->unowned, key, since);
-            }
-          else if (*since != 0 && now - *since > PEER_UNOWNED_MS)
-            {
-              own_forget_target (peer->own, target->id);
-              *since = 0;
-            }
-        }
-      if (sum.targets > 0 && sums->sum_count < WIRE_SUMS_MAX)
-        sums->sums[sums->sum_count++] = sum;
+  if (since == NULL)
+    {
+      key = g_new (uint64_t, 1);
+      *key = target;
+      since = g_new (clk_ms, 1);
+      *since = now;
+      g_hash_table_insert (peer->unowned, key, since);
+    }
+  else if (*since != 0 && now - *since > PEER_UNOWNED_MS)
+    {
+      own_forget_target (peer->own, target);
+      *since = 0;
     }
 }
 
-/* Adds up OWN_SUMS and what the members told, and observes the means.  */
+/* Observes the mean load of each service's targets: those owned here as they
+   are, the others as their owners told lately.  */
 static void
-update_means (struct peer *peer, const struct wire_heartbeat *own_sums,
+update_means (struct peer *peer, const struct ver_snapshot *version,
               clk_ms now)
 {
-  struct mem_member members[PEER_MEMBERS_MAX];
-  size_t count = mem_list (peer->mem, members, PEER_MEMBERS_MAX);
-  GArray *totals = g_array_new (FALSE, TRUE, sizeof (struct wire_sum));
+  for (guint i = 0; i < peer->owned->len; i++)
+    {
+      uint64_t target = g_array_index (peer->owned, uint64_t, i);
 
-  for (size_t i = 0; i <= count; i++)
+      learn_load (peer, target, own_load (peer->own, target), now);
+    }
+  for (guint i = 0; i < version->services->len; i++)
     {
-      const struct wire_sum *sums
-          = i < count ? members[i].sums : own_sums->sums;
-      uint32_t n = i < count ? members[i].sum_count : own_sums->sum_count;
+      const struct ver_service *service
+          = &g_array_index (version->services, struct ver_service, i);
+      struct peer_mean *mean;
+      int64_t sum = 0;
+      uint32_t count = 0;
 
-      if (i < count && !mem_usable (&members[i], now))
+      if (service->kind != VER_KIND_CHAT)
         continue;
-      for (uint32_t j = 0; j < n; j++)
+      pthread_mutex_lock (&peer->mean_lock);
+      for (uint32_t j = 0; j < service->target_count; j++)
         {
-          guint k = 0;
-
-          while (k < totals->len
-                 && g_array_index (totals, struct wire_sum, k).service
-                        != sums[j].service)
-            k++;
-          if (k == totals->len)
-            g_array_append_val (totals, sums[j]);
-          else
-            {
-              g_array_index (totals, struct wire_sum, k).load += sums[j].load;
-              g_array_index (totals, struct wire_sum, k).targets
-                  += sums[j].targets;
-            }
-        }
-    }
-  pthread_mutex_lock (&peer->mean_lock);
-  for (guint i = 0; i < totals->len; i++)
-    {
-      const struct wire_sum *total
-          = &g_array_index (totals, struct wire_sum, i);
-      struct peer_mean *mean = mean_get (peer, total->service);
+          const struct ver_target *target
+              = ver_target_at (version, service->first_target + j);
+          const struct peer_load *told
+              = g_hash_table_lookup (peer->loads, &target->id);
 
-      mean->targets = total->targets;
-      observe_mean (mean, (double)total->load / total->targets, now);
+          if (told == NULL || now - told->told_ms > PEER_LOAD_TTL_MS)
+            continue;
+          sum += told->load;
+          count += !target->leaving;
+        }
+      if (count > 0)
+        {
+          mean = mean_get (peer, service->id);
+          mean->targets = count;
+          observe_mean (mean, (double)sum / count, now);
+        }
+      pthread_mutex_unlock (&peer->mean_lock);
     }
-  pthread_mutex_unlock (&peer->mean_lock);
-  g_array_free (totals, TRUE);
 }
 
 /* Records VALUE as the mean load at NOW.  */
--- a/process/wire.c
+++ b/process/wire.c
@@ -4,11 +4,14 @@
 #include <msgpack.h>
 #include <sodium.h>
 
+#include <sys/param.h>
+
 #include "ibisloom/wire.h"
 
 enum
 {
-  HEADER_ITEMS = 6
+  HEADER_ITEMS = 5,
+  DIGEST_BYTES = 16
 };
 
 /* Walks the items of a decoded array; a wrong type or a missing item sets
@@ -46,8 +49,9 @@
 static void read_notes (struct reader *reader, struct wire_message *message);
 static uint64_t next (struct reader *reader, uint64_t max);
 static struct reader next_list (struct reader *reader, uint32_t max);
-static void seal (unsigned char *out, size_t length,
-                  const struct wire_key *key);
+static void compute_mac (unsigned char mac[WIRE_MAC_BYTES],
+                         const unsigned char *data, size_t length,
+                         const struct wire_key *key);
 static enum wire_status read_message (struct wire_message *message,
                                       const msgpack_object *object);
 
@@ -64,12 +68,16 @@
   [WIRE_NOTE] = { pack_notes, read_notes },
 };
 
-/* Derives the MAC key from the cluster's SECRET.  */
+/* Derives the MAC key from the cluster's SECRET and the DEPLOYMENT, so that
+   datagrams of another deployment are not genuine here.  */
 void
-wire_key_derive (struct wire_key *key, const char *secret)
+wire_key_derive (struct wire_key *key, const char *secret,
+                 const char *deployment)
 {
-  crypto_generichash (key->bytes, sizeof key->bytes,
-                      (const unsigned char *)secret, strlen (secret), NULL, 0);
+  crypto_generichash (
+      key->bytes, sizeof key->bytes, (const unsigned char *)deployment,
+      strlen (deployment), (const unsigned char *)secret,
+      MIN (strlen (secret), (size_t)crypto_generichash_KEYBYTES_MAX));
 }
 
 /* Writes MESSAGE and its MAC to OUT, which has WIRE_MAX_BYTES.  Returns the
@@ -87,7 +95,6 @@
   msgpack_pack_array (&packer, HEADER_ITEMS + 1);
   msgpack_pack_uint64 (&packer, WIRE_VERSION);
   msgpack_pack_uint64 (&packer, message->kind);
-  msgpack_pack_uint64 (&packer, message->deployment);
   msgpack_pack_uint64 (&packer, message->sender);
   msgpack_pack_uint64 (&packer, message->incarnation);
   msgpack_pack_uint64 (&packer, message->sequence);
@@ -98,7 +105,7 @@
   else
     {
       memcpy (out, buffer.data, length);
-      seal (out, length, key);
+      compute_mac (out + length, out, length, key);
       length += WIRE_MAC_BYTES;
     }
   msgpack_sbuffer_destroy (&buffer);
@@ -118,8 +125,7 @@
   if (length <= WIRE_MAC_BYTES || length > WIRE_MAX_BYTES)
     return WIRE_BAD_FORM;
   length -= WIRE_MAC_BYTES;
-  crypto_generichash (mac, sizeof mac, data, length, key->bytes,
-                      sizeof key->bytes);
+  compute_mac (mac, data, length, key);
   if (sodium_memcmp (mac, data + length, sizeof mac) != 0)
     return WIRE_BAD_MAC;
   msgpack_unpacked_init (&unpacked);
@@ -131,12 +137,17 @@
   return status;
 }
 
-/* Appends the MAC of the LENGTH bytes at OUT behind them.  */
+/* Computes the MAC of LENGTH bytes of DATA: keyed BLAKE2b, cut to 64 bits,
+   which a sender without the key cannot guess within a key's life.  */
 static void
-seal (unsigned char *out, size_t length, const struct wire_key *key)
+compute_mac (unsigned char mac[WIRE_MAC_BYTES], const unsigned char *data,
+             size_t length, const struct wire_key *key)
 {
-  crypto_generichash (out + length, WIRE_MAC_BYTES, out, length, key->bytes,
+  unsigned char digest[DIGEST_BYTES];
+
+  crypto_generichash (digest, sizeof digest, data, length, key->bytes,
                       sizeof key->bytes);
+  memcpy (mac, digest, WIRE_MAC_BYTES);
 }
 
 /* Reads the header and the body of a decoded array.  */
@@ -155,7 +166,6 @@
     return WIRE_OLD_VERSION;
   memset (message, 0, sizeof *message);
   message->kind = (enum wire_kind)next (&reader, WIRE_KIND_COUNT - 1);
-  message->deployment = (uint32_t)next (&reader, UINT32_MAX);
   message->sender = (uint32_t)next (&reader, UINT32_MAX);
   message->incarnation = next (&reader, UINT64_MAX);
   message->sequence = next (&reader, UINT64_MAX);
@@ -209,18 +219,17 @@
 {
   const struct wire_heartbeat *beat = &message->u.heartbeat;
 
-  msgpack_pack_array (packer, 6 + beat->sum_count * 3 + beat->leaving_count
+  msgpack_pack_array (packer, 6 + beat->load_count * 2 + beat->leaving_count
                                   + beat->digest_count * 6);
   msgpack_pack_uint64 (packer, beat->revision);
   msgpack_pack_uint64 (packer, beat->domain);
   msgpack_pack_uint64 (packer, beat->state);
   msgpack_pack_uint64 (packer, beat->wants_reply);
-  msgpack_pack_uint64 (packer, beat->sum_count);
-  for (uint32_t i = 0; i < beat->sum_count; i++)
+  msgpack_pack_uint64 (packer, beat->load_count);
+  for (uint32_t i = 0; i < beat->load_count; i++)
     {
-      msgpack_pack_uint64 (packer, beat->sums[i].service);
-      msgpack_pack_uint64 (packer, beat->sums[i].load);
-      msgpack_pack_uint64 (packer, beat->sums[i].targets);
+      msgpack_pack_uint64 (packer, beat->loads[i].target);
+      msgpack_pack_uint64 (packer, beat->loads[i].load);
     }
   msgpack_pack_uint64 (packer, beat->leaving_count);
   for (uint32_t i = 0; i < beat->leaving_count; i++)
@@ -243,19 +252,19 @@
 read_heartbeat (struct reader *reader, struct wire_message *message)
 {
   struct wire_heartbeat *beat = &message->u.heartbeat;
-  struct reader list = next_list (
-      reader, 6 + WIRE_SUMS_MAX * 3 + WIRE_LEAVING_MAX + WIRE_DIGESTS_MAX * 6);
+  struct reader list
+      = next_list (reader, 6 + WIRE_LOADS_MAX * 2 + WIRE_LEAVING_MAX
+                               + WIRE_DIGESTS_MAX * 6);
 
   beat->revision = next (&list, UINT64_MAX);
   beat->domain = (uint32_t)next (&list, UINT32_MAX);
   beat->state = (uint8_t)next (&list, UINT8_MAX);
   beat->wants_reply = (uint8_t)next (&list, 1);
-  beat->sum_count = (uint32_t)next (&list, WIRE_SUMS_MAX);
-  for (uint32_t i = 0; i < beat->sum_count; i++)
+  beat->load_count = (uint32_t)next (&list, WIRE_LOADS_MAX);
+  for (uint32_t i = 0; i < beat->load_count; i++)
     {
-      beat->sums[i].service = next (&list, UINT64_MAX);
-      beat->sums[i].load = (uint32_t)next (&list, UINT32_MAX);
-      beat->sums[i].targets = (uint32_t)next (&list, UINT32_MAX);
+      beat->loads[i].target = next (&list, UINT64_MAX);
+      beat->loads[i].load = (uint32_t)next (&list, UINT32_MAX);
     }
   beat->leaving_count = (uint32_t)next (&list, WIRE_LEAVING_MAX);
   for (uint32_t i = 0; i < beat->leaving_count; i++)
@@ -310,9 +319,10 @@
 {
   const struct wire_answer *answer = &message->u.answer;
 
-  msgpack_pack_array (packer, 3);
+  msgpack_pack_array (packer, 4);
   msgpack_pack_uint64 (packer, answer->grant);
   msgpack_pack_uint64 (packer, answer->verdict);
+  msgpack_pack_uint64 (packer, answer->load);
   msgpack_pack_uint64 (packer, answer->elsewhere);
 }
 
@@ -321,10 +331,11 @@
 read_answer (struct reader *reader, struct wire_message *message)
 {
   struct wire_answer *answer = &message->u.answer;
-  struct reader list = next_list (reader, 3);
+  struct reader list = next_list (reader, 4);
 
   answer->grant = (uint32_t)next (&list, UINT32_MAX);
   answer->verdict = (uint8_t)next (&list, UINT8_MAX);
+  answer->load = (uint32_t)next (&list, UINT32_MAX);
   answer->elsewhere = next (&list, UINT64_MAX);
   reader->failed |= list.failed;
 }
--- a/request/place.c
+++ b/request/place.c
@@ -39,7 +39,8 @@
 place_start (struct place *place, const struct ver_snapshot *version,
              const struct ver_service *service, uint64_t chat,
              const uint64_t *excluded, size_t excluded_count,
-             clk_ms give_up_ms, struct place_step *step)
+             place_room_fn has_room, void *closure, clk_ms give_up_ms,
+             struct place_step *step)
 {
   const struct rank_node *nodes
       = (const struct rank_node *)(const void *)version->nodes->data
@@ -50,6 +51,8 @@
 
   memset (place, 0, sizeof *place);
   place->give_up_ms = give_up_ms;
+  place->has_room = has_room;
+  place->closure = closure;
   for (size_t i = 0; i < count; i++)
     if (!is_excluded (nodes[top[i]].id, excluded, excluded_count))
       place->candidates[place->count++] = nodes[top[i]].id;
@@ -68,7 +71,7 @@
 {
   if (place->last == PLACE_WAIT)
     {
-      place->at = 0;
+      place->asked = 0;
       place->denied = 0;
       place->noted = 0;
       place->back_home = 0;
@@ -84,7 +87,7 @@
     }
   if (verdict == OWN_ELSEWHERE)
     {
-      ask (place, place->candidates[place->at], OWN_ASK_HERE, step);
+      ask (place, place->candidates[0], OWN_ASK_HERE, step);
       return;
     }
   place->denied |= 1U << verdict;
@@ -108,7 +111,7 @@
 }
 
 /* Goes on after a denial: from the noted target back to the home, from the
-   home down the ranking.  */
+   home down the ranking to those that seem to have room.  */
 static void
 walk (struct place *place, clk_ms now, struct place_step *step)
 {
@@ -118,13 +121,15 @@
       ask (place, place->candidates[0], OWN_ASK_HERE, step);
       return;
     }
-  place->at++;
-  if (place->at < place->count && place->candidates[place->at] == place->noted)
-    place->at++;
-  if (place->at < place->count)
-    ask (place, place->candidates[place->at], OWN_ASK_HERE, step);
-  else
-    end_round (place, now, step);
+  for (size_t i = 1; i < place->count; i++)
+    if (!(place->asked & (1U << i)) && place->candidates[i] != place->noted
+        && place->has_room (place->closure, place->candidates[i]))
+      {
+        place->asked |= 1U << i;
+        ask (place, place->candidates[i], OWN_ASK_HERE, step);
+        return;
+      }
+  end_round (place, now, step);
 }
 
 /* Waits for another round, or refuses if all targets are down or the time is
--- a/request/rank.c
+++ b/request/rank.c
@@ -13,6 +13,7 @@
   size_t index;
 };
 
+static uint64_t mix (uint64_t key, uint64_t id);
 static int is_uniform (const struct rank_node *nodes, size_t count);
 static size_t insert (struct scored *best, size_t filled, size_t capacity,
                       struct scored item);
@@ -38,6 +39,14 @@
   return XXH3_64bits_digest (&state);
 }
 
+/* Returns an identifier of 32 bits for three strings, short on the wire.
+   Where two must not be equal, the configuration is checked for it.  */
+uint64_t
+rank_id (const char *first, const char *second, const char *third)
+{
+  return rank_hash_parts (first, second, third) & UINT32_MAX;
+}
+
 /* Writes to TOP the indexes of the TOP_COUNT (at most RANK_TOP_MAX) best of
    COUNT NODES for KEY, best first, and returns how many there are.  Nodes of
    weight 0 are left out.  A node wins a share of the keys in proportion to
@@ -61,7 +70,7 @@
 
       if (nodes[i].weight <= 0)
         continue;
-      hash = XXH3_64bits_withSeed (&key, sizeof key, nodes[i].id);
+      hash = mix (key, nodes[i].id);
       item.score = (double)(hash >> 11) + 0.5;
       if (!uniform)
         item.score = -nodes[i].weight / log (item.score * 0x1p-53);
@@ -72,6 +81,18 @@
   return filled;
 }
 
+/* Hashes KEY and ID, which are well mixed themselves (the finalizer of
+   SplitMix64, Steele et al. 2014).  */
+static uint64_t
+mix (uint64_t key, uint64_t id)
+{
+  uint64_t hash = key ^ (id * 0x9e3779b97f4a7c15ULL);
+
+  hash = (hash ^ (hash >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  hash = (hash ^ (hash >> 27)) * 0x94d049bb133111ebULL;
+  return hash ^ (hash >> 31);
+}
+
 /* Returns whether all NODES have one positive weight.  */
 static int
 is_uniform (const struct rank_node *nodes, size_t count)
--- a/request/request.c
+++ b/request/request.c
@@ -22,6 +22,7 @@
                                 const struct led_reply *reply);
 typedef void (*step_handler) (struct req *req, const struct place_step *step);
 
+static int has_room (void *closure, uint64_t target);
 static void step_ask (struct req *req, const struct place_step *step);
 static void step_take (struct req *req, const struct place_step *step);
 static void step_wait (struct req *req, const struct place_step *step);
@@ -140,11 +141,22 @@
       return;
     }
   place_start (&req->place, version, service, req->chat, req->excluded,
-               req->excluded_count,
+               req->excluded_count, has_room, req,
                MIN (now + version->preset.queue_ms, req->deadline_ms), &step);
   step_handlers[step.action](req, &step);
 }
 
+/* Tells the choice of the request CLOSURE whether TARGET seems to have
+   room.  */
+static int
+has_room (void *closure, uint64_t target)
+{
+  const struct req *req = closure;
+
+  return peer_has_room (req->worker->server->peer, req->worker->version,
+                        target);
+}
+
 /* Goes on with the owner's REPLY.  */
 void
 req_on_reply (struct req *req, const struct peer_reply *reply)
--- a/version/version_snapshot.c
+++ b/version/version_snapshot.c
@@ -139,7 +139,7 @@
       struct ver_service *service
           = &g_array_index (version->services, struct ver_service, i);
 
-      service->id = rank_hash_parts (deployment, service->name, "");
+      service->id = rank_id (deployment, service->name, "");
       for (uint32_t j = 0; j < service->target_count; j++)
         {
           uint32_t index = service->first_target + j;
@@ -148,15 +148,22 @@
           struct rank_node node;
 
           target->service = i;
-          target->id
-              = rank_hash_parts (deployment, service->name, target->name);
+          target->id = rank_id (deployment, service->name, target->name);
           node.id = target->id;
           node.weight = target->leaving ? 0 : target->weight;
           service->ready_count += node.weight > 0;
           g_array_append_val (version->nodes, node);
           target->domain_id = (uint32_t)rank_hash (target->failure_domain);
-          g_hash_table_insert (version->index, &target->id,
-                               GUINT_TO_POINTER (index + 1));
+          if (!g_hash_table_insert (version->index, &target->id,
+                                    GUINT_TO_POINTER (index + 1)))
+            {
+              err_set (error, ERR_INVALID,
+                       "target %s: its identifier is that of another one; "
+                       "rename it",
+                       target->name);
+              snapshot_free (version);
+              return NULL;
+            }
         }
     }
   return version;
@@ -350,7 +357,7 @@
       return -1;
     }
   g_strlcpy (customer->name, name, sizeof customer->name);
-  customer->id = rank_hash (name);
+  customer->id = rank_id (name, "", "");
   g_hash_table_replace (version->customers, &customer->id, customer);
   return 0;
 }
--- a/version/version_store.c
+++ b/version/version_store.c
@@ -270,7 +270,7 @@
 const struct ver_customer *
 ver_customer_find (const struct ver_snapshot *version, const char *name)
 {
-  uint64_t id = rank_hash (name);
+  uint64_t id = rank_id (name, "", "");
   const struct ver_customer *customer
       = g_hash_table_lookup (version->customers, &id);
 
