Queue at the owner, for the context or for room, in place of polling

Cause: a denied request polled (ask, wait, ask): 3 asks per request spent the control budget, answers were dropped, and placements without the owner broke the bound; a bound rounded up left no room for the mean to fall.

Change: an ask may wait at the owner (by priority, then arrival, within the customer's share), which answers when room comes; a chat waits up to context_wait_ms of the preset where its context is; answers and ends of grants go before asks in the budget; without budget a request waits instead of being sent unasked; the bound is rounded down.

--- a/include/ibisloom/budget.h
+++ b/include/ibisloom/budget.h
@@ -10,7 +10,8 @@
 enum bud_class
 {
   BUD_HEARTBEAT,
-  BUD_ADMISSION,
+  BUD_ANSWER, /* answers to asks, and ends of grants */
+  BUD_ASK,
   BUD_CONFIG,
   BUD_REPAIR,
   BUD_NOTE,
--- a/include/ibisloom/owner.h
+++ b/include/ibisloom/owner.h
@@ -16,6 +16,7 @@
   OWN_DENY_SHARE,
   OWN_DENY_DOWN,
   OWN_DENY_LEAVING,
+  OWN_WAIT, /* queued: own_next brings the verdict */
   OWN_VERDICT_COUNT
 };
 
@@ -40,6 +41,8 @@
   uint32_t instance;
   uint32_t grant;
   uint32_t flags;
+  uint32_t wait_ms;
+  uint32_t priority;
 };
 
 /* What the version in force and the members say about the target. */
@@ -76,6 +79,9 @@
 void own_decide (struct own *own, const struct own_ask *ask,
                  const struct own_limits *limits, clk_ms now,
                  struct own_reply *reply);
+int own_next (struct own *own, uint64_t target,
+              const struct own_limits *limits, clk_ms now, struct own_ask *ask,
+              struct own_reply *reply);
 void own_release (struct own *own, uint64_t target, uint32_t instance,
                   uint32_t grant, enum own_outcome outcome, clk_ms now);
 int own_hold (struct own *own, uint64_t target, uint32_t instance,
--- a/include/ibisloom/peer.h
+++ b/include/ibisloom/peer.h
@@ -12,7 +12,8 @@
 enum peer_verdict
 {
   /* Values below PEER_TIMEOUT are those of enum own_verdict. */
-  PEER_TIMEOUT = OWN_VERDICT_COUNT
+  PEER_TIMEOUT = OWN_VERDICT_COUNT, /* the owner does not answer */
+  PEER_UNSENT /* the control budget does not allow the ask now */
 };
 
 struct peer_reply
@@ -37,6 +38,8 @@
   uint64_t chat;
   uint64_t customer;
   uint32_t flags;
+  uint32_t wait_ms;
+  uint32_t priority;
 };
 
 struct peer;
@@ -47,7 +50,7 @@
 void peer_start (struct peer *peer);
 void peer_stop (struct peer *peer);
 void peer_free (struct peer *peer);
-int peer_has_room (struct peer *peer, const struct ver_snapshot *version,
+int32_t peer_room (struct peer *peer, const struct ver_snapshot *version,
                    uint64_t target);
 uint32_t peer_ask (struct peer *peer, const struct ver_snapshot *version,
                    const struct peer_query *query, peer_reply_fn fn,
--- a/include/ibisloom/place.h
+++ b/include/ibisloom/place.h
@@ -26,41 +26,48 @@
   PLACE_CUSTOMER_SHARE
 };
 
+/* Tells how many more requests a target seems to have room for. */
+typedef int32_t (*place_room_fn) (void *closure, uint64_t target);
+
+/* What is to be placed. */
+struct place_wish
+{
+  uint64_t chat;
+  int64_t context_wait_ms; /* how long waiting beats a lost context */
+  clk_ms give_up_ms;
+  place_room_fn room;
+  void *closure;
+};
+
 struct place_step
 {
   enum place_action action;
+  enum place_reason reason;
   uint64_t target;
   uint32_t flags;
-  int64_t wait_ms;
-  enum place_reason reason;
+  int64_t wait_ms; /* at the owner of the target, or before the next ask */
 };
 
-/* Tells whether a target seems to have room, to ask likely ones first. */
-typedef int (*place_room_fn) (void *closure, uint64_t target);
-
 /* Progress of one choice; the caller carries out each step and reports what
    came of it. */
 struct place
 {
+  struct place_wish wish;
+  struct place_step step;
   uint64_t candidates[RANK_TOP_MAX];
   size_t count;
-  unsigned asked; /* bit I: candidate I was asked in this round */
-  place_room_fn has_room;
-  void *closure;
+  unsigned asked; /* bit I: candidate I was asked in the walk */
+  unsigned asked_count;
+  size_t last_at;  /* where the next few for queueing begin */
+  unsigned denied; /* bit V: verdict V came */
   uint64_t noted;
-  uint64_t last_asked;
   int back_home;
-  clk_ms give_up_ms;
-  unsigned denied;
-  unsigned waits;
-  enum place_action last;
 };
 
 void place_start (struct place *place, const struct ver_snapshot *version,
-                  const struct ver_service *service, uint64_t chat,
-                  const uint64_t *excluded, size_t excluded_count,
-                  place_room_fn has_room, void *closure, clk_ms give_up_ms,
-                  struct place_step *step);
+                  const struct ver_service *service,
+                  const struct place_wish *wish, const uint64_t *excluded,
+                  size_t excluded_count, struct place_step *step);
 void place_next (struct place *place, uint32_t verdict, uint64_t elsewhere,
                  clk_ms now, struct place_step *step);
 uint64_t place_home (const struct place *place);
--- a/include/ibisloom/version.h
+++ b/include/ibisloom/version.h
@@ -62,6 +62,7 @@
   double reserve_share;
   double retry_share;
   int64_t queue_ms;
+  int64_t context_wait_ms;
   int64_t note_ttl_ms;
 };
 
--- a/include/ibisloom/wire.h
+++ b/include/ibisloom/wire.h
@@ -75,6 +75,8 @@
   uint64_t customer;
   uint32_t grant;
   uint32_t flags;
+  uint32_t wait_ms;
+  uint32_t priority;
 };
 
 struct wire_answer
--- a/process/budget.c
+++ b/process/budget.c
@@ -11,8 +11,8 @@
 /* Part of a full bucket, in percent, that a class must leave to the classes
    before it. */
 static const int64_t floor_percent[BUD_CLASS_COUNT] = {
-  [BUD_HEARTBEAT] = 0, [BUD_ADMISSION] = 10, [BUD_CONFIG] = 20,
-  [BUD_REPAIR] = 30,   [BUD_NOTE] = 45,
+  [BUD_HEARTBEAT] = 0, [BUD_ANSWER] = 5,  [BUD_ASK] = 25,
+  [BUD_CONFIG] = 15,   [BUD_REPAIR] = 30, [BUD_NOTE] = 45,
 };
 
 /* Prepares BUD, full, for RATE_BYTES_PER_S.  */
--- a/process/libpeer.h
+++ b/process/libpeer.h
@@ -21,7 +21,7 @@
   PEER_UNOWNED_MS = 3000,
   PEER_MEMBERS_MAX = 256,
   PEER_LOAD_TTL_MS = 3000,
-  PEER_MEAN_SLOTS = 8,
+  PEER_MEAN_SLOTS = 16,
   PEER_MEAN_SLOT_MS = 250,
   PEER_ASK_SHARDS = 16
 };
@@ -132,6 +132,7 @@
                  clk_ms now);
 void admit_notes (struct peer *peer, const struct wire_message *message,
                   clk_ms now);
+void admit_waiters (struct peer *peer, clk_ms now);
 void admit_timeouts (struct peer *peer, clk_ms now);
 void admit_view (struct peer *peer, const struct ver_snapshot *version,
                  clk_ms now);
--- a/process/peer.c
+++ b/process/peer.c
@@ -428,6 +428,7 @@
 tick (struct peer *peer, clk_ms now)
 {
   admit_timeouts (peer, now);
+  admit_waiters (peer, now);
   if (now >= peer->next_view_ms)
     {
       const struct ver_snapshot *version
--- a/process/peer_admit.c
+++ b/process/peer_admit.c
@@ -12,9 +12,17 @@
 };
 
 /* Part of the mean load that is taken to last as long as a request. */
-static const double MEAN_KEPT = 0.88;
+static const double MEAN_KEPT = 0.86;
 
 static struct peer_ask_shard *shard_of (struct peer *peer, uint32_t grant);
+static void fill_answer (struct wire_message *message, uint32_t grant,
+                         const struct own_reply *reply);
+static void answer_waiter (struct peer *peer, const struct own_ask *ask,
+                           const struct own_reply *reply);
+static struct own_limits limits_for (struct peer *peer,
+                                     const struct ver_snapshot *version,
+                                     const struct ver_target *target,
+                                     uint64_t customer, clk_ms now);
 static void decide_locally (struct peer *peer, const struct wire_ask *ask,
                             const struct ver_snapshot *version,
                             uint32_t instance, struct own_reply *reply,
@@ -107,6 +115,8 @@
   pending->ask.chat = query->chat;
   pending->ask.customer = query->customer;
   pending->ask.flags = query->flags;
+  pending->ask.wait_ms = query->wait_ms;
+  pending->ask.priority = query->priority;
   pending->ask.grant = grant;
   pending->domain = query->domain;
   pending->fn = fn;
@@ -161,7 +171,7 @@
   message.u.release.grant = grant;
   message.u.release.outcome = (uint8_t)outcome;
   if (owner_find (peer, copy.target, copy.domain, now, &owner) == 1)
-    peer_send (peer, &owner.address, &message, BUD_ADMISSION,
+    peer_send (peer, &owner.address, &message, BUD_ANSWER,
                MET_SENT_RELEASE_BYTES);
   else
     own_release (peer->own, copy.target, peer->self, grant, outcome, now);
@@ -241,11 +251,66 @@
   decide_locally (peer, &message->u.ask, version, message->sender, &reply,
                   now);
   ver_exit (peer->reader);
-  answer.u.answer.grant = message->u.ask.grant;
-  answer.u.answer.verdict = (uint8_t)reply.verdict;
-  answer.u.answer.load = (uint32_t)reply.load;
-  answer.u.answer.elsewhere = reply.elsewhere;
-  peer_send (peer, from, &answer, BUD_ADMISSION, MET_SENT_ANSWER_BYTES);
+  if (reply.verdict == OWN_WAIT)
+    return;
+  fill_answer (&answer, message->u.ask.grant, &reply);
+  peer_send (peer, from, &answer, BUD_ANSWER, MET_SENT_ANSWER_BYTES);
+}
+
+/* Fills the MESSAGE that answers the ask for GRANT with REPLY.  */
+static void
+fill_answer (struct wire_message *message, uint32_t grant,
+             const struct own_reply *reply)
+{
+  struct wire_answer *answer = &message->u.answer;
+
+  message->kind = WIRE_ANSWER;
+  answer->grant = grant;
+  answer->verdict = (uint8_t)reply->verdict;
+  answer->load = (uint32_t)reply->load;
+  answer->elsewhere = reply->elsewhere;
+}
+
+/* Answers the asks that wait at the targets owned here and have their
+   verdicts at NOW.  */
+void
+admit_waiters (struct peer *peer, clk_ms now)
+{
+  const struct ver_snapshot *version = ver_enter (peer->store, peer->reader);
+
+  for (guint i = 0; i < peer->owned->len; i++)
+    {
+      uint64_t id = g_array_index (peer->owned, uint64_t, i);
+      const struct ver_target *target = ver_target_find (version, id);
+      struct own_limits limits;
+      struct own_reply reply;
+      struct own_ask ask;
+
+      if (target == NULL)
+        continue;
+      limits = limits_for (peer, version, target, 0, now);
+      while (own_next (peer->own, id, &limits, now, &ask, &reply))
+        answer_waiter (peer, &ask, &reply);
+    }
+  ver_exit (peer->reader);
+}
+
+/* Sends the REPLY to an ASK that waited.  */
+static void
+answer_waiter (struct peer *peer, const struct own_ask *ask,
+               const struct own_reply *reply)
+{
+  struct wire_message message = { 0 };
+  struct mem_member asker;
+  int found;
+
+  fill_answer (&message, ask->grant, reply);
+  found = mem_find (peer->mem, ask->instance, &asker);
+  if (found == 0)
+    admit_answer (peer, &message.u.answer);
+  else if (found == 1)
+    peer_send (peer, &asker.address, &message, BUD_ANSWER,
+               MET_SENT_ANSWER_BYTES);
 }
 
 /* Ends the ask that ANSWER is for; one that comes late is given back by the
@@ -334,7 +399,8 @@
           struct peer_pending *pending = value;
 
           if (pending->sent_ms == 0
-              || now - pending->sent_ms < PEER_ASK_TIMEOUT_MS)
+              || now - pending->sent_ms
+                     < PEER_ASK_TIMEOUT_MS + (clk_ms)pending->ask.wait_ms)
             continue;
           g_ptr_array_add (overdue, pending);
           g_hash_table_iter_remove (&iter);
@@ -412,12 +478,12 @@
                 now);
 }
 
-/* Returns whether TARGET seems to have room for one more request, by what its
-   owner told last; yes if nothing is known.  It only orders the asks: the
+/* Returns how many more requests TARGET seems to have room for, by what its
+   owner told last; one if nothing is known.  It only orders the asks: the
    owner decides.  */
-int
-peer_has_room (struct peer *peer, const struct ver_snapshot *version,
-               uint64_t target)
+int32_t
+peer_room (struct peer *peer, const struct ver_snapshot *version,
+           uint64_t target)
 {
   const struct ver_target *entry = ver_target_find (version, target);
   clk_ms now = clk_now (clk_monotonic ());
@@ -425,17 +491,17 @@
   const struct peer_load *told;
   double factor = version->preset.load_factor;
   int32_t bound;
-  int room = 1;
+  int32_t room = 1;
 
   if (entry == NULL || peer_is_leaving (peer, target))
-    return 0;
+    return INT32_MIN;
   service
       = &g_array_index (version->services, struct ver_service, entry->service);
   bound = own_bound (mean_for (peer, service->id, factor, now), factor);
   pthread_mutex_lock (&peer->mean_lock);
   told = g_hash_table_lookup (peer->loads, &target);
   if (told != NULL && now - told->told_ms < PEER_LOAD_TTL_MS)
-    room = told->load < MIN (bound, entry->slots);
+    room = MIN (bound, entry->slots) - told->load;
   pthread_mutex_unlock (&peer->mean_lock);
   return room;
 }
@@ -479,16 +545,20 @@
       met_inc (MET_ASK_REMOTE);
       message.u.ask = pending->ask;
       pending->sent_ms = now;
-      if (peer_send (peer, &owner.address, &message, BUD_ADMISSION,
+      if (peer_send (peer, &owner.address, &message, BUD_ASK,
                      MET_SENT_ASK_BYTES)
           == 0)
         return 0;
+      reply->verdict = PEER_UNSENT;
       return 1;
     }
   if (found < 0)
     return 1;
   met_inc (MET_ASK_LOCAL);
+  pending->sent_ms = now;
   decide_locally (peer, &pending->ask, version, peer->self, &decision, now);
+  if (decision.verdict == OWN_WAIT)
+    return 0;
   reply->verdict = decision.verdict;
   reply->elsewhere = decision.elsewhere;
   return 1;
@@ -527,14 +597,15 @@
                 struct own_reply *reply, clk_ms now)
 {
   const struct ver_target *target = ver_target_find (version, ask->target);
-  const struct ver_service *service;
-  struct own_limits limits = { 0 };
+  struct own_limits limits;
   struct own_ask own_ask = { .target = ask->target,
                              .chat = ask->chat,
                              .customer = ask->customer,
                              .instance = instance,
                              .grant = ask->grant,
-                             .flags = ask->flags };
+                             .flags = ask->flags,
+                             .wait_ms = ask->wait_ms,
+                             .priority = ask->priority };
 
   if (target == NULL)
     {
@@ -542,17 +613,28 @@
       reply->verdict = OWN_DENY_LEAVING;
       return;
     }
-  service = &g_array_index (version->services, struct ver_service,
-                            target->service);
-  limits.load_factor = version->preset.load_factor;
-  limits.reserve_share = version->preset.reserve_share;
-  limits.slots = target->slots;
-  limits.leaving = target->leaving || peer_is_leaving (peer, target->id);
-  limits.customer_weight = ver_customer_weight (version, ask->customer);
-  limits.mean_load = mean_for (peer, service->id, limits.load_factor, now);
+  limits = limits_for (peer, version, target, ask->customer, now);
   own_decide (peer->own, &own_ask, &limits, now, reply);
 }
 
+/* Returns the limits of VERSION on TARGET for CUSTOMER at NOW.  */
+static struct own_limits
+limits_for (struct peer *peer, const struct ver_snapshot *version,
+            const struct ver_target *target, uint64_t customer, clk_ms now)
+{
+  const struct ver_service *service = &g_array_index (
+      version->services, struct ver_service, target->service);
+  struct own_limits limits
+      = { .load_factor = version->preset.load_factor,
+          .reserve_share = version->preset.reserve_share,
+          .slots = target->slots,
+          .leaving = target->leaving || peer_is_leaving (peer, target->id),
+          .customer_weight = ver_customer_weight (version, customer) };
+
+  limits.mean_load = mean_for (peer, service->id, limits.load_factor, now);
+  return limits;
+}
+
 /* Returns the mean load to bound against: the lowest of the last seconds, so
    that a target filled up to the bound still keeps it when other requests
    end, though not below MEAN_KEPT of the mean now, and enough for any target
--- a/process/wire.c
+++ b/process/wire.c
@@ -290,12 +290,14 @@
 {
   const struct wire_ask *ask = &message->u.ask;
 
-  msgpack_pack_array (packer, 5);
+  msgpack_pack_array (packer, 7);
   msgpack_pack_uint64 (packer, ask->target);
   msgpack_pack_uint64 (packer, ask->chat);
   msgpack_pack_uint64 (packer, ask->customer);
   msgpack_pack_uint64 (packer, ask->grant);
   msgpack_pack_uint64 (packer, ask->flags);
+  msgpack_pack_uint64 (packer, ask->wait_ms);
+  msgpack_pack_uint64 (packer, ask->priority);
 }
 
 /* Reads what pack_ask wrote.  */
@@ -303,13 +305,15 @@
 read_ask (struct reader *reader, struct wire_message *message)
 {
   struct wire_ask *ask = &message->u.ask;
-  struct reader list = next_list (reader, 5);
+  struct reader list = next_list (reader, 7);
 
   ask->target = next (&list, UINT64_MAX);
   ask->chat = next (&list, UINT64_MAX);
   ask->customer = next (&list, UINT64_MAX);
   ask->grant = (uint32_t)next (&list, UINT32_MAX);
   ask->flags = (uint32_t)next (&list, UINT32_MAX);
+  ask->wait_ms = (uint32_t)next (&list, UINT16_MAX);
+  ask->priority = (uint32_t)next (&list, UINT8_MAX);
   reader->failed |= list.failed;
 }
 
--- a/request/owner.c
+++ b/request/owner.c
@@ -17,9 +17,14 @@
   FAILURES_TO_OPEN = 2,
   OPEN_MIN_MS = 250,
   OPEN_MAX_MS = 8000,
+  WAITERS_MAX = 64,
+  WAITERS_MAX_PER_CUSTOMER = 16,
   NOTES_MAX_PER_SHARD = 16384
 };
 
+/* Guards whole numbers against errors of floating point. */
+static const double ROUNDING = 1e-9;
+
 struct grant
 {
   uint64_t customer;
@@ -43,10 +48,20 @@
   clk_ms retry_at_ms;
 };
 
+/* An ask that waits for room. */
+struct waiter
+{
+  struct own_ask ask;
+  double weight;
+  clk_ms until_ms;
+  enum own_verdict denied;
+};
+
 struct owned
 {
-  GArray *grants; /* of struct grant */
-  GArray *askers; /* of struct asker */
+  GArray *grants;  /* of struct grant */
+  GArray *waiters; /* of struct waiter: by priority, then as they came */
+  GArray *askers;  /* of struct asker */
   struct breaker breaker;
 };
 
@@ -68,6 +83,14 @@
 static enum own_verdict judge (struct owned *owned, const struct own_ask *ask,
                                const struct own_limits *limits, clk_ms now,
                                struct own_reply *reply);
+static int may_wait (const struct owned *owned, const struct own_ask *ask,
+                     enum own_verdict verdict);
+static void enqueue (struct owned *owned, const struct own_ask *ask,
+                     const struct own_limits *limits, clk_ms now,
+                     enum own_verdict denied);
+static void drop_waiter (struct owned *owned, uint32_t instance,
+                         uint32_t grant);
+static void drop_note (struct shard *shard, const struct own_ask *ask);
 static int is_known (const struct owned *owned, const struct own_ask *ask);
 static double fair_share (struct owned *owned, const struct own_ask *ask,
                           const struct own_limits *limits, clk_ms now);
@@ -138,16 +161,57 @@
       reply->verdict = judge (owned, ask, limits, now, reply);
       if (reply->verdict == OWN_GRANT && note != NULL)
         g_hash_table_remove (shard->notes, &ask->chat);
+      else if (may_wait (owned, ask, reply->verdict))
+        {
+          enqueue (owned, ask, limits, now, reply->verdict);
+          reply->verdict = OWN_WAIT;
+        }
     }
   pthread_mutex_unlock (&shard->lock);
 }
 
-/* Returns the highest load that a target may carry: LOAD_FACTOR times the
-   mean once the new request counts, rounded up, and never below one.  */
+/* Takes out of TARGET's queue at NOW one ask that has its verdict: a grant, in
+   the order of priority and arrival but not beyond a customer's share, or the
+   denial it got first when its time is up.  Returns 1 and fills ASK and REPLY,
+   or 0 if the queue has none.  */
+int
+own_next (struct own *own, uint64_t target, const struct own_limits *limits,
+          clk_ms now, struct own_ask *ask, struct own_reply *reply)
+{
+  struct shard *shard = shard_of (own, target);
+  struct owned *owned;
+  int found = 0;
+
+  pthread_mutex_lock (&shard->lock);
+  owned = g_hash_table_lookup (shard->targets, &target);
+  for (guint i = 0; owned != NULL && i < owned->waiters->len && !found; i++)
+    {
+      struct waiter *waiter
+          = &g_array_index (owned->waiters, struct waiter, i);
+      struct own_limits own_limits = *limits;
+
+      own_limits.customer_weight = waiter->weight;
+      memset (reply, 0, sizeof *reply);
+      reply->verdict = judge (owned, &waiter->ask, &own_limits, now, reply);
+      found = reply->verdict == OWN_GRANT || now >= waiter->until_ms
+              || limits->leaving;
+      if (!found)
+        continue;
+      *ask = waiter->ask;
+      g_array_remove_index (owned->waiters, i);
+      if (reply->verdict == OWN_GRANT)
+        drop_note (shard, ask);
+    }
+  pthread_mutex_unlock (&shard->lock);
+  return found;
+}
+
+/* Returns the load up to which a target may be filled: LOAD_FACTOR times the
+   mean, rounded down to leave room for the mean to fall, never below one.  */
 int32_t
 own_bound (double mean_load, double load_factor)
 {
-  int32_t bound = (int32_t)ceil (mean_load * load_factor - 1e-9);
+  int32_t bound = (int32_t)floor (mean_load * load_factor + ROUNDING);
 
   return bound < 1 ? 1 : bound;
 }
@@ -172,6 +236,7 @@
       g_array_remove_index_fast (owned->grants, i);
       break;
     }
+  drop_waiter (owned, instance, grant);
   record_outcome (&owned->breaker, outcome, now);
   pthread_mutex_unlock (&shard->lock);
 }
@@ -349,9 +414,80 @@
   if (load >= open_slots && held_by (owned, ask->customer) + 1 > share)
     return OWN_DENY_SHARE;
   g_array_append_val (owned->grants, grant);
+  reply->load++;
   return OWN_GRANT;
 }
 
+/* Returns whether ASK, denied by VERDICT, may wait in the queue: for room, not
+   for a target that is down, and not beyond a customer's part of the queue. */
+static int
+may_wait (const struct owned *owned, const struct own_ask *ask,
+          enum own_verdict verdict)
+{
+  int of_customer = 0;
+
+  if (ask->wait_ms == 0
+      || (verdict != OWN_DENY_BOUND && verdict != OWN_DENY_CAPACITY
+          && verdict != OWN_DENY_SHARE))
+    return 0;
+  for (guint i = 0; i < owned->waiters->len; i++)
+    of_customer
+        += g_array_index (owned->waiters, struct waiter, i).ask.customer
+           == ask->customer;
+  return owned->waiters->len < WAITERS_MAX
+         && of_customer < WAITERS_MAX_PER_CUSTOMER;
+}
+
+/* Queues ASK, which was DENIED; one that came before keeps its place.  */
+static void
+enqueue (struct owned *owned, const struct own_ask *ask,
+         const struct own_limits *limits, clk_ms now, enum own_verdict denied)
+{
+  struct waiter waiter = { .ask = *ask,
+                           .weight = limits->customer_weight,
+                           .until_ms = now + ask->wait_ms,
+                           .denied = denied };
+  guint at = 0;
+
+  for (guint i = 0; i < owned->waiters->len; i++)
+    {
+      const struct own_ask *other
+          = &g_array_index (owned->waiters, struct waiter, i).ask;
+
+      if (other->instance == ask->instance && other->grant == ask->grant)
+        return;
+      if (other->priority >= ask->priority)
+        at = i + 1;
+    }
+  g_array_insert_val (owned->waiters, at, waiter);
+}
+
+/* Takes INSTANCE's ask GRANT out of the queue, if it is there.  */
+static void
+drop_waiter (struct owned *owned, uint32_t instance, uint32_t grant)
+{
+  for (guint i = 0; i < owned->waiters->len; i++)
+    {
+      const struct own_ask *ask
+          = &g_array_index (owned->waiters, struct waiter, i).ask;
+
+      if (ask->instance != instance || ask->grant != grant)
+        continue;
+      g_array_remove_index (owned->waiters, i);
+      return;
+    }
+}
+
+/* Drops the note of ASK's chat, which is back at its home.  */
+static void
+drop_note (struct shard *shard, const struct own_ask *ask)
+{
+  const struct own_note *note = g_hash_table_lookup (shard->notes, &ask->chat);
+
+  if (note != NULL && note->home == ask->target)
+    g_hash_table_remove (shard->notes, &ask->chat);
+}
+
 /* Returns whether ASK was granted already.  */
 static int
 is_known (const struct owned *owned, const struct own_ask *ask)
@@ -481,6 +617,7 @@
     return owned;
   owned = g_new0 (struct owned, 1);
   owned->grants = g_array_new (FALSE, FALSE, sizeof (struct grant));
+  owned->waiters = g_array_new (FALSE, FALSE, sizeof (struct waiter));
   owned->askers = g_array_new (FALSE, FALSE, sizeof (struct asker));
   key = g_new (uint64_t, 1);
   *key = target;
@@ -495,6 +632,7 @@
   struct owned *owned = data;
 
   g_array_free (owned->grants, TRUE);
+  g_array_free (owned->waiters, TRUE);
   g_array_free (owned->askers, TRUE);
   g_free (owned);
 }
--- a/request/place.c
+++ b/request/place.c
@@ -7,9 +7,11 @@
 enum
 {
   TOP_OF_MANY = 6,
-  WAIT_MIN_MS = 25,
-  WAIT_MAX_MS = 200,
-  WAIT_DOUBLINGS_MAX = 3
+  MANY_TARGETS = 64,
+  ASKS_PER_ROUND = 3,
+  LAST_WAIT_MS = 250,
+  LAST_CHOICES = 3,
+  UNSENT_WAIT_MS = 50
 };
 
 typedef void (*verdict_handler) (struct place *place, clk_ms now,
@@ -18,11 +20,12 @@
 static void take (struct place *place, clk_ms now, struct place_step *step);
 static void unanswered (struct place *place, clk_ms now,
                         struct place_step *step);
+static void unsent (struct place *place, clk_ms now, struct place_step *step);
 static void walk (struct place *place, clk_ms now, struct place_step *step);
 static void ask (struct place *place, uint64_t target, uint32_t flags,
-                 struct place_step *step);
-static void end_round (struct place *place, clk_ms now,
-                       struct place_step *step);
+                 int64_t wait_ms, struct place_step *step);
+static void last_resort (struct place *place, clk_ms now,
+                         struct place_step *step);
 static void refuse (struct place *place, enum place_reason reason,
                     struct place_step *step);
 static int is_excluded (uint64_t id, const uint64_t *excluded, size_t count);
@@ -33,37 +36,36 @@
   [OWN_DENY_BOUND] = walk,   [OWN_DENY_CAPACITY] = walk,
   [OWN_DENY_SHARE] = walk,   [OWN_DENY_DOWN] = walk,
   [OWN_DENY_LEAVING] = walk, [PEER_TIMEOUT] = unanswered,
+  [PEER_UNSENT] = unsent,
 };
 
 /* Starts the choice for CHAT among SERVICE's targets without the EXCLUDED
-   ones, which failed this request before; it ends at GIVE_UP_MS.  The home of
-   the chat is asked first, and may name the target that served the chat
-   last.  */
+   ones, which failed this request before, as WISH describes it.  The home of
+   the chat is asked first, and may name the target that served the chat last;
+   at either it is worth waiting a little for the context that is there.  */
 void
 place_start (struct place *place, const struct ver_snapshot *version,
-             const struct ver_service *service, uint64_t chat,
+             const struct ver_service *service, const struct place_wish *wish,
              const uint64_t *excluded, size_t excluded_count,
-             place_room_fn has_room, void *closure, clk_ms give_up_ms,
              struct place_step *step)
 {
   const struct rank_node *nodes
       = (const struct rank_node *)(const void *)version->nodes->data
         + service->first_target;
   size_t top[RANK_TOP_MAX];
-  size_t count
-      = rank_top (chat, nodes, service->target_count, top, RANK_TOP_MAX);
+  size_t count = rank_top (
+      wish->chat, nodes, service->target_count, top,
+      service->target_count > MANY_TARGETS ? TOP_OF_MANY : RANK_TOP_MAX);
 
   memset (place, 0, sizeof *place);
-  place->give_up_ms = give_up_ms;
-  place->has_room = has_room;
-  place->closure = closure;
+  place->wish = *wish;
   for (size_t i = 0; i < count; i++)
     if (!is_excluded (nodes[top[i]].id, excluded, excluded_count))
       place->candidates[place->count++] = nodes[top[i]].id;
   if (place->count == 0)
     refuse (place, PLACE_NO_TARGET, step);
   else
-    ask (place, place->candidates[0], 0, step);
+    ask (place, place->candidates[0], 0, wish->context_wait_ms, step);
 }
 
 /* Takes the VERDICT (of enum peer_verdict) on the last ask (the target
@@ -73,25 +75,19 @@
 place_next (struct place *place, uint32_t verdict, uint64_t elsewhere,
             clk_ms now, struct place_step *step)
 {
-  if (place->last == PLACE_WAIT)
+  if (place->step.action == PLACE_WAIT)
     {
-      place->asked = 0;
-      place->denied = 0;
-      place->noted = 0;
-      place->back_home = 0;
-      ask (place, place->candidates[0], 0, step);
-      return;
-    }
-  if (verdict == OWN_ELSEWHERE && place->noted == 0
-      && is_candidate (place, elsewhere))
-    {
-      place->noted = elsewhere;
-      ask (place, elsewhere, OWN_ASK_HERE, step);
+      ask (place, place->step.target, place->step.flags, place->step.wait_ms,
+           step);
       return;
     }
   if (verdict == OWN_ELSEWHERE)
     {
-      ask (place, place->candidates[0], OWN_ASK_HERE, step);
+      int known = place->noted == 0 && is_candidate (place, elsewhere);
+
+      place->noted = known ? elsewhere : place->noted;
+      ask (place, known ? elsewhere : place->candidates[0], OWN_ASK_HERE,
+           place->wish.context_wait_ms, step);
       return;
     }
   place->denied |= 1U << verdict;
@@ -110,8 +106,9 @@
 take (struct place *place, clk_ms now, struct place_step *step)
 {
   (void)now;
-  place->last = PLACE_TAKE;
   step->action = PLACE_TAKE;
+  step->target = place->step.target;
+  place->step = *step;
 }
 
 /* The owner does not answer: takes the target if it seems to have room, as
@@ -119,12 +116,30 @@
 static void
 unanswered (struct place *place, clk_ms now, struct place_step *step)
 {
-  if (place->has_room (place->closure, place->last_asked))
+  if (place->wish.room (place->wish.closure, place->step.target) > 0)
     take (place, now, step);
   else
     walk (place, now, step);
 }
 
+/* No ask can be sent for now: waits for the budget, as the bound goes before
+   speed, but at the end of the time serves without having asked.  */
+static void
+unsent (struct place *place, clk_ms now, struct place_step *step)
+{
+  if (now < place->wish.give_up_ms)
+    {
+      place->step.action = PLACE_WAIT;
+      *step = place->step;
+      step->wait_ms = UNSENT_WAIT_MS;
+      return;
+    }
+  if (place->wish.room (place->wish.closure, place->step.target) > 0)
+    take (place, now, step);
+  else
+    refuse (place, PLACE_CAPACITY, step);
+}
+
 /* Goes on after a denial: from the noted target back to the home, from the
    home down the ranking to those that seem to have room.  */
 static void
@@ -133,64 +148,82 @@
   if (place->noted != 0 && !place->back_home)
     {
       place->back_home = 1;
-      ask (place, place->candidates[0], OWN_ASK_HERE, step);
+      ask (place, place->candidates[0], OWN_ASK_HERE, 0, step);
       return;
     }
-  for (size_t i = 1; i < place->count; i++)
+  for (size_t i = 1; i < place->count && place->asked_count < ASKS_PER_ROUND;
+       i++)
     if (!(place->asked & (1U << i)) && place->candidates[i] != place->noted
-        && place->has_room (place->closure, place->candidates[i]))
+        && place->wish.room (place->wish.closure, place->candidates[i]) > 0)
       {
         place->asked |= 1U << i;
-        ask (place, place->candidates[i], OWN_ASK_HERE, step);
+        place->asked_count++;
+        ask (place, place->candidates[i], OWN_ASK_HERE, 0, step);
         return;
       }
-  end_round (place, now, step);
+  last_resort (place, now, step);
 }
 
-/* Waits for another round, or refuses if all targets are down or the time is
-   up.  */
+/* Queues at the roomiest of a few targets, other ones each time so that
+   requests do not all queue at one, or refuses if all targets are down or the
+   time is up.  */
 static void
-end_round (struct place *place, clk_ms now, struct place_step *step)
+last_resort (struct place *place, clk_ms now, struct place_step *step)
 {
   unsigned busy = (1U << OWN_DENY_BOUND) | (1U << OWN_DENY_CAPACITY)
-                  | (1U << OWN_DENY_SHARE);
-  unsigned doublings = MIN (place->waits, WAIT_DOUBLINGS_MAX);
+                  | (1U << OWN_DENY_SHARE) | (1U << PEER_TIMEOUT);
+  size_t best = 0;
+  int32_t most = INT32_MIN;
 
   if (!(place->denied & busy))
-    refuse (place, PLACE_NO_TARGET, step);
-  else if (now >= place->give_up_ms)
-    refuse (place,
-            place->denied & (1U << OWN_DENY_SHARE) ? PLACE_CUSTOMER_SHARE
-                                                   : PLACE_CAPACITY,
-            step);
-  else
     {
-      place->waits++;
-      place->last = PLACE_WAIT;
-      step->action = PLACE_WAIT;
-      step->wait_ms = MIN (WAIT_MIN_MS << doublings, WAIT_MAX_MS);
+      refuse (place, PLACE_NO_TARGET, step);
+      return;
+    }
+  if (now >= place->wish.give_up_ms)
+    {
+      refuse (place,
+              place->denied & (1U << OWN_DENY_SHARE) ? PLACE_CUSTOMER_SHARE
+                                                     : PLACE_CAPACITY,
+              step);
+      return;
+    }
+  for (size_t i = 0; i < MIN (place->count, (size_t)LAST_CHOICES); i++)
+    {
+      size_t at = (place->last_at + i) % place->count;
+      int32_t room
+          = place->wish.room (place->wish.closure, place->candidates[at]);
+
+      if (room > most)
+        {
+          most = room;
+          best = at;
+        }
     }
+  place->last_at += LAST_CHOICES;
+  ask (place, place->candidates[best], OWN_ASK_HERE,
+       MIN (place->wish.give_up_ms - now, (int64_t)LAST_WAIT_MS), step);
 }
 
-/* Sets STEP to ask for TARGET.  */
+/* Sets STEP to ask for TARGET, waiting there up to WAIT_MS.  */
 static void
-ask (struct place *place, uint64_t target, uint32_t flags,
+ask (struct place *place, uint64_t target, uint32_t flags, int64_t wait_ms,
      struct place_step *step)
 {
-  place->last = PLACE_ASK;
-  place->last_asked = target;
   step->action = PLACE_ASK;
   step->target = target;
   step->flags = flags;
+  step->wait_ms = wait_ms;
+  place->step = *step;
 }
 
 /* Sets STEP to refuse for REASON.  */
 static void
 refuse (struct place *place, enum place_reason reason, struct place_step *step)
 {
-  place->last = PLACE_REFUSE;
   step->action = PLACE_REFUSE;
   step->reason = reason;
+  place->step = *step;
 }
 
 /* Returns whether ID is among the COUNT EXCLUDED.  */
--- a/request/request.c
+++ b/request/request.c
@@ -22,7 +22,7 @@
                                 const struct led_reply *reply);
 typedef void (*step_handler) (struct req *req, const struct place_step *step);
 
-static int has_room (void *closure, uint64_t target);
+static int32_t room (void *closure, uint64_t target);
 static void step_ask (struct req *req, const struct place_step *step);
 static void step_take (struct req *req, const struct place_step *step);
 static void step_wait (struct req *req, const struct place_step *step);
@@ -122,7 +122,13 @@
   const struct ver_snapshot *version = req->worker->version;
   const struct ver_service *service = ver_service_find (version, req->service);
   clk_ms now = clk_now (clk_monotonic ());
-  struct place_step step;
+  struct place_wish wish
+      = { .chat = req->chat,
+          .context_wait_ms = version->preset.context_wait_ms,
+          .give_up_ms = MIN (now + version->preset.queue_ms, req->deadline_ms),
+          .room = room,
+          .closure = req };
+  struct place_step step = { 0 };
 
   if (service == NULL)
     {
@@ -140,21 +146,19 @@
       place_plain (req, service);
       return;
     }
-  place_start (&req->place, version, service, req->chat, req->excluded,
-               req->excluded_count, has_room, req,
-               MIN (now + version->preset.queue_ms, req->deadline_ms), &step);
+  place_start (&req->place, version, service, &wish, req->excluded,
+               req->excluded_count, &step);
   step_handlers[step.action](req, &step);
 }
 
-/* Tells the choice of the request CLOSURE whether TARGET seems to have
-   room.  */
-static int
-has_room (void *closure, uint64_t target)
+/* Tells the choice of the request CLOSURE how much room TARGET seems to
+   have.  */
+static int32_t
+room (void *closure, uint64_t target)
 {
   const struct req *req = closure;
 
-  return peer_has_room (req->worker->server->peer, req->worker->version,
-                        target);
+  return peer_room (req->worker->server->peer, req->worker->version, target);
 }
 
 /* Goes on with the owner's REPLY.  */
@@ -368,11 +372,14 @@
 {
   const struct ver_snapshot *version = req->worker->version;
   const struct ver_target *target = ver_target_find (version, step->target);
-  struct peer_query query = { .target = step->target,
-                              .domain = target ? target->domain_id : 0,
-                              .chat = req->chat,
-                              .customer = req->customer_id,
-                              .flags = step->flags };
+  struct peer_query query
+      = { .target = step->target,
+          .domain = target ? target->domain_id : 0,
+          .chat = step->target == place_home (&req->place) ? req->chat : 0,
+          .customer = req->customer_id,
+          .flags = step->flags,
+          .wait_ms = (uint32_t)step->wait_ms,
+          .priority = (uint32_t)req->priority };
 
   req->asked_target = step->target;
   req->asked_domain = query.domain;
--- a/version/version_snapshot.c
+++ b/version/version_snapshot.c
@@ -78,8 +78,8 @@
 };
 static const char *const customer_keys[] = { "weight", "note", NULL };
 static const char *const preset_keys[]
-    = { "load_factor", "reserve_share", "retry_share", "queue_ms",
-        "note_ttl_ms", "note",          NULL };
+    = { "load_factor", "reserve_share",   "retry_share", "queue_ms",
+        "note_ttl_ms", "context_wait_ms", "note",        NULL };
 static const char *const in_force_keys[]
     = { "preset", "settings", "by", "change", NULL };
 
@@ -92,6 +92,8 @@
 };
 
 static const struct time_field preset_times[] = {
+  { "context_wait_ms", offsetof (struct ver_preset, context_wait_ms), 0, 10000,
+    150 },
   { "queue_ms", offsetof (struct ver_preset, queue_ms), 0, 60000, 1000 },
   { "note_ttl_ms", offsetof (struct ver_preset, note_ttl_ms), 1000, 86400000,
     3600000 },
