--- a/bench/scenarios.sh
+++ b/bench/scenarios.sh
@@ -92,13 +92,13 @@
 
 scenario_reuse () {
   local i list="10 11"
-  instances=6 slots=40 cache_tokens=7000 prefill_us=100 itl_ms=15
+  instances=6 slots=40 cache_tokens=11000 prefill_us=100 itl_ms=15
   fleet_start || return 1
   list_leaving 10 11
   event engine 10 down
   event engine 11 down
   sleep 2
-  load_start chats=400 rate=45 tokens=100 prompt=200 growth=40 duration_ms=34000 zipf=0.6
+  load_start chats=800 rate=65 tokens=60 prompt=200 growth=40 duration_ms=34000 zipf=0.8
   sleep "$(draw 3 5)"
   list_leaving 10 11 0; event engine 0 down
   sleep 2
