Keep the ledger available through faults: one writer, one write a batch

Cause (traced by refusals per second and logs after each fault): after any slow second every instance wrote the log itself and conflicted; claims without a verdict were sealed even when no record could exist; a key that stood n times in a batch took n writes in a row, so that repeats of refused calls kept commits slower than the claims' deadline for good.

Change: a slow writer stays the writer, a dead or silent one is passed over by all in the same order; only unsure claims are sealed; operations of a batch are judged on staged entries and made durable in one write; while the platform is known to be down operations are answered at once; conflicts back off.

--- a/bench/scenarios.sh
+++ b/bench/scenarios.sh
@@ -7,8 +7,12 @@
   echo $((10#${up/./} * 10))
 }
 
-# A number from $1 to $2.
-draw () { echo $(($1 + (RANDOM * 32768 + RANDOM) % ($2 - $1 + 1))); }
+# Sets $drawn to a number from $1 to $2 that depends on the seed and on how
+# many were drawn before.
+draw () {
+  random_state=$(((${random_state:-$seed} * 1103515245 + 12345) % 2147483648))
+  drawn=$(($1 + (random_state >> 8) % ($2 - $1 + 1)))
+}
 
 pause_ms () { sleep "$(printf '%d.%03d' $(($1 / 1000)) $(($1 % 1000)))"; }
 
@@ -99,16 +103,16 @@
   event engine 11 down
   sleep 2
   load_start chats=800 rate=65 tokens=60 prompt=200 growth=40 duration_ms=34000 zipf=0.8
-  sleep "$(draw 3 5)"
+  draw 3 5; sleep "$drawn"
   list_leaving 10 11 0; event engine 0 down
   sleep 2
   list_leaving 10 11 0 1; event engine 1 down
   sleep 1
   for i in 1 2 3; do
     list_leaving 10 11 0 1 2; event engine 2 down
-    pause_ms "$(draw 400 900)"
+    draw 400 900; pause_ms "$drawn"
     list_leaving 10 11 0 1; event engine 2 up
-    pause_ms "$(draw 400 900)"
+    draw 400 900; pause_ms "$drawn"
   done
   list_leaving 11 0 1; event engine 10 up
   replace_instance 0
@@ -129,7 +133,8 @@
   sleep 4
   # Routers disagree for three seconds: an engine is taken out by the list.
   local out
-  out=$(draw 0 11)
+  draw 0 11
+  out=$drawn
   event engine "$out" down
   list_leaving "$out"
   sleep 3
@@ -169,14 +174,14 @@
   # Three in ten engines fail, each in its own way, and a service worker.
   engine_fault 0 error; engine_fault 1 refuse; engine_fault 2 stall
   service_fault 0 error
-  sleep "$(draw 5 7)"
+  draw 5 7; sleep "$drawn"
   for i in 0 1 2; do engine_fault $i ok; done
   service_fault 0 refuse
   sleep 3
   service_fault 0 ok
   # Connections fall silent for good while new ones work.
   for ((i = 0; i < engines; i++)); do engine_fault "$i" silent; done
-  sleep "$(draw 2 4)"
+  draw 2 4; sleep "$drawn"
   for ((i = 0; i < engines; i += 2)); do engine_fault "$i" silent; done
   load_wait
   report gaps
@@ -203,18 +208,20 @@
 once_faults () {
   local i n
   for n in 1 2 3 4 5 6 7; do
-    pause_ms "$(draw 400 1200)"
-    i=$(draw 0 $((instances - 1)))
-    case $(draw 0 7) in
+    draw 400 1200; pause_ms "$drawn"
+    draw 0 $((instances - 1))
+    i=$drawn
+    draw 0 7
+    case $drawn in
       0) kill -9 "${instance_pid[$i]}"; wait "${instance_pid[$i]}" 2> /dev/null
          start_instance "$i" ;;
       1) kill -STOP "${instance_pid[$i]}"; sleep 5; kill -CONT "${instance_pid[$i]}" ;;
-      2) service_fault "$(draw 0 2)" before 50 ;;
-      3) service_fault "$(draw 0 2)" during 50 ;;
-      4) platform_fault down; pause_ms "$(draw 500 2000)"; platform_fault ok ;;
-      5) platform_fault lose 30; pause_ms "$(draw 500 2000)"; platform_fault ok ;;
-      6) platform_fault ok 100 60; pause_ms "$(draw 500 2000)"; platform_fault ok 100 "$platform_ms" ;;
-      7) platform_fault hang 50; pause_ms "$(draw 500 2000)"; platform_fault ok ;;
+      2) draw 0 2; service_fault "$drawn" before 50 ;;
+      3) draw 0 2; service_fault "$drawn" during 50 ;;
+      4) platform_fault down; draw 500 2000; pause_ms "$drawn"; platform_fault ok ;;
+      5) platform_fault lose 30; draw 500 2000; pause_ms "$drawn"; platform_fault ok ;;
+      6) platform_fault ok 100 60; draw 500 2000; pause_ms "$drawn"; platform_fault ok 100 "$platform_ms" ;;
+      7) platform_fault hang 50; draw 500 2000; pause_ms "$drawn"; platform_fault ok ;;
     esac
     if [ "$n" = 4 ]; then
       for i in 0 1 2; do service_fault "$i" ok; done
--- a/include/ibisloom/ledger.h
+++ b/include/ibisloom/ledger.h
@@ -20,7 +20,8 @@
   LED_ANSWERED,   /* it ran before; the answer is in the reply */
   LED_UNFINISHED, /* another attempt may be running or may have run */
   LED_MISMATCH,   /* the key stands for another request */
-  LED_DOWN,       /* no record could be made in time */
+  LED_DOWN,       /* no record was made */
+  LED_UNSURE,     /* no record is known to be made, but one may appear */
   LED_STORED,     /* the outcome is durable */
   LED_ABSENT,     /* a look-up found no record */
   LED_VERDICT_COUNT
--- a/version/ledger.c
+++ b/version/ledger.c
@@ -3,8 +3,11 @@
    Any instance may write, as the log's conditional writes decide; sending all
    operations to one by rendezvous hashing only makes batches large and
    conflicts rare.  */
+#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <ck_pr.h>
 #include <sodium.h>
@@ -26,6 +29,10 @@
   RETRY_MIN_MS = 20,
   RETRY_MAX_MS = 1000,
   RETRY_DOUBLINGS_MAX = 6,
+  AVOIDED_MAX = 4,
+  AVOID_MS = 1500,
+  SILENT_MS = 800,
+  WRITER_RANKS = 3,
   BACKLOG_MAX = 65536,
   URL_MAX_BYTES = 128,
   HTTP_OK = 200,
@@ -39,8 +46,17 @@
   struct fetch *fetch;
 };
 
+/* An instance that is passed over as the writer. */
+struct avoided
+{
+  uint32_t id;
+  clk_ms until_ms;
+};
+
 struct led
 {
+  struct avoided avoided[AVOIDED_MAX];
+  size_t next_avoided;
   const struct settings *settings;
   struct peer *peer;
   struct led_writer *writer;
@@ -69,12 +85,18 @@
 static void send_ops (struct sender *sender, GPtrArray *ops);
 static int send_remote (struct sender *sender, GPtrArray *ops,
                         const struct sockaddr_in *address);
+static int is_listening (const struct mem_member *member);
+static int find_writer (struct led *led, clk_ms now,
+                        struct mem_member *writer);
+static void avoid (struct led *led, uint32_t id, clk_ms now);
+static int is_avoided (struct led *led, uint32_t id, clk_ms now);
 static void take_results (struct led *led, GPtrArray *ops, json_t *results);
 static void on_local (void *closure, uint64_t tag,
                       const struct led_reply *reply);
 static void push (struct led *led, struct led_op *op);
 static void delay (struct led *led, struct led_op *op);
-static void give_back (struct led *led, struct led_op *op);
+static void give_back (struct led *led, struct led_op *op,
+                       enum led_verdict verdict);
 static void conclude (struct led *led, struct led_op *op,
                       const struct led_reply *reply);
 static void seal_claim (struct led *led, const struct led_call *call);
@@ -444,18 +466,15 @@
     }
 }
 
-/* Sends OPS to the instance that writes.  The first try of an operation goes
-   to the owner by rendezvous hashing, the later ones are written here: an
-   operation may safely be carried out twice.  */
+/* Sends OPS to the instance that writes.  An operation may safely be carried
+   out twice, so what got no answer is sent again.  */
 static void
 send_ops (struct sender *sender, GPtrArray *ops)
 {
   struct led *led = sender->led;
   struct mem_member owner;
   clk_ms now = clk_now (clk_monotonic ());
-  int remote = mem_owner (peer_members (led->peer), rank_hash ("ledger"), 0, 0,
-                          now, &owner)
-               == 1;
+  int remote = find_writer (led, now, &owner);
 
   for (guint i = ops->len; i > 0; i--)
     {
@@ -467,17 +486,78 @@
 
           g_ptr_array_remove_index_fast (ops, i - 1);
           conclude (led, op, &reply);
+          continue;
         }
-      else if (!remote || op->tries % 2 == 1 || op->kind == LED_OP_LOOKUP)
-        {
-          g_ptr_array_remove_index_fast (ops, i - 1);
-          writer_push (led->writer, local_copy (led, op));
-        }
+      if (remote)
+        continue;
+      g_ptr_array_remove_index_fast (ops, i - 1);
+      writer_push (led->writer, local_copy (led, op));
     }
   if (ops->len == 0 || send_remote (sender, ops, &owner.address) == 0)
     return;
+  if (now - owner.heard_ms > SILENT_MS || !is_listening (&owner))
+    avoid (led, owner.id, now);
   for (guint i = 0; i < ops->len; i++)
-    give_back (led, g_ptr_array_index (ops, i));
+    give_back (led, g_ptr_array_index (ops, i), LED_UNSURE);
+}
+
+/* Finds the instance that writes: the first in the rendezvous ranking that is
+   not dead or silent, as far as is known here.  A slow writer stays the
+   writer, and all instances pass over a dead one to the same next one: many
+   writers at once would only conflict.
+   Returns 1 and fills WRITER, or 0 if it is this instance.  */
+static int
+find_writer (struct led *led, clk_ms now, struct mem_member *writer)
+{
+  uint64_t duty = rank_hash ("ledger");
+
+  for (size_t rank = 0; rank < WRITER_RANKS; rank++)
+    {
+      int found
+          = mem_owner (peer_members (led->peer), duty, 0, rank, now, writer);
+
+      if (found < 0)
+        break;
+      if (found == 0 || !is_avoided (led, writer->id, now))
+        return found;
+    }
+  return mem_owner (peer_members (led->peer), duty, 0, 0, now, writer) > 0;
+}
+
+/* Returns whether MEMBER's process accepts connections.  */
+static int
+is_listening (const struct mem_member *member)
+{
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  int result = connect (fd, (const struct sockaddr *)&member->address,
+                        sizeof member->address);
+  int refused = result != 0 && errno == ECONNREFUSED;
+
+  close (fd);
+  return !refused;
+}
+
+/* Passes over instance ID for a while.  */
+static void
+avoid (struct led *led, uint32_t id, clk_ms now)
+{
+  pthread_mutex_lock (&led->lock);
+  led->avoided[led->next_avoided] = (struct avoided){ id, now + AVOID_MS };
+  led->next_avoided = (led->next_avoided + 1) % AVOIDED_MAX;
+  pthread_mutex_unlock (&led->lock);
+}
+
+/* Returns whether instance ID is passed over at NOW.  */
+static int
+is_avoided (struct led *led, uint32_t id, clk_ms now)
+{
+  int found = 0;
+
+  pthread_mutex_lock (&led->lock);
+  for (size_t i = 0; i < AVOIDED_MAX; i++)
+    found |= led->avoided[i].id == id && now < led->avoided[i].until_ms;
+  pthread_mutex_unlock (&led->lock);
+  return found;
 }
 
 /* Sends OPS to the writer at ADDRESS.  Returns 0 if it answered.  */
@@ -551,8 +631,8 @@
         bytes = g_base64_decode (body, &length);
       reply.body = (const char *)bytes;
       reply.body_length = length;
-      if (reply.verdict == LED_DOWN)
-        give_back (led, op);
+      if (reply.verdict == LED_DOWN || reply.verdict == LED_UNSURE)
+        give_back (led, op, reply.verdict);
       else
         conclude (led, op, &reply);
       g_free (bytes);
@@ -584,8 +664,8 @@
   struct local *local = closure;
 
   (void)tag;
-  if (reply->verdict == LED_DOWN)
-    give_back (local->led, local->op);
+  if (reply->verdict == LED_DOWN || reply->verdict == LED_UNSURE)
+    give_back (local->led, local->op, reply->verdict);
   else
     conclude (local->led, local->op, reply);
   g_free (local);
@@ -608,13 +688,15 @@
   pthread_mutex_unlock (&led->lock);
 }
 
-/* Tries OP again later, with a delay that doubles, if there is time.  */
+/* Tries OP, which got VERDICT, again later if there is time, with a delay
+   that doubles.  */
 static void
-give_back (struct led *led, struct led_op *op)
+give_back (struct led *led, struct led_op *op, enum led_verdict verdict)
 {
   struct led_reply reply = { .verdict = LED_DOWN };
   clk_ms now = clk_now (clk_monotonic ());
 
+  op->unsure |= verdict == LED_UNSURE;
   op->tries++;
   if (now + RETRY_MIN_MS > op->deadline_ms)
     conclude (led, op, &reply);
@@ -630,8 +712,6 @@
       = MIN ((int64_t)RETRY_MIN_MS << MIN (op->tries - 1, RETRY_DOUBLINGS_MAX),
              (int64_t)RETRY_MAX_MS);
 
-  if (op->tries == 1)
-    wait_ms = 0;
   op->queued_ms = clk_now (clk_monotonic ()) + wait_ms;
   pthread_mutex_lock (&led->lock);
   g_queue_push_tail (&led->delayed, op);
@@ -644,7 +724,7 @@
 static void
 conclude (struct led *led, struct led_op *op, const struct led_reply *reply)
 {
-  if (op->kind == LED_OP_CLAIM && reply->verdict == LED_DOWN)
+  if (op->kind == LED_OP_CLAIM && reply->verdict == LED_DOWN && op->unsure)
     seal_claim (led, &op->call);
   if (op->fn != NULL)
     op->fn (op->closure, op->tag, reply);
--- a/version/ledger_log.c
+++ b/version/ledger_log.c
@@ -19,6 +19,9 @@
 };
 
 static void entry_free (gpointer data);
+static struct led_entry *entry_find (const struct led_log *log,
+                                     const char *key);
+static struct led_entry *entry_stage (struct led_log *log, const char *key);
 static int take_segment (struct led_log *log, json_t *item, GError **error);
 static int64_t segment_number (const struct led_log *log, const char *name);
 static void copy_text (char *slot, size_t size, json_t *value);
@@ -33,6 +36,8 @@
   g_snprintf (log->prefix, sizeof log->prefix, "%s/ledger/", deployment);
   log->entries
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, entry_free);
+  log->staged
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, entry_free);
   log->open_records = g_string_new (NULL);
   log->first = -1;
   log->open = -1;
@@ -43,6 +48,7 @@
 log_clear (struct led_log *log)
 {
   g_hash_table_destroy (log->entries);
+  g_hash_table_destroy (log->staged);
   g_string_free (log->open_records, TRUE);
 }
 
@@ -113,8 +119,7 @@
 log_judge (const struct led_log *log, const struct led_op *op,
            const struct led_entry **entry, enum led_verdict *verdict)
 {
-  const struct led_entry *held
-      = g_hash_table_lookup (log->entries, op->call.key);
+  const struct led_entry *held = entry_find (log, op->call.key);
   int same = held != NULL && strcmp (held->nonce, op->call.nonce) == 0;
 
   *entry = held;
@@ -173,11 +178,11 @@
   return record;
 }
 
-/* Brings the entry of RECORD's key up to date.  A finished entry never
+/* Brings the staged entry of RECORD's key up to date.  A finished entry never
    changes, and an outcome counts only for the attempt that holds the claim.
    Returns 0, or -1 if the record is malformed.  */
 int
-log_apply_record (struct led_log *log, json_t *record)
+log_stage (struct led_log *log, json_t *record)
 {
   const char *key = json_string_value (json_object_get (record, "k"));
   const char *nonce = json_string_value (json_object_get (record, "n"));
@@ -187,16 +192,15 @@
 
   if (key == NULL || nonce == NULL || strlen (key) >= LED_ID_BYTES)
     return -1;
-  entry = g_hash_table_lookup (log->entries, key);
-  if (entry == NULL || (entry->not_run && strcmp (entry->nonce, nonce) != 0))
+  entry = entry_stage (log, key);
+  if (entry->nonce[0] == '\0'
+      || (entry->not_run && strcmp (entry->nonce, nonce) != 0))
     {
-      entry = g_new0 (struct led_entry, 1);
-      g_strlcpy (entry->key, key, sizeof entry->key);
       copy_text (entry->nonce, sizeof entry->nonce,
                  json_object_get (record, "n"));
       entry->fingerprint
           = (uint64_t)json_integer_value (json_object_get (record, "f"));
-      g_hash_table_replace (log->entries, entry->key, entry);
+      entry->not_run = 0;
     }
   entry->time_ms = json_integer_value (json_object_get (record, "t"));
   if (strcmp (entry->nonce, nonce) != 0 || entry->finished)
@@ -213,7 +217,64 @@
   return 0;
 }
 
-/* Appends RECORDS, an array, in one write and applies them.  Returns 0, or -1
+/* Makes the staged entries the known ones.  */
+void
+log_keep_staged (struct led_log *log)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, log->staged);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct led_entry *entry = value;
+
+      g_hash_table_iter_steal (&iter);
+      g_hash_table_replace (log->entries, entry->key, entry);
+    }
+}
+
+/* Forgets the staged entries.  */
+void
+log_drop_staged (struct led_log *log)
+{
+  g_hash_table_remove_all (log->staged);
+}
+
+/* Returns the entry of KEY, a staged one first, or NULL.  */
+static struct led_entry *
+entry_find (const struct led_log *log, const char *key)
+{
+  struct led_entry *entry = g_hash_table_lookup (log->staged, key);
+
+  return entry != NULL ? entry : g_hash_table_lookup (log->entries, key);
+}
+
+/* Returns the staged entry of KEY: a copy of the known one, or a new one.  */
+static struct led_entry *
+entry_stage (struct led_log *log, const char *key)
+{
+  struct led_entry *staged = g_hash_table_lookup (log->staged, key);
+  const struct led_entry *known;
+
+  if (staged != NULL)
+    return staged;
+  staged = g_new0 (struct led_entry, 1);
+  known = g_hash_table_lookup (log->entries, key);
+  if (known != NULL)
+    {
+      *staged = *known;
+      staged->content_type = g_strdup (known->content_type);
+      staged->body = g_strdup (known->body);
+    }
+  else
+    g_strlcpy (staged->key, key, sizeof staged->key);
+  g_hash_table_insert (log->staged, staged->key, staged);
+  return staged;
+}
+
+/* Appends RECORDS, an array whose effects are staged, in one write and keeps
+   or drops what is staged.  Returns 0, or -1
    with ERROR set: ERR_CONFLICT if another writer appended, so that the log
    must be loaded and the operations judged again.  After any other error too
    the log must be loaded first.  */
@@ -226,8 +287,6 @@
   int64_t number = log->open < 0 ? 0 : log->open;
   uint64_t revision = 0;
   char *object;
-  json_t *record;
-  size_t i;
   int sealed;
   int result;
 
@@ -243,10 +302,11 @@
   if (result != 0)
     {
       g_string_free (text, TRUE);
+      log_drop_staged (log);
       log->loaded = 0;
       return -1;
     }
-  json_array_foreach (records, i, record) log_apply_record (log, record);
+  log_keep_staged (log);
   if (log->first < 0)
     log->first = number;
   /* Nobody else appended between the last read and this write.  */
@@ -328,7 +388,8 @@
                name ? name : "");
       return -1;
     }
-  json_array_foreach (records, i, record) log_apply_record (log, record);
+  json_array_foreach (records, i, record) log_stage (log, record);
+  log_keep_staged (log);
   if (log->first < 0 || number < log->first)
     log->first = number;
   if (number >= log->open)
--- a/version/ledger_writer.c
+++ b/version/ledger_writer.c
@@ -3,6 +3,8 @@
 #include <string.h>
 #include <time.h>
 
+#include <sodium.h>
+
 #include "ibisloom/error.h"
 #include "ibisloom/log.h"
 #include "ibisloom/metrics.h"
@@ -12,6 +14,9 @@
 {
   BATCH_MAX = 512,
   CONFLICTS_MAX = 8,
+  CONFLICT_JITTER_MS = 8,
+  DOWN_MIN_MS = 20,
+  DOWN_DOUBLINGS_MAX = 4,
   PLATFORM_TIMEOUT_MS = 150,
   EXPIRE_MS = 1000,
   IDLE_MS = 200,
@@ -30,6 +35,8 @@
   struct led_log log;
   struct plat *plat;
   clk_ms last_write_ms;
+  clk_ms down_until_ms;
+  int failures;
   clk_ms next_expire_ms;
 };
 
@@ -40,8 +47,9 @@
 static void commit (struct led_writer *writer, GPtrArray *ops);
 static int try_commit (struct led_writer *writer, GPtrArray *ops,
                        GError **error);
-static void reply_committed (struct led_writer *writer, GPtrArray *ops);
-static void fail_all (GPtrArray *ops);
+static void stage_op (struct led_log *log, struct led_op *op, json_t *records);
+static void fail_all (GPtrArray *ops, enum led_verdict verdict);
+static void note_failure (struct led_writer *writer);
 static void drop_late (GPtrArray *ops);
 static void sleep_ms (int64_t ms);
 
@@ -122,6 +130,7 @@
       drop_late (ops);
       if (ops->len > 0)
         commit (writer, ops);
+      writer->last_write_ms = clk_now (clk_monotonic ());
       g_ptr_array_free (ops, TRUE);
     }
 }
@@ -148,8 +157,10 @@
                   - writer->settings->ledger_retention_s * MS_PER_S);
 }
 
-/* Keeps writes apart by the interval of the settings, so that each carries
-   what arrived meanwhile.  The first write after a pause is not delayed.  */
+/* Waits after a write for the interval of the settings, so that each write
+   carries what arrived meanwhile: among it the outcomes of quick calls whose
+   claims the last write made durable.  The first write after a pause is not
+   delayed.  */
 static void
 pace (struct led_writer *writer)
 {
@@ -158,7 +169,6 @@
 
   if (now < due)
     sleep_ms (due - now);
-  writer->last_write_ms = clk_now (clk_monotonic ());
 }
 
 /* Takes what is queued.  Returns NULL when the writer is to end.  */
@@ -196,93 +206,114 @@
     }
 }
 
-/* Commits OPS and answers them all.  */
+/* Commits OPS and answers them all.  While the platform is known to be down
+   they are answered at once, and it is tried again now and then.  */
 static void
 commit (struct led_writer *writer, GPtrArray *ops)
 {
   GError *error = NULL;
+  int unsure;
 
+  if (clk_now (clk_monotonic ()) < writer->down_until_ms)
+    {
+      fail_all (ops, LED_DOWN);
+      return;
+    }
   for (int i = 0; i < CONFLICTS_MAX && ops->len > 0; i++)
     {
       g_clear_error (&error);
       if (try_commit (writer, ops, &error) == 0)
-        return;
+        {
+          writer->failures = 0;
+          return;
+        }
       if (!g_error_matches (error, ERR_DOMAIN, ERR_CONFLICT))
         break;
       met_inc (MET_LEDGER_CONFLICTS);
+      sleep_ms (randombytes_uniform (CONFLICT_JITTER_MS * (uint32_t)(i + 1)));
     }
+  unsure = g_error_matches (error, ERR_DOMAIN, ERR_PLATFORM_UNSURE);
   if (error != NULL)
-    log_warn ("ledger", NULL, "commit_failed", "%s", error->message);
+    {
+      log_warn ("ledger", NULL, "commit_failed", "%s", error->message);
+      if (!g_error_matches (error, ERR_DOMAIN, ERR_CONFLICT))
+        note_failure (writer);
+    }
   g_clear_error (&error);
-  fail_all (ops);
+  fail_all (ops, unsure ? LED_UNSURE : LED_DOWN);
 }
 
-/* Judges OPS by the log, answers those that need no write, and appends the
-   records of the others.  A key that stands twice in the batch is judged
-   again once its first record is applied.  Returns 0 if all are answered.  */
+/* Keeps calls from the platform for a time that doubles with each failure in
+   a row.  */
+static void
+note_failure (struct led_writer *writer)
+{
+  int64_t pause_ms = (int64_t)DOWN_MIN_MS
+                     << MIN (writer->failures, DOWN_DOUBLINGS_MAX);
+
+  writer->failures++;
+  writer->down_until_ms = clk_now (clk_monotonic ()) + pause_ms;
+}
+
+/* Judges OPS in their order by the log and by what the ones before them
+   stage, makes what needs a record durable in one write, then answers them
+   all.  Returns 0, or -1 with ERROR set and nothing answered.  */
 static int
 try_commit (struct led_writer *writer, GPtrArray *ops, GError **error)
 {
+  struct led_log *log = &writer->log;
   json_t *records;
-  GHashTable *keys;
-  int64_t time_ms = clk_wall_ms ();
-  int result;
+  int result = 0;
 
   for (guint i = 0; i < ops->len; i++)
     if (((struct led_op *)g_ptr_array_index (ops, i))->kind == LED_OP_LOOKUP)
-      writer->log.loaded = 0;
-  if (!writer->log.loaded)
+      log->loaded = 0;
+  if (!log->loaded)
     {
       met_inc (MET_LEDGER_TAKEOVERS);
-      if (log_load (&writer->log, writer->plat, error) != 0)
+      if (log_load (log, writer->plat, error) != 0)
         return -1;
     }
-  reply_committed (writer, ops);
-  if (ops->len == 0)
-    return 0;
   records = json_array ();
-  keys = g_hash_table_new (g_str_hash, g_str_equal);
   for (guint i = 0; i < ops->len; i++)
-    {
-      const struct led_op *op = g_ptr_array_index (ops, i);
-
-      if (g_hash_table_add (keys, (gpointer)op->call.key))
-        json_array_append_new (records, log_record (op, time_ms));
-    }
-  g_hash_table_destroy (keys);
-  result = log_append (&writer->log, writer->plat, records, error);
+    stage_op (log, g_ptr_array_index (ops, i), records);
+  if (json_array_size (records) > 0)
+    result = log_append (log, writer->plat, records, error);
   json_decref (records);
   if (result != 0)
     return -1;
-  reply_committed (writer, ops);
-  if (ops->len > 0)
-    return try_commit (writer, ops, error);
+  for (guint i = 0; i < ops->len; i++)
+    {
+      struct led_op *op = g_ptr_array_index (ops, i);
+
+      op_reply (op, op->verdict,
+                g_hash_table_lookup (log->entries, op->call.key));
+    }
+  g_ptr_array_set_size (ops, 0);
   return 0;
 }
 
-/* Answers and removes the operations that the log decides.  */
+/* Finds the verdict on OP, adding to RECORDS what it needs.  */
 static void
-reply_committed (struct led_writer *writer, GPtrArray *ops)
+stage_op (struct led_log *log, struct led_op *op, json_t *records)
 {
-  for (guint i = ops->len; i > 0; i--)
-    {
-      struct led_op *op = g_ptr_array_index (ops, i - 1);
-      const struct led_entry *entry;
-      enum led_verdict verdict;
+  const struct led_entry *entry;
+  json_t *record;
 
-      if (!log_judge (&writer->log, op, &entry, &verdict))
-        continue;
-      g_ptr_array_remove_index (ops, i - 1);
-      op_reply (op, verdict, entry);
-    }
+  if (log_judge (log, op, &entry, &op->verdict))
+    return;
+  record = log_record (op, clk_wall_ms ());
+  log_stage (log, record);
+  json_array_append_new (records, record);
+  op->verdict = op->kind == LED_OP_CLAIM ? LED_CLAIMED : LED_STORED;
 }
 
-/* Answers all OPS that no record could be made.  */
+/* Answers all OPS with VERDICT.  */
 static void
-fail_all (GPtrArray *ops)
+fail_all (GPtrArray *ops, enum led_verdict verdict)
 {
   for (guint i = 0; i < ops->len; i++)
-    op_reply (g_ptr_array_index (ops, i), LED_DOWN, NULL);
+    op_reply (g_ptr_array_index (ops, i), verdict, NULL);
   g_ptr_array_set_size (ops, 0);
 }
 
--- a/version/libledger.h
+++ b/version/libledger.h
@@ -35,6 +35,8 @@
   clk_ms deadline_ms;
   clk_ms queued_ms;
   int tries;
+  enum led_verdict verdict; /* to be given once the batch is durable */
+  int unsure;               /* a record may exist although no answer says so */
   led_reply_fn fn;
   void *closure;
   uint64_t tag;
@@ -62,6 +64,7 @@
 {
   char prefix[LEDGER_NAME_MAX_BYTES];
   GHashTable *entries; /* key to struct led_entry */
+  GHashTable *staged;  /* the same, of records that are not durable yet */
   int loaded;
   uint64_t read_revision;
   int64_t first;
@@ -78,7 +81,9 @@
 int log_judge (const struct led_log *log, const struct led_op *op,
                const struct led_entry **entry, enum led_verdict *verdict);
 json_t *log_record (const struct led_op *op, int64_t time_ms);
-int log_apply_record (struct led_log *log, json_t *record);
+int log_stage (struct led_log *log, json_t *record);
+void log_keep_staged (struct led_log *log);
+void log_drop_staged (struct led_log *log);
 int log_append (struct led_log *log, struct plat *plat, json_t *records,
                 GError **error);
 void log_expire (struct led_log *log, struct plat *plat, int64_t before_ms);
