Add the scenarios config, control, drain, partition, slope, soak, overhead

Large fleets: heartbeats go to the own failure domain and to one member elsewhere in turn, and suspicion of members elsewhere waits accordingly.

--- a/bench/load.h
+++ b/bench/load.h
@@ -74,6 +74,7 @@
   const char *method;
   const char *out;
   const char *events;
+  const char *token_file;
   /* report */
   int engines;
   int slots;
@@ -114,6 +115,9 @@
 GArray *load_run_calls (const struct load_options *options);
 GArray *load_run_closed (const struct load_options *options);
 
+/* load_config.c */
+void load_run_config (const struct load_options *options, const char *token);
+
 /* load_store.c */
 void load_write (const char *path, const GArray *records);
 GArray *load_read (const char *path);
--- a/bench/load_main.c
+++ b/bench/load_main.c
@@ -45,6 +45,7 @@
   { "method", SLOT (method), 's' },
   { "out", SLOT (out), 's' },
   { "events", SLOT (events), 's' },
+  { "token_file", SLOT (token_file), 's' },
   { "engines", SLOT (engines), 'i' },
   { "slots", SLOT (slots), 'i' },
   { "cache_tokens", SLOT (cache_tokens), 'l' },
@@ -98,6 +99,16 @@
   GArray *records;
 
   argp_parse (&argument_parser, argc, argv, 0, NULL, NULL);
+  if (report == NULL && strcmp (options.workload, "config") == 0)
+    {
+      char *token = NULL;
+
+      if (!g_file_get_contents (options.token_file, &token, NULL, NULL))
+        return EXIT_FAILURE;
+      load_run_config (&options, g_strstrip (token));
+      g_free (token);
+      return EXIT_SUCCESS;
+    }
   if (report == NULL)
     {
       records = generate ();
--- a/bench/scenarios.sh
+++ b/bench/scenarios.sh
@@ -262,3 +262,315 @@
     /call_p99_ms/ { print "figure added_p99_ms", $3 - '"$service_ms"', "ms" }' "$dir/figures"
   counters | grep ledger
 }
+
+scenario_overhead () {
+  local direct cpu0 cpu1 rate
+  instances=1 threads=1 workers=1 service_ms=0 control_bytes=65536
+  fleet_start || return 1
+  sleep 1
+  # Saturation first, then the same half rate straight and through the router.
+  cpu0=$(cpu_ms "${instance_pid[0]}")
+  "$BUILD/ibisload" workload=closed method=GET stream=0 path=/status concurrency=64 instances=1 \
+    base_port="$(caller_port 0)" service="$plain_service" duration_ms=6000 out="$dir/records"
+  cpu1=$(cpu_ms "${instance_pid[0]}")
+  "$BUILD/ibisload" report=speed out="$dir/records" > "$dir/saturated"
+  rate=$(awk '/figure rate/ { print $3 }' "$dir/saturated")
+  awk -v cpu=$((cpu1 - cpu0)) '/figure rate/ { printf "figure requests_per_core_s %.0f requests/s\n", $3 * 6000 / cpu }' "$dir/saturated"
+  "$BUILD/ibisload" workload=closed method=GET stream=0 path=/status concurrency=4 instances=1 \
+    direct_port="$(service_port 0)" duration_ms=4000 out="$dir/records"
+  "$BUILD/ibisload" report=speed out="$dir/records" > "$dir/direct"
+  "$BUILD/ibisload" workload=closed method=GET stream=0 path=/status concurrency=4 instances=1 \
+    base_port="$(caller_port 0)" service="$plain_service" duration_ms=4000 out="$dir/records"
+  "$BUILD/ibisload" report=speed out="$dir/records" > "$dir/routed"
+  echo "figure saturation_rate $rate requests/s"
+  for q in p50 p99; do
+    echo "figure overhead_${q}_ms $(awk -v q="latency_${q}_ms" '$2 == q { v[FILENAME] = $3 } END {
+      for (f in v) { if (f ~ /routed/) r = v[f]; else d = v[f] } printf "%.3f", r - d }' "$dir/direct" "$dir/routed") ms"
+  done
+  fleet_stop
+  pids= itl_ms=0 slots=4096 prefill_us=0 engines=1
+  fleet_start || return 1
+  sleep 1
+  cpu0=$(cpu_ms "${instance_pid[0]}")
+  "$BUILD/ibisload" workload=closed stream=1 tokens=2000 concurrency=24 instances=1 \
+    base_port="$(caller_port 0)" service="$chat_service" duration_ms=6000 out="$dir/records"
+  cpu1=$(cpu_ms "${instance_pid[0]}")
+  "$BUILD/ibisload" report=speed out="$dir/records" > "$dir/streams"
+  awk -v cpu=$((cpu1 - cpu0)) '/figure token_rate/ { printf "figure events_per_core_s %.0f events/s\n", $3 * 6000 / cpu }' "$dir/streams"
+  fleet_stop
+  pids= itl_ms=200
+  fleet_start || return 1
+  sleep 1
+  "$BUILD/ibisload" workload=closed stream=1 tokens=50 concurrency=2000 instances=1 \
+    base_port="$(caller_port 0)" service="$chat_service" duration_ms=9000 out="$dir/records" &
+  sleep 8
+  echo "figure open_streams $(metric 0 ibisloom_requests_total) requests"
+  awk '/VmRSS/ { printf "figure rss_mb %.1f MB\n", $2 / 1024 }' "/proc/${instance_pid[0]}/status"
+  wait $!
+}
+
+scenario_config () {
+  local i
+  instances=6
+  fleet_start || return 1
+  sleep 1
+  "$BUILD/ibisload" workload=config instances="$instances" base_port="$(caller_port 0)" \
+    token_file="$dir/operator.token" duration_ms=30000 seed="$seed" &
+  load_pid=$!
+  sleep 3
+  platform_fault ok 100 40; sleep 3; platform_fault ok 100 "$platform_ms"
+  platform_fault lose 30; sleep 2; platform_fault ok
+  draw 0 5; i=$drawn
+  kill -STOP "${instance_pid[$i]}"; sleep 5; kill -CONT "${instance_pid[$i]}"
+  platform_fault down
+  draw 0 5; i=$drawn
+  kill -9 "${instance_pid[$i]}"; wait "${instance_pid[$i]}" 2> /dev/null
+  start_instance "$i"
+  # It must learn the version from its peers, as the platform is down.
+  wait_ready "$i" && echo "figure ready_during_outage 1 instance"
+  sleep 8
+  platform_fault ok
+  load_wait
+}
+
+# Milliseconds from event time $1 to the last request that engine $2 began.
+last_work_after () {
+  curl -s "http://127.0.0.1:$(($(engine_port 0) - 1))/history" \
+    | grep -o "\"t\":[0-9]*,\"engine\":$2," | tr -dc '0-9,\n' \
+    | awk -F, -v t="$1" '$1 > t { last = $1 - t } END { print last + 0 }'
+}
+
+scenario_drain () {
+  local i at_list at_ctl at_gone status=0
+  instances=6 itl_ms=15 prefill_us=50
+  fleet_start || return 1
+  sleep 1
+  load_start chats=400 rate=50 tokens=60 prompt=200 growth=40 duration_ms=30000 zipf=0.6
+  sleep 4
+  at_list=$(now_ms); list_leaving 0; event engine 0 down
+  sleep 2
+  at_ctl=$(now_ms)
+  "$BUILD/ibisctl" -s "127.0.0.1:$(operator_port 0)" -t "$dir/operator.token" \
+    drain target "$chat_service/engine-1" > /dev/null
+  event engine 1 down
+  sleep 2
+  at_gone=$(now_ms); engine_fault 2 refuse; event engine 2 down
+  sleep 1
+  for ((i = 0; i < instances; i++)); do replace_instance "$i" || status=1; done
+  load_wait
+  echo "figure new_work_after_list_ms $(last_work_after "$at_list" 0) ms"
+  echo "figure new_work_after_ctl_ms $(last_work_after "$at_ctl" 1) ms"
+  echo "figure new_work_after_vanishing_ms $(last_work_after "$at_gone" 2) ms"
+  echo "figure bad_exits $status instances"
+  report reuse
+  [ -z "${verbose:-}" ] || { report failures; counters; }
+}
+
+link_cut () { curl -s "http://127.0.0.1:$((port + 990))/cut?from=$1&to=$2" > /dev/null; }
+link_heal () { curl -s "http://127.0.0.1:$((port + 990))/heal" > /dev/null; }
+
+# Instances of domain $1 (every third), cut from the platform and the others.
+cut_domain () {
+  local i j
+  for ((i = $1; i < instances; i += 3)); do
+    [ "$2" = peers ] || link_cut "$i" -1
+    [ "$2" = platform ] && continue
+    for ((j = 0; j < instances; j++)); do
+      [ $((j % 3)) -eq "$1" ] || link_cut "$i" "$j"
+    done
+  done
+}
+
+scenario_partition () {
+  local i j kind
+  instances=6 itl_ms=15 prefill_us=50
+  dir=$(mktemp -d "${TMPDIR:-/tmp}/ibisloom.XXXXXX")
+  head -c 24 /dev/urandom | od -An -tx1 | tr -d ' \n' > "$dir/cluster.key"
+  head -c 24 /dev/urandom | od -An -tx1 | tr -d ' \n' > "$dir/operator.token"
+  trap fleet_stop EXIT
+  start_stand_ins && configure_platform || return 1
+  start "$BUILD/fake_link" $((port + 600)) "$(peer_port 0)" "$instances" "$(platform_port)" $((port + 990))
+  wait_port $((port + 990)) || return 1
+  declare -ga instance_pid
+  for ((i = 0; i < instances; i++)); do
+    platform_via=$((port + 600 + instances * instances + i))
+    write_settings "$i"
+    for ((j = 0; j < instances; j++)); do
+      [ "$i" -eq "$j" ] || sed -i "s/  - 127.0.0.1:$(peer_port "$j")\$/  - 127.0.0.1:$((port + 600 + i * instances + j))/" "$dir/instance-$i.yaml"
+    done
+  done
+  for ((i = 0; i < instances; i++)); do start_instance "$i"; done
+  for ((i = 0; i < instances; i++)); do wait_ready "$i" || return 1; done
+  sleep 1
+  load_start chats=400 rate=30 tokens=40 prompt=200 growth=40 duration_ms=30000 zipf=0.6
+  "$BUILD/ibisload" workload=calls method=POST path=/charge service="$plain_service" \
+    base_port="$(caller_port 0)" instances="$instances" customers="$customers" \
+    rate=40 repeat_share=0.2 retries=8 duration_ms=28000 seed="$seed" out="$dir/calls" &
+  local calls_pid=$!
+  sleep 4
+  for kind in platform peers both; do
+    draw 0 2
+    cut_domain "$drawn" "$kind"
+    sleep 4
+    link_heal
+    sleep 3
+  done
+  echo "figure views_agree_after_heal_ms $(views_agree) ms"
+  load_wait
+  wait "$calls_pid"
+  report chats
+  report failures
+  "$BUILD/ibisload" report=once out="$dir/calls" service_port=$(($(service_port 0) - 1))
+  [ -z "${verbose:-}" ] || counters
+}
+
+# Milliseconds until all instances see all others usable at one revision.
+views_agree () {
+  local began i usable revisions
+  began=$(now_ms)
+  while [ $(($(now_ms) - began)) -lt 8000 ]; do
+    usable=0 revisions=
+    for ((i = 0; i < instances; i++)); do
+      curl -s -H "Authorization: Bearer $(cat "$dir/operator.token")" \
+        "http://127.0.0.1:$(operator_port "$i")/operator/status" > "$dir/status"
+      usable=$((usable + $(grep -o '"usable":true' "$dir/status" | wc -l)))
+    done
+    [ "$usable" -ge $((instances * (instances - 1))) ] && break
+  done
+  echo $(($(now_ms) - began))
+}
+
+scenario_control () {
+  local i before after began span cpu0 cpu1 worst=0 worst_cpu=0 reads writes
+  instances=9 engines=24 slots=40 itl_ms=15 prefill_us=50
+  fleet_start || return 1
+  sleep 2
+  load_start chats=800 rate=60 tokens=60 prompt=200 growth=40 duration_ms=22000 zipf=0.6
+  sleep 3
+  for ((i = 0; i < instances; i++)); do before[$i]=$(control_bytes_of "$i"); done
+  began=$(now_ms)
+  curl -s "http://127.0.0.1:$(platform_port)/control/fault" > "$dir/platform0"
+  list_leaving 3; sleep 2; list_leaving; replace_instance 8
+  engine_fault 5 refuse; sleep 3; engine_fault 5 ok
+  list_leaving 7 9; sleep 3; list_leaving; sleep 2
+  span=$(($(now_ms) - began))
+  curl -s "http://127.0.0.1:$(platform_port)/control/fault" > "$dir/platform1"
+  for ((i = 0; i < instances - 1; i++)); do
+    after=$(control_bytes_of "$i")
+    [ $(((after - before[i]) * 1000 / span)) -le "$worst" ] || worst=$(((after - before[i]) * 1000 / span))
+  done
+  echo "figure control_bytes_per_s_max $worst bytes/s"
+  load_wait
+  # Without callers, all that is left is control.
+  for ((i = 0; i < instances; i++)); do before[$i]=$(cpu_ms "${instance_pid[$i]}"); done
+  list_leaving 3; sleep 4; list_leaving; sleep 4
+  for ((i = 0; i < instances; i++)); do
+    cpu1=$(cpu_ms "${instance_pid[$i]}")
+    [ $((cpu1 - before[i])) -le "$worst_cpu" ] || worst_cpu=$((cpu1 - before[i]))
+  done
+  awk -v ms="$worst_cpu" 'BEGIN { printf "figure control_core_share %.4f core\n", ms / 8000 }'
+  for kind in reads writes watches; do
+    echo "figure platform_${kind}_per_s $(awk -v s="$span" -v a="$(json_number "$dir/platform0" $kind)" \
+      -v b="$(json_number "$dir/platform1" $kind)" 'BEGIN { printf "%.2f", (b - a) * 1000 / s }') calls/s"
+  done
+}
+
+json_number () { sed "s/.*\"$2\":\\([0-9]*\\).*/\\1/" "$1"; }
+
+control_bytes_of () {
+  curl -s "http://127.0.0.1:$(caller_port "$1")/metrics" \
+    | awk '/^ibisloom_control_bytes_total/ && !/ledger/ { s += $2 } END { print s + 0 }'
+}
+
+# One size of fleet: prints its bytes/s, processor share and memory.
+slope_point () {
+  local i began span bytes=0 cpu=0 rss=0 before_bytes before_cpu
+  instances=$1 engines=$2 domains= pids=
+  for ((i = 0; i < instances / 3; i++)); do domains="$domains d$i"; done
+  fleet_start || return 1
+  sleep 4
+  before_bytes=0 before_cpu=0
+  for ((i = 0; i < instances; i++)); do
+    before_bytes=$((before_bytes + $(control_bytes_of "$i")))
+    before_cpu=$((before_cpu + $(cpu_ms "${instance_pid[$i]}")))
+  done
+  began=$(now_ms)
+  sleep 5
+  for ((i = 0; i < instances; i++)); do
+    bytes=$((bytes + $(control_bytes_of "$i")))
+    cpu=$((cpu + $(cpu_ms "${instance_pid[$i]}")))
+    rss=$((rss + $(awk '/VmRSS/ { print $2 }' "/proc/${instance_pid[$i]}/status")))
+  done
+  span=$(($(now_ms) - began))
+  fleet_stop > /dev/null 2>&1
+  awk -v n="$instances" -v e="$engines" -v b=$((bytes - before_bytes)) -v c=$((cpu - before_cpu)) \
+    -v s="$span" -v r="$rss" 'BEGIN {
+      printf "figure bytes_%d_%d %.0f bytes/s\n", n, e, b * 1000 / s / n
+      printf "figure cpu_%d_%d %.5f core\n", n, e, c / s / n
+      printf "figure rss_%d_%d %.2f MB\n", n, e, r / n / 1024 }'
+}
+
+scenario_slope () {
+  workers=3
+  {
+    slope_point 3 12
+    slope_point 24 12
+    slope_point 48 12
+    slope_point 3 200
+  } > /tmp/slope.$$
+  cat /tmp/slope.$$
+  awk '{ v[$2] = $3 } END {
+    printf "figure bytes_slope %.3f bytes/s/instance\n", (v["bytes_48_12"] - v["bytes_24_12"]) / 24
+    printf "figure cpu_slope %.7f core/instance\n", (v["cpu_48_12"] - v["cpu_24_12"]) / 24
+    printf "figure memory_slope %.4f MB/instance\n", (v["rss_48_12"] - v["rss_24_12"]) / 24
+    printf "figure bytes_slope_target %.3f bytes/s/target\n", (v["bytes_3_200"] - v["bytes_3_12"]) / 188
+    printf "figure cpu_slope_target %.7f core/target\n", (v["cpu_3_200"] - v["cpu_3_12"]) / 188
+    printf "figure memory_slope_target %.4f MB/target\n", (v["rss_3_200"] - v["rss_3_12"]) / 188 }' /tmp/slope.$$
+  rm -f /tmp/slope.$$
+  "$BUILD/ibismicro"
+}
+
+soak_fault () {
+  local i
+  draw 0 $((instances - 1)); i=$drawn
+  draw 0 8
+  echo "fault $(($(now_ms) - load_began)) $drawn instance $i"
+  case $drawn in
+    0) kill -9 "${instance_pid[$i]}"; wait "${instance_pid[$i]}" 2> /dev/null; start_instance "$i" ;;
+    1) kill -STOP "${instance_pid[$i]}"; sleep 5; kill -CONT "${instance_pid[$i]}" ;;
+    2) platform_fault down ;;
+    3) platform_fault lose 30 ;;
+    4) platform_fault hang 50 ;;
+    5) draw 0 11; engine_fault "$drawn" stall ;;
+    6) draw 0 11; engine_fault "$drawn" silent ;;
+    7) draw 0 11; engine_fault "$drawn" refuse ;;
+    8) draw 0 2; service_fault "$drawn" during 50 ;;
+  esac
+}
+
+scenario_soak () {
+  local n i
+  instances=6 itl_ms=15 prefill_us=50
+  fleet_start || return 1
+  sleep 1
+  load_start chats=400 rate=30 tokens=40 prompt=200 growth=40 duration_ms=26000 zipf=0.6
+  "$BUILD/ibisload" workload=calls method=POST path=/charge service="$plain_service" \
+    base_port="$(caller_port 0)" instances="$instances" customers="$customers" \
+    rate=40 repeat_share=0.2 retries=8 duration_ms=24000 seed="$seed" out="$dir/calls" &
+  local calls_pid=$!
+  sleep 2
+  for n in 1 2 3; do
+    soak_fault
+    soak_fault
+    pause_ms 2500
+    platform_fault ok
+    for ((i = 0; i < engines; i++)); do engine_fault "$i" ok; done
+    for ((i = 0; i < workers; i++)); do service_fault "$i" ok; done
+    pause_ms 1000
+  done
+  load_wait
+  wait "$calls_pid"
+  report chats
+  "$BUILD/ibisload" report=once out="$dir/calls" service_port=$(($(service_port 0) - 1))
+  report failures
+}
--- a/connection/control_operator.c
+++ b/connection/control_operator.c
@@ -13,6 +13,7 @@
 };
 
 static void serve_status (struct control_call *call, const char *rest);
+static void serve_version (struct control_call *call, const char *rest);
 static void serve_list (struct control_call *call, const char *rest);
 static void serve_object (struct control_call *call, const char *rest);
 static void put_object (struct control_call *call, const char *rest);
@@ -38,6 +39,7 @@
 
 const struct control_route control_operator_routes[]
     = { { "GET", "/operator/status", serve_status },
+        { "GET", "/operator/version", serve_version },
         { "GET", "/operator/objects/", serve_object },
         { "GET", "/operator/objects", serve_list },
         { "PUT", "/operator/objects/", put_object },
@@ -57,6 +59,28 @@
                   server_status_json (call->listener->server));
 }
 
+/* Tells which version is in force here, in short.  */
+static void
+serve_version (struct control_call *call, const char *rest)
+{
+  const struct server *server = call->listener->server;
+  uint64_t revision = 0;
+  char *text = ver_store_get (server->store, "in-force", &revision);
+  json_t *preset = text != NULL ? json_loads (text, 0, NULL) : NULL;
+  json_t *json = json_pack (
+      "{s:b,s:I,s:s?,s:I}", "ready",
+      __atomic_load_n (&server->ready, __ATOMIC_ACQUIRE), "revision",
+      (json_int_t)ver_store_revision (server->store), "preset",
+      json_string_value (json_object_get (preset, "preset")),
+      "preset_revision", (json_int_t)revision);
+
+  (void)rest;
+  control_answer (call, MHD_HTTP_OK, json_dumps (json, JSON_COMPACT));
+  json_decref (json);
+  json_decref (preset);
+  g_free (text);
+}
+
 /* Lists the configuration objects in force here.  */
 static void
 serve_list (struct control_call *call, const char *rest)
--- /dev/null
+++ b/fakes/fake_link.c
@@ -0,0 +1,241 @@
+/* Stand-in for the network between instances, and to the platform, that can
+   be cut.
+
+   Usage: fake_link LINK_PORT PEER_PORT COUNT PLATFORM_PORT CONTROL_PORT
+   Instance I reaches peer J at LINK_PORT + I * COUNT + J, and the platform at
+   LINK_PORT + COUNT * COUNT + I.  A datagram from I to J leaves from the port
+   at which J reaches I, so that J can answer it and connect to it.
+   /cut?from=I&to=J (J = platform: to=-1) cuts both ways, /heal heals all. */
+#include <arpa/inet.h>
+#include <poll.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "fake_http.h"
+
+enum
+{
+  INSTANCES_MAX = 12,
+  BUFFER_BYTES = 65536,
+  POLL_MS = 20
+};
+
+static int count;
+static int peer_port;
+static int platform_port;
+static int udp[INSTANCES_MAX][INSTANCES_MAX];
+static int is_cut[INSTANCES_MAX][INSTANCES_MAX + 1];
+
+/* One listener: instance FROM to peer TO, or to the platform (TO is COUNT). */
+struct link
+{
+  int from;
+  int to;
+  int port;
+};
+
+/* One connection through a link. */
+struct pipe
+{
+  const struct link *link;
+  int near;
+  int far;
+};
+
+static struct sockaddr_in loopback (int port);
+static int open_socket (int type, int port);
+static void *relay_datagrams (void *closure);
+static void *accept_connections (void *closure);
+static void *relay_connection (void *closure);
+static int copy_some (int from, int to);
+static void serve_control (struct fake_call *call, void *closure);
+
+int
+main (int argc, char **argv)
+{
+  struct fake_server control;
+  pthread_t thread;
+  int base;
+
+  if (argc != 6)
+    {
+      fprintf (stderr, "usage: fake_link LINK_PORT PEER_PORT COUNT "
+                       "PLATFORM_PORT CONTROL_PORT\n");
+      return EXIT_FAILURE;
+    }
+  base = atoi (argv[1]);
+  peer_port = atoi (argv[2]);
+  count = MIN (atoi (argv[3]), INSTANCES_MAX);
+  platform_port = atoi (argv[4]);
+  for (int i = 0; i < count; i++)
+    for (int j = 0; j <= count; j++)
+      {
+        struct link *link = g_new (struct link, 1);
+
+        link->from = i;
+        link->to = j;
+        link->port = base + (j < count ? i * count + j : count * count + i);
+        if (j < count)
+          udp[i][j] = open_socket (SOCK_DGRAM, link->port);
+        pthread_create (&thread, NULL, accept_connections, link);
+      }
+  pthread_create (&thread, NULL, relay_datagrams, NULL);
+  fake_listen (&control, atoi (argv[5]), serve_control, NULL);
+  pause ();
+  return EXIT_SUCCESS;
+}
+
+static struct sockaddr_in
+loopback (int port)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET,
+          .sin_port = htons ((uint16_t)port),
+          .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+
+  return address;
+}
+
+static int
+open_socket (int type, int port)
+{
+  struct sockaddr_in address = loopback (port);
+  int one = 1;
+  int fd = socket (AF_INET, type, 0);
+
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  if (bind (fd, (const struct sockaddr *)&address, sizeof address) != 0)
+    {
+      fprintf (stderr, "port %d cannot be used\n", port);
+      exit (EXIT_FAILURE);
+    }
+  return fd;
+}
+
+/* Carries datagrams between all pairs that are not cut.  */
+static void *
+relay_datagrams (void *closure)
+{
+  struct pollfd fds[INSTANCES_MAX * INSTANCES_MAX];
+  char data[BUFFER_BYTES];
+
+  (void)closure;
+  for (int i = 0; i < count * count; i++)
+    fds[i] = (struct pollfd){ udp[i / count][i % count], POLLIN, 0 };
+  for (;;)
+    {
+      poll (fds, (nfds_t)(count * count), POLL_MS);
+      for (int i = 0; i < count * count; i++)
+        {
+          int from = i / count;
+          int to = i % count;
+          struct sockaddr_in address = loopback (peer_port + to);
+          ssize_t length;
+
+          if (!(fds[i].revents & POLLIN))
+            continue;
+          length = recv (fds[i].fd, data, sizeof data, 0);
+          if (length > 0 && !is_cut[from][to])
+            sendto (udp[to][from], data, (size_t)length, 0,
+                    (const struct sockaddr *)&address, sizeof address);
+        }
+    }
+  return NULL;
+}
+
+/* Accepts the connections of one link.  */
+static void *
+accept_connections (void *closure)
+{
+  const struct link *link = closure;
+  int listener = open_socket (SOCK_STREAM, link->port);
+
+  listen (listener, 64);
+  for (;;)
+    {
+      struct pipe *pipe = g_new0 (struct pipe, 1);
+      pthread_t thread;
+
+      pipe->link = link;
+      pipe->near = accept (listener, NULL, NULL);
+      pthread_create (&thread, NULL, relay_connection, pipe);
+      pthread_detach (thread);
+    }
+  return NULL;
+}
+
+/* Carries one connection; while it is cut, nothing passes and nobody is told.
+ */
+static void *
+relay_connection (void *closure)
+{
+  struct pipe *pipe = closure;
+  const struct link *link = pipe->link;
+  struct sockaddr_in address = loopback (
+      link->to < count ? peer_port + link->to : platform_port);
+  int open = 1;
+
+  pipe->far = socket (AF_INET, SOCK_STREAM, 0);
+  while (is_cut[link->from][link->to])
+    fake_sleep (POLL_MS);
+  if (connect (pipe->far, (const struct sockaddr *)&address, sizeof address)
+      != 0)
+    open = 0;
+  while (open)
+    {
+      struct pollfd fds[2]
+          = { { pipe->near, POLLIN, 0 }, { pipe->far, POLLIN, 0 } };
+
+      if (is_cut[link->from][link->to])
+        {
+          fake_sleep (POLL_MS);
+          continue;
+        }
+      poll (fds, 2, POLL_MS);
+      if (fds[0].revents)
+        open = copy_some (pipe->near, pipe->far);
+      if (open && fds[1].revents)
+        open = copy_some (pipe->far, pipe->near);
+    }
+  close (pipe->near);
+  close (pipe->far);
+  g_free (pipe);
+  return NULL;
+}
+
+/* Copies what is there; returns whether the connection is still open.  */
+static int
+copy_some (int from, int to)
+{
+  char data[BUFFER_BYTES];
+  ssize_t length = recv (from, data, sizeof data, 0);
+
+  return length > 0
+         && send (to, data, (size_t)length, MSG_NOSIGNAL) == length;
+}
+
+/* Serves /cut?from=I&to=J and /heal.  */
+static void
+serve_control (struct fake_call *call, void *closure)
+{
+  const char *from = fake_argument (call, "from");
+  const char *to = fake_argument (call, "to");
+
+  (void)closure;
+  if (strcmp (call->url, "/heal") == 0)
+    memset (is_cut, 0, sizeof is_cut);
+  else if (from != NULL && to != NULL)
+    {
+      int i = atoi (from);
+      int j = atoi (to);
+
+      is_cut[i][j < 0 ? count : j] = 1;
+      if (j >= 0)
+        is_cut[j][i] = 1;
+    }
+  fake_answer (call, 200, "{}");
+}
--- a/include/ibisloom/members.h
+++ b/include/ibisloom/members.h
@@ -14,7 +14,10 @@
 {
   MEM_NAME_MAX_BYTES = 64,
   MEM_SUSPECT_MS = 1200,
-  MEM_GONE_MS = 3500
+  MEM_GONE_MS = 3500,
+  MEM_SMALL_FLEET = 8,       /* others that all hear from each other */
+  MEM_FOREIGN_SUSPECT_MS = 1000, /* more for each foreign member */
+  MEM_SUSPECT_MAX_MS = 60000
 };
 
 enum mem_state
@@ -38,6 +41,7 @@
   clk_ms heard_ms;
   clk_ms direct_ms;
   clk_ms trusted_at_ms;
+  int64_t suspect_ms; /* silence after which it is suspected */
   int32_t flaps;
   clk_ms flapped_ms;
   int gone;
--- a/process/members.c
+++ b/process/members.c
@@ -29,6 +29,8 @@
 static int window_take (struct mem_member *member, uint64_t sequence);
 static struct mem_member *find (struct mem *mem, uint32_t id);
 static struct mem_member *add (struct mem *mem, uint32_t id);
+static int64_t suspect_after (const struct mem *mem,
+                              const struct mem_member *member);
 static void note_flap (struct mem_member *member, clk_ms now);
 static size_t collect (struct mem *mem, uint32_t domain, int any_domain,
                        clk_ms now, struct rank_node *nodes);
@@ -94,6 +96,7 @@
   member->gone = 0;
   member->address = *from;
   member->domain = beat->domain;
+  member->suspect_ms = suspect_after (mem, member);
   member->incarnation = message->incarnation;
   member->revision = beat->revision;
   member->state = (enum mem_state)beat->state;
@@ -112,7 +115,8 @@
   clk_ms heard = now - digest->age_ms;
   unsigned news = MEM_NEWS_NONE;
 
-  if (digest->instance == mem->self || digest->age_ms >= MEM_SUSPECT_MS)
+  if (digest->instance == mem->self
+      || digest->age_ms >= MEM_SUSPECT_MAX_MS)
     return MEM_NEWS_NONE;
   pthread_mutex_lock (&mem->lock);
   member = find (mem, digest->instance);
@@ -127,6 +131,7 @@
       member->address.sin_port = digest->port;
       news = MEM_NEWS_JOINED;
     }
+  member->suspect_ms = suspect_after (mem, member);
   if (digest->incarnation == member->incarnation && heard > member->heard_ms
       && !member->gone)
     member->heard_ms = heard;
@@ -174,7 +179,8 @@
       struct mem_member *member
           = &g_array_index (mem->members, struct mem_member, i);
 
-      if (member->gone || now - member->heard_ms < MEM_GONE_MS)
+      if (member->gone || now - member->heard_ms
+                 < member->suspect_ms + MEM_GONE_MS - MEM_SUSPECT_MS)
         continue;
       member->gone = 1;
       gone[count++] = member->id;
@@ -285,7 +291,7 @@
 mem_usable (const struct mem_member *member, clk_ms now)
 {
   return !member->gone && member->state == MEM_READY
-         && now - member->heard_ms < MEM_SUSPECT_MS
+         && now - member->heard_ms < member->suspect_ms
          && now >= member->trusted_at_ms;
 }
 
@@ -309,6 +315,23 @@
   return count;
 }
 
+/* Returns after what silence MEMBER is suspected.  Members of other failure
+   domains are heard in turn once the fleet is large, so their time grows with
+   their number.  */
+static int64_t
+suspect_after (const struct mem *mem, const struct mem_member *member)
+{
+  int64_t foreign = 0;
+
+  if (member->domain == mem->domain || mem->members->len <= MEM_SMALL_FLEET)
+    return MEM_SUSPECT_MS;
+  for (guint i = 0; i < mem->members->len; i++)
+    foreign += g_array_index (mem->members, struct mem_member, i).domain
+               != mem->domain;
+  return MIN (MEM_SUSPECT_MS + foreign * MEM_FOREIGN_SUSPECT_MS,
+              (int64_t)MEM_SUSPECT_MAX_MS);
+}
+
 /* Raises the time that MEMBER has to be heard before it is trusted.  */
 static void
 note_flap (struct mem_member *member, clk_ms now)
--- a/process/peer.c
+++ b/process/peer.c
@@ -47,6 +47,11 @@
 static void tick (struct peer *peer, clk_ms now);
 static void expire (struct peer *peer, clk_ms now);
 static void beat_all (struct peer *peer, clk_ms now);
+static size_t sort_near_first (struct mem_member *members, size_t count,
+                               uint32_t domain);
+static void beat_some (struct peer *peer, struct wire_message *beat,
+                       const struct mem_member *members, size_t count,
+                       size_t fanout);
 static void beat_seeds (struct peer *peer, struct wire_message *beat,
                         const struct mem_member *members, size_t count);
 static void fill_beat (struct peer *peer, struct wire_message *message,
@@ -461,29 +466,61 @@
 }
 
 /* Sends one round of heartbeats.  A small fleet hears every instance in each
-   round.  In a larger one, a round goes to a few in rotation and carries
-   digests of others, so that what one instance sends does not grow with the
-   fleet.  */
+   round.  In a larger one a round goes to the members of the own failure
+   domain, a few in turn, and to one member elsewhere, and carries digests of
+   others, so that what one instance sends does not grow with the fleet.  */
 static void
 beat_all (struct peer *peer, clk_ms now)
 {
   struct mem_member members[PEER_MEMBERS_MAX];
   struct wire_message beat;
   size_t count = mem_list (peer->mem, members, PEER_MEMBERS_MAX);
-  int large = count > PEER_FANOUT;
-  size_t fanout = large ? PEER_FANOUT_LARGE : count;
+  size_t near = sort_near_first (members, count, peer->domain);
+  int large = count > MEM_SMALL_FLEET;
 
   fill_beat (peer, &beat, members, count, large, now);
-  for (size_t i = 0; i < fanout; i++)
+  if (!large)
+    beat_some (peer, &beat, members, count, count);
+  else
+    {
+      beat_some (peer, &beat, members, near, PEER_FANOUT_LARGE);
+      beat_some (peer, &beat, members + near, count - near, 1);
+    }
+  peer->rotation++;
+  beat_seeds (peer, &beat, members, count);
+}
+
+/* Moves the members of DOMAIN to the front; returns how many there are.  */
+static size_t
+sort_near_first (struct mem_member *members, size_t count, uint32_t domain)
+{
+  size_t near = 0;
+
+  for (size_t i = 0; i < count; i++)
+    if (members[i].domain == domain)
+      {
+        struct mem_member other = members[near];
+
+        members[near++] = members[i];
+        members[i] = other;
+      }
+  return near;
+}
+
+/* Sends BEAT to FANOUT of COUNT MEMBERS, other ones in each round.  */
+static void
+beat_some (struct peer *peer, struct wire_message *beat,
+           const struct mem_member *members, size_t count, size_t fanout)
+{
+  for (size_t i = 0; i < MIN (fanout, count); i++)
     {
-      const struct mem_member *to = &members[(peer->rotation + i) % count];
+      const struct mem_member *to
+          = &members[(peer->rotation * fanout + i) % count];
 
-      beat.u.heartbeat.wants_reply = to->gone;
-      peer_send (peer, &to->address, &beat, BUD_HEARTBEAT,
+      beat->u.heartbeat.wants_reply = to->gone;
+      peer_send (peer, &to->address, beat, BUD_HEARTBEAT,
                  MET_SENT_HEARTBEAT_BYTES);
     }
-  peer->rotation += fanout;
-  beat_seeds (peer, &beat, members, count);
 }
 
 /* Sends BEAT to one of the peers named in the settings that no member of the
