Queue elsewhere when the home is down; take the list of leaving targets

Change: identifiers are made one way; targets found down or leaving are left out of a choice, which queues at another one and refuses only if none is left; the mean counts targets that only the list has leaving, since they may be back at once and empty. Idle threads wait instead of polling.

--- a/bench/load_config.c
+++ b/bench/load_config.c
@@ -131,15 +131,14 @@
       else
         g_snprintf (path, sizeof path, "/operator/objects/customers/c%d",
                     g_rand_int_range (random, 0, 20));
-      status = call (shared, fetch, instance, is_switch ? "POST" : "PUT",
-                     path, is_switch ? "" : body, answer);
+      status = call (shared, fetch, instance, is_switch ? "POST" : "PUT", path,
+                     is_switch ? "" : body, answer);
       if (status == HTTP_OK)
         {
           json_t *json = json_loads (answer->str, 0, NULL);
-          struct accepted change
-              = { (uint64_t)json_integer_value (
-                      json_object_get (json, "revision")),
-                  load_now_us () };
+          struct accepted change = { (uint64_t)json_integer_value (
+                                         json_object_get (json, "revision")),
+                                     load_now_us () };
 
           pthread_mutex_lock (&shared->lock);
           g_array_append_val (shared->accepted, change);
@@ -229,9 +228,8 @@
   uint64_t newest = 0;
 
   for (guint i = 0; i < shared->accepted->len; i++)
-    newest = MAX (newest,
-                  g_array_index (shared->accepted, struct accepted, i)
-                      .revision);
+    newest = MAX (
+        newest, g_array_index (shared->accepted, struct accepted, i).revision);
   for (int i = 0; i < instances; i++)
     {
       GArray *seen = shared->seen[i];
@@ -292,15 +290,13 @@
   load_figure ("accepted", shared->accepted->len, "changes");
   load_figure ("conflicts", (double)shared->conflicts, "changes");
   load_figure ("refused", (double)shared->failures, "changes");
-  load_figure ("preset_switches", g_hash_table_size (presets) - 1,
-               "switches");
+  load_figure ("preset_switches", g_hash_table_size (presets) - 1, "switches");
   if (waits->len > 0)
     {
       load_figure ("in_force_p50_ms",
                    g_array_index (waits, double, waits->len / 2), "ms");
       load_figure ("in_force_p99_ms",
-                   g_array_index (waits, double, waits->len * 99 / 100),
-                   "ms");
+                   g_array_index (waits, double, waits->len * 99 / 100), "ms");
     }
   load_figure ("reversions", (double)reversions, "observations");
   load_figure ("two_presets", (double)two_presets, "observations");
--- a/connection/sync.c
+++ b/connection/sync.c
@@ -310,8 +310,8 @@
 
     if (service != NULL && name != NULL && count < LEAVING_MAX
         && g_strcmp0 (state, "leaving") == 0)
-      leaving[count++] = rank_hash_parts (sync->server->settings->deployment,
-                                          service, name);
+      leaving[count++]
+          = rank_id (sync->server->settings->deployment, service, name);
   }
   peer_set_leaving (sync->server->peer, leaving, count);
   json_decref (json);
--- a/connection/worker.c
+++ b/connection/worker.c
@@ -13,6 +13,7 @@
 {
   EVENTS_MAX = 256,
   TICK_MS = 10,
+  IDLE_TICK_MS = 100,
   STOP_CHECK_MS = 50
 };
 
@@ -200,9 +201,13 @@
 static int
 wait_ms (struct worker *worker, clk_ms now)
 {
-  clk_ms due = MIN (worker->next_tick_ms, worker->multi_due_ms);
+  clk_ms due;
   MHD_UNSIGNED_LONG_LONG front_ms;
 
+  if (g_hash_table_size (worker->requests) > 0)
+    worker->next_tick_ms = MIN (worker->next_tick_ms, now + TICK_MS);
+  due = MIN (worker->next_tick_ms, worker->multi_due_ms);
+
   if (worker->front_due)
     return 0;
   if (MHD_get_timeout (worker->front, &front_ms) == MHD_YES)
@@ -287,7 +292,9 @@
   GHashTableIter iter;
   gpointer value;
 
-  worker->next_tick_ms = now + TICK_MS;
+  worker->next_tick_ms
+      = now
+        + (g_hash_table_size (worker->requests) > 0 ? TICK_MS : IDLE_TICK_MS);
   g_hash_table_iter_init (&iter, worker->requests);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (((struct req *)value)->timer_ms <= now)
--- a/fakes/fake_engine.c
+++ b/fakes/fake_engine.c
@@ -152,6 +152,11 @@
 {
   struct engine *engine = closure;
 
+  if (engine->mode == MODE_REFUSE)
+    {
+      fake_drop (call);
+      return;
+    }
   if (engine->mode == MODE_ERROR)
     fake_answer (call, 500, "{}");
   else if (engine->mode == MODE_BUSY)
--- a/fakes/fake_link.c
+++ b/fakes/fake_link.c
@@ -92,10 +92,9 @@
 static struct sockaddr_in
 loopback (int port)
 {
-  struct sockaddr_in address
-      = { .sin_family = AF_INET,
-          .sin_port = htons ((uint16_t)port),
-          .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  struct sockaddr_in address = { .sin_family = AF_INET,
+                                 .sin_port = htons ((uint16_t)port),
+                                 .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
 
   return address;
 }
@@ -175,8 +174,8 @@
 {
   struct pipe *pipe = closure;
   const struct link *link = pipe->link;
-  struct sockaddr_in address = loopback (
-      link->to < count ? peer_port + link->to : platform_port);
+  struct sockaddr_in address
+      = loopback (link->to < count ? peer_port + link->to : platform_port);
   int open = 1;
 
   pipe->far = socket (AF_INET, SOCK_STREAM, 0);
@@ -214,8 +213,7 @@
   char data[BUFFER_BYTES];
   ssize_t length = recv (from, data, sizeof data, 0);
 
-  return length > 0
-         && send (to, data, (size_t)length, MSG_NOSIGNAL) == length;
+  return length > 0 && send (to, data, (size_t)length, MSG_NOSIGNAL) == length;
 }
 
 /* Serves /cut?from=I&to=J and /heal.  */
--- a/fakes/fake_service.c
+++ b/fakes/fake_service.c
@@ -83,7 +83,7 @@
       && rand_r (&worker->seed) % 100 < worker->percent)
     mode = worker->mode;
   pthread_mutex_unlock (&lock);
-  if (mode == MODE_BEFORE)
+  if (mode == MODE_BEFORE || mode == MODE_REFUSE)
     {
       fake_drop (call);
       return;
--- a/include/ibisloom/members.h
+++ b/include/ibisloom/members.h
@@ -15,7 +15,7 @@
   MEM_NAME_MAX_BYTES = 64,
   MEM_SUSPECT_MS = 1200,
   MEM_GONE_MS = 3500,
-  MEM_SMALL_FLEET = 8,       /* others that all hear from each other */
+  MEM_SMALL_FLEET = 8,           /* others that all hear from each other */
   MEM_FOREIGN_SUSPECT_MS = 1000, /* more for each foreign member */
   MEM_SUSPECT_MAX_MS = 60000
 };
--- a/include/ibisloom/place.h
+++ b/include/ibisloom/place.h
@@ -59,6 +59,7 @@
   unsigned asked; /* bit I: candidate I was asked in the walk */
   unsigned asked_count;
   size_t last_at;  /* where the next few for queueing begin */
+  unsigned down;   /* bit I: candidate I is down or leaving */
   unsigned denied; /* bit V: verdict V came */
   uint64_t noted;
   int back_home;
--- a/process/libpeer.h
+++ b/process/libpeer.h
@@ -12,6 +12,7 @@
 enum
 {
   PEER_TICK_MS = 10,
+  PEER_IDLE_TICK_MS = 25,
   PEER_HEARTBEAT_MS = 350,
   PEER_FANOUT = 8,
   PEER_FANOUT_LARGE = 4,
@@ -67,6 +68,7 @@
 {
   uint64_t service;
   double now;
+  double ready; /* of the targets that take requests */
   double low[PEER_MEAN_SLOTS];
   clk_ms slot_ms[PEER_MEAN_SLOTS];
   uint32_t targets;
@@ -132,6 +134,7 @@
                  clk_ms now);
 void admit_notes (struct peer *peer, const struct wire_message *message,
                   clk_ms now);
+int admit_is_idle (struct peer *peer);
 void admit_waiters (struct peer *peer, clk_ms now);
 void admit_timeouts (struct peer *peer, clk_ms now);
 void admit_view (struct peer *peer, const struct ver_snapshot *version,
--- a/process/members.c
+++ b/process/members.c
@@ -115,8 +115,7 @@
   clk_ms heard = now - digest->age_ms;
   unsigned news = MEM_NEWS_NONE;
 
-  if (digest->instance == mem->self
-      || digest->age_ms >= MEM_SUSPECT_MAX_MS)
+  if (digest->instance == mem->self || digest->age_ms >= MEM_SUSPECT_MAX_MS)
     return MEM_NEWS_NONE;
   pthread_mutex_lock (&mem->lock);
   member = find (mem, digest->instance);
@@ -179,7 +178,8 @@
       struct mem_member *member
           = &g_array_index (mem->members, struct mem_member, i);
 
-      if (member->gone || now - member->heard_ms
+      if (member->gone
+          || now - member->heard_ms
                  < member->suspect_ms + MEM_GONE_MS - MEM_SUSPECT_MS)
         continue;
       member->gone = 1;
--- a/process/peer.c
+++ b/process/peer.c
@@ -307,7 +307,7 @@
   peer->reader = ver_reader_new (peer->store);
   while (!ck_pr_load_int (&peer->stopping))
     {
-      poll (&fd, 1, PEER_TICK_MS);
+      poll (&fd, 1, admit_is_idle (peer) ? PEER_IDLE_TICK_MS : PEER_TICK_MS);
       receive_all (peer);
       tick (peer, clk_now (clk_monotonic ()));
     }
--- a/process/peer_admit.c
+++ b/process/peer_admit.c
@@ -271,6 +271,25 @@
   answer->elsewhere = reply->elsewhere;
 }
 
+/* Returns whether no ask awaits its answer and no grant is held here, so that
+   nothing is due within a few ticks.  */
+int
+admit_is_idle (struct peer *peer)
+{
+  guint open = 0;
+
+  for (int i = 0; i < PEER_ASK_SHARDS && open == 0; i++)
+    {
+      struct peer_ask_shard *shard = &peer->asks[i];
+
+      pthread_mutex_lock (&shard->lock);
+      open = g_hash_table_size (shard->pending)
+             + g_hash_table_size (shard->held);
+      pthread_mutex_unlock (&shard->lock);
+    }
+  return open == 0;
+}
+
 /* Answers the asks that wait at the targets owned here and have their
    verdicts at NOW.  */
 void
@@ -651,7 +670,7 @@
   low = MAX (lowest (mean, now), mean->now * MEAN_KEPT);
   if (mean->targets > 0)
     low += 1.0 / mean->targets;
-  enough = (floor (mean->now) + 1) / factor;
+  enough = (floor (mean->ready) + 1) / factor;
   pthread_mutex_unlock (&peer->mean_lock);
   return MAX (low, enough);
 }
@@ -719,8 +738,9 @@
     }
 }
 
-/* Observes the mean load of each service's targets: those owned here as they
-   are, the others as their owners told lately.  */
+/* Observes the mean load of each service's targets, with those that the
+   platform's list has leaving, which may be back at once and empty: those
+   owned here as they are, the others as their owners told lately.  */
 static void
 update_means (struct peer *peer, const struct ver_snapshot *version,
               clk_ms now)
@@ -737,7 +757,9 @@
           = &g_array_index (version->services, struct ver_service, i);
       struct peer_mean *mean;
       int64_t sum = 0;
+      int64_t ready_sum = 0;
       uint32_t count = 0;
+      uint32_t ready_count = 0;
 
       if (service->kind != VER_KIND_CHAT)
         continue;
@@ -751,15 +773,21 @@
 
           if (told == NULL || now - told->told_ms > PEER_LOAD_TTL_MS)
             continue;
-          if (target->leaving || peer_is_leaving (peer, target->id))
+          if (target->leaving)
             continue;
           sum += told->load;
           count++;
+          if (peer_is_leaving (peer, target->id))
+            continue;
+          ready_sum += told->load;
+          ready_count++;
         }
       if (count > 0)
         {
           mean = mean_get (peer, service->id);
           mean->targets = count;
+          mean->ready = ready_count > 0 ? (double)ready_sum / ready_count
+                                        : (double)sum / count;
           observe_mean (mean, (double)sum / count, now);
         }
       pthread_mutex_unlock (&peer->mean_lock);
--- a/request/place.c
+++ b/request/place.c
@@ -26,6 +26,7 @@
                  int64_t wait_ms, struct place_step *step);
 static void last_resort (struct place *place, clk_ms now,
                          struct place_step *step);
+static void mark_down (struct place *place, uint64_t target);
 static void refuse (struct place *place, enum place_reason reason,
                     struct place_step *step);
 static int is_excluded (uint64_t id, const uint64_t *excluded, size_t count);
@@ -90,6 +91,8 @@
            place->wish.context_wait_ms, step);
       return;
     }
+  if (verdict == OWN_DENY_DOWN || verdict == OWN_DENY_LEAVING)
+    mark_down (place, place->step.target);
   place->denied |= 1U << verdict;
   handlers[verdict](place, now, step);
 }
@@ -153,7 +156,8 @@
     }
   for (size_t i = 1; i < place->count && place->asked_count < ASKS_PER_ROUND;
        i++)
-    if (!(place->asked & (1U << i)) && place->candidates[i] != place->noted
+    if (!((place->asked | place->down) & (1U << i))
+        && place->candidates[i] != place->noted
         && place->wish.room (place->wish.closure, place->candidates[i]) > 0)
       {
         place->asked |= 1U << i;
@@ -170,16 +174,9 @@
 static void
 last_resort (struct place *place, clk_ms now, struct place_step *step)
 {
-  unsigned busy = (1U << OWN_DENY_BOUND) | (1U << OWN_DENY_CAPACITY)
-                  | (1U << OWN_DENY_SHARE) | (1U << PEER_TIMEOUT);
-  size_t best = 0;
+  size_t best = place->count;
   int32_t most = INT32_MIN;
 
-  if (!(place->denied & busy))
-    {
-      refuse (place, PLACE_NO_TARGET, step);
-      return;
-    }
   if (now >= place->wish.give_up_ms)
     {
       refuse (place,
@@ -188,23 +185,40 @@
               step);
       return;
     }
-  for (size_t i = 0; i < MIN (place->count, (size_t)LAST_CHOICES); i++)
+  for (size_t i = 0, seen = 0; i < place->count && seen < LAST_CHOICES; i++)
     {
       size_t at = (place->last_at + i) % place->count;
-      int32_t room
-          = place->wish.room (place->wish.closure, place->candidates[at]);
+      int32_t room;
 
-      if (room > most)
+      if (place->down & (1U << at))
+        continue;
+      seen++;
+      room = place->wish.room (place->wish.closure, place->candidates[at]);
+      if (best == place->count || room > most)
         {
           most = room;
           best = at;
         }
     }
   place->last_at += LAST_CHOICES;
+  if (best == place->count)
+    {
+      refuse (place, PLACE_NO_TARGET, step);
+      return;
+    }
   ask (place, place->candidates[best], OWN_ASK_HERE,
        MIN (place->wish.give_up_ms - now, (int64_t)LAST_WAIT_MS), step);
 }
 
+/* Notes that TARGET cannot be used.  */
+static void
+mark_down (struct place *place, uint64_t target)
+{
+  for (size_t i = 0; i < place->count; i++)
+    if (place->candidates[i] == target)
+      place->down |= 1U << i;
+}
+
 /* Sets STEP to ask for TARGET, waiting there up to WAIT_MS.  */
 static void
 ask (struct place *place, uint64_t target, uint32_t flags, int64_t wait_ms,
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -16,6 +16,7 @@
 static const struct ver_snapshot *version;
 static int32_t rooms[TARGETS];
 
+static int index_of (uint64_t target);
 static int32_t room (void *closure, uint64_t target);
 static void begin (struct place *place, struct place_step *step,
                    clk_ms give_up_ms);
@@ -27,6 +28,7 @@
 static void walk_asks_only_where_room_is (void);
 static void full_fleet_queues_then_refuses (void);
 static void all_down_refuses_at_once (void);
+static void down_home_and_full_others_queue (void);
 static void silent_owner_is_passed_by_room (void);
 static void no_budget_waits (void);
 static void failed_targets_are_left_out (void);
@@ -40,6 +42,7 @@
   { "the walk asks only where room is", walk_asks_only_where_room_is },
   { "a full fleet queues, then refuses", full_fleet_queues_then_refuses },
   { "all targets down refuses at once", all_down_refuses_at_once },
+  { "a down home and full others queue", down_home_and_full_others_queue },
   { "a silent owner is passed by room", silent_owner_is_passed_by_room },
   { "without budget it waits", no_budget_waits },
   { "failed targets are left out", failed_targets_are_left_out },
@@ -49,16 +52,22 @@
 
 TEST_MAIN ("place", cases)
 
-static int32_t
-room (void *closure, uint64_t target)
+static int
+index_of (uint64_t target)
 {
-  (void)closure;
   for (int i = 0; i < TARGETS; i++)
     if (ver_target_at (version, (uint32_t)i)->id == target)
-      return rooms[i];
+      return i;
   return 0;
 }
 
+static int32_t
+room (void *closure, uint64_t target)
+{
+  (void)closure;
+  return rooms[index_of (target)];
+}
+
 static void
 begin (struct place *place, struct place_step *step, clk_ms give_up_ms)
 {
@@ -191,12 +200,16 @@
   struct place place;
   struct place_step step = { 0 };
 
+  unsigned asked = 0;
+
   begin (&place, &step, 100000);
   for (int i = 0; i < TARGETS; i++)
     rooms[i] = 1;
   for (int i = 0; i < TARGETS; i++)
     {
       CU_ASSERT_EQUAL (step.action, PLACE_ASK);
+      CU_ASSERT (!(asked & (1U << index_of (step.target))));
+      asked |= 1U << index_of (step.target);
       place_next (&place, OWN_DENY_DOWN, 0, 1, &step);
     }
   CU_ASSERT_EQUAL (step.action, PLACE_REFUSE);
@@ -204,6 +217,22 @@
   finish ();
 }
 
+/* One target down and the others without room, as far as is told, is no
+   reason to refuse.  */
+static void
+down_home_and_full_others_queue (void)
+{
+  struct place place;
+  struct place_step step = { 0 };
+
+  begin (&place, &step, 1000);
+  place_next (&place, OWN_DENY_DOWN, 0, 1, &step);
+  CU_ASSERT_EQUAL (step.action, PLACE_ASK);
+  CU_ASSERT_NOT_EQUAL (step.target, home_of (&place, 0));
+  CU_ASSERT (step.wait_ms > 0);
+  finish ();
+}
+
 static void
 silent_owner_is_passed_by_room (void)
 {
--- a/version/ledger.c
+++ b/version/ledger.c
@@ -428,11 +428,13 @@
 take_ops (struct led *led)
 {
   GPtrArray *ops;
-  clk_ms now = clk_now (clk_monotonic ());
-  clk_ms until_ms = now + RETRY_MIN_MS;
+  clk_ms until_ms = clk_now (clk_monotonic ()) + RETRY_MIN_MS;
   struct timespec until = { until_ms / 1000, until_ms % 1000 * 1000000 };
 
   pthread_mutex_lock (&led->lock);
+  while (g_queue_is_empty (&led->queue) && g_queue_is_empty (&led->delayed)
+         && !led->stopping)
+    pthread_cond_wait (&led->ready, &led->lock);
   if (g_queue_is_empty (&led->queue) && !led->stopping)
     pthread_cond_timedwait (&led->ready, &led->lock, &until);
   move_due (led, clk_now (clk_monotonic ()));
