Leave targets that are down out of the mean; reserve slots by number

Cause: with three of twelve engines failing, the mean counted them as empty, so the bound of the others was below what they had to carry: 47 refusals for capacity at half load. At full load customers within their share were held to the cautious bound and waited behind surging ones.

Change: owners tell which targets are down; the bound's floor rests on the others; when slots are short, a customer within its share may fill a target up to the load factor times the mean of now; the reserve is a number of slots, at least one, a twentieth by default.

--- a/bench/scenarios.sh
+++ b/bench/scenarios.sh
@@ -148,14 +148,14 @@
 }
 
 scenario_surge () {
-  instances=6 cache_tokens=60000 prefill_us=100 itl_ms=15
+  instances=9 slots=24 cache_tokens=60000 prefill_us=100 itl_ms=15 control_bytes=10240
   fleet_start || return 1
   sleep 1
-  load_start chats=2000 rate=20 tokens=40 prompt=200 growth=40 duration_ms=26000 \
+  load_start chats=6000 rate=40 tokens=80 prompt=200 growth=40 duration_ms=26000 \
     zipf=0.6 surge_at_ms=10000 surge_factor=20
   load_wait
   report surge surge_at_ms=$((load_began + 10000))
-  # 12 engines of 8 slots, 40 tokens in 40 x 15 ms and a little for the prompt.
+  # All slots making a token each 15 ms, without any prompt to read.
   echo "figure capacity_tokens_per_s $((engines * slots * 1000 / itl_ms)) tokens/s"
   [ -z "${verbose:-}" ] || { report failures; counters; }
 }
@@ -342,7 +342,7 @@
 
 scenario_drain () {
   local i at_list at_ctl at_gone status=0
-  instances=6 itl_ms=15 prefill_us=50
+  instances=6 slots=24 itl_ms=15 prefill_us=50
   fleet_start || return 1
   sleep 1
   load_start chats=400 rate=50 tokens=60 prompt=200 growth=40 duration_ms=30000 zipf=0.6
--- a/include/ibisloom/owner.h
+++ b/include/ibisloom/owner.h
@@ -48,7 +48,8 @@
 /* What the version in force and the members say about the target. */
 struct own_limits
 {
-  double mean_load;
+  double mean_load; /* low enough to last as long as a request */
+  double mean_now;
   double load_factor;
   double reserve_share;
   double customer_weight;
@@ -91,6 +92,7 @@
 void own_note_put (struct own *own, const struct own_note *note);
 size_t own_notes (struct own *own, struct own_note *notes, size_t capacity);
 int32_t own_load (struct own *own, uint64_t target);
+int own_is_down (struct own *own, uint64_t target);
 int32_t own_bound (double mean_load, double load_factor);
 
 #endif
--- a/include/ibisloom/wire.h
+++ b/include/ibisloom/wire.h
@@ -11,6 +11,7 @@
   WIRE_MAC_BYTES = 8,
   WIRE_MAX_BYTES = 1200,
   WIRE_LOADS_MAX = 32,
+  WIRE_LOAD_DOWN = 0x10000, /* added to the load of a target that is down */
   WIRE_LEAVING_MAX = 16,
   WIRE_DIGESTS_MAX = 8,
   WIRE_GRANTS_MAX = 64,
--- a/process/libpeer.h
+++ b/process/libpeer.h
@@ -60,6 +60,7 @@
 {
   uint64_t target;
   int32_t load;
+  int down;
   clk_ms told_ms;
 };
 
--- a/process/peer_admit.c
+++ b/process/peer_admit.c
@@ -43,7 +43,8 @@
 static void update_owned (struct peer *peer,
                           const struct ver_snapshot *version, clk_ms now);
 static void forget_unowned (struct peer *peer, uint64_t target, clk_ms now);
-static void learn_load (struct peer *peer, uint64_t target, int32_t load,
+static uint32_t owned_load (struct peer *peer, uint64_t target);
+static void learn_load (struct peer *peer, uint64_t target, uint32_t load,
                         clk_ms now);
 static void update_means (struct peer *peer,
                           const struct ver_snapshot *version, clk_ms now);
@@ -356,7 +357,10 @@
   if (pending == NULL)
     return;
   if (answer->verdict != OWN_ELSEWHERE)
-    learn_load (peer, pending->ask.target, (int32_t)answer->load,
+    learn_load (peer, pending->ask.target,
+                answer->verdict == OWN_DENY_DOWN
+                    ? answer->load | WIRE_LOAD_DOWN
+                    : answer->load,
                 clk_now (clk_monotonic ()));
   finish (peer, pending, &reply);
 }
@@ -483,18 +487,26 @@
       struct wire_load *load = &beat->loads[beat->load_count++];
 
       load->target = g_array_index (peer->owned, uint64_t, i);
-      load->load = (uint32_t)own_load (peer->own, load->target);
+      load->load = owned_load (peer, load->target);
     }
 }
 
+/* Returns the load of a target owned here as it is told.  */
+static uint32_t
+owned_load (struct peer *peer, uint64_t target)
+{
+  uint32_t load = (uint32_t)own_load (peer->own, target);
+
+  return own_is_down (peer->own, target) ? load | WIRE_LOAD_DOWN : load;
+}
+
 /* Takes the loads that the owner of targets told at NOW.  */
 void
 admit_learn_loads (struct peer *peer, const struct wire_heartbeat *beat,
                    clk_ms now)
 {
   for (uint32_t i = 0; i < beat->load_count; i++)
-    learn_load (peer, beat->loads[i].target, (int32_t)beat->loads[i].load,
-                now);
+    learn_load (peer, beat->loads[i].target, beat->loads[i].load, now);
 }
 
 /* Returns how many more requests TARGET seems to have room for, by what its
@@ -520,14 +532,14 @@
   pthread_mutex_lock (&peer->mean_lock);
   told = g_hash_table_lookup (peer->loads, &target);
   if (told != NULL && now - told->told_ms < PEER_LOAD_TTL_MS)
-    room = MIN (bound, entry->slots) - told->load;
+    room = told->down ? INT32_MIN : MIN (bound, entry->slots) - told->load;
   pthread_mutex_unlock (&peer->mean_lock);
   return room;
 }
 
 /* Remembers what the owner of TARGET told.  */
 static void
-learn_load (struct peer *peer, uint64_t target, int32_t load, clk_ms now)
+learn_load (struct peer *peer, uint64_t target, uint32_t load, clk_ms now)
 {
   struct peer_load *told;
 
@@ -539,7 +551,8 @@
       told->target = target;
       g_hash_table_insert (peer->loads, &told->target, told);
     }
-  told->load = load;
+  told->load = (int32_t)(load & (WIRE_LOAD_DOWN - 1));
+  told->down = (load & WIRE_LOAD_DOWN) != 0;
   told->told_ms = now;
   pthread_mutex_unlock (&peer->mean_lock);
 }
@@ -651,6 +664,9 @@
           .customer_weight = ver_customer_weight (version, customer) };
 
   limits.mean_load = mean_for (peer, service->id, limits.load_factor, now);
+  pthread_mutex_lock (&peer->mean_lock);
+  limits.mean_now = mean_get (peer, service->id)->now;
+  pthread_mutex_unlock (&peer->mean_lock);
   return limits;
 }
 
@@ -749,7 +765,7 @@
     {
       uint64_t target = g_array_index (peer->owned, uint64_t, i);
 
-      learn_load (peer, target, own_load (peer->own, target), now);
+      learn_load (peer, target, owned_load (peer, target), now);
     }
   for (guint i = 0; i < version->services->len; i++)
     {
@@ -777,7 +793,7 @@
             continue;
           sum += told->load;
           count++;
-          if (peer_is_leaving (peer, target->id))
+          if (told->down || peer_is_leaving (peer, target->id))
             continue;
           ready_sum += told->load;
           ready_count++;
--- a/request/owner.c
+++ b/request/owner.c
@@ -25,6 +25,9 @@
 /* Guards whole numbers against errors of floating point. */
 static const double ROUNDING = 1e-9;
 
+/* Part of the slots open to all at which slots count as short. */
+static const double CONTENDED_SHARE = 0.7;
+
 struct grant
 {
   uint64_t customer;
@@ -83,6 +86,9 @@
 static enum own_verdict judge (struct owned *owned, const struct own_ask *ask,
                                const struct own_limits *limits, clk_ms now,
                                struct own_reply *reply);
+static int32_t open_to_all (const struct own_limits *limits);
+static int may_pass_bound (const struct own_limits *limits, int32_t load,
+                           int32_t open_slots, int in_share);
 static int may_wait (const struct owned *owned, const struct own_ask *ask,
                      enum own_verdict verdict);
 static void enqueue (struct owned *owned, const struct own_ask *ask,
@@ -383,6 +389,22 @@
   return load;
 }
 
+/* Returns whether the circuit breaker of TARGET is open.  */
+int
+own_is_down (struct own *own, uint64_t target)
+{
+  struct shard *shard = shard_of (own, target);
+  const struct owned *owned;
+  int down = 0;
+
+  pthread_mutex_lock (&shard->lock);
+  owned = g_hash_table_lookup (shard->targets, &target);
+  if (owned != NULL)
+    down = owned->breaker.failures >= FAILURES_TO_OPEN;
+  pthread_mutex_unlock (&shard->lock);
+  return down;
+}
+
 /* Judges ASK against the breaker, the bounds and the customer's share, in
    this order, and appends the grant if nothing speaks against it.  */
 static enum own_verdict
@@ -391,13 +413,13 @@
 {
   int32_t load = (int32_t)owned->grants->len;
   int32_t bound = own_bound (limits->mean_load, limits->load_factor);
-  int32_t open_slots
-      = (int32_t)floor (limits->slots * (1 - limits->reserve_share));
+  int32_t open_slots = open_to_all (limits);
   struct grant grant = { .customer = ask->customer,
                          .since_ms = now,
                          .instance = ask->instance,
                          .id = ask->grant };
   double share = fair_share (owned, ask, limits, now);
+  int in_share = held_by (owned, ask->customer) + 1 <= share;
 
   reply->load = load;
   reply->limit = bound < limits->slots ? bound : limits->slots;
@@ -409,15 +431,38 @@
     return OWN_DENY_DOWN;
   if (load >= limits->slots)
     return OWN_DENY_CAPACITY;
-  if (load >= bound)
+  if (load >= bound && !may_pass_bound (limits, load, open_slots, in_share))
     return OWN_DENY_BOUND;
-  if (load >= open_slots && held_by (owned, ask->customer) + 1 > share)
+  if (load >= open_slots && !in_share)
     return OWN_DENY_SHARE;
   g_array_append_val (owned->grants, grant);
   reply->load++;
   return OWN_GRANT;
 }
 
+/* Returns how many slots are open to customers beyond their share: all but
+   the reserve, which is at least one slot if there is one at all.  */
+static int32_t
+open_to_all (const struct own_limits *limits)
+{
+  int32_t reserve = (int32_t)lround (limits->slots * limits->reserve_share);
+
+  if (limits->reserve_share <= 0 || limits->slots <= 1)
+    return limits->slots;
+  return limits->slots - MAX (reserve, 1);
+}
+
+/* Returns whether a request of a customer that is IN_SHARE may fill a target
+   up to the load factor times the mean of now: when slots are short, the room
+   that the cautious mean leaves is for customers within their share.  */
+static int
+may_pass_bound (const struct own_limits *limits, int32_t load,
+                int32_t open_slots, int in_share)
+{
+  return in_share && limits->mean_now >= open_slots * CONTENDED_SHARE
+         && load < ceil (limits->mean_now * limits->load_factor - ROUNDING);
+}
+
 /* Returns whether ASK, denied by VERDICT, may wait in the queue: for room, not
    for a target that is down, and not beyond a customer's part of the queue. */
 static int
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -180,10 +180,12 @@
       CU_ASSERT_EQUAL (ask (own, grant, &limits, 0), OWN_GRANT);
       own_release (own, TARGET, 3, grant, OWN_OUTCOME_FAILED, 0);
     }
+  CU_ASSERT (own_is_down (own, TARGET));
   CU_ASSERT_EQUAL (ask (own, 3, &limits, 10), OWN_DENY_DOWN);
   CU_ASSERT_EQUAL (ask (own, 4, &limits, 300), OWN_GRANT);
   CU_ASSERT_EQUAL (ask (own, 5, &limits, 301), OWN_DENY_DOWN);
   own_release (own, TARGET, 3, 4, OWN_OUTCOME_OK, 310);
+  CU_ASSERT (!own_is_down (own, TARGET));
   CU_ASSERT_EQUAL (ask (own, 6, &limits, 311), OWN_GRANT);
   own_free (own);
 }
--- a/version/version_snapshot.c
+++ b/version/version_snapshot.c
@@ -102,7 +102,7 @@
 static const struct real_field preset_reals[] = {
   { "load_factor", offsetof (struct ver_preset, load_factor), 1.05, 4, 1.25 },
   { "reserve_share", offsetof (struct ver_preset, reserve_share), 0, 0.9,
-    0.2 },
+    0.05 },
   { "retry_share", offsetof (struct ver_preset, retry_share), 0, 1, 0.1 },
 };
 
