Refuse a surging customer at once when enough of its requests wait

Cause: in a surge 11,000 denials for share spent the control budget (29,506 drops), which held the other customers up too.

Change: an instance queues at most four requests of a customer whose share it found in use in the last half second, and refuses the next at once with Retry-After.

--- a/connection/libconnection.h
+++ b/connection/libconnection.h
@@ -6,6 +6,13 @@
 
 #include "librequest.h"
 
+/* Requests of one customer that wait for admission at one worker. */
+struct worker_customer
+{
+  int waiting;
+  clk_ms denied_ms; /* when its share was last found in use */
+};
+
 struct worker
 {
   struct server *server;
@@ -20,8 +27,9 @@
   int front_due;
   CURLM *multi;
   clk_ms multi_due_ms;
-  GPtrArray *idle;      /* of CURL *, to be used again */
-  GHashTable *requests; /* id to struct req */
+  GPtrArray *idle;       /* of CURL *, to be used again */
+  GHashTable *requests;  /* id to struct req */
+  GHashTable *customers; /* id to struct worker_customer */
   uint64_t next_id;
   struct ver_reader *reader;
   const struct ver_snapshot *version;
--- a/connection/worker.c
+++ b/connection/worker.c
@@ -59,6 +59,8 @@
   pthread_mutex_init (&worker->mail_lock, NULL);
   g_queue_init (&worker->mail);
   worker->requests = g_hash_table_new (g_int64_hash, g_int64_equal);
+  worker->customers
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   worker->random = g_rand_new ();
   worker->front = front_start (worker, error);
   if (worker->front == NULL)
@@ -98,6 +100,7 @@
   MHD_stop_daemon (worker->front);
   back_free (worker);
   g_hash_table_destroy (worker->requests);
+  g_hash_table_destroy (worker->customers);
   g_rand_free (worker->random);
   close (worker->epoll);
   close (worker->mail_fd);
--- a/request/librequest.h
+++ b/request/librequest.h
@@ -120,6 +120,7 @@
   uint32_t grant;
   int has_grant;
   int holds_plain;
+  int is_waiting; /* counted among its customer's waiting requests */
   uint64_t target;
   uint64_t resume_target;
   uint64_t excluded[REQ_EXCLUDED_MAX];
@@ -154,6 +155,7 @@
 /* request.c */
 void req_claim (struct req *req);
 void req_place (struct req *req);
+void req_leave_queue (struct req *req);
 void req_on_reply (struct req *req, const struct peer_reply *reply);
 void req_on_ledger (struct req *req, const struct led_reply *reply);
 void req_on_timer (struct req *req, clk_ms now);
--- a/request/request.c
+++ b/request/request.c
@@ -8,6 +8,8 @@
 
 enum
 {
+  WAITING_MAX = 4,
+  SHARE_MEMORY_MS = 500,
   CLAIM_WAIT_MS = 185,
   CLAIM_POLL_MS = 100,
   CLAIM_POLL_MAX_MS = 3000,
@@ -22,6 +24,8 @@
                                 const struct led_reply *reply);
 typedef void (*step_handler) (struct req *req, const struct place_step *step);
 
+static int enter_queue (struct req *req, clk_ms now);
+static struct worker_customer *customer_get (struct req *req);
 static int32_t room (void *closure, uint64_t target);
 static void step_ask (struct req *req, const struct place_step *step);
 static void step_take (struct req *req, const struct place_step *step);
@@ -146,11 +150,64 @@
       place_plain (req, service);
       return;
     }
+  if (!enter_queue (req, now))
+    {
+      req_refuse (req, REFUSE_CUSTOMER_SHARE,
+                  req->may_have_run ? REQ_MAY_HAVE_RUN : REQ_NOT_RUN);
+      return;
+    }
   place_start (&req->place, version, service, &wish, req->excluded,
                req->excluded_count, &step);
   step_handlers[step.action](req, &step);
 }
 
+/* Counts REQ among its customer's requests that wait for admission.  Returns
+   0 if it has to be refused at once: enough of them wait already and the
+   customer's share was found in use lately, so that one more would only cost
+   messages.  */
+static int
+enter_queue (struct req *req, clk_ms now)
+{
+  struct worker_customer *customer = customer_get (req);
+
+  if (req->is_waiting)
+    return 1;
+  if (req->tries == 0 && customer->waiting >= WAITING_MAX
+      && now - customer->denied_ms < SHARE_MEMORY_MS)
+    return 0;
+  customer->waiting++;
+  req->is_waiting = 1;
+  return 1;
+}
+
+/* Ends the waiting of REQ.  */
+void
+req_leave_queue (struct req *req)
+{
+  if (req->is_waiting)
+    customer_get (req)->waiting--;
+  req->is_waiting = 0;
+}
+
+/* Returns the worker's entry of REQ's customer, made at first use.  */
+static struct worker_customer *
+customer_get (struct req *req)
+{
+  GHashTable *customers = req->worker->customers;
+  struct worker_customer *customer
+      = g_hash_table_lookup (customers, &req->customer_id);
+  uint64_t *key;
+
+  if (customer != NULL)
+    return customer;
+  customer = g_new0 (struct worker_customer, 1);
+  customer->denied_ms = -SHARE_MEMORY_MS;
+  key = g_new (uint64_t, 1);
+  *key = req->customer_id;
+  g_hash_table_insert (customers, key, customer);
+  return customer;
+}
+
 /* Tells the choice of the request CLOSURE how much room TARGET seems to
    have.  */
 static int32_t
@@ -169,6 +226,8 @@
 
   if (reply->verdict >= OWN_DENY_BOUND && reply->verdict <= OWN_DENY_LEAVING)
     met_inc (denial_counters[reply->verdict]);
+  if (reply->verdict == OWN_DENY_SHARE)
+    customer_get (req)->denied_ms = clk_now (clk_monotonic ());
   place_next (&req->place, reply->verdict, reply->elsewhere,
               clk_now (clk_monotonic ()), &step);
   if (step.action == PLACE_TAKE)
@@ -438,6 +497,7 @@
   const struct ver_target *entry
       = ver_target_find (req->worker->version, target);
 
+  req_leave_queue (req);
   req->target = target;
   req->phase = REQ_SENDING;
   if (entry == NULL)
--- a/request/request_answer.c
+++ b/request/request_answer.c
@@ -178,6 +178,7 @@
 {
   clk_ms now = clk_now (clk_monotonic ());
 
+  req_leave_queue (req);
   req->phase = REQ_DONE;
   req->timer_ms = INT64_MAX;
   if (req->response != NULL || req->connection == NULL)
--- a/request/request_start.c
+++ b/request/request_start.c
@@ -100,6 +100,7 @@
 void
 req_free (struct req *req)
 {
+  req_leave_queue (req);
   g_hash_table_remove (req->worker->requests, &req->id);
   ck_pr_dec_64 ((uint64_t *)&req->worker->server->open_requests);
   curl_slist_free_all (req->forward);
