Hand notes over in batches to the owners that come after

Cause: an instance that stops handed its notes to the owners of before, itself among them, one datagram a note, and the budget dropped the rest.

Targets that have been leaving for 8 s leave the mean.

--- a/process/libpeer.h
+++ b/process/libpeer.h
@@ -119,6 +119,7 @@
 struct peer_leaving
 {
   uint64_t target;
+  clk_ms since_ms;
   clk_ms until_ms;
   int own_list;
 };
@@ -135,6 +136,7 @@
                  clk_ms now);
 void admit_notes (struct peer *peer, const struct wire_message *message,
                   clk_ms now);
+int peer_has_left (struct peer *peer, uint64_t target, clk_ms now);
 int admit_is_idle (struct peer *peer);
 void admit_waiters (struct peer *peer, clk_ms now);
 void admit_timeouts (struct peer *peer, clk_ms now);
--- a/process/peer.c
+++ b/process/peer.c
@@ -17,6 +17,7 @@
   RECEIVE_BATCH = 256,
   REVISION_STEP_MS = 20,
   LEAVING_TTL_MS = 5000,
+  LEFT_MS = 8000,
   SOCKET_BUFFER_BYTES = 4194304,
   INCARNATION_MS = 100
 };
@@ -245,6 +246,27 @@
   return found;
 }
 
+/* Returns whether TARGET has been leaving for so long that it is not expected
+   back.  */
+int
+peer_has_left (struct peer *peer, uint64_t target, clk_ms now)
+{
+  int found = 0;
+
+  pthread_mutex_lock (&peer->leaving_lock);
+  for (guint i = 0; i < peer->leaving->len; i++)
+    {
+      const struct peer_leaving *entry
+          = &g_array_index (peer->leaving, struct peer_leaving, i);
+
+      if (entry->target == target && now < entry->until_ms
+          && now - entry->since_ms > LEFT_MS)
+        found = 1;
+    }
+  pthread_mutex_unlock (&peer->leaving_lock);
+  return found;
+}
+
 /* Returns the members as newly allocated JSON for operators.  */
 char *
 peer_status_json (struct peer *peer)
@@ -592,7 +614,7 @@
 static void
 learn_leaving (struct peer *peer, uint64_t target, int own_list, clk_ms now)
 {
-  struct peer_leaving entry = { target, now + LEAVING_TTL_MS, own_list };
+  struct peer_leaving entry = { target, now, now + LEAVING_TTL_MS, own_list };
 
   pthread_mutex_lock (&peer->leaving_lock);
   for (guint i = peer->leaving->len; i > 0; i--)
@@ -600,8 +622,11 @@
       struct peer_leaving *old
           = &g_array_index (peer->leaving, struct peer_leaving, i - 1);
 
-      if (old->target == target)
-        entry.own_list |= old->own_list && now < old->until_ms;
+      if (old->target == target && now < old->until_ms)
+        {
+          entry.own_list |= old->own_list;
+          entry.since_ms = old->since_ms;
+        }
       if (old->target == target || now >= old->until_ms)
         g_array_remove_index_fast (peer->leaving, i - 1);
     }
--- a/process/peer_admit.c
+++ b/process/peer_admit.c
@@ -14,6 +14,16 @@
 /* Part of the mean load that is taken to last as long as a request. */
 static const double MEAN_KEPT = 0.86;
 
+/* Notes on their way to the next owner of their homes. */
+struct hand_over
+{
+  struct sockaddr_in to;
+  struct wire_message message;
+};
+
+static void hand_over_note (struct peer *peer, GHashTable *batches,
+                            const struct own_note *note, uint32_t domain);
+static void send_batch (gpointer key, gpointer value, gpointer closure);
 static struct peer_ask_shard *shard_of (struct peer *peer, uint32_t grant);
 static void fill_answer (struct wire_message *message, uint32_t grant,
                          const struct own_reply *reply);
@@ -200,8 +210,9 @@
   peer_send (peer, &owner.address, &message, BUD_NOTE, MET_SENT_NOTE_BYTES);
 }
 
-/* Hands the notes kept here to the instances that own their homes next; call
-   after the state was set to leaving, which excludes this instance.  */
+/* Hands the notes kept here to the instances that own their homes next, many
+   in a datagram; call some PEER_VIEW_MS after the state was set to leaving, so
+   that owners are assigned without this instance.  */
 void
 peer_hand_over (struct peer *peer)
 {
@@ -213,19 +224,68 @@
   size_t count = own_notes (peer->own, notes, HAND_OVER_MAX);
   struct ver_reader *reader = ver_reader_new (peer->store);
   const struct ver_snapshot *version = ver_enter (peer->store, reader);
+  GHashTable *batches
+      = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
 
   for (size_t i = 0; i < count; i++)
     {
       const struct ver_target *home = ver_target_find (version, notes[i].home);
 
       if (home != NULL)
-        peer_note (peer, &notes[i], home->domain_id);
+        hand_over_note (peer, batches, &notes[i], home->domain_id);
     }
+  g_hash_table_foreach (batches, send_batch, peer);
+  g_hash_table_destroy (batches);
   ver_exit (reader);
   ver_reader_free (reader);
   g_free (notes);
 }
 
+/* Adds NOTE to the one of BATCHES that goes to the owner of its home, and
+   sends that when it is full.  */
+static void
+hand_over_note (struct peer *peer, GHashTable *batches,
+                const struct own_note *note, uint32_t domain)
+{
+  clk_ms now = clk_now (clk_monotonic ());
+  struct mem_member owner;
+  struct hand_over *batch;
+  struct wire_note *wire;
+
+  if (owner_find (peer, note->home, domain, now, &owner) != 1)
+    return;
+  batch = g_hash_table_lookup (batches, GUINT_TO_POINTER (owner.id));
+  if (batch == NULL)
+    {
+      batch = g_new0 (struct hand_over, 1);
+      batch->message.kind = WIRE_NOTE;
+      batch->to = owner.address;
+      g_hash_table_insert (batches, GUINT_TO_POINTER (owner.id), batch);
+    }
+  wire = &batch->message.u.notes.note[batch->message.u.notes.count++];
+  wire->home = note->home;
+  wire->chat = note->chat;
+  wire->target = note->target;
+  wire->ttl_ms = (uint32_t)MAX (note->expires_ms - now, 0);
+  if (batch->message.u.notes.count == WIRE_NOTES_MAX)
+    send_batch (NULL, batch, peer);
+}
+
+/* Sends a batch of notes for g_hash_table_foreach.  An instance that stops
+   makes no asks any more, so its notes may use the whole budget.  */
+static void
+send_batch (gpointer key, gpointer value, gpointer closure)
+{
+  struct hand_over *batch = value;
+
+  (void)key;
+  if (batch->message.u.notes.count == 0)
+    return;
+  peer_send (closure, &batch->to, &batch->message, BUD_HEARTBEAT,
+             MET_SENT_NOTE_BYTES);
+  batch->message.u.notes.count = 0;
+}
+
 /* Returns the number of requests granted to TARGET, or -1 if another instance
    owns it.  */
 int32_t
@@ -755,7 +815,8 @@
 }
 
 /* Observes the mean load of each service's targets, with those that the
-   platform's list has leaving, which may be back at once and empty: those
+   platform's list has leaving since just now, which may be back at once and
+   empty: those
    owned here as they are, the others as their owners told lately.  */
 static void
 update_means (struct peer *peer, const struct ver_snapshot *version,
@@ -789,7 +850,7 @@
 
           if (told == NULL || now - told->told_ms > PEER_LOAD_TTL_MS)
             continue;
-          if (target->leaving)
+          if (target->leaving || peer_has_left (peer, target->id, now))
             continue;
           sum += told->load;
           count++;
--- a/process/server.c
+++ b/process/server.c
@@ -16,6 +16,7 @@
 {
   POLL_MS = 20,
   LAME_DUCK_MS = 1500,
+  VIEW_MS = 250, /* until owners are assigned without this instance */
   STOP_NONE = 0,
   STOP_DRAINING = 1,
   STOP_CLOSING = 2,
@@ -184,6 +185,7 @@
 
   log_info ("server", NULL, "stopping", "finishing requests");
   peer_set_state (server->peer, MEM_LEAVING);
+  sleep_ms (VIEW_MS);
   peer_hand_over (server->peer);
   while (now < until
          && (now < lame_until
