Wait longer for a context, and take notes along when owners change

Cause: each replaced instance moves the ownership of some targets between instances that live on, and their notes stayed behind; and at a mean load of 7 a home is full a third of the time for about 100 ms, more than the 150 ms wait left after a queue.

Change: the notes of a target go to its next owner when ownership moves; context_wait_ms is 400 by default.

--- a/include/ibisloom/owner.h
+++ b/include/ibisloom/owner.h
@@ -90,6 +90,8 @@
 void own_forget_instance (struct own *own, uint32_t instance);
 void own_forget_target (struct own *own, uint64_t target);
 void own_note_put (struct own *own, const struct own_note *note);
+size_t own_take_notes (struct own *own, uint64_t home, struct own_note *notes,
+                       size_t capacity);
 size_t own_notes (struct own *own, struct own_note *notes, size_t capacity);
 int32_t own_load (struct own *own, uint64_t target);
 int own_is_down (struct own *own, uint64_t target);
--- a/process/peer_admit.c
+++ b/process/peer_admit.c
@@ -8,7 +8,8 @@
 
 enum
 {
-  ASK_ATTEMPTS = 2
+  ASK_ATTEMPTS = 2,
+  MOVED_MAX = 512
 };
 
 /* Part of the mean load that is taken to last as long as a request. */
@@ -21,6 +22,7 @@
   struct wire_message message;
 };
 
+static void move_notes (struct peer *peer, const struct ver_target *target);
 static void hand_over_note (struct peer *peer, GHashTable *batches,
                             const struct own_note *note, uint32_t domain);
 static void send_batch (gpointer key, gpointer value, gpointer closure);
@@ -52,7 +54,8 @@
 static struct peer_mean *mean_get (struct peer *peer, uint64_t service);
 static void update_owned (struct peer *peer,
                           const struct ver_snapshot *version, clk_ms now);
-static void forget_unowned (struct peer *peer, uint64_t target, clk_ms now);
+static void forget_unowned (struct peer *peer, const struct ver_target *target,
+                            clk_ms now);
 static uint32_t owned_load (struct peer *peer, uint64_t target);
 static void learn_load (struct peer *peer, uint64_t target, uint32_t load,
                         clk_ms now);
@@ -241,6 +244,25 @@
   g_free (notes);
 }
 
+/* Hands the notes of TARGET, which another instance owns from now on, to
+   it.  */
+static void
+move_notes (struct peer *peer, const struct ver_target *target)
+{
+  struct own_note notes[MOVED_MAX];
+  size_t count = own_take_notes (peer->own, target->id, notes, MOVED_MAX);
+  GHashTable *batches;
+
+  if (count == 0)
+    return;
+  batches
+      = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
+  for (size_t i = 0; i < count; i++)
+    hand_over_note (peer, batches, &notes[i], target->domain_id);
+  g_hash_table_foreach (batches, send_batch, peer);
+  g_hash_table_destroy (batches);
+}
+
 /* Adds NOTE to the one of BATCHES that goes to the owner of its home, and
    sends that when it is full.  */
 static void
@@ -784,7 +806,7 @@
         continue;
       if (owner_find (peer, target->id, target->domain_id, now, &owner) != 0)
         {
-          forget_unowned (peer, target->id, now);
+          forget_unowned (peer, target, now);
           continue;
         }
       g_hash_table_remove (peer->unowned, &target->id);
@@ -792,24 +814,26 @@
     }
 }
 
-/* Forgets TARGET once another instance has owned it for PEER_UNOWNED_MS.  */
+/* Hands over the notes of TARGET when another instance comes to own it, and
+   forgets it once that has lasted for PEER_UNOWNED_MS.  */
 static void
-forget_unowned (struct peer *peer, uint64_t target, clk_ms now)
+forget_unowned (struct peer *peer, const struct ver_target *target, clk_ms now)
 {
-  clk_ms *since = g_hash_table_lookup (peer->unowned, &target);
+  clk_ms *since = g_hash_table_lookup (peer->unowned, &target->id);
   uint64_t *key;
 
   if (since == NULL)
     {
       key = g_new (uint64_t, 1);
-      *key = target;
+      *key = target->id;
       since = g_new (clk_ms, 1);
       *since = now;
       g_hash_table_insert (peer->unowned, key, since);
+      move_notes (peer, target);
     }
   else if (*since != 0 && now - *since > PEER_UNOWNED_MS)
     {
-      own_forget_target (peer->own, target);
+      own_forget_target (peer->own, target->id);
       *since = 0;
     }
 }
--- a/request/owner.c
+++ b/request/owner.c
@@ -352,6 +352,32 @@
   pthread_mutex_unlock (&shard->lock);
 }
 
+/* Moves up to CAPACITY notes of chats whose home is HOME to NOTES; returns how
+   many.  */
+size_t
+own_take_notes (struct own *own, uint64_t home, struct own_note *notes,
+                size_t capacity)
+{
+  struct shard *shard = shard_of (own, home);
+  size_t count = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  pthread_mutex_lock (&shard->lock);
+  g_hash_table_iter_init (&iter, shard->notes);
+  while (count < capacity && g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct own_note *note = value;
+
+      if (note->home != home)
+        continue;
+      notes[count++] = *note;
+      g_hash_table_iter_remove (&iter);
+    }
+  pthread_mutex_unlock (&shard->lock);
+  return count;
+}
+
 /* Copies up to CAPACITY notes for handing them over; returns how many.  */
 size_t
 own_notes (struct own *own, struct own_note *notes, size_t capacity)
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -163,6 +163,9 @@
   own_decide (own, &question, &limits, 30, &reply);
   CU_ASSERT_EQUAL (reply.verdict, OWN_GRANT);
   own_note_put (own, &note);
+  CU_ASSERT_EQUAL (own_take_notes (own, TARGET, &note, 1), 1);
+  CU_ASSERT_EQUAL (own_take_notes (own, TARGET, &note, 1), 0);
+  own_note_put (own, &note);
   question.grant = 3;
   own_decide (own, &question, &limits, 2000, &reply);
   CU_ASSERT_EQUAL (reply.verdict, OWN_GRANT);
--- a/version/version_snapshot.c
+++ b/version/version_snapshot.c
@@ -93,7 +93,7 @@
 
 static const struct time_field preset_times[] = {
   { "context_wait_ms", offsetof (struct ver_preset, context_wait_ms), 0, 10000,
-    150 },
+    400 },
   { "queue_ms", offsetof (struct ver_preset, queue_ms), 0, 60000, 1000 },
   { "note_ttl_ms", offsetof (struct ver_preset, note_ttl_ms), 1000, 86400000,
     3600000 },
