--- a/process/peer_admit.c
+++ b/process/peer_admit.c
@@ -13,7 +13,7 @@
 };
 
 /* Part of the mean load that is taken to last as long as a request. */
-static const double MEAN_KEPT = 0.86;
+static const double MEAN_KEPT = 0.82;
 
 /* Notes on their way to the next owner of their homes. */
 struct hand_over
