--- a/fakes/fake_link.c
+++ b/fakes/fake_link.c
@@ -127,7 +127,7 @@
     fds[i] = (struct pollfd){ udp[i / count][i % count], POLLIN, 0 };
   for (;;)
     {
-      poll (fds, (nfds_t)(count * count), POLL_MS);
+      poll (fds, (nfds_t)count * (nfds_t)count, POLL_MS);
       for (int i = 0; i < count * count; i++)
         {
           int from = i / count;
--- a/process/libpeer.h
+++ b/process/libpeer.h
@@ -151,5 +151,14 @@
 void owner_update (struct peer *peer, const struct ver_snapshot *version,
                    clk_ms now);
 void admit_init (struct peer *peer);
+double load_mean_for (struct peer *peer, uint64_t service, double factor,
+                      clk_ms now);
+struct peer_mean *load_mean_get (struct peer *peer, uint64_t service);
+void load_update_means (struct peer *peer, const struct ver_snapshot *version,
+                        clk_ms now);
+void load_learn (struct peer *peer, uint64_t target, uint32_t load,
+                 clk_ms now);
+void hold_send_all (struct peer *peer, clk_ms now);
+void note_move_all (struct peer *peer, const struct ver_target *target);
 
 #endif
--- a/process/peer_admit.c
+++ b/process/peer_admit.c
@@ -8,24 +8,9 @@
 
 enum
 {
-  ASK_ATTEMPTS = 2,
-  MOVED_MAX = 512
+  ASK_ATTEMPTS = 2
 };
 
-/* Part of the mean load that is taken to last as long as a request. */
-static const double MEAN_KEPT = 0.82;
-
-/* Notes on their way to the next owner of their homes. */
-struct hand_over
-{
-  struct sockaddr_in to;
-  struct wire_message message;
-};
-
-static void move_notes (struct peer *peer, const struct ver_target *target);
-static void hand_over_note (struct peer *peer, GHashTable *batches,
-                            const struct own_note *note, uint32_t domain);
-static void send_batch (gpointer key, gpointer value, gpointer closure);
 static struct peer_ask_shard *shard_of (struct peer *peer, uint32_t grant);
 static void fill_answer (struct wire_message *message, uint32_t grant,
                          const struct own_reply *reply);
@@ -47,24 +32,10 @@
 static void finish (struct peer *peer, struct peer_pending *pending,
                     const struct peer_reply *reply);
 static void hold_add (struct peer *peer, const struct peer_pending *pending);
-static void observe_mean (struct peer_mean *mean, double value, clk_ms now);
-static double lowest (const struct peer_mean *mean, clk_ms now);
-static double mean_for (struct peer *peer, uint64_t service, double factor,
-                        clk_ms now);
-static struct peer_mean *mean_get (struct peer *peer, uint64_t service);
 static void update_owned (struct peer *peer,
                           const struct ver_snapshot *version, clk_ms now);
 static void forget_unowned (struct peer *peer, const struct ver_target *target,
                             clk_ms now);
-static uint32_t owned_load (struct peer *peer, uint64_t target);
-static void learn_load (struct peer *peer, uint64_t target, uint32_t load,
-                        clk_ms now);
-static void update_means (struct peer *peer,
-                          const struct ver_snapshot *version, clk_ms now);
-static void send_holds (struct peer *peer, clk_ms now);
-static void add_emptied (struct peer *peer, GHashTable *by_target);
-static void send_hold (struct peer *peer, uint64_t target, uint32_t domain,
-                       const GArray *grants, int due, clk_ms now);
 
 /* Prepares the admission state of PEER.  */
 void
@@ -191,123 +162,6 @@
     own_release (peer->own, copy.target, peer->self, grant, outcome, now);
 }
 
-/* Tells the owner of a chat's home in DOMAIN where the chat was served.  */
-void
-peer_note (struct peer *peer, const struct own_note *note, uint32_t domain)
-{
-  struct wire_message message = { .kind = WIRE_NOTE };
-  clk_ms now = clk_now (clk_monotonic ());
-  struct wire_note *wire = &message.u.notes.note[0];
-  struct mem_member owner;
-
-  if (owner_find (peer, note->home, domain, now, &owner) != 1)
-    {
-      own_note_put (peer->own, note);
-      return;
-    }
-  message.u.notes.count = 1;
-  wire->home = note->home;
-  wire->chat = note->chat;
-  wire->target = note->target;
-  wire->ttl_ms = (uint32_t)MAX (note->expires_ms - now, 0);
-  peer_send (peer, &owner.address, &message, BUD_NOTE, MET_SENT_NOTE_BYTES);
-}
-
-/* Hands the notes kept here to the instances that own their homes next, many
-   in a datagram; call some PEER_VIEW_MS after the state was set to leaving, so
-   that owners are assigned without this instance.  */
-void
-peer_hand_over (struct peer *peer)
-{
-  enum
-  {
-    HAND_OVER_MAX = 4096
-  };
-  struct own_note *notes = g_new (struct own_note, HAND_OVER_MAX);
-  size_t count = own_notes (peer->own, notes, HAND_OVER_MAX);
-  struct ver_reader *reader = ver_reader_new (peer->store);
-  const struct ver_snapshot *version = ver_enter (peer->store, reader);
-  GHashTable *batches
-      = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
-
-  for (size_t i = 0; i < count; i++)
-    {
-      const struct ver_target *home = ver_target_find (version, notes[i].home);
-
-      if (home != NULL)
-        hand_over_note (peer, batches, &notes[i], home->domain_id);
-    }
-  g_hash_table_foreach (batches, send_batch, peer);
-  g_hash_table_destroy (batches);
-  ver_exit (reader);
-  ver_reader_free (reader);
-  g_free (notes);
-}
-
-/* Hands the notes of TARGET, which another instance owns from now on, to
-   it.  */
-static void
-move_notes (struct peer *peer, const struct ver_target *target)
-{
-  struct own_note notes[MOVED_MAX];
-  size_t count = own_take_notes (peer->own, target->id, notes, MOVED_MAX);
-  GHashTable *batches;
-
-  if (count == 0)
-    return;
-  batches
-      = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
-  for (size_t i = 0; i < count; i++)
-    hand_over_note (peer, batches, &notes[i], target->domain_id);
-  g_hash_table_foreach (batches, send_batch, peer);
-  g_hash_table_destroy (batches);
-}
-
-/* Adds NOTE to the one of BATCHES that goes to the owner of its home, and
-   sends that when it is full.  */
-static void
-hand_over_note (struct peer *peer, GHashTable *batches,
-                const struct own_note *note, uint32_t domain)
-{
-  clk_ms now = clk_now (clk_monotonic ());
-  struct mem_member owner;
-  struct hand_over *batch;
-  struct wire_note *wire;
-
-  if (owner_find (peer, note->home, domain, now, &owner) != 1)
-    return;
-  batch = g_hash_table_lookup (batches, GUINT_TO_POINTER (owner.id));
-  if (batch == NULL)
-    {
-      batch = g_new0 (struct hand_over, 1);
-      batch->message.kind = WIRE_NOTE;
-      batch->to = owner.address;
-      g_hash_table_insert (batches, GUINT_TO_POINTER (owner.id), batch);
-    }
-  wire = &batch->message.u.notes.note[batch->message.u.notes.count++];
-  wire->home = note->home;
-  wire->chat = note->chat;
-  wire->target = note->target;
-  wire->ttl_ms = (uint32_t)MAX (note->expires_ms - now, 0);
-  if (batch->message.u.notes.count == WIRE_NOTES_MAX)
-    send_batch (NULL, batch, peer);
-}
-
-/* Sends a batch of notes for g_hash_table_foreach.  An instance that stops
-   makes no asks any more, so its notes may use the whole budget.  */
-static void
-send_batch (gpointer key, gpointer value, gpointer closure)
-{
-  struct hand_over *batch = value;
-
-  (void)key;
-  if (batch->message.u.notes.count == 0)
-    return;
-  peer_send (closure, &batch->to, &batch->message, BUD_HEARTBEAT,
-             MET_SENT_NOTE_BYTES);
-  batch->message.u.notes.count = 0;
-}
-
 /* Returns the number of requests granted to TARGET, or -1 if another instance
    owns it.  */
 int32_t
@@ -439,7 +293,7 @@
   if (pending == NULL)
     return;
   if (answer->verdict != OWN_ELSEWHERE)
-    learn_load (peer, pending->ask.target,
+    load_learn (peer, pending->ask.target,
                 answer->verdict == OWN_DENY_DOWN
                     ? answer->load | WIRE_LOAD_DOWN
                     : answer->load,
@@ -554,89 +408,8 @@
 {
   owner_update (peer, version, now);
   update_owned (peer, version, now);
-  update_means (peer, version, now);
-  send_holds (peer, now);
-}
-
-/* Copies to BEAT the loads of the targets owned here.  */
-void
-admit_fill_loads (struct peer *peer, struct wire_heartbeat *beat)
-{
-  guint count = MIN (peer->owned->len, (guint)WIRE_LOADS_MAX);
-
-  for (guint i = 0; i < count; i++)
-    {
-      struct wire_load *load = &beat->loads[beat->load_count++];
-
-      load->target = g_array_index (peer->owned, uint64_t, i);
-      load->load = owned_load (peer, load->target);
-    }
-}
-
-/* Returns the load of a target owned here as it is told.  */
-static uint32_t
-owned_load (struct peer *peer, uint64_t target)
-{
-  uint32_t load = (uint32_t)own_load (peer->own, target);
-
-  return own_is_down (peer->own, target) ? load | WIRE_LOAD_DOWN : load;
-}
-
-/* Takes the loads that the owner of targets told at NOW.  */
-void
-admit_learn_loads (struct peer *peer, const struct wire_heartbeat *beat,
-                   clk_ms now)
-{
-  for (uint32_t i = 0; i < beat->load_count; i++)
-    learn_load (peer, beat->loads[i].target, beat->loads[i].load, now);
-}
-
-/* Returns how many more requests TARGET seems to have room for, by what its
-   owner told last; one if nothing is known.  It only orders the asks: the
-   owner decides.  */
-int32_t
-peer_room (struct peer *peer, const struct ver_snapshot *version,
-           uint64_t target)
-{
-  const struct ver_target *entry = ver_target_find (version, target);
-  clk_ms now = clk_now (clk_monotonic ());
-  const struct ver_service *service;
-  const struct peer_load *told;
-  double factor = version->preset.load_factor;
-  int32_t bound;
-  int32_t room = 1;
-
-  if (entry == NULL || peer_is_leaving (peer, target))
-    return INT32_MIN;
-  service
-      = &g_array_index (version->services, struct ver_service, entry->service);
-  bound = own_bound (mean_for (peer, service->id, factor, now), factor);
-  pthread_mutex_lock (&peer->mean_lock);
-  told = g_hash_table_lookup (peer->loads, &target);
-  if (told != NULL && now - told->told_ms < PEER_LOAD_TTL_MS)
-    room = told->down ? INT32_MIN : MIN (bound, entry->slots) - told->load;
-  pthread_mutex_unlock (&peer->mean_lock);
-  return room;
-}
-
-/* Remembers what the owner of TARGET told.  */
-static void
-learn_load (struct peer *peer, uint64_t target, uint32_t load, clk_ms now)
-{
-  struct peer_load *told;
-
-  pthread_mutex_lock (&peer->mean_lock);
-  told = g_hash_table_lookup (peer->loads, &target);
-  if (told == NULL)
-    {
-      told = g_new0 (struct peer_load, 1);
-      told->target = target;
-      g_hash_table_insert (peer->loads, &told->target, told);
-    }
-  told->load = (int32_t)(load & (WIRE_LOAD_DOWN - 1));
-  told->down = (load & WIRE_LOAD_DOWN) != 0;
-  told->told_ms = now;
-  pthread_mutex_unlock (&peer->mean_lock);
+  load_update_means (peer, version, now);
+  hold_send_all (peer, now);
 }
 
 /* Sends PENDING's ask to the owner of its target.  Returns 0 if an answer is
@@ -745,47 +518,14 @@
           .leaving = target->leaving || peer_is_leaving (peer, target->id),
           .customer_weight = ver_customer_weight (version, customer) };
 
-  limits.mean_load = mean_for (peer, service->id, limits.load_factor, now);
+  limits.mean_load
+      = load_mean_for (peer, service->id, limits.load_factor, now);
   pthread_mutex_lock (&peer->mean_lock);
-  limits.mean_now = mean_get (peer, service->id)->now;
+  limits.mean_now = load_mean_get (peer, service->id)->now;
   pthread_mutex_unlock (&peer->mean_lock);
   return limits;
 }
 
-/* Returns the mean load to bound against: the lowest of the last seconds, so
-   that a target filled up to the bound still keeps it when other requests
-   end, though not below MEAN_KEPT of the mean now, and enough for any target
-   that is not above the mean.  The new request counts too.  */
-static double
-mean_for (struct peer *peer, uint64_t service, double factor, clk_ms now)
-{
-  const struct peer_mean *mean;
-  double low;
-  double enough;
-
-  pthread_mutex_lock (&peer->mean_lock);
-  mean = mean_get (peer, service);
-  low = MAX (lowest (mean, now), mean->now * MEAN_KEPT);
-  if (mean->targets > 0)
-    low += 1.0 / mean->targets;
-  enough = (floor (mean->ready) + 1) / factor;
-  pthread_mutex_unlock (&peer->mean_lock);
-  return MAX (low, enough);
-}
-
-/* Returns the mean of SERVICE, made at first use; needs the lock.  */
-static struct peer_mean *
-mean_get (struct peer *peer, uint64_t service)
-{
-  struct peer_mean fresh = { .service = service };
-
-  for (guint i = 0; i < peer->means->len; i++)
-    if (g_array_index (peer->means, struct peer_mean, i).service == service)
-      return &g_array_index (peer->means, struct peer_mean, i);
-  g_array_append_val (peer->means, fresh);
-  return &g_array_index (peer->means, struct peer_mean, peer->means->len - 1);
-}
-
 /* Notes which targets of VERSION are owned here.  A target that has not been
    owned here for a while is forgotten.  */
 static void
@@ -829,7 +569,7 @@
       since = g_new (clk_ms, 1);
       *since = now;
       g_hash_table_insert (peer->unowned, key, since);
-      move_notes (peer, target);
+      note_move_all (peer, target);
     }
   else if (*since != 0 && now - *since > PEER_UNOWNED_MS)
     {
@@ -838,208 +578,6 @@
     }
 }
 
-/* Observes the mean load of each service's targets, with those that the
-   platform's list has leaving since just now, which may be back at once and
-   empty: those
-   owned here as they are, the others as their owners told lately.  */
-static void
-update_means (struct peer *peer, const struct ver_snapshot *version,
-              clk_ms now)
-{
-  for (guint i = 0; i < peer->owned->len; i++)
-    {
-      uint64_t target = g_array_index (peer->owned, uint64_t, i);
-
-      learn_load (peer, target, owned_load (peer, target), now);
-    }
-  for (guint i = 0; i < version->services->len; i++)
-    {
-      const struct ver_service *service
-          = &g_array_index (version->services, struct ver_service, i);
-      struct peer_mean *mean;
-      int64_t sum = 0;
-      int64_t ready_sum = 0;
-      uint32_t count = 0;
-      uint32_t ready_count = 0;
-
-      if (service->kind != VER_KIND_CHAT)
-        continue;
-      pthread_mutex_lock (&peer->mean_lock);
-      for (uint32_t j = 0; j < service->target_count; j++)
-        {
-          const struct ver_target *target
-              = ver_target_at (version, service->first_target + j);
-          const struct peer_load *told
-              = g_hash_table_lookup (peer->loads, &target->id);
-
-          if (told == NULL || now - told->told_ms > PEER_LOAD_TTL_MS)
-            continue;
-          if (target->leaving || peer_has_left (peer, target->id, now))
-            continue;
-          sum += told->load;
-          count++;
-          if (told->down || peer_is_leaving (peer, target->id))
-            continue;
-          ready_sum += told->load;
-          ready_count++;
-        }
-      if (count > 0)
-        {
-          mean = mean_get (peer, service->id);
-          mean->targets = count;
-          mean->ready = ready_count > 0 ? (double)ready_sum / ready_count
-                                        : (double)sum / count;
-          observe_mean (mean, (double)sum / count, now);
-        }
-      pthread_mutex_unlock (&peer->mean_lock);
-    }
-}
-
-/* Records VALUE as the mean load at NOW.  */
-static void
-observe_mean (struct peer_mean *mean, double value, clk_ms now)
-{
-  clk_ms start = now - now % PEER_MEAN_SLOT_MS;
-  size_t i = (size_t)(now / PEER_MEAN_SLOT_MS) % PEER_MEAN_SLOTS;
-
-  mean->now = value;
-  if (mean->slot_ms[i] == start && mean->low[i] <= value)
-    return;
-  mean->slot_ms[i] = start;
-  mean->low[i] = value;
-}
-
-/* Returns the lowest mean load of the last seconds.  */
-static double
-lowest (const struct peer_mean *mean, clk_ms now)
-{
-  double low = mean->now;
-
-  for (size_t i = 0; i < PEER_MEAN_SLOTS; i++)
-    if (now - mean->slot_ms[i] <= PEER_MEAN_SLOTS * PEER_MEAN_SLOT_MS
-        && mean->low[i] < low)
-      low = mean->low[i];
-  return low;
-}
-
-/* Tells owners which grants are held here: all now and then, and at once
-   those whose target has a new owner.  */
-static void
-send_holds (struct peer *peer, clk_ms now)
-{
-  GHashTable *by_target = g_hash_table_new_full (
-      g_int64_hash, g_int64_equal, g_free, (GDestroyNotify)g_array_unref);
-  GHashTable *domains = g_hash_table_new (g_int64_hash, g_int64_equal);
-  GHashTableIter iter;
-  gpointer key;
-  gpointer value;
-  int due = now >= peer->next_hold_ms;
-
-  for (int i = 0; i < PEER_ASK_SHARDS; i++)
-    {
-      struct peer_ask_shard *shard = &peer->asks[i];
-
-      pthread_mutex_lock (&shard->lock);
-      g_hash_table_iter_init (&iter, shard->held);
-      while (g_hash_table_iter_next (&iter, NULL, &value))
-        {
-          const struct peer_held *held = value;
-          GArray *grants = g_hash_table_lookup (by_target, &held->target);
-
-          if (grants == NULL)
-            {
-              uint64_t *target = g_new (uint64_t, 1);
-
-              *target = held->target;
-              grants = g_array_new (FALSE, FALSE, sizeof (uint32_t));
-              g_hash_table_insert (by_target, target, grants);
-              g_hash_table_insert (domains, target,
-                                   GUINT_TO_POINTER (held->domain));
-            }
-          g_array_append_val (grants, held->grant);
-        }
-      pthread_mutex_unlock (&shard->lock);
-    }
-  if (due)
-    peer->next_hold_ms = now + PEER_HOLD_MS;
-  if (due)
-    add_emptied (peer, by_target);
-  g_hash_table_iter_init (&iter, by_target);
-  while (g_hash_table_iter_next (&iter, &key, &value))
-    send_hold (peer, *(uint64_t *)key,
-               GPOINTER_TO_UINT (g_hash_table_lookup (domains, key)), value,
-               due, now);
-  g_hash_table_destroy (domains);
-  g_hash_table_destroy (by_target);
-}
-
-/* Adds to BY_TARGET an empty list for each target of which grants were held
-   when last told but none is now, so that its owner drops what it missed the
-   release of.  */
-static void
-add_emptied (struct peer *peer, GHashTable *by_target)
-{
-  GHashTableIter iter;
-  gpointer key;
-
-  g_hash_table_iter_init (&iter, peer->hold_owner);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
-    {
-      uint64_t *target;
-
-      if (g_hash_table_contains (by_target, key))
-        continue;
-      target = g_new (uint64_t, 1);
-      *target = *(const uint64_t *)key;
-      g_hash_table_insert (by_target, target,
-                           g_array_new (FALSE, FALSE, sizeof (uint32_t)));
-    }
-}
-
-/* Sends the GRANTS held for TARGET to its owner if that is DUE or new.  */
-static void
-send_hold (struct peer *peer, uint64_t target, uint32_t domain,
-           const GArray *grants, int due, clk_ms now)
-{
-  struct wire_message message = { .kind = WIRE_HOLD };
-  struct mem_member owner = { 0 };
-  gpointer last;
-  uint64_t *key;
-  int found = owner_find (peer, target, domain, now, &owner);
-
-  if (found < 0)
-    return;
-  if (found == 0)
-    owner.id = peer->self;
-  last = g_hash_table_lookup (peer->hold_owner, &target);
-  if (!due && GPOINTER_TO_UINT (last) == owner.id)
-    return;
-  if (grants->len == 0)
-    g_hash_table_remove (peer->hold_owner, &target);
-  else
-    {
-      key = g_new (uint64_t, 1);
-      *key = target;
-      g_hash_table_replace (peer->hold_owner, key,
-                            GUINT_TO_POINTER (owner.id));
-    }
-  if (found == 0)
-    {
-      own_hold (peer->own, target, peer->self,
-                (const uint32_t *)(const void *)grants->data, grants->len,
-                now);
-      return;
-    }
-  if (grants->len > WIRE_GRANTS_MAX)
-    return;
-  message.u.hold.target = target;
-  message.u.hold.count = grants->len;
-  if (grants->len > 0)
-    memcpy (message.u.hold.grants, grants->data,
-            grants->len * sizeof (uint32_t));
-  peer_send (peer, &owner.address, &message, BUD_REPAIR, MET_SENT_HOLD_BYTES);
-}
-
 /* Returns the shard that holds GRANT.  */
 static struct peer_ask_shard *
 shard_of (struct peer *peer, uint32_t grant)
--- /dev/null
+++ b/process/peer_hold.c
@@ -0,0 +1,127 @@
+/* Datagram exchange with the other instances: grants in use, told anew. */
+#include <math.h>
+#include <string.h>
+
+#include "libpeer.h"
+
+static void add_emptied (struct peer *peer, GHashTable *by_target);
+static void send_hold (struct peer *peer, uint64_t target, uint32_t domain,
+                       const GArray *grants, int due, clk_ms now);
+
+/* Tells owners which grants are held here: all now and then, and at once
+   those whose target has a new owner.  */
+void
+hold_send_all (struct peer *peer, clk_ms now)
+{
+  GHashTable *by_target = g_hash_table_new_full (
+      g_int64_hash, g_int64_equal, g_free, (GDestroyNotify)g_array_unref);
+  GHashTable *domains = g_hash_table_new (g_int64_hash, g_int64_equal);
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+  int due = now >= peer->next_hold_ms;
+
+  for (int i = 0; i < PEER_ASK_SHARDS; i++)
+    {
+      struct peer_ask_shard *shard = &peer->asks[i];
+
+      pthread_mutex_lock (&shard->lock);
+      g_hash_table_iter_init (&iter, shard->held);
+      while (g_hash_table_iter_next (&iter, NULL, &value))
+        {
+          const struct peer_held *held = value;
+          GArray *grants = g_hash_table_lookup (by_target, &held->target);
+
+          if (grants == NULL)
+            {
+              uint64_t *target = g_new (uint64_t, 1);
+
+              *target = held->target;
+              grants = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+              g_hash_table_insert (by_target, target, grants);
+              g_hash_table_insert (domains, target,
+                                   GUINT_TO_POINTER (held->domain));
+            }
+          g_array_append_val (grants, held->grant);
+        }
+      pthread_mutex_unlock (&shard->lock);
+    }
+  if (due)
+    peer->next_hold_ms = now + PEER_HOLD_MS;
+  if (due)
+    add_emptied (peer, by_target);
+  g_hash_table_iter_init (&iter, by_target);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    send_hold (peer, *(uint64_t *)key,
+               GPOINTER_TO_UINT (g_hash_table_lookup (domains, key)), value,
+               due, now);
+  g_hash_table_destroy (domains);
+  g_hash_table_destroy (by_target);
+}
+
+/* Adds to BY_TARGET an empty list for each target of which grants were held
+   when last told but none is now, so that its owner drops what it missed the
+   release of.  */
+static void
+add_emptied (struct peer *peer, GHashTable *by_target)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, peer->hold_owner);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      uint64_t *target;
+
+      if (g_hash_table_contains (by_target, key))
+        continue;
+      target = g_new (uint64_t, 1);
+      *target = *(const uint64_t *)key;
+      g_hash_table_insert (by_target, target,
+                           g_array_new (FALSE, FALSE, sizeof (uint32_t)));
+    }
+}
+
+/* Sends the GRANTS held for TARGET to its owner if that is DUE or new.  */
+static void
+send_hold (struct peer *peer, uint64_t target, uint32_t domain,
+           const GArray *grants, int due, clk_ms now)
+{
+  struct wire_message message = { .kind = WIRE_HOLD };
+  struct mem_member owner = { 0 };
+  gpointer last;
+  uint64_t *key;
+  int found = owner_find (peer, target, domain, now, &owner);
+
+  if (found < 0)
+    return;
+  if (found == 0)
+    owner.id = peer->self;
+  last = g_hash_table_lookup (peer->hold_owner, &target);
+  if (!due && GPOINTER_TO_UINT (last) == owner.id)
+    return;
+  if (grants->len == 0)
+    g_hash_table_remove (peer->hold_owner, &target);
+  else
+    {
+      key = g_new (uint64_t, 1);
+      *key = target;
+      g_hash_table_replace (peer->hold_owner, key,
+                            GUINT_TO_POINTER (owner.id));
+    }
+  if (found == 0)
+    {
+      own_hold (peer->own, target, peer->self,
+                (const uint32_t *)(const void *)grants->data, grants->len,
+                now);
+      return;
+    }
+  if (grants->len > WIRE_GRANTS_MAX)
+    return;
+  message.u.hold.target = target;
+  message.u.hold.count = grants->len;
+  if (grants->len > 0)
+    memcpy (message.u.hold.grants, grants->data,
+            grants->len * sizeof (uint32_t));
+  peer_send (peer, &owner.address, &message, BUD_REPAIR, MET_SENT_HOLD_BYTES);
+}
--- a/version/ledger.c
+++ b/version/ledger.c
@@ -69,16 +69,6 @@
   struct sender senders[SENDER_COUNT];
 };
 
-/* A batch that another instance sent, until all of it is answered. */
-struct led_batch
-{
-  json_t *results;
-  size_t open;
-  pthread_mutex_t lock;
-  led_batch_fn fn;
-  void *closure;
-};
-
 static void *run_sender (void *closure);
 static GPtrArray *take_ops (struct led *led);
 static void move_due (struct led *led, clk_ms now);
@@ -100,8 +90,6 @@
 static void conclude (struct led *led, struct led_op *op,
                       const struct led_reply *reply);
 static void seal_claim (struct led *led, const struct led_call *call);
-static void batch_result (struct led_op *op, const struct led_reply *reply);
-static json_t *reply_to_json (const struct led_reply *reply);
 static struct led_op *local_copy (struct led *led, struct led_op *op);
 
 /* What a local operation's reply goes back to. */
@@ -323,87 +311,6 @@
   g_ptr_array_free (ops, TRUE);
 }
 
-/* Answers OP with VERDICT and what ENTRY holds, and frees it.  */
-void
-op_reply (struct led_op *op, enum led_verdict verdict,
-          const struct led_entry *entry)
-{
-  struct led_reply reply = { .verdict = verdict };
-  guchar *body = NULL;
-  gsize length = 0;
-
-  if (verdict == LED_ANSWERED && entry != NULL)
-    {
-      reply.status = entry->status;
-      reply.content_type = entry->content_type;
-      if (entry->body != NULL)
-        body = g_base64_decode (entry->body, &length);
-      reply.body = (const char *)body;
-      reply.body_length = length;
-    }
-  if (op->batch != NULL)
-    batch_result (op, &reply);
-  else
-    op->fn (op->closure, op->tag, &reply);
-  g_free (body);
-  op_free (op);
-}
-
-/* Frees OP without an answer.  */
-void
-op_free (struct led_op *op)
-{
-  g_free (op->content_type);
-  g_free (op->body);
-  g_free (op);
-}
-
-/* Returns OP as JSON for op_from_json.  */
-json_t *
-op_to_json (const struct led_op *op)
-{
-  json_t *json
-      = json_pack ("{s:b,s:s,s:s,s:I}", "finish", op->kind == LED_OP_FINISH,
-                   "k", op->call.key, "n", op->call.nonce, "f",
-                   (json_int_t)op->call.fingerprint);
-
-  if (op->kind == LED_OP_CLAIM)
-    return json;
-  json_object_set_new (json, "x", json_boolean (op->not_run));
-  json_object_set_new (json, "s", json_integer (op->status));
-  if (op->content_type != NULL)
-    json_object_set_new (json, "c", json_string (op->content_type));
-  if (op->body != NULL)
-    json_object_set_new (json, "b", json_string (op->body));
-  return json;
-}
-
-/* Returns the operation that JSON describes, NULL if it is malformed.  */
-struct led_op *
-op_from_json (json_t *json)
-{
-  const char *key = json_string_value (json_object_get (json, "k"));
-  const char *nonce = json_string_value (json_object_get (json, "n"));
-  struct led_op *op;
-
-  if (key == NULL || nonce == NULL || strlen (key) != LED_ID_BYTES - 1
-      || strlen (nonce) != LED_ID_BYTES - 1)
-    return NULL;
-  op = g_new0 (struct led_op, 1);
-  op->kind = json_is_true (json_object_get (json, "finish")) ? LED_OP_FINISH
-                                                             : LED_OP_CLAIM;
-  g_strlcpy (op->call.key, key, sizeof op->call.key);
-  g_strlcpy (op->call.nonce, nonce, sizeof op->call.nonce);
-  op->call.fingerprint
-      = (uint64_t)json_integer_value (json_object_get (json, "f"));
-  op->not_run = json_is_true (json_object_get (json, "x"));
-  op->status = (int)json_integer_value (json_object_get (json, "s"));
-  op->content_type
-      = g_strdup (json_string_value (json_object_get (json, "c")));
-  op->body = g_strdup (json_string_value (json_object_get (json, "b")));
-  return op;
-}
-
 /* Sends batches until led_stop.  */
 static void *
 run_sender (void *closure)
@@ -743,47 +650,3 @@
 
   led_finish (led, call, &outcome, NULL, NULL, 0);
 }
-
-/* Sets the result of OP in its batch and answers the batch when it is the
-   last.  */
-static void
-batch_result (struct led_op *op, const struct led_reply *reply)
-{
-  struct led_batch *batch = op->batch;
-  size_t open;
-
-  pthread_mutex_lock (&batch->lock);
-  json_array_set_new (batch->results, op->batch_index, reply_to_json (reply));
-  open = --batch->open;
-  pthread_mutex_unlock (&batch->lock);
-  if (open > 0)
-    return;
-  {
-    json_t *message = json_pack ("{s:o}", "results", batch->results);
-
-    batch->fn (batch->closure, json_dumps (message, JSON_COMPACT));
-    json_decref (message);
-  }
-  pthread_mutex_destroy (&batch->lock);
-  g_free (batch);
-}
-
-/* Returns REPLY as JSON for take_results.  */
-static json_t *
-reply_to_json (const struct led_reply *reply)
-{
-  json_t *json
-      = json_pack ("{s:i,s:i}", "v", (int)reply->verdict, "s", reply->status);
-
-  if (reply->content_type != NULL)
-    json_object_set_new (json, "c", json_string (reply->content_type));
-  if (reply->body != NULL)
-    {
-      char *body
-          = g_base64_encode ((const guchar *)reply->body, reply->body_length);
-
-      json_object_set_new (json, "b", json_string (body));
-      g_free (body);
-    }
-  return json;
-}
--- /dev/null
+++ b/version/ledger_op.c
@@ -0,0 +1,133 @@
+/* Operations of the ledger: their JSON between instances, their answers. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "libledger.h"
+
+static void batch_result (struct led_op *op, const struct led_reply *reply);
+static json_t *reply_to_json (const struct led_reply *reply);
+
+/* Answers OP with VERDICT and what ENTRY holds, and frees it.  */
+void
+op_reply (struct led_op *op, enum led_verdict verdict,
+          const struct led_entry *entry)
+{
+  struct led_reply reply = { .verdict = verdict };
+  guchar *body = NULL;
+  gsize length = 0;
+
+  if (verdict == LED_ANSWERED && entry != NULL)
+    {
+      reply.status = entry->status;
+      reply.content_type = entry->content_type;
+      if (entry->body != NULL)
+        body = g_base64_decode (entry->body, &length);
+      reply.body = (const char *)body;
+      reply.body_length = length;
+    }
+  if (op->batch != NULL)
+    batch_result (op, &reply);
+  else
+    op->fn (op->closure, op->tag, &reply);
+  g_free (body);
+  op_free (op);
+}
+
+/* Frees OP without an answer.  */
+void
+op_free (struct led_op *op)
+{
+  g_free (op->content_type);
+  g_free (op->body);
+  g_free (op);
+}
+
+/* Returns OP as JSON for op_from_json.  */
+json_t *
+op_to_json (const struct led_op *op)
+{
+  json_t *json
+      = json_pack ("{s:b,s:s,s:s,s:I}", "finish", op->kind == LED_OP_FINISH,
+                   "k", op->call.key, "n", op->call.nonce, "f",
+                   (json_int_t)op->call.fingerprint);
+
+  if (op->kind == LED_OP_CLAIM)
+    return json;
+  json_object_set_new (json, "x", json_boolean (op->not_run));
+  json_object_set_new (json, "s", json_integer (op->status));
+  if (op->content_type != NULL)
+    json_object_set_new (json, "c", json_string (op->content_type));
+  if (op->body != NULL)
+    json_object_set_new (json, "b", json_string (op->body));
+  return json;
+}
+
+/* Returns the operation that JSON describes, NULL if it is malformed.  */
+struct led_op *
+op_from_json (json_t *json)
+{
+  const char *key = json_string_value (json_object_get (json, "k"));
+  const char *nonce = json_string_value (json_object_get (json, "n"));
+  struct led_op *op;
+
+  if (key == NULL || nonce == NULL || strlen (key) != LED_ID_BYTES - 1
+      || strlen (nonce) != LED_ID_BYTES - 1)
+    return NULL;
+  op = g_new0 (struct led_op, 1);
+  op->kind = json_is_true (json_object_get (json, "finish")) ? LED_OP_FINISH
+                                                             : LED_OP_CLAIM;
+  g_strlcpy (op->call.key, key, sizeof op->call.key);
+  g_strlcpy (op->call.nonce, nonce, sizeof op->call.nonce);
+  op->call.fingerprint
+      = (uint64_t)json_integer_value (json_object_get (json, "f"));
+  op->not_run = json_is_true (json_object_get (json, "x"));
+  op->status = (int)json_integer_value (json_object_get (json, "s"));
+  op->content_type
+      = g_strdup (json_string_value (json_object_get (json, "c")));
+  op->body = g_strdup (json_string_value (json_object_get (json, "b")));
+  return op;
+}
+
+/* Sets the result of OP in its batch and answers the batch when it is the
+   last.  */
+static void
+batch_result (struct led_op *op, const struct led_reply *reply)
+{
+  struct led_batch *batch = op->batch;
+  size_t open;
+
+  pthread_mutex_lock (&batch->lock);
+  json_array_set_new (batch->results, op->batch_index, reply_to_json (reply));
+  open = --batch->open;
+  pthread_mutex_unlock (&batch->lock);
+  if (open > 0)
+    return;
+  {
+    json_t *message = json_pack ("{s:o}", "results", batch->results);
+
+    batch->fn (batch->closure, json_dumps (message, JSON_COMPACT));
+    json_decref (message);
+  }
+  pthread_mutex_destroy (&batch->lock);
+  g_free (batch);
+}
+
+/* Returns REPLY as JSON for take_results.  */
+static json_t *
+reply_to_json (const struct led_reply *reply)
+{
+  json_t *json
+      = json_pack ("{s:i,s:i}", "v", (int)reply->verdict, "s", reply->status);
+
+  if (reply->content_type != NULL)
+    json_object_set_new (json, "c", json_string (reply->content_type));
+  if (reply->body != NULL)
+    {
+      char *body
+          = g_base64_encode ((const guchar *)reply->body, reply->body_length);
+
+      json_object_set_new (json, "b", json_string (body));
+      g_free (body);
+    }
+  return json;
+}
--- a/version/libledger.h
+++ b/version/libledger.h
@@ -21,7 +21,15 @@
   LEDGER_NAME_MAX_BYTES = 128
 };
 
-struct led_batch;
+/* A batch that another instance sent, until all of it is answered. */
+struct led_batch
+{
+  json_t *results;
+  size_t open;
+  pthread_mutex_t lock;
+  led_batch_fn fn;
+  void *closure;
+};
 
 /* One operation on its way to the ledger and back. */
 struct led_op
