Split requests, leaving targets and the bench's quantiles by job

request.c (824 lines) into the life of a request, its record and its queue; peer.c (656) gives its list of leaving targets a file; two copies of quantile and of its order become one in load_store.c.

--- a/bench/load.h
+++ b/bench/load.h
@@ -121,6 +121,7 @@
 /* load_store.c */
 void load_write (const char *path, const GArray *records);
 GArray *load_read (const char *path);
+double load_quantile (GArray *values, double q);
 char *load_fetch (int port, const char *path);
 
 /* load_report.c */
--- a/bench/load_policies.c
+++ b/bench/load_policies.c
@@ -83,8 +83,6 @@
 static int bound (const struct replay *replay);
 static int ups (const struct replay *replay);
 static int by_start (const void *a, const void *b);
-static double quantile (GArray *values, double q);
-static int by_value (const void *a, const void *b);
 static int64_t reused_in_run (const char *history, int64_t from_ms,
                               int64_t *prompted);
 
@@ -135,7 +133,7 @@
       load_figure (name, (double)replay.violations, "samples");
       g_snprintf (name, sizeof name, "%s_skew_max_over_mean_p99",
                   policies[i].name);
-      load_figure (name, quantile (replay.ratios, 0.99), "ratio");
+      load_figure (name, load_quantile (replay.ratios, 0.99), "ratio");
     }
   g_array_free (changes, TRUE);
 }
@@ -511,24 +509,3 @@
   return (left->start_us > right->start_us)
          - (left->start_us < right->start_us);
 }
-
-/* Returns quantile Q of VALUES.  */
-static double
-quantile (GArray *values, double q)
-{
-  if (values->len == 0)
-    return 0;
-  qsort (values->data, values->len, sizeof (double), by_value);
-  return g_array_index (values, double,
-                        MIN ((guint)(q * values->len), values->len - 1));
-}
-
-/* Orders numbers.  */
-static int
-by_value (const void *a, const void *b)
-{
-  double left = *(const double *)a;
-  double right = *(const double *)b;
-
-  return (left > right) - (left < right);
-}
--- a/bench/load_report.c
+++ b/bench/load_report.c
@@ -36,8 +36,6 @@
 static void report_failures (const struct context *context);
 static void print_quantiles (const char *name, GArray *values,
                              const char *unit);
-static double quantile (GArray *values, double q);
-static int by_value (const void *a, const void *b);
 static int64_t engine_runs (const struct context *context);
 static GHashTable *executed_requests (const struct context *context,
                                       int64_t *ran_twice, int64_t *keys);
@@ -185,7 +183,8 @@
   load_figure ("samples", ratios->len, "samples");
   load_figure ("bound_violations", (double)violations, "samples");
   load_figure ("bound_excess_max", (double)worst, "requests");
-  load_figure ("skew_max_over_mean_p99", quantile (ratios, 0.99), "ratio");
+  load_figure ("skew_max_over_mean_p99", load_quantile (ratios, 0.99),
+               "ratio");
   json_decref (json);
   report_chats (context);
   load_policies (context->options, context->records, context->engines, 1);
@@ -224,10 +223,11 @@
           last_us = MAX (last_us, record->end_us);
         }
     }
-  load_figure ("other_p99_before_ms", quantile (before, 0.99), "ms");
-  load_figure ("other_p99_during_ms", quantile (during, 0.99), "ms");
+  load_figure ("other_p99_before_ms", load_quantile (before, 0.99), "ms");
+  load_figure ("other_p99_during_ms", load_quantile (during, 0.99), "ms");
   load_figure ("other_p99_ratio",
-               quantile (during, 0.99) / quantile (before, 0.99), "ratio");
+               load_quantile (during, 0.99) / load_quantile (before, 0.99),
+               "ratio");
   load_figure ("other_refused", (double)other_refused, "requests");
   load_figure ("surging_refused", (double)surging_refused, "requests");
   load_figure ("surging_told_when",
@@ -257,7 +257,7 @@
         g_array_append_val (gaps, gap);
     }
   load_figure ("silences", gaps->len, "answers");
-  load_figure ("silence_to_recovery_p99_ms", quantile (gaps, 0.99), "ms");
+  load_figure ("silence_to_recovery_p99_ms", load_quantile (gaps, 0.99), "ms");
 }
 
 /* Checks the history of keyed calls against a sequential model of each key:
@@ -331,8 +331,8 @@
   load_figure ("unknown_share", keys ? (double)unknown / (double)keys : 0,
                "ratio");
   load_figure ("refused_while_platform_down", (double)down, "answers");
-  load_figure ("refused_while_platform_down_p99_ms", quantile (refusal, 0.99),
-               "ms");
+  load_figure ("refused_while_platform_down_p99_ms",
+               load_quantile (refusal, 0.99), "ms");
   print_quantiles ("call", latency, "ms");
   g_hash_table_destroy (executed);
 }
@@ -430,30 +430,9 @@
   char text[64];
 
   g_snprintf (text, sizeof text, "%s_p50_%s", name, unit);
-  load_figure (text, quantile (values, 0.5), unit);
+  load_figure (text, load_quantile (values, 0.5), unit);
   g_snprintf (text, sizeof text, "%s_p99_%s", name, unit);
-  load_figure (text, quantile (values, 0.99), unit);
-}
-
-/* Returns quantile Q of VALUES.  */
-static double
-quantile (GArray *values, double q)
-{
-  if (values->len == 0)
-    return 0;
-  qsort (values->data, values->len, sizeof (double), by_value);
-  return g_array_index (values, double,
-                        MIN ((guint)(q * values->len), values->len - 1));
-}
-
-/* Orders numbers.  */
-static int
-by_value (const void *a, const void *b)
-{
-  double left = *(const double *)a;
-  double right = *(const double *)b;
-
-  return (left > right) - (left < right);
+  load_figure (text, load_quantile (values, 0.99), unit);
 }
 
 /* Returns how many streams the engines started.  */
--- a/bench/load_store.c
+++ b/bench/load_store.c
@@ -12,6 +12,7 @@
   FETCH_TIMEOUT_MS = 10000
 };
 
+static int by_value (const void *a, const void *b);
 static size_t on_data (char *data, size_t size, size_t count, void *closure);
 
 /* Writes RECORDS to PATH for load_read.  */
@@ -78,3 +79,24 @@
   g_string_append_len (closure, data, (gssize)(size * count));
   return size * count;
 }
+
+/* Returns quantile Q of VALUES.  */
+double
+load_quantile (GArray *values, double q)
+{
+  if (values->len == 0)
+    return 0;
+  qsort (values->data, values->len, sizeof (double), by_value);
+  return g_array_index (values, double,
+                        MIN ((guint)(q * values->len), values->len - 1));
+}
+
+/* Orders numbers.  */
+static int
+by_value (const void *a, const void *b)
+{
+  double left = *(const double *)a;
+  double right = *(const double *)b;
+
+  return (left > right) - (left < right);
+}
--- a/process/libpeer.h
+++ b/process/libpeer.h
@@ -137,6 +137,10 @@
 void admit_notes (struct peer *peer, const struct wire_message *message,
                   clk_ms now);
 int peer_has_left (struct peer *peer, uint64_t target, clk_ms now);
+void leaving_learn (struct peer *peer, uint64_t target, int own_list,
+                    clk_ms now);
+size_t leaving_copy (struct peer *peer, uint64_t *targets, size_t capacity,
+                     clk_ms now);
 int admit_is_idle (struct peer *peer);
 void admit_waiters (struct peer *peer, clk_ms now);
 void admit_timeouts (struct peer *peer, clk_ms now);
--- a/process/peer.c
+++ b/process/peer.c
@@ -16,8 +16,6 @@
 {
   RECEIVE_BATCH = 256,
   REVISION_STEP_MS = 20,
-  LEAVING_TTL_MS = 5000,
-  LEFT_MS = 8000,
   SOCKET_BUFFER_BYTES = 4194304,
   INCARNATION_MS = 100
 };
@@ -58,10 +56,6 @@
 static void fill_beat (struct peer *peer, struct wire_message *message,
                        const struct mem_member *members, size_t count,
                        int digests, clk_ms now);
-static void learn_leaving (struct peer *peer, uint64_t target, int own_list,
-                           clk_ms now);
-static size_t copy_leaving (struct peer *peer, uint64_t *targets,
-                            size_t capacity, clk_ms now);
 
 static const message_handler handlers[WIRE_KIND_COUNT] = {
   [WIRE_HEARTBEAT] = on_heartbeat, [WIRE_ASK] = admit_ask,
@@ -216,57 +210,6 @@
   return 0;
 }
 
-/* Replaces what the platform's list says about leaving targets.  */
-void
-peer_set_leaving (struct peer *peer, const uint64_t *targets, size_t count)
-{
-  clk_ms now = clk_now (clk_monotonic ());
-
-  for (size_t i = 0; i < count; i++)
-    learn_leaving (peer, targets[i], 1, now);
-}
-
-/* Returns whether TARGET is known to be leaving.  */
-int
-peer_is_leaving (struct peer *peer, uint64_t target)
-{
-  clk_ms now = clk_now (clk_monotonic ());
-  int found = 0;
-
-  pthread_mutex_lock (&peer->leaving_lock);
-  for (guint i = 0; i < peer->leaving->len; i++)
-    {
-      const struct peer_leaving *entry
-          = &g_array_index (peer->leaving, struct peer_leaving, i);
-
-      if (entry->target == target && now < entry->until_ms)
-        found = 1;
-    }
-  pthread_mutex_unlock (&peer->leaving_lock);
-  return found;
-}
-
-/* Returns whether TARGET has been leaving for so long that it is not expected
-   back.  */
-int
-peer_has_left (struct peer *peer, uint64_t target, clk_ms now)
-{
-  int found = 0;
-
-  pthread_mutex_lock (&peer->leaving_lock);
-  for (guint i = 0; i < peer->leaving->len; i++)
-    {
-      const struct peer_leaving *entry
-          = &g_array_index (peer->leaving, struct peer_leaving, i);
-
-      if (entry->target == target && now < entry->until_ms
-          && now - entry->since_ms > LEFT_MS)
-        found = 1;
-    }
-  pthread_mutex_unlock (&peer->leaving_lock);
-  return found;
-}
-
 /* Returns the members as newly allocated JSON for operators.  */
 char *
 peer_status_json (struct peer *peer)
@@ -402,7 +345,7 @@
   for (uint32_t i = 0; i < beat->digest_count; i++)
     mem_digest (peer->mem, &beat->digests[i], now);
   for (uint32_t i = 0; i < beat->leaving_count; i++)
-    learn_leaving (peer, beat->leaving[i], 0, now);
+    leaving_learn (peer, beat->leaving[i], 0, now);
   if (beat->revision > ver_store_revision (peer->store)
       && peer->revision_fn != NULL)
     peer->revision_fn (peer->revision_closure, from);
@@ -590,7 +533,7 @@
   beat->state = (uint8_t)peer->state;
   admit_fill_loads (peer, beat);
   beat->leaving_count
-      = (uint32_t)copy_leaving (peer, beat->leaving, WIRE_LEAVING_MAX, now);
+      = (uint32_t)leaving_copy (peer, beat->leaving, WIRE_LEAVING_MAX, now);
   for (size_t i = 0; digests && i < WIRE_DIGESTS_MAX && i < count; i++)
     {
       const struct mem_member *member
@@ -608,49 +551,3 @@
       digest->age_ms = (uint32_t)(now - member->heard_ms);
     }
 }
-
-/* Remembers that TARGET is leaving.  What comes from a peer expires sooner
-   than it is repeated for, so that news cannot go round for ever.  */
-static void
-learn_leaving (struct peer *peer, uint64_t target, int own_list, clk_ms now)
-{
-  struct peer_leaving entry = { target, now, now + LEAVING_TTL_MS, own_list };
-
-  pthread_mutex_lock (&peer->leaving_lock);
-  for (guint i = peer->leaving->len; i > 0; i--)
-    {
-      struct peer_leaving *old
-          = &g_array_index (peer->leaving, struct peer_leaving, i - 1);
-
-      if (old->target == target && now < old->until_ms)
-        {
-          entry.own_list |= old->own_list;
-          entry.since_ms = old->since_ms;
-        }
-      if (old->target == target || now >= old->until_ms)
-        g_array_remove_index_fast (peer->leaving, i - 1);
-    }
-  g_array_append_val (peer->leaving, entry);
-  pthread_mutex_unlock (&peer->leaving_lock);
-}
-
-/* Copies the leaving targets that this instance has from the platform's own
-   list; returns how many.  */
-static size_t
-copy_leaving (struct peer *peer, uint64_t *targets, size_t capacity,
-              clk_ms now)
-{
-  size_t count = 0;
-
-  pthread_mutex_lock (&peer->leaving_lock);
-  for (guint i = 0; i < peer->leaving->len && count < capacity; i++)
-    {
-      const struct peer_leaving *entry
-          = &g_array_index (peer->leaving, struct peer_leaving, i);
-
-      if (entry->own_list && now < entry->until_ms)
-        targets[count++] = entry->target;
-    }
-  pthread_mutex_unlock (&peer->leaving_lock);
-  return count;
-}
--- /dev/null
+++ b/process/peer_leaving.c
@@ -0,0 +1,105 @@
+/* Targets that the platform has leaving. */
+#include "libpeer.h"
+
+enum
+{
+  LEAVING_TTL_MS = 5000,
+  LEFT_MS = 8000
+};
+
+/* Replaces what the platform's list says about leaving targets.  */
+void
+peer_set_leaving (struct peer *peer, const uint64_t *targets, size_t count)
+{
+  clk_ms now = clk_now (clk_monotonic ());
+
+  for (size_t i = 0; i < count; i++)
+    leaving_learn (peer, targets[i], 1, now);
+}
+
+/* Returns whether TARGET is known to be leaving.  */
+int
+peer_is_leaving (struct peer *peer, uint64_t target)
+{
+  clk_ms now = clk_now (clk_monotonic ());
+  int found = 0;
+
+  pthread_mutex_lock (&peer->leaving_lock);
+  for (guint i = 0; i < peer->leaving->len; i++)
+    {
+      const struct peer_leaving *entry
+          = &g_array_index (peer->leaving, struct peer_leaving, i);
+
+      if (entry->target == target && now < entry->until_ms)
+        found = 1;
+    }
+  pthread_mutex_unlock (&peer->leaving_lock);
+  return found;
+}
+
+/* Returns whether TARGET has been leaving for so long that it is not expected
+   back.  */
+int
+peer_has_left (struct peer *peer, uint64_t target, clk_ms now)
+{
+  int found = 0;
+
+  pthread_mutex_lock (&peer->leaving_lock);
+  for (guint i = 0; i < peer->leaving->len; i++)
+    {
+      const struct peer_leaving *entry
+          = &g_array_index (peer->leaving, struct peer_leaving, i);
+
+      if (entry->target == target && now < entry->until_ms
+          && now - entry->since_ms > LEFT_MS)
+        found = 1;
+    }
+  pthread_mutex_unlock (&peer->leaving_lock);
+  return found;
+}
+
+/* Remembers that TARGET is leaving.  What comes from a peer expires sooner
+   than it is repeated for, so that news cannot go round for ever.  */
+void
+leaving_learn (struct peer *peer, uint64_t target, int own_list, clk_ms now)
+{
+  struct peer_leaving entry = { target, now, now + LEAVING_TTL_MS, own_list };
+
+  pthread_mutex_lock (&peer->leaving_lock);
+  for (guint i = peer->leaving->len; i > 0; i--)
+    {
+      struct peer_leaving *old
+          = &g_array_index (peer->leaving, struct peer_leaving, i - 1);
+
+      if (old->target == target && now < old->until_ms)
+        {
+          entry.own_list |= old->own_list;
+          entry.since_ms = old->since_ms;
+        }
+      if (old->target == target || now >= old->until_ms)
+        g_array_remove_index_fast (peer->leaving, i - 1);
+    }
+  g_array_append_val (peer->leaving, entry);
+  pthread_mutex_unlock (&peer->leaving_lock);
+}
+
+/* Copies the leaving targets that this instance has from the platform's own
+   list; returns how many.  */
+size_t
+leaving_copy (struct peer *peer, uint64_t *targets, size_t capacity,
+              clk_ms now)
+{
+  size_t count = 0;
+
+  pthread_mutex_lock (&peer->leaving_lock);
+  for (guint i = 0; i < peer->leaving->len && count < capacity; i++)
+    {
+      const struct peer_leaving *entry
+          = &g_array_index (peer->leaving, struct peer_leaving, i);
+
+      if (entry->own_list && now < entry->until_ms)
+        targets[count++] = entry->target;
+    }
+  pthread_mutex_unlock (&peer->leaving_lock);
+  return count;
+}
--- a/request/librequest.h
+++ b/request/librequest.h
@@ -164,6 +164,15 @@
 void req_fault (struct req *req, enum retry_fault fault);
 void req_cancel (struct req *req);
 
+/* request_queue.c, request_record.c */
+int req_enter_queue (struct req *req, clk_ms now);
+struct worker_customer *req_customer (struct req *req);
+void req_store_outcome (struct req *req);
+void req_answer_plain (struct req *req);
+void req_seal_not_run (struct req *req);
+void req_end_attempt (struct req *req, enum own_outcome outcome);
+void req_free_if_over (struct req *req);
+
 /* request_answer.c */
 void req_refuse (struct req *req, enum req_refusal refusal, enum req_run run);
 void req_answer_body (struct req *req, unsigned status,
--- a/request/request.c
+++ b/request/request.c
@@ -8,11 +8,6 @@
 
 enum
 {
-  WAITING_MAX = 4,
-  SHARE_MEMORY_MS = 500,
-  CLAIM_WAIT_MS = 185,
-  CLAIM_POLL_MS = 100,
-  CLAIM_POLL_MAX_MS = 3000,
   ANSWER_MAX_BYTES = 8388608,
   WAIT_JITTER_MS = 10,
   HTTP_SERVER_ERROR = 500,
@@ -20,12 +15,8 @@
   HTTP_BAD_REQUEST = 400
 };
 
-typedef void (*ledger_handler) (struct req *req,
-                                const struct led_reply *reply);
 typedef void (*step_handler) (struct req *req, const struct place_step *step);
 
-static int enter_queue (struct req *req, clk_ms now);
-static struct worker_customer *customer_get (struct req *req);
 static int32_t room (void *closure, uint64_t target);
 static void step_ask (struct req *req, const struct place_step *step);
 static void step_take (struct req *req, const struct place_step *step);
@@ -34,19 +25,9 @@
 static void place_plain (struct req *req, const struct ver_service *service);
 static void send_to (struct req *req, uint64_t target);
 static void count_placement (struct req *req, uint32_t verdict);
-static void on_claimed (struct req *req, const struct led_reply *reply);
-static void on_answered (struct req *req, const struct led_reply *reply);
-static void on_unfinished (struct req *req, const struct led_reply *reply);
-static void on_mismatch (struct req *req, const struct led_reply *reply);
-static void on_down (struct req *req, const struct led_reply *reply);
-static void on_stored (struct req *req, const struct led_reply *reply);
 static void release (struct req *req, enum own_outcome outcome);
-static void end_attempt (struct req *req, enum own_outcome outcome);
 static void succeed (struct req *req);
 static void leave_note (struct req *req);
-static void store_outcome (struct req *req);
-static void answer_plain (struct req *req);
-static void seal_not_run (struct req *req);
 static void give_up (struct req *req, const struct retry_decision *decision);
 static struct retry_budget *budget_get (struct server *server,
                                         uint64_t service);
@@ -55,7 +36,6 @@
 static void judge_answer (struct req *req);
 static clk_ms next_silence (const struct req *req);
 static void refuse_at_deadline (struct req *req);
-static void free_if_over (struct req *req);
 
 static const step_handler step_handlers[] = {
   [PLACE_ASK] = step_ask,
@@ -64,15 +44,6 @@
   [PLACE_REFUSE] = step_refuse,
 };
 
-static const ledger_handler ledger_handlers[LED_VERDICT_COUNT] = {
-  [LED_CLAIMED] = on_claimed,
-  [LED_ANSWERED] = on_answered,
-  [LED_UNFINISHED] = on_unfinished,
-  [LED_MISMATCH] = on_mismatch,
-  [LED_DOWN] = on_down,
-  [LED_STORED] = on_stored,
-};
-
 static const enum met_counter denial_counters[] = {
   [OWN_DENY_BOUND] = MET_DENIED_BOUND,
   [OWN_DENY_CAPACITY] = MET_DENIED_CAPACITY,
@@ -104,20 +75,6 @@
   [PLACE_CUSTOMER_SHARE] = REFUSE_CUSTOMER_SHARE,
 };
 
-/* Asks the ledger for the record without which REQ must not be sent.  */
-void
-req_claim (struct req *req)
-{
-  clk_ms now = clk_now (clk_monotonic ());
-
-  req->phase = REQ_CLAIMING;
-  req->claim_ms = now;
-  req->timer_ms = MIN (now + CLAIM_WAIT_MS, req->deadline_ms);
-  req->ledger_open++;
-  led_claim (req->worker->server->ledger, &req->call, worker_post_ledger,
-             req->worker, req->id);
-}
-
 /* Chooses a target for REQ and sends it there.  Targets that failed it are
    left out until all have.  */
 void
@@ -150,7 +107,7 @@
       place_plain (req, service);
       return;
     }
-  if (!enter_queue (req, now))
+  if (!req_enter_queue (req, now))
     {
       req_refuse (req, REFUSE_CUSTOMER_SHARE,
                   req->may_have_run ? REQ_MAY_HAVE_RUN : REQ_NOT_RUN);
@@ -161,53 +118,6 @@
   step_handlers[step.action](req, &step);
 }
 
-/* Counts REQ among its customer's requests that wait for admission.  Returns
-   0 if it has to be refused at once: enough of them wait already and the
-   customer's share was found in use lately, so that one more would only cost
-   messages.  */
-static int
-enter_queue (struct req *req, clk_ms now)
-{
-  struct worker_customer *customer = customer_get (req);
-
-  if (req->is_waiting)
-    return 1;
-  if (req->tries == 0 && customer->waiting >= WAITING_MAX
-      && now - customer->denied_ms < SHARE_MEMORY_MS)
-    return 0;
-  customer->waiting++;
-  req->is_waiting = 1;
-  return 1;
-}
-
-/* Ends the waiting of REQ.  */
-void
-req_leave_queue (struct req *req)
-{
-  if (req->is_waiting)
-    customer_get (req)->waiting--;
-  req->is_waiting = 0;
-}
-
-/* Returns the worker's entry of REQ's customer, made at first use.  */
-static struct worker_customer *
-customer_get (struct req *req)
-{
-  GHashTable *customers = req->worker->customers;
-  struct worker_customer *customer
-      = g_hash_table_lookup (customers, &req->customer_id);
-  uint64_t *key;
-
-  if (customer != NULL)
-    return customer;
-  customer = g_new0 (struct worker_customer, 1);
-  customer->denied_ms = -SHARE_MEMORY_MS;
-  key = g_new (uint64_t, 1);
-  *key = req->customer_id;
-  g_hash_table_insert (customers, key, customer);
-  return customer;
-}
-
 /* Tells the choice of the request CLOSURE how much room TARGET seems to
    have.  */
 static int32_t
@@ -227,7 +137,7 @@
   if (reply->verdict >= OWN_DENY_BOUND && reply->verdict <= OWN_DENY_LEAVING)
     met_inc (denial_counters[reply->verdict]);
   if (reply->verdict == OWN_DENY_SHARE)
-    customer_get (req)->denied_ms = clk_now (clk_monotonic ());
+    req_customer (req)->denied_ms = clk_now (clk_monotonic ());
   place_next (&req->place, reply->verdict, reply->elsewhere,
               clk_now (clk_monotonic ()), &step);
   if (step.action == PLACE_TAKE)
@@ -241,20 +151,6 @@
   step_handlers[step.action](req, &step);
 }
 
-/* Goes on with the ledger's REPLY.  A record that comes after the caller was
-   told "not run" is sealed.  */
-void
-req_on_ledger (struct req *req, const struct led_reply *reply)
-{
-  req->ledger_open--;
-  met_observe (MET_HIST_LEDGER_MS, clk_now (clk_monotonic ()) - req->claim_ms);
-  if (req->phase == REQ_CLAIMING || req->phase == REQ_STORING)
-    ledger_handlers[reply->verdict](req, reply);
-  else if (reply->verdict == LED_CLAIMED && !req->claimed)
-    seal_not_run (req);
-  free_if_over (req);
-}
-
 /* Acts on what is due for REQ at NOW.  */
 void
 req_on_timer (struct req *req, clk_ms now)
@@ -272,7 +168,7 @@
   else if (req->phase == REQ_CLAIMING)
     req_refuse (req, REFUSE_LEDGER_DOWN, REQ_NOT_RUN);
   else if (req->phase == REQ_STORING)
-    answer_plain (req);
+    req_answer_plain (req);
   else if (now >= req->deadline_ms)
     refuse_at_deadline (req);
   else if (req->phase == REQ_WAITING)
@@ -288,7 +184,7 @@
       if (now >= req->timer_ms)
         req_fault (req, RETRY_FAULT_SILENT);
     }
-  free_if_over (req);
+  req_free_if_over (req);
 }
 
 /* Takes LENGTH bytes of the target's answer.  Returns 0, or -1 if the
@@ -345,7 +241,7 @@
     req_fault (req, req->events.gap ? RETRY_FAULT_WRONG : RETRY_FAULT_BROKEN);
   else
     judge_answer (req);
-  free_if_over (req);
+  req_free_if_over (req);
 }
 
 /* Decides what follows FAULT and does it.  */
@@ -394,8 +290,8 @@
       send_to (req, target);
       return;
     }
-  end_attempt (req, fault == RETRY_FAULT_BUSY ? OWN_OUTCOME_UNKNOWN
-                                              : OWN_OUTCOME_FAILED);
+  req_end_attempt (req, fault == RETRY_FAULT_BUSY ? OWN_OUTCOME_UNKNOWN
+                                                  : OWN_OUTCOME_FAILED);
   req->resume_target = 0;
   req->resumes = 0;
   if (decision.action == RETRY_GIVE_UP)
@@ -420,9 +316,9 @@
     return;
   if (req->kind == VER_KIND_CHAT && req->phase == REQ_SENDING)
     back_cancel_stream (req);
-  end_attempt (req, OWN_OUTCOME_UNKNOWN);
+  req_end_attempt (req, OWN_OUTCOME_UNKNOWN);
   req->phase = REQ_DONE;
-  free_if_over (req);
+  req_free_if_over (req);
 }
 
 /* Asks the owner of STEP's target for admission.  */
@@ -468,7 +364,7 @@
 static void
 step_refuse (struct req *req, const struct place_step *step)
 {
-  seal_not_run (req);
+  req_seal_not_run (req);
   req_refuse (req, place_refusals[step->reason],
               req->may_have_run ? REQ_MAY_HAVE_RUN : REQ_NOT_RUN);
 }
@@ -524,66 +420,6 @@
     met_inc (MET_PLACED_WALK);
 }
 
-/* The record is made: send.  */
-static void
-on_claimed (struct req *req, const struct led_reply *reply)
-{
-  (void)reply;
-  req->claimed = 1;
-  req_place (req);
-}
-
-/* It ran before: give the stored answer.  */
-static void
-on_answered (struct req *req, const struct led_reply *reply)
-{
-  met_inc (MET_REPLAYED_ANSWER);
-  req_answer_body (req, (unsigned)reply->status, reply->content_type,
-                   reply->body, reply->body_length);
-}
-
-/* Another attempt has the record: look again until it has an outcome.  */
-static void
-on_unfinished (struct req *req, const struct led_reply *reply)
-{
-  clk_ms now = clk_now (clk_monotonic ());
-
-  (void)reply;
-  if (now + CLAIM_POLL_MS
-      < MIN (req->arrived_ms + CLAIM_POLL_MAX_MS, req->deadline_ms))
-    req->timer_ms = now + CLAIM_POLL_MS;
-  else
-    req_refuse (req, REFUSE_IN_PROGRESS, REQ_MAY_HAVE_RUN);
-}
-
-/* The key belongs to another request.  */
-static void
-on_mismatch (struct req *req, const struct led_reply *reply)
-{
-  (void)reply;
-  req_refuse (req, REFUSE_KEY_REUSED, REQ_NOT_RUN);
-}
-
-/* No record could be made.  */
-static void
-on_down (struct req *req, const struct led_reply *reply)
-{
-  (void)reply;
-  if (req->phase == REQ_STORING)
-    answer_plain (req);
-  else
-    req_refuse (req, REFUSE_LEDGER_DOWN, REQ_NOT_RUN);
-}
-
-/* The outcome is durable: give the answer.  */
-static void
-on_stored (struct req *req, const struct led_reply *reply)
-{
-  (void)reply;
-  if (req->phase == REQ_STORING)
-    answer_plain (req);
-}
-
 /* Judges an answer that arrived whole.  */
 static void
 judge_answer (struct req *req)
@@ -618,19 +454,19 @@
       req->holds_plain = 0;
       plain_release (req->worker->server, req->target, OWN_OUTCOME_OK);
       if (req->claimed)
-        store_outcome (req);
+        req_store_outcome (req);
       else
-        answer_plain (req);
+        req_answer_plain (req);
       return;
     }
   if (req->attempt.status != MHD_HTTP_OK)
     {
       req_answer_body (req, (unsigned)req->attempt.status, "application/json",
                        "{}", 2);
-      end_attempt (req, OWN_OUTCOME_OK);
+      req_end_attempt (req, OWN_OUTCOME_OK);
       return;
     }
-  end_attempt (req, OWN_OUTCOME_OK);
+  req_end_attempt (req, OWN_OUTCOME_OK);
   leave_note (req);
   if (req->stream)
     {
@@ -665,58 +501,12 @@
   peer_note (req->worker->server->peer, &note, entry->domain_id);
 }
 
-/* Stores the outcome of a call with a record; the answer waits for it.  */
-static void
-store_outcome (struct req *req)
-{
-  static const char too_large[]
-      = "{\"error\":{\"code\":\"answer_not_kept\",\"run\":\"ran\"}}";
-  struct led_outcome outcome = { .status = (int)req->attempt.status,
-                                 .content_type = req->attempt.content_type,
-                                 .body = req->out->str,
-                                 .body_length = req->out->len };
-
-  if (outcome.body_length > LED_ANSWER_MAX_BYTES)
-    {
-      outcome.content_type = "application/json";
-      outcome.body = too_large;
-      outcome.body_length = sizeof too_large - 1;
-    }
-  req->phase = REQ_STORING;
-  req->claim_ms = clk_now (clk_monotonic ());
-  req->timer_ms = req->deadline_ms;
-  req->ledger_open++;
-  led_finish (req->worker->server->ledger, &req->call, &outcome,
-              worker_post_ledger, req->worker, req->id);
-}
-
-/* Gives the caller the plain answer that is buffered.  */
-static void
-answer_plain (struct req *req)
-{
-  req_answer_body (req, (unsigned)req->attempt.status,
-                   req->attempt.content_type, req->out->str, req->out->len);
-  end_attempt (req, OWN_OUTCOME_OK);
-}
-
-/* Records that a claimed call was not sent.  */
-static void
-seal_not_run (struct req *req)
-{
-  struct led_outcome outcome = { .not_run = 1 };
-
-  if (req->repeatable || req->may_have_run)
-    return;
-  led_finish (req->worker->server->ledger, &req->call, &outcome, NULL, NULL,
-              0);
-}
-
 /* Ends REQ as DECISION says.  */
 static void
 give_up (struct req *req, const struct retry_decision *decision)
 {
   if (decision->run == RETRY_NOT_RUN)
-    seal_not_run (req);
+    req_seal_not_run (req);
   req_refuse (req, give_up_refusals[decision->reason],
               (enum req_run)decision->run);
 }
@@ -729,9 +519,9 @@
 
   if (req->kind == VER_KIND_CHAT && req->phase == REQ_SENDING)
     back_cancel_stream (req);
-  end_attempt (req, OWN_OUTCOME_UNKNOWN);
+  req_end_attempt (req, OWN_OUTCOME_UNKNOWN);
   if (!sent)
-    seal_not_run (req);
+    req_seal_not_run (req);
   req_refuse (req, REFUSE_DEADLINE, sent ? REQ_MAY_HAVE_RUN : REQ_NOT_RUN);
 }
 
@@ -762,8 +552,8 @@
 }
 
 /* Ends the attempt and gives back what it held.  */
-static void
-end_attempt (struct req *req, enum own_outcome outcome)
+void
+req_end_attempt (struct req *req, enum own_outcome outcome)
 {
   back_abort (req);
   release (req, outcome);
@@ -812,13 +602,13 @@
 }
 
 /* Frees REQ when its caller, its attempt and the ledger are done with it.  */
-static void
-free_if_over (struct req *req)
+void
+req_free_if_over (struct req *req)
 {
   if (req->connection == NULL && req->phase == REQ_DONE
       && req->ledger_open == 0)
     {
-      end_attempt (req, OWN_OUTCOME_UNKNOWN);
+      req_end_attempt (req, OWN_OUTCOME_UNKNOWN);
       req_free (req);
     }
 }
--- /dev/null
+++ b/request/request_queue.c
@@ -0,0 +1,55 @@
+/* Requests of a customer that wait for admission at one worker. */
+#include "libconnection.h"
+
+enum
+{
+  WAITING_MAX = 4,
+  SHARE_MEMORY_MS = 500
+};
+
+/* Counts REQ among its customer's requests that wait for admission.  Returns
+   0 if it has to be refused at once: enough of them wait already and the
+   customer's share was found in use lately, so that one more would only cost
+   messages.  */
+int
+req_enter_queue (struct req *req, clk_ms now)
+{
+  struct worker_customer *customer = req_customer (req);
+
+  if (req->is_waiting)
+    return 1;
+  if (req->tries == 0 && customer->waiting >= WAITING_MAX
+      && now - customer->denied_ms < SHARE_MEMORY_MS)
+    return 0;
+  customer->waiting++;
+  req->is_waiting = 1;
+  return 1;
+}
+
+/* Ends the waiting of REQ.  */
+void
+req_leave_queue (struct req *req)
+{
+  if (req->is_waiting)
+    req_customer (req)->waiting--;
+  req->is_waiting = 0;
+}
+
+/* Returns the worker's entry of REQ's customer, made at first use.  */
+struct worker_customer *
+req_customer (struct req *req)
+{
+  GHashTable *customers = req->worker->customers;
+  struct worker_customer *customer
+      = g_hash_table_lookup (customers, &req->customer_id);
+  uint64_t *key;
+
+  if (customer != NULL)
+    return customer;
+  customer = g_new0 (struct worker_customer, 1);
+  customer->denied_ms = -SHARE_MEMORY_MS;
+  key = g_new (uint64_t, 1);
+  *key = req->customer_id;
+  g_hash_table_insert (customers, key, customer);
+  return customer;
+}
