Tell loads and contexts among the instances

Cause: each instance knew only its own requests and, for 1.5 s, what a target had told it, and had its own memory of where contexts are; so instances left homes for loads that were over, and read contexts at several targets. Change: instances enter themselves in the store, read the others once, and send beats of 200 ms with their requests at each target, and notes of what was read where. A target that holds a context is kept to, the longer the context the longer.

--- a/include/ibisloom/choose.h
+++ b/include/ibisloom/choose.h
@@ -5,6 +5,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "ibisloom/context.h"
 #include "ibisloom/trust.h"
 
 enum
@@ -28,6 +29,8 @@
 struct cho_wish
 {
   uint64_t context; /* hash of the shared parts of the prompt, 0: none */
+  uint32_t context_tokens;
+  const struct ctx_holders *holders; /* of the context; may be NULL */
   double cap_factor;
   double cap_slack;
   uint32_t random;
@@ -35,12 +38,13 @@
 
 enum cho_reason
 {
-  CHO_HOME,  /* the first choice for the context */
-  CHO_NEAR,  /* a later choice, for load or trust */
-  CHO_LEAST, /* the least loaded */
-  CHO_TRIAL, /* a suspected target, since nothing better is left */
-  CHO_NONE,  /* no target at all */
-  CHO_FULL,  /* every target is at its limit */
+  CHO_HOLDER, /* it has the context */
+  CHO_HOME,   /* the first choice for the context */
+  CHO_NEAR,   /* a later choice, for load or trust */
+  CHO_LEAST,  /* the least loaded */
+  CHO_TRIAL,  /* a suspected target, since nothing better is left */
+  CHO_NONE,   /* no target at all */
+  CHO_FULL,   /* every target is at its limit */
   CHO_REASON_COUNT
 };
 
--- a/include/ibisloom/dialect.h
+++ b/include/ibisloom/dialect.h
@@ -58,6 +58,7 @@
   const char *config_kind;
   const char *config_name;
   const char *targets_kind;
+  const char *members_kind; /* this system's own */
   /* Returns the version in CONTENT, or NULL if it cannot be read.  */
   struct rt_table *(*config) (const json_t *content);
   /* Reads the entry of a target.  Returns 0, or -1 if it names none.  */
--- a/include/ibisloom/follow.h
+++ b/include/ibisloom/follow.h
@@ -6,7 +6,7 @@
 #include <jansson.h>
 
 #include "ibisloom/clock.h"
-#include "ibisloom/outcall.h"
+#include "ibisloom/storecall.h"
 
 /* One object, or the news that it is gone. */
 struct fol_object
@@ -34,6 +34,10 @@
   void (*list_target) (GString *out, const char *kind, const char *after);
   void (*watch_target) (GString *out, const char *kind, uint64_t since,
                         int64_t wait_ms);
+  void (*object_target) (GString *out, const char *kind, const char *name);
+  /* Returns the body that creates the object NAME with CONTENT, newly
+     allocated.  */
+  char *(*object_body) (const char *name, const json_t *content);
   /* Reads an answer and tells each object.  Returns 0, or -1 if it cannot be
      read.  */
   int (*read_list) (const char *text, size_t length, struct fol_page *page,
@@ -59,13 +63,12 @@
   struct ev_loop *loop;
   struct out_pool *pool;
   struct sockaddr_in address;
-  struct out_call *call;
-  GString *answer;
+  struct stc *call;
   GString *after; /* name after which the list goes on */
-  uint32_t status;
   uint64_t revision;
   uint8_t listed; /* a list is complete: watch from revision */
   uint8_t listing;
+  uint8_t first_page; /* its revision is where the watch starts */
   uint8_t down;
   uint32_t faults; /* in a row */
   ev_timer timer;
--- a/include/ibisloom/gate.h
+++ b/include/ibisloom/gate.h
@@ -5,7 +5,9 @@
 #include <ev.h>
 
 #include "ibisloom/caller.h"
+#include "ibisloom/context.h"
 #include "ibisloom/dialect.h"
+#include "ibisloom/fleet.h"
 #include "ibisloom/outcall.h"
 #include "ibisloom/retry.h"
 #include "ibisloom/settings.h"
@@ -19,6 +21,8 @@
   struct caller_site ready;
   struct out_pool pool;
   struct reg *reg;
+  struct ctx *contexts;
+  struct flt *fleet;
   struct rt_table *table; /* in force; NULL until one is read */
   clk_ms table_ms;        /* when it came into force */
   struct fol config;
@@ -30,7 +34,6 @@
   ev_prepare prepare;
   ev_signal signals[3];
   clk_ms stopping_ms; /* when the stop was asked for, 0: not */
-  uint32_t fleet_size;
   uint32_t open_requests;
 };
 
@@ -39,6 +42,7 @@
 void gate_run (struct gate *gate);
 void gate_free (struct gate *gate);
 int gate_is_ready (const struct gate *gate);
+int gate_is_closing (const struct gate *gate);
 struct retry_budget *gate_budget (struct gate *gate, const char *service);
 
 #endif
--- a/include/ibisloom/registry.h
+++ b/include/ibisloom/registry.h
@@ -45,9 +45,9 @@
   uint8_t unlisted;  /* missing from a list that was read after an outage */
   clk_ms gone_at_ms; /* when an unlisted one is dropped */
   uint32_t in_flight;
-  uint32_t others_in_flight; /* of the other instances */
-  int32_t told_load;         /* running and waiting, by its last answer */
-  int32_t since_told;        /* requests sent less those ended since */
+  int32_t others_in_flight; /* of the other instances */
+  int32_t told_load;        /* running and waiting, by its last answer */
+  int32_t since_told;       /* requests sent less those ended since */
   clk_ms told_ms;
   struct tru trust;
 };
@@ -55,6 +55,7 @@
 struct reg
 {
   GHashTable *targets; /* id to struct reg_target */
+  GHashTable *by_hash; /* hash of the id to struct reg_target */
   GPtrArray *order;    /* the same, for iteration */
   uint64_t revision;   /* of the newest entry or list */
   int listed;          /* a whole list was read once */
@@ -69,6 +70,7 @@
 void reg_list_end (struct reg *reg, clk_ms drop_at_ms);
 uint32_t reg_expire (struct reg *reg, clk_ms now);
 struct reg_target *reg_find (struct reg *reg, const char *id);
+struct reg_target *reg_find_hash (struct reg *reg, uint64_t hash);
 void reg_hold (struct reg_target *target);
 void reg_release (struct reg_target *target);
 size_t reg_candidates (struct reg *reg, const char *service,
--- /dev/null
+++ b/process/fleet.c
@@ -0,0 +1,469 @@
+/* The other instances: what each of them has under way, and what it knows.
+
+   An instance writes its address to the store once, reads the others' from
+   there, and from then on speaks with them by datagrams.  Who is not in the
+   list yet is learnt from its first datagram.  Each beat carries how many
+   requests the sender has at each target, so that all see the load of the
+   whole fleet; notes tell which target has read which context.  A lost beat
+   is made good by the next, a lost note costs one context read twice.  */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <sodium.h>
+
+#include "ibisloom/error.h"
+#include "ibisloom/fleet.h"
+#include "ibisloom/log.h"
+#include "ibisloom/rank.h"
+#include "ibisloom/storecall.h"
+
+enum
+{
+  BEAT_MS = 200,
+  SMALL_FLEET = 16, /* others that hear every beat */
+  QUIET_BEATS = 25, /* a beat for those that are silent, for every so many */
+  SILENT_MS = 1500, /* after which an instance's requests no longer count */
+  CALL_TIMEOUT_MS = 1500,
+  RETRY_MS = 700,
+  PEERS_MAX = 2048,
+  NOTES_WAITING_MAX = 256,
+  STATUS_SUCCESS = 200,
+  STATUS_REDIRECT = 300,
+  STATUS_CONFLICT = 409,
+  MS_PER_S = 1000
+};
+
+struct flt_peer
+{
+  uint32_t id;
+  struct sockaddr_in address;
+  uint64_t incarnation;
+  uint64_t sequence;
+  clk_ms heard_ms; /* 0: never */
+  GArray *loads;   /* of struct wire_load, as last told */
+};
+
+struct flt
+{
+  struct ev_loop *loop;
+  struct out_pool *pool;
+  const struct settings *settings;
+  const struct fol_dialect *store;
+  const char *kind;
+  struct reg *reg;
+  struct ctx *contexts;
+  struct wire_key key;
+  uint32_t self;
+  uint64_t incarnation;
+  uint64_t sequence;
+  uint64_t beats;
+  int fd;
+  ev_io io;
+  ev_timer beat;
+  ev_timer retry;
+  struct stc *call;
+  uint8_t registered;
+  uint8_t listed;
+  GHashTable *peers; /* id to struct flt_peer */
+  uint32_t note_count;
+  struct wire_note notes[NOTES_WAITING_MAX];
+};
+
+static void step (struct flt *flt);
+static void on_registered (void *closure, uint32_t status, const char *text,
+                           size_t length);
+static void on_listed (void *closure, uint32_t status, const char *text,
+                       size_t length);
+static void on_member (void *closure, const struct fol_object *object);
+static void on_retry (struct ev_loop *loop, ev_timer *timer, int events);
+static void on_beat (struct ev_loop *loop, ev_timer *timer, int events);
+static void on_datagram (struct ev_loop *loop, ev_io *io, int events);
+static void take_beat (struct flt *flt, struct flt_peer *peer,
+                       const struct wire_heartbeat *beat);
+static void take_notes (struct flt *flt, const struct wire_notes *notes);
+static struct flt_peer *peer_get (struct flt *flt, uint32_t id);
+static void peer_free (gpointer data);
+static void count_loads (struct flt *flt, const struct flt_peer *peer,
+                         int sign);
+static size_t encode_beat (struct flt *flt, unsigned char *out);
+static size_t encode_notes (struct flt *flt, unsigned char *out);
+static void retry_later (struct flt *flt);
+
+/* Returns the view of the fleet, with its datagram socket bound, or NULL with
+   ERROR set.  */
+struct flt *
+flt_new (const struct settings *settings, struct ev_loop *loop,
+         struct out_pool *pool, const struct fol_dialect *store,
+         const char *kind, struct reg *reg, struct ctx *contexts,
+         GError **error)
+{
+  struct flt *flt = g_new0 (struct flt, 1);
+
+  flt->loop = loop;
+  flt->pool = pool;
+  flt->settings = settings;
+  flt->store = store;
+  flt->kind = kind;
+  flt->reg = reg;
+  flt->contexts = contexts;
+  flt->self = (uint32_t)rank_hash (settings->instance);
+  flt->incarnation = (uint64_t)clk_wall_ms ();
+  flt->peers = g_hash_table_new_full (NULL, NULL, NULL, peer_free);
+  flt->fd = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (sodium_init () < 0 || flt->fd < 0
+      || bind (flt->fd, (const struct sockaddr *)&settings->peer_listen,
+               sizeof settings->peer_listen)
+             != 0)
+    {
+      err_set (error, ERR_IO, "peer_listen: port %u cannot be used: %s",
+               ntohs (settings->peer_listen.sin_port), strerror (errno));
+      flt_free (flt);
+      return NULL;
+    }
+  wire_key_derive (&flt->key, "", settings->deployment);
+  ev_io_init (&flt->io, on_datagram, flt->fd, EV_READ);
+  flt->io.data = flt;
+  ev_timer_init (&flt->beat, on_beat, (double)BEAT_MS / MS_PER_S,
+                 (double)BEAT_MS / MS_PER_S);
+  flt->beat.data = flt;
+  ev_timer_init (&flt->retry, on_retry, 0, 0);
+  flt->retry.data = flt;
+  return flt;
+}
+
+/* Starts to speak with the others.  */
+void
+flt_start (struct flt *flt)
+{
+  ev_io_start (flt->loop, &flt->io);
+  ev_timer_start (flt->loop, &flt->beat);
+  step (flt);
+}
+
+/* Frees FLT; NULL is allowed.  */
+void
+flt_free (struct flt *flt)
+{
+  if (flt == NULL)
+    return;
+  ev_io_stop (flt->loop, &flt->io);
+  ev_timer_stop (flt->loop, &flt->beat);
+  ev_timer_stop (flt->loop, &flt->retry);
+  if (flt->call != NULL)
+    stc_cancel (flt->call);
+  if (flt->fd >= 0)
+    close (flt->fd);
+  g_hash_table_destroy (flt->peers);
+  g_free (flt);
+}
+
+/* Tells the others that TARGET reads CONTEXT from now on.  */
+void
+flt_holder (struct flt *flt, uint64_t context, uint64_t target)
+{
+  struct wire_note note = { .chat = context, .target = target };
+
+  if (flt->note_count < NOTES_WAITING_MAX)
+    flt->notes[flt->note_count++] = note;
+}
+
+/* Returns how many instances there are, this one included.  */
+uint32_t
+flt_size (const struct flt *flt)
+{
+  return g_hash_table_size (flt->peers) + 1;
+}
+
+/* Makes the next call to the store: first this instance is entered, then the
+   others are read.  */
+static void
+step (struct flt *flt)
+{
+  GString *target = g_string_new (NULL);
+  char *address = settings_format_address (&flt->settings->peer_listen);
+  char *body = NULL;
+
+  if (!flt->registered)
+    {
+      json_t *content = json_pack ("{s:s}", "address", address);
+
+      flt->store->object_target (target, flt->kind, NULL);
+      body = flt->store->object_body (flt->settings->instance, content);
+      json_decref (content);
+    }
+  else
+    flt->store->list_target (target, flt->kind, NULL);
+  flt->call = stc_start (flt->loop, flt->pool, &flt->settings->platform,
+                         flt->registered ? "GET" : "POST", target->str, body,
+                         CALL_TIMEOUT_MS,
+                         flt->registered ? on_listed : on_registered, flt);
+  if (flt->call == NULL)
+    retry_later (flt);
+  g_string_free (target, TRUE);
+  g_free (address);
+}
+
+/* This instance is entered, or was already.  */
+static void
+on_registered (void *closure, uint32_t status, const char *text, size_t length)
+{
+  struct flt *flt = closure;
+
+  (void)text;
+  (void)length;
+  flt->call = NULL;
+  flt->registered = (status >= STATUS_SUCCESS && status < STATUS_REDIRECT)
+                    || status == STATUS_CONFLICT;
+  if (flt->registered)
+    step (flt);
+  else
+    retry_later (flt);
+}
+
+/* The others' addresses are there.  */
+static void
+on_listed (void *closure, uint32_t status, const char *text, size_t length)
+{
+  struct flt *flt = closure;
+  struct fol_page page = { .last_name = g_string_new (NULL) };
+
+  flt->call = NULL;
+  flt->listed
+      = status == STATUS_SUCCESS
+        && flt->store->read_list (text, length, &page, on_member, flt) == 0;
+  g_string_free (page.last_name, TRUE);
+  if (!flt->listed)
+    {
+      retry_later (flt);
+      return;
+    }
+  log_info ("fleet", NULL, "listed", "%u instances", flt_size (flt));
+}
+
+/* Takes one entry of the list.  */
+static void
+on_member (void *closure, const struct fol_object *object)
+{
+  struct flt *flt = closure;
+  const char *address
+      = json_string_value (json_object_get (object->content, "address"));
+  uint32_t id = (uint32_t)rank_hash (object->name);
+  struct sockaddr_in parsed;
+
+  if (id == flt->self || address == NULL
+      || settings_parse_address (address, &parsed) != 0
+      || g_hash_table_size (flt->peers) >= PEERS_MAX)
+    return;
+  peer_get (flt, id)->address = parsed;
+}
+
+/* Tries the call to the store again.  */
+static void
+on_retry (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  (void)loop;
+  (void)events;
+  step (timer->data);
+}
+
+/* Lets the call to the store be tried again after a pause.  */
+static void
+retry_later (struct flt *flt)
+{
+  ev_timer_stop (flt->loop, &flt->retry);
+  ev_timer_set (&flt->retry, (double)RETRY_MS / MS_PER_S, 0);
+  ev_timer_start (flt->loop, &flt->retry);
+}
+
+/* Sends a beat, and the notes that wait.  In a large fleet each hears a part
+   of the beats.  */
+static void
+on_beat (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct flt *flt = timer->data;
+  unsigned char beat[WIRE_MAX_BYTES];
+  unsigned char notes[WIRE_MAX_BYTES];
+  size_t beat_length = encode_beat (flt, beat);
+  size_t notes_length = encode_notes (flt, notes);
+  clk_ms now = clk_now (clk_monotonic ());
+  uint32_t strides
+      = (g_hash_table_size (flt->peers) + SMALL_FLEET - 1) / SMALL_FLEET;
+  GHashTableIter iter;
+  gpointer value;
+  uint32_t index = 0;
+
+  (void)loop;
+  (void)events;
+  flt->beats++;
+  g_hash_table_iter_init (&iter, flt->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct flt_peer *peer = value;
+      int is_silent = peer->heard_ms == 0 || now - peer->heard_ms > SILENT_MS;
+
+      if (is_silent && peer->loads->len > 0)
+        {
+          count_loads (flt, peer, -1);
+          g_array_set_size (peer->loads, 0);
+          log_info ("fleet", NULL, "peer_silent", "%08x", peer->id);
+        }
+      index++;
+      if (notes_length > 0 && !is_silent)
+        (void)sendto (flt->fd, notes, notes_length, MSG_DONTWAIT,
+                      (struct sockaddr *)&peer->address, sizeof peer->address);
+      if (is_silent ? (flt->beats + index) % QUIET_BEATS != 0 && flt->beats > 5
+                    : (flt->beats + index) % strides != 0)
+        continue;
+      (void)sendto (flt->fd, beat, beat_length, MSG_DONTWAIT,
+                    (struct sockaddr *)&peer->address, sizeof peer->address);
+    }
+}
+
+/* Writes a beat to OUT and returns its length.  */
+static size_t
+encode_beat (struct flt *flt, unsigned char *out)
+{
+  struct wire_message message = { .kind = WIRE_HEARTBEAT,
+                                  .sender = flt->self,
+                                  .incarnation = flt->incarnation,
+                                  .sequence = ++flt->sequence };
+  struct wire_heartbeat *beat = &message.u.heartbeat;
+
+  for (guint i = 0; i < flt->reg->order->len; i++)
+    {
+      const struct reg_target *target = g_ptr_array_index (flt->reg->order, i);
+
+      if (target->in_flight == 0 || beat->load_count == WIRE_LOADS_MAX)
+        continue;
+      beat->loads[beat->load_count].target = target->hash;
+      beat->loads[beat->load_count].load = target->in_flight;
+      beat->load_count++;
+    }
+  return wire_encode (&message, &flt->key, out);
+}
+
+/* Writes the oldest notes that wait to OUT and returns the length, 0 if there
+   are none.  */
+static size_t
+encode_notes (struct flt *flt, unsigned char *out)
+{
+  struct wire_message message = { .kind = WIRE_NOTE,
+                                  .sender = flt->self,
+                                  .incarnation = flt->incarnation,
+                                  .sequence = ++flt->sequence };
+  uint32_t count = MIN (flt->note_count, WIRE_NOTES_MAX);
+
+  if (count == 0)
+    return 0;
+  message.u.notes.count = count;
+  memcpy (message.u.notes.note, flt->notes, count * sizeof flt->notes[0]);
+  flt->note_count -= count;
+  memmove (flt->notes, flt->notes + count,
+           flt->note_count * sizeof flt->notes[0]);
+  return wire_encode (&message, &flt->key, out);
+}
+
+/* Reads what the others sent.  */
+static void
+on_datagram (struct ev_loop *loop, ev_io *io, int events)
+{
+  struct flt *flt = io->data;
+  unsigned char data[WIRE_MAX_BYTES];
+  struct wire_message message;
+  struct sockaddr_in from;
+  socklen_t size = sizeof from;
+  ssize_t got;
+
+  (void)loop;
+  (void)events;
+  while ((got = recvfrom (flt->fd, data, sizeof data, MSG_DONTWAIT,
+                          (struct sockaddr *)&from, &size))
+         >= 0)
+    {
+      struct flt_peer *peer;
+
+      size = sizeof from;
+      if (wire_decode (&message, &flt->key, data, (size_t)got) != WIRE_OK
+          || message.sender == flt->self
+          || g_hash_table_size (flt->peers) >= PEERS_MAX)
+        continue;
+      peer = peer_get (flt, message.sender);
+      if (message.incarnation < peer->incarnation
+          || (message.incarnation == peer->incarnation
+              && message.sequence <= peer->sequence))
+        continue;
+      peer->incarnation = message.incarnation;
+      peer->sequence = message.sequence;
+      peer->address = from;
+      peer->heard_ms = clk_now (clk_monotonic ());
+      if (message.kind == WIRE_HEARTBEAT)
+        take_beat (flt, peer, &message.u.heartbeat);
+      else if (message.kind == WIRE_NOTE)
+        take_notes (flt, &message.u.notes);
+    }
+}
+
+/* Takes over what PEER has under way.  */
+static void
+take_beat (struct flt *flt, struct flt_peer *peer,
+           const struct wire_heartbeat *beat)
+{
+  count_loads (flt, peer, -1);
+  g_array_set_size (peer->loads, 0);
+  g_array_append_vals (peer->loads, beat->loads, beat->load_count);
+  count_loads (flt, peer, 1);
+}
+
+/* Adds what PEER told to the targets' loads, or takes it away again.  */
+static void
+count_loads (struct flt *flt, const struct flt_peer *peer, int sign)
+{
+  for (guint i = 0; i < peer->loads->len; i++)
+    {
+      const struct wire_load *load
+          = &g_array_index (peer->loads, struct wire_load, i);
+      struct reg_target *target = reg_find_hash (flt->reg, load->target);
+
+      if (target != NULL)
+        target->others_in_flight += sign * (int32_t)load->load;
+    }
+}
+
+/* Takes over which targets have read which contexts.  */
+static void
+take_notes (struct flt *flt, const struct wire_notes *notes)
+{
+  clk_ms now = clk_now (clk_monotonic ());
+
+  for (uint32_t i = 0; i < notes->count; i++)
+    ctx_note (flt->contexts, notes->note[i].chat, notes->note[i].target, now);
+}
+
+/* Returns the instance ID, made if it is new.  */
+static struct flt_peer *
+peer_get (struct flt *flt, uint32_t id)
+{
+  gpointer key = GUINT_TO_POINTER (id);
+  struct flt_peer *peer = g_hash_table_lookup (flt->peers, key);
+
+  if (peer != NULL)
+    return peer;
+  peer = g_new0 (struct flt_peer, 1);
+  peer->id = id;
+  peer->loads = g_array_new (FALSE, FALSE, sizeof (struct wire_load));
+  g_hash_table_insert (flt->peers, key, peer);
+  return peer;
+}
+
+/* Frees a peer.  */
+static void
+peer_free (gpointer data)
+{
+  struct flt_peer *peer = data;
+
+  g_array_free (peer->loads, TRUE);
+  g_free (peer);
+}
--- a/process/gate.c
+++ b/process/gate.c
@@ -64,8 +64,8 @@
   gate->failure_domain = g_intern_string (settings->failure_domain);
   gate->random = g_rand_new ();
   gate->reg = reg_new ();
+  gate->contexts = ctx_new ();
   gate->budgets = g_hash_table_new_full (NULL, NULL, NULL, g_free);
-  gate->fleet_size = 1;
   out_pool_init (&gate->pool, gate->loop);
   gate->front.limits.head_max_bytes = HTTP_HEAD_MAX_BYTES;
   gate->front.limits.body_max_bytes = (uint32_t)settings->max_body_bytes;
@@ -84,6 +84,14 @@
       gate_free (gate);
       return NULL;
     }
+  gate->fleet
+      = flt_new (settings, gate->loop, &gate->pool, dialect->store,
+                 dialect->members_kind, gate->reg, gate->contexts, error);
+  if (gate->fleet == NULL)
+    {
+      gate_free (gate);
+      return NULL;
+    }
   return gate;
 }
 
@@ -106,6 +114,7 @@
   log_defer (1);
   follow_config (gate);
   follow_targets (gate);
+  flt_start (gate->fleet);
   log_info ("gate", NULL, "started", "failure domain %s",
             gate->failure_domain);
   ev_run (gate->loop, 0);
@@ -122,9 +131,11 @@
     fol_stop (&gate->config);
   if (gate->targets.loop != NULL)
     fol_stop (&gate->targets);
+  flt_free (gate->fleet);
   out_pool_clear (&gate->pool);
   g_hash_table_destroy (gate->pool.idle);
   reg_free (gate->reg);
+  ctx_free (gate->contexts);
   rt_unref (gate->table);
   g_hash_table_destroy (gate->budgets);
   g_rand_free (gate->random);
@@ -139,6 +150,14 @@
   return gate->stopping_ms == 0 && gate->table != NULL && gate->reg->listed;
 }
 
+/* Returns whether GATE is about to end: new requests would be cut.  */
+int
+gate_is_closing (const struct gate *gate)
+{
+  return gate->stopping_ms != 0
+         && clk_now (clk_monotonic ()) - gate->stopping_ms >= LAME_DUCK_MS;
+}
+
 /* Returns the budget for repeats at SERVICE: this instance's part of what the
    whole fleet may spend.  */
 struct retry_budget *
@@ -153,7 +172,7 @@
                            budget);
     }
   retry_budget_limit (budget, gate->settings->retry_slack * BUDGET_PART
-                                  / MAX (gate->fleet_size, 1));
+                                  / flt_size (gate->fleet));
   return budget;
 }
 
--- a/process/registry.c
+++ b/process/registry.c
@@ -21,6 +21,7 @@
   struct reg *reg = g_new0 (struct reg, 1);
 
   reg->targets = g_hash_table_new (g_str_hash, g_str_equal);
+  reg->by_hash = g_hash_table_new (NULL, NULL);
   reg->order = g_ptr_array_new ();
   return reg;
 }
@@ -32,6 +33,7 @@
   while (reg->order->len > 0)
     forget (reg, g_ptr_array_index (reg->order, 0));
   g_hash_table_destroy (reg->targets);
+  g_hash_table_destroy (reg->by_hash);
   g_ptr_array_free (reg->order, TRUE);
   g_free (reg);
 }
@@ -58,13 +60,15 @@
     {
       target = g_new0 (struct reg_target, 1);
       target->id = g_strdup (entry->id);
-      target->hash = rank_hash (entry->id);
+      target->hash = rank_hash (entry->id) & UINT32_MAX;
       target->service = g_intern_string (entry->service);
       target->failure_domain = g_intern_string (entry->failure_domain);
       target->address = entry->address;
       target->references = 1;
       target->incarnation = entry->incarnation;
       g_hash_table_insert (reg->targets, target->id, target);
+      g_hash_table_insert (reg->by_hash, GSIZE_TO_POINTER (target->hash),
+                           target);
       g_ptr_array_add (reg->order, target);
       is_new = 1;
     }
@@ -143,6 +147,13 @@
   return g_hash_table_lookup (reg->targets, id);
 }
 
+/* Returns the target whose id hashes to HASH, or NULL.  */
+struct reg_target *
+reg_find_hash (struct reg *reg, uint64_t hash)
+{
+  return g_hash_table_lookup (reg->by_hash, GSIZE_TO_POINTER (hash));
+}
+
 /* Counts a request on its way to TARGET.  */
 void
 reg_hold (struct reg_target *target)
@@ -206,7 +217,7 @@
 static double
 load_of (const struct reg_target *target, clk_ms now)
 {
-  double counted = target->in_flight + target->others_in_flight;
+  double counted = target->in_flight + (double)target->others_in_flight;
   double told = target->told_load + target->since_told;
 
   if (now - target->told_ms > TOLD_FRESH_MS || target->told_ms == 0)
@@ -228,6 +239,7 @@
 forget (struct reg *reg, struct reg_target *target)
 {
   g_hash_table_remove (reg->targets, target->id);
+  g_hash_table_remove (reg->by_hash, GSIZE_TO_POINTER (target->hash));
   g_ptr_array_remove_fast (reg->order, target);
   target->gone = 1;
   if (--target->references == 0)
--- a/request/choose.c
+++ b/request/choose.c
@@ -15,6 +15,9 @@
 static const double SPREAD_FACTOR = 1.35;
 static const double SPREAD_SLACK = 1.5;
 
+/* Tokens whose reading is worth one more request at a target.  */
+static const double TOKENS_PER_PLACE = 1000;
+
 /* Part of a slot that a way to another failure domain counts as.  */
 static const double REMOTE_PENALTY = 0.12;
 
@@ -28,8 +31,15 @@
 static const double CAP_MARGIN = 1.0;
 
 const char *const cho_reason_names[CHO_REASON_COUNT]
-    = { "home", "next_home", "least_loaded", "trial", "no_target", "full" };
-
+    = { "holder", "home",      "next_home", "least_loaded",
+        "trial",  "no_target", "full" };
+
+static double context_limit (const struct cho_wish *wish, double mean);
+static int is_fit (const struct cho_candidate *at, double limit,
+                   double errors);
+static int by_holder (const struct cho_wish *wish,
+                      const struct cho_candidate *candidates, size_t count,
+                      struct cho_choice *choice);
 static int by_context (const struct cho_wish *wish,
                        const struct cho_candidate *candidates, size_t count,
                        struct cho_choice *choice);
@@ -52,15 +62,65 @@
   choice->load = 0;
   choice->mean = mean_load (candidates, count);
   choice->reason = CHO_NONE;
-  if (wish->context != 0 && by_context (wish, candidates, count, choice))
+  if (wish->context != 0
+      && (by_holder (wish, candidates, count, choice)
+          || by_context (wish, candidates, count, choice)))
     return 1;
   if (by_load (wish, candidates, count, choice))
     return 1;
   return by_trial (candidates, count, choice);
 }
 
-/* Takes the first target in the order of the context that is not far over
-   the mean.  */
+/* Returns the load up to which a target is used for WISH: the longer the
+   context, the dearer it is to read it at another target.  */
+static double
+context_limit (const struct cho_wish *wish, double mean)
+{
+  double cap = wish->cap_factor * mean + wish->cap_slack - CAP_MARGIN;
+  double limit = mean * SPREAD_FACTOR + SPREAD_SLACK
+                 + wish->context_tokens / TOKENS_PER_PLACE;
+
+  return wish->cap_factor > 0 ? fmin (limit, cap) : limit;
+}
+
+/* Returns whether AT may be used for a context, LIMIT being what it may hold
+   and ERRORS the smallest share of errors.  */
+static int
+is_fit (const struct cho_candidate *at, double limit, double errors)
+{
+  return !at->excluded && at->use == TRU_USABLE && at->load <= limit
+         && (at->error_share - errors) * ERROR_PENALTY <= 1;
+}
+
+/* Takes a target that holds the context.  The first one is kept to while it
+   is not far over the mean, so that the others may forget; then the least
+   loaded one.  */
+static int
+by_holder (const struct cho_wish *wish, const struct cho_candidate *candidates,
+           size_t count, struct cho_choice *choice)
+{
+  double limit = context_limit (wish, choice->mean);
+  double calm = choice->mean * SPREAD_FACTOR + SPREAD_SLACK;
+  double errors = least_errors (candidates, count);
+  double best = INFINITY;
+
+  for (uint32_t n = 0; wish->holders != NULL && n < wish->holders->count; n++)
+    for (size_t i = 0; i < count; i++)
+      {
+        const struct cho_candidate *at = &candidates[i];
+
+        if (at->id != wish->holders->target[n] || !is_fit (at, limit, errors)
+            || at->load >= best || best <= calm)
+          continue;
+        best = at->load;
+        choice->index = i;
+        choice->load = at->load;
+        choice->reason = CHO_HOLDER;
+      }
+  return choice->reason == CHO_HOLDER;
+}
+
+/* Takes the first target in the order of the context that has room.  */
 static int
 by_context (const struct cho_wish *wish,
             const struct cho_candidate *candidates, size_t count,
@@ -68,7 +128,7 @@
 {
   static struct rank_node nodes[CHO_CANDIDATES_MAX];
   size_t top[RANK_TOP_MAX];
-  double limit = choice->mean * SPREAD_FACTOR + SPREAD_SLACK;
+  double limit = context_limit (wish, choice->mean);
   double errors = least_errors (candidates, count);
   size_t filled;
 
@@ -82,8 +142,7 @@
     {
       const struct cho_candidate *at = &candidates[top[i]];
 
-      if (at->excluded || at->use != TRU_USABLE || at->load > limit
-          || (at->error_share - errors) * ERROR_PENALTY > 1)
+      if (!is_fit (at, limit, errors))
         continue;
       choice->index = top[i];
       choice->load = at->load;
--- a/request/librelay.h
+++ b/request/librelay.h
@@ -17,6 +17,7 @@
   RLY_UNKNOWN_ROUTE,
   RLY_UNKNOWN_KEY,
   RLY_NOT_CONFIGURED,
+  RLY_STOPPING,
   RLY_NO_TARGET,
   RLY_FULL,
   RLY_TARGET_FULL,
@@ -48,6 +49,7 @@
   const struct rt_customer *customer; /* may be NULL */
   const char *id;
   uint64_t context; /* hash of the shared parts of the prompt, 0: none */
+  uint32_t context_tokens;
   clk_ms arrived_ms;
   clk_ms deadline_ms;
   ev_timer timer;
--- a/request/relay.c
+++ b/request/relay.c
@@ -91,6 +91,9 @@
   const char *host = http_head_get (rly->head, "Host");
 
   rly->id = http_head_get (rly->head, field[DLC_ATTEMPT_ID]);
+  *refusal = RLY_STOPPING;
+  if (gate_is_closing (gate))
+    return 0;
   *refusal = RLY_NOT_CONFIGURED;
   if (gate->table == NULL)
     return 0;
@@ -161,7 +164,10 @@
   if (value == NULL || dialect->prompt (value, &prompt) != 0)
     return;
   for (uint32_t i = 0; i + PARTS_OWN < prompt.count; i++)
-    rly->context = rank_mix (rly->context, prompt.id[i]);
+    {
+      rly->context = rank_mix (rly->context, prompt.id[i]);
+      rly->context_tokens += prompt.tokens[i];
+    }
 }
 
 /* Chooses a target for RLY and sends it there.  */
@@ -190,6 +196,8 @@
                           candidates, targets, CHO_CANDIDATES_MAX);
   for (size_t i = 0; i < count; i++)
     candidates[i].excluded = (uint8_t)was_tried (rly, candidates[i].id);
+  if (rly->context != 0)
+    wish.holders = ctx_find (gate->contexts, rly->context);
   if (!cho_pick (&wish, candidates, count, &choice))
     {
       log_place (rly, &choice, count);
@@ -199,6 +207,10 @@
         rly_refuse (rly, choice.reason == CHO_FULL ? RLY_FULL : RLY_NO_TARGET);
       return;
     }
+  if (rly->context != 0
+      && ctx_note (gate->contexts, rly->context, targets[choice.index]->hash,
+                   now))
+    flt_holder (gate->fleet, rly->context, targets[choice.index]->hash);
   send_to (rly, targets[choice.index]);
   log_place (rly, &choice, count);
 }
@@ -450,7 +462,9 @@
            size_t candidates)
 {
   log_info ("relay", rly->id, cho_reason_names[choice->reason],
-            "to %s of %zu, load %.1f, mean %.1f, version %" PRIu64,
+            "to %s of %zu, load %.1f, mean %.1f, context %016" PRIx64
+            " of %u tokens, version %" PRIu64,
             rly->target ? rly->target->id : "none", candidates, choice->load,
-            choice->mean, rly->table->version);
+            choice->mean, rly->context, rly->context_tokens,
+            rly->table->version);
 }
--- a/request/relay_refuse.c
+++ b/request/relay_refuse.c
@@ -19,6 +19,7 @@
   [RLY_UNKNOWN_ROUTE] = { "unknown_route", 404, 0 },
   [RLY_UNKNOWN_KEY] = { "unknown_key", 401, 0 },
   [RLY_NOT_CONFIGURED] = { "not_configured", 503, 300 },
+  [RLY_STOPPING] = { "stopping", 503, 100 },
   [RLY_NO_TARGET] = { "no_target", 503, 400 },
   [RLY_FULL] = { "all_full", 503, 300 },
   [RLY_TARGET_FULL] = { "target_full", 503, 150 },
--- /dev/null
+++ b/version/storecall.c
@@ -0,0 +1,149 @@
+/* One call to the platform's store. */
+#include <arpa/inet.h>
+#include <string.h>
+
+#include "ibisloom/storecall.h"
+
+enum
+{
+  CONNECT_MS = 1000,
+  ANSWER_MAX_BYTES = 16777216,
+  MS_PER_S = 1000
+};
+
+struct stc
+{
+  struct ev_loop *loop;
+  struct out_call *call;
+  ev_timer timer;
+  char *body;
+  GString *answer;
+  uint32_t status;
+  stc_done_fn done;
+  void *closure;
+};
+
+static int on_head (void *owner, const struct http_head *head, int64_t length);
+static int on_data (void *owner, const char *data, size_t length);
+static void on_end (void *owner);
+static void on_fail (void *owner, enum out_fault fault);
+static void on_timer (struct ev_loop *loop, ev_timer *timer, int events);
+static void finish (struct stc *call, uint32_t status);
+
+static const struct out_ops call_ops = { on_head, on_data, on_end, on_fail };
+
+/* Starts a call of METHOD to TARGET at the store at ADDRESS.  BODY is freed
+   with the call; NULL: none.  DONE is told how it ended, within TIMEOUT_MS.
+   Returns NULL if no connection can be started.  */
+struct stc *
+stc_start (struct ev_loop *loop, struct out_pool *pool,
+           const struct sockaddr_in *address, const char *method,
+           const char *target, char *body, int64_t timeout_ms,
+           stc_done_fn done, void *closure)
+{
+  struct stc *call = g_new0 (struct stc, 1);
+  struct out_request request = { .address = *address,
+                                 .connect_ms = CONNECT_MS,
+                                 .body = body,
+                                 .body_length = body ? strlen (body) : 0 };
+  char host[INET_ADDRSTRLEN];
+
+  inet_ntop (AF_INET, &address->sin_addr, host, sizeof host);
+  request.head = g_string_new (NULL);
+  g_string_append_printf (request.head, "%s %s HTTP/1.1\r\nHost: %s:%u\r\n",
+                          method, target, host, ntohs (address->sin_port));
+  if (body != NULL)
+    g_string_append_printf (request.head,
+                            "Content-Type: application/json\r\n"
+                            "Content-Length: %zu\r\n",
+                            request.body_length);
+  g_string_append (request.head, "\r\n");
+  call->loop = loop;
+  call->body = body;
+  call->answer = g_string_new (NULL);
+  call->done = done;
+  call->closure = closure;
+  ev_timer_init (&call->timer, on_timer, (double)timeout_ms / MS_PER_S, 0);
+  call->timer.data = call;
+  call->call = out_start (pool, &request, &call_ops, call);
+  if (call->call == NULL)
+    {
+      stc_cancel (call);
+      return NULL;
+    }
+  ev_timer_start (loop, &call->timer);
+  return call;
+}
+
+/* Ends CALL without a word.  */
+void
+stc_cancel (struct stc *call)
+{
+  if (call->call != NULL)
+    out_cancel (call->call);
+  ev_timer_stop (call->loop, &call->timer);
+  g_string_free (call->answer, TRUE);
+  g_free (call->body);
+  g_free (call);
+}
+
+/* Takes the status.  */
+static int
+on_head (void *owner, const struct http_head *head, int64_t length)
+{
+  struct stc *call = owner;
+
+  (void)length;
+  call->status = head->status;
+  return 0;
+}
+
+/* Collects the body.  */
+static int
+on_data (void *owner, const char *data, size_t length)
+{
+  struct stc *call = owner;
+
+  if (call->answer->len + length > ANSWER_MAX_BYTES)
+    return -1;
+  g_string_append_len (call->answer, data, (gssize)length);
+  return 0;
+}
+
+/* The answer is whole.  */
+static void
+on_end (void *owner)
+{
+  struct stc *call = owner;
+
+  call->call = NULL;
+  finish (call, call->status);
+}
+
+/* There is no whole answer.  */
+static void
+on_fail (void *owner, enum out_fault fault)
+{
+  struct stc *call = owner;
+
+  (void)fault;
+  call->call = NULL;
+  finish (call, 0);
+}
+
+/* The answer does not come in time.  */
+static void
+on_timer (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  (void)loop;
+  (void)events;
+  finish (timer->data, 0);
+}
+
+/* Tells how CALL ended and frees it.  */
+static void
+finish (struct stc *call, uint32_t status)
+{
+  call->done (call->closure, status, call->answer->str, call->answer->len);
+  stc_cancel (call);
+}
