Keep to a context's holder up to the load bound

Change: holders in their order up to the bound itself, less a quarter of a request; a new context goes to the less loaded of two homes; notes are sent at once, and all of them to an instance that starts.

--- a/include/ibisloom/choose.h
+++ b/include/ibisloom/choose.h
@@ -29,7 +29,6 @@
 struct cho_wish
 {
   uint64_t context; /* hash of the shared parts of the prompt, 0: none */
-  uint32_t context_tokens;
   const struct ctx_holders *holders; /* of the context; may be NULL */
   double cap_factor;
   double cap_slack;
@@ -48,15 +47,29 @@
   CHO_REASON_COUNT
 };
 
+/* Why the first holder of a context was passed over. */
+enum cho_pass
+{
+  CHO_PASS_NONE, /* it was not, or there is none */
+  CHO_PASS_ABSENT,
+  CHO_PASS_TRIED,
+  CHO_PASS_SUSPECT,
+  CHO_PASS_LOADED,
+  CHO_PASS_ERRORS,
+  CHO_PASS_COUNT
+};
+
 struct cho_choice
 {
   size_t index;
   enum cho_reason reason;
+  enum cho_pass pass;
   double load;
   double mean;
 };
 
 extern const char *const cho_reason_names[CHO_REASON_COUNT];
+extern const char *const cho_pass_names[CHO_PASS_COUNT];
 
 int cho_pick (const struct cho_wish *wish,
               const struct cho_candidate *candidates, size_t count,
--- a/process/fleet.c
+++ b/process/fleet.c
@@ -29,7 +29,6 @@
   CALL_TIMEOUT_MS = 1500,
   RETRY_MS = 700,
   PEERS_MAX = 2048,
-  NOTES_WAITING_MAX = 256,
   STATUS_SUCCESS = 200,
   STATUS_REDIRECT = 300,
   STATUS_CONFLICT = 409,
@@ -67,9 +66,8 @@
   struct stc *call;
   uint8_t registered;
   uint8_t listed;
-  GHashTable *peers; /* id to struct flt_peer */
-  uint32_t note_count;
-  struct wire_note notes[NOTES_WAITING_MAX];
+  GHashTable *peers;    /* id to struct flt_peer */
+  uint8_t has_contexts; /* another instance has told its contexts */
 };
 
 static void step (struct flt *flt);
@@ -88,8 +86,12 @@
 static void peer_free (gpointer data);
 static void count_loads (struct flt *flt, const struct flt_peer *peer,
                          int sign);
-static size_t encode_beat (struct flt *flt, unsigned char *out);
-static size_t encode_notes (struct flt *flt, unsigned char *out);
+static size_t encode_beat (struct flt *flt, int wants_contexts,
+                           unsigned char *out);
+static void send_notes (struct flt *flt, const struct flt_peer *peer,
+                        const struct wire_note *notes, uint32_t count);
+static void send_contexts (struct flt *flt, const struct flt_peer *peer);
+static int is_silent (const struct flt_peer *peer, clk_ms now);
 static void retry_later (struct flt *flt);
 
 /* Returns the view of the fleet, with its datagram socket bound, or NULL with
@@ -160,14 +162,20 @@
   g_free (flt);
 }
 
-/* Tells the others that TARGET reads CONTEXT from now on.  */
+/* Tells the others at once that TARGET reads CONTEXT from now on, so that the
+   next request with it goes there too.  */
 void
 flt_holder (struct flt *flt, uint64_t context, uint64_t target)
 {
   struct wire_note note = { .chat = context, .target = target };
+  GHashTableIter iter;
+  gpointer value;
+  clk_ms now = clk_now (clk_monotonic ());
 
-  if (flt->note_count < NOTES_WAITING_MAX)
-    flt->notes[flt->note_count++] = note;
+  g_hash_table_iter_init (&iter, flt->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (!is_silent (value, now))
+      send_notes (flt, value, &note, 1);
 }
 
 /* Returns how many instances there are, this one included.  */
@@ -285,15 +293,14 @@
 {
   struct flt *flt = timer->data;
   unsigned char beat[WIRE_MAX_BYTES];
-  unsigned char notes[WIRE_MAX_BYTES];
-  size_t beat_length = encode_beat (flt, beat);
-  size_t notes_length = encode_notes (flt, notes);
+  size_t beat_length;
   clk_ms now = clk_now (clk_monotonic ());
   uint32_t strides
       = (g_hash_table_size (flt->peers) + SMALL_FLEET - 1) / SMALL_FLEET;
   GHashTableIter iter;
   gpointer value;
   uint32_t index = 0;
+  int wants_contexts = !flt->has_contexts;
 
   (void)loop;
   (void)events;
@@ -302,21 +309,20 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       struct flt_peer *peer = value;
-      int is_silent = peer->heard_ms == 0 || now - peer->heard_ms > SILENT_MS;
+      int silent = is_silent (peer, now);
 
-      if (is_silent && peer->loads->len > 0)
+      if (silent && peer->loads->len > 0)
         {
           count_loads (flt, peer, -1);
           g_array_set_size (peer->loads, 0);
           log_info ("fleet", NULL, "peer_silent", "%08x", peer->id);
         }
       index++;
-      if (notes_length > 0 && !is_silent)
-        (void)sendto (flt->fd, notes, notes_length, MSG_DONTWAIT,
-                      (struct sockaddr *)&peer->address, sizeof peer->address);
-      if (is_silent ? (flt->beats + index) % QUIET_BEATS != 0 && flt->beats > 5
-                    : (flt->beats + index) % strides != 0)
+      if (silent ? (flt->beats + index) % QUIET_BEATS != 0 && flt->beats > 5
+                 : (flt->beats + index) % strides != 0)
         continue;
+      beat_length = encode_beat (flt, !silent && wants_contexts, beat);
+      wants_contexts = wants_contexts && silent; /* one at a time is asked */
       (void)sendto (flt->fd, beat, beat_length, MSG_DONTWAIT,
                     (struct sockaddr *)&peer->address, sizeof peer->address);
     }
@@ -324,7 +330,7 @@
 
 /* Writes a beat to OUT and returns its length.  */
 static size_t
-encode_beat (struct flt *flt, unsigned char *out)
+encode_beat (struct flt *flt, int wants_contexts, unsigned char *out)
 {
   struct wire_message message = { .kind = WIRE_HEARTBEAT,
                                   .sender = flt->self,
@@ -332,6 +338,7 @@
                                   .sequence = ++flt->sequence };
   struct wire_heartbeat *beat = &message.u.heartbeat;
 
+  beat->wants_reply = wants_contexts != 0;
   for (guint i = 0; i < flt->reg->order->len; i++)
     {
       const struct reg_target *target = g_ptr_array_index (flt->reg->order, i);
@@ -345,25 +352,52 @@
   return wire_encode (&message, &flt->key, out);
 }
 
-/* Writes the oldest notes that wait to OUT and returns the length, 0 if there
-   are none.  */
-static size_t
-encode_notes (struct flt *flt, unsigned char *out)
+/* Sends COUNT notes to PEER.  */
+static void
+send_notes (struct flt *flt, const struct flt_peer *peer,
+            const struct wire_note *notes, uint32_t count)
 {
   struct wire_message message = { .kind = WIRE_NOTE,
                                   .sender = flt->self,
                                   .incarnation = flt->incarnation,
                                   .sequence = ++flt->sequence };
-  uint32_t count = MIN (flt->note_count, WIRE_NOTES_MAX);
+  unsigned char data[WIRE_MAX_BYTES];
+  size_t length;
 
-  if (count == 0)
-    return 0;
   message.u.notes.count = count;
-  memcpy (message.u.notes.note, flt->notes, count * sizeof flt->notes[0]);
-  flt->note_count -= count;
-  memmove (flt->notes, flt->notes + count,
-           flt->note_count * sizeof flt->notes[0]);
-  return wire_encode (&message, &flt->key, out);
+  memcpy (message.u.notes.note, notes, count * sizeof *notes);
+  length = wire_encode (&message, &flt->key, data);
+  (void)sendto (flt->fd, data, length, MSG_DONTWAIT,
+                (const struct sockaddr *)&peer->address, sizeof peer->address);
+}
+
+/* Tells PEER, which has just started, all that is known of contexts.  */
+static void
+send_contexts (struct flt *flt, const struct flt_peer *peer)
+{
+  struct wire_note notes[WIRE_NOTES_MAX];
+  struct ctx_cursor cursor = { 0 };
+  uint32_t count = 0;
+
+  while (ctx_next (flt->contexts, &cursor, &notes[count].chat,
+                   &notes[count].target))
+    {
+      notes[count].home = 0;
+      notes[count].ttl_ms = 0;
+      if (++count < WIRE_NOTES_MAX)
+        continue;
+      send_notes (flt, peer, notes, count);
+      count = 0;
+    }
+  if (count > 0)
+    send_notes (flt, peer, notes, count);
+}
+
+/* Returns whether PEER was not heard of for long, or never.  */
+static int
+is_silent (const struct flt_peer *peer, clk_ms now)
+{
+  return peer->heard_ms == 0 || now - peer->heard_ms > SILENT_MS;
 }
 
 /* Reads what the others sent.  */
@@ -415,6 +449,8 @@
   g_array_set_size (peer->loads, 0);
   g_array_append_vals (peer->loads, beat->loads, beat->load_count);
   count_loads (flt, peer, 1);
+  if (beat->wants_reply)
+    send_contexts (flt, peer);
 }
 
 /* Adds what PEER told to the targets' loads, or takes it away again.  */
@@ -438,6 +474,7 @@
 {
   clk_ms now = clk_now (clk_monotonic ());
 
+  flt->has_contexts |= notes->count > 1;
   for (uint32_t i = 0; i < notes->count; i++)
     ctx_note (flt->contexts, notes->note[i].chat, notes->note[i].target, now);
 }
--- a/process/registry.c
+++ b/process/registry.c
@@ -6,7 +6,8 @@
 
 enum
 {
-  TOLD_FRESH_MS = 1500
+  /* Older than that, the others' beats are the better source.  */
+  TOLD_FRESH_MS = 150
 };
 
 static void target_free (struct reg_target *target);
--- a/request/choose.c
+++ b/request/choose.c
@@ -1,22 +1,21 @@
 /* Choice of the target that a request is sent to.
 
-   Requests that share the long parts of a prompt go to the same target while
-   its load allows, by rendezvous hashing, so that every instance finds the
-   same home without a message.  A home whose load is well over the mean, as
-   under a prompt that many ask about, passes requests on to the next in the
-   order of that prompt, so that few targets read it.  Calls without a context
-   go to the least loaded target, rather one in the same failure domain.  */
+   Requests that share the long parts of a prompt go to the target that has
+   read them while its load allows.  A context that no target is known to hold
+   goes by rendezvous hashing, so that instances that have not heard from each
+   other find the same few targets; the less loaded of those takes it.  At the
+   bound, as under a prompt that many ask about, requests pass on to another
+   holder, or make one.  Calls without a context go to the least loaded target,
+   rather one in the same failure domain.  */
 #include <math.h>
 
 #include "ibisloom/choose.h"
 #include "ibisloom/rank.h"
 
-/* A home is left when it holds this much more than the mean.  */
-static const double SPREAD_FACTOR = 1.35;
-static const double SPREAD_SLACK = 1.5;
-
-/* Tokens whose reading is worth one more request at a target.  */
-static const double TOKENS_PER_PLACE = 1000;
+enum
+{
+  HOMES = 2 /* targets among which a new context is placed by load */
+};
 
 /* Part of a slot that a way to another failure domain counts as.  */
 static const double REMOTE_PENALTY = 0.12;
@@ -27,16 +26,21 @@
 /* Part of a slot that a target still warming up counts as.  */
 static const double COLD_PENALTY = 0.5;
 
-/* Keeps clear of the bound by the requests that others may send at once.  */
-static const double CAP_MARGIN = 1.0;
+/* Keeps clear of the bound by what others may send before it is told.  */
+static const double CAP_MARGIN = 0.25;
 
 const char *const cho_reason_names[CHO_REASON_COUNT]
     = { "holder", "home",      "next_home", "least_loaded",
         "trial",  "no_target", "full" };
 
-static double context_limit (const struct cho_wish *wish, double mean);
-static int is_fit (const struct cho_candidate *at, double limit,
-                   double errors);
+const char *const cho_pass_names[CHO_PASS_COUNT]
+    = { "free", "absent", "tried", "suspect", "loaded", "errors" };
+
+static double load_limit (const struct cho_wish *wish, double mean);
+static enum cho_pass unfit (const struct cho_candidate *at, double limit,
+                            double errors);
+static size_t index_of (uint64_t id, const struct cho_candidate *candidates,
+                        size_t count);
 static int by_holder (const struct cho_wish *wish,
                       const struct cho_candidate *candidates, size_t count,
                       struct cho_choice *choice);
@@ -62,6 +66,7 @@
   choice->load = 0;
   choice->mean = mean_load (candidates, count);
   choice->reason = CHO_NONE;
+  choice->pass = CHO_PASS_NONE;
   if (wish->context != 0
       && (by_holder (wish, candidates, count, choice)
           || by_context (wish, candidates, count, choice)))
@@ -71,56 +76,70 @@
   return by_trial (candidates, count, choice);
 }
 
-/* Returns the load up to which a target is used for WISH: the longer the
-   context, the dearer it is to read it at another target.  */
+/* Returns the load up to which a target may take another request.  */
 static double
-context_limit (const struct cho_wish *wish, double mean)
+load_limit (const struct cho_wish *wish, double mean)
 {
-  double cap = wish->cap_factor * mean + wish->cap_slack - CAP_MARGIN;
-  double limit = mean * SPREAD_FACTOR + SPREAD_SLACK
-                 + wish->context_tokens / TOKENS_PER_PLACE;
+  if (wish->cap_factor <= 0)
+    return INFINITY;
+  return wish->cap_factor * mean + wish->cap_slack - CAP_MARGIN;
+}
 
-  return wish->cap_factor > 0 ? fmin (limit, cap) : limit;
+/* Returns why AT may not be used for a context, LIMIT being what it may hold
+   and ERRORS the smallest share of errors; CHO_PASS_NONE if it may.  */
+static enum cho_pass
+unfit (const struct cho_candidate *at, double limit, double errors)
+{
+  if (at->excluded)
+    return CHO_PASS_TRIED;
+  if (at->use != TRU_USABLE)
+    return CHO_PASS_SUSPECT;
+  if (at->load > limit || (at->slots > 0 && at->load >= at->slots))
+    return CHO_PASS_LOADED;
+  return (at->error_share - errors) * ERROR_PENALTY > 1 ? CHO_PASS_ERRORS
+                                                        : CHO_PASS_NONE;
 }
 
-/* Returns whether AT may be used for a context, LIMIT being what it may hold
-   and ERRORS the smallest share of errors.  */
-static int
-is_fit (const struct cho_candidate *at, double limit, double errors)
+/* Returns the index of the target ID among CANDIDATES, or COUNT.  */
+static size_t
+index_of (uint64_t id, const struct cho_candidate *candidates, size_t count)
 {
-  return !at->excluded && at->use == TRU_USABLE && at->load <= limit
-         && (at->error_share - errors) * ERROR_PENALTY <= 1;
+  size_t i = 0;
+
+  while (i < count && candidates[i].id != id)
+    i++;
+  return i;
 }
 
-/* Takes a target that holds the context.  The first one is kept to while it
-   is not far over the mean, so that the others may forget; then the least
-   loaded one.  */
+/* Takes the first target that holds the context and has room.  The order is
+   kept to, so that few targets read it again and again.  */
 static int
 by_holder (const struct cho_wish *wish, const struct cho_candidate *candidates,
            size_t count, struct cho_choice *choice)
 {
-  double limit = context_limit (wish, choice->mean);
-  double calm = choice->mean * SPREAD_FACTOR + SPREAD_SLACK;
+  double limit = load_limit (wish, choice->mean);
   double errors = least_errors (candidates, count);
-  double best = INFINITY;
 
   for (uint32_t n = 0; wish->holders != NULL && n < wish->holders->count; n++)
-    for (size_t i = 0; i < count; i++)
-      {
-        const struct cho_candidate *at = &candidates[i];
+    {
+      size_t i = index_of (wish->holders->target[n], candidates, count);
+      enum cho_pass pass = i == count ? CHO_PASS_ABSENT
+                                      : unfit (&candidates[i], limit, errors);
 
-        if (at->id != wish->holders->target[n] || !is_fit (at, limit, errors)
-            || at->load >= best || best <= calm)
-          continue;
-        best = at->load;
-        choice->index = i;
-        choice->load = at->load;
-        choice->reason = CHO_HOLDER;
-      }
-  return choice->reason == CHO_HOLDER;
+      if (n == 0)
+        choice->pass = pass;
+      if (pass != CHO_PASS_NONE)
+        continue;
+      choice->index = i;
+      choice->load = candidates[i].load;
+      choice->reason = CHO_HOLDER;
+      return 1;
+    }
+  return 0;
 }
 
-/* Takes the first target in the order of the context that has room.  */
+/* Takes the least loaded of the first few targets in the order of the context
+   that have room.  */
 static int
 by_context (const struct cho_wish *wish,
             const struct cho_candidate *candidates, size_t count,
@@ -128,9 +147,11 @@
 {
   static struct rank_node nodes[CHO_CANDIDATES_MAX];
   size_t top[RANK_TOP_MAX];
-  double limit = context_limit (wish, choice->mean);
+  double limit = load_limit (wish, choice->mean);
   double errors = least_errors (candidates, count);
+  double best = INFINITY;
   size_t filled;
+  int fits = 0;
 
   for (size_t i = 0; i < count; i++)
     {
@@ -138,18 +159,21 @@
       nodes[i].weight = 1;
     }
   filled = rank_top (wish->context, nodes, count, top, RANK_TOP_MAX);
-  for (size_t i = 0; i < filled; i++)
+  for (size_t i = 0; i < filled && fits < HOMES; i++)
     {
       const struct cho_candidate *at = &candidates[top[i]];
 
-      if (!is_fit (at, limit, errors))
+      if (unfit (at, limit, errors) != CHO_PASS_NONE)
+        continue;
+      fits++;
+      if (at->load >= best)
         continue;
+      best = at->load;
       choice->index = top[i];
       choice->load = at->load;
       choice->reason = i == 0 ? CHO_HOME : CHO_NEAR;
-      return 1;
     }
-  return 0;
+  return fits > 0;
 }
 
 /* Takes the least loaded target.  */
@@ -158,7 +182,7 @@
          size_t count, struct cho_choice *choice)
 {
   double errors = least_errors (candidates, count);
-  double cap = wish->cap_factor * choice->mean + wish->cap_slack - CAP_MARGIN;
+  double limit = load_limit (wish, choice->mean);
   double best = INFINITY;
 
   for (size_t n = 0; n < count; n++)
@@ -171,7 +195,7 @@
 
       if (at->excluded || at->use != TRU_USABLE)
         continue;
-      if (wish->cap_factor > 0 && at->load > cap)
+      if (at->load > limit)
         {
           if (choice->reason == CHO_NONE)
             choice->reason = CHO_FULL;
--- a/request/context.c
+++ b/request/context.c
@@ -87,6 +87,26 @@
       }
 }
 
+/* Sets CONTEXT and TARGET to the next pair after CURSOR.  Returns 0 at the
+   end.  */
+int
+ctx_next (const struct ctx *ctx, struct ctx_cursor *cursor, uint64_t *context,
+          uint64_t *target)
+{
+  for (; cursor->entry < SETS * WAYS; cursor->entry++, cursor->holder = 0)
+    {
+      const struct ctx_holders *entry
+          = &ctx->entries[cursor->entry / WAYS][cursor->entry % WAYS];
+
+      if (cursor->holder >= entry->count)
+        continue;
+      *context = entry->context;
+      *target = entry->target[cursor->holder++];
+      return 1;
+    }
+  return 0;
+}
+
 /* Returns the entry of CONTEXT, or the one that makes room for it.  */
 static struct ctx_holders *
 entry_for (struct ctx *ctx, uint64_t context)
--- a/request/relay.c
+++ b/request/relay.c
@@ -463,8 +463,8 @@
 {
   log_info ("relay", rly->id, cho_reason_names[choice->reason],
             "to %s of %zu, load %.1f, mean %.1f, context %016" PRIx64
-            " of %u tokens, version %" PRIu64,
+            " of %u tokens, holder %s, version %" PRIu64,
             rly->target ? rly->target->id : "none", candidates, choice->load,
             choice->mean, rly->context, rly->context_tokens,
-            rly->table->version);
+            cho_pass_names[choice->pass], rly->table->version);
 }
