--- a/connection/caller.c
+++ b/connection/caller.c
@@ -121,13 +121,18 @@
     }
 }
 
-/* Returns whether any caller has not been sent all of its answer.  */
+/* Returns whether any caller may not have all of its answer yet: some of it
+   is not sent, or the caller has not closed the connection after it.  */
 int
-caller_site_has_backlog (const struct caller_site *site)
+caller_site_is_writing (const struct caller_site *site)
 {
   for (const GList *at = site->callers.head; at != NULL; at = at->next)
-    if (caller_backlog (at->data) > 0)
-      return 1;
+    {
+      const struct caller *caller = at->data;
+
+      if (caller_backlog (caller) > 0 || caller->state == CALLER_CLOSING)
+        return 1;
+    }
   return 0;
 }
 
--- a/include/ibisloom/caller.h
+++ b/include/ibisloom/caller.h
@@ -48,7 +48,7 @@
                       const struct caller_site_ops *ops,
                       const struct sockaddr_in *address, GError **error);
 void caller_site_shut (struct caller_site *site);
-int caller_site_has_backlog (const struct caller_site *site);
+int caller_site_is_writing (const struct caller_site *site);
 void caller_site_close (struct caller_site *site);
 
 /* An answer: head, then pieces, then end or broken end.  LENGTH is -1 where
--- a/process/gate.c
+++ b/process/gate.c
@@ -251,7 +251,7 @@
   if (since >= LAME_DUCK_MS)
     caller_site_shut (&gate->front);
   if ((since >= LAME_DUCK_END_MS && gate->open_requests == 0
-       && !caller_site_has_backlog (&gate->front))
+       && !caller_site_is_writing (&gate->front))
       || since >= last)
     ev_break (gate->loop, EVBREAK_ALL);
 }
