--- a/Makefile
+++ b/Makefile
@@ -48,6 +48,8 @@
 $(BUILD)/ibismicro: $(BUILD)/bench/micro.o $(BUILD)/libibisloom.a
 	$(CC) $(CFLAGS) $(EXTRA) $^ -o $@ $(PKG_LIBS)
 
+$(BUILD)/tests/test_gate: $(BUILD)/tests/gate_fixture.o | $(BUILD)/ibisloomd
+
 $(BUILD)/tests/test_%: $(BUILD)/tests/test_%.o $(BUILD)/libibisloom.a
 	$(CC) $(CFLAGS) $(EXTRA) $^ -o $@ $(PKG_LIBS) -lcunit
 
--- a/connection/outcall.c
+++ b/connection/outcall.c
@@ -83,14 +83,21 @@
 
 static char read_buffer[READ_BYTES];
 
+/* Frees the queue of an address.  */
+static void
+free_queue (gpointer queue)
+{
+  g_queue_free (queue);
+}
+
 /* Prepares POOL for calls on LOOP.  */
 void
 out_pool_init (struct out_pool *pool, struct ev_loop *loop)
 {
   memset (pool, 0, sizeof *pool);
   pool->loop = loop;
-  pool->idle
-      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  pool->idle = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free,
+                                      free_queue);
 }
 
 /* Returns what identifies ADDRESS as a key of 64 bits.  */
--- /dev/null
+++ b/tests/gate_fixture.c
@@ -0,0 +1,772 @@
+/* A real ibisloomd between scripted targets, a scripted store and raw calls.
+ */
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <pthread.h>
+#include <signal.h>
+#include <spawn.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "gate_fixture.h"
+
+enum
+{
+  SETTLE_MS = 10000, /* far more than anything here takes */
+  SETTLE_STEP_MS = 10,
+  READ_BYTES = 4096,
+  CALL_TIMEOUT_S = 10
+};
+
+extern char **environ;
+
+struct fx_target
+{
+  char *id;
+  char *service;
+  char *state;
+  int port;
+  int listener;
+  fx_behave_fn behave;
+  int requests;
+  int peer_closed;
+  char *last;
+};
+
+/* One change of an object. */
+struct change
+{
+  long revision;
+  char *kind;
+  char *name;
+  char *spec; /* NULL: deleted */
+};
+
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static pthread_cond_t changed = PTHREAD_COND_INITIALIZER;
+static GPtrArray *changes; /* of struct change */
+static long kept_from;     /* older history is gone */
+static int store_is_down;
+static int store_listener;
+static GArray *store_fds;
+static GPtrArray *targets;
+static pid_t gate_pid;
+static int front_port;
+static int ready_port;
+static char *directory;
+
+/* Returns a listening socket on loopback and sets PORT.  */
+static int
+listen_any (int *port)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  socklen_t size = sizeof address;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  if (fd < 0 || bind (fd, (struct sockaddr *)&address, sizeof address) != 0
+      || listen (fd, 64) != 0
+      || getsockname (fd, (struct sockaddr *)&address, &size) != 0)
+    abort ();
+  *port = ntohs (address.sin_port);
+  return fd;
+}
+
+/* Returns a connection to PORT on loopback, or -1.  */
+static int
+dial (int port)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  struct timeval timeout = { .tv_sec = CALL_TIMEOUT_S };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  address.sin_port = htons ((uint16_t)port);
+  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
+  if (connect (fd, (struct sockaddr *)&address, sizeof address) == 0)
+    return fd;
+  close (fd);
+  return -1;
+}
+
+/* Returns a port that nothing listens on now.  */
+static int
+free_port (void)
+{
+  int port;
+
+  close (listen_any (&port));
+  return port;
+}
+
+/* Reads one request with its body from FD, or returns NULL.  */
+static char *
+read_request (int fd)
+{
+  GString *text = g_string_new (NULL);
+  char byte;
+
+  while (strstr (text->str, "\r\n\r\n") == NULL)
+    {
+      if (recv (fd, &byte, 1, 0) != 1)
+        {
+          g_string_free (text, TRUE);
+          return NULL;
+        }
+      g_string_append_c (text, byte);
+    }
+  for (long left = ({
+         char *value = fx_header (text->str, "Content-Length");
+         long length = value ? strtol (value, NULL, 10) : 0;
+         g_free (value);
+         length;
+       });
+       left > 0 && recv (fd, &byte, 1, 0) == 1; left--)
+    g_string_append_c (text, byte);
+  return g_string_free (text, FALSE);
+}
+
+/* Returns the newly allocated value of the field NAME in TEXT, or NULL.  */
+char *
+fx_header (const char *text, const char *name)
+{
+  char *key = g_strdup_printf ("\n%s:", name);
+  char *lower = g_ascii_strdown (text, -1);
+  char *lower_key = g_ascii_strdown (key, -1);
+  const char *at = strstr (lower, lower_key);
+  char *value = NULL;
+
+  if (at != NULL)
+    {
+      const char *from = text + (at - lower) + strlen (key);
+
+      value = g_strndup (from, strcspn (from, "\r\n"));
+      g_strstrip (value);
+    }
+  g_free (key);
+  g_free (lower);
+  g_free (lower_key);
+  return value;
+}
+
+/* Appends one change as the JSON of an object.  */
+static void
+add_object (GString *out, const struct change *change)
+{
+  g_string_append_printf (
+      out, "{\"metadata\":{\"name\":\"%s\",\"revision\":%ld},\"spec\":%s}",
+      change->name, change->revision, change->spec ? change->spec : "null");
+}
+
+/* Returns the newest change of NAME of KIND before INDEX is passed, or NULL;
+   needs the lock.  */
+static const struct change *
+newest (const char *kind, const char *name)
+{
+  for (guint i = changes->len; i > 0; i--)
+    {
+      const struct change *change = g_ptr_array_index (changes, i - 1);
+
+      if (strcmp (change->kind, kind) == 0 && strcmp (change->name, name) == 0)
+        return change;
+    }
+  return NULL;
+}
+
+/* Returns the list of KIND; needs the lock.  */
+static char *
+list_json (const char *kind)
+{
+  GString *out = g_string_new ("{\"items\":[");
+  int count = 0;
+
+  for (guint i = 0; i < changes->len; i++)
+    {
+      const struct change *change = g_ptr_array_index (changes, i);
+
+      if (strcmp (change->kind, kind) != 0 || change->spec == NULL
+          || newest (kind, change->name) != change)
+        continue;
+      g_string_append (out, count++ > 0 ? "," : "");
+      add_object (out, change);
+    }
+  g_string_append_printf (out, "],\"has_more\":false,\"at\":%u}",
+                          changes->len);
+  return g_string_free (out, FALSE);
+}
+
+/* Returns the changes of KIND after SINCE, or NULL if there are none; needs
+   the lock.  */
+static char *
+events_json (const char *kind, long since)
+{
+  GString *out = g_string_new ("{\"events\":[");
+  int count = 0;
+
+  for (guint i = 0; i < changes->len; i++)
+    {
+      const struct change *change = g_ptr_array_index (changes, i);
+
+      if (strcmp (change->kind, kind) != 0 || change->revision <= since)
+        continue;
+      g_string_append_printf (
+          out, "%s{\"deleted\":%s,\"object\":", count++ > 0 ? "," : "",
+          change->spec ? "false" : "true");
+      add_object (out, change);
+      g_string_append_c (out, '}');
+    }
+  g_string_append_printf (out, "],\"at\":%u}", changes->len);
+  if (count > 0)
+    return g_string_free (out, FALSE);
+  g_string_free (out, TRUE);
+  return NULL;
+}
+
+/* Answers FD with STATUS and the JSON BODY, which is freed.  */
+static void
+answer_json (int fd, const char *status, char *body)
+{
+  char *text = g_strdup_printf ("HTTP/1.1 %s\r\nContent-Type: "
+                                "application/json\r\nContent-Length: %zu\r\n"
+                                "\r\n%s",
+                                status, strlen (body), body);
+
+  fx_write (fd, text);
+  g_free (text);
+  g_free (body);
+}
+
+/* Answers a watch of KIND after SINCE, when something has changed or WAIT_MS
+   are over.  */
+static void
+answer_watch (int fd, const char *kind, long since, long wait_ms)
+{
+  struct timespec until;
+  char *body = NULL;
+
+  clock_gettime (CLOCK_REALTIME, &until);
+  until.tv_sec += wait_ms / 1000;
+  until.tv_nsec += wait_ms % 1000 * 1000000;
+  if (until.tv_nsec >= 1000000000)
+    {
+      until.tv_nsec -= 1000000000;
+      until.tv_sec++;
+    }
+  pthread_mutex_lock (&lock);
+  while (since >= kept_from && (body = events_json (kind, since)) == NULL
+         && pthread_cond_timedwait (&changed, &lock, &until) == 0)
+    ;
+  if (body == NULL && since >= kept_from)
+    body = g_strdup_printf ("{\"events\":[],\"at\":%u}", changes->len);
+  pthread_mutex_unlock (&lock);
+  if (body != NULL)
+    answer_json (fd, "200 OK", body);
+  else
+    answer_json (fd, "410 Gone", g_strdup ("{}"));
+}
+
+/* Serves one connection to the store.  */
+static void *
+serve_store (void *closure)
+{
+  int fd = GPOINTER_TO_INT (closure);
+  char *request;
+
+  while ((request = read_request (fd)) != NULL)
+    {
+      char kind[64] = "";
+      char *watch = strstr (request, "watch=");
+      char *wait = strstr (request, "wait_ms=");
+      int down;
+
+      sscanf (request, "%*s /objects/%63[^ /?]", kind);
+      pthread_mutex_lock (&lock);
+      down = store_is_down;
+      pthread_mutex_unlock (&lock);
+      if (down)
+        {
+          g_free (request);
+          break;
+        }
+      if (strncmp (request, "POST", 4) == 0)
+        answer_json (fd, "201 Created", g_strdup ("{}"));
+      else if (watch != NULL)
+        answer_watch (fd, kind, strtol (watch + 6, NULL, 10),
+                      wait ? strtol (wait + 8, NULL, 10) : 0);
+      else
+        {
+          char *body;
+
+          pthread_mutex_lock (&lock);
+          body = list_json (kind);
+          pthread_mutex_unlock (&lock);
+          answer_json (fd, "200 OK", body);
+        }
+      g_free (request);
+    }
+  shutdown (fd, SHUT_RDWR);
+  return NULL;
+}
+
+/* Serves one connection to a target.  */
+struct served
+{
+  struct fx_target *target;
+  int fd;
+};
+
+static void *
+serve_target (void *closure)
+{
+  struct served *served = closure;
+  struct fx_target *target = served->target;
+  struct fx_request request = { .fd = served->fd };
+  int keep = 1;
+
+  while (keep && (request.text = read_request (served->fd)) != NULL)
+    {
+      pthread_mutex_lock (&lock);
+      request.number = ++target->requests;
+      g_free (target->last);
+      target->last = g_strdup (request.text);
+      pthread_mutex_unlock (&lock);
+      keep = target->behave (&request);
+      g_free (request.text);
+    }
+  if (keep)
+    {
+      pthread_mutex_lock (&lock);
+      target->peer_closed++;
+      pthread_mutex_unlock (&lock);
+    }
+  close (served->fd);
+  g_free (served);
+  return NULL;
+}
+
+/* Runs FN in a thread of its own.  */
+static void
+start_thread (void *(*fn) (void *), void *closure)
+{
+  pthread_t thread;
+
+  if (pthread_create (&thread, NULL, fn, closure) != 0)
+    abort ();
+  pthread_detach (thread);
+}
+
+/* Takes connections to the store.  */
+static void *
+accept_store (void *closure)
+{
+  int listener = GPOINTER_TO_INT (closure);
+  int fd;
+
+  while ((fd = accept (listener, NULL, NULL)) >= 0)
+    {
+      pthread_mutex_lock (&lock);
+      g_array_append_val (store_fds, fd);
+      pthread_mutex_unlock (&lock);
+      start_thread (serve_store, GINT_TO_POINTER (fd));
+    }
+  return NULL;
+}
+
+/* Takes connections to a target.  */
+static void *
+accept_target (void *closure)
+{
+  struct fx_target *target = closure;
+  int fd;
+
+  while ((fd = accept (target->listener, NULL, NULL)) >= 0)
+    {
+      struct served *served = g_new0 (struct served, 1);
+
+      served->target = target;
+      served->fd = fd;
+      start_thread (serve_target, served);
+    }
+  return NULL;
+}
+
+/* Puts a new revision of an object into the store; SPEC NULL deletes it.  */
+static void
+put (const char *kind, const char *name, const char *spec)
+{
+  struct change *change = g_new0 (struct change, 1);
+
+  change->kind = g_strdup (kind);
+  change->name = g_strdup (name);
+  change->spec = g_strdup (spec);
+  pthread_mutex_lock (&lock);
+  change->revision = (long)changes->len + 1;
+  g_ptr_array_add (changes, change);
+  pthread_cond_broadcast (&changed);
+  pthread_mutex_unlock (&lock);
+}
+
+void
+fx_store_put (const char *kind, const char *name, const char *spec)
+{
+  put (kind, name, spec);
+}
+
+void
+fx_store_delete (const char *kind, const char *name)
+{
+  put (kind, name, NULL);
+}
+
+/* Forgets the history, and cuts the watches off.  */
+void
+fx_store_compact (void)
+{
+  pthread_mutex_lock (&lock);
+  kept_from = (long)changes->len + 1;
+  pthread_cond_broadcast (&changed);
+  pthread_mutex_unlock (&lock);
+}
+
+/* Lets the store close every connection without an answer, or answer again. */
+void
+fx_store_down (int down)
+{
+  pthread_mutex_lock (&lock);
+  store_is_down = down;
+  for (guint i = 0; down && i < store_fds->len; i++)
+    shutdown (g_array_index (store_fds, int, i), SHUT_RDWR);
+  pthread_mutex_unlock (&lock);
+}
+
+/* Writes TARGET's entry in its present state.  */
+static void
+announce (const struct fx_target *target)
+{
+  char *spec = g_strdup_printf (
+      "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"a\","
+      "\"version\":\"v1\",\"slots\":8,\"state\":\"%s\",\"cold_left_ms\":0,"
+      "\"sequence\":1}",
+      target->service, target->port, target->state);
+
+  put ("servers", target->id, spec);
+  g_free (spec);
+}
+
+/* Starts a target and enters it.  */
+struct fx_target *
+fx_target_add (const char *id, const char *service, fx_behave_fn behave)
+{
+  struct fx_target *target = g_new0 (struct fx_target, 1);
+
+  target->id = g_strdup (id);
+  target->service = g_strdup (service);
+  target->state = g_strdup ("ready");
+  target->behave = behave;
+  target->listener = listen_any (&target->port);
+  g_ptr_array_add (targets, target);
+  start_thread (accept_target, target);
+  announce (target);
+  return target;
+}
+
+void
+fx_target_state (struct fx_target *target, const char *state)
+{
+  g_free (target->state);
+  target->state = g_strdup (state);
+  announce (target);
+}
+
+void
+fx_target_remove (struct fx_target *target)
+{
+  fx_store_delete ("servers", target->id);
+}
+
+int
+fx_target_requests (struct fx_target *target)
+{
+  int requests;
+
+  pthread_mutex_lock (&lock);
+  requests = target->requests;
+  pthread_mutex_unlock (&lock);
+  return requests;
+}
+
+/* Returns the last request of TARGET, newly allocated.  */
+char *
+fx_target_last (struct fx_target *target)
+{
+  char *last;
+
+  pthread_mutex_lock (&lock);
+  last = g_strdup (target->last ? target->last : "");
+  pthread_mutex_unlock (&lock);
+  return last;
+}
+
+/* Returns how many connections the gate closed.  */
+int
+fx_target_peer_closed (struct fx_target *target)
+{
+  int closed;
+
+  pthread_mutex_lock (&lock);
+  closed = target->peer_closed;
+  pthread_mutex_unlock (&lock);
+  return closed;
+}
+
+/* Returns whether the gate says that it is ready.  */
+static int
+is_ready (void)
+{
+  int fd = dial (ready_port);
+  char *text;
+  int ready;
+
+  if (fd < 0)
+    return 0;
+  fx_write (fd, "GET /ready HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n");
+  text = fx_read_all (fd);
+  ready = g_str_has_prefix (text, "HTTP/1.1 200");
+  g_free (text);
+  return ready;
+}
+
+/* Returns whether the gate takes connections.  */
+static int
+is_listening (void)
+{
+  int fd = dial (front_port);
+
+  if (fd < 0)
+    return 0;
+  close (fd);
+  return 1;
+}
+
+/* Writes the settings and returns their path, newly allocated.  */
+static char *
+write_settings (int store_port)
+{
+  char *path = g_build_filename (directory, "gate.yaml", NULL);
+  char *text = g_strdup_printf (
+      "interface: platform\ninstance: one\ndeployment: test\n"
+      "failure_domain: a\nregion: r\nlisten: 127.0.0.1:%d\n"
+      "readiness_listen: 127.0.0.1:%d\npeer_listen: 127.0.0.1:%d\n"
+      "platform: 127.0.0.1:%d\nretry_ratio: 0.2\nretry_slack: 50\n"
+      "grace_s: 8\n",
+      front_port, ready_port, free_port (), store_port);
+
+  g_file_set_contents (path, text, -1, NULL);
+  g_free (text);
+  return path;
+}
+
+/* Starts the store, with CONFIG in it if that is not NULL, and the gate; waits
+   until it is ready if it has a configuration.  Targets come before.  */
+void
+fx_start (const char *config)
+{
+  char *self = g_file_read_link ("/proc/self/exe", NULL);
+  char *tests = g_path_get_dirname (self);
+  char *program = g_build_filename (tests, "..", "ibisloomd", NULL);
+  int store_port;
+  char *settings;
+  char *arguments[4];
+  posix_spawn_file_actions_t actions;
+
+  signal (SIGPIPE, SIG_IGN);
+  store_listener = listen_any (&store_port);
+  start_thread (accept_store, GINT_TO_POINTER (store_listener));
+  front_port = free_port ();
+  ready_port = free_port ();
+  directory = g_dir_make_tmp ("gate-XXXXXX", NULL);
+  settings = write_settings (store_port);
+  if (config != NULL)
+    put ("config", "main", config);
+  arguments[0] = program;
+  arguments[1] = (char *)"--settings";
+  arguments[2] = settings;
+  arguments[3] = NULL;
+  posix_spawn_file_actions_init (&actions);
+  posix_spawn_file_actions_addopen (&actions, STDOUT_FILENO, "/dev/null", 1,
+                                    0);
+  if (posix_spawn (&gate_pid, program, &actions, NULL, arguments, environ)
+      != 0)
+    abort ();
+  posix_spawn_file_actions_destroy (&actions);
+  g_free (program);
+  g_free (tests);
+  g_free (self);
+  fx_settled (config != NULL ? is_ready : is_listening);
+  unlink (settings);
+  g_free (settings);
+}
+
+/* Prepares an empty store and no targets.  */
+__attribute__ ((constructor)) static void
+fx_prepare (void)
+{
+  changes = g_ptr_array_new ();
+  targets = g_ptr_array_new ();
+  store_fds = g_array_new (FALSE, FALSE, sizeof (int));
+}
+
+/* Ends the gate, if it runs, the targets and the store.  */
+void
+fx_stop (void)
+{
+  if (gate_pid > 0)
+    {
+      kill (gate_pid, SIGKILL);
+      waitpid (gate_pid, NULL, 0);
+    }
+  gate_pid = 0;
+  for (guint i = 0; i < targets->len; i++)
+    shutdown (((struct fx_target *)g_ptr_array_index (targets, i))->listener,
+              SHUT_RDWR);
+  shutdown (store_listener, SHUT_RDWR);
+  pthread_mutex_lock (&lock);
+  for (guint i = 0; i < store_fds->len; i++)
+    shutdown (g_array_index (store_fds, int, i), SHUT_RDWR);
+  /* Threads may still hold what was there: it is left to the process.  */
+  changes = g_ptr_array_new ();
+  targets = g_ptr_array_new ();
+  store_fds = g_array_new (FALSE, FALSE, sizeof (int));
+  kept_from = 0;
+  store_is_down = 0;
+  pthread_cond_broadcast (&changed);
+  pthread_mutex_unlock (&lock);
+  rmdir (directory);
+  g_free (directory);
+}
+
+void
+fx_signal (int number)
+{
+  kill (gate_pid, number);
+}
+
+int
+fx_wait (void)
+{
+  int status = -1;
+
+  waitpid (gate_pid, &status, 0);
+  gate_pid = 0;
+  return WIFEXITED (status) ? WEXITSTATUS (status) : -1;
+}
+
+int
+fx_terminate (void)
+{
+  fx_signal (SIGTERM);
+  return fx_wait ();
+}
+
+/* Waits until CONDITION holds.  Returns whether it does.  */
+int
+fx_settled (int (*condition) (void))
+{
+  for (int ms = 0; ms < SETTLE_MS; ms += SETTLE_STEP_MS)
+    {
+      if (condition ())
+        return 1;
+      fx_sleep_ms (SETTLE_STEP_MS);
+    }
+  return 0;
+}
+
+void
+fx_sleep_ms (int ms)
+{
+  struct timespec time = { ms / 1000, (long)(ms % 1000) * 1000000 };
+
+  nanosleep (&time, NULL);
+}
+
+/* Writes all of TEXT; a peer that is gone is no error here.  */
+void
+fx_write (int fd, const char *text)
+{
+  size_t left = strlen (text);
+
+  while (left > 0)
+    {
+      ssize_t sent = send (fd, text, left, MSG_NOSIGNAL);
+
+      if (sent <= 0)
+        return;
+      text += sent;
+      left -= (size_t)sent;
+    }
+}
+
+/* Makes the close of FD a reset.  */
+void
+fx_reset (int fd)
+{
+  struct linger linger = { 1, 0 };
+
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+}
+
+/* Returns a connection to the gate's listener for callers.  */
+int
+fx_open (void)
+{
+  return dial (front_port);
+}
+
+void
+fx_send (int fd, const char *text)
+{
+  fx_write (fd, text);
+}
+
+/* Returns what comes from FD up to TEXT, newly allocated.  */
+char *
+fx_read_until (int fd, const char *text)
+{
+  GString *got = g_string_new (NULL);
+  char byte;
+
+  while (strstr (got->str, text) == NULL && recv (fd, &byte, 1, 0) == 1)
+    g_string_append_c (got, byte);
+  return g_string_free (got, FALSE);
+}
+
+/* Returns all that comes from FD until its end, newly allocated, and closes
+   it.  */
+char *
+fx_read_all (int fd)
+{
+  GString *got = g_string_new (NULL);
+  char buffer[READ_BYTES];
+  ssize_t length;
+
+  while ((length = recv (fd, buffer, sizeof buffer, 0)) > 0)
+    g_string_append_len (got, buffer, length);
+  close (fd);
+  return g_string_free (got, FALSE);
+}
+
+/* Sends REQUEST on a connection of its own and returns all that comes back,
+   newly allocated.  */
+char *
+fx_call (const char *request)
+{
+  int fd = fx_open ();
+
+  fx_write (fd, request);
+  return fx_read_all (fd);
+}
--- /dev/null
+++ b/tests/gate_fixture.h
@@ -0,0 +1,52 @@
+/* A real ibisloomd between scripted targets, a scripted store and raw calls.
+ */
+#ifndef GATE_FIXTURE_H
+#define GATE_FIXTURE_H
+
+#include <glib.h>
+
+/* One request as a target read it. */
+struct fx_request
+{
+  char *text; /* head and body */
+  int fd;
+  int number; /* of the requests that its target got, from 1 */
+};
+
+/* Writes what the target answers; the connection is closed when this returns
+   0, else kept. */
+typedef int (*fx_behave_fn) (const struct fx_request *request);
+
+struct fx_target;
+
+void fx_start (const char *config);
+void fx_stop (void);
+int fx_terminate (void); /* SIGTERM; returns the exit status */
+void fx_signal (int number);
+int fx_wait (void); /* for the exit; returns the status */
+
+struct fx_target *fx_target_add (const char *id, const char *service,
+                                 fx_behave_fn behave);
+int fx_target_requests (struct fx_target *target);
+char *fx_target_last (struct fx_target *target);
+int fx_target_peer_closed (struct fx_target *target);
+void fx_target_state (struct fx_target *target, const char *state);
+void fx_target_remove (struct fx_target *target);
+
+void fx_store_put (const char *kind, const char *name, const char *spec);
+void fx_store_delete (const char *kind, const char *name);
+void fx_store_compact (void);
+void fx_store_down (int down);
+
+char *fx_call (const char *request);
+int fx_open (void);
+void fx_send (int fd, const char *text);
+char *fx_read_until (int fd, const char *text);
+char *fx_read_all (int fd);
+void fx_sleep_ms (int ms);
+int fx_settled (int (*condition) (void));
+void fx_write (int fd, const char *text);
+void fx_reset (int fd);
+char *fx_header (const char *text, const char *name);
+
+#endif
