Test that a slow caller gets the last answer whole

The test of the stop fails without the wait for the callers' closes: a caller that takes its answer slowly and has sent another request loses the rest.

--- a/tests/gate_fixture.c
+++ b/tests/gate_fixture.c
@@ -720,6 +720,15 @@
   setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
 }
 
+/* Lets FD take little at once.  */
+void
+fx_narrow (int fd)
+{
+  int bytes = 2048;
+
+  setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+}
+
 /* Returns a connection to the gate's listener for callers.  */
 int
 fx_open (void)
--- a/tests/gate_fixture.h
+++ b/tests/gate_fixture.h
@@ -47,6 +47,7 @@
 int fx_settled (int (*condition) (void));
 void fx_write (int fd, const char *text);
 void fx_reset (int fd);
+void fx_narrow (int fd);
 char *fx_header (const char *text, const char *name);
 
 #endif
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -18,6 +18,11 @@
 #define PLAN(id) HEAD ("POST", "/plan/1", id) "Content-Length: 4\r\n\r\nplan"
 #define ANSWER(id) HEAD ("POST", "/rules/1", id) "Content-Length: 1\r\n\r\nr"
 
+enum
+{
+  LARGE_BYTES = 40000
+};
+
 static const char config[]
     = "{\"version\":3,\"routes\":["
       "{\"name\":\"map\",\"host\":\"shop.example\",\"path_prefix\":\"/map/\","
@@ -266,6 +271,23 @@
   return 1;
 }
 
+/* Ends with an event that is larger than a slow caller takes at once.  */
+static int
+slow_large_stream (const struct fx_request *request)
+{
+  char *large = g_strnfill (LARGE_BYTES, 'x');
+  char *event = g_strdup_printf ("id: 2\ndata: %s\n\n", large);
+
+  stream_head (request);
+  events (request, 1, 1);
+  fx_sleep_ms (3400);
+  chunk (request, event);
+  fx_write (request->fd, "0\r\n\r\n");
+  g_free (event);
+  g_free (large);
+  return 1;
+}
+
 static int
 silent (const struct fx_request *request)
 {
@@ -533,14 +555,16 @@
   char *start;
   int fd;
 
-  fx_target_add ("i-1", "pool", slow_stream);
+  fx_target_add ("i-1", "pool", slow_large_stream);
   fx_start (config);
   fd = fx_open ();
+  fx_narrow (fd);
   fx_send (fd, ANSWER ("a1"));
   start = fx_read_until (fd, "data: e1");
   fx_signal (SIGTERM);
-  fx_sleep_ms (900);
+  fx_sleep_ms (3500);
   fx_send (fd, ANSWER ("a2"));
+  fx_sleep_ms (300);
   answer = fx_read_until (fd, "\r\n0\r\n\r\n");
   CU_ASSERT (g_str_has_suffix (answer, "\r\n0\r\n\r\n"));
   close (fd);
