Count the others' loads once, and the mean over usable targets

Change: each counted load names the target that counts it; the mean leaves out targets to be avoided.

--- a/include/ibisloom/registry.h
+++ b/include/ibisloom/registry.h
@@ -32,6 +32,7 @@
 {
   char *id;
   uint64_t hash;
+  uint64_t serial;            /* differs from any other target's, and from 0 */
   const char *service;        /* interned */
   const char *failure_domain; /* interned */
   struct sockaddr_in address;
@@ -58,7 +59,8 @@
   GHashTable *by_hash; /* hash of the id to struct reg_target */
   GPtrArray *order;    /* the same, for iteration */
   uint64_t revision;   /* of the newest entry or list */
-  int listed;          /* a whole list was read once */
+  uint64_t serials;
+  int listed; /* a whole list was read once */
 };
 
 struct reg *reg_new (void);
--- a/process/fleet.c
+++ b/process/fleet.c
@@ -35,6 +35,14 @@
   MS_PER_S = 1000
 };
 
+/* Requests of a peer at one target, and whether the target counts them. */
+struct flt_load
+{
+  uint64_t target;
+  uint64_t serial; /* of the target that counts them, 0: none does */
+  int32_t load;
+};
+
 struct flt_peer
 {
   uint32_t id;
@@ -42,7 +50,7 @@
   uint64_t incarnation;
   uint64_t sequence;
   clk_ms heard_ms; /* 0: never */
-  GArray *loads;   /* of struct wire_load, as last told */
+  GArray *loads;   /* of struct flt_load, as last told */
 };
 
 struct flt
@@ -84,8 +92,7 @@
 static void take_notes (struct flt *flt, const struct wire_notes *notes);
 static struct flt_peer *peer_get (struct flt *flt, uint32_t id);
 static void peer_free (gpointer data);
-static void count_loads (struct flt *flt, const struct flt_peer *peer,
-                         int sign);
+static void forget_loads (struct flt *flt, struct flt_peer *peer);
 static size_t encode_beat (struct flt *flt, int wants_contexts,
                            unsigned char *out);
 static void send_notes (struct flt *flt, const struct flt_peer *peer,
@@ -313,8 +320,7 @@
 
       if (silent && peer->loads->len > 0)
         {
-          count_loads (flt, peer, -1);
-          g_array_set_size (peer->loads, 0);
+          forget_loads (flt, peer);
           log_info ("fleet", NULL, "peer_silent", "%08x", peer->id);
         }
       index++;
@@ -445,27 +451,39 @@
 take_beat (struct flt *flt, struct flt_peer *peer,
            const struct wire_heartbeat *beat)
 {
-  count_loads (flt, peer, -1);
-  g_array_set_size (peer->loads, 0);
-  g_array_append_vals (peer->loads, beat->loads, beat->load_count);
-  count_loads (flt, peer, 1);
+  forget_loads (flt, peer);
+  for (uint32_t i = 0; i < beat->load_count; i++)
+    {
+      struct flt_load load = { .target = beat->loads[i].target,
+                               .load = (int32_t)beat->loads[i].load };
+      struct reg_target *target = reg_find_hash (flt->reg, load.target);
+
+      if (target != NULL)
+        {
+          load.serial = target->serial;
+          target->others_in_flight += load.load;
+        }
+      g_array_append_val (peer->loads, load);
+    }
   if (beat->wants_reply)
     send_contexts (flt, peer);
 }
 
-/* Adds what PEER told to the targets' loads, or takes it away again.  */
+/* Takes away what PEER told before.  A target that was entered anew since has
+   not counted it.  */
 static void
-count_loads (struct flt *flt, const struct flt_peer *peer, int sign)
+forget_loads (struct flt *flt, struct flt_peer *peer)
 {
   for (guint i = 0; i < peer->loads->len; i++)
     {
-      const struct wire_load *load
-          = &g_array_index (peer->loads, struct wire_load, i);
+      const struct flt_load *load
+          = &g_array_index (peer->loads, struct flt_load, i);
       struct reg_target *target = reg_find_hash (flt->reg, load->target);
 
-      if (target != NULL)
-        target->others_in_flight += sign * (int32_t)load->load;
+      if (target != NULL && target->serial == load->serial)
+        target->others_in_flight -= load->load;
     }
+  g_array_set_size (peer->loads, 0);
 }
 
 /* Takes over which targets have read which contexts.  */
@@ -490,7 +508,7 @@
     return peer;
   peer = g_new0 (struct flt_peer, 1);
   peer->id = id;
-  peer->loads = g_array_new (FALSE, FALSE, sizeof (struct wire_load));
+  peer->loads = g_array_new (FALSE, FALSE, sizeof (struct flt_load));
   g_hash_table_insert (flt->peers, key, peer);
   return peer;
 }
--- a/process/registry.c
+++ b/process/registry.c
@@ -66,6 +66,7 @@
       target->failure_domain = g_intern_string (entry->failure_domain);
       target->address = entry->address;
       target->references = 1;
+      target->serial = ++reg->serials;
       target->incarnation = entry->incarnation;
       g_hash_table_insert (reg->targets, target->id, target);
       g_hash_table_insert (reg->by_hash, GSIZE_TO_POINTER (target->hash),
--- a/request/choose.c
+++ b/request/choose.c
@@ -234,15 +234,21 @@
   return 0;
 }
 
-/* Returns the mean load of all CANDIDATES.  */
+/* Returns the mean load of those CANDIDATES that can take requests: what is
+   cut off takes no part of the load, and must not lower the bound.  */
 static double
 mean_load (const struct cho_candidate *candidates, size_t count)
 {
   double sum = 0;
+  size_t usable = 0;
 
   for (size_t i = 0; i < count; i++)
-    sum += candidates[i].load;
-  return count > 0 ? sum / (double)count : 0;
+    if (candidates[i].use != TRU_AVOID)
+      {
+        sum += candidates[i].load;
+        usable++;
+      }
+  return usable > 0 ? sum / (double)usable : 0;
 }
 
 /* Returns the smallest share of errors.  */
--- a/request/relay.c
+++ b/request/relay.c
@@ -38,7 +38,8 @@
 static void exclude (const struct rly *rly, struct cho_candidate *candidates,
                      size_t count);
 static void note_unreached (struct rly *rly);
-static uint32_t sends_max (const struct rt_route *route);
+static uint32_t sends_max (const struct rt_route *route,
+                           enum retry_fault fault);
 static void give_up (struct rly *rly, const struct retry_decision *decision,
                      enum retry_fault fault);
 static void log_place (const struct rly *rly, const struct cho_choice *choice,
@@ -292,12 +293,14 @@
   reg_release (target);
 }
 
-/* Returns how often a request of ROUTE may be sent.  */
+/* Returns how often a request of ROUTE may be sent where FAULT is known.  What
+   one target answers with an error, it mostly does again.  */
 static uint32_t
-sends_max (const struct rt_route *route)
+sends_max (const struct rt_route *route, enum retry_fault fault)
 {
-  return rt_repeatable (route) ? route->attempts_max * SENDS_PER_TARGET
-                               : route->attempts_max;
+  if (!rt_repeatable (route) || fault == RETRY_FAULT_STATUS)
+    return route->attempts_max;
+  return route->attempts_max * SENDS_PER_TARGET;
 }
 
 /* Decides what follows FAULT of the attempt at hand, and does it.  */
@@ -311,7 +314,7 @@
                                .is_stream = rly->route->kind == RT_STREAM,
                                .may_have_run = rly->may_have_run,
                                .tokens = rly->events.passed,
-                               .tries_max = sends_max (rly->route),
+                               .tries_max = sends_max (rly->route, fault),
                                .resumes_anywhere = 1,
                                .deadline_ms = rly->deadline_ms };
   struct retry_decision decision;
