--- a/Makefile
+++ b/Makefile
@@ -48,7 +48,9 @@
 $(BUILD)/ibismicro: $(BUILD)/bench/micro.o $(BUILD)/libibisloom.a
 	$(CC) $(CFLAGS) $(EXTRA) $^ -o $@ $(PKG_LIBS)
 
-$(BUILD)/tests/test_gate: $(BUILD)/tests/gate_fixture.o | $(BUILD)/ibisloomd
+$(BUILD)/tests/test_gate: $(BUILD)/tests/test_gate.o \
+  $(BUILD)/tests/gate_fixture.o $(BUILD)/libibisloom.a | $(BUILD)/ibisloomd
+	$(CC) $(CFLAGS) $(EXTRA) $^ -o $@ $(PKG_LIBS) -lcunit
 
 $(BUILD)/tests/test_%: $(BUILD)/tests/test_%.o $(BUILD)/libibisloom.a
 	$(CC) $(CFLAGS) $(EXTRA) $^ -o $@ $(PKG_LIBS) -lcunit
--- a/request/librelay.h
+++ b/request/librelay.h
@@ -71,6 +71,7 @@
   uint32_t unreached_count;
   uint32_t sends;    /* attempts of which a target may have read something */
   uint32_t connects; /* attempts that brought no connection */
+  uint32_t errors;   /* attempts that a target answered with an error */
   uint8_t may_have_run;
   /* The answer.  */
   GString *fields;
--- a/request/relay.c
+++ b/request/relay.c
@@ -38,8 +38,7 @@
 static void exclude (const struct rly *rly, struct cho_candidate *candidates,
                      size_t count);
 static void note_unreached (struct rly *rly);
-static uint32_t sends_max (const struct rt_route *route,
-                           enum retry_fault fault);
+static uint32_t sends_max (const struct rly *rly);
 static void give_up (struct rly *rly, const struct retry_decision *decision,
                      enum retry_fault fault);
 static void log_place (const struct rly *rly, const struct cho_choice *choice,
@@ -293,14 +292,19 @@
   reg_release (target);
 }
 
-/* Returns how often a request of ROUTE may be sent where FAULT is known.  What
-   one target answers with an error, it mostly does again.  */
+/* Returns how often RLY may be sent.  What one target answers with an error,
+   it mostly does again: a route's last target that does so has the last
+   word.  */
 static uint32_t
-sends_max (const struct rt_route *route, enum retry_fault fault)
+sends_max (const struct rly *rly)
 {
-  if (!rt_repeatable (route) || fault == RETRY_FAULT_STATUS)
+  const struct rt_route *route = rly->route;
+
+  if (!rt_repeatable (route))
     return route->attempts_max;
-  return route->attempts_max * SENDS_PER_TARGET;
+  return rly->errors >= route->attempts_max
+             ? rly->sends
+             : route->attempts_max * SENDS_PER_TARGET;
 }
 
 /* Decides what follows FAULT of the attempt at hand, and does it.  */
@@ -314,7 +318,6 @@
                                .is_stream = rly->route->kind == RT_STREAM,
                                .may_have_run = rly->may_have_run,
                                .tokens = rly->events.passed,
-                               .tries_max = sends_max (rly->route, fault),
                                .resumes_anywhere = 1,
                                .deadline_ms = rly->deadline_ms };
   struct retry_decision decision;
@@ -327,7 +330,9 @@
     }
   else if (fault != RETRY_FAULT_BUSY)
     rly->may_have_run = 1;
+  rly->errors += fault == RETRY_FAULT_STATUS;
   state.tries = rly->sends;
+  state.tries_max = sends_max (rly);
   retry_decide (&state, gate_budget (gate, rly->service), now, &decision);
   if (rly->begun && (rly->route->kind != RT_STREAM || !rly->is_events))
     decision.action = RETRY_GIVE_UP;
--- a/tests/gate_fixture.c
+++ b/tests/gate_fixture.c
@@ -13,7 +13,10 @@
 #include <time.h>
 #include <unistd.h>
 
+#include <sodium.h>
+
 #include "gate_fixture.h"
+#include "ibisloom/wire.h"
 
 enum
 {
@@ -58,6 +61,7 @@
 static pid_t gate_pid;
 static int front_port;
 static int ready_port;
+static int peer_port;
 static char *directory;
 
 /* Returns a listening socket on loopback and sets PORT.  */
@@ -525,8 +529,8 @@
 }
 
 /* Returns whether the gate says that it is ready.  */
-static int
-is_ready (void)
+int
+fx_is_ready (void)
 {
   int fd = dial (ready_port);
   char *text;
@@ -564,13 +568,86 @@
       "readiness_listen: 127.0.0.1:%d\npeer_listen: 127.0.0.1:%d\n"
       "platform: 127.0.0.1:%d\nretry_ratio: 0.2\nretry_slack: 50\n"
       "grace_s: 8\n",
-      front_port, ready_port, free_port (), store_port);
+      front_port, ready_port, peer_port, store_port);
 
   g_file_set_contents (path, text, -1, NULL);
   g_free (text);
   return path;
 }
 
+/* Returns the snapshot of an instance that knows all that is in the store.  */
+static char *
+snapshot_json (void)
+{
+  GString *out = g_string_new (NULL);
+  const struct change *config;
+  int count = 0;
+
+  pthread_mutex_lock (&lock);
+  config = newest ("config", "main");
+  g_string_append_printf (out,
+                          "{\"revision\":%u,\"config\":{\"name\":\"main\","
+                          "\"revision\":%ld,\"content\":%s},\"targets\":[",
+                          changes->len, config->revision, config->spec);
+  for (guint i = 0; i < changes->len; i++)
+    {
+      const struct change *change = g_ptr_array_index (changes, i);
+
+      if (strcmp (change->kind, "servers") == 0)
+        g_string_append_printf (
+            out, "%s{\"name\":\"%s\",\"revision\":%ld,\"content\":%s}",
+            count++ > 0 ? "," : "", change->name, change->revision,
+            change->spec);
+    }
+  pthread_mutex_unlock (&lock);
+  g_string_append (out, "]}");
+  return g_string_free (out, FALSE);
+}
+
+/* Answers one connection to the scripted peer with its snapshot.  */
+static void *
+serve_peer (void *closure)
+{
+  int listener = GPOINTER_TO_INT (closure);
+  int fd = accept (listener, NULL, NULL);
+
+  g_free (read_request (fd));
+  answer_json (fd, "200 OK", snapshot_json ());
+  close (fd);
+  close (listener);
+  return NULL;
+}
+
+/* Starts an instance that knows what is in the store, and lets the gate hear
+   of it.  */
+void
+fx_peer_start (void)
+{
+  struct wire_message message = {
+    .kind = WIRE_HEARTBEAT, .sender = 7, .incarnation = 1, .sequence = 1
+  };
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  unsigned char data[WIRE_MAX_BYTES];
+  struct wire_key key;
+  size_t length;
+  int port;
+  int listener = listen_any (&port);
+  int fd = socket (AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+
+  start_thread (serve_peer, GINT_TO_POINTER (listener));
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  address.sin_port = htons ((uint16_t)port);
+  if (sodium_init () < 0
+      || bind (fd, (struct sockaddr *)&address, sizeof address) != 0)
+    abort ();
+  wire_key_derive (&key, "", "test");
+  message.u.heartbeat.revision = 1000;
+  length = wire_encode (&message, &key, data);
+  address.sin_port = htons ((uint16_t)peer_port);
+  sendto (fd, data, length, 0, (struct sockaddr *)&address, sizeof address);
+  close (fd);
+}
+
 /* Starts the store, with CONFIG in it if that is not NULL, and the gate; waits
    until it is ready if it has a configuration.  Targets come before.  */
 void
@@ -589,6 +666,7 @@
   start_thread (accept_store, GINT_TO_POINTER (store_listener));
   front_port = free_port ();
   ready_port = free_port ();
+  peer_port = free_port ();
   directory = g_dir_make_tmp ("gate-XXXXXX", NULL);
   settings = write_settings (store_port);
   if (config != NULL)
@@ -607,7 +685,7 @@
   g_free (program);
   g_free (tests);
   g_free (self);
-  fx_settled (config != NULL ? is_ready : is_listening);
+  fx_settled (config != NULL ? fx_is_ready : is_listening);
   unlink (settings);
   g_free (settings);
 }
--- a/tests/gate_fixture.h
+++ b/tests/gate_fixture.h
@@ -38,6 +38,9 @@
 void fx_store_compact (void);
 void fx_store_down (int down);
 
+int fx_is_ready (void);
+void fx_peer_start (void);
+
 char *fx_call (const char *request);
 int fx_open (void);
 void fx_send (int fd, const char *text);
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -61,6 +61,8 @@
 static void leaving_targets_get_nothing (void);
 static void unreadable_entries_name_no_target (void);
 static void lapsed_entries_come_back (void);
+static void lapse_that_nobody_noticed (void);
+static void a_peer_helps_while_the_store_is_away (void);
 static void gone_callers_end_their_work (void);
 static void too_much_is_refused (void);
 static void silent_targets_are_left (void);
@@ -89,6 +91,10 @@
   { "leaving targets get nothing", leaving_targets_get_nothing },
   { "unreadable entries name no target", unreadable_entries_name_no_target },
   { "entries that lapsed with the store come back", lapsed_entries_come_back },
+  { "entries that all lapse at once are still used",
+    lapse_that_nobody_noticed },
+  { "a peer helps while the store is away",
+    a_peer_helps_while_the_store_is_away },
   { "callers that leave end their work", gone_callers_end_their_work },
   { "heads and bodies over the limits are refused", too_much_is_refused },
   { "silent targets are left where that is allowed", silent_targets_are_left },
@@ -656,6 +662,43 @@
   fx_stop ();
 }
 
+/* A silent store ends all entries at once and then writes them again.  */
+static void
+lapse_that_nobody_noticed (void)
+{
+  struct fx_target *desk[3] = { fx_target_add ("i-1", "desk", well),
+                                fx_target_add ("i-2", "desk", well),
+                                fx_target_add ("i-3", "desk", well) };
+
+  fx_start (config);
+  for (int i = 0; i < 3; i++)
+    fx_target_remove (desk[i]);
+  for (int i = 0; i < 10; i++)
+    {
+      expect (READ ("r1"), "200", "well");
+      fx_sleep_ms (100);
+    }
+  for (int i = 0; i < 3; i++)
+    fx_target_state (desk[i], "ready");
+  fx_sleep_ms (1000);
+  expect (READ ("r2"), "200", "well");
+  fx_stop ();
+}
+
+/* The instance starts with no store; a peer says that it knows more.  */
+static void
+a_peer_helps_while_the_store_is_away (void)
+{
+  fx_target_add ("i-1", "desk", well);
+  fx_store_put ("config", "main", config);
+  fx_store_down (1);
+  fx_start (NULL);
+  fx_peer_start ();
+  CU_ASSERT (fx_settled (fx_is_ready));
+  expect (READ ("r1"), "200", "well");
+  fx_stop ();
+}
+
 static int
 watched_was_left (void)
 {
