--- a/process/gate.c
+++ b/process/gate.c
@@ -412,7 +412,7 @@
   struct gate *gate = closure;
 
   reg_list_begin (gate->reg);
-  snp_targets_clear (gate->snapshot);
+  snp_list_begin (gate->snapshot);
 }
 
 /* Takes an entry of the registry.  */
@@ -474,7 +474,7 @@
   struct gate *gate = closure;
 
   gate->known.targets = MAX (gate->known.targets, revision);
-  snp_targets_whole (gate->snapshot, revision);
+  snp_list_end (gate->snapshot, revision);
   reg_list_end (gate->reg, clk_now (clk_monotonic ()) + missing_ms (gate));
 }
 
@@ -542,10 +542,16 @@
   struct fol_sink targets
       = { targets_begin, targets_object, targets_end, gate };
   struct snp_point now;
+  size_t size = 0;
+  char *unpacked
+      = status == HTTP_STATUS_OK ? snp_unpack (text, length, &size) : NULL;
+  int result = -1;
 
   gate->fetch = NULL;
-  if (status != HTTP_STATUS_OK
-      || snp_read (text, length, &now, &config, &targets) != 0)
+  if (unpacked != NULL)
+    result = snp_read (unpacked, size, &now, &config, &targets);
+  g_free (unpacked);
+  if (result != 0)
     return;
   gate->known.config = MAX (gate->known.config, now.config);
   gate->known.targets = MAX (gate->known.targets, now.targets);
@@ -573,7 +579,8 @@
   const struct gate *gate
       = (struct gate *)((char *)site - offsetof (struct gate, peers));
   const char *url = http_head_url (head);
-  char *text;
+  const char *data;
+  size_t length;
 
   if (strncmp (url, SNAPSHOT_PATH, sizeof SNAPSHOT_PATH - 1) != 0)
     caller_answer (caller, HTTP_STATUS_NOT_FOUND, "", NULL, 0);
@@ -584,11 +591,8 @@
       struct snp_point since
           = { query_number (url, "config="), query_number (url, "targets=") };
 
-      text = snp_text (gate->snapshot, &since, &gate->known);
-      caller_answer (caller, HTTP_STATUS_OK,
-                     "Content-Type: application/json\r\n", text,
-                     strlen (text));
-      g_free (text);
+      data = snp_pack (gate->snapshot, &since, &gate->known, &length);
+      caller_answer (caller, HTTP_STATUS_OK, "", data, length);
     }
   http_head_free (head);
   if (body != NULL)
--- a/tests/gate_fixture.c
+++ b/tests/gate_fixture.c
@@ -14,6 +14,7 @@
 #include <unistd.h>
 
 #include <sodium.h>
+#include <zlib.h>
 
 #include "gate_fixture.h"
 #include "ibisloom/wire.h"
@@ -607,6 +608,25 @@
   return g_string_free (out, FALSE);
 }
 
+/* Answers FD with TEXT, which is freed, packed as instances do.  */
+static void
+answer_packed (int fd, char *text)
+{
+  uLongf size = compressBound (strlen (text));
+  char *data = g_malloc (size);
+  char *head;
+
+  compress ((Bytef *)data, &size, (const Bytef *)text, strlen (text));
+  head = g_strdup_printf ("HTTP/1.1 200 OK\r\nContent-Length: %lu\r\n\r\n"
+                          "%08zx",
+                          size + 8, strlen (text));
+  fx_write (fd, head);
+  send (fd, data, size, MSG_NOSIGNAL);
+  g_free (head);
+  g_free (data);
+  g_free (text);
+}
+
 /* Answers one connection to the scripted peer with its snapshot.  */
 static void *
 serve_peer (void *closure)
@@ -615,7 +635,7 @@
   int fd = accept (listener, NULL, NULL);
 
   g_free (read_request (fd));
-  answer_json (fd, "200 OK", snapshot_json ());
+  answer_packed (fd, snapshot_json ());
   close (fd);
   close (listener);
   return NULL;
--- a/version/snapshot.c
+++ b/version/snapshot.c
@@ -7,11 +7,15 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <zlib.h>
+
 #include "ibisloom/snapshot.h"
 
 enum
 {
-  GONE_MAX = 1024 /* ends of entries that are remembered */
+  GONE_MAX = 1024, /* ends of entries that are remembered */
+  SIZE_DIGITS = 8, /* before the packed bytes: the size of the text */
+  TEXT_MAX_BYTES = 67108864
 };
 
 /* One object as text. */
@@ -20,6 +24,16 @@
   uint64_t revision;
   char *name;
   char *content;
+  int unlisted; /* not in the list that is being read */
+};
+
+/* The last answer that was packed, and to what. */
+struct snp_packed
+{
+  struct snp_point since;
+  struct snp_point now;
+  char *data;
+  size_t length;
 };
 
 struct snp
@@ -28,8 +42,10 @@
   GHashTable *targets;       /* name to struct snp_object */
   GQueue gone;               /* of struct snp_object, the oldest first */
   uint64_t floor;            /* what went before is not in gone */
+  struct snp_packed packed;
 };
 
+static void bury (struct snp *snp, struct snp_object *object);
 static struct snp_object *object_new (const struct fol_object *object);
 static void object_free (gpointer data);
 static void add_object (GString *out, const struct snp_object *object);
@@ -57,6 +73,7 @@
   object_free (snp->config);
   g_hash_table_destroy (snp->targets);
   g_queue_clear_full (&snp->gone, object_free);
+  g_free (snp->packed.data);
   g_free (snp);
 }
 
@@ -81,29 +98,56 @@
       g_hash_table_insert (snp->targets, kept->name, kept);
       return;
     }
-  g_queue_push_tail (&snp->gone, kept);
-  while (snp->gone.length > GONE_MAX)
-    {
-      struct snp_object *oldest = g_queue_pop_head (&snp->gone);
-
-      snp->floor = MAX (snp->floor, oldest->revision);
-      object_free (oldest);
-    }
+  bury (snp, kept);
 }
 
-/* Drops all entries of targets: a whole list follows.  */
+/* A whole list of targets follows: what it does not bring is gone.  */
 void
-snp_targets_clear (struct snp *snp)
+snp_list_begin (struct snp *snp)
 {
-  g_hash_table_remove_all (snp->targets);
-  g_queue_clear_full (&snp->gone, object_free);
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, snp->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((struct snp_object *)value)->unlisted = 1;
 }
 
-/* The entries are whole at REVISION; what was gone before is not known.  */
+/* The list is whole at REVISION.  Of what was before the first list, nothing
+   is known.  */
 void
-snp_targets_whole (struct snp *snp, uint64_t revision)
+snp_list_end (struct snp *snp, uint64_t revision)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (snp->floor == 0)
+    snp->floor = revision;
+  g_hash_table_iter_init (&iter, snp->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct snp_object *object = value;
+
+      if (!object->unlisted)
+        continue;
+      g_hash_table_iter_steal (&iter);
+      object->revision = revision;
+      bury (snp, object);
+    }
+}
+
+/* Remembers that OBJECT is gone.  */
+static void
+bury (struct snp *snp, struct snp_object *object)
 {
-  snp->floor = MAX (snp->floor, revision);
+  g_queue_push_tail (&snp->gone, object);
+  while (snp->gone.length > GONE_MAX)
+    {
+      struct snp_object *oldest = g_queue_pop_head (&snp->gone);
+
+      snp->floor = MAX (snp->floor, oldest->revision);
+      object_free (oldest);
+    }
 }
 
 /* Returns what is new in SNP after SINCE, or all if that is not known, as
@@ -156,6 +200,70 @@
   return g_string_free (out, FALSE);
 }
 
+/* Returns snp_text packed for the way, in a buffer of SNP's that is valid
+   until the next call, and sets LENGTH.  What many ask for in a row is packed
+   once.  */
+const char *
+snp_pack (struct snp *snp, const struct snp_point *since,
+          const struct snp_point *now, size_t *length)
+{
+  struct snp_packed *packed = &snp->packed;
+  uLongf size;
+  char *text;
+
+  if (packed->data != NULL
+      && memcmp (&packed->since, since, sizeof *since) == 0
+      && memcmp (&packed->now, now, sizeof *now) == 0)
+    {
+      *length = packed->length;
+      return packed->data;
+    }
+  text = snp_text (snp, since, now);
+  size = compressBound (strlen (text));
+  g_free (packed->data);
+  packed->data = g_malloc (SIZE_DIGITS + size + 1);
+  g_snprintf (packed->data, SIZE_DIGITS + 1, "%0*zx", SIZE_DIGITS,
+              strlen (text));
+  if (compress2 ((Bytef *)packed->data + SIZE_DIGITS, &size,
+                 (const Bytef *)text, strlen (text), Z_BEST_SPEED)
+      != Z_OK)
+    size = 0; /* not readable: the asker asks again */
+  packed->since = *since;
+  packed->now = *now;
+  packed->length = SIZE_DIGITS + size;
+  packed->data = g_realloc (packed->data, packed->length);
+  g_free (text);
+  *length = packed->length;
+  return packed->data;
+}
+
+/* Returns the text that snp_pack made the LENGTH bytes of DATA of, newly
+   allocated, or NULL if they are not that.  */
+char *
+snp_unpack (const char *data, size_t length, size_t *text_length)
+{
+  char digits[SIZE_DIGITS + 1] = "";
+  uLongf size;
+  char *text;
+
+  if (length <= SIZE_DIGITS)
+    return NULL;
+  memcpy (digits, data, SIZE_DIGITS);
+  size = strtoul (digits, NULL, 16);
+  if (size == 0 || size > TEXT_MAX_BYTES)
+    return NULL;
+  text = g_malloc (size);
+  if (uncompress ((Bytef *)text, &size, (const Bytef *)data + SIZE_DIGITS,
+                  length - SIZE_DIGITS)
+      != Z_OK)
+    {
+      g_free (text);
+      return NULL;
+    }
+  *text_length = size;
+  return text;
+}
+
 /* Reads LENGTH bytes of TEXT and tells CONFIG and TARGETS what is there.
    Returns 0 with NOW set, or -1 if the text cannot be read.  */
 int
