--- a/version/snapshot.c
+++ b/version/snapshot.c
@@ -89,8 +89,12 @@
 void
 snp_target (struct snp *snp, const struct fol_object *object)
 {
+  const struct snp_object *known
+      = g_hash_table_lookup (snp->targets, object->name);
   struct snp_object *kept;
 
+  if (known != NULL && known->revision > object->revision)
+    return;
   g_hash_table_remove (snp->targets, object->name);
   kept = object_new (object);
   if (!object->deleted)
@@ -287,8 +291,9 @@
   tell (json_object_get (root, "config"), 0, config);
   if (is_whole)
     targets->begin (targets->closure);
-  tell_all (items, 0, targets);
+  /* An entry that came back is among both.  */
   tell_all (json_object_get (root, "gone"), 1, targets);
+  tell_all (items, 0, targets);
   if (is_whole)
     targets->end (targets->closure, now->targets);
   json_decref (root);
