Log decisions with fields, explain and sum them up, serve metrics, reload

Each decision of the gate is one line with its inputs, their version or age, and the outcome; a kind of line is bounded to 400 a second with a count of what was left out; lines that standard output does not take are dropped and counted. ibisctl explain joins a request's lines over instances with what was believed then; ibisctl summary counts outcomes by second. Counters, histograms and present values are served at the operators' address.

--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,8 @@
 $(BUILD)/ibisloomd: $(BUILD)/daemon/ibisloomd.o $(BUILD)/libibisloom.a
 	$(CC) $(CFLAGS) $(EXTRA) $^ -o $@ $(PKG_LIBS)
 
-$(BUILD)/ibisctl: $(BUILD)/daemon/ibisctl.o $(BUILD)/libibisloom.a
+$(BUILD)/ibisctl: $(BUILD)/daemon/ibisctl.o $(BUILD)/daemon/ctl_log.o \
+  $(BUILD)/libibisloom.a
 	$(CC) $(CFLAGS) $(EXTRA) $^ -o $@ $(PKG_LIBS)
 
 $(BUILD)/fake_%: $(BUILD)/fakes/fake_%.o $(FAKE_COMMON) $(BUILD)/libibisloom.a
--- a/daemon/ibisctl.c
+++ b/daemon/ibisctl.c
@@ -7,6 +7,7 @@
 #include <curl/curl.h>
 #include <jansson.h>
 
+#include "ctl_log.h"
 #include "ibisloom/error.h"
 #include "ibisloom/fetch.h"
 #include "ibisloom/settings.h"
@@ -39,6 +40,9 @@
 typedef int (*command_handler) (struct session *session);
 
 static error_t parse_option (int key, char *value, struct argp_state *state);
+static int reads_logs (const char *name);
+static int explain (struct session *session);
+static int summary (struct session *session);
 static int presets_list (struct session *session);
 static int presets_show (struct session *session);
 static int presets_put (struct session *session);
@@ -88,7 +92,9 @@
         "  status\n"
         "  drain target SERVICE/NAME | drain instance\n"
         "  restore target SERVICE/NAME\n"
-        "  operation show CUSTOMER SERVICE KEY\n\n"
+        "  operation show CUSTOMER SERVICE KEY\n"
+        "  explain REQUEST-ID < LOG\n"
+        "  summary < LOG\n\n"
         "Exit status: 0 done, 1 refused, 2 no instance answered, 64 wrong "
         "command line.",
         NULL,
@@ -116,6 +122,17 @@
   { "operation", "show", 3, operation_show },
 };
 
+/* Commands that read logs and need no instance. */
+static const struct
+{
+  const char *name;
+  int arguments;
+  command_handler run;
+} log_commands[] = {
+  { "explain", 1, explain },
+  { "summary", 0, summary },
+};
+
 /* Runs one command.  */
 int
 main (int argc, char **argv)
@@ -124,6 +141,10 @@
   GError *error = NULL;
 
   argp_parse (&argument_parser, argc, argv, 0, NULL, &session);
+  for (size_t i = 0; i < G_N_ELEMENTS (log_commands); i++)
+    if (strcmp (session.words[0], log_commands[i].name) == 0
+        && session.word_count == 1 + log_commands[i].arguments)
+      return log_commands[i].run (&session);
   curl_global_init (CURL_GLOBAL_ALL);
   session.token = settings_read_secret (session.token_file, &error);
   if (session.token == NULL)
@@ -146,6 +167,16 @@
   return EXIT_USAGE;
 }
 
+/* Returns whether the command NAME reads logs.  */
+static int
+reads_logs (const char *name)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (log_commands); i++)
+    if (strcmp (name, log_commands[i].name) == 0)
+      return 1;
+  return 0;
+}
+
 /* Takes one option or word for argp.  */
 static error_t
 parse_option (int key, char *value, struct argp_state *state)
@@ -164,14 +195,30 @@
   else if (key == ARGP_KEY_ARG && session->word_count < WORDS_MAX)
     session->words[session->word_count++] = value;
   else if (key == ARGP_KEY_END
-           && (session->word_count == 0 || session->server_count == 0
-               || session->token_file == NULL))
+           && (session->word_count == 0
+               || (!reads_logs (session->words[0])
+                   && (session->server_count == 0
+                       || session->token_file == NULL))))
     argp_error (state, "give --server, --token-file and a command");
   else if (key != ARGP_KEY_END)
     return ARGP_ERR_UNKNOWN;
   return 0;
 }
 
+/* explain REQUEST-ID */
+static int
+explain (struct session *session)
+{
+  return ctl_explain (stdin, session->words[1], session->json);
+}
+
+/* summary */
+static int
+summary (struct session *session)
+{
+  return ctl_summary (stdin, session->json);
+}
+
 /* presets list */
 static int
 presets_list (struct session *session)
--- a/include/ibisloom/fleet.h
+++ b/include/ibisloom/fleet.h
@@ -35,6 +35,7 @@
 void flt_leave (struct flt *flt);
 void flt_view (const struct flt *flt, struct dut_view *view);
 int flt_has_watcher (const struct flt *flt);
+void flt_set_settings (struct flt *flt, const struct settings *settings);
 void flt_start (struct flt *flt);
 void flt_free (struct flt *flt);
 void flt_holder (struct flt *flt, uint64_t context, uint64_t target);
--- a/include/ibisloom/gate.h
+++ b/include/ibisloom/gate.h
@@ -16,10 +16,12 @@
 struct gate
 {
   const struct settings *settings;
+  struct settings *reloaded; /* owned: the settings, if they were read again */
   const struct dialect *dialect;
   struct ev_loop *loop;
   struct caller_site front;
   struct caller_site ready;
+  struct caller_site metrics;
   struct caller_site peers; /* other instances ask for the snapshot here */
   struct out_pool pool;
   struct reg *reg;
@@ -53,6 +55,7 @@
 int gate_is_ready (const struct gate *gate);
 int gate_has_time (const struct gate *gate, int64_t expected_ms);
 void gate_request_ended (struct gate *gate);
+GString *gate_metrics (const struct gate *gate);
 struct retry_budget *gate_budget (struct gate *gate, const char *service);
 
 #endif
--- a/include/ibisloom/log.h
+++ b/include/ibisloom/log.h
@@ -2,6 +2,9 @@
 #ifndef IBISLOOM_LOG_H
 #define IBISLOOM_LOG_H
 
+#include <stddef.h>
+#include <stdint.h>
+
 enum log_level
 {
   LOG_LEVEL_ERROR,
@@ -11,6 +14,18 @@
   LOG_LEVEL_COUNT
 };
 
+enum
+{
+  LOG_LINE_MAX_BYTES = 2048
+};
+
+/* One line while its fields are added. */
+struct log_line
+{
+  char text[LOG_LINE_MAX_BYTES];
+  size_t length;
+};
+
 void log_set_level (enum log_level level);
 void log_set_instance (const char *instance);
 void log_defer (int deferred);
@@ -20,6 +35,17 @@
                 const char *request_id, const char *reason, const char *format,
                 ...) __attribute__ ((format (printf, 5, 6)));
 
+/* A line with fields of its own, each a decision's input or outcome.
+   log_begin returns 0 if the line is left out: its level is too low, or there
+   were too many of its kind; then nothing else is called. */
+int log_begin (struct log_line *line, enum log_level level, const char *module,
+               const char *request_id, const char *reason);
+void log_text (struct log_line *line, const char *key, const char *value);
+void log_number (struct log_line *line, const char *key, int64_t value);
+void log_real (struct log_line *line, const char *key, double value);
+void log_end (struct log_line *line);
+uint64_t log_dropped (void);
+
 #define log_error(module, id, reason, ...)                                    \
   log_event (LOG_LEVEL_ERROR, module, id, reason, __VA_ARGS__)
 #define log_warn(module, id, reason, ...)                                     \
--- a/include/ibisloom/settings.h
+++ b/include/ibisloom/settings.h
@@ -17,6 +17,7 @@
 
 struct settings
 {
+  char *path; /* of the file they were read from */
   char *instance;
   char *deployment;
   char *failure_domain;
--- a/process/fleet.c
+++ b/process/fleet.c
@@ -231,6 +231,13 @@
   return view.watchers > 0;
 }
 
+/* Goes on with SETTINGS, whose addresses are the same.  */
+void
+flt_set_settings (struct flt *flt, const struct settings *settings)
+{
+  flt->settings = settings;
+}
+
 /* Starts to speak with the others.  */
 void
 flt_start (struct flt *flt)
--- a/process/log.c
+++ b/process/log.c
@@ -8,6 +8,8 @@
 #include <unistd.h>
 
 #include <ck_pr.h>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
 
 #include "ibisloom/clock.h"
 #include "ibisloom/log.h"
@@ -16,14 +18,18 @@
 {
   MESSAGE_MAX_BYTES = 512,
   INSTANCE_MAX_BYTES = 64,
-  LINE_MAX_BYTES = 2048,
+  /* Fields end here, so that a key and the end of the line still fit.  */
+  FIELDS_MAX_BYTES = LOG_LINE_MAX_BYTES - 128,
+  KINDS = 128,       /* kinds of lines that are told apart */
+  LINES_PER_S = 400, /* of one kind: some 100 KB a second */
+  MS_PER_S = 1000,
   BUFFER_BYTES = 32768,
   WRITE_MAX_BYTES = 4096 /* a pipe that is ready takes that much at once */
 };
 
-static void add_text (char *line, size_t *length, const char *key,
-                      const char *value);
-static void add_escaped (char *line, size_t *length, const char *value);
+static void add_escaped (struct log_line *line, const char *value);
+static int take_share (const char *module, const char *reason,
+                       uint32_t *left_out);
 static void keep (const char *line, size_t length);
 static void flush_locked (void);
 static int is_writable (void);
@@ -31,12 +37,22 @@
 static const char *const level_names[LOG_LEVEL_COUNT]
     = { "error", "warn", "info", "debug" };
 
+/* Lines of one kind in the present second. */
+struct kind
+{
+  clk_ms second_ms;
+  uint32_t written;
+  uint32_t left_out;
+};
+
+static struct kind kinds[KINDS];
 static int threshold = LOG_LEVEL_INFO;
 static char instance_name[INSTANCE_MAX_BYTES];
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static char buffer[BUFFER_BYTES];
 static size_t buffered;
 static uint64_t dropped; /* lines, since the last one that says so */
+static uint64_t dropped_total;
 static int is_deferred;
 
 /* Drops events below LEVEL from now on.  */
@@ -81,32 +97,133 @@
            const char *reason, const char *format, ...)
 {
   char message[MESSAGE_MAX_BYTES];
-  char line[LINE_MAX_BYTES];
-  size_t length;
+  struct log_line line;
   va_list args;
 
-  if ((int)level > ck_pr_load_int (&threshold))
+  if (!log_begin (&line, level, module, request_id, reason))
     return;
   va_start (args, format);
   vsnprintf (message, sizeof message, format, args);
   va_end (args);
-  length = (size_t)snprintf (line, sizeof line, "{\"time_ms\":%" PRId64,
-                             clk_wall_ms ());
-  add_text (line, &length, "level", level_names[level]);
-  add_text (line, &length, "instance", instance_name);
-  add_text (line, &length, "module", module);
-  add_text (line, &length, "request_id", request_id);
-  add_text (line, &length, "reason", reason);
-  add_text (line, &length, "message", message);
-  line[length++] = '}';
-  line[length++] = '\n';
+  log_text (&line, "message", message);
+  log_end (&line);
+}
+
+/* Starts LINE with what all lines have.  Returns 0 if it is left out.  */
+int
+log_begin (struct log_line *line, enum log_level level, const char *module,
+           const char *request_id, const char *reason)
+{
+  uint32_t left_out;
+
+  if ((int)level > ck_pr_load_int (&threshold))
+    return 0;
+  if (!take_share (module, reason, &left_out))
+    return 0;
+  line->length = (size_t)snprintf (line->text, sizeof line->text,
+                                   "{\"time_ms\":%" PRId64, clk_wall_ms ());
+  log_text (line, "level", level_names[level]);
+  log_text (line, "instance", instance_name);
+  log_text (line, "module", module);
+  log_text (line, "request_id", request_id);
+  log_text (line, "reason", reason);
+  if (left_out > 0)
+    log_number (line, "left_out", left_out);
+  return 1;
+}
+
+/* Adds KEY with VALUE, unless VALUE is absent.  */
+void
+log_text (struct log_line *line, const char *key, const char *value)
+{
+  if (value == NULL || *value == '\0' || line->length > FIELDS_MAX_BYTES)
+    return;
+  line->length += (size_t)snprintf (line->text + line->length,
+                                    sizeof line->text - line->length,
+                                    ",\"%s\":\"", key);
+  add_escaped (line, value);
+  line->text[line->length++] = '"';
+}
+
+/* Adds KEY with the whole number VALUE.  */
+void
+log_number (struct log_line *line, const char *key, int64_t value)
+{
+  if (line->length > FIELDS_MAX_BYTES)
+    return;
+  line->length += (size_t)snprintf (line->text + line->length,
+                                    sizeof line->text - line->length,
+                                    ",\"%s\":%" PRId64, key, value);
+}
+
+/* Adds KEY with VALUE, to one decimal place.  */
+void
+log_real (struct log_line *line, const char *key, double value)
+{
+  if (line->length > FIELDS_MAX_BYTES)
+    return;
+  line->length += (size_t)snprintf (line->text + line->length,
+                                    sizeof line->text - line->length,
+                                    ",\"%s\":%.1f", key, value);
+}
+
+/* Writes LINE.  */
+void
+log_end (struct log_line *line)
+{
+  line->text[line->length++] = '}';
+  line->text[line->length++] = '\n';
   pthread_mutex_lock (&lock);
-  keep (line, length);
+  keep (line->text, line->length);
   if (!ck_pr_load_int (&is_deferred))
     flush_locked ();
   pthread_mutex_unlock (&lock);
 }
 
+/* Returns how many lines standard output did not take.  */
+uint64_t
+log_dropped (void)
+{
+  uint64_t count;
+
+  pthread_mutex_lock (&lock);
+  count = dropped_total;
+  pthread_mutex_unlock (&lock);
+  return count;
+}
+
+/* Takes a line's share of what its kind may write in a second.  Returns 0 if
+   there is none left; else LEFT_OUT is how many went without since the last
+   line.  */
+static int
+take_share (const char *module, const char *reason, uint32_t *left_out)
+{
+  struct kind *kind
+      = &kinds[(XXH3_64bits (module, strlen (module))
+                ^ (reason ? XXH3_64bits (reason, strlen (reason)) : 0))
+               % KINDS];
+  clk_ms now = clk_now (clk_monotonic ());
+  int has_share;
+
+  pthread_mutex_lock (&lock);
+  if (now - kind->second_ms >= MS_PER_S)
+    {
+      kind->second_ms = now;
+      kind->written = 0;
+    }
+  has_share = kind->written < LINES_PER_S;
+  *left_out = has_share ? kind->left_out : 0;
+  if (has_share)
+    {
+      kind->written++;
+      kind->left_out = 0;
+    }
+  else
+    kind->left_out++;
+  pthread_mutex_unlock (&lock);
+  return has_share;
+}
+
 /* Writes out what waits.  */
 void
 log_flush (void)
@@ -125,6 +242,7 @@
   if (buffered + length > sizeof buffer)
     {
       dropped++;
+      dropped_total++;
       return;
     }
   memcpy (buffer + buffered, line, length);
@@ -170,34 +288,19 @@
   return poll (&out, 1, 0) == 1 && (out.revents & POLLOUT) != 0;
 }
 
-/* Adds KEY with VALUE to LINE unless VALUE is absent.  */
-static void
-add_text (char *line, size_t *length, const char *key, const char *value)
-{
-  if (value == NULL || *value == '\0')
-    return;
-  *length += (size_t)snprintf (line + *length, LINE_MAX_BYTES - *length,
-                               ",\"%s\":\"", key);
-  add_escaped (line, length, value);
-  line[(*length)++] = '"';
-}
-
 /* Adds VALUE as JSON text; bytes outside ASCII show as '?', and what does not
    fit is cut off.  */
 static void
-add_escaped (char *line, size_t *length, const char *value)
+add_escaped (struct log_line *line, const char *value)
 {
-  /* Room for the longest escape, and for the end of the line.  */
-  const size_t end = LINE_MAX_BYTES - 128;
-
-  for (; *value != '\0' && *length < end; value++)
+  for (; *value != '\0' && line->length < FIELDS_MAX_BYTES; value++)
     {
       unsigned char byte = (unsigned char)*value;
 
       if (byte == '"' || byte == '\\')
-        line[(*length)++] = '\\';
+        line->text[line->length++] = '\\';
       if (byte < ' ' || byte >= 127)
         byte = '?';
-      line[(*length)++] = (char)byte;
+      line->text[line->length++] = (char)byte;
     }
 }
--- a/process/metrics.c
+++ b/process/metrics.c
@@ -53,6 +53,9 @@
   [MET_REFUSED_NOT_READY] = "ibisloom_refused_total{reason=\"not_ready\"}",
   [MET_REFUSED_TARGETS_FAILED]
   = "ibisloom_refused_total{reason=\"targets_failed\"}",
+  [MET_REFUSED_TARGET_FULL] = "ibisloom_refused_total{reason=\"target_full\"}",
+  [MET_REFUSED_NO_CONNECTION]
+  = "ibisloom_refused_total{reason=\"no_connection\"}",
   [MET_RETRY_CONNECT] = "ibisloom_retries_total{reason=\"connect\"}",
   [MET_RETRY_STATUS] = "ibisloom_retries_total{reason=\"status\"}",
   [MET_RETRY_BROKEN] = "ibisloom_retries_total{reason=\"broken\"}",
@@ -67,6 +70,8 @@
   [MET_PLACED_NOTE] = "ibisloom_placed_total{by=\"note\"}",
   [MET_PLACED_WALK] = "ibisloom_placed_total{by=\"walk\"}",
   [MET_PLACED_UNOWNED] = "ibisloom_placed_total{by=\"unowned\"}",
+  [MET_PLACED_LEAST] = "ibisloom_placed_total{by=\"least_loaded\"}",
+  [MET_PLACED_TRIAL] = "ibisloom_placed_total{by=\"trial\"}",
   [MET_DENIED_BOUND] = "ibisloom_admission_denied_total{reason=\"bound\"}",
   [MET_DENIED_CAPACITY]
   = "ibisloom_admission_denied_total{reason=\"capacity\"}",
--- a/process/settings.c
+++ b/process/settings.c
@@ -87,7 +87,7 @@
   { "region", read_name, SLOT (region), NEED_ALWAYS, 0, 0, 0 },
   { "listen", read_address, SLOT (listen), NEED_ALWAYS, 0, 0, 0 },
   { "peer_listen", read_address, SLOT (peer_listen), NEED_OWN, 0, 0, 0 },
-  { "operator_listen", read_address, SLOT (operator_listen), NEED_OWN, 0, 0,
+  { "operator_listen", read_address, SLOT (operator_listen), NEED_ALWAYS, 0, 0,
     0 },
   { "readiness_listen", read_address, SLOT (readiness_listen), NEED_PLATFORM,
     0, 0, 0 },
@@ -143,6 +143,7 @@
       return NULL;
     }
   settings = g_new0 (struct settings, 1);
+  settings->path = g_strdup (path);
   settings->peers = g_array_new (FALSE, FALSE, sizeof (struct sockaddr_in));
   yaml_parser_initialize (&yaml);
   yaml_parser_set_input_file (&yaml, file);
@@ -176,6 +177,7 @@
 {
   if (settings == NULL)
     return;
+  g_free (settings->path);
   g_free (settings->instance);
   g_free (settings->deployment);
   g_free (settings->failure_domain);
--- a/request/relay.c
+++ b/request/relay.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "ibisloom/log.h"
+#include "ibisloom/metrics.h"
 #include "ibisloom/patience.h"
 #include "ibisloom/rank.h"
 #include "librelay.h"
@@ -43,6 +44,10 @@
                      enum retry_fault fault);
 static void log_place (const struct rly *rly, const struct cho_choice *choice,
                        size_t candidates);
+static void log_fault (const struct rly *rly, enum retry_fault fault,
+                       const struct retry_decision *decision, clk_ms now);
+static void log_outcome (const struct rly *rly, const char *outcome,
+                         clk_ms now);
 static void rly_free (struct rly *rly);
 
 const struct caller_site_ops rly_site_ops
@@ -60,6 +65,31 @@
   [RETRY_FAULT_SILENT] = "silent",         [RETRY_FAULT_WRONG] = "wrong",
 };
 
+static const enum met_counter fault_counters[RETRY_FAULT_COUNT] = {
+  [RETRY_FAULT_CONNECT] = MET_RETRY_CONNECT,
+  [RETRY_FAULT_STATUS] = MET_RETRY_STATUS,
+  [RETRY_FAULT_BUSY] = MET_RETRY_STATUS,
+  [RETRY_FAULT_BROKEN] = MET_RETRY_BROKEN,
+  [RETRY_FAULT_SILENT] = MET_RETRY_SILENT,
+  [RETRY_FAULT_WRONG] = MET_RETRY_WRONG_ANSWER,
+};
+
+static const enum met_counter place_counters[CHO_REASON_COUNT] = {
+  [CHO_HOLDER] = MET_PLACED_NOTE, [CHO_HOME] = MET_PLACED_HOME,
+  [CHO_NEAR] = MET_PLACED_WALK,   [CHO_LEAST] = MET_PLACED_LEAST,
+  [CHO_TRIAL] = MET_PLACED_TRIAL, [CHO_NONE] = MET_DENIED_DOWN,
+  [CHO_FULL] = MET_DENIED_BOUND,
+};
+
+/* Why no other attempt follows. */
+static const char *const give_up_names[] = {
+  [RETRY_REASON_NONE] = NULL,
+  [RETRY_REASON_DEADLINE] = "deadline",
+  [RETRY_REASON_BUDGET] = "retry_budget",
+  [RETRY_REASON_TRIES] = "attempts_used",
+  [RETRY_REASON_MAY_HAVE_RUN] = "may_have_run",
+};
+
 /* Takes a whole request from CALLER.  */
 static void *
 on_request (struct caller_site *site, struct caller *caller,
@@ -79,6 +109,7 @@
   ev_timer_init (&rly->timer, on_timer, 0, 0);
   rly->timer.data = rly;
   gate->open_requests++;
+  met_inc (MET_REQUESTS);
   if (!admit (rly, &refusal))
     {
       rly_refuse (rly, refusal);
@@ -264,6 +295,7 @@
   rly->is_resumed = rly->events.passed > 0;
   rly->sends++;
   request.head = rly_request_head (rly, now);
+  met_inc (MET_TRIES);
   rly->call = out_start (&gate->pool, &request, &rly_out_ops, rly);
   rly_arm (rly);
   if (rly->call != NULL)
@@ -338,13 +370,8 @@
     decision.action = RETRY_GIVE_UP;
   if (rly->connects >= CONNECTS_MAX)
     decision.action = RETRY_GIVE_UP;
-  log_info ("relay", rly->id, fault_names[fault],
-            "target %s status %u after %" PRId64 " ms, sends %u of %u, "
-            "events %u: %s",
-            rly->target ? rly->target->id : "", rly->status,
-            now - rly->sent_ms, rly->sends, rly->route->attempts_max,
-            rly->events.passed,
-            decision.action == RETRY_GIVE_UP ? "give up" : "try elsewhere");
+  met_inc (fault_counters[fault]);
+  log_fault (rly, fault, &decision, now);
   if (decision.action == RETRY_GIVE_UP)
     {
       give_up (rly, &decision, fault);
@@ -434,6 +461,7 @@
 
   (void)site;
   rly->caller = NULL;
+  met_inc (MET_CLIENT_GONE);
   rly_end_attempt (rly, TRU_EVENT_COUNT);
   rly_finish (rly, "caller_gone");
 }
@@ -455,13 +483,8 @@
 {
   clk_ms now = clk_now (clk_monotonic ());
 
-  log_info ("relay", rly->id, outcome,
-            "route %s service %s version %" PRIu64 " status %u sends %u "
-            "events %u in %" PRId64 " ms",
-            rly->route ? rly->route->name : "",
-            rly->service ? rly->service : "",
-            rly->table ? rly->table->version : 0, rly->status, rly->sends,
-            rly->events.passed, now - rly->arrived_ms);
+  met_observe (MET_HIST_TOTAL_MS, now - rly->arrived_ms);
+  log_outcome (rly, outcome, now);
   rly_free (rly);
 }
 
@@ -530,10 +553,75 @@
 log_place (const struct rly *rly, const struct cho_choice *choice,
            size_t candidates)
 {
-  log_info ("relay", rly->id, cho_reason_names[choice->reason],
-            "to %s of %zu, load %.1f, mean %.1f, context %016" PRIx64
-            " of %u tokens, holder %s, version %" PRIu64,
-            rly->target ? rly->target->id : "none", candidates, choice->load,
-            choice->mean, rly->context, rly->context_tokens,
-            cho_pass_names[choice->pass], rly->table->version);
+  struct log_line line;
+
+  met_inc (place_counters[choice->reason]);
+  if (!log_begin (&line, LOG_LEVEL_INFO, "place", rly->id,
+                  cho_reason_names[choice->reason]))
+    return;
+  log_text (&line, "target", rly->target ? rly->target->id : NULL);
+  log_text (&line, "service", rly->service);
+  log_number (&line, "candidates", (int64_t)candidates);
+  log_real (&line, "load", choice->load);
+  log_real (&line, "mean_load", choice->mean);
+  if (rly->context != 0)
+    {
+      char context[24];
+
+      g_snprintf (context, sizeof context, "%016" PRIx64, rly->context);
+      log_text (&line, "context", context);
+      log_number (&line, "context_tokens", rly->context_tokens);
+      log_text (&line, "holder", cho_pass_names[choice->pass]);
+    }
+  log_number (&line, "version", (int64_t)rly->table->version);
+  log_number (&line, "registry", (int64_t)rly->gate->known.targets);
+  log_end (&line);
+}
+
+/* Logs that an attempt of RLY ended with FAULT, and what follows.  */
+static void
+log_fault (const struct rly *rly, enum retry_fault fault,
+           const struct retry_decision *decision, clk_ms now)
+{
+  struct log_line line;
+
+  if (!log_begin (&line, LOG_LEVEL_INFO, "attempt", rly->id,
+                  fault_names[fault]))
+    return;
+  log_text (&line, "target", rly->target ? rly->target->id : NULL);
+  log_number (&line, "target_status", rly->status);
+  log_number (&line, "after_ms", now - rly->sent_ms);
+  log_number (&line, "silent_ms", now - rly->heard_ms);
+  log_number (&line, "sends", rly->sends);
+  log_number (&line, "attempts_max", rly->route->attempts_max);
+  log_number (&line, "events", rly->events.passed);
+  log_text (&line, "next",
+            decision->action == RETRY_GIVE_UP ? "give_up" : "elsewhere");
+  log_text (&line, "because", give_up_names[decision->reason]);
+  log_end (&line);
+}
+
+/* Logs how RLY ended.  */
+static void
+log_outcome (const struct rly *rly, const char *outcome, clk_ms now)
+{
+  struct log_line line;
+
+  if (!log_begin (&line, LOG_LEVEL_INFO, "request", rly->id, outcome))
+    return;
+  log_text (&line, "route", rly->route ? rly->route->name : NULL);
+  log_text (&line, "service", rly->service);
+  log_text (&line, "customer", rly->customer ? rly->customer->name : NULL);
+  log_number (&line, "status", rly->status);
+  log_number (&line, "sends", rly->sends);
+  log_number (&line, "events", rly->events.passed);
+  log_number (&line, "may_have_run", rly->may_have_run);
+  log_number (&line, "took_ms", now - rly->arrived_ms);
+  if (rly->table != NULL)
+    {
+      log_number (&line, "version", (int64_t)rly->table->version);
+      log_number (&line, "version_age_ms", now - rly->gate->table_ms);
+    }
+  log_number (&line, "store_lost", rly->gate->config.down);
+  log_end (&line);
 }
--- a/request/relay_answer.c
+++ b/request/relay_answer.c
@@ -1,7 +1,7 @@
 /* The target's answer: judged, and passed on to the caller. */
 #include <string.h>
 
-#include "ibisloom/log.h"
+#include "ibisloom/metrics.h"
 #include "librelay.h"
 
 enum
@@ -43,6 +43,7 @@
   const char *type = http_head_get (head, "Content-Type");
 
   rly->heard_ms = clk_now (clk_monotonic ());
+  met_observe (MET_HIST_FIRST_BYTE_MS, rly->heard_ms - rly->arrived_ms);
   rly->status = head->status;
   rly->length = length;
   rly->not_run = http_head_get (head, dialect->field[DLC_NOT_RUN]) != NULL
@@ -140,6 +141,8 @@
     begin (rly);
   rly_end_attempt (rly,
                    rly->status >= STATUS_ERROR ? TRU_ERROR : TRU_ANSWERED);
+  if (rly->status < STATUS_ERROR)
+    met_inc (MET_ANSWERED);
   rly->caller = NULL;
   caller_end (caller);
   rly_finish (rly, rly->status >= STATUS_ERROR ? "target_error" : "answered");
--- a/tests/gate_fixture.c
+++ b/tests/gate_fixture.c
@@ -63,6 +63,8 @@
 static int front_port;
 static int ready_port;
 static int peer_port;
+static int metrics_port;
+static int store_port;
 static char *directory;
 
 /* Returns a listening socket on loopback and sets PORT.  */
@@ -558,24 +560,43 @@
   return 1;
 }
 
-/* Writes the settings and returns their path, newly allocated.  */
+/* Writes the settings, with MORE at their end, and returns their path, newly
+   allocated.  */
 static char *
-write_settings (int store_port)
+write_settings (const char *more)
 {
   char *path = g_build_filename (directory, "gate.yaml", NULL);
   char *text = g_strdup_printf (
       "interface: platform\ninstance: one\ndeployment: test\n"
       "failure_domain: a\nregion: r\nlisten: 127.0.0.1:%d\n"
       "readiness_listen: 127.0.0.1:%d\npeer_listen: 127.0.0.1:%d\n"
-      "platform: 127.0.0.1:%d\nretry_ratio: 0.2\nretry_slack: 50\n"
-      "grace_s: 8\n",
-      front_port, ready_port, peer_port, store_port);
+      "operator_listen: 127.0.0.1:%d\nplatform: 127.0.0.1:%d\n"
+      "retry_slack: 50\ngrace_s: 8\n%s",
+      front_port, ready_port, peer_port, metrics_port, store_port, more);
 
   g_file_set_contents (path, text, -1, NULL);
   g_free (text);
   return path;
 }
 
+/* Writes the settings once more, with MORE at their end.  */
+void
+fx_settings (const char *more)
+{
+  g_free (write_settings (more));
+}
+
+/* Returns the gate's metrics, newly allocated.  */
+char *
+fx_metrics (void)
+{
+  int fd = dial (metrics_port);
+
+  fx_write (fd, "GET /metrics HTTP/1.1\r\nHost: m\r\nConnection: close\r\n"
+                "\r\n");
+  return fx_read_all (fd);
+}
+
 /* Returns the snapshot of an instance that knows all that is in the store.  */
 static char *
 snapshot_json (void)
@@ -680,7 +701,6 @@
   char *self = g_file_read_link ("/proc/self/exe", NULL);
   char *tests = g_path_get_dirname (self);
   char *program = g_build_filename (tests, "..", "ibisloomd", NULL);
-  int store_port;
   char *settings;
   char *arguments[4];
   posix_spawn_file_actions_t actions;
@@ -691,8 +711,9 @@
   front_port = free_port ();
   ready_port = free_port ();
   peer_port = free_port ();
+  metrics_port = free_port ();
   directory = g_dir_make_tmp ("gate-XXXXXX", NULL);
-  settings = write_settings (store_port);
+  settings = write_settings ("retry_ratio: 0.2\n");
   if (config != NULL)
     put ("config", "main", config);
   arguments[0] = program;
@@ -710,7 +731,6 @@
   g_free (tests);
   g_free (self);
   fx_settled (config != NULL ? fx_is_ready : is_listening);
-  unlink (settings);
   g_free (settings);
 }
 
@@ -748,6 +768,12 @@
   store_is_down = 0;
   pthread_cond_broadcast (&changed);
   pthread_mutex_unlock (&lock);
+  {
+    char *path = g_build_filename (directory, "gate.yaml", NULL);
+
+    unlink (path);
+    g_free (path);
+  }
   rmdir (directory);
   g_free (directory);
 }
--- a/tests/gate_fixture.h
+++ b/tests/gate_fixture.h
@@ -38,6 +38,8 @@
 void fx_store_compact (void);
 void fx_store_down (int down);
 
+void fx_settings (const char *more);
+char *fx_metrics (void);
 int fx_is_ready (void);
 void fx_peer_start (void);
 
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -56,6 +56,8 @@
 static void extra_bytes_reach_nobody (void);
 static void smuggled_requests_are_refused (void);
 static void callers_cannot_speak_as_the_system (void);
+static void settings_are_read_again (void);
+static void metrics_tell_what_was_done (void);
 static void a_stop_cuts_nothing (void);
 static void last_answer_is_whole_when_the_caller_has_sent_more (void);
 static void leaving_targets_get_nothing (void);
@@ -85,6 +87,8 @@
   { "requests with two lengths are refused", smuggled_requests_are_refused },
   { "callers cannot set the system's fields",
     callers_cannot_speak_as_the_system },
+  { "settings are read again, or the old ones hold", settings_are_read_again },
+  { "metrics tell what was done", metrics_tell_what_was_done },
   { "a stop cuts nothing", a_stop_cuts_nothing },
   { "the last answer is whole though its caller has sent more",
     last_answer_is_whole_when_the_caller_has_sent_more },
@@ -529,6 +533,40 @@
   fx_stop ();
 }
 
+static void
+settings_are_read_again (void)
+{
+  fx_target_add ("i-1", "desk", well);
+  fx_start (config);
+  fx_settings ("retry_ratio: 0.5\n");
+  fx_signal (SIGHUP);
+  expect (READ ("r1"), "200", "well");
+  fx_settings ("no such key: 1\n");
+  fx_signal (SIGHUP);
+  expect (READ ("r2"), "200", "well");
+  CU_ASSERT_EQUAL (fx_terminate (), 0);
+  fx_stop ();
+}
+
+static void
+metrics_tell_what_was_done (void)
+{
+  char *metrics;
+
+  fx_target_add ("i-1", "desk", well);
+  fx_start (config);
+  expect (READ ("r1"), "200", "well");
+  expect (HEAD ("GET", "/none/", "n1") "\r\n", "404", "");
+  metrics = fx_metrics ();
+  CU_ASSERT_PTR_NOT_NULL (strstr (metrics, "\nibisloom_answered_total 1\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (metrics, "\nibisloom_config_version 3\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (metrics, "\nibisloom_targets_usable 1\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (
+      metrics, "\nibisloom_refused_total{reason=\"unknown_service\"} 1\n"));
+  g_free (metrics);
+  fx_stop ();
+}
+
 static void
 a_stop_cuts_nothing (void)
 {
--- a/version/follow.c
+++ b/version/follow.c
@@ -34,6 +34,8 @@
 static void take_watch (struct fol *fol, const char *text, size_t length);
 static void mark_lost (struct fol *fol, const char *reason, uint32_t status);
 static void mark_heard (struct fol *fol);
+static void log_store (const struct fol *fol, const char *reason,
+                       const char *cause, uint32_t status);
 static void set_timer (struct fol *fol, int64_t ms);
 
 /* Prepares FOL to follow KIND at the store at ADDRESS for SINK.  */
@@ -157,7 +159,7 @@
   else if (status == STATUS_GONE)
     {
       mark_heard (fol);
-      log_info ("store", NULL, "history_gone", "%s: list again", fol->kind);
+      log_store (fol, "history_gone", NULL, status);
       fol->listed = 0;
       fol->listing = 0;
       fol->first_page = 1;
@@ -229,9 +231,7 @@
 
   fol->faults++;
   if (!fol->down)
-    log_warn ("store", NULL, "lost",
-              "%s: %s, status %u; revision %" PRIu64 " stays in force",
-              fol->kind, reason, status, fol->revision);
+    log_store (fol, "lost", reason, status);
   fol->down = 1;
   set_timer (fol, pause_ms / 2 + g_random_int_range (0, (gint32)pause_ms / 2));
 }
@@ -245,8 +245,7 @@
   if (fol->down)
     {
       fol->regained_ms = now;
-      log_info ("store", NULL, "regained", "%s: revision %" PRIu64, fol->kind,
-                fol->revision);
+      log_store (fol, "regained", NULL, STATUS_OK);
     }
   fol->down = 0;
   fol->faults = 0;
@@ -261,3 +260,22 @@
   ev_timer_set (&fol->timer, (double)ms / MS_PER_S, 0);
   ev_timer_start (fol->loop, &fol->timer);
 }
+
+/* Logs how FOL stands to the store: REASON, and the CAUSE if there is one.  */
+static void
+log_store (const struct fol *fol, const char *reason, const char *cause,
+           uint32_t status)
+{
+  struct log_line line;
+  clk_ms now = clk_now (clk_monotonic ());
+
+  if (!log_begin (&line, LOG_LEVEL_WARN, "store", NULL, reason))
+    return;
+  log_text (&line, "kind", fol->kind);
+  log_text (&line, "cause", cause);
+  log_number (&line, "status", status);
+  log_number (&line, "revision", (int64_t)fol->revision);
+  log_number (&line, "heard_ms_ago", fol->heard_ms ? now - fol->heard_ms : -1);
+  log_number (&line, "calls", (int64_t)fol->calls);
+  log_end (&line);
+}
