--- a/process/fleet.c
+++ b/process/fleet.c
@@ -24,8 +24,9 @@
 enum
 {
   BEAT_MS = 200,
-  SMALL_FLEET = 16, /* others that hear every beat */
-  QUIET_BEATS = 5,  /* a beat for those that are silent, for every so many */
+  NOTE_FLEET_MAX = 128, /* others that are all told of contexts */
+  SMALL_FLEET = 16,     /* others that hear every beat */
+  QUIET_BEATS = 5, /* a beat for those that are silent, for every so many */
   WATCHER_SILENT_MS = 700,
   SILENT_MS = 1500, /* after which an instance's requests no longer count */
   CALL_TIMEOUT_MS = 1500,
@@ -111,6 +112,7 @@
 static int is_watcher (const struct flt_peer *peer, clk_ms now);
 static int hears_now (const struct flt *flt, const struct flt_peer *peer,
                       uint32_t index, uint32_t strides);
+static int hears_notes (const struct flt *flt, const struct flt_peer *peer);
 static void greet_seeds (struct flt *flt, clk_ms now);
 static void send_contexts (struct flt *flt, const struct flt_peer *peer);
 static int is_silent (const struct flt_peer *peer, clk_ms now);
@@ -276,10 +278,19 @@
 
   g_hash_table_iter_init (&iter, flt->peers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (!is_silent (value, now))
+    if (!is_silent (value, now) && hears_notes (flt, value))
       send_notes (flt, value, &note, 1);
 }
 
+/* Returns whether PEER is told of contexts: in a large fleet only those in the
+   same failure domain, where a caller comes back.  */
+static int
+hears_notes (const struct flt *flt, const struct flt_peer *peer)
+{
+  return g_hash_table_size (flt->peers) <= NOTE_FLEET_MAX
+         || peer->domain == flt->domain;
+}
+
 /* Returns how many instances there are, this one included.  */
 uint32_t
 flt_size (const struct flt *flt)
