Soak three gates under faults; keep signals that come while starting

Signals are held back until the loop acts on them; a new list right after a list waits a second. A gate that does not end is now a failure of the test, not a wait without end.

--- a/Makefile
+++ b/Makefile
@@ -53,10 +53,14 @@
   $(BUILD)/tests/gate_fixture.o $(BUILD)/libibisloom.a | $(BUILD)/ibisloomd
 	$(CC) $(CFLAGS) $(EXTRA) $^ -o $@ $(PKG_LIBS) -lcunit
 
+$(BUILD)/tests/soak: $(BUILD)/tests/soak.o $(BUILD)/tests/gate_fixture.o \
+  $(BUILD)/libibisloom.a | $(BUILD)/ibisloomd
+	$(CC) $(CFLAGS) $(EXTRA) $^ -o $@ $(PKG_LIBS)
+
 $(BUILD)/tests/test_%: $(BUILD)/tests/test_%.o $(BUILD)/libibisloom.a
 	$(CC) $(CFLAGS) $(EXTRA) $^ -o $@ $(PKG_LIBS) -lcunit
 
-tests: $(TESTS)
+tests: $(TESTS) $(BUILD)/tests/soak
 
 clean:
 	rm -rf build config.mk
--- a/daemon/ibisloomd.c
+++ b/daemon/ibisloomd.c
@@ -26,6 +26,7 @@
 static struct settings *load (const char *path);
 static int run_server (const struct settings *settings);
 static int run_gate (const struct settings *settings);
+static void hold_signals (int how);
 static void on_signal (int number);
 
 const char *argp_program_version = "ibisloomd 0.1";
@@ -58,6 +59,7 @@
   struct settings *settings;
   int status;
 
+  hold_signals (SIG_BLOCK);
   argp_parse (&argument_parser, argc, argv, 0, NULL, &arguments);
   settings = load (arguments.settings);
   if (settings == NULL)
@@ -91,6 +93,7 @@
     }
   signal (SIGTERM, on_signal);
   signal (SIGINT, on_signal);
+  hold_signals (SIG_UNBLOCK);
   server_run (running);
   server_stop (running);
   log_info ("server", NULL, "stopped", "all requests finished");
@@ -116,6 +119,20 @@
   return EXIT_SUCCESS;
 }
 
+/* Holds back the signals that an instance acts on, or lets them come, by HOW:
+   one that comes while it starts must not end it.  */
+static void
+hold_signals (int how)
+{
+  sigset_t set;
+
+  sigemptyset (&set);
+  sigaddset (&set, SIGTERM);
+  sigaddset (&set, SIGINT);
+  sigaddset (&set, SIGHUP);
+  sigprocmask (how, &set, NULL);
+}
+
 /* Takes one option for argp.  */
 static error_t
 parse_option (int key, char *value, struct argp_state *state)
--- a/include/ibisloom/follow.h
+++ b/include/ibisloom/follow.h
@@ -70,8 +70,9 @@
   uint8_t listing;
   uint8_t first_page; /* its revision is where the watch starts */
   uint8_t down;
-  uint8_t unwanted; /* nothing is asked after the list; as at the start */
-  uint32_t faults;  /* in a row */
+  uint8_t unwanted;    /* nothing is asked after the list; as at the start */
+  uint32_t faults;     /* in a row */
+  uint32_t since_list; /* watches that were answered since the last list */
   ev_timer timer;
   clk_ms heard_ms;    /* the store's last proper answer */
   clk_ms regained_ms; /* first answer after the last outage */
--- a/process/gate.c
+++ b/process/gate.c
@@ -107,12 +107,17 @@
 void
 gate_run (struct gate *gate)
 {
+  sigset_t awaited;
+
+  sigemptyset (&awaited);
   for (size_t i = 0; i < G_N_ELEMENTS (signal_numbers); i++)
     {
       ev_signal_init (&gate->signals[i], on_signal, signal_numbers[i]);
       gate->signals[i].data = gate;
       ev_signal_start (gate->loop, &gate->signals[i]);
+      sigaddset (&awaited, signal_numbers[i]);
     }
+  sigprocmask (SIG_UNBLOCK, &awaited, NULL);
   ev_timer_init (&gate->tick, on_tick, (double)TICK_MS / MS_PER_S,
                  (double)TICK_MS / MS_PER_S);
   gate->tick.data = gate;
--- a/tests/gate_fixture.c
+++ b/tests/gate_fixture.c
@@ -2,6 +2,7 @@
  */
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
+#include <fcntl.h>
 #include <pthread.h>
 #include <signal.h>
 #include <spawn.h>
@@ -59,11 +60,17 @@
 static int store_listener;
 static GArray *store_fds;
 static GPtrArray *targets;
-static pid_t gate_pid;
-static int front_port;
-static int ready_port;
-static int peer_port;
-static int metrics_port;
+/* One gate's process and ports. */
+struct gate_process
+{
+  pid_t pid;
+  int front_port;
+  int ready_port;
+  int peer_port;
+  int metrics_port;
+};
+
+static struct gate_process gates[FX_GATES_MAX];
 static int store_port;
 static char *directory;
 
@@ -435,7 +442,7 @@
 fx_store_compact (void)
 {
   pthread_mutex_lock (&lock);
-  kept_from = (long)changes->len + 1;
+  kept_from = (long)changes->len;
   pthread_cond_broadcast (&changed);
   pthread_mutex_unlock (&lock);
 }
@@ -531,11 +538,11 @@
   return closed;
 }
 
-/* Returns whether the gate says that it is ready.  */
+/* Returns whether gate INDEX says that it is ready.  */
 int
-fx_is_ready (void)
+fx_gate_ready (int index)
 {
-  int fd = dial (ready_port);
+  int fd = dial (gates[index].ready_port);
   char *text;
   int ready;
 
@@ -548,11 +555,18 @@
   return ready;
 }
 
-/* Returns whether the gate takes connections.  */
-static int
-is_listening (void)
+/* Returns whether the first gate says that it is ready.  */
+int
+fx_is_ready (void)
 {
-  int fd = dial (front_port);
+  return fx_gate_ready (0);
+}
+
+/* Returns whether gate INDEX takes connections.  */
+int
+fx_gate_listens (int index)
+{
+  int fd = dial (gates[index].front_port);
 
   if (fd < 0)
     return 0;
@@ -560,37 +574,71 @@
   return 1;
 }
 
-/* Writes the settings, with MORE at their end, and returns their path, newly
-   allocated.  */
+/* Returns whether the first gate blocks or catches SIGHUP by now.  */
+int
+fx_expects_signals (void)
+{
+  char *path = g_strdup_printf ("/proc/%d/status", (int)gates[0].pid);
+  char *text = NULL;
+  unsigned long long masks = 0;
+
+  if (g_file_get_contents (path, &text, NULL, NULL))
+    for (const char *const *name
+         = (const char *const[]){ "\nSigBlk:", "\nSigCgt:", NULL };
+         *name != NULL; name++)
+      {
+        const char *at = strstr (text, *name);
+
+        if (at != NULL)
+          masks |= strtoull (at + strlen (*name), NULL, 16);
+      }
+  g_free (text);
+  g_free (path);
+  return (masks >> (SIGHUP - 1)) & 1;
+}
+
+/* Returns whether the first gate takes connections.  */
+static int
+is_listening (void)
+{
+  return fx_gate_listens (0);
+}
+
+/* Writes the settings of gate INDEX, with MORE at their end, and returns their
+   path, newly allocated.  Gates are in failure domains "a", "b" and so on.  */
 static char *
-write_settings (const char *more)
+write_settings (int index, const char *more)
 {
-  char *path = g_build_filename (directory, "gate.yaml", NULL);
+  const struct gate_process *gate = &gates[index];
+  char *name = g_strdup_printf ("gate-%d.yaml", index);
+  char *path = g_build_filename (directory, name, NULL);
   char *text = g_strdup_printf (
-      "interface: platform\ninstance: one\ndeployment: test\n"
-      "failure_domain: a\nregion: r\nlisten: 127.0.0.1:%d\n"
+      "interface: platform\ninstance: gate-%d\ndeployment: test\n"
+      "failure_domain: %c\nregion: r\nlisten: 127.0.0.1:%d\n"
       "readiness_listen: 127.0.0.1:%d\npeer_listen: 127.0.0.1:%d\n"
       "operator_listen: 127.0.0.1:%d\nplatform: 127.0.0.1:%d\n"
       "retry_slack: 50\ngrace_s: 8\n%s",
-      front_port, ready_port, peer_port, metrics_port, store_port, more);
+      index, 'a' + index, gate->front_port, gate->ready_port, gate->peer_port,
+      gate->metrics_port, store_port, more);
 
   g_file_set_contents (path, text, -1, NULL);
   g_free (text);
+  g_free (name);
   return path;
 }
 
-/* Writes the settings once more, with MORE at their end.  */
+/* Writes the first gate's settings once more, with MORE at their end.  */
 void
 fx_settings (const char *more)
 {
-  g_free (write_settings (more));
+  g_free (write_settings (0, more));
 }
 
-/* Returns the gate's metrics, newly allocated.  */
+/* Returns the first gate's metrics, newly allocated.  */
 char *
 fx_metrics (void)
 {
-  int fd = dial (metrics_port);
+  int fd = dial (gates[0].metrics_port);
 
   fx_write (fd, "GET /metrics HTTP/1.1\r\nHost: m\r\nConnection: close\r\n"
                 "\r\n");
@@ -688,50 +736,68 @@
   message.u.heartbeat.revision = 1000;
   message.u.heartbeat.config_revision = 1000;
   length = wire_encode (&message, &key, data);
-  address.sin_port = htons ((uint16_t)peer_port);
+  address.sin_port = htons ((uint16_t)gates[0].peer_port);
   sendto (fd, data, length, 0, (struct sockaddr *)&address, sizeof address);
   close (fd);
 }
 
-/* Starts the store, with CONFIG in it if that is not NULL, and the gate; waits
-   until it is ready if it has a configuration.  Targets come before.  */
+/* Starts the process of gate INDEX, at the ports that it had before, if any;
+   its log goes to LOG.  */
 void
-fx_start (const char *config)
+fx_gate_spawn (int index, const char *log)
 {
+  struct gate_process *gate = &gates[index];
   char *self = g_file_read_link ("/proc/self/exe", NULL);
   char *tests = g_path_get_dirname (self);
   char *program = g_build_filename (tests, "..", "ibisloomd", NULL);
   char *settings;
-  char *arguments[4];
+  char *arguments[4] = { program, (char *)"--settings" };
   posix_spawn_file_actions_t actions;
 
-  signal (SIGPIPE, SIG_IGN);
-  store_listener = listen_any (&store_port);
-  start_thread (accept_store, GINT_TO_POINTER (store_listener));
-  front_port = free_port ();
-  ready_port = free_port ();
-  peer_port = free_port ();
-  metrics_port = free_port ();
-  directory = g_dir_make_tmp ("gate-XXXXXX", NULL);
-  settings = write_settings ("retry_ratio: 0.2\n");
-  if (config != NULL)
-    put ("config", "main", config);
-  arguments[0] = program;
-  arguments[1] = (char *)"--settings";
+  if (gate->front_port == 0)
+    {
+      gate->front_port = free_port ();
+      gate->ready_port = free_port ();
+      gate->peer_port = free_port ();
+      gate->metrics_port = free_port ();
+    }
+  settings = write_settings (index, "retry_ratio: 0.2\n");
   arguments[2] = settings;
-  arguments[3] = NULL;
   posix_spawn_file_actions_init (&actions);
-  posix_spawn_file_actions_addopen (&actions, STDOUT_FILENO, "/dev/null", 1,
-                                    0);
-  if (posix_spawn (&gate_pid, program, &actions, NULL, arguments, environ)
+  posix_spawn_file_actions_addopen (&actions, STDOUT_FILENO, log,
+                                    O_WRONLY | O_CREAT | O_APPEND, 0600);
+  if (posix_spawn (&gate->pid, program, &actions, NULL, arguments, environ)
       != 0)
     abort ();
   posix_spawn_file_actions_destroy (&actions);
+  g_free (settings);
   g_free (program);
   g_free (tests);
   g_free (self);
+}
+
+/* Starts the store, with CONFIG in it if that is not NULL.  Targets come
+   before.  */
+void
+fx_store_start (const char *config)
+{
+  signal (SIGPIPE, SIG_IGN);
+  store_listener = listen_any (&store_port);
+  start_thread (accept_store, GINT_TO_POINTER (store_listener));
+  directory = g_dir_make_tmp ("gate-XXXXXX", NULL);
+  memset (gates, 0, sizeof gates);
+  if (config != NULL)
+    put ("config", "main", config);
+}
+
+/* Starts the store and the first gate; waits until it is ready, if it has a
+   configuration.  */
+void
+fx_start (const char *config)
+{
+  fx_store_start (config);
+  fx_gate_spawn (0, "/dev/null");
   fx_settled (config != NULL ? fx_is_ready : is_listening);
-  g_free (settings);
 }
 
 /* Prepares an empty store and no targets.  */
@@ -747,12 +813,15 @@
 void
 fx_stop (void)
 {
-  if (gate_pid > 0)
+  for (int i = 0; i < FX_GATES_MAX; i++)
     {
-      kill (gate_pid, SIGKILL);
-      waitpid (gate_pid, NULL, 0);
+      char *name = g_strdup_printf ("%s/gate-%d.yaml", directory, i);
+
+      fx_gate_signal (i, SIGKILL);
+      fx_gate_wait (i);
+      unlink (name);
+      g_free (name);
     }
-  gate_pid = 0;
   for (guint i = 0; i < targets->len; i++)
     shutdown (((struct fx_target *)g_ptr_array_index (targets, i))->listener,
               SHUT_RDWR);
@@ -768,32 +837,50 @@
   store_is_down = 0;
   pthread_cond_broadcast (&changed);
   pthread_mutex_unlock (&lock);
-  {
-    char *path = g_build_filename (directory, "gate.yaml", NULL);
-
-    unlink (path);
-    g_free (path);
-  }
   rmdir (directory);
   g_free (directory);
 }
 
+/* Sends the signal NUMBER to gate INDEX, if it runs.  */
 void
-fx_signal (int number)
+fx_gate_signal (int index, int number)
 {
-  kill (gate_pid, number);
+  if (gates[index].pid > 0)
+    kill (gates[index].pid, number);
 }
 
+/* Waits for the end of gate INDEX, if it runs, and returns its exit status; -1
+   if a signal ended it.  */
 int
-fx_wait (void)
+fx_gate_wait (int index)
 {
-  int status = -1;
+  int status = 0;
 
-  waitpid (gate_pid, &status, 0);
-  gate_pid = 0;
+  if (gates[index].pid <= 0)
+    return 0;
+  for (int ms = 0; waitpid (gates[index].pid, &status, WNOHANG) == 0; ms += 5)
+    {
+      /* A gate that does not end is a failure, not a wait without end.  */
+      if (ms >= SETTLE_MS)
+        kill (gates[index].pid, SIGKILL);
+      fx_sleep_ms (5);
+    }
+  gates[index].pid = 0;
   return WIFEXITED (status) ? WEXITSTATUS (status) : -1;
 }
 
+void
+fx_signal (int number)
+{
+  fx_gate_signal (0, number);
+}
+
+int
+fx_wait (void)
+{
+  return fx_gate_wait (0);
+}
+
 int
 fx_terminate (void)
 {
@@ -857,11 +944,18 @@
   setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
 }
 
-/* Returns a connection to the gate's listener for callers.  */
+/* Returns a connection to the listener for callers of gate INDEX, or -1.  */
+int
+fx_gate_open (int index)
+{
+  return dial (gates[index].front_port);
+}
+
+/* Returns a connection to the first gate's listener for callers.  */
 int
 fx_open (void)
 {
-  return dial (front_port);
+  return fx_gate_open (0);
 }
 
 void
--- a/tests/gate_fixture.h
+++ b/tests/gate_fixture.h
@@ -19,6 +19,19 @@
 
 struct fx_target;
 
+enum
+{
+  FX_GATES_MAX = 4
+};
+
+void fx_store_start (const char *config);
+void fx_gate_spawn (int index, const char *log);
+void fx_gate_signal (int index, int number);
+int fx_gate_wait (int index);
+int fx_gate_ready (int index);
+int fx_gate_listens (int index);
+int fx_gate_open (int index);
+
 void fx_start (const char *config);
 void fx_stop (void);
 int fx_terminate (void); /* SIGTERM; returns the exit status */
@@ -41,6 +54,7 @@
 void fx_settings (const char *more);
 char *fx_metrics (void);
 int fx_is_ready (void);
+int fx_expects_signals (void);
 void fx_peer_start (void);
 
 char *fx_call (const char *request);
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -56,6 +56,7 @@
 static void extra_bytes_reach_nobody (void);
 static void smuggled_requests_are_refused (void);
 static void callers_cannot_speak_as_the_system (void);
+static void signals_while_starting_are_kept (void);
 static void settings_are_read_again (void);
 static void metrics_tell_what_was_done (void);
 static void a_stop_cuts_nothing (void);
@@ -87,6 +88,7 @@
   { "requests with two lengths are refused", smuggled_requests_are_refused },
   { "callers cannot set the system's fields",
     callers_cannot_speak_as_the_system },
+  { "signals while starting are kept", signals_while_starting_are_kept },
   { "settings are read again, or the old ones hold", settings_are_read_again },
   { "metrics tell what was done", metrics_tell_what_was_done },
   { "a stop cuts nothing", a_stop_cuts_nothing },
@@ -533,6 +535,24 @@
   fx_stop ();
 }
 
+/* Reloads that come one after another from the first moment end nothing.  */
+static void
+signals_while_starting_are_kept (void)
+{
+  fx_target_add ("i-1", "desk", well);
+  fx_store_start (config);
+  fx_gate_spawn (0, "/dev/null");
+  CU_ASSERT (fx_settled (fx_expects_signals));
+  for (int i = 0; i < 50; i++)
+    {
+      fx_signal (SIGHUP);
+      fx_sleep_ms (1);
+    }
+  CU_ASSERT (fx_settled (fx_is_ready));
+  expect (READ ("r1"), "200", "well");
+  fx_stop ();
+}
+
 static void
 settings_are_read_again (void)
 {
--- a/version/follow.c
+++ b/version/follow.c
@@ -163,7 +163,8 @@
       fol->listed = 0;
       fol->listing = 0;
       fol->first_page = 1;
-      next_call (fol);
+      /* Right after a list that is no change but a store at odds.  */
+      set_timer (fol, fol->since_list == 0 ? RETRY_MAX_MS : 1);
     }
   else
     mark_lost (fol, status == 0 ? "no_answer" : "refused", status);
@@ -196,6 +197,7 @@
     {
       fol->listing = 0;
       fol->listed = 1;
+      fol->since_list = 0;
       fol->sink.end (fol->sink.closure, page.revision);
     }
   next_call (fol);
@@ -208,6 +210,7 @@
   struct fol_page page = { .last_name = fol->after };
 
   mark_heard (fol);
+  fol->since_list++;
   if (fol->dialect->read_watch (text, length, &page, fol->sink.object,
                                 fol->sink.closure)
       != 0)
