Count as trials only requests that were sent to a suspect

Cause, found in reading: every request in progress counted as a trial, so a target with long streams from before a fault was not tried again until they ended. Change: only requests sent while it is suspected count; a test plays it and fails without.

--- a/include/ibisloom/trust.h
+++ b/include/ibisloom/trust.h
@@ -33,6 +33,8 @@
   double error_share;
 };
 
+int tru_begin (struct tru *tru);
+void tru_end (struct tru *tru, int is_trial);
 void tru_note (struct tru *tru, enum tru_event event, clk_ms now);
 enum tru_use tru_judge (const struct tru *tru, clk_ms now);
 
--- a/request/librelay.h
+++ b/request/librelay.h
@@ -64,6 +64,7 @@
   uint8_t wrong;
   uint8_t is_events;
   uint8_t is_resumed;
+  uint8_t is_trial; /* of a target that is suspected */
   /* All attempts.  */
   uint64_t tried[RLY_TRIED_MAX]; /* targets that may have read it */
   uint32_t tried_count;
--- a/request/relay.c
+++ b/request/relay.c
@@ -284,7 +284,7 @@
 
   rly->target = target;
   reg_hold (target);
-  target->trust.trials++;
+  rly->is_trial = (uint8_t)tru_begin (&target->trust);
   if (rly->tried_count < RLY_TRIED_MAX
       && !is_among (rly->tried, rly->tried_count, target->hash))
     rly->tried[rly->tried_count++] = target->hash;
@@ -318,8 +318,7 @@
   if (target == NULL)
     return;
   rly->target = NULL;
-  if (target->trust.trials > 0)
-    target->trust.trials--;
+  tru_end (&target->trust, rly->is_trial);
   if (event < TRU_EVENT_COUNT)
     tru_note (&target->trust, event, clk_now (clk_monotonic ()));
   reg_release (target);
--- a/request/trust.c
+++ b/request/trust.c
@@ -62,6 +62,25 @@
     tru->retry_ms = now + pause_ms;
 }
 
+/* A request is sent to the target.  Returns whether it is a trial, which the
+   end of the request is told with.  */
+int
+tru_begin (struct tru *tru)
+{
+  if (tru->retry_ms == 0)
+    return 0;
+  tru->trials++;
+  return 1;
+}
+
+/* A request that tru_begin told IS_TRIAL of has ended.  */
+void
+tru_end (struct tru *tru, int is_trial)
+{
+  if (is_trial && tru->trials > 0)
+    tru->trials--;
+}
+
 /* Returns how far the target may be used at NOW.  */
 enum tru_use
 tru_judge (const struct tru *tru, clk_ms now)
--- a/tests/test_choose.c
+++ b/tests/test_choose.c
@@ -19,6 +19,7 @@
 
 static void faults_pause_and_doubling (void);
 static void one_trial_at_a_time (void);
+static void requests_from_before_are_no_trials (void);
 static void shares_of_errors_follow (void);
 static void holders_are_kept_to (void);
 static void bound_is_kept_under_a_hot_context (void);
@@ -36,6 +37,8 @@
 static const struct test_case cases[] = {
   { "faults in a row pause for longer", faults_pause_and_doubling },
   { "a suspect gets one trial at a time", one_trial_at_a_time },
+  { "requests from before a fault are no trials",
+    requests_from_before_are_no_trials },
   { "the share of errors follows", shares_of_errors_follow },
   { "requests stay with a holder of their context", holders_are_kept_to },
   { "a hot context keeps the load bound", bound_is_kept_under_a_hot_context },
@@ -86,6 +89,26 @@
   CU_ASSERT_EQUAL (tru_judge (&tru, tru.retry_ms), TRU_AVOID);
 }
 
+/* A stream that goes on must not keep a suspect from being tried.  */
+static void
+requests_from_before_are_no_trials (void)
+{
+  struct tru tru = { 0 };
+  int is_trial = tru_begin (&tru);
+  int second;
+
+  CU_ASSERT (!is_trial);
+  tru_note (&tru, TRU_SILENT, 0);
+  CU_ASSERT_EQUAL (tru_judge (&tru, tru.retry_ms), TRU_TRIAL);
+  second = tru_begin (&tru);
+  CU_ASSERT (second);
+  CU_ASSERT_EQUAL (tru_judge (&tru, tru.retry_ms), TRU_AVOID);
+  tru_end (&tru, is_trial);
+  CU_ASSERT_EQUAL (tru_judge (&tru, tru.retry_ms), TRU_AVOID);
+  tru_end (&tru, second);
+  CU_ASSERT_EQUAL (tru_judge (&tru, tru.retry_ms), TRU_TRIAL);
+}
+
 static void
 shares_of_errors_follow (void)
 {
