--- a/process/gate_store.c
+++ b/process/gate_store.c
@@ -295,25 +295,27 @@
 
 /* Takes news of what another instance knows.  If this one does not watch the
    store itself, or cannot, it asks that instance for what it lacks: one of its
-   own failure domain, where one watches.  A watch that has told nothing of
-   what others know for a while is dead, and begun anew.  */
+   own failure domain, where one watches.  Those that watch there may be cut
+   off without a sign: what others have known for a while is taken from them,
+   and an own watch that has not told it is dead, and begun anew.  */
 void
 gate_on_news (void *closure, const struct flt_news *news)
 {
   struct gate *gate = closure;
   clk_ms now = clk_now (clk_monotonic ());
+  int is_direct = hears_store (gate);
   char *path;
 
   if (gate->fetch != NULL
       || (news->known.config <= gate->known.config
           && news->known.targets <= gate->known.targets)
-      || (!news->is_local && flt_has_watcher (gate->fleet))
       || (gate->fetched_ms != 0 && now - gate->fetched_ms < FETCH_PAUSE_MS))
     return;
-  if (hears_store (gate))
+  if ((is_direct || (!news->is_local && flt_has_watcher (gate->fleet)))
+      && behind_for (gate, now) < BEHIND_MS)
+    return;
+  if (is_direct)
     {
-      if (behind_for (gate, now) < BEHIND_MS)
-        return;
       fol_restart (&gate->config);
       fol_restart (&gate->targets);
     }
--- a/tests/gate_fixture.c
+++ b/tests/gate_fixture.c
@@ -18,6 +18,8 @@
 #include <zlib.h>
 
 #include "gate_fixture.h"
+#include "ibisloom/members.h"
+#include "ibisloom/rank.h"
 #include "ibisloom/wire.h"
 
 enum
@@ -30,7 +32,7 @@
   PORT_LAST = 31999,
   PORT_STARTS = 200,
   PORT_STRIDE = 100,
-  PEER_BEATS = 40,
+  PEER_BEATS = 150,
   PEER_BEAT_MS = 100
 };
 
@@ -751,54 +753,85 @@
   return NULL;
 }
 
-/* Sends beats that tell of much news, for a while.  */
+/* An instance that is played by its beats. */
+struct beater
+{
+  int fd;
+  struct wire_message message;
+};
+
+/* Sends the beats of a played instance, for a while.  */
 static void *
 beat_peer (void *closure)
 {
-  struct wire_message message = {
-    .kind = WIRE_HEARTBEAT, .sender = 7, .incarnation = 1, .sequence = 1
-  };
+  struct beater *beater = closure;
   struct sockaddr_in address = { .sin_family = AF_INET };
   unsigned char data[WIRE_MAX_BYTES];
   struct wire_key key;
-  int fd = GPOINTER_TO_INT (closure);
 
   address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
   address.sin_port = htons ((uint16_t)gates[0].peer_port);
   wire_key_derive (&key, "", "test");
-  message.u.heartbeat.revision = 1000;
-  message.u.heartbeat.config_revision = 1000;
   for (int i = 0; i < PEER_BEATS; i++)
     {
       size_t length;
 
-      message.sequence++;
-      length = wire_encode (&message, &key, data);
-      sendto (fd, data, length, 0, (struct sockaddr *)&address,
+      beater->message.sequence++;
+      length = wire_encode (&beater->message, &key, data);
+      sendto (beater->fd, data, length, 0, (struct sockaddr *)&address,
               sizeof address);
       fx_sleep_ms (PEER_BEAT_MS);
     }
-  close (fd);
+  close (beater->fd);
+  g_free (beater);
   return NULL;
 }
 
+/* Starts the beats of the instance SENDER, which come from PORT; 0: any.  */
+static void
+start_beats (uint32_t sender, int port, const struct wire_heartbeat *beat)
+{
+  struct beater *beater = g_new0 (struct beater, 1);
+  struct sockaddr_in address = { .sin_family = AF_INET };
+
+  beater->message.kind = WIRE_HEARTBEAT;
+  beater->message.sender = sender;
+  beater->message.incarnation = 1;
+  beater->message.u.heartbeat = *beat;
+  beater->fd = socket (AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  address.sin_port = htons ((uint16_t)port);
+  if (sodium_init () < 0
+      || bind (beater->fd, (struct sockaddr *)&address, sizeof address) != 0)
+    abort ();
+  start_thread (beat_peer, beater);
+}
+
+/* Starts COUNT instances in the gate's failure domain that say they watch the
+   store, and know nothing.  */
+void
+fx_deaf_watchers_start (int count)
+{
+  struct wire_heartbeat beat = { .store = WIRE_STORE_WATCHED,
+                                 .state = MEM_READY,
+                                 .domain = (uint32_t)rank_hash ("a") };
+
+  for (int i = 0; i < count; i++)
+    start_beats ((uint32_t)i + 1, 0, &beat);
+}
+
 /* Starts an instance that knows what is in the store, and lets the gate hear
    of it.  */
 void
 fx_peer_start (void)
 {
-  struct sockaddr_in address = { .sin_family = AF_INET };
+  struct wire_heartbeat beat
+      = { .revision = 1000, .config_revision = 1000, .state = MEM_READY };
   int port;
   int listener = listen_any (&port);
-  int fd = socket (AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
 
   start_thread (serve_peer, GINT_TO_POINTER (listener));
-  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  address.sin_port = htons ((uint16_t)port);
-  if (sodium_init () < 0
-      || bind (fd, (struct sockaddr *)&address, sizeof address) != 0)
-    abort ();
-  start_thread (beat_peer, GINT_TO_POINTER (fd));
+  start_beats (1000, port, &beat);
 }
 
 /* Starts the process of gate INDEX, at the ports that it had before, if any;
--- a/tests/gate_fixture.h
+++ b/tests/gate_fixture.h
@@ -58,6 +58,8 @@
 int fx_expects_signals (void);
 void fx_peer_start (void);
 
+void fx_deaf_watchers_start (int count);
+
 char *fx_call (const char *request);
 int fx_open (void);
 void fx_send (int fd, const char *text);
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -67,6 +67,7 @@
 static void lapse_that_nobody_noticed (void);
 static void a_peer_helps_while_the_store_is_away (void);
 static void a_dead_watch_is_begun_anew (void);
+static void another_domain_helps_deaf_watchers (void);
 static void gone_callers_end_their_work (void);
 static void too_much_is_refused (void);
 static void silent_targets_are_left (void);
@@ -103,6 +104,8 @@
   { "a peer helps while the store is away",
     a_peer_helps_while_the_store_is_away },
   { "a watch that is dead is begun anew", a_dead_watch_is_begun_anew },
+  { "another domain helps where the watchers are deaf",
+    another_domain_helps_deaf_watchers },
   { "callers that leave end their work", gone_callers_end_their_work },
   { "heads and bodies over the limits are refused", too_much_is_refused },
   { "silent targets are left where that is allowed", silent_targets_are_left },
@@ -789,6 +792,27 @@
   fx_stop ();
 }
 
+/* The instance leaves the store to two others of its failure domain, which are
+   cut off without a sign; one of another domain knows the next version.  */
+static void
+another_domain_helps_deaf_watchers (void)
+{
+  char *next = g_strdup (config);
+
+  next[strlen ("{\"version\":")] = '9';
+  fx_target_add ("i-1", "desk", well);
+  fx_start (config);
+  fx_deaf_watchers_start (2);
+  fx_sleep_ms (3000);
+  fx_store_deaf (1);
+  fx_store_put ("config", "main", next);
+  fx_peer_start ();
+  CU_ASSERT (fx_settled (next_version_is_in_force));
+  fx_store_deaf (0);
+  g_free (next);
+  fx_stop ();
+}
+
 static int
 watched_was_left (void)
 {
