--- a/connection/caller.c
+++ b/connection/caller.c
@@ -140,13 +140,15 @@
 void
 caller_site_close (struct caller_site *site)
 {
+  struct caller *caller;
+
   if (site->loop == NULL)
     return;
   ev_io_stop (site->loop, &site->listener);
   ev_timer_stop (site->loop, &site->accept_pause);
   close (site->listener.fd);
-  while (site->callers.head != NULL)
-    caller_free (site->callers.head->data);
+  while ((caller = g_queue_peek_head (&site->callers)) != NULL)
+    caller_free (caller);
 }
 
 /* Starts the answer to CALLER's request.  */
