--- a/process/gate_metrics.c
+++ b/process/gate_metrics.c
@@ -22,9 +22,9 @@
   add_gauge (out, "ibisloom_open_requests", gate->open_requests);
   add_gauge (out, "ibisloom_target_connections", gate->pool.open_count);
   add_gauge (out, "ibisloom_target_connections_idle", gate->pool.idle_count);
-  add_gauge (out, "ibisloom_config_version",
+  add_gauge (out, "ibisloom_version_in_force",
              gate->table ? (int64_t)gate->table->version : 0);
-  add_gauge (out, "ibisloom_config_age_ms",
+  add_gauge (out, "ibisloom_version_in_force_age_ms",
              gate->table ? now - gate->table_ms : -1);
   add_gauge (out, "ibisloom_store_revision_config",
              (int64_t)gate->known.config);
--- a/request/librelay.h
+++ b/request/librelay.h
@@ -90,6 +90,13 @@
 void rly_finish (struct rly *rly, const char *outcome);
 void rly_arm (struct rly *rly);
 
+/* relay_log.c */
+void rly_log_place (const struct rly *rly, const struct cho_choice *choice,
+                    size_t candidates);
+void rly_log_fault (const struct rly *rly, enum retry_fault fault,
+                    const struct retry_decision *decision, clk_ms now);
+void rly_log_outcome (const struct rly *rly, const char *outcome, clk_ms now);
+
 /* relay_send.c */
 GString *rly_request_head (const struct rly *rly, clk_ms now);
 
--- a/request/relay.c
+++ b/request/relay.c
@@ -1,9 +1,7 @@
 /* Life of a request at the gate: route, place, attempts, end. */
-#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "ibisloom/log.h"
 #include "ibisloom/metrics.h"
 #include "ibisloom/patience.h"
 #include "ibisloom/rank.h"
@@ -43,12 +41,6 @@
 static enum tru_event event_of (const struct rly *rly, enum retry_fault fault);
 static void give_up (struct rly *rly, const struct retry_decision *decision,
                      enum retry_fault fault);
-static void log_place (const struct rly *rly, const struct cho_choice *choice,
-                       size_t candidates);
-static void log_fault (const struct rly *rly, enum retry_fault fault,
-                       const struct retry_decision *decision, clk_ms now);
-static void log_outcome (const struct rly *rly, const char *outcome,
-                         clk_ms now);
 static void rly_free (struct rly *rly);
 
 const struct caller_site_ops rly_site_ops
@@ -60,12 +52,6 @@
   [RETRY_FAULT_SILENT] = TRU_SILENT,      [RETRY_FAULT_WRONG] = TRU_BROKEN,
 };
 
-static const char *const fault_names[RETRY_FAULT_COUNT] = {
-  [RETRY_FAULT_CONNECT] = "no_connection", [RETRY_FAULT_STATUS] = "error",
-  [RETRY_FAULT_BUSY] = "refused",          [RETRY_FAULT_BROKEN] = "broken",
-  [RETRY_FAULT_SILENT] = "silent",         [RETRY_FAULT_WRONG] = "wrong",
-};
-
 static const enum met_counter fault_counters[RETRY_FAULT_COUNT] = {
   [RETRY_FAULT_CONNECT] = MET_RETRY_CONNECT,
   [RETRY_FAULT_STATUS] = MET_RETRY_STATUS,
@@ -75,22 +61,6 @@
   [RETRY_FAULT_WRONG] = MET_RETRY_WRONG_ANSWER,
 };
 
-static const enum met_counter place_counters[CHO_REASON_COUNT] = {
-  [CHO_HOLDER] = MET_PLACED_NOTE, [CHO_HOME] = MET_PLACED_HOME,
-  [CHO_NEAR] = MET_PLACED_WALK,   [CHO_LEAST] = MET_PLACED_LEAST,
-  [CHO_TRIAL] = MET_PLACED_TRIAL, [CHO_NONE] = MET_DENIED_DOWN,
-  [CHO_FULL] = MET_DENIED_BOUND,
-};
-
-/* Why no other attempt follows. */
-static const char *const give_up_names[] = {
-  [RETRY_REASON_NONE] = NULL,
-  [RETRY_REASON_DEADLINE] = "deadline",
-  [RETRY_REASON_BUDGET] = "retry_budget",
-  [RETRY_REASON_TRIES] = "attempts_used",
-  [RETRY_REASON_MAY_HAVE_RUN] = "may_have_run",
-};
-
 /* Takes a whole request from CALLER.  */
 static void *
 on_request (struct caller_site *site, struct caller *caller,
@@ -252,7 +222,7 @@
     wish.holders = ctx_find (gate->contexts, rly->context);
   if (!cho_pick (&wish, candidates, count, &choice))
     {
-      log_place (rly, &choice, count);
+      rly_log_place (rly, &choice, count);
       if (rly->may_have_run)
         rly_refuse (rly, RLY_TARGET_FAILED);
       else
@@ -264,7 +234,7 @@
                    now))
     flt_holder (gate->fleet, rly->context, targets[choice.index]->hash);
   send_to (rly, targets[choice.index]);
-  log_place (rly, &choice, count);
+  rly_log_place (rly, &choice, count);
 }
 
 /* Starts an attempt at TARGET.  */
@@ -381,7 +351,7 @@
   if (rly->connects >= CONNECTS_MAX)
     decision.action = RETRY_GIVE_UP;
   met_inc (fault_counters[fault]);
-  log_fault (rly, fault, &decision, now);
+  rly_log_fault (rly, fault, &decision, now);
   if (decision.action == RETRY_GIVE_UP)
     {
       give_up (rly, &decision, fault);
@@ -494,7 +464,7 @@
   clk_ms now = clk_now (clk_monotonic ());
 
   met_observe (MET_HIST_TOTAL_MS, now - rly->arrived_ms);
-  log_outcome (rly, outcome, now);
+  rly_log_outcome (rly, outcome, now);
   rly_free (rly);
 }
 
@@ -557,81 +527,3 @@
   if (rly->unreached_count < RLY_TRIED_MAX)
     rly->unreached[rly->unreached_count++] = id;
 }
-
-/* Logs where RLY goes and why.  */
-static void
-log_place (const struct rly *rly, const struct cho_choice *choice,
-           size_t candidates)
-{
-  struct log_line line;
-
-  met_inc (place_counters[choice->reason]);
-  if (!log_begin (&line, LOG_LEVEL_INFO, "place", rly->id,
-                  cho_reason_names[choice->reason]))
-    return;
-  log_text (&line, "target", rly->target ? rly->target->id : NULL);
-  log_text (&line, "service", rly->service);
-  log_number (&line, "candidates", (int64_t)candidates);
-  log_real (&line, "load", choice->load);
-  log_real (&line, "mean_load", choice->mean);
-  if (rly->context != 0)
-    {
-      char context[24];
-
-      g_snprintf (context, sizeof context, "%016" PRIx64, rly->context);
-      log_text (&line, "context", context);
-      log_number (&line, "context_tokens", rly->context_tokens);
-      log_text (&line, "holder", cho_pass_names[choice->pass]);
-    }
-  log_number (&line, "version", (int64_t)rly->table->version);
-  log_number (&line, "registry", (int64_t)rly->gate->known.targets);
-  log_end (&line);
-}
-
-/* Logs that an attempt of RLY ended with FAULT, and what follows.  */
-static void
-log_fault (const struct rly *rly, enum retry_fault fault,
-           const struct retry_decision *decision, clk_ms now)
-{
-  struct log_line line;
-
-  if (!log_begin (&line, LOG_LEVEL_INFO, "attempt", rly->id,
-                  fault_names[fault]))
-    return;
-  log_text (&line, "target", rly->target ? rly->target->id : NULL);
-  log_number (&line, "target_status", rly->status);
-  log_number (&line, "after_ms", now - rly->sent_ms);
-  log_number (&line, "silent_ms", now - rly->heard_ms);
-  log_number (&line, "sends", rly->sends);
-  log_number (&line, "attempts_max", rly->route->attempts_max);
-  log_number (&line, "events", rly->events.passed);
-  log_text (&line, "next",
-            decision->action == RETRY_GIVE_UP ? "give_up" : "elsewhere");
-  log_text (&line, "because", give_up_names[decision->reason]);
-  log_end (&line);
-}
-
-/* Logs how RLY ended.  */
-static void
-log_outcome (const struct rly *rly, const char *outcome, clk_ms now)
-{
-  struct log_line line;
-
-  if (!log_begin (&line, LOG_LEVEL_INFO, "request", rly->id, outcome))
-    return;
-  log_text (&line, "route", rly->route ? rly->route->name : NULL);
-  log_text (&line, "service", rly->service);
-  log_text (&line, "customer", rly->customer ? rly->customer->name : NULL);
-  log_number (&line, "status", rly->status);
-  log_number (&line, "sends", rly->sends);
-  log_number (&line, "events", rly->events.passed);
-  log_number (&line, "may_have_run", rly->may_have_run);
-  log_number (&line, "took_ms", now - rly->arrived_ms);
-  if (rly->table != NULL)
-    {
-      log_number (&line, "version", (int64_t)rly->table->version);
-      log_number (&line, "version_age_ms", now - rly->gate->table_ms);
-    }
-  log_number (&line, "store_lost", rly->gate->config.down);
-  log_end (&line);
-}
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -584,7 +584,7 @@
   expect (HEAD ("GET", "/none/", "n1") "\r\n", "404", "");
   metrics = fx_metrics ();
   CU_ASSERT_PTR_NOT_NULL (strstr (metrics, "\nibisloom_answered_total 1\n"));
-  CU_ASSERT_PTR_NOT_NULL (strstr (metrics, "\nibisloom_config_version 3\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (metrics, "\nibisloom_version_in_force 3\n"));
   CU_ASSERT_PTR_NOT_NULL (strstr (metrics, "\nibisloom_targets_usable 1\n"));
   CU_ASSERT_PTR_NOT_NULL (strstr (
       metrics, "\nibisloom_refused_total{reason=\"unknown_service\"} 1\n"));
@@ -767,7 +767,7 @@
 next_version_is_in_force (void)
 {
   char *metrics = fx_metrics ();
-  int found = strstr (metrics, "\nibisloom_config_version 9\n") != NULL;
+  int found = strstr (metrics, "\nibisloom_version_in_force 9\n") != NULL;
 
   g_free (metrics);
   return found;
