Give each fleet of the scripts ports of its own

The stand-ins listened with SO_REUSEPORT, so two platforms took the same port and the kernel divided the configuration's writes between them: revision 9 where 18 was due, "unknown_customer" from instances that say ready. The script also went on after a write that failed, and took any listener for its own.

Ruled out: load alone.

--- a/bench/fleet.sh
+++ b/bench/fleet.sh
@@ -27,6 +27,9 @@
 : "${port:=21000}"
 : "${extra_settings:=}"
 
+PORT_STEP=2000   # between the blocks of two fleets of one deployment
+PORT_LAST=32000  # below the ports that the kernel hands out
+
 pids=
 dir=
 
@@ -47,13 +50,44 @@
 
 wait_port () {
   local i=0
-  while ! (exec 3<> "/dev/tcp/127.0.0.1/$1") 2> /dev/null; do
+  while ! listens "$1"; do
     i=$((i + 1))
     [ "$i" -lt 200 ] || { echo "port $1 does not answer" >&2; return 1; }
     sleep 0.02
   done
 }
 
+# Returns whether something listens on port $1.
+listens () { (exec 3<> "/dev/tcp/127.0.0.1/$1") 2> /dev/null; }
+
+# Sets port to the first block that no other fleet holds.  The processes of the
+# fleet inherit the lock, so that it lasts as long as they do.
+claim_ports () {
+  while [ "$port" -lt "$PORT_LAST" ]; do
+    exec {port_lock}> "${TMPDIR:-/tmp}/ibisloom-ports-$port.lock"
+    if flock -n "$port_lock" && ! listens "$(platform_port)" \
+      && ! listens "$(caller_port 0)"; then
+      return 0
+    fi
+    exec {port_lock}>&-
+    port=$((port + PORT_STEP))
+  done
+  echo "no block of ports is free" >&2
+  return 1
+}
+
+# Waits until process $1 says that it listens on port $2; another process may
+# answer there.
+wait_process () {
+  until grep -qx "port $2 listens" "$dir/out.log"; do
+    if ! kill -0 "$1" 2> /dev/null; then
+      echo "process $1 ended at its start: $(tail -n 1 "$dir/err.log")" >&2
+      return 1
+    fi
+    sleep 0.01
+  done
+}
+
 start () {
   "$@" >> "$dir/out.log" 2>> "$dir/err.log" &
   started=$!
@@ -86,7 +120,8 @@
 
 put_object () {
   curl -sf -X PUT --data-binary "$2" \
-    "http://127.0.0.1:$(platform_port)/v1/objects/$deployment/config/$1" > /dev/null
+    "http://127.0.0.1:$(platform_port)/v1/objects/$deployment/config/$1" > /dev/null \
+    || { echo "$1 could not be written to the platform" >&2; return 1; }
 }
 
 preset_json () {
@@ -99,29 +134,30 @@
   for ((i = 0; i < engines; i++)); do
     list="$list${list:+,}{\"name\":\"engine-$i\",\"address\":\"127.0.0.1:$(engine_port "$i")\",\"failure_domain\":\"$(domain_of "$i")\",\"slots\":$slots}"
   done
-  put_object "services/$chat_service" "{\"kind\":\"chat\",\"silence_ms\":$silence_ms,\"deadline_ms\":${chat_deadline_ms:-30000},\"targets\":[$list]}"
+  put_object "services/$chat_service" "{\"kind\":\"chat\",\"silence_ms\":$silence_ms,\"deadline_ms\":${chat_deadline_ms:-30000},\"targets\":[$list]}" || return 1
   list=
   for ((i = 0; i < workers; i++)); do
     list="$list${list:+,}{\"name\":\"worker-$i\",\"address\":\"127.0.0.1:$(service_port "$i")\",\"failure_domain\":\"$(domain_of "$i")\"}"
   done
-  put_object "services/$plain_service" "{\"kind\":\"plain\",\"attempt_timeout_ms\":$attempt_ms,\"deadline_ms\":${plain_deadline_ms:-8000},\"targets\":[$list]}"
+  put_object "services/$plain_service" "{\"kind\":\"plain\",\"attempt_timeout_ms\":$attempt_ms,\"deadline_ms\":${plain_deadline_ms:-8000},\"targets\":[$list]}" || return 1
   for ((i = 0; i < customers; i++)); do
-    put_object "customers/customer-$i" "{\"weight\":1}"
+    put_object "customers/customer-$i" "{\"weight\":1}" || return 1
   done
-  put_object presets/ordinary "$(preset_json)"
-  put_object presets/peak "$(preset_json)"
+  put_object presets/ordinary "$(preset_json)" || return 1
+  put_object presets/peak "$(preset_json)" || return 1
   put_object in-force "{\"preset\":\"ordinary\",\"settings\":$(preset_json),\"by\":\"setup\"}"
 }
 
 start_stand_ins () {
   start "$BUILD/fake_platform" "$(platform_port)" "$platform_ms"
   platform_pid=$started
+  wait_process "$platform_pid" "$(platform_port)" || return 1
   start "$BUILD/fake_engine" "$(engine_port 0)" "$engines" "$slots" "$cache_tokens" "$prefill_us" "$itl_ms"
   engine_pid=$started
+  wait_process "$engine_pid" $(($(engine_port 0) - 1)) || return 1
   start "$BUILD/fake_service" "$(service_port 0)" "$workers" "$service_ms"
   service_pid=$started
-  wait_port "$(platform_port)" && wait_port $(($(engine_port 0) - 1)) \
-    && wait_port $(($(service_port 0) - 1))
+  wait_process "$service_pid" $(($(service_port 0) - 1))
 }
 
 # Starts instance $1 and leaves its process in instance_pid[$1].
@@ -134,7 +170,10 @@
   local i=0
   until curl -sf "http://127.0.0.1:$(caller_port "$1")/readyz" > /dev/null; do
     i=$((i + 1))
-    [ "$i" -lt 250 ] || { echo "instance $1 is not ready" >&2; return 1; }
+    if [ "$i" -ge 250 ] || ! kill -0 "${instance_pid[$1]}" 2> /dev/null; then
+      echo "instance $1 is not ready: $(tail -n 1 "$dir/err.log")" >&2
+      return 1
+    fi
     sleep 0.02
   done
 }
@@ -152,7 +191,7 @@
   head -c 24 /dev/urandom | od -An -tx1 | tr -d ' \n' > "$dir/cluster.key"
   head -c 24 /dev/urandom | od -An -tx1 | tr -d ' \n' > "$dir/operator.token"
   trap fleet_stop EXIT
-  start_stand_ins && configure_platform && start_fleet
+  claim_ports && start_stand_ins && configure_platform && start_fleet
 }
 
 fleet_stop () {
@@ -161,5 +200,7 @@
   for pid in $pids; do kill -9 "$pid" 2> /dev/null; done
   wait 2> /dev/null
   pids=
+  [ -z "${port_lock:-}" ] || exec {port_lock}>&-
+  port_lock=
   [ -n "${keep_dir:-}" ] || rm -rf "$dir"
 }
--- a/fakes/fake_http.c
+++ b/fakes/fake_http.c
@@ -7,6 +7,7 @@
 #include <arpa/inet.h>
 
 #include "fake_http.h"
+#include "libsocket.h"
 
 enum
 {
@@ -23,7 +24,8 @@
                           void **state, enum MHD_RequestTerminationCode code);
 
 /* Serves HANDLER on PORT of the loopback address; ends the process if that
-   cannot be.  */
+   cannot be.  The port is not shared, so that two fleets cannot divide each
+   other's calls.  */
 void
 fake_listen (struct fake_server *server, int port, fake_handler handler,
              void *closure)
@@ -32,21 +34,26 @@
                                  .sin_port = htons ((uint16_t)port),
                                  .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
 
+  int fd = sock_listen (&address, BACKLOG);
+
   server->port = port;
   server->handler = handler;
   server->closure = closure;
-  server->daemon = MHD_start_daemon (
-      MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD
-          | MHD_USE_POLL,
-      (uint16_t)port, NULL, NULL, on_request, server, MHD_OPTION_SOCK_ADDR,
-      &address, MHD_OPTION_LISTEN_BACKLOG_SIZE, (unsigned)BACKLOG,
-      MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)TIMEOUT_S,
-      MHD_OPTION_THREAD_STACK_SIZE, (size_t)262144,
-      MHD_OPTION_CONNECTION_LIMIT, (unsigned)8192,
-      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_NOTIFY_COMPLETED,
-      on_completed, NULL, MHD_OPTION_END);
-  if (server->daemon != NULL)
-    return;
+  if (fd >= 0)
+    server->daemon = MHD_start_daemon (
+        MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD
+            | MHD_USE_POLL,
+        (uint16_t)port, NULL, NULL, on_request, server,
+        MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_CONNECTION_TIMEOUT,
+        (unsigned)TIMEOUT_S, MHD_OPTION_THREAD_STACK_SIZE, (size_t)262144,
+        MHD_OPTION_CONNECTION_LIMIT, (unsigned)8192,
+        MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL, MHD_OPTION_END);
+  if (fd >= 0 && server->daemon != NULL)
+    {
+      printf ("port %d listens\n", port);
+      fflush (stdout);
+      return;
+    }
   fprintf (stderr, "port %d cannot be used\n", port);
   exit (EXIT_FAILURE);
 }
