--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,8 @@
 $(BUILD)/ibisloomd: $(BUILD)/daemon/ibisloomd.o $(BUILD)/libibisloom.a
 	$(CC) $(CFLAGS) $(EXTRA) $^ -o $@ $(PKG_LIBS)
 
-$(BUILD)/ibisctl: $(BUILD)/daemon/ibisctl.o $(BUILD)/daemon/ctl_log.o \
+$(BUILD)/ibisctl: $(BUILD)/daemon/ibisctl.o $(BUILD)/daemon/ctl_lines.o $(BUILD)/daemon/ctl_explain.o \
+	$(BUILD)/daemon/ctl_summary.o $(BUILD)/daemon/ctl_audit.o \
   $(BUILD)/libibisloom.a
 	$(CC) $(CFLAGS) $(EXTRA) $^ -o $@ $(PKG_LIBS)
 
--- a/daemon/ibisctl.c
+++ b/daemon/ibisctl.c
@@ -43,6 +43,7 @@
 static int reads_logs (const char *name);
 static int explain (struct session *session);
 static int summary (struct session *session);
+static int audit (struct session *session);
 static int presets_list (struct session *session);
 static int presets_show (struct session *session);
 static int presets_put (struct session *session);
@@ -94,7 +95,8 @@
         "  restore target SERVICE/NAME\n"
         "  operation show CUSTOMER SERVICE KEY\n"
         "  explain REQUEST-ID < LOG\n"
-        "  summary < LOG\n\n"
+        "  summary < LOG\n"
+        "  audit < LOG\n\n"
         "Exit status: 0 done, 1 refused, 2 no instance answered, 64 wrong "
         "command line.",
         NULL,
@@ -131,6 +133,7 @@
 } log_commands[] = {
   { "explain", 1, explain },
   { "summary", 0, summary },
+  { "audit", 0, audit },
 };
 
 /* Runs one command.  */
@@ -219,6 +222,13 @@
   return ctl_summary (stdin, session->json);
 }
 
+/* audit */
+static int
+audit (struct session *session)
+{
+  return ctl_audit (stdin, session->json);
+}
+
 /* presets list */
 static int
 presets_list (struct session *session)
