--- a/Makefile
+++ b/Makefile
@@ -51,13 +51,23 @@
 	$(CC) $(CFLAGS) $(EXTRA) $^ -o $@ $(PKG_LIBS)
 
 $(BUILD)/tests/test_gate: $(BUILD)/tests/test_gate.o \
-  $(BUILD)/tests/gate_fixture.o $(BUILD)/libibisloom.a | $(BUILD)/ibisloomd
+  $(BUILD)/tests/gate_fixture.o \
+  $(BUILD)/libibisloom.a | $(BUILD)/ibisloomd
 	$(CC) $(CFLAGS) $(EXTRA) $^ -o $@ $(PKG_LIBS) -lcunit
 
 $(BUILD)/tests/soak: $(BUILD)/tests/soak.o $(BUILD)/tests/gate_fixture.o \
   $(BUILD)/libibisloom.a | $(BUILD)/ibisloomd
 	$(CC) $(CFLAGS) $(EXTRA) $^ -o $@ $(PKG_LIBS)
 
+$(BUILD)/tests/test_fuzz: $(BUILD)/tests/test_fuzz.o \
+  $(BUILD)/tests/fuzz_parsers.o $(BUILD)/libibisloom.a
+	$(CC) $(CFLAGS) $(EXTRA) $^ -o $@ $(PKG_LIBS) -lcunit
+
+# For clang with -fsanitize=fuzzer-no-link; see DEVELOPERS.md.
+$(BUILD)/tests/fuzz: $(BUILD)/tests/fuzz_main.o \
+  $(BUILD)/tests/fuzz_parsers.o $(BUILD)/libibisloom.a
+	$(CC) $(CFLAGS) -fsanitize=fuzzer $^ -o $@ $(PKG_LIBS)
+
 $(BUILD)/tests/test_%: $(BUILD)/tests/test_%.o $(BUILD)/libibisloom.a
 	$(CC) $(CFLAGS) $(EXTRA) $^ -o $@ $(PKG_LIBS) -lcunit
 
--- a/include/ibisloom/wire.h
+++ b/include/ibisloom/wire.h
@@ -151,6 +151,8 @@
 
 void wire_key_derive (struct wire_key *key, const char *secret,
                       const char *deployment);
+void wire_mac (unsigned char mac[WIRE_MAC_BYTES], const unsigned char *data,
+               size_t length, const struct wire_key *key);
 size_t wire_encode (const struct wire_message *message,
                     const struct wire_key *key, unsigned char *out);
 enum wire_status wire_decode (struct wire_message *message,
--- a/process/wire.c
+++ b/process/wire.c
@@ -55,9 +55,6 @@
 static void read_notes (struct reader *reader, struct wire_message *message);
 static uint64_t next (struct reader *reader, uint64_t max);
 static struct reader next_list (struct reader *reader, uint32_t max);
-static void compute_mac (unsigned char mac[WIRE_MAC_BYTES],
-                         const unsigned char *data, size_t length,
-                         const struct wire_key *key);
 static int is_plain (const unsigned char *data, size_t length);
 static enum wire_status read_message (struct wire_message *message,
                                       const msgpack_object *object);
@@ -112,7 +109,7 @@
   else
     {
       memcpy (out, buffer.data, length);
-      compute_mac (out + length, out, length, key);
+      wire_mac (out + length, out, length, key);
       length += WIRE_MAC_BYTES;
     }
   msgpack_sbuffer_destroy (&buffer);
@@ -132,7 +129,7 @@
   if (length <= WIRE_MAC_BYTES || length > WIRE_MAX_BYTES)
     return WIRE_BAD_FORM;
   length -= WIRE_MAC_BYTES;
-  compute_mac (mac, data, length, key);
+  wire_mac (mac, data, length, key);
   if (sodium_memcmp (mac, data + length, sizeof mac) != 0)
     return WIRE_BAD_MAC;
   if (!is_plain (data, length))
@@ -146,11 +143,12 @@
   return status;
 }
 
-/* Computes the MAC of LENGTH bytes of DATA: keyed BLAKE2b, cut to 64 bits,
-   which a sender without the key cannot guess within a key's life.  */
-static void
-compute_mac (unsigned char mac[WIRE_MAC_BYTES], const unsigned char *data,
-             size_t length, const struct wire_key *key)
+/* Computes the MAC that ends a datagram of LENGTH bytes of DATA: keyed
+   BLAKE2b, cut to 64 bits, which a sender without the key cannot guess within
+   a key's life.  */
+void
+wire_mac (unsigned char mac[WIRE_MAC_BYTES], const unsigned char *data,
+          size_t length, const struct wire_key *key)
 {
   unsigned char digest[DIGEST_BYTES];
 
--- /dev/null
+++ b/tests/fuzz_parsers.h
@@ -0,0 +1,18 @@
+/* Parsers that outsiders reach, each as a function of bytes. */
+#ifndef FUZZ_PARSERS_H
+#define FUZZ_PARSERS_H
+
+#include <stddef.h>
+
+/* A parser under test.  RUN aborts on a broken invariant, and returns whether
+   the input, LENGTH bytes with a 0 behind them, was taken as well formed. */
+struct fuz_parser
+{
+  const char *name; /* also of its corpus in regress/fuzz */
+  int (*run) (const char *input, size_t length);
+};
+
+extern const struct fuz_parser fuz_parsers[];
+extern const size_t fuz_parser_count;
+
+#endif
