Let the soak put proxies on the links, and grow

Cause: the soak injected faults at targets, store and processes; connections were never delayed, cut one way or silenced, and three gates were the most.

Change: tests/link_fixture.c is a loopback proxy for one server; each target and each gate's way to the store has one; their faults are drawn from a generator of their own, so that the other faults of a seed keep their order. A fourth argument gives the number of gates. Ways between gates have no proxy: their datagrams' source is their address.

--- a/tests/gate_fixture.c
+++ b/tests/gate_fixture.c
@@ -21,6 +21,7 @@
 #include "ibisloom/members.h"
 #include "ibisloom/rank.h"
 #include "ibisloom/wire.h"
+#include "link_fixture.h"
 
 enum
 {
@@ -77,6 +78,7 @@
   int ready_port;
   int peer_port;
   int metrics_port;
+  int store_port; /* of its link to the store, or 0 */
 };
 
 static struct gate_process gates[FX_GATES_MAX];
@@ -539,6 +541,28 @@
   fx_store_delete ("servers", target->id);
 }
 
+/* Lets gates reach TARGET through a link from now on.  */
+struct lnk *
+fx_target_link (struct fx_target *target)
+{
+  struct lnk *link = lnk_start (target->port);
+
+  target->port = lnk_port (link);
+  announce (target);
+  return link;
+}
+
+/* Lets the gate numbered GATE, not started yet, reach the store through a link
+   of its own.  */
+struct lnk *
+fx_store_link (int gate)
+{
+  struct lnk *link = lnk_start (store_port);
+
+  gates[gate].store_port = lnk_port (link);
+  return link;
+}
+
 int
 fx_target_requests (struct fx_target *target)
 {
@@ -641,7 +665,7 @@
 }
 
 /* Writes the settings of gate INDEX, with MORE at their end, and returns their
-   path, newly allocated.  Gates are in failure domains "a", "b" and so on.  */
+   path, newly allocated.  */
 static char *
 write_settings (int index, const char *more)
 {
@@ -654,8 +678,9 @@
       "readiness_listen: 127.0.0.1:%d\npeer_listen: 127.0.0.1:%d\n"
       "operator_listen: 127.0.0.1:%d\nplatform: 127.0.0.1:%d\n"
       "retry_slack: 50\ngrace_s: 8\n%s",
-      index, 'a' + index, gate->front_port, gate->ready_port, gate->peer_port,
-      gate->metrics_port, store_port, more);
+      index, 'a' + index % FX_DOMAINS, gate->front_port, gate->ready_port,
+      gate->peer_port, gate->metrics_port,
+      gate->store_port != 0 ? gate->store_port : store_port, more);
 
   g_file_set_contents (path, text, -1, NULL);
   g_free (text);
--- a/tests/gate_fixture.h
+++ b/tests/gate_fixture.h
@@ -18,10 +18,12 @@
 typedef int (*fx_behave_fn) (const struct fx_request *request);
 
 struct fx_target;
+struct lnk;
 
 enum
 {
-  FX_GATES_MAX = 4
+  FX_GATES_MAX = 300,
+  FX_DOMAINS = 3 /* gates are in the domains "a", "b", "c" in turn */
 };
 
 void fx_store_start (const char *config);
@@ -45,6 +47,8 @@
 int fx_target_peer_closed (struct fx_target *target);
 void fx_target_state (struct fx_target *target, const char *state);
 void fx_target_remove (struct fx_target *target);
+struct lnk *fx_target_link (struct fx_target *target);
+struct lnk *fx_store_link (int gate);
 
 void fx_store_put (const char *kind, const char *name, const char *spec);
 void fx_store_delete (const char *kind, const char *name);
--- a/tests/soak.c
+++ b/tests/soak.c
@@ -1,8 +1,10 @@
-/* Fault soak: three real gates, scripted targets and store, callers that check
-   the promises while faults come in series and overlap.
+/* Fault soak: real gates, scripted targets and store, links between them that
+   delay, reset, cut and silence, and callers that check the promises while
+   faults come in series and overlap.
 
-   soak [SEED [SECONDS [DIRECTORY]]] prints what was broken, and one line of
-   figures; the gates' logs stay in DIRECTORY, if one is given.  */
+   soak [SEED [SECONDS [DIRECTORY [GATES]]]] prints what was broken, and one
+   line of figures; the gates' logs stay in DIRECTORY, if one is given and not
+   "-".  */
 #include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
@@ -12,16 +14,18 @@
 #include <unistd.h>
 
 #include "gate_fixture.h"
+#include "link_fixture.h"
 
 enum
 {
-  GATES = 3,
+  GATES_DEFAULT = 3,
   CALLERS = 8,
   TARGETS_A_SERVICE = 3,
   EVENTS = 6,
   SEED_DEFAULT = 1,
   SECONDS_DEFAULT = 5,
   START_MS = 2000,
+  SLOW_MAX_MS = 120,
   QUIET_MS = 3000 /* longer than any request, after the last one */
 };
 
@@ -94,8 +98,12 @@
 static GHashTable *records; /* id to struct record */
 static enum mood moods[2 * TARGETS_A_SERVICE];
 static struct fx_target *targets[2 * TARGETS_A_SERVICE];
+static struct lnk *target_links[2 * TARGETS_A_SERVICE];
+static struct lnk *store_links[FX_GATES_MAX];
+static int gate_count = GATES_DEFAULT;
 static GRand *faults_random;
-static gint restarting[GATES];
+static GRand *links_random; /* of its own: other faults keep their order */
+static gint restarting[FX_GATES_MAX];
 static gint stopping;
 static int violations;
 static int served;
@@ -328,7 +336,7 @@
           kinds[kind].method, kinds[kind].path, id,
           g_rand_int_range (random, 0, 9),
           kind == KIND_READ ? "" : "Content-Length: 0\r\n");
-      int fd = fx_gate_open (g_rand_int_range (random, 0, GATES));
+      int fd = fx_gate_open (g_rand_int_range (random, 0, gate_count));
 
       pthread_mutex_lock (&lock);
       record_of (id)->kind = kind;
@@ -434,7 +442,7 @@
 fault (char *const *logs)
 {
   int kind = g_rand_int_range (faults_random, 0, 12);
-  int gate = g_rand_int_range (faults_random, 0, GATES);
+  int gate = g_rand_int_range (faults_random, 0, gate_count);
   int target = g_rand_int_range (faults_random, 0, 2 * TARGETS_A_SERVICE);
 
   if (kind < 6)
@@ -463,6 +471,35 @@
                      g_rand_boolean (faults_random) ? "draining" : "ready");
 }
 
+/* Lets a link of a target or of a gate's way to the store fail, or heal.  */
+static void
+link_fault (void)
+{
+  int kind = g_rand_int_range (links_random, 0, 8);
+  int target = g_rand_int_range (links_random, 0, 2 * TARGETS_A_SERVICE);
+  int gate = g_rand_int_range (links_random, 0, gate_count);
+  int delay_ms = g_rand_int_range (links_random, 1, SLOW_MAX_MS);
+  enum lnk_mode mode = g_rand_boolean (links_random)
+                           ? LNK_WELL
+                           : (enum lnk_mode)g_rand_int_range (links_random, 0,
+                                                              LNK_MODE_COUNT);
+
+  if (kind == 0)
+    lnk_set (store_links[gate], mode, delay_ms);
+  else if (kind == 1)
+    lnk_set (target_links[target], mode, delay_ms);
+}
+
+/* Heals all links.  */
+static void
+heal_links (void)
+{
+  for (int i = 0; i < gate_count; i++)
+    lnk_set (store_links[i], LNK_WELL, 0);
+  for (int i = 0; i < 2 * TARGETS_A_SERVICE; i++)
+    lnk_set (target_links[i], LNK_WELL, 0);
+}
+
 /* Checks what only shows at the end: nothing that was told not to have run
    ran, and nothing that may run once ran twice.  */
 static void
@@ -485,47 +522,73 @@
     }
 }
 
-/* Runs one soak.  */
-int
-main (int argc, char **argv)
+/* Starts targets, store and gates; the gates' logs go to LOGS.  */
+static void
+start_all (char *const *logs)
 {
-  int seed = argc > 1 ? atoi (argv[1]) : SEED_DEFAULT;
-  int seconds = argc > 2 ? atoi (argv[2]) : SECONDS_DEFAULT;
-  pthread_t callers[CALLERS];
-  char *logs[GATES];
-  int steps = 0;
-
-  records = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  faults_random = g_rand_new_with_seed ((guint32)seed);
   for (int i = 0; i < 2 * TARGETS_A_SERVICE; i++)
     {
       char *id = g_strdup_printf ("i-%d", i);
 
       targets[i] = fx_target_add (id, i < TARGETS_A_SERVICE ? "desk" : "pool",
                                   behaviours[i]);
+      target_links[i] = fx_target_link (targets[i]);
       g_free (id);
     }
   fx_store_start (config);
-  for (int i = 0; i < GATES; i++)
+  for (int i = 0; i < gate_count; i++)
     {
-      logs[i] = argc > 3 ? g_strdup_printf ("%s/gate-%d.log", argv[3], i)
-                         : g_strdup ("/dev/null");
+      store_links[i] = fx_store_link (i);
       fx_gate_spawn (i, logs[i]);
     }
   fx_settled (fx_is_ready);
-  for (int i = 0; i < CALLERS; i++)
-    pthread_create (&callers[i], NULL, call,
-                    GINT_TO_POINTER (seed * CALLERS + i));
-  for (gint64 end = g_get_monotonic_time () + (gint64)seconds * G_USEC_PER_SEC;
-       g_get_monotonic_time () < end; steps++)
+}
+
+/* Plays faults for SECONDS, then heals all.  Returns how many there were.  */
+static int
+play_faults (int seconds, char *const *logs)
+{
+  gint64 end = g_get_monotonic_time () + (gint64)seconds * G_USEC_PER_SEC;
+  int steps = 0;
+
+  for (; g_get_monotonic_time () < end; steps++)
     {
       fault (logs);
+      link_fault ();
       fx_sleep_ms (g_rand_int_range (faults_random, 5, 80));
     }
   fx_store_down (0);
-  for (int i = 0; i < GATES; i++)
+  heal_links ();
+  for (int i = 0; i < gate_count; i++)
     while (g_atomic_int_get (&restarting[i]))
       fx_sleep_ms (10);
+  return steps;
+}
+
+/* Runs one soak.  */
+int
+main (int argc, char **argv)
+{
+  int seed = argc > 1 ? atoi (argv[1]) : SEED_DEFAULT;
+  int seconds = argc > 2 ? atoi (argv[2]) : SECONDS_DEFAULT;
+  int keeps_logs = argc > 3 && strcmp (argv[3], "-") != 0;
+  pthread_t callers[CALLERS];
+  char *logs[FX_GATES_MAX];
+  int steps;
+
+  if (argc > 4)
+    gate_count = CLAMP (atoi (argv[4]), 1, FX_GATES_MAX);
+  records = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  faults_random = g_rand_new_with_seed ((guint32)seed);
+  links_random = g_rand_new_with_seed (~(guint32)seed);
+  for (int i = 0; i < gate_count; i++)
+    logs[i] = keeps_logs ? g_strdup_printf ("%s/gate-%d.log", argv[3], i)
+                         : g_strdup ("/dev/null");
+  start_all (logs);
+  for (int i = 0; i < CALLERS; i++)
+    pthread_create (&callers[i], NULL, call,
+                    GINT_TO_POINTER (seed * CALLERS + i));
+  steps = play_faults (seconds, logs);
   g_atomic_int_set (&stopping, 1);
   for (int i = 0; i < CALLERS; i++)
     pthread_join (callers[i], NULL);
