Trace the soak scenario's cut answers to the kill

Change: report=cuts lists each cut answer with its instance and time; the scenario notes its kills and counts the cut answers that no kill explains.

--- a/bench/load_report.c
+++ b/bench/load_report.c
@@ -1,4 +1,5 @@
 /* Figures and history checks of one run. */
+#include <inttypes.h>
 #include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -34,6 +35,7 @@
 static void report_plain (const struct context *context);
 static void report_speed (const struct context *context);
 static void report_failures (const struct context *context);
+static void report_cuts (const struct context *context);
 static void print_quantiles (const char *name, GArray *values,
                              const char *unit);
 static int64_t engine_runs (const struct context *context);
@@ -54,7 +56,7 @@
   { "skew", report_skew },         { "surge", report_surge },
   { "gaps", report_gaps },         { "once", report_once },
   { "plain", report_plain },       { "speed", report_speed },
-  { "failures", report_failures },
+  { "failures", report_failures }, { "cuts", report_cuts },
 };
 
 /* Prints the figures of report NAME.  Returns 0, or -1 if there is no such
@@ -421,6 +423,23 @@
   g_hash_table_iter_init (&iter, counts);
   while (g_hash_table_iter_next (&iter, &key, &value))
     printf ("failure %d %s\n", GPOINTER_TO_INT (value), (char *)key);
+  g_hash_table_destroy (counts);
+}
+
+/* Lists the cut answers: where, and when in milliseconds of the clock.  */
+static void
+report_cuts (const struct context *context)
+{
+  for (guint i = 0; i < context->records->len; i++)
+    {
+      const struct load_record *record
+          = &g_array_index (context->records, struct load_record, i);
+
+      if (record->cut)
+        printf ("cut %" PRId64 " instance %d got %" PRId64 "/%" PRId64 " %s\n",
+                record->end_us / 1000, record->instance, record->got,
+                record->tokens, record->request_id);
+    }
 }
 
 /* Prints the median and the 99th percentile of VALUES.  */
--- a/bench/scenarios.sh
+++ b/bench/scenarios.sh
@@ -213,7 +213,7 @@
     i=$drawn
     draw 0 7
     case $drawn in
-      0) kill -9 "${instance_pid[$i]}"; wait "${instance_pid[$i]}" 2> /dev/null
+      0) echo "kill $(now_ms) instance $i" >> "$dir/kills"; kill -9 "${instance_pid[$i]}"; wait "${instance_pid[$i]}" 2> /dev/null
          start_instance "$i" ;;
       1) kill -STOP "${instance_pid[$i]}"; sleep 5; kill -CONT "${instance_pid[$i]}" ;;
       2) draw 0 2; service_fault "$drawn" before 50 ;;
@@ -537,7 +537,7 @@
   draw 0 8
   echo "fault $(($(now_ms) - load_began)) $drawn instance $i"
   case $drawn in
-    0) kill -9 "${instance_pid[$i]}"; wait "${instance_pid[$i]}" 2> /dev/null; start_instance "$i" ;;
+    0) echo "kill $(now_ms) instance $i" >> "$dir/kills"; kill -9 "${instance_pid[$i]}"; wait "${instance_pid[$i]}" 2> /dev/null; start_instance "$i" ;;
     1) kill -STOP "${instance_pid[$i]}"; sleep 5; kill -CONT "${instance_pid[$i]}" ;;
     2) platform_fault down ;;
     3) platform_fault lose 30 ;;
@@ -574,4 +574,16 @@
   report chats
   "$BUILD/ibisload" report=once out="$dir/calls" service_port=$(($(service_port 0) - 1))
   report failures
+  report cuts | cut_unexplained
+}
+
+# Lists the cut answers, and counts those that no kill of their instance cut;
+# the clock of the shell is 10 ms coarse.
+cut_unexplained () {
+  touch "$dir/kills"
+  awk '$1 == "kill" { kills[++n] = $2; where[n] = $4; next }
+    { print; cut = 1
+      for (i = 1; i <= n; i++) if (where[i] == $4 && $2 >= kills[i] - 10 && $2 <= kills[i] + 200) cut = 0
+      unexplained += cut }
+    END { printf "figure cut_unexplained %d answers\n", unexplained }' "$dir/kills" -
 }
