Let the soak wait for every gate before its first fault

The soak waited only for the first gate; a SIGTERM that came 50 ms after the spawn of the third met a process before its main and ended it (status -15, its log begins after that). Ruled out: a fault of the gate; every gate that had begun to listen logged "stopping" and "stopped".

Change: all gates listen before the first fault; the violation names the gate and its status.

--- a/tests/gate_fixture.c
+++ b/tests/gate_fixture.c
@@ -977,8 +977,8 @@
     kill (gates[index].pid, number);
 }
 
-/* Waits for the end of gate INDEX, if it runs, and returns its exit status; -1
-   if a signal ended it.  */
+/* Waits for the end of gate INDEX, if it runs, and returns its exit status, or
+   less than 0, the number of the signal that ended it.  */
 int
 fx_gate_wait (int index)
 {
@@ -994,7 +994,7 @@
       fx_sleep_ms (5);
     }
   gates[index].pid = 0;
-  return WIFEXITED (status) ? WEXITSTATUS (status) : -1;
+  return WIFEXITED (status) ? WEXITSTATUS (status) : -WTERMSIG (status);
 }
 
 void
--- a/tests/soak.c
+++ b/tests/soak.c
@@ -367,6 +367,15 @@
   return NULL;
 }
 
+/* Waits until gate INDEX takes connections: a signal before main ends any
+   process.  */
+static void
+await_listener (int index)
+{
+  for (int ms = 0; !fx_gate_listens (index) && ms < START_MS; ms += 5)
+    fx_sleep_ms (5);
+}
+
 /* A restart of one gate, while other faults come. */
 struct restart
 {
@@ -386,12 +395,16 @@
   fx_gate_signal (restart->gate, restart->number);
   status = fx_gate_wait (restart->gate);
   if (restart->number == SIGTERM && status != 0)
-    violate ("gate", "a stop did not end in order", NULL);
+    {
+      char *what
+          = g_strdup_printf ("gate %d ended with %d", restart->gate, status);
+
+      violate ("stop", what, NULL);
+      g_free (what);
+    }
   fx_sleep_ms (restart->pause_ms);
   fx_gate_spawn (restart->gate, restart->log);
-  /* A signal before main ends any process.  */
-  for (int ms = 0; !fx_gate_listens (restart->gate) && ms < START_MS; ms += 5)
-    fx_sleep_ms (5);
+  await_listener (restart->gate);
   g_atomic_int_set (&restarting[restart->gate], 0);
   g_free (restart);
   return NULL;
@@ -541,6 +554,8 @@
       store_links[i] = fx_store_link (i);
       fx_gate_spawn (i, logs[i]);
     }
+  for (int i = 0; i < gate_count; i++)
+    await_listener (i);
   fx_settled (fx_is_ready);
 }
 
