--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 
 $(BUILD)/%.o: %.c config.mk
 	@mkdir -p $(@D)
-	$(CC) $(ALL_CFLAGS) -MMD -c $< -o $@
+	$(CC) $(ALL_CFLAGS) -MMD -MP -c $< -o $@
 
 $(BUILD)/libibisloom.a: $(LIB_OBJ)
 	@rm -f $@
