Take all targets of a large service into account

The choice saw only the first 512 targets of a service, so these took all requests, and the mean that it kept to was theirs.

Change: the tables hold 20,000 targets of a service.

The test with 16,200 targets fails on the code before.

--- a/include/ibisloom/choose.h
+++ b/include/ibisloom/choose.h
@@ -10,7 +10,9 @@
 
 enum
 {
-  CHO_CANDIDATES_MAX = 512
+  /* Ten targets of one service an instance, at 1,600 instances, and some to
+     spare; what is not used of tables of this size takes no memory.  */
+  CHO_CANDIDATES_MAX = 20000
 };
 
 /* A target as this instance sees it now. */
--- a/tests/test_choose.c
+++ b/tests/test_choose.c
@@ -11,6 +11,7 @@
 enum
 {
   TARGETS = 12,
+  LARGE_SERVICE = 16200, /* ten targets an instance, at 1,620 instances */
   CONTEXTS = 60,
   ARRIVALS = 6000,
   STAY_MS = 1000, /* of one request at its target */
@@ -32,6 +33,7 @@
 static void restarted_target_is_trusted_anew (void);
 static void old_news_is_dropped (void);
 static void missing_targets_are_doubted (void);
+static void all_targets_of_a_large_service_are_candidates (void);
 static void lapse_of_a_domain_does_not_excuse_others (void);
 static void mass_lapse_is_not_believed (void);
 
@@ -55,6 +57,8 @@
   { "a restarted target is trusted anew", restarted_target_is_trusted_anew },
   { "news older than what is known is dropped", old_news_is_dropped },
   { "missing targets are doubted, then dropped", missing_targets_are_doubted },
+  { "all targets of a large service are candidates",
+    all_targets_of_a_large_service_are_candidates },
   { "the lapse of a domain does not excuse others",
     lapse_of_a_domain_does_not_excuse_others },
   { "many missing at once are still used", mass_lapse_is_not_believed },
@@ -405,6 +409,26 @@
   reg_free (reg);
 }
 
+static void
+all_targets_of_a_large_service_are_candidates (void)
+{
+  static struct cho_candidate candidates[CHO_CANDIDATES_MAX];
+  static struct reg_target *targets[CHO_CANDIDATES_MAX];
+  struct reg *reg = reg_new ();
+  char id[16];
+
+  for (int i = 0; i < LARGE_SERVICE; i++)
+    {
+      g_snprintf (id, sizeof id, "i-%d", i);
+      put (reg, id, (uint64_t)i + 1, 0);
+    }
+  CU_ASSERT_EQUAL (reg_candidates (reg, g_intern_string ("pool"),
+                                   g_intern_string ("a"), 0, candidates,
+                                   targets, CHO_CANDIDATES_MAX),
+                   LARGE_SERVICE);
+  reg_free (reg);
+}
+
 static void
 lapse_of_a_domain_does_not_excuse_others (void)
 {
