Look at a kept connection before it is used again; ask a lone target twice

Bytes that came after an answer wait in a kept connection that the loop has not looked at yet; the next request took it and read them as its answer. That was found out and counted as a fault, but the repeat had no other target to go to, since the only one had it already.

Change: a kept connection with something to read is closed, not taken; where no other target is left, a repeat may go to one that had the request, within its attempts and budget.

A new test (the first connection closes without an answer, one target) fails on the code before.

--- a/connection/libsocket.h
+++ b/connection/libsocket.h
@@ -10,5 +10,6 @@
 int sock_connect (const struct sockaddr_in *address);
 void sock_tune (int fd, int64_t silence_ms, int keepalive_idle_s);
 int sock_error (int fd);
+int sock_is_quiet (int fd);
 
 #endif
--- a/connection/outcall.c
+++ b/connection/outcall.c
@@ -242,15 +242,24 @@
   return conn;
 }
 
-/* Returns the idle connection to ADDRESS that was used last, or NULL.  */
+/* Returns the idle connection to ADDRESS that was used last and is still good,
+   or NULL.  */
 static struct out_conn *
 conn_take (struct out_pool *pool, const struct sockaddr_in *address)
 {
   GQueue *queue = idle_of (pool, address);
-  struct out_conn *conn = queue ? g_queue_pop_head (queue) : NULL;
+  struct out_conn *conn = queue ? g_queue_peek_head (queue) : NULL;
 
+  /* What came after the last answer, or an end, is not seen by the loop yet.
+   */
+  while (conn != NULL && !sock_is_quiet (conn->io.fd))
+    {
+      conn_close (conn);
+      conn = g_queue_peek_head (queue);
+    }
   if (conn == NULL)
     return NULL;
+  g_queue_pop_head (queue);
   pool->idle_count--;
   ev_timer_stop (pool->loop, &conn->timer);
   conn->state = CONN_ACTIVE;
--- a/connection/socket.c
+++ b/connection/socket.c
@@ -86,6 +86,16 @@
   return error;
 }
 
+/* Returns whether FD is open and has nothing to read.  */
+int
+sock_is_quiet (int fd)
+{
+  char byte;
+
+  return recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0
+         && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 /* Sets one option; a kernel that lacks it works without.  */
 static void
 set (int fd, int level, int name, int value)
--- a/request/relay.c
+++ b/request/relay.c
@@ -36,6 +36,8 @@
 static int is_among (const uint64_t *ids, uint32_t count, uint64_t id);
 static void exclude (const struct rly *rly, struct cho_candidate *candidates,
                      size_t count);
+static int include_tried (const struct rly *rly,
+                          struct cho_candidate *candidates, size_t count);
 static void note_unreached (struct rly *rly);
 static uint32_t sends_max (const struct rly *rly);
 static enum tru_event event_of (const struct rly *rly, enum retry_fault fault);
@@ -220,7 +222,9 @@
   exclude (rly, candidates, count);
   if (rly->context != 0)
     wish.holders = ctx_find (gate->contexts, rly->context);
-  if (!cho_pick (&wish, candidates, count, &choice))
+  if (!cho_pick (&wish, candidates, count, &choice)
+      && !(include_tried (rly, candidates, count)
+           && cho_pick (&wish, candidates, count, &choice)))
     {
       rly_log_place (rly, &choice, count);
       if (rly->may_have_run)
@@ -516,6 +520,24 @@
     }
 }
 
+/* Lets RLY go once more to targets that had it, where no other is left.
+   Returns whether there are any.  */
+static int
+include_tried (const struct rly *rly, struct cho_candidate *candidates,
+               size_t count)
+{
+  int any = 0;
+
+  for (size_t i = 0; i < count; i++)
+    if (is_among (rly->tried, rly->tried_count, candidates[i].id)
+        && !is_among (rly->unreached, rly->unreached_count, candidates[i].id))
+      {
+        candidates[i].excluded = 0;
+        any = 1;
+      }
+  return any;
+}
+
 /* Takes note that the target at hand could not be called.  */
 static void
 note_unreached (struct rly *rly)
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -54,6 +54,7 @@
 static void broken_stream_does_not_look_complete (void);
 static void foreign_answers_are_not_passed_on (void);
 static void extra_bytes_reach_nobody (void);
+static void lone_target_is_asked_again (void);
 static void smuggled_requests_are_refused (void);
 static void callers_cannot_speak_as_the_system (void);
 static void signals_while_starting_are_kept (void);
@@ -87,6 +88,7 @@
     broken_stream_does_not_look_complete },
   { "answers to others are not passed on", foreign_answers_are_not_passed_on },
   { "bytes after an answer reach nobody", extra_bytes_reach_nobody },
+  { "a lone target is asked again", lone_target_is_asked_again },
   { "requests with two lengths are refused", smuggled_requests_are_refused },
   { "callers cannot set the system's fields",
     callers_cannot_speak_as_the_system },
@@ -481,6 +483,28 @@
   fx_stop ();
 }
 
+/* Closes the first connection without an answer.  */
+static int
+well_the_second_time (const struct fx_request *request)
+{
+  if (request->number == 1)
+    return 0;
+  reply (request, "200 OK", "well");
+  return 1;
+}
+
+static void
+lone_target_is_asked_again (void)
+{
+  struct fx_target *target
+      = fx_target_add ("i-1", "desk", well_the_second_time);
+
+  fx_start (config);
+  expect (READ ("r1"), "200", "well");
+  CU_ASSERT_EQUAL (fx_target_requests (target), 2);
+  fx_stop ();
+}
+
 static void
 extra_bytes_reach_nobody (void)
 {
