--- a/request/librequest.h
+++ b/request/librequest.h
@@ -155,6 +155,10 @@
 /* request.c */
 void req_claim (struct req *req);
 void req_place (struct req *req);
+void req_take_step (struct req *req, const struct place_step *step);
+void req_send_to (struct req *req, uint64_t target);
+clk_ms req_next_silence (const struct req *req);
+void req_deposit (struct req *req);
 void req_leave_queue (struct req *req);
 void req_on_reply (struct req *req, const struct peer_reply *reply);
 void req_on_ledger (struct req *req, const struct led_reply *reply);
--- a/request/request.c
+++ b/request/request.c
@@ -1,56 +1,24 @@
 /* Life of a request: record, placement, attempts, answer. */
 #include <string.h>
 
-#include <ck_pr.h>
-
 #include "ibisloom/log.h"
 #include "libconnection.h"
 
 enum
 {
   ANSWER_MAX_BYTES = 8388608,
-  WAIT_JITTER_MS = 10,
-  HTTP_SERVER_ERROR = 500,
-  HTTP_UNAVAILABLE = 503,
-  HTTP_BAD_REQUEST = 400
+  HTTP_SERVER_ERROR = 500
 };
 
-typedef void (*step_handler) (struct req *req, const struct place_step *step);
-
-static int32_t room (void *closure, uint64_t target);
-static void step_ask (struct req *req, const struct place_step *step);
-static void step_take (struct req *req, const struct place_step *step);
-static void step_wait (struct req *req, const struct place_step *step);
-static void step_refuse (struct req *req, const struct place_step *step);
-static void place_plain (struct req *req, const struct ver_service *service);
-static void send_to (struct req *req, uint64_t target);
-static void count_placement (struct req *req, uint32_t verdict);
-static void release (struct req *req, enum own_outcome outcome);
+static void judge_answer (struct req *req);
 static void succeed (struct req *req);
 static void leave_note (struct req *req);
 static void give_up (struct req *req, const struct retry_decision *decision);
+static void refuse_at_deadline (struct req *req);
+static int is_connect_fault (struct req *req, int code);
+static void release (struct req *req, enum own_outcome outcome);
 static struct retry_budget *budget_get (struct server *server,
                                         uint64_t service);
-static void deposit (struct req *req);
-static int is_connect_fault (struct req *req, int code);
-static void judge_answer (struct req *req);
-static clk_ms next_silence (const struct req *req);
-static void refuse_at_deadline (struct req *req);
-
-static const step_handler step_handlers[] = {
-  [PLACE_ASK] = step_ask,
-  [PLACE_TAKE] = step_take,
-  [PLACE_WAIT] = step_wait,
-  [PLACE_REFUSE] = step_refuse,
-};
-
-static const enum met_counter denial_counters[] = {
-  [OWN_DENY_BOUND] = MET_DENIED_BOUND,
-  [OWN_DENY_CAPACITY] = MET_DENIED_CAPACITY,
-  [OWN_DENY_SHARE] = MET_DENIED_SHARE,
-  [OWN_DENY_DOWN] = MET_DENIED_DOWN,
-  [OWN_DENY_LEAVING] = MET_DENIED_LEAVING,
-};
 
 static const enum met_counter fault_counters[RETRY_FAULT_COUNT] = {
   [RETRY_FAULT_CONNECT] = MET_RETRY_CONNECT,
@@ -69,88 +37,6 @@
   [RETRY_REASON_MAY_HAVE_RUN] = REFUSE_MAY_HAVE_RUN,
 };
 
-static const enum req_refusal place_refusals[] = {
-  [PLACE_NO_TARGET] = REFUSE_NO_TARGET,
-  [PLACE_CAPACITY] = REFUSE_CAPACITY,
-  [PLACE_CUSTOMER_SHARE] = REFUSE_CUSTOMER_SHARE,
-};
-
-/* Chooses a target for REQ and sends it there.  Targets that failed it are
-   left out until all have.  */
-void
-req_place (struct req *req)
-{
-  const struct ver_snapshot *version = req->worker->version;
-  const struct ver_service *service = ver_service_find (version, req->service);
-  clk_ms now = clk_now (clk_monotonic ());
-  struct place_wish wish
-      = { .chat = req->chat,
-          .context_wait_ms = version->preset.context_wait_ms,
-          .give_up_ms = MIN (now + version->preset.queue_ms, req->deadline_ms),
-          .room = room,
-          .closure = req };
-  struct place_step step = { 0 };
-
-  if (service == NULL)
-    {
-      req_refuse (req, REFUSE_UNKNOWN_SERVICE, REQ_NOT_RUN);
-      return;
-    }
-  if (req->tries == 0)
-    deposit (req);
-  if (req->excluded_count >= service->ready_count)
-    req->excluded_count = 0;
-  req->phase = REQ_PLACING;
-  req->timer_ms = req->deadline_ms;
-  if (service->kind == VER_KIND_PLAIN)
-    {
-      place_plain (req, service);
-      return;
-    }
-  if (!req_enter_queue (req, now))
-    {
-      req_refuse (req, REFUSE_CUSTOMER_SHARE,
-                  req->may_have_run ? REQ_MAY_HAVE_RUN : REQ_NOT_RUN);
-      return;
-    }
-  place_start (&req->place, version, service, &wish, req->excluded,
-               req->excluded_count, &step);
-  step_handlers[step.action](req, &step);
-}
-
-/* Tells the choice of the request CLOSURE how much room TARGET seems to
-   have.  */
-static int32_t
-room (void *closure, uint64_t target)
-{
-  const struct req *req = closure;
-
-  return peer_room (req->worker->server->peer, req->worker->version, target);
-}
-
-/* Goes on with the owner's REPLY.  */
-void
-req_on_reply (struct req *req, const struct peer_reply *reply)
-{
-  struct place_step step = { 0 };
-
-  if (reply->verdict >= OWN_DENY_BOUND && reply->verdict <= OWN_DENY_LEAVING)
-    met_inc (denial_counters[reply->verdict]);
-  if (reply->verdict == OWN_DENY_SHARE)
-    req_customer (req)->denied_ms = clk_now (clk_monotonic ());
-  place_next (&req->place, reply->verdict, reply->elsewhere,
-              clk_now (clk_monotonic ()), &step);
-  if (step.action == PLACE_TAKE)
-    {
-      req->has_grant = 1;
-      if (reply->verdict != OWN_GRANT)
-        peer_keep (req->worker->server->peer, req->grant, req->asked_target,
-                   req->asked_domain);
-      count_placement (req, reply->verdict);
-    }
-  step_handlers[step.action](req, &step);
-}
-
 /* Acts on what is due for REQ at NOW.  */
 void
 req_on_timer (struct req *req, clk_ms now)
@@ -176,11 +62,11 @@
       req->phase = REQ_PLACING;
       req->timer_ms = req->deadline_ms;
       place_next (&req->place, 0, 0, now, &step);
-      step_handlers[step.action](req, &step);
+      req_take_step (req, &step);
     }
   else if (req->phase == REQ_SENDING)
     {
-      req->timer_ms = next_silence (req);
+      req->timer_ms = req_next_silence (req);
       if (now >= req->timer_ms)
         req_fault (req, RETRY_FAULT_SILENT);
     }
@@ -287,7 +173,7 @@
       back_abort (req);
       req->resumes++;
       req->resume_target = target;
-      send_to (req, target);
+      req_send_to (req, target);
       return;
     }
   req_end_attempt (req, fault == RETRY_FAULT_BUSY ? OWN_OUTCOME_UNKNOWN
@@ -321,105 +207,6 @@
   req_free_if_over (req);
 }
 
-/* Asks the owner of STEP's target for admission.  */
-static void
-step_ask (struct req *req, const struct place_step *step)
-{
-  const struct ver_snapshot *version = req->worker->version;
-  const struct ver_target *target = ver_target_find (version, step->target);
-  struct peer_query query
-      = { .target = step->target,
-          .domain = target ? target->domain_id : 0,
-          .chat = step->target == place_home (&req->place) ? req->chat : 0,
-          .customer = req->customer_id,
-          .flags = step->flags,
-          .wait_ms = (uint32_t)step->wait_ms,
-          .priority = (uint32_t)req->priority };
-
-  req->asked_target = step->target;
-  req->asked_domain = query.domain;
-  req->grant = peer_ask (req->worker->server->peer, version, &query,
-                         worker_post_reply, req->worker, req->id);
-}
-
-/* Sends REQ to the target that was asked last.  */
-static void
-step_take (struct req *req, const struct place_step *step)
-{
-  (void)step;
-  send_to (req, req->asked_target);
-}
-
-/* Waits for the time of STEP.  */
-static void
-step_wait (struct req *req, const struct place_step *step)
-{
-  met_inc (MET_QUEUED);
-  req->phase = REQ_WAITING;
-  req->timer_ms = clk_now (clk_monotonic ()) + step->wait_ms
-                  + g_rand_int_range (req->worker->random, 0, WAIT_JITTER_MS);
-}
-
-/* Refuses REQ for the reason of STEP.  */
-static void
-step_refuse (struct req *req, const struct place_step *step)
-{
-  req_seal_not_run (req);
-  req_refuse (req, place_refusals[step->reason],
-              req->may_have_run ? REQ_MAY_HAVE_RUN : REQ_NOT_RUN);
-}
-
-/* Sends a call to a target of the plain SERVICE.  */
-static void
-place_plain (struct req *req, const struct ver_service *service)
-{
-  uint64_t target = plain_choose (req, req->worker->version, service);
-  struct place_step step
-      = { .action = PLACE_REFUSE, .reason = PLACE_NO_TARGET };
-
-  if (target == 0)
-    {
-      step_refuse (req, &step);
-      return;
-    }
-  req->holds_plain = 1;
-  send_to (req, target);
-}
-
-/* Starts an attempt at TARGET.  */
-static void
-send_to (struct req *req, uint64_t target)
-{
-  const struct ver_target *entry
-      = ver_target_find (req->worker->version, target);
-
-  req_leave_queue (req);
-  req->target = target;
-  req->phase = REQ_SENDING;
-  if (entry == NULL)
-    {
-      req_fault (req, RETRY_FAULT_CONNECT);
-      return;
-    }
-  back_send (req, entry);
-  req->tries++;
-  req->timer_ms = next_silence (req);
-}
-
-/* Counts how REQ found its target.  */
-static void
-count_placement (struct req *req, uint32_t verdict)
-{
-  if (verdict == PEER_TIMEOUT)
-    met_inc (MET_PLACED_UNOWNED);
-  else if (req->asked_target == place_home (&req->place))
-    met_inc (MET_PLACED_HOME);
-  else if (req->asked_target == req->place.noted)
-    met_inc (MET_PLACED_NOTE);
-  else
-    met_inc (MET_PLACED_WALK);
-}
-
 /* Judges an answer that arrived whole.  */
 static void
 judge_answer (struct req *req)
@@ -528,8 +315,8 @@
 /* Returns when the attempt under way counts as silent.  A call that may not
    be repeated is waited for until its deadline, as nothing else could be done
    about it.  */
-static clk_ms
-next_silence (const struct req *req)
+clk_ms
+req_next_silence (const struct req *req)
 {
   int64_t limit_ms
       = req->kind == VER_KIND_CHAT ? req->silence_ms : req->attempt_timeout_ms;
@@ -572,8 +359,8 @@
 }
 
 /* Credits the retry budget of REQ's service.  */
-static void
-deposit (struct req *req)
+void
+req_deposit (struct req *req)
 {
   struct server *server = req->worker->server;
 
--- /dev/null
+++ b/request/request_place.c
@@ -0,0 +1,220 @@
+/* Where a chat or a call goes: owners are asked, targets taken.  */
+#include "libconnection.h"
+
+enum
+{
+  WAIT_JITTER_MS = 10
+};
+
+static int32_t room (void *closure, uint64_t target);
+static void step_ask (struct req *req, const struct place_step *step);
+static void step_take (struct req *req, const struct place_step *step);
+static void step_wait (struct req *req, const struct place_step *step);
+static void step_refuse (struct req *req, const struct place_step *step);
+static void place_plain (struct req *req, const struct ver_service *service);
+static void count_placement (struct req *req, uint32_t verdict);
+
+typedef void (*step_handler) (struct req *req, const struct place_step *step);
+
+static const step_handler step_handlers[] = {
+  [PLACE_ASK] = step_ask,
+  [PLACE_TAKE] = step_take,
+  [PLACE_WAIT] = step_wait,
+  [PLACE_REFUSE] = step_refuse,
+};
+
+static const enum met_counter denial_counters[] = {
+  [OWN_DENY_BOUND] = MET_DENIED_BOUND,
+  [OWN_DENY_CAPACITY] = MET_DENIED_CAPACITY,
+  [OWN_DENY_SHARE] = MET_DENIED_SHARE,
+  [OWN_DENY_DOWN] = MET_DENIED_DOWN,
+  [OWN_DENY_LEAVING] = MET_DENIED_LEAVING,
+};
+
+static const enum req_refusal place_refusals[] = {
+  [PLACE_NO_TARGET] = REFUSE_NO_TARGET,
+  [PLACE_CAPACITY] = REFUSE_CAPACITY,
+  [PLACE_CUSTOMER_SHARE] = REFUSE_CUSTOMER_SHARE,
+};
+
+/* Does what STEP of the placement says.  */
+void
+req_take_step (struct req *req, const struct place_step *step)
+{
+  step_handlers[step->action](req, step);
+}
+
+/* Chooses a target for REQ and sends it there.  Targets that failed it are
+   left out until all have.  */
+void
+req_place (struct req *req)
+{
+  const struct ver_snapshot *version = req->worker->version;
+  const struct ver_service *service = ver_service_find (version, req->service);
+  clk_ms now = clk_now (clk_monotonic ());
+  struct place_wish wish
+      = { .chat = req->chat,
+          .context_wait_ms = version->preset.context_wait_ms,
+          .give_up_ms = MIN (now + version->preset.queue_ms, req->deadline_ms),
+          .room = room,
+          .closure = req };
+  struct place_step step = { 0 };
+
+  if (service == NULL)
+    {
+      req_refuse (req, REFUSE_UNKNOWN_SERVICE, REQ_NOT_RUN);
+      return;
+    }
+  if (req->tries == 0)
+    req_deposit (req);
+  if (req->excluded_count >= service->ready_count)
+    req->excluded_count = 0;
+  req->phase = REQ_PLACING;
+  req->timer_ms = req->deadline_ms;
+  if (service->kind == VER_KIND_PLAIN)
+    {
+      place_plain (req, service);
+      return;
+    }
+  if (!req_enter_queue (req, now))
+    {
+      req_refuse (req, REFUSE_CUSTOMER_SHARE,
+                  req->may_have_run ? REQ_MAY_HAVE_RUN : REQ_NOT_RUN);
+      return;
+    }
+  place_start (&req->place, version, service, &wish, req->excluded,
+               req->excluded_count, &step);
+  req_take_step (req, &step);
+}
+
+/* Tells the choice of the request CLOSURE how much room TARGET seems to
+   have.  */
+static int32_t
+room (void *closure, uint64_t target)
+{
+  const struct req *req = closure;
+
+  return peer_room (req->worker->server->peer, req->worker->version, target);
+}
+
+/* Goes on with the owner's REPLY.  */
+void
+req_on_reply (struct req *req, const struct peer_reply *reply)
+{
+  struct place_step step = { 0 };
+
+  if (reply->verdict >= OWN_DENY_BOUND && reply->verdict <= OWN_DENY_LEAVING)
+    met_inc (denial_counters[reply->verdict]);
+  if (reply->verdict == OWN_DENY_SHARE)
+    req_customer (req)->denied_ms = clk_now (clk_monotonic ());
+  place_next (&req->place, reply->verdict, reply->elsewhere,
+              clk_now (clk_monotonic ()), &step);
+  if (step.action == PLACE_TAKE)
+    {
+      req->has_grant = 1;
+      if (reply->verdict != OWN_GRANT)
+        peer_keep (req->worker->server->peer, req->grant, req->asked_target,
+                   req->asked_domain);
+      count_placement (req, reply->verdict);
+    }
+  req_take_step (req, &step);
+}
+
+/* Asks the owner of STEP's target for admission.  */
+static void
+step_ask (struct req *req, const struct place_step *step)
+{
+  const struct ver_snapshot *version = req->worker->version;
+  const struct ver_target *target = ver_target_find (version, step->target);
+  struct peer_query query
+      = { .target = step->target,
+          .domain = target ? target->domain_id : 0,
+          .chat = step->target == place_home (&req->place) ? req->chat : 0,
+          .customer = req->customer_id,
+          .flags = step->flags,
+          .wait_ms = (uint32_t)step->wait_ms,
+          .priority = (uint32_t)req->priority };
+
+  req->asked_target = step->target;
+  req->asked_domain = query.domain;
+  req->grant = peer_ask (req->worker->server->peer, version, &query,
+                         worker_post_reply, req->worker, req->id);
+}
+
+/* Sends REQ to the target that was asked last.  */
+static void
+step_take (struct req *req, const struct place_step *step)
+{
+  (void)step;
+  req_send_to (req, req->asked_target);
+}
+
+/* Waits for the time of STEP.  */
+static void
+step_wait (struct req *req, const struct place_step *step)
+{
+  met_inc (MET_QUEUED);
+  req->phase = REQ_WAITING;
+  req->timer_ms = clk_now (clk_monotonic ()) + step->wait_ms
+                  + g_rand_int_range (req->worker->random, 0, WAIT_JITTER_MS);
+}
+
+/* Refuses REQ for the reason of STEP.  */
+static void
+step_refuse (struct req *req, const struct place_step *step)
+{
+  req_seal_not_run (req);
+  req_refuse (req, place_refusals[step->reason],
+              req->may_have_run ? REQ_MAY_HAVE_RUN : REQ_NOT_RUN);
+}
+
+/* Sends a call to a target of the plain SERVICE.  */
+static void
+place_plain (struct req *req, const struct ver_service *service)
+{
+  uint64_t target = plain_choose (req, req->worker->version, service);
+  struct place_step step
+      = { .action = PLACE_REFUSE, .reason = PLACE_NO_TARGET };
+
+  if (target == 0)
+    {
+      step_refuse (req, &step);
+      return;
+    }
+  req->holds_plain = 1;
+  req_send_to (req, target);
+}
+
+/* Starts an attempt at TARGET.  */
+void
+req_send_to (struct req *req, uint64_t target)
+{
+  const struct ver_target *entry
+      = ver_target_find (req->worker->version, target);
+
+  req_leave_queue (req);
+  req->target = target;
+  req->phase = REQ_SENDING;
+  if (entry == NULL)
+    {
+      req_fault (req, RETRY_FAULT_CONNECT);
+      return;
+    }
+  back_send (req, entry);
+  req->tries++;
+  req->timer_ms = req_next_silence (req);
+}
+
+/* Counts how REQ found its target.  */
+static void
+count_placement (struct req *req, uint32_t verdict)
+{
+  if (verdict == PEER_TIMEOUT)
+    met_inc (MET_PLACED_UNOWNED);
+  else if (req->asked_target == place_home (&req->place))
+    met_inc (MET_PLACED_HOME);
+  else if (req->asked_target == req->place.noted)
+    met_inc (MET_PLACED_NOTE);
+  else
+    met_inc (MET_PLACED_WALK);
+}
--- a/version/libledger.h
+++ b/version/libledger.h
@@ -7,6 +7,9 @@
 
 #include "ibisloom/clock.h"
 #include "ibisloom/ledger.h"
+#include "ibisloom/fetch.h"
+#include "ibisloom/members.h"
+#include "ibisloom/peer.h"
 #include "ibisloom/platform.h"
 
 enum led_kind
@@ -18,7 +21,11 @@
 
 enum
 {
-  LEDGER_NAME_MAX_BYTES = 128
+  LEDGER_NAME_MAX_BYTES = 128,
+  SENDER_COUNT = 10,
+  FINISH_TIMEOUT_MS = 400, /* of a call to another instance */
+  RETRY_MIN_MS = 20,
+  AVOIDED_MAX = 4
 };
 
 /* A batch that another instance sent, until all of it is answered. */
@@ -109,4 +116,46 @@
 void writer_free (struct led_writer *writer);
 void writer_push (struct led_writer *writer, struct led_op *op);
 
+/* One thread that sends operations. */
+struct sender
+{
+  pthread_t thread;
+  struct led *led;
+  struct fetch *fetch;
+};
+
+/* An instance that is passed over as the writer. */
+struct avoided
+{
+  uint32_t id;
+  clk_ms until_ms;
+};
+
+struct led
+{
+  struct avoided avoided[AVOIDED_MAX];
+  size_t next_avoided;
+  const struct settings *settings;
+  struct peer *peer;
+  struct led_writer *writer;
+  pthread_mutex_t lock;
+  pthread_cond_t ready;
+  GQueue queue;   /* of struct led_op, to be sent now */
+  GQueue delayed; /* of struct led_op, to be sent at queued_ms */
+  int stopping;
+  uint64_t backlog;
+  struct sender senders[SENDER_COUNT];
+};
+
+/* ledger.c */
+void led_give_back (struct led *led, struct led_op *op,
+                    enum led_verdict verdict);
+void led_conclude (struct led *led, struct led_op *op,
+                   const struct led_reply *reply);
+
+/* ledger_send.c */
+void *led_run_sender (void *closure);
+struct led_op *led_local_copy (struct led *led, struct led_op *op);
+void led_delay (struct led *led, struct led_op *op);
+
 #endif
