--- a/request/relay_refuse.c
+++ b/request/relay_refuse.c
@@ -20,7 +20,7 @@
   [RLY_UNKNOWN_ROUTE]
   = { "unknown_route", MET_REFUSED_UNKNOWN_SERVICE, 404, 0 },
   [RLY_UNKNOWN_KEY] = { "unknown_key", MET_REFUSED_UNKNOWN_CUSTOMER, 401, 0 },
-  [RLY_NOT_CONFIGURED] = { "not_configured", MET_REFUSED_NOT_READY, 503, 300 },
+  [RLY_NOT_CONFIGURED] = { "not_configured", MET_REFUSED_NOT_READY, 503, 500 },
   [RLY_STOPPING] = { "stopping", MET_REFUSED_STOPPING, 503, 100 },
   [RLY_NO_TARGET] = { "no_target", MET_REFUSED_NO_TARGET, 503, 400 },
   [RLY_FULL] = { "all_full", MET_REFUSED_CAPACITY, 503, 300 },
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -385,13 +385,27 @@
   return 1;
 }
 
+/* Returns the seconds after which ANSWER, which is freed, lets its caller
+   return.  */
+static double
+retry_after_s (char *answer)
+{
+  char *value = fx_header (answer, "Retry-After");
+  double seconds = value != NULL ? g_ascii_strtod (value, NULL) : 0;
+
+  g_free (value);
+  g_free (answer);
+  return seconds;
+}
+
 static void
 nothing_without_configuration (void)
 {
   fx_start (NULL);
   CU_ASSERT (fx_settled (answers_early));
   CU_ASSERT (g_str_has_prefix (early_answer, "HTTP/1.1 503"));
-  g_free (early_answer);
+  /* An instance that starts has its configuration after half a second.  */
+  CU_ASSERT (retry_after_s (early_answer) >= 0.5);
   fx_stop ();
 }
 
