Tell the loads of 96 targets in a beat

Cause: a beat told at most the first 32 targets with requests; an instance with more left out the same ones each time. At 53 requests/s, as expected at 1,600 instances, about 100 are under way.

Change: 96, which fit a datagram with ids of 32 bits; instances that own targets go on to tell 32 of them, by 64 bits. The new test does not fit the type before.

--- a/include/ibisloom/wire.h
+++ b/include/ibisloom/wire.h
@@ -10,7 +10,7 @@
   WIRE_VERSION = 2,
   WIRE_MAC_BYTES = 8,
   WIRE_MAX_BYTES = 1200,
-  WIRE_LOADS_MAX = 32,
+  WIRE_LOADS_MAX = 96,      /* that fit with ids of 32 bits */
   WIRE_LOAD_DOWN = 0x10000, /* added to the load of a target that is down */
   WIRE_LEAVING_MAX = 16,
   WIRE_DIGESTS_MAX = 8,
--- a/process/peer_load.c
+++ b/process/peer_load.c
@@ -4,6 +4,11 @@
 
 #include "libpeer.h"
 
+enum
+{
+  TOLD_MAX = 32 /* owned targets, whose ids take 64 bits, that fit a beat */
+};
+
 /* Part of the mean load that is taken to last as long as a request. */
 static const double MEAN_KEPT = 0.82;
 
@@ -15,7 +20,7 @@
 void
 admit_fill_loads (struct peer *peer, struct wire_heartbeat *beat)
 {
-  guint count = MIN (peer->owned->len, (guint)WIRE_LOADS_MAX);
+  guint count = MIN (peer->owned->len, (guint)TOLD_MAX);
 
   for (guint i = 0; i < count; i++)
     {
--- a/tests/test_members.c
+++ b/tests/test_members.c
@@ -18,6 +18,8 @@
 static void wire_refuses_what_was_touched (void);
 static void wire_survives_noise (void);
 
+static void beat_holds_many_loads (void);
+
 static const struct test_case cases[] = {
   { "equal views have equal owners", owners_agree },
   { "a silent member loses its duties", silent_member_loses_duties },
@@ -26,6 +28,7 @@
   { "a digest introduces and keeps", digest_introduces_and_keeps },
   { "the budget keeps rate and order", budget_keeps_rate_and_order },
   { "messages come back as they were", wire_round_trip },
+  { "a beat holds the loads of many targets", beat_holds_many_loads },
   { "touched messages are refused", wire_refuses_what_was_touched },
   { "noise is refused", wire_survives_noise },
 };
@@ -266,3 +269,25 @@
     }
   g_rand_free (random);
 }
+
+static void
+beat_holds_many_loads (void)
+{
+  struct wire_message message = beat_of (7, 1);
+  struct wire_heartbeat *beat = &message.u.heartbeat;
+  struct wire_message read;
+  struct wire_key key = { { 0 } };
+  unsigned char data[WIRE_MAX_BYTES];
+  size_t length;
+
+  /* Targets of an instance with 100 requests under way, told by 32 bits.  */
+  beat->load_count = 96;
+  for (uint32_t i = 0; i < beat->load_count; i++)
+    beat->loads[i]
+        = (struct wire_load){ .target = UINT32_MAX - i, .load = 200 };
+  length = wire_encode (&message, &key, data);
+  CU_ASSERT (length > 0);
+  CU_ASSERT_EQUAL (wire_decode (&read, &key, data, length), WIRE_OK);
+  CU_ASSERT_EQUAL (read.u.heartbeat.load_count, 96);
+  CU_ASSERT_EQUAL (read.u.heartbeat.loads[95].target, UINT32_MAX - 95);
+}
