--- a/Makefile
+++ b/Makefile
@@ -50,13 +50,12 @@
 $(BUILD)/ibismicro: $(BUILD)/bench/micro.o $(BUILD)/libibisloom.a
 	$(CC) $(CFLAGS) $(EXTRA) $^ -o $@ $(PKG_LIBS)
 
+FIXTURES = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/*_fixture.c))
 $(BUILD)/tests/test_gate: $(BUILD)/tests/test_gate.o \
-  $(BUILD)/tests/gate_fixture.o $(BUILD)/tests/link_fixture.o \
-  $(BUILD)/libibisloom.a | $(BUILD)/ibisloomd
+  $(FIXTURES) $(BUILD)/libibisloom.a | $(BUILD)/ibisloomd
 	$(CC) $(CFLAGS) $(EXTRA) $^ -o $@ $(PKG_LIBS) -lcunit
 
-$(BUILD)/tests/soak: $(BUILD)/tests/soak.o $(BUILD)/tests/gate_fixture.o \
-  $(BUILD)/tests/link_fixture.o $(BUILD)/libibisloom.a | $(BUILD)/ibisloomd
+$(BUILD)/tests/soak: $(BUILD)/tests/soak.o $(FIXTURES) $(BUILD)/libibisloom.a | $(BUILD)/ibisloomd
 	$(CC) $(CFLAGS) $(EXTRA) $^ -o $@ $(PKG_LIBS)
 
 $(BUILD)/tests/test_fuzz: $(BUILD)/tests/test_fuzz.o \
--- /dev/null
+++ b/tests/peer_fixture.c
@@ -0,0 +1,177 @@
+/* Scripted instances that a gate hears and asks.  */
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <sodium.h>
+#include <zlib.h>
+
+#include "ibisloom/members.h"
+#include "ibisloom/rank.h"
+#include "ibisloom/wire.h"
+#include "libfixture.h"
+
+enum
+{
+  PEER_BEATS = 150,
+  PEER_BEAT_MS = 100
+};
+
+/* An instance that is played by its beats. */
+struct beater
+{
+  int fd;
+  struct wire_message message;
+};
+
+/* Returns the snapshot of an instance that knows all that is in the store.  */
+static char *
+snapshot_json (void)
+{
+  GString *out = g_string_new (NULL);
+  const struct change *config;
+  int count = 0;
+
+  pthread_mutex_lock (&fx_world.lock);
+  config = fx_newest ("config", "main");
+  g_string_append_printf (out,
+                          "{\"whole\":true,\"config_revision\":%ld,"
+                          "\"targets_revision\":%u,\"config\":{\"name\":"
+                          "\"main\",\"revision\":%ld,\"content\":%s},"
+                          "\"targets\":[",
+                          config->revision, fx_world.changes->len,
+                          config->revision, config->spec);
+  for (guint i = 0; i < fx_world.changes->len; i++)
+    {
+      const struct change *change = g_ptr_array_index (fx_world.changes, i);
+
+      if (strcmp (change->kind, "servers") == 0)
+        g_string_append_printf (
+            out, "%s{\"name\":\"%s\",\"revision\":%ld,\"content\":%s}",
+            count++ > 0 ? "," : "", change->name, change->revision,
+            change->spec);
+    }
+  pthread_mutex_unlock (&fx_world.lock);
+  g_string_append (out, "],\"gone\":[]}");
+  return g_string_free (out, FALSE);
+}
+
+/* Answers FD with TEXT, which is freed, packed as instances do.  */
+static void
+answer_packed (int fd, char *text)
+{
+  uLongf size = compressBound (strlen (text));
+  char *data = g_malloc (size);
+  char *head;
+
+  compress ((Bytef *)data, &size, (const Bytef *)text, strlen (text));
+  head = g_strdup_printf ("HTTP/1.1 200 OK\r\nContent-Length: %lu\r\n\r\n"
+                          "%08zx",
+                          size + 8, strlen (text));
+  fx_write (fd, head);
+  send (fd, data, size, MSG_NOSIGNAL);
+  g_free (head);
+  g_free (data);
+  g_free (text);
+}
+
+/* Answers the connections to the scripted peer with its snapshot.  */
+static void *
+serve_peer (void *closure)
+{
+  int listener = GPOINTER_TO_INT (closure);
+  int fd;
+
+  while ((fd = accept (listener, NULL, NULL)) >= 0)
+    {
+      char *request;
+
+      while ((request = fx_read_request (fd)) != NULL)
+        {
+          g_free (request);
+          answer_packed (fd, snapshot_json ());
+        }
+      close (fd);
+    }
+  return NULL;
+}
+
+/* Sends the beats of a played instance, for a while.  */
+static void *
+beat_peer (void *closure)
+{
+  struct beater *beater = closure;
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  unsigned char data[WIRE_MAX_BYTES];
+  struct wire_key key;
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  address.sin_port = htons ((uint16_t)fx_world.gates[0].peer_port);
+  wire_key_derive (&key, "", "test");
+  for (int i = 0; i < PEER_BEATS; i++)
+    {
+      size_t length;
+
+      beater->message.sequence++;
+      length = wire_encode (&beater->message, &key, data);
+      sendto (beater->fd, data, length, 0, (struct sockaddr *)&address,
+              sizeof address);
+      fx_sleep_ms (PEER_BEAT_MS);
+    }
+  close (beater->fd);
+  g_free (beater);
+  return NULL;
+}
+
+/* Starts the beats of the instance SENDER, which come from PORT; 0: any.  */
+static void
+start_beats (uint32_t sender, int port, const struct wire_heartbeat *beat)
+{
+  struct beater *beater = g_new0 (struct beater, 1);
+  struct sockaddr_in address = { .sin_family = AF_INET };
+
+  beater->message.kind = WIRE_HEARTBEAT;
+  beater->message.sender = sender;
+  beater->message.incarnation = 1;
+  beater->message.u.heartbeat = *beat;
+  beater->fd = socket (AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  address.sin_port = htons ((uint16_t)port);
+  if (sodium_init () < 0
+      || bind (beater->fd, (struct sockaddr *)&address, sizeof address) != 0)
+    abort ();
+  fx_start_thread (beat_peer, beater);
+}
+
+/* Starts COUNT instances in the gate's failure domain that say they watch the
+   store, and know nothing.  */
+void
+fx_deaf_watchers_start (int count)
+{
+  struct wire_heartbeat beat = { .store = WIRE_STORE_WATCHED,
+                                 .state = MEM_READY,
+                                 .domain = (uint32_t)rank_hash ("a") };
+
+  for (int i = 0; i < count; i++)
+    start_beats ((uint32_t)i + 1, 0, &beat);
+}
+
+/* Starts an instance that knows what is in the store, and lets the gate hear
+   of it.  */
+void
+fx_peer_start (void)
+{
+  struct wire_heartbeat beat
+      = { .revision = 1000, .config_revision = 1000, .state = MEM_READY };
+  int port;
+  int listener = fx_listen_any (&port);
+
+  fx_start_thread (serve_peer, GINT_TO_POINTER (listener));
+  start_beats (1000, port, &beat);
+}
--- /dev/null
+++ b/tests/socket_fixture.c
@@ -0,0 +1,204 @@
+/* Sockets of the tests, and raw HTTP on them.  */
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "libfixture.h"
+
+enum
+{
+  READ_BYTES = 4096,
+  CALL_TIMEOUT_S = 10
+};
+
+/* Returns a listening socket on loopback and sets PORT.  */
+int
+fx_listen_any (int *port)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  socklen_t size = sizeof address;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  if (fd < 0 || bind (fd, (struct sockaddr *)&address, sizeof address) != 0
+      || listen (fd, 64) != 0
+      || getsockname (fd, (struct sockaddr *)&address, &size) != 0)
+    abort ();
+  *port = ntohs (address.sin_port);
+  return fd;
+}
+
+/* Returns a connection to PORT on loopback, or -1.  */
+int
+fx_dial (int port)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  struct timeval timeout = { .tv_sec = CALL_TIMEOUT_S };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  address.sin_port = htons ((uint16_t)port);
+  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
+  if (connect (fd, (struct sockaddr *)&address, sizeof address) == 0)
+    return fd;
+  close (fd);
+  return -1;
+}
+
+/* Reads one request with its body from FD, or returns NULL.  */
+char *
+fx_read_request (int fd)
+{
+  GString *text = g_string_new (NULL);
+  char byte;
+
+  while (strstr (text->str, "\r\n\r\n") == NULL)
+    {
+      if (recv (fd, &byte, 1, 0) != 1)
+        {
+          g_string_free (text, TRUE);
+          return NULL;
+        }
+      g_string_append_c (text, byte);
+    }
+  for (long left = ({
+         char *value = fx_header (text->str, "Content-Length");
+         long length = value ? strtol (value, NULL, 10) : 0;
+         g_free (value);
+         length;
+       });
+       left > 0 && recv (fd, &byte, 1, 0) == 1; left--)
+    g_string_append_c (text, byte);
+  return g_string_free (text, FALSE);
+}
+
+/* Returns the newly allocated value of the field NAME in TEXT, or NULL.  */
+char *
+fx_header (const char *text, const char *name)
+{
+  char *key = g_strdup_printf ("\n%s:", name);
+  char *lower = g_ascii_strdown (text, -1);
+  char *lower_key = g_ascii_strdown (key, -1);
+  const char *at = strstr (lower, lower_key);
+  char *value = NULL;
+
+  if (at != NULL)
+    {
+      const char *from = text + (at - lower) + strlen (key);
+
+      value = g_strndup (from, strcspn (from, "\r\n"));
+      g_strstrip (value);
+    }
+  g_free (key);
+  g_free (lower);
+  g_free (lower_key);
+  return value;
+}
+
+/* Answers FD with STATUS and the JSON BODY, which is freed.  */
+void
+fx_answer_json (int fd, const char *status, char *body)
+{
+  char *text = g_strdup_printf ("HTTP/1.1 %s\r\nContent-Type: "
+                                "application/json\r\nContent-Length: %zu\r\n"
+                                "\r\n%s",
+                                status, strlen (body), body);
+
+  fx_write (fd, text);
+  g_free (text);
+  g_free (body);
+}
+
+/* Runs FN in a thread of its own.  */
+void
+fx_start_thread (void *(*fn) (void *), void *closure)
+{
+  pthread_t thread;
+
+  if (pthread_create (&thread, NULL, fn, closure) != 0)
+    abort ();
+  pthread_detach (thread);
+}
+
+void
+fx_sleep_ms (int ms)
+{
+  struct timespec time = { ms / 1000, (long)(ms % 1000) * 1000000 };
+
+  nanosleep (&time, NULL);
+}
+
+/* Writes all of TEXT; a peer that is gone is no error here.  */
+void
+fx_write (int fd, const char *text)
+{
+  size_t left = strlen (text);
+
+  while (left > 0)
+    {
+      ssize_t sent = send (fd, text, left, MSG_NOSIGNAL);
+
+      if (sent <= 0)
+        return;
+      text += sent;
+      left -= (size_t)sent;
+    }
+}
+
+/* Makes the close of FD a reset.  */
+void
+fx_reset (int fd)
+{
+  struct linger linger = { 1, 0 };
+
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+}
+
+/* Lets FD take little at once.  */
+void
+fx_narrow (int fd)
+{
+  int bytes = 2048;
+
+  setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+}
+
+void
+fx_send (int fd, const char *text)
+{
+  fx_write (fd, text);
+}
+
+/* Returns what comes from FD up to TEXT, newly allocated.  */
+char *
+fx_read_until (int fd, const char *text)
+{
+  GString *got = g_string_new (NULL);
+  char byte;
+
+  while (strstr (got->str, text) == NULL && recv (fd, &byte, 1, 0) == 1)
+    g_string_append_c (got, byte);
+  return g_string_free (got, FALSE);
+}
+
+/* Returns all that comes from FD until its end, newly allocated, and closes
+   it.  */
+char *
+fx_read_all (int fd)
+{
+  GString *got = g_string_new (NULL);
+  char buffer[READ_BYTES];
+  ssize_t length;
+
+  while ((length = recv (fd, buffer, sizeof buffer, 0)) > 0)
+    g_string_append_len (got, buffer, length);
+  close (fd);
+  return g_string_free (got, FALSE);
+}
