Keep new contexts at their first home unless the next has much less to do

A new context went to the less loaded of two homes, which one request more or less decides, so instances that had not heard from each other chose differently, and so did an instance that had forgotten.

Change: the second home is taken only if it has 8 requests less.

The new test fails with margin 0.

--- a/request/choose.c
+++ b/request/choose.c
@@ -3,10 +3,10 @@
    Requests that share the long parts of a prompt go to the target that has
    read them while its load allows.  A context that no target is known to hold
    goes by rendezvous hashing, so that instances that have not heard from each
-   other find the same few targets; the less loaded of those takes it.  At the
-   bound, as under a prompt that many ask about, requests pass on to another
-   holder, or make one.  Calls without a context go to the least loaded target,
-   rather one in the same failure domain.  */
+   other find the same few targets; the first takes it unless the next has much
+   less to do.  At the bound, as under a prompt that many ask about, requests
+   pass on to another holder, or make one.  Calls without a context go to the
+   least loaded target, rather one in the same failure domain.  */
 #include <math.h>
 
 #include "ibisloom/choose.h"
@@ -14,7 +14,7 @@
 
 enum
 {
-  HOMES = 2 /* targets among which a new context is placed by load */
+  HOMES = 2 /* targets with room among which a new context is placed */
 };
 
 /* Part of a slot that a way to another failure domain counts as.  */
@@ -29,6 +29,10 @@
 /* Keeps clear of the bound by what others may send before it is told.  */
 static const double CAP_MARGIN = 0.25;
 
+/* By how many requests a later home has to be less loaded: instances that do
+   not know of each other's choice mostly make the same.  */
+static const double HOME_MARGIN = 8.0;
+
 const char *const cho_reason_names[CHO_REASON_COUNT]
     = { "holder", "home",      "next_home", "least_loaded",
         "trial",  "no_target", "full" };
@@ -138,8 +142,8 @@
   return 0;
 }
 
-/* Takes the least loaded of the first few targets in the order of the context
-   that have room.  */
+/* Takes the first target with room in the order of the context, or a later one
+   that has much less to do.  */
 static int
 by_context (const struct cho_wish *wish,
             const struct cho_candidate *candidates, size_t count,
@@ -166,7 +170,7 @@
       if (unfit (at, limit, errors) != CHO_PASS_NONE)
         continue;
       fits++;
-      if (at->load >= best)
+      if (at->load + HOME_MARGIN >= best)
         continue;
       best = at->load;
       choice->index = top[i];
--- a/tests/test_choose.c
+++ b/tests/test_choose.c
@@ -25,6 +25,7 @@
 static void holders_are_kept_to (void);
 static void bound_is_kept_under_a_hot_context (void);
 static void instances_agree_on_homes (void);
+static void late_news_of_loads_does_not_split_homes (void);
 static void local_targets_come_first (void);
 static void targets_cut_off_do_not_lower_the_bound (void);
 static void silence_is_borne_by_what_may_repeat (void);
@@ -46,6 +47,8 @@
   { "requests stay with a holder of their context", holders_are_kept_to },
   { "a hot context keeps the load bound", bound_is_kept_under_a_hot_context },
   { "instances agree on the homes of a context", instances_agree_on_homes },
+  { "late news of loads does not split homes",
+    late_news_of_loads_does_not_split_homes },
   { "calls stay in their failure domain while it has room",
     local_targets_come_first },
   { "targets that are cut off do not lower the bound",
@@ -202,6 +205,40 @@
   ctx_free (contexts);
 }
 
+/* Two instances that know the loads as they were at other moments, a few
+   requests apart, place the same new contexts.  */
+static void
+late_news_of_loads_does_not_split_homes (void)
+{
+  struct cho_candidate first[TARGETS];
+  struct cho_candidate second[TARGETS];
+  GRand *random = g_rand_new_with_seed (11);
+  int split = 0;
+
+  fill (first);
+  fill (second);
+  for (uint64_t context = 1; context <= CONTEXTS; context++)
+    {
+      struct cho_wish wish
+          = { .context = context, .cap_factor = 2, .cap_slack = 3 };
+      struct cho_choice one;
+      struct cho_choice other;
+
+      for (int i = 0; i < TARGETS; i++)
+        {
+          int load = g_rand_int_range (random, 8, 14);
+
+          first[i].load = load + g_rand_int_range (random, -2, 3);
+          second[i].load = load + g_rand_int_range (random, -2, 3);
+        }
+      CU_ASSERT (cho_pick (&wish, first, TARGETS, &one));
+      CU_ASSERT (cho_pick (&wish, second, TARGETS, &other));
+      split += one.index != other.index;
+    }
+  CU_ASSERT (split < CONTEXTS / 50);
+  g_rand_free (random);
+}
+
 static void
 instances_agree_on_homes (void)
 {
