Make the margin between homes a part of the bound

There a target holds 1.7 on average, its bound is 6: the first home was filled to the bound, and news of loads is 200 ms old.

Change: a third of the bound: 8 requests at a mean of 11 as before, 2 there.

--- a/request/choose.c
+++ b/request/choose.c
@@ -29,9 +29,9 @@
 /* Keeps clear of the bound by what others may send before it is told.  */
 static const double CAP_MARGIN = 0.25;
 
-/* By how many requests a later home has to be less loaded: instances that do
-   not know of each other's choice mostly make the same.  */
-static const double HOME_MARGIN = 8.0;
+/* Part of the bound by which a later home has to be less loaded: instances that
+   do not know of each other's choice mostly make the same.  */
+static const double HOME_PART = 0.33;
 
 const char *const cho_reason_names[CHO_REASON_COUNT]
     = { "holder", "home",      "next_home", "least_loaded",
@@ -170,7 +170,7 @@
       if (unfit (at, limit, errors) != CHO_PASS_NONE)
         continue;
       fits++;
-      if (at->load + HOME_MARGIN >= best)
+      if (at->load + HOME_PART * limit >= best)
         continue;
       best = at->load;
       choice->index = top[i];
