--- a/request/choose.c
+++ b/request/choose.c
@@ -29,8 +29,8 @@
 /* Keeps clear of the bound by what others may send before it is told.  */
 static const double CAP_MARGIN = 0.25;
 
-/* Part of the bound by which a later home has to be less loaded: instances that
-   do not know of each other's choice mostly make the same.  */
+/* Part of the bound by which a later home has to be less loaded: instances
+   that do not know of each other's choice mostly make the same.  */
 static const double HOME_PART = 0.33;
 
 const char *const cho_reason_names[CHO_REASON_COUNT]
