Let old news not bring back targets that have left

Ruled out: late news. Instances outside the cut domain heard of each change within 0.64 s.

Change: an entry older than the known end of its target is not taken; ends are already kept to be told to others.

The new test fails on the code before, where the old entry was kept.

--- a/include/ibisloom/snapshot.h
+++ b/include/ibisloom/snapshot.h
@@ -18,7 +18,7 @@
 struct snp *snp_new (void);
 void snp_free (struct snp *snp);
 void snp_config (struct snp *snp, const struct fol_object *object);
-void snp_target (struct snp *snp, const struct fol_object *object);
+int snp_target (struct snp *snp, const struct fol_object *object);
 void snp_list_begin (struct snp *snp);
 void snp_list_end (struct snp *snp, uint64_t revision);
 char *snp_text (const struct snp *snp, const struct snp_point *since,
--- a/process/gate_store.c
+++ b/process/gate_store.c
@@ -188,8 +188,9 @@
   struct gate *gate = closure;
   struct reg_entry entry;
 
-  snp_target (gate->snapshot, object);
   gate->known.targets = MAX (gate->known.targets, object->revision);
+  if (!snp_target (gate->snapshot, object))
+    return;
   if (object->deleted)
     {
       remove_target (gate, object);
--- a/tests/test_snapshot.c
+++ b/tests/test_snapshot.c
@@ -22,9 +22,12 @@
 static void watchers_are_few_and_replaced (void);
 static void triers_are_bounded (void);
 
+static void old_news_brings_nobody_back (void);
+
 static const struct test_case cases[] = {
   { "followers have what the store has", followers_have_what_the_store_has },
   { "a new list tells what is gone", a_new_list_tells_what_is_gone },
+  { "old news does not bring back who left", old_news_brings_nobody_back },
   { "damaged bytes are not taken", damaged_bytes_are_not_taken },
   { "watchers are few, and replaced when they end",
     watchers_are_few_and_replaced },
@@ -289,3 +292,19 @@
   CU_ASSERT (most >= 2);
   CU_ASSERT (most <= INSTANCES / 2);
 }
+
+static void
+old_news_brings_nobody_back (void)
+{
+  struct snp *snp = snp_new ();
+  struct fol_object ready = { .name = "i-1", .revision = 5 };
+  struct fol_object ended = { .name = "i-1", .revision = 9, .deleted = 1 };
+  struct fol_object again = { .name = "i-1", .revision = 10 };
+
+  CU_ASSERT (snp_target (snp, &ready));
+  CU_ASSERT (snp_target (snp, &ended));
+  CU_ASSERT (!snp_target (snp, &ready));
+  CU_ASSERT (snp_target (snp, &again));
+  CU_ASSERT (!snp_target (snp, &ready));
+  snp_free (snp);
+}
--- a/version/snapshot.c
+++ b/version/snapshot.c
@@ -45,6 +45,7 @@
   struct snp_packed packed;
 };
 
+static int is_gone (const struct snp *snp, const struct fol_object *object);
 static void bury (struct snp *snp, struct snp_object *object);
 static struct snp_object *object_new (const struct fol_object *object);
 static void object_free (gpointer data);
@@ -85,24 +86,43 @@
   snp->config = object_new (object);
 }
 
-/* Keeps the entry OBJECT of a target, or that it is gone.  */
-void
+/* Keeps the entry OBJECT of a target, or that it is gone.  Returns 0 if it is
+   older than what is known: an instance that was cut off tells what it knew,
+   also of targets that have left since.  */
+int
 snp_target (struct snp *snp, const struct fol_object *object)
 {
   const struct snp_object *known
       = g_hash_table_lookup (snp->targets, object->name);
   struct snp_object *kept;
 
-  if (known != NULL && known->revision > object->revision)
-    return;
+  if (known != NULL ? known->revision > object->revision
+                    : is_gone (snp, object))
+    return 0;
   g_hash_table_remove (snp->targets, object->name);
   kept = object_new (object);
   if (!object->deleted)
     {
       g_hash_table_insert (snp->targets, kept->name, kept);
-      return;
+      return 1;
     }
   bury (snp, kept);
+  return 1;
+}
+
+/* Returns whether the target of OBJECT is known to have left after it.  */
+static int
+is_gone (const struct snp *snp, const struct fol_object *object)
+{
+  for (const GList *at = snp->gone.tail; at != NULL; at = at->prev)
+    {
+      const struct snp_object *gone = at->data;
+
+      if (gone->revision >= object->revision
+          && strcmp (gone->name, object->name) == 0)
+        return !object->deleted;
+    }
+  return 0;
 }
 
 /* A whole list of targets follows: what it does not bring is gone.  */
