Keep no margin between homes where the bound is small

A context without a bound found no home at all, since an endless bound gave an endless margin; no route of the sites has one.

No margin without a bound.

The test of a context without a bound fails on the code before.

--- a/request/choose.c
+++ b/request/choose.c
@@ -29,9 +29,12 @@
 /* Keeps clear of the bound by what others may send before it is told.  */
 static const double CAP_MARGIN = 0.25;
 
-/* Part of the bound by which a later home has to be less loaded: instances
-   that do not know of each other's choice mostly make the same.  */
-static const double HOME_PART = 0.33;
+/* A later home has to be less loaded by this part of what the bound is above
+   the floor: instances that do not know of each other's choice mostly make the
+   same. Near the floor late news of loads would carry the first home over its
+   bound. */
+static const double HOME_PART = 0.5;
+static const double HOME_FLOOR = 8.0;
 
 const char *const cho_reason_names[CHO_REASON_COUNT]
     = { "holder", "home",      "next_home", "least_loaded",
@@ -152,6 +155,8 @@
   static struct rank_node nodes[CHO_CANDIDATES_MAX];
   size_t top[RANK_TOP_MAX];
   double limit = load_limit (wish, choice->mean);
+  double margin
+      = isinf (limit) ? 0 : fmax (0, (limit - HOME_FLOOR) * HOME_PART);
   double errors = least_errors (candidates, count);
   double best = INFINITY;
   size_t filled;
@@ -170,7 +175,7 @@
       if (unfit (at, limit, errors) != CHO_PASS_NONE)
         continue;
       fits++;
-      if (at->load + HOME_PART * limit >= best)
+      if (at->load + margin >= best)
         continue;
       best = at->load;
       choice->index = top[i];
--- a/tests/test_choose.c
+++ b/tests/test_choose.c
@@ -26,6 +26,7 @@
 static void bound_is_kept_under_a_hot_context (void);
 static void instances_agree_on_homes (void);
 static void late_news_of_loads_does_not_split_homes (void);
+static void context_without_a_bound_has_a_home (void);
 static void local_targets_come_first (void);
 static void targets_cut_off_do_not_lower_the_bound (void);
 static void silence_is_borne_by_what_may_repeat (void);
@@ -47,6 +48,8 @@
   { "requests stay with a holder of their context", holders_are_kept_to },
   { "a hot context keeps the load bound", bound_is_kept_under_a_hot_context },
   { "instances agree on the homes of a context", instances_agree_on_homes },
+  { "a context without a bound has a home",
+    context_without_a_bound_has_a_home },
   { "late news of loads does not split homes",
     late_news_of_loads_does_not_split_homes },
   { "calls stay in their failure domain while it has room",
@@ -205,6 +208,18 @@
   ctx_free (contexts);
 }
 
+static void
+context_without_a_bound_has_a_home (void)
+{
+  struct cho_candidate candidates[TARGETS];
+  struct cho_wish wish = { .context = 7 };
+  struct cho_choice choice;
+
+  fill (candidates);
+  CU_ASSERT (cho_pick (&wish, candidates, TARGETS, &choice));
+  CU_ASSERT_EQUAL (choice.reason, CHO_HOME);
+}
+
 /* Two instances that know the loads as they were at other moments, a few
    requests apart, place the same new contexts.  */
 static void
