--- a/request/choose.c
+++ b/request/choose.c
@@ -3,10 +3,10 @@
    Requests that share the long parts of a prompt go to the target that has
    read them while its load allows.  A context that no target is known to hold
    goes by rendezvous hashing, so that instances that have not heard from each
-   other find the same few targets; the first takes it unless the next has much
-   less to do.  At the bound, as under a prompt that many ask about, requests
-   pass on to another holder, or make one.  Calls without a context go to the
-   least loaded target, rather one in the same failure domain.  */
+   other find the same few targets; the less loaded of those takes it.  At the
+   bound, as under a prompt that many ask about, requests pass on to another
+   holder, or make one.  Calls without a context go to the least loaded target,
+   rather one in the same failure domain.  */
 #include <math.h>
 
 #include "ibisloom/choose.h"
@@ -14,7 +14,7 @@
 
 enum
 {
-  HOMES = 2 /* targets with room among which a new context is placed */
+  HOMES = 2 /* targets among which a new context is placed by load */
 };
 
 /* Part of a slot that a way to another failure domain counts as.  */
@@ -29,13 +29,6 @@
 /* Keeps clear of the bound by what others may send before it is told.  */
 static const double CAP_MARGIN = 0.25;
 
-/* A later home has to be less loaded by this part of what the bound is above
-   the floor: instances that do not know of each other's choice mostly make the
-   same. Near the floor late news of loads would carry the first home over its
-   bound. */
-static const double HOME_PART = 0.5;
-static const double HOME_FLOOR = 8.0;
-
 const char *const cho_reason_names[CHO_REASON_COUNT]
     = { "holder", "home",      "next_home", "least_loaded",
         "trial",  "no_target", "full" };
@@ -145,8 +138,8 @@
   return 0;
 }
 
-/* Takes the first target with room in the order of the context, or a later one
-   that has much less to do.  */
+/* Takes the least loaded of the first few targets in the order of the context
+   that have room.  */
 static int
 by_context (const struct cho_wish *wish,
             const struct cho_candidate *candidates, size_t count,
@@ -155,8 +148,6 @@
   static struct rank_node nodes[CHO_CANDIDATES_MAX];
   size_t top[RANK_TOP_MAX];
   double limit = load_limit (wish, choice->mean);
-  double margin
-      = isinf (limit) ? 0 : fmax (0, (limit - HOME_FLOOR) * HOME_PART);
   double errors = least_errors (candidates, count);
   double best = INFINITY;
   size_t filled;
@@ -175,7 +166,7 @@
       if (unfit (at, limit, errors) != CHO_PASS_NONE)
         continue;
       fits++;
-      if (at->load + margin >= best)
+      if (at->load >= best)
         continue;
       best = at->load;
       choice->index = top[i];
