--- a/include/ibisloom/fleet.h
+++ b/include/ibisloom/fleet.h
@@ -46,5 +46,6 @@
 void fleet_announce_holder (struct fleet *fleet, uint64_t context,
                             uint64_t target);
 uint32_t fleet_size (const struct fleet *fleet);
+int64_t fleet_loads_age_ms (const struct fleet *fleet);
 
 #endif
--- a/include/ibisloom/metrics.h
+++ b/include/ibisloom/metrics.h
@@ -47,6 +47,7 @@
   METRIC_PLACED_WITHOUT_GRANT, /* the target's owner did not answer */
   METRIC_PLACED_LEAST_LOADED,
   METRIC_PLACED_TRIAL,
+  METRIC_OVER_BOUND, /* responses that report a load over the bound */
   /* Denied admissions, by reason.  */
   METRIC_DENIED_BOUND,
   METRIC_DENIED_CAPACITY,
--- a/include/ibisloom/registry.h
+++ b/include/ibisloom/registry.h
@@ -52,6 +52,7 @@
   int32_t reported_load;     /* running and waiting, by its last response */
   int32_t sent_since_report; /* sent minus ended since that response */
   clk_ms reported_ms;        /* time of that response, 0: none */
+  double load_limit;         /* bound of its load when last selected */
   struct health health;
 };
 
@@ -84,6 +85,6 @@
                        const char *failure_domain, clk_ms now,
                        struct bal_candidate *candidates,
                        struct reg_target **targets, size_t capacity);
-void reg_report_load (struct reg_target *target, int32_t load, clk_ms now);
+int reg_report_load (struct reg_target *target, int32_t load, clk_ms now);
 
 #endif
--- a/process/fleet.c
+++ b/process/fleet.c
@@ -205,6 +205,30 @@
   return g_hash_table_size (fleet->peers) + 1;
 }
 
+/* Returns the mean age, in milliseconds, of the loads that the other instances
+   reported, or 0 if there are none.  */
+int64_t
+fleet_loads_age_ms (const struct fleet *fleet)
+{
+  clk_ms now = clk_now (clk_monotonic ());
+  int64_t sum_ms = 0;
+  int64_t count = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, fleet->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct fleet_peer *peer = value;
+
+      if (peer->loads->len == 0)
+        continue;
+      sum_ms += now - peer->loads_ms;
+      count++;
+    }
+  return count > 0 ? sum_ms / count : 0;
+}
+
 /* Returns whether the current heartbeat is to be sent to PEER, whose position
    in the iteration over the peers is INDEX.  Each peer gets one heartbeat in
    STRIDE, except that an instance that watches the store sends every heartbeat
--- a/process/fleet_datagram.c
+++ b/process/fleet_datagram.c
@@ -146,6 +146,7 @@
                  const struct wire_heartbeat *heartbeat)
 {
   fleet_drop_loads (fleet, peer);
+  peer->loads_ms = peer->last_seen_ms;
   for (uint32_t i = 0; i < heartbeat->load_count; i++)
     {
       struct fleet_load load = { .target = heartbeat->loads[i].target,
--- a/process/libfleet.h
+++ b/process/libfleet.h
@@ -34,6 +34,7 @@
   enum member_state state;
   clk_ms last_seen_ms; /* time of the last datagram; 0: none */
   GArray *loads;       /* of struct fleet_load, as last reported */
+  clk_ms loads_ms;     /* when they were reported */
 };
 
 struct fleet
--- a/process/metrics.c
+++ b/process/metrics.c
@@ -79,6 +79,7 @@
   [METRIC_PLACED_WITHOUT_GRANT] = "ibisloom_placed_total{by=\"unowned\"}",
   [METRIC_PLACED_LEAST_LOADED] = "ibisloom_placed_total{by=\"least_loaded\"}",
   [METRIC_PLACED_TRIAL] = "ibisloom_placed_total{by=\"trial\"}",
+  [METRIC_OVER_BOUND] = "ibisloom_over_bound_total",
   [METRIC_DENIED_BOUND] = "ibisloom_admission_denied_total{reason=\"bound\"}",
   [METRIC_DENIED_CAPACITY]
   = "ibisloom_admission_denied_total{reason=\"capacity\"}",
--- a/process/registry.c
+++ b/process/registry.c
@@ -250,13 +250,15 @@
 }
 
 /* Records LOAD, the number of requests that TARGET reported at NOW in a
-   response, the request of this response included.  */
-void
+   response, the request of this response included.  Returns whether the target
+   had reached its load limit without that request.  */
+int
 reg_report_load (struct reg_target *target, int32_t load, clk_ms now)
 {
   target->reported_load = load;
   target->sent_since_report = 0;
   target->reported_ms = now;
+  return load - 1 > target->load_limit;
 }
 
 /* Counts the targets of SERVICE that are not leaving, and those of them whose
--- a/request/balance.c
+++ b/request/balance.c
@@ -70,6 +70,7 @@
   choice->index = 0;
   choice->load = 0;
   choice->mean = mean_load (candidates, count);
+  choice->limit = load_limit (params, choice->mean);
   choice->reason = BAL_NO_TARGET;
   choice->skip = BAL_SKIP_NONE;
   if (params->context != 0
@@ -130,7 +131,6 @@
              const struct bal_candidate *candidates, size_t count,
              struct bal_choice *choice)
 {
-  double limit = load_limit (params, choice->mean);
   double best_error_rate = lowest_error_rate (candidates, count);
 
   for (uint32_t n = 0; params->holders != NULL && n < params->holders->count;
@@ -138,8 +138,9 @@
     {
       size_t i = index_of (params->holders->target[n], candidates, count);
       enum bal_skip skip
-          = i == count ? BAL_SKIP_ABSENT
-                       : skip_reason (&candidates[i], limit, best_error_rate);
+          = i == count
+                ? BAL_SKIP_ABSENT
+                : skip_reason (&candidates[i], choice->limit, best_error_rate);
 
       if (n == 0)
         choice->skip = skip;
@@ -162,7 +163,6 @@
 {
   static struct rank_node nodes[BAL_CANDIDATES_MAX];
   size_t top[RANK_TOP_MAX];
-  double limit = load_limit (params, choice->mean);
   double best_error_rate = lowest_error_rate (candidates, count);
   double best = INFINITY;
   size_t filled;
@@ -178,7 +178,8 @@
     {
       const struct bal_candidate *candidate = &candidates[top[i]];
 
-      if (skip_reason (candidate, limit, best_error_rate) != BAL_SKIP_NONE)
+      if (skip_reason (candidate, choice->limit, best_error_rate)
+          != BAL_SKIP_NONE)
         continue;
       eligible++;
       if (candidate->load >= best)
@@ -200,7 +201,6 @@
                    struct bal_choice *choice)
 {
   double best_error_rate = lowest_error_rate (candidates, count);
-  double limit = load_limit (params, choice->mean);
   double best = INFINITY;
 
   for (size_t n = 0; n < count; n++)
@@ -214,7 +214,7 @@
 
       if (candidate->excluded || candidate->state != HEALTH_USABLE)
         continue;
-      if (candidate->load > limit)
+      if (candidate->load > choice->limit)
         {
           if (choice->reason == BAL_NO_TARGET)
             choice->reason = BAL_ALL_FULL;
--- a/request/relay.c
+++ b/request/relay.c
@@ -265,11 +265,12 @@
   exclude_candidates (relay, candidates, *count);
   if (relay->context != 0)
     params.holders = affinity_find (router->affinity, relay->context);
-  if (bal_pick (&params, candidates, *count, choice)
-      || (readmit_tried (relay, candidates, *count)
-          && bal_pick (&params, candidates, *count, choice)))
-    return targets[choice->index];
-  return NULL;
+  if (!bal_pick (&params, candidates, *count, choice)
+      && !(readmit_tried (relay, candidates, *count)
+           && bal_pick (&params, candidates, *count, choice)))
+    return NULL;
+  targets[choice->index]->load_limit = choice->limit;
+  return targets[choice->index];
 }
 
 /* Starts an attempt at TARGET.  If no call can be made, the fault is
--- a/request/relay_log.c
+++ b/request/relay_log.c
@@ -1,5 +1,6 @@
 /* Log lines of a relayed request. */
 #include <inttypes.h>
+#include <math.h>
 
 #include "ibisloom/log.h"
 #include "ibisloom/metrics.h"
@@ -49,6 +50,9 @@
   log_number (&line, "candidates", (int64_t)candidates);
   log_real (&line, "load", choice->load);
   log_real (&line, "mean_load", choice->mean);
+  log_real (&line, "limit", isfinite (choice->limit) ? choice->limit : 0);
+  log_number (&line, "loads_age_ms",
+              fleet_loads_age_ms (relay->router->fleet));
   if (relay->context != 0)
     {
       char context[24];
@@ -63,6 +67,22 @@
   log_end (&line);
 }
 
+/* Logs that the target of RELAY reports the load REPORTED, which is over the
+   bound at which it was selected.  */
+void
+relay_log_over_bound (const struct relay *relay, int32_t reported)
+{
+  struct log_line line;
+
+  if (!log_begin (&line, LOG_LEVEL_INFO, "attempt", relay->id, "over_bound"))
+    return;
+  log_text (&line, "target", relay->target->id);
+  log_number (&line, "reported", reported);
+  log_real (&line, "limit", relay->target->load_limit);
+  log_number (&line, "after_ms", relay->last_received_ms - relay->sent_ms);
+  log_end (&line);
+}
+
 /* Logs that an attempt of RELAY ended with FAULT, and the DECISION.  */
 void
 relay_log_fault (const struct relay *relay, enum retry_fault fault,
--- a/request/relay_response.c
+++ b/request/relay_response.c
@@ -217,7 +217,11 @@
 
   if (value == NULL || dialect->load (value, &running, &waiting, &slots) != 0)
     return;
-  reg_report_load (relay->target, running + waiting, relay->last_received_ms);
+  if (!reg_report_load (relay->target, running + waiting,
+                        relay->last_received_ms))
+    return;
+  metric_inc (METRIC_OVER_BOUND);
+  relay_log_over_bound (relay, running + waiting);
 }
 
 /* Copies the fields of HEAD that are forwarded: all but hop-by-hop ones
