Send loads of targets near their limit to all peers at once

Cause: an instance knows the requests of the others at a target from their heartbeats, of which a peer gets one in five when there are 78. The counts are 0.5 s old on average (loads_age_ms 520 ms at the choices over the bound, 494 ms over all), while a popular target gets 13 requests/s. It is one of a class: state that is gossiped at a fixed pace and used as if it were current.

The believed mean was within 0.1 to 0.3 of the true one, and the first holder was absent as often as elsewhere (24 and 22 in 100), which speaks against a wrong mean and against wrong membership.

Fix: while a target is above half of its load limit, each change of an instance's count there is sent to all peers, as a load update (WIRE_LOADS). The update takes all other changed counts along, since the limit follows the mean of all. Ends wait up to 0.1 s for the next start, as a count that is too high only sends a request elsewhere. An instance sends at most 2,000 datagrams of them a second, and above 128 peers only to its failure domain. Registered targets tell the fleet of starts and ends, so no caller can forget to.

--- a/include/ibisloom/registry.h
+++ b/include/ibisloom/registry.h
@@ -29,9 +29,16 @@
   uint64_t incarnation; /* of its process, 0: unknown */
 };
 
+struct reg_target;
+
+/* Called when a request of this instance STARTED at TARGET, or ended there. */
+typedef void (*reg_load_fn) (void *closure, struct reg_target *target,
+                             int started);
+
 /* Target with its entry, its load and its recent outcomes. */
 struct reg_target
 {
+  struct registry *registry; /* NULL: removed */
   char *id;
   uint64_t hash;
   uint64_t serial;            /* unique among all targets, never 0 */
@@ -44,7 +51,7 @@
   clk_ms warm_at_ms;   /* warmed up from then on */
   uint32_t references; /* requests in progress, plus one for the registry */
   uint8_t leaving;
-  uint8_t removed;           /* removed from the registry */
+  uint8_t update_pending;    /* peers are to get its new in_flight */
   uint8_t unlisted;          /* not yet found in the list that is being read */
   clk_ms missing_until_ms;   /* entry missing, dropped then; 0: present */
   uint32_t in_flight;        /* requests sent by this instance */
@@ -64,6 +71,8 @@
   uint64_t revision;    /* of the newest entry or list */
   uint64_t last_serial; /* given to a target */
   int listed;           /* a complete list has been read */
+  reg_load_fn on_load;  /* may be NULL */
+  void *closure;        /* of on_load */
 };
 
 struct registry *reg_new (void);
@@ -79,12 +88,15 @@
 uint32_t reg_expire (struct registry *registry, clk_ms now);
 struct reg_target *reg_find (struct registry *registry, const char *id);
 struct reg_target *reg_find_hash (struct registry *registry, uint64_t hash);
+void reg_on_load_change (struct registry *registry, reg_load_fn fn,
+                         void *closure);
 void reg_request_start (struct reg_target *target);
 void reg_request_end (struct reg_target *target);
 size_t reg_candidates (struct registry *registry, const char *service,
                        const char *failure_domain, clk_ms now,
                        struct bal_candidate *candidates,
                        struct reg_target **targets, size_t capacity);
+int reg_is_near_limit (const struct reg_target *target, clk_ms now);
 int reg_report_load (struct reg_target *target, int32_t load, clk_ms now);
 
 #endif
--- a/include/ibisloom/wire.h
+++ b/include/ibisloom/wire.h
@@ -16,7 +16,8 @@
   WIRE_LEAVING_MAX = 16,
   WIRE_DIGESTS_MAX = 8,
   WIRE_GRANTS_MAX = 64,
-  WIRE_NOTES_MAX = 24
+  WIRE_NOTES_MAX = 24,
+  WIRE_UPDATE_LOADS_MAX = 64
 };
 
 enum wire_kind
@@ -27,6 +28,7 @@
   WIRE_RELEASE,           /* ends a grant */
   WIRE_HOLD,              /* grants held for a target, for its owner */
   WIRE_NOTES,             /* which targets hold the contexts of chats */
+  WIRE_LOADS,             /* loads of targets that have changed */
   WIRE_KIND_COUNT
 };
 
@@ -133,6 +135,13 @@
   struct wire_note note[WIRE_NOTES_MAX];
 };
 
+/* Load update: the loads of some targets; the others have not changed. */
+struct wire_loads
+{
+  uint32_t count;
+  struct wire_load load[WIRE_UPDATE_LOADS_MAX];
+};
+
 struct wire_message
 {
   enum wire_kind kind;
@@ -147,6 +156,7 @@
     struct wire_release release;
     struct wire_hold hold;
     struct wire_notes notes;
+    struct wire_loads loads;
   } u;
 };
 
--- a/process/fleet.c
+++ b/process/fleet.c
@@ -5,10 +5,11 @@
    instance that is not in the list yet becomes known by its first datagram.
    Each heartbeat carries the number of requests that the sender has in
    progress at each target, so that every instance knows the load that the
-   whole fleet puts on each target.  Notes name the holder of a context, which
-   is a target that has the context in its cache.  A lost heartbeat is made up
-   for by the next one; after a lost note, another target may have to compute
-   the context once more.  */
+   whole fleet puts on each target.  Load updates carry it sooner for targets
+   near their load limit (fleet_load.c).  Notes name the holder of a context,
+   which is a target that has the context in its cache.  A lost heartbeat is
+   made up for by the next one; after a lost note, another target may have to
+   compute the context once more.  */
 #include <arpa/inet.h>
 #include <errno.h>
 #include <string.h>
@@ -65,6 +66,7 @@
   fleet->domain = (uint32_t)rank_hash (settings->failure_domain);
   fleet->incarnation = (uint64_t)clk_wall_ms ();
   fleet->peers = g_hash_table_new_full (NULL, NULL, NULL, peer_free);
+  fleet_watch_loads (fleet);
   fleet->fd = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (sodium_init () < 0 || fleet->fd < 0
       || bind (fleet->fd, (const struct sockaddr *)&settings->peer_listen,
@@ -190,6 +192,7 @@
   ev_io_stop (fleet->loop, &fleet->io);
   ev_timer_stop (fleet->loop, &fleet->heartbeat);
   ev_timer_stop (fleet->loop, &fleet->retry);
+  fleet_unwatch_loads (fleet);
   if (fleet->call != NULL)
     store_call_cancel (fleet->call);
   if (fleet->fd >= 0)
--- a/process/fleet_datagram.c
+++ b/process/fleet_datagram.c
@@ -1,4 +1,5 @@
-/* Datagrams between the instances of the fleet: heartbeats and notes.  */
+/* Datagrams between the instances of the fleet: heartbeats, load updates and
+   notes.  */
 #include <string.h>
 #include <sys/socket.h>
 
@@ -8,17 +9,19 @@
 
 enum
 {
-  NOTE_BROADCAST_MAX = 128 /* peers up to which all of them get notes */
+  BROADCAST_PEERS_MAX = 128 /* above, only peers of the own domain */
 };
 
 static void send_notes (struct fleet *fleet, const struct fleet_peer *peer,
                         const struct wire_note *notes, uint32_t count);
+static void send_datagram (struct fleet *fleet, const struct fleet_peer *peer,
+                           const unsigned char *data, size_t length);
 static void apply_heartbeat (struct fleet *fleet, struct fleet_peer *peer,
                              const struct wire_heartbeat *heartbeat);
 static void send_affinity (struct fleet *fleet, const struct fleet_peer *peer);
 static void apply_notes (struct fleet *fleet, const struct wire_notes *notes);
-static int gets_notes (const struct fleet *fleet,
-                       const struct fleet_peer *peer);
+static int gets_broadcasts (const struct fleet *fleet,
+                            const struct fleet_peer *peer);
 
 /* Encodes a heartbeat to OUT, of WIRE_MAX_BYTES, and returns its length.  If
    WANTS_AFFINITY is not 0, it requests the affinity table of the receiver.  */
@@ -68,6 +71,15 @@
   message.u.notes.count = count;
   memcpy (message.u.notes.note, notes, count * sizeof *notes);
   length = wire_encode (&message, &fleet->key, data);
+  send_datagram (fleet, peer, data, length);
+}
+
+/* Sends DATA of LENGTH bytes to PEER.  A loss is made up for by the next
+   heartbeat.  */
+static void
+send_datagram (struct fleet *fleet, const struct fleet_peer *peer,
+               const unsigned char *data, size_t length)
+{
   (void)sendto (fleet->fd, data, length, MSG_DONTWAIT,
                 (const struct sockaddr *)&peer->address, sizeof peer->address);
 }
@@ -133,6 +145,8 @@
       peer->last_seen_ms = clk_now (clk_monotonic ());
       if (message.kind == WIRE_HEARTBEAT)
         apply_heartbeat (fleet, peer, &message.u.heartbeat);
+      else if (message.kind == WIRE_LOADS)
+        fleet_update_loads (fleet, peer, &message.u.loads);
       else if (message.kind == WIRE_NOTES)
         apply_notes (fleet, &message.u.notes);
     }
@@ -145,21 +159,7 @@
 apply_heartbeat (struct fleet *fleet, struct fleet_peer *peer,
                  const struct wire_heartbeat *heartbeat)
 {
-  fleet_drop_loads (fleet, peer);
-  peer->loads_ms = peer->last_seen_ms;
-  for (uint32_t i = 0; i < heartbeat->load_count; i++)
-    {
-      struct fleet_load load = { .target = heartbeat->loads[i].target,
-                                 .load = (int32_t)heartbeat->loads[i].load };
-      struct reg_target *target = reg_find_hash (fleet->registry, load.target);
-
-      if (target != NULL)
-        {
-          load.serial = target->serial;
-          target->others_in_flight += load.load;
-        }
-      g_array_append_val (peer->loads, load);
-    }
+  fleet_set_loads (fleet, peer, heartbeat);
   if (heartbeat->wants_reply)
     send_affinity (fleet, peer);
   peer->domain = heartbeat->domain;
@@ -176,25 +176,6 @@
     }
 }
 
-/* Subtracts the loads that PEER last reported from the targets.  A target that
-   was removed and registered again since then has another serial and does not
-   include them.  */
-void
-fleet_drop_loads (struct fleet *fleet, struct fleet_peer *peer)
-{
-  for (guint i = 0; i < peer->loads->len; i++)
-    {
-      const struct fleet_load *load
-          = &g_array_index (peer->loads, struct fleet_load, i);
-      struct reg_target *target
-          = reg_find_hash (fleet->registry, load->target);
-
-      if (target != NULL && target->serial == load->serial)
-        target->others_in_flight -= load->load;
-    }
-  g_array_set_size (peer->loads, 0);
-}
-
 /* Records the context holders that NOTES name.  A datagram with more than one
    note is part of the requested affinity table.  */
 static void
@@ -208,28 +189,44 @@
                      notes->note[i].target, now);
 }
 
-/* Returns whether PEER gets notes on context holders.  In a large fleet only
-   peers of the same failure domain do, since a client sends its next requests
-   to the same failure domain.  */
+/* Returns whether PEER gets broadcast messages.  In a large fleet only peers
+   of the same failure domain do, since a client sends its next requests to the
+   same failure domain.  */
 static int
-gets_notes (const struct fleet *fleet, const struct fleet_peer *peer)
+gets_broadcasts (const struct fleet *fleet, const struct fleet_peer *peer)
 {
-  return g_hash_table_size (fleet->peers) <= NOTE_BROADCAST_MAX
+  return g_hash_table_size (fleet->peers) <= BROADCAST_PEERS_MAX
          || peer->domain == fleet->domain;
 }
 
-/* Notifies the other instances that TARGET has begun to compute CONTEXT, so
-   that they send the next request with that context to TARGET as well.  */
+/* Sends MESSAGE to the peers that are not silent.  */
 void
-fleet_announce_holder (struct fleet *fleet, uint64_t context, uint64_t target)
+fleet_broadcast (struct fleet *fleet, const struct wire_message *message)
 {
-  struct wire_note note = { .chat = context, .target = target };
+  unsigned char data[WIRE_MAX_BYTES];
+  size_t length = wire_encode (message, &fleet->key, data);
+  clk_ms now = clk_now (clk_monotonic ());
   GHashTableIter iter;
   gpointer value;
-  clk_ms now = clk_now (clk_monotonic ());
 
   g_hash_table_iter_init (&iter, fleet->peers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (!fleet_is_silent (value, now) && gets_notes (fleet, value))
-      send_notes (fleet, value, &note, 1);
+    if (!fleet_is_silent (value, now) && gets_broadcasts (fleet, value))
+      send_datagram (fleet, value, data, length);
+}
+
+/* Notifies the other instances that TARGET has begun to compute CONTEXT, so
+   that they send the next request with that context to TARGET as well.  */
+void
+fleet_announce_holder (struct fleet *fleet, uint64_t context, uint64_t target)
+{
+  struct wire_message message = { .kind = WIRE_NOTES,
+                                  .sender = fleet->self,
+                                  .incarnation = fleet->incarnation,
+                                  .sequence = ++fleet->sequence };
+
+  message.u.notes.count = 1;
+  message.u.notes.note[0].chat = context;
+  message.u.notes.note[0].target = target;
+  fleet_broadcast (fleet, &message);
 }
--- /dev/null
+++ b/process/fleet_load.c
@@ -0,0 +1,207 @@
+/* Requests in progress at the targets, as the other instances report them.
+
+   A heartbeat carries all of them, but in a large fleet each peer gets a
+   heartbeat only once a second.  Until then a popular target may have received
+   several requests more, so near the load limit of a target a change of its
+   count is sent to all peers at once, as a load update.  */
+#include <string.h>
+#include <sys/socket.h>
+
+#include "ibisloom/fleet.h"
+#include "libfleet.h"
+
+enum
+{
+  /* A count that is too high for this long does no harm: peers select another
+     target.  */
+  UPDATE_END_DELAY_MS = 100,
+  /* Limits load updates to 2,000 datagrams per second.  */
+  UPDATES_PER_MS = 2,
+  UPDATE_MIN_INTERVAL_MS = 5
+};
+
+static void on_load_change (void *closure, struct reg_target *target,
+                            int started);
+static void schedule_update (struct fleet *fleet, int64_t delay_ms);
+static void on_update_due (struct ev_loop *loop, ev_timer *timer, int events);
+static void collect_changes (struct fleet *fleet, struct wire_loads *loads);
+static struct fleet_load *find_load (const struct fleet_peer *peer,
+                                     uint64_t target);
+static void add_load (struct fleet *fleet, struct fleet_peer *peer,
+                      const struct wire_load *reported);
+static void count_load (struct fleet *fleet, struct fleet_load *load,
+                        int32_t value);
+
+/* Starts to follow the requests of this instance in the registry of FLEET.  */
+void
+fleet_watch_loads (struct fleet *fleet)
+{
+  fleet->changed = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  ev_timer_init (&fleet->update, on_update_due, 0, 0);
+  fleet->update.data = fleet;
+  reg_on_load_change (fleet->registry, on_load_change, fleet);
+}
+
+/* Undoes fleet_watch_loads.  */
+void
+fleet_unwatch_loads (struct fleet *fleet)
+{
+  reg_on_load_change (fleet->registry, NULL, NULL);
+  ev_timer_stop (fleet->loop, &fleet->update);
+  g_array_free (fleet->changed, TRUE);
+}
+
+/* Handles a request of this instance that STARTED at TARGET, or ended there.
+   If TARGET is near its load limit, the peers are to know soon.  The update
+   then carries all counts that have changed, since the limit follows the mean
+   load of all targets.  */
+static void
+on_load_change (void *closure, struct reg_target *target, int started)
+{
+  struct fleet *fleet = closure;
+
+  if (!target->update_pending)
+    g_array_append_val (fleet->changed, target->hash);
+  target->update_pending = 1;
+  if (reg_is_near_limit (target, clk_now (clk_monotonic ())))
+    schedule_update (fleet, started ? 0 : UPDATE_END_DELAY_MS);
+}
+
+/* Schedules a load update in DELAY_MS milliseconds, unless one is due earlier;
+   a recent update delays it.  */
+static void
+schedule_update (struct fleet *fleet, int64_t delay_ms)
+{
+  clk_ms now = clk_now (clk_monotonic ());
+  int64_t interval_ms = MAX (g_hash_table_size (fleet->peers) / UPDATES_PER_MS,
+                             UPDATE_MIN_INTERVAL_MS);
+  clk_ms due_ms = MAX (now + delay_ms, fleet->updated_ms + interval_ms);
+
+  if (ev_is_active (&fleet->update) && fleet->update_due_ms <= due_ms)
+    return;
+  fleet->update_due_ms = due_ms;
+  ev_timer_stop (fleet->loop, &fleet->update);
+  ev_timer_set (&fleet->update, (double)(due_ms - now) / CLK_MS_PER_S, 0);
+  ev_timer_start (fleet->loop, &fleet->update);
+}
+
+/* Sends the counts that have changed.  */
+static void
+on_update_due (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct fleet *fleet = timer->data;
+  struct wire_message message = { .kind = WIRE_LOADS,
+                                  .sender = fleet->self,
+                                  .incarnation = fleet->incarnation };
+
+  (void)loop;
+  (void)events;
+  collect_changes (fleet, &message.u.loads);
+  if (message.u.loads.count == 0)
+    return;
+  fleet->updated_ms = clk_now (clk_monotonic ());
+  message.sequence = ++fleet->sequence;
+  fleet_broadcast (fleet, &message);
+  if (fleet->changed->len > 0)
+    schedule_update (fleet, 0);
+}
+
+/* Moves the changed counts to LOADS, as many as fit.  */
+static void
+collect_changes (struct fleet *fleet, struct wire_loads *loads)
+{
+  while (fleet->changed->len > 0 && loads->count < WIRE_UPDATE_LOADS_MAX)
+    {
+      uint64_t hash
+          = g_array_index (fleet->changed, uint64_t, fleet->changed->len - 1);
+      struct reg_target *target = reg_find_hash (fleet->registry, hash);
+
+      g_array_set_size (fleet->changed, fleet->changed->len - 1);
+      if (target == NULL)
+        continue;
+      target->update_pending = 0;
+      loads->load[loads->count].target = hash;
+      loads->load[loads->count].load = target->in_flight;
+      loads->count++;
+    }
+}
+
+/* Replaces all counts of PEER by those of HEARTBEAT.  */
+void
+fleet_set_loads (struct fleet *fleet, struct fleet_peer *peer,
+                 const struct wire_heartbeat *heartbeat)
+{
+  fleet_drop_loads (fleet, peer);
+  peer->loads_ms = peer->last_seen_ms;
+  for (uint32_t i = 0; i < heartbeat->load_count; i++)
+    add_load (fleet, peer, &heartbeat->loads[i]);
+}
+
+/* Replaces those counts of PEER that are in LOADS.  */
+void
+fleet_update_loads (struct fleet *fleet, struct fleet_peer *peer,
+                    const struct wire_loads *loads)
+{
+  peer->loads_ms = peer->last_seen_ms;
+  for (uint32_t i = 0; i < loads->count; i++)
+    {
+      struct fleet_load *load = find_load (peer, loads->load[i].target);
+
+      if (load == NULL)
+        add_load (fleet, peer, &loads->load[i]);
+      else
+        count_load (fleet, load, (int32_t)loads->load[i].load);
+    }
+}
+
+/* Subtracts the counts of PEER from the targets and forgets them.  */
+void
+fleet_drop_loads (struct fleet *fleet, struct fleet_peer *peer)
+{
+  for (guint i = 0; i < peer->loads->len; i++)
+    count_load (fleet, &g_array_index (peer->loads, struct fleet_load, i), 0);
+  g_array_set_size (peer->loads, 0);
+}
+
+/* Returns what PEER reported for TARGET, or NULL.  */
+static struct fleet_load *
+find_load (const struct fleet_peer *peer, uint64_t target)
+{
+  for (guint i = 0; i < peer->loads->len; i++)
+    {
+      struct fleet_load *load
+          = &g_array_index (peer->loads, struct fleet_load, i);
+
+      if (load->target == target)
+        return load;
+    }
+  return NULL;
+}
+
+/* Adds the count REPORTED by PEER, which has none for this target yet.  */
+static void
+add_load (struct fleet *fleet, struct fleet_peer *peer,
+          const struct wire_load *reported)
+{
+  struct fleet_load load = { .target = reported->target };
+
+  count_load (fleet, &load, (int32_t)reported->load);
+  g_array_append_val (peer->loads, load);
+}
+
+/* Replaces the value of LOAD by VALUE, and counts the difference at the
+   target.  A target that was removed and registered again since the last
+   report has another serial and does not include that report.  */
+static void
+count_load (struct fleet *fleet, struct fleet_load *load, int32_t value)
+{
+  struct reg_target *target = reg_find_hash (fleet->registry, load->target);
+
+  if (target != NULL)
+    {
+      target->others_in_flight
+          += value - (target->serial == load->serial ? load->load : 0);
+      load->serial = target->serial;
+    }
+  load->load = value;
+}
--- a/process/libfleet.h
+++ b/process/libfleet.h
@@ -65,6 +65,10 @@
   enum wire_store store_state;
   fleet_update_fn on_update;
   void *closure;
+  GArray *changed; /* hashes of the targets in the next load update */
+  ev_timer update; /* until that update is sent */
+  clk_ms update_due_ms;
+  clk_ms updated_ms;         /* time of the last load update */
   uint8_t affinity_received; /* the table of another instance has arrived */
 };
 
@@ -80,6 +84,15 @@
 size_t fleet_encode_heartbeat (struct fleet *fleet, int wants_affinity,
                                unsigned char *out);
 void fleet_on_datagram (struct ev_loop *loop, ev_io *io, int events);
+void fleet_broadcast (struct fleet *fleet, const struct wire_message *message);
+
+/* fleet_load.c */
+void fleet_watch_loads (struct fleet *fleet);
+void fleet_unwatch_loads (struct fleet *fleet);
+void fleet_set_loads (struct fleet *fleet, struct fleet_peer *peer,
+                      const struct wire_heartbeat *heartbeat);
+void fleet_update_loads (struct fleet *fleet, struct fleet_peer *peer,
+                         const struct wire_loads *loads);
 void fleet_drop_loads (struct fleet *fleet, struct fleet_peer *peer);
 
 #endif
--- a/process/peer.c
+++ b/process/peer.c
@@ -43,6 +43,8 @@
                      const struct sockaddr_in *from, clk_ms now);
 static void on_notes (struct peer *peer, const struct wire_message *message,
                       const struct sockaddr_in *from, clk_ms now);
+static void on_loads (struct peer *peer, const struct wire_message *message,
+                      const struct sockaddr_in *from, clk_ms now);
 static void tick (struct peer *peer, clk_ms now);
 static void expire_members (struct peer *peer, clk_ms now);
 static void send_heartbeats (struct peer *peer, clk_ms now);
@@ -67,6 +69,7 @@
   [WIRE_RELEASE] = on_release,
   [WIRE_HOLD] = on_hold,
   [WIRE_NOTES] = on_notes,
+  [WIRE_LOADS] = on_loads,
 };
 
 static const enum metric_counter drop_counters[] = {
@@ -415,6 +418,18 @@
   admit_handle_notes (peer, message, now);
 }
 
+/* Handler of WIRE_LOADS, which is ignored: only routers exchange it.  Here the
+   owner of a target counts its requests.  */
+static void
+on_loads (struct peer *peer, const struct wire_message *message,
+          const struct sockaddr_in *from, clk_ms now)
+{
+  (void)peer;
+  (void)message;
+  (void)from;
+  (void)now;
+}
+
 /* Does the periodic work that is due at NOW.  */
 static void
 tick (struct peer *peer, clk_ms now)
--- a/process/registry.c
+++ b/process/registry.c
@@ -21,6 +21,9 @@
 /* Share of the drain time for which a target with a missing entry is kept. */
 static const double MISSING_GRACE_SHARE = 0.4;
 
+/* Part of the load limit above which a target is near it. */
+static const double NEAR_LIMIT_SHARE = 0.5;
+
 /* Targets of one service in one failure domain. */
 struct domain_loss
 {
@@ -45,6 +48,7 @@
 static struct domain_loss *domain_loss_get (struct service_loss *service_loss,
                                             const char *failure_domain);
 static int is_store_loss (const struct domain_loss *domain_loss);
+static void report_load_change (struct reg_target *target, int started);
 static double estimate_load (const struct reg_target *target, clk_ms now);
 
 /* Returns an empty registry.  */
@@ -96,6 +100,7 @@
   if (target == NULL)
     {
       target = g_new0 (struct reg_target, 1);
+      target->registry = registry;
       target->id = g_strdup (entry->id);
       target->hash = rank_hash (entry->id) & UINT32_MAX;
       target->service = g_intern_string (entry->service);
@@ -230,6 +235,33 @@
   return g_hash_table_lookup (registry->by_hash, GSIZE_TO_POINTER (hash));
 }
 
+/* Sets FN to be called with CLOSURE when a request starts or ends; NULL is
+   allowed.  */
+void
+reg_on_load_change (struct registry *registry, reg_load_fn fn, void *closure)
+{
+  registry->on_load = fn;
+  registry->closure = closure;
+}
+
+/* Reports a request that STARTED at TARGET, or ended there.  */
+static void
+report_load_change (struct reg_target *target, int started)
+{
+  const struct registry *registry = target->registry;
+
+  if (registry != NULL && registry->on_load != NULL)
+    registry->on_load (registry->closure, target, started);
+}
+
+/* Returns whether a few more requests would bring TARGET to its load limit.
+   That is so above half the limit, which is a little over the mean load.  */
+int
+reg_is_near_limit (const struct reg_target *target, clk_ms now)
+{
+  return estimate_load (target, now) > target->load_limit * NEAR_LIMIT_SHARE;
+}
+
 /* Counts a request sent to TARGET, and keeps TARGET until reg_request_end.  */
 void
 reg_request_start (struct reg_target *target)
@@ -237,6 +269,7 @@
   target->references++;
   target->in_flight++;
   target->sent_since_report++;
+  report_load_change (target, 1);
 }
 
 /* Ends a request that reg_request_start counted.  */
@@ -245,6 +278,7 @@
 {
   target->in_flight--;
   target->sent_since_report--;
+  report_load_change (target, 0);
   if (--target->references == 0)
     target_free (target);
 }
@@ -381,7 +415,7 @@
   g_hash_table_remove (registry->targets, target->id);
   g_hash_table_remove (registry->by_hash, GSIZE_TO_POINTER (target->hash));
   g_ptr_array_remove_fast (registry->array, target);
-  target->removed = 1;
+  target->registry = NULL;
   if (--target->references == 0)
     target_free (target);
 }
--- a/process/wire.c
+++ b/process/wire.c
@@ -61,6 +61,9 @@
                             struct wire_message *message);
 static void decode_hold (struct reader *reader, struct wire_message *message);
 static void decode_notes (struct reader *reader, struct wire_message *message);
+static void encode_loads (msgpack_packer *packer,
+                          const struct wire_message *message);
+static void decode_loads (struct reader *reader, struct wire_message *message);
 static uint64_t next_uint (struct reader *reader, uint64_t max);
 static struct reader next_array (struct reader *reader, uint32_t max);
 static int has_allowed_types (const unsigned char *data, size_t length);
@@ -80,6 +83,7 @@
   [WIRE_RELEASE] = { encode_release, decode_release },
   [WIRE_HOLD] = { encode_hold, decode_hold },
   [WIRE_NOTES] = { encode_notes, decode_notes },
+  [WIRE_LOADS] = { encode_loads, decode_loads },
 };
 
 /* Derives the MAC key from the cluster's SECRET and the DEPLOYMENT name, so
@@ -476,3 +480,33 @@
     }
   reader->failed |= list.failed;
 }
+
+/* Encodes a load update, without a count.  */
+static void
+encode_loads (msgpack_packer *packer, const struct wire_message *message)
+{
+  const struct wire_loads *loads = &message->u.loads;
+
+  msgpack_pack_array (packer, loads->count * 2);
+  for (uint32_t i = 0; i < loads->count; i++)
+    {
+      msgpack_pack_uint64 (packer, loads->load[i].target);
+      msgpack_pack_uint64 (packer, loads->load[i].load);
+    }
+}
+
+static void
+decode_loads (struct reader *reader, struct wire_message *message)
+{
+  struct wire_loads *loads = &message->u.loads;
+  struct reader list = next_array (reader, WIRE_UPDATE_LOADS_MAX * 2);
+
+  while (!list.failed && list.remaining > 0)
+    {
+      struct wire_load *load = &loads->load[loads->count++];
+
+      load->target = next_uint (&list, UINT64_MAX);
+      load->load = (uint32_t)next_uint (&list, UINT32_MAX);
+    }
+  reader->failed |= list.failed;
+}
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -30,6 +30,7 @@
   RAMP_MS = 3500,
   JOIN_MS = 1500, /* until the instances have seen the targets that join */
   MEASURED_MS = 4000,
+  SETTLE_MS = 1500, /* until the last heartbeats have arrived */
   SEED = 18
 };
 
@@ -69,6 +70,7 @@
   GArray *reports[RING_TICKS]; /* of struct running, by tick */
   uint64_t tick;
   int measuring;
+  int stopped; /* no more requests are sent */
   int sent;
   int over_bound;
 };
@@ -248,7 +250,7 @@
     }
   g_array_set_size (simulation->reports[slot], 0);
   g_array_set_size (simulation->ends[slot], 0);
-  for (int ms = 0; ms < TICK_MS; ms++)
+  for (int ms = 0; ms < TICK_MS && !simulation->stopped; ms++)
     if (g_rand_int_range (simulation->random, 0, CLK_MS_PER_S)
         < ARRIVALS_PER_S)
       send_request (simulation);
@@ -273,6 +275,27 @@
   ev_run (loop, 0);
 }
 
+/* Returns how many requests the instances still count at each other's
+   targets.  */
+static int
+count_leftovers (struct simulation *simulation)
+{
+  int count = 0;
+
+  for (int i = 0; i < INSTANCES; i++)
+    {
+      const GPtrArray *array = simulation->instances[i].registry->array;
+
+      for (guint t = 0; t < array->len; t++)
+        {
+          const struct reg_target *target = g_ptr_array_index (array, t);
+
+          count += abs (target->others_in_flight);
+        }
+    }
+  return count;
+}
+
 static void
 stop_instances (struct simulation *simulation)
 {
@@ -324,6 +347,10 @@
           simulation.sent, (double)simulation.load_sum / TARGETS);
   CU_ASSERT (simulation.sent > 0);
   CU_ASSERT (simulation.over_bound <= simulation.sent * OVER_BOUND_MAX);
+  simulation.stopped = 1;
+  run_for (simulation.loop, REQUEST_MAX_MS + SETTLE_MS);
+  CU_ASSERT_EQUAL (simulation.load_sum, 0);
+  CU_ASSERT_EQUAL (count_leftovers (&simulation), 0);
   ev_timer_stop (simulation.loop, &ticks);
   stop_instances (&simulation);
   for (int i = 0; i < RING_TICKS; i++)
--- a/tests/test_members.c
+++ b/tests/test_members.c
@@ -221,6 +221,16 @@
   CU_ASSERT_EQUAL (wire_encode (&copy, &key, again), length);
   CU_ASSERT_EQUAL (memcmp (data, again, length), 0);
   memset (&message.u, 0, sizeof message.u);
+  message.kind = WIRE_LOADS;
+  message.u.loads.count = 2;
+  message.u.loads.load[0] = (struct wire_load){ UINT32_MAX, 6 };
+  message.u.loads.load[1] = (struct wire_load){ 7, 0 };
+  length = wire_encode (&message, &key, data);
+  CU_ASSERT_EQUAL (wire_decode (&copy, &key, data, length), WIRE_OK);
+  CU_ASSERT_EQUAL (copy.u.loads.count, 2);
+  CU_ASSERT_EQUAL (copy.u.loads.load[0].target, UINT32_MAX);
+  CU_ASSERT_EQUAL (wire_encode (&copy, &key, again), length);
+  memset (&message.u, 0, sizeof message.u);
   message.kind = WIRE_ADMISSION_REQUEST;
   message.u.admission_request
       = (struct wire_admission_request){ 1, 2, 3, 4, 1, 150, 9 };
