Move the deployment of the end-to-end tests out of test_router.c

test_router.c had grown to 953 lines, and the tests of endless responses need the same configuration, requests and scripted targets. No test is changed.

--- a/Makefile
+++ b/Makefile
@@ -51,8 +51,8 @@
 	$(CC) $(CFLAGS) $(EXTRA) $^ -o $@ $(PKG_LIBS)
 
 FIXTURES = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/*_fixture.c))
-$(BUILD)/tests/test_router: $(BUILD)/tests/test_router.o \
-  $(FIXTURES) $(BUILD)/libibisloom.a | $(BUILD)/ibisloomd
+$(BUILD)/tests/test_router $(BUILD)/tests/test_endless: $(BUILD)/tests/test_%: \
+  $(BUILD)/tests/test_%.o $(BUILD)/tests/shop.o $(FIXTURES) $(BUILD)/libibisloom.a | $(BUILD)/ibisloomd
 	$(CC) $(CFLAGS) $(EXTRA) $^ -o $@ $(PKG_LIBS) -lcunit
 
 $(BUILD)/tests/soak: $(BUILD)/tests/soak.o $(FIXTURES) $(BUILD)/libibisloom.a | $(BUILD)/ibisloomd
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -5,24 +5,9 @@
 #include <string.h>
 #include <unistd.h>
 
-#include "router_fixture.h"
+#include "shop.h"
 #include "test.h"
 
-#define REQUEST_HEAD(method, path, id)                                        \
-  method " " path " HTTP/1.1\r\nHost: shop.example\r\n"                       \
-         "X-Ibisloom-Attempt-Id: " id "\r\n"                                  \
-         "X-Ibisloom-Deadline-Remaining: 4000\r\n"                            \
-         "Authorization: Token key-1\r\nConnection: close\r\n"
-
-/* Requests to the routes of the configuration.  */
-#define GET_MAP(id) REQUEST_HEAD ("GET", "/map/1", id) "\r\n"
-#define POST_FEE(id)                                                          \
-  REQUEST_HEAD ("POST", "/fee/1", id) "Content-Length: 3\r\n\r\nfee"
-#define POST_PLAN(id)                                                         \
-  REQUEST_HEAD ("POST", "/plan/1", id) "Content-Length: 4\r\n\r\nplan"
-#define POST_RULES(id)                                                        \
-  REQUEST_HEAD ("POST", "/rules/1", id) "Content-Length: 1\r\n\r\nr"
-
 enum
 {
   LARGE_EVENT_BYTES = 40000,
@@ -30,27 +15,6 @@
   WATCH_STOP_MS = 3000   /* until it stops, as two other instances watch */
 };
 
-static const char config[]
-    = "{\"version\":3,\"routes\":["
-      "{\"name\":\"map\",\"host\":\"shop.example\",\"path_prefix\":\"/map/\","
-      "\"route_type\":\"idempotent\",\"timeout_ms\":3000,"
-      "\"target_latency_ms\":300,\"service\":\"desk\",\"max_attempts\":2},"
-      "{\"name\":\"fee\",\"host\":\"shop.example\",\"path_prefix\":\"/fee/\","
-      "\"route_type\":\"non_idempotent\",\"timeout_ms\":3000,"
-      "\"target_latency_ms\":300,\"service\":\"desk\",\"max_attempts\":1},"
-      "{\"name\":\"plan\",\"host\":\"shop.example\",\"path_prefix\":"
-      "\"/plan/\",\"route_type\":\"streaming\",\"timeout_ms\":4000,"
-      "\"target_latency_ms\":800,\"target_gap_ms\":400,\"service\":\"pool\","
-      "\"max_attempts\":2,\"session_affinity\":true,\"stream_resume\":true},"
-      "{\"name\":\"rules\",\"host\":\"shop.example\",\"path_prefix\":"
-      "\"/rules/\",\"route_type\":\"streaming\",\"timeout_ms\":4000,"
-      "\"target_latency_ms\":400,\"target_gap_ms\":400,\"service\":\"pool\","
-      "\"max_attempts\":1,\"session_affinity\":true}],"
-      "\"services\":[{\"name\":\"desk\"},{\"name\":\"pool\"}],"
-      "\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":1000,"
-      "\"header_timeout_ms\":2000,\"idle_timeout_ms\":5000},"
-      "\"tenants\":[{\"name\":\"lodge\",\"api_keys\":[\"key-1\"]}]}";
-
 static void each_route_type_is_served (void);
 static void unknown_route_or_key_is_refused (void);
 static void refused_without_configuration (void);
@@ -129,73 +93,10 @@
 
 TEST_MAIN ("router", cases)
 
-/* Responds to REQUEST with STATUS, BODY, its attempt id and a signature, by
-   which the router verifies the response.  */
-static void
-respond (const struct fx_request *request, const char *status,
-         const char *body)
-{
-  char *id = fx_header_value (request->text, "X-Ibisloom-Attempt-Id");
-  char *text = g_strdup_printf (
-      "HTTP/1.1 %s\r\nX-Ibisloom-Attempt-Id: %s\r\n"
-      "X-Ibisloom-Response-Signature: s-%s\r\nContent-Length: %zu\r\n\r\n%s",
-      status, id, id, strlen (body), body);
-
-  fx_write (request->fd, text);
-  g_free (text);
-  g_free (id);
-}
-
-/* Writes the head of an event stream.  */
-static void
-start_stream (const struct fx_request *request)
-{
-  char *id = fx_header_value (request->text, "X-Ibisloom-Attempt-Id");
-  char *text = g_strdup_printf (
-      "HTTP/1.1 200 OK\r\nX-Ibisloom-Attempt-Id: %s\r\n"
-      "X-Ibisloom-Response-Signature: s-%s\r\n"
-      "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-      id, id);
-
-  fx_write (request->fd, text);
-  g_free (text);
-  g_free (id);
-}
-
-/* Writes TEXT as one chunk.  */
-static void
-write_chunk (const struct fx_request *request, const char *text)
-{
-  char *chunked = g_strdup_printf ("%zx\r\n%s\r\n", strlen (text), text);
-
-  fx_write (request->fd, chunked);
-  g_free (chunked);
-}
-
-/* Writes the events numbered FROM to TO of a stream.  */
-static void
-write_events (const struct fx_request *request, int from, int to)
-{
-  for (int i = from; i <= to; i++)
-    {
-      char *event = g_strdup_printf ("id: %d\ndata: e%d\n\n", i, i);
-
-      write_chunk (request, event);
-      g_free (event);
-    }
-}
-
-static int
-respond_ok (const struct fx_request *request)
-{
-  respond (request, "200 OK", "well");
-  return 1;
-}
-
 static int
 respond_error (const struct fx_request *request)
 {
-  respond (request, "500 Internal Server Error", "no");
+  shop_respond (request, "500 Internal Server Error", "no");
   return 1;
 }
 
@@ -203,7 +104,8 @@
 static int
 fail_first_request (const struct fx_request *request)
 {
-  return request->number == 1 ? respond_error (request) : respond_ok (request);
+  return request->number == 1 ? respond_error (request)
+                              : shop_respond_ok (request);
 }
 
 static int
@@ -229,25 +131,13 @@
   return 0;
 }
 
-static int
-stream_events (const struct fx_request *request)
-{
-  char *after = fx_header_value (request->text, "Last-Event-Id");
-
-  start_stream (request);
-  write_events (request, after ? atoi (after) + 1 : 1, 5);
-  fx_write (request->fd, "0\r\n\r\n");
-  g_free (after);
-  return 1;
-}
-
 /* Closes the connection in the middle of the third event.  */
 static int
 truncate_stream (const struct fx_request *request)
 {
-  start_stream (request);
-  write_events (request, 1, 2);
-  write_chunk (request, "id: 3\nda");
+  shop_start_stream (request);
+  shop_write_events (request, 1, 2);
+  shop_write_chunk (request, "id: 3\nda");
   return 0;
 }
 
@@ -259,7 +149,7 @@
   int is_first = after == NULL;
 
   g_free (after);
-  return is_first ? truncate_stream (request) : stream_events (request);
+  return is_first ? truncate_stream (request) : shop_stream_events (request);
 }
 
 static int
@@ -289,7 +179,7 @@
 static int
 respond_twice (const struct fx_request *request)
 {
-  respond (request, "200 OK", "well");
+  shop_respond (request, "200 OK", "well");
   respond_wrong_id (request);
   return 1;
 }
@@ -299,10 +189,10 @@
 static int
 stream_slowly (const struct fx_request *request)
 {
-  start_stream (request);
-  write_events (request, 1, 1);
+  shop_start_stream (request);
+  shop_write_events (request, 1, 1);
   fx_sleep_ms (1000);
-  write_events (request, 2, 5);
+  shop_write_events (request, 2, 5);
   fx_write (request->fd, "0\r\n\r\n");
   return 1;
 }
@@ -315,10 +205,10 @@
   char *large = g_strnfill (LARGE_EVENT_BYTES, 'x');
   char *event = g_strdup_printf ("id: 2\ndata: %s\n\n", large);
 
-  start_stream (request);
-  write_events (request, 1, 1);
+  shop_start_stream (request);
+  shop_write_events (request, 1, 1);
   fx_sleep_ms (3400);
-  write_chunk (request, event);
+  shop_write_chunk (request, event);
   fx_write (request->fd, "0\r\n\r\n");
   g_free (event);
   g_free (large);
@@ -334,57 +224,40 @@
   return 1;
 }
 
-/* Checks that the response to REQUEST has STATUS and contains TEXT.  */
-static void
-expect_response (const char *request, const char *status, const char *text)
-{
-  char *start = g_strdup_printf ("HTTP/1.1 %s", status);
-  char *response = fx_exchange (request);
-
-  if (!g_str_has_prefix (response, start) || strstr (response, text) == NULL)
-    {
-      printf ("expected %s with '%s', got: %s\n", start, text, response);
-      CU_FAIL ("unexpected response");
-    }
-  g_free (response);
-  g_free (start);
-}
-
 static void
 each_route_type_is_served (void)
 {
-  struct fx_target *desk = fx_target_add ("i-1", "desk", respond_ok);
+  struct fx_target *desk = fx_target_add ("i-1", "desk", shop_respond_ok);
   char *last;
 
-  fx_target_add ("i-2", "pool", stream_events);
-  fx_env_start (config);
-  expect_response (GET_MAP ("r1"), "200", "well");
+  fx_target_add ("i-2", "pool", shop_stream_events);
+  fx_env_start (shop_config);
+  shop_expect (GET_MAP ("r1"), "200", "well");
   last = fx_target_last_request (desk);
   CU_ASSERT (g_str_has_prefix (last, "GET /map/1 HTTP/1.1\r\n"));
   g_free (last);
-  expect_response (POST_FEE ("c1"), "200", "s-c1");
+  shop_expect (POST_FEE ("c1"), "200", "s-c1");
   last = fx_target_last_request (desk);
   CU_ASSERT (g_str_has_suffix (last, "\r\n\r\nfee"));
   g_free (last);
-  expect_response (POST_PLAN ("p1"), "200", "data: e5\n\n\r\n0\r\n\r\n");
-  expect_response (POST_RULES ("a1"), "200", "data: e5\n\n\r\n0\r\n\r\n");
+  shop_expect (POST_PLAN ("p1"), "200", "data: e5\n\n\r\n0\r\n\r\n");
+  shop_expect (POST_RULES ("a1"), "200", "data: e5\n\n\r\n0\r\n\r\n");
   fx_env_stop ();
 }
 
 static void
 unknown_route_or_key_is_refused (void)
 {
-  struct fx_target *desk = fx_target_add ("i-1", "desk", respond_ok);
-
-  fx_env_start (config);
-  expect_response (REQUEST_HEAD ("GET", "/none/", "n1") "\r\n", "404", "");
-  expect_response (REQUEST_HEAD ("GET", "/map", "n2") "\r\n", "404", "");
-  expect_response (
-      "GET /map/1 HTTP/1.1\r\nHost: shop.example\r\n"
-      "X-Ibisloom-Attempt-Id: n3\r\nAuthorization: Token key-2\r\n"
-      "Connection: close\r\n\r\n",
-      "401", "");
-  expect_response (
+  struct fx_target *desk = fx_target_add ("i-1", "desk", shop_respond_ok);
+
+  fx_env_start (shop_config);
+  shop_expect (REQUEST_HEAD ("GET", "/none/", "n1") "\r\n", "404", "");
+  shop_expect (REQUEST_HEAD ("GET", "/map", "n2") "\r\n", "404", "");
+  shop_expect ("GET /map/1 HTTP/1.1\r\nHost: shop.example\r\n"
+               "X-Ibisloom-Attempt-Id: n3\r\nAuthorization: Token key-2\r\n"
+               "Connection: close\r\n\r\n",
+               "401", "");
+  shop_expect (
       REQUEST_HEAD ("POST", "/plan/1", "n4") "Content-Length: 0\r\n\r\n",
       "503", "Retry-After: ");
   CU_ASSERT_EQUAL (fx_target_request_count (desk), 0);
@@ -436,9 +309,9 @@
   struct fx_target *first = fx_target_add ("i-1", "desk", close_connection);
   struct fx_target *second = fx_target_add ("i-2", "desk", reset_connection);
 
-  fx_env_start (config);
+  fx_env_start (shop_config);
   for (int i = 0; i < 4; i++)
-    expect_response (POST_FEE ("c1"), "502", "");
+    shop_expect (POST_FEE ("c1"), "502", "");
   CU_ASSERT_EQUAL (
       fx_target_request_count (first) + fx_target_request_count (second), 4);
   fx_env_stop ();
@@ -449,8 +322,8 @@
 {
   struct fx_target *desk = fx_target_add ("i-1", "desk", respond_overloaded);
 
-  fx_env_start (config);
-  expect_response (POST_FEE ("c1"), "503", "Retry-After: ");
+  fx_env_start (shop_config);
+  shop_expect (POST_FEE ("c1"), "503", "Retry-After: ");
   CU_ASSERT_EQUAL (fx_target_request_count (desk), 1);
   fx_env_stop ();
 }
@@ -461,8 +334,8 @@
   struct fx_target *first = fx_target_add ("i-1", "desk", fail_first_request);
 
   fx_target_add ("i-2", "desk", reset_connection);
-  fx_env_start (config);
-  expect_response (GET_MAP ("r1"), "200", "well");
+  fx_env_start (shop_config);
+  shop_expect (GET_MAP ("r1"), "200", "well");
   CU_ASSERT (fx_target_request_count (first) <= 4);
   fx_env_stop ();
 }
@@ -474,7 +347,7 @@
 
   fx_target_add ("i-1", "pool", truncate_first_stream);
   fx_target_add ("i-2", "pool", truncate_first_stream);
-  fx_env_start (config);
+  fx_env_start (shop_config);
   response = fx_exchange (POST_PLAN ("p1"));
   for (int i = 1; i <= 5; i++)
     {
@@ -497,7 +370,7 @@
   struct fx_target *pool = fx_target_add ("i-1", "pool", truncate_stream);
   char *response;
 
-  fx_env_start (config);
+  fx_env_start (shop_config);
   response = fx_exchange (POST_RULES ("a1"));
   CU_ASSERT_PTR_NOT_NULL (strstr (response, "data: e2"));
   CU_ASSERT_PTR_NULL (strstr (response, "id: 3"));
@@ -512,9 +385,9 @@
 {
   fx_target_add ("i-1", "desk", respond_wrong_id);
   fx_target_add ("i-2", "pool", respond_unsigned);
-  fx_env_start (config);
-  expect_response (POST_FEE ("c1"), "502", "");
-  expect_response (POST_RULES ("a1"), "502", "");
+  fx_env_start (shop_config);
+  shop_expect (POST_FEE ("c1"), "502", "");
+  shop_expect (POST_RULES ("a1"), "502", "");
   fx_env_stop ();
 }
 
@@ -524,7 +397,7 @@
 {
   if (request->number == 1)
     return 0;
-  respond (request, "200 OK", "well");
+  shop_respond (request, "200 OK", "well");
   return 1;
 }
 
@@ -534,8 +407,8 @@
   struct fx_target *target
       = fx_target_add ("i-1", "desk", close_first_connection);
 
-  fx_env_start (config);
-  expect_response (GET_MAP ("r1"), "200", "well");
+  fx_env_start (shop_config);
+  shop_expect (GET_MAP ("r1"), "200", "well");
   CU_ASSERT_EQUAL (fx_target_request_count (target), 2);
   fx_env_stop ();
 }
@@ -544,35 +417,35 @@
 extra_bytes_are_discarded (void)
 {
   fx_target_add ("i-1", "desk", respond_twice);
-  fx_env_start (config);
+  fx_env_start (shop_config);
   for (int i = 0; i < 3; i++)
-    expect_response (GET_MAP ("r1"), "200", "well");
+    shop_expect (GET_MAP ("r1"), "200", "well");
   fx_env_stop ();
 }
 
 static void
 ambiguous_framing_is_rejected (void)
 {
-  struct fx_target *desk = fx_target_add ("i-1", "desk", respond_ok);
+  struct fx_target *desk = fx_target_add ("i-1", "desk", shop_respond_ok);
 
-  fx_env_start (config);
-  expect_response (REQUEST_HEAD ("POST", "/fee/1",
-                                 "s1") "Content-Length: 3\r\n"
-                                       "Transfer-Encoding: chunked\r\n\r\n"
-                                       "0\r\n\r\n",
-                   "400", "");
-  expect_response (
+  fx_env_start (shop_config);
+  shop_expect (REQUEST_HEAD ("POST", "/fee/1",
+                             "s1") "Content-Length: 3\r\n"
+                                   "Transfer-Encoding: chunked\r\n\r\n"
+                                   "0\r\n\r\n",
+               "400", "");
+  shop_expect (
       REQUEST_HEAD ("POST", "/fee/1", "s2") "Content-Length: 3\r\n"
                                             "Content-Length: 4\r\n\r\nfee!",
       "400", "");
-  expect_response (REQUEST_HEAD ("POST", "/fee/1",
-                                 "s3") "Transfer-Encoding: gzip, chunked\r\n"
-                                       "\r\n0\r\n\r\n",
-                   "400", "");
-  expect_response (REQUEST_HEAD ("POST", "/fee/1",
-                                 "s4") "Transfer-Encoding: chunked\r\n\r\n"
-                                       "zz\r\nfee\r\n0\r\n\r\n",
-                   "400", "");
+  shop_expect (REQUEST_HEAD ("POST", "/fee/1",
+                             "s3") "Transfer-Encoding: gzip, chunked\r\n"
+                                   "\r\n0\r\n\r\n",
+               "400", "");
+  shop_expect (REQUEST_HEAD ("POST", "/fee/1",
+                             "s4") "Transfer-Encoding: chunked\r\n\r\n"
+                                   "zz\r\nfee\r\n0\r\n\r\n",
+               "400", "");
   CU_ASSERT_EQUAL (fx_target_request_count (desk), 0);
   fx_env_stop ();
 }
@@ -580,11 +453,11 @@
 static void
 internal_fields_are_stripped (void)
 {
-  struct fx_target *desk = fx_target_add ("i-1", "desk", respond_ok);
+  struct fx_target *desk = fx_target_add ("i-1", "desk", shop_respond_ok);
   char *last;
 
-  fx_env_start (config);
-  expect_response (
+  fx_env_start (shop_config);
+  shop_expect (
       REQUEST_HEAD ("GET", "/map/1",
                     "k1") "X-Ibisloom-Tenant: other\r\nX-Ibisloom-Hold: h\r\n"
                           "Kv-From: 1.2.3.4:5/x\r\nX-Ibisloom-Kv-Backup: b\r\n"
@@ -609,8 +482,8 @@
 static void
 signals_during_startup_are_handled (void)
 {
-  fx_target_add ("i-1", "desk", respond_ok);
-  fx_store_start (config);
+  fx_target_add ("i-1", "desk", shop_respond_ok);
+  fx_store_start (shop_config);
   fx_router_spawn (0, "/dev/null");
   CU_ASSERT (fx_wait_until (fx_handles_sighup));
   for (int i = 0; i < 50; i++)
@@ -619,21 +492,21 @@
       fx_sleep_ms (1);
     }
   CU_ASSERT (fx_wait_until (fx_is_ready));
-  expect_response (GET_MAP ("r1"), "200", "well");
+  shop_expect (GET_MAP ("r1"), "200", "well");
   fx_env_stop ();
 }
 
 static void
 settings_are_reloaded (void)
 {
-  fx_target_add ("i-1", "desk", respond_ok);
-  fx_env_start (config);
+  fx_target_add ("i-1", "desk", shop_respond_ok);
+  fx_env_start (shop_config);
   fx_write_settings ("retry_ratio: 0.5\n");
   fx_signal (SIGHUP);
-  expect_response (GET_MAP ("r1"), "200", "well");
+  shop_expect (GET_MAP ("r1"), "200", "well");
   fx_write_settings ("no such key: 1\n");
   fx_signal (SIGHUP);
-  expect_response (GET_MAP ("r2"), "200", "well");
+  shop_expect (GET_MAP ("r2"), "200", "well");
   CU_ASSERT_EQUAL (fx_terminate (), 0);
   fx_env_stop ();
 }
@@ -643,10 +516,10 @@
 {
   char *metrics;
 
-  fx_target_add ("i-1", "desk", respond_ok);
-  fx_env_start (config);
-  expect_response (GET_MAP ("r1"), "200", "well");
-  expect_response (REQUEST_HEAD ("GET", "/none/", "n1") "\r\n", "404", "");
+  fx_target_add ("i-1", "desk", shop_respond_ok);
+  fx_env_start (shop_config);
+  shop_expect (GET_MAP ("r1"), "200", "well");
+  shop_expect (REQUEST_HEAD ("GET", "/none/", "n1") "\r\n", "404", "");
   metrics = fx_get_metrics ();
   CU_ASSERT_PTR_NOT_NULL (strstr (metrics, "\nibisloom_answered_total 1\n"));
   CU_ASSERT_PTR_NOT_NULL (strstr (metrics, "\nibisloom_version_in_force 3\n"));
@@ -665,13 +538,13 @@
   int fd;
 
   fx_target_add ("i-1", "pool", stream_slowly);
-  fx_target_add ("i-2", "desk", respond_ok);
-  fx_env_start (config);
+  fx_target_add ("i-2", "desk", shop_respond_ok);
+  fx_env_start (shop_config);
   fd = fx_connect ();
   fx_send (fd, POST_RULES ("a1"));
   start = fx_read_until (fd, "data: e1");
   fx_signal (SIGTERM);
-  expect_response (GET_MAP ("r1"), "200", "Connection: close");
+  shop_expect (GET_MAP ("r1"), "200", "Connection: close");
   response = fx_read_all (fd);
   CU_ASSERT (g_str_has_suffix (response, "\r\n0\r\n\r\n"));
   CU_ASSERT_EQUAL (fx_wait_for_exit (), 0);
@@ -691,7 +564,7 @@
   int fd;
 
   fx_target_add ("i-1", "pool", stream_large_event);
-  fx_env_start (config);
+  fx_env_start (shop_config);
   fd = fx_connect ();
   fx_shrink_receive_buffer (fd);
   fx_send (fd, POST_RULES ("a1"));
@@ -731,11 +604,11 @@
 static void
 draining_targets_get_no_requests (void)
 {
-  struct fx_target *first = fx_target_add ("i-1", "desk", respond_ok);
+  struct fx_target *first = fx_target_add ("i-1", "desk", shop_respond_ok);
   struct fx_target *second;
 
-  fx_env_start (config);
-  second = fx_target_add ("i-2", "desk", respond_ok);
+  fx_env_start (shop_config);
+  second = fx_target_add ("i-2", "desk", shop_respond_ok);
   observed_target = second;
   CU_ASSERT (fx_wait_until (observed_target_is_used));
   fx_target_set_state (second, "draining");
@@ -752,7 +625,7 @@
 static void
 invalid_entries_are_ignored (void)
 {
-  fx_target_add ("i-1", "desk", respond_ok);
+  fx_target_add ("i-1", "desk", shop_respond_ok);
   fx_store_put ("servers", "bad-1", "\"text\"");
   fx_store_put ("servers", "bad-2", "{\"service\":7}");
   fx_store_put ("servers", "bad-3",
@@ -761,33 +634,33 @@
   fx_store_put ("servers", "bad-4",
                 "{\"service\":\"desk\",\"address\":\"127.0.0.1:1\",\"zone\":"
                 "\"a\",\"slots\":2,\"state\":\"odd\"}");
-  fx_env_start (config);
+  fx_env_start (shop_config);
   for (int i = 0; i < 4; i++)
-    expect_response (GET_MAP ("r1"), "200", "well");
+    shop_expect (GET_MAP ("r1"), "200", "well");
   fx_store_put ("config", "main", "{\"version\":9,\"routes\":\"none\"}");
-  expect_response (GET_MAP ("r2"), "200", "well");
+  shop_expect (GET_MAP ("r2"), "200", "well");
   fx_env_stop ();
 }
 
 static void
 expired_entry_is_kept_after_outage (void)
 {
-  struct fx_target *desk = fx_target_add ("i-1", "desk", respond_ok);
+  struct fx_target *desk = fx_target_add ("i-1", "desk", shop_respond_ok);
 
-  fx_env_start (config);
+  fx_env_start (shop_config);
   fx_store_set_down (1);
   fx_target_remove (desk);
-  expect_response (GET_MAP ("r1"), "200", "well");
+  shop_expect (GET_MAP ("r1"), "200", "well");
   fx_store_set_down (0);
   /* After the outage the entry is missing until the target renews it.  */
   for (int i = 0; i < 10; i++)
     {
-      expect_response (GET_MAP ("r2"), "200", "well");
+      shop_expect (GET_MAP ("r2"), "200", "well");
       fx_sleep_ms (100);
     }
   fx_target_set_state (desk, "ready");
   fx_sleep_ms (2500);
-  expect_response (GET_MAP ("r3"), "200", "well");
+  shop_expect (GET_MAP ("r3"), "200", "well");
   fx_env_stop ();
 }
 
@@ -797,22 +670,23 @@
 static void
 simultaneous_expiry_keeps_targets (void)
 {
-  struct fx_target *desk[3] = { fx_target_add ("i-1", "desk", respond_ok),
-                                fx_target_add ("i-2", "desk", respond_ok),
-                                fx_target_add ("i-3", "desk", respond_ok) };
+  struct fx_target *desk[3]
+      = { fx_target_add ("i-1", "desk", shop_respond_ok),
+          fx_target_add ("i-2", "desk", shop_respond_ok),
+          fx_target_add ("i-3", "desk", shop_respond_ok) };
 
-  fx_env_start (config);
+  fx_env_start (shop_config);
   for (int i = 0; i < 3; i++)
     fx_target_remove (desk[i]);
   for (int i = 0; i < 10; i++)
     {
-      expect_response (GET_MAP ("r1"), "200", "well");
+      shop_expect (GET_MAP ("r1"), "200", "well");
       fx_sleep_ms (100);
     }
   for (int i = 0; i < 3; i++)
     fx_target_set_state (desk[i], "ready");
   fx_sleep_ms (1000);
-  expect_response (GET_MAP ("r2"), "200", "well");
+  shop_expect (GET_MAP ("r2"), "200", "well");
   fx_env_stop ();
 }
 
@@ -821,13 +695,13 @@
 static void
 startup_from_peer_without_store (void)
 {
-  fx_target_add ("i-1", "desk", respond_ok);
-  fx_store_put ("config", "main", config);
+  fx_target_add ("i-1", "desk", shop_respond_ok);
+  fx_store_put ("config", "main", shop_config);
   fx_store_set_down (1);
   fx_env_start (NULL);
   fx_newer_peer_start ();
   CU_ASSERT (fx_wait_until (fx_is_ready));
-  expect_response (GET_MAP ("r1"), "200", "well");
+  shop_expect (GET_MAP ("r1"), "200", "well");
   fx_env_stop ();
 }
 
@@ -847,7 +721,7 @@
 static void
 expect_next_version_from_peer (void)
 {
-  char *next = g_strdup (config);
+  char *next = g_strdup (shop_config);
 
   next[strlen ("{\"version\":")] = '9';
   fx_store_block_watches (1);
@@ -863,8 +737,8 @@
 static void
 stalled_watch_is_restarted (void)
 {
-  fx_target_add ("i-1", "desk", respond_ok);
-  fx_env_start (config);
+  fx_target_add ("i-1", "desk", shop_respond_ok);
+  fx_env_start (shop_config);
   fx_sleep_ms (WATCH_START_MS);
   expect_next_version_from_peer ();
   fx_env_stop ();
@@ -877,8 +751,8 @@
 static void
 other_failure_domain_supplies_update (void)
 {
-  fx_target_add ("i-1", "desk", respond_ok);
-  fx_env_start (config);
+  fx_target_add ("i-1", "desk", shop_respond_ok);
+  fx_env_start (shop_config);
   fx_stale_watchers_start (2);
   fx_sleep_ms (WATCH_STOP_MS);
   expect_next_version_from_peer ();
@@ -903,7 +777,7 @@
   int fd;
 
   observed_target = fx_target_add ("i-1", "pool", never_respond);
-  fx_env_start (config);
+  fx_env_start (shop_config);
   fd = fx_connect ();
   fx_send (fd, POST_RULES ("g1"));
   CU_ASSERT (fx_wait_until (observed_target_has_request));
@@ -916,7 +790,7 @@
 static void
 oversized_requests_are_refused (void)
 {
-  struct fx_target *desk = fx_target_add ("i-1", "desk", respond_ok);
+  struct fx_target *desk = fx_target_add ("i-1", "desk", shop_respond_ok);
   char *large = g_strnfill (5000, 'x');
   char *head = g_strdup_printf (
       REQUEST_HEAD ("GET", "/map/1", "l1") "X: %s\r\n\r\n", large);
@@ -926,12 +800,12 @@
                           "1388\r\n%s\r\n0\r\n\r\n",
       large);
 
-  fx_env_start (config);
-  expect_response (head, "431", "");
-  expect_response (
+  fx_env_start (shop_config);
+  shop_expect (head, "431", "");
+  shop_expect (
       REQUEST_HEAD ("POST", "/fee/1", "l2") "Content-Length: 5000\r\n\r\n",
       "413", "");
-  expect_response (chunked, "413", "");
+  shop_expect (chunked, "413", "");
   CU_ASSERT_EQUAL (fx_target_request_count (desk), 0);
   g_free (large);
   g_free (head);
@@ -944,10 +818,10 @@
 {
   struct fx_target *first = fx_target_add ("i-1", "desk", never_respond);
 
-  fx_target_add ("i-2", "desk", respond_ok);
-  fx_env_start (config);
+  fx_target_add ("i-2", "desk", shop_respond_ok);
+  fx_env_start (shop_config);
   for (int i = 0; i < 6; i++)
-    expect_response (GET_MAP ("r1"), "200", "well");
+    shop_expect (GET_MAP ("r1"), "200", "well");
   CU_ASSERT (fx_target_request_count (first) <= 2);
   fx_env_stop ();
 }
