--- a/tests/router_fixture.c
+++ b/tests/router_fixture.c
@@ -212,6 +212,27 @@
   g_free (self);
 }
 
+/* Returns the largest memory of the router INDEX so far, in KB.  */
+long
+fx_router_peak_kb (int index)
+{
+  char *name
+      = g_strdup_printf ("/proc/%d/status", (int)fx_env.routers[index].pid);
+  char *text = NULL;
+  char *peak;
+  long peak_kb = 0;
+
+  if (g_file_get_contents (name, &text, NULL, NULL))
+    {
+      peak = fx_header_value (text, "VmHWM");
+      peak_kb = peak != NULL ? strtol (peak, NULL, 10) : 0;
+      g_free (peak);
+    }
+  g_free (text);
+  g_free (name);
+  return peak_kb;
+}
+
 /* Starts the store, and stores CONFIG as the configuration if it is not NULL.
    Targets that the routers must know from their start must be added before. */
 void
--- a/tests/router_fixture.h
+++ b/tests/router_fixture.h
@@ -35,6 +35,7 @@
 int fx_router_is_ready (int index);
 int fx_router_listens (int index);
 int fx_router_connect (int index);
+long fx_router_peak_kb (int index); /* its largest memory so far */
 
 /* For the first router. */
 void fx_env_start (const char *config);
--- a/tests/shop.c
+++ b/tests/shop.c
@@ -112,7 +112,7 @@
 
   if (!g_str_has_prefix (response, start) || strstr (response, text) == NULL)
     {
-      printf ("expected %s with '%s', got: %s\n", start, text, response);
+      printf ("expected %s with '%s', got: %.300s\n", start, text, response);
       CU_FAIL ("unexpected response");
     }
   g_free (response);
