Bound the body of an error that a router buffers

What callers saw: nothing until their deadline, while a target that sent an error without end filled the router's memory (64 MB a request in the test, which stops there); an instance has 160 MB. A refusal of the target ("not run") with such a body became 502, which promises nothing.

Cause: errors are buffered so that another attempt can be made, and the limit of the buffer was applied to successes only.

Fix: an error that outgrows the buffer of 64 KB is no answer: the connection is closed, and the request goes elsewhere, or ends with 502 at once. If the head said that the request did not run, that holds whatever follows, also when the connection breaks or the body does not end in time. The head of another request is not believed.

--- a/request/relay.c
+++ b/request/relay.c
@@ -474,10 +474,12 @@
     }
   if (now < relay->deadline_ms)
     {
-      relay_handle_fault (relay, RETRY_FAULT_READ_TIMEOUT);
+      relay_handle_fault (relay, relay->not_run ? RETRY_FAULT_REJECTED
+                                                : RETRY_FAULT_READ_TIMEOUT);
       return;
     }
-  if (relay->call != NULL && out_call_was_sent (relay->call))
+  if (relay->call != NULL && out_call_was_sent (relay->call)
+      && !relay->not_run)
     relay->may_have_run = 1;
   relay_end_attempt (relay, HEALTH_EVENT_COUNT);
   relay_refuse (relay,
--- a/request/relay_response.c
+++ b/request/relay_response.c
@@ -14,6 +14,7 @@
 static int on_data (void *owner, const char *data, size_t length);
 static void on_end (void *owner);
 static void on_fail (void *owner, enum out_fault fault);
+static int buffer_body (struct relay *relay, const char *data, size_t length);
 static int matches_request (const struct relay *relay,
                             const struct http_head *head);
 static void record_load (struct relay *relay, const struct http_head *head);
@@ -45,10 +46,11 @@
                   relay->last_received_ms - relay->arrived_ms);
   relay->status = head->status;
   relay->length = length;
-  relay->not_run
-      = http_head_get (head, dialect->field[DIALECT_NOT_RUN]) != NULL
-        || head->status == HTTP_STATUS_MISDIRECTED_REQUEST;
   relay->is_invalid = !matches_request (relay, head);
+  relay->not_run
+      = !relay->is_invalid
+        && (http_head_get (head, dialect->field[DIALECT_NOT_RUN]) != NULL
+            || head->status == HTTP_STATUS_MISDIRECTED_REQUEST);
   relay->is_event_stream = http_is_success (head->status)
                            && relay->route->kind == RT_STREAM && type != NULL
                            && g_str_has_prefix (type, "text/event-stream");
@@ -61,8 +63,7 @@
   return 0;
 }
 
-/* Handles a piece of the response body.  Errors and small bodies are
-   buffered, so that an attempt that fails can still be retried.  */
+/* Handles a piece of the response body.  */
 static int
 on_data (void *owner, const char *data, size_t length)
 {
@@ -80,20 +81,30 @@
     }
   else if (relay->head_sent)
     forward_body (relay, data, length);
-  else
-    {
-      if (relay->buffered_body == NULL)
-        relay->buffered_body = g_string_sized_new (length + 1);
-      g_string_append_len (relay->buffered_body, data, (gssize)length);
-      if (relay->buffered_body->len > BUFFERED_BODY_MAX_BYTES
-          && http_is_success (relay->status))
-        send_head (relay);
-    }
+  else if (buffer_body (relay, data, length) != 0)
+    return -1;
   if (client_backlog (relay->client) > CLIENT_BACKLOG_MAX_BYTES)
     out_call_pause (relay->call, 1);
   return 0;
 }
 
+/* Buffers a piece of the body, so that an attempt that fails can still be
+   retried.  A success that outgrows the buffer is forwarded.  Returns 0, or -1
+   if an error does: no target explains an error at that length.  */
+static int
+buffer_body (struct relay *relay, const char *data, size_t length)
+{
+  if (relay->buffered_body == NULL)
+    relay->buffered_body = g_string_sized_new (length + 1);
+  g_string_append_len (relay->buffered_body, data, (gssize)length);
+  if (relay->buffered_body->len <= BUFFERED_BODY_MAX_BYTES)
+    return 0;
+  if (!http_is_success (relay->status))
+    return -1;
+  send_head (relay);
+  return 0;
+}
+
 /* Handles the end of a complete response.  */
 static void
 on_end (void *owner)
@@ -104,14 +115,16 @@
   handle_complete_response (relay);
 }
 
-/* Handles a response that is missing or incomplete.  */
+/* Handles a response that is missing or incomplete.  If the target said in the
+   head that it did not run the request, the rest does not matter.  */
 static void
 on_fail (void *owner, enum out_fault fault)
 {
   struct relay *relay = owner;
 
   relay->call = NULL;
-  relay_handle_fault (relay, retry_faults[fault]);
+  relay_handle_fault (relay, relay->not_run ? RETRY_FAULT_REJECTED
+                                            : retry_faults[fault]);
 }
 
 /* Classifies a complete response: delivers it, or handles it as a fault.  */
