Count only complete events as progress of a stream

What callers saw: a stream that stood still until their deadline (504 after 4 s in the test) while its target sent bytes that complete no event, though the route resumes elsewhere.

Cause: each byte of the body set the read timeout anew. Fix: a complete event does.

--- a/request/librelay.h
+++ b/request/librelay.h
@@ -35,6 +35,7 @@
   GString *partial;                   /* start of an incomplete event */
   char last_id[RELAY_EVENT_ID_BYTES]; /* id of the last event forwarded */
   uint32_t forwarded;                 /* events with an id */
+  uint32_t complete;                  /* events with and without one */
 };
 
 struct relay
--- a/request/relay_events.c
+++ b/request/relay_events.c
@@ -37,6 +37,7 @@
           != 0)
         return -1;
       consumed += event_bytes;
+      relay->events.complete++;
     }
   if (consumed > 0)
     {
--- a/request/relay_response.c
+++ b/request/relay_response.c
@@ -69,14 +69,18 @@
 {
   struct relay *relay = owner;
 
-  relay->last_received_ms = clk_now (clk_monotonic ());
   if (relay->is_event_stream)
     {
+      uint32_t complete = relay->events.complete;
+
       if (relay_events_feed (relay, data, length) != 0)
         {
           relay->is_invalid = 1;
           return -1;
         }
+      if (relay->events.complete == complete)
+        return 0;
+      relay->last_received_ms = clk_now (clk_monotonic ());
       relay_arm_timer (relay);
     }
   else if (relay->head_sent)
