Bound what a chat of the own interface takes from an engine

What callers saw: nothing until their deadline, while an engine's event, the text of a chat that is not streamed, or the body of an error had no end; the first two filled the instance's memory, and each piece searched all of the event again.

Cause: plain calls had a limit (8 MB), chats had none. Fix: an event may have 1 MB, the text 8 MB, the unused body of an error 64 KB; over that the transfer ends and the request goes on at another engine or ends as after any broken response. If the engine said that it did not run the request, that holds.

--- a/request/librequest.h
+++ b/request/librequest.h
@@ -77,8 +77,9 @@
   int got_bytes;
   int id_matches; /* the response repeats the request's id */
   int id_seen;
-  int not_run; /* reported by the target as not executed */
-  int paused;  /* the client reads more slowly than the target sends */
+  int not_run;          /* reported by the target as not executed */
+  size_t dropped_bytes; /* of a body that is not used */
+  int paused; /* the client reads more slowly than the target sends */
   long status;
   int64_t offset_at_start; /* events delivered before the attempt */
   clk_ms started_ms;
--- a/request/request.c
+++ b/request/request.c
@@ -7,6 +7,7 @@
 enum
 {
   RESPONSE_MAX_BYTES = 8388608,
+  DROPPED_MAX_BYTES = 65536, /* of the body of an error, which is not used */
   HTTP_SERVER_ERROR = 500
 };
 
@@ -84,7 +85,10 @@
   if (req->kind == VER_KIND_PLAIN || attempt->status != MHD_HTTP_OK)
     {
       if (req->kind == VER_KIND_CHAT)
-        return 0;
+        {
+          attempt->dropped_bytes += length;
+          return attempt->dropped_bytes > DROPPED_MAX_BYTES ? -1 : 0;
+        }
       if (req->out->len + length > RESPONSE_MAX_BYTES)
         return -1;
       g_string_append_len (req->out, data, (gssize)length);
@@ -114,6 +118,8 @@
     }
   else if (is_connect_fault (req, code))
     req_handle_fault (req, RETRY_FAULT_CONNECT);
+  else if (code != CURLE_OK && attempt->not_run)
+    req_handle_fault (req, RETRY_FAULT_REJECTED);
   else if (code != CURLE_OK)
     req_handle_fault (req, req->events.has_gap ? RETRY_FAULT_INVALID_RESPONSE
                                                : RETRY_FAULT_DISCONNECTED);
--- a/request/request_chat.c
+++ b/request/request_chat.c
@@ -6,6 +6,12 @@
 
 #include "libconnection.h"
 
+enum
+{
+  EVENT_MAX_BYTES = 1048576,
+  TEXT_MAX_BYTES = 8388608 /* of a response that is not streamed */
+};
+
 static int refuse_body (struct req *req);
 static const char *nonempty_string (json_t *json, const char *key);
 static int process_event (struct req *req, const char *event, size_t length);
@@ -53,11 +59,13 @@
 /* Consumes LENGTH bytes of the engine's stream.  Each complete event is
    delivered exactly once, by its number: an event that was delivered
    before is dropped, and a skipped number is a fault.  Returns 0, or -1 if
-   the stream does not continue this response.  */
+   the stream does not continue this response, or an event or the text has no
+   end.  */
 int
 chat_feed (struct req *req, const char *data, size_t length)
 {
   struct req_events *events = &req->events;
+  size_t searched = events->partial->len > 0 ? events->partial->len - 1 : 0;
   size_t consumed = 0;
   int result = 0;
 
@@ -65,7 +73,8 @@
   for (;;)
     {
       const char *start = events->partial->str + consumed;
-      const char *end = strstr (start, "\n\n");
+      const char *end
+          = strstr (events->partial->str + MAX (consumed, searched), "\n\n");
 
       if (end == NULL)
         break;
@@ -75,6 +84,9 @@
         break;
     }
   g_string_erase (events->partial, 0, (gssize)consumed);
+  if (events->partial->len > EVENT_MAX_BYTES
+      || (req->content != NULL && req->content->len > TEXT_MAX_BYTES))
+    return -1;
   return result;
 }
 
