Let the error rate of a target fade that gets no responses

What callers saw: for as long as an instance ran, requests of some contexts went to other engines than those that hold them, and were read again, after an engine had failed a part of its requests for some seconds.

Cause: the rate is a moving average over responses. The fault can only be ended by chance.

Fix: without a response for 4 s the rate halves in each further 4 s. As long as responses come, the average is as before.

Test: "the error rate of a target without responses fades" failed before and passes now.

--- a/include/ibisloom/health.h
+++ b/include/ibisloom/health.h
@@ -32,12 +32,14 @@
   uint32_t trials_in_flight;
   clk_ms suspended_until_ms; /* 0: not suspended */
   double error_rate;         /* moving average of server errors, 0 to 1 */
+  clk_ms responded_ms;       /* time of the last response, 0: none */
 };
 
 int health_begin_request (struct health *health);
 void health_end_request (struct health *health, int is_trial);
 void health_record (struct health *health, enum health_event event,
                     clk_ms now);
+double health_error_rate (const struct health *health, clk_ms now);
 enum health_state health_get_state (const struct health *health, clk_ms now);
 
 #endif
--- a/process/registry.c
+++ b/process/registry.c
@@ -376,7 +376,7 @@
       candidate->load = estimate_load (target, now);
       candidate->slots = target->slots;
       candidate->state = health_get_state (&target->health, now);
-      candidate->error_rate = target->health.error_rate;
+      candidate->error_rate = health_error_rate (&target->health, now);
       candidate->local = target->failure_domain == failure_domain;
       candidate->excluded = 0;
       candidate->warming_up = now < target->warm_at_ms;
--- a/request/health.c
+++ b/request/health.c
@@ -2,10 +2,15 @@
 
    A target that fails is suspended for a time.  After that, one trial request
    at a time is sent to it until one gets a complete response.  */
+#include <math.h>
+
 #include "ibisloom/health.h"
 
 enum
 {
+  /* Without a response for this time the error rate fades, and halves in each
+     further period of this length.  */
+  ERROR_RATE_VALID_MS = 4000,
   /* A queue of plain requests drains in this time.  */
   REJECTED_BACKOFF_MS = 150,
   /* Outlasts a lost packet, but not a restart.  */
@@ -49,9 +54,11 @@
 
   if (event == HEALTH_RESPONDED || event == HEALTH_SERVER_ERROR)
     {
+      health->error_rate = health_error_rate (health, now);
       health->error_rate += ERROR_RATE_WEIGHT
                             * ((event == HEALTH_SERVER_ERROR ? 1.0 : 0.0)
                                - health->error_rate);
+      health->responded_ms = now;
       health->consecutive_failures = 0;
       health->suspended_until_ms = 0;
       return;
@@ -70,6 +77,19 @@
     health->suspended_until_ms = now + backoff_ms;
 }
 
+/* Returns the error rate of the target at NOW, 0 to 1.  A rate from responses
+   of long ago says little, and a target that is avoided for it would get no
+   responses that change it.  */
+double
+health_error_rate (const struct health *health, clk_ms now)
+{
+  int64_t stale_ms = now - health->responded_ms - ERROR_RATE_VALID_MS;
+
+  if (health->error_rate <= 0 || stale_ms <= 0)
+    return health->error_rate;
+  return health->error_rate * exp2 (-(double)stale_ms / ERROR_RATE_VALID_MS);
+}
+
 /* Counts a request that is sent to the target.  Returns whether it is a trial,
    to be passed to health_end_request.  */
 int
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -23,6 +23,7 @@
 static void one_trial_in_flight (void);
 static void earlier_requests_are_not_trials (void);
 static void error_rate_follows_responses (void);
+static void error_rate_without_responses_fades (void);
 static void context_stays_with_its_holder (void);
 static void popular_context_stays_within_bound (void);
 static void instances_agree_on_homes (void);
@@ -47,6 +48,8 @@
   { "requests sent before a failure are not trials",
     earlier_requests_are_not_trials },
   { "the error rate follows the responses", error_rate_follows_responses },
+  { "the error rate of a target without responses fades",
+    error_rate_without_responses_fades },
   { "requests stay with a holder of their context",
     context_stays_with_its_holder },
   { "a popular context stays within the load bound",
@@ -382,6 +385,28 @@
                          TARGETS);
 }
 
+/* A target that is avoided for its errors gets no responses that would lower
+   its rate.  */
+static void
+error_rate_without_responses_fades (void)
+{
+  struct registry *registry = reg_new ();
+  struct bal_candidate candidate;
+  struct reg_target *target;
+
+  put (registry, "i-1", 1, 0);
+  for (int i = 0; i < 20; i++)
+    health_record (&reg_find (registry, "i-1")->health, HEALTH_SERVER_ERROR,
+                   i);
+  reg_candidates (registry, g_intern_string ("pool"), g_intern_string ("a"),
+                  1000, &candidate, &target, 1);
+  CU_ASSERT (candidate.error_rate > 0.5);
+  reg_candidates (registry, g_intern_string ("pool"), g_intern_string ("a"),
+                  60000, &candidate, &target, 1);
+  CU_ASSERT (candidate.error_rate < 0.05);
+  reg_free (registry);
+}
+
 static void
 reregistered_target_starts_without_load (void)
 {
