Take the silence of a peer for its end only after its heartbeat was due

What callers saw: in a fleet of over 120 instances, contexts read again and targets loaded unevenly.

With 121 peers or more each gets a heartbeat in 1.6 s or later, but a peer that was not heard for 1.5 s counted as dead: its loads were dropped, and it got no notes of holders. The mean load, and so the bound, followed from those peers that happened to have been heard.

Fix: a peer is silent after 1.25 of the time between two heartbeats and one interval more, at least 1.5 s as before (so nothing changes up to 80 instances). A silent peer gets no more heartbeats than a live one.

--- a/process/fleet.c
+++ b/process/fleet.c
@@ -28,16 +28,21 @@
 {
   HEARTBEAT_INTERVAL_MS = 200,
   HEARTBEAT_FANOUT = 16,  /* peers that one heartbeat is sent to */
-  SILENT_PEER_STRIDE = 5, /* each silent peer gets one heartbeat in 5 */
+  SILENT_PEER_STRIDE = 5, /* a silent peer gets at most one heartbeat in 5 */
   WATCHER_SILENT_MS = 700,
   /* The loads of a peer that has been silent for longer no longer count.  */
-  SILENT_MS = 1500
+  SILENT_MIN_MS = 1500
 };
 
+/* The same in a large fleet, as a multiple of the time between two heartbeats
+   to a peer. */
+static const double SILENT_PERIODS = 1.25;
+
 static int is_watcher (const struct fleet_peer *peer, clk_ms now);
 static int gets_heartbeat (const struct fleet *fleet,
                            const struct fleet_peer *peer, uint32_t index,
                            uint32_t stride);
+static uint32_t heartbeat_stride (const struct fleet *fleet);
 static void on_heartbeat_due (struct ev_loop *loop, ev_timer *timer,
                               int events);
 static void send_to_seeds (struct fleet *fleet, clk_ms now);
@@ -132,7 +137,7 @@
       const struct fleet_peer *peer = value;
 
       if (peer->domain != fleet->domain || peer->state == MEMBER_LEAVING
-          || fleet_is_silent (peer, now))
+          || fleet_is_silent (fleet, peer, now))
         continue;
       if (peer->store == WIRE_STORE_LOST)
         view->failed_watchers++;
@@ -147,8 +152,8 @@
 }
 
 /* Returns whether PEER watches the store and has sent a datagram within the
-   last WATCHER_SILENT_MS.  This limit is shorter than SILENT_MS because a
-   watcher sends every heartbeat to its failure domain.  */
+   last WATCHER_SILENT_MS.  This limit is shorter than that of fleet_is_silent
+   because a watcher sends every heartbeat to its failure domain.  */
 static int
 is_watcher (const struct fleet_peer *peer, clk_ms now)
 {
@@ -257,8 +262,8 @@
   unsigned char heartbeat[WIRE_MAX_BYTES];
   size_t heartbeat_length;
   clk_ms now = clk_now (clk_monotonic ());
-  uint32_t stride = (g_hash_table_size (fleet->peers) + HEARTBEAT_FANOUT - 1)
-                    / HEARTBEAT_FANOUT;
+  uint32_t stride = heartbeat_stride (fleet);
+  uint32_t silent_stride = MAX (stride, SILENT_PEER_STRIDE);
   GHashTableIter iter;
   gpointer value;
   uint32_t index = 0;
@@ -273,7 +278,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       struct fleet_peer *peer = value;
-      int silent = fleet_is_silent (peer, now);
+      int silent = fleet_is_silent (fleet, peer, now);
 
       if (silent && peer->loads->len > 0)
         {
@@ -281,7 +286,7 @@
           log_info ("fleet", NULL, "peer_silent", "instance %08x", peer->id);
         }
       index++;
-      if (silent ? (fleet->heartbeat_count + index) % SILENT_PEER_STRIDE != 0
+      if (silent ? (fleet->heartbeat_count + index) % silent_stride != 0
                        && fleet->heartbeat_count > 5
                  : !gets_heartbeat (fleet, peer, index, stride))
         continue;
@@ -306,7 +311,7 @@
 
   g_hash_table_iter_init (&iter, fleet->peers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (!fleet_is_silent (value, now))
+    if (!fleet_is_silent (fleet, value, now))
       return;
   length = fleet_encode_heartbeat (fleet, 0, heartbeat);
   for (guint i = 0; i < fleet->settings->peers->len; i++)
@@ -322,12 +327,27 @@
     }
 }
 
-/* Returns whether no datagram of PEER has arrived within the last
-   SILENT_MS.  */
+/* Returns in how many heartbeats each peer gets one.  */
+static uint32_t
+heartbeat_stride (const struct fleet *fleet)
+{
+  return (g_hash_table_size (fleet->peers) + HEARTBEAT_FANOUT - 1)
+         / HEARTBEAT_FANOUT;
+}
+
+/* Returns whether no datagram of PEER has arrived for longer than a live peer
+   is silent.  */
 int
-fleet_is_silent (const struct fleet_peer *peer, clk_ms now)
+fleet_is_silent (const struct fleet *fleet, const struct fleet_peer *peer,
+                 clk_ms now)
 {
-  return peer->last_seen_ms == 0 || now - peer->last_seen_ms > SILENT_MS;
+  int64_t period_ms
+      = (int64_t)heartbeat_stride (fleet) * HEARTBEAT_INTERVAL_MS;
+  int64_t silent_ms
+      = (int64_t)((double)period_ms * SILENT_PERIODS) + HEARTBEAT_INTERVAL_MS;
+
+  return peer->last_seen_ms == 0
+         || now - peer->last_seen_ms > MAX (silent_ms, SILENT_MIN_MS);
 }
 
 /* Returns the peer whose identifier is ID, created if it is new.  */
--- a/process/fleet_datagram.c
+++ b/process/fleet_datagram.c
@@ -211,7 +211,7 @@
 
   g_hash_table_iter_init (&iter, fleet->peers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (!fleet_is_silent (value, now) && gets_broadcasts (fleet, value))
+    if (!fleet_is_silent (fleet, value, now) && gets_broadcasts (fleet, value))
       send_datagram (fleet, value, data, length);
 }
 
--- a/process/libfleet.h
+++ b/process/libfleet.h
@@ -74,7 +74,8 @@
 
 /* fleet.c */
 struct fleet_peer *fleet_get_peer (struct fleet *fleet, uint32_t id);
-int fleet_is_silent (const struct fleet_peer *peer, clk_ms now);
+int fleet_is_silent (const struct fleet *fleet, const struct fleet_peer *peer,
+                     clk_ms now);
 
 /* fleet_join.c */
 void fleet_join (struct fleet *fleet);
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -15,6 +15,7 @@
 enum
 {
   INSTANCES = 78,
+  INSTANCES_MAX = 150, /* a peer gets one heartbeat in 2 s */
   DOMAINS = 3,
   FIRST_TARGETS = 100,
   TARGETS = 140, /* with those that join */
@@ -31,6 +32,8 @@
   JOIN_MS = 1500, /* until the instances have seen the targets that join */
   MEASURED_MS = 4000,
   SETTLE_MS = 1500, /* until the last heartbeats have arrived */
+  KNOWN_CHECKS = 10,
+  KNOWN_CHECK_MS = 250,
   SEED = 18
 };
 
@@ -62,7 +65,8 @@
 {
   struct ev_loop *loop;
   GRand *random;
-  struct instance instances[INSTANCES];
+  struct instance instances[INSTANCES_MAX];
+  int instance_count;
   int loads[TARGETS]; /* requests that each target really has */
   int target_count;
   int load_sum;
@@ -76,10 +80,13 @@
 };
 
 static void popular_targets_stay_within_bound (void);
+static void loads_of_live_instances_are_kept (void);
 
 static const struct test_case cases[] = {
   { "popular targets stay within the load bound of a large fleet",
     popular_targets_stay_within_bound },
+  { "loads of live instances are kept in a fleet of 150",
+    loads_of_live_instances_are_kept },
 };
 
 TEST_MAIN ("fleet", cases)
@@ -103,7 +110,7 @@
 static void
 add_targets (struct simulation *simulation, int first, int last)
 {
-  for (int i = 0; i < INSTANCES; i++)
+  for (int i = 0; i < simulation->instance_count; i++)
     for (int t = first; t < last; t++)
       {
         struct reg_entry entry = { .service = "pool", .slots = SLOTS };
@@ -125,7 +132,7 @@
   in_port_t port = free_port ();
   GArray *peers = g_array_new (FALSE, FALSE, sizeof (struct sockaddr_in));
 
-  for (int i = 0; i < INSTANCES; i++)
+  for (int i = 0; i < simulation->instance_count; i++)
     {
       struct sockaddr_in address
           = { .sin_family = AF_INET,
@@ -134,7 +141,7 @@
 
       g_array_append_val (peers, address);
     }
-  for (int i = 0; i < INSTANCES; i++)
+  for (int i = 0; i < simulation->instance_count; i++)
     {
       struct instance *instance = &simulation->instances[i];
       struct settings *settings = &instance->settings;
@@ -169,9 +176,8 @@
 {
   static struct bal_candidate candidates[TARGETS];
   static struct reg_target *targets[TARGETS];
-  struct instance *instance
-      = &simulation
-             ->instances[g_rand_int_range (simulation->random, 0, INSTANCES)];
+  struct instance *instance = &simulation->instances[g_rand_int_range (
+      simulation->random, 0, simulation->instance_count)];
   uint64_t context = rank_mix (
       1, (uint64_t)g_rand_int_range (simulation->random, 0, CONTEXTS)
              * (uint64_t)g_rand_int_range (simulation->random, 0, CONTEXTS)
@@ -282,7 +288,7 @@
 {
   int count = 0;
 
-  for (int i = 0; i < INSTANCES; i++)
+  for (int i = 0; i < simulation->instance_count; i++)
     {
       const GPtrArray *array = simulation->instances[i].registry->array;
 
@@ -301,7 +307,7 @@
 {
   GArray *peers = simulation->instances[0].settings.peers;
 
-  for (int i = 0; i < INSTANCES; i++)
+  for (int i = 0; i < simulation->instance_count; i++)
     {
       struct instance *instance = &simulation->instances[i];
 
@@ -314,6 +320,43 @@
   g_array_free (peers, TRUE);
 }
 
+/* Starts COUNT instances with TARGET_COUNT targets, and waits until they know
+   each other.  */
+static void
+start_simulation (struct simulation *simulation, int count, int target_count)
+{
+  memset (simulation, 0, sizeof *simulation);
+  simulation->instance_count = count;
+  simulation->loop = ev_loop_new (EVBACKEND_EPOLL);
+  simulation->random = g_rand_new_with_seed (SEED);
+  for (int i = 0; i < RING_TICKS; i++)
+    {
+      simulation->ends[i]
+          = g_array_new (FALSE, FALSE, sizeof (struct running));
+      simulation->reports[i]
+          = g_array_new (FALSE, FALSE, sizeof (struct running));
+    }
+  start_instances (simulation);
+  add_targets (simulation, 0, target_count);
+  run_for (simulation->loop, HELLO_MS);
+  for (int i = 0; i < count; i++)
+    CU_ASSERT_EQUAL (fleet_size (simulation->instances[i].fleet),
+                     (uint32_t)count);
+}
+
+static void
+stop_simulation (struct simulation *simulation)
+{
+  stop_instances (simulation);
+  for (int i = 0; i < RING_TICKS; i++)
+    {
+      g_array_free (simulation->ends[i], TRUE);
+      g_array_free (simulation->reports[i], TRUE);
+    }
+  g_rand_free (simulation->random);
+  ev_loop_destroy (simulation->loop);
+}
+
 /* The bound falls when empty targets join, while the holders of popular
    contexts keep their load.  */
 static void
@@ -322,19 +365,7 @@
   static struct simulation simulation;
   ev_timer ticks;
 
-  simulation.loop = ev_loop_new (EVBACKEND_EPOLL);
-  simulation.random = g_rand_new_with_seed (SEED);
-  for (int i = 0; i < RING_TICKS; i++)
-    {
-      simulation.ends[i] = g_array_new (FALSE, FALSE, sizeof (struct running));
-      simulation.reports[i]
-          = g_array_new (FALSE, FALSE, sizeof (struct running));
-    }
-  start_instances (&simulation);
-  add_targets (&simulation, 0, FIRST_TARGETS);
-  run_for (simulation.loop, HELLO_MS);
-  for (int i = 0; i < INSTANCES; i++)
-    CU_ASSERT_EQUAL (fleet_size (simulation.instances[i].fleet), INSTANCES);
+  start_simulation (&simulation, INSTANCES, FIRST_TARGETS);
   ev_timer_init (&ticks, on_tick, 0, (double)TICK_MS / CLK_MS_PER_S);
   ticks.data = &simulation;
   ev_timer_start (simulation.loop, &ticks);
@@ -352,12 +383,46 @@
   CU_ASSERT_EQUAL (simulation.load_sum, 0);
   CU_ASSERT_EQUAL (count_leftovers (&simulation), 0);
   ev_timer_stop (simulation.loop, &ticks);
-  stop_instances (&simulation);
-  for (int i = 0; i < RING_TICKS; i++)
+  stop_simulation (&simulation);
+}
+
+/* Returns the number of requests that the first instance counts for the
+   others.  */
+static int
+count_known_requests (const struct simulation *simulation)
+{
+  const GPtrArray *array = simulation->instances[0].registry->array;
+  int count = 0;
+
+  for (guint t = 0; t < array->len; t++)
+    count += ((const struct reg_target *)g_ptr_array_index (array, t))
+                 ->others_in_flight;
+  return count;
+}
+
+/* Each instance has one long request; an instance that forgets a live peer
+   counts fewer.  */
+static void
+loads_of_live_instances_are_kept (void)
+{
+  static struct simulation simulation;
+  int others = INSTANCES_MAX - 1;
+
+  start_simulation (&simulation, INSTANCES_MAX, FIRST_TARGETS);
+  for (int i = 0; i < INSTANCES_MAX; i++)
+    {
+      struct registry *registry = simulation.instances[i].registry;
+
+      reg_request_start (g_ptr_array_index (registry->array, i % 2));
+    }
+  run_for (simulation.loop, 3 * HELLO_MS);
+  for (int i = 0; i < KNOWN_CHECKS; i++)
     {
-      g_array_free (simulation.ends[i], TRUE);
-      g_array_free (simulation.reports[i], TRUE);
+      run_for (simulation.loop, KNOWN_CHECK_MS);
+      CU_ASSERT_EQUAL (count_known_requests (&simulation), others);
     }
-  g_rand_free (simulation.random);
-  ev_loop_destroy (simulation.loop);
+  for (int i = 0; i < INSTANCES_MAX; i++)
+    reg_request_end (
+        g_ptr_array_index (simulation.instances[i].registry->array, i % 2));
+  stop_simulation (&simulation);
 }
