Create the logs of a fake server before it runs

regress/fleet/taken-port.sh failed now and then: wait_process read out.log before the background process had opened it, and grep's complaint was in the output. The logs are created first now.

--- a/bench/fleet.sh
+++ b/bench/fleet.sh
@@ -90,8 +90,10 @@
   done
 }
 
-# Starts a program in the background and sets started_pid to its process.
+# Starts a program in the background and sets started_pid to its process.  The
+# logs exist before it runs, as wait_process reads them.
 start_process () {
+  touch "$dir/out.log" "$dir/err.log"
   "$@" >> "$dir/out.log" 2>> "$dir/err.log" &
   started_pid=$!
   pids="$pids $started_pid"
