Accept at most 16 interim responses before a response

An end of interim responses came after 256 KB of them, some ten thousand. Under the address sanitizer, which keeps freed memory for a while, the router grew by 41 and 52 MB in "a head without end fails", where 32 are allowed; without it, memory was bounded. A server has no use for more than a few of them, so the reader refuses the 17th. The test passes under the sanitizer as it is.

--- a/connection/http.c
+++ b/connection/http.c
@@ -7,6 +7,7 @@
 {
   TEXT_INITIAL_BYTES = 512,
   STATUS_FINAL_MIN = 200, /* lower values are interim responses */
+  INTERIM_MAX = 16,       /* before a final response */
   /* Bytes up to the end of a head, per byte that its fields may have: allows
      for separators, empty lines and interim responses.  */
   HEAD_BYTES_FACTOR = 4
@@ -31,7 +32,7 @@
 static void end_string (struct http_reader *reader);
 static int append_to_head (struct http_reader *reader, const char *at,
                            size_t length);
-static void discard_interim (struct http_reader *reader);
+static int discard_interim (struct http_reader *reader);
 static int is_framing_ambiguous (const struct http_reader *reader);
 static int list_contains (const char *list, const char *name);
 
@@ -75,6 +76,7 @@
   reader->head = NULL;
   reader->head_bytes = 0;
   reader->bytes_before_body = 0;
+  reader->interim_count = 0;
   reader->state = READER_START;
   reader->result = HTTP_READ_MORE;
 }
@@ -379,24 +381,27 @@
 
   if (reader->is_response && reader->head != NULL
       && reader->head->status < STATUS_FINAL_MIN)
-    {
-      discard_interim (reader);
-      return 0;
-    }
+    return discard_interim (reader);
   reader->result = HTTP_READ_COMPLETE;
   http_parser_pause (parser, 1);
   return 0;
 }
 
 /* Discards an interim response, whose bytes count among those before the body
-   of the final one.  */
-static void
+   of the final one.  Returns -1 if there are too many.  */
+static int
 discard_interim (struct http_reader *reader)
 {
   uint64_t bytes = reader->bytes_before_body;
+  uint32_t count = reader->interim_count + 1;
 
   http_reader_clear (reader);
   reader->bytes_before_body = bytes;
+  reader->interim_count = count;
+  if (count <= INTERIM_MAX)
+    return 0;
+  reader->result = HTTP_READ_TOO_LARGE;
+  return -1;
 }
 
 /* Returns whether another parser might find a different end of the
--- a/include/ibisloom/http.h
+++ b/include/ibisloom/http.h
@@ -52,6 +52,7 @@
   struct http_head *head; /* NULL before the first byte of a message */
   uint32_t head_max_bytes;
   uint32_t head_bytes;
+  uint32_t interim_count;
   uint64_t bytes_before_body; /* of the message, interim responses included */
   uint8_t state;
   uint8_t is_response;
