Report the loads that do not fit into a heartbeat

What callers saw: with more than 96 targets in use by one instance, the others counted nothing at the rest and sent more there than the bound allows.

A heartbeat replaces all loads of its sender, and has room for 96.

Fix: loads that do not fit follow the heartbeat as load updates of 64 each. All datagrams are numbered and encoded in one place now.

--- a/process/fleet.c
+++ b/process/fleet.c
@@ -259,8 +259,6 @@
 on_heartbeat_due (struct ev_loop *loop, ev_timer *timer, int events)
 {
   struct fleet *fleet = timer->data;
-  unsigned char heartbeat[WIRE_MAX_BYTES];
-  size_t heartbeat_length;
   clk_ms now = clk_now (clk_monotonic ());
   uint32_t stride = heartbeat_stride (fleet);
   uint32_t silent_stride = MAX (stride, SILENT_PEER_STRIDE);
@@ -290,11 +288,8 @@
                        && fleet->heartbeat_count > 5
                  : !gets_heartbeat (fleet, peer, index, stride))
         continue;
-      heartbeat_length = fleet_encode_heartbeat (
-          fleet, !silent && wants_affinity, heartbeat);
+      fleet_send_heartbeat (fleet, &peer->address, !silent && wants_affinity);
       wants_affinity = wants_affinity && silent; /* one peer at a time */
-      (void)sendto (fleet->fd, heartbeat, heartbeat_length, MSG_DONTWAIT,
-                    (struct sockaddr *)&peer->address, sizeof peer->address);
     }
 }
 
@@ -304,16 +299,13 @@
 static void
 send_to_seeds (struct fleet *fleet, clk_ms now)
 {
-  unsigned char heartbeat[WIRE_MAX_BYTES];
   GHashTableIter iter;
   gpointer value;
-  size_t length;
 
   g_hash_table_iter_init (&iter, fleet->peers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (!fleet_is_silent (fleet, value, now))
       return;
-  length = fleet_encode_heartbeat (fleet, 0, heartbeat);
   for (guint i = 0; i < fleet->settings->peers->len; i++)
     {
       struct sockaddr_in address
@@ -322,8 +314,7 @@
       address.sin_port = fleet->settings->peer_listen.sin_port;
       if (address.sin_addr.s_addr
           != fleet->settings->peer_listen.sin_addr.s_addr)
-        (void)sendto (fleet->fd, heartbeat, length, MSG_DONTWAIT,
-                      (struct sockaddr *)&address, sizeof address);
+        fleet_send_heartbeat (fleet, &address, 0);
     }
 }
 
--- a/process/fleet_datagram.c
+++ b/process/fleet_datagram.c
@@ -14,8 +14,13 @@
 
 static void send_notes (struct fleet *fleet, const struct fleet_peer *peer,
                         const struct wire_note *notes, uint32_t count);
-static void send_datagram (struct fleet *fleet, const struct fleet_peer *peer,
-                           const unsigned char *data, size_t length);
+static uint32_t next_loads (const struct fleet *fleet, guint *position,
+                            struct wire_load *loads, uint32_t max);
+static size_t encode_next (struct fleet *fleet, struct wire_message *message,
+                           unsigned char *data);
+static void send_message (struct fleet *fleet,
+                          const struct sockaddr_in *address,
+                          struct wire_message *message);
 static void apply_heartbeat (struct fleet *fleet, struct fleet_peer *peer,
                              const struct wire_heartbeat *heartbeat);
 static void send_affinity (struct fleet *fleet, const struct fleet_peer *peer);
@@ -23,37 +28,60 @@
 static int gets_broadcasts (const struct fleet *fleet,
                             const struct fleet_peer *peer);
 
-/* Encodes a heartbeat to OUT, of WIRE_MAX_BYTES, and returns its length.  If
-   WANTS_AFFINITY is not 0, it requests the affinity table of the receiver.  */
-size_t
-fleet_encode_heartbeat (struct fleet *fleet, int wants_affinity,
-                        unsigned char *out)
+/* Sends a heartbeat to ADDRESS.  If WANTS_AFFINITY is not 0, it requests the
+   affinity table of the receiver.  Loads that do not fit follow as load
+   updates.  */
+void
+fleet_send_heartbeat (struct fleet *fleet, const struct sockaddr_in *address,
+                      int wants_affinity)
 {
-  struct wire_message message = { .kind = WIRE_HEARTBEAT,
-                                  .sender = fleet->self,
-                                  .incarnation = fleet->incarnation,
-                                  .sequence = ++fleet->sequence };
+  struct wire_message message = {
+    .kind = WIRE_HEARTBEAT,
+    .u.heartbeat
+    = { .wants_reply = wants_affinity != 0,
+        .revision = fleet->known.targets,
+        .config_revision = fleet->known.config,
+        .store = (uint8_t)fleet->store_state,
+        .domain = fleet->domain,
+        .state = (uint8_t)(fleet->is_leaving ? MEMBER_LEAVING : MEMBER_READY) }
+  };
   struct wire_heartbeat *heartbeat = &message.u.heartbeat;
+  guint position = 0;
+
+  heartbeat->load_count
+      = next_loads (fleet, &position, heartbeat->loads, WIRE_LOADS_MAX);
+  send_message (fleet, address, &message);
+  while (position < fleet->registry->array->len)
+    {
+      struct wire_message update = { .kind = WIRE_LOADS };
+
+      update.u.loads.count = next_loads (fleet, &position, update.u.loads.load,
+                                         WIRE_UPDATE_LOADS_MAX);
+      if (update.u.loads.count > 0)
+        send_message (fleet, address, &update);
+    }
+}
+
+/* Copies to LOADS up to MAX loads of this instance, from the target at
+   POSITION on, and advances POSITION.  Returns how many.  */
+static uint32_t
+next_loads (const struct fleet *fleet, guint *position,
+            struct wire_load *loads, uint32_t max)
+{
+  const GPtrArray *targets = fleet->registry->array;
+  uint32_t count = 0;
 
-  heartbeat->wants_reply = wants_affinity != 0;
-  heartbeat->revision = fleet->known.targets;
-  heartbeat->config_revision = fleet->known.config;
-  heartbeat->store = (uint8_t)fleet->store_state;
-  heartbeat->domain = fleet->domain;
-  heartbeat->state
-      = (uint8_t)(fleet->is_leaving ? MEMBER_LEAVING : MEMBER_READY);
-  for (guint i = 0; i < fleet->registry->array->len; i++)
+  for (; *position < targets->len && count < max; (*position)++)
     {
-      const struct reg_target *target
-          = g_ptr_array_index (fleet->registry->array, i);
+      const struct reg_target *target = g_ptr_array_index (targets, *position);
 
-      if (target->in_flight == 0 || heartbeat->load_count == WIRE_LOADS_MAX)
+      if (target->in_flight == 0)
         continue;
-      heartbeat->loads[heartbeat->load_count].target = target->hash;
-      heartbeat->loads[heartbeat->load_count].load = target->in_flight;
-      heartbeat->load_count++;
+      loads[count].target = target->hash;
+      loads[count].load = target->in_flight;
+      count++;
     }
-  return wire_encode (&message, &fleet->key, out);
+  return count;
 }
 
 /* Sends COUNT NOTES, at most WIRE_NOTES_MAX, to PEER.  */
@@ -61,27 +89,35 @@
 send_notes (struct fleet *fleet, const struct fleet_peer *peer,
             const struct wire_note *notes, uint32_t count)
 {
-  struct wire_message message = { .kind = WIRE_NOTES,
-                                  .sender = fleet->self,
-                                  .incarnation = fleet->incarnation,
-                                  .sequence = ++fleet->sequence };
-  unsigned char data[WIRE_MAX_BYTES];
-  size_t length;
+  struct wire_message message = { .kind = WIRE_NOTES };
 
   message.u.notes.count = count;
   memcpy (message.u.notes.note, notes, count * sizeof *notes);
-  length = wire_encode (&message, &fleet->key, data);
-  send_datagram (fleet, peer, data, length);
+  send_message (fleet, &peer->address, &message);
 }
 
-/* Sends DATA of LENGTH bytes to PEER.  A loss is made up for by the next
-   heartbeat.  */
+/* Encodes MESSAGE, as the next one of this instance, to DATA, of
+   WIRE_MAX_BYTES.  Returns its length.  */
+static size_t
+encode_next (struct fleet *fleet, struct wire_message *message,
+             unsigned char *data)
+{
+  message->sender = fleet->self;
+  message->incarnation = fleet->incarnation;
+  message->sequence = ++fleet->sequence;
+  return wire_encode (message, &fleet->key, data);
+}
+
+/* Sends MESSAGE to ADDRESS.  A loss is made up for by the next heartbeat.  */
 static void
-send_datagram (struct fleet *fleet, const struct fleet_peer *peer,
-               const unsigned char *data, size_t length)
+send_message (struct fleet *fleet, const struct sockaddr_in *address,
+              struct wire_message *message)
 {
+  unsigned char data[WIRE_MAX_BYTES];
+  size_t length = encode_next (fleet, message, data);
+
   (void)sendto (fleet->fd, data, length, MSG_DONTWAIT,
-                (const struct sockaddr *)&peer->address, sizeof peer->address);
+                (const struct sockaddr *)address, sizeof *address);
 }
 
 /* Sends all holders in the affinity table to PEER, which requests them after
@@ -201,18 +237,24 @@
 
 /* Sends MESSAGE to the peers that are not silent.  */
 void
-fleet_broadcast (struct fleet *fleet, const struct wire_message *message)
+fleet_broadcast (struct fleet *fleet, struct wire_message *message)
 {
   unsigned char data[WIRE_MAX_BYTES];
-  size_t length = wire_encode (message, &fleet->key, data);
+  size_t length = encode_next (fleet, message, data);
   clk_ms now = clk_now (clk_monotonic ());
   GHashTableIter iter;
   gpointer value;
 
   g_hash_table_iter_init (&iter, fleet->peers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (!fleet_is_silent (fleet, value, now) && gets_broadcasts (fleet, value))
-      send_datagram (fleet, value, data, length);
+    {
+      const struct fleet_peer *peer = value;
+
+      if (!fleet_is_silent (fleet, peer, now) && gets_broadcasts (fleet, peer))
+        (void)sendto (fleet->fd, data, length, MSG_DONTWAIT,
+                      (const struct sockaddr *)&peer->address,
+                      sizeof peer->address);
+    }
 }
 
 /* Notifies the other instances that TARGET has begun to compute CONTEXT, so
@@ -220,10 +262,7 @@
 void
 fleet_announce_holder (struct fleet *fleet, uint64_t context, uint64_t target)
 {
-  struct wire_message message = { .kind = WIRE_NOTES,
-                                  .sender = fleet->self,
-                                  .incarnation = fleet->incarnation,
-                                  .sequence = ++fleet->sequence };
+  struct wire_message message = { .kind = WIRE_NOTES };
 
   message.u.notes.count = 1;
   message.u.notes.note[0].chat = context;
--- a/process/fleet_load.c
+++ b/process/fleet_load.c
@@ -90,9 +90,7 @@
 on_update_due (struct ev_loop *loop, ev_timer *timer, int events)
 {
   struct fleet *fleet = timer->data;
-  struct wire_message message = { .kind = WIRE_LOADS,
-                                  .sender = fleet->self,
-                                  .incarnation = fleet->incarnation };
+  struct wire_message message = { .kind = WIRE_LOADS };
 
   (void)loop;
   (void)events;
@@ -100,7 +98,6 @@
   if (message.u.loads.count == 0)
     return;
   fleet->updated_ms = clk_now (clk_monotonic ());
-  message.sequence = ++fleet->sequence;
   fleet_broadcast (fleet, &message);
   if (fleet->changed->len > 0)
     schedule_update (fleet, 0);
--- a/process/libfleet.h
+++ b/process/libfleet.h
@@ -82,10 +82,11 @@
 void fleet_on_retry (struct ev_loop *loop, ev_timer *timer, int events);
 
 /* fleet_datagram.c */
-size_t fleet_encode_heartbeat (struct fleet *fleet, int wants_affinity,
-                               unsigned char *out);
+void fleet_send_heartbeat (struct fleet *fleet,
+                           const struct sockaddr_in *address,
+                           int wants_affinity);
 void fleet_on_datagram (struct ev_loop *loop, ev_io *io, int events);
-void fleet_broadcast (struct fleet *fleet, const struct wire_message *message);
+void fleet_broadcast (struct fleet *fleet, struct wire_message *message);
 
 /* fleet_load.c */
 void fleet_watch_loads (struct fleet *fleet);
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -80,11 +80,14 @@
 };
 
 static void popular_targets_stay_within_bound (void);
+static void loads_at_all_targets_are_reported (void);
 static void loads_of_live_instances_are_kept (void);
 
 static const struct test_case cases[] = {
   { "popular targets stay within the load bound of a large fleet",
     popular_targets_stay_within_bound },
+  { "an instance reports its loads at all targets",
+    loads_at_all_targets_are_reported },
   { "loads of live instances are kept in a fleet of 150",
     loads_of_live_instances_are_kept },
 };
@@ -400,13 +403,44 @@
   return count;
 }
 
+/* Checks several times that the first instance counts REQUESTS for the
+   others.  */
+static void
+expect_known_requests (const struct simulation *simulation, int requests)
+{
+  for (int i = 0; i < KNOWN_CHECKS; i++)
+    {
+      run_for (simulation->loop, KNOWN_CHECK_MS);
+      CU_ASSERT_EQUAL (count_known_requests (simulation), requests);
+    }
+}
+
+/* There are more of them than one datagram holds.  */
+static void
+loads_at_all_targets_are_reported (void)
+{
+  static struct simulation simulation;
+  const GPtrArray *targets;
+
+  start_simulation (&simulation, 2, TARGETS);
+  targets = simulation.instances[1].registry->array;
+  for (int i = 0; i < TARGETS; i++)
+    reg_request_start (g_ptr_array_index (targets, i));
+  run_for (simulation.loop, KNOWN_CHECK_MS);
+  expect_known_requests (&simulation, TARGETS);
+  for (int i = 0; i < TARGETS; i++)
+    reg_request_end (g_ptr_array_index (targets, i));
+  run_for (simulation.loop, KNOWN_CHECK_MS);
+  expect_known_requests (&simulation, 0);
+  stop_simulation (&simulation);
+}
+
 /* Each instance has one long request; an instance that forgets a live peer
    counts fewer.  */
 static void
 loads_of_live_instances_are_kept (void)
 {
   static struct simulation simulation;
-  int others = INSTANCES_MAX - 1;
 
   start_simulation (&simulation, INSTANCES_MAX, FIRST_TARGETS);
   for (int i = 0; i < INSTANCES_MAX; i++)
@@ -416,11 +450,7 @@
       reg_request_start (g_ptr_array_index (registry->array, i % 2));
     }
   run_for (simulation.loop, 3 * HELLO_MS);
-  for (int i = 0; i < KNOWN_CHECKS; i++)
-    {
-      run_for (simulation.loop, KNOWN_CHECK_MS);
-      CU_ASSERT_EQUAL (count_known_requests (&simulation), others);
-    }
+  expect_known_requests (&simulation, INSTANCES_MAX - 1);
   for (int i = 0; i < INSTANCES_MAX; i++)
     reg_request_end (
         g_ptr_array_index (simulation.instances[i].registry->array, i % 2));
