Do not cut a long response that keeps coming

What callers saw: a response of over 64 KB to a request that may be repeated broke off 0.6 to 1.8 s after its head, while its target was still sending.

Cause: the read timeout was set at the head and only events set it anew.

Fix: bytes that are forwarded do so too. Bytes that are only buffered still do not: until the head is passed on, the request can go elsewhere.

Test: "a long response that keeps coming is not cut" failed before and passes now.

--- a/request/relay_response.c
+++ b/request/relay_response.c
@@ -84,7 +84,11 @@
       relay_arm_timer (relay);
     }
   else if (relay->head_sent)
-    forward_body (relay, data, length);
+    {
+      forward_body (relay, data, length);
+      relay->last_received_ms = clk_now (clk_monotonic ());
+      relay_arm_timer (relay);
+    }
   else if (buffer_body (relay, data, length) != 0)
     return -1;
   if (client_backlog (relay->client) > CLIENT_BACKLOG_MAX_BYTES)
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -43,6 +43,7 @@
 static void disconnect_aborts_request (void);
 static void oversized_requests_are_refused (void);
 static void unresponsive_target_is_avoided (void);
+static void long_response_is_not_cut (void);
 
 static const struct test_case cases[] = {
   { "each route type is served", each_route_type_is_served },
@@ -89,6 +90,7 @@
   { "heads and bodies over the limits are refused",
     oversized_requests_are_refused },
   { "an unresponsive target is avoided", unresponsive_target_is_avoided },
+  { "a long response that keeps coming is not cut", long_response_is_not_cut },
 };
 
 TEST_MAIN ("router", cases)
@@ -825,3 +827,43 @@
   CU_ASSERT (fx_target_request_count (first) <= 2);
   fx_env_stop ();
 }
+
+/* Sends more than a router buffers, and then the rest for 1.2 s.  */
+static int
+respond_for_long (const struct fx_request *request)
+{
+  char *id = fx_header_value (request->text, "X-Ibisloom-Attempt-Id");
+  char *head = g_strdup_printf ("HTTP/1.1 200 OK\r\n"
+                                "X-Ibisloom-Attempt-Id: %s\r\n"
+                                "X-Ibisloom-Response-Signature: s\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n",
+                                id);
+  char *data = g_strnfill (LARGE_EVENT_BYTES, 'x');
+
+  fx_write (request->fd, head);
+  for (int i = 0; i < 8; i++)
+    {
+      shop_write_chunk (request, data);
+      fx_sleep_ms (150);
+    }
+  shop_write_chunk (request, "end");
+  fx_write (request->fd, "0\r\n\r\n");
+  g_free (data);
+  g_free (head);
+  g_free (id);
+  return 1;
+}
+
+static void
+long_response_is_not_cut (void)
+{
+  char *response;
+
+  fx_target_add ("i-1", "desk", respond_for_long);
+  fx_env_start (shop_config);
+  response = fx_exchange (GET_MAP ("m1"));
+  CU_ASSERT (g_str_has_prefix (response, "HTTP/1.1 200"));
+  CU_ASSERT (g_str_has_suffix (response, "end\r\n0\r\n\r\n"));
+  g_free (response);
+  fx_env_stop ();
+}
