Move the choice of a target out of relay.c

The functions are moved unchanged, but for the three lines of start_attempt that are relay_mark_tried now.

--- a/request/librelay.h
+++ b/request/librelay.h
@@ -91,6 +91,13 @@
 void relay_finish (struct relay *relay, const char *outcome);
 void relay_arm_timer (struct relay *relay);
 
+/* relay_target.c */
+struct reg_target *relay_choose_target (const struct relay *relay, clk_ms now,
+                                        struct bal_choice *choice,
+                                        size_t *count);
+void relay_mark_tried (struct relay *relay);
+void relay_mark_unreachable (struct relay *relay);
+
 /* relay_log.c */
 void relay_log_placement (const struct relay *relay,
                           const struct bal_choice *choice, size_t candidates);
--- a/request/relay.c
+++ b/request/relay.c
@@ -39,17 +39,7 @@
 static int authenticate (struct relay *relay);
 static void set_deadline (struct relay *relay);
 static void hash_context (struct relay *relay);
-static struct reg_target *choose_target (const struct relay *relay, clk_ms now,
-                                         struct bal_choice *choice,
-                                         size_t *count);
 static void start_attempt (struct relay *relay, struct reg_target *target);
-static int contains_id (const uint64_t *ids, uint32_t count, uint64_t id);
-static void exclude_candidates (const struct relay *relay,
-                                struct bal_candidate *candidates,
-                                size_t count);
-static int readmit_tried (const struct relay *relay,
-                          struct bal_candidate *candidates, size_t count);
-static void mark_unreachable (struct relay *relay);
 static uint32_t max_sends (const struct relay *relay);
 static enum health_event health_event_of (const struct relay *relay,
                                           enum retry_fault fault);
@@ -224,7 +214,7 @@
                                                : RELAY_DEADLINE_UNSENT);
       return;
     }
-  target = choose_target (relay, now, &choice, &count);
+  target = relay_choose_target (relay, now, &choice, &count);
   if (target == NULL)
     {
       relay_log_placement (relay, &choice, count);
@@ -242,37 +232,6 @@
   relay_log_placement (relay, &choice, count);
 }
 
-/* Returns the target for RELAY's next attempt, or NULL.  CHOICE receives the
-   reason, and COUNT the number of candidates.  Targets that were sent the
-   request before are considered only if no other one is left.  */
-static struct reg_target *
-choose_target (const struct relay *relay, clk_ms now,
-               struct bal_choice *choice, size_t *count)
-{
-  static struct bal_candidate candidates[BAL_CANDIDATES_MAX];
-  static struct reg_target *targets[BAL_CANDIDATES_MAX];
-  struct router *router = relay->router;
-  struct bal_params params
-      = { .context = relay->context,
-          .cap_factor
-          = relay->route->has_context ? router->settings->cap_factor : 0,
-          .cap_slack = router->settings->cap_slack,
-          .random = g_rand_int (router->random) };
-
-  *count = reg_candidates (router->registry, relay->service,
-                           router->failure_domain, now, candidates, targets,
-                           BAL_CANDIDATES_MAX);
-  exclude_candidates (relay, candidates, *count);
-  if (relay->context != 0)
-    params.holders = affinity_find (router->affinity, relay->context);
-  if (!bal_pick (&params, candidates, *count, choice)
-      && !(readmit_tried (relay, candidates, *count)
-           && bal_pick (&params, candidates, *count, choice)))
-    return NULL;
-  targets[choice->index]->load_limit = choice->limit;
-  return targets[choice->index];
-}
-
 /* Starts an attempt at TARGET.  If no call can be made, the fault is
    reported by the timer, which expires at once, and not from within this
    function.  */
@@ -293,9 +252,7 @@
   relay->target = target;
   reg_request_start (target);
   relay->is_trial = (uint8_t)health_begin_request (&target->health);
-  if (relay->tried_count < RELAY_TRIED_MAX
-      && !contains_id (relay->tried, relay->tried_count, target->hash))
-    relay->tried[relay->tried_count++] = target->hash;
+  relay_mark_tried (relay);
   relay->sent_ms = now;
   relay->last_received_ms = now;
   relay->status = 0;
@@ -380,7 +337,7 @@
     {
       relay->sends--;
       relay->connect_failures++;
-      mark_unreachable (relay);
+      relay_mark_unreachable (relay);
     }
   else if (fault != RETRY_FAULT_REJECTED)
     relay->may_have_run = 1;
@@ -540,65 +497,3 @@
     g_string_free (relay->events.partial, TRUE);
   g_free (relay);
 }
-
-/* Returns whether ID is one of the COUNT IDS.  */
-static int
-contains_id (const uint64_t *ids, uint32_t count, uint64_t id)
-{
-  for (uint32_t i = 0; i < count; i++)
-    if (ids[i] == id)
-      return 1;
-  return 0;
-}
-
-/* Excludes targets from the COUNT CANDIDATES: those that could not be reached,
-   and those that were sent RELAY before.  Once RELAY was sent to as many
-   targets as its route allows, only these targets remain.  */
-static void
-exclude_candidates (const struct relay *relay,
-                    struct bal_candidate *candidates, size_t count)
-{
-  int only_tried = relay->tried_count >= relay->route->attempts_max;
-
-  for (size_t i = 0; i < count; i++)
-    {
-      int tried
-          = contains_id (relay->tried, relay->tried_count, candidates[i].id);
-
-      candidates[i].excluded
-          = tried != only_tried
-            || contains_id (relay->unreachable, relay->unreachable_count,
-                            candidates[i].id);
-    }
-}
-
-/* Readmits reachable targets that were sent RELAY before.  Returns whether
-   there are any.  */
-static int
-readmit_tried (const struct relay *relay, struct bal_candidate *candidates,
-               size_t count)
-{
-  int any = 0;
-
-  for (size_t i = 0; i < count; i++)
-    if (contains_id (relay->tried, relay->tried_count, candidates[i].id)
-        && !contains_id (relay->unreachable, relay->unreachable_count,
-                         candidates[i].id))
-      {
-        candidates[i].excluded = 0;
-        any = 1;
-      }
-  return any;
-}
-
-/* Moves the current target from the tried to the unreachable ones.  */
-static void
-mark_unreachable (struct relay *relay)
-{
-  uint64_t id = relay->target->hash;
-
-  if (relay->tried_count > 0 && relay->tried[relay->tried_count - 1] == id)
-    relay->tried_count--;
-  if (relay->unreachable_count < RELAY_TRIED_MAX)
-    relay->unreachable[relay->unreachable_count++] = id;
-}
