Find the changed counts of a load update by their flags

The list of changed targets kept an entry for each target that was removed before an update came due; where no target ever gets near its limit none does, and the list would have grown with each replaced target. Found in reading; no run showed it. The flag in the target is enough: an update looks through the targets once, as each choice does.

--- a/process/fleet_load.c
+++ b/process/fleet_load.c
@@ -36,7 +36,6 @@
 void
 fleet_watch_loads (struct fleet *fleet)
 {
-  fleet->changed = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   ev_timer_init (&fleet->update, on_update_due, 0, 0);
   fleet->update.data = fleet;
   reg_on_load_change (fleet->registry, on_load_change, fleet);
@@ -48,7 +47,6 @@
 {
   reg_on_load_change (fleet->registry, NULL, NULL);
   ev_timer_stop (fleet->loop, &fleet->update);
-  g_array_free (fleet->changed, TRUE);
 }
 
 /* Handles a request of this instance that STARTED at TARGET, or ended there.
@@ -60,8 +58,6 @@
 {
   struct fleet *fleet = closure;
 
-  if (!target->update_pending)
-    g_array_append_val (fleet->changed, target->hash);
   target->update_pending = 1;
   if (reg_is_near_limit (target, clk_now (clk_monotonic ())))
     schedule_update (fleet, started ? 0 : UPDATE_END_DELAY_MS);
@@ -85,7 +81,7 @@
   ev_timer_start (fleet->loop, &fleet->update);
 }
 
-/* Sends the counts that have changed.  */
+/* Sends the counts that have changed; those that do not fit follow.  */
 static void
 on_update_due (struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -99,7 +95,7 @@
     return;
   fleet->updated_ms = clk_now (clk_monotonic ());
   fleet_broadcast (fleet, &message);
-  if (fleet->changed->len > 0)
+  if (message.u.loads.count == WIRE_UPDATE_LOADS_MAX)
     schedule_update (fleet, 0);
 }
 
@@ -107,17 +103,17 @@
 static void
 collect_changes (struct fleet *fleet, struct wire_loads *loads)
 {
-  while (fleet->changed->len > 0 && loads->count < WIRE_UPDATE_LOADS_MAX)
+  const GPtrArray *targets = fleet->registry->array;
+
+  for (guint i = 0; i < targets->len && loads->count < WIRE_UPDATE_LOADS_MAX;
+       i++)
     {
-      uint64_t hash
-          = g_array_index (fleet->changed, uint64_t, fleet->changed->len - 1);
-      struct reg_target *target = reg_find_hash (fleet->registry, hash);
+      struct reg_target *target = g_ptr_array_index (targets, i);
 
-      g_array_set_size (fleet->changed, fleet->changed->len - 1);
-      if (target == NULL)
+      if (!target->update_pending)
         continue;
       target->update_pending = 0;
-      loads->load[loads->count].target = hash;
+      loads->load[loads->count].target = target->hash;
       loads->load[loads->count].load = target->in_flight;
       loads->count++;
     }
