--- a/process/libfleet.h
+++ b/process/libfleet.h
@@ -65,8 +65,7 @@
   enum wire_store store_state;
   fleet_update_fn on_update;
   void *closure;
-  GArray *changed; /* hashes of the targets in the next load update */
-  ev_timer update; /* until that update is sent */
+  ev_timer update; /* until the next load update is sent */
   clk_ms update_due_ms;
   clk_ms updated_ms;         /* time of the last load update */
   uint8_t affinity_received; /* the table of another instance has arrived */
