Send load updates to up to 512 peers

Cause: as before this in a fleet of 78: above 128 peers only those of the own domain got load updates, while rendezvous hashing gives the domains the same homes.

Sites of up to 128 instances run as before this change.

--- a/process/fleet_datagram.c
+++ b/process/fleet_datagram.c
@@ -9,7 +9,9 @@
 
 enum
 {
-  BROADCAST_PEERS_MAX = 128 /* above, only peers of the own domain */
+  /* In a larger fleet only peers of the own domain get these.  */
+  NOTE_PEERS_MAX = 128,
+  LOAD_UPDATE_PEERS_MAX = 512
 };
 
 static void send_notes (struct fleet *fleet, const struct fleet_peer *peer,
@@ -25,8 +27,8 @@
                              const struct wire_heartbeat *heartbeat);
 static void send_affinity (struct fleet *fleet, const struct fleet_peer *peer);
 static void apply_notes (struct fleet *fleet, const struct wire_notes *notes);
-static int gets_broadcasts (const struct fleet *fleet,
-                            const struct fleet_peer *peer);
+static int gets_broadcast (const struct fleet *fleet,
+                           const struct fleet_peer *peer, enum wire_kind kind);
 
 /* Sends a heartbeat to ADDRESS.  If WANTS_AFFINITY is not 0, it requests the
    affinity table of the receiver.  Loads that do not fit follow as load
@@ -225,13 +227,17 @@
                      notes->note[i].target, now);
 }
 
-/* Returns whether PEER gets broadcast messages.  In a large fleet only peers
+/* Returns whether PEER gets a broadcast of KIND.  In a large fleet only peers
    of the same failure domain do, since a client sends its next requests to the
    same failure domain.  */
 static int
-gets_broadcasts (const struct fleet *fleet, const struct fleet_peer *peer)
+gets_broadcast (const struct fleet *fleet, const struct fleet_peer *peer,
+                enum wire_kind kind)
 {
-  return g_hash_table_size (fleet->peers) <= BROADCAST_PEERS_MAX
+  uint32_t peers_max
+      = kind == WIRE_LOADS ? LOAD_UPDATE_PEERS_MAX : NOTE_PEERS_MAX;
+
+  return g_hash_table_size (fleet->peers) <= peers_max
          || peer->domain == fleet->domain;
 }
 
@@ -250,7 +256,8 @@
     {
       const struct fleet_peer *peer = value;
 
-      if (!fleet_is_silent (fleet, peer, now) && gets_broadcasts (fleet, peer))
+      if (!fleet_is_silent (fleet, peer, now)
+          && gets_broadcast (fleet, peer, message->kind))
         (void)sendto (fleet->fd, data, length, MSG_DONTWAIT,
                       (const struct sockaddr *)&peer->address,
                       sizeof peer->address);
