--- a/request/librelay.h
+++ b/request/librelay.h
@@ -49,6 +49,8 @@
   const char *service;
   const struct rt_customer *customer; /* may be NULL */
   const char *id;
+  uint64_t *parts; /* shared parts of the prompt; NULL: none */
+  uint32_t part_count;
   uint64_t context; /* hash of the shared prompt parts, 0: none */
   uint32_t context_tokens;
   clk_ms arrived_ms;
--- a/request/relay.c
+++ b/request/relay.c
@@ -38,7 +38,7 @@
 static int64_t expected_duration_ms (const struct relay *relay);
 static int authenticate (struct relay *relay);
 static void set_deadline (struct relay *relay);
-static void hash_context (struct relay *relay);
+static void read_prompt (struct relay *relay);
 static void start_attempt (struct relay *relay, struct reg_target *target);
 static uint32_t max_sends (const struct relay *relay);
 static enum health_event health_event_of (const struct relay *relay,
@@ -117,7 +117,7 @@
   if (!authenticate (relay))
     return 0;
   set_deadline (relay);
-  hash_context (relay);
+  read_prompt (relay);
   *refusal = RELAY_STOPPING;
   if (!router_may_start (router, expected_duration_ms (relay)))
     return 0;
@@ -178,19 +178,22 @@
     relay->deadline_ms = relay->arrived_ms + ms;
 }
 
-/* Hashes the shared parts of RELAY's prompt, which are all but the last,
-   and sums up their tokens.  */
+/* Keeps the shared parts of RELAY's prompt, which are all but the last, hashes
+   them and sums up their tokens.  */
 static void
-hash_context (struct relay *relay)
+read_prompt (struct relay *relay)
 {
   const struct dialect *dialect = relay->router->dialect;
   const char *value
       = http_head_get (relay->head, dialect->field[DIALECT_PROMPT_PARTS]);
   struct dialect_prompt prompt;
 
-  if (value == NULL || dialect->prompt (value, &prompt) != 0)
+  if (value == NULL || dialect->prompt (value, &prompt) != 0
+      || prompt.count <= UNSHARED_PARTS)
     return;
-  for (uint32_t i = 0; i + UNSHARED_PARTS < prompt.count; i++)
+  relay->part_count = prompt.count - UNSHARED_PARTS;
+  relay->parts = g_memdup2 (prompt.id, relay->part_count * sizeof *prompt.id);
+  for (uint32_t i = 0; i < relay->part_count; i++)
     {
       relay->context = rank_mix (relay->context, prompt.id[i]);
       relay->context_tokens += prompt.tokens[i];
@@ -486,6 +489,7 @@
   ev_timer_stop (relay->router->loop, &relay->timer);
   router_request_ended (relay->router);
   rt_unref (relay->table);
+  g_free (relay->parts);
   http_head_free (relay->head);
   if (relay->body != NULL)
     g_string_free (relay->body, TRUE);
--- a/request/relay_log.c
+++ b/request/relay_log.c
@@ -34,6 +34,8 @@
   [RETRY_REASON_MAY_HAVE_RUN] = "may_have_run",
 };
 
+static void log_parts (struct log_line *line, const struct relay *relay);
+
 /* Logs the target chosen for RELAY, and the reason.  */
 void
 relay_log_placement (const struct relay *relay,
@@ -61,6 +63,7 @@
       log_text (&line, "context", context);
       log_number (&line, "context_tokens", relay->context_tokens);
       log_text (&line, "holder", bal_skip_names[choice->skip]);
+      log_parts (&line, relay);
     }
   log_number (&line, "version", (int64_t)relay->table->version);
   log_number (&line, "registry", (int64_t)relay->router->known.targets);
@@ -103,9 +106,25 @@
   log_text (&line, "next",
             decision->action == RETRY_GIVE_UP ? "give_up" : "elsewhere");
   log_text (&line, "because", give_up_reason_names[decision->reason]);
+  log_parts (&line, relay);
   log_end (&line);
 }
 
+/* Adds the shared prompt parts of RELAY to LINE, as many as fit.  */
+static void
+log_parts (struct log_line *line, const struct relay *relay)
+{
+  char text[160] = "";
+  size_t length = 0;
+
+  for (uint32_t i = 0; i < relay->part_count && length < sizeof text; i++)
+    length += (size_t)g_snprintf (text + length, sizeof text - length,
+                                  i == 0 ? "%" PRIx64 : ",%" PRIx64,
+                                  relay->parts[i]);
+  if (relay->part_count > 0)
+    log_text (line, "parts", text);
+}
+
 /* Logs the OUTCOME of RELAY.  */
 void
 relay_log_outcome (const struct relay *relay, const char *outcome, clk_ms now)
