Let the scripted store keep what instances write

The scripted store answered each POST with 201 and forgot the object, so that the instances of a test or a soak never found each other in its list (each logged "1 instances") and no test could show what a fleet shares. It now creates and removes objects and answers 409 for one that exists.

--- a/tests/store_fixture.c
+++ b/tests/store_fixture.c
@@ -7,6 +7,8 @@
 #include <sys/socket.h>
 #include <time.h>
 
+#include <jansson.h>
+
 #include "libfixture.h"
 
 /* Appends CHANGE to OUT as a JSON object of the store.  */
@@ -117,6 +119,63 @@
     fx_respond_json (fd, "410 Gone", g_strdup ("{}"));
 }
 
+/* Adds a revision of an object.  The lock must be held.  */
+static void
+add_change_locked (const char *kind, const char *name, const char *spec)
+{
+  struct change *change = g_new0 (struct change, 1);
+
+  change->kind = g_strdup (kind);
+  change->name = g_strdup (name);
+  change->spec = g_strdup (spec);
+  change->revision = (long)fx_env.changes->len + 1;
+  g_ptr_array_add (fx_env.changes, change);
+  pthread_cond_broadcast (&fx_env.changed);
+}
+
+/* Creates the object in the body of the POST REQUEST, of KIND.  Returns the
+   status of the response.  */
+static const char *
+create_object (const char *request, const char *kind)
+{
+  json_t *body = json_loads (strstr (request, "\r\n\r\n"), 0, NULL);
+  const char *name = json_string_value (
+      json_object_get (json_object_get (body, "metadata"), "name"));
+  char *spec = json_dumps (json_object_get (body, "spec"), JSON_COMPACT);
+  const char *status = "400 Bad Request";
+  const struct change *latest;
+
+  if (name != NULL && spec != NULL)
+    {
+      pthread_mutex_lock (&fx_env.lock);
+      latest = fx_store_latest_change (kind, name);
+      status = latest != NULL && latest->spec != NULL ? "409 Conflict"
+                                                      : "201 Created";
+      if (latest == NULL || latest->spec == NULL)
+        add_change_locked (kind, name, spec);
+      pthread_mutex_unlock (&fx_env.lock);
+    }
+  free (spec);
+  json_decref (body);
+  return status;
+}
+
+/* Removes the object NAME of KIND.  Returns the status of the response.  */
+static const char *
+remove_object (const char *kind, const char *name)
+{
+  const struct change *latest;
+  int exists;
+
+  pthread_mutex_lock (&fx_env.lock);
+  latest = fx_store_latest_change (kind, name);
+  exists = latest != NULL && latest->spec != NULL;
+  if (exists)
+    add_change_locked (kind, name, NULL);
+  pthread_mutex_unlock (&fx_env.lock);
+  return exists ? "200 OK" : "404 Not Found";
+}
+
 /* Serves one connection to the store until it ends or the store is down.  */
 static void *
 serve_connection (void *closure)
@@ -127,11 +186,12 @@
   while ((request = fx_read_request (fd)) != NULL)
     {
       char kind[64] = "";
+      char name[128] = "";
       char *watch = strstr (request, "watch=");
       char *wait = strstr (request, "wait_ms=");
       int down;
 
-      sscanf (request, "%*s /objects/%63[^ /?]", kind);
+      sscanf (request, "%*s /objects/%63[^ /?]/%127[^ /?]", kind, name);
       pthread_mutex_lock (&fx_env.lock);
       down = fx_env.store_down;
       pthread_mutex_unlock (&fx_env.lock);
@@ -141,7 +201,9 @@
           break;
         }
       if (strncmp (request, "POST", 4) == 0)
-        fx_respond_json (fd, "201 Created", g_strdup ("{}"));
+        fx_respond_json (fd, create_object (request, kind), g_strdup ("{}"));
+      else if (strncmp (request, "DELETE", 6) == 0)
+        fx_respond_json (fd, remove_object (kind, name), g_strdup ("{}"));
       else if (watch != NULL)
         respond_watch (fd, kind, strtol (watch + 6, NULL, 10),
                        wait ? strtol (wait + 8, NULL, 10) : 0);
@@ -182,15 +244,8 @@
 void
 fx_store_add_change (const char *kind, const char *name, const char *spec)
 {
-  struct change *change = g_new0 (struct change, 1);
-
-  change->kind = g_strdup (kind);
-  change->name = g_strdup (name);
-  change->spec = g_strdup (spec);
   pthread_mutex_lock (&fx_env.lock);
-  change->revision = (long)fx_env.changes->len + 1;
-  g_ptr_array_add (fx_env.changes, change);
-  pthread_cond_broadcast (&fx_env.changed);
+  add_change_locked (kind, name, spec);
   pthread_mutex_unlock (&fx_env.lock);
 }
 
