--- a/tests/libfixture.h
+++ b/tests/libfixture.h
@@ -18,6 +18,8 @@
   fx_handler_fn handler;
   int requests;
   int closed_by_router;
+  int crashed;
+  GArray *fds; /* of its open connections */
   char *last_request;
 };
 
--- a/tests/router_fixture.h
+++ b/tests/router_fixture.h
@@ -5,9 +5,13 @@
 
 #include <glib.h>
 
+struct fx_target;
+struct proxy;
+
 /* A request as received by a target. */
 struct fx_request
 {
+  struct fx_target *target;
   char *text; /* head and body */
   int fd;
   int number; /* count of requests to the target up to this one, from 1 */
@@ -17,9 +21,6 @@
    kept open. */
 typedef int (*fx_handler_fn) (const struct fx_request *request);
 
-struct fx_target;
-struct proxy;
-
 enum
 {
   FX_ROUTERS_MAX = 300,
@@ -51,6 +52,7 @@
 int fx_target_closed_by_router (struct fx_target *target);
 void fx_target_set_state (struct fx_target *target, const char *state);
 void fx_target_remove (struct fx_target *target);
+int fx_target_crash (struct fx_target *target);
 struct proxy *fx_target_add_proxy (struct fx_target *target);
 struct proxy *fx_store_add_proxy (int router);
 
--- a/tests/target_fixture.c
+++ b/tests/target_fixture.c
@@ -20,7 +20,7 @@
 {
   struct connection *connection = closure;
   struct fx_target *target = connection->target;
-  struct fx_request request = { .fd = connection->fd };
+  struct fx_request request = { .target = target, .fd = connection->fd };
   int keep_alive = 1;
 
   while (keep_alive
@@ -34,12 +34,12 @@
       keep_alive = target->handler (&request);
       g_free (request.text);
     }
-  if (keep_alive)
-    {
-      pthread_mutex_lock (&fx_env.lock);
-      target->closed_by_router++;
-      pthread_mutex_unlock (&fx_env.lock);
-    }
+  pthread_mutex_lock (&fx_env.lock);
+  target->closed_by_router += keep_alive && !target->crashed;
+  for (guint i = 0; i < target->fds->len; i++)
+    if (g_array_index (target->fds, int, i) == connection->fd)
+      g_array_remove_index_fast (target->fds, i--);
+  pthread_mutex_unlock (&fx_env.lock);
   close (connection->fd);
   g_free (connection);
   return NULL;
@@ -58,6 +58,11 @@
 
       connection->target = target;
       connection->fd = fd;
+      pthread_mutex_lock (&fx_env.lock);
+      g_array_append_val (target->fds, fd);
+      if (target->crashed)
+        shutdown (fd, SHUT_RDWR);
+      pthread_mutex_unlock (&fx_env.lock);
       fx_start_thread (serve_connection, connection);
     }
   return NULL;
@@ -88,6 +93,7 @@
   target->service = g_strdup (service);
   target->state = g_strdup ("ready");
   target->handler = handler;
+  target->fds = g_array_new (FALSE, FALSE, sizeof (int));
   target->listener = fx_listen (&target->port);
   g_ptr_array_add (fx_env.targets, target);
   fx_start_thread (accept_connections, target);
@@ -109,6 +115,30 @@
   fx_store_delete ("servers", target->id);
 }
 
+/* Ends TARGET without notice: its connections are closed, and new ones are
+   refused.  Its entry stays in the store.  Returns 0 if it had crashed
+   before.  */
+int
+fx_target_crash (struct fx_target *target)
+{
+  int is_first;
+
+  pthread_mutex_lock (&fx_env.lock);
+  is_first = !target->crashed;
+  target->crashed = 1;
+  if (is_first)
+    shutdown (target->listener, SHUT_RDWR);
+  for (guint i = 0; i < target->fds->len; i++)
+    {
+      int fd = g_array_index (target->fds, int, i);
+
+      fx_reset_on_close (fd);
+      shutdown (fd, SHUT_RDWR);
+    }
+  pthread_mutex_unlock (&fx_env.lock);
+  return is_first;
+}
+
 /* Starts a proxy to TARGET, and writes the proxy's port to its entry.  */
 struct proxy *
 fx_target_add_proxy (struct fx_target *target)
