Quarantine the parts of prompts that crash targets

The cause: no instance connected the end of a target with what was in progress there, and none knew what the others had seen; the circuit breaker judges targets only, so each such request looked like the failure of one more target.

An instance whose connection breaks before a stream has gone on now probes the target; if that no longer listens, all instances are told the parts of the prompt. Two ends under requests that had begun, without a success with the part in between, put it in quarantine, four if requests with it have gone well. Ends at the same time count once, and of one prompt only the most suspect part is taken, so that what shared the targets, or a domain that is lost, condemns no sound part. States are told at once and with each heartbeat, by versions of which the higher wins, and kept in the store with the list of instances, which an instance reads in any case, now all its pages. Requests with the part are refused with 503 before they are sent, second attempts and resumed streams too. A success anywhere releases the part, as does an instance that knows better, or a trial after 1, 2, 4... minutes.

--- a/daemon/ctl_explain.c
+++ b/daemon/ctl_explain.c
@@ -38,6 +38,8 @@
   { "target_failed", "failed: the attempts at targets failed; may have run" },
   { "deadline", "failed: the time was over; may have run" },
   { "deadline_unsent", "refused: the time was over; not run" },
+  { "quarantined",
+    "refused: a part of the prompt has crashed targets; not run" },
   { "retry_budget",
     "failed: an attempt failed and the fleet's budget for repeats was spent" },
 };
--- a/include/ibisloom/fleet.h
+++ b/include/ibisloom/fleet.h
@@ -8,6 +8,7 @@
 
 #include "ibisloom/affinity.h"
 #include "ibisloom/elect.h"
+#include "ibisloom/quarantine.h"
 #include "ibisloom/watch.h"
 #include "ibisloom/registry.h"
 #include "ibisloom/settings.h"
@@ -45,6 +46,14 @@
 void fleet_free (struct fleet *fleet);
 void fleet_announce_holder (struct fleet *fleet, uint64_t context,
                             uint64_t target);
+void fleet_report_crash (struct fleet *fleet,
+                         const struct sockaddr_in *address,
+                         const struct quar_crash *crash);
+void fleet_report_success (struct fleet *fleet, const uint64_t *parts,
+                           uint32_t count);
+int fleet_admits_parts (struct fleet *fleet, const uint64_t *parts,
+                        uint32_t count, int64_t *wait_ms);
+uint32_t fleet_quarantined_count (const struct fleet *fleet);
 uint32_t fleet_size (const struct fleet *fleet);
 int64_t fleet_loads_age_ms (const struct fleet *fleet);
 
--- a/include/ibisloom/metrics.h
+++ b/include/ibisloom/metrics.h
@@ -29,6 +29,7 @@
   METRIC_REFUSED_TARGETS_FAILED,
   METRIC_REFUSED_TARGET_FULL,
   METRIC_REFUSED_NO_CONNECTION,
+  METRIC_REFUSED_QUARANTINED,
   /* Failed attempts, by fault, and how streams continued after them.  */
   METRIC_RETRY_CONNECT,
   METRIC_RETRY_STATUS,
--- /dev/null
+++ b/include/ibisloom/quarantine.h
@@ -0,0 +1,83 @@
+/* Quarantine: parts of prompts that crash the targets which respond to
+   them. */
+#ifndef IBISLOOM_QUARANTINE_H
+#define IBISLOOM_QUARANTINE_H
+
+#include <stdint.h>
+
+#include "ibisloom/clock.h"
+
+enum
+{
+  QUAR_PARTS_MAX = 32,  /* of one prompt */
+  QUAR_STATES_MAX = 256 /* parts in or formerly in quarantine */
+};
+
+/* How strongly the end of a target speaks against a request that it had in
+   progress then. */
+enum quar_strength
+{
+  QUAR_WITNESS = 1, /* not begun, or events were coming */
+  QUAR_SUSPECT = 2  /* the head of the response had come, and nothing more */
+};
+
+/* A request that was in progress at a target when its process ended. */
+struct quar_crash
+{
+  uint64_t target; /* identifies the process that ended */
+  enum quar_strength strength;
+  clk_ms ended_ms;
+  uint32_t part_count;
+  uint64_t parts[QUAR_PARTS_MAX]; /* the shared ones, in order */
+};
+
+/* State of a part, as instances tell each other.  The higher version wins. */
+struct quar_state
+{
+  uint64_t part;
+  uint32_t version; /* odd: in quarantine */
+  uint32_t weight;  /* of the evidence */
+};
+
+enum quar_verdict
+{
+  QUAR_PASS,
+  QUAR_TRIAL_DUE, /* one request may be sent as a trial */
+  QUAR_REFUSE
+};
+
+/* Position of an iteration over all states; starts zeroed. */
+struct quar_cursor
+{
+  uint32_t index;
+};
+
+struct quarantine;
+
+struct quarantine *quar_new (void);
+void quar_free (struct quarantine *quarantine);
+int quar_record_crash (struct quarantine *quarantine,
+                       const struct quar_crash *crash, clk_ms now,
+                       struct quar_state *changed);
+uint32_t quar_record_success (struct quarantine *quarantine,
+                              const uint64_t *parts, uint32_t count,
+                              clk_ms now, struct quar_state *released);
+int quar_merge (struct quarantine *quarantine, const struct quar_state *state,
+                clk_ms now);
+int quar_next_objection (struct quarantine *quarantine, clk_ms now,
+                         struct quar_state *released);
+int quar_next_unused (struct quarantine *quarantine, clk_ms now,
+                      struct quar_state *released);
+enum quar_verdict quar_check (struct quarantine *quarantine,
+                              const uint64_t *parts, uint32_t count,
+                              clk_ms now, struct quar_state *blocking,
+                              int64_t *wait_ms);
+struct quar_state quar_begin_trial (struct quarantine *quarantine,
+                                    uint64_t part, clk_ms now);
+int quar_find (const struct quarantine *quarantine, uint64_t part,
+               struct quar_state *state);
+int quar_next (const struct quarantine *quarantine, struct quar_cursor *cursor,
+               struct quar_state *state);
+uint32_t quar_count (const struct quarantine *quarantine);
+
+#endif
--- a/include/ibisloom/wire.h
+++ b/include/ibisloom/wire.h
@@ -17,7 +17,9 @@
   WIRE_DIGESTS_MAX = 8,
   WIRE_GRANTS_MAX = 64,
   WIRE_NOTES_MAX = 24,
-  WIRE_UPDATE_LOADS_MAX = 64
+  WIRE_UPDATE_LOADS_MAX = 64,
+  WIRE_PARTS_MAX = 32,
+  WIRE_STATES_MAX = 48
 };
 
 enum wire_kind
@@ -29,6 +31,8 @@
   WIRE_HOLD,              /* grants held for a target, for its owner */
   WIRE_NOTES,             /* which targets hold the contexts of chats */
   WIRE_LOADS,             /* loads of targets that have changed */
+  WIRE_CRASH,             /* end of a target, and a request it had */
+  WIRE_QUARANTINE,        /* states of prompt parts */
   WIRE_KIND_COUNT
 };
 
@@ -142,6 +146,30 @@
   struct wire_load load[WIRE_UPDATE_LOADS_MAX];
 };
 
+/* Request in progress at a target when its process ended. */
+struct wire_crash
+{
+  uint64_t target;  /* identifies the process that ended */
+  uint8_t strength; /* enum quar_strength */
+  uint32_t age_ms;  /* since the end */
+  uint32_t count;
+  uint64_t part[WIRE_PARTS_MAX]; /* shared parts of the prompt, in order */
+};
+
+/* Quarantine of a prompt part. */
+struct wire_state
+{
+  uint64_t part;
+  uint32_t version; /* odd: in quarantine */
+  uint32_t weight;  /* of the evidence against it */
+};
+
+struct wire_quarantine
+{
+  uint32_t count;
+  struct wire_state state[WIRE_STATES_MAX];
+};
+
 struct wire_message
 {
   enum wire_kind kind;
@@ -157,6 +185,8 @@
     struct wire_hold hold;
     struct wire_notes notes;
     struct wire_loads loads;
+    struct wire_crash crash;
+    struct wire_quarantine quarantine;
   } u;
 };
 
--- a/process/fleet.c
+++ b/process/fleet.c
@@ -71,7 +71,9 @@
   fleet->domain = (uint32_t)rank_hash (settings->failure_domain);
   fleet->incarnation = (uint64_t)clk_wall_ms ();
   fleet->peers = g_hash_table_new_full (NULL, NULL, NULL, peer_free);
+  fleet->listed_name = g_string_new (NULL);
   fleet_watch_loads (fleet);
+  fleet_quarantine_init (fleet);
   fleet->fd = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (sodium_init () < 0 || fleet->fd < 0
       || bind (fleet->fd, (const struct sockaddr *)&settings->peer_listen,
@@ -198,11 +200,13 @@
   ev_timer_stop (fleet->loop, &fleet->heartbeat);
   ev_timer_stop (fleet->loop, &fleet->retry);
   fleet_unwatch_loads (fleet);
+  fleet_quarantine_clear (fleet);
   if (fleet->call != NULL)
     store_call_cancel (fleet->call);
   if (fleet->fd >= 0)
     close (fleet->fd);
   g_hash_table_destroy (fleet->peers);
+  g_string_free (fleet->listed_name, TRUE);
   g_free (fleet);
 }
 
@@ -270,6 +274,7 @@
   (void)loop;
   (void)events;
   fleet->heartbeat_count++;
+  fleet_quarantine_tick (fleet, now);
   if (fleet->heartbeat_count % SILENT_PEER_STRIDE == 1)
     send_to_seeds (fleet, now);
   g_hash_table_iter_init (&iter, fleet->peers);
--- a/process/fleet_datagram.c
+++ b/process/fleet_datagram.c
@@ -1,5 +1,5 @@
-/* Datagrams between the instances of the fleet: heartbeats, load updates and
-   notes.  */
+/* Datagrams between the instances of the fleet: heartbeats, load updates,
+   notes and the quarantine of prompt parts.  */
 #include <string.h>
 #include <sys/socket.h>
 
@@ -20,9 +20,6 @@
                             struct wire_load *loads, uint32_t max);
 static size_t encode_next (struct fleet *fleet, struct wire_message *message,
                            unsigned char *data);
-static void send_message (struct fleet *fleet,
-                          const struct sockaddr_in *address,
-                          struct wire_message *message);
 static void apply_heartbeat (struct fleet *fleet, struct fleet_peer *peer,
                              const struct wire_heartbeat *heartbeat);
 static void send_affinity (struct fleet *fleet, const struct fleet_peer *peer);
@@ -32,7 +29,7 @@
 
 /* Sends a heartbeat to ADDRESS.  If WANTS_AFFINITY is not 0, it requests the
    affinity table of the receiver.  Loads that do not fit follow as load
-   updates.  */
+   updates, and then the states of prompt parts, if there are any.  */
 void
 fleet_send_heartbeat (struct fleet *fleet, const struct sockaddr_in *address,
                       int wants_affinity)
@@ -52,7 +49,7 @@
 
   heartbeat->load_count
       = next_loads (fleet, &position, heartbeat->loads, WIRE_LOADS_MAX);
-  send_message (fleet, address, &message);
+  fleet_send (fleet, address, &message);
   while (position < fleet->registry->array->len)
     {
       struct wire_message update = { .kind = WIRE_LOADS };
@@ -60,8 +57,9 @@
       update.u.loads.count = next_loads (fleet, &position, update.u.loads.load,
                                          WIRE_UPDATE_LOADS_MAX);
       if (update.u.loads.count > 0)
-        send_message (fleet, address, &update);
+        fleet_send (fleet, address, &update);
     }
+  fleet_send_states (fleet, address);
 }
 
 /* Copies to LOADS up to MAX loads of this instance, from the target at
@@ -95,7 +93,7 @@
 
   message.u.notes.count = count;
   memcpy (message.u.notes.note, notes, count * sizeof *notes);
-  send_message (fleet, &peer->address, &message);
+  fleet_send (fleet, &peer->address, &message);
 }
 
 /* Encodes MESSAGE, as the next one of this instance, to DATA, of
@@ -111,9 +109,9 @@
 }
 
 /* Sends MESSAGE to ADDRESS.  A loss is made up for by the next heartbeat.  */
-static void
-send_message (struct fleet *fleet, const struct sockaddr_in *address,
-              struct wire_message *message)
+void
+fleet_send (struct fleet *fleet, const struct sockaddr_in *address,
+            struct wire_message *message)
 {
   unsigned char data[WIRE_MAX_BYTES];
   size_t length = encode_next (fleet, message, data);
@@ -187,6 +185,10 @@
         fleet_update_loads (fleet, peer, &message.u.loads);
       else if (message.kind == WIRE_NOTES)
         apply_notes (fleet, &message.u.notes);
+      else if (message.kind == WIRE_CRASH)
+        fleet_apply_crash (fleet, &message.u.crash);
+      else if (message.kind == WIRE_QUARANTINE)
+        fleet_apply_states (fleet, &message.u.quarantine);
     }
 }
 
@@ -235,7 +237,7 @@
                 enum wire_kind kind)
 {
   uint32_t peers_max
-      = kind == WIRE_LOADS ? LOAD_UPDATE_PEERS_MAX : NOTE_PEERS_MAX;
+      = kind == WIRE_NOTES ? NOTE_PEERS_MAX : LOAD_UPDATE_PEERS_MAX;
 
   return g_hash_table_size (fleet->peers) <= peers_max
          || peer->domain == fleet->domain;
--- a/process/fleet_join.c
+++ b/process/fleet_join.c
@@ -1,5 +1,6 @@
 /* Joining the fleet: an instance registers its address in the store and reads
-   the addresses of the others, once after its start.  */
+   the addresses of the others and the prompt parts in quarantine, once after
+   its start.  */
 #include "ibisloom/fleet.h"
 #include "ibisloom/http.h"
 #include "ibisloom/log.h"
@@ -38,7 +39,7 @@
       json_decref (content);
     }
   else
-    fleet->store->list_url (url, fleet->kind, NULL);
+    fleet->store->list_url (url, fleet->kind, fleet->listed_name->str);
   fleet->call = store_call_start (
       fleet->loop, fleet->pool, &fleet->settings->platform,
       fleet->is_registered ? "GET" : "POST", url->str, body, CALL_TIMEOUT_MS,
@@ -67,29 +68,33 @@
     retry_later (fleet);
 }
 
-/* Handles the response with the list of instances.  */
+/* Handles the response with one page of the list of instances.  */
 static void
 on_listed (void *closure, uint32_t status, const char *text, size_t length)
 {
   struct fleet *fleet = closure;
-  struct watch_page page = { .last_name = g_string_new (NULL) };
+  struct watch_page page = { .last_name = fleet->listed_name };
 
   fleet->call = NULL;
-  fleet->is_listed
-      = status == HTTP_STATUS_OK
-        && fleet->store->read_list (text, length, &page, on_list_entry, fleet)
-               == 0;
-  g_string_free (page.last_name, TRUE);
-  if (!fleet->is_listed)
+  if (status != HTTP_STATUS_OK
+      || fleet->store->read_list (text, length, &page, on_list_entry, fleet)
+             != 0)
     {
       retry_later (fleet);
       return;
     }
+  if (page.has_more)
+    {
+      fleet_join (fleet);
+      return;
+    }
+  fleet->is_listed = 1;
   log_info ("fleet", NULL, "listed", "%u instances", fleet_size (fleet));
 }
 
-/* Adds one entry of the list to the peers, unless it is this instance or has
-   no valid address.  */
+/* Handles one entry of the list: a prompt part in quarantine, or an instance,
+   which is added to the peers unless it is this one or has no valid
+   address.  */
 static void
 on_list_entry (void *closure, const struct watch_object *object)
 {
@@ -99,6 +104,8 @@
   uint32_t id = (uint32_t)rank_hash (object->name);
   struct sockaddr_in parsed;
 
+  if (fleet_read_part (fleet, object->content))
+    return;
   if (id == fleet->self || address == NULL
       || settings_parse_address (address, &parsed) != 0
       || g_hash_table_size (fleet->peers) >= FLEET_PEERS_MAX)
--- a/process/libfleet.h
+++ b/process/libfleet.h
@@ -7,6 +7,8 @@
 
 #include "ibisloom/fleet.h"
 #include "ibisloom/members.h"
+#include "ibisloom/probe.h"
+#include "ibisloom/quarantine.h"
 #include "ibisloom/storecall.h"
 
 enum
@@ -58,6 +60,7 @@
   struct store_call *call;
   uint8_t is_registered;
   uint8_t is_listed;
+  GString *listed_name; /* last one of the list that is being read */
   uint8_t is_leaving;
   GHashTable *peers; /* id to struct fleet_peer */
   uint32_t domain;
@@ -69,6 +72,13 @@
   clk_ms update_due_ms;
   clk_ms updated_ms;         /* time of the last load update */
   uint8_t affinity_received; /* the table of another instance has arrived */
+  struct quarantine *quarantine;
+  GQueue *probes;  /* of targets that may have crashed */
+  GArray *crashes; /* of struct quar_crash, recent ones, to be told again */
+  GArray *writes;  /* of parts whose state the store is to keep */
+  struct store_call *write_call; /* in progress, for the first; or NULL */
+  int write_creates;             /* it creates the object of the part */
+  ev_timer write_retry;
 };
 
 /* fleet.c */
@@ -87,6 +97,21 @@
 void fleet_on_datagram (struct ev_loop *loop, ev_io *io, int events);
 void fleet_broadcast (struct fleet *fleet, struct wire_message *message);
 
+void fleet_send (struct fleet *fleet, const struct sockaddr_in *address,
+                 struct wire_message *message);
+
+/* fleet_quarantine.c */
+void fleet_quarantine_init (struct fleet *fleet);
+void fleet_quarantine_clear (struct fleet *fleet);
+void fleet_quarantine_tick (struct fleet *fleet, clk_ms now);
+void fleet_send_states (struct fleet *fleet,
+                        const struct sockaddr_in *address);
+void fleet_apply_crash (struct fleet *fleet,
+                        const struct wire_crash *reported);
+void fleet_apply_states (struct fleet *fleet,
+                         const struct wire_quarantine *quarantine);
+int fleet_read_part (struct fleet *fleet, const json_t *content);
+
 /* fleet_load.c */
 void fleet_watch_loads (struct fleet *fleet);
 void fleet_unwatch_loads (struct fleet *fleet);
--- a/process/metrics.c
+++ b/process/metrics.c
@@ -60,6 +60,8 @@
   = "ibisloom_refused_total{reason=\"targets_failed\"}",
   [METRIC_REFUSED_TARGET_FULL]
   = "ibisloom_refused_total{reason=\"target_full\"}",
+  [METRIC_REFUSED_QUARANTINED]
+  = "ibisloom_refused_total{reason=\"quarantined\"}",
   [METRIC_REFUSED_NO_CONNECTION]
   = "ibisloom_refused_total{reason=\"no_connection\"}",
   [METRIC_RETRY_CONNECT] = "ibisloom_retries_total{reason=\"connect\"}",
--- a/process/router_metrics.c
+++ b/process/router_metrics.c
@@ -38,6 +38,8 @@
   add_gauge (out, "ibisloom_store_calls",
              (int64_t)(router->config.calls + router->targets.calls));
   add_gauge (out, "ibisloom_instances", fleet_size (router->fleet));
+  add_gauge (out, "ibisloom_quarantined_parts",
+             fleet_quarantined_count (router->fleet));
   add_gauge (out, "ibisloom_loads_age_ms", fleet_loads_age_ms (router->fleet));
   add_gauge (out, "ibisloom_log_lines_dropped", (int64_t)log_dropped ());
   count_targets (router, now, out);
--- a/process/wire.c
+++ b/process/wire.c
@@ -10,6 +10,7 @@
 
 #include <sys/param.h>
 
+#include "ibisloom/quarantine.h"
 #include "ibisloom/wire.h"
 
 enum
@@ -64,6 +65,13 @@
 static void encode_loads (msgpack_packer *packer,
                           const struct wire_message *message);
 static void decode_loads (struct reader *reader, struct wire_message *message);
+static void encode_crash (msgpack_packer *packer,
+                          const struct wire_message *message);
+static void decode_crash (struct reader *reader, struct wire_message *message);
+static void encode_quarantine (msgpack_packer *packer,
+                               const struct wire_message *message);
+static void decode_quarantine (struct reader *reader,
+                               struct wire_message *message);
 static uint64_t next_uint (struct reader *reader, uint64_t max);
 static struct reader next_array (struct reader *reader, uint32_t max);
 static int has_allowed_types (const unsigned char *data, size_t length);
@@ -84,6 +92,8 @@
   [WIRE_HOLD] = { encode_hold, decode_hold },
   [WIRE_NOTES] = { encode_notes, decode_notes },
   [WIRE_LOADS] = { encode_loads, decode_loads },
+  [WIRE_CRASH] = { encode_crash, decode_crash },
+  [WIRE_QUARANTINE] = { encode_quarantine, decode_quarantine },
 };
 
 /* Derives the MAC key from the cluster's SECRET and the DEPLOYMENT name, so
@@ -510,3 +520,63 @@
     }
   reader->failed |= list.failed;
 }
+
+/* Encodes the end of a target.  The parts fill the rest of the array.  */
+static void
+encode_crash (msgpack_packer *packer, const struct wire_message *message)
+{
+  const struct wire_crash *crash = &message->u.crash;
+
+  msgpack_pack_array (packer, 3 + crash->count);
+  msgpack_pack_uint64 (packer, crash->target);
+  msgpack_pack_uint64 (packer, crash->strength);
+  msgpack_pack_uint64 (packer, crash->age_ms);
+  for (uint32_t i = 0; i < crash->count; i++)
+    msgpack_pack_uint64 (packer, crash->part[i]);
+}
+
+static void
+decode_crash (struct reader *reader, struct wire_message *message)
+{
+  struct wire_crash *crash = &message->u.crash;
+  struct reader list = next_array (reader, 3 + WIRE_PARTS_MAX);
+
+  crash->target = next_uint (&list, UINT64_MAX);
+  crash->strength = (uint8_t)next_uint (&list, QUAR_SUSPECT);
+  crash->age_ms = (uint32_t)next_uint (&list, INT32_MAX);
+  while (!list.failed && list.remaining > 0)
+    crash->part[crash->count++] = next_uint (&list, UINT64_MAX);
+  reader->failed |= list.failed;
+}
+
+/* Encodes the states of prompt parts, without a count.  */
+static void
+encode_quarantine (msgpack_packer *packer, const struct wire_message *message)
+{
+  const struct wire_quarantine *quarantine = &message->u.quarantine;
+
+  msgpack_pack_array (packer, quarantine->count * 3);
+  for (uint32_t i = 0; i < quarantine->count; i++)
+    {
+      msgpack_pack_uint64 (packer, quarantine->state[i].part);
+      msgpack_pack_uint64 (packer, quarantine->state[i].version);
+      msgpack_pack_uint64 (packer, quarantine->state[i].weight);
+    }
+}
+
+static void
+decode_quarantine (struct reader *reader, struct wire_message *message)
+{
+  struct wire_quarantine *quarantine = &message->u.quarantine;
+  struct reader list = next_array (reader, WIRE_STATES_MAX * 3);
+
+  while (!list.failed && list.remaining > 0)
+    {
+      struct wire_state *state = &quarantine->state[quarantine->count++];
+
+      state->part = next_uint (&list, UINT64_MAX);
+      state->version = (uint32_t)next_uint (&list, UINT32_MAX);
+      state->weight = (uint32_t)next_uint (&list, UINT32_MAX);
+    }
+  reader->failed |= list.failed;
+}
--- a/request/librelay.h
+++ b/request/librelay.h
@@ -26,6 +26,7 @@
   RELAY_DEADLINE,
   RELAY_DEADLINE_UNSENT,
   RELAY_RETRY_BUDGET,
+  RELAY_QUARANTINED,
   RELAY_REFUSAL_COUNT
 };
 
@@ -55,6 +56,7 @@
   uint32_t context_tokens;
   clk_ms arrived_ms;
   clk_ms deadline_ms;
+  int64_t retry_after_ms; /* for a refusal; 0: the default */
   ev_timer timer;
   /* The current attempt.  */
   struct reg_target *target;
@@ -66,8 +68,11 @@
   uint8_t not_run;
   uint8_t is_invalid; /* response is for another request, or out of order */
   uint8_t is_event_stream;
-  uint8_t is_resumed; /* continues a stream after its last event */
-  uint8_t is_trial;   /* trial request to a suspended target */
+  uint8_t is_resumed;      /* continues a stream after its last event */
+  uint8_t is_trial;        /* trial request to a suspended target */
+  uint8_t is_first_send;   /* the target was not sent the request before */
+  uint8_t parts_succeeded; /* its target has gone on after the first event */
+  clk_ms first_event_ms;   /* 0: no event yet */
   /* All attempts.  */
   uint64_t tried[RELAY_TRIED_MAX]; /* targets that may have received it */
   uint32_t tried_count;
@@ -109,6 +114,12 @@
 void relay_log_outcome (const struct relay *relay, const char *outcome,
                         clk_ms now);
 
+/* relay_parts.c */
+int relay_parts_admitted (struct relay *relay);
+void relay_parts_event (struct relay *relay);
+void relay_parts_succeed (struct relay *relay);
+void relay_parts_suspect (const struct relay *relay, enum retry_fault fault);
+
 /* relay_request.c */
 GString *relay_build_request_head (const struct relay *relay, clk_ms now);
 
--- /dev/null
+++ b/request/quarantine.c
@@ -0,0 +1,506 @@
+/* Quarantine: parts of prompts that crash the targets which respond to them.
+
+   When the process of a target ends, the requests that it had in progress
+   speak against the parts of their prompts; a response that went well speaks
+   for them, whichever instance relayed it.  A part under which targets ended
+   repeatedly, and nothing went well in between, is put in quarantine: requests
+   with it are refused.  It is released as soon as a request with it goes well
+   after all, be it one that was in progress or a trial.
+
+   Ends at about the same time count once, since what ends many targets at
+   once, such as the loss of a failure domain, is no request.  Of the parts of
+   one prompt only one is suspected: the one with the most evidence, and among
+   equals the last, since the first parts are shared most widely.  */
+#include <string.h>
+
+#include <glib.h>
+
+#include "ibisloom/quarantine.h"
+
+enum
+{
+  ENDS_MAX = 8,
+  SIMULTANEOUS_MS = 50,
+  /* Evidence and successes that are older no longer count.  */
+  EVIDENCE_VALID_MS = 600000,
+  /* Two ends under a request that had begun.  */
+  WEIGHT_TO_QUARANTINE = 2 * QUAR_SUSPECT,
+  /* The same for a part with which requests have gone well.  */
+  PROVEN_WEIGHT_TO_QUARANTINE = 4 * QUAR_SUSPECT,
+  /* A success this recent lies between the ends that others have counted.  */
+  SUCCESS_CURRENT_MS = 10000,
+  TRIAL_MS = 60000, /* until the first trial; doubles with each */
+  TRIAL_DOUBLINGS_MAX = 10,
+  UNUSED_MS = 3600000,     /* without a request, a part is released */
+  RELEASE_TOLD_MS = 60000, /* until all instances have heard of a release */
+  SUCCESS_SETS = 512,
+  SUCCESS_WAYS = 4
+};
+
+/* End of a target under a part. */
+struct end
+{
+  uint64_t target;
+  clk_ms ended_ms;
+  enum quar_strength strength;
+};
+
+/* Evidence against a part, and its state. */
+struct suspect
+{
+  uint64_t part; /* 0: unused */
+  uint32_t version;
+  uint32_t told_weight; /* of the evidence that others have */
+  uint32_t end_count;
+  struct end ends[ENDS_MAX]; /* in order of time */
+  clk_ms since_ms;           /* start of this state */
+  clk_ms asked_ms;           /* last request with the part, or end */
+};
+
+/* Last success under a part. */
+struct success
+{
+  uint64_t part; /* 0: unused */
+  clk_ms at_ms;
+};
+
+struct quarantine
+{
+  struct suspect suspects[QUAR_STATES_MAX];
+  uint32_t suspect_count; /* entries in use, from the first */
+  struct success successes[SUCCESS_SETS][SUCCESS_WAYS];
+};
+
+static struct suspect *find_suspect (const struct quarantine *quarantine,
+                                     uint64_t part);
+static struct suspect *get_suspect (struct quarantine *quarantine,
+                                    uint64_t part);
+static void record_success (struct quarantine *quarantine, uint64_t part,
+                            clk_ms now);
+static clk_ms last_success_ms (const struct quarantine *quarantine,
+                               uint64_t part);
+static void add_end (struct suspect *suspect, const struct quar_crash *crash);
+static uint32_t weigh_ends (const struct suspect *suspect, clk_ms now);
+static uint32_t threshold (const struct quarantine *quarantine, uint64_t part,
+                           clk_ms now);
+static int is_quarantined (const struct suspect *suspect);
+static clk_ms trial_due_ms (const struct suspect *suspect);
+static struct quar_state set_version (struct suspect *suspect,
+                                      uint32_t version, clk_ms now);
+static struct quar_state state_of (const struct suspect *suspect, clk_ms now);
+
+/* Returns an empty quarantine.  */
+struct quarantine *
+quar_new (void)
+{
+  return g_new0 (struct quarantine, 1);
+}
+
+/* Frees QUARANTINE.  */
+void
+quar_free (struct quarantine *quarantine)
+{
+  g_free (quarantine);
+}
+
+/* Records CRASH as evidence against the parts in it.  If that puts one of them
+   in quarantine, returns 1 and stores its state in CHANGED.  A crash under a
+   part that is in quarantine already is explained by that part.  */
+int
+quar_record_crash (struct quarantine *quarantine,
+                   const struct quar_crash *crash, clk_ms now,
+                   struct quar_state *changed)
+{
+  struct suspect *worst = NULL;
+  uint32_t worst_weight = 0;
+  int is_explained = 0;
+
+  for (uint32_t i = 0; i < crash->part_count; i++)
+    {
+      struct suspect *suspect = find_suspect (quarantine, crash->parts[i]);
+
+      is_explained |= suspect != NULL && is_quarantined (suspect);
+    }
+  for (uint32_t i = 0; i < crash->part_count; i++)
+    {
+      struct suspect *suspect;
+      uint32_t weight;
+
+      if (crash->parts[i] == 0
+          || crash->ended_ms <= last_success_ms (quarantine, crash->parts[i]))
+        continue;
+      suspect = find_suspect (quarantine, crash->parts[i]);
+      if (is_explained && (suspect == NULL || !is_quarantined (suspect)))
+        continue;
+      if (suspect != NULL && suspect->version > 0 && !is_quarantined (suspect)
+          && crash->ended_ms <= suspect->since_ms)
+        continue;
+      suspect = get_suspect (quarantine, crash->parts[i]);
+      add_end (suspect, crash);
+      suspect->asked_ms = now;
+      weight = weigh_ends (suspect, now);
+      if (weight < threshold (quarantine, suspect->part, now)
+          || weight < worst_weight)
+        continue;
+      worst = suspect;
+      worst_weight = weight;
+    }
+  if (is_explained || worst == NULL)
+    return 0;
+  *changed = set_version (worst, worst->version + 1, now);
+  return 1;
+}
+
+/* Records that a request with COUNT PARTS went well: its response was
+   complete, or a stream went on for a while.  Releases those of them that are
+   in quarantine.  Stores their states in RELEASED, which has room for all
+   parts, and returns how many there are.  */
+uint32_t
+quar_record_success (struct quarantine *quarantine, const uint64_t *parts,
+                     uint32_t count, clk_ms now, struct quar_state *released)
+{
+  uint32_t released_count = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      struct suspect *suspect = find_suspect (quarantine, parts[i]);
+
+      record_success (quarantine, parts[i], now);
+      if (suspect == NULL)
+        continue;
+      suspect->end_count = 0;
+      suspect->told_weight = 0;
+      if (is_quarantined (suspect))
+        released[released_count++]
+            = set_version (suspect, suspect->version + 1, now);
+    }
+  return released_count;
+}
+
+/* Adopts STATE, which another instance has told or the store has kept, if it
+   is newer.  Returns whether the part entered or left quarantine.  */
+int
+quar_merge (struct quarantine *quarantine, const struct quar_state *state,
+            clk_ms now)
+{
+  struct suspect *suspect;
+  int was_quarantined;
+
+  if (state->part == 0 || state->version == 0)
+    return 0;
+  suspect = get_suspect (quarantine, state->part);
+  if (state->version < suspect->version)
+    return 0;
+  suspect->told_weight = MAX (suspect->told_weight, state->weight);
+  if (state->version == suspect->version)
+    return 0;
+  was_quarantined = is_quarantined (suspect);
+  set_version (suspect, state->version, now);
+  return is_quarantined (suspect) != was_quarantined;
+}
+
+/* Finds a part in quarantine of which this instance knows better: a request
+   with it went well after the first end, or it had proven itself and the
+   evidence does not suffice against that.  Releases it, stores its state in
+   RELEASED and returns 1; returns 0 if there is none.  */
+int
+quar_next_objection (struct quarantine *quarantine, clk_ms now,
+                     struct quar_state *released)
+{
+  for (uint32_t i = 0; i < quarantine->suspect_count; i++)
+    {
+      struct suspect *suspect = &quarantine->suspects[i];
+      clk_ms success_ms = last_success_ms (quarantine, suspect->part);
+      uint32_t weight = weigh_ends (suspect, now);
+
+      if (now - success_ms > SUCCESS_CURRENT_MS)
+        weight = MAX (weight, suspect->told_weight);
+      if (!is_quarantined (suspect) || success_ms == 0
+          || weight >= threshold (quarantine, suspect->part, now))
+        continue;
+      *released = set_version (suspect, suspect->version + 1, now);
+      return 1;
+    }
+  return 0;
+}
+
+/* Releases a part in quarantine that has not been asked for in UNUSED_MS.
+   Returns as quar_next_objection.  Also forgets the parts that were released
+   long ago, which others then know.  */
+int
+quar_next_unused (struct quarantine *quarantine, clk_ms now,
+                  struct quar_state *released)
+{
+  for (uint32_t i = 0; i < quarantine->suspect_count; i++)
+    {
+      struct suspect *suspect = &quarantine->suspects[i];
+
+      if (!is_quarantined (suspect)
+          && now - suspect->since_ms > RELEASE_TOLD_MS)
+        suspect->version = 0;
+      if (!is_quarantined (suspect)
+          || now - MAX (suspect->asked_ms, suspect->since_ms) < UNUSED_MS)
+        continue;
+      *released = set_version (suspect, suspect->version + 1, now);
+      return 1;
+    }
+  return 0;
+}
+
+/* Decides whether a request with COUNT PARTS may be sent to a target.  Unless
+   it may, stores the state of the part that prevents it in BLOCKING, and the
+   time until its next trial in WAIT_MS.  */
+enum quar_verdict
+quar_check (struct quarantine *quarantine, const uint64_t *parts,
+            uint32_t count, clk_ms now, struct quar_state *blocking,
+            int64_t *wait_ms)
+{
+  enum quar_verdict verdict = QUAR_PASS;
+
+  *wait_ms = 0;
+  for (uint32_t i = 0; i < count && quarantine->suspect_count > 0; i++)
+    {
+      struct suspect *suspect = find_suspect (quarantine, parts[i]);
+
+      if (suspect == NULL || !is_quarantined (suspect))
+        continue;
+      suspect->asked_ms = now;
+      *blocking = state_of (suspect, now);
+      *wait_ms = MAX (*wait_ms, trial_due_ms (suspect) - now);
+      verdict = *wait_ms > 0 || verdict != QUAR_PASS ? QUAR_REFUSE
+                                                     : QUAR_TRIAL_DUE;
+    }
+  return verdict;
+}
+
+/* Begins a trial of PART, which is in quarantine: the next one is due after
+   twice the time.  Returns the new state.  */
+struct quar_state
+quar_begin_trial (struct quarantine *quarantine, uint64_t part, clk_ms now)
+{
+  struct suspect *suspect = get_suspect (quarantine, part);
+
+  return set_version (suspect, suspect->version + 2, now);
+}
+
+/* Stores the state of PART in STATE.  Returns 0 if it was never in
+   quarantine.  */
+int
+quar_find (const struct quarantine *quarantine, uint64_t part,
+           struct quar_state *state)
+{
+  const struct suspect *suspect = find_suspect (quarantine, part);
+
+  if (suspect == NULL || suspect->version == 0)
+    return 0;
+  *state = (struct quar_state){ .part = part, .version = suspect->version };
+  return 1;
+}
+
+/* Stores the state at CURSOR in STATE and advances CURSOR.  Returns 0 at the
+   end.  */
+int
+quar_next (const struct quarantine *quarantine, struct quar_cursor *cursor,
+           struct quar_state *state)
+{
+  while (cursor->index < quarantine->suspect_count)
+    {
+      const struct suspect *suspect = &quarantine->suspects[cursor->index++];
+
+      if (suspect->version == 0)
+        continue;
+      *state = state_of (suspect, suspect->since_ms);
+      return 1;
+    }
+  return 0;
+}
+
+/* Returns how many parts are in quarantine.  */
+uint32_t
+quar_count (const struct quarantine *quarantine)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < quarantine->suspect_count; i++)
+    count += is_quarantined (&quarantine->suspects[i]) != 0;
+  return count;
+}
+
+/* Returns the entry of PART, or NULL.  */
+static struct suspect *
+find_suspect (const struct quarantine *quarantine, uint64_t part)
+{
+  for (uint32_t i = 0; i < quarantine->suspect_count; i++)
+    if (quarantine->suspects[i].part == part)
+      return (struct suspect *)&quarantine->suspects[i];
+  return NULL;
+}
+
+/* Returns the entry of PART, created if it is new.  If there is no room, it
+   replaces the entry that has been of no use for longest, if possible one that
+   is not in quarantine.  */
+static struct suspect *
+get_suspect (struct quarantine *quarantine, uint64_t part)
+{
+  struct suspect *found = find_suspect (quarantine, part);
+
+  if (found != NULL)
+    return found;
+  if (quarantine->suspect_count < QUAR_STATES_MAX)
+    found = &quarantine->suspects[quarantine->suspect_count++];
+  else
+    {
+      found = &quarantine->suspects[0];
+      for (uint32_t i = 1; i < QUAR_STATES_MAX; i++)
+        {
+          struct suspect *other = &quarantine->suspects[i];
+
+          if (is_quarantined (other) < is_quarantined (found)
+              || (is_quarantined (other) == is_quarantined (found)
+                  && other->asked_ms < found->asked_ms))
+            found = other;
+        }
+    }
+  memset (found, 0, sizeof *found);
+  found->part = part;
+  return found;
+}
+
+/* Records a success under PART.  In a full set, the oldest is replaced.  */
+static void
+record_success (struct quarantine *quarantine, uint64_t part, clk_ms now)
+{
+  struct success *set = quarantine->successes[part % SUCCESS_SETS];
+  struct success *entry = &set[0];
+
+  for (int i = 0; i < SUCCESS_WAYS; i++)
+    {
+      if (set[i].part == part)
+        {
+          entry = &set[i];
+          break;
+        }
+      if (set[i].at_ms < entry->at_ms)
+        entry = &set[i];
+    }
+  entry->part = part;
+  entry->at_ms = now;
+}
+
+/* Returns the time of the last success under PART, or 0 if none is known.  */
+static clk_ms
+last_success_ms (const struct quarantine *quarantine, uint64_t part)
+{
+  const struct success *set = quarantine->successes[part % SUCCESS_SETS];
+
+  for (int i = 0; i < SUCCESS_WAYS; i++)
+    if (set[i].part == part)
+      return set[i].at_ms;
+  return 0;
+}
+
+/* Adds CRASH to the ends of SUSPECT, or raises the strength of the end of the
+   same target.  The oldest end makes room.  */
+static void
+add_end (struct suspect *suspect, const struct quar_crash *crash)
+{
+  uint32_t at;
+
+  for (uint32_t i = 0; i < suspect->end_count; i++)
+    if (suspect->ends[i].target == crash->target)
+      {
+        if (crash->strength > suspect->ends[i].strength)
+          suspect->ends[i].strength = crash->strength;
+        return;
+      }
+  if (suspect->end_count == ENDS_MAX)
+    memmove (suspect->ends, suspect->ends + 1,
+             --suspect->end_count * sizeof *suspect->ends);
+  at = suspect->end_count++;
+  for (; at > 0 && suspect->ends[at - 1].ended_ms > crash->ended_ms; at--)
+    suspect->ends[at] = suspect->ends[at - 1];
+  suspect->ends[at] = (struct end){ .target = crash->target,
+                                    .ended_ms = crash->ended_ms,
+                                    .strength = crash->strength };
+}
+
+/* Returns the weight of the ends of SUSPECT.  Of ends at about the same time
+   the strongest counts.  */
+static uint32_t
+weigh_ends (const struct suspect *suspect, clk_ms now)
+{
+  uint32_t weight = 0;
+  uint32_t strongest = 0;
+  clk_ms group_ms = 0;
+
+  for (uint32_t i = 0; i < suspect->end_count; i++)
+    {
+      const struct end *end = &suspect->ends[i];
+
+      if (now - end->ended_ms > EVIDENCE_VALID_MS)
+        continue;
+      if (strongest > 0 && end->ended_ms - group_ms < SIMULTANEOUS_MS)
+        {
+          strongest = MAX (strongest, end->strength);
+          continue;
+        }
+      weight += strongest;
+      strongest = end->strength;
+      group_ms = end->ended_ms;
+    }
+  return weight + strongest;
+}
+
+/* Returns the weight of evidence that puts PART in quarantine.  */
+static uint32_t
+threshold (const struct quarantine *quarantine, uint64_t part, clk_ms now)
+{
+  clk_ms at_ms = last_success_ms (quarantine, part);
+
+  return at_ms != 0 && now - at_ms <= EVIDENCE_VALID_MS
+             ? PROVEN_WEIGHT_TO_QUARANTINE
+             : WEIGHT_TO_QUARANTINE;
+}
+
+static int
+is_quarantined (const struct suspect *suspect)
+{
+  return suspect->version % 2 != 0;
+}
+
+/* Returns when the next trial of SUSPECT is due.  */
+static clk_ms
+trial_due_ms (const struct suspect *suspect)
+{
+  return suspect->since_ms
+         + ((clk_ms)TRIAL_MS
+            << MIN (suspect->version / 2, TRIAL_DOUBLINGS_MAX));
+}
+
+/* Begins the state VERSION of SUSPECT, which it returns.  A release clears the
+   evidence.  */
+static struct quar_state
+set_version (struct suspect *suspect, uint32_t version, clk_ms now)
+{
+  struct quar_state state;
+
+  suspect->version = version;
+  suspect->since_ms = now;
+  suspect->asked_ms = now;
+  state = state_of (suspect, now);
+  if (is_quarantined (suspect))
+    return state;
+  suspect->end_count = 0;
+  suspect->told_weight = 0;
+  return state;
+}
+
+/* Returns the state of SUSPECT for other instances.  */
+static struct quar_state
+state_of (const struct suspect *suspect, clk_ms now)
+{
+  return (struct quar_state){ .part = suspect->part,
+                              .version = suspect->version,
+                              .weight = MAX (suspect->told_weight,
+                                             weigh_ends (suspect, now)) };
+}
--- a/request/relay.c
+++ b/request/relay.c
@@ -217,6 +217,12 @@
                                                : RELAY_DEADLINE_UNSENT);
       return;
     }
+  if (!relay_parts_admitted (relay))
+    {
+      relay_refuse (relay, relay->may_have_run ? RELAY_TARGET_FAILED
+                                               : RELAY_QUARANTINED);
+      return;
+    }
   target = relay_choose_target (relay, now, &choice, &count);
   if (target == NULL)
     {
@@ -261,6 +267,8 @@
   relay->status = 0;
   relay->not_run = 0;
   relay->is_invalid = 0;
+  relay->first_event_ms = 0;
+  relay->parts_succeeded = 0;
   relay->is_resumed = relay->events.forwarded > 0;
   relay->sends++;
   request.head = relay_build_request_head (relay, now);
@@ -336,6 +344,7 @@
                                .deadline_ms = relay->deadline_ms };
   struct retry_decision decision;
 
+  relay_parts_suspect (relay, fault);
   if (fault == RETRY_FAULT_CONNECT)
     {
       relay->sends--;
--- a/request/relay_refuse.c
+++ b/request/relay_refuse.c
@@ -35,7 +35,9 @@
   [RELAY_DEADLINE_UNSENT]
   = { "deadline_unsent", METRIC_REFUSED_DEADLINE, 503, 0 },
   [RELAY_RETRY_BUDGET]
-  = { "retry_budget", METRIC_REFUSED_RETRY_BUDGET, 502, 0 }
+  = { "retry_budget", METRIC_REFUSED_RETRY_BUDGET, 502, 0 },
+  [RELAY_QUARANTINED]
+  = { "quarantined", METRIC_REFUSED_QUARANTINED, 503, 60000 }
 };
 
 /* Ends RELAY with REFUSAL.  If the response has begun, the client's connection
@@ -45,7 +47,9 @@
 relay_refuse (struct relay *relay, enum relay_refusal refusal)
 {
   struct client *client = relay->client;
-  int64_t wait_ms = refusals[refusal].retry_after_ms;
+  int64_t wait_ms = refusal == RELAY_QUARANTINED
+                        ? relay->retry_after_ms
+                        : refusals[refusal].retry_after_ms;
   char field[64] = "";
 
   metric_inc (refusals[refusal].counter);
--- a/request/relay_response.c
+++ b/request/relay_response.c
@@ -81,6 +81,7 @@
       if (relay->events.complete == complete)
         return 0;
       relay->last_received_ms = clk_now (clk_monotonic ());
+      relay_parts_event (relay);
       relay_arm_timer (relay);
     }
   else if (relay->head_sent)
@@ -163,6 +164,8 @@
         = relay->buffered_body ? (int64_t)relay->buffered_body->len : 0;
   if (!relay->head_sent)
     send_head (relay);
+  if (http_is_success (relay->status))
+    relay_parts_succeed (relay);
   relay_end_attempt (relay, relay->status >= HTTP_STATUS_INTERNAL_SERVER_ERROR
                                 ? HEALTH_SERVER_ERROR
                                 : HEALTH_RESPONDED);
--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -285,6 +285,7 @@
 expect_containment (double before)
 {
   double after;
+  char *response;
 
   fx_sleep_ms (2 * CONTACT_MS);
   after = measure_sound_share (MEASURED_MS);
@@ -293,6 +294,10 @@
   CU_ASSERT (crashes > 0);
   CU_ASSERT (late_sends <= SENDS_ALLOWED);
   CU_ASSERT (after >= before / 2);
+  response = send_prompt (0, "rules", "a0:100,bad0:40");
+  CU_ASSERT (g_str_has_prefix (response, "HTTP/1.1 503"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (response, "Retry-After: "));
+  g_free (response);
 }
 
 static void
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -31,7 +31,8 @@
   RAMP_MS = 3500,
   JOIN_MS = 1500, /* until the instances have seen the targets that join */
   MEASURED_MS = 4000,
-  SETTLE_MS = 2500, /* until the last heartbeats have arrived */
+  CONTACT_MS = 4000, /* until a change must have reached all instances */
+  SETTLE_MS = 2500,  /* until the last heartbeats have arrived */
   KNOWN_CHECKS = 10,
   KNOWN_CHECK_MS = 250,
   SEED = 18
@@ -85,6 +86,7 @@
 static void larger_fleet_stays_within_bound (void);
 static void loads_at_all_targets_are_reported (void);
 static void loads_of_live_instances_are_kept (void);
+static void quarantine_reaches_all_instances (void);
 
 static const struct test_case cases[] = {
   { "popular targets stay within the load bound of a large fleet",
@@ -95,6 +97,8 @@
     loads_at_all_targets_are_reported },
   { "loads of live instances are kept in a fleet of 150",
     loads_of_live_instances_are_kept },
+  { "the quarantine of a prompt part reaches all instances",
+    quarantine_reaches_all_instances },
 };
 
 TEST_MAIN ("fleet", cases)
@@ -492,3 +496,45 @@
         g_ptr_array_index (simulation.instances[i].registry->array, i % 2));
   stop_simulation (&simulation);
 }
+
+/* Returns how many instances have a part in quarantine.  */
+static int
+count_quarantines (const struct simulation *simulation)
+{
+  int count = 0;
+
+  for (int i = 0; i < simulation->instance_count; i++)
+    count += (int)fleet_quarantined_count (simulation->instances[i].fleet);
+  return count;
+}
+
+/* Two instances each see the end of a target.  The part is sound after all: a
+   third instance has a request with it that goes well.  */
+static void
+quarantine_reaches_all_instances (void)
+{
+  static struct simulation simulation;
+  static const uint64_t parts[] = { 10, 11 };
+  struct sockaddr_in closed = { .sin_family = AF_INET,
+                                .sin_port = free_port (),
+                                .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+
+  start_simulation (&simulation, INSTANCES, 1);
+  for (int i = 0; i < 2; i++)
+    {
+      struct quar_crash crash = { .target = 1 + (uint64_t)i,
+                                  .strength = QUAR_SUSPECT,
+                                  .ended_ms = clk_now (clk_monotonic ()),
+                                  .part_count = 2,
+                                  .parts = { parts[0], parts[1] } };
+
+      fleet_report_crash (simulation.instances[i].fleet, &closed, &crash);
+      run_for (simulation.loop, KNOWN_CHECK_MS);
+    }
+  run_for (simulation.loop, CONTACT_MS);
+  CU_ASSERT_EQUAL (count_quarantines (&simulation), INSTANCES);
+  fleet_report_success (simulation.instances[2].fleet, parts, 2);
+  run_for (simulation.loop, CONTACT_MS);
+  CU_ASSERT_EQUAL (count_quarantines (&simulation), 0);
+  stop_simulation (&simulation);
+}
