Count a target that was sent a request as tried after it has ended

A request without prompt parts that crashes targets ended more of them than its route allows attempts: the second attempt at a target that had ended could not connect, which took that target from the tried ones, and made room for another (tests/test_crash: one request with two attempts ended more than two targets). Only a target that never received the request is now taken from them.

--- a/request/relay_target.c
+++ b/request/relay_target.c
@@ -85,18 +85,21 @@
 {
   uint64_t id = relay->target->hash;
 
-  if (relay->tried_count < RELAY_TRIED_MAX
-      && !contains_id (relay->tried, relay->tried_count, id))
+  relay->is_first_send
+      = relay->tried_count < RELAY_TRIED_MAX
+        && !contains_id (relay->tried, relay->tried_count, id);
+  if (relay->is_first_send)
     relay->tried[relay->tried_count++] = id;
 }
 
-/* Moves the current target from the tried to the unreachable ones.  */
+/* Counts the current target as unreachable, and no longer as tried unless it
+   received RELAY in an earlier attempt.  */
 void
 relay_mark_unreachable (struct relay *relay)
 {
   uint64_t id = relay->target->hash;
 
-  if (relay->tried_count > 0 && relay->tried[relay->tried_count - 1] == id)
+  if (relay->is_first_send)
     relay->tried_count--;
   if (relay->unreachable_count < RELAY_TRIED_MAX)
     relay->unreachable[relay->unreachable_count++] = id;
