Read and log the rate limits that targets name

Targets in need name in their responses how many requests a second they take from all instances together; no code read that field, and no log line could tell which targets do so. The dialect now has the field and its form, the registry keeps the latest value of each target, and an attempt line tells when a limit begins, changes or ends. Nothing is decided by it yet.

--- a/include/ibisloom/dialect.h
+++ b/include/ibisloom/dialect.h
@@ -23,6 +23,7 @@
   DIALECT_EXPECTED_TARGET, /* the only target that may execute the request */
   DIALECT_SIGNATURE,       /* shows that the response comes from a target */
   DIALECT_TARGET_LOAD,     /* requests running and waiting, and slots */
+  DIALECT_TARGET_RATE,     /* requests per second that the target takes */
   DIALECT_NOT_RUN,         /* the target did not execute the request */
   DIALECT_RETRY_AFTER,
   DIALECT_PRIORITY, /* admission priority at the target */
@@ -56,6 +57,7 @@
   int (*tokens_out) (const char *value, int64_t *tokens);
   int (*load) (const char *value, int32_t *running, int32_t *waiting,
                int32_t *slots);
+  int (*rate) (const char *value, double *per_s);
   /* Access to the object store, and the kinds of objects in it.  */
   const struct watch_protocol *store;
   const char *config_kind;
--- a/include/ibisloom/registry.h
+++ b/include/ibisloom/registry.h
@@ -60,6 +60,8 @@
   int32_t sent_since_report; /* sent minus ended since that response */
   clk_ms reported_ms;        /* time of that response, 0: none */
   double load_limit;         /* bound of its load when last selected */
+  uint8_t is_rate_limited;   /* it names a limit of its request rate */
+  double rate_per_s;         /* that limit, over all instances */
   struct health health;
 };
 
--- a/request/librelay.h
+++ b/request/librelay.h
@@ -109,6 +109,7 @@
 void relay_log_placement (const struct relay *relay,
                           const struct bal_choice *choice, size_t candidates);
 void relay_log_over_bound (const struct relay *relay, int32_t reported);
+void relay_log_rate (const struct relay *relay);
 void relay_log_fault (const struct relay *relay, enum retry_fault fault,
                       const struct retry_decision *decision, clk_ms now);
 void relay_log_outcome (const struct relay *relay, const char *outcome,
--- a/request/relay_log.c
+++ b/request/relay_log.c
@@ -86,6 +86,22 @@
   log_end (&line);
 }
 
+/* Logs that the target of RELAY has begun or ended to limit its request rate,
+   or changed the limit.  */
+void
+relay_log_rate (const struct relay *relay)
+{
+  struct log_line line;
+
+  if (!log_begin (&line, LOG_LEVEL_INFO, "attempt", relay->id,
+                  relay->target->is_rate_limited ? "rate_limit"
+                                                 : "no_rate_limit"))
+    return;
+  log_text (&line, "target", relay->target->id);
+  log_real (&line, "per_s", relay->target->rate_per_s);
+  log_end (&line);
+}
+
 /* Logs that an attempt of RELAY ended with FAULT, and the DECISION.  */
 void
 relay_log_fault (const struct relay *relay, enum retry_fault fault,
--- a/request/relay_response.c
+++ b/request/relay_response.c
@@ -18,6 +18,7 @@
 static int matches_request (const struct relay *relay,
                             const struct http_head *head);
 static void record_load (struct relay *relay, const struct http_head *head);
+static void record_rate (struct relay *relay, const struct http_head *head);
 static void copy_fields (struct relay *relay, const struct http_head *head);
 static void send_head (struct relay *relay);
 static void forward_body (struct relay *relay, const char *data,
@@ -57,6 +58,7 @@
   if (relay->is_invalid)
     return -1;
   record_load (relay, head);
+  record_rate (relay, head);
   if (!relay->head_sent)
     copy_fields (relay, head);
   relay_arm_timer (relay);
@@ -248,6 +250,28 @@
   relay_log_over_bound (relay, running + waiting);
 }
 
+/* Records the request rate to which the target limits all instances together
+   in HEAD.  Only a success without one ends a limit.  */
+static void
+record_rate (struct relay *relay, const struct http_head *head)
+{
+  const struct dialect *dialect = relay->router->dialect;
+  struct reg_target *target = relay->target;
+  const char *value
+      = http_head_get (head, dialect->field[DIALECT_TARGET_RATE]);
+  double per_s = 0;
+
+  if (value != NULL ? dialect->rate (value, &per_s) != 0
+                    : !http_is_success (head->status))
+    return;
+  if (target->is_rate_limited == (value != NULL)
+      && (value == NULL || target->rate_per_s == per_s))
+    return;
+  target->is_rate_limited = value != NULL;
+  target->rate_per_s = per_s;
+  relay_log_rate (relay);
+}
+
 /* Copies the fields of HEAD that are forwarded: all but hop-by-hop ones
    and the target's load.  */
 static void
