Keep the rate limits that targets name, over all instances

A limit is a token bucket of which each instance has a copy; an instance that sends such a target a request tells the others at once. In a fleet of over 96 instances those that rank highest for a target send to it, so what an instance counts does not grow. A target without tokens is passed over, and the last token is kept for large contexts.

--- a/daemon/ctl_explain.c
+++ b/daemon/ctl_explain.c
@@ -38,6 +38,8 @@
   { "target_failed", "failed: the attempts at targets failed; may have run" },
   { "deadline", "failed: the time was over; may have run" },
   { "deadline_unsent", "refused: the time was over; not run" },
+  { "rates_used_up",
+    "refused: every usable target was at its rate limit; not run" },
   { "quarantined",
     "refused: a part of the prompt has crashed targets; not run" },
   { "retry_budget",
--- a/include/ibisloom/balance.h
+++ b/include/ibisloom/balance.h
@@ -22,10 +22,12 @@
   double load; /* requests in progress, summed over all instances */
   int32_t slots;
   enum health_state state;
-  double error_rate;  /* moving average, 0 to 1 */
-  uint8_t local;      /* in this instance's failure domain */
-  uint8_t excluded;   /* not to be used for this request */
-  uint8_t warming_up; /* recently started and still slow */
+  double error_rate;    /* moving average, 0 to 1 */
+  uint8_t local;        /* in this instance's failure domain */
+  uint8_t excluded;     /* not to be used for this request */
+  uint8_t warming_up;   /* recently started and still slow */
+  uint8_t rate_limited; /* limits its request rate */
+  double rate_tokens;   /* requests that its rate limit allows now */
 };
 
 struct bal_params
@@ -34,19 +36,21 @@
   const struct affinity_holders *holders; /* of the context; may be NULL */
   double cap_factor; /* load bound as a multiple of the mean; 0: no bound */
   double cap_slack;  /* requests added to the bound */
+  double rate_min;   /* tokens that a target with a rate limit must have */
   uint32_t random;   /* index at which the search for the least load starts */
 };
 
 /* Rule by which the target was selected, or why none was. */
 enum bal_reason
 {
-  BAL_HOLDER,       /* holds the context */
-  BAL_HOME,         /* first in the rendezvous ranking of the context */
-  BAL_NEXT_HOME,    /* later in that ranking, for load or health */
-  BAL_LEAST_LOADED, /* least loaded */
-  BAL_TRIAL,        /* target due for a trial, as no usable one is left */
-  BAL_NO_TARGET,    /* no usable target */
-  BAL_ALL_FULL,     /* every usable target is at the load bound */
+  BAL_HOLDER,        /* holds the context */
+  BAL_HOME,          /* first in the rendezvous ranking of the context */
+  BAL_NEXT_HOME,     /* later in that ranking, for load or health */
+  BAL_LEAST_LOADED,  /* least loaded */
+  BAL_TRIAL,         /* target due for a trial, as no usable one is left */
+  BAL_NO_TARGET,     /* no usable target */
+  BAL_ALL_FULL,      /* every usable target is at the load bound */
+  BAL_RATES_USED_UP, /* every usable target is at its rate limit */
   BAL_REASON_COUNT
 };
 
@@ -59,6 +63,7 @@
   BAL_SKIP_SUSPENDED, /* suspended, or due for a trial request */
   BAL_SKIP_LOADED,    /* at the load bound or out of slots */
   BAL_SKIP_ERRORS,    /* error rate far above the lowest one */
+  BAL_SKIP_RATE,      /* at its rate limit */
   BAL_SKIP_COUNT
 };
 
--- a/include/ibisloom/fleet.h
+++ b/include/ibisloom/fleet.h
@@ -53,6 +53,9 @@
                            uint32_t count);
 int fleet_admits_parts (struct fleet *fleet, const uint64_t *parts,
                         uint32_t count, int64_t *wait_ms);
+int fleet_observe_rate (struct fleet *fleet, struct reg_target *target,
+                        int is_named, double per_s, clk_ms sent_ms);
+void fleet_count_request (struct fleet *fleet, struct reg_target *target);
 uint32_t fleet_quarantined_count (const struct fleet *fleet);
 uint32_t fleet_size (const struct fleet *fleet);
 int64_t fleet_loads_age_ms (const struct fleet *fleet);
--- a/include/ibisloom/metrics.h
+++ b/include/ibisloom/metrics.h
@@ -30,6 +30,7 @@
   METRIC_REFUSED_TARGET_FULL,
   METRIC_REFUSED_NO_CONNECTION,
   METRIC_REFUSED_QUARANTINED,
+  METRIC_REFUSED_RATE,
   /* Failed attempts, by fault, and how streams continued after them.  */
   METRIC_RETRY_CONNECT,
   METRIC_RETRY_STATUS,
@@ -51,6 +52,7 @@
   METRIC_OVER_BOUND, /* responses that report a load over the bound */
   /* Denied admissions, by reason.  */
   METRIC_DENIED_BOUND,
+  METRIC_DENIED_RATE,
   METRIC_DENIED_CAPACITY,
   METRIC_DENIED_SHARE,
   METRIC_DENIED_DOWN,
--- a/include/ibisloom/registry.h
+++ b/include/ibisloom/registry.h
@@ -9,6 +9,7 @@
 #include "ibisloom/balance.h"
 #include "ibisloom/clock.h"
 #include "ibisloom/health.h"
+#include "ibisloom/rate.h"
 
 enum
 {
@@ -60,8 +61,7 @@
   int32_t sent_since_report; /* sent minus ended since that response */
   clk_ms reported_ms;        /* time of that response, 0: none */
   double load_limit;         /* bound of its load when last selected */
-  uint8_t is_rate_limited;   /* it names a limit of its request rate */
-  double rate_per_s;         /* that limit, over all instances */
+  struct rate_limit rate;
   struct health health;
 };
 
--- a/include/ibisloom/router.h
+++ b/include/ibisloom/router.h
@@ -50,6 +50,7 @@
   ev_signal signals[3];
   clk_ms stopping_ms; /* start of the shutdown; 0: not shutting down */
   uint32_t open_requests;
+  double context_tokens_mean; /* of recent requests with a context */
 };
 
 struct router *router_new (const struct settings *settings,
--- a/include/ibisloom/wire.h
+++ b/include/ibisloom/wire.h
@@ -19,7 +19,8 @@
   WIRE_NOTES_MAX = 24,
   WIRE_UPDATE_LOADS_MAX = 64,
   WIRE_PARTS_MAX = 32,
-  WIRE_STATES_MAX = 48
+  WIRE_STATES_MAX = 48,
+  WIRE_RATES_MAX = 64
 };
 
 enum wire_kind
@@ -33,6 +34,8 @@
   WIRE_LOADS,             /* loads of targets that have changed */
   WIRE_CRASH,             /* end of a target, and a request it had */
   WIRE_QUARANTINE,        /* states of prompt parts */
+  WIRE_RATES,             /* rate limits of targets */
+  WIRE_SENT,              /* request sent to a target with such a limit */
   WIRE_KIND_COUNT
 };
 
@@ -170,6 +173,26 @@
   struct wire_state state[WIRE_STATES_MAX];
 };
 
+/* Rate limit of a target. */
+struct wire_rate
+{
+  uint64_t target;
+  uint32_t version; /* odd: in force */
+  uint32_t per_ks;  /* requests in 1,000 s */
+};
+
+struct wire_rates
+{
+  uint32_t count;
+  struct wire_rate rate[WIRE_RATES_MAX];
+};
+
+/* Request that the sender has sent to a target with a rate limit. */
+struct wire_sent
+{
+  uint64_t target;
+};
+
 struct wire_message
 {
   enum wire_kind kind;
@@ -187,6 +210,8 @@
     struct wire_loads loads;
     struct wire_crash crash;
     struct wire_quarantine quarantine;
+    struct wire_rates rates;
+    struct wire_sent sent;
   } u;
 };
 
--- a/process/fleet_datagram.c
+++ b/process/fleet_datagram.c
@@ -1,5 +1,5 @@
 /* Datagrams between the instances of the fleet: heartbeats, load updates,
-   notes and the quarantine of prompt parts.  */
+   notes, the quarantine of prompt parts and the rate limits of targets.  */
 #include <string.h>
 #include <sys/socket.h>
 
@@ -29,7 +29,8 @@
 
 /* Sends a heartbeat to ADDRESS.  If WANTS_AFFINITY is not 0, it requests the
    affinity table of the receiver.  Loads that do not fit follow as load
-   updates, and then the states of prompt parts, if there are any.  */
+   updates, and then the states of prompt parts and the rate limits of targets,
+   if there are any.  */
 void
 fleet_send_heartbeat (struct fleet *fleet, const struct sockaddr_in *address,
                       int wants_affinity)
@@ -60,6 +61,7 @@
         fleet_send (fleet, address, &update);
     }
   fleet_send_states (fleet, address);
+  fleet_send_rates (fleet, address);
 }
 
 /* Copies to LOADS up to MAX loads of this instance, from the target at
@@ -189,6 +191,10 @@
         fleet_apply_crash (fleet, &message.u.crash);
       else if (message.kind == WIRE_QUARANTINE)
         fleet_apply_states (fleet, &message.u.quarantine);
+      else if (message.kind == WIRE_RATES)
+        fleet_apply_rates (fleet, &message.u.rates);
+      else if (message.kind == WIRE_SENT)
+        fleet_apply_sent (fleet, &message.u.sent);
     }
 }
 
--- a/process/libfleet.h
+++ b/process/libfleet.h
@@ -79,6 +79,7 @@
   struct store_call *write_call; /* in progress, for the first; or NULL */
   int write_creates;             /* it creates the object of the part */
   ev_timer write_retry;
+  guint next_rate; /* target whose sharers are found next */
 };
 
 /* fleet.c */
@@ -112,6 +113,12 @@
                          const struct wire_quarantine *quarantine);
 int fleet_read_part (struct fleet *fleet, const json_t *content);
 
+/* fleet_rate.c */
+void fleet_rate_tick (struct fleet *fleet, clk_ms now);
+void fleet_send_rates (struct fleet *fleet, const struct sockaddr_in *address);
+void fleet_apply_rates (struct fleet *fleet, const struct wire_rates *rates);
+void fleet_apply_sent (struct fleet *fleet, const struct wire_sent *sent);
+
 /* fleet_load.c */
 void fleet_watch_loads (struct fleet *fleet);
 void fleet_unwatch_loads (struct fleet *fleet);
--- a/process/metrics.c
+++ b/process/metrics.c
@@ -62,6 +62,7 @@
   = "ibisloom_refused_total{reason=\"target_full\"}",
   [METRIC_REFUSED_QUARANTINED]
   = "ibisloom_refused_total{reason=\"quarantined\"}",
+  [METRIC_REFUSED_RATE] = "ibisloom_refused_total{reason=\"rate_limit\"}",
   [METRIC_REFUSED_NO_CONNECTION]
   = "ibisloom_refused_total{reason=\"no_connection\"}",
   [METRIC_RETRY_CONNECT] = "ibisloom_retries_total{reason=\"connect\"}",
@@ -82,6 +83,8 @@
   [METRIC_PLACED_LEAST_LOADED] = "ibisloom_placed_total{by=\"least_loaded\"}",
   [METRIC_PLACED_TRIAL] = "ibisloom_placed_total{by=\"trial\"}",
   [METRIC_OVER_BOUND] = "ibisloom_over_bound_total",
+  [METRIC_DENIED_RATE]
+  = "ibisloom_admission_denied_total{reason=\"rate_limit\"}",
   [METRIC_DENIED_BOUND] = "ibisloom_admission_denied_total{reason=\"bound\"}",
   [METRIC_DENIED_CAPACITY]
   = "ibisloom_admission_denied_total{reason=\"capacity\"}",
--- a/process/registry.c
+++ b/process/registry.c
@@ -380,6 +380,8 @@
       candidate->local = target->failure_domain == failure_domain;
       candidate->excluded = 0;
       candidate->warming_up = now < target->warm_at_ms;
+      candidate->rate_limited = rate_is_limited (&target->rate) != 0;
+      candidate->rate_tokens = rate_tokens (&target->rate, now);
       targets[count++] = target;
     }
   return count;
--- a/process/wire.c
+++ b/process/wire.c
@@ -72,6 +72,12 @@
                                const struct wire_message *message);
 static void decode_quarantine (struct reader *reader,
                                struct wire_message *message);
+static void encode_rates (msgpack_packer *packer,
+                          const struct wire_message *message);
+static void decode_rates (struct reader *reader, struct wire_message *message);
+static void encode_sent (msgpack_packer *packer,
+                         const struct wire_message *message);
+static void decode_sent (struct reader *reader, struct wire_message *message);
 static uint64_t next_uint (struct reader *reader, uint64_t max);
 static struct reader next_array (struct reader *reader, uint32_t max);
 static int has_allowed_types (const unsigned char *data, size_t length);
@@ -94,6 +100,8 @@
   [WIRE_LOADS] = { encode_loads, decode_loads },
   [WIRE_CRASH] = { encode_crash, decode_crash },
   [WIRE_QUARANTINE] = { encode_quarantine, decode_quarantine },
+  [WIRE_RATES] = { encode_rates, decode_rates },
+  [WIRE_SENT] = { encode_sent, decode_sent },
 };
 
 /* Derives the MAC key from the cluster's SECRET and the DEPLOYMENT name, so
@@ -580,3 +588,51 @@
     }
   reader->failed |= list.failed;
 }
+
+/* Encodes the rate limits of targets, without a count.  */
+static void
+encode_rates (msgpack_packer *packer, const struct wire_message *message)
+{
+  const struct wire_rates *rates = &message->u.rates;
+
+  msgpack_pack_array (packer, rates->count * 3);
+  for (uint32_t i = 0; i < rates->count; i++)
+    {
+      msgpack_pack_uint64 (packer, rates->rate[i].target);
+      msgpack_pack_uint64 (packer, rates->rate[i].version);
+      msgpack_pack_uint64 (packer, rates->rate[i].per_ks);
+    }
+}
+
+static void
+decode_rates (struct reader *reader, struct wire_message *message)
+{
+  struct wire_rates *rates = &message->u.rates;
+  struct reader list = next_array (reader, WIRE_RATES_MAX * 3);
+
+  while (!list.failed && list.remaining > 0)
+    {
+      struct wire_rate *rate = &rates->rate[rates->count++];
+
+      rate->target = next_uint (&list, UINT64_MAX);
+      rate->version = (uint32_t)next_uint (&list, UINT32_MAX);
+      rate->per_ks = (uint32_t)next_uint (&list, UINT32_MAX);
+    }
+  reader->failed |= list.failed;
+}
+
+static void
+encode_sent (msgpack_packer *packer, const struct wire_message *message)
+{
+  msgpack_pack_array (packer, 1);
+  msgpack_pack_uint64 (packer, message->u.sent.target);
+}
+
+static void
+decode_sent (struct reader *reader, struct wire_message *message)
+{
+  struct reader list = next_array (reader, 1);
+
+  message->u.sent.target = next_uint (&list, UINT64_MAX);
+  reader->failed |= list.failed;
+}
--- a/request/balance.c
+++ b/request/balance.c
@@ -11,8 +11,11 @@
    preference for this instance's failure domain.  */
 #include <math.h>
 
+#include <sys/param.h>
+
 #include "ibisloom/balance.h"
 #include "ibisloom/rank.h"
+#include "ibisloom/rate.h"
 
 enum
 {
@@ -35,13 +38,14 @@
 
 const char *const bal_reason_names[BAL_REASON_COUNT]
     = { "holder", "home",      "next_home", "least_loaded",
-        "trial",  "no_target", "full" };
+        "trial",  "no_target", "full",      "rates_used_up" };
 
 const char *const bal_skip_names[BAL_SKIP_COUNT]
-    = { "free", "absent", "tried", "suspect", "loaded", "errors" };
+    = { "free", "absent", "tried", "suspect", "loaded", "errors", "rate" };
 
 static double load_limit (const struct bal_params *params, double mean);
-static enum bal_skip skip_reason (const struct bal_candidate *candidate,
+static enum bal_skip skip_reason (const struct bal_params *params,
+                                  const struct bal_candidate *candidate,
                                   double limit, double best_error_rate);
 static size_t index_of (uint64_t id, const struct bal_candidate *candidates,
                         size_t count);
@@ -54,8 +58,11 @@
 static int pick_least_loaded (const struct bal_params *params,
                               const struct bal_candidate *candidates,
                               size_t count, struct bal_choice *choice);
-static int pick_trial (const struct bal_candidate *candidates, size_t count,
+static int pick_trial (const struct bal_params *params,
+                       const struct bal_candidate *candidates, size_t count,
                        struct bal_choice *choice);
+static int is_rate_used_up (const struct bal_params *params,
+                            const struct bal_candidate *candidate);
 static double mean_load (const struct bal_candidate *candidates, size_t count);
 static double lowest_error_rate (const struct bal_candidate *candidates,
                                  size_t count);
@@ -79,7 +86,7 @@
     return 1;
   if (pick_least_loaded (params, candidates, count, choice))
     return 1;
-  return pick_trial (candidates, count, choice);
+  return pick_trial (params, candidates, count, choice);
 }
 
 /* Returns the highest load at which a target may be sent another request,
@@ -96,13 +103,16 @@
    may.  LIMIT is the load limit of a target, BEST_ERROR_RATE the lowest error
    rate of any candidate.  */
 static enum bal_skip
-skip_reason (const struct bal_candidate *candidate, double limit,
+skip_reason (const struct bal_params *params,
+             const struct bal_candidate *candidate, double limit,
              double best_error_rate)
 {
   if (candidate->excluded)
     return BAL_SKIP_TRIED;
   if (candidate->state != HEALTH_USABLE)
     return BAL_SKIP_SUSPENDED;
+  if (is_rate_used_up (params, candidate))
+    return BAL_SKIP_RATE;
   if (candidate->load > limit
       || (candidate->slots > 0 && candidate->load >= candidate->slots))
     return BAL_SKIP_LOADED;
@@ -137,10 +147,10 @@
        n++)
     {
       size_t i = index_of (params->holders->target[n], candidates, count);
-      enum bal_skip skip
-          = i == count
-                ? BAL_SKIP_ABSENT
-                : skip_reason (&candidates[i], choice->limit, best_error_rate);
+      enum bal_skip skip = i == count
+                               ? BAL_SKIP_ABSENT
+                               : skip_reason (params, &candidates[i],
+                                              choice->limit, best_error_rate);
 
       if (n == 0)
         choice->skip = skip;
@@ -155,7 +165,9 @@
 }
 
 /* Selects the least loaded of the first HOME_CANDIDATES usable targets in the
-   rendezvous ranking of the context.  Returns whether there is one.  */
+   rendezvous ranking of the context.  A target that limits its rate becomes
+   the home of another context only if it has nothing to do.  Returns whether
+   there is one.  */
 static int
 pick_home (const struct bal_params *params,
            const struct bal_candidate *candidates, size_t count,
@@ -178,8 +190,9 @@
     {
       const struct bal_candidate *candidate = &candidates[top[i]];
 
-      if (skip_reason (candidate, choice->limit, best_error_rate)
-          != BAL_SKIP_NONE)
+      if ((candidate->rate_limited && candidate->rate_tokens < RATE_BURST)
+          || skip_reason (params, candidate, choice->limit, best_error_rate)
+                 != BAL_SKIP_NONE)
         continue;
       eligible++;
       if (candidate->load >= best)
@@ -214,9 +227,15 @@
 
       if (candidate->excluded || candidate->state != HEALTH_USABLE)
         continue;
-      if (candidate->load > choice->limit)
+      if (is_rate_used_up (params, candidate))
         {
           if (choice->reason == BAL_NO_TARGET)
+            choice->reason = BAL_RATES_USED_UP;
+          continue;
+        }
+      if (candidate->load > choice->limit)
+        {
+          if (choice->reason != BAL_LEAST_LOADED)
             choice->reason = BAL_ALL_FULL;
           continue;
         }
@@ -237,13 +256,15 @@
 /* Selects a target that is due for a trial request.  Returns whether there is
    one.  If the load bound excluded a usable target, no trial is made.  */
 static int
-pick_trial (const struct bal_candidate *candidates, size_t count,
+pick_trial (const struct bal_params *params,
+            const struct bal_candidate *candidates, size_t count,
             struct bal_choice *choice)
 {
   if (choice->reason == BAL_ALL_FULL)
     return 0;
   for (size_t i = 0; i < count; i++)
-    if (!candidates[i].excluded && candidates[i].state == HEALTH_TRIAL)
+    if (!candidates[i].excluded && candidates[i].state == HEALTH_TRIAL
+        && !is_rate_used_up (params, &candidates[i]))
       {
         choice->index = i;
         choice->load = candidates[i].load;
@@ -253,21 +274,33 @@
   return 0;
 }
 
-/* Returns the mean load of the CANDIDATES that are not suspended.  Suspended
-   ones carry no load and would lower the bound.  */
+/* Returns the mean load of the CANDIDATES that are not suspended and do not
+   limit their rate; if all do so, of all that are not suspended.  Those left
+   out carry little load and would lower the bound.  */
 static double
 mean_load (const struct bal_candidate *candidates, size_t count)
 {
   double sum = 0;
+  double limited_sum = 0;
   size_t usable = 0;
+  size_t limited = 0;
 
   for (size_t i = 0; i < count; i++)
-    if (candidates[i].state != HEALTH_SUSPENDED)
+    if (candidates[i].state == HEALTH_SUSPENDED)
+      continue;
+    else if (candidates[i].rate_limited)
+      {
+        limited_sum += candidates[i].load;
+        limited++;
+      }
+    else
       {
         sum += candidates[i].load;
         usable++;
       }
-  return usable > 0 ? sum / (double)usable : 0;
+  if (usable > 0)
+    return sum / (double)usable;
+  return limited > 0 ? limited_sum / (double)limited : 0;
 }
 
 /* Returns the lowest error rate among COUNT CANDIDATES.  */
@@ -281,3 +314,13 @@
       lowest = candidates[i].error_rate;
   return lowest;
 }
+
+/* Returns whether the rate limit of CANDIDATE leaves no room for a request
+   with PARAMS.  */
+static int
+is_rate_used_up (const struct bal_params *params,
+                 const struct bal_candidate *candidate)
+{
+  return candidate->rate_limited
+         && candidate->rate_tokens < MAX (params->rate_min, 1);
+}
--- a/request/relay.c
+++ b/request/relay.c
@@ -27,6 +27,9 @@
    window.  */
 static const double RETRY_RATIO_FRACTION = 0.85;
 
+/* Weight of the latest request in the mean size of contexts.  */
+static const double CONTEXT_MEAN_WEIGHT = 0.02;
+
 static void *on_request (struct client_listener *listener,
                          struct client *client, struct http_head *head,
                          GString *body);
@@ -198,6 +201,9 @@
       relay->context = rank_mix (relay->context, prompt.id[i]);
       relay->context_tokens += prompt.tokens[i];
     }
+  relay->router->context_tokens_mean
+      += (relay->context_tokens - relay->router->context_tokens_mean)
+         * CONTEXT_MEAN_WEIGHT;
 }
 
 /* Chooses a target for RELAY and starts an attempt there, or refuses the
@@ -231,7 +237,9 @@
         relay_refuse (relay, RELAY_TARGET_FAILED);
       else
         relay_refuse (relay, choice.reason == BAL_ALL_FULL ? RELAY_ALL_FULL
-                                                           : RELAY_NO_TARGET);
+                             : choice.reason == BAL_RATES_USED_UP
+                                 ? RELAY_RATES_USED_UP
+                                 : RELAY_NO_TARGET);
       return;
     }
   if (relay->context != 0
@@ -260,6 +268,7 @@
 
   relay->target = target;
   reg_request_start (target);
+  fleet_count_request (router->fleet, target);
   relay->is_trial = (uint8_t)health_begin_request (&target->health);
   relay_mark_tried (relay);
   relay->sent_ms = now;
--- a/request/relay_log.c
+++ b/request/relay_log.c
@@ -23,6 +23,7 @@
   [BAL_TRIAL] = METRIC_PLACED_TRIAL,
   [BAL_NO_TARGET] = METRIC_DENIED_DOWN,
   [BAL_ALL_FULL] = METRIC_DENIED_BOUND,
+  [BAL_RATES_USED_UP] = METRIC_DENIED_RATE,
 };
 
 /* Reasons not to make another attempt. */
@@ -94,11 +95,11 @@
   struct log_line line;
 
   if (!log_begin (&line, LOG_LEVEL_INFO, "attempt", relay->id,
-                  relay->target->is_rate_limited ? "rate_limit"
-                                                 : "no_rate_limit"))
+                  rate_is_limited (&relay->target->rate) ? "rate_limit"
+                                                         : "no_rate_limit"))
     return;
   log_text (&line, "target", relay->target->id);
-  log_real (&line, "per_s", relay->target->rate_per_s);
+  log_real (&line, "per_s", relay->target->rate.per_s);
   log_end (&line);
 }
 
--- a/request/relay_refuse.c
+++ b/request/relay_refuse.c
@@ -37,7 +37,8 @@
   [RELAY_RETRY_BUDGET]
   = { "retry_budget", METRIC_REFUSED_RETRY_BUDGET, 502, 0 },
   [RELAY_QUARANTINED]
-  = { "quarantined", METRIC_REFUSED_QUARANTINED, 503, 60000 }
+  = { "quarantined", METRIC_REFUSED_QUARANTINED, 503, 60000 },
+  [RELAY_RATES_USED_UP] = { "rates_used_up", METRIC_REFUSED_RATE, 503, 400 }
 };
 
 /* Ends RELAY with REFUSAL.  If the response has begun, the client's connection
--- a/request/relay_response.c
+++ b/request/relay_response.c
@@ -256,7 +256,6 @@
 record_rate (struct relay *relay, const struct http_head *head)
 {
   const struct dialect *dialect = relay->router->dialect;
-  struct reg_target *target = relay->target;
   const char *value
       = http_head_get (head, dialect->field[DIALECT_TARGET_RATE]);
   double per_s = 0;
@@ -264,12 +263,9 @@
   if (value != NULL ? dialect->rate (value, &per_s) != 0
                     : !http_is_success (head->status))
     return;
-  if (target->is_rate_limited == (value != NULL)
-      && (value == NULL || target->rate_per_s == per_s))
-    return;
-  target->is_rate_limited = value != NULL;
-  target->rate_per_s = per_s;
-  relay_log_rate (relay);
+  if (fleet_observe_rate (relay->router->fleet, relay->target, value != NULL,
+                          per_s, relay->sent_ms))
+    relay_log_rate (relay);
 }
 
 /* Copies the fields of HEAD that are forwarded: all but hop-by-hop ones
--- a/request/relay_target.c
+++ b/request/relay_target.c
@@ -6,6 +6,7 @@
                                 size_t count);
 static int readmit_tried (const struct relay *relay,
                           struct bal_candidate *candidates, size_t count);
+static double rate_min (const struct relay *relay);
 static int contains_id (const uint64_t *ids, uint32_t count, uint64_t id);
 
 /* Returns the target for RELAY's next attempt, or NULL.  CHOICE receives the
@@ -23,6 +24,7 @@
           .cap_factor
           = relay->route->has_context ? router->settings->cap_factor : 0,
           .cap_slack = router->settings->cap_slack,
+          .rate_min = rate_min (relay),
           .random = g_rand_int (router->random) };
 
   *count = reg_candidates (router->registry, relay->service,
@@ -39,6 +41,17 @@
   return targets[choice->index];
 }
 
+/* Returns how many tokens a target with a rate limit must have to be sent
+   RELAY.  Requests with a large context gain most by a target that holds it,
+   so some tokens are kept for them.  */
+static double
+rate_min (const struct relay *relay)
+{
+  return relay->context_tokens > relay->router->context_tokens_mean
+             ? 1
+             : 1 + RATE_RESERVE;
+}
+
 /* Excludes targets from the COUNT CANDIDATES: those that could not be reached,
    and those that were sent RELAY before.  Once RELAY was sent to as many
    targets as its route allows, only these targets remain.  */
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -30,6 +30,8 @@
 static void context_without_a_bound_has_a_home (void);
 static void local_targets_are_preferred (void);
 static void suspended_targets_do_not_lower_the_bound (void);
+static void used_up_rate_limit_is_respected (void);
+static void stale_rate_is_ignored (void);
 static void read_timeout_needs_repeatable_request (void);
 static void old_contexts_are_evicted (void);
 static void reregistered_target_starts_without_load (void);
@@ -61,6 +63,9 @@
     local_targets_are_preferred },
   { "suspended targets do not lower the load bound",
     suspended_targets_do_not_lower_the_bound },
+  { "a target at its rate limit is passed over",
+    used_up_rate_limit_is_respected },
+  { "a rate limit follows the latest requests", stale_rate_is_ignored },
   { "only repeatable requests have a read timeout",
     read_timeout_needs_repeatable_request },
   { "old contexts are evicted", old_contexts_are_evicted },
@@ -302,6 +307,54 @@
   CU_ASSERT (choice.index < 4);
 }
 
+/* All targets but the first limit their rate.  */
+static void
+used_up_rate_limit_is_respected (void)
+{
+  struct bal_candidate candidates[TARGETS];
+  struct bal_params params = { .cap_factor = 2, .cap_slack = 3 };
+  struct affinity_holders holders = { .context = 1, .count = 1 };
+  struct bal_choice choice;
+
+  fill (candidates);
+  for (int i = 1; i < TARGETS; i++)
+    candidates[i].rate_limited = 1;
+  holders.target[0] = candidates[1].id;
+  params.context = 1;
+  params.holders = &holders;
+  CU_ASSERT (bal_pick (&params, candidates, TARGETS, &choice));
+  CU_ASSERT_EQUAL (choice.index, 0);
+  CU_ASSERT_EQUAL (choice.skip, BAL_SKIP_RATE);
+  candidates[1].rate_tokens = 1;
+  CU_ASSERT (bal_pick (&params, candidates, TARGETS, &choice));
+  CU_ASSERT_EQUAL (choice.index, 1);
+  params.rate_min = 1 + RATE_RESERVE;
+  CU_ASSERT (bal_pick (&params, candidates, TARGETS, &choice));
+  CU_ASSERT_EQUAL (choice.index, 0);
+  candidates[0].excluded = 1;
+  CU_ASSERT (!bal_pick (&params, candidates, TARGETS, &choice));
+  CU_ASSERT_EQUAL (choice.reason, BAL_RATES_USED_UP);
+}
+
+/* A response to a request that was sent before the limit began may be older
+   than it.  */
+static void
+stale_rate_is_ignored (void)
+{
+  struct rate_limit limit = { .is_sharer = 1 };
+
+  CU_ASSERT (rate_observe (&limit, 1, 2, 100, 200));
+  CU_ASSERT (!rate_observe (&limit, 0, 0, 150, 250));
+  CU_ASSERT (rate_is_limited (&limit));
+  CU_ASSERT (rate_tokens (&limit, 200) < 1);
+  CU_ASSERT_EQUAL (rate_tokens (&limit, 10200), RATE_BURST);
+  rate_count (&limit, 10200);
+  CU_ASSERT_EQUAL (rate_tokens (&limit, 10200), RATE_BURST - 1);
+  CU_ASSERT (!rate_adopt (&limit, 1, 3, 10200));
+  CU_ASSERT (rate_observe (&limit, 0, 0, 10200, 10300));
+  CU_ASSERT (!rate_is_limited (&limit));
+}
+
 static void
 read_timeout_needs_repeatable_request (void)
 {
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -33,6 +33,7 @@
   MEASURED_MS = 4000,
   CONTACT_MS = 4000, /* until a change must have reached all instances */
   SETTLE_MS = 2500,  /* until the last heartbeats have arrived */
+  LIMITED_TARGETS = 98,
   KNOWN_CHECKS = 10,
   KNOWN_CHECK_MS = 250,
   SEED = 18
@@ -46,6 +47,11 @@
 static const double OVER_BOUND_ALLOWED = 0.03;
 static const double OVER_BOUND_AIM = 0.01;
 
+/* Requests a second that a limited target takes.  In MEASURED_MS it may get
+   one and a half times what that allows, and RATE_SLACK more.  */
+static const double RATE_PER_S = 0.75;
+static const double RATE_SLACK = 5;
+
 /* One instance, with its own view of targets, loads and contexts.  */
 struct instance
 {
@@ -62,6 +68,8 @@
 {
   struct reg_target *target; /* of the instance that sent it */
   int index;                 /* of the target */
+  struct instance *instance;
+  clk_ms sent_ms;
 };
 
 struct simulation
@@ -76,6 +84,8 @@
   GArray *ends[RING_TICKS];    /* of struct running, by tick */
   GArray *reports[RING_TICKS]; /* of struct running, by tick */
   uint64_t tick;
+  int limited;           /* the first targets limit their rate */
+  int arrivals[TARGETS]; /* while measuring */
   int measuring;
   int stopped; /* no more requests are sent */
   int sent;
@@ -87,6 +97,7 @@
 static void loads_at_all_targets_are_reported (void);
 static void loads_of_live_instances_are_kept (void);
 static void quarantine_reaches_all_instances (void);
+static void rate_limits_hold_in_a_large_fleet (void);
 
 static const struct test_case cases[] = {
   { "popular targets stay within the load bound of a large fleet",
@@ -99,6 +110,8 @@
     loads_of_live_instances_are_kept },
   { "the quarantine of a prompt part reaches all instances",
     quarantine_reaches_all_instances },
+  { "rate limits of targets hold in a large fleet",
+    rate_limits_hold_in_a_large_fleet },
 };
 
 TEST_MAIN ("fleet", cases)
@@ -235,7 +248,9 @@
   struct instance *instance = &simulation->instances[g_rand_int_range (
       random, 0, simulation->instance_count)];
   uint64_t context = random_context (random);
-  struct running running = { .target = choose_target (instance, context) };
+  struct running running = { .target = choose_target (instance, context),
+                             .instance = instance,
+                             .sent_ms = clk_now (clk_monotonic ()) };
   double mean = (double)simulation->load_sum / simulation->target_count;
 
   if (running.target == NULL)
@@ -244,12 +259,14 @@
   if (simulation->measuring)
     {
       simulation->sent++;
+      simulation->arrivals[running.index]++;
       simulation->over_bound
           += simulation->loads[running.index] > CAP_FACTOR * mean + CAP_SLACK;
     }
   if (affinity_record (instance->affinity, context, running.target->hash,
                        clk_now (clk_monotonic ())))
     fleet_announce_holder (instance->fleet, context, running.target->hash);
+  fleet_count_request (instance->fleet, running.target);
   reg_request_start (running.target);
   simulation->loads[running.index]++;
   simulation->load_sum++;
@@ -277,6 +294,10 @@
 
       reg_report_load (running->target, simulation->loads[running->index],
                        now);
+      fleet_observe_rate (running->instance->fleet, running->target,
+                          simulation->limited
+                              && running->index < LIMITED_TARGETS,
+                          RATE_PER_S, running->sent_ms);
     }
   for (guint i = 0; i < simulation->ends[slot]->len; i++)
     {
@@ -538,3 +559,56 @@
   CU_ASSERT_EQUAL (count_quarantines (&simulation), 0);
   stop_simulation (&simulation);
 }
+
+/* Returns how many requests the targets from FIRST to LAST got, and in MOST
+   the most that one of them got.  */
+static int
+count_arrivals (const struct simulation *simulation, int first, int last,
+                int *most)
+{
+  int count = 0;
+
+  *most = 0;
+  for (int i = first; i < last; i++)
+    {
+      count += simulation->arrivals[i];
+      *most = MAX (*most, simulation->arrivals[i]);
+    }
+  return count;
+}
+
+/* The share of an instance would be a request in 104 s.  */
+static void
+rate_limits_hold_in_a_large_fleet (void)
+{
+  static struct simulation simulation;
+  double allowed = RATE_PER_S * MEASURED_MS / CLK_MS_PER_S;
+  ev_timer ticks;
+  int most;
+  int count;
+
+  start_simulation (&simulation, INSTANCES, TARGETS);
+  ev_timer_init (&ticks, on_tick, 0, (double)TICK_MS / CLK_MS_PER_S);
+  ticks.data = &simulation;
+  ev_timer_start (simulation.loop, &ticks);
+  run_for (simulation.loop, RAMP_MS);
+  simulation.limited = 1;
+  run_for (simulation.loop, CONTACT_MS);
+  simulation.measuring = 1;
+  run_for (simulation.loop, MEASURED_MS);
+  count = count_arrivals (&simulation, 0, LIMITED_TARGETS, &most);
+  printf ("%d at most of %.1f, %d of %d in all ", most,
+          1.5 * allowed + RATE_SLACK, count, simulation.sent);
+  CU_ASSERT (most <= 1.5 * allowed + RATE_SLACK);
+  CU_ASSERT (count >= LIMITED_TARGETS * allowed / 2);
+  simulation.limited = 0;
+  run_for (simulation.loop, CONTACT_MS);
+  memset (simulation.arrivals, 0, sizeof simulation.arrivals);
+  run_for (simulation.loop, MEASURED_MS);
+  CU_ASSERT (count_arrivals (&simulation, 0, LIMITED_TARGETS, &most)
+             > LIMITED_TARGETS * allowed * 2);
+  simulation.stopped = 1;
+  run_for (simulation.loop, REQUEST_MAX_MS + SETTLE_MS);
+  ev_timer_stop (simulation.loop, &ticks);
+  stop_simulation (&simulation);
+}
