Use limited targets as homes when all others are full

Targets that limit their rate now come second in the ranking of a context before the least loaded one is taken, and two of four saved tokens instead of one of three are kept for large contexts.

--- a/include/ibisloom/rate.h
+++ b/include/ibisloom/rate.h
@@ -9,9 +9,9 @@
 
 enum
 {
-  RATE_BURST = 3, /* requests that may be saved up */
+  RATE_BURST = 4, /* requests that may be saved up */
   /* Requests that are kept for those which gain most by their target.  */
-  RATE_RESERVE = 1
+  RATE_RESERVE = 2
 };
 
 struct rate_limit
--- a/request/balance.c
+++ b/request/balance.c
@@ -55,6 +55,10 @@
 static int pick_home (const struct bal_params *params,
                       const struct bal_candidate *candidates, size_t count,
                       struct bal_choice *choice);
+static int pick_ranked (const struct bal_params *params,
+                        const struct bal_candidate *candidates, size_t count,
+                        const size_t *top, size_t filled, int uses_limited,
+                        struct bal_choice *choice);
 static int pick_least_loaded (const struct bal_params *params,
                               const struct bal_candidate *candidates,
                               size_t count, struct bal_choice *choice);
@@ -165,9 +169,9 @@
 }
 
 /* Selects the least loaded of the first HOME_CANDIDATES usable targets in the
-   rendezvous ranking of the context.  A target that limits its rate becomes
-   the home of another context only if it has nothing to do.  Returns whether
-   there is one.  */
+   rendezvous ranking of the context.  Targets that limit their rate come after
+   all others, unless they have nothing to do.  Returns whether there is
+   one.  */
 static int
 pick_home (const struct bal_params *params,
            const struct bal_candidate *candidates, size_t count,
@@ -175,10 +179,7 @@
 {
   static struct rank_node nodes[BAL_CANDIDATES_MAX];
   size_t top[RANK_TOP_MAX];
-  double best_error_rate = lowest_error_rate (candidates, count);
-  double best = INFINITY;
   size_t filled;
-  int eligible = 0;
 
   for (size_t i = 0; i < count; i++)
     {
@@ -186,11 +187,29 @@
       nodes[i].weight = 1;
     }
   filled = rank_top (params->context, nodes, count, top, RANK_TOP_MAX);
+  return pick_ranked (params, candidates, count, top, filled, 0, choice)
+         || pick_ranked (params, candidates, count, top, filled, 1, choice);
+}
+
+/* Selects the least loaded of the first HOME_CANDIDATES usable ones among the
+   FILLED indexes TOP.  Targets that are busy with what their rate limits allow
+   count only if USES_LIMITED.  Returns whether there is one.  */
+static int
+pick_ranked (const struct bal_params *params,
+             const struct bal_candidate *candidates, size_t count,
+             const size_t *top, size_t filled, int uses_limited,
+             struct bal_choice *choice)
+{
+  double best_error_rate = lowest_error_rate (candidates, count);
+  double best = INFINITY;
+  int eligible = 0;
+
   for (size_t i = 0; i < filled && eligible < HOME_CANDIDATES; i++)
     {
       const struct bal_candidate *candidate = &candidates[top[i]];
 
-      if ((candidate->rate_limited && candidate->rate_tokens < RATE_BURST)
+      if ((!uses_limited && candidate->rate_limited
+           && candidate->rate_tokens < RATE_BURST)
           || skip_reason (params, candidate, choice->limit, best_error_rate)
                  != BAL_SKIP_NONE)
         continue;
