Send a request to at most three targets that break it off at once

After three that closed the connection before any progress it now ends as failed, may have run. Requests of the same chat that come later are not connected: there is no quarantine at the own interface (docs/incidents).

--- a/include/ibisloom/retry.h
+++ b/include/ibisloom/retry.h
@@ -53,6 +53,7 @@
   int64_t tokens;   /* or events, relayed to the client */
   uint32_t attempts;
   uint32_t attempts_max;     /* 0: the default */
+  uint32_t disconnects;      /* attempts broken off before any progress */
   int resumes_at_any_target; /* a stream may resume at another target */
   uint32_t resumes;          /* consecutive, without progress */
   clk_ms deadline_ms;
--- a/request/librequest.h
+++ b/request/librequest.h
@@ -128,7 +128,8 @@
   uint64_t excluded[REQ_EXCLUDED_MAX];
   size_t excluded_count;
   uint32_t attempts;
-  uint32_t resumes; /* consecutive, without progress */
+  uint32_t resumes;     /* consecutive, without progress */
+  uint32_t disconnects; /* attempts broken off before any progress */
   int may_have_run;
   struct req_attempt attempt;
   struct req_events events;
--- a/request/request.c
+++ b/request/request.c
@@ -156,6 +156,9 @@
   if (req->events.offset > attempt->offset_at_start)
     req->resumes = 0;
   state.resumes = req->resumes;
+  req->disconnects += fault == RETRY_FAULT_DISCONNECTED
+                      && req->events.offset == attempt->offset_at_start;
+  state.disconnects = req->disconnects;
   if (fault != RETRY_FAULT_CONNECT && fault != RETRY_FAULT_REJECTED)
     req->may_have_run = 1;
   pthread_mutex_lock (&server->budget_lock);
--- a/request/retry.c
+++ b/request/retry.c
@@ -4,6 +4,9 @@
 enum
 {
   ATTEMPTS_MAX_DEFAULT = 6,
+  /* A request that so many targets broke off at once may have crashed
+     them.  */
+  DISCONNECTS_MAX = 3,
   RESUMES_MAX = 1,
   DEADLINE_MARGIN_MS = 20
 };
@@ -91,7 +94,8 @@
       return;
     }
   if (state->attempts >= (state->attempts_max > 0 ? state->attempts_max
-                                                  : ATTEMPTS_MAX_DEFAULT))
+                                                  : ATTEMPTS_MAX_DEFAULT)
+      || state->disconnects >= DISCONNECTS_MAX)
     {
       give_up (state, RETRY_REASON_ATTEMPTS, decision);
       return;
