Let targets of the soak name rate limits

Targets now begin and end a limit of 2.5 requests a second at random, from a generator of its own, so that the other faults of a seed stay as they were.

--- a/tests/soak.c
+++ b/tests/soak.c
@@ -29,7 +29,8 @@
   SECONDS_DEFAULT = 5,
   START_TIMEOUT_MS = 2000,
   DELAY_MAX_MS = 120,
-  DRAIN_MS = 3000 /* longer than any request, so that all have ended */
+  LIMIT_SEED = 7919, /* added to the seed */
+  DRAIN_MS = 3000    /* longer than any request, so that all have ended */
 };
 
 /* How a target responds to its next requests. */
@@ -108,6 +109,8 @@
 static GRand *fault_random;
 /* Separate, so that proxy faults do not change the other faults of a seed. */
 static GRand *proxy_random;
+static GRand *limit_random;
+static gint is_limited[2 * TARGETS_PER_SERVICE]; /* names a rate limit */
 static gint restarting[FX_ROUTERS_MAX];
 static gint stopping;
 static int violations;
@@ -154,30 +157,38 @@
   pthread_mutex_unlock (&lock);
 }
 
-/* Writes a response to request ID that is not a stream.  */
+/* Returns the header field by which target INDEX names its rate limit.  */
+static const char *
+limit_field (int index)
+{
+  return g_atomic_int_get (&is_limited[index]) ? "Server-Limit: 2.5\r\n" : "";
+}
+
+/* Writes a response of target INDEX to request ID that is not a stream.  */
 static void
-respond (int fd, const char *id, const char *status)
+respond (int index, int fd, const char *id, const char *status)
 {
   char *text = g_strdup_printf (
-      "HTTP/1.1 %s\r\nX-Ibisloom-Attempt-Id: %s\r\n"
+      "HTTP/1.1 %s\r\nX-Ibisloom-Attempt-Id: %s\r\n%s"
       "X-Ibisloom-Response-Signature: s-%s\r\nContent-Length: 4\r\n\r\nwell",
-      status, id, id);
+      status, id, limit_field (index), id);
 
   fx_write (fd, text);
   g_free (text);
 }
 
-/* Writes the stream for request ID from the event after AFTER, with PAUSE_MS
-   between events.  If TRUNCATED, stops in the middle of the third event that
-   is written.  */
+/* Writes the stream of target INDEX for request ID from the event after AFTER,
+   with PAUSE_MS between events.  If TRUNCATED, stops in the middle of the
+   third event that is written.  */
 static void
-respond_stream (int fd, const char *id, int after, int truncated, int pause_ms)
+respond_stream (int index, int fd, const char *id, int after, int truncated,
+                int pause_ms)
 {
   char *text = g_strdup_printf (
       "HTTP/1.1 200 OK\r\nX-Ibisloom-Attempt-Id: %s\r\n"
-      "X-Ibisloom-Response-Signature: s-%s\r\n"
+      "X-Ibisloom-Response-Signature: s-%s\r\n%s"
       "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-      id, id);
+      id, id, limit_field (index));
 
   fx_write (fd, text);
   g_free (text);
@@ -221,7 +232,7 @@
   else
     count_execution (id);
   if (behavior == BEHAVIOR_ERROR)
-    respond (request->fd, id, "500 Internal Server Error");
+    respond (index, request->fd, id, "500 Internal Server Error");
   else if (behavior == BEHAVIOR_RESET || behavior == BEHAVIOR_CLOSE)
     {
       if (behavior == BEHAVIOR_RESET)
@@ -231,10 +242,10 @@
   else if (behavior == BEHAVIOR_HANG)
     g_free (fx_read_until (request->fd, "never"));
   else if (behavior == BEHAVIOR_WRONG_ID)
-    respond (request->fd, "another", "200 OK");
+    respond (index, request->fd, "another", "200 OK");
   else if (behavior != BEHAVIOR_OVERLOADED && is_stream)
     {
-      respond_stream (request->fd, id, after ? atoi (after) : 0,
+      respond_stream (index, request->fd, id, after ? atoi (after) : 0,
                       behavior == BEHAVIOR_TRUNCATE,
                       behavior == BEHAVIOR_SLOW ? 150 : 5);
       keep_alive = behavior != BEHAVIOR_TRUNCATE;
@@ -242,9 +253,9 @@
   else if (behavior != BEHAVIOR_OVERLOADED)
     {
       fx_sleep_ms (behavior == BEHAVIOR_SLOW ? 400 : 5);
-      respond (request->fd, id, "200 OK");
+      respond (index, request->fd, id, "200 OK");
       if (behavior == BEHAVIOR_EXTRA_RESPONSE)
-        respond (request->fd, "another", "200 OK");
+        respond (index, request->fd, "another", "200 OK");
     }
   g_free (id);
   g_free (after);
@@ -508,6 +519,16 @@
                          g_rand_boolean (fault_random) ? "draining" : "ready");
 }
 
+/* Begins or ends the rate limit of a target, in one of eight calls.  */
+static void
+inject_rate_limit (void)
+{
+  int target = g_rand_int_range (limit_random, 0, 2 * TARGETS_PER_SERVICE);
+
+  if (g_rand_int_range (limit_random, 0, 8) == 0)
+    g_atomic_int_set (&is_limited[target], g_rand_boolean (limit_random));
+}
+
 /* Sets a random mode, PROXY_PASS at least every second time, on the proxy of a
    target or of a router's connection to the store; in three of four calls,
    leaves all proxies as they are.  */
@@ -601,6 +622,7 @@
     {
       inject_fault (logs);
       inject_proxy_fault ();
+      inject_rate_limit ();
       fx_sleep_ms (g_rand_int_range (fault_random, 5, 80));
     }
   fx_store_set_down (0);
@@ -625,6 +647,7 @@
     router_count = CLAMP (atoi (argv[4]), 1, FX_ROUTERS_MAX);
   records = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   fault_random = g_rand_new_with_seed ((guint32)seed);
+  limit_random = g_rand_new_with_seed ((guint32)seed + LIMIT_SEED);
   proxy_random = g_rand_new_with_seed (~(guint32)seed);
   for (int i = 0; i < router_count; i++)
     logs[i] = keep_logs ? g_strdup_printf ("%s/router-%d.log", argv[3], i)
