Do not flood the last targets without a rate limit

When all model targets limit their rate at once, the one whose limit was learned last had 104 requests in a second (64 slots): its own load raised the mean, and so its bound. Its clients waited for seconds and got 502. While targets limit their rate, the others are now filled to 1.25 of their slots, and what is over is refused at once.

--- a/request/balance.c
+++ b/request/balance.c
@@ -32,6 +32,10 @@
 /* Cost of a target that is warming up, in units of load per slot.  */
 static const double WARMING_UP_PENALTY = 0.5;
 
+/* Part of its slots up to which a target is filled while others limit their
+   rate: the bound alone would let the last one that does not have all.  */
+static const double SLOTS_FILLED_MAX = 1.25;
+
 /* Distance kept from the load bound, in requests: allows for requests from
    other instances that have not been reported yet.  */
 static const double BOUND_MARGIN = 0.25;
@@ -68,6 +72,8 @@
 static int is_rate_used_up (const struct bal_params *params,
                             const struct bal_candidate *candidate);
 static double mean_load (const struct bal_candidate *candidates, size_t count);
+static int has_rate_limits (const struct bal_candidate *candidates,
+                            size_t count);
 static double lowest_error_rate (const struct bal_candidate *candidates,
                                  size_t count);
 
@@ -234,6 +240,8 @@
 {
   double best_error_rate = lowest_error_rate (candidates, count);
   double best = INFINITY;
+  double filled_max
+      = has_rate_limits (candidates, count) ? SLOTS_FILLED_MAX : INFINITY;
 
   for (size_t n = 0; n < count; n++)
     {
@@ -252,7 +260,8 @@
             choice->reason = BAL_RATES_USED_UP;
           continue;
         }
-      if (candidate->load > choice->limit)
+      if (candidate->load > choice->limit
+          || candidate->load >= slots * filled_max)
         {
           if (choice->reason != BAL_LEAST_LOADED)
             choice->reason = BAL_ALL_FULL;
@@ -294,14 +303,14 @@
 }
 
 /* Returns the mean load of the CANDIDATES that are not suspended and do not
-   limit their rate; if all do so, of all that are not suspended.  Those left
-   out carry little load and would lower the bound.  */
+   limit their rate, since those left out carry little load and would lower the
+   bound; if all do so, of all that are not suspended.  */
 static double
 mean_load (const struct bal_candidate *candidates, size_t count)
 {
   double sum = 0;
   double limited_sum = 0;
-  size_t usable = 0;
+  size_t unlimited = 0;
   size_t limited = 0;
 
   for (size_t i = 0; i < count; i++)
@@ -315,13 +324,23 @@
     else
       {
         sum += candidates[i].load;
-        usable++;
+        unlimited++;
       }
-  if (usable > 0)
-    return sum / (double)usable;
+  if (unlimited > 0)
+    return sum / (double)unlimited;
   return limited > 0 ? limited_sum / (double)limited : 0;
 }
 
+/* Returns whether one of COUNT CANDIDATES limits its rate.  */
+static int
+has_rate_limits (const struct bal_candidate *candidates, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    if (candidates[i].rate_limited)
+      return 1;
+  return 0;
+}
+
 /* Returns the lowest error rate among COUNT CANDIDATES.  */
 static double
 lowest_error_rate (const struct bal_candidate *candidates, size_t count)
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -32,6 +32,7 @@
 static void suspended_targets_do_not_lower_the_bound (void);
 static void used_up_rate_limit_is_respected (void);
 static void stale_rate_is_ignored (void);
+static void last_unlimited_target_is_not_flooded (void);
 static void read_timeout_needs_repeatable_request (void);
 static void old_contexts_are_evicted (void);
 static void reregistered_target_starts_without_load (void);
@@ -65,6 +66,8 @@
     suspended_targets_do_not_lower_the_bound },
   { "a target at its rate limit is passed over",
     used_up_rate_limit_is_respected },
+  { "the last target without a rate limit is not flooded",
+    last_unlimited_target_is_not_flooded },
   { "a rate limit follows the latest requests", stale_rate_is_ignored },
   { "only repeatable requests have a read timeout",
     read_timeout_needs_repeatable_request },
@@ -336,6 +339,25 @@
   CU_ASSERT_EQUAL (choice.reason, BAL_RATES_USED_UP);
 }
 
+/* Requests that nobody takes are to be refused.  */
+static void
+last_unlimited_target_is_not_flooded (void)
+{
+  struct bal_candidate candidates[TARGETS];
+  struct bal_params params = { .cap_factor = 2, .cap_slack = 3 };
+  struct bal_choice choice;
+
+  fill (candidates);
+  for (int i = 1; i < TARGETS; i++)
+    candidates[i].rate_limited = 1;
+  while (candidates[0].load < ARRIVALS
+         && bal_pick (&params, candidates, TARGETS, &choice))
+    candidates[0].load++;
+  CU_ASSERT (candidates[0].load >= candidates[0].slots);
+  CU_ASSERT (candidates[0].load <= 2.0 * candidates[0].slots);
+  CU_ASSERT_EQUAL (choice.reason, BAL_ALL_FULL);
+}
+
 /* A response to a request that was sent before the limit began may be older
    than it.  */
 static void
