Do not suspect parts of prompts that go well elsewhere

Targets behind the cut neither answered nor could be probed, which counted as their end; and an instance did not know that requests with these parts went well at others.

An unanswered probe now counts half, as what hides the target may be the network. When a target ends, instances that have had successes with the parts in progress there tell so with their next heartbeat, the first to do so for all; ends before that no longer count, and the part is one that has gone well. A stream without an event is no success. The test in test_quarantine needs the messages, which were not there before.

--- a/connection/probe.c
+++ b/connection/probe.c
@@ -1,5 +1,6 @@
 /* Probe: whether a process still listens at an address.  It connects, and
    closes the connection at once.  */
+#include <errno.h>
 #include <unistd.h>
 
 #include <glib.h>
@@ -19,7 +20,7 @@
 
 static void on_io (struct ev_loop *loop, ev_io *io, int events);
 static void on_timer (struct ev_loop *loop, ev_timer *timer, int events);
-static void finish (struct probe *probe, int is_listening);
+static void finish (struct probe *probe, enum probe_result result);
 
 /* Starts to connect to ADDRESS.  DONE is called with CLOSURE once, within
    TIMEOUT_MS milliseconds, unless the probe is canceled.  Returns NULL if no
@@ -61,9 +62,13 @@
 static void
 on_io (struct ev_loop *loop, ev_io *io, int events)
 {
+  int error = sock_error (io->fd);
+
   (void)loop;
   (void)events;
-  finish (io->data, sock_error (io->fd) == 0);
+  finish (io->data, error == 0              ? PROBE_ACCEPTED
+                    : error == ECONNREFUSED ? PROBE_REFUSED
+                                            : PROBE_NO_ANSWER);
 }
 
 /* Handles a connection attempt without an answer.  */
@@ -72,16 +77,16 @@
 {
   (void)loop;
   (void)events;
-  finish (timer->data, 0);
+  finish (timer->data, PROBE_NO_ANSWER);
 }
 
 /* Frees PROBE and passes the result to its callback.  */
 static void
-finish (struct probe *probe, int is_listening)
+finish (struct probe *probe, enum probe_result result)
 {
   probe_done_fn done = probe->done;
   void *closure = probe->closure;
 
   probe_cancel (probe);
-  done (closure, is_listening);
+  done (closure, result);
 }
--- a/include/ibisloom/probe.h
+++ b/include/ibisloom/probe.h
@@ -7,8 +7,14 @@
 
 struct probe;
 
-/* Receives the result: whether a connection was accepted. */
-typedef void (*probe_done_fn) (void *closure, int is_listening);
+enum probe_result
+{
+  PROBE_ACCEPTED,
+  PROBE_REFUSED,  /* the host is up, and nothing listens */
+  PROBE_NO_ANSWER /* the host is down or cannot be reached */
+};
+
+typedef void (*probe_done_fn) (void *closure, enum probe_result result);
 
 struct probe *probe_start (struct ev_loop *loop,
                            const struct sockaddr_in *address,
--- a/include/ibisloom/quarantine.h
+++ b/include/ibisloom/quarantine.h
@@ -39,6 +39,14 @@
   uint32_t weight;  /* of the evidence */
 };
 
+/* Last success with a part, as instances tell each other when a target has
+   ended under it. */
+struct quar_success
+{
+  uint64_t part;
+  clk_ms at_ms;
+};
+
 enum quar_verdict
 {
   QUAR_PASS,
@@ -64,6 +72,10 @@
                               clk_ms now, struct quar_state *released);
 int quar_merge (struct quarantine *quarantine, const struct quar_state *state,
                 clk_ms now);
+int quar_next_success (struct quarantine *quarantine,
+                       struct quar_success *success);
+void quar_merge_success (struct quarantine *quarantine,
+                         const struct quar_success *success);
 int quar_next_objection (struct quarantine *quarantine, clk_ms now,
                          struct quar_state *released);
 int quar_next_unused (struct quarantine *quarantine, clk_ms now,
--- a/include/ibisloom/wire.h
+++ b/include/ibisloom/wire.h
@@ -34,6 +34,7 @@
   WIRE_LOADS,             /* loads of targets that have changed */
   WIRE_CRASH,             /* end of a target, and a request it had */
   WIRE_QUARANTINE,        /* states of prompt parts */
+  WIRE_SUCCESS,           /* last success with a prompt part */
   WIRE_RATES,             /* rate limits of targets */
   WIRE_SENT,              /* request sent to a target with such a limit */
   WIRE_KIND_COUNT
@@ -159,6 +160,13 @@
   uint64_t part[WIRE_PARTS_MAX]; /* shared parts of the prompt, in order */
 };
 
+/* Last success of the sender with a prompt part. */
+struct wire_success
+{
+  uint64_t part;
+  uint32_t age_ms;
+};
+
 /* Quarantine of a prompt part. */
 struct wire_state
 {
@@ -210,6 +218,7 @@
     struct wire_loads loads;
     struct wire_crash crash;
     struct wire_quarantine quarantine;
+    struct wire_success success;
     struct wire_rates rates;
     struct wire_sent sent;
   } u;
--- a/process/fleet_datagram.c
+++ b/process/fleet_datagram.c
@@ -191,6 +191,8 @@
         fleet_apply_crash (fleet, &message.u.crash);
       else if (message.kind == WIRE_QUARANTINE)
         fleet_apply_states (fleet, &message.u.quarantine);
+      else if (message.kind == WIRE_SUCCESS)
+        fleet_apply_success (fleet, &message.u.success);
       else if (message.kind == WIRE_RATES)
         fleet_apply_rates (fleet, &message.u.rates);
       else if (message.kind == WIRE_SENT)
--- a/process/fleet_quarantine.c
+++ b/process/fleet_quarantine.c
@@ -2,9 +2,11 @@
 
    The instance that sees the end of a target tells all others which parts were
    in progress there, and again with its next heartbeats, since datagrams get
-   lost; so each weighs the same evidence.  The states of the parts follow each
-   heartbeat while there are any.  A part that enters or leaves quarantine is
-   also written to the store, from where instances read it when they start.  */
+   lost; so each weighs the same evidence.  Instances
+   that have had successes with these parts tell of them.  The states of the
+   parts follow each heartbeat while there are any.  A part that enters or
+   leaves quarantine is also written to the store, from where instances read it
+   when they start.  */
 #include <inttypes.h>
 #include <string.h>
 
@@ -36,10 +38,12 @@
   struct quar_crash crash;
 };
 
-static void on_probed (void *closure, int is_listening);
+static void on_probed (void *closure, enum probe_result result);
 static void confirm_crash (struct fleet *fleet,
                            const struct quar_crash *crash);
 static void send_crash (struct fleet *fleet, const struct quar_crash *crash);
+static void send_success (struct fleet *fleet,
+                          const struct quar_success *success, clk_ms now);
 static void repeat_crashes (struct fleet *fleet, clk_ms now);
 static void announce (struct fleet *fleet, const struct quar_state *state,
                       const char *reason);
@@ -104,15 +108,18 @@
     g_free (crash_probe);
 }
 
-/* Handles the result of a probe of a target.  */
+/* Handles the RESULT of a probe of a target.  One that does not answer may be
+   cut off, which is weaker evidence.  */
 static void
-on_probed (void *closure, int is_listening)
+on_probed (void *closure, enum probe_result result)
 {
   struct crash_probe *crash_probe = closure;
   struct fleet *fleet = crash_probe->fleet;
 
   g_queue_remove (fleet->probes, crash_probe);
-  if (!is_listening)
+  if (result == PROBE_NO_ANSWER)
+    crash_probe->crash.strength = QUAR_WITNESS;
+  if (result != PROBE_ACCEPTED)
     confirm_crash (fleet, &crash_probe->crash);
   g_free (crash_probe);
 }
@@ -214,14 +221,43 @@
 fleet_quarantine_tick (struct fleet *fleet, clk_ms now)
 {
   struct quar_state released;
+  struct quar_success success;
 
   repeat_crashes (fleet, now);
+  while (quar_next_success (fleet->quarantine, &success))
+    send_success (fleet, &success, now);
   while (quar_next_objection (fleet->quarantine, now, &released))
     announce (fleet, &released, "released");
   while (quar_next_unused (fleet->quarantine, now, &released))
     announce (fleet, &released, "unused");
 }
 
+/* Tells the other instances of SUCCESS, so that they do not suspect the part.
+   As heartbeats are not in step, mostly the first instance to send one tells
+   of a part, and the others find that they have no news.  */
+static void
+send_success (struct fleet *fleet, const struct quar_success *success,
+              clk_ms now)
+{
+  struct wire_message message
+      = { .kind = WIRE_SUCCESS,
+          .u.success = { .part = success->part,
+                         .age_ms = (uint32_t)(now - success->at_ms) } };
+
+  fleet_broadcast (fleet, &message);
+}
+
+/* Records a success that another instance has told.  */
+void
+fleet_apply_success (struct fleet *fleet, const struct wire_success *reported)
+{
+  struct quar_success success
+      = { .part = reported->part,
+          .at_ms = clk_now (clk_monotonic ()) - reported->age_ms };
+
+  quar_merge_success (fleet->quarantine, &success);
+}
+
 /* Sends the crashes of the last CRASH_REPEAT_MS again, and forgets older
    ones.  */
 static void
--- a/process/libfleet.h
+++ b/process/libfleet.h
@@ -111,6 +111,8 @@
                         const struct wire_crash *reported);
 void fleet_apply_states (struct fleet *fleet,
                          const struct wire_quarantine *quarantine);
+void fleet_apply_success (struct fleet *fleet,
+                          const struct wire_success *success);
 int fleet_read_part (struct fleet *fleet, const json_t *content);
 
 /* fleet_rate.c */
--- a/process/wire.c
+++ b/process/wire.c
@@ -72,6 +72,10 @@
                                const struct wire_message *message);
 static void decode_quarantine (struct reader *reader,
                                struct wire_message *message);
+static void encode_success (msgpack_packer *packer,
+                            const struct wire_message *message);
+static void decode_success (struct reader *reader,
+                            struct wire_message *message);
 static void encode_rates (msgpack_packer *packer,
                           const struct wire_message *message);
 static void decode_rates (struct reader *reader, struct wire_message *message);
@@ -100,6 +104,7 @@
   [WIRE_LOADS] = { encode_loads, decode_loads },
   [WIRE_CRASH] = { encode_crash, decode_crash },
   [WIRE_QUARANTINE] = { encode_quarantine, decode_quarantine },
+  [WIRE_SUCCESS] = { encode_success, decode_success },
   [WIRE_RATES] = { encode_rates, decode_rates },
   [WIRE_SENT] = { encode_sent, decode_sent },
 };
@@ -589,6 +594,24 @@
   reader->failed |= list.failed;
 }
 
+static void
+encode_success (msgpack_packer *packer, const struct wire_message *message)
+{
+  msgpack_pack_array (packer, 2);
+  msgpack_pack_uint64 (packer, message->u.success.part);
+  msgpack_pack_uint64 (packer, message->u.success.age_ms);
+}
+
+static void
+decode_success (struct reader *reader, struct wire_message *message)
+{
+  struct reader list = next_array (reader, 2);
+
+  message->u.success.part = next_uint (&list, UINT64_MAX);
+  message->u.success.age_ms = (uint32_t)next_uint (&list, INT32_MAX);
+  reader->failed |= list.failed;
+}
+
 /* Encodes the rate limits of targets, without a count.  */
 static void
 encode_rates (msgpack_packer *packer, const struct wire_message *message)
--- a/request/quarantine.c
+++ b/request/quarantine.c
@@ -31,7 +31,9 @@
   SUCCESS_CURRENT_MS = 10000,
   TRIAL_MS = 60000, /* until the first trial; doubles with each */
   TRIAL_DOUBLINGS_MAX = 10,
-  UNUSED_MS = 3600000,     /* without a request, a part is released */
+  UNUSED_MS = 3600000, /* without a request, a part is released */
+  /* A success by so much later than the last one told is news.  */
+  SUCCESS_NEWS_MS = 500,
   RELEASE_TOLD_MS = 60000, /* until all instances have heard of a release */
   SUCCESS_SETS = 512,
   SUCCESS_WAYS = 4
@@ -55,6 +57,8 @@
   struct end ends[ENDS_MAX]; /* in order of time */
   clk_ms since_ms;           /* start of this state */
   clk_ms asked_ms;           /* last request with the part, or end */
+  clk_ms told_success_ms;    /* last success that others have told */
+  uint8_t success_due;       /* the last success is to be told */
 };
 
 /* Last success under a part. */
@@ -76,7 +80,8 @@
 static struct suspect *get_suspect (struct quarantine *quarantine,
                                     uint64_t part);
 static void record_success (struct quarantine *quarantine, uint64_t part,
-                            clk_ms now);
+                            clk_ms at_ms);
+static void drop_ends (struct suspect *suspect, clk_ms until_ms);
 static clk_ms last_success_ms (const struct quarantine *quarantine,
                                uint64_t part);
 static void add_end (struct suspect *suspect, const struct quar_crash *crash);
@@ -126,8 +131,7 @@
       struct suspect *suspect;
       uint32_t weight;
 
-      if (crash->parts[i] == 0
-          || crash->ended_ms <= last_success_ms (quarantine, crash->parts[i]))
+      if (crash->parts[i] == 0)
         continue;
       suspect = find_suspect (quarantine, crash->parts[i]);
       if (is_explained && (suspect == NULL || !is_quarantined (suspect)))
@@ -136,8 +140,11 @@
           && crash->ended_ms <= suspect->since_ms)
         continue;
       suspect = get_suspect (quarantine, crash->parts[i]);
-      add_end (suspect, crash);
       suspect->asked_ms = now;
+      suspect->success_due = 1;
+      if (crash->ended_ms <= last_success_ms (quarantine, suspect->part))
+        continue;
+      add_end (suspect, crash);
       weight = weigh_ends (suspect, now);
       if (weight < threshold (quarantine, suspect->part, now)
           || weight < worst_weight)
@@ -199,6 +206,48 @@
   return is_quarantined (suspect) != was_quarantined;
 }
 
+/* Finds a part under which a target has ended, and with which this instance
+   has had a later success than others have told.  Stores it in SUCCESS and
+   returns 1; returns 0 if there is none.  */
+int
+quar_next_success (struct quarantine *quarantine, struct quar_success *success)
+{
+  for (uint32_t i = 0; i < quarantine->suspect_count; i++)
+    {
+      struct suspect *suspect = &quarantine->suspects[i];
+      clk_ms at_ms = last_success_ms (quarantine, suspect->part);
+
+      if (!suspect->success_due)
+        continue;
+      suspect->success_due = 0;
+      if (at_ms <= suspect->told_success_ms + SUCCESS_NEWS_MS)
+        continue;
+      suspect->told_success_ms = at_ms;
+      *success
+          = (struct quar_success){ .part = suspect->part, .at_ms = at_ms };
+      return 1;
+    }
+  return 0;
+}
+
+/* Records SUCCESS, which another instance has had: ends before it no longer
+   count.  */
+void
+quar_merge_success (struct quarantine *quarantine,
+                    const struct quar_success *success)
+{
+  struct suspect *suspect = find_suspect (quarantine, success->part);
+
+  if (success->part == 0
+      || success->at_ms <= last_success_ms (quarantine, success->part))
+    return;
+  record_success (quarantine, success->part, success->at_ms);
+  if (suspect == NULL)
+    return;
+  suspect->told_success_ms = success->at_ms;
+  drop_ends (suspect, success->at_ms);
+}
+
 /* Finds a part in quarantine of which this instance knows better: a request
    with it went well after the first end, or it had proven itself and the
    evidence does not suffice against that.  Releases it, stores its state in
@@ -366,9 +415,10 @@
   return found;
 }
 
-/* Records a success under PART.  In a full set, the oldest is replaced.  */
+/* Records a success under PART at AT_MS.  In a full set, the oldest is
+   replaced.  */
 static void
-record_success (struct quarantine *quarantine, uint64_t part, clk_ms now)
+record_success (struct quarantine *quarantine, uint64_t part, clk_ms at_ms)
 {
   struct success *set = quarantine->successes[part % SUCCESS_SETS];
   struct success *entry = &set[0];
@@ -384,7 +434,7 @@
         entry = &set[i];
     }
   entry->part = part;
-  entry->at_ms = now;
+  entry->at_ms = at_ms;
 }
 
 /* Returns the time of the last success under PART, or 0 if none is known.  */
@@ -424,6 +474,18 @@
                                     .strength = crash->strength };
 }
 
+/* Drops the ends of SUSPECT up to UNTIL_MS.  */
+static void
+drop_ends (struct suspect *suspect, clk_ms until_ms)
+{
+  uint32_t kept = 0;
+
+  for (uint32_t i = 0; i < suspect->end_count; i++)
+    if (suspect->ends[i].ended_ms > until_ms)
+      suspect->ends[kept++] = suspect->ends[i];
+  suspect->end_count = kept;
+}
+
 /* Returns the weight of the ends of SUSPECT.  Of ends at about the same time
    the strongest counts.  */
 static uint32_t
--- a/request/relay_response.c
+++ b/request/relay_response.c
@@ -166,7 +166,8 @@
         = relay->buffered_body ? (int64_t)relay->buffered_body->len : 0;
   if (!relay->head_sent)
     send_head (relay);
-  if (http_is_success (relay->status))
+  if (http_is_success (relay->status)
+      && (!relay->is_event_stream || relay->first_event_ms != 0))
     relay_parts_succeed (relay);
   relay_end_attempt (relay, relay->status >= HTTP_STATUS_INTERNAL_SERVER_ERROR
                                 ? HEALTH_SERVER_ERROR
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -23,6 +23,7 @@
 static void trials_come_at_growing_intervals (void);
 static void newest_state_wins (void);
 static void instance_that_knows_better_objects (void);
+static void success_elsewhere_counts (void);
 static void table_stays_bounded (void);
 static void unused_part_is_released (void);
 
@@ -39,6 +40,7 @@
   { "the newest state wins", newest_state_wins },
   { "an instance that knows better objects",
     instance_that_knows_better_objects },
+  { "a success at another instance counts", success_elsewhere_counts },
   { "the table stays bounded", table_stays_bounded },
   { "a part that nobody asks for is released", unused_part_is_released },
 };
@@ -243,6 +245,37 @@
   quar_free (quarantine);
 }
 
+/* A part that goes well elsewhere is not suspected, though targets end.  */
+static void
+success_elsewhere_counts (void)
+{
+  struct quarantine *other = quar_new ();
+  struct quar_state changed;
+  clk_ms now = START_MS;
+
+  quarantine = quar_new ();
+  for (uint64_t target = 1; target <= 12; target++, now += APART_MS)
+    {
+      struct quar_crash crash = { .target = target,
+                                  .strength = QUAR_SUSPECT,
+                                  .ended_ms = now,
+                                  .part_count = 1,
+                                  .parts = { OTHER_PART } };
+      struct quar_state released;
+      struct quar_success success;
+
+      quar_record_success (other, crash.parts, 1, now - 1, &released);
+      CU_ASSERT (!quar_record_crash (other, &crash, now, &changed));
+      CU_ASSERT (!quar_record_crash (quarantine, &crash, now, &changed));
+      CU_ASSERT (quar_next_success (other, &success));
+      CU_ASSERT (!quar_next_success (other, &success));
+      quar_merge_success (quarantine, &success);
+      CU_ASSERT (!quar_next_success (quarantine, &success));
+    }
+  quar_free (other);
+  quar_free (quarantine);
+}
+
 static void
 table_stays_bounded (void)
 {
