Tell when to come back while a trial is due at another instance

A request with a part in quarantine whose trial is due was refused without Retry-After by all instances but the one that makes the trial; it now says a second.

--- a/process/fleet_quarantine.c
+++ b/process/fleet_quarantine.c
@@ -2,11 +2,10 @@
 
    The instance that sees the end of a target tells all others which parts were
    in progress there, and again with its next heartbeats, since datagrams get
-   lost; so each weighs the same evidence.  Instances
-   that have had successes with these parts tell of them.  The states of the
-   parts follow each heartbeat while there are any.  A part that enters or
-   leaves quarantine is also written to the store, from where instances read it
-   when they start.  */
+   lost; so each weighs the same evidence.  Instances that have had successes
+   with these parts tell of them.  The states of the parts follow each
+   heartbeat while there are any.  A part that enters or leaves quarantine is
+   also written to the store, from where instances read it when they start.  */
 #include <inttypes.h>
 #include <string.h>
 
@@ -22,6 +21,8 @@
   CRASHES_MAX = 32,
   PROBES_MAX = 16,
   PROBE_TIMEOUT_MS = 300, /* as for connections to targets */
+  /* While a trial is due at another instance, a request may come there.  */
+  TRIAL_ELSEWHERE_MS = 1000,
   WRITES_MAX = 64,
   WRITE_TIMEOUT_MS = 1500,
   WRITE_RETRY_MS = 700
@@ -188,8 +189,8 @@
 }
 
 /* Decides whether a request with COUNT PARTS may be sent to a target.  Returns
-   whether it may; else stores in WAIT_MS when the next trial is due.  Trials
-   are made by one instance only.  */
+   whether it may; else stores in WAIT_MS when to come back, in milliseconds.
+   Trials are made by one instance only.  */
 int
 fleet_admits_parts (struct fleet *fleet, const uint64_t *parts, uint32_t count,
                     int64_t *wait_ms)
@@ -201,6 +202,7 @@
 
   if (verdict == QUAR_PASS)
     return 1;
+  *wait_ms = MAX (*wait_ms, TRIAL_ELSEWHERE_MS);
   if (verdict == QUAR_REFUSE || !is_first_for (fleet, blocking.part, now))
     return 0;
   blocking = quar_begin_trial (fleet->quarantine, blocking.part, now);
