Hold the test of the last unlimited target to its stated bound

The test allowed twice the slots where the balancer states 1.25 of them, and passes with that too. Comments on the tests of rate limits are one line.

--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -354,12 +354,11 @@
          && bal_pick (&params, candidates, TARGETS, &choice))
     candidates[0].load++;
   CU_ASSERT (candidates[0].load >= candidates[0].slots);
-  CU_ASSERT (candidates[0].load <= 2.0 * candidates[0].slots);
+  CU_ASSERT (candidates[0].load <= 1.25 * candidates[0].slots);
   CU_ASSERT_EQUAL (choice.reason, BAL_ALL_FULL);
 }
 
-/* A response to a request that was sent before the limit began may be older
-   than it.  */
+/* A response may have been sent before the limit began.  */
 static void
 stale_rate_is_ignored (void)
 {
--- a/tests/test_rate.c
+++ b/tests/test_rate.c
@@ -183,8 +183,7 @@
   pthread_mutex_unlock (&lock);
 }
 
-/* The limits are lifted at the end, after which the targets get their usual
-   part again.  */
+/* At the end the limits are lifted, and the targets get their part again.  */
 static void
 limited_targets_get_what_they_allow (void)
 {
