--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -279,8 +279,7 @@
   return share;
 }
 
-/* Checks what is sent on once all instances must know the part, and that sound
-   requests are served at least half as often as BEFORE.  */
+/* Checks what is sent late, and that sound requests keep half of BEFORE.  */
 static void
 expect_containment (double before)
 {
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -529,8 +529,7 @@
   return count;
 }
 
-/* Two instances each see the end of a target.  The part is sound after all: a
-   third instance has a request with it that goes well.  */
+/* Two instances each see the end of a target; at a third the part goes well.  */
 static void
 quarantine_reaches_all_instances (void)
 {
