--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -529,7 +529,7 @@
   return count;
 }
 
-/* Two instances each see the end of a target; at a third the part goes well.  */
+/* Two instances see the end of a target; at a third the part goes well.  */
 static void
 quarantine_reaches_all_instances (void)
 {
