Split the recording of a crash in the quarantine

quar_record_crash had grown to 45 lines: whether a part in quarantine explains the crash, and what it adds to one part, are functions of their own. No change of behavior; test_quarantine and test_crash pass.

--- a/request/quarantine.c
+++ b/request/quarantine.c
@@ -79,6 +79,11 @@
                                      uint64_t part);
 static struct suspect *get_suspect (struct quarantine *quarantine,
                                     uint64_t part);
+static int is_explained (const struct quarantine *quarantine,
+                         const struct quar_crash *crash);
+static struct suspect *add_evidence (struct quarantine *quarantine,
+                                     const struct quar_crash *crash,
+                                     uint64_t part, int explained, clk_ms now);
 static void record_success (struct quarantine *quarantine, uint64_t part,
                             clk_ms at_ms);
 static void drop_ends (struct suspect *suspect, clk_ms until_ms);
@@ -116,48 +121,68 @@
                    const struct quar_crash *crash, clk_ms now,
                    struct quar_state *changed)
 {
+  int explained = is_explained (quarantine, crash);
   struct suspect *worst = NULL;
   uint32_t worst_weight = 0;
-  int is_explained = 0;
 
   for (uint32_t i = 0; i < crash->part_count; i++)
     {
-      struct suspect *suspect = find_suspect (quarantine, crash->parts[i]);
+      struct suspect *suspect
+          = add_evidence (quarantine, crash, crash->parts[i], explained, now);
+      uint32_t weight = suspect != NULL ? weigh_ends (suspect, now) : 0;
 
-      is_explained |= suspect != NULL && is_quarantined (suspect);
-    }
-  for (uint32_t i = 0; i < crash->part_count; i++)
-    {
-      struct suspect *suspect;
-      uint32_t weight;
-
-      if (crash->parts[i] == 0)
-        continue;
-      suspect = find_suspect (quarantine, crash->parts[i]);
-      if (is_explained && (suspect == NULL || !is_quarantined (suspect)))
-        continue;
-      if (suspect != NULL && suspect->version > 0 && !is_quarantined (suspect)
-          && crash->ended_ms <= suspect->since_ms)
-        continue;
-      suspect = get_suspect (quarantine, crash->parts[i]);
-      suspect->asked_ms = now;
-      suspect->success_due = 1;
-      if (crash->ended_ms <= last_success_ms (quarantine, suspect->part))
-        continue;
-      add_end (suspect, crash);
-      weight = weigh_ends (suspect, now);
-      if (weight < threshold (quarantine, suspect->part, now)
-          || weight < worst_weight)
+      if (suspect == NULL || weight < worst_weight
+          || weight < threshold (quarantine, suspect->part, now))
         continue;
       worst = suspect;
       worst_weight = weight;
     }
-  if (is_explained || worst == NULL)
+  if (explained || worst == NULL)
     return 0;
   *changed = set_version (worst, worst->version + 1, now);
   return 1;
 }
 
+/* Returns whether one of the parts in CRASH is in quarantine.  */
+static int
+is_explained (const struct quarantine *quarantine,
+              const struct quar_crash *crash)
+{
+  for (uint32_t i = 0; i < crash->part_count; i++)
+    {
+      const struct suspect *suspect
+          = find_suspect (quarantine, crash->parts[i]);
+
+      if (suspect != NULL && is_quarantined (suspect))
+        return 1;
+    }
+  return 0;
+}
+
+/* Adds CRASH to the evidence against PART; if the crash is EXPLAINED, only if
+   PART is in quarantine.  Returns the entry of PART, or NULL if the crash says
+   nothing about it: it came before the last release or success.  */
+static struct suspect *
+add_evidence (struct quarantine *quarantine, const struct quar_crash *crash,
+              uint64_t part, int explained, clk_ms now)
+{
+  struct suspect *suspect = find_suspect (quarantine, part);
+  int quarantined = suspect != NULL && is_quarantined (suspect);
+
+  if (part == 0 || (explained && !quarantined))
+    return NULL;
+  if (suspect != NULL && suspect->version > 0 && !quarantined
+      && crash->ended_ms <= suspect->since_ms)
+    return NULL;
+  suspect = get_suspect (quarantine, part);
+  suspect->asked_ms = now;
+  suspect->success_due = 1;
+  if (crash->ended_ms <= last_success_ms (quarantine, part))
+    return NULL;
+  add_end (suspect, crash);
+  return suspect;
+}
+
 /* Records that a request with COUNT PARTS went well: its response was
    complete, or a stream went on for a while.  Releases those of them that are
    in quarantine.  Stores their states in RELEASED, which has room for all
