Move the choice by kind out of the reading of datagrams

fleet_on_datagram had grown a chain of eight comparisons; it is a switch in a function of its own. No change of behavior; test_fleet, test_rate and test_router pass.

--- a/process/fleet_datagram.c
+++ b/process/fleet_datagram.c
@@ -20,6 +20,8 @@
                             struct wire_load *loads, uint32_t max);
 static size_t encode_next (struct fleet *fleet, struct wire_message *message,
                            unsigned char *data);
+static void apply_message (struct fleet *fleet, struct fleet_peer *peer,
+                           const struct wire_message *message);
 static void apply_heartbeat (struct fleet *fleet, struct fleet_peer *peer,
                              const struct wire_heartbeat *heartbeat);
 static void send_affinity (struct fleet *fleet, const struct fleet_peer *peer);
@@ -181,22 +183,43 @@
       peer->sequence = message.sequence;
       peer->address = from;
       peer->last_seen_ms = clk_now (clk_monotonic ());
-      if (message.kind == WIRE_HEARTBEAT)
-        apply_heartbeat (fleet, peer, &message.u.heartbeat);
-      else if (message.kind == WIRE_LOADS)
-        fleet_update_loads (fleet, peer, &message.u.loads);
-      else if (message.kind == WIRE_NOTES)
-        apply_notes (fleet, &message.u.notes);
-      else if (message.kind == WIRE_CRASH)
-        fleet_apply_crash (fleet, &message.u.crash);
-      else if (message.kind == WIRE_QUARANTINE)
-        fleet_apply_states (fleet, &message.u.quarantine);
-      else if (message.kind == WIRE_SUCCESS)
-        fleet_apply_success (fleet, &message.u.success);
-      else if (message.kind == WIRE_RATES)
-        fleet_apply_rates (fleet, &message.u.rates);
-      else if (message.kind == WIRE_SENT)
-        fleet_apply_sent (fleet, &message.u.sent);
+      apply_message (fleet, peer, &message);
+    }
+}
+
+/* Applies MESSAGE of PEER.  Routers send no other kinds.  */
+static void
+apply_message (struct fleet *fleet, struct fleet_peer *peer,
+               const struct wire_message *message)
+{
+  switch (message->kind)
+    {
+    case WIRE_HEARTBEAT:
+      apply_heartbeat (fleet, peer, &message->u.heartbeat);
+      break;
+    case WIRE_LOADS:
+      fleet_update_loads (fleet, peer, &message->u.loads);
+      break;
+    case WIRE_NOTES:
+      apply_notes (fleet, &message->u.notes);
+      break;
+    case WIRE_CRASH:
+      fleet_apply_crash (fleet, &message->u.crash);
+      break;
+    case WIRE_QUARANTINE:
+      fleet_apply_states (fleet, &message->u.quarantine);
+      break;
+    case WIRE_SUCCESS:
+      fleet_apply_success (fleet, &message->u.success);
+      break;
+    case WIRE_RATES:
+      fleet_apply_rates (fleet, &message->u.rates);
+      break;
+    case WIRE_SENT:
+      fleet_apply_sent (fleet, &message->u.sent);
+      break;
+    default:
+      break;
     }
 }
 
