Start several routers in the fixture, and join two loops of test_crash

The loops of sound and of crashing clients in test_crash were the same but for the part and the pause.

--- a/tests/router_fixture.c
+++ b/tests/router_fixture.c
@@ -212,6 +212,19 @@
   g_free (self);
 }
 
+/* Starts the first COUNT routers, and waits until they are ready, at most
+   WAIT_TIMEOUT_MS each.  */
+void
+fx_routers_start (int count)
+{
+  for (int i = 0; i < count; i++)
+    fx_router_spawn (i, "/dev/null");
+  for (int i = 0; i < count; i++)
+    for (int ms = 0; !fx_router_is_ready (i) && ms < WAIT_TIMEOUT_MS;
+         ms += WAIT_INTERVAL_MS)
+      fx_sleep_ms (WAIT_INTERVAL_MS);
+}
+
 /* Returns the largest memory of the router INDEX so far, in KB.  */
 long
 fx_router_peak_kb (int index)
--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -174,64 +174,47 @@
   return fx_read_all (fd);
 }
 
-static void *
-send_sound_requests (void *closure)
+/* Sends a request to a random router, with the crashing part between the
+   others if CRASHES_TARGET, and counts it otherwise.  */
+static void
+send_random_prompt (GRand *random, int crashes_target)
 {
-  GRand *random = g_rand_new_with_seed ((guint32)GPOINTER_TO_INT (closure));
+  char *parts = g_strdup_printf (
+      "a%d:100,%s%s%sc%d:50", g_rand_int_range (random, 0, FIRST_PARTS),
+      crashes_target ? crashing_part : "", crashes_target ? ":40" : "",
+      crashes_target ? "," : "", g_rand_int_range (random, 0, SECOND_PARTS));
+  char *response
+      = send_prompt (g_rand_int_range (random, 0, ROUTERS),
+                     g_rand_boolean (random) ? "plan" : "rules", parts);
 
-  while (!g_atomic_int_get (&stopping))
-    {
-      char *parts = g_strdup_printf (
-          "a%d:100,c%d:50", g_rand_int_range (random, 0, FIRST_PARTS),
-          g_rand_int_range (random, 0, SECOND_PARTS));
-      char *response
-          = send_prompt (g_rand_int_range (random, 0, ROUTERS),
-                         g_rand_boolean (random) ? "plan" : "rules", parts);
-
-      pthread_mutex_lock (&lock);
-      sound_sent += response != NULL;
-      sound_begun += response != NULL && strstr (response, "data: e1\n");
-      pthread_mutex_unlock (&lock);
-      g_free (response);
-      g_free (parts);
-      fx_sleep_ms (SOUND_PAUSE_MS);
-    }
-  g_rand_free (random);
-  return NULL;
+  pthread_mutex_lock (&lock);
+  sound_sent += !crashes_target && response != NULL;
+  sound_begun += !crashes_target && response != NULL
+                 && strstr (response, "data: e1\n") != NULL;
+  pthread_mutex_unlock (&lock);
+  g_free (response);
+  g_free (parts);
 }
 
+/* Runs the client CLOSURE, a number from 1; those over CLIENTS crash
+   targets.  */
 static void *
-send_crashing_requests (void *closure)
+run_client (void *closure)
 {
-  GRand *random = g_rand_new_with_seed ((guint32)GPOINTER_TO_INT (closure));
+  int number = GPOINTER_TO_INT (closure);
+  int crashes_targets = number > CLIENTS;
+  GRand *random = g_rand_new_with_seed ((guint32)number);
 
   while (!g_atomic_int_get (&stopping))
     {
-      char *parts = g_strdup_printf (
-          "a%d:100,%s:40,c%d:50", g_rand_int_range (random, 0, FIRST_PARTS),
-          crashing_part, g_rand_int_range (random, 0, SECOND_PARTS));
-
-      if (g_atomic_int_get (&crashing))
-        g_free (send_prompt (g_rand_int_range (random, 0, ROUTERS),
-                             g_rand_boolean (random) ? "plan" : "rules",
-                             parts));
-      g_free (parts);
-      fx_sleep_ms (CRASH_PAUSE_MS);
+      if (!crashes_targets || g_atomic_int_get (&crashing))
+        send_random_prompt (random, crashes_targets);
+      fx_sleep_ms (crashes_targets ? CRASH_PAUSE_MS : SOUND_PAUSE_MS);
     }
   g_rand_free (random);
   return NULL;
 }
 
-static void
-spawn_routers (void)
-{
-  for (int i = 0; i < ROUTERS; i++)
-    fx_router_spawn (i, "/dev/null");
-  for (int i = 0; i < ROUTERS; i++)
-    for (int ms = 0; !fx_router_is_ready (i) && ms < START_MS * 4; ms += 20)
-      fx_sleep_ms (20);
-}
-
 /* Starts targets, routers and the clients in THREADS.  */
 static void
 start_fleet (pthread_t *threads)
@@ -242,13 +225,10 @@
   for (int i = 0; i < TARGETS; i++)
     add_target (stream_or_crash, "pool");
   fx_store_start (shop_config);
-  spawn_routers ();
+  fx_routers_start (ROUTERS);
   fx_sleep_ms (START_MS);
   for (int i = 0; i < CLIENTS + CRASH_CLIENTS; i++)
-    CU_ASSERT_EQUAL_FATAL (pthread_create (&threads[i], NULL,
-                                           i < CLIENTS
-                                               ? send_sound_requests
-                                               : send_crashing_requests,
+    CU_ASSERT_EQUAL_FATAL (pthread_create (&threads[i], NULL, run_client,
                                            GINT_TO_POINTER (i + 1)),
                            0);
 }
@@ -327,7 +307,7 @@
     fx_router_signal (i, SIGKILL);
   for (int i = 0; i < ROUTERS; i++)
     fx_router_wait_for_exit (i);
-  spawn_routers ();
+  fx_routers_start (ROUTERS);
   fx_sleep_ms (START_MS);
   expect_containment (before);
   stop_fleet (threads);
