--- a/tests/test_rate.c
+++ b/tests/test_rate.c
@@ -198,11 +198,7 @@
       g_free (id);
     }
   fx_store_start (shop_config);
-  for (int i = 0; i < ROUTERS; i++)
-    fx_router_spawn (i, "/dev/null");
-  for (int i = 0; i < ROUTERS; i++)
-    for (int ms = 0; !fx_router_is_ready (i) && ms < START_MS * 4; ms += 20)
-      fx_sleep_ms (20);
+  fx_routers_start (ROUTERS);
   fx_sleep_ms (START_MS);
   for (int i = 0; i < CLIENTS; i++)
     CU_ASSERT_EQUAL_FATAL (pthread_create (&threads[i], NULL, send_requests,
