--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -34,6 +34,7 @@
 static void failed_targets_are_excluded (void);
 static void retry_decisions (void);
 static void spent_budget_ends_retries (void);
+static void small_budget_allows_retries (void);
 
 static const struct test_case cases[] = {
   { "the owner of the home grants", home_grants },
@@ -53,6 +54,8 @@
   { "failed targets are excluded", failed_targets_are_excluded },
   { "retry decisions", retry_decisions },
   { "a spent budget ends retries", spent_budget_ends_retries },
+  { "a small share of the retry budget allows retries",
+    small_budget_allows_retries },
 };
 
 TEST_MAIN ("place", cases)
@@ -384,3 +387,27 @@
   CU_ASSERT (other_target_count <= 121);
   CU_ASSERT_EQUAL (other_target_count + give_up_count, 1000);
 }
+
+/* One of 200 instances that share a slack of 52, at a ratio of 0.2.  */
+static void
+small_budget_allows_retries (void)
+{
+  struct retry_state state = { .fault = RETRY_FAULT_ERROR_STATUS,
+                               .repeatable = 1,
+                               .attempts = 1,
+                               .deadline_ms = 1000 };
+  struct retry_budget budget = { 0 };
+  struct retry_decision decision;
+  int retries = 0;
+
+  for (int i = 0; i < 1000; i++)
+    {
+      retry_budget_set_max (&budget, 52.0 / 200);
+      retry_budget_deposit (&budget, 0.2);
+      if (i % 20 != 0)
+        continue;
+      retry_decide (&state, &budget, 0, &decision);
+      retries += decision.action == RETRY_OTHER_TARGET;
+    }
+  CU_ASSERT (retries > 0);
+}
