Log the store's epoch, and the revisions that peers report

A response whose field is not a number of at most 32 bits counts as none. One line a change tells the revisions that an instance of the same failure domain reports. No decision depends on them yet.

--- a/include/ibisloom/router.h
+++ b/include/ibisloom/router.h
@@ -35,6 +35,7 @@
   /* Value of known at stale_since_ms.  */
   struct snapshot_revisions stale_revisions;
   clk_ms stale_since_ms; /* first report of newer revisions; 0: none */
+  struct snapshot_revisions reported; /* last logged, of a peer */
   clk_ms started_ms;
   clk_ms short_ms;        /* last time that there were enough watchers */
   clk_ms watch_due_ms;    /* last time it was elected to watch; 0: never */
--- a/include/ibisloom/storecall.h
+++ b/include/ibisloom/storecall.h
@@ -4,18 +4,33 @@
 
 #include "ibisloom/outbound.h"
 
-/* Receives the HTTP STATUS and the body TEXT of LENGTH bytes.  STATUS is 0 if
-   no complete response came. */
-typedef void (*store_call_done_fn) (void *closure, uint32_t status,
-                                    const char *text, size_t length);
+struct store_request
+{
+  struct sockaddr_in address;
+  const char *method;
+  const char *url; /* without scheme and host */
+  char *body;      /* JSON, owned by the call; NULL: none */
+  int64_t timeout_ms;
+  const char *epoch_field; /* header field with the epoch; NULL: none */
+};
+
+struct store_response
+{
+  uint32_t status; /* 0: no complete response came, or none to rely on */
+  uint64_t epoch;  /* of the store; 0: not told */
+  const char *text;
+  size_t length;
+};
+
+/* Receives RESPONSE, which is valid only during the call. */
+typedef void (*store_call_done_fn) (void *closure,
+                                    const struct store_response *response);
 
 struct store_call;
 
 struct store_call *store_call_start (struct ev_loop *loop,
                                      struct out_pool *pool,
-                                     const struct sockaddr_in *address,
-                                     const char *method, const char *url,
-                                     char *body, int64_t timeout_ms,
+                                     const struct store_request *request,
                                      store_call_done_fn done, void *closure);
 void store_call_cancel (struct store_call *call);
 
--- a/include/ibisloom/watch.h
+++ b/include/ibisloom/watch.h
@@ -31,6 +31,7 @@
 /* URLs and body formats of a platform's store. */
 struct watch_protocol
 {
+  const char *epoch_field; /* header field of responses; see position.h */
   /* Append the URL of a call, without scheme and host, to OUT.  A list
      continues after the name AFTER, if not NULL; the store responds to a watch
      at the first change after SINCE, or after WAIT_MS.  NAME is NULL to create
@@ -71,6 +72,7 @@
   struct store_call *call;
   GString *after;     /* last name received; the next page starts there */
   uint64_t revision;  /* all changes up to here are known */
+  uint64_t epoch;     /* of the store, by its last response */
   uint8_t listed;     /* the list is known; the watch starts at revision */
   uint8_t listing;    /* some but not all pages of a list have been read */
   uint8_t first_page; /* the next page is the first of a list */
--- a/process/fleet_join.c
+++ b/process/fleet_join.c
@@ -14,10 +14,9 @@
   RETRY_MS = 700
 };
 
-static void on_registered (void *closure, uint32_t status, const char *text,
-                           size_t length);
-static void on_listed (void *closure, uint32_t status, const char *text,
-                       size_t length);
+static void on_registered (void *closure,
+                           const struct store_response *response);
+static void on_listed (void *closure, const struct store_response *response);
 static void on_list_entry (void *closure, const struct watch_object *object);
 static void retry_later (struct fleet *fleet);
 
@@ -28,21 +27,26 @@
 {
   GString *url = g_string_new (NULL);
   char *address = settings_format_address (&fleet->settings->peer_listen);
-  char *body = NULL;
+  struct store_request request
+      = { .address = fleet->settings->platform,
+          .method = fleet->is_registered ? "GET" : "POST",
+          .timeout_ms = CALL_TIMEOUT_MS,
+          .epoch_field = fleet->store->epoch_field };
 
   if (!fleet->is_registered)
     {
       json_t *content = json_pack ("{s:s}", "address", address);
 
       fleet->store->object_url (url, fleet->kind, NULL);
-      body = fleet->store->object_body (fleet->settings->instance, content);
+      request.body
+          = fleet->store->object_body (fleet->settings->instance, content);
       json_decref (content);
     }
   else
     fleet->store->list_url (url, fleet->kind, fleet->listed_name->str);
+  request.url = url->str;
   fleet->call = store_call_start (
-      fleet->loop, fleet->pool, &fleet->settings->platform,
-      fleet->is_registered ? "GET" : "POST", url->str, body, CALL_TIMEOUT_MS,
+      fleet->loop, fleet->pool, &request,
       fleet->is_registered ? on_listed : on_registered, fleet);
   if (fleet->call == NULL)
     retry_later (fleet);
@@ -53,15 +57,13 @@
 /* Handles the response to the registration.  HTTP_STATUS_CONFLICT means that
    the instance was registered before.  */
 static void
-on_registered (void *closure, uint32_t status, const char *text, size_t length)
+on_registered (void *closure, const struct store_response *response)
 {
   struct fleet *fleet = closure;
 
-  (void)text;
-  (void)length;
   fleet->call = NULL;
-  fleet->is_registered
-      = http_is_success (status) || status == HTTP_STATUS_CONFLICT;
+  fleet->is_registered = http_is_success (response->status)
+                         || response->status == HTTP_STATUS_CONFLICT;
   if (fleet->is_registered)
     fleet_join (fleet);
   else
@@ -70,14 +72,15 @@
 
 /* Handles the response with one page of the list of instances.  */
 static void
-on_listed (void *closure, uint32_t status, const char *text, size_t length)
+on_listed (void *closure, const struct store_response *response)
 {
   struct fleet *fleet = closure;
   struct watch_page page = { .last_name = fleet->listed_name };
 
   fleet->call = NULL;
-  if (status != HTTP_STATUS_OK
-      || fleet->store->read_list (text, length, &page, on_list_entry, fleet)
+  if (response->status != HTTP_STATUS_OK
+      || fleet->store->read_list (response->text, response->length, &page,
+                                  on_list_entry, fleet)
              != 0)
     {
       retry_later (fleet);
--- a/process/fleet_quarantine.c
+++ b/process/fleet_quarantine.c
@@ -52,8 +52,7 @@
 static void log_state (const struct quar_state *state, const char *reason);
 static void queue_write (struct fleet *fleet, uint64_t part);
 static void write_next (struct fleet *fleet);
-static void on_written (void *closure, uint32_t status, const char *text,
-                        size_t length);
+static void on_written (void *closure, const struct store_response *response);
 static void on_write_due (struct ev_loop *loop, ev_timer *timer, int events);
 
 /* Prepares the quarantine of FLEET.  */
@@ -402,9 +401,11 @@
 {
   uint64_t part;
   struct quar_state state;
+  struct store_request request = { .address = fleet->settings->platform,
+                                   .timeout_ms = WRITE_TIMEOUT_MS,
+                                   .epoch_field = fleet->store->epoch_field };
   GString *url;
   char *name;
-  char *body = NULL;
 
   if (fleet->writes->len == 0)
     return;
@@ -418,17 +419,17 @@
       json_t *content
           = json_pack ("{s:s}", "part", name + strlen (OBJECT_PREFIX));
 
-      body = fleet->store->object_body (name, content);
+      request.body = fleet->store->object_body (name, content);
       json_decref (content);
     }
   fleet->store->object_url (url, fleet->kind,
                             fleet->write_creates ? NULL : name);
-  fleet->write_call
-      = store_call_start (fleet->loop, fleet->pool, &fleet->settings->platform,
-                          fleet->write_creates ? "POST" : "DELETE", url->str,
-                          body, WRITE_TIMEOUT_MS, on_written, fleet);
+  request.method = fleet->write_creates ? "POST" : "DELETE";
+  request.url = url->str;
+  fleet->write_call = store_call_start (fleet->loop, fleet->pool, &request,
+                                        on_written, fleet);
   if (fleet->write_call == NULL)
-    on_written (fleet, 0, NULL, 0);
+    on_written (fleet, &(struct store_response){ .status = 0 });
   g_string_free (url, TRUE);
   g_free (name);
 }
@@ -437,20 +438,18 @@
    instance has created the object, HTTP_STATUS_NOT_FOUND that it is gone.  If
    the part has changed meanwhile, or the write failed, it is repeated.  */
 static void
-on_written (void *closure, uint32_t status, const char *text, size_t length)
+on_written (void *closure, const struct store_response *response)
 {
   struct fleet *fleet = closure;
   uint64_t part = g_array_index (fleet->writes, uint64_t, 0);
   struct quar_state state;
   int is_quarantined
       = quar_find (fleet->quarantine, part, &state) && state.version % 2 != 0;
-  int is_written = http_is_success (status)
-                   || status
+  int is_written = http_is_success (response->status)
+                   || response->status
                           == (fleet->write_creates ? HTTP_STATUS_CONFLICT
                                                    : HTTP_STATUS_NOT_FOUND);
 
-  (void)text;
-  (void)length;
   fleet->write_call = NULL;
   if (is_written && is_quarantined == fleet->write_creates)
     g_array_remove_index (fleet->writes, 0);
--- a/process/router_store.c
+++ b/process/router_store.c
@@ -32,13 +32,14 @@
 static uint64_t query_number (const char *url, const char *key);
 static int64_t stale_for_ms (struct router *router, clk_ms now);
 static int is_watching_store (const struct router *router);
-static void on_fetched (void *closure, uint32_t status, const char *text,
-                        size_t length);
+static void on_fetched (void *closure, const struct store_response *response);
 static void log_version (const struct router *router,
                          const struct rt_table *table);
 static void log_target (const char *reason, const struct reg_entry *entry,
                         uint64_t revision);
 static void activate_table (struct router *router, struct rt_table *table);
+static void log_report (struct router *router,
+                        const struct fleet_update *update);
 
 /* Starts to list and watch the configuration in the store.  */
 void
@@ -146,6 +147,7 @@
   log_number (&line, "version", (int64_t)table->version);
   log_number (&line, "version_before",
               router->table ? (int64_t)router->table->version : 0);
+  log_number (&line, "epoch", (int64_t)router->config.epoch);
   log_number (&line, "revision", (int64_t)router->known.config);
   log_number (&line, "routes", table->routes->len);
   log_number (&line, "keys", g_hash_table_size (table->keys));
@@ -317,6 +319,26 @@
          && router->registry->listed;
 }
 
+/* Logs the store revisions in UPDATE, of an instance of the same failure
+   domain, unless they are those of the last report.  */
+static void
+log_report (struct router *router, const struct fleet_update *update)
+{
+  struct log_line line;
+
+  if (!update->is_local
+      || memcmp (&router->reported, &update->known, sizeof update->known) == 0)
+    return;
+  router->reported = update->known;
+  if (!log_begin (&line, LOG_LEVEL_INFO, "fleet", NULL, "reported"))
+    return;
+  log_number (&line, "config", (int64_t)update->known.config);
+  log_number (&line, "targets", (int64_t)update->known.targets);
+  log_number (&line, "known_config", (int64_t)router->known.config);
+  log_number (&line, "known_targets", (int64_t)router->known.targets);
+  log_end (&line);
+}
+
 /* Called when another instance reports its store revisions.  If they are newer
    and this instance does not watch the store itself, it fetches the snapshot
    of the other instance.  While an instance of its own failure domain watches
@@ -332,8 +354,12 @@
   struct router *router = closure;
   clk_ms now = clk_now (clk_monotonic ());
   int watches_store = is_watching_store (router);
+  struct store_request request = { .address = update->address,
+                                   .method = "GET",
+                                   .timeout_ms = FETCH_TIMEOUT_MS };
   char *path;
 
+  log_report (router, update);
   if (router->snapshot_fetch != NULL
       || (update->known.config <= router->known.config
           && update->known.targets <= router->known.targets)
@@ -354,16 +380,16 @@
       = g_strdup_printf ("%s?config=%" PRIu64 "&targets=%" PRIu64,
                          SNAPSHOT_PATH, router->known.config,
                          router->registry->listed ? router->known.targets : 0);
-  router->snapshot_fetch
-      = store_call_start (router->loop, &router->pool, &update->address, "GET",
-                          path, NULL, FETCH_TIMEOUT_MS, on_fetched, router);
+  request.url = path;
+  router->snapshot_fetch = store_call_start (router->loop, &router->pool,
+                                             &request, on_fetched, router);
   g_free (path);
 }
 
 /* Handles the response with the snapshot of another instance: applies the
    configuration and the targets in it.  */
 static void
-on_fetched (void *closure, uint32_t status, const char *text, size_t length)
+on_fetched (void *closure, const struct store_response *response)
 {
   struct router *router = closure;
   struct watch_sink config
@@ -372,9 +398,10 @@
       = { targets_begin, targets_object, targets_end, router };
   struct snapshot_revisions now;
   size_t size = 0;
-  char *unpacked = status == HTTP_STATUS_OK
-                       ? snapshot_decompress (text, length, &size)
-                       : NULL;
+  char *unpacked
+      = response->status == HTTP_STATUS_OK
+            ? snapshot_decompress (response->text, response->length, &size)
+            : NULL;
   int result = -1;
 
   router->snapshot_fetch = NULL;
--- a/version/storecall.c
+++ b/version/storecall.c
@@ -2,6 +2,8 @@
 #include <arpa/inet.h>
 #include <string.h>
 
+#include "ibisloom/log.h"
+#include "ibisloom/position.h"
 #include "ibisloom/storecall.h"
 
 enum
@@ -16,8 +18,10 @@
   struct out_call *call;
   ev_timer timer;
   char *body;
-  GString *response;
+  const char *epoch_field;
+  GString *text;
   uint32_t status;
+  uint64_t epoch;
   store_call_done_fn done;
   void *closure;
 };
@@ -31,42 +35,43 @@
 
 static const struct out_ops call_ops = { on_head, on_data, on_end, on_fail };
 
-/* Sends a METHOD request for URL, without scheme and host, to the server at
-   ADDRESS.  BODY is JSON that is freed with the call, or NULL.  DONE is called
-   with CLOSURE once, within TIMEOUT_MS milliseconds, unless the call is
-   canceled.  Returns NULL if no connection could be started; BODY is freed and
-   DONE not called.  */
+/* Sends REQUEST.  DONE is called with CLOSURE once, within the timeout, unless
+   the call is canceled.  Returns NULL if no connection could be started; the
+   body is freed and DONE not called.  */
 struct store_call *
 store_call_start (struct ev_loop *loop, struct out_pool *pool,
-                  const struct sockaddr_in *address, const char *method,
-                  const char *url, char *body, int64_t timeout_ms,
-                  store_call_done_fn done, void *closure)
+                  const struct store_request *request, store_call_done_fn done,
+                  void *closure)
 {
   struct store_call *call = g_new0 (struct store_call, 1);
-  struct out_request request = { .address = *address,
-                                 .connect_timeout_ms = CONNECT_TIMEOUT_MS,
-                                 .body = body,
-                                 .body_length = body ? strlen (body) : 0 };
+  struct out_request out
+      = { .address = request->address,
+          .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+          .body = request->body,
+          .body_length = request->body ? strlen (request->body) : 0 };
   char host[INET_ADDRSTRLEN];
 
-  inet_ntop (AF_INET, &address->sin_addr, host, sizeof host);
-  request.head = g_string_new (NULL);
-  g_string_append_printf (request.head, "%s %s HTTP/1.1\r\nHost: %s:%u\r\n",
-                          method, url, host, ntohs (address->sin_port));
-  if (body != NULL)
-    g_string_append_printf (request.head,
+  inet_ntop (AF_INET, &request->address.sin_addr, host, sizeof host);
+  out.head = g_string_new (NULL);
+  g_string_append_printf (out.head, "%s %s HTTP/1.1\r\nHost: %s:%u\r\n",
+                          request->method, request->url, host,
+                          ntohs (request->address.sin_port));
+  if (out.body != NULL)
+    g_string_append_printf (out.head,
                             "Content-Type: application/json\r\n"
                             "Content-Length: %zu\r\n",
-                            request.body_length);
-  g_string_append (request.head, "\r\n");
+                            out.body_length);
+  g_string_append (out.head, "\r\n");
   call->loop = loop;
-  call->body = body;
-  call->response = g_string_new (NULL);
+  call->body = request->body;
+  call->epoch_field = request->epoch_field;
+  call->text = g_string_new (NULL);
   call->done = done;
   call->closure = closure;
-  ev_timer_init (&call->timer, on_timer, (double)timeout_ms / CLK_MS_PER_S, 0);
+  ev_timer_init (&call->timer, on_timer,
+                 (double)request->timeout_ms / CLK_MS_PER_S, 0);
   call->timer.data = call;
-  call->call = out_call_start (pool, &request, &call_ops, call);
+  call->call = out_call_start (pool, &out, &call_ops, call);
   if (call->call == NULL)
     {
       store_call_cancel (call);
@@ -83,20 +88,26 @@
   if (call->call != NULL)
     out_call_cancel (call->call);
   ev_timer_stop (call->loop, &call->timer);
-  g_string_free (call->response, TRUE);
+  g_string_free (call->text, TRUE);
   g_free (call->body);
   g_free (call);
 }
 
-/* Stores the status of the response.  */
+/* Stores the status and the epoch of the response.  A response with a
+   malformed epoch is not to be relied on.  */
 static int
 on_head (void *owner, const struct http_head *head, int64_t length)
 {
   struct store_call *call = owner;
+  const char *epoch
+      = call->epoch_field ? http_head_get (head, call->epoch_field) : NULL;
 
   (void)length;
   call->status = head->status;
-  return 0;
+  if (pos_parse_epoch (epoch, &call->epoch) == 0)
+    return 0;
+  log_warn ("store", NULL, "bad_epoch", "%.40s", epoch);
+  return -1;
 }
 
 /* Appends DATA to the body; fails the call if it grows too long.  */
@@ -105,9 +116,9 @@
 {
   struct store_call *call = owner;
 
-  if (call->response->len + length > RESPONSE_MAX_BYTES)
+  if (call->text->len + length > RESPONSE_MAX_BYTES)
     return -1;
-  g_string_append_len (call->response, data, (gssize)length);
+  g_string_append_len (call->text, data, (gssize)length);
   return 0;
 }
 
@@ -145,6 +156,11 @@
 static void
 finish (struct store_call *call, uint32_t status)
 {
-  call->done (call->closure, status, call->response->str, call->response->len);
+  struct store_response response = { .status = status,
+                                     .epoch = call->epoch,
+                                     .text = call->text->str,
+                                     .length = call->text->len };
+
+  call->done (call->closure, &response);
   store_call_cancel (call);
 }
--- a/version/watch.c
+++ b/version/watch.c
@@ -31,14 +31,14 @@
 
 static void start_next_call (struct watch *watch);
 static void on_timer (struct ev_loop *loop, ev_timer *timer, int events);
-static void on_call_done (void *closure, uint32_t status, const char *text,
-                          size_t length);
+static void on_call_done (void *closure,
+                          const struct store_response *response);
 static void handle_list (struct watch *watch, const char *text, size_t length);
 static void handle_changes (struct watch *watch, const char *text,
                             size_t length);
 static void handle_failure (struct watch *watch, const char *reason,
                             uint32_t status);
-static void record_response (struct watch *watch);
+static void record_response (struct watch *watch, uint64_t epoch);
 static void log_watch (const struct watch *watch, const char *reason,
                        const char *cause, uint32_t status);
 static void start_timer (struct watch *watch, int64_t ms);
@@ -140,6 +140,12 @@
 {
   GString *url;
   int64_t wait_ms = watch->down ? PROBE_WAIT_MS : WATCH_WAIT_MS;
+  struct store_request request
+      = { .address = watch->address,
+          .method = "GET",
+          .timeout_ms = watch->listed ? wait_ms + WATCH_TIMEOUT_MARGIN_MS
+                                      : LIST_TIMEOUT_MS,
+          .epoch_field = watch->protocol->epoch_field };
 
   if (watch->listed && watch->list_only)
     return;
@@ -150,10 +156,9 @@
     watch->protocol->list_url (url, watch->kind,
                                watch->listing ? watch->after->str : NULL);
   watch->calls++;
-  watch->call = store_call_start (
-      watch->loop, watch->pool, &watch->address, "GET", url->str, NULL,
-      watch->listed ? wait_ms + WATCH_TIMEOUT_MARGIN_MS : LIST_TIMEOUT_MS,
-      on_call_done, watch);
+  request.url = url->str;
+  watch->call = store_call_start (watch->loop, watch->pool, &request,
+                                  on_call_done, watch);
   g_string_free (url, TRUE);
   if (watch->call == NULL)
     handle_failure (watch, "no_socket", 0);
@@ -168,22 +173,23 @@
   start_next_call (timer->data);
 }
 
-/* Handles the response to a call with its HTTP STATUS, 0 if there was none.
-   STATUS_GONE means that the store no longer has its history since the
-   revision of the watch.  */
+/* Handles RESPONSE to a call.  STATUS_GONE means that the store no longer has
+   its history since the revision of the watch.  */
 static void
-on_call_done (void *closure, uint32_t status, const char *text, size_t length)
+on_call_done (void *closure, const struct store_response *response)
 {
   struct watch *watch = closure;
+  uint32_t status = response->status;
 
   watch->call = NULL;
+  if (status == STATUS_OK || status == STATUS_GONE)
+    record_response (watch, response->epoch);
   if (status == STATUS_OK && watch->listed)
-    handle_changes (watch, text, length);
+    handle_changes (watch, response->text, response->length);
   else if (status == STATUS_OK)
-    handle_list (watch, text, length);
+    handle_list (watch, response->text, response->length);
   else if (status == STATUS_GONE)
     {
-      record_response (watch);
       log_watch (watch, "history_gone", NULL, status);
       watch->listed = 0;
       watch->listing = 0;
@@ -204,7 +210,6 @@
 {
   struct watch_page page = { .last_name = watch->after };
 
-  record_response (watch);
   if (!watch->listing)
     watch->sink.begin (watch->sink.closure);
   watch->listing = 1;
@@ -238,7 +243,6 @@
 {
   struct watch_page page = { .last_name = watch->after };
 
-  record_response (watch);
   watch->watches_since_list++;
   if (watch->protocol->read_watch (text, length, &page, watch->sink.object,
                                    watch->sink.closure)
@@ -271,9 +275,10 @@
                pause_ms / 2 + g_random_int_range (0, (gint32)pause_ms / 2));
 }
 
-/* Records a response of the store, and logs the end of an outage.  */
+/* Records a response of the store in EPOCH, and logs the end of an outage and
+   a new epoch.  */
 static void
-record_response (struct watch *watch)
+record_response (struct watch *watch, uint64_t epoch)
 {
   clk_ms now = clk_now (clk_monotonic ());
 
@@ -285,6 +290,10 @@
   watch->down = 0;
   watch->failures = 0;
   watch->last_response_ms = now;
+  if (epoch == watch->epoch)
+    return;
+  watch->epoch = epoch;
+  log_watch (watch, "epoch", watch->listed ? "watch" : "list", STATUS_OK);
 }
 
 /* Schedules the next call in MS milliseconds.  */
@@ -310,6 +319,7 @@
   log_text (&line, "kind", watch->kind);
   log_text (&line, "cause", cause);
   log_number (&line, "status", status);
+  log_number (&line, "epoch", (int64_t)watch->epoch);
   log_number (&line, "revision", (int64_t)watch->revision);
   log_number (&line, "heard_ms_ago",
               watch->last_response_ms ? now - watch->last_response_ms : -1);
