Test a fleet whose store is restored from an older copy

The scripted store tells an epoch, and can be restored from the copy of a revision: later changes are taken back, their revisions given out again, a watch from one that it does not have gets 410, and what the operator and the targets wrote can be written anew. Entries of targets count their reports.

--- a/tests/libfixture.h
+++ b/tests/libfixture.h
@@ -16,6 +16,7 @@
   int port;
   int listener;
   fx_handler_fn handler;
+  int reports; /* entries written so far */
   int requests;
   int closed_by_router;
   int crashed;
@@ -49,6 +50,8 @@
   pthread_mutex_t lock;
   pthread_cond_t changed;
   GPtrArray *changes;      /* of struct change */
+  GPtrArray *lost;         /* of struct change, taken back by a restoration */
+  char *store_epoch;       /* value of its header field; NULL: left out */
   long compacted_revision; /* earlier revisions are discarded */
   int store_down;
   int watches_blocked; /* watches get no response */
@@ -66,7 +69,8 @@
 int fx_listen (int *port);
 int fx_connect_port (int port);
 char *fx_read_request (int fd);
-void fx_respond_json (int fd, const char *status, char *body);
+void fx_respond_json (int fd, const char *status, const char *field,
+                      char *body);
 void fx_start_thread (void *(*fn) (void *), void *closure);
 
 /* store_fixture.c */
--- a/tests/router_fixture.c
+++ b/tests/router_fixture.c
@@ -165,18 +165,42 @@
   g_free (write_router_settings (0, extra));
 }
 
-/* Returns the response of the first router to a request for its metrics, newly
+/* Returns the response of router INDEX to a request for its metrics, newly
    allocated.  */
-char *
-fx_get_metrics (void)
+static char *
+get_router_metrics (int index)
 {
-  int fd = fx_connect_port (fx_env.routers[0].metrics_port);
+  int fd = fx_connect_port (fx_env.routers[index].metrics_port);
 
+  if (fd < 0)
+    return g_strdup ("");
   fx_write (fd, "GET /metrics HTTP/1.1\r\nHost: m\r\nConnection: close\r\n"
                 "\r\n");
   return fx_read_all (fd);
 }
 
+/* Returns the response of the first router to a request for its metrics, newly
+   allocated.  */
+char *
+fx_get_metrics (void)
+{
+  return get_router_metrics (0);
+}
+
+/* Returns the metric NAME of router INDEX, or -1.  */
+long
+fx_router_metric (int index, const char *name)
+{
+  char *text = get_router_metrics (index);
+  char *key = g_strdup_printf ("\n%s ", name);
+  const char *at = strstr (text, key);
+  long value = at != NULL ? strtol (at + strlen (key), NULL, 10) : -1;
+
+  g_free (key);
+  g_free (text);
+  return value;
+}
+
 /* Starts router INDEX, on its previous ports if it ran before; appends its log
    to the file LOG.  */
 void
@@ -285,8 +309,10 @@
 fx_env_init (void)
 {
   fx_env.changes = g_ptr_array_new ();
+  fx_env.lost = g_ptr_array_new ();
   fx_env.targets = g_ptr_array_new ();
   fx_env.store_fds = g_array_new (FALSE, FALSE, sizeof (int));
+  fx_store_set_epoch ("1");
 }
 
 /* Kills all running routers, stops targets and store, and resets the
@@ -314,6 +340,7 @@
   /* Threads of the fixtures may still use the old arrays, which are therefore
      not freed.  */
   fx_env.changes = g_ptr_array_new ();
+  fx_env.lost = g_ptr_array_new ();
   fx_env.targets = g_ptr_array_new ();
   fx_env.store_fds = g_array_new (FALSE, FALSE, sizeof (int));
   fx_env.compacted_revision = 0;
@@ -321,6 +348,7 @@
   fx_env.watches_blocked = 0;
   pthread_cond_broadcast (&fx_env.changed);
   pthread_mutex_unlock (&fx_env.lock);
+  fx_store_set_epoch ("1");
   rmdir (fx_env.directory);
   g_free (fx_env.directory);
 }
--- a/tests/router_fixture.h
+++ b/tests/router_fixture.h
@@ -37,6 +37,7 @@
 int fx_router_is_ready (int index);
 int fx_router_listens (int index);
 int fx_router_connect (int index);
+long fx_router_metric (int index, const char *name);
 long fx_router_peak_kb (int index); /* its largest memory so far */
 
 /* For the first router. */
@@ -60,6 +61,11 @@
 void fx_store_put (const char *kind, const char *name, const char *spec);
 void fx_store_delete (const char *kind, const char *name);
 void fx_store_compact (void);
+int fx_store_revision (void);
+int fx_store_count (const char *kind);
+void fx_store_restore (int revision);
+void fx_store_rewrite (void);
+void fx_store_set_epoch (const char *epoch);
 void fx_store_set_down (int down);
 void fx_store_block_watches (int blocked);
 
--- a/tests/socket_fixture.c
+++ b/tests/socket_fixture.c
@@ -106,14 +106,15 @@
   return value;
 }
 
-/* Responds on FD with STATUS and the JSON BODY.  Frees BODY.  */
+/* Responds on FD with STATUS, the header FIELD, which may be empty, and the
+   JSON BODY.  Frees BODY.  */
 void
-fx_respond_json (int fd, const char *status, char *body)
+fx_respond_json (int fd, const char *status, const char *field, char *body)
 {
   char *text = g_strdup_printf ("HTTP/1.1 %s\r\nContent-Type: "
                                 "application/json\r\nContent-Length: %zu\r\n"
-                                "\r\n%s",
-                                status, strlen (body), body);
+                                "%s\r\n%s",
+                                status, strlen (body), field, body);
 
   fx_write (fd, text);
   g_free (text);
--- a/tests/store_fixture.c
+++ b/tests/store_fixture.c
@@ -11,6 +11,35 @@
 
 #include "libfixture.h"
 
+/* A response of the store, at one moment. */
+struct response
+{
+  const char *status;
+  char *body;
+  char *field; /* header field with the epoch, or empty */
+};
+
+/* Returns a response with STATUS and BODY, which it takes over.  The lock must
+   be held.  */
+static struct response
+make_response (const char *status, char *body)
+{
+  return (struct response){ .status = status,
+                            .body = body,
+                            .field
+                            = fx_env.store_epoch != NULL ? g_strdup_printf (
+                                  "Store-Era: %s\r\n", fx_env.store_epoch)
+                                                         : g_strdup ("") };
+}
+
+/* Sends RESPONSE on FD and frees what it holds.  */
+static void
+send_response (int fd, struct response *response)
+{
+  fx_respond_json (fd, response->status, response->field, response->body);
+  g_free (response->field);
+}
+
 /* Appends CHANGE to OUT as a JSON object of the store.  */
 static void
 append_object (GString *out, const struct change *change)
@@ -85,13 +114,23 @@
   return NULL;
 }
 
+/* Returns whether the history after revision SINCE is known: it is not
+   compacted, and SINCE was not taken back.  The lock must be held.  */
+static int
+has_history (long since)
+{
+  return since >= fx_env.compacted_revision
+         && since <= (long)fx_env.changes->len;
+}
+
 /* Responds to a watch of KIND after revision SINCE, as soon as there is a
-   change and at the latest after WAIT_MS; with 410 if revisions after SINCE
-   are compacted.  */
+   change and at the latest after WAIT_MS; with 410 if the history after SINCE
+   is not known.  */
 static void
 respond_watch (int fd, const char *kind, long since, long wait_ms)
 {
   struct timespec deadline;
+  struct response response;
   char *body = NULL;
 
   clock_gettime (CLOCK_REALTIME, &deadline);
@@ -105,18 +144,19 @@
   pthread_mutex_lock (&fx_env.lock);
   while (fx_env.watches_blocked)
     pthread_cond_wait (&fx_env.changed, &fx_env.lock);
-  while (since >= fx_env.compacted_revision
-         && (body = events_json (kind, since)) == NULL
+  while (has_history (since) && (body = events_json (kind, since)) == NULL
          && pthread_cond_timedwait (&fx_env.changed, &fx_env.lock, &deadline)
                 == 0)
     ;
-  if (body == NULL && since >= fx_env.compacted_revision)
-    body = g_strdup_printf ("{\"events\":[],\"at\":%u}", fx_env.changes->len);
-  pthread_mutex_unlock (&fx_env.lock);
-  if (body != NULL)
-    fx_respond_json (fd, "200 OK", body);
+  if (!has_history (since))
+    response = make_response ("410 Gone", g_strdup ("{}"));
   else
-    fx_respond_json (fd, "410 Gone", g_strdup ("{}"));
+    response = make_response (
+        "200 OK", body != NULL ? body
+                               : g_strdup_printf ("{\"events\":[],\"at\":%u}",
+                                                  fx_env.changes->len));
+  pthread_mutex_unlock (&fx_env.lock);
+  send_response (fd, &response);
 }
 
 /* Adds a revision of an object.  The lock must be held.  */
@@ -134,7 +174,7 @@
 }
 
 /* Creates the object in the body of the POST REQUEST, of KIND.  Returns the
-   status of the response.  */
+   status of the response.  The lock must be held.  */
 static const char *
 create_object (const char *request, const char *kind)
 {
@@ -147,35 +187,48 @@
 
   if (name != NULL && spec != NULL)
     {
-      pthread_mutex_lock (&fx_env.lock);
       latest = fx_store_latest_change (kind, name);
       status = latest != NULL && latest->spec != NULL ? "409 Conflict"
                                                       : "201 Created";
       if (latest == NULL || latest->spec == NULL)
         add_change_locked (kind, name, spec);
-      pthread_mutex_unlock (&fx_env.lock);
     }
   free (spec);
   json_decref (body);
   return status;
 }
 
-/* Removes the object NAME of KIND.  Returns the status of the response.  */
+/* Removes the object NAME of KIND.  Returns the status of the response.  The
+   lock must be held.  */
 static const char *
 remove_object (const char *kind, const char *name)
 {
-  const struct change *latest;
-  int exists;
+  const struct change *latest = fx_store_latest_change (kind, name);
+  int exists = latest != NULL && latest->spec != NULL;
 
-  pthread_mutex_lock (&fx_env.lock);
-  latest = fx_store_latest_change (kind, name);
-  exists = latest != NULL && latest->spec != NULL;
   if (exists)
     add_change_locked (kind, name, NULL);
-  pthread_mutex_unlock (&fx_env.lock);
   return exists ? "200 OK" : "404 Not Found";
 }
 
+/* Returns the response to REQUEST, which is no watch, for the object NAME of
+   KIND or for all of KIND.  */
+static struct response
+respond_at_once (const char *request, const char *kind, const char *name)
+{
+  struct response response;
+
+  pthread_mutex_lock (&fx_env.lock);
+  if (strncmp (request, "POST", 4) == 0)
+    response = make_response (create_object (request, kind), g_strdup ("{}"));
+  else if (strncmp (request, "DELETE", 6) == 0)
+    response = make_response (remove_object (kind, name), g_strdup ("{}"));
+  else
+    response = make_response ("200 OK", list_json (kind));
+  pthread_mutex_unlock (&fx_env.lock);
+  return response;
+}
+
 /* Serves one connection to the store until it ends or the store is down.  */
 static void *
 serve_connection (void *closure)
@@ -200,21 +253,14 @@
           g_free (request);
           break;
         }
-      if (strncmp (request, "POST", 4) == 0)
-        fx_respond_json (fd, create_object (request, kind), g_strdup ("{}"));
-      else if (strncmp (request, "DELETE", 6) == 0)
-        fx_respond_json (fd, remove_object (kind, name), g_strdup ("{}"));
-      else if (watch != NULL)
+      if (watch != NULL)
         respond_watch (fd, kind, strtol (watch + 6, NULL, 10),
                        wait ? strtol (wait + 8, NULL, 10) : 0);
       else
         {
-          char *body;
+          struct response response = respond_at_once (request, kind, name);
 
-          pthread_mutex_lock (&fx_env.lock);
-          body = list_json (kind);
-          pthread_mutex_unlock (&fx_env.lock);
-          fx_respond_json (fd, "200 OK", body);
+          send_response (fd, &response);
         }
       g_free (request);
     }
@@ -271,6 +317,88 @@
   pthread_mutex_unlock (&fx_env.lock);
 }
 
+/* Sets the value of the header field with the store's epoch to EPOCH; NULL
+   leaves the field out.  */
+void
+fx_store_set_epoch (const char *epoch)
+{
+  pthread_mutex_lock (&fx_env.lock);
+  g_free (fx_env.store_epoch);
+  fx_env.store_epoch = g_strdup (epoch);
+  pthread_mutex_unlock (&fx_env.lock);
+}
+
+/* Returns how many changes the store has had.  */
+int
+fx_store_revision (void)
+{
+  int revision;
+
+  pthread_mutex_lock (&fx_env.lock);
+  revision = (int)fx_env.changes->len;
+  pthread_mutex_unlock (&fx_env.lock);
+  return revision;
+}
+
+/* Restores the store from a copy of REVISION: takes the later changes back and
+   counts up the epoch.  */
+void
+fx_store_restore (int revision)
+{
+  pthread_mutex_lock (&fx_env.lock);
+  while ((int)fx_env.changes->len > revision)
+    g_ptr_array_insert (
+        fx_env.lost, 0,
+        g_ptr_array_steal_index (fx_env.changes, fx_env.changes->len - 1));
+  fx_env.compacted_revision
+      = MIN (fx_env.compacted_revision, (long)fx_env.changes->len);
+  if (fx_env.store_epoch != NULL)
+    {
+      long epoch = strtol (fx_env.store_epoch, NULL, 10) + 1;
+
+      g_free (fx_env.store_epoch);
+      fx_env.store_epoch = g_strdup_printf ("%ld", epoch);
+    }
+  pthread_cond_broadcast (&fx_env.changed);
+  pthread_mutex_unlock (&fx_env.lock);
+}
+
+/* Writes anew what the operator and the targets had written and restorations
+   have taken back.  */
+void
+fx_store_rewrite (void)
+{
+  pthread_mutex_lock (&fx_env.lock);
+  for (guint i = 0; i < fx_env.lost->len; i++)
+    {
+      const struct change *change = g_ptr_array_index (fx_env.lost, i);
+
+      if (strcmp (change->kind, "config") == 0
+          || strcmp (change->kind, "servers") == 0)
+        add_change_locked (change->kind, change->name, change->spec);
+    }
+  g_ptr_array_set_size (fx_env.lost, 0);
+  pthread_mutex_unlock (&fx_env.lock);
+}
+
+/* Returns how many objects of KIND the store has.  */
+int
+fx_store_count (const char *kind)
+{
+  int count = 0;
+
+  pthread_mutex_lock (&fx_env.lock);
+  for (guint i = 0; i < fx_env.changes->len; i++)
+    {
+      const struct change *change = g_ptr_array_index (fx_env.changes, i);
+
+      count += strcmp (change->kind, kind) == 0 && change->spec != NULL
+               && fx_store_latest_change (kind, change->name) == change;
+    }
+  pthread_mutex_unlock (&fx_env.lock);
+  return count;
+}
+
 /* If BLOCKED, holds back the responses to watches; otherwise sends them
    again.  */
 void
--- a/tests/target_fixture.c
+++ b/tests/target_fixture.c
@@ -70,13 +70,13 @@
 
 /* Writes the entry of TARGET, with its port and state, to the store.  */
 static void
-publish_entry (const struct fx_target *target)
+publish_entry (struct fx_target *target)
 {
   char *spec = g_strdup_printf (
       "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"a\","
       "\"version\":\"v1\",\"slots\":8,\"state\":\"%s\",\"cold_left_ms\":0,"
-      "\"sequence\":1}",
-      target->service, target->port, target->state);
+      "\"sequence\":%d}",
+      target->service, target->port, target->state, ++target->reports);
 
   fx_store_add_change ("servers", target->id, spec);
   g_free (spec);
