--- a/include/ibisloom/fleet.h
+++ b/include/ibisloom/fleet.h
@@ -18,11 +18,11 @@
 /* View of the other instances, and the exchange of datagrams with them. */
 struct fleet;
 
-/* Store revisions that another instance reports in a heartbeat. */
+/* What another instance reports that it knows of the store. */
 struct fleet_update
 {
   struct sockaddr_in address;
-  struct snapshot_revisions known;
+  struct snapshot_state known;
   int is_local; /* in the same failure domain */
 };
 
@@ -35,9 +35,9 @@
                          struct registry *registry, struct affinity *affinity,
                          GError **error);
 void fleet_on_update (struct fleet *fleet, fleet_update_fn fn, void *closure);
-void fleet_set_revisions (struct fleet *fleet,
-                          const struct snapshot_revisions *known,
-                          enum wire_store store);
+void fleet_set_state (struct fleet *fleet, const struct snapshot_state *known,
+                      enum wire_store store);
+void fleet_set_epoch (struct fleet *fleet, uint64_t epoch);
 void fleet_set_leaving (struct fleet *fleet);
 void fleet_count_watchers (const struct fleet *fleet, struct elect_view *view);
 int fleet_has_watcher (const struct fleet *fleet);
--- a/include/ibisloom/registry.h
+++ b/include/ibisloom/registry.h
@@ -9,6 +9,7 @@
 #include "ibisloom/balance.h"
 #include "ibisloom/clock.h"
 #include "ibisloom/health.h"
+#include "ibisloom/position.h"
 #include "ibisloom/rate.h"
 
 enum
@@ -28,6 +29,7 @@
   int leaving;
   int64_t warming_ms;   /* time left until it has warmed up */
   uint64_t incarnation; /* of its process, 0: unknown */
+  uint64_t reports;     /* of that process up to this one */
 };
 
 struct reg_target;
@@ -48,12 +50,15 @@
   struct sockaddr_in address;
   int32_t slots;
   uint64_t incarnation;
-  uint64_t revision;   /* of the entry */
-  clk_ms warm_at_ms;   /* warmed up from then on */
+  uint64_t reports;         /* see struct reg_entry */
+  struct position position; /* of the entry */
+  clk_ms warm_at_ms;        /* warmed up from then on */
   uint32_t references; /* requests in progress, plus one for the registry */
   uint8_t leaving;
   uint8_t update_pending;    /* peers are to get its new in_flight */
   uint8_t unlisted;          /* not yet found in the list that is being read */
+  uint8_t is_restored;       /* missing, but in the store, by an older entry */
+  uint8_t is_withheld;       /* the same, and it had been dropped */
   clk_ms missing_until_ms;   /* entry missing, dropped then; 0: present */
   uint32_t in_flight;        /* requests sent by this instance */
   int32_t others_in_flight;  /* sent by the other instances */
@@ -65,12 +70,21 @@
   struct health health;
 };
 
+/* Last entry of a target whose entry was removed. */
+struct reg_gone
+{
+  char id[REG_NAME_MAX_BYTES];
+  uint64_t incarnation;
+  uint64_t reports;
+  uint64_t epoch; /* of the removal */
+};
+
 struct registry
 {
   GHashTable *targets;  /* id to struct reg_target */
   GHashTable *by_hash;  /* hash of the id to struct reg_target */
   GPtrArray *array;     /* of struct reg_target, unordered, for iteration */
-  uint64_t revision;    /* of the newest entry or list */
+  GQueue gone;          /* of struct reg_gone, oldest first */
   uint64_t last_serial; /* given to a target */
   int listed;           /* a complete list has been read */
   reg_load_fn on_load;  /* may be NULL */
@@ -80,11 +94,15 @@
 struct registry *reg_new (void);
 void reg_free (struct registry *registry);
 int reg_put (struct registry *registry, const struct reg_entry *entry,
-             uint64_t revision, clk_ms now);
-int reg_remove (struct registry *registry, const char *id, uint64_t revision);
+             struct position position, clk_ms now);
+int reg_remove (struct registry *registry, const char *id,
+                struct position position);
+int reg_keeps_leaving (struct registry *registry,
+                       const struct reg_entry *entry,
+                       struct position position);
 int64_t reg_missing_grace_ms (int64_t drain_ms, int64_t regained_ago_ms);
 int reg_mark_missing (struct registry *registry, const char *id,
-                      uint64_t revision, clk_ms drop_at_ms);
+                      struct position position, clk_ms drop_at_ms);
 void reg_list_begin (struct registry *registry);
 void reg_list_end (struct registry *registry, clk_ms drop_at_ms);
 uint32_t reg_expire (struct registry *registry, clk_ms now);
--- a/include/ibisloom/router.h
+++ b/include/ibisloom/router.h
@@ -30,12 +30,13 @@
   struct snapshot *snapshot;
   struct store_call *snapshot_fetch; /* from a peer, in progress; or NULL */
   clk_ms fetch_started_ms; /* start of the last snapshot fetch; 0: none */
-  /* Newest revisions, from the store or from peers.  */
-  struct snapshot_revisions known;
-  /* Value of known at stale_since_ms.  */
-  struct snapshot_revisions stale_revisions;
-  clk_ms stale_since_ms; /* first report of newer revisions; 0: none */
-  struct snapshot_revisions reported; /* last logged, of a peer */
+  /* Newest state, from the store or from peers.  Its version may not be in
+     force, if this build cannot read it.  */
+  struct snapshot_state known;
+  struct snapshot_state stale_state; /* value of known at stale_since_ms */
+  clk_ms stale_since_ms;          /* first report of a newer state; 0: none */
+  struct snapshot_state reported; /* last logged, of a peer */
+  uint64_t epoch;                 /* of the store; 0: not told */
   clk_ms started_ms;
   clk_ms short_ms;        /* last time that there were enough watchers */
   clk_ms watch_due_ms;    /* last time it was elected to watch; 0: never */
--- a/include/ibisloom/snapshot.h
+++ b/include/ibisloom/snapshot.h
@@ -8,32 +8,39 @@
 
 struct snapshot;
 
-/* Revisions of the store up to which its objects are known. */
-struct snapshot_revisions
+/* What an instance knows of the store. */
+struct snapshot_state
 {
-  uint64_t config;  /* of the configuration object */
-  uint64_t targets; /* covers all registry entries of targets */
+  uint64_t version;        /* of the configuration; 0: none, or not told */
+  struct position config;  /* of the configuration object */
+  struct position targets; /* covers all registry entries of targets */
 };
 
+int snapshot_is_newer (const struct snapshot_state *told,
+                       const struct snapshot_state *known);
+
 struct snapshot *snapshot_new (void);
 void snapshot_free (struct snapshot *snapshot);
-void snapshot_put_config (struct snapshot *snapshot,
+void snapshot_put_config (struct snapshot *snapshot, uint64_t version,
                           const struct watch_object *object);
 int snapshot_put_target (struct snapshot *snapshot,
                          const struct watch_object *object);
+void snapshot_retain_target (struct snapshot *snapshot, const char *name,
+                             struct position position);
 void snapshot_list_begin (struct snapshot *snapshot);
-void snapshot_list_end (struct snapshot *snapshot, uint64_t revision);
+void snapshot_list_end (struct snapshot *snapshot, struct position position);
 char *snapshot_to_json (const struct snapshot *snapshot,
-                        const struct snapshot_revisions *since,
-                        const struct snapshot_revisions *known);
+                        const struct snapshot_state *since,
+                        const struct snapshot_state *known);
 const char *snapshot_compress (struct snapshot *snapshot,
-                               const struct snapshot_revisions *since,
-                               const struct snapshot_revisions *known,
+                               const struct snapshot_state *since,
+                               const struct snapshot_state *known,
                                size_t *length);
 char *snapshot_decompress (const char *data, size_t length,
                            size_t *text_length);
 int snapshot_parse (const char *text, size_t length,
-                    struct snapshot_revisions *known,
+                    struct snapshot_state *known,
+                    const struct snapshot_state *current,
                     const struct watch_sink *config,
                     const struct watch_sink *targets);
 
--- a/include/ibisloom/storecall.h
+++ b/include/ibisloom/storecall.h
@@ -12,6 +12,7 @@
   char *body;      /* JSON, owned by the call; NULL: none */
   int64_t timeout_ms;
   const char *epoch_field; /* header field with the epoch; NULL: none */
+  uint64_t epoch_min;      /* responses of older ones are not relied on */
 };
 
 struct store_response
--- a/include/ibisloom/watch.h
+++ b/include/ibisloom/watch.h
@@ -6,13 +6,14 @@
 #include <jansson.h>
 
 #include "ibisloom/clock.h"
+#include "ibisloom/position.h"
 #include "ibisloom/storecall.h"
 
 /* Object in the store, or the deletion of one. */
 struct watch_object
 {
   const char *name;
-  uint64_t revision; /* of its last change, or of the deletion */
+  struct position position; /* of its last change, or of the deletion */
   int deleted;
   json_t *content;
 };
@@ -20,7 +21,8 @@
 /* Properties of a response to a list or watch, besides its objects. */
 struct watch_page
 {
-  uint64_t revision;  /* the response covers all changes up to here */
+  /* The response covers all changes up to here.  The caller sets the epoch. */
+  struct position position;
   int has_more;       /* further pages follow; lists only */
   GString *last_name; /* of the last object read */
 };
@@ -56,7 +58,8 @@
 {
   void (*begin) (void *closure); /* before a list; its objects follow */
   watch_object_fn object;
-  void (*end) (void *closure, uint64_t revision); /* the list is complete */
+  /* The list is complete up to POSITION.  */
+  void (*end) (void *closure, struct position position);
   void *closure;
 };
 
@@ -70,9 +73,9 @@
   struct out_pool *pool;
   struct sockaddr_in address;
   struct store_call *call;
-  GString *after;     /* last name received; the next page starts there */
-  uint64_t revision;  /* all changes up to here are known */
-  uint64_t epoch;     /* of the store, by its last response */
+  GString *after; /* last name received; the next page starts there */
+  struct position position; /* all changes up to here are known */
+  uint64_t epoch;     /* highest that is known; older responses are ignored */
   uint8_t listed;     /* the list is known; the watch starts at revision */
   uint8_t listing;    /* some but not all pages of a list have been read */
   uint8_t first_page; /* the next page is the first of a list */
@@ -94,6 +97,7 @@
 void watch_stop (struct watch *watch);
 void watch_enable (struct watch *watch, int enabled);
 void watch_restart (struct watch *watch);
-void watch_advance (struct watch *watch, uint64_t revision);
+void watch_set_epoch (struct watch *watch, uint64_t epoch);
+void watch_advance (struct watch *watch, struct position position);
 
 #endif
--- a/include/ibisloom/wire.h
+++ b/include/ibisloom/wire.h
@@ -6,6 +6,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "ibisloom/position.h"
+
 enum
 {
   WIRE_VERSION = 2,
@@ -37,6 +39,7 @@
   WIRE_SUCCESS,           /* last success with a prompt part */
   WIRE_RATES,             /* rate limits of targets */
   WIRE_SENT,              /* request sent to a target with such a limit */
+  WIRE_STATE,             /* what the sender knows of the store */
   WIRE_KIND_COUNT
 };
 
@@ -195,6 +198,15 @@
   struct wire_rate rate[WIRE_RATES_MAX];
 };
 
+/* What the sender knows of a store that tells its epoch; it replaces the
+   revisions of the heartbeat that follows. */
+struct wire_store_state
+{
+  uint64_t version; /* of the configuration in force */
+  struct position config;
+  struct position targets;
+};
+
 /* Request that the sender has sent to a target with a rate limit. */
 struct wire_sent
 {
@@ -221,6 +233,7 @@
     struct wire_success success;
     struct wire_rates rates;
     struct wire_sent sent;
+    struct wire_store_state state;
   } u;
 };
 
--- a/process/fleet.c
+++ b/process/fleet.c
@@ -94,11 +94,13 @@
   fleet->heartbeat.data = fleet;
   ev_timer_init (&fleet->retry, fleet_on_retry, 0, 0);
   fleet->retry.data = fleet;
+  ev_timer_init (&fleet->rejoin, fleet_on_rejoin_due, 0, 0);
+  fleet->rejoin.data = fleet;
   return fleet;
 }
 
-/* Sets FN to be called with CLOSURE at each heartbeat of another instance,
-   with the store revisions that the heartbeat reports.  */
+/* Sets FN to be called with CLOSURE whenever another instance reports what it
+   knows of the store.  */
 void
 fleet_on_update (struct fleet *fleet, fleet_update_fn fn, void *closure)
 {
@@ -106,12 +108,11 @@
   fleet->closure = closure;
 }
 
-/* Sets what heartbeats report: the store revisions KNOWN to this instance, and
+/* Sets what heartbeats report: what this instance has KNOWN of the store, and
    in STORE whether it watches the store or has lost the connection to it.  */
 void
-fleet_set_revisions (struct fleet *fleet,
-                     const struct snapshot_revisions *known,
-                     enum wire_store store)
+fleet_set_state (struct fleet *fleet, const struct snapshot_state *known,
+                 enum wire_store store)
 {
   fleet->known = *known;
   fleet->store_state = store;
@@ -199,6 +200,7 @@
   ev_io_stop (fleet->loop, &fleet->io);
   ev_timer_stop (fleet->loop, &fleet->heartbeat);
   ev_timer_stop (fleet->loop, &fleet->retry);
+  ev_timer_stop (fleet->loop, &fleet->rejoin);
   fleet_unwatch_loads (fleet);
   fleet_quarantine_clear (fleet);
   if (fleet->call != NULL)
--- a/process/fleet_datagram.c
+++ b/process/fleet_datagram.c
@@ -22,8 +22,14 @@
                            unsigned char *data);
 static void apply_message (struct fleet *fleet, struct fleet_peer *peer,
                            const struct wire_message *message);
+static void send_state (struct fleet *fleet,
+                        const struct sockaddr_in *address);
 static void apply_heartbeat (struct fleet *fleet, struct fleet_peer *peer,
                              const struct wire_heartbeat *heartbeat);
+static void apply_state (struct fleet *fleet, const struct fleet_peer *peer,
+                         const struct wire_store_state *state);
+static void report_update (struct fleet *fleet, const struct fleet_peer *peer,
+                           const struct snapshot_state *known);
 static void send_affinity (struct fleet *fleet, const struct fleet_peer *peer);
 static void apply_notes (struct fleet *fleet, const struct wire_notes *notes);
 static int gets_broadcast (const struct fleet *fleet,
@@ -41,8 +47,8 @@
     .kind = WIRE_HEARTBEAT,
     .u.heartbeat
     = { .wants_reply = wants_affinity != 0,
-        .revision = fleet->known.targets,
-        .config_revision = fleet->known.config,
+        .revision = fleet->known.targets.revision,
+        .config_revision = fleet->known.config.revision,
         .store = (uint8_t)fleet->store_state,
         .domain = fleet->domain,
         .state = (uint8_t)(fleet->is_leaving ? MEMBER_LEAVING : MEMBER_READY) }
@@ -52,6 +58,7 @@
 
   heartbeat->load_count
       = next_loads (fleet, &position, heartbeat->loads, WIRE_LOADS_MAX);
+  send_state (fleet, address);
   fleet_send (fleet, address, &message);
   while (position < fleet->registry->array->len)
     {
@@ -66,6 +73,22 @@
   fleet_send_rates (fleet, address);
 }
 
+/* Sends to ADDRESS what this instance knows of the store, if the store tells
+   its epoch.  Older builds, which read revisions from heartbeats only, drop
+   it.  */
+static void
+send_state (struct fleet *fleet, const struct sockaddr_in *address)
+{
+  struct wire_message message
+      = { .kind = WIRE_STATE,
+          .u.state = { .version = fleet->known.version,
+                       .config = fleet->known.config,
+                       .targets = fleet->known.targets } };
+
+  if (fleet->known.config.epoch != 0 || fleet->known.targets.epoch != 0)
+    fleet_send (fleet, address, &message);
+}
+
 /* Copies to LOADS up to MAX loads of this instance, from the target at
    POSITION on, and advances POSITION.  Returns how many.  */
 static uint32_t
@@ -218,14 +241,17 @@
     case WIRE_SENT:
       fleet_apply_sent (fleet, &message->u.sent);
       break;
+    case WIRE_STATE:
+      apply_state (fleet, peer, &message->u.state);
+      break;
     default:
       break;
     }
 }
 
 /* Applies a heartbeat of PEER: replaces the loads that PEER reported before,
-   sends PEER the affinity table if the heartbeat requests it, and passes the
-   store revisions in it to the callback of fleet_on_update.  */
+   sends PEER the affinity table if the heartbeat requests it, and reports the
+   store revisions in it, which have no epoch.  */
 static void
 apply_heartbeat (struct fleet *fleet, struct fleet_peer *peer,
                  const struct wire_heartbeat *heartbeat)
@@ -236,15 +262,34 @@
   peer->domain = heartbeat->domain;
   peer->store = (enum wire_store)heartbeat->store;
   peer->state = (enum member_state)heartbeat->state;
-  if (fleet->on_update != NULL)
-    {
-      struct fleet_update update
-          = { .address = peer->address,
-              .known = { heartbeat->config_revision, heartbeat->revision },
-              .is_local = heartbeat->domain == fleet->domain };
+  report_update (
+      fleet, peer,
+      &(struct snapshot_state){ .config.revision = heartbeat->config_revision,
+                                .targets.revision = heartbeat->revision });
+}
 
-      fleet->on_update (fleet->closure, &update);
-    }
+/* Reports what PEER knows of the store.  */
+static void
+apply_state (struct fleet *fleet, const struct fleet_peer *peer,
+             const struct wire_store_state *state)
+{
+  report_update (fleet, peer,
+                 &(struct snapshot_state){ .version = state->version,
+                                           .config = state->config,
+                                           .targets = state->targets });
+}
+
+/* Passes on that PEER has KNOWN of the store.  */
+static void
+report_update (struct fleet *fleet, const struct fleet_peer *peer,
+               const struct snapshot_state *known)
+{
+  struct fleet_update update = { .address = peer->address,
+                                 .known = *known,
+                                 .is_local = peer->domain == fleet->domain };
+
+  if (fleet->on_update != NULL)
+    fleet->on_update (fleet->closure, &update);
 }
 
 /* Records the context holders that NOTES name.  A datagram with more than one
--- a/process/fleet_join.c
+++ b/process/fleet_join.c
@@ -1,6 +1,7 @@
 /* Joining the fleet: an instance registers its address in the store and reads
    the addresses of the others and the prompt parts in quarantine, once after
-   its start.  */
+   its start.  When the store was restored from an older copy, it registers
+   again, since its entry may be lost.  */
 #include "ibisloom/fleet.h"
 #include "ibisloom/http.h"
 #include "ibisloom/log.h"
@@ -11,7 +12,11 @@
 enum
 {
   CALL_TIMEOUT_MS = 1500,
-  RETRY_MS = 700
+  RETRY_MS = 700,
+  /* The instances register again one by one, as the store takes only so many
+     writes a second, but all within REJOIN_MIN_MS if they are few.  */
+  REJOIN_MIN_MS = 1000,
+  REJOIN_STEP_MS = 8
 };
 
 static void on_registered (void *closure,
@@ -21,7 +26,7 @@
 static void retry_later (struct fleet *fleet);
 
 /* Makes the next call to the store: registers this instance, or reads the list
-   of instances once it is registered.  */
+   of instances once it is registered, unless it has been read.  */
 void
 fleet_join (struct fleet *fleet)
 {
@@ -31,7 +36,8 @@
       = { .address = fleet->settings->platform,
           .method = fleet->is_registered ? "GET" : "POST",
           .timeout_ms = CALL_TIMEOUT_MS,
-          .epoch_field = fleet->store->epoch_field };
+          .epoch_field = fleet->store->epoch_field,
+          .epoch_min = fleet->epoch };
 
   if (!fleet->is_registered)
     {
@@ -62,12 +68,52 @@
   struct fleet *fleet = closure;
 
   fleet->call = NULL;
-  fleet->is_registered = http_is_success (response->status)
-                         || response->status == HTTP_STATUS_CONFLICT;
-  if (fleet->is_registered)
-    fleet_join (fleet);
-  else
+  fleet->registered_epoch = response->epoch;
+  fleet->is_registered = response->epoch >= fleet->epoch
+                         && (http_is_success (response->status)
+                             || response->status == HTTP_STATUS_CONFLICT);
+  if (!fleet->is_registered)
     retry_later (fleet);
+  else if (!fleet->is_listed)
+    fleet_join (fleet);
+}
+
+/* Called when the store is known to be in EPOCH.  If that is a new one, what
+   this instance wrote before is to be written again.  */
+void
+fleet_set_epoch (struct fleet *fleet, uint64_t epoch)
+{
+  int32_t spread_ms
+      = MAX (REJOIN_MIN_MS, (int32_t)fleet_size (fleet) * REJOIN_STEP_MS);
+  int is_first = fleet->epoch == 0;
+
+  if (epoch <= fleet->epoch)
+    return;
+  fleet->epoch = epoch;
+  if (is_first && fleet->registered_epoch >= epoch)
+    return;
+  fleet->is_registered = fleet->registered_epoch >= epoch;
+  ev_timer_stop (fleet->loop, &fleet->rejoin);
+  ev_timer_set (&fleet->rejoin,
+                g_random_int_range (0, spread_ms) / (double)CLK_MS_PER_S, 0);
+  ev_timer_start (fleet->loop, &fleet->rejoin);
+}
+
+/* Writes the objects of this instance anew.  A call in progress leads to that
+   by itself.  */
+void
+fleet_on_rejoin_due (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct fleet *fleet = timer->data;
+  uint32_t parts = fleet_rewrite_parts (fleet);
+
+  (void)loop;
+  (void)events;
+  if (!fleet->is_registered && fleet->call == NULL
+      && !ev_is_active (&fleet->retry))
+    fleet_join (fleet);
+  log_info ("fleet", NULL, "written_anew", "entry of this instance, %u parts",
+            parts);
 }
 
 /* Handles the response with one page of the list of instances.  */
@@ -92,6 +138,8 @@
       return;
     }
   fleet->is_listed = 1;
+  if (!fleet->is_registered)
+    retry_later (fleet);
   log_info ("fleet", NULL, "listed", "%u instances", fleet_size (fleet));
 }
 
--- a/process/fleet_quarantine.c
+++ b/process/fleet_quarantine.c
@@ -23,7 +23,7 @@
   PROBE_TIMEOUT_MS = 300, /* as for connections to targets */
   /* While a trial is due at another instance, a request may come there.  */
   TRIAL_ELSEWHERE_MS = 1000,
-  WRITES_MAX = 64,
+  WRITES_MAX = QUAR_STATES_MAX,
   WRITE_TIMEOUT_MS = 1500,
   WRITE_RETRY_MS = 700
 };
@@ -380,6 +380,25 @@
   return 1;
 }
 
+/* Has the states of all parts for which this instance ranks first written to
+   the store anew.  Returns how many.  */
+uint32_t
+fleet_rewrite_parts (struct fleet *fleet)
+{
+  clk_ms now = clk_now (clk_monotonic ());
+  struct quar_cursor cursor = { 0 };
+  struct quar_state state;
+  uint32_t count = 0;
+
+  while (quar_next (fleet->quarantine, &cursor, &state))
+    if (is_first_for (fleet, state.part, now))
+      {
+        queue_write (fleet, state.part);
+        count++;
+      }
+  return count;
+}
+
 /* Has the state of PART written to the store.  */
 static void
 queue_write (struct fleet *fleet, uint64_t part)
@@ -403,7 +422,8 @@
   struct quar_state state;
   struct store_request request = { .address = fleet->settings->platform,
                                    .timeout_ms = WRITE_TIMEOUT_MS,
-                                   .epoch_field = fleet->store->epoch_field };
+                                   .epoch_field = fleet->store->epoch_field,
+                                   .epoch_min = fleet->epoch };
   GString *url;
   char *name;
 
@@ -445,10 +465,12 @@
   struct quar_state state;
   int is_quarantined
       = quar_find (fleet->quarantine, part, &state) && state.version % 2 != 0;
-  int is_written = http_is_success (response->status)
-                   || response->status
-                          == (fleet->write_creates ? HTTP_STATUS_CONFLICT
-                                                   : HTTP_STATUS_NOT_FOUND);
+  int is_written
+      = response->epoch >= fleet->epoch
+        && (http_is_success (response->status)
+            || response->status
+                   == (fleet->write_creates ? HTTP_STATUS_CONFLICT
+                                            : HTTP_STATUS_NOT_FOUND));
 
   fleet->write_call = NULL;
   if (is_written && is_quarantined == fleet->write_creates)
--- a/process/libfleet.h
+++ b/process/libfleet.h
@@ -57,14 +57,17 @@
   ev_io io;
   ev_timer heartbeat;
   ev_timer retry;
+  ev_timer rejoin; /* until the fleet's objects are written anew */
   struct store_call *call;
   uint8_t is_registered;
+  uint64_t registered_epoch; /* of the store, when it was registered */
+  uint64_t epoch; /* of the store; what was written in older ones is lost */
   uint8_t is_listed;
   GString *listed_name; /* last one of the list that is being read */
   uint8_t is_leaving;
   GHashTable *peers; /* id to struct fleet_peer */
   uint32_t domain;
-  struct snapshot_revisions known;
+  struct snapshot_state known;
   enum wire_store store_state;
   fleet_update_fn on_update;
   void *closure;
@@ -91,6 +94,7 @@
 
 /* fleet_join.c */
 void fleet_join (struct fleet *fleet);
+void fleet_on_rejoin_due (struct ev_loop *loop, ev_timer *timer, int events);
 void fleet_on_retry (struct ev_loop *loop, ev_timer *timer, int events);
 
 /* fleet_datagram.c */
@@ -115,6 +119,7 @@
                          const struct wire_quarantine *quarantine);
 void fleet_apply_success (struct fleet *fleet,
                           const struct wire_success *success);
+uint32_t fleet_rewrite_parts (struct fleet *fleet);
 int fleet_read_part (struct fleet *fleet, const json_t *content);
 
 /* fleet_rate.c */
--- a/process/metrics.c
+++ b/process/metrics.c
@@ -114,6 +114,7 @@
   [METRIC_PLATFORM_WATCHES]
   = "ibisloom_platform_calls_total{kind=\"watches\"}",
   [METRIC_PLATFORM_ERRORS] = "ibisloom_platform_errors_total",
+  [METRIC_STORE_RESTORED] = "ibisloom_store_restored_total",
   [METRIC_SENT_HEARTBEAT_BYTES]
   = "ibisloom_control_bytes_total{kind=\"heartbeat\"}",
   [METRIC_SENT_ADMISSION_REQUEST_BYTES]
--- a/process/registry.c
+++ b/process/registry.c
@@ -15,7 +15,10 @@
   LOSS_DOMAINS_MAX = 16,
   /* After an outage of the store, entries that expired meanwhile are
      registered again within this time.  */
-  REREGISTER_MS = 2200
+  REREGISTER_MS = 2200,
+  /* Longer than the entry of a silent target stays in the store.  */
+  RESTORED_TRUSTED_MS = 10000,
+  GONE_MAX = 1024
 };
 
 /* Share of the drain time for which a target with a missing entry is kept. */
@@ -41,6 +44,16 @@
 };
 
 static void target_free (struct reg_target *target);
+static struct reg_target *add_target (struct registry *registry,
+                                      const struct reg_entry *entry);
+static int is_older_report (const struct reg_target *target,
+                            const struct reg_entry *entry,
+                            struct position position);
+static void remember_gone (struct registry *registry,
+                           const struct reg_target *target,
+                           struct position position);
+static int was_gone (const struct registry *registry,
+                     const struct reg_entry *entry, struct position position);
 static void drop_target (struct registry *registry, struct reg_target *target);
 static void reset_history (struct reg_target *target);
 static struct service_loss count_losses (const struct registry *registry,
@@ -60,6 +73,7 @@
   registry->targets = g_hash_table_new (g_str_hash, g_str_equal);
   registry->by_hash = g_hash_table_new (NULL, NULL);
   registry->array = g_ptr_array_new ();
+  g_queue_init (&registry->gone);
   return registry;
 }
 
@@ -73,22 +87,42 @@
   g_hash_table_destroy (registry->targets);
   g_hash_table_destroy (registry->by_hash);
   g_ptr_array_free (registry->array, TRUE);
+  g_queue_clear_full (&registry->gone, g_free);
   g_free (registry);
 }
 
-/* Adds or updates the target of ENTRY, which has REVISION (0: unknown).  An
-   entry older than the known one is ignored.  Returns whether the target is
-   new or was restarted, or whether leaving changed.  */
+/* Adds or updates the target of ENTRY, which has POSITION (revision 0:
+   unknown).  An entry older than the known one is ignored.  Returns whether
+   the target is new or was restarted, or whether leaving changed.
+
+   When the store was restored, an entry may have a later position than the
+   known one and yet be an older report of the target.  Then a target that is
+   leaving stays so.  One whose entry had been removed is missing until the
+   entry would have expired if the target did not keep it.  */
 int
 reg_put (struct registry *registry, const struct reg_entry *entry,
-         uint64_t revision, clk_ms now)
+         struct position position, clk_ms now)
 {
   struct reg_target *target
       = g_hash_table_lookup (registry->targets, entry->id);
   int is_new = target == NULL;
+  int is_restored = 0;
+  int is_withheld = 0;
 
-  if (target != NULL && revision != 0 && revision < target->revision)
+  if (target != NULL && position.revision != 0
+      && pos_compare (position, target->position) < 0)
     return 0;
+  if (reg_keeps_leaving (registry, entry, position))
+    {
+      target->position = position;
+      target->unlisted = 0;
+      target->missing_until_ms = 0;
+      return 0;
+    }
+  if (target == NULL)
+    is_withheld = was_gone (registry, entry, position);
+  else if (target->missing_until_ms != 0)
+    is_restored = is_older_report (target, entry, position);
   if (target != NULL
       && (strcmp (target->service, entry->service) != 0
           || memcmp (&target->address, &entry->address, sizeof target->address)
@@ -99,20 +133,7 @@
     }
   if (target == NULL)
     {
-      target = g_new0 (struct reg_target, 1);
-      target->registry = registry;
-      target->id = g_strdup (entry->id);
-      target->hash = rank_hash (entry->id) & UINT32_MAX;
-      target->service = g_intern_string (entry->service);
-      target->failure_domain = g_intern_string (entry->failure_domain);
-      target->address = entry->address;
-      target->references = 1;
-      target->serial = ++registry->last_serial;
-      target->incarnation = entry->incarnation;
-      g_hash_table_insert (registry->targets, target->id, target);
-      g_hash_table_insert (registry->by_hash, GSIZE_TO_POINTER (target->hash),
-                           target);
-      g_ptr_array_add (registry->array, target);
+      target = add_target (registry, entry);
       is_new = 1;
     }
   if (entry->incarnation != target->incarnation)
@@ -125,21 +146,107 @@
   target->slots = entry->slots;
   target->leaving = entry->leaving != 0;
   target->warm_at_ms = now + entry->warming_ms;
-  target->revision = revision;
+  target->reports = entry->reports;
+  target->position = position;
   target->unlisted = 0;
-  target->missing_until_ms = 0;
+  target->is_restored = is_restored || is_withheld;
+  target->is_withheld = is_withheld != 0;
+  target->missing_until_ms
+      = target->is_restored ? now + RESTORED_TRUSTED_MS : 0;
   return is_new;
 }
 
-/* Drops the target ID, whose entry was removed at REVISION.  Returns 0 if it
+/* Adds the target of ENTRY, which is not known, and returns it.  */
+static struct reg_target *
+add_target (struct registry *registry, const struct reg_entry *entry)
+{
+  struct reg_target *target = g_new0 (struct reg_target, 1);
+
+  target->registry = registry;
+  target->id = g_strdup (entry->id);
+  target->hash = rank_hash (entry->id) & UINT32_MAX;
+  target->service = g_intern_string (entry->service);
+  target->failure_domain = g_intern_string (entry->failure_domain);
+  target->address = entry->address;
+  target->references = 1;
+  target->serial = ++registry->last_serial;
+  target->incarnation = entry->incarnation;
+  g_hash_table_insert (registry->targets, target->id, target);
+  g_hash_table_insert (registry->by_hash, GSIZE_TO_POINTER (target->hash),
+                       target);
+  g_ptr_array_add (registry->array, target);
+  return target;
+}
+
+/* Returns whether ENTRY, at POSITION, is no newer report than that by which
+   its target is known to be leaving.  */
+int
+reg_keeps_leaving (struct registry *registry, const struct reg_entry *entry,
+                   struct position position)
+{
+  const struct reg_target *target
+      = g_hash_table_lookup (registry->targets, entry->id);
+
+  return target != NULL && target->leaving
+         && is_older_report (target, entry, position);
+}
+
+/* Returns whether ENTRY, at POSITION, is of a newer epoch than the known entry
+   of TARGET, but no newer report of the same process.  */
+static int
+is_older_report (const struct reg_target *target,
+                 const struct reg_entry *entry, struct position position)
+{
+  return position.epoch > target->position.epoch
+         && entry->incarnation == target->incarnation
+         && entry->reports <= target->reports;
+}
+
+/* Records that the entry of TARGET was removed at POSITION.  */
+static void
+remember_gone (struct registry *registry, const struct reg_target *target,
+               struct position position)
+{
+  struct reg_gone *gone = g_new0 (struct reg_gone, 1);
+
+  g_strlcpy (gone->id, target->id, sizeof gone->id);
+  gone->incarnation = target->incarnation;
+  gone->reports = target->reports;
+  gone->epoch = position.epoch;
+  g_queue_push_tail (&registry->gone, gone);
+  if (registry->gone.length > GONE_MAX)
+    g_free (g_queue_pop_head (&registry->gone));
+}
+
+/* Returns whether ENTRY, at POSITION, is of a newer epoch than the removal of
+   its target's last entry, but no newer report of the same process.  */
+static int
+was_gone (const struct registry *registry, const struct reg_entry *entry,
+          struct position position)
+{
+  for (const GList *at = registry->gone.tail; at != NULL; at = at->prev)
+    {
+      const struct reg_gone *gone = at->data;
+
+      if (strcmp (gone->id, entry->id) == 0)
+        return position.epoch > gone->epoch
+               && entry->incarnation == gone->incarnation
+               && entry->reports <= gone->reports;
+    }
+  return 0;
+}
+
+/* Drops the target ID, whose entry was removed at POSITION.  Returns 0 if it
    is unknown or its entry is newer.  */
 int
-reg_remove (struct registry *registry, const char *id, uint64_t revision)
+reg_remove (struct registry *registry, const char *id,
+            struct position position)
 {
   struct reg_target *target = g_hash_table_lookup (registry->targets, id);
 
-  if (target == NULL || target->revision > revision)
+  if (target == NULL || pos_compare (target->position, position) > 0)
     return 0;
+  remember_gone (registry, target, position);
   drop_target (registry, target);
   return 1;
 }
@@ -157,23 +264,22 @@
   return MAX (ms, REREGISTER_MS - regained_ago_ms);
 }
 
-/* Marks the target ID as missing since REVISION.  It is used only while the
+/* Marks the target ID as missing since POSITION.  It is used only while the
    store seems to have lost entries (see reg_candidates), and dropped at
    DROP_AT_MS unless its entry is put again.  A leaving target is dropped at
    once.  Returns 0 if ID is unknown or its entry is newer. */
 int
-reg_mark_missing (struct registry *registry, const char *id, uint64_t revision,
-                  clk_ms drop_at_ms)
+reg_mark_missing (struct registry *registry, const char *id,
+                  struct position position, clk_ms drop_at_ms)
 {
   struct reg_target *target = g_hash_table_lookup (registry->targets, id);
 
-  if (target == NULL || target->revision > revision)
+  if (target == NULL || pos_compare (target->position, position) > 0)
     return 0;
   if (target->leaving)
-    {
-      drop_target (registry, target);
-      return 1;
-    }
+    return reg_remove (registry, id, position);
+  target->position = position;
+  target->is_restored = 0;
   target->missing_until_ms = drop_at_ms;
   return 1;
 }
@@ -197,13 +303,17 @@
     {
       struct reg_target *target = g_ptr_array_index (registry->array, i);
 
-      if (target->unlisted && target->missing_until_ms == 0)
-        target->missing_until_ms = drop_at_ms;
+      if (!target->unlisted
+          || (target->missing_until_ms != 0 && !target->is_restored))
+        continue;
+      target->is_restored = 0;
+      target->missing_until_ms = drop_at_ms;
     }
 }
 
 /* Drops the targets whose entries are still missing and whose grace time has
-   ended at NOW.  Returns how many.  */
+   ended at NOW.  Those that are in the store again are no longer missing.
+   Returns how many were dropped.  */
 uint32_t
 reg_expire (struct registry *registry, clk_ms now)
 {
@@ -215,6 +325,14 @@
 
       if (target->missing_until_ms == 0 || now < target->missing_until_ms)
         continue;
+      target->missing_until_ms = 0;
+      if (target->is_restored)
+        {
+          target->is_restored = 0;
+          target->is_withheld = 0;
+          continue;
+        }
+      remember_gone (registry, target, target->position);
       drop_target (registry, target);
       dropped++;
     }
@@ -295,8 +413,8 @@
   return load - 1 > target->load_limit;
 }
 
-/* Counts the targets of SERVICE that are not leaving, and those of them whose
-   entries are missing.  */
+/* Counts the targets of SERVICE that are neither leaving nor withheld, and
+   those of them whose entries are missing.  */
 static struct service_loss
 count_losses (const struct registry *registry, const char *service)
 {
@@ -307,7 +425,7 @@
       const struct reg_target *target = g_ptr_array_index (registry->array, i);
       struct domain_loss *domain_loss;
 
-      if (target->service != service || target->leaving)
+      if (target->service != service || target->leaving || target->is_withheld)
         continue;
       domain_loss = domain_loss_get (&service_loss, target->failure_domain);
       domain_loss->known++;
@@ -366,7 +484,7 @@
       struct reg_target *target = g_ptr_array_index (registry->array, i);
       struct bal_candidate *candidate = &candidates[count];
 
-      if (target->service != service || target->leaving
+      if (target->service != service || target->leaving || target->is_withheld
           || (target->missing_until_ms != 0
               && (!include_missing
                   || !is_store_loss (domain_loss_get (
--- a/process/router_metrics.c
+++ b/process/router_metrics.c
@@ -28,11 +28,11 @@
              router->table ? (int64_t)router->table->version : 0);
   add_gauge (out, "ibisloom_version_in_force_age_ms",
              router->table ? now - router->table_ms : -1);
-  add_gauge (out, "ibisloom_store_epoch", (int64_t)router->targets.epoch);
+  add_gauge (out, "ibisloom_store_epoch", (int64_t)router->epoch);
   add_gauge (out, "ibisloom_store_revision_config",
-             (int64_t)router->known.config);
+             (int64_t)router->known.config.revision);
   add_gauge (out, "ibisloom_store_revision_targets",
-             (int64_t)router->known.targets);
+             (int64_t)router->known.targets.revision);
   add_gauge (out, "ibisloom_store_lost",
              router->config.down || router->targets.down);
   add_gauge (out, "ibisloom_store_watched", !router->config.list_only);
--- a/process/router_store.c
+++ b/process/router_store.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "ibisloom/log.h"
+#include "ibisloom/metrics.h"
 #include "librouter.h"
 
 enum
@@ -20,10 +21,12 @@
 
 static void config_begin (void *closure);
 static void config_object (void *closure, const struct watch_object *object);
-static void config_end (void *closure, uint64_t revision);
+static void config_end (void *closure, struct position position);
 static void targets_begin (void *closure);
 static void targets_object (void *closure, const struct watch_object *object);
-static void targets_end (void *closure, uint64_t revision);
+static void targets_end (void *closure, struct position position);
+static void put_target (struct router *router, const struct reg_entry *entry,
+                        struct position position);
 static void drop_restarted_holder (struct router *router,
                                    const struct reg_entry *entry);
 static int64_t missing_grace_ms (const struct router *router);
@@ -32,11 +35,14 @@
 static uint64_t query_number (const char *url, const char *key);
 static int64_t stale_for_ms (struct router *router, clk_ms now);
 static int is_watching_store (const struct router *router);
+static void fetch_snapshot (struct router *router,
+                            const struct sockaddr_in *address);
 static void on_fetched (void *closure, const struct store_response *response);
 static void log_version (const struct router *router,
                          const struct rt_table *table);
 static void log_target (const char *reason, const struct reg_entry *entry,
-                        uint64_t revision);
+                        struct position position);
+static void note_epoch (struct router *router, struct position position);
 static void activate_table (struct router *router, struct rt_table *table);
 static void log_report (struct router *router,
                         const struct fleet_update *update);
@@ -75,7 +81,8 @@
 
 /* Handles OBJECT, a configuration: brings it into force if it has the name
    that the dialect expects and a newer version.  If it is deleted or
-   unreadable, the current version stays in force.  */
+   unreadable, the current version stays in force.  An older version is what a
+   restored store may show for a moment.  */
 static void
 config_object (void *closure, const struct watch_object *object)
 {
@@ -85,30 +92,54 @@
   if (object->deleted
       || strcmp (object->name, router->dialect->config_name) != 0)
     return;
+  router->known.config = pos_max (router->known.config, object->position);
   table = router->dialect->config (object->content);
-  if (table != NULL
-      && (router->table == NULL || table->version > router->table->version))
-    {
-      snapshot_put_config (router->snapshot, object);
-      router->known.config = MAX (router->known.config, object->revision);
-    }
   if (table == NULL)
     {
       log_error ("config", NULL, "unreadable",
                  "revision %" PRIu64 "; the previous version stays in force",
-                 object->revision);
+                 object->position.revision);
       return;
     }
+  if (router->table == NULL || table->version > router->table->version)
+    snapshot_put_config (router->snapshot, table->version, object);
   activate_table (router, table);
 }
 
-/* Called when a list of configurations was read completely; there is nothing
-   to do.  */
+/* Called when a list of configurations was read completely, at POSITION.  */
 static void
-config_end (void *closure, uint64_t revision)
+config_end (void *closure, struct position position)
 {
-  (void)closure;
-  (void)revision;
+  struct router *router = closure;
+
+  note_epoch (router, position);
+}
+
+/* Records the store's epoch, that of POSITION.  If the store was restored, the
+   instances' objects in it are written anew.  */
+static void
+note_epoch (struct router *router, struct position position)
+{
+  struct log_line line;
+  uint64_t epoch_before = router->epoch;
+
+  if (position.epoch <= epoch_before)
+    return;
+  router->epoch = position.epoch;
+  fleet_set_epoch (router->fleet, position.epoch);
+  watch_set_epoch (&router->config, position.epoch);
+  watch_set_epoch (&router->targets, position.epoch);
+  if (epoch_before == 0)
+    return;
+  metric_inc (METRIC_STORE_RESTORED);
+  if (!log_begin (&line, LOG_LEVEL_WARN, "store", NULL, "restored"))
+    return;
+  log_number (&line, "epoch_before", (int64_t)epoch_before);
+  log_number (&line, "epoch", (int64_t)position.epoch);
+  log_number (&line, "revision_before",
+              (int64_t)router->known.targets.revision);
+  log_number (&line, "revision", (int64_t)position.revision);
+  log_end (&line);
 }
 
 /* Brings TABLE into force unless the version in force is at least as new.
@@ -124,6 +155,7 @@
   log_version (router, table);
   rt_unref (router->table);
   router->table = table;
+  router->known.version = MAX (router->known.version, table->version);
   router->table_ms = clk_now (clk_monotonic ());
   router->request_listener.limits.head_max_bytes
       = table->limits.head_max_bytes;
@@ -147,19 +179,19 @@
   log_number (&line, "version", (int64_t)table->version);
   log_number (&line, "version_before",
               router->table ? (int64_t)router->table->version : 0);
-  log_number (&line, "epoch", (int64_t)router->config.epoch);
-  log_number (&line, "revision", (int64_t)router->known.config);
+  log_number (&line, "epoch", (int64_t)router->known.config.epoch);
+  log_number (&line, "revision", (int64_t)router->known.config.revision);
   log_number (&line, "routes", table->routes->len);
   log_number (&line, "keys", g_hash_table_size (table->keys));
   log_text (&line, "from", router->config.list_only ? "peer" : "store");
   log_end (&line);
 }
 
-/* Logs a change of the target of ENTRY, at REVISION of the store, as
+/* Logs a change of the target of ENTRY, at POSITION of the store, as
    REASON.  */
 static void
 log_target (const char *reason, const struct reg_entry *entry,
-            uint64_t revision)
+            struct position position)
 {
   struct log_line line;
 
@@ -168,7 +200,8 @@
   log_text (&line, "target", entry->id);
   log_text (&line, "service", entry->service);
   log_text (&line, "target_domain", entry->failure_domain);
-  log_number (&line, "revision", (int64_t)revision);
+  log_number (&line, "epoch", (int64_t)position.epoch);
+  log_number (&line, "revision", (int64_t)position.revision);
   log_end (&line);
 }
 
@@ -193,31 +226,41 @@
     affinity_remove_target (router->affinity, known->hash);
 }
 
-/* Handles OBJECT, a registry entry: adds, updates or removes its target.  */
+/* Handles OBJECT, a registry entry: adds, updates or removes its target. While
+   a list is read, what is known does not include it yet.  */
 static void
 targets_object (void *closure, const struct watch_object *object)
 {
   struct router *router = closure;
   struct reg_entry entry;
-
-  router->known.targets = MAX (router->known.targets, object->revision);
-  if (!snapshot_put_target (router->snapshot, object))
+  int is_readable
+      = !object->deleted
+        && router->dialect->target (object->name, object->content, &entry)
+               == 0;
+
+  if (!router->targets.listing)
+    router->known.targets = pos_max (router->known.targets, object->position);
+  if (is_readable
+      && reg_keeps_leaving (router->registry, &entry, object->position))
+    snapshot_retain_target (router->snapshot, object->name, object->position);
+  else if (!snapshot_put_target (router->snapshot, object))
     return;
   if (object->deleted)
-    {
-      mark_target_missing (router, object);
-      return;
-    }
-  if (router->dialect->target (object->name, object->content, &entry) != 0)
-    {
-      log_warn ("registry", NULL, "unreadable", "%s", object->name);
-      return;
-    }
-  drop_restarted_holder (router, &entry);
-  if (reg_put (router->registry, &entry, object->revision,
-               clk_now (clk_monotonic ())))
-    log_target (entry.leaving ? "target_leaving" : "target", &entry,
-                object->revision);
+    mark_target_missing (router, object);
+  else if (is_readable)
+    put_target (router, &entry, object->position);
+  else
+    log_warn ("registry", NULL, "unreadable", "%s", object->name);
+}
+
+/* Puts the target of ENTRY, at POSITION of the store, into the registry.  */
+static void
+put_target (struct router *router, const struct reg_entry *entry,
+            struct position position)
+{
+  drop_restarted_holder (router, entry);
+  if (reg_put (router->registry, entry, position, clk_now (clk_monotonic ())))
+    log_target (entry->leaving ? "target_leaving" : "target", entry, position);
 }
 
 /* Handles the deletion of the registry entry OBJECT.  The target is kept as
@@ -227,14 +270,14 @@
 static void
 mark_target_missing (struct router *router, const struct watch_object *object)
 {
-  if (reg_mark_missing (router->registry, object->name, object->revision,
+  if (reg_mark_missing (router->registry, object->name, object->position,
                         clk_now (clk_monotonic ())
                             + missing_grace_ms (router)))
     {
       struct reg_entry entry = { 0 };
 
       g_strlcpy (entry.id, object->name, sizeof entry.id);
-      log_target ("target_missing", &entry, object->revision);
+      log_target ("target_missing", &entry, object->position);
     }
 }
 
@@ -251,15 +294,16 @@
                                    : REG_NEVER_MS);
 }
 
-/* Called when a list of targets was read completely, at REVISION: targets that
+/* Called when a list of targets was read completely, at POSITION: targets that
    are not in it become missing.  */
 static void
-targets_end (void *closure, uint64_t revision)
+targets_end (void *closure, struct position position)
 {
   struct router *router = closure;
 
-  router->known.targets = MAX (router->known.targets, revision);
-  snapshot_list_end (router->snapshot, revision);
+  note_epoch (router, position);
+  router->known.targets = pos_max (router->known.targets, position);
+  snapshot_list_end (router->snapshot, position);
   reg_list_end (router->registry,
                 clk_now (clk_monotonic ()) + missing_grace_ms (router));
 }
@@ -271,6 +315,7 @@
 {
   int is_lost = router->config.down || router->targets.down;
   struct elect_view view = { .is_watching = !router->config.list_only };
+  struct snapshot_state state = router->known;
 
   fleet_count_watchers (router->fleet, &view);
   if (!elect_needs_watchers (&view))
@@ -286,24 +331,25 @@
       watch_enable (&router->config, wanted);
       watch_enable (&router->targets, wanted);
     }
-  fleet_set_revisions (router->fleet, &router->known,
-                       is_lost                    ? WIRE_STORE_LOST
-                       : router->config.list_only ? WIRE_STORE_UNWATCHED
-                                                  : WIRE_STORE_WATCHED);
+  state.version = router->table != NULL ? router->table->version : 0;
+  fleet_set_state (router->fleet, &state,
+                   is_lost                    ? WIRE_STORE_LOST
+                   : router->config.list_only ? WIRE_STORE_UNWATCHED
+                                              : WIRE_STORE_WATCHED);
 }
 
-/* Returns for how many milliseconds other instances have reported newer
-   revisions while those of ROUTER have not changed.  Called when an instance
-   reports a newer revision.  */
+/* Returns for how many milliseconds other instances have reported newer states
+   while that of ROUTER has not changed.  Called when an instance reports a
+   newer one.  */
 static int64_t
 stale_for_ms (struct router *router, clk_ms now)
 {
   if (router->stale_since_ms == 0
-      || memcmp (&router->stale_revisions, &router->known,
-                 sizeof router->stale_revisions)
+      || memcmp (&router->stale_state, &router->known,
+                 sizeof router->stale_state)
              != 0)
     {
-      router->stale_revisions = router->known;
+      router->stale_state = router->known;
       router->stale_since_ms = now;
     }
   return now - router->stale_since_ms;
@@ -319,50 +365,47 @@
          && router->registry->listed;
 }
 
-/* Logs the store revisions in UPDATE, of an instance of the same failure
-   domain, unless they are those of the last report.  */
+/* Logs what an instance of the same failure domain knows of the store, as in
+   UPDATE, unless it is as in the last such line.  */
 static void
 log_report (struct router *router, const struct fleet_update *update)
 {
+  const struct snapshot_state *told = &update->known;
   struct log_line line;
 
-  if (!update->is_local
-      || memcmp (&router->reported, &update->known, sizeof update->known) == 0)
+  if (!update->is_local || told->targets.epoch < router->epoch
+      || memcmp (&router->reported, told, sizeof *told) == 0)
     return;
-  router->reported = update->known;
+  router->reported = *told;
   if (!log_begin (&line, LOG_LEVEL_INFO, "fleet", NULL, "reported"))
     return;
-  log_number (&line, "config", (int64_t)update->known.config);
-  log_number (&line, "targets", (int64_t)update->known.targets);
-  log_number (&line, "known_config", (int64_t)router->known.config);
-  log_number (&line, "known_targets", (int64_t)router->known.targets);
+  log_number (&line, "version", (int64_t)told->version);
+  log_number (&line, "epoch", (int64_t)told->targets.epoch);
+  log_number (&line, "targets", (int64_t)told->targets.revision);
+  log_number (&line, "known_epoch", (int64_t)router->known.targets.epoch);
+  log_number (&line, "known_targets", (int64_t)router->known.targets.revision);
   log_end (&line);
 }
 
-/* Called when another instance reports its store revisions.  If they are newer
-   and this instance does not watch the store itself, it fetches the snapshot
-   of the other instance.  While an instance of its own failure domain watches
-   the store, it fetches only within that domain.
+/* Called when another instance reports what it knows of the store.  If that is
+   newer and this instance does not watch the store itself, it fetches the
+   snapshot of the other instance.  While an instance of its own failure domain
+   watches the store, it fetches only within that domain.
 
-   The connection of a watcher to the store may fail without an error.  A
-   revision that other instances have reported for STALE_MS is therefore
-   fetched from any of them, and if this instance watches the store itself, its
-   watch is assumed to have failed and is restarted.  */
+   The connection of a watcher to the store may fail without an error.  What
+   other instances have reported for STALE_MS is therefore fetched from any of
+   them, and if this instance watches the store itself, its watch is assumed to
+   have failed and is restarted.  */
 void
 router_on_fleet_update (void *closure, const struct fleet_update *update)
 {
   struct router *router = closure;
   clk_ms now = clk_now (clk_monotonic ());
   int watches_store = is_watching_store (router);
-  struct store_request request = { .address = update->address,
-                                   .method = "GET",
-                                   .timeout_ms = FETCH_TIMEOUT_MS };
-  char *path;
 
   log_report (router, update);
   if (router->snapshot_fetch != NULL
-      || (update->known.config <= router->known.config
-          && update->known.targets <= router->known.targets)
+      || !snapshot_is_newer (&update->known, &router->known)
       || (router->fetch_started_ms != 0
           && now - router->fetch_started_ms < FETCH_PAUSE_MS))
     return;
@@ -376,11 +419,26 @@
       watch_restart (&router->targets);
     }
   router->fetch_started_ms = now;
-  path
-      = g_strdup_printf ("%s?config=%" PRIu64 "&targets=%" PRIu64,
-                         SNAPSHOT_PATH, router->known.config,
-                         router->registry->listed ? router->known.targets : 0);
-  request.url = path;
+  fetch_snapshot (router, &update->address);
+}
+
+/* Starts to fetch what is new in the snapshot of the instance at ADDRESS.  */
+static void
+fetch_snapshot (struct router *router, const struct sockaddr_in *address)
+{
+  const struct snapshot_state *known = &router->known;
+  struct position targets
+      = router->registry->listed ? known->targets : (struct position){ 0 };
+  char *path = g_strdup_printf (
+      "%s?config=%" PRIu64 "&targets=%" PRIu64 "&version=%" PRIu64
+      "&config_epoch=%" PRIu64 "&targets_epoch=%" PRIu64,
+      SNAPSHOT_PATH, known->config.revision, targets.revision, known->version,
+      known->config.epoch, targets.epoch);
+  struct store_request request = { .address = *address,
+                                   .method = "GET",
+                                   .url = path,
+                                   .timeout_ms = FETCH_TIMEOUT_MS };
+
   router->snapshot_fetch = store_call_start (router->loop, &router->pool,
                                              &request, on_fetched, router);
   g_free (path);
@@ -396,7 +454,7 @@
       = { config_begin, config_object, config_end, router };
   struct watch_sink targets
       = { targets_begin, targets_object, targets_end, router };
-  struct snapshot_revisions now;
+  struct snapshot_state now;
   size_t size = 0;
   char *unpacked
       = response->status == HTTP_STATUS_OK
@@ -406,17 +464,20 @@
 
   router->snapshot_fetch = NULL;
   if (unpacked != NULL)
-    result = snapshot_parse (unpacked, size, &now, &config, &targets);
+    result = snapshot_parse (unpacked, size, &now, &router->known, &config,
+                             &targets);
   g_free (unpacked);
   if (result != 0)
     return;
-  router->known.config = MAX (router->known.config, now.config);
-  router->known.targets = MAX (router->known.targets, now.targets);
+  note_epoch (router, now.targets);
+  router->known.version = MAX (router->known.version, now.version);
+  router->known.config = pos_max (router->known.config, now.config);
+  router->known.targets = pos_max (router->known.targets, now.targets);
   watch_advance (&router->config, now.config);
   watch_advance (&router->targets, now.targets);
   log_debug ("fleet", NULL, "snapshot",
-             "configuration %" PRIu64 ", registry %" PRIu64 " from a peer",
-             now.config, now.targets);
+             "version %" PRIu64 ", registry %" PRIu64 " from a peer",
+             now.version, now.targets.revision);
 }
 
 /* Returns the number that follows KEY, such as "config=", in the query of URL,
@@ -450,11 +511,16 @@
     client_respond (client, HTTP_STATUS_SERVICE_UNAVAILABLE, "", NULL, 0);
   else
     {
-      struct snapshot_revisions since
-          = { query_number (url, "config="), query_number (url, "targets=") };
-
-      data = snapshot_compress (router->snapshot, &since, &router->known,
-                                &length);
+      struct snapshot_state since
+          = { .version = query_number (url, "version="),
+              .config = { query_number (url, "config_epoch="),
+                          query_number (url, "config=") },
+              .targets = { query_number (url, "targets_epoch="),
+                           query_number (url, "targets=") } };
+      struct snapshot_state now = router->known;
+
+      now.version = router->table != NULL ? router->table->version : 0;
+      data = snapshot_compress (router->snapshot, &since, &now, &length);
       client_respond (client, HTTP_STATUS_OK, "", data, length);
     }
   http_head_free (head);
--- a/process/wire_body.c
+++ b/process/wire_body.c
@@ -55,6 +55,11 @@
                          const struct wire_message *message);
 static void decode_sent (struct wire_reader *reader,
                          struct wire_message *message);
+static void encode_state (msgpack_packer *packer,
+                          const struct wire_message *message);
+static void decode_state (struct wire_reader *reader,
+                          struct wire_message *message);
+static struct position next_position (struct wire_reader *list);
 static struct wire_reader next_array (struct wire_reader *reader,
                                       uint32_t max);
 static const struct
@@ -76,6 +81,7 @@
   [WIRE_SUCCESS] = { encode_success, decode_success },
   [WIRE_RATES] = { encode_rates, decode_rates },
   [WIRE_SENT] = { encode_sent, decode_sent },
+  [WIRE_STATE] = { encode_state, decode_state },
 };
 
 /* Encodes the body of MESSAGE, according to its kind.  */
@@ -506,3 +512,37 @@
   message->u.sent.target = wire_next_uint (&list, UINT64_MAX);
   reader->failed |= list.failed;
 }
+
+static void
+encode_state (msgpack_packer *packer, const struct wire_message *message)
+{
+  const struct wire_store_state *state = &message->u.state;
+
+  msgpack_pack_array (packer, 5);
+  msgpack_pack_uint64 (packer, state->version);
+  msgpack_pack_uint64 (packer, state->config.epoch);
+  msgpack_pack_uint64 (packer, state->config.revision);
+  msgpack_pack_uint64 (packer, state->targets.epoch);
+  msgpack_pack_uint64 (packer, state->targets.revision);
+}
+
+static void
+decode_state (struct wire_reader *reader, struct wire_message *message)
+{
+  struct wire_store_state *state = &message->u.state;
+  struct wire_reader list = next_array (reader, 5);
+
+  state->version = wire_next_uint (&list, UINT64_MAX);
+  state->config = next_position (&list);
+  state->targets = next_position (&list);
+  reader->failed |= list.failed;
+}
+
+/* Returns the position in the next two items of LIST.  */
+static struct position
+next_position (struct wire_reader *list)
+{
+  uint64_t epoch = wire_next_uint (list, UINT32_MAX);
+
+  return (struct position){ epoch, wire_next_uint (list, UINT64_MAX) };
+}
--- a/request/relay_log.c
+++ b/request/relay_log.c
@@ -67,7 +67,8 @@
       log_parts (&line, relay);
     }
   log_number (&line, "version", (int64_t)relay->table->version);
-  log_number (&line, "registry", (int64_t)relay->router->known.targets);
+  log_number (&line, "registry",
+              (int64_t)relay->router->known.targets.revision);
   log_end (&line);
 }
 
--- a/tests/fuzz_parsers.c
+++ b/tests/fuzz_parsers.c
@@ -169,6 +169,7 @@
   struct dialect_prompt prompt;
   int32_t numbers[3];
   int64_t tokens;
+  uint64_t epoch;
   int is_valid;
 
   (void)length;
@@ -179,6 +180,7 @@
       |= plat_dialect.load (input, &numbers[0], &numbers[1], &numbers[2]) == 0;
   is_valid |= plat_dialect.tokens_out (input, &tokens) == 0;
   (void)plat_dialect.key (input);
+  is_valid |= pos_parse_epoch (input, &epoch) == 0;
   return is_valid;
 }
 
@@ -204,10 +206,10 @@
 }
 
 static void
-ignore_end (void *closure, uint64_t revision)
+ignore_end (void *closure, struct position position)
 {
   (void)closure;
-  (void)revision;
+  (void)position;
 }
 
 /* Parses snapshots of instances, plain and compressed.  */
@@ -216,10 +218,11 @@
 {
   int objects = 0;
   struct watch_sink sink = { ignore_begin, on_object, ignore_end, &objects };
-  struct snapshot_revisions revisions;
+  struct snapshot_state known;
+  struct snapshot_state current = { 0 };
   size_t size;
 
-  (void)snapshot_parse (input, length, &revisions, &sink, &sink);
+  (void)snapshot_parse (input, length, &known, &current, &sink, &sink);
   g_free (snapshot_decompress (input, length, &size));
   return objects > 0;
 }
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -424,6 +424,13 @@
   affinity_free (contexts);
 }
 
+/* Returns the position of REVISION in a store that tells no epoch.  */
+static struct position
+at (uint64_t revision)
+{
+  return (struct position){ .revision = revision };
+}
+
 /* Registers the target ID of the service "pool" in the failure domain
    DOMAIN.  */
 static int
@@ -436,7 +443,7 @@
   g_strlcpy (entry.failure_domain, domain, sizeof entry.failure_domain);
   entry.incarnation = incarnation;
   entry.address.sin_port = htons (80);
-  return reg_put (registry, &entry, revision, 0);
+  return reg_put (registry, &entry, at (revision), 0);
 }
 
 /* Registers the target ID of the service "pool" in the failure domain "a".  */
@@ -491,7 +498,7 @@
   target = reg_find (registry, "i-1");
   target->others_in_flight = 5;
   serial = target->serial;
-  CU_ASSERT (reg_remove (registry, "i-1", 2));
+  CU_ASSERT (reg_remove (registry, "i-1", at (2)));
   put (registry, "i-1", 3, 0);
   target = reg_find (registry, "i-1");
   CU_ASSERT_NOT_EQUAL (target->serial, serial);
@@ -522,9 +529,9 @@
 
   put (registry, "i-1", 5, 0);
   CU_ASSERT (!put (registry, "i-1", 4, 7));
-  CU_ASSERT (!reg_remove (registry, "i-1", 4));
+  CU_ASSERT (!reg_remove (registry, "i-1", at (4)));
   CU_ASSERT_PTR_NOT_NULL (reg_find (registry, "i-1"));
-  CU_ASSERT (reg_remove (registry, "i-1", 6));
+  CU_ASSERT (reg_remove (registry, "i-1", at (6)));
   reg_free (registry);
 }
 
@@ -537,11 +544,11 @@
   put (registry, "i-2", 2, 0);
   put (registry, "i-3", 3, 0);
   put (registry, "i-4", 4, 0);
-  CU_ASSERT (reg_mark_missing (registry, "i-4", 5, 1500));
+  CU_ASSERT (reg_mark_missing (registry, "i-4", at (5), 1500));
   CU_ASSERT_EQUAL (count_usable (registry, 0), 3);
   put (registry, "i-4", 6, 0);
   CU_ASSERT_EQUAL (count_usable (registry, 0), 4);
-  CU_ASSERT (reg_mark_missing (registry, "i-4", 7, 1500));
+  CU_ASSERT (reg_mark_missing (registry, "i-4", at (7), 1500));
   CU_ASSERT_EQUAL (reg_expire (registry, 1499), 0);
   CU_ASSERT_EQUAL (reg_expire (registry, 1500), 1);
   CU_ASSERT_PTR_NULL (reg_find (registry, "i-4"));
@@ -585,11 +592,11 @@
   for (int i = 0; i < TARGETS; i += 2)
     {
       g_snprintf (id, sizeof id, "i-%d", i);
-      reg_mark_missing (registry, id, (uint64_t)TARGETS + (uint64_t)i + 1,
+      reg_mark_missing (registry, id, at ((uint64_t)TARGETS + (uint64_t)i + 1),
                         2200);
     }
   CU_ASSERT_EQUAL (count_usable (registry, 0), TARGETS);
-  reg_mark_missing (registry, "i-1", 3 * TARGETS, 2200);
+  reg_mark_missing (registry, "i-1", at (3 * TARGETS), 2200);
   count = reg_candidates (registry, g_intern_string ("pool"),
                           g_intern_string ("b"), 0, candidates, targets,
                           TARGETS);
@@ -631,7 +638,7 @@
   for (int i = 0; i < TARGETS; i++)
     {
       g_snprintf (id, sizeof id, "i-%d", i);
-      reg_mark_missing (registry, id, (uint64_t)TARGETS + (uint64_t)i + 1,
+      reg_mark_missing (registry, id, at ((uint64_t)TARGETS + (uint64_t)i + 1),
                         2200);
     }
   CU_ASSERT_EQUAL (count_usable (registry, 0), TARGETS);
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -144,7 +144,8 @@
         g_snprintf (entry.failure_domain, sizeof entry.failure_domain, "d-%d",
                     t % DOMAINS);
         entry.address.sin_port = htons ((uint16_t)(1 + t));
-        reg_put (simulation->instances[i].registry, &entry, 1, 0);
+        reg_put (simulation->instances[i].registry, &entry,
+                 (struct position){ .revision = 1 }, 0);
       }
   simulation->target_count = last;
 }
--- a/tests/test_snapshot.c
+++ b/tests/test_snapshot.c
@@ -40,7 +40,7 @@
 /* Instance that gets its data from the snapshot of another one. */
 struct replica
 {
-  struct snapshot_revisions known;
+  struct snapshot_state known;
   uint64_t revision[TARGETS]; /* by target, 0: none */
   uint64_t config;
   int full_lists;
@@ -61,26 +61,26 @@
   struct replica *replica = closure;
   int index = atoi (object->name + 1);
 
-  replica->revision[index] = object->deleted ? 0 : object->revision;
+  replica->revision[index] = object->deleted ? 0 : object->position.revision;
 }
 
 static void
 replica_config (void *closure, const struct watch_object *object)
 {
-  ((struct replica *)closure)->config = object->revision;
+  ((struct replica *)closure)->config = object->position.revision;
 }
 
 static void
-replica_end (void *closure, uint64_t revision)
+replica_end (void *closure, struct position position)
 {
   (void)closure;
-  (void)revision;
+  (void)position;
 }
 
 /* Updates REPLICA from SNAPSHOT, which covers the revisions NOW.  */
 static void
 sync_replica (struct replica *replica, struct snapshot *snapshot,
-              const struct snapshot_revisions *now)
+              const struct snapshot_state *now)
 {
   struct watch_sink config
       = { replica_begin, replica_config, replica_end, replica };
@@ -91,11 +91,13 @@
   const char *data
       = snapshot_compress (snapshot, &replica->known, now, &length);
   char *text = snapshot_decompress (data, length, &size);
-  struct snapshot_revisions read;
+  struct snapshot_state read;
 
   CU_ASSERT_PTR_NOT_NULL (text);
-  CU_ASSERT_EQUAL (snapshot_parse (text, size, &read, &config, &targets), 0);
-  CU_ASSERT_EQUAL (read.targets, now->targets);
+  CU_ASSERT_EQUAL (
+      snapshot_parse (text, size, &read, &replica->known, &config, &targets),
+      0);
+  CU_ASSERT_EQUAL (pos_compare (read.targets, now->targets), 0);
   replica->known = read;
   g_free (text);
 }
@@ -108,9 +110,10 @@
 {
   char name[NAME_BYTES];
   json_t *content = json_object ();
-  struct watch_object object = {
-    .name = name, .revision = revision, .deleted = deleted, .content = content
-  };
+  struct watch_object object = { .name = name,
+                                 .position.revision = revision,
+                                 .deleted = deleted,
+                                 .content = content };
 
   g_snprintf (name, sizeof name, "i%d", index);
   snapshot_put_target (snapshot, &object);
@@ -127,19 +130,19 @@
   uint64_t expected[TARGETS] = { 0 };
   struct replica frequent = { 0 };
   struct replica infrequent = { 0 };
-  struct snapshot_revisions now = { 1, 1 };
+  struct snapshot_state now = { .config = { 0, 1 }, .targets = { 0, 1 } };
 
   snapshot_list_begin (snapshot);
-  snapshot_list_end (snapshot, 1);
+  snapshot_list_end (snapshot, (struct position){ 0, 1 });
   for (int round = 0; round < ROUNDS; round++)
     {
       int index = g_rand_int_range (random, 0, TARGETS);
       int deleted
           = expected[index] != 0 && g_rand_int_range (random, 0, 3) == 0;
 
-      now.targets++;
-      expected[index] = deleted ? 0 : now.targets;
-      put_target (snapshot, index, deleted, now.targets);
+      now.targets.revision++;
+      expected[index] = deleted ? 0 : now.targets.revision;
+      put_target (snapshot, index, deleted, now.targets.revision);
       sync_replica (&frequent, snapshot, &now);
       CU_ASSERT_EQUAL (memcmp (frequent.revision, expected, sizeof expected),
                        0);
@@ -163,20 +166,20 @@
 {
   struct snapshot *snapshot = snapshot_new ();
   struct replica replica = { 0 };
-  struct snapshot_revisions now = { 1, 4 };
+  struct snapshot_state now = { .config = { 0, 1 }, .targets = { 0, 4 } };
 
   snapshot_list_begin (snapshot);
   put_target (snapshot, 0, 0, 2);
   put_target (snapshot, 1, 0, 3);
   put_target (snapshot, 2, 0, 4);
-  snapshot_list_end (snapshot, 4);
+  snapshot_list_end (snapshot, (struct position){ 0, 4 });
   sync_replica (&replica, snapshot, &now);
   CU_ASSERT_EQUAL (replica.full_lists, 1);
   snapshot_list_begin (snapshot);
   put_target (snapshot, 0, 0, 2);
   put_target (snapshot, 2, 0, 8);
-  snapshot_list_end (snapshot, 9);
-  now.targets = 9;
+  snapshot_list_end (snapshot, (struct position){ 0, 9 });
+  now.targets.revision = 9;
   sync_replica (&replica, snapshot, &now);
   CU_ASSERT_EQUAL (replica.full_lists, 1);
   CU_ASSERT_EQUAL (replica.revision[0], 2);
@@ -189,8 +192,8 @@
 damaged_data_is_rejected (void)
 {
   struct snapshot *snapshot = snapshot_new ();
-  struct snapshot_revisions since = { 0, 0 };
-  struct snapshot_revisions now = { 1, 1 };
+  struct snapshot_state since = { 0 };
+  struct snapshot_state now = { .config = { 0, 1 }, .targets = { 0, 1 } };
   size_t length;
   size_t size;
   const char *data;
@@ -315,9 +318,10 @@
 outdated_entry_is_ignored (void)
 {
   struct snapshot *snapshot = snapshot_new ();
-  struct watch_object first = { .name = "i-1", .revision = 5 };
-  struct watch_object removal = { .name = "i-1", .revision = 9, .deleted = 1 };
-  struct watch_object second = { .name = "i-1", .revision = 10 };
+  struct watch_object first = { .name = "i-1", .position = { 0, 5 } };
+  struct watch_object removal
+      = { .name = "i-1", .position = { 0, 9 }, .deleted = 1 };
+  struct watch_object second = { .name = "i-1", .position = { 0, 10 } };
 
   CU_ASSERT (snapshot_put_target (snapshot, &first));
   CU_ASSERT (snapshot_put_target (snapshot, &removal));
--- a/version/snapshot.c
+++ b/version/snapshot.c
@@ -22,17 +22,17 @@
 /* Object with its content as JSON text. */
 struct snapshot_object
 {
-  uint64_t revision;
+  struct position position;
   char *name;
   char *content;
   int unlisted; /* not yet found in the list that is being read */
 };
 
-/* Last result of snapshot_compress, and the revisions that it was made for. */
+/* Last result of snapshot_compress, and the states that it was made for. */
 struct snapshot_cache
 {
-  struct snapshot_revisions since;
-  struct snapshot_revisions known;
+  struct snapshot_state since;
+  struct snapshot_state known;
   char *data;
   size_t length;
 };
@@ -40,9 +40,11 @@
 struct snapshot
 {
   struct snapshot_object *config; /* NULL: not known yet */
+  uint64_t version;               /* of config */
   GHashTable *targets;            /* name to struct snapshot_object */
   GQueue deleted;                 /* of struct snapshot_object, oldest first */
-  uint64_t deleted_after; /* deletions up to here may not be in deleted */
+  /* Deletions up to here may not be in deleted.  */
+  struct position deleted_after;
   struct snapshot_cache cache;
 };
 
@@ -53,11 +55,27 @@
 static struct snapshot_object *object_new (const struct watch_object *object);
 static void object_free (gpointer data);
 static void append_object (GString *out, const struct snapshot_object *object);
+static int lacks_config (const struct snapshot *snapshot,
+                         const struct snapshot_state *since);
+static uint64_t get_number (const json_t *object, const char *key);
 static void deliver (const json_t *object, int deleted,
                      const struct watch_sink *sink);
 static void deliver_all (const json_t *list, int deleted,
                          const struct watch_sink *sink);
 
+/* Returns whether an instance that told the state TOLD has anything newer than
+   KNOWN.  Versions of the configuration only rise, also when the store is
+   restored; their positions count only if no version is told.  */
+int
+snapshot_is_newer (const struct snapshot_state *told,
+                   const struct snapshot_state *known)
+{
+  if (pos_compare (told->targets, known->targets) > 0)
+    return 1;
+  return told->version != 0 ? told->version > known->version
+                            : pos_compare (told->config, known->config) > 0;
+}
+
 /* Returns an empty snapshot.  */
 struct snapshot *
 snapshot_new (void)
@@ -81,17 +99,18 @@
   g_free (snapshot);
 }
 
-/* Replaces the configuration by OBJECT.  */
+/* Replaces the configuration by OBJECT, which has VERSION.  */
 void
-snapshot_put_config (struct snapshot *snapshot,
+snapshot_put_config (struct snapshot *snapshot, uint64_t version,
                      const struct watch_object *object)
 {
   object_free (snapshot->config);
+  snapshot->version = version;
   snapshot->config = object_new (object);
 }
 
 /* Stores OBJECT, a target's entry or the deletion of one.  Returns 1, or 0 if
-   a newer revision of it is known and OBJECT is ignored.  This happens with
+   a newer position of it is known and OBJECT is ignored.  This happens with
    the snapshot of an instance that was disconnected from the store: it may
    still contain entries that have since been deleted.  */
 int
@@ -102,7 +121,7 @@
       = g_hash_table_lookup (snapshot->targets, object->name);
   struct snapshot_object *copy;
 
-  if (known != NULL ? known->revision > object->revision
+  if (known != NULL ? pos_compare (known->position, object->position) > 0
                     : is_superseded (snapshot, object))
     return 0;
   g_hash_table_remove (snapshot->targets, object->name);
@@ -116,7 +135,22 @@
   return 1;
 }
 
-/* Returns whether OBJECT is an entry that was deleted at its revision or a
+/* Records that the store has the entry NAME of a target at POSITION, and keeps
+   the known content.  */
+void
+snapshot_retain_target (struct snapshot *snapshot, const char *name,
+                        struct position position)
+{
+  struct snapshot_object *known
+      = g_hash_table_lookup (snapshot->targets, name);
+
+  if (known == NULL)
+    return;
+  known->position = pos_max (known->position, position);
+  known->unlisted = 0;
+}
+
+/* Returns whether OBJECT is an entry that was deleted at its position or a
    later one.  */
 static int
 is_superseded (const struct snapshot *snapshot,
@@ -126,7 +160,7 @@
     {
       const struct snapshot_object *deleted = at->data;
 
-      if (deleted->revision >= object->revision
+      if (pos_compare (deleted->position, object->position) >= 0
           && strcmp (deleted->name, object->name) == 0)
         return !object->deleted;
     }
@@ -146,17 +180,17 @@
     ((struct snapshot_object *)value)->unlisted = 1;
 }
 
-/* Called when a list of targets was read completely, at REVISION: records the
+/* Called when a list of targets was read completely, at POSITION: records the
    deletion of the targets that were not in it.  Deletions before the first
    list are not known.  */
 void
-snapshot_list_end (struct snapshot *snapshot, uint64_t revision)
+snapshot_list_end (struct snapshot *snapshot, struct position position)
 {
   GHashTableIter iter;
   gpointer value;
 
-  if (snapshot->deleted_after == 0)
-    snapshot->deleted_after = revision;
+  if (snapshot->deleted_after.revision == 0)
+    snapshot->deleted_after = position;
   g_hash_table_iter_init (&iter, snapshot->targets);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -165,7 +199,7 @@
       if (!object->unlisted)
         continue;
       g_hash_table_iter_steal (&iter);
-      object->revision = revision;
+      object->position = position;
       record_deletion (snapshot, object);
     }
 }
@@ -181,31 +215,47 @@
       struct snapshot_object *oldest = g_queue_pop_head (&snapshot->deleted);
 
       snapshot->deleted_after
-          = MAX (snapshot->deleted_after, oldest->revision);
+          = pos_max (snapshot->deleted_after, oldest->position);
       object_free (oldest);
     }
 }
 
+/* Returns whether the receiver whose state is SINCE lacks the configuration.
+ */
+static int
+lacks_config (const struct snapshot *snapshot,
+              const struct snapshot_state *since)
+{
+  if (snapshot->config == NULL)
+    return 0;
+  return since->version != 0
+             ? snapshot->version > since->version
+             : pos_compare (snapshot->config->position, since->config) > 0;
+}
+
 /* Returns what changed in SNAPSHOT after SINCE as newly allocated JSON.  The
-   result holds all objects if not all deletions after SINCE are known.  It
-   states the revisions KNOWN as those that it covers.  */
+   result holds all objects if not all deletions after SINCE are known, or if
+   the store was restored since.  It states KNOWN as what it covers.  */
 char *
 snapshot_to_json (const struct snapshot *snapshot,
-                  const struct snapshot_revisions *since,
-                  const struct snapshot_revisions *known)
+                  const struct snapshot_state *since,
+                  const struct snapshot_state *known)
 {
   GString *out = g_string_new (NULL);
-  int is_full = since->targets < snapshot->deleted_after;
+  int is_full = pos_compare (since->targets, snapshot->deleted_after) < 0
+                || since->targets.epoch != known->targets.epoch;
   GHashTableIter iter;
   gpointer value;
   int count = 0;
 
-  g_string_append_printf (out,
-                          "{\"whole\":%s,\"config_revision\":%" PRIu64
-                          ",\"targets_revision\":%" PRIu64 ",\"config\":",
-                          is_full ? "true" : "false", known->config,
-                          known->targets);
-  if (snapshot->config != NULL && snapshot->config->revision > since->config)
+  g_string_append_printf (
+      out,
+      "{\"whole\":%s,\"version\":%" PRIu64 ",\"config_epoch\":%" PRIu64
+      ",\"config_revision\":%" PRIu64 ",\"targets_epoch\":%" PRIu64
+      ",\"targets_revision\":%" PRIu64 ",\"config\":",
+      is_full ? "true" : "false", known->version, known->config.epoch,
+      known->config.revision, known->targets.epoch, known->targets.revision);
+  if (lacks_config (snapshot, since))
     append_object (out, snapshot->config);
   else
     g_string_append (out, "null");
@@ -215,7 +265,7 @@
     {
       const struct snapshot_object *object = value;
 
-      if (!is_full && object->revision <= since->targets)
+      if (!is_full && pos_compare (object->position, since->targets) <= 0)
         continue;
       if (count++ > 0)
         g_string_append_c (out, ',');
@@ -228,7 +278,7 @@
     {
       const struct snapshot_object *object = at->data;
 
-      if (object->revision <= since->targets)
+      if (pos_compare (object->position, since->targets) <= 0)
         continue;
       if (count++ > 0)
         g_string_append_c (out, ',');
@@ -240,12 +290,12 @@
 
 /* Returns the result of snapshot_to_json, compressed, and sets LENGTH.  The
    buffer belongs to SNAPSHOT and is valid until the next call.  Consecutive
-   calls for the same revisions share one result, as many instances fetch the
+   calls for the same states share one result, as many instances fetch the
    same change.  */
 const char *
 snapshot_compress (struct snapshot *snapshot,
-                   const struct snapshot_revisions *since,
-                   const struct snapshot_revisions *known, size_t *length)
+                   const struct snapshot_state *since,
+                   const struct snapshot_state *known, size_t *length)
 {
   struct snapshot_cache *cache = &snapshot->cache;
   uLongf size;
@@ -305,29 +355,37 @@
 }
 
 /* Parses the LENGTH bytes of JSON in TEXT and passes the configuration to
-   CONFIG and the entries of targets to TARGETS.  Returns 0 with KNOWN set to
-   the revisions covered, or -1 if TEXT is malformed.  */
+   CONFIG and the entries of targets to TARGETS, unless these are older than
+   CURRENT.  Returns 0 with KNOWN set to what is covered, or -1 if TEXT is
+   malformed.  */
 int
-snapshot_parse (const char *text, size_t length,
-                struct snapshot_revisions *known,
+snapshot_parse (const char *text, size_t length, struct snapshot_state *known,
+                const struct snapshot_state *current,
                 const struct watch_sink *config,
                 const struct watch_sink *targets)
 {
   json_t *root = json_loadb (text, length, 0, NULL);
   const json_t *items = json_object_get (root, "targets");
-  const json_t *config_number = json_object_get (root, "config_revision");
-  const json_t *targets_number = json_object_get (root, "targets_revision");
   int is_full = json_is_true (json_object_get (root, "whole"));
 
-  if (!json_is_integer (config_number) || !json_is_integer (targets_number)
+  if (!json_is_integer (json_object_get (root, "config_revision"))
+      || !json_is_integer (json_object_get (root, "targets_revision"))
       || !json_is_array (items))
     {
       json_decref (root);
       return -1;
     }
-  known->config = (uint64_t)json_integer_value (config_number);
-  known->targets = (uint64_t)json_integer_value (targets_number);
+  known->version = get_number (root, "version");
+  known->config = (struct position){ get_number (root, "config_epoch"),
+                                     get_number (root, "config_revision") };
+  known->targets = (struct position){ get_number (root, "targets_epoch"),
+                                      get_number (root, "targets_revision") };
   deliver (json_object_get (root, "config"), 0, config);
+  if (pos_compare (known->targets, current->targets) < 0)
+    {
+      json_decref (root);
+      return 0;
+    }
   if (is_full)
     targets->begin (targets->closure);
   /* Deletions come first: a target that was registered again is in both
@@ -340,6 +398,16 @@
   return 0;
 }
 
+/* Returns the number KEY of OBJECT, or 0, the value in the snapshots of older
+   builds that do not have it.  */
+static uint64_t
+get_number (const json_t *object, const char *key)
+{
+  json_int_t number = json_integer_value (json_object_get (object, key));
+
+  return number > 0 ? (uint64_t)number : 0;
+}
+
 /* Passes all objects of LIST to SINK.  */
 static void
 deliver_all (const json_t *list, int deleted, const struct watch_sink *sink)
@@ -354,8 +422,8 @@
 {
   struct watch_object parsed
       = { .name = json_string_value (json_object_get (object, "name")),
-          .revision = (uint64_t)json_integer_value (
-              json_object_get (object, "revision")),
+          .position
+          = { get_number (object, "epoch"), get_number (object, "revision") },
           .deleted = deleted,
           .content = json_object_get (object, "content") };
 
@@ -372,7 +440,7 @@
                                              JSON_COMPACT | JSON_ENCODE_ANY)
                                : NULL;
 
-  copy->revision = object->revision;
+  copy->position = object->position;
   copy->name = g_strdup (object->name);
   copy->content = g_strdup (text != NULL ? text : "null");
   free (text);
@@ -400,9 +468,11 @@
   json_t *name = json_string (object->name);
   char *quoted = name ? json_dumps (name, JSON_ENCODE_ANY) : NULL;
 
-  g_string_append_printf (
-      out, "{\"name\":%s,\"revision\":%" PRIu64 ",\"content\":%s}",
-      quoted ? quoted : "\"\"", object->revision, object->content);
+  g_string_append_printf (out,
+                          "{\"name\":%s,\"epoch\":%" PRIu64
+                          ",\"revision\":%" PRIu64 ",\"content\":%s}",
+                          quoted ? quoted : "\"\"", object->position.epoch,
+                          object->position.revision, object->content);
   free (quoted);
   json_decref (name);
 }
--- a/version/storecall.c
+++ b/version/storecall.c
@@ -19,6 +19,7 @@
   ev_timer timer;
   char *body;
   const char *epoch_field;
+  uint64_t epoch_min;
   GString *text;
   uint32_t status;
   uint64_t epoch;
@@ -65,6 +66,7 @@
   call->loop = loop;
   call->body = request->body;
   call->epoch_field = request->epoch_field;
+  call->epoch_min = request->epoch_min;
   call->text = g_string_new (NULL);
   call->done = done;
   call->closure = closure;
@@ -93,8 +95,9 @@
   g_free (call);
 }
 
-/* Stores the status and the epoch of the response.  A response with a
-   malformed epoch is not to be relied on.  */
+/* Stores the status and the epoch of the response.  A response whose epoch is
+   malformed or older than is known is not relied on, and neither is its
+   connection.  */
 static int
 on_head (void *owner, const struct http_head *head, int64_t length)
 {
@@ -104,9 +107,10 @@
 
   (void)length;
   call->status = head->status;
-  if (pos_parse_epoch (epoch, &call->epoch) == 0)
+  if (pos_parse_epoch (epoch, &call->epoch) == 0
+      && call->epoch >= call->epoch_min)
     return 0;
-  log_warn ("store", NULL, "bad_epoch", "%.40s", epoch);
+  log_warn ("store", NULL, "bad_epoch", "%.40s", epoch ? epoch : "none");
   return -1;
 }
 
--- a/version/watch.c
+++ b/version/watch.c
@@ -33,9 +33,13 @@
 static void on_timer (struct ev_loop *loop, ev_timer *timer, int events);
 static void on_call_done (void *closure,
                           const struct store_response *response);
-static void handle_list (struct watch *watch, const char *text, size_t length);
-static void handle_changes (struct watch *watch, const char *text,
-                            size_t length);
+static int is_continued (const struct watch *watch, uint64_t epoch);
+static void handle_gone (struct watch *watch);
+static void restart_list (struct watch *watch, int64_t ms);
+static void handle_list (struct watch *watch,
+                         const struct store_response *response);
+static void handle_changes (struct watch *watch,
+                            const struct store_response *response);
 static void handle_failure (struct watch *watch, const char *reason,
                             uint32_t status);
 static void record_response (struct watch *watch, uint64_t epoch);
@@ -121,13 +125,31 @@
   start_next_call (watch);
 }
 
-/* Called when all changes up to REVISION were received from another instance.
+/* Called when the store is known to be in EPOCH.  A watch that began in an
+   older one reads the list again.  */
+void
+watch_set_epoch (struct watch *watch, uint64_t epoch)
+{
+  if (epoch <= watch->epoch)
+    return;
+  watch->epoch = epoch;
+  if (watch->call == NULL || !watch->listed)
+    return;
+  store_call_cancel (watch->call);
+  watch->call = NULL;
+  watch->regained_ms = clk_now (clk_monotonic ());
+  log_watch (watch, "restarted", "epoch", 0);
+  restart_list (watch, 1);
+}
+
+/* Called when all changes up to POSITION were received from another instance.
    The next watch starts there.  Unless a call is in progress, the list is no
    longer read either.  */
 void
-watch_advance (struct watch *watch, uint64_t revision)
+watch_advance (struct watch *watch, struct position position)
 {
-  watch->revision = MAX (watch->revision, revision);
+  watch->position = pos_max (watch->position, position);
+  watch->epoch = MAX (watch->epoch, position.epoch);
   if (watch->listed || watch->call != NULL)
     return;
   watch->listed = 1;
@@ -145,13 +167,15 @@
           .method = "GET",
           .timeout_ms = watch->listed ? wait_ms + WATCH_TIMEOUT_MARGIN_MS
                                       : LIST_TIMEOUT_MS,
-          .epoch_field = watch->protocol->epoch_field };
+          .epoch_field = watch->protocol->epoch_field,
+          .epoch_min = watch->epoch };
 
   if (watch->listed && watch->list_only)
     return;
   url = g_string_new (NULL);
   if (watch->listed)
-    watch->protocol->watch_url (url, watch->kind, watch->revision, wait_ms);
+    watch->protocol->watch_url (url, watch->kind, watch->position.revision,
+                                wait_ms);
   else
     watch->protocol->list_url (url, watch->kind,
                                watch->listing ? watch->after->str : NULL);
@@ -174,7 +198,10 @@
 }
 
 /* Handles RESPONSE to a call.  STATUS_GONE means that the store no longer has
-   its history since the revision of the watch.  */
+   its history since the revision of the watch.  A response of a newer epoch
+   than the list or the watch began with cannot continue it, since its
+   revisions are numbered anew; one of an older epoch than is known is
+   late.  */
 static void
 on_call_done (void *closure, const struct store_response *response)
 {
@@ -182,39 +209,69 @@
   uint32_t status = response->status;
 
   watch->call = NULL;
-  if (status == STATUS_OK || status == STATUS_GONE)
-    record_response (watch, response->epoch);
-  if (status == STATUS_OK && watch->listed)
-    handle_changes (watch, response->text, response->length);
-  else if (status == STATUS_OK)
-    handle_list (watch, response->text, response->length);
-  else if (status == STATUS_GONE)
+  if (status != STATUS_OK && status != STATUS_GONE)
+    handle_failure (watch, status == 0 ? "no_answer" : "refused", status);
+  else if (response->epoch < watch->epoch)
+    handle_failure (watch, "older_epoch", status);
+  else
     {
-      log_watch (watch, "history_gone", NULL, status);
-      watch->listed = 0;
-      watch->listing = 0;
-      watch->first_page = 1;
-      /* If no watch has received a response since the list, the store has
-         contradicted its own list.  The pause keeps list and watch from
-         alternating without limit.  */
-      start_timer (watch, watch->watches_since_list == 0 ? RETRY_MAX_MS : 1);
+      int continues = is_continued (watch, response->epoch);
+
+      record_response (watch, response->epoch);
+      if (status == STATUS_GONE)
+        handle_gone (watch);
+      else if (!continues)
+        restart_list (watch, 1);
+      else if (watch->listed)
+        handle_changes (watch, response);
+      else
+        handle_list (watch, response);
     }
-  else
-    handle_failure (watch, status == 0 ? "no_answer" : "refused", status);
 }
 
-/* Handles a page of the list and requests the next one.  After the last page
-   a watch starts.  */
+/* Returns whether a response in EPOCH continues the list or the watch.  The
+   first page of a list has nothing to continue.  */
+static int
+is_continued (const struct watch *watch, uint64_t epoch)
+{
+  return (!watch->listed && watch->first_page)
+         || epoch == watch->position.epoch;
+}
+
+/* Handles that the store no longer has its history since the revision of the
+   watch.  If no watch has received a response since the list, the store has
+   contradicted its own list; the pause keeps list and watch from alternating
+   without limit.  */
+static void
+handle_gone (struct watch *watch)
+{
+  log_watch (watch, "history_gone", NULL, STATUS_GONE);
+  restart_list (watch, watch->watches_since_list == 0 ? RETRY_MAX_MS : 1);
+}
+
+/* Reads the list again from its first page, in MS milliseconds.  */
+static void
+restart_list (struct watch *watch, int64_t ms)
+{
+  watch->listed = 0;
+  watch->listing = 0;
+  watch->first_page = 1;
+  start_timer (watch, ms);
+}
+
+/* Handles RESPONSE, a page of the list, and requests the next one.  After the
+   last page a watch starts.  */
 static void
-handle_list (struct watch *watch, const char *text, size_t length)
+handle_list (struct watch *watch, const struct store_response *response)
 {
-  struct watch_page page = { .last_name = watch->after };
+  struct watch_page page
+      = { .position.epoch = response->epoch, .last_name = watch->after };
 
   if (!watch->listing)
     watch->sink.begin (watch->sink.closure);
   watch->listing = 1;
-  if (watch->protocol->read_list (text, length, &page, watch->sink.object,
-                                  watch->sink.closure)
+  if (watch->protocol->read_list (response->text, response->length, &page,
+                                  watch->sink.object, watch->sink.closure)
       != 0)
     {
       watch->listing = 0;
@@ -225,27 +282,28 @@
   /* The watch starts at the revision of the first page, since an object may
      have changed after its page was read.  */
   if (watch->first_page)
-    watch->revision = page.revision;
+    watch->position = page.position;
   watch->first_page = !page.has_more;
   if (!page.has_more)
     {
       watch->listing = 0;
       watch->listed = 1;
       watch->watches_since_list = 0;
-      watch->sink.end (watch->sink.closure, page.revision);
+      watch->sink.end (watch->sink.closure, page.position);
     }
   start_next_call (watch);
 }
 
-/* Handles the response to a watch.  */
+/* Handles RESPONSE to a watch.  */
 static void
-handle_changes (struct watch *watch, const char *text, size_t length)
+handle_changes (struct watch *watch, const struct store_response *response)
 {
-  struct watch_page page = { .last_name = watch->after };
+  struct watch_page page
+      = { .position.epoch = response->epoch, .last_name = watch->after };
 
   watch->watches_since_list++;
-  if (watch->protocol->read_watch (text, length, &page, watch->sink.object,
-                                   watch->sink.closure)
+  if (watch->protocol->read_watch (response->text, response->length, &page,
+                                   watch->sink.object, watch->sink.closure)
       != 0)
     {
       watch->listed = 0;
@@ -253,8 +311,7 @@
       handle_failure (watch, "unreadable", STATUS_OK);
       return;
     }
-  if (page.revision > watch->revision)
-    watch->revision = page.revision;
+  watch->position = pos_max (watch->position, page.position);
   start_timer (watch, WATCH_INTERVAL_MS);
 }
 
@@ -276,7 +333,7 @@
 }
 
 /* Records a response of the store in EPOCH, and logs the end of an outage and
-   a new epoch.  */
+   a new epoch.  The store may have lost entries in both.  */
 static void
 record_response (struct watch *watch, uint64_t epoch)
 {
@@ -292,6 +349,7 @@
   watch->last_response_ms = now;
   if (epoch == watch->epoch)
     return;
+  watch->regained_ms = now;
   watch->epoch = epoch;
   log_watch (watch, "epoch", watch->listed ? "watch" : "list", STATUS_OK);
 }
@@ -320,7 +378,7 @@
   log_text (&line, "cause", cause);
   log_number (&line, "status", status);
   log_number (&line, "epoch", (int64_t)watch->epoch);
-  log_number (&line, "revision", (int64_t)watch->revision);
+  log_number (&line, "revision", (int64_t)watch->position.revision);
   log_number (&line, "heard_ms_ago",
               watch->last_response_ms ? now - watch->last_response_ms : -1);
   log_number (&line, "calls", (int64_t)watch->calls);
