--- a/tests/peer_fixture.c
+++ b/tests/peer_fixture.c
@@ -24,11 +24,12 @@
   HEARTBEAT_INTERVAL_MS = 100
 };
 
-/* Socket and message of the heartbeats of a scripted instance. */
+/* Socket and messages of a scripted instance. */
 struct heartbeat_sender
 {
   int fd;
   struct wire_message message;
+  struct wire_store_state state; /* sent with each heartbeat */
 };
 
 /* Returns a snapshot of all that is in the store, newly allocated.  */
@@ -42,9 +43,11 @@
   pthread_mutex_lock (&fx_env.lock);
   config = fx_store_latest_change ("config", "main");
   g_string_append_printf (out,
-                          "{\"whole\":true,\"config_revision\":%ld,"
+                          "{\"whole\":true,\"config_epoch\":1,"
+                          "\"targets_epoch\":1,\"config_revision\":%ld,"
                           "\"targets_revision\":%u,\"config\":{\"name\":"
-                          "\"main\",\"revision\":%ld,\"content\":%s},"
+                          "\"main\",\"epoch\":1,\"revision\":%ld,"
+                          "\"content\":%s},"
                           "\"targets\":[",
                           config->revision, fx_env.changes->len,
                           config->revision, config->spec);
@@ -54,7 +57,9 @@
 
       if (strcmp (change->kind, "servers") == 0)
         g_string_append_printf (
-            out, "%s{\"name\":\"%s\",\"revision\":%ld,\"content\":%s}",
+            out,
+            "%s{\"name\":\"%s\",\"epoch\":1,\"revision\":%ld,"
+            "\"content\":%s}",
             count++ > 0 ? "," : "", change->name, change->revision,
             change->spec);
     }
@@ -104,27 +109,40 @@
   return NULL;
 }
 
-/* Sends HEARTBEAT_COUNT heartbeats of a scripted instance to the first
-   router.  */
-static void *
-send_heartbeats (void *closure)
+/* Sends MESSAGE, as the next one of HEARTBEAT_SENDER, to the first router.  */
+static void
+send_next (struct heartbeat_sender *heartbeat_sender,
+           struct wire_message *message)
 {
-  struct heartbeat_sender *heartbeat_sender = closure;
   struct sockaddr_in address = { .sin_family = AF_INET };
   unsigned char data[WIRE_MAX_BYTES];
   struct wire_key key;
+  size_t length;
 
   address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
   address.sin_port = htons ((uint16_t)fx_env.routers[0].peer_port);
   wire_key_derive (&key, "", "test");
+  message->sender = heartbeat_sender->message.sender;
+  message->incarnation = heartbeat_sender->message.incarnation;
+  message->sequence = ++heartbeat_sender->message.sequence;
+  length = wire_encode (message, &key, data);
+  sendto (heartbeat_sender->fd, data, length, 0, (struct sockaddr *)&address,
+          sizeof address);
+}
+
+/* Sends HEARTBEAT_COUNT heartbeats of a scripted instance to the first router,
+   each after what the instance knows of the store.  */
+static void *
+send_heartbeats (void *closure)
+{
+  struct heartbeat_sender *heartbeat_sender = closure;
+  struct wire_message state
+      = { .kind = WIRE_STATE, .u.state = heartbeat_sender->state };
+
   for (int i = 0; i < HEARTBEAT_COUNT; i++)
     {
-      size_t length;
-
-      heartbeat_sender->message.sequence++;
-      length = wire_encode (&heartbeat_sender->message, &key, data);
-      sendto (heartbeat_sender->fd, data, length, 0,
-              (struct sockaddr *)&address, sizeof address);
+      send_next (heartbeat_sender, &state);
+      send_next (heartbeat_sender, &heartbeat_sender->message);
       fx_sleep_ms (HEARTBEAT_INTERVAL_MS);
     }
   close (heartbeat_sender->fd);
@@ -132,11 +150,12 @@
   return NULL;
 }
 
-/* Starts the heartbeats of instance SENDER from PORT, or from any free port if
-   that is 0.  */
+/* Starts the heartbeats of instance SENDER, which knows STATE of the store,
+   from PORT, or from any free port if that is 0.  */
 static void
 start_heartbeats (uint32_t sender, int port,
-                  const struct wire_heartbeat *heartbeat)
+                  const struct wire_heartbeat *heartbeat,
+                  const struct wire_store_state *state)
 {
   struct heartbeat_sender *heartbeat_sender
       = g_new0 (struct heartbeat_sender, 1);
@@ -146,6 +165,7 @@
   heartbeat_sender->message.sender = sender;
   heartbeat_sender->message.incarnation = 1;
   heartbeat_sender->message.u.heartbeat = *heartbeat;
+  heartbeat_sender->state = *state;
   heartbeat_sender->fd = socket (AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
   address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
   address.sin_port = htons ((uint16_t)port);
@@ -165,21 +185,24 @@
   struct wire_heartbeat heartbeat = { .store = WIRE_STORE_WATCHED,
                                       .state = MEMBER_READY,
                                       .domain = (uint32_t)rank_hash ("a") };
+  struct wire_store_state state = { 0 };
 
   for (int i = 0; i < count; i++)
-    start_heartbeats ((uint32_t)i + 1, 0, &heartbeat);
+    start_heartbeats ((uint32_t)i + 1, 0, &heartbeat, &state);
 }
 
-/* Starts an instance that has a newer revision than the first router, and
-   serves a snapshot of the store.  */
+/* Starts an instance that has VERSION of the configuration and newer positions
+   than the first router, and serves a snapshot of the store.  */
 void
-fx_newer_peer_start (void)
+fx_newer_peer_start (uint64_t version)
 {
   struct wire_heartbeat heartbeat
       = { .revision = 1000, .config_revision = 1000, .state = MEMBER_READY };
+  struct wire_store_state state
+      = { .version = version, .config = { 1, 1000 }, .targets = { 1, 1000 } };
   int port;
   int listener = fx_listen (&port);
 
   fx_start_thread (serve_peer, GINT_TO_POINTER (listener));
-  start_heartbeats (1000, port, &heartbeat);
+  start_heartbeats (1000, port, &heartbeat, &state);
 }
--- a/tests/router_fixture.h
+++ b/tests/router_fixture.h
@@ -3,6 +3,7 @@
 #ifndef ROUTER_FIXTURE_H
 #define ROUTER_FIXTURE_H
 
+#include <stdint.h>
 #include <glib.h>
 
 struct fx_target;
@@ -74,7 +75,7 @@
 char *fx_get_metrics (void);
 int fx_is_ready (void);
 int fx_handles_sighup (void);
-void fx_newer_peer_start (void);
+void fx_newer_peer_start (uint64_t version);
 
 void fx_stale_watchers_start (int count);
 
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -701,7 +701,7 @@
   fx_store_put ("config", "main", shop_config);
   fx_store_set_down (1);
   fx_env_start (NULL);
-  fx_newer_peer_start ();
+  fx_newer_peer_start (3);
   CU_ASSERT (fx_wait_until (fx_is_ready));
   shop_expect (GET_MAP ("r1"), "200", "well");
   fx_env_stop ();
@@ -728,7 +728,7 @@
   next[strlen ("{\"version\":")] = '9';
   fx_store_block_watches (1);
   fx_store_put ("config", "main", next);
-  fx_newer_peer_start ();
+  fx_newer_peer_start (9);
   CU_ASSERT (fx_wait_until (next_version_is_in_force));
   fx_store_block_watches (0);
   g_free (next);
