Restore the store from older copies in the soak, and test positions

The soak's operator writes new versions, and the store is restored from copies up to a dozen changes old, also in series and overlapping with restarts, cuts and changes; what was lost is written anew after a while. It checks that no router that runs on falls to an older version, and that the last version comes into force at all within 2 s once the faults have ended.

--- a/tests/libfixture.h
+++ b/tests/libfixture.h
@@ -37,6 +37,7 @@
 struct router_process
 {
   pid_t pid;
+  int starts; /* so far */
   int request_port;
   int readiness_port;
   int peer_port;
--- a/tests/router_fixture.c
+++ b/tests/router_fixture.c
@@ -229,6 +229,7 @@
   if (posix_spawn (&router->pid, program, &actions, NULL, arguments, environ)
       != 0)
     abort ();
+  g_atomic_int_inc (&router->starts);
   posix_spawn_file_actions_destroy (&actions);
   g_free (settings);
   g_free (program);
@@ -236,6 +237,13 @@
   g_free (self);
 }
 
+/* Returns how often router INDEX was started.  */
+int
+fx_router_start_count (int index)
+{
+  return g_atomic_int_get (&fx_env.routers[index].starts);
+}
+
 /* Starts the first COUNT routers, and waits until they are ready, at most
    WAIT_TIMEOUT_MS each.  */
 void
--- a/tests/soak.c
+++ b/tests/soak.c
@@ -29,8 +29,11 @@
   SECONDS_DEFAULT = 5,
   START_TIMEOUT_MS = 2000,
   DELAY_MAX_MS = 120,
-  LIMIT_SEED = 7919, /* added to the seed */
-  DRAIN_MS = 3000    /* longer than any request, so that all have ended */
+  LIMIT_SEED = 7919,         /* added to the seed */
+  STORE_SEED = 104729,       /* added to the seed */
+  RESTORED_CHANGES_MAX = 12, /* that one restoration of the store takes back */
+  DRAIN_MS = 3000, /* longer than any request, so that all have ended */
+  APPLY_MS = 2000  /* until a version must be in force */
 };
 
 /* How a target responds to its next requests. */
@@ -72,8 +75,9 @@
   [REQUEST_RULES] = { "POST", "/rules/1", 1, 1 },
 };
 
-static const char config[]
-    = "{\"version\":3,\"routes\":["
+/* All of a configuration but its version.  */
+static const char config_tail[]
+    = ",\"routes\":["
       "{\"name\":\"map\",\"host\":\"shop.example\",\"path_prefix\":\"/map/\","
       "\"route_type\":\"idempotent\",\"timeout_ms\":2000,"
       "\"target_latency_ms\":300,\"service\":\"desk\",\"max_attempts\":2},"
@@ -110,6 +114,9 @@
 /* Separate, so that proxy faults do not change the other faults of a seed. */
 static GRand *proxy_random;
 static GRand *limit_random;
+static GRand *store_random;
+static int last_version = 2; /* that the operator has written */
+static int initial_revision; /* of the store, with the first version */
 static gint is_limited[2 * TARGETS_PER_SERVICE]; /* names a rate limit */
 static gint restarting[FX_ROUTERS_MAX];
 static gint stopping;
@@ -529,6 +536,71 @@
     g_atomic_int_set (&is_limited[target], g_rand_boolean (limit_random));
 }
 
+/* Writes the next version of the configuration.  */
+static void
+put_next_version (void)
+{
+  char *text
+      = g_strdup_printf ("{\"version\":%d%s", ++last_version, config_tail);
+
+  fx_store_put ("config", "main", text);
+  g_free (text);
+}
+
+/* Restores the store from an older copy, writes what was lost anew or writes a
+   new version, in one of four calls.  */
+static void
+inject_store_change (void)
+{
+  int kind = g_rand_int_range (store_random, 0, 12);
+  int lost = g_rand_int_range (store_random, 0, RESTORED_CHANGES_MAX);
+
+  if (kind == 0)
+    fx_store_restore (MAX (fx_store_revision () - lost, initial_revision));
+  else if (kind == 1)
+    fx_store_rewrite ();
+  else if (kind == 2)
+    put_next_version ();
+}
+
+/* A version in force, and the start of the router that had it. */
+struct observed
+{
+  long version;
+  int starts;
+};
+
+/* Checks that no router that runs on has an older version in force than when
+   it was OBSERVED last.  */
+static void
+check_versions (struct observed *observed)
+{
+  for (int i = 0; i < router_count; i++)
+    {
+      int starts = fx_router_start_count (i);
+      long version = fx_router_metric (i, "ibisloom_version_in_force");
+
+      if (version < 0 || starts != fx_router_start_count (i))
+        continue;
+      if (starts == observed[i].starts && version < observed[i].version)
+        report_violation ("version", "it has fallen at a router", NULL);
+      observed[i] = (struct observed){ version, starts };
+    }
+}
+
+/* Checks that the last version comes into force at all routers.  */
+static void
+check_last_version (void)
+{
+  fx_store_rewrite ();
+  fx_sleep_ms (DRAIN_MS);
+  put_next_version ();
+  fx_sleep_ms (APPLY_MS);
+  for (int i = 0; i < router_count; i++)
+    if (fx_router_metric (i, "ibisloom_version_in_force") != last_version)
+      report_violation ("version", "the last one is not in force", NULL);
+}
+
 /* Sets a random mode, PROXY_PASS at least every second time, on the proxy of a
    target or of a router's connection to the store; in three of four calls,
    leaves all proxies as they are.  */
@@ -598,7 +670,9 @@
       target_proxies[i] = fx_target_add_proxy (targets[i]);
       g_free (id);
     }
-  fx_store_start (config);
+  fx_store_start (NULL);
+  put_next_version ();
+  initial_revision = fx_store_revision ();
   for (int i = 0; i < router_count; i++)
     {
       store_proxies[i] = fx_store_add_proxy (i);
@@ -616,6 +690,7 @@
 run_faults (int seconds, char *const *logs)
 {
   gint64 end = g_get_monotonic_time () + (gint64)seconds * G_USEC_PER_SEC;
+  static struct observed observed[FX_ROUTERS_MAX];
   int steps = 0;
 
   for (; g_get_monotonic_time () < end; steps++)
@@ -623,6 +698,8 @@
       inject_fault (logs);
       inject_proxy_fault ();
       inject_rate_limit ();
+      inject_store_change ();
+      check_versions (observed);
       fx_sleep_ms (g_rand_int_range (fault_random, 5, 80));
     }
   fx_store_set_down (0);
@@ -648,6 +725,7 @@
   records = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   fault_random = g_rand_new_with_seed ((guint32)seed);
   limit_random = g_rand_new_with_seed ((guint32)seed + LIMIT_SEED);
+  store_random = g_rand_new_with_seed ((guint32)seed + STORE_SEED);
   proxy_random = g_rand_new_with_seed (~(guint32)seed);
   for (int i = 0; i < router_count; i++)
     logs[i] = keep_logs ? g_strdup_printf ("%s/router-%d.log", argv[3], i)
@@ -660,7 +738,7 @@
   g_atomic_int_set (&stopping, 1);
   for (int i = 0; i < CLIENTS; i++)
     pthread_join (clients[i], NULL);
-  fx_sleep_ms (DRAIN_MS);
+  check_last_version ();
   pthread_mutex_lock (&lock);
   check_executions ();
   pthread_mutex_unlock (&lock);
--- a/tests/store_fixture.c
+++ b/tests/store_fixture.c
@@ -159,12 +159,27 @@
   send_response (fd, &response);
 }
 
+/* Forgets what restorations took back of the object NAME of KIND, which is
+   written anew.  The lock must be held.  */
+static void
+forget_lost (const char *kind, const char *name)
+{
+  for (guint i = fx_env.lost->len; i > 0; i--)
+    {
+      const struct change *change = g_ptr_array_index (fx_env.lost, i - 1);
+
+      if (strcmp (change->kind, kind) == 0 && strcmp (change->name, name) == 0)
+        g_ptr_array_remove_index (fx_env.lost, i - 1);
+    }
+}
+
 /* Adds a revision of an object.  The lock must be held.  */
 static void
 add_change_locked (const char *kind, const char *name, const char *spec)
 {
   struct change *change = g_new0 (struct change, 1);
 
+  forget_lost (kind, name);
   change->kind = g_strdup (kind);
   change->name = g_strdup (name);
   change->spec = g_strdup (spec);
@@ -368,17 +383,21 @@
 void
 fx_store_rewrite (void)
 {
+  GPtrArray *lost;
+
   pthread_mutex_lock (&fx_env.lock);
-  for (guint i = 0; i < fx_env.lost->len; i++)
+  lost = fx_env.lost;
+  fx_env.lost = g_ptr_array_new ();
+  for (guint i = 0; i < lost->len; i++)
     {
-      const struct change *change = g_ptr_array_index (fx_env.lost, i);
+      const struct change *change = g_ptr_array_index (lost, i);
 
       if (strcmp (change->kind, "config") == 0
           || strcmp (change->kind, "servers") == 0)
         add_change_locked (change->kind, change->name, change->spec);
     }
-  g_ptr_array_set_size (fx_env.lost, 0);
   pthread_mutex_unlock (&fx_env.lock);
+  g_ptr_array_free (lost, TRUE);
 }
 
 /* Returns how many objects of KIND the store has.  */
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -43,6 +43,8 @@
 static void entry_loss_in_one_domain_does_not_cover_others (void);
 static void removal_delay_fits_the_drain_time (void);
 static void mass_entry_loss_keeps_targets_usable (void);
+static void older_report_does_not_undo_a_leave (void);
+static void older_entry_of_removed_target_is_withheld (void);
 
 static const struct test_case cases[] = {
   { "repeated failures extend the back-off",
@@ -86,6 +88,10 @@
     removal_delay_fits_the_drain_time },
   { "targets stay usable when most entries are lost",
     mass_entry_loss_keeps_targets_usable },
+  { "an older report does not undo that a target leaves",
+    older_report_does_not_undo_a_leave },
+  { "an older entry of a removed target is withheld",
+    older_entry_of_removed_target_is_withheld },
 };
 
 TEST_MAIN ("balance", cases)
@@ -454,6 +460,24 @@
   return put_in_domain (registry, id, "a", revision, incarnation);
 }
 
+/* Puts the entry that the target ID has at its report REPORTS, LEAVING or not,
+   at the position EPOCH and REVISION.  */
+static void
+put_report (struct registry *registry, const char *id, uint64_t reports,
+            int leaving, struct position position)
+{
+  struct reg_entry entry = { .service = "pool",
+                             .failure_domain = "a",
+                             .slots = 8,
+                             .incarnation = 7,
+                             .reports = reports,
+                             .leaving = leaving };
+
+  g_strlcpy (entry.id, id, sizeof entry.id);
+  entry.address.sin_port = htons (80);
+  reg_put (registry, &entry, position, 0);
+}
+
 /* Returns how many targets of the service "pool" are usable at NOW.  */
 static size_t
 count_usable (struct registry *registry, clk_ms now)
@@ -648,3 +672,48 @@
   CU_ASSERT_EQUAL (count_usable (registry, 2200), 1);
   reg_free (registry);
 }
+
+/* The target reported that it leaves with its 5th report.  The restored store
+   has its 1st again, then a report at a lower revision that takes it back.  */
+static void
+older_report_does_not_undo_a_leave (void)
+{
+  struct registry *registry = reg_new ();
+
+  put_report (registry, "i-1", 1, 0, (struct position){ 1, 10 });
+  put_report (registry, "i-1", 5, 1, (struct position){ 1, 29 });
+  CU_ASSERT_EQUAL (count_usable (registry, 0), 0);
+  put_report (registry, "i-1", 1, 0, (struct position){ 2, 10 });
+  CU_ASSERT_EQUAL (count_usable (registry, 0), 0);
+  put_report (registry, "i-1", 6, 0, (struct position){ 2, 11 });
+  CU_ASSERT_EQUAL (count_usable (registry, 0), 1);
+  put_report (registry, "i-1", 7, 1, (struct position){ 2, 12 });
+  CU_ASSERT_EQUAL (count_usable (registry, 0), 0);
+  reg_free (registry);
+}
+
+/* The entry of the target was removed before the store was restored, which has
+   it again.  If the target keeps it, the target is used again, at the latest
+   when the entry would have expired.  */
+static void
+older_entry_of_removed_target_is_withheld (void)
+{
+  struct registry *registry = reg_new ();
+
+  put_report (registry, "i-1", 3, 0, (struct position){ 1, 10 });
+  put_report (registry, "i-2", 3, 0, (struct position){ 1, 11 });
+  CU_ASSERT (
+      reg_mark_missing (registry, "i-1", (struct position){ 1, 12 }, 800));
+  CU_ASSERT_EQUAL (reg_expire (registry, 800), 1);
+  put_report (registry, "i-1", 3, 0, (struct position){ 2, 10 });
+  put_report (registry, "i-2", 3, 0, (struct position){ 2, 11 });
+  CU_ASSERT_EQUAL (count_usable (registry, 0), 1);
+  CU_ASSERT_EQUAL (reg_expire (registry, 60000), 0);
+  CU_ASSERT_EQUAL (count_usable (registry, 60000), 2);
+  CU_ASSERT (
+      reg_mark_missing (registry, "i-1", (struct position){ 2, 12 }, 800));
+  CU_ASSERT_EQUAL (reg_expire (registry, 800), 1);
+  put_report (registry, "i-1", 4, 0, (struct position){ 3, 10 });
+  CU_ASSERT_EQUAL (count_usable (registry, 0), 2);
+  reg_free (registry);
+}
--- a/tests/test_snapshot.c
+++ b/tests/test_snapshot.c
@@ -23,12 +23,21 @@
 static void failed_watchers_are_replaced (void);
 static void watchers_are_bounded_in_outage (void);
 static void outdated_entry_is_ignored (void);
+static void positions_are_ordered_by_epoch_first (void);
+static void replicas_follow_restorations (void);
+static void newest_version_is_passed_on (void);
 
 static const struct test_case cases[] = {
   { "replicas match the store after each change", replicas_match_store },
   { "a new list yields deletions", new_list_yields_deletions },
   { "an outdated entry does not restore a deleted target",
     outdated_entry_is_ignored },
+  { "positions are ordered by epoch first",
+    positions_are_ordered_by_epoch_first },
+  { "replicas follow restorations of the store",
+    replicas_follow_restorations },
+  { "the newest version is passed on, whatever its position",
+    newest_version_is_passed_on },
   { "damaged data is rejected", damaged_data_is_rejected },
   { "failed watchers are replaced", failed_watchers_are_replaced },
   { "the number of watchers is bounded in an outage",
@@ -103,17 +112,16 @@
 }
 
 /* Stores in SNAPSHOT a change of the target INDEX, or its deletion, at
-   REVISION.  */
+   POSITION.  */
 static void
 put_target (struct snapshot *snapshot, int index, int deleted,
-            uint64_t revision)
+            struct position position)
 {
   char name[NAME_BYTES];
   json_t *content = json_object ();
-  struct watch_object object = { .name = name,
-                                 .position.revision = revision,
-                                 .deleted = deleted,
-                                 .content = content };
+  struct watch_object object = {
+    .name = name, .position = position, .deleted = deleted, .content = content
+  };
 
   g_snprintf (name, sizeof name, "i%d", index);
   snapshot_put_target (snapshot, &object);
@@ -142,7 +150,7 @@
 
       now.targets.revision++;
       expected[index] = deleted ? 0 : now.targets.revision;
-      put_target (snapshot, index, deleted, now.targets.revision);
+      put_target (snapshot, index, deleted, now.targets);
       sync_replica (&frequent, snapshot, &now);
       CU_ASSERT_EQUAL (memcmp (frequent.revision, expected, sizeof expected),
                        0);
@@ -169,15 +177,15 @@
   struct snapshot_state now = { .config = { 0, 1 }, .targets = { 0, 4 } };
 
   snapshot_list_begin (snapshot);
-  put_target (snapshot, 0, 0, 2);
-  put_target (snapshot, 1, 0, 3);
-  put_target (snapshot, 2, 0, 4);
+  put_target (snapshot, 0, 0, (struct position){ 0, 2 });
+  put_target (snapshot, 1, 0, (struct position){ 0, 3 });
+  put_target (snapshot, 2, 0, (struct position){ 0, 4 });
   snapshot_list_end (snapshot, (struct position){ 0, 4 });
   sync_replica (&replica, snapshot, &now);
   CU_ASSERT_EQUAL (replica.full_lists, 1);
   snapshot_list_begin (snapshot);
-  put_target (snapshot, 0, 0, 2);
-  put_target (snapshot, 2, 0, 8);
+  put_target (snapshot, 0, 0, (struct position){ 0, 2 });
+  put_target (snapshot, 2, 0, (struct position){ 0, 8 });
   snapshot_list_end (snapshot, (struct position){ 0, 9 });
   now.targets.revision = 9;
   sync_replica (&replica, snapshot, &now);
@@ -199,7 +207,7 @@
   const char *data;
   char *copy;
 
-  put_target (snapshot, 0, 0, 1);
+  put_target (snapshot, 0, 0, (struct position){ 0, 1 });
   data = snapshot_compress (snapshot, &since, &now, &length);
   for (size_t cut = 0; cut < length; cut++)
     CU_ASSERT_PTR_NULL (snapshot_decompress (data, cut, &size));
@@ -330,3 +338,105 @@
   CU_ASSERT (!snapshot_put_target (snapshot, &first));
   snapshot_free (snapshot);
 }
+
+static void
+positions_are_ordered_by_epoch_first (void)
+{
+  struct position before = { 1, 29 };
+  struct position after = { 2, 27 };
+  struct position later = { 2, 29 };
+  uint64_t epoch = 7;
+
+  CU_ASSERT (pos_compare (before, after) < 0);
+  CU_ASSERT (pos_compare (later, after) > 0);
+  CU_ASSERT (pos_compare (before, later) < 0);
+  CU_ASSERT_EQUAL (pos_compare (after, after), 0);
+  CU_ASSERT_EQUAL (pos_max (before, after).epoch, 2);
+  CU_ASSERT_EQUAL (pos_parse_epoch (NULL, &epoch), 0);
+  CU_ASSERT_EQUAL (epoch, 0);
+  CU_ASSERT_EQUAL (pos_parse_epoch ("12", &epoch), 0);
+  CU_ASSERT_EQUAL (epoch, 12);
+  for (const char *const *value
+       = (const char *const[]){ "", "-1", "+1", " 1", "1 ", "0x1", "1e3",
+                                "4294967296", NULL };
+       *value != NULL; value++)
+    CU_ASSERT_NOT_EQUAL (pos_parse_epoch (*value, &epoch), 0);
+  CU_ASSERT_EQUAL (epoch, 12);
+}
+
+/* At random moments the store takes back its last changes, lists what is left,
+   and gives their revisions out again.  A replica that fetches each change and
+   one that fetches every 40th both end with the content of the store.  */
+static void
+replicas_follow_restorations (void)
+{
+  struct snapshot *snapshot = snapshot_new ();
+  GRand *random = g_rand_new_with_seed (12);
+  uint64_t expected[TARGETS] = { 0 };
+  struct replica frequent = { 0 };
+  struct replica infrequent = { 0 };
+  struct snapshot_state now = { .targets = { 1, 1 } };
+
+  snapshot_list_begin (snapshot);
+  snapshot_list_end (snapshot, now.targets);
+  for (int round = 0; round < ROUNDS; round++)
+    {
+      int index = g_rand_int_range (random, 0, TARGETS);
+
+      if (g_rand_int_range (random, 0, 10) == 0)
+        {
+          now.targets.epoch++;
+          now.targets.revision -= MIN (now.targets.revision - 1, 5);
+          snapshot_list_begin (snapshot);
+          for (int i = 0; i < TARGETS; i++)
+            {
+              if (expected[i] > now.targets.revision)
+                expected[i] = 0;
+              if (expected[i] != 0)
+                put_target (
+                    snapshot, i, 0,
+                    (struct position){ now.targets.epoch, expected[i] });
+            }
+          snapshot_list_end (snapshot, now.targets);
+        }
+      now.targets.revision++;
+      expected[index] = now.targets.revision;
+      put_target (snapshot, index, 0, now.targets);
+      sync_replica (&frequent, snapshot, &now);
+      CU_ASSERT_EQUAL (memcmp (frequent.revision, expected, sizeof expected),
+                       0);
+      if (round % 40 != 0)
+        continue;
+      sync_replica (&infrequent, snapshot, &now);
+      CU_ASSERT_EQUAL (memcmp (infrequent.revision, expected, sizeof expected),
+                       0);
+    }
+  g_rand_free (random);
+  snapshot_free (snapshot);
+}
+
+/* The sender has version 12 of an older epoch; the receiver has read version 9
+   from the restored store.  */
+static void
+newest_version_is_passed_on (void)
+{
+  struct snapshot *snapshot = snapshot_new ();
+  struct replica replica
+      = { .known
+          = { .version = 9, .config = { 2, 25 }, .targets = { 2, 25 } } };
+  struct snapshot_state now
+      = { .version = 12, .config = { 1, 29 }, .targets = { 1, 29 } };
+  json_t *content = json_object ();
+  struct watch_object object
+      = { .name = "main", .position = { 1, 29 }, .content = content };
+
+  CU_ASSERT (snapshot_is_newer (&now, &replica.known));
+  snapshot_put_config (snapshot, 12, &object);
+  put_target (snapshot, 0, 0, now.targets);
+  sync_replica (&replica, snapshot, &now);
+  CU_ASSERT_EQUAL (replica.config, 29);
+  CU_ASSERT_EQUAL (replica.revision[0], 0);
+  CU_ASSERT_EQUAL (replica.full_lists, 0);
+  json_decref (content);
+  snapshot_free (snapshot);
+}
