Keep the ledger's promise when the store is restored from an older copy

A claim that the store had acknowledged could be lost with its last writes, and another writer, that had not read it, granted the key again: the call would run twice. A writer's condition on a revision could hold by accident.

Segments have numbers of their own in each epoch. Writers append anew what they know and the store has lost; for 2.5 s after a new epoch is seen, no key that is not known is granted, and the call waits. A claim found only in a segment of an older epoch counts as 'may have run', for its own attempt too. The clients of the object API read the epoch; responses of older ones count as none. The stand-in store tells an epoch and can be restored.

The new tests fail without the new rules: with no records appended anew 63 assertions of two tests, with an older claim granted 2 of two.

--- a/fakes/fake_platform.c
+++ b/fakes/fake_platform.c
@@ -5,7 +5,8 @@
    of instances.  Each response is delayed by DELAY_MS.  Control requests:
    /control/fault?mode=ok|down|hang|lose&percent=P&delay_ms=D sets a fault,
    /control/instances sets the list of instances, /control/history returns the
-   writes other than those to the ledger. */
+   writes other than those to the ledger, /control/restore?ms=N restores the
+   objects from a copy N ms old.  All responses tell the epoch. */
 #include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -36,10 +37,21 @@
   uint64_t revision;
 };
 
+/* What an object was before a write. */
+struct undo
+{
+  struct object *object;
+  char *text;
+  uint64_t revision;
+  int64_t time_ms;
+};
+
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static pthread_cond_t changed = PTHREAD_COND_INITIALIZER;
 static GHashTable *objects;
 static uint64_t last_revision;
+static GQueue undo_log; /* of struct undo, newest first */
+static unsigned epoch = 1;
 static enum mode mode;
 static int percent = 100; /* of the requests that the fault affects */
 static unsigned seed = 1;
@@ -62,6 +74,8 @@
 static void serve_control (struct fake_request *request);
 static gint compare_revisions (gconstpointer a, gconstpointer b);
 static void set_etag (struct fake_request *request, uint64_t revision);
+static void serve_object_api (struct fake_request *request);
+static void restore (int64_t age_ms);
 
 int
 main (int argc, char **argv)
@@ -85,11 +99,7 @@
 static void
 serve (struct fake_request *request, void *closure)
 {
-  static const char prefix[] = "/v1/objects/";
-  const char *name = request->url + sizeof prefix - 1;
-  int is_object = g_str_has_prefix (request->url, prefix);
-  int is_write = strcmp (request->method, "GET") != 0;
-  int drop_response = 0;
+  char text[16];
 
   (void)closure;
   if (g_str_has_prefix (request->url, "/control/"))
@@ -97,6 +107,24 @@
       serve_control (request);
       return;
     }
+  serve_object_api (request);
+  if (request->response == NULL)
+    return;
+  pthread_mutex_lock (&lock);
+  g_snprintf (text, sizeof text, "%u", epoch);
+  pthread_mutex_unlock (&lock);
+  MHD_add_response_header (request->response, "Store-Epoch", text);
+}
+
+static void
+serve_object_api (struct fake_request *request)
+{
+  static const char prefix[] = "/v1/objects/";
+  const char *name = request->url + sizeof prefix - 1;
+  int is_object = g_str_has_prefix (request->url, prefix);
+  int is_write = strcmp (request->method, "GET") != 0;
+  int drop_response = 0;
+
   if (apply_fault (request, is_write, &drop_response))
     return;
   if (strcmp (request->url, "/v1/watch") == 0)
@@ -179,6 +207,7 @@
   const char *if_match = fake_header (request, "If-Match");
   const char *if_none_match = fake_header (request, "If-None-Match");
   struct object *object;
+  struct undo *undo;
   int exists;
 
   pthread_mutex_lock (&lock);
@@ -199,7 +228,10 @@
       object->name = g_strdup (name);
       g_hash_table_insert (objects, object->name, object);
     }
-  g_free (object->text);
+  undo = g_new0 (struct undo, 1);
+  *undo = (struct undo){ object, object->text, object->revision,
+                         fake_now_ms () };
+  g_queue_push_head (&undo_log, undo);
   object->text = remove ? NULL : g_strdup (request->body->str);
   object->revision = ++last_revision;
   if (strstr (name, "/ledger/") == NULL)
@@ -306,6 +338,27 @@
          - (left->revision < right->revision);
 }
 
+/* Takes back the writes of the last AGE_MS and counts up the epoch.  The lock
+   must be held.  */
+static void
+restore (int64_t age_ms)
+{
+  int64_t since_ms = fake_now_ms () - age_ms;
+  struct undo *undo;
+
+  epoch++;
+  while ((undo = g_queue_peek_head (&undo_log)) != NULL
+         && undo->time_ms >= since_ms)
+    {
+      g_free (undo->object->text);
+      undo->object->text = undo->text;
+      undo->object->revision = undo->revision;
+      last_revision--;
+      g_free (g_queue_pop_head (&undo_log));
+    }
+  pthread_cond_broadcast (&changed);
+}
+
 /* Serves the control requests: faults, the list of instances, history.  */
 static void
 serve_control (struct fake_request *request)
@@ -314,6 +367,7 @@
   const char *name = fake_query_argument (request, "mode");
   const char *percent_text = fake_query_argument (request, "percent");
   const char *delay_text = fake_query_argument (request, "delay_ms");
+  const char *ms_text = fake_query_argument (request, "ms");
 
   pthread_mutex_lock (&lock);
   if (strcmp (request->url, "/control/instances") == 0)
@@ -329,6 +383,8 @@
       }
   if (delay_text != NULL)
     delay_ms = atoll (delay_text);
+  if (strcmp (request->url, "/control/restore") == 0 && ms_text != NULL)
+    restore (atoll (ms_text));
   fake_respond_json (
       request, 200,
       json_pack (
--- a/include/ibisloom/fetch.h
+++ b/include/ibisloom/fetch.h
@@ -15,6 +15,7 @@
   const char *bearer;        /* token, or NULL */
   const char *if_match;      /* header value, or NULL */
   const char *if_none_match; /* header value, or NULL */
+  const char *epoch_field;   /* header field with the store's epoch, or NULL */
   int64_t timeout_ms;
 };
 
@@ -23,7 +24,10 @@
   long status;   /* 0: no complete response */
   int sent;      /* the request may have reached the server */
   uint64_t etag; /* 0: none */
-  GString *body; /* provided by the caller; NULL: discard the body */
+  const char *epoch_field;
+  int epoch_is_bad; /* the field is malformed */
+  uint64_t epoch;   /* 0: none */
+  GString *body;    /* provided by the caller; NULL: discard the body */
 };
 
 struct fetch *fetch_new (void);
--- a/include/ibisloom/platform.h
+++ b/include/ibisloom/platform.h
@@ -33,6 +33,9 @@
 struct platform
 {
   const struct platform_ops *ops;
+  /* Of the store, by its last response (see position.h); 0: not told.
+     Responses of older epochs count as none.  */
+  uint64_t epoch;
 };
 
 struct platform *platform_http_new (const struct sockaddr_in *address,
--- a/process/fetch.c
+++ b/process/fetch.c
@@ -6,6 +6,7 @@
 #include <curl/curl.h>
 
 #include "ibisloom/fetch.h"
+#include "ibisloom/position.h"
 
 enum
 {
@@ -21,6 +22,8 @@
 
 static size_t on_body (char *data, size_t size, size_t count, void *closure);
 static size_t on_header (char *data, size_t size, size_t count, void *closure);
+static void read_epoch (struct fetch_response *response, const char *data,
+                        size_t length);
 static int on_progress (void *closure, curl_off_t down_total, curl_off_t down,
                         curl_off_t up_total, curl_off_t up);
 static struct curl_slist *add_header (struct curl_slist *list,
@@ -62,6 +65,9 @@
 
   response->status = 0;
   response->etag = 0;
+  response->epoch = 0;
+  response->epoch_is_bad = 0;
+  response->epoch_field = request->epoch_field;
   curl_easy_reset (easy);
   headers = add_header (headers, "Authorization: Bearer", request->bearer);
   headers = add_header (headers, "If-Match:", request->if_match);
@@ -143,7 +149,24 @@
   return size * count;
 }
 
-/* Header callback of libcurl: stores the ETag, a quoted decimal number.  */
+/* Stores the epoch if the header line DATA, of LENGTH bytes, has it.  */
+static void
+read_epoch (struct fetch_response *response, const char *data, size_t length)
+{
+  size_t name_length = strlen (response->epoch_field);
+  char *value;
+
+  if (length <= name_length || data[name_length] != ':'
+      || g_ascii_strncasecmp (data, response->epoch_field, name_length) != 0)
+    return;
+  value = g_strndup (data + name_length + 1, length - name_length - 1);
+  response->epoch_is_bad
+      = pos_parse_epoch (g_strstrip (value), &response->epoch) != 0;
+  g_free (value);
+}
+
+/* Header callback of libcurl: stores the ETag, a quoted decimal number, and
+   the epoch.  */
 static size_t
 on_header (char *data, size_t size, size_t count, void *closure)
 {
@@ -157,5 +180,7 @@
       if (digits != NULL)
         response->etag = strtoull (digits + 1, NULL, 10);
     }
+  if (response->epoch_field != NULL)
+    read_epoch (response, data, length);
   return length;
 }
--- a/process/platform.c
+++ b/process/platform.c
@@ -1,9 +1,11 @@
 /* Client of the platform's object API: dispatch, and the implementation over
    HTTP. */
+#include <inttypes.h>
 #include <string.h>
 
 #include "ibisloom/error.h"
 #include "ibisloom/fetch.h"
+#include "ibisloom/log.h"
 #include "ibisloom/metrics.h"
 #include "ibisloom/platform.h"
 #include "ibisloom/settings.h"
@@ -18,6 +20,9 @@
   HTTP_PRECONDITION_FAILED = 412
 };
 
+/* Header field of all responses with the store's epoch. */
+static const char EPOCH_FIELD[] = "Store-Epoch";
+
 struct http
 {
   struct platform base;
@@ -37,6 +42,8 @@
                          uint64_t since, int64_t wait_ms, GError **error);
 static char *http_instances (struct platform *platform, GError **error);
 static void http_free (struct platform *platform);
+static void perform (struct http *http, struct fetch_request *request,
+                     struct fetch_response *response);
 static char *get_url (struct http *http, const char *url, int64_t timeout_ms,
                       uint64_t *revision, GError **error);
 
@@ -198,7 +205,7 @@
     request.if_none_match = "*";
   else
     request.if_match = match;
-  fetch_perform (http->fetch, &request, &response);
+  perform (http, &request, &response);
   if (response.status == HTTP_OK || response.status == HTTP_CREATED)
     {
       *revision = response.etag;
@@ -229,7 +236,7 @@
       = { .method = "DELETE", .url = url, .timeout_ms = http->timeout_ms };
 
   g_snprintf (url, sizeof url, "http://%s/v1/objects/%s", http->host, name);
-  fetch_perform (http->fetch, &request, &response);
+  perform (http, &request, &response);
   if (response.status == HTTP_OK || response.status == HTTP_NOT_FOUND)
     return 0;
   metric_inc (METRIC_PLATFORM_ERRORS);
@@ -274,6 +281,27 @@
   g_free (http);
 }
 
+/* Sends REQUEST and fills RESPONSE.  A response whose epoch is malformed or
+   older than is known counts as none, after which the request may have been
+   executed.  */
+static void
+perform (struct http *http, struct fetch_request *request,
+         struct fetch_response *response)
+{
+  request->epoch_field = EPOCH_FIELD;
+  fetch_perform (http->fetch, request, response);
+  if (response->status == 0)
+    return;
+  if (!response->epoch_is_bad && response->epoch >= http->base.epoch)
+    {
+      http->base.epoch = response->epoch;
+      return;
+    }
+  log_warn ("platform", NULL, "bad_epoch", "%" PRIu64 " after %" PRIu64,
+            response->epoch, http->base.epoch);
+  response->status = 0;
+}
+
 /* Gets URL within TIMEOUT_MS.  Returns the body, newly allocated, and sets
    REVISION, or returns NULL with ERROR set.  */
 static char *
@@ -284,7 +312,7 @@
       = { .method = "GET", .url = url, .timeout_ms = timeout_ms };
   struct fetch_response response = { .body = g_string_new (NULL) };
 
-  fetch_perform (http->fetch, &request, &response);
+  perform (http, &request, &response);
   if (response.status == HTTP_OK)
     {
       *revision = response.etag;
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "ibisloom/error.h"
+#include "ibisloom/log.h"
 #include "libledger.h"
 #include "test.h"
 
@@ -25,11 +26,20 @@
   uint64_t revision;
   GRand *random;
   int faults;
+  GQueue undo;        /* of struct write, newest first */
   char *delayed_name; /* write reported as unsure, applied later */
   char *delayed_text;
   uint64_t delayed_expected;
 };
 
+/* What an object was before a write. */
+struct write
+{
+  char *name;
+  char *text; /* NULL: it did not exist */
+  uint64_t revision;
+};
+
 /* Replies that the attempts at one key received. */
 struct history
 {
@@ -64,6 +74,9 @@
 static void outcome_is_stored_unchanged (void);
 static void mismatch_is_reported (void);
 static void expiry_removes_oldest_segment (void);
+static void lost_claim_is_not_granted_again (void);
+static void at_most_one_claim_across_restorations (void);
+static void claim_of_an_older_epoch_is_not_sent (void);
 
 static const struct platform_ops store_ops
     = { store_get, store_put, store_remove, store_watch, NULL, store_free };
@@ -76,6 +89,12 @@
   { "a stored outcome is returned unchanged", outcome_is_stored_unchanged },
   { "a key used for another request is a mismatch", mismatch_is_reported },
   { "expiry removes old segments only", expiry_removes_oldest_segment },
+  { "a claim that a restored store has lost is not granted again",
+    lost_claim_is_not_granted_again },
+  { "at most one attempt is claimed across restorations of the store",
+    at_most_one_claim_across_restorations },
+  { "a claim written into a segment of an older epoch is not sent",
+    claim_of_an_older_epoch_is_not_sent },
 };
 
 TEST_MAIN ("ledger", cases)
@@ -93,10 +112,40 @@
   return store;
 }
 
+static void
+free_write (struct write *write)
+{
+  g_free (write->name);
+  g_free (write->text);
+  g_free (write);
+}
+
+/* Restores STORE from the copy before its last COUNT writes.  */
+static void
+store_restore (struct store *store, int count)
+{
+  struct write *write;
+
+  store->base.epoch++;
+  for (int i = 0;
+       i < count && (write = g_queue_pop_head (&store->undo)) != NULL; i++)
+    {
+      struct ver_object *object
+          = g_hash_table_lookup (store->objects, write->name);
+
+      g_free (object->text);
+      object->text = g_strdup (write->text);
+      object->revision = write->revision;
+      store->revision--;
+      free_write (write);
+    }
+}
+
 static void
 store_free (struct platform *platform)
 {
   struct store *store = (struct store *)platform;
+  struct write *write;
   GHashTableIter iter;
   gpointer value;
 
@@ -110,6 +159,8 @@
   g_rand_free (store->random);
   g_free (store->delayed_name);
   g_free (store->delayed_text);
+  while ((write = g_queue_pop_head (&store->undo)) != NULL)
+    free_write (write);
   g_free (store);
 }
 
@@ -142,6 +193,7 @@
   struct ver_object *object = g_hash_table_lookup (store->objects, name);
   uint64_t current
       = object && object->text ? object->revision : PLATFORM_ABSENT;
+  struct write *write;
 
   if (current != expected)
     return -1;
@@ -150,6 +202,11 @@
       object = g_new0 (struct ver_object, 1);
       g_hash_table_insert (store->objects, g_strdup (name), object);
     }
+  write = g_new0 (struct write, 1);
+  write->name = g_strdup (name);
+  write->text = g_strdup (object->text);
+  write->revision = object->revision;
+  g_queue_push_head (&store->undo, write);
   g_free (object->text);
   object->text = g_strdup (text);
   object->revision = ++store->revision;
@@ -273,9 +330,11 @@
         return -1;
       if (ledger_log_resolve (log, op, entry, verdict))
         return 0;
+      records = json_array ();
+      ledger_log_stage_lost (log, records, 0);
       record = ledger_log_new_record (op, 1);
-      ledger_log_stage (log, record);
-      records = json_pack ("[o]", record);
+      ledger_log_stage (log, record, log->epoch);
+      json_array_append_new (records, record);
       result = ledger_log_append (log, &store->base, records, &error);
       json_decref (records);
       conflict = g_error_matches (error, ERR_DOMAIN, ERR_CONFLICT);
@@ -520,3 +579,141 @@
   ledger_log_clear (&log);
   store_free (&store->base);
 }
+
+/* Reads LOG and appends what STORE has lost, as writers do once a second, and
+   ends the doubt.  */
+static void
+recover (struct ledger_log *log, struct store *store)
+{
+  int result = -1;
+
+  while (result != 0)
+    {
+      json_t *records = json_array ();
+
+      result = ledger_log_load (log, &store->base, NULL);
+      if (result == 0)
+        ledger_log_stage_lost (log, records, 0);
+      if (result == 0 && json_array_size (records) > 0)
+        result = ledger_log_append (log, &store->base, records, NULL);
+      json_decref (records);
+    }
+  log->doubt_until_ms = 0;
+}
+
+/* The writer of the claim appends it again; another writer grants nothing that
+   it does not know before that.  */
+static void
+lost_claim_is_not_granted_again (void)
+{
+  struct store *store = store_new (1, 0);
+  struct ledger_log logs[2];
+  const struct ledger_entry *entry;
+  enum ledger_verdict verdict;
+  struct ledger_op op;
+
+  store->base.epoch = 1;
+  for (int i = 0; i < 2; i++)
+    {
+      ledger_log_init (&logs[i], "test");
+      make_op (&op, i, 1);
+      CU_ASSERT_EQUAL (commit_op (&logs[i], store, &op, &verdict, &entry), 0);
+      CU_ASSERT_EQUAL (verdict, LEDGER_CLAIMED);
+    }
+  make_op (&op, 5, 1);
+  CU_ASSERT_EQUAL (commit_op (&logs[0], store, &op, &verdict, &entry), 0);
+  store_restore (store, 2);
+  make_op (&op, 5, 2);
+  logs[1].loaded = 0;
+  CU_ASSERT_EQUAL (commit_op (&logs[1], store, &op, &verdict, &entry), 0);
+  CU_ASSERT_EQUAL (verdict, LEDGER_UNFINISHED);
+  recover (&logs[0], store);
+  recover (&logs[1], store);
+  CU_ASSERT_EQUAL (commit_op (&logs[1], store, &op, &verdict, &entry), 0);
+  CU_ASSERT_EQUAL (verdict, LEDGER_UNFINISHED);
+  make_op (&op, 1, 2);
+  CU_ASSERT_EQUAL (commit_op (&logs[0], store, &op, &verdict, &entry), 0);
+  CU_ASSERT_EQUAL (verdict, LEDGER_UNFINISHED);
+  make_op (&op, 6, 1);
+  CU_ASSERT_EQUAL (commit_op (&logs[0], store, &op, &verdict, &entry), 0);
+  CU_ASSERT_EQUAL (verdict, LEDGER_CLAIMED);
+  for (int i = 0; i < 2; i++)
+    ledger_log_clear (&logs[i]);
+  store_free (&store->base);
+}
+
+/* Writers claim keys, on a store that is restored at random moments from
+   copies up to ten writes old.  All writers recover within the time of doubt.
+ */
+static void
+run_restored_history (unsigned seed)
+{
+  struct store *store = store_new (seed, 1);
+  GRand *random = g_rand_new_with_seed (seed + 2000);
+  struct ledger_log logs[WRITERS];
+  int granted[KEYS] = { 0 };
+
+  store->base.epoch = 1;
+  for (int i = 0; i < WRITERS; i++)
+    ledger_log_init (&logs[i], "test");
+  for (int step = 1; step <= STEPS; step++)
+    {
+      int key = g_rand_int_range (random, 0, KEYS);
+      const struct ledger_entry *entry = NULL;
+      enum ledger_verdict verdict;
+      struct ledger_op op;
+
+      apply_delayed_write (store);
+      if (g_rand_int_range (random, 0, 30) == 0)
+        store_restore (store, g_rand_int_range (random, 1, 10));
+      if (g_rand_int_range (random, 0, 5) == 0)
+        for (int i = 0; i < WRITERS; i++)
+          recover (&logs[i], store);
+      make_op (&op, key, step);
+      if (commit_op (&logs[g_rand_int_range (random, 0, WRITERS)], store, &op,
+                     &verdict, &entry)
+              == 0
+          && verdict == LEDGER_CLAIMED)
+        granted[key]++;
+    }
+  for (int key = 0; key < KEYS; key++)
+    CU_ASSERT (granted[key] <= 1);
+  for (int i = 0; i < WRITERS; i++)
+    ledger_log_clear (&logs[i]);
+  g_rand_free (random);
+  store_free (&store->base);
+}
+
+static void
+at_most_one_claim_across_restorations (void)
+{
+  log_set_level (LOG_LEVEL_ERROR); /* a line for each restoration else */
+  for (unsigned seed = 1; seed <= SEEDS; seed++)
+    run_restored_history (seed);
+}
+
+/* The writer has not noticed the restoration, and the condition of its write
+   holds by accident: the segment has the revision that it had before.  */
+static void
+claim_of_an_older_epoch_is_not_sent (void)
+{
+  struct store *store = store_new (1, 0);
+  struct ledger_log logs[2];
+  const struct ledger_entry *entry;
+  enum ledger_verdict verdict;
+  struct ledger_op op;
+
+  store->base.epoch = 1;
+  for (int i = 0; i < 2; i++)
+    ledger_log_init (&logs[i], "test");
+  make_op (&op, 1, 1);
+  CU_ASSERT_EQUAL (commit_op (&logs[0], store, &op, &verdict, &entry), 0);
+  CU_ASSERT_EQUAL (ledger_log_load (&logs[1], &store->base, NULL), 0);
+  store_restore (store, 0);
+  make_op (&op, 2, 1);
+  CU_ASSERT_EQUAL (commit_op (&logs[1], store, &op, &verdict, &entry), 0);
+  CU_ASSERT_EQUAL (verdict, LEDGER_UNFINISHED);
+  for (int i = 0; i < 2; i++)
+    ledger_log_clear (&logs[i]);
+  store_free (&store->base);
+}
--- a/version/ledger_log.c
+++ b/version/ledger_log.c
@@ -5,19 +5,39 @@
    that fills a segment also seals it.  Only then may the next segment be
    created, on condition that it does not exist.  Each append is therefore a
    conditional write to the end of a single sequence: a writer whose view is
-   out of date cannot append, even if several instances act as the writer.  */
+   out of date cannot append, even if several instances act as the writer.
+
+   When the store was restored from an older copy of its data, its last
+   segments are lost or shorter, and conditions on their revisions may hold by
+   accident.  Each epoch of the store therefore has segment numbers of its own,
+   and only a claim in a segment of the current epoch allows its attempt to be
+   sent.  Writers append what they know and the store has lost; until all have
+   had the time to do so, a key that is not known is not granted.  */
 #include <stdlib.h>
 #include <string.h>
 
 #include "ibisloom/error.h"
+#include "ibisloom/log.h"
 #include "ibisloom/metrics.h"
 #include "libledger.h"
 
 enum
 {
-  SEGMENT_SEAL_BYTES = 65536
+  SEGMENT_SEAL_BYTES = 65536,
+  /* Writers read the log once a second if they have appended lately.  */
+  DOUBT_MS = 2500
 };
 
+/* Segment numbers of one epoch. */
+static const int64_t SEGMENTS_PER_EPOCH = 1000000000;
+
+static void begin_epoch (struct ledger_log *log, uint64_t epoch);
+static void open_segment_of_epoch (struct ledger_log *log);
+static int64_t first_segment (uint64_t epoch);
+static int is_in_doubt (const struct ledger_log *log);
+static int is_lost (const struct ledger_entry *entry, int64_t since_ms);
+static json_t *entry_record (const struct ledger_entry *entry);
+static void skip_old_epoch (struct ledger_log *log);
 static void free_entry (gpointer data);
 static struct ledger_entry *find_entry (const struct ledger_log *log,
                                         const char *key);
@@ -74,6 +94,14 @@
       metric_inc (METRIC_LEDGER_READS);
       if (json == NULL)
         return -1;
+      if (platform->epoch != log->epoch)
+        {
+          begin_epoch (log, platform->epoch);
+          g_free (json);
+          result = 1;
+          complete = 0;
+          continue;
+        }
       result = ledger_log_apply (log, json, error);
       g_free (json);
       complete = result == 0 || log->read_revision == before;
@@ -81,10 +109,71 @@
   while (result > 0 && !complete);
   if (result < 0)
     return -1;
+  open_segment_of_epoch (log);
   log->loaded = 1;
   return 0;
 }
 
+/* Begins to read LOG anew in EPOCH of the store.  The entries stay, but the
+   store may have lost their records.  */
+static void
+begin_epoch (struct ledger_log *log, uint64_t epoch)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (log->epoch != 0)
+    {
+      log->doubt_until_ms = clk_now (clk_monotonic ()) + DOUBT_MS;
+      metric_inc (METRIC_STORE_RESTORED);
+      log_warn ("ledger", NULL, "restored", "epoch %u, before %u",
+                (unsigned)epoch, (unsigned)log->epoch);
+    }
+  log->epoch = epoch;
+  log->may_have_lost = 1;
+  log->read_revision = 0;
+  log->first = -1;
+  log->open = -1;
+  log->open_revision = PLATFORM_ABSENT;
+  g_string_truncate (log->open_records, 0);
+  g_hash_table_iter_init (&iter, log->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct ledger_entry *entry = value;
+
+      entry->claim_kept = 0;
+      entry->outcome_kept = 0;
+    }
+}
+
+/* If LOG has no segment of its epoch yet, makes the first one the open one.
+   Other writers may then know records that the store has lost.  */
+static void
+open_segment_of_epoch (struct ledger_log *log)
+{
+  if (log->open >= first_segment (log->epoch))
+    return;
+  if (log->open >= 0 && !is_in_doubt (log))
+    log->doubt_until_ms = clk_now (clk_monotonic ()) + DOUBT_MS;
+  log->open = first_segment (log->epoch);
+  log->open_revision = PLATFORM_ABSENT;
+  g_string_truncate (log->open_records, 0);
+}
+
+/* Returns the number of the first segment in EPOCH.  */
+static int64_t
+first_segment (uint64_t epoch)
+{
+  return (int64_t)epoch * SEGMENTS_PER_EPOCH;
+}
+
+/* Returns whether other writers may know records that the store has lost.  */
+static int
+is_in_doubt (const struct ledger_log *log)
+{
+  return clk_now (clk_monotonic ()) < log->doubt_until_ms;
+}
+
 /* Applies the segments of JSON, a response to the platform's watch request.
    Returns 1 if further segments follow in another response, 0 if not, or -1
    with ERROR set if JSON is malformed.  */
@@ -132,9 +221,10 @@
   *entry = current;
   if (op->kind == LEDGER_OP_LOOKUP)
     {
-      *verdict = current == NULL || current->not_run ? LEDGER_ABSENT
-                 : current->completed                ? LEDGER_COMPLETED
-                                                     : LEDGER_UNFINISHED;
+      if (current != NULL && !current->not_run)
+        *verdict = current->completed ? LEDGER_COMPLETED : LEDGER_UNFINISHED;
+      else
+        *verdict = is_in_doubt (log) ? LEDGER_UNAVAILABLE : LEDGER_ABSENT;
       return 1;
     }
   if (op->kind == LEDGER_OP_OUTCOME)
@@ -147,19 +237,24 @@
         return 0;
       return 1;
     }
-  if (current == NULL)
-    return 0;
+  if (current == NULL || (current->not_run && !same_attempt))
+    {
+      *verdict = LEDGER_UNFINISHED;
+      return is_in_doubt (log);
+    }
   if (current->not_run)
     {
       *verdict = LEDGER_UNAVAILABLE;
-      return same_attempt;
+      return 1;
     }
   if (current->fingerprint != op->call.fingerprint)
     *verdict = LEDGER_MISMATCH;
   else if (current->completed)
     *verdict = LEDGER_COMPLETED;
   else
-    *verdict = same_attempt ? LEDGER_CLAIMED : LEDGER_UNFINISHED;
+    *verdict = same_attempt && current->epoch == log->epoch
+                   ? LEDGER_CLAIMED
+                   : LEDGER_UNFINISHED;
   return 1;
 }
 
@@ -186,12 +281,68 @@
   return record;
 }
 
-/* Applies RECORD to the staged entry of its key.  The outcome of a completed
+/* Stages again, and adds to RECORDS, what was recorded after SINCE_MS (wall
+   clock) and the store has lost.  */
+void
+ledger_log_stage_lost (struct ledger_log *log, json_t *records,
+                       int64_t since_ms)
+{
+  size_t before = json_array_size (records);
+  GHashTableIter iter;
+  gpointer value;
+
+  if (!log->may_have_lost)
+    return;
+  g_hash_table_iter_init (&iter, log->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      json_t *record;
+
+      if (!is_lost (value, since_ms))
+        continue;
+      record = entry_record (value);
+      ledger_log_stage (log, record, log->epoch);
+      json_array_append_new (records, record);
+    }
+  log->may_have_lost = json_array_size (records) > before;
+}
+
+/* Returns whether the store has lost a record of ENTRY, made after SINCE_MS.
+ */
+static int
+is_lost (const struct ledger_entry *entry, int64_t since_ms)
+{
+  if (entry->time_ms < since_ms)
+    return 0;
+  return !entry->claim_kept
+         || ((entry->completed || entry->not_run) && !entry->outcome_kept);
+}
+
+/* Returns the last record of ENTRY.  */
+static json_t *
+entry_record (const struct ledger_entry *entry)
+{
+  struct ledger_op op
+      = { .kind = entry->completed || entry->not_run ? LEDGER_OP_OUTCOME
+                                                     : LEDGER_OP_CLAIM,
+          .not_run = entry->not_run,
+          .status = entry->status,
+          .content_type = entry->content_type,
+          .body = entry->body };
+
+  g_strlcpy (op.call.key, entry->key, sizeof op.call.key);
+  g_strlcpy (op.call.nonce, entry->nonce, sizeof op.call.nonce);
+  op.call.fingerprint = entry->fingerprint;
+  return ledger_log_new_record (&op, entry->time_ms);
+}
+
+/* Applies RECORD, of a segment of EPOCH, to the staged entry of its key.  The
+   outcome of a completed
    entry never changes, an outcome counts only for the attempt that holds the
    claim, and another attempt may take over the key of an aborted claim.
    Returns 0, or -1 if the record is malformed.  */
 int
-ledger_log_stage (struct ledger_log *log, json_t *record)
+ledger_log_stage (struct ledger_log *log, json_t *record, uint64_t epoch)
 {
   const char *key = json_string_value (json_object_get (record, "k"));
   const char *nonce = json_string_value (json_object_get (record, "n"));
@@ -210,9 +361,16 @@
       entry->fingerprint
           = (uint64_t)json_integer_value (json_object_get (record, "f"));
       entry->not_run = 0;
+      entry->epoch = 0;
+      entry->outcome_kept = 0;
     }
   entry->time_ms = json_integer_value (json_object_get (record, "t"));
-  if (strcmp (entry->nonce, nonce) != 0 || entry->completed)
+  if (strcmp (entry->nonce, nonce) != 0)
+    return 0;
+  entry->epoch = MAX (entry->epoch, epoch);
+  entry->claim_kept = 1;
+  entry->outcome_kept |= not_run || status != NULL;
+  if (entry->completed)
     return 0;
   if (not_run)
     entry->not_run = 1;
@@ -294,7 +452,7 @@
 {
   char name[PLATFORM_NAME_MAX_BYTES];
   GString *text = g_string_new (log->open_records->str);
-  int64_t number = log->open < 0 ? 0 : log->open;
+  int64_t number = log->open;
   uint64_t revision = 0;
   char *object;
   int sealed;
@@ -309,6 +467,11 @@
   result = platform_put_confirmed (platform, name, object, log->open_revision,
                                    &revision, error);
   g_free (object);
+  if (result == 0 && platform->epoch != log->epoch)
+    {
+      err_set (error, ERR_CONFLICT, "%s: the store was restored", name);
+      result = -1;
+    }
   if (result != 0)
     {
       g_string_free (text, TRUE);
@@ -343,15 +506,21 @@
   json_t *record;
   size_t i;
   int64_t newest_ms = 0;
+  GError *error = NULL;
   char *text;
 
   if (!log->loaded || log->first < 0 || log->first >= log->open)
     return;
   g_snprintf (name, sizeof name, "%s%010" G_GINT64_FORMAT, log->prefix,
               (gint64)log->first);
-  text = platform_get (platform, name, &revision, NULL);
+  text = platform_get (platform, name, &revision, &error);
   if (text == NULL)
-    return;
+    {
+      if (g_error_matches (error, ERR_DOMAIN, ERR_NOT_FOUND))
+        skip_old_epoch (log);
+      g_clear_error (&error);
+      return;
+    }
   segment = json_loads (text, 0, NULL);
   g_free (text);
   json_array_foreach (json_object_get (segment, "records"), i, record)
@@ -375,6 +544,17 @@
   json_decref (segment);
 }
 
+/* If the oldest segments of LOG were those of an older epoch and are all
+   removed, goes on to those of the next one.  */
+static void
+skip_old_epoch (struct ledger_log *log)
+{
+  int64_t next = (log->first / SEGMENTS_PER_EPOCH + 1) * SEGMENTS_PER_EPOCH;
+
+  if (next <= log->open)
+    log->first = next;
+}
+
 /* Applies ITEM, one segment of a watch response.  Its value is absent if the
    segment was removed.  Returns 0, or -1 with ERROR set.  */
 static int
@@ -402,7 +582,8 @@
                name ? name : "");
       return -1;
     }
-  json_array_foreach (records, i, record) ledger_log_stage (log, record);
+  json_array_foreach (records, i, record)
+      ledger_log_stage (log, record, (uint64_t)(number / SEGMENTS_PER_EPOCH));
   ledger_log_commit_staged (log);
   if (log->first < 0 || number < log->first)
     log->first = number;
--- a/version/ledger_writer.c
+++ b/version/ledger_writer.c
@@ -20,6 +20,9 @@
   BACKOFF_DOUBLINGS_MAX = 4,
   PLATFORM_CALL_TIMEOUT_MS = 150,
   EXPIRE_INTERVAL_MS = 1000,
+  /* A writer that has appended within this time looks for a restoration of the
+     store, and appends what was lost.  */
+  LOST_MAX_MS = 60000,
   IDLE_WAIT_MS = 200,
   NS_PER_MS = 1000000
 };
@@ -50,6 +53,7 @@
 static void stage_op (struct ledger_log *log, struct ledger_op *op,
                       json_t *records);
 static void fail_batch (GPtrArray *ops, enum ledger_verdict verdict);
+static void append_lost (struct ledger_writer *writer);
 static void back_off (struct ledger_writer *writer);
 static void fail_expired_ops (GPtrArray *ops);
 static void sleep_ms (int64_t ms);
@@ -153,6 +157,8 @@
   if (now < writer->next_expire_ms)
     return;
   writer->next_expire_ms = now + EXPIRE_INTERVAL_MS;
+  if (writer->last_write_ms != 0 && now - writer->last_write_ms < LOST_MAX_MS)
+    append_lost (writer);
   ledger_log_expire (
       &writer->log, writer->platform,
       clk_wall_ms () - writer->settings->ledger_retention_s * CLK_MS_PER_S);
@@ -173,6 +179,23 @@
     sleep_ms (next_write_ms - now);
 }
 
+/* Reads the log and appends what the store has lost, if it was restored.  */
+static void
+append_lost (struct ledger_writer *writer)
+{
+  json_t *records = json_array ();
+
+  if (ledger_log_load (&writer->log, writer->platform, NULL) == 0)
+    {
+      ledger_log_stage_lost (&writer->log, records,
+                             clk_wall_ms () - LOST_MAX_MS);
+      if (json_array_size (records) > 0)
+        (void)ledger_log_append (&writer->log, writer->platform, records,
+                                 NULL);
+    }
+  json_decref (records);
+}
+
 /* Returns up to BATCH_MAX queued operations in a new array, or NULL if the
    writer is stopping and the queue is empty.  */
 static GPtrArray *
@@ -286,6 +309,7 @@
         return -1;
     }
   records = json_array ();
+  ledger_log_stage_lost (log, records, clk_wall_ms () - LOST_MAX_MS);
   for (guint i = 0; i < ops->len; i++)
     stage_op (log, g_ptr_array_index (ops, i), records);
   if (json_array_size (records) > 0)
@@ -315,7 +339,7 @@
   if (ledger_log_resolve (log, op, &entry, &op->verdict))
     return;
   record = ledger_log_new_record (op, clk_wall_ms ());
-  ledger_log_stage (log, record);
+  ledger_log_stage (log, record, log->epoch);
   json_array_append_new (records, record);
   op->verdict = op->kind == LEDGER_OP_CLAIM ? LEDGER_CLAIMED : LEDGER_STORED;
 }
--- a/version/libledger.h
+++ b/version/libledger.h
@@ -68,11 +68,14 @@
   char nonce[LEDGER_ID_BYTES];
   uint64_t fingerprint;
   int64_t time_ms; /* wall clock time of the last record */
+  uint64_t epoch;  /* newest of the segments that have its claim */
   int completed;   /* has an outcome, which is final */
   int not_run;     /* the claim was aborted */
   int status;
   char *content_type;
-  char *body; /* base64 */
+  char *body;           /* base64 */
+  uint8_t claim_kept;   /* the store has it, as read in its epoch */
+  uint8_t outcome_kept; /* likewise */
 };
 
 /* In-memory view of the log, as far as it was read, and the contents of the
@@ -83,6 +86,9 @@
   GHashTable *entries;    /* key to struct ledger_entry */
   GHashTable *staged;     /* likewise, with records not durable yet */
   int loaded;             /* 0: read the log before appending */
+  uint64_t epoch;         /* of the store, when it was read; 0: not told */
+  clk_ms doubt_until_ms;  /* records of other writers may be lost until then */
+  uint8_t may_have_lost;  /* the store, of what is known */
   uint64_t read_revision; /* store revision up to which it was read */
   int64_t first;          /* number of the oldest segment, or -1 */
   int64_t open;           /* number of the open segment, or -1 */
@@ -102,7 +108,9 @@
                         const struct ledger_entry **entry,
                         enum ledger_verdict *verdict);
 json_t *ledger_log_new_record (const struct ledger_op *op, int64_t time_ms);
-int ledger_log_stage (struct ledger_log *log, json_t *record);
+int ledger_log_stage (struct ledger_log *log, json_t *record, uint64_t epoch);
+void ledger_log_stage_lost (struct ledger_log *log, json_t *records,
+                            int64_t since_ms);
 void ledger_log_commit_staged (struct ledger_log *log);
 void ledger_log_discard_staged (struct ledger_log *log);
 int ledger_log_append (struct ledger_log *log, struct platform *platform,
