--- a/daemon/ctl_summary.c
+++ b/daemon/ctl_summary.c
@@ -21,6 +21,7 @@
 static GHashTable *count_requests (const struct ctl_lines *lines);
 static void count_request (GHashTable *all, const char *reason,
                            int64_t second);
+static void print_restorations (const struct ctl_lines *lines);
 static void free_series (gpointer data);
 static void print_table (GHashTable *all, const GList *reasons);
 static void print_chart (const struct series *series, guint seconds);
@@ -39,7 +40,10 @@
   if (as_json)
     print_json (all, reasons);
   else
-    print_table (all, reasons);
+    {
+      print_table (all, reasons);
+      print_restorations (&lines);
+    }
   g_list_free (reasons);
   g_hash_table_destroy (all);
   ctl_free_lines (&lines);
@@ -117,6 +121,31 @@
   printf ("%-25s %u s, each row scaled to its own peak\n", "", seconds);
 }
 
+/* Prints when the platform's store was restored from an older copy, by the
+   first line that tells each epoch.  */
+static void
+print_restorations (const struct ctl_lines *lines)
+{
+  int64_t last_epoch = 0;
+
+  for (guint i = 0; i < lines->all->len; i++)
+    {
+      const json_t *line = g_ptr_array_index (lines->all, i);
+      int64_t epoch = ctl_number (line, "epoch");
+
+      if (g_strcmp0 (ctl_text (line, "module"), "store") != 0
+          || g_strcmp0 (ctl_text (line, "reason"), "restored") != 0
+          || epoch <= last_epoch)
+        continue;
+      last_epoch = epoch;
+      printf ("store restored at %" PRId64 " ms: epoch %" PRId64
+              ", revision %" PRId64 " after %" PRId64 "\n",
+              ctl_number (line, "time_ms"), epoch,
+              ctl_number (line, "revision"),
+              ctl_number (line, "revision_before"));
+    }
+}
+
 /* Prints SERIES over SECONDS as a bar chart in one line, scaled to its peak.
  */
 static void
