--- a/include/ibisloom/quarantine.h
+++ b/include/ibisloom/quarantine.h
@@ -13,6 +13,9 @@
   QUAR_STATES_MAX = 256 /* parts in or formerly in quarantine */
 };
 
+/* Set in the fingerprints of requests, and in no identifier of a part. */
+static const uint64_t QUAR_REQUEST_BIT = UINT64_C (1) << 63;
+
 /* How strongly the end of a target speaks against a request that it had in
    progress then. */
 enum quar_strength
--- a/include/ibisloom/rank.h
+++ b/include/ibisloom/rank.h
@@ -17,6 +17,7 @@
 };
 
 uint64_t rank_hash (const char *text);
+uint64_t rank_hash_bytes (const char *data, size_t length);
 uint64_t rank_mix (uint64_t key, uint64_t id);
 uint64_t rank_id (const char *first, const char *second, const char *third);
 uint64_t rank_hash_parts (const char *first, const char *second,
--- a/request/librelay.h
+++ b/request/librelay.h
@@ -53,7 +53,8 @@
   const char *id;
   uint64_t *parts; /* shared parts of the prompt; NULL: none */
   uint32_t part_count;
-  uint64_t context; /* hash of the shared prompt parts, 0: none */
+  uint64_t fingerprint; /* of path, caller and body; see QUAR_REQUEST_BIT */
+  uint64_t context;     /* hash of the shared prompt parts, 0: none */
   uint32_t context_tokens;
   clk_ms arrived_ms;
   clk_ms deadline_ms;
--- a/request/rank.c
+++ b/request/rank.c
@@ -34,6 +34,13 @@
   return XXH3_64bits (text, strlen (text));
 }
 
+/* Returns a hash of the LENGTH bytes of DATA.  */
+uint64_t
+rank_hash_bytes (const char *data, size_t length)
+{
+  return XXH3_64bits (data, length);
+}
+
 /* Returns a hash of three strings.  The terminators are hashed too, so that
    ("ab", "c") and ("a", "bc") give different hashes.  */
 uint64_t
--- a/request/relay.c
+++ b/request/relay.c
@@ -42,6 +42,7 @@
 static int authenticate (struct relay *relay);
 static void set_deadline (struct relay *relay);
 static void read_prompt (struct relay *relay);
+static void set_fingerprint (struct relay *relay, const char *host);
 static void start_attempt (struct relay *relay, struct reg_target *target);
 static uint32_t max_sends (const struct relay *relay);
 static enum health_event health_event_of (const struct relay *relay,
@@ -121,6 +122,7 @@
     return 0;
   set_deadline (relay);
   read_prompt (relay);
+  set_fingerprint (relay, host);
   *refusal = RELAY_STOPPING;
   if (!router_may_start (router, expected_duration_ms (relay)))
     return 0;
@@ -198,6 +200,7 @@
   relay->parts = g_memdup2 (prompt.id, relay->part_count * sizeof *prompt.id);
   for (uint32_t i = 0; i < relay->part_count; i++)
     {
+      relay->parts[i] &= ~QUAR_REQUEST_BIT;
       relay->context = rank_mix (relay->context, prompt.id[i]);
       relay->context_tokens += prompt.tokens[i];
     }
@@ -206,6 +209,23 @@
          * CONTEXT_MEAN_WEIGHT;
 }
 
+/* Sets the fingerprint of RELAY, a request to HOST: a request that comes again
+   has the same one, whatever its attempt id.  */
+static void
+set_fingerprint (struct relay *relay, const char *host)
+{
+  uint64_t path = rank_hash_parts (relay->head->method, host,
+                                   http_head_url (relay->head));
+  uint64_t caller
+      = relay->customer != NULL ? rank_hash (relay->customer->name) : 0;
+  uint64_t body = relay->body != NULL
+                      ? rank_hash_bytes (relay->body->str, relay->body->len)
+                      : 0;
+
+  relay->fingerprint
+      = rank_mix (rank_mix (path, caller), body) | QUAR_REQUEST_BIT;
+}
+
 /* Chooses a target for RELAY and starts an attempt there, or refuses the
    request if there is none.  */
 void
--- a/request/relay_log.c
+++ b/request/relay_log.c
@@ -110,6 +110,7 @@
                  const struct retry_decision *decision, clk_ms now)
 {
   struct log_line line;
+  char fingerprint[24];
 
   if (!log_begin (&line, LOG_LEVEL_INFO, "attempt", relay->id,
                   fault_names[fault]))
@@ -124,6 +125,8 @@
   log_text (&line, "next",
             decision->action == RETRY_GIVE_UP ? "give_up" : "elsewhere");
   log_text (&line, "because", give_up_reason_names[decision->reason]);
+  g_snprintf (fingerprint, sizeof fingerprint, "%" PRIx64, relay->fingerprint);
+  log_text (&line, "fingerprint", fingerprint);
   log_parts (&line, relay);
   log_end (&line);
 }
