--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -14,6 +14,7 @@
 {
   ROUTERS = 4,
   TARGETS = 12,
+  DESK_TARGETS = 6,
   CLIENTS = 12,        /* that send sound requests */
   CRASH_CLIENTS = 3,   /* that send requests which crash targets */
   SOUND_PAUSE_MS = 60, /* between two requests of a client */
@@ -25,7 +26,8 @@
   BEGIN_MS = 50, /* from the head of a response to its first event */
   RESTART_MS = 1000,
   CONTACT_MS = 3000, /* until a change must have reached all instances */
-  CRASHES_ALLOWED = 5,
+  PART_CRASHES_ALLOWED = 5,
+  REQUEST_CRASHES_ALLOWED = 3,
   SENDS_ALLOWED = 3, /* once CONTACT_MS have passed after these crashes */
   BEFORE_MS = 3000,
   MEASURED_MS = 3000,
@@ -35,6 +37,13 @@
 static void crashing_part_is_contained (void);
 static void crashing_part_is_contained_after_restart_of_all (void);
 static void crashing_call_without_parts_ends_few_targets (void);
+static void crashing_read_is_contained (void);
+static void crashing_call_is_contained (void);
+static void crashing_read_is_contained_with_three_targets (void);
+static void crashing_stream_is_contained (void);
+static void crashing_read_is_contained_after_restart_of_all (void);
+static void popular_read_is_served_while_targets_end (void);
+static void other_body_on_the_same_path_is_served (void);
 
 static const struct test_case cases[] = {
   { "a prompt part that crashes targets is contained",
@@ -43,6 +52,20 @@
     crashing_part_is_contained_after_restart_of_all },
   { "a crashing request without parts ends few targets",
     crashing_call_without_parts_ends_few_targets },
+  { "a read that crashes targets and comes again is contained",
+    crashing_read_is_contained },
+  { "a call that crashes targets and comes again is contained",
+    crashing_call_is_contained },
+  { "such a read is contained in a service of three targets",
+    crashing_read_is_contained_with_three_targets },
+  { "a stream without prompt parts that crashes targets is contained",
+    crashing_stream_is_contained },
+  { "such a read stays contained after a restart of all instances",
+    crashing_read_is_contained_after_restart_of_all },
+  { "a popular read is served while targets end by themselves",
+    popular_read_is_served_while_targets_end },
+  { "another body on the path of a crashing call is served",
+    other_body_on_the_same_path_is_served },
 };
 
 TEST_MAIN ("crash", cases)
@@ -50,13 +73,30 @@
 /* Part that crashes each target which begins to respond to it.  */
 static const char crashing_part[] = "bad0";
 
+/* What the path or the body of a request has that crashes targets.  */
+static const char crashing_text[] = "bad1";
+
+/* What the clients of a run send, and to which targets. */
+struct traffic
+{
+  const char *service;
+  int targets;
+  fx_handler_fn handler;
+  int crashes_allowed;
+  /* Send a request, the crashing one if CRASHES_TARGET.  Returns the response,
+     newly allocated, or NULL.  */
+  char *(*send) (GRand *random, int crashes_target);
+  const char *begun; /* is in the responses to sound requests */
+};
+
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static gint stopping;
 static gint crashing; /* requests with the crashing part are sent */
 static gint numbers;  /* of requests and targets */
 static int crashes;
 static int64_t last_counted_crash_ms; /* of the first CRASHES_ALLOWED */
-static int late_sends;                /* of the crashing part */
+static int late_sends;                /* of the crashing part or request */
+static const struct traffic *traffic; /* of the current run */
 static int sound_sent;
 static int sound_begun; /* at the first attempt */
 
@@ -78,19 +118,19 @@
   if (!fx_target_crash (request->target))
     return;
   pthread_mutex_lock (&lock);
-  if (++crashes <= CRASHES_ALLOWED)
+  if (++crashes <= traffic->crashes_allowed)
     last_counted_crash_ms = now_ms ();
   pthread_mutex_unlock (&lock);
   if (pthread_create (&thread, NULL, restart_target, request->target) == 0)
     pthread_detach (thread);
 }
 
-/* Counts a request with the crashing part that reaches a target.  */
+/* Counts a crashing request that reaches a target.  */
 static void
 count_crashing_send (void)
 {
   pthread_mutex_lock (&lock);
-  late_sends += crashes >= CRASHES_ALLOWED
+  late_sends += crashes >= traffic->crashes_allowed
                 && now_ms () > last_counted_crash_ms + CONTACT_MS;
   pthread_mutex_unlock (&lock);
 }
@@ -120,6 +160,25 @@
   return 1;
 }
 
+/* Responds, unless the path or the body crashes the target.  */
+static int
+serve_or_crash (const struct fx_request *request)
+{
+  int crashes_target = strstr (request->text, crashing_text) != NULL;
+
+  if (crashes_target)
+    count_crashing_send ();
+  fx_sleep_ms (BEGIN_MS);
+  if (crashes_target)
+    {
+      crash_target (request);
+      return 0;
+    }
+  if (strstr (request->text, "/rules/") != NULL)
+    return shop_stream_events (request);
+  return shop_respond_ok (request);
+}
+
 /* Ends its target without a byte of a response.  */
 static int
 crash_always (const struct fx_request *request)
@@ -147,7 +206,7 @@
   if (g_atomic_int_get (&stopping))
     return NULL;
   fx_target_remove (target);
-  add_target (stream_or_crash, "pool");
+  add_target (traffic->handler, traffic->service);
   return NULL;
 }
 
@@ -174,9 +233,9 @@
   return fx_read_all (fd);
 }
 
-/* Sends a request to a random router, with the crashing part between the
-   others if CRASHES_TARGET, and counts it otherwise.  */
-static void
+/* Sends a prompt to a random router, with the crashing part between the others
+   if CRASHES_TARGET.  */
+static char *
 send_random_prompt (GRand *random, int crashes_target)
 {
   char *parts = g_strdup_printf (
@@ -187,13 +246,106 @@
       = send_prompt (g_rand_int_range (random, 0, ROUTERS),
                      g_rand_boolean (random) ? "plan" : "rules", parts);
 
+  g_free (parts);
+  return response;
+}
+
+/* Sends a METHOD request for PATH with BODY to router INDEX.  Returns the
+   response, or NULL if the router cannot be reached.  */
+static char *
+send_plain (int index, const char *method, const char *path, const char *body)
+{
+  int fd = fx_router_connect (index);
+  char *text;
+
+  if (fd < 0)
+    return NULL;
+  text = g_strdup_printf ("%s %s HTTP/1.1\r\nHost: shop.example\r\n"
+                          "X-Ibisloom-Attempt-Id: r%d\r\n"
+                          "X-Ibisloom-Deadline-Remaining: 3000\r\n"
+                          "Authorization: Token key-1\r\n"
+                          "Content-Length: %zu\r\n"
+                          "Connection: close\r\n\r\n%s",
+                          method, path, g_atomic_int_add (&numbers, 1),
+                          strlen (body), body);
+  fx_send (fd, text);
+  g_free (text);
+  return fx_read_all (fd);
+}
+
+/* Sends a METHOD request on the route PREFIX to a random router: always the
+   same one if CRASHES_TARGET, else always another one.  */
+static char *
+send_random_plain (GRand *random, const char *method, const char *prefix,
+                   int crashes_target)
+{
+  char *path = crashes_target
+                   ? g_strdup_printf ("%s%s", prefix, crashing_text)
+                   : g_strdup_printf ("%sp%d", prefix,
+                                      g_atomic_int_add (&numbers, 1));
+  char *response
+      = send_plain (g_rand_int_range (random, 0, ROUTERS), method, path, "b");
+
+  g_free (path);
+  return response;
+}
+
+static char *
+send_random_read (GRand *random, int crashes_target)
+{
+  return send_random_plain (random, "GET", "/map/", crashes_target);
+}
+
+static char *
+send_random_call (GRand *random, int crashes_target)
+{
+  return send_random_plain (random, "POST", "/fee/", crashes_target);
+}
+
+static char *
+send_random_stream (GRand *random, int crashes_target)
+{
+  return send_random_plain (random, "POST", "/rules/", crashes_target);
+}
+
+static const struct traffic prompts = { "pool",
+                                        TARGETS,
+                                        stream_or_crash,
+                                        PART_CRASHES_ALLOWED,
+                                        send_random_prompt,
+                                        "data: e1\n" };
+static const struct traffic reads
+    = { "desk",           DESK_TARGETS,
+        serve_or_crash,   REQUEST_CRASHES_ALLOWED,
+        send_random_read, " 200 OK" };
+static const struct traffic reads_at_three
+    = { "desk",           DESK_TARGETS / 2,
+        serve_or_crash,   REQUEST_CRASHES_ALLOWED,
+        send_random_read, " 200 OK" };
+static const struct traffic calls
+    = { "desk",           DESK_TARGETS,
+        serve_or_crash,   REQUEST_CRASHES_ALLOWED,
+        send_random_call, " 200 OK" };
+static const struct traffic streams = { "pool",
+                                        DESK_TARGETS,
+                                        serve_or_crash,
+                                        REQUEST_CRASHES_ALLOWED,
+                                        send_random_stream,
+                                        "data: e1\n" };
+
+/* Sends a request of the current run, and counts it unless it crashes
+   targets.  */
+static void
+send_counted (GRand *random, int crashes_target)
+{
+  char *response = traffic->send (random, crashes_target);
+
   pthread_mutex_lock (&lock);
   sound_sent += !crashes_target && response != NULL;
   sound_begun += !crashes_target && response != NULL
-                 && strstr (response, "data: e1\n") != NULL;
+                 && strstr (response, traffic->begun) != NULL;
   pthread_mutex_unlock (&lock);
   g_free (response);
-  g_free (parts);
 }
 
 /* Runs the client CLOSURE, a number from 1; those over CLIENTS crash
@@ -208,22 +360,23 @@
   while (!g_atomic_int_get (&stopping))
     {
       if (!crashes_targets || g_atomic_int_get (&crashing))
-        send_random_prompt (random, crashes_targets);
+        send_counted (random, crashes_targets);
       fx_sleep_ms (crashes_targets ? CRASH_PAUSE_MS : SOUND_PAUSE_MS);
     }
   g_rand_free (random);
   return NULL;
 }
 
-/* Starts targets, routers and the clients in THREADS.  */
+/* Starts targets, routers and the clients in THREADS, which send OF_RUN.  */
 static void
-start_fleet (pthread_t *threads)
+start_fleet (pthread_t *threads, const struct traffic *of_run)
 {
+  traffic = of_run;
   crashes = late_sends = 0;
   g_atomic_int_set (&stopping, 0);
   g_atomic_int_set (&crashing, 0);
-  for (int i = 0; i < TARGETS; i++)
-    add_target (stream_or_crash, "pool");
+  for (int i = 0; i < traffic->targets; i++)
+    add_target (traffic->handler, traffic->service);
   fx_store_start (shop_config);
   fx_routers_start (ROUTERS);
   fx_sleep_ms (START_MS);
@@ -263,6 +416,7 @@
 static void
 expect_containment (double before)
 {
+  GRand *random = g_rand_new_with_seed (1);
   double after;
   char *response;
 
@@ -273,19 +427,21 @@
   CU_ASSERT (crashes > 0);
   CU_ASSERT (late_sends <= SENDS_ALLOWED);
   CU_ASSERT (after >= before / 2);
-  response = send_prompt (0, "rules", "a0:100,bad0:40");
+  response = traffic->send (random, 1);
   CU_ASSERT (g_str_has_prefix (response, "HTTP/1.1 503"));
   CU_ASSERT_PTR_NOT_NULL (strstr (response, "Retry-After: "));
   g_free (response);
+  g_rand_free (random);
 }
 
+/* Checks that the crashing requests of OF_RUN are contained.  */
 static void
-crashing_part_is_contained (void)
+expect_contained (const struct traffic *of_run)
 {
   pthread_t threads[CLIENTS + CRASH_CLIENTS];
   double before;
 
-  start_fleet (threads);
+  start_fleet (threads, of_run);
   before = measure_sound_share (BEFORE_MS);
   CU_ASSERT (before > 0.9);
   g_atomic_int_set (&crashing, 1);
@@ -293,13 +449,14 @@
   stop_fleet (threads);
 }
 
+/* The same, with a restart of all instances.  */
 static void
-crashing_part_is_contained_after_restart_of_all (void)
+expect_contained_after_restart_of_all (const struct traffic *of_run)
 {
   pthread_t threads[CLIENTS + CRASH_CLIENTS];
   double before;
 
-  start_fleet (threads);
+  start_fleet (threads, of_run);
   before = measure_sound_share (BEFORE_MS);
   g_atomic_int_set (&crashing, 1);
   fx_sleep_ms (CONTACT_MS);
@@ -313,11 +470,148 @@
   stop_fleet (threads);
 }
 
+static void
+crashing_part_is_contained (void)
+{
+  expect_contained (&prompts);
+}
+
+static void
+crashing_part_is_contained_after_restart_of_all (void)
+{
+  expect_contained_after_restart_of_all (&prompts);
+}
+
+static void
+crashing_read_is_contained (void)
+{
+  expect_contained (&reads);
+}
+
+static void
+crashing_call_is_contained (void)
+{
+  expect_contained (&calls);
+}
+
+static void
+crashing_read_is_contained_with_three_targets (void)
+{
+  expect_contained (&reads_at_three);
+}
+
+static void
+crashing_stream_is_contained (void)
+{
+  expect_contained (&streams);
+}
+
+static void
+crashing_read_is_contained_after_restart_of_all (void)
+{
+  expect_contained_after_restart_of_all (&reads);
+}
+
+/* Sends the same read again and again.  */
+static void *
+repeat_read (void *closure)
+{
+  GRand *random = g_rand_new_with_seed (7);
+
+  (void)closure;
+  while (!g_atomic_int_get (&stopping))
+    {
+      g_free (send_plain (g_rand_int_range (random, 0, ROUTERS), "GET",
+                          "/map/popular", ""));
+      fx_sleep_ms (SOUND_PAUSE_MS / 3);
+    }
+  g_rand_free (random);
+  return NULL;
+}
+
+/* Targets end one after the other, then all at once, each with the read in
+   progress.  */
+static void
+popular_read_is_served_while_targets_end (void)
+{
+  struct fx_target *targets[DESK_TARGETS];
+  pthread_t threads[CRASH_CLIENTS];
+  int served = 0;
+
+  traffic = &reads;
+  g_atomic_int_set (&stopping, 0);
+  for (int i = 0; i < DESK_TARGETS; i++)
+    targets[i] = add_target (serve_or_crash, "desk");
+  fx_store_start (shop_config);
+  fx_routers_start (ROUTERS);
+  fx_sleep_ms (START_MS);
+  for (int i = 0; i < CRASH_CLIENTS; i++)
+    CU_ASSERT_EQUAL_FATAL (
+        pthread_create (&threads[i], NULL, repeat_read, NULL), 0);
+  fx_sleep_ms (START_MS);
+  for (int i = 0; i < DESK_TARGETS; i++)
+    {
+      struct fx_request request = { .target = targets[i] };
+
+      crash_target (&request);
+      fx_sleep_ms (i < DESK_TARGETS / 2 ? RESTART_MS / 2 : 0);
+    }
+  fx_sleep_ms (2 * CONTACT_MS);
+  for (int i = 0; i < ROUTERS; i++)
+    {
+      char *response = send_plain (i, "GET", "/map/popular", "");
+
+      served += strstr (response, " 200 OK") != NULL;
+      g_free (response);
+    }
+  CU_ASSERT_EQUAL (served, ROUTERS);
+  g_atomic_int_set (&stopping, 1);
+  for (int i = 0; i < CRASH_CLIENTS; i++)
+    pthread_join (threads[i], NULL);
+  fx_env_stop ();
+}
+
+/* The crashing call is in quarantine at the end; on its path, another body is
+   not.  */
+static void
+other_body_on_the_same_path_is_served (void)
+{
+  char *response;
+
+  traffic = &calls;
+  crashes = 0;
+  g_atomic_int_set (&stopping, 0);
+  for (int i = 0; i < DESK_TARGETS; i++)
+    add_target (serve_or_crash, "desk");
+  fx_store_start (shop_config);
+  fx_routers_start (ROUTERS);
+  fx_sleep_ms (START_MS);
+  for (int i = 0; i < 2 * REQUEST_CRASHES_ALLOWED; i++)
+    {
+      g_free (send_plain (i % ROUTERS, "POST", "/fee/1", crashing_text));
+      fx_sleep_ms (RESTART_MS / 2);
+    }
+  response = send_plain (0, "POST", "/fee/1", crashing_text);
+  CU_ASSERT (g_str_has_prefix (response, "HTTP/1.1 503"));
+  g_free (response);
+  for (int i = 0; i < ROUTERS; i++)
+    {
+      response = send_plain (i, "POST", "/fee/1", "sound");
+      CU_ASSERT_PTR_NOT_NULL (strstr (response, " 200 OK"));
+      g_free (response);
+    }
+  CU_ASSERT (crashes <= REQUEST_CRASHES_ALLOWED);
+  g_atomic_int_set (&stopping, 1);
+  fx_sleep_ms (2 * RESTART_MS);
+  fx_env_stop ();
+}
+
 /* The route allows two attempts; there are six targets.  */
 static void
 crashing_call_without_parts_ends_few_targets (void)
 {
   g_atomic_int_set (&stopping, 1); /* targets are not restarted */
+  traffic = &reads;
   crashes = 0;
   for (int i = 0; i < TARGETS / 2; i++)
     add_target (crash_always, "desk");
