Refuse a request that crashes its targets when it comes again

A request as a whole, known by a fingerprint of method, host, path, caller and body, is one more part in the same quarantine, the last and most specific one: evidence, spread, trials and the copy in the store are those of prompt parts. Three ends put it in quarantine, also at the same time; if it has gone well before, four, and ends at the same time count once, so that a popular read is not condemned for targets that end by themselves. Any complete response, errors too, shows that a target has survived it. Targets that do not answer may be cut off and count half. Successes of requests are kept apart from those of parts, which they would displace, and suspects with more ends stay longer. Connections that break at the same target are probed once for all.

--- a/include/ibisloom/quarantine.h
+++ b/include/ibisloom/quarantine.h
@@ -1,5 +1,5 @@
-/* Quarantine: parts of prompts that crash the targets which respond to
-   them. */
+/* Quarantine: what crashes the targets that respond to it, a part of prompts
+   or a request that comes again. */
 #ifndef IBISLOOM_QUARANTINE_H
 #define IBISLOOM_QUARANTINE_H
 
@@ -9,17 +9,20 @@
 
 enum
 {
-  QUAR_PARTS_MAX = 32,  /* of one prompt */
-  QUAR_STATES_MAX = 256 /* parts in or formerly in quarantine */
+  QUAR_PARTS_MAX = 32,   /* of one prompt, with the request itself */
+  QUAR_STATES_MAX = 1024 /* parts that are or were suspected */
 };
 
-/* Set in the fingerprints of requests, and in no identifier of a part. */
+/* A request as a whole is one more part, the last one, which stands for its
+   path, caller and body.  Set in the identifiers of those, and in no others.
+ */
 static const uint64_t QUAR_REQUEST_BIT = UINT64_C (1) << 63;
 
 /* How strongly the end of a target speaks against a request that it had in
    progress then. */
 enum quar_strength
 {
+  QUAR_CUT_OFF = 0, /* the target does not answer, and may be alive */
   QUAR_WITNESS = 1, /* not begun, or events were coming */
   QUAR_SUSPECT = 2  /* the head of the response had come, and nothing more */
 };
@@ -31,7 +34,7 @@
   enum quar_strength strength;
   clk_ms ended_ms;
   uint32_t part_count;
-  uint64_t parts[QUAR_PARTS_MAX]; /* the shared ones, in order */
+  uint64_t parts[QUAR_PARTS_MAX]; /* the shared ones, in order, and itself */
 };
 
 /* State of a part, as instances tell each other.  The higher version wins. */
--- a/process/fleet_quarantine.c
+++ b/process/fleet_quarantine.c
@@ -18,7 +18,7 @@
 {
   /* Time for which an end is told again: two or three heartbeats.  */
   CRASH_REPEAT_MS = 500,
-  CRASHES_MAX = 32,
+  CRASHES_MAX = 64,
   PROBES_MAX = 16,
   PROBE_TIMEOUT_MS = 300, /* as for connections to targets */
   /* While a trial is due at another instance, a request may come there.  */
@@ -31,14 +31,18 @@
 /* Names of the objects in the store that hold parts. */
 static const char OBJECT_PREFIX[] = "part-";
 
-/* A crash that is true if its target no longer listens. */
+/* Crashes that are true if their target no longer listens. */
 struct crash_probe
 {
   struct fleet *fleet;
   struct probe *probe;
-  struct quar_crash crash;
+  uint64_t target; /* of the crashes */
+  GArray *crashes; /* of struct quar_crash */
 };
 
+static struct crash_probe *find_crash_probe (const struct fleet *fleet,
+                                             uint64_t target);
+static void free_crash_probe (struct crash_probe *crash_probe);
 static void on_probed (void *closure, enum probe_result result);
 static void confirm_crash (struct fleet *fleet,
                            const struct quar_crash *crash);
@@ -76,7 +80,7 @@
   while ((crash_probe = g_queue_pop_head (fleet->probes)) != NULL)
     {
       probe_cancel (crash_probe->probe);
-      g_free (crash_probe);
+      free_crash_probe (crash_probe);
     }
   if (fleet->write_call != NULL)
     store_call_cancel (fleet->write_call);
@@ -88,24 +92,44 @@
 }
 
 /* Reports that the connection of a request to the target at ADDRESS broke, as
-   in CRASH.  It counts only if the target no longer accepts connections.  */
+   in CRASH.  It counts only if the target no longer accepts connections, which
+   is tried once for all requests whose connections break at the time.  */
 void
 fleet_report_crash (struct fleet *fleet, const struct sockaddr_in *address,
                     const struct quar_crash *crash)
 {
-  struct crash_probe *crash_probe;
+  struct crash_probe *crash_probe = find_crash_probe (fleet, crash->target);
 
+  if (crash_probe != NULL)
+    {
+      if (crash_probe->crashes->len < CRASHES_MAX)
+        g_array_append_vals (crash_probe->crashes, crash, 1);
+      return;
+    }
   if (g_queue_get_length (fleet->probes) >= PROBES_MAX)
     return;
   crash_probe = g_new0 (struct crash_probe, 1);
   crash_probe->fleet = fleet;
-  crash_probe->crash = *crash;
+  crash_probe->target = crash->target;
+  crash_probe->crashes
+      = g_array_new (FALSE, FALSE, sizeof (struct quar_crash));
+  g_array_append_vals (crash_probe->crashes, crash, 1);
   crash_probe->probe = probe_start (fleet->loop, address, PROBE_TIMEOUT_MS,
                                     on_probed, crash_probe);
   if (crash_probe->probe != NULL)
     g_queue_push_tail (fleet->probes, crash_probe);
   else
-    g_free (crash_probe);
+    free_crash_probe (crash_probe);
+}
+
+/* Returns the probe of TARGET that is under way, or NULL.  */
+static struct crash_probe *
+find_crash_probe (const struct fleet *fleet, uint64_t target)
+{
+  for (const GList *at = fleet->probes->head; at != NULL; at = at->next)
+    if (((struct crash_probe *)at->data)->target == target)
+      return at->data;
+  return NULL;
 }
 
 /* Handles the RESULT of a probe of a target.  One that does not answer may be
@@ -117,10 +141,24 @@
   struct fleet *fleet = crash_probe->fleet;
 
   g_queue_remove (fleet->probes, crash_probe);
-  if (result == PROBE_NO_ANSWER)
-    crash_probe->crash.strength = QUAR_WITNESS;
-  if (result != PROBE_ACCEPTED)
-    confirm_crash (fleet, &crash_probe->crash);
+  for (guint i = 0; result != PROBE_ACCEPTED && i < crash_probe->crashes->len;
+       i++)
+    {
+      struct quar_crash *crash
+          = &g_array_index (crash_probe->crashes, struct quar_crash, i);
+
+      if (result == PROBE_NO_ANSWER)
+        crash->strength = QUAR_CUT_OFF;
+      confirm_crash (fleet, crash);
+    }
+  free_crash_probe (crash_probe);
+}
+
+/* Frees CRASH_PROBE, whose probe has ended.  */
+static void
+free_crash_probe (struct crash_probe *crash_probe)
+{
+  g_array_free (crash_probe->crashes, TRUE);
   g_free (crash_probe);
 }
 
--- a/request/librelay.h
+++ b/request/librelay.h
@@ -121,6 +121,7 @@
 int relay_parts_admitted (struct relay *relay);
 void relay_parts_event (struct relay *relay);
 void relay_parts_succeed (struct relay *relay);
+void relay_request_survived (struct relay *relay);
 void relay_parts_suspect (const struct relay *relay, enum retry_fault fault);
 
 /* relay_request.c */
--- a/request/quarantine.c
+++ b/request/quarantine.c
@@ -1,4 +1,5 @@
-/* Quarantine: parts of prompts that crash the targets which respond to them.
+/* Quarantine: parts of prompts, and requests that come again, which crash the
+   targets that respond to them.
 
    When the process of a target ends, the requests that it had in progress
    speak against the parts of their prompts; a response that went well speaks
@@ -10,7 +11,13 @@
    Ends at about the same time count once, since what ends many targets at
    once, such as the loss of a failure domain, is no request.  Of the parts of
    one prompt only one is suspected: the one with the most evidence, and among
-   equals the last, since the first parts are shared most widely.  */
+   equals the last, since the first parts are shared most widely.
+
+   A request as a whole is known by path, caller and body.  Other requests are
+   rarely in progress at the same targets as one that comes again and again, so
+   that each end under it counts alike, and ends at the same time count one by
+   one, unless the request has gone well before: then it is popular, and may
+   have been in progress at many targets.  */
 #include <string.h>
 
 #include <glib.h>
@@ -27,6 +34,9 @@
   WEIGHT_TO_QUARANTINE = 2 * QUAR_SUSPECT,
   /* The same for a part with which requests have gone well.  */
   PROVEN_WEIGHT_TO_QUARANTINE = 4 * QUAR_SUSPECT,
+  /* The same for a request: the calls in progress at the ends of targets are
+     made again, and then are in progress at the next ends.  */
+  REQUEST_WEIGHT_TO_QUARANTINE = 3 * QUAR_SUSPECT,
   /* A success this recent lies between the ends that others have counted.  */
   SUCCESS_CURRENT_MS = 10000,
   TRIAL_MS = 60000, /* until the first trial; doubles with each */
@@ -73,6 +83,8 @@
   struct suspect suspects[QUAR_STATES_MAX];
   uint32_t suspect_count; /* entries in use, from the first */
   struct success successes[SUCCESS_SETS][SUCCESS_WAYS];
+  /* Apart, as most requests do not come again.  */
+  struct success request_successes[SUCCESS_SETS][SUCCESS_WAYS];
 };
 
 static struct suspect *find_suspect (const struct quarantine *quarantine,
@@ -90,14 +102,25 @@
 static clk_ms last_success_ms (const struct quarantine *quarantine,
                                uint64_t part);
 static void add_end (struct suspect *suspect, const struct quar_crash *crash);
-static uint32_t weigh_ends (const struct suspect *suspect, clk_ms now);
+static const struct success *success_set (const struct quarantine *quarantine,
+                                          uint64_t part);
+static int is_request (uint64_t part);
+static int is_proven (const struct quarantine *quarantine, uint64_t part,
+                      clk_ms now);
+static int is_less_useful (const struct suspect *a, const struct suspect *b);
+static uint32_t weigh_end (const struct suspect *suspect,
+                           const struct end *end);
+static uint32_t weigh_ends (const struct quarantine *quarantine,
+                            const struct suspect *suspect, clk_ms now);
 static uint32_t threshold (const struct quarantine *quarantine, uint64_t part,
                            clk_ms now);
 static int is_quarantined (const struct suspect *suspect);
 static clk_ms trial_due_ms (const struct suspect *suspect);
-static struct quar_state set_version (struct suspect *suspect,
+static struct quar_state set_version (const struct quarantine *quarantine,
+                                      struct suspect *suspect,
                                       uint32_t version, clk_ms now);
-static struct quar_state state_of (const struct suspect *suspect, clk_ms now);
+static struct quar_state state_of (const struct quarantine *quarantine,
+                                   const struct suspect *suspect, clk_ms now);
 
 /* Returns an empty quarantine.  */
 struct quarantine *
@@ -129,7 +152,8 @@
     {
       struct suspect *suspect
           = add_evidence (quarantine, crash, crash->parts[i], explained, now);
-      uint32_t weight = suspect != NULL ? weigh_ends (suspect, now) : 0;
+      uint32_t weight
+          = suspect != NULL ? weigh_ends (quarantine, suspect, now) : 0;
 
       if (suspect == NULL || weight < worst_weight
           || weight < threshold (quarantine, suspect->part, now))
@@ -139,7 +163,7 @@
     }
   if (explained || worst == NULL)
     return 0;
-  *changed = set_version (worst, worst->version + 1, now);
+  *changed = set_version (quarantine, worst, worst->version + 1, now);
   return 1;
 }
 
@@ -204,7 +228,7 @@
       suspect->told_weight = 0;
       if (is_quarantined (suspect))
         released[released_count++]
-            = set_version (suspect, suspect->version + 1, now);
+            = set_version (quarantine, suspect, suspect->version + 1, now);
     }
   return released_count;
 }
@@ -227,7 +251,7 @@
   if (state->version == suspect->version)
     return 0;
   was_quarantined = is_quarantined (suspect);
-  set_version (suspect, state->version, now);
+  set_version (quarantine, suspect, state->version, now);
   return is_quarantined (suspect) != was_quarantined;
 }
 
@@ -285,14 +309,14 @@
     {
       struct suspect *suspect = &quarantine->suspects[i];
       clk_ms success_ms = last_success_ms (quarantine, suspect->part);
-      uint32_t weight = weigh_ends (suspect, now);
+      uint32_t weight = weigh_ends (quarantine, suspect, now);
 
       if (now - success_ms > SUCCESS_CURRENT_MS)
         weight = MAX (weight, suspect->told_weight);
       if (!is_quarantined (suspect) || success_ms == 0
           || weight >= threshold (quarantine, suspect->part, now))
         continue;
-      *released = set_version (suspect, suspect->version + 1, now);
+      *released = set_version (quarantine, suspect, suspect->version + 1, now);
       return 1;
     }
   return 0;
@@ -315,7 +339,7 @@
       if (!is_quarantined (suspect)
           || now - MAX (suspect->asked_ms, suspect->since_ms) < UNUSED_MS)
         continue;
-      *released = set_version (suspect, suspect->version + 1, now);
+      *released = set_version (quarantine, suspect, suspect->version + 1, now);
       return 1;
     }
   return 0;
@@ -339,7 +363,7 @@
       if (suspect == NULL || !is_quarantined (suspect))
         continue;
       suspect->asked_ms = now;
-      *blocking = state_of (suspect, now);
+      *blocking = state_of (quarantine, suspect, now);
       *wait_ms = MAX (*wait_ms, trial_due_ms (suspect) - now);
       verdict = *wait_ms > 0 || verdict != QUAR_PASS ? QUAR_REFUSE
                                                      : QUAR_TRIAL_DUE;
@@ -354,7 +378,7 @@
 {
   struct suspect *suspect = get_suspect (quarantine, part);
 
-  return set_version (suspect, suspect->version + 2, now);
+  return set_version (quarantine, suspect, suspect->version + 2, now);
 }
 
 /* Stores the state of PART in STATE.  Returns 0 if it was never in
@@ -383,7 +407,7 @@
 
       if (suspect->version == 0)
         continue;
-      *state = state_of (suspect, suspect->since_ms);
+      *state = state_of (quarantine, suspect, suspect->since_ms);
       return 1;
     }
   return 0;
@@ -411,8 +435,7 @@
 }
 
 /* Returns the entry of PART, created if it is new.  If there is no room, it
-   replaces the entry that has been of no use for longest, if possible one that
-   is not in quarantine.  */
+   replaces the one that is of the least use.  */
 static struct suspect *
 get_suspect (struct quarantine *quarantine, uint64_t part)
 {
@@ -426,26 +449,47 @@
     {
       found = &quarantine->suspects[0];
       for (uint32_t i = 1; i < QUAR_STATES_MAX; i++)
-        {
-          struct suspect *other = &quarantine->suspects[i];
-
-          if (is_quarantined (other) < is_quarantined (found)
-              || (is_quarantined (other) == is_quarantined (found)
-                  && other->asked_ms < found->asked_ms))
-            found = other;
-        }
+        if (is_less_useful (&quarantine->suspects[i], found))
+          found = &quarantine->suspects[i];
     }
   memset (found, 0, sizeof *found);
   found->part = part;
   return found;
 }
 
+/* Returns whether A is of less use than B: not in quarantine, with fewer ends,
+   or not asked for since longer.  */
+static int
+is_less_useful (const struct suspect *a, const struct suspect *b)
+{
+  if (is_quarantined (a) != is_quarantined (b))
+    return is_quarantined (a) < is_quarantined (b);
+  if (a->end_count != b->end_count)
+    return a->end_count < b->end_count;
+  return a->asked_ms < b->asked_ms;
+}
+
+/* Returns whether PART stands for a request.  */
+static int
+is_request (uint64_t part)
+{
+  return (part & QUAR_REQUEST_BIT) != 0;
+}
+
+/* Returns the set of last successes that has room for PART.  */
+static const struct success *
+success_set (const struct quarantine *quarantine, uint64_t part)
+{
+  return is_request (part) ? quarantine->request_successes[part % SUCCESS_SETS]
+                           : quarantine->successes[part % SUCCESS_SETS];
+}
+
 /* Records a success under PART at AT_MS.  In a full set, the oldest is
    replaced.  */
 static void
 record_success (struct quarantine *quarantine, uint64_t part, clk_ms at_ms)
 {
-  struct success *set = quarantine->successes[part % SUCCESS_SETS];
+  struct success *set = (struct success *)success_set (quarantine, part);
   struct success *entry = &set[0];
 
   for (int i = 0; i < SUCCESS_WAYS; i++)
@@ -466,7 +510,7 @@
 static clk_ms
 last_success_ms (const struct quarantine *quarantine, uint64_t part)
 {
-  const struct success *set = quarantine->successes[part % SUCCESS_SETS];
+  const struct success *set = success_set (quarantine, part);
 
   for (int i = 0; i < SUCCESS_WAYS; i++)
     if (set[i].part == part)
@@ -511,11 +555,23 @@
   suspect->end_count = kept;
 }
 
+/* Returns the weight of END, one of SUSPECT's, by itself.  */
+static uint32_t
+weigh_end (const struct suspect *suspect, const struct end *end)
+{
+  if (end->strength == QUAR_CUT_OFF)
+    return QUAR_WITNESS;
+  return is_request (suspect->part) ? QUAR_SUSPECT : end->strength;
+}
+
 /* Returns the weight of the ends of SUSPECT.  Of ends at about the same time
-   the strongest counts.  */
+   the strongest counts, but for a request that has not gone well before.  */
 static uint32_t
-weigh_ends (const struct suspect *suspect, clk_ms now)
+weigh_ends (const struct quarantine *quarantine, const struct suspect *suspect,
+            clk_ms now)
 {
+  int counts_all = is_request (suspect->part)
+                   && !is_proven (quarantine, suspect->part, now);
   uint32_t weight = 0;
   uint32_t strongest = 0;
   clk_ms group_ms = 0;
@@ -523,16 +579,18 @@
   for (uint32_t i = 0; i < suspect->end_count; i++)
     {
       const struct end *end = &suspect->ends[i];
+      uint32_t strength = weigh_end (suspect, end);
 
       if (now - end->ended_ms > EVIDENCE_VALID_MS)
         continue;
-      if (strongest > 0 && end->ended_ms - group_ms < SIMULTANEOUS_MS)
+      if (strongest > 0 && !counts_all
+          && end->ended_ms - group_ms < SIMULTANEOUS_MS)
         {
-          strongest = MAX (strongest, end->strength);
+          strongest = MAX (strongest, strength);
           continue;
         }
       weight += strongest;
-      strongest = end->strength;
+      strongest = strength;
       group_ms = end->ended_ms;
     }
   return weight + strongest;
@@ -541,12 +599,20 @@
 /* Returns the weight of evidence that puts PART in quarantine.  */
 static uint32_t
 threshold (const struct quarantine *quarantine, uint64_t part, clk_ms now)
+{
+  if (is_proven (quarantine, part, now))
+    return PROVEN_WEIGHT_TO_QUARANTINE;
+  return is_request (part) ? REQUEST_WEIGHT_TO_QUARANTINE
+                           : WEIGHT_TO_QUARANTINE;
+}
+
+/* Returns whether requests with PART have gone well, not too long ago.  */
+static int
+is_proven (const struct quarantine *quarantine, uint64_t part, clk_ms now)
 {
   clk_ms at_ms = last_success_ms (quarantine, part);
 
-  return at_ms != 0 && now - at_ms <= EVIDENCE_VALID_MS
-             ? PROVEN_WEIGHT_TO_QUARANTINE
-             : WEIGHT_TO_QUARANTINE;
+  return at_ms != 0 && now - at_ms <= EVIDENCE_VALID_MS;
 }
 
 static int
@@ -567,14 +633,15 @@
 /* Begins the state VERSION of SUSPECT, which it returns.  A release clears the
    evidence.  */
 static struct quar_state
-set_version (struct suspect *suspect, uint32_t version, clk_ms now)
+set_version (const struct quarantine *quarantine, struct suspect *suspect,
+             uint32_t version, clk_ms now)
 {
   struct quar_state state;
 
   suspect->version = version;
   suspect->since_ms = now;
   suspect->asked_ms = now;
-  state = state_of (suspect, now);
+  state = state_of (quarantine, suspect, now);
   if (is_quarantined (suspect))
     return state;
   suspect->end_count = 0;
@@ -584,10 +651,12 @@
 
 /* Returns the state of SUSPECT for other instances.  */
 static struct quar_state
-state_of (const struct suspect *suspect, clk_ms now)
-{
-  return (struct quar_state){ .part = suspect->part,
-                              .version = suspect->version,
-                              .weight = MAX (suspect->told_weight,
-                                             weigh_ends (suspect, now)) };
+state_of (const struct quarantine *quarantine, const struct suspect *suspect,
+          clk_ms now)
+{
+  return (struct quar_state){
+    .part = suspect->part,
+    .version = suspect->version,
+    .weight = MAX (suspect->told_weight, weigh_ends (quarantine, suspect, now))
+  };
 }
--- a/request/relay_parts.c
+++ b/request/relay_parts.c
@@ -1,5 +1,6 @@
-/* Prompt parts of a relayed request: whether they are in quarantine, and what
-   its attempts show of them.  */
+/* What a relayed request may be suspected for, the shared parts of its prompt
+   and the request itself: whether that is in quarantine, and what its attempts
+   show of it.  */
 #include <string.h>
 
 #include "ibisloom/rank.h"
@@ -12,13 +13,31 @@
   GOES_ON_MS = 200
 };
 
-/* Returns whether the prompt parts of RELAY may be sent to a target.  */
+static uint32_t list_parts (const struct relay *relay, uint64_t *parts);
+static enum quar_strength strength_of (const struct relay *relay);
+
+/* Stores in PARTS, which has room for QUAR_PARTS_MAX, what RELAY may be
+   suspected for.  Returns how many there are.  */
+static uint32_t
+list_parts (const struct relay *relay, uint64_t *parts)
+{
+  uint32_t count = MIN (relay->part_count, QUAR_PARTS_MAX - 1);
+
+  if (count > 0)
+    memcpy (parts, relay->parts, count * sizeof *parts);
+  parts[count] = relay->fingerprint;
+  return count + 1;
+}
+
+/* Returns whether RELAY may be sent to a target.  */
 int
 relay_parts_admitted (struct relay *relay)
 {
-  return relay->part_count == 0
-         || fleet_admits_parts (relay->router->fleet, relay->parts,
-                                relay->part_count, &relay->retry_after_ms);
+  uint64_t parts[QUAR_PARTS_MAX];
+  uint32_t count = list_parts (relay, parts);
+
+  return fleet_admits_parts (relay->router->fleet, parts, count,
+                             &relay->retry_after_ms);
 }
 
 /* Handles an event of the current attempt.  */
@@ -35,10 +54,22 @@
 void
 relay_parts_succeed (struct relay *relay)
 {
-  if (relay->part_count == 0 || relay->parts_succeeded)
+  uint64_t parts[QUAR_PARTS_MAX];
+  uint32_t count = list_parts (relay, parts);
+
+  if (relay->parts_succeeded)
     return;
   relay->parts_succeeded = 1;
-  fleet_report_success (relay->router->fleet, relay->parts, relay->part_count);
+  fleet_report_success (relay->router->fleet, parts, count);
+}
+
+/* Records that the target of the current attempt has run the request to an
+   end, whatever its response is.  */
+void
+relay_request_survived (struct relay *relay)
+{
+  if (!relay->parts_succeeded)
+    fleet_report_success (relay->router->fleet, &relay->fingerprint, 1);
 }
 
 /* Handles FAULT of the current attempt: if its target has ended, the request
@@ -47,18 +78,22 @@
 relay_parts_suspect (const struct relay *relay, enum retry_fault fault)
 {
   const struct reg_target *target = relay->target;
-  struct quar_crash crash
-      = { .ended_ms = clk_now (clk_monotonic ()),
-          .strength = relay->status != 0 && relay->first_event_ms == 0
-                          ? QUAR_SUSPECT
-                          : QUAR_WITNESS,
-          .part_count = MIN (relay->part_count, QUAR_PARTS_MAX) };
+  struct quar_crash crash = { .ended_ms = clk_now (clk_monotonic ()),
+                              .strength = strength_of (relay) };
 
-  if (relay->part_count == 0 || relay->parts_succeeded || target == NULL
+  if (relay->parts_succeeded || target == NULL
       || (fault != RETRY_FAULT_DISCONNECTED
           && fault != RETRY_FAULT_READ_TIMEOUT))
     return;
   crash.target = rank_mix (target->hash, target->incarnation);
-  memcpy (crash.parts, relay->parts, crash.part_count * sizeof *crash.parts);
+  crash.part_count = list_parts (relay, crash.parts);
   fleet_report_crash (relay->router->fleet, &target->address, &crash);
 }
+
+/* Returns how strongly the end of its target speaks against RELAY.  */
+static enum quar_strength
+strength_of (const struct relay *relay)
+{
+  return relay->status != 0 && relay->first_event_ms == 0 ? QUAR_SUSPECT
+                                                          : QUAR_WITNESS;
+}
--- a/request/relay_response.c
+++ b/request/relay_response.c
@@ -142,6 +142,8 @@
 static void
 handle_complete_response (struct relay *relay)
 {
+  if (!relay->not_run && !relay->is_event_stream)
+    relay_request_survived (relay);
   if (relay->not_run)
     relay_handle_fault (relay, RETRY_FAULT_REJECTED);
   else if (relay->status >= HTTP_STATUS_INTERNAL_SERVER_ERROR)
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -27,6 +27,11 @@
 static void table_stays_bounded (void);
 static void unused_part_is_released (void);
 
+static void request_is_quarantined_after_three_ends (void);
+static void popular_request_survives_simultaneous_ends (void);
+static void unanswered_ends_count_half (void);
+static void requests_do_not_displace_parts (void);
+
 static const struct test_case cases[] = {
   { "two ends put a part in quarantine", two_ends_quarantine_the_part },
   { "ends at the same time count once", simultaneous_ends_count_once },
@@ -43,10 +48,21 @@
   { "a success at another instance counts", success_elsewhere_counts },
   { "the table stays bounded", table_stays_bounded },
   { "a part that nobody asks for is released", unused_part_is_released },
+  { "a request is in quarantine after three ends",
+    request_is_quarantined_after_three_ends },
+  { "a popular request survives ends at the same time",
+    popular_request_survives_simultaneous_ends },
+  { "ends without an answer count half", unanswered_ends_count_half },
+  { "requests do not displace what is known of parts",
+    requests_do_not_displace_parts },
 };
 
 TEST_MAIN ("quarantine", cases)
 
+/* Fingerprints of requests.  */
+static const uint64_t REQUEST = UINT64_C (0x8000000000000100);
+static const uint64_t OTHER_REQUEST = UINT64_C (0x8000000000000200);
+
 static struct quarantine *quarantine;
 
 /* Records the end of TARGET at NOW under a request with FIRST and SECOND.
@@ -310,3 +326,72 @@
   CU_ASSERT_EQUAL (released.part, BAD_PART);
   quar_free (quarantine);
 }
+
+/* The ends come at the same time, and the request had not been begun at any;
+   as for a request that no response byte tells of.  */
+static void
+request_is_quarantined_after_three_ends (void)
+{
+  quarantine = quar_new ();
+  CU_ASSERT_EQUAL (end_target (1, QUAR_WITNESS, START_MS, REQUEST, 0), 0);
+  CU_ASSERT_EQUAL (end_target (2, QUAR_WITNESS, START_MS, REQUEST, 0), 0);
+  CU_ASSERT_EQUAL (end_target (2, QUAR_SUSPECT, START_MS, REQUEST, 0), 0);
+  CU_ASSERT_EQUAL (end_target (3, QUAR_WITNESS, START_MS, REQUEST, 0),
+                   REQUEST);
+  CU_ASSERT_EQUAL (check (REQUEST, START_MS), QUAR_REFUSE);
+  CU_ASSERT_EQUAL (check (OTHER_REQUEST, START_MS), QUAR_PASS);
+  CU_ASSERT (succeed (REQUEST, START_MS + 1));
+  CU_ASSERT_EQUAL (check (REQUEST, START_MS + 1), QUAR_PASS);
+  quar_free (quarantine);
+}
+
+/* A failure domain ends with many targets that had the request in progress,
+   and then single targets, with successes in between.  */
+static void
+popular_request_survives_simultaneous_ends (void)
+{
+  quarantine = quar_new ();
+  succeed (REQUEST, START_MS - 1000);
+  for (uint64_t target = 1; target <= 8; target++)
+    CU_ASSERT_EQUAL (end_target (target, QUAR_SUSPECT, START_MS, REQUEST, 0),
+                     0);
+  for (uint64_t target = 11; target <= 18; target++)
+    {
+      clk_ms now = START_MS + (clk_ms)target * 1000;
+
+      succeed (REQUEST, now - 500);
+      CU_ASSERT_EQUAL (end_target (target, QUAR_SUSPECT, now, REQUEST, 0), 0);
+    }
+  CU_ASSERT_EQUAL (quar_count (quarantine), 0);
+  quar_free (quarantine);
+}
+
+/* Targets that do not answer may be cut off from this instance.  */
+static void
+unanswered_ends_count_half (void)
+{
+  quarantine = quar_new ();
+  for (uint64_t target = 1; target <= 5; target++)
+    CU_ASSERT_EQUAL (end_target (target, QUAR_CUT_OFF,
+                                 START_MS + (clk_ms)target * 1000, REQUEST, 0),
+                     0);
+  CU_ASSERT_EQUAL (end_target (6, QUAR_CUT_OFF, START_MS + 6000, REQUEST, 0),
+                   REQUEST);
+  quar_free (quarantine);
+}
+
+/* Most requests do not come again, and there are very many.  */
+static void
+requests_do_not_displace_parts (void)
+{
+  quarantine = quar_new ();
+  succeed (BAD_PART, START_MS);
+  for (uint64_t i = 0; i < 100000; i++)
+    succeed (REQUEST + i, START_MS + 1);
+  CU_ASSERT_EQUAL (end_target (1, QUAR_SUSPECT, START_MS + 1000, BAD_PART, 0),
+                   0);
+  CU_ASSERT_EQUAL (end_target (2, QUAR_SUSPECT, START_MS + 2000, BAD_PART, 0),
+                   0);
+  CU_ASSERT_EQUAL (quar_count (quarantine), 0);
+  quar_free (quarantine);
+}
