Put the files of the fleet into layers, and split router_store.c

The six fleet*.c files called each other in a circle. They are eleven now, each of which uses only those before it in libfleet.h: peers, sending and receiving, loads, rates, contexts, objects of parts, quarantine, crashes, joining, heartbeats, and the whole. Received datagrams reach the handlers through a function that the whole sets.

--- /dev/null
+++ b/process/fleet_send.c
@@ -0,0 +1,118 @@
+/* Datagrams between the instances: sending, and receiving in order.  */
+#include <string.h>
+#include <sys/socket.h>
+
+#include "libfleet.h"
+
+enum
+{
+  /* In a larger fleet only peers of the own domain get these.  */
+  NOTE_PEERS_MAX = 128,
+  LOAD_UPDATE_PEERS_MAX = 512
+};
+
+static size_t encode_next (struct fleet *fleet, struct wire_message *message,
+                           unsigned char *data);
+static int gets_broadcast (const struct fleet *fleet,
+                           const struct fleet_peer *peer, enum wire_kind kind);
+
+/* Encodes MESSAGE, as the next one of this instance, to DATA, of
+   WIRE_MAX_BYTES.  Returns its length.  */
+static size_t
+encode_next (struct fleet *fleet, struct wire_message *message,
+             unsigned char *data)
+{
+  message->sender = fleet->self;
+  message->incarnation = fleet->incarnation;
+  message->sequence = ++fleet->sequence;
+  return wire_encode (message, &fleet->key, data);
+}
+
+/* Sends MESSAGE to ADDRESS.  A loss is made up for by the next heartbeat.  */
+void
+fleet_send (struct fleet *fleet, const struct sockaddr_in *address,
+            struct wire_message *message)
+{
+  unsigned char data[WIRE_MAX_BYTES];
+  size_t length = encode_next (fleet, message, data);
+
+  (void)sendto (fleet->fd, data, length, MSG_DONTWAIT,
+                (const struct sockaddr *)address, sizeof *address);
+}
+
+/* Handles all datagrams that have arrived.  Drops those that fail
+   authentication, are older than the last one of their sender or come from
+   this instance, and all of them if FLEET_PEERS_MAX peers are known.  */
+void
+fleet_on_datagram (struct ev_loop *loop, ev_io *io, int events)
+{
+  struct fleet *fleet = io->data;
+  unsigned char data[WIRE_MAX_BYTES];
+  struct wire_message message;
+  struct sockaddr_in from;
+  socklen_t size = sizeof from;
+  ssize_t received;
+
+  (void)loop;
+  (void)events;
+  while ((received = recvfrom (fleet->fd, data, sizeof data, MSG_DONTWAIT,
+                               (struct sockaddr *)&from, &size))
+         >= 0)
+    {
+      struct fleet_peer *peer;
+
+      size = sizeof from;
+      if (wire_decode (&message, &fleet->key, data, (size_t)received)
+              != WIRE_OK
+          || message.sender == fleet->self
+          || g_hash_table_size (fleet->peers) >= FLEET_PEERS_MAX)
+        continue;
+      peer = fleet_get_peer (fleet, message.sender);
+      if (message.incarnation < peer->incarnation
+          || (message.incarnation == peer->incarnation
+              && message.sequence <= peer->sequence))
+        continue;
+      peer->incarnation = message.incarnation;
+      peer->sequence = message.sequence;
+      peer->address = from;
+      peer->last_seen_ms = clk_now (clk_monotonic ());
+      fleet->receive (fleet, peer, &message);
+    }
+}
+
+/* Returns whether PEER gets a broadcast of KIND.  In a large fleet only peers
+   of the same failure domain do, since a client sends its next requests to the
+   same failure domain.  */
+static int
+gets_broadcast (const struct fleet *fleet, const struct fleet_peer *peer,
+                enum wire_kind kind)
+{
+  uint32_t peers_max
+      = kind == WIRE_NOTES ? NOTE_PEERS_MAX : LOAD_UPDATE_PEERS_MAX;
+
+  return g_hash_table_size (fleet->peers) <= peers_max
+         || peer->domain == fleet->domain;
+}
+
+/* Sends MESSAGE to the peers that are not silent.  */
+void
+fleet_broadcast (struct fleet *fleet, struct wire_message *message)
+{
+  unsigned char data[WIRE_MAX_BYTES];
+  size_t length = encode_next (fleet, message, data);
+  clk_ms now = clk_now (clk_monotonic ());
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, fleet->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct fleet_peer *peer = value;
+
+      if (!fleet_is_silent (fleet, peer, now)
+          && gets_broadcast (fleet, peer, message->kind))
+        (void)sendto (fleet->fd, data, length, MSG_DONTWAIT,
+                      (const struct sockaddr *)&peer->address,
+                      sizeof peer->address);
+    }
+}
--- a/process/libfleet.h
+++ b/process/libfleet.h
@@ -13,7 +13,8 @@
 
 enum
 {
-  FLEET_PEERS_MAX = 2048
+  FLEET_PEERS_MAX = 2048,
+  FLEET_HEARTBEAT_MS = 200
 };
 
 /* Requests of a peer in progress at one target. */
@@ -39,6 +40,10 @@
   clk_ms loads_ms;     /* when they were reported */
 };
 
+/* Handles MESSAGE of PEER. */
+typedef void (*fleet_receive_fn) (struct fleet *fleet, struct fleet_peer *peer,
+                                  const struct wire_message *message);
+
 struct fleet
 {
   struct ev_loop *loop;
@@ -66,6 +71,7 @@
   GString *listed_name; /* last one of the list that is being read */
   uint8_t is_leaving;
   GHashTable *peers; /* id to struct fleet_peer */
+  fleet_receive_fn receive;
   uint32_t domain;
   struct snapshot_state known;
   enum wire_store store_state;
@@ -87,54 +93,80 @@
   guint told_rates;      /* targets whose limits were told in this heartbeat */
 };
 
-/* fleet.c */
+/* Each file uses only functions of those above it. */
+
+/* fleet_peer.c */
+GHashTable *fleet_peers_new (void);
 struct fleet_peer *fleet_get_peer (struct fleet *fleet, uint32_t id);
 int fleet_is_silent (const struct fleet *fleet, const struct fleet_peer *peer,
                      clk_ms now);
+uint32_t fleet_heartbeat_stride (const struct fleet *fleet);
+int fleet_ranks_first (const struct fleet *fleet, uint64_t key, clk_ms now);
 
-/* fleet_join.c */
-void fleet_join (struct fleet *fleet);
-void fleet_on_rejoin_due (struct ev_loop *loop, ev_timer *timer, int events);
-void fleet_on_retry (struct ev_loop *loop, ev_timer *timer, int events);
-
-/* fleet_datagram.c */
-void fleet_send_heartbeat (struct fleet *fleet,
-                           const struct sockaddr_in *address,
-                           int wants_affinity);
+/* fleet_send.c */
 void fleet_on_datagram (struct ev_loop *loop, ev_io *io, int events);
 void fleet_broadcast (struct fleet *fleet, struct wire_message *message);
-
 void fleet_send (struct fleet *fleet, const struct sockaddr_in *address,
                  struct wire_message *message);
 
+/* fleet_load.c */
+void fleet_watch_loads (struct fleet *fleet);
+void fleet_unwatch_loads (struct fleet *fleet);
+void fleet_set_loads (struct fleet *fleet, struct fleet_peer *peer,
+                      const struct wire_heartbeat *heartbeat);
+void fleet_update_loads (struct fleet *fleet, struct fleet_peer *peer,
+                         const struct wire_loads *loads);
+void fleet_drop_loads (struct fleet *fleet, struct fleet_peer *peer);
+
+/* fleet_rate.c */
+void fleet_rate_tick (struct fleet *fleet, clk_ms now);
+void fleet_send_rates (struct fleet *fleet, const struct sockaddr_in *address);
+void fleet_apply_rates (struct fleet *fleet, const struct wire_rates *rates);
+void fleet_apply_sent (struct fleet *fleet, const struct wire_sent *sent);
+
+/* fleet_context.c */
+void fleet_send_affinity (struct fleet *fleet, const struct fleet_peer *peer);
+void fleet_apply_notes (struct fleet *fleet, const struct wire_notes *notes);
+
+/* fleet_part.c */
+void fleet_part_init (struct fleet *fleet);
+void fleet_part_clear (struct fleet *fleet);
+void fleet_write_part (struct fleet *fleet, uint64_t part);
+uint32_t fleet_rewrite_parts (struct fleet *fleet);
+
 /* fleet_quarantine.c */
 void fleet_quarantine_init (struct fleet *fleet);
 void fleet_quarantine_clear (struct fleet *fleet);
 void fleet_quarantine_tick (struct fleet *fleet, clk_ms now);
+void fleet_announce_state (struct fleet *fleet, const struct quar_state *state,
+                           const char *reason);
+void fleet_log_state (const struct quar_state *state, const char *reason);
 void fleet_send_states (struct fleet *fleet,
                         const struct sockaddr_in *address);
-void fleet_apply_crash (struct fleet *fleet,
-                        const struct wire_crash *reported);
 void fleet_apply_states (struct fleet *fleet,
                          const struct wire_quarantine *quarantine);
 void fleet_apply_success (struct fleet *fleet,
                           const struct wire_success *success);
-uint32_t fleet_rewrite_parts (struct fleet *fleet);
 int fleet_read_part (struct fleet *fleet, const json_t *content);
 
-/* fleet_rate.c */
-void fleet_rate_tick (struct fleet *fleet, clk_ms now);
-void fleet_send_rates (struct fleet *fleet, const struct sockaddr_in *address);
-void fleet_apply_rates (struct fleet *fleet, const struct wire_rates *rates);
-void fleet_apply_sent (struct fleet *fleet, const struct wire_sent *sent);
+/* fleet_crash.c */
+void fleet_crash_init (struct fleet *fleet);
+void fleet_crash_clear (struct fleet *fleet);
+void fleet_crash_tick (struct fleet *fleet, clk_ms now);
+void fleet_apply_crash (struct fleet *fleet,
+                        const struct wire_crash *reported);
 
-/* fleet_load.c */
-void fleet_watch_loads (struct fleet *fleet);
-void fleet_unwatch_loads (struct fleet *fleet);
-void fleet_set_loads (struct fleet *fleet, struct fleet_peer *peer,
-                      const struct wire_heartbeat *heartbeat);
-void fleet_update_loads (struct fleet *fleet, struct fleet_peer *peer,
-                         const struct wire_loads *loads);
-void fleet_drop_loads (struct fleet *fleet, struct fleet_peer *peer);
+/* fleet_join.c */
+void fleet_join (struct fleet *fleet);
+void fleet_on_retry (struct ev_loop *loop, ev_timer *timer, int events);
+void fleet_on_rejoin_due (struct ev_loop *loop, ev_timer *timer, int events);
+
+/* fleet_heartbeat.c */
+void fleet_on_heartbeat_due (struct ev_loop *loop, ev_timer *timer,
+                             int events);
+void fleet_apply_heartbeat (struct fleet *fleet, struct fleet_peer *peer,
+                            const struct wire_heartbeat *heartbeat);
+void fleet_apply_state (struct fleet *fleet, const struct fleet_peer *peer,
+                        const struct wire_store_state *state);
 
 #endif
--- a/process/librouter.h
+++ b/process/librouter.h
@@ -8,6 +8,11 @@
 void router_watch_config (struct router *router);
 void router_watch_targets (struct router *router);
 void router_update_watch (struct router *router, clk_ms now);
+struct watch_sink router_config_sink (struct router *router);
+struct watch_sink router_targets_sink (struct router *router);
+void router_note_epoch (struct router *router, struct position position);
+
+/* router_snapshot.c */
 void router_on_fleet_update (void *closure, const struct fleet_update *update);
 void *router_on_peer_request (struct client_listener *listener,
                               struct client *client, struct http_head *head,
