Read entries again after a restoration as after an outage, and mend findings

An instance that does not watch the store kept targets whose entries a restored store had lost for 0.8 s only; it now waits for them like one that watches. A test restores the store before the restart of all instances.

--- a/process/registry.c
+++ b/process/registry.c
@@ -46,6 +46,9 @@
 static void target_free (struct reg_target *target);
 static struct reg_target *add_target (struct registry *registry,
                                       const struct reg_entry *entry);
+static int keeps_leaving (const struct reg_target *target,
+                          const struct reg_entry *entry,
+                          struct position position);
 static int is_older_report (const struct reg_target *target,
                             const struct reg_entry *entry,
                             struct position position);
@@ -112,7 +115,7 @@
   if (target != NULL && position.revision != 0
       && pos_compare (position, target->position) < 0)
     return 0;
-  if (reg_keeps_leaving (registry, entry, position))
+  if (target != NULL && keeps_leaving (target, entry, position))
     {
       target->position = position;
       target->unlisted = 0;
@@ -187,8 +190,15 @@
   const struct reg_target *target
       = g_hash_table_lookup (registry->targets, entry->id);
 
-  return target != NULL && target->leaving
-         && is_older_report (target, entry, position);
+  return target != NULL && keeps_leaving (target, entry, position);
+}
+
+/* Implements reg_keeps_leaving for TARGET.  */
+static int
+keeps_leaving (const struct reg_target *target, const struct reg_entry *entry,
+               struct position position)
+{
+  return target->leaving && is_older_report (target, entry, position);
 }
 
 /* Returns whether ENTRY, at POSITION, is of a newer epoch than the known entry
--- a/process/router_store.c
+++ b/process/router_store.c
@@ -131,6 +131,8 @@
   watch_set_epoch (&router->targets, position.epoch);
   if (epoch_before == 0)
     return;
+  /* Entries that were lost are registered again, as after an outage.  */
+  router->targets.regained_ms = clk_now (clk_monotonic ());
   metric_inc (METRIC_STORE_RESTORED);
   if (!log_begin (&line, LOG_LEVEL_WARN, "store", NULL, "restored"))
     return;
--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -42,6 +42,7 @@
 static void crashing_read_is_contained_with_three_targets (void);
 static void crashing_stream_is_contained (void);
 static void crashing_read_is_contained_after_restart_of_all (void);
+static void crashing_read_is_contained_after_a_restoration (void);
 static void popular_read_is_served_while_targets_end (void);
 static void other_body_on_the_same_path_is_served (void);
 
@@ -62,6 +63,8 @@
     crashing_stream_is_contained },
   { "such a read stays contained after a restart of all instances",
     crashing_read_is_contained_after_restart_of_all },
+  { "it stays contained if the store is restored before that",
+    crashing_read_is_contained_after_a_restoration },
   { "a popular read is served while targets end by themselves",
     popular_read_is_served_while_targets_end },
   { "another body on the path of a crashing call is served",
@@ -449,17 +452,27 @@
   stop_fleet (threads);
 }
 
-/* The same, with a restart of all instances.  */
+/* The same, with a restart of all instances.  If IS_RESTORED, the store is
+   restored first from a copy of before the crashes.  */
 static void
-expect_contained_after_restart_of_all (const struct traffic *of_run)
+expect_contained_after_restart_of_all (const struct traffic *of_run,
+                                       int is_restored)
 {
   pthread_t threads[CLIENTS + CRASH_CLIENTS];
   double before;
+  int copy;
 
   start_fleet (threads, of_run);
   before = measure_sound_share (BEFORE_MS);
+  copy = fx_store_revision ();
   g_atomic_int_set (&crashing, 1);
   fx_sleep_ms (CONTACT_MS);
+  if (is_restored)
+    {
+      fx_store_restore (copy);
+      fx_store_rewrite ();
+      fx_sleep_ms (CONTACT_MS);
+    }
   for (int i = 0; i < ROUTERS; i++)
     fx_router_signal (i, SIGKILL);
   for (int i = 0; i < ROUTERS; i++)
@@ -479,7 +492,7 @@
 static void
 crashing_part_is_contained_after_restart_of_all (void)
 {
-  expect_contained_after_restart_of_all (&prompts);
+  expect_contained_after_restart_of_all (&prompts, 0);
 }
 
 static void
@@ -509,7 +522,13 @@
 static void
 crashing_read_is_contained_after_restart_of_all (void)
 {
-  expect_contained_after_restart_of_all (&reads);
+  expect_contained_after_restart_of_all (&reads, 0);
+}
+
+static void
+crashing_read_is_contained_after_a_restoration (void)
+{
+  expect_contained_after_restart_of_all (&reads, 1);
 }
 
 /* Sends the same read again and again.  */
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -609,7 +609,7 @@
   struct store *store = store_new (1, 0);
   struct ledger_log logs[2];
   const struct ledger_entry *entry;
-  enum ledger_verdict verdict;
+  enum ledger_verdict verdict = LEDGER_UNAVAILABLE;
   struct ledger_op op;
 
   store->base.epoch = 1;
@@ -660,7 +660,7 @@
     {
       int key = g_rand_int_range (random, 0, KEYS);
       const struct ledger_entry *entry = NULL;
-      enum ledger_verdict verdict;
+      enum ledger_verdict verdict = LEDGER_UNAVAILABLE;
       struct ledger_op op;
 
       apply_delayed_write (store);
@@ -700,7 +700,7 @@
   struct store *store = store_new (1, 0);
   struct ledger_log logs[2];
   const struct ledger_entry *entry;
-  enum ledger_verdict verdict;
+  enum ledger_verdict verdict = LEDGER_UNAVAILABLE;
   struct ledger_op op;
 
   store->base.epoch = 1;
--- a/version/storecall.c
+++ b/version/storecall.c
@@ -97,7 +97,7 @@
 
 /* Stores the status and the epoch of the response.  A response whose epoch is
    malformed or older than is known is not relied on, and neither is its
-   connection.  */
+   connection.  Refusals, which tell nothing else, may come without one.  */
 static int
 on_head (void *owner, const struct http_head *head, int64_t length)
 {
@@ -107,6 +107,9 @@
 
   (void)length;
   call->status = head->status;
+  if (head->status == HTTP_STATUS_TOO_MANY_REQUESTS
+      || head->status >= HTTP_STATUS_INTERNAL_SERVER_ERROR)
+    return 0;
   if (pos_parse_epoch (epoch, &call->epoch) == 0
       && call->epoch >= call->epoch_min)
     return 0;
