Refuse calls that crash their targets at the own interface too

The guard applies the quarantine of the routers under a lock. A thread tries whether the target still listens; ends and successes are told to the other instances by the datagrams that routers use. It is not kept in the platform's store, and does not look at prompt parts: listed as open.

--- a/fakes/fake_service.c
+++ b/fakes/fake_service.c
@@ -2,7 +2,8 @@
 
    Usage: fake_service BASE_PORT COUNT DELAY_MS
    Worker I listens on BASE_PORT + I; the control port for faults and history
-   is BASE_PORT - 1.  Each execution takes DELAY_MS. */
+   is BASE_PORT - 1.  Each execution takes DELAY_MS.  A request whose body has
+   the word "crash" ends its worker, which listens again after RESTART_MS. */
 #include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -13,7 +14,8 @@
 
 enum
 {
-  WORKERS_MAX = 64
+  WORKERS_MAX = 64,
+  RESTART_MS = 1000
 };
 
 enum mode
@@ -41,11 +43,14 @@
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static json_t *executions; /* key to the identifiers of its requests */
 static int64_t calls;
+static int64_t crashes;
 
 static void serve (struct fake_request *request, void *closure);
 static void serve_control (struct fake_request *request, void *closure);
 static int record_execution (const char *key, const char *request_id);
 static void set_fault (struct fake_request *request);
+static void crash (struct worker *worker);
+static void *restart (void *closure);
 
 int
 main (int argc, char **argv)
@@ -104,6 +109,12 @@
       return;
     }
   fake_sleep_ms (delay_ms);
+  if (strstr (request->body->str, "crash") != NULL)
+    {
+      crash (worker);
+      fake_drop_connection (request);
+      return;
+    }
   count = record_execution (key, fake_header (request, "X-Request-Id"));
   if (mode == MODE_DROP_AFTER_RUN)
     {
@@ -117,6 +128,41 @@
   fake_echo_request_id (request);
 }
 
+/* Ends WORKER: it accepts no connections and answers no requests, until it is
+   restarted.  */
+static void
+crash (struct worker *worker)
+{
+  pthread_t thread;
+  int is_first;
+
+  pthread_mutex_lock (&lock);
+  is_first = worker->mode != MODE_REFUSE;
+  worker->mode = MODE_REFUSE;
+  worker->percent = 100;
+  crashes += is_first;
+  pthread_mutex_unlock (&lock);
+  if (!is_first)
+    return;
+  fake_stop_listening (&worker->server);
+  if (pthread_create (&thread, NULL, restart, worker) == 0)
+    pthread_detach (thread);
+}
+
+/* Restarts the worker CLOSURE after RESTART_MS.  */
+static void *
+restart (void *closure)
+{
+  struct worker *worker = closure;
+
+  fake_sleep_ms (RESTART_MS);
+  fake_listen (&worker->server, worker->server.port, serve, worker);
+  pthread_mutex_lock (&lock);
+  worker->mode = MODE_OK;
+  pthread_mutex_unlock (&lock);
+  return NULL;
+}
+
 /* Records one execution of KEY by REQUEST_ID.  Returns the number of
    executions of KEY so far, or 0 if KEY is NULL.  */
 static int
@@ -153,8 +199,9 @@
       return;
     }
   pthread_mutex_lock (&lock);
-  json = json_pack ("{s:o,s:I}", "executions", json_deep_copy (executions),
-                    "calls", (json_int_t)calls);
+  json
+      = json_pack ("{s:o,s:I,s:I}", "executions", json_deep_copy (executions),
+                   "calls", (json_int_t)calls, "crashes", (json_int_t)crashes);
   pthread_mutex_unlock (&lock);
   fake_respond_json (request, 200, json);
 }
--- a/include/ibisloom/peer.h
+++ b/include/ibisloom/peer.h
@@ -14,6 +14,7 @@
 #include "ibisloom/admission.h"
 #include "ibisloom/settings.h"
 #include "ibisloom/version.h"
+#include "ibisloom/wire.h"
 
 enum peer_verdict
 {
@@ -36,6 +37,12 @@
 
 /* Called on the peer thread when the instance at the address PEER reports a
    higher configuration revision than this instance has. */
+/* Receive what another instance tells of the end of a target, or of a success.
+ */
+typedef void (*peer_crash_fn) (void *closure, const struct wire_crash *told);
+typedef void (*peer_success_fn) (void *closure,
+                                 const struct wire_success *told);
+
 typedef void (*peer_revision_fn) (void *closure,
                                   const struct sockaddr_in *peer);
 
@@ -58,6 +65,9 @@
 struct peer *peer_new (const struct settings *settings,
                        struct ver_store *store, GError **error);
 void peer_on_revision (struct peer *peer, peer_revision_fn fn, void *closure);
+void peer_on_crash (struct peer *peer, peer_crash_fn crash_fn,
+                    peer_success_fn success_fn, void *closure);
+void peer_broadcast (struct peer *peer, struct wire_message *message);
 void peer_start (struct peer *peer);
 void peer_stop (struct peer *peer);
 void peer_free (struct peer *peer);
--- a/include/ibisloom/server.h
+++ b/include/ibisloom/server.h
@@ -6,6 +6,7 @@
 #include <pthread.h>
 #include <glib.h>
 
+#include "ibisloom/guard.h"
 #include "ibisloom/ledger.h"
 #include "ibisloom/peer.h"
 #include "ibisloom/settings.h"
@@ -21,6 +22,7 @@
   struct ver_store *store;
   struct peer *peer;
   struct ledger *ledger;
+  struct guard *guard;
   struct sync *sync;
   struct control *control;
   GPtrArray *workers;
--- a/process/libpeer.h
+++ b/process/libpeer.h
@@ -119,6 +119,9 @@
   GArray *leaving; /* of struct peer_leaving_target */
   peer_revision_fn revision_fn;
   void *revision_closure;
+  peer_crash_fn crash_fn;
+  peer_success_fn success_fn;
+  void *crash_closure;
 };
 
 /* Target that the platform's list or a peer reports as leaving. */
--- a/process/peer.c
+++ b/process/peer.c
@@ -45,6 +45,10 @@
                       const struct sockaddr_in *from, clk_ms now);
 static void on_loads (struct peer *peer, const struct wire_message *message,
                       const struct sockaddr_in *from, clk_ms now);
+static void on_crash (struct peer *peer, const struct wire_message *message,
+                      const struct sockaddr_in *from, clk_ms now);
+static void on_success (struct peer *peer, const struct wire_message *message,
+                        const struct sockaddr_in *from, clk_ms now);
 static void tick (struct peer *peer, clk_ms now);
 static void expire_members (struct peer *peer, clk_ms now);
 static void send_heartbeats (struct peer *peer, clk_ms now);
@@ -70,6 +74,8 @@
   [WIRE_HOLD] = on_hold,
   [WIRE_NOTES] = on_notes,
   [WIRE_LOADS] = on_loads,
+  [WIRE_CRASH] = on_crash,
+  [WIRE_SUCCESS] = on_success,
 };
 
 static const enum metric_counter drop_counters[] = {
@@ -226,6 +232,30 @@
   return 0;
 }
 
+/* Sets CRASH_FN and SUCCESS_FN to be called with CLOSURE on the peer thread
+   for what other instances tell.  */
+void
+peer_on_crash (struct peer *peer, peer_crash_fn crash_fn,
+               peer_success_fn success_fn, void *closure)
+{
+  peer->crash_fn = crash_fn;
+  peer->success_fn = success_fn;
+  peer->crash_closure = closure;
+}
+
+/* Sends MESSAGE to all other instances that are alive.  */
+void
+peer_broadcast (struct peer *peer, struct wire_message *message)
+{
+  struct member_info members[PEER_MEMBERS_MAX];
+  size_t count = member_list (peer->member_table, members, PEER_MEMBERS_MAX);
+
+  for (size_t i = 0; i < count; i++)
+    if (!members[i].gone)
+      peer_send (peer, &members[i].address, message, BUDGET_ANSWER,
+                 METRIC_SENT_ADMISSION_ANSWER_BYTES);
+}
+
 /* Returns the members as newly allocated JSON for the operators.  */
 char *
 peer_status_json (struct peer *peer)
@@ -430,6 +460,26 @@
   (void)now;
 }
 
+static void
+on_crash (struct peer *peer, const struct wire_message *message,
+          const struct sockaddr_in *from, clk_ms now)
+{
+  (void)from;
+  (void)now;
+  if (peer->crash_fn != NULL)
+    peer->crash_fn (peer->crash_closure, &message->u.crash);
+}
+
+static void
+on_success (struct peer *peer, const struct wire_message *message,
+            const struct sockaddr_in *from, clk_ms now)
+{
+  (void)from;
+  (void)now;
+  if (peer->success_fn != NULL)
+    peer->success_fn (peer->crash_closure, &message->u.success);
+}
+
 /* Does the periodic work that is due at NOW.  */
 static void
 tick (struct peer *peer, clk_ms now)
--- a/process/server.c
+++ b/process/server.c
@@ -57,6 +57,7 @@
   if (server->peer == NULL)
     return NULL;
   server->ledger = ledger_new (settings, server->peer);
+  server->guard = guard_new (server->peer);
   server->sync = sync_new (server);
   server->workers = g_ptr_array_new ();
   for (int64_t i = 0; i < settings->workers; i++)
@@ -125,6 +126,7 @@
     worker_free (g_ptr_array_index (server->workers, i));
   g_ptr_array_free (server->workers, TRUE);
   ledger_free (server->ledger);
+  guard_free (server->guard);
   peer_free (server->peer);
   ver_store_free (server->store);
   g_hash_table_destroy (server->budgets);
--- a/request/librequest.h
+++ b/request/librequest.h
@@ -54,6 +54,7 @@
   REFUSE_STOPPING,
   REFUSE_NOT_READY,
   REFUSE_TARGETS_FAILED,
+  REFUSE_QUARANTINED,
   REFUSE_COUNT
 };
 
@@ -109,6 +110,7 @@
   char *idempotency_key;
   struct curl_slist *forwarded_headers; /* the client's end-to-end headers */
   GString *body;
+  uint64_t fingerprint; /* of method, service, path, customer and body */
   int priority;
   int stream;
   int repeatable; /* may be executed more than once */
--- a/request/request.c
+++ b/request/request.c
@@ -11,6 +11,7 @@
   HTTP_SERVER_ERROR = 500
 };
 
+static void suspect_request (struct req *req, enum retry_fault fault);
 static void handle_response (struct req *req);
 static void complete (struct req *req);
 static void publish_placement_note (struct req *req);
@@ -152,6 +153,7 @@
       complete (req);
       return;
     }
+  suspect_request (req, fault);
   metric_inc (retry_counters[fault]);
   if (req->events.offset > attempt->offset_at_start)
     req->resumes = 0;
@@ -195,6 +197,20 @@
   req_dispatch (req);
 }
 
+/* Handles FAULT of the current attempt: if its target has ended, REQ may be
+   the cause, unless its stream had gone on.  */
+static void
+suspect_request (struct req *req, enum retry_fault fault)
+{
+  const struct ver_target *target
+      = ver_target_find (req->worker->version, req->target);
+
+  if (target != NULL && fault == RETRY_FAULT_DISCONNECTED
+      && req->events.offset == req->attempt.offset_at_start)
+    guard_suspect (req->worker->server->guard, req->fingerprint, req->target,
+                   &target->address);
+}
+
 /* Ends REQ after the client has disconnected or received the response.  A
    call with a ledger record continues until its outcome is stored.  */
 void
@@ -216,6 +232,8 @@
 {
   struct req_attempt *attempt = &req->attempt;
 
+  if (!attempt->not_run)
+    guard_succeed (req->worker->server->guard, req->fingerprint);
   if (attempt->not_run)
     req_handle_fault (req, RETRY_FAULT_REJECTED);
   else if (req->kind == VER_KIND_CHAT && attempt->status == MHD_HTTP_OK)
--- a/request/request_place.c
+++ b/request/request_place.c
@@ -8,6 +8,7 @@
 };
 
 static int32_t headroom (void *closure, uint64_t target);
+static void refuse_quarantined (struct req *req);
 static void step_request_admission (struct req *req,
                                     const struct place_step *step);
 static void step_send (struct req *req, const struct place_step *step);
@@ -69,6 +70,11 @@
       req_refuse (req, REFUSE_UNKNOWN_SERVICE, REQ_NOT_RUN);
       return;
     }
+  if (!guard_admits (req->worker->server->guard, req->fingerprint))
+    {
+      refuse_quarantined (req);
+      return;
+    }
   if (req->attempts == 0)
     req_deposit_retry_budget (req);
   if (req->excluded_count >= service->eligible_count)
@@ -102,6 +108,19 @@
                         target);
 }
 
+/* Ends REQ, which has crashed targets.  */
+static void
+refuse_quarantined (struct req *req)
+{
+  if (req->may_have_run)
+    {
+      req_refuse (req, REFUSE_MAY_HAVE_RUN, REQ_MAY_HAVE_RUN);
+      return;
+    }
+  req_abort_claim (req);
+  req_refuse (req, REFUSE_QUARANTINED, REQ_NOT_RUN);
+}
+
 /* Handles the owner's REPLY to a request for admission.  */
 void
 req_on_admission_reply (struct req *req, const struct peer_reply *reply)
--- a/request/request_response.c
+++ b/request/request_response.c
@@ -73,6 +73,9 @@
   [REFUSE_TARGETS_FAILED]
   = { "targets_failed", "repeat later; the targets tried have failed",
       METRIC_REFUSED_TARGETS_FAILED, 502, 1 },
+  [REFUSE_QUARANTINED]
+  = { "quarantined", "do not repeat it; it has crashed targets",
+      METRIC_REFUSED_QUARANTINED, 503, 60 },
 };
 
 static const char *const execution_names[]
--- a/request/request_start.c
+++ b/request/request_start.c
@@ -4,6 +4,7 @@
 #include <ck_pr.h>
 #include <sodium.h>
 
+#include "ibisloom/quarantine.h"
 #include "libconnection.h"
 
 enum
@@ -22,6 +23,7 @@
 static int respond_health (struct req *req, const char *rest);
 static int respond_ready (struct req *req, const char *rest);
 static int respond_metrics (struct req *req, const char *rest);
+static void set_fingerprint (struct req *req);
 static int check_request (struct req *req);
 static int read_customer (struct req *req);
 static int read_service (struct req *req, const char *name);
@@ -143,6 +145,12 @@
 {
   if (req->kind == VER_KIND_CHAT && chat_parse (req) != 0)
     return;
+  set_fingerprint (req);
+  if (guard_blocks (req->worker->server->guard, req->fingerprint))
+    {
+      req_refuse (req, REFUSE_QUARANTINED, REQ_NOT_RUN);
+      return;
+    }
   if (req->repeatable)
     {
       req_dispatch (req);
@@ -156,6 +164,18 @@
   req_claim (req);
 }
 
+/* Sets the fingerprint of REQ, by which the quarantine knows it when it comes
+   again.  */
+static void
+set_fingerprint (struct req *req)
+{
+  uint64_t path = rank_hash_parts (req->method, req->service, req->path);
+  uint64_t body = rank_hash_bytes (req->body->str, req->body->len);
+
+  req->fingerprint
+      = rank_mix (rank_mix (path, req->customer_id), body) | QUAR_REQUEST_BIT;
+}
+
 /* Reads the headers of a chat request.  */
 static int
 start_chat (struct req *req, const char *rest)
