Do not serve before what is in quarantine has been read

An instance is ready, and serves, when it has read the list, or 1 s after its start, as the store may be away.

--- a/daemon/ctl_explain.c
+++ b/daemon/ctl_explain.c
@@ -28,7 +28,7 @@
   { "unknown_key",
     "refused: the key stands for no customer in the version in force" },
   { "not_configured",
-    "refused: the instance had no configuration yet; not run" },
+    "refused: the instance had not read the store yet; not run" },
   { "stopping", "refused: the instance was about to end; not run" },
   { "no_target", "refused: no target of the service was usable; not run" },
   { "all_full", "refused: every usable target was at its bound; not run" },
--- a/include/ibisloom/router.h
+++ b/include/ibisloom/router.h
@@ -60,6 +60,7 @@
 void router_run (struct router *router);
 void router_free (struct router *router);
 int router_is_ready (const struct router *router);
+int router_has_read_store (const struct router *router);
 int router_may_start (const struct router *router, int64_t expected_ms);
 void router_request_ended (struct router *router);
 GString *router_metrics (const struct router *router);
--- a/process/fleet_join.c
+++ b/process/fleet_join.c
@@ -143,6 +143,14 @@
   log_info ("fleet", NULL, "listed", "%u instances", fleet_size (fleet));
 }
 
+/* Returns whether the list of instances, and of parts in quarantine, has been
+   read.  */
+int
+fleet_is_listed (const struct fleet *fleet)
+{
+  return fleet->is_listed;
+}
+
 /* Handles one entry of the list: a prompt part in quarantine, or an instance,
    which is added to the peers unless it is this one or has no valid
    address.  */
--- a/process/router.c
+++ b/process/router.c
@@ -19,7 +19,8 @@
   LAME_DUCK_END_MS = 3000, /* no exit earlier, as requests may still arrive */
   SHORT_REQUEST_MS = 700,  /* expected duration of a short request, at most */
   LAST_REQUEST_MS = 5000,  /* a shutdown accepts no new request later */
-  STOP_MARGIN_MS = 500,    /* between the forced exit and the end of grace_s */
+  QUARANTINE_WAIT_MS = 1000,
+  STOP_MARGIN_MS = 500, /* between the forced exit and the end of grace_s */
   READY_HEAD_BYTES = 4096,
   READY_TIMEOUT_MS = 10000
 };
@@ -171,15 +172,27 @@
   g_free (router);
 }
 
-/* Returns whether ROUTER can serve: it has a configuration and the list of
-   targets, and is not shutting down.  */
+/* Returns whether ROUTER can serve: it has read what it needs, and is not
+   shutting down.  */
 int
 router_is_ready (const struct router *router)
 {
-  return router->stopping_ms == 0 && router->table != NULL
+  return router->stopping_ms == 0 && router_has_read_store (router)
          && router->registry->listed;
 }
 
+/* Returns whether ROUTER has a configuration and knows what crashes targets.
+   It does not wait for the latter for longer than QUARANTINE_WAIT_MS, as the
+   store may be away.  */
+int
+router_has_read_store (const struct router *router)
+{
+  return router->table != NULL
+         && (fleet_is_listed (router->fleet)
+             || clk_now (clk_monotonic ()) - router->started_ms
+                    >= QUARANTINE_WAIT_MS);
+}
+
 /* Returns whether a new request that is expected to take EXPECTED_MS may be
    started.  During a shutdown only short requests are accepted after
    LAME_DUCK_MS and none after LAST_REQUEST_MS, so that the requests in
--- a/request/relay.c
+++ b/request/relay.c
@@ -105,7 +105,7 @@
 
   relay->id = http_head_get (relay->head, field[DIALECT_ATTEMPT_ID]);
   *refusal = RELAY_NOT_CONFIGURED;
-  if (router->table == NULL)
+  if (!router_has_read_store (router))
     return 0;
   *refusal = RELAY_BAD_REQUEST;
   if (host == NULL || relay->id == NULL
--- a/tests/libfixture.h
+++ b/tests/libfixture.h
@@ -55,7 +55,8 @@
   char *store_epoch;       /* value of its header field; NULL: left out */
   long compacted_revision; /* earlier revisions are discarded */
   int store_down;
-  int watches_blocked; /* watches get no response */
+  int watches_blocked;  /* watches get no response */
+  int members_delay_ms; /* of the list of instances and parts */
   int store_listener;
   int store_port;
   GArray *store_fds;
--- a/tests/router_fixture.c
+++ b/tests/router_fixture.c
@@ -354,6 +354,7 @@
   fx_env.compacted_revision = 0;
   fx_env.store_down = 0;
   fx_env.watches_blocked = 0;
+  fx_env.members_delay_ms = 0;
   pthread_cond_broadcast (&fx_env.changed);
   pthread_mutex_unlock (&fx_env.lock);
   fx_store_set_epoch ("1");
--- a/tests/router_fixture.h
+++ b/tests/router_fixture.h
@@ -70,6 +70,7 @@
 void fx_store_set_epoch (const char *epoch);
 void fx_store_set_down (int down);
 void fx_store_block_watches (int blocked);
+void fx_store_delay_members (int ms);
 
 /* For the first router. */
 void fx_write_settings (const char *extra);
--- a/tests/store_fixture.c
+++ b/tests/store_fixture.c
@@ -232,7 +232,14 @@
 respond_at_once (const char *request, const char *kind, const char *name)
 {
   struct response response;
+  int delay_ms;
 
+  pthread_mutex_lock (&fx_env.lock);
+  delay_ms = fx_env.members_delay_ms;
+  pthread_mutex_unlock (&fx_env.lock);
+  if (strncmp (request, "GET", 3) == 0
+      && strcmp (kind, "ibisloom-instances") == 0)
+    fx_sleep_ms (delay_ms);
   pthread_mutex_lock (&fx_env.lock);
   if (strncmp (request, "POST", 4) == 0)
     response = make_response (create_object (request, kind), g_strdup ("{}"));
@@ -418,6 +425,15 @@
   return count;
 }
 
+/* Delays the list of instances and of parts in quarantine by MS.  */
+void
+fx_store_delay_members (int ms)
+{
+  pthread_mutex_lock (&fx_env.lock);
+  fx_env.members_delay_ms = ms;
+  pthread_mutex_unlock (&fx_env.lock);
+}
+
 /* If BLOCKED, holds back the responses to watches; otherwise sends them
    again.  */
 void
--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -31,7 +31,8 @@
   SENDS_ALLOWED = 3, /* once CONTACT_MS have passed after these crashes */
   BEFORE_MS = 3000,
   MEASURED_MS = 3000,
-  START_MS = 1500
+  START_MS = 1500,
+  LIST_DELAY_MS = 400 /* of the list of parts, at a restart of all */
 };
 
 static void crashing_part_is_contained (void);
@@ -473,6 +474,7 @@
       fx_store_rewrite ();
       fx_sleep_ms (CONTACT_MS);
     }
+  fx_store_delay_members (LIST_DELAY_MS);
   for (int i = 0; i < ROUTERS; i++)
     fx_router_signal (i, SIGKILL);
   for (int i = 0; i < ROUTERS; i++)
