Keep a leave and a removal also when the restored store is listed again

Found in reading the diff: an older entry of a target that was leaving, or whose entry had been removed, did not bring it back when the restored store was listed first, but did when it was listed once more in the same epoch, as after a compaction. Two tests of test_balance, which now list twice, fail without the change.

An instance that had not registered yet no longer says at its start that it has written anew. The steps that the tests of restorations share are functions of their own.

--- a/process/fleet_join.c
+++ b/process/fleet_join.c
@@ -90,7 +90,7 @@
   if (epoch <= fleet->epoch)
     return;
   fleet->epoch = epoch;
-  if (is_first && fleet->registered_epoch >= epoch)
+  if (is_first && (!fleet->is_registered || fleet->registered_epoch >= epoch))
     return;
   fleet->is_registered = fleet->registered_epoch >= epoch;
   ev_timer_stop (fleet->loop, &fleet->rejoin);
--- a/process/registry.c
+++ b/process/registry.c
@@ -117,11 +117,16 @@
     return 0;
   if (target != NULL && keeps_leaving (target, entry, position))
     {
-      target->position = position;
       target->unlisted = 0;
       target->missing_until_ms = 0;
       return 0;
     }
+  if (target != NULL && target->is_restored
+      && pos_compare (position, target->position) == 0)
+    {
+      target->unlisted = 0;
+      return 0;
+    }
   if (target == NULL)
     is_withheld = was_gone (registry, entry, position);
   else if (target->missing_until_ms != 0)
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -683,8 +683,11 @@
   put_report (registry, "i-1", 1, 0, (struct position){ 1, 10 });
   put_report (registry, "i-1", 5, 1, (struct position){ 1, 29 });
   CU_ASSERT_EQUAL (count_usable (registry, 0), 0);
-  put_report (registry, "i-1", 1, 0, (struct position){ 2, 10 });
-  CU_ASSERT_EQUAL (count_usable (registry, 0), 0);
+  for (int lists = 0; lists < 2; lists++)
+    {
+      put_report (registry, "i-1", 1, 0, (struct position){ 2, 10 });
+      CU_ASSERT_EQUAL (count_usable (registry, 0), 0);
+    }
   put_report (registry, "i-1", 6, 0, (struct position){ 2, 11 });
   CU_ASSERT_EQUAL (count_usable (registry, 0), 1);
   put_report (registry, "i-1", 7, 1, (struct position){ 2, 12 });
@@ -705,9 +708,12 @@
   CU_ASSERT (
       reg_mark_missing (registry, "i-1", (struct position){ 1, 12 }, 800));
   CU_ASSERT_EQUAL (reg_expire (registry, 800), 1);
-  put_report (registry, "i-1", 3, 0, (struct position){ 2, 10 });
-  put_report (registry, "i-2", 3, 0, (struct position){ 2, 11 });
-  CU_ASSERT_EQUAL (count_usable (registry, 0), 1);
+  for (int lists = 0; lists < 2; lists++)
+    {
+      put_report (registry, "i-1", 3, 0, (struct position){ 2, 10 });
+      put_report (registry, "i-2", 3, 0, (struct position){ 2, 11 });
+      CU_ASSERT_EQUAL (count_usable (registry, 0), 1);
+    }
   CU_ASSERT_EQUAL (reg_expire (registry, 60000), 0);
   CU_ASSERT_EQUAL (count_usable (registry, 60000), 2);
   CU_ASSERT (
--- a/tests/test_restored.c
+++ b/tests/test_restored.c
@@ -54,6 +54,9 @@
 
 TEST_MAIN ("restored", cases)
 
+static struct fx_target *targets[2];
+static int copy; /* revision from which the store is restored */
+
 /* Makes VERSION the configuration in the store; it is else as before.  */
 static void
 put_version (int version)
@@ -93,28 +96,50 @@
 }
 
 /* Starts two targets and ROUTERS routers, and waits until these are settled.
- */
+   PROXIES, if not NULL, get proxies to the store for the first domain.  */
 static void
-start_fleet (struct fx_target **targets)
+start_fleet (struct proxy **proxies)
 {
   targets[0] = fx_target_add ("d-0", "desk", shop_respond_ok);
   targets[1] = fx_target_add ("d-1", "desk", shop_respond_ok);
   fx_store_start (shop_config);
+  for (int i = 0; proxies != NULL && i < ROUTERS; i += FX_DOMAINS)
+    proxies[i] = fx_store_add_proxy (i);
   fx_routers_start (ROUTERS);
   fx_sleep_ms (WATCH_START_MS);
+  copy = fx_store_revision ();
 }
 
-/* Restores the store from the copy of REVISION, after it was away for a
-   moment.  */
+/* Restores the store from the copy, after it was away for a moment.  */
 static void
-restore_store (int revision)
+restore_store (void)
 {
   fx_store_set_down (1);
   fx_sleep_ms (APPLY_MS / 4);
-  fx_store_restore (revision);
+  fx_store_restore (copy);
   fx_store_set_down (0);
 }
 
+/* Makes VERSION and the one after it the configuration, and checks that the
+   latter comes into force.  */
+static void
+expect_two_versions (int version)
+{
+  put_version (version);
+  put_version (version + 1);
+  expect_version (version + 1, APPLY_MS);
+}
+
+/* Kills the first COUNT routers.  */
+static void
+kill_routers (int count)
+{
+  for (int i = 0; i < count; i++)
+    fx_router_signal (i, SIGKILL);
+  for (int i = 0; i < count; i++)
+    fx_router_wait_for_exit (i);
+}
+
 /* Sends REQUESTS requests to each router.  Returns how many of them TARGET
    got.  */
 static int
@@ -139,15 +164,9 @@
 static void
 new_version_is_in_force_everywhere (void)
 {
-  struct fx_target *targets[2];
-  int copy;
-
-  start_fleet (targets);
-  copy = fx_store_revision ();
-  put_version (4);
-  put_version (5);
-  expect_version (5, APPLY_MS);
-  restore_store (copy);
+  start_fleet (NULL);
+  expect_two_versions (4);
+  restore_store ();
   put_version (5);
   fx_sleep_ms (LINGER_MS);
   put_version (6);
@@ -158,18 +177,12 @@
 static void
 version_is_in_force_after_two_restorations (void)
 {
-  struct fx_target *targets[2];
-  int copy;
-
-  start_fleet (targets);
-  copy = fx_store_revision ();
-  put_version (4);
-  put_version (5);
-  expect_version (5, APPLY_MS);
-  restore_store (copy);
+  start_fleet (NULL);
+  expect_two_versions (4);
+  restore_store ();
   put_version (5);
   fx_sleep_ms (APPLY_MS / 4);
-  restore_store (copy);
+  restore_store ();
   put_version (5);
   fx_sleep_ms (LINGER_MS);
   put_version (6);
@@ -181,20 +194,12 @@
 static void
 version_does_not_fall_at_restarted_instances (void)
 {
-  struct fx_target *targets[2];
-  int copy;
-
-  start_fleet (targets);
-  copy = fx_store_revision ();
+  start_fleet (NULL);
   put_version (4);
   expect_version (4, APPLY_MS);
-  restore_store (copy);
+  restore_store ();
   fx_sleep_ms (APPLY_MS / 2);
-  for (int i = 0; i < ROUTERS - 1; i++)
-    {
-      fx_router_signal (i, SIGKILL);
-      fx_router_wait_for_exit (i);
-    }
+  kill_routers (ROUTERS - 1);
   fx_routers_start (ROUTERS - 1);
   expect_version (4, APPLY_MS);
   fx_store_rewrite ();
@@ -207,18 +212,11 @@
 static void
 version_does_not_fall_when_all_restart (void)
 {
-  struct fx_target *targets[2];
-  int copy;
-
-  start_fleet (targets);
-  copy = fx_store_revision ();
+  start_fleet (NULL);
   put_version (4);
   expect_version (4, APPLY_MS);
   fx_store_set_down (1);
-  for (int i = 0; i < ROUTERS; i++)
-    fx_router_signal (i, SIGKILL);
-  for (int i = 0; i < ROUTERS; i++)
-    fx_router_wait_for_exit (i);
+  kill_routers (ROUTERS);
   fx_store_restore (copy);
   fx_store_set_down (0);
   fx_routers_start (ROUTERS);
@@ -234,25 +232,14 @@
 version_reaches_a_domain_that_was_cut_off (void)
 {
   struct proxy *proxies[ROUTERS] = { NULL };
-  struct fx_target *targets[2];
-  int copy;
 
-  targets[0] = fx_target_add ("d-0", "desk", shop_respond_ok);
-  targets[1] = fx_target_add ("d-1", "desk", shop_respond_ok);
-  fx_store_start (shop_config);
-  for (int i = 0; i < ROUTERS; i += FX_DOMAINS)
-    proxies[i] = fx_store_add_proxy (i);
-  fx_routers_start (ROUTERS);
-  fx_sleep_ms (WATCH_START_MS);
+  start_fleet (proxies);
   CU_ASSERT (count_requests_at (targets[0]) > 0);
   CU_ASSERT (count_requests_at (targets[1]) > 0);
-  copy = fx_store_revision ();
-  put_version (4);
-  put_version (5);
-  expect_version (5, APPLY_MS);
+  expect_two_versions (4);
   for (int i = 0; i < ROUTERS; i += FX_DOMAINS)
     proxy_set_mode (proxies[i], PROXY_DROP_ALL, 0);
-  restore_store (copy);
+  restore_store ();
   put_version (5);
   fx_sleep_ms (LINGER_MS);
   put_version (6);
@@ -269,15 +256,11 @@
 static void
 leaving_target_gets_no_requests (void)
 {
-  struct fx_target *targets[2];
-  int copy;
-
-  start_fleet (targets);
-  copy = fx_store_revision ();
+  start_fleet (NULL);
   for (int i = 0; i < REQUESTS; i++)
     fx_target_set_state (targets[0], "ready");
   fx_sleep_ms (APPLY_MS);
-  restore_store (copy);
+  restore_store ();
   fx_sleep_ms (LINGER_MS);
   CU_ASSERT (count_requests_at (targets[0]) > 0);
   fx_target_set_state (targets[0], "draining");
@@ -291,14 +274,10 @@
 static void
 older_entry_does_not_undo_a_leave (void)
 {
-  struct fx_target *targets[2];
-  int copy;
-
-  start_fleet (targets);
-  copy = fx_store_revision ();
+  start_fleet (NULL);
   fx_target_set_state (targets[0], "draining");
   fx_sleep_ms (DRAIN_MS);
-  restore_store (copy);
+  restore_store ();
   fx_sleep_ms (APPLY_MS);
   CU_ASSERT_EQUAL (count_requests_at (targets[0]), 0);
   fx_target_set_state (targets[0], "ready");
@@ -310,16 +289,13 @@
 static void
 instances_register_anew (void)
 {
-  struct fx_target *targets[2];
-  int copy;
-
   fx_store_start (shop_config);
   copy = fx_store_revision ();
   targets[0] = fx_target_add ("d-0", "desk", shop_respond_ok);
   fx_routers_start (ROUTERS);
   fx_sleep_ms (WATCH_START_MS);
   CU_ASSERT_EQUAL (fx_store_count ("ibisloom-instances"), ROUTERS);
-  restore_store (copy);
+  restore_store ();
   fx_store_rewrite ();
   fx_sleep_ms (2 * APPLY_MS);
   CU_ASSERT_EQUAL (fx_store_count ("ibisloom-instances"), ROUTERS);
@@ -332,9 +308,8 @@
 {
   static const char *const values[]
       = { "x", "-1", "1.5", "99999999999999999999", "4294967296", "", NULL };
-  struct fx_target *targets[2];
 
-  start_fleet (targets);
+  start_fleet (NULL);
   for (size_t i = 0; i < G_N_ELEMENTS (values); i++)
     {
       fx_store_set_epoch (values[i]);
@@ -354,9 +329,7 @@
 static void
 late_response_of_older_epoch_changes_nothing (void)
 {
-  struct fx_target *targets[2];
-
-  start_fleet (targets);
+  start_fleet (NULL);
   fx_store_set_epoch ("2");
   put_version (4);
   expect_version (4, APPLY_MS);
