Let heartbeats tell whether their sender knows what is in quarantine

An instance is now also ready when it has the heartbeat of one that knows, which the states of the parts follow; until an instance knows, its heartbeats say that it is starting.

--- a/include/ibisloom/fleet.h
+++ b/include/ibisloom/fleet.h
@@ -57,7 +57,7 @@
                         int is_named, double per_s, clk_ms sent_ms);
 void fleet_count_request (struct fleet *fleet, struct reg_target *target);
 uint32_t fleet_quarantined_count (const struct fleet *fleet);
-int fleet_is_listed (const struct fleet *fleet);
+int fleet_knows_quarantine (const struct fleet *fleet);
 uint32_t fleet_size (const struct fleet *fleet);
 int64_t fleet_loads_age_ms (const struct fleet *fleet);
 
--- a/process/fleet_heartbeat.c
+++ b/process/fleet_heartbeat.c
@@ -15,6 +15,7 @@
 static void send_heartbeat (struct fleet *fleet,
                             const struct sockaddr_in *address,
                             int wants_affinity);
+static enum member_state own_state (const struct fleet *fleet);
 static void send_state (struct fleet *fleet,
                         const struct sockaddr_in *address);
 static uint32_t next_loads (const struct fleet *fleet, guint *position,
@@ -114,16 +115,14 @@
 send_heartbeat (struct fleet *fleet, const struct sockaddr_in *address,
                 int wants_affinity)
 {
-  struct wire_message message = {
-    .kind = WIRE_HEARTBEAT,
-    .u.heartbeat
-    = { .wants_reply = wants_affinity != 0,
-        .revision = fleet->known.targets.revision,
-        .config_revision = fleet->known.config.revision,
-        .store = (uint8_t)fleet->store_state,
-        .domain = fleet->domain,
-        .state = (uint8_t)(fleet->is_leaving ? MEMBER_LEAVING : MEMBER_READY) }
-  };
+  struct wire_message message
+      = { .kind = WIRE_HEARTBEAT,
+          .u.heartbeat = { .wants_reply = wants_affinity != 0,
+                           .revision = fleet->known.targets.revision,
+                           .config_revision = fleet->known.config.revision,
+                           .store = (uint8_t)fleet->store_state,
+                           .domain = fleet->domain,
+                           .state = (uint8_t)own_state (fleet) } };
   struct wire_heartbeat *heartbeat = &message.u.heartbeat;
   guint position = 0;
 
@@ -144,6 +143,15 @@
   fleet_send_rates (fleet, address);
 }
 
+/* Returns the state that heartbeats report.  */
+static enum member_state
+own_state (const struct fleet *fleet)
+{
+  if (fleet->is_leaving)
+    return MEMBER_LEAVING;
+  return fleet_knows_quarantine (fleet) ? MEMBER_READY : MEMBER_STARTING;
+}
+
 /* Sends to ADDRESS what this instance knows of the store, if the store tells
    its epoch.  Older builds, which read revisions from heartbeats only, drop
    it.  */
@@ -195,6 +203,7 @@
   peer->domain = heartbeat->domain;
   peer->store = (enum wire_store)heartbeat->store;
   peer->state = (enum member_state)heartbeat->state;
+  fleet->is_informed |= peer->state != MEMBER_STARTING;
   report_update (
       fleet, peer,
       &(struct snapshot_state){ .config.revision = heartbeat->config_revision,
--- a/process/fleet_join.c
+++ b/process/fleet_join.c
@@ -143,12 +143,12 @@
   log_info ("fleet", NULL, "listed", "%u instances", fleet_size (fleet));
 }
 
-/* Returns whether the list of instances, and of parts in quarantine, has been
-   read.  */
+/* Returns whether FLEET knows what is in quarantine: it has read the list, or
+   has a heartbeat of an instance that knew, which is followed by that.  */
 int
-fleet_is_listed (const struct fleet *fleet)
+fleet_knows_quarantine (const struct fleet *fleet)
 {
-  return fleet->is_listed;
+  return fleet->is_listed || fleet->is_informed;
 }
 
 /* Handles one entry of the list: a prompt part in quarantine, or an instance,
--- a/process/libfleet.h
+++ b/process/libfleet.h
@@ -68,6 +68,7 @@
   uint64_t registered_epoch; /* of the store, when it was registered */
   uint64_t epoch; /* of the store; what was written in older ones is lost */
   uint8_t is_listed;
+  uint8_t is_informed;  /* by an instance that knows what is in quarantine */
   GString *listed_name; /* last one of the list that is being read */
   uint8_t is_leaving;
   GHashTable *peers; /* id to struct fleet_peer */
--- a/process/router.c
+++ b/process/router.c
@@ -188,7 +188,7 @@
 router_has_read_store (const struct router *router)
 {
   return router->table != NULL
-         && (fleet_is_listed (router->fleet)
+         && (fleet_knows_quarantine (router->fleet)
              || clk_now (clk_monotonic ()) - router->started_ms
                     >= QUARANTINE_WAIT_MS);
 }
