Have a part in quarantine written to the store by whoever learned of it

Two ends that two instances see at the same time may put a part in quarantine at each of them by the report of the other, and only an instance that does so by its own report wrote the part. So nobody did.

The instance that ranks first for a part now has it written whenever it learns of a change, by a report of an end or by the states of others.

--- a/process/fleet_crash.c
+++ b/process/fleet_crash.c
@@ -175,7 +175,7 @@
   memcpy (crash.parts, reported->part,
           reported->count * sizeof *reported->part);
   if (quar_record_crash (fleet->quarantine, &crash, now, &changed))
-    fleet_log_state (&changed, "quarantined");
+    fleet_adopt_state (fleet, &changed, now);
 }
 
 /* Sends the crashes of the last CRASH_REPEAT_MS again, and forgets older
--- a/process/fleet_quarantine.c
+++ b/process/fleet_quarantine.c
@@ -131,6 +131,19 @@
   fleet_write_part (fleet, state->part);
 }
 
+/* Logs STATE, which what others told has changed.  The instance that ranks
+   first for the part has it written to the store, since it may be that nobody
+   has changed it by itself.  */
+void
+fleet_adopt_state (struct fleet *fleet, const struct quar_state *state,
+                   clk_ms now)
+{
+  fleet_log_state (state,
+                   state->version % 2 != 0 ? "quarantined" : "released");
+  if (fleet_ranks_first (fleet, state->part, now))
+    fleet_write_part (fleet, state->part);
+}
+
 /* Sends the states of all parts to ADDRESS, or to all instances if ADDRESS is
    NULL.  */
 void
@@ -171,8 +184,7 @@
                                   .weight = quarantine->state[i].weight };
 
       if (quar_merge (fleet->quarantine, &state, now))
-        fleet_log_state (&state,
-                         state.version % 2 != 0 ? "quarantined" : "released");
+        fleet_adopt_state (fleet, &state, now);
     }
 }
 
--- a/process/libfleet.h
+++ b/process/libfleet.h
@@ -141,6 +141,8 @@
 void fleet_quarantine_tick (struct fleet *fleet, clk_ms now);
 void fleet_announce_state (struct fleet *fleet, const struct quar_state *state,
                            const char *reason);
+void fleet_adopt_state (struct fleet *fleet, const struct quar_state *state,
+                        clk_ms now);
 void fleet_log_state (const struct quar_state *state, const char *reason);
 void fleet_send_states (struct fleet *fleet,
                         const struct sockaddr_in *address);
