tests: free what a restoration takes back

The array of changes that a restoration of the scripted store takes back owns them now; writing them anew and forgetting them leaked, which the address sanitizer found in test_crash (776 bytes).

--- a/tests/libfixture.h
+++ b/tests/libfixture.h
@@ -78,6 +78,7 @@
 /* store_fixture.c */
 const struct change *fx_store_latest_change (const char *kind,
                                              const char *name);
+GPtrArray *fx_store_make_lost (void);
 void *fx_store_accept_connections (void *closure);
 void fx_store_add_change (const char *kind, const char *name,
                           const char *spec);
--- a/tests/router_fixture.c
+++ b/tests/router_fixture.c
@@ -317,7 +317,7 @@
 fx_env_init (void)
 {
   fx_env.changes = g_ptr_array_new ();
-  fx_env.lost = g_ptr_array_new ();
+  fx_env.lost = fx_store_make_lost ();
   fx_env.targets = g_ptr_array_new ();
   fx_env.store_fds = g_array_new (FALSE, FALSE, sizeof (int));
   fx_store_set_epoch ("1");
@@ -346,9 +346,10 @@
   for (guint i = 0; i < fx_env.store_fds->len; i++)
     shutdown (g_array_index (fx_env.store_fds, int, i), SHUT_RDWR);
   /* Threads of the fixtures may still use the old arrays, which are therefore
-     not freed.  */
+     not freed, but for what a restoration took back.  */
   fx_env.changes = g_ptr_array_new ();
-  fx_env.lost = g_ptr_array_new ();
+  g_ptr_array_free (fx_env.lost, TRUE);
+  fx_env.lost = fx_store_make_lost ();
   fx_env.targets = g_ptr_array_new ();
   fx_env.store_fds = g_array_new (FALSE, FALSE, sizeof (int));
   fx_env.compacted_revision = 0;
--- a/tests/store_fixture.c
+++ b/tests/store_fixture.c
@@ -159,6 +159,26 @@
   send_response (fd, &response);
 }
 
+/* Frees the change CLOSURE.  */
+static void
+free_change (void *closure)
+{
+  struct change *change = closure;
+
+  g_free (change->kind);
+  g_free (change->name);
+  g_free (change->spec);
+  g_free (change);
+}
+
+/* Returns an empty array for changes that restorations take back, which owns
+   them.  */
+GPtrArray *
+fx_store_make_lost (void)
+{
+  return g_ptr_array_new_with_free_func (free_change);
+}
+
 /* Forgets what restorations took back of the object NAME of KIND, which is
    written anew.  The lock must be held.  */
 static void
@@ -394,7 +414,7 @@
 
   pthread_mutex_lock (&fx_env.lock);
   lost = fx_env.lost;
-  fx_env.lost = g_ptr_array_new ();
+  fx_env.lost = fx_store_make_lost ();
   for (guint i = 0; i < lost->len; i++)
     {
       const struct change *change = g_ptr_array_index (lost, i);
