--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -673,8 +673,7 @@
   reg_free (registry);
 }
 
-/* The target reported that it leaves with its 5th report.  The restored store
-   has its 1st again, then a report at a lower revision that takes it back.  */
+/* It leaves with its 5th report; the restored store shows its 1st.  */
 static void
 older_report_does_not_undo_a_leave (void)
 {
@@ -695,9 +694,7 @@
   reg_free (registry);
 }
 
-/* The entry of the target was removed before the store was restored, which has
-   it again.  If the target keeps it, the target is used again, at the latest
-   when the entry would have expired.  */
+/* If the target keeps the entry, it is used when that would have expired.  */
 static void
 older_entry_of_removed_target_is_withheld (void)
 {
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -601,8 +601,7 @@
   log->doubt_until_ms = 0;
 }
 
-/* The writer of the claim appends it again; another writer grants nothing that
-   it does not know before that.  */
+/* Another writer than that of the claim has not read it.  */
 static void
 lost_claim_is_not_granted_again (void)
 {
@@ -692,8 +691,7 @@
     run_restored_history (seed);
 }
 
-/* The writer has not noticed the restoration, and the condition of its write
-   holds by accident: the segment has the revision that it had before.  */
+/* The segment has the revision that it had before the restoration.  */
 static void
 claim_of_an_older_epoch_is_not_sent (void)
 {
--- a/tests/test_restored.c
+++ b/tests/test_restored.c
@@ -159,8 +159,7 @@
   return fx_target_request_count (target) - before;
 }
 
-/* The version after the restoration gets the revision that the last one before
-   it had.  */
+/* The new version gets the revision that the last one before had.  */
 static void
 new_version_is_in_force_everywhere (void)
 {
@@ -251,8 +250,7 @@
   fx_env_stop ();
 }
 
-/* Before the restoration the target's entry has a higher revision than that at
-   which it leaves.  */
+/* The target's entry has a higher revision before than when it leaves.  */
 static void
 leaving_target_gets_no_requests (void)
 {
@@ -324,8 +322,7 @@
   fx_env_stop ();
 }
 
-/* The store tells an older epoch again, as a connection that was kept open may
-   do, and shows a newer version.  */
+/* The response shows a newer version.  */
 static void
 late_response_of_older_epoch_changes_nothing (void)
 {
--- a/tests/test_snapshot.c
+++ b/tests/test_snapshot.c
@@ -364,9 +364,7 @@
   CU_ASSERT_EQUAL (epoch, 12);
 }
 
-/* At random moments the store takes back its last changes, lists what is left,
-   and gives their revisions out again.  A replica that fetches each change and
-   one that fetches every 40th both end with the content of the store.  */
+/* One replica fetches each change, the other every 40th.  */
 static void
 replicas_follow_restorations (void)
 {
@@ -415,8 +413,7 @@
   snapshot_free (snapshot);
 }
 
-/* The sender has version 12 of an older epoch; the receiver has read version 9
-   from the restored store.  */
+/* The sender has it from an older epoch than what the receiver has.  */
 static void
 newest_version_is_passed_on (void)
 {
