--- /dev/null
+++ b/tests/test_origin.c
@@ -0,0 +1,122 @@
+/* Origins of streams, and the software versions that have served lately. */
+#include "ibisloom/origin.h"
+#include "test.h"
+
+enum
+{
+  START_MS = 1000,
+  SERVICE = 7,
+  OTHER_SERVICE = 8
+};
+
+static void first_origin_stays (void);
+static void only_own_streams_are_listed (void);
+static void only_version_is_known_until_another_is_seen (void);
+static void versions_of_two_services_do_not_differ (void);
+static void version_is_remembered_after_its_last_target (void);
+static void see (struct origins *origins, uint64_t service, uint64_t software,
+                 clk_ms now);
+
+static const struct test_case cases[] = {
+  { "the first origin of a stream stays", first_origin_stays },
+  { "only streams begun here are listed as own", only_own_streams_are_listed },
+  { "one version is the only one until another is seen",
+    only_version_is_known_until_another_is_seen },
+  { "versions of two services do not differ",
+    versions_of_two_services_do_not_differ },
+  { "a version is remembered after its last target has gone",
+    version_is_remembered_after_its_last_target },
+};
+
+TEST_MAIN ("origin", cases)
+
+static void
+first_origin_stays (void)
+{
+  struct origins *origins = origin_new ();
+  struct origin_record record = { .attempt = 5, .software = 11 };
+
+  CU_ASSERT_EQUAL (origin_find (origins, 5), 0);
+  origin_add (origins, &record, ORIGIN_PEER, START_MS);
+  record.software = 13;
+  origin_add (origins, &record, ORIGIN_OWN, START_MS);
+  CU_ASSERT_EQUAL (origin_find (origins, 5), 11);
+  origin_expire (origins, START_MS + ORIGIN_KEPT_MS);
+  CU_ASSERT_EQUAL (origin_find (origins, 5), 11);
+  origin_expire (origins, START_MS + ORIGIN_KEPT_MS + 1);
+  CU_ASSERT_EQUAL (origin_find (origins, 5), 0);
+  origin_free (origins);
+}
+
+static void
+only_own_streams_are_listed (void)
+{
+  struct origins *origins = origin_new ();
+  struct origin_cursor cursor = { 0 };
+  struct origin_record record;
+
+  for (uint64_t i = 0; i < 4; i++)
+    {
+      record = (struct origin_record){ .attempt = i, .software = 11 };
+      origin_add (origins, &record, i % 2 ? ORIGIN_OWN : ORIGIN_PEER,
+                  START_MS + (clk_ms)i);
+    }
+  CU_ASSERT (origin_next_own (origins, &cursor, &record));
+  CU_ASSERT_EQUAL (record.attempt, 1);
+  CU_ASSERT (origin_next_own (origins, &cursor, &record));
+  CU_ASSERT_EQUAL (record.attempt, 3);
+  CU_ASSERT (!origin_next_own (origins, &cursor, &record));
+  origin_free (origins);
+}
+
+static void
+only_version_is_known_until_another_is_seen (void)
+{
+  struct origins *origins = origin_new ();
+
+  CU_ASSERT_EQUAL (origin_only_version (origins, SERVICE), 0);
+  see (origins, SERVICE, 11, START_MS);
+  CU_ASSERT_EQUAL (origin_only_version (origins, SERVICE), 11);
+  CU_ASSERT (!origin_versions_differ (origins));
+  see (origins, SERVICE, 13, START_MS);
+  CU_ASSERT_EQUAL (origin_only_version (origins, SERVICE), 0);
+  CU_ASSERT (origin_versions_differ (origins));
+  origin_free (origins);
+}
+
+static void
+versions_of_two_services_do_not_differ (void)
+{
+  struct origins *origins = origin_new ();
+
+  see (origins, SERVICE, 11, START_MS);
+  see (origins, OTHER_SERVICE, 13, START_MS);
+  CU_ASSERT (!origin_versions_differ (origins));
+  CU_ASSERT_NOT_EQUAL (origin_software ("chat", "v1"),
+                       origin_software ("chat", "v2"));
+  CU_ASSERT_NOT_EQUAL (origin_software ("chat", "v1"),
+                       origin_software ("desk", "v1"));
+  origin_free (origins);
+}
+
+static void
+version_is_remembered_after_its_last_target (void)
+{
+  struct origins *origins = origin_new ();
+
+  see (origins, SERVICE, 11, START_MS);
+  see (origins, SERVICE, 13, START_MS + ORIGIN_KEPT_MS);
+  origin_expire (origins, START_MS + ORIGIN_KEPT_MS);
+  CU_ASSERT_EQUAL (origin_only_version (origins, SERVICE), 0);
+  origin_expire (origins, START_MS + ORIGIN_KEPT_MS + 1);
+  CU_ASSERT_EQUAL (origin_only_version (origins, SERVICE), 13);
+  origin_free (origins);
+}
+
+static void
+see (struct origins *origins, uint64_t service, uint64_t software, clk_ms now)
+{
+  struct origin_version version = { .service = service, .software = software };
+
+  (void)origin_see_version (origins, &version, now);
+}
