--- a/process/libpeer.h
+++ b/process/libpeer.h
@@ -136,6 +136,9 @@
 int peer_send (struct peer *peer, const struct sockaddr_in *to,
                struct wire_message *message, enum budget_class traffic_class,
                enum metric_counter counter);
+void heartbeat_apply (struct peer *peer, const struct wire_message *message,
+                      const struct sockaddr_in *from, clk_ms now);
+void heartbeat_send_all (struct peer *peer, clk_ms now);
 void admit_handle_request (struct peer *peer,
                            const struct wire_message *message,
                            const struct sockaddr_in *from, clk_ms now);
