--- a/request/quarantine.c
+++ b/request/quarantine.c
@@ -22,21 +22,10 @@
 
 #include <glib.h>
 
-#include "ibisloom/quarantine.h"
+#include "libquarantine.h"
 
 enum
 {
-  ENDS_MAX = 8,
-  SIMULTANEOUS_MS = 50,
-  /* Evidence and successes that are older no longer count.  */
-  EVIDENCE_VALID_MS = 600000,
-  /* Two ends under a request that had begun.  */
-  WEIGHT_TO_QUARANTINE = 2 * QUAR_SUSPECT,
-  /* The same for a part with which requests have gone well.  */
-  PROVEN_WEIGHT_TO_QUARANTINE = 4 * QUAR_SUSPECT,
-  /* The same for a request: the calls in progress at the ends of targets are
-     made again, and then are in progress at the next ends.  */
-  REQUEST_WEIGHT_TO_QUARANTINE = 3 * QUAR_SUSPECT,
   /* A success this recent lies between the ends that others have counted.  */
   SUCCESS_CURRENT_MS = 10000,
   TRIAL_MS = 60000, /* until the first trial; doubles with each */
@@ -44,47 +33,7 @@
   UNUSED_MS = 3600000, /* without a request, a part is released */
   /* A success by so much later than the last one told is news.  */
   SUCCESS_NEWS_MS = 500,
-  RELEASE_TOLD_MS = 60000, /* until all instances have heard of a release */
-  SUCCESS_SETS = 512,
-  SUCCESS_WAYS = 4
-};
-
-/* End of a target under a part. */
-struct end
-{
-  uint64_t target;
-  clk_ms ended_ms;
-  enum quar_strength strength;
-};
-
-/* Evidence against a part, and its state. */
-struct suspect
-{
-  uint64_t part; /* 0: unused */
-  uint32_t version;
-  uint32_t told_weight; /* of the evidence that others have */
-  uint32_t end_count;
-  struct end ends[ENDS_MAX]; /* in order of time */
-  clk_ms since_ms;           /* start of this state */
-  clk_ms asked_ms;           /* last request with the part, or end */
-  clk_ms told_success_ms;    /* last success that others have told */
-  uint8_t success_due;       /* the last success is to be told */
-};
-
-/* Last success under a part. */
-struct success
-{
-  uint64_t part; /* 0: unused */
-  clk_ms at_ms;
-};
-
-struct quarantine
-{
-  struct suspect suspects[QUAR_STATES_MAX];
-  uint32_t suspect_count; /* entries in use, from the first */
-  struct success successes[SUCCESS_SETS][SUCCESS_WAYS];
-  /* Apart, as most requests do not come again.  */
-  struct success request_successes[SUCCESS_SETS][SUCCESS_WAYS];
+  RELEASE_TOLD_MS = 60000 /* until all instances have heard of a release */
 };
 
 static struct suspect *find_suspect (const struct quarantine *quarantine,
@@ -96,24 +45,7 @@
 static struct suspect *add_evidence (struct quarantine *quarantine,
                                      const struct quar_crash *crash,
                                      uint64_t part, int explained, clk_ms now);
-static void record_success (struct quarantine *quarantine, uint64_t part,
-                            clk_ms at_ms);
-static void drop_ends (struct suspect *suspect, clk_ms until_ms);
-static clk_ms last_success_ms (const struct quarantine *quarantine,
-                               uint64_t part);
-static void add_end (struct suspect *suspect, const struct quar_crash *crash);
-static const struct success *success_set (const struct quarantine *quarantine,
-                                          uint64_t part);
-static int is_request (uint64_t part);
-static int is_proven (const struct quarantine *quarantine, uint64_t part,
-                      clk_ms now);
 static int is_less_useful (const struct suspect *a, const struct suspect *b);
-static uint32_t weigh_end (const struct suspect *suspect,
-                           const struct end *end);
-static uint32_t weigh_ends (const struct quarantine *quarantine,
-                            const struct suspect *suspect, clk_ms now);
-static uint32_t threshold (const struct quarantine *quarantine, uint64_t part,
-                           clk_ms now);
 static int is_quarantined (const struct suspect *suspect);
 static clk_ms trial_due_ms (const struct suspect *suspect);
 static struct quar_state set_version (const struct quarantine *quarantine,
@@ -153,10 +85,10 @@
       struct suspect *suspect
           = add_evidence (quarantine, crash, crash->parts[i], explained, now);
       uint32_t weight
-          = suspect != NULL ? weigh_ends (quarantine, suspect, now) : 0;
+          = suspect != NULL ? evidence_weigh (quarantine, suspect, now) : 0;
 
       if (suspect == NULL || weight < worst_weight
-          || weight < threshold (quarantine, suspect->part, now))
+          || weight < evidence_threshold (quarantine, suspect->part, now))
         continue;
       worst = suspect;
       worst_weight = weight;
@@ -201,9 +133,9 @@
   suspect = get_suspect (quarantine, part);
   suspect->asked_ms = now;
   suspect->success_due = 1;
-  if (crash->ended_ms <= last_success_ms (quarantine, part))
+  if (crash->ended_ms <= evidence_last_success_ms (quarantine, part))
     return NULL;
-  add_end (suspect, crash);
+  evidence_add_end (suspect, crash);
   return suspect;
 }
 
@@ -221,7 +153,7 @@
     {
       struct suspect *suspect = find_suspect (quarantine, parts[i]);
 
-      record_success (quarantine, parts[i], now);
+      evidence_add_success (quarantine, parts[i], now);
       if (suspect == NULL)
         continue;
       suspect->end_count = 0;
@@ -264,7 +196,7 @@
   for (uint32_t i = 0; i < quarantine->suspect_count; i++)
     {
       struct suspect *suspect = &quarantine->suspects[i];
-      clk_ms at_ms = last_success_ms (quarantine, suspect->part);
+      clk_ms at_ms = evidence_last_success_ms (quarantine, suspect->part);
 
       if (!suspect->success_due)
         continue;
@@ -288,13 +220,14 @@
   struct suspect *suspect = find_suspect (quarantine, success->part);
 
   if (success->part == 0
-      || success->at_ms <= last_success_ms (quarantine, success->part))
+      || success->at_ms
+             <= evidence_last_success_ms (quarantine, success->part))
     return;
-  record_success (quarantine, success->part, success->at_ms);
+  evidence_add_success (quarantine, success->part, success->at_ms);
   if (suspect == NULL)
     return;
   suspect->told_success_ms = success->at_ms;
-  drop_ends (suspect, success->at_ms);
+  evidence_drop_ends (suspect, success->at_ms);
 }
 
 /* Finds a part in quarantine of which this instance knows better: a request
@@ -308,13 +241,13 @@
   for (uint32_t i = 0; i < quarantine->suspect_count; i++)
     {
       struct suspect *suspect = &quarantine->suspects[i];
-      clk_ms success_ms = last_success_ms (quarantine, suspect->part);
-      uint32_t weight = weigh_ends (quarantine, suspect, now);
+      clk_ms success_ms = evidence_last_success_ms (quarantine, suspect->part);
+      uint32_t weight = evidence_weigh (quarantine, suspect, now);
 
       if (now - success_ms > SUCCESS_CURRENT_MS)
         weight = MAX (weight, suspect->told_weight);
       if (!is_quarantined (suspect) || success_ms == 0
-          || weight >= threshold (quarantine, suspect->part, now))
+          || weight >= evidence_threshold (quarantine, suspect->part, now))
         continue;
       *released = set_version (quarantine, suspect, suspect->version + 1, now);
       return 1;
@@ -469,152 +402,6 @@
   return a->asked_ms < b->asked_ms;
 }
 
-/* Returns whether PART stands for a request.  */
-static int
-is_request (uint64_t part)
-{
-  return (part & QUAR_REQUEST_BIT) != 0;
-}
-
-/* Returns the set of last successes that has room for PART.  */
-static const struct success *
-success_set (const struct quarantine *quarantine, uint64_t part)
-{
-  return is_request (part) ? quarantine->request_successes[part % SUCCESS_SETS]
-                           : quarantine->successes[part % SUCCESS_SETS];
-}
-
-/* Records a success under PART at AT_MS.  In a full set, the oldest is
-   replaced.  */
-static void
-record_success (struct quarantine *quarantine, uint64_t part, clk_ms at_ms)
-{
-  struct success *set = (struct success *)success_set (quarantine, part);
-  struct success *entry = &set[0];
-
-  for (int i = 0; i < SUCCESS_WAYS; i++)
-    {
-      if (set[i].part == part)
-        {
-          entry = &set[i];
-          break;
-        }
-      if (set[i].at_ms < entry->at_ms)
-        entry = &set[i];
-    }
-  entry->part = part;
-  entry->at_ms = at_ms;
-}
-
-/* Returns the time of the last success under PART, or 0 if none is known.  */
-static clk_ms
-last_success_ms (const struct quarantine *quarantine, uint64_t part)
-{
-  const struct success *set = success_set (quarantine, part);
-
-  for (int i = 0; i < SUCCESS_WAYS; i++)
-    if (set[i].part == part)
-      return set[i].at_ms;
-  return 0;
-}
-
-/* Adds CRASH to the ends of SUSPECT, or raises the strength of the end of the
-   same target.  The oldest end makes room.  */
-static void
-add_end (struct suspect *suspect, const struct quar_crash *crash)
-{
-  uint32_t at;
-
-  for (uint32_t i = 0; i < suspect->end_count; i++)
-    if (suspect->ends[i].target == crash->target)
-      {
-        if (crash->strength > suspect->ends[i].strength)
-          suspect->ends[i].strength = crash->strength;
-        return;
-      }
-  if (suspect->end_count == ENDS_MAX)
-    memmove (suspect->ends, suspect->ends + 1,
-             --suspect->end_count * sizeof *suspect->ends);
-  at = suspect->end_count++;
-  for (; at > 0 && suspect->ends[at - 1].ended_ms > crash->ended_ms; at--)
-    suspect->ends[at] = suspect->ends[at - 1];
-  suspect->ends[at] = (struct end){ .target = crash->target,
-                                    .ended_ms = crash->ended_ms,
-                                    .strength = crash->strength };
-}
-
-/* Drops the ends of SUSPECT up to UNTIL_MS.  */
-static void
-drop_ends (struct suspect *suspect, clk_ms until_ms)
-{
-  uint32_t kept = 0;
-
-  for (uint32_t i = 0; i < suspect->end_count; i++)
-    if (suspect->ends[i].ended_ms > until_ms)
-      suspect->ends[kept++] = suspect->ends[i];
-  suspect->end_count = kept;
-}
-
-/* Returns the weight of END, one of SUSPECT's, by itself.  */
-static uint32_t
-weigh_end (const struct suspect *suspect, const struct end *end)
-{
-  if (end->strength == QUAR_CUT_OFF)
-    return QUAR_WITNESS;
-  return is_request (suspect->part) ? QUAR_SUSPECT : end->strength;
-}
-
-/* Returns the weight of the ends of SUSPECT.  Of ends at about the same time
-   the strongest counts, but for a request that has not gone well before.  */
-static uint32_t
-weigh_ends (const struct quarantine *quarantine, const struct suspect *suspect,
-            clk_ms now)
-{
-  int counts_all = is_request (suspect->part)
-                   && !is_proven (quarantine, suspect->part, now);
-  uint32_t weight = 0;
-  uint32_t strongest = 0;
-  clk_ms group_ms = 0;
-
-  for (uint32_t i = 0; i < suspect->end_count; i++)
-    {
-      const struct end *end = &suspect->ends[i];
-      uint32_t strength = weigh_end (suspect, end);
-
-      if (now - end->ended_ms > EVIDENCE_VALID_MS)
-        continue;
-      if (strongest > 0 && !counts_all
-          && end->ended_ms - group_ms < SIMULTANEOUS_MS)
-        {
-          strongest = MAX (strongest, strength);
-          continue;
-        }
-      weight += strongest;
-      strongest = strength;
-      group_ms = end->ended_ms;
-    }
-  return weight + strongest;
-}
-
-/* Returns the weight of evidence that puts PART in quarantine.  */
-static uint32_t
-threshold (const struct quarantine *quarantine, uint64_t part, clk_ms now)
-{
-  if (is_proven (quarantine, part, now))
-    return PROVEN_WEIGHT_TO_QUARANTINE;
-  return is_request (part) ? REQUEST_WEIGHT_TO_QUARANTINE
-                           : WEIGHT_TO_QUARANTINE;
-}
-
-/* Returns whether requests with PART have gone well, not too long ago.  */
-static int
-is_proven (const struct quarantine *quarantine, uint64_t part, clk_ms now)
-{
-  clk_ms at_ms = last_success_ms (quarantine, part);
-
-  return at_ms != 0 && now - at_ms <= EVIDENCE_VALID_MS;
-}
-
 static int
 is_quarantined (const struct suspect *suspect)
 {
@@ -654,9 +441,9 @@
 state_of (const struct quarantine *quarantine, const struct suspect *suspect,
           clk_ms now)
 {
-  return (struct quar_state){
-    .part = suspect->part,
-    .version = suspect->version,
-    .weight = MAX (suspect->told_weight, weigh_ends (quarantine, suspect, now))
-  };
+  return (struct quar_state){ .part = suspect->part,
+                              .version = suspect->version,
+                              .weight = MAX (
+                                  suspect->told_weight,
+                                  evidence_weigh (quarantine, suspect, now)) };
 }
