Ignore datagrams of the routers in instances of the own interface

Callers saw an instance of the own interface end: a datagram of one of the four kinds that only routers exchange, signed with the fleet's key, was handled through an empty entry of the table of handlers. A fleet whose instances are moved from one interface to the other receives such datagrams.

Kinds without a handler are ignored now, and the handler of load updates, which did nothing, is gone. tests/test_peer ended with a segmentation fault before the change and passes with it.

--- a/process/peer.c
+++ b/process/peer.c
@@ -40,8 +40,6 @@
                      const struct sockaddr_in *from, clk_ms now);
 static void on_notes (struct peer *peer, const struct wire_message *message,
                       const struct sockaddr_in *from, clk_ms now);
-static void on_loads (struct peer *peer, const struct wire_message *message,
-                      const struct sockaddr_in *from, clk_ms now);
 static void on_crash (struct peer *peer, const struct wire_message *message,
                       const struct sockaddr_in *from, clk_ms now);
 static void on_success (struct peer *peer, const struct wire_message *message,
@@ -49,6 +47,7 @@
 static void tick (struct peer *peer, clk_ms now);
 static void expire_members (struct peer *peer, clk_ms now);
 
+/* NULL: only routers exchange messages of that kind.  */
 static const message_handler handlers[WIRE_KIND_COUNT] = {
   [WIRE_HEARTBEAT] = heartbeat_apply,
   [WIRE_ADMISSION_REQUEST] = admit_handle_request,
@@ -56,7 +55,6 @@
   [WIRE_RELEASE] = on_release,
   [WIRE_HOLD] = on_hold,
   [WIRE_NOTES] = on_notes,
-  [WIRE_LOADS] = on_loads,
   [WIRE_CRASH] = on_crash,
   [WIRE_SUCCESS] = on_success,
 };
@@ -335,7 +333,7 @@
 /* Verifies one datagram and passes it to the handler of its kind.  Datagrams
    that fail authentication, as those of another deployment do, are malformed
    or replayed, or carry this instance's own identifier are dropped and
-   counted.  */
+   counted; kinds that only routers exchange are ignored.  */
 static void
 handle_datagram (struct peer *peer, const unsigned char *data, size_t length,
                  const struct sockaddr_in *from)
@@ -350,7 +348,7 @@
   else if (!member_accept_sequence (peer->member_table, message.sender,
                                     message.incarnation, message.sequence))
     metric_inc (METRIC_UDP_REPLAYED);
-  else
+  else if (handlers[message.kind] != NULL)
     handlers[message.kind](peer, &message, from, clk_now (clk_monotonic ()));
 }
 
@@ -391,18 +389,6 @@
   admit_handle_notes (peer, message, now);
 }
 
-/* Handler of WIRE_LOADS, which is ignored: only routers exchange it.  Here the
-   owner of a target counts its requests.  */
-static void
-on_loads (struct peer *peer, const struct wire_message *message,
-          const struct sockaddr_in *from, clk_ms now)
-{
-  (void)peer;
-  (void)message;
-  (void)from;
-  (void)now;
-}
-
 static void
 on_crash (struct peer *peer, const struct wire_message *message,
           const struct sockaddr_in *from, clk_ms now)
