--- a/request/librelay.h
+++ b/request/librelay.h
@@ -34,12 +34,33 @@
 /* Server-sent events forwarded to the client, over all attempts. */
 struct relay_events
 {
-  GString *partial;                   /* start of an incomplete event */
   char last_id[RELAY_EVENT_ID_BYTES]; /* id of the last event forwarded */
   uint32_t forwarded;                 /* events with an id */
   uint32_t complete;                  /* events with and without one */
 };
 
+/* One attempt, at one target, and what was received of its response. */
+struct relay_attempt
+{
+  struct reg_target *target; /* NULL: no attempt */
+  struct out_call *call;     /* NULL: ended, or not started */
+  clk_ms sent_ms;
+  clk_ms last_received_ms;
+  uint32_t status;
+  int64_t length; /* of the response body, -1: unknown */
+  uint8_t not_run;
+  uint8_t is_invalid; /* response is for another request, or out of order */
+  uint8_t is_event_stream;
+  uint8_t is_resumed;      /* continues a stream after its last event */
+  uint8_t is_trial;        /* trial request to a suspended target */
+  uint8_t is_first_send;   /* the target was not sent the request before */
+  uint8_t parts_succeeded; /* its target has gone on after the first event */
+  clk_ms first_event_ms;   /* 0: no event yet */
+  GString *response_fields;
+  GString *buffered_body;
+  GString *partial_event; /* start of an incomplete event */
+};
+
 struct relay
 {
   struct router *router;
@@ -60,21 +81,7 @@
   clk_ms deadline_ms;
   int64_t retry_after_ms; /* for a refusal; 0: the default */
   ev_timer timer;
-  /* The current attempt.  */
-  struct reg_target *target;
-  struct out_call *call;
-  clk_ms sent_ms;
-  clk_ms last_received_ms;
-  uint32_t status;
-  int64_t length; /* of the response body, -1: unknown */
-  uint8_t not_run;
-  uint8_t is_invalid; /* response is for another request, or out of order */
-  uint8_t is_event_stream;
-  uint8_t is_resumed;      /* continues a stream after its last event */
-  uint8_t is_trial;        /* trial request to a suspended target */
-  uint8_t is_first_send;   /* the target was not sent the request before */
-  uint8_t parts_succeeded; /* its target has gone on after the first event */
-  clk_ms first_event_ms;   /* 0: no event yet */
+  struct relay_attempt attempt; /* the current one */
   /* All attempts.  */
   uint64_t tried[RELAY_TRIED_MAX]; /* targets that may have received it */
   uint32_t tried_count;
@@ -85,8 +92,6 @@
   uint32_t error_responses;  /* attempts that ended in an error response */
   uint8_t may_have_run;
   /* The response.  */
-  GString *response_fields;
-  GString *buffered_body;
   uint8_t head_sent; /* the response head was sent to the client */
   struct relay_events events;
 };
--- a/request/relay.c
+++ b/request/relay.c
@@ -286,26 +286,26 @@
     .is_head_request = strcmp (relay->head->method, "HEAD") == 0,
   };
 
-  relay->target = target;
+  relay->attempt.target = target;
   reg_request_start (target);
   fleet_count_request (router->fleet, target);
-  relay->is_trial = (uint8_t)health_begin_request (&target->health);
+  relay->attempt.is_trial = (uint8_t)health_begin_request (&target->health);
   relay_mark_tried (relay);
-  relay->sent_ms = now;
-  relay->last_received_ms = now;
-  relay->status = 0;
-  relay->not_run = 0;
-  relay->is_invalid = 0;
-  relay->first_event_ms = 0;
-  relay->parts_succeeded = 0;
-  relay->is_resumed = relay->events.forwarded > 0;
+  relay->attempt.sent_ms = now;
+  relay->attempt.last_received_ms = now;
+  relay->attempt.status = 0;
+  relay->attempt.not_run = 0;
+  relay->attempt.is_invalid = 0;
+  relay->attempt.first_event_ms = 0;
+  relay->attempt.parts_succeeded = 0;
+  relay->attempt.is_resumed = relay->events.forwarded > 0;
   relay->sends++;
   request.head = relay_build_request_head (relay, now);
   metric_inc (METRIC_ATTEMPTS);
-  relay->call
+  relay->attempt.call
       = out_call_start (&router->pool, &request, &relay_upstream_ops, relay);
   relay_arm_timer (relay);
-  if (relay->call != NULL)
+  if (relay->attempt.call != NULL)
     return;
   ev_timer_stop (router->loop, &relay->timer);
   ev_timer_set (&relay->timer, 0, 0);
@@ -317,15 +317,15 @@
 void
 relay_end_attempt (struct relay *relay, enum health_event event)
 {
-  struct reg_target *target = relay->target;
+  struct reg_target *target = relay->attempt.target;
 
-  if (relay->call != NULL)
-    out_call_cancel (relay->call);
-  relay->call = NULL;
+  if (relay->attempt.call != NULL)
+    out_call_cancel (relay->attempt.call);
+  relay->attempt.call = NULL;
   if (target == NULL)
     return;
-  relay->target = NULL;
-  health_end_request (&target->health, relay->is_trial);
+  relay->attempt.target = NULL;
+  health_end_request (&target->health, relay->attempt.is_trial);
   if (event < HEALTH_EVENT_COUNT)
     health_record (&target->health, event, clk_now (clk_monotonic ()));
   reg_request_end (target);
@@ -352,7 +352,7 @@
 health_event_of (const struct relay *relay, enum retry_fault fault)
 {
   if (fault == RETRY_FAULT_REJECTED
-      && relay->status == HTTP_STATUS_MISDIRECTED_REQUEST)
+      && relay->attempt.status == HTTP_STATUS_MISDIRECTED_REQUEST)
     return HEALTH_MISDIRECTED;
   return health_events[fault];
 }
@@ -388,7 +388,7 @@
   retry_decide (&state, router_retry_budget (router, relay->service), now,
                 &decision);
   if (relay->head_sent
-      && (relay->route->kind != RT_STREAM || !relay->is_event_stream))
+      && (relay->route->kind != RT_STREAM || !relay->attempt.is_event_stream))
     decision.action = RETRY_GIVE_UP;
   if (relay->connect_failures >= CONNECT_FAILURES_MAX)
     decision.action = RETRY_GIVE_UP;
@@ -401,8 +401,8 @@
     }
   relay_end_attempt (relay, health_event_of (relay, fault));
   relay_events_reset (relay);
-  if (!relay->head_sent && relay->buffered_body != NULL)
-    g_string_truncate (relay->buffered_body, 0);
+  if (!relay->head_sent && relay->attempt.buffered_body != NULL)
+    g_string_truncate (relay->attempt.buffered_body, 0);
   relay_dispatch (relay);
 }
 
@@ -445,8 +445,8 @@
   clk_ms expires_ms = relay->deadline_ms;
 
   if (read_timeout_ms > 0
-      && relay->last_received_ms + read_timeout_ms < expires_ms)
-    expires_ms = relay->last_received_ms + read_timeout_ms;
+      && relay->attempt.last_received_ms + read_timeout_ms < expires_ms)
+    expires_ms = relay->attempt.last_received_ms + read_timeout_ms;
   ev_timer_stop (relay->router->loop, &relay->timer);
   if (expires_ms == INT64_MAX)
     return;
@@ -465,19 +465,20 @@
 
   (void)loop;
   (void)events;
-  if (relay->call == NULL && relay->target != NULL)
+  if (relay->attempt.call == NULL && relay->attempt.target != NULL)
     {
       relay_handle_fault (relay, RETRY_FAULT_CONNECT);
       return;
     }
   if (now < relay->deadline_ms)
     {
-      relay_handle_fault (relay, relay->not_run ? RETRY_FAULT_REJECTED
-                                                : RETRY_FAULT_READ_TIMEOUT);
+      relay_handle_fault (relay, relay->attempt.not_run
+                                     ? RETRY_FAULT_REJECTED
+                                     : RETRY_FAULT_READ_TIMEOUT);
       return;
     }
-  if (relay->call != NULL && out_call_was_sent (relay->call)
-      && !relay->not_run)
+  if (relay->attempt.call != NULL && out_call_was_sent (relay->attempt.call)
+      && !relay->attempt.not_run)
     relay->may_have_run = 1;
   relay_end_attempt (relay, HEALTH_EVENT_COUNT);
   relay_refuse (relay,
@@ -505,8 +506,8 @@
   struct relay *relay = request;
 
   (void)listener;
-  if (relay->call != NULL)
-    out_call_pause (relay->call, 0);
+  if (relay->attempt.call != NULL)
+    out_call_pause (relay->attempt.call, 0);
 }
 
 /* Logs OUTCOME, ends RELAY and frees it.  */
@@ -531,11 +532,11 @@
   http_head_free (relay->head);
   if (relay->body != NULL)
     g_string_free (relay->body, TRUE);
-  if (relay->response_fields != NULL)
-    g_string_free (relay->response_fields, TRUE);
-  if (relay->buffered_body != NULL)
-    g_string_free (relay->buffered_body, TRUE);
-  if (relay->events.partial != NULL)
-    g_string_free (relay->events.partial, TRUE);
+  if (relay->attempt.response_fields != NULL)
+    g_string_free (relay->attempt.response_fields, TRUE);
+  if (relay->attempt.buffered_body != NULL)
+    g_string_free (relay->attempt.buffered_body, TRUE);
+  if (relay->attempt.partial_event != NULL)
+    g_string_free (relay->attempt.partial_event, TRUE);
   g_free (relay);
 }
--- a/request/relay_events.c
+++ b/request/relay_events.c
@@ -19,40 +19,40 @@
 int
 relay_events_feed (struct relay *relay, const char *data, size_t length)
 {
-  struct relay_events *events = &relay->events;
+  GString *partial = relay->attempt.partial_event;
   size_t search_from;
   size_t event_bytes;
   size_t consumed = 0;
 
-  if (events->partial == NULL)
-    events->partial = g_string_sized_new (length + 1);
-  search_from = events->partial->len;
-  g_string_append_len (events->partial, data, (gssize)length);
-  while ((event_bytes = event_length (
-              events->partial->str + consumed, events->partial->len - consumed,
-              search_from > consumed ? search_from - consumed : 0))
+  if (partial == NULL)
+    partial = g_string_sized_new (length + 1);
+  relay->attempt.partial_event = partial;
+  search_from = partial->len;
+  g_string_append_len (partial, data, (gssize)length);
+  while ((event_bytes
+          = event_length (partial->str + consumed, partial->len - consumed,
+                          search_from > consumed ? search_from - consumed : 0))
          > 0)
     {
-      if (record_event (relay, events->partial->str + consumed, event_bytes)
-          != 0)
+      if (record_event (relay, partial->str + consumed, event_bytes) != 0)
         return -1;
       consumed += event_bytes;
       relay->events.complete++;
     }
   if (consumed > 0)
     {
-      relay_events_forward (relay, events->partial->str, consumed);
-      g_string_erase (events->partial, 0, (gssize)consumed);
+      relay_events_forward (relay, partial->str, consumed);
+      g_string_erase (partial, 0, (gssize)consumed);
     }
-  return events->partial->len > EVENT_MAX_BYTES ? -1 : 0;
+  return partial->len > EVENT_MAX_BYTES ? -1 : 0;
 }
 
 /* Discards an incomplete event.  */
 void
 relay_events_reset (struct relay *relay)
 {
-  if (relay->events.partial != NULL)
-    g_string_truncate (relay->events.partial, 0);
+  if (relay->attempt.partial_event != NULL)
+    g_string_truncate (relay->attempt.partial_event, 0);
 }
 
 /* Returns the length of the event at the start of DATA, including its empty
--- a/request/relay_log.c
+++ b/request/relay_log.c
@@ -48,7 +48,8 @@
   if (!log_begin (&line, LOG_LEVEL_INFO, "place", relay->id,
                   bal_reason_names[choice->reason]))
     return;
-  log_text (&line, "target", relay->target ? relay->target->id : NULL);
+  log_text (&line, "target",
+            relay->attempt.target ? relay->attempt.target->id : NULL);
   log_text (&line, "service", relay->service);
   log_number (&line, "candidates", (int64_t)candidates);
   log_real (&line, "load", choice->load);
@@ -81,10 +82,11 @@
 
   if (!log_begin (&line, LOG_LEVEL_INFO, "attempt", relay->id, "over_bound"))
     return;
-  log_text (&line, "target", relay->target->id);
+  log_text (&line, "target", relay->attempt.target->id);
   log_number (&line, "reported", reported);
-  log_real (&line, "limit", relay->target->load_limit);
-  log_number (&line, "after_ms", relay->last_received_ms - relay->sent_ms);
+  log_real (&line, "limit", relay->attempt.target->load_limit);
+  log_number (&line, "after_ms",
+              relay->attempt.last_received_ms - relay->attempt.sent_ms);
   log_end (&line);
 }
 
@@ -96,11 +98,12 @@
   struct log_line line;
 
   if (!log_begin (&line, LOG_LEVEL_INFO, "attempt", relay->id,
-                  rate_is_limited (&relay->target->rate) ? "rate_limit"
-                                                         : "no_rate_limit"))
+                  rate_is_limited (&relay->attempt.target->rate)
+                      ? "rate_limit"
+                      : "no_rate_limit"))
     return;
-  log_text (&line, "target", relay->target->id);
-  log_real (&line, "per_s", relay->target->rate.per_s);
+  log_text (&line, "target", relay->attempt.target->id);
+  log_real (&line, "per_s", relay->attempt.target->rate.per_s);
   log_end (&line);
 }
 
@@ -115,10 +118,11 @@
   if (!log_begin (&line, LOG_LEVEL_INFO, "attempt", relay->id,
                   fault_names[fault]))
     return;
-  log_text (&line, "target", relay->target ? relay->target->id : NULL);
-  log_number (&line, "target_status", relay->status);
-  log_number (&line, "after_ms", now - relay->sent_ms);
-  log_number (&line, "silent_ms", now - relay->last_received_ms);
+  log_text (&line, "target",
+            relay->attempt.target ? relay->attempt.target->id : NULL);
+  log_number (&line, "target_status", relay->attempt.status);
+  log_number (&line, "after_ms", now - relay->attempt.sent_ms);
+  log_number (&line, "silent_ms", now - relay->attempt.last_received_ms);
   log_number (&line, "sends", relay->sends);
   log_number (&line, "attempts_max", relay->route->attempts_max);
   log_number (&line, "events", relay->events.forwarded);
@@ -157,7 +161,7 @@
   log_text (&line, "route", relay->route ? relay->route->name : NULL);
   log_text (&line, "service", relay->service);
   log_text (&line, "customer", relay->customer ? relay->customer->name : NULL);
-  log_number (&line, "status", relay->status);
+  log_number (&line, "status", relay->attempt.status);
   log_number (&line, "sends", relay->sends);
   log_number (&line, "events", relay->events.forwarded);
   log_number (&line, "may_have_run", relay->may_have_run);
--- a/request/relay_parts.c
+++ b/request/relay_parts.c
@@ -44,9 +44,10 @@
 void
 relay_parts_event (struct relay *relay)
 {
-  if (relay->first_event_ms == 0)
-    relay->first_event_ms = relay->last_received_ms;
-  else if (relay->last_received_ms - relay->first_event_ms >= GOES_ON_MS)
+  if (relay->attempt.first_event_ms == 0)
+    relay->attempt.first_event_ms = relay->attempt.last_received_ms;
+  else if (relay->attempt.last_received_ms - relay->attempt.first_event_ms
+           >= GOES_ON_MS)
     relay_parts_succeed (relay);
 }
 
@@ -57,9 +58,9 @@
   uint64_t parts[QUAR_PARTS_MAX];
   uint32_t count = list_parts (relay, parts);
 
-  if (relay->parts_succeeded)
+  if (relay->attempt.parts_succeeded)
     return;
-  relay->parts_succeeded = 1;
+  relay->attempt.parts_succeeded = 1;
   fleet_report_success (relay->router->fleet, parts, count);
 }
 
@@ -68,7 +69,7 @@
 void
 relay_request_survived (struct relay *relay)
 {
-  if (!relay->parts_succeeded)
+  if (!relay->attempt.parts_succeeded)
     fleet_report_success (relay->router->fleet, &relay->fingerprint, 1);
 }
 
@@ -77,11 +78,11 @@
 void
 relay_parts_suspect (const struct relay *relay, enum retry_fault fault)
 {
-  const struct reg_target *target = relay->target;
+  const struct reg_target *target = relay->attempt.target;
   struct quar_crash crash = { .ended_ms = clk_now (clk_monotonic ()),
                               .strength = strength_of (relay) };
 
-  if (relay->parts_succeeded || target == NULL
+  if (relay->attempt.parts_succeeded || target == NULL
       || (fault != RETRY_FAULT_DISCONNECTED
           && fault != RETRY_FAULT_READ_TIMEOUT))
     return;
@@ -94,6 +95,7 @@
 static enum quar_strength
 strength_of (const struct relay *relay)
 {
-  return relay->status != 0 && relay->first_event_ms == 0 ? QUAR_SUSPECT
-                                                          : QUAR_WITNESS;
+  return relay->attempt.status != 0 && relay->attempt.first_event_ms == 0
+             ? QUAR_SUSPECT
+             : QUAR_WITNESS;
 }
--- a/request/relay_refuse.c
+++ b/request/relay_refuse.c
@@ -56,7 +56,7 @@
   metric_inc (refusals[refusal].counter);
   relay->client = NULL;
   if (!relay->head_sent)
-    relay->status = refusals[refusal].status;
+    relay->attempt.status = refusals[refusal].status;
   if (relay->head_sent)
     client_abort_response (client);
   else
--- a/request/relay_request.c
+++ b/request/relay_request.c
@@ -24,7 +24,8 @@
     g_string_append_printf (out, "%s: %" G_GINT64_FORMAT "\r\n",
                             field[DIALECT_DEADLINE_MS],
                             (gint64)MAX (relay->deadline_ms - now, 1));
-  append_field (out, field[DIALECT_EXPECTED_TARGET], relay->target->id);
+  append_field (out, field[DIALECT_EXPECTED_TARGET],
+                relay->attempt.target->id);
   if (relay->customer != NULL)
     append_field (out, field[DIALECT_CUSTOMER], relay->customer->name);
   if (relay->events.forwarded > 0)
--- a/request/relay_response.c
+++ b/request/relay_response.c
@@ -42,20 +42,20 @@
   const struct dialect *dialect = relay->router->dialect;
   const char *type = http_head_get (head, "Content-Type");
 
-  relay->last_received_ms = clk_now (clk_monotonic ());
+  relay->attempt.last_received_ms = clk_now (clk_monotonic ());
   metric_observe (METRIC_HIST_FIRST_BYTE_MS,
-                  relay->last_received_ms - relay->arrived_ms);
-  relay->status = head->status;
-  relay->length = length;
-  relay->is_invalid = !matches_request (relay, head);
-  relay->not_run
-      = !relay->is_invalid
+                  relay->attempt.last_received_ms - relay->arrived_ms);
+  relay->attempt.status = head->status;
+  relay->attempt.length = length;
+  relay->attempt.is_invalid = !matches_request (relay, head);
+  relay->attempt.not_run
+      = !relay->attempt.is_invalid
         && (http_head_get (head, dialect->field[DIALECT_NOT_RUN]) != NULL
             || head->status == HTTP_STATUS_MISDIRECTED_REQUEST);
-  relay->is_event_stream = http_is_success (head->status)
-                           && relay->route->kind == RT_STREAM && type != NULL
-                           && g_str_has_prefix (type, "text/event-stream");
-  if (relay->is_invalid)
+  relay->attempt.is_event_stream
+      = http_is_success (head->status) && relay->route->kind == RT_STREAM
+        && type != NULL && g_str_has_prefix (type, "text/event-stream");
+  if (relay->attempt.is_invalid)
     return -1;
   record_load (relay, head);
   record_rate (relay, head);
@@ -71,31 +71,31 @@
 {
   struct relay *relay = owner;
 
-  if (relay->is_event_stream)
+  if (relay->attempt.is_event_stream)
     {
       uint32_t complete = relay->events.complete;
 
       if (relay_events_feed (relay, data, length) != 0)
         {
-          relay->is_invalid = 1;
+          relay->attempt.is_invalid = 1;
           return -1;
         }
       if (relay->events.complete == complete)
         return 0;
-      relay->last_received_ms = clk_now (clk_monotonic ());
+      relay->attempt.last_received_ms = clk_now (clk_monotonic ());
       relay_parts_event (relay);
       relay_arm_timer (relay);
     }
   else if (relay->head_sent)
     {
       forward_body (relay, data, length);
-      relay->last_received_ms = clk_now (clk_monotonic ());
+      relay->attempt.last_received_ms = clk_now (clk_monotonic ());
       relay_arm_timer (relay);
     }
   else if (buffer_body (relay, data, length) != 0)
     return -1;
   if (client_backlog (relay->client) > CLIENT_BACKLOG_MAX_BYTES)
-    out_call_pause (relay->call, 1);
+    out_call_pause (relay->attempt.call, 1);
   return 0;
 }
 
@@ -105,12 +105,12 @@
 static int
 buffer_body (struct relay *relay, const char *data, size_t length)
 {
-  if (relay->buffered_body == NULL)
-    relay->buffered_body = g_string_sized_new (length + 1);
-  g_string_append_len (relay->buffered_body, data, (gssize)length);
-  if (relay->buffered_body->len <= BUFFERED_BODY_MAX_BYTES)
+  if (relay->attempt.buffered_body == NULL)
+    relay->attempt.buffered_body = g_string_sized_new (length + 1);
+  g_string_append_len (relay->attempt.buffered_body, data, (gssize)length);
+  if (relay->attempt.buffered_body->len <= BUFFERED_BODY_MAX_BYTES)
     return 0;
-  if (!http_is_success (relay->status))
+  if (!http_is_success (relay->attempt.status))
     return -1;
   send_head (relay);
   return 0;
@@ -122,7 +122,7 @@
 {
   struct relay *relay = owner;
 
-  relay->call = NULL;
+  relay->attempt.call = NULL;
   handle_complete_response (relay);
 }
 
@@ -133,25 +133,26 @@
 {
   struct relay *relay = owner;
 
-  relay->call = NULL;
-  relay_handle_fault (relay, relay->not_run ? RETRY_FAULT_REJECTED
-                                            : retry_faults[fault]);
+  relay->attempt.call = NULL;
+  relay_handle_fault (relay, relay->attempt.not_run ? RETRY_FAULT_REJECTED
+                                                    : retry_faults[fault]);
 }
 
 /* Classifies a complete response: delivers it, or handles it as a fault.  */
 static void
 handle_complete_response (struct relay *relay)
 {
-  if (!relay->not_run && !relay->is_event_stream)
+  if (!relay->attempt.not_run && !relay->attempt.is_event_stream)
     relay_request_survived (relay);
-  if (relay->not_run)
+  if (relay->attempt.not_run)
     relay_handle_fault (relay, RETRY_FAULT_REJECTED);
-  else if (relay->status >= HTTP_STATUS_INTERNAL_SERVER_ERROR)
+  else if (relay->attempt.status >= HTTP_STATUS_INTERNAL_SERVER_ERROR)
     relay_handle_fault (relay, RETRY_FAULT_ERROR_STATUS);
-  else if (relay->is_resumed && !relay->is_event_stream)
+  else if (relay->attempt.is_resumed && !relay->attempt.is_event_stream)
     relay_handle_fault (relay, RETRY_FAULT_INVALID_RESPONSE);
-  else if (relay->is_event_stream && relay->events.partial != NULL
-           && relay->events.partial->len > 0)
+  else if (relay->attempt.is_event_stream
+           && relay->attempt.partial_event != NULL
+           && relay->attempt.partial_event->len > 0)
     relay_handle_fault (relay, RETRY_FAULT_DISCONNECTED);
   else
     relay_deliver_response (relay);
@@ -163,39 +164,45 @@
 {
   struct client *client = relay->client;
 
-  if (!relay->head_sent && !relay->is_event_stream)
-    relay->length
-        = relay->buffered_body ? (int64_t)relay->buffered_body->len : 0;
+  if (!relay->head_sent && !relay->attempt.is_event_stream)
+    relay->attempt.length = relay->attempt.buffered_body
+                                ? (int64_t)relay->attempt.buffered_body->len
+                                : 0;
   if (!relay->head_sent)
     send_head (relay);
-  if (http_is_success (relay->status)
-      && (!relay->is_event_stream || relay->first_event_ms != 0))
+  if (http_is_success (relay->attempt.status)
+      && (!relay->attempt.is_event_stream
+          || relay->attempt.first_event_ms != 0))
     relay_parts_succeed (relay);
-  relay_end_attempt (relay, relay->status >= HTTP_STATUS_INTERNAL_SERVER_ERROR
-                                ? HEALTH_SERVER_ERROR
-                                : HEALTH_RESPONDED);
-  if (relay->status < HTTP_STATUS_INTERNAL_SERVER_ERROR)
+  relay_end_attempt (relay,
+                     relay->attempt.status >= HTTP_STATUS_INTERNAL_SERVER_ERROR
+                         ? HEALTH_SERVER_ERROR
+                         : HEALTH_RESPONDED);
+  if (relay->attempt.status < HTTP_STATUS_INTERNAL_SERVER_ERROR)
     metric_inc (METRIC_ANSWERED);
   relay->client = NULL;
   client_end_response (client);
-  relay_finish (relay, relay->status >= HTTP_STATUS_INTERNAL_SERVER_ERROR
-                           ? "target_error"
-                           : "answered");
+  relay_finish (relay,
+                relay->attempt.status >= HTTP_STATUS_INTERNAL_SERVER_ERROR
+                    ? "target_error"
+                    : "answered");
 }
 
 /* Sends the response head and the buffered body to the client.  */
 static void
 send_head (struct relay *relay)
 {
-  int64_t length = relay->is_event_stream ? -1 : relay->length;
+  int64_t length = relay->attempt.is_event_stream ? -1 : relay->attempt.length;
 
   relay->head_sent = 1;
-  client_send_head (relay->client, relay->status, relay->response_fields->str,
-                    length);
-  if (relay->buffered_body == NULL || relay->buffered_body->len == 0)
+  client_send_head (relay->client, relay->attempt.status,
+                    relay->attempt.response_fields->str, length);
+  if (relay->attempt.buffered_body == NULL
+      || relay->attempt.buffered_body->len == 0)
     return;
-  forward_body (relay, relay->buffered_body->str, relay->buffered_body->len);
-  g_string_truncate (relay->buffered_body, 0);
+  forward_body (relay, relay->attempt.buffered_body->str,
+                relay->attempt.buffered_body->len);
+  g_string_truncate (relay->attempt.buffered_body, 0);
 }
 
 /* Sends a piece of the body to the client.  */
@@ -228,7 +235,7 @@
   if (id != NULL && strcmp (id, relay->id) != 0)
     return 0;
   if (!http_is_success (head->status))
-    return id != NULL || !out_call_reused_connection (relay->call);
+    return id != NULL || !out_call_reused_connection (relay->attempt.call);
   return id != NULL && http_head_get (head, field[DIALECT_SIGNATURE]) != NULL
          && http_head_get (head, "Content-Encoding") == NULL;
 }
@@ -246,8 +253,8 @@
 
   if (value == NULL || dialect->load (value, &running, &waiting, &slots) != 0)
     return;
-  if (!reg_report_load (relay->target, running + waiting,
-                        relay->last_received_ms))
+  if (!reg_report_load (relay->attempt.target, running + waiting,
+                        relay->attempt.last_received_ms))
     return;
   metric_inc (METRIC_OVER_BOUND);
   relay_log_over_bound (relay, running + waiting);
@@ -266,8 +273,8 @@
   if (value != NULL ? dialect->rate (value, &per_s) != 0
                     : !http_is_success (head->status))
     return;
-  if (fleet_observe_rate (relay->router->fleet, relay->target, value != NULL,
-                          per_s, relay->sent_ms))
+  if (fleet_observe_rate (relay->router->fleet, relay->attempt.target,
+                          value != NULL, per_s, relay->attempt.sent_ms))
     relay_log_rate (relay);
 }
 
@@ -278,9 +285,9 @@
 {
   const char *load = relay->router->dialect->field[DIALECT_TARGET_LOAD];
 
-  if (relay->response_fields == NULL)
-    relay->response_fields = g_string_sized_new (head->text->len + 64);
-  g_string_truncate (relay->response_fields, 0);
+  if (relay->attempt.response_fields == NULL)
+    relay->attempt.response_fields = g_string_sized_new (head->text->len + 64);
+  g_string_truncate (relay->attempt.response_fields, 0);
   for (uint32_t i = 0; i < head->count; i++)
     {
       const char *name = http_head_name (head, i);
@@ -288,7 +295,7 @@
       if (http_is_hop_by_hop (head, name)
           || g_ascii_strcasecmp (name, load) == 0)
         continue;
-      g_string_append_printf (relay->response_fields, "%s: %s\r\n", name,
-                              http_head_value (head, i));
+      g_string_append_printf (relay->attempt.response_fields, "%s: %s\r\n",
+                              name, http_head_value (head, i));
     }
 }
--- a/request/relay_target.c
+++ b/request/relay_target.c
@@ -96,12 +96,12 @@
 void
 relay_mark_tried (struct relay *relay)
 {
-  uint64_t id = relay->target->hash;
+  uint64_t id = relay->attempt.target->hash;
 
-  relay->is_first_send
+  relay->attempt.is_first_send
       = relay->tried_count < RELAY_TRIED_MAX
         && !contains_id (relay->tried, relay->tried_count, id);
-  if (relay->is_first_send)
+  if (relay->attempt.is_first_send)
     relay->tried[relay->tried_count++] = id;
 }
 
@@ -110,9 +110,9 @@
 void
 relay_mark_unreachable (struct relay *relay)
 {
-  uint64_t id = relay->target->hash;
+  uint64_t id = relay->attempt.target->hash;
 
-  if (relay->is_first_send)
+  if (relay->attempt.is_first_send)
     relay->tried_count--;
   if (relay->unreachable_count < RELAY_TRIED_MAX)
     relay->unreachable[relay->unreachable_count++] = id;
