--- a/request/librelay.h
+++ b/request/librelay.h
@@ -51,7 +51,6 @@
   uint8_t not_run;
   uint8_t is_invalid; /* response is for another request, or out of order */
   uint8_t is_event_stream;
-  uint8_t is_resumed;      /* continues a stream after its last event */
   uint8_t is_trial;        /* trial request to a suspended target */
   uint8_t is_first_send;   /* the target was not sent the request before */
   uint8_t parts_succeeded; /* its target has gone on after the first event */
@@ -92,7 +91,8 @@
   uint32_t error_responses;  /* attempts that ended in an error response */
   uint8_t may_have_run;
   /* The response.  */
-  uint8_t head_sent; /* the response head was sent to the client */
+  uint8_t head_sent;      /* the response head was sent to the client */
+  uint8_t head_is_stream; /* it begins an event stream */
   struct relay_events events;
 };
 
--- a/request/relay.c
+++ b/request/relay.c
@@ -298,7 +298,6 @@
   relay->attempt.is_invalid = 0;
   relay->attempt.first_event_ms = 0;
   relay->attempt.parts_succeeded = 0;
-  relay->attempt.is_resumed = relay->events.forwarded > 0;
   relay->sends++;
   request.head = relay_build_request_head (relay, now);
   metric_inc (METRIC_ATTEMPTS);
@@ -387,8 +386,7 @@
   state.attempts_max = max_sends (relay);
   retry_decide (&state, router_retry_budget (router, relay->service), now,
                 &decision);
-  if (relay->head_sent
-      && (relay->route->kind != RT_STREAM || !relay->attempt.is_event_stream))
+  if (relay->head_sent && !relay->head_is_stream)
     decision.action = RETRY_GIVE_UP;
   if (relay->connect_failures >= CONNECT_FAILURES_MAX)
     decision.action = RETRY_GIVE_UP;
--- a/request/relay_response.c
+++ b/request/relay_response.c
@@ -86,7 +86,7 @@
       relay_parts_event (relay);
       relay_arm_timer (relay);
     }
-  else if (relay->head_sent)
+  else if (relay->head_sent && !relay->head_is_stream)
     {
       forward_body (relay, data, length);
       relay->attempt.last_received_ms = clk_now (clk_monotonic ());
@@ -101,7 +101,8 @@
 
 /* Buffers a piece of the body, so that an attempt that fails can still be
    retried.  A success that outgrows the buffer is forwarded.  Returns 0, or -1
-   if an error does: no target explains an error at that length.  */
+   if an error does, since no target explains an error at that length, or a
+   body that comes in place of the rest of a stream.  */
 static int
 buffer_body (struct relay *relay, const char *data, size_t length)
 {
@@ -110,7 +111,7 @@
   g_string_append_len (relay->attempt.buffered_body, data, (gssize)length);
   if (relay->attempt.buffered_body->len <= BUFFERED_BODY_MAX_BYTES)
     return 0;
-  if (!http_is_success (relay->attempt.status))
+  if (!http_is_success (relay->attempt.status) || relay->head_sent)
     return -1;
   send_head (relay);
   return 0;
@@ -148,7 +149,7 @@
     relay_handle_fault (relay, RETRY_FAULT_REJECTED);
   else if (relay->attempt.status >= HTTP_STATUS_INTERNAL_SERVER_ERROR)
     relay_handle_fault (relay, RETRY_FAULT_ERROR_STATUS);
-  else if (relay->attempt.is_resumed && !relay->attempt.is_event_stream)
+  else if (relay->head_is_stream && !relay->attempt.is_event_stream)
     relay_handle_fault (relay, RETRY_FAULT_INVALID_RESPONSE);
   else if (relay->attempt.is_event_stream
            && relay->attempt.partial_event != NULL
@@ -195,6 +196,7 @@
   int64_t length = relay->attempt.is_event_stream ? -1 : relay->attempt.length;
 
   relay->head_sent = 1;
+  relay->head_is_stream = relay->attempt.is_event_stream;
   client_send_head (relay->client, relay->attempt.status,
                     relay->attempt.response_fields->str, length);
   if (relay->attempt.buffered_body == NULL
