Let an unreadable object in the store cost no other one

Cause: jansson refuses the whole page of a list or watch for one value in it: nested beyond 2,048, an integer beyond 64 bits, a real out of range, a null character or a lone surrogate in a string, bytes that are no UTF-8, NaN. The watch then read the list anew, which had the same entry, without end.

A page is now split into its items, each of which is parsed by itself. Of one that is refused, those members that can be parsed are kept: mostly its name and revision, so that the watch, the position and removals go on. Its content is missing, so it names no target. An object whose name cannot be read is passed over, logged (store nameless) and counted; store_unreadable_total counts both. A page without any name that others follow is refused, as the next one could start nowhere else. A negative revision no longer becomes a large one.

--- a/include/ibisloom/metrics.h
+++ b/include/ibisloom/metrics.h
@@ -78,7 +78,8 @@
   METRIC_PLATFORM_WRITES,
   METRIC_PLATFORM_WATCHES,
   METRIC_PLATFORM_ERRORS,
-  METRIC_STORE_RESTORED, /* from an older copy of its data */
+  METRIC_STORE_RESTORED,   /* from an older copy of its data */
+  METRIC_STORE_UNREADABLE, /* objects received that name nothing to use */
   /* Control traffic sent, by kind of message.  */
   METRIC_SENT_HEARTBEAT_BYTES,
   METRIC_SENT_ADMISSION_REQUEST_BYTES,
--- a/include/ibisloom/watch.h
+++ b/include/ibisloom/watch.h
@@ -15,7 +15,7 @@
   const char *name;
   struct position position; /* of its last change, or of the deletion */
   int deleted;
-  json_t *content;
+  json_t *content; /* NULL: missing or unreadable */
 };
 
 /* Properties of a response to a list or watch, besides its objects. */
@@ -24,6 +24,7 @@
   /* The response covers all changes up to here.  The caller sets the epoch. */
   struct position position;
   int has_more;       /* further pages follow; lists only */
+  uint32_t nameless;  /* objects passed over, as their names are unreadable */
   GString *last_name; /* of the last object read */
 };
 
--- a/process/metrics.c
+++ b/process/metrics.c
@@ -115,6 +115,7 @@
   = "ibisloom_platform_calls_total{kind=\"watches\"}",
   [METRIC_PLATFORM_ERRORS] = "ibisloom_platform_errors_total",
   [METRIC_STORE_RESTORED] = "ibisloom_store_restored_total",
+  [METRIC_STORE_UNREADABLE] = "ibisloom_store_unreadable_total",
   [METRIC_SENT_HEARTBEAT_BYTES]
   = "ibisloom_control_bytes_total{kind=\"heartbeat\"}",
   [METRIC_SENT_ADMISSION_REQUEST_BYTES]
--- a/process/router_store.c
+++ b/process/router_store.c
@@ -252,7 +252,10 @@
   else if (is_readable)
     put_target (router, &entry, object->position);
   else
-    log_warn ("registry", NULL, "unreadable", "%s", object->name);
+    {
+      metric_inc (METRIC_STORE_UNREADABLE);
+      log_warn ("registry", NULL, "unreadable", "%s", object->name);
+    }
 }
 
 /* Puts the target of ENTRY, at POSITION of the store, into the registry.  */
--- a/tests/router_fixture.h
+++ b/tests/router_fixture.h
@@ -54,6 +54,7 @@
 int fx_target_request_count (struct fx_target *target);
 char *fx_target_last_request (struct fx_target *target);
 int fx_target_closed_by_router (struct fx_target *target);
+void fx_target_put_entry (struct fx_target *target, const char *members);
 void fx_target_set_state (struct fx_target *target, const char *state);
 void fx_target_remove (struct fx_target *target);
 int fx_target_crash (struct fx_target *target);
--- a/tests/target_fixture.c
+++ b/tests/target_fixture.c
@@ -68,15 +68,17 @@
   return NULL;
 }
 
-/* Writes the entry of TARGET, with its port and state, to the store.  */
-static void
-publish_entry (struct fx_target *target)
+/* Writes the entry of TARGET, with its port and state, to the store.  MEMBERS,
+   JSON that begins with a comma or is empty, follows the entry's own.  */
+void
+fx_target_put_entry (struct fx_target *target, const char *members)
 {
   char *spec = g_strdup_printf (
       "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"a\","
       "\"version\":\"v1\",\"slots\":8,\"state\":\"%s\",\"cold_left_ms\":0,"
-      "\"sequence\":%d}",
-      target->service, target->port, target->state, ++target->reports);
+      "\"sequence\":%d%s}",
+      target->service, target->port, target->state, ++target->reports,
+      members);
 
   fx_store_add_change ("servers", target->id, spec);
   g_free (spec);
@@ -97,7 +99,7 @@
   target->listener = fx_listen (&target->port);
   g_ptr_array_add (fx_env.targets, target);
   fx_start_thread (accept_connections, target);
-  publish_entry (target);
+  fx_target_put_entry (target, "");
   return target;
 }
 
@@ -106,7 +108,7 @@
 {
   g_free (target->state);
   target->state = g_strdup (state);
-  publish_entry (target);
+  fx_target_put_entry (target, "");
 }
 
 void
@@ -146,7 +148,7 @@
   struct proxy *proxy = proxy_start (target->port);
 
   target->port = proxy_port (proxy);
-  publish_entry (target);
+  fx_target_put_entry (target, "");
   return proxy;
 }
 
--- /dev/null
+++ b/tests/test_odd_entry.c
@@ -0,0 +1,209 @@
+/* Entries in the store that came from another writer: they name no target to
+   use, and what else is in the store holds.  */
+#include <stdio.h>
+#include <string.h>
+
+#include "platform.h"
+#include "shop.h"
+#include "test.h"
+
+enum
+{
+  DEPTH_MAX = 100000,
+  SOUND = 3,        /* targets beside the one with the odd entry */
+  REQUESTS = 48,    /* of which each target gets some */
+  FOLLOW_MS = 3000, /* until a change in the store must be in force */
+  CHECK_MS = 50
+};
+
+static void refused_object_keeps_name_and_revision (void);
+static void nameless_objects_do_not_repeat_a_page (void);
+static void router_starts_among_odd_entries (void);
+static void router_follows_changes_after_odd_entries (void);
+
+static const struct test_case cases[] = {
+  { "an object that the parser refuses keeps its name and revision",
+    refused_object_keeps_name_and_revision },
+  { "a page without names to go on from is refused",
+    nameless_objects_do_not_repeat_a_page },
+  { "a router that starts serves beside any odd entry",
+    router_starts_among_odd_entries },
+  { "a router that watches follows what comes after any odd entry",
+    router_follows_changes_after_odd_entries },
+};
+
+TEST_MAIN ("odd_entry", cases)
+
+/* What another writer adds to an entry.  NESTED stands for brackets nested to
+   the depth in front of it. */
+struct odd_entry
+{
+  const char *members;
+  int depth;
+};
+
+static const struct odd_entry odd_entries[] = {
+  { ",\"x\":", 2100 },
+  { ",\"x\":", DEPTH_MAX },
+  { ",\"slots\":99999999999999999999", 0 },
+  { ",\"x\":1e400", 0 },
+  { ",\"x\":\"\\u0000\"", 0 },
+  { ",\"x\":\"\\ud800\"", 0 },
+  { ",\"x\":\"\xff\xfe\"", 0 },
+  { ",\"x\":NaN", 0 },
+};
+
+static struct fx_target *sound[SOUND];
+static struct fx_target *odd;
+
+/* Writes ENTRY as that of the target ODD.  */
+static void
+put_odd_entry (const struct odd_entry *entry)
+{
+  GString *members = g_string_new (entry->members);
+
+  for (int i = 0; i < 2 * entry->depth; i++)
+    g_string_append_c (members, i < entry->depth ? '[' : ']');
+  fx_target_put_entry (odd, members->str);
+  g_string_free (members, TRUE);
+}
+
+/* Adds the sound targets and the odd one, whose entry is sound as yet.  */
+static void
+add_targets (void)
+{
+  char name[] = "d-0";
+
+  for (int i = 0; i < SOUND; i++, name[2]++)
+    sound[i] = fx_target_add (name, "desk", shop_respond_ok);
+  odd = fx_target_add ("e-odd", "desk", shop_respond_ok);
+}
+
+/* Sends REQUESTS requests, which must all be served.  Returns how many of them
+   TARGET got.  */
+static int
+count_requests_at (struct fx_target *target)
+{
+  int before = fx_target_request_count (target);
+
+  for (int i = 0; i < REQUESTS; i++)
+    shop_expect (GET_MAP ("m"), "200", "well");
+  return fx_target_request_count (target) - before;
+}
+
+/* Waits at most MS until TARGET gets requests, or if IS_USED is 0, none.
+   Returns whether it came so.  */
+static int
+wait_for_use (struct fx_target *target, int is_used, int ms)
+{
+  for (int waited = 0; waited <= ms; waited += CHECK_MS)
+    {
+      if ((count_requests_at (target) > 0) == is_used)
+        return 1;
+      fx_sleep_ms (CHECK_MS);
+    }
+  return 0;
+}
+
+/* Appends OBJECT to the text CLOSURE.  */
+static void
+describe_object (void *closure, const struct watch_object *object)
+{
+  g_string_append_printf (closure, "%s %d %s%s;", object->name,
+                          (int)object->position.revision,
+                          object->content != NULL ? "content" : "none",
+                          object->deleted ? " deleted" : "");
+}
+
+/* Reads TEXT, a page of a list, or of a watch if IS_WATCH, whose objects must
+   be as in EXPECTED.  Returns the result of the reader.  */
+static int
+read_page (const char *text, int is_watch, const char *expected,
+           uint32_t nameless)
+{
+  struct watch_page page = { .last_name = g_string_new (NULL) };
+  GString *found = g_string_new (NULL);
+  int result = (is_watch ? plat_store.read_watch : plat_store.read_list) (
+      text, strlen (text), &page, describe_object, found);
+
+  CU_ASSERT_STRING_EQUAL (found->str, expected);
+  CU_ASSERT_EQUAL (page.nameless, nameless);
+  g_string_free (found, TRUE);
+  g_string_free (page.last_name, TRUE);
+  return result;
+}
+
+static void
+refused_object_keeps_name_and_revision (void)
+{
+  CU_ASSERT_EQUAL (
+      read_page ("{\"items\":[{\"metadata\":{\"name\":\"a\",\"revision\":4,"
+                 "\"created\":1e400},\"spec\":{\"x\":1}},"
+                 "{\"metadata\":{\"name\":\"b\",\"revision\":5},\"spec\":"
+                 "{\"x\":1e400}},{\"metadata\":{\"name\":\"c\",\"revision\":"
+                 "99999999999999999999},\"spec\":NaN},"
+                 "{\"metadata\":{\"name\":\"\\u0000\"}},7,x y,"
+                 "{\"metadata\":{\"name\":\"\"}},"
+                 "{\"metadata\":{\"name\":\"d\",\"revision\":-3}}],"
+                 "\"has_more\":true,\"at\":9}",
+                 0, "a 4 content;b 5 none;c 9 none;d 9 none;", 4),
+      0);
+  CU_ASSERT_EQUAL (
+      read_page ("{\"events\":[{\"object\":{\"metadata\":{\"name\":\"a\","
+                 "\"revision\":4},\"spec\":{\"x\":1e400}},\"deleted\":true},"
+                 "{\"deleted\":false,\"object\":{\"metadata\":{\"name\":"
+                 "\"b\",\"revision\":5},\"spec\":\"\\ud800\"}},{}],"
+                 "\"at\":9}",
+                 1, "a 4 none deleted;b 5 none;", 1),
+      0);
+}
+
+static void
+nameless_objects_do_not_repeat_a_page (void)
+{
+  CU_ASSERT_EQUAL (
+      read_page ("{\"items\":[1e400],\"has_more\":true,\"at\":9}", 0, "", 1),
+      -1);
+  CU_ASSERT_EQUAL (
+      read_page ("{\"items\":[1e400],\"has_more\":false,\"at\":9}", 0, "", 1),
+      0);
+  CU_ASSERT_EQUAL (read_page ("{\"items\":[],\"at\":-1}", 0, "", 0), -1);
+}
+
+static void
+router_starts_among_odd_entries (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (odd_entries); i++)
+    {
+      add_targets ();
+      put_odd_entry (&odd_entries[i]);
+      fx_env_start (shop_config);
+      CU_ASSERT (fx_is_ready ());
+      if (fx_is_ready ())
+        {
+          CU_ASSERT_EQUAL (count_requests_at (odd), 0);
+          CU_ASSERT_EQUAL (
+              fx_router_metric (0, "ibisloom_store_unreadable_total"), 1);
+        }
+      fx_env_stop ();
+    }
+}
+
+/* Another target leaves after each odd entry.  */
+static void
+router_follows_changes_after_odd_entries (void)
+{
+  add_targets ();
+  fx_env_start (shop_config);
+  for (size_t i = 0; i < G_N_ELEMENTS (odd_entries); i++)
+    {
+      fx_target_put_entry (odd, "");
+      CU_ASSERT (wait_for_use (odd, 1, FOLLOW_MS));
+      put_odd_entry (&odd_entries[i]);
+      fx_target_set_state (sound[0], "draining");
+      CU_ASSERT (wait_for_use (sound[0], 0, FOLLOW_MS));
+      fx_target_set_state (sound[0], "ready");
+      CU_ASSERT (wait_for_use (sound[0], 1, FOLLOW_MS));
+    }
+  fx_env_stop ();
+}
--- a/version/watch.c
+++ b/version/watch.c
@@ -10,6 +10,7 @@
 
 #include "ibisloom/watch.h"
 #include "ibisloom/log.h"
+#include "ibisloom/metrics.h"
 
 enum
 {
@@ -43,6 +44,8 @@
 static void handle_failure (struct watch *watch, const char *reason,
                             uint32_t status);
 static void record_response (struct watch *watch, uint64_t epoch);
+static void note_nameless (const struct watch *watch,
+                           const struct watch_page *page);
 static void log_watch (const struct watch *watch, const char *reason,
                        const char *cause, uint32_t status);
 static void start_timer (struct watch *watch, int64_t ms);
@@ -279,6 +282,7 @@
       handle_failure (watch, "unreadable", STATUS_OK);
       return;
     }
+  note_nameless (watch, &page);
   /* The watch starts at the revision of the first page, since an object may
      have changed after its page was read.  */
   if (watch->first_page)
@@ -311,10 +315,29 @@
       handle_failure (watch, "unreadable", STATUS_OK);
       return;
     }
+  note_nameless (watch, &page);
   watch->position = pos_max (watch->position, page.position);
   start_timer (watch, WATCH_INTERVAL_MS);
 }
 
+/* Counts and logs the objects of PAGE whose names cannot be read.  */
+static void
+note_nameless (const struct watch *watch, const struct watch_page *page)
+{
+  struct log_line line;
+
+  if (page->nameless == 0)
+    return;
+  metric_add (METRIC_STORE_UNREADABLE, page->nameless);
+  if (!log_begin (&line, LOG_LEVEL_WARN, "store", NULL, "nameless"))
+    return;
+  log_text (&line, "kind", watch->kind);
+  log_number (&line, "objects", page->nameless);
+  log_number (&line, "epoch", (int64_t)page->position.epoch);
+  log_number (&line, "revision", (int64_t)page->position.revision);
+  log_end (&line);
+}
+
 /* Handles a failed call: retries after a pause that doubles with each
    consecutive failure up to RETRY_MAX_MS, with random jitter.  REASON is
    logged for the first failure only.  */
