Use no target whose entry has become unreadable

Cause: such an entry was only logged; the registry kept the last readable one.

It is now treated as the deletion of the entry, with the same grace, and is told to peers as one, which so have nothing to parse in it.

tests/test_odd_entry before: the target still got requests 2.5 s after its entry had become unreadable, with each of 15 such entries (15 of 15 checks failed).

--- a/process/router_store.c
+++ b/process/router_store.c
@@ -19,6 +19,13 @@
 static void targets_begin (void *closure);
 static void targets_object (void *closure, const struct watch_object *object);
 static void targets_end (void *closure, struct position position);
+static void put_entry (struct router *router,
+                       const struct watch_object *object,
+                       const struct reg_entry *entry);
+static void remove_entry (struct router *router,
+                          const struct watch_object *object);
+static void drop_unreadable_entry (struct router *router,
+                                   const struct watch_object *object);
 static void put_target (struct router *router, const struct reg_entry *entry,
                         struct position position);
 static void drop_restarted_holder (struct router *router,
@@ -235,27 +242,50 @@
 {
   struct router *router = closure;
   struct reg_entry entry;
-  int is_readable
-      = !object->deleted
-        && router->dialect->target (object->name, object->content, &entry)
-               == 0;
 
   if (!router->targets.listing)
     router->known.targets = pos_max (router->known.targets, object->position);
-  if (is_readable
-      && reg_keeps_leaving (router->registry, &entry, object->position))
+  if (object->deleted)
+    remove_entry (router, object);
+  else if (router->dialect->target (object->name, object->content, &entry)
+           == 0)
+    put_entry (router, object, &entry);
+  else
+    drop_unreadable_entry (router, object);
+}
+
+/* Handles OBJECT, an entry that reads as ENTRY.  */
+static void
+put_entry (struct router *router, const struct watch_object *object,
+           const struct reg_entry *entry)
+{
+  if (reg_keeps_leaving (router->registry, entry, object->position))
     snapshot_retain_target (router->snapshot, object->name, object->position);
   else if (!snapshot_put_target (router->snapshot, object))
     return;
-  if (object->deleted)
+  put_target (router, entry, object->position);
+}
+
+/* Handles OBJECT, the deletion of an entry.  */
+static void
+remove_entry (struct router *router, const struct watch_object *object)
+{
+  if (snapshot_put_target (router->snapshot, object))
     mark_target_missing (router, object);
-  else if (is_readable)
-    put_target (router, &entry, object->position);
-  else
-    {
-      metric_inc (METRIC_STORE_UNREADABLE);
-      log_warn ("registry", NULL, "unreadable", "%s", object->name);
-    }
+}
+
+/* Handles OBJECT, an entry that names no target to use: what it named before
+   is treated as deleted, and so are peers told.  */
+static void
+drop_unreadable_entry (struct router *router,
+                       const struct watch_object *object)
+{
+  struct watch_object deletion
+      = { .name = object->name, .position = object->position, .deleted = 1 };
+
+  metric_inc (METRIC_STORE_UNREADABLE);
+  log_warn ("registry", NULL, "unreadable", "%s", object->name);
+  remove_entry (router, &deletion);
 }
 
 /* Puts the target of ENTRY, at POSITION of the store, into the registry.  */
--- a/tests/test_odd_entry.c
+++ b/tests/test_odd_entry.c
@@ -13,6 +13,7 @@
   SOUND = 3,        /* targets beside the one with the odd entry */
   REQUESTS = 48,    /* of which each target gets some */
   FOLLOW_MS = 3000, /* until a change in the store must be in force */
+  GRACE_MS = 2500,  /* until a target without an entry gets no requests */
   CHECK_MS = 50
 };
 
@@ -51,6 +52,13 @@
   { ",\"x\":\"\\ud800\"", 0 },
   { ",\"x\":\"\xff\xfe\"", 0 },
   { ",\"x\":NaN", 0 },
+  { ",\"service\":null", 0 },
+  { ",\"state\":\"idle\"", 0 },
+  { ",\"address\":7", 0 },
+  { ",\"address\":\"127.0.0.1:99999\"", 0 },
+  { ",\"address\":\"127.0.0.1:0\"", 0 },
+  { ",\"slots\":\"8\"", 0 },
+  { ",\"slots\":8.5", 0 },
 };
 
 static struct fx_target *sound[SOUND];
@@ -202,6 +210,7 @@
       put_odd_entry (&odd_entries[i]);
       fx_target_set_state (sound[0], "draining");
       CU_ASSERT (wait_for_use (sound[0], 0, FOLLOW_MS));
+      CU_ASSERT (wait_for_use (odd, 0, GRACE_MS));
       fx_target_set_state (sound[0], "ready");
       CU_ASSERT (wait_for_use (sound[0], 1, FOLLOW_MS));
     }
