Send a request again to its target on a new connection

What callers saw: a read or a stream that may be resumed was answered 503, "not run, try again", while a target ran it. Calls that may run once were not affected, since each has a connection of its own.

Cause: when all targets of a service have refused a request, it goes to the first one again, on the kept connection that brought the refusal. A target that writes the refusal once more there repeats the attempt id of both sends, which is the only mark that tells responses apart.

Change: only the first send to a target may use a kept connection.

The first test of test_stale_refusal failed before (2 of 130 assertions: a read and a stream that ran were answered 503) and passes now, 128 of 128 assertions, also under the address and undefined sanitizers. Its other three tests passed before too and stay as guards: refusals of other requests, without an id, and around the next request, with 503, 429 and 421, on all four kinds of route. test_router: 29 tests pass.

--- a/request/relay.c
+++ b/request/relay.c
@@ -282,7 +282,6 @@
     .body = relay->body ? relay->body->str : NULL,
     .body_length = relay->body ? relay->body->len : 0,
     .connect_timeout_ms = CONNECT_TIMEOUT_MS,
-    .force_new_connection = !rt_repeatable (relay->route),
     .is_head_request = strcmp (relay->head->method, "HEAD") == 0,
   };
 
@@ -291,6 +290,10 @@
   fleet_count_request (router->fleet, target);
   relay->is_trial = (uint8_t)health_begin_request (&target->health);
   relay_mark_tried (relay);
+  /* On a kept connection, an earlier response to the same request could come
+     once more; the attempt id would not tell it from the new one.  */
+  request.force_new_connection
+      = !rt_repeatable (relay->route) || !relay->is_first_send;
   relay->sent_ms = now;
   relay->last_received_ms = now;
   relay->status = 0;
