Do not take a refusal without an id on a kept connection at the own interface

What callers saw: a read was reported as "run":"not_run" while a worker ran it. Calls with a ledger record were not affected, since each of their attempts has a connection of its own.

Cause: the field by which a target says that it did not run a request was read whether or not the response was known to belong to the request. An id that differs was noticed, one that is missing was not, so that an earlier refusal without one, written once more on a kept connection, passed for the response to the next call. The relayed interface has this rule already.

Change: a refusal without the request's id counts only on a connection that was opened for the request. Other responses without an id are taken as before, for targets that do not repeat ids.

The service of the fakes has a mode for it.

--- a/fakes/fake_service.c
+++ b/fakes/fake_service.c
@@ -26,7 +26,9 @@
   MODE_DROP_BEFORE_RUN, /* closes the connection before execution */
   MODE_DROP_AFTER_RUN,  /* executes and sends no response */
   MODE_HANG,            /* no response for 10 s, not executed */
-  MODE_BUSY             /* status 503, not executed */
+  MODE_BUSY,            /* status 503, not executed */
+  /* Executes a request, responds with an earlier refusal, then is busy.  */
+  MODE_STALE
 };
 
 struct worker
@@ -88,6 +90,8 @@
   if (worker->mode != MODE_OK
       && rand_r (&worker->seed) % 100 < worker->percent)
     mode = worker->mode;
+  if (mode == MODE_STALE)
+    worker->mode = MODE_BUSY;
   pthread_mutex_unlock (&lock);
   if (mode == MODE_DROP_BEFORE_RUN || mode == MODE_REFUSE)
     {
@@ -121,6 +125,12 @@
       fake_drop_connection (request);
       return;
     }
+  if (mode == MODE_STALE)
+    {
+      fake_respond (request, 503, "{}");
+      MHD_add_response_header (request->response, "X-Not-Run", "1");
+      return;
+    }
   fake_respond_json (request, 200,
                      json_pack ("{s:s,s:i,s:s%}", "key", key ? key : "",
                                 "executions", count, "echo",
@@ -210,8 +220,8 @@
 static void
 set_fault (struct fake_request *request)
 {
-  static const char *const modes[]
-      = { "ok", "error", "refuse", "before", "during", "hang", "busy" };
+  static const char *const modes[] = { "ok",     "error", "refuse", "before",
+                                       "during", "hang",  "busy",   "stale" };
   const char *worker_number = fake_query_argument (request, "worker");
   const char *mode = fake_query_argument (request, "mode");
   const char *percent = fake_query_argument (request, "percent");
--- a/request/request.c
+++ b/request/request.c
@@ -17,6 +17,7 @@
 static void publish_placement_note (struct req *req);
 static void give_up (struct req *req, const struct retry_decision *decision);
 static void handle_deadline (struct req *req);
+static int may_be_earlier_response (const struct req_attempt *attempt);
 static int is_connect_fault (struct req *req, int code);
 static void release_capacity (struct req *req, enum adm_outcome outcome);
 static struct retry_budget *get_budget (struct server *server,
@@ -112,7 +113,7 @@
 {
   struct req_attempt *attempt = &req->attempt;
 
-  if (attempt->id_seen && !attempt->id_matches)
+  if (may_be_earlier_response (attempt))
     {
       metric_inc (METRIC_MISMATCHED_RESPONSES);
       req_handle_fault (req, RETRY_FAULT_INVALID_RESPONSE);
@@ -350,6 +351,20 @@
   return MIN (req->attempt.last_byte_ms + limit_ms, req->deadline_ms);
 }
 
+/* Returns whether the response of ATTEMPT may be one to an earlier request of
+   its connection: it has another id, or it says without one, on a reused
+   connection, that the request was not run.  */
+static int
+may_be_earlier_response (const struct req_attempt *attempt)
+{
+  long connects = 0;
+
+  if (attempt->id_seen || !attempt->not_run)
+    return attempt->id_seen && !attempt->id_matches;
+  curl_easy_getinfo (attempt->easy, CURLINFO_NUM_CONNECTS, &connects);
+  return connects == 0;
+}
+
 /* Returns whether libcurl's CODE means that no byte was sent.  */
 static int
 is_connect_fault (struct req *req, int code)
