Let scripted targets fall silent and go on

Handlers ask fx_target_wait_until_heard before they write; the target accepts connections and reads meanwhile.

--- a/tests/libfixture.h
+++ b/tests/libfixture.h
@@ -20,7 +20,8 @@
   int requests;
   int closed_by_router;
   int crashed;
-  GArray *fds; /* of its open connections */
+  gint64 silent_until_us; /* it writes nothing before then */
+  GArray *fds;            /* of its open connections */
   char *last_request;
 };
 
--- a/tests/shop.c
+++ b/tests/shop.c
@@ -40,6 +40,7 @@
       "X-Ibisloom-Response-Signature: s-%s\r\nContent-Length: %zu\r\n\r\n%s",
       status, id, id, strlen (body), body);
 
+  fx_target_wait_until_heard (request->target);
   fx_write (request->fd, text);
   g_free (text);
   g_free (id);
@@ -56,6 +57,7 @@
       "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
       id, id);
 
+  fx_target_wait_until_heard (request->target);
   fx_write (request->fd, text);
   g_free (text);
   g_free (id);
@@ -67,6 +69,7 @@
 {
   char *chunked = g_strdup_printf ("%zx\r\n%s\r\n", strlen (text), text);
 
+  fx_target_wait_until_heard (request->target);
   fx_write (request->fd, chunked);
   g_free (chunked);
 }
--- a/tests/target_fixture.c
+++ b/tests/target_fixture.c
@@ -139,6 +139,33 @@
   return is_first;
 }
 
+/* Has TARGET write nothing for MS milliseconds, and then go on.  It accepts
+   connections and reads meanwhile.  */
+void
+fx_target_fall_silent (struct fx_target *target, int ms)
+{
+  pthread_mutex_lock (&fx_env.lock);
+  target->silent_until_us = g_get_monotonic_time () + (gint64)ms * 1000;
+  pthread_mutex_unlock (&fx_env.lock);
+}
+
+/* Waits until TARGET is not silent.  Handlers call it before they write.  */
+void
+fx_target_wait_until_heard (struct fx_target *target)
+{
+  gint64 silent_until_us;
+
+  do
+    {
+      pthread_mutex_lock (&fx_env.lock);
+      silent_until_us = target->silent_until_us;
+      pthread_mutex_unlock (&fx_env.lock);
+      if (g_get_monotonic_time () < silent_until_us)
+        fx_sleep_ms (1);
+    }
+  while (g_get_monotonic_time () < silent_until_us);
+}
+
 /* Starts a proxy to TARGET, and writes the proxy's port to its entry.  */
 struct proxy *
 fx_target_add_proxy (struct fx_target *target)
