Log the software version of targets and which attempt a request resumes

Callers saw streams that hold events from two software versions. The logs named neither the version of a target nor the attempt that a caller's retry takes up, so they could not tell whether such streams are joined within one answer, over a caller's tries, or both.

--- a/include/ibisloom/dialect.h
+++ b/include/ibisloom/dialect.h
@@ -15,6 +15,7 @@
   DIALECT_ATTEMPT_ID,   /* id of the request; new in a client's retry */
   DIALECT_DEADLINE_MS,  /* time the client still waits, in ms */
   DIALECT_RESUME_AFTER, /* id of the last event the client received */
+  DIALECT_RESUMES,      /* id of the attempt that brought the first event */
   DIALECT_PROMPT_PARTS,
   DIALECT_TOKEN_USAGE,     /* prompt tokens, maximum response tokens */
   DIALECT_CREDENTIAL,      /* carries a customer's API key */
--- a/include/ibisloom/log.h
+++ b/include/ibisloom/log.h
@@ -36,12 +36,13 @@
                 ...) __attribute__ ((format (printf, 5, 6)));
 
 /* A line with custom fields is written by log_begin, any number of log_text,
-   log_number and log_real, and log_end.  If log_begin returns 0 the line is
-   suppressed, and none of the others may be called. */
+   log_number, log_hash and log_real, and log_end.  If log_begin returns 0 the
+   line is suppressed, and none of the others may be called. */
 int log_begin (struct log_line *line, enum log_level level, const char *module,
                const char *request_id, const char *reason);
 void log_text (struct log_line *line, const char *key, const char *value);
 void log_number (struct log_line *line, const char *key, int64_t value);
+void log_hash (struct log_line *line, const char *key, uint64_t value);
 void log_real (struct log_line *line, const char *key, double value);
 void log_end (struct log_line *line);
 uint64_t log_dropped (void);
--- a/include/ibisloom/registry.h
+++ b/include/ibisloom/registry.h
@@ -30,6 +30,7 @@
   int64_t warming_ms;   /* time left until it has warmed up */
   uint64_t incarnation; /* of its process, 0: unknown */
   uint64_t reports;     /* of that process up to this one */
+  uint64_t software;    /* its version, see origin_software */
 };
 
 struct reg_target;
@@ -51,6 +52,7 @@
   int32_t slots;
   uint64_t incarnation;
   uint64_t reports;         /* see struct reg_entry */
+  uint64_t software;        /* see struct reg_entry */
   struct position position; /* of the entry */
   clk_ms warm_at_ms;        /* warmed up from then on */
   uint32_t references; /* requests in progress, plus one for the registry */
--- a/process/log.c
+++ b/process/log.c
@@ -161,6 +161,18 @@
                                     ",\"%s\":%" PRId64, key, value);
 }
 
+/* Adds KEY with VALUE in hexadecimal, unless it is 0.  */
+void
+log_hash (struct log_line *line, const char *key, uint64_t value)
+{
+  char text[24];
+
+  if (value == 0)
+    return;
+  snprintf (text, sizeof text, "%016" PRIx64, value);
+  log_text (line, key, text);
+}
+
 /* Adds KEY with VALUE, rounded to one decimal place.  */
 void
 log_real (struct log_line *line, const char *key, double value)
--- a/process/registry.c
+++ b/process/registry.c
@@ -144,10 +144,12 @@
       target = add_target (registry, entry);
       is_new = 1;
     }
-  if (entry->incarnation != target->incarnation)
+  if (entry->incarnation != target->incarnation
+      || entry->software != target->software)
     {
       reset_history (target);
       target->incarnation = entry->incarnation;
+      target->software = entry->software;
       is_new = 1;
     }
   is_new |= target->leaving != (entry->leaving != 0);
@@ -179,6 +181,7 @@
   target->references = 1;
   target->serial = ++registry->last_serial;
   target->incarnation = entry->incarnation;
+  target->software = entry->software;
   g_hash_table_insert (registry->targets, target->id, target);
   g_hash_table_insert (registry->by_hash, GSIZE_TO_POINTER (target->hash),
                        target);
--- a/process/router_store.c
+++ b/process/router_store.c
@@ -202,6 +202,7 @@
   log_text (&line, "target", entry->id);
   log_text (&line, "service", entry->service);
   log_text (&line, "target_domain", entry->failure_domain);
+  log_hash (&line, "software", entry->software);
   log_number (&line, "epoch", (int64_t)position.epoch);
   log_number (&line, "revision", (int64_t)position.revision);
   log_end (&line);
--- a/request/relay_log.c
+++ b/request/relay_log.c
@@ -50,6 +50,7 @@
     return;
   log_text (&line, "target", relay->target ? relay->target->id : NULL);
   log_text (&line, "service", relay->service);
+  log_hash (&line, "software", relay->target ? relay->target->software : 0);
   log_number (&line, "candidates", (int64_t)candidates);
   log_real (&line, "load", choice->load);
   log_real (&line, "mean_load", choice->mean);
@@ -151,6 +152,7 @@
 relay_log_outcome (const struct relay *relay, const char *outcome, clk_ms now)
 {
   struct log_line line;
+  const char *field = relay->router->dialect->field[DIALECT_RESUMES];
 
   if (!log_begin (&line, LOG_LEVEL_INFO, "request", relay->id, outcome))
     return;
@@ -160,6 +162,7 @@
   log_number (&line, "status", relay->status);
   log_number (&line, "sends", relay->sends);
   log_number (&line, "events", relay->events.forwarded);
+  log_text (&line, "resumes", http_head_get (relay->head, field));
   log_number (&line, "may_have_run", relay->may_have_run);
   log_number (&line, "took_ms", now - relay->arrived_ms);
   if (relay->table != NULL)
