Go on with a stream only at targets of the version that began it

Callers saw answers whose first events came from one software version and the rest from another. When a target breaks off a stream, the relay takes it up at another one within the same answer, and any target of the service would do.

The relay now keeps the version of the target that brought the first event, and admits no others from then on. Nor are events forwarded that come from a target that has started again as another version since.

--- a/request/librelay.h
+++ b/request/librelay.h
@@ -84,6 +84,7 @@
   uint32_t connect_failures; /* attempts without a connection */
   uint32_t error_responses;  /* attempts that ended in an error response */
   uint8_t may_have_run;
+  uint64_t software; /* version that began the stream; 0: none has */
   /* The response.  */
   GString *response_fields;
   GString *buffered_body;
@@ -107,6 +108,11 @@
 void relay_mark_tried (struct relay *relay);
 void relay_mark_unreachable (struct relay *relay);
 
+/* relay_origin.c */
+int relay_origin_fits (const struct relay *relay,
+                       const struct reg_target *target);
+void relay_origin_begin (struct relay *relay);
+
 /* relay_log.c */
 void relay_log_placement (const struct relay *relay,
                           const struct bal_choice *choice, size_t candidates);
--- a/request/relay_response.c
+++ b/request/relay_response.c
@@ -75,7 +75,8 @@
     {
       uint32_t complete = relay->events.complete;
 
-      if (relay_events_feed (relay, data, length) != 0)
+      if (!relay_origin_fits (relay, relay->target)
+          || relay_events_feed (relay, data, length) != 0)
         {
           relay->is_invalid = 1;
           return -1;
@@ -210,6 +211,7 @@
 void
 relay_events_forward (struct relay *relay, const char *data, size_t length)
 {
+  relay_origin_begin (relay);
   if (!relay->head_sent)
     send_head (relay);
   forward_body (relay, data, length);
--- a/request/relay_target.c
+++ b/request/relay_target.c
@@ -1,11 +1,18 @@
 /* Target of the next attempt of a relayed request. */
 #include "librelay.h"
 
-static void exclude_candidates (const struct relay *relay,
-                                struct bal_candidate *candidates,
-                                size_t count);
-static int readmit_tried (const struct relay *relay,
-                          struct bal_candidate *candidates, size_t count);
+/* Candidates for one attempt. */
+struct selection
+{
+  struct bal_candidate *candidates;
+  struct reg_target **targets;
+  size_t count;
+};
+
+static int admit_candidates (const struct relay *relay,
+                             const struct selection *selection, int tried);
+static int is_admitted (const struct relay *relay,
+                        const struct reg_target *target, int tried);
 static double rate_min (const struct relay *relay);
 static int contains_id (const uint64_t *ids, uint32_t count, uint64_t id);
 
@@ -26,15 +33,17 @@
           .cap_slack = router->settings->cap_slack,
           .rate_min = rate_min (relay),
           .random = g_rand_int (router->random) };
+  struct selection selection = { candidates, targets, 0 };
 
   *count = reg_candidates (router->registry, relay->service,
                            router->failure_domain, now, candidates, targets,
                            BAL_CANDIDATES_MAX);
-  exclude_candidates (relay, candidates, *count);
+  selection.count = *count;
   if (relay->context != 0)
     params.holders = affinity_find (router->affinity, relay->context);
+  (void)admit_candidates (relay, &selection, 0);
   if (!bal_pick (&params, candidates, *count, choice)
-      && !(readmit_tried (relay, candidates, *count)
+      && !(admit_candidates (relay, &selection, 1)
            && bal_pick (&params, candidates, *count, choice)))
     return NULL;
   targets[choice->index]->load_limit = choice->limit;
@@ -52,44 +61,39 @@
              : 1 + RATE_RESERVE;
 }
 
-/* Excludes targets from the COUNT CANDIDATES: those that could not be reached,
-   and those that were sent RELAY before.  Once RELAY was sent to as many
-   targets as its route allows, only these targets remain.  */
-static void
-exclude_candidates (const struct relay *relay,
-                    struct bal_candidate *candidates, size_t count)
+/* Excludes the candidates in SELECTION that are not admitted for RELAY.
+   Returns whether there is one that is now and was not before.  */
+static int
+admit_candidates (const struct relay *relay, const struct selection *selection,
+                  int tried)
 {
-  int only_tried = relay->tried_count >= relay->route->attempts_max;
+  int any = 0;
 
-  for (size_t i = 0; i < count; i++)
+  for (size_t i = 0; i < selection->count; i++)
     {
-      int tried
-          = contains_id (relay->tried, relay->tried_count, candidates[i].id);
+      struct bal_candidate *candidate = &selection->candidates[i];
+      uint8_t excluded = !is_admitted (relay, selection->targets[i], tried);
 
-      candidates[i].excluded
-          = tried != only_tried
-            || contains_id (relay->unreachable, relay->unreachable_count,
-                            candidates[i].id);
+      any |= candidate->excluded && !excluded;
+      candidate->excluded = excluded;
     }
+  return any;
 }
 
-/* Readmits reachable targets that were sent RELAY before.  Returns whether
-   there are any.  */
+/* Returns whether RELAY may be sent to TARGET: it could be reached, fits the
+   stream, and was not sent RELAY before, unless TRIED.  Once RELAY was sent to
+   as many targets as its route allows, only these targets remain.  */
 static int
-readmit_tried (const struct relay *relay, struct bal_candidate *candidates,
-               size_t count)
+is_admitted (const struct relay *relay, const struct reg_target *target,
+             int tried)
 {
-  int any = 0;
+  int only_tried = relay->tried_count >= relay->route->attempts_max;
+  int was_tried = contains_id (relay->tried, relay->tried_count, target->hash);
 
-  for (size_t i = 0; i < count; i++)
-    if (contains_id (relay->tried, relay->tried_count, candidates[i].id)
-        && !contains_id (relay->unreachable, relay->unreachable_count,
-                         candidates[i].id))
-      {
-        candidates[i].excluded = 0;
-        any = 1;
-      }
-  return any;
+  return relay_origin_fits (relay, target)
+         && !contains_id (relay->unreachable, relay->unreachable_count,
+                          target->hash)
+         && (was_tried == only_tried || (was_tried && tried));
 }
 
 /* Counts the current target as one that may have received RELAY.  */
--- a/tests/router_fixture.h
+++ b/tests/router_fixture.h
@@ -55,6 +55,7 @@
 char *fx_target_last_request (struct fx_target *target);
 int fx_target_closed_by_router (struct fx_target *target);
 void fx_target_set_state (struct fx_target *target, const char *state);
+void fx_target_restart (struct fx_target *target, const char *version);
 void fx_target_remove (struct fx_target *target);
 int fx_target_crash (struct fx_target *target);
 struct proxy *fx_target_add_proxy (struct fx_target *target);
--- a/tests/target_fixture.c
+++ b/tests/target_fixture.c
@@ -72,14 +72,20 @@
 static void
 publish_entry (struct fx_target *target)
 {
-  char *spec = g_strdup_printf (
+  GString *spec = g_string_new (NULL);
+
+  g_string_printf (
+      spec,
       "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"a\","
-      "\"version\":\"v1\",\"slots\":8,\"state\":\"%s\",\"cold_left_ms\":0,"
-      "\"sequence\":%d}",
+      "\"slots\":8,\"state\":\"%s\",\"cold_left_ms\":0,\"sequence\":%d",
       target->service, target->port, target->state, ++target->reports);
-
-  fx_store_add_change ("servers", target->id, spec);
-  g_free (spec);
+  if (target->version != NULL)
+    g_string_append_printf (spec, ",\"version\":\"%s\"", target->version);
+  if (target->starts != 0)
+    g_string_append_printf (spec, ",\"born\":%d", target->starts);
+  g_string_append_c (spec, '}');
+  fx_store_add_change ("servers", target->id, spec->str);
+  g_string_free (spec, TRUE);
 }
 
 /* Starts a target whose responses HANDLER writes, and writes its entry to the
@@ -92,6 +98,7 @@
   target->id = g_strdup (id);
   target->service = g_strdup (service);
   target->state = g_strdup ("ready");
+  target->version = g_strdup ("v1");
   target->handler = handler;
   target->fds = g_array_new (FALSE, FALSE, sizeof (int));
   target->listener = fx_listen (&target->port);
@@ -109,6 +116,17 @@
   publish_entry (target);
 }
 
+/* Writes an entry by which the process of TARGET has started again, with
+   VERSION of its software, or with an entry that names none if it is NULL.  */
+void
+fx_target_restart (struct fx_target *target, const char *version)
+{
+  g_free (target->version);
+  target->version = g_strdup (version);
+  target->starts++;
+  publish_entry (target);
+}
+
 void
 fx_target_remove (struct fx_target *target)
 {
--- /dev/null
+++ b/tests/test_resume.c
@@ -0,0 +1,173 @@
+/* End-to-end tests of streams that go on at another target, while targets of
+   two software versions serve.  */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "shop.h"
+#include "test.h"
+
+enum
+{
+  EVENTS = 5,
+  EVENTS_BEFORE_CUT = 2,
+  STREAMS = 12
+};
+
+static void stream_goes_on_at_its_version (void);
+static void stream_ends_without_its_version (void);
+static void target_without_version_has_its_own (void);
+
+static const struct test_case cases[] = {
+  { "a stream goes on at the version that began it only",
+    stream_goes_on_at_its_version },
+  { "a stream whose version is gone ends and is not joined",
+    stream_ends_without_its_version },
+  { "a target that names no version has one of its own",
+    target_without_version_has_its_own },
+};
+
+TEST_MAIN ("resume", cases)
+
+/* Writes the events of a stream, from the one after which it is resumed on, up
+   to event LAST, as by a target with TEXT.  Returns whether the stream is
+   complete; else its connection is to be closed.  */
+static int
+write_stream (const struct fx_request *request, const char *text, int last)
+{
+  char *after = fx_header_value (request->text, "Last-Event-Id");
+
+  shop_start_stream (request);
+  for (int i = after != NULL ? atoi (after) + 1 : 1; i <= last; i++)
+    {
+      char *event = g_strdup_printf ("id: %d\ndata: %s%d\n\n", i, text, i);
+
+      shop_write_chunk (request, event);
+      g_free (event);
+    }
+  g_free (after);
+  if (last == EVENTS)
+    fx_write (request->fd, "0\r\n\r\n");
+  return last == EVENTS;
+}
+
+/* Writes a stream as write_stream does, broken off unless it is resumed.  */
+static int
+write_cut_stream (const struct fx_request *request, const char *text)
+{
+  int is_resumed = strstr (request->text, "Last-Event-Id") != NULL;
+
+  return write_stream (request, text, is_resumed ? EVENTS : EVENTS_BEFORE_CUT);
+}
+
+static int
+cut_old (const struct fx_request *request)
+{
+  return write_cut_stream (request, "old");
+}
+
+static int
+cut_new (const struct fx_request *request)
+{
+  return write_cut_stream (request, "new");
+}
+
+/* Breaks off each stream, resumed or not.  */
+static int
+cut_old_always (const struct fx_request *request)
+{
+  return write_stream (request, "old", EVENTS_BEFORE_CUT);
+}
+
+static int
+write_new (const struct fx_request *request)
+{
+  return write_stream (request, "new", EVENTS);
+}
+
+/* Starts a target of the older version.  */
+static struct fx_target *
+add_old (const char *id, fx_handler_fn handler)
+{
+  return fx_target_add (id, "pool", handler);
+}
+
+/* Starts a target of VERSION.  */
+static struct fx_target *
+add_version (const char *id, fx_handler_fn handler, const char *version)
+{
+  struct fx_target *target = fx_target_add (id, "pool", handler);
+
+  fx_target_restart (target, version);
+  return target;
+}
+
+/* Returns whether RESPONSE holds events of both versions.  */
+static int
+is_joined (const char *response)
+{
+  return strstr (response, "data: old") != NULL
+         && strstr (response, "data: new") != NULL;
+}
+
+/* Returns whether RESPONSE ends as a complete one.  */
+static int
+is_complete (const char *response)
+{
+  return g_str_has_suffix (response, "\r\n0\r\n\r\n");
+}
+
+/* Sends requests for STREAMS streams.  Checks that no response holds events of
+   both versions, and returns how many are complete.  */
+static int
+count_complete (void)
+{
+  int complete = 0;
+
+  for (int i = 0; i < STREAMS; i++)
+    {
+      char *response = fx_exchange (POST_PLAN ("s"));
+
+      CU_ASSERT_PTR_NOT_NULL (strstr (response, "data: "));
+      CU_ASSERT (!is_joined (response));
+      complete += is_complete (response);
+      g_free (response);
+    }
+  return complete;
+}
+
+static void
+stream_goes_on_at_its_version (void)
+{
+  add_old ("i-1", cut_old);
+  add_version ("i-2", cut_new, "v2");
+  add_old ("i-3", cut_old);
+  add_version ("i-4", cut_new, "v2");
+  fx_env_start (shop_config);
+  CU_ASSERT_EQUAL (count_complete (), STREAMS);
+  fx_env_stop ();
+}
+
+static void
+stream_ends_without_its_version (void)
+{
+  struct fx_target *old = add_old ("i-1", cut_old_always);
+
+  add_version ("i-2", write_new, "v2");
+  fx_env_start (shop_config);
+  CU_ASSERT (count_complete () > 0);
+  CU_ASSERT (fx_target_request_count (old) > 0);
+  fx_env_stop ();
+}
+
+static void
+target_without_version_has_its_own (void)
+{
+  add_old ("i-1", cut_old);
+  add_version ("i-2", cut_new, NULL);
+  add_old ("i-3", cut_old);
+  add_version ("i-4", cut_new, NULL);
+  fx_env_start (shop_config);
+  CU_ASSERT_EQUAL (count_complete (), STREAMS);
+  fx_env_stop ();
+}
