Send a begun stream to targets that are full or suspended, if need be

Callers of a version that few targets have would get its streams cut or refused where new streams begin: a stream that has begun can go on at its version only, and its targets may all be at the load bound, which is meant to spread requests that any target can serve, or suspended, since the streams broke off at them.

Such a stream now gets a target over the bound, up to a quarter over its slots, or a suspended one, when no other is left. A target to which a connection failed lately may have started again, as another version, without its entry having arrived; it gets none for three seconds. One whose connection broke comes after all others.

test_balance has a test of each; neither could be built before.

--- a/include/ibisloom/balance.h
+++ b/include/ibisloom/balance.h
@@ -37,6 +37,7 @@
   double cap_factor; /* load bound as a multiple of the mean; 0: no bound */
   double cap_slack;  /* requests added to the bound */
   double rate_min;   /* tokens that a target with a rate limit must have */
+  uint8_t is_pinned; /* few targets will do: full and suspended ones too */
   uint32_t random;   /* index at which the search for the least load starts */
 };
 
--- a/include/ibisloom/registry.h
+++ b/include/ibisloom/registry.h
@@ -35,6 +35,14 @@
 
 struct reg_target;
 
+/* Whether a target may have started again since its entry was written. */
+enum reg_doubt
+{
+  REG_SURE,
+  REG_BROKEN,     /* a connection to it broke lately */
+  REG_UNREACHABLE /* a connection to it could not be established lately */
+};
+
 /* Called when a request of this instance STARTED at TARGET, or ended there. */
 typedef void (*reg_load_fn) (void *closure, struct reg_target *target,
                              int started);
@@ -67,6 +75,8 @@
   int32_t reported_load;     /* running and waiting, by its last response */
   int32_t sent_since_report; /* sent minus ended since that response */
   clk_ms reported_ms;        /* time of that response, 0: none */
+  clk_ms broken_ms;          /* a connection broke then, 0: none */
+  clk_ms unreachable_ms;     /* no connection was established then, 0: none */
   double load_limit;         /* bound of its load when last selected */
   struct rate_limit rate;
   struct health health;
@@ -119,6 +129,9 @@
                        struct bal_candidate *candidates,
                        struct reg_target **targets, size_t capacity);
 int reg_is_near_limit (const struct reg_target *target, clk_ms now);
+void reg_record_outcome (struct reg_target *target, enum health_event event,
+                         clk_ms now);
+enum reg_doubt reg_doubt (const struct reg_target *target, clk_ms now);
 int reg_report_load (struct reg_target *target, int32_t load, clk_ms now);
 
 #endif
--- a/process/registry.c
+++ b/process/registry.c
@@ -18,6 +18,9 @@
   REREGISTER_MS = 2200,
   /* Longer than the entry of a silent target stays in the store.  */
   RESTORED_TRUSTED_MS = 10000,
+  /* A target that has started again has written its new entry, and the entry
+     has arrived, in this time after the last failure to reach it.  */
+  DOUBT_MS = 3000,
   GONE_MAX = 1024
 };
 
@@ -419,6 +422,30 @@
     target_free (target);
 }
 
+/* Records EVENT, the outcome of a request at TARGET that ended at NOW.  */
+void
+reg_record_outcome (struct reg_target *target, enum health_event event,
+                    clk_ms now)
+{
+  health_record (&target->health, event, now);
+  if (event == HEALTH_DISCONNECTED)
+    target->broken_ms = now;
+  else if (event == HEALTH_CONNECT_FAILED)
+    target->unreachable_ms = now;
+}
+
+/* Returns whether TARGET may have started again at NOW without its new entry
+   having arrived.  */
+enum reg_doubt
+reg_doubt (const struct reg_target *target, clk_ms now)
+{
+  if (target->unreachable_ms != 0 && now - target->unreachable_ms < DOUBT_MS)
+    return REG_UNREACHABLE;
+  if (target->broken_ms != 0 && now - target->broken_ms < DOUBT_MS)
+    return REG_BROKEN;
+  return REG_SURE;
+}
+
 /* Records LOAD, the number of requests that TARGET reported at NOW in a
    response, the request of this response included.  Returns whether the target
    had reached its load limit without that request.  */
@@ -544,6 +571,8 @@
   memset (&target->health, 0, sizeof target->health);
   target->reported_ms = 0;
   target->reported_load = 0;
+  target->broken_ms = 0;
+  target->unreachable_ms = 0;
 }
 
 /* Removes TARGET from REGISTRY, and frees it if no request uses it.  */
--- a/request/balance.c
+++ b/request/balance.c
@@ -32,8 +32,13 @@
 /* Cost of a target that is warming up, in units of load per slot.  */
 static const double WARMING_UP_PENALTY = 0.5;
 
+/* Cost of a suspended target for a request that no other can serve, in units
+   of load per slot.  */
+static const double SUSPENDED_PENALTY = 1.0;
+
 /* Part of its slots up to which a target is filled while others limit their
-   rate: the bound alone would let the last one that does not have all.  */
+   rate: the bound alone would let the last one that does not have all.  Also
+   how far it is filled over the bound by requests that no other can serve.  */
 static const double SLOTS_FILLED_MAX = 1.25;
 
 /* Distance kept from the load bound, in requests: allows for requests from
@@ -69,6 +74,9 @@
 static int pick_trial (const struct bal_params *params,
                        const struct bal_candidate *candidates, size_t count,
                        struct bal_choice *choice);
+static int is_full (const struct bal_params *params,
+                    const struct bal_candidate *candidate, double limit,
+                    double filled_max);
 static int is_rate_used_up (const struct bal_params *params,
                             const struct bal_candidate *candidate);
 static double mean_load (const struct bal_candidate *candidates, size_t count);
@@ -252,7 +260,8 @@
                     + (candidate->error_rate - best_error_rate) * ERROR_PENALTY
                           / slots;
 
-      if (candidate->excluded || candidate->state != HEALTH_USABLE)
+      if (candidate->excluded
+          || (candidate->state != HEALTH_USABLE && !params->is_pinned))
         continue;
       if (is_rate_used_up (params, candidate))
         {
@@ -260,8 +269,7 @@
             choice->reason = BAL_RATES_USED_UP;
           continue;
         }
-      if (candidate->load > choice->limit
-          || candidate->load >= slots * filled_max)
+      if (is_full (params, candidate, choice->limit, filled_max))
         {
           if (choice->reason != BAL_LEAST_LOADED)
             choice->reason = BAL_ALL_FULL;
@@ -271,6 +279,8 @@
         cost += REMOTE_PENALTY;
       if (candidate->warming_up)
         cost += WARMING_UP_PENALTY;
+      if (candidate->state != HEALTH_USABLE)
+        cost += SUSPENDED_PENALTY;
       if (cost >= best)
         continue;
       best = cost;
@@ -353,6 +363,22 @@
   return lowest;
 }
 
+/* Returns whether CANDIDATE takes no more requests: it is over LIMIT, the load
+   bound, or over FILLED_MAX times its slots.  For a request that few can serve
+   only its slots count.  */
+static int
+is_full (const struct bal_params *params,
+         const struct bal_candidate *candidate, double limit,
+         double filled_max)
+{
+  int32_t slots = candidate->slots > 0 ? candidate->slots : 1;
+  int is_over = candidate->load > limit;
+
+  if (params->is_pinned)
+    return is_over && candidate->load >= slots * SLOTS_FILLED_MAX;
+  return is_over || candidate->load >= slots * filled_max;
+}
+
 /* Returns whether the rate limit of CANDIDATE leaves no room for a request
    with PARAMS.  */
 static int
--- a/request/relay.c
+++ b/request/relay.c
@@ -327,7 +327,7 @@
   relay->target = NULL;
   health_end_request (&target->health, relay->is_trial);
   if (event < HEALTH_EVENT_COUNT)
-    health_record (&target->health, event, clk_now (clk_monotonic ()));
+    reg_record_outcome (target, event, clk_now (clk_monotonic ()));
   reg_request_end (target);
 }
 
--- a/request/relay_target.c
+++ b/request/relay_target.c
@@ -9,10 +9,25 @@
   size_t count;
 };
 
+/* Targets that may be sent a request, each kind with those before it.  */
+enum admission
+{
+  ADMIT_SURE,  /* whose version is not in doubt */
+  ADMIT_ALL,   /* to which no attempt was made */
+  ADMIT_TRIED, /* that were sent the request before */
+  /* For a stream that has begun: those over the load bound, and suspended ones
+     that may be reached.  */
+  ADMIT_FULL
+};
+
 static int admit_candidates (const struct relay *relay,
-                             const struct selection *selection, int tried);
+                             const struct selection *selection,
+                             enum admission admission, clk_ms now);
 static int is_admitted (const struct relay *relay,
-                        const struct reg_target *target, int tried);
+                        const struct reg_target *target,
+                        enum admission admission, clk_ms now);
+static int is_sure (const struct relay *relay, const struct reg_target *target,
+                    clk_ms now);
 static double rate_min (const struct relay *relay);
 static int contains_id (const uint64_t *ids, uint32_t count, uint64_t id);
 
@@ -34,6 +49,7 @@
           .rate_min = rate_min (relay),
           .random = g_rand_int (router->random) };
   struct selection selection = { candidates, targets, 0 };
+  enum admission last = relay->software != 0 ? ADMIT_FULL : ADMIT_TRIED;
 
   *count = reg_candidates (router->registry, relay->service,
                            router->failure_domain, now, candidates, targets,
@@ -41,13 +57,19 @@
   selection.count = *count;
   if (relay->context != 0)
     params.holders = affinity_find (router->affinity, relay->context);
-  (void)admit_candidates (relay, &selection, 0);
-  if (!bal_pick (&params, candidates, *count, choice)
-      && !(admit_candidates (relay, &selection, 1)
-           && bal_pick (&params, candidates, *count, choice)))
-    return NULL;
-  targets[choice->index]->load_limit = choice->limit;
-  return targets[choice->index];
+  for (enum admission admission = ADMIT_SURE; admission <= last; admission++)
+    {
+      int any = admit_candidates (relay, &selection, admission, now);
+
+      params.is_pinned = admission == ADMIT_FULL;
+      if (!any && admission != ADMIT_SURE && admission != ADMIT_FULL)
+        continue;
+      if (!bal_pick (&params, candidates, *count, choice))
+        continue;
+      targets[choice->index]->load_limit = choice->limit;
+      return targets[choice->index];
+    }
+  return NULL;
 }
 
 /* Returns how many tokens a target with a rate limit must have to be sent
@@ -61,18 +83,20 @@
              : 1 + RATE_RESERVE;
 }
 
-/* Excludes the candidates in SELECTION that are not admitted for RELAY.
-   Returns whether there is one that is now and was not before.  */
+/* Excludes the candidates in SELECTION that ADMISSION does not allow RELAY at
+   NOW.  Returns whether there is one that is allowed now and was not before.
+ */
 static int
 admit_candidates (const struct relay *relay, const struct selection *selection,
-                  int tried)
+                  enum admission admission, clk_ms now)
 {
   int any = 0;
 
   for (size_t i = 0; i < selection->count; i++)
     {
       struct bal_candidate *candidate = &selection->candidates[i];
-      uint8_t excluded = !is_admitted (relay, selection->targets[i], tried);
+      uint8_t excluded
+          = !is_admitted (relay, selection->targets[i], admission, now);
 
       any |= candidate->excluded && !excluded;
       candidate->excluded = excluded;
@@ -80,20 +104,33 @@
   return any;
 }
 
-/* Returns whether RELAY may be sent to TARGET: it could be reached, fits the
-   stream, and was not sent RELAY before, unless TRIED.  Once RELAY was sent to
-   as many targets as its route allows, only these targets remain.  */
+/* Returns whether ADMISSION allows RELAY at TARGET at NOW.  Once RELAY was
+   sent to as many targets as its route allows, only these remain.  */
 static int
 is_admitted (const struct relay *relay, const struct reg_target *target,
-             int tried)
+             enum admission admission, clk_ms now)
 {
   int only_tried = relay->tried_count >= relay->route->attempts_max;
   int was_tried = contains_id (relay->tried, relay->tried_count, target->hash);
 
-  return relay_origin_fits (relay, target)
-         && !contains_id (relay->unreachable, relay->unreachable_count,
-                          target->hash)
-         && (was_tried == only_tried || (was_tried && tried));
+  if (!relay_origin_fits (relay, target)
+      || contains_id (relay->unreachable, relay->unreachable_count,
+                      target->hash))
+    return 0;
+  if (relay->software != 0 && reg_doubt (target, now) == REG_UNREACHABLE)
+    return 0;
+  if (was_tried != only_tried && !(was_tried && admission >= ADMIT_TRIED))
+    return 0;
+  return admission > ADMIT_SURE || is_sure (relay, target, now);
+}
+
+/* Returns whether it is sure that TARGET has the version that its entry names,
+   if RELAY goes on with a stream.  */
+static int
+is_sure (const struct relay *relay, const struct reg_target *target,
+         clk_ms now)
+{
+  return relay->software == 0 || reg_doubt (target, now) == REG_SURE;
 }
 
 /* Counts the current target as one that may have received RELAY.  */
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -31,6 +31,8 @@
 static void local_targets_are_preferred (void);
 static void suspended_targets_do_not_lower_the_bound (void);
 static void used_up_rate_limit_is_respected (void);
+static void begun_stream_gets_full_or_suspended_target (void);
+static void version_of_unreached_target_is_in_doubt (void);
 static void stale_rate_is_ignored (void);
 static void last_unlimited_target_is_not_flooded (void);
 static void read_timeout_needs_repeatable_request (void);
@@ -70,6 +72,10 @@
     used_up_rate_limit_is_respected },
   { "the last target without a rate limit is not flooded",
     last_unlimited_target_is_not_flooded },
+  { "a begun stream gets a target that is full or suspended",
+    begun_stream_gets_full_or_suspended_target },
+  { "the version of a target that was not reached is in doubt",
+    version_of_unreached_target_is_in_doubt },
   { "a rate limit follows the latest requests", stale_rate_is_ignored },
   { "only repeatable requests have a read timeout",
     read_timeout_needs_repeatable_request },
@@ -364,6 +370,30 @@
   CU_ASSERT_EQUAL (choice.reason, BAL_ALL_FULL);
 }
 
+/* All targets but one are of another version.  */
+static void
+begun_stream_gets_full_or_suspended_target (void)
+{
+  struct bal_candidate candidates[TARGETS];
+  struct bal_params params = { .cap_factor = 1, .cap_slack = 0 };
+  struct bal_choice choice;
+
+  fill (candidates);
+  for (int i = 1; i < TARGETS; i++)
+    candidates[i].excluded = 1;
+  candidates[0].load = candidates[0].slots;
+  CU_ASSERT (!bal_pick (&params, candidates, TARGETS, &choice));
+  params.is_pinned = 1;
+  CU_ASSERT (bal_pick (&params, candidates, TARGETS, &choice));
+  candidates[0].load = 1.25 * candidates[0].slots;
+  CU_ASSERT (!bal_pick (&params, candidates, TARGETS, &choice));
+  candidates[0].load = 0;
+  candidates[0].state = HEALTH_SUSPENDED;
+  CU_ASSERT (bal_pick (&params, candidates, TARGETS, &choice));
+  params.is_pinned = 0;
+  CU_ASSERT (!bal_pick (&params, candidates, TARGETS, &choice));
+}
+
 /* A response may have been sent before the limit began.  */
 static void
 stale_rate_is_ignored (void)
@@ -546,6 +576,25 @@
   reg_free (registry);
 }
 
+/* A process that has started again may be of another version.  */
+static void
+version_of_unreached_target_is_in_doubt (void)
+{
+  struct registry *registry = reg_new ();
+  struct reg_target *target;
+
+  put (registry, "i-1", 1, 100);
+  target = reg_find (registry, "i-1");
+  CU_ASSERT_EQUAL (reg_doubt (target, 1), REG_SURE);
+  reg_record_outcome (target, HEALTH_DISCONNECTED, 1);
+  CU_ASSERT_EQUAL (reg_doubt (target, 2), REG_BROKEN);
+  reg_record_outcome (target, HEALTH_CONNECT_FAILED, 2);
+  CU_ASSERT_EQUAL (reg_doubt (target, 3), REG_UNREACHABLE);
+  put (registry, "i-1", 2, 200);
+  CU_ASSERT_EQUAL (reg_doubt (target, 3), REG_SURE);
+  reg_free (registry);
+}
+
 static void
 stale_updates_are_ignored (void)
 {
