Take a client's stream up only at the version that began it

Callers that came back for the rest of a stream got it from any version: the header in which they name the attempt that brought its first event was passed on and not read.

An instance records which version began each resumable stream. A stream that a client takes up goes on at that version, and at the service it belongs to. If the instance does not know it, it goes on if only one version serves its route or has served it in the last minute, and is refused otherwise, with 503, since the request has not run. So is one whose version is gone.

test_resume: three of the four new cases failed before with 16 of 97 assertions; all seven pass now. Streams begun at another instance are refused while two versions serve, until the instances tell each other.

--- a/daemon/ctl_explain.c
+++ b/daemon/ctl_explain.c
@@ -40,6 +40,11 @@
   { "deadline_unsent", "refused: the time was over; not run" },
   { "rates_used_up",
     "refused: every usable target was at its rate limit; not run" },
+  { "origin_unknown",
+    "refused: it is not known which version began the stream; not run" },
+  { "version_gone",
+    "refused: no target of the version that began the stream is left; not "
+    "run" },
   { "quarantined",
     "refused: a part of the prompt has crashed targets; not run" },
   { "retry_budget",
--- a/include/ibisloom/origin.h
+++ b/include/ibisloom/origin.h
@@ -20,9 +20,10 @@
 /* Who learned the origin of a stream first. */
 enum origin_source
 {
-  ORIGIN_OWN,   /* this instance has forwarded the first event */
-  ORIGIN_PEER,  /* another instance has told this one */
-  ORIGIN_STORED /* an object in the store, written by another instance */
+  ORIGIN_OWN,    /* this instance has forwarded the first event */
+  ORIGIN_PEER,   /* another instance has told this one */
+  ORIGIN_STORED, /* an object in the store, written by another instance */
+  ORIGIN_SOURCE_COUNT
 };
 
 struct origin_record
@@ -52,6 +53,9 @@
 void origin_add (struct origins *origins, const struct origin_record *record,
                  enum origin_source source, clk_ms now);
 uint64_t origin_find (const struct origins *origins, uint64_t attempt);
+enum origin_source origin_learned_from (const struct origins *origins,
+                                        uint64_t attempt);
+uint64_t origin_service (const struct origins *origins, uint64_t software);
 int origin_see_version (struct origins *origins,
                         const struct origin_version *version, clk_ms now);
 uint64_t origin_only_version (const struct origins *origins, uint64_t service);
--- a/process/libfleet.h
+++ b/process/libfleet.h
@@ -161,6 +161,11 @@
 void fleet_apply_crash (struct fleet *fleet,
                         const struct wire_crash *reported);
 
+/* fleet_origin.c */
+void fleet_origin_init (struct fleet *fleet);
+void fleet_origin_clear (struct fleet *fleet);
+void fleet_origin_tick (struct fleet *fleet, clk_ms now);
+
 /* fleet_join.c */
 void fleet_join (struct fleet *fleet);
 void fleet_on_retry (struct ev_loop *loop, ev_timer *timer, int events);
--- a/process/metrics.c
+++ b/process/metrics.c
@@ -63,6 +63,10 @@
   [METRIC_REFUSED_QUARANTINED]
   = "ibisloom_refused_total{reason=\"quarantined\"}",
   [METRIC_REFUSED_RATE] = "ibisloom_refused_total{reason=\"rate_limit\"}",
+  [METRIC_REFUSED_ORIGIN]
+  = "ibisloom_refused_total{reason=\"origin_unknown\"}",
+  [METRIC_REFUSED_VERSION_GONE]
+  = "ibisloom_refused_total{reason=\"version_gone\"}",
   [METRIC_REFUSED_NO_CONNECTION]
   = "ibisloom_refused_total{reason=\"no_connection\"}",
   [METRIC_RETRY_CONNECT] = "ibisloom_retries_total{reason=\"connect\"}",
@@ -73,6 +77,11 @@
   [METRIC_RETRY_RESTART] = "ibisloom_retries_total{reason=\"restart\"}",
   [METRIC_RETRY_INVALID_RESPONSE]
   = "ibisloom_retries_total{reason=\"wrong_answer\"}",
+  [METRIC_RESUMED_OWN] = "ibisloom_resumed_total{origin=\"own\"}",
+  [METRIC_RESUMED_PEER] = "ibisloom_resumed_total{origin=\"peer\"}",
+  [METRIC_RESUMED_STORED] = "ibisloom_resumed_total{origin=\"stored\"}",
+  [METRIC_RESUMED_ONLY_VERSION]
+  = "ibisloom_resumed_total{origin=\"only_version\"}",
   [METRIC_MISMATCHED_RESPONSES] = "ibisloom_crossed_dropped_total",
   [METRIC_CLIENT_DISCONNECTED] = "ibisloom_client_gone_total",
   [METRIC_ATTEMPTS] = "ibisloom_tries_total",
--- a/process/router_store.c
+++ b/process/router_store.c
@@ -261,9 +261,14 @@
 put_target (struct router *router, const struct reg_entry *entry,
             struct position position)
 {
+  const struct reg_target *target;
+
   drop_restarted_holder (router, entry);
   if (reg_put (router->registry, entry, position, clk_now (clk_monotonic ())))
     log_target (entry->leaving ? "target_leaving" : "target", entry, position);
+  target = reg_find (router->registry, entry->id);
+  if (target != NULL)
+    fleet_see_target (router->fleet, target);
 }
 
 /* Handles the deletion of the registry entry OBJECT.  The target is kept as
--- a/request/librelay.h
+++ b/request/librelay.h
@@ -28,6 +28,8 @@
   RELAY_RETRY_BUDGET,
   RELAY_QUARANTINED,
   RELAY_RATES_USED_UP,
+  RELAY_ORIGIN_UNKNOWN,
+  RELAY_VERSION_GONE,
   RELAY_REFUSAL_COUNT
 };
 
@@ -85,6 +87,9 @@
   uint32_t error_responses;  /* attempts that ended in an error response */
   uint8_t may_have_run;
   uint64_t software; /* version that began the stream; 0: none has */
+  uint64_t stream;   /* hash of the attempt id that began it; 0: unknown */
+  uint8_t takes_up;  /* the client takes the stream up */
+  uint8_t has_begun; /* the origin of the stream has been recorded */
   /* The response.  */
   GString *response_fields;
   GString *buffered_body;
@@ -95,6 +100,7 @@
 extern const struct out_ops relay_upstream_ops;
 
 /* relay.c */
+void relay_start (struct relay *relay);
 void relay_dispatch (struct relay *relay);
 void relay_end_attempt (struct relay *relay, enum health_event event);
 void relay_handle_fault (struct relay *relay, enum retry_fault fault);
@@ -112,11 +118,16 @@
 int relay_origin_fits (const struct relay *relay,
                        const struct reg_target *target);
 void relay_origin_begin (struct relay *relay);
+void relay_origin_read (struct relay *relay);
+void relay_origin_resolve (struct relay *relay);
+const char *relay_origin_service (const struct relay *relay);
+int relay_origin_is_gone (const struct relay *relay);
 
 /* relay_log.c */
 void relay_log_placement (const struct relay *relay,
                           const struct bal_choice *choice, size_t candidates);
 void relay_log_over_bound (const struct relay *relay, int32_t reported);
+void relay_log_origin (const struct relay *relay, const char *origin);
 void relay_log_rate (const struct relay *relay);
 void relay_log_fault (const struct relay *relay, enum retry_fault fault,
                       const struct retry_decision *decision, clk_ms now);
--- a/request/origin.c
+++ b/request/origin.c
@@ -105,6 +105,26 @@
   return entry != NULL ? entry->record.software : 0;
 }
 
+/* Returns from whom the origin of the stream of ATTEMPT, which is known, was
+   learned.  */
+enum origin_source
+origin_learned_from (const struct origins *origins, uint64_t attempt)
+{
+  const struct entry *entry
+      = g_hash_table_lookup (origins->by_attempt, &attempt);
+
+  return entry->source;
+}
+
+/* Returns the service whose targets have or had SOFTWARE lately, or 0.  */
+uint64_t
+origin_service (const struct origins *origins, uint64_t software)
+{
+  const struct seen_version *seen = find_version (origins, software);
+
+  return seen != NULL ? seen->version.service : 0;
+}
+
 /* Records that a target of VERSION is seen at NOW.  Returns whether the
    version is new.  */
 int
--- a/request/relay.c
+++ b/request/relay.c
@@ -90,11 +90,33 @@
       relay_refuse (relay, refusal);
       return NULL;
     }
-  relay_dispatch (relay);
+  relay_origin_resolve (relay);
   return relay;
 }
 
-/* Looks up the route, customer and service of RELAY in the configuration.
+/* Chooses the service of RELAY and starts the first attempt, or refuses the
+   request.  */
+void
+relay_start (struct relay *relay)
+{
+  struct router *router = relay->router;
+
+  relay->service
+      = relay->software != 0
+            ? relay_origin_service (relay)
+            : rt_pick_service (relay->route, g_rand_int (router->random));
+  if (relay->service == NULL)
+    {
+      relay_refuse (relay, relay->software != 0 ? RELAY_VERSION_GONE
+                                                : RELAY_NO_TARGET);
+      return;
+    }
+  retry_budget_deposit (router_retry_budget (router, relay->service),
+                        router->settings->retry_ratio * RETRY_RATIO_FRACTION);
+  relay_dispatch (relay);
+}
+
+/* Looks up the route and the customer of RELAY in the configuration.
    Returns 1, or 0 with REFUSAL set if the request is to be refused.  */
 static int
 prepare_request (struct relay *relay, enum relay_refusal *refusal)
@@ -126,13 +148,7 @@
   *refusal = RELAY_STOPPING;
   if (!router_may_start (router, expected_duration_ms (relay)))
     return 0;
-  relay->service
-      = rt_pick_service (relay->route, g_rand_int (relay->router->random));
-  *refusal = RELAY_NO_TARGET;
-  if (relay->service == NULL)
-    return 0;
-  retry_budget_deposit (router_retry_budget (router, relay->service),
-                        router->settings->retry_ratio * RETRY_RATIO_FRACTION);
+  relay_origin_read (relay);
   return 1;
 }
 
@@ -256,10 +272,11 @@
       if (relay->may_have_run)
         relay_refuse (relay, RELAY_TARGET_FAILED);
       else
-        relay_refuse (relay, choice.reason == BAL_ALL_FULL ? RELAY_ALL_FULL
-                             : choice.reason == BAL_RATES_USED_UP
-                                 ? RELAY_RATES_USED_UP
-                                 : RELAY_NO_TARGET);
+        relay_refuse (
+            relay, choice.reason == BAL_ALL_FULL        ? RELAY_ALL_FULL
+                   : choice.reason == BAL_RATES_USED_UP ? RELAY_RATES_USED_UP
+                   : relay_origin_is_gone (relay)       ? RELAY_VERSION_GONE
+                                                        : RELAY_NO_TARGET);
       return;
     }
   if (relay->context != 0
--- a/request/relay_log.c
+++ b/request/relay_log.c
@@ -89,6 +89,22 @@
   log_end (&line);
 }
 
+/* Logs which version goes on with the stream that RELAY takes up, and the
+   ORIGIN of this knowledge.  */
+void
+relay_log_origin (const struct relay *relay, const char *origin)
+{
+  struct log_line line;
+
+  if (!log_begin (&line, LOG_LEVEL_INFO, "origin", relay->id, origin))
+    return;
+  log_hash (&line, "software", relay->software);
+  log_hash (&line, "stream", relay->stream);
+  log_number (&line, "waited_ms",
+              clk_now (clk_monotonic ()) - relay->arrived_ms);
+  log_end (&line);
+}
+
 /* Logs that the target of RELAY has begun or ended to limit its request rate,
    or changed the limit.  */
 void
--- a/request/relay_refuse.c
+++ b/request/relay_refuse.c
@@ -38,7 +38,11 @@
   = { "retry_budget", METRIC_REFUSED_RETRY_BUDGET, 502, 0 },
   [RELAY_QUARANTINED]
   = { "quarantined", METRIC_REFUSED_QUARANTINED, 503, 60000 },
-  [RELAY_RATES_USED_UP] = { "rates_used_up", METRIC_REFUSED_RATE, 503, 400 }
+  [RELAY_RATES_USED_UP] = { "rates_used_up", METRIC_REFUSED_RATE, 503, 400 },
+  [RELAY_ORIGIN_UNKNOWN]
+  = { "origin_unknown", METRIC_REFUSED_ORIGIN, 503, 300 },
+  [RELAY_VERSION_GONE]
+  = { "version_gone", METRIC_REFUSED_VERSION_GONE, 503, 500 }
 };
 
 /* Ends RELAY with REFUSAL.  If the response has begun, the client's connection
--- a/tests/test_resume.c
+++ b/tests/test_resume.c
@@ -7,8 +7,20 @@
 #include "shop.h"
 #include "test.h"
 
+/* Request of a client that takes up the stream that attempt BEGAN began.  */
+#define TAKE_UP(id, began)                                                    \
+  REQUEST_HEAD ("POST", "/plan/1", id)                                        \
+  "Last-Event-Id: 2\r\nResumes: " began "\r\n"                                \
+  "Content-Length: 4\r\n\r\nplan"
+
+/* The same, without telling which attempt began it.  */
+#define TAKE_UP_UNNAMED(id)                                                   \
+  REQUEST_HEAD ("POST", "/plan/1", id)                                        \
+  "Last-Event-Id: 2\r\nContent-Length: 4\r\n\r\nplan"
+
 enum
 {
+  APPLY_MS = 2000, /* until a new entry in the store is known */
   EVENTS = 5,
   EVENTS_BEFORE_CUT = 2,
   STREAMS = 12
@@ -17,6 +29,10 @@
 static void stream_goes_on_at_its_version (void);
 static void stream_ends_without_its_version (void);
 static void target_without_version_has_its_own (void);
+static void client_goes_on_at_the_same_version (void);
+static void client_is_refused_when_the_version_is_gone (void);
+static void unknown_stream_goes_on_at_the_only_version (void);
+static void unknown_stream_is_refused_among_two_versions (void);
 
 static const struct test_case cases[] = {
   { "a stream goes on at the version that began it only",
@@ -25,6 +41,14 @@
     stream_ends_without_its_version },
   { "a target that names no version has one of its own",
     target_without_version_has_its_own },
+  { "a client takes a stream up at the version that began it",
+    client_goes_on_at_the_same_version },
+  { "a client is refused when a target came back as another version",
+    client_is_refused_when_the_version_is_gone },
+  { "a stream of unknown origin goes on at the only version",
+    unknown_stream_goes_on_at_the_only_version },
+  { "a stream of unknown origin is refused among two versions",
+    unknown_stream_is_refused_among_two_versions },
 };
 
 TEST_MAIN ("resume", cases)
@@ -72,6 +96,28 @@
   return write_cut_stream (request, "new");
 }
 
+/* Writes a stream, broken off unless a client takes it up.  */
+static int
+write_taken_up (const struct fx_request *request, const char *text)
+{
+  int is_taken_up = strstr (request->text, "Resumes: ") != NULL;
+
+  return write_stream (request, text,
+                       is_taken_up ? EVENTS : EVENTS_BEFORE_CUT);
+}
+
+static int
+cut_old_until_taken_up (const struct fx_request *request)
+{
+  return write_taken_up (request, "old");
+}
+
+static int
+cut_new_until_taken_up (const struct fx_request *request)
+{
+  return write_taken_up (request, "new");
+}
+
 /* Breaks off each stream, resumed or not.  */
 static int
 cut_old_always (const struct fx_request *request)
@@ -171,3 +217,72 @@
   CU_ASSERT_EQUAL (count_complete (), STREAMS);
   fx_env_stop ();
 }
+
+/* Has a stream broken off.  Returns whether the older version began it.  */
+static int
+break_off_stream (void)
+{
+  char *response = fx_exchange (POST_PLAN ("s1"));
+  int is_old = strstr (response, "data: old2") != NULL;
+
+  CU_ASSERT (is_old || strstr (response, "data: new2") != NULL);
+  CU_ASSERT (!is_complete (response));
+  g_free (response);
+  return is_old;
+}
+
+static void
+client_goes_on_at_the_same_version (void)
+{
+  int is_old;
+
+  add_old ("i-1", cut_old_until_taken_up);
+  add_version ("i-2", cut_new_until_taken_up, "v2");
+  add_old ("i-3", cut_old_until_taken_up);
+  add_version ("i-4", cut_new_until_taken_up, "v2");
+  fx_env_start (shop_config);
+  is_old = break_off_stream ();
+  for (int i = 0; i < STREAMS; i++)
+    shop_expect (TAKE_UP ("s2", "s1"), "200",
+                 is_old ? "data: old5" : "data: new5");
+  fx_env_stop ();
+}
+
+/* Each process of the target writes the same, which cannot be told apart.  */
+static void
+client_is_refused_when_the_version_is_gone (void)
+{
+  struct fx_target *target = add_old ("i-1", cut_old_until_taken_up);
+
+  fx_env_start (shop_config);
+  CU_ASSERT (break_off_stream ());
+  fx_target_restart (target, "v2");
+  fx_sleep_ms (APPLY_MS);
+  shop_expect (TAKE_UP ("s2", "s1"), "503", "Retry-After: ");
+  fx_env_stop ();
+}
+
+static void
+unknown_stream_goes_on_at_the_only_version (void)
+{
+  add_old ("i-1", cut_old_until_taken_up);
+  add_old ("i-2", cut_old);
+  fx_env_start (shop_config);
+  shop_expect (TAKE_UP ("s2", "s1"), "200", "data: old5");
+  shop_expect (TAKE_UP_UNNAMED ("s3"), "200", "data: old3");
+  fx_env_stop ();
+}
+
+static void
+unknown_stream_is_refused_among_two_versions (void)
+{
+  struct fx_target *old = add_old ("i-1", cut_old);
+  struct fx_target *new = add_version ("i-2", cut_new, "v2");
+
+  fx_env_start (shop_config);
+  shop_expect (TAKE_UP ("s2", "s1"), "503", "Retry-After: ");
+  shop_expect (TAKE_UP_UNNAMED ("s3"), "503", "Retry-After: ");
+  CU_ASSERT_EQUAL (
+      fx_target_request_count (old) + fx_target_request_count (new), 0);
+  fx_env_stop ();
+}
