--- a/include/ibisloom/registry.h
+++ b/include/ibisloom/registry.h
@@ -30,10 +30,19 @@
   int64_t warming_ms;   /* time left until it has warmed up */
   uint64_t incarnation; /* of its process, 0: unknown */
   uint64_t reports;     /* of that process up to this one */
+  uint64_t software;    /* its version, see origin_software */
 };
 
 struct reg_target;
 
+/* Whether a target may have started again since its entry was written. */
+enum reg_doubt
+{
+  REG_SURE,
+  REG_BROKEN,     /* a connection to it broke lately */
+  REG_UNREACHABLE /* a connection to it could not be established lately */
+};
+
 /* Called when a request of this instance STARTED at TARGET, or ended there. */
 typedef void (*reg_load_fn) (void *closure, struct reg_target *target,
                              int started);
@@ -51,6 +60,7 @@
   int32_t slots;
   uint64_t incarnation;
   uint64_t reports;         /* see struct reg_entry */
+  uint64_t software;        /* see struct reg_entry */
   struct position position; /* of the entry */
   clk_ms warm_at_ms;        /* warmed up from then on */
   uint32_t references; /* requests in progress, plus one for the registry */
@@ -65,6 +75,8 @@
   int32_t reported_load;     /* running and waiting, by its last response */
   int32_t sent_since_report; /* sent minus ended since that response */
   clk_ms reported_ms;        /* time of that response, 0: none */
+  clk_ms broken_ms;          /* a connection broke then, 0: none */
+  clk_ms unreachable_ms;     /* no connection was established then, 0: none */
   double load_limit;         /* bound of its load when last selected */
   struct rate_limit rate;
   struct health health;
@@ -117,6 +129,9 @@
                        struct bal_candidate *candidates,
                        struct reg_target **targets, size_t capacity);
 int reg_is_near_limit (const struct reg_target *target, clk_ms now);
+void reg_record_outcome (struct reg_target *target, enum health_event event,
+                         clk_ms now);
+enum reg_doubt reg_doubt (const struct reg_target *target, clk_ms now);
 int reg_report_load (struct reg_target *target, int32_t load, clk_ms now);
 
 #endif
--- a/process/fleet.c
+++ b/process/fleet.c
@@ -55,6 +55,7 @@
   fleet_watch_loads (fleet);
   fleet_quarantine_init (fleet);
   fleet_crash_init (fleet);
+  fleet_origin_init (fleet);
   fleet->fd = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (sodium_init () < 0 || fleet->fd < 0
       || bind (fleet->fd, (const struct sockaddr *)&settings->peer_listen,
@@ -139,6 +140,7 @@
     store_call_cancel (fleet->call);
   if (fleet->fd >= 0)
     close (fleet->fd);
+  fleet_origin_clear (fleet);
   g_hash_table_destroy (fleet->peers);
   g_string_free (fleet->listed_name, TRUE);
   g_free (fleet);
--- a/process/libfleet.h
+++ b/process/libfleet.h
@@ -7,6 +7,7 @@
 
 #include "ibisloom/fleet.h"
 #include "ibisloom/members.h"
+#include "ibisloom/origin.h"
 #include "ibisloom/probe.h"
 #include "ibisloom/quarantine.h"
 #include "ibisloom/storecall.h"
@@ -89,6 +90,7 @@
   struct store_call *write_call; /* in progress, for the first; or NULL */
   int write_creates;             /* it creates the object of the part */
   ev_timer write_retry;
+  struct origins *origins;
   guint next_rate;       /* target whose sharers are found next */
   guint first_told_rate; /* target whose limit is told first */
   guint told_rates;      /* targets whose limits were told in this heartbeat */
@@ -159,6 +161,11 @@
 void fleet_apply_crash (struct fleet *fleet,
                         const struct wire_crash *reported);
 
+/* fleet_origin.c */
+void fleet_origin_init (struct fleet *fleet);
+void fleet_origin_clear (struct fleet *fleet);
+void fleet_origin_tick (struct fleet *fleet, clk_ms now);
+
 /* fleet_join.c */
 void fleet_join (struct fleet *fleet);
 void fleet_on_retry (struct ev_loop *loop, ev_timer *timer, int events);
--- a/request/relay_log.c
+++ b/request/relay_log.c
@@ -51,6 +51,8 @@
   log_text (&line, "target",
             relay->attempt.target ? relay->attempt.target->id : NULL);
   log_text (&line, "service", relay->service);
+  log_hash (&line, "software",
+            relay->attempt.target ? relay->attempt.target->software : 0);
   log_number (&line, "candidates", (int64_t)candidates);
   log_real (&line, "load", choice->load);
   log_real (&line, "mean_load", choice->mean);
@@ -90,6 +92,22 @@
   log_end (&line);
 }
 
+/* Logs which version goes on with the stream that RELAY takes up, and the
+   ORIGIN of this knowledge.  */
+void
+relay_log_origin (const struct relay *relay, const char *origin)
+{
+  struct log_line line;
+
+  if (!log_begin (&line, LOG_LEVEL_INFO, "origin", relay->id, origin))
+    return;
+  log_hash (&line, "software", relay->software);
+  log_hash (&line, "stream", relay->stream);
+  log_number (&line, "waited_ms",
+              clk_now (clk_monotonic ()) - relay->arrived_ms);
+  log_end (&line);
+}
+
 /* Logs that the target of RELAY has begun or ended to limit its request rate,
    or changed the limit.  */
 void
@@ -155,6 +173,7 @@
 relay_log_outcome (const struct relay *relay, const char *outcome, clk_ms now)
 {
   struct log_line line;
+  const char *field = relay->router->dialect->field[DIALECT_RESUMES];
 
   if (!log_begin (&line, LOG_LEVEL_INFO, "request", relay->id, outcome))
     return;
@@ -164,6 +183,7 @@
   log_number (&line, "status", relay->attempt.status);
   log_number (&line, "sends", relay->sends);
   log_number (&line, "events", relay->events.forwarded);
+  log_text (&line, "resumes", http_head_get (relay->head, field));
   log_number (&line, "may_have_run", relay->may_have_run);
   log_number (&line, "took_ms", now - relay->arrived_ms);
   if (relay->table != NULL)
