--- a/tests/test_odd_entry.c
+++ b/tests/test_odd_entry.c
@@ -19,6 +19,7 @@
 
 static void refused_object_keeps_name_and_revision (void);
 static void nameless_objects_do_not_repeat_a_page (void);
+static void numbers_out_of_range_are_not_cut_off (void);
 static void router_starts_among_odd_entries (void);
 static void router_follows_changes_after_odd_entries (void);
 
@@ -27,6 +28,8 @@
     refused_object_keeps_name_and_revision },
   { "a page without names to go on from is refused",
     nameless_objects_do_not_repeat_a_page },
+  { "numbers out of range are not cut off to others",
+    numbers_out_of_range_are_not_cut_off },
   { "a router that starts serves beside any odd entry",
     router_starts_among_odd_entries },
   { "a router that watches follows what comes after any odd entry",
@@ -178,6 +181,46 @@
   CU_ASSERT_EQUAL (read_page ("{\"items\":[],\"at\":-1}", 0, "", 0), -1);
 }
 
+static void
+numbers_out_of_range_are_not_cut_off (void)
+{
+  static const char entry[] = "{\"service\":\"desk\",\"address\":"
+                              "\"127.0.0.1:80\",\"zone\":\"a\",\"slots\":8,"
+                              "\"state\":\"ready\"%s}";
+  static const char *const odd_members[]
+      = { ",\"service\":\"\"",
+          ",\"slots\":4294967304",
+          ",\"slots\":-1",
+          ",\"cold_left_ms\":-1",
+          ",\"cold_left_ms\":9223372036854775807",
+          ",\"born\":-1",
+          ",\"born\":1e308",
+          ",\"sequence\":\"9\"",
+          ",\"sequence\":-9223372036854775808",
+          ",\"born\":null" };
+  static const char *const sound_members[]
+      = { "", ",\"cold_left_ms\":12.5,\"born\":1796433559389,"
+              "\"sequence\":9007199254740992" };
+  struct reg_entry read;
+
+  for (size_t i = 0;
+       i < G_N_ELEMENTS (odd_members) + G_N_ELEMENTS (sound_members); i++)
+    {
+      int is_odd = i < G_N_ELEMENTS (odd_members);
+      const char *members
+          = is_odd ? odd_members[i]
+                   : sound_members[i - G_N_ELEMENTS (odd_members)];
+      char *text = g_strdup_printf (entry, members);
+      json_t *content = json_loads (text, 0, NULL);
+
+      CU_ASSERT_PTR_NOT_NULL_FATAL (content);
+      CU_ASSERT_EQUAL (plat_read_target ("i-1", content, &read),
+                       is_odd ? -1 : 0);
+      json_decref (content);
+      g_free (text);
+    }
+}
+
 static void
 router_starts_among_odd_entries (void)
 {
