--- a/process/router_store.c
+++ b/process/router_store.c
@@ -103,6 +103,7 @@
   table = router->dialect->config (object->content);
   if (table == NULL)
     {
+      metric_inc (METRIC_STORE_UNREADABLE);
       log_error ("config", NULL, "unreadable",
                  "revision %" PRIu64 "; the previous version stays in force",
                  object->position.revision);
--- a/tests/test_odd_entry.c
+++ b/tests/test_odd_entry.c
@@ -22,6 +22,7 @@
 static void numbers_out_of_range_are_not_cut_off (void);
 static void router_starts_among_odd_entries (void);
 static void router_follows_changes_after_odd_entries (void);
+static void router_follows_versions_after_odd_ones (void);
 
 static const struct test_case cases[] = {
   { "an object that the parser refuses keeps its name and revision",
@@ -34,6 +35,8 @@
     router_starts_among_odd_entries },
   { "a router that watches follows what comes after any odd entry",
     router_follows_changes_after_odd_entries },
+  { "a router that watches follows versions after any odd configuration",
+    router_follows_versions_after_odd_ones },
 };
 
 TEST_MAIN ("odd_entry", cases)
@@ -44,39 +47,75 @@
 {
   const char *members;
   int depth;
+  int is_refused; /* by the parser, wherever it is added */
 };
 
 static const struct odd_entry odd_entries[] = {
-  { ",\"x\":", 2100 },
-  { ",\"x\":", DEPTH_MAX },
-  { ",\"slots\":99999999999999999999", 0 },
-  { ",\"x\":1e400", 0 },
-  { ",\"x\":\"\\u0000\"", 0 },
-  { ",\"x\":\"\\ud800\"", 0 },
-  { ",\"x\":\"\xff\xfe\"", 0 },
-  { ",\"x\":NaN", 0 },
-  { ",\"service\":null", 0 },
-  { ",\"state\":\"idle\"", 0 },
-  { ",\"address\":7", 0 },
-  { ",\"address\":\"127.0.0.1:99999\"", 0 },
-  { ",\"address\":\"127.0.0.1:0\"", 0 },
-  { ",\"slots\":\"8\"", 0 },
-  { ",\"slots\":8.5", 0 },
+  { ",\"x\":", 2100, 1 },
+  { ",\"x\":", DEPTH_MAX, 1 },
+  { ",\"slots\":99999999999999999999", 0, 1 },
+  { ",\"x\":1e400", 0, 1 },
+  { ",\"x\":\"\\u0000\"", 0, 1 },
+  { ",\"x\":\"\\ud800\"", 0, 1 },
+  { ",\"x\":\"\xff\xfe\"", 0, 1 },
+  { ",\"x\":NaN", 0, 1 },
+  { ",\"service\":null", 0, 0 },
+  { ",\"state\":\"idle\"", 0, 0 },
+  { ",\"address\":7", 0, 0 },
+  { ",\"address\":\"127.0.0.1:99999\"", 0, 0 },
+  { ",\"address\":\"127.0.0.1:0\"", 0, 0 },
+  { ",\"slots\":\"8\"", 0, 0 },
+  { ",\"slots\":8.5", 0, 0 },
 };
 
 static struct fx_target *sound[SOUND];
 static struct fx_target *odd;
 
-/* Writes ENTRY as that of the target ODD.  */
-static void
-put_odd_entry (const struct odd_entry *entry)
+/* Returns the members of ENTRY, newly allocated.  */
+static char *
+odd_members (const struct odd_entry *entry)
 {
   GString *members = g_string_new (entry->members);
 
   for (int i = 0; i < 2 * entry->depth; i++)
     g_string_append_c (members, i < entry->depth ? '[' : ']');
-  fx_target_put_entry (odd, members->str);
-  g_string_free (members, TRUE);
+  return g_string_free (members, FALSE);
+}
+
+/* Writes ENTRY as that of the target ODD.  */
+static void
+put_odd_entry (const struct odd_entry *entry)
+{
+  char *members = odd_members (entry);
+
+  fx_target_put_entry (odd, members);
+  g_free (members);
+}
+
+/* Makes VERSION the configuration NAME in the store, with MEMBERS added.  */
+static void
+put_version (const char *name, int version, const char *members)
+{
+  char *text = g_strdup_printf ("{\"version\":%d%.*s%s}", version,
+                                (int)strlen (strchr (shop_config, ',')) - 1,
+                                strchr (shop_config, ','), members);
+
+  fx_store_put ("config", name, text);
+  g_free (text);
+}
+
+/* Waits at most MS until VERSION is in force.  Returns the version that is. */
+static long
+wait_for_version (long version, int ms)
+{
+  long found = 0;
+
+  for (int waited = 0; found != version && waited <= ms; waited += CHECK_MS)
+    {
+      fx_sleep_ms (CHECK_MS);
+      found = fx_router_metric (0, "ibisloom_version_in_force");
+    }
+  return found;
 }
 
 /* Adds the sound targets and the odd one, whose entry is sound as yet.  */
@@ -259,3 +298,30 @@
     }
   fx_env_stop ();
 }
+
+/* The odd configuration comes under the name of the one in force and under
+   another name.  */
+static void
+router_follows_versions_after_odd_ones (void)
+{
+  int version = 3;
+
+  add_targets ();
+  fx_env_start (shop_config);
+  for (size_t i = 0; odd_entries[i].is_refused; i++)
+    {
+      char *members = odd_members (&odd_entries[i]);
+
+      put_version ("main", version + 1, members);
+      put_version ("other", version + 1, members);
+      fx_sleep_ms (FOLLOW_MS / 4);
+      CU_ASSERT_EQUAL (wait_for_version (version, 0), version);
+      version += 2;
+      put_version ("main", version, "");
+      CU_ASSERT_EQUAL (wait_for_version (version, FOLLOW_MS), version);
+      shop_expect (GET_MAP ("m"), "200", "well");
+      g_free (members);
+    }
+  CU_ASSERT (fx_router_metric (0, "ibisloom_store_unreadable_total") > 0);
+  fx_env_stop ();
+}
