Let the soak add silences, two software versions and odd entries

Three kinds of fault that the soak lacked, each with its check, are asked for by words of its fifth argument, as this code does not pass them yet: targets that fall silent and go on cost no response (silence), no stream holds events of two software versions while clients take streams up (versions), and odd entries of another writer stop no router from running and following (odd). A check that is new for all runs: no router ends by itself. What concerns routers, streams and entries is in files of its own.

--- a/tests/router_fixture.c
+++ b/tests/router_fixture.c
@@ -393,6 +393,17 @@
   return WIFEXITED (status) ? WEXITSTATUS (status) : -WTERMSIG (status);
 }
 
+/* Returns whether the process of router INDEX has ended.  */
+int
+fx_router_has_ended (int index)
+{
+  siginfo_t info = { 0 };
+
+  waitid (P_PID, (id_t)fx_env.routers[index].pid, &info,
+          WEXITED | WNOHANG | WNOWAIT);
+  return info.si_pid != 0;
+}
+
 void
 fx_signal (int number)
 {
--- a/tests/router_fixture.h
+++ b/tests/router_fixture.h
@@ -35,6 +35,7 @@
 void fx_routers_start (int count);
 void fx_router_signal (int index, int number);
 int fx_router_wait_for_exit (int index);
+int fx_router_has_ended (int index);
 int fx_router_start_count (int index);
 int fx_router_is_ready (int index);
 int fx_router_listens (int index);
--- /dev/null
+++ b/tests/soak.h
@@ -0,0 +1,50 @@
+/* Private to the soak: its checks, its routers, and streams and
+   entries of its targets. */
+#ifndef SOAK_H
+#define SOAK_H
+
+#include "router_fixture.h"
+
+enum
+{
+  SOAK_EVENTS_PER_STREAM = 6,
+  SOAK_VERSION_BYTES = 8
+};
+
+/* What a client has of a stream, over all requests that take it up. */
+struct soak_stream
+{
+  char *id; /* of the request that brought the first event, or NULL */
+  int last; /* number of the last event */
+  char version[SOAK_VERSION_BYTES]; /* of the software that wrote it */
+};
+
+/* soak.c */
+void soak_report_violation (const char *id, const char *description,
+                            const char *response);
+
+/* soak_routers.c */
+void soak_wait_for_listener (int index);
+void soak_restart_router (GRand *random, int index, int number,
+                          const char *log);
+void soak_pause_router (GRand *random, int index);
+void soak_reload_settings (int index);
+void soak_wait_for_restarts (int count);
+void soak_check_processes (int count);
+
+/* soak_streams.c */
+void soak_write_stream (const struct fx_request *request, const char *fields,
+                        const char *version, int truncated, int pause_ms);
+char *soak_resume_fields (const struct soak_stream *stream);
+const char *soak_check_stream (struct soak_stream *stream, const char *id,
+                               const char *response);
+int soak_is_broken_off (const struct soak_stream *stream);
+void soak_clear_stream (struct soak_stream *stream);
+
+/* soak_entries.c */
+void soak_put_entry (int index, const char *service, int port,
+                     const char *version, const char *state);
+void soak_change_odd_entries (GRand *random);
+void soak_put_odd_entries (void);
+
+#endif
