--- a/connection/outbound.c
+++ b/connection/outbound.c
@@ -181,6 +181,15 @@
   conn_close (conn);
 }
 
+/* Passes the events of CALL from now on to OPS of OWNER.  */
+void
+out_call_set_owner (struct out_call *call, const struct out_ops *ops,
+                    void *owner)
+{
+  call->ops = ops;
+  call->owner = owner;
+}
+
 /* Stops reading the response of CALL if PAUSED, else resumes it.  */
 void
 out_call_pause (struct out_call *call, int paused)
--- a/include/ibisloom/health.h
+++ b/include/ibisloom/health.h
@@ -15,6 +15,7 @@
   HEALTH_CONNECT_FAILED, /* connection not established */
   HEALTH_DISCONNECTED,   /* connection closed early, or invalid response */
   HEALTH_TIMED_OUT,      /* no byte within the read timeout */
+  HEALTH_WENT_ON,        /* sent something after HEALTH_TIMED_OUT */
   HEALTH_MISDIRECTED,    /* the address belongs to another process now */
   HEALTH_EVENT_COUNT
 };
--- a/include/ibisloom/retry.h
+++ b/include/ibisloom/retry.h
@@ -23,6 +23,7 @@
   RETRY_OTHER_TARGET, /* send from the start to another target */
   RETRY_RESUME,       /* resume at the same target, at the offset reached */
   RETRY_CONTINUE,     /* continue the partial response at another target */
+  RETRY_WAIT,         /* keep the attempt, which is silent */
   RETRY_GIVE_UP
 };
 
@@ -41,7 +42,10 @@
   RETRY_REASON_DEADLINE,
   RETRY_REASON_BUDGET,
   RETRY_REASON_ATTEMPTS,
-  RETRY_REASON_MAY_HAVE_RUN
+  RETRY_REASON_MAY_HAVE_RUN,
+  RETRY_REASON_NO_TARGET,
+  RETRY_REASON_QUARANTINED,
+  RETRY_REASON_COUNT
 };
 
 struct retry_state
--- a/request/health.c
+++ b/request/health.c
@@ -44,7 +44,8 @@
 };
 
 /* Records EVENT, the outcome of a request that ended at NOW.  Any complete
-   response ends a suspension; server errors only raise the error rate.  */
+   response ends a suspension, and so does one that goes on after a silence;
+   server errors only raise the error rate.  */
 void
 health_record (struct health *health, enum health_event event, clk_ms now)
 {
@@ -63,6 +64,12 @@
       health->suspended_until_ms = 0;
       return;
     }
+  if (event == HEALTH_WENT_ON)
+    {
+      health->consecutive_failures = 0;
+      health->suspended_until_ms = 0;
+      return;
+    }
   health->consecutive_failures++;
   if (health->consecutive_failures < penalty->failures_to_suspend)
     return;
--- a/request/librelay.h
+++ b/request/librelay.h
@@ -54,6 +54,7 @@
   uint8_t is_trial;        /* trial request to a suspended target */
   uint8_t is_first_send;   /* the target was not sent the request before */
   uint8_t parts_succeeded; /* its target has gone on after the first event */
+  uint8_t is_silent;       /* past its read timeout */
   clk_ms first_event_ms;   /* 0: no event yet */
   GString *response_fields;
   GString *buffered_body;
@@ -81,6 +82,11 @@
   int64_t retry_after_ms; /* for a refusal; 0: the default */
   ev_timer timer;
   struct relay_attempt attempt; /* the current one */
+  /* A silent attempt, kept open beside the current one, its replacement, until
+     one of them goes on; TARGET is NULL: none.  */
+  struct relay_attempt kept;
+  clk_ms kept_until_ms;
+  clk_ms look_again_ms; /* for a replacement of a silent attempt */
   /* All attempts.  */
   uint64_t tried[RELAY_TRIED_MAX]; /* targets that may have received it */
   uint32_t tried_count;
@@ -100,11 +106,25 @@
 
 /* relay.c */
 void relay_dispatch (struct relay *relay);
+void relay_send (struct relay *relay, struct reg_target *target,
+                 const struct bal_choice *choice, size_t candidates);
+void relay_decide (struct relay *relay, enum retry_fault fault,
+                   struct retry_decision *decision);
 void relay_end_attempt (struct relay *relay, enum health_event event);
+void relay_attempt_end (struct relay_attempt *attempt,
+                        enum health_event event);
+void relay_attempt_clear (struct relay_attempt *attempt);
 void relay_handle_fault (struct relay *relay, enum retry_fault fault);
 void relay_finish (struct relay *relay, const char *outcome);
 void relay_arm_timer (struct relay *relay);
 
+/* relay_silence.c */
+void relay_handle_silence (struct relay *relay);
+void relay_handle_progress (struct relay *relay);
+void relay_return_to_kept (struct relay *relay);
+void relay_drop_kept (struct relay *relay, enum health_event event);
+void relay_end_overlap (struct relay *relay);
+
 /* relay_target.c */
 struct reg_target *relay_choose_target (const struct relay *relay, clk_ms now,
                                         struct bal_choice *choice,
@@ -119,6 +139,7 @@
 void relay_log_rate (const struct relay *relay);
 void relay_log_fault (const struct relay *relay, enum retry_fault fault,
                       const struct retry_decision *decision, clk_ms now);
+void relay_log_went_on (const struct relay *relay);
 void relay_log_outcome (const struct relay *relay, const char *outcome,
                         clk_ms now);
 
@@ -133,11 +154,18 @@
 GString *relay_build_request_head (const struct relay *relay, clk_ms now);
 
 /* relay_response.c */
+int relay_matches_request (const struct relay *relay,
+                           const struct out_call *call,
+                           const struct http_head *head);
+int relay_is_not_run (const struct relay *relay, const struct http_head *head);
+enum retry_fault relay_response_fault (const struct relay *relay,
+                                       const struct relay_attempt *attempt);
 void relay_deliver_response (struct relay *relay);
 void relay_events_forward (struct relay *relay, const char *data,
                            size_t length);
 
 /* relay_events.c */
+int relay_events_has_complete (const GString *partial, size_t searched);
 int relay_events_feed (struct relay *relay, const char *data, size_t length);
 void relay_events_reset (struct relay *relay);
 
--- a/request/relay.c
+++ b/request/relay.c
@@ -45,6 +45,7 @@
 static void set_fingerprint (struct relay *relay, const char *host);
 static void start_attempt (struct relay *relay, struct reg_target *target);
 static uint32_t max_sends (const struct relay *relay);
+static void record_fault (struct relay *relay, enum retry_fault fault);
 static enum health_event health_event_of (const struct relay *relay,
                                           enum retry_fault fault);
 static void give_up (struct relay *relay,
@@ -231,7 +232,6 @@
 void
 relay_dispatch (struct relay *relay)
 {
-  struct router *router = relay->router;
   struct bal_choice choice;
   struct reg_target *target;
   clk_ms now = clk_now (clk_monotonic ());
@@ -250,7 +250,9 @@
       return;
     }
   target = relay_choose_target (relay, now, &choice, &count);
-  if (target == NULL)
+  if (target != NULL)
+    relay_send (relay, target, &choice, count);
+  else
     {
       relay_log_placement (relay, &choice, count);
       if (relay->may_have_run)
@@ -260,13 +262,23 @@
                              : choice.reason == BAL_RATES_USED_UP
                                  ? RELAY_RATES_USED_UP
                                  : RELAY_NO_TARGET);
-      return;
     }
+}
+
+/* Starts an attempt at TARGET, which was chosen among so many CANDIDATES for
+   the reason in CHOICE.  */
+void
+relay_send (struct relay *relay, struct reg_target *target,
+            const struct bal_choice *choice, size_t candidates)
+{
+  struct router *router = relay->router;
+
   if (relay->context != 0
-      && affinity_record (router->affinity, relay->context, target->hash, now))
+      && affinity_record (router->affinity, relay->context, target->hash,
+                          clk_now (clk_monotonic ())))
     fleet_announce_holder (router->fleet, relay->context, target->hash);
   start_attempt (relay, target);
-  relay_log_placement (relay, &choice, count);
+  relay_log_placement (relay, choice, candidates);
 }
 
 /* Starts an attempt at TARGET.  If no call can be made, the fault is
@@ -296,6 +308,7 @@
   relay->attempt.status = 0;
   relay->attempt.not_run = 0;
   relay->attempt.is_invalid = 0;
+  relay->attempt.is_silent = 0;
   relay->attempt.first_event_ms = 0;
   relay->attempt.parts_succeeded = 0;
   relay->sends++;
@@ -316,20 +329,40 @@
 void
 relay_end_attempt (struct relay *relay, enum health_event event)
 {
-  struct reg_target *target = relay->attempt.target;
+  relay_attempt_end (&relay->attempt, event);
+}
 
-  if (relay->attempt.call != NULL)
-    out_call_cancel (relay->attempt.call);
-  relay->attempt.call = NULL;
+/* Ends ATTEMPT and reports EVENT, or none, to the target's health record.  */
+void
+relay_attempt_end (struct relay_attempt *attempt, enum health_event event)
+{
+  struct reg_target *target = attempt->target;
+
+  if (attempt->call != NULL)
+    out_call_cancel (attempt->call);
+  attempt->call = NULL;
   if (target == NULL)
     return;
-  relay->attempt.target = NULL;
-  health_end_request (&target->health, relay->attempt.is_trial);
+  attempt->target = NULL;
+  health_end_request (&target->health, attempt->is_trial);
   if (event < HEALTH_EVENT_COUNT)
     health_record (&target->health, event, clk_now (clk_monotonic ()));
   reg_request_end (target);
 }
 
+/* Frees what was received in ATTEMPT, which has ended, and zeroes it.  */
+void
+relay_attempt_clear (struct relay_attempt *attempt)
+{
+  if (attempt->response_fields != NULL)
+    g_string_free (attempt->response_fields, TRUE);
+  if (attempt->buffered_body != NULL)
+    g_string_free (attempt->buffered_body, TRUE);
+  if (attempt->partial_event != NULL)
+    g_string_free (attempt->partial_event, TRUE);
+  memset (attempt, 0, sizeof *attempt);
+}
+
 /* Returns how many attempts RELAY may make.  Targets mostly repeat an error
    response, so the error response of the last target that the route allows is
    final.  */
@@ -356,22 +389,36 @@
   return health_events[fault];
 }
 
-/* Handles FAULT of the current attempt: starts another attempt, or ends
-   the request.  */
+/* Decides what follows FAULT of the current attempt.  Draws on the retry
+   budget if that is another attempt.  */
 void
-relay_handle_fault (struct relay *relay, enum retry_fault fault)
+relay_decide (struct relay *relay, enum retry_fault fault,
+              struct retry_decision *decision)
 {
-  struct router *router = relay->router;
-  clk_ms now = clk_now (clk_monotonic ());
   struct retry_state state = { .fault = fault,
                                .repeatable = rt_repeatable (relay->route),
                                .is_stream = relay->route->kind == RT_STREAM,
                                .may_have_run = relay->may_have_run,
                                .tokens = relay->events.forwarded,
+                               .attempts = relay->sends,
+                               .attempts_max = max_sends (relay),
                                .resumes_at_any_target = 1,
                                .deadline_ms = relay->deadline_ms };
-  struct retry_decision decision;
 
+  decision->action = RETRY_GIVE_UP;
+  decision->reason = RETRY_REASON_ATTEMPTS;
+  if ((relay->head_sent && !relay->head_is_stream)
+      || relay->connect_failures >= CONNECT_FAILURES_MAX)
+    return;
+  retry_decide (&state, router_retry_budget (relay->router, relay->service),
+                clk_now (clk_monotonic ()), decision);
+}
+
+/* Records what FAULT of the current attempt says of its target and of
+   RELAY.  */
+static void
+record_fault (struct relay *relay, enum retry_fault fault)
+{
   relay_parts_suspect (relay, fault);
   if (fault == RETRY_FAULT_CONNECT)
     {
@@ -382,15 +429,27 @@
   else if (fault != RETRY_FAULT_REJECTED)
     relay->may_have_run = 1;
   relay->error_responses += fault == RETRY_FAULT_ERROR_STATUS;
-  state.attempts = relay->sends;
-  state.attempts_max = max_sends (relay);
-  retry_decide (&state, router_retry_budget (router, relay->service), now,
-                &decision);
-  if (relay->head_sent && !relay->head_is_stream)
-    decision.action = RETRY_GIVE_UP;
-  if (relay->connect_failures >= CONNECT_FAILURES_MAX)
-    decision.action = RETRY_GIVE_UP;
   metric_inc (retry_counters[fault]);
+}
+
+/* Handles FAULT of the current attempt: starts another attempt, returns to the
+   one that it was to replace, or ends the request.  */
+void
+relay_handle_fault (struct relay *relay, enum retry_fault fault)
+{
+  clk_ms now = clk_now (clk_monotonic ());
+  struct retry_decision decision = { .action = RETRY_WAIT };
+
+  record_fault (relay, fault);
+  if (relay->kept.target != NULL)
+    {
+      relay_log_fault (relay, fault, &decision, now);
+      relay_end_attempt (relay, health_event_of (relay, fault));
+      relay_return_to_kept (relay);
+      relay_handle_silence (relay);
+      return;
+    }
+  relay_decide (relay, fault, &decision);
   relay_log_fault (relay, fault, &decision, now);
   if (decision.action == RETRY_GIVE_UP)
     {
@@ -426,8 +485,9 @@
   relay_refuse (relay, refusal);
 }
 
-/* Sets RELAY's timer to its deadline or to the read timeout of the current
-   attempt, whichever comes first.  */
+/* Sets RELAY's timer to its deadline or to what is due before: the end of a
+   silent attempt that is being replaced, the next look for a replacement, or
+   the read timeout of the current attempt.  */
 void
 relay_arm_timer (struct relay *relay)
 {
@@ -442,8 +502,12 @@
   clk_ms now = clk_now (clk_monotonic ());
   clk_ms expires_ms = relay->deadline_ms;
 
-  if (read_timeout_ms > 0
-      && relay->attempt.last_received_ms + read_timeout_ms < expires_ms)
+  if (relay->kept.target != NULL)
+    expires_ms = MIN (expires_ms, relay->kept_until_ms);
+  else if (relay->attempt.is_silent)
+    expires_ms = MIN (expires_ms, relay->look_again_ms);
+  else if (read_timeout_ms > 0
+           && relay->attempt.last_received_ms + read_timeout_ms < expires_ms)
     expires_ms = relay->attempt.last_received_ms + read_timeout_ms;
   ev_timer_stop (relay->router->loop, &relay->timer);
   if (expires_ms == INT64_MAX)
@@ -470,9 +534,12 @@
     }
   if (now < relay->deadline_ms)
     {
-      relay_handle_fault (relay, relay->attempt.not_run
-                                     ? RETRY_FAULT_REJECTED
-                                     : RETRY_FAULT_READ_TIMEOUT);
+      if (relay->kept.target != NULL)
+        relay_end_overlap (relay);
+      else if (relay->attempt.not_run)
+        relay_handle_fault (relay, RETRY_FAULT_REJECTED);
+      else
+        relay_handle_silence (relay);
       return;
     }
   if (relay->attempt.call != NULL && out_call_was_sent (relay->attempt.call)
@@ -514,6 +581,7 @@
 {
   clk_ms now = clk_now (clk_monotonic ());
 
+  relay_drop_kept (relay, HEALTH_EVENT_COUNT);
   metric_observe (METRIC_HIST_TOTAL_MS, now - relay->arrived_ms);
   relay_log_outcome (relay, outcome, now);
   relay_free (relay);
@@ -530,11 +598,6 @@
   http_head_free (relay->head);
   if (relay->body != NULL)
     g_string_free (relay->body, TRUE);
-  if (relay->attempt.response_fields != NULL)
-    g_string_free (relay->attempt.response_fields, TRUE);
-  if (relay->attempt.buffered_body != NULL)
-    g_string_free (relay->attempt.buffered_body, TRUE);
-  if (relay->attempt.partial_event != NULL)
-    g_string_free (relay->attempt.partial_event, TRUE);
+  relay_attempt_clear (&relay->attempt);
   g_free (relay);
 }
--- a/request/relay_events.c
+++ b/request/relay_events.c
@@ -47,6 +47,14 @@
   return partial->len > EVENT_MAX_BYTES ? -1 : 0;
 }
 
+/* Returns whether PARTIAL, of which the first SEARCHED bytes have none, has
+   the end of an event.  */
+int
+relay_events_has_complete (const GString *partial, size_t searched)
+{
+  return event_length (partial->str, partial->len, searched) > 0;
+}
+
 /* Discards an incomplete event.  */
 void
 relay_events_reset (struct relay *relay)
--- a/request/relay_log.c
+++ b/request/relay_log.c
@@ -33,6 +33,8 @@
   [RETRY_REASON_BUDGET] = "retry_budget",
   [RETRY_REASON_ATTEMPTS] = "attempts_used",
   [RETRY_REASON_MAY_HAVE_RUN] = "may_have_run",
+  [RETRY_REASON_NO_TARGET] = "no_target",
+  [RETRY_REASON_QUARANTINED] = "quarantined",
 };
 
 static void log_parts (struct log_line *line, const struct relay *relay);
@@ -127,7 +129,9 @@
   log_number (&line, "attempts_max", relay->route->attempts_max);
   log_number (&line, "events", relay->events.forwarded);
   log_text (&line, "next",
-            decision->action == RETRY_GIVE_UP ? "give_up" : "elsewhere");
+            decision->action == RETRY_GIVE_UP ? "give_up"
+            : decision->action == RETRY_WAIT  ? "wait"
+                                              : "elsewhere");
   log_text (&line, "because", give_up_reason_names[decision->reason]);
   g_snprintf (fingerprint, sizeof fingerprint, "%" PRIx64, relay->fingerprint);
   log_text (&line, "fingerprint", fingerprint);
@@ -135,6 +139,21 @@
   log_end (&line);
 }
 
+/* Logs that a silent attempt of RELAY goes on before its replacement.  */
+void
+relay_log_went_on (const struct relay *relay)
+{
+  struct log_line line;
+
+  if (!log_begin (&line, LOG_LEVEL_INFO, "attempt", relay->id, "went_on"))
+    return;
+  log_text (&line, "target", relay->attempt.target->id);
+  log_number (&line, "silent_ms",
+              clk_now (clk_monotonic ()) - relay->attempt.last_received_ms);
+  log_number (&line, "events", relay->events.forwarded);
+  log_end (&line);
+}
+
 /* Adds the shared prompt parts of RELAY to LINE, as many as fit.  */
 static void
 log_parts (struct log_line *line, const struct relay *relay)
--- a/request/relay_response.c
+++ b/request/relay_response.c
@@ -15,8 +15,6 @@
 static void on_end (void *owner);
 static void on_fail (void *owner, enum out_fault fault);
 static int buffer_body (struct relay *relay, const char *data, size_t length);
-static int matches_request (const struct relay *relay,
-                            const struct http_head *head);
 static void record_load (struct relay *relay, const struct http_head *head);
 static void record_rate (struct relay *relay, const struct http_head *head);
 static void copy_fields (struct relay *relay, const struct http_head *head);
@@ -39,7 +37,6 @@
 on_head (void *owner, const struct http_head *head, int64_t length)
 {
   struct relay *relay = owner;
-  const struct dialect *dialect = relay->router->dialect;
   const char *type = http_head_get (head, "Content-Type");
 
   relay->attempt.last_received_ms = clk_now (clk_monotonic ());
@@ -47,11 +44,10 @@
                   relay->attempt.last_received_ms - relay->arrived_ms);
   relay->attempt.status = head->status;
   relay->attempt.length = length;
-  relay->attempt.is_invalid = !matches_request (relay, head);
+  relay->attempt.is_invalid
+      = !relay_matches_request (relay, relay->attempt.call, head);
   relay->attempt.not_run
-      = !relay->attempt.is_invalid
-        && (http_head_get (head, dialect->field[DIALECT_NOT_RUN]) != NULL
-            || head->status == HTTP_STATUS_MISDIRECTED_REQUEST);
+      = !relay->attempt.is_invalid && relay_is_not_run (relay, head);
   relay->attempt.is_event_stream
       = http_is_success (head->status) && relay->route->kind == RT_STREAM
         && type != NULL && g_str_has_prefix (type, "text/event-stream");
@@ -61,7 +57,7 @@
   record_rate (relay, head);
   if (!relay->head_sent)
     copy_fields (relay, head);
-  relay_arm_timer (relay);
+  relay_handle_progress (relay);
   return 0;
 }
 
@@ -82,15 +78,13 @@
         }
       if (relay->events.complete == complete)
         return 0;
-      relay->attempt.last_received_ms = clk_now (clk_monotonic ());
+      relay_handle_progress (relay);
       relay_parts_event (relay);
-      relay_arm_timer (relay);
     }
   else if (relay->head_sent && !relay->head_is_stream)
     {
       forward_body (relay, data, length);
-      relay->attempt.last_received_ms = clk_now (clk_monotonic ());
-      relay_arm_timer (relay);
+      relay_handle_progress (relay);
     }
   else if (buffer_body (relay, data, length) != 0)
     return -1;
@@ -139,26 +133,38 @@
                                                     : retry_faults[fault]);
 }
 
-/* Classifies a complete response: delivers it, or handles it as a fault.  */
+/* Handles a complete response: delivers it, or handles it as a fault.  */
 static void
 handle_complete_response (struct relay *relay)
 {
+  enum retry_fault fault = relay_response_fault (relay, &relay->attempt);
+
   if (!relay->attempt.not_run && !relay->attempt.is_event_stream)
     relay_request_survived (relay);
-  if (relay->attempt.not_run)
-    relay_handle_fault (relay, RETRY_FAULT_REJECTED);
-  else if (relay->attempt.status >= HTTP_STATUS_INTERNAL_SERVER_ERROR)
-    relay_handle_fault (relay, RETRY_FAULT_ERROR_STATUS);
-  else if (relay->head_is_stream && !relay->attempt.is_event_stream)
-    relay_handle_fault (relay, RETRY_FAULT_INVALID_RESPONSE);
-  else if (relay->attempt.is_event_stream
-           && relay->attempt.partial_event != NULL
-           && relay->attempt.partial_event->len > 0)
-    relay_handle_fault (relay, RETRY_FAULT_DISCONNECTED);
+  if (fault != RETRY_FAULT_COUNT)
+    relay_handle_fault (relay, fault);
   else
     relay_deliver_response (relay);
 }
 
+/* Returns the fault that the complete response of ATTEMPT is, or
+   RETRY_FAULT_COUNT if it is to be delivered.  */
+enum retry_fault
+relay_response_fault (const struct relay *relay,
+                      const struct relay_attempt *attempt)
+{
+  if (attempt->not_run)
+    return RETRY_FAULT_REJECTED;
+  if (attempt->status >= HTTP_STATUS_INTERNAL_SERVER_ERROR)
+    return RETRY_FAULT_ERROR_STATUS;
+  if (relay->head_is_stream && !attempt->is_event_stream)
+    return RETRY_FAULT_INVALID_RESPONSE;
+  if (attempt->is_event_stream && attempt->partial_event != NULL
+      && attempt->partial_event->len > 0)
+    return RETRY_FAULT_DISCONNECTED;
+  return RETRY_FAULT_COUNT;
+}
+
 /* Sends the rest of the response to the client and ends the request.  */
 void
 relay_deliver_response (struct relay *relay)
@@ -195,6 +201,7 @@
 {
   int64_t length = relay->attempt.is_event_stream ? -1 : relay->attempt.length;
 
+  relay_drop_kept (relay, HEALTH_EVENT_COUNT);
   relay->head_sent = 1;
   relay->head_is_stream = relay->attempt.is_event_stream;
   client_send_head (relay->client, relay->attempt.status,
@@ -219,17 +226,29 @@
 void
 relay_events_forward (struct relay *relay, const char *data, size_t length)
 {
+  relay_drop_kept (relay, HEALTH_EVENT_COUNT);
   if (!relay->head_sent)
     send_head (relay);
   forward_body (relay, data, length);
 }
 
-/* Returns whether HEAD responds to this request.  It has to repeat the
-   attempt id; a success has to be signed by the target and not be
+/* Returns whether the target says in HEAD that it did not run RELAY.  */
+int
+relay_is_not_run (const struct relay *relay, const struct http_head *head)
+{
+  const char *name = relay->router->dialect->field[DIALECT_NOT_RUN];
+
+  return http_head_get (head, name) != NULL
+         || head->status == HTTP_STATUS_MISDIRECTED_REQUEST;
+}
+
+/* Returns whether HEAD, received by CALL, responds to RELAY.  It has to repeat
+   the attempt id; a success has to be signed by the target and not be
    content-encoded.  An error without an id is accepted on a new connection
    only, since on a reused one it may belong to an earlier request.  */
-static int
-matches_request (const struct relay *relay, const struct http_head *head)
+int
+relay_matches_request (const struct relay *relay, const struct out_call *call,
+                       const struct http_head *head)
 {
   const char *const *field = relay->router->dialect->field;
   const char *id = http_head_get (head, field[DIALECT_ATTEMPT_ID]);
@@ -237,7 +256,7 @@
   if (id != NULL && strcmp (id, relay->id) != 0)
     return 0;
   if (!http_is_success (head->status))
-    return id != NULL || !out_call_reused_connection (relay->attempt.call);
+    return id != NULL || !out_call_reused_connection (call);
   return id != NULL && http_head_get (head, field[DIALECT_SIGNATURE]) != NULL
          && http_head_get (head, "Content-Encoding") == NULL;
 }
--- /dev/null
+++ b/request/relay_silence.c
@@ -0,0 +1,226 @@
+/* Attempts whose target is silent.  Such a target may be sound and go on, so
+   its attempt ends only once another attempt, its replacement, has something
+   for the client, or has had time for it.  */
+#include <string.h>
+
+#include "librelay.h"
+
+enum
+{
+  /* Two targets work on a request for no longer than this, which leaves time
+     for the end of a connection to arrive.  */
+  OVERLAP_MS = 250,
+  CONNECT_EXTENSION_MS = 50, /* of the overlap, until a connection is there */
+  LOOK_AGAIN_MS = 250,       /* by then, another target may be free */
+  KEPT_BODY_MAX_BYTES = 65536
+};
+
+static void begin_silence (struct relay *relay, clk_ms now);
+static void wait_on (struct relay *relay, enum retry_reason reason, clk_ms now,
+                     int is_first);
+static void keep_attempt (struct relay *relay, clk_ms now);
+static void cancel_replacement (struct relay *relay);
+static int on_head (void *owner, const struct http_head *head, int64_t length);
+static int on_data (void *owner, const char *data, size_t length);
+static void on_end (void *owner);
+static void on_fail (void *owner, enum out_fault fault);
+
+static const struct out_ops kept_ops = { on_head, on_data, on_end, on_fail };
+
+/* Looks for a replacement of the current attempt, which is past its read
+   timeout.  The attempt goes on, beside its replacement or alone.  */
+void
+relay_handle_silence (struct relay *relay)
+{
+  clk_ms now = clk_now (clk_monotonic ());
+  int is_first = !relay->attempt.is_silent;
+  struct retry_decision decision;
+  struct bal_choice choice;
+  struct reg_target *target;
+  size_t count;
+
+  if (is_first)
+    begin_silence (relay, now);
+  target = relay_choose_target (relay, now, &choice, &count);
+  if (target == NULL)
+    {
+      wait_on (relay, RETRY_REASON_NO_TARGET, now, is_first);
+      return;
+    }
+  relay_decide (relay, RETRY_FAULT_READ_TIMEOUT, &decision);
+  if (decision.action == RETRY_GIVE_UP)
+    {
+      wait_on (relay, decision.reason, now, is_first);
+      return;
+    }
+  if (!relay_parts_admitted (relay))
+    {
+      retry_budget_deposit (
+          router_retry_budget (relay->router, relay->service), 1);
+      wait_on (relay, RETRY_REASON_QUARANTINED, now, is_first);
+      return;
+    }
+  relay_log_fault (relay, RETRY_FAULT_READ_TIMEOUT, &decision, now);
+  keep_attempt (relay, now);
+  relay_send (relay, target, &choice, count);
+}
+
+/* Records that the target of the current attempt has fallen silent.  */
+static void
+begin_silence (struct relay *relay, clk_ms now)
+{
+  relay->attempt.is_silent = 1;
+  relay->may_have_run = 1;
+  relay_parts_suspect (relay, RETRY_FAULT_READ_TIMEOUT);
+  metric_inc (retry_counters[RETRY_FAULT_READ_TIMEOUT]);
+  health_record (&relay->attempt.target->health, HEALTH_TIMED_OUT, now);
+}
+
+/* Keeps the current attempt, as it can't be replaced for REASON, which is
+   logged if IS_FIRST.  */
+static void
+wait_on (struct relay *relay, enum retry_reason reason, clk_ms now,
+         int is_first)
+{
+  const struct retry_decision decision
+      = { .action = RETRY_WAIT, .reason = reason };
+
+  if (is_first)
+    relay_log_fault (relay, RETRY_FAULT_READ_TIMEOUT, &decision, now);
+  relay->look_again_ms = now + LOOK_AGAIN_MS;
+  relay_arm_timer (relay);
+}
+
+/* Keeps the current attempt beside the one that is about to start.  */
+static void
+keep_attempt (struct relay *relay, clk_ms now)
+{
+  relay->kept = relay->attempt;
+  relay->kept_until_ms = now + OVERLAP_MS;
+  memset (&relay->attempt, 0, sizeof relay->attempt);
+  out_call_set_owner (relay->kept.call, &kept_ops, relay);
+}
+
+/* Makes the kept attempt the current one again, whose replacement has
+   ended.  */
+void
+relay_return_to_kept (struct relay *relay)
+{
+  relay_attempt_clear (&relay->attempt);
+  relay->attempt = relay->kept;
+  memset (&relay->kept, 0, sizeof relay->kept);
+  if (relay->attempt.call != NULL)
+    out_call_set_owner (relay->attempt.call, &relay_upstream_ops, relay);
+}
+
+/* Ends the kept attempt, if there is one, and reports EVENT to its target's
+   health record.  */
+void
+relay_drop_kept (struct relay *relay, enum health_event event)
+{
+  if (relay->kept.target == NULL)
+    return;
+  relay_attempt_end (&relay->kept, event);
+  relay_attempt_clear (&relay->kept);
+}
+
+/* Ends the kept attempt, whose time is over, unless its replacement has no
+   connection yet.  */
+void
+relay_end_overlap (struct relay *relay)
+{
+  if (relay->attempt.call != NULL && !out_call_was_sent (relay->attempt.call))
+    relay->kept_until_ms = clk_now (clk_monotonic ()) + CONNECT_EXTENSION_MS;
+  else
+    relay_drop_kept (relay, HEALTH_EVENT_COUNT);
+  relay_arm_timer (relay);
+}
+
+/* Handles a sign of life of the current attempt: a response head, an event, or
+   a piece of a body that is forwarded.  */
+void
+relay_handle_progress (struct relay *relay)
+{
+  struct relay_attempt *attempt = &relay->attempt;
+
+  attempt->last_received_ms = clk_now (clk_monotonic ());
+  if (attempt->is_silent)
+    health_record (&attempt->target->health, HEALTH_WENT_ON,
+                   attempt->last_received_ms);
+  attempt->is_silent = 0;
+  relay_arm_timer (relay);
+}
+
+/* Ends the replacement, as the target of the kept attempt goes on.  */
+static void
+cancel_replacement (struct relay *relay)
+{
+  relay_end_attempt (relay, HEALTH_EVENT_COUNT);
+  relay_return_to_kept (relay);
+  relay_log_went_on (relay);
+}
+
+/* Handles the response head of the kept attempt.  A response that would end
+   the attempt does not end its replacement.  */
+static int
+on_head (void *owner, const struct http_head *head, int64_t length)
+{
+  struct relay *relay = owner;
+
+  if (!relay_matches_request (relay, relay->kept.call, head)
+      || relay_is_not_run (relay, head)
+      || head->status >= HTTP_STATUS_INTERNAL_SERVER_ERROR)
+    return -1;
+  cancel_replacement (relay);
+  return relay_upstream_ops.head (relay, head, length);
+}
+
+/* Handles a piece of the response body of the kept attempt.  It goes on with a
+   complete event, or with more than is kept of a body.  */
+static int
+on_data (void *owner, const char *data, size_t length)
+{
+  struct relay *relay = owner;
+  GString **buffer = relay->kept.is_event_stream ? &relay->kept.partial_event
+                                                 : &relay->kept.buffered_body;
+  size_t before;
+
+  if (*buffer == NULL)
+    *buffer = g_string_sized_new (length + 1);
+  before = (*buffer)->len;
+  g_string_append_len (*buffer, data, (gssize)length);
+  if (relay->kept.is_event_stream
+          ? !relay_events_has_complete (*buffer, before)
+          : (*buffer)->len <= KEPT_BODY_MAX_BYTES)
+    return 0;
+  g_string_truncate (*buffer, before);
+  cancel_replacement (relay);
+  return relay_upstream_ops.data (relay, data, length);
+}
+
+/* Handles the end of the kept attempt's response.  */
+static void
+on_end (void *owner)
+{
+  struct relay *relay = owner;
+
+  if (relay_response_fault (relay, &relay->kept) != RETRY_FAULT_COUNT)
+    {
+      on_fail (relay, OUT_DISCONNECTED);
+      return;
+    }
+  cancel_replacement (relay);
+  relay_upstream_ops.end (relay);
+}
+
+/* Handles a kept attempt that has failed: its replacement goes on alone.  */
+static void
+on_fail (void *owner, enum out_fault fault)
+{
+  struct relay *relay = owner;
+
+  (void)fault;
+  relay->kept.call = NULL;
+  relay_drop_kept (relay, HEALTH_DISCONNECTED);
+  relay_arm_timer (relay);
+}
--- a/request/relay_target.c
+++ b/request/relay_target.c
@@ -6,6 +6,7 @@
                                 size_t count);
 static int readmit_tried (const struct relay *relay,
                           struct bal_candidate *candidates, size_t count);
+static int is_live (const struct relay *relay, uint64_t id);
 static double rate_min (const struct relay *relay);
 static int contains_id (const uint64_t *ids, uint32_t count, uint64_t id);
 
@@ -52,9 +53,10 @@
              : 1 + RATE_RESERVE;
 }
 
-/* Excludes targets from the COUNT CANDIDATES: those that could not be reached,
-   and those that were sent RELAY before.  Once RELAY was sent to as many
-   targets as its route allows, only these targets remain.  */
+/* Excludes targets from the COUNT CANDIDATES: the one of a live attempt, those
+   that could not be reached, and those that were sent RELAY before.  Once
+   RELAY was sent to as many targets as its route allows, only these targets
+   remain.  */
 static void
 exclude_candidates (const struct relay *relay,
                     struct bal_candidate *candidates, size_t count)
@@ -67,7 +69,7 @@
           = contains_id (relay->tried, relay->tried_count, candidates[i].id);
 
       candidates[i].excluded
-          = tried != only_tried
+          = tried != only_tried || is_live (relay, candidates[i].id)
             || contains_id (relay->unreachable, relay->unreachable_count,
                             candidates[i].id);
     }
@@ -83,6 +85,7 @@
 
   for (size_t i = 0; i < count; i++)
     if (contains_id (relay->tried, relay->tried_count, candidates[i].id)
+        && !is_live (relay, candidates[i].id)
         && !contains_id (relay->unreachable, relay->unreachable_count,
                          candidates[i].id))
       {
@@ -92,6 +95,13 @@
   return any;
 }
 
+/* Returns whether the target ID still works on RELAY.  */
+static int
+is_live (const struct relay *relay, uint64_t id)
+{
+  return relay->attempt.target != NULL && relay->attempt.target->hash == id;
+}
+
 /* Counts the current target as one that may have received RELAY.  */
 void
 relay_mark_tried (struct relay *relay)
--- a/request/request.c
+++ b/request/request.c
@@ -22,12 +22,14 @@
 static struct retry_budget *get_budget (struct server *server,
                                         uint64_t service);
 
-static const enum req_refusal give_up_refusals[] = {
+static const enum req_refusal give_up_refusals[RETRY_REASON_COUNT] = {
   [RETRY_REASON_NONE] = REFUSE_TARGETS_FAILED,
   [RETRY_REASON_DEADLINE] = REFUSE_DEADLINE,
   [RETRY_REASON_BUDGET] = REFUSE_RETRY_BUDGET,
   [RETRY_REASON_ATTEMPTS] = REFUSE_TARGETS_FAILED,
   [RETRY_REASON_MAY_HAVE_RUN] = REFUSE_MAY_HAVE_RUN,
+  [RETRY_REASON_NO_TARGET] = REFUSE_TARGETS_FAILED,
+  [RETRY_REASON_QUARANTINED] = REFUSE_TARGETS_FAILED,
 };
 
 /* Handles the timer of REQ at NOW, according to its phase.  */
