--- a/request/relay_target.c
+++ b/request/relay_target.c
@@ -28,6 +28,7 @@
                         enum admission admission, clk_ms now);
 static int is_sure (const struct relay *relay, const struct reg_target *target,
                     clk_ms now);
+static int is_live (const struct relay *relay, uint64_t id);
 static double rate_min (const struct relay *relay);
 static int contains_id (const uint64_t *ids, uint32_t count, uint64_t id);
 
@@ -113,7 +114,7 @@
   int only_tried = relay->tried_count >= relay->route->attempts_max;
   int was_tried = contains_id (relay->tried, relay->tried_count, target->hash);
 
-  if (!relay_origin_fits (relay, target)
+  if (!relay_origin_fits (relay, target) || is_live (relay, target->hash)
       || contains_id (relay->unreachable, relay->unreachable_count,
                       target->hash))
     return 0;
@@ -133,6 +134,13 @@
   return relay->software == 0 || reg_doubt (target, now) == REG_SURE;
 }
 
+/* Returns whether the target ID still works on RELAY.  */
+static int
+is_live (const struct relay *relay, uint64_t id)
+{
+  return relay->attempt.target != NULL && relay->attempt.target->hash == id;
+}
+
 /* Counts the current target as one that may have received RELAY.  */
 void
 relay_mark_tried (struct relay *relay)
