Give the fleet a table of the origins of streams

The software versions that began streams are exchanged between the instances and kept in the store, so the table belongs to what the fleet shares. Nothing fills or reads it yet.

--- a/include/ibisloom/fleet.h
+++ b/include/ibisloom/fleet.h
@@ -8,6 +8,7 @@
 
 #include "ibisloom/affinity.h"
 #include "ibisloom/elect.h"
+#include "ibisloom/origin.h"
 #include "ibisloom/quarantine.h"
 #include "ibisloom/watch.h"
 #include "ibisloom/registry.h"
@@ -57,6 +58,7 @@
                         int is_named, double per_s, clk_ms sent_ms);
 void fleet_count_request (struct fleet *fleet, struct reg_target *target);
 uint32_t fleet_quarantined_count (const struct fleet *fleet);
+struct origins *fleet_origins (struct fleet *fleet);
 int fleet_knows_quarantine (const struct fleet *fleet);
 uint32_t fleet_size (const struct fleet *fleet);
 int64_t fleet_loads_age_ms (const struct fleet *fleet);
--- a/process/fleet.c
+++ b/process/fleet.c
@@ -52,6 +52,7 @@
   fleet->peers = fleet_peers_new ();
   fleet->receive = receive;
   fleet->listed_name = g_string_new (NULL);
+  fleet->origins = origin_new ();
   fleet_watch_loads (fleet);
   fleet_quarantine_init (fleet);
   fleet_crash_init (fleet);
@@ -122,6 +123,13 @@
   fleet_join (fleet);
 }
 
+/* Returns the origins of streams that FLEET knows.  */
+struct origins *
+fleet_origins (struct fleet *fleet)
+{
+  return fleet->origins;
+}
+
 /* Frees FLEET; NULL is allowed.  */
 void
 fleet_free (struct fleet *fleet)
@@ -139,6 +147,7 @@
     store_call_cancel (fleet->call);
   if (fleet->fd >= 0)
     close (fleet->fd);
+  origin_free (fleet->origins);
   g_hash_table_destroy (fleet->peers);
   g_string_free (fleet->listed_name, TRUE);
   g_free (fleet);
--- a/process/libfleet.h
+++ b/process/libfleet.h
@@ -7,6 +7,7 @@
 
 #include "ibisloom/fleet.h"
 #include "ibisloom/members.h"
+#include "ibisloom/origin.h"
 #include "ibisloom/probe.h"
 #include "ibisloom/quarantine.h"
 #include "ibisloom/storecall.h"
@@ -89,6 +90,7 @@
   struct store_call *write_call; /* in progress, for the first; or NULL */
   int write_creates;             /* it creates the object of the part */
   ev_timer write_retry;
+  struct origins *origins;
   guint next_rate;       /* target whose sharers are found next */
   guint first_told_rate; /* target whose limit is told first */
   guint told_rates;      /* targets whose limits were told in this heartbeat */
