Replace and remove objects in the store at a known revision

A write to the store without a response may come into effect later, and then undo a newer one of the same object. The store's protocol gets calls that name the revision which they replace or remove, and reads the object in a response. The scripted store of the tests replaces objects, responds with the object as the platform's store does, and can lose responses whose calls come into effect later. Nothing uses these calls yet.

--- a/include/ibisloom/watch.h
+++ b/include/ibisloom/watch.h
@@ -51,6 +51,17 @@
                     watch_object_fn fn, void *closure);
   int (*read_watch) (const char *text, size_t length, struct watch_page *page,
                      watch_object_fn fn, void *closure);
+  /* Parses a response that consists of one object.  Returns as above.  */
+  int (*read_object) (const char *text, size_t length, watch_object_fn fn,
+                      void *closure);
+  /* Returns the body that replaces the content of the object NAME, newly
+     allocated, if its revision is still REVISION.  */
+  char *(*update_body) (const char *name, const json_t *content,
+                        uint64_t revision);
+  /* Appends to OUT the URL that removes the object NAME if its revision is
+     still REVISION.  */
+  void (*removal_url) (GString *out, const char *kind, const char *name,
+                       uint64_t revision);
 };
 
 /* Callbacks that receive the objects. */
--- a/tests/libfixture.h
+++ b/tests/libfixture.h
@@ -55,7 +55,11 @@
   char *store_epoch;       /* value of its header field; NULL: left out */
   long compacted_revision; /* earlier revisions are discarded */
   int store_down;
-  int watches_blocked;  /* watches get no response */
+  int watches_blocked; /* watches get no response */
+  int origin_reads;    /* calls for origins of streams, so far */
+  int origin_writes;
+  int lost_responses;   /* to calls that change objects, still to be lost */
+  int late_ms;          /* until these calls come into effect */
   int members_delay_ms; /* of the list of instances and parts */
   int store_listener;
   int store_port;
--- a/tests/router_fixture.c
+++ b/tests/router_fixture.c
@@ -356,6 +356,9 @@
   fx_env.store_down = 0;
   fx_env.watches_blocked = 0;
   fx_env.members_delay_ms = 0;
+  fx_env.origin_reads = 0;
+  fx_env.origin_writes = 0;
+  fx_env.lost_responses = 0;
   pthread_cond_broadcast (&fx_env.changed);
   pthread_mutex_unlock (&fx_env.lock);
   fx_store_set_epoch ("1");
--- a/tests/store_fixture.c
+++ b/tests/store_fixture.c
@@ -208,42 +208,80 @@
   pthread_cond_broadcast (&fx_env.changed);
 }
 
-/* Creates the object in the body of the POST REQUEST, of KIND.  Returns the
-   status of the response.  The lock must be held.  */
-static const char *
-create_object (const char *request, const char *kind)
+/* Returns the object NAME of KIND as JSON, newly allocated.  The lock must be
+   held.  */
+static char *
+object_json (const char *kind, const char *name)
+{
+  const struct change *latest = fx_store_latest_change (kind, name);
+  GString *out = g_string_new (NULL);
+
+  if (latest == NULL || latest->spec == NULL)
+    g_string_append (out, "{}");
+  else
+    append_object (out, latest);
+  return g_string_free (out, FALSE);
+}
+
+/* Creates the object in the body of the POST or PUT REQUEST, of KIND, or
+   replaces it if IS_UPDATE.  Returns the response.  The lock must be held.  */
+static struct response
+write_object (const char *request, const char *kind, int is_update)
 {
   json_t *body = json_loads (strstr (request, "\r\n\r\n"), 0, NULL);
-  const char *name = json_string_value (
-      json_object_get (json_object_get (body, "metadata"), "name"));
+  json_t *metadata = json_object_get (body, "metadata");
+  const char *name = json_string_value (json_object_get (metadata, "name"));
+  long revision
+      = (long)json_integer_value (json_object_get (metadata, "revision"));
   char *spec = json_dumps (json_object_get (body, "spec"), JSON_COMPACT);
-  const char *status = "400 Bad Request";
-  const struct change *latest;
+  const struct change *latest
+      = name != NULL ? fx_store_latest_change (kind, name) : NULL;
+  int exists = latest != NULL && latest->spec != NULL;
+  const char *status = is_update ? "200 OK" : "201 Created";
+  struct response response;
 
-  if (name != NULL && spec != NULL)
-    {
-      latest = fx_store_latest_change (kind, name);
-      status = latest != NULL && latest->spec != NULL ? "409 Conflict"
-                                                      : "201 Created";
-      if (latest == NULL || latest->spec == NULL)
-        add_change_locked (kind, name, spec);
-    }
+  if (name == NULL || spec == NULL)
+    status = "400 Bad Request";
+  else if (is_update && !exists)
+    status = "404 Not Found";
+  else if (is_update ? revision != 0 && revision != latest->revision : exists)
+    status = "409 Conflict";
+  else if (!exists || strcmp (latest->spec, spec) != 0)
+    add_change_locked (kind, name, spec);
+  response = make_response (status, name != NULL ? object_json (kind, name)
+                                                 : g_strdup ("{}"));
   free (spec);
   json_decref (body);
-  return status;
+  return response;
 }
 
-/* Removes the object NAME of KIND.  Returns the status of the response.  The
-   lock must be held.  */
+/* Removes the object NAME of KIND, if it has the revision that the REQUEST
+   names.  Returns the status of the response.  The lock must be held.  */
 static const char *
-remove_object (const char *kind, const char *name)
+remove_object (const char *request, const char *kind, const char *name)
 {
   const struct change *latest = fx_store_latest_change (kind, name);
-  int exists = latest != NULL && latest->spec != NULL;
+  const char *revision = strstr (request, "?revision=");
+
+  if (latest == NULL || latest->spec == NULL)
+    return "404 Not Found";
+  if (revision != NULL
+      && strtol (strchr (revision, '=') + 1, NULL, 10) != latest->revision)
+    return "409 Conflict";
+  add_change_locked (kind, name, NULL);
+  return "200 OK";
+}
 
-  if (exists)
-    add_change_locked (kind, name, NULL);
-  return exists ? "200 OK" : "404 Not Found";
+/* Counts REQUEST, a call for KIND.  The lock must be held.  */
+static void
+count_call (const char *request, const char *kind)
+{
+  if (strcmp (kind, "ibisloom-origins") != 0)
+    return;
+  if (strncmp (request, "GET", 3) == 0)
+    fx_env.origin_reads++;
+  else
+    fx_env.origin_writes++;
 }
 
 /* Returns the response to REQUEST, which is no watch, for the object NAME of
@@ -261,10 +299,14 @@
       && strcmp (kind, "ibisloom-instances") == 0)
     fx_sleep_ms (delay_ms);
   pthread_mutex_lock (&fx_env.lock);
+  count_call (request, kind);
   if (strncmp (request, "POST", 4) == 0)
-    response = make_response (create_object (request, kind), g_strdup ("{}"));
+    response = write_object (request, kind, 0);
+  else if (strncmp (request, "PUT", 3) == 0)
+    response = write_object (request, kind, 1);
   else if (strncmp (request, "DELETE", 6) == 0)
-    response = make_response (remove_object (kind, name), g_strdup ("{}"));
+    response
+        = make_response (remove_object (request, kind, name), g_strdup ("{}"));
   else
     response = make_response ("200 OK", list_json (kind));
   pthread_mutex_unlock (&fx_env.lock);
@@ -285,10 +327,15 @@
       char *watch = strstr (request, "watch=");
       char *wait = strstr (request, "wait_ms=");
       int down;
+      int is_lost;
+      int late_ms;
 
       sscanf (request, "%*s /objects/%63[^ /?]/%127[^ /?]", kind, name);
       pthread_mutex_lock (&fx_env.lock);
       down = fx_env.store_down;
+      is_lost = fx_env.lost_responses > 0 && strncmp (request, "GET", 3) != 0;
+      fx_env.lost_responses -= is_lost;
+      late_ms = fx_env.late_ms;
       pthread_mutex_unlock (&fx_env.lock);
       if (down)
         {
@@ -300,8 +347,14 @@
                        wait ? strtol (wait + 8, NULL, 10) : 0);
       else
         {
-          struct response response = respond_at_once (request, kind, name);
-
+          struct response response;
+
+          if (is_lost)
+            {
+              shutdown (fd, SHUT_RDWR);
+              fx_sleep_ms (late_ms);
+            }
+          response = respond_at_once (request, kind, name);
           send_response (fd, &response);
         }
       g_free (request);
@@ -445,6 +498,63 @@
   return count;
 }
 
+/* Returns the port of the store.  */
+int
+fx_store_port (void)
+{
+  return fx_env.store_port;
+}
+
+/* Returns how many calls the store has had that read the list of origins.  */
+int
+fx_store_origin_reads (void)
+{
+  int count;
+
+  pthread_mutex_lock (&fx_env.lock);
+  count = fx_env.origin_reads;
+  pthread_mutex_unlock (&fx_env.lock);
+  return count;
+}
+
+/* Returns how many calls the store has had that change origins.  */
+int
+fx_store_origin_writes (void)
+{
+  int count;
+
+  pthread_mutex_lock (&fx_env.lock);
+  count = fx_env.origin_writes;
+  pthread_mutex_unlock (&fx_env.lock);
+  return count;
+}
+
+/* Returns the content of the object NAME of KIND, newly allocated, or NULL if
+   there is none.  */
+char *
+fx_store_get (const char *kind, const char *name)
+{
+  const struct change *latest;
+  char *spec;
+
+  pthread_mutex_lock (&fx_env.lock);
+  latest = fx_store_latest_change (kind, name);
+  spec = latest != NULL ? g_strdup (latest->spec) : NULL;
+  pthread_mutex_unlock (&fx_env.lock);
+  return spec;
+}
+
+/* Loses the responses to the next COUNT calls that change objects, which come
+   into effect LATE_MS later.  */
+void
+fx_store_lose_responses (int count, int late_ms)
+{
+  pthread_mutex_lock (&fx_env.lock);
+  fx_env.lost_responses = count;
+  fx_env.late_ms = late_ms;
+  pthread_mutex_unlock (&fx_env.lock);
+}
+
 /* Delays the list of instances and of parts in quarantine by MS.  */
 void
 fx_store_delay_members (int ms)
