--- a/include/ibisloom/origin.h
+++ b/include/ibisloom/origin.h
@@ -51,6 +51,7 @@
 uint64_t origin_software (const char *service, const char *version);
 void origin_add (struct origins *origins, const struct origin_record *record,
                  enum origin_source source, clk_ms now);
+void origin_end (struct origins *origins, uint64_t attempt);
 uint64_t origin_find (const struct origins *origins, uint64_t attempt);
 int origin_see_version (struct origins *origins,
                         const struct origin_version *version, clk_ms now);
--- a/request/origin.c
+++ b/request/origin.c
@@ -94,6 +94,18 @@
     g_ptr_array_add (origins->own, entry);
 }
 
+/* Called when the stream of ATTEMPT was delivered whole.  It is no longer
+   listed as one that this instance has begun, but still found, as its end may
+   have been lost on the way.  */
+void
+origin_end (struct origins *origins, uint64_t attempt)
+{
+  struct entry *entry = g_hash_table_lookup (origins->by_attempt, &attempt);
+
+  if (entry != NULL && entry->source == ORIGIN_OWN)
+    g_ptr_array_remove (origins->own, entry);
+}
+
 /* Returns the software that began the stream of ATTEMPT, or 0 if that is not
    known.  */
 uint64_t
--- a/tests/test_origin.c
+++ b/tests/test_origin.c
@@ -11,6 +11,7 @@
 
 static void first_origin_stays (void);
 static void only_own_streams_are_listed (void);
+static void ended_streams_are_found_but_not_listed (void);
 static void only_version_is_known_until_another_is_seen (void);
 static void versions_of_two_services_do_not_differ (void);
 static void version_is_remembered_after_its_last_target (void);
@@ -20,6 +21,8 @@
 static const struct test_case cases[] = {
   { "the first origin of a stream stays", first_origin_stays },
   { "only streams begun here are listed as own", only_own_streams_are_listed },
+  { "streams that ended are found, but not listed as own",
+    ended_streams_are_found_but_not_listed },
   { "one version is the only one until another is seen",
     only_version_is_known_until_another_is_seen },
   { "versions of two services do not differ",
@@ -69,6 +72,24 @@
   origin_free (origins);
 }
 
+static void
+ended_streams_are_found_but_not_listed (void)
+{
+  struct origins *origins = origin_new ();
+  struct origin_cursor cursor = { 0 };
+  struct origin_record record = { .attempt = 1, .software = 11 };
+
+  origin_add (origins, &record, ORIGIN_OWN, START_MS);
+  origin_end (origins, 1);
+  origin_end (origins, 1);
+  origin_end (origins, 2);
+  CU_ASSERT (!origin_next_own (origins, &cursor, &record));
+  CU_ASSERT_EQUAL (origin_find (origins, 1), 11);
+  origin_expire (origins, START_MS + ORIGIN_KEPT_MS + 1);
+  CU_ASSERT_EQUAL (origin_find (origins, 1), 0);
+  origin_free (origins);
+}
+
 static void
 only_version_is_known_until_another_is_seen (void)
 {
