--- a/Makefile
+++ b/Makefile
@@ -51,7 +51,7 @@
 	$(CC) $(CFLAGS) $(EXTRA) $^ -o $@ $(PKG_LIBS)
 
 FIXTURES = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/*_fixture.c))
-$(BUILD)/tests/test_router $(BUILD)/tests/test_endless $(BUILD)/tests/test_crash $(BUILD)/tests/test_rate $(BUILD)/tests/test_restored: $(BUILD)/tests/test_%: \
+$(BUILD)/tests/test_router $(BUILD)/tests/test_endless $(BUILD)/tests/test_crash $(BUILD)/tests/test_rate $(BUILD)/tests/test_restored $(BUILD)/tests/test_origin_store: $(BUILD)/tests/test_%: \
   $(BUILD)/tests/test_%.o $(BUILD)/tests/shop.o $(FIXTURES) $(BUILD)/libibisloom.a | $(BUILD)/ibisloomd
 	$(CC) $(CFLAGS) $(EXTRA) $^ -o $@ $(PKG_LIBS) -lcunit
 
--- a/include/ibisloom/dialect.h
+++ b/include/ibisloom/dialect.h
@@ -64,6 +64,7 @@
   const char *config_name;
   const char *targets_kind;
   const char *members_kind; /* the router's own instances */
+  const char *origins_kind; /* origins of streams, by instance */
   /* Returns the configuration version in CONTENT, or NULL if it is
      malformed.  */
   struct rt_table *(*config) (const json_t *content);
--- a/include/ibisloom/fleet.h
+++ b/include/ibisloom/fleet.h
@@ -60,6 +60,10 @@
 uint32_t fleet_quarantined_count (const struct fleet *fleet);
 struct origins *fleet_origins (struct fleet *fleet);
 int fleet_knows_quarantine (const struct fleet *fleet);
+void fleet_keep_origins (struct fleet *fleet, const char *kind);
+int fleet_origins_are_read (const struct fleet *fleet);
+void fleet_look_up_origins (struct fleet *fleet);
+int fleet_software_is_noted (const struct fleet *fleet, uint64_t software);
 uint32_t fleet_size (const struct fleet *fleet);
 int64_t fleet_loads_age_ms (const struct fleet *fleet);
 
--- a/include/ibisloom/metrics.h
+++ b/include/ibisloom/metrics.h
@@ -79,6 +79,10 @@
   METRIC_PLATFORM_WATCHES,
   METRIC_PLATFORM_ERRORS,
   METRIC_STORE_RESTORED, /* from an older copy of its data */
+  /* Calls to the store for the origins of streams.  */
+  METRIC_ORIGIN_READS,
+  METRIC_ORIGIN_WRITES,
+  METRIC_ORIGIN_FAILURES, /* among both */
   /* Control traffic sent, by kind of message.  */
   METRIC_SENT_HEARTBEAT_BYTES,
   METRIC_SENT_ADMISSION_REQUEST_BYTES,
--- /dev/null
+++ b/include/ibisloom/originjson.h
@@ -0,0 +1,23 @@
+/* Origins of streams and software versions as an object in the store. */
+#ifndef IBISLOOM_ORIGINJSON_H
+#define IBISLOOM_ORIGINJSON_H
+
+#include <jansson.h>
+
+#include "ibisloom/origin.h"
+
+enum
+{
+  /* Streams in one object, the newest of an instance.  */
+  ORIGIN_JSON_STREAMS_MAX = 8192
+};
+
+json_t *origin_json_pack (const struct origins *origins);
+int origin_json_next_version (const json_t *content,
+                              struct origin_cursor *cursor,
+                              struct origin_version *version);
+uint32_t origin_json_add_streams (const json_t *content,
+                                  struct origins *origins,
+                                  enum origin_source source, clk_ms now);
+
+#endif
--- a/include/ibisloom/settings.h
+++ b/include/ibisloom/settings.h
@@ -46,8 +46,9 @@
   double cap_slack;   /* plus this many requests */
   double retry_ratio; /* retries per request, over the whole fleet */
   double retry_slack; /* additional retries of the fleet in each window */
-  int64_t drain_ms;   /* for which a leaving target may get requests */
-  double grace_s;     /* from the stop signal until the process is killed */
+  double store_writes_per_s; /* that the store takes from all instances */
+  int64_t drain_ms;          /* for which a leaving target may get requests */
+  double grace_s; /* from the stop signal until the process is killed */
   char *cluster_key;
   char *operator_token;
 };
--- a/process/fleet.c
+++ b/process/fleet.c
@@ -56,6 +56,7 @@
   fleet_watch_loads (fleet);
   fleet_quarantine_init (fleet);
   fleet_crash_init (fleet);
+  fleet_origin_store_init (fleet);
   fleet->fd = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (sodium_init () < 0 || fleet->fd < 0
       || bind (fleet->fd, (const struct sockaddr *)&settings->peer_listen,
@@ -141,6 +142,7 @@
   ev_timer_stop (fleet->loop, &fleet->retry);
   ev_timer_stop (fleet->loop, &fleet->rejoin);
   fleet_unwatch_loads (fleet);
+  fleet_origin_store_clear (fleet);
   fleet_crash_clear (fleet);
   fleet_quarantine_clear (fleet);
   if (fleet->call != NULL)
--- /dev/null
+++ b/process/fleet_origin_store.c
@@ -0,0 +1,416 @@
+/* What the fleet keeps in the store of the software versions that began
+   streams, so that it outlasts the end of all instances.
+
+   Each instance has one object: the versions that it has seen lately, and,
+   while there are several versions of a service, the streams that it has begun
+   (originjson.h).  It is written at intervals, if it has changed.  At its
+   start an instance reads the objects of all.  */
+#include <string.h>
+
+#include "ibisloom/http.h"
+#include "ibisloom/log.h"
+#include "ibisloom/metrics.h"
+#include "ibisloom/originjson.h"
+#include "libfleet.h"
+
+enum
+{
+  CALL_TIMEOUT_MS = 1500,
+  RETRY_MS = 700,
+  WRITE_INTERVAL_MIN_MS = 500,
+  READ_INTERVAL_MIN_MS = 1000
+};
+
+/* Share of the store's writes that all instances together may use for
+   this.  */
+static const double WRITES_SHARE = 0.25;
+
+struct fleet_origin_store
+{
+  const char *kind;
+  ev_timer timer; /* until the next write, or a call is repeated */
+  struct store_call *call;
+  GString *last_name; /* last one of the list that is being read */
+  uint8_t is_reading; /* some but not all pages have been read */
+  uint8_t is_read;    /* completely, after the start */
+  uint8_t is_wanted;  /* to be read again */
+  clk_ms read_ms;     /* when the last reading began */
+  uint64_t revision;  /* of the object of this instance; 0: not known */
+  uint64_t learned_revision;
+  json_t *sent;    /* content of the write in progress */
+  json_t *written; /* content of the last one that succeeded; NULL: none */
+  uint64_t written_epoch;
+  uint32_t streams_read;
+};
+
+static void on_due (struct ev_loop *loop, ev_timer *timer, int events);
+static void schedule (struct fleet *fleet, int64_t delay_ms);
+static int64_t write_interval_ms (const struct fleet *fleet);
+static void call_store (struct fleet *fleet, struct store_request *request,
+                        GString *url, store_call_done_fn done);
+static void read_page (struct fleet *fleet);
+static void on_read (void *closure, const struct store_response *response);
+static void end_read (struct fleet *fleet);
+static void on_object (void *closure, const struct watch_object *object);
+static void take_over_own (struct fleet *fleet,
+                           const struct watch_object *object);
+static int write_object (struct fleet *fleet);
+static void on_written (void *closure, const struct store_response *response);
+static void learn_revision (struct fleet *fleet,
+                            const struct store_response *response);
+static void on_revision (void *closure, const struct watch_object *object);
+static int remove_object (struct fleet *fleet);
+static void on_removed (void *closure, const struct store_response *response);
+
+/* Prepares FLEET.  Nothing is read or written until fleet_keep_origins.  */
+void
+fleet_origin_store_init (struct fleet *fleet)
+{
+  struct fleet_origin_store *store = g_new0 (struct fleet_origin_store, 1);
+
+  fleet->origin_store = store;
+  store->last_name = g_string_new (NULL);
+  fleet->noted = fleet_noted_new ();
+  fleet->origin_objects = fleet_objects_new ();
+  ev_timer_init (&store->timer, on_due, 0, 0);
+  store->timer.data = fleet;
+}
+
+/* Undoes fleet_origin_store_init.  */
+void
+fleet_origin_store_clear (struct fleet *fleet)
+{
+  struct fleet_origin_store *store = fleet->origin_store;
+
+  if (store->call != NULL)
+    store_call_cancel (store->call);
+  ev_timer_stop (fleet->loop, &store->timer);
+  g_string_free (store->last_name, TRUE);
+  json_decref (store->sent);
+  json_decref (store->written);
+  g_array_free (fleet->noted, TRUE);
+  g_ptr_array_free (fleet->origin_objects, TRUE);
+  g_free (store);
+}
+
+/* Has the origins kept in the store from now on, in objects of KIND, and reads
+   what is there.  */
+void
+fleet_keep_origins (struct fleet *fleet, const char *kind)
+{
+  fleet->origin_store->kind = kind;
+  read_page (fleet);
+}
+
+/* Returns whether the objects in the store have been read since the start, so
+   that an origin that is not known is not in the store, unless it was written
+   later.  */
+int
+fleet_origins_are_read (const struct fleet *fleet)
+{
+  return fleet->origin_store->kind == NULL || fleet->origin_store->is_read;
+}
+
+/* Has the streams of all instances read from the store again, soon and at most
+   once in READ_INTERVAL_MIN_MS, and more rarely in a large fleet.  */
+void
+fleet_look_up_origins (struct fleet *fleet)
+{
+  struct fleet_origin_store *store = fleet->origin_store;
+  clk_ms now = clk_now (clk_monotonic ());
+
+  if (store->kind == NULL || !store->is_read || store->is_wanted
+      || store->is_reading
+      || now - store->read_ms
+             < MAX (READ_INTERVAL_MIN_MS, write_interval_ms (fleet)))
+    return;
+  store->is_wanted = 1;
+  if (store->call == NULL)
+    read_page (fleet);
+}
+
+/* Makes the call that is due.  */
+static void
+on_due (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct fleet *fleet = timer->data;
+  struct fleet_origin_store *store = fleet->origin_store;
+
+  (void)loop;
+  (void)events;
+  if (store->call != NULL)
+    return;
+  origin_expire (fleet->origins, clk_now (clk_monotonic ()));
+  if (!store->is_read || store->is_wanted)
+    read_page (fleet);
+  else if (!write_object (fleet) && !remove_object (fleet))
+    schedule (fleet, write_interval_ms (fleet));
+}
+
+/* Has the next call made in DELAY_MS, or at once if a reading is wanted.  */
+static void
+schedule (struct fleet *fleet, int64_t delay_ms)
+{
+  struct fleet_origin_store *store = fleet->origin_store;
+  ev_timer *timer = &store->timer;
+
+  ev_timer_stop (fleet->loop, timer);
+  ev_timer_set (timer, store->is_wanted ? 0 : (double)delay_ms / CLK_MS_PER_S,
+                0);
+  ev_timer_start (fleet->loop, timer);
+}
+
+/* Returns the time between two writes, in milliseconds.  All instances
+   together stay within their share of the store's writes.  */
+static int64_t
+write_interval_ms (const struct fleet *fleet)
+{
+  double writes_per_s = fleet->settings->store_writes_per_s * WRITES_SHARE;
+  double interval_ms = fleet_size (fleet) * CLK_MS_PER_S / writes_per_s;
+
+  return MAX (WRITE_INTERVAL_MIN_MS, (int64_t)interval_ms);
+}
+
+/* Makes the call REQUEST for URL, which it frees.  DONE gets the response.  */
+static void
+call_store (struct fleet *fleet, struct store_request *request, GString *url,
+            store_call_done_fn done)
+{
+  struct fleet_origin_store *store = fleet->origin_store;
+
+  request->address = fleet->settings->platform;
+  request->timeout_ms = CALL_TIMEOUT_MS;
+  request->epoch_field = fleet->store->epoch_field;
+  request->epoch_min = fleet->epoch;
+  request->url = url->str;
+  store->call
+      = store_call_start (fleet->loop, fleet->pool, request, done, fleet);
+  g_string_free (url, TRUE);
+  if (store->call == NULL)
+    done (fleet, &(struct store_response){ .status = 0 });
+}
+
+/* Reads the next page of the list of objects.  */
+static void
+read_page (struct fleet *fleet)
+{
+  struct fleet_origin_store *store = fleet->origin_store;
+  struct store_request request = { .method = "GET" };
+  GString *url = g_string_new (NULL);
+
+  store->is_wanted = 0;
+  if (!store->is_reading)
+    {
+      store->read_ms = clk_now (clk_monotonic ());
+      store->streams_read = 0;
+      g_string_truncate (store->last_name, 0);
+    }
+  metric_inc (METRIC_ORIGIN_READS);
+  fleet->store->list_url (url, store->kind, store->last_name->str);
+  call_store (fleet, &request, url, on_read);
+}
+
+/* Handles the response with one page of the list.  */
+static void
+on_read (void *closure, const struct store_response *response)
+{
+  struct fleet *fleet = closure;
+  struct fleet_origin_store *store = fleet->origin_store;
+  struct watch_page page
+      = { .position.epoch = response->epoch, .last_name = store->last_name };
+
+  store->call = NULL;
+  if (response->status != HTTP_STATUS_OK || response->epoch < fleet->epoch
+      || fleet->store->read_list (response->text, response->length, &page,
+                                  on_object, fleet)
+             != 0)
+    {
+      metric_inc (METRIC_ORIGIN_FAILURES);
+      store->is_reading = 0;
+      schedule (fleet, RETRY_MS);
+      return;
+    }
+  store->is_reading = page.has_more != 0;
+  if (store->is_reading)
+    read_page (fleet);
+  else
+    end_read (fleet);
+}
+
+/* Called when the list was read completely.  The first writes of the instances
+   are spread, as these may have started together.  */
+static void
+end_read (struct fleet *fleet)
+{
+  struct fleet_origin_store *store = fleet->origin_store;
+  int32_t interval_ms = (int32_t)write_interval_ms (fleet);
+  struct log_line line;
+
+  if (log_begin (&line, LOG_LEVEL_INFO, "origins", NULL,
+                 store->is_read ? "looked_up" : "read"))
+    {
+      log_number (&line, "instances", fleet->origin_objects->len);
+      log_number (&line, "versions", fleet->noted->len);
+      log_number (&line, "streams", store->streams_read);
+      log_end (&line);
+    }
+  schedule (fleet, store->is_read ? interval_ms
+                                  : g_random_int_range (0, interval_ms));
+  store->is_read = 1;
+}
+
+/* Handles one object of the list.  Versions count only in the first reading:
+   they are there for a while after their last target, and if instances kept
+   reading them from each other, they would stay for ever.  */
+static void
+on_object (void *closure, const struct watch_object *object)
+{
+  struct fleet *fleet = closure;
+  struct fleet_origin_store *store = fleet->origin_store;
+  int is_own = strcmp (object->name, fleet->settings->instance) == 0;
+
+  if (!store->is_read)
+    fleet_note_stored (fleet, object->content);
+  if (!is_own || !store->is_read)
+    store->streams_read += origin_json_add_streams (
+        object->content, fleet->origins, is_own ? ORIGIN_OWN : ORIGIN_STORED,
+        clk_now (clk_monotonic ()));
+  if (is_own)
+    take_over_own (fleet, object);
+  else
+    fleet_remember_object (fleet, object);
+}
+
+/* Handles OBJECT, which is that of this instance, as it wrote it last, or as
+   it was before the restart.  */
+static void
+take_over_own (struct fleet *fleet, const struct watch_object *object)
+{
+  struct fleet_origin_store *store = fleet->origin_store;
+
+  store->revision = object->position.revision;
+  if (store->is_read)
+    return;
+  json_decref (store->written);
+  store->written = json_incref (object->content);
+  store->written_epoch = object->position.epoch;
+}
+
+/* Writes the object of this instance, unless the store has it as it is to be.
+   Returns whether it starts a call.  */
+static int
+write_object (struct fleet *fleet)
+{
+  struct fleet_origin_store *store = fleet->origin_store;
+  const char *name = fleet->settings->instance;
+  struct store_request request
+      = { .method = store->revision != 0 ? "PUT" : "POST" };
+  struct origin_cursor cursor = { 0 };
+  struct origin_version version;
+  json_t *content = origin_json_pack (fleet->origins);
+  int is_needed = store->written == NULL
+                      ? origin_next_version (fleet->origins, &cursor, &version)
+                      : store->written_epoch < fleet->epoch
+                            || !json_equal (store->written, content);
+  GString *url;
+
+  json_decref (store->sent);
+  store->sent = content;
+  if (is_needed)
+    {
+      url = g_string_new (NULL);
+      fleet->store->object_url (url, store->kind,
+                                store->revision != 0 ? name : NULL);
+      request.body
+          = store->revision != 0
+                ? fleet->store->update_body (name, content, store->revision)
+                : fleet->store->object_body (name, content);
+      metric_inc (METRIC_ORIGIN_WRITES);
+      call_store (fleet, &request, url, on_written);
+    }
+  return is_needed;
+}
+
+/* Handles the response to a write.  A write without a response may come into
+   effect later, so each write names the revision that it replaces.  If that is
+   another one, or the object is gone, the write is repeated at once.  */
+static void
+on_written (void *closure, const struct store_response *response)
+{
+  struct fleet *fleet = closure;
+  struct fleet_origin_store *store = fleet->origin_store;
+  uint64_t revision_before = store->revision;
+
+  store->call = NULL;
+  learn_revision (fleet, response);
+  if (response->epoch >= fleet->epoch && http_is_success (response->status))
+    {
+      json_decref (store->written);
+      store->written = json_incref (store->sent);
+      store->written_epoch = response->epoch;
+      fleet_note_written (fleet, store->written);
+      schedule (fleet, write_interval_ms (fleet));
+      return;
+    }
+  metric_inc (METRIC_ORIGIN_FAILURES);
+  schedule (fleet, store->revision != revision_before ? 0 : RETRY_MS);
+}
+
+/* Learns the revision of this instance's object from RESPONSE to a write.  If
+   it does not tell, the list is read again.  */
+static void
+learn_revision (struct fleet *fleet, const struct store_response *response)
+{
+  struct fleet_origin_store *store = fleet->origin_store;
+  int has_object = http_is_success (response->status)
+                   || response->status == HTTP_STATUS_CONFLICT;
+
+  store->learned_revision = 0;
+  if (has_object)
+    (void)fleet->store->read_object (response->text, response->length,
+                                     on_revision, fleet);
+  if (has_object || response->status == HTTP_STATUS_NOT_FOUND)
+    store->revision = store->learned_revision;
+  store->is_wanted |= has_object && store->learned_revision == 0;
+}
+
+/* Handles OBJECT, in the response to a write.  */
+static void
+on_revision (void *closure, const struct watch_object *object)
+{
+  struct fleet *fleet = closure;
+
+  if (strcmp (object->name, fleet->settings->instance) == 0)
+    fleet->origin_store->learned_revision = object->position.revision;
+}
+
+/* Removes the object of an instance that has been gone for long, if there is
+   one.  Returns whether it starts a call.  */
+static int
+remove_object (struct fleet *fleet)
+{
+  struct fleet_origin_store *store = fleet->origin_store;
+  struct store_request request = { .method = "DELETE" };
+  GString *url = g_string_new (NULL);
+
+  if (clk_now (clk_monotonic ()) - store->read_ms > ORIGIN_KEPT_MS
+      && fleet_next_removal (fleet, store->kind, url))
+    {
+      call_store (fleet, &request, url, on_removed);
+      return 1;
+    }
+  g_string_free (url, TRUE);
+  return 0;
+}
+
+/* Handles the response to a removal.  An object that was not removed is
+   removed by an instance that starts later.  */
+static void
+on_removed (void *closure, const struct store_response *response)
+{
+  struct fleet *fleet = closure;
+
+  (void)response;
+  fleet->origin_store->call = NULL;
+  schedule (fleet, write_interval_ms (fleet));
+}
--- a/process/libfleet.h
+++ b/process/libfleet.h
@@ -91,9 +91,12 @@
   int write_creates;             /* it creates the object of the part */
   ev_timer write_retry;
   struct origins *origins;
-  guint next_rate;       /* target whose sharers are found next */
-  guint first_told_rate; /* target whose limit is told first */
-  guint told_rates;      /* targets whose limits were told in this heartbeat */
+  struct fleet_origin_store *origin_store; /* see fleet_origin_store.c */
+  GArray *noted;                           /* versions that the store names */
+  GPtrArray *origin_objects; /* of other instances, in the store */
+  guint next_rate;           /* target whose sharers are found next */
+  guint first_told_rate;     /* target whose limit is told first */
+  guint told_rates; /* targets whose limits were told in this heartbeat */
 };
 
 /* Each file uses only functions of those above it. */
@@ -161,6 +164,21 @@
 void fleet_apply_crash (struct fleet *fleet,
                         const struct wire_crash *reported);
 
+/* fleet_origin_note.c */
+GArray *fleet_noted_new (void);
+void fleet_note_stored (struct fleet *fleet, const json_t *content);
+void fleet_note_written (struct fleet *fleet, const json_t *content);
+
+/* fleet_origin_gone.c */
+GPtrArray *fleet_objects_new (void);
+void fleet_remember_object (struct fleet *fleet,
+                            const struct watch_object *object);
+int fleet_next_removal (struct fleet *fleet, const char *kind, GString *url);
+
+/* fleet_origin_store.c */
+void fleet_origin_store_init (struct fleet *fleet);
+void fleet_origin_store_clear (struct fleet *fleet);
+
 /* fleet_join.c */
 void fleet_join (struct fleet *fleet);
 void fleet_on_retry (struct ev_loop *loop, ev_timer *timer, int events);
--- a/process/metrics.c
+++ b/process/metrics.c
@@ -115,6 +115,9 @@
   = "ibisloom_platform_calls_total{kind=\"watches\"}",
   [METRIC_PLATFORM_ERRORS] = "ibisloom_platform_errors_total",
   [METRIC_STORE_RESTORED] = "ibisloom_store_restored_total",
+  [METRIC_ORIGIN_READS] = "ibisloom_origin_calls_total{call=\"read\"}",
+  [METRIC_ORIGIN_WRITES] = "ibisloom_origin_calls_total{call=\"write\"}",
+  [METRIC_ORIGIN_FAILURES] = "ibisloom_origin_calls_failed_total",
   [METRIC_SENT_HEARTBEAT_BYTES]
   = "ibisloom_control_bytes_total{kind=\"heartbeat\"}",
   [METRIC_SENT_ADMISSION_REQUEST_BYTES]
--- a/process/router.c
+++ b/process/router.c
@@ -19,7 +19,7 @@
   LAME_DUCK_END_MS = 3000, /* no exit earlier, as requests may still arrive */
   SHORT_REQUEST_MS = 700,  /* expected duration of a short request, at most */
   LAST_REQUEST_MS = 5000,  /* a shutdown accepts no new request later */
-  QUARANTINE_WAIT_MS = 1000,
+  FLEET_WAIT_MS = 1000,
   STOP_MARGIN_MS = 500, /* between the forced exit and the end of grace_s */
   READY_HEAD_BYTES = 4096,
   READY_TIMEOUT_MS = 10000
@@ -138,6 +138,7 @@
   router->started_ms = clk_now (clk_monotonic ());
   router->short_ms = router->started_ms;
   fleet_start (router->fleet);
+  fleet_keep_origins (router->fleet, router->dialect->origins_kind);
   log_info ("gate", NULL, "started", "failure domain %s",
             router->failure_domain);
   ev_run (router->loop, 0);
@@ -181,16 +182,17 @@
          && router->registry->listed;
 }
 
-/* Returns whether ROUTER has a configuration and knows what crashes targets.
-   It does not wait for the latter for longer than QUARANTINE_WAIT_MS, as the
-   store may be away.  */
+/* Returns whether ROUTER has a configuration and knows what crashes targets
+   and which versions began streams.  It does not wait for the latter two for
+   longer than FLEET_WAIT_MS, as the store may be away.  */
 int
 router_has_read_store (const struct router *router)
 {
   return router->table != NULL
-         && (fleet_knows_quarantine (router->fleet)
+         && ((fleet_knows_quarantine (router->fleet)
+              && fleet_origins_are_read (router->fleet))
              || clk_now (clk_monotonic ()) - router->started_ms
-                    >= QUARANTINE_WAIT_MS);
+                    >= FLEET_WAIT_MS);
 }
 
 /* Returns whether a new request that is expected to take EXPECTED_MS may be
