--- a/Makefile
+++ b/Makefile
@@ -52,7 +52,7 @@
 
 FIXTURES = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/*_fixture.c))
 FIXTURE_TESTS = $(patsubst tests/%.c,$(BUILD)/tests/%,\
-  $(shell grep -l '"shop.h"' tests/test_*.c))
+  $(shell grep -l -e '"shop.h"' -e '_fixture.h"' tests/test_*.c))
 $(FIXTURE_TESTS): $(BUILD)/tests/test_%: \
   $(BUILD)/tests/test_%.o $(BUILD)/tests/shop.o $(FIXTURES) $(BUILD)/libibisloom.a | $(BUILD)/ibisloomd
 	$(CC) $(CFLAGS) $(EXTRA) $^ -o $@ $(PKG_LIBS) -lcunit
--- a/process/fleet_origin.c
+++ b/process/fleet_origin.c
@@ -74,26 +74,3 @@
     fleet_see_target (fleet, g_ptr_array_index (targets, i));
   origin_expire (fleet->origins, now);
 }
-
-/* Stand-ins until the store keeps origins.  */
-int
-fleet_origins_are_read (const struct fleet *fleet)
-{
-  (void)fleet;
-  return 1;
-}
-
-void
-fleet_look_up_origins (struct fleet *fleet)
-{
-  (void)fleet;
-}
-
-int
-fleet_software_is_noted (const struct fleet *fleet, uint64_t software)
-{
-  (void)fleet;
-  (void)software;
-  return 1;
-}
-/* End of the stand-ins.  */
