Ask other instances which version began a stream

While versions differ, the instance that forwards a stream's first event tells the three live instances that rank first for it. One that does not know a stream asks the five that rank first, again every 40 ms, for at most 300 ms, and looks in the store after 100 ms. When a second version comes, streams that were begun before are told too, the newest first. Per stream that is three datagrams, however many instances there are.

--- a/include/ibisloom/fleet.h
+++ b/include/ibisloom/fleet.h
@@ -59,6 +59,9 @@
 void fleet_count_request (struct fleet *fleet, struct reg_target *target);
 uint32_t fleet_quarantined_count (const struct fleet *fleet);
 struct origins *fleet_origins (struct fleet *fleet);
+void fleet_add_origin (struct fleet *fleet, const struct origin_record *record,
+                       int is_split);
+void fleet_ask_origin (struct fleet *fleet, uint64_t attempt);
 void fleet_see_target (struct fleet *fleet, const struct reg_target *target);
 int fleet_origins_are_read (const struct fleet *fleet);
 void fleet_look_up_origins (struct fleet *fleet);
--- a/include/ibisloom/wire.h
+++ b/include/ibisloom/wire.h
@@ -22,7 +22,8 @@
   WIRE_UPDATE_LOADS_MAX = 64,
   WIRE_PARTS_MAX = 32,
   WIRE_STATES_MAX = 48,
-  WIRE_RATES_MAX = 64
+  WIRE_RATES_MAX = 64,
+  WIRE_ORIGINS_MAX = 32
 };
 
 enum wire_kind
@@ -40,6 +41,8 @@
   WIRE_RATES,             /* rate limits of targets */
   WIRE_SENT,              /* request sent to a target with such a limit */
   WIRE_STATE,             /* what the sender knows of the store */
+  WIRE_ORIGINS,           /* which versions began streams */
+  WIRE_ORIGIN_QUERY,      /* asks which version began a stream */
   WIRE_KIND_COUNT
 };
 
@@ -213,6 +216,26 @@
   uint64_t target;
 };
 
+/* Software version that began a stream. */
+struct wire_origin
+{
+  uint64_t attempt;  /* hash of the attempt id that brought the first event */
+  uint64_t software; /* see origin_software */
+  uint64_t service;  /* hash of its name */
+};
+
+struct wire_origins
+{
+  uint32_t count;
+  struct wire_origin origin[WIRE_ORIGINS_MAX];
+};
+
+/* Question of which version began the stream of ATTEMPT. */
+struct wire_origin_query
+{
+  uint64_t attempt;
+};
+
 struct wire_message
 {
   enum wire_kind kind;
@@ -234,6 +257,8 @@
     struct wire_rates rates;
     struct wire_sent sent;
     struct wire_store_state state;
+    struct wire_origins origins;
+    struct wire_origin_query origin_query;
   } u;
 };
 
--- a/process/fleet_origin.c
+++ b/process/fleet_origin.c
@@ -1,5 +1,11 @@
 /* Origins of streams, and the software versions that serve, as the instances
-   learn them.  */
+   learn them.
+
+   While versions differ, the instance that forwards the first event of a
+   stream tells a few others which version began it: those that rank first for
+   the stream.  An instance at which a client takes up a stream that it does
+   not know asks those that rank first, some more, since instances may have
+   ended or started meanwhile.  */
 #include "ibisloom/log.h"
 #include "ibisloom/rank.h"
 #include "libfleet.h"
@@ -8,9 +14,17 @@
 {
   /* Heartbeats between two looks at all targets: far less than
      ORIGIN_KEPT_MS.  */
-  SEE_HEARTBEATS = 5
+  SEE_HEARTBEATS = 5,
+  TOLD_PEERS = 3,
+  ASKED_PEERS = 5,
+  TOLD_PER_HEARTBEAT = 32
 };
 
+static void tell_origin (struct fleet *fleet,
+                         const struct origin_record *record);
+static struct wire_origin wire_origin_of (const struct fleet *fleet,
+                                          const struct origin_record *record);
+static void list_untold (struct fleet *fleet);
 static void see_version (struct fleet *fleet,
                          const struct origin_version *version, clk_ms now);
 
@@ -19,12 +33,15 @@
 fleet_origin_init (struct fleet *fleet)
 {
   fleet->origins = origin_new ();
+  fleet->untold_origins
+      = g_array_new (FALSE, FALSE, sizeof (struct origin_record));
 }
 
 /* Undoes fleet_origin_init.  */
 void
 fleet_origin_clear (struct fleet *fleet)
 {
+  g_array_free (fleet->untold_origins, TRUE);
   origin_free (fleet->origins);
 }
 
@@ -50,10 +67,14 @@
 see_version (struct fleet *fleet, const struct origin_version *version,
              clk_ms now)
 {
+  int differed = origin_versions_differ (fleet->origins);
   struct log_line line;
 
-  if (!origin_see_version (fleet->origins, version, now)
-      || !log_begin (&line, LOG_LEVEL_INFO, "origin", NULL, "version_seen"))
+  if (!origin_see_version (fleet->origins, version, now))
+    return;
+  if (!differed && origin_versions_differ (fleet->origins))
+    list_untold (fleet);
+  if (!log_begin (&line, LOG_LEVEL_INFO, "origin", NULL, "version_seen"))
     return;
   log_hash (&line, "software", version->software);
   log_number (&line, "versions_differ",
@@ -61,13 +82,124 @@
   log_end (&line);
 }
 
-/* Does the work that is due with a heartbeat: forgets what is old, and sees
-   all targets.  */
+/* Has the origins of the streams that this instance has begun told to peers,
+   which have not been while one version served.  */
+static void
+list_untold (struct fleet *fleet)
+{
+  struct origin_cursor cursor = { 0 };
+  struct origin_record record;
+
+  g_array_set_size (fleet->untold_origins, 0);
+  while (origin_next_own (fleet->origins, &cursor, &record))
+    g_array_append_val (fleet->untold_origins, record);
+}
+
+/* Records that the version in RECORD began a stream here, and tells peers if
+   others may have.  IS_SPLIT: the route of the stream has several services. */
+void
+fleet_add_origin (struct fleet *fleet, const struct origin_record *record,
+                  int is_split)
+{
+  int is_known = origin_find (fleet->origins, record->attempt) != 0;
+
+  origin_add (fleet->origins, record, ORIGIN_OWN, clk_now (clk_monotonic ()));
+  if (!is_known && (is_split || origin_versions_differ (fleet->origins)))
+    tell_origin (fleet, record);
+}
+
+/* Tells peers of RECORD.  */
+static void
+tell_origin (struct fleet *fleet, const struct origin_record *record)
+{
+  struct wire_message message = { .kind = WIRE_ORIGINS };
+  const struct fleet_peer *peers[TOLD_PEERS];
+  uint32_t count = fleet_top_peers (
+      fleet, record->attempt, clk_now (clk_monotonic ()), peers, TOLD_PEERS);
+
+  message.u.origins.count = 1;
+  message.u.origins.origin[0] = wire_origin_of (fleet, record);
+  for (uint32_t i = 0; i < count; i++)
+    fleet_send (fleet, &peers[i]->address, &message);
+}
+
+/* Returns RECORD as it is told.  */
+static struct wire_origin
+wire_origin_of (const struct fleet *fleet, const struct origin_record *record)
+{
+  return (struct wire_origin){
+    .attempt = record->attempt,
+    .software = record->software,
+    .service = origin_service (fleet->origins, record->software),
+  };
+}
+
+/* Asks peers which version began the stream of ATTEMPT.  */
+void
+fleet_ask_origin (struct fleet *fleet, uint64_t attempt)
+{
+  struct wire_message message
+      = { .kind = WIRE_ORIGIN_QUERY, .u.origin_query.attempt = attempt };
+  const struct fleet_peer *peers[ASKED_PEERS];
+  uint32_t count = fleet_top_peers (fleet, attempt, clk_now (clk_monotonic ()),
+                                    peers, ASKED_PEERS);
+
+  for (uint32_t i = 0; i < count; i++)
+    fleet_send (fleet, &peers[i]->address, &message);
+}
+
+/* Answers PEER which version began the stream of QUERY, if that is known.  */
+void
+fleet_answer_origin (struct fleet *fleet, const struct fleet_peer *peer,
+                     const struct wire_origin_query *query)
+{
+  struct wire_message message = { .kind = WIRE_ORIGINS };
+  struct origin_record record
+      = { .attempt = query->attempt,
+          .software = origin_find (fleet->origins, query->attempt) };
+
+  if (record.software == 0)
+    return;
+  message.u.origins.count = 1;
+  message.u.origins.origin[0] = wire_origin_of (fleet, &record);
+  fleet_send (fleet, &peer->address, &message);
+}
+
+/* Records the origins that a peer has told.  */
+void
+fleet_apply_origins (struct fleet *fleet, const struct wire_origins *origins)
+{
+  clk_ms now = clk_now (clk_monotonic ());
+
+  for (uint32_t i = 0; i < origins->count; i++)
+    {
+      const struct wire_origin *origin = &origins->origin[i];
+      struct origin_record record
+          = { .attempt = origin->attempt, .software = origin->software };
+      struct origin_version version
+          = { .service = origin->service, .software = origin->software };
+
+      if (version.software == 0 || version.service == 0)
+        continue;
+      see_version (fleet, &version, now);
+      origin_add (fleet->origins, &record, ORIGIN_PEER, now);
+    }
+}
+
+/* Does the work that is due with a heartbeat: tells some origins, the newest
+   first, forgets what is old, and sees all targets.  */
 void
 fleet_origin_tick (struct fleet *fleet, clk_ms now)
 {
   const GPtrArray *targets = fleet->registry->array;
+  GArray *untold = fleet->untold_origins;
 
+  for (int i = 0; i < TOLD_PER_HEARTBEAT && untold->len > 0; i++)
+    {
+      tell_origin (fleet, &g_array_index (untold, struct origin_record,
+                                          untold->len - 1));
+      g_array_set_size (untold, untold->len - 1);
+    }
   if (fleet->heartbeat_count % SEE_HEARTBEATS != 0)
     return;
   for (guint i = 0; i < targets->len; i++)
--- a/process/fleet_peer.c
+++ b/process/fleet_peer.c
@@ -174,3 +174,34 @@
     }
   return 1;
 }
+
+/* Stores in TOP the live peers that rank first for KEY, at most MAX, in order.
+   Returns how many.  */
+uint32_t
+fleet_top_peers (const struct fleet *fleet, uint64_t key, clk_ms now,
+                 const struct fleet_peer **top, uint32_t max)
+{
+  uint32_t count = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, fleet->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct fleet_peer *peer = value;
+      uint64_t rank = rank_mix (key, peer->id);
+      uint32_t at = count;
+
+      if (fleet_is_silent (fleet, peer, now))
+        continue;
+      while (at > 0 && rank_mix (key, top[at - 1]->id) < rank)
+        at--;
+      if (at == max)
+        continue;
+      count = MIN (count + 1, max);
+      for (uint32_t i = count - 1; i > at; i--)
+        top[i] = top[i - 1];
+      top[at] = peer;
+    }
+  return count;
+}
--- a/process/libfleet.h
+++ b/process/libfleet.h
@@ -91,9 +91,10 @@
   int write_creates;             /* it creates the object of the part */
   ev_timer write_retry;
   struct origins *origins;
-  guint next_rate;       /* target whose sharers are found next */
-  guint first_told_rate; /* target whose limit is told first */
-  guint told_rates;      /* targets whose limits were told in this heartbeat */
+  GArray *untold_origins; /* of struct origin_record, to be told to peers */
+  guint next_rate;        /* target whose sharers are found next */
+  guint first_told_rate;  /* target whose limit is told first */
+  guint told_rates; /* targets whose limits were told in this heartbeat */
 };
 
 /* Each file uses only functions of those above it. */
@@ -104,6 +105,8 @@
 int fleet_is_silent (const struct fleet *fleet, const struct fleet_peer *peer,
                      clk_ms now);
 uint32_t fleet_heartbeat_stride (const struct fleet *fleet);
+uint32_t fleet_top_peers (const struct fleet *fleet, uint64_t key, clk_ms now,
+                          const struct fleet_peer **top, uint32_t max);
 int fleet_ranks_first (const struct fleet *fleet, uint64_t key, clk_ms now);
 
 /* fleet_send.c */
@@ -165,6 +168,10 @@
 void fleet_origin_init (struct fleet *fleet);
 void fleet_origin_clear (struct fleet *fleet);
 void fleet_origin_tick (struct fleet *fleet, clk_ms now);
+void fleet_apply_origins (struct fleet *fleet,
+                          const struct wire_origins *origins);
+void fleet_answer_origin (struct fleet *fleet, const struct fleet_peer *peer,
+                          const struct wire_origin_query *query);
 
 /* fleet_join.c */
 void fleet_join (struct fleet *fleet);
--- a/process/wire_body.c
+++ b/process/wire_body.c
@@ -59,6 +59,14 @@
                           const struct wire_message *message);
 static void decode_state (struct wire_reader *reader,
                           struct wire_message *message);
+static void encode_origins (msgpack_packer *packer,
+                            const struct wire_message *message);
+static void decode_origins (struct wire_reader *reader,
+                            struct wire_message *message);
+static void encode_origin_query (msgpack_packer *packer,
+                                 const struct wire_message *message);
+static void decode_origin_query (struct wire_reader *reader,
+                                 struct wire_message *message);
 static struct position next_position (struct wire_reader *list);
 static struct wire_reader next_array (struct wire_reader *reader,
                                       uint32_t max);
@@ -82,6 +90,8 @@
   [WIRE_RATES] = { encode_rates, decode_rates },
   [WIRE_SENT] = { encode_sent, decode_sent },
   [WIRE_STATE] = { encode_state, decode_state },
+  [WIRE_ORIGINS] = { encode_origins, decode_origins },
+  [WIRE_ORIGIN_QUERY] = { encode_origin_query, decode_origin_query },
 };
 
 /* Encodes the body of MESSAGE, according to its kind.  */
@@ -538,6 +548,55 @@
   reader->failed |= list.failed;
 }
 
+/* Encodes origins of streams, without a count.  */
+static void
+encode_origins (msgpack_packer *packer, const struct wire_message *message)
+{
+  const struct wire_origins *origins = &message->u.origins;
+
+  msgpack_pack_array (packer, origins->count * 3);
+  for (uint32_t i = 0; i < origins->count; i++)
+    {
+      msgpack_pack_uint64 (packer, origins->origin[i].attempt);
+      msgpack_pack_uint64 (packer, origins->origin[i].software);
+      msgpack_pack_uint64 (packer, origins->origin[i].service);
+    }
+}
+
+static void
+decode_origins (struct wire_reader *reader, struct wire_message *message)
+{
+  struct wire_origins *origins = &message->u.origins;
+  struct wire_reader list = next_array (reader, WIRE_ORIGINS_MAX * 3);
+
+  while (!list.failed && list.remaining > 0)
+    {
+      struct wire_origin *origin = &origins->origin[origins->count++];
+
+      origin->attempt = wire_next_uint (&list, UINT64_MAX);
+      origin->software = wire_next_uint (&list, UINT64_MAX);
+      origin->service = wire_next_uint (&list, UINT64_MAX);
+    }
+  reader->failed |= list.failed;
+}
+
+static void
+encode_origin_query (msgpack_packer *packer,
+                     const struct wire_message *message)
+{
+  msgpack_pack_array (packer, 1);
+  msgpack_pack_uint64 (packer, message->u.origin_query.attempt);
+}
+
+static void
+decode_origin_query (struct wire_reader *reader, struct wire_message *message)
+{
+  struct wire_reader list = next_array (reader, 1);
+
+  message->u.origin_query.attempt = wire_next_uint (&list, UINT64_MAX);
+  reader->failed |= list.failed;
+}
+
 /* Returns the position in the next two items of LIST.  */
 static struct position
 next_position (struct wire_reader *list)
--- a/request/librelay.h
+++ b/request/librelay.h
@@ -89,6 +89,8 @@
   uint64_t software; /* version that began the stream; 0: none has */
   uint64_t stream;   /* hash of the attempt id that began it; 0: unknown */
   uint8_t takes_up;  /* the client takes the stream up */
+  uint8_t waits;     /* until its origin is known */
+  clk_ms asked_ms;   /* time of the last question for it, 0: none */
   uint8_t has_begun; /* the origin of the stream has been recorded */
   /* The response.  */
   GString *response_fields;
--- a/request/relay.c
+++ b/request/relay.c
@@ -482,6 +482,11 @@
 
   (void)loop;
   (void)events;
+  if (relay->waits)
+    {
+      relay_origin_resolve (relay);
+      return;
+    }
   if (relay->call == NULL && relay->target != NULL)
     {
       relay_handle_fault (relay, RETRY_FAULT_CONNECT);
--- a/request/relay_origin.c
+++ b/request/relay_origin.c
@@ -4,7 +4,18 @@
 #include "ibisloom/rank.h"
 #include "librelay.h"
 
+enum
+{
+  CHECK_INTERVAL_MS = 5,
+  /* Some round trips between instances; a datagram may get lost.  */
+  ASK_INTERVAL_MS = 40,
+  PEERS_WAIT_MS = 100,
+  WAIT_MAX_MS = 300 /* allows for a look-up in the store */
+};
+
+static void wait_for_origin (struct relay *relay);
 static int find_origin (struct relay *relay);
+static int is_split (const struct rt_route *route);
 static uint64_t only_version (const struct relay *relay);
 
 /* Names in the log, and counters, by where an origin is known from.  */
@@ -35,15 +46,49 @@
   relay->stream = began != NULL ? rank_hash (began) : 0;
 }
 
-/* Starts RELAY, if it takes up a stream at the version that began it.  Refuses
-   the request if that is not known.  */
+/* Starts RELAY, if it takes up a stream at the version that began it.  While
+   that is not known, asks the other instances, and later has the store looked
+   up; if they do not know it either, refuses the request.  */
 void
 relay_origin_resolve (struct relay *relay)
 {
+  struct fleet *fleet = relay->router->fleet;
+  clk_ms now = clk_now (clk_monotonic ());
+  int64_t waited_ms = now - relay->arrived_ms;
+
   if (!relay->takes_up || find_origin (relay))
-    relay_start (relay);
-  else
-    relay_refuse (relay, RELAY_ORIGIN_UNKNOWN);
+    {
+      relay->waits = 0;
+      ev_timer_stop (relay->router->loop, &relay->timer);
+      relay_start (relay);
+      return;
+    }
+  if (relay->stream == 0 || waited_ms >= WAIT_MAX_MS
+      || now >= relay->deadline_ms)
+    {
+      relay_refuse (relay, RELAY_ORIGIN_UNKNOWN);
+      return;
+    }
+  if (relay->asked_ms == 0 || now - relay->asked_ms >= ASK_INTERVAL_MS)
+    {
+      relay->asked_ms = now;
+      fleet_ask_origin (fleet, relay->stream);
+    }
+  if (waited_ms >= PEERS_WAIT_MS)
+    fleet_look_up_origins (fleet);
+  wait_for_origin (relay);
+}
+
+/* Has the origin of RELAY's stream looked for again in CHECK_INTERVAL_MS.  */
+static void
+wait_for_origin (struct relay *relay)
+{
+  struct ev_loop *loop = relay->router->loop;
+
+  relay->waits = 1;
+  ev_timer_stop (loop, &relay->timer);
+  ev_timer_set (&relay->timer, (double)CHECK_INTERVAL_MS / CLK_MS_PER_S, 0);
+  ev_timer_start (loop, &relay->timer);
 }
 
 /* Finds the version that began the stream of RELAY.  If only one version can
@@ -79,19 +124,25 @@
 only_version (const struct relay *relay)
 {
   const struct rt_route *route = relay->route;
-  const char *only = NULL;
 
+  if (is_split (route))
+    return 0;
   for (uint32_t i = 0; i < route->split_count; i++)
-    {
-      if (route->split[i].weight == 0)
-        continue;
-      if (only != NULL)
-        return 0;
-      only = route->split[i].service;
-    }
-  return only != NULL ? origin_only_version (
-             fleet_origins (relay->router->fleet), rank_hash (only))
-                      : 0;
+    if (route->split[i].weight > 0)
+      return origin_only_version (fleet_origins (relay->router->fleet),
+                                  rank_hash (route->split[i].service));
+  return 0;
+}
+
+/* Returns whether requests of ROUTE go to several services.  */
+static int
+is_split (const struct rt_route *route)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < route->split_count; i++)
+    count += route->split[i].weight > 0;
+  return count > 1;
 }
 
 /* Returns the service, among those of RELAY's route, whose version began the
@@ -135,7 +186,6 @@
 void
 relay_origin_begin (struct relay *relay)
 {
-  struct origins *origins = fleet_origins (relay->router->fleet);
   struct origin_record record = { .attempt = relay->stream };
 
   if (relay->software == 0)
@@ -145,5 +195,5 @@
   relay->has_begun = 1;
   record.software = relay->software;
   if (relay->stream != 0 && relay->route->is_resumable)
-    origin_add (origins, &record, ORIGIN_OWN, clk_now (clk_monotonic ()));
+    fleet_add_origin (relay->router->fleet, &record, is_split (relay->route));
 }
--- a/tests/test_members.c
+++ b/tests/test_members.c
@@ -16,6 +16,7 @@
 static void digest_adds_and_refreshes_member (void);
 static void budget_enforces_rate_and_priority (void);
 static void wire_round_trip (void);
+static void origins_round_trip (void);
 static void wire_rejects_tampering (void);
 static void wire_rejects_random_bytes (void);
 static void heartbeat_fits_many_loads (void);
@@ -29,6 +30,7 @@
   { "the budget enforces rate and priority",
     budget_enforces_rate_and_priority },
   { "messages survive encoding and decoding", wire_round_trip },
+  { "origins of streams survive encoding and decoding", origins_round_trip },
   { "a heartbeat fits the loads of many targets", heartbeat_fits_many_loads },
   { "tampered messages are rejected", wire_rejects_tampering },
   { "random bytes are rejected", wire_rejects_random_bytes },
@@ -240,6 +242,33 @@
   CU_ASSERT_EQUAL (memcmp (data, again, length), 0);
 }
 
+static void
+origins_round_trip (void)
+{
+  struct wire_message message = { .kind = WIRE_ORIGINS };
+  struct wire_message copy;
+  unsigned char data[WIRE_MAX_BYTES];
+  struct wire_key key;
+
+  wire_key_derive (&key, "a secret of the test", "d");
+  for (uint64_t i = 0; i < WIRE_ORIGINS_MAX; i++)
+    message.u.origins.origin[i]
+        = (struct wire_origin){ UINT64_MAX - i, UINT64_MAX, i };
+  message.u.origins.count = WIRE_ORIGINS_MAX;
+  CU_ASSERT_EQUAL (
+      wire_decode (&copy, &key, data, wire_encode (&message, &key, data)),
+      WIRE_OK);
+  CU_ASSERT_EQUAL (copy.u.origins.count, WIRE_ORIGINS_MAX);
+  CU_ASSERT_EQUAL (copy.u.origins.origin[1].attempt, UINT64_MAX - 1);
+  CU_ASSERT_EQUAL (copy.u.origins.origin[1].service, 1);
+  message = (struct wire_message){ .kind = WIRE_ORIGIN_QUERY,
+                                   .u.origin_query.attempt = 5 };
+  CU_ASSERT_EQUAL (
+      wire_decode (&copy, &key, data, wire_encode (&message, &key, data)),
+      WIRE_OK);
+  CU_ASSERT_EQUAL (copy.u.origin_query.attempt, 5);
+}
+
 static void
 wire_rejects_tampering (void)
 {
--- a/tests/test_resume.c
+++ b/tests/test_resume.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "shop.h"
 #include "test.h"
@@ -21,6 +22,7 @@
 enum
 {
   APPLY_MS = 2000, /* until a new entry in the store is known */
+  ROUTERS = 6,
   EVENTS = 5,
   EVENTS_BEFORE_CUT = 2,
   STREAMS = 12
@@ -33,6 +35,9 @@
 static void client_is_refused_when_the_version_is_gone (void);
 static void unknown_stream_goes_on_at_the_only_version (void);
 static void unknown_stream_is_refused_among_two_versions (void);
+static void other_instance_goes_on_at_the_same_version (void);
+static void other_instance_knows_streams_from_before (void);
+static void client_that_leaves_ends_the_wait (void);
 
 static const struct test_case cases[] = {
   { "a stream goes on at the version that began it only",
@@ -49,6 +54,12 @@
     unknown_stream_goes_on_at_the_only_version },
   { "a stream of unknown origin is refused among two versions",
     unknown_stream_is_refused_among_two_versions },
+  { "a client takes a stream up at another instance at the same version",
+    other_instance_goes_on_at_the_same_version },
+  { "the same for a stream begun before the second version came",
+    other_instance_knows_streams_from_before },
+  { "a client that leaves ends the wait for the origin of its stream",
+    client_that_leaves_ends_the_wait },
 };
 
 TEST_MAIN ("resume", cases)
@@ -286,3 +297,74 @@
       fx_target_request_count (old) + fx_target_request_count (new), 0);
   fx_env_stop ();
 }
+
+/* Returns the response of router INDEX to REQUEST, newly allocated.  */
+static char *
+exchange_with (int index, const char *request)
+{
+  int fd = fx_router_connect (index);
+
+  CU_ASSERT_FATAL (fd >= 0);
+  fx_send (fd, request);
+  return fx_read_all (fd);
+}
+
+/* Checks that all other routers take up the stream that broke off at the first
+   one, at the older version if IS_OLD.  */
+static void
+expect_taken_up_elsewhere (int is_old)
+{
+  for (int i = 1; i < ROUTERS; i++)
+    {
+      char *response = exchange_with (i, TAKE_UP ("s2", "s1"));
+
+      CU_ASSERT_PTR_NOT_NULL (
+          strstr (response, is_old ? "data: old5" : "data: new5"));
+      g_free (response);
+    }
+}
+
+static void
+other_instance_goes_on_at_the_same_version (void)
+{
+  add_old ("i-1", cut_old_until_taken_up);
+  add_version ("i-2", cut_new_until_taken_up, "v2");
+  add_old ("i-3", cut_old_until_taken_up);
+  add_version ("i-4", cut_new_until_taken_up, "v2");
+  fx_store_start (shop_config);
+  fx_routers_start (ROUTERS);
+  fx_sleep_ms (APPLY_MS);
+  expect_taken_up_elsewhere (break_off_stream ());
+  fx_env_stop ();
+}
+
+static void
+other_instance_knows_streams_from_before (void)
+{
+  add_old ("i-1", cut_old_until_taken_up);
+  fx_store_start (shop_config);
+  fx_routers_start (ROUTERS);
+  fx_sleep_ms (APPLY_MS);
+  CU_ASSERT (break_off_stream ());
+  add_version ("i-2", cut_new_until_taken_up, "v2");
+  fx_sleep_ms (APPLY_MS);
+  expect_taken_up_elsewhere (1);
+  fx_env_stop ();
+}
+
+static void
+client_that_leaves_ends_the_wait (void)
+{
+  struct fx_target *old = add_old ("i-1", cut_old);
+  int fd;
+
+  add_version ("i-2", cut_new, "v2");
+  fx_env_start (shop_config);
+  fd = fx_connect ();
+  fx_send (fd, TAKE_UP ("s2", "s1"));
+  close (fd);
+  fx_sleep_ms (APPLY_MS / 2);
+  CU_ASSERT_EQUAL (fx_router_metric (0, "ibisloom_open_requests"), 0);
+  CU_ASSERT_EQUAL (fx_target_request_count (old), 0);
+  fx_env_stop ();
+}
