Begin resumable streams at versions that are noted in the store

A stream that begins at a version of which no other instance knows yet might be taken up elsewhere as if one version served. Such targets now come after those whose version is noted, and serve only when no other can. It has no effect until the store keeps versions: the function that tells is a stand-in.

--- a/request/relay_target.c
+++ b/request/relay_target.c
@@ -12,7 +12,7 @@
 /* Targets that may be sent a request, each kind with those before it.  */
 enum admission
 {
-  ADMIT_SURE,  /* whose version is not in doubt */
+  ADMIT_SURE,  /* whose version is not in doubt, and noted in the store */
   ADMIT_ALL,   /* to which no attempt was made */
   ADMIT_TRIED, /* that were sent the request before */
   /* For a stream that has begun: those over the load bound, and suspended ones
@@ -124,13 +124,17 @@
   return admission > ADMIT_SURE || is_sure (relay, target, now);
 }
 
-/* Returns whether it is sure that TARGET has the version that its entry names,
-   if RELAY goes on with a stream.  */
+/* Returns whether it is sure at NOW that TARGET has the version that its entry
+   names, if RELAY goes on with a stream, or that all instances will know of
+   its version, if RELAY may begin one.  */
 static int
 is_sure (const struct relay *relay, const struct reg_target *target,
          clk_ms now)
 {
-  return relay->software == 0 || reg_doubt (target, now) == REG_SURE;
+  if (relay->software != 0)
+    return reg_doubt (target, now) == REG_SURE;
+  return relay->route->kind != RT_STREAM || !relay->route->is_resumable
+         || fleet_software_is_noted (relay->router->fleet, target->software);
 }
 
 /* Counts the current target as one that may have received RELAY.  */
