Promise nothing for streams of unknown origin or of a version that is gone

Callers whose streams nobody knows any more were told to come back in 0.3 s, used up their tries and their time, and got no more than before: once peers and the store have been asked, nobody else can tell. They are refused without Retry-After now, as the table does where a retry does not help. An instance that has not read the store since its start still names a time.

--- a/request/relay_origin.c
+++ b/request/relay_origin.c
@@ -66,7 +66,9 @@
   if (relay->stream == 0 || waited_ms >= WAIT_MAX_MS
       || now >= relay->deadline_ms)
     {
-      relay_refuse (relay, RELAY_ORIGIN_UNKNOWN);
+      relay_refuse (relay, fleet_origins_are_read (fleet)
+                               ? RELAY_ORIGIN_UNKNOWN
+                               : RELAY_NOT_CONFIGURED);
       return;
     }
   if (relay->asked_ms == 0 || now - relay->asked_ms >= ASK_INTERVAL_MS)
--- a/request/relay_refuse.c
+++ b/request/relay_refuse.c
@@ -39,10 +39,9 @@
   [RELAY_QUARANTINED]
   = { "quarantined", METRIC_REFUSED_QUARANTINED, 503, 60000 },
   [RELAY_RATES_USED_UP] = { "rates_used_up", METRIC_REFUSED_RATE, 503, 400 },
-  [RELAY_ORIGIN_UNKNOWN]
-  = { "origin_unknown", METRIC_REFUSED_ORIGIN, 503, 300 },
+  [RELAY_ORIGIN_UNKNOWN] = { "origin_unknown", METRIC_REFUSED_ORIGIN, 503, 0 },
   [RELAY_VERSION_GONE]
-  = { "version_gone", METRIC_REFUSED_VERSION_GONE, 503, 500 }
+  = { "version_gone", METRIC_REFUSED_VERSION_GONE, 503, 0 }
 };
 
 /* Ends RELAY with REFUSAL.  If the response has begun, the client's connection
