--- a/process/libfleet.h
+++ b/process/libfleet.h
@@ -94,6 +94,7 @@
   struct fleet_origin_store *origin_store; /* see fleet_origin_store.c */
   GArray *noted;                           /* versions that the store names */
   GPtrArray *origin_objects; /* of other instances, in the store */
+  GArray *untold_origins;    /* of struct origin_record, to be told to peers */
   guint next_rate;           /* target whose sharers are found next */
   guint first_told_rate;     /* target whose limit is told first */
   guint told_rates; /* targets whose limits were told in this heartbeat */
@@ -107,6 +108,8 @@
 int fleet_is_silent (const struct fleet *fleet, const struct fleet_peer *peer,
                      clk_ms now);
 uint32_t fleet_heartbeat_stride (const struct fleet *fleet);
+uint32_t fleet_top_peers (const struct fleet *fleet, uint64_t key, clk_ms now,
+                          const struct fleet_peer **top, uint32_t max);
 int fleet_ranks_first (const struct fleet *fleet, uint64_t key, clk_ms now);
 
 /* fleet_send.c */
@@ -168,6 +171,11 @@
 void fleet_origin_init (struct fleet *fleet);
 void fleet_origin_clear (struct fleet *fleet);
 void fleet_origin_tick (struct fleet *fleet, clk_ms now);
+void fleet_apply_origins (struct fleet *fleet,
+                          const struct wire_origins *origins);
+void fleet_answer_origin (struct fleet *fleet, const struct fleet_peer *peer,
+                          const struct wire_origin_query *query);
+
 /* fleet_origin_note.c */
 GArray *fleet_noted_new (void);
 void fleet_note_stored (struct fleet *fleet, const json_t *content);
--- a/request/relay.c
+++ b/request/relay.c
@@ -547,6 +547,11 @@
 
   (void)loop;
   (void)events;
+  if (relay->waits)
+    {
+      relay_origin_resolve (relay);
+      return;
+    }
   if (relay->attempt.call == NULL && relay->attempt.target != NULL)
     {
       relay_handle_fault (relay, RETRY_FAULT_CONNECT);
