--- a/connection/client.c
+++ b/connection/client.c
@@ -12,6 +12,7 @@
   READ_BYTES = 65536,
   PIPELINED_MAX_BYTES = 65536, /* received before the response to the current
                                   request is complete */
+  UNREAD_MS = 50,              /* time for input that has arrived to be read */
   CLOSE_TIMEOUT_MS = 1000,     /* time for the client to read the response and
                                   close the connection */
   USER_TIMEOUT_MS = 10000,     /* limit for sent data to be acknowledged */
@@ -296,7 +297,9 @@
 }
 
 /* Closes a connection that is idle for too long or was not closed in time by
-   the client.  A client that has sent part of a request gets status 408.  */
+   the client.  A client that has sent part of a request gets status 408.  A
+   request that has arrived but was not read, as the process stood still, is
+   read first.  */
 static void
 on_timer (struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -306,6 +309,9 @@
   (void)events;
   if (client->state == CLIENT_READING && client->reader.head != NULL)
     reject_request (client, HTTP_STATUS_REQUEST_TIMEOUT);
+  else if (client->state == CLIENT_READING
+           && !sock_is_idle (client->readable.fd))
+    client_set_timer (client, UNREAD_MS);
   else
     client_free (client);
 }
--- a/connection/client_listener.c
+++ b/connection/client_listener.c
@@ -44,8 +44,9 @@
   return 0;
 }
 
-/* Closes the idle connections of LISTENER that have carried a request.  New
-   connections are still accepted, each for one request.  */
+/* Closes the idle connections of LISTENER that have carried a request and have
+   no input that is yet to be read.  New connections are still accepted, each
+   for one request.  */
 void
 client_listener_drain (struct client_listener *listener)
 {
@@ -56,7 +57,8 @@
 
       next = at->next;
       if (client->state == CLIENT_READING && client->reader.head == NULL
-          && client->has_received_request)
+          && client->has_received_request
+          && sock_is_idle (client->readable.fd))
         client_free (client);
     }
 }
@@ -76,6 +78,21 @@
   return 0;
 }
 
+/* Returns whether a connection has input that is yet to be read.  */
+int
+client_listener_has_unread_input (const struct client_listener *listener)
+{
+  for (const GList *at = listener->clients.head; at != NULL; at = at->next)
+    {
+      const struct client *client = at->data;
+
+      if (client->state == CLIENT_READING
+          && !sock_is_idle (client->readable.fd))
+        return 1;
+    }
+  return 0;
+}
+
 /* Closes the listening socket and all connections.  */
 void
 client_listener_close (struct client_listener *listener)
--- a/include/ibisloom/client.h
+++ b/include/ibisloom/client.h
@@ -51,6 +51,7 @@
                           const struct client_listener_ops *ops,
                           const struct sockaddr_in *address, GError **error);
 void client_listener_drain (struct client_listener *listener);
+int client_listener_has_unread_input (const struct client_listener *listener);
 int client_listener_has_undelivered_output (
     const struct client_listener *listener);
 void client_listener_close (struct client_listener *listener);
--- a/process/router.c
+++ b/process/router.c
@@ -336,6 +336,7 @@
   if (since >= LAME_DUCK_MS)
     client_listener_drain (&router->request_listener);
   if ((since >= LAME_DUCK_END_MS && router->open_requests == 0
+       && !client_listener_has_unread_input (&router->request_listener)
        && !client_listener_has_undelivered_output (&router->request_listener))
       || since >= force_stop_ms)
     ev_break (router->loop, EVBREAK_ALL);
--- a/tests/test_silence.c
+++ b/tests/test_silence.c
@@ -1,6 +1,8 @@
-/* End-to-end tests of targets that fall silent and go on, or freeze. */
+/* End-to-end tests of targets that fall silent and go on, or freeze, and of
+   routers that stand still for a time. */
 #include <poll.h>
 #include <pthread.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -22,6 +24,8 @@
   OVERLAP_MAX_MS = 400, /* two targets may work on a request for so long */
   READ_MAX_MS = 1300,
   WATCH_START_MS = 1500, /* until a started router watches the store */
+  IDLE_MS = 1000,        /* after which kept connections are closed */
+  DRAIN_MS = 4000,       /* by then a shutdown closes them */
   SETTLE_MS = 100
 };
 
@@ -37,6 +41,8 @@
 static void silent_target_is_released_for_replacement (void);
 static void silence_of_all_targets_ends_with_it (void);
 static void broken_stream_goes_on_after_a_refusal (void);
+static void request_on_kept_connection_outlives_idle_time (void);
+static void request_on_kept_connection_outlives_drain (void);
 
 static const struct test_case cases[] = {
   { "a silence beside a configuration change loses no stream",
@@ -63,10 +69,20 @@
     silence_of_all_targets_ends_with_it },
   { "a broken stream that the next target refuses goes on at another",
     broken_stream_goes_on_after_a_refusal },
+  { "a request that waits on a kept connection outlives its idle time",
+    request_on_kept_connection_outlives_idle_time },
+  { "a request that waits on a kept connection outlives a shutdown's drain",
+    request_on_kept_connection_outlives_drain },
 };
 
 TEST_MAIN ("silence", cases)
 
+#define KEPT_GET_MAP(id)                                                      \
+  "GET /map/1 HTTP/1.1\r\nHost: shop.example\r\n"                             \
+  "X-Ibisloom-Attempt-Id: " id "\r\n"                                         \
+  "X-Ibisloom-Deadline-Remaining: 4000\r\n"                                   \
+  "Authorization: Token key-1\r\n\r\n"
+
 static gint whole;                     /* streams that came whole */
 static gint64 replaced_us;             /* when the replacement was sent */
 static gint64 released_us;             /* when the silent target was left */
@@ -229,15 +245,24 @@
   CU_ASSERT_EQUAL (g_atomic_int_get (&whole), count);
 }
 
+/* Returns the configuration with TEXT in place of OLD, newly allocated.  */
+static char *
+config_with (const char *old, const char *text)
+{
+  char **halves = g_strsplit (shop_config, old, 2);
+  char *config = g_strjoinv (text, halves);
+
+  g_strfreev (halves);
+  return config;
+}
+
 static void
 change_configuration (void)
 {
-  char **halves = g_strsplit (shop_config, "\"version\":3", 2);
-  char *config = g_strjoinv ("\"version\":4", halves);
+  char *config = config_with ("\"version\":3", "\"version\":4");
 
   fx_store_put ("config", "main", config);
   g_free (config);
-  g_strfreev (halves);
 }
 
 /* Starts a router and a target of SERVICE with HANDLER.  */
@@ -444,3 +469,65 @@
   CU_ASSERT_EQUAL (fx_target_request_count (second), 1);
   fx_env_stop ();
 }
+
+/* Sends a request on the connection FD while the router stands still for MS
+   milliseconds.  Returns the start of the response, newly allocated.  */
+static char *
+send_while_standing (int fd, const char *request, int ms)
+{
+  fx_signal (SIGSTOP);
+  fx_send (fd, request);
+  fx_sleep_ms (ms);
+  fx_signal (SIGCONT);
+  return fx_read_until (fd, "\r\n\r\n");
+}
+
+/* Starts a router with CONFIG and returns a connection that has carried a
+   request.  */
+static int
+keep_connection (const char *config)
+{
+  char *response;
+  int fd;
+
+  fx_target_add ("i-1", "desk", shop_respond_ok);
+  fx_env_start (config);
+  fd = fx_connect ();
+  fx_send (fd, KEPT_GET_MAP ("k1"));
+  response = fx_read_until (fd, "well");
+  g_free (response);
+  return fd;
+}
+
+static void
+request_on_kept_connection_outlives_idle_time (void)
+{
+  char *config
+      = config_with ("\"idle_timeout_ms\":5000", "\"idle_timeout_ms\":1000");
+  int fd = keep_connection (config);
+  char *response;
+
+  fx_sleep_ms (IDLE_MS / 2);
+  response = send_while_standing (fd, KEPT_GET_MAP ("k2"), IDLE_MS);
+  CU_ASSERT (g_str_has_prefix (response, "HTTP/1.1 200"));
+  g_free (response);
+  close (fd);
+  g_free (config);
+  fx_env_stop ();
+}
+
+static void
+request_on_kept_connection_outlives_drain (void)
+{
+  int fd = keep_connection (shop_config);
+  char *response;
+
+  fx_signal (SIGTERM);
+  fx_sleep_ms (SETTLE_MS);
+  response = send_while_standing (fd, KEPT_GET_MAP ("k2"), DRAIN_MS);
+  CU_ASSERT (g_str_has_prefix (response, "HTTP/1.1 200")
+             || g_str_has_prefix (response, "HTTP/1.1 503"));
+  g_free (response);
+  close (fd);
+  fx_env_stop ();
+}
