--- a/request/librelay.h
+++ b/request/librelay.h
@@ -54,6 +54,7 @@
   uint8_t is_trial;        /* trial request to a suspended target */
   uint8_t is_first_send;   /* the target was not sent the request before */
   uint8_t parts_succeeded; /* its target has gone on after the first event */
+  uint8_t input_awaited;   /* its timer was put off for unread input */
   uint8_t is_silent;       /* past its read timeout */
   clk_ms first_event_ms;   /* 0: no event yet */
   GString *response_fields;
@@ -124,6 +125,7 @@
 void relay_return_to_kept (struct relay *relay);
 void relay_drop_kept (struct relay *relay, enum health_event event);
 void relay_end_overlap (struct relay *relay);
+int relay_waits_for_input (struct relay *relay);
 
 /* relay_target.c */
 struct reg_target *relay_choose_target (const struct relay *relay, clk_ms now,
--- a/request/relay.c
+++ b/request/relay.c
@@ -309,6 +309,7 @@
   relay->attempt.not_run = 0;
   relay->attempt.is_invalid = 0;
   relay->attempt.is_silent = 0;
+  relay->attempt.input_awaited = 0;
   relay->attempt.first_event_ms = 0;
   relay->attempt.parts_succeeded = 0;
   relay->sends++;
@@ -534,6 +535,8 @@
     }
   if (now < relay->deadline_ms)
     {
+      if (relay_waits_for_input (relay))
+        return;
       if (relay->kept.target != NULL)
         relay_end_overlap (relay);
       else if (relay->attempt.not_run)
--- a/request/relay_silence.c
+++ b/request/relay_silence.c
@@ -11,6 +11,7 @@
      for the end of a connection to arrive.  */
   OVERLAP_MS = 250,
   CONNECT_EXTENSION_MS = 50, /* of the overlap, until a connection is there */
+  UNREAD_MS = 20,            /* time for input that has arrived to be read */
   LOOK_AGAIN_MS = 250,       /* by then, another target may be free */
   KEPT_BODY_MAX_BYTES = 65536
 };
@@ -136,6 +137,26 @@
   relay_arm_timer (relay);
 }
 
+/* Puts off RELAY's timer once if input of an attempt has arrived and was not
+   read, as the process stood still: its target is not silent.  Returns whether
+   it did so.  */
+int
+relay_waits_for_input (struct relay *relay)
+{
+  struct relay_attempt *attempt = &relay->attempt;
+
+  if (attempt->input_awaited
+      || !((attempt->call != NULL && out_call_has_unread_input (attempt->call))
+           || (relay->kept.call != NULL
+               && out_call_has_unread_input (relay->kept.call))))
+    return 0;
+  attempt->input_awaited = 1;
+  ev_timer_stop (relay->router->loop, &relay->timer);
+  ev_timer_set (&relay->timer, (double)UNREAD_MS / CLK_MS_PER_S, 0);
+  ev_timer_start (relay->router->loop, &relay->timer);
+  return 1;
+}
+
 /* Handles a sign of life of the current attempt: a response head, an event, or
    a piece of a body that is forwarded.  */
 void
@@ -148,6 +169,7 @@
     health_record (&attempt->target->health, HEALTH_WENT_ON,
                    attempt->last_received_ms);
   attempt->is_silent = 0;
+  attempt->input_awaited = 0;
   relay_arm_timer (relay);
 }
 
--- a/tests/test_silence.c
+++ b/tests/test_silence.c
@@ -43,6 +43,7 @@
 static void broken_stream_goes_on_after_a_refusal (void);
 static void request_on_kept_connection_outlives_idle_time (void);
 static void request_on_kept_connection_outlives_drain (void);
+static void standing_router_does_not_replace_targets (void);
 
 static const struct test_case cases[] = {
   { "a silence beside a configuration change loses no stream",
@@ -73,6 +74,8 @@
     request_on_kept_connection_outlives_idle_time },
   { "a request that waits on a kept connection outlives a shutdown's drain",
     request_on_kept_connection_outlives_drain },
+  { "a router that stood still does not replace targets that went on",
+    standing_router_does_not_replace_targets },
 };
 
 TEST_MAIN ("silence", cases)
@@ -531,3 +534,22 @@
   close (fd);
   fx_env_stop ();
 }
+
+static void
+standing_router_does_not_replace_targets (void)
+{
+  pthread_t thread;
+  struct fx_target *second;
+
+  start_first_target ("pool", stream_slowly);
+  start_streams (&thread, 1);
+  fx_sleep_ms (SETTLE_MS);
+  second = fx_target_add ("i-2", "pool", stream_slowly);
+  fx_sleep_ms (SETTLE_MS);
+  fx_signal (SIGSTOP);
+  fx_sleep_ms (SILENCE_MS);
+  fx_signal (SIGCONT);
+  expect_whole_streams (&thread, 1);
+  CU_ASSERT_EQUAL (fx_target_request_count (second), 0);
+  fx_env_stop ();
+}
