--- a/tests/test_odd_entry.c
+++ b/tests/test_odd_entry.c
@@ -23,6 +23,7 @@
 static void router_starts_among_odd_entries (void);
 static void router_follows_changes_after_odd_entries (void);
 static void router_follows_versions_after_odd_ones (void);
+static void router_starts_from_peer_with_odd_entries (void);
 
 static const struct test_case cases[] = {
   { "an object that the parser refuses keeps its name and revision",
@@ -37,6 +38,8 @@
     router_follows_changes_after_odd_entries },
   { "a router that watches follows versions after any odd configuration",
     router_follows_versions_after_odd_ones },
+  { "a router starts from a peer whose snapshot has odd entries",
+    router_starts_from_peer_with_odd_entries },
 };
 
 TEST_MAIN ("odd_entry", cases)
@@ -325,3 +328,25 @@
   CU_ASSERT (fx_router_metric (0, "ibisloom_store_unreadable_total") > 0);
   fx_env_stop ();
 }
+
+/* The store is down, so that the router starts from the snapshot alone.  */
+static void
+router_starts_from_peer_with_odd_entries (void)
+{
+  char name[] = "e-a";
+
+  for (size_t i = 0; odd_entries[i].is_refused; i++, name[2]++)
+    {
+      odd = fx_target_add (name, "desk", shop_respond_ok);
+      put_odd_entry (&odd_entries[i]);
+    }
+  add_targets ();
+  fx_store_put ("config", "main", shop_config);
+  fx_store_set_down (1);
+  fx_env_start (NULL);
+  fx_newer_peer_start (3);
+  CU_ASSERT (fx_wait_until (fx_is_ready));
+  if (fx_is_ready ())
+    CU_ASSERT (count_requests_at (sound[0]) > 0);
+  fx_env_stop ();
+}
--- a/tests/test_snapshot.c
+++ b/tests/test_snapshot.c
@@ -26,6 +26,7 @@
 static void positions_are_ordered_by_epoch_first (void);
 static void replicas_follow_restorations (void);
 static void newest_version_is_passed_on (void);
+static void deeply_nested_entry_reaches_replicas (void);
 
 static const struct test_case cases[] = {
   { "replicas match the store after each change", replicas_match_store },
@@ -38,6 +39,8 @@
     replicas_follow_restorations },
   { "the newest version is passed on, whatever its position",
     newest_version_is_passed_on },
+  { "an entry nested up to the parser's limit costs no other",
+    deeply_nested_entry_reaches_replicas },
   { "damaged data is rejected", damaged_data_is_rejected },
   { "failed watchers are replaced", failed_watchers_are_replaced },
   { "the number of watchers is bounded in an outage",
@@ -128,6 +131,34 @@
   json_decref (content);
 }
 
+/* The entry has the depth at which a parser still accepts it in the store.  */
+static void
+deeply_nested_entry_reaches_replicas (void)
+{
+  struct snapshot *snapshot = snapshot_new ();
+  struct replica replica = { 0 };
+  struct snapshot_state now = { .config = { 0, 1 }, .targets = { 0, 3 } };
+  json_t *content = json_object ();
+  struct watch_object deep
+      = { .name = "i1", .position = { 0, 2 }, .content = content };
+  json_t *inner = content;
+
+  for (int depth = 2; depth < JSON_PARSER_MAX_DEPTH; depth++)
+    {
+      json_t *next = json_object ();
+
+      json_object_set_new (inner, "a", next);
+      inner = next;
+    }
+  snapshot_put_target (snapshot, &deep);
+  put_target (snapshot, 2, 0, (struct position){ 0, 3 });
+  sync_replica (&replica, snapshot, &now);
+  CU_ASSERT_EQUAL (replica.revision[1], 2);
+  CU_ASSERT_EQUAL (replica.revision[2], 3);
+  json_decref (content);
+  snapshot_free (snapshot);
+}
+
 /* A replica that fetches each change and one that fetches every 40th must both
    end with the exact content of the store, without a second full list.  */
 static void
--- a/version/snapshot.c
+++ b/version/snapshot.c
@@ -10,6 +10,7 @@
 
 #include <zlib.h>
 
+#include "ibisloom/json_scan.h"
 #include "ibisloom/snapshot.h"
 
 enum
@@ -19,6 +20,18 @@
   TEXT_MAX_BYTES = 67108864
 };
 
+/* Members that hold objects, each of which is parsed by itself. */
+enum part
+{
+  PART_CONFIG,
+  PART_TARGETS,
+  PART_DELETED,
+  PART_COUNT
+};
+
+static const char *const part_names[PART_COUNT]
+    = { "config", "targets", "gone" };
+
 /* Object with its content as JSON text. */
 struct snapshot_object
 {
@@ -58,10 +71,11 @@
 static int lacks_config (const struct snapshot *snapshot,
                          const struct snapshot_state *since);
 static uint64_t get_number (const json_t *object, const char *key);
-static void deliver (const json_t *object, int deleted,
+static int read_state (const json_t *root, struct snapshot_state *known);
+static void deliver (struct scan_text object, int deleted,
                      const struct watch_sink *sink);
-static void deliver_all (const json_t *list, int deleted,
-                         const struct watch_sink *sink);
+static int deliver_all (struct scan_text list, int deleted,
+                        const struct watch_sink *sink);
 
 /* Returns whether an instance that told the state TOLD has anything newer than
    KNOWN.  Versions of the configuration only rise, also when the store is
@@ -364,37 +378,45 @@
                 const struct watch_sink *config,
                 const struct watch_sink *targets)
 {
-  json_t *root = json_loadb (text, length, 0, NULL);
-  const json_t *items = json_object_get (root, "targets");
+  struct scan_text snapshot = { text, length };
+  struct scan_text parts[PART_COUNT];
+  struct scan_text entries;
+  json_t *root = scan_object (snapshot, part_names, parts, PART_COUNT);
   int is_full = json_is_true (json_object_get (root, "whole"));
+  int is_valid = read_state (root, known) == 0
+                 && scan_array (parts[PART_TARGETS], &entries) == 0;
 
-  if (!json_is_integer (json_object_get (root, "config_revision"))
-      || !json_is_integer (json_object_get (root, "targets_revision"))
-      || !json_is_array (items))
-    {
-      json_decref (root);
-      return -1;
-    }
-  known->version = get_number (root, "version");
-  known->config = (struct position){ get_number (root, "config_epoch"),
-                                     get_number (root, "config_revision") };
-  known->targets = (struct position){ get_number (root, "targets_epoch"),
-                                      get_number (root, "targets_revision") };
-  deliver (json_object_get (root, "config"), 0, config);
+  json_decref (root);
+  if (!is_valid)
+    return -1;
+  deliver (parts[PART_CONFIG], 0, config);
   if (pos_compare (known->targets, current->targets) < 0)
-    {
-      json_decref (root);
-      return 0;
-    }
+    return 0;
   if (is_full)
     targets->begin (targets->closure);
   /* Deletions come first: a target that was registered again is in both
      lists.  */
-  deliver_all (json_object_get (root, "gone"), 1, targets);
-  deliver_all (items, 0, targets);
+  if (deliver_all (parts[PART_DELETED], 1, targets) != 0
+      || deliver_all (parts[PART_TARGETS], 0, targets) != 0)
+    return -1;
   if (is_full)
     targets->end (targets->closure, known->targets);
-  json_decref (root);
+  return 0;
+}
+
+/* Reads what a snapshot covers from its other members, ROOT.  Returns 0, or -1
+   if it does not say so.  */
+static int
+read_state (const json_t *root, struct snapshot_state *known)
+{
+  if (!json_is_integer (json_object_get (root, "config_revision"))
+      || !json_is_integer (json_object_get (root, "targets_revision")))
+    return -1;
+  known->version = get_number (root, "version");
+  known->config = (struct position){ get_number (root, "config_epoch"),
+                                     get_number (root, "config_revision") };
+  known->targets = (struct position){ get_number (root, "targets_epoch"),
+                                      get_number (root, "targets_revision") };
   return 0;
 }
 
@@ -408,27 +430,36 @@
   return number > 0 ? (uint64_t)number : 0;
 }
 
-/* Passes all objects of LIST to SINK.  */
-static void
-deliver_all (const json_t *list, int deleted, const struct watch_sink *sink)
+/* Passes all objects of LIST, which may be left out, to SINK.  Returns 0, or
+   -1 if LIST is malformed.  */
+static int
+deliver_all (struct scan_text list, int deleted, const struct watch_sink *sink)
 {
-  for (size_t i = 0; i < json_array_size (list); i++)
-    deliver (json_array_get (list, i), deleted, sink);
+  struct scan_text object;
+  int result = list.length > 0 ? scan_array (list, &list) : 0;
+
+  while (result >= 0 && (result = scan_next (&list, &object)) > 0)
+    deliver (object, deleted, sink);
+  return result;
 }
 
-/* Passes OBJECT to SINK, unless it is null or lacks a name or content.  */
+/* Passes OBJECT to SINK, unless it is null or lacks a name.  Content that
+   cannot be parsed is missing.  */
 static void
-deliver (const json_t *object, int deleted, const struct watch_sink *sink)
+deliver (struct scan_text object, int deleted, const struct watch_sink *sink)
 {
-  struct watch_object parsed
-      = { .name = json_string_value (json_object_get (object, "name")),
-          .position
-          = { get_number (object, "epoch"), get_number (object, "revision") },
-          .deleted = deleted,
-          .content = json_object_get (object, "content") };
-
-  if (parsed.name != NULL && parsed.content != NULL)
-    sink->object (sink->closure, &parsed);
+  json_t *parsed = scan_parse (object);
+  struct watch_object reported = { .deleted = deleted };
+
+  if (parsed == NULL)
+    parsed = scan_object (object, NULL, NULL, 0);
+  reported.name = json_string_value (json_object_get (parsed, "name"));
+  reported.position = (struct position){ get_number (parsed, "epoch"),
+                                         get_number (parsed, "revision") };
+  reported.content = json_object_get (parsed, "content");
+  if (reported.name != NULL && *reported.name != '\0')
+    sink->object (sink->closure, &reported);
+  json_decref (parsed);
 }
 
 /* Returns a copy of OBJECT with its content as JSON text.  */
