--- a/process/fleet_join.c
+++ b/process/fleet_join.c
@@ -5,6 +5,7 @@
 #include "ibisloom/fleet.h"
 #include "ibisloom/http.h"
 #include "ibisloom/log.h"
+#include "ibisloom/metrics.h"
 #include "ibisloom/rank.h"
 #include "ibisloom/storecall.h"
 #include "libfleet.h"
@@ -165,9 +166,13 @@
 
   if (fleet_read_part (fleet, object->content))
     return;
-  if (id == fleet->self || address == NULL
-      || settings_parse_address (address, &parsed) != 0
-      || g_hash_table_size (fleet->peers) >= FLEET_PEERS_MAX)
+  if (address == NULL || settings_parse_address (address, &parsed) != 0)
+    {
+      metric_inc (METRIC_STORE_UNREADABLE);
+      log_warn ("fleet", NULL, "unreadable", "%s", object->name);
+      return;
+    }
+  if (id == fleet->self || g_hash_table_size (fleet->peers) >= FLEET_PEERS_MAX)
     return;
   fleet_get_peer (fleet, id)->address = parsed;
 }
--- a/process/fleet_quarantine.c
+++ b/process/fleet_quarantine.c
@@ -14,7 +14,8 @@
 enum
 {
   /* While a trial is due at another instance, a request may come there.  */
-  TRIAL_ELSEWHERE_MS = 1000
+  TRIAL_ELSEWHERE_MS = 1000,
+  PART_BASE = 16 /* of the digits that name a part in the store */
 };
 
 static void send_success (struct fleet *fleet,
@@ -211,9 +212,10 @@
   const char *part = json_string_value (json_object_get (content, "part"));
   struct quar_state state = { .version = 1 };
 
-  if (part == NULL)
+  if (part == NULL
+      || !g_ascii_string_to_unsigned (part, PART_BASE, 1, UINT64_MAX,
+                                      &state.part, NULL))
     return 0;
-  state.part = g_ascii_strtoull (part, NULL, 16);
   if (quar_merge (fleet->quarantine, &state, clk_now (clk_monotonic ())))
     fleet_log_state (&state, "quarantined");
   return 1;
--- a/tests/test_odd_entry.c
+++ b/tests/test_odd_entry.c
@@ -24,6 +24,7 @@
 static void router_follows_changes_after_odd_entries (void);
 static void router_follows_versions_after_odd_ones (void);
 static void router_starts_from_peer_with_odd_entries (void);
+static void instances_meet_among_odd_objects (void);
 
 static const struct test_case cases[] = {
   { "an object that the parser refuses keeps its name and revision",
@@ -40,6 +41,8 @@
     router_follows_versions_after_odd_ones },
   { "a router starts from a peer whose snapshot has odd entries",
     router_starts_from_peer_with_odd_entries },
+  { "instances find each other among odd objects of theirs",
+    instances_meet_among_odd_objects },
 };
 
 TEST_MAIN ("odd_entry", cases)
@@ -350,3 +353,36 @@
     CU_ASSERT (count_requests_at (sound[0]) > 0);
   fx_env_stop ();
 }
+
+static int
+both_instances_are_known (void)
+{
+  return fx_router_metric (0, "ibisloom_instances") == 2
+         && fx_router_metric (1, "ibisloom_instances") == 2;
+}
+
+static void
+instances_meet_among_odd_objects (void)
+{
+  char name[] = "odd-a";
+
+  add_targets ();
+  fx_store_start (shop_config);
+  for (size_t i = 0; odd_entries[i].is_refused; i++, name[4]++)
+    {
+      char *members = odd_members (&odd_entries[i]);
+      char *text
+          = g_strdup_printf ("{\"address\":\"127.0.0.1:9\"%s}", members);
+
+      fx_store_put ("ibisloom-instances", name, text);
+      g_free (text);
+      g_free (members);
+    }
+  fx_store_put ("ibisloom-instances", "part-odd", "{\"part\":\"5 or so\"}");
+  fx_store_put ("ibisloom-instances", "gate-odd",
+                "{\"address\":\"127.0.0.1:99999\"}");
+  fx_routers_start (2);
+  CU_ASSERT (fx_wait_until (both_instances_are_known));
+  CU_ASSERT_EQUAL (fx_router_metric (0, "ibisloom_quarantined_parts"), 0);
+  fx_env_stop ();
+}
