Let an unreadable object of the own interface cost no other one

A value that is no string counted as the removal of the object, and a negative revision as a large one.

The list is split and each object parsed by itself; one that is unreadable is rejected like an invalid one, and what is in force of it stays.

tests/test_version failed before for each of 7 values (15 of 16 checks), and passes now; test_ledger passes. No run of a fleet of the own interface with such an object was made.

--- a/tests/test_version.c
+++ b/tests/test_version.c
@@ -20,6 +20,7 @@
 static void invalid_object_is_rejected (void);
 static void errors_state_the_remedy (void);
 static void merge_applies_changes (void);
+static void unreadable_object_costs_no_other (void);
 static void in_force_overrides_preset_object (void);
 static void *read_versions (void *closure);
 static void *run_admission (void *closure);
@@ -33,6 +34,8 @@
     invalid_object_is_rejected },
   { "errors state the remedy", errors_state_the_remedy },
   { "a merge applies all changes", merge_applies_changes },
+  { "an unreadable object costs no other in a merge",
+    unreadable_object_costs_no_other },
   { "in-force overrides the preset object", in_force_overrides_preset_object },
   { "readers see consistent versions", readers_see_consistent_versions },
   { "admission is thread-safe", admission_is_thread_safe },
@@ -163,6 +166,45 @@
   ver_store_free (to);
 }
 
+/* The object in force stays; the one behind the unreadable one comes.  */
+static void
+unreadable_object_costs_no_other (void)
+{
+  static const char *const values[] = { "\"{\xff}\"",
+                                        "\"\\u0000\"",
+                                        "\"\\ud800\"",
+                                        "1e400",
+                                        "[99999999999999999999]",
+                                        "7",
+                                        "NaN" };
+  struct ver_store *store = ver_store_new ("d");
+  uint64_t revision = 1;
+  char *text;
+
+  ver_store_apply (store, "customers/a", revision, "{}", NULL);
+  for (size_t i = 0; i < G_N_ELEMENTS (values); i++)
+    {
+      char *message = g_strdup_printf (
+          "{\"objects\":[{\"name\":\"customers/a\",\"revision\":%d,"
+          "\"value\":%s},{\"name\":\"customers/b%d\",\"revision\":%d,"
+          "\"value\":\"{}\"}],\"revision\":%d}",
+          (int)revision + 1, values[i], (int)i, (int)revision + 2,
+          (int)revision + 2);
+
+      CU_ASSERT_EQUAL (ver_store_merge (store, message, NULL), 1);
+      revision += 2;
+      CU_ASSERT_EQUAL (ver_store_revision (store), revision);
+      g_free (message);
+    }
+  CU_ASSERT_EQUAL (
+      ver_store_merge (store, "{\"objects\":[],\"revision\":-1}", NULL), 0);
+  CU_ASSERT_EQUAL (ver_store_revision (store), revision);
+  text = ver_store_get (store, "customers/a", &revision);
+  CU_ASSERT_PTR_NOT_NULL (text);
+  g_free (text);
+  ver_store_free (store);
+}
+
 static void
 in_force_overrides_preset_object (void)
 {
--- a/version/version_store.c
+++ b/version/version_store.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "ibisloom/error.h"
+#include "ibisloom/json_scan.h"
 #include "ibisloom/log.h"
 #include "ibisloom/metrics.h"
 #include "libversion.h"
@@ -34,6 +35,7 @@
 static void reclaim_snapshot (ck_epoch_entry_t *entry);
 static void activate_snapshot (struct ver_store *store,
                                struct ver_snapshot *version);
+static int merge_object (struct ver_store *store, struct scan_text object);
 static int apply_locked (struct ver_store *store, const char *name,
                          uint64_t revision, const char *text, GError **error);
 static int is_newer (struct ver_store *store, const char *name,
@@ -170,50 +172,66 @@
 int
 ver_store_merge (struct ver_store *store, const char *json, GError **error)
 {
-  json_t *message = json_loads (json, 0, NULL);
-  json_t *item;
-  size_t i;
+  static const char *const apart[] = { "objects" };
+  struct scan_text message = { json, strlen (json) };
+  struct scan_text objects;
+  struct scan_text object;
+  json_t *members = scan_object (message, apart, &objects, 1);
+  json_int_t revision
+      = json_integer_value (json_object_get (members, "revision"));
+  int result = members != NULL ? scan_array (objects, &objects) : -1;
   int adopted = 0;
 
-  if (!json_is_array (json_object_get (message, "objects")))
+  json_decref (members);
+  while (result >= 0 && (result = scan_next (&objects, &object)) > 0)
+    adopted += merge_object (store, object);
+  if (result < 0)
     {
       err_set (error, ERR_INVALID, "not a list of objects");
-      json_decref (message);
       return -1;
     }
-  json_array_foreach (json_object_get (message, "objects"), i, item)
-  {
-    const char *name = json_string_value (json_object_get (item, "name"));
-    const char *text = json_string_value (json_object_get (item, "value"));
-    json_int_t revision
-        = json_integer_value (json_object_get (item, "revision"));
-    GError *rejection = NULL;
-    int result;
-
-    if (name == NULL || revision <= 0)
-      continue;
-    if (g_str_has_prefix (name, store->prefix))
-      name += strlen (store->prefix);
-    result
-        = ver_store_apply (store, name, (uint64_t)revision, text, &rejection);
-    if (result == 0)
-      metric_inc (METRIC_CONFIG_STALE);
-    else if (result > 0)
-      adopted++;
-    else
-      {
-        metric_inc (METRIC_CONFIG_REJECTED);
-        log_warn ("version", NULL, "config_rejected", "%s",
-                  rejection->message);
-        g_clear_error (&rejection);
-      }
-  }
-  ver_store_advance (store, (uint64_t)json_integer_value (
-                                json_object_get (message, "revision")));
-  json_decref (message);
+  if (revision > 0)
+    ver_store_advance (store, (uint64_t)revision);
   return adopted;
 }
 
+/* Applies OBJECT, one of the objects that ver_store_merge gets.  Returns 1 if
+   it came into force, otherwise 0.  */
+static int
+merge_object (struct ver_store *store, struct scan_text object)
+{
+  json_t *whole = scan_parse (object);
+  json_t *item = whole != NULL ? whole : scan_object (object, NULL, NULL, 0);
+  const char *name = json_string_value (json_object_get (item, "name"));
+  const json_t *value = json_object_get (item, "value");
+  json_int_t revision
+      = json_integer_value (json_object_get (item, "revision"));
+  GError *rejection = NULL;
+  int result = -1;
+
+  if (whole == NULL || name == NULL || revision <= 0
+      || (value != NULL && !json_is_null (value) && !json_is_string (value)))
+    err_set (&rejection, ERR_INVALID, "%s: unreadable object",
+             name != NULL ? name : "(no name)");
+  else
+    {
+      if (g_str_has_prefix (name, store->prefix))
+        name += strlen (store->prefix);
+      result = ver_store_apply (store, name, (uint64_t)revision,
+                                json_string_value (value), &rejection);
+    }
+  json_decref (item);
+  if (result == 0)
+    metric_inc (METRIC_CONFIG_STALE);
+  if (result < 0)
+    {
+      metric_inc (METRIC_CONFIG_REJECTED);
+      log_warn ("version", NULL, "config_rejected", "%s", rejection->message);
+      g_clear_error (&rejection);
+    }
+  return result > 0;
+}
+
 /* Registers the calling thread as a reader of STORE's snapshots.  */
 struct ver_reader *
 ver_reader_new (struct ver_store *store)
