Read the other leaving targets beside an unreadable one

As with the objects of the own interface: one entry of the platform's list of targets that the parser refuses hid all the others, so that targets that were leaving got new work. Each entry is now parsed by itself.

regress/fleet/odd-target.sh: on the code of the release, the target behind such an entry was not known to be leaving (leaving: 0); now it is (leaving: 1).

--- a/connection/sync.c
+++ b/connection/sync.c
@@ -11,6 +11,7 @@
 #include <jansson.h>
 
 #include "ibisloom/fetch.h"
+#include "ibisloom/json_scan.h"
 #include "ibisloom/log.h"
 #include "ibisloom/platform.h"
 #include "libconnection.h"
@@ -57,6 +58,8 @@
                            enum metric_counter counter);
 static void read_leaving_targets (struct sync *sync,
                                   struct platform *platform);
+static int read_leaving_target (const struct sync *sync,
+                                struct scan_text target, uint64_t *id);
 static void sleep_ms (int64_t ms);
 static int is_stopping (struct sync *sync);
 
@@ -300,34 +303,46 @@
   peer_announce (sync->server->peer);
 }
 
-/* Reads the list of leaving targets once and passes it to the peers.  */
+/* Reads the list of leaving targets once and passes it to the peers.  A target
+   that is unreadable is left out.  */
 static void
 read_leaving_targets (struct sync *sync, struct platform *platform)
 {
+  static const char *const apart[] = { "targets" };
   char *text = platform_list_instances (platform, NULL);
-  json_t *json = text != NULL ? json_loads (text, 0, NULL) : NULL;
+  struct scan_text list = { text, text != NULL ? strlen (text) : 0 };
+  struct scan_text targets;
+  struct scan_text target;
   uint64_t leaving[LEAVING_TARGETS_MAX];
   size_t count = 0;
-  json_t *item;
-  size_t i;
-
-  json_array_foreach (json_object_get (json, "targets"), i, item)
-  {
-    const char *service
-        = json_string_value (json_object_get (item, "service"));
-    const char *name = json_string_value (json_object_get (item, "name"));
-    const char *state = json_string_value (json_object_get (item, "state"));
-
-    if (service != NULL && name != NULL && count < LEAVING_TARGETS_MAX
-        && g_strcmp0 (state, "leaving") == 0)
-      leaving[count++]
-          = rank_id (sync->server->settings->deployment, service, name);
-  }
+
+  json_decref (scan_object (list, apart, &targets, 1));
+  if (scan_array (targets, &targets) == 0)
+    while (count < LEAVING_TARGETS_MAX && scan_next (&targets, &target) > 0)
+      count += (size_t)read_leaving_target (sync, target, &leaving[count]);
   peer_set_leaving (sync->server->peer, leaving, count);
-  json_decref (json);
   g_free (text);
 }
 
+/* Stores the identifier of TARGET, an entry of the platform's list, in ID.
+   Returns 1, or 0 if it is not leaving or unreadable.  */
+static int
+read_leaving_target (const struct sync *sync, struct scan_text target,
+                     uint64_t *id)
+{
+  json_t *item = scan_parse (target);
+  const char *service = json_string_value (json_object_get (item, "service"));
+  const char *name = json_string_value (json_object_get (item, "name"));
+  const char *state = json_string_value (json_object_get (item, "state"));
+  int is_leaving
+      = service != NULL && name != NULL && g_strcmp0 (state, "leaving") == 0;
+
+  if (is_leaving)
+    *id = rank_id (sync->server->settings->deployment, service, name);
+  json_decref (item);
+  return is_leaving;
+}
+
 /* Returns whether sync_stop was called.  */
 static int
 is_stopping (struct sync *sync)
