--- a/tests/soak.c
+++ b/tests/soak.c
@@ -46,7 +46,8 @@
   CALM_PAUSE_MS = 60,        /* between the events of a stream */
   PATIENT_REQUEST_MS = 8000, /* deadline of one that meets silences */
   SETTLE_MS = 5000,          /* until targets are no longer suspended */
-  TAKE_UPS_MAX = 2,          /* of one stream */
+  CUT_SHARE = 3,    /* one of so many streams, if there are two versions */
+  TAKE_UPS_MAX = 2, /* of one stream */
   DRAIN_MS = 3000,  /* longer than any request, so that all have ended */
   FOLLOW_MS = 9000, /* until a watch whose connection is lost begins anew */
   APPLY_MS = 2000   /* until a version must be in force */
@@ -260,12 +261,15 @@
     respond (index, request->fd, "another", "200 OK");
   else if (behavior != BEHAVIOR_OVERLOADED && is_stream)
     {
+      int is_cut = behavior == BEHAVIOR_TRUNCATE
+                   || (extras.versions && request->number % CUT_SHARE == 0);
+
       soak_write_stream (request, limit_field (index), version_of (index),
-                         behavior == BEHAVIOR_TRUNCATE,
+                         is_cut,
                          behavior == BEHAVIOR_SLOW     ? 150
                          : g_atomic_int_get (&is_calm) ? CALM_PAUSE_MS
                                                        : 5);
-      keep_alive = behavior != BEHAVIOR_TRUNCATE;
+      keep_alive = !is_cut;
     }
   else if (behavior != BEHAVIOR_OVERLOADED)
     {
