--- a/tests/test_resume.c
+++ b/tests/test_resume.c
@@ -38,6 +38,7 @@
 static void other_instance_goes_on_at_the_same_version (void);
 static void other_instance_knows_streams_from_before (void);
 static void client_that_leaves_ends_the_wait (void);
+static void stream_goes_on_at_its_service (void);
 
 static const struct test_case cases[] = {
   { "a stream goes on at the version that began it only",
@@ -60,6 +61,8 @@
     other_instance_knows_streams_from_before },
   { "a client that leaves ends the wait for the origin of its stream",
     client_that_leaves_ends_the_wait },
+  { "a stream of a split route goes on at the service that began it",
+    stream_goes_on_at_its_service },
 };
 
 TEST_MAIN ("resume", cases)
@@ -352,6 +355,38 @@
   fx_env_stop ();
 }
 
+/* Returns the configuration in which the route of streams goes to the services
+   "pool" and "other", newly allocated.  */
+static char *
+split_config (void)
+{
+  static const char one[] = "\"service\":\"pool\",\"max_attempts\":2";
+  const char *at = strstr (shop_config, one);
+
+  return g_strdup_printf ("%.*s\"weighted_services\":[{\"service\":\"pool\","
+                          "\"weight\":1},{\"service\":\"other\","
+                          "\"weight\":1}],\"max_attempts\":2%s",
+                          (int)(at - shop_config), shop_config,
+                          at + sizeof one - 1);
+}
+
+static void
+stream_goes_on_at_its_service (void)
+{
+  char *config = split_config ();
+
+  add_old ("i-1", cut_old_until_taken_up);
+  fx_target_add ("i-2", "other", cut_new_until_taken_up);
+  add_old ("i-3", cut_old_until_taken_up);
+  fx_target_add ("i-4", "other", cut_new_until_taken_up);
+  fx_store_start (config);
+  fx_routers_start (ROUTERS);
+  fx_sleep_ms (APPLY_MS);
+  expect_taken_up_elsewhere (break_off_stream ());
+  fx_env_stop ();
+  g_free (config);
+}
+
 static void
 client_that_leaves_ends_the_wait (void)
 {
