--- a/tests/test_odd_entry.c
+++ b/tests/test_odd_entry.c
@@ -233,19 +233,15 @@
                               "\"127.0.0.1:80\",\"zone\":\"a\",\"slots\":8,"
                               "\"state\":\"ready\"%s}";
   static const char *const odd_members[]
-      = { ",\"service\":\"\"",
-          ",\"slots\":4294967304",
-          ",\"slots\":-1",
-          ",\"cold_left_ms\":-1",
-          ",\"cold_left_ms\":9223372036854775807",
-          ",\"born\":-1",
-          ",\"born\":1e308",
-          ",\"sequence\":\"9\"",
-          ",\"sequence\":-9223372036854775808",
+      = { ",\"service\":\"\"",   ",\"slots\":4294967304",
+          ",\"slots\":-1",       ",\"cold_left_ms\":9223372036854775807",
+          ",\"born\":-1",        ",\"born\":1e308",
+          ",\"sequence\":\"9\"", ",\"sequence\":-9223372036854775808",
           ",\"born\":null" };
   static const char *const sound_members[]
-      = { "", ",\"cold_left_ms\":12.5,\"born\":1796433559389,"
-              "\"sequence\":9007199254740992" };
+      = { "", ",\"cold_left_ms\":-1,\"slots\":0",
+          ",\"cold_left_ms\":12.5,\"born\":1796433559389,"
+          "\"sequence\":9007199254740992" };
   struct reg_entry read;
 
   for (size_t i = 0;
