--- a/include/ibisloom/origin.h
+++ b/include/ibisloom/origin.h
@@ -42,6 +42,7 @@
 struct origin_cursor
 {
   size_t next;
+  int with_expected; /* list streams that are expected to begin too */
 };
 
 struct origins;
@@ -51,6 +52,8 @@
 uint64_t origin_software (const char *service, const char *version);
 void origin_add (struct origins *origins, const struct origin_record *record,
                  enum origin_source source, clk_ms now);
+void origin_expect (struct origins *origins,
+                    const struct origin_record *record, clk_ms now);
 void origin_end (struct origins *origins, uint64_t attempt);
 uint64_t origin_find (const struct origins *origins, uint64_t attempt);
 int origin_see_version (struct origins *origins,
--- a/process/fleet_origin_store.c
+++ b/process/fleet_origin_store.c
@@ -17,13 +17,13 @@
 {
   CALL_TIMEOUT_MS = 1500,
   RETRY_MS = 700,
-  WRITE_INTERVAL_MIN_MS = 500,
+  WRITE_INTERVAL_MIN_MS = 250,
   READ_INTERVAL_MIN_MS = 1000
 };
 
 /* Share of the store's writes that all instances together may use for
    this.  */
-static const double WRITES_SHARE = 0.25;
+static const double WRITES_SHARE = 0.1;
 
 struct fleet_origin_store
 {
--- a/request/origin.c
+++ b/request/origin.c
@@ -15,6 +15,7 @@
 {
   struct origin_record record;
   enum origin_source source;
+  int is_expected; /* the stream has not begun yet */
   clk_ms used_ms;
 };
 
@@ -79,6 +80,9 @@
 
   if (entry != NULL)
     {
+      if (entry->is_expected)
+        entry->record.software = record->software;
+      entry->is_expected = 0;
       entry->used_ms = now;
       return;
     }
@@ -94,9 +98,26 @@
     g_ptr_array_add (origins->own, entry);
 }
 
-/* Called when the stream of ATTEMPT was delivered whole.  It is no longer
-   listed as one that this instance has begun, but still found, as its end may
-   have been lost on the way.  */
+/* Records that the software in RECORD is expected to begin a stream here, so
+   that this can be in the store before the first event comes.  It replaces
+   what was expected before, and is not found until origin_add.  */
+void
+origin_expect (struct origins *origins, const struct origin_record *record,
+               clk_ms now)
+{
+  struct entry *entry
+      = g_hash_table_lookup (origins->by_attempt, &record->attempt);
+
+  if (entry != NULL && !entry->is_expected)
+    return;
+  origin_add (origins, record, ORIGIN_OWN, now);
+  entry = g_hash_table_lookup (origins->by_attempt, &record->attempt);
+  entry->is_expected = 1;
+}
+
+/* Called when the stream of ATTEMPT was delivered whole, or will not begin.
+   It is no longer listed as one that this instance has begun, but still found,
+   as its end may have been lost on the way.  */
 void
 origin_end (struct origins *origins, uint64_t attempt)
 {
@@ -114,7 +135,7 @@
   const struct entry *entry
       = g_hash_table_lookup (origins->by_attempt, &attempt);
 
-  return entry != NULL ? entry->record.software : 0;
+  return entry != NULL && !entry->is_expected ? entry->record.software : 0;
 }
 
 /* Records that a target of VERSION is seen at NOW.  Returns whether the
@@ -198,12 +219,16 @@
 origin_next_own (const struct origins *origins, struct origin_cursor *cursor,
                  struct origin_record *record)
 {
-  if (cursor->next >= origins->own->len)
-    return 0;
-  *record = ((const struct entry *)g_ptr_array_index (origins->own,
-                                                      cursor->next++))
-                ->record;
-  return 1;
+  while (cursor->next < origins->own->len)
+    {
+      const struct entry *entry
+          = g_ptr_array_index (origins->own, cursor->next++);
+
+      *record = entry->record;
+      if (!entry->is_expected || cursor->with_expected)
+        return 1;
+    }
+  return 0;
 }
 
 /* Stores in VERSION the next version at CURSOR.  Returns 0 after the last
--- a/request/origin_json.c
+++ b/request/origin_json.c
@@ -119,7 +119,7 @@
 {
   GArray *all = g_array_new (FALSE, FALSE, sizeof (struct origin_record));
   GArray *newest = g_array_new (FALSE, FALSE, sizeof (struct origin_record));
-  struct origin_cursor cursor = { 0 };
+  struct origin_cursor cursor = { .with_expected = 1 };
   struct origin_record record;
 
   while (origin_versions_differ (origins)
--- a/tests/test_origin.c
+++ b/tests/test_origin.c
@@ -12,6 +12,7 @@
 static void first_origin_stays (void);
 static void only_own_streams_are_listed (void);
 static void ended_streams_are_found_but_not_listed (void);
+static void expected_streams_are_not_found_until_they_begin (void);
 static void only_version_is_known_until_another_is_seen (void);
 static void versions_of_two_services_do_not_differ (void);
 static void version_is_remembered_after_its_last_target (void);
@@ -23,6 +24,8 @@
   { "only streams begun here are listed as own", only_own_streams_are_listed },
   { "streams that ended are found, but not listed as own",
     ended_streams_are_found_but_not_listed },
+  { "streams that are expected are not found until they begin",
+    expected_streams_are_not_found_until_they_begin },
   { "one version is the only one until another is seen",
     only_version_is_known_until_another_is_seen },
   { "versions of two services do not differ",
@@ -90,6 +93,29 @@
   origin_free (origins);
 }
 
+static void
+expected_streams_are_not_found_until_they_begin (void)
+{
+  struct origins *origins = origin_new ();
+  struct origin_cursor begun = { 0 };
+  struct origin_cursor all = { .with_expected = 1 };
+  struct origin_record record = { .attempt = 1, .software = 11 };
+
+  origin_expect (origins, &record, START_MS);
+  record.software = 13;
+  origin_expect (origins, &record, START_MS);
+  CU_ASSERT_EQUAL (origin_find (origins, 1), 0);
+  CU_ASSERT (!origin_next_own (origins, &begun, &record));
+  CU_ASSERT (origin_next_own (origins, &all, &record));
+  CU_ASSERT_EQUAL (record.software, 13);
+  record.software = 17;
+  origin_add (origins, &record, ORIGIN_OWN, START_MS);
+  record.software = 19;
+  origin_expect (origins, &record, START_MS);
+  CU_ASSERT_EQUAL (origin_find (origins, 1), 17);
+  origin_free (origins);
+}
+
 static void
 only_version_is_known_until_another_is_seen (void)
 {
