Note the version of a stream in the store before its first event

The instance that sends an attempt now notes the version that is expected to begin the stream, and drops the note when the stream was delivered whole or will not begin.

--- a/request/librelay.h
+++ b/request/librelay.h
@@ -146,7 +146,9 @@
 /* relay_origin.c */
 int relay_origin_fits (const struct relay *relay,
                        const struct reg_target *target);
+void relay_origin_expect (struct relay *relay);
 void relay_origin_begin (struct relay *relay);
+void relay_origin_end (struct relay *relay);
 void relay_origin_read (struct relay *relay);
 void relay_origin_resolve (struct relay *relay);
 const char *relay_origin_service (const struct relay *relay);
--- a/request/relay.c
+++ b/request/relay.c
@@ -319,6 +319,7 @@
   fleet_count_request (router->fleet, target);
   relay->attempt.is_trial = (uint8_t)health_begin_request (&target->health);
   relay_mark_tried (relay);
+  relay_origin_expect (relay);
   /* On a kept connection, an earlier response to the same request could come
      once more; the attempt id would not tell it from the new one.  */
   request.force_new_connection
@@ -610,6 +611,8 @@
   clk_ms now = clk_now (clk_monotonic ());
 
   relay_drop_kept (relay, HEALTH_EVENT_COUNT);
+  if (!relay->has_begun && !relay->takes_up)
+    relay_origin_end (relay);
   metric_observe (METRIC_HIST_TOTAL_MS, now - relay->arrived_ms);
   relay_log_outcome (relay, outcome, now);
   relay_free (relay);
--- a/request/relay_origin.c
+++ b/request/relay_origin.c
@@ -183,6 +183,31 @@
   return relay->software != 0;
 }
 
+/* Records, before an attempt is sent, which version is expected to begin the
+   stream of RELAY, so that the store mostly has it when the first event
+   comes.  */
+void
+relay_origin_expect (struct relay *relay)
+{
+  struct origins *origins = fleet_origins (relay->router->fleet);
+  const struct origin_record record
+      = { .attempt = relay->stream,
+          .software = relay->attempt.target->software };
+
+  if (relay->stream != 0 && relay->route->is_resumable && relay->software == 0
+      && origin_versions_differ (origins))
+    origin_expect (origins, &record, clk_now (clk_monotonic ()));
+}
+
+/* Called when the stream of RELAY was delivered whole, or has not begun and
+   will not: the store need not keep its origin.  */
+void
+relay_origin_end (struct relay *relay)
+{
+  if (relay->stream != 0)
+    origin_end (fleet_origins (relay->router->fleet), relay->stream);
+}
+
 /* Records, before an event of the current target is forwarded, that its
    version has begun the stream of RELAY, unless another one has.  */
 void
--- a/request/relay_response.c
+++ b/request/relay_response.c
@@ -186,6 +186,8 @@
                      relay->attempt.status >= HTTP_STATUS_INTERNAL_SERVER_ERROR
                          ? HEALTH_SERVER_ERROR
                          : HEALTH_RESPONDED);
+  if (relay->attempt.is_event_stream)
+    relay_origin_end (relay);
   if (relay->attempt.status < HTTP_STATUS_INTERNAL_SERVER_ERROR)
     metric_inc (METRIC_ANSWERED);
   relay->client = NULL;
