--- a/request/relay_events.c
+++ b/request/relay_events.c
@@ -14,8 +14,9 @@
 static int record_event (struct relay *relay, const char *data, size_t length);
 static void parse_event_id (const char *data, size_t length, char *id);
 
-/* Consumes LENGTH bytes of a stream and forwards the complete events.
-   Returns 0, or -1 if the events are out of order or too large.  */
+/* Consumes LENGTH bytes of a stream and forwards the complete events, up to
+   one that is out of order.  Returns 0, or -1 if there is such an event or one
+   that is too large.  */
 int
 relay_events_feed (struct relay *relay, const char *data, size_t length)
 {
@@ -23,6 +24,7 @@
   size_t search_from;
   size_t event_bytes;
   size_t consumed = 0;
+  int result = 0;
 
   if (partial == NULL)
     partial = g_string_sized_new (length + 1);
@@ -34,8 +36,9 @@
                           search_from > consumed ? search_from - consumed : 0))
          > 0)
     {
-      if (record_event (relay, partial->str + consumed, event_bytes) != 0)
-        return -1;
+      result = record_event (relay, partial->str + consumed, event_bytes);
+      if (result != 0)
+        break;
       consumed += event_bytes;
       relay->events.complete++;
     }
@@ -44,7 +47,7 @@
       relay_events_forward (relay, partial->str, consumed);
       g_string_erase (partial, 0, (gssize)consumed);
     }
-  return partial->len > EVENT_MAX_BYTES ? -1 : 0;
+  return partial->len > EVENT_MAX_BYTES ? -1 : result;
 }
 
 /* Returns whether PARTIAL, of which the first SEARCHED bytes have none, has
--- a/tests/test_silence.c
+++ b/tests/test_silence.c
@@ -41,6 +41,7 @@
 static void silent_target_is_released_for_replacement (void);
 static void silence_of_all_targets_ends_with_it (void);
 static void broken_stream_goes_on_after_a_refusal (void);
+static void events_before_a_faulty_one_are_not_lost (void);
 static void request_on_kept_connection_outlives_idle_time (void);
 static void request_on_kept_connection_outlives_drain (void);
 static void standing_router_does_not_replace_targets (void);
@@ -70,6 +71,8 @@
     silence_of_all_targets_ends_with_it },
   { "a broken stream that the next target refuses goes on at another",
     broken_stream_goes_on_after_a_refusal },
+  { "events that come with one that is out of order are not lost",
+    events_before_a_faulty_one_are_not_lost },
   { "a request that waits on a kept connection outlives its idle time",
     request_on_kept_connection_outlives_idle_time },
   { "a request that waits on a kept connection outlives a shutdown's drain",
@@ -173,6 +176,21 @@
   return 0;
 }
 
+/* Writes an event in one piece with one that repeats an earlier one, then, to
+   the next request, the rest.  */
+static int
+repeat_event (const struct fx_request *request)
+{
+  if (request->number > 1)
+    return stream_slowly (request);
+  shop_start_stream (request);
+  shop_write_events (request, 1, 1);
+  fx_sleep_ms (SETTLE_MS);
+  shop_write_chunk (request, "id: 2\ndata: e2\n\nid: 1\ndata: e1\n\n");
+  wait_for_close (request);
+  return 0;
+}
+
 /* Takes a request, and writes nothing for longer than two targets may work on
    it.  */
 static int
@@ -473,6 +491,17 @@
   fx_env_stop ();
 }
 
+static void
+events_before_a_faulty_one_are_not_lost (void)
+{
+  pthread_t thread;
+
+  start_first_target ("pool", repeat_event);
+  start_streams (&thread, 1);
+  expect_whole_streams (&thread, 1);
+  fx_env_stop ();
+}
+
 /* Sends a request on the connection FD while the router stands still for MS
    milliseconds.  Returns the start of the response, newly allocated.  */
 static char *
