Test that streams are not joined after all instances were killed

One stream that was begun while two versions served goes on at its version after a kill of all instances; one whose version left meanwhile, so that none of the instances has ever seen its targets, is refused.

--- a/tests/test_resume.c
+++ b/tests/test_resume.c
@@ -1,5 +1,6 @@
 /* End-to-end tests of streams that go on at another target, while targets of
    two software versions serve.  */
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -22,6 +23,7 @@
 enum
 {
   APPLY_MS = 2000, /* until a new entry in the store is known */
+  STORE_MS = 1500, /* until an origin is in the store */
   ROUTERS = 6,
   EVENTS = 5,
   EVENTS_BEFORE_CUT = 2,
@@ -39,6 +41,8 @@
 static void other_instance_knows_streams_from_before (void);
 static void client_that_leaves_ends_the_wait (void);
 static void stream_goes_on_at_its_service (void);
+static void stream_goes_on_after_all_were_killed (void);
+static void stream_is_not_joined_after_all_were_killed (void);
 
 static const struct test_case cases[] = {
   { "a stream goes on at the version that began it only",
@@ -63,6 +67,10 @@
     client_that_leaves_ends_the_wait },
   { "a stream of a split route goes on at the service that began it",
     stream_goes_on_at_its_service },
+  { "a stream goes on at its version after all instances were killed",
+    stream_goes_on_after_all_were_killed },
+  { "a stream whose version left while all were killed is not joined",
+    stream_is_not_joined_after_all_were_killed },
 };
 
 TEST_MAIN ("resume", cases)
@@ -403,3 +411,48 @@
   CU_ASSERT_EQUAL (fx_target_request_count (old), 0);
   fx_env_stop ();
 }
+
+static void
+kill_all (void)
+{
+  for (int i = 0; i < ROUTERS; i++)
+    fx_router_signal (i, SIGKILL);
+  for (int i = 0; i < ROUTERS; i++)
+    fx_router_wait_for_exit (i);
+}
+
+static void
+stream_goes_on_after_all_were_killed (void)
+{
+  int is_old;
+
+  add_old ("i-1", cut_old_until_taken_up);
+  add_version ("i-2", cut_new_until_taken_up, "v2");
+  add_old ("i-3", cut_old_until_taken_up);
+  add_version ("i-4", cut_new_until_taken_up, "v2");
+  fx_store_start (shop_config);
+  fx_routers_start (ROUTERS);
+  fx_sleep_ms (APPLY_MS);
+  is_old = break_off_stream ();
+  fx_sleep_ms (STORE_MS);
+  kill_all ();
+  fx_routers_start (ROUTERS);
+  expect_taken_up_elsewhere (is_old);
+  fx_env_stop ();
+}
+
+static void
+stream_is_not_joined_after_all_were_killed (void)
+{
+  struct fx_target *target = add_old ("i-1", cut_old_until_taken_up);
+
+  fx_store_start (shop_config);
+  fx_routers_start (ROUTERS);
+  fx_sleep_ms (APPLY_MS);
+  CU_ASSERT (break_off_stream ());
+  kill_all ();
+  fx_target_restart (target, "v2");
+  fx_routers_start (ROUTERS);
+  shop_expect (TAKE_UP ("s2", "s1"), "503", "Content-Length: 0");
+  fx_env_stop ();
+}
