--- a/request/relay_silence.c
+++ b/request/relay_silence.c
@@ -226,6 +226,7 @@
 {
   struct relay *relay = owner;
 
+  relay->kept.call = NULL;
   if (relay_response_fault (relay, &relay->kept) != RETRY_FAULT_COUNT)
     {
       on_fail (relay, OUT_DISCONNECTED);
--- a/tests/test_silence.c
+++ b/tests/test_silence.c
@@ -36,6 +36,7 @@
 static void silence_with_resetting_target_loses_no_stream (void);
 static void silence_with_unreachable_target_loses_no_stream (void);
 static void events_after_silence_come_once (void);
+static void end_after_silence_comes_once (void);
 static void frozen_target_is_left_mid_stream (void);
 static void frozen_target_is_left_by_reads (void);
 static void silent_target_is_released_for_replacement (void);
@@ -61,6 +62,8 @@
     silence_with_unreachable_target_loses_no_stream },
   { "events of a target that goes on beside its replacement come once",
     events_after_silence_come_once },
+  { "the end of a stream that comes beside a replacement ends it",
+    end_after_silence_comes_once },
   { "a target that freezes in a stream is left for another",
     frozen_target_is_left_mid_stream },
   { "a frozen target is left for another by reads",
@@ -112,6 +115,18 @@
   return 1;
 }
 
+/* Writes all events of a stream at once, and its end later.  */
+static int
+end_late (const struct fx_request *request)
+{
+  shop_start_stream (request);
+  shop_write_events (request, 1, EVENTS);
+  fx_sleep_ms (2 * SETTLE_MS);
+  fx_target_wait_until_heard (request->target);
+  fx_write (request->fd, "0\r\n\r\n");
+  return 1;
+}
+
 static int
 refuse (const struct fx_request *request)
 {
@@ -401,6 +416,21 @@
   fx_env_stop ();
 }
 
+static void
+end_after_silence_comes_once (void)
+{
+  pthread_t thread;
+
+  start_first_target ("pool", end_late);
+  start_streams (&thread, 1);
+  fx_sleep_ms (SETTLE_MS);
+  fx_target_add ("i-2", "pool", wake_first_target);
+  fx_target_fall_silent (first_target, 2 * SILENCE_MS);
+  expect_whole_streams (&thread, 1);
+  CU_ASSERT (!fx_router_has_ended (0));
+  fx_env_stop ();
+}
+
 static void
 frozen_target_is_left_mid_stream (void)
 {
