--- a/request/relay_silence.c
+++ b/request/relay_silence.c
@@ -71,6 +71,9 @@
 begin_silence (struct relay *relay, clk_ms now)
 {
   relay->attempt.is_silent = 1;
+  /* It may wait for long; others may try the target meanwhile.  */
+  health_end_request (&relay->attempt.target->health, relay->attempt.is_trial);
+  relay->attempt.is_trial = 0;
   relay->may_have_run = 1;
   relay_parts_suspect (relay, RETRY_FAULT_READ_TIMEOUT);
   metric_inc (retry_counters[RETRY_FAULT_READ_TIMEOUT]);
