--- a/request/librelay.h
+++ b/request/librelay.h
@@ -58,6 +58,7 @@
   uint8_t parts_succeeded; /* its target has gone on after the first event */
   uint8_t input_awaited;   /* its timer was put off for unread input */
   uint8_t is_silent;       /* past its read timeout */
+  uint8_t is_paused;       /* not read until the client has caught up */
   clk_ms first_event_ms;   /* 0: no event yet */
   GString *response_fields;
   GString *buffered_body;
--- a/request/relay.c
+++ b/request/relay.c
@@ -330,6 +330,7 @@
   relay->attempt.not_run = 0;
   relay->attempt.is_invalid = 0;
   relay->attempt.is_silent = 0;
+  relay->attempt.is_paused = 0;
   relay->attempt.input_awaited = 0;
   relay->attempt.first_event_ms = 0;
   relay->attempt.parts_succeeded = 0;
@@ -528,7 +529,7 @@
     expires_ms = MIN (expires_ms, relay->kept_until_ms);
   else if (relay->attempt.is_silent)
     expires_ms = MIN (expires_ms, relay->look_again_ms);
-  else if (read_timeout_ms > 0
+  else if (read_timeout_ms > 0 && !relay->attempt.is_paused
            && relay->attempt.last_received_ms + read_timeout_ms < expires_ms)
     expires_ms = relay->attempt.last_received_ms + read_timeout_ms;
   ev_timer_stop (relay->router->loop, &relay->timer);
@@ -600,8 +601,12 @@
   struct relay *relay = request;
 
   (void)listener;
-  if (relay->attempt.call != NULL)
-    out_call_pause (relay->attempt.call, 0);
+  if (relay->attempt.call == NULL || !relay->attempt.is_paused)
+    return;
+  relay->attempt.is_paused = 0;
+  relay->attempt.last_received_ms = clk_now (clk_monotonic ());
+  out_call_pause (relay->attempt.call, 0);
+  relay_arm_timer (relay);
 }
 
 /* Logs OUTCOME, ends RELAY and frees it.  */
--- a/request/relay_response.c
+++ b/request/relay_response.c
@@ -90,7 +90,11 @@
   else if (buffer_body (relay, data, length) != 0)
     return -1;
   if (client_backlog (relay->client) > CLIENT_BACKLOG_MAX_BYTES)
-    out_call_pause (relay->attempt.call, 1);
+    {
+      out_call_pause (relay->attempt.call, 1);
+      relay->attempt.is_paused = 1;
+      relay_arm_timer (relay);
+    }
   return 0;
 }
 
