--- a/request/relay.c
+++ b/request/relay.c
@@ -564,10 +564,10 @@
     {
       if (relay_waits_for_input (relay))
         return;
-      if (relay->kept.target != NULL)
-        relay_end_overlap (relay);
-      else if (relay->attempt.not_run)
+      if (relay->attempt.not_run)
         relay_handle_fault (relay, RETRY_FAULT_REJECTED);
+      else if (relay->kept.target != NULL)
+        relay_end_overlap (relay);
       else
         relay_handle_silence (relay);
       return;
--- a/request/relay_silence.c
+++ b/request/relay_silence.c
@@ -248,5 +248,6 @@
   (void)fault;
   relay->kept.call = NULL;
   relay_drop_kept (relay, HEALTH_DISCONNECTED);
-  relay_arm_timer (relay);
+  if (relay->attempt.call != NULL)
+    relay_arm_timer (relay);
 }
