Believe the store on the origin of a stream only if no instance knows it

A version is noted in the store before the first event of a stream. If the attempt then moved to another version, an instance that had read the note took it for a fact, told others, and ignored what the instance that began the stream told: the text could be joined from two versions. What instances tell now replaces what the store had, a note is not passed on as knowledge, and it is used only when the other instances have been asked.

"what instances tell replaces what was noted before in the store" failed before.

--- a/process/fleet_origin.c
+++ b/process/fleet_origin.c
@@ -158,7 +158,8 @@
       = { .attempt = query->attempt,
           .software = origin_find (fleet->origins, query->attempt) };
 
-  if (record.software == 0)
+  if (record.software == 0
+      || origin_learned_from (fleet->origins, query->attempt) == ORIGIN_STORED)
     return;
   message.u.origins.count = 1;
   message.u.origins.origin[0] = wire_origin_of (fleet, &record);
--- a/request/origin.c
+++ b/request/origin.c
@@ -35,6 +35,8 @@
 
 static struct seen_version *find_version (const struct origins *origins,
                                           uint64_t software);
+static void adopt (struct origins *origins, struct entry *entry,
+                   enum origin_source source);
 static void drop_oldest (struct origins *origins);
 
 /* Returns an empty table of origins.  */
@@ -70,7 +72,8 @@
 }
 
 /* Records the origin of a stream, learned from SOURCE.  What is known already
-   stays: the first event of an attempt comes from one target only.  */
+   stays, as the first event of an attempt comes from one target only, but what
+   the store has may have been noted before that event.  */
 void
 origin_add (struct origins *origins, const struct origin_record *record,
             enum origin_source source, clk_ms now)
@@ -80,8 +83,13 @@
 
   if (entry != NULL)
     {
-      if (entry->is_expected)
+      int is_stored
+          = entry->source == ORIGIN_STORED && source != ORIGIN_STORED;
+
+      if (entry->is_expected || is_stored)
         entry->record.software = record->software;
+      if (is_stored)
+        adopt (origins, entry, source);
       entry->is_expected = 0;
       entry->used_ms = now;
       return;
@@ -281,6 +289,16 @@
   return NULL;
 }
 
+/* Records that what ENTRY holds, known from the store before, is known from
+   SOURCE.  */
+static void
+adopt (struct origins *origins, struct entry *entry, enum origin_source source)
+{
+  entry->source = source;
+  if (source == ORIGIN_OWN)
+    g_ptr_array_add (origins->own, entry);
+}
+
 /* Forgets the record that arrived first.  */
 static void
 drop_oldest (struct origins *origins)
--- a/request/origin_json.c
+++ b/request/origin_json.c
@@ -121,9 +121,9 @@
   GArray *newest = g_array_new (FALSE, FALSE, sizeof (struct origin_record));
   struct origin_cursor cursor = { .with_expected = 1 };
   struct origin_record record;
+  int versions_differ = origin_versions_differ (origins);
 
-  while (origin_versions_differ (origins)
-         && origin_next_own (origins, &cursor, &record))
+  while (versions_differ && origin_next_own (origins, &cursor, &record))
     g_array_append_val (all, record);
   for (guint i = all->len; i > 0 && newest->len < ORIGIN_JSON_STREAMS_MAX; i--)
     {
--- a/request/relay_origin.c
+++ b/request/relay_origin.c
@@ -14,7 +14,7 @@
 };
 
 static void wait_for_origin (struct relay *relay);
-static int find_origin (struct relay *relay);
+static int find_origin (struct relay *relay, int64_t waited_ms);
 static int is_split (const struct rt_route *route);
 static uint64_t only_version (const struct relay *relay);
 
@@ -56,7 +56,7 @@
   clk_ms now = clk_now (clk_monotonic ());
   int64_t waited_ms = now - relay->arrived_ms;
 
-  if (!relay->takes_up || find_origin (relay))
+  if (!relay->takes_up || find_origin (relay, waited_ms))
     {
       relay->waits = 0;
       ev_timer_stop (relay->router->loop, &relay->timer);
@@ -93,10 +93,12 @@
   ev_timer_start (loop, &relay->timer);
 }
 
-/* Finds the version that began the stream of RELAY.  If only one version can
-   have, it is that.  Returns whether it is known.  */
+/* Finds the version that began the stream of RELAY, after WAITED_MS of waiting
+   for it.  If only one version can have, it is that.  Other instances that are
+   alive know better than the store, where a version is noted before the first
+   event.  Returns whether it is known.  */
 static int
-find_origin (struct relay *relay)
+find_origin (struct relay *relay, int64_t waited_ms)
 {
   struct fleet *fleet = relay->router->fleet;
   const struct origins *origins = fleet_origins (fleet);
@@ -106,6 +108,11 @@
     {
       enum origin_source source = origin_learned_from (origins, relay->stream);
 
+      if (source == ORIGIN_STORED && waited_ms < PEERS_WAIT_MS)
+        {
+          relay->software = 0;
+          return 0;
+        }
       metric_inc (sources[source].counter);
       relay_log_origin (relay, sources[source].name);
       return 1;
--- a/tests/test_origin.c
+++ b/tests/test_origin.c
@@ -10,6 +10,7 @@
 };
 
 static void first_origin_stays (void);
+static void what_is_told_replaces_what_was_noted (void);
 static void only_own_streams_are_listed (void);
 static void ended_streams_are_found_but_not_listed (void);
 static void expected_streams_are_not_found_until_they_begin (void);
@@ -21,6 +22,8 @@
 
 static const struct test_case cases[] = {
   { "the first origin of a stream stays", first_origin_stays },
+  { "what instances tell replaces what was noted before in the store",
+    what_is_told_replaces_what_was_noted },
   { "only streams begun here are listed as own", only_own_streams_are_listed },
   { "streams that ended are found, but not listed as own",
     ended_streams_are_found_but_not_listed },
@@ -54,6 +57,23 @@
   origin_free (origins);
 }
 
+static void
+what_is_told_replaces_what_was_noted (void)
+{
+  struct origins *origins = origin_new ();
+  struct origin_record record = { .attempt = 5, .software = 11 };
+
+  origin_add (origins, &record, ORIGIN_STORED, START_MS);
+  record.software = 13;
+  origin_add (origins, &record, ORIGIN_PEER, START_MS);
+  CU_ASSERT_EQUAL (origin_find (origins, 5), 13);
+  CU_ASSERT_EQUAL (origin_learned_from (origins, 5), ORIGIN_PEER);
+  record.software = 11;
+  origin_add (origins, &record, ORIGIN_STORED, START_MS);
+  CU_ASSERT_EQUAL (origin_find (origins, 5), 13);
+  origin_free (origins);
+}
+
 static void
 only_own_streams_are_listed (void)
 {
