Keep a stream that has not begun at the version noted for it, if it can

After a kill of all instances the note of a version is all that is known of a stream. It was wrong if the attempt had just moved to another version. An attempt now moves to another version only if the noted one has no target left for it.

--- a/request/librelay.h
+++ b/request/librelay.h
@@ -101,6 +101,7 @@
   uint32_t error_responses;  /* attempts that ended in an error response */
   uint8_t may_have_run;
   uint64_t software; /* version that began the stream; 0: none has */
+  uint64_t expected; /* version noted for the stream before; 0: none */
   uint64_t stream;   /* hash of the attempt id that began it; 0: unknown */
   uint8_t takes_up;  /* the client takes the stream up */
   uint8_t waits;     /* until its origin is known */
--- a/request/relay_origin.c
+++ b/request/relay_origin.c
@@ -201,9 +201,11 @@
       = { .attempt = relay->stream,
           .software = relay->attempt.target->software };
 
-  if (relay->stream != 0 && relay->route->is_resumable && relay->software == 0
-      && origin_versions_differ (origins))
-    origin_expect (origins, &record, clk_now (clk_monotonic ()));
+  if (relay->stream == 0 || !relay->route->is_resumable || relay->software != 0
+      || !origin_versions_differ (origins))
+    return;
+  relay->expected = record.software;
+  origin_expect (origins, &record, clk_now (clk_monotonic ()));
 }
 
 /* Called when the stream of RELAY was delivered whole, or has not begun and
--- a/request/relay_target.c
+++ b/request/relay_target.c
@@ -127,13 +127,15 @@
 
 /* Returns whether it is sure at NOW that TARGET has the version that its entry
    names, if RELAY goes on with a stream, or that all instances will know of
-   its version, if RELAY may begin one.  */
+   its version, if RELAY may begin one, and the store of no other one.  */
 static int
 is_sure (const struct relay *relay, const struct reg_target *target,
          clk_ms now)
 {
   if (relay->software != 0)
     return reg_doubt (target, now) == REG_SURE;
+  if (relay->expected != 0 && relay->expected != target->software)
+    return 0;
   return relay->route->kind != RT_STREAM || !relay->route->is_resumable
          || fleet_software_is_noted (relay->router->fleet, target->software);
 }
