Take the version of a stream from the time of its attempt

The version that began a stream was read from its target's entry when the first event came. If the entry of a restarted target had arrived in between, the stream was recorded under the new version, or ended in its middle and went on elsewhere.

--- a/request/librelay.h
+++ b/request/librelay.h
@@ -45,6 +45,7 @@
 struct relay_attempt
 {
   struct reg_target *target; /* NULL: no attempt */
+  uint64_t software;         /* of the target when it was sent */
   struct out_call *call;     /* NULL: ended, or not started */
   clk_ms sent_ms;
   clk_ms last_received_ms;
--- a/request/relay.c
+++ b/request/relay.c
@@ -315,6 +315,7 @@
   };
 
   relay->attempt.target = target;
+  relay->attempt.software = target->software;
   reg_request_start (target);
   fleet_count_request (router->fleet, target);
   relay->attempt.is_trial = (uint8_t)health_begin_request (&target->health);
--- a/request/relay_origin.c
+++ b/request/relay_origin.c
@@ -225,7 +225,7 @@
   struct origin_record record = { .attempt = relay->stream };
 
   if (relay->software == 0)
-    relay->software = relay->attempt.target->software;
+    relay->software = relay->attempt.software;
   if (relay->has_begun)
     return;
   relay->has_begun = 1;
--- a/request/relay_response.c
+++ b/request/relay_response.c
@@ -71,7 +71,7 @@
     {
       uint32_t complete = relay->events.complete;
 
-      if (!relay_origin_fits (relay, relay->attempt.target)
+      if ((relay->software != 0 && relay->software != relay->attempt.software)
           || relay_events_feed (relay, data, length) != 0)
         {
           relay->attempt.is_invalid = 1;
