Let instances meet in the tests before scripted peers send heartbeats

The scripted peers of the test before send heartbeats for 15 s to the address that the next router gets, so that it counted more than two instances.

--- a/tests/test_odd_entry.c
+++ b/tests/test_odd_entry.c
@@ -39,10 +39,10 @@
     router_follows_changes_after_odd_entries },
   { "a router that watches follows versions after any odd configuration",
     router_follows_versions_after_odd_ones },
-  { "a router starts from a peer whose snapshot has odd entries",
-    router_starts_from_peer_with_odd_entries },
   { "instances find each other among odd objects of theirs",
     instances_meet_among_odd_objects },
+  { "a router starts from a peer whose snapshot has odd entries",
+    router_starts_from_peer_with_odd_entries },
 };
 
 TEST_MAIN ("odd_entry", cases)
