Ask others before the only version known is taken for a stream's origin

An instance that had not seen a second version yet, as its watch was silent or it had stood still or was cut off, took the only version that it knew for the one that began an unknown stream, without asking anybody: callers could get text of two versions. It now asks the others first and waits 40 ms for them, and if it hears nobody and has not heard the store for 2 s, it refuses.

--- a/include/ibisloom/fleet.h
+++ b/include/ibisloom/fleet.h
@@ -69,6 +69,7 @@
 void fleet_look_up_origins (struct fleet *fleet);
 int fleet_software_is_noted (const struct fleet *fleet, uint64_t software);
 uint32_t fleet_size (const struct fleet *fleet);
+int fleet_hears_peers (const struct fleet *fleet);
 int64_t fleet_loads_age_ms (const struct fleet *fleet);
 
 #endif
--- a/process/fleet_peer.c
+++ b/process/fleet_peer.c
@@ -130,6 +130,21 @@
   return view.watchers > 0;
 }
 
+/* Returns whether any other instance has been heard lately.  */
+int
+fleet_hears_peers (const struct fleet *fleet)
+{
+  clk_ms now = clk_now (clk_monotonic ());
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, fleet->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (!fleet_is_silent (fleet, value, now))
+      return 1;
+  return 0;
+}
+
 /* Returns the mean age, in milliseconds, of the loads that the other instances
    reported, or 0 if there are none.  */
 int64_t
--- a/request/relay_origin.c
+++ b/request/relay_origin.c
@@ -10,11 +10,16 @@
   /* Some round trips between instances; a datagram may get lost.  */
   ASK_INTERVAL_MS = 40,
   PEERS_WAIT_MS = 100,
+  /* Another instance may know a second version that this one has yet to
+     see.  */
+  ONLY_VERSION_WAIT_MS = 40,
+  STORE_HEARD_MS = 2000,
   WAIT_MAX_MS = 300 /* allows for a look-up in the store */
 };
 
 static void wait_for_origin (struct relay *relay);
 static int find_origin (struct relay *relay, int64_t waited_ms);
+static int is_informed (const struct relay *relay);
 static int is_split (const struct rt_route *route);
 static uint64_t only_version (const struct relay *relay);
 
@@ -117,7 +122,8 @@
       relay_log_origin (relay, sources[source].name);
       return 1;
     }
-  if (!fleet_origins_are_read (fleet))
+  if (!fleet_origins_are_read (fleet) || !is_informed (relay)
+      || (fleet_hears_peers (fleet) && waited_ms < ONLY_VERSION_WAIT_MS))
     return 0;
   relay->software = only_version (relay);
   if (relay->software == 0)
@@ -127,6 +133,20 @@
   return 1;
 }
 
+/* Returns whether the instance would know by now if another version had
+   appeared: it hears others, has heard the store just now, or is alone.  */
+static int
+is_informed (const struct relay *relay)
+{
+  const struct router *router = relay->router;
+  clk_ms heard_ms = MAX (router->targets.last_response_ms,
+                         router->config.last_response_ms);
+
+  return fleet_hears_peers (router->fleet) || fleet_size (router->fleet) == 1
+         || (heard_ms != 0
+             && clk_now (clk_monotonic ()) - heard_ms < STORE_HEARD_MS);
+}
+
 /* Returns the only version that serves RELAY's route or has served it lately,
    or 0 if there are several or none.  */
 static uint64_t
