--- a/request/librelay.h
+++ b/request/librelay.h
@@ -121,16 +121,21 @@
 void relay_dispatch (struct relay *relay);
 void relay_send (struct relay *relay, struct reg_target *target,
                  const struct bal_choice *choice, size_t candidates);
-void relay_decide (struct relay *relay, enum retry_fault fault,
-                   struct retry_decision *decision);
 void relay_end_attempt (struct relay *relay, enum health_event event);
 void relay_attempt_end (struct relay_attempt *attempt,
                         enum health_event event);
 void relay_attempt_clear (struct relay_attempt *attempt);
-void relay_handle_fault (struct relay *relay, enum retry_fault fault);
 void relay_finish (struct relay *relay, const char *outcome);
 void relay_arm_timer (struct relay *relay);
 
+/* relay_prepare.c */
+int relay_prepare (struct relay *relay, enum relay_refusal *refusal);
+
+/* relay_fault.c */
+void relay_decide (struct relay *relay, enum retry_fault fault,
+                   struct retry_decision *decision);
+void relay_handle_fault (struct relay *relay, enum retry_fault fault);
+
 /* relay_silence.c */
 void relay_handle_silence (struct relay *relay);
 void relay_handle_progress (struct relay *relay);
--- /dev/null
+++ b/request/relay_fault.c
@@ -0,0 +1,148 @@
+/* Failed attempts: what they say of their target, and what follows.  */
+#include "ibisloom/metrics.h"
+#include "librelay.h"
+
+enum
+{
+  CONNECT_FAILURES_MAX = 4,
+  /* For requests that may run more than once.  */
+  SENDS_PER_TARGET = 2
+};
+
+static uint32_t max_sends (const struct relay *relay);
+static void record_fault (struct relay *relay, enum retry_fault fault);
+static enum health_event health_event_of (const struct relay *relay,
+                                          enum retry_fault fault);
+static void give_up (struct relay *relay,
+                     const struct retry_decision *decision,
+                     enum retry_fault fault);
+
+static const enum health_event health_events[RETRY_FAULT_COUNT]
+    = { [RETRY_FAULT_CONNECT] = HEALTH_CONNECT_FAILED,
+        [RETRY_FAULT_ERROR_STATUS] = HEALTH_SERVER_ERROR,
+        [RETRY_FAULT_REJECTED] = HEALTH_REJECTED,
+        [RETRY_FAULT_DISCONNECTED] = HEALTH_DISCONNECTED,
+        [RETRY_FAULT_READ_TIMEOUT] = HEALTH_TIMED_OUT,
+        [RETRY_FAULT_INVALID_RESPONSE] = HEALTH_DISCONNECTED };
+
+/* Returns how many attempts RELAY may make.  Targets mostly repeat an error
+   response, so the error response of the last target that the route allows is
+   final.  */
+static uint32_t
+max_sends (const struct relay *relay)
+{
+  const struct rt_route *route = relay->route;
+
+  if (!rt_repeatable (route))
+    return route->attempts_max;
+  return relay->error_responses >= route->attempts_max
+             ? relay->sends
+             : route->attempts_max * SENDS_PER_TARGET;
+}
+
+/* Returns the health event of the current target that corresponds to
+   FAULT.  */
+static enum health_event
+health_event_of (const struct relay *relay, enum retry_fault fault)
+{
+  if (fault == RETRY_FAULT_REJECTED
+      && relay->attempt.status == HTTP_STATUS_MISDIRECTED_REQUEST)
+    return HEALTH_MISDIRECTED;
+  return health_events[fault];
+}
+
+/* Decides what follows FAULT of the current attempt.  Draws on the retry
+   budget if that is another attempt.  */
+void
+relay_decide (struct relay *relay, enum retry_fault fault,
+              struct retry_decision *decision)
+{
+  struct retry_state state = { .fault = fault,
+                               .repeatable = rt_repeatable (relay->route),
+                               .is_stream = relay->route->kind == RT_STREAM,
+                               .may_have_run = relay->may_have_run,
+                               .tokens = relay->events.forwarded,
+                               .attempts = relay->sends,
+                               .attempts_max = max_sends (relay),
+                               .resumes_at_any_target = 1,
+                               .deadline_ms = relay->deadline_ms };
+
+  decision->action = RETRY_GIVE_UP;
+  decision->reason = RETRY_REASON_ATTEMPTS;
+  if ((relay->head_sent && !relay->head_is_stream)
+      || relay->connect_failures >= CONNECT_FAILURES_MAX)
+    return;
+  retry_decide (&state, router_retry_budget (relay->router, relay->service),
+                clk_now (clk_monotonic ()), decision);
+}
+
+/* Records what FAULT of the current attempt says of its target and of
+   RELAY.  */
+static void
+record_fault (struct relay *relay, enum retry_fault fault)
+{
+  relay_parts_suspect (relay, fault);
+  if (fault == RETRY_FAULT_CONNECT)
+    {
+      relay->sends--;
+      relay->connect_failures++;
+      relay_mark_unreachable (relay);
+    }
+  else if (fault != RETRY_FAULT_REJECTED)
+    relay->may_have_run = 1;
+  relay->error_responses += fault == RETRY_FAULT_ERROR_STATUS;
+  metric_inc (retry_counters[fault]);
+}
+
+/* Handles FAULT of the current attempt: starts another attempt, returns to the
+   one that it was to replace, or ends the request.  */
+void
+relay_handle_fault (struct relay *relay, enum retry_fault fault)
+{
+  clk_ms now = clk_now (clk_monotonic ());
+  struct retry_decision decision = { .action = RETRY_WAIT };
+
+  record_fault (relay, fault);
+  if (relay->kept.target != NULL)
+    {
+      relay_log_fault (relay, fault, &decision, now);
+      relay_end_attempt (relay, health_event_of (relay, fault));
+      relay_return_to_kept (relay);
+      relay_handle_silence (relay);
+      return;
+    }
+  relay_decide (relay, fault, &decision);
+  relay_log_fault (relay, fault, &decision, now);
+  if (decision.action == RETRY_GIVE_UP)
+    {
+      give_up (relay, &decision, fault);
+      return;
+    }
+  relay_end_attempt (relay, health_event_of (relay, fault));
+  relay_events_reset (relay);
+  if (!relay->head_sent && relay->attempt.buffered_body != NULL)
+    g_string_truncate (relay->attempt.buffered_body, 0);
+  relay_dispatch (relay);
+}
+
+/* Ends RELAY after FAULT without another attempt.  */
+static void
+give_up (struct relay *relay, const struct retry_decision *decision,
+         enum retry_fault fault)
+{
+  enum relay_refusal refusal = RELAY_TARGET_FAILED;
+
+  /* The target's error response is passed on to the client.  */
+  if (fault == RETRY_FAULT_ERROR_STATUS && !relay->head_sent)
+    {
+      relay_deliver_response (relay);
+      return;
+    }
+  relay_end_attempt (relay, health_event_of (relay, fault));
+  if (!relay->may_have_run)
+    refusal = fault == RETRY_FAULT_REJECTED ? RELAY_TARGET_FULL
+                                            : RELAY_NO_CONNECTION;
+  else if (decision->reason == RETRY_REASON_BUDGET)
+    refusal = RELAY_RETRY_BUDGET;
+  relay_refuse (relay, refusal);
+}
--- /dev/null
+++ b/request/relay_prepare.c
@@ -0,0 +1,149 @@
+/* What a request asks for: its route, customer, deadline and prompt.  */
+#include <string.h>
+
+#include "ibisloom/rank.h"
+#include "librelay.h"
+
+enum
+{
+  /* The last part of a prompt is specific to one request.  */
+  UNSHARED_PARTS = 1,
+  DECIMAL_BASE = 10,
+  /* Time per token of an engine that is not overloaded.  */
+  TOKEN_INTERVAL_MS = 4
+};
+
+/* Weight of the latest request in the mean size of contexts.  */
+static const double CONTEXT_MEAN_WEIGHT = 0.02;
+
+static int64_t expected_duration_ms (const struct relay *relay);
+static int authenticate (struct relay *relay);
+static void set_deadline (struct relay *relay);
+static void read_prompt (struct relay *relay);
+static void set_fingerprint (struct relay *relay, const char *host);
+
+/* Looks up the route and the customer of RELAY in the configuration.
+   Returns 1, or 0 with REFUSAL set if the request is to be refused.  */
+int
+relay_prepare (struct relay *relay, enum relay_refusal *refusal)
+{
+  struct router *router = relay->router;
+  const char *const *field = router->dialect->field;
+  const char *host = http_head_get (relay->head, "Host");
+
+  relay->id = http_head_get (relay->head, field[DIALECT_ATTEMPT_ID]);
+  *refusal = RELAY_NOT_CONFIGURED;
+  if (!router_has_read_store (router))
+    return 0;
+  *refusal = RELAY_BAD_REQUEST;
+  if (host == NULL || relay->id == NULL
+      || http_head_count (relay->head, "Host") != 1
+      || http_head_count (relay->head, field[DIALECT_ATTEMPT_ID]) != 1)
+    return 0;
+  relay->table = rt_ref (router->table);
+  relay->route = rt_match (relay->table, host, http_head_url (relay->head));
+  *refusal = RELAY_UNKNOWN_ROUTE;
+  if (relay->route == NULL)
+    return 0;
+  *refusal = RELAY_UNKNOWN_KEY;
+  if (!authenticate (relay))
+    return 0;
+  set_deadline (relay);
+  read_prompt (relay);
+  set_fingerprint (relay, host);
+  *refusal = RELAY_STOPPING;
+  if (!router_may_start (router, expected_duration_ms (relay)))
+    return 0;
+  relay_origin_read (relay);
+  return 1;
+}
+
+/* Estimates the duration of RELAY, in milliseconds.  */
+static int64_t
+expected_duration_ms (const struct relay *relay)
+{
+  const struct dialect *dialect = relay->router->dialect;
+  const char *value
+      = http_head_get (relay->head, dialect->field[DIALECT_TOKEN_USAGE]);
+  int64_t tokens_out;
+
+  if (relay->route->kind != RT_STREAM || value == NULL
+      || dialect->tokens_out (value, &tokens_out) != 0)
+    return relay->route->objective_ms;
+  return relay->route->objective_ms + tokens_out * TOKEN_INTERVAL_MS;
+}
+
+/* Looks up the customer by the request's API key.  Returns whether the
+   request is authorized: keys are not configured, the key is known, or the
+   route needs none.  */
+static int
+authenticate (struct relay *relay)
+{
+  const struct dialect *dialect = relay->router->dialect;
+  const char *credential
+      = http_head_get (relay->head, dialect->field[DIALECT_CREDENTIAL]);
+  const char *key = credential ? dialect->key (credential) : NULL;
+
+  if (g_hash_table_size (relay->table->keys) == 0)
+    return 1;
+  if (key != NULL)
+    relay->customer = rt_customer (relay->table, key);
+  return relay->customer != NULL || relay->route->allows_anonymous;
+}
+
+/* Sets RELAY's deadline to the earlier of the client's and the route's.  */
+static void
+set_deadline (struct relay *relay)
+{
+  const char *value = http_head_get (
+      relay->head, relay->router->dialect->field[DIALECT_DEADLINE_MS]);
+  int64_t ms = value ? g_ascii_strtoll (value, NULL, DECIMAL_BASE) : INT64_MAX;
+
+  if (relay->route->timeout_ms > 0 && relay->route->timeout_ms < ms)
+    ms = relay->route->timeout_ms;
+  if (ms < INT64_MAX)
+    relay->deadline_ms = relay->arrived_ms + ms;
+}
+
+/* Keeps the shared parts of RELAY's prompt, which are all but the last, hashes
+   them and sums up their tokens.  */
+static void
+read_prompt (struct relay *relay)
+{
+  const struct dialect *dialect = relay->router->dialect;
+  const char *value
+      = http_head_get (relay->head, dialect->field[DIALECT_PROMPT_PARTS]);
+  struct dialect_prompt prompt;
+
+  if (value == NULL || dialect->prompt (value, &prompt) != 0
+      || prompt.count <= UNSHARED_PARTS)
+    return;
+  relay->part_count = prompt.count - UNSHARED_PARTS;
+  relay->parts = g_memdup2 (prompt.id, relay->part_count * sizeof *prompt.id);
+  for (uint32_t i = 0; i < relay->part_count; i++)
+    {
+      relay->parts[i] &= ~QUAR_REQUEST_BIT;
+      relay->context = rank_mix (relay->context, prompt.id[i]);
+      relay->context_tokens += prompt.tokens[i];
+    }
+  relay->router->context_tokens_mean
+      += (relay->context_tokens - relay->router->context_tokens_mean)
+         * CONTEXT_MEAN_WEIGHT;
+}
+
+/* Sets the fingerprint of RELAY, a request to HOST: a request that comes again
+   has the same one, whatever its attempt id.  */
+static void
+set_fingerprint (struct relay *relay, const char *host)
+{
+  uint64_t path = rank_hash_parts (relay->head->method, host,
+                                   http_head_url (relay->head));
+  uint64_t caller
+      = relay->customer != NULL ? rank_hash (relay->customer->name) : 0;
+  uint64_t body = relay->body != NULL
+                      ? rank_hash_bytes (relay->body->str, relay->body->len)
+                      : 0;
+
+  relay->fingerprint
+      = rank_mix (rank_mix (path, caller), body) | QUAR_REQUEST_BIT;
+}
