--- a/tests/libfixture.h
+++ b/tests/libfixture.h
@@ -45,7 +45,8 @@
   int readiness_port;
   int peer_port;
   int metrics_port;
-  int store_port; /* of its proxy to the store, or 0 */
+  int store_port;   /* of its proxy to the store, or 0 */
+  GPtrArray *paths; /* of struct proxy, one to each target; NULL: none */
 };
 
 /* Test environment; LOCK guards what threads share. */
@@ -76,12 +77,18 @@
 
 /* socket_fixture.c */
 int fx_listen (int *port);
+int fx_listen_at (uint32_t ip, int *port);
 int fx_connect_port (int port);
 char *fx_read_request (int fd);
 void fx_respond_json (int fd, const char *status, const char *field,
                       char *body);
 void fx_start_thread (void *(*fn) (void *), void *closure);
 
+/* path_fixture.c */
+char *fx_path_host (int router);
+void fx_paths_add_target (const struct fx_target *target);
+void fx_path_translate (int fd, const char *kind, char *body);
+
 /* store_fixture.c */
 const struct change *fx_store_latest_change (const char *kind,
                                              const char *name);
--- a/tests/proxy_fixture.c
+++ b/tests/proxy_fixture.c
@@ -16,6 +16,7 @@
 {
   BACKLOG = 64,
   BUFFER_BYTES = 16384,
+  FILLERS = 3,          /* connections that fill the queue of a listener */
   POLL_INTERVAL_MS = 10 /* longest delay until a new mode applies */
 };
 
@@ -26,11 +27,21 @@
   SIDE_COUNT
 };
 
+/* State of a listener, set by the thread that accepts. */
+enum listening
+{
+  LISTENING,
+  REFUSING, /* closed */
+  IGNORING  /* its queue is full and stays so */
+};
+
 /* A proxy; MODE and DELAY_MS are accessed atomically. */
 struct proxy
 {
-  int listener;
-  int port;
+  struct sockaddr_in address;
+  int listener; /* -1: refusing */
+  enum listening listening;
+  int fillers[FILLERS];
   struct sockaddr_in server;
   gint mode;
   gint delay_ms;
@@ -45,6 +56,10 @@
   int discard[SIDE_COUNT]; /* data from that side is dropped */
 };
 
+static void update_listener (struct proxy *proxy, enum proxy_mode mode);
+static void fill_queue (struct proxy *proxy);
+static void drain_queue (struct proxy *proxy);
+static int must_reset (enum proxy_mode mode);
 static void *accept_connections (void *closure);
 static void *relay_connection (void *closure);
 static int forward (struct connection *connection, enum side from);
@@ -52,25 +67,35 @@
 static void reset_on_close (struct connection *connection);
 static int write_all (int fd, const char *data, size_t length);
 
-/* Starts a proxy to the server at SERVER_PORT on loopback.  */
+/* Starts a proxy, on a free port, to the server at SERVER_PORT on loopback. */
 struct proxy *
 proxy_start (int server_port)
 {
-  struct proxy *proxy = g_new0 (struct proxy, 1);
   struct sockaddr_in address = { .sin_family = AF_INET };
-  socklen_t size = sizeof address;
-  pthread_t thread;
 
   address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  proxy->server = address;
+  return proxy_start_at (&address, server_port);
+}
+
+/* Starts a proxy at ADDRESS to the server at SERVER_PORT on loopback.  */
+struct proxy *
+proxy_start_at (const struct sockaddr_in *address, int server_port)
+{
+  struct proxy *proxy = g_new0 (struct proxy, 1);
+  socklen_t size = sizeof proxy->address;
+  pthread_t thread;
+
+  proxy->server = (struct sockaddr_in){ .sin_family = AF_INET };
+  proxy->server.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
   proxy->server.sin_port = htons ((uint16_t)server_port);
-  proxy->listener = sock_listen (&address, BACKLOG);
+  proxy->listener = sock_listen (address, BACKLOG);
   if (proxy->listener < 0
-      || getsockname (proxy->listener, (struct sockaddr *)&address, &size) != 0
+      || getsockname (proxy->listener, (struct sockaddr *)&proxy->address,
+                      &size)
+             != 0
       || pthread_create (&thread, NULL, accept_connections, proxy) != 0)
     abort ();
   pthread_detach (thread);
-  proxy->port = ntohs (address.sin_port);
   return proxy;
 }
 
@@ -78,7 +103,7 @@
 int
 proxy_port (const struct proxy *proxy)
 {
-  return proxy->port;
+  return ntohs (proxy->address.sin_port);
 }
 
 /* Sets the mode of PROXY.  DELAY_MS applies to PROXY_DELAY.  */
@@ -89,19 +114,69 @@
   g_atomic_int_set (&proxy->mode, (gint)mode);
 }
 
+/* Brings the listener of PROXY into the state that MODE requires.  */
+static void
+update_listener (struct proxy *proxy, enum proxy_mode mode)
+{
+  enum listening wanted = mode == PROXY_CUT_SILENT ? IGNORING
+                          : mode == PROXY_REFUSE || mode == PROXY_CUT_RESET
+                              ? REFUSING
+                              : LISTENING;
+
+  if (wanted == proxy->listening)
+    return;
+  if (proxy->listening == IGNORING)
+    drain_queue (proxy);
+  if (proxy->listener < 0)
+    proxy->listener = sock_listen (&proxy->address, BACKLOG);
+  proxy->listening = wanted;
+  if (wanted == IGNORING)
+    fill_queue (proxy);
+  if (wanted != REFUSING)
+    return;
+  close (proxy->listener);
+  proxy->listener = -1;
+}
+
+/* Fills the queue of PROXY's listener, so that the system drops what would
+   establish another connection.  */
+static void
+fill_queue (struct proxy *proxy)
+{
+  listen (proxy->listener, 0);
+  for (int i = 0; i < FILLERS; i++)
+    proxy->fillers[i] = sock_connect (&proxy->address);
+}
+
+/* Ends what fill_queue began.  */
+static void
+drain_queue (struct proxy *proxy)
+{
+  for (int i = 0; i < FILLERS; i++)
+    close (proxy->fillers[i]);
+  listen (proxy->listener, BACKLOG);
+}
+
 /* Accepts connections, each served by a thread.  */
 static void *
 accept_connections (void *closure)
 {
   struct proxy *proxy = closure;
-  struct pollfd waiting = { .fd = proxy->listener, .events = POLLIN };
 
-  while (poll (&waiting, 1, -1) > 0 || errno == EINTR)
+  for (;;)
     {
-      int fd = sock_accept (proxy->listener);
+      struct pollfd waiting = { .fd = proxy->listener, .events = POLLIN };
       struct connection *connection;
       pthread_t thread;
+      int fd;
 
+      update_listener (proxy,
+                       (enum proxy_mode)g_atomic_int_get (&proxy->mode));
+      if (proxy->listening != LISTENING)
+        waiting.fd = -1;
+      if (poll (&waiting, 1, POLL_INTERVAL_MS) <= 0)
+        continue;
+      fd = sock_accept (proxy->listener);
       if (fd < 0)
         continue;
       connection = g_new0 (struct connection, 1);
@@ -115,6 +190,13 @@
   return NULL;
 }
 
+/* Returns whether MODE resets open connections.  */
+static int
+must_reset (enum proxy_mode mode)
+{
+  return mode == PROXY_RESET || mode == PROXY_CUT_RESET;
+}
+
 /* Relays one connection until both directions have ended or it fails.  */
 static void *
 relay_connection (void *closure)
@@ -123,7 +205,7 @@
   enum proxy_mode mode
       = (enum proxy_mode)g_atomic_int_get (&connection->proxy->mode);
 
-  if (mode != PROXY_RESET)
+  if (!must_reset (mode))
     connection->fd[SERVER_SIDE] = sock_connect (&connection->proxy->server);
   while (
       connection->fd[SERVER_SIDE] >= 0
@@ -140,13 +222,13 @@
       (void)poll (fds, SIDE_COUNT, POLL_INTERVAL_MS);
       mode = (enum proxy_mode)g_atomic_int_get (&connection->proxy->mode);
       apply_mode (connection, mode);
-      for (int i = 0; is_open && mode != PROXY_RESET && i < SIDE_COUNT; i++)
+      for (int i = 0; is_open && !must_reset (mode) && i < SIDE_COUNT; i++)
         if (fds[i].revents != 0)
           is_open = forward (connection, (enum side)i) == 0;
-      if (!is_open || mode == PROXY_RESET)
+      if (!is_open || must_reset (mode))
         break;
     }
-  if (mode == PROXY_RESET)
+  if (must_reset (mode))
     reset_on_close (connection);
   close (connection->fd[CLIENT_SIDE]);
   if (connection->fd[SERVER_SIDE] >= 0)
@@ -160,10 +242,12 @@
 static void
 apply_mode (struct connection *connection, enum proxy_mode mode)
 {
-  connection->discard[CLIENT_SIDE]
-      |= mode == PROXY_DROP_TO_SERVER || mode == PROXY_DROP_ALL;
-  connection->discard[SERVER_SIDE]
-      |= mode == PROXY_DROP_TO_CLIENT || mode == PROXY_DROP_ALL;
+  connection->discard[CLIENT_SIDE] |= mode == PROXY_DROP_TO_SERVER
+                                      || mode == PROXY_DROP_ALL
+                                      || mode == PROXY_CUT_SILENT;
+  connection->discard[SERVER_SIDE] |= mode == PROXY_DROP_TO_CLIENT
+                                      || mode == PROXY_DROP_ALL
+                                      || mode == PROXY_CUT_SILENT;
 }
 
 /* Forwards data or end of file from side FROM of CONNECTION to the other side.
--- a/tests/router_fixture.c
+++ b/tests/router_fixture.c
@@ -142,18 +142,20 @@
   const struct router_process *router = &fx_env.routers[index];
   char *name = g_strdup_printf ("router-%d.yaml", index);
   char *path = g_build_filename (fx_env.directory, name, NULL);
+  char *host = fx_path_host (index);
   char *text = g_strdup_printf (
       "interface: platform\ninstance: gate-%d\ndeployment: test\n"
       "failure_domain: %c\nregion: r\nlisten: 127.0.0.1:%d\n"
       "readiness_listen: 127.0.0.1:%d\npeer_listen: 127.0.0.1:%d\n"
-      "operator_listen: 127.0.0.1:%d\nplatform: 127.0.0.1:%d\n"
+      "operator_listen: 127.0.0.1:%d\nplatform: %s:%d\n"
       "retry_slack: 50\ngrace_s: 8\n%s",
       index, 'a' + index % FX_DOMAINS, router->request_port,
-      router->readiness_port, router->peer_port, router->metrics_port,
+      router->readiness_port, router->peer_port, router->metrics_port, host,
       router->store_port != 0 ? router->store_port : fx_env.store_port, extra);
 
   g_file_set_contents (path, text, -1, NULL);
   g_free (text);
+  g_free (host);
   g_free (name);
   return path;
 }
@@ -284,7 +286,7 @@
 fx_store_start (const char *config)
 {
   signal (SIGPIPE, SIG_IGN);
-  fx_env.store_listener = fx_listen (&fx_env.store_port);
+  fx_env.store_listener = fx_listen_at (INADDR_ANY, &fx_env.store_port);
   fx_start_thread (fx_store_accept_connections,
                    GINT_TO_POINTER (fx_env.store_listener));
   fx_env.directory = g_dir_make_tmp ("router-XXXXXX", NULL);
--- a/tests/router_fixture.h
+++ b/tests/router_fixture.h
@@ -65,6 +65,12 @@
 struct proxy *fx_target_add_proxy (struct fx_target *target);
 struct proxy *fx_store_add_proxy (int router);
 
+/* Paths of its own to all targets for a router that is yet to be spawned, and
+   their faults, which are modes of proxies.  Targets are added when all
+   routers are ready. */
+void fx_router_add_paths (int router);
+void fx_router_set_paths (int router, int mode);
+
 void fx_store_put (const char *kind, const char *name, const char *spec);
 void fx_store_delete (const char *kind, const char *name);
 void fx_store_compact (void);
--- a/tests/socket_fixture.c
+++ b/tests/socket_fixture.c
@@ -22,12 +22,19 @@
    port in PORT.  */
 int
 fx_listen (int *port)
+{
+  return fx_listen_at (INADDR_LOOPBACK, port);
+}
+
+/* Does the same for the address IP.  */
+int
+fx_listen_at (uint32_t ip, int *port)
 {
   struct sockaddr_in address = { .sin_family = AF_INET };
   socklen_t size = sizeof address;
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
-  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  address.sin_addr.s_addr = htonl (ip);
   if (fd < 0 || bind (fd, (struct sockaddr *)&address, sizeof address) != 0
       || listen (fd, 64) != 0
       || getsockname (fd, (struct sockaddr *)&address, &size) != 0)
--- a/tests/store_fixture.c
+++ b/tests/store_fixture.c
@@ -32,10 +32,11 @@
                                                          : g_strdup ("") };
 }
 
-/* Sends RESPONSE on FD and frees what it holds.  */
+/* Sends RESPONSE, about objects of KIND, on FD and frees what it holds.  */
 static void
-send_response (int fd, struct response *response)
+send_response (int fd, const char *kind, struct response *response)
 {
+  fx_path_translate (fd, kind, response->body);
   fx_respond_json (fd, response->status, response->field, response->body);
   g_free (response->field);
 }
@@ -156,7 +157,7 @@
                                : g_strdup_printf ("{\"events\":[],\"at\":%u}",
                                                   fx_env.changes->len));
   pthread_mutex_unlock (&fx_env.lock);
-  send_response (fd, &response);
+  send_response (fd, kind, &response);
 }
 
 /* Frees the change CLOSURE.  */
@@ -355,7 +356,7 @@
               fx_sleep_ms (late_ms);
             }
           response = respond_at_once (request, kind, name);
-          send_response (fd, &response);
+          send_response (fd, kind, &response);
         }
       g_free (request);
     }
--- a/tests/target_fixture.c
+++ b/tests/target_fixture.c
@@ -105,6 +105,7 @@
   target->listener = fx_listen (&target->port);
   g_ptr_array_add (fx_env.targets, target);
   fx_start_thread (accept_connections, target);
+  fx_paths_add_target (target);
   fx_target_put_entry (target, "");
   return target;
 }
