--- a/tests/peer_fixture.c
+++ b/tests/peer_fixture.c
@@ -57,7 +57,8 @@
     {
       const struct change *change = g_ptr_array_index (fx_env.changes, i);
 
-      if (strcmp (change->kind, "servers") == 0)
+      if (strcmp (change->kind, "servers") == 0
+          && fx_store_latest_change (change->kind, change->name) == change)
         g_string_append_printf (
             out,
             "%s{\"name\":\"%s\",\"epoch\":1,\"revision\":%ld,"
