--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -49,6 +49,16 @@
   int response; /* status of the stored outcome, or 0 */
 };
 
+/* Writers of one log in a store, and the last operation of any of them. */
+struct writers
+{
+  struct store *store;
+  struct ledger_log logs[WRITERS];
+  struct ledger_op op;
+  enum ledger_verdict verdict;
+  const struct ledger_entry *entry;
+};
+
 static char *store_get (struct platform *platform, const char *name,
                         uint64_t *revision, GError **error);
 static int store_put (struct platform *platform, const char *name,
@@ -67,6 +77,11 @@
                       struct ledger_op *op, enum ledger_verdict *verdict,
                       const struct ledger_entry **entry);
 static void make_op (struct ledger_op *op, int key, int nonce);
+static void writers_start (struct writers *writers, unsigned seed, int faults);
+static void writers_stop (struct writers *writers);
+static int writers_commit (struct writers *writers, int writer);
+static void expect_claim (struct writers *writers, int writer, int key,
+                          int nonce, enum ledger_verdict verdict);
 static void run_random_history (unsigned seed);
 static void at_most_one_claim (void);
 static void stale_writer_conflicts (void);
@@ -359,6 +374,43 @@
   g_snprintf (op->call.nonce, sizeof op->call.nonce, "nonce-%d", nonce);
 }
 
+/* Starts WRITERS with an empty store, which fails as SEED says if FAULTS.  */
+static void
+writers_start (struct writers *writers, unsigned seed, int faults)
+{
+  memset (writers, 0, sizeof *writers);
+  writers->store = store_new (seed, faults);
+  for (int i = 0; i < WRITERS; i++)
+    ledger_log_init (&writers->logs[i], "test");
+}
+
+static void
+writers_stop (struct writers *writers)
+{
+  for (int i = 0; i < WRITERS; i++)
+    ledger_log_clear (&writers->logs[i]);
+  store_free (&writers->store->base);
+}
+
+/* Has WRITER commit the operation in WRITERS.  Returns 0, or -1 if it is not
+   known to be written.  */
+static int
+writers_commit (struct writers *writers, int writer)
+{
+  return commit_op (&writers->logs[writer], writers->store, &writers->op,
+                    &writers->verdict, &writers->entry);
+}
+
+/* Has WRITER claim KEY with NONCE, which must end in VERDICT.  */
+static void
+expect_claim (struct writers *writers, int writer, int key, int nonce,
+              enum ledger_verdict verdict)
+{
+  make_op (&writers->op, key, nonce);
+  CU_ASSERT_EQUAL (writers_commit (writers, writer), 0);
+  CU_ASSERT_EQUAL (writers->verdict, verdict);
+}
+
 /* Attempts claim keys, store outcomes and abort claims through random writers,
    which now and then restart with an empty view of the log.  Delayed writes
    take effect at random moments.  An attempt that is granted its claim runs
@@ -368,68 +420,63 @@
 static void
 run_random_history (unsigned seed)
 {
-  struct store *store = store_new (seed, 1);
   GRand *random = g_rand_new_with_seed (seed + 1000);
-  struct ledger_log logs[WRITERS];
+  struct writers writers;
   struct history *histories = g_new0 (struct history, KEYS);
 
-  for (int i = 0; i < WRITERS; i++)
-    ledger_log_init (&logs[i], "test");
+  writers_start (&writers, seed, 1);
   for (int step = 1; step <= STEPS; step++)
     {
-      struct ledger_log *log = &logs[g_rand_int_range (random, 0, WRITERS)];
+      int writer = g_rand_int_range (random, 0, WRITERS);
+      struct ledger_log *log = &writers.logs[writer];
       int key = g_rand_int_range (random, 0, KEYS);
       struct history *history = &histories[key];
-      const struct ledger_entry *entry = NULL;
-      enum ledger_verdict verdict;
-      struct ledger_op op;
 
       if (g_rand_int_range (random, 0, 5) == 0)
-        apply_delayed_write (store);
+        apply_delayed_write (writers.store);
       if (g_rand_int_range (random, 0, 20) == 0)
         {
           ledger_log_clear (log);
           ledger_log_init (log, "test");
         }
-      make_op (&op, key, step);
-      if (commit_op (log, store, &op, &verdict, &entry) != 0)
+      make_op (&writers.op, key, step);
+      if (writers_commit (&writers, writer) != 0)
         {
           /* The client got the response that the call was not run: abort the
              claim, retrying until the platform accepts it.  */
-          op.kind = LEDGER_OP_OUTCOME;
-          op.not_run = 1;
-          while (commit_op (log, store, &op, &verdict, &entry) != 0)
-            apply_delayed_write (store);
+          writers.op.kind = LEDGER_OP_OUTCOME;
+          writers.op.not_run = 1;
+          while (writers_commit (&writers, writer) != 0)
+            apply_delayed_write (writers.store);
           history->aborted[step] = 1;
           continue;
         }
-      if (verdict == LEDGER_CLAIMED)
+      if (writers.verdict == LEDGER_CLAIMED)
         {
           CU_ASSERT_EQUAL (history->claims_granted, 0);
           CU_ASSERT (!history->aborted[step]);
           history->claims_granted++;
           history->granted[step] = 1;
-          op.kind = LEDGER_OP_OUTCOME;
-          op.status = 200 + step;
+          writers.op.kind = LEDGER_OP_OUTCOME;
+          writers.op.status = 200 + step;
           if (g_rand_int_range (random, 0, 3) > 0)
             {
-              while (commit_op (log, store, &op, &verdict, &entry) != 0)
-                apply_delayed_write (store);
-              CU_ASSERT_EQUAL (verdict, LEDGER_STORED);
-              history->response = op.status;
+              while (writers_commit (&writers, writer) != 0)
+                apply_delayed_write (writers.store);
+              CU_ASSERT_EQUAL (writers.verdict, LEDGER_STORED);
+              history->response = writers.op.status;
             }
         }
-      if (verdict == LEDGER_COMPLETED)
-        CU_ASSERT_EQUAL (entry->status, history->response);
+      if (writers.verdict == LEDGER_COMPLETED)
+        CU_ASSERT_EQUAL (writers.entry->status, history->response);
       if (history->response != 0)
-        CU_ASSERT (verdict == LEDGER_COMPLETED || verdict == LEDGER_STORED
-                   || verdict == LEDGER_UNFINISHED);
+        CU_ASSERT (writers.verdict == LEDGER_COMPLETED
+                   || writers.verdict == LEDGER_STORED
+                   || writers.verdict == LEDGER_UNFINISHED);
     }
-  for (int i = 0; i < WRITERS; i++)
-    ledger_log_clear (&logs[i]);
+  writers_stop (&writers);
   g_free (histories);
   g_rand_free (random);
-  store_free (&store->base);
 }
 
 static void
@@ -442,142 +489,97 @@
 static void
 stale_writer_conflicts (void)
 {
-  struct store *store = store_new (1, 0);
-  struct ledger_log logs[2];
-  const struct ledger_entry *entry;
-  enum ledger_verdict verdict;
+  struct writers writers;
   GError *error = NULL;
-  struct ledger_op op;
   json_t *records;
 
+  writers_start (&writers, 1, 0);
   for (int i = 0; i < 2; i++)
-    {
-      ledger_log_init (&logs[i], "test");
-      ledger_log_load (&logs[i], &store->base, NULL);
-    }
-  make_op (&op, 1, 1);
-  commit_op (&logs[0], store, &op, &verdict, &entry);
-  make_op (&op, 2, 2);
-  records = json_pack ("[o]", ledger_log_new_record (&op, 1));
-  CU_ASSERT_EQUAL (ledger_log_append (&logs[1], &store->base, records, &error),
+    ledger_log_load (&writers.logs[i], &writers.store->base, NULL);
+  expect_claim (&writers, 0, 1, 1, LEDGER_CLAIMED);
+  make_op (&writers.op, 2, 2);
+  records = json_pack ("[o]", ledger_log_new_record (&writers.op, 1));
+  CU_ASSERT_EQUAL (ledger_log_append (&writers.logs[1], &writers.store->base,
+                                      records, &error),
                    -1);
   CU_ASSERT (g_error_matches (error, ERR_DOMAIN, ERR_CONFLICT));
-  CU_ASSERT (!logs[1].loaded);
+  CU_ASSERT (!writers.logs[1].loaded);
   g_clear_error (&error);
   json_decref (records);
-  for (int i = 0; i < 2; i++)
-    ledger_log_clear (&logs[i]);
-  store_free (&store->base);
+  writers_stop (&writers);
 }
 
 static void
 aborted_claim_is_refused (void)
 {
-  struct store *store = store_new (1, 0);
-  struct ledger_log log;
-  const struct ledger_entry *entry;
-  enum ledger_verdict verdict;
-  struct ledger_op op;
-
-  ledger_log_init (&log, "test");
-  make_op (&op, 1, 1);
-  op.kind = LEDGER_OP_OUTCOME;
-  op.not_run = 1;
-  CU_ASSERT_EQUAL (commit_op (&log, store, &op, &verdict, &entry), 0);
-  make_op (&op, 1, 1);
-  CU_ASSERT_EQUAL (commit_op (&log, store, &op, &verdict, &entry), 0);
-  CU_ASSERT_EQUAL (verdict, LEDGER_UNAVAILABLE);
-  make_op (&op, 1, 2);
-  CU_ASSERT_EQUAL (commit_op (&log, store, &op, &verdict, &entry), 0);
-  CU_ASSERT_EQUAL (verdict, LEDGER_CLAIMED);
-  ledger_log_clear (&log);
-  store_free (&store->base);
+  struct writers writers;
+
+  writers_start (&writers, 1, 0);
+  make_op (&writers.op, 1, 1);
+  writers.op.kind = LEDGER_OP_OUTCOME;
+  writers.op.not_run = 1;
+  CU_ASSERT_EQUAL (writers_commit (&writers, 0), 0);
+  expect_claim (&writers, 0, 1, 1, LEDGER_UNAVAILABLE);
+  expect_claim (&writers, 0, 1, 2, LEDGER_CLAIMED);
+  writers_stop (&writers);
 }
 
 static void
 outcome_is_stored_unchanged (void)
 {
-  struct store *store = store_new (1, 0);
-  struct ledger_log logs[2];
-  const struct ledger_entry *entry;
-  enum ledger_verdict verdict;
-  struct ledger_op op;
+  struct writers writers;
   char body[] = "eyJwYWlkIjp0cnVlfQ==";
 
-  for (int i = 0; i < 2; i++)
-    ledger_log_init (&logs[i], "test");
-  make_op (&op, 1, 1);
-  commit_op (&logs[0], store, &op, &verdict, &entry);
-  op.kind = LEDGER_OP_OUTCOME;
-  op.status = 201;
-  op.body = body;
-  commit_op (&logs[0], store, &op, &verdict, &entry);
-  make_op (&op, 1, 2);
-  CU_ASSERT_EQUAL (commit_op (&logs[1], store, &op, &verdict, &entry), 0);
-  CU_ASSERT_EQUAL (verdict, LEDGER_COMPLETED);
-  CU_ASSERT_EQUAL (entry->status, 201);
-  CU_ASSERT_STRING_EQUAL (entry->body, body);
-  for (int i = 0; i < 2; i++)
-    ledger_log_clear (&logs[i]);
-  store_free (&store->base);
+  writers_start (&writers, 1, 0);
+  expect_claim (&writers, 0, 1, 1, LEDGER_CLAIMED);
+  writers.op.kind = LEDGER_OP_OUTCOME;
+  writers.op.status = 201;
+  writers.op.body = body;
+  writers_commit (&writers, 0);
+  expect_claim (&writers, 1, 1, 2, LEDGER_COMPLETED);
+  CU_ASSERT_EQUAL (writers.entry->status, 201);
+  CU_ASSERT_STRING_EQUAL (writers.entry->body, body);
+  writers_stop (&writers);
 }
 
 static void
 mismatch_is_reported (void)
 {
-  struct store *store = store_new (1, 0);
-  struct ledger_log log;
-  const struct ledger_entry *entry;
-  enum ledger_verdict verdict;
-  struct ledger_op op;
-
-  ledger_log_init (&log, "test");
-  make_op (&op, 1, 1);
-  op.call.fingerprint = 5;
-  commit_op (&log, store, &op, &verdict, &entry);
-  make_op (&op, 1, 2);
-  op.call.fingerprint = 6;
-  CU_ASSERT_EQUAL (commit_op (&log, store, &op, &verdict, &entry), 0);
-  CU_ASSERT_EQUAL (verdict, LEDGER_MISMATCH);
-  ledger_log_clear (&log);
-  store_free (&store->base);
+  struct writers writers;
+
+  writers_start (&writers, 1, 0);
+  make_op (&writers.op, 1, 1);
+  writers.op.call.fingerprint = 5;
+  writers_commit (&writers, 0);
+  make_op (&writers.op, 1, 2);
+  writers.op.call.fingerprint = 6;
+  CU_ASSERT_EQUAL (writers_commit (&writers, 0), 0);
+  CU_ASSERT_EQUAL (writers.verdict, LEDGER_MISMATCH);
+  writers_stop (&writers);
 }
 
 /* Full segments are sealed, and removed once all their records are old.  */
 static void
 expiry_removes_oldest_segment (void)
 {
-  struct store *store = store_new (1, 0);
-  struct ledger_log log;
-  const struct ledger_entry *entry;
-  enum ledger_verdict verdict;
-  struct ledger_op op;
+  struct writers writers;
+  struct ledger_log *log = &writers.logs[0];
 
-  ledger_log_init (&log, "test");
+  writers_start (&writers, 1, 0);
   for (int key = 0; key < 5000; key++)
-    {
-      make_op (&op, key, 1);
-      commit_op (&log, store, &op, &verdict, &entry);
-    }
-  CU_ASSERT (log.open > 1);
-  ledger_log_expire (&log, &store->base, 1);
-  CU_ASSERT_EQUAL (log.first, 0);
-  ledger_log_expire (&log, &store->base, 2);
-  CU_ASSERT_EQUAL (log.first, 1);
-  make_op (&op, 0, 2);
-  CU_ASSERT_EQUAL (commit_op (&log, store, &op, &verdict, &entry), 0);
-  CU_ASSERT_EQUAL (verdict, LEDGER_CLAIMED);
-  make_op (&op, 4999, 2);
-  commit_op (&log, store, &op, &verdict, &entry);
-  CU_ASSERT_EQUAL (verdict, LEDGER_UNFINISHED);
-  ledger_log_clear (&log);
-  ledger_log_init (&log, "test");
-  CU_ASSERT_EQUAL (ledger_log_load (&log, &store->base, NULL), 0);
-  make_op (&op, 4999, 3);
-  commit_op (&log, store, &op, &verdict, &entry);
-  CU_ASSERT_EQUAL (verdict, LEDGER_UNFINISHED);
-  ledger_log_clear (&log);
-  store_free (&store->base);
+    expect_claim (&writers, 0, key, 1, LEDGER_CLAIMED);
+  CU_ASSERT (log->open > 1);
+  ledger_log_expire (log, &writers.store->base, 1);
+  CU_ASSERT_EQUAL (log->first, 0);
+  ledger_log_expire (log, &writers.store->base, 2);
+  CU_ASSERT_EQUAL (log->first, 1);
+  expect_claim (&writers, 0, 0, 2, LEDGER_CLAIMED);
+  expect_claim (&writers, 0, 4999, 2, LEDGER_UNFINISHED);
+  ledger_log_clear (log);
+  ledger_log_init (log, "test");
+  CU_ASSERT_EQUAL (ledger_log_load (log, &writers.store->base, NULL), 0);
+  expect_claim (&writers, 0, 4999, 3, LEDGER_UNFINISHED);
+  writers_stop (&writers);
 }
 
 /* Reads LOG and appends what STORE has lost, as writers do once a second, and
@@ -605,40 +607,22 @@
 static void
 lost_claim_is_not_granted_again (void)
 {
-  struct store *store = store_new (1, 0);
-  struct ledger_log logs[2];
-  const struct ledger_entry *entry;
-  enum ledger_verdict verdict = LEDGER_UNAVAILABLE;
-  struct ledger_op op;
+  struct writers writers;
 
-  store->base.epoch = 1;
-  for (int i = 0; i < 2; i++)
-    {
-      ledger_log_init (&logs[i], "test");
-      make_op (&op, i, 1);
-      CU_ASSERT_EQUAL (commit_op (&logs[i], store, &op, &verdict, &entry), 0);
-      CU_ASSERT_EQUAL (verdict, LEDGER_CLAIMED);
-    }
-  make_op (&op, 5, 1);
-  CU_ASSERT_EQUAL (commit_op (&logs[0], store, &op, &verdict, &entry), 0);
-  store_restore (store, 2);
-  make_op (&op, 5, 2);
-  logs[1].loaded = 0;
-  CU_ASSERT_EQUAL (commit_op (&logs[1], store, &op, &verdict, &entry), 0);
-  CU_ASSERT_EQUAL (verdict, LEDGER_UNFINISHED);
-  recover (&logs[0], store);
-  recover (&logs[1], store);
-  CU_ASSERT_EQUAL (commit_op (&logs[1], store, &op, &verdict, &entry), 0);
-  CU_ASSERT_EQUAL (verdict, LEDGER_UNFINISHED);
-  make_op (&op, 1, 2);
-  CU_ASSERT_EQUAL (commit_op (&logs[0], store, &op, &verdict, &entry), 0);
-  CU_ASSERT_EQUAL (verdict, LEDGER_UNFINISHED);
-  make_op (&op, 6, 1);
-  CU_ASSERT_EQUAL (commit_op (&logs[0], store, &op, &verdict, &entry), 0);
-  CU_ASSERT_EQUAL (verdict, LEDGER_CLAIMED);
+  writers_start (&writers, 1, 0);
+  writers.store->base.epoch = 1;
   for (int i = 0; i < 2; i++)
-    ledger_log_clear (&logs[i]);
-  store_free (&store->base);
+    expect_claim (&writers, i, i, 1, LEDGER_CLAIMED);
+  expect_claim (&writers, 0, 5, 1, LEDGER_CLAIMED);
+  store_restore (writers.store, 2);
+  writers.logs[1].loaded = 0;
+  expect_claim (&writers, 1, 5, 2, LEDGER_UNFINISHED);
+  recover (&writers.logs[0], writers.store);
+  recover (&writers.logs[1], writers.store);
+  expect_claim (&writers, 1, 5, 2, LEDGER_UNFINISHED);
+  expect_claim (&writers, 0, 1, 2, LEDGER_UNFINISHED);
+  expect_claim (&writers, 0, 6, 1, LEDGER_CLAIMED);
+  writers_stop (&writers);
 }
 
 /* Writers claim keys, on a store that is restored at random moments from
@@ -647,40 +631,31 @@
 static void
 run_restored_history (unsigned seed)
 {
-  struct store *store = store_new (seed, 1);
   GRand *random = g_rand_new_with_seed (seed + 2000);
-  struct ledger_log logs[WRITERS];
+  struct writers writers;
   int granted[KEYS] = { 0 };
 
-  store->base.epoch = 1;
-  for (int i = 0; i < WRITERS; i++)
-    ledger_log_init (&logs[i], "test");
+  writers_start (&writers, seed, 1);
+  writers.store->base.epoch = 1;
   for (int step = 1; step <= STEPS; step++)
     {
       int key = g_rand_int_range (random, 0, KEYS);
-      const struct ledger_entry *entry = NULL;
-      enum ledger_verdict verdict = LEDGER_UNAVAILABLE;
-      struct ledger_op op;
 
-      apply_delayed_write (store);
+      apply_delayed_write (writers.store);
       if (g_rand_int_range (random, 0, 30) == 0)
-        store_restore (store, g_rand_int_range (random, 1, 10));
+        store_restore (writers.store, g_rand_int_range (random, 1, 10));
       if (g_rand_int_range (random, 0, 5) == 0)
         for (int i = 0; i < WRITERS; i++)
-          recover (&logs[i], store);
-      make_op (&op, key, step);
-      if (commit_op (&logs[g_rand_int_range (random, 0, WRITERS)], store, &op,
-                     &verdict, &entry)
-              == 0
-          && verdict == LEDGER_CLAIMED)
+          recover (&writers.logs[i], writers.store);
+      make_op (&writers.op, key, step);
+      if (writers_commit (&writers, g_rand_int_range (random, 0, WRITERS)) == 0
+          && writers.verdict == LEDGER_CLAIMED)
         granted[key]++;
     }
   for (int key = 0; key < KEYS; key++)
     CU_ASSERT (granted[key] <= 1);
-  for (int i = 0; i < WRITERS; i++)
-    ledger_log_clear (&logs[i]);
   g_rand_free (random);
-  store_free (&store->base);
+  writers_stop (&writers);
 }
 
 static void
@@ -695,23 +670,14 @@
 static void
 claim_of_an_older_epoch_is_not_sent (void)
 {
-  struct store *store = store_new (1, 0);
-  struct ledger_log logs[2];
-  const struct ledger_entry *entry;
-  enum ledger_verdict verdict = LEDGER_UNAVAILABLE;
-  struct ledger_op op;
-
-  store->base.epoch = 1;
-  for (int i = 0; i < 2; i++)
-    ledger_log_init (&logs[i], "test");
-  make_op (&op, 1, 1);
-  CU_ASSERT_EQUAL (commit_op (&logs[0], store, &op, &verdict, &entry), 0);
-  CU_ASSERT_EQUAL (ledger_log_load (&logs[1], &store->base, NULL), 0);
-  store_restore (store, 0);
-  make_op (&op, 2, 1);
-  CU_ASSERT_EQUAL (commit_op (&logs[1], store, &op, &verdict, &entry), 0);
-  CU_ASSERT_EQUAL (verdict, LEDGER_UNFINISHED);
-  for (int i = 0; i < 2; i++)
-    ledger_log_clear (&logs[i]);
-  store_free (&store->base);
+  struct writers writers;
+
+  writers_start (&writers, 1, 0);
+  writers.store->base.epoch = 1;
+  expect_claim (&writers, 0, 1, 1, LEDGER_CLAIMED);
+  CU_ASSERT_EQUAL (
+      ledger_log_load (&writers.logs[1], &writers.store->base, NULL), 0);
+  store_restore (writers.store, 0);
+  expect_claim (&writers, 1, 2, 1, LEDGER_UNFINISHED);
+  writers_stop (&writers);
 }
