Believe the only version known for a stream's origin only once it is confirmed

What callers saw: during a release an instance stood still or was cut off for a few seconds while targets of a new version joined. Streams that had begun there through other instances broke, were taken up at that instance, and went on at a target of the old version.

Cause: an instance that did not know a stream, and had seen one version of its service, took that for its origin if it had heard a peer within 1.5 s or the store within 2 s, and no peer objected within 40 ms. None of these says that it had missed nothing: datagrams from before a freeze are read after it and count as just heard, peers that are silent, lost or asked too late cannot object, and the time of the last response of the store is not that of its last look.

Change: what was seen is believed only if it was confirmed for a time less than a second before the request: by a peer that names the versions that it has seen, and answers only if it hears most of the fleet and has not stood still itself, or by the store, where a version is noted for a second before its streams begin. Two new datagrams, a question and its answer, which older builds drop. The age of a version is told with it, so that none lives on by being told.

Why it works: a stream begins before it is taken up, and at a version that the registry, and mostly the store's notes, had before; so whoever knows all versions as of just before the request knows that of the stream.

--- a/include/ibisloom/origin.h
+++ b/include/ibisloom/origin.h
@@ -68,6 +68,9 @@
 int origin_next_own (const struct origins *origins,
                      struct origin_cursor *cursor,
                      struct origin_record *record);
+int origin_next_seen (const struct origins *origins,
+                      struct origin_cursor *cursor,
+                      struct origin_version *version, clk_ms *seen_ms);
 int origin_next_version (const struct origins *origins,
                          struct origin_cursor *cursor,
                          struct origin_version *version);
--- a/include/ibisloom/wire.h
+++ b/include/ibisloom/wire.h
@@ -23,7 +23,8 @@
   WIRE_PARTS_MAX = 32,
   WIRE_STATES_MAX = 48,
   WIRE_RATES_MAX = 64,
-  WIRE_ORIGINS_MAX = 32
+  WIRE_ORIGINS_MAX = 32,
+  WIRE_VERSIONS_MAX = 16
 };
 
 enum wire_kind
@@ -43,6 +44,8 @@
   WIRE_STATE,             /* what the sender knows of the store */
   WIRE_ORIGINS,           /* which versions began streams */
   WIRE_ORIGIN_QUERY,      /* asks which version began a stream */
+  WIRE_VERSIONS,          /* which versions of a service were seen */
+  WIRE_VERSION_QUERY,     /* asks which were */
   WIRE_KIND_COUNT
 };
 
@@ -236,6 +239,27 @@
   uint64_t attempt;
 };
 
+/* Question of which versions of SERVICE have been seen lately. */
+struct wire_version_query
+{
+  uint64_t service;  /* hash of its name */
+  uint64_t asked_ms; /* on the sender's clock; repeated in the answer */
+};
+
+/* Software version that the sender has seen. */
+struct wire_seen_version
+{
+  uint64_t software;
+  uint32_t age_ms; /* since it was seen last */
+};
+
+struct wire_versions
+{
+  struct wire_version_query query; /* that this answers */
+  uint32_t count;
+  struct wire_seen_version version[WIRE_VERSIONS_MAX];
+};
+
 struct wire_message
 {
   enum wire_kind kind;
@@ -259,6 +283,8 @@
     struct wire_store_state state;
     struct wire_origins origins;
     struct wire_origin_query origin_query;
+    struct wire_versions versions;
+    struct wire_version_query version_query;
   } u;
 };
 
--- a/process/fleet.c
+++ b/process/fleet.c
@@ -56,6 +56,7 @@
   fleet_quarantine_init (fleet);
   fleet_crash_init (fleet);
   fleet_origin_init (fleet);
+  fleet_version_init (fleet);
   fleet_origin_store_init (fleet);
   fleet->fd = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (sodium_init () < 0 || fleet->fd < 0
@@ -142,6 +143,7 @@
     store_call_cancel (fleet->call);
   if (fleet->fd >= 0)
     close (fleet->fd);
+  fleet_version_clear (fleet);
   fleet_origin_clear (fleet);
   g_hash_table_destroy (fleet->peers);
   g_string_free (fleet->listed_name, TRUE);
@@ -188,6 +190,12 @@
     case WIRE_ORIGIN_QUERY:
       fleet_answer_origin (fleet, peer, &message->u.origin_query);
       break;
+    case WIRE_VERSIONS:
+      fleet_apply_versions (fleet, &message->u.versions);
+      break;
+    case WIRE_VERSION_QUERY:
+      fleet_answer_versions (fleet, peer, &message->u.version_query);
+      break;
     default:
       break;
     }
--- a/process/fleet_heartbeat.c
+++ b/process/fleet_heartbeat.c
@@ -46,6 +46,7 @@
   fleet_quarantine_tick (fleet, now);
   fleet_rate_tick (fleet, now);
   fleet_origin_tick (fleet, now);
+  fleet_version_tick (fleet, now);
   if (fleet->heartbeat_count % SILENT_PEER_STRIDE == 1)
     send_to_seeds (fleet, now);
   g_hash_table_iter_init (&iter, fleet->peers);
--- a/process/fleet_origin_store.c
+++ b/process/fleet_origin_store.c
@@ -18,7 +18,8 @@
   CALL_TIMEOUT_MS = 1500,
   RETRY_MS = 700,
   WRITE_INTERVAL_MIN_MS = 150,
-  READ_INTERVAL_MIN_MS = 1000
+  READ_INTERVAL_MIN_MS = 1000,
+  VERSIONS_READ_MAX = 256
 };
 
 /* Share of the store's writes that all instances together may use for
@@ -41,6 +42,7 @@
   json_t *written; /* content of the last one that succeeded; NULL: none */
   uint64_t written_epoch;
   uint32_t streams_read;
+  GArray *versions_read; /* of struct origin_version, of other instances */
 };
 
 static void on_due (struct ev_loop *loop, ev_timer *timer, int events);
@@ -52,6 +54,8 @@
 static void on_read (void *closure, const struct store_response *response);
 static void end_read (struct fleet *fleet);
 static void on_object (void *closure, const struct watch_object *object);
+static int has_version (const GArray *versions,
+                        const struct origin_version *version);
 static void take_over_own (struct fleet *fleet,
                            const struct watch_object *object);
 static int write_object (struct fleet *fleet);
@@ -70,6 +74,8 @@
 
   fleet->origin_store = store;
   store->last_name = g_string_new (NULL);
+  store->versions_read
+      = g_array_new (FALSE, FALSE, sizeof (struct origin_version));
   fleet->noted = fleet_noted_new ();
   fleet->origin_objects = fleet_objects_new ();
   ev_timer_init (&store->timer, on_due, 0, 0);
@@ -86,6 +92,7 @@
     store_call_cancel (store->call);
   ev_timer_stop (fleet->loop, &store->timer);
   g_string_free (store->last_name, TRUE);
+  g_array_free (store->versions_read, TRUE);
   json_decref (store->sent);
   json_decref (store->written);
   g_array_free (fleet->noted, TRUE);
@@ -203,6 +210,7 @@
     {
       store->read_ms = clk_now (clk_monotonic ());
       store->streams_read = 0;
+      g_array_set_size (store->versions_read, 0);
       g_string_truncate (store->last_name, 0);
     }
   metric_inc (METRIC_ORIGIN_READS);
@@ -246,6 +254,10 @@
   int32_t interval_ms = (int32_t)write_interval_ms (fleet);
   struct log_line line;
 
+  g_array_set_size (fleet->stored_versions, 0);
+  g_array_append_vals (fleet->stored_versions, store->versions_read->data,
+                       store->versions_read->len);
+  fleet->stored_ms = store->read_ms;
   if (log_begin (&line, LOG_LEVEL_INFO, "origins", NULL,
                  store->is_read ? "looked_up" : "read"))
     {
@@ -259,16 +271,23 @@
   store->is_read = 1;
 }
 
-/* Handles one object of the list.  Versions count only in the first reading:
-   they are there for a while after their last target, and if instances kept
-   reading them from each other, they would stay for ever.  */
+/* Handles one object of the list.  Versions are kept only from the first
+   reading, and of later ones hold until the next: they are there for a while
+   after their last target, and if instances kept reading them from each other,
+   they would stay for ever.  */
 static void
 on_object (void *closure, const struct watch_object *object)
 {
   struct fleet *fleet = closure;
   struct fleet_origin_store *store = fleet->origin_store;
   int is_own = strcmp (object->name, fleet->settings->instance) == 0;
+  struct origin_cursor cursor = { 0 };
+  struct origin_version version;
 
+  while (!is_own && store->versions_read->len < VERSIONS_READ_MAX
+         && origin_json_next_version (object->content, &cursor, &version))
+    if (!has_version (store->versions_read, &version))
+      g_array_append_val (store->versions_read, version);
   if (!store->is_read)
     fleet_note_stored (fleet, object->content);
   if (!is_own || !store->is_read)
@@ -281,6 +300,17 @@
     fleet_remember_object (fleet, object);
 }
 
+/* Returns whether VERSION is one of VERSIONS.  */
+static int
+has_version (const GArray *versions, const struct origin_version *version)
+{
+  for (guint i = 0; i < versions->len; i++)
+    if (g_array_index (versions, struct origin_version, i).software
+        == version->software)
+      return 1;
+  return 0;
+}
+
 /* Handles OBJECT, which is that of this instance, as it wrote it last, or as
    it was before the restart.  */
 static void
--- a/process/fleet_peer.c
+++ b/process/fleet_peer.c
@@ -145,6 +145,28 @@
   return 0;
 }
 
+/* Returns whether this instance, with the others that it has heard as lately
+   as heartbeats come, is the greater part of the fleet.  */
+int
+fleet_hears_most (const struct fleet *fleet, clk_ms now)
+{
+  int64_t heard_ms
+      = (int64_t)((fleet_heartbeat_stride (fleet) * SILENT_PERIODS + 1)
+                  * FLEET_HEARTBEAT_MS);
+  uint32_t heard = 1;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, fleet->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct fleet_peer *peer = value;
+
+      heard += peer->last_seen_ms != 0 && now - peer->last_seen_ms <= heard_ms;
+    }
+  return heard * 2 > fleet_size (fleet);
+}
+
 /* Returns the mean age, in milliseconds, of the loads that the other instances
    reported, or 0 if there are none.  */
 int64_t
--- a/process/libfleet.h
+++ b/process/libfleet.h
@@ -95,6 +95,11 @@
   GArray *noted;                           /* versions that the store names */
   GPtrArray *origin_objects; /* of other instances, in the store */
   GArray *untold_origins;    /* of struct origin_record, to be told to peers */
+  GArray *confirmed;         /* of versions, see fleet_version.c */
+  GArray *stored_versions;   /* that the store named in the last reading */
+  clk_ms stored_ms;          /* when that reading began; 0: none has ended */
+  clk_ms tick_ms;            /* time of the last heartbeat; 0: none */
+  clk_ms stalled_ms;         /* end of the last time without any; 0: none */
   guint next_rate;           /* target whose sharers are found next */
   guint first_told_rate;     /* target whose limit is told first */
   guint told_rates; /* targets whose limits were told in this heartbeat */
@@ -110,6 +115,7 @@
 uint32_t fleet_heartbeat_stride (const struct fleet *fleet);
 uint32_t fleet_top_peers (const struct fleet *fleet, uint64_t key, clk_ms now,
                           const struct fleet_peer **top, uint32_t max);
+int fleet_hears_most (const struct fleet *fleet, clk_ms now);
 int fleet_ranks_first (const struct fleet *fleet, uint64_t key, clk_ms now);
 
 /* fleet_send.c */
@@ -176,6 +182,15 @@
 void fleet_answer_origin (struct fleet *fleet, const struct fleet_peer *peer,
                           const struct wire_origin_query *query);
 
+/* fleet_version.c */
+void fleet_version_init (struct fleet *fleet);
+void fleet_version_clear (struct fleet *fleet);
+void fleet_version_tick (struct fleet *fleet, clk_ms now);
+void fleet_answer_versions (struct fleet *fleet, const struct fleet_peer *peer,
+                            const struct wire_version_query *query);
+void fleet_apply_versions (struct fleet *fleet,
+                           const struct wire_versions *versions);
+
 /* fleet_origin_note.c */
 GArray *fleet_noted_new (void);
 void fleet_note_stored (struct fleet *fleet, const json_t *content);
--- a/process/wire_body.c
+++ b/process/wire_body.c
@@ -67,6 +67,14 @@
                                  const struct wire_message *message);
 static void decode_origin_query (struct wire_reader *reader,
                                  struct wire_message *message);
+static void encode_versions (msgpack_packer *packer,
+                             const struct wire_message *message);
+static void decode_versions (struct wire_reader *reader,
+                             struct wire_message *message);
+static void encode_version_query (msgpack_packer *packer,
+                                  const struct wire_message *message);
+static void decode_version_query (struct wire_reader *reader,
+                                  struct wire_message *message);
 static struct position next_position (struct wire_reader *list);
 static struct wire_reader next_array (struct wire_reader *reader,
                                       uint32_t max);
@@ -92,6 +100,8 @@
   [WIRE_STATE] = { encode_state, decode_state },
   [WIRE_ORIGINS] = { encode_origins, decode_origins },
   [WIRE_ORIGIN_QUERY] = { encode_origin_query, decode_origin_query },
+  [WIRE_VERSIONS] = { encode_versions, decode_versions },
+  [WIRE_VERSION_QUERY] = { encode_version_query, decode_version_query },
 };
 
 /* Encodes the body of MESSAGE, according to its kind.  */
@@ -597,6 +607,60 @@
   reader->failed |= list.failed;
 }
 
+/* Encodes the question, and then the versions, without a count.  */
+static void
+encode_versions (msgpack_packer *packer, const struct wire_message *message)
+{
+  const struct wire_versions *versions = &message->u.versions;
+
+  msgpack_pack_array (packer, 2 + versions->count * 2);
+  msgpack_pack_uint64 (packer, versions->query.service);
+  msgpack_pack_uint64 (packer, versions->query.asked_ms);
+  for (uint32_t i = 0; i < versions->count; i++)
+    {
+      msgpack_pack_uint64 (packer, versions->version[i].software);
+      msgpack_pack_uint64 (packer, versions->version[i].age_ms);
+    }
+}
+
+static void
+decode_versions (struct wire_reader *reader, struct wire_message *message)
+{
+  struct wire_versions *versions = &message->u.versions;
+  struct wire_reader list = next_array (reader, 2 + WIRE_VERSIONS_MAX * 2);
+
+  versions->query.service = wire_next_uint (&list, UINT64_MAX);
+  versions->query.asked_ms = wire_next_uint (&list, UINT64_MAX);
+  while (!list.failed && list.remaining > 0)
+    {
+      struct wire_seen_version *version
+          = &versions->version[versions->count++];
+
+      version->software = wire_next_uint (&list, UINT64_MAX);
+      version->age_ms = (uint32_t)wire_next_uint (&list, UINT32_MAX);
+    }
+  reader->failed |= list.failed;
+}
+
+static void
+encode_version_query (msgpack_packer *packer,
+                      const struct wire_message *message)
+{
+  msgpack_pack_array (packer, 2);
+  msgpack_pack_uint64 (packer, message->u.version_query.service);
+  msgpack_pack_uint64 (packer, message->u.version_query.asked_ms);
+}
+
+static void
+decode_version_query (struct wire_reader *reader, struct wire_message *message)
+{
+  struct wire_reader list = next_array (reader, 2);
+
+  message->u.version_query.service = wire_next_uint (&list, UINT64_MAX);
+  message->u.version_query.asked_ms = wire_next_uint (&list, UINT64_MAX);
+  reader->failed |= list.failed;
+}
+
 /* Returns the position in the next two items of LIST.  */
 static struct position
 next_position (struct wire_reader *list)
--- a/request/origin.c
+++ b/request/origin.c
@@ -177,7 +177,7 @@
 
   if (known != NULL)
     {
-      known->seen_ms = now;
+      known->seen_ms = MAX (known->seen_ms, now);
       return 0;
     }
   if (origins->versions->len >= VERSIONS_MAX)
@@ -266,11 +266,24 @@
                      struct origin_cursor *cursor,
                      struct origin_version *version)
 {
+  clk_ms seen_ms;
+
+  return origin_next_seen (origins, cursor, version, &seen_ms);
+}
+
+/* The same, and stores in SEEN_MS when a target of it was last seen.  */
+int
+origin_next_seen (const struct origins *origins, struct origin_cursor *cursor,
+                  struct origin_version *version, clk_ms *seen_ms)
+{
+  const struct seen_version *seen;
+
   if (cursor->next >= origins->versions->len)
     return 0;
-  *version
-      = g_array_index (origins->versions, struct seen_version, cursor->next++)
-            .version;
+  seen = &g_array_index (origins->versions, struct seen_version,
+                         cursor->next++);
+  *version = seen->version;
+  *seen_ms = seen->seen_ms;
   return 1;
 }
 
--- a/request/relay_origin.c
+++ b/request/relay_origin.c
@@ -10,18 +10,13 @@
   /* Some round trips between instances; a datagram may get lost.  */
   ASK_INTERVAL_MS = 40,
   PEERS_WAIT_MS = 100,
-  /* Another instance may know a second version that this one has yet to
-     see.  */
-  ONLY_VERSION_WAIT_MS = 40,
-  STORE_HEARD_MS = 2000,
   WAIT_MAX_MS = 300 /* allows for a look-up in the store */
 };
 
 static void wait_for_origin (struct relay *relay);
 static int find_origin (struct relay *relay, int64_t waited_ms);
-static int is_informed (const struct relay *relay);
 static int is_split (const struct rt_route *route);
-static uint64_t only_version (const struct relay *relay);
+static const char *only_service (const struct relay *relay);
 
 /* Names in the log, and counters, by where an origin is known from.  */
 static const struct
@@ -80,8 +75,10 @@
     {
       relay->asked_ms = now;
       fleet_ask_origin (fleet, relay->stream);
+      if (only_service (relay) != NULL)
+        fleet_ask_versions (fleet, rank_hash (only_service (relay)));
     }
-  if (waited_ms >= PEERS_WAIT_MS)
+  if (waited_ms >= PEERS_WAIT_MS || !fleet_hears_peers (fleet))
     fleet_look_up_origins (fleet);
   wait_for_origin (relay);
 }
@@ -99,9 +96,10 @@
 }
 
 /* Finds the version that began the stream of RELAY, after WAITED_MS of waiting
-   for it.  If only one version can have, it is that.  Other instances that are
-   alive know better than the store, where a version is noted before the first
-   event.  Returns whether it is known.  */
+   for it.  If only one version can have, it is that, once that is confirmed:
+   this instance may have missed another one.  Other instances that are alive
+   know better than the store, where a version is noted before the first event.
+   Returns whether it is known.  */
 static int
 find_origin (struct relay *relay, int64_t waited_ms)
 {
@@ -122,10 +120,10 @@
       relay_log_origin (relay, sources[source].name);
       return 1;
     }
-  if (!fleet_origins_are_read (fleet) || !is_informed (relay)
-      || (fleet_hears_peers (fleet) && waited_ms < ONLY_VERSION_WAIT_MS))
+  if (!fleet_origins_are_read (fleet) || only_service (relay) == NULL)
     return 0;
-  relay->software = only_version (relay);
+  relay->software = fleet_only_version (
+      fleet, rank_hash (only_service (relay)), relay->arrived_ms);
   if (relay->software == 0)
     return 0;
   metric_inc (METRIC_RESUMED_ONLY_VERSION);
@@ -133,34 +131,18 @@
   return 1;
 }
 
-/* Returns whether the instance would know by now if another version had
-   appeared: it hears others, has heard the store just now, or is alone.  */
-static int
-is_informed (const struct relay *relay)
-{
-  const struct router *router = relay->router;
-  clk_ms heard_ms = MAX (router->targets.last_response_ms,
-                         router->config.last_response_ms);
-
-  return fleet_hears_peers (router->fleet) || fleet_size (router->fleet) == 1
-         || (heard_ms != 0
-             && clk_now (clk_monotonic ()) - heard_ms < STORE_HEARD_MS);
-}
-
-/* Returns the only version that serves RELAY's route or has served it lately,
-   or 0 if there are several or none.  */
-static uint64_t
-only_version (const struct relay *relay)
+/* Returns the service of RELAY's route, or NULL if it has several or none.  */
+static const char *
+only_service (const struct relay *relay)
 {
   const struct rt_route *route = relay->route;
 
   if (is_split (route))
-    return 0;
+    return NULL;
   for (uint32_t i = 0; i < route->split_count; i++)
     if (route->split[i].weight > 0)
-      return origin_only_version (fleet_origins (relay->router->fleet),
-                                  rank_hash (route->split[i].service));
-  return 0;
+      return route->split[i].service;
+  return NULL;
 }
 
 /* Returns whether requests of ROUTE go to several services.  */
--- a/tests/libfixture.h
+++ b/tests/libfixture.h
@@ -46,6 +46,7 @@
   int peer_port;
   int metrics_port;
   int store_port;   /* of its proxy to the store, or 0 */
+  int is_apart;     /* it exchanges no datagrams with the others */
   GPtrArray *paths; /* of struct proxy, one to each target; NULL: none */
 };
 
--- a/tests/router_fixture.c
+++ b/tests/router_fixture.c
@@ -66,6 +66,14 @@
   return proxy;
 }
 
+/* Has router ROUTER, which must not run yet, exchange no datagrams with the
+   others: it is of another deployment to them.  */
+void
+fx_router_set_apart (int router)
+{
+  fx_env.routers[router].is_apart = 1;
+}
+
 /* Returns whether the readiness endpoint of router INDEX responds with 200. */
 int
 fx_router_is_ready (int index)
@@ -144,13 +152,14 @@
   char *path = g_build_filename (fx_env.directory, name, NULL);
   char *host = fx_path_host (index);
   char *text = g_strdup_printf (
-      "interface: platform\ninstance: gate-%d\ndeployment: test\n"
+      "interface: platform\ninstance: gate-%d\ndeployment: %s\n"
       "failure_domain: %c\nregion: r\nlisten: 127.0.0.1:%d\n"
       "readiness_listen: 127.0.0.1:%d\npeer_listen: 127.0.0.1:%d\n"
       "operator_listen: 127.0.0.1:%d\nplatform: %s:%d\n"
       "retry_slack: 50\ngrace_s: 8\n%s",
-      index, 'a' + index % FX_DOMAINS, router->request_port,
-      router->readiness_port, router->peer_port, router->metrics_port, host,
+      index, router->is_apart ? "apart" : "test", 'a' + index % FX_DOMAINS,
+      router->request_port, router->readiness_port, router->peer_port,
+      router->metrics_port, host,
       router->store_port != 0 ? router->store_port : fx_env.store_port, extra);
 
   g_file_set_contents (path, text, -1, NULL);
--- a/tests/router_fixture.h
+++ b/tests/router_fixture.h
@@ -64,6 +64,7 @@
 void fx_target_wait_until_heard (struct fx_target *target);
 struct proxy *fx_target_add_proxy (struct fx_target *target);
 struct proxy *fx_store_add_proxy (int router);
+void fx_router_set_apart (int router);
 
 /* Paths of its own to all targets for a router that is yet to be spawned, and
    their faults, which are modes of proxies.  Targets are added when all
--- a/tests/test_members.c
+++ b/tests/test_members.c
@@ -267,6 +267,17 @@
       wire_decode (&copy, &key, data, wire_encode (&message, &key, data)),
       WIRE_OK);
   CU_ASSERT_EQUAL (copy.u.origin_query.attempt, 5);
+  message = (struct wire_message){ .kind = WIRE_VERSIONS,
+                                   .u.versions.query = { 5, 6 },
+                                   .u.versions.count = WIRE_VERSIONS_MAX };
+  message.u.versions.version[WIRE_VERSIONS_MAX - 1].age_ms = UINT32_MAX;
+  CU_ASSERT_EQUAL (
+      wire_decode (&copy, &key, data, wire_encode (&message, &key, data)),
+      WIRE_OK);
+  CU_ASSERT_EQUAL (copy.u.versions.query.asked_ms, 6);
+  CU_ASSERT_EQUAL (copy.u.versions.count, WIRE_VERSIONS_MAX);
+  CU_ASSERT_EQUAL (copy.u.versions.version[WIRE_VERSIONS_MAX - 1].age_ms,
+                   UINT32_MAX);
 }
 
 static void
--- a/tests/test_origin_store.c
+++ b/tests/test_origin_store.c
@@ -21,7 +21,9 @@
   WRITE_MS = 700,   /* until what has changed is written */
   SETTLE_MS = 1200, /* until a version that is written may be used */
   LATE_MS = 900,
-  FORGET_STEPS = 9, /* one is more than ORIGIN_KEPT_MS */
+  STALL_MS = 700,
+  CATCH_UP_MS = 2000, /* until a stall, or what was asked, no longer counts */
+  FORGET_STEPS = 9,   /* one is more than ORIGIN_KEPT_MS */
   FUZZ_OBJECTS = 2000,
   SEED = 28
 };
@@ -34,6 +36,8 @@
 static void restored_store_is_written_anew (void);
 static void late_write_does_not_undo_a_newer_one (void);
 static void streams_of_a_lost_instance_are_looked_up (void);
+static void versions_are_confirmed_in_step_only (void);
+static void version_that_was_missed_is_told (void);
 static void versions_and_instances_that_left_are_forgotten (void);
 static void odd_objects_are_passed_over (void);
 static void fuzzed_objects_are_read_without_harm (void);
@@ -54,6 +58,10 @@
     late_write_does_not_undo_a_newer_one },
   { "streams of a lost instance are looked up",
     streams_of_a_lost_instance_are_looked_up },
+  { "an instance that stood still or hears few confirms no versions",
+    versions_are_confirmed_in_step_only },
+  { "a version that an instance has missed is told by the others",
+    version_that_was_missed_is_told },
   { "versions and instances that left are forgotten",
     versions_and_instances_that_left_are_forgotten },
   { "odd objects are passed over", odd_objects_are_passed_over },
@@ -438,6 +446,59 @@
   end_test ();
 }
 
+/* Has the first instance ask the others for versions.  Returns the one that is
+   confirmed to be the only one.  */
+static uint64_t
+ask_only_version (void)
+{
+  clk_ms asked_ms = clk_now (clk_monotonic ());
+
+  fleet_ask_versions (instances[0].fleet, service);
+  run_for (START_MS);
+  return fleet_only_version (instances[0].fleet, service, asked_ms);
+}
+
+static void
+versions_are_confirmed_in_step_only (void)
+{
+  start_test ();
+  see (old_version);
+  run_for (CATCH_UP_MS);
+  CU_ASSERT_EQUAL (ask_only_version (), old_version);
+  run_for (CATCH_UP_MS);
+  CU_ASSERT_EQUAL (fleet_only_version (instances[0].fleet, service,
+                                       clk_now (clk_monotonic ())),
+                   0);
+  g_usleep (STALL_MS * 1000);
+  CU_ASSERT_EQUAL (ask_only_version (), 0);
+  run_for (CATCH_UP_MS);
+  CU_ASSERT_EQUAL (ask_only_version (), old_version);
+  for (int i = 1; i < INSTANCES; i++)
+    kill_instance (i);
+  run_for (CATCH_UP_MS);
+  CU_ASSERT_EQUAL (ask_only_version (), 0);
+  fleet_look_up_origins (instances[0].fleet);
+  run_for (START_MS);
+  CU_ASSERT_EQUAL (ask_only_version (), old_version);
+  for (int i = 1; i < INSTANCES; i++)
+    start_instance (i);
+  end_test ();
+}
+
+static void
+version_that_was_missed_is_told (void)
+{
+  start_test ();
+  see (old_version);
+  see_at (1, new_version);
+  see_at (2, new_version);
+  run_for (CATCH_UP_MS);
+  CU_ASSERT_EQUAL (origin_only_version (origins_of (0), service), old_version);
+  CU_ASSERT_EQUAL (ask_only_version (), 0);
+  CU_ASSERT_EQUAL (origin_only_version (origins_of (0), service), 0);
+  end_test ();
+}
+
 /* Returns whether the object of the instance INDEX holds streams.  */
 static int
 holds_streams (int index)
