Let the targets of the test of instances behind begin with their version

The fixture wrote an entry of the first version before that of the second, so that a router could record a stream that such a target began under the first: in 1 of 1 runs under sanitizers, the first test of tests/test_behind found the two versions joined. The test is of instances that miss a version, not of entries that come late; the check is as it was.

--- a/tests/target_fixture.c
+++ b/tests/target_fixture.c
@@ -93,13 +93,21 @@
    store.  Returns the target, which lasts until the process ends.  */
 struct fx_target *
 fx_target_add (const char *id, const char *service, fx_handler_fn handler)
+{
+  return fx_target_add_version (id, service, "v1", handler);
+}
+
+/* The same, for a target of VERSION.  */
+struct fx_target *
+fx_target_add_version (const char *id, const char *service,
+                       const char *version, fx_handler_fn handler)
 {
   struct fx_target *target = g_new0 (struct fx_target, 1);
 
   target->id = g_strdup (id);
   target->service = g_strdup (service);
   target->state = g_strdup ("ready");
-  target->version = g_strdup ("v1");
+  target->version = g_strdup (version);
   target->handler = handler;
   target->fds = g_array_new (FALSE, FALSE, sizeof (int));
   target->listener = fx_listen (&target->port);
--- a/tests/test_behind.c
+++ b/tests/test_behind.c
@@ -96,8 +96,8 @@
 static void
 add_new_version (void)
 {
-  fx_target_restart (fx_target_add ("i-3", "pool", write_new), "v2");
-  fx_target_restart (fx_target_add ("i-4", "pool", write_new), "v2");
+  fx_target_add_version ("i-3", "pool", "v2", write_new);
+  fx_target_add_version ("i-4", "pool", "v2", write_new);
 }
 
 /* Has streams begin at the first router until VERSION begins one, which then
