Take a stream that ends with its connection before any event for broken off

What callers saw: a target sent the head of a stream, without a length or chunks, and closed. Clients got a whole stream without events; or, after a stream had begun and broken off, and the next target did this, the end of their stream as if it were complete.

Cause: a response that ends with its connection is whole when that closes in order, and a stream was checked for the rest of an event only.

Change: such a stream is broken off if it has brought no event. One that ends by a length or a last chunk may have none: a target says so that nothing is left after the last event, and what it says whole and signed is passed on.

Evidence: tests/test_odd_answer plays 27 answers at the beginning of a stream and after two events, and heads cut at each place. Before the change 2 of the 27 looked complete, in both places ("HTTP/1.1 200", "HTTP/1.0 200", no body); no answer to a cut head did.

Why it works: no stream is without an event, so one that seems so has no other sign of its end; the attempt goes on at another target, or the response is broken off too.

--- a/request/librelay.h
+++ b/request/librelay.h
@@ -54,7 +54,8 @@
   uint8_t not_run;
   uint8_t is_invalid; /* response is for another request, or out of order */
   uint8_t is_event_stream;
-  uint8_t is_trial;        /* trial request to a suspended target */
+  uint8_t ends_with_connection; /* body has neither a length nor chunks */
+  uint8_t is_trial;             /* trial request to a suspended target */
   uint8_t is_first_send;   /* the target was not sent the request before */
   uint8_t parts_succeeded; /* its target has gone on after the first event */
   uint8_t input_awaited;   /* its timer was put off for unread input */
--- a/request/relay_response.c
+++ b/request/relay_response.c
@@ -44,6 +44,8 @@
                   relay->attempt.last_received_ms - relay->arrived_ms);
   relay->attempt.status = head->status;
   relay->attempt.length = length;
+  relay->attempt.ends_with_connection
+      = length < 0 && http_head_get (head, "Transfer-Encoding") == NULL;
   relay->attempt.is_invalid
       = !relay_matches_request (relay, relay->attempt.call, head);
   relay->attempt.not_run
@@ -153,7 +155,9 @@
 }
 
 /* Returns the fault that the complete response of ATTEMPT is, or
-   RETRY_FAULT_COUNT if it is to be delivered.  */
+   RETRY_FAULT_COUNT if it is to be delivered.  A stream without an event whose
+   end is that of its connection has been broken off: each stream has one, and
+   one that is resumed after its last may say so by a length or a chunk.  */
 enum retry_fault
 relay_response_fault (const struct relay *relay,
                       const struct relay_attempt *attempt)
@@ -167,6 +171,9 @@
   if (attempt->is_event_stream && attempt->partial_event != NULL
       && attempt->partial_event->len > 0)
     return RETRY_FAULT_DISCONNECTED;
+  if (attempt->is_event_stream && attempt->ends_with_connection
+      && attempt->first_event_ms == 0)
+    return RETRY_FAULT_DISCONNECTED;
   return RETRY_FAULT_COUNT;
 }
 
