--- a/tests/test_odd_answer.c
+++ b/tests/test_odd_answer.c
@@ -85,6 +85,11 @@
   { STREAM CHUNKED "8\r\nid: 3\nda\r\n0\r\n\r\n", 0 },
   { STREAM "\r\n\r\nid: 3\nda", 0 },
   { STREAM CHUNKED E3_CHUNK ERROR ("500 E") "\r\noops\n\n", 0 },
+  { STREAM "\r\n\r\n" E3 ERROR ("500 E") "Content-Length: 6\r\n\r\noops\n\n",
+    0 },
+  { STREAM "\r\n\r\n" E3 "oops\n\n", 0 },
+  { STREAM "\r\n\r\n{\"error\":\"oops\"}\n\n", 0 },
+  { STREAM "\r\n\r\n" E3 "internal error: oops\n\n", 0 },
   { STREAM CHUNKED "f\r\nid: 1\ndata: e1\n\n\r\n0\r\n\r\n", 0 },
 };
 
