--- a/request/librequest.h
+++ b/request/librequest.h
@@ -168,6 +168,10 @@
 void req_cancel (struct req *req);
 void req_free_if_done (struct req *req);
 
+/* request_fault.c */
+enum retry_fault req_attempt_fault (const struct req *req, int code);
+int req_may_be_earlier (const struct req_attempt *attempt);
+
 /* request_place.c */
 void req_dispatch (struct req *req);
 void req_run_step (struct req *req, const struct place_step *step);
--- a/request/request.c
+++ b/request/request.c
@@ -7,18 +7,14 @@
 enum
 {
   RESPONSE_MAX_BYTES = 8388608,
-  DROPPED_MAX_BYTES = 65536, /* of the body of an error, which is not used */
-  HTTP_SERVER_ERROR = 500
+  DROPPED_MAX_BYTES = 65536 /* of the body of an error, which is not used */
 };
 
 static void suspect_request (struct req *req, enum retry_fault fault);
-static void handle_response (struct req *req);
 static void complete (struct req *req);
 static void publish_placement_note (struct req *req);
 static void give_up (struct req *req, const struct retry_decision *decision);
 static void handle_deadline (struct req *req);
-static int may_be_earlier_response (const struct req_attempt *attempt);
-static int is_connect_fault (struct req *req, int code);
 static void release_capacity (struct req *req, enum adm_outcome outcome);
 static struct retry_budget *get_budget (struct server *server,
                                         uint64_t service);
@@ -113,22 +109,16 @@
 void
 req_on_attempt_end (struct req *req, int code)
 {
-  struct req_attempt *attempt = &req->attempt;
+  enum retry_fault fault = req_attempt_fault (req, code);
 
-  if (may_be_earlier_response (attempt))
-    {
-      metric_inc (METRIC_MISMATCHED_RESPONSES);
-      req_handle_fault (req, RETRY_FAULT_INVALID_RESPONSE);
-    }
-  else if (is_connect_fault (req, code))
-    req_handle_fault (req, RETRY_FAULT_CONNECT);
-  else if (code != CURLE_OK && attempt->not_run)
-    req_handle_fault (req, RETRY_FAULT_REJECTED);
-  else if (code != CURLE_OK)
-    req_handle_fault (req, req->events.has_gap ? RETRY_FAULT_INVALID_RESPONSE
-                                               : RETRY_FAULT_DISCONNECTED);
+  if (req_may_be_earlier (&req->attempt))
+    metric_inc (METRIC_MISMATCHED_RESPONSES);
+  else if (code == CURLE_OK && !req->attempt.not_run)
+    guard_succeed (req->worker->server->guard, req->fingerprint);
+  if (fault != RETRY_FAULT_COUNT)
+    req_handle_fault (req, fault);
   else
-    handle_response (req);
+    complete (req);
   req_free_if_done (req);
 }
 
@@ -229,31 +219,6 @@
   req_free_if_done (req);
 }
 
-/* Classifies a complete response: a fault, or the result of REQ.  */
-static void
-handle_response (struct req *req)
-{
-  struct req_attempt *attempt = &req->attempt;
-
-  if (!attempt->not_run)
-    guard_succeed (req->worker->server->guard, req->fingerprint);
-  if (attempt->not_run)
-    req_handle_fault (req, RETRY_FAULT_REJECTED);
-  else if (req->kind == VER_KIND_CHAT && attempt->status == MHD_HTTP_OK)
-    {
-      if (req->events.done)
-        complete (req);
-      else
-        req_handle_fault (req, RETRY_FAULT_DISCONNECTED);
-    }
-  else if (attempt->status >= HTTP_SERVER_ERROR && req->repeatable)
-    req_handle_fault (req, RETRY_FAULT_ERROR_STATUS);
-  else if (attempt->is_resume)
-    req_handle_fault (req, RETRY_FAULT_DISCONNECTED);
-  else
-    complete (req);
-}
-
 /* Delivers the target's response to the client.  The outcome of a call
    with a ledger record is stored first.  */
 static void
@@ -353,32 +318,6 @@
   return MIN (req->attempt.last_byte_ms + limit_ms, req->deadline_ms);
 }
 
-/* Returns whether the response of ATTEMPT may be one to an earlier request of
-   its connection: it has another id, or it says without one, on a reused
-   connection, that the request was not run.  */
-static int
-may_be_earlier_response (const struct req_attempt *attempt)
-{
-  long connects = 0;
-
-  if (attempt->id_seen || !attempt->not_run)
-    return attempt->id_seen && !attempt->id_matches;
-  curl_easy_getinfo (attempt->easy, CURLINFO_NUM_CONNECTS, &connects);
-  return connects == 0;
-}
-
-/* Returns whether libcurl's CODE means that no byte was sent.  */
-static int
-is_connect_fault (struct req *req, int code)
-{
-  long sent = 0;
-
-  if (code == CURLE_COULDNT_CONNECT)
-    return 1;
-  curl_easy_getinfo (req->attempt.easy, CURLINFO_REQUEST_SIZE, &sent);
-  return code == CURLE_OPERATION_TIMEDOUT && sent == 0;
-}
-
 /* Ends the current attempt and releases its admission.  OUTCOME is
    reported to the target's circuit breaker.  */
 void
