Take a response whose head was cut for broken off, in the own interface

What callers saw: a target stopped in the middle of its answer's head and closed. Clients got its status, 200, with an empty body, framed as whole; for a call that may run once the ledger kept that as its outcome.

Cause: libcurl (7.88.1) ends a transfer whose head was cut after the status line without an error, and what it had read was taken for the response.

Change: a response counts if the empty line that ends its head has come, and not only that of an interim one; else its connection has broken.

Evidence: tests/test_backend sends calls over libcurl to a target that closes after each count of bytes. Before the change 92 of the 138 cuts, all in the head or behind an interim response, gave the result of the call, with an empty body; with it none does, and the whole responses do.

Why it works: libcurl passes each line of the head on as it is complete, the empty one too, so its absence is what a cut leaves.

--- a/connection/backend.c
+++ b/connection/backend.c
@@ -22,6 +22,8 @@
 static int on_timer (CURLM *multi, long timeout_ms, void *closure);
 static size_t on_body (char *data, size_t size, size_t count, void *closure);
 static size_t on_header (char *data, size_t size, size_t count, void *closure);
+static void note_head_line (struct req_attempt *attempt, const char *data,
+                            size_t length);
 static size_t discard_body (char *data, size_t size, size_t count,
                             void *closure);
 static CURL *acquire_handle (struct worker *worker);
@@ -322,6 +324,7 @@
   size_t length = size * count;
 
   attempt->last_byte_ms = clk_now (clk_monotonic ());
+  note_head_line (attempt, data, length);
   if (has_prefix (data, length, "X-Request-Id:"))
     {
       char *value = header_value (data, length);
@@ -344,6 +347,23 @@
   return length;
 }
 
+/* Notes whether the head of ATTEMPT's response is complete with its line DATA
+   of LENGTH bytes: an empty line ends that of the last status line.  */
+static void
+note_head_line (struct req_attempt *attempt, const char *data, size_t length)
+{
+  if (has_prefix (data, length, "HTTP/"))
+    {
+      const char *code = memchr (data, ' ', length);
+
+      attempt->is_head_complete = 0;
+      attempt->is_interim
+          = code != NULL && code + 1 < data + length && code[1] == '1';
+    }
+  else if (length > 0 && (data[0] == '\r' || data[0] == '\n'))
+    attempt->is_head_complete |= !attempt->is_interim;
+}
+
 /* Discards the response to a cancellation request.  */
 static size_t
 discard_body (char *data, size_t size, size_t count, void *closure)
--- a/request/librequest.h
+++ b/request/librequest.h
@@ -76,7 +76,9 @@
   uint64_t target;
   int is_resume;
   int got_bytes;
-  int id_matches; /* the response repeats the request's id */
+  int is_head_complete; /* to its empty line; not that of an interim one */
+  int is_interim;       /* the last status line is that of one */
+  int id_matches;       /* the response repeats the request's id */
   int id_seen;
   int not_run;          /* reported by the target as not executed */
   size_t dropped_bytes; /* of a body that is not used */
--- a/request/request_fault.c
+++ b/request/request_fault.c
@@ -25,6 +25,9 @@
   if (code != CURLE_OK)
     return req->events.has_gap ? RETRY_FAULT_INVALID_RESPONSE
                                : RETRY_FAULT_DISCONNECTED;
+  /* libcurl takes a head that was cut for a whole one.  */
+  if (!attempt->is_head_complete)
+    return RETRY_FAULT_DISCONNECTED;
   return response_fault (req);
 }
 
