Break a chat off at text that is no event of it

What callers saw (own interface): a stream had begun; where it went on, a second head or the text of an error stood in place of events, in an event without a number or before the lines of one. It was passed on in the middle of the stream, and a final event behind it ended the stream as if it were complete.

Cause: an event was what held a line "data:", whatever else it held; and one without a number was passed on also where all before had one.

Change: what is no event (request/sse.c, as in the relay), or has no number after events that had, breaks the attempt off.

Evidence: tests/test_chat, 7 odd texts after an event.

Why it works: events go on by their numbers, and only the final one has none.

--- a/request/relay_events.c
+++ b/request/relay_events.c
@@ -2,6 +2,7 @@
    target can resume the stream after the last one. */
 #include <string.h>
 
+#include "ibisloom/sse.h"
 #include "librelay.h"
 
 enum
@@ -12,8 +13,6 @@
 static size_t event_length (const char *data, size_t length,
                             size_t search_from);
 static int record_event (struct relay *relay, const char *data, size_t length);
-static int is_event (const char *data, size_t length);
-static int is_field (const char *line, size_t length);
 static void parse_event_id (const char *data, size_t length, char *id);
 
 /* Consumes LENGTH bytes of a stream and forwards the complete events, up to
@@ -96,7 +95,7 @@
   struct relay_events *events = &relay->events;
   char id[RELAY_EVENT_ID_BYTES] = "";
 
-  if (!is_event (data, length))
+  if (!sse_is_event (data, length))
     return -1;
   parse_event_id (data, length, id);
   if (id[0] == '\0')
@@ -110,48 +109,6 @@
   return 0;
 }
 
-/* Returns whether the LENGTH bytes of DATA, up to an empty line, consist of
-   fields and comments.  */
-static int
-is_event (const char *data, size_t length)
-{
-  const char *end = data + length;
-
-  for (const char *line = data; line < end;)
-    {
-      const char *line_end = memchr (line, '\n', (size_t)(end - line));
-      size_t line_length
-          = line_end ? (size_t)(line_end - line) : (size_t)(end - line);
-
-      if (!is_field (line, line_length))
-        return 0;
-      line += line_length + 1;
-    }
-  return 1;
-}
-
-/* Returns whether LINE, of LENGTH bytes, is empty, a comment, or a field: a
-   name, and a colon unless it has no value.  */
-static int
-is_field (const char *line, size_t length)
-{
-  static const char *const without_value[]
-      = { "data", "event", "id", "retry" };
-  size_t name = 0;
-
-  if (length > 0 && line[length - 1] == '\r')
-    length--;
-  while (name < length && (g_ascii_isalnum (line[name]) || line[name] == '-'))
-    name++;
-  if (length == 0 || (name < length && line[name] == ':'))
-    return 1;
-  for (size_t i = 0; i < G_N_ELEMENTS (without_value); i++)
-    if (length == strlen (without_value[i])
-        && memcmp (line, without_value[i], length) == 0)
-      return 1;
-  return 0;
-}
-
 /* Copies the value of the "id:" line to ID, truncated to
    RELAY_EVENT_ID_BYTES.  Leaves ID as it is if there is none.  */
 static void
--- a/request/request_chat.c
+++ b/request/request_chat.c
@@ -4,6 +4,7 @@
 
 #include <jansson.h>
 
+#include "ibisloom/sse.h"
 #include "libconnection.h"
 
 enum
@@ -125,8 +126,9 @@
 }
 
 /* Processes one EVENT of LENGTH bytes, including its empty line.  Comments are
-   keep-alives of the engine and are dropped.  Returns 0, or -1 if an event
-   number was skipped.  */
+   keep-alives of the engine and are dropped.  Returns 0, or -1 if it does not
+   continue the response: an event number was skipped, or is missing though
+   events before had one, or it is no event, as the text of an error.  */
 static int
 process_event (struct req *req, const char *event, size_t length)
 {
@@ -136,6 +138,8 @@
   const char *data = sse_field (event, length, "data: ", &data_length);
   const char *id = sse_field (event, length, "id: ", &id_length);
 
+  if (!sse_is_event (event, length))
+    return -1;
   if (data == NULL)
     return 0;
   if (data_length == 6 && memcmp (data, "[DONE]", 6) == 0)
@@ -153,6 +157,8 @@
         }
       events->offset++;
     }
+  else if (events->offset > 0)
+    return -1;
   if (req->stream)
     g_string_append_len (req->out, event, (gssize)length);
   else if (!events->done)
--- a/tests/test_chat.c
+++ b/tests/test_chat.c
@@ -15,12 +15,15 @@
 static void text_without_end_is_refused (void);
 static void error_without_end_is_refused (void);
 static void split_events_are_joined (void);
+static void odd_text_is_not_joined (void);
 
 static const struct test_case cases[] = {
   { "an event without end is refused", event_without_end_is_refused },
   { "text without end is refused", text_without_end_is_refused },
   { "an error without end is refused", error_without_end_is_refused },
   { "events that arrive in pieces are joined", split_events_are_joined },
+  { "text that is no event is not joined to a stream",
+    odd_text_is_not_joined },
 };
 
 TEST_MAIN ("chat", cases)
@@ -116,3 +119,47 @@
   CU_ASSERT (req.events.done);
   end_response (&req);
 }
+
+/* Prepares REQ for the response of an engine that goes on with a stream.  */
+static void
+begin_stream (struct req *req)
+{
+  start_response (req, 200);
+  req->stream = 1;
+  req->repeatable = 1;
+  req->attempt.is_head_complete = 1;
+  req->response
+      = MHD_create_response_from_buffer (0, NULL, MHD_RESPMEM_PERSISTENT);
+  CU_ASSERT_EQUAL (req_on_data (req, "id: 0\ndata: a\n\n", 15), 0);
+}
+
+static void
+end_stream (struct req *req)
+{
+  MHD_destroy_response (req->response);
+  end_response (req);
+}
+
+static void
+odd_text_is_not_joined (void)
+{
+  static const char *const odd[]
+      = { "oops\n\n",
+          "{\"error\":\"oops\"}\n\n",
+          "data: {\"error\":\"oops\"}\n\n",
+          "event: error\ndata: oops\n\n",
+          "HTTP/1.1 500 E\r\n\r\ndata: oops\n\n",
+          "HTTP/1.1 500 E\r\nContent-Length: 20\r\n\r\nid: 1\ndata: oops\n\n",
+          "HTTP/1.1 500 E\r\n\r\noops\n\ndata: [DONE]\n\n" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (odd); i++)
+    {
+      struct req req;
+
+      begin_stream (&req);
+      CU_ASSERT_EQUAL (req_on_data (&req, odd[i], strlen (odd[i])), -1);
+      CU_ASSERT_STRING_EQUAL (req.out->str, "id: 0\ndata: a\n\n");
+      CU_ASSERT (!req.events.done);
+      end_stream (&req);
+    }
+}
