Try another target when an error comes in place of the rest of a chat

What callers saw (own interface): a stream had begun and broken off, and the next target answered with an error below 500 or an empty success. The stream neither went on nor ended: it stayed open without events until its client left. A chat that is not streamed was answered with that error.

Cause: such a response was taken for the result of the request, and a result that comes when the response has begun was dropped. Read in the code of req_respond; the test shows the decision.

Change: after an event only events go on; anything else is a fault of the attempt, after which another target or the refusal as last event follows.

Why it works: a target that knows the request as one it may refuse is not the one that began it; the client has had a part of a sound answer.

--- a/request/request_fault.c
+++ b/request/request_fault.c
@@ -31,7 +31,8 @@
   return response_fault (req);
 }
 
-/* The same, for a complete response.  */
+/* The same, for a complete response.  Only events go on with a stream that has
+   begun.  */
 static enum retry_fault
 response_fault (const struct req *req)
 {
@@ -41,6 +42,9 @@
     return req->events.done ? RETRY_FAULT_COUNT : RETRY_FAULT_DISCONNECTED;
   if (attempt->status >= HTTP_SERVER_ERROR && req->repeatable)
     return RETRY_FAULT_ERROR_STATUS;
+  if (req->kind == VER_KIND_CHAT
+      && (req->events.offset > 0 || req->response != NULL))
+    return RETRY_FAULT_INVALID_RESPONSE;
   return attempt->is_resume ? RETRY_FAULT_DISCONNECTED : RETRY_FAULT_COUNT;
 }
 
--- a/tests/test_chat.c
+++ b/tests/test_chat.c
@@ -16,6 +16,7 @@
 static void error_without_end_is_refused (void);
 static void split_events_are_joined (void);
 static void odd_text_is_not_joined (void);
+static void errors_do_not_end_streams (void);
 
 static const struct test_case cases[] = {
   { "an event without end is refused", event_without_end_is_refused },
@@ -24,6 +25,8 @@
   { "events that arrive in pieces are joined", split_events_are_joined },
   { "text that is no event is not joined to a stream",
     odd_text_is_not_joined },
+  { "an error after a stream has begun does not end it",
+    errors_do_not_end_streams },
 };
 
 TEST_MAIN ("chat", cases)
@@ -163,3 +166,22 @@
       end_stream (&req);
     }
 }
+
+static void
+errors_do_not_end_streams (void)
+{
+  static const long statuses[] = { 204, 302, 304, 400, 404, 429, 500, 503 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (statuses); i++)
+    {
+      struct req req;
+
+      begin_stream (&req);
+      req.attempt.status = statuses[i];
+      CU_ASSERT_EQUAL (req_on_data (&req, "oops", 4), 0);
+      CU_ASSERT_NOT_EQUAL (req_attempt_fault (&req, CURLE_OK),
+                           RETRY_FAULT_COUNT);
+      CU_ASSERT_STRING_EQUAL (req.out->str, "id: 0\ndata: a\n\n");
+      end_stream (&req);
+    }
+}
