--- a/request/librequest.h
+++ b/request/librequest.h
@@ -76,7 +76,9 @@
   uint64_t target;
   int is_resume;
   int got_bytes;
-  int id_matches; /* the response repeats the request's id */
+  int is_head_complete; /* to its empty line; not that of an interim one */
+  int is_interim;       /* the last status line is that of one */
+  int id_matches;       /* the response repeats the request's id */
   int id_seen;
   int not_run;          /* reported by the target as not executed */
   size_t dropped_bytes; /* of a body that is not used */
@@ -168,6 +170,10 @@
 void req_cancel (struct req *req);
 void req_free_if_done (struct req *req);
 
+/* request_fault.c */
+enum retry_fault req_attempt_fault (const struct req *req, int code);
+int req_may_be_earlier (const struct req_attempt *attempt);
+
 /* request_place.c */
 void req_dispatch (struct req *req);
 void req_run_step (struct req *req, const struct place_step *step);
--- a/request/relay_events.c
+++ b/request/relay_events.c
@@ -2,6 +2,7 @@
    target can resume the stream after the last one. */
 #include <string.h>
 
+#include "ibisloom/sse.h"
 #include "librelay.h"
 
 enum
@@ -86,13 +87,16 @@
 }
 
 /* Records the id of an event of LENGTH bytes.  Returns 0, or -1 if the id
-   does not exceed the last one.  */
+   does not exceed the last one, or if it is no event, as the text of an error
+   in the middle of a stream that has no framing.  */
 static int
 record_event (struct relay *relay, const char *data, size_t length)
 {
   struct relay_events *events = &relay->events;
   char id[RELAY_EVENT_ID_BYTES] = "";
 
+  if (!sse_is_event (data, length))
+    return -1;
   parse_event_id (data, length, id);
   if (id[0] == '\0')
     return 0;
