Try suspended targets beside usable ones

Seen: a target that fell silent once, for 1.6 s, and then went on got no request from an instance again, for the rest of its life, as long as the instance had another usable target of the service. The others carried its load; where they failed in turn, few were left, and requests were refused with no_target.

Cause: bal_pick looked for a trial only when no usable target was left. A suspension whose time is over ends with a response alone, and without requests no response comes. The class: what is avoided for its state gets none of the events that would change the state (as the error rate once did, which has faded since then).

Change: a request that another target can serve if it fails (repeatable, not sent yet, a further attempt and a token of the retry budget left) is the trial of a target that is due for one and within the load bound and its slots. If no such request comes for 4 s after that, any request may be the trial, as some services have none. One trial at a time, as before.

Evidence: "a target that fell silent gets requests again beside another" failed before (test_silence, 1 of 18).

--- a/include/ibisloom/balance.h
+++ b/include/ibisloom/balance.h
@@ -38,6 +38,7 @@
   double cap_slack;  /* requests added to the bound */
   double rate_min;   /* tokens that a target with a rate limit must have */
   uint8_t is_pinned; /* few targets will do: full and suspended ones too */
+  uint8_t may_try;   /* may be the trial of a target that is due for one */
   uint32_t random;   /* index at which the search for the least load starts */
 };
 
@@ -48,7 +49,7 @@
   BAL_HOME,          /* first in the rendezvous ranking of the context */
   BAL_NEXT_HOME,     /* later in that ranking, for load or health */
   BAL_LEAST_LOADED,  /* least loaded */
-  BAL_TRIAL,         /* target due for a trial, as no usable one is left */
+  BAL_TRIAL,         /* target due for a trial */
   BAL_NO_TARGET,     /* no usable target */
   BAL_ALL_FULL,      /* every usable target is at the load bound */
   BAL_RATES_USED_UP, /* every usable target is at its rate limit */
--- a/request/balance.c
+++ b/request/balance.c
@@ -73,7 +73,7 @@
                               size_t count, struct bal_choice *choice);
 static int pick_trial (const struct bal_params *params,
                        const struct bal_candidate *candidates, size_t count,
-                       struct bal_choice *choice);
+                       double filled_max, struct bal_choice *choice);
 static int is_full (const struct bal_params *params,
                     const struct bal_candidate *candidate, double limit,
                     double filled_max);
@@ -98,13 +98,17 @@
   choice->limit = load_limit (params, choice->mean);
   choice->reason = BAL_NO_TARGET;
   choice->skip = BAL_SKIP_NONE;
+  if (params->may_try && pick_trial (params, candidates, count, 1, choice))
+    return 1;
   if (params->context != 0
       && (pick_holder (params, candidates, count, choice)
           || pick_home (params, candidates, count, choice)))
     return 1;
   if (pick_least_loaded (params, candidates, count, choice))
     return 1;
-  return pick_trial (params, candidates, count, choice);
+  /* If the load bound excluded a usable target, no other trial is made.  */
+  return choice->reason != BAL_ALL_FULL
+         && pick_trial (params, candidates, count, INFINITY, choice);
 }
 
 /* Returns the highest load at which a target may be sent another request,
@@ -291,18 +295,19 @@
   return choice->reason == BAL_LEAST_LOADED;
 }
 
-/* Selects a target that is due for a trial request.  Returns whether there is
-   one.  If the load bound excluded a usable target, no trial is made.  */
+/* Selects a target that is due for a trial request and, unless FILLED_MAX is
+   infinite, neither over the load bound nor over FILLED_MAX times its slots.
+   Returns whether there is one.  */
 static int
 pick_trial (const struct bal_params *params,
             const struct bal_candidate *candidates, size_t count,
-            struct bal_choice *choice)
+            double filled_max, struct bal_choice *choice)
 {
-  if (choice->reason == BAL_ALL_FULL)
-    return 0;
   for (size_t i = 0; i < count; i++)
     if (!candidates[i].excluded && candidates[i].state == HEALTH_TRIAL
-        && !is_rate_used_up (params, &candidates[i]))
+        && !is_rate_used_up (params, &candidates[i])
+        && (isinf (filled_max)
+            || !is_full (params, &candidates[i], choice->limit, filled_max)))
       {
         choice->index = i;
         choice->load = candidates[i].load;
--- a/request/health.c
+++ b/request/health.c
@@ -1,7 +1,9 @@
 /* Passive health check of a target, from the outcomes of recent requests.
 
    A target that fails is suspended for a time.  After that, one trial request
-   at a time is sent to it until one gets a complete response.  */
+   at a time is sent to it until one gets a complete response.  The trial is a
+   request that another target can serve if it fails, or, if none has come for
+   a time, any request.  */
 #include <math.h>
 
 #include "ibisloom/health.h"
@@ -20,6 +22,8 @@
   /* The registry has the new entry after this time.  */
   MISDIRECTED_BACKOFF_MS = 3000,
   SUSPENSION_MAX_MS = 4000,
+  /* Requests that can make a trial come before, if there are any.  */
+  TRIAL_OVERDUE_MS = 4000,
   DISCONNECTS_TO_SUSPEND = 2,
   DOUBLINGS_MAX = 4
 };
@@ -124,5 +128,8 @@
     return HEALTH_USABLE;
   if (now < health->suspended_until_ms)
     return HEALTH_SUSPENDED;
-  return health->trials_in_flight > 0 ? HEALTH_SUSPENDED : HEALTH_TRIAL;
+  if (health->trials_in_flight > 0)
+    return HEALTH_SUSPENDED;
+  return now - health->suspended_until_ms < TRIAL_OVERDUE_MS ? HEALTH_TRIAL
+                                                             : HEALTH_USABLE;
 }
--- a/request/relay_target.c
+++ b/request/relay_target.c
@@ -30,6 +30,7 @@
                     clk_ms now);
 static int is_live (const struct relay *relay, uint64_t id);
 static double rate_min (const struct relay *relay);
+static uint8_t may_try (const struct relay *relay);
 static int contains_id (const uint64_t *ids, uint32_t count, uint64_t id);
 
 /* Returns the target for RELAY's next attempt, or NULL.  CHOICE receives the
@@ -48,6 +49,7 @@
           = relay->route->has_context ? router->settings->cap_factor : 0,
           .cap_slack = router->settings->cap_slack,
           .rate_min = rate_min (relay),
+          .may_try = may_try (relay),
           .random = g_rand_int (router->random) };
   struct selection selection = { candidates, targets, 0 };
   enum admission last = relay->software != 0 ? ADMIT_FULL : ADMIT_TRIED;
@@ -84,6 +86,17 @@
              : 1 + RATE_RESERVE;
 }
 
+/* Returns whether RELAY may be sent to a target that failed before: if it
+   fails again, another target can serve RELAY.  */
+static uint8_t
+may_try (const struct relay *relay)
+{
+  return relay->sends == 0 && relay->connect_failures == 0
+         && relay->software == 0 && rt_repeatable (relay->route)
+         && relay->route->attempts_max > 1
+         && router_retry_budget (relay->router, relay->service)->tokens >= 1;
+}
+
 /* Excludes the candidates in SELECTION that ADMISSION does not allow RELAY at
    NOW.  Returns whether there is one that is allowed now and was not before.
  */
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -16,7 +16,8 @@
   CONTEXTS = 60,
   ARRIVALS = 6000,
   REQUEST_MS = 1000, /* duration of a request */
-  ARRIVAL_INTERVAL_MS = 12
+  ARRIVAL_INTERVAL_MS = 12,
+  TRIAL_OVERDUE_MS = 4000
 };
 
 static void repeated_failures_extend_backoff (void);
@@ -25,6 +26,8 @@
 static void error_rate_follows_responses (void);
 static void error_rate_without_responses_fades (void);
 static void context_stays_with_its_holder (void);
+static void trial_is_made_beside_usable_targets (void);
+static void suspension_ends_without_a_trial (void);
 static void popular_context_stays_within_bound (void);
 static void instances_agree_on_homes (void);
 static void context_without_a_bound_has_a_home (void);
@@ -59,6 +62,10 @@
     error_rate_without_responses_fades },
   { "requests stay with a holder of their context",
     context_stays_with_its_holder },
+  { "a target due for a trial gets one beside usable targets",
+    trial_is_made_beside_usable_targets },
+  { "a suspension ends though no request can make a trial",
+    suspension_ends_without_a_trial },
   { "a popular context stays within the load bound",
     popular_context_stays_within_bound },
   { "instances agree on the home of a context", instances_agree_on_homes },
@@ -207,6 +214,42 @@
   CU_ASSERT (choice.reason == BAL_HOME || choice.reason == BAL_NEXT_HOME);
 }
 
+static void
+trial_is_made_beside_usable_targets (void)
+{
+  struct bal_candidate candidates[TARGETS];
+  struct bal_params params = { .context = 5, .cap_factor = 2, .cap_slack = 3 };
+  struct bal_choice choice;
+
+  fill (candidates);
+  candidates[4].state = HEALTH_TRIAL;
+  CU_ASSERT (bal_pick (&params, candidates, TARGETS, &choice));
+  CU_ASSERT_NOT_EQUAL (choice.reason, BAL_TRIAL);
+  params.may_try = 1;
+  CU_ASSERT (bal_pick (&params, candidates, TARGETS, &choice));
+  CU_ASSERT_EQUAL (choice.reason, BAL_TRIAL);
+  CU_ASSERT_EQUAL (choice.index, 4);
+  candidates[4].load = 10;
+  CU_ASSERT (bal_pick (&params, candidates, TARGETS, &choice));
+  CU_ASSERT_NOT_EQUAL (choice.reason, BAL_TRIAL);
+}
+
+static void
+suspension_ends_without_a_trial (void)
+{
+  struct health health = { 0 };
+  clk_ms due_ms;
+
+  health_record (&health, HEALTH_TIMED_OUT, 0);
+  due_ms = health.suspended_until_ms;
+  CU_ASSERT_EQUAL (health_get_state (&health, due_ms), HEALTH_TRIAL);
+  CU_ASSERT_EQUAL (health_get_state (&health, due_ms + TRIAL_OVERDUE_MS),
+                   HEALTH_USABLE);
+  CU_ASSERT (health_begin_request (&health));
+  CU_ASSERT_EQUAL (health_get_state (&health, due_ms + TRIAL_OVERDUE_MS),
+                   HEALTH_SUSPENDED);
+}
+
 /* A third of the requests share one context.  No request may be sent to a
    target above the load bound, and few requests may miss their
    context.  */
--- a/tests/test_silence.c
+++ b/tests/test_silence.c
@@ -26,7 +26,8 @@
   WATCH_START_MS = 1500, /* until a started router watches the store */
   IDLE_MS = 1000,        /* after which kept connections are closed */
   DRAIN_MS = 4000,       /* by then a shutdown closes them */
-  SETTLE_MS = 100
+  SETTLE_MS = 100,
+  READS = 20
 };
 
 static void silence_beside_configuration_change_loses_no_stream (void);
@@ -46,6 +47,7 @@
 static void request_on_kept_connection_outlives_idle_time (void);
 static void request_on_kept_connection_outlives_drain (void);
 static void standing_router_does_not_replace_targets (void);
+static void target_gets_requests_again_after_silence (void);
 
 static const struct test_case cases[] = {
   { "a silence beside a configuration change loses no stream",
@@ -82,6 +84,8 @@
     request_on_kept_connection_outlives_drain },
   { "a router that stood still does not replace targets that went on",
     standing_router_does_not_replace_targets },
+  { "a target that fell silent gets requests again beside another",
+    target_gets_requests_again_after_silence },
 };
 
 TEST_MAIN ("silence", cases)
@@ -612,3 +616,21 @@
   CU_ASSERT_EQUAL (fx_target_request_count (second), 0);
   fx_env_stop ();
 }
+
+static void
+target_gets_requests_again_after_silence (void)
+{
+  int before;
+
+  fx_target_add ("i-2", "desk", shop_respond_ok);
+  start_first_target ("desk", shop_respond_ok);
+  fx_target_fall_silent (first_target, SILENCE_MS);
+  while (fx_target_request_count (first_target) == 0)
+    shop_expect (GET_MAP ("m1"), "200", "well");
+  fx_sleep_ms (SILENCE_MS);
+  before = fx_target_request_count (first_target);
+  for (int i = 0; i < READS; i++)
+    shop_expect (GET_MAP ("m1"), "200", "well");
+  CU_ASSERT (fx_target_request_count (first_target) > before);
+  fx_env_stop ();
+}
