--- a/tests/proxy_fixture.c
+++ b/tests/proxy_fixture.c
@@ -1,6 +1,7 @@
 /* Fault-injecting TCP proxies on loopback. */
 #include <arpa/inet.h>
 #include <errno.h>
+#include <linux/filter.h>
 #include <poll.h>
 #include <pthread.h>
 #include <stdlib.h>
@@ -64,6 +65,7 @@
 static void *relay_connection (void *closure);
 static int forward (struct connection *connection, enum side from);
 static void apply_mode (struct connection *connection, enum proxy_mode mode);
+static void darken (struct connection *connection);
 static void reset_on_close (struct connection *connection);
 static int write_all (int fd, const char *data, size_t length);
 
@@ -248,6 +250,28 @@
   connection->discard[SERVER_SIDE] |= mode == PROXY_DROP_TO_CLIENT
                                       || mode == PROXY_DROP_ALL
                                       || mode == PROXY_CUT_SILENT;
+  if (mode == PROXY_DARK)
+    darken (connection);
+}
+
+/* Makes the system drop all packets that arrive for CONNECTION, so that they
+   are not acknowledged.  */
+static void
+darken (struct connection *connection)
+{
+  struct sock_filter drop = BPF_STMT (BPF_RET | BPF_K, 0);
+  struct sock_fprog filter = { .len = 1, .filter = &drop };
+
+  if (connection->discard[CLIENT_SIDE] && connection->discard[SERVER_SIDE])
+    return;
+  for (int i = 0; i < SIDE_COUNT; i++)
+    {
+      connection->discard[i] = 1;
+      if (setsockopt (connection->fd[i], SOL_SOCKET, SO_ATTACH_FILTER, &filter,
+                      sizeof filter)
+          != 0)
+        abort ();
+    }
 }
 
 /* Forwards data or end of file from side FROM of CONNECTION to the other side.
--- a/tests/proxy_fixture.h
+++ b/tests/proxy_fixture.h
@@ -16,8 +16,11 @@
   PROXY_DROP_TO_CLIENT, /* data and end of file of the server are dropped */
   PROXY_DROP_ALL,       /* both */
   PROXY_MODE_COUNT,
+  /* As without a path: nothing that arrives is acknowledged either.  Open
+     connections stay so in later modes; new ones pass.  */
+  PROXY_DARK = PROXY_MODE_COUNT,
   /* Of the listener too.  */
-  PROXY_REFUSE = PROXY_MODE_COUNT, /* new connections; open ones go on */
+  PROXY_REFUSE,    /* new connections; open ones go on */
   PROXY_CUT_RESET, /* open connections are reset, new ones refused */
   PROXY_CUT_SILENT /* data is dropped, new connections are never
                       established */
