--- /dev/null
+++ b/request/reach.c
@@ -0,0 +1,218 @@
+/* Whether connections to the targets of one service can be established.
+
+   Connections that are open say nothing: they may live on where no new one is
+   established.  Failures at two targets, with no connection established since,
+   are a reason to probe others, in two rounds.  Only if none of these accepts
+   a connection is the instance taken for cut off, so that a few targets that
+   have ended are not.  While it is cut off, probes show the end of that.  */
+#include <string.h>
+
+#include <sys/param.h>
+
+#include "ibisloom/reach.h"
+
+enum
+{
+  FAILURES_TO_SUSPECT = 2,
+  FAILED_MS = 3000, /* a failure of longer ago is no evidence */
+  ROUNDS = 2,       /* of probes, to be taken for cut off */
+  FIRST_PROBES = 3,
+  MORE_PROBES = REACH_PROBED_MAX - FIRST_PROBES,
+  RETURN_PROBES = 2,
+  RETURN_INTERVAL_MS = 500,
+  ANSWER_VALID_MS = 2000
+};
+
+const char *const reach_state_names[REACH_STATE_COUNT]
+    = { "open", "suspect", "cut_off" };
+
+static void change (struct reach *reach, enum reach_state state, clk_ms now);
+static void forget_old (struct reach *reach, clk_ms now);
+static uint32_t count_domain (const struct reach_candidate *candidates,
+                              const size_t *chosen, size_t count,
+                              const char *failure_domain);
+static int contains (const uint64_t *ids, uint32_t count, uint64_t id);
+
+/* Records at NOW that TARGET, one of KNOWN, could not be connected to or was
+   silent.  Returns whether this makes REACH suspect: probes are due.  */
+int
+reach_fail (struct reach *reach, uint64_t target, uint32_t known, clk_ms now)
+{
+  forget_old (reach, now);
+  if (contains (reach->failed, reach->failed_count, target))
+    return 0;
+  if (reach->failed_count < REACH_FAILED_MAX)
+    {
+      reach->failed[reach->failed_count] = target;
+      reach->failed_ms[reach->failed_count++] = now;
+    }
+  if (reach->state != REACH_OPEN
+      || reach->failed_count < MIN (known, FAILURES_TO_SUSPECT))
+    return 0;
+  change (reach, REACH_SUSPECT, now);
+  return 1;
+}
+
+/* Records at NOW that a connection was established.  Returns whether that ends
+   a time of being cut off.  */
+int
+reach_establish (struct reach *reach, clk_ms now)
+{
+  int was_cut_off = reach->state == REACH_CUT_OFF;
+
+  reach->failed_count = 0;
+  reach->succeeded_ms = now;
+  if (reach->state != REACH_OPEN)
+    change (reach, REACH_OPEN, now);
+  return was_cut_off;
+}
+
+/* Records at NOW that a target has responded on a connection, which may be an
+   old one.  */
+void
+reach_respond (struct reach *reach, clk_ms now)
+{
+  reach->succeeded_ms = now;
+}
+
+/* Returns how many probes are to be started at NOW.  */
+uint32_t
+reach_probes_due (const struct reach *reach, clk_ms now)
+{
+  if (reach->probing > 0 || reach->state == REACH_OPEN)
+    return 0;
+  if (reach->state == REACH_SUSPECT)
+    return reach->round == 0 ? FIRST_PROBES : MORE_PROBES;
+  return now - reach->probed_ms >= RETURN_INTERVAL_MS ? RETURN_PROBES : 0;
+}
+
+/* Chooses WANTED of the COUNT CANDIDATES to be probed at NOW, of all failure
+   domains in turn, and stores their indices in CHOSEN.  The search starts at
+   RANDOM.  Targets that have failed or were probed since REACH became suspect
+   are chosen only if it is cut off, or if there are no others.  Returns how
+   many were chosen; for each, reach_establish or reach_probe_fail follows.  */
+size_t
+reach_choose_probes (struct reach *reach,
+                     const struct reach_candidate *candidates, size_t count,
+                     uint32_t random, uint32_t wanted, size_t *chosen,
+                     clk_ms now)
+{
+  size_t found = 0;
+
+  for (; found < wanted; found++)
+    {
+      uint32_t least = UINT32_MAX;
+
+      for (size_t i = 0; i < count; i++)
+        {
+          size_t index = (random + i) % count;
+          const struct reach_candidate *candidate = &candidates[index];
+          uint32_t cost = count_domain (candidates, chosen, found,
+                                        candidate->failure_domain);
+
+          if (reach->state == REACH_SUSPECT
+              && (contains (reach->probed, reach->probed_count, candidate->id)
+                  || (reach->failed_count < count
+                      && contains (reach->failed, reach->failed_count,
+                                   candidate->id))))
+            continue;
+          for (size_t j = 0; j < found; j++)
+            if (chosen[j] == index)
+              cost = UINT32_MAX;
+          if (cost < least)
+            {
+              least = cost;
+              chosen[found] = index;
+            }
+        }
+      if (least == UINT32_MAX)
+        break;
+      if (reach->state == REACH_SUSPECT
+          && reach->probed_count < REACH_PROBED_MAX)
+        reach->probed[reach->probed_count++] = candidates[chosen[found]].id;
+    }
+  reach->probing += (uint32_t)found;
+  reach->round++;
+  reach->probed_ms = now;
+  return found;
+}
+
+/* Records that a probe has ended.  */
+void
+reach_probe_end (struct reach *reach)
+{
+  if (reach->probing > 0)
+    reach->probing--;
+}
+
+/* Records at NOW that a probe has failed, or that none could be started though
+   some were due.  Returns whether REACH is cut off by that.  */
+int
+reach_probe_fail (struct reach *reach, clk_ms now)
+{
+  reach_probe_end (reach);
+  if (reach->probing > 0 || reach->state != REACH_SUSPECT
+      || reach->round < ROUNDS)
+    return 0;
+  change (reach, REACH_CUT_OFF, now);
+  return 1;
+}
+
+/* Returns what to tell an instance that asks at NOW.  */
+enum reach_answer
+reach_answer (const struct reach *reach, clk_ms now)
+{
+  if (reach->state != REACH_OPEN)
+    return REACH_ANSWER_NO;
+  return reach->succeeded_ms != 0
+                 && now - reach->succeeded_ms < ANSWER_VALID_MS
+             ? REACH_ANSWER_YES
+             : REACH_ANSWER_UNKNOWN;
+}
+
+/* Puts REACH in STATE at NOW.  */
+static void
+change (struct reach *reach, enum reach_state state, clk_ms now)
+{
+  reach->state = state;
+  reach->changed_ms = now;
+  reach->round = 0;
+  reach->probed_count = 0;
+}
+
+/* Drops failures of REACH that are old at NOW.  */
+static void
+forget_old (struct reach *reach, clk_ms now)
+{
+  uint32_t kept = 0;
+
+  for (uint32_t i = 0; i < reach->failed_count; i++)
+    if (now - reach->failed_ms[i] < FAILED_MS)
+      {
+        reach->failed[kept] = reach->failed[i];
+        reach->failed_ms[kept++] = reach->failed_ms[i];
+      }
+  reach->failed_count = kept;
+}
+
+/* Returns how many of the COUNT CHOSEN CANDIDATES are in FAILURE_DOMAIN.  */
+static uint32_t
+count_domain (const struct reach_candidate *candidates, const size_t *chosen,
+              size_t count, const char *failure_domain)
+{
+  uint32_t same = 0;
+
+  for (size_t i = 0; i < count; i++)
+    same += candidates[chosen[i]].failure_domain == failure_domain;
+  return same;
+}
+
+/* Returns whether ID is one of the COUNT IDS.  */
+static int
+contains (const uint64_t *ids, uint32_t count, uint64_t id)
+{
+  for (uint32_t i = 0; i < count; i++)
+    if (ids[i] == id)
+      return 1;
+  return 0;
+}
--- a/tests/fuzz_parsers.c
+++ b/tests/fuzz_parsers.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "fuzz_parsers.h"
+#include "ibisloom/hops.h"
 #include "ibisloom/http.h"
 #include "ibisloom/snapshot.h"
 #include "ibisloom/wire.h"
@@ -21,6 +22,7 @@
 static int parse_fields (const char *input, size_t length);
 static int parse_datagrams (const char *input, size_t length);
 static int parse_snapshots (const char *input, size_t length);
+static int parse_marks (const char *input, size_t length);
 
 const struct fuzz_parser fuzz_parsers[] = {
   { "requests", parse_requests },
@@ -31,6 +33,7 @@
   { "fields", parse_fields },
   { "datagrams", parse_datagrams },
   { "snapshots", parse_snapshots },
+  { "marks", parse_marks },
 };
 
 const size_t fuzz_parser_count = G_N_ELEMENTS (fuzz_parsers);
@@ -226,3 +229,23 @@
   g_free (snapshot_decompress (input, length, &size));
   return objects > 0;
 }
+
+/* Parses marks of hops.  What is accepted is read as it is printed.  */
+static int
+parse_marks (const char *input, size_t length)
+{
+  struct hop_mark mark;
+  struct hop_mark again;
+  GString *text;
+
+  (void)length;
+  if (hop_mark_parse (input, &mark) != 0)
+    return 0;
+  text = g_string_new (NULL);
+  hop_mark_print (text, &mark);
+  g_assert_cmpint (hop_mark_parse (text->str, &again), ==, 0);
+  g_assert_cmpstr (mark.customer, ==, again.customer);
+  g_assert_cmpstr (mark.service, ==, again.service);
+  g_string_free (text, TRUE);
+  return 1;
+}
