Let instances ask each other whether they reach a service

An instance that is cut off from targets has to learn which others are not. Two kinds of datagrams, which older builds drop: a question, and an answer with the load and the token that requests sent through the answering instance bear. Nothing is sent unless an instance asks.

--- a/include/ibisloom/fleet.h
+++ b/include/ibisloom/fleet.h
@@ -30,6 +30,16 @@
 typedef void (*fleet_update_fn) (void *closure,
                                  const struct fleet_update *update);
 
+/* Exchange of which instances reach the targets of a service. */
+struct fleet_reach_ops
+{
+  /* Returns whether REACH, of the service that it names, was filled in to be
+     told to an instance that asks.  */
+  int (*asked) (void *closure, struct wire_reach *reach);
+  /* The instance PEER has told REACH.  */
+  void (*told) (void *closure, uint32_t peer, const struct wire_reach *reach);
+};
+
 struct fleet *fleet_new (const struct settings *settings, struct ev_loop *loop,
                          struct out_pool *pool,
                          const struct watch_protocol *store, const char *kind,
@@ -62,6 +72,15 @@
 void fleet_add_origin (struct fleet *fleet, const struct origin_record *record,
                        int is_split);
 void fleet_ask_origin (struct fleet *fleet, uint64_t attempt);
+void fleet_on_reach (struct fleet *fleet, const struct fleet_reach_ops *ops,
+                     void *closure);
+void fleet_ask_reach (struct fleet *fleet, uint32_t peer, uint64_t service);
+uint32_t fleet_pick_peer (const struct fleet *fleet, int is_local,
+                          int (*is_taken) (void *closure, uint32_t peer),
+                          void *closure);
+const struct sockaddr_in *fleet_peer_address (const struct fleet *fleet,
+                                              uint32_t peer);
+uint32_t fleet_self (const struct fleet *fleet);
 void fleet_see_target (struct fleet *fleet, const struct reg_target *target);
 int fleet_knows_quarantine (const struct fleet *fleet);
 void fleet_keep_origins (struct fleet *fleet, const char *kind);
--- a/include/ibisloom/wire.h
+++ b/include/ibisloom/wire.h
@@ -43,6 +43,8 @@
   WIRE_STATE,             /* what the sender knows of the store */
   WIRE_ORIGINS,           /* which versions began streams */
   WIRE_ORIGIN_QUERY,      /* asks which version began a stream */
+  WIRE_REACH_QUERY,       /* asks whether a service is reached */
+  WIRE_REACH,             /* whether the sender reaches a service */
   WIRE_KIND_COUNT
 };
 
@@ -236,6 +238,21 @@
   uint64_t attempt;
 };
 
+/* Question of whether the receiver reaches the targets of SERVICE. */
+struct wire_reach_query
+{
+  uint64_t service; /* hash of its name */
+};
+
+/* Answer to it. */
+struct wire_reach
+{
+  uint64_t service;
+  uint8_t answer; /* enum reach_answer */
+  uint32_t load;  /* requests in progress at the sender */
+  uint64_t token; /* that hops to the sender have to bear */
+};
+
 struct wire_message
 {
   enum wire_kind kind;
@@ -259,6 +276,8 @@
     struct wire_store_state state;
     struct wire_origins origins;
     struct wire_origin_query origin_query;
+    struct wire_reach_query reach_query;
+    struct wire_reach reach;
   } u;
 };
 
--- a/process/fleet.c
+++ b/process/fleet.c
@@ -188,6 +188,12 @@
     case WIRE_ORIGIN_QUERY:
       fleet_answer_origin (fleet, peer, &message->u.origin_query);
       break;
+    case WIRE_REACH_QUERY:
+      fleet_answer_reach (fleet, peer, &message->u.reach_query);
+      break;
+    case WIRE_REACH:
+      fleet_apply_reach (fleet, peer, &message->u.reach);
+      break;
     default:
       break;
     }
--- a/process/libfleet.h
+++ b/process/libfleet.h
@@ -79,6 +79,8 @@
   enum wire_store store_state;
   fleet_update_fn on_update;
   void *closure;
+  const struct fleet_reach_ops *reach_ops;
+  void *reach_closure;
   ev_timer update; /* until the next load update is sent */
   clk_ms update_due_ms;
   clk_ms updated_ms;         /* time of the last load update */
@@ -176,6 +178,12 @@
 void fleet_answer_origin (struct fleet *fleet, const struct fleet_peer *peer,
                           const struct wire_origin_query *query);
 
+/* fleet_reach.c */
+void fleet_answer_reach (struct fleet *fleet, const struct fleet_peer *peer,
+                         const struct wire_reach_query *query);
+void fleet_apply_reach (struct fleet *fleet, const struct fleet_peer *peer,
+                        const struct wire_reach *reach);
+
 /* fleet_origin_note.c */
 GArray *fleet_noted_new (void);
 void fleet_note_stored (struct fleet *fleet, const json_t *content);
--- a/process/wire_body.c
+++ b/process/wire_body.c
@@ -1,5 +1,6 @@
 /* Bodies of the datagrams between instances: arrays of unsigned integers. */
 #include "ibisloom/quarantine.h"
+#include "ibisloom/reach.h"
 #include "libwire.h"
 
 typedef void (*body_encoder) (msgpack_packer *packer,
@@ -67,6 +68,14 @@
                                  const struct wire_message *message);
 static void decode_origin_query (struct wire_reader *reader,
                                  struct wire_message *message);
+static void encode_reach_query (msgpack_packer *packer,
+                                const struct wire_message *message);
+static void decode_reach_query (struct wire_reader *reader,
+                                struct wire_message *message);
+static void encode_reach (msgpack_packer *packer,
+                          const struct wire_message *message);
+static void decode_reach (struct wire_reader *reader,
+                          struct wire_message *message);
 static struct position next_position (struct wire_reader *list);
 static struct wire_reader next_array (struct wire_reader *reader,
                                       uint32_t max);
@@ -92,6 +101,8 @@
   [WIRE_STATE] = { encode_state, decode_state },
   [WIRE_ORIGINS] = { encode_origins, decode_origins },
   [WIRE_ORIGIN_QUERY] = { encode_origin_query, decode_origin_query },
+  [WIRE_REACH_QUERY] = { encode_reach_query, decode_reach_query },
+  [WIRE_REACH] = { encode_reach, decode_reach },
 };
 
 /* Encodes the body of MESSAGE, according to its kind.  */
@@ -597,6 +608,45 @@
   reader->failed |= list.failed;
 }
 
+static void
+encode_reach_query (msgpack_packer *packer, const struct wire_message *message)
+{
+  msgpack_pack_array (packer, 1);
+  msgpack_pack_uint64 (packer, message->u.reach_query.service);
+}
+
+static void
+decode_reach_query (struct wire_reader *reader, struct wire_message *message)
+{
+  struct wire_reader list = next_array (reader, 1);
+
+  message->u.reach_query.service = wire_next_uint (&list, UINT64_MAX);
+  reader->failed |= list.failed;
+}
+
+static void
+encode_reach (msgpack_packer *packer, const struct wire_message *message)
+{
+  msgpack_pack_array (packer, 4);
+  msgpack_pack_uint64 (packer, message->u.reach.service);
+  msgpack_pack_uint64 (packer, message->u.reach.answer);
+  msgpack_pack_uint64 (packer, message->u.reach.load);
+  msgpack_pack_uint64 (packer, message->u.reach.token);
+}
+
+static void
+decode_reach (struct wire_reader *reader, struct wire_message *message)
+{
+  struct wire_reader list = next_array (reader, 4);
+  struct wire_reach *reach = &message->u.reach;
+
+  reach->service = wire_next_uint (&list, UINT64_MAX);
+  reach->answer = (uint8_t)wire_next_uint (&list, REACH_ANSWER_COUNT - 1);
+  reach->load = (uint32_t)wire_next_uint (&list, UINT32_MAX);
+  reach->token = wire_next_uint (&list, UINT64_MAX);
+  reader->failed |= list.failed;
+}
+
 /* Returns the position in the next two items of LIST.  */
 static struct position
 next_position (struct wire_reader *list)
