Send requests through another instance while cut off from the targets

What callers saw: of two of four instances that had lost their paths to all targets, 0 of 882 first tries were served, 0 of 882 and 0 of 542 (new connections refused, reset, silent); the others served all.

Cause: an instance could send a request to targets only. One whose targets were all suspended was refused, and the targets that others reached stayed idle.

An instance that is cut off asks at most 8 others, which tell whether they reach the service (process/router_reach.c), and sends its clients' requests through one that does (request/relay_hop.c), over the listener for instances, as an attempt at a target that stands for the instance. The sender decides what depends on the configuration; the receiver (request/relay_accept.c) chooses the target and makes the attempts, as for its own. A response that the receiver made itself bears a mark, so that "not run" goes on only if it is true. A request that came from an instance is not sent to another. While all services are reached, nothing is sent.

--- a/connection/client.c
+++ b/connection/client.c
@@ -316,6 +316,18 @@
     client_free (client);
 }
 
+/* Returns whether CLIENT has connected from ADDRESS.  */
+int
+client_is_at (const struct client *client, struct in_addr address)
+{
+  struct sockaddr_in from = { .sin_family = AF_INET };
+  socklen_t size = sizeof from;
+
+  return getpeername (client->readable.fd, (struct sockaddr *)&from, &size)
+             == 0
+         && from.sin_addr.s_addr == address.s_addr;
+}
+
 /* Starts the timer of CLIENT, which expires after MS milliseconds.  A value of
    0 or less only stops it.  */
 void
--- a/connection/outbound.c
+++ b/connection/outbound.c
@@ -393,6 +393,8 @@
       ev_timer_stop (conn->pool->loop, &conn->timer);
       conn->state = CONN_ACTIVE;
       set_events (conn, EV_READ | EV_WRITE);
+      if (conn->call->ops->connected != NULL)
+        conn->call->ops->connected (conn->call->owner);
       send_request (conn);
       return;
     }
--- a/include/ibisloom/client.h
+++ b/include/ibisloom/client.h
@@ -67,6 +67,7 @@
 void client_abort_response (struct client *client);
 void client_respond (struct client *client, uint32_t status,
                      const char *fields, const char *body, size_t length);
+int client_is_at (const struct client *client, struct in_addr address);
 size_t client_backlog (const struct client *client);
 
 #endif
--- a/include/ibisloom/metrics.h
+++ b/include/ibisloom/metrics.h
@@ -33,6 +33,7 @@
   METRIC_REFUSED_RATE,
   METRIC_REFUSED_ORIGIN,
   METRIC_REFUSED_VERSION_GONE,
+  METRIC_REFUSED_HOP,
   /* Failed attempts, by fault, and how streams continued after them.  */
   METRIC_RETRY_CONNECT,
   METRIC_RETRY_STATUS,
@@ -55,7 +56,12 @@
   METRIC_PLACED_WITHOUT_GRANT, /* the target's owner did not answer */
   METRIC_PLACED_LEAST_LOADED,
   METRIC_PLACED_TRIAL,
-  METRIC_OVER_BOUND, /* responses that report a load over the bound */
+  /* Requests through other instances, while cut off from targets.  */
+  METRIC_HOPS_SENT,
+  METRIC_HOPS_RECEIVED,
+  METRIC_HOPS_REFUSED, /* by this instance */
+  METRIC_CUT_OFF,      /* times that it was cut off from a service */
+  METRIC_OVER_BOUND,   /* responses that report a load over the bound */
   /* Denied admissions, by reason.  */
   METRIC_DENIED_BOUND,
   METRIC_DENIED_RATE,
--- a/include/ibisloom/outbound.h
+++ b/include/ibisloom/outbound.h
@@ -36,6 +36,8 @@
   /* Handles the end of a complete response.  */
   void (*end) (void *owner);
   void (*fail) (void *owner, enum out_fault fault);
+  /* A new connection was established for the call.  May be NULL.  */
+  void (*connected) (void *owner);
 };
 
 struct out_request
--- a/include/ibisloom/reach.h
+++ b/include/ibisloom/reach.h
@@ -42,8 +42,7 @@
 {
   enum reach_state state;
   clk_ms changed_ms; /* time of the last change of state */
-  /* Targets that could not be connected to, or were silent, since a connection
-     to one was last established.  */
+  /* Targets that failed since a connection to one was last established.  */
   uint64_t failed[REACH_FAILED_MAX];
   clk_ms failed_ms[REACH_FAILED_MAX];
   uint32_t failed_count;
--- a/include/ibisloom/registry.h
+++ b/include/ibisloom/registry.h
@@ -64,6 +64,7 @@
   struct position position; /* of the entry */
   clk_ms warm_at_ms;        /* warmed up from then on */
   uint32_t references; /* requests in progress, plus one for the registry */
+  uint8_t is_peer;     /* stands for another instance; not registered */
   uint8_t leaving;
   uint8_t update_pending;    /* peers are to get its new in_flight */
   uint8_t unlisted;          /* not yet found in the list that is being read */
@@ -128,6 +129,10 @@
                        const char *failure_domain, clk_ms now,
                        struct bal_candidate *candidates,
                        struct reg_target **targets, size_t capacity);
+struct reg_target *reg_peer_new (uint32_t peer,
+                                 const struct sockaddr_in *address);
+void reg_peer_release (struct reg_target *target);
+void reg_end_suspensions (struct registry *registry, const char *service);
 int reg_is_near_limit (const struct reg_target *target, clk_ms now);
 void reg_record_outcome (struct reg_target *target, enum health_event event,
                          clk_ms now);
--- a/include/ibisloom/relay.h
+++ b/include/ibisloom/relay.h
@@ -4,7 +4,16 @@
 
 #include "ibisloom/client.h"
 
+struct router;
+
 /* Handlers of the listener for clients. */
 extern const struct client_listener_ops relay_listener_ops;
 
+/* Handlers of the listener for instances, for requests of their clients. */
+void *relay_accept_hop (struct router *router, struct client *client,
+                        struct http_head *head, GString *body);
+void relay_on_client_disconnected (struct client_listener *listener,
+                                   void *request);
+void relay_on_drained (struct client_listener *listener, void *request);
+
 #endif
--- a/include/ibisloom/router.h
+++ b/include/ibisloom/router.h
@@ -8,6 +8,7 @@
 #include "ibisloom/affinity.h"
 #include "ibisloom/dialect.h"
 #include "ibisloom/fleet.h"
+#include "ibisloom/hops.h"
 #include "ibisloom/outbound.h"
 #include "ibisloom/retry.h"
 #include "ibisloom/settings.h"
@@ -44,7 +45,10 @@
   clk_ms table_ms;        /* when it came into force */
   struct watch config;
   struct watch targets;
-  GHashTable *budgets;        /* service, interned, to struct retry_budget */
+  GHashTable *reaches; /* service, interned, to struct router_reach */
+  uint64_t hop_token;  /* that requests of other instances have to bear */
+  uint32_t open_hops;  /* requests of other instances in progress */
+  GHashTable *budgets; /* service, interned, to struct retry_budget */
   const char *failure_domain; /* interned */
   GRand *random;
   ev_timer tick;
@@ -67,4 +71,21 @@
 struct retry_budget *router_retry_budget (struct router *router,
                                           const char *service);
 
+/* router_reach.c */
+enum reach_state router_reach_state (const struct router *router,
+                                     const char *service);
+void router_reach_fail (struct router *router,
+                        const struct reg_target *target);
+void router_reach_establish (struct router *router,
+                             const struct reg_target *target);
+void router_reach_respond (struct router *router,
+                           const struct reg_target *target);
+struct hop_peer *router_hop_choose (struct router *router, const char *service,
+                                    const uint32_t *tried,
+                                    uint32_t tried_count, int *awaits);
+struct hop_peer *router_hop_peer (struct router *router, const char *service,
+                                  const struct reg_target *target);
+void router_hop_avoid (struct router *router, const char *service,
+                       const struct reg_target *target, int refused);
+
 #endif
--- a/process/librouter.h
+++ b/process/librouter.h
@@ -12,6 +12,10 @@
 struct watch_sink router_targets_sink (struct router *router);
 void router_note_epoch (struct router *router, struct position position);
 
+/* router_reach.c */
+void router_reach_init (struct router *router);
+void router_reach_start (struct router *router);
+
 /* router_snapshot.c */
 void router_on_fleet_update (void *closure, const struct fleet_update *update);
 void *router_on_peer_request (struct client_listener *listener,
--- a/process/metrics.c
+++ b/process/metrics.c
@@ -67,6 +67,7 @@
   = "ibisloom_refused_total{reason=\"origin_unknown\"}",
   [METRIC_REFUSED_VERSION_GONE]
   = "ibisloom_refused_total{reason=\"version_gone\"}",
+  [METRIC_REFUSED_HOP] = "ibisloom_refused_total{reason=\"hop_refused\"}",
   [METRIC_REFUSED_NO_CONNECTION]
   = "ibisloom_refused_total{reason=\"no_connection\"}",
   [METRIC_RETRY_CONNECT] = "ibisloom_retries_total{reason=\"connect\"}",
@@ -91,6 +92,10 @@
   [METRIC_PLACED_WITHOUT_GRANT] = "ibisloom_placed_total{by=\"unowned\"}",
   [METRIC_PLACED_LEAST_LOADED] = "ibisloom_placed_total{by=\"least_loaded\"}",
   [METRIC_PLACED_TRIAL] = "ibisloom_placed_total{by=\"trial\"}",
+  [METRIC_HOPS_SENT] = "ibisloom_hops_sent_total",
+  [METRIC_HOPS_RECEIVED] = "ibisloom_hops_received_total",
+  [METRIC_HOPS_REFUSED] = "ibisloom_hops_refused_total",
+  [METRIC_CUT_OFF] = "ibisloom_cut_off_total",
   [METRIC_OVER_BOUND] = "ibisloom_over_bound_total",
   [METRIC_DENIED_RATE]
   = "ibisloom_admission_denied_total{reason=\"rate_limit\"}",
--- a/process/registry.c
+++ b/process/registry.c
@@ -422,6 +422,46 @@
     target_free (target);
 }
 
+/* Returns a target that stands for the instance PEER at ADDRESS in attempts,
+   until reg_peer_release.  It is in no registry.  */
+struct reg_target *
+reg_peer_new (uint32_t peer, const struct sockaddr_in *address)
+{
+  struct reg_target *target = g_new0 (struct reg_target, 1);
+
+  target->id = g_strdup_printf ("instance-%08x", peer);
+  target->hash = peer;
+  target->address = *address;
+  target->is_peer = 1;
+  target->references = 1;
+  return target;
+}
+
+/* Releases TARGET, from reg_peer_new, which lasts until its requests have
+   ended.  */
+void
+reg_peer_release (struct reg_target *target)
+{
+  if (--target->references == 0)
+    target_free (target);
+}
+
+/* Ends the suspensions of the targets of SERVICE, which is interned: they were
+   not at fault.  */
+void
+reg_end_suspensions (struct registry *registry, const char *service)
+{
+  for (guint i = 0; i < registry->array->len; i++)
+    {
+      struct reg_target *target = g_ptr_array_index (registry->array, i);
+
+      if (target->service != service)
+        continue;
+      target->health.suspended_until_ms = 0;
+      target->health.consecutive_failures = 0;
+    }
+}
+
 /* Records EVENT, the outcome of a request at TARGET that ended at NOW.  */
 void
 reg_record_outcome (struct reg_target *target, enum health_event event,
--- a/process/router.c
+++ b/process/router.c
@@ -48,7 +48,8 @@
     = { on_metrics, ignore_event, ignore_event };
 
 static const struct client_listener_ops peer_ops
-    = { router_on_peer_request, ignore_event, ignore_event };
+    = { router_on_peer_request, relay_on_client_disconnected,
+        relay_on_drained };
 
 static const struct client_listener_ops ready_ops
     = { on_ready, ignore_event, ignore_event };
@@ -69,6 +70,7 @@
   router->registry = reg_new ();
   router->affinity = affinity_new ();
   router->snapshot = snapshot_new ();
+  router_reach_init (router);
   router->budgets = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   out_pool_init (&router->pool, router->loop);
   router->request_listener.limits.head_max_bytes = HTTP_HEAD_MAX_BYTES;
@@ -135,6 +137,7 @@
   router_watch_config (router);
   router_watch_targets (router);
   fleet_on_update (router->fleet, router_on_fleet_update, router);
+  router_reach_start (router);
   router->started_ms = clk_now (clk_monotonic ());
   router->short_ms = router->started_ms;
   fleet_start (router->fleet);
@@ -160,6 +163,7 @@
     watch_stop (&router->config);
   if (router->targets.loop != NULL)
     watch_stop (&router->targets);
+  g_hash_table_destroy (router->reaches);
   fleet_free (router->fleet);
   out_pool_clear (&router->pool);
   g_hash_table_destroy (router->pool.idle);
@@ -339,7 +343,8 @@
     client_listener_drain (&router->request_listener);
   if ((since >= LAME_DUCK_END_MS && router->open_requests == 0
        && !client_listener_has_unread_input (&router->request_listener)
-       && !client_listener_has_undelivered_output (&router->request_listener))
+       && !client_listener_has_undelivered_output (&router->request_listener)
+       && !client_listener_has_undelivered_output (&router->peer_listener))
       || since >= force_stop_ms)
     ev_break (router->loop, EVBREAK_ALL);
 }
--- a/process/router_snapshot.c
+++ b/process/router_snapshot.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "ibisloom/log.h"
+#include "ibisloom/relay.h"
 #include "librouter.h"
 
 enum
@@ -165,7 +166,8 @@
              now.version, now.targets.revision);
 }
 
-/* Responds to a request of another instance for the snapshot with the changes
+/* Handles a request of another instance: one of its clients' requests, or one
+   for the snapshot.  Responds to the latter with the changes
    after the revisions in its query, or with HTTP_STATUS_SERVICE_UNAVAILABLE
    until the list of targets has been read and while it is being read.  */
 void *
@@ -173,13 +175,15 @@
                         struct client *client, struct http_head *head,
                         GString *body)
 {
-  const struct router *router
+  struct router *router
       = (struct router *)((char *)listener
                           - offsetof (struct router, peer_listener));
   const char *url = http_head_url (head);
   const char *data;
   size_t length;
 
+  if (http_head_get (head, hop_field) != NULL)
+    return relay_accept_hop (router, client, head, body);
   if (strncmp (url, SNAPSHOT_PATH, sizeof SNAPSHOT_PATH - 1) != 0)
     client_respond (client, HTTP_STATUS_NOT_FOUND, "", NULL, 0);
   else if (!router->registry->listed || router->targets.listing)
--- a/process/router_store.c
+++ b/process/router_store.c
@@ -175,6 +175,9 @@
       = table->limits.head_timeout_ms;
   router->request_listener.limits.idle_timeout_ms
       = table->limits.idle_timeout_ms;
+  router->peer_listener.limits.head_max_bytes
+      = table->limits.head_max_bytes + HOP_HEAD_BYTES;
+  router->peer_listener.limits.body_max_bytes = table->limits.body_max_bytes;
 }
 
 /* Logs that TABLE comes into force, and whether it was read from the store or
--- a/request/librelay.h
+++ b/request/librelay.h
@@ -8,7 +8,9 @@
 enum
 {
   RELAY_TRIED_MAX = 8,
-  RELAY_EVENT_ID_BYTES = 64
+  RELAY_EVENT_ID_BYTES = 64,
+  RELAY_CONNECT_FAILURES_MAX = 4,
+  RELAY_HOPS_MAX = 3 /* instances that a request is sent through */
 };
 
 enum relay_refusal
@@ -30,6 +32,7 @@
   RELAY_RATES_USED_UP,
   RELAY_ORIGIN_UNKNOWN,
   RELAY_VERSION_GONE,
+  RELAY_HOP_REFUSED,
   RELAY_REFUSAL_COUNT
 };
 
@@ -54,18 +57,28 @@
   uint8_t not_run;
   uint8_t is_invalid; /* response is for another request, or out of order */
   uint8_t is_event_stream;
-  uint8_t is_trial;        /* trial request to a suspended target */
-  uint8_t is_first_send;   /* the target was not sent the request before */
-  uint8_t parts_succeeded; /* its target has gone on after the first event */
-  uint8_t input_awaited;   /* its timer was put off for unread input */
-  uint8_t is_silent;       /* past its read timeout */
-  uint8_t is_paused;       /* not read until the client has caught up */
-  clk_ms first_event_ms;   /* 0: no event yet */
+  uint8_t is_trial;          /* trial request to a suspended target */
+  uint8_t is_first_send;     /* the target was not sent the request before */
+  uint8_t parts_succeeded;   /* its target has gone on after the first event */
+  uint8_t input_awaited;     /* its timer was put off for unread input */
+  uint8_t is_silent;         /* past its read timeout */
+  uint8_t is_paused;         /* not read until the client has caught up */
+  uint8_t is_new_connection; /* not a kept one */
+  uint8_t is_final; /* the instance that it went through made all attempts */
+  clk_ms first_event_ms; /* 0: no event yet */
   GString *response_fields;
   GString *buffered_body;
   GString *partial_event; /* start of an incomplete event */
 };
 
+/* Request that came from another instance, with what that has decided. */
+struct relay_hop
+{
+  struct hop_mark mark;
+  struct rt_route route;
+  struct rt_customer customer;
+};
+
 struct relay
 {
   struct router *router;
@@ -101,8 +114,16 @@
   uint32_t connect_failures; /* attempts without a connection */
   uint32_t error_responses;  /* attempts that ended in an error response */
   uint8_t may_have_run;
-  uint64_t software; /* version that began the stream; 0: none has */
-  uint64_t expected; /* version noted for the stream before; 0: none */
+  struct relay_hop *hop; /* NULL: from a client */
+  /* Hops of this instance's own.  */
+  uint32_t hop_tried[RELAY_HOPS_MAX]; /* instances */
+  uint32_t hop_count;
+  uint32_t hop_refusals;
+  uint8_t is_counted;      /* in the retry budget */
+  uint8_t waits_for_reach; /* until probes or other instances tell */
+  clk_ms reach_awaited_ms; /* since then; 0: not yet */
+  uint64_t software;       /* version that began the stream; 0: none has */
+  uint64_t expected;       /* version noted for the stream before; 0: none */
   uint64_t stream;   /* hash of the attempt id that began it; 0: unknown */
   uint8_t takes_up;  /* the client takes the stream up */
   uint8_t waits;     /* until its origin is known */
@@ -117,7 +138,10 @@
 extern const struct out_ops relay_upstream_ops;
 
 /* relay.c */
+struct relay *relay_new (struct router *router, struct client *client,
+                         struct http_head *head, GString *body);
 void relay_start (struct relay *relay);
+void relay_count (struct relay *relay);
 void relay_dispatch (struct relay *relay);
 void relay_send (struct relay *relay, struct reg_target *target,
                  const struct bal_choice *choice, size_t candidates);
@@ -130,6 +154,24 @@
 
 /* relay_prepare.c */
 int relay_prepare (struct relay *relay, enum relay_refusal *refusal);
+void relay_read_content (struct relay *relay, const char *host);
+clk_ms relay_read_deadline (const struct relay *relay, int64_t timeout_ms);
+
+/* relay_hop.c */
+struct reg_target *relay_pick (struct relay *relay, clk_ms now,
+                               struct bal_choice *choice, size_t *count);
+void relay_wait_for_reach (struct relay *relay);
+int relay_hop_may_help (const struct relay *relay);
+void relay_hop_begin (struct relay *relay);
+void relay_hop_append_mark (const struct relay *relay, GString *out);
+int relay_hop_read_head (struct relay *relay, const struct http_head *head);
+int relay_hop_is_final (const struct relay *relay, enum retry_fault fault);
+void relay_hop_fail (struct relay *relay, enum retry_fault fault);
+void relay_hop_check (struct relay *relay);
+
+/* relay_accept.c */
+void relay_accept_append_software (const struct relay *relay, GString *out);
+void relay_accept_append_refused (const struct relay *relay, GString *out);
 
 /* relay_fault.c */
 void relay_decide (struct relay *relay, enum retry_fault fault,
@@ -160,6 +202,7 @@
 void relay_origin_read (struct relay *relay);
 void relay_origin_resolve (struct relay *relay);
 const char *relay_origin_service (const struct relay *relay);
+int relay_origin_is_split (const struct relay *relay);
 int relay_origin_is_gone (const struct relay *relay);
 
 /* relay_log.c */
--- a/request/reach.c
+++ b/request/reach.c
@@ -33,8 +33,9 @@
                               const char *failure_domain);
 static int contains (const uint64_t *ids, uint32_t count, uint64_t id);
 
-/* Records at NOW that TARGET, one of KNOWN, could not be connected to or was
-   silent.  Returns whether this makes REACH suspect: probes are due.  */
+/* Records at NOW that TARGET, one of KNOWN, could not be connected to, broke a
+   connection or was silent.  Returns whether this makes REACH suspect: probes
+   are due.  */
 int
 reach_fail (struct reach *reach, uint64_t target, uint32_t known, clk_ms now)
 {
--- a/request/relay.c
+++ b/request/relay.c
@@ -1,4 +1,5 @@
 /* Lifecycle of a relayed request: service, attempts, timer, completion. */
+#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -9,7 +10,8 @@
 enum
 {
   /* Several round trips between failure domains.  */
-  CONNECT_TIMEOUT_MS = 300
+  CONNECT_TIMEOUT_MS = 300,
+  HOP_CHECK_MS = 250 /* between two looks whether an instance is lost */
 };
 
 /* Fraction of the configured retry ratio that each request deposits in the
@@ -20,27 +22,19 @@
 static void *on_request (struct client_listener *listener,
                          struct client *client, struct http_head *head,
                          GString *body);
-static void on_client_disconnected (struct client_listener *listener,
-                                    void *request);
-static void on_drained (struct client_listener *listener, void *request);
 static void on_timer (struct ev_loop *loop, ev_timer *timer, int events);
 static void start_attempt (struct relay *relay, struct reg_target *target);
 static void relay_free (struct relay *relay);
 
 const struct client_listener_ops relay_listener_ops
-    = { on_request, on_client_disconnected, on_drained };
+    = { on_request, relay_on_client_disconnected, relay_on_drained };
 
-/* Handles a complete request of CLIENT.  Returns the relay, which the
-   listener keeps only while the response is pending.  */
-static void *
-on_request (struct client_listener *listener, struct client *client,
-            struct http_head *head, GString *body)
+/* Returns the state of a request of CLIENT, which owns HEAD and BODY.  */
+struct relay *
+relay_new (struct router *router, struct client *client,
+           struct http_head *head, GString *body)
 {
-  struct router *router
-      = (struct router *)((char *)listener
-                          - offsetof (struct router, request_listener));
   struct relay *relay = g_new0 (struct relay, 1);
-  enum relay_refusal refusal;
 
   relay->router = router;
   relay->client = client;
@@ -51,6 +45,21 @@
   ev_timer_init (&relay->timer, on_timer, 0, 0);
   relay->timer.data = relay;
   router->open_requests++;
+  return relay;
+}
+
+/* Handles a complete request of CLIENT.  Returns the relay, which the
+   listener keeps only while the response is pending.  */
+static void *
+on_request (struct client_listener *listener, struct client *client,
+            struct http_head *head, GString *body)
+{
+  struct router *router
+      = (struct router *)((char *)listener
+                          - offsetof (struct router, request_listener));
+  struct relay *relay = relay_new (router, client, head, body);
+  enum relay_refusal refusal;
+
   metric_inc (METRIC_REQUESTS);
   if (!relay_prepare (relay, &refusal))
     {
@@ -78,11 +87,25 @@
                                                 : RELAY_NO_TARGET);
       return;
     }
-  retry_budget_deposit (router_retry_budget (router, relay->service),
-                        router->settings->retry_ratio * RETRY_RATIO_FRACTION);
+  if (router_reach_state (router, relay->service) != REACH_CUT_OFF)
+    relay_count (relay);
   relay_dispatch (relay);
 }
 
+/* Counts RELAY in the retry budget, once at all instances: at that which sends
+   it to targets.  */
+void
+relay_count (struct relay *relay)
+{
+  struct router *router = relay->router;
+
+  if (!relay->is_counted)
+    retry_budget_deposit (router_retry_budget (router, relay->service),
+                          router->settings->retry_ratio
+                              * RETRY_RATIO_FRACTION);
+  relay->is_counted = 1;
+}
+
 /* Chooses a target for RELAY and starts an attempt there, or refuses the
    request if there is none.  */
 void
@@ -105,8 +128,10 @@
                                                : RELAY_QUARANTINED);
       return;
     }
-  target = relay_choose_target (relay, now, &choice, &count);
-  if (target != NULL)
+  target = relay_pick (relay, now, &choice, &count);
+  if (relay->waits_for_reach)
+    relay_wait_for_reach (relay);
+  else if (target != NULL)
     relay_send (relay, target, &choice, count);
   else
     {
@@ -115,7 +140,8 @@
         relay_refuse (relay, RELAY_TARGET_FAILED);
       else
         relay_refuse (
-            relay, choice.reason == BAL_ALL_FULL        ? RELAY_ALL_FULL
+            relay, relay->hop_refusals > 0              ? RELAY_HOP_REFUSED
+                   : choice.reason == BAL_ALL_FULL      ? RELAY_ALL_FULL
                    : choice.reason == BAL_RATES_USED_UP ? RELAY_RATES_USED_UP
                    : relay_origin_is_gone (relay)       ? RELAY_VERSION_GONE
                                                         : RELAY_NO_TARGET);
@@ -130,7 +156,7 @@
 {
   struct router *router = relay->router;
 
-  if (relay->context != 0
+  if (relay->context != 0 && !target->is_peer
       && affinity_record (router->affinity, relay->context, target->hash,
                           clk_now (clk_monotonic ())))
     fleet_announce_holder (router->fleet, relay->context, target->hash);
@@ -157,10 +183,16 @@
   relay->attempt.target = target;
   relay->attempt.software = target->software;
   reg_request_start (target);
-  fleet_count_request (router->fleet, target);
   relay->attempt.is_trial = (uint8_t)health_begin_request (&target->health);
-  relay_mark_tried (relay);
-  relay_origin_expect (relay);
+  if (target->is_peer)
+    relay_hop_begin (relay);
+  else
+    {
+      relay_count (relay);
+      fleet_count_request (router->fleet, target);
+      relay_mark_tried (relay);
+      relay_origin_expect (relay);
+    }
   /* On a kept connection, an earlier response to the same request could come
      once more; the attempt id would not tell it from the new one.  */
   request.force_new_connection
@@ -178,8 +210,13 @@
   relay->sends++;
   request.head = relay_build_request_head (relay, now);
   metric_inc (METRIC_ATTEMPTS);
+  relay->attempt.is_final = 0;
   relay->attempt.call
       = out_call_start (&router->pool, &request, &relay_upstream_ops, relay);
+  relay->attempt.is_new_connection
+      = relay->attempt.call != NULL
+            ? !out_call_reused_connection (relay->attempt.call)
+            : errno != EMFILE && errno != ENFILE;
   relay_arm_timer (relay);
   if (relay->attempt.call != NULL)
     return;
@@ -248,6 +285,8 @@
     expires_ms = MIN (expires_ms, relay->kept_until_ms);
   else if (relay->attempt.is_silent)
     expires_ms = MIN (expires_ms, relay->look_again_ms);
+  else if (relay->attempt.target != NULL && relay->attempt.target->is_peer)
+    expires_ms = MIN (expires_ms, now + HOP_CHECK_MS);
   else if (read_timeout_ms > 0 && !relay->attempt.is_paused
            && relay->attempt.last_received_ms + read_timeout_ms < expires_ms)
     expires_ms = relay->attempt.last_received_ms + read_timeout_ms;
@@ -269,6 +308,11 @@
 
   (void)loop;
   (void)events;
+  if (relay->waits_for_reach)
+    {
+      relay_dispatch (relay);
+      return;
+    }
   if (relay->waits)
     {
       relay_origin_resolve (relay);
@@ -287,6 +331,8 @@
         relay_handle_fault (relay, RETRY_FAULT_REJECTED);
       else if (relay->kept.target != NULL)
         relay_end_overlap (relay);
+      else if (relay->attempt.target->is_peer)
+        relay_hop_check (relay);
       else
         relay_handle_silence (relay);
       return;
@@ -300,8 +346,8 @@
 }
 
 /* Handles a client that has disconnected: cancels the attempt.  */
-static void
-on_client_disconnected (struct client_listener *listener, void *request)
+void
+relay_on_client_disconnected (struct client_listener *listener, void *request)
 {
   struct relay *relay = request;
 
@@ -314,8 +360,8 @@
 
 /* Handles a client that has read its pending output: resumes reading from
    the target.  */
-static void
-on_drained (struct client_listener *listener, void *request)
+void
+relay_on_drained (struct client_listener *listener, void *request)
 {
   struct relay *relay = request;
 
@@ -354,5 +400,8 @@
   if (relay->body != NULL)
     g_string_free (relay->body, TRUE);
   relay_attempt_clear (&relay->attempt);
+  if (relay->hop != NULL)
+    relay->router->open_hops--;
+  g_free (relay->hop);
   g_free (relay);
 }
--- a/request/relay_fault.c
+++ b/request/relay_fault.c
@@ -4,7 +4,6 @@
 
 enum
 {
-  CONNECT_FAILURES_MAX = 4,
   /* For requests that may run more than once.  */
   SENDS_PER_TARGET = 2
 };
@@ -70,7 +69,9 @@
   decision->action = RETRY_GIVE_UP;
   decision->reason = RETRY_REASON_ATTEMPTS;
   if ((relay->head_sent && !relay->head_is_stream)
-      || relay->connect_failures >= CONNECT_FAILURES_MAX)
+      || (relay->connect_failures >= RELAY_CONNECT_FAILURES_MAX
+          && !relay_hop_may_help (relay))
+      || relay_hop_is_final (relay, fault))
     return;
   retry_decide (&state, router_retry_budget (relay->router, relay->service),
                 clk_now (clk_monotonic ()), decision);
@@ -81,12 +82,21 @@
 static void
 record_fault (struct relay *relay, enum retry_fault fault)
 {
+  const struct reg_target *target = relay->attempt.target;
+
+  if (target->is_peer)
+    relay_hop_fail (relay, fault);
+  else if (fault == RETRY_FAULT_DISCONNECTED
+           || (fault == RETRY_FAULT_CONNECT
+               && relay->attempt.is_new_connection))
+    router_reach_fail (relay->router, target);
   relay_parts_suspect (relay, fault);
   if (fault == RETRY_FAULT_CONNECT)
     {
       relay->sends--;
       relay->connect_failures++;
-      relay_mark_unreachable (relay);
+      if (!target->is_peer)
+        relay_mark_unreachable (relay);
     }
   else if (fault != RETRY_FAULT_REJECTED)
     relay->may_have_run = 1;
@@ -131,6 +141,7 @@
          enum retry_fault fault)
 {
   enum relay_refusal refusal = RELAY_TARGET_FAILED;
+  int is_hop = relay->attempt.target->is_peer;
 
   /* The target's error response is passed on to the client.  */
   if (fault == RETRY_FAULT_ERROR_STATUS && !relay->head_sent)
@@ -140,8 +151,9 @@
     }
   relay_end_attempt (relay, health_event_of (relay, fault));
   if (!relay->may_have_run)
-    refusal = fault == RETRY_FAULT_REJECTED ? RELAY_TARGET_FULL
-                                            : RELAY_NO_CONNECTION;
+    refusal = fault != RETRY_FAULT_REJECTED ? RELAY_NO_CONNECTION
+              : is_hop                      ? RELAY_HOP_REFUSED
+                                            : RELAY_TARGET_FULL;
   else if (decision->reason == RETRY_REASON_BUDGET)
     refusal = RELAY_RETRY_BUDGET;
   relay_refuse (relay, refusal);
--- a/request/relay_log.c
+++ b/request/relay_log.c
@@ -24,6 +24,7 @@
   [BAL_NO_TARGET] = METRIC_DENIED_DOWN,
   [BAL_ALL_FULL] = METRIC_DENIED_BOUND,
   [BAL_RATES_USED_UP] = METRIC_DENIED_RATE,
+  [BAL_HOP] = METRIC_HOPS_SENT,
 };
 
 /* Reasons not to make another attempt. */
--- a/request/relay_origin.c
+++ b/request/relay_origin.c
@@ -163,6 +163,13 @@
   return 0;
 }
 
+/* Returns whether requests of RELAY's route go to several services.  */
+int
+relay_origin_is_split (const struct relay *relay)
+{
+  return is_split (relay->route);
+}
+
 /* Returns whether requests of ROUTE go to several services.  */
 static int
 is_split (const struct rt_route *route)
--- a/request/relay_parts.c
+++ b/request/relay_parts.c
@@ -58,7 +58,7 @@
   uint64_t parts[QUAR_PARTS_MAX];
   uint32_t count = list_parts (relay, parts);
 
-  if (relay->attempt.parts_succeeded)
+  if (relay->attempt.parts_succeeded || relay->attempt.target->is_peer)
     return;
   relay->attempt.parts_succeeded = 1;
   fleet_report_success (relay->router->fleet, parts, count);
@@ -69,7 +69,7 @@
 void
 relay_request_survived (struct relay *relay)
 {
-  if (!relay->attempt.parts_succeeded)
+  if (!relay->attempt.parts_succeeded && !relay->attempt.target->is_peer)
     fleet_report_success (relay->router->fleet, &relay->fingerprint, 1);
 }
 
@@ -82,7 +82,7 @@
   struct quar_crash crash = { .ended_ms = clk_now (clk_monotonic ()),
                               .strength = strength_of (relay) };
 
-  if (relay->attempt.parts_succeeded || target == NULL
+  if (relay->attempt.parts_succeeded || target == NULL || target->is_peer
       || (fault != RETRY_FAULT_DISCONNECTED
           && fault != RETRY_FAULT_READ_TIMEOUT))
     return;
--- a/request/relay_prepare.c
+++ b/request/relay_prepare.c
@@ -18,7 +18,6 @@
 
 static int64_t expected_duration_ms (const struct relay *relay);
 static int authenticate (struct relay *relay);
-static void set_deadline (struct relay *relay);
 static void read_prompt (struct relay *relay);
 static void set_fingerprint (struct relay *relay, const char *host);
 
@@ -48,9 +47,8 @@
   *refusal = RELAY_UNKNOWN_KEY;
   if (!authenticate (relay))
     return 0;
-  set_deadline (relay);
-  read_prompt (relay);
-  set_fingerprint (relay, host);
+  relay->deadline_ms = relay_read_deadline (relay, relay->route->timeout_ms);
+  relay_read_content (relay, host);
   *refusal = RELAY_STOPPING;
   if (!router_may_start (router, expected_duration_ms (relay)))
     return 0;
@@ -91,18 +89,27 @@
   return relay->customer != NULL || relay->route->allows_anonymous;
 }
 
-/* Sets RELAY's deadline to the earlier of the client's and the route's.  */
-static void
-set_deadline (struct relay *relay)
+/* Returns RELAY's deadline, the earlier of the client's and that of its route,
+   which is TIMEOUT_MS after its arrival, 0 for none.  */
+clk_ms
+relay_read_deadline (const struct relay *relay, int64_t timeout_ms)
 {
   const char *value = http_head_get (
       relay->head, relay->router->dialect->field[DIALECT_DEADLINE_MS]);
   int64_t ms = value ? g_ascii_strtoll (value, NULL, DECIMAL_BASE) : INT64_MAX;
 
-  if (relay->route->timeout_ms > 0 && relay->route->timeout_ms < ms)
-    ms = relay->route->timeout_ms;
-  if (ms < INT64_MAX)
-    relay->deadline_ms = relay->arrived_ms + ms;
+  if (timeout_ms > 0 && timeout_ms < ms)
+    ms = timeout_ms;
+  return ms < INT64_MAX ? relay->arrived_ms + ms : INT64_MAX;
+}
+
+/* Reads what identifies RELAY, a request to HOST: its prompt, and a
+   fingerprint of all of it.  */
+void
+relay_read_content (struct relay *relay, const char *host)
+{
+  read_prompt (relay);
+  set_fingerprint (relay, host);
 }
 
 /* Keeps the shared parts of RELAY's prompt, which are all but the last, hashes
--- a/request/relay_refuse.c
+++ b/request/relay_refuse.c
@@ -40,6 +40,7 @@
   = { "quarantined", METRIC_REFUSED_QUARANTINED, 503, 60000 },
   [RELAY_RATES_USED_UP] = { "rates_used_up", METRIC_REFUSED_RATE, 503, 400 },
   [RELAY_ORIGIN_UNKNOWN] = { "origin_unknown", METRIC_REFUSED_ORIGIN, 503, 0 },
+  [RELAY_HOP_REFUSED] = { "hop_refused", METRIC_REFUSED_HOP, 503, 200 },
   [RELAY_VERSION_GONE]
   = { "version_gone", METRIC_REFUSED_VERSION_GONE, 503, 0 }
 };
@@ -54,7 +55,7 @@
   int64_t wait_ms = refusal == RELAY_QUARANTINED
                         ? relay->retry_after_ms
                         : refusals[refusal].retry_after_ms;
-  char field[64] = "";
+  GString *fields = g_string_new (NULL);
 
   metric_inc (refusals[refusal].counter);
   relay->client = NULL;
@@ -69,11 +70,14 @@
           wait_ms
               += g_rand_int_range (relay->router->random, 0,
                                    (gint32)wait_ms / RETRY_JITTER_DIVISOR + 1);
-          g_snprintf (field, sizeof field, "%s: %.3f\r\n",
-                      relay->router->dialect->field[DIALECT_RETRY_AFTER],
-                      (double)wait_ms / CLK_MS_PER_S);
+          g_string_printf (fields, "%s: %.3f\r\n",
+                           relay->router->dialect->field[DIALECT_RETRY_AFTER],
+                           (double)wait_ms / CLK_MS_PER_S);
         }
-      client_respond (client, refusals[refusal].status, field, NULL, 0);
+      if (relay->hop != NULL)
+        relay_accept_append_refused (relay, fields);
+      client_respond (client, refusals[refusal].status, fields->str, NULL, 0);
     }
+  g_string_free (fields, TRUE);
   relay_finish (relay, refusals[refusal].name);
 }
--- a/request/relay_request.c
+++ b/request/relay_request.c
@@ -4,6 +4,7 @@
 #include "librelay.h"
 
 static int is_forwarded (const struct relay *relay, const char *name);
+static void append_target_fields (const struct relay *relay, GString *out);
 static void append_field (GString *out, const char *name, const char *value);
 
 /* Returns the newly allocated start line and header fields for RELAY's
@@ -24,10 +25,10 @@
     g_string_append_printf (out, "%s: %" G_GINT64_FORMAT "\r\n",
                             field[DIALECT_DEADLINE_MS],
                             (gint64)MAX (relay->deadline_ms - now, 1));
-  append_field (out, field[DIALECT_EXPECTED_TARGET],
-                relay->attempt.target->id);
-  if (relay->customer != NULL)
-    append_field (out, field[DIALECT_CUSTOMER], relay->customer->name);
+  if (relay->attempt.target->is_peer)
+    relay_hop_append_mark (relay, out);
+  else
+    append_target_fields (relay, out);
   if (relay->events.forwarded > 0)
     append_field (out, field[DIALECT_RESUME_AFTER], relay->events.last_id);
   if (relay->body != NULL || strcmp (head->method, "POST") == 0
@@ -38,13 +39,26 @@
   return out;
 }
 
+/* Appends to OUT the fields that only a target gets.  */
+static void
+append_target_fields (const struct relay *relay, GString *out)
+{
+  const char *const *field = relay->router->dialect->field;
+
+  append_field (out, field[DIALECT_EXPECTED_TARGET],
+                relay->attempt.target->id);
+  if (relay->customer != NULL)
+    append_field (out, field[DIALECT_CUSTOMER], relay->customer->name);
+}
+
 /* Returns whether the client's field NAME is forwarded to the target.  */
 static int
 is_forwarded (const struct relay *relay, const char *name)
 {
   const struct dialect *dialect = relay->router->dialect;
 
-  if (http_is_hop_by_hop (relay->head, name))
+  if (http_is_hop_by_hop (relay->head, name)
+      || g_ascii_strcasecmp (name, hop_field) == 0)
     return 0;
   if (g_ascii_strcasecmp (name, dialect->field[DIALECT_DEADLINE_MS]) == 0
       || g_ascii_strcasecmp (name, dialect->field[DIALECT_CREDENTIAL]) == 0)
--- a/request/relay_response.c
+++ b/request/relay_response.c
@@ -14,6 +14,7 @@
 static int on_data (void *owner, const char *data, size_t length);
 static void on_end (void *owner);
 static void on_fail (void *owner, enum out_fault fault);
+static void on_connected (void *owner);
 static int buffer_body (struct relay *relay, const char *data, size_t length);
 static void record_load (struct relay *relay, const struct http_head *head);
 static void record_rate (struct relay *relay, const struct http_head *head);
@@ -24,7 +25,7 @@
 static void handle_complete_response (struct relay *relay);
 
 const struct out_ops relay_upstream_ops
-    = { on_head, on_data, on_end, on_fail };
+    = { on_head, on_data, on_end, on_fail, on_connected };
 
 static const enum retry_fault retry_faults[OUT_FAULT_COUNT]
     = { [OUT_NOT_SENT] = RETRY_FAULT_CONNECT,
@@ -46,15 +47,22 @@
   relay->attempt.length = length;
   relay->attempt.is_invalid
       = !relay_matches_request (relay, relay->attempt.call, head);
-  relay->attempt.not_run
-      = !relay->attempt.is_invalid && relay_is_not_run (relay, head);
+  if (relay->attempt.target->is_peer)
+    relay->attempt.is_invalid |= relay_hop_read_head (relay, head) != 0;
+  else
+    relay->attempt.not_run
+        = !relay->attempt.is_invalid && relay_is_not_run (relay, head);
   relay->attempt.is_event_stream
       = http_is_success (head->status) && relay->route->kind == RT_STREAM
         && type != NULL && g_str_has_prefix (type, "text/event-stream");
   if (relay->attempt.is_invalid)
     return -1;
-  record_load (relay, head);
-  record_rate (relay, head);
+  if (!relay->attempt.target->is_peer)
+    {
+      router_reach_respond (relay->router, relay->attempt.target);
+      record_load (relay, head);
+      record_rate (relay, head);
+    }
   if (!relay->head_sent)
     copy_fields (relay, head);
   relay_handle_progress (relay);
@@ -126,6 +134,16 @@
   handle_complete_response (relay);
 }
 
+/* Handles a new connection for the current attempt.  */
+static void
+on_connected (void *owner)
+{
+  struct relay *relay = owner;
+
+  if (!relay->attempt.target->is_peer)
+    router_reach_establish (relay->router, relay->attempt.target);
+}
+
 /* Handles a response that is missing or incomplete.  If the target said in the
    head that it did not run the request, the rest does not matter.  */
 static void
@@ -211,6 +229,8 @@
   relay_drop_kept (relay, HEALTH_EVENT_COUNT);
   relay->head_sent = 1;
   relay->head_is_stream = relay->attempt.is_event_stream;
+  if (relay->hop != NULL)
+    relay_accept_append_software (relay, relay->attempt.response_fields);
   client_send_head (relay->client, relay->attempt.status,
                     relay->attempt.response_fields->str, length);
   if (relay->attempt.buffered_body == NULL
@@ -322,7 +342,8 @@
       const char *name = http_head_name (head, i);
 
       if (http_is_hop_by_hop (head, name)
-          || g_ascii_strcasecmp (name, load) == 0)
+          || g_ascii_strcasecmp (name, load) == 0
+          || g_ascii_strcasecmp (name, hop_field) == 0)
         continue;
       g_string_append_printf (relay->attempt.response_fields, "%s: %s\r\n",
                               name, http_head_value (head, i));
--- a/request/relay_silence.c
+++ b/request/relay_silence.c
@@ -26,7 +26,8 @@
 static void on_end (void *owner);
 static void on_fail (void *owner, enum out_fault fault);
 
-static const struct out_ops kept_ops = { on_head, on_data, on_end, on_fail };
+static const struct out_ops kept_ops
+    = { on_head, on_data, on_end, on_fail, NULL };
 
 /* Looks for a replacement of the current attempt, which is past its read
    timeout.  The attempt goes on, beside its replacement or alone.  */
@@ -42,7 +43,8 @@
 
   if (is_first)
     begin_silence (relay, now);
-  target = relay_choose_target (relay, now, &choice, &count);
+  target = relay_pick (relay, now, &choice, &count);
+  relay->waits_for_reach = 0;
   if (target == NULL)
     {
       wait_on (relay, RETRY_REASON_NO_TARGET, now, is_first);
@@ -77,6 +79,8 @@
   relay->may_have_run = 1;
   relay_parts_suspect (relay, RETRY_FAULT_READ_TIMEOUT);
   metric_inc (retry_counters[RETRY_FAULT_READ_TIMEOUT]);
+  if (!relay->attempt.is_new_connection)
+    router_reach_fail (relay->router, relay->attempt.target);
   health_record (&relay->attempt.target->health, HEALTH_TIMED_OUT, now);
 }
 
--- a/version/storecall.c
+++ b/version/storecall.c
@@ -34,7 +34,8 @@
 static void on_timer (struct ev_loop *loop, ev_timer *timer, int events);
 static void finish (struct store_call *call, uint32_t status);
 
-static const struct out_ops call_ops = { on_head, on_data, on_end, on_fail };
+static const struct out_ops call_ops
+    = { on_head, on_data, on_end, on_fail, NULL };
 
 /* Sends REQUEST.  DONE is called with CLOSURE once, within the timeout, unless
    the call is canceled.  Returns NULL if no connection could be started; the
