Let the share of targets that accept probes decide on a cut

One target that accepted a connection ended each suspicion and each cut, so that instances flapped and sent all to that one.

Change: a suspicion ends if half of the first probes succeed, or a quarter of all; a cut ends if most of a round of eight do. Suspicions are a second apart, and one that is refuted ends no suspension of targets. Failures at half of the targets lead to probes even if the others accept connections.

--- a/include/ibisloom/reach.h
+++ b/include/ibisloom/reach.h
@@ -9,7 +9,7 @@
 
 enum
 {
-  REACH_FAILED_MAX = 4,
+  REACH_FAILED_MAX = 8,
   REACH_PROBED_MAX = 8
 };
 
@@ -17,7 +17,7 @@
 {
   REACH_OPEN,
   REACH_SUSPECT, /* several targets failed; probes of others decide */
-  REACH_CUT_OFF, /* no target can be connected to */
+  REACH_CUT_OFF, /* hardly any target can be connected to, or none */
   REACH_STATE_COUNT
 };
 
@@ -41,30 +41,33 @@
 struct reach
 {
   enum reach_state state;
-  clk_ms changed_ms; /* time of the last change of state */
-  /* Targets that failed since a connection to one was last established.  */
-  uint64_t failed[REACH_FAILED_MAX];
+  uint64_t failed[REACH_FAILED_MAX]; /* targets, within FAILED_MS */
   clk_ms failed_ms[REACH_FAILED_MAX];
   uint32_t failed_count;
-  uint64_t probed[REACH_PROBED_MAX]; /* since it became suspect */
+  uint32_t fresh_count; /* of these, since a connection was established */
+  uint64_t probed[REACH_PROBED_MAX]; /* targets, since it became suspect */
   uint32_t probed_count;
-  uint32_t round;      /* of probes, since it became suspect */
-  uint32_t probing;    /* probes in progress */
-  clk_ms probed_ms;    /* start of the last round, 0: none */
-  clk_ms succeeded_ms; /* last response or connection, 0: none */
+  uint32_t round;       /* of probes, since it became suspect */
+  uint32_t probing;     /* probes in progress */
+  uint32_t probes;      /* that count for the next decision */
+  uint32_t successes;   /* of these */
+  uint8_t is_returning; /* cut off, and a connection was established */
+  clk_ms doubted_ms;    /* last time that it became suspect, 0: none */
+  clk_ms probed_ms;     /* start of the last round, 0: none */
+  clk_ms succeeded_ms;  /* last response or connection, 0: none */
 };
 
 int reach_fail (struct reach *reach, uint64_t target, uint32_t known,
                 clk_ms now);
-int reach_establish (struct reach *reach, clk_ms now);
+void reach_establish (struct reach *reach, clk_ms now);
 void reach_respond (struct reach *reach, clk_ms now);
 uint32_t reach_probes_due (const struct reach *reach, clk_ms now);
 size_t reach_choose_probes (struct reach *reach,
                             const struct reach_candidate *candidates,
                             size_t count, uint32_t random, uint32_t wanted,
                             size_t *chosen, clk_ms now);
-void reach_probe_end (struct reach *reach);
-int reach_probe_fail (struct reach *reach, clk_ms now);
+int reach_probe_end (struct reach *reach, int succeeded, clk_ms now);
+int reach_round_end (struct reach *reach);
 enum reach_answer reach_answer (const struct reach *reach, clk_ms now);
 
 extern const char *const reach_state_names[REACH_STATE_COUNT];
--- a/process/router_reach.c
+++ b/process/router_reach.c
@@ -33,6 +33,7 @@
   GQueue probes; /* of struct reach_probe, in progress */
   ev_timer tick;
   clk_ms needed_ms; /* last request, while not open */
+  uint8_t was_cut_off;
 };
 
 /* Connection attempt to a target. */
@@ -52,8 +53,8 @@
 static void start_probe (struct router_reach *owner,
                          const struct sockaddr_in *address, clk_ms now);
 static void on_probed (void *closure, enum probe_result result);
-static void handle_probe_failure (struct router_reach *owner, clk_ms now);
-static void establish (struct router_reach *owner, clk_ms now);
+static void handle_round (struct router_reach *owner, int has_changed,
+                          clk_ms now);
 static void wake (struct router_reach *owner, clk_ms now);
 static void on_tick (struct ev_loop *loop, ev_timer *timer, int events);
 static uint32_t hops_in_progress (const struct router_reach *owner);
@@ -158,7 +159,8 @@
 void
 router_reach_establish (struct router *router, const struct reg_target *target)
 {
-  establish (get_reach (router, target->service), clk_now (clk_monotonic ()));
+  reach_establish (&get_reach (router, target->service)->reach,
+                   clk_now (clk_monotonic ()));
 }
 
 /* Records that TARGET has responded.  */
@@ -169,19 +171,6 @@
                  clk_now (clk_monotonic ()));
 }
 
-/* Records that a connection was established.  If that ends a time of being cut
-   off, the targets are no longer suspended for it.  */
-static void
-establish (struct router_reach *owner, clk_ms now)
-{
-  enum reach_state state = owner->reach.state;
-
-  if (reach_establish (&owner->reach, now))
-    reg_end_suspensions (owner->router->registry, owner->service);
-  if (owner->reach.state != state)
-    log_change (owner, now);
-}
-
 /* Logs that the reach of OWNER has changed.  */
 static void
 log_change (const struct router_reach *owner, clk_ms now)
@@ -230,7 +219,7 @@
   g_array_free (candidates, TRUE);
   g_ptr_array_free (targets, TRUE);
   if (count == 0)
-    handle_probe_failure (owner, now);
+    handle_round (owner, reach_round_end (&owner->reach), now);
 }
 
 /* Returns the targets of OWNER's service that may be probed, and stores them
@@ -273,7 +262,7 @@
       return;
     }
   g_free (probe);
-  handle_probe_failure (owner, now);
+  handle_round (owner, reach_probe_end (&owner->reach, 0, now), now);
 }
 
 /* Handles the RESULT of a probe.  */
@@ -286,22 +275,27 @@
 
   g_queue_remove (&owner->probes, probe);
   g_free (probe);
-  if (result == PROBE_ACCEPTED)
-    {
-      reach_probe_end (&owner->reach);
-      establish (owner, now);
-    }
-  else
-    handle_probe_failure (owner, now);
+  handle_round (owner,
+                reach_probe_end (&owner->reach, result == PROBE_ACCEPTED, now),
+                now);
 }
 
-/* Handles a probe that failed: the next round, or the decision.  */
+/* Goes on at NOW when a probe has ended, by which the reach HAS_CHANGED or
+   not.  After a time of being cut off, the targets are no longer suspended for
+   what was no fault of theirs.  */
 static void
-handle_probe_failure (struct router_reach *owner, clk_ms now)
+handle_round (struct router_reach *owner, int has_changed, clk_ms now)
 {
-  if (reach_probe_fail (&owner->reach, now))
+  if (has_changed)
     log_change (owner, now);
-  else if (owner->reach.state == REACH_SUSPECT)
+  if (has_changed && owner->reach.state == REACH_CUT_OFF)
+    owner->was_cut_off = 1;
+  else if (has_changed && owner->was_cut_off)
+    {
+      owner->was_cut_off = 0;
+      reg_end_suspensions (owner->router->registry, owner->service);
+    }
+  if (owner->reach.state == REACH_SUSPECT || owner->reach.is_returning)
     start_probes (owner, now);
 }
 
