--- a/tests/router_fixture.c
+++ b/tests/router_fixture.c
@@ -449,6 +449,14 @@
   return fx_connect_port (fx_env.routers[index].request_port);
 }
 
+/* Returns a connection to the listener of router INDEX for instances, or -1.
+ */
+int
+fx_router_connect_peer (int index)
+{
+  return fx_connect_port (fx_env.routers[index].peer_port);
+}
+
 /* Returns a connection to the request listener of the first router, or -1.  */
 int
 fx_connect (void)
--- a/tests/router_fixture.h
+++ b/tests/router_fixture.h
@@ -40,6 +40,7 @@
 int fx_router_is_ready (int index);
 int fx_router_listens (int index);
 int fx_router_connect (int index);
+int fx_router_connect_peer (int index); /* as an instance does */
 long fx_router_metric (int index, const char *name);
 long fx_router_peak_kb (int index); /* its largest memory so far */
 
