--- a/request/relay_log.c
+++ b/request/relay_log.c
@@ -202,6 +202,8 @@
   log_text (&line, "customer", relay->customer ? relay->customer->name : NULL);
   log_number (&line, "status", relay->attempt.status);
   log_number (&line, "sends", relay->sends);
+  if (relay->hop_count > 0)
+    log_number (&line, "hops", relay->hop_count);
   log_number (&line, "events", relay->events.forwarded);
   log_text (&line, "resumes", http_head_get (relay->head, field));
   log_number (&line, "may_have_run", relay->may_have_run);
