--- a/include/ibisloom/wire.h
+++ b/include/ibisloom/wire.h
@@ -46,6 +46,8 @@
   WIRE_ORIGIN_QUERY,      /* asks which version began a stream */
   WIRE_VERSIONS,          /* which versions of a service were seen */
   WIRE_VERSION_QUERY,     /* asks which were */
+  WIRE_REACH_QUERY,       /* asks whether a service is reached */
+  WIRE_REACH,             /* whether the sender reaches a service */
   WIRE_KIND_COUNT
 };
 
@@ -260,6 +262,21 @@
   struct wire_seen_version version[WIRE_VERSIONS_MAX];
 };
 
+/* Question of whether the receiver reaches the targets of SERVICE. */
+struct wire_reach_query
+{
+  uint64_t service; /* hash of its name */
+};
+
+/* Answer to it. */
+struct wire_reach
+{
+  uint64_t service;
+  uint8_t answer; /* enum reach_answer */
+  uint32_t load;  /* requests in progress at the sender */
+  uint64_t token; /* that hops to the sender have to bear */
+};
+
 struct wire_message
 {
   enum wire_kind kind;
@@ -285,6 +302,8 @@
     struct wire_origin_query origin_query;
     struct wire_versions versions;
     struct wire_version_query version_query;
+    struct wire_reach_query reach_query;
+    struct wire_reach reach;
   } u;
 };
 
--- a/process/fleet.c
+++ b/process/fleet.c
@@ -196,6 +196,12 @@
     case WIRE_VERSION_QUERY:
       fleet_answer_versions (fleet, peer, &message->u.version_query);
       break;
+    case WIRE_REACH_QUERY:
+      fleet_answer_reach (fleet, peer, &message->u.reach_query);
+      break;
+    case WIRE_REACH:
+      fleet_apply_reach (fleet, peer, &message->u.reach);
+      break;
     default:
       break;
     }
--- a/request/relay_log.c
+++ b/request/relay_log.c
@@ -24,6 +24,7 @@
   [BAL_NO_TARGET] = METRIC_DENIED_DOWN,
   [BAL_ALL_FULL] = METRIC_DENIED_BOUND,
   [BAL_RATES_USED_UP] = METRIC_DENIED_RATE,
+  [BAL_HOP] = METRIC_HOPS_SENT,
 };
 
 /* Reasons not to make another attempt. */
@@ -201,6 +202,8 @@
   log_text (&line, "customer", relay->customer ? relay->customer->name : NULL);
   log_number (&line, "status", relay->attempt.status);
   log_number (&line, "sends", relay->sends);
+  if (relay->hop_count > 0)
+    log_number (&line, "hops", relay->hop_count);
   log_number (&line, "events", relay->events.forwarded);
   log_text (&line, "resumes", http_head_get (relay->head, field));
   log_number (&line, "may_have_run", relay->may_have_run);
