--- a/tests/test_brittle.c
+++ b/tests/test_brittle.c
@@ -10,17 +10,14 @@
 
 enum
 {
-  ROUTERS = 4,
-  TARGETS = 8,
+  TARGETS_MAX = 8,
   CLIENTS = 100,
   CALM_MS = 500,
   CONTACT_MS = 3000, /* from the word until less may wait */
   MEASURED_MS = 5000,
-  SLOTS = 2,
   QUEUE = 4,
   WORK_MS = 60,
   BACK_MS = 3000,
-  REJECTIONS_MAX = 3,
   FALLS_MAX = 2, /* and a tenth of the number of targets */
   FALLS_DIVISOR = 10
 };
@@ -33,6 +30,8 @@
 static void calls_beyond_the_room (void);
 static void streams_beyond_the_room (void);
 static void less_room_than_slots (void);
+static void more_instances_than_targets (void);
+static void few_rejections_allowed (void);
 
 static const struct test_case cases[] = {
   { "calls that fit make no brittle target fall", calls_that_fit },
@@ -43,20 +42,29 @@
     streams_beyond_the_room },
   { "brittle targets that take less than their slots do not fall",
     less_room_than_slots },
+  { "many instances make none of few brittle targets fall",
+    more_instances_than_targets },
+  { "targets that may turn away one request in a second do not fall",
+    few_rejections_allowed },
 };
 
 TEST_MAIN ("brittle", cases)
 
-/* What clients send. */
-struct load
+/* Fleet, targets and what clients send. */
+struct setup
 {
-  const char *service;
-  const char *path;
+  int routers;
+  int targets;
+  int slots;
+  int entry_slots; /* told, while SLOTS is true */
+  int rejections_max;
+  int events; /* 0: plain calls */
   int per_s;
 };
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
-static struct load load;
+static struct setup setup;
+static struct brittle_counts before; /* the room shrank */
 static gint64 started_us;
 static gint stopping;
 static gint measuring;
@@ -73,8 +81,8 @@
       "r%d\r\n"
       "X-Ibisloom-Deadline-Remaining: 3000\r\nAuthorization: Token key-1\r\n"
       "Content-Length: 0\r\nConnection: close\r\n\r\n",
-      load.path, number);
-  int fd = fx_router_connect (number % ROUTERS);
+      setup.events > 0 ? "/rules/1" : "/fee/1", number);
+  int fd = fx_router_connect (number % setup.routers);
   char *response;
   int is_served;
 
@@ -97,7 +105,7 @@
     {
       int number = g_atomic_int_add (&numbers, 1);
       gint64 due_us
-          = started_us + (gint64)number * G_USEC_PER_SEC / load.per_s;
+          = started_us + (gint64)number * G_USEC_PER_SEC / setup.per_s;
       gint64 early_us = due_us - g_get_monotonic_time ();
       int counted;
       int is_served;
@@ -119,14 +127,35 @@
              const struct brittle_script *script)
 {
   fx_store_start (shop_config);
-  for (int i = 0; i < TARGETS; i++)
+  for (int i = 0; i < setup.targets; i++)
     {
       char *id = g_strdup_printf ("t-%d", i);
 
-      targets[i] = brittle_target_add (id, load.service, script);
+      targets[i] = brittle_target_add (id, setup.events > 0 ? "pool" : "desk",
+                                       script);
       g_free (id);
     }
-  fx_routers_start (ROUTERS);
+  fx_routers_start (setup.routers);
+}
+
+/* Returns what happened at all TARGETS since the room shrank, and all falls.
+ */
+static struct brittle_counts
+add_counts (struct brittle_target **targets)
+{
+  struct brittle_counts sum = { 0 };
+
+  for (int i = 0; i < setup.targets; i++)
+    {
+      struct brittle_counts counts = brittle_target_counts (targets[i]);
+
+      sum.arrivals += counts.arrivals;
+      sum.rejections += counts.rejections;
+      sum.falls += counts.falls;
+    }
+  sum.arrivals -= before.arrivals;
+  sum.rejections -= before.rejections;
+  return sum;
 }
 
 /* Sends requests while the targets say that they are brittle and then let no
@@ -136,6 +165,7 @@
 {
   pthread_t clients[CLIENTS];
 
+  before = (struct brittle_counts){ 0 };
   sent = 0;
   served = 0;
   g_atomic_int_set (&stopping, 0);
@@ -144,10 +174,11 @@
   for (int i = 0; i < CLIENTS; i++)
     pthread_create (&clients[i], NULL, send_requests, NULL);
   fx_sleep_ms (CALM_MS);
-  for (int i = 0; i < TARGETS; i++)
-    brittle_target_say (targets[i], REJECTIONS_MAX);
+  for (int i = 0; i < setup.targets; i++)
+    brittle_target_say (targets[i], setup.rejections_max);
   fx_sleep_ms (CONTACT_MS);
-  for (int i = 0; i < TARGETS; i++)
+  before = add_counts (targets);
+  for (int i = 0; i < setup.targets; i++)
     brittle_target_set_queue (targets[i], 0);
   g_atomic_int_set (&measuring, 1);
   fx_sleep_ms (MEASURED_MS);
@@ -157,36 +188,29 @@
     pthread_join (clients[i], NULL);
 }
 
-/* Checks that no more targets with ENTRY_SLOTS fall than allowed under LOAD,
-   and that what they have room for is served.  */
+/* Checks that no more targets fall in NEXT than allowed, and that what they
+   have room for is served.  */
 static void
-expect_no_falls (struct load next, int entry_slots, int events)
+expect_no_falls (struct setup next)
 {
-  struct brittle_script script = { .entry_slots = entry_slots,
-                                   .slots = SLOTS,
+  struct brittle_script script = { .entry_slots = next.entry_slots,
+                                   .slots = next.slots,
                                    .queue = QUEUE,
                                    .work_ms = WORK_MS,
-                                   .events = events,
+                                   .events = next.events,
                                    .back_ms = BACK_MS };
-  struct brittle_target *targets[TARGETS];
-  struct brittle_counts sum = { 0 };
-  double room = (double)TARGETS * SLOTS * MEASURED_MS / WORK_MS;
+  struct brittle_target *targets[TARGETS_MAX];
+  struct brittle_counts sum;
+  double room = (double)next.targets * next.slots * MEASURED_MS / WORK_MS;
 
-  load = next;
+  setup = next;
   start_fleet (targets, &script);
   play (targets);
-  for (int i = 0; i < TARGETS; i++)
-    {
-      struct brittle_counts counts = brittle_target_counts (targets[i]);
-
-      sum.arrivals += counts.arrivals;
-      sum.rejections += counts.rejections;
-      sum.falls += counts.falls;
-    }
+  sum = add_counts (targets);
   printf ("%d/s: %d falls, %d of %d rejected, %d of %d served (room %.0f) ",
-          load.per_s, sum.falls, sum.rejections, sum.arrivals, served, sent,
+          setup.per_s, sum.falls, sum.rejections, sum.arrivals, served, sent,
           room);
-  CU_ASSERT (sum.falls <= FALLS_MAX + TARGETS / FALLS_DIVISOR);
+  CU_ASSERT (sum.falls <= FALLS_MAX + setup.targets / FALLS_DIVISOR);
   CU_ASSERT (served >= SERVED_MIN * MIN (sent, room));
   brittle_targets_stop ();
   fx_env_stop ();
@@ -195,29 +219,41 @@
 static void
 calls_that_fit (void)
 {
-  expect_no_falls ((struct load){ "desk", "/fee/1", 100 }, SLOTS, 0);
+  expect_no_falls ((struct setup){ 4, 8, 2, 2, 3, 0, 100 });
 }
 
 static void
 calls_near_the_room (void)
 {
-  expect_no_falls ((struct load){ "desk", "/fee/1", 200 }, SLOTS, 0);
+  expect_no_falls ((struct setup){ 4, 8, 2, 2, 3, 0, 200 });
 }
 
 static void
 calls_beyond_the_room (void)
 {
-  expect_no_falls ((struct load){ "desk", "/fee/1", 300 }, SLOTS, 0);
+  expect_no_falls ((struct setup){ 4, 8, 2, 2, 3, 0, 300 });
 }
 
 static void
 streams_beyond_the_room (void)
 {
-  expect_no_falls ((struct load){ "pool", "/rules/1", 300 }, SLOTS, 3);
+  expect_no_falls ((struct setup){ 4, 8, 2, 2, 3, 3, 300 });
 }
 
 static void
 less_room_than_slots (void)
 {
-  expect_no_falls ((struct load){ "desk", "/fee/1", 200 }, 4 * SLOTS, 0);
+  expect_no_falls ((struct setup){ 4, 8, 2, 8, 3, 0, 200 });
+}
+
+static void
+more_instances_than_targets (void)
+{
+  expect_no_falls ((struct setup){ 12, 3, 6, 6, 3, 0, 250 });
+}
+
+static void
+few_rejections_allowed (void)
+{
+  expect_no_falls ((struct setup){ 4, 8, 2, 2, 1, 0, 300 });
 }
