Keep brittle targets from turning away more than they bear

Cause: nothing read the field. Targets got what the load bound and the slots of their entry allowed by counts that are up to 200 ms old, and each instance suspended a target that turned it away by itself, so that the rejections that all caused in one second added up.

Now brittle is a state of a service, told to all. While it lasts, what all instances have in progress at a target is kept within its slots, or less where it turned requests away below that; starts, ends and rejections are told at once to those that share the target; the last places go to few instances, the last one to one alone; rejections by all are counted against the number. A rejection by a brittle target no longer suspends it at one instance, and a request is turned away by at most two.

Why it works: two requests for one place have to be sent within the time in which instances hear of each other, by instances that may both take it; the rule leaves no second one for the last place.

--- a/include/ibisloom/balance.h
+++ b/include/ibisloom/balance.h
@@ -28,6 +28,7 @@
   uint8_t warming_up;   /* recently started and still slow */
   uint8_t rate_limited; /* limits its request rate */
   double rate_tokens;   /* requests that its rate limit allows now */
+  uint8_t has_no_room;  /* brittle, and not to be sent another request now */
 };
 
 struct bal_params
@@ -65,6 +66,7 @@
   BAL_SKIP_LOADED,    /* at the load bound or out of slots */
   BAL_SKIP_ERRORS,    /* error rate far above the lowest one */
   BAL_SKIP_RATE,      /* at its rate limit */
+  BAL_SKIP_ROOM,      /* brittle, without room */
   BAL_SKIP_COUNT
 };
 
--- a/include/ibisloom/dialect.h
+++ b/include/ibisloom/dialect.h
@@ -25,6 +25,7 @@
   DIALECT_SIGNATURE,       /* shows that the response comes from a target */
   DIALECT_TARGET_LOAD,     /* requests running and waiting, and slots */
   DIALECT_TARGET_RATE,     /* requests per second that the target takes */
+  DIALECT_TARGET_BRITTLE,  /* requests that it may turn away in a second */
   DIALECT_NOT_RUN,         /* the target did not execute the request */
   DIALECT_RETRY_AFTER,
   DIALECT_PRIORITY, /* admission priority at the target */
@@ -59,6 +60,7 @@
   int (*load) (const char *value, int32_t *running, int32_t *waiting,
                int32_t *slots);
   int (*rate) (const char *value, double *per_s);
+  int (*brittle) (const char *value, uint32_t *rejections_max);
   /* Access to the object store, and the kinds of objects in it.  */
   const struct watch_protocol *store;
   const char *config_kind;
--- a/include/ibisloom/fleet.h
+++ b/include/ibisloom/fleet.h
@@ -56,6 +56,13 @@
                         uint32_t count, int64_t *wait_ms);
 int fleet_observe_rate (struct fleet *fleet, struct reg_target *target,
                         int is_named, double per_s, clk_ms sent_ms);
+int fleet_observe_brittle (struct fleet *fleet, struct reg_target *target,
+                           int is_said, uint32_t rejections_max,
+                           clk_ms sent_ms);
+void fleet_count_arrival (struct fleet *fleet, const char *service);
+void fleet_hear_loads (struct fleet *fleet, const char *service);
+int32_t fleet_reject_room (struct fleet *fleet, struct reg_target *target,
+                           clk_ms sent_ms);
 void fleet_count_request (struct fleet *fleet, struct reg_target *target);
 uint32_t fleet_quarantined_count (const struct fleet *fleet);
 struct origins *fleet_origins (struct fleet *fleet);
--- a/include/ibisloom/metrics.h
+++ b/include/ibisloom/metrics.h
@@ -55,7 +55,8 @@
   METRIC_PLACED_WITHOUT_GRANT, /* the target's owner did not answer */
   METRIC_PLACED_LEAST_LOADED,
   METRIC_PLACED_TRIAL,
-  METRIC_OVER_BOUND, /* responses that report a load over the bound */
+  METRIC_ROOM_REJECTIONS, /* requests that brittle targets turned away */
+  METRIC_OVER_BOUND,      /* responses that report a load over the bound */
   /* Denied admissions, by reason.  */
   METRIC_DENIED_BOUND,
   METRIC_DENIED_RATE,
--- a/include/ibisloom/registry.h
+++ b/include/ibisloom/registry.h
@@ -11,6 +11,7 @@
 #include "ibisloom/health.h"
 #include "ibisloom/position.h"
 #include "ibisloom/rate.h"
+#include "ibisloom/room.h"
 
 enum
 {
@@ -79,6 +80,8 @@
   clk_ms unreachable_ms;     /* no connection was established then, 0: none */
   double load_limit;         /* bound of its load when last selected */
   struct rate_limit rate;
+  struct room_service *room_service; /* of all targets of its service */
+  struct room *room; /* NULL: its service has not been brittle lately */
   struct health health;
 };
 
@@ -97,6 +100,7 @@
   GHashTable *by_hash;  /* hash of the id to struct reg_target */
   GPtrArray *array;     /* of struct reg_target, unordered, for iteration */
   GQueue gone;          /* of struct reg_gone, oldest first */
+  GHashTable *services; /* interned name to struct room_service */
   uint64_t last_serial; /* given to a target */
   int listed;           /* a complete list has been read */
   reg_load_fn on_load;  /* may be NULL */
@@ -129,6 +133,10 @@
                        struct bal_candidate *candidates,
                        struct reg_target **targets, size_t capacity);
 int reg_is_near_limit (const struct reg_target *target, clk_ms now);
+double reg_counted_load (const struct reg_target *target);
+struct room_service *reg_room_service (const struct registry *registry,
+                                       const char *service);
+struct room *reg_get_room (struct reg_target *target);
 void reg_record_outcome (struct reg_target *target, enum health_event event,
                          clk_ms now);
 enum reg_doubt reg_doubt (const struct reg_target *target, clk_ms now);
--- a/include/ibisloom/wire.h
+++ b/include/ibisloom/wire.h
@@ -43,6 +43,8 @@
   WIRE_STATE,             /* what the sender knows of the store */
   WIRE_ORIGINS,           /* which versions began streams */
   WIRE_ORIGIN_QUERY,      /* asks which version began a stream */
+  WIRE_BRITTLE,           /* whether the targets of a service are brittle */
+  WIRE_REJECTED,          /* request that a brittle target turned away */
   WIRE_KIND_COUNT
 };
 
@@ -236,6 +238,23 @@
   uint64_t attempt;
 };
 
+/* Whether the targets of a service are brittle. */
+struct wire_brittle
+{
+  uint64_t service;        /* hash of its name */
+  uint32_t version;        /* odd: they are */
+  uint32_t rejections_max; /* see struct room_service */
+  uint32_t age_ms;         /* since a target said so */
+  uint32_t turn;           /* of the instances, see process/fleet_room.c */
+};
+
+/* Request that a brittle target turned away. */
+struct wire_rejected
+{
+  uint64_t target;
+  uint32_t limit; /* of its requests in progress, as the sender knows now */
+};
+
 struct wire_message
 {
   enum wire_kind kind;
@@ -259,6 +278,8 @@
     struct wire_store_state state;
     struct wire_origins origins;
     struct wire_origin_query origin_query;
+    struct wire_brittle brittle;
+    struct wire_rejected rejected;
   } u;
 };
 
--- a/process/fleet.c
+++ b/process/fleet.c
@@ -52,6 +52,7 @@
   fleet->peers = fleet_peers_new ();
   fleet->receive = receive;
   fleet->listed_name = g_string_new (NULL);
+  fleet_room_init (fleet);
   fleet_watch_loads (fleet);
   fleet_quarantine_init (fleet);
   fleet_crash_init (fleet);
@@ -135,6 +136,7 @@
   ev_timer_stop (fleet->loop, &fleet->retry);
   ev_timer_stop (fleet->loop, &fleet->rejoin);
   fleet_unwatch_loads (fleet);
+  fleet_room_clear (fleet);
   fleet_origin_store_clear (fleet);
   fleet_crash_clear (fleet);
   fleet_quarantine_clear (fleet);
@@ -179,6 +181,12 @@
     case WIRE_SENT:
       fleet_apply_sent (fleet, &message->u.sent);
       break;
+    case WIRE_BRITTLE:
+      fleet_apply_brittle (fleet, &message->u.brittle);
+      break;
+    case WIRE_REJECTED:
+      fleet_apply_rejected (fleet, &message->u.rejected);
+      break;
     case WIRE_STATE:
       fleet_apply_state (fleet, peer, &message->u.state);
       break;
--- a/process/fleet_load.c
+++ b/process/fleet_load.c
@@ -50,6 +50,7 @@
 }
 
 /* Handles a request of this instance that STARTED at TARGET, or ended there.
+   Those that share the room of a brittle TARGET get to know at once.
    If TARGET is near its load limit, the peers are to know soon.  The update
    then carries all counts that have changed, since the limit follows the mean
    load of all targets.  */
@@ -58,6 +59,8 @@
 {
   struct fleet *fleet = closure;
 
+  if (fleet_tell_load (fleet, target))
+    return;
   target->update_pending = 1;
   if (reg_is_near_limit (target, clk_now (clk_monotonic ())))
     schedule_update (fleet, started ? 0 : UPDATE_END_DELAY_MS);
--- a/process/libfleet.h
+++ b/process/libfleet.h
@@ -41,6 +41,13 @@
   clk_ms loads_ms;     /* when they were reported */
 };
 
+/* Instance that shares the room of brittle targets. */
+struct fleet_member
+{
+  uint32_t id;
+  struct sockaddr_in address;
+};
+
 /* Handles MESSAGE of PEER. */
 typedef void (*fleet_receive_fn) (struct fleet *fleet, struct fleet_peer *peer,
                                   const struct wire_message *message);
@@ -95,9 +102,12 @@
   GArray *noted;                           /* versions that the store names */
   GPtrArray *origin_objects; /* of other instances, in the store */
   GArray *untold_origins;    /* of struct origin_record, to be told to peers */
-  guint next_rate;           /* target whose sharers are found next */
-  guint first_told_rate;     /* target whose limit is told first */
-  guint told_rates; /* targets whose limits were told in this heartbeat */
+  GArray *members; /* of struct fleet_member; empty if none is brittle */
+  uint32_t turn;   /* by which the members' ranks at targets change */
+  clk_ms turned_ms;
+  guint next_rate;       /* target whose sharers are found next */
+  guint first_told_rate; /* target whose limit is told first */
+  guint told_rates;      /* targets whose limits were told in this heartbeat */
 };
 
 /* Each file uses only functions of those above it. */
@@ -118,6 +128,18 @@
 void fleet_send (struct fleet *fleet, const struct sockaddr_in *address,
                  struct wire_message *message);
 
+/* fleet_room.c */
+void fleet_room_init (struct fleet *fleet);
+void fleet_room_clear (struct fleet *fleet);
+void fleet_room_tick (struct fleet *fleet, clk_ms now);
+void fleet_send_brittle (struct fleet *fleet,
+                         const struct sockaddr_in *address);
+void fleet_apply_brittle (struct fleet *fleet,
+                          const struct wire_brittle *brittle);
+void fleet_apply_rejected (struct fleet *fleet,
+                           const struct wire_rejected *rejected);
+int fleet_tell_load (struct fleet *fleet, struct reg_target *target);
+
 /* fleet_load.c */
 void fleet_watch_loads (struct fleet *fleet);
 void fleet_unwatch_loads (struct fleet *fleet);
--- a/process/metrics.c
+++ b/process/metrics.c
@@ -91,6 +91,7 @@
   [METRIC_PLACED_WITHOUT_GRANT] = "ibisloom_placed_total{by=\"unowned\"}",
   [METRIC_PLACED_LEAST_LOADED] = "ibisloom_placed_total{by=\"least_loaded\"}",
   [METRIC_PLACED_TRIAL] = "ibisloom_placed_total{by=\"trial\"}",
+  [METRIC_ROOM_REJECTIONS] = "ibisloom_room_rejections_total",
   [METRIC_OVER_BOUND] = "ibisloom_over_bound_total",
   [METRIC_DENIED_RATE]
   = "ibisloom_admission_denied_total{reason=\"rate_limit\"}",
--- a/process/registry.c
+++ b/process/registry.c
@@ -60,6 +60,8 @@
                            struct position position);
 static int was_gone (const struct registry *registry,
                      const struct reg_entry *entry, struct position position);
+static struct room_service *add_service (struct registry *registry,
+                                         const char *service);
 static void drop_target (struct registry *registry, struct reg_target *target);
 static void reset_history (struct reg_target *target);
 static struct service_loss count_losses (const struct registry *registry,
@@ -69,6 +71,7 @@
 static int is_store_loss (const struct domain_loss *domain_loss);
 static void report_load_change (struct reg_target *target, int started);
 static double estimate_load (const struct reg_target *target, clk_ms now);
+static int has_no_room (const struct reg_target *target, clk_ms now);
 
 /* Returns an empty registry.  */
 struct registry *
@@ -79,6 +82,7 @@
   registry->targets = g_hash_table_new (g_str_hash, g_str_equal);
   registry->by_hash = g_hash_table_new (NULL, NULL);
   registry->array = g_ptr_array_new ();
+  registry->services = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   g_queue_init (&registry->gone);
   return registry;
 }
@@ -92,6 +96,7 @@
     drop_target (registry, g_ptr_array_index (registry->array, 0));
   g_hash_table_destroy (registry->targets);
   g_hash_table_destroy (registry->by_hash);
+  g_hash_table_destroy (registry->services);
   g_ptr_array_free (registry->array, TRUE);
   g_queue_clear_full (&registry->gone, g_free);
   g_free (registry);
@@ -169,6 +174,38 @@
   return is_new;
 }
 
+/* Returns the state of SERVICE, which is interned, added if it is new.  */
+static struct room_service *
+add_service (struct registry *registry, const char *service)
+{
+  struct room_service *state = reg_room_service (registry, service);
+
+  if (state != NULL)
+    return state;
+  state = g_new0 (struct room_service, 1);
+  g_hash_table_insert (registry->services, (gpointer)service, state);
+  return state;
+}
+
+/* Returns whether targets of SERVICE, which is interned, are brittle, or NULL
+   if it has had no targets.  */
+struct room_service *
+reg_room_service (const struct registry *registry, const char *service)
+{
+  return g_hash_table_lookup (registry->services, service);
+}
+
+/* Returns the room of TARGET, added if nothing is known of it.  */
+struct room *
+reg_get_room (struct reg_target *target)
+{
+  if (target->room != NULL)
+    return target->room;
+  target->room = g_new (struct room, 1);
+  room_init (target->room);
+  return target->room;
+}
+
 /* Adds the target of ENTRY, which is not known, and returns it.  */
 static struct reg_target *
 add_target (struct registry *registry, const struct reg_entry *entry)
@@ -179,6 +216,7 @@
   target->id = g_strdup (entry->id);
   target->hash = rank_hash (entry->id) & UINT32_MAX;
   target->service = g_intern_string (entry->service);
+  target->room_service = add_service (registry, target->service);
   target->failure_domain = g_intern_string (entry->failure_domain);
   target->address = entry->address;
   target->references = 1;
@@ -545,17 +583,36 @@
       candidate->warming_up = now < target->warm_at_ms;
       candidate->rate_limited = rate_is_limited (&target->rate) != 0;
       candidate->rate_tokens = rate_tokens (&target->rate, now);
+      candidate->has_no_room = (uint8_t)has_no_room (target, now);
       targets[count++] = target;
     }
   return count;
 }
 
+/* Returns whether TARGET is brittle and not to be sent a request at NOW.  */
+static int
+has_no_room (const struct reg_target *target, clk_ms now)
+{
+  return room_is_brittle (target->room_service, now)
+         && (target->room == NULL
+             || !room_has_place (target->room, target->room_service,
+                                 target->slots, reg_counted_load (target),
+                                 now));
+}
+
+/* Returns the requests that all instances count at TARGET.  */
+double
+reg_counted_load (const struct reg_target *target)
+{
+  return target->in_flight + (double)target->others_in_flight;
+}
+
 /* Returns an estimate of the requests that all instances have at TARGET: their
    own counts, or the target's recent report if that is higher.  */
 static double
 estimate_load (const struct reg_target *target, clk_ms now)
 {
-  double counted = target->in_flight + (double)target->others_in_flight;
+  double counted = reg_counted_load (target);
   double reported = target->reported_load + target->sent_since_report;
 
   if (now - target->reported_ms > REPORT_FRESH_MS || target->reported_ms == 0)
@@ -573,6 +630,8 @@
   target->reported_load = 0;
   target->broken_ms = 0;
   target->unreachable_ms = 0;
+  if (target->room != NULL)
+    target->room->has_said = 0;
 }
 
 /* Removes TARGET from REGISTRY, and frees it if no request uses it.  */
@@ -591,6 +650,7 @@
 static void
 target_free (struct reg_target *target)
 {
+  g_free (target->room);
   g_free (target->id);
   g_free (target);
 }
--- a/process/wire_body.c
+++ b/process/wire_body.c
@@ -67,6 +67,14 @@
                                  const struct wire_message *message);
 static void decode_origin_query (struct wire_reader *reader,
                                  struct wire_message *message);
+static void encode_brittle (msgpack_packer *packer,
+                            const struct wire_message *message);
+static void decode_brittle (struct wire_reader *reader,
+                            struct wire_message *message);
+static void encode_rejected (msgpack_packer *packer,
+                             const struct wire_message *message);
+static void decode_rejected (struct wire_reader *reader,
+                             struct wire_message *message);
 static struct position next_position (struct wire_reader *list);
 static struct wire_reader next_array (struct wire_reader *reader,
                                       uint32_t max);
@@ -92,6 +100,8 @@
   [WIRE_STATE] = { encode_state, decode_state },
   [WIRE_ORIGINS] = { encode_origins, decode_origins },
   [WIRE_ORIGIN_QUERY] = { encode_origin_query, decode_origin_query },
+  [WIRE_BRITTLE] = { encode_brittle, decode_brittle },
+  [WIRE_REJECTED] = { encode_rejected, decode_rejected },
 };
 
 /* Encodes the body of MESSAGE, according to its kind.  */
@@ -597,6 +607,51 @@
   reader->failed |= list.failed;
 }
 
+static void
+encode_brittle (msgpack_packer *packer, const struct wire_message *message)
+{
+  const struct wire_brittle *brittle = &message->u.brittle;
+
+  msgpack_pack_array (packer, 5);
+  msgpack_pack_uint64 (packer, brittle->service);
+  msgpack_pack_uint64 (packer, brittle->version);
+  msgpack_pack_uint64 (packer, brittle->rejections_max);
+  msgpack_pack_uint64 (packer, brittle->age_ms);
+  msgpack_pack_uint64 (packer, brittle->turn);
+}
+
+static void
+decode_brittle (struct wire_reader *reader, struct wire_message *message)
+{
+  struct wire_brittle *brittle = &message->u.brittle;
+  struct wire_reader list = next_array (reader, 5);
+
+  brittle->service = wire_next_uint (&list, UINT64_MAX);
+  brittle->version = (uint32_t)wire_next_uint (&list, UINT32_MAX);
+  brittle->rejections_max = (uint32_t)wire_next_uint (&list, INT32_MAX);
+  brittle->age_ms = (uint32_t)wire_next_uint (&list, INT32_MAX);
+  brittle->turn = (uint32_t)wire_next_uint (&list, UINT32_MAX);
+  reader->failed |= list.failed;
+}
+
+static void
+encode_rejected (msgpack_packer *packer, const struct wire_message *message)
+{
+  msgpack_pack_array (packer, 2);
+  msgpack_pack_uint64 (packer, message->u.rejected.target);
+  msgpack_pack_uint64 (packer, message->u.rejected.limit);
+}
+
+static void
+decode_rejected (struct wire_reader *reader, struct wire_message *message)
+{
+  struct wire_reader list = next_array (reader, 2);
+
+  message->u.rejected.target = wire_next_uint (&list, UINT64_MAX);
+  message->u.rejected.limit = (uint32_t)wire_next_uint (&list, INT32_MAX);
+  reader->failed |= list.failed;
+}
+
 /* Returns the position in the next two items of LIST.  */
 static struct position
 next_position (struct wire_reader *list)
--- a/request/balance.c
+++ b/request/balance.c
@@ -50,7 +50,8 @@
         "trial",  "no_target", "full",      "rates_used_up" };
 
 const char *const bal_skip_names[BAL_SKIP_COUNT]
-    = { "free", "absent", "tried", "suspect", "loaded", "errors", "rate" };
+    = { "free",   "absent", "tried", "suspect",
+        "loaded", "errors", "rate",  "room" };
 
 static double load_limit (const struct bal_params *params, double mean);
 static enum bal_skip skip_reason (const struct bal_params *params,
@@ -77,8 +78,8 @@
 static int is_full (const struct bal_params *params,
                     const struct bal_candidate *candidate, double limit,
                     double filled_max);
-static int is_rate_used_up (const struct bal_params *params,
-                            const struct bal_candidate *candidate);
+static enum bal_skip closed_reason (const struct bal_params *params,
+                                    const struct bal_candidate *candidate);
 static double mean_load (const struct bal_candidate *candidates, size_t count);
 static int has_rate_limits (const struct bal_candidate *candidates,
                             size_t count);
@@ -129,8 +130,8 @@
     return BAL_SKIP_TRIED;
   if (candidate->state != HEALTH_USABLE)
     return BAL_SKIP_SUSPENDED;
-  if (is_rate_used_up (params, candidate))
-    return BAL_SKIP_RATE;
+  if (closed_reason (params, candidate) != BAL_SKIP_NONE)
+    return closed_reason (params, candidate);
   if (candidate->load > limit
       || (candidate->slots > 0 && candidate->load >= candidate->slots))
     return BAL_SKIP_LOADED;
@@ -256,6 +257,7 @@
       size_t i = (n + params->random) % count;
       const struct bal_candidate *candidate = &candidates[i];
       int32_t slots = candidate->slots > 0 ? candidate->slots : 1;
+      enum bal_skip closed = closed_reason (params, candidate);
       double cost = candidate->load / slots
                     + (candidate->error_rate - best_error_rate) * ERROR_PENALTY
                           / slots;
@@ -263,13 +265,14 @@
       if (candidate->excluded
           || (candidate->state != HEALTH_USABLE && !params->is_pinned))
         continue;
-      if (is_rate_used_up (params, candidate))
+      if (closed == BAL_SKIP_RATE)
         {
           if (choice->reason == BAL_NO_TARGET)
             choice->reason = BAL_RATES_USED_UP;
           continue;
         }
-      if (is_full (params, candidate, choice->limit, filled_max))
+      if (closed == BAL_SKIP_ROOM
+          || is_full (params, candidate, choice->limit, filled_max))
         {
           if (choice->reason != BAL_LEAST_LOADED)
             choice->reason = BAL_ALL_FULL;
@@ -302,7 +305,7 @@
     return 0;
   for (size_t i = 0; i < count; i++)
     if (!candidates[i].excluded && candidates[i].state == HEALTH_TRIAL
-        && !is_rate_used_up (params, &candidates[i]))
+        && closed_reason (params, &candidates[i]) == BAL_SKIP_NONE)
       {
         choice->index = i;
         choice->load = candidates[i].load;
@@ -379,12 +382,16 @@
   return is_over || candidate->load >= slots * filled_max;
 }
 
-/* Returns whether the rate limit of CANDIDATE leaves no room for a request
-   with PARAMS.  */
-static int
-is_rate_used_up (const struct bal_params *params,
-                 const struct bal_candidate *candidate)
+/* Returns why CANDIDATE itself takes no request with PARAMS now, or
+   BAL_SKIP_NONE if it does.  */
+static enum bal_skip
+closed_reason (const struct bal_params *params,
+               const struct bal_candidate *candidate)
 {
-  return candidate->rate_limited
-         && candidate->rate_tokens < MAX (params->rate_min, 1);
+  if (candidate->has_no_room)
+    return BAL_SKIP_ROOM;
+  if (candidate->rate_limited
+      && candidate->rate_tokens < MAX (params->rate_min, 1))
+    return BAL_SKIP_RATE;
+  return BAL_SKIP_NONE;
 }
--- a/request/librelay.h
+++ b/request/librelay.h
@@ -100,6 +100,7 @@
   uint32_t sends; /* attempts of which a target may have received bytes */
   uint32_t connect_failures; /* attempts without a connection */
   uint32_t error_responses;  /* attempts that ended in an error response */
+  uint32_t rejections;       /* attempts that a brittle target turned away */
   uint8_t may_have_run;
   uint64_t software; /* version that began the stream; 0: none has */
   uint64_t expected; /* version noted for the stream before; 0: none */
@@ -168,6 +169,10 @@
 void relay_log_over_bound (const struct relay *relay, int32_t reported);
 void relay_log_origin (const struct relay *relay, const char *origin);
 void relay_log_rate (const struct relay *relay);
+void relay_log_brittle (const struct relay *relay);
+void relay_log_room (const struct relay *relay, int32_t limit);
+void relay_log_bad_field (const struct relay *relay, const char *field,
+                          const char *value);
 void relay_log_fault (const struct relay *relay, enum retry_fault fault,
                       const struct retry_decision *decision, clk_ms now);
 void relay_log_went_on (const struct relay *relay);
--- a/request/relay.c
+++ b/request/relay.c
@@ -80,6 +80,7 @@
     }
   retry_budget_deposit (router_retry_budget (router, relay->service),
                         router->settings->retry_ratio * RETRY_RATIO_FRACTION);
+  fleet_count_arrival (router->fleet, relay->service);
   relay_dispatch (relay);
 }
 
@@ -105,6 +106,7 @@
                                                : RELAY_QUARANTINED);
       return;
     }
+  fleet_hear_loads (relay->router->fleet, relay->service);
   target = relay_choose_target (relay, now, &choice, &count);
   if (target != NULL)
     relay_send (relay, target, &choice, count);
--- a/request/relay_fault.c
+++ b/request/relay_fault.c
@@ -6,13 +6,15 @@
 {
   CONNECT_FAILURES_MAX = 4,
   /* For requests that may run more than once.  */
-  SENDS_PER_TARGET = 2
+  SENDS_PER_TARGET = 2,
+  REJECTIONS_MAX = 2 /* by brittle targets */
 };
 
 static uint32_t max_sends (const struct relay *relay);
 static void record_fault (struct relay *relay, enum retry_fault fault);
 static enum health_event health_event_of (const struct relay *relay,
                                           enum retry_fault fault);
+static int is_brittle (const struct relay *relay);
 static void give_up (struct relay *relay,
                      const struct retry_decision *decision,
                      enum retry_fault fault);
@@ -40,14 +42,25 @@
              : route->attempts_max * SENDS_PER_TARGET;
 }
 
-/* Returns the health event of the current target that corresponds to
-   FAULT.  */
+/* Returns whether the current target is brittle.  */
+static int
+is_brittle (const struct relay *relay)
+{
+  return room_is_brittle (relay->attempt.target->room_service,
+                          clk_now (clk_monotonic ()));
+}
+
+/* Returns the health event of the current target that corresponds to FAULT, or
+   HEALTH_EVENT_COUNT for a rejection by a brittle one, whose room tells when
+   it is used again.  */
 static enum health_event
 health_event_of (const struct relay *relay, enum retry_fault fault)
 {
   if (fault == RETRY_FAULT_REJECTED
       && relay->attempt.status == HTTP_STATUS_MISDIRECTED_REQUEST)
     return HEALTH_MISDIRECTED;
+  if (fault == RETRY_FAULT_REJECTED && is_brittle (relay))
+    return HEALTH_EVENT_COUNT;
   return health_events[fault];
 }
 
@@ -70,7 +83,8 @@
   decision->action = RETRY_GIVE_UP;
   decision->reason = RETRY_REASON_ATTEMPTS;
   if ((relay->head_sent && !relay->head_is_stream)
-      || relay->connect_failures >= CONNECT_FAILURES_MAX)
+      || relay->connect_failures >= CONNECT_FAILURES_MAX
+      || relay->rejections >= REJECTIONS_MAX)
     return;
   retry_decide (&state, router_retry_budget (relay->router, relay->service),
                 clk_now (clk_monotonic ()), decision);
@@ -90,6 +104,8 @@
     }
   else if (fault != RETRY_FAULT_REJECTED)
     relay->may_have_run = 1;
+  else if (is_brittle (relay))
+    relay->rejections++;
   relay->error_responses += fault == RETRY_FAULT_ERROR_STATUS;
   metric_inc (retry_counters[fault]);
 }
--- a/request/relay_log.c
+++ b/request/relay_log.c
@@ -127,6 +127,56 @@
   log_end (&line);
 }
 
+/* Logs that the targets of the service of RELAY have begun or ceased to be
+   brittle, or how many requests each may turn away.  */
+void
+relay_log_brittle (const struct relay *relay)
+{
+  const struct room_service *service = relay->attempt.target->room_service;
+  struct log_line line;
+
+  if (!log_begin (&line, LOG_LEVEL_INFO, "attempt", relay->id,
+                  room_is_brittle (service, relay->attempt.last_received_ms)
+                      ? "brittle"
+                      : "not_brittle"))
+    return;
+  log_text (&line, "service", relay->attempt.target->service);
+  log_text (&line, "target", relay->attempt.target->id);
+  log_number (&line, "rejections_max", service->rejections_max);
+  log_end (&line);
+}
+
+/* Logs that the target of RELAY, which is brittle, turned it away, and the
+   LIMIT of requests in progress there from now on.  */
+void
+relay_log_room (const struct relay *relay, int32_t limit)
+{
+  struct log_line line;
+
+  if (!log_begin (&line, LOG_LEVEL_INFO, "attempt", relay->id, "no_room"))
+    return;
+  log_text (&line, "target", relay->attempt.target->id);
+  log_real (&line, "load", reg_counted_load (relay->attempt.target));
+  log_number (&line, "limit", limit);
+  log_number (&line, "rejections", relay->attempt.target->room->rejections);
+  log_end (&line);
+}
+
+/* Logs that the VALUE of FIELD in a response cannot be read.  */
+void
+relay_log_bad_field (const struct relay *relay, const char *field,
+                     const char *value)
+{
+  struct log_line line;
+
+  if (!log_begin (&line, LOG_LEVEL_WARN, "attempt", relay->id, "bad_field"))
+    return;
+  log_text (&line, "target", relay->attempt.target->id);
+  log_text (&line, "field", field);
+  log_text (&line, "value", value);
+  log_end (&line);
+}
+
 /* Logs that an attempt of RELAY ended with FAULT, and the DECISION.  */
 void
 relay_log_fault (const struct relay *relay, enum retry_fault fault,
--- a/request/relay_response.c
+++ b/request/relay_response.c
@@ -17,6 +17,7 @@
 static int buffer_body (struct relay *relay, const char *data, size_t length);
 static void record_load (struct relay *relay, const struct http_head *head);
 static void record_rate (struct relay *relay, const struct http_head *head);
+static void record_room (struct relay *relay, const struct http_head *head);
 static void copy_fields (struct relay *relay, const struct http_head *head);
 static void send_head (struct relay *relay);
 static void forward_body (struct relay *relay, const char *data,
@@ -55,6 +56,7 @@
     return -1;
   record_load (relay, head);
   record_rate (relay, head);
+  record_room (relay, head);
   if (!relay->head_sent)
     copy_fields (relay, head);
   relay_handle_progress (relay);
@@ -269,7 +271,8 @@
          && http_head_get (head, "Content-Encoding") == NULL;
 }
 
-/* Records the load that the target reports in HEAD.  */
+/* Records the load that the target reports in HEAD, to which a request that it
+   has turned away does not belong, but which counts until it has ended.  */
 static void
 record_load (struct relay *relay, const struct http_head *head)
 {
@@ -282,6 +285,7 @@
 
   if (value == NULL || dialect->load (value, &running, &waiting, &slots) != 0)
     return;
+  waiting += relay->attempt.not_run;
   if (!reg_report_load (relay->attempt.target, running + waiting,
                         relay->attempt.last_received_ms))
     return;
@@ -307,6 +311,33 @@
     relay_log_rate (relay);
 }
 
+/* Records whether the target says in HEAD that it is brittle, and a rejection
+   by one that is.  Only a success that does not say so ends that state.  */
+static void
+record_room (struct relay *relay, const struct http_head *head)
+{
+  const struct dialect *dialect = relay->router->dialect;
+  struct fleet *fleet = relay->router->fleet;
+  struct relay_attempt *attempt = &relay->attempt;
+  const char *value
+      = http_head_get (head, dialect->field[DIALECT_TARGET_BRITTLE]);
+  uint32_t rejections_max = 0;
+
+  if (value != NULL && dialect->brittle (value, &rejections_max) != 0)
+    relay_log_bad_field (relay, dialect->field[DIALECT_TARGET_BRITTLE], value);
+  else if ((value != NULL || http_is_success (head->status))
+           && fleet_observe_brittle (fleet, attempt->target, value != NULL,
+                                     rejections_max, attempt->sent_ms))
+    relay_log_brittle (relay);
+  if (!attempt->not_run || head->status == HTTP_STATUS_MISDIRECTED_REQUEST
+      || !room_is_brittle (attempt->target->room_service,
+                           attempt->last_received_ms))
+    return;
+  metric_inc (METRIC_ROOM_REJECTIONS);
+  relay_log_room (
+      relay, fleet_reject_room (fleet, attempt->target, attempt->sent_ms));
+}
+
 /* Copies the fields of HEAD that are forwarded: all but hop-by-hop ones
    and the target's load.  */
 static void
--- /dev/null
+++ b/request/room.c
@@ -0,0 +1,270 @@
+/* Room of brittle targets, which fail when they turn away too many requests.
+
+   All instances together keep the requests in progress at such a target within
+   its slots, and within less once it turned one away below that: then the
+   limit is what was in progress, and grows again by one at a time.  Requests
+   that instances send before they hear of each other are the danger that
+   remains.  So the fewer places are left, the fewer instances may fill them:
+   the last one only the instance that ranks first at the target.  Rejections
+   are counted, and a target that has little patience left gets nothing until
+   they are over.  */
+#include <math.h>
+
+#include <sys/param.h>
+
+#include "ibisloom/room.h"
+
+enum
+{
+  STALE_MS = 10000, /* a state that no target has confirmed for so long ends */
+  WINDOW_MS = 1200, /* a second, and the time until all instances know */
+  PAUSE_MS = 50,    /* after a rejection; others may be on their way */
+  BLIND_MS = 5,     /* until the others know of a request */
+  CAUTION_MS = 4000, /* in which a rejection makes instances careful */
+  CAUTION_PER_REJECTION = 4,
+  RATE_MS = 1000, /* over which requests are counted */
+  GROWTH_MIN_MS = 1000,
+  GROWTH_MAX_MS = 16000,
+  GROWN_WELL = 4, /* so much growth shows that a limit was too low */
+  FAR_MIN = 16,   /* places left that nobody has to be careful with */
+  RESERVE_DIVISOR = 4
+};
+
+/* Requests on their way, for each place beyond the first, with which more of
+   them than there are places are unlikely.  */
+static const double BLIND_PER_PLACE = 0.6;
+
+static double room_rate (const struct room_service *service, clk_ms now);
+static double senders_max (const struct room *room,
+                           const struct room_service *service, double places,
+                           clk_ms now);
+static void begin_version (struct room_service *service, uint32_t version,
+                           uint32_t rejections_max, clk_ms now);
+static void record_rejection (struct room *room, clk_ms now);
+static void lower (struct room *room, int32_t slots, int32_t limit,
+                   clk_ms now);
+static uint32_t recent_rejections (const struct room *room, int64_t window_ms,
+                                   clk_ms now);
+static uint32_t reserve (uint32_t rejections_max);
+
+/* Handles the response of a target of SERVICE with ROOM, which may be NULL, to
+   a request that was sent at SENT_MS: the target said that it is brittle and
+   may turn away REJECTIONS_MAX requests in a second, or did not say so
+   (IS_SAID 0), which counts only from one that said so before.  Returns
+   whether the state began, changed or ended.  */
+int
+room_observe (struct room_service *service, struct room *room, int is_said,
+              uint32_t rejections_max, clk_ms sent_ms, clk_ms now)
+{
+  int is_brittle = room_is_brittle (service, now);
+
+  if (service->version > 0 && sent_ms < service->since_ms)
+    return 0;
+  if (!is_said)
+    {
+      if (!is_brittle || room == NULL || !room->has_said)
+        return 0;
+      begin_version (service, service->version + 1, 0, now);
+      return 1;
+    }
+  if (room != NULL)
+    room->has_said = 1;
+  service->said_ms = now;
+  if (is_brittle && service->rejections_max == rejections_max)
+    return 0;
+  begin_version (service, (service->version + 1) | 1, rejections_max, now);
+  return 1;
+}
+
+/* Adopts the VERSION of SERVICE that another instance has told, if it is newer
+   or was said later, AGE_MS ago.  Returns whether it is newer.  */
+int
+room_adopt (struct room_service *service, uint32_t version,
+            uint32_t rejections_max, int64_t age_ms, clk_ms now)
+{
+  if (version < service->version)
+    return 0;
+  if (version > service->version)
+    {
+      begin_version (service, version, rejections_max, now);
+      service->said_ms = now - age_ms;
+      return 1;
+    }
+  service->said_ms = MAX (service->said_ms, now - age_ms);
+  return 0;
+}
+
+/* Returns whether the targets of SERVICE are brittle at NOW.  */
+int
+room_is_brittle (const struct room_service *service, clk_ms now)
+{
+  return service->version % 2 != 0 && now - service->said_ms < STALE_MS;
+}
+
+/* Counts a request of this instance for SERVICE.  */
+void
+room_count_request (struct room_service *service, clk_ms now)
+{
+  service->requests = room_rate (service, now) + 1;
+  service->counted_ms = now;
+}
+
+/* Prepares ROOM, of which nothing is known.  */
+void
+room_init (struct room *room)
+{
+  *room = (struct room){ .rank = ROOM_UNRANKED, .growth_ms = GROWTH_MIN_MS };
+}
+
+/* Returns how many requests of all instances may be in progress at NOW at a
+   target with ROOM and SLOTS.  */
+int32_t
+room_limit (const struct room *room, int32_t slots, clk_ms now)
+{
+  int64_t grown;
+
+  slots = MAX (slots, 1);
+  if (room->limit == 0)
+    return slots;
+  grown = (now - room->lowered_ms) / room->growth_ms;
+  return (int32_t)MIN (room->limit + grown, slots);
+}
+
+/* Handles a rejection at NOW by a target with ROOM and SLOTS of a request that
+   was sent at SENT_MS, while OTHERS were in progress there.  Nothing is
+   learned if these were more than the target is given, or if the request was
+   sent before the limit was lowered last.  Returns the limit.  */
+int32_t
+room_reject (struct room *room, int32_t slots, double others, clk_ms sent_ms,
+             clk_ms now)
+{
+  int32_t limit = room_limit (room, slots, now);
+
+  record_rejection (room, now);
+  if (others < limit && (room->limit == 0 || sent_ms >= room->lowered_ms))
+    lower (room, slots, MAX ((int32_t)others, 1), now);
+  return room_limit (room, slots, now);
+}
+
+/* Handles a rejection by a target with ROOM and SLOTS that another instance
+   has told, which then had LIMIT.  */
+void
+room_apply_rejection (struct room *room, int32_t slots, int32_t limit,
+                      clk_ms now)
+{
+  record_rejection (room, now);
+  if (limit > 0 && limit < room_limit (room, slots, now))
+    lower (room, slots, limit, now);
+}
+
+/* Returns whether this instance may send a request at NOW to a target of
+   SERVICE with ROOM and SLOTS at which LOAD requests are in progress.  */
+int
+room_has_place (const struct room *room, const struct room_service *service,
+                int32_t slots, double load, clk_ms now)
+{
+  int32_t limit = room_limit (room, slots, now);
+  double places = limit - load;
+  uint32_t rejections = recent_rejections (room, WINDOW_MS, now);
+  uint32_t last = (room->rejections - 1) % ROOM_REJECTIONS_KEPT;
+
+  if (places < 1 || rejections >= MAX (service->rejections_max, 1))
+    return 0;
+  if (rejections > 0
+      && (rejections >= reserve (service->rejections_max)
+          || now - room->rejected_ms[last] < PAUSE_MS))
+    return room->rank == 0 && load < 1;
+  if (room_is_far (limit, load))
+    return 1;
+  return room->rank
+         < MIN (ROOM_SHARERS_MAX, senders_max (room, service, places, now));
+}
+
+/* Returns whether a target with LIMIT and LOAD has so many places that the
+   instances need not tell each other of each request.  */
+int
+room_is_far (int32_t limit, double load)
+{
+  return limit - load >= MAX (FAR_MIN, limit / 2);
+}
+
+/* Returns how many requests for SERVICE this instance gets in RATE_MS.  */
+static double
+room_rate (const struct room_service *service, clk_ms now)
+{
+  return service->requests
+         * exp (-(double)(now - service->counted_ms) / RATE_MS);
+}
+
+/* Returns how many instances may send to a target of SERVICE with ROOM and so
+   many PLACES, as often as this one does, without too many requests on their
+   way at the same time: fewer, the fewer rejections it bears, and the more it
+   has made lately.  */
+static double
+senders_max (const struct room *room, const struct room_service *service,
+             double places, clk_ms now)
+{
+  double blind = MAX (room_rate (service, now), 1) * BLIND_MS / RATE_MS;
+  double caution
+      = CAUTION_PER_REJECTION * recent_rejections (room, CAUTION_MS, now);
+
+  caution /= MAX (service->rejections_max, 1);
+  return MAX (1, BLIND_PER_PLACE * (places - 1) / (blind * (1 + caution)));
+}
+
+/* Begins VERSION of SERVICE, with REJECTIONS_MAX.  */
+static void
+begin_version (struct room_service *service, uint32_t version,
+               uint32_t rejections_max, clk_ms now)
+{
+  service->version = version;
+  service->rejections_max = rejections_max;
+  service->since_ms = now;
+}
+
+/* Counts a rejection at NOW.  */
+static void
+record_rejection (struct room *room, clk_ms now)
+{
+  room->rejected_ms[room->rejections++ % ROOM_REJECTIONS_KEPT] = now;
+}
+
+/* Lowers the limit of ROOM to LIMIT.  After little growth it grows more slowly
+   than before.  */
+static void
+lower (struct room *room, int32_t slots, int32_t limit, clk_ms now)
+{
+  int32_t grown
+      = room->limit > 0 ? room_limit (room, slots, now) - room->limit : 0;
+
+  if (grown >= GROWN_WELL)
+    room->growth_ms = GROWTH_MIN_MS;
+  else if (grown > 0)
+    room->growth_ms = MIN (2 * room->growth_ms, GROWTH_MAX_MS);
+  room->limit = limit;
+  room->lowered_ms = now;
+}
+
+/* Returns how many of the rejections that are kept are of the last
+   WINDOW_MS.  */
+static uint32_t
+recent_rejections (const struct room *room, int64_t window_ms, clk_ms now)
+{
+  uint32_t kept = MIN (room->rejections, ROOM_REJECTIONS_KEPT);
+  uint32_t recent = 0;
+
+  for (uint32_t i = 0; i < kept; i++)
+    recent += now - room->rejected_ms[i] < window_ms;
+  return recent;
+}
+
+/* Returns the number of rejections in a second from which a target that may
+   turn away REJECTIONS_MAX gets next to nothing: so many are left for requests
+   that are on their way.  */
+static uint32_t
+reserve (uint32_t rejections_max)
+{
+  uint32_t kept = MIN (rejections_max, ROOM_REJECTIONS_KEPT);
+
+  return MAX (kept - kept / RESERVE_DIVISOR, 2) - 1;
+}
--- a/tests/fuzz_parsers.c
+++ b/tests/fuzz_parsers.c
@@ -168,6 +168,7 @@
 {
   struct dialect_prompt prompt;
   int32_t numbers[3];
+  uint32_t rejections_max;
   int64_t tokens;
   uint64_t epoch;
   int is_valid;
@@ -178,6 +179,7 @@
     g_assert_cmpuint (prompt.count, <=, DIALECT_PROMPT_PARTS_MAX);
   is_valid
       |= plat_dialect.load (input, &numbers[0], &numbers[1], &numbers[2]) == 0;
+  is_valid |= plat_dialect.brittle (input, &rejections_max) == 0;
   is_valid |= plat_dialect.tokens_out (input, &tokens) == 0;
   (void)plat_dialect.key (input);
   is_valid |= pos_parse_epoch (input, &epoch) == 0;
--- /dev/null
+++ b/tests/test_room.c
@@ -0,0 +1,174 @@
+/* Unit tests of the room of brittle targets, in virtual time. */
+#include "ibisloom/room.h"
+#include "platform.h"
+#include "test.h"
+
+enum
+{
+  SLOTS = 6,
+  START_MS = 100000,
+  STALE_MS = 10000,
+  REJECTIONS_MAX = 3
+};
+
+static void state_begins_and_ends (void);
+static void state_is_told (void);
+static void limit_follows_rejections (void);
+static void last_places_go_to_few (void);
+static void rejections_close_a_target (void);
+static void field_is_parsed_strictly (void);
+
+static const struct test_case cases[] = {
+  { "a service is brittle while one of its targets says so",
+    state_begins_and_ends },
+  { "instances adopt the newest state", state_is_told },
+  { "a limit falls to what was in progress and grows slowly",
+    limit_follows_rejections },
+  { "the fewer places are left, the fewer instances take them",
+    last_places_go_to_few },
+  { "a target that has rejected nearly too much gets nothing",
+    rejections_close_a_target },
+  { "bad numbers of rejections are not taken", field_is_parsed_strictly },
+};
+
+TEST_MAIN ("room", cases)
+
+static void
+state_begins_and_ends (void)
+{
+  struct room_service service = { 0 };
+  struct room room;
+  struct room silent;
+  clk_ms now = START_MS;
+
+  room_init (&room);
+  room_init (&silent);
+  CU_ASSERT (!room_observe (&service, NULL, 0, 0, now, now));
+  CU_ASSERT (room_observe (&service, &room, 1, 3, now, now));
+  CU_ASSERT (!room_observe (&service, &room, 1, 3, now, now + 1));
+  CU_ASSERT (room_observe (&service, &room, 1, 4, now + 1, now + 2));
+  CU_ASSERT_EQUAL (service.version, 3);
+  CU_ASSERT (!room_observe (&service, &silent, 0, 0, now + 3, now + 4));
+  CU_ASSERT (!room_observe (&service, &room, 0, 0, now, now + 4));
+  CU_ASSERT (room_is_brittle (&service, now + 4));
+  CU_ASSERT (room_observe (&service, &room, 0, 0, now + 3, now + 5));
+  CU_ASSERT (!room_is_brittle (&service, now + 5));
+  CU_ASSERT (room_observe (&service, &room, 1, 3, now + 6, now + 7));
+  CU_ASSERT (room_is_brittle (&service, now + 7));
+  CU_ASSERT (!room_is_brittle (&service, now + 7 + STALE_MS));
+  CU_ASSERT (room_observe (&service, &room, 1, 3, now + STALE_MS,
+                           now + 8 + STALE_MS));
+  CU_ASSERT_EQUAL (service.version, 7);
+}
+
+static void
+state_is_told (void)
+{
+  struct room_service service = { 0 };
+  clk_ms now = START_MS;
+
+  CU_ASSERT (room_adopt (&service, 1, 3, 20, now));
+  CU_ASSERT (room_is_brittle (&service, now));
+  CU_ASSERT (!room_adopt (&service, 1, 3, 0, now + STALE_MS - 30));
+  CU_ASSERT (room_is_brittle (&service, now + STALE_MS));
+  CU_ASSERT (room_adopt (&service, 2, 0, 0, now + STALE_MS));
+  CU_ASSERT (!room_adopt (&service, 1, 3, 0, now + STALE_MS));
+  CU_ASSERT (!room_is_brittle (&service, now + STALE_MS));
+}
+
+static void
+limit_follows_rejections (void)
+{
+  struct room room;
+  clk_ms now = START_MS;
+
+  room_init (&room);
+  CU_ASSERT_EQUAL (room_limit (&room, SLOTS, now), SLOTS);
+  CU_ASSERT_EQUAL (room_limit (&room, 0, now), 1);
+  CU_ASSERT_EQUAL (room_reject (&room, SLOTS, SLOTS, now, now), SLOTS);
+  CU_ASSERT_EQUAL (room_reject (&room, SLOTS, 3, now, now + 10), 3);
+  CU_ASSERT_EQUAL (room_reject (&room, SLOTS, 2, now + 5, now + 20), 3);
+  CU_ASSERT_EQUAL (room_reject (&room, SLOTS, 0, now + 20, now + 30), 1);
+  now += 30;
+  CU_ASSERT_EQUAL (room_limit (&room, SLOTS, now + 999), 1);
+  CU_ASSERT_EQUAL (room_limit (&room, SLOTS, now + 1000), 2);
+  CU_ASSERT_EQUAL (room_limit (&room, SLOTS, now + 60000), SLOTS);
+  room_apply_rejection (&room, SLOTS, 1, now + 1000);
+  now += 1000;
+  CU_ASSERT_EQUAL (room_limit (&room, SLOTS, now + 1999), 1);
+  CU_ASSERT_EQUAL (room_limit (&room, SLOTS, now + 2000), 2);
+  room_apply_rejection (&room, SLOTS, 4, now + 2000);
+  CU_ASSERT_EQUAL (room_limit (&room, SLOTS, now + 2000), 2);
+}
+
+static void
+last_places_go_to_few (void)
+{
+  struct room_service service = { 0 };
+  clk_ms now = START_MS;
+
+  room_adopt (&service, 1, REJECTIONS_MAX, 0, now);
+  for (int i = 0; i < 100; i++)
+    room_count_request (&service, now);
+  for (uint32_t load = 0, fewer = ROOM_SHARERS_MAX; load <= SLOTS; load++)
+    {
+      uint32_t senders = 0;
+
+      for (uint32_t rank = 0; rank < ROOM_SHARERS_MAX; rank++)
+        {
+          struct room room;
+
+          room_init (&room);
+          room.rank = rank;
+          senders
+              += (uint32_t)room_has_place (&room, &service, SLOTS, load, now);
+        }
+      CU_ASSERT (senders <= fewer);
+      fewer = senders;
+      if (load == SLOTS - 1)
+        CU_ASSERT_EQUAL (senders, 1);
+      if (load == SLOTS)
+        CU_ASSERT_EQUAL (senders, 0);
+    }
+}
+
+static void
+rejections_close_a_target (void)
+{
+  struct room_service service = { 0 };
+  struct room room;
+  clk_ms now = START_MS;
+
+  room_adopt (&service, 1, REJECTIONS_MAX, 0, now);
+  room_init (&room);
+  CU_ASSERT (!room_has_place (&room, &service, SLOTS, 0, now));
+  CU_ASSERT (room_has_place (&room, &service, 10 * SLOTS, 0, now));
+  room.rank = 0;
+  for (int i = 0; i < REJECTIONS_MAX; i++)
+    {
+      CU_ASSERT (room_has_place (&room, &service, SLOTS, 0, now));
+      room_reject (&room, SLOTS, SLOTS, now, now);
+      CU_ASSERT (!room_has_place (&room, &service, SLOTS, 1, now));
+      now += 100;
+      CU_ASSERT_EQUAL (room_has_place (&room, &service, SLOTS, 1, now),
+                       i + 2 < REJECTIONS_MAX);
+    }
+  CU_ASSERT (!room_has_place (&room, &service, SLOTS, 0, now));
+  CU_ASSERT (room_has_place (&room, &service, SLOTS, 1, now + 1200));
+}
+
+static void
+field_is_parsed_strictly (void)
+{
+  static const char *const bad[]
+      = { "",   "-1",  "+3",  " 3",          "3 ",
+          "3x", "0x3", "2.5", "99999999999", "18446744073709551617" };
+  uint32_t number = 0;
+
+  CU_ASSERT_EQUAL (plat_dialect.brittle ("0", &number), 0);
+  CU_ASSERT_EQUAL (number, 0);
+  CU_ASSERT_EQUAL (plat_dialect.brittle ("12", &number), 0);
+  CU_ASSERT_EQUAL (number, 12);
+  for (size_t i = 0; i < G_N_ELEMENTS (bad); i++)
+    CU_ASSERT_EQUAL (plat_dialect.brittle (bad[i], &number), -1);
+}
