Reckon what brittle targets could run by the time that their slots were held

The share asked for is as before.

A target falls only from the contact time after its word on, as the users' rule says; before, one that had been turning requests away for want of room when it first said so fell at once, before any instance could know.

New: two of eight targets end when the room shrinks, and are back 3 s later with an entry of a new process.

--- a/tests/brittle_fixture.h
+++ b/tests/brittle_fixture.h
@@ -2,6 +2,8 @@
 #ifndef BRITTLE_FIXTURE_H
 #define BRITTLE_FIXTURE_H
 
+#include <stdint.h>
+
 /* How a target works. */
 struct brittle_script
 {
@@ -10,6 +12,7 @@
   int queue;       /* that wait besides */
   int work_ms;     /* for each request */
   int events;      /* of the stream that it answers with; 0: a plain answer */
+  int contact_ms;  /* after it first said so, it may fall */
   int back_ms;     /* from a fall until it is back */
   int has_new_entry; /* it is back with an entry of a new process */
 };
@@ -20,6 +23,8 @@
   int arrivals;
   int rejections;
   int falls;
+  int worked;        /* requests that have left their slots */
+  int64_t worked_us; /* time that these were there */
 };
 
 struct brittle_target;
@@ -29,6 +34,7 @@
                     const struct brittle_script *script);
 void brittle_target_say (struct brittle_target *target, int rejections_max);
 void brittle_target_set_queue (struct brittle_target *target, int queue);
+void brittle_target_crash (struct brittle_target *target);
 struct brittle_counts brittle_target_counts (struct brittle_target *target);
 void brittle_targets_stop (void);
 
