Let limits of brittle targets grow more slowly, and more instances take places

A limit that was learned was tried again after a second, at the price of one rejection at each target; it is now after two.

--- a/request/room.c
+++ b/request/room.c
@@ -23,7 +23,7 @@
   CAUTION_MS = 4000, /* in which a rejection makes instances careful */
   CAUTION_PER_REJECTION = 4,
   RATE_MS = 1000, /* over which requests are counted */
-  GROWTH_MIN_MS = 1000,
+  GROWTH_MIN_MS = 2000,
   GROWTH_MAX_MS = 16000,
   GROWN_WELL = 4, /* so much growth shows that a limit was too low */
   FAR_MIN = 16,   /* places left that nobody has to be careful with */
@@ -32,7 +32,7 @@
 
 /* Requests on their way, for each place beyond the first, with which more of
    them than there are places are unlikely.  */
-static const double BLIND_PER_PLACE = 0.6;
+static const double BLIND_PER_PLACE = 1.0;
 
 static double room_rate (const struct room_service *service, clk_ms now);
 static double senders_max (const struct room *room,
