--- a/include/ibisloom/metrics.h
+++ b/include/ibisloom/metrics.h
@@ -59,9 +59,10 @@
   /* Requests through other instances, while cut off from targets.  */
   METRIC_HOPS_SENT,
   METRIC_HOPS_RECEIVED,
-  METRIC_HOPS_REFUSED, /* by this instance */
-  METRIC_CUT_OFF,      /* times that it was cut off from a service */
-  METRIC_OVER_BOUND,   /* responses that report a load over the bound */
+  METRIC_HOPS_REFUSED,    /* by this instance */
+  METRIC_CUT_OFF,         /* times that it was cut off from a service */
+  METRIC_ROOM_REJECTIONS, /* requests that brittle targets turned away */
+  METRIC_OVER_BOUND,      /* responses that report a load over the bound */
   /* Denied admissions, by reason.  */
   METRIC_DENIED_BOUND,
   METRIC_DENIED_RATE,
--- a/include/ibisloom/wire.h
+++ b/include/ibisloom/wire.h
@@ -48,6 +48,8 @@
   WIRE_VERSION_QUERY,     /* asks which were */
   WIRE_REACH_QUERY,       /* asks whether a service is reached */
   WIRE_REACH,             /* whether the sender reaches a service */
+  WIRE_BRITTLE,           /* whether the targets of a service are brittle */
+  WIRE_REJECTED,          /* request that a brittle target turned away */
   WIRE_KIND_COUNT
 };
 
@@ -277,6 +279,23 @@
   uint64_t token; /* that hops to the sender have to bear */
 };
 
+/* Whether the targets of a service are brittle. */
+struct wire_brittle
+{
+  uint64_t service;        /* hash of its name */
+  uint32_t version;        /* odd: they are */
+  uint32_t rejections_max; /* see struct room_service */
+  uint32_t age_ms;         /* since a target said so */
+  uint32_t turn;           /* of the instances, see process/fleet_room.c */
+};
+
+/* Request that a brittle target turned away. */
+struct wire_rejected
+{
+  uint64_t target;
+  uint32_t limit; /* of its requests in progress, as the sender knows now */
+};
+
 struct wire_message
 {
   enum wire_kind kind;
@@ -304,6 +323,8 @@
     struct wire_version_query version_query;
     struct wire_reach_query reach_query;
     struct wire_reach reach;
+    struct wire_brittle brittle;
+    struct wire_rejected rejected;
   } u;
 };
 
--- a/process/metrics.c
+++ b/process/metrics.c
@@ -96,6 +96,7 @@
   [METRIC_HOPS_RECEIVED] = "ibisloom_hops_received_total",
   [METRIC_HOPS_REFUSED] = "ibisloom_hops_refused_total",
   [METRIC_CUT_OFF] = "ibisloom_cut_off_total",
+  [METRIC_ROOM_REJECTIONS] = "ibisloom_room_rejections_total",
   [METRIC_OVER_BOUND] = "ibisloom_over_bound_total",
   [METRIC_DENIED_RATE]
   = "ibisloom_admission_denied_total{reason=\"rate_limit\"}",
--- a/request/relay.c
+++ b/request/relay.c
@@ -99,10 +99,11 @@
 {
   struct router *router = relay->router;
 
-  if (!relay->is_counted)
-    retry_budget_deposit (router_retry_budget (router, relay->service),
-                          router->settings->retry_ratio
-                              * RETRY_RATIO_FRACTION);
+  if (relay->is_counted)
+    return;
+  retry_budget_deposit (router_retry_budget (router, relay->service),
+                        router->settings->retry_ratio * RETRY_RATIO_FRACTION);
+  fleet_count_arrival (router->fleet, relay->service);
   relay->is_counted = 1;
 }
 
@@ -128,6 +129,7 @@
                                                : RELAY_QUARANTINED);
       return;
     }
+  fleet_hear_loads (relay->router->fleet, relay->service);
   target = relay_pick (relay, now, &choice, &count);
   if (relay->waits_for_reach)
     relay_wait_for_reach (relay);
--- a/request/relay_fault.c
+++ b/request/relay_fault.c
@@ -5,13 +5,15 @@
 enum
 {
   /* For requests that may run more than once.  */
-  SENDS_PER_TARGET = 2
+  SENDS_PER_TARGET = 2,
+  REJECTIONS_MAX = 2 /* by brittle targets */
 };
 
 static uint32_t max_sends (const struct relay *relay);
 static void record_fault (struct relay *relay, enum retry_fault fault);
 static enum health_event health_event_of (const struct relay *relay,
                                           enum retry_fault fault);
+static int is_brittle (const struct relay *relay);
 static void give_up (struct relay *relay,
                      const struct retry_decision *decision,
                      enum retry_fault fault);
@@ -39,14 +41,27 @@
              : route->attempts_max * SENDS_PER_TARGET;
 }
 
-/* Returns the health event of the current target that corresponds to
-   FAULT.  */
+/* Returns whether the current target is brittle.  */
+static int
+is_brittle (const struct relay *relay)
+{
+  const struct reg_target *target = relay->attempt.target;
+
+  return !target->is_peer
+         && room_is_brittle (target->room_service, clk_now (clk_monotonic ()));
+}
+
+/* Returns the health event of the current target that corresponds to FAULT, or
+   HEALTH_EVENT_COUNT for a rejection by a brittle one, whose room tells when
+   it is used again.  */
 static enum health_event
 health_event_of (const struct relay *relay, enum retry_fault fault)
 {
   if (fault == RETRY_FAULT_REJECTED
       && relay->attempt.status == HTTP_STATUS_MISDIRECTED_REQUEST)
     return HEALTH_MISDIRECTED;
+  if (fault == RETRY_FAULT_REJECTED && is_brittle (relay))
+    return HEALTH_EVENT_COUNT;
   return health_events[fault];
 }
 
@@ -71,7 +86,8 @@
   if ((relay->head_sent && !relay->head_is_stream)
       || (relay->connect_failures >= RELAY_CONNECT_FAILURES_MAX
           && !relay_hop_may_help (relay))
-      || relay_hop_is_final (relay, fault))
+      || relay_hop_is_final (relay, fault)
+      || relay->rejections >= REJECTIONS_MAX)
     return;
   retry_decide (&state, router_retry_budget (relay->router, relay->service),
                 clk_now (clk_monotonic ()), decision);
@@ -100,6 +116,8 @@
     }
   else if (fault != RETRY_FAULT_REJECTED)
     relay->may_have_run = 1;
+  else if (is_brittle (relay))
+    relay->rejections++;
   relay->error_responses += fault == RETRY_FAULT_ERROR_STATUS;
   metric_inc (retry_counters[fault]);
 }
