--- a/request/hop_mark.c
+++ b/request/hop_mark.c
@@ -18,9 +18,7 @@
   FLAG_SPLIT = 4,
   FLAG_COUNTED = 8,
   FLAG_TAKES_UP = 16,
-  FLAGS_ALL = 31,
-  ATTEMPTS_MAX = 64,
-  DURATION_MAX_MS = 86400000
+  FLAGS_ALL = 31
 };
 
 static uint32_t flags_of (const struct hop_mark *mark);
@@ -77,9 +75,8 @@
 hop_mark_parse (const char *value, struct hop_mark *mark)
 {
   static const uint64_t max[NUMBERS_MAX]
-      = { MARK_VERSION, UINT64_MAX,   UINT32_MAX,      RT_STREAM,
-          FLAGS_ALL,    ATTEMPTS_MAX, DURATION_MAX_MS, DURATION_MAX_MS,
-          UINT64_MAX,   UINT64_MAX };
+      = { MARK_VERSION, UINT64_MAX, UINT32_MAX, RT_STREAM,  FLAGS_ALL,
+          UINT32_MAX,   INT32_MAX,  INT32_MAX,  UINT64_MAX, UINT64_MAX };
   char **items = g_strsplit (value, " ", ITEMS + 1);
   uint64_t number[NUMBERS_MAX];
   int result = g_strv_length (items) == ITEMS ? 0 : -1;
--- a/request/relay_hop.c
+++ b/request/relay_hop.c
@@ -130,20 +130,22 @@
   const struct rt_route *route = relay->route;
   const struct hop_peer *peer
       = router_hop_peer (relay->router, relay->service, relay->attempt.target);
-  uint32_t tried = MIN (relay->tried_count, route->attempts_max - 1);
-  struct hop_mark mark = { .token = peer != NULL ? peer->token : 0,
-                           .sender = fleet_self (relay->router->fleet),
-                           .kind = route->kind,
-                           .is_resumable = route->is_resumable,
-                           .has_context = route->has_context,
-                           .is_split = relay_origin_is_split (relay),
-                           .is_counted = relay->is_counted,
-                           .takes_up = relay->takes_up,
-                           .attempts_max = route->attempts_max - tried,
-                           .objective_ms = route->objective_ms,
-                           .pause_ms = route->pause_ms,
-                           .software = relay->software,
-                           .stream = relay->stream };
+  uint32_t attempts_max = MAX (route->attempts_max, 1);
+  struct hop_mark mark
+      = { .token = peer != NULL ? peer->token : 0,
+          .sender = fleet_self (relay->router->fleet),
+          .kind = route->kind,
+          .is_resumable = route->is_resumable,
+          .has_context = route->has_context,
+          .is_split = relay_origin_is_split (relay),
+          .is_counted = relay->is_counted,
+          .takes_up = relay->takes_up,
+          .attempts_max
+          = attempts_max - MIN (relay->tried_count, attempts_max - 1),
+          .objective_ms = MIN (route->objective_ms, INT32_MAX),
+          .pause_ms = MIN (route->pause_ms, INT32_MAX),
+          .software = relay->software,
+          .stream = relay->stream };
 
   g_strlcpy (mark.service, relay->service, sizeof mark.service);
   if (relay->customer != NULL)
