Correct the origin of streams that a target began before its entry came

What callers saw: a target started again under its id as another version. Until its entry came, streams that began there were recorded under its old version; they broke, and went on at targets of that.

Cause: the version of a stream was that of its target's entry when the attempt was sent, and stayed so.

Change: an entry tells when the process of a target started. When it comes with another version, the streams that the instance sent there since are of that: the instance corrects its records and tells the peers again, who believe a peer that corrects what it told itself; an answer in progress goes on accordingly. What was sent before the start keeps the old version, and goes on there.

Why it works: a connection cannot lead to a process that has not started, so what an attempt sent later received comes from the new one. The clocks of the hosts have to agree to the time from the start to the first connection.

--- a/include/ibisloom/fleet.h
+++ b/include/ibisloom/fleet.h
@@ -65,6 +65,8 @@
 void fleet_ask_versions (struct fleet *fleet, uint64_t service);
 uint64_t fleet_only_version (const struct fleet *fleet, uint64_t service,
                              clk_ms arrived_ms);
+void fleet_correct_origins (struct fleet *fleet,
+                            const struct reg_target *target);
 void fleet_see_target (struct fleet *fleet, const struct reg_target *target);
 int fleet_knows_quarantine (const struct fleet *fleet);
 void fleet_keep_origins (struct fleet *fleet, const char *kind);
--- a/include/ibisloom/origin.h
+++ b/include/ibisloom/origin.h
@@ -32,6 +32,15 @@
   uint64_t software; /* see origin_software */
 };
 
+/* Attempt that began a stream here, or the start of a process of its
+   target. */
+struct origin_attempt
+{
+  uint64_t target;   /* hash of its id */
+  int64_t sent_ms;   /* Unix time */
+  uint64_t software; /* of the target, as known then; see origin_software */
+};
+
 /* Software version of the targets of one service. */
 struct origin_version
 {
@@ -53,6 +62,14 @@
 uint64_t origin_software (const char *service, const char *version);
 void origin_add (struct origins *origins, const struct origin_record *record,
                  enum origin_source source, clk_ms now);
+void origin_add_told (struct origins *origins,
+                      const struct origin_record *record, uint32_t teller,
+                      clk_ms now);
+void origin_set_attempt (struct origins *origins, uint64_t stream,
+                         const struct origin_attempt *attempt);
+int origin_correct (struct origins *origins, struct origin_cursor *cursor,
+                    const struct origin_attempt *started,
+                    struct origin_record *record);
 void origin_expect (struct origins *origins,
                     const struct origin_record *record, clk_ms now);
 void origin_end (struct origins *origins, uint64_t attempt);
--- a/include/ibisloom/registry.h
+++ b/include/ibisloom/registry.h
@@ -29,6 +29,7 @@
   int leaving;
   int64_t warming_ms;   /* time left until it has warmed up */
   uint64_t incarnation; /* of its process, 0: unknown */
+  int64_t started_ms;   /* Unix time of its start, 0: unknown */
   uint64_t reports;     /* of that process up to this one */
   uint64_t software;    /* its version, see origin_software */
 };
@@ -59,6 +60,7 @@
   struct sockaddr_in address;
   int32_t slots;
   uint64_t incarnation;
+  int64_t started_ms;       /* see struct reg_entry */
   uint64_t reports;         /* see struct reg_entry */
   uint64_t software;        /* see struct reg_entry */
   struct position position; /* of the entry */
--- a/process/fleet.c
+++ b/process/fleet.c
@@ -185,7 +185,7 @@
       fleet_apply_state (fleet, peer, &message->u.state);
       break;
     case WIRE_ORIGINS:
-      fleet_apply_origins (fleet, &message->u.origins);
+      fleet_apply_origins (fleet, peer, &message->u.origins);
       break;
     case WIRE_ORIGIN_QUERY:
       fleet_answer_origin (fleet, peer, &message->u.origin_query);
--- a/process/fleet_origin.c
+++ b/process/fleet_origin.c
@@ -62,6 +62,23 @@
   see_version (fleet, &version, clk_now (clk_monotonic ()));
 }
 
+/* Corrects the origins of the streams that TARGET, which has started again,
+   has begun here since then, as its version was not known.  Peers are told
+   again.  */
+void
+fleet_correct_origins (struct fleet *fleet, const struct reg_target *target)
+{
+  const struct origin_attempt started = { .target = target->hash,
+                                          .sent_ms = target->started_ms,
+                                          .software = target->software };
+  struct origin_cursor cursor = { 0 };
+  struct origin_record record;
+
+  while (target->started_ms != 0
+         && origin_correct (fleet->origins, &cursor, &started, &record))
+    g_array_append_val (fleet->untold_origins, record);
+}
+
 /* Records that VERSION is seen at NOW, and logs it if it is new.  */
 static void
 see_version (struct fleet *fleet, const struct origin_version *version,
@@ -166,9 +183,10 @@
   fleet_send (fleet, &peer->address, &message);
 }
 
-/* Records the origins that a peer has told.  */
+/* Records the origins that PEER has told.  */
 void
-fleet_apply_origins (struct fleet *fleet, const struct wire_origins *origins)
+fleet_apply_origins (struct fleet *fleet, const struct fleet_peer *peer,
+                     const struct wire_origins *origins)
 {
   clk_ms now = clk_now (clk_monotonic ());
 
@@ -183,7 +201,7 @@
       if (version.software == 0 || version.service == 0)
         continue;
       see_version (fleet, &version, now);
-      origin_add (fleet->origins, &record, ORIGIN_PEER, now);
+      origin_add_told (fleet->origins, &record, peer->id, now);
     }
 }
 
@@ -197,9 +215,13 @@
 
   for (int i = 0; i < TOLD_PER_HEARTBEAT && untold->len > 0; i++)
     {
-      tell_origin (fleet, &g_array_index (untold, struct origin_record,
-                                          untold->len - 1));
+      struct origin_record record
+          = g_array_index (untold, struct origin_record, untold->len - 1);
+
       g_array_set_size (untold, untold->len - 1);
+      record.software = origin_find (fleet->origins, record.attempt);
+      if (record.software != 0)
+        tell_origin (fleet, &record);
     }
   if (fleet->heartbeat_count % SEE_HEARTBEATS != 0)
     return;
--- a/process/libfleet.h
+++ b/process/libfleet.h
@@ -177,7 +177,7 @@
 void fleet_origin_init (struct fleet *fleet);
 void fleet_origin_clear (struct fleet *fleet);
 void fleet_origin_tick (struct fleet *fleet, clk_ms now);
-void fleet_apply_origins (struct fleet *fleet,
+void fleet_apply_origins (struct fleet *fleet, const struct fleet_peer *peer,
                           const struct wire_origins *origins);
 void fleet_answer_origin (struct fleet *fleet, const struct fleet_peer *peer,
                           const struct wire_origin_query *query);
--- a/process/registry.c
+++ b/process/registry.c
@@ -152,6 +152,7 @@
     {
       reset_history (target);
       target->incarnation = entry->incarnation;
+      target->started_ms = entry->started_ms;
       target->software = entry->software;
       is_new = 1;
     }
@@ -184,6 +185,7 @@
   target->references = 1;
   target->serial = ++registry->last_serial;
   target->incarnation = entry->incarnation;
+  target->started_ms = entry->started_ms;
   target->software = entry->software;
   g_hash_table_insert (registry->targets, target->id, target);
   g_hash_table_insert (registry->by_hash, GSIZE_TO_POINTER (target->hash),
--- a/process/router_store.c
+++ b/process/router_store.c
@@ -295,14 +295,18 @@
 put_target (struct router *router, const struct reg_entry *entry,
             struct position position)
 {
-  const struct reg_target *target;
+  const struct reg_target *target = reg_find (router->registry, entry->id);
+  uint64_t software_before = target != NULL ? target->software : 0;
 
   drop_restarted_holder (router, entry);
   if (reg_put (router->registry, entry, position, clk_now (clk_monotonic ())))
     log_target (entry->leaving ? "target_leaving" : "target", entry, position);
   target = reg_find (router->registry, entry->id);
-  if (target != NULL)
-    fleet_see_target (router->fleet, target);
+  if (target == NULL)
+    return;
+  if (software_before != 0 && target->software != software_before)
+    fleet_correct_origins (router->fleet, target);
+  fleet_see_target (router->fleet, target);
 }
 
 /* Handles the deletion of the registry entry OBJECT.  The target is kept as
--- a/request/librelay.h
+++ b/request/librelay.h
@@ -108,7 +108,8 @@
   uint8_t takes_up;  /* the client takes the stream up */
   uint8_t waits;     /* until its origin is known */
   clk_ms asked_ms;   /* time of the last question for it, 0: none */
-  uint8_t has_begun; /* the origin of the stream has been recorded */
+  struct origin_attempt began; /* the stream here; zeroed: none has */
+  uint8_t has_begun;           /* the origin of the stream has been recorded */
   /* The response.  */
   uint8_t head_sent;      /* the response head was sent to the client */
   uint8_t head_is_stream; /* it begins an event stream */
@@ -157,6 +158,7 @@
                        const struct reg_target *target);
 void relay_origin_expect (struct relay *relay);
 void relay_origin_begin (struct relay *relay);
+uint64_t relay_origin_of_attempt (const struct relay *relay);
 void relay_origin_end (struct relay *relay);
 void relay_origin_read (struct relay *relay);
 void relay_origin_resolve (struct relay *relay);
--- a/request/origin.c
+++ b/request/origin.c
@@ -15,7 +15,9 @@
 {
   struct origin_record record;
   enum origin_source source;
-  int is_expected; /* the stream has not begun yet */
+  int is_expected;             /* the stream has not begun yet */
+  uint32_t teller;             /* peer that told it first; 0: none */
+  struct origin_attempt began; /* here; zeroed: elsewhere */
   clk_ms used_ms;
 };
 
@@ -106,6 +108,57 @@
     g_ptr_array_add (origins->own, entry);
 }
 
+/* Records the origin of a stream that the peer TELLER has told.  It may
+   correct what it has told before.  */
+void
+origin_add_told (struct origins *origins, const struct origin_record *record,
+                 uint32_t teller, clk_ms now)
+{
+  struct entry *entry;
+
+  origin_add (origins, record, ORIGIN_PEER, now);
+  entry = g_hash_table_lookup (origins->by_attempt, &record->attempt);
+  if (entry->source != ORIGIN_PEER)
+    return;
+  if (entry->teller == 0)
+    entry->teller = teller;
+  if (entry->teller == teller)
+    entry->record.software = record->software;
+}
+
+/* Records which ATTEMPT began STREAM, which is known, here.  */
+void
+origin_set_attempt (struct origins *origins, uint64_t stream,
+                    const struct origin_attempt *attempt)
+{
+  struct entry *entry = g_hash_table_lookup (origins->by_attempt, &stream);
+
+  entry->began = *attempt;
+}
+
+/* Corrects the origin of the next stream at CURSOR that began here by an
+   attempt at the target of STARTED, sent when that had started or later, so
+   that its software began it.  Stores it in RECORD.  Returns 0 after the last
+   one.  */
+int
+origin_correct (struct origins *origins, struct origin_cursor *cursor,
+                const struct origin_attempt *started,
+                struct origin_record *record)
+{
+  while (cursor->next < origins->own->len)
+    {
+      struct entry *entry = g_ptr_array_index (origins->own, cursor->next++);
+
+      if (entry->is_expected || entry->began.target != started->target
+          || entry->began.sent_ms < started->sent_ms)
+        continue;
+      entry->record.software = started->software;
+      *record = entry->record;
+      return 1;
+    }
+  return 0;
+}
+
 /* Records that the software in RECORD is expected to begin a stream here, so
    that this can be in the store before the first event comes.  It replaces
    what was expected before, and is not found until origin_add.  */
--- a/request/relay_origin.c
+++ b/request/relay_origin.c
@@ -16,6 +16,8 @@
 static void wait_for_origin (struct relay *relay);
 static int find_origin (struct relay *relay, int64_t waited_ms);
 static int is_split (const struct rt_route *route);
+static uint64_t current_software (const struct relay *relay);
+static int64_t sent_at_ms (const struct relay *relay);
 static const char *only_service (const struct relay *relay);
 
 /* Names in the log, and counters, by where an origin is known from.  */
@@ -176,7 +178,26 @@
 int
 relay_origin_fits (const struct relay *relay, const struct reg_target *target)
 {
-  return relay->software == 0 || target->software == relay->software;
+  uint64_t software = current_software (relay);
+
+  return software == 0 || target->software == software;
+}
+
+/* Returns the version that began the stream of RELAY, or 0 if none has: that
+   of its first target's entry now, if the target had started again before the
+   attempt.  */
+static uint64_t
+current_software (const struct relay *relay)
+{
+  const struct reg_target *target
+      = relay->began.target != 0
+            ? reg_find_hash (relay->router->registry, relay->began.target)
+            : NULL;
+
+  if (target == NULL || target->started_ms == 0
+      || relay->began.sent_ms < target->started_ms)
+    return relay->software;
+  return target->software;
 }
 
 /* Returns whether the stream of RELAY has begun and no target may go on with
@@ -203,6 +224,7 @@
       = { .attempt = relay->stream,
           .software = relay->attempt.target->software };
 
+  relay->software = current_software (relay);
   if (relay->stream == 0 || !relay->route->is_resumable || relay->software != 0
       || !origin_versions_differ (origins))
     return;
@@ -227,11 +249,41 @@
   struct origin_record record = { .attempt = relay->stream };
 
   if (relay->software == 0)
-    relay->software = relay->attempt.software;
+    relay->software = relay_origin_of_attempt (relay);
   if (relay->has_begun)
     return;
   relay->has_begun = 1;
   record.software = relay->software;
-  if (relay->stream != 0 && relay->route->is_resumable)
-    fleet_add_origin (relay->router->fleet, &record, is_split (relay->route));
+  if (!relay->takes_up)
+    relay->began
+        = (struct origin_attempt){ .target = relay->attempt.target->hash,
+                                   .sent_ms = sent_at_ms (relay),
+                                   .software = record.software };
+  if (relay->stream == 0 || !relay->route->is_resumable)
+    return;
+  fleet_add_origin (relay->router->fleet, &record, is_split (relay->route));
+  origin_set_attempt (fleet_origins (relay->router->fleet), relay->stream,
+                      &relay->began);
+}
+
+/* Returns the version at which the current attempt of RELAY runs: that of the
+   entry of its target when it was sent, or that of a later entry by which the
+   target had started again before.  */
+uint64_t
+relay_origin_of_attempt (const struct relay *relay)
+{
+  const struct reg_target *target = relay->attempt.target;
+
+  if (target->software == relay->attempt.software || target->started_ms == 0
+      || sent_at_ms (relay) < target->started_ms)
+    return relay->attempt.software;
+  return target->software;
+}
+
+/* Returns the Unix time at which the current attempt of RELAY was sent.  */
+static int64_t
+sent_at_ms (const struct relay *relay)
+{
+  return clk_wall_ms ()
+         - (clk_now (clk_monotonic ()) - relay->attempt.sent_ms);
 }
--- a/request/relay_response.c
+++ b/request/relay_response.c
@@ -73,7 +73,8 @@
     {
       uint32_t complete = relay->events.complete;
 
-      if ((relay->software != 0 && relay->software != relay->attempt.software)
+      if ((relay->software != 0
+           && relay->software != relay_origin_of_attempt (relay))
           || relay_events_feed (relay, data, length) != 0)
         {
           relay->attempt.is_invalid = 1;
--- a/tests/libfixture.h
+++ b/tests/libfixture.h
@@ -13,8 +13,8 @@
   char *id;
   char *service;
   char *state;
-  char *version; /* NULL: its entry names none */
-  int starts;    /* told as the time of its start; 0: its entry names none */
+  char *version;  /* NULL: its entry names none */
+  gint64 born_ms; /* Unix time of its start; 0: its entry names none */
   int port;
   int listener;
   fx_handler_fn handler;
--- a/tests/router_fixture.h
+++ b/tests/router_fixture.h
@@ -60,6 +60,8 @@
 int fx_target_closed_by_router (struct fx_target *target);
 void fx_target_put_entry (struct fx_target *target, const char *members);
 void fx_target_set_state (struct fx_target *target, const char *state);
+void fx_target_start_again (struct fx_target *target);
+void fx_target_set_version (struct fx_target *target, const char *version);
 void fx_target_restart (struct fx_target *target, const char *version);
 void fx_target_remove (struct fx_target *target);
 int fx_target_crash (struct fx_target *target);
--- a/tests/target_fixture.c
+++ b/tests/target_fixture.c
@@ -82,8 +82,9 @@
       target->service, target->port, target->state, ++target->reports);
   if (target->version != NULL)
     g_string_append_printf (spec, ",\"version\":\"%s\"", target->version);
-  if (target->starts != 0)
-    g_string_append_printf (spec, ",\"born\":%d", target->starts);
+  if (target->born_ms != 0)
+    g_string_append_printf (spec, ",\"born\":%" G_GINT64_FORMAT,
+                            target->born_ms);
   g_string_append_printf (spec, "%s}", members);
   fx_store_add_change ("servers", target->id, spec->str);
   g_string_free (spec, TRUE);
@@ -126,17 +127,33 @@
   fx_target_put_entry (target, "");
 }
 
-/* Writes an entry by which the process of TARGET has started again, with
-   VERSION of its software, or with an entry that names none if it is NULL.  */
+/* Has the process of TARGET started again now, of which no entry tells yet.
+ */
 void
-fx_target_restart (struct fx_target *target, const char *version)
+fx_target_start_again (struct fx_target *target)
+{
+  target->born_ms = g_get_real_time () / 1000;
+}
+
+/* Writes an entry by which the process of TARGET has VERSION of its software,
+   or with an entry that names none if it is NULL.  */
+void
+fx_target_set_version (struct fx_target *target, const char *version)
 {
   g_free (target->version);
   target->version = g_strdup (version);
-  target->starts++;
   fx_target_put_entry (target, "");
 }
 
+/* Writes an entry by which the process of TARGET has started again, with
+   VERSION.  */
+void
+fx_target_restart (struct fx_target *target, const char *version)
+{
+  fx_target_start_again (target);
+  fx_target_set_version (target, version);
+}
+
 void
 fx_target_remove (struct fx_target *target)
 {
--- a/tests/test_behind.c
+++ b/tests/test_behind.c
@@ -34,6 +34,7 @@
 static void frozen_instance_does_not_join (void);
 static void instance_apart_does_not_join (void);
 static void instance_apart_goes_on_by_the_store (void);
+static void late_entry_does_not_join (void);
 
 static const struct test_case cases[] = {
   { "a stream of a version that came while an instance was frozen is not "
@@ -44,6 +45,9 @@
     instance_apart_does_not_join },
   { "an instance cut off from peers only goes on with unknown streams",
     instance_apart_goes_on_by_the_store },
+  { "a stream of a target that had started again is not joined after its "
+    "entry",
+    late_entry_does_not_join },
 };
 
 TEST_MAIN ("behind", cases)
@@ -70,6 +74,16 @@
   return is_taken_up;
 }
 
+static gint has_started_again;
+
+/* Writes as a target that starts again as the newer version.  */
+static int
+write_changing (const struct fx_request *request)
+{
+  return write_stream (request,
+                       g_atomic_int_get (&has_started_again) ? "new" : "old");
+}
+
 static int
 write_old (const struct fx_request *request)
 {
@@ -119,18 +133,36 @@
       if (is_version)
         return id;
       g_free (id);
+      fx_sleep_ms (1);
     }
   CU_FAIL_FATAL ("no stream began at the version");
   return NULL;
 }
 
-/* Sends the router that is behind a request to take up the stream that the
-   attempt ID began.  Returns the connection.  */
+/* The same, of a stream that TARGET begins.  */
+static char *
+begin_at_target (struct fx_target *target, const char *version)
+{
+  for (int i = 0; i < BEGIN_TRIES; i++)
+    {
+      int requests = fx_target_request_count (target);
+      char *id = begin_at (version);
+
+      if (fx_target_request_count (target) > requests)
+        return id;
+      g_free (id);
+    }
+  CU_FAIL_FATAL ("no stream began at the target");
+  return NULL;
+}
+
+/* Sends ROUTER a request to take up the stream that the attempt ID began.
+   Returns the connection.  */
 static int
-take_up (const char *id)
+take_up_at (int router, const char *id)
 {
   char *request = g_strdup_printf (TAKE_UP, id);
-  int fd = fx_router_connect (BEHIND);
+  int fd = fx_router_connect (router);
 
   CU_ASSERT_FATAL (fd >= 0);
   fx_send (fd, request);
@@ -138,6 +170,13 @@
   return fd;
 }
 
+/* The same, for the router that is behind.  */
+static int
+take_up (const char *id)
+{
+  return take_up_at (BEHIND, id);
+}
+
 /* Checks that the response on FD goes on at the newer version, or, unless
    IS_SERVED, that it is a refusal.  */
 static void
@@ -229,3 +268,35 @@
   g_free (id);
   fx_env_stop ();
 }
+
+static void
+late_entry_does_not_join (void)
+{
+  struct fx_target *changing;
+  char *before;
+  char *after;
+
+  (void)start_fleet ();
+  changing = fx_target_add ("i-3", "pool", write_changing);
+  fx_target_add_version ("i-4", "pool", "v2", write_new);
+  g_atomic_int_set (&has_started_again, 0);
+  fx_routers_start (ROUTERS);
+  fx_sleep_ms (APPLY_MS);
+  before = begin_at ("old");
+  fx_target_start_again (changing);
+  g_atomic_int_set (&has_started_again, 1);
+  after = begin_at_target (changing, "new");
+  fx_target_set_version (changing, "v2");
+  fx_sleep_ms (APPLY_MS);
+  for (int i = 0; i < ROUTERS; i++)
+    {
+      char *response = fx_read_all (take_up_at (i, before));
+
+      expect_not_joined (take_up_at (i, after), 1);
+      CU_ASSERT_PTR_NOT_NULL (strstr (response, "data: old5"));
+      g_free (response);
+    }
+  g_free (before);
+  g_free (after);
+  fx_env_stop ();
+}
