--- a/tests/test_origin.c
+++ b/tests/test_origin.c
@@ -19,6 +19,8 @@
 static void version_is_remembered_after_its_last_target (void);
 static void see (struct origins *origins, uint64_t service, uint64_t software,
                  clk_ms now);
+static void late_version_corrects_streams_since_the_start (void);
+static void only_its_teller_corrects_an_origin (void);
 
 static const struct test_case cases[] = {
   { "the first origin of a stream stays", first_origin_stays },
@@ -35,6 +37,10 @@
     versions_of_two_services_do_not_differ },
   { "a version is remembered after its last target has gone",
     version_is_remembered_after_its_last_target },
+  { "a version that comes late corrects the streams begun since the start",
+    late_version_corrects_streams_since_the_start },
+  { "only the peer that told an origin corrects it",
+    only_its_teller_corrects_an_origin },
 };
 
 TEST_MAIN ("origin", cases)
@@ -187,3 +193,43 @@
 
   (void)origin_see_version (origins, &version, now);
 }
+
+static void
+late_version_corrects_streams_since_the_start (void)
+{
+  static const struct origin_attempt attempts[]
+      = { { 7, START_MS - 1, 11 }, { 7, START_MS, 11 }, { 8, START_MS, 11 } };
+  const struct origin_attempt started = { 7, START_MS, 13 };
+  struct origins *origins = origin_new ();
+  struct origin_cursor cursor = { 0 };
+  struct origin_record record = { .software = 11 };
+
+  for (uint64_t i = 0; i < G_N_ELEMENTS (attempts); i++)
+    {
+      record.attempt = i + 1;
+      origin_add (origins, &record, ORIGIN_OWN, START_MS);
+      origin_set_attempt (origins, record.attempt, &attempts[i]);
+    }
+  CU_ASSERT (origin_correct (origins, &cursor, &started, &record));
+  CU_ASSERT_EQUAL (record.attempt, 2);
+  CU_ASSERT (!origin_correct (origins, &cursor, &started, &record));
+  CU_ASSERT_EQUAL (origin_find (origins, 1), 11);
+  CU_ASSERT_EQUAL (origin_find (origins, 2), 13);
+  CU_ASSERT_EQUAL (origin_find (origins, 3), 11);
+  origin_free (origins);
+}
+
+static void
+only_its_teller_corrects_an_origin (void)
+{
+  struct origins *origins = origin_new ();
+  struct origin_record record = { 5, 11 };
+
+  origin_add_told (origins, &record, 1, START_MS);
+  record.software = 13;
+  origin_add_told (origins, &record, 2, START_MS);
+  CU_ASSERT_EQUAL (origin_find (origins, 5), 11);
+  origin_add_told (origins, &record, 1, START_MS);
+  CU_ASSERT_EQUAL (origin_find (origins, 5), 13);
+  origin_free (origins);
+}
