--- a/include/ibisloom/fleet.h
+++ b/include/ibisloom/fleet.h
@@ -91,6 +91,8 @@
 const struct sockaddr_in *fleet_peer_address (const struct fleet *fleet,
                                               uint32_t peer);
 uint32_t fleet_self (const struct fleet *fleet);
+void fleet_correct_origins (struct fleet *fleet,
+                            const struct reg_target *target);
 void fleet_see_target (struct fleet *fleet, const struct reg_target *target);
 int fleet_knows_quarantine (const struct fleet *fleet);
 void fleet_keep_origins (struct fleet *fleet, const char *kind);
