Guard the time until a connection that has gone dark is dropped

The comments said that two unanswered keep-alive probes drop a connection. With a user timeout their number does not count: connections to clients are dropped after 10 s and not after 7 s. Nothing else changes, and no fault was found in the times themselves.

--- a/connection/socket.c
+++ b/connection/socket.c
@@ -9,10 +9,8 @@
 
 enum
 {
-  /* Keep-alive probes: a connection is dropped after two that are not
-     acknowledged.  */
   KEEPALIVE_INTERVAL_S = 1,
-  KEEPALIVE_PROBES = 2
+  KEEPALIVE_PROBES = 2 /* counts only where there is no user timeout */
 };
 
 static void set_option (int fd, int level, int name, int value);
@@ -63,9 +61,9 @@
 }
 
 /* Disables Nagle's algorithm on FD and bounds the time until a dead peer is
-   noticed.  The connection is dropped if sent data is not acknowledged for
-   USER_TIMEOUT_MS, or if keep-alive probes, which start after KEEPALIVE_IDLE_S
-   without traffic, are not acknowledged.  */
+   noticed.  The connection is dropped if sent data, or keep-alive probes,
+   which start after KEEPALIVE_IDLE_S without traffic, are not acknowledged for
+   USER_TIMEOUT_MS, which must be longer than KEEPALIVE_IDLE_S.  */
 void
 sock_set_options (int fd, int64_t user_timeout_ms, int keepalive_idle_s)
 {
--- a/tests/proxy_fixture.c
+++ b/tests/proxy_fixture.c
@@ -254,23 +254,29 @@
     darken (connection);
 }
 
-/* Makes the system drop all packets that arrive for CONNECTION, so that they
-   are not acknowledged.  */
-static void
-darken (struct connection *connection)
+/* Makes the system drop all packets that arrive for the socket FD, so that
+   they are not acknowledged.  */
+void
+proxy_go_dark (int fd)
 {
   struct sock_filter drop = BPF_STMT (BPF_RET | BPF_K, 0);
   struct sock_fprog filter = { .len = 1, .filter = &drop };
 
+  if (setsockopt (fd, SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof filter)
+      != 0)
+    abort ();
+}
+
+/* Lets both sides of CONNECTION go dark.  */
+static void
+darken (struct connection *connection)
+{
   if (connection->discard[CLIENT_SIDE] && connection->discard[SERVER_SIDE])
     return;
   for (int i = 0; i < SIDE_COUNT; i++)
     {
       connection->discard[i] = 1;
-      if (setsockopt (connection->fd[i], SOL_SOCKET, SO_ATTACH_FILTER, &filter,
-                      sizeof filter)
-          != 0)
-        abort ();
+      proxy_go_dark (connection->fd[i]);
     }
 }
 
--- a/tests/proxy_fixture.h
+++ b/tests/proxy_fixture.h
@@ -32,6 +32,7 @@
 struct proxy *proxy_start_at (const struct sockaddr_in *address,
                               int server_port);
 int proxy_port (const struct proxy *proxy);
+void proxy_go_dark (int fd);
 void proxy_set_mode (struct proxy *proxy, enum proxy_mode mode, int delay_ms);
 
 #endif
