Answer a request that was read behind a stream when a shutdown begins

Seen, in a test: a client that sends its next request while a stream is still on its way gets neither an answer nor a refusal to it if SIGTERM comes in between: the connection ends after the stream.

Cause: client_next_request closes each connection once a shutdown has begun, also one whose input holds a request that was read already, though the head of the response before it did not announce the close. The class: what was accepted is dropped by the end of what it arrived on.

Change: such a request is handled; its own response closes the connection.

Evidence: "a request that was read behind a stream outlives a shutdown's start" (test_silence) failed before.

--- a/connection/client.c
+++ b/connection/client.c
@@ -266,7 +266,9 @@
       client->output = NULL;
       client->output_offset = 0;
     }
-  if (client->close_after || client->listener->is_draining)
+  /* A request that was read before a shutdown began gets a response.  */
+  if (client->close_after
+      || (client->listener->is_draining && pipelined == NULL))
     {
       client_start_closing (client);
       return;
--- a/tests/test_silence.c
+++ b/tests/test_silence.c
@@ -46,6 +46,7 @@
 static void events_before_a_faulty_one_are_not_lost (void);
 static void request_on_kept_connection_outlives_idle_time (void);
 static void request_on_kept_connection_outlives_drain (void);
+static void request_behind_a_stream_outlives_shutdown (void);
 static void standing_router_does_not_replace_targets (void);
 static void target_gets_requests_again_after_silence (void);
 
@@ -82,6 +83,8 @@
     request_on_kept_connection_outlives_idle_time },
   { "a request that waits on a kept connection outlives a shutdown's drain",
     request_on_kept_connection_outlives_drain },
+  { "a request that was read behind a stream outlives a shutdown's start",
+    request_behind_a_stream_outlives_shutdown },
   { "a router that stood still does not replace targets that went on",
     standing_router_does_not_replace_targets },
   { "a target that fell silent gets requests again beside another",
@@ -96,6 +99,12 @@
   "X-Ibisloom-Deadline-Remaining: 4000\r\n"                                   \
   "Authorization: Token key-1\r\n\r\n"
 
+#define KEPT_POST_PLAN(id)                                                    \
+  "POST /plan/1 HTTP/1.1\r\nHost: shop.example\r\n"                           \
+  "X-Ibisloom-Attempt-Id: " id "\r\n"                                         \
+  "X-Ibisloom-Deadline-Remaining: 4000\r\n"                                   \
+  "Authorization: Token key-1\r\nContent-Length: 4\r\n\r\nplan"
+
 static gint whole;                     /* streams that came whole */
 static gint64 replaced_us;             /* when the replacement was sent */
 static gint64 released_us;             /* when the silent target was left */
@@ -598,6 +607,26 @@
   fx_env_stop ();
 }
 
+static void
+request_behind_a_stream_outlives_shutdown (void)
+{
+  char *response;
+  int fd;
+
+  fx_target_add ("i-2", "desk", shop_respond_ok);
+  start_first_target ("pool", stream_slowly);
+  fd = fx_connect ();
+  fx_send (fd, KEPT_POST_PLAN ("p1"));
+  fx_sleep_ms (SETTLE_MS);
+  fx_send (fd, KEPT_GET_MAP ("k2"));
+  fx_sleep_ms (SETTLE_MS);
+  fx_signal (SIGTERM);
+  response = fx_read_all (fd);
+  CU_ASSERT (strstr (response, "\r\n0\r\n\r\nHTTP/1.1 ") != NULL);
+  g_free (response);
+  fx_env_stop ();
+}
+
 static void
 standing_router_does_not_replace_targets (void)
 {
