Leave the trial of a target to requests that would go there

Cause: the first request that could make the trial made it, wherever the context of its prompt was held, so trials in a cut of a failure domain moved contexts to targets that do not hold them.

Change: a target that is due for a trial counts as usable for requests that may make it. Holder, home and least load decide as usual, so that the trial is made by a request that would go there anyway.

Evidence: "a target due for a trial gets one beside usable targets" (test_balance) now asks for that.

--- a/request/balance.c
+++ b/request/balance.c
@@ -73,10 +73,9 @@
                               size_t count, struct bal_choice *choice);
 static int pick_trial (const struct bal_params *params,
                        const struct bal_candidate *candidates, size_t count,
-                       int is_last, struct bal_choice *choice);
-static int may_be_tried (const struct bal_params *params,
-                         const struct bal_candidate *candidate, double limit,
-                         int is_last);
+                       struct bal_choice *choice);
+static int is_usable (const struct bal_params *params,
+                      const struct bal_candidate *candidate);
 static int is_full (const struct bal_params *params,
                     const struct bal_candidate *candidate, double limit,
                     double filled_max);
@@ -101,17 +100,24 @@
   choice->limit = load_limit (params, choice->mean);
   choice->reason = BAL_NO_TARGET;
   choice->skip = BAL_SKIP_NONE;
-  if (params->may_try && pick_trial (params, candidates, count, 0, choice))
-    return 1;
-  if (params->context != 0
-      && (pick_holder (params, candidates, count, choice)
-          || pick_home (params, candidates, count, choice)))
-    return 1;
-  if (pick_least_loaded (params, candidates, count, choice))
-    return 1;
-  /* If the load bound excluded a usable target, no other trial is made.  */
-  return choice->reason != BAL_ALL_FULL
-         && pick_trial (params, candidates, count, 1, choice);
+  if ((params->context == 0
+       || !(pick_holder (params, candidates, count, choice)
+            || pick_home (params, candidates, count, choice)))
+      && !pick_least_loaded (params, candidates, count, choice))
+    return pick_trial (params, candidates, count, choice);
+  if (candidates[choice->index].state == HEALTH_TRIAL)
+    choice->reason = BAL_TRIAL;
+  return 1;
+}
+
+/* Returns whether a request with PARAMS may be sent to CANDIDATE while others
+   are left: it is not suspended, or the request may be its trial.  */
+static int
+is_usable (const struct bal_params *params,
+           const struct bal_candidate *candidate)
+{
+  return candidate->state == HEALTH_USABLE
+         || (params->may_try && candidate->state == HEALTH_TRIAL);
 }
 
 /* Returns the highest load at which a target may be sent another request,
@@ -134,7 +140,7 @@
 {
   if (candidate->excluded)
     return BAL_SKIP_TRIED;
-  if (candidate->state != HEALTH_USABLE)
+  if (!is_usable (params, candidate))
     return BAL_SKIP_SUSPENDED;
   if (is_rate_used_up (params, candidate))
     return BAL_SKIP_RATE;
@@ -268,7 +274,7 @@
                           / slots;
 
       if (candidate->excluded
-          || (candidate->state != HEALTH_USABLE && !params->is_pinned))
+          || (!is_usable (params, candidate) && !params->is_pinned))
         continue;
       if (is_rate_used_up (params, candidate))
         {
@@ -286,7 +292,7 @@
         cost += REMOTE_PENALTY;
       if (candidate->warming_up)
         cost += WARMING_UP_PENALTY;
-      if (candidate->state != HEALTH_USABLE)
+      if (!is_usable (params, candidate))
         cost += SUSPENDED_PENALTY;
       if (cost >= best)
         continue;
@@ -298,18 +304,23 @@
   return choice->reason == BAL_LEAST_LOADED;
 }
 
-/* Selects the least loaded target that may be tried, see may_be_tried.
-   Returns whether there is one.  */
+/* Selects the least loaded of the targets that are due for a trial or in
+   doubt. Returns whether there is one.  If the load bound excluded a usable
+   target, none is tried.  */
 static int
 pick_trial (const struct bal_params *params,
-            const struct bal_candidate *candidates, size_t count, int is_last,
+            const struct bal_candidate *candidates, size_t count,
             struct bal_choice *choice)
 {
   int any = 0;
 
+  if (choice->reason == BAL_ALL_FULL)
+    return 0;
   for (size_t i = 0; i < count; i++)
     {
-      if (!may_be_tried (params, &candidates[i], choice->limit, is_last)
+      if (candidates[i].excluded || is_rate_used_up (params, &candidates[i])
+          || (candidates[i].state != HEALTH_TRIAL
+              && candidates[i].state != HEALTH_DOUBTED)
           || (any && candidates[i].load >= choice->load))
         continue;
       choice->index = i;
@@ -320,21 +331,6 @@
   return any;
 }
 
-/* Returns whether CANDIDATE is due for a trial request and not full, given
-   LIMIT, the load bound.  If IS_LAST, as no usable target is left, a full one
-   may be tried too, and so may one in doubt.  */
-static int
-may_be_tried (const struct bal_params *params,
-              const struct bal_candidate *candidate, double limit, int is_last)
-{
-  if (candidate->excluded || is_rate_used_up (params, candidate))
-    return 0;
-  if (candidate->state == HEALTH_DOUBTED)
-    return is_last;
-  return candidate->state == HEALTH_TRIAL
-         && (is_last || !is_full (params, candidate, limit, 1));
-}
-
 /* Returns the mean load of the CANDIDATES that are not suspended and do not
    limit their rate, since those left out carry little load and would lower the
    bound; if all do so, of all that are not suspended.  */
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -221,17 +221,24 @@
 trial_is_made_beside_usable_targets (void)
 {
   struct bal_candidate candidates[TARGETS];
-  struct bal_params params = { .context = 5, .cap_factor = 2, .cap_slack = 3 };
+  struct affinity_holders holders = { .context = 5, .count = 1 };
+  struct bal_params params
+      = { .context = 5, .holders = &holders, .cap_factor = 2, .cap_slack = 3 };
   struct bal_choice choice;
 
   fill (candidates);
   candidates[4].state = HEALTH_TRIAL;
+  holders.target[0] = candidates[4].id;
   CU_ASSERT (bal_pick (&params, candidates, TARGETS, &choice));
   CU_ASSERT_NOT_EQUAL (choice.reason, BAL_TRIAL);
   params.may_try = 1;
   CU_ASSERT (bal_pick (&params, candidates, TARGETS, &choice));
   CU_ASSERT_EQUAL (choice.reason, BAL_TRIAL);
   CU_ASSERT_EQUAL (choice.index, 4);
+  holders.target[0] = candidates[5].id;
+  CU_ASSERT (bal_pick (&params, candidates, TARGETS, &choice));
+  CU_ASSERT_EQUAL (choice.index, 5);
+  holders.target[0] = candidates[4].id;
   candidates[4].load = 10;
   CU_ASSERT (bal_pick (&params, candidates, TARGETS, &choice));
   CU_ASSERT_NOT_EQUAL (choice.reason, BAL_TRIAL);
