--- a/request/balance.c
+++ b/request/balance.c
@@ -74,7 +74,9 @@
                               size_t count, struct bal_choice *choice);
 static int pick_trial (const struct bal_params *params,
                        const struct bal_candidate *candidates, size_t count,
-                       double filled_max, struct bal_choice *choice);
+                       struct bal_choice *choice);
+static int is_usable (const struct bal_params *params,
+                      const struct bal_candidate *candidate);
 static int is_full (const struct bal_params *params,
                     const struct bal_candidate *candidate, double limit,
                     double filled_max);
@@ -99,17 +101,24 @@
   choice->limit = load_limit (params, choice->mean);
   choice->reason = BAL_NO_TARGET;
   choice->skip = BAL_SKIP_NONE;
-  if (params->may_try && pick_trial (params, candidates, count, 1, choice))
-    return 1;
-  if (params->context != 0
-      && (pick_holder (params, candidates, count, choice)
-          || pick_home (params, candidates, count, choice)))
-    return 1;
-  if (pick_least_loaded (params, candidates, count, choice))
-    return 1;
-  /* If the load bound excluded a usable target, no other trial is made.  */
-  return choice->reason != BAL_ALL_FULL
-         && pick_trial (params, candidates, count, INFINITY, choice);
+  if ((params->context == 0
+       || !(pick_holder (params, candidates, count, choice)
+            || pick_home (params, candidates, count, choice)))
+      && !pick_least_loaded (params, candidates, count, choice))
+    return pick_trial (params, candidates, count, choice);
+  if (candidates[choice->index].state == HEALTH_TRIAL)
+    choice->reason = BAL_TRIAL;
+  return 1;
+}
+
+/* Returns whether a request with PARAMS may be sent to CANDIDATE while others
+   are left: it is not suspended, or the request may be its trial.  */
+static int
+is_usable (const struct bal_params *params,
+           const struct bal_candidate *candidate)
+{
+  return candidate->state == HEALTH_USABLE
+         || (params->may_try && candidate->state == HEALTH_TRIAL);
 }
 
 /* Returns the highest load at which a target may be sent another request,
@@ -132,7 +141,7 @@
 {
   if (candidate->excluded)
     return BAL_SKIP_TRIED;
-  if (candidate->state != HEALTH_USABLE)
+  if (!is_usable (params, candidate))
     return BAL_SKIP_SUSPENDED;
   if (closed_reason (params, candidate) != BAL_SKIP_NONE)
     return closed_reason (params, candidate);
@@ -267,7 +276,7 @@
                           / slots;
 
       if (candidate->excluded
-          || (candidate->state != HEALTH_USABLE && !params->is_pinned))
+          || (!is_usable (params, candidate) && !params->is_pinned))
         continue;
       if (closed == BAL_SKIP_RATE)
         {
@@ -286,7 +295,7 @@
         cost += REMOTE_PENALTY;
       if (candidate->warming_up)
         cost += WARMING_UP_PENALTY;
-      if (candidate->state != HEALTH_USABLE)
+      if (!is_usable (params, candidate))
         cost += SUSPENDED_PENALTY;
       if (cost >= best)
         continue;
@@ -298,26 +307,32 @@
   return choice->reason == BAL_LEAST_LOADED;
 }
 
-/* Selects a target that is due for a trial request and, unless FILLED_MAX is
-   infinite, neither over the load bound nor over FILLED_MAX times its slots.
-   Returns whether there is one.  */
+/* Selects the least loaded of the targets that are due for a trial or in
+   doubt. Returns whether there is one.  If the load bound excluded a usable
+   target, none is tried.  */
 static int
 pick_trial (const struct bal_params *params,
             const struct bal_candidate *candidates, size_t count,
-            double filled_max, struct bal_choice *choice)
+            struct bal_choice *choice)
 {
+  int any = 0;
+
+  if (choice->reason == BAL_ALL_FULL)
+    return 0;
   for (size_t i = 0; i < count; i++)
-    if (!candidates[i].excluded && candidates[i].state == HEALTH_TRIAL
-        && closed_reason (params, &candidates[i]) == BAL_SKIP_NONE
-        && (isinf (filled_max)
-            || !is_full (params, &candidates[i], choice->limit, filled_max)))
-      {
-        choice->index = i;
-        choice->load = candidates[i].load;
-        choice->reason = BAL_TRIAL;
-        return 1;
-      }
-  return 0;
+    {
+      if (candidates[i].excluded
+          || closed_reason (params, &candidates[i]) != BAL_SKIP_NONE
+          || (candidates[i].state != HEALTH_TRIAL
+              && candidates[i].state != HEALTH_DOUBTED)
+          || (any && candidates[i].load >= choice->load))
+        continue;
+      choice->index = i;
+      choice->load = candidates[i].load;
+      choice->reason = BAL_TRIAL;
+      any = 1;
+    }
+  return any;
 }
 
 /* Returns the mean load of the CANDIDATES that are not suspended and do not
@@ -332,7 +347,8 @@
   size_t limited = 0;
 
   for (size_t i = 0; i < count; i++)
-    if (candidates[i].state == HEALTH_SUSPENDED)
+    if (candidates[i].state == HEALTH_SUSPENDED
+        || candidates[i].state == HEALTH_DOUBTED)
       continue;
     else if (candidates[i].rate_limited)
       {
