Soak routers that are cut off from all targets

The soak had no such fault, as its proxies stood between all routers and a target.

The word "cut" gives each of up to six routers paths of its own. Then four windows are measured from 3 s after a cut began, each beside one disturbance (a kill, stop or freeze of a router that does not count, a reload, a new version of the configuration, a silent target): the bounds are those of RECOVER. In the last but one all are cut and no request may be held; in the last one none, which shows whether all serve again.

A router with paths had to reach the store without a proxy; proxies now lie between any two addresses.

--- a/tests/libfixture.h
+++ b/tests/libfixture.h
@@ -2,6 +2,7 @@
 #ifndef LIBFIXTURE_H
 #define LIBFIXTURE_H
 
+#include <netinet/in.h>
 #include <pthread.h>
 #include <sys/types.h>
 
@@ -85,6 +86,7 @@
 void fx_start_thread (void *(*fn) (void *), void *closure);
 
 /* path_fixture.c */
+struct sockaddr_in fx_path_address (int router);
 char *fx_path_host (int router);
 void fx_paths_add_target (const struct fx_target *target);
 void fx_path_translate (int fd, const char *kind, char *body);
--- a/tests/path_fixture.c
+++ b/tests/path_fixture.c
@@ -19,35 +19,37 @@
 
 static const char TARGET_HOST[] = "127.0.0.1:";
 
-/* Returns the loopback address of router INDEX, as a number.  */
-static uint32_t
-path_ip (int index)
+/* Returns the address at which ROUTER reaches the store, with port 0.  */
+struct sockaddr_in
+fx_path_address (int router)
 {
-  return INADDR_LOOPBACK + FIRST_HOST - 1 + (uint32_t)index;
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  uint32_t ip = INADDR_LOOPBACK;
+
+  if (fx_env.routers[router].paths != NULL)
+    ip += FIRST_HOST - 1 + (uint32_t)router;
+  address.sin_addr.s_addr = htonl (ip);
+  return address;
 }
 
-/* Returns the address at which router INDEX reaches the store, newly
-   allocated.  */
+/* Returns the host of that address, newly allocated.  */
 char *
 fx_path_host (int router)
 {
-  struct in_addr address = { htonl (INADDR_LOOPBACK) };
-
-  if (fx_env.routers[router].paths != NULL)
-    address.s_addr = htonl (path_ip (router));
-  return g_strdup (inet_ntoa (address));
+  return g_strdup (inet_ntoa (fx_path_address (router).sin_addr));
 }
 
 /* Adds a path to TARGET for ROUTER.  */
 static void
 add_path (int router, const struct fx_target *target)
 {
-  struct sockaddr_in address = { .sin_family = AF_INET };
+  struct sockaddr_in address = fx_path_address (router);
+  struct sockaddr_in server = { .sin_family = AF_INET };
 
-  address.sin_addr.s_addr = htonl (path_ip (router));
-  address.sin_port = htons ((uint16_t)target->port);
+  address.sin_port = server.sin_port = htons ((uint16_t)target->port);
+  server.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
   g_ptr_array_add (fx_env.routers[router].paths,
-                   proxy_start_at (&address, target->port));
+                   proxy_start_at (&address, &server));
 }
 
 /* Gives ROUTER paths of its own to all targets, present and later ones.  */
--- a/tests/proxy_fixture.c
+++ b/tests/proxy_fixture.c
@@ -72,22 +72,25 @@
 proxy_start (int server_port)
 {
   struct sockaddr_in address = { .sin_family = AF_INET };
+  struct sockaddr_in server;
 
   address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  return proxy_start_at (&address, server_port);
+  server = address;
+  server.sin_port = htons ((uint16_t)server_port);
+  return proxy_start_at (&address, &server);
 }
 
-/* Starts a proxy at ADDRESS to the server at SERVER_PORT on loopback.  */
+/* Starts a proxy at ADDRESS, whose port 0 stands for a free one, to SERVER.
+ */
 struct proxy *
-proxy_start_at (const struct sockaddr_in *address, int server_port)
+proxy_start_at (const struct sockaddr_in *address,
+                const struct sockaddr_in *server)
 {
   struct proxy *proxy = g_new0 (struct proxy, 1);
   socklen_t size = sizeof proxy->address;
   pthread_t thread;
 
-  proxy->server = (struct sockaddr_in){ .sin_family = AF_INET };
-  proxy->server.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  proxy->server.sin_port = htons ((uint16_t)server_port);
+  proxy->server = *server;
   proxy->listener = sock_listen (address, BACKLOG);
   if (proxy->listener < 0
       || getsockname (proxy->listener, (struct sockaddr *)&proxy->address,
--- a/tests/proxy_fixture.h
+++ b/tests/proxy_fixture.h
@@ -27,7 +27,7 @@
 
 struct proxy *proxy_start (int server_port);
 struct proxy *proxy_start_at (const struct sockaddr_in *address,
-                              int server_port);
+                              const struct sockaddr_in *server);
 int proxy_port (const struct proxy *proxy);
 void proxy_set_mode (struct proxy *proxy, enum proxy_mode mode, int delay_ms);
 
--- a/tests/router_fixture.c
+++ b/tests/router_fixture.c
@@ -60,8 +60,12 @@
 struct proxy *
 fx_store_add_proxy (int router)
 {
-  struct proxy *proxy = proxy_start (fx_env.store_port);
+  struct sockaddr_in address = fx_path_address (router);
+  struct sockaddr_in store = address;
+  struct proxy *proxy;
 
+  store.sin_port = htons ((uint16_t)fx_env.store_port);
+  proxy = proxy_start_at (&address, &store);
   fx_env.routers[router].store_port = proxy_port (proxy);
   return proxy;
 }
--- a/tests/soak.c
+++ b/tests/soak.c
@@ -13,7 +13,9 @@
              may be lost;
    versions  targets have two versions, of which no stream may hold both, and
              clients take up streams that broke off;
-   odd       the store has odd entries of another writer among the targets'.
+   odd       the store has odd entries of another writer among the targets';
+   cut       routers lose their paths to all targets, together and in turn, and
+             after the other faults serve their clients all the same.
 */
 #include <pthread.h>
 #include <signal.h>
@@ -38,6 +40,7 @@
   STORE_SEED = 104729,       /* added to the seed */
   RESTORED_CHANGES_MAX = 12, /* that one restoration of the store takes back */
   ODD_SEED = 15485863,       /* added to the seed */
+  CUT_SEED = 32452843,       /* added to the seed */
   REQUEST_MS = 2000,         /* deadline of a request */
   SILENT_MIN_MS = 500,
   SILENT_MAX_MS = 2000,
@@ -46,13 +49,35 @@
   CALM_PAUSE_MS = 60,        /* between the events of a stream */
   PATIENT_REQUEST_MS = 8000, /* deadline of one that meets silences */
   SETTLE_MS = 5000,          /* until targets are no longer suspended */
-  CUT_SHARE = 3,    /* one of so many streams, if there are two versions */
-  TAKE_UPS_MAX = 2, /* of one stream */
+  TRUNCATED_SHARE = 3,       /* of streams, if there are two versions */
+  TAKE_UPS_MAX = 2,          /* of one stream */
+  CLIENT_PAUSE_MS = 10,      /* while cuts are measured */
+  MEASURED_MS = 2500,        /* of a cut */
   DRAIN_MS = 3000,  /* longer than any request, so that all have ended */
   FOLLOW_MS = 9000, /* until a watch whose connection is lost begins anew */
   APPLY_MS = 2000   /* until a version must be in force */
 };
 
+/* What happens, beside what the extras add. */
+enum phase
+{
+  PHASE_FAULTS,
+  PHASE_SILENCES, /* of targets, and nothing else */
+  PHASE_CUTS      /* and one disturbance at a time */
+};
+
+/* What happens beside a cut; the first ones excuse a router. */
+enum disturbance
+{
+  DISTURBANCE_KILL,
+  DISTURBANCE_STOP,
+  DISTURBANCE_FREEZE,
+  DISTURBANCE_RELOAD,
+  DISTURBANCE_VERSION,
+  DISTURBANCE_SILENCE,
+  DISTURBANCE_COUNT
+};
+
 /* How a target responds to its next requests. */
 enum behavior
 {
@@ -118,6 +143,7 @@
   int silence;
   int versions;
   int odd;
+  int cut;
 } extras;
 
 /* Record of a request, for check_executions. */
@@ -141,11 +167,12 @@
 static GRand *limit_random;
 static GRand *store_random;
 static GRand *odd_random;
+static GRand *cut_random;
 static int last_version = 2; /* that the operator has written */
 static int initial_revision; /* of the store, with the first version */
 static gint is_limited[2 * TARGETS_PER_SERVICE]; /* names a rate limit */
 static gint stopping;
-static gint is_calm; /* targets fall silent, and nothing else happens */
+static gint phase;
 static int violations;
 static int served;
 static int refused;
@@ -235,6 +262,7 @@
   char *id = fx_header_value (request->text, "X-Ibisloom-Attempt-Id");
   int is_stream = strstr (request->text, "/plan/") != NULL
                   || strstr (request->text, "/rules/") != NULL;
+  int is_silence = g_atomic_int_get (&phase) == PHASE_SILENCES;
   enum behavior behavior;
   int keep_alive = 1;
 
@@ -261,15 +289,16 @@
     respond (index, request->fd, "another", "200 OK");
   else if (behavior != BEHAVIOR_OVERLOADED && is_stream)
     {
-      int is_cut = behavior == BEHAVIOR_TRUNCATE
-                   || (extras.versions && !g_atomic_int_get (&is_calm)
-                       && request->number % CUT_SHARE == 0);
+      int is_cut
+          = behavior == BEHAVIOR_TRUNCATE
+            || (extras.versions && g_atomic_int_get (&phase) == PHASE_FAULTS
+                && request->number % TRUNCATED_SHARE == 0);
 
       soak_write_stream (request, limit_field (index), version_of (index),
                          is_cut,
-                         behavior == BEHAVIOR_SLOW     ? 150
-                         : g_atomic_int_get (&is_calm) ? CALM_PAUSE_MS
-                                                       : 5);
+                         behavior == BEHAVIOR_SLOW ? 150
+                         : is_silence              ? CALM_PAUSE_MS
+                                                   : 5);
       keep_alive = !is_cut;
     }
   else if (behavior != BEHAVIOR_OVERLOADED)
@@ -309,8 +338,9 @@
 static const fx_handler_fn handlers[2 * TARGETS_PER_SERVICE]
     = { handle_0, handle_1, handle_2, handle_3, handle_4, handle_5 };
 
-/* Checks the part of STREAM in RESPONSE to request ID.  */
-static void
+/* Checks the part of STREAM in RESPONSE to request ID.  Returns whether it is
+   complete.  */
+static int
 check_stream (struct soak_stream *stream, const char *id, const char *response)
 {
   int is_complete = g_str_has_suffix (response, "\r\n0\r\n\r\n");
@@ -321,9 +351,10 @@
   served += is_complete;
   failed += !is_complete;
   if (fault == NULL)
-    return;
+    return is_complete;
   soak_report_violation (id, fault, response);
   soak_clear_stream (stream);
+  return 0;
 }
 
 /* Checks that RESPONSE to request ID, sent while nothing but silences happens,
@@ -342,12 +373,13 @@
 }
 
 /* Checks RESPONSE to request ID, of which a stream belongs to STREAM, and
-   counts its outcome.  */
-static void
+   counts its outcome.  Returns whether it is complete and a success.  */
+static int
 check_response (const char *id, enum kind kind, const char *response,
                 struct soak_stream *stream)
 {
   int status = 0;
+  int is_served = 0;
   char *signature
       = fx_header_value (response, "X-Ibisloom-Response-Signature");
   char *expected = g_strdup_printf ("s-%s", id);
@@ -368,14 +400,17 @@
       refused++;
     }
   else if (status == 200 && request_kinds[kind].is_stream)
-    check_stream (stream, id, response);
-  else if (status == 200 && g_str_has_suffix (response, "\r\n\r\nwell"))
-    served++;
+    is_served = check_stream (stream, id, response);
   else
-    failed++;
+    {
+      is_served = status == 200 && g_str_has_suffix (response, "\r\n\r\nwell");
+      served += is_served;
+      failed += !is_served;
+    }
   pthread_mutex_unlock (&lock);
   g_free (signature);
   g_free (expected);
+  return is_served;
 }
 
 /* Returns a request of KIND with ID, which takes STREAM up if that has
@@ -405,11 +440,15 @@
 send_request (GRand *random, enum kind kind, const char *id,
               struct soak_stream *stream)
 {
-  int calm = g_atomic_int_get (&is_calm);
+  int calm = g_atomic_int_get (&phase) == PHASE_SILENCES;
+  int window = stream->last == 0 ? soak_window () : 0;
+  gint64 sent_us = g_get_monotonic_time ();
   char *text = make_request (kind, id, g_rand_int_range (random, 0, 9),
                              calm ? PATIENT_REQUEST_MS : REQUEST_MS, stream);
-  int fd = fx_router_connect (g_rand_int_range (random, 0, router_count));
+  int router = g_rand_int_range (random, 0, router_count);
+  int fd = fx_router_connect (router);
   char *response = NULL;
+  int is_served = 0;
   int status = 0;
 
   pthread_mutex_lock (&lock);
@@ -429,7 +468,9 @@
         response = fx_read_all (fd);
     }
   if (response != NULL && *response != '\0')
-    check_response (id, kind, response, stream);
+    is_served = check_response (id, kind, response, stream);
+  if (response != NULL || fd < 0)
+    soak_count_try (window, router, is_served, sent_us);
   if (response != NULL && calm)
     {
       sscanf (response, "HTTP/1.1 %d", &status);
@@ -468,6 +509,8 @@
       while (extras.versions && kind == REQUEST_PLAN
              && soak_is_broken_off (&stream) && tries++ < TAKE_UPS_MAX);
       soak_clear_stream (&stream);
+      if (g_atomic_int_get (&phase) == PHASE_CUTS)
+        fx_sleep_ms (CLIENT_PAUSE_MS);
     }
   g_rand_free (random);
   return NULL;
@@ -688,6 +731,8 @@
   fx_store_start (NULL);
   put_next_version ();
   initial_revision = fx_store_revision ();
+  if (extras.cut)
+    soak_add_paths (router_count);
   for (int i = 0; i < router_count; i++)
     {
       store_proxies[i] = fx_store_add_proxy (i);
@@ -716,16 +761,28 @@
       inject_store_change ();
       if (extras.odd)
         soak_change_odd_entries (odd_random);
+      if (extras.cut)
+        soak_change_cuts (cut_random, router_count);
       check_versions (observed);
       soak_check_processes (router_count);
       fx_sleep_ms (g_rand_int_range (fault_random, 5, 80));
     }
   fx_store_set_down (0);
   clear_proxy_faults ();
+  if (extras.cut)
+    soak_end_cuts (router_count);
   soak_wait_for_restarts (router_count);
   return steps;
 }
 
+/* Writes the entries of all targets.  */
+static void
+put_entries (void)
+{
+  for (int i = 0; i < 2 * TARGETS_PER_SERVICE; i++)
+    put_entry (i, "ready");
+}
+
 /* Ends all faults of targets, and waits until routers use them again.  */
 static void
 calm_targets (void)
@@ -734,10 +791,8 @@
   memset (behaviors, 0, sizeof behaviors);
   pthread_mutex_unlock (&lock);
   for (int i = 0; i < 2 * TARGETS_PER_SERVICE; i++)
-    {
-      g_atomic_int_set (&is_limited[i], 0);
-      put_entry (i, "ready");
-    }
+    g_atomic_int_set (&is_limited[i], 0);
+  put_entries ();
   fx_sleep_ms (SETTLE_MS);
 }
 
@@ -749,7 +804,7 @@
   gint64 heard_us[2 * TARGETS_PER_SERVICE] = { 0 };
 
   calm_targets ();
-  g_atomic_int_set (&is_calm, 1);
+  g_atomic_int_set (&phase, PHASE_SILENCES);
   for (int i = 0; i < CALM_STEPS; i++)
     {
       int target = g_rand_int_range (fault_random, 0, 2 * TARGETS_PER_SERVICE);
@@ -764,7 +819,58 @@
         put_next_version ();
       fx_sleep_ms (SILENCE_INTERVAL_MS);
     }
-  g_atomic_int_set (&is_calm, 0);
+  g_atomic_int_set (&phase, PHASE_FAULTS);
+}
+
+/* Has KIND happen, to ROUTER or a random target.  */
+static void
+disturb (enum disturbance kind, int router, char *const *logs)
+{
+  int target = g_rand_int_range (cut_random, 0, 2 * TARGETS_PER_SERVICE);
+  int ms = g_rand_int_range (cut_random, SILENT_MIN_MS, SILENT_MAX_MS);
+
+  if (kind == DISTURBANCE_KILL)
+    soak_restart_router (cut_random, router, SIGKILL, logs[router]);
+  else if (kind == DISTURBANCE_STOP)
+    soak_restart_router (cut_random, router, SIGTERM, logs[router]);
+  else if (kind == DISTURBANCE_FREEZE)
+    soak_pause_router (cut_random, router);
+  else if (kind == DISTURBANCE_RELOAD)
+    soak_reload_settings (router);
+  else if (kind == DISTURBANCE_VERSION)
+    put_next_version ();
+  else
+    fx_target_fall_silent (targets[target], ms);
+}
+
+/* Cuts routers off from all targets, in one window after the other, each with
+   a disturbance before or while it is measured.  */
+static void
+run_cuts (char *const *logs)
+{
+  calm_targets ();
+  g_atomic_int_set (&phase, PHASE_CUTS);
+  for (int i = 1; i <= SOAK_WINDOWS; i++)
+    {
+      enum disturbance kind = (enum disturbance)g_rand_int_range (
+          cut_random, 0, DISTURBANCE_COUNT);
+      int router = g_rand_int_range (cut_random, 0, router_count);
+      int is_late = g_rand_boolean (cut_random);
+
+      put_entries (); /* for routers that had them from others */
+      soak_begin_cut (cut_random, i, router_count,
+                      kind < DISTURBANCE_RELOAD ? router : -1);
+      fx_sleep_ms (g_rand_int_range (cut_random, 0, SOAK_CONTACT_MS));
+      if (!is_late)
+        disturb (kind, router, logs);
+      soak_measure_cut (i);
+      if (is_late)
+        disturb (kind, router, logs);
+      fx_sleep_ms (MEASURED_MS);
+      soak_end_cuts (router_count);
+      soak_wait_for_restarts (router_count);
+    }
+  g_atomic_int_set (&phase, PHASE_FAULTS);
 }
 
 /* Reads the words of TEXT that add to the faults.  */
@@ -774,6 +880,7 @@
   extras.silence = strstr (text, "silence") != NULL;
   extras.versions = strstr (text, "versions") != NULL;
   extras.odd = strstr (text, "odd") != NULL;
+  extras.cut = strstr (text, "cut") != NULL;
 }
 
 int
@@ -795,6 +902,7 @@
   limit_random = g_rand_new_with_seed ((guint32)seed + LIMIT_SEED);
   store_random = g_rand_new_with_seed ((guint32)seed + STORE_SEED);
   odd_random = g_rand_new_with_seed ((guint32)seed + ODD_SEED);
+  cut_random = g_rand_new_with_seed ((guint32)seed + CUT_SEED);
   proxy_random = g_rand_new_with_seed (~(guint32)seed);
   for (int i = 0; i < router_count; i++)
     logs[i] = keep_logs ? g_strdup_printf ("%s/router-%d.log", argv[3], i)
@@ -806,9 +914,13 @@
   steps = run_faults (seconds, logs);
   if (extras.silence)
     run_silences ();
+  if (extras.cut)
+    run_cuts (logs);
   g_atomic_int_set (&stopping, 1);
   for (int i = 0; i < CLIENTS; i++)
     pthread_join (clients[i], NULL);
+  if (extras.cut)
+    soak_check_cuts ();
   if (extras.odd)
     soak_put_odd_entries ();
   check_last_version ();
--- a/tests/soak.h
+++ b/tests/soak.h
@@ -8,6 +8,8 @@
 enum
 {
   SOAK_EVENTS_PER_STREAM = 6,
+  SOAK_CONTACT_MS = 3000, /* until routers serve whatever paths are cut */
+  SOAK_WINDOWS = 4,
   SOAK_VERSION_BYTES = 8
 };
 
@@ -32,6 +34,16 @@
 void soak_wait_for_restarts (int count);
 void soak_check_processes (int count);
 
+/* soak_cuts.c */
+void soak_add_paths (int routers);
+void soak_change_cuts (GRand *random, int routers);
+void soak_begin_cut (GRand *random, int window, int routers, int disturbed);
+void soak_measure_cut (int window);
+void soak_end_cuts (int routers);
+int soak_window (void);
+void soak_count_try (int window, int router, int served, gint64 sent_us);
+void soak_check_cuts (void);
+
 /* soak_streams.c */
 void soak_write_stream (const struct fx_request *request, const char *fields,
                         const char *version, int truncated, int pause_ms);
