Show that targets that say they are brittle fall over

Targets may say in all answers how many requests they can turn away in a second; beyond that they fall over, and are back some seconds later. Nothing reads that. Its listeners set SO_REUSEADDR, as a target that is back listens at its old port.

--- a/tests/libfixture.h
+++ b/tests/libfixture.h
@@ -15,6 +15,7 @@
   char *service;
   char *state;
   char *version; /* NULL: its entry names none */
+  int slots;     /* in its entry */
   int starts;    /* told as the time of its start; 0: its entry names none */
   int port;
   int listener;
@@ -79,6 +80,7 @@
 /* socket_fixture.c */
 int fx_listen (int *port);
 int fx_listen_at (uint32_t ip, int *port);
+int fx_listen_again (int port);
 int fx_connect_port (int port);
 char *fx_read_request (int fd);
 void fx_respond_json (int fd, const char *status, const char *field,
--- a/tests/router_fixture.h
+++ b/tests/router_fixture.h
@@ -60,6 +60,7 @@
 void fx_target_restart (struct fx_target *target, const char *version);
 void fx_target_remove (struct fx_target *target);
 int fx_target_crash (struct fx_target *target);
+void fx_target_recover (struct fx_target *target);
 void fx_target_fall_silent (struct fx_target *target, int ms);
 void fx_target_wait_until_heard (struct fx_target *target);
 struct proxy *fx_target_add_proxy (struct fx_target *target);
--- a/tests/socket_fixture.c
+++ b/tests/socket_fixture.c
@@ -18,6 +18,27 @@
   RECEIVE_TIMEOUT_S = 10
 };
 
+/* Returns a socket that listens on PORT of IP, or on a free port if that is 0,
+   also while connections of an earlier one last.  Stores the port in PORT.  */
+static int
+listen_on (uint32_t ip, int *port)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  socklen_t size = sizeof address;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  int on = 1;
+
+  address.sin_addr.s_addr = htonl (ip);
+  address.sin_port = htons ((uint16_t)*port);
+  if (fd < 0 || setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0
+      || bind (fd, (struct sockaddr *)&address, sizeof address) != 0
+      || listen (fd, 64) != 0
+      || getsockname (fd, (struct sockaddr *)&address, &size) != 0)
+    abort ();
+  *port = ntohs (address.sin_port);
+  return fd;
+}
+
 /* Returns a socket that listens on a free port of loopback, and stores the
    port in PORT.  */
 int
@@ -30,17 +51,16 @@
 int
 fx_listen_at (uint32_t ip, int *port)
 {
-  struct sockaddr_in address = { .sin_family = AF_INET };
-  socklen_t size = sizeof address;
-  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  *port = 0;
+  return listen_on (ip, port);
+}
 
-  address.sin_addr.s_addr = htonl (ip);
-  if (fd < 0 || bind (fd, (struct sockaddr *)&address, sizeof address) != 0
-      || listen (fd, 64) != 0
-      || getsockname (fd, (struct sockaddr *)&address, &size) != 0)
-    abort ();
-  *port = ntohs (address.sin_port);
-  return fd;
+/* Returns a socket that listens on PORT of loopback, where another one did
+   until now.  */
+int
+fx_listen_again (int port)
+{
+  return listen_on (INADDR_LOOPBACK, &port);
 }
 
 /* Connects to PORT on loopback.  Returns the socket, on which reads time out
--- a/tests/target_fixture.c
+++ b/tests/target_fixture.c
@@ -8,6 +8,11 @@
 #include "proxy_fixture.h"
 #include "libfixture.h"
 
+enum
+{
+  SLOTS = 8
+};
+
 /* A connection to a target. */
 struct connection
 {
@@ -78,8 +83,9 @@
   g_string_printf (
       spec,
       "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"a\","
-      "\"slots\":8,\"state\":\"%s\",\"cold_left_ms\":0,\"sequence\":%d",
-      target->service, target->port, target->state, ++target->reports);
+      "\"slots\":%d,\"state\":\"%s\",\"cold_left_ms\":0,\"sequence\":%d",
+      target->service, target->port, target->slots, target->state,
+      ++target->reports);
   if (target->version != NULL)
     g_string_append_printf (spec, ",\"version\":\"%s\"", target->version);
   if (target->starts != 0)
@@ -100,6 +106,7 @@
   target->service = g_strdup (service);
   target->state = g_strdup ("ready");
   target->version = g_strdup ("v1");
+  target->slots = SLOTS;
   target->handler = handler;
   target->fds = g_array_new (FALSE, FALSE, sizeof (int));
   target->listener = fx_listen (&target->port);
@@ -159,6 +166,18 @@
   return is_first;
 }
 
+/* Has TARGET, which has crashed, accept connections again at its port.  */
+void
+fx_target_recover (struct fx_target *target)
+{
+  pthread_mutex_lock (&fx_env.lock);
+  close (target->listener);
+  target->listener = fx_listen_again (target->port);
+  target->crashed = 0;
+  pthread_mutex_unlock (&fx_env.lock);
+  fx_start_thread (accept_connections, target);
+}
+
 /* Has TARGET write nothing for MS milliseconds, and then go on.  It accepts
    connections and reads meanwhile.  */
 void
