--- a/tests/soak.c
+++ b/tests/soak.c
@@ -177,6 +177,7 @@
 static int served;
 static int refused;
 static int failed;
+static int target_errors; /* of those failed */
 static int taken_up;
 static int gone_on; /* of those taken up, with an event or their end */
 
@@ -406,6 +407,7 @@
       is_served = status == 200 && g_str_has_suffix (response, "\r\n\r\nwell");
       served += is_served;
       failed += !is_served;
+      target_errors += status >= 500 && signature != NULL;
     }
   pthread_mutex_unlock (&lock);
   g_free (signature);
@@ -929,10 +931,11 @@
   pthread_mutex_lock (&lock);
   check_executions ();
   pthread_mutex_unlock (&lock);
-  printf ("seed %d: %d faults, %u requests, %d served, %d refused, %d failed, "
-          "%d of %d taken up went on, %d violations\n",
-          seed, steps, g_hash_table_size (records), served, refused, failed,
-          gone_on, taken_up, violations);
+  printf (
+      "seed %d: %d faults, %u requests, %d served, %d refused, %d failed, "
+      "%d by errors of targets, %d of %d taken up went on, %d violations\n",
+      seed, steps, g_hash_table_size (records), served, refused, failed,
+      target_errors, gone_on, taken_up, violations);
   fx_env_stop ();
   return violations > 0;
 }
