Soak targets that are brittle

The word "brittle" adds targets of one more service, with clients that press them by a route that may not be repeated. During the faults they say at random that they are brittle, and their queues change. Then all say so, and from 3 s later let fewer and fewer requests wait; with "cut", once more while routers are cut off from all targets.

The fixture's targets sign with the id of the request and tell what they run, so that the soak's checks on double execution and true refusals hold for them too.

--- a/tests/brittle_fixture.c
+++ b/tests/brittle_fixture.c
@@ -153,7 +153,8 @@
   fields = common_fields (brittle, id);
   pthread_mutex_unlock (&lock);
   head = g_strdup_printf (
-      "HTTP/1.1 200 OK\r\n%sX-Ibisloom-Response-Signature: s\r\n%s", fields,
+      "HTTP/1.1 200 OK\r\n%sX-Ibisloom-Response-Signature: s-%s\r\n%s", fields,
+      id,
       brittle->script.events > 0 ? "Content-Type: text/event-stream\r\n"
                                    "Transfer-Encoding: chunked\r\n\r\n"
                                  : "Content-Length: 4\r\n\r\nwell");
@@ -169,6 +170,8 @@
   const struct brittle_script *script = &brittle->script;
   char *head;
 
+  if (script->executed != NULL)
+    script->executed (id);
   if (script->events == 0)
     fx_sleep_ms (script->work_ms);
   head = success_head (brittle, id);
--- a/tests/brittle_fixture.h
+++ b/tests/brittle_fixture.h
@@ -12,6 +12,8 @@
   int events;      /* of the stream that it answers with; 0: a plain answer */
   int back_ms;     /* from a fall until it is back */
   int has_new_entry; /* it is back with an entry of a new process */
+  void (*executed) (const char *id); /* called for each request that it runs,
+                                        unless NULL */
 };
 
 /* What happened at a target. */
--- a/tests/soak.c
+++ b/tests/soak.c
@@ -15,7 +15,9 @@
              clients take up streams that broke off;
    odd       the store has odd entries of another writer among the targets';
    cut       routers lose their paths to all targets, together and in turn, and
-             after the other faults serve their clients all the same.
+             after the other faults serve their clients all the same;
+   brittle   targets fall over when they turn away too many requests, which
+             after the other faults they hardly do.
 */
 #include <pthread.h>
 #include <signal.h>
@@ -32,6 +34,7 @@
 {
   ROUTERS_DEFAULT = 3,
   CLIENTS = 8,
+  PRESSING_CLIENTS = 30, /* more than the slots of the brittle targets */
   TARGETS_PER_SERVICE = 3,
   SEED_DEFAULT = 1,
   SECONDS_DEFAULT = 5,
@@ -41,6 +44,7 @@
   RESTORED_CHANGES_MAX = 12, /* that one restoration of the store takes back */
   ODD_SEED = 15485863,       /* added to the seed */
   CUT_SEED = 32452843,       /* added to the seed */
+  BRITTLE_SEED = 49979687,   /* added to the seed */
   REQUEST_MS = 2000,         /* deadline of a request */
   SILENT_MIN_MS = 500,
   SILENT_MAX_MS = 2000,
@@ -51,7 +55,7 @@
   SETTLE_MS = 5000,          /* until targets are no longer suspended */
   TRUNCATED_SHARE = 3,       /* of streams, if there are two versions */
   TAKE_UPS_MAX = 2,          /* of one stream */
-  CLIENT_PAUSE_MS = 10,      /* while cuts are measured */
+  CLIENT_PAUSE_MS = 10,      /* where the outcomes of clients are measured */
   MEASURED_MS = 2500,        /* of a cut */
   DRAIN_MS = 3000,  /* longer than any request, so that all have ended */
   FOLLOW_MS = 9000, /* until a watch whose connection is lost begins anew */
@@ -63,7 +67,8 @@
 {
   PHASE_FAULTS,
   PHASE_SILENCES, /* of targets, and nothing else */
-  PHASE_CUTS      /* and one disturbance at a time */
+  PHASE_CUTS,     /* and one disturbance at a time */
+  PHASE_BRITTLE   /* targets say so, and requests press */
 };
 
 /* What happens beside a cut; the first ones excuse a router. */
@@ -101,7 +106,8 @@
   REQUEST_FEE,
   REQUEST_PLAN,
   REQUEST_RULES,
-  REQUEST_KIND_COUNT
+  REQUEST_KIND_COUNT,
+  REQUEST_PRESS = REQUEST_KIND_COUNT /* to brittle targets */
 };
 
 static const struct
@@ -110,11 +116,12 @@
   const char *path;
   int is_stream;
   int at_most_once; /* must not be executed twice */
-} request_kinds[REQUEST_KIND_COUNT] = {
+} request_kinds[] = {
   [REQUEST_MAP] = { "GET", "/map/1", 0, 0 },
   [REQUEST_FEE] = { "POST", "/fee/1", 0, 1 },
   [REQUEST_PLAN] = { "POST", "/plan/1", 1, 0 },
   [REQUEST_RULES] = { "POST", "/rules/1", 1, 1 },
+  [REQUEST_PRESS] = { "POST", "/press/1", 0, 1 },
 };
 
 /* All of a configuration but its version.  */
@@ -126,6 +133,9 @@
       "{\"name\":\"fee\",\"host\":\"shop.example\",\"path_prefix\":\"/fee/\","
       "\"route_type\":\"non_idempotent\",\"timeout_ms\":8000,"
       "\"target_latency_ms\":300,\"service\":\"desk\",\"max_attempts\":1},"
+      "{\"name\":\"press\",\"host\":\"shop.example\",\"path_prefix\":"
+      "\"/press/\",\"route_type\":\"non_idempotent\",\"timeout_ms\":8000,"
+      "\"target_latency_ms\":300,\"service\":\"press\",\"max_attempts\":3},"
       "{\"name\":\"plan\",\"host\":\"shop.example\",\"path_prefix\":"
       "\"/plan/\",\"route_type\":\"streaming\",\"timeout_ms\":8000,"
       "\"target_latency_ms\":300,\"target_gap_ms\":200,\"service\":\"pool\","
@@ -134,7 +144,8 @@
       "\"/rules/\",\"route_type\":\"streaming\",\"timeout_ms\":8000,"
       "\"target_latency_ms\":300,\"target_gap_ms\":200,\"service\":\"pool\","
       "\"max_attempts\":1,\"session_affinity\":true}],"
-      "\"services\":[{\"name\":\"desk\"},{\"name\":\"pool\"}],"
+      "\"services\":[{\"name\":\"desk\"},{\"name\":\"pool\"},"
+      "{\"name\":\"press\"}],"
       "\"tenants\":[{\"name\":\"lodge\",\"api_keys\":[\"key-1\"]}]}";
 
 /* What the arguments add to the faults. */
@@ -144,6 +155,7 @@
   int versions;
   int odd;
   int cut;
+  int brittle;
 } extras;
 
 /* Record of a request, for check_executions. */
@@ -168,6 +180,7 @@
 static GRand *store_random;
 static GRand *odd_random;
 static GRand *cut_random;
+static GRand *brittle_random;
 static int last_version = 2; /* that the operator has written */
 static int initial_revision; /* of the store, with the first version */
 static gint is_limited[2 * TARGETS_PER_SERVICE]; /* names a rate limit */
@@ -518,6 +531,29 @@
   return NULL;
 }
 
+/* Runs a client that sends requests to brittle targets, while these are, until
+   STOPPING is set.  */
+static void *
+press (void *closure)
+{
+  int number = GPOINTER_TO_INT (closure);
+  GRand *random = g_rand_new_with_seed ((guint32)number);
+
+  for (int sent = 0; !g_atomic_int_get (&stopping); sent++)
+    {
+      int now = g_atomic_int_get (&phase);
+      struct soak_stream stream = { 0 };
+      char *id = g_strdup_printf ("p%d-%d", number, sent);
+
+      if (now == PHASE_FAULTS || now == PHASE_BRITTLE)
+        send_request (random, REQUEST_PRESS, id, &stream);
+      fx_sleep_ms (CLIENT_PAUSE_MS);
+      g_free (id);
+    }
+  g_rand_free (random);
+  return NULL;
+}
+
 /* Injects or clears one random fault of a target, a router or the store.  */
 static void
 inject_fault (char *const *logs)
@@ -730,6 +766,8 @@
       put_entry (i, "ready");
       g_free (id);
     }
+  if (extras.brittle)
+    soak_add_brittle_targets (count_execution);
   fx_store_start (NULL);
   put_next_version ();
   initial_revision = fx_store_revision ();
@@ -765,6 +803,8 @@
         soak_change_odd_entries (odd_random);
       if (extras.cut)
         soak_change_cuts (cut_random, router_count);
+      if (extras.brittle)
+        soak_change_brittle_targets (brittle_random);
       check_versions (observed);
       soak_check_processes (router_count);
       fx_sleep_ms (g_rand_int_range (fault_random, 5, 80));
@@ -875,6 +915,23 @@
   g_atomic_int_set (&phase, PHASE_FAULTS);
 }
 
+/* Checks brittle targets, without and with routers that are cut off.  */
+static void
+run_brittle (void)
+{
+  soak_calm_brittle_targets ();
+  calm_targets ();
+  g_atomic_int_set (&phase, PHASE_BRITTLE);
+  soak_check_brittle_targets (brittle_random);
+  if (extras.cut)
+    {
+      soak_begin_cut (cut_random, 0, router_count, -1);
+      soak_check_brittle_targets (brittle_random);
+      soak_end_cuts (router_count);
+    }
+  g_atomic_int_set (&phase, PHASE_FAULTS);
+}
+
 /* Reads the words of TEXT that add to the faults.  */
 static void
 read_extras (const char *text)
@@ -883,6 +940,7 @@
   extras.versions = strstr (text, "versions") != NULL;
   extras.odd = strstr (text, "odd") != NULL;
   extras.cut = strstr (text, "cut") != NULL;
+  extras.brittle = strstr (text, "brittle") != NULL;
 }
 
 int
@@ -891,7 +949,8 @@
   int seed = argc > 1 ? atoi (argv[1]) : SEED_DEFAULT;
   int seconds = argc > 2 ? atoi (argv[2]) : SECONDS_DEFAULT;
   int keep_logs = argc > 3 && strcmp (argv[3], "-") != 0;
-  pthread_t clients[CLIENTS];
+  pthread_t clients[CLIENTS + PRESSING_CLIENTS];
+  int client_count = CLIENTS;
   char *logs[FX_ROUTERS_MAX];
   int steps;
 
@@ -905,21 +964,26 @@
   store_random = g_rand_new_with_seed ((guint32)seed + STORE_SEED);
   odd_random = g_rand_new_with_seed ((guint32)seed + ODD_SEED);
   cut_random = g_rand_new_with_seed ((guint32)seed + CUT_SEED);
+  brittle_random = g_rand_new_with_seed ((guint32)seed + BRITTLE_SEED);
   proxy_random = g_rand_new_with_seed (~(guint32)seed);
   for (int i = 0; i < router_count; i++)
     logs[i] = keep_logs ? g_strdup_printf ("%s/router-%d.log", argv[3], i)
                         : g_strdup ("/dev/null");
   start_all (logs);
-  for (int i = 0; i < CLIENTS; i++)
-    pthread_create (&clients[i], NULL, send_requests,
-                    GINT_TO_POINTER (seed * CLIENTS + i));
+  if (extras.brittle)
+    client_count += PRESSING_CLIENTS;
+  for (int i = 0; i < client_count; i++)
+    pthread_create (&clients[i], NULL, i < CLIENTS ? send_requests : press,
+                    GINT_TO_POINTER (seed * client_count + i));
   steps = run_faults (seconds, logs);
   if (extras.silence)
     run_silences ();
   if (extras.cut)
     run_cuts (logs);
+  if (extras.brittle)
+    run_brittle ();
   g_atomic_int_set (&stopping, 1);
-  for (int i = 0; i < CLIENTS; i++)
+  for (int i = 0; i < client_count; i++)
     pthread_join (clients[i], NULL);
   if (extras.cut)
     soak_check_cuts ();
--- a/tests/soak.h
+++ b/tests/soak.h
@@ -44,6 +44,12 @@
 void soak_count_try (int window, int router, int served, gint64 sent_us);
 void soak_check_cuts (void);
 
+/* soak_brittle.c */
+void soak_add_brittle_targets (void (*executed) (const char *id));
+void soak_change_brittle_targets (GRand *random);
+void soak_calm_brittle_targets (void);
+void soak_check_brittle_targets (GRand *random);
+
 /* soak_streams.c */
 void soak_write_stream (const struct fx_request *request, const char *fields,
                         const char *version, int truncated, int pause_ms);
--- a/tests/soak_cuts.c
+++ b/tests/soak_cuts.c
@@ -47,8 +47,8 @@
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static gint64 cut_until_us[ROUTERS_WITH_PATHS];
-static struct window windows[SOAK_WINDOWS];
-static gint measured; /* number of the window from 1, or 0 */
+static struct window windows[SOAK_WINDOWS + 1]; /* 0: not measured */
+static gint measured; /* number of the window, or 0 */
 
 /* Gives paths of their own to the first of ROUTERS routers.  */
 void
@@ -115,13 +115,13 @@
       }
 }
 
-/* Begins the cut of WINDOW, from 1, in which the router DISTURBED does not
-   count: of random routers, but of all in the last but one and of none in the
-   last one, which shows whether they serve again.  */
+/* Begins the cut of WINDOW, in which the router DISTURBED does not count: of
+   random routers, but of all in the last but one and of none in the last one,
+   which shows whether they serve again.  */
 void
 soak_begin_cut (GRand *random, int window, int routers, int disturbed)
 {
-  struct window *at = &windows[window - 1];
+  struct window *at = &windows[window];
 
   at->cut = choose_routers (random, routers);
   if (window >= SOAK_WINDOWS - 1)
@@ -138,7 +138,7 @@
 void
 soak_measure_cut (int window)
 {
-  gint64 from_us = windows[window - 1].begin_us + SOAK_CONTACT_MS * 1000;
+  gint64 from_us = windows[window].begin_us + SOAK_CONTACT_MS * 1000;
   gint64 left_us = from_us - g_get_monotonic_time ();
 
   if (left_us > 0)
@@ -168,7 +168,7 @@
 soak_count_try (int window, int router, int served, gint64 sent_us)
 {
   gint64 held_ms = (g_get_monotonic_time () - sent_us) / 1000;
-  struct window *at = &windows[MAX (window, 1) - 1];
+  struct window *at = &windows[window];
   int is_cut = router < ROUTERS_WITH_PATHS && (at->cut >> router & 1);
   struct counts *counts = is_cut ? &at->cut_off : &at->others;
 
@@ -205,7 +205,7 @@
 void
 soak_check_cuts (void)
 {
-  for (int i = 0; i < SOAK_WINDOWS; i++)
+  for (int i = 1; i <= SOAK_WINDOWS; i++)
     {
       const struct window *at = &windows[i];
       const char *fault = find_fault (at);
