--- a/tests/fuzz_parsers.c
+++ b/tests/fuzz_parsers.c
@@ -170,6 +170,7 @@
   int32_t numbers[3];
   int64_t tokens;
   uint64_t epoch;
+  double per_s;
   int is_valid;
 
   (void)length;
@@ -179,6 +180,11 @@
   is_valid
       |= plat_dialect.load (input, &numbers[0], &numbers[1], &numbers[2]) == 0;
   is_valid |= plat_dialect.tokens_out (input, &tokens) == 0;
+  if (plat_dialect.rate (input, &per_s) == 0)
+    {
+      g_assert_true (per_s >= 0 && per_s <= G_MAXDOUBLE);
+      is_valid = 1;
+    }
   (void)plat_dialect.key (input);
   is_valid |= pos_parse_epoch (input, &epoch) == 0;
   return is_valid;
