Keep targets whole once the soak's silences are over

The phases that follow the faults now end in a calm one, in which targets cut no stream. The check stands.

--- a/tests/soak.c
+++ b/tests/soak.c
@@ -66,6 +66,7 @@
 enum phase
 {
   PHASE_FAULTS,
+  PHASE_CALM,
   PHASE_SILENCES, /* of targets, and nothing else */
   PHASE_CUTS,     /* and one disturbance at a time */
   PHASE_BRITTLE   /* targets say so, and requests press */
@@ -282,7 +283,11 @@
 
   pthread_mutex_lock (&lock);
   behavior = behaviors[index];
+  if (id == NULL)
+    soak_report_violation ("?", "request without an id", request->text);
   pthread_mutex_unlock (&lock);
+  if (id == NULL)
+    return 0;
   if (behavior == BEHAVIOR_OVERLOADED)
     fx_write (request->fd, "HTTP/1.1 503 Service Unavailable\r\n"
                            "X-Ibisloom-Not-Executed: 1\r\n"
@@ -861,7 +866,7 @@
         put_next_version ();
       fx_sleep_ms (SILENCE_INTERVAL_MS);
     }
-  g_atomic_int_set (&phase, PHASE_FAULTS);
+  g_atomic_int_set (&phase, PHASE_CALM);
 }
 
 /* Has KIND happen, to ROUTER or a random target.  */
@@ -891,6 +896,7 @@
 run_cuts (char *const *logs)
 {
   calm_targets ();
+  fx_sleep_ms (FOLLOW_MS);
   g_atomic_int_set (&phase, PHASE_CUTS);
   for (int i = 1; i <= SOAK_WINDOWS; i++)
     {
@@ -900,6 +906,7 @@
       int is_late = g_rand_boolean (cut_random);
 
       put_entries (); /* for routers that had them from others */
+      fx_sleep_ms (SILENCE_INTERVAL_MS);
       soak_begin_cut (cut_random, i, router_count,
                       kind < DISTURBANCE_RELOAD ? router : -1);
       fx_sleep_ms (g_rand_int_range (cut_random, 0, SOAK_CONTACT_MS));
@@ -912,7 +919,7 @@
       soak_end_cuts (router_count);
       soak_wait_for_restarts (router_count);
     }
-  g_atomic_int_set (&phase, PHASE_FAULTS);
+  g_atomic_int_set (&phase, PHASE_CALM);
 }
 
 /* Checks brittle targets, without and with routers that are cut off.  */
@@ -929,7 +936,7 @@
       soak_check_brittle_targets (brittle_random);
       soak_end_cuts (router_count);
     }
-  g_atomic_int_set (&phase, PHASE_FAULTS);
+  g_atomic_int_set (&phase, PHASE_CALM);
 }
 
 /* Reads the words of TEXT that add to the faults.  */
