Check in the soak which header fields reach targets and clients

What instances tell each other, and the API key, must not reach a target, and marks of theirs no client.

--- a/tests/soak.c
+++ b/tests/soak.c
@@ -277,6 +277,7 @@
   char *id = fx_header_value (request->text, "X-Ibisloom-Attempt-Id");
   int is_stream = strstr (request->text, "/plan/") != NULL
                   || strstr (request->text, "/rules/") != NULL;
+  char *other = soak_find_request_field (request->text);
   int is_silence = g_atomic_int_get (&phase) == PHASE_SILENCES;
   enum behavior behavior;
   int keep_alive = 1;
@@ -285,7 +286,10 @@
   behavior = behaviors[index];
   if (id == NULL)
     soak_report_violation ("?", "request without an id", request->text);
+  if (other != NULL)
+    soak_report_violation (id, "field at a target", other);
   pthread_mutex_unlock (&lock);
+  g_free (other);
   if (id == NULL)
     return 0;
   if (behavior == BEHAVIOR_OVERLOADED)
@@ -402,6 +406,7 @@
   char *signature
       = fx_header_value (response, "X-Ibisloom-Response-Signature");
   char *expected = g_strdup_printf ("s-%s", id);
+  char *other = soak_find_response_field (response);
 
   sscanf (response, "HTTP/1.1 %d", &status);
   pthread_mutex_lock (&lock);
@@ -411,6 +416,8 @@
   if (status == 200 && signature == NULL)
     soak_report_violation (id, "successful response without signature",
                            response);
+  if (other != NULL)
+    soak_report_violation (id, "field at a client", other);
   if (status >= 400 && status < 429)
     soak_report_violation (id, "valid request rejected as invalid", response);
   if (status == 429 || status == 503)
@@ -430,6 +437,7 @@
   pthread_mutex_unlock (&lock);
   g_free (signature);
   g_free (expected);
+  g_free (other);
   return is_served;
 }
 
--- a/tests/soak.h
+++ b/tests/soak.h
@@ -44,6 +44,10 @@
 void soak_count_try (int window, int router, int served, gint64 sent_us);
 void soak_check_cuts (void);
 
+/* soak_fields.c */
+char *soak_find_request_field (const char *text);
+char *soak_find_response_field (const char *text);
+
 /* soak_brittle.c */
 void soak_add_brittle_targets (void (*executed) (const char *id));
 void soak_change_brittle_targets (GRand *random);
