Measure cuts in the soak only where all routers watch the store

In larger fleets most instances have the entries of targets from others, and so their paths: that they lose them with the others is no fault.

--- a/tests/soak.h
+++ b/tests/soak.h
@@ -10,6 +10,7 @@
   SOAK_EVENTS_PER_STREAM = 6,
   SOAK_CONTACT_MS = 3000, /* until routers serve whatever paths are cut */
   SOAK_WINDOWS = 4,
+  SOAK_PATHS_MAX = 2 * FX_DOMAINS, /* routers that all watch the store */
   SOAK_VERSION_BYTES = 8
 };
 
