Look less often at proxied connections whose clients have left

Where a cut drops data a target never learns that the router has closed its connection, and the proxy's thread goes on to look for a new mode each 10 ms.

--- a/tests/proxy_fixture.c
+++ b/tests/proxy_fixture.c
@@ -16,8 +16,9 @@
 {
   BACKLOG = 64,
   BUFFER_BYTES = 16384,
-  FILLERS = 3,          /* connections that fill the queue of a listener */
-  POLL_INTERVAL_MS = 10 /* longest delay until a new mode applies */
+  FILLERS = 3,           /* connections that fill the queue of a listener */
+  POLL_INTERVAL_MS = 10, /* longest delay until a new mode applies */
+  LEFT_INTERVAL_MS = 200 /* the same, once the client has left */
 };
 
 enum side
@@ -222,7 +223,9 @@
             = (struct pollfd){ .fd = connection->at_eof[i] ? -1
                                                            : connection->fd[i],
                                .events = POLLIN };
-      (void)poll (fds, SIDE_COUNT, POLL_INTERVAL_MS);
+      (void)poll (fds, SIDE_COUNT,
+                  connection->at_eof[CLIENT_SIDE] ? LEFT_INTERVAL_MS
+                                                  : POLL_INTERVAL_MS);
       mode = (enum proxy_mode)g_atomic_int_get (&connection->proxy->mode);
       apply_mode (connection, mode);
       for (int i = 0; is_open && !must_reset (mode) && i < SIDE_COUNT; i++)
