--- a/request/librelay.h
+++ b/request/librelay.h
@@ -126,10 +126,10 @@
   clk_ms reach_awaited_ms; /* since then; 0: not yet */
   uint64_t software;       /* version that began the stream; 0: none has */
   uint64_t expected;       /* version noted for the stream before; 0: none */
-  uint64_t stream;   /* hash of the attempt id that began it; 0: unknown */
-  uint8_t takes_up;  /* the client takes the stream up */
-  uint8_t waits;     /* until its origin is known */
-  clk_ms asked_ms;   /* time of the last question for it, 0: none */
+  uint64_t stream;  /* hash of the attempt id that began it; 0: unknown */
+  uint8_t takes_up; /* the client takes the stream up */
+  uint8_t waits;    /* until its origin is known */
+  clk_ms asked_ms;  /* time of the last question for it, 0: none */
   struct origin_attempt began; /* the stream here; zeroed: none has */
   uint8_t has_begun;           /* the origin of the stream has been recorded */
   /* The response.  */
--- a/tests/fuzz_parsers.c
+++ b/tests/fuzz_parsers.c
@@ -174,6 +174,7 @@
   uint32_t rejections_max;
   int64_t tokens;
   uint64_t epoch;
+  double per_s;
   int is_valid;
 
   (void)length;
@@ -184,6 +185,11 @@
       |= plat_dialect.load (input, &numbers[0], &numbers[1], &numbers[2]) == 0;
   is_valid |= plat_dialect.brittle (input, &rejections_max) == 0;
   is_valid |= plat_dialect.tokens_out (input, &tokens) == 0;
+  if (plat_dialect.rate (input, &per_s) == 0)
+    {
+      g_assert_true (per_s >= 0 && per_s <= G_MAXDOUBLE);
+      is_valid = 1;
+    }
   (void)plat_dialect.key (input);
   is_valid |= pos_parse_epoch (input, &epoch) == 0;
   return is_valid;
--- a/tests/soak.c
+++ b/tests/soak.c
@@ -13,7 +13,11 @@
              may be lost;
    versions  targets have two versions, of which no stream may hold both, and
              clients take up streams that broke off;
-   odd       the store has odd entries of another writer among the targets'.
+   odd       the store has odd entries of another writer among the targets';
+   cut       routers lose their paths to all targets, together and in turn, and
+             after the other faults serve their clients all the same;
+   brittle   targets fall over when they turn away too many requests, which
+             after the other faults they hardly do.
 */
 #include <pthread.h>
 #include <signal.h>
@@ -30,6 +34,7 @@
 {
   ROUTERS_DEFAULT = 3,
   CLIENTS = 8,
+  PRESSING_CLIENTS = 30, /* more than the slots of the brittle targets */
   TARGETS_PER_SERVICE = 3,
   SEED_DEFAULT = 1,
   SECONDS_DEFAULT = 5,
@@ -38,6 +43,8 @@
   STORE_SEED = 104729,       /* added to the seed */
   RESTORED_CHANGES_MAX = 12, /* that one restoration of the store takes back */
   ODD_SEED = 15485863,       /* added to the seed */
+  CUT_SEED = 32452843,       /* added to the seed */
+  BRITTLE_SEED = 49979687,   /* added to the seed */
   REQUEST_MS = 2000,         /* deadline of a request */
   SILENT_MIN_MS = 500,
   SILENT_MAX_MS = 2000,
@@ -46,13 +53,37 @@
   CALM_PAUSE_MS = 60,        /* between the events of a stream */
   PATIENT_REQUEST_MS = 8000, /* deadline of one that meets silences */
   SETTLE_MS = 5000,          /* until targets are no longer suspended */
-  CUT_SHARE = 3,    /* one of so many streams, if there are two versions */
-  TAKE_UPS_MAX = 2, /* of one stream */
+  TRUNCATED_SHARE = 3,       /* of streams, if there are two versions */
+  TAKE_UPS_MAX = 2,          /* of one stream */
+  CLIENT_PAUSE_MS = 10,      /* where the outcomes of clients are measured */
+  MEASURED_MS = 2500,        /* of a cut */
   DRAIN_MS = 3000,  /* longer than any request, so that all have ended */
   FOLLOW_MS = 9000, /* until a watch whose connection is lost begins anew */
   APPLY_MS = 2000   /* until a version must be in force */
 };
 
+/* What happens, beside what the extras add. */
+enum phase
+{
+  PHASE_FAULTS,
+  PHASE_CALM,
+  PHASE_SILENCES, /* of targets, and nothing else */
+  PHASE_CUTS,     /* and one disturbance at a time */
+  PHASE_BRITTLE   /* targets say so, and requests press */
+};
+
+/* What happens beside a cut; the first ones excuse a router. */
+enum disturbance
+{
+  DISTURBANCE_KILL,
+  DISTURBANCE_STOP,
+  DISTURBANCE_FREEZE,
+  DISTURBANCE_RELOAD,
+  DISTURBANCE_VERSION,
+  DISTURBANCE_SILENCE,
+  DISTURBANCE_COUNT
+};
+
 /* How a target responds to its next requests. */
 enum behavior
 {
@@ -76,7 +107,8 @@
   REQUEST_FEE,
   REQUEST_PLAN,
   REQUEST_RULES,
-  REQUEST_KIND_COUNT
+  REQUEST_KIND_COUNT,
+  REQUEST_PRESS = REQUEST_KIND_COUNT /* to brittle targets */
 };
 
 static const struct
@@ -85,11 +117,12 @@
   const char *path;
   int is_stream;
   int at_most_once; /* must not be executed twice */
-} request_kinds[REQUEST_KIND_COUNT] = {
+} request_kinds[] = {
   [REQUEST_MAP] = { "GET", "/map/1", 0, 0 },
   [REQUEST_FEE] = { "POST", "/fee/1", 0, 1 },
   [REQUEST_PLAN] = { "POST", "/plan/1", 1, 0 },
   [REQUEST_RULES] = { "POST", "/rules/1", 1, 1 },
+  [REQUEST_PRESS] = { "POST", "/press/1", 0, 1 },
 };
 
 /* All of a configuration but its version.  */
@@ -101,6 +134,9 @@
       "{\"name\":\"fee\",\"host\":\"shop.example\",\"path_prefix\":\"/fee/\","
       "\"route_type\":\"non_idempotent\",\"timeout_ms\":8000,"
       "\"target_latency_ms\":300,\"service\":\"desk\",\"max_attempts\":1},"
+      "{\"name\":\"press\",\"host\":\"shop.example\",\"path_prefix\":"
+      "\"/press/\",\"route_type\":\"non_idempotent\",\"timeout_ms\":8000,"
+      "\"target_latency_ms\":300,\"service\":\"press\",\"max_attempts\":3},"
       "{\"name\":\"plan\",\"host\":\"shop.example\",\"path_prefix\":"
       "\"/plan/\",\"route_type\":\"streaming\",\"timeout_ms\":8000,"
       "\"target_latency_ms\":300,\"target_gap_ms\":200,\"service\":\"pool\","
@@ -109,7 +145,8 @@
       "\"/rules/\",\"route_type\":\"streaming\",\"timeout_ms\":8000,"
       "\"target_latency_ms\":300,\"target_gap_ms\":200,\"service\":\"pool\","
       "\"max_attempts\":1,\"session_affinity\":true}],"
-      "\"services\":[{\"name\":\"desk\"},{\"name\":\"pool\"}],"
+      "\"services\":[{\"name\":\"desk\"},{\"name\":\"pool\"},"
+      "{\"name\":\"press\"}],"
       "\"tenants\":[{\"name\":\"lodge\",\"api_keys\":[\"key-1\"]}]}";
 
 /* What the arguments add to the faults. */
@@ -118,6 +155,8 @@
   int silence;
   int versions;
   int odd;
+  int cut;
+  int brittle;
 } extras;
 
 /* Record of a request, for check_executions. */
@@ -141,15 +180,18 @@
 static GRand *limit_random;
 static GRand *store_random;
 static GRand *odd_random;
+static GRand *cut_random;
+static GRand *brittle_random;
 static int last_version = 2; /* that the operator has written */
 static int initial_revision; /* of the store, with the first version */
 static gint is_limited[2 * TARGETS_PER_SERVICE]; /* names a rate limit */
 static gint stopping;
-static gint is_calm; /* targets fall silent, and nothing else happens */
+static gint phase;
 static int violations;
 static int served;
 static int refused;
 static int failed;
+static int target_errors; /* of those failed */
 static int taken_up;
 static int gone_on; /* of those taken up, with an event or their end */
 
@@ -235,12 +277,21 @@
   char *id = fx_header_value (request->text, "X-Ibisloom-Attempt-Id");
   int is_stream = strstr (request->text, "/plan/") != NULL
                   || strstr (request->text, "/rules/") != NULL;
+  char *other = soak_find_request_field (request->text);
+  int is_silence = g_atomic_int_get (&phase) == PHASE_SILENCES;
   enum behavior behavior;
   int keep_alive = 1;
 
   pthread_mutex_lock (&lock);
   behavior = behaviors[index];
+  if (id == NULL)
+    soak_report_violation ("?", "request without an id", request->text);
+  if (other != NULL)
+    soak_report_violation (id, "field at a target", other);
   pthread_mutex_unlock (&lock);
+  g_free (other);
+  if (id == NULL)
+    return 0;
   if (behavior == BEHAVIOR_OVERLOADED)
     fx_write (request->fd, "HTTP/1.1 503 Service Unavailable\r\n"
                            "X-Ibisloom-Not-Executed: 1\r\n"
@@ -261,15 +312,16 @@
     respond (index, request->fd, "another", "200 OK");
   else if (behavior != BEHAVIOR_OVERLOADED && is_stream)
     {
-      int is_cut = behavior == BEHAVIOR_TRUNCATE
-                   || (extras.versions && !g_atomic_int_get (&is_calm)
-                       && request->number % CUT_SHARE == 0);
+      int is_cut
+          = behavior == BEHAVIOR_TRUNCATE
+            || (extras.versions && g_atomic_int_get (&phase) == PHASE_FAULTS
+                && request->number % TRUNCATED_SHARE == 0);
 
       soak_write_stream (request, limit_field (index), version_of (index),
                          is_cut,
-                         behavior == BEHAVIOR_SLOW     ? 150
-                         : g_atomic_int_get (&is_calm) ? CALM_PAUSE_MS
-                                                       : 5);
+                         behavior == BEHAVIOR_SLOW ? 150
+                         : is_silence              ? CALM_PAUSE_MS
+                                                   : 5);
       keep_alive = !is_cut;
     }
   else if (behavior != BEHAVIOR_OVERLOADED)
@@ -309,8 +361,9 @@
 static const fx_handler_fn handlers[2 * TARGETS_PER_SERVICE]
     = { handle_0, handle_1, handle_2, handle_3, handle_4, handle_5 };
 
-/* Checks the part of STREAM in RESPONSE to request ID.  */
-static void
+/* Checks the part of STREAM in RESPONSE to request ID.  Returns whether it is
+   complete.  */
+static int
 check_stream (struct soak_stream *stream, const char *id, const char *response)
 {
   int is_complete = g_str_has_suffix (response, "\r\n0\r\n\r\n");
@@ -321,9 +374,10 @@
   served += is_complete;
   failed += !is_complete;
   if (fault == NULL)
-    return;
+    return is_complete;
   soak_report_violation (id, fault, response);
   soak_clear_stream (stream);
+  return 0;
 }
 
 /* Checks that RESPONSE to request ID, sent while nothing but silences happens,
@@ -342,15 +396,17 @@
 }
 
 /* Checks RESPONSE to request ID, of which a stream belongs to STREAM, and
-   counts its outcome.  */
-static void
+   counts its outcome.  Returns whether it is complete and a success.  */
+static int
 check_response (const char *id, enum kind kind, const char *response,
                 struct soak_stream *stream)
 {
   int status = 0;
+  int is_served = 0;
   char *signature
       = fx_header_value (response, "X-Ibisloom-Response-Signature");
   char *expected = g_strdup_printf ("s-%s", id);
+  char *other = soak_find_response_field (response);
 
   sscanf (response, "HTTP/1.1 %d", &status);
   pthread_mutex_lock (&lock);
@@ -360,6 +416,8 @@
   if (status == 200 && signature == NULL)
     soak_report_violation (id, "successful response without signature",
                            response);
+  if (other != NULL)
+    soak_report_violation (id, "field at a client", other);
   if (status >= 400 && status < 429)
     soak_report_violation (id, "valid request rejected as invalid", response);
   if (status == 429 || status == 503)
@@ -368,14 +426,19 @@
       refused++;
     }
   else if (status == 200 && request_kinds[kind].is_stream)
-    check_stream (stream, id, response);
-  else if (status == 200 && g_str_has_suffix (response, "\r\n\r\nwell"))
-    served++;
+    is_served = check_stream (stream, id, response);
   else
-    failed++;
+    {
+      is_served = status == 200 && g_str_has_suffix (response, "\r\n\r\nwell");
+      served += is_served;
+      failed += !is_served;
+      target_errors += status >= 500 && signature != NULL;
+    }
   pthread_mutex_unlock (&lock);
   g_free (signature);
   g_free (expected);
+  g_free (other);
+  return is_served;
 }
 
 /* Returns a request of KIND with ID, which takes STREAM up if that has
@@ -405,11 +468,15 @@
 send_request (GRand *random, enum kind kind, const char *id,
               struct soak_stream *stream)
 {
-  int calm = g_atomic_int_get (&is_calm);
+  int calm = g_atomic_int_get (&phase) == PHASE_SILENCES;
+  int window = stream->last == 0 ? soak_window () : 0;
+  gint64 sent_us = g_get_monotonic_time ();
   char *text = make_request (kind, id, g_rand_int_range (random, 0, 9),
                              calm ? PATIENT_REQUEST_MS : REQUEST_MS, stream);
-  int fd = fx_router_connect (g_rand_int_range (random, 0, router_count));
+  int router = g_rand_int_range (random, 0, router_count);
+  int fd = fx_router_connect (router);
   char *response = NULL;
+  int is_served = 0;
   int status = 0;
 
   pthread_mutex_lock (&lock);
@@ -429,7 +496,9 @@
         response = fx_read_all (fd);
     }
   if (response != NULL && *response != '\0')
-    check_response (id, kind, response, stream);
+    is_served = check_response (id, kind, response, stream);
+  if (response != NULL || fd < 0)
+    soak_count_try (window, router, is_served, sent_us);
   if (response != NULL && calm)
     {
       sscanf (response, "HTTP/1.1 %d", &status);
@@ -468,6 +537,31 @@
       while (extras.versions && kind == REQUEST_PLAN
              && soak_is_broken_off (&stream) && tries++ < TAKE_UPS_MAX);
       soak_clear_stream (&stream);
+      if (g_atomic_int_get (&phase) == PHASE_CUTS)
+        fx_sleep_ms (CLIENT_PAUSE_MS);
+    }
+  g_rand_free (random);
+  return NULL;
+}
+
+/* Runs a client that sends requests to brittle targets, while these are, until
+   STOPPING is set.  */
+static void *
+press (void *closure)
+{
+  int number = GPOINTER_TO_INT (closure);
+  GRand *random = g_rand_new_with_seed ((guint32)number);
+
+  for (int sent = 0; !g_atomic_int_get (&stopping); sent++)
+    {
+      int now = g_atomic_int_get (&phase);
+      struct soak_stream stream = { 0 };
+      char *id = g_strdup_printf ("p%d-%d", number, sent);
+
+      if (now == PHASE_FAULTS || now == PHASE_BRITTLE)
+        send_request (random, REQUEST_PRESS, id, &stream);
+      fx_sleep_ms (CLIENT_PAUSE_MS);
+      g_free (id);
     }
   g_rand_free (random);
   return NULL;
@@ -685,9 +779,13 @@
       put_entry (i, "ready");
       g_free (id);
     }
+  if (extras.brittle)
+    soak_add_brittle_targets (count_execution);
   fx_store_start (NULL);
   put_next_version ();
   initial_revision = fx_store_revision ();
+  if (extras.cut)
+    soak_add_paths (router_count);
   for (int i = 0; i < router_count; i++)
     {
       store_proxies[i] = fx_store_add_proxy (i);
@@ -716,16 +814,30 @@
       inject_store_change ();
       if (extras.odd)
         soak_change_odd_entries (odd_random);
+      if (extras.cut)
+        soak_change_cuts (cut_random, router_count);
+      if (extras.brittle)
+        soak_change_brittle_targets (brittle_random);
       check_versions (observed);
       soak_check_processes (router_count);
       fx_sleep_ms (g_rand_int_range (fault_random, 5, 80));
     }
   fx_store_set_down (0);
   clear_proxy_faults ();
+  if (extras.cut)
+    soak_end_cuts (router_count);
   soak_wait_for_restarts (router_count);
   return steps;
 }
 
+/* Writes the entries of all targets.  */
+static void
+put_entries (void)
+{
+  for (int i = 0; i < 2 * TARGETS_PER_SERVICE; i++)
+    put_entry (i, "ready");
+}
+
 /* Ends all faults of targets, and waits until routers use them again.  */
 static void
 calm_targets (void)
@@ -734,10 +846,8 @@
   memset (behaviors, 0, sizeof behaviors);
   pthread_mutex_unlock (&lock);
   for (int i = 0; i < 2 * TARGETS_PER_SERVICE; i++)
-    {
-      g_atomic_int_set (&is_limited[i], 0);
-      put_entry (i, "ready");
-    }
+    g_atomic_int_set (&is_limited[i], 0);
+  put_entries ();
   fx_sleep_ms (SETTLE_MS);
 }
 
@@ -749,7 +859,7 @@
   gint64 heard_us[2 * TARGETS_PER_SERVICE] = { 0 };
 
   calm_targets ();
-  g_atomic_int_set (&is_calm, 1);
+  g_atomic_int_set (&phase, PHASE_SILENCES);
   for (int i = 0; i < CALM_STEPS; i++)
     {
       int target = g_rand_int_range (fault_random, 0, 2 * TARGETS_PER_SERVICE);
@@ -764,7 +874,77 @@
         put_next_version ();
       fx_sleep_ms (SILENCE_INTERVAL_MS);
     }
-  g_atomic_int_set (&is_calm, 0);
+  g_atomic_int_set (&phase, PHASE_CALM);
+}
+
+/* Has KIND happen, to ROUTER or a random target.  */
+static void
+disturb (enum disturbance kind, int router, char *const *logs)
+{
+  int target = g_rand_int_range (cut_random, 0, 2 * TARGETS_PER_SERVICE);
+  int ms = g_rand_int_range (cut_random, SILENT_MIN_MS, SILENT_MAX_MS);
+
+  if (kind == DISTURBANCE_KILL)
+    soak_restart_router (cut_random, router, SIGKILL, logs[router]);
+  else if (kind == DISTURBANCE_STOP)
+    soak_restart_router (cut_random, router, SIGTERM, logs[router]);
+  else if (kind == DISTURBANCE_FREEZE)
+    soak_pause_router (cut_random, router);
+  else if (kind == DISTURBANCE_RELOAD)
+    soak_reload_settings (router);
+  else if (kind == DISTURBANCE_VERSION)
+    put_next_version ();
+  else
+    fx_target_fall_silent (targets[target], ms);
+}
+
+/* Cuts routers off from all targets, in one window after the other, each with
+   a disturbance before or while it is measured.  */
+static void
+run_cuts (char *const *logs)
+{
+  calm_targets ();
+  fx_sleep_ms (FOLLOW_MS);
+  g_atomic_int_set (&phase, PHASE_CUTS);
+  for (int i = 1; i <= SOAK_WINDOWS; i++)
+    {
+      enum disturbance kind = (enum disturbance)g_rand_int_range (
+          cut_random, 0, DISTURBANCE_COUNT);
+      int router = g_rand_int_range (cut_random, 0, router_count);
+      int is_late = g_rand_boolean (cut_random);
+
+      put_entries (); /* for routers that had them from others */
+      fx_sleep_ms (SILENCE_INTERVAL_MS);
+      soak_begin_cut (cut_random, i, router_count,
+                      kind < DISTURBANCE_RELOAD ? router : -1);
+      fx_sleep_ms (g_rand_int_range (cut_random, 0, SOAK_CONTACT_MS));
+      if (!is_late)
+        disturb (kind, router, logs);
+      soak_measure_cut (i);
+      if (is_late)
+        disturb (kind, router, logs);
+      fx_sleep_ms (MEASURED_MS);
+      soak_end_cuts (router_count);
+      soak_wait_for_restarts (router_count);
+    }
+  g_atomic_int_set (&phase, PHASE_CALM);
+}
+
+/* Checks brittle targets, without and with routers that are cut off.  */
+static void
+run_brittle (void)
+{
+  soak_calm_brittle_targets ();
+  calm_targets ();
+  g_atomic_int_set (&phase, PHASE_BRITTLE);
+  soak_check_brittle_targets (brittle_random);
+  if (extras.cut)
+    {
+      soak_begin_cut (cut_random, 0, router_count, -1);
+      soak_check_brittle_targets (brittle_random);
+      soak_end_cuts (router_count);
+    }
+  g_atomic_int_set (&phase, PHASE_CALM);
 }
 
 /* Reads the words of TEXT that add to the faults.  */
@@ -774,6 +954,8 @@
   extras.silence = strstr (text, "silence") != NULL;
   extras.versions = strstr (text, "versions") != NULL;
   extras.odd = strstr (text, "odd") != NULL;
+  extras.cut = strstr (text, "cut") != NULL;
+  extras.brittle = strstr (text, "brittle") != NULL;
 }
 
 int
@@ -782,7 +964,8 @@
   int seed = argc > 1 ? atoi (argv[1]) : SEED_DEFAULT;
   int seconds = argc > 2 ? atoi (argv[2]) : SECONDS_DEFAULT;
   int keep_logs = argc > 3 && strcmp (argv[3], "-") != 0;
-  pthread_t clients[CLIENTS];
+  pthread_t clients[CLIENTS + PRESSING_CLIENTS];
+  int client_count = CLIENTS;
   char *logs[FX_ROUTERS_MAX];
   int steps;
 
@@ -795,20 +978,30 @@
   limit_random = g_rand_new_with_seed ((guint32)seed + LIMIT_SEED);
   store_random = g_rand_new_with_seed ((guint32)seed + STORE_SEED);
   odd_random = g_rand_new_with_seed ((guint32)seed + ODD_SEED);
+  cut_random = g_rand_new_with_seed ((guint32)seed + CUT_SEED);
+  brittle_random = g_rand_new_with_seed ((guint32)seed + BRITTLE_SEED);
   proxy_random = g_rand_new_with_seed (~(guint32)seed);
   for (int i = 0; i < router_count; i++)
     logs[i] = keep_logs ? g_strdup_printf ("%s/router-%d.log", argv[3], i)
                         : g_strdup ("/dev/null");
   start_all (logs);
-  for (int i = 0; i < CLIENTS; i++)
-    pthread_create (&clients[i], NULL, send_requests,
-                    GINT_TO_POINTER (seed * CLIENTS + i));
+  if (extras.brittle)
+    client_count += PRESSING_CLIENTS;
+  for (int i = 0; i < client_count; i++)
+    pthread_create (&clients[i], NULL, i < CLIENTS ? send_requests : press,
+                    GINT_TO_POINTER (seed * client_count + i));
   steps = run_faults (seconds, logs);
   if (extras.silence)
     run_silences ();
+  if (extras.cut && router_count <= SOAK_PATHS_MAX)
+    run_cuts (logs);
+  if (extras.brittle)
+    run_brittle ();
   g_atomic_int_set (&stopping, 1);
-  for (int i = 0; i < CLIENTS; i++)
+  for (int i = 0; i < client_count; i++)
     pthread_join (clients[i], NULL);
+  if (extras.cut)
+    soak_check_cuts ();
   if (extras.odd)
     soak_put_odd_entries ();
   check_last_version ();
@@ -817,10 +1010,11 @@
   pthread_mutex_lock (&lock);
   check_executions ();
   pthread_mutex_unlock (&lock);
-  printf ("seed %d: %d faults, %u requests, %d served, %d refused, %d failed, "
-          "%d of %d taken up went on, %d violations\n",
-          seed, steps, g_hash_table_size (records), served, refused, failed,
-          gone_on, taken_up, violations);
+  printf (
+      "seed %d: %d faults, %u requests, %d served, %d refused, %d failed, "
+      "%d by errors of targets, %d of %d taken up went on, %d violations\n",
+      seed, steps, g_hash_table_size (records), served, refused, failed,
+      target_errors, gone_on, taken_up, violations);
   fx_env_stop ();
   return violations > 0;
 }
--- a/tests/soak.h
+++ b/tests/soak.h
@@ -8,6 +8,9 @@
 enum
 {
   SOAK_EVENTS_PER_STREAM = 6,
+  SOAK_CONTACT_MS = 3000, /* until routers serve whatever paths are cut */
+  SOAK_WINDOWS = 4,
+  SOAK_PATHS_MAX = 2 * FX_DOMAINS, /* routers that all watch the store */
   SOAK_VERSION_BYTES = 8
 };
 
@@ -32,6 +35,26 @@
 void soak_wait_for_restarts (int count);
 void soak_check_processes (int count);
 
+/* soak_cuts.c */
+void soak_add_paths (int routers);
+void soak_change_cuts (GRand *random, int routers);
+void soak_begin_cut (GRand *random, int window, int routers, int disturbed);
+void soak_measure_cut (int window);
+void soak_end_cuts (int routers);
+int soak_window (void);
+void soak_count_try (int window, int router, int served, gint64 sent_us);
+void soak_check_cuts (void);
+
+/* soak_fields.c */
+char *soak_find_request_field (const char *text);
+char *soak_find_response_field (const char *text);
+
+/* soak_brittle.c */
+void soak_add_brittle_targets (void (*executed) (const char *id));
+void soak_change_brittle_targets (GRand *random);
+void soak_calm_brittle_targets (void);
+void soak_check_brittle_targets (GRand *random);
+
 /* soak_streams.c */
 void soak_write_stream (const struct fx_request *request, const char *fields,
                         const char *version, int truncated, int pause_ms);
