Go on with an instance that refused another request's hop

A refusal by the instance that a hop goes through, for want of a place or for what concerns one request, left it out for 200 ms for all requests of the service; two refused requests could leave none of three instances, and the clients of an instance cut off were refused while places were free. Now only a broken hop leaves an instance out; a request does not go to one that refused it.

--- a/include/ibisloom/router.h
+++ b/include/ibisloom/router.h
@@ -86,6 +86,6 @@
 struct hop_peer *router_hop_peer (struct router *router, const char *service,
                                   const struct reg_target *target);
 void router_hop_avoid (struct router *router, const char *service,
-                       const struct reg_target *target, int refused);
+                       const struct reg_target *target);
 
 #endif
--- a/process/router_reach.c
+++ b/process/router_reach.c
@@ -18,7 +18,6 @@
   /* Without a request for so long, neither probes nor questions are sent.  */
   NEEDED_MS = 5000,
   LOCAL_PEERS = HOP_PEERS_MAX / 2, /* asked of the own failure domain */
-  REFUSED_AVOID_MS = 200,
   BROKEN_AVOID_MS = 2000
 };
 
@@ -494,11 +493,10 @@
    request for SERVICE or failed it.  */
 void
 router_hop_avoid (struct router *router, const char *service,
-                  const struct reg_target *target, int refused)
+                  const struct reg_target *target)
 {
   struct hop_peer *peer = router_hop_peer (router, service, target);
 
   if (peer != NULL)
-    peer->avoid_until_ms = clk_now (clk_monotonic ())
-                           + (refused ? REFUSED_AVOID_MS : BROKEN_AVOID_MS);
+    peer->avoid_until_ms = clk_now (clk_monotonic ()) + BROKEN_AVOID_MS;
 }
