Begin the trial of a quarantined part only where a target gets it

A request that waited for probes or answers, or that went through another instance, began the trial that was due and told the fleet, though nothing was sent; the next trial came twice as late. The target is chosen first now; for a hop the instance that sends to a target decides.

Found by a review that read the code; not seen in a run.

--- a/request/relay.c
+++ b/request/relay.c
@@ -123,16 +123,13 @@
                                                : RELAY_DEADLINE_UNSENT);
       return;
     }
-  if (!relay_parts_admitted (relay))
-    {
-      relay_refuse (relay, relay->may_have_run ? RELAY_TARGET_FAILED
-                                               : RELAY_QUARANTINED);
-      return;
-    }
   fleet_hear_loads (relay->router->fleet, relay->service);
   target = relay_pick (relay, now, &choice, &count);
   if (relay->waits_for_reach)
     relay_wait_for_reach (relay);
+  else if (target != NULL && !target->is_peer && !relay_parts_admitted (relay))
+    relay_refuse (relay, relay->may_have_run ? RELAY_TARGET_FAILED
+                                             : RELAY_QUARANTINED);
   else if (target != NULL)
     relay_send (relay, target, &choice, count);
   else
--- a/request/relay_silence.c
+++ b/request/relay_silence.c
@@ -57,7 +57,7 @@
       wait_on (relay, decision.reason, now, is_first);
       return;
     }
-  if (!relay_parts_admitted (relay))
+  if (!target->is_peer && !relay_parts_admitted (relay))
     {
       retry_budget_deposit (
           router_retry_budget (relay->router, relay->service), 1);
