Let the sharers of a target alone fill it, also while it has many places

In fleets of over 64 instances, those that do not share the room of a brittle target hear of its load with heartbeats only, and could each add half of its slots while it seemed to have many places. A change of load that was told to the sharers was not told to the others near the load bound either.

--- a/process/fleet_load.c
+++ b/process/fleet_load.c
@@ -59,8 +59,7 @@
 {
   struct fleet *fleet = closure;
 
-  if (fleet_tell_load (fleet, target))
-    return;
+  fleet_tell_load (fleet, target);
   target->update_pending = 1;
   if (reg_is_near_limit (target, clk_now (clk_monotonic ())))
     schedule_update (fleet, started ? 0 : UPDATE_END_DELAY_MS);
--- a/request/room.c
+++ b/request/room.c
@@ -175,7 +175,7 @@
           || now - room->rejected_ms[last] < PAUSE_MS))
     return room->rank == 0 && load < 1;
   if (room_is_far (limit, load))
-    return 1;
+    return room->rank < ROOM_SHARERS_MAX || room->rank == ROOM_UNRANKED;
   return room->rank
          < MIN (ROOM_SHARERS_MAX, senders_max (room, service, places, now));
 }
