Deposit a request that goes through several instances once

An instance that is cut off marked a request's second hop as not yet counted in the retry budget, though the first instance had counted it.

--- a/request/relay_hop.c
+++ b/request/relay_hop.c
@@ -201,6 +201,7 @@
 {
   int refused = fault == RETRY_FAULT_REJECTED;
 
+  relay->is_counted |= fault != RETRY_FAULT_CONNECT;
   if (fault == RETRY_FAULT_ERROR_STATUS || relay->attempt.is_final)
     return;
   /* What it refuses concerns this request; the next one may find a place.  */
