End a cut when half of the probes succeed

With two targets, one of which had ended, a cut never ended: it took more than half of the probes, and began at less than a quarter.

--- a/request/reach.c
+++ b/request/reach.c
@@ -175,7 +175,8 @@
                            && reach->successes * SUCCESS_SHARE >= reach->probes
                        ? REACH_OPEN
                        : REACH_CUT_OFF);
-  if (reach->state == REACH_CUT_OFF && reach->is_returning && most)
+  if (reach->state == REACH_CUT_OFF && reach->is_returning
+      && reach->successes * 2 >= reach->probes)
     return change (reach, REACH_OPEN);
   reach->is_returning = reach->state == REACH_CUT_OFF && !reach->is_returning
                         && reach->successes > 0;
