Probe when asked while cut off

An instance without requests of its own stopped to probe 5 s after them, and told others for ever that it was cut off.

Found by a review that read the code; not seen in a run.

--- a/process/router_reach.c
+++ b/process/router_reach.c
@@ -413,6 +413,7 @@
 on_asked (void *closure, struct wire_reach *reach)
 {
   struct router *router = closure;
+  clk_ms now = clk_now (clk_monotonic ());
   GHashTableIter iter;
   gpointer value;
 
@@ -420,11 +421,15 @@
   g_hash_table_iter_init (&iter, router->reaches);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const struct router_reach *owner = value;
+      struct router_reach *owner = value;
 
-      if (owner->key == reach->service)
-        reach->answer
-            = reach_answer (&owner->reach, clk_now (clk_monotonic ()));
+      if (owner->key != reach->service)
+        continue;
+      reach->answer = reach_answer (&owner->reach, now);
+      /* Without requests of its own nothing else would show the end of a
+         cut.  */
+      if (owner->reach.state != REACH_OPEN)
+        start_probes (owner, now);
     }
   if (!router_is_ready (router))
     reach->answer = REACH_ANSWER_NO;
