Suspect nothing of a service without targets

Without a target left, a failure made an instance take itself for cut off from the service without any probe.

Found by a review that read the code; not seen in a run.

--- a/request/reach.c
+++ b/request/reach.c
@@ -51,7 +51,7 @@
       reach->failed_ms[reach->failed_count++] = now;
       reach->fresh_count++;
     }
-  if (reach->state != REACH_OPEN
+  if (known == 0 || reach->state != REACH_OPEN
       || reach->failed_count < MIN (known, FAILURES_TO_SUSPECT)
       || (reach->fresh_count < FAILURES_TO_SUSPECT
           && reach->failed_count < MIN ((known + 1) / 2, REACH_FAILED_MAX)))
