Keep a target in doubt as long as its trial runs

A target in doubt, to be used if no other is left, counted as suspended once the time of doubt was over and a request was in progress there.

Found by a review that read the code; not seen in a run.

--- a/request/health.c
+++ b/request/health.c
@@ -133,7 +133,7 @@
   if (now < health->suspended_until_ms)
     return health->in_doubt ? HEALTH_DOUBTED : HEALTH_SUSPENDED;
   if (health->trials_in_flight > 0)
-    return HEALTH_SUSPENDED;
+    return health->in_doubt ? HEALTH_DOUBTED : HEALTH_SUSPENDED;
   return now - health->suspended_until_ms < TRIAL_OVERDUE_MS ? HEALTH_TRIAL
                                                              : HEALTH_USABLE;
 }
