Suspend a target whose trial got nothing until its deadline

A call that may not be repeated has no read timeout; as a trial of a mute target it ended with its deadline and left no trace, so that the next call followed at once.

Found by a review that read the code; not seen in a run.

--- a/request/relay.c
+++ b/request/relay.c
@@ -24,6 +24,7 @@
                          GString *body);
 static void on_timer (struct ev_loop *loop, ev_timer *timer, int events);
 static void start_attempt (struct relay *relay, struct reg_target *target);
+static int was_silent_trial (const struct relay *relay);
 static void relay_free (struct relay *relay);
 
 const struct client_listener_ops relay_listener_ops
@@ -299,6 +300,17 @@
   ev_timer_start (relay->router->loop, &relay->timer);
 }
 
+/* Returns whether the current attempt of RELAY, a trial, has got nothing of a
+   response.  */
+static int
+was_silent_trial (const struct relay *relay)
+{
+  const struct relay_attempt *attempt = &relay->attempt;
+
+  return attempt->is_trial && attempt->status == 0 && attempt->call != NULL
+         && out_call_was_sent (attempt->call);
+}
+
 /* Handles an expired deadline, an expired read timeout, or a call that could
    not be started.  */
 static void
@@ -341,7 +353,8 @@
   if (relay->attempt.call != NULL && out_call_was_sent (relay->attempt.call)
       && !relay->attempt.not_run)
     relay->may_have_run = 1;
-  relay_end_attempt (relay, HEALTH_EVENT_COUNT);
+  relay_end_attempt (relay, was_silent_trial (relay) ? HEALTH_TIMED_OUT
+                                                     : HEALTH_EVENT_COUNT);
   relay_refuse (relay,
                 relay->may_have_run ? RELAY_DEADLINE : RELAY_DEADLINE_UNSENT);
 }
