--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -254,6 +254,9 @@
 
   health_record (&health, HEALTH_KEPT_SILENT, 0);
   CU_ASSERT_EQUAL (health_get_state (&health, 1), HEALTH_DOUBTED);
+  CU_ASSERT (health_begin_request (&health));
+  CU_ASSERT_EQUAL (health_get_state (&health, 3000), HEALTH_DOUBTED);
+  health_end_request (&health, 1);
   fill (candidates);
   for (int i = 0; i < TARGETS; i++)
     candidates[i].state = HEALTH_SUSPENDED;
--- a/tests/test_reach.c
+++ b/tests/test_reach.c
@@ -16,6 +16,8 @@
 static void old_and_repeated_failures_do_not_count (void);
 static void probes_go_to_all_failure_domains (void);
 static void few_targets_suffice_for_a_cut (void);
+static void cut_ends_when_half_of_the_targets_are_back (void);
+static void service_without_targets_is_no_cut (void);
 static void hops_spread_over_instances (void);
 static void hops_avoid_instances (void);
 static void marks_are_read_as_printed (void);
@@ -29,6 +31,9 @@
     old_and_repeated_failures_do_not_count },
   { "probes go to all failure domains", probes_go_to_all_failure_domains },
   { "one or two targets suffice for a cut", few_targets_suffice_for_a_cut },
+  { "a cut ends when half of the targets are back",
+    cut_ends_when_half_of_the_targets_are_back },
+  { "a service without targets is no cut", service_without_targets_is_no_cut },
   { "hops spread over instances by load", hops_spread_over_instances },
   { "hops avoid lost, cut off and tried instances", hops_avoid_instances },
   { "marks of hops are read as printed", marks_are_read_as_printed },
@@ -181,6 +186,30 @@
     }
 }
 
+static void
+cut_ends_when_half_of_the_targets_are_back (void)
+{
+  struct reach reach = { .state = REACH_CUT_OFF };
+  clk_ms now = 10000;
+
+  for (int i = 0; i < 4 && reach.state == REACH_CUT_OFF; i++, now += 1000)
+    {
+      size_t count = probe (&reach, 2, now);
+
+      end_probes (&reach, count, count / 2, now + 1);
+    }
+  CU_ASSERT_EQUAL (reach.state, REACH_OPEN);
+}
+
+static void
+service_without_targets_is_no_cut (void)
+{
+  struct reach reach = { 0 };
+
+  CU_ASSERT_FALSE (reach_fail (&reach, 1, 0, 1000));
+  CU_ASSERT_EQUAL (reach.state, REACH_OPEN);
+}
+
 /* Fills PEERS with instances 1 to HOP_PEERS_MAX that reach the service.  */
 static void
 fill (struct hop_peers *peers)
