Tell the sender of a hop the version that the receiver records

A target that starts again under its id as another version, whose entry arrives between a send and the response, was recorded by the two instances of a hop with two versions.

--- a/request/relay_accept.c
+++ b/request/relay_accept.c
@@ -125,7 +125,7 @@
 relay_accept_append_software (const struct relay *relay, GString *out)
 {
   g_string_append_printf (out, "%s: %" PRIx64 "\r\n", hop_field,
-                          relay->attempt.software);
+                          relay_origin_of_attempt (relay));
 }
 
 /* Appends to OUT, fields of a response to RELAY, that this instance and no
