--- a/process/router_reach.c
+++ b/process/router_reach.c
@@ -18,7 +18,6 @@
   /* Without a request for so long, neither probes nor questions are sent.  */
   NEEDED_MS = 5000,
   LOCAL_PEERS = HOP_PEERS_MAX / 2, /* asked of the own failure domain */
-  REFUSED_AVOID_MS = 200,
   BROKEN_AVOID_MS = 2000
 };
 
@@ -414,6 +413,7 @@
 on_asked (void *closure, struct wire_reach *reach)
 {
   struct router *router = closure;
+  clk_ms now = clk_now (clk_monotonic ());
   GHashTableIter iter;
   gpointer value;
 
@@ -421,11 +421,15 @@
   g_hash_table_iter_init (&iter, router->reaches);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const struct router_reach *owner = value;
+      struct router_reach *owner = value;
 
-      if (owner->key == reach->service)
-        reach->answer
-            = reach_answer (&owner->reach, clk_now (clk_monotonic ()));
+      if (owner->key != reach->service)
+        continue;
+      reach->answer = reach_answer (&owner->reach, now);
+      /* Without requests of its own nothing else would show the end of a
+         cut.  */
+      if (owner->reach.state != REACH_OPEN)
+        start_probes (owner, now);
     }
   if (!router_is_ready (router))
     reach->answer = REACH_ANSWER_NO;
@@ -494,11 +498,10 @@
    request for SERVICE or failed it.  */
 void
 router_hop_avoid (struct router *router, const char *service,
-                  const struct reg_target *target, int refused)
+                  const struct reg_target *target)
 {
   struct hop_peer *peer = router_hop_peer (router, service, target);
 
   if (peer != NULL)
-    peer->avoid_until_ms = clk_now (clk_monotonic ())
-                           + (refused ? REFUSED_AVOID_MS : BROKEN_AVOID_MS);
+    peer->avoid_until_ms = clk_now (clk_monotonic ()) + BROKEN_AVOID_MS;
 }
