--- a/request/relay.c
+++ b/request/relay.c
@@ -196,9 +196,8 @@
   /* On a kept connection, an earlier response to the same request could come
      once more; the attempt id would not tell it from the new one.  Kept
      connections may also have gone dark together.  */
-  request.force_new_connection = !rt_repeatable (relay->route)
-                                 || relay->sends > 0 || relay->attempt.is_trial
-                                 || target->is_peer;
+  request.force_new_connection
+      = !rt_repeatable (relay->route) || relay->sends > 0 || target->is_peer;
   relay->attempt.sent_ms = now;
   relay->attempt.last_received_ms = now;
   relay->attempt.status = 0;
