Check the store when a watch is overdue, and start all watches again when it answers

Cause: a watch whose response is lost looks like one without changes, and was given up 7.5 s after its start, while a confirmed version must be in force within config_apply_ms (2 s on Namib).

Change: the store holds a watch of the configuration for 0.4 of config_apply_ms, a new setting, and for a time that varies; 0.5 s later a short watch over another connection checks the store. The first response after a call that got none starts the other watches of the instance again. In an outage every other probe ends after 0.5 s, as one that was sent just before the end gets no response.

--- a/include/ibisloom/router.h
+++ b/include/ibisloom/router.h
@@ -43,6 +43,7 @@
   clk_ms watch_due_ms;    /* last time it was elected to watch; 0: never */
   struct rt_table *table; /* in force; NULL until one has been read */
   clk_ms table_ms;        /* when it came into force */
+  struct watch_group watches;
   struct watch config;
   struct watch targets;
   GHashTable *reaches; /* service, interned, to struct router_reach */
--- a/include/ibisloom/settings.h
+++ b/include/ibisloom/settings.h
@@ -47,6 +47,7 @@
   double retry_ratio; /* retries per request, over the whole fleet */
   double retry_slack; /* additional retries of the fleet in each window */
   double store_writes_per_s; /* that the store takes from all instances */
+  int64_t config_apply_ms;   /* until a confirmed version is in force */
   int64_t drain_ms;          /* for which a leaving target may get requests */
   double grace_s; /* from the stop signal until the process is killed */
   char *cluster_key;
--- a/include/ibisloom/watch.h
+++ b/include/ibisloom/watch.h
@@ -75,9 +75,25 @@
   void *closure;
 };
 
+enum
+{
+  WATCH_GROUP_MAX = 4
+};
+
+struct watch;
+
+/* Watches of one instance.  A response to one of them shows the others that
+   the store is back. */
+struct watch_group
+{
+  struct watch *members[WATCH_GROUP_MAX];
+  uint32_t count;
+};
+
 /* State of the list and the watch of one kind. */
 struct watch
 {
+  struct watch_group *group;
   const struct watch_protocol *protocol;
   const char *kind;
   struct watch_sink sink;
@@ -91,11 +107,14 @@
   uint8_t listed;     /* the list is known; the watch starts at revision */
   uint8_t listing;    /* some but not all pages of a list have been read */
   uint8_t first_page; /* the next page is the first of a list */
+  uint8_t checking;   /* the watch got no response; a short one is tried */
+  uint8_t short_next; /* the store is to hold the next watch for no time */
   uint8_t down;       /* the last call failed */
   uint8_t list_only;  /* does not watch after the list; initial state */
   uint32_t failures;  /* consecutive */
   uint32_t watches_since_list; /* that got a response */
   ev_timer timer;
+  int64_t wait_ms;         /* longest time that the store holds a watch */
   clk_ms last_response_ms; /* last response with status 200 or 410; 0: none */
   clk_ms regained_ms;      /* first such response after an outage; 0: none */
   uint64_t calls;          /* made so far */
@@ -105,6 +124,8 @@
                  const char *kind, const struct watch_sink *sink,
                  struct ev_loop *loop, struct out_pool *pool,
                  const struct sockaddr_in *address);
+void watch_join (struct watch *watch, struct watch_group *group,
+                 int64_t wait_ms);
 void watch_start (struct watch *watch);
 void watch_stop (struct watch *watch);
 void watch_enable (struct watch *watch, int enabled);
--- a/process/metrics.c
+++ b/process/metrics.c
@@ -130,6 +130,7 @@
   = "ibisloom_platform_calls_total{kind=\"watches\"}",
   [METRIC_PLATFORM_ERRORS] = "ibisloom_platform_errors_total",
   [METRIC_STORE_RESTORED] = "ibisloom_store_restored_total",
+  [METRIC_WATCH_CHECKS] = "ibisloom_watch_checks_total",
   [METRIC_STORE_UNREADABLE] = "ibisloom_store_unreadable_total",
   [METRIC_ORIGIN_READS] = "ibisloom_origin_calls_total{call=\"read\"}",
   [METRIC_ORIGIN_WRITES] = "ibisloom_origin_calls_total{call=\"write\"}",
--- a/process/router_store.c
+++ b/process/router_store.c
@@ -9,10 +9,16 @@
 
 enum
 {
-  DISCOVERY_MS = 800,    /* from the start until peers have sent heartbeats */
-  WATCH_LINGER_MS = 2000 /* an unneeded watch continues for this time */
+  DISCOVERY_MS = 800,     /* from the start until peers have sent heartbeats */
+  WATCH_LINGER_MS = 2000, /* an unneeded watch continues for this time */
+  TARGETS_WAIT_MS = 6000  /* the watch of the configuration ends sooner */
 };
 
+/* Longest watch of the configuration, as a share of the time in which a
+   confirmed version must be in force: the loss of its response is detected,
+   and the others are told, in what remains.  */
+static const double CONFIG_WAIT_SHARE = 0.4;
+
 static void config_begin (void *closure);
 static void config_object (void *closure, const struct watch_object *object);
 static void config_end (void *closure, struct position position);
@@ -64,6 +70,9 @@
   watch_init (&router->config, router->dialect->store,
               router->dialect->config_kind, &sink, router->loop, &router->pool,
               &router->settings->platform);
+  watch_join (&router->config, &router->watches,
+              (int64_t)((double)router->settings->config_apply_ms
+                        * CONFIG_WAIT_SHARE));
   watch_start (&router->config);
 }
 
@@ -76,6 +85,7 @@
   watch_init (&router->targets, router->dialect->store,
               router->dialect->targets_kind, &sink, router->loop,
               &router->pool, &router->settings->platform);
+  watch_join (&router->targets, &router->watches, TARGETS_WAIT_MS);
   watch_start (&router->targets);
 }
 
--- a/process/settings.c
+++ b/process/settings.c
@@ -129,6 +129,8 @@
     1000000, 0 },
   { "store_writes_per_s", parse_real, FIELD_OFFSET (store_writes_per_s),
     OPTIONAL, 1, 1000000, 400 },
+  { "config_apply_ms", parse_integer, FIELD_OFFSET (config_apply_ms), OPTIONAL,
+    500, 600000, 2000 },
   { "drain_ms", parse_integer, FIELD_OFFSET (drain_ms), OPTIONAL, 0, 600000,
     2000 },
   { "grace_s", parse_real, FIELD_OFFSET (grace_s), OPTIONAL, 1, 3600, 30 },
--- a/version/watch.c
+++ b/version/watch.c
@@ -15,14 +15,16 @@
 enum
 {
   LIST_TIMEOUT_MS = 1500,
-  /* Longest time that the store holds a watch open.  The loss of a response is
-     detected only after this time and WATCH_TIMEOUT_MARGIN_MS.  */
-  WATCH_WAIT_MS = 6000,
+  WATCH_WAIT_MS = 6000,    /* unless watch_join sets another time */
   WATCH_INTERVAL_MS = 250, /* between watches, to batch frequent changes */
-  WATCH_TIMEOUT_MARGIN_MS = 1500,
+  WATCH_OVERDUE_MS = 500,  /* after the time that the store holds it */
   /* Watch in an outage: the store responds at once, so that the recovery is
      detected without waiting for a change.  */
   PROBE_WAIT_MS = 1,
+  /* Every other probe ends early, as one that was sent just before the store
+     came back gets no response.  */
+  PROBE_TIMEOUT_MS = 1500,
+  PROBE_TIMEOUT_SHORT_MS = 500,
   RETRY_MIN_MS = 150,
   RETRY_MAX_MS = 1000,
   RETRY_DOUBLINGS_MAX = 3,
@@ -30,7 +32,15 @@
   STATUS_GONE = 410
 };
 
+/* Least share of its longest time that the store is asked to hold a watch. */
+static const double WAIT_SHARE_MIN = 0.75;
+
 static void start_next_call (struct watch *watch);
+static int64_t next_wait_ms (const struct watch *watch);
+static int64_t call_timeout_ms (const struct watch *watch, int64_t wait_ms);
+static void start_call_again (struct watch *watch, const char *cause);
+static void restart_others (const struct watch *watch);
+static void handle_no_answer (struct watch *watch);
 static void on_timer (struct ev_loop *loop, ev_timer *timer, int events);
 static void on_call_done (void *closure,
                           const struct store_response *response);
@@ -68,10 +78,23 @@
   watch->after = g_string_new (NULL);
   watch->first_page = 1;
   watch->list_only = 1;
+  watch->wait_ms = WATCH_WAIT_MS;
   ev_timer_init (&watch->timer, on_timer, 0, 0);
   watch->timer.data = watch;
 }
 
+/* Makes WATCH, which is initialized, one of GROUP, which outlives it.  The
+   store holds it for WAIT_MS at most, but no longer than by default; the loss
+   of a response is detected WATCH_OVERDUE_MS later.  */
+void
+watch_join (struct watch *watch, struct watch_group *group, int64_t wait_ms)
+{
+  g_return_if_fail (group->count < WATCH_GROUP_MAX);
+  watch->group = group;
+  watch->wait_ms = MIN (wait_ms, WATCH_WAIT_MS);
+  group->members[group->count++] = watch;
+}
+
 /* Starts to read the list.  */
 void
 watch_start (struct watch *watch)
@@ -111,6 +134,7 @@
   if (watch->call != NULL)
     store_call_cancel (watch->call);
   watch->call = NULL;
+  watch->checking = 0;
   watch->down = 0;
   watch->failures = 0;
 }
@@ -120,14 +144,46 @@
 void
 watch_restart (struct watch *watch)
 {
-  if (watch->call == NULL || !watch->listed)
+  if (watch->listed)
+    start_call_again (watch, "others_know_more");
+}
+
+/* Replaces the call in progress, if there is one, by a new one, because of
+   CAUSE, which is logged.  */
+static void
+start_call_again (struct watch *watch, const char *cause)
+{
+  if (watch->call == NULL)
     return;
   store_call_cancel (watch->call);
   watch->call = NULL;
-  log_watch (watch, "restarted", "others_know_more", 0);
+  log_watch (watch, "restarted", cause, 0);
   start_next_call (watch);
 }
 
+/* Called at the first response after a call of WATCH got none.  Calls of the
+   rest of the group that are in progress may never get one: they are replaced
+   by short ones, and pauses end.  */
+static void
+restart_others (const struct watch *watch)
+{
+  for (uint32_t i = 0; watch->group != NULL && i < watch->group->count; i++)
+    {
+      struct watch *other = watch->group->members[i];
+
+      if (other == watch)
+        continue;
+      other->short_next = 1;
+      if (other->call != NULL)
+        {
+          other->regained_ms = watch->regained_ms;
+          start_call_again (other, "store_is_back");
+        }
+      else if (other->down)
+        start_timer (other, 1);
+    }
+}
+
 /* Called when the store is known to be in EPOCH.  A watch that began in an
    older one reads the list again.  */
 void
@@ -164,12 +220,11 @@
 start_next_call (struct watch *watch)
 {
   GString *url;
-  int64_t wait_ms = watch->down ? PROBE_WAIT_MS : WATCH_WAIT_MS;
+  int64_t wait_ms = next_wait_ms (watch);
   struct store_request request
       = { .address = watch->address,
           .method = "GET",
-          .timeout_ms = watch->listed ? wait_ms + WATCH_TIMEOUT_MARGIN_MS
-                                      : LIST_TIMEOUT_MS,
+          .timeout_ms = call_timeout_ms (watch, wait_ms),
           .epoch_field = watch->protocol->epoch_field,
           .epoch_min = watch->epoch };
 
@@ -183,6 +238,7 @@
     watch->protocol->list_url (url, watch->kind,
                                watch->listing ? watch->after->str : NULL);
   watch->calls++;
+  watch->short_next = 0;
   request.url = url->str;
   watch->call = store_call_start (watch->loop, watch->pool, &request,
                                   on_call_done, watch);
@@ -191,6 +247,31 @@
     handle_failure (watch, "no_socket", 0);
 }
 
+/* Returns for how many milliseconds the store is to hold the next watch.  */
+static int64_t
+next_wait_ms (const struct watch *watch)
+{
+  if (watch->down || watch->checking || watch->short_next)
+    return PROBE_WAIT_MS;
+  return (int64_t)((double)watch->wait_ms
+                   * g_random_double_range (WAIT_SHARE_MIN, 1));
+}
+
+/* Returns after how many milliseconds the next call has failed, if it is a
+   watch that the store holds for WAIT_MS.  */
+static int64_t
+call_timeout_ms (const struct watch *watch, int64_t wait_ms)
+{
+  if (!watch->listed)
+    return LIST_TIMEOUT_MS;
+  if (watch->checking || watch->short_next)
+    return PROBE_TIMEOUT_MS;
+  if (watch->down)
+    return watch->failures % 2 != 0 ? PROBE_TIMEOUT_SHORT_MS
+                                    : PROBE_TIMEOUT_MS;
+  return wait_ms + WATCH_OVERDUE_MS;
+}
+
 /* Makes the next call when the pause is over.  */
 static void
 on_timer (struct ev_loop *loop, ev_timer *timer, int events)
@@ -212,8 +293,10 @@
   uint32_t status = response->status;
 
   watch->call = NULL;
-  if (status != STATUS_OK && status != STATUS_GONE)
-    handle_failure (watch, status == 0 ? "no_answer" : "refused", status);
+  if (status == 0)
+    handle_no_answer (watch);
+  else if (status != STATUS_OK && status != STATUS_GONE)
+    handle_failure (watch, "refused", status);
   else if (response->epoch < watch->epoch)
     handle_failure (watch, "older_epoch", status);
   else
@@ -338,6 +421,22 @@
   log_end (&line);
 }
 
+/* Handles a call without a response.  If it is a watch that the store held,
+   its connection may have failed alone, and a short one follows at once.  */
+static void
+handle_no_answer (struct watch *watch)
+{
+  if (!watch->listed || watch->checking || watch->down)
+    {
+      handle_failure (watch, "no_answer", 0);
+      return;
+    }
+  watch->checking = 1;
+  metric_inc (METRIC_WATCH_CHECKS);
+  log_watch (watch, "overdue", NULL, 0);
+  start_next_call (watch);
+}
+
 /* Handles a failed call: retries after a pause that doubles with each
    consecutive failure up to RETRY_MAX_MS, with random jitter.  REASON is
    logged for the first failure only.  */
@@ -350,26 +449,32 @@
   watch->failures++;
   if (!watch->down)
     log_watch (watch, "lost", reason, status);
+  watch->checking = 0;
   watch->down = 1;
   start_timer (watch,
                pause_ms / 2 + g_random_int_range (0, (gint32)pause_ms / 2));
 }
 
 /* Records a response of the store in EPOCH, and logs the end of an outage and
-   a new epoch.  The store may have lost entries in both.  */
+   a new epoch.  The store may have lost entries in both.  A watch that was
+   overdue may have missed an outage.  */
 static void
 record_response (struct watch *watch, uint64_t epoch)
 {
   clk_ms now = clk_now (clk_monotonic ());
+  int is_regained = watch->down || watch->checking;
 
-  if (watch->down)
+  if (is_regained)
     {
       watch->regained_ms = now;
       log_watch (watch, "regained", NULL, STATUS_OK);
     }
   watch->down = 0;
+  watch->checking = 0;
   watch->failures = 0;
   watch->last_response_ms = now;
+  if (is_regained)
+    restart_others (watch);
   if (epoch == watch->epoch)
     return;
   watch->regained_ms = now;
