--- a/include/ibisloom/balance.h
+++ b/include/ibisloom/balance.h
@@ -77,9 +77,10 @@
   size_t index; /* of the selected candidate */
   enum bal_reason reason;
   enum bal_skip skip;
-  double load;  /* of the selected candidate */
-  double mean;  /* mean load of the candidates not suspended */
-  double limit; /* load up to which a target may be selected */
+  uint64_t other_home; /* id of the home that was not selected, 0: none */
+  double load;         /* of the selected candidate */
+  double mean;         /* mean load of the candidates not suspended */
+  double limit;        /* load up to which a target may be selected */
 };
 
 extern const char *const bal_reason_names[BAL_REASON_COUNT];
--- a/include/ibisloom/dialect.h
+++ b/include/ibisloom/dialect.h
@@ -28,7 +28,8 @@
   DIALECT_TARGET_BRITTLE,  /* requests that it may turn away in a second */
   DIALECT_NOT_RUN,         /* the target did not execute the request */
   DIALECT_RETRY_AFTER,
-  DIALECT_PRIORITY, /* admission priority at the target */
+  DIALECT_CONTEXT_SOURCE, /* address of a target to copy the context from */
+  DIALECT_PRIORITY,       /* admission priority at the target */
   DIALECT_FIELD_COUNT
 };
 
--- a/request/balance.c
+++ b/request/balance.c
@@ -101,6 +101,7 @@
   choice->limit = load_limit (params, choice->mean);
   choice->reason = BAL_NO_TARGET;
   choice->skip = BAL_SKIP_NONE;
+  choice->other_home = 0;
   if ((params->context == 0
        || !(pick_holder (params, candidates, count, choice)
             || pick_home (params, candidates, count, choice)))
@@ -243,7 +244,11 @@
         continue;
       eligible++;
       if (candidate->load >= best)
-        continue;
+        {
+          choice->other_home = candidate->id;
+          continue;
+        }
+      choice->other_home = eligible > 1 ? candidates[choice->index].id : 0;
       best = candidate->load;
       choice->index = top[i];
       choice->load = candidate->load;
--- a/request/librelay.h
+++ b/request/librelay.h
@@ -49,6 +49,7 @@
 {
   struct reg_target *target; /* NULL: no attempt */
   uint64_t software;         /* of the target when it was sent */
+  struct sockaddr_in source; /* of the context; port 0: none */
   struct out_call *call;     /* NULL: ended, or not started */
   clk_ms sent_ms;
   clk_ms last_received_ms;
@@ -196,6 +197,12 @@
 void relay_mark_tried (struct relay *relay);
 void relay_mark_unreachable (struct relay *relay);
 
+/* relay_source.c */
+const struct reg_target *relay_find_source (const struct relay *relay,
+                                            const struct reg_target *target,
+                                            const struct bal_choice *choice,
+                                            clk_ms now);
+
 /* relay_origin.c */
 int relay_origin_fits (const struct relay *relay,
                        const struct reg_target *target);
--- a/request/relay.c
+++ b/request/relay.c
@@ -23,7 +23,8 @@
                          struct client *client, struct http_head *head,
                          GString *body);
 static void on_timer (struct ev_loop *loop, ev_timer *timer, int events);
-static void start_attempt (struct relay *relay, struct reg_target *target);
+static void start_attempt (struct relay *relay, struct reg_target *target,
+                           const struct reg_target *source);
 static int was_silent_trial (const struct relay *relay);
 static void relay_free (struct relay *relay);
 
@@ -155,20 +156,23 @@
             const struct bal_choice *choice, size_t candidates)
 {
   struct router *router = relay->router;
+  clk_ms now = clk_now (clk_monotonic ());
+  const struct reg_target *source
+      = relay_find_source (relay, target, choice, now);
 
   if (relay->context != 0 && !target->is_peer
-      && affinity_record (router->affinity, relay->context, target->hash,
-                          clk_now (clk_monotonic ())))
+      && affinity_record (router->affinity, relay->context, target->hash, now))
     fleet_announce_holder (router->fleet, relay->context, target->hash);
-  start_attempt (relay, target);
+  start_attempt (relay, target, source);
   relay_log_placement (relay, choice, candidates);
 }
 
-/* Starts an attempt at TARGET.  If no call can be made, the fault is
-   reported by the timer, which expires at once, and not from within this
-   function.  */
+/* Starts an attempt at TARGET, which copies the context from SOURCE unless
+   that is NULL.  If no call can be made, the fault is reported by the timer,
+   which expires at once, and not from within this function.  */
 static void
-start_attempt (struct relay *relay, struct reg_target *target)
+start_attempt (struct relay *relay, struct reg_target *target,
+               const struct reg_target *source)
 {
   struct router *router = relay->router;
   clk_ms now = clk_now (clk_monotonic ());
@@ -182,6 +186,8 @@
 
   relay->attempt.target = target;
   relay->attempt.software = target->software;
+  relay->attempt.source
+      = source != NULL ? source->address : (struct sockaddr_in){ 0 };
   reg_request_start (target);
   relay->attempt.is_trial = (uint8_t)health_begin_request (&target->health);
   if (target->is_peer)
--- a/request/relay_log.c
+++ b/request/relay_log.c
@@ -38,8 +38,23 @@
   [RETRY_REASON_QUARANTINED] = "quarantined",
 };
 
+static void log_source (struct log_line *line,
+                        const struct sockaddr_in *source);
 static void log_parts (struct log_line *line, const struct relay *relay);
 
+/* Adds to LINE the address of SOURCE, from which a context is copied.  */
+static void
+log_source (struct log_line *line, const struct sockaddr_in *source)
+{
+  char *address;
+
+  if (source->sin_port == 0)
+    return;
+  address = settings_format_address (source);
+  log_text (line, "source", address);
+  g_free (address);
+}
+
 /* Logs the target chosen for RELAY, and the reason.  */
 void
 relay_log_placement (const struct relay *relay,
@@ -70,6 +85,7 @@
       log_text (&line, "context", context);
       log_number (&line, "context_tokens", relay->context_tokens);
       log_text (&line, "holder", bal_skip_names[choice->skip]);
+      log_source (&line, &relay->attempt.source);
       log_parts (&line, relay);
     }
   log_number (&line, "version", (int64_t)relay->table->version);
--- a/request/relay_request.c
+++ b/request/relay_request.c
@@ -5,6 +5,7 @@
 
 static int is_forwarded (const struct relay *relay, const char *name);
 static void append_target_fields (const struct relay *relay, GString *out);
+static void append_source (const struct relay *relay, GString *out);
 static void append_field (GString *out, const char *name, const char *value);
 
 /* Returns the newly allocated start line and header fields for RELAY's
@@ -49,6 +50,21 @@
                 relay->attempt.target->id);
   if (relay->customer != NULL)
     append_field (out, field[DIALECT_CUSTOMER], relay->customer->name);
+  append_source (relay, out);
+}
+
+/* Appends to OUT the target from which RELAY's one copies the context.  */
+static void
+append_source (const struct relay *relay, GString *out)
+{
+  const char *name = relay->router->dialect->field[DIALECT_CONTEXT_SOURCE];
+  char *address;
+
+  if (relay->attempt.source.sin_port == 0 || name == NULL)
+    return;
+  address = settings_format_address (&relay->attempt.source);
+  append_field (out, name, address);
+  g_free (address);
 }
 
 /* Returns whether the client's field NAME is forwarded to the target.  */
--- a/tests/router_fixture.h
+++ b/tests/router_fixture.h
@@ -56,6 +56,7 @@
 struct fx_target *fx_target_add_version (const char *id, const char *service,
                                          const char *version,
                                          fx_handler_fn handler);
+int fx_target_port (const struct fx_target *target);
 int fx_target_request_count (struct fx_target *target);
 char *fx_target_last_request (struct fx_target *target);
 int fx_target_closed_by_router (struct fx_target *target);
--- a/tests/target_fixture.c
+++ b/tests/target_fixture.c
@@ -241,6 +241,12 @@
   return proxy;
 }
 
+int
+fx_target_port (const struct fx_target *target)
+{
+  return target->port;
+}
+
 int
 fx_target_request_count (struct fx_target *target)
 {
