Answer requests that come late in a shutdown

Cause: 2.5 to 5 s after SIGTERM a router took requests that it expected to be short, whatever their deadline, and at 0.5 s before the end of grace_s it closed the connections of those in progress without an answer, among them requests that may not be repeated (reported by operators of similar systems as LOST).

Change: so late, a request that may not be repeated is taken only if its deadline lies before the last answers; what has no response 0.75 s before the end of grace_s gets 503 if it was not sent, else 504.

--- a/connection/client_listener.c
+++ b/connection/client_listener.c
@@ -63,6 +63,25 @@
     }
 }
 
+/* Has the requests in progress get a response, before the process ends.  */
+void
+client_listener_end_requests (struct client_listener *listener)
+{
+  /* A response may end other connections, so the list may not be walked.  */
+  GPtrArray *requests = g_ptr_array_new ();
+
+  for (GList *at = listener->clients.head; at != NULL; at = at->next)
+    {
+      const struct client *client = at->data;
+
+      if (client->request != NULL && !client->is_response_complete)
+        g_ptr_array_add (requests, client->request);
+    }
+  for (guint i = 0; i < requests->len; i++)
+    listener->ops->stop (listener, g_ptr_array_index (requests, i));
+  g_ptr_array_free (requests, TRUE);
+}
+
 /* Returns whether a client may not have received all of its response: output
    is unsent, or the client has not closed the connection after it.  */
 int
--- a/include/ibisloom/client.h
+++ b/include/ibisloom/client.h
@@ -31,6 +31,8 @@
   void (*disconnected) (struct client_listener *listener, void *request);
   /* The unsent part of the response has fallen below the low-water mark.  */
   void (*drained) (struct client_listener *listener, void *request);
+  /* The process is about to end: REQUEST is to get a response now.  */
+  void (*stop) (struct client_listener *listener, void *request);
 };
 
 /* A listening socket and the connections accepted from it. */
@@ -51,6 +53,7 @@
                           const struct client_listener_ops *ops,
                           const struct sockaddr_in *address, GError **error);
 void client_listener_drain (struct client_listener *listener);
+void client_listener_end_requests (struct client_listener *listener);
 int client_listener_has_unread_input (const struct client_listener *listener);
 int client_listener_has_undelivered_output (
     const struct client_listener *listener);
--- a/include/ibisloom/relay.h
+++ b/include/ibisloom/relay.h
@@ -15,5 +15,6 @@
 void relay_on_client_disconnected (struct client_listener *listener,
                                    void *request);
 void relay_on_drained (struct client_listener *listener, void *request);
+void relay_on_stop (struct client_listener *listener, void *request);
 
 #endif
--- a/include/ibisloom/router.h
+++ b/include/ibisloom/router.h
@@ -14,6 +14,14 @@
 #include "ibisloom/settings.h"
 #include "ibisloom/snapshot.h"
 
+/* What decides whether a request may still start in a shutdown. */
+struct router_request
+{
+  int64_t expected_ms; /* its duration */
+  clk_ms deadline_ms;
+  uint8_t is_repeatable;
+};
+
 struct router
 {
   const struct settings *settings;
@@ -66,7 +74,8 @@
 void router_free (struct router *router);
 int router_is_ready (const struct router *router);
 int router_has_read_store (const struct router *router);
-int router_may_start (const struct router *router, int64_t expected_ms);
+int router_may_start (const struct router *router,
+                      const struct router_request *request);
 void router_request_ended (struct router *router);
 GString *router_metrics (const struct router *router);
 struct retry_budget *router_retry_budget (struct router *router,
--- a/process/router.c
+++ b/process/router.c
@@ -21,6 +21,7 @@
   LAST_REQUEST_MS = 5000,  /* a shutdown accepts no new request later */
   FLEET_WAIT_MS = 1000,
   STOP_MARGIN_MS = 500, /* between the forced exit and the end of grace_s */
+  LAST_ANSWER_MS = 250, /* before that, until the last answers are sent */
   READY_HEAD_BYTES = 4096,
   READY_TIMEOUT_MS = 10000
 };
@@ -34,6 +35,7 @@
 static void on_signal (struct ev_loop *loop, ev_signal *signal, int events);
 static void on_prepare (struct ev_loop *loop, ev_prepare *prepare, int events);
 static void reload (struct router *router);
+static int64_t last_answer_ms (const struct router *router);
 static void continue_shutdown (struct router *router, clk_ms now);
 static void *on_ready (struct client_listener *listener, struct client *client,
                        struct http_head *head, GString *body);
@@ -45,14 +47,14 @@
 static const int signal_numbers[] = { SIGTERM, SIGINT, SIGHUP };
 
 static const struct client_listener_ops metrics_ops
-    = { on_metrics, ignore_event, ignore_event };
+    = { on_metrics, ignore_event, ignore_event, ignore_event };
 
 static const struct client_listener_ops peer_ops
-    = { router_on_peer_request, relay_on_client_disconnected,
-        relay_on_drained };
+    = { router_on_peer_request, relay_on_client_disconnected, relay_on_drained,
+        relay_on_stop };
 
 static const struct client_listener_ops ready_ops
-    = { on_ready, ignore_event, ignore_event };
+    = { on_ready, ignore_event, ignore_event, ignore_event };
 
 /* Creates a router instance and binds its listeners.  Returns NULL with ERROR
    set if an address cannot be bound.  */
@@ -199,20 +201,35 @@
                     >= FLEET_WAIT_MS);
 }
 
-/* Returns whether a new request that is expected to take EXPECTED_MS may be
-   started.  During a shutdown only short requests are accepted after
-   LAME_DUCK_MS and none after LAST_REQUEST_MS, so that the requests in
-   progress end before the process is killed.  */
+/* Returns whether REQUEST may be started.  During a shutdown only short
+   requests are accepted after LAME_DUCK_MS and none after LAST_REQUEST_MS, so
+   that the requests in progress end before the process is killed.  One that
+   may not be repeated has to end in time whatever its target does: its client
+   would not know whether it ran.  */
 int
-router_may_start (const struct router *router, int64_t expected_ms)
+router_may_start (const struct router *router,
+                  const struct router_request *request)
 {
   clk_ms since;
 
   if (router->stopping_ms == 0)
     return 1;
   since = clk_now (clk_monotonic ()) - router->stopping_ms;
-  return since < LAME_DUCK_MS
-         || (expected_ms <= SHORT_REQUEST_MS && since < LAST_REQUEST_MS);
+  if (since < LAME_DUCK_MS)
+    return 1;
+  return request->expected_ms <= SHORT_REQUEST_MS && since < LAST_REQUEST_MS
+         && (request->is_repeatable
+             || request->deadline_ms - router->stopping_ms
+                    <= last_answer_ms (router));
+}
+
+/* Returns how many milliseconds after its start a shutdown answers what is
+   still in progress.  */
+static int64_t
+last_answer_ms (const struct router *router)
+{
+  return (int64_t)(router->settings->grace_s * CLK_MS_PER_S) - STOP_MARGIN_MS
+         - LAST_ANSWER_MS;
 }
 
 /* Counts the end of a request.  The end of the last one may complete a
@@ -331,7 +348,8 @@
 /* Continues a graceful shutdown.  Requests are accepted as usual for
    LAME_DUCK_MS, until the load balancer has stopped sending them.  Then idle
    connections are closed, and the loop ends when the requests in progress are
-   finished, or at the latest STOP_MARGIN_MS before the grace period ends.  */
+   finished, or at the latest STOP_MARGIN_MS before the grace period ends.
+   Those that are not, and have no response yet, get one before that.  */
 static void
 continue_shutdown (struct router *router, clk_ms now)
 {
@@ -341,6 +359,11 @@
 
   if (since >= LAME_DUCK_MS)
     client_listener_drain (&router->request_listener);
+  if (since >= last_answer_ms (router))
+    {
+      client_listener_end_requests (&router->request_listener);
+      client_listener_end_requests (&router->peer_listener);
+    }
   if ((since >= LAME_DUCK_END_MS && router->open_requests == 0
        && !client_listener_has_unread_input (&router->request_listener)
        && !client_listener_has_undelivered_output (&router->request_listener)
--- a/request/relay.c
+++ b/request/relay.c
@@ -29,7 +29,8 @@
 static void relay_free (struct relay *relay);
 
 const struct client_listener_ops relay_listener_ops
-    = { on_request, relay_on_client_disconnected, relay_on_drained };
+    = { on_request, relay_on_client_disconnected, relay_on_drained,
+        relay_on_stop };
 
 /* Returns the state of a request of CLIENT, which owns HEAD and BODY.  */
 struct relay *
@@ -393,6 +394,21 @@
   relay_arm_timer (relay);
 }
 
+/* Responds to a request that the end of the process would cut off without a
+   response.  */
+void
+relay_on_stop (struct client_listener *listener, void *request)
+{
+  struct relay *relay = request;
+  int may_have_run = relay->may_have_run || relay->kept.target != NULL
+                     || (relay->attempt.call != NULL
+                         && out_call_was_sent (relay->attempt.call));
+
+  (void)listener;
+  if (!relay->head_sent)
+    relay_refuse (relay, may_have_run ? RELAY_DEADLINE : RELAY_STOPPING);
+}
+
 /* Logs OUTCOME, ends RELAY and frees it.  */
 void
 relay_finish (struct relay *relay, const char *outcome)
--- a/request/relay_prepare.c
+++ b/request/relay_prepare.c
@@ -16,6 +16,7 @@
 /* Weight of the latest request in the mean size of contexts.  */
 static const double CONTEXT_MEAN_WEIGHT = 0.02;
 
+static int may_start (const struct relay *relay);
 static int64_t expected_duration_ms (const struct relay *relay);
 static int authenticate (struct relay *relay);
 static void read_prompt (struct relay *relay);
@@ -50,12 +51,24 @@
   relay->deadline_ms = relay_read_deadline (relay, relay->route->timeout_ms);
   relay_read_content (relay, host);
   *refusal = RELAY_STOPPING;
-  if (!router_may_start (router, expected_duration_ms (relay)))
+  if (!may_start (relay))
     return 0;
   relay_origin_read (relay);
   return 1;
 }
 
+/* Returns whether RELAY may be started though a shutdown may be going on.  */
+static int
+may_start (const struct relay *relay)
+{
+  struct router_request request
+      = { .expected_ms = expected_duration_ms (relay),
+          .deadline_ms = relay->deadline_ms,
+          .is_repeatable = (uint8_t)rt_repeatable (relay->route) };
+
+  return router_may_start (relay->router, &request);
+}
+
 /* Estimates the duration of RELAY, in milliseconds.  */
 static int64_t
 expected_duration_ms (const struct relay *relay)
