--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -41,6 +41,7 @@
 static void last_unlimited_target_is_not_flooded (void);
 static void read_timeout_needs_repeatable_request (void);
 static void old_contexts_are_evicted (void);
+static void contexts_in_use_are_kept (void);
 static void reregistered_target_starts_without_load (void);
 static void restart_resets_health (void);
 static void stale_updates_are_ignored (void);
@@ -90,6 +91,7 @@
   { "only repeatable requests have a read timeout",
     read_timeout_needs_repeatable_request },
   { "old contexts are evicted", old_contexts_are_evicted },
+  { "contexts in use are kept, however many", contexts_in_use_are_kept },
   { "a target registered again starts without load",
     reregistered_target_starts_without_load },
   { "a restart resets the health of a target", restart_resets_health },
@@ -542,6 +544,28 @@
   affinity_free (contexts);
 }
 
+/* Deployments of a few and of a few thousand contexts, each used again every
+   few seconds.  Sets fill unevenly, so a few are lost.  */
+static void
+contexts_in_use_are_kept (void)
+{
+  static const int counts[] = { 60, 600, 2000, 4000 };
+
+  for (size_t n = 0; n < G_N_ELEMENTS (counts); n++)
+    {
+      struct affinity *contexts = affinity_new ();
+      int kept = 0;
+
+      for (int i = 0; i < counts[n] * 3; i++)
+        affinity_record (contexts, rank_mix (2, (uint64_t)(i % counts[n])), 9,
+                         (clk_ms)i);
+      for (int i = 0; i < counts[n]; i++)
+        kept += affinity_find (contexts, rank_mix (2, (uint64_t)i)) != NULL;
+      CU_ASSERT (kept >= counts[n] * 0.95);
+      affinity_free (contexts);
+    }
+}
+
 /* Returns the position of REVISION in a store that tells no epoch.  */
 static struct position
 at (uint64_t revision)
