--- a/tests/shop.c
+++ b/tests/shop.c
@@ -28,6 +28,18 @@
       "\"header_timeout_ms\":2000,\"idle_timeout_ms\":5000},"
       "\"tenants\":[{\"name\":\"lodge\",\"api_keys\":[\"key-1\"]}]}";
 
+/* Makes VERSION the configuration in the store; it is otherwise shop_config.
+ */
+void
+shop_put_version (int version)
+{
+  char *text = g_strdup_printf ("{\"version\":%d%s", version,
+                                strchr (shop_config, ','));
+
+  fx_store_put ("config", "main", text);
+  g_free (text);
+}
+
 /* Responds to REQUEST with STATUS, BODY, its attempt id and a signature, by
    which the router verifies the response.  */
 void
--- a/tests/shop.h
+++ b/tests/shop.h
@@ -22,6 +22,7 @@
 
 extern const char shop_config[];
 
+void shop_put_version (int version);
 void shop_respond (const struct fx_request *request, const char *status,
                    const char *body);
 void shop_start_stream (const struct fx_request *request);
--- a/tests/test_restored.c
+++ b/tests/test_restored.c
@@ -57,17 +57,6 @@
 static struct fx_target *targets[2];
 static int copy; /* revision from which the store is restored */
 
-/* Makes VERSION the configuration in the store; it is else as before.  */
-static void
-put_version (int version)
-{
-  char *text = g_strdup_printf ("{\"version\":%d%s", version,
-                                strchr (shop_config, ','));
-
-  fx_store_put ("config", "main", text);
-  g_free (text);
-}
-
 /* Returns the version in force at router INDEX.  */
 static long
 version_at (int index)
@@ -125,8 +114,8 @@
 static void
 expect_two_versions (int version)
 {
-  put_version (version);
-  put_version (version + 1);
+  shop_put_version (version);
+  shop_put_version (version + 1);
   expect_version (version + 1, APPLY_MS);
 }
 
@@ -166,9 +155,9 @@
   start_fleet (NULL);
   expect_two_versions (4);
   restore_store ();
-  put_version (5);
+  shop_put_version (5);
   fx_sleep_ms (LINGER_MS);
-  put_version (6);
+  shop_put_version (6);
   expect_version (6, APPLY_MS);
   fx_env_stop ();
 }
@@ -179,12 +168,12 @@
   start_fleet (NULL);
   expect_two_versions (4);
   restore_store ();
-  put_version (5);
+  shop_put_version (5);
   fx_sleep_ms (APPLY_MS / 4);
   restore_store ();
-  put_version (5);
+  shop_put_version (5);
   fx_sleep_ms (LINGER_MS);
-  put_version (6);
+  shop_put_version (6);
   expect_version (6, APPLY_MS);
   fx_env_stop ();
 }
@@ -194,7 +183,7 @@
 version_does_not_fall_at_restarted_instances (void)
 {
   start_fleet (NULL);
-  put_version (4);
+  shop_put_version (4);
   expect_version (4, APPLY_MS);
   restore_store ();
   fx_sleep_ms (APPLY_MS / 2);
@@ -203,7 +192,7 @@
   expect_version (4, APPLY_MS);
   fx_store_rewrite ();
   expect_version (4, APPLY_MS);
-  put_version (5);
+  shop_put_version (5);
   expect_version (5, APPLY_MS);
   fx_env_stop ();
 }
@@ -212,7 +201,7 @@
 version_does_not_fall_when_all_restart (void)
 {
   start_fleet (NULL);
-  put_version (4);
+  shop_put_version (4);
   expect_version (4, APPLY_MS);
   fx_store_set_down (1);
   kill_routers (ROUTERS);
@@ -221,7 +210,7 @@
   fx_routers_start (ROUTERS);
   fx_store_rewrite ();
   expect_version (4, APPLY_MS);
-  put_version (5);
+  shop_put_version (5);
   expect_version (5, APPLY_MS);
   fx_env_stop ();
 }
@@ -239,13 +228,13 @@
   for (int i = 0; i < ROUTERS; i += FX_DOMAINS)
     proxy_set_mode (proxies[i], PROXY_DROP_ALL, 0);
   restore_store ();
-  put_version (5);
+  shop_put_version (5);
   fx_sleep_ms (LINGER_MS);
-  put_version (6);
+  shop_put_version (6);
   expect_version (6, APPLY_MS);
   for (int i = 0; i < ROUTERS; i += FX_DOMAINS)
     proxy_set_mode (proxies[i], PROXY_PASS, 0);
-  put_version (7);
+  shop_put_version (7);
   expect_version (7, APPLY_MS);
   fx_env_stop ();
 }
@@ -311,7 +300,7 @@
   for (size_t i = 0; i < G_N_ELEMENTS (values); i++)
     {
       fx_store_set_epoch (values[i]);
-      put_version (4);
+      shop_put_version (4);
       fx_sleep_ms (APPLY_MS / 2);
       expect_version (3, 0);
     }
@@ -328,11 +317,11 @@
 {
   start_fleet (NULL);
   fx_store_set_epoch ("2");
-  put_version (4);
+  shop_put_version (4);
   expect_version (4, APPLY_MS);
   fx_store_set_epoch ("1");
   fx_target_set_state (targets[0], "draining");
-  put_version (5);
+  shop_put_version (5);
   fx_sleep_ms (APPLY_MS);
   expect_version (4, 0);
   CU_ASSERT (count_requests_at (targets[0]) > 0);
--- a/tests/test_watch.c
+++ b/tests/test_watch.c
@@ -51,17 +51,6 @@
   fx_sleep_ms (WATCH_START_MS);
 }
 
-/* Makes VERSION the configuration in the store; it is else as before.  */
-static void
-put_version (int version)
-{
-  char *text = g_strdup_printf ("{\"version\":%d%s", version,
-                                strchr (shop_config, ','));
-
-  fx_store_put ("config", "main", text);
-  g_free (text);
-}
-
 /* Sets the fault of all paths to the store for MS, and removes it.  Calls that
    are in progress then never get a response.  */
 static void
@@ -82,7 +71,7 @@
   gint64 deadline_us = g_get_monotonic_time () + (gint64)APPLY_MS * 1000;
   int behind = ROUTERS;
 
-  put_version (version);
+  shop_put_version (version);
   while (behind > 0 && g_get_monotonic_time () < deadline_us)
     {
       fx_sleep_ms (CHECK_MS);
@@ -100,7 +89,7 @@
 static void
 align_watches (int version)
 {
-  put_version (version);
+  shop_put_version (version);
   fx_target_put_entry (target, "");
   fx_sleep_ms (RESTART_MS);
 }
