Allow retries where an instance's share of the budget is below one token

Change: a bucket that is full with its share allows a retry to one in so many instances, which then owes the rest of the token. Together they spend what their shares allow.

--- a/include/ibisloom/retry.h
+++ b/include/ibisloom/retry.h
@@ -81,6 +81,8 @@
 void retry_budget_init (struct retry_budget *budget);
 void retry_budget_set_max (struct retry_budget *budget, double max);
 void retry_budget_deposit (struct retry_budget *budget, double share);
+int retry_budget_has_token (const struct retry_budget *budget);
+int retry_budget_take (struct retry_budget *budget);
 void retry_decide (const struct retry_state *state,
                    struct retry_budget *budget, clk_ms now,
                    struct retry_decision *decision);
--- a/request/relay_target.c
+++ b/request/relay_target.c
@@ -94,7 +94,8 @@
   return relay->sends == 0 && relay->connect_failures == 0
          && relay->software == 0 && rt_repeatable (relay->route)
          && relay->route->attempts_max > 1
-         && router_retry_budget (relay->router, relay->service)->tokens >= 1;
+         && retry_budget_has_token (
+             router_retry_budget (relay->router, relay->service));
 }
 
 /* Excludes the candidates in SELECTION that ADMISSION does not allow RELAY at
--- a/request/retry.c
+++ b/request/retry.c
@@ -1,4 +1,6 @@
 /* Retry policy: decides what follows a failed attempt. */
+#include <glib.h>
+
 #include "ibisloom/retry.h"
 
 enum
@@ -64,6 +66,27 @@
     budget->tokens = budget->max;
 }
 
+/* Returns whether BUDGET may allow a retry now.  The share of an instance of a
+   large fleet may be less than a token: then it is full with that.  */
+int
+retry_budget_has_token (const struct retry_budget *budget)
+{
+  return budget->tokens > 0 && budget->tokens >= MIN (budget->max, 1);
+}
+
+/* Takes a token from BUDGET.  Returns whether a retry is allowed.  One in so
+   many of the instances whose share is less than a token goes into debt, so
+   that all together spend their shares.  */
+int
+retry_budget_take (struct retry_budget *budget)
+{
+  if (!retry_budget_has_token (budget)
+      || (budget->max < 1 && g_random_double () >= budget->max))
+    return 0;
+  budget->tokens -= 1;
+  return 1;
+}
+
 /* Decides at NOW what follows the fault in STATE and writes it to DECISION.  A
    request that may not be repeated is sent to another target only if it cannot
    have run.  A stream that has begun is resumed at its own target first, which
@@ -100,13 +123,11 @@
       give_up (state, RETRY_REASON_ATTEMPTS, decision);
       return;
     }
-  if (state->attempts > 0 && budget->tokens < 1)
+  if (state->attempts > 0 && !retry_budget_take (budget))
     {
       give_up (state, RETRY_REASON_BUDGET, decision);
       return;
     }
-  if (state->attempts > 0)
-    budget->tokens -= 1;
   decision->action = state->tokens > 0 ? RETRY_CONTINUE : RETRY_OTHER_TARGET;
 }
 
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -35,6 +35,7 @@
 static void retry_decisions (void);
 static void spent_budget_ends_retries (void);
 static void small_budget_allows_retries (void);
+static void small_budgets_stay_within_the_whole (void);
 
 static const struct test_case cases[] = {
   { "the owner of the home grants", home_grants },
@@ -56,6 +57,8 @@
   { "a spent budget ends retries", spent_budget_ends_retries },
   { "a small share of the retry budget allows retries",
     small_budget_allows_retries },
+  { "many small shares together stay within the retry budget",
+    small_budgets_stay_within_the_whole },
 };
 
 TEST_MAIN ("place", cases)
@@ -411,3 +414,38 @@
     }
   CU_ASSERT (retries > 0);
 }
+
+/* An outage: of 1,600 instances with a share of a fourth of a token, each has
+   a failed request at the same moment, and then 10 s of 2 requests a second
+   that all fail.  */
+static void
+small_budgets_stay_within_the_whole (void)
+{
+  enum
+  {
+    INSTANCES = 1600,
+    REQUESTS = 20
+  };
+  const double share = 0.25;
+  const double ratio = 0.2;
+  struct retry_state state = { .fault = RETRY_FAULT_ERROR_STATUS,
+                               .repeatable = 1,
+                               .attempts = 1,
+                               .deadline_ms = 1000 };
+  struct retry_decision decision;
+  int retries = 0;
+
+  for (int i = 0; i < INSTANCES; i++)
+    {
+      struct retry_budget budget = { 0 };
+
+      retry_budget_set_max (&budget, share);
+      for (int n = 0; n <= REQUESTS; n++)
+        {
+          retry_decide (&state, &budget, 0, &decision);
+          retries += decision.action == RETRY_OTHER_TARGET;
+          retry_budget_deposit (&budget, ratio);
+        }
+    }
+  CU_ASSERT (retries <= INSTANCES * (share + REQUESTS * ratio));
+}
