Let a standby watcher call the store less

Change: a watcher that another one of its failure domain precedes is its standby: it takes changes from peers as those do that do not watch, and watches with a pause of 1 s.

Measured: tests/test_watch, a new test of six routers and five changes a second, fails on the code before; the news reach all within the same second.

--- a/include/ibisloom/router.h
+++ b/include/ibisloom/router.h
@@ -54,6 +54,7 @@
   struct watch_group watches;
   struct watch config;
   struct watch targets;
+  uint8_t is_standby;  /* other watchers of its failure domain come first */
   GHashTable *reaches; /* service, interned, to struct router_reach */
   uint64_t hop_token;  /* that requests of other instances have to bear */
   uint32_t open_hops;  /* requests of other instances in progress */
--- a/include/ibisloom/watch.h
+++ b/include/ibisloom/watch.h
@@ -115,6 +115,7 @@
   uint32_t watches_since_list; /* that got a response */
   ev_timer timer;
   int64_t wait_ms;         /* longest time that the store holds a watch */
+  int64_t interval_ms;     /* between watches, to batch frequent changes */
   clk_ms last_response_ms; /* last response with status 200 or 410; 0: none */
   clk_ms regained_ms;      /* first such response after an outage; 0: none */
   uint64_t calls;          /* made so far */
@@ -124,8 +125,9 @@
                  const char *kind, const struct watch_sink *sink,
                  struct ev_loop *loop, struct out_pool *pool,
                  const struct sockaddr_in *address);
-void watch_join (struct watch *watch, struct watch_group *group,
-                 int64_t wait_ms);
+void watch_join (struct watch *watch, struct watch_group *group);
+void watch_set_pace (struct watch *watch, int64_t wait_ms,
+                     int64_t interval_ms);
 void watch_start (struct watch *watch);
 void watch_stop (struct watch *watch);
 void watch_enable (struct watch *watch, int enabled);
--- a/process/router_snapshot.c
+++ b/process/router_snapshot.c
@@ -100,14 +100,14 @@
   return now - router->stale_since_ms;
 }
 
-/* Returns whether ROUTER has read the lists and receives changes by its own
-   watch of the store.  */
+/* Returns whether ROUTER has read the lists and receives changes first by its
+   own watch of the store.  */
 static int
 is_watching_store (const struct router *router)
 {
   return !router->config.down && !router->targets.down
-         && !router->config.list_only && router->table != NULL
-         && router->registry->listed;
+         && !router->config.list_only && !router->is_standby
+         && router->table != NULL && router->registry->listed;
 }
 
 /* Starts to fetch what is new in the snapshot of the instance at ADDRESS.  */
--- a/process/router_store.c
+++ b/process/router_store.c
@@ -11,7 +11,9 @@
 {
   DISCOVERY_MS = 800,     /* from the start until peers have sent heartbeats */
   WATCH_LINGER_MS = 2000, /* an unneeded watch continues for this time */
-  TARGETS_WAIT_MS = 6000  /* the watch of the configuration ends sooner */
+  WAIT_MS = 6000,         /* longest watch */
+  INTERVAL_MS = 250,      /* between watches */
+  STANDBY_INTERVAL_MS = 1000
 };
 
 /* Longest watch of the configuration, as a share of the time in which a
@@ -43,6 +45,7 @@
                          const struct rt_table *table);
 static void log_target (const char *reason, const struct reg_entry *entry,
                         struct position position);
+static void set_pace (struct router *router, int is_standby);
 static void activate_table (struct router *router, struct rt_table *table);
 
 /* Returns the sink of configurations, from the store or from a peer.  */
@@ -70,9 +73,7 @@
   watch_init (&router->config, router->dialect->store,
               router->dialect->config_kind, &sink, router->loop, &router->pool,
               &router->settings->platform);
-  watch_join (&router->config, &router->watches,
-              (int64_t)((double)router->settings->config_apply_ms
-                        * CONFIG_WAIT_SHARE));
+  watch_join (&router->config, &router->watches);
   watch_start (&router->config);
 }
 
@@ -85,7 +86,7 @@
   watch_init (&router->targets, router->dialect->store,
               router->dialect->targets_kind, &sink, router->loop,
               &router->pool, &router->settings->platform);
-  watch_join (&router->targets, &router->watches, TARGETS_WAIT_MS);
+  watch_join (&router->targets, &router->watches);
   watch_start (&router->targets);
 }
 
@@ -367,6 +368,23 @@
                 clk_now (clk_monotonic ()) + missing_grace_ms (router));
 }
 
+/* Sets how often ROUTER calls the store as a watcher.  A standby, which other
+   watchers of its failure domain precede, gets changes from these, and calls
+   the store less often.  */
+static void
+set_pace (struct router *router, int is_standby)
+{
+  int64_t config_wait_ms = (int64_t)((double)router->settings->config_apply_ms
+                                     * CONFIG_WAIT_SHARE);
+  int64_t interval_ms = is_standby ? STANDBY_INTERVAL_MS : INTERVAL_MS;
+
+  router->is_standby = (uint8_t)is_standby;
+  watch_set_pace (&router->config,
+                  is_standby ? WAIT_MS : MIN (config_wait_ms, WAIT_MS),
+                  interval_ms);
+  watch_set_pace (&router->targets, WAIT_MS, interval_ms);
+}
+
 /* Decides at NOW whether ROUTER watches the store, and sets what its
    heartbeats report on the store.  */
 void
@@ -390,6 +408,7 @@
       watch_enable (&router->config, wanted);
       watch_enable (&router->targets, wanted);
     }
+  set_pace (router, view.watchers_before > 0);
   state.version = router->table != NULL ? router->table->version : 0;
   fleet_set_state (router->fleet, &state,
                    is_lost                    ? WIRE_STORE_LOST
--- a/tests/test_watch.c
+++ b/tests/test_watch.c
@@ -18,12 +18,18 @@
   DARK_MS = 100, /* long enough for the proxies to drop what is open */
   CHECK_MS = 50,
   VERSION = 20,
-  SILENCES = 3
+  SILENCES = 3,
+  CHANGES_MS = 5000, /* in which the entry of a target changes */
+  CHANGE_MS = 200,
+  KINDS = 2,         /* that are watched */
+  STANDBY_PER_S = 1, /* calls of a standby for each kind */
+  SPREAD_MS = 1000
 };
 
 static void version_after_silence_is_in_force (void);
 static void version_on_dark_connections_is_in_force (void);
 static void calm_watches_are_few (void);
+static void standbys_call_the_store_less (void);
 
 static const struct test_case cases[] = {
   { "a version confirmed after a silence of the store is in force in time",
@@ -31,6 +37,8 @@
   { "a version is in force in time though all watches have gone dark",
     version_on_dark_connections_is_in_force },
   { "watches that get their responses are not checked", calm_watches_are_few },
+  { "one watcher of a failure domain follows frequent changes, and tells all",
+    standbys_call_the_store_less },
 };
 
 TEST_MAIN ("watch", cases)
@@ -131,3 +139,40 @@
     CU_ASSERT_EQUAL (fx_router_metric (i, "ibisloom_watch_checks_total"), 0);
   fx_env_stop ();
 }
+
+/* Returns how many routers do not know the newest entry of the target.  */
+static int
+count_behind (void)
+{
+  int behind = 0;
+
+  for (int i = 0; i < ROUTERS; i++)
+    behind += fx_router_metric (i, "ibisloom_store_revision_targets")
+              < fx_store_revision ();
+  return behind;
+}
+
+/* The entry of a target changes all the time, as in a large fleet.  */
+static void
+standbys_call_the_store_less (void)
+{
+  long calls[ROUTERS];
+
+  start_fleet ();
+  for (int i = 0; i < ROUTERS; i++)
+    calls[i] = fx_router_metric (i, "ibisloom_store_calls");
+  for (int ms = 0; ms < CHANGES_MS; ms += CHANGE_MS)
+    {
+      fx_target_put_entry (target, "");
+      fx_sleep_ms (CHANGE_MS);
+    }
+  for (int i = 0; i < ROUTERS; i++)
+    calls[i] = fx_router_metric (i, "ibisloom_store_calls") - calls[i];
+  for (int i = 0; i < FX_DOMAINS; i++)
+    CU_ASSERT (MIN (calls[i], calls[i + FX_DOMAINS])
+               <= KINDS * (STANDBY_PER_S * CHANGES_MS / 1000 + 1));
+  for (int ms = 0; ms < SPREAD_MS && count_behind () > 0; ms += CHECK_MS)
+    fx_sleep_ms (CHECK_MS);
+  CU_ASSERT_EQUAL (count_behind (), 0);
+  fx_env_stop ();
+}
--- a/version/watch.c
+++ b/version/watch.c
@@ -15,9 +15,9 @@
 enum
 {
   LIST_TIMEOUT_MS = 1500,
-  WATCH_WAIT_MS = 6000,    /* unless watch_join sets another time */
-  WATCH_INTERVAL_MS = 250, /* between watches, to batch frequent changes */
-  WATCH_OVERDUE_MS = 500,  /* after the time that the store holds it */
+  WATCH_WAIT_MS = 6000, /* until watch_set_pace sets other times */
+  WATCH_INTERVAL_MS = 250,
+  WATCH_OVERDUE_MS = 500, /* after the time that the store holds it */
   /* Watch in an outage: the store responds at once, so that the recovery is
      detected without waiting for a change.  */
   PROBE_WAIT_MS = 1,
@@ -79,22 +79,30 @@
   watch->first_page = 1;
   watch->list_only = 1;
   watch->wait_ms = WATCH_WAIT_MS;
+  watch->interval_ms = WATCH_INTERVAL_MS;
   ev_timer_init (&watch->timer, on_timer, 0, 0);
   watch->timer.data = watch;
 }
 
-/* Makes WATCH, which is initialized, one of GROUP, which outlives it.  The
-   store holds it for WAIT_MS at most, but no longer than by default; the loss
-   of a response is detected WATCH_OVERDUE_MS later.  */
+/* Makes WATCH, which is initialized, one of GROUP, which outlives it.  */
 void
-watch_join (struct watch *watch, struct watch_group *group, int64_t wait_ms)
+watch_join (struct watch *watch, struct watch_group *group)
 {
   g_return_if_fail (group->count < WATCH_GROUP_MAX);
   watch->group = group;
-  watch->wait_ms = MIN (wait_ms, WATCH_WAIT_MS);
   group->members[group->count++] = watch;
 }
 
+/* From the next watch on, the store holds it for WAIT_MS at most, and
+   INTERVAL_MS pass before the one after it.  The loss of a response is
+   detected WATCH_OVERDUE_MS after the former.  */
+void
+watch_set_pace (struct watch *watch, int64_t wait_ms, int64_t interval_ms)
+{
+  watch->wait_ms = wait_ms;
+  watch->interval_ms = interval_ms;
+}
+
 /* Starts to read the list.  */
 void
 watch_start (struct watch *watch)
@@ -400,7 +408,7 @@
     }
   note_nameless (watch, &page);
   watch->position = pos_max (watch->position, page.position);
-  start_timer (watch, WATCH_INTERVAL_MS);
+  start_timer (watch, watch->interval_ms);
 }
 
 /* Counts and logs the objects of PAGE whose names cannot be read.  */
