Count the datagrams between instances by kind

Cause: control could not be told from requests, nor one kind of news from another, and what an instance does not understand, as from a newer build, left no trace.

Change: counters of what was sent and received of each kind, and of datagrams that were not understood, at the metrics address.

--- a/include/ibisloom/fleet.h
+++ b/include/ibisloom/fleet.h
@@ -30,6 +30,15 @@
 typedef void (*fleet_update_fn) (void *closure,
                                  const struct fleet_update *update);
 
+/* Datagrams of one kind, exchanged with the other instances so far. */
+struct fleet_traffic
+{
+  uint64_t sent;
+  uint64_t sent_bytes;
+  uint64_t received;
+  uint64_t received_bytes;
+};
+
 /* Exchange of which instances reach the targets of a service. */
 struct fleet_reach_ops
 {
@@ -99,6 +108,9 @@
 int fleet_origins_are_read (const struct fleet *fleet);
 void fleet_look_up_origins (struct fleet *fleet);
 int fleet_software_is_noted (const struct fleet *fleet, uint64_t software);
+const struct fleet_traffic *fleet_traffic (const struct fleet *fleet,
+                                           enum wire_kind kind);
+uint64_t fleet_unreadable_count (const struct fleet *fleet);
 uint32_t fleet_size (const struct fleet *fleet);
 int fleet_hears_peers (const struct fleet *fleet);
 int64_t fleet_loads_age_ms (const struct fleet *fleet);
--- a/include/ibisloom/wire.h
+++ b/include/ibisloom/wire.h
@@ -53,6 +53,9 @@
   WIRE_KIND_COUNT
 };
 
+/* Names of the kinds, for metrics. */
+extern const char *const wire_kind_names[WIRE_KIND_COUNT];
+
 enum wire_status
 {
   WIRE_OK,
--- a/process/fleet_send.c
+++ b/process/fleet_send.c
@@ -13,6 +13,9 @@
 
 static size_t encode_next (struct fleet *fleet, struct wire_message *message,
                            unsigned char *data);
+static void send_datagram (struct fleet *fleet, enum wire_kind kind,
+                           const unsigned char *data, size_t length,
+                           const struct sockaddr_in *address);
 static int gets_broadcast (const struct fleet *fleet,
                            const struct fleet_peer *peer, enum wire_kind kind);
 
@@ -36,8 +39,38 @@
   unsigned char data[WIRE_MAX_BYTES];
   size_t length = encode_next (fleet, message, data);
 
-  (void)sendto (fleet->fd, data, length, MSG_DONTWAIT,
-                (const struct sockaddr *)address, sizeof *address);
+  send_datagram (fleet, message->kind, data, length, address);
+}
+
+/* Sends DATA of LENGTH, a message of KIND, to ADDRESS, and counts it.  */
+static void
+send_datagram (struct fleet *fleet, enum wire_kind kind,
+               const unsigned char *data, size_t length,
+               const struct sockaddr_in *address)
+{
+  struct fleet_traffic *traffic = &fleet->traffic[kind];
+
+  if (sendto (fleet->fd, data, length, MSG_DONTWAIT,
+              (const struct sockaddr *)address, sizeof *address)
+      < 0)
+    return;
+  traffic->sent++;
+  traffic->sent_bytes += length;
+}
+
+/* Returns what was exchanged of KIND.  */
+const struct fleet_traffic *
+fleet_traffic (const struct fleet *fleet, enum wire_kind kind)
+{
+  return &fleet->traffic[kind];
+}
+
+/* Returns how many datagrams were not understood: damaged, of strangers, or of
+   a kind that this build does not know.  */
+uint64_t
+fleet_unreadable_count (const struct fleet *fleet)
+{
+  return fleet->unreadable;
 }
 
 /* Handles all datagrams that have arrived.  Drops those that fail
@@ -63,8 +96,14 @@
 
       size = sizeof from;
       if (wire_decode (&message, &fleet->key, data, (size_t)received)
-              != WIRE_OK
-          || message.sender == fleet->self
+          != WIRE_OK)
+        {
+          fleet->unreadable++;
+          continue;
+        }
+      fleet->traffic[message.kind].received++;
+      fleet->traffic[message.kind].received_bytes += (uint64_t)received;
+      if (message.sender == fleet->self
           || g_hash_table_size (fleet->peers) >= FLEET_PEERS_MAX)
         continue;
       peer = fleet_get_peer (fleet, message.sender);
@@ -111,8 +150,6 @@
 
       if (!fleet_is_silent (fleet, peer, now)
           && gets_broadcast (fleet, peer, message->kind))
-        (void)sendto (fleet->fd, data, length, MSG_DONTWAIT,
-                      (const struct sockaddr *)&peer->address,
-                      sizeof peer->address);
+        send_datagram (fleet, message->kind, data, length, &peer->address);
     }
 }
--- a/process/libfleet.h
+++ b/process/libfleet.h
@@ -65,6 +65,8 @@
   uint32_t self;
   uint64_t incarnation;
   uint64_t sequence;
+  struct fleet_traffic traffic[WIRE_KIND_COUNT];
+  uint64_t unreadable; /* datagrams received that were not understood */
   uint64_t heartbeat_count;
   int fd;
   ev_io io;
--- a/process/router_metrics.c
+++ b/process/router_metrics.c
@@ -7,6 +7,8 @@
 #include "ibisloom/metrics.h"
 
 static void add_gauge (GString *out, const char *name, int64_t value);
+static void add_traffic (const struct fleet *fleet, const char *name,
+                         size_t offset, GString *out);
 static void count_targets (const struct router *router, clk_ms now,
                            GString *out);
 
@@ -19,6 +21,16 @@
   clk_ms now = clk_now (clk_monotonic ());
 
   metric_print_all (out);
+  add_traffic (router->fleet, "ibisloom_datagrams_sent_total",
+               offsetof (struct fleet_traffic, sent), out);
+  add_traffic (router->fleet, "ibisloom_datagrams_sent_bytes_total",
+               offsetof (struct fleet_traffic, sent_bytes), out);
+  add_traffic (router->fleet, "ibisloom_datagrams_received_total",
+               offsetof (struct fleet_traffic, received), out);
+  add_traffic (router->fleet, "ibisloom_datagrams_received_bytes_total",
+               offsetof (struct fleet_traffic, received_bytes), out);
+  add_gauge (out, "ibisloom_datagrams_unreadable",
+             (int64_t)fleet_unreadable_count (router->fleet));
   add_gauge (out, "ibisloom_ready", router_is_ready (router));
   add_gauge (out, "ibisloom_stopping", router->stopping_ms != 0);
   add_gauge (out, "ibisloom_open_requests", router->open_requests);
@@ -55,6 +67,26 @@
                           value);
 }
 
+/* Appends the counter NAME, the field at OFFSET of struct fleet_traffic, of
+   each kind of datagram that was exchanged.  */
+static void
+add_traffic (const struct fleet *fleet, const char *name, size_t offset,
+             GString *out)
+{
+  g_string_append_printf (out, "# TYPE %s counter\n", name);
+  for (int kind = 0; kind < WIRE_KIND_COUNT; kind++)
+    {
+      const struct fleet_traffic *traffic
+          = fleet_traffic (fleet, (enum wire_kind)kind);
+      uint64_t value;
+
+      memcpy (&value, (const char *)traffic + offset, sizeof value);
+      if (value > 0)
+        g_string_append_printf (out, "%s{kind=\"%s\"} %" PRIu64 "\n", name,
+                                wire_kind_names[kind], value);
+    }
+}
+
 /* Appends the number of targets in each state at NOW to OUT.  */
 static void
 count_targets (const struct router *router, clk_ms now, GString *out)
--- a/process/wire.c
+++ b/process/wire.c
@@ -25,6 +25,30 @@
   TYPE_ARRAY16 = 0xdc
 };
 
+const char *const wire_kind_names[WIRE_KIND_COUNT] = {
+  [WIRE_HEARTBEAT] = "heartbeat",
+  [WIRE_ADMISSION_REQUEST] = "admission_request",
+  [WIRE_ADMISSION_ANSWER] = "admission_answer",
+  [WIRE_RELEASE] = "release",
+  [WIRE_HOLD] = "hold",
+  [WIRE_NOTES] = "notes",
+  [WIRE_LOADS] = "loads",
+  [WIRE_CRASH] = "crash",
+  [WIRE_QUARANTINE] = "quarantine",
+  [WIRE_SUCCESS] = "success",
+  [WIRE_RATES] = "rates",
+  [WIRE_SENT] = "sent",
+  [WIRE_STATE] = "state",
+  [WIRE_ORIGINS] = "origins",
+  [WIRE_ORIGIN_QUERY] = "origin_query",
+  [WIRE_VERSIONS] = "versions",
+  [WIRE_VERSION_QUERY] = "version_query",
+  [WIRE_REACH_QUERY] = "reach_query",
+  [WIRE_REACH] = "reach",
+  [WIRE_BRITTLE] = "brittle",
+  [WIRE_REJECTED] = "rejected",
+};
+
 static int has_allowed_types (const unsigned char *data, size_t length);
 static enum wire_status decode_message (struct wire_message *message,
                                         const msgpack_object *object);
