--- a/tests/test_source.c
+++ b/tests/test_source.c
@@ -120,6 +120,8 @@
   pthread_mutex_unlock (&lock);
 }
 
+static const char expected_field[] = "X-Ibisloom-Expected-Instance";
+
 /* Handler of targets: notes the context of REQUEST, and responds after
    RESPONSE_MS.  */
 static int
@@ -127,15 +129,14 @@
 {
   char *parts = fx_header_value (request->text, "X-Ibisloom-Prompt-Prefix");
   char *source = fx_header_value (request->text, "Kv-Fetch");
-  char *address = fx_header_value (request->text, "X-Ibisloom-Expected-"
-                                                  "Instance");
-  int index = address != NULL ? atoi (address + strlen ("p-")) : 0;
+  char *id = fx_header_value (request->text, expected_field);
+  int index = id != NULL ? atoi (id + strlen ("p-")) : 0;
 
   if (parts != NULL)
     count_context (index, (int)strtol (parts, NULL, 16) % CONTEXTS, source);
   g_free (parts);
   g_free (source);
-  g_free (address);
+  g_free (id);
   fx_sleep_ms (RESPONSE_MS);
   return shop_stream_events (request);
 }
