Show that taking the last key away lets anyone in

Cause: a configuration whose tenants have no key left is taken for one that asks for none, so that requests with revoked and with unknown keys run.

--- /dev/null
+++ b/review/common/review.c
@@ -0,0 +1,326 @@
+/* The instance under test, its settings, and the record of a case.  */
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <pthread.h>
+#include <signal.h>
+#include <spawn.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "libfixture.h"
+#include "review.h"
+
+enum
+{
+  PORT_FIRST = 12000,
+  PORT_LAST = 31999,
+  PORT_BLOCKS = 200,
+  PORTS_PER_BLOCK = 100,
+  START_TIMEOUT_MS = 10000,
+  POLL_MS = 10
+};
+
+extern char **environ;
+
+static void fill_in (GString *text, const char *name, const char *format, ...)
+    G_GNUC_PRINTF (3, 4);
+
+static const char template_path[] = "deploy/instance.yaml";
+static char program[] = "target/build/ibisloomd";
+
+static struct
+{
+  pid_t pid;
+  int front_port;
+  int readiness_port;
+  int peer_port;
+  int metrics_port;
+  char *directory;
+  FILE *record;
+  gint64 started_us;
+  int has_trouble;
+} review;
+
+static pthread_mutex_t record_lock = PTHREAD_MUTEX_INITIALIZER;
+
+/* Ends the instance with the case, which was told to end.  */
+static void
+on_signal (int number)
+{
+  (void)number;
+  if (review.pid > 0)
+    kill (review.pid, SIGKILL);
+  _exit (REVIEW_NOT_RUN);
+}
+
+/* Opens the record, whose path is the argument.  Returns 0, or -1 if the case
+   cannot be run.  TROUBLE=0 in the environment leaves the disruption out.  */
+int
+review_begin (int argc, char **argv)
+{
+  const char *trouble = getenv ("TROUBLE");
+
+  signal (SIGPIPE, SIG_IGN);
+  signal (SIGTERM, on_signal);
+  signal (SIGINT, on_signal);
+  review.has_trouble = trouble == NULL || strcmp (trouble, "0") != 0;
+  review.started_us = g_get_monotonic_time ();
+  review.record = argc > 1 ? fopen (argv[1], "we") : NULL;
+  if (review.record == NULL || access (program, X_OK) != 0)
+    {
+      fprintf (stderr, "usage: case RECORD, after the build of the deploy "
+                       "file, at the top of the repository\n");
+      return -1;
+    }
+  review.directory = g_dir_make_tmp ("review-XXXXXX", NULL);
+  review_record ("disruption: %s", review.has_trouble ? "yes" : "no");
+  return review.directory != NULL ? 0 : -1;
+}
+
+/* Returns whether the disruption is part of this run.  */
+int
+review_has_trouble (void)
+{
+  return review.has_trouble;
+}
+
+/* Returns the milliseconds since the start of the case.  */
+int64_t
+review_now_ms (void)
+{
+  return (g_get_monotonic_time () - review.started_us) / 1000;
+}
+
+/* Appends a line to the record.  */
+void
+review_record (const char *format, ...)
+{
+  va_list args;
+
+  va_start (args, format);
+  pthread_mutex_lock (&record_lock);
+  fprintf (review.record, "%7.3f s  ", (double)review_now_ms () / 1000);
+  vfprintf (review.record, format, args);
+  fputc ('\n', review.record);
+  fflush (review.record);
+  pthread_mutex_unlock (&record_lock);
+  va_end (args);
+}
+
+/* Returns a port of loopback that no socket is bound to, below the range of
+   ephemeral ports.  */
+static int
+find_free_port (void)
+{
+  static int next_port;
+
+  if (next_port == 0)
+    next_port = PORT_FIRST + (int)getpid () % PORT_BLOCKS * PORTS_PER_BLOCK;
+  for (;;)
+    {
+      struct sockaddr_in address = { .sin_family = AF_INET };
+      int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+      int is_free;
+
+      next_port = next_port >= PORT_LAST ? PORT_FIRST : next_port + 1;
+      address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+      address.sin_port = htons ((uint16_t)next_port);
+      is_free = bind (fd, (struct sockaddr *)&address, sizeof address) == 0;
+      close (fd);
+      if (is_free)
+        return next_port;
+    }
+}
+
+/* Starts the store with CONFIG as the configuration.  */
+void
+review_store_start (const char *config)
+{
+  fx_env.store_listener = fx_listen (&fx_env.store_port);
+  fx_start_thread (fx_store_accept_connections,
+                   GINT_TO_POINTER (fx_env.store_listener));
+  fx_store_put ("config", "main", config);
+}
+
+/* Replaces NAME in TEXT by the formatted value.  */
+static void
+fill_in (GString *text, const char *name, const char *format, ...)
+{
+  va_list args;
+  char *value;
+
+  va_start (args, format);
+  value = g_strdup_vprintf (format, args);
+  va_end (args);
+  g_string_replace (text, name, value, 0);
+  g_free (value);
+}
+
+/* Writes the settings: the template of the deploy file, filled in as by the
+   platform for a machine of a small deployment.  Returns the path, newly
+   allocated, or NULL.  */
+static char *
+write_settings (int store_port)
+{
+  char *path = g_build_filename (review.directory, "boot.yaml", NULL);
+  char *template = NULL;
+  GString *text;
+
+  if (!g_file_get_contents (template_path, &template, NULL, NULL))
+    return NULL;
+  text = g_string_new (template);
+  fill_in (text, "{{node}}", "front-a-1");
+  fill_in (text, "{{region}}", "r");
+  fill_in (text, "{{zone}}", "a");
+  fill_in (text, "{{listen.front}}", "127.0.0.1:%d", review.front_port);
+  fill_in (text, "{{listen.readiness}}", "127.0.0.1:%d",
+           review.readiness_port);
+  fill_in (text, "{{ip}}:{{port_range.0}}", "127.0.0.1:%d", review.peer_port);
+  fill_in (text, "{{ip}}:9464", "127.0.0.1:%d", review.metrics_port);
+  fill_in (text, "{{platform.address}}", "127.0.0.1:%d", store_port);
+  fill_in (text, "{{bounds.cap_factor}}", "2");
+  fill_in (text, "{{bounds.retry_ratio}}", "0.2");
+  fill_in (text, "{{bounds.retry_slack}}", "58");
+  fill_in (text, "{{bounds.grace_s}}", "%d", REVIEW_GRACE_MS / 1000);
+  fill_in (text, "{{bounds.drain_ms}}", "%d", REVIEW_DRAIN_MS);
+  fill_in (text,
+           "{{#bounds.config_apply_ms}}config_apply_ms: {{.}}"
+           "{{/bounds.config_apply_ms}}",
+           "config_apply_ms: %d", REVIEW_CONFIG_APPLY_MS);
+  fill_in (text,
+           "{{#platform.writes_per_s}}store_writes_per_s: {{.}}"
+           "{{/platform.writes_per_s}}",
+           "store_writes_per_s: 400");
+  fill_in (text, "{{seeds}}", "%s", "");
+  if (strstr (text->str, "{{") != NULL
+      || !g_file_set_contents (path, text->str, -1, NULL))
+    g_clear_pointer (&path, g_free);
+  g_string_free (text, TRUE);
+  g_free (template);
+  return path;
+}
+
+/* Returns whether the readiness endpoint responds with 200.  */
+static int
+is_ready (void)
+{
+  int fd = fx_connect_port (review.readiness_port);
+  char *text;
+  int ready;
+
+  if (fd < 0)
+    return 0;
+  fx_write (fd, "GET /ready HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n");
+  text = fx_read_all (fd);
+  ready = g_str_has_prefix (text, "HTTP/1.1 200");
+  g_free (text);
+  return ready;
+}
+
+/* Starts the instance with the command of the deploy file, whose store is at
+   STORE_PORT, and waits until it is ready.  Returns 0, or -1.  */
+int
+review_router_start (int store_port)
+{
+  char option[] = "--settings";
+  char *arguments[] = { program, option, NULL, NULL };
+  char *log = g_build_filename (review.directory, "log", NULL);
+  posix_spawn_file_actions_t actions;
+  int result;
+
+  review.front_port = find_free_port ();
+  review.readiness_port = find_free_port ();
+  review.peer_port = find_free_port ();
+  review.metrics_port = find_free_port ();
+  arguments[2] = write_settings (store_port);
+  if (arguments[2] == NULL)
+    return -1;
+  posix_spawn_file_actions_init (&actions);
+  posix_spawn_file_actions_addopen (&actions, STDOUT_FILENO, log,
+                                    O_WRONLY | O_CREAT | O_APPEND, 0600);
+  result
+      = posix_spawn (&review.pid, program, &actions, NULL, arguments, environ);
+  posix_spawn_file_actions_destroy (&actions);
+  g_free (arguments[2]);
+  g_free (log);
+  if (result != 0)
+    {
+      review.pid = 0;
+      return -1;
+    }
+  for (int ms = 0; ms < START_TIMEOUT_MS; ms += POLL_MS)
+    {
+      if (is_ready ())
+        {
+          review_record ("the instance is ready");
+          return 0;
+        }
+      fx_sleep_ms (POLL_MS);
+    }
+  return -1;
+}
+
+/* Returns the port at which the instance listens for requesters.  */
+int
+review_router_port (void)
+{
+  return review.front_port;
+}
+
+/* Sends the signal NUMBER to the instance.  */
+void
+review_router_signal (int number)
+{
+  review_record ("signal to the instance: %s", strsignal (number));
+  kill (review.pid, number);
+}
+
+/* Waits for the instance to end by itself.  Returns its exit status, the
+   negated number of the signal that ended it, or INT_MAX if it still runs
+   after TIMEOUT_MS.  */
+int
+review_router_wait (int64_t timeout_ms)
+{
+  int64_t until_ms = review_now_ms () + timeout_ms;
+  int status = 0;
+
+  while (waitpid (review.pid, &status, WNOHANG) == 0)
+    {
+      if (review_now_ms () >= until_ms)
+        return G_MAXINT;
+      fx_sleep_ms (POLL_MS);
+    }
+  review.pid = 0;
+  return WIFEXITED (status) ? WEXITSTATUS (status) : -WTERMSIG (status);
+}
+
+/* Ends the instance and removes the settings.  Records FINDING and returns the
+   exit status of the case.  */
+int
+review_end (int is_broken, const char *finding)
+{
+  static const char *const files[] = { "boot.yaml", "log" };
+
+  if (review.pid > 0)
+    {
+      kill (review.pid, SIGKILL);
+      waitpid (review.pid, NULL, 0);
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (files); i++)
+    {
+      char *path = g_build_filename (review.directory, files[i], NULL);
+
+      unlink (path);
+      g_free (path);
+    }
+  rmdir (review.directory);
+  review_record ("%s: %s", is_broken ? "BROKEN" : "held", finding);
+  printf ("%s: %s\n", is_broken ? "BROKEN" : "held", finding);
+  fflush (stdout);
+  return is_broken ? REVIEW_BROKEN : REVIEW_HELD;
+}
--- /dev/null
+++ b/review/common/review.h
@@ -0,0 +1,63 @@
+/* Shared by the scripts of the review: one process of ibisloomd, started as
+   the deploy file says, beside the stand-ins of the tests. */
+#ifndef REVIEW_H
+#define REVIEW_H
+
+#include <stdint.h>
+#include <sys/types.h>
+
+#include <glib.h>
+
+#include "router_fixture.h"
+
+enum
+{
+  REVIEW_HELD = 0,    /* the rule held */
+  REVIEW_BROKEN = 1,  /* the rule was broken */
+  REVIEW_NOT_RUN = 2, /* the case could not be run */
+  REVIEW_CONFIG_APPLY_MS = 2000,
+  REVIEW_DRAIN_MS = 2000,
+  REVIEW_GRACE_MS = 8000
+};
+
+/* Response as received by a client. */
+struct review_response
+{
+  int status; /* 0: none */
+  int is_complete;
+  char *text;
+};
+
+/* review.c */
+int review_begin (int argc, char **argv);
+int review_has_trouble (void);
+int64_t review_now_ms (void);
+void review_record (const char *format, ...) G_GNUC_PRINTF (1, 2);
+void review_store_start (const char *config);
+int review_router_start (int store_port);
+int review_router_port (void);
+void review_router_signal (int number);
+int review_router_wait (int64_t timeout_ms);
+int review_end (int is_broken, const char *finding);
+
+/* requester.c */
+struct review_response review_exchange (const char *request);
+void review_response_clear (struct review_response *response);
+char *review_request (const char *method, const char *path, const char *id,
+                      const char *key, int64_t deadline_ms, const char *fields,
+                      const char *body);
+
+/* config.c */
+char *review_config (int version, const char *tenants);
+
+/* worker.c */
+char *review_attempt_id (const struct fx_request *request);
+void review_respond (const struct fx_request *request, const char *status,
+                     const char *fields, const char *body);
+void review_start_stream (const struct fx_request *request,
+                          const char *fields);
+void review_write_event (const struct fx_request *request, int number,
+                         const char *text);
+void review_end_stream (const struct fx_request *request);
+
+#endif
