--- a/review/4/case.c
+++ b/review/4/case.c
@@ -1,93 +1,138 @@
-/* A planned stop of one machine, in calm: short streams come as usual, at
-   workers that keep to the pauses of the sheet.  */
+/* A worker leaves, and says so in all its answers, while the instance is
+   partitioned from the store.  */
 #include <pthread.h>
-#include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "libfixture.h"
+#include "proxy_fixture.h"
 #include "../common/review.h"
 
 enum
 {
   WORKERS = 3,
-  REQUESTS = 62,
-  INTERVAL_MS = 100,
-  SIGNAL_AT = 10,    /* request that comes with the signal */
-  EXCUSED_MS = 3000, /* requests sent no later after the signal may be cut */
-  FIRST_EVENT_MS = 300, /* the objective is 400 */
-  PAUSE_MS = 330,       /* the route allows 400 */
-  EVENTS = 9,           /* of 6 tokens; in all 2.94 s, within the deadline */
-  DEADLINE_MS = 3000,
-  CALM_MS = 4000, /* longer than contact_ms, before the signal */
-  EXIT_TIMEOUT_MS = 20000
+  STREAMS = 180,
+  INTERVAL_MS = 50,
+  EVENTS = 49,
+  EVENT_MS = 20,
+  DEADLINE_MS = 12000,
+  CUT_AT_MS = 1000,    /* since the first stream */
+  LEAVE_AT_MS = 1500,  /* the store confirms it */
+  SERVED_MS = 5000,    /* from then on until the worker exits */
+  CUT_UNTIL_MS = 7500, /* since the first stream */
+  NEVER_MS = -1
 };
 
-static int64_t signal_ms = G_MAXINT64; /* of SIGTERM */
-static int cut;      /* passed on to a worker, and not answered whole */
-static int excused;  /* the same, but sent early */
-static int answered; /* whole */
-static int refused;
-static int arrived[REQUESTS]; /* at a worker */
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static struct fx_target *leaving;
+static volatile int is_leaving;
+static int64_t told_ms = NEVER_MS; /* first answer passed on that says so */
+static int64_t sent_ms[STREAMS];
+static int late; /* streams that reached it too late */
+static int lost; /* of these, streams that have no end */
+static int is_late[STREAMS];
 
-/* Worker: streams at the pace that the sheet allows.  */
+/* Worker: runs the request.  The one that leaves says so.  */
 static int
 run_request (const struct fx_request *request)
 {
   char *id = review_attempt_id (request);
+  int number = atoi (strchr (id, '-') + 1);
+  int says_leaving = request->target == leaving && is_leaving;
 
-  g_atomic_int_set (&arrived[atoi (strchr (id, '-') + 1)], 1);
-  review_record ("a worker runs %s", id);
-  fx_sleep_ms (FIRST_EVENT_MS);
-  review_start_stream (request, "");
-  for (int i = 1; i <= EVENTS; i++)
+  pthread_mutex_lock (&lock);
+  if (says_leaving && told_ms != NEVER_MS
+      && sent_ms[number] > told_ms + REVIEW_DRAIN_MS)
     {
-      review_write_event (request, i, "label");
-      if (i < EVENTS)
-        fx_sleep_ms (PAUSE_MS);
+      late++;
+      is_late[number] = 1;
+      review_record ("%s, sent %d ms after the instance had passed on "
+                     "Server-Leaving, reaches %s",
+                     id, (int)(sent_ms[number] - told_ms),
+                     request->target->id);
     }
-  review_end_stream (request);
-  review_record ("the run of %s ends", id);
+  pthread_mutex_unlock (&lock);
+  review_start_stream (request, says_leaving ? "Server-Leaving: 1\r\n" : "");
+  for (int i = 1; i <= EVENTS && !request->target->crashed; i++)
+    {
+      review_write_event (request, i, "rule");
+      fx_sleep_ms (EVENT_MS);
+    }
+  if (!request->target->crashed)
+    review_end_stream (request);
   g_free (id);
   return 0;
 }
 
-/* Requester: sends the request whose number is CLOSURE.  */
+/* Requester: sends the request for the stream whose number is CLOSURE, which
+   may not be repeated.  */
 static void *
-send_request (void *closure)
+request_stream (void *closure)
 {
   int number = GPOINTER_TO_INT (closure);
-  char *id = g_strdup_printf ("tag-%d", number);
-  char *request = review_request ("POST", "/tag/1", id, "key-1", DEADLINE_MS,
+  char *id = g_strdup_printf ("stream-%d", number);
+  char *request = review_request ("POST", "/rules/1", id, "key-1", DEADLINE_MS,
                                   "X-Ibisloom-Model: m\r\n"
-                                  "X-Ibisloom-Token-Usage: 2401,54\r\n",
-                                  "tag");
-  int64_t sent_ms = review_now_ms ();
+                                  "X-Ibisloom-Token-Usage: 829,294\r\n",
+                                  "rules");
   struct review_response response;
 
-  review_record ("sent %s", id);
+  pthread_mutex_lock (&lock);
+  sent_ms[number] = review_now_ms ();
+  pthread_mutex_unlock (&lock);
   response = review_exchange (request);
-  review_record ("%s ends %d ms after it was sent: status %d, %s", id,
-                 (int)(review_now_ms () - sent_ms), response.status,
-                 response.is_complete ? "complete" : "NOT COMPLETE");
-  if (response.status == 503)
-    g_atomic_int_inc (&refused);
-  else if (response.is_complete)
-    g_atomic_int_inc (&answered);
-  else if (g_atomic_int_get (&arrived[number]))
-    g_atomic_int_inc (sent_ms - signal_ms > EXCUSED_MS ? &cut : &excused);
+  pthread_mutex_lock (&lock);
+  if (told_ms == NEVER_MS && strstr (response.text, "Server-Leaving") != NULL)
+    {
+      told_ms = review_now_ms ();
+      review_record ("the instance has passed on Server-Leaving");
+    }
+  lost += is_late[number] && !response.is_complete;
+  pthread_mutex_unlock (&lock);
+  if (!response.is_complete)
+    review_record ("%s is answered %d, not complete", id, response.status);
   review_response_clear (&response);
   g_free (request);
   g_free (id);
   return NULL;
 }
 
+/* Does what is due MS after the first stream.  */
+static void
+act (int ms, struct proxy *store_path)
+{
+  if (ms == CUT_AT_MS && review_has_trouble ())
+    {
+      review_record ("the instance is partitioned from the store");
+      proxy_set_mode (store_path, PROXY_CUT_SILENT, 0);
+    }
+  if (ms == LEAVE_AT_MS)
+    {
+      review_record ("%s reports that it is draining; the store confirms",
+                     leaving->id);
+      fx_target_set_state (leaving, "draining");
+      is_leaving = 1;
+    }
+  if (ms == LEAVE_AT_MS + SERVED_MS)
+    {
+      review_record ("%s exits; its entry is removed", leaving->id);
+      fx_target_crash (leaving);
+      fx_target_remove (leaving);
+    }
+  if (ms == CUT_UNTIL_MS && review_has_trouble ())
+    {
+      review_record ("the partition ends");
+      proxy_set_mode (store_path, PROXY_PASS, 0);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
   char *config
       = review_config (3, "[{\"name\":\"lodge\",\"api_keys\":[\"key-1\"]}]");
-  pthread_t requesters[REQUESTS];
+  pthread_t requesters[STREAMS];
+  struct proxy *store_path;
   char *finding;
   int status;
 
@@ -95,40 +140,35 @@
     return REVIEW_NOT_RUN;
   review_store_start (config);
   g_free (config);
+  store_path = proxy_start (fx_store_port ());
   for (int i = 0; i < WORKERS; i++)
     {
       char *id = g_strdup_printf ("i-%d", i);
+      struct fx_target *target = fx_target_add (id, "asistente", run_request);
 
-      fx_target_add (id, "asistente", run_request);
+      leaving = i == 0 ? target : leaving;
       g_free (id);
     }
-  if (review_router_start (fx_store_port ()) != 0)
+  if (review_router_start (proxy_port (store_path)) != 0)
     return REVIEW_NOT_RUN;
-  fx_sleep_ms (CALM_MS);
-  for (int i = 0; i < REQUESTS; i++)
+  for (int i = 0; i < STREAMS; i++)
     {
-      if (i == SIGNAL_AT && review_has_trouble ())
-        {
-          signal_ms = review_now_ms ();
-          review_router_signal (SIGTERM);
-        }
-      if (pthread_create (&requesters[i], NULL, send_request,
+      act (i * INTERVAL_MS, store_path);
+      if (pthread_create (&requesters[i], NULL, request_stream,
                           GINT_TO_POINTER (i))
           != 0)
         return REVIEW_NOT_RUN;
       fx_sleep_ms (INTERVAL_MS);
     }
-  for (int i = 0; i < REQUESTS; i++)
+  for (int i = 0; i < STREAMS; i++)
     pthread_join (requesters[i], NULL);
-  if (review_has_trouble ())
-    review_router_wait (EXIT_TIMEOUT_MS);
-  finding = g_strdup_printf ("of %d streams, %d were answered, %d refused "
-                             "with 503, %d passed on to a "
-                             "worker and cut, though sent later than 3 s "
-                             "after the signal, and %d cut "
-                             "that were sent earlier",
-                             REQUESTS, answered, refused, cut, excused);
-  status = review_end (cut > 0, finding);
+  finding = g_strdup_printf (
+      "of %d streams, %d reached the leaving worker though they were sent "
+      "over "
+      "%d ms after the instance had passed on its Server-Leaving; %d of these "
+      "were cut when it exited",
+      STREAMS, late, REVIEW_DRAIN_MS, lost);
+  status = review_end (late > 0, finding);
   g_free (finding);
   return status;
 }
