Keep the crash of the case on versions within the share of the site

Cause: one worker of two is more than the share of workers that the site file has crash. Change: review/3 has four workers, of which the last one of the older version crashes; requesters try four times.

--- a/review/3/case.c
+++ b/review/3/case.c
@@ -10,16 +10,17 @@
 
 enum
 {
-  STREAMS = 24,
-  INTERVAL_MS = 20,
+  NEWER_WORKERS = 3,
+  STREAMS = 32,
+  INTERVAL_MS = 15,
   EVENTS = 64,
   EVENT_MS = 20,
   CRASH_AFTER_MS = 700, /* since the first stream */
   DOWN_MS = 1000,
   CLOCK_BACK_MS = 2400,
   DEADLINE_MS = 15000,
-  TRIES_MAX = 6,
-  RETRY_MS = 400,
+  TRIES_MAX = 4, /* a requester retries a few times */
+  RETRY_MS = 500,
   JOINED_MAX = 2 /* streams that may hold events of two versions */
 };
 
@@ -77,9 +78,9 @@
   return write_stream (request, first_is_new);
 }
 
-/* The second worker, of the newer version.  */
+/* The other workers, of the newer version.  */
 static int
-run_at_second (const struct fx_request *request)
+run_at_other (const struct fx_request *request)
 {
   return write_stream (request, 1);
 }
@@ -171,7 +172,6 @@
       = review_config (3, "[{\"name\":\"lodge\",\"api_keys\":[\"key-1\"]}]");
   pthread_t requesters[STREAMS];
   struct fx_target *first;
-  struct fx_target *second;
   char *finding;
   int status;
 
@@ -181,10 +181,16 @@
   g_free (config);
   first = fx_target_add_version ("i-1", "asistente", versions[0].name,
                                  run_at_first);
-  second = fx_target_add_version ("i-2", "asistente", versions[1].name,
-                                  run_at_second);
   fx_target_restart (first, versions[0].name);
-  fx_target_restart (second, versions[1].name);
+  for (int i = 0; i < NEWER_WORKERS; i++)
+    {
+      char *id = g_strdup_printf ("i-%d", i + 2);
+
+      fx_target_restart (fx_target_add_version (
+                             id, "asistente", versions[1].name, run_at_other),
+                         versions[1].name);
+      g_free (id);
+    }
   fx_sleep_ms (CLOCK_BACK_MS * 2);
   if (review_router_start (fx_store_port ()) != 0)
     return REVIEW_NOT_RUN;
