--- a/review/1/case.c
+++ b/review/1/case.c
@@ -95,7 +95,7 @@
       fx_target_add (id, "reservas", run_request);
       g_free (id);
     }
-  if (review_router_start (fx_store_port ()) != 0)
+  if (review_machine_start (0, fx_store_port ()) != 0)
     return REVIEW_NOT_RUN;
   before = send_charges ("before", "key-2");
   unknown_before = send_charges ("stranger-before", "key-of-nobody");
--- a/review/2/case.c
+++ b/review/2/case.c
@@ -134,7 +134,7 @@
       fx_target_add (id, "reservas", run_request);
       g_free (id);
     }
-  if (review_router_start (fx_store_port ()) != 0)
+  if (review_machine_start (0, fx_store_port ()) != 0)
     return REVIEW_NOT_RUN;
   if (review_has_trouble ())
     failing_until_ms = review_now_ms () + FAILING_MS;
