Keep requesters and leaving workers within the sheet

Cause: requesters of review/3 tried more often than the sheet says, and in review/4 one worker of three left, where the site file has a quarter leave at most. The common part can run several machines.

--- a/review/3/case.c
+++ b/review/3/case.c
@@ -19,8 +19,8 @@
   DOWN_MS = 1000,
   CLOCK_BACK_MS = 2400,
   DEADLINE_MS = 15000,
-  TRIES_MAX = 4, /* a requester retries a few times */
-  RETRY_MS = 500,
+  TRIES_MAX = 2, /* a requester retries once */
+  RETRY_MS = 2000,
   JOINED_MAX = 2 /* streams that may hold events of two versions */
 };
 
@@ -192,7 +192,7 @@
       g_free (id);
     }
   fx_sleep_ms (CLOCK_BACK_MS * 2);
-  if (review_router_start (fx_store_port ()) != 0)
+  if (review_machine_start (0, fx_store_port ()) != 0)
     return REVIEW_NOT_RUN;
   for (int i = 0; i < STREAMS; i++)
     {
--- a/review/4/case.c
+++ b/review/4/case.c
@@ -10,7 +10,7 @@
 
 enum
 {
-  WORKERS = 3,
+  WORKERS = 4,
   STREAMS = 180,
   INTERVAL_MS = 50,
   EVENTS = 49,
@@ -149,7 +149,7 @@
       leaving = i == 0 ? target : leaving;
       g_free (id);
     }
-  if (review_router_start (proxy_port (store_path)) != 0)
+  if (review_machine_start (0, proxy_port (store_path)) != 0)
     return REVIEW_NOT_RUN;
   for (int i = 0; i < STREAMS; i++)
     {
--- a/review/common/requester.c
+++ b/review/common/requester.c
@@ -31,13 +31,20 @@
   return g_string_free (text, FALSE);
 }
 
-/* Sends REQUEST to the instance on a new connection.  Returns what is received
-   until the connection ends.  */
+/* Sends REQUEST to the first machine on a new connection.  Returns what is
+   received until the connection ends.  */
 struct review_response
 review_exchange (const char *request)
+{
+  return review_exchange_with (0, request);
+}
+
+/* Does the same with MACHINE.  */
+struct review_response
+review_exchange_with (int machine, const char *request)
 {
   struct review_response response = { 0 };
-  int fd = fx_connect_port (review_router_port ());
+  int fd = fx_connect_port (review_machine_port (machine));
 
   if (fd < 0)
     {
--- a/review/common/review.c
+++ b/review/common/review.c
@@ -1,4 +1,4 @@
-/* The instance under test, its settings, and the record of a case.  */
+/* The instances under test, their settings, and the record of a case.  */
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <pthread.h>
@@ -32,14 +32,22 @@
 
 static const char template_path[] = "deploy/instance.yaml";
 static char program[] = "target/build/ibisloomd";
+static const char settings_name[] = "boot.yaml";
+static const char log_name[] = "log";
 
-static struct
+/* An instance under test; its ports stay when it is started again. */
+struct machine
 {
-  pid_t pid;
+  pid_t pid; /* 0: does not run */
   int front_port;
   int readiness_port;
   int peer_port;
   int metrics_port;
+};
+
+static struct
+{
+  struct machine machines[REVIEW_MACHINES_MAX];
   char *directory;
   FILE *record;
   gint64 started_us;
@@ -48,13 +56,14 @@
 
 static pthread_mutex_t record_lock = PTHREAD_MUTEX_INITIALIZER;
 
-/* Ends the instance with the case, which was told to end.  */
+/* Ends the instances with the case, which was told to end.  */
 static void
 on_signal (int number)
 {
   (void)number;
-  if (review.pid > 0)
-    kill (review.pid, SIGKILL);
+  for (size_t i = 0; i < G_N_ELEMENTS (review.machines); i++)
+    if (review.machines[i].pid > 0)
+      kill (review.machines[i].pid, SIGKILL);
   _exit (REVIEW_NOT_RUN);
 }
 
@@ -161,27 +170,36 @@
   g_free (value);
 }
 
-/* Writes the settings: the template of the deploy file, filled in as by the
-   platform for a machine of a small deployment.  Returns the path, newly
-   allocated, or NULL.  */
+/* Returns the path of the file NAME of machine INDEX, newly allocated.  */
 static char *
-write_settings (int store_port)
+machine_path (int index, const char *name)
 {
-  char *path = g_build_filename (review.directory, "boot.yaml", NULL);
+  return g_strdup_printf ("%s/%d-%s", review.directory, index, name);
+}
+
+/* Writes the settings of machine INDEX: the template of the deploy file,
+   filled in as by the platform for a machine of a small deployment.  Returns
+   the path, newly allocated, or NULL.  */
+static char *
+write_settings (int index, int store_port)
+{
+  const struct machine *machine = &review.machines[index];
+  char *path = machine_path (index, settings_name);
   char *template = NULL;
   GString *text;
 
   if (!g_file_get_contents (template_path, &template, NULL, NULL))
     return NULL;
   text = g_string_new (template);
-  fill_in (text, "{{node}}", "front-a-1");
+  fill_in (text, "{{node}}", "front-a-%d", index + 1);
   fill_in (text, "{{region}}", "r");
   fill_in (text, "{{zone}}", "a");
-  fill_in (text, "{{listen.front}}", "127.0.0.1:%d", review.front_port);
+  fill_in (text, "{{listen.front}}", "127.0.0.1:%d", machine->front_port);
   fill_in (text, "{{listen.readiness}}", "127.0.0.1:%d",
-           review.readiness_port);
-  fill_in (text, "{{ip}}:{{port_range.0}}", "127.0.0.1:%d", review.peer_port);
-  fill_in (text, "{{ip}}:9464", "127.0.0.1:%d", review.metrics_port);
+           machine->readiness_port);
+  fill_in (text, "{{ip}}:{{port_range.0}}", "127.0.0.1:%d",
+           machine->peer_port);
+  fill_in (text, "{{ip}}:9464", "127.0.0.1:%d", machine->metrics_port);
   fill_in (text, "{{platform.address}}", "127.0.0.1:%d", store_port);
   fill_in (text, "{{bounds.cap_factor}}", "2");
   fill_in (text, "{{bounds.retry_ratio}}", "0.2");
@@ -205,11 +223,11 @@
   return path;
 }
 
-/* Returns whether the readiness endpoint responds with 200.  */
+/* Returns whether the readiness endpoint of MACHINE responds with 200.  */
 static int
-is_ready (void)
+is_ready (const struct machine *machine)
 {
-  int fd = fx_connect_port (review.readiness_port);
+  int fd = fx_connect_port (machine->readiness_port);
   char *text;
   int ready;
 
@@ -222,42 +240,47 @@
   return ready;
 }
 
-/* Starts the instance with the command of the deploy file, whose store is at
-   STORE_PORT, and waits until it is ready.  Returns 0, or -1.  */
+/* Starts machine INDEX, on its previous ports if it ran before, with the
+   command of the deploy file; its store is at STORE_PORT.  Waits until it is
+   ready.  Returns 0, or -1.  */
 int
-review_router_start (int store_port)
+review_machine_start (int index, int store_port)
 {
+  struct machine *machine = &review.machines[index];
   char option[] = "--settings";
   char *arguments[] = { program, option, NULL, NULL };
-  char *log = g_build_filename (review.directory, "log", NULL);
+  char *log = machine_path (index, log_name);
   posix_spawn_file_actions_t actions;
   int result;
 
-  review.front_port = find_free_port ();
-  review.readiness_port = find_free_port ();
-  review.peer_port = find_free_port ();
-  review.metrics_port = find_free_port ();
-  arguments[2] = write_settings (store_port);
+  if (machine->front_port == 0)
+    {
+      machine->front_port = find_free_port ();
+      machine->readiness_port = find_free_port ();
+      machine->peer_port = find_free_port ();
+      machine->metrics_port = find_free_port ();
+    }
+  arguments[2] = write_settings (index, store_port);
   if (arguments[2] == NULL)
     return -1;
   posix_spawn_file_actions_init (&actions);
   posix_spawn_file_actions_addopen (&actions, STDOUT_FILENO, log,
                                     O_WRONLY | O_CREAT | O_APPEND, 0600);
-  result
-      = posix_spawn (&review.pid, program, &actions, NULL, arguments, environ);
+  result = posix_spawn (&machine->pid, program, &actions, NULL, arguments,
+                        environ);
   posix_spawn_file_actions_destroy (&actions);
   g_free (arguments[2]);
   g_free (log);
   if (result != 0)
     {
-      review.pid = 0;
+      machine->pid = 0;
       return -1;
     }
   for (int ms = 0; ms < START_TIMEOUT_MS; ms += POLL_MS)
     {
-      if (is_ready ())
+      if (is_ready (machine))
         {
-          review_record ("the instance is ready");
+          review_record ("machine %d is ready", index);
           return 0;
         }
       fx_sleep_ms (POLL_MS);
@@ -265,59 +288,69 @@
   return -1;
 }
 
-/* Returns the port at which the instance listens for requesters.  */
+/* Returns the port at which machine INDEX listens for requesters.  */
 int
-review_router_port (void)
+review_machine_port (int index)
 {
-  return review.front_port;
+  return review.machines[index].front_port;
 }
 
-/* Sends the signal NUMBER to the instance.  */
+/* Sends the signal NUMBER to the process of machine INDEX.  */
 void
-review_router_signal (int number)
+review_machine_signal (int index, int number)
 {
-  review_record ("signal to the instance: %s", strsignal (number));
-  kill (review.pid, number);
+  review_record ("signal to machine %d: %s", index, strsignal (number));
+  kill (review.machines[index].pid, number);
 }
 
-/* Waits for the instance to end by itself.  Returns its exit status, the
-   negated number of the signal that ended it, or INT_MAX if it still runs
-   after TIMEOUT_MS.  */
+/* Waits for the process of machine INDEX to end by itself.  Returns its exit
+   status, the negated number of the signal that ended it, or INT_MAX if it
+   still runs after TIMEOUT_MS.  */
 int
-review_router_wait (int64_t timeout_ms)
+review_machine_wait (int index, int64_t timeout_ms)
 {
+  struct machine *machine = &review.machines[index];
   int64_t until_ms = review_now_ms () + timeout_ms;
   int status = 0;
 
-  while (waitpid (review.pid, &status, WNOHANG) == 0)
+  while (waitpid (machine->pid, &status, WNOHANG) == 0)
     {
       if (review_now_ms () >= until_ms)
         return G_MAXINT;
       fx_sleep_ms (POLL_MS);
     }
-  review.pid = 0;
+  machine->pid = 0;
   return WIFEXITED (status) ? WEXITSTATUS (status) : -WTERMSIG (status);
 }
 
-/* Ends the instance and removes the settings.  Records FINDING and returns the
-   exit status of the case.  */
-int
-review_end (int is_broken, const char *finding)
+/* Ends the process of machine INDEX, if it runs, and removes its files.  */
+static void
+end_machine (int index)
 {
-  static const char *const files[] = { "boot.yaml", "log" };
+  static const char *const names[] = { settings_name, log_name };
+  const struct machine *machine = &review.machines[index];
 
-  if (review.pid > 0)
+  if (machine->pid > 0)
     {
-      kill (review.pid, SIGKILL);
-      waitpid (review.pid, NULL, 0);
+      kill (machine->pid, SIGKILL);
+      waitpid (machine->pid, NULL, 0);
     }
-  for (size_t i = 0; i < G_N_ELEMENTS (files); i++)
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
     {
-      char *path = g_build_filename (review.directory, files[i], NULL);
+      char *path = machine_path (index, names[i]);
 
       unlink (path);
       g_free (path);
     }
+}
+
+/* Ends the instances and removes their files.  Records FINDING and returns the
+   exit status of the case.  */
+int
+review_end (int is_broken, const char *finding)
+{
+  for (int i = 0; i < REVIEW_MACHINES_MAX; i++)
+    end_machine (i);
   rmdir (review.directory);
   review_record ("%s: %s", is_broken ? "BROKEN" : "held", finding);
   printf ("%s: %s\n", is_broken ? "BROKEN" : "held", finding);
--- a/review/common/review.h
+++ b/review/common/review.h
@@ -15,6 +15,7 @@
   REVIEW_HELD = 0,    /* the rule held */
   REVIEW_BROKEN = 1,  /* the rule was broken */
   REVIEW_NOT_RUN = 2, /* the case could not be run */
+  REVIEW_MACHINES_MAX = 3,
   REVIEW_CONFIG_APPLY_MS = 2000,
   REVIEW_DRAIN_MS = 2000,
   REVIEW_GRACE_MS = 8000
@@ -34,14 +35,18 @@
 int64_t review_now_ms (void);
 void review_record (const char *format, ...) G_GNUC_PRINTF (1, 2);
 void review_store_start (const char *config);
-int review_router_start (int store_port);
-int review_router_port (void);
-void review_router_signal (int number);
-int review_router_wait (int64_t timeout_ms);
+
+/* For the machine INDEX, from 0.  */
+int review_machine_start (int index, int store_port);
+int review_machine_port (int index);
+void review_machine_signal (int index, int number);
+int review_machine_wait (int index, int64_t timeout_ms);
+
 int review_end (int is_broken, const char *finding);
 
 /* requester.c */
 struct review_response review_exchange (const char *request);
+struct review_response review_exchange_with (int machine, const char *request);
 void review_response_clear (struct review_response *response);
 char *review_request (const char *method, const char *path, const char *id,
                       const char *key, int64_t deadline_ms, const char *fields,
