End the instances of a case that could not be run

Cause: a case that ended early, as an instance did not become ready, left it running. Change: review/common ends all that it started, and removes its folder, at exit.

--- a/review/common/review.c
+++ b/review/common/review.c
@@ -27,6 +27,7 @@
 
 extern char **environ;
 
+static void end_machines (void);
 static void fill_in (GString *text, const char *name, const char *format, ...)
     G_GNUC_PRINTF (3, 4);
 
@@ -88,7 +89,7 @@
     }
   review.directory = g_dir_make_tmp ("review-XXXXXX", NULL);
   review_record ("disruption: %s", review.has_trouble ? "yes" : "no");
-  return review.directory != NULL ? 0 : -1;
+  return review.directory != NULL && atexit (end_machines) == 0 ? 0 : -1;
 }
 
 /* Returns whether the disruption is part of this run.  */
@@ -328,12 +329,13 @@
 end_machine (int index)
 {
   static const char *const names[] = { settings_name, log_name };
-  const struct machine *machine = &review.machines[index];
+  struct machine *machine = &review.machines[index];
 
   if (machine->pid > 0)
     {
       kill (machine->pid, SIGKILL);
       waitpid (machine->pid, NULL, 0);
+      machine->pid = 0;
     }
   for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
     {
@@ -344,14 +346,22 @@
     }
 }
 
+/* Ends the instances and removes their files, also of a case that could not be
+   run.  */
+static void
+end_machines (void)
+{
+  for (int i = 0; i < REVIEW_MACHINES_MAX; i++)
+    end_machine (i);
+  rmdir (review.directory);
+}
+
 /* Ends the instances and removes their files.  Records FINDING and returns the
    exit status of the case.  */
 int
 review_end (int is_broken, const char *finding)
 {
-  for (int i = 0; i < REVIEW_MACHINES_MAX; i++)
-    end_machine (i);
-  rmdir (review.directory);
+  end_machines ();
   review_record ("%s: %s", is_broken ? "BROKEN" : "held", finding);
   printf ("%s: %s\n", is_broken ? "BROKEN" : "held", finding);
   fflush (stdout);
