--- a/review/common/review.c
+++ b/review/common/review.c
@@ -44,6 +44,7 @@
   int readiness_port;
   int peer_port;
   int metrics_port;
+  const char *store_host; /* NULL: the usual one */
 };
 
 static struct
@@ -147,6 +148,18 @@
     }
 }
 
+/* Finds the ports of MACHINE, unless it has them.  */
+static void
+find_ports (struct machine *machine)
+{
+  if (machine->front_port != 0)
+    return;
+  machine->front_port = find_free_port ();
+  machine->readiness_port = find_free_port ();
+  machine->peer_port = find_free_port ();
+  machine->metrics_port = find_free_port ();
+}
+
 /* Starts the store with CONFIG as the configuration.  */
 void
 review_store_start (const char *config)
@@ -179,8 +192,8 @@
 }
 
 /* Writes the settings of machine INDEX: the template of the deploy file,
-   filled in as by the platform for a machine of a small deployment.  Returns
-   the path, newly allocated, or NULL.  */
+   filled in as by the platform for a machine of a small deployment, each in a
+   zone of its own.  Returns the path, newly allocated, or NULL.  */
 static char *
 write_settings (int index, int store_port)
 {
@@ -192,16 +205,18 @@
   if (!g_file_get_contents (template_path, &template, NULL, NULL))
     return NULL;
   text = g_string_new (template);
-  fill_in (text, "{{node}}", "front-a-%d", index + 1);
+  fill_in (text, "{{node}}", "front-%c-1", 'a' + index);
   fill_in (text, "{{region}}", "r");
-  fill_in (text, "{{zone}}", "a");
+  fill_in (text, "{{zone}}", "%c", 'a' + index);
   fill_in (text, "{{listen.front}}", "127.0.0.1:%d", machine->front_port);
   fill_in (text, "{{listen.readiness}}", "127.0.0.1:%d",
            machine->readiness_port);
   fill_in (text, "{{ip}}:{{port_range.0}}", "127.0.0.1:%d",
            machine->peer_port);
   fill_in (text, "{{ip}}:9464", "127.0.0.1:%d", machine->metrics_port);
-  fill_in (text, "{{platform.address}}", "127.0.0.1:%d", store_port);
+  fill_in (text, "{{platform.address}}", "%s:%d",
+           machine->store_host != NULL ? machine->store_host : "127.0.0.1",
+           store_port);
   fill_in (text, "{{bounds.cap_factor}}", "2");
   fill_in (text, "{{bounds.retry_ratio}}", "0.2");
   fill_in (text, "{{bounds.retry_slack}}", "58");
@@ -254,13 +269,7 @@
   posix_spawn_file_actions_t actions;
   int result;
 
-  if (machine->front_port == 0)
-    {
-      machine->front_port = find_free_port ();
-      machine->readiness_port = find_free_port ();
-      machine->peer_port = find_free_port ();
-      machine->metrics_port = find_free_port ();
-    }
+  find_ports (machine);
   arguments[2] = write_settings (index, store_port);
   if (arguments[2] == NULL)
     return -1;
@@ -296,6 +305,22 @@
   return review.machines[index].front_port;
 }
 
+/* Has machine INDEX, which is yet to be started, reach the store at HOST,
+   which lasts as long.  */
+void
+review_machine_set_store (int index, const char *host)
+{
+  review.machines[index].store_host = host;
+}
+
+/* Returns the port at which machine INDEX listens for other machines.  */
+int
+review_machine_peer_port (int index)
+{
+  find_ports (&review.machines[index]);
+  return review.machines[index].peer_port;
+}
+
 /* Sends the signal NUMBER to the process of machine INDEX.  */
 void
 review_machine_signal (int index, int number)
--- a/review/common/review.h
+++ b/review/common/review.h
@@ -38,7 +38,9 @@
 
 /* For the machine INDEX, from 0.  */
 int review_machine_start (int index, int store_port);
+void review_machine_set_store (int index, const char *host);
 int review_machine_port (int index);
+int review_machine_peer_port (int index);
 void review_machine_signal (int index, int number);
 int review_machine_wait (int index, int64_t timeout_ms);
 
