--- a/review/3/case.c
+++ b/review/3/case.c
@@ -1,5 +1,6 @@
-/* A new version of the configuration splits a route over many services, and
-   takes a key away.  */
+/* One part of a prompt crashes each worker that begins to write an answer on
+   it.  The prompts are those of long chats, and the part stands far behind. */
+#include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -9,129 +10,209 @@
 enum
 {
   MACHINES = 3,
-  SERVICES = 9,
-  FEW_SERVICES = 2, /* without the disruption */
-  REQUESTS = 12,    /* with the key that was taken away */
-  INTERVAL_MS = 250,
-  DEADLINE_MS = 3000,
-  SETTLE_MS = 1500
+  WORKERS = 6,
+  PARTS = 40,        /* of each prompt */
+  DEADLY_PLACE = 35, /* among them, from 0; the last one is another */
+  DEADLY_PART = 0xdead,
+  SHARED_PART = 0x5001, /* the first of all prompts */
+  SOUND_BEFORE = 12,    /* requests until the first one with the part */
+  REQUESTS = 24,        /* with the part */
+  INTERVAL_MS = 600,
+  SOUND_PER_DEADLY = 2,
+  EVENTS = 4,
+  EVENT_MS = 20,
+  DOWN_MS = 2000, /* a worker that has crashed */
+  SETTLE_MS = 1500,
+  CONTACT_MS = 3000,
+  CRASHES = 5,     /* after which the rule holds, CONTACT_MS later */
+  REACHED_MAX = 3, /* that the rule allows */
+  DEADLINE_MS = 15000
 };
 
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static int crashes;
+static int64_t fifth_ms; /* time of the fifth crash, or 0 */
+static int reached_late;
+static int sound_answered;
+static int sound_asked;
+
 static int run (const struct fx_request *request);
-static char *make_config (int version, int services, const char *keys);
-static int ask (int machine, int number, const char *key);
+static void crash (struct fx_target *target);
+static void *come_back (void *closure);
+static char *make_prompt (int number, int is_deadly);
+static void *request_stream (void *closure);
+static void ask (int number, int is_deadly);
 
-/* Worker: responds at once.  */
+/* Worker: answers with a stream.  With the deadly part, it crashes when it
+   begins to write.  */
 static int
 run (const struct fx_request *request)
 {
-  char *id = review_attempt_id (request);
+  char *prompt = fx_header_value (request->text, "X-Ibisloom-Prompt-Prefix");
+  char *deadly = g_strdup_printf (",%x:", DEADLY_PART);
+  int is_deadly = prompt != NULL && strstr (prompt, deadly) != NULL;
 
-  review_record ("%s, of %s, runs %s", request->target->id,
-                 request->target->service, id);
-  review_respond (request, "200 OK", "", "well");
-  g_free (id);
+  g_free (deadly);
+  g_free (prompt);
+  if (is_deadly)
+    {
+      char *id = review_attempt_id (request);
+
+      pthread_mutex_lock (&lock);
+      reached_late
+          += fifth_ms != 0 && review_now_ms () > fifth_ms + CONTACT_MS;
+      pthread_mutex_unlock (&lock);
+      review_record ("%s reaches %s", id, request->target->id);
+      g_free (id);
+    }
+  review_start_stream (request, "");
+  if (is_deadly && review_has_trouble ())
+    {
+      crash (request->target);
+      return 0;
+    }
+  for (int i = 1; i <= EVENTS; i++)
+    {
+      review_write_event (request, i, "text");
+      fx_sleep_ms (EVENT_MS);
+    }
+  review_end_stream (request);
   return 1;
 }
 
-/* Returns VERSION of the configuration, with a route that goes to so many
-   SERVICES with the same weights, and the JSON list KEYS, newly allocated.  */
+/* Has TARGET crash, and come back later.  */
+static void
+crash (struct fx_target *target)
+{
+  if (!fx_target_crash (target))
+    return;
+  pthread_mutex_lock (&lock);
+  crashes++;
+  if (crashes == CRASHES)
+    fifth_ms = review_now_ms ();
+  review_record ("%s crashes; %d crashes so far", target->id, crashes);
+  pthread_mutex_unlock (&lock);
+  fx_start_thread (come_back, target);
+}
+
+/* Has the worker CLOSURE start again after DOWN_MS.  */
+static void *
+come_back (void *closure)
+{
+  struct fx_target *target = closure;
+
+  fx_sleep_ms (DOWN_MS);
+  fx_target_recover (target);
+  fx_target_restart (target, "v1");
+  return NULL;
+}
+
+/* Returns the prompt of request NUMBER, newly allocated.  Prompts share their
+   first part, and if they are deadly, the deadly one; no two are alike.  */
 static char *
-make_config (int version, int services, const char *keys)
+make_prompt (int number, int is_deadly)
 {
   GString *text = g_string_new (NULL);
 
-  g_string_printf (text,
-                   "{\"version\":%d,\"routes\":[{\"name\":\"map-read\","
-                   "\"host\":\"shop.example\",\"path_prefix\":\"/map/\","
-                   "\"route_type\":\"idempotent\",\"timeout_ms\":3000,"
-                   "\"target_latency_ms\":300,\"priority\":2,"
-                   "\"max_attempts\":2,\"weighted_services\":[",
-                   version);
-  for (int i = 0; i < services; i++)
-    g_string_append_printf (text,
-                            "%s{\"service\":\"reservas-%d\",\"weight\":10}",
-                            i > 0 ? "," : "", i + 1);
-  g_string_append (text, "]}],\"services\":[");
-  for (int i = 0; i < SERVICES; i++)
-    g_string_append_printf (text, "%s{\"name\":\"reservas-%d\"}",
-                            i > 0 ? "," : "", i + 1);
-  g_string_append_printf (
-      text,
-      "],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"
-      "\"header_timeout_ms\":5000,\"idle_timeout_ms\":15000},"
-      "\"tenants\":[{\"name\":\"lodge\",\"api_keys\":%s}]}",
-      keys);
+  for (int i = 0; i < PARTS; i++)
+    {
+      int part = i == 0 ? SHARED_PART
+                 : is_deadly && i == DEADLY_PLACE
+                     ? DEADLY_PART
+                     : 0x100000 + number * PARTS + i;
+
+      g_string_append_printf (text, "%s%x:200", i > 0 ? "," : "", part);
+    }
   return g_string_free (text, FALSE);
 }
 
-/* Sends request NUMBER with KEY to MACHINE.  Returns the status of the
-   response.  */
-static int
-ask (int machine, int number, const char *key)
+/* Requester: sends the request whose number is CLOSURE, negative for one with
+   the deadly part.  */
+static void *
+request_stream (void *closure)
 {
-  char *id = g_strdup_printf ("%s-%d", key, number);
-  char *request
-      = review_request ("GET", "/map/1", id, key, DEADLINE_MS, "", NULL);
-  struct review_response response = review_exchange_with (machine, request);
-  int status = response.status;
+  int number = GPOINTER_TO_INT (closure);
+  int is_deadly = number < 0;
+  char *prompt = make_prompt (abs (number), is_deadly);
+  char *fields = g_strdup_printf ("X-Ibisloom-Prompt-Prefix: %s\r\n", prompt);
+  char *id
+      = g_strdup_printf ("%s-%d", is_deadly ? "deadly" : "s", abs (number));
+  char *body = g_strdup_printf ("plan %d", abs (number));
+  char *request = review_request ("POST", "/plan/1", id, "key-1", DEADLINE_MS,
+                                  fields, body);
+  struct review_response response
+      = review_exchange_with (abs (number) % MACHINES, request);
 
-  review_record ("%s at machine %d is answered %d", id, machine, status);
+  if (is_deadly)
+    review_record ("%s is answered %d", id, response.status);
+  else
+    {
+      g_atomic_int_inc (&sound_asked);
+      g_atomic_int_add (&sound_answered,
+                        response.status == 200 && response.is_complete);
+    }
   review_response_clear (&response);
   g_free (request);
+  g_free (body);
   g_free (id);
-  return status;
+  g_free (fields);
+  g_free (prompt);
+  return NULL;
+}
+
+/* Sends request NUMBER.  */
+static void
+ask (int number, int is_deadly)
+{
+  fx_start_thread (request_stream,
+                   GINT_TO_POINTER (is_deadly ? -number : number));
 }
 
 int
 main (int argc, char **argv)
 {
-  char *config = make_config (3, 1, "[\"key-1\",\"key-2\"]");
-  int dropped_ran = 0;
-  int served = 0;
+  char *config
+      = review_config (3, "[{\"name\":\"lodge\",\"api_keys\":[\"key-1\"]}]");
+  int number = 0;
   char *finding;
-  int services;
   int status;
 
   if (review_begin (argc, argv) != 0)
     return REVIEW_NOT_RUN;
-  services = review_has_trouble () ? SERVICES : FEW_SERVICES;
   review_store_start (config);
   g_free (config);
-  for (int i = 0; i < SERVICES; i++)
+  for (int i = 0; i < WORKERS; i++)
     {
       char *id = g_strdup_printf ("i-%d", i + 1);
-      char *service = g_strdup_printf ("reservas-%d", i + 1);
 
-      (void)fx_target_add (id, service, run);
-      g_free (service);
+      fx_target_restart (fx_target_add (id, "asistente", run), "v1");
       g_free (id);
     }
   for (int i = 0; i < MACHINES; i++)
     if (review_machine_start (i, fx_store_port ()) != 0)
       return REVIEW_NOT_RUN;
   fx_sleep_ms (SETTLE_MS);
-  for (int i = 0; i < MACHINES; i++)
-    if (ask (i, i, "key-2") != 200)
-      return REVIEW_NOT_RUN;
-  config = make_config (4, services, "[\"key-1\"]");
-  fx_store_put ("config", "main", config);
-  g_free (config);
-  review_record ("version 4 is confirmed: /map/ goes to %d services, key-2 is "
-                 "taken away",
-                 services);
-  fx_sleep_ms (REVIEW_CONFIG_APPLY_MS + SETTLE_MS);
+  for (int i = 0; i < SOUND_BEFORE; i++)
+    {
+      ask (++number, 0);
+      fx_sleep_ms (INTERVAL_MS / (1 + SOUND_PER_DEADLY));
+    }
   for (int i = 0; i < REQUESTS; i++)
     {
-      dropped_ran += ask (i % MACHINES, MACHINES + i, "key-2") == 200;
-      served += ask (i % MACHINES, i, "key-1") == 200;
-      fx_sleep_ms (INTERVAL_MS);
+      ask (++number, 1);
+      for (int j = 0; j < SOUND_PER_DEADLY; j++)
+        {
+          fx_sleep_ms (INTERVAL_MS / (1 + SOUND_PER_DEADLY));
+          ask (++number, 0);
+        }
+      fx_sleep_ms (INTERVAL_MS / (1 + SOUND_PER_DEADLY));
     }
+  fx_sleep_ms (SETTLE_MS);
   finding = g_strdup_printf (
-      "%d of %d requests ran with a key that was taken away more than %d ms "
-      "before; %d of %d with the other key are served",
-      dropped_ran, REQUESTS, REVIEW_CONFIG_APPLY_MS, served, REQUESTS);
-  status = review_end (dropped_ran > 0, finding);
+      "%d requests with the part reached workers later than %d ms after the "
+      "fifth crash; %d crashes, %d of %d sound requests served",
+      reached_late, CONTACT_MS, crashes, sound_answered, sound_asked);
+  status = review_end (reached_late > REACHED_MAX, finding);
   g_free (finding);
   return status;
 }
