--- a/review/5/case.c
+++ b/review/5/case.c
@@ -1,268 +1,236 @@
-/* A machine that is cut off from all workers has streams run through another
-   machine.  Then the zone of that one is cut off from the other zones.  */
+/* A planned stop while prompts queue at the engines: requests that still wait
+   for their first event at the end of the grace period.  */
 #include <pthread.h>
+#include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include "libfixture.h"
-#include "../common/link.h"
 #include "../common/review.h"
 
 enum
 {
-  MACHINES = 3,
-  WORKERS = 3,
-  CUT_ZONE = 1, /* its machine and its worker have this index */
-  STREAMS = 16,
-  EVENTS = 40,
-  EVENT_MS = 200, /* within the pause that the route allows */
-  INTERVAL_MS = 50,
-  SETTLE_MS = 2000,
-  NOTICE_MS = 1000, /* until the machine knows that it is cut off */
-  CALM_MS = 500,    /* while streams run through others */
-  CUT_MS = 5500,
-  DEADLINE_MS = 15000,
-  AT_WORK_MS = 400, /* that the rule allows */
-  RUNS_MAX = 256
+  WORKERS = 12,
+  READ_MS = 150, /* of one prompt, 9,180 tokens; one is read at a time */
+  EVENTS = 10,
+  EVENT_MS = 20,
+  DEADLINE_MS = 12000,
+  /* Requests a second: of one tenant, and of all others.  The capacity is
+     WORKERS / READ_MS = 80.  */
+  TENANT_PER_S = 15,
+  OTHERS_PER_S = 36,
+  TENANT_FACTOR = 7, /* what the tenant sends beyond its usual */
+  PRESS_MS = 6500,
+  CALM_MS = 1000,          /* before the tenant presses, in each round */
+  STOP_AFTER_MS = 3500,    /* since the tenant presses */
+  GAP_MS = 1000,           /* between the stops of two machines */
+  OUT_AFTER_MS = 2000,     /* two questions in a row without a 200 */
+  EXIT_TIMEOUT_MS = 20000, /* far longer than the grace period */
+  MACHINES = 3,            /* of one zone */
+  STOPPED = 2,             /* machines that are stopped, in each round */
+  ROUNDS = 7,
+  ENDS_MAX = 2 /* on each of two machines processes may end by themselves */
 };
 
-/* Run of a request at a worker. */
-struct run
+/* Requests of one kind of requester. */
+struct sender
 {
-  char *id;
-  int worker;
-  int machine; /* that sent it */
-  int64_t began_ms;
-  int64_t ended_ms; /* 0: still at work */
+  const char *name;
+  const char *key;
+  int per_s;
 };
 
-static int run_at_a (const struct fx_request *request);
-static int run_at_b (const struct fx_request *request);
-static int run_at_c (const struct fx_request *request);
-static int run_stream (const struct fx_request *request, int worker);
-static void *request_stream (void *closure);
-static void set_path (int machine, int worker, enum proxy_mode mode);
-static void cut_zone (int is_cut);
-static int count_overlaps (void);
-
-static struct link_worker workers[WORKERS] = {
-  { .id = "i-a", .service = "asistente", .zone = "a", .handler = run_at_a },
-  { .id = "i-b", .service = "asistente", .zone = "b", .handler = run_at_b },
-  { .id = "i-c", .service = "asistente", .zone = "c", .handler = run_at_c }
-};
-static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
-static struct run runs[RUNS_MAX];
-static int run_count;
-static int completed;
-static int64_t healed_ms; /* when the zone was no longer cut off */
+static pthread_mutex_t engines[WORKERS];
+static volatile int tenant_factor = 1;
+static volatile int is_over;
+static int64_t stopped_ms[MACHINES]; /* signal of its stop; 0: it serves */
+static int last_number;
 
+/* Returns whether the other side has closed the connection FD.  */
 static int
-run_at_a (const struct fx_request *request)
+is_closed (int fd)
 {
-  return run_stream (request, 0);
+  char byte;
+
+  return recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
+/* Engine: reads the prompts one after the other, but for those whose
+   connection was closed meanwhile, and then streams.  */
 static int
-run_at_b (const struct fx_request *request)
+run_request (const struct fx_request *request)
 {
-  return run_stream (request, 1);
+  pthread_mutex_t *engine
+      = &engines[atoi (request->target->id + strlen ("i-"))];
+  char *id = review_attempt_id (request);
+
+  pthread_mutex_lock (engine);
+  if (is_closed (request->fd))
+    {
+      pthread_mutex_unlock (engine);
+      g_free (id);
+      return 0;
+    }
+  fx_sleep_ms (READ_MS);
+  pthread_mutex_unlock (engine);
+  review_record ("a worker runs %s", id);
+  review_start_stream (request, "");
+  for (int i = 1; i <= EVENTS; i++)
+    {
+      review_write_event (request, i, "text");
+      fx_sleep_ms (EVENT_MS);
+    }
+  review_end_stream (request);
+  g_free (id);
+  return 1;
 }
 
+/* Returns whether the platform has taken MACHINE out of rotation.  */
 static int
-run_at_c (const struct fx_request *request)
+is_out (int machine)
 {
-  return run_stream (request, 2);
+  int64_t since_ms = __atomic_load_n (&stopped_ms[machine], __ATOMIC_SEQ_CST);
+
+  return since_ms != 0 && review_now_ms () - since_ms >= OUT_AFTER_MS;
 }
 
-/* Worker: writes a stream from the event that the request names, and stops
-   when its channel is closed.  */
+/* Returns the machine to which the platform forwards channel NUMBER: one in
+   rotation, or any one if fewer than half are.  */
 static int
-run_stream (const struct fx_request *request, int worker)
+choose_machine (int number)
 {
-  char *after = fx_header_value (request->text, "Last-Event-Id");
-  struct run *run;
-  int first = after != NULL ? atoi (after) + 1 : 1;
-  int last = first - 1;
-
-  pthread_mutex_lock (&lock);
-  run = &runs[MIN (run_count, RUNS_MAX - 1)];
-  run_count++;
-  *run = (struct run){ .id = review_attempt_id (request),
-                       .worker = worker,
-                       .machine = link_sender (request),
-                       .began_ms = review_now_ms () };
-  pthread_mutex_unlock (&lock);
-  review_record ("%s, for machine %d, runs %s from event %d on",
-                 workers[worker].id, run->machine, run->id, first);
-  review_start_stream (request, "");
-  while (last < EVENTS)
-    {
-      char byte;
+  int in_rotation = 0;
 
-      if (recv (request->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0)
-        break;
-      review_write_event (request, ++last, "text");
-      fx_sleep_ms (EVENT_MS);
-    }
-  if (last == EVENTS)
-    review_end_stream (request);
-  pthread_mutex_lock (&lock);
-  run->ended_ms = review_now_ms ();
-  pthread_mutex_unlock (&lock);
-  review_record ("%s ends %s after event %d%s", workers[worker].id, run->id,
-                 last, last == EVENTS ? "" : ", as its channel is closed");
-  g_free (after);
-  return 0;
+  for (int i = 0; i < MACHINES; i++)
+    in_rotation += !is_out (i);
+  while (in_rotation * 2 >= MACHINES && is_out (number % MACHINES))
+    number++;
+  return number % MACHINES;
 }
 
-/* Requester: sends the request whose number is CLOSURE to the first machine.
- */
+/* Requester: sends one request with the key CLOSURE.  */
 static void *
-request_stream (void *closure)
+send_request (void *closure)
 {
-  char *id = g_strdup_printf ("s-%d", GPOINTER_TO_INT (closure));
-  char *fields = g_strdup_printf ("X-Ibisloom-Prompt-Prefix: %x:600,%x:10\r\n",
-                                  0x1000 + GPOINTER_TO_INT (closure),
-                                  0x2000 + GPOINTER_TO_INT (closure));
-  char *request = review_request ("POST", "/plan/1", id, "key-1", DEADLINE_MS,
-                                  fields, "plan");
-  struct review_response response = review_exchange_with (0, request);
-
+  int number = g_atomic_int_add (&last_number, 1);
+  int machine = choose_machine (number);
+  char *id = g_strdup_printf ("r-%d", number);
+  char *request
+      = review_request ("POST", "/rules/1", id, closure, DEADLINE_MS,
+                        "X-Ibisloom-Model: m\r\nX-Ibisloom-Token-Usage: "
+                        "9180,294\r\n",
+                        "rules");
+  struct review_response response;
+
+  review_record ("sent %s to machine %d", id, machine);
+  response = review_exchange_with (machine, request);
   review_record ("%s is answered %d, %s", id, response.status,
                  response.is_complete ? "complete" : "not complete");
-  g_atomic_int_add (&completed,
-                    response.status == 200 && response.is_complete);
   review_response_clear (&response);
   g_free (request);
-  g_free (fields);
   g_free (id);
   return NULL;
 }
 
-/* Sets the MODE of the path from MACHINE to WORKER.  */
-static void
-set_path (int machine, int worker, enum proxy_mode mode)
+/* Sends requests of the SENDER in CLOSURE until the case is over.  */
+static void *
+send_requests (void *closure)
 {
-  proxy_set_mode (workers[worker].path[machine], mode, 0);
-}
+  const struct sender *sender = closure;
+  int is_tenant = strcmp (sender->name, "tenant") == 0;
 
-/* Cuts CUT_ZONE off from the other zones, or ends that.  All machines reach
-   the store.  The first one stays cut off from all workers.  */
-static void
-cut_zone (int is_cut)
-{
-  review_record ("zone %s is %s", workers[CUT_ZONE].zone,
-                 is_cut ? "cut off from the other zones"
-                        : "no longer cut off");
-  link_peer_cut (CUT_ZONE, is_cut);
-  for (int machine = 1; machine < MACHINES; machine++)
-    for (int worker = 0; worker < WORKERS; worker++)
-      if ((machine == CUT_ZONE) != (worker == CUT_ZONE))
-        set_path (machine, worker, is_cut ? PROXY_CUT_SILENT : PROXY_PASS);
+  while (!is_over)
+    {
+      int factor = is_tenant ? tenant_factor : 1;
+
+      fx_start_thread (send_request, (gpointer)(uintptr_t)sender->key);
+      fx_sleep_ms (1000 / (sender->per_s * factor));
+    }
+  return NULL;
 }
 
-/* Counts the requests that were sent to another worker while a worker went on
-   with them for AT_WORK_MS, though the machine that had sent it there runs and
-   reaches it.  What happened after the end of the cut does not count.  */
+/* Stops the first machines one after the other, while the tenant presses if
+   there is trouble, and starts them again.  Counts in ENDS the processes that
+   ended by a signal.  Returns 0, or -1 if one could not be started.  */
 static int
-count_overlaps (void)
+play_round (int ends[STOPPED])
 {
-  int count = 0;
-
-  pthread_mutex_lock (&lock);
-  for (int i = 0; i < MIN (run_count, RUNS_MAX); i++)
-    for (int j = 0; j < MIN (run_count, RUNS_MAX); j++)
-      {
-        const struct run *before = &runs[i];
-        const struct run *next = &runs[j];
-        int64_t ended_ms = before->ended_ms != 0
-                               ? MIN (before->ended_ms, healed_ms)
-                               : healed_ms;
-
-        if (strcmp (before->id, next->id) != 0
-            || before->worker == next->worker
-            || next->began_ms <= before->began_ms
-            || ended_ms < next->began_ms + AT_WORK_MS
-            || before->machine != CUT_ZONE || before->worker != CUT_ZONE)
-          continue;
-        review_record ("%s began at %s while %s went on for %d ms", next->id,
-                       workers[next->worker].id, workers[before->worker].id,
-                       (int)(ended_ms - next->began_ms));
-        count++;
-      }
-  pthread_mutex_unlock (&lock);
-  return count;
+  fx_sleep_ms (CALM_MS);
+  if (review_has_trouble ())
+    {
+      review_record ("the large tenant sends %d times its usual",
+                     TENANT_FACTOR);
+      tenant_factor = TENANT_FACTOR;
+    }
+  fx_sleep_ms (STOP_AFTER_MS);
+  for (int i = 0; i < STOPPED; i++)
+    {
+      __atomic_store_n (&stopped_ms[i], review_now_ms (), __ATOMIC_SEQ_CST);
+      review_machine_signal (i, SIGTERM);
+      fx_sleep_ms (GAP_MS);
+    }
+  fx_sleep_ms (PRESS_MS - STOP_AFTER_MS - STOPPED * GAP_MS);
+  tenant_factor = 1;
+  for (int i = 0; i < STOPPED; i++)
+    {
+      int end = review_machine_wait (i, EXIT_TIMEOUT_MS);
+
+      review_record ("machine %d ended %s%d", i,
+                     end < 0 ? "by signal " : "with status ", abs (end));
+      ends[i] += end < 0;
+      if (review_machine_start (i, fx_store_port ()) != 0)
+        return -1;
+      __atomic_store_n (&stopped_ms[i], 0, __ATOMIC_SEQ_CST);
+    }
+  return 0;
 }
 
 int
 main (int argc, char **argv)
 {
+  static struct sender senders[] = { { "tenant", "key-1", TENANT_PER_S },
+                                     { "others", "key-2", OTHERS_PER_S } };
   char *config
-      = review_config (3, "[{\"name\":\"lodge\",\"api_keys\":[\"key-1\"]}]");
-  pthread_t requesters[STREAMS];
+      = review_config (3, "[{\"name\":\"large\",\"api_keys\":[\"key-1\"]},"
+                          "{\"name\":\"small\",\"api_keys\":[\"key-2\"]}]");
+  int ends[STOPPED] = { 0 };
+  int rounds = 0;
   char *finding;
-  int overlaps;
   int status;
 
   if (review_begin (argc, argv) != 0)
     return REVIEW_NOT_RUN;
   review_store_start (config);
   g_free (config);
-  for (int i = 0; i < MACHINES; i++)
+  for (int i = 0; i < WORKERS; i++)
     {
-      char *name = g_strdup_printf ("front-%c-1", 'a' + i);
+      char *id = g_strdup_printf ("i-%d", i);
+      struct fx_target *target = fx_target_add (id, "asistente", run_request);
 
-      link_peers_announce (i, name);
-      review_machine_set_store (i, link_store_host (i));
-      g_free (name);
+      pthread_mutex_init (&engines[i], NULL);
+      target->slots = 64;
+      fx_target_put_entry (target, "");
+      g_free (id);
     }
-  link_peers_start (MACHINES);
   for (int i = 0; i < MACHINES; i++)
-    if (review_machine_start (i, link_store_listen (i)) != 0)
-      return REVIEW_NOT_RUN;
-  fx_sleep_ms (SETTLE_MS);
-  for (int i = 0; i < WORKERS; i++)
     {
-      if (link_worker_start (&workers[i], MACHINES) != 0)
+      review_machine_set_zone (i, 'a');
+      if (review_machine_start (i, fx_store_port ()) != 0)
         return REVIEW_NOT_RUN;
-      link_worker_announce (&workers[i]);
     }
-  fx_sleep_ms (SETTLE_MS);
-  if (review_has_trouble ())
-    {
-      review_record ("machine 0 is cut off from all workers");
-      for (int i = 0; i < WORKERS; i++)
-        set_path (0, i, PROXY_CUT_SILENT);
-    }
-  for (int i = 0; i < STREAMS; i++)
-    {
-      if (pthread_create (&requesters[i], NULL, request_stream,
-                          GINT_TO_POINTER (i))
-          != 0)
-        return REVIEW_NOT_RUN;
-      fx_sleep_ms (INTERVAL_MS);
-    }
-  fx_sleep_ms (NOTICE_MS + CALM_MS);
-  if (review_has_trouble ())
-    cut_zone (1);
-  fx_sleep_ms (CUT_MS);
-  healed_ms = review_now_ms ();
-  if (review_has_trouble ())
-    {
-      cut_zone (0);
-      for (int i = 0; i < WORKERS; i++)
-        set_path (0, i, PROXY_PASS);
-    }
-  for (int i = 0; i < STREAMS; i++)
-    pthread_join (requesters[i], NULL);
-  overlaps = count_overlaps ();
-  finding = g_strdup_printf (
-      "%d of %d streams were at work at two workers for over %d ms; %d are "
-      "complete",
-      overlaps, STREAMS, AT_WORK_MS, completed);
-  status = review_end (overlaps > 0, finding);
+  for (size_t i = 0; i < G_N_ELEMENTS (senders); i++)
+    fx_start_thread (send_requests, &senders[i]);
+  for (; rounds < ROUNDS && (ends[0] <= ENDS_MAX || ends[1] <= ENDS_MAX);
+       rounds++)
+    if (play_round (ends) != 0)
+      return REVIEW_NOT_RUN;
+  is_over = 1;
+  finding
+      = g_strdup_printf ("of %d stops each, machine 0 ended by a signal of "
+                         "nobody %d times, and machine 1 %d times",
+                         rounds, ends[0], ends[1]);
+  status = review_end (ends[0] > ENDS_MAX && ends[1] > ENDS_MAX, finding);
   g_free (finding);
   return status;
 }
--- a/review/common/review.c
+++ b/review/common/review.c
@@ -45,6 +45,7 @@
   int peer_port;
   int metrics_port;
   const char *store_host; /* NULL: the usual one */
+  char zone;              /* 0: one of its own */
 };
 
 static struct
@@ -192,22 +193,24 @@
 }
 
 /* Writes the settings of machine INDEX: the template of the deploy file,
-   filled in as by the platform for a machine of a small deployment, each in a
-   zone of its own.  Returns the path, newly allocated, or NULL.  */
+   filled in as by the platform for a machine of a small deployment.  Returns
+   the path, newly allocated, or NULL.  */
 static char *
 write_settings (int index, int store_port)
 {
   const struct machine *machine = &review.machines[index];
   char *path = machine_path (index, settings_name);
+  char zone = machine->zone != 0 ? machine->zone : (char)('a' + index);
   char *template = NULL;
   GString *text;
 
   if (!g_file_get_contents (template_path, &template, NULL, NULL))
     return NULL;
   text = g_string_new (template);
-  fill_in (text, "{{node}}", "front-%c-1", 'a' + index);
+  fill_in (text, "{{node}}", "front-%c-%d", zone,
+           machine->zone != 0 ? index + 1 : 1);
   fill_in (text, "{{region}}", "r");
-  fill_in (text, "{{zone}}", "%c", 'a' + index);
+  fill_in (text, "{{zone}}", "%c", zone);
   fill_in (text, "{{listen.front}}", "127.0.0.1:%d", machine->front_port);
   fill_in (text, "{{listen.readiness}}", "127.0.0.1:%d",
            machine->readiness_port);
@@ -305,6 +308,13 @@
   return review.machines[index].front_port;
 }
 
+/* Puts machine INDEX, which is yet to be started, in ZONE, a letter.  */
+void
+review_machine_set_zone (int index, char zone)
+{
+  review.machines[index].zone = zone;
+}
+
 /* Has machine INDEX, which is yet to be started, reach the store at HOST,
    which lasts as long.  */
 void
--- a/review/common/review.h
+++ b/review/common/review.h
@@ -38,6 +38,7 @@
 
 /* For the machine INDEX, from 0.  */
 int review_machine_start (int index, int store_port);
+void review_machine_set_zone (int index, char zone);
 void review_machine_set_store (int index, const char *host);
 int review_machine_port (int index);
 int review_machine_peer_port (int index);
