End the instances of a case whose stand-ins have failed

Cause: a stand-in that finds no port aborts, and the instances went on.

Change: the case ends them then too, as when it is told to end.

--- a/review/common/review.c
+++ b/review/common/review.c
@@ -59,7 +59,8 @@
 
 static pthread_mutex_t record_lock = PTHREAD_MUTEX_INITIALIZER;
 
-/* Ends the instances with the case, which was told to end.  */
+/* Ends the instances with the case, which was told to end, or whose stand-ins
+   have failed.  */
 static void
 on_signal (int number)
 {
@@ -80,6 +81,7 @@
   signal (SIGPIPE, SIG_IGN);
   signal (SIGTERM, on_signal);
   signal (SIGINT, on_signal);
+  signal (SIGABRT, on_signal);
   review.has_trouble = trouble == NULL || strcmp (trouble, "0") != 0;
   review.started_us = g_get_monotonic_time ();
   review.record = argc > 1 ? fopen (argv[1], "we") : NULL;
