Keep the cases within the sheet, and record all that they send

Cause: the case for LOST lost one machine of three and added one worker to three, more than the shares of the site file; two cases did not record each request that was sent; a case that was told to end left its temporary folder.

--- a/review/3/case.c
+++ b/review/3/case.c
@@ -50,21 +50,17 @@
 {
   char *prompt = fx_header_value (request->text, "X-Ibisloom-Prompt-Prefix");
   char *deadly = g_strdup_printf (",%x:", DEADLY_PART);
+  char *id = review_attempt_id (request);
   int is_deadly = prompt != NULL && strstr (prompt, deadly) != NULL;
 
   g_free (deadly);
   g_free (prompt);
-  if (is_deadly)
-    {
-      char *id = review_attempt_id (request);
-
-      pthread_mutex_lock (&lock);
-      reached_late
-          += fifth_ms != 0 && review_now_ms () > fifth_ms + CONTACT_MS;
-      pthread_mutex_unlock (&lock);
-      review_record ("%s reaches %s", id, request->target->id);
-      g_free (id);
-    }
+  pthread_mutex_lock (&lock);
+  reached_late += is_deadly && fifth_ms != 0
+                  && review_now_ms () > fifth_ms + CONTACT_MS;
+  pthread_mutex_unlock (&lock);
+  review_record ("%s reaches %s", id, request->target->id);
+  g_free (id);
   review_start_stream (request, "");
   if (is_deadly && review_has_trouble ())
     {
@@ -140,12 +136,13 @@
   char *body = g_strdup_printf ("plan %d", abs (number));
   char *request = review_request ("POST", "/plan/1", id, "key-1", DEADLINE_MS,
                                   fields, body);
-  struct review_response response
-      = review_exchange_with (abs (number) % MACHINES, request);
+  struct review_response response;
 
-  if (is_deadly)
-    review_record ("%s is answered %d", id, response.status);
-  else
+  review_record ("sent %s to machine %d", id, abs (number) % MACHINES);
+  response = review_exchange_with (abs (number) % MACHINES, request);
+  review_record ("%s is answered %d, %s", id, response.status,
+                 response.is_complete ? "complete" : "not complete");
+  if (!is_deadly)
     {
       g_atomic_int_inc (&sound_asked);
       g_atomic_int_add (&sound_answered,
--- a/review/4/case.c
+++ b/review/4/case.c
@@ -14,8 +14,8 @@
 
 enum
 {
-  MACHINES = 3,
-  OLD_WORKERS = 3,
+  MACHINES = 9,
+  OLD_WORKERS = 12,
   STREAMS = 16,
   EVENTS = 40,
   EVENT_MS = 250,   /* within the pause that the route allows */
@@ -23,7 +23,7 @@
   RUN_MS = 2000,    /* until the power is lost */
   JOIN_MS = 1000,   /* from then until the new worker joins */
   GAP_MS = 3200,    /* eight times the pause; then requesters leave */
-  DARK_MS = 3500,   /* until the machine has power again */
+  DARK_MS = 3400,   /* until the machine has power again */
   DEADLINE_MS = 15000,
   TAKEN_UP_MIN = 12 /* that the rule asks for */
 };
@@ -137,6 +137,7 @@
 
   g_snprintf (stream.id, sizeof stream.id, "s-%d", number);
   request = plan_request (stream.id, "");
+  review_record ("sent %s to machine 0", stream.id);
   fx_send (fd, request);
   (void)receive (fd, &stream);
   g_free (request);
@@ -164,6 +165,7 @@
 
   g_snprintf (rest.id, sizeof rest.id, "s-%d-again", number);
   request = plan_request (rest.id, fields);
+  review_record ("sent %s to machine %d", rest.id, machine);
   fx_send (fd, request);
   g_atomic_int_inc (&taken_up);
   status = receive (fd, &rest);
@@ -185,10 +187,12 @@
   char *request = plan_request (id, "");
   char *text;
 
+  review_record ("sent %s to machine %d", id, 1 + number % (MACHINES - 1));
   fx_send (fd, request);
   text = fx_read_until (fd, "id: 1\n");
   if (strstr (text, "id: 1\n") != NULL)
     g_atomic_int_inc (&begun);
+  review_record ("%s is answered: %.12s", id, text);
   close (fd);
   g_free (text);
   g_free (request);
--- a/review/common/review.c
+++ b/review/common/review.c
@@ -21,6 +21,7 @@
   PORT_LAST = 31999,
   PORT_BLOCKS = 200,
   PORTS_PER_BLOCK = 100,
+  ZONES = 3,
   START_TIMEOUT_MS = 10000,
   POLL_MS = 10
 };
@@ -45,7 +46,7 @@
   int peer_port;
   int metrics_port;
   const char *store_host; /* NULL: the usual one */
-  char zone;              /* 0: one of its own */
+  char zone;              /* 0: all zones in turn */
 };
 
 static struct
@@ -202,15 +203,14 @@
 {
   const struct machine *machine = &review.machines[index];
   char *path = machine_path (index, settings_name);
-  char zone = machine->zone != 0 ? machine->zone : (char)('a' + index);
+  char zone = machine->zone != 0 ? machine->zone : (char)('a' + index % ZONES);
   char *template = NULL;
   GString *text;
 
   if (!g_file_get_contents (template_path, &template, NULL, NULL))
     return NULL;
   text = g_string_new (template);
-  fill_in (text, "{{node}}", "front-%c-%d", zone,
-           machine->zone != 0 ? index + 1 : 1);
+  fill_in (text, "{{node}}", "front-%c-%d", zone, index + 1);
   fill_in (text, "{{region}}", "r");
   fill_in (text, "{{zone}}", "%c", zone);
   fill_in (text, "{{listen.front}}", "127.0.0.1:%d", machine->front_port);
--- a/review/common/review.h
+++ b/review/common/review.h
@@ -15,7 +15,7 @@
   REVIEW_HELD = 0,    /* the rule held */
   REVIEW_BROKEN = 1,  /* the rule was broken */
   REVIEW_NOT_RUN = 2, /* the case could not be run */
-  REVIEW_MACHINES_MAX = 3,
+  REVIEW_MACHINES_MAX = 9,
   REVIEW_CONFIG_APPLY_MS = 2000,
   REVIEW_DRAIN_MS = 2000,
   REVIEW_GRACE_MS = 8000
--- a/review/common/run.sh
+++ b/review/common/run.sh
@@ -10,6 +10,9 @@
   echo "build with deploy/system.toml and review/build.sh first" >&2
   exit 2
 fi
+TMPDIR=$(mktemp -d) || exit 2
+export TMPDIR
+trap 'rm -rf "$TMPDIR"' EXIT
 timeout -k 1 115 "$program" "$folder/record.txt"
 status=$?
 case $status in
