--- a/request/librelay.h
+++ b/request/librelay.h
@@ -247,6 +247,7 @@
                            const struct out_call *call,
                            const struct http_head *head);
 int relay_is_not_run (const struct relay *relay, const struct http_head *head);
+int relay_promises_not_run (uint32_t status);
 enum retry_fault relay_response_fault (const struct relay *relay,
                                        const struct relay_attempt *attempt);
 void relay_deliver_response (struct relay *relay);
--- a/request/relay_fault.c
+++ b/request/relay_fault.c
@@ -161,8 +161,10 @@
   enum relay_refusal refusal = RELAY_TARGET_FAILED;
   int is_hop = relay->attempt.target->is_peer;
 
-  /* The target's error response is passed on to the client.  */
-  if (fault == RETRY_FAULT_ERROR_STATUS && !relay->head_sent)
+  /* The target's error response is passed on to the client, unless its status
+     would be a promise that the target has not given.  */
+  if (fault == RETRY_FAULT_ERROR_STATUS && !relay->head_sent
+      && !relay_promises_not_run (relay->attempt.status))
     {
       relay_deliver_response (relay);
       return;
--- a/request/relay_response.c
+++ b/request/relay_response.c
@@ -185,7 +185,8 @@
 {
   if (attempt->not_run)
     return RETRY_FAULT_REJECTED;
-  if (attempt->status >= HTTP_STATUS_INTERNAL_SERVER_ERROR)
+  if (attempt->status >= HTTP_STATUS_INTERNAL_SERVER_ERROR
+      || relay_promises_not_run (attempt->status))
     return RETRY_FAULT_ERROR_STATUS;
   if (relay->head_is_stream && !attempt->is_event_stream)
     return RETRY_FAULT_INVALID_RESPONSE;
@@ -280,10 +281,23 @@
          || head->status == HTTP_STATUS_MISDIRECTED_REQUEST;
 }
 
+/* Returns whether a response with STATUS tells a client that its request was
+   not run and never will be.  A target says that by a field (see
+   relay_is_not_run), so its status alone must not be passed on.  */
+int
+relay_promises_not_run (uint32_t status)
+{
+  return status == HTTP_STATUS_SERVICE_UNAVAILABLE
+         || status == HTTP_STATUS_TOO_MANY_REQUESTS
+         || status == HTTP_STATUS_REQUEST_TIMEOUT
+         || status == HTTP_STATUS_MISDIRECTED_REQUEST;
+}
+
 /* Returns whether HEAD, received by CALL, responds to RELAY.  It has to repeat
    the attempt id; a success has to be signed by the target and not be
-   content-encoded.  An error without an id is accepted on a new connection
-   only, since on a reused one it may belong to an earlier request.  */
+   content-encoded, and cannot be one of a request that was not run.  An error
+   without an id is accepted on a new connection only, since on a reused one it
+   may belong to an earlier request.  */
 int
 relay_matches_request (const struct relay *relay, const struct out_call *call,
                        const struct http_head *head)
@@ -296,6 +310,7 @@
   if (!http_is_success (head->status))
     return id != NULL || !out_call_reused_connection (call);
   return id != NULL && http_head_get (head, field[DIALECT_SIGNATURE]) != NULL
+         && !relay_is_not_run (relay, head)
          && http_head_get (head, "Content-Encoding") == NULL;
 }
 
--- a/request/relay_silence.c
+++ b/request/relay_silence.c
@@ -214,6 +214,7 @@
 
   if (!relay_matches_request (relay, relay->kept.call, head)
       || relay_is_not_run (relay, head)
+      || relay_promises_not_run (head->status)
       || head->status >= HTTP_STATUS_INTERNAL_SERVER_ERROR)
     return -1;
   cancel_replacement (relay);
