--- a/request/relay.c
+++ b/request/relay.c
@@ -409,12 +409,14 @@
     relay_refuse (relay, may_have_run ? RELAY_DEADLINE : RELAY_STOPPING);
 }
 
-/* Logs OUTCOME, ends RELAY and frees it.  */
+/* Logs OUTCOME, ends RELAY with the attempts that are in progress, and frees
+   it.  */
 void
 relay_finish (struct relay *relay, const char *outcome)
 {
   clk_ms now = clk_now (clk_monotonic ());
 
+  relay_end_attempt (relay, HEALTH_EVENT_COUNT);
   relay_drop_kept (relay, HEALTH_EVENT_COUNT);
   if (!relay->has_begun && !relay->takes_up)
     relay_origin_end (relay);
--- a/tests/router_fixture.c
+++ b/tests/router_fixture.c
@@ -146,8 +146,8 @@
   return fx_router_listens (0);
 }
 
-/* Writes the settings file of router INDEX, with EXTRA appended.  Returns its
-   path, newly allocated.  */
+/* Writes the settings file of router INDEX, with EXTRA appended, which may set
+   grace_s.  Returns its path, newly allocated.  */
 static char *
 write_router_settings (int index, const char *extra)
 {
@@ -160,11 +160,12 @@
       "failure_domain: %c\nregion: r\nlisten: 127.0.0.1:%d\n"
       "readiness_listen: 127.0.0.1:%d\npeer_listen: 127.0.0.1:%d\n"
       "operator_listen: 127.0.0.1:%d\nplatform: %s:%d\n"
-      "retry_slack: 50\ngrace_s: 8\n%s",
+      "retry_slack: 50\n%s%s",
       index, router->is_apart ? "apart" : "test", 'a' + index % FX_DOMAINS,
       router->request_port, router->readiness_port, router->peer_port,
       router->metrics_port, host,
-      router->store_port != 0 ? router->store_port : fx_env.store_port, extra);
+      router->store_port != 0 ? router->store_port : fx_env.store_port,
+      strstr (extra, "grace_s:") != NULL ? "" : "grace_s: 8\n", extra);
 
   g_file_set_contents (path, text, -1, NULL);
   g_free (text);
