--- a/include/ibisloom/routes.h
+++ b/include/ibisloom/routes.h
@@ -75,7 +75,8 @@
   GPtrArray *routes;    /* by host, then longest prefix first */
   GPtrArray *services;  /* of struct rt_service */
   GPtrArray *customers; /* of struct rt_customer */
-  GHashTable *keys;     /* API key to struct rt_customer */
+  GHashTable *keys;     /* API key to struct rt_customer; may be empty */
+  uint8_t needs_key;    /* customers are configured, be they none at all */
   struct rt_limits limits;
 };
 
--- a/request/relay_prepare.c
+++ b/request/relay_prepare.c
@@ -85,7 +85,7 @@
 }
 
 /* Looks up the customer by the request's API key.  Returns whether the
-   request is authorized: keys are not configured, the key is known, or the
+   request is authorized: no request needs a key, the key is known, or the
    route needs none.  */
 static int
 authenticate (struct relay *relay)
@@ -95,7 +95,7 @@
       = http_head_get (relay->head, dialect->field[DIALECT_CREDENTIAL]);
   const char *key = credential ? dialect->key (credential) : NULL;
 
-  if (g_hash_table_size (relay->table->keys) == 0)
+  if (!relay->table->needs_key)
     return 1;
   if (key != NULL)
     relay->customer = rt_customer (relay->table, key);
