--- a/include/ibisloom/routes.h
+++ b/include/ibisloom/routes.h
@@ -8,7 +8,6 @@
 
 enum
 {
-  RT_SPLIT_MAX = 8,
   RT_PRIORITY_LOWEST = 9
 };
 
@@ -39,7 +38,7 @@
   int32_t priority;      /* 0 is the highest */
   uint32_t attempts_max; /* distinct targets that a request may be sent to */
   uint32_t split_count;
-  struct rt_split split[RT_SPLIT_MAX];
+  struct rt_split *split;
   uint8_t allows_anonymous; /* requests need no API key */
   uint8_t is_resumable;     /* another target can resume a stream */
   uint8_t has_context; /* prefers targets that hold the prompt's context */
@@ -89,8 +88,8 @@
 struct rt_customer *rt_add_customer (struct rt_table *table, const char *name);
 void rt_add_key (struct rt_table *table, const char *key,
                  struct rt_customer *customer);
-int rt_add_split (struct rt_route *route, const char *service,
-                  uint32_t weight);
+void rt_add_split (struct rt_route *route, const char *service,
+                   uint32_t weight);
 void rt_seal (struct rt_table *table);
 
 const struct rt_route *rt_match (const struct rt_table *table,
--- a/request/librelay.h
+++ b/request/librelay.h
@@ -10,7 +10,8 @@
   RELAY_TRIED_MAX = 8,
   RELAY_EVENT_ID_BYTES = 64,
   RELAY_CONNECT_FAILURES_MAX = 4,
-  RELAY_HOPS_MAX = 3 /* instances that a request is sent through */
+  RELAY_HOPS_MAX = 3,  /* instances that a request is sent through */
+  RELAY_HOP_SPLITS = 2 /* enough to tell a split route from another one */
 };
 
 enum relay_refusal
@@ -78,6 +79,7 @@
 {
   struct hop_mark mark;
   struct rt_route route;
+  struct rt_split split[RELAY_HOP_SPLITS]; /* of the route */
   struct rt_customer customer;
 };
 
--- a/request/relay_accept.c
+++ b/request/relay_accept.c
@@ -107,7 +107,8 @@
   route->attempts_max = mark->attempts_max;
   route->is_resumable = mark->is_resumable;
   route->has_context = mark->has_context;
-  route->split_count = mark->is_split ? 2 : 1;
+  route->split = hop->split;
+  route->split_count = mark->is_split ? RELAY_HOP_SPLITS : 1;
   for (uint32_t i = 0; i < route->split_count; i++)
     route->split[i] = (struct rt_split){ service, 1 };
   hop->customer.name = hop->mark.customer;
--- a/tests/test_keys.c
+++ b/tests/test_keys.c
@@ -9,7 +9,8 @@
 
 enum
 {
-  APPLY_MS = 1000 /* until a new configuration is in force */
+  APPLY_MS = 1000, /* until a new configuration is in force */
+  SERVICES = 200   /* of a route that is split */
 };
 
 #define ROUTES                                                                \
@@ -28,6 +29,7 @@
 static void customers_without_keys_let_nobody_in (void);
 static void no_customers_let_anyone_in (void);
 static void the_last_key_can_be_taken_away (void);
+static void wide_splits_do_not_keep_keys (void);
 
 static const struct test_case cases[] = {
   { "customers without any key let nobody in",
@@ -36,6 +38,8 @@
     no_customers_let_anyone_in },
   { "the last key can be taken away and comes back",
     the_last_key_can_be_taken_away },
+  { "a route that is split over many services keeps no key in force",
+    wide_splits_do_not_keep_keys },
 };
 
 TEST_MAIN ("keys", cases)
@@ -127,3 +131,38 @@
     }
   fx_env_stop ();
 }
+
+/* Guards against a configuration that is dropped as a whole, as one of its
+   routes is split over more services than there is room for.  */
+static void
+wide_splits_do_not_keep_keys (void)
+{
+  GString *config = g_string_new (NULL);
+  char *first = make_config (
+      1, ",\"tenants\":[{\"name\":\"lodge\",\"api_keys\":[\"key-1\"]}]");
+
+  g_string_printf (config,
+                   "{\"version\":2,\"tenants\":[{\"name\":\"lodge\","
+                   "\"api_keys\":[\"key-2\"]}],\"routes\":[{\"name\":"
+                   "\"open\",\"host\":\"shop.example\",\"path_prefix\":"
+                   "\"/open/\",\"route_type\":\"idempotent\",\"anonymous\":"
+                   "true,\"service\":\"desk\"},{\"name\":\"map\",\"host\":"
+                   "\"shop.example\",\"path_prefix\":\"/map/\","
+                   "\"route_type\":\"idempotent\",\"weighted_services\":[");
+  for (int i = 0; i < SERVICES; i++)
+    g_string_append_printf (config, "{\"service\":\"s-%d\",\"weight\":0},", i);
+  g_string_append (config, "{\"service\":\"desk\",\"weight\":1}]}]}");
+  fx_target_add ("i-1", "desk", shop_respond_ok);
+  fx_env_start (first);
+  expect_key (1);
+  fx_store_put ("config", "main", config->str);
+  fx_sleep_ms (APPLY_MS);
+  expect_key (0);
+  shop_expect ("GET /map/1 HTTP/1.1\r\nHost: shop.example\r\n"
+               "X-Ibisloom-Attempt-Id: w\r\nAuthorization: Token key-2\r\n"
+               "Connection: close\r\n\r\n",
+               "200", "well");
+  fx_env_stop ();
+  g_string_free (config, TRUE);
+  g_free (first);
+}
--- a/version/routes.c
+++ b/version/routes.c
@@ -99,17 +99,14 @@
   g_hash_table_replace (table->keys, g_strdup (key), customer);
 }
 
-/* Adds SERVICE with WEIGHT to the services of ROUTE.  Returns 0, or -1 if
-   ROUTE has RT_SPLIT_MAX services already.  */
-int
+/* Adds SERVICE with WEIGHT to the services of ROUTE.  */
+void
 rt_add_split (struct rt_route *route, const char *service, uint32_t weight)
 {
-  if (route->split_count == RT_SPLIT_MAX)
-    return -1;
-  route->split[route->split_count].service = g_intern_string (service);
-  route->split[route->split_count].weight = weight;
-  route->split_count++;
-  return 0;
+  route->split
+      = g_renew (struct rt_split, route->split, (gsize)route->split_count + 1);
+  route->split[route->split_count++]
+      = (struct rt_split){ g_intern_string (service), weight };
 }
 
 /* Prepares TABLE for lookups.  No route may be added afterwards.  */
@@ -186,6 +183,7 @@
   g_free (route->name);
   g_free (route->host);
   g_free (route->prefix);
+  g_free (route->split);
   g_free (route);
 }
 
