--- a/include/ibisloom/fleet.h
+++ b/include/ibisloom/fleet.h
@@ -85,8 +85,8 @@
 void fleet_count_request (struct fleet *fleet, struct reg_target *target);
 uint32_t fleet_quarantined_count (const struct fleet *fleet);
 struct origins *fleet_origins (struct fleet *fleet);
-void fleet_add_origin (struct fleet *fleet, const struct origin_record *record,
-                       int is_split);
+void fleet_add_origin (struct fleet *fleet,
+                       const struct origin_record *record);
 void fleet_ask_origin (struct fleet *fleet, uint64_t attempt);
 void fleet_ask_versions (struct fleet *fleet, uint64_t service);
 uint64_t fleet_only_version (const struct fleet *fleet, uint64_t service,
--- a/process/fleet_origin.c
+++ b/process/fleet_origin.c
@@ -1,11 +1,12 @@
 /* Origins of streams, and the software versions that serve, as the instances
    learn them.
 
-   While versions differ, the instance that forwards the first event of a
-   stream tells a few others which version began it: those that rank first for
-   the stream.  An instance at which a client takes up a stream that it does
-   not know asks those that rank first, some more, since instances may have
-   ended or started meanwhile.  */
+   The instance that forwards the first event of a stream tells a few others
+   which version began it: those that rank first for the stream.  It does so
+   while one version serves too, as it may have ended when a second one comes.
+   An instance at which a client takes up a stream that it does not know asks
+   those that rank first, some more, since instances may have ended or started
+   meanwhile.  */
 #include "ibisloom/log.h"
 #include "ibisloom/rank.h"
 #include "libfleet.h"
@@ -24,7 +25,7 @@
                          const struct origin_record *record);
 static struct wire_origin wire_origin_of (const struct fleet *fleet,
                                           const struct origin_record *record);
-static void list_untold (struct fleet *fleet);
+static void tell_again (struct fleet *fleet);
 static void see_version (struct fleet *fleet,
                          const struct origin_version *version, clk_ms now);
 
@@ -90,7 +91,7 @@
   if (!origin_see_version (fleet->origins, version, now))
     return;
   if (!differed && origin_versions_differ (fleet->origins))
-    list_untold (fleet);
+    tell_again (fleet);
   if (!log_begin (&line, LOG_LEVEL_INFO, "origin", NULL, "version_seen"))
     return;
   log_hash (&line, "software", version->software);
@@ -99,10 +100,10 @@
   log_end (&line);
 }
 
-/* Has the origins of the streams that this instance has begun told to peers,
-   which have not been while one version served.  */
+/* Has the origins of the streams that this instance has begun told to peers
+   once more: those that were told may have ended since.  */
 static void
-list_untold (struct fleet *fleet)
+tell_again (struct fleet *fleet)
 {
   struct origin_cursor cursor = { 0 };
   struct origin_record record;
@@ -112,16 +113,14 @@
     g_array_append_val (fleet->untold_origins, record);
 }
 
-/* Records that the version in RECORD began a stream here, and tells peers if
-   others may have.  IS_SPLIT: the route of the stream has several services. */
+/* Records that the version in RECORD began a stream here, and tells peers.  */
 void
-fleet_add_origin (struct fleet *fleet, const struct origin_record *record,
-                  int is_split)
+fleet_add_origin (struct fleet *fleet, const struct origin_record *record)
 {
   int is_known = origin_find (fleet->origins, record->attempt) != 0;
 
   origin_add (fleet->origins, record, ORIGIN_OWN, clk_now (clk_monotonic ()));
-  if (!is_known && (is_split || origin_versions_differ (fleet->origins)))
+  if (!is_known)
     tell_origin (fleet, record);
 }
 
--- a/request/relay_origin.c
+++ b/request/relay_origin.c
@@ -268,7 +268,7 @@
                                    .software = record.software };
   if (relay->stream == 0 || !relay->route->is_resumable)
     return;
-  fleet_add_origin (relay->router->fleet, &record, is_split (relay->route));
+  fleet_add_origin (relay->router->fleet, &record);
   origin_set_attempt (fleet_origins (relay->router->fleet), relay->stream,
                       &relay->began);
 }
--- a/tests/test_resume.c
+++ b/tests/test_resume.c
@@ -24,6 +24,7 @@
 {
   APPLY_MS = 2000, /* until a new entry in the store is known */
   STORE_MS = 1500, /* until an origin is in the store */
+  HOLD_MS = 3000,
   ROUTERS = 6,
   EVENTS = 5,
   EVENTS_BEFORE_CUT = 2,
@@ -39,6 +40,8 @@
 static void unknown_stream_is_refused_among_two_versions (void);
 static void other_instance_goes_on_at_the_same_version (void);
 static void other_instance_knows_streams_from_before (void);
+static void streams_outlive_their_instance (void);
+static void streams_outlive_their_instance_and_route (void);
 static void client_that_leaves_ends_the_wait (void);
 static void stream_goes_on_at_its_service (void);
 static void stream_goes_on_after_all_were_killed (void);
@@ -63,6 +66,10 @@
     other_instance_goes_on_at_the_same_version },
   { "the same for a stream begun before the second version came",
     other_instance_knows_streams_from_before },
+  { "streams go on if their instance has ended before a second version came",
+    streams_outlive_their_instance },
+  { "streams go on if their instance has ended before their route was split",
+    streams_outlive_their_instance_and_route },
   { "a client that leaves ends the wait for the origin of its stream",
     client_that_leaves_ends_the_wait },
   { "a stream of a split route goes on at the service that began it",
@@ -395,6 +402,96 @@
   g_free (config);
 }
 
+/* Writes a stream that stands still after its first events, unless it is taken
+   up.  */
+static int
+hold_old (const struct fx_request *request)
+{
+  int is_whole = write_taken_up (request, "old");
+
+  fx_sleep_ms (is_whole ? 0 : HOLD_MS);
+  return is_whole;
+}
+
+/* Begins STREAMS streams at the first router, and kills it.  */
+static void
+begin_and_kill (void)
+{
+  int fds[STREAMS];
+
+  for (int i = 0; i < STREAMS; i++)
+    {
+      char *request = g_strdup_printf (POST_PLAN ("k-%d"), i);
+      char *response;
+
+      fds[i] = fx_router_connect (0);
+      fx_send (fds[i], request);
+      response = fx_read_until (fds[i], "data: old2");
+      CU_ASSERT_PTR_NOT_NULL (strstr (response, "data: old2"));
+      g_free (response);
+      g_free (request);
+    }
+  fx_router_signal (0, SIGKILL);
+  fx_router_wait_for_exit (0);
+  for (int i = 0; i < STREAMS; i++)
+    close (fds[i]);
+}
+
+/* Checks that the other routers take these streams up at the older version.
+ */
+static void
+expect_all_taken_up (void)
+{
+  for (int i = 0; i < STREAMS; i++)
+    {
+      char *request = g_strdup_printf (TAKE_UP ("t-%d", "k-%d"), i, i);
+      char *response = exchange_with (1 + i % (ROUTERS - 1), request);
+
+      CU_ASSERT_PTR_NOT_NULL (strstr (response, "data: old5"));
+      g_free (response);
+      g_free (request);
+    }
+}
+
+/* Guards against origins that are kept by one instance alone while one version
+   serves.  */
+static void
+streams_outlive_their_instance (void)
+{
+  add_old ("i-1", hold_old);
+  add_old ("i-3", hold_old);
+  fx_store_start (shop_config);
+  fx_routers_start (ROUTERS);
+  fx_sleep_ms (APPLY_MS);
+  begin_and_kill ();
+  add_version ("i-2", cut_new_until_taken_up, "v2");
+  fx_sleep_ms (APPLY_MS);
+  expect_all_taken_up ();
+  fx_env_stop ();
+}
+
+/* The same for a route that goes to a second service afterwards.  */
+static void
+streams_outlive_their_instance_and_route (void)
+{
+  char *config = split_config ();
+  char *split = g_strdup_printf ("{\"version\":4%s", strchr (config, ','));
+
+  add_old ("i-1", hold_old);
+  add_old ("i-3", hold_old);
+  fx_target_add ("i-2", "other", cut_new_until_taken_up);
+  fx_store_start (shop_config);
+  fx_routers_start (ROUTERS);
+  fx_sleep_ms (APPLY_MS);
+  begin_and_kill ();
+  fx_store_put ("config", "main", split);
+  fx_sleep_ms (APPLY_MS);
+  expect_all_taken_up ();
+  fx_env_stop ();
+  g_free (split);
+  g_free (config);
+}
+
 static void
 client_that_leaves_ends_the_wait (void)
 {
