--- a/connection/client.c
+++ b/connection/client.c
@@ -4,13 +4,14 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "ibisloom/buffer.h"
 #include "libsocket.h"
 #include "libclient.h"
 
 enum
 {
-  READ_BYTES = 65536,
-  PIPELINED_MAX_BYTES = 65536, /* received before the response to the current
+  READ_BYTES = 16384,
+  PIPELINED_MAX_BYTES = 16384, /* received before the response to the current
                                   request is complete */
   UNREAD_MS = 50,              /* time for input that has arrived to be read */
   CLOSE_TIMEOUT_MS = 1000,     /* time for the client to read the response and
@@ -72,8 +73,8 @@
     g_string_free (client->body, TRUE);
   if (client->pipelined != NULL)
     g_string_free (client->pipelined, TRUE);
-  if (client->output != NULL)
-    g_string_free (client->output, TRUE);
+  client_free_output (client);
+  buf_release (&client->body_share);
   g_free (client);
 }
 
@@ -156,6 +157,8 @@
     }
   if (result == HTTP_READ_TOO_LARGE)
     reject_request (client, HTTP_STATUS_REQUEST_HEADER_FIELDS_TOO_LARGE);
+  else if (result == HTTP_READ_STOPPED && client->is_crowded)
+    reject_request (client, HTTP_STATUS_SERVICE_UNAVAILABLE);
   else if (result == HTTP_READ_STOPPED)
     reject_request (client, HTTP_STATUS_PAYLOAD_TOO_LARGE);
   else
@@ -192,7 +195,8 @@
   return 0;
 }
 
-/* Appends a piece of the request body, up to the configured limit.  */
+/* Appends a piece of the request body, up to the configured limit and as long
+   as there is memory for it.  */
 static int
 on_data (struct http_reader *reader, const char *data, size_t length)
 {
@@ -204,7 +208,14 @@
   if (client->body->len + length > client->listener->limits.body_max_bytes)
     return -1;
   g_string_append_len (client->body, data, (gssize)length);
-  return 0;
+  client->is_crowded
+      = buf_reserve (&client->body_share, client->body->allocated_len) != 0;
+  if (!client->is_crowded)
+    return 0;
+  g_string_free (client->body, TRUE);
+  client->body = NULL;
+  buf_release (&client->body_share);
+  return -1;
 }
 
 /* Passes a complete request to the listener, which may respond during the
@@ -248,6 +259,7 @@
   client->request = NULL;
   client->is_response_complete = 1;
   client->listener->pending_requests--;
+  buf_release (&client->body_share);
   if (!client->in_handler)
     client_next_request (client);
 }
@@ -260,12 +272,7 @@
 
   if (client_backlog (client) > 0)
     return;
-  if (client->output != NULL)
-    {
-      g_string_free (client->output, TRUE);
-      client->output = NULL;
-      client->output_offset = 0;
-    }
+  client_free_output (client);
   /* A request that was read before a shutdown began gets a response.  */
   if (client->close_after
       || (client->listener->is_draining && pipelined == NULL))
--- a/connection/client_response.c
+++ b/connection/client_response.c
@@ -3,11 +3,12 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "ibisloom/buffer.h"
 #include "libclient.h"
 
 enum
 {
-  LOW_WATER_BYTES = 65536,
+  LOW_WATER_BYTES = 16384,
   HEAD_INITIAL_BYTES = 128
 };
 
@@ -73,6 +74,7 @@
   client->request = NULL;
   client->is_response_complete = 1;
   client->listener->pending_requests--;
+  buf_release (&client->body_share);
   if (client->in_handler)
     {
       client->is_aborted = 1;
@@ -99,6 +101,26 @@
                                 : client->output->len - client->output_offset;
 }
 
+/* Returns whether no more output should be made for CLIENT until it has read
+   some, as no memory is left to buffer it.  */
+int
+client_is_crowded (const struct client *client)
+{
+  return client->is_crowded;
+}
+
+/* Frees the buffer for output of CLIENT, which is empty or of no use.  */
+void
+client_free_output (struct client *client)
+{
+  if (client->output != NULL)
+    g_string_free (client->output, TRUE);
+  client->output = NULL;
+  client->output_offset = 0;
+  client->is_crowded = 0;
+  buf_release (&client->output_share);
+}
+
 /* Sends as much of DATA as the socket accepts, and buffers the rest.  */
 void
 client_write (struct client *client, const char *data, size_t length)
@@ -115,6 +137,9 @@
     client->output = g_string_sized_new (length - (size_t)sent);
   g_string_append_len (client->output, data + sent,
                        (gssize)(length - (size_t)sent));
+  client->is_crowded
+      = buf_reserve (&client->output_share, client->output->allocated_len)
+        != 0;
   ev_io_start (client->listener->loop, &client->writable);
 }
 
@@ -156,8 +181,7 @@
       return;
     }
   ev_io_stop (client->listener->loop, &client->writable);
-  g_string_truncate (client->output, 0);
-  client->output_offset = 0;
+  client_free_output (client);
   if (client->state == CLIENT_CLOSING)
     client_start_closing (client);
   else if (client->state == CLIENT_RESPONDING && client->is_response_complete)
--- a/connection/libclient.h
+++ b/connection/libclient.h
@@ -23,6 +23,8 @@
   GString *pipelined; /* input received after the current request */
   GString *output;
   size_t output_offset;
+  size_t body_share; /* of the pool of buffers, see buf_reserve */
+  size_t output_share;
   void *request;
   uint8_t state;
   uint8_t chunked;
@@ -31,6 +33,7 @@
   uint8_t in_handler; /* inside the listener's request operation */
   uint8_t is_response_complete;
   uint8_t is_aborted;
+  uint8_t is_crowded; /* no memory is left for more of its body or output */
   uint8_t has_received_request; /* a request was received on this connection */
 };
 
@@ -45,6 +48,7 @@
 
 /* client_response.c */
 void client_write (struct client *client, const char *data, size_t length);
+void client_free_output (struct client *client);
 void client_on_writable (struct ev_loop *loop, ev_io *watcher, int events);
 
 #endif
--- a/connection/outbound.c
+++ b/connection/outbound.c
@@ -11,7 +11,7 @@
 
 enum
 {
-  READ_BYTES = 65536,
+  READ_BYTES = 16384,
   IDLE_CONNECTIONS_PER_ADDRESS_MAX = 8,
   /* An idle connection is closed this long before the keep-alive timeout that
      its server announced, since the server may already be closing it.  */
--- a/include/ibisloom/client.h
+++ b/include/ibisloom/client.h
@@ -72,5 +72,6 @@
                      const char *fields, const char *body, size_t length);
 int client_is_at (const struct client *client, struct in_addr address);
 size_t client_backlog (const struct client *client);
+int client_is_crowded (const struct client *client);
 
 #endif
--- a/request/librelay.h
+++ b/request/librelay.h
@@ -72,6 +72,8 @@
   GString *response_fields;
   GString *buffered_body;
   GString *partial_event; /* start of an incomplete event */
+  size_t body_share;      /* of the pool of buffers, see buf_reserve */
+  size_t event_share;
 };
 
 /* Request that came from another instance, with what that has decided. */
--- a/request/relay.c
+++ b/request/relay.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "ibisloom/buffer.h"
 #include "ibisloom/metrics.h"
 #include "ibisloom/timeout.h"
 #include "librelay.h"
@@ -269,6 +270,8 @@
     g_string_free (attempt->buffered_body, TRUE);
   if (attempt->partial_event != NULL)
     g_string_free (attempt->partial_event, TRUE);
+  buf_release (&attempt->body_share);
+  buf_release (&attempt->event_share);
   memset (attempt, 0, sizeof *attempt);
 }
 
--- a/request/relay_events.c
+++ b/request/relay_events.c
@@ -2,6 +2,7 @@
    target can resume the stream after the last one. */
 #include <string.h>
 
+#include "ibisloom/buffer.h"
 #include "ibisloom/sse.h"
 #include "librelay.h"
 
@@ -16,8 +17,8 @@
 static void parse_event_id (const char *data, size_t length, char *id);
 
 /* Consumes LENGTH bytes of a stream and forwards the complete events, up to
-   one that is out of order.  Returns 0, or -1 if there is such an event or one
-   that is too large.  */
+   one that is out of order.  Returns 0, or -1 if there is such an event, or
+   one that is too large or for which no memory is left.  */
 int
 relay_events_feed (struct relay *relay, const char *data, size_t length)
 {
@@ -48,7 +49,14 @@
       relay_events_forward (relay, partial->str, consumed);
       g_string_erase (partial, 0, (gssize)consumed);
     }
-  return partial->len > EVENT_MAX_BYTES ? -1 : result;
+  if (partial->len > EVENT_MAX_BYTES)
+    return -1;
+  if (partial->len == 0)
+    relay_events_reset (relay);
+  else if (buf_reserve (&relay->attempt.event_share, partial->allocated_len)
+           != 0)
+    return -1;
+  return result;
 }
 
 /* Returns whether PARTIAL, of which the first SEARCHED bytes have none, has
@@ -63,8 +71,16 @@
 void
 relay_events_reset (struct relay *relay)
 {
-  if (relay->attempt.partial_event != NULL)
-    g_string_truncate (relay->attempt.partial_event, 0);
+  struct relay_attempt *attempt = &relay->attempt;
+
+  if (attempt->partial_event == NULL)
+    return;
+  g_string_truncate (attempt->partial_event, 0);
+  if (attempt->partial_event->allocated_len <= BUF_OWN_BYTES)
+    return;
+  g_string_free (attempt->partial_event, TRUE);
+  attempt->partial_event = NULL;
+  buf_release (&attempt->event_share);
 }
 
 /* Returns the length of the event at the start of DATA, including its empty
--- a/request/relay_response.c
+++ b/request/relay_response.c
@@ -1,6 +1,7 @@
 /* Responses of targets: validated and forwarded to the client. */
 #include <string.h>
 
+#include "ibisloom/buffer.h"
 #include "ibisloom/metrics.h"
 #include "librelay.h"
 
@@ -102,7 +103,8 @@
     }
   else if (buffer_body (relay, data, length) != 0)
     return -1;
-  if (client_backlog (relay->client) > CLIENT_BACKLOG_MAX_BYTES)
+  if (client_backlog (relay->client) > CLIENT_BACKLOG_MAX_BYTES
+      || client_is_crowded (relay->client))
     {
       out_call_pause (relay->attempt.call, 1);
       relay->attempt.is_paused = 1;
@@ -112,16 +114,20 @@
 }
 
 /* Buffers a piece of the body, so that an attempt that fails can still be
-   retried.  A success that outgrows the buffer is forwarded.  Returns 0, or -1
-   if an error does, since no target explains an error at that length, or a
-   body that comes in place of the rest of a stream.  */
+   retried.  A success that outgrows the buffer, or for which no memory is
+   left, is forwarded.  Returns 0, or -1 if an error does, since no target
+   explains an error at that length, or a body that comes in place of the rest
+   of a stream.  */
 static int
 buffer_body (struct relay *relay, const char *data, size_t length)
 {
   if (relay->attempt.buffered_body == NULL)
     relay->attempt.buffered_body = g_string_sized_new (length + 1);
   g_string_append_len (relay->attempt.buffered_body, data, (gssize)length);
-  if (relay->attempt.buffered_body->len <= BUFFERED_BODY_MAX_BYTES)
+  if (relay->attempt.buffered_body->len <= BUFFERED_BODY_MAX_BYTES
+      && buf_reserve (&relay->attempt.body_share,
+                      relay->attempt.buffered_body->allocated_len)
+             == 0)
     return 0;
   if (!http_is_success (relay->attempt.status) || relay->head_sent)
     return -1;
@@ -249,7 +255,9 @@
     return;
   forward_body (relay, relay->attempt.buffered_body->str,
                 relay->attempt.buffered_body->len);
-  g_string_truncate (relay->attempt.buffered_body, 0);
+  g_string_free (relay->attempt.buffered_body, TRUE);
+  relay->attempt.buffered_body = NULL;
+  buf_release (&relay->attempt.body_share);
 }
 
 /* Sends a piece of the body to the client.  */
--- a/request/relay_silence.c
+++ b/request/relay_silence.c
@@ -3,6 +3,7 @@
    for the client, or has had time for it.  */
 #include <string.h>
 
+#include "ibisloom/buffer.h"
 #include "librelay.h"
 
 enum
@@ -222,13 +223,16 @@
 }
 
 /* Handles a piece of the response body of the kept attempt.  It goes on with a
-   complete event, or with more than is kept of a body.  */
+   complete event, or with more than is kept of a body.  It ends if no memory
+   is left for it.  */
 static int
 on_data (void *owner, const char *data, size_t length)
 {
   struct relay *relay = owner;
   GString **buffer = relay->kept.is_event_stream ? &relay->kept.partial_event
                                                  : &relay->kept.buffered_body;
+  size_t *share = relay->kept.is_event_stream ? &relay->kept.event_share
+                                              : &relay->kept.body_share;
   size_t before;
 
   if (*buffer == NULL)
@@ -238,7 +242,7 @@
   if (relay->kept.is_event_stream
           ? !relay_events_has_complete (*buffer, before)
           : (*buffer)->len <= KEPT_BODY_MAX_BYTES)
-    return 0;
+    return buf_reserve (share, (*buffer)->allocated_len);
   g_string_truncate (*buffer, before);
   cancel_replacement (relay);
   return relay_upstream_ops.data (relay, data, length);
--- a/tests/test_endless.c
+++ b/tests/test_endless.c
@@ -20,7 +20,15 @@
   DEADLINE_MS = 4000,        /* of the requests */
   MARGIN_MS = 1000,
   CLOSE_MS = 1000, /* until the target sees the close */
-  POLL_MS = 10
+  POLL_MS = 10,
+  /* Many such targets at once.  The router's pool of buffers is 64 MB; the
+     rest is what each buffer has for itself.  */
+  TARGETS = 48,
+  CALLS = 200,
+  HELD_BYTES = 1000000, /* that a target sends before it stands still */
+  HELD_MS = 2000,
+  POOL_MEMORY_MAX_KB = 65536 + MEMORY_MAX_KB,
+  SOUND_REQUESTS = 40
 };
 
 #define SIGNED                                                                \
@@ -52,6 +60,9 @@
 static void slow_head_without_end_is_retried (void);
 static void framing_without_end_fails (void);
 static void bytes_without_end_after_response_are_cut (void);
+static void many_events_without_end_leave_others_served (void);
+static void many_unread_responses_leave_others_served (void);
+static void many_request_bodies_leave_others_served (void);
 
 static const struct test_case cases[] = {
   { "the body of an error without end is cut",
@@ -71,6 +82,12 @@
   { "chunk sizes and trailers without end fail", framing_without_end_fails },
   { "bytes without end after a response are cut",
     bytes_without_end_after_response_are_cut },
+  { "events without end of many targets leave other requests served",
+    many_events_without_end_leave_others_served },
+  { "responses that many clients do not read leave other requests served",
+    many_unread_responses_leave_others_served },
+  { "long bodies of many requests leave other requests served",
+    many_request_bodies_leave_others_served },
 };
 
 TEST_MAIN ("endless", cases)
@@ -387,3 +404,131 @@
   expect_within (&next, POST_FEE ("f1"), "200", "well", PROMPT_MS);
   g_free (data);
 }
+
+/* Target of streams: sends an event that does not end, and stands still.  */
+static int
+hold_event (const struct fx_request *request)
+{
+  char *chunk = make_chunk ();
+
+  shop_start_stream (request);
+  for (size_t sent = 0; sent < HELD_BYTES; sent += PIECE_BYTES)
+    if (!send_piece (request->fd, chunk, strlen (chunk)))
+      break;
+  fx_sleep_ms (HELD_MS);
+  g_free (chunk);
+  return 0;
+}
+
+/* Target of streams: sends events as long as they are taken.  */
+static int
+send_events (const struct fx_request *request)
+{
+  char *data = g_strnfill (PIECE_BYTES, 'x');
+
+  shop_start_stream (request);
+  for (int i = 1; i < SENT_MAX_BYTES / PIECE_BYTES; i++)
+    {
+      char *event = g_strdup_printf ("id: %d\ndata: %s\n\n", i, data);
+      char *chunk = g_strdup_printf ("%zx\r\n%s\r\n", strlen (event), event);
+      int taken = send_piece (request->fd, chunk, strlen (chunk));
+
+      g_free (chunk);
+      g_free (event);
+      if (!taken)
+        break;
+    }
+  fx_sleep_ms (HELD_MS);
+  g_free (data);
+  return 0;
+}
+
+/* Starts a router with CONFIG, TARGETS targets of streams that follow HANDLER,
+   and sound ones of the other service.  Returns the router's memory.  */
+static long
+start_many (const char *config, fx_handler_fn handler)
+{
+  for (int i = 0; i < TARGETS; i++)
+    {
+      char *id = g_strdup_printf ("p-%d", i);
+
+      fx_target_add (id, "pool", handler);
+      g_free (id);
+    }
+  fx_target_add ("d-1", "desk", shop_respond_ok);
+  fx_target_add ("d-2", "desk", shop_respond_ok);
+  fx_env_start (config);
+  return fx_router_peak_kb (0);
+}
+
+/* Sends CALLS requests TEXT, whose responses nobody reads, into FDS, checks
+   that others are served in time meanwhile, and that the router's memory has
+   grown little since it was BEFORE_KB.  */
+static void
+expect_others_served (const char *text, int *fds, long before_kb)
+{
+  for (int i = 0; i < CALLS; i++)
+    {
+      fds[i] = fx_connect ();
+      fx_shrink_receive_buffer (fds[i]);
+      fx_send (fds[i], text);
+    }
+  for (int i = 0; i < SOUND_REQUESTS; i++)
+    {
+      clk_ms start = clk_now (clk_monotonic ());
+
+      shop_expect (i % 2 == 0 ? GET_MAP ("m") : POST_FEE ("f"), "200", "well");
+      CU_ASSERT (clk_now (clk_monotonic ()) - start < PROMPT_MS);
+      fx_sleep_ms (POLL_MS * 2);
+    }
+  CU_ASSERT (fx_router_peak_kb (0) - before_kb < POOL_MEMORY_MAX_KB);
+  for (int i = 0; i < CALLS; i++)
+    close (fds[i]);
+  fx_sleep_ms (CLOSE_MS);
+  CU_ASSERT_EQUAL (fx_router_metric (0, "ibisloom_buffer_pool_bytes"), 0);
+  fx_env_stop ();
+}
+
+/* Guards against the memory of an instance being used up by targets that send
+   bytes without end, each within its own bound.  */
+static void
+many_events_without_end_leave_others_served (void)
+{
+  int fds[CALLS];
+  long before_kb = start_many (shop_config, hold_event);
+
+  expect_others_served (POST_PLAN ("p"), fds, before_kb);
+}
+
+/* The same by clients that do not read.  */
+static void
+many_unread_responses_leave_others_served (void)
+{
+  int fds[CALLS];
+  long before_kb = start_many (shop_config, send_events);
+
+  expect_others_served (POST_PLAN ("p"), fds, before_kb);
+}
+
+/* The same by clients that send long bodies and do not end them.  */
+static void
+many_request_bodies_leave_others_served (void)
+{
+  static const char limit[] = "\"max_body_bytes\":1000,";
+  const char *at = strstr (shop_config, limit);
+  char *config = g_strdup_printf ("%.*s\"max_body_bytes\":4000000,%s",
+                                  (int)(at - shop_config), shop_config,
+                                  at + sizeof limit - 1);
+  char *body = g_strnfill (HELD_BYTES, 'x');
+  char *text = g_strdup_printf (
+      REQUEST_HEAD ("POST", "/plan/1",
+                    "b") "Content-Length: 2000000\r\n\r\n%s",
+      body);
+  int fds[CALLS];
+  long before_kb = start_many (config, hold_event);
+
+  expect_others_served (text, fds, before_kb);
+  g_free (text);
+  g_free (body);
+  g_free (config);
+}
