--- a/tests/test_promise.c
+++ b/tests/test_promise.c
@@ -104,8 +104,8 @@
   fx_env_start (shop_config);
 }
 
-/* Each status, for each kind of request; what is refused by then for want of
-   a target that is not suspended was not sent.  */
+/* Guards against a target's bare 503, 429 or 408 that tells a client to send
+   again what has run.  */
 static void
 bare_statuses_are_not_passed_on (void)
 {
@@ -147,6 +147,7 @@
     }
 }
 
+/* Guards against a success that is taken for a rejection, and sent again.  */
 static void
 success_is_never_not_run (void)
 {
@@ -156,8 +157,8 @@
   fx_env_stop ();
 }
 
-/* The late responses come beside those of other targets, which are tried
-   meanwhile.  */
+/* Guards against the same by a response that comes late, beside that of
+   another target which is tried meanwhile.  */
 static void
 silent_target_promises_nothing (void)
 {
@@ -202,6 +203,8 @@
   CU_ASSERT_EQUAL (fx_router_metric (0, "ibisloom_cut_off_total"), 2);
 }
 
+/* Guards against the same by an instance that makes the attempts for one that
+   is cut off from the targets.  */
 static void
 bare_statuses_are_not_passed_on_by_a_hop (void)
 {
