--- a/tests/test_endless.c
+++ b/tests/test_endless.c
@@ -26,6 +26,7 @@
   TARGETS = 48,
   CALLS = 200,
   HELD_BYTES = 1000000, /* that a target sends before it stands still */
+  HELD_HEAD_BYTES = 49152,
   HELD_MS = 2000,
   POOL_MEMORY_MAX_KB = 65536 + MEMORY_MAX_KB,
   SOUND_REQUESTS = 40
@@ -61,6 +62,7 @@
 static void framing_without_end_fails (void);
 static void bytes_without_end_after_response_are_cut (void);
 static void many_events_without_end_leave_others_served (void);
+static void many_heads_without_end_leave_others_served (void);
 static void many_unread_responses_leave_others_served (void);
 static void many_request_bodies_leave_others_served (void);
 
@@ -84,6 +86,8 @@
     bytes_without_end_after_response_are_cut },
   { "events without end of many targets leave other requests served",
     many_events_without_end_leave_others_served },
+  { "heads without end of many targets leave other requests served",
+    many_heads_without_end_leave_others_served },
   { "responses that many clients do not read leave other requests served",
     many_unread_responses_leave_others_served },
   { "long bodies of many requests leave other requests served",
@@ -420,6 +424,19 @@
   return 0;
 }
 
+/* Target of streams: sends a head that does not end, and stands still.  */
+static int
+hold_head (const struct fx_request *request)
+{
+  char *data = g_strnfill (HELD_HEAD_BYTES, 'x');
+
+  fx_write (request->fd, "HTTP/1.1 200 OK\r\nX-Long: ");
+  (void)send_piece (request->fd, data, HELD_HEAD_BYTES);
+  fx_sleep_ms (HELD_MS);
+  g_free (data);
+  return 0;
+}
+
 /* Target of streams: sends events as long as they are taken.  */
 static int
 send_events (const struct fx_request *request)
@@ -500,6 +517,16 @@
   expect_others_served (POST_PLAN ("p"), fds, before_kb);
 }
 
+/* The same by heads without end.  */
+static void
+many_heads_without_end_leave_others_served (void)
+{
+  int fds[CALLS];
+  long before_kb = start_many (shop_config, hold_head);
+
+  expect_others_served (POST_PLAN ("p"), fds, before_kb);
+}
+
 /* The same by clients that do not read.  */
 static void
 many_unread_responses_leave_others_served (void)
