Suspect all parts of a long prompt when a target crashes

Cause: the header was read up to its 32nd part, the last one read was taken for the part that belongs to one request, and reports of crashes held 31 parts.

All parts are read now, as many as the head holds. A crash under a long prompt is told in several reports, the last parts first; when one of them has put a part in quarantine, the others are explained by it.

--- a/include/ibisloom/dialect.h
+++ b/include/ibisloom/dialect.h
@@ -33,18 +33,11 @@
   DIALECT_FIELD_COUNT
 };
 
-enum
+/* Part of a prompt. */
+struct dialect_part
 {
-  DIALECT_PROMPT_PARTS_MAX = 32
-};
-
-/* Parts of a prompt in order, the shared ones first.  ID identifies a part,
-   TOKENS is its length. */
-struct dialect_prompt
-{
-  uint32_t count;
-  uint64_t id[DIALECT_PROMPT_PARTS_MAX];
-  uint32_t tokens[DIALECT_PROMPT_PARTS_MAX];
+  uint64_t id;
+  uint32_t tokens; /* its length */
 };
 
 struct dialect
@@ -55,8 +48,10 @@
   const char *const *reserved;
   /* Returns the API key in CREDENTIAL, or NULL.  */
   const char *(*key) (const char *credential);
-  /* Parse a header value.  Each returns 0, or -1 if VALUE is malformed.  */
-  int (*prompt) (const char *value, struct dialect_prompt *prompt);
+  /* Parse a header value.  Each returns 0, or -1 if VALUE is malformed.
+     PARTS, of struct dialect_part, receives the parts of a prompt in order,
+     the shared ones first.  */
+  int (*prompt) (const char *value, GArray *parts);
   int (*tokens_out) (const char *value, int64_t *tokens);
   int (*load) (const char *value, int32_t *running, int32_t *waiting,
                int32_t *slots);
--- a/include/ibisloom/quarantine.h
+++ b/include/ibisloom/quarantine.h
@@ -9,7 +9,7 @@
 
 enum
 {
-  QUAR_PARTS_MAX = 32,   /* of one prompt, with the request itself */
+  QUAR_PARTS_MAX = 32,   /* of one report, with the request itself */
   QUAR_STATES_MAX = 1024 /* parts that are or were suspected */
 };
 
@@ -27,7 +27,9 @@
   QUAR_SUSPECT = 2  /* the head of the response had come, and nothing more */
 };
 
-/* A request that was in progress at a target when its process ended. */
+/* A request that was in progress at a target when its process ended, with all
+   its parts, or, of many, with some: then there is a report for each group,
+   and the request itself is the last part in all of them. */
 struct quar_crash
 {
   uint64_t target; /* identifies the process that ended */
--- a/process/fleet_quarantine.c
+++ b/process/fleet_quarantine.c
@@ -43,11 +43,17 @@
                       uint32_t count)
 {
   struct quar_state released[QUAR_PARTS_MAX];
-  uint32_t released_count = quar_record_success (
-      fleet->quarantine, parts, count, clk_now (clk_monotonic ()), released);
+  clk_ms now = clk_now (clk_monotonic ());
+
+  for (uint32_t first = 0; first < count; first += QUAR_PARTS_MAX)
+    {
+      uint32_t released_count = quar_record_success (
+          fleet->quarantine, parts + first,
+          MIN (count - first, QUAR_PARTS_MAX), now, released);
 
-  for (uint32_t i = 0; i < released_count; i++)
-    fleet_announce_state (fleet, &released[i], "released");
+      for (uint32_t i = 0; i < released_count; i++)
+        fleet_announce_state (fleet, &released[i], "released");
+    }
 }
 
 /* Decides whether a request with COUNT PARTS may be sent to a target.  Returns
--- a/request/libquarantine.h
+++ b/request/libquarantine.h
@@ -8,7 +8,8 @@
 {
   EVIDENCE_ENDS_MAX = 8,
   EVIDENCE_SUCCESS_SETS = 512,
-  EVIDENCE_SUCCESS_WAYS = 4
+  EVIDENCE_SUCCESS_WAYS = 4,
+  EXPLAINED_MAX = 16 /* crashes of which further reports may come */
 };
 
 /* End of a target under a part. */
@@ -40,6 +41,13 @@
   clk_ms at_ms;
 };
 
+/* Crash for which a part of the request is in quarantine. */
+struct explained
+{
+  uint64_t target;
+  uint64_t request;
+};
+
 struct quarantine
 {
   struct suspect suspects[QUAR_STATES_MAX];
@@ -48,6 +56,8 @@
   /* Apart, as most requests do not come again.  */
   struct success request_successes[EVIDENCE_SUCCESS_SETS]
                                   [EVIDENCE_SUCCESS_WAYS];
+  struct explained explained[EXPLAINED_MAX]; /* the last ones, as a ring */
+  uint32_t explained_count;                  /* so far */
 };
 
 int evidence_is_request (uint64_t part);
--- a/request/librelay.h
+++ b/request/librelay.h
@@ -96,8 +96,10 @@
   const char *service;
   const struct rt_customer *customer; /* may be NULL */
   const char *id;
-  uint64_t *parts; /* shared parts of the prompt; NULL: none */
-  uint32_t part_count;
+  /* Shared parts of the prompt, of which there may be none, and the
+     fingerprint after them; NULL until the content has been read.  */
+  uint64_t *parts;
+  uint32_t part_count;  /* without the fingerprint */
   uint64_t fingerprint; /* of path, caller and body; see QUAR_REQUEST_BIT */
   uint64_t context;     /* hash of the shared prompt parts, 0: none */
   uint32_t context_tokens;
--- a/request/quarantine.c
+++ b/request/quarantine.c
@@ -11,7 +11,9 @@
    Ends at about the same time count once, since what ends many targets at
    once, such as the loss of a failure domain, is no request.  Of the parts of
    one prompt only one is suspected: the one with the most evidence, and among
-   equals the last, since the first parts are shared most widely.
+   equals the last, since the first parts are shared most widely.  Of a prompt
+   with more parts than a report holds, this goes for the parts of each report,
+   and the reports of a crash that follow are explained by the first.
 
    A request as a whole is known by path, caller and body.  Other requests are
    rarely in progress at the same targets as one that comes again and again, so
@@ -42,6 +44,8 @@
                                     uint64_t part);
 static int is_explained (const struct quarantine *quarantine,
                          const struct quar_crash *crash);
+static void remember_explained (struct quarantine *quarantine,
+                                const struct quar_crash *crash);
 static struct suspect *add_evidence (struct quarantine *quarantine,
                                      const struct quar_crash *crash,
                                      uint64_t part, int explained, clk_ms now);
@@ -95,15 +99,22 @@
     }
   if (explained || worst == NULL)
     return 0;
+  remember_explained (quarantine, crash);
   *changed = set_version (quarantine, worst, worst->version + 1, now);
   return 1;
 }
 
-/* Returns whether one of the parts in CRASH is in quarantine.  */
+/* Returns whether one of the parts in CRASH is in quarantine, or another part
+   of the same request was put there for the same end of a target.  */
 static int
 is_explained (const struct quarantine *quarantine,
               const struct quar_crash *crash)
 {
+  for (uint32_t i = 0; crash->part_count > 0 && i < EXPLAINED_MAX; i++)
+    if (quarantine->explained[i].target == crash->target
+        && quarantine->explained[i].request
+               == crash->parts[crash->part_count - 1])
+      return 1;
   for (uint32_t i = 0; i < crash->part_count; i++)
     {
       const struct suspect *suspect
@@ -115,6 +126,16 @@
   return 0;
 }
 
+/* Remembers that a part in CRASH was put in quarantine for it.  */
+static void
+remember_explained (struct quarantine *quarantine,
+                    const struct quar_crash *crash)
+{
+  quarantine->explained[quarantine->explained_count++ % EXPLAINED_MAX]
+      = (struct explained){ crash->target,
+                            crash->parts[crash->part_count - 1] };
+}
+
 /* Adds CRASH to the evidence against PART; if the crash is EXPLAINED, only if
    PART is in quarantine.  Returns the entry of PART, or NULL if the crash says
    nothing about it: it came before the last release or success.  */
--- a/request/relay_parts.c
+++ b/request/relay_parts.c
@@ -13,31 +13,14 @@
   GOES_ON_MS = 200
 };
 
-static uint32_t list_parts (const struct relay *relay, uint64_t *parts);
 static enum quar_strength strength_of (const struct relay *relay);
 
-/* Stores in PARTS, which has room for QUAR_PARTS_MAX, what RELAY may be
-   suspected for.  Returns how many there are.  */
-static uint32_t
-list_parts (const struct relay *relay, uint64_t *parts)
-{
-  uint32_t count = MIN (relay->part_count, QUAR_PARTS_MAX - 1);
-
-  if (count > 0)
-    memcpy (parts, relay->parts, count * sizeof *parts);
-  parts[count] = relay->fingerprint;
-  return count + 1;
-}
-
 /* Returns whether RELAY may be sent to a target.  */
 int
 relay_parts_admitted (struct relay *relay)
 {
-  uint64_t parts[QUAR_PARTS_MAX];
-  uint32_t count = list_parts (relay, parts);
-
-  return fleet_admits_parts (relay->router->fleet, parts, count,
-                             &relay->retry_after_ms);
+  return fleet_admits_parts (relay->router->fleet, relay->parts,
+                             relay->part_count + 1, &relay->retry_after_ms);
 }
 
 /* Handles an event of the current attempt.  */
@@ -55,13 +38,11 @@
 void
 relay_parts_succeed (struct relay *relay)
 {
-  uint64_t parts[QUAR_PARTS_MAX];
-  uint32_t count = list_parts (relay, parts);
-
   if (relay->attempt.parts_succeeded || relay->attempt.target->is_peer)
     return;
   relay->attempt.parts_succeeded = 1;
-  fleet_report_success (relay->router->fleet, parts, count);
+  fleet_report_success (relay->router->fleet, relay->parts,
+                        relay->part_count + 1);
 }
 
 /* Records that the target of the current attempt has run the request to an
@@ -74,11 +55,14 @@
 }
 
 /* Handles FAULT of the current attempt: if its target has ended, the request
-   may be the cause.  */
+   may be the cause.  A long prompt is reported in several crashes, each with
+   the fingerprint; its last parts come first, since of equally suspect parts
+   the last one is taken.  */
 void
 relay_parts_suspect (const struct relay *relay, enum retry_fault fault)
 {
   const struct reg_target *target = relay->attempt.target;
+  uint32_t left = relay->part_count;
   struct quar_crash crash = { .ended_ms = clk_now (clk_monotonic ()),
                               .strength = strength_of (relay) };
 
@@ -87,8 +71,18 @@
           && fault != RETRY_FAULT_READ_TIMEOUT))
     return;
   crash.target = rank_mix (target->hash, target->incarnation);
-  crash.part_count = list_parts (relay, crash.parts);
-  fleet_report_crash (relay->router->fleet, &target->address, &crash);
+  do
+    {
+      uint32_t count = MIN (left, QUAR_PARTS_MAX - 1);
+
+      left -= count;
+      if (count > 0)
+        memcpy (crash.parts, relay->parts + left, count * sizeof *crash.parts);
+      crash.parts[count] = relay->fingerprint;
+      crash.part_count = count + 1;
+      fleet_report_crash (relay->router->fleet, &target->address, &crash);
+    }
+  while (left > 0);
 }
 
 /* Returns how strongly the end of its target speaks against RELAY.  */
--- a/request/relay_prepare.c
+++ b/request/relay_prepare.c
@@ -19,7 +19,7 @@
 static int may_start (const struct relay *relay);
 static int64_t expected_duration_ms (const struct relay *relay);
 static int authenticate (struct relay *relay);
-static void read_prompt (struct relay *relay);
+static void read_prompt (struct relay *relay, const GArray *prompt);
 static void set_fingerprint (struct relay *relay, const char *host);
 
 /* Looks up the route and the customer of RELAY in the configuration.
@@ -121,30 +121,35 @@
 void
 relay_read_content (struct relay *relay, const char *host)
 {
-  read_prompt (relay);
+  const struct dialect *dialect = relay->router->dialect;
+  const char *value
+      = http_head_get (relay->head, dialect->field[DIALECT_PROMPT_PARTS]);
+  GArray *prompt = g_array_new (FALSE, FALSE, sizeof (struct dialect_part));
+
+  if (value != NULL && dialect->prompt (value, prompt) == 0
+      && prompt->len > UNSHARED_PARTS)
+    relay->part_count = prompt->len - UNSHARED_PARTS;
+  relay->parts = g_new (uint64_t, relay->part_count + 1);
+  if (relay->part_count > 0)
+    read_prompt (relay, prompt);
+  g_array_free (prompt, TRUE);
   set_fingerprint (relay, host);
+  relay->parts[relay->part_count] = relay->fingerprint;
 }
 
-/* Keeps the shared parts of RELAY's prompt, which are all but the last, hashes
-   them and sums up their tokens.  */
+/* Keeps the shared parts of PROMPT, RELAY's, which are all but the last,
+   hashes them and sums up their tokens.  */
 static void
-read_prompt (struct relay *relay)
+read_prompt (struct relay *relay, const GArray *prompt)
 {
-  const struct dialect *dialect = relay->router->dialect;
-  const char *value
-      = http_head_get (relay->head, dialect->field[DIALECT_PROMPT_PARTS]);
-  struct dialect_prompt prompt;
-
-  if (value == NULL || dialect->prompt (value, &prompt) != 0
-      || prompt.count <= UNSHARED_PARTS)
-    return;
-  relay->part_count = prompt.count - UNSHARED_PARTS;
-  relay->parts = g_memdup2 (prompt.id, relay->part_count * sizeof *prompt.id);
   for (uint32_t i = 0; i < relay->part_count; i++)
     {
-      relay->parts[i] &= ~QUAR_REQUEST_BIT;
-      relay->context = rank_mix (relay->context, prompt.id[i]);
-      relay->context_tokens += prompt.tokens[i];
+      const struct dialect_part *part
+          = &g_array_index (prompt, struct dialect_part, i);
+
+      relay->parts[i] = part->id & ~QUAR_REQUEST_BIT;
+      relay->context = rank_mix (relay->context, part->id);
+      relay->context_tokens += part->tokens;
     }
   relay->router->context_tokens_mean
       += (relay->context_tokens - relay->router->context_tokens_mean)
--- a/tests/fuzz_parsers.c
+++ b/tests/fuzz_parsers.c
@@ -169,7 +169,7 @@
 static int
 parse_fields (const char *input, size_t length)
 {
-  struct dialect_prompt prompt;
+  GArray *prompt = g_array_new (FALSE, FALSE, sizeof (struct dialect_part));
   int32_t numbers[3];
   uint32_t rejections_max;
   int64_t tokens;
@@ -177,10 +177,9 @@
   double per_s;
   int is_valid;
 
-  (void)length;
-  is_valid = plat_dialect.prompt (input, &prompt) == 0;
-  if (is_valid)
-    g_assert_cmpuint (prompt.count, <=, DIALECT_PROMPT_PARTS_MAX);
+  is_valid = plat_dialect.prompt (input, prompt) == 0;
+  g_assert_cmpuint (prompt->len, <=, length);
+  g_array_free (prompt, TRUE);
   is_valid
       |= plat_dialect.load (input, &numbers[0], &numbers[1], &numbers[2]) == 0;
   is_valid |= plat_dialect.brittle (input, &rejections_max) == 0;
--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -22,6 +22,7 @@
   CRASH_PAUSE_MS = 250,
   FIRST_PARTS = 2,
   SECOND_PARTS = 40,
+  OWN_PARTS = 70, /* of a long prompt, which no other one has */
   EVENTS = 8,
   EVENT_PAUSE_MS = 25,
   BEGIN_MS = 50, /* from the head of a response to its first event */
@@ -38,6 +39,7 @@
 };
 
 static void crashing_part_is_contained (void);
+static void crashing_part_far_behind_is_contained (void);
 static void crashing_part_is_contained_after_restart_of_all (void);
 static void crashing_call_without_parts_ends_few_targets (void);
 static void crashing_read_is_contained (void);
@@ -54,6 +56,8 @@
 static const struct test_case cases[] = {
   { "a prompt part that crashes targets is contained",
     crashing_part_is_contained },
+  { "a part that crashes targets is contained behind many others",
+    crashing_part_far_behind_is_contained },
   { "it stays contained after a restart of all instances",
     crashing_part_is_contained_after_restart_of_all },
   { "a crashing request without parts ends few targets",
@@ -262,6 +266,28 @@
   return response;
 }
 
+/* Sends a long prompt to a random router.  Its first part is that of others;
+   if CRASHES_TARGET, the crashing one is the last but one.  */
+static char *
+send_long_prompt (GRand *random, int crashes_target)
+{
+  GString *parts = g_string_new (NULL);
+  char *response;
+
+  g_string_printf (parts, "a%d:100",
+                   g_rand_int_range (random, 0, FIRST_PARTS));
+  for (int i = 0; i < OWN_PARTS; i++)
+    g_string_append_printf (parts, ",%x:10",
+                            0x1000000 + g_atomic_int_add (&numbers, 1));
+  if (crashes_target)
+    g_string_append_printf (parts, ",%s:40,%x:10", crashing_part,
+                            0x1000000 + g_atomic_int_add (&numbers, 1));
+  response = send_prompt (g_rand_int_range (random, 0, ROUTERS), "plan",
+                          parts->str);
+  g_string_free (parts, TRUE);
+  return response;
+}
+
 /* Sends a METHOD request for PATH with BODY to router INDEX.  Returns the
    response, or NULL if the router cannot be reached.  */
 static char *
@@ -326,6 +352,9 @@
                                         PART_CRASHES_ALLOWED,
                                         send_random_prompt,
                                         "data: e1\n" };
+static const struct traffic long_prompts
+    = { "pool",           TARGETS,     stream_or_crash, PART_CRASHES_ALLOWED,
+        send_long_prompt, "data: e1\n" };
 static const struct traffic reads
     = { "desk",           DESK_TARGETS,
         serve_or_crash,   REQUEST_CRASHES_ALLOWED,
@@ -499,6 +528,14 @@
   expect_contained (&prompts);
 }
 
+/* Guards against parts that are not read, or not told to other instances,
+   as there are many before them.  */
+static void
+crashing_part_far_behind_is_contained (void)
+{
+  expect_contained (&long_prompts);
+}
+
 static void
 crashing_part_is_contained_after_restart_of_all (void)
 {
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -18,6 +18,7 @@
 static void repeated_reports_count_once (void);
 static void proven_parts_need_more_ends (void);
 static void last_of_equal_parts_is_suspected (void);
+static void reports_of_one_crash_suspect_one_part (void);
 static void witnesses_weigh_less (void);
 static void success_releases_the_part (void);
 static void trials_come_at_growing_intervals (void);
@@ -39,6 +40,8 @@
   { "a part that has gone well needs more ends", proven_parts_need_more_ends },
   { "the last of equally suspect parts is taken",
     last_of_equal_parts_is_suspected },
+  { "several reports of a crash put one part in quarantine",
+    reports_of_one_crash_suspect_one_part },
   { "requests that had not begun weigh less", witnesses_weigh_less },
   { "a success releases the part", success_releases_the_part },
   { "trials come at growing intervals", trials_come_at_growing_intervals },
@@ -185,6 +188,28 @@
   quar_free (quarantine);
 }
 
+/* Guards against a shared part that is quarantined beside the one that crashes
+   targets, as a long prompt is reported in several crashes.  */
+static void
+reports_of_one_crash_suspect_one_part (void)
+{
+  quarantine = quar_new ();
+  for (uint64_t target = 1; target <= 2; target++)
+    {
+      clk_ms now = START_MS + (clk_ms)target * APART_MS;
+
+      CU_ASSERT_EQUAL (
+          end_target (target, QUAR_SUSPECT, now, BAD_PART, REQUEST + target),
+          target == 2 ? BAD_PART : 0);
+      CU_ASSERT_EQUAL (
+          end_target (target, QUAR_SUSPECT, now, FIRST_PART, REQUEST + target),
+          0);
+    }
+  CU_ASSERT_EQUAL (check (FIRST_PART, START_MS + 3 * APART_MS), QUAR_PASS);
+  CU_ASSERT_NOT_EQUAL (check (BAD_PART, START_MS + 3 * APART_MS), QUAR_PASS);
+  quar_free (quarantine);
+}
+
 static void
 witnesses_weigh_less (void)
 {
