--- a/include/ibisloom/watch.h
+++ b/include/ibisloom/watch.h
@@ -15,6 +15,7 @@
   const char *name;
   struct position position; /* of its last change, or of the deletion */
   int deleted;
+  int is_deleting; /* still there, but being removed */
   json_t *content; /* NULL: missing or unreadable */
 };
 
