Add the setting evacuate_ms and name the kind of evacuations

Cause: a deployment says by bounds.evacuate_ms within which time an evacuation must hold; without it, nothing is to be read or sent.

--- a/include/ibisloom/dialect.h
+++ b/include/ibisloom/dialect.h
@@ -62,8 +62,9 @@
   const char *config_kind;
   const char *config_name;
   const char *targets_kind;
-  const char *members_kind; /* the router's own instances */
-  const char *origins_kind; /* origins of streams, by instance */
+  const char *members_kind;     /* the router's own instances */
+  const char *origins_kind;     /* origins of streams, by instance */
+  const char *evacuations_kind; /* named by the evacuated failure domain */
   /* Returns the configuration version in CONTENT, or NULL if it is
      malformed.  */
   struct rt_table *(*config) (const json_t *content);
--- a/include/ibisloom/settings.h
+++ b/include/ibisloom/settings.h
@@ -49,7 +49,8 @@
   double store_writes_per_s; /* that the store takes from all instances */
   int64_t config_apply_ms;   /* until a confirmed version is in force */
   int64_t drain_ms;          /* for which a leaving target may get requests */
-  double grace_s; /* from the stop signal until the process is killed */
+  int64_t evacuate_ms; /* until an evacuation must be in force; 0: not read */
+  double grace_s;      /* from the stop signal until the process is killed */
   char *cluster_key;
   char *operator_token;
 };
