Add the datagram that tells evacuated failure domains

Cause: instances that do not watch the store hear of an evacuation from those that do, and datagrams hold numbers only.

Change: WIRE_EVACUATIONS, the last kind: for each domain the hash of its name, the position of its last change and whether it is in force; at most 40 domains.

--- a/include/ibisloom/wire.h
+++ b/include/ibisloom/wire.h
@@ -24,7 +24,8 @@
   WIRE_STATES_MAX = 48,
   WIRE_RATES_MAX = 64,
   WIRE_ORIGINS_MAX = 32,
-  WIRE_VERSIONS_MAX = 16
+  WIRE_VERSIONS_MAX = 16,
+  WIRE_EVACUATIONS_MAX = 40
 };
 
 enum wire_kind
@@ -50,6 +51,7 @@
   WIRE_REACH,             /* whether the sender reaches a service */
   WIRE_BRITTLE,           /* whether the targets of a service are brittle */
   WIRE_REJECTED,          /* request that a brittle target turned away */
+  WIRE_EVACUATIONS,       /* which failure domains are evacuated */
   WIRE_KIND_COUNT
 };
 
@@ -299,6 +301,20 @@
   uint32_t limit; /* of its requests in progress, as the sender knows now */
 };
 
+/* Evacuation of a failure domain. */
+struct wire_evacuation
+{
+  uint64_t domain;          /* hash of its name */
+  struct position position; /* of the change that began or ended it */
+  uint8_t is_in_force;
+};
+
+struct wire_evacuations
+{
+  uint32_t count;
+  struct wire_evacuation evacuation[WIRE_EVACUATIONS_MAX];
+};
+
 struct wire_message
 {
   enum wire_kind kind;
@@ -328,6 +344,7 @@
     struct wire_reach reach;
     struct wire_brittle brittle;
     struct wire_rejected rejected;
+    struct wire_evacuations evacuations;
   } u;
 };
 
--- a/process/wire_fleet.c
+++ b/process/wire_fleet.c
@@ -3,6 +3,11 @@
 #include "ibisloom/reach.h"
 #include "libwire.h"
 
+enum
+{
+  EVACUATION_ITEMS = 4 /* in the encoding of one evacuation */
+};
+
 /* Encodes a load update, without a count.  */
 static void
 encode_loads (msgpack_packer *packer, const struct wire_message *message)
@@ -373,6 +378,43 @@
   reader->failed |= list.failed;
 }
 
+/* Encodes the states of failure domains, without a count.  */
+static void
+encode_evacuations (msgpack_packer *packer, const struct wire_message *message)
+{
+  const struct wire_evacuations *evacuations = &message->u.evacuations;
+
+  msgpack_pack_array (packer, evacuations->count * EVACUATION_ITEMS);
+  for (uint32_t i = 0; i < evacuations->count; i++)
+    {
+      const struct wire_evacuation *evacuation = &evacuations->evacuation[i];
+
+      msgpack_pack_uint64 (packer, evacuation->domain);
+      msgpack_pack_uint64 (packer, evacuation->position.epoch);
+      msgpack_pack_uint64 (packer, evacuation->position.revision);
+      msgpack_pack_uint64 (packer, evacuation->is_in_force);
+    }
+}
+
+static void
+decode_evacuations (struct wire_reader *reader, struct wire_message *message)
+{
+  struct wire_evacuations *evacuations = &message->u.evacuations;
+  struct wire_reader list
+      = wire_next_array (reader, WIRE_EVACUATIONS_MAX * EVACUATION_ITEMS);
+
+  while (!list.failed && list.remaining > 0)
+    {
+      struct wire_evacuation *evacuation
+          = &evacuations->evacuation[evacuations->count++];
+
+      evacuation->domain = wire_next_uint (&list, UINT64_MAX);
+      evacuation->position = wire_next_position (&list);
+      evacuation->is_in_force = (uint8_t)wire_next_uint (&list, 1);
+    }
+  reader->failed |= list.failed;
+}
+
 /* Kinds of routers. */
 const struct wire_codec wire_fleet_codecs[WIRE_KIND_COUNT] = {
   [WIRE_LOADS] = { encode_loads, decode_loads },
@@ -390,4 +432,5 @@
   [WIRE_REACH] = { encode_reach, decode_reach },
   [WIRE_BRITTLE] = { encode_brittle, decode_brittle },
   [WIRE_REJECTED] = { encode_rejected, decode_rejected },
+  [WIRE_EVACUATIONS] = { encode_evacuations, decode_evacuations },
 };
