Leave targets in evacuated failure domains out of the candidates

Cause: reg_candidates returns all targets that are registered, whatever was decided about their failure domain.

Change: the registry keeps the hashes of evacuated domains; targets there are no candidates, do not count as lost entries, and are not probed to tell whether the instance is cut off. An entry that names another failure domain than before moves its target there.

Measured: test_balance, test_fleet, test_odd_entry pass.

--- a/include/ibisloom/registry.h
+++ b/include/ibisloom/registry.h
@@ -69,6 +69,7 @@
   uint32_t references; /* requests in progress, plus one for the registry */
   uint8_t is_peer;     /* stands for another instance; not registered */
   uint8_t leaving;
+  uint8_t is_evacuated;      /* its failure domain is; gets no request */
   uint8_t update_pending;    /* peers are to get its new in_flight */
   uint8_t unlisted;          /* not yet found in the list that is being read */
   uint8_t is_restored;       /* missing, but in the store, by an older entry */
@@ -99,15 +100,16 @@
 
 struct registry
 {
-  GHashTable *targets;  /* id to struct reg_target */
-  GHashTable *by_hash;  /* hash of the id to struct reg_target */
-  GPtrArray *array;     /* of struct reg_target, unordered, for iteration */
-  GQueue gone;          /* of struct reg_gone, oldest first */
-  GHashTable *services; /* interned name to struct room_service */
-  uint64_t last_serial; /* given to a target */
-  int listed;           /* a complete list has been read */
-  reg_load_fn on_load;  /* may be NULL */
-  void *closure;        /* of on_load */
+  GHashTable *targets;   /* id to struct reg_target */
+  GHashTable *by_hash;   /* hash of the id to struct reg_target */
+  GPtrArray *array;      /* of struct reg_target, unordered, for iteration */
+  GQueue gone;           /* of struct reg_gone, oldest first */
+  GHashTable *evacuated; /* hashes of the names of failure domains */
+  GHashTable *services;  /* interned name to struct room_service */
+  uint64_t last_serial;  /* given to a target */
+  int listed;            /* a complete list has been read */
+  reg_load_fn on_load;   /* may be NULL */
+  void *closure;         /* of on_load */
 };
 
 struct registry *reg_new (void);
@@ -149,4 +151,11 @@
 enum reg_doubt reg_doubt (const struct reg_target *target, clk_ms now);
 int reg_report_load (struct reg_target *target, int32_t load, clk_ms now);
 
+/* registry_evacuated.c */
+uint32_t reg_set_evacuated (struct registry *registry, uint64_t failure_domain,
+                            int is_evacuated);
+int reg_is_evacuated (const struct registry *registry,
+                      const char *failure_domain);
+int reg_has_evacuated (const struct registry *registry);
+
 #endif
--- a/process/registry.c
+++ b/process/registry.c
@@ -82,6 +82,7 @@
   registry->targets = g_hash_table_new (g_str_hash, g_str_equal);
   registry->by_hash = g_hash_table_new (NULL, NULL);
   registry->array = g_ptr_array_new ();
+  registry->evacuated = g_hash_table_new (NULL, NULL);
   registry->services = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   g_queue_init (&registry->gone);
   return registry;
@@ -96,6 +97,7 @@
     drop_target (registry, g_ptr_array_index (registry->array, 0));
   g_hash_table_destroy (registry->targets);
   g_hash_table_destroy (registry->by_hash);
+  g_hash_table_destroy (registry->evacuated);
   g_hash_table_destroy (registry->services);
   g_ptr_array_free (registry->array, TRUE);
   g_queue_clear_full (&registry->gone, g_free);
@@ -161,6 +163,9 @@
       target->software = entry->software;
       is_new = 1;
     }
+  target->failure_domain = g_intern_string (entry->failure_domain);
+  target->is_evacuated
+      = (uint8_t)reg_is_evacuated (registry, target->failure_domain);
   is_new |= target->leaving != (entry->leaving != 0);
   target->slots = entry->slots;
   target->leaving = entry->leaving != 0;
@@ -218,7 +223,6 @@
   target->hash = rank_hash (entry->id) & UINT32_MAX;
   target->service = g_intern_string (entry->service);
   target->room_service = add_service (registry, target->service);
-  target->failure_domain = g_intern_string (entry->failure_domain);
   target->address = entry->address;
   target->references = 1;
   target->serial = ++registry->last_serial;
@@ -538,8 +542,8 @@
   return load - 1 > target->load_limit;
 }
 
-/* Counts the targets of SERVICE that are neither leaving nor withheld, and
-   those of them whose entries are missing.  */
+/* Counts the targets of SERVICE that are neither leaving, withheld nor
+   evacuated, and those of them whose entries are missing.  */
 static struct service_loss
 count_losses (const struct registry *registry, const char *service)
 {
@@ -550,7 +554,8 @@
       const struct reg_target *target = g_ptr_array_index (registry->array, i);
       struct domain_loss *domain_loss;
 
-      if (target->service != service || target->leaving || target->is_withheld)
+      if (target->service != service || target->leaving || target->is_withheld
+          || target->is_evacuated)
         continue;
       domain_loss = domain_loss_get (&service_loss, target->failure_domain);
       domain_loss->known++;
@@ -590,7 +595,8 @@
 }
 
 /* Copies to CANDIDATES and TARGETS up to CAPACITY usable targets of SERVICE,
-   which is interned, and returns how many.  A target whose entry is missing is
+   which is interned, and returns how many.  Targets in evacuated failure
+   domains are not usable.  A target whose entry is missing is
    usable only if the store has lost entries both of the service as a whole and
    of the target's failure domain: a loss in one domain does not explain a
    target missing in another.  */
@@ -610,6 +616,7 @@
       struct bal_candidate *candidate = &candidates[count];
 
       if (target->service != service || target->leaving || target->is_withheld
+          || target->is_evacuated
           || (target->missing_until_ms != 0
               && (!include_missing
                   || !is_store_loss (domain_loss_get (
--- a/process/router_reach.c
+++ b/process/router_reach.c
@@ -237,7 +237,7 @@
           = { target->hash, target->failure_domain };
 
       if (target->service != owner->service || target->leaving
-          || target->is_withheld)
+          || target->is_withheld || target->is_evacuated)
         continue;
       g_array_append_val (candidates, candidate);
       g_ptr_array_add (targets, target);
