Send no requests to evacuated failure domains

Cause: evacuations are not read; requests go to targets that the operator wants left alone.

Change: every router lists the kind before its first request; those that watch the store watch it too, and tell the others at once and before each heartbeat. An instance that tells an earlier state is answered. One that hears no watcher of its domain watches by itself. If all targets of a service are evacuated, the request is refused at once with 503 and Retry-After (evacuated). Gauges of evacuated domains and targets, a counter of the refusals, and log lines.

--- a/daemon/ctl_explain.c
+++ b/daemon/ctl_explain.c
@@ -45,6 +45,9 @@
   { "version_gone",
     "refused: no target of the version that began the stream is left; not "
     "run" },
+  { "evacuated",
+    "refused: all targets are in failure domains that are evacuated; not "
+    "run" },
   { "hop_refused", "refused: the instance is cut off from the targets, and "
                    "the others that it "
                    "was sent through refused it; not run" },
--- a/include/ibisloom/balance.h
+++ b/include/ibisloom/balance.h
@@ -54,6 +54,7 @@
   BAL_NO_TARGET,     /* no usable target */
   BAL_ALL_FULL,      /* every usable target is at the load bound */
   BAL_RATES_USED_UP, /* every usable target is at its rate limit */
+  BAL_ALL_EVACUATED, /* every target is in an evacuated failure domain */
   BAL_HOP,           /* through another instance, which chooses the target */
   BAL_REASON_COUNT
 };
--- a/include/ibisloom/fleet.h
+++ b/include/ibisloom/fleet.h
@@ -84,6 +84,16 @@
                            clk_ms sent_ms);
 void fleet_count_request (struct fleet *fleet, struct reg_target *target);
 uint32_t fleet_quarantined_count (const struct fleet *fleet);
+
+/* fleet_evacuation.c */
+void fleet_see_evacuation (struct fleet *fleet, const char *domain,
+                           struct position position, int is_in_force);
+void fleet_list_evacuations (struct fleet *fleet);
+void fleet_end_evacuation_list (struct fleet *fleet, struct position position);
+int fleet_evacuations_are_read (const struct fleet *fleet);
+int fleet_knows_evacuations (const struct fleet *fleet);
+uint32_t fleet_evacuated_count (const struct fleet *fleet);
+
 struct origins *fleet_origins (struct fleet *fleet);
 void fleet_add_origin (struct fleet *fleet,
                        const struct origin_record *record);
--- a/include/ibisloom/metrics.h
+++ b/include/ibisloom/metrics.h
@@ -34,6 +34,7 @@
   METRIC_REFUSED_ORIGIN,
   METRIC_REFUSED_VERSION_GONE,
   METRIC_REFUSED_HOP,
+  METRIC_REFUSED_EVACUATED,
   /* Failed attempts, by fault, and how streams continued after them.  */
   METRIC_RETRY_CONNECT,
   METRIC_RETRY_STATUS,
@@ -66,6 +67,7 @@
   /* Denied admissions, by reason.  */
   METRIC_DENIED_BOUND,
   METRIC_DENIED_RATE,
+  METRIC_DENIED_EVACUATED,
   METRIC_DENIED_CAPACITY,
   METRIC_DENIED_SHARE,
   METRIC_DENIED_DOWN,
--- a/include/ibisloom/router.h
+++ b/include/ibisloom/router.h
@@ -54,6 +54,8 @@
   struct watch_group watches;
   struct watch config;
   struct watch targets;
+  struct watch evacuations; /* zeroed: the settings have none read */
+  clk_ms informed_ms;  /* last time that a watcher of its domain was heard */
   uint8_t is_standby;  /* other watchers of its failure domain come first */
   GHashTable *reaches; /* service, interned, to struct router_reach */
   uint64_t hop_token;  /* that requests of other instances have to bear */
--- a/process/fleet.c
+++ b/process/fleet.c
@@ -53,6 +53,7 @@
   fleet->receive = receive;
   fleet->listed_name = g_string_new (NULL);
   fleet_room_init (fleet);
+  fleet_evacuation_init (fleet);
   fleet_watch_loads (fleet);
   fleet_quarantine_init (fleet);
   fleet_crash_init (fleet);
@@ -138,6 +139,7 @@
   ev_timer_stop (fleet->loop, &fleet->rejoin);
   fleet_unwatch_loads (fleet);
   fleet_room_clear (fleet);
+  fleet_evacuation_clear (fleet);
   fleet_origin_store_clear (fleet);
   fleet_crash_clear (fleet);
   fleet_quarantine_clear (fleet);
@@ -189,6 +191,9 @@
     case WIRE_REJECTED:
       fleet_apply_rejected (fleet, &message->u.rejected);
       break;
+    case WIRE_EVACUATIONS:
+      fleet_apply_evacuations (fleet, peer, &message->u.evacuations);
+      break;
     case WIRE_STATE:
       fleet_apply_state (fleet, peer, &message->u.state);
       break;
--- a/process/fleet_heartbeat.c
+++ b/process/fleet_heartbeat.c
@@ -46,6 +46,7 @@
   fleet_quarantine_tick (fleet, now);
   fleet_rate_tick (fleet, now);
   fleet_room_tick (fleet, now);
+  fleet_evacuation_tick (fleet, now);
   fleet_origin_tick (fleet, now);
   fleet_version_tick (fleet, now);
   if (fleet->heartbeat_count % SILENT_PEER_STRIDE == 1)
@@ -113,7 +114,8 @@
 /* Sends a heartbeat to ADDRESS.  If WANTS_AFFINITY is not 0, it requests the
    affinity table of the receiver.  Loads that do not fit follow as load
    updates, and then the states of prompt parts, the rate limits of targets and
-   the services whose targets are brittle, if there are any.  */
+   the services whose targets are brittle, if there are any.  Evacuations come
+   first: a heartbeat tells a starting instance that it has heard of them.  */
 static void
 send_heartbeat (struct fleet *fleet, const struct sockaddr_in *address,
                 int wants_affinity)
@@ -131,6 +133,7 @@
 
   heartbeat->load_count
       = next_loads (fleet, &position, heartbeat->loads, WIRE_LOADS_MAX);
+  fleet_send_evacuations (fleet, address);
   send_state (fleet, address);
   fleet_send (fleet, address, &message);
   while (position < fleet->registry->array->len)
@@ -153,7 +156,9 @@
 {
   if (fleet->is_leaving)
     return MEMBER_LEAVING;
-  return fleet_knows_quarantine (fleet) ? MEMBER_READY : MEMBER_STARTING;
+  return fleet_knows_quarantine (fleet) && fleet_knows_evacuations (fleet)
+             ? MEMBER_READY
+             : MEMBER_STARTING;
 }
 
 /* Sends to ADDRESS what this instance knows of the store, if the store tells
--- a/process/libfleet.h
+++ b/process/libfleet.h
@@ -5,6 +5,7 @@
 #include <ev.h>
 #include <glib.h>
 
+#include "ibisloom/evacuation.h"
 #include "ibisloom/fleet.h"
 #include "ibisloom/members.h"
 #include "ibisloom/origin.h"
@@ -114,9 +115,10 @@
   GArray *members; /* of struct fleet_member; empty if none is brittle */
   uint32_t turn;   /* by which the members' ranks at targets change */
   clk_ms turned_ms;
-  guint next_rate;       /* target whose sharers are found next */
-  guint first_told_rate; /* target whose limit is told first */
-  guint told_rates;      /* targets whose limits were told in this heartbeat */
+  struct evac_state *evacuations; /* NULL: not read */
+  guint next_rate;                /* target whose sharers are found next */
+  guint first_told_rate;          /* target whose limit is told first */
+  guint told_rates; /* targets whose limits were told in this heartbeat */
 };
 
 /* Each file uses only functions of those above it. */
@@ -223,6 +225,16 @@
 void fleet_apply_reach (struct fleet *fleet, const struct fleet_peer *peer,
                         const struct wire_reach *reach);
 
+/* fleet_evacuation.c */
+void fleet_evacuation_init (struct fleet *fleet);
+void fleet_evacuation_clear (struct fleet *fleet);
+void fleet_evacuation_tick (struct fleet *fleet, clk_ms now);
+void fleet_send_evacuations (struct fleet *fleet,
+                             const struct sockaddr_in *address);
+void fleet_apply_evacuations (struct fleet *fleet,
+                              const struct fleet_peer *peer,
+                              const struct wire_evacuations *evacuations);
+
 /* fleet_origin_note.c */
 GArray *fleet_noted_new (void);
 void fleet_note_stored (struct fleet *fleet, const json_t *content);
--- a/process/librouter.h
+++ b/process/librouter.h
@@ -12,6 +12,15 @@
 struct watch_sink router_targets_sink (struct router *router);
 void router_note_epoch (struct router *router, struct position position);
 
+/* router_evacuation.c */
+void router_watch_evacuations (struct router *router);
+void router_update_evacuations (struct router *router, int is_wanted,
+                                const struct elect_view *view, clk_ms now);
+int router_watches_evacuations (const struct router *router);
+int64_t router_evacuations_wait_ms (const struct router *router,
+                                    int64_t max_ms);
+int router_knows_evacuations (const struct router *router);
+
 /* router_reach.c */
 void router_reach_init (struct router *router);
 void router_reach_start (struct router *router);
--- a/process/metrics.c
+++ b/process/metrics.c
@@ -68,6 +68,7 @@
   [METRIC_REFUSED_VERSION_GONE]
   = "ibisloom_refused_total{reason=\"version_gone\"}",
   [METRIC_REFUSED_HOP] = "ibisloom_refused_total{reason=\"hop_refused\"}",
+  [METRIC_REFUSED_EVACUATED] = "ibisloom_refused_total{reason=\"evacuated\"}",
   [METRIC_REFUSED_NO_CONNECTION]
   = "ibisloom_refused_total{reason=\"no_connection\"}",
   [METRIC_RETRY_CONNECT] = "ibisloom_retries_total{reason=\"connect\"}",
@@ -100,6 +101,8 @@
   [METRIC_OVER_BOUND] = "ibisloom_over_bound_total",
   [METRIC_DENIED_RATE]
   = "ibisloom_admission_denied_total{reason=\"rate_limit\"}",
+  [METRIC_DENIED_EVACUATED]
+  = "ibisloom_admission_denied_total{reason=\"evacuated\"}",
   [METRIC_DENIED_BOUND] = "ibisloom_admission_denied_total{reason=\"bound\"}",
   [METRIC_DENIED_CAPACITY]
   = "ibisloom_admission_denied_total{reason=\"capacity\"}",
--- a/process/router.c
+++ b/process/router.c
@@ -138,6 +138,7 @@
   log_set_deferred (1);
   router_watch_config (router);
   router_watch_targets (router);
+  router_watch_evacuations (router);
   fleet_on_update (router->fleet, router_on_fleet_update, router);
   router_reach_start (router);
   router->started_ms = clk_now (clk_monotonic ());
@@ -165,6 +166,8 @@
     watch_stop (&router->config);
   if (router->targets.loop != NULL)
     watch_stop (&router->targets);
+  if (router->evacuations.loop != NULL)
+    watch_stop (&router->evacuations);
   g_hash_table_destroy (router->reaches);
   fleet_free (router->fleet);
   out_pool_clear (&router->pool);
@@ -188,13 +191,14 @@
          && router->registry->listed;
 }
 
-/* Returns whether ROUTER has a configuration and knows what crashes targets
-   and which versions began streams.  It does not wait for the latter two for
-   longer than FLEET_WAIT_MS, as the store may be away.  */
+/* Returns whether ROUTER has a configuration and knows which failure domains
+   are evacuated, what crashes targets and which versions began streams.  It
+   does not wait for the latter two for longer than FLEET_WAIT_MS, as the store
+   may be away.  */
 int
 router_has_read_store (const struct router *router)
 {
-  return router->table != NULL
+  return router->table != NULL && router_knows_evacuations (router)
          && ((fleet_knows_quarantine (router->fleet)
               && fleet_origins_are_read (router->fleet))
              || clk_now (clk_monotonic ()) - router->started_ms
--- a/process/router_metrics.c
+++ b/process/router_metrics.c
@@ -50,10 +50,13 @@
              router->config.down || router->targets.down);
   add_gauge (out, "ibisloom_store_watched", !router->config.list_only);
   add_gauge (out, "ibisloom_store_calls",
-             (int64_t)(router->config.calls + router->targets.calls));
+             (int64_t)(router->config.calls + router->targets.calls
+                       + router->evacuations.calls));
   add_gauge (out, "ibisloom_instances", fleet_size (router->fleet));
   add_gauge (out, "ibisloom_quarantined_parts",
              fleet_quarantined_count (router->fleet));
+  add_gauge (out, "ibisloom_evacuated_domains",
+             fleet_evacuated_count (router->fleet));
   add_gauge (out, "ibisloom_loads_age_ms", fleet_loads_age_ms (router->fleet));
   add_gauge (out, "ibisloom_buffer_pool_bytes", (int64_t)buf_pool_used ());
   add_gauge (out, "ibisloom_log_lines_dropped", (int64_t)log_dropped ());
@@ -94,6 +97,7 @@
 count_targets (const struct router *router, clk_ms now, GString *out)
 {
   int64_t leaving = 0;
+  int64_t evacuated = 0;
   int64_t missing = 0;
   int64_t suspected = 0;
   int64_t usable = 0;
@@ -105,6 +109,8 @@
 
       if (target->leaving)
         leaving++;
+      else if (target->is_evacuated)
+        evacuated++;
       else if (target->missing_until_ms != 0)
         missing++;
       else if (health_get_state (&target->health, now) != HEALTH_USABLE)
@@ -116,4 +122,5 @@
   add_gauge (out, "ibisloom_targets_suspected", suspected);
   add_gauge (out, "ibisloom_targets_missing", missing);
   add_gauge (out, "ibisloom_targets_leaving", leaving);
+  add_gauge (out, "ibisloom_targets_evacuated", evacuated);
 }
--- a/process/router_store.c
+++ b/process/router_store.c
@@ -148,6 +148,8 @@
   fleet_set_epoch (router->fleet, position.epoch);
   watch_set_epoch (&router->config, position.epoch);
   watch_set_epoch (&router->targets, position.epoch);
+  if (router_watches_evacuations (router))
+    watch_set_epoch (&router->evacuations, position.epoch);
   if (epoch_before == 0)
     return;
   /* Entries that were lost are registered again, as after an outage.  */
@@ -383,6 +385,11 @@
                   is_standby ? WAIT_MS : MIN (config_wait_ms, WAIT_MS),
                   interval_ms);
   watch_set_pace (&router->targets, WAIT_MS, interval_ms);
+  if (router_watches_evacuations (router))
+    watch_set_pace (&router->evacuations,
+                    is_standby ? WAIT_MS
+                               : router_evacuations_wait_ms (router, WAIT_MS),
+                    interval_ms);
 }
 
 /* Decides at NOW whether ROUTER watches the store, and sets what its
@@ -407,6 +414,7 @@
 
       watch_enable (&router->config, wanted);
       watch_enable (&router->targets, wanted);
+      router_update_evacuations (router, wanted, &view, now);
     }
   set_pace (router, view.watchers_before > 0);
   state.version = router->table != NULL ? router->table->version : 0;
--- a/request/balance.c
+++ b/request/balance.c
@@ -46,8 +46,8 @@
 static const double BOUND_MARGIN = 0.25;
 
 const char *const bal_reason_names[BAL_REASON_COUNT]
-    = { "holder",    "home", "next_home",     "least_loaded", "trial",
-        "no_target", "full", "rates_used_up", "hop" };
+    = { "holder",    "home", "next_home",     "least_loaded",  "trial",
+        "no_target", "full", "rates_used_up", "all_evacuated", "hop" };
 
 const char *const bal_skip_names[BAL_SKIP_COUNT]
     = { "free",   "absent", "tried", "suspect",
--- a/request/evacuation.c
+++ b/request/evacuation.c
@@ -41,7 +41,7 @@
       int is_same = pos_compare (position, domain->position) == 0
                     && domain->is_in_force == (is_in_force != 0);
 
-      domain->is_listed |= is_same;
+      domain->is_listed |= is_in_force && domain->is_in_force;
       return is_same ? EVAC_SAME : EVAC_OLDER;
     }
   if (domain == NULL)
--- a/request/librelay.h
+++ b/request/librelay.h
@@ -34,6 +34,7 @@
   RELAY_ORIGIN_UNKNOWN,
   RELAY_VERSION_GONE,
   RELAY_HOP_REFUSED,
+  RELAY_EVACUATED,
   RELAY_REFUSAL_COUNT
 };
 
@@ -200,6 +201,7 @@
 struct reg_target *relay_choose_target (const struct relay *relay, clk_ms now,
                                         struct bal_choice *choice,
                                         size_t *count);
+int relay_is_evacuated (const struct relay *relay);
 void relay_mark_tried (struct relay *relay);
 void relay_mark_unreachable (struct relay *relay);
 
--- a/request/relay.c
+++ b/request/relay.c
@@ -143,7 +143,8 @@
         relay_refuse (relay, RELAY_TARGET_FAILED);
       else
         relay_refuse (
-            relay, relay->hop_refusals > 0              ? RELAY_HOP_REFUSED
+            relay, choice.reason == BAL_ALL_EVACUATED   ? RELAY_EVACUATED
+                   : relay->hop_refusals > 0            ? RELAY_HOP_REFUSED
                    : choice.reason == BAL_ALL_FULL      ? RELAY_ALL_FULL
                    : choice.reason == BAL_RATES_USED_UP ? RELAY_RATES_USED_UP
                    : relay_origin_is_gone (relay)       ? RELAY_VERSION_GONE
--- a/request/relay_hop.c
+++ b/request/relay_hop.c
@@ -23,7 +23,8 @@
 /* Returns the target for RELAY's next attempt, or NULL, as relay_choose_target
    does.  While the instance is cut off from the service, it is another
    instance that reaches it, if there is one.  Sets waits_for_reach if that is
-   yet to be known.  */
+   yet to be known.  Neither another instance nor a wait helps if all targets
+   are evacuated.  */
 struct reg_target *
 relay_pick (struct relay *relay, clk_ms now, struct bal_choice *choice,
             size_t *count)
@@ -34,6 +35,11 @@
   *choice = (struct bal_choice){ .reason = BAL_NO_TARGET, .limit = INFINITY };
   *count = 0;
   relay->waits_for_reach = 0;
+  if (relay_is_evacuated (relay))
+    {
+      choice->reason = BAL_ALL_EVACUATED;
+      return NULL;
+    }
   if (state == REACH_CUT_OFF && relay->hop != NULL)
     return NULL;
   if (state == REACH_CUT_OFF)
--- a/request/relay_log.c
+++ b/request/relay_log.c
@@ -24,6 +24,7 @@
   [BAL_NO_TARGET] = METRIC_DENIED_DOWN,
   [BAL_ALL_FULL] = METRIC_DENIED_BOUND,
   [BAL_RATES_USED_UP] = METRIC_DENIED_RATE,
+  [BAL_ALL_EVACUATED] = METRIC_DENIED_EVACUATED,
   [BAL_HOP] = METRIC_HOPS_SENT,
 };
 
@@ -77,6 +78,9 @@
   log_real (&line, "limit", isfinite (choice->limit) ? choice->limit : 0);
   log_number (&line, "loads_age_ms",
               fleet_loads_age_ms (relay->router->fleet));
+  if (choice->reason == BAL_ALL_EVACUATED)
+    log_number (&line, "evacuated_domains",
+                fleet_evacuated_count (relay->router->fleet));
   if (relay->context != 0)
     {
       char context[24];
--- a/request/relay_refuse.c
+++ b/request/relay_refuse.c
@@ -38,6 +38,7 @@
   = { "retry_budget", METRIC_REFUSED_RETRY_BUDGET, 502, 0 },
   [RELAY_QUARANTINED]
   = { "quarantined", METRIC_REFUSED_QUARANTINED, 503, 60000 },
+  [RELAY_EVACUATED] = { "evacuated", METRIC_REFUSED_EVACUATED, 503, 1000 },
   [RELAY_RATES_USED_UP] = { "rates_used_up", METRIC_REFUSED_RATE, 503, 400 },
   [RELAY_ORIGIN_UNKNOWN] = { "origin_unknown", METRIC_REFUSED_ORIGIN, 503, 0 },
   [RELAY_HOP_REFUSED] = { "hop_refused", METRIC_REFUSED_HOP, 503, 200 },
--- a/request/relay_target.c
+++ b/request/relay_target.c
@@ -161,6 +161,30 @@
   return relay->attempt.target != NULL && relay->attempt.target->hash == id;
 }
 
+/* Returns whether all targets that RELAY may be sent to are in evacuated
+   failure domains, and there is one.  */
+int
+relay_is_evacuated (const struct relay *relay)
+{
+  const struct registry *registry = relay->router->registry;
+  int any = 0;
+
+  if (!reg_has_evacuated (registry))
+    return 0;
+  for (guint i = 0; i < registry->array->len; i++)
+    {
+      const struct reg_target *target = g_ptr_array_index (registry->array, i);
+
+      if (target->service != relay->service || target->leaving
+          || target->is_withheld || !relay_origin_fits (relay, target))
+        continue;
+      if (!target->is_evacuated)
+        return 0;
+      any = 1;
+    }
+  return any;
+}
+
 /* Counts the current target as one that may have received RELAY.  */
 void
 relay_mark_tried (struct relay *relay)
