--- a/tests/libfixture.h
+++ b/tests/libfixture.h
@@ -14,6 +14,7 @@
   char *id;
   char *service;
   char *state;
+  const char *zone;
   char *version;  /* NULL: its entry names none */
   int slots;      /* in its entry */
   gint64 born_ms; /* Unix time of its start; 0: its entry names none */
--- a/tests/router_fixture.c
+++ b/tests/router_fixture.c
@@ -26,6 +26,9 @@
 
 extern char **environ;
 
+/* Settings of routers that are spawned. */
+static const char *spawn_settings = "retry_ratio: 0.2\n";
+
 struct fx_env fx_env = { .lock = PTHREAD_MUTEX_INITIALIZER,
                          .changed = PTHREAD_COND_INITIALIZER };
 
@@ -146,6 +149,14 @@
   return fx_router_listens (0);
 }
 
+/* Has routers that are yet to be spawned get the settings EXTRA, which lasts
+   until the process ends.  */
+void
+fx_routers_configure (const char *extra)
+{
+  spawn_settings = extra;
+}
+
 /* Writes the settings file of router INDEX, with EXTRA appended, which may set
    grace_s.  Returns its path, newly allocated.  */
 static char *
@@ -237,7 +248,7 @@
       router->peer_port = find_free_port ();
       router->metrics_port = find_free_port ();
     }
-  settings = write_router_settings (index, "retry_ratio: 0.2\n");
+  settings = write_router_settings (index, spawn_settings);
   arguments[2] = settings;
   posix_spawn_file_actions_init (&actions);
   posix_spawn_file_actions_addopen (&actions, STDOUT_FILENO, log,
--- a/tests/router_fixture.h
+++ b/tests/router_fixture.h
@@ -32,6 +32,7 @@
 
 /* For the router INDEX, from 0. */
 void fx_router_spawn (int index, const char *log);
+void fx_routers_configure (const char *extra);
 void fx_routers_start (int count);
 void fx_router_signal (int index, int number);
 int fx_router_wait_for_exit (int index);
@@ -56,6 +57,8 @@
 struct fx_target *fx_target_add_version (const char *id, const char *service,
                                          const char *version,
                                          fx_handler_fn handler);
+struct fx_target *fx_target_add_in (const char *id, const char *service,
+                                    const char *zone, fx_handler_fn handler);
 int fx_target_port (const struct fx_target *target);
 int fx_target_request_count (struct fx_target *target);
 char *fx_target_last_request (struct fx_target *target);
--- a/tests/target_fixture.c
+++ b/tests/target_fixture.c
@@ -20,6 +20,10 @@
   int fd;
 };
 
+static struct fx_target *add_target (const char *id, const char *service,
+                                     const char *version, const char *zone,
+                                     fx_handler_fn handler);
+
 static void *
 serve_connection (void *closure)
 {
@@ -82,10 +86,10 @@
 
   g_string_printf (
       spec,
-      "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"a\","
+      "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"%s\","
       "\"slots\":%d,\"state\":\"%s\",\"cold_left_ms\":0,\"sequence\":%d",
-      target->service, target->port, target->slots, target->state,
-      ++target->reports);
+      target->service, target->port, target->zone, target->slots,
+      target->state, ++target->reports);
   if (target->version != NULL)
     g_string_append_printf (spec, ",\"version\":\"%s\"", target->version);
   if (target->born_ms != 0)
@@ -108,6 +112,22 @@
 struct fx_target *
 fx_target_add_version (const char *id, const char *service,
                        const char *version, fx_handler_fn handler)
+{
+  return add_target (id, service, version, "a", handler);
+}
+
+/* The same, for a target in the failure domain ZONE.  */
+struct fx_target *
+fx_target_add_in (const char *id, const char *service, const char *zone,
+                  fx_handler_fn handler)
+{
+  return add_target (id, service, "v1", zone, handler);
+}
+
+/* Starts a target of VERSION in ZONE.  */
+static struct fx_target *
+add_target (const char *id, const char *service, const char *version,
+            const char *zone, fx_handler_fn handler)
 {
   struct fx_target *target = g_new0 (struct fx_target, 1);
 
@@ -115,6 +135,7 @@
   target->service = g_strdup (service);
   target->state = g_strdup ("ready");
   target->version = g_strdup (version);
+  target->zone = zone;
   target->slots = SLOTS;
   target->handler = handler;
   target->fds = g_array_new (FALSE, FALSE, sizeof (int));
