--- a/process/router.c
+++ b/process/router.c
@@ -316,8 +316,8 @@
 }
 
 /* Reloads the settings.  If the new settings have an error, the old ones stay
-   in force.  The old addresses stay in force in any case, as a change of them
-   needs a restart.  */
+   in force.  The old addresses stay in force in any case, and so does whether
+   evacuations are read, as a change of them needs a restart.  */
 static void
 reload (struct router *router)
 {
@@ -341,6 +341,8 @@
   settings->listen = router->settings->listen;
   settings->peer_listen = router->settings->peer_listen;
   settings->platform = router->settings->platform;
+  if ((settings->evacuate_ms == 0) != (router->settings->evacuate_ms == 0))
+    settings->evacuate_ms = router->settings->evacuate_ms;
   log_set_level ((enum log_level)settings->log_level);
   fleet_set_settings (router->fleet, settings);
   router->settings = settings;
