Limit the request rate of cold targets over all instances

Cause: the configuration's cold_per_s was not read, so a cold target, which crashes well above that rate, got its share like any other.

Change: with slow_start: 1, a target is limited to the cold_per_s of its service while its registry entry says that it is cold, by a copy of the token bucket that Server-Limit uses (WIRE_SENT). Few instances send, each leaves part of a token to those that rank higher, and each takes only the part of the rate that the instances which it hears are of the fleet. Watchers of the store tell all others when a target becomes cold again (WIRE_COLD). A service with cold targets alone does not lower the bound of the others.

--- a/include/ibisloom/balance.h
+++ b/include/ibisloom/balance.h
@@ -26,7 +26,8 @@
   uint8_t local;        /* in this instance's failure domain */
   uint8_t excluded;     /* not to be used for this request */
   uint8_t warming_up;   /* recently started and still slow */
-  uint8_t rate_limited; /* limits its request rate */
+  uint8_t rate_limited; /* limits its request rate, or is cold */
+  uint8_t is_cold;      /* takes only a low request rate for a time */
   double rate_tokens;   /* requests that its rate limit allows now */
   uint8_t has_no_room;  /* brittle, and not to be sent another request now */
 };
--- a/include/ibisloom/fleet.h
+++ b/include/ibisloom/fleet.h
@@ -83,6 +83,8 @@
 int32_t fleet_reject_room (struct fleet *fleet, struct reg_target *target,
                            clk_ms sent_ms);
 void fleet_count_request (struct fleet *fleet, struct reg_target *target);
+void fleet_limit_cold (struct fleet *fleet, struct reg_target *target,
+                       double per_s, int is_told);
 uint32_t fleet_quarantined_count (const struct fleet *fleet);
 struct origins *fleet_origins (struct fleet *fleet);
 void fleet_add_origin (struct fleet *fleet,
--- a/include/ibisloom/rate.h
+++ b/include/ibisloom/rate.h
@@ -21,6 +21,8 @@
   clk_ms since_ms;   /* start of this version at this instance */
   uint64_t rank_min; /* of the instances that may send to the target */
   uint8_t is_sharer; /* this instance is one of them */
+  double reserve;    /* tokens left to the instances that rank higher */
+  double min_per_s;  /* it fills at least at this rate */
   double tokens;     /* requests that may be sent now */
   clk_ms refilled_ms;
 };
@@ -29,6 +31,9 @@
                   clk_ms sent_ms, clk_ms now);
 int rate_adopt (struct rate_limit *limit, uint32_t version, double per_s,
                 clk_ms now);
+void rate_begin (struct rate_limit *limit, clk_ms now);
+void rate_end (struct rate_limit *limit);
+void rate_set (struct rate_limit *limit, double per_s, clk_ms now);
 int rate_is_limited (const struct rate_limit *limit);
 double rate_tokens (const struct rate_limit *limit, clk_ms now);
 void rate_count (struct rate_limit *limit, clk_ms now);
--- a/include/ibisloom/registry.h
+++ b/include/ibisloom/registry.h
@@ -82,7 +82,11 @@
   clk_ms broken_ms;          /* a connection broke then, 0: none */
   clk_ms unreachable_ms;     /* no connection was established then, 0: none */
   double load_limit;         /* bound of its load when last selected */
-  struct rate_limit rate;
+  struct rate_limit rate;    /* that it names */
+  struct rate_limit cold;    /* that applies while it is cold */
+  double cold_per_s;         /* of its service; 0: no limit while it is cold */
+  clk_ms cold_until_ms;
+  struct position cold_position; /* of the entry that peers named as cold */
   struct room_service *room_service; /* of all targets of its service */
   struct room *room; /* NULL: its service has not been brittle lately */
   struct health health;
@@ -140,6 +144,7 @@
 void reg_peer_release (struct reg_target *target);
 void reg_end_suspensions (struct registry *registry, const char *service);
 int reg_is_near_limit (const struct reg_target *target, clk_ms now);
+int reg_is_cold (const struct reg_target *target, clk_ms now);
 double reg_counted_load (const struct reg_target *target);
 struct room_service *reg_room_service (const struct registry *registry,
                                        const char *service);
--- a/include/ibisloom/routes.h
+++ b/include/ibisloom/routes.h
@@ -56,6 +56,7 @@
   uint32_t connections_max;
   uint32_t engine_slots;  /* 0: no model engine */
   uint64_t engine_tokens; /* capacity of its key-value cache */
+  double cold_per_s; /* requests a second that a cold target takes; 0: any */
 };
 
 struct rt_limits
@@ -85,6 +86,8 @@
 struct rt_route *rt_add_route (struct rt_table *table, const char *name,
                                const char *host, const char *prefix);
 struct rt_service *rt_add_service (struct rt_table *table, const char *name);
+const struct rt_service *rt_find_service (const struct rt_table *table,
+                                          const char *name);
 struct rt_customer *rt_add_customer (struct rt_table *table, const char *name);
 void rt_add_key (struct rt_table *table, const char *key,
                  struct rt_customer *customer);
--- a/include/ibisloom/settings.h
+++ b/include/ibisloom/settings.h
@@ -49,6 +49,7 @@
   double store_writes_per_s; /* that the store takes from all instances */
   int64_t config_apply_ms;   /* until a confirmed version is in force */
   int64_t drain_ms;          /* for which a leaving target may get requests */
+  int64_t slow_start;        /* limits on cold and started targets are kept */
   double grace_s; /* from the stop signal until the process is killed */
   char *cluster_key;
   char *operator_token;
--- a/include/ibisloom/wire.h
+++ b/include/ibisloom/wire.h
@@ -50,6 +50,7 @@
   WIRE_REACH,             /* whether the sender reaches a service */
   WIRE_BRITTLE,           /* whether the targets of a service are brittle */
   WIRE_REJECTED,          /* request that a brittle target turned away */
+  WIRE_COLD,              /* that a target has become cold */
   WIRE_KIND_COUNT
 };
 
@@ -299,6 +300,14 @@
   uint32_t limit; /* of its requests in progress, as the sender knows now */
 };
 
+/* That a target is cold, as its entry at POSITION of the store says. */
+struct wire_cold
+{
+  uint64_t target;
+  struct position position;
+  uint32_t left_ms;
+};
+
 struct wire_message
 {
   enum wire_kind kind;
@@ -328,6 +337,7 @@
     struct wire_reach reach;
     struct wire_brittle brittle;
     struct wire_rejected rejected;
+    struct wire_cold cold;
   } u;
 };
 
--- a/process/fleet.c
+++ b/process/fleet.c
@@ -189,6 +189,9 @@
     case WIRE_REJECTED:
       fleet_apply_rejected (fleet, &message->u.rejected);
       break;
+    case WIRE_COLD:
+      fleet_apply_cold (fleet, &message->u.cold);
+      break;
     case WIRE_STATE:
       fleet_apply_state (fleet, peer, &message->u.state);
       break;
--- /dev/null
+++ b/process/fleet_cold.c
@@ -0,0 +1,168 @@
+/* Request rate of cold targets, which all instances share.
+
+   A target is cold while its entry in the store says so, and then takes a rate
+   that the configuration names.  Each instance keeps a copy of one token
+   bucket, as of a target that names its rate itself (fleet_rate.c).  Three
+   rules keep what instances send before they hear of each other within the
+   bound.  Few instances send, and each leaves part of a token to those that
+   rank higher, so that not all see the same token at the same moment.  An
+   instance takes only the part of the rate that the instances which it hears
+   are of the fleet, so that the parts of a divided fleet share the rate, and
+   an instance that has just started sends next to nothing.  An instance that
+   watches the store tells all others when a target becomes cold again.  */
+#include "ibisloom/log.h"
+#include "ibisloom/rank.h"
+#include "libfleet.h"
+
+enum
+{
+  SENDERS_MAX = 96, /* that are told of each request, see fleet_rate.c */
+  /* Where most targets are cold, every instance is to send to some: with eight
+     on average, one in 3,000 has none.  */
+  TARGETS_PER_SENDER = 8
+};
+
+/* Requests a second over its rate that a cold target bears, as a part of the
+   rate.  So many senders may take the same token.  */
+static const double OVERAGE = 0.5;
+
+static void begin (struct fleet *fleet, struct reg_target *target,
+                   clk_ms until_ms, clk_ms now);
+static uint32_t max_senders (const struct fleet *fleet,
+                             const struct reg_target *target, uint32_t heard,
+                             clk_ms now);
+static void tell (struct fleet *fleet, const struct reg_target *target,
+                  clk_ms now);
+
+/* Limits the requests to TARGET to PER_S (0: no limit) while it is cold by its
+   entry, unless the settings say otherwise.  If IS_TOLD, the other instances
+   are told that it has become cold.  */
+void
+fleet_limit_cold (struct fleet *fleet, struct reg_target *target, double per_s,
+                  int is_told)
+{
+  clk_ms now = clk_now (clk_monotonic ());
+  int was_cold = reg_is_cold (target, now);
+  clk_ms until_ms = target->warm_at_ms;
+
+  target->cold_per_s = fleet->settings->slow_start ? per_s : 0;
+  if (pos_compare (target->position, target->cold_position) < 0)
+    until_ms = MAX (until_ms, target->cold_until_ms);
+  if (target->cold_per_s <= 0 || until_ms <= now)
+    {
+      target->cold_until_ms = 0;
+      rate_end (&target->cold);
+      if (was_cold)
+        log_info ("fleet", NULL, "target_warm", "%s", target->id);
+      return;
+    }
+  begin (fleet, target, until_ms, now);
+  if (!was_cold && is_told)
+    tell (fleet, target, now);
+}
+
+/* Handles that a target has become cold, as another instance has told, unless
+   a newer entry of it is known.  */
+void
+fleet_apply_cold (struct fleet *fleet, const struct wire_cold *cold)
+{
+  struct reg_target *target = reg_find_hash (fleet->registry, cold->target);
+  clk_ms now = clk_now (clk_monotonic ());
+
+  if (target == NULL || target->cold_per_s <= 0
+      || pos_compare (cold->position, target->position) <= 0
+      || now + cold->left_ms <= target->cold_until_ms)
+    return;
+  target->cold_position = cold->position;
+  begin (fleet, target, now + cold->left_ms, now);
+}
+
+/* Limits the requests to TARGET from NOW until UNTIL_MS; a limit that is in
+   force goes on.  */
+static void
+begin (struct fleet *fleet, struct reg_target *target, clk_ms until_ms,
+       clk_ms now)
+{
+  if (!reg_is_cold (target, now))
+    {
+      rate_begin (&target->cold, now);
+      log_info ("fleet", NULL, "target_cold", "%s: %.1f requests/s, %d ms",
+                target->id, target->cold_per_s, (int)(until_ms - now));
+    }
+  target->cold_until_ms = until_ms;
+  fleet->cold_until_ms = MAX (fleet->cold_until_ms, until_ms);
+  fleet_arrange_cold (fleet, target, now);
+}
+
+/* Determines what part this instance has in the limit of TARGET, which is
+   cold.  Peers that have said that they leave and are silent are gone.  */
+void
+fleet_arrange_cold (const struct fleet *fleet, struct reg_target *target,
+                    clk_ms now)
+{
+  uint64_t own = rank_mix (target->hash, fleet->self);
+  uint32_t known = 1;
+  uint32_t heard = 1;
+  uint32_t ahead = 0;
+  uint32_t senders;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, fleet->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct fleet_peer *peer = value;
+      int is_silent = fleet_is_silent (fleet, peer, now);
+
+      known += !is_silent || peer->state != MEMBER_LEAVING;
+      heard += !is_silent;
+      ahead += !is_silent && rank_mix (target->hash, peer->id) > own;
+    }
+  senders = max_senders (fleet, target, heard, now);
+  target->cold.is_sharer = ahead < senders;
+  target->cold.reserve = (double)ahead / senders;
+  rate_set (&target->cold, target->cold_per_s * heard / known, now);
+}
+
+/* Returns how many instances may send to TARGET, of so many that are HEARD: as
+   many as may take the same token without the target getting too much, and,
+   where most targets of the service are cold, as many as let every instance
+   send to some of them.  */
+static uint32_t
+max_senders (const struct fleet *fleet, const struct reg_target *target,
+             uint32_t heard, clk_ms now)
+{
+  const GPtrArray *targets = fleet->registry->array;
+  uint32_t senders = 1 + (uint32_t)(target->cold_per_s * OVERAGE);
+  uint32_t cold = 0;
+  uint32_t warm = 0;
+
+  for (guint i = 0; i < targets->len; i++)
+    {
+      const struct reg_target *other = g_ptr_array_index (targets, i);
+
+      if (other->service != target->service || other->leaving)
+        continue;
+      if (reg_is_cold (other, now))
+        cold++;
+      else
+        warm += health_get_state (&other->health, now) == HEALTH_USABLE;
+    }
+  if (cold > warm)
+    senders = MAX (senders, TARGETS_PER_SENDER * heard / cold + 1);
+  return MIN (senders, SENDERS_MAX);
+}
+
+/* Tells all other instances that TARGET has become cold.  */
+static void
+tell (struct fleet *fleet, const struct reg_target *target, clk_ms now)
+{
+  struct wire_message message
+      = { .kind = WIRE_COLD,
+          .u.cold = { .target = target->hash,
+                      .position = target->position,
+                      .left_ms = (uint32_t)MIN (target->cold_until_ms - now,
+                                                INT32_MAX) } };
+
+  fleet_broadcast (fleet, &message);
+}
--- a/process/fleet_rate.c
+++ b/process/fleet_rate.c
@@ -18,6 +18,7 @@
   RATE_SCALE = 1000
 };
 
+static int count_sent (struct reg_target *target, clk_ms now);
 static void find_sharers (const struct fleet *fleet, struct reg_target *target,
                           clk_ms now);
 static int compare_ranks (const void *left, const void *right);
@@ -53,9 +54,8 @@
   GHashTableIter iter;
   gpointer value;
 
-  if (!rate_is_limited (&target->rate))
+  if (!count_sent (target, now))
     return;
-  rate_count (&target->rate, now);
   g_hash_table_iter_init (&iter, fleet->peers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -73,8 +73,23 @@
 {
   struct reg_target *target = reg_find_hash (fleet->registry, sent->target);
 
-  if (target != NULL && rate_is_limited (&target->rate))
-    rate_count (&target->rate, clk_now (clk_monotonic ()));
+  if (target != NULL)
+    count_sent (target, clk_now (clk_monotonic ()));
+}
+
+/* Counts a request that an instance has sent to TARGET in the limits that are
+   in force at NOW.  Returns whether there is one.  */
+static int
+count_sent (struct reg_target *target, clk_ms now)
+{
+  int is_limited = rate_is_limited (&target->rate);
+  int is_cold = reg_is_cold (target, now);
+
+  if (is_limited)
+    rate_count (&target->rate, now);
+  if (is_cold)
+    rate_count (&target->cold, now);
+  return is_limited || is_cold;
 }
 
 /* Adopts the limits that another instance has sent, where they are newer.  */
@@ -135,7 +150,9 @@
       struct reg_target *target
           = g_ptr_array_index (targets, fleet->next_rate++ % targets->len);
 
-      if (!rate_is_limited (&target->rate))
+      if (reg_is_cold (target, now))
+        fleet_arrange_cold (fleet, target, now);
+      else if (!rate_is_limited (&target->rate))
         continue;
       find_sharers (fleet, target, now);
       updated++;
--- a/process/fleet_room.c
+++ b/process/fleet_room.c
@@ -81,15 +81,19 @@
     room_count_request (state, now);
 }
 
-/* Handles the datagrams that have arrived, if targets of SERVICE are brittle,
-   so that the next choice among them rests on what others have told.  */
+/* Handles the datagrams that have arrived, if targets of SERVICE are brittle
+   or targets are cold, so that the next choice among them rests on what others
+   have told.  */
 void
 fleet_hear_loads (struct fleet *fleet, const char *service)
 {
   const struct room_service *state
       = reg_room_service (fleet->registry, service);
 
-  if (state != NULL && room_is_brittle (state, clk_now (clk_monotonic ())))
+  clk_ms now = clk_now (clk_monotonic ());
+
+  if (now < fleet->cold_until_ms
+      || (state != NULL && room_is_brittle (state, now)))
     fleet_on_datagram (fleet->loop, &fleet->io, EV_READ);
 }
 
--- a/process/libfleet.h
+++ b/process/libfleet.h
@@ -114,6 +114,7 @@
   GArray *members; /* of struct fleet_member; empty if none is brittle */
   uint32_t turn;   /* by which the members' ranks at targets change */
   clk_ms turned_ms;
+  clk_ms cold_until_ms;  /* some target may be cold until then */
   guint next_rate;       /* target whose sharers are found next */
   guint first_told_rate; /* target whose limit is told first */
   guint told_rates;      /* targets whose limits were told in this heartbeat */
@@ -159,6 +160,11 @@
                          const struct wire_loads *loads);
 void fleet_drop_loads (struct fleet *fleet, struct fleet_peer *peer);
 
+/* fleet_cold.c */
+void fleet_arrange_cold (const struct fleet *fleet, struct reg_target *target,
+                         clk_ms now);
+void fleet_apply_cold (struct fleet *fleet, const struct wire_cold *cold);
+
 /* fleet_rate.c */
 void fleet_rate_tick (struct fleet *fleet, clk_ms now);
 void fleet_send_rates (struct fleet *fleet, const struct sockaddr_in *address);
--- a/process/registry.c
+++ b/process/registry.c
@@ -623,14 +623,27 @@
       candidate->local = target->failure_domain == failure_domain;
       candidate->excluded = 0;
       candidate->warming_up = now < target->warm_at_ms;
-      candidate->rate_limited = rate_is_limited (&target->rate) != 0;
+      candidate->is_cold = reg_is_cold (target, now) != 0;
+      candidate->rate_limited
+          = candidate->is_cold || rate_is_limited (&target->rate);
       candidate->rate_tokens = rate_tokens (&target->rate, now);
+      if (candidate->is_cold)
+        candidate->rate_tokens
+            = MIN (candidate->rate_tokens, rate_tokens (&target->cold, now));
       candidate->has_no_room = (uint8_t)has_no_room (target, now);
       targets[count++] = target;
     }
   return count;
 }
 
+/* Returns whether TARGET is cold at NOW and its service limits the requests
+   to such targets.  */
+int
+reg_is_cold (const struct reg_target *target, clk_ms now)
+{
+  return now < target->cold_until_ms;
+}
+
 /* Returns whether TARGET is brittle and not to be sent a request at NOW.  */
 static int
 has_no_room (const struct reg_target *target, clk_ms now)
--- a/process/router_metrics.c
+++ b/process/router_metrics.c
@@ -97,12 +97,14 @@
   int64_t missing = 0;
   int64_t suspected = 0;
   int64_t usable = 0;
+  int64_t cold = 0;
 
   for (guint i = 0; i < router->registry->array->len; i++)
     {
       const struct reg_target *target
           = g_ptr_array_index (router->registry->array, i);
 
+      cold += reg_is_cold (target, now);
       if (target->leaving)
         leaving++;
       else if (target->missing_until_ms != 0)
@@ -116,4 +118,5 @@
   add_gauge (out, "ibisloom_targets_suspected", suspected);
   add_gauge (out, "ibisloom_targets_missing", missing);
   add_gauge (out, "ibisloom_targets_leaving", leaving);
+  add_gauge (out, "ibisloom_targets_cold", cold);
 }
--- a/process/router_store.c
+++ b/process/router_store.c
@@ -36,6 +36,8 @@
                                    const struct watch_object *object);
 static void put_target (struct router *router, const struct reg_entry *entry,
                         struct position position);
+static void limit_cold (struct router *router, struct reg_target *target,
+                        int is_told);
 static void drop_restarted_holder (struct router *router,
                                    const struct reg_entry *entry);
 static int64_t missing_grace_ms (const struct router *router);
@@ -178,6 +180,8 @@
   router->table = table;
   router->known.version = MAX (router->known.version, table->version);
   router->table_ms = clk_now (clk_monotonic ());
+  for (guint i = 0; i < router->registry->array->len; i++)
+    limit_cold (router, g_ptr_array_index (router->registry->array, i), 0);
   router->request_listener.limits.head_max_bytes
       = table->limits.head_max_bytes;
   router->request_listener.limits.body_max_bytes
@@ -309,8 +313,9 @@
 put_target (struct router *router, const struct reg_entry *entry,
             struct position position)
 {
-  const struct reg_target *target = reg_find (router->registry, entry->id);
+  struct reg_target *target = reg_find (router->registry, entry->id);
   uint64_t software_before = target != NULL ? target->software : 0;
+  int is_known = target != NULL;
 
   drop_restarted_holder (router, entry);
   if (reg_put (router->registry, entry, position, clk_now (clk_monotonic ())))
@@ -321,6 +326,23 @@
   if (software_before != 0 && target->software != software_before)
     fleet_correct_origins (router->fleet, target);
   fleet_see_target (router->fleet, target);
+  limit_cold (router, target,
+              is_known && !router->targets.listing
+                  && !router->targets.list_only);
+}
+
+/* Limits the request rate of TARGET while it is cold, as the configuration
+   says.  The other instances are told if IS_TOLD.  */
+static void
+limit_cold (struct router *router, struct reg_target *target, int is_told)
+{
+  const struct rt_service *service
+      = router->table != NULL
+            ? rt_find_service (router->table, target->service)
+            : NULL;
+
+  fleet_limit_cold (router->fleet, target,
+                    service != NULL ? service->cold_per_s : 0, is_told);
 }
 
 /* Handles the deletion of the registry entry OBJECT.  The target is kept as
--- a/process/settings.c
+++ b/process/settings.c
@@ -133,6 +133,8 @@
     500, 600000, 2000 },
   { "drain_ms", parse_integer, FIELD_OFFSET (drain_ms), OPTIONAL, 0, 600000,
     2000 },
+  { "slow_start", parse_integer, FIELD_OFFSET (slow_start), OPTIONAL, 0, 1,
+    0 },
   { "grace_s", parse_real, FIELD_OFFSET (grace_s), OPTIONAL, 1, 3600, 30 },
 };
 
--- a/process/wire_fleet.c
+++ b/process/wire_fleet.c
@@ -373,6 +373,30 @@
   reader->failed |= list.failed;
 }
 
+static void
+encode_cold (msgpack_packer *packer, const struct wire_message *message)
+{
+  const struct wire_cold *cold = &message->u.cold;
+
+  msgpack_pack_array (packer, 4);
+  msgpack_pack_uint64 (packer, cold->target);
+  msgpack_pack_uint64 (packer, cold->position.epoch);
+  msgpack_pack_uint64 (packer, cold->position.revision);
+  msgpack_pack_uint64 (packer, cold->left_ms);
+}
+
+static void
+decode_cold (struct wire_reader *reader, struct wire_message *message)
+{
+  struct wire_cold *cold = &message->u.cold;
+  struct wire_reader list = wire_next_array (reader, 4);
+
+  cold->target = wire_next_uint (&list, UINT64_MAX);
+  cold->position = wire_next_position (&list);
+  cold->left_ms = (uint32_t)wire_next_uint (&list, INT32_MAX);
+  reader->failed |= list.failed;
+}
+
 /* Kinds of routers. */
 const struct wire_codec wire_fleet_codecs[WIRE_KIND_COUNT] = {
   [WIRE_LOADS] = { encode_loads, decode_loads },
@@ -390,4 +414,5 @@
   [WIRE_REACH] = { encode_reach, decode_reach },
   [WIRE_BRITTLE] = { encode_brittle, decode_brittle },
   [WIRE_REJECTED] = { encode_rejected, decode_rejected },
+  [WIRE_COLD] = { encode_cold, decode_cold },
 };
--- a/request/balance.c
+++ b/request/balance.c
@@ -370,12 +370,12 @@
   return limited > 0 ? limited_sum / (double)limited : 0;
 }
 
-/* Returns whether one of COUNT CANDIDATES limits its rate.  */
+/* Returns whether one of COUNT CANDIDATES limits its rate for good.  */
 static int
 has_rate_limits (const struct bal_candidate *candidates, size_t count)
 {
   for (size_t i = 0; i < count; i++)
-    if (candidates[i].rate_limited)
+    if (candidates[i].rate_limited && !candidates[i].is_cold)
       return 1;
   return 0;
 }
--- a/request/rate.c
+++ b/request/rate.c
@@ -56,6 +56,32 @@
   return 1;
 }
 
+/* Begins LIMIT, which all instances know without being told by the others,
+   with nothing saved up.  */
+void
+rate_begin (struct rate_limit *limit, clk_ms now)
+{
+  *limit = (struct rate_limit){ .version = 1,
+                                .since_ms = now,
+                                .refilled_ms = now };
+}
+
+/* Ends LIMIT, from rate_begin.  */
+void
+rate_end (struct rate_limit *limit)
+{
+  limit->version = 0;
+}
+
+/* Sets the rate of LIMIT, from rate_begin, to PER_S from NOW on.  */
+void
+rate_set (struct rate_limit *limit, double per_s, clk_ms now)
+{
+  limit->tokens = refill (limit, now);
+  limit->refilled_ms = now;
+  limit->per_s = per_s;
+}
+
 /* Returns whether LIMIT is in force.  */
 int
 rate_is_limited (const struct rate_limit *limit)
@@ -70,7 +96,7 @@
 {
   if (!rate_is_limited (limit))
     return INFINITY;
-  return limit->is_sharer ? refill (limit, now) : 0;
+  return limit->is_sharer ? refill (limit, now) - limit->reserve : 0;
 }
 
 /* Counts a request that an instance has sent.  */
@@ -85,7 +111,7 @@
 static double
 refill (const struct rate_limit *limit, clk_ms now)
 {
-  double per_s = MAX (limit->per_s, RATE_MIN_PER_S);
+  double per_s = MAX (limit->per_s, limit->min_per_s);
 
   return MIN (limit->tokens
                   + per_s * (double)(now - limit->refilled_ms) / CLK_MS_PER_S,
@@ -102,5 +128,6 @@
   limit->refilled_ms = now;
   limit->version = version;
   limit->per_s = per_s;
+  limit->min_per_s = RATE_MIN_PER_S;
   limit->since_ms = now;
 }
--- a/tests/router_fixture.c
+++ b/tests/router_fixture.c
@@ -26,6 +26,8 @@
 
 extern char **environ;
 
+static const char *more_settings = "";
+
 struct fx_env fx_env = { .lock = PTHREAD_MUTEX_INITIALIZER,
                          .changed = PTHREAD_COND_INITIALIZER };
 
@@ -217,6 +219,14 @@
   return value;
 }
 
+/* Has routers that are spawned from now on get MORE, lines of YAML, in their
+   settings.  */
+void
+fx_routers_add_settings (const char *more)
+{
+  more_settings = more;
+}
+
 /* Starts router INDEX, on its previous ports if it ran before; appends its log
    to the file LOG.  */
 void
@@ -227,6 +237,7 @@
   char *tests = g_path_get_dirname (self);
   char *program = g_build_filename (tests, "..", "ibisloomd", NULL);
   char *settings;
+  char *extra;
   char *arguments[4] = { program, (char *)"--settings" };
   posix_spawn_file_actions_t actions;
 
@@ -237,7 +248,9 @@
       router->peer_port = find_free_port ();
       router->metrics_port = find_free_port ();
     }
-  settings = write_router_settings (index, "retry_ratio: 0.2\n");
+  extra = g_strconcat ("retry_ratio: 0.2\n", more_settings, NULL);
+  settings = write_router_settings (index, extra);
+  g_free (extra);
   arguments[2] = settings;
   posix_spawn_file_actions_init (&actions);
   posix_spawn_file_actions_addopen (&actions, STDOUT_FILENO, log,
--- a/version/routes.c
+++ b/version/routes.c
@@ -68,6 +68,21 @@
   return route;
 }
 
+/* Returns the service NAME of TABLE, which is interned, or NULL.  */
+const struct rt_service *
+rt_find_service (const struct rt_table *table, const char *name)
+{
+  for (guint i = 0; i < table->services->len; i++)
+    {
+      const struct rt_service *service
+          = g_ptr_array_index (table->services, i);
+
+      if (service->name == name)
+        return service;
+    }
+  return NULL;
+}
+
 /* Adds a service to TABLE; the caller sets its limits.  */
 struct rt_service *
 rt_add_service (struct rt_table *table, const char *name)
