Limit the requests at targets that have started or recovered

Cause: such a target has the lowest load, which all instances see at the same moment, so it is flooded; or it is avoided and left idle.

Change: with slow_start: 1, all instances together keep the requests in progress there within a limit (request/pace.c). It starts at one, doubles in 400 ms, and falls by half when a response is late compared with the service, is a rejection, or fails; reductions are told (WIRE_PACES). Few instances use a low limit, in turn. It ends above twice the mean load plus 4. Where no other target takes a request, or more than half of the targets have a pace, it is ignored.

--- a/include/ibisloom/balance.h
+++ b/include/ibisloom/balance.h
@@ -29,6 +29,7 @@
   uint8_t rate_limited; /* limits its request rate, or is cold */
   uint8_t is_cold;      /* takes only a low request rate for a time */
   double rate_tokens;   /* requests that its rate limit allows now */
+  uint8_t is_paced_out; /* started or recovered, and has enough for now */
   uint8_t has_no_room;  /* brittle, and not to be sent another request now */
 };
 
@@ -36,12 +37,13 @@
 {
   uint64_t context; /* hash of the shared parts of the prompt, 0: none */
   const struct affinity_holders *holders; /* of the context; may be NULL */
-  double cap_factor; /* load bound as a multiple of the mean; 0: no bound */
-  double cap_slack;  /* requests added to the bound */
-  double rate_min;   /* tokens that a target with a rate limit must have */
-  uint8_t is_pinned; /* few targets will do: full and suspended ones too */
-  uint8_t may_try;   /* may be the trial of a target that is due for one */
-  uint32_t random;   /* index at which the search for the least load starts */
+  double cap_factor;    /* load bound as a multiple of the mean; 0: no bound */
+  double cap_slack;     /* requests added to the bound */
+  double rate_min;      /* tokens that a target with a rate limit must have */
+  uint8_t is_pinned;    /* few targets will do: full and suspended ones too */
+  uint8_t ignores_pace; /* no target is left without the pace */
+  uint8_t may_try;      /* may be the trial of a target that is due for one */
+  uint32_t random; /* index at which the search for the least load starts */
 };
 
 /* Rule by which the target was selected, or why none was. */
@@ -70,6 +72,7 @@
   BAL_SKIP_ERRORS,    /* error rate far above the lowest one */
   BAL_SKIP_RATE,      /* at its rate limit */
   BAL_SKIP_ROOM,      /* brittle, without room */
+  BAL_SKIP_PACE,      /* started or recovered, and at its pace */
   BAL_SKIP_COUNT
 };
 
@@ -78,10 +81,11 @@
   size_t index; /* of the selected candidate */
   enum bal_reason reason;
   enum bal_skip skip;
-  uint64_t other_home; /* id of the home that was not selected, 0: none */
-  double load;         /* of the selected candidate */
-  double mean;         /* mean load of the candidates not suspended */
-  double limit;        /* load up to which a target may be selected */
+  uint8_t ignored_pace; /* all targets are at their paces, or full */
+  uint64_t other_home;  /* id of the home that was not selected, 0: none */
+  double load;          /* of the selected candidate */
+  double mean;          /* mean load of the candidates not suspended */
+  double limit;         /* load up to which a target may be selected */
 };
 
 extern const char *const bal_reason_names[BAL_REASON_COUNT];
--- a/include/ibisloom/fleet.h
+++ b/include/ibisloom/fleet.h
@@ -49,6 +49,14 @@
   void (*told) (void *closure, uint32_t peer, const struct wire_reach *reach);
 };
 
+/* What the head of a target's response says of its capacity. */
+enum fleet_response
+{
+  FLEET_SUCCEEDED,
+  FLEET_REJECTED, /* the request did not run, for want of capacity */
+  FLEET_ERROR     /* nothing */
+};
+
 struct fleet *fleet_new (const struct settings *settings, struct ev_loop *loop,
                          struct out_pool *pool,
                          const struct watch_protocol *store, const char *kind,
@@ -85,6 +93,12 @@
 void fleet_count_request (struct fleet *fleet, struct reg_target *target);
 void fleet_limit_cold (struct fleet *fleet, struct reg_target *target,
                        double per_s, int is_told);
+void fleet_begin_pace (struct fleet *fleet, struct reg_target *target,
+                       const char *cause);
+void fleet_pace_response (struct fleet *fleet, struct reg_target *target,
+                          enum fleet_response response, clk_ms sent_ms);
+void fleet_pace_failure (struct fleet *fleet, struct reg_target *target,
+                         clk_ms sent_ms);
 uint32_t fleet_quarantined_count (const struct fleet *fleet);
 struct origins *fleet_origins (struct fleet *fleet);
 void fleet_add_origin (struct fleet *fleet,
--- a/include/ibisloom/health.h
+++ b/include/ibisloom/health.h
@@ -36,6 +36,7 @@
   uint32_t trials_in_flight;
   clk_ms suspended_until_ms; /* 0: not suspended */
   uint8_t in_doubt;          /* suspended for HEALTH_KEPT_SILENT alone */
+  uint8_t in_outage;         /* suspended, and not for rejections alone */
   double error_rate;         /* moving average of server errors, 0 to 1 */
   clk_ms responded_ms;       /* time of the last response, 0: none */
 };
--- a/include/ibisloom/metrics.h
+++ b/include/ibisloom/metrics.h
@@ -62,7 +62,12 @@
   METRIC_HOPS_REFUSED,    /* by this instance */
   METRIC_CUT_OFF,         /* times that it was cut off from a service */
   METRIC_ROOM_REJECTIONS, /* requests that brittle targets turned away */
-  METRIC_OVER_BOUND,      /* responses that report a load over the bound */
+  /* Limits of targets that have started or recovered.  */
+  METRIC_PACES_BEGUN,
+  METRIC_PACES_REDUCED, /* for what this instance has seen */
+  METRIC_PACES_ENDED,
+  METRIC_PACED_OUT,  /* requests sent there as no other target was left */
+  METRIC_OVER_BOUND, /* responses that report a load over the bound */
   /* Denied admissions, by reason.  */
   METRIC_DENIED_BOUND,
   METRIC_DENIED_RATE,
--- a/include/ibisloom/registry.h
+++ b/include/ibisloom/registry.h
@@ -9,6 +9,7 @@
 #include "ibisloom/balance.h"
 #include "ibisloom/clock.h"
 #include "ibisloom/health.h"
+#include "ibisloom/pace.h"
 #include "ibisloom/position.h"
 #include "ibisloom/rate.h"
 #include "ibisloom/room.h"
@@ -88,6 +89,8 @@
   clk_ms cold_until_ms;
   struct position cold_position; /* of the entry that peers named as cold */
   struct room_service *room_service; /* of all targets of its service */
+  struct pace_service *pace_service; /* of all targets of its service */
+  struct pace pace;  /* while it has lately started or recovered */
   struct room *room; /* NULL: its service has not been brittle lately */
   struct health health;
 };
@@ -108,6 +111,7 @@
   GPtrArray *array;     /* of struct reg_target, unordered, for iteration */
   GQueue gone;          /* of struct reg_gone, oldest first */
   GHashTable *services; /* interned name to struct room_service */
+  GHashTable *paces;    /* interned name to struct pace_service */
   uint64_t last_serial; /* given to a target */
   int listed;           /* a complete list has been read */
   reg_load_fn on_load;  /* may be NULL */
--- a/include/ibisloom/wire.h
+++ b/include/ibisloom/wire.h
@@ -24,7 +24,9 @@
   WIRE_STATES_MAX = 48,
   WIRE_RATES_MAX = 64,
   WIRE_ORIGINS_MAX = 32,
-  WIRE_VERSIONS_MAX = 16
+  WIRE_VERSIONS_MAX = 16,
+  WIRE_PACES_MAX = 16,
+  WIRE_PACE_SCALE = 1000 /* units in a request, or in a millisecond */
 };
 
 enum wire_kind
@@ -51,6 +53,7 @@
   WIRE_BRITTLE,           /* whether the targets of a service are brittle */
   WIRE_REJECTED,          /* request that a brittle target turned away */
   WIRE_COLD,              /* that a target has become cold */
+  WIRE_PACES,             /* limits of targets that have lately started */
   WIRE_KIND_COUNT
 };
 
@@ -308,6 +311,24 @@
   uint32_t left_ms;
 };
 
+/* Pace of a target, see struct pace. */
+struct wire_pace
+{
+  uint64_t target;
+  uint64_t incarnation; /* of its process */
+  uint32_t version;
+  uint32_t base;  /* in units of WIRE_PACE_SCALE, as the next two */
+  uint32_t bend;  /* UINT32_MAX: infinite */
+  uint32_t floor; /* 0: unknown */
+  uint32_t age_ms;
+};
+
+struct wire_paces
+{
+  uint32_t count;
+  struct wire_pace pace[WIRE_PACES_MAX];
+};
+
 struct wire_message
 {
   enum wire_kind kind;
@@ -338,6 +359,7 @@
     struct wire_brittle brittle;
     struct wire_rejected rejected;
     struct wire_cold cold;
+    struct wire_paces paces;
   } u;
 };
 
--- a/process/fleet.c
+++ b/process/fleet.c
@@ -192,6 +192,9 @@
     case WIRE_COLD:
       fleet_apply_cold (fleet, &message->u.cold);
       break;
+    case WIRE_PACES:
+      fleet_apply_paces (fleet, &message->u.paces);
+      break;
     case WIRE_STATE:
       fleet_apply_state (fleet, peer, &message->u.state);
       break;
--- a/process/fleet_heartbeat.c
+++ b/process/fleet_heartbeat.c
@@ -46,6 +46,7 @@
   fleet_quarantine_tick (fleet, now);
   fleet_rate_tick (fleet, now);
   fleet_room_tick (fleet, now);
+  fleet_pace_tick (fleet, now);
   fleet_origin_tick (fleet, now);
   fleet_version_tick (fleet, now);
   if (fleet->heartbeat_count % SILENT_PEER_STRIDE == 1)
@@ -112,8 +113,8 @@
 
 /* Sends a heartbeat to ADDRESS.  If WANTS_AFFINITY is not 0, it requests the
    affinity table of the receiver.  Loads that do not fit follow as load
-   updates, and then the states of prompt parts, the rate limits of targets and
-   the services whose targets are brittle, if there are any.  */
+   updates, and then the states of prompt parts, the rate limits of targets,
+   the services whose targets are brittle and the paces, if there are any.  */
 static void
 send_heartbeat (struct fleet *fleet, const struct sockaddr_in *address,
                 int wants_affinity)
@@ -145,6 +146,7 @@
   fleet_send_states (fleet, address);
   fleet_send_rates (fleet, address);
   fleet_send_brittle (fleet, address);
+  fleet_send_paces (fleet, address);
 }
 
 /* Returns the state that heartbeats report.  */
--- a/process/fleet_room.c
+++ b/process/fleet_room.c
@@ -82,17 +82,16 @@
 }
 
 /* Handles the datagrams that have arrived, if targets of SERVICE are brittle
-   or targets are cold, so that the next choice among them rests on what others
-   have told.  */
+   or targets are cold or have a pace, so that the next choice among them rests
+   on what others have told.  */
 void
 fleet_hear_loads (struct fleet *fleet, const char *service)
 {
   const struct room_service *state
       = reg_room_service (fleet->registry, service);
-
   clk_ms now = clk_now (clk_monotonic ());
 
-  if (now < fleet->cold_until_ms
+  if (now < fleet->cold_until_ms || fleet->paced > 0
       || (state != NULL && room_is_brittle (state, now)))
     fleet_on_datagram (fleet->loop, &fleet->io, EV_READ);
 }
--- a/process/libfleet.h
+++ b/process/libfleet.h
@@ -114,6 +114,7 @@
   GArray *members; /* of struct fleet_member; empty if none is brittle */
   uint32_t turn;   /* by which the members' ranks at targets change */
   clk_ms turned_ms;
+  guint paced;           /* targets with a pace, at the last heartbeat */
   clk_ms cold_until_ms;  /* some target may be cold until then */
   guint next_rate;       /* target whose sharers are found next */
   guint first_told_rate; /* target whose limit is told first */
@@ -160,6 +161,11 @@
                          const struct wire_loads *loads);
 void fleet_drop_loads (struct fleet *fleet, struct fleet_peer *peer);
 
+/* fleet_pace.c */
+void fleet_pace_tick (struct fleet *fleet, clk_ms now);
+void fleet_send_paces (struct fleet *fleet, const struct sockaddr_in *address);
+void fleet_apply_paces (struct fleet *fleet, const struct wire_paces *paces);
+
 /* fleet_cold.c */
 void fleet_arrange_cold (const struct fleet *fleet, struct reg_target *target,
                          clk_ms now);
--- a/process/metrics.c
+++ b/process/metrics.c
@@ -97,6 +97,10 @@
   [METRIC_HOPS_REFUSED] = "ibisloom_hops_refused_total",
   [METRIC_CUT_OFF] = "ibisloom_cut_off_total",
   [METRIC_ROOM_REJECTIONS] = "ibisloom_room_rejections_total",
+  [METRIC_PACES_BEGUN] = "ibisloom_paces_total{event=\"begun\"}",
+  [METRIC_PACES_REDUCED] = "ibisloom_paces_total{event=\"reduced\"}",
+  [METRIC_PACES_ENDED] = "ibisloom_paces_total{event=\"ended\"}",
+  [METRIC_PACED_OUT] = "ibisloom_pace_ignored_total",
   [METRIC_OVER_BOUND] = "ibisloom_over_bound_total",
   [METRIC_DENIED_RATE]
   = "ibisloom_admission_denied_total{reason=\"rate_limit\"}",
--- a/process/registry.c
+++ b/process/registry.c
@@ -83,6 +83,7 @@
   registry->by_hash = g_hash_table_new (NULL, NULL);
   registry->array = g_ptr_array_new ();
   registry->services = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  registry->paces = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   g_queue_init (&registry->gone);
   return registry;
 }
@@ -97,6 +98,7 @@
   g_hash_table_destroy (registry->targets);
   g_hash_table_destroy (registry->by_hash);
   g_hash_table_destroy (registry->services);
+  g_hash_table_destroy (registry->paces);
   g_ptr_array_free (registry->array, TRUE);
   g_queue_clear_full (&registry->gone, g_free);
   g_free (registry);
@@ -218,6 +220,14 @@
   target->hash = rank_hash (entry->id) & UINT32_MAX;
   target->service = g_intern_string (entry->service);
   target->room_service = add_service (registry, target->service);
+  target->pace_service
+      = g_hash_table_lookup (registry->paces, target->service);
+  if (target->pace_service == NULL)
+    {
+      target->pace_service = g_new0 (struct pace_service, 1);
+      g_hash_table_insert (registry->paces, (gpointer)target->service,
+                           target->pace_service);
+    }
   target->failure_domain = g_intern_string (entry->failure_domain);
   target->address = entry->address;
   target->references = 1;
@@ -499,6 +509,7 @@
         continue;
       target->health.suspended_until_ms = 0;
       target->health.consecutive_failures = 0;
+      target->health.in_outage = 0;
     }
 }
 
@@ -630,6 +641,8 @@
       if (candidate->is_cold)
         candidate->rate_tokens
             = MIN (candidate->rate_tokens, rate_tokens (&target->cold, now));
+      candidate->is_paced_out
+          = !pace_may_send (&target->pace, reg_counted_load (target), now);
       candidate->has_no_room = (uint8_t)has_no_room (target, now);
       targets[count++] = target;
     }
--- a/process/router_metrics.c
+++ b/process/router_metrics.c
@@ -98,6 +98,7 @@
   int64_t suspected = 0;
   int64_t usable = 0;
   int64_t cold = 0;
+  int64_t paced = 0;
 
   for (guint i = 0; i < router->registry->array->len; i++)
     {
@@ -105,6 +106,7 @@
           = g_ptr_array_index (router->registry->array, i);
 
       cold += reg_is_cold (target, now);
+      paced += pace_is_in_force (&target->pace);
       if (target->leaving)
         leaving++;
       else if (target->missing_until_ms != 0)
@@ -119,4 +121,5 @@
   add_gauge (out, "ibisloom_targets_missing", missing);
   add_gauge (out, "ibisloom_targets_leaving", leaving);
   add_gauge (out, "ibisloom_targets_cold", cold);
+  add_gauge (out, "ibisloom_targets_paced", paced);
 }
--- a/process/router_store.c
+++ b/process/router_store.c
@@ -13,7 +13,9 @@
   WATCH_LINGER_MS = 2000, /* an unneeded watch continues for this time */
   WAIT_MS = 6000,         /* longest watch */
   INTERVAL_MS = 250,      /* between watches */
-  STANDBY_INTERVAL_MS = 1000
+  STANDBY_INTERVAL_MS = 1000,
+  /* An entry of an older process had only been missing.  */
+  STARTED_LATELY_MS = 60000
 };
 
 /* Longest watch of the configuration, as a share of the time in which a
@@ -38,6 +40,9 @@
                         struct position position);
 static void limit_cold (struct router *router, struct reg_target *target,
                         int is_told);
+static int has_started (const struct router *router,
+                        const struct reg_target *target,
+                        const struct reg_entry *entry);
 static void drop_restarted_holder (struct router *router,
                                    const struct reg_entry *entry);
 static int64_t missing_grace_ms (const struct router *router);
@@ -316,6 +321,7 @@
   struct reg_target *target = reg_find (router->registry, entry->id);
   uint64_t software_before = target != NULL ? target->software : 0;
   int is_known = target != NULL;
+  int is_started = has_started (router, target, entry);
 
   drop_restarted_holder (router, entry);
   if (reg_put (router->registry, entry, position, clk_now (clk_monotonic ())))
@@ -329,6 +335,22 @@
   limit_cold (router, target,
               is_known && !router->targets.listing
                   && !router->targets.list_only);
+  if (!is_started || target->is_restored)
+    return;
+  target->pace = (struct pace){ 0 };
+  fleet_begin_pace (router->fleet, target, "started");
+}
+
+/* Returns whether ENTRY is of a target that has started since this instance
+   read a complete list; TARGET is what is known of it, or NULL.  */
+static int
+has_started (const struct router *router, const struct reg_target *target,
+             const struct reg_entry *entry)
+{
+  return router->registry->listed && !entry->leaving
+         && (target == NULL || target->incarnation != entry->incarnation)
+         && (entry->started_ms == 0
+             || clk_wall_ms () - entry->started_ms < STARTED_LATELY_MS);
 }
 
 /* Limits the request rate of TARGET while it is cold, as the configuration
--- a/process/wire.c
+++ b/process/wire.c
@@ -48,6 +48,7 @@
   [WIRE_BRITTLE] = "brittle",
   [WIRE_REJECTED] = "rejected",
   [WIRE_COLD] = "cold",
+  [WIRE_PACES] = "paces",
 };
 
 static int has_allowed_types (const unsigned char *data, size_t length);
--- a/process/wire_fleet.c
+++ b/process/wire_fleet.c
@@ -3,6 +3,11 @@
 #include "ibisloom/reach.h"
 #include "libwire.h"
 
+enum
+{
+  WIRE_PACE_ITEMS = 7
+};
+
 /* Encodes a load update, without a count.  */
 static void
 encode_loads (msgpack_packer *packer, const struct wire_message *message)
@@ -397,6 +402,47 @@
   reader->failed |= list.failed;
 }
 
+/* Encodes the paces of targets, without a count.  */
+static void
+encode_paces (msgpack_packer *packer, const struct wire_message *message)
+{
+  const struct wire_paces *paces = &message->u.paces;
+
+  msgpack_pack_array (packer, paces->count * WIRE_PACE_ITEMS);
+  for (uint32_t i = 0; i < paces->count; i++)
+    {
+      msgpack_pack_uint64 (packer, paces->pace[i].target);
+      msgpack_pack_uint64 (packer, paces->pace[i].incarnation);
+      msgpack_pack_uint64 (packer, paces->pace[i].version);
+      msgpack_pack_uint64 (packer, paces->pace[i].base);
+      msgpack_pack_uint64 (packer, paces->pace[i].bend);
+      msgpack_pack_uint64 (packer, paces->pace[i].floor);
+      msgpack_pack_uint64 (packer, paces->pace[i].age_ms);
+    }
+}
+
+static void
+decode_paces (struct wire_reader *reader, struct wire_message *message)
+{
+  struct wire_paces *paces = &message->u.paces;
+  struct wire_reader list
+      = wire_next_array (reader, WIRE_PACES_MAX * WIRE_PACE_ITEMS);
+
+  while (!list.failed && list.remaining > 0)
+    {
+      struct wire_pace *pace = &paces->pace[paces->count++];
+
+      pace->target = wire_next_uint (&list, UINT64_MAX);
+      pace->incarnation = wire_next_uint (&list, UINT64_MAX);
+      pace->version = (uint32_t)wire_next_uint (&list, UINT32_MAX);
+      pace->base = (uint32_t)wire_next_uint (&list, UINT32_MAX);
+      pace->bend = (uint32_t)wire_next_uint (&list, UINT32_MAX);
+      pace->floor = (uint32_t)wire_next_uint (&list, UINT32_MAX);
+      pace->age_ms = (uint32_t)wire_next_uint (&list, INT32_MAX);
+    }
+  reader->failed |= list.failed;
+}
+
 /* Kinds of routers. */
 const struct wire_codec wire_fleet_codecs[WIRE_KIND_COUNT] = {
   [WIRE_LOADS] = { encode_loads, decode_loads },
@@ -415,4 +461,5 @@
   [WIRE_BRITTLE] = { encode_brittle, decode_brittle },
   [WIRE_REJECTED] = { encode_rejected, decode_rejected },
   [WIRE_COLD] = { encode_cold, decode_cold },
+  [WIRE_PACES] = { encode_paces, decode_paces },
 };
--- a/request/balance.c
+++ b/request/balance.c
@@ -50,8 +50,8 @@
         "no_target", "full", "rates_used_up", "hop" };
 
 const char *const bal_skip_names[BAL_SKIP_COUNT]
-    = { "free",   "absent", "tried", "suspect",
-        "loaded", "errors", "rate",  "room" };
+    = { "free",   "absent", "tried", "suspect", "loaded",
+        "errors", "rate",   "room",  "pace" };
 
 static double load_limit (const struct bal_params *params, double mean);
 static enum bal_skip skip_reason (const struct bal_params *params,
@@ -72,6 +72,9 @@
 static int pick_least_loaded (const struct bal_params *params,
                               const struct bal_candidate *candidates,
                               size_t count, struct bal_choice *choice);
+static int pick_paced_out (const struct bal_params *params,
+                           const struct bal_candidate *candidates,
+                           size_t count, struct bal_choice *choice);
 static int pick_trial (const struct bal_params *params,
                        const struct bal_candidate *candidates, size_t count,
                        struct bal_choice *choice);
@@ -95,6 +98,10 @@
           const struct bal_candidate *candidates, size_t count,
           struct bal_choice *choice)
 {
+  struct bal_params paceless = *params;
+
+  paceless.ignores_pace = 1;
+  choice->ignored_pace = 0;
   choice->index = 0;
   choice->load = 0;
   choice->mean = mean_load (candidates, count);
@@ -105,8 +112,10 @@
   if ((params->context == 0
        || !(pick_holder (params, candidates, count, choice)
             || pick_home (params, candidates, count, choice)))
-      && !pick_least_loaded (params, candidates, count, choice))
-    return pick_trial (params, candidates, count, choice);
+      && !pick_least_loaded (params, candidates, count, choice)
+      && !pick_paced_out (params, candidates, count, choice))
+    return pick_trial (params, candidates, count, choice)
+           || pick_trial (&paceless, candidates, count, choice);
   if (candidates[choice->index].state == HEALTH_TRIAL)
     choice->reason = BAL_TRIAL;
   return 1;
@@ -289,6 +298,8 @@
             choice->reason = BAL_RATES_USED_UP;
           continue;
         }
+      if (closed == BAL_SKIP_PACE)
+        continue;
       if (closed == BAL_SKIP_ROOM
           || is_full (params, candidate, choice->limit, filled_max))
         {
@@ -312,6 +323,24 @@
   return choice->reason == BAL_LEAST_LOADED;
 }
 
+/* Selects a target at its pace, as no other one is left.  Returns whether
+   there is one.  */
+static int
+pick_paced_out (const struct bal_params *params,
+                const struct bal_candidate *candidates, size_t count,
+                struct bal_choice *choice)
+{
+  struct bal_params paceless = *params;
+  size_t i = 0;
+
+  while (i < count && !candidates[i].is_paced_out)
+    i++;
+  paceless.ignores_pace = 1;
+  choice->ignored_pace
+      = i < count && pick_least_loaded (&paceless, candidates, count, choice);
+  return choice->ignored_pace;
+}
+
 /* Selects the least loaded of the targets that are due for a trial or in
    doubt. Returns whether there is one.  If the load bound excluded a usable
    target, none is tried.  */
@@ -419,5 +448,7 @@
   if (candidate->rate_limited
       && candidate->rate_tokens < MAX (params->rate_min, 1))
     return BAL_SKIP_RATE;
+  if (candidate->is_paced_out && !params->ignores_pace)
+    return BAL_SKIP_PACE;
   return BAL_SKIP_NONE;
 }
--- a/request/health.c
+++ b/request/health.c
@@ -70,17 +70,22 @@
       health->responded_ms = now;
       health->consecutive_failures = 0;
       health->suspended_until_ms = 0;
+      health->in_outage = 0;
       return;
     }
   if (event == HEALTH_WENT_ON)
     {
       health->consecutive_failures = 0;
       health->suspended_until_ms = 0;
+      health->in_outage = 0;
       return;
     }
   health->consecutive_failures++;
   if (health->consecutive_failures < penalty->failures_to_suspend)
     return;
+  health->in_outage |= event == HEALTH_CONNECT_FAILED
+                       || event == HEALTH_DISCONNECTED
+                       || event == HEALTH_TIMED_OUT;
   doublings = health->consecutive_failures - penalty->failures_to_suspend;
   if (doublings > DOUBLINGS_MAX)
     doublings = DOUBLINGS_MAX;
--- a/request/relay_fault.c
+++ b/request/relay_fault.c
@@ -98,8 +98,11 @@
 static void
 record_fault (struct relay *relay, enum retry_fault fault)
 {
-  const struct reg_target *target = relay->attempt.target;
+  struct reg_target *target = relay->attempt.target;
 
+  if (!target->is_peer && fault != RETRY_FAULT_REJECTED
+      && fault != RETRY_FAULT_ERROR_STATUS)
+    fleet_pace_failure (relay->router->fleet, target, relay->attempt.sent_ms);
   if (target->is_peer)
     relay_hop_fail (relay, fault);
   else if (fault == RETRY_FAULT_DISCONNECTED
--- a/request/relay_log.c
+++ b/request/relay_log.c
@@ -63,6 +63,8 @@
   struct log_line line;
 
   metric_inc (place_counters[choice->reason]);
+  if (choice->ignored_pace)
+    metric_inc (METRIC_PACED_OUT);
   if (!log_begin (&line, LOG_LEVEL_INFO, "place", relay->id,
                   bal_reason_names[choice->reason]))
     return;
@@ -72,6 +74,8 @@
   log_hash (&line, "software",
             relay->attempt.target ? relay->attempt.target->software : 0);
   log_number (&line, "candidates", (int64_t)candidates);
+  if (choice->ignored_pace)
+    log_number (&line, "ignored_pace", 1);
   log_real (&line, "load", choice->load);
   log_real (&line, "mean_load", choice->mean);
   log_real (&line, "limit", isfinite (choice->limit) ? choice->limit : 0);
--- a/request/relay_response.c
+++ b/request/relay_response.c
@@ -20,6 +20,7 @@
 static void record_load (struct relay *relay, const struct http_head *head);
 static void record_rate (struct relay *relay, const struct http_head *head);
 static void record_room (struct relay *relay, const struct http_head *head);
+static void record_pace (struct relay *relay, const struct http_head *head);
 static void copy_fields (struct relay *relay, const struct http_head *head);
 static void send_head (struct relay *relay);
 static void forward_body (struct relay *relay, const char *data,
@@ -67,6 +68,7 @@
       record_load (relay, head);
       record_rate (relay, head);
       record_room (relay, head);
+      record_pace (relay, head);
     }
   if (!relay->head_sent)
     copy_fields (relay, head);
@@ -389,6 +391,21 @@
       relay, fleet_reject_room (fleet, attempt->target, attempt->sent_ms));
 }
 
+/* Records how soon the target responds with HEAD, or that it turned the
+   request away, for its pace.  */
+static void
+record_pace (struct relay *relay, const struct http_head *head)
+{
+  enum fleet_response response
+      = http_is_success (head->status) ? FLEET_SUCCEEDED : FLEET_ERROR;
+
+  if (relay->attempt.not_run
+      && head->status != HTTP_STATUS_MISDIRECTED_REQUEST)
+    response = FLEET_REJECTED;
+  fleet_pace_response (relay->router->fleet, relay->attempt.target, response,
+                       relay->attempt.sent_ms);
+}
+
 /* Copies the fields of HEAD that are forwarded: all but hop-by-hop ones
    and the target's load.  */
 static void
