Test with real routers that a new target gets its share step by step

Cause: test_pace plays the decisions only.

Change: test_cold adds a target beside three that 60 callers keep busy through 11 routers, and compares its requests in the first and the fourth second with those of the others in the fourth.

--- a/tests/test_cold.c
+++ b/tests/test_cold.c
@@ -1,4 +1,5 @@
-/* End-to-end test of a fleet with targets that are cold.  */
+/* End-to-end tests of a fleet with targets that are cold or have just
+   started.  */
 #include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -11,6 +12,7 @@
 {
   ROUTERS = 12, /* of which the last one starts while a target is cold */
   TARGETS = 3,
+  TARGETS_MAX = 4,
   CLIENTS = 60,
   WORK_MS = 100,
   COLD_PER_S = 10,
@@ -19,6 +21,7 @@
   COLD_MS = 4000,
   NEWS_MS = 100, /* until all instances have heard that a target is cold */
   REFUSED_MAX_MS = 200,
+  SHARE_MS = 3000, /* in which a target that has started gets its share */
   ARRIVALS_MAX = 20000
 };
 
@@ -27,9 +30,11 @@
 static const double SLACK = 5;
 
 static void cold_targets_get_what_they_bear (void);
+static void new_target_gets_its_share (void);
 
 static const struct test_case cases[] = {
   { "cold targets get what they bear", cold_targets_get_what_they_bear },
+  { "a new target gets its share step by step", new_target_gets_its_share },
 };
 
 TEST_MAIN ("cold", cases)
@@ -41,8 +46,8 @@
 };
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
-static struct fx_target *targets[TARGETS];
-static struct arrivals arrivals[TARGETS];
+static struct fx_target *targets[TARGETS_MAX];
+static struct arrivals arrivals[TARGETS_MAX];
 static gint stopping;
 static gint numbers;
 static gint routers = ROUTERS - 1;
@@ -62,7 +67,7 @@
   int index = 0;
 
   pthread_mutex_lock (&lock);
-  while (targets[index] != request->target && index < TARGETS - 1)
+  while (targets[index] != request->target && index < TARGETS_MAX - 1)
     index++;
   if (arrivals[index].count < ARRIVALS_MAX)
     arrivals[index].at_ms[arrivals[index].count++] = now_ms ();
@@ -168,16 +173,19 @@
                           rest + strlen ("{\"name\":\"desk\"}"));
 }
 
-/* Checks that a target that is cold beside warm ones gets what it bears, also
-   if an instance starts meanwhile, and that requests are refused at once when
-   all are cold.  A target at the same load as the others gets a third of 600
-   requests a second.  */
+/* Starts the fleet and the CLIENTS.  */
 static void
-cold_targets_get_what_they_bear (void)
+start (pthread_t *clients)
 {
-  pthread_t clients[CLIENTS];
   char *config = cold_config ();
 
+  memset (arrivals, 0, sizeof arrivals);
+  refused = 0;
+  served = 0;
+  slowest_refusal_ms = 0;
+  g_atomic_int_set (&stopping, 0);
+  g_atomic_int_set (&routers, ROUTERS - 1);
+  targets[TARGETS] = NULL;
   for (int i = 0; i < TARGETS; i++)
     {
       char *id = g_strdup_printf ("t-%d", i);
@@ -194,6 +202,29 @@
     CU_ASSERT_EQUAL_FATAL (
         pthread_create (&clients[i], NULL, send_requests, NULL), 0);
   fx_sleep_ms (CALM_MS);
+  g_free (config);
+}
+
+/* Ends what start started.  */
+static void
+stop (pthread_t *clients)
+{
+  g_atomic_int_set (&stopping, 1);
+  for (int i = 0; i < CLIENTS; i++)
+    pthread_join (clients[i], NULL);
+  fx_env_stop ();
+}
+
+/* Checks that a target that is cold beside warm ones gets what it bears, also
+   if an instance starts meanwhile, and that requests are refused at once when
+   all are cold.  A target at the same load as the others gets a third of 600
+   requests a second.  */
+static void
+cold_targets_get_what_they_bear (void)
+{
+  pthread_t clients[CLIENTS];
+
+  start (clients);
   become_cold (0);
   fx_router_spawn (ROUTERS - 1, "/dev/null");
   while (!fx_router_is_ready (ROUTERS - 1))
@@ -209,9 +240,40 @@
           (int)slowest_refusal_ms);
   CU_ASSERT (refused > 0);
   CU_ASSERT (slowest_refusal_ms < REFUSED_MAX_MS);
-  g_atomic_int_set (&stopping, 1);
-  for (int i = 0; i < CLIENTS; i++)
-    pthread_join (clients[i], NULL);
-  fx_env_stop ();
-  g_free (config);
+  stop (clients);
+}
+
+/* Checks that a target that starts beside others gets no more than its share
+   in the first second, and gets that within SHARE_MS.  */
+static void
+new_target_gets_its_share (void)
+{
+  pthread_t clients[CLIENTS];
+  int64_t from_ms;
+  int others = 0;
+  int other;
+  int first;
+  int share;
+
+  start (clients);
+  from_ms = now_ms ();
+  targets[TARGETS] = fx_target_add ("t-new", "desk", work);
+  fx_sleep_ms (SHARE_MS + SECOND_MS);
+  most_arrivals (TARGETS, from_ms, from_ms + SECOND_MS, &first);
+  most_arrivals (TARGETS, from_ms + SHARE_MS, from_ms + SHARE_MS + SECOND_MS,
+                 &share);
+  for (int i = 0; i < TARGETS; i++)
+    {
+      most_arrivals (i, from_ms + SHARE_MS, from_ms + SHARE_MS + SECOND_MS,
+                     &other);
+      others += other;
+    }
+  printf ("%d requests in the first second, %d in the fourth, others %d there,"
+          " %d refused ",
+          first, share, others / TARGETS, refused);
+  CU_ASSERT (first > 0);
+  CU_ASSERT (first < others / TARGETS / 2);
+  CU_ASSERT (share > others / TARGETS / 2);
+  CU_ASSERT_EQUAL (refused, 0);
+  stop (clients);
 }
