Keep the rate of cold targets while instances do not hear each other

Cause: instances notice after 1.5 to 5 s that others are silent; until then each sender that is cut off took the whole rate, so that a second could hold more than a cold target bears.

Change: fewer instances send to a cold target, 1 + rate / 4, and each no more than 1.2 times its part with one token saved up. Where most targets are cold, more send. The first one among the senders changes by the time of day.

--- a/include/ibisloom/rate.h
+++ b/include/ibisloom/rate.h
@@ -25,6 +25,18 @@
   double min_per_s;  /* it fills at least at this rate */
   double tokens;     /* requests that may be sent now */
   clk_ms refilled_ms;
+  double own_per_s;  /* of this instance alone; 0: no limit */
+  double own_tokens; /* of them, at most one */
+  clk_ms own_refilled_ms;
+};
+
+/* Part of an instance in a limit that all know without being told. */
+struct rate_share
+{
+  double per_s;     /* of all instances together */
+  double own_per_s; /* see struct rate_limit */
+  double reserve;   /* see struct rate_limit */
+  int is_sharer;
 };
 
 int rate_observe (struct rate_limit *limit, int is_named, double per_s,
@@ -33,7 +45,9 @@
                 clk_ms now);
 void rate_begin (struct rate_limit *limit, clk_ms now);
 void rate_end (struct rate_limit *limit);
-void rate_set (struct rate_limit *limit, double per_s, clk_ms now);
+void rate_set (struct rate_limit *limit, const struct rate_share *share,
+               clk_ms now);
+void rate_count_own (struct rate_limit *limit, clk_ms now);
 int rate_is_limited (const struct rate_limit *limit);
 double rate_tokens (const struct rate_limit *limit, clk_ms now);
 void rate_count (struct rate_limit *limit, clk_ms now);
--- a/process/fleet_cold.c
+++ b/process/fleet_cold.c
@@ -2,14 +2,16 @@
 
    A target is cold while its entry in the store says so, and then takes a rate
    that the configuration names.  Each instance keeps a copy of one token
-   bucket, as of a target that names its rate itself (fleet_rate.c).  Three
+   bucket, as of a target that names its rate itself (fleet_rate.c).  Four
    rules keep what instances send before they hear of each other within the
-   bound.  Few instances send, and each leaves part of a token to those that
-   rank higher, so that not all see the same token at the same moment.  An
-   instance takes only the part of the rate that the instances which it hears
-   are of the fleet, so that the parts of a divided fleet share the rate, and
-   an instance that has just started sends next to nothing.  An instance that
-   watches the store tells all others when a target becomes cold again.  */
+   bound.  Few instances send, and each has a limit of its own, so that the
+   bound holds even if none of them hears another.  Each leaves part of a token
+   to those before it, in turn, so that not all see the same token at the same
+   moment.  An instance takes only the part of the rate that the instances
+   which it hears are of the fleet, so that the parts of a divided fleet share
+   the rate, and an instance that has just started sends next to nothing.  An
+   instance that watches the store tells all others when a target becomes cold
+   again.  */
 #include "ibisloom/log.h"
 #include "ibisloom/rank.h"
 #include "libfleet.h"
@@ -19,18 +21,27 @@
   SENDERS_MAX = 96, /* that are told of each request, see fleet_rate.c */
   /* Where most targets are cold, every instance is to send to some: with eight
      on average, one in 3,000 has none.  */
-  TARGETS_PER_SENDER = 8
+  TARGETS_PER_SENDER = 8,
+  /* After which another sender is first, by the clocks of the instances; if
+     they differ, two may see a token at the same moment.  */
+  TURN_MS = 2000
 };
 
-/* Requests a second over its rate that a cold target bears, as a part of the
-   rate.  So many senders may take the same token.  */
-static const double OVERAGE = 0.5;
+/* Of the overage of half the rate that a cold target bears, one half is for
+   what senders may take over their part of the rate, and one for a token that
+   each has saved up.  */
+static const double OWN_FACTOR = 1.2;
+static const double SENDERS_PER_RATE = 0.25;
+
+/* The same factor where most targets are cold and each has many senders, of
+   which some have more requests than others.  */
+static const double OWN_FACTOR_SPREAD = 4;
 
 static void begin (struct fleet *fleet, struct reg_target *target,
                    clk_ms until_ms, clk_ms now);
-static uint32_t max_senders (const struct fleet *fleet,
-                             const struct reg_target *target, uint32_t heard,
-                             clk_ms now);
+static int are_most_cold (const struct fleet *fleet,
+                          const struct reg_target *target, clk_ms now,
+                          uint32_t *cold);
 static void tell (struct fleet *fleet, const struct reg_target *target,
                   clk_ms now);
 
@@ -104,7 +115,11 @@
   uint32_t known = 1;
   uint32_t heard = 1;
   uint32_t ahead = 0;
-  uint32_t senders;
+  uint32_t senders = 1 + (uint32_t)(target->cold_per_s * SENDERS_PER_RATE);
+  double own_factor = OWN_FACTOR;
+  uint32_t turn = (uint32_t)(clk_wall_ms () / TURN_MS);
+  struct rate_share share;
+  uint32_t cold;
   GHashTableIter iter;
   gpointer value;
 
@@ -118,25 +133,29 @@
       heard += !is_silent;
       ahead += !is_silent && rank_mix (target->hash, peer->id) > own;
     }
-  senders = max_senders (fleet, target, heard, now);
-  target->cold.is_sharer = ahead < senders;
-  target->cold.reserve = (double)ahead / senders;
-  rate_set (&target->cold, target->cold_per_s * heard / known, now);
+  if (are_most_cold (fleet, target, now, &cold))
+    {
+      senders = MAX (senders, TARGETS_PER_SENDER * heard / cold + 1);
+      own_factor = OWN_FACTOR_SPREAD;
+    }
+  senders = MIN (MIN (senders, SENDERS_MAX), heard);
+  share.is_sharer = ahead < senders;
+  share.reserve = (double)((ahead + turn) % senders) / senders;
+  share.per_s = target->cold_per_s * heard / known;
+  share.own_per_s = own_factor * share.per_s / senders;
+  rate_set (&target->cold, &share, now);
 }
 
-/* Returns how many instances may send to TARGET, of so many that are HEARD: as
-   many as may take the same token without the target getting too much, and,
-   where most targets of the service are cold, as many as let every instance
-   send to some of them.  */
-static uint32_t
-max_senders (const struct fleet *fleet, const struct reg_target *target,
-             uint32_t heard, clk_ms now)
+/* Returns whether more than half of the usable targets of the service of
+   TARGET are cold, and stores in COLD how many are.  */
+static int
+are_most_cold (const struct fleet *fleet, const struct reg_target *target,
+               clk_ms now, uint32_t *cold)
 {
   const GPtrArray *targets = fleet->registry->array;
-  uint32_t senders = 1 + (uint32_t)(target->cold_per_s * OVERAGE);
-  uint32_t cold = 0;
   uint32_t warm = 0;
 
+  *cold = 0;
   for (guint i = 0; i < targets->len; i++)
     {
       const struct reg_target *other = g_ptr_array_index (targets, i);
@@ -144,13 +163,11 @@
       if (other->service != target->service || other->leaving)
         continue;
       if (reg_is_cold (other, now))
-        cold++;
+        (*cold)++;
       else
         warm += health_get_state (&other->health, now) == HEALTH_USABLE;
     }
-  if (cold > warm)
-    senders = MAX (senders, TARGETS_PER_SENDER * heard / cold + 1);
-  return MIN (senders, SENDERS_MAX);
+  return *cold > warm;
 }
 
 /* Tells all other instances that TARGET has become cold.  */
--- a/process/fleet_rate.c
+++ b/process/fleet_rate.c
@@ -55,6 +55,7 @@
   gpointer value;
 
   pace_count_sent (&target->pace, target->in_flight, now);
+  rate_count_own (&target->cold, now);
   if (!count_sent (target, now))
     return;
   g_hash_table_iter_init (&iter, fleet->peers);
--- a/request/rate.c
+++ b/request/rate.c
@@ -23,6 +23,7 @@
 static const double CHANGE_MIN = 0.02;
 
 static double refill (const struct rate_limit *limit, clk_ms now);
+static double refill_own (const struct rate_limit *limit, clk_ms now);
 static void begin_version (struct rate_limit *limit, uint32_t version,
                            double per_s, clk_ms now);
 
@@ -63,7 +64,9 @@
 {
   *limit = (struct rate_limit){ .version = 1,
                                 .since_ms = now,
-                                .refilled_ms = now };
+                                .refilled_ms = now,
+                                .own_tokens = 1,
+                                .own_refilled_ms = now };
 }
 
 /* Ends LIMIT, from rate_begin.  */
@@ -73,13 +76,22 @@
   limit->version = 0;
 }
 
-/* Sets the rate of LIMIT, from rate_begin, to PER_S from NOW on.  */
+/* Sets the part of this instance in LIMIT, from rate_begin, to SHARE from NOW
+   on.  One that gets a part later than the limit began has nothing saved
+   up.  */
 void
-rate_set (struct rate_limit *limit, double per_s, clk_ms now)
+rate_set (struct rate_limit *limit, const struct rate_share *share, clk_ms now)
 {
   limit->tokens = refill (limit, now);
   limit->refilled_ms = now;
-  limit->per_s = per_s;
+  limit->own_tokens = limit->is_sharer || now == limit->since_ms
+                          ? refill_own (limit, now)
+                          : 0;
+  limit->own_refilled_ms = now;
+  limit->per_s = share->per_s;
+  limit->own_per_s = share->own_per_s;
+  limit->reserve = share->reserve;
+  limit->is_sharer = (uint8_t)share->is_sharer;
 }
 
 /* Returns whether LIMIT is in force.  */
@@ -96,7 +108,10 @@
 {
   if (!rate_is_limited (limit))
     return INFINITY;
-  return limit->is_sharer ? refill (limit, now) - limit->reserve : 0;
+  if (!limit->is_sharer
+      || (limit->own_per_s > 0 && refill_own (limit, now) < 1))
+    return 0;
+  return refill (limit, now) - limit->reserve;
 }
 
 /* Counts a request that an instance has sent.  */
@@ -107,6 +122,24 @@
   limit->refilled_ms = now;
 }
 
+/* Counts a request that this instance has sent, in what it may send alone.  */
+void
+rate_count_own (struct rate_limit *limit, clk_ms now)
+{
+  limit->own_tokens = MAX (refill_own (limit, now) - 1, 0);
+  limit->own_refilled_ms = now;
+}
+
+/* Returns the tokens of this instance alone in LIMIT at NOW.  */
+static double
+refill_own (const struct rate_limit *limit, clk_ms now)
+{
+  return MIN (limit->own_tokens
+                  + limit->own_per_s * (double)(now - limit->own_refilled_ms)
+                        / CLK_MS_PER_S,
+              1);
+}
+
 /* Returns the tokens of LIMIT at NOW.  */
 static double
 refill (const struct rate_limit *limit, clk_ms now)
