Clamp the number of senders to a cold target to at least one

Cause: clang-tidy cannot see that an instance always hears itself, and reports a division by zero in process/fleet_cold.c.

Change: the number is clamped to 1 and more.

Measured: clang-tidy reports nothing in the file.

--- a/process/fleet_cold.c
+++ b/process/fleet_cold.c
@@ -138,7 +138,7 @@
       senders = MAX (senders, TARGETS_PER_SENDER * heard / cold + 1);
       own_factor = OWN_FACTOR_SPREAD;
     }
-  senders = MIN (MIN (senders, SENDERS_MAX), heard);
+  senders = CLAMP (senders, 1, MIN (heard, SENDERS_MAX));
   share.is_sharer = ahead < senders;
   share.reserve = (double)((ahead + turn) % senders) / senders;
   share.per_s = target->cold_per_s * heard / known;
