--- a/include/ibisloom/registry.h
+++ b/include/ibisloom/registry.h
@@ -9,6 +9,7 @@
 #include "ibisloom/balance.h"
 #include "ibisloom/clock.h"
 #include "ibisloom/health.h"
+#include "ibisloom/pace.h"
 #include "ibisloom/position.h"
 #include "ibisloom/rate.h"
 #include "ibisloom/room.h"
@@ -83,8 +84,14 @@
   clk_ms broken_ms;          /* a connection broke then, 0: none */
   clk_ms unreachable_ms;     /* no connection was established then, 0: none */
   double load_limit;         /* bound of its load when last selected */
-  struct rate_limit rate;
+  struct rate_limit rate;    /* that it names */
+  struct rate_limit cold;    /* that applies while it is cold */
+  double cold_per_s;         /* of its service; 0: no limit while it is cold */
+  clk_ms cold_until_ms;
+  struct position cold_position; /* of the entry that peers named as cold */
   struct room_service *room_service; /* of all targets of its service */
+  struct pace_service *pace_service; /* of all targets of its service */
+  struct pace pace;  /* while it has lately started or recovered */
   struct room *room; /* NULL: its service has not been brittle lately */
   struct health health;
 };
@@ -106,6 +113,7 @@
   GQueue gone;           /* of struct reg_gone, oldest first */
   GHashTable *evacuated; /* hashes of the names of failure domains */
   GHashTable *services;  /* interned name to struct room_service */
+  GHashTable *paces;     /* interned name to struct pace_service */
   uint64_t last_serial;  /* given to a target */
   int listed;            /* a complete list has been read */
   reg_load_fn on_load;   /* may be NULL */
@@ -142,6 +150,7 @@
 void reg_peer_release (struct reg_target *target);
 void reg_end_suspensions (struct registry *registry, const char *service);
 int reg_is_near_limit (const struct reg_target *target, clk_ms now);
+int reg_is_cold (const struct reg_target *target, clk_ms now);
 double reg_counted_load (const struct reg_target *target);
 struct room_service *reg_room_service (const struct registry *registry,
                                        const char *service);
--- a/process/fleet.c
+++ b/process/fleet.c
@@ -194,6 +194,12 @@
     case WIRE_EVACUATIONS:
       fleet_apply_evacuations (fleet, peer, &message->u.evacuations);
       break;
+    case WIRE_COLD:
+      fleet_apply_cold (fleet, &message->u.cold);
+      break;
+    case WIRE_PACES:
+      fleet_apply_paces (fleet, &message->u.paces);
+      break;
     case WIRE_STATE:
       fleet_apply_state (fleet, peer, &message->u.state);
       break;
--- a/process/wire_fleet.c
+++ b/process/wire_fleet.c
@@ -5,7 +5,8 @@
 
 enum
 {
-  EVACUATION_ITEMS = 4 /* in the encoding of one evacuation */
+  EVACUATION_ITEMS = 4, /* in the encoding of one evacuation */
+  PACE_ITEMS = 7        /* the same of one pace */
 };
 
 /* Encodes a load update, without a count.  */
@@ -415,6 +416,71 @@
   reader->failed |= list.failed;
 }
 
+static void
+encode_cold (msgpack_packer *packer, const struct wire_message *message)
+{
+  const struct wire_cold *cold = &message->u.cold;
+
+  msgpack_pack_array (packer, 4);
+  msgpack_pack_uint64 (packer, cold->target);
+  msgpack_pack_uint64 (packer, cold->position.epoch);
+  msgpack_pack_uint64 (packer, cold->position.revision);
+  msgpack_pack_uint64 (packer, cold->left_ms);
+}
+
+static void
+decode_cold (struct wire_reader *reader, struct wire_message *message)
+{
+  struct wire_cold *cold = &message->u.cold;
+  struct wire_reader list = wire_next_array (reader, 4);
+
+  cold->target = wire_next_uint (&list, UINT64_MAX);
+  cold->position = wire_next_position (&list);
+  cold->left_ms = (uint32_t)wire_next_uint (&list, INT32_MAX);
+  reader->failed |= list.failed;
+}
+
+/* Encodes the paces of targets, without a count.  */
+static void
+encode_paces (msgpack_packer *packer, const struct wire_message *message)
+{
+  const struct wire_paces *paces = &message->u.paces;
+
+  msgpack_pack_array (packer, paces->count * PACE_ITEMS);
+  for (uint32_t i = 0; i < paces->count; i++)
+    {
+      msgpack_pack_uint64 (packer, paces->pace[i].target);
+      msgpack_pack_uint64 (packer, paces->pace[i].incarnation);
+      msgpack_pack_uint64 (packer, paces->pace[i].version);
+      msgpack_pack_uint64 (packer, paces->pace[i].base);
+      msgpack_pack_uint64 (packer, paces->pace[i].bend);
+      msgpack_pack_uint64 (packer, paces->pace[i].floor);
+      msgpack_pack_uint64 (packer, paces->pace[i].age_ms);
+    }
+}
+
+static void
+decode_paces (struct wire_reader *reader, struct wire_message *message)
+{
+  struct wire_paces *paces = &message->u.paces;
+  struct wire_reader list
+      = wire_next_array (reader, WIRE_PACES_MAX * PACE_ITEMS);
+
+  while (!list.failed && list.remaining > 0)
+    {
+      struct wire_pace *pace = &paces->pace[paces->count++];
+
+      pace->target = wire_next_uint (&list, UINT64_MAX);
+      pace->incarnation = wire_next_uint (&list, UINT64_MAX);
+      pace->version = (uint32_t)wire_next_uint (&list, UINT32_MAX);
+      pace->base = (uint32_t)wire_next_uint (&list, UINT32_MAX);
+      pace->bend = (uint32_t)wire_next_uint (&list, UINT32_MAX);
+      pace->floor = (uint32_t)wire_next_uint (&list, UINT32_MAX);
+      pace->age_ms = (uint32_t)wire_next_uint (&list, INT32_MAX);
+    }
+  reader->failed |= list.failed;
+}
+
 /* Kinds of routers. */
 const struct wire_codec wire_fleet_codecs[WIRE_KIND_COUNT] = {
   [WIRE_LOADS] = { encode_loads, decode_loads },
@@ -433,4 +499,6 @@
   [WIRE_BRITTLE] = { encode_brittle, decode_brittle },
   [WIRE_REJECTED] = { encode_rejected, decode_rejected },
   [WIRE_EVACUATIONS] = { encode_evacuations, decode_evacuations },
+  [WIRE_COLD] = { encode_cold, decode_cold },
+  [WIRE_PACES] = { encode_paces, decode_paces },
 };
--- a/request/rate.c
+++ b/request/rate.c
@@ -23,6 +23,7 @@
 static const double CHANGE_MIN = 0.02;
 
 static double refill (const struct rate_limit *limit, clk_ms now);
+static double refill_own (const struct rate_limit *limit, clk_ms now);
 static void begin_version (struct rate_limit *limit, uint32_t version,
                            double per_s, clk_ms now);
 
@@ -56,6 +57,43 @@
   return 1;
 }
 
+/* Begins LIMIT, which all instances know without being told by the others,
+   with nothing saved up.  */
+void
+rate_begin (struct rate_limit *limit, clk_ms now)
+{
+  *limit = (struct rate_limit){ .version = 1,
+                                .since_ms = now,
+                                .refilled_ms = now,
+                                .own_tokens = 1,
+                                .own_refilled_ms = now };
+}
+
+/* Ends LIMIT, from rate_begin.  */
+void
+rate_end (struct rate_limit *limit)
+{
+  limit->version = 0;
+}
+
+/* Sets the part of this instance in LIMIT, from rate_begin, to SHARE from NOW
+   on.  One that gets a part later than the limit began has nothing saved
+   up.  */
+void
+rate_set (struct rate_limit *limit, const struct rate_share *share, clk_ms now)
+{
+  limit->tokens = refill (limit, now);
+  limit->refilled_ms = now;
+  limit->own_tokens = limit->is_sharer || now == limit->since_ms
+                          ? refill_own (limit, now)
+                          : 0;
+  limit->own_refilled_ms = now;
+  limit->per_s = share->per_s;
+  limit->own_per_s = share->own_per_s;
+  limit->reserve = share->reserve;
+  limit->is_sharer = (uint8_t)share->is_sharer;
+}
+
 /* Returns whether LIMIT is in force.  */
 int
 rate_is_limited (const struct rate_limit *limit)
@@ -70,7 +108,10 @@
 {
   if (!rate_is_limited (limit))
     return INFINITY;
-  return limit->is_sharer ? refill (limit, now) : 0;
+  if (!limit->is_sharer
+      || (limit->own_per_s > 0 && refill_own (limit, now) < 1))
+    return 0;
+  return refill (limit, now) - limit->reserve;
 }
 
 /* Counts a request that an instance has sent.  */
@@ -81,11 +122,29 @@
   limit->refilled_ms = now;
 }
 
+/* Counts a request that this instance has sent, in what it may send alone.  */
+void
+rate_count_own (struct rate_limit *limit, clk_ms now)
+{
+  limit->own_tokens = MAX (refill_own (limit, now) - 1, 0);
+  limit->own_refilled_ms = now;
+}
+
+/* Returns the tokens of this instance alone in LIMIT at NOW.  */
+static double
+refill_own (const struct rate_limit *limit, clk_ms now)
+{
+  return MIN (limit->own_tokens
+                  + limit->own_per_s * (double)(now - limit->own_refilled_ms)
+                        / CLK_MS_PER_S,
+              1);
+}
+
 /* Returns the tokens of LIMIT at NOW.  */
 static double
 refill (const struct rate_limit *limit, clk_ms now)
 {
-  double per_s = MAX (limit->per_s, RATE_MIN_PER_S);
+  double per_s = MAX (limit->per_s, limit->min_per_s);
 
   return MIN (limit->tokens
                   + per_s * (double)(now - limit->refilled_ms) / CLK_MS_PER_S,
@@ -102,5 +161,6 @@
   limit->refilled_ms = now;
   limit->version = version;
   limit->per_s = per_s;
+  limit->min_per_s = RATE_MIN_PER_S;
   limit->since_ms = now;
 }
--- a/tests/router_fixture.c
+++ b/tests/router_fixture.c
@@ -26,8 +26,8 @@
 
 extern char **environ;
 
-/* Settings of routers that are spawned. */
-static const char *spawn_settings = "retry_ratio: 0.2\n";
+/* Lines that routers get in their settings. */
+static const char *more_settings = "";
 
 struct fx_env fx_env = { .lock = PTHREAD_MUTEX_INITIALIZER,
                          .changed = PTHREAD_COND_INITIALIZER };
@@ -149,14 +149,6 @@
   return fx_router_listens (0);
 }
 
-/* Has routers that are yet to be spawned get the settings EXTRA, which lasts
-   until the process ends.  */
-void
-fx_routers_configure (const char *extra)
-{
-  spawn_settings = extra;
-}
-
 /* Writes the settings file of router INDEX, with EXTRA appended, which may set
    grace_s.  Returns its path, newly allocated.  */
 static char *
@@ -228,6 +220,14 @@
   return value;
 }
 
+/* Has routers that are spawned from now on get MORE, lines of YAML, in their
+   settings.  */
+void
+fx_routers_add_settings (const char *more)
+{
+  more_settings = more;
+}
+
 /* Starts router INDEX, on its previous ports if it ran before; appends its log
    to the file LOG.  */
 void
@@ -238,6 +238,7 @@
   char *tests = g_path_get_dirname (self);
   char *program = g_build_filename (tests, "..", "ibisloomd", NULL);
   char *settings;
+  char *extra;
   char *arguments[4] = { program, (char *)"--settings" };
   posix_spawn_file_actions_t actions;
 
@@ -248,7 +249,9 @@
       router->peer_port = find_free_port ();
       router->metrics_port = find_free_port ();
     }
-  settings = write_router_settings (index, spawn_settings);
+  extra = g_strconcat ("retry_ratio: 0.2\n", more_settings, NULL);
+  settings = write_router_settings (index, extra);
+  g_free (extra);
   arguments[2] = settings;
   posix_spawn_file_actions_init (&actions);
   posix_spawn_file_actions_addopen (&actions, STDOUT_FILENO, log,
--- a/tests/test_evacuation.c
+++ b/tests/test_evacuation.c
@@ -55,7 +55,7 @@
   fx_store_start (shop_config);
   for (int i = 0; i < count; i++)
     paths[i] = fx_store_add_proxy (i);
-  fx_routers_configure ("retry_ratio: 0.2\nevacuate_ms: 2000\n");
+  fx_routers_add_settings ("evacuate_ms: 2000\n");
   fx_routers_start (ROUTERS);
   fx_sleep_ms (WATCH_START_MS);
 }
