Count cold and evacuated targets in the mean load

Cause: the mean load, of which the bound is a multiple, left out the targets of the evacuated domain. They are sound and nearly empty, so that the mean of all sound targets is lower. Cold targets were left out in the same way, as they have a limit of their rate.

Both count in the mean now. Targets that name a limit themselves do not, as before.

--- a/include/ibisloom/balance.h
+++ b/include/ibisloom/balance.h
@@ -37,8 +37,12 @@
 {
   uint64_t context; /* hash of the shared parts of the prompt, 0: none */
   const struct affinity_holders *holders; /* of the context; may be NULL */
-  double cap_factor;    /* load bound as a multiple of the mean; 0: no bound */
-  double cap_slack;     /* requests added to the bound */
+  double cap_factor; /* load bound as a multiple of the mean; 0: no bound */
+  double cap_slack;  /* requests added to the bound */
+  /* Targets in evacuated failure domains, which are no candidates but count in
+     the mean, and the requests in progress there.  */
+  uint32_t evacuated_count;
+  double evacuated_load;
   double rate_min;      /* tokens that a target with a rate limit must have */
   uint8_t is_pinned;    /* few targets will do: full and suspended ones too */
   uint8_t ignores_pace; /* no target is left without the pace */
--- a/include/ibisloom/registry.h
+++ b/include/ibisloom/registry.h
@@ -166,5 +166,7 @@
 int reg_is_evacuated (const struct registry *registry,
                       const char *failure_domain);
 int reg_has_evacuated (const struct registry *registry);
+uint32_t reg_count_evacuated (const struct registry *registry,
+                              const char *service, double *load);
 
 #endif
--- a/process/registry_evacuated.c
+++ b/process/registry_evacuated.c
@@ -41,3 +41,27 @@
 {
   return g_hash_table_size (registry->evacuated) > 0;
 }
+
+/* Returns how many targets of SERVICE, which is interned, are evacuated and
+   neither leaving nor missing, and stores in LOAD how many requests are in
+   progress there.  */
+uint32_t
+reg_count_evacuated (const struct registry *registry, const char *service,
+                     double *load)
+{
+  uint32_t count = 0;
+
+  *load = 0;
+  for (guint i = 0; reg_has_evacuated (registry) && i < registry->array->len;
+       i++)
+    {
+      const struct reg_target *target = g_ptr_array_index (registry->array, i);
+
+      if (target->service != service || !target->is_evacuated
+          || target->leaving || target->missing_until_ms != 0)
+        continue;
+      *load += reg_counted_load (target);
+      count++;
+    }
+  return count;
+}
--- a/request/balance.c
+++ b/request/balance.c
@@ -85,7 +85,8 @@
                     double filled_max);
 static enum bal_skip closed_reason (const struct bal_params *params,
                                     const struct bal_candidate *candidate);
-static double mean_load (const struct bal_candidate *candidates, size_t count);
+static double mean_load (const struct bal_params *params,
+                         const struct bal_candidate *candidates, size_t count);
 static int has_rate_limits (const struct bal_candidate *candidates,
                             size_t count);
 static double lowest_error_rate (const struct bal_candidate *candidates,
@@ -104,7 +105,7 @@
   choice->ignored_pace = 0;
   choice->index = 0;
   choice->load = 0;
-  choice->mean = mean_load (candidates, count);
+  choice->mean = mean_load (params, candidates, count);
   choice->limit = load_limit (params, choice->mean);
   choice->reason = BAL_NO_TARGET;
   choice->skip = BAL_SKIP_NONE;
@@ -371,20 +372,23 @@
 
 /* Returns the mean load of the CANDIDATES that are not suspended and do not
    limit their rate, since those left out carry little load and would lower the
-   bound; if all do so, of all that are not suspended.  */
+   bound; if all do so, of all that are not suspended.  Targets that are cold
+   or, by PARAMS, evacuated do count: they are sound, and the bound of the load
+   is relative to the mean of all sound targets.  */
 static double
-mean_load (const struct bal_candidate *candidates, size_t count)
+mean_load (const struct bal_params *params,
+           const struct bal_candidate *candidates, size_t count)
 {
-  double sum = 0;
+  double sum = params->evacuated_load;
   double limited_sum = 0;
-  size_t unlimited = 0;
+  size_t unlimited = params->evacuated_count;
   size_t limited = 0;
 
   for (size_t i = 0; i < count; i++)
     if (candidates[i].state == HEALTH_SUSPENDED
         || candidates[i].state == HEALTH_DOUBTED)
       continue;
-    else if (candidates[i].rate_limited)
+    else if (candidates[i].rate_limited && !candidates[i].is_cold)
       {
         limited_sum += candidates[i].load;
         limited++;
--- a/request/relay_target.c
+++ b/request/relay_target.c
@@ -58,6 +58,8 @@
                            router->failure_domain, now, candidates, targets,
                            BAL_CANDIDATES_MAX);
   selection.count = *count;
+  params.evacuated_count = reg_count_evacuated (
+      router->registry, relay->service, &params.evacuated_load);
   if (relay->context != 0)
     params.holders = affinity_find (router->affinity, relay->context);
   for (enum admission admission = ADMIT_SURE; admission <= last; admission++)
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -34,6 +34,7 @@
 static void context_without_a_bound_has_a_home (void);
 static void local_targets_are_preferred (void);
 static void suspended_targets_do_not_lower_the_bound (void);
+static void sound_targets_without_load_lower_the_bound (void);
 static void used_up_rate_limit_is_respected (void);
 static void begun_stream_gets_full_or_suspended_target (void);
 static void version_of_unreached_target_is_in_doubt (void);
@@ -79,6 +80,8 @@
     local_targets_are_preferred },
   { "suspended targets do not lower the load bound",
     suspended_targets_do_not_lower_the_bound },
+  { "evacuated and cold targets lower the load bound",
+    sound_targets_without_load_lower_the_bound },
   { "a target at its rate limit is passed over",
     used_up_rate_limit_is_respected },
   { "the last target without a rate limit is not flooded",
@@ -406,6 +409,33 @@
   CU_ASSERT (choice.index < 4);
 }
 
+/* Guards against targets over twice the mean load of all sound ones, while
+   those of an evacuated failure domain, or cold ones, are nearly empty.  */
+static void
+sound_targets_without_load_lower_the_bound (void)
+{
+  struct bal_candidate candidates[3] = { 0 };
+  struct bal_params params = { .context = 5, .cap_factor = 2, .cap_slack = 3 };
+  struct bal_choice choice;
+
+  for (uint64_t i = 0; i < G_N_ELEMENTS (candidates); i++)
+    candidates[i]
+        = (struct bal_candidate){ .id = i + 1, .load = 6, .slots = 64 };
+  bal_pick (&params, candidates, G_N_ELEMENTS (candidates), &choice);
+  CU_ASSERT_DOUBLE_EQUAL (choice.mean, 6, 0.01);
+  params.evacuated_count = 2;
+  params.evacuated_load = 2;
+  bal_pick (&params, candidates, G_N_ELEMENTS (candidates), &choice);
+  CU_ASSERT_DOUBLE_EQUAL (choice.mean, 4, 0.01);
+  params.evacuated_count = 0;
+  params.evacuated_load = 0;
+  candidates[2].load = 0;
+  candidates[2].rate_limited = 1;
+  candidates[2].is_cold = 1;
+  bal_pick (&params, candidates, G_N_ELEMENTS (candidates), &choice);
+  CU_ASSERT_DOUBLE_EQUAL (choice.mean, 4, 0.01);
+}
+
 /* All targets but the first limit their rate.  */
 static void
 used_up_rate_limit_is_respected (void)
