Tell targets the urgency of requests

Targets that queue requests order them by X-Ibisloom-Request-Urgency, which no router wrote, although routes and customers have a priority.

Each request to a target now carries the priority of its customer, or else that of its route, limited to 9; nothing if neither names one, so a route without a priority no longer counts as one with the lowest. A hop carries it in the same field, which is reserved: builds that do not read it drop it, and what a client sends under that name is not passed on. Switched on by the new setting admission_queue, 0 by default.

--- a/include/ibisloom/routes.h
+++ b/include/ibisloom/routes.h
@@ -35,7 +35,7 @@
   int64_t timeout_ms;    /* deadline of a request; 0: none */
   int64_t objective_ms;  /* latency goal: to the response or the first event */
   int64_t pause_ms;      /* goal for the longest pause between events */
-  int32_t priority;      /* 0 is the highest */
+  int32_t priority;      /* 0 is the highest; -1: it names none */
   uint32_t attempts_max; /* distinct targets that a request may be sent to */
   uint32_t split_count;
   struct rt_split *split;
--- a/include/ibisloom/settings.h
+++ b/include/ibisloom/settings.h
@@ -50,6 +50,7 @@
   int64_t config_apply_ms;   /* until a confirmed version is in force */
   int64_t drain_ms;          /* for which a leaving target may get requests */
   double grace_s; /* from the stop signal until the process is killed */
+  int64_t admission_queue; /* 1: requests queue where capacity is scarce */
   char *cluster_key;
   char *operator_token;
 };
--- a/process/settings.c
+++ b/process/settings.c
@@ -134,6 +134,8 @@
   { "drain_ms", parse_integer, FIELD_OFFSET (drain_ms), OPTIONAL, 0, 600000,
     2000 },
   { "grace_s", parse_real, FIELD_OFFSET (grace_s), OPTIONAL, 1, 3600, 30 },
+  { "admission_queue", parse_integer, FIELD_OFFSET (admission_queue), OPTIONAL,
+    0, 1, 0 },
 };
 
 /* Reads the settings in PATH.  Returns them, to be freed with settings_free,
--- a/request/librelay.h
+++ b/request/librelay.h
@@ -96,6 +96,7 @@
   const char *service;
   const struct rt_customer *customer; /* may be NULL */
   const char *id;
+  int32_t urgency; /* 0 is the highest; -1: unknown */
   /* Shared parts of the prompt, of which there may be none, and the
      fingerprint after them; NULL until the content has been read.  */
   uint64_t *parts;
@@ -167,6 +168,11 @@
 void relay_read_content (struct relay *relay, const char *host);
 clk_ms relay_read_deadline (const struct relay *relay, int64_t timeout_ms);
 
+/* relay_urgency.c */
+void relay_urgency_decide (struct relay *relay);
+void relay_urgency_read (struct relay *relay);
+void relay_urgency_append (const struct relay *relay, GString *out);
+
 /* relay_hop.c */
 struct reg_target *relay_pick (struct relay *relay, clk_ms now,
                                struct bal_choice *choice, size_t *count);
--- a/request/relay.c
+++ b/request/relay.c
@@ -46,6 +46,7 @@
   relay->body = body;
   relay->arrived_ms = clk_now (clk_monotonic ());
   relay->deadline_ms = INT64_MAX;
+  relay->urgency = -1;
   ev_timer_init (&relay->timer, on_timer, 0, 0);
   relay->timer.data = relay;
   router->open_requests++;
--- a/request/relay_accept.c
+++ b/request/relay_accept.c
@@ -87,6 +87,7 @@
     return 0;
   relay->table = rt_ref (router->table);
   apply_mark (relay, g_quark_to_string (service));
+  relay_urgency_read (relay);
   relay->deadline_ms = relay_read_deadline (relay, 0);
   relay_read_content (relay, host);
   return 1;
--- a/request/relay_prepare.c
+++ b/request/relay_prepare.c
@@ -48,6 +48,7 @@
   *refusal = RELAY_UNKNOWN_KEY;
   if (!authenticate (relay))
     return 0;
+  relay_urgency_decide (relay);
   relay->deadline_ms = relay_read_deadline (relay, relay->route->timeout_ms);
   relay_read_content (relay, host);
   *refusal = RELAY_STOPPING;
--- a/request/relay_request.c
+++ b/request/relay_request.c
@@ -26,6 +26,7 @@
     g_string_append_printf (out, "%s: %" G_GINT64_FORMAT "\r\n",
                             field[DIALECT_DEADLINE_MS],
                             (gint64)MAX (relay->deadline_ms - now, 1));
+  relay_urgency_append (relay, out);
   if (relay->attempt.target->is_peer)
     relay_hop_append_mark (relay, out);
   else
