Exchange demand and admission levels through coordinators

An instance with unimportant requests only would take places while others hold urgent ones, and none knows the demand of a customer at all instances.

An instance tells its demand for a service to two coordinators, the live instances that rank first for it, and each answers with the level. They hold nothing but reports, which end by themselves. The interval grows with the fleet, so that a coordinator gets at most 2,000 reports a second of a service. Two new kinds of datagrams at the end of the list; older builds drop them.

--- a/include/ibisloom/fleet.h
+++ b/include/ibisloom/fleet.h
@@ -49,6 +49,10 @@
   void (*told) (void *closure, uint32_t peer, const struct wire_reach *reach);
 };
 
+/* Called with a LEVEL of the coordinator that ranks RANK. */
+typedef void (*fleet_level_fn) (void *closure, uint32_t rank,
+                                const struct demand_level *level);
+
 struct fleet *fleet_new (const struct settings *settings, struct ev_loop *loop,
                          struct out_pool *pool,
                          const struct watch_protocol *store, const char *kind,
@@ -100,6 +104,10 @@
 const struct sockaddr_in *fleet_peer_address (const struct fleet *fleet,
                                               uint32_t peer);
 uint32_t fleet_self (const struct fleet *fleet);
+void fleet_on_level (struct fleet *fleet, fleet_level_fn fn, void *closure);
+void fleet_tell_demand (struct fleet *fleet,
+                        const struct demand_report *report);
+int64_t fleet_demand_interval_ms (const struct fleet *fleet);
 void fleet_correct_origins (struct fleet *fleet,
                             const struct reg_target *target);
 void fleet_see_target (struct fleet *fleet, const struct reg_target *target);
--- a/include/ibisloom/wire.h
+++ b/include/ibisloom/wire.h
@@ -6,6 +6,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "ibisloom/demand.h"
 #include "ibisloom/position.h"
 
 enum
@@ -50,6 +51,8 @@
   WIRE_REACH,             /* whether the sender reaches a service */
   WIRE_BRITTLE,           /* whether the targets of a service are brittle */
   WIRE_REJECTED,          /* request that a brittle target turned away */
+  WIRE_DEMAND,            /* for a service short of capacity */
+  WIRE_LEVEL,             /* what is admitted of it, by a coordinator */
   WIRE_KIND_COUNT
 };
 
@@ -328,6 +331,8 @@
     struct wire_reach reach;
     struct wire_brittle brittle;
     struct wire_rejected rejected;
+    struct demand_report demand;
+    struct demand_level level;
   } u;
 };
 
--- a/process/fleet.c
+++ b/process/fleet.c
@@ -58,6 +58,7 @@
   fleet_crash_init (fleet);
   fleet_origin_init (fleet);
   fleet_version_init (fleet);
+  fleet_demand_init (fleet);
   fleet_origin_store_init (fleet);
   fleet->fd = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (sodium_init () < 0 || fleet->fd < 0
@@ -146,6 +147,7 @@
   if (fleet->fd >= 0)
     close (fleet->fd);
   fleet_version_clear (fleet);
+  fleet_demand_clear (fleet);
   fleet_origin_clear (fleet);
   g_hash_table_destroy (fleet->peers);
   g_string_free (fleet->listed_name, TRUE);
@@ -210,6 +212,12 @@
     case WIRE_REACH:
       fleet_apply_reach (fleet, peer, &message->u.reach);
       break;
+    case WIRE_DEMAND:
+      fleet_apply_demand (fleet, peer, &message->u.demand);
+      break;
+    case WIRE_LEVEL:
+      fleet_apply_level (fleet, peer, &message->u.level);
+      break;
     default:
       break;
     }
--- a/process/libfleet.h
+++ b/process/libfleet.h
@@ -41,6 +41,10 @@
   clk_ms loads_ms;     /* when they were reported */
 };
 
+/* Services short of capacity that this instance coordinates; see
+   fleet_demand.c. */
+struct fleet_demands;
+
 /* Instance that shares the room of brittle targets. */
 struct fleet_member
 {
@@ -111,6 +115,7 @@
   clk_ms stored_ms;          /* when that reading began; 0: none has ended */
   clk_ms tick_ms;            /* time of the last heartbeat; 0: none */
   clk_ms stalled_ms;         /* end of the last time without any; 0: none */
+  struct fleet_demands *demands;
   GArray *members; /* of struct fleet_member; empty if none is brittle */
   uint32_t turn;   /* by which the members' ranks at targets change */
   clk_ms turned_ms;
@@ -223,6 +228,14 @@
 void fleet_apply_reach (struct fleet *fleet, const struct fleet_peer *peer,
                         const struct wire_reach *reach);
 
+/* fleet_demand.c */
+void fleet_demand_init (struct fleet *fleet);
+void fleet_demand_clear (struct fleet *fleet);
+void fleet_apply_demand (struct fleet *fleet, const struct fleet_peer *peer,
+                         const struct demand_report *report);
+void fleet_apply_level (struct fleet *fleet, const struct fleet_peer *peer,
+                        const struct demand_level *level);
+
 /* fleet_origin_note.c */
 GArray *fleet_noted_new (void);
 void fleet_note_stored (struct fleet *fleet, const json_t *content);
--- a/process/wire.c
+++ b/process/wire.c
@@ -47,6 +47,8 @@
   [WIRE_REACH] = "reach",
   [WIRE_BRITTLE] = "brittle",
   [WIRE_REJECTED] = "rejected",
+  [WIRE_DEMAND] = "demand",
+  [WIRE_LEVEL] = "level",
 };
 
 static int has_allowed_types (const unsigned char *data, size_t length);
--- a/process/wire_fleet.c
+++ b/process/wire_fleet.c
@@ -373,6 +373,101 @@
   reader->failed |= list.failed;
 }
 
+/* Encodes the demand for a service.  The customers fill the rest of the
+   array.  */
+static void
+encode_demand (msgpack_packer *packer, const struct wire_message *message)
+{
+  const struct demand_report *demand = &message->u.demand;
+
+  msgpack_pack_array (packer, 2 + 2 * TURN_CLASSES + demand->count * 3);
+  msgpack_pack_uint64 (packer, demand->service);
+  msgpack_pack_uint64 (packer, demand->served_per_ks);
+  for (int i = 0; i < TURN_CLASSES; i++)
+    {
+      msgpack_pack_uint64 (packer, demand->per_ks[i]);
+      msgpack_pack_uint64 (packer, demand->waiting[i]);
+    }
+  for (uint32_t i = 0; i < demand->count; i++)
+    {
+      msgpack_pack_uint64 (packer, demand->customers[i].customer);
+      msgpack_pack_uint64 (packer, demand->customers[i].class);
+      msgpack_pack_uint64 (packer, demand->customers[i].per_ks);
+    }
+}
+
+static void
+decode_demand (struct wire_reader *reader, struct wire_message *message)
+{
+  struct demand_report *demand = &message->u.demand;
+  struct wire_reader list = wire_next_array (
+      reader, 2 + 2 * TURN_CLASSES + DEMAND_CUSTOMERS_MAX * 3);
+
+  demand->service = wire_next_uint (&list, UINT64_MAX);
+  demand->served_per_ks = (uint32_t)wire_next_uint (&list, UINT32_MAX);
+  for (int i = 0; i < TURN_CLASSES; i++)
+    {
+      demand->per_ks[i] = (uint32_t)wire_next_uint (&list, UINT32_MAX);
+      demand->waiting[i] = (uint32_t)wire_next_uint (&list, INT32_MAX);
+    }
+  while (!list.failed && list.remaining > 0)
+    {
+      struct demand_customer *customer = &demand->customers[demand->count++];
+
+      customer->customer = wire_next_uint (&list, UINT64_MAX);
+      customer->class = (uint32_t)wire_next_uint (&list, TURN_CLASSES - 1);
+      customer->per_ks = (uint32_t)wire_next_uint (&list, UINT32_MAX);
+    }
+  reader->failed |= list.failed;
+}
+
+/* Encodes an admission level.  The shares fill the rest of the array.  */
+static void
+encode_level (msgpack_packer *packer, const struct wire_message *message)
+{
+  const struct demand_level *level = &message->u.level;
+
+  msgpack_pack_array (packer, 6 + TURN_CLASSES + level->count * 2);
+  msgpack_pack_uint64 (packer, level->service);
+  msgpack_pack_uint64 (packer, level->version);
+  msgpack_pack_uint64 (packer, level->age_ms);
+  msgpack_pack_uint64 (packer, level->served_per_ks);
+  msgpack_pack_uint64 (packer, level->class);
+  msgpack_pack_uint64 (packer, level->share);
+  for (int i = 0; i < TURN_CLASSES; i++)
+    msgpack_pack_uint64 (packer, level->waiting[i]);
+  for (uint32_t i = 0; i < level->count; i++)
+    {
+      msgpack_pack_uint64 (packer, level->shares[i].customer);
+      msgpack_pack_uint64 (packer, level->shares[i].share);
+    }
+}
+
+static void
+decode_level (struct wire_reader *reader, struct wire_message *message)
+{
+  struct demand_level *level = &message->u.level;
+  struct wire_reader list
+      = wire_next_array (reader, 6 + TURN_CLASSES + DEMAND_SHARES_MAX * 2);
+
+  level->service = wire_next_uint (&list, UINT64_MAX);
+  level->version = (uint32_t)wire_next_uint (&list, UINT32_MAX);
+  level->age_ms = (uint32_t)wire_next_uint (&list, INT32_MAX);
+  level->served_per_ks = (uint32_t)wire_next_uint (&list, UINT32_MAX);
+  level->class = (uint32_t)wire_next_uint (&list, TURN_CLASSES);
+  level->share = (uint32_t)wire_next_uint (&list, DEMAND_FULL_SHARE);
+  for (int i = 0; i < TURN_CLASSES; i++)
+    level->waiting[i] = (uint32_t)wire_next_uint (&list, INT32_MAX);
+  while (!list.failed && list.remaining > 0)
+    {
+      struct demand_share *share = &level->shares[level->count++];
+
+      share->customer = wire_next_uint (&list, UINT64_MAX);
+      share->share = (uint32_t)wire_next_uint (&list, DEMAND_FULL_SHARE);
+    }
+  reader->failed |= list.failed;
+}
+
 /* Kinds of routers. */
 const struct wire_codec wire_fleet_codecs[WIRE_KIND_COUNT] = {
   [WIRE_LOADS] = { encode_loads, decode_loads },
@@ -390,4 +485,6 @@
   [WIRE_REACH] = { encode_reach, decode_reach },
   [WIRE_BRITTLE] = { encode_brittle, decode_brittle },
   [WIRE_REJECTED] = { encode_rejected, decode_rejected },
+  [WIRE_DEMAND] = { encode_demand, decode_demand },
+  [WIRE_LEVEL] = { encode_level, decode_level },
 };
