Queue requests where targets lack capacity

With 400 requests a second of 50 ms through four routers to two targets with 6 slots and a queue of 6, requests were turned away at random: 182 of 300 urgent requests were served, 174 of 302 of a customer with an eighth of them, and the targets rejected 1,026 of 3,122 requests.

With admission_queue, a rejection for want of capacity, targets that are all at their slots, or the level of a coordinator begin a state of scarcity, which ends 2 s after the last sign. While it lasts, an instance refuses what the level leaves out and holds the others in order, as long as they are served in time; the rest is refused at once, with a Retry-After that is spread. When an attempt ends, and every 5 ms, the first ones are dispatched through the usual choice. Targets get as many requests as a limit per target allows by the counts of all instances, which are told at once then; such a rejection no longer suspends its target. A request that is turned away goes to another target or back into the queue, within the retry budget.

--- a/include/ibisloom/metrics.h
+++ b/include/ibisloom/metrics.h
@@ -34,6 +34,9 @@
   METRIC_REFUSED_ORIGIN,
   METRIC_REFUSED_VERSION_GONE,
   METRIC_REFUSED_HOP,
+  METRIC_REFUSED_OVER_SHARE,
+  METRIC_REFUSED_QUEUE_FULL,
+  METRIC_REFUSED_QUEUE_LATE,
   /* Failed attempts, by fault, and how streams continued after them.  */
   METRIC_RETRY_CONNECT,
   METRIC_RETRY_STATUS,
@@ -125,6 +128,7 @@
   METRIC_HIST_TOTAL_MS,
   METRIC_HIST_LEDGER_MS,
   METRIC_HIST_PLACE_MS,
+  METRIC_HIST_WAIT_MS, /* for capacity, of requests that were sent then */
   METRIC_HISTOGRAM_COUNT
 };
 
--- a/include/ibisloom/registry.h
+++ b/include/ibisloom/registry.h
@@ -12,6 +12,7 @@
 #include "ibisloom/position.h"
 #include "ibisloom/rate.h"
 #include "ibisloom/room.h"
+#include "ibisloom/wait.h"
 
 enum
 {
@@ -85,6 +86,7 @@
   struct rate_limit rate;
   struct room_service *room_service; /* of all targets of its service */
   struct room *room; /* NULL: its service has not been brittle lately */
+  struct wait_limit wait_limit;
   struct health health;
 };
 
@@ -140,6 +142,7 @@
 void reg_peer_release (struct reg_target *target);
 void reg_end_suspensions (struct registry *registry, const char *service);
 int reg_is_near_limit (const struct reg_target *target, clk_ms now);
+int reg_is_scarce (const struct reg_target *target, clk_ms now);
 double reg_counted_load (const struct reg_target *target);
 struct room_service *reg_room_service (const struct registry *registry,
                                        const char *service);
--- a/include/ibisloom/relay.h
+++ b/include/ibisloom/relay.h
@@ -3,6 +3,7 @@
 #define IBISLOOM_RELAY_H
 
 #include "ibisloom/client.h"
+#include "ibisloom/demand.h"
 
 struct router;
 
@@ -17,4 +18,11 @@
 void relay_on_drained (struct client_listener *listener, void *request);
 void relay_on_stop (struct client_listener *listener, void *request);
 
+/* Queues of requests that wait for capacity. */
+void relay_queues_init (struct router *router);
+void relay_queues_clear (struct router *router);
+void relay_queues_on_level (void *closure, uint32_t rank,
+                            const struct demand_level *level);
+void relay_queues_print (const struct router *router, GString *out);
+
 #endif
--- a/include/ibisloom/router.h
+++ b/include/ibisloom/router.h
@@ -58,6 +58,7 @@
   GHashTable *reaches; /* service, interned, to struct router_reach */
   uint64_t hop_token;  /* that requests of other instances have to bear */
   uint32_t open_hops;  /* requests of other instances in progress */
+  GHashTable *queues;  /* service, interned, to struct relay_queue */
   GHashTable *budgets; /* service, interned, to struct retry_budget */
   const char *failure_domain; /* interned */
   GRand *random;
--- a/include/ibisloom/wait.h
+++ b/include/ibisloom/wait.h
@@ -71,6 +71,8 @@
                      clk_ms now);
 clk_ms wait_limit_of (const struct wait *wait, clk_ms deadline_ms,
                       clk_ms objective_ms, clk_ms now);
+int32_t wait_extra_places (const struct wait *wait, const struct turn *turn,
+                           clk_ms now);
 struct turn *wait_overdue (const struct wait *wait, clk_ms now);
 int64_t wait_book (struct wait *wait, const struct wait_view *view,
                    int64_t left_ms, clk_ms now);
--- a/process/fleet_load.c
+++ b/process/fleet_load.c
@@ -52,17 +52,21 @@
 
 /* Handles a request of this instance that STARTED at TARGET, or ended there.
    Those that share the room of a brittle TARGET get to know at once.
-   If TARGET is near its load limit, the peers are to know of a start at once.
+   If TARGET is near its load limit, the peers are to know of a start at once,
+   and if requests wait for it, of an end too.
    The update then carries all counts that have changed.  */
 static void
 on_load_change (void *closure, struct reg_target *target, int started)
 {
   struct fleet *fleet = closure;
+  clk_ms now = clk_now (clk_monotonic ());
 
   fleet_tell_load (fleet, target);
   target->update_pending = 1;
-  if (reg_is_near_limit (target, clk_now (clk_monotonic ())))
-    schedule_update (fleet, started ? 0 : UPDATE_END_DELAY_MS);
+  if (reg_is_near_limit (target, now))
+    schedule_update (fleet, started || reg_is_scarce (target, now)
+                                ? 0
+                                : UPDATE_END_DELAY_MS);
   else
     schedule_update (fleet, UPDATE_QUIET_DELAY_MS);
 }
--- a/process/metrics.c
+++ b/process/metrics.c
@@ -68,6 +68,12 @@
   [METRIC_REFUSED_VERSION_GONE]
   = "ibisloom_refused_total{reason=\"version_gone\"}",
   [METRIC_REFUSED_HOP] = "ibisloom_refused_total{reason=\"hop_refused\"}",
+  [METRIC_REFUSED_OVER_SHARE]
+  = "ibisloom_refused_total{reason=\"over_share\"}",
+  [METRIC_REFUSED_QUEUE_FULL]
+  = "ibisloom_refused_total{reason=\"queue_full\"}",
+  [METRIC_REFUSED_QUEUE_LATE]
+  = "ibisloom_refused_total{reason=\"queue_late\"}",
   [METRIC_REFUSED_NO_CONNECTION]
   = "ibisloom_refused_total{reason=\"no_connection\"}",
   [METRIC_RETRY_CONNECT] = "ibisloom_retries_total{reason=\"connect\"}",
@@ -167,6 +173,7 @@
   [METRIC_HIST_TOTAL_MS] = "ibisloom_total_ms",
   [METRIC_HIST_LEDGER_MS] = "ibisloom_ledger_ms",
   [METRIC_HIST_PLACE_MS] = "ibisloom_place_ms",
+  [METRIC_HIST_WAIT_MS] = "ibisloom_queue_wait_ms",
 };
 
 static const int64_t bucket_bounds_ms[BUCKET_COUNT] = {
--- a/process/registry.c
+++ b/process/registry.c
@@ -438,7 +438,19 @@
 int
 reg_is_near_limit (const struct reg_target *target, clk_ms now)
 {
-  return estimate_load (target, now) > target->load_limit * NEAR_LIMIT_SHARE;
+  return estimate_load (target, now) > target->load_limit * NEAR_LIMIT_SHARE
+         || reg_is_scarce (target, now);
+}
+
+/* Returns whether requests wait for capacity of TARGET, of which little is
+   left.  */
+int
+reg_is_scarce (const struct reg_target *target, clk_ms now)
+{
+  return now < target->wait_limit.scarce_until_ms
+         && estimate_load (target, now)
+                >= wait_limit_get (&target->wait_limit, target->slots)
+                       * NEAR_LIMIT_SHARE;
 }
 
 /* Counts a request sent to TARGET, and keeps TARGET until reg_request_end.  */
@@ -672,6 +684,7 @@
   target->reported_load = 0;
   target->broken_ms = 0;
   target->unreachable_ms = 0;
+  memset (&target->wait_limit, 0, sizeof target->wait_limit);
   if (target->room != NULL)
     target->room->has_said = 0;
 }
--- a/process/router.c
+++ b/process/router.c
@@ -73,6 +73,7 @@
   router->affinity = affinity_new ();
   router->snapshot = snapshot_new ();
   router_reach_init (router);
+  relay_queues_init (router);
   router->budgets = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   out_pool_init (&router->pool, router->loop);
   router->request_listener.limits.head_max_bytes = HTTP_HEAD_MAX_BYTES;
@@ -139,6 +140,7 @@
   router_watch_config (router);
   router_watch_targets (router);
   fleet_on_update (router->fleet, router_on_fleet_update, router);
+  fleet_on_level (router->fleet, relay_queues_on_level, router);
   router_reach_start (router);
   router->started_ms = clk_now (clk_monotonic ());
   router->short_ms = router->started_ms;
@@ -166,6 +168,7 @@
   if (router->targets.loop != NULL)
     watch_stop (&router->targets);
   g_hash_table_destroy (router->reaches);
+  relay_queues_clear (router);
   fleet_free (router->fleet);
   out_pool_clear (&router->pool);
   g_hash_table_destroy (router->pool.idle);
--- a/process/router_metrics.c
+++ b/process/router_metrics.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "ibisloom/buffer.h"
+#include "ibisloom/relay.h"
 #include "ibisloom/router.h"
 #include "ibisloom/log.h"
 #include "ibisloom/metrics.h"
@@ -57,6 +58,7 @@
   add_gauge (out, "ibisloom_loads_age_ms", fleet_loads_age_ms (router->fleet));
   add_gauge (out, "ibisloom_buffer_pool_bytes", (int64_t)buf_pool_used ());
   add_gauge (out, "ibisloom_log_lines_dropped", (int64_t)log_dropped ());
+  relay_queues_print (router, out);
   count_targets (router, now, out);
   return out;
 }
--- a/request/librelay.h
+++ b/request/librelay.h
@@ -4,6 +4,7 @@
 
 #include "ibisloom/relay.h"
 #include "ibisloom/router.h"
+#include "ibisloom/wait.h"
 
 enum
 {
@@ -34,6 +35,9 @@
   RELAY_ORIGIN_UNKNOWN,
   RELAY_VERSION_GONE,
   RELAY_HOP_REFUSED,
+  RELAY_OVER_SHARE, /* the admission level left it out */
+  RELAY_QUEUE_FULL, /* it would not be served in time */
+  RELAY_QUEUE_LATE, /* it waited for as long as it could */
   RELAY_REFUSAL_COUNT
 };
 
@@ -129,6 +133,10 @@
   uint32_t hop_tried[RELAY_HOPS_MAX]; /* instances */
   uint32_t hop_count;
   uint32_t hop_refusals;
+  struct turn turn;        /* while it waits for capacity */
+  uint32_t rewaits;        /* after rejections that ended its attempts */
+  uint8_t is_admitted;     /* by the admission level */
+  uint8_t is_demand;       /* counted in the demand */
   uint8_t is_counted;      /* in the retry budget */
   uint8_t waits_for_reach; /* until probes or other instances tell */
   clk_ms reach_awaited_ms; /* since then; 0: not yet */
@@ -173,6 +181,23 @@
 void relay_urgency_read (struct relay *relay);
 void relay_urgency_append (const struct relay *relay, GString *out);
 
+/* relay_wait.c */
+int relay_wait_before (struct relay *relay, clk_ms now);
+int relay_wait_after (struct relay *relay, const struct bal_choice *choice,
+                      clk_ms now);
+void relay_wait_limit (const struct relay *relay,
+                       struct bal_candidate *candidates,
+                       struct reg_target *const *targets, size_t count,
+                       clk_ms now);
+void relay_wait_sent (struct relay *relay, clk_ms now);
+void relay_wait_ended (struct relay *relay, enum health_event event);
+int relay_wait_is_rejection (const struct relay *relay);
+void relay_wait_reject (struct relay *relay);
+int relay_wait_again (struct relay *relay,
+                      const struct retry_decision *decision);
+void relay_wait_leave (struct relay *relay);
+void relay_wait_expire (struct relay *relay);
+
 /* relay_hop.c */
 struct reg_target *relay_pick (struct relay *relay, clk_ms now,
                                struct bal_choice *choice, size_t *count);
@@ -244,6 +269,12 @@
 void relay_log_outcome (const struct relay *relay, const char *outcome,
                         clk_ms now);
 
+/* relay_wait_log.c */
+void relay_wait_log (const struct relay *relay, const char *reason,
+                     const struct wait_view *view, int64_t retry_after_ms,
+                     clk_ms now);
+void relay_wait_log_limit (const struct relay *relay, int32_t limit);
+
 /* relay_parts.c */
 int relay_parts_admitted (struct relay *relay);
 void relay_parts_event (struct relay *relay);
--- a/request/relay.c
+++ b/request/relay.c
@@ -129,6 +129,8 @@
       return;
     }
   fleet_hear_loads (relay->router->fleet, relay->service);
+  if (relay_wait_before (relay, now))
+    return;
   target = relay_pick (relay, now, &choice, &count);
   if (relay->waits_for_reach)
     relay_wait_for_reach (relay);
@@ -137,7 +139,7 @@
                                              : RELAY_QUARANTINED);
   else if (target != NULL)
     relay_send (relay, target, &choice, count);
-  else
+  else if (!relay_wait_after (relay, &choice, now))
     {
       relay_log_placement (relay, &choice, count);
       if (relay->may_have_run)
@@ -200,6 +202,7 @@
       relay_count (relay);
       fleet_count_request (router->fleet, target);
       relay_mark_tried (relay);
+      relay_wait_sent (relay, now);
       relay_origin_expect (relay);
     }
   /* On a kept connection, an earlier response to the same request could come
@@ -240,6 +243,7 @@
 void
 relay_end_attempt (struct relay *relay, enum health_event event)
 {
+  relay_wait_ended (relay, event);
   relay_attempt_end (&relay->attempt, event);
 }
 
@@ -336,6 +340,11 @@
       relay_dispatch (relay);
       return;
     }
+  if (relay->turn.flow != NULL)
+    {
+      relay_wait_expire (relay);
+      return;
+    }
   if (relay->waits)
     {
       relay_origin_resolve (relay);
@@ -434,6 +443,7 @@
 relay_free (struct relay *relay)
 {
   ev_timer_stop (relay->router->loop, &relay->timer);
+  relay_wait_leave (relay);
   router_request_ended (relay->router);
   rt_unref (relay->table);
   g_free (relay->parts);
--- a/request/relay_fault.c
+++ b/request/relay_fault.c
@@ -52,15 +52,16 @@
 }
 
 /* Returns the health event of the current target that corresponds to FAULT, or
-   HEALTH_EVENT_COUNT for a rejection by a brittle one, whose room tells when
-   it is used again.  */
+   HEALTH_EVENT_COUNT for a rejection that a limit answers to: the room of a
+   brittle one, or that of a service that is short of capacity.  */
 static enum health_event
 health_event_of (const struct relay *relay, enum retry_fault fault)
 {
   if (fault == RETRY_FAULT_REJECTED
       && relay->attempt.status == HTTP_STATUS_MISDIRECTED_REQUEST)
     return HEALTH_MISDIRECTED;
-  if (fault == RETRY_FAULT_REJECTED && is_brittle (relay))
+  if (fault == RETRY_FAULT_REJECTED
+      && (is_brittle (relay) || relay_wait_is_rejection (relay)))
     return HEALTH_EVENT_COUNT;
   return health_events[fault];
 }
@@ -118,6 +119,8 @@
     relay->may_have_run = 1;
   else if (is_brittle (relay))
     relay->rejections++;
+  else if (relay_wait_is_rejection (relay))
+    relay_wait_reject (relay);
   relay->error_responses += fault == RETRY_FAULT_ERROR_STATUS;
   metric_inc (retry_counters[fault]);
 }
@@ -141,7 +144,9 @@
     }
   relay_decide (relay, fault, &decision);
   relay_log_fault (relay, fault, &decision, now);
-  if (decision.action == RETRY_GIVE_UP)
+  if (decision.action == RETRY_GIVE_UP
+      && (fault != RETRY_FAULT_REJECTED
+          || !relay_wait_again (relay, &decision)))
     {
       give_up (relay, &decision, fault);
       return;
--- a/request/relay_refuse.c
+++ b/request/relay_refuse.c
@@ -41,6 +41,9 @@
   [RELAY_RATES_USED_UP] = { "rates_used_up", METRIC_REFUSED_RATE, 503, 400 },
   [RELAY_ORIGIN_UNKNOWN] = { "origin_unknown", METRIC_REFUSED_ORIGIN, 503, 0 },
   [RELAY_HOP_REFUSED] = { "hop_refused", METRIC_REFUSED_HOP, 503, 200 },
+  [RELAY_OVER_SHARE] = { "over_share", METRIC_REFUSED_OVER_SHARE, 503, 400 },
+  [RELAY_QUEUE_FULL] = { "queue_full", METRIC_REFUSED_QUEUE_FULL, 503, 300 },
+  [RELAY_QUEUE_LATE] = { "queue_late", METRIC_REFUSED_QUEUE_LATE, 503, 300 },
   [RELAY_VERSION_GONE]
   = { "version_gone", METRIC_REFUSED_VERSION_GONE, 503, 0 }
 };
@@ -52,7 +55,9 @@
 relay_refuse (struct relay *relay, enum relay_refusal refusal)
 {
   struct client *client = relay->client;
-  int64_t wait_ms = refusal == RELAY_QUARANTINED
+  /* From the queue, times are spread already.  */
+  int is_spread = relay->retry_after_ms > 0 && refusal != RELAY_QUARANTINED;
+  int64_t wait_ms = refusal == RELAY_QUARANTINED || is_spread
                         ? relay->retry_after_ms
                         : refusals[refusal].retry_after_ms;
   GString *fields = g_string_new (NULL);
@@ -67,9 +72,10 @@
     {
       if (wait_ms > 0)
         {
-          wait_ms
-              += g_rand_int_range (relay->router->random, 0,
-                                   (gint32)wait_ms / RETRY_JITTER_DIVISOR + 1);
+          if (!is_spread)
+            wait_ms += g_rand_int_range (relay->router->random, 0,
+                                         (gint32)wait_ms / RETRY_JITTER_DIVISOR
+                                             + 1);
           g_string_printf (fields, "%s: %.3f\r\n",
                            relay->router->dialect->field[DIALECT_RETRY_AFTER],
                            (double)wait_ms / CLK_MS_PER_S);
--- a/request/relay_target.c
+++ b/request/relay_target.c
@@ -57,6 +57,7 @@
   *count = reg_candidates (router->registry, relay->service,
                            router->failure_domain, now, candidates, targets,
                            BAL_CANDIDATES_MAX);
+  relay_wait_limit (relay, candidates, targets, *count, now);
   selection.count = *count;
   if (relay->context != 0)
     params.holders = affinity_find (router->affinity, relay->context);
--- /dev/null
+++ b/request/relay_wait.c
@@ -0,0 +1,605 @@
+/* Requests that wait for capacity of their service.
+
+   Each service has a queue.  While the service is short of capacity, a request
+   waits there if others go first, or no target takes it now.  The queue tries
+   its first requests when an attempt of this instance has ended, and every
+   POLL_MS, as places that other instances free become known by load updates.
+   Every dispatch goes through relay_dispatch and its choice of a target.  */
+#include <inttypes.h>
+
+#include "ibisloom/log.h"
+#include "ibisloom/metrics.h"
+#include "ibisloom/rank.h"
+#include "librelay.h"
+
+enum
+{
+  POLL_MS = 5, /* load updates come no more often */
+  /* Requests that find no target while others may, as they have tried it.  */
+  MISSES_MAX = 2,
+  REWAITS_MAX = 2,
+  /* Load, in percent of a target's limit, that is a sign of too little
+     capacity: until there is one, the counts of others are up to 100 ms old,
+     and targets may let requests wait.  */
+  SIGN_PERCENT = 150,
+  SPARE_PERCENT = 75,  /* of its slots, used by a target with some to spare */
+  SCARCE_TOLD_MS = 500 /* load updates are quick for so long */
+};
+
+enum queue_refusal
+{
+  QUEUE_OVER_SHARE,
+  QUEUE_FULL,
+  QUEUE_LATE,
+  QUEUE_REFUSALS
+};
+
+/* Queue of one service. */
+struct relay_queue
+{
+  struct wait wait;
+  struct router *router;
+  const char *service;           /* interned */
+  uint64_t hash;                 /* of its name */
+  ev_timer poll;                 /* while requests wait */
+  ev_timer report;               /* while the service is short of capacity */
+  uint32_t round;                /* of tries */
+  uint8_t is_told;               /* coordinators get reports */
+  struct relay *tried;           /* now, from the queue */
+  uint32_t misses;               /* in this round */
+  uint64_t waited[TURN_CLASSES]; /* requests sent after a wait */
+  uint64_t refused[QUEUE_REFUSALS][TURN_CLASSES];
+};
+
+static void queue_free (gpointer data);
+static struct relay_queue *find_queue (const struct relay *relay);
+static struct relay_queue *get_queue (const struct relay *relay);
+static int may_queue (const struct relay *relay);
+static int is_continued (const struct relay *relay);
+static int has_spare (const struct relay_queue *queue);
+static void note_sign (struct relay_queue *queue, clk_ms now);
+static int enqueue (struct relay_queue *queue, struct relay *relay,
+                    clk_ms now);
+static void begin_wait (struct relay_queue *queue, struct relay *relay,
+                        clk_ms now);
+static void refuse (struct relay_queue *queue, struct relay *relay,
+                    enum queue_refusal refusal, clk_ms now);
+static void refuse_overdue (struct relay_queue *queue, clk_ms now);
+static void set_poll (struct relay_queue *queue, int64_t ms);
+static void on_poll (struct ev_loop *loop, ev_timer *timer, int events);
+static void on_report_due (struct ev_loop *loop, ev_timer *timer, int events);
+static void log_state (const struct relay_queue *queue, const char *reason);
+
+static const struct
+{
+  const char *name;
+  enum relay_refusal refusal;
+} refusals[QUEUE_REFUSALS] = {
+  [QUEUE_OVER_SHARE] = { "over_share", RELAY_OVER_SHARE },
+  [QUEUE_FULL] = { "queue_full", RELAY_QUEUE_FULL },
+  [QUEUE_LATE] = { "queue_late", RELAY_QUEUE_LATE },
+};
+
+void
+relay_queues_init (struct router *router)
+{
+  router->queues = g_hash_table_new_full (NULL, NULL, NULL, queue_free);
+}
+
+/* Undoes relay_queues_init.  */
+void
+relay_queues_clear (struct router *router)
+{
+  g_hash_table_destroy (router->queues);
+}
+
+static void
+queue_free (gpointer data)
+{
+  struct relay_queue *queue = data;
+
+  ev_timer_stop (queue->router->loop, &queue->poll);
+  ev_timer_stop (queue->router->loop, &queue->report);
+  wait_clear (&queue->wait);
+  g_free (queue);
+}
+
+/* Returns the queue of RELAY's service, or NULL if it has none yet.  */
+static struct relay_queue *
+find_queue (const struct relay *relay)
+{
+  return g_hash_table_lookup (relay->router->queues, relay->service);
+}
+
+/* Returns the queue of RELAY's service, created if it is new.  */
+static struct relay_queue *
+get_queue (const struct relay *relay)
+{
+  struct router *router = relay->router;
+  struct relay_queue *queue = find_queue (relay);
+
+  if (queue != NULL)
+    return queue;
+  queue = g_new0 (struct relay_queue, 1);
+  wait_init (&queue->wait);
+  queue->router = router;
+  queue->service = relay->service;
+  queue->hash = rank_hash (relay->service);
+  ev_timer_init (&queue->poll, on_poll, 0, 0);
+  queue->poll.data = queue;
+  ev_timer_init (&queue->report, on_report_due, 0, 0);
+  queue->report.data = queue;
+  g_hash_table_insert (router->queues, (gpointer)(uintptr_t)relay->service,
+                       queue);
+  return queue;
+}
+
+/* Returns whether RELAY may wait for capacity: this instance sends it to
+   targets.  */
+static int
+may_queue (const struct relay *relay)
+{
+  return relay->router->settings->admission_queue
+         && router_reach_state (relay->router, relay->service)
+                != REACH_CUT_OFF;
+}
+
+/* Returns whether a target may have begun RELAY, so that its client has
+   something to lose.  */
+static int
+is_continued (const struct relay *relay)
+{
+  return relay->software != 0 || relay->may_have_run || relay->head_sent;
+}
+
+/* Records a sign that QUEUE's service is short of capacity, and begins to tell
+   the coordinators.  */
+static void
+note_sign (struct relay_queue *queue, clk_ms now)
+{
+  wait_note_sign (&queue->wait, now);
+  if (queue->is_told)
+    return;
+  queue->is_told = 1;
+  log_state (queue, "scarce");
+  ev_timer_set (&queue->report, 0, 0);
+  ev_timer_start (queue->router->loop, &queue->report);
+}
+
+/* Returns whether a target of QUEUE's service is far from having all slots
+   used and nothing waits, so that the level admits less than could run.  */
+static int
+has_spare (const struct relay_queue *queue)
+{
+  const GPtrArray *targets = queue->router->registry->array;
+  clk_ms now = clk_now (clk_monotonic ());
+
+  if (queue->wait.queue.waiting > 0)
+    return 0;
+  for (guint i = 0; i < targets->len; i++)
+    {
+      const struct reg_target *target = g_ptr_array_index (targets, i);
+
+      if (target->service == queue->service && !target->leaving
+          && !rate_is_limited (&target->rate)
+          && !room_is_brittle (target->room_service, now)
+          && health_get_state (&target->health, now) == HEALTH_USABLE
+          && reg_counted_load (target) * 100
+                 < (double)target->slots * SPARE_PERCENT)
+        return 1;
+    }
+  return 0;
+}
+
+/* Called before a target is chosen for RELAY.  Returns whether RELAY waits or
+   was refused instead, as its service is short of capacity.  */
+int
+relay_wait_before (struct relay *relay, clk_ms now)
+{
+  struct relay_queue *queue;
+  struct wait *wait;
+
+  if (!may_queue (relay))
+    return 0;
+  queue = get_queue (relay);
+  wait = &queue->wait;
+  if (queue->tried == relay)
+    return 0;
+  relay->turn.class = is_continued (relay) ? TURN_CONTINUED
+                                           : turn_class_of (relay->urgency);
+  relay->turn.customer
+      = relay->customer != NULL ? rank_hash (relay->customer->name) : 0;
+  if (!relay->is_demand && relay->turn.class != TURN_CONTINUED)
+    demand_count (&wait->demand, relay->turn.class, relay->turn.customer, now);
+  relay->is_demand = 1;
+  relay->turn.limit_ms = relay->deadline_ms;
+  if (!wait_is_scarce (wait, now))
+    return 0;
+  if (!relay->is_admitted && relay->turn.class != TURN_CONTINUED
+      && !wait_admits (wait, relay->turn.class, relay->turn.customer,
+                       g_rand_double (relay->router->random), now)
+      && !has_spare (queue))
+    {
+      refuse (queue, relay, QUEUE_OVER_SHARE, now);
+      return 1;
+    }
+  relay->is_admitted = 1;
+  return turn_ahead (&wait->queue, &relay->turn) > 0
+         && enqueue (queue, relay, now);
+}
+
+/* Called when no target was chosen for RELAY, which is described in CHOICE.
+   Returns whether RELAY waits or was refused, as its service is short of
+   capacity.  */
+int
+relay_wait_after (struct relay *relay, const struct bal_choice *choice,
+                  clk_ms now)
+{
+  struct relay_queue *queue;
+
+  if (choice->reason != BAL_ALL_FULL || !may_queue (relay))
+    return 0;
+  queue = get_queue (relay);
+  note_sign (queue, now);
+  if (queue->tried != relay)
+    return enqueue (queue, relay, now);
+  queue->misses++;
+  begin_wait (queue, relay, now);
+  return 1;
+}
+
+/* Has RELAY wait, or refuses it if it would wait for too long, and with it
+   others that are less urgent.  Returns 0 if RELAY may have run and cannot
+   wait.  */
+static int
+enqueue (struct relay_queue *queue, struct relay *relay, clk_ms now)
+{
+  const struct rt_route *route = relay->route;
+  clk_ms objective_ms = route->kind == RT_STREAM && !relay->head_sent
+                                && route->objective_ms > 0
+                            ? relay->arrived_ms + route->objective_ms
+                            : INT64_MAX;
+  struct wait_view view;
+
+  relay->turn.limit_ms
+      = wait_limit_of (&queue->wait, relay->deadline_ms, objective_ms, now);
+  wait_look (&queue->wait, &relay->turn, now, &view);
+  if (!wait_is_in_time (&view, &relay->turn, now))
+    {
+      if (relay->may_have_run)
+        return 0;
+      refuse (queue, relay, QUEUE_FULL, now);
+      return 1;
+    }
+  relay->turn.since_ms = now;
+  relay_wait_log (relay, "waiting", &view, 0, now);
+  begin_wait (queue, relay, now);
+  refuse_overdue (queue, now);
+  return 1;
+}
+
+/* Adds RELAY, whose limit is set, to QUEUE.  */
+static void
+begin_wait (struct relay_queue *queue, struct relay *relay, clk_ms now)
+{
+  struct ev_loop *loop = queue->router->loop;
+
+  turn_add (&queue->wait.queue, &relay->turn);
+  ev_timer_stop (loop, &relay->timer);
+  ev_timer_set (&relay->timer,
+                (double)MAX (relay->turn.limit_ms - now, 0) / CLK_MS_PER_S, 0);
+  ev_timer_start (loop, &relay->timer);
+  if (!ev_is_active (&queue->poll))
+    set_poll (queue, POLL_MS);
+}
+
+/* Refuses RELAY, for which there is no capacity in time.  */
+static void
+refuse (struct relay_queue *queue, struct relay *relay,
+        enum queue_refusal refusal, clk_ms now)
+{
+  struct wait_view view;
+
+  relay_wait_leave (relay);
+  wait_look (&queue->wait, &relay->turn, now, &view);
+  relay->retry_after_ms
+      = wait_book (&queue->wait, &view, relay->deadline_ms - now, now);
+  queue->refused[refusal][relay->turn.class]++;
+  relay_wait_log (relay, refusals[refusal].name, &view, relay->retry_after_ms,
+                  now);
+  relay_refuse (relay, relay->may_have_run ? RELAY_TARGET_FAILED
+                                           : refusals[refusal].refusal);
+}
+
+/* Refuses the least urgent requests of QUEUE as long as they will not be
+   served in time.  */
+static void
+refuse_overdue (struct relay_queue *queue, clk_ms now)
+{
+  struct turn *turn;
+
+  while ((turn = wait_overdue (&queue->wait, now)) != NULL)
+    refuse (queue,
+            (struct relay *)((char *)turn - offsetof (struct relay, turn)),
+            QUEUE_FULL, now);
+}
+
+/* Ends the wait of RELAY, whose time for it is over.  */
+void
+relay_wait_expire (struct relay *relay)
+{
+  clk_ms now = clk_now (clk_monotonic ());
+
+  if (now < relay->deadline_ms)
+    refuse (find_queue (relay), relay, QUEUE_LATE, now);
+  else
+    relay_refuse (relay, relay->may_have_run ? RELAY_DEADLINE
+                                             : RELAY_DEADLINE_UNSENT);
+}
+
+/* Takes RELAY out of its queue, if it waits.  */
+void
+relay_wait_leave (struct relay *relay)
+{
+  if (relay->turn.flow != NULL)
+    turn_remove (&find_queue (relay)->wait.queue, &relay->turn);
+}
+
+/* Has QUEUE tried in MS milliseconds.  */
+static void
+set_poll (struct relay_queue *queue, int64_t ms)
+{
+  ev_timer_stop (queue->router->loop, &queue->poll);
+  ev_timer_set (&queue->poll, (double)ms / CLK_MS_PER_S, 0);
+  ev_timer_start (queue->router->loop, &queue->poll);
+}
+
+/* Dispatches the first requests of the queue as long as targets take them.  */
+static void
+on_poll (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct relay_queue *queue = timer->data;
+  struct turn *turn;
+
+  (void)loop;
+  (void)events;
+  queue->round++;
+  queue->misses = 0;
+  refuse_overdue (queue, clk_now (clk_monotonic ()));
+  while (queue->misses < MISSES_MAX
+         && (turn = turn_first (&queue->wait.queue, queue->round)) != NULL)
+    {
+      struct relay *relay
+          = (struct relay *)((char *)turn - offsetof (struct relay, turn));
+
+      turn_remove (&queue->wait.queue, turn);
+      turn->round = queue->round;
+      queue->tried = relay;
+      relay_dispatch (relay);
+      queue->tried = NULL;
+    }
+  if (queue->wait.queue.waiting > 0)
+    set_poll (queue, POLL_MS);
+}
+
+/* Marks those of COUNT CANDIDATES for RELAY, which are TARGETS, that are at
+   their limits, if its service is short of capacity or all of them are.  One
+   that goes first may take one place more.  A stream that goes on does not
+   wait for that.  */
+void
+relay_wait_limit (const struct relay *relay, struct bal_candidate *candidates,
+                  struct reg_target *const *targets, size_t count, clk_ms now)
+{
+  const struct relay_queue *queue = find_queue (relay);
+  int is_scarce = queue != NULL && wait_is_scarce (&queue->wait, now);
+  int any_free = 0;
+  int32_t more = 0;
+
+  if (!relay->router->settings->admission_queue || relay->software != 0)
+    return;
+  for (size_t i = 0; i < count && !is_scarce && !any_free; i++)
+    any_free = candidates[i].state == HEALTH_USABLE
+               && candidates[i].load * 100
+                      < (double)wait_limit_get (&targets[i]->wait_limit,
+                                                targets[i]->slots)
+                            * SIGN_PERCENT;
+  if (any_free)
+    return;
+  if (is_scarce)
+    more = wait_extra_places (&queue->wait, &relay->turn, now);
+  for (size_t i = 0; i < count; i++)
+    {
+      struct wait_limit *limit = &targets[i]->wait_limit;
+
+      if (is_scarce)
+        limit->scarce_until_ms = now + SCARCE_TOLD_MS;
+      if (candidates[i].load
+          < (double)wait_limit_get (limit, targets[i]->slots) + more)
+        continue;
+      candidates[i].has_no_room = 1;
+      if (is_scarce)
+        wait_limit_reach (limit, targets[i]->slots, candidates[i].load, now);
+    }
+}
+
+/* Records that RELAY is sent to a target.  */
+void
+relay_wait_sent (struct relay *relay, clk_ms now)
+{
+  struct relay_queue *queue = find_queue (relay);
+
+  if (queue == NULL || !may_queue (relay))
+    return;
+  turn_serve (&queue->wait.queue, relay->turn.class, relay->turn.customer);
+  if (relay->turn.since_ms == 0)
+    return;
+  metric_observe (METRIC_HIST_WAIT_MS, now - relay->turn.since_ms);
+  queue->waited[relay->turn.class]++;
+  relay->turn.since_ms = 0;
+}
+
+/* Records the end of the current attempt of RELAY, if there is one, with
+   EVENT: others may take its place.  */
+void
+relay_wait_ended (struct relay *relay, enum health_event event)
+{
+  const struct relay_attempt *attempt = &relay->attempt;
+  clk_ms now = clk_now (clk_monotonic ());
+  struct relay_queue *queue;
+
+  if (attempt->target == NULL || attempt->target->is_peer
+      || !relay->router->settings->admission_queue)
+    return;
+  queue = find_queue (relay);
+  if (queue == NULL)
+    return;
+  if (event == HEALTH_RESPONDED || event == HEALTH_SERVER_ERROR)
+    wait_count_end (
+        &queue->wait,
+        (attempt->first_event_ms != 0 ? attempt->first_event_ms : now)
+            - attempt->sent_ms,
+        now);
+  if (queue->wait.queue.waiting > 0 && queue->tried == NULL)
+    set_poll (queue, 0);
+}
+
+/* Returns whether the target of the current attempt of RELAY has turned it
+   away for want of capacity, other than of its rate.  */
+int
+relay_wait_is_rejection (const struct relay *relay)
+{
+  const struct relay_attempt *attempt = &relay->attempt;
+
+  return relay->router->settings->admission_queue && attempt->not_run
+         && attempt->status == HTTP_STATUS_SERVICE_UNAVAILABLE
+         && !attempt->target->is_peer
+         && !rate_is_limited (&attempt->target->rate);
+}
+
+/* Handles such a rejection.  */
+void
+relay_wait_reject (struct relay *relay)
+{
+  struct reg_target *target = relay->attempt.target;
+  clk_ms now = clk_now (clk_monotonic ());
+  int32_t limit = wait_limit_reject (&target->wait_limit, target->slots,
+                                     reg_counted_load (target) - 1, now);
+
+  relay_wait_log_limit (relay, limit);
+  note_sign (get_queue (relay), now);
+}
+
+/* Returns whether RELAY, which such a rejection has left without attempts, by
+   DECISION, may wait for the same targets again.  Draws on the retry budget if
+   so.  */
+int
+relay_wait_again (struct relay *relay, const struct retry_decision *decision)
+{
+  if (decision->reason != RETRY_REASON_ATTEMPTS || relay->may_have_run
+      || !relay_wait_is_rejection (relay) || relay->rejections > 0
+      || relay->rewaits >= REWAITS_MAX
+      || !retry_budget_take (
+          router_retry_budget (relay->router, relay->service)))
+    return 0;
+  relay->rewaits++;
+  return 1;
+}
+
+/* Tells the coordinators the demand, until the service is no longer short of
+   capacity.  */
+static void
+on_report_due (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct relay_queue *queue = timer->data;
+  struct fleet *fleet = queue->router->fleet;
+  clk_ms now = clk_now (clk_monotonic ());
+  struct demand_report report = { .service = queue->hash };
+
+  (void)events;
+  if (!wait_is_scarce (&queue->wait, now))
+    {
+      queue->is_told = 0;
+      log_state (queue, "ample");
+      return;
+    }
+  demand_fill_report (&queue->wait.demand, now, &report);
+  report.served_per_ks
+      = (uint32_t)(demand_rate_per_s (&queue->wait.ends, now) * CLK_MS_PER_S);
+  for (int i = 0; i < TURN_CLASSES; i++)
+    report.waiting[i] = queue->wait.queue.classes[i].waiting;
+  ev_timer_set (timer, (double)fleet_demand_interval_ms (fleet) / CLK_MS_PER_S,
+                0);
+  ev_timer_start (loop, timer);
+  fleet_tell_demand (fleet, &report);
+}
+
+/* Records the LEVEL of the coordinator that ranks RANK at the router
+   CLOSURE.  */
+void
+relay_queues_on_level (void *closure, uint32_t rank,
+                       const struct demand_level *level)
+{
+  const struct router *router = closure;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, router->queues);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct relay_queue *queue = value;
+
+      if (queue->hash == level->service)
+        wait_set_level (&queue->wait, rank, level, clk_now (clk_monotonic ()));
+    }
+}
+
+/* Logs the state that QUEUE's service has come to, REASON.  */
+static void
+log_state (const struct relay_queue *queue, const char *reason)
+{
+  struct log_line line;
+
+  if (!log_begin (&line, LOG_LEVEL_INFO, "queue", NULL, reason))
+    return;
+  log_text (&line, "service", queue->service);
+  log_number (&line, "waiting", queue->wait.queue.waiting);
+  log_end (&line);
+}
+
+/* Appends the metrics of the queues of ROUTER to OUT.  */
+void
+relay_queues_print (const struct router *router, GString *out)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, router->queues);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct relay_queue *queue = value;
+
+      for (int i = 0; i < TURN_CLASSES; i++)
+        {
+          /* The class of requests that a target has begun has priority -1.  */
+          char *labels = g_strdup_printf ("service=\"%s\",priority=\"%d\"",
+                                          queue->service, i - (int)TURN_FIRST);
+          uint32_t waiting = queue->wait.queue.classes[i].waiting;
+
+          if (waiting > 0)
+            g_string_append_printf (out, "ibisloom_queue_waiting{%s} %u\n",
+                                    labels, waiting);
+          if (queue->waited[i] > 0)
+            g_string_append_printf (
+                out, "ibisloom_queue_waited_total{%s} %" PRIu64 "\n", labels,
+                queue->waited[i]);
+          for (int j = 0; j < QUEUE_REFUSALS; j++)
+            if (queue->refused[j][i] > 0)
+              g_string_append_printf (
+                  out,
+                  "ibisloom_queue_refused_total{%s,reason=\"%s\"} %" PRIu64
+                  "\n",
+                  labels, refusals[j].name, queue->refused[j][i]);
+          g_free (labels);
+        }
+    }
+}
--- a/request/wait.c
+++ b/request/wait.c
@@ -22,10 +22,12 @@
   UNLIMITED_MS = 30000,      /* longest wait of a request without a deadline */
   /* A refused client hardly comes back later than that.  */
   RETURN_MAX_MS = 10000,
+  LONG_WAIT = 2,    /* times the wait that is expected */
   RETURN_SHARE = 3, /* clients wait for up to 1 in so many of their time */
   /* Requests in progress at a target, in units of its slots: one at work and
      one that waits there, so that no slot is idle while an end is told.  */
   LIMIT_FACTOR = 2,
+  KEPT_PERCENT = 75, /* of a limit after a rejection, at least */
   GROWTH_MIN_MS = 250,
   GROWTH_MAX_MS = 4000,
   BURST_MS = 100 /* rejections of one burst lower a limit once */
@@ -84,13 +86,17 @@
             : (double)duration_ms;
 }
 
-/* Records at NOW the LEVEL of the coordinator that ranks RANK.  */
+/* Records at NOW the LEVEL of the coordinator that ranks RANK.  As long as it
+   leaves requests out, capacity is scarce, also for an instance whose own
+   requests have found places lately.  */
 void
 wait_set_level (struct wait *wait, uint32_t rank,
                 const struct demand_level *level, clk_ms now)
 {
   wait->levels[rank].level = *level;
   wait->levels[rank].set_ms = now - level->age_ms;
+  if (level->class < TURN_CLASSES)
+    wait_note_sign (wait, now);
 }
 
 static int
@@ -191,6 +197,30 @@
   return limit_ms - duration_ms;
 }
 
+/* Returns how many places over its limit a target may have taken for TURN:
+   one if the level admits its class in full, and one more each time that it
+   has waited for LONG_WAIT times as long as requests do at all instances.
+   Without that, instances that have places would keep them, as they know first
+   of those that they free, or as their limits are higher.  */
+int32_t
+wait_extra_places (const struct wait *wait, const struct turn *turn,
+                   clk_ms now)
+{
+  const struct wait_level *level = wait_current_level (wait, now);
+  struct wait_view view;
+  int32_t places;
+
+  if (level == NULL)
+    return 0;
+  places = turn->class < level->level.class;
+  if (turn->since_ms == 0)
+    return places;
+  wait_look (wait, turn, now, &view);
+  return places
+         + (int32_t)((now - turn->since_ms)
+                     / MAX (view.expected_ms * LONG_WAIT, 1));
+}
+
 /* Returns a request that is to be refused at NOW, the least urgent one, as it
    will not be served in time or too many wait; or NULL.  */
 struct turn *
@@ -254,8 +284,8 @@
 }
 
 /* Records at NOW that a target with SLOTS has turned a request away while it
-   had OTHERS in progress, as far as is known.  Returns its limit, which at
-   most halves, as some counts of others may be late.  */
+   had OTHERS in progress, as far as is known.  Returns its limit, most of
+   which is kept, as some counts of others may be late.  */
 int32_t
 wait_limit_reject (struct wait_limit *limit, int32_t slots, double others,
                    clk_ms now)
@@ -269,8 +299,9 @@
   if (current == WAIT_NO_LIMIT)
     limit->limit = MAX ((int32_t)others, 1);
   else
-    limit->limit
-        = MAX (MAX (MIN (current - 1, (int32_t)others), current / 2), 1);
+    limit->limit = MAX (
+        MAX (MIN (current - 1, (int32_t)others), current * KEPT_PERCENT / 100),
+        1);
   limit->grown_ms = now;
   limit->rejected_ms = now;
   return limit->limit;
