Take no extra place while the level leaves nothing out

A request whose class the level admits in full may go over the limit of a target. While the level leaves nothing out, as with an unknown capacity, that held for every request: at a target with one slot and no queue the second of three requests was sent again every 5 ms and refused after two rejections, with most of its time left.

The extra place now needs a level that leaves requests out.

Tests: the urgency also reaches a target through a hop; clients that leave wait no more.

--- a/daemon/ctl_explain.c
+++ b/daemon/ctl_explain.c
@@ -48,6 +48,15 @@
   { "hop_refused", "refused: the instance is cut off from the targets, and "
                    "the others that it "
                    "was sent through refused it; not run" },
+  { "over_share",
+    "refused: capacity was scarce, and more urgent requests or customers with "
+    "a smaller share had it; not run" },
+  { "queue_full",
+    "refused: capacity was scarce, and its turn would not have come in time; "
+    "not run" },
+  { "queue_late",
+    "refused: it waited for capacity until too little time was left; not "
+    "run" },
   { "quarantined",
     "refused: a part of the prompt has crashed targets; not run" },
   { "retry_budget",
--- a/request/relay_wait.c
+++ b/request/relay_wait.c
@@ -5,12 +5,9 @@
    its first requests when an attempt of this instance has ended, and every
    POLL_MS, as places that other instances free become known by load updates.
    Every dispatch goes through relay_dispatch and its choice of a target.  */
-#include <inttypes.h>
-
-#include "ibisloom/log.h"
 #include "ibisloom/metrics.h"
 #include "ibisloom/rank.h"
-#include "librelay.h"
+#include "libqueue.h"
 
 enum
 {
@@ -26,38 +23,9 @@
   SCARCE_TOLD_MS = 500 /* load updates are quick for so long */
 };
 
-enum queue_refusal
-{
-  QUEUE_OVER_SHARE,
-  QUEUE_FULL,
-  QUEUE_LATE,
-  QUEUE_REFUSALS
-};
-
-/* Queue of one service. */
-struct relay_queue
-{
-  struct wait wait;
-  struct router *router;
-  const char *service;           /* interned */
-  uint64_t hash;                 /* of its name */
-  ev_timer poll;                 /* while requests wait */
-  ev_timer report;               /* while the service is short of capacity */
-  uint32_t round;                /* of tries */
-  uint8_t is_told;               /* coordinators get reports */
-  struct relay *tried;           /* now, from the queue */
-  uint32_t misses;               /* in this round */
-  uint64_t waited[TURN_CLASSES]; /* requests sent after a wait */
-  uint64_t refused[QUEUE_REFUSALS][TURN_CLASSES];
-};
-
-static void queue_free (gpointer data);
-static struct relay_queue *find_queue (const struct relay *relay);
-static struct relay_queue *get_queue (const struct relay *relay);
 static int may_queue (const struct relay *relay);
 static int is_continued (const struct relay *relay);
 static int has_spare (const struct relay_queue *queue);
-static void note_sign (struct relay_queue *queue, clk_ms now);
 static int enqueue (struct relay_queue *queue, struct relay *relay,
                     clk_ms now);
 static void begin_wait (struct relay_queue *queue, struct relay *relay,
@@ -66,73 +34,9 @@
                     enum queue_refusal refusal, clk_ms now);
 static void refuse_overdue (struct relay_queue *queue, clk_ms now);
 static void set_poll (struct relay_queue *queue, int64_t ms);
-static void on_poll (struct ev_loop *loop, ev_timer *timer, int events);
-static void on_report_due (struct ev_loop *loop, ev_timer *timer, int events);
-static void log_state (const struct relay_queue *queue, const char *reason);
-
-static const struct
-{
-  const char *name;
-  enum relay_refusal refusal;
-} refusals[QUEUE_REFUSALS] = {
-  [QUEUE_OVER_SHARE] = { "over_share", RELAY_OVER_SHARE },
-  [QUEUE_FULL] = { "queue_full", RELAY_QUEUE_FULL },
-  [QUEUE_LATE] = { "queue_late", RELAY_QUEUE_LATE },
-};
-
-void
-relay_queues_init (struct router *router)
-{
-  router->queues = g_hash_table_new_full (NULL, NULL, NULL, queue_free);
-}
-
-/* Undoes relay_queues_init.  */
-void
-relay_queues_clear (struct router *router)
-{
-  g_hash_table_destroy (router->queues);
-}
 
-static void
-queue_free (gpointer data)
-{
-  struct relay_queue *queue = data;
-
-  ev_timer_stop (queue->router->loop, &queue->poll);
-  ev_timer_stop (queue->router->loop, &queue->report);
-  wait_clear (&queue->wait);
-  g_free (queue);
-}
-
-/* Returns the queue of RELAY's service, or NULL if it has none yet.  */
-static struct relay_queue *
-find_queue (const struct relay *relay)
-{
-  return g_hash_table_lookup (relay->router->queues, relay->service);
-}
-
-/* Returns the queue of RELAY's service, created if it is new.  */
-static struct relay_queue *
-get_queue (const struct relay *relay)
-{
-  struct router *router = relay->router;
-  struct relay_queue *queue = find_queue (relay);
-
-  if (queue != NULL)
-    return queue;
-  queue = g_new0 (struct relay_queue, 1);
-  wait_init (&queue->wait);
-  queue->router = router;
-  queue->service = relay->service;
-  queue->hash = rank_hash (relay->service);
-  ev_timer_init (&queue->poll, on_poll, 0, 0);
-  queue->poll.data = queue;
-  ev_timer_init (&queue->report, on_report_due, 0, 0);
-  queue->report.data = queue;
-  g_hash_table_insert (router->queues, (gpointer)(uintptr_t)relay->service,
-                       queue);
-  return queue;
-}
+static const enum relay_refusal refusals[QUEUE_REFUSALS]
+    = { RELAY_OVER_SHARE, RELAY_QUEUE_FULL, RELAY_QUEUE_LATE };
 
 /* Returns whether RELAY may wait for capacity: this instance sends it to
    targets.  */
@@ -152,20 +56,6 @@
   return relay->software != 0 || relay->may_have_run || relay->head_sent;
 }
 
-/* Records a sign that QUEUE's service is short of capacity, and begins to tell
-   the coordinators.  */
-static void
-note_sign (struct relay_queue *queue, clk_ms now)
-{
-  wait_note_sign (&queue->wait, now);
-  if (queue->is_told)
-    return;
-  queue->is_told = 1;
-  log_state (queue, "scarce");
-  ev_timer_set (&queue->report, 0, 0);
-  ev_timer_start (queue->router->loop, &queue->report);
-}
-
 /* Returns whether a target of QUEUE's service is far from having all slots
    used and nothing waits, so that the level admits less than could run.  */
 static int
@@ -201,7 +91,7 @@
 
   if (!may_queue (relay))
     return 0;
-  queue = get_queue (relay);
+  queue = relay_queue_get (relay);
   wait = &queue->wait;
   if (queue->tried == relay)
     return 0;
@@ -239,8 +129,8 @@
 
   if (choice->reason != BAL_ALL_FULL || !may_queue (relay))
     return 0;
-  queue = get_queue (relay);
-  note_sign (queue, now);
+  queue = relay_queue_get (relay);
+  relay_queue_note_sign (queue, now);
   if (queue->tried != relay)
     return enqueue (queue, relay, now);
   queue->misses++;
@@ -305,10 +195,10 @@
   relay->retry_after_ms
       = wait_book (&queue->wait, &view, relay->deadline_ms - now, now);
   queue->refused[refusal][relay->turn.class]++;
-  relay_wait_log (relay, refusals[refusal].name, &view, relay->retry_after_ms,
-                  now);
-  relay_refuse (relay, relay->may_have_run ? RELAY_TARGET_FAILED
-                                           : refusals[refusal].refusal);
+  relay_wait_log (relay, relay_queue_refusal_names[refusal], &view,
+                  relay->retry_after_ms, now);
+  relay_refuse (relay,
+                relay->may_have_run ? RELAY_TARGET_FAILED : refusals[refusal]);
 }
 
 /* Refuses the least urgent requests of QUEUE as long as they will not be
@@ -331,7 +221,7 @@
   clk_ms now = clk_now (clk_monotonic ());
 
   if (now < relay->deadline_ms)
-    refuse (find_queue (relay), relay, QUEUE_LATE, now);
+    refuse (relay_queue_find (relay), relay, QUEUE_LATE, now);
   else
     relay_refuse (relay, relay->may_have_run ? RELAY_DEADLINE
                                              : RELAY_DEADLINE_UNSENT);
@@ -342,7 +232,7 @@
 relay_wait_leave (struct relay *relay)
 {
   if (relay->turn.flow != NULL)
-    turn_remove (&find_queue (relay)->wait.queue, &relay->turn);
+    turn_remove (&relay_queue_find (relay)->wait.queue, &relay->turn);
 }
 
 /* Has QUEUE tried in MS milliseconds.  */
@@ -355,8 +245,8 @@
 }
 
 /* Dispatches the first requests of the queue as long as targets take them.  */
-static void
-on_poll (struct ev_loop *loop, ev_timer *timer, int events)
+void
+relay_queue_on_poll (struct ev_loop *loop, ev_timer *timer, int events)
 {
   struct relay_queue *queue = timer->data;
   struct turn *turn;
@@ -390,7 +280,7 @@
 relay_wait_limit (const struct relay *relay, struct bal_candidate *candidates,
                   struct reg_target *const *targets, size_t count, clk_ms now)
 {
-  const struct relay_queue *queue = find_queue (relay);
+  const struct relay_queue *queue = relay_queue_find (relay);
   int is_scarce = queue != NULL && wait_is_scarce (&queue->wait, now);
   int any_free = 0;
   int32_t more = 0;
@@ -426,7 +316,7 @@
 void
 relay_wait_sent (struct relay *relay, clk_ms now)
 {
-  struct relay_queue *queue = find_queue (relay);
+  struct relay_queue *queue = relay_queue_find (relay);
 
   if (queue == NULL || !may_queue (relay))
     return;
@@ -450,7 +340,7 @@
   if (attempt->target == NULL || attempt->target->is_peer
       || !relay->router->settings->admission_queue)
     return;
-  queue = find_queue (relay);
+  queue = relay_queue_find (relay);
   if (queue == NULL)
     return;
   if (event == HEALTH_RESPONDED || event == HEALTH_SERVER_ERROR)
@@ -486,7 +376,7 @@
                                      reg_counted_load (target) - 1, now);
 
   relay_wait_log_limit (relay, limit);
-  note_sign (get_queue (relay), now);
+  relay_queue_note_sign (relay_queue_get (relay), now);
 }
 
 /* Returns whether RELAY, which such a rejection has left without attempts, by
@@ -504,102 +394,3 @@
   relay->rewaits++;
   return 1;
 }
-
-/* Tells the coordinators the demand, until the service is no longer short of
-   capacity.  */
-static void
-on_report_due (struct ev_loop *loop, ev_timer *timer, int events)
-{
-  struct relay_queue *queue = timer->data;
-  struct fleet *fleet = queue->router->fleet;
-  clk_ms now = clk_now (clk_monotonic ());
-  struct demand_report report = { .service = queue->hash };
-
-  (void)events;
-  if (!wait_is_scarce (&queue->wait, now))
-    {
-      queue->is_told = 0;
-      log_state (queue, "ample");
-      return;
-    }
-  demand_fill_report (&queue->wait.demand, now, &report);
-  report.served_per_ks
-      = (uint32_t)(demand_rate_per_s (&queue->wait.ends, now) * CLK_MS_PER_S);
-  for (int i = 0; i < TURN_CLASSES; i++)
-    report.waiting[i] = queue->wait.queue.classes[i].waiting;
-  ev_timer_set (timer, (double)fleet_demand_interval_ms (fleet) / CLK_MS_PER_S,
-                0);
-  ev_timer_start (loop, timer);
-  fleet_tell_demand (fleet, &report);
-}
-
-/* Records the LEVEL of the coordinator that ranks RANK at the router
-   CLOSURE.  */
-void
-relay_queues_on_level (void *closure, uint32_t rank,
-                       const struct demand_level *level)
-{
-  const struct router *router = closure;
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, router->queues);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      struct relay_queue *queue = value;
-
-      if (queue->hash == level->service)
-        wait_set_level (&queue->wait, rank, level, clk_now (clk_monotonic ()));
-    }
-}
-
-/* Logs the state that QUEUE's service has come to, REASON.  */
-static void
-log_state (const struct relay_queue *queue, const char *reason)
-{
-  struct log_line line;
-
-  if (!log_begin (&line, LOG_LEVEL_INFO, "queue", NULL, reason))
-    return;
-  log_text (&line, "service", queue->service);
-  log_number (&line, "waiting", queue->wait.queue.waiting);
-  log_end (&line);
-}
-
-/* Appends the metrics of the queues of ROUTER to OUT.  */
-void
-relay_queues_print (const struct router *router, GString *out)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, router->queues);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const struct relay_queue *queue = value;
-
-      for (int i = 0; i < TURN_CLASSES; i++)
-        {
-          /* The class of requests that a target has begun has priority -1.  */
-          char *labels = g_strdup_printf ("service=\"%s\",priority=\"%d\"",
-                                          queue->service, i - (int)TURN_FIRST);
-          uint32_t waiting = queue->wait.queue.classes[i].waiting;
-
-          if (waiting > 0)
-            g_string_append_printf (out, "ibisloom_queue_waiting{%s} %u\n",
-                                    labels, waiting);
-          if (queue->waited[i] > 0)
-            g_string_append_printf (
-                out, "ibisloom_queue_waited_total{%s} %" PRIu64 "\n", labels,
-                queue->waited[i]);
-          for (int j = 0; j < QUEUE_REFUSALS; j++)
-            if (queue->refused[j][i] > 0)
-              g_string_append_printf (
-                  out,
-                  "ibisloom_queue_refused_total{%s,reason=\"%s\"} %" PRIu64
-                  "\n",
-                  labels, refusals[j].name, queue->refused[j][i]);
-          g_free (labels);
-        }
-    }
-}
--- a/request/turn.c
+++ b/request/turn.c
@@ -178,7 +178,8 @@
         struct turn *turn
             = g_ptr_array_index (flow->turns, flow->turns->len - 1);
 
-        if (end < tag || (end == tag && turn->limit_ms < last->limit_ms))
+        if (last != NULL
+            && (end < tag || (end == tag && turn->limit_ms < last->limit_ms)))
           continue;
         last = turn;
         tag = end;
--- a/request/wait.c
+++ b/request/wait.c
@@ -197,11 +197,12 @@
   return limit_ms - duration_ms;
 }
 
-/* Returns how many places over its limit a target may have taken for TURN:
-   one if the level admits its class in full, and one more each time that it
-   has waited for LONG_WAIT times as long as requests do at all instances.
-   Without that, instances that have places would keep them, as they know first
-   of those that they free, or as their limits are higher.  */
+/* Returns how many places over its limit a target may have taken for TURN,
+   while the level leaves requests out: one if the level admits its class in
+   full, and one more each time that it has waited for LONG_WAIT times as long
+   as requests do at all instances. Without that, instances that have places
+   would keep them, as they know first of those that they free, or as their
+   limits are higher.  */
 int32_t
 wait_extra_places (const struct wait *wait, const struct turn *turn,
                    clk_ms now)
@@ -210,7 +211,7 @@
   struct wait_view view;
   int32_t places;
 
-  if (level == NULL)
+  if (level == NULL || level->level.class == TURN_CLASSES)
     return 0;
   places = turn->class < level->level.class;
   if (turn->since_ms == 0)
--- a/tests/test_contention.c
+++ b/tests/test_contention.c
@@ -4,8 +4,10 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "brittle_fixture.h"
+#include "proxy_fixture.h"
 #include "shop.h"
 #include "test.h"
 
@@ -24,9 +26,13 @@
   DEADLINE_MS = 2000,
   AT_ONCE_MS = 150, /* a refusal that had not to wait, on a busy machine */
   GONE_MS = 2700,   /* an instance is known to be gone, and 1 s more */
-  KILLED = 3
+  KILLED = 3,
+  STEP_MS = 50,
+  SLOW_MS = 1500
 };
 
+#define WAITING "ibisloom_queue_waiting{service=\"desk\",priority=\"2\"}"
+
 static const double SERVED_MIN = 0.95;
 
 static const char config[]
@@ -51,6 +57,7 @@
 static void urgent_requests_are_served (void);
 static void small_customers_are_served (void);
 static void enough_capacity_leaves_no_trace (void);
+static void clients_that_leave_wait_no_more (void);
 static void instances_that_are_killed_hold_nothing (void);
 
 static const struct test_case cases[] = {
@@ -62,6 +69,7 @@
     small_customers_are_served },
   { "nothing waits and nothing is told while capacity is enough",
     enough_capacity_leaves_no_trace },
+  { "clients that leave wait no more", clients_that_leave_wait_no_more },
   { "what a killed instance used is used by the others",
     instances_that_are_killed_hold_nothing },
 };
@@ -95,6 +103,7 @@
 static gint measuring;
 static gint numbers;
 static gint killed = -1;
+static char *urgency_told;
 
 /* Sends request NUMBER, and counts its end.  */
 static void
@@ -332,42 +341,99 @@
   stop_fleet ();
 }
 
+/* Notes the urgency of REQUEST, and responds.  */
+static int
+note_urgency (const struct fx_request *request)
+{
+  pthread_mutex_lock (&lock);
+  g_free (urgency_told);
+  urgency_told = fx_header_value (request->text, "X-Ibisloom-Request-Urgency");
+  pthread_mutex_unlock (&lock);
+  return shop_respond_ok (request);
+}
+
 /* Checks that a request to PATH with KEY reaches a target with URGENCY, NULL
    for none.  */
 static void
-expect_urgency (struct fx_target *target, const char *path, const char *key,
-                const char *urgency)
+expect_urgency (const char *path, const char *key, const char *urgency)
 {
   char *text = g_strdup_printf (
       "GET %s HTTP/1.1\r\nHost: shop.example\r\nX-Ibisloom-Attempt-Id: u\r\n"
       "Authorization: Token %s\r\nX-Ibisloom-Request-Urgency: 7\r\n"
       "Connection: close\r\n\r\n",
       path, key);
-  char *received;
-  char *value;
 
   shop_expect (text, "200", "well");
-  received = fx_target_last_request (target);
-  value = fx_header_value (received, "X-Ibisloom-Request-Urgency");
-  CU_ASSERT_EQUAL (g_strcmp0 (value, urgency), 0);
-  g_free (value);
-  g_free (received);
+  pthread_mutex_lock (&lock);
+  CU_ASSERT_EQUAL (g_strcmp0 (urgency_told, urgency), 0);
+  pthread_mutex_unlock (&lock);
   g_free (text);
 }
 
 static void
 targets_are_told_the_urgency (void)
 {
-  struct fx_target *target;
-
   fx_store_start (config);
-  target = fx_target_add ("t-0", "desk", shop_respond_ok);
   fx_router_add_settings ("admission_queue: 1\n");
-  fx_routers_start (1);
-  expect_urgency (target, "/now/1", "key-big", "0");
-  expect_urgency (target, "/fee/1", "key-big", "2");
-  expect_urgency (target, "/fee/1", "key-late", "9");
-  expect_urgency (target, "/any/1", "key-big", NULL);
+  fx_router_add_paths (0);
+  fx_routers_start (ROUTERS);
+  (void)fx_target_add ("t-0", "desk", note_urgency);
+  (void)fx_target_add ("t-1", "desk", note_urgency);
+  fx_sleep_ms (WARM_UP_MS);
+  expect_urgency ("/now/1", "key-big", "0");
+  expect_urgency ("/fee/1", "key-big", "2");
+  expect_urgency ("/fee/1", "key-late", "9");
+  expect_urgency ("/any/1", "key-big", NULL);
+  fx_router_set_paths (0, PROXY_CUT_RESET);
+  for (int ms = 0; ms < WARM_UP_MS
+                   && fx_router_metric (0, "ibisloom_hops_sent_total") == 0;
+       ms += STEP_MS)
+    g_free (fx_exchange (
+        "GET /now/1 HTTP/1.1\r\nHost: shop.example\r\nX-Ibisloom-Attempt-Id: "
+        "c\r\nAuthorization: Token key-big\r\nConnection: close\r\n\r\n"));
+  expect_urgency ("/fee/1", "key-big", "2");
+  expect_urgency ("/any/1", "key-big", NULL);
+  CU_ASSERT (fx_router_metric (0, "ibisloom_hops_sent_total") > 1);
   fx_env_stop ();
   fx_router_add_settings ("");
 }
+
+/* Sends a request to the first router, which does not answer it yet.  Returns
+   its connection.  */
+static int
+begin_call (void)
+{
+  int fd = fx_connect ();
+
+  fx_send (fd, "POST /fee/1 HTTP/1.1\r\nHost: shop.example\r\n"
+               "X-Ibisloom-Attempt-Id: w\r\nAuthorization: Token key-big\r\n"
+               "Content-Length: 0\r\n\r\n");
+  fx_sleep_ms (STEP_MS);
+  return fd;
+}
+
+static void
+clients_that_leave_wait_no_more (void)
+{
+  const struct brittle_script script
+      = { .entry_slots = 1, .slots = 1, .queue = 0, .work_ms = SLOW_MS };
+  int fds[3];
+
+  fx_store_start (config);
+  brittle_target_add ("t-0", "desk", &script);
+  fx_router_add_settings ("admission_queue: 1\n");
+  fx_routers_start (1);
+  /* The second one is turned away, and waits with the third.  */
+  for (size_t i = 0; i < G_N_ELEMENTS (fds); i++)
+    fds[i] = begin_call ();
+  CU_ASSERT_EQUAL (fx_router_metric (0, WAITING), 2);
+  close (fds[2]);
+  fx_sleep_ms (STEP_MS);
+  CU_ASSERT_EQUAL (fx_router_metric (0, WAITING), 1);
+  close (fds[1]);
+  fx_sleep_ms (STEP_MS);
+  CU_ASSERT_EQUAL (fx_router_metric (0, WAITING), -1);
+  CU_ASSERT_EQUAL (fx_router_metric (0, "ibisloom_open_requests"), 1);
+  close (fds[0]);
+  stop_fleet ();
+}
