Test that full messages of demand and level fit a datagram

Reports of 16 customers and levels with 24 shares must stay below 1,200 bytes and be decoded as they were told, or the level would silently be missing where many customers compete.

--- a/tests/test_turn.c
+++ b/tests/test_turn.c
@@ -1,8 +1,9 @@
 /* Unit tests of the order of waiting requests, of the shares of customers and
    of the expected wait, in virtual time. */
-#include <math.h>
+#include <string.h>
 
 #include "ibisloom/wait.h"
+#include "ibisloom/wire.h"
 #include "test.h"
 
 enum
@@ -25,6 +26,7 @@
 static void level_of_a_lost_coordinator_ends (void);
 static void returns_are_spread (void);
 static void limits_follow_rejections (void);
+static void messages_keep_what_is_told (void);
 
 static const struct test_case cases[] = {
   { "classes are served in order, and in them the earliest limit",
@@ -45,6 +47,8 @@
   { "refused clients come back one after the other", returns_are_spread },
   { "a target's limit falls with rejections and grows back",
     limits_follow_rejections },
+  { "full messages fit a datagram, and keep what is told",
+    messages_keep_what_is_told },
 };
 
 TEST_MAIN ("turn", cases)
@@ -363,3 +367,39 @@
   wait_limit_reach (&limit, 6, 8, now + 5000);
   CU_ASSERT_EQUAL (wait_limit_get (&limit, 6), 9);
 }
+
+/* Checks that MESSAGE is decoded to what is encoded like it.  */
+static void
+expect_kept (const struct wire_message *message)
+{
+  const struct wire_key key = { { 1 } };
+  unsigned char data[WIRE_MAX_BYTES];
+  unsigned char again[WIRE_MAX_BYTES];
+  size_t length = wire_encode (message, &key, data);
+  struct wire_message decoded;
+
+  CU_ASSERT (length > 0);
+  CU_ASSERT_EQUAL (wire_decode (&decoded, &key, data, length), WIRE_OK);
+  CU_ASSERT_EQUAL (wire_encode (&decoded, &key, again), length);
+  CU_ASSERT_EQUAL (memcmp (data, again, length), 0);
+}
+
+static void
+messages_keep_what_is_told (void)
+{
+  struct wire_message demand = { .kind = WIRE_DEMAND };
+  struct wire_message level = { .kind = WIRE_LEVEL };
+
+  memset (&demand.u, 0x77, sizeof demand.u.demand);
+  demand.u.demand.count = DEMAND_CUSTOMERS_MAX;
+  for (int i = 0; i < DEMAND_CUSTOMERS_MAX; i++)
+    demand.u.demand.customers[i].class = TURN_CLASSES - 1;
+  expect_kept (&demand);
+  memset (&level.u, 0x77, sizeof level.u.level);
+  level.u.level.class = TURN_CLASSES;
+  level.u.level.share = DEMAND_FULL_SHARE;
+  level.u.level.count = DEMAND_SHARES_MAX;
+  for (int i = 0; i < DEMAND_SHARES_MAX; i++)
+    level.u.level.shares[i].share = DEMAND_FULL_SHARE;
+  expect_kept (&level);
+}
