Admit bursts that find capacity, and let full targets free a place

After a stall of the machine a burst of arrivals at 100 requests a second looked like a demand above what was answered: 4 of 526 requests were refused though capacity was free. And a rejected request was sent to the same full target again at once.

While less waits than keeps the targets busy, the level now admits up to twice what is answered. A target that has turned a request away gets none from this instance until one of its slots is expected to end, 5 to 150 ms.

--- a/include/ibisloom/wait.h
+++ b/include/ibisloom/wait.h
@@ -21,6 +21,7 @@
   int32_t limit;          /* 0: its slots */
   clk_ms grown_ms;        /* last growth, or rejection */
   clk_ms rejected_ms;     /* last rejection that lowered it; 0: none */
+  clk_ms closed_until_ms; /* after a rejection, until a place is free */
   int64_t growth_ms;      /* until it grows by one; 0: GROWTH_MIN_MS */
   clk_ms scarce_until_ms; /* its service is short of capacity until then */
 };
@@ -77,6 +78,7 @@
 int64_t wait_book (struct wait *wait, const struct wait_view *view,
                    int64_t left_ms, clk_ms now);
 
+int64_t wait_place_ms (const struct wait *wait, int32_t slots);
 int32_t wait_limit_get (const struct wait_limit *limit, int32_t slots);
 void wait_limit_reach (struct wait_limit *limit, int32_t slots, double load,
                        clk_ms now);
--- a/request/demand.c
+++ b/request/demand.c
@@ -1,10 +1,10 @@
 /* Demand for a service that is short of capacity, and the admission level.
 
-   The level admits what the targets serve, and a little more while less waits
-   than keeps them busy, so that an estimate that is too low corrects itself;
-   less once more waits.  Classes are admitted in full, in order, as far as
-   that goes; the next one in part, max-min fair among its customers: each as
-   much as it asks for, up to one rate for all.  */
+   The level admits what the targets serve, and up to twice as much while less
+   waits than keeps them busy, so that an estimate that is too low corrects
+   itself; less once more waits.  Classes are admitted in full, in order, as
+   far as that goes; the next one in part, max-min fair among its customers:
+   each as much as it asks for, up to one rate for all.  */
 #include <math.h>
 #include <stdlib.h>
 
@@ -23,8 +23,9 @@
    take, so that capacity that frees up meanwhile is used.  */
 static const double BACKLOG_S = 0.1;
 
-/* Time in which a deviation from that is made up for: some reports, or the
-   level would answer to what it has not seen the effect of.  */
+/* Time in which more than that is worked off: some reports, or the level would
+   answer to what it has not seen the effect of.  Less is made up for at once,
+   as a burst without a backlog is no lack of capacity.  */
 static const double CORRECTION_S = 0.5;
 
 /* Part of the capacity at least admitted, so that a wrong count of what waits
@@ -223,6 +224,7 @@
 {
   double served = 0;
   double waiting = 0;
+  double missing;
 
   for (size_t i = 0; i < count; i++)
     {
@@ -232,8 +234,10 @@
     }
   if (served <= 0)
     return INFINITY;
-  return MAX (served + (served * BACKLOG_S - waiting) / CORRECTION_S,
-              served * ADMITTED_MIN);
+  missing = served * BACKLOG_S - waiting;
+  if (missing > 0)
+    return served + missing / BACKLOG_S;
+  return MAX (served + missing / CORRECTION_S, served * ADMITTED_MIN);
 }
 
 /* Divides PER_S requests a second of the class of LEVEL among the customers in
--- a/request/relay_wait.c
+++ b/request/relay_wait.c
@@ -273,9 +273,9 @@
 }
 
 /* Marks those of COUNT CANDIDATES for RELAY, which are TARGETS, that are at
-   their limits, if its service is short of capacity or all of them are.  One
-   that goes first may take one place more.  A stream that goes on does not
-   wait for that.  */
+   their limits or have just turned a request away, if its service is short of
+   capacity or all of them are.  One that goes first may take one place more.
+   A stream that goes on does not wait for that.  */
 void
 relay_wait_limit (const struct relay *relay, struct bal_candidate *candidates,
                   struct reg_target *const *targets, size_t count, clk_ms now)
@@ -303,8 +303,9 @@
 
       if (is_scarce)
         limit->scarce_until_ms = now + SCARCE_TOLD_MS;
-      if (candidates[i].load
-          < (double)wait_limit_get (limit, targets[i]->slots) + more)
+      if (now >= limit->closed_until_ms
+          && candidates[i].load
+                 < (double)wait_limit_get (limit, targets[i]->slots) + more)
         continue;
       candidates[i].has_no_room = 1;
       if (is_scarce)
@@ -374,9 +375,12 @@
   clk_ms now = clk_now (clk_monotonic ());
   int32_t limit = wait_limit_reject (&target->wait_limit, target->slots,
                                      reg_counted_load (target) - 1, now);
+  struct relay_queue *queue = relay_queue_get (relay);
 
+  target->wait_limit.closed_until_ms
+      = now + wait_place_ms (&queue->wait, target->slots);
   relay_wait_log_limit (relay, limit);
-  relay_queue_note_sign (relay_queue_get (relay), now);
+  relay_queue_note_sign (queue, now);
 }
 
 /* Returns whether RELAY, which such a rejection has left without attempts, by
--- a/request/wait.c
+++ b/request/wait.c
@@ -30,6 +30,9 @@
   KEPT_PERCENT = 75, /* of a limit after a rejection, at least */
   GROWTH_MIN_MS = 250,
   GROWTH_MAX_MS = 4000,
+  /* Bounds of the time until a full target has a place.  */
+  PLACE_MIN_MS = 5,
+  PLACE_MAX_MS = 150,
   BURST_MS = 100 /* rejections of one burst lower a limit once */
 };
 
@@ -256,6 +259,18 @@
   return return_ms;
 }
 
+/* Returns in how many milliseconds a full target with SLOTS is expected to
+   have a place: one of its requests ends in its part of their duration.  */
+int64_t
+wait_place_ms (const struct wait *wait, int32_t slots)
+{
+  double duration_ms
+      = wait->duration_ms > 0 ? wait->duration_ms : DURATION_DEFAULT_MS;
+
+  return CLAMP ((int64_t)(duration_ms / MAX (slots, 1)), PLACE_MIN_MS,
+                PLACE_MAX_MS);
+}
+
 /* Returns how many requests a target with SLOTS may have in progress.  */
 int32_t
 wait_limit_get (const struct wait_limit *limit, int32_t slots)
