--- a/include/ibisloom/registry.h
+++ b/include/ibisloom/registry.h
@@ -13,6 +13,7 @@
 #include "ibisloom/position.h"
 #include "ibisloom/rate.h"
 #include "ibisloom/room.h"
+#include "ibisloom/wait.h"
 
 enum
 {
@@ -93,6 +94,7 @@
   struct pace_service *pace_service; /* of all targets of its service */
   struct pace pace;  /* while it has lately started or recovered */
   struct room *room; /* NULL: its service has not been brittle lately */
+  struct wait_limit wait_limit;
   struct health health;
 };
 
@@ -151,6 +153,7 @@
 void reg_end_suspensions (struct registry *registry, const char *service);
 int reg_is_near_limit (const struct reg_target *target, clk_ms now);
 int reg_is_cold (const struct reg_target *target, clk_ms now);
+int reg_is_scarce (const struct reg_target *target, clk_ms now);
 double reg_counted_load (const struct reg_target *target);
 struct room_service *reg_room_service (const struct registry *registry,
                                        const char *service);
--- a/include/ibisloom/wire.h
+++ b/include/ibisloom/wire.h
@@ -6,6 +6,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "ibisloom/demand.h"
 #include "ibisloom/position.h"
 
 enum
@@ -56,6 +57,8 @@
   WIRE_EVACUATIONS,       /* which failure domains are evacuated */
   WIRE_COLD,              /* that a target has become cold */
   WIRE_PACES,             /* limits of targets that have lately started */
+  WIRE_DEMAND,            /* for a service short of capacity */
+  WIRE_LEVEL,             /* what is admitted of it, by a coordinator */
   WIRE_KIND_COUNT
 };
 
@@ -377,6 +380,8 @@
     struct wire_evacuations evacuations;
     struct wire_cold cold;
     struct wire_paces paces;
+    struct demand_report demand;
+    struct demand_level level;
   } u;
 };
 
--- a/process/libwire.h
+++ b/process/libwire.h
@@ -23,6 +23,7 @@
 };
 
 extern const struct wire_codec wire_member_codecs[];
+extern const struct wire_codec wire_capacity_codecs[];
 extern const struct wire_codec wire_fleet_codecs[];
 
 /* wire_body.c */
--- a/process/settings.c
+++ b/process/settings.c
@@ -138,6 +138,8 @@
   { "slow_start", parse_integer, FIELD_OFFSET (slow_start), OPTIONAL, 0, 1,
     0 },
   { "grace_s", parse_real, FIELD_OFFSET (grace_s), OPTIONAL, 1, 3600, 30 },
+  { "admission_queue", parse_integer, FIELD_OFFSET (admission_queue), OPTIONAL,
+    0, 1, 0 },
 };
 
 /* Reads the settings in PATH.  Returns them, to be freed with settings_free,
--- a/process/wire.c
+++ b/process/wire.c
@@ -50,6 +50,8 @@
   [WIRE_EVACUATIONS] = "evacuations",
   [WIRE_COLD] = "cold",
   [WIRE_PACES] = "paces",
+  [WIRE_DEMAND] = "demand",
+  [WIRE_LEVEL] = "level",
 };
 
 static int has_allowed_types (const unsigned char *data, size_t length);
--- /dev/null
+++ b/process/wire_capacity.c
@@ -0,0 +1,176 @@
+/* Bodies of the datagrams on the capacity of targets: what those take that are
+   cold or have lately started, and the demand for services that are short of
+   capacity.  */
+#include "libwire.h"
+
+enum
+{
+  PACE_ITEMS = 7 /* in the encoding of one pace */
+};
+
+static void
+encode_cold (msgpack_packer *packer, const struct wire_message *message)
+{
+  const struct wire_cold *cold = &message->u.cold;
+
+  msgpack_pack_array (packer, 4);
+  msgpack_pack_uint64 (packer, cold->target);
+  msgpack_pack_uint64 (packer, cold->position.epoch);
+  msgpack_pack_uint64 (packer, cold->position.revision);
+  msgpack_pack_uint64 (packer, cold->left_ms);
+}
+
+static void
+decode_cold (struct wire_reader *reader, struct wire_message *message)
+{
+  struct wire_cold *cold = &message->u.cold;
+  struct wire_reader list = wire_next_array (reader, 4);
+
+  cold->target = wire_next_uint (&list, UINT64_MAX);
+  cold->position = wire_next_position (&list);
+  cold->left_ms = (uint32_t)wire_next_uint (&list, INT32_MAX);
+  reader->failed |= list.failed;
+}
+
+/* Encodes the paces of targets, without a count.  */
+static void
+encode_paces (msgpack_packer *packer, const struct wire_message *message)
+{
+  const struct wire_paces *paces = &message->u.paces;
+
+  msgpack_pack_array (packer, paces->count * PACE_ITEMS);
+  for (uint32_t i = 0; i < paces->count; i++)
+    {
+      msgpack_pack_uint64 (packer, paces->pace[i].target);
+      msgpack_pack_uint64 (packer, paces->pace[i].incarnation);
+      msgpack_pack_uint64 (packer, paces->pace[i].version);
+      msgpack_pack_uint64 (packer, paces->pace[i].base);
+      msgpack_pack_uint64 (packer, paces->pace[i].bend);
+      msgpack_pack_uint64 (packer, paces->pace[i].floor);
+      msgpack_pack_uint64 (packer, paces->pace[i].age_ms);
+    }
+}
+
+static void
+decode_paces (struct wire_reader *reader, struct wire_message *message)
+{
+  struct wire_paces *paces = &message->u.paces;
+  struct wire_reader list
+      = wire_next_array (reader, WIRE_PACES_MAX * PACE_ITEMS);
+
+  while (!list.failed && list.remaining > 0)
+    {
+      struct wire_pace *pace = &paces->pace[paces->count++];
+
+      pace->target = wire_next_uint (&list, UINT64_MAX);
+      pace->incarnation = wire_next_uint (&list, UINT64_MAX);
+      pace->version = (uint32_t)wire_next_uint (&list, UINT32_MAX);
+      pace->base = (uint32_t)wire_next_uint (&list, UINT32_MAX);
+      pace->bend = (uint32_t)wire_next_uint (&list, UINT32_MAX);
+      pace->floor = (uint32_t)wire_next_uint (&list, UINT32_MAX);
+      pace->age_ms = (uint32_t)wire_next_uint (&list, INT32_MAX);
+    }
+  reader->failed |= list.failed;
+}
+
+/* Encodes the demand for a service.  The customers fill the rest of the
+   array.  */
+static void
+encode_demand (msgpack_packer *packer, const struct wire_message *message)
+{
+  const struct demand_report *demand = &message->u.demand;
+
+  msgpack_pack_array (packer, 2 + 2 * TURN_CLASSES + demand->count * 3);
+  msgpack_pack_uint64 (packer, demand->service);
+  msgpack_pack_uint64 (packer, demand->served_per_ks);
+  for (int i = 0; i < TURN_CLASSES; i++)
+    {
+      msgpack_pack_uint64 (packer, demand->per_ks[i]);
+      msgpack_pack_uint64 (packer, demand->waiting[i]);
+    }
+  for (uint32_t i = 0; i < demand->count; i++)
+    {
+      msgpack_pack_uint64 (packer, demand->customers[i].customer);
+      msgpack_pack_uint64 (packer, demand->customers[i].class);
+      msgpack_pack_uint64 (packer, demand->customers[i].per_ks);
+    }
+}
+
+static void
+decode_demand (struct wire_reader *reader, struct wire_message *message)
+{
+  struct demand_report *demand = &message->u.demand;
+  struct wire_reader list = wire_next_array (
+      reader, 2 + 2 * TURN_CLASSES + DEMAND_CUSTOMERS_MAX * 3);
+
+  demand->service = wire_next_uint (&list, UINT64_MAX);
+  demand->served_per_ks = (uint32_t)wire_next_uint (&list, UINT32_MAX);
+  for (int i = 0; i < TURN_CLASSES; i++)
+    {
+      demand->per_ks[i] = (uint32_t)wire_next_uint (&list, UINT32_MAX);
+      demand->waiting[i] = (uint32_t)wire_next_uint (&list, INT32_MAX);
+    }
+  while (!list.failed && list.remaining > 0)
+    {
+      struct demand_customer *customer = &demand->customers[demand->count++];
+
+      customer->customer = wire_next_uint (&list, UINT64_MAX);
+      customer->class = (uint32_t)wire_next_uint (&list, TURN_CLASSES - 1);
+      customer->per_ks = (uint32_t)wire_next_uint (&list, UINT32_MAX);
+    }
+  reader->failed |= list.failed;
+}
+
+/* Encodes an admission level.  The shares fill the rest of the array.  */
+static void
+encode_level (msgpack_packer *packer, const struct wire_message *message)
+{
+  const struct demand_level *level = &message->u.level;
+
+  msgpack_pack_array (packer, 6 + TURN_CLASSES + level->count * 2);
+  msgpack_pack_uint64 (packer, level->service);
+  msgpack_pack_uint64 (packer, level->version);
+  msgpack_pack_uint64 (packer, level->age_ms);
+  msgpack_pack_uint64 (packer, level->served_per_ks);
+  msgpack_pack_uint64 (packer, level->class);
+  msgpack_pack_uint64 (packer, level->share);
+  for (int i = 0; i < TURN_CLASSES; i++)
+    msgpack_pack_uint64 (packer, level->waiting[i]);
+  for (uint32_t i = 0; i < level->count; i++)
+    {
+      msgpack_pack_uint64 (packer, level->shares[i].customer);
+      msgpack_pack_uint64 (packer, level->shares[i].share);
+    }
+}
+
+static void
+decode_level (struct wire_reader *reader, struct wire_message *message)
+{
+  struct demand_level *level = &message->u.level;
+  struct wire_reader list
+      = wire_next_array (reader, 6 + TURN_CLASSES + DEMAND_SHARES_MAX * 2);
+
+  level->service = wire_next_uint (&list, UINT64_MAX);
+  level->version = (uint32_t)wire_next_uint (&list, UINT32_MAX);
+  level->age_ms = (uint32_t)wire_next_uint (&list, INT32_MAX);
+  level->served_per_ks = (uint32_t)wire_next_uint (&list, UINT32_MAX);
+  level->class = (uint32_t)wire_next_uint (&list, TURN_CLASSES);
+  level->share = (uint32_t)wire_next_uint (&list, DEMAND_FULL_SHARE);
+  for (int i = 0; i < TURN_CLASSES; i++)
+    level->waiting[i] = (uint32_t)wire_next_uint (&list, INT32_MAX);
+  while (!list.failed && list.remaining > 0)
+    {
+      struct demand_share *share = &level->shares[level->count++];
+
+      share->customer = wire_next_uint (&list, UINT64_MAX);
+      share->share = (uint32_t)wire_next_uint (&list, DEMAND_FULL_SHARE);
+    }
+  reader->failed |= list.failed;
+}
+
+const struct wire_codec wire_capacity_codecs[WIRE_KIND_COUNT] = {
+  [WIRE_COLD] = { encode_cold, decode_cold },
+  [WIRE_PACES] = { encode_paces, decode_paces },
+  [WIRE_DEMAND] = { encode_demand, decode_demand },
+  [WIRE_LEVEL] = { encode_level, decode_level },
+};
