Suspend a full target for a stream that goes on, as without the queue

With the queue, a rejection closes a target for a short time only to requests that may wait. A stream that goes on does not, so the target that had refused one got others at once: in a trial of test_silence with the queue on, not all broken streams went on at another target.

Such a rejection suspends the target as before.

--- a/request/relay_wait.c
+++ b/request/relay_wait.c
@@ -355,13 +355,15 @@
 }
 
 /* Returns whether the target of the current attempt of RELAY has turned it
-   away for want of capacity, other than of its rate.  */
+   away for want of capacity, other than of its rate.  A stream that goes on
+   does not wait, so the target is suspended for it as without a queue.  */
 int
 relay_wait_is_rejection (const struct relay *relay)
 {
   const struct relay_attempt *attempt = &relay->attempt;
 
-  return relay->router->settings->admission_queue && attempt->not_run
+  return relay->router->settings->admission_queue && relay->software == 0
+         && attempt->not_run
          && attempt->status == HTTP_STATUS_SERVICE_UNAVAILABLE
          && !attempt->target->is_peer
          && !rate_is_limited (&attempt->target->rate);
