--- a/tests/test_turn.c
+++ b/tests/test_turn.c
@@ -149,41 +149,30 @@
 static void
 position_is_that_of_service (void)
 {
-  struct turn_queue queue;
-  struct turn turns[12];
-  struct turn next;
-
-  turn_init (&queue);
-  for (int i = 0; i < 12; i++)
-    {
-      turns[i] = turn_of (TURN_FIRST + (uint32_t)i % 2, i < 8 ? BIG : OTHER,
-                          LIMIT_MS);
-      turn_add (&queue, &turns[i]);
-    }
   /* Six of each class wait, four of them of one customer.  */
   for (uint32_t class = TURN_FIRST; class <= TURN_FIRST + 2; class ++)
     for (uint64_t customer = BIG; customer <= OTHER; customer++)
       {
-        uint32_t ahead;
+        struct turn_queue queue;
+        struct turn turns[12];
+        struct turn next = turn_of (class, customer, LIMIT_MS + 1);
         uint32_t served = 0;
-        struct turn_queue copy;
-        struct turn others[12];
+        uint32_t ahead;
 
-        turn_init (&copy);
+        turn_init (&queue);
         for (int i = 0; i < 12; i++)
           {
-            others[i] = turn_of (turns[i].class, turns[i].customer, LIMIT_MS);
-            turn_add (&copy, &others[i]);
+            turns[i] = turn_of (TURN_FIRST + (uint32_t)i % 2,
+                                i < 8 ? BIG : OTHER, LIMIT_MS);
+            turn_add (&queue, &turns[i]);
           }
-        next = turn_of (class, customer, LIMIT_MS + 1);
-        ahead = turn_ahead (&copy, &next);
-        turn_add (&copy, &next);
-        while (serve (&copy) != &next)
+        ahead = turn_ahead (&queue, &next);
+        turn_add (&queue, &next);
+        while (serve (&queue) != &next)
           served++;
         CU_ASSERT (served >= ahead && served <= ahead + 2);
-        turn_clear (&copy);
+        turn_clear (&queue);
       }
-  turn_clear (&queue);
 }
 
 /* Returns a report of SERVED requests a second, and of the arrivals of
