Let calls wait only while they can be answered by their objective

Cause: the objective bounded the wait of streams only, so that a queue of calls filled up to their deadline.

A call now begins to wait only if it is expected to be answered by its objective, and is refused at once otherwise. One that waits has until its deadline.

--- a/request/relay_wait.c
+++ b/request/relay_wait.c
@@ -139,14 +139,15 @@
 }
 
 /* Has RELAY wait, or refuses it if it would wait for too long, and with it
-   others that are less urgent.  Returns 0 if RELAY may have run and cannot
-   wait.  */
+   others that are less urgent.  A call waits only if it is expected to be
+   answered by its objective, since otherwise a full queue makes all calls
+   late; once it waits, it has until its deadline.  Returns 0 if RELAY may have
+   run and cannot wait.  */
 static int
 enqueue (struct relay_queue *queue, struct relay *relay, clk_ms now)
 {
   const struct rt_route *route = relay->route;
-  clk_ms objective_ms = route->kind == RT_STREAM && !relay->head_sent
-                                && route->objective_ms > 0
+  clk_ms objective_ms = !relay->head_sent && route->objective_ms > 0
                             ? relay->arrived_ms + route->objective_ms
                             : INT64_MAX;
   struct wait_view view;
@@ -161,6 +162,9 @@
       refuse (queue, relay, QUEUE_FULL, now);
       return 1;
     }
+  if (route->kind != RT_STREAM)
+    relay->turn.limit_ms
+        = wait_limit_of (&queue->wait, relay->deadline_ms, INT64_MAX, now);
   relay->turn.since_ms = now;
   relay_wait_log (relay, "waiting", &view, 0, now);
   begin_wait (queue, relay, now);
