--- a/include/ibisloom/dialect.h
+++ b/include/ibisloom/dialect.h
@@ -73,6 +73,13 @@
                  struct reg_entry *entry);
   /* Path of the readiness check.  */
   const char *ready_path;
+  /* Path of the list of prompt parts that a target holds.  */
+  const char *held_path;
+  /* Parses that list and appends its entries to PARTS, of struct dialect_part.
+     Those that cannot be read are counted in UNREADABLE.  Returns 0, or -1 if
+     the list as a whole is malformed.  */
+  int (*held) (const char *text, size_t length, GArray *parts,
+               uint32_t *unreadable);
 };
 
 #endif
--- a/tests/fuzz_parsers.c
+++ b/tests/fuzz_parsers.c
@@ -23,6 +23,7 @@
 static int parse_datagrams (const char *input, size_t length);
 static int parse_snapshots (const char *input, size_t length);
 static int parse_marks (const char *input, size_t length);
+static int parse_lists (const char *input, size_t length);
 
 const struct fuzz_parser fuzz_parsers[] = {
   { "requests", parse_requests },
@@ -34,6 +35,7 @@
   { "datagrams", parse_datagrams },
   { "snapshots", parse_snapshots },
   { "marks", parse_marks },
+  { "lists", parse_lists },
 };
 
 const size_t fuzz_parser_count = G_N_ELEMENTS (fuzz_parsers);
@@ -256,3 +258,16 @@
   g_string_free (text, TRUE);
   return 1;
 }
+
+/* Parses lists of what targets hold.  */
+static int
+parse_lists (const char *input, size_t length)
+{
+  GArray *parts = g_array_new (FALSE, FALSE, sizeof (struct dialect_part));
+  uint32_t unreadable = 0;
+  int is_valid = plat_dialect.held (input, length, parts, &unreadable) == 0;
+
+  g_assert_cmpuint (parts->len + unreadable, <=, length);
+  g_array_free (parts, TRUE);
+  return is_valid;
+}
