Add datagrams for what targets hold, and a bound for a call's response

Instances are to tell each other which prompt parts a target holds: one datagram names up to 120 parts of one target and its process, 1,140 bytes with the MAC where all numbers are as large as can be. A query without content asks for those of all targets.

A call can now bound the body of its response below the 16 MB for the store, since targets may send bytes without end.

--- a/include/ibisloom/storecall.h
+++ b/include/ibisloom/storecall.h
@@ -11,6 +11,7 @@
   const char *url; /* without scheme and host */
   char *body;      /* JSON, owned by the call; NULL: none */
   int64_t timeout_ms;
+  size_t body_max_bytes;   /* of the response; 0: the default */
   const char *epoch_field; /* header field with the epoch; NULL: none */
   uint64_t epoch_min;      /* responses of older ones are not relied on */
 };
--- a/include/ibisloom/wire.h
+++ b/include/ibisloom/wire.h
@@ -24,7 +24,8 @@
   WIRE_STATES_MAX = 48,
   WIRE_RATES_MAX = 64,
   WIRE_ORIGINS_MAX = 32,
-  WIRE_VERSIONS_MAX = 16
+  WIRE_VERSIONS_MAX = 16,
+  WIRE_HELD_MAX = 120
 };
 
 enum wire_kind
@@ -50,6 +51,8 @@
   WIRE_REACH,             /* whether the sender reaches a service */
   WIRE_BRITTLE,           /* whether the targets of a service are brittle */
   WIRE_REJECTED,          /* request that a brittle target turned away */
+  WIRE_HELD,              /* prompt parts that a target holds */
+  WIRE_HELD_QUERY,        /* asks for those of all targets */
   WIRE_KIND_COUNT
 };
 
@@ -299,6 +302,17 @@
   uint32_t limit; /* of its requests in progress, as the sender knows now */
 };
 
+/* Prompt parts that a target holds, or, with TARGET 0, only whether the sender
+   knows of a fleet that was running when the receiver started. */
+struct wire_held
+{
+  uint64_t target;
+  uint64_t incarnation; /* of the target's process; see struct reg_entry */
+  uint8_t is_running;   /* the fleet is; the receiver asks no targets */
+  uint32_t count;
+  uint64_t part[WIRE_HELD_MAX];
+};
+
 struct wire_message
 {
   enum wire_kind kind;
@@ -328,6 +342,7 @@
     struct wire_reach reach;
     struct wire_brittle brittle;
     struct wire_rejected rejected;
+    struct wire_held held;
   } u;
 };
 
--- a/process/wire.c
+++ b/process/wire.c
@@ -47,6 +47,8 @@
   [WIRE_REACH] = "reach",
   [WIRE_BRITTLE] = "brittle",
   [WIRE_REJECTED] = "rejected",
+  [WIRE_HELD] = "held",
+  [WIRE_HELD_QUERY] = "held_query",
 };
 
 static int has_allowed_types (const unsigned char *data, size_t length);
--- a/process/wire_fleet.c
+++ b/process/wire_fleet.c
@@ -373,6 +373,51 @@
   reader->failed |= list.failed;
 }
 
+/* Encodes parts that a target holds, which fill the rest of the array.  */
+static void
+encode_held (msgpack_packer *packer, const struct wire_message *message)
+{
+  const struct wire_held *held = &message->u.held;
+
+  msgpack_pack_array (packer, 3 + held->count);
+  msgpack_pack_uint64 (packer, held->target);
+  msgpack_pack_uint64 (packer, held->incarnation);
+  msgpack_pack_uint64 (packer, held->is_running);
+  for (uint32_t i = 0; i < held->count; i++)
+    msgpack_pack_uint64 (packer, held->part[i]);
+}
+
+static void
+decode_held (struct wire_reader *reader, struct wire_message *message)
+{
+  struct wire_held *held = &message->u.held;
+  struct wire_reader list = wire_next_array (reader, 3 + WIRE_HELD_MAX);
+
+  held->target = wire_next_uint (&list, UINT64_MAX);
+  held->incarnation = wire_next_uint (&list, UINT64_MAX);
+  held->is_running = (uint8_t)wire_next_uint (&list, 1);
+  while (!list.failed && list.remaining > 0)
+    held->part[held->count++] = wire_next_uint (&list, UINT64_MAX);
+  reader->failed |= list.failed;
+}
+
+/* Encodes a question that has no content.  */
+static void
+encode_held_query (msgpack_packer *packer, const struct wire_message *message)
+{
+  (void)message;
+  msgpack_pack_array (packer, 0);
+}
+
+static void
+decode_held_query (struct wire_reader *reader, struct wire_message *message)
+{
+  struct wire_reader list = wire_next_array (reader, 0);
+
+  (void)message;
+  reader->failed |= list.failed;
+}
+
 /* Kinds of routers. */
 const struct wire_codec wire_fleet_codecs[WIRE_KIND_COUNT] = {
   [WIRE_LOADS] = { encode_loads, decode_loads },
@@ -390,4 +435,6 @@
   [WIRE_REACH] = { encode_reach, decode_reach },
   [WIRE_BRITTLE] = { encode_brittle, decode_brittle },
   [WIRE_REJECTED] = { encode_rejected, decode_rejected },
+  [WIRE_HELD] = { encode_held, decode_held },
+  [WIRE_HELD_QUERY] = { encode_held_query, decode_held_query },
 };
--- a/version/storecall.c
+++ b/version/storecall.c
@@ -20,6 +20,7 @@
   char *body;
   const char *epoch_field;
   uint64_t epoch_min;
+  size_t body_max_bytes;
   GString *text;
   uint32_t status;
   uint64_t epoch;
@@ -68,6 +69,8 @@
   call->body = request->body;
   call->epoch_field = request->epoch_field;
   call->epoch_min = request->epoch_min;
+  call->body_max_bytes = request->body_max_bytes != 0 ? request->body_max_bytes
+                                                      : RESPONSE_MAX_BYTES;
   call->text = g_string_new (NULL);
   call->done = done;
   call->closure = closure;
@@ -124,7 +127,7 @@
 {
   struct store_call *call = owner;
 
-  if (call->text->len + length > RESPONSE_MAX_BYTES)
+  if (call->text->len + length > call->body_max_bytes)
     return -1;
   g_string_append_len (call->text, data, (gssize)length);
   return 0;
