Ask targets what they hold when the fleet starts

When all instances end at once, nobody is left whose affinity table a starting instance could ask for. With context_lists: 1, each target is then asked once for a list of its prompt parts, by the live instance of its failure domain that ranks first for it, within 0.4 to 0.7 s after the registry has been read; the others are told by datagrams, also if the call failed. An instance that starts asks up to three others before, and asks no target if one of them says that the fleet is running. If the one that is to ask ends, another one takes its place once it is known to be silent. Calls end after 600 ms or 512 KB and are not repeated.

--- a/include/ibisloom/fleet.h
+++ b/include/ibisloom/fleet.h
@@ -8,6 +8,7 @@
 
 #include "ibisloom/affinity.h"
 #include "ibisloom/elect.h"
+#include "ibisloom/held.h"
 #include "ibisloom/origin.h"
 #include "ibisloom/quarantine.h"
 #include "ibisloom/watch.h"
@@ -49,6 +50,10 @@
   void (*told) (void *closure, uint32_t peer, const struct wire_reach *reach);
 };
 
+/* Parses the list of what a target holds, as struct dialect does. */
+typedef int (*fleet_read_held_fn) (const char *text, size_t length,
+                                   GArray *parts, uint32_t *unreadable);
+
 struct fleet *fleet_new (const struct settings *settings, struct ev_loop *loop,
                          struct out_pool *pool,
                          const struct watch_protocol *store, const char *kind,
@@ -66,6 +71,8 @@
 void fleet_free (struct fleet *fleet);
 void fleet_announce_holder (struct fleet *fleet, uint64_t context,
                             uint64_t target);
+void fleet_keep_held (struct fleet *fleet, struct held *held, const char *path,
+                      fleet_read_held_fn read);
 void fleet_report_crash (struct fleet *fleet,
                          const struct sockaddr_in *address,
                          const struct quar_crash *crash);
--- a/include/ibisloom/metrics.h
+++ b/include/ibisloom/metrics.h
@@ -56,6 +56,9 @@
   METRIC_PLACED_WITHOUT_GRANT, /* the target's owner did not answer */
   METRIC_PLACED_LEAST_LOADED,
   METRIC_PLACED_TRIAL,
+  METRIC_LISTED_PLACED, /* at holders known from what targets say they hold */
+  METRIC_LISTS_READ,    /* of what targets hold */
+  METRIC_LISTS_FAILED,
   /* Requests through other instances, while cut off from targets.  */
   METRIC_HOPS_SENT,
   METRIC_HOPS_RECEIVED,
--- a/include/ibisloom/router.h
+++ b/include/ibisloom/router.h
@@ -35,6 +35,7 @@
   struct out_pool pool;
   struct registry *registry;
   struct affinity *affinity;
+  struct held *held; /* what targets say they hold */
   struct fleet *fleet;
   struct snapshot *snapshot;
   struct store_call *snapshot_fetch; /* from a peer, in progress; or NULL */
--- a/include/ibisloom/settings.h
+++ b/include/ibisloom/settings.h
@@ -48,6 +48,7 @@
   double retry_slack; /* additional retries of the fleet in each window */
   double store_writes_per_s; /* that the store takes from all instances */
   int64_t config_apply_ms;   /* until a confirmed version is in force */
+  int64_t context_lists;     /* whether targets are asked what they hold */
   int64_t drain_ms;          /* for which a leaving target may get requests */
   double grace_s; /* from the stop signal until the process is killed */
   char *cluster_key;
--- a/process/fleet.c
+++ b/process/fleet.c
@@ -136,6 +136,7 @@
   ev_timer_stop (fleet->loop, &fleet->heartbeat);
   ev_timer_stop (fleet->loop, &fleet->retry);
   ev_timer_stop (fleet->loop, &fleet->rejoin);
+  fleet_held_clear (fleet);
   fleet_unwatch_loads (fleet);
   fleet_room_clear (fleet);
   fleet_origin_store_clear (fleet);
@@ -189,6 +190,12 @@
     case WIRE_REJECTED:
       fleet_apply_rejected (fleet, &message->u.rejected);
       break;
+    case WIRE_HELD:
+      fleet_apply_held (fleet, &message->u.held);
+      break;
+    case WIRE_HELD_QUERY:
+      fleet_answer_held (fleet, peer);
+      break;
     case WIRE_STATE:
       fleet_apply_state (fleet, peer, &message->u.state);
       break;
--- a/process/fleet_send.c
+++ b/process/fleet_send.c
@@ -126,8 +126,9 @@
 gets_broadcast (const struct fleet *fleet, const struct fleet_peer *peer,
                 enum wire_kind kind)
 {
-  uint32_t peers_max
-      = kind == WIRE_NOTES ? NOTE_PEERS_MAX : LOAD_UPDATE_PEERS_MAX;
+  uint32_t peers_max = kind == WIRE_NOTES || kind == WIRE_HELD
+                           ? NOTE_PEERS_MAX
+                           : LOAD_UPDATE_PEERS_MAX;
 
   return g_hash_table_size (fleet->peers) <= peers_max
          || peer->domain == fleet->domain;
--- a/process/libfleet.h
+++ b/process/libfleet.h
@@ -101,6 +101,7 @@
   struct store_call *write_call; /* in progress, for the first; or NULL */
   int write_creates;             /* it creates the object of the part */
   ev_timer write_retry;
+  struct fleet_held *held; /* see fleet_held.c; NULL: not asked for */
   struct origins *origins;
   struct fleet_origin_store *origin_store; /* see fleet_origin_store.c */
   GArray *noted;                           /* versions that the store names */
@@ -223,6 +224,11 @@
 void fleet_apply_reach (struct fleet *fleet, const struct fleet_peer *peer,
                         const struct wire_reach *reach);
 
+/* fleet_held.c */
+void fleet_held_clear (struct fleet *fleet);
+void fleet_apply_held (struct fleet *fleet, const struct wire_held *told);
+void fleet_answer_held (struct fleet *fleet, const struct fleet_peer *peer);
+
 /* fleet_origin_note.c */
 GArray *fleet_noted_new (void);
 void fleet_note_stored (struct fleet *fleet, const json_t *content);
--- a/process/librouter.h
+++ b/process/librouter.h
@@ -11,6 +11,7 @@
 struct watch_sink router_config_sink (struct router *router);
 struct watch_sink router_targets_sink (struct router *router);
 void router_note_epoch (struct router *router, struct position position);
+void router_forget_removed (struct router *router);
 
 /* router_reach.c */
 void router_reach_init (struct router *router);
--- a/process/router.c
+++ b/process/router.c
@@ -71,6 +71,7 @@
   router->random = g_rand_new ();
   router->registry = reg_new ();
   router->affinity = affinity_new ();
+  router->held = held_new ();
   router->snapshot = snapshot_new ();
   router_reach_init (router);
   router->budgets = g_hash_table_new_full (NULL, NULL, NULL, g_free);
@@ -144,6 +145,9 @@
   router->short_ms = router->started_ms;
   fleet_start (router->fleet);
   fleet_keep_origins (router->fleet, router->dialect->origins_kind);
+  if (router->settings->context_lists)
+    fleet_keep_held (router->fleet, router->held, router->dialect->held_path,
+                     router->dialect->held);
   log_info ("gate", NULL, "started", "failure domain %s",
             router->failure_domain);
   ev_run (router->loop, 0);
@@ -171,6 +175,7 @@
   g_hash_table_destroy (router->pool.idle);
   reg_free (router->registry);
   affinity_free (router->affinity);
+  held_free (router->held);
   snapshot_free (router->snapshot);
   rt_unref (router->table);
   g_hash_table_destroy (router->budgets);
@@ -270,10 +275,14 @@
   uint32_t dropped = reg_expire (router->registry, now);
 
   router_update_watch (router, now);
+  held_expire (router->held, now);
   (void)loop;
   (void)events;
   if (dropped > 0)
-    log_info ("registry", NULL, "missing_dropped", "%u targets", dropped);
+    {
+      log_info ("registry", NULL, "missing_dropped", "%u targets", dropped);
+      router_forget_removed (router);
+    }
   if (router->stopping_ms != 0)
     continue_shutdown (router, now);
 }
--- a/process/router_metrics.c
+++ b/process/router_metrics.c
@@ -54,6 +54,7 @@
   add_gauge (out, "ibisloom_instances", fleet_size (router->fleet));
   add_gauge (out, "ibisloom_quarantined_parts",
              fleet_quarantined_count (router->fleet));
+  add_gauge (out, "ibisloom_context_lists_parts", held_count (router->held));
   add_gauge (out, "ibisloom_loads_age_ms", fleet_loads_age_ms (router->fleet));
   add_gauge (out, "ibisloom_buffer_pool_bytes", (int64_t)buf_pool_used ());
   add_gauge (out, "ibisloom_log_lines_dropped", (int64_t)log_dropped ());
--- a/process/router_store.c
+++ b/process/router_store.c
@@ -248,7 +248,25 @@
   const struct reg_target *known = reg_find (router->registry, entry->id);
 
   if (known != NULL && known->incarnation != entry->incarnation)
-    affinity_remove_target (router->affinity, known->hash);
+    {
+      affinity_remove_target (router->affinity, known->hash);
+      held_remove_target (router->held, known->hash);
+    }
+}
+
+/* Forgets what targets hold that are no longer registered.  */
+void
+router_forget_removed (struct router *router)
+{
+  struct held_cursor cursor = { 0 };
+  struct held_pair pair;
+
+  while (held_next (router->held, &cursor, &pair))
+    if (reg_find_hash (router->registry, pair.target) == NULL)
+      {
+        held_remove_target (router->held, pair.target);
+        cursor.holder = 0;
+      }
 }
 
 /* Handles OBJECT, a registry entry: adds, updates or removes its target. While
@@ -338,6 +356,7 @@
 
       g_strlcpy (entry.id, object->name, sizeof entry.id);
       log_target ("target_missing", &entry, object->position);
+      router_forget_removed (router);
     }
 }
 
--- a/process/settings.c
+++ b/process/settings.c
@@ -131,6 +131,8 @@
     OPTIONAL, 1, 1000000, 400 },
   { "config_apply_ms", parse_integer, FIELD_OFFSET (config_apply_ms), OPTIONAL,
     500, 600000, 2000 },
+  { "context_lists", parse_integer, FIELD_OFFSET (context_lists), OPTIONAL, 0,
+    1, 0 },
   { "drain_ms", parse_integer, FIELD_OFFSET (drain_ms), OPTIONAL, 0, 600000,
     2000 },
   { "grace_s", parse_real, FIELD_OFFSET (grace_s), OPTIONAL, 1, 3600, 30 },
