Send requests to targets that list their contexts

After the loss of all instances, requests went to rendezvous homes, which mostly do not hold the context, and copied from the other home, which does not either. A context without a holder in the affinity table is now looked up by its last shared part of at least 256 tokens in what targets list. Those that hold it become its holders, under all bounds as before, and sources of copies, also when they are over their load bound.

tests/test_contexts: after three routers were killed and started again, 18 of 18 requests reach the target that lists their context, the last of its rendezvous ranking; with the setting off the same test fails. A router killed before it asks, and targets that know no list, answer rubbish, send without end or hang, delay no request beyond 250 ms.

--- a/request/librelay.h
+++ b/request/librelay.h
@@ -103,6 +103,8 @@
   uint64_t fingerprint; /* of path, caller and body; see QUAR_REQUEST_BIT */
   uint64_t context;     /* hash of the shared prompt parts, 0: none */
   uint32_t context_tokens;
+  struct held_key held_key;   /* to look the context up in lists of targets */
+  uint8_t has_listed_holders; /* its holders were found there */
   clk_ms arrived_ms;
   clk_ms deadline_ms;
   int64_t retry_after_ms; /* for a refusal; 0: the default */
@@ -203,6 +205,11 @@
 void relay_mark_tried (struct relay *relay);
 void relay_mark_unreachable (struct relay *relay);
 
+/* relay_held.c */
+uint32_t relay_listed_holders (const struct relay *relay, clk_ms now,
+                               struct reg_target *targets[HELD_TARGETS_MAX]);
+void relay_adopt_holders (struct relay *relay);
+
 /* relay_source.c */
 const struct reg_target *relay_find_source (const struct relay *relay,
                                             const struct reg_target *target,
--- a/request/relay.c
+++ b/request/relay.c
@@ -93,6 +93,7 @@
     }
   if (router_reach_state (router, relay->service) != REACH_CUT_OFF)
     relay_count (relay);
+  relay_adopt_holders (relay);
   relay_dispatch (relay);
 }
 
--- a/request/relay_accept.c
+++ b/request/relay_accept.c
@@ -46,6 +46,7 @@
   if (!mark.is_counted)
     relay_count (relay);
   relay->is_counted = 1;
+  relay_adopt_holders (relay);
   relay_dispatch (relay);
   return relay;
 }
--- a/request/relay_log.c
+++ b/request/relay_log.c
@@ -63,6 +63,8 @@
   struct log_line line;
 
   metric_inc (place_counters[choice->reason]);
+  if (relay->has_listed_holders && choice->reason == BAL_HOLDER)
+    metric_inc (METRIC_LISTED_PLACED);
   if (!log_begin (&line, LOG_LEVEL_INFO, "place", relay->id,
                   bal_reason_names[choice->reason]))
     return;
@@ -85,6 +87,7 @@
       log_text (&line, "context", context);
       log_number (&line, "context_tokens", relay->context_tokens);
       log_text (&line, "holder", bal_skip_names[choice->skip]);
+      log_number (&line, "listed", relay->has_listed_holders);
       log_source (&line, &relay->attempt.source);
       log_parts (&line, relay);
     }
--- a/request/relay_prepare.c
+++ b/request/relay_prepare.c
@@ -150,6 +150,9 @@
       relay->parts[i] = part->id & ~QUAR_REQUEST_BIT;
       relay->context = rank_mix (relay->context, part->id);
       relay->context_tokens += part->tokens;
+      if (part->tokens >= HELD_TOKENS_MIN)
+        relay->held_key = (struct held_key){ .last = relay->parts[i],
+                                             .before = relay->held_key.last };
     }
   relay->router->context_tokens_mean
       += (relay->context_tokens - relay->router->context_tokens_mean)
--- a/request/relay_source.c
+++ b/request/relay_source.c
@@ -4,7 +4,8 @@
 
 enum
 {
-  SOURCES_MAX = AFFINITY_HOLDERS_MAX + 1 /* the known holders, and a home */
+  /* The known holders, the listed ones, and a home.  */
+  SOURCES_MAX = AFFINITY_HOLDERS_MAX + HELD_TARGETS_MAX + 1
 };
 
 /* Targets that may hold the context of a request. */
@@ -22,14 +23,17 @@
 /* Returns the target from which TARGET, selected by CHOICE, is to copy the
    context of RELAY at NOW, or NULL if it holds the context or is to read it.
    Instances that know no holder send the context to one of the same two homes,
-   so that the other one may hold it.  To be called before TARGET is recorded
-   as a holder.  */
+   so that the other one may hold it.  If holders are known, that TARGET is
+   listed as one more does not count: it may have evicted the context since.
+   To be called before TARGET is recorded as a holder.  */
 const struct reg_target *
 relay_find_source (const struct relay *relay, const struct reg_target *target,
                    const struct bal_choice *choice, clk_ms now)
 {
   struct sources sources = { .count = 0 };
   const struct affinity_holders *holders;
+  struct reg_target *listed[HELD_TARGETS_MAX];
+  uint32_t listed_count;
   size_t index;
 
   if (relay->context == 0 || target->is_peer)
@@ -37,6 +41,10 @@
   holders = affinity_find (relay->router->affinity, relay->context);
   for (uint32_t i = 0; holders != NULL && i < holders->count; i++)
     add_source (&sources, relay, holders->target[i], target, now);
+  listed_count = relay_listed_holders (relay, now, listed);
+  for (uint32_t i = 0; i < listed_count; i++)
+    if (listed[i] != target || holders == NULL || holders->count == 0)
+      add_source (&sources, relay, listed[i]->hash, target, now);
   if (choice->other_home != 0)
     add_source (&sources, relay, choice->other_home, target, now);
   index = source_pick (target->software, relay->context_tokens, sources.view,
--- a/tests/libfixture.h
+++ b/tests/libfixture.h
@@ -73,7 +73,8 @@
   GArray *store_fds;
   GPtrArray *targets; /* of struct fx_target */
   struct router_process routers[FX_ROUTERS_MAX];
-  char *directory; /* of the routers' settings files */
+  const char *settings_line; /* added to those of routers; NULL: none */
+  char *directory;           /* of the routers' settings files */
 };
 
 extern struct fx_env fx_env;
--- a/tests/router_fixture.h
+++ b/tests/router_fixture.h
@@ -33,6 +33,7 @@
 /* For the router INDEX, from 0. */
 void fx_router_spawn (int index, const char *log);
 void fx_routers_start (int count);
+void fx_routers_set (const char *line); /* of settings, for later spawns */
 void fx_router_signal (int index, int number);
 int fx_router_wait_for_exit (int index);
 int fx_router_has_ended (int index);
