Bound the set of targets that were asked what they hold

Its entries also come from datagrams, so that odd ones could have made it grow without end. It now takes as many as a service may have candidates.

--- a/process/fleet_held.c
+++ b/process/fleet_held.c
@@ -34,7 +34,8 @@
      SENDS_MAX to all peers.  */
   DATAGRAMS_MAX = 4,
   SENDS_MAX = 512,
-  ANSWER_DATAGRAMS_MAX = 512
+  ANSWER_DATAGRAMS_MAX = 512,
+  ASKED_MAX = BAL_CANDIDATES_MAX /* also if datagrams name more targets */
 };
 
 /* Call to a target. */
@@ -361,11 +362,12 @@
                  &(struct held_pair){ told->part[i], told->target }, now);
 }
 
-/* Counts TARGET as asked.  */
+/* Counts TARGET as asked, unless there are too many.  */
 static void
 set_asked (struct fleet_held *state, uint64_t target)
 {
-  g_hash_table_add (state->asked, GSIZE_TO_POINTER (target));
+  if (g_hash_table_size (state->asked) < ASKED_MAX)
+    g_hash_table_add (state->asked, GSIZE_TO_POINTER (target));
 }
 
 /* Records what another instance has TOLD.  */
