--- a/include/ibisloom/settings.h
+++ b/include/ibisloom/settings.h
@@ -48,6 +48,7 @@
   double retry_slack; /* additional retries of the fleet in each window */
   double store_writes_per_s; /* that the store takes from all instances */
   int64_t config_apply_ms;   /* until a confirmed version is in force */
+  int64_t context_lists;     /* whether targets are asked what they hold */
   int64_t drain_ms;          /* for which a leaving target may get requests */
   int64_t evacuate_ms; /* until an evacuation must be in force; 0: not read */
   int64_t slow_start;  /* limits on cold and started targets are kept */
--- a/include/ibisloom/wire.h
+++ b/include/ibisloom/wire.h
@@ -28,7 +28,8 @@
   WIRE_VERSIONS_MAX = 16,
   WIRE_EVACUATIONS_MAX = 40,
   WIRE_PACES_MAX = 16,
-  WIRE_PACE_SCALE = 1000 /* units in a request, or in a millisecond */
+  WIRE_PACE_SCALE = 1000, /* units in a request, or in a millisecond */
+  WIRE_HELD_MAX = 120
 };
 
 enum wire_kind
@@ -59,6 +60,8 @@
   WIRE_PACES,             /* limits of targets that have lately started */
   WIRE_DEMAND,            /* for a service short of capacity */
   WIRE_LEVEL,             /* what is admitted of it, by a coordinator */
+  WIRE_HELD,              /* prompt parts that a target holds */
+  WIRE_HELD_QUERY,        /* asks for those of all targets */
   WIRE_KIND_COUNT
 };
 
@@ -348,6 +351,17 @@
   struct wire_pace pace[WIRE_PACES_MAX];
 };
 
+/* Prompt parts that a target holds, or, with TARGET 0, only whether the sender
+   knows of a fleet that was running when the receiver started. */
+struct wire_held
+{
+  uint64_t target;
+  uint64_t incarnation; /* of the target's process; see struct reg_entry */
+  uint8_t is_running;   /* the fleet is; the receiver asks no targets */
+  uint32_t count;
+  uint64_t part[WIRE_HELD_MAX];
+};
+
 struct wire_message
 {
   enum wire_kind kind;
@@ -382,6 +396,7 @@
     struct wire_paces paces;
     struct demand_report demand;
     struct demand_level level;
+    struct wire_held held;
   } u;
 };
 
--- a/process/wire.c
+++ b/process/wire.c
@@ -52,6 +52,8 @@
   [WIRE_PACES] = "paces",
   [WIRE_DEMAND] = "demand",
   [WIRE_LEVEL] = "level",
+  [WIRE_HELD] = "held",
+  [WIRE_HELD_QUERY] = "held_query",
 };
 
 static int has_allowed_types (const unsigned char *data, size_t length);
