Measure the processor time of one version of the configuration

Cause: a version of the configuration stops the event loop of a small instance for 0.15 to 0.5 s, and where the time goes was not known. Change: ibismicro prints the processor time of each step at an instance that watches the store and at one that fetches from it, with 240 and 1,800 routes, of which one changes.

--- a/Makefile
+++ b/Makefile
@@ -47,7 +47,8 @@
 $(BUILD)/ibisload: $(LOAD_OBJ) $(BUILD)/libibisloom.a
 	$(CC) $(CFLAGS) $(EXTRA) $^ -o $@ $(PKG_LIBS)
 
-$(BUILD)/ibismicro: $(BUILD)/bench/micro.o $(BUILD)/libibisloom.a
+MICRO_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard bench/micro*.c))
+$(BUILD)/ibismicro: $(MICRO_OBJ) $(BUILD)/libibisloom.a
 	$(CC) $(CFLAGS) $(EXTRA) $^ -o $@ $(PKG_LIBS)
 
 FIXTURES = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/*_fixture.c))
--- a/bench/micro.c
+++ b/bench/micro.c
@@ -1,4 +1,5 @@
-/* ibismicro: benchmarks of ranking, admission, messages and membership. */
+/* ibismicro: benchmarks of ranking, admission, messages, membership and
+   versions of the configuration. */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -10,6 +11,7 @@
 #include "ibisloom/admission.h"
 #include "ibisloom/rank.h"
 #include "ibisloom/wire.h"
+#include "micro.h"
 
 enum
 {
@@ -40,6 +42,8 @@
   time_wire ();
   time_owner_lookup (9);
   time_owner_lookup (100);
+  micro_time_versions (240);
+  micro_time_versions (1800);
   return EXIT_SUCCESS;
 }
 
