Parse only the routes that a version of the configuration changes

Change: the content of a configuration is passed as text. It is split into routes; one whose text the version before had is shared, with a count of references, and so are the services and the customers with their keys. What cannot be split, such as a member that is named twice, is parsed as a whole as before. Of several events of one response of the store, only the one with the newest version is read.

--- a/bench/micro_config.c
+++ b/bench/micro_config.c
@@ -36,7 +36,6 @@
 /* Instance of the benchmark, and the step that its tables count for. */
 struct instance
 {
-  struct rt_table *table;
   struct snapshot *snapshot;
   enum step table_step;
 };
@@ -102,14 +101,14 @@
 {
   struct instance *instance = closure;
   int64_t start_ns = cpu_now_ns ();
-  struct rt_table *table = plat_read_config (object->content);
+  GBytes *text = g_bytes_new (object->text.at, object->text.length);
+  struct cfg_text *config
+      = plat_read_config_text (text, snapshot_config (instance->snapshot));
 
+  g_bytes_unref (text);
   start_ns = add_time (instance->table_step, start_ns);
-  snapshot_put_config (instance->snapshot, table->version, object);
-  start_ns = add_time (STEP_SNAPSHOT, start_ns);
-  rt_unref (instance->table);
-  instance->table = table;
-  add_time (instance->table_step, start_ns);
+  snapshot_put_config (instance->snapshot, object, config);
+  add_time (STEP_SNAPSHOT, start_ns);
 }
 
 static void
@@ -136,13 +135,14 @@
       "{\"events\":[{\"deleted\":false,\"object\":{\"metadata\":{\"name\":"
       "\"main\",\"revision\":%d},\"spec\":%s}}],\"at\":%d}",
       version, config, version);
-  struct watch_page page = { .last_name = g_string_new (NULL) };
+  struct watch_page page = { .as_text = 1, .last_name = g_string_new (NULL) };
   struct snapshot_state since
       = { .version = (uint64_t)version - 1, .targets = { 0, 1 } };
   struct snapshot_state now = { .version = (uint64_t)version,
                                 .config = { 0, (uint64_t)version },
                                 .targets = { 0, 1 } };
-  struct watch_sink sink = { skip_begin, take_config, skip_end, fetcher };
+  struct watch_sink sink
+      = { skip_begin, take_config, skip_end, fetcher, .takes_text = 1 };
   struct snapshot_state known;
   int64_t inner_ns = cpu_ns[STEP_TABLE] + cpu_ns[STEP_SNAPSHOT];
   int64_t start_ns = cpu_now_ns ();
@@ -196,8 +196,6 @@
           (double)(cpu_ns[STEP_DECOMPRESS] + cpu_ns[STEP_FETCHED_PARSE]
                    + cpu_ns[STEP_FETCHED_TABLE] + cpu_ns[STEP_SNAPSHOT])
               / VERSIONS / 1000);
-  rt_unref (watcher.table);
-  rt_unref (fetcher.table);
   snapshot_free (watcher.snapshot);
   snapshot_free (fetcher.snapshot);
 }
--- a/include/ibisloom/dialect.h
+++ b/include/ibisloom/dialect.h
@@ -5,6 +5,7 @@
 
 #include <stdint.h>
 
+#include "ibisloom/config_text.h"
 #include "ibisloom/registry.h"
 #include "ibisloom/routes.h"
 #include "ibisloom/watch.h"
@@ -64,9 +65,12 @@
   const char *targets_kind;
   const char *members_kind; /* the router's own instances */
   const char *origins_kind; /* origins of streams, by instance */
-  /* Returns the configuration version in CONTENT, or NULL if it is
-     malformed.  */
-  struct rt_table *(*config) (const json_t *content);
+  /* Returns the configuration in TEXT, or NULL if it is malformed.  What
+     BEFORE, which may be NULL, has of the same text is shared.  */
+  struct cfg_text *(*config) (GBytes *text, const struct cfg_text *before);
+  /* Stores the version of the configuration in TEXT.  Returns 0, or -1 if it
+     can only be found by reading all of TEXT.  */
+  int (*config_version) (struct scan_text text, uint64_t *version);
   /* Parses the registry entry of a target.  Returns 0, or -1 if CONTENT
      does not describe a target.  */
   int (*target) (const char *name, const json_t *content,
--- a/include/ibisloom/router.h
+++ b/include/ibisloom/router.h
@@ -51,6 +51,7 @@
   clk_ms watch_due_ms;    /* last time it was elected to watch; 0: never */
   struct rt_table *table; /* in force; NULL until one has been read */
   clk_ms table_ms;        /* when it came into force */
+  uint64_t page_version;  /* newest read from a page of the store; 0: none */
   struct watch_group watches;
   struct watch config;
   struct watch targets;
--- a/include/ibisloom/routes.h
+++ b/include/ibisloom/routes.h
@@ -26,8 +26,11 @@
   uint32_t weight;
 };
 
+/* Immutable once its table is sealed; versions of the configuration that leave
+   it as it is share it. */
 struct rt_route
 {
+  uint32_t references; /* of tables */
   char *name;
   char *host;
   char *prefix; /* of the URL path; begins and ends with a slash */
@@ -72,8 +75,8 @@
   uint32_t references;
   uint64_t version;
   GPtrArray *routes;    /* by host, then longest prefix first */
-  GPtrArray *services;  /* of struct rt_service */
-  GPtrArray *customers; /* of struct rt_customer */
+  GPtrArray *services;  /* of struct rt_service; may be shared */
+  GPtrArray *customers; /* of struct rt_customer; may be shared, with keys */
   GHashTable *keys;     /* API key to struct rt_customer; may be empty */
   uint8_t needs_key;    /* customers are configured, be they none at all */
   struct rt_limits limits;
@@ -84,6 +87,9 @@
 void rt_unref (struct rt_table *table);
 struct rt_route *rt_add_route (struct rt_table *table, const char *name,
                                const char *host, const char *prefix);
+void rt_share_route (struct rt_table *table, const struct rt_route *route);
+void rt_share_services (struct rt_table *table, const struct rt_table *other);
+void rt_share_customers (struct rt_table *table, const struct rt_table *other);
 struct rt_service *rt_add_service (struct rt_table *table, const char *name);
 struct rt_customer *rt_add_customer (struct rt_table *table, const char *name);
 void rt_add_key (struct rt_table *table, const char *key,
--- a/include/ibisloom/snapshot.h
+++ b/include/ibisloom/snapshot.h
@@ -4,6 +4,7 @@
 
 #include <glib.h>
 
+#include "ibisloom/config_text.h"
 #include "ibisloom/watch.h"
 
 struct snapshot;
@@ -21,8 +22,10 @@
 
 struct snapshot *snapshot_new (void);
 void snapshot_free (struct snapshot *snapshot);
-void snapshot_put_config (struct snapshot *snapshot, uint64_t version,
-                          const struct watch_object *object);
+void snapshot_put_config (struct snapshot *snapshot,
+                          const struct watch_object *object,
+                          struct cfg_text *config);
+const struct cfg_text *snapshot_config (const struct snapshot *snapshot);
 int snapshot_put_target (struct snapshot *snapshot,
                          const struct watch_object *object);
 void snapshot_retain_target (struct snapshot *snapshot, const char *name,
--- a/include/ibisloom/watch.h
+++ b/include/ibisloom/watch.h
@@ -6,6 +6,7 @@
 #include <jansson.h>
 
 #include "ibisloom/clock.h"
+#include "ibisloom/json_scan.h"
 #include "ibisloom/position.h"
 #include "ibisloom/storecall.h"
 
@@ -15,7 +16,12 @@
   const char *name;
   struct position position; /* of its last change, or of the deletion */
   int deleted;
-  json_t *content; /* NULL: missing or unreadable */
+  json_t *content; /* NULL: missing, unreadable or not parsed */
+  /* For sinks that take text: the content, and a difference from the content
+     of an older version, of which one at least is empty.  */
+  struct scan_text text;
+  struct scan_text delta;
+  uint8_t is_earlier; /* a later event of the same page was passed before */
 };
 
 /* Properties of a response to a list or watch, besides its objects. */
@@ -23,6 +29,9 @@
 {
   /* The response covers all changes up to here.  The caller sets the epoch. */
   struct position position;
+  /* Contents are passed as text, not parsed, and the latest events first.  The
+     caller sets it.  */
+  uint8_t as_text;
   int has_more;       /* further pages follow; lists only */
   uint32_t nameless;  /* objects passed over, as their names are unreadable */
   GString *last_name; /* of the last object read */
@@ -73,6 +82,7 @@
   /* The list is complete up to POSITION.  */
   void (*end) (void *closure, struct position position);
   void *closure;
+  uint8_t takes_text; /* contents are not to be parsed */
 };
 
 enum
--- a/process/router_store.c
+++ b/process/router_store.c
@@ -46,14 +46,16 @@
 static void log_target (const char *reason, const struct reg_entry *entry,
                         struct position position);
 static void set_pace (struct router *router, int is_standby);
+static struct cfg_text *read_config (struct router *router,
+                                     const struct watch_object *object);
 static void activate_table (struct router *router, struct rt_table *table);
 
 /* Returns the sink of configurations, from the store or from a peer.  */
 struct watch_sink
 router_config_sink (struct router *router)
 {
-  return (struct watch_sink){ config_begin, config_object, config_end,
-                              router };
+  return (struct watch_sink){ config_begin, config_object, config_end, router,
+                              .takes_text = 1 };
 }
 
 /* Returns the sink of targets, from the store or from a peer.  */
@@ -61,7 +63,7 @@
 router_targets_sink (struct router *router)
 {
   return (struct watch_sink){ targets_begin, targets_object, targets_end,
-                              router };
+                              router, .takes_text = 0 };
 }
 
 /* Starts to list and watch the configuration in the store.  */
@@ -100,19 +102,27 @@
 /* Handles OBJECT, a configuration: brings it into force if it has the name
    that the dialect expects and a newer version.  If it is deleted or
    unreadable, the current version stays in force.  An older version is what a
-   restored store may show for a moment.  */
+   restored store may show for a moment.  Of several events of one page, only
+   that with the newest version is read, if it can be.  */
 static void
 config_object (void *closure, const struct watch_object *object)
 {
   struct router *router = closure;
-  struct rt_table *table;
+  struct cfg_text *config;
+  uint64_t version;
 
+  if (!object->is_earlier)
+    router->page_version = 0;
   if (object->deleted
       || strcmp (object->name, router->dialect->config_name) != 0)
     return;
   router->known.config = pos_max (router->known.config, object->position);
-  table = router->dialect->config (object->content);
-  if (table == NULL)
+  if (router->page_version > 0
+      && router->dialect->config_version (object->text, &version) == 0
+      && version <= router->page_version)
+    return;
+  config = read_config (router, object);
+  if (config == NULL)
     {
       metric_inc (METRIC_STORE_UNREADABLE);
       log_error ("config", NULL, "unreadable",
@@ -120,9 +130,27 @@
                  object->position.revision);
       return;
     }
-  if (router->table == NULL || table->version > router->table->version)
-    snapshot_put_config (router->snapshot, table->version, object);
-  activate_table (router, table);
+  router->page_version = MAX (router->page_version, config->table->version);
+  if (router->table != NULL
+      && config->table->version <= router->table->version)
+    {
+      cfg_free (config);
+      return;
+    }
+  activate_table (router, config->table);
+  snapshot_put_config (router->snapshot, object, config);
+}
+
+/* Returns the configuration in OBJECT, or NULL if it is malformed.  */
+static struct cfg_text *
+read_config (struct router *router, const struct watch_object *object)
+{
+  GBytes *text = g_bytes_new (object->text.at, object->text.length);
+  struct cfg_text *config
+      = router->dialect->config (text, snapshot_config (router->snapshot));
+
+  g_bytes_unref (text);
+  return config;
 }
 
 /* Called when a list of configurations was read completely, at POSITION.  */
@@ -163,19 +191,13 @@
   log_end (&line);
 }
 
-/* Brings TABLE into force unless the version in force is at least as new.
-   Takes ownership of the caller's reference to TABLE.  */
+/* Brings TABLE, which is newer than the one in force, into force.  */
 static void
 activate_table (struct router *router, struct rt_table *table)
 {
-  if (router->table != NULL && table->version <= router->table->version)
-    {
-      rt_unref (table);
-      return;
-    }
   log_version (router, table);
   rt_unref (router->table);
-  router->table = table;
+  router->table = rt_ref (table);
   router->known.version = MAX (router->known.version, table->version);
   router->table_ms = clk_now (clk_monotonic ());
   router->request_listener.limits.head_max_bytes
--- a/tests/fuzz_parsers.c
+++ b/tests/fuzz_parsers.c
@@ -115,6 +115,50 @@
   return read_messages (input, length, 1);
 }
 
+/* Checks that A and B have the same routes and keys, or that both are NULL. */
+static void
+check_same_table (const struct rt_table *a, const struct rt_table *b)
+{
+  g_assert_cmpint (a != NULL, ==, b != NULL);
+  if (a == NULL)
+    return;
+  g_assert_cmpuint (a->version, ==, b->version);
+  g_assert_cmpuint (a->routes->len, ==, b->routes->len);
+  g_assert_cmpuint (a->services->len, ==, b->services->len);
+  g_assert_cmpuint (g_hash_table_size (a->keys), ==,
+                    g_hash_table_size (b->keys));
+  g_assert_cmpint (a->needs_key, ==, b->needs_key);
+  g_assert_cmpint (memcmp (&a->limits, &b->limits, sizeof a->limits), ==, 0);
+  for (guint i = 0; i < a->routes->len; i++)
+    {
+      const struct rt_route *first = g_ptr_array_index (a->routes, i);
+      const struct rt_route *second = g_ptr_array_index (b->routes, i);
+
+      g_assert_cmpstr (first->name, ==, second->name);
+      g_assert_cmpstr (first->host, ==, second->host);
+      g_assert_cmpstr (first->prefix, ==, second->prefix);
+      g_assert_cmpint (first->timeout_ms, ==, second->timeout_ms);
+      g_assert_cmpint (first->kind, ==, second->kind);
+    }
+}
+
+/* Checks that the LENGTH bytes of INPUT read part by part, after the last
+   configuration that was valid, are as in TABLE, which was read as a whole. */
+static void
+check_text (const char *input, size_t length, const struct rt_table *table)
+{
+  static struct cfg_text *before;
+  GBytes *text = g_bytes_new (input, length);
+  struct cfg_text *config = plat_read_config_text (text, before);
+
+  g_bytes_unref (text);
+  check_same_table (table, config != NULL ? config->table : NULL);
+  if (config == NULL)
+    return;
+  cfg_free (before);
+  before = config;
+}
+
 /* Parses the configuration object of the store.  */
 static int
 parse_configurations (const char *input, size_t length)
@@ -128,6 +172,7 @@
       (void)rt_match (table, "h", "/p/1");
       (void)rt_match (table, "", "");
     }
+  check_text (input, length, table);
   rt_unref (table);
   json_decref (json);
   return is_valid;
@@ -159,6 +204,9 @@
   struct watch_page page = { .last_name = g_string_new (NULL) };
   int objects = 0;
 
+  (void)plat_store.read_list (input, length, &page, on_object, &objects);
+  (void)plat_store.read_watch (input, length, &page, on_object, &objects);
+  page.as_text = 1;
   (void)plat_store.read_list (input, length, &page, on_object, &objects);
   (void)plat_store.read_watch (input, length, &page, on_object, &objects);
   g_string_free (page.last_name, TRUE);
@@ -227,12 +275,16 @@
 parse_snapshots (const char *input, size_t length)
 {
   int objects = 0;
-  struct watch_sink sink = { ignore_begin, on_object, ignore_end, &objects };
+  struct watch_sink sink
+      = { ignore_begin, on_object, ignore_end, &objects, .takes_text = 0 };
+  struct watch_sink text_sink
+      = { ignore_begin, on_object, ignore_end, &objects, .takes_text = 1 };
   struct snapshot_state known;
   struct snapshot_state current = { 0 };
   size_t size;
 
   (void)snapshot_parse (input, length, &known, &current, &sink, &sink);
+  (void)snapshot_parse (input, length, &known, &current, &text_sink, &sink);
   g_free (snapshot_decompress (input, length, &size));
   return objects > 0;
 }
--- a/tests/test_snapshot.c
+++ b/tests/test_snapshot.c
@@ -5,6 +5,7 @@
 
 #include "ibisloom/elect.h"
 #include "ibisloom/snapshot.h"
+#include "platform.h"
 #include "test.h"
 
 enum
@@ -94,10 +95,10 @@
 sync_replica (struct replica *replica, struct snapshot *snapshot,
               const struct snapshot_state *now)
 {
-  struct watch_sink config
-      = { replica_begin, replica_config, replica_end, replica };
-  struct watch_sink targets
-      = { replica_begin, replica_target, replica_end, replica };
+  struct watch_sink config = { replica_begin, replica_config, replica_end,
+                               replica, .takes_text = 0 };
+  struct watch_sink targets = { replica_begin, replica_target, replica_end,
+                                replica, .takes_text = 0 };
   size_t length;
   size_t size;
   const char *data
@@ -454,17 +455,17 @@
           = { .version = 9, .config = { 2, 25 }, .targets = { 2, 25 } } };
   struct snapshot_state now
       = { .version = 12, .config = { 1, 29 }, .targets = { 1, 29 } };
-  json_t *content = json_object ();
-  struct watch_object object
-      = { .name = "main", .position = { 1, 29 }, .content = content };
+  static const char config[] = "{\"version\":12,\"routes\":[]}";
+  GBytes *text = g_bytes_new_static (config, sizeof config - 1);
+  struct watch_object object = { .name = "main", .position = { 1, 29 } };
 
   CU_ASSERT (snapshot_is_newer (&now, &replica.known));
-  snapshot_put_config (snapshot, 12, &object);
+  snapshot_put_config (snapshot, &object, plat_read_config_text (text, NULL));
+  g_bytes_unref (text);
   put_target (snapshot, 0, 0, now.targets);
   sync_replica (&replica, snapshot, &now);
   CU_ASSERT_EQUAL (replica.config, 29);
   CU_ASSERT_EQUAL (replica.revision[0], 0);
   CU_ASSERT_EQUAL (replica.full_lists, 0);
-  json_decref (content);
   snapshot_free (snapshot);
 }
--- a/version/routes.c
+++ b/version/routes.c
@@ -3,7 +3,7 @@
 
 #include "ibisloom/routes.h"
 
-static void route_free (gpointer data);
+static void route_unref (gpointer data);
 static void customer_free (gpointer data);
 static gint compare_routes (gconstpointer a, gconstpointer b);
 static size_t host_length (const char *host);
@@ -23,7 +23,7 @@
 
   table->references = 1;
   table->version = version;
-  table->routes = g_ptr_array_new_with_free_func (route_free);
+  table->routes = g_ptr_array_new_with_free_func (route_unref);
   table->services = g_ptr_array_new_with_free_func (g_free);
   table->customers = g_ptr_array_new_with_free_func (customer_free);
   table->keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -46,10 +46,10 @@
 {
   if (table == NULL || --table->references > 0)
     return;
-  g_ptr_array_free (table->routes, TRUE);
-  g_ptr_array_free (table->services, TRUE);
-  g_ptr_array_free (table->customers, TRUE);
-  g_hash_table_destroy (table->keys);
+  g_ptr_array_unref (table->routes);
+  g_ptr_array_unref (table->services);
+  g_hash_table_unref (table->keys);
+  g_ptr_array_unref (table->customers);
   g_free (table);
 }
 
@@ -61,6 +61,7 @@
 {
   struct rt_route *route = g_new0 (struct rt_route, 1);
 
+  route->references = 1;
   route->name = g_strdup (name);
   route->host = g_ascii_strdown (host, -1);
   route->prefix = g_strdup (prefix);
@@ -68,6 +69,35 @@
   return route;
 }
 
+/* Adds ROUTE, which belongs to another table, to TABLE.  */
+void
+rt_share_route (struct rt_table *table, const struct rt_route *route)
+{
+  struct rt_route *shared = (struct rt_route *)(uintptr_t)route;
+
+  shared->references++;
+  g_ptr_array_add (table->routes, shared);
+}
+
+/* Gives TABLE, which has no services, those of OTHER.  */
+void
+rt_share_services (struct rt_table *table, const struct rt_table *other)
+{
+  g_ptr_array_unref (table->services);
+  table->services = g_ptr_array_ref (other->services);
+}
+
+/* Gives TABLE, which has no customers, those of OTHER, with their keys.  */
+void
+rt_share_customers (struct rt_table *table, const struct rt_table *other)
+{
+  g_hash_table_unref (table->keys);
+  g_ptr_array_unref (table->customers);
+  table->customers = g_ptr_array_ref (other->customers);
+  table->keys = g_hash_table_ref (other->keys);
+  table->needs_key = other->needs_key;
+}
+
 /* Adds a service to TABLE; the caller sets its limits.  */
 struct rt_service *
 rt_add_service (struct rt_table *table, const char *name)
@@ -175,11 +205,14 @@
          || (route->kind == RT_STREAM && route->is_resumable);
 }
 
+/* Drops a reference to the route DATA and frees it with the last one.  */
 static void
-route_free (gpointer data)
+route_unref (gpointer data)
 {
   struct rt_route *route = data;
 
+  if (--route->references > 0)
+    return;
   g_free (route->name);
   g_free (route->host);
   g_free (route->prefix);
--- a/version/snapshot.c
+++ b/version/snapshot.c
@@ -52,10 +52,11 @@
 
 struct snapshot
 {
-  struct snapshot_object *config; /* NULL: not known yet */
-  uint64_t version;               /* of config */
-  GHashTable *targets;            /* name to struct snapshot_object */
-  GQueue deleted;                 /* of struct snapshot_object, oldest first */
+  char *config_name;
+  struct position config_position;
+  struct cfg_text *config; /* NULL: not known yet */
+  GHashTable *targets;     /* name to struct snapshot_object */
+  GQueue deleted;          /* of struct snapshot_object, oldest first */
   /* Deletions up to here may not be in deleted.  */
   struct position deleted_after;
   struct snapshot_cache cache;
@@ -67,7 +68,12 @@
                              struct snapshot_object *object);
 static struct snapshot_object *object_new (const struct watch_object *object);
 static void object_free (gpointer data);
+static void append_config (GString *out, const struct snapshot *snapshot);
 static void append_object (GString *out, const struct snapshot_object *object);
+static void append_head (GString *out, const char *name,
+                         struct position position);
+static void deliver_text (struct scan_text object,
+                          const struct watch_sink *sink);
 static int lacks_config (const struct snapshot *snapshot,
                          const struct snapshot_state *since);
 static uint64_t get_number (const json_t *object, const char *key);
@@ -106,21 +112,34 @@
 void
 snapshot_free (struct snapshot *snapshot)
 {
-  object_free (snapshot->config);
+  cfg_free (snapshot->config);
+  g_free (snapshot->config_name);
   g_hash_table_destroy (snapshot->targets);
   g_queue_clear_full (&snapshot->deleted, object_free);
   g_free (snapshot->cache.data);
   g_free (snapshot);
 }
 
-/* Replaces the configuration by OBJECT, which has VERSION.  */
+/* Replaces the configuration by CONFIG, the content of OBJECT, and takes
+   ownership of CONFIG.  */
 void
-snapshot_put_config (struct snapshot *snapshot, uint64_t version,
-                     const struct watch_object *object)
+snapshot_put_config (struct snapshot *snapshot,
+                     const struct watch_object *object,
+                     struct cfg_text *config)
+{
+  cfg_free (snapshot->config);
+  g_free (snapshot->config_name);
+  snapshot->config_name = g_strdup (object->name);
+  snapshot->config_position = object->position;
+  snapshot->config = config;
+}
+
+/* Returns the configuration, which belongs to SNAPSHOT, or NULL if none is
+   known.  */
+const struct cfg_text *
+snapshot_config (const struct snapshot *snapshot)
 {
-  object_free (snapshot->config);
-  snapshot->version = version;
-  snapshot->config = object_new (object);
+  return snapshot->config;
 }
 
 /* Stores OBJECT, a target's entry or the deletion of one.  Returns 1, or 0 if
@@ -243,8 +262,8 @@
   if (snapshot->config == NULL)
     return 0;
   return since->version != 0
-             ? snapshot->version > since->version
-             : pos_compare (snapshot->config->position, since->config) > 0;
+             ? snapshot->config->table->version > since->version
+             : pos_compare (snapshot->config_position, since->config) > 0;
 }
 
 /* Returns what changed in SNAPSHOT after SINCE as newly allocated JSON.  The
@@ -270,7 +289,7 @@
       is_full ? "true" : "false", known->version, known->config.epoch,
       known->config.revision, known->targets.epoch, known->targets.revision);
   if (lacks_config (snapshot, since))
-    append_object (out, snapshot->config);
+    append_config (out, snapshot);
   else
     g_string_append (out, "null");
   g_string_append (out, ",\"targets\":[");
@@ -389,7 +408,10 @@
   json_decref (root);
   if (!is_valid)
     return -1;
-  deliver (parts[PART_CONFIG], 0, config);
+  if (config->takes_text)
+    deliver_text (parts[PART_CONFIG], config);
+  else
+    deliver (parts[PART_CONFIG], 0, config);
   if (pos_compare (known->targets, current->targets) < 0)
     return 0;
   if (is_full)
@@ -462,6 +484,24 @@
   json_decref (parsed);
 }
 
+/* Passes OBJECT to SINK with its content as text, unless it is null or lacks a
+   name.  */
+static void
+deliver_text (struct scan_text object, const struct watch_sink *sink)
+{
+  static const char *const apart[] = { "content" };
+  struct scan_text parts[G_N_ELEMENTS (apart)];
+  json_t *parsed = scan_object (object, apart, parts, G_N_ELEMENTS (apart));
+  struct watch_object reported = { .text = parts[0] };
+
+  reported.name = json_string_value (json_object_get (parsed, "name"));
+  reported.position = (struct position){ get_number (parsed, "epoch"),
+                                         get_number (parsed, "revision") };
+  if (reported.name != NULL && *reported.name != '\0')
+    sink->object (sink->closure, &reported);
+  json_decref (parsed);
+}
+
 /* Returns a copy of OBJECT with its content as JSON text.  */
 static struct snapshot_object *
 object_new (const struct watch_object *object)
@@ -491,19 +531,38 @@
   g_free (object);
 }
 
-/* Appends OBJECT as JSON to OUT.  Only its name needs escapes, since its
-   content is JSON already.  */
+/* Appends the configuration of SNAPSHOT as JSON to OUT.  */
+static void
+append_config (GString *out, const struct snapshot *snapshot)
+{
+  size_t length;
+  const char *text = g_bytes_get_data (snapshot->config->text, &length);
+
+  append_head (out, snapshot->config_name, snapshot->config_position);
+  g_string_append (out, ",\"content\":");
+  g_string_append_len (out, text, (gssize)length);
+  g_string_append_c (out, '}');
+}
+
+/* Appends OBJECT as JSON to OUT.  */
 static void
 append_object (GString *out, const struct snapshot_object *object)
 {
-  json_t *name = json_string (object->name);
-  char *quoted = name ? json_dumps (name, JSON_ENCODE_ANY) : NULL;
-
-  g_string_append_printf (out,
-                          "{\"name\":%s,\"epoch\":%" PRIu64
-                          ",\"revision\":%" PRIu64 ",\"content\":%s}",
-                          quoted ? quoted : "\"\"", object->position.epoch,
-                          object->position.revision, object->content);
+  append_head (out, object->name, object->position);
+  g_string_append_printf (out, ",\"content\":%s}", object->content);
+}
+
+/* Appends the begin of the JSON of the object NAME at POSITION to OUT.  Only
+   its name needs escapes, since its content is JSON already.  */
+static void
+append_head (GString *out, const char *name, struct position position)
+{
+  json_t *string = json_string (name);
+  char *quoted = string ? json_dumps (string, JSON_ENCODE_ANY) : NULL;
+
+  g_string_append_printf (
+      out, "{\"name\":%s,\"epoch\":%" PRIu64 ",\"revision\":%" PRIu64,
+      quoted ? quoted : "\"\"", position.epoch, position.revision);
   free (quoted);
-  json_decref (name);
+  json_decref (string);
 }
--- a/version/watch.c
+++ b/version/watch.c
@@ -358,8 +358,9 @@
 static void
 handle_list (struct watch *watch, const struct store_response *response)
 {
-  struct watch_page page
-      = { .position.epoch = response->epoch, .last_name = watch->after };
+  struct watch_page page = { .position.epoch = response->epoch,
+                             .as_text = watch->sink.takes_text,
+                             .last_name = watch->after };
 
   if (!watch->listing)
     watch->sink.begin (watch->sink.closure);
@@ -393,8 +394,9 @@
 static void
 handle_changes (struct watch *watch, const struct store_response *response)
 {
-  struct watch_page page
-      = { .position.epoch = response->epoch, .last_name = watch->after };
+  struct watch_page page = { .position.epoch = response->epoch,
+                             .as_text = watch->sink.takes_text,
+                             .last_name = watch->after };
 
   watch->watches_since_list++;
   if (watch->protocol->read_watch (response->text, response->length, &page,
