Fetch the versions of a storm at a pace

Cause: an instance that does not watch the store fetches each version that it is told of, however fast they come, so that the work piles up. Change: within 250 ms after a version came into force the next one is not fetched; changes of targets are, without the configuration. The first change after calm does not wait.

--- a/include/ibisloom/snapshot.h
+++ b/include/ibisloom/snapshot.h
@@ -17,6 +17,25 @@
   struct position targets; /* covers all registry entries of targets */
 };
 
+/* What to fetch from an instance. */
+enum snapshot_want
+{
+  SNAPSHOT_NOTHING,
+  SNAPSHOT_TARGETS, /* without the configuration */
+  SNAPSHOT_ALL
+};
+
+enum
+{
+  /* Between two versions of the configuration that are fetched.  The fleet
+     bears versions that come faster, as those between are passed over, and the
+     last is in force well within config_apply_ms.  */
+  SNAPSHOT_CONFIG_PACE_MS = 250
+};
+
+enum snapshot_want snapshot_wanted (const struct snapshot_state *told,
+                                    const struct snapshot_state *known,
+                                    int64_t config_age_ms);
 int snapshot_is_newer (const struct snapshot_state *told,
                        const struct snapshot_state *known);
 
--- a/process/router_snapshot.c
+++ b/process/router_snapshot.c
@@ -21,7 +21,7 @@
                         const struct fleet_update *update);
 static int64_t stale_for_ms (struct router *router, clk_ms now);
 static int is_watching_store (const struct router *router);
-static void fetch_snapshot (struct router *router,
+static void fetch_snapshot (struct router *router, enum snapshot_want want,
                             const struct sockaddr_in *address);
 static void on_fetched (void *closure, const struct store_response *response);
 static uint64_t query_number (const char *url, const char *key);
@@ -51,7 +51,8 @@
 /* Called when another instance reports what it knows of the store.  If that is
    newer and this instance does not watch the store itself, it fetches the
    snapshot of the other instance.  While an instance of its own failure domain
-   watches the store, it fetches only within that domain.
+   watches the store, it fetches only within that domain.  Versions that come
+   in a storm are fetched at a pace.
 
    The connection of a watcher to the store may fail without an error.  What
    other instances have reported for STALE_MS is therefore fetched from any of
@@ -63,10 +64,12 @@
   struct router *router = closure;
   clk_ms now = clk_now (clk_monotonic ());
   int watches_store = is_watching_store (router);
+  enum snapshot_want want = snapshot_wanted (
+      &update->known, &router->known,
+      router->table != NULL ? now - router->table_ms : INT64_MAX);
 
   log_report (router, update);
-  if (router->snapshot_fetch != NULL
-      || !snapshot_is_newer (&update->known, &router->known)
+  if (router->snapshot_fetch != NULL || want == SNAPSHOT_NOTHING
       || (router->fetch_started_ms != 0
           && now - router->fetch_started_ms < FETCH_PAUSE_MS))
     return;
@@ -80,7 +83,7 @@
       watch_restart (&router->targets);
     }
   router->fetch_started_ms = now;
-  fetch_snapshot (router, &update->address);
+  fetch_snapshot (router, want, &update->address);
 }
 
 /* Returns for how many milliseconds other instances have reported newer states
@@ -110,9 +113,11 @@
          && router->table != NULL && router->registry->listed;
 }
 
-/* Starts to fetch what is new in the snapshot of the instance at ADDRESS.  */
+/* Starts to fetch what WANT names of what is new in the snapshot of the
+   instance at ADDRESS.  */
 static void
-fetch_snapshot (struct router *router, const struct sockaddr_in *address)
+fetch_snapshot (struct router *router, enum snapshot_want want,
+                const struct sockaddr_in *address)
 {
   const struct snapshot_state *known = &router->known;
   struct position targets
@@ -120,13 +125,15 @@
   char *path = g_strdup_printf (
       "%s?config=%" PRIu64 "&targets=%" PRIu64 "&version=%" PRIu64
       "&config_epoch=%" PRIu64 "&targets_epoch=%" PRIu64,
-      SNAPSHOT_PATH, known->config.revision, targets.revision, known->version,
+      SNAPSHOT_PATH, known->config.revision, targets.revision,
+      want == SNAPSHOT_TARGETS ? UINT64_MAX : known->version,
       known->config.epoch, targets.epoch);
   struct store_request request = { .address = *address,
                                    .method = "GET",
                                    .url = path,
                                    .timeout_ms = FETCH_TIMEOUT_MS };
 
+  router->fetches_config = want == SNAPSHOT_ALL;
   router->snapshot_fetch = store_call_start (router->loop, &router->pool,
                                              &request, on_fetched, router);
   g_free (path);
@@ -156,10 +163,13 @@
   if (result != 0)
     return;
   router_note_epoch (router, now.targets);
-  router->known.version = MAX (router->known.version, now.version);
-  router->known.config = pos_max (router->known.config, now.config);
   router->known.targets = pos_max (router->known.targets, now.targets);
-  watch_advance (&router->config, now.config);
+  if (router->fetches_config)
+    {
+      router->known.version = MAX (router->known.version, now.version);
+      router->known.config = pos_max (router->known.config, now.config);
+      watch_advance (&router->config, now.config);
+    }
   watch_advance (&router->targets, now.targets);
   log_debug ("fleet", NULL, "snapshot",
              "version %" PRIu64 ", registry %" PRIu64 " from a peer",
--- a/tests/test_json_scan.c
+++ b/tests/test_json_scan.c
@@ -7,12 +7,15 @@
 enum
 {
   DEPTH = 100000,
+  ROUNDS = 2000,
+  PIECES = 12, /* of an element; below ELEMENTS_MAX */
   ELEMENTS_MAX = 16
 };
 
 static void elements_are_split_at_their_commas (void);
 static void refused_element_costs_no_other (void);
 static void members_are_parsed_one_by_one (void);
+static void long_elements_are_split_at_their_commas (void);
 static void each_truncation_is_rejected (void);
 static void malformed_text_is_rejected (void);
 
@@ -21,6 +24,8 @@
   { "an element that the parser refuses costs no other",
     refused_element_costs_no_other },
   { "members are parsed one by one", members_are_parsed_one_by_one },
+  { "elements of many blocks are split at their commas",
+    long_elements_are_split_at_their_commas },
   { "each truncation of a page is rejected", each_truncation_is_rejected },
   { "malformed text is rejected", malformed_text_is_rejected },
 };
@@ -124,6 +129,50 @@
   json_decref (members);
 }
 
+/* Guards against strings, escapes and brackets that lie across the blocks that
+   the scanner skips.  */
+static void
+long_elements_are_split_at_their_commas (void)
+{
+  static const char *const pieces[] = { "[]",
+                                        "{\"a\":[1]}",
+                                        "\"]}[{,\"",
+                                        "\"\\\"]\"",
+                                        "\"\\\\\"",
+                                        "1234567890",
+                                        "\"abcdefghijklmnopqrstuvwxyz{{{{\"",
+                                        "[[{}]]" };
+  GRand *random = g_rand_new_with_seed (3);
+
+  for (int round = 0; round < ROUNDS; round++)
+    {
+      GString *text = g_string_new ("[");
+      GString *expected[2] = { g_string_new ("["), g_string_new ("{\"k\":[") };
+      struct scan_text elements[ELEMENTS_MAX] = { { NULL, 0 } };
+
+      for (int i = 0; i < 2; i++)
+        {
+          for (int j = 0; j < PIECES; j++)
+            g_string_append_printf (
+                expected[i], "%s%s", j > 0 ? "," : "",
+                pieces[g_rand_int_range (random, 0, G_N_ELEMENTS (pieces))]);
+          g_string_append (expected[i], i == 0 ? "]" : "]}");
+          g_string_append_printf (text, "%s%s", i > 0 ? "," : "",
+                                  expected[i]->str);
+        }
+      g_string_append_c (text, ']');
+      CU_ASSERT_EQUAL (split (text->str, elements), 2);
+      for (int i = 0; i < 2; i++)
+        expect_text (elements[i], expected[i]->str);
+      text->str[1] = ' ';
+      CU_ASSERT_EQUAL (split (text->str, elements), -1);
+      g_string_free (text, TRUE);
+      for (int i = 0; i < 2; i++)
+        g_string_free (expected[i], TRUE);
+    }
+  g_rand_free (random);
+}
+
 static void
 each_truncation_is_rejected (void)
 {
--- a/tests/test_snapshot.c
+++ b/tests/test_snapshot.c
@@ -27,6 +27,7 @@
 static void positions_are_ordered_by_epoch_first (void);
 static void replicas_follow_restorations (void);
 static void newest_version_is_passed_on (void);
+static void storms_of_versions_are_paced (void);
 static void deeply_nested_entry_reaches_replicas (void);
 
 static const struct test_case cases[] = {
@@ -42,6 +43,7 @@
     newest_version_is_passed_on },
   { "an entry nested up to the parser's limit costs no other",
     deeply_nested_entry_reaches_replicas },
+  { "storms of versions are fetched at a pace", storms_of_versions_are_paced },
   { "damaged data is rejected", damaged_data_is_rejected },
   { "failed watchers are replaced", failed_watchers_are_replaced },
   { "the number of watchers is bounded in an outage",
@@ -132,6 +134,45 @@
   json_decref (content);
 }
 
+/* Guards against versions that pile up in a storm, against one after calm that
+   waits, and against targets that wait with versions.  */
+static void
+storms_of_versions_are_paced (void)
+{
+  enum
+  {
+    CALM_MS = 10000,
+    STORM_MS = 3000,
+    BETWEEN_MS = 70
+  };
+  struct snapshot_state known = { .version = 1, .targets = { 0, 1 } };
+  struct snapshot_state told = known;
+  int64_t taken_ms = -CALM_MS;
+  int fetches = 0;
+
+  for (int64_t now = 0; now < STORM_MS + SNAPSHOT_CONFIG_PACE_MS; now++)
+    {
+      told.version += now < STORM_MS && now % BETWEEN_MS == 0;
+      told.targets.revision = (uint64_t)(now == STORM_MS / 2 ? 2 : 1);
+      if (now == STORM_MS / 2)
+        CU_ASSERT_NOT_EQUAL (snapshot_wanted (&told, &known, now - taken_ms),
+                             SNAPSHOT_NOTHING);
+      if (snapshot_wanted (&told, &known, now - taken_ms) != SNAPSHOT_ALL)
+        continue;
+      CU_ASSERT (fetches > 0 || now == 0);
+      CU_ASSERT (now - taken_ms >= SNAPSHOT_CONFIG_PACE_MS);
+      fetches++;
+      taken_ms = now;
+      known.version = told.version;
+    }
+  CU_ASSERT_EQUAL (known.version, told.version);
+  CU_ASSERT_EQUAL (fetches, 1 + STORM_MS / SNAPSHOT_CONFIG_PACE_MS);
+  told.version++;
+  known.targets.revision = 0;
+  CU_ASSERT_EQUAL (snapshot_wanted (&told, &known, 0), SNAPSHOT_TARGETS);
+  CU_ASSERT_EQUAL (snapshot_wanted (&told, &known, CALM_MS), SNAPSHOT_ALL);
+}
+
 /* The entry has the depth at which a parser still accepts it in the store.  */
 static void
 deeply_nested_entry_reaches_replicas (void)
--- a/version/snapshot.c
+++ b/version/snapshot.c
@@ -62,6 +62,8 @@
   struct snapshot_cache cache;
 };
 
+static int has_newer_config (const struct snapshot_state *told,
+                             const struct snapshot_state *known);
 static int is_superseded (const struct snapshot *snapshot,
                           const struct watch_object *object);
 static void record_deletion (struct snapshot *snapshot,
@@ -83,15 +85,39 @@
 static int deliver_all (struct scan_text list, int deleted,
                         const struct watch_sink *sink);
 
+/* Returns what an instance that knows KNOWN, and took its configuration
+   CONFIG_AGE_MS ago, is to fetch now from one that told the state TOLD.  In a
+   storm of versions it waits with the configuration, and never after calm.  */
+enum snapshot_want
+snapshot_wanted (const struct snapshot_state *told,
+                 const struct snapshot_state *known, int64_t config_age_ms)
+{
+  if (!snapshot_is_newer (told, known))
+    return SNAPSHOT_NOTHING;
+  if (!has_newer_config (told, known)
+      || config_age_ms >= SNAPSHOT_CONFIG_PACE_MS)
+    return SNAPSHOT_ALL;
+  return pos_compare (told->targets, known->targets) > 0 ? SNAPSHOT_TARGETS
+                                                         : SNAPSHOT_NOTHING;
+}
+
 /* Returns whether an instance that told the state TOLD has anything newer than
-   KNOWN.  Versions of the configuration only rise, also when the store is
-   restored; their positions count only if no version is told.  */
+   KNOWN.  */
 int
 snapshot_is_newer (const struct snapshot_state *told,
                    const struct snapshot_state *known)
 {
-  if (pos_compare (told->targets, known->targets) > 0)
-    return 1;
+  return pos_compare (told->targets, known->targets) > 0
+         || has_newer_config (told, known);
+}
+
+/* Returns whether the configuration of TOLD is newer than that of KNOWN.
+   Versions of the configuration only rise, also when the store is restored;
+   their positions count only if no version is told.  */
+static int
+has_newer_config (const struct snapshot_state *told,
+                  const struct snapshot_state *known)
+{
   return told->version != 0 ? told->version > known->version
                             : pos_compare (told->config, known->config) > 0;
 }
