Test a storm of versions beside streams

Cause: nothing tested that versions which come faster than they are taken end with the newest in force, while streams go on. Change: 35 versions of 1,204 routes at 70 ms, at nine instances of which six watch the store, each beside a stream with an event every 50 ms; no instance falls back, the newest is in force at all within the bound, and no pause between events is over 250 ms.

--- /dev/null
+++ b/tests/test_storm.c
@@ -0,0 +1,168 @@
+/* End-to-end test of versions of a large configuration that come in a storm,
+   beside a stream.  */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "shop.h"
+#include "test.h"
+
+enum
+{
+  ROUTERS = 9,           /* three in each failure domain, two of them watch */
+  WATCH_START_MS = 3000, /* until the watchers are elected and settled */
+  APPLY_MS = 2000,       /* until a confirmed version must be in force */
+  ROUTES = 1200,
+  VERSIONS = 35,
+  BETWEEN_MS = 70,
+  CHECK_MS = 25,
+  EVENT_MS = 50,
+  EVENTS = 64,  /* go on for longer than the storm */
+  LATE_MS = 200 /* clients count an event as late after a longer pause */
+};
+
+static void newest_version_of_a_storm_is_in_force (void);
+
+static const struct test_case cases[] = {
+  { "the newest version of a storm is in force, and streams go on",
+    newest_version_of_a_storm_is_in_force },
+};
+
+TEST_MAIN ("storm", cases)
+
+/* Stream that a thread reads. */
+struct reader
+{
+  int router;
+  int events;
+  gint64 longest_pause_ms;
+};
+
+/* Makes VERSION, which differs in some routes from the ones before it, the
+   configuration.  */
+static void
+put_version (int version)
+{
+  const char *routes = strstr (shop_config, "\"routes\":[");
+  size_t head = (size_t)(routes - shop_config) + strlen ("\"routes\":[");
+  GString *text = g_string_new ("{\"version\":");
+
+  g_string_append_printf (
+      text, "%d%.*s", version,
+      (int)(head - (size_t)(strchr (shop_config, ',') - shop_config)),
+      strchr (shop_config, ','));
+  for (int i = 0; i < ROUTES; i++)
+    g_string_append_printf (
+        text,
+        "{\"name\":\"r%d\",\"host\":\"h%d.example\",\"path_prefix\":\"/%d/\","
+        "\"route_type\":\"idempotent\",\"timeout_ms\":%d,\"priority\":3,"
+        "\"target_latency_ms\":300,\"service\":\"desk\",\"max_attempts\":2,"
+        "\"stream_resume\":false,\"session_affinity\":false},",
+        i, i % 50, i, i % 300 == version ? 1000 + version : 3000);
+  g_string_append (text, shop_config + head);
+  fx_store_put ("config", "main", text->str);
+  g_string_free (text, TRUE);
+}
+
+static int
+stream_slowly (const struct fx_request *request)
+{
+  shop_start_stream (request);
+  for (int i = 1; i <= EVENTS; i++)
+    {
+      shop_write_events (request, i, i);
+      fx_sleep_ms (EVENT_MS);
+    }
+  fx_write (request->fd, "0\r\n\r\n");
+  return 0;
+}
+
+/* Reads a stream through the router of CLOSURE to its end.  */
+static gpointer
+read_stream (gpointer closure)
+{
+  struct reader *reader = closure;
+  int fd = fx_router_connect (reader->router);
+  char *request = g_strdup_printf (POST_PLAN ("storm-%d"), reader->router);
+  gint64 last_ms = 0;
+  char data[4096];
+  ssize_t length;
+
+  fx_send (fd, request);
+  g_free (request);
+  while ((length = read (fd, data, sizeof data - 1)) > 0)
+    {
+      gint64 now_ms = g_get_monotonic_time () / 1000;
+
+      data[length] = '\0';
+      if (strstr (data, "data:") == NULL)
+        continue;
+      if (last_ms != 0)
+        reader->longest_pause_ms
+            = MAX (reader->longest_pause_ms, now_ms - last_ms);
+      last_ms = now_ms;
+      for (const char *at = data; (at = strstr (at, "data:")) != NULL; at++)
+        reader->events++;
+    }
+  close (fd);
+  return NULL;
+}
+
+/* Returns at how many routers VERSION is in force, and checks that none falls
+   behind a version of BEFORE, which is set to those in force.  */
+static int
+count_in_force (long version, long *before)
+{
+  int count = 0;
+
+  for (int i = 0; i < ROUTERS; i++)
+    {
+      long now = fx_router_metric (i, "ibisloom_version_in_force");
+
+      CU_ASSERT (now >= before[i]);
+      before[i] = now;
+      count += now == version;
+    }
+  return count;
+}
+
+static void
+newest_version_of_a_storm_is_in_force (void)
+{
+  struct reader readers[ROUTERS] = { { 0 } };
+  GThread *threads[ROUTERS];
+  long in_force[ROUTERS] = { 0 };
+  int waited_ms = 0;
+
+  fx_target_add ("p-0", "pool", stream_slowly);
+  fx_store_start (shop_config);
+  fx_routers_start (ROUTERS);
+  fx_sleep_ms (WATCH_START_MS);
+  for (int i = 0; i < ROUTERS; i++)
+    {
+      readers[i].router = i;
+      threads[i] = g_thread_new ("reader", read_stream, &readers[i]);
+    }
+  for (int i = 0; i < VERSIONS; i++)
+    {
+      put_version (10 + i);
+      fx_sleep_ms (BETWEEN_MS);
+    }
+  while (count_in_force (10 + VERSIONS - 1, in_force) < ROUTERS
+         && waited_ms <= APPLY_MS)
+    {
+      fx_sleep_ms (CHECK_MS);
+      waited_ms += CHECK_MS;
+    }
+  CU_ASSERT (waited_ms <= APPLY_MS);
+  for (int i = 0; i < ROUTERS; i++)
+    {
+      g_thread_join (threads[i]);
+      CU_ASSERT_EQUAL (readers[i].events, EVENTS);
+      if (readers[i].longest_pause_ms > EVENT_MS + LATE_MS)
+        printf ("pause of %d ms ", (int)readers[i].longest_pause_ms);
+      CU_ASSERT (readers[i].longest_pause_ms <= EVENT_MS + LATE_MS);
+    }
+  fx_env_stop ();
+}
