Send only what changed in a configuration to an instance that asks for it

Cause: each instance that fetches a version got all of it, packed by the sender and unpacked and scanned by the receiver, however little had changed. The sender keeps for each route since which version it has it, and answers with texts and runs of routes, named by the hash of the first one; the hash of the result is checked. If it is another one, nothing of the configuration is taken, and the next request asks for the whole. Older builds do not ask, and get the whole as before; what they send is read as before. config_paced_total and config_delta_refused_total count, with log lines.

--- a/bench/micro_config.c
+++ b/bench/micro_config.c
@@ -101,9 +101,11 @@
 {
   struct instance *instance = closure;
   int64_t start_ns = cpu_now_ns ();
-  GBytes *text = g_bytes_new (object->text.at, object->text.length);
-  struct cfg_text *config
-      = plat_read_config_text (text, snapshot_config (instance->snapshot));
+  const struct cfg_text *before = snapshot_config (instance->snapshot);
+  GBytes *text = object->delta.length > 0
+                     ? cfg_apply_delta (before, object->delta)
+                     : g_bytes_new (object->text.at, object->text.length);
+  struct cfg_text *config = plat_read_config_text (text, before);
 
   g_bytes_unref (text);
   start_ns = add_time (instance->table_step, start_ns);
@@ -136,8 +138,9 @@
       "\"main\",\"revision\":%d},\"spec\":%s}}],\"at\":%d}",
       version, config, version);
   struct watch_page page = { .as_text = 1, .last_name = g_string_new (NULL) };
-  struct snapshot_state since
-      = { .version = (uint64_t)version - 1, .targets = { 0, 1 } };
+  struct snapshot_state since = { .version = (uint64_t)version - 1,
+                                  .targets = { 0, 1 },
+                                  .base = (uint64_t)version - 1 };
   struct snapshot_state now = { .version = (uint64_t)version,
                                 .config = { 0, (uint64_t)version },
                                 .targets = { 0, 1 } };
--- a/include/ibisloom/router.h
+++ b/include/ibisloom/router.h
@@ -39,6 +39,7 @@
   struct snapshot *snapshot;
   struct store_call *snapshot_fetch; /* from a peer, in progress; or NULL */
   uint8_t fetches_config;  /* the last fetch asked for the configuration */
+  uint8_t refuses_delta;   /* the last one fetched builds on another text */
   clk_ms fetch_started_ms; /* start of the last snapshot fetch; 0: none */
   /* Newest state, from the store or from peers.  Its version may not be in
      force, if this build cannot read it.  */
--- a/include/ibisloom/snapshot.h
+++ b/include/ibisloom/snapshot.h
@@ -15,6 +15,9 @@
   uint64_t version;        /* of the configuration; 0: none, or not told */
   struct position config;  /* of the configuration object */
   struct position targets; /* covers all registry entries of targets */
+  /* Version of the configuration that a difference may build on; 0: none.  Set
+     in requests only.  */
+  uint64_t base;
 };
 
 /* What to fetch from an instance. */
@@ -30,7 +33,9 @@
   /* Between two versions of the configuration that are fetched.  The fleet
      bears versions that come faster, as those between are passed over, and the
      last is in force well within config_apply_ms.  */
-  SNAPSHOT_CONFIG_PACE_MS = 250
+  SNAPSHOT_CONFIG_PACE_MS = 250,
+  /* Uncompressed size, ahead of the compressed data.  */
+  SNAPSHOT_SIZE_HEX_DIGITS = 8
 };
 
 enum snapshot_want snapshot_wanted (const struct snapshot_state *told,
--- a/process/metrics.c
+++ b/process/metrics.c
@@ -131,6 +131,8 @@
   [METRIC_PLATFORM_ERRORS] = "ibisloom_platform_errors_total",
   [METRIC_STORE_RESTORED] = "ibisloom_store_restored_total",
   [METRIC_WATCH_CHECKS] = "ibisloom_watch_checks_total",
+  [METRIC_CONFIG_PACED] = "ibisloom_config_paced_total",
+  [METRIC_DELTA_REFUSED] = "ibisloom_config_delta_refused_total",
   [METRIC_STORE_UNREADABLE] = "ibisloom_store_unreadable_total",
   [METRIC_ORIGIN_READS] = "ibisloom_origin_calls_total{call=\"read\"}",
   [METRIC_ORIGIN_WRITES] = "ibisloom_origin_calls_total{call=\"write\"}",
--- a/process/router_snapshot.c
+++ b/process/router_snapshot.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "ibisloom/log.h"
+#include "ibisloom/metrics.h"
 #include "ibisloom/relay.h"
 #include "librouter.h"
 
@@ -19,6 +20,8 @@
 
 static void log_report (struct router *router,
                         const struct fleet_update *update);
+static void log_paced (const struct router *router,
+                       const struct fleet_update *update);
 static int64_t stale_for_ms (struct router *router, clk_ms now);
 static int is_watching_store (const struct router *router);
 static void fetch_snapshot (struct router *router, enum snapshot_want want,
@@ -69,6 +72,9 @@
       router->table != NULL ? now - router->table_ms : INT64_MAX);
 
   log_report (router, update);
+  if (want != SNAPSHOT_ALL
+      && snapshot_is_newer (&update->known, &router->known))
+    log_paced (router, update);
   if (router->snapshot_fetch != NULL || want == SNAPSHOT_NOTHING
       || (router->fetch_started_ms != 0
           && now - router->fetch_started_ms < FETCH_PAUSE_MS))
@@ -86,6 +92,22 @@
   fetch_snapshot (router, want, &update->address);
 }
 
+/* Counts and logs that the version in UPDATE is not fetched yet.  */
+static void
+log_paced (const struct router *router, const struct fleet_update *update)
+{
+  struct log_line line;
+
+  metric_inc (METRIC_CONFIG_PACED);
+  if (!log_begin (&line, LOG_LEVEL_INFO, "config", NULL, "paced"))
+    return;
+  log_number (&line, "version", (int64_t)update->known.version);
+  log_number (&line, "in_force", (int64_t)router->known.version);
+  log_number (&line, "in_force_ms",
+              clk_now (clk_monotonic ()) - router->table_ms);
+  log_end (&line);
+}
+
 /* Returns for how many milliseconds other instances have reported newer states
    while that of ROUTER has not changed.  Called when an instance reports a
    newer one.  */
@@ -122,18 +144,22 @@
   const struct snapshot_state *known = &router->known;
   struct position targets
       = router->registry->listed ? known->targets : (struct position){ 0 };
+  uint64_t base = router->table != NULL && !router->refuses_delta
+                      ? router->table->version
+                      : 0;
   char *path = g_strdup_printf (
       "%s?config=%" PRIu64 "&targets=%" PRIu64 "&version=%" PRIu64
-      "&config_epoch=%" PRIu64 "&targets_epoch=%" PRIu64,
+      "&config_epoch=%" PRIu64 "&targets_epoch=%" PRIu64 "&delta=%" PRIu64,
       SNAPSHOT_PATH, known->config.revision, targets.revision,
       want == SNAPSHOT_TARGETS ? UINT64_MAX : known->version,
-      known->config.epoch, targets.epoch);
+      known->config.epoch, targets.epoch, base);
   struct store_request request = { .address = *address,
                                    .method = "GET",
                                    .url = path,
                                    .timeout_ms = FETCH_TIMEOUT_MS };
 
   router->fetches_config = want == SNAPSHOT_ALL;
+  router->refuses_delta = 0;
   router->snapshot_fetch = store_call_start (router->loop, &router->pool,
                                              &request, on_fetched, router);
   g_free (path);
@@ -164,7 +190,7 @@
     return;
   router_note_epoch (router, now.targets);
   router->known.targets = pos_max (router->known.targets, now.targets);
-  if (router->fetches_config)
+  if (router->fetches_config && !router->refuses_delta)
     {
       router->known.version = MAX (router->known.version, now.version);
       router->known.config = pos_max (router->known.config, now.config);
@@ -205,7 +231,8 @@
               .config = { query_number (url, "config_epoch="),
                           query_number (url, "config=") },
               .targets = { query_number (url, "targets_epoch="),
-                           query_number (url, "targets=") } };
+                           query_number (url, "targets=") },
+              .base = query_number (url, "delta=") };
       struct snapshot_state now = router->known;
 
       now.version = router->table != NULL ? router->table->version : 0;
--- a/process/router_store.c
+++ b/process/router_store.c
@@ -46,8 +46,12 @@
 static void log_target (const char *reason, const struct reg_entry *entry,
                         struct position position);
 static void set_pace (struct router *router, int is_standby);
-static struct cfg_text *read_config (struct router *router,
-                                     const struct watch_object *object);
+static GBytes *config_text (struct router *router,
+                            const struct watch_object *object);
+static int is_passed_over (const struct router *router, GBytes *text);
+static void take_config (struct router *router,
+                         const struct watch_object *object,
+                         struct cfg_text *config);
 static void activate_table (struct router *router, struct rt_table *table);
 
 /* Returns the sink of configurations, from the store or from a peer.  */
@@ -108,20 +112,72 @@
 config_object (void *closure, const struct watch_object *object)
 {
   struct router *router = closure;
-  struct cfg_text *config;
-  uint64_t version;
+  GBytes *text;
 
   if (!object->is_earlier)
     router->page_version = 0;
   if (object->deleted
       || strcmp (object->name, router->dialect->config_name) != 0)
     return;
-  router->known.config = pos_max (router->known.config, object->position);
-  if (router->page_version > 0
-      && router->dialect->config_version (object->text, &version) == 0
-      && version <= router->page_version)
+  text = config_text (router, object);
+  if (text == NULL)
     return;
-  config = read_config (router, object);
+  router->known.config = pos_max (router->known.config, object->position);
+  if (!is_passed_over (router, text))
+    take_config (
+        router, object,
+        router->dialect->config (text, snapshot_config (router->snapshot)));
+  g_bytes_unref (text);
+}
+
+/* Returns the text of OBJECT, a configuration, or NULL if it holds a
+   difference from a text that ROUTER does not have.  The whole is fetched
+   then.  */
+static GBytes *
+config_text (struct router *router, const struct watch_object *object)
+{
+  struct log_line line;
+  GBytes *text;
+
+  if (object->delta.length == 0)
+    return g_bytes_new (object->text.at, object->text.length);
+  text = cfg_apply_delta (snapshot_config (router->snapshot), object->delta);
+  if (text != NULL)
+    return text;
+  router->refuses_delta = 1;
+  metric_inc (METRIC_DELTA_REFUSED);
+  if (!log_begin (&line, LOG_LEVEL_WARN, "config", NULL, "delta_refused"))
+    return NULL;
+  log_number (&line, "version",
+              router->table ? (int64_t)router->table->version : 0);
+  log_number (&line, "epoch", (int64_t)object->position.epoch);
+  log_number (&line, "revision", (int64_t)object->position.revision);
+  log_end (&line);
+  return NULL;
+}
+
+/* Returns whether the configuration TEXT need not be read, as a later event of
+   the same page brought a version at least as new.  */
+static int
+is_passed_over (const struct router *router, GBytes *text)
+{
+  struct scan_text scanned;
+  uint64_t version;
+
+  if (router->page_version == 0)
+    return 0;
+  scanned.at = g_bytes_get_data (text, &scanned.length);
+  return router->dialect->config_version (scanned, &version) == 0
+         && version <= router->page_version;
+}
+
+/* Brings CONFIG, the content of OBJECT, into force if it is newer than the
+   version in force, and takes ownership of it.  NULL stands for one that is
+   malformed.  */
+static void
+take_config (struct router *router, const struct watch_object *object,
+             struct cfg_text *config)
+{
   if (config == NULL)
     {
       metric_inc (METRIC_STORE_UNREADABLE);
@@ -141,18 +197,6 @@
   snapshot_put_config (router->snapshot, object, config);
 }
 
-/* Returns the configuration in OBJECT, or NULL if it is malformed.  */
-static struct cfg_text *
-read_config (struct router *router, const struct watch_object *object)
-{
-  GBytes *text = g_bytes_new (object->text.at, object->text.length);
-  struct cfg_text *config
-      = router->dialect->config (text, snapshot_config (router->snapshot));
-
-  g_bytes_unref (text);
-  return config;
-}
-
 /* Called when a list of configurations was read completely, at POSITION.  */
 static void
 config_end (void *closure, struct position position)
--- a/tests/test_config_text.c
+++ b/tests/test_config_text.c
@@ -1,4 +1,5 @@
 /* Routes that versions of the configuration share. */
+#include <stdlib.h>
 #include <string.h>
 
 #include "platform.h"
@@ -44,6 +45,16 @@
   return config;
 }
 
+/* Returns TEXT, which is valid, as it is read after BEFORE.  */
+static struct cfg_text *
+read_valid (const char *text, const struct cfg_text *before)
+{
+  struct cfg_text *config = read_text (text, before);
+
+  g_assert_nonnull (config);
+  return config;
+}
+
 /* Returns how many routes of A are those of B.  */
 static guint
 count_shared (const struct cfg_text *a, const struct cfg_text *b)
@@ -89,13 +100,12 @@
               ",\"tenants\":[]"),
       0, 0 },
   };
-  struct cfg_text *first = read_text (versions[0].text, NULL);
+  struct cfg_text *first = read_valid (versions[0].text, NULL);
 
   for (size_t i = 0; i < G_N_ELEMENTS (versions); i++)
     {
-      struct cfg_text *config = read_text (versions[i].text, first);
+      struct cfg_text *config = read_valid (versions[i].text, first);
 
-      CU_ASSERT_PTR_NOT_NULL_FATAL (config);
       CU_ASSERT_EQUAL (count_shared (config, first), versions[i].shared);
       CU_ASSERT_EQUAL (config->table->keys == first->table->keys,
                        versions[i].shares_customers);
@@ -110,12 +120,12 @@
 shared_routes_outlive_their_table (void)
 {
   struct cfg_text *config
-      = read_text (CONFIG (ROUTE ("a", "1"), CUSTOMERS), NULL);
+      = read_valid (CONFIG (ROUTE ("a", "1"), CUSTOMERS), NULL);
   struct rt_table *running = rt_ref (config->table);
 
   for (int i = 0; i < 3; i++)
     {
-      struct cfg_text *next = read_text (
+      struct cfg_text *next = read_valid (
           CONFIG (ROUTE ("b", "2") "," ROUTE ("a", "1"), CUSTOMERS), config);
 
       cfg_free (config);
@@ -148,7 +158,7 @@
     "",
   };
   struct cfg_text *first
-      = read_text (CONFIG (ROUTE ("a", "1") "," ROUTE ("b", "2"), ""), NULL);
+      = read_valid (CONFIG (ROUTE ("a", "1") "," ROUTE ("b", "2"), ""), NULL);
 
   for (size_t i = 0; i < G_N_ELEMENTS (malformed); i++)
     CU_ASSERT_PTR_NULL (read_text (malformed[i], first));
@@ -160,12 +170,11 @@
 odd_text_reads_as_a_whole (void)
 {
   struct cfg_text *config
-      = read_text ("{\"version\":1,\"routes\":[7],\"rout\\u0065s\":[" ROUTE (
-                       "a", "1") "],"
-                                 "\"version\":5}",
-                   NULL);
+      = read_valid ("{\"version\":1,\"routes\":[7],\"rout\\u0065s\":[" ROUTE (
+                        "a", "1") "],"
+                                  "\"version\":5}",
+                    NULL);
 
-  CU_ASSERT_PTR_NOT_NULL_FATAL (config);
   CU_ASSERT_EQUAL (config->table->version, 5);
   CU_ASSERT_EQUAL (config->table->routes->len, 1);
   cfg_free (config);
@@ -186,20 +195,50 @@
     }
 }
 
-/* Makes versions by random changes, of which some are large, so that names,
-   and hosts with prefixes, are there twice.  */
+/* Checks that CONFIG makes the same text of the version that HELD is from what
+   it says has changed, and that HELD refuses it if it is another text.  */
+static void
+expect_delta (const struct cfg_text *config, const struct cfg_text *held,
+              const struct cfg_text *other, uint32_t *deltas)
+{
+  char *delta = cfg_delta (config, held->table->version);
+  struct scan_text text = { delta, delta != NULL ? strlen (delta) : 0 };
+  GBytes *made;
+
+  if (delta == NULL)
+    return;
+  ++*deltas;
+  made = cfg_apply_delta (held, text);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (made);
+  CU_ASSERT (g_bytes_equal (made, config->text));
+  g_bytes_unref (made);
+  CU_ASSERT_PTR_NULL (cfg_apply_delta (NULL, text));
+  made = cfg_apply_delta (other, text);
+  CU_ASSERT (made == NULL || g_bytes_equal (made, config->text));
+  if (made != NULL)
+    g_bytes_unref (made);
+  text.length--;
+  CU_ASSERT_PTR_NULL (cfg_apply_delta (held, text));
+  free (delta);
+}
+
+/* Makes versions by random changes, of which some are large, so that hosts
+   with prefixes are there twice.  A second instance takes every
+   third version only, as a difference if that is offered.  */
 static void
 versions_match_what_is_read_alone (void)
 {
   GRand *random = g_rand_new_with_seed (7);
   int timeouts[ROUTES_MAX] = { 0 };
   struct cfg_text *config = NULL;
+  struct cfg_text *behind = read_valid ("{\"version\":0,\"routes\":[]}", NULL);
+  uint32_t deltas = 0;
 
   for (int round = 0; round < ROUNDS; round++)
     {
       GString *text = g_string_new ("{\"routes\":[");
       int changes = round % 5 == 0 ? ROUTES_MAX / 2 : 2;
-      int count = g_rand_int_range (random, 1, ROUTES_MAX);
+      int count = ROUTES_MAX - g_rand_int_range (random, 0, 4);
       struct cfg_text *alone;
       struct cfg_text *next;
 
@@ -212,17 +251,27 @@
             "%s{\"name\":\"r%d\",\"host\":\"h%d\",\"path_prefix\":\"/%d/\","
             "\"route_type\":\"idempotent\",\"service\":\"s\","
             "\"timeout_ms\":%d}",
-            i > 0 ? "," : "", timeouts[i] % 20, timeouts[i] % 3,
-            timeouts[i] % 15, timeouts[i]);
+            i > 0 ? "," : "", i, timeouts[i] % 3, timeouts[i] % 15,
+            timeouts[i]);
       g_string_append_printf (text, "],\"version\":%d}", round + 1);
-      alone = read_text (text->str, NULL);
-      next = read_text (text->str, config);
+      alone = read_valid (text->str, NULL);
+      next = read_valid (text->str, config);
       expect_same (alone->table, next->table);
+      expect_delta (next, behind, config, &deltas);
+      if (round % 3 == 0)
+        {
+          struct cfg_text *caught_up = read_valid (text->str, behind);
+
+          cfg_free (behind);
+          behind = caught_up;
+        }
       cfg_free (config);
       cfg_free (alone);
       g_string_free (text, TRUE);
       config = next;
     }
+  CU_ASSERT (deltas > ROUNDS / 4);
   cfg_free (config);
+  cfg_free (behind);
   g_rand_free (random);
 }
--- a/tests/test_snapshot.c
+++ b/tests/test_snapshot.c
@@ -28,6 +28,7 @@
 static void replicas_follow_restorations (void);
 static void newest_version_is_passed_on (void);
 static void storms_of_versions_are_paced (void);
+static void older_builds_get_the_whole_text (void);
 static void deeply_nested_entry_reaches_replicas (void);
 
 static const struct test_case cases[] = {
@@ -43,6 +44,8 @@
     newest_version_is_passed_on },
   { "an entry nested up to the parser's limit costs no other",
     deeply_nested_entry_reaches_replicas },
+  { "only who asks for a difference gets one",
+    older_builds_get_the_whole_text },
   { "storms of versions are fetched at a pace", storms_of_versions_are_paced },
   { "damaged data is rejected", damaged_data_is_rejected },
   { "failed watchers are replaced", failed_watchers_are_replaced },
@@ -134,6 +137,55 @@
   json_decref (content);
 }
 
+/* Puts into SNAPSHOT the version VERSION, of which little changes.  */
+static void
+put_version (struct snapshot *snapshot, int version)
+{
+  struct watch_object object
+      = { .name = "main", .position = { 0, (uint64_t)version } };
+  char *config = g_strdup_printf (
+      "{\"version\":%d,\"routes\":[],\"services\":[{\"name\":"
+      "\"a-name-that-is-longer-than-all-that-changes-in-a-version\"}]}",
+      version);
+  GBytes *text = g_bytes_new_take (config, strlen (config));
+
+  snapshot_put_config (
+      snapshot, &object,
+      plat_read_config_text (text, snapshot_config (snapshot)));
+  g_bytes_unref (text);
+}
+
+/* Guards against a difference sent to a build that cannot read it, or to an
+   instance with a version that the sender does not know.  */
+static void
+older_builds_get_the_whole_text (void)
+{
+  static const struct
+  {
+    uint64_t base;
+    int is_delta;
+  } cases_of_base[] = { { 0, 0 }, { 7, 1 }, { 6, 1 }, { 4, 0 } };
+  struct snapshot *snapshot = snapshot_new ();
+  struct snapshot_state now = { .version = 8, .config = { 0, 8 } };
+
+  put_version (snapshot, 5);
+  put_version (snapshot, 7);
+  put_version (snapshot, 8);
+  for (size_t i = 0; i < G_N_ELEMENTS (cases_of_base); i++)
+    {
+      struct snapshot_state since
+          = { .version = 1, .base = cases_of_base[i].base };
+      char *text = snapshot_to_json (snapshot, &since, &now);
+
+      CU_ASSERT_EQUAL (strstr (text, "\"delta\":") != NULL,
+                       cases_of_base[i].is_delta);
+      CU_ASSERT_EQUAL (strstr (text, "\"content\":{\"version\":8,") != NULL,
+                       !cases_of_base[i].is_delta);
+      g_free (text);
+    }
+  snapshot_free (snapshot);
+}
+
 /* Guards against versions that pile up in a storm, against one after calm that
    waits, and against targets that wait with versions.  */
 static void
