Test that the newest readable version of one response is taken

Cause: nothing tested that events of one response which are passed over cost no version when a later one is unreadable, older or of another object. Change: an end-to-end test of five such events. Instances that watch the store no longer count versions that they hear of as paced.

--- a/process/router_snapshot.c
+++ b/process/router_snapshot.c
@@ -72,7 +72,7 @@
       router->table != NULL ? now - router->table_ms : INT64_MAX);
 
   log_report (router, update);
-  if (want != SNAPSHOT_ALL
+  if (!watches_store && want != SNAPSHOT_ALL
       && snapshot_is_newer (&update->known, &router->known))
     log_paced (router, update);
   if (router->snapshot_fetch != NULL || want == SNAPSHOT_NOTHING
--- a/tests/test_storm.c
+++ b/tests/test_storm.c
@@ -17,6 +17,7 @@
   ROUTES = 1200,
   VERSIONS = 35,
   BETWEEN_MS = 70,
+  TAKEN_MS = 80, /* until a change is taken; no watch follows for 250 ms */
   CHECK_MS = 25,
   EVENT_MS = 50,
   EVENTS = 64,  /* go on for longer than the storm */
@@ -25,10 +26,14 @@
 
 static void newest_version_of_a_storm_is_in_force (void);
 static void whole_text_follows_a_wrong_difference (void);
+static void unreadable_version_costs_none_before_it (void);
 
 static const struct test_case cases[] = {
   { "the newest version of a storm is in force, and streams go on",
     newest_version_of_a_storm_is_in_force },
+  { "of versions that come at once, the newest readable one is in force",
+    unreadable_version_costs_none_before_it },
+  /* Last, as its scripted peers go on for a while.  */
   { "a difference that builds on another text is refused, and the whole "
     "fetched",
     whole_text_follows_a_wrong_difference },
@@ -170,13 +175,25 @@
   fx_env_stop ();
 }
 
+/* Checks that VERSION is in force at the first router within the bound.  */
+static void
+expect_version (long version)
+{
+  gint64 end_us = g_get_monotonic_time () + APPLY_MS * G_TIME_SPAN_MILLISECOND;
+
+  while (fx_router_metric (0, "ibisloom_version_in_force") != version
+         && g_get_monotonic_time () <= end_us)
+    fx_sleep_ms (CHECK_MS);
+  if (fx_router_metric (0, "ibisloom_version_in_force") != version)
+    printf ("version %ld ", fx_router_metric (0, "ibisloom_version_in_force"));
+  CU_ASSERT_EQUAL (fx_router_metric (0, "ibisloom_version_in_force"), version);
+}
+
 /* Guards against a version that is passed over, as what came instead of it
    could not be used.  The instance fetches, as others seem to watch.  */
 static void
 whole_text_follows_a_wrong_difference (void)
 {
-  gint64 end_us;
-
   fx_target_add ("d-0", "desk", shop_respond_ok);
   fx_env_start (shop_config);
   fx_stale_watchers_start (2);
@@ -185,13 +202,30 @@
   fx_store_block_watches (1);
   shop_put_version (9);
   fx_newer_peer_start (9);
-  end_us = g_get_monotonic_time () + APPLY_MS * G_TIME_SPAN_MILLISECOND;
-  while (fx_router_metric (0, "ibisloom_version_in_force") != 9
-         && g_get_monotonic_time () <= end_us)
-    fx_sleep_ms (CHECK_MS);
-  CU_ASSERT_EQUAL (fx_router_metric (0, "ibisloom_version_in_force"), 9);
+  expect_version (9);
   CU_ASSERT (fx_router_metric (0, "ibisloom_config_delta_refused_total") > 0);
   fx_peers_send_bad_differences (0);
   fx_store_block_watches (0);
   fx_env_stop ();
 }
+
+/* Guards against events of one response that are passed over, though what came
+   after them cannot be read, is older or is of another object.  The events
+   come together, as the watch pauses after a change.  */
+static void
+unreadable_version_costs_none_before_it (void)
+{
+  fx_target_add ("d-0", "desk", shop_respond_ok);
+  fx_env_start (shop_config);
+  fx_sleep_ms (WATCH_START_MS);
+  shop_put_version (5);
+  fx_sleep_ms (TAKEN_MS);
+  shop_put_version (9);
+  shop_put_version (8);
+  fx_store_put ("config", "main", "{\"version\":10,\"routes\":[7]}");
+  fx_store_put ("config", "other", shop_config);
+  fx_store_delete ("config", "main");
+  expect_version (9);
+  shop_expect (GET_MAP ("m"), "200", "well");
+  fx_env_stop ();
+}
