--- a/include/ibisloom/router.h
+++ b/include/ibisloom/router.h
@@ -39,6 +39,8 @@
   struct fleet *fleet;
   struct snapshot *snapshot;
   struct store_call *snapshot_fetch; /* from a peer, in progress; or NULL */
+  uint8_t fetches_config;  /* the last fetch asked for the configuration */
+  uint8_t refuses_delta;   /* the last one fetched builds on another text */
   clk_ms fetch_started_ms; /* start of the last snapshot fetch; 0: none */
   /* Newest state, from the store or from peers.  Its version may not be in
      force, if this build cannot read it.  */
@@ -52,6 +54,7 @@
   clk_ms watch_due_ms;    /* last time it was elected to watch; 0: never */
   struct rt_table *table; /* in force; NULL until one has been read */
   clk_ms table_ms;        /* when it came into force */
+  uint64_t page_version;  /* newest read from a page of the store; 0: none */
   struct watch_group watches;
   struct watch config;
   struct watch targets;
--- a/process/router_evacuation.c
+++ b/process/router_evacuation.c
@@ -22,7 +22,10 @@
 router_watch_evacuations (struct router *router)
 {
   const struct watch_sink sink
-      = { evacuations_begin, evacuations_object, evacuations_end, router };
+      = { .begin = evacuations_begin,
+          .object = evacuations_object,
+          .end = evacuations_end,
+          .closure = router };
 
   if (router->settings->evacuate_ms == 0)
     return;
--- a/process/router_store.c
+++ b/process/router_store.c
@@ -53,14 +53,20 @@
 static void log_target (const char *reason, const struct reg_entry *entry,
                         struct position position);
 static void set_pace (struct router *router, int is_standby);
+static GBytes *config_text (struct router *router,
+                            const struct watch_object *object);
+static int is_passed_over (const struct router *router, GBytes *text);
+static void take_config (struct router *router,
+                         const struct watch_object *object,
+                         struct cfg_text *config);
 static void activate_table (struct router *router, struct rt_table *table);
 
 /* Returns the sink of configurations, from the store or from a peer.  */
 struct watch_sink
 router_config_sink (struct router *router)
 {
-  return (struct watch_sink){ config_begin, config_object, config_end,
-                              router };
+  return (struct watch_sink){ config_begin, config_object, config_end, router,
+                              .takes_text = 1 };
 }
 
 /* Returns the sink of targets, from the store or from a peer.  */
@@ -68,7 +74,7 @@
 router_targets_sink (struct router *router)
 {
   return (struct watch_sink){ targets_begin, targets_object, targets_end,
-                              router };
+                              router, .takes_text = 0 };
 }
 
 /* Starts to list and watch the configuration in the store.  */
@@ -107,19 +113,79 @@
 /* Handles OBJECT, a configuration: brings it into force if it has the name
    that the dialect expects and a newer version.  If it is deleted or
    unreadable, the current version stays in force.  An older version is what a
-   restored store may show for a moment.  */
+   restored store may show for a moment.  Of several events of one page, only
+   that with the newest version is read, if it can be.  */
 static void
 config_object (void *closure, const struct watch_object *object)
 {
   struct router *router = closure;
-  struct rt_table *table;
+  GBytes *text;
 
+  if (!object->is_earlier)
+    router->page_version = 0;
   if (object->deleted
       || strcmp (object->name, router->dialect->config_name) != 0)
     return;
+  text = config_text (router, object);
+  if (text == NULL)
+    return;
   router->known.config = pos_max (router->known.config, object->position);
-  table = router->dialect->config (object->content);
-  if (table == NULL)
+  if (!is_passed_over (router, text))
+    take_config (
+        router, object,
+        router->dialect->config (text, snapshot_config (router->snapshot)));
+  g_bytes_unref (text);
+}
+
+/* Returns the text of OBJECT, a configuration, or NULL if it holds a
+   difference from a text that ROUTER does not have.  The whole is fetched
+   then.  */
+static GBytes *
+config_text (struct router *router, const struct watch_object *object)
+{
+  struct log_line line;
+  GBytes *text;
+
+  if (object->delta.length == 0)
+    return g_bytes_new (object->text.at, object->text.length);
+  text = cfg_apply_delta (snapshot_config (router->snapshot), object->delta);
+  if (text != NULL)
+    return text;
+  router->refuses_delta = 1;
+  metric_inc (METRIC_DELTA_REFUSED);
+  if (!log_begin (&line, LOG_LEVEL_WARN, "config", NULL, "delta_refused"))
+    return NULL;
+  log_number (&line, "version",
+              router->table ? (int64_t)router->table->version : 0);
+  log_number (&line, "epoch", (int64_t)object->position.epoch);
+  log_number (&line, "revision", (int64_t)object->position.revision);
+  log_end (&line);
+  return NULL;
+}
+
+/* Returns whether the configuration TEXT need not be read, as a later event of
+   the same page brought a version at least as new.  */
+static int
+is_passed_over (const struct router *router, GBytes *text)
+{
+  struct scan_text scanned;
+  uint64_t version;
+
+  if (router->page_version == 0)
+    return 0;
+  scanned.at = g_bytes_get_data (text, &scanned.length);
+  return router->dialect->config_version (scanned, &version) == 0
+         && version <= router->page_version;
+}
+
+/* Brings CONFIG, the content of OBJECT, into force if it is newer than the
+   version in force, and takes ownership of it.  NULL stands for one that is
+   malformed.  */
+static void
+take_config (struct router *router, const struct watch_object *object,
+             struct cfg_text *config)
+{
+  if (config == NULL)
     {
       metric_inc (METRIC_STORE_UNREADABLE);
       log_error ("config", NULL, "unreadable",
@@ -127,9 +193,15 @@
                  object->position.revision);
       return;
     }
-  if (router->table == NULL || table->version > router->table->version)
-    snapshot_put_config (router->snapshot, table->version, object);
-  activate_table (router, table);
+  router->page_version = MAX (router->page_version, config->table->version);
+  if (router->table != NULL
+      && config->table->version <= router->table->version)
+    {
+      cfg_free (config);
+      return;
+    }
+  activate_table (router, config->table);
+  snapshot_put_config (router->snapshot, object, config);
 }
 
 /* Called when a list of configurations was read completely, at POSITION.  */
@@ -172,19 +244,13 @@
   log_end (&line);
 }
 
-/* Brings TABLE into force unless the version in force is at least as new.
-   Takes ownership of the caller's reference to TABLE.  */
+/* Brings TABLE, which is newer than the one in force, into force.  */
 static void
 activate_table (struct router *router, struct rt_table *table)
 {
-  if (router->table != NULL && table->version <= router->table->version)
-    {
-      rt_unref (table);
-      return;
-    }
   log_version (router, table);
   rt_unref (router->table);
-  router->table = table;
+  router->table = rt_ref (table);
   router->known.version = MAX (router->known.version, table->version);
   router->table_ms = clk_now (clk_monotonic ());
   for (guint i = 0; i < router->registry->array->len; i++)
--- a/tests/test_snapshot.c
+++ b/tests/test_snapshot.c
@@ -5,6 +5,7 @@
 
 #include "ibisloom/elect.h"
 #include "ibisloom/snapshot.h"
+#include "platform.h"
 #include "test.h"
 
 enum
@@ -26,6 +27,8 @@
 static void positions_are_ordered_by_epoch_first (void);
 static void replicas_follow_restorations (void);
 static void newest_version_is_passed_on (void);
+static void storms_of_versions_are_paced (void);
+static void older_builds_get_the_whole_text (void);
 static void deeply_nested_entry_reaches_replicas (void);
 
 static const struct test_case cases[] = {
@@ -41,6 +44,9 @@
     newest_version_is_passed_on },
   { "an entry nested up to the parser's limit costs no other",
     deeply_nested_entry_reaches_replicas },
+  { "only who asks for a difference gets one",
+    older_builds_get_the_whole_text },
+  { "storms of versions are fetched at a pace", storms_of_versions_are_paced },
   { "damaged data is rejected", damaged_data_is_rejected },
   { "failed watchers are replaced", failed_watchers_are_replaced },
   { "the number of watchers is bounded in an outage",
@@ -94,10 +100,10 @@
 sync_replica (struct replica *replica, struct snapshot *snapshot,
               const struct snapshot_state *now)
 {
-  struct watch_sink config
-      = { replica_begin, replica_config, replica_end, replica };
-  struct watch_sink targets
-      = { replica_begin, replica_target, replica_end, replica };
+  struct watch_sink config = { replica_begin, replica_config, replica_end,
+                               replica, .takes_text = 0 };
+  struct watch_sink targets = { replica_begin, replica_target, replica_end,
+                                replica, .takes_text = 0 };
   size_t length;
   size_t size;
   const char *data
@@ -131,6 +137,94 @@
   json_decref (content);
 }
 
+/* Puts into SNAPSHOT the version VERSION, of which little changes.  */
+static void
+put_version (struct snapshot *snapshot, int version)
+{
+  struct watch_object object
+      = { .name = "main", .position = { 0, (uint64_t)version } };
+  char *config = g_strdup_printf (
+      "{\"version\":%d,\"routes\":[],\"services\":[{\"name\":"
+      "\"a-name-that-is-longer-than-all-that-changes-in-a-version\"}]}",
+      version);
+  GBytes *text = g_bytes_new_take (config, strlen (config));
+
+  snapshot_put_config (
+      snapshot, &object,
+      plat_read_config_text (text, snapshot_config (snapshot)));
+  g_bytes_unref (text);
+}
+
+/* Guards against a difference sent to a build that cannot read it, or to an
+   instance with a version that the sender does not know.  */
+static void
+older_builds_get_the_whole_text (void)
+{
+  static const struct
+  {
+    uint64_t base;
+    int is_delta;
+  } cases_of_base[] = { { 0, 0 }, { 7, 1 }, { 6, 1 }, { 4, 0 } };
+  struct snapshot *snapshot = snapshot_new ();
+  struct snapshot_state now = { .version = 8, .config = { 0, 8 } };
+
+  put_version (snapshot, 5);
+  put_version (snapshot, 7);
+  put_version (snapshot, 8);
+  for (size_t i = 0; i < G_N_ELEMENTS (cases_of_base); i++)
+    {
+      struct snapshot_state since
+          = { .version = 1, .base = cases_of_base[i].base };
+      char *text = snapshot_to_json (snapshot, &since, &now);
+
+      CU_ASSERT_EQUAL (strstr (text, "\"delta\":") != NULL,
+                       cases_of_base[i].is_delta);
+      CU_ASSERT_EQUAL (strstr (text, "\"content\":{\"version\":8,") != NULL,
+                       !cases_of_base[i].is_delta);
+      g_free (text);
+    }
+  snapshot_free (snapshot);
+}
+
+/* Guards against versions that pile up in a storm, against one after calm that
+   waits, and against targets that wait with versions.  */
+static void
+storms_of_versions_are_paced (void)
+{
+  enum
+  {
+    CALM_MS = 10000,
+    STORM_MS = 3000,
+    BETWEEN_MS = 70
+  };
+  struct snapshot_state known = { .version = 1, .targets = { 0, 1 } };
+  struct snapshot_state told = known;
+  int64_t taken_ms = -CALM_MS;
+  int fetches = 0;
+
+  for (int64_t now = 0; now < STORM_MS + SNAPSHOT_CONFIG_PACE_MS; now++)
+    {
+      told.version += now < STORM_MS && now % BETWEEN_MS == 0;
+      told.targets.revision = (uint64_t)(now == STORM_MS / 2 ? 2 : 1);
+      if (now == STORM_MS / 2)
+        CU_ASSERT_NOT_EQUAL (snapshot_wanted (&told, &known, now - taken_ms),
+                             SNAPSHOT_NOTHING);
+      if (snapshot_wanted (&told, &known, now - taken_ms) != SNAPSHOT_ALL)
+        continue;
+      CU_ASSERT (fetches > 0 || now == 0);
+      CU_ASSERT (now - taken_ms >= SNAPSHOT_CONFIG_PACE_MS);
+      fetches++;
+      taken_ms = now;
+      known.version = told.version;
+    }
+  CU_ASSERT_EQUAL (known.version, told.version);
+  CU_ASSERT_EQUAL (fetches, 1 + STORM_MS / SNAPSHOT_CONFIG_PACE_MS);
+  told.version++;
+  known.targets.revision = 0;
+  CU_ASSERT_EQUAL (snapshot_wanted (&told, &known, 0), SNAPSHOT_TARGETS);
+  CU_ASSERT_EQUAL (snapshot_wanted (&told, &known, CALM_MS), SNAPSHOT_ALL);
+}
+
 /* The entry has the depth at which a parser still accepts it in the store.  */
 static void
 deeply_nested_entry_reaches_replicas (void)
@@ -454,17 +548,17 @@
           = { .version = 9, .config = { 2, 25 }, .targets = { 2, 25 } } };
   struct snapshot_state now
       = { .version = 12, .config = { 1, 29 }, .targets = { 1, 29 } };
-  json_t *content = json_object ();
-  struct watch_object object
-      = { .name = "main", .position = { 1, 29 }, .content = content };
+  static const char config[] = "{\"version\":12,\"routes\":[]}";
+  GBytes *text = g_bytes_new_static (config, sizeof config - 1);
+  struct watch_object object = { .name = "main", .position = { 1, 29 } };
 
   CU_ASSERT (snapshot_is_newer (&now, &replica.known));
-  snapshot_put_config (snapshot, 12, &object);
+  snapshot_put_config (snapshot, &object, plat_read_config_text (text, NULL));
+  g_bytes_unref (text);
   put_target (snapshot, 0, 0, now.targets);
   sync_replica (&replica, snapshot, &now);
   CU_ASSERT_EQUAL (replica.config, 29);
   CU_ASSERT_EQUAL (replica.revision[0], 0);
   CU_ASSERT_EQUAL (replica.full_lists, 0);
-  json_decref (content);
   snapshot_free (snapshot);
 }
