Explain routing decisions at the metrics address

Why a request went to a target, or would be refused, could only be read from the log after it was sent.

GET /route at operator_listen describes a request in its query, with the key in the Authorization header, and answers in JSON. The request goes through the functions that decide for requests. Those that also changed state are split: the candidates and the choice, the limits of the queue, the look into the quarantine, the retry budget. bal_skip_reason exposes what closes a candidate.

--- a/include/ibisloom/balance.h
+++ b/include/ibisloom/balance.h
@@ -99,5 +99,9 @@
 int bal_pick (const struct bal_params *params,
               const struct bal_candidate *candidates, size_t count,
               struct bal_choice *choice);
+enum bal_skip bal_skip_reason (const struct bal_params *params,
+                               const struct bal_candidate *candidates,
+                               size_t count, const struct bal_choice *choice,
+                               size_t index);
 
 #endif
--- a/include/ibisloom/fleet.h
+++ b/include/ibisloom/fleet.h
@@ -83,6 +83,8 @@
                          const struct quar_crash *crash);
 void fleet_report_success (struct fleet *fleet, const uint64_t *parts,
                            uint32_t count);
+int fleet_would_admit_parts (const struct fleet *fleet, const uint64_t *parts,
+                             uint32_t count, int64_t *wait_ms);
 int fleet_admits_parts (struct fleet *fleet, const uint64_t *parts,
                         uint32_t count, int64_t *wait_ms);
 int fleet_observe_rate (struct fleet *fleet, struct reg_target *target,
--- a/include/ibisloom/quarantine.h
+++ b/include/ibisloom/quarantine.h
@@ -88,6 +88,9 @@
                          struct quar_state *released);
 int quar_next_unused (struct quarantine *quarantine, clk_ms now,
                       struct quar_state *released);
+enum quar_verdict quar_look (const struct quarantine *quarantine,
+                             const uint64_t *parts, uint32_t count, clk_ms now,
+                             struct quar_state *blocking, int64_t *wait_ms);
 enum quar_verdict quar_check (struct quarantine *quarantine,
                               const uint64_t *parts, uint32_t count,
                               clk_ms now, struct quar_state *blocking,
--- a/include/ibisloom/relay.h
+++ b/include/ibisloom/relay.h
@@ -18,6 +18,9 @@
 void relay_on_drained (struct client_listener *listener, void *request);
 void relay_on_stop (struct client_listener *listener, void *request);
 
+/* Explains where a request would go. */
+char *relay_explain (struct router *router, const struct http_head *question);
+
 /* Queues of requests that wait for capacity. */
 void relay_queues_init (struct router *router);
 void relay_queues_clear (struct router *router);
--- a/include/ibisloom/router.h
+++ b/include/ibisloom/router.h
@@ -84,6 +84,7 @@
 GString *router_metrics (const struct router *router);
 struct retry_budget *router_retry_budget (struct router *router,
                                           const char *service);
+int router_may_retry (const struct router *router, const char *service);
 
 /* router_reach.c */
 enum reach_state router_reach_state (const struct router *router,
--- a/process/fleet_quarantine.c
+++ b/process/fleet_quarantine.c
@@ -79,6 +79,23 @@
   return 1;
 }
 
+/* Decides as fleet_admits_parts does, but begins no trial.  */
+int
+fleet_would_admit_parts (const struct fleet *fleet, const uint64_t *parts,
+                         uint32_t count, int64_t *wait_ms)
+{
+  clk_ms now = clk_now (clk_monotonic ());
+  struct quar_state blocking;
+  enum quar_verdict verdict
+      = quar_look (fleet->quarantine, parts, count, now, &blocking, wait_ms);
+
+  if (verdict == QUAR_PASS)
+    return 1;
+  *wait_ms = MAX (*wait_ms, TRIAL_ELSEWHERE_MS);
+  return verdict == QUAR_TRIAL_DUE
+         && fleet_ranks_first (fleet, blocking.part, now);
+}
+
 /* Returns the number of parts in quarantine.  */
 uint32_t
 fleet_quarantined_count (const struct fleet *fleet)
--- a/process/router.c
+++ b/process/router.c
@@ -2,6 +2,7 @@
 #include <inttypes.h>
 #include <errno.h>
 #include <signal.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "ibisloom/error.h"
@@ -31,6 +32,7 @@
    sizes.  */
 static const double BUDGET_SHARE = 0.85;
 
+static double budget_max (const struct router *router);
 static void on_tick (struct ev_loop *loop, ev_timer *timer, int events);
 static void on_signal (struct ev_loop *loop, ev_signal *signal, int events);
 static void on_prepare (struct ev_loop *loop, ev_prepare *prepare, int events);
@@ -42,6 +44,7 @@
 static void *on_metrics (struct client_listener *listener,
                          struct client *client, struct http_head *head,
                          GString *body);
+static int is_route_question (const char *url);
 static void ignore_event (struct client_listener *listener, void *request);
 
 static const int signal_numbers[] = { SIGTERM, SIGINT, SIGHUP };
@@ -88,6 +91,8 @@
   router->readiness_listener.limits.idle_timeout_ms = READY_TIMEOUT_MS;
   router->peer_listener.limits = router->readiness_listener.limits;
   router->metrics_listener.limits = router->readiness_listener.limits;
+  /* A question for a route names the parts of a prompt.  */
+  router->metrics_listener.limits.head_max_bytes = HTTP_HEAD_MAX_BYTES;
   if (client_listener_open (&router->request_listener, router->loop,
                             &relay_listener_ops, &settings->listen, error)
           != 0
@@ -262,11 +267,31 @@
       g_hash_table_insert (router->budgets, (gpointer)(uintptr_t)service,
                            budget);
     }
-  retry_budget_set_max (budget, router->settings->retry_slack * BUDGET_SHARE
-                                    / fleet_size (router->fleet));
+  retry_budget_set_max (budget, budget_max (router));
   return budget;
 }
 
+/* Returns this instance's share of the retry budget of the fleet.  */
+static double
+budget_max (const struct router *router)
+{
+  return router->settings->retry_slack * BUDGET_SHARE
+         / fleet_size (router->fleet);
+}
+
+/* Returns whether the retry budget for SERVICE allows a retry now.  */
+int
+router_may_retry (const struct router *router, const char *service)
+{
+  const struct retry_budget *kept
+      = g_hash_table_lookup (router->budgets, service);
+  struct retry_budget budget
+      = kept != NULL ? *kept : (struct retry_budget){ 0 };
+
+  retry_budget_set_max (&budget, budget_max (router));
+  return retry_budget_has_token (&budget);
+}
+
 /* Does the periodic work: decides on the watch of the store, drops missing
    targets and continues a shutdown.  */
 static void
@@ -404,17 +429,28 @@
   return NULL;
 }
 
-/* Responds to a request for the metrics.  */
+/* Responds to a request for the metrics, or to a question where a request
+   would go.  */
 static void *
 on_metrics (struct client_listener *listener, struct client *client,
             struct http_head *head, GString *body)
 {
-  const struct router *router
+  struct router *router
       = (struct router *)((char *)listener
                           - offsetof (struct router, metrics_listener));
   GString *text;
 
-  if (strcmp (http_head_url (head), "/metrics") != 0)
+  if (is_route_question (http_head_url (head)))
+    {
+      char *json = relay_explain (router, head);
+
+      client_respond (client,
+                      json != NULL ? HTTP_STATUS_OK : HTTP_STATUS_BAD_REQUEST,
+                      "Content-Type: application/json\r\n", json,
+                      json != NULL ? strlen (json) : 0);
+      free (json);
+    }
+  else if (strcmp (http_head_url (head), "/metrics") != 0)
     client_respond (client, HTTP_STATUS_NOT_FOUND, "", NULL, 0);
   else
     {
@@ -430,6 +466,13 @@
   return NULL;
 }
 
+/* Returns whether URL asks where a request would go.  */
+static int
+is_route_question (const char *url)
+{
+  return g_str_has_prefix (url, "/route?");
+}
+
 /* Ignores events on requests whose response was sent at once.  */
 static void
 ignore_event (struct client_listener *listener, void *request)
--- a/request/balance.c
+++ b/request/balance.c
@@ -83,8 +83,13 @@
 static int is_full (const struct bal_params *params,
                     const struct bal_candidate *candidate, double limit,
                     double filled_max);
+static enum bal_skip full_reason (const struct bal_params *params,
+                                  const struct bal_candidate *candidate,
+                                  double limit, double filled_max);
 static enum bal_skip closed_reason (const struct bal_params *params,
                                     const struct bal_candidate *candidate);
+static double highest_fill (const struct bal_candidate *candidates,
+                            size_t count);
 static double mean_load (const struct bal_params *params,
                          const struct bal_candidate *candidates, size_t count);
 static int has_rate_limits (const struct bal_candidate *candidates,
@@ -122,6 +127,25 @@
   return 1;
 }
 
+/* Returns why the candidate INDEX among COUNT CANDIDATES is closed to a
+   request with PARAMS, or BAL_SKIP_NONE, by the rule through which CHOICE, of
+   bal_pick, was made: that for contexts or that for the least load.  */
+enum bal_skip
+bal_skip_reason (const struct bal_params *params,
+                 const struct bal_candidate *candidates, size_t count,
+                 const struct bal_choice *choice, size_t index)
+{
+  struct bal_params used = *params;
+
+  used.ignores_pace |= choice->ignored_pace;
+  if (choice->reason == BAL_HOLDER || choice->reason == BAL_HOME
+      || choice->reason == BAL_NEXT_HOME)
+    return skip_reason (&used, &candidates[index], choice->limit,
+                        lowest_error_rate (candidates, count));
+  return full_reason (&used, &candidates[index], choice->limit,
+                      highest_fill (candidates, count));
+}
+
 /* Returns whether a request with PARAMS may be sent to CANDIDATE while others
    are left: it is not suspended, or the request may be its trial.  */
 static int
@@ -277,37 +301,26 @@
 {
   double best_error_rate = lowest_error_rate (candidates, count);
   double best = INFINITY;
-  double filled_max
-      = has_rate_limits (candidates, count) ? SLOTS_FILLED_MAX : INFINITY;
+  double filled_max = highest_fill (candidates, count);
 
   for (size_t n = 0; n < count; n++)
     {
       size_t i = (n + params->random) % count;
       const struct bal_candidate *candidate = &candidates[i];
       int32_t slots = candidate->slots > 0 ? candidate->slots : 1;
-      enum bal_skip closed = closed_reason (params, candidate);
+      enum bal_skip skip
+          = full_reason (params, candidate, choice->limit, filled_max);
       double cost = candidate->load / slots
                     + (candidate->error_rate - best_error_rate) * ERROR_PENALTY
                           / slots;
 
-      if (candidate->excluded
-          || (!is_usable (params, candidate) && !params->is_pinned))
-        continue;
-      if (closed == BAL_SKIP_RATE)
-        {
-          if (choice->reason == BAL_NO_TARGET)
-            choice->reason = BAL_RATES_USED_UP;
-          continue;
-        }
-      if (closed == BAL_SKIP_PACE)
+      if (skip == BAL_SKIP_RATE && choice->reason == BAL_NO_TARGET)
+        choice->reason = BAL_RATES_USED_UP;
+      if ((skip == BAL_SKIP_ROOM || skip == BAL_SKIP_LOADED)
+          && choice->reason != BAL_LEAST_LOADED)
+        choice->reason = BAL_ALL_FULL;
+      if (skip != BAL_SKIP_NONE)
         continue;
-      if (closed == BAL_SKIP_ROOM
-          || is_full (params, candidate, choice->limit, filled_max))
-        {
-          if (choice->reason != BAL_LEAST_LOADED)
-            choice->reason = BAL_ALL_FULL;
-          continue;
-        }
       if (!candidate->local)
         cost += REMOTE_PENALTY;
       if (candidate->warming_up)
@@ -441,6 +454,33 @@
   return is_over || candidate->load >= slots * filled_max;
 }
 
+/* Returns why CANDIDATE may not be used as the least loaded one, or
+   BAL_SKIP_NONE if it may.  LIMIT and FILLED_MAX are those of is_full.  */
+static enum bal_skip
+full_reason (const struct bal_params *params,
+             const struct bal_candidate *candidate, double limit,
+             double filled_max)
+{
+  enum bal_skip closed = closed_reason (params, candidate);
+
+  if (candidate->excluded)
+    return BAL_SKIP_TRIED;
+  if (!is_usable (params, candidate) && !params->is_pinned)
+    return BAL_SKIP_SUSPENDED;
+  if (closed != BAL_SKIP_NONE)
+    return closed;
+  return is_full (params, candidate, limit, filled_max) ? BAL_SKIP_LOADED
+                                                        : BAL_SKIP_NONE;
+}
+
+/* Returns the part of their slots up to which COUNT CANDIDATES are filled;
+   infinity if only the load bound counts.  */
+static double
+highest_fill (const struct bal_candidate *candidates, size_t count)
+{
+  return has_rate_limits (candidates, count) ? SLOTS_FILLED_MAX : INFINITY;
+}
+
 /* Returns why CANDIDATE itself takes no request with PARAMS now, or
    BAL_SKIP_NONE if it does.  */
 static enum bal_skip
--- a/request/librelay.h
+++ b/request/librelay.h
@@ -2,6 +2,7 @@
 #ifndef LIBRELAY_H
 #define LIBRELAY_H
 
+#include "ibisloom/metrics.h"
 #include "ibisloom/relay.h"
 #include "ibisloom/router.h"
 #include "ibisloom/wait.h"
@@ -155,9 +156,47 @@
   struct relay_events events;
 };
 
+/* Candidates for one attempt, and what decides among them. */
+struct relay_selection
+{
+  struct bal_params params;
+  struct bal_candidate *candidates;
+  struct reg_target **targets;
+  size_t count;
+};
+
+/* What becomes of a request in the queue of its service. */
+enum relay_wait_step
+{
+  RELAY_WAIT_GOES_ON, /* it does not wait */
+  RELAY_WAIT_QUEUED,
+  RELAY_WAIT_REFUSED
+};
+
+struct relay_wait_forecast
+{
+  enum relay_wait_step step;
+  enum relay_refusal refusal; /* if it is refused */
+  int64_t retry_after_ms;     /* the same */
+  struct wait_view view;      /* unless it goes on */
+};
+
+/* How requests are refused for one reason. */
+struct relay_refusal_rule
+{
+  const char *name;
+  enum metric_counter counter;
+  uint32_t status;
+  int64_t retry_after_ms; /* 0: none, as a retry does not help */
+};
+
 extern const struct out_ops relay_upstream_ops;
 
 /* relay.c */
+void relay_init (struct relay *relay, struct router *router,
+                 struct http_head *head);
+enum relay_refusal relay_refusal_of (const struct relay *relay,
+                                     const struct bal_choice *choice);
 struct relay *relay_new (struct router *router, struct client *client,
                          struct http_head *head, GString *body);
 void relay_start (struct relay *relay);
@@ -187,9 +226,12 @@
 int relay_wait_after (struct relay *relay, const struct bal_choice *choice,
                       clk_ms now);
 void relay_wait_limit (const struct relay *relay,
-                       struct bal_candidate *candidates,
-                       struct reg_target *const *targets, size_t count,
-                       clk_ms now);
+                       struct relay_selection *selection, clk_ms now);
+void relay_wait_note_limits (const struct relay *relay,
+                             const struct relay_selection *selection,
+                             clk_ms now);
+void relay_wait_foresee (struct relay *relay, const struct bal_choice *choice,
+                         clk_ms now, struct relay_wait_forecast *forecast);
 void relay_wait_sent (struct relay *relay, clk_ms now);
 void relay_wait_ended (struct relay *relay, enum health_event event);
 int relay_wait_is_rejection (const struct relay *relay);
@@ -232,6 +274,11 @@
 struct reg_target *relay_choose_target (const struct relay *relay, clk_ms now,
                                         struct bal_choice *choice,
                                         size_t *count);
+void relay_select_list (const struct relay *relay, clk_ms now,
+                        struct relay_selection *selection);
+struct reg_target *relay_select_pick (const struct relay *relay, clk_ms now,
+                                      struct relay_selection *selection,
+                                      struct bal_choice *choice);
 int relay_is_evacuated (const struct relay *relay);
 void relay_mark_tried (struct relay *relay);
 void relay_mark_unreachable (struct relay *relay);
@@ -305,6 +352,10 @@
 void relay_events_reset (struct relay *relay);
 
 /* relay_refuse.c */
+const struct relay_refusal_rule *
+relay_refusal_rule (enum relay_refusal refusal);
+int64_t relay_retry_after_ms (const struct relay *relay,
+                              enum relay_refusal refusal, int64_t *jitter_ms);
 void relay_refuse (struct relay *relay, enum relay_refusal refusal);
 
 #endif
--- a/request/quarantine.c
+++ b/request/quarantine.c
@@ -306,17 +306,36 @@
 quar_check (struct quarantine *quarantine, const uint64_t *parts,
             uint32_t count, clk_ms now, struct quar_state *blocking,
             int64_t *wait_ms)
+{
+  enum quar_verdict verdict
+      = quar_look (quarantine, parts, count, now, blocking, wait_ms);
+
+  for (uint32_t i = 0; i < count && verdict != QUAR_PASS; i++)
+    {
+      struct suspect *suspect = find_suspect (quarantine, parts[i]);
+
+      if (suspect != NULL && is_quarantined (suspect))
+        suspect->asked_ms = now;
+    }
+  return verdict;
+}
+
+/* Decides as quar_check does, without recording that the parts were asked
+   for.  */
+enum quar_verdict
+quar_look (const struct quarantine *quarantine, const uint64_t *parts,
+           uint32_t count, clk_ms now, struct quar_state *blocking,
+           int64_t *wait_ms)
 {
   enum quar_verdict verdict = QUAR_PASS;
 
   *wait_ms = 0;
   for (uint32_t i = 0; i < count && quarantine->suspect_count > 0; i++)
     {
-      struct suspect *suspect = find_suspect (quarantine, parts[i]);
+      const struct suspect *suspect = find_suspect (quarantine, parts[i]);
 
       if (suspect == NULL || !is_quarantined (suspect))
         continue;
-      suspect->asked_ms = now;
       *blocking = state_of (quarantine, suspect, now);
       *wait_ms = MAX (*wait_ms, trial_due_ms (suspect) - now);
       verdict = *wait_ms > 0 || verdict != QUAR_PASS ? QUAR_REFUSE
--- a/request/relay.c
+++ b/request/relay.c
@@ -33,6 +33,17 @@
     = { on_request, relay_on_client_disconnected, relay_on_drained,
         relay_on_stop };
 
+/* Sets RELAY to a request with HEAD at ROUTER that has just arrived.  */
+void
+relay_init (struct relay *relay, struct router *router, struct http_head *head)
+{
+  *relay = (struct relay){ .router = router,
+                           .head = head,
+                           .arrived_ms = clk_now (clk_monotonic ()),
+                           .deadline_ms = INT64_MAX,
+                           .urgency = -1 };
+}
+
 /* Returns the state of a request of CLIENT, which owns HEAD and BODY.  */
 struct relay *
 relay_new (struct router *router, struct client *client,
@@ -40,13 +51,9 @@
 {
   struct relay *relay = g_new0 (struct relay, 1);
 
-  relay->router = router;
+  relay_init (relay, router, head);
   relay->client = client;
-  relay->head = head;
   relay->body = body;
-  relay->arrived_ms = clk_now (clk_monotonic ());
-  relay->deadline_ms = INT64_MAX;
-  relay->urgency = -1;
   ev_timer_init (&relay->timer, on_timer, 0, 0);
   relay->timer.data = relay;
   router->open_requests++;
@@ -145,16 +152,25 @@
       if (relay->may_have_run)
         relay_refuse (relay, RELAY_TARGET_FAILED);
       else
-        relay_refuse (
-            relay, choice.reason == BAL_ALL_EVACUATED   ? RELAY_EVACUATED
-                   : relay->hop_refusals > 0            ? RELAY_HOP_REFUSED
-                   : choice.reason == BAL_ALL_FULL      ? RELAY_ALL_FULL
-                   : choice.reason == BAL_RATES_USED_UP ? RELAY_RATES_USED_UP
-                   : relay_origin_is_gone (relay)       ? RELAY_VERSION_GONE
-                                                        : RELAY_NO_TARGET);
+        relay_refuse (relay, relay_refusal_of (relay, &choice));
     }
 }
 
+/* Returns how RELAY is refused, for which CHOICE has no target.  */
+enum relay_refusal
+relay_refusal_of (const struct relay *relay, const struct bal_choice *choice)
+{
+  if (choice->reason == BAL_ALL_EVACUATED)
+    return RELAY_EVACUATED;
+  if (relay->hop_refusals > 0)
+    return RELAY_HOP_REFUSED;
+  if (choice->reason == BAL_ALL_FULL)
+    return RELAY_ALL_FULL;
+  if (choice->reason == BAL_RATES_USED_UP)
+    return RELAY_RATES_USED_UP;
+  return relay_origin_is_gone (relay) ? RELAY_VERSION_GONE : RELAY_NO_TARGET;
+}
+
 /* Starts an attempt at TARGET, which was chosen among so many CANDIDATES for
    the reason in CHOICE.  */
 void
--- a/request/relay_refuse.c
+++ b/request/relay_refuse.c
@@ -1,5 +1,4 @@
 /* Refusals: status codes and Retry-After times. */
-#include "ibisloom/metrics.h"
 #include "librelay.h"
 
 enum
@@ -8,13 +7,7 @@
 };
 
 /* A status of 429 or 503 guarantees that the request was not executed.  */
-static const struct
-{
-  const char *name;
-  enum metric_counter counter;
-  uint32_t status;
-  int64_t retry_after_ms; /* 0: none, as a retry does not help */
-} refusals[RELAY_REFUSAL_COUNT] = {
+static const struct relay_refusal_rule refusals[RELAY_REFUSAL_COUNT] = {
   [RELAY_BAD_REQUEST] = { "bad_request", METRIC_REFUSED_BAD_REQUEST, 400, 0 },
   [RELAY_UNKNOWN_ROUTE]
   = { "unknown_route", METRIC_REFUSED_UNKNOWN_SERVICE, 404, 0 },
@@ -49,18 +42,36 @@
   = { "version_gone", METRIC_REFUSED_VERSION_GONE, 503, 0 }
 };
 
-/* Ends RELAY with REFUSAL.  If the response has begun, the client's connection
-   is aborted, so that the response does not look complete.  Retry-After is
-   jittered so that clients do not retry all at once.  */
-void
-relay_refuse (struct relay *relay, enum relay_refusal refusal)
+const struct relay_refusal_rule *
+relay_refusal_rule (enum relay_refusal refusal)
+{
+  return &refusals[refusal];
+}
+
+/* Returns the Retry-After of RELAY, which is refused with REFUSAL, or 0 for
+   none, and stores in JITTER_MS how much may be added so that clients do not
+   retry all at once.  From the queue, times are spread already.  */
+int64_t
+relay_retry_after_ms (const struct relay *relay, enum relay_refusal refusal,
+                      int64_t *jitter_ms)
 {
-  struct client *client = relay->client;
-  /* From the queue, times are spread already.  */
   int is_spread = relay->retry_after_ms > 0 && refusal != RELAY_QUARANTINED;
   int64_t wait_ms = refusal == RELAY_QUARANTINED || is_spread
                         ? relay->retry_after_ms
                         : refusals[refusal].retry_after_ms;
+
+  *jitter_ms = is_spread ? 0 : wait_ms / RETRY_JITTER_DIVISOR;
+  return wait_ms;
+}
+
+/* Ends RELAY with REFUSAL.  If the response has begun, the client's connection
+   is aborted, so that the response does not look complete.  */
+void
+relay_refuse (struct relay *relay, enum relay_refusal refusal)
+{
+  struct client *client = relay->client;
+  int64_t jitter_ms;
+  int64_t wait_ms = relay_retry_after_ms (relay, refusal, &jitter_ms);
   GString *fields = g_string_new (NULL);
 
   metric_inc (refusals[refusal].counter);
@@ -73,10 +84,9 @@
     {
       if (wait_ms > 0)
         {
-          if (!is_spread)
+          if (jitter_ms > 0)
             wait_ms += g_rand_int_range (relay->router->random, 0,
-                                         (gint32)wait_ms / RETRY_JITTER_DIVISOR
-                                             + 1);
+                                         (gint32)jitter_ms + 1);
           g_string_printf (fields, "%s: %.3f\r\n",
                            relay->router->dialect->field[DIALECT_RETRY_AFTER],
                            (double)wait_ms / CLK_MS_PER_S);
--- a/request/relay_target.c
+++ b/request/relay_target.c
@@ -1,14 +1,6 @@
 /* Target of the next attempt of a relayed request. */
 #include "librelay.h"
 
-/* Candidates for one attempt. */
-struct selection
-{
-  struct bal_candidate *candidates;
-  struct reg_target **targets;
-  size_t count;
-};
-
 /* Targets that may be sent a request, each kind with those before it.  */
 enum admission
 {
@@ -21,7 +13,7 @@
 };
 
 static int admit_candidates (const struct relay *relay,
-                             const struct selection *selection,
+                             const struct relay_selection *selection,
                              enum admission admission, clk_ms now);
 static int is_admitted (const struct relay *relay,
                         const struct reg_target *target,
@@ -34,11 +26,28 @@
 static int contains_id (const uint64_t *ids, uint32_t count, uint64_t id);
 
 /* Returns the target for RELAY's next attempt, or NULL.  CHOICE receives the
-   reason, and COUNT the number of candidates.  Targets that were sent the
-   request before are considered only if no other one is left.  */
+   reason, and COUNT the number of candidates.  */
 struct reg_target *
 relay_choose_target (const struct relay *relay, clk_ms now,
                      struct bal_choice *choice, size_t *count)
+{
+  struct relay_selection selection;
+  struct reg_target *target;
+
+  relay_select_list (relay, now, &selection);
+  relay_wait_note_limits (relay, &selection, now);
+  *count = selection.count;
+  target = relay_select_pick (relay, now, &selection, choice);
+  if (target != NULL)
+    target->load_limit = choice->limit;
+  return target;
+}
+
+/* Sets SELECTION to the candidates for RELAY's next attempt at NOW and to what
+   decides among them.  They are kept until the next call.  */
+void
+relay_select_list (const struct relay *relay, clk_ms now,
+                   struct relay_selection *selection)
 {
   static struct bal_candidate candidates[BAL_CANDIDATES_MAX];
   static struct reg_target *targets[BAL_CANDIDATES_MAX];
@@ -51,29 +60,41 @@
           .rate_min = rate_min (relay),
           .may_try = may_try (relay),
           .random = g_rand_int (router->random) };
-  struct selection selection = { candidates, targets, 0 };
-  enum admission last = relay->software != 0 ? ADMIT_FULL : ADMIT_TRIED;
 
-  *count = reg_candidates (router->registry, relay->service,
-                           router->failure_domain, now, candidates, targets,
-                           BAL_CANDIDATES_MAX);
-  relay_wait_limit (relay, candidates, targets, *count, now);
-  selection.count = *count;
+  selection->candidates = candidates;
+  selection->targets = targets;
+  selection->count = reg_candidates (router->registry, relay->service,
+                                     router->failure_domain, now, candidates,
+                                     targets, BAL_CANDIDATES_MAX);
+  relay_wait_limit (relay, selection, now);
   params.evacuated_count = reg_count_evacuated (
       router->registry, relay->service, &params.evacuated_load);
   if (relay->context != 0)
     params.holders = affinity_find (router->affinity, relay->context);
+  selection->params = params;
+}
+
+/* Returns the target in SELECTION for RELAY's next attempt at NOW, or NULL,
+   and describes it in CHOICE.  Leaves the admission of the candidates and the
+   parameters in SELECTION as they were last used.  Targets that were sent the
+   request before are considered only if no other one is left.  */
+struct reg_target *
+relay_select_pick (const struct relay *relay, clk_ms now,
+                   struct relay_selection *selection,
+                   struct bal_choice *choice)
+{
+  enum admission last = relay->software != 0 ? ADMIT_FULL : ADMIT_TRIED;
+
   for (enum admission admission = ADMIT_SURE; admission <= last; admission++)
     {
-      int any = admit_candidates (relay, &selection, admission, now);
+      int any = admit_candidates (relay, selection, admission, now);
 
-      params.is_pinned = admission == ADMIT_FULL;
+      selection->params.is_pinned = admission == ADMIT_FULL;
       if (!any && admission != ADMIT_SURE && admission != ADMIT_FULL)
         continue;
-      if (!bal_pick (&params, candidates, *count, choice))
-        continue;
-      targets[choice->index]->load_limit = choice->limit;
-      return targets[choice->index];
+      if (bal_pick (&selection->params, selection->candidates,
+                    selection->count, choice))
+        return selection->targets[choice->index];
     }
   return NULL;
 }
@@ -97,15 +118,15 @@
   return relay->sends == 0 && relay->connect_failures == 0
          && relay->software == 0 && rt_repeatable (relay->route)
          && relay->route->attempts_max > 1
-         && retry_budget_has_token (
-             router_retry_budget (relay->router, relay->service));
+         && router_may_retry (relay->router, relay->service);
 }
 
 /* Excludes the candidates in SELECTION that ADMISSION does not allow RELAY at
    NOW.  Returns whether there is one that is allowed now and was not before.
  */
 static int
-admit_candidates (const struct relay *relay, const struct selection *selection,
+admit_candidates (const struct relay *relay,
+                  const struct relay_selection *selection,
                   enum admission admission, clk_ms now)
 {
   int any = 0;
--- a/request/relay_wait.c
+++ b/request/relay_wait.c
@@ -25,6 +25,15 @@
 
 static int may_queue (const struct relay *relay);
 static int is_continued (const struct relay *relay);
+static void set_turn (struct relay *relay);
+static int is_over_share (const struct relay_queue *queue,
+                          const struct relay *relay, clk_ms now);
+static int look_ahead (const struct wait *wait, struct relay *relay,
+                       clk_ms now, struct wait_view *view);
+static int any_is_free (const struct relay_selection *selection);
+static int is_at_limit (const struct bal_candidate *candidate,
+                        const struct reg_target *target, int32_t more,
+                        clk_ms now);
 static int has_spare (const struct relay_queue *queue);
 static int enqueue (struct relay_queue *queue, struct relay *relay,
                     clk_ms now);
@@ -95,20 +104,13 @@
   wait = &queue->wait;
   if (queue->tried == relay)
     return 0;
-  relay->turn.class = is_continued (relay) ? TURN_CONTINUED
-                                           : turn_class_of (relay->urgency);
-  relay->turn.customer
-      = relay->customer != NULL ? rank_hash (relay->customer->name) : 0;
+  set_turn (relay);
   if (!relay->is_demand && relay->turn.class != TURN_CONTINUED)
     demand_count (&wait->demand, relay->turn.class, relay->turn.customer, now);
   relay->is_demand = 1;
-  relay->turn.limit_ms = relay->deadline_ms;
   if (!wait_is_scarce (wait, now))
     return 0;
-  if (!relay->is_admitted && relay->turn.class != TURN_CONTINUED
-      && !wait_admits (wait, relay->turn.class, relay->turn.customer,
-                       g_rand_double (relay->router->random), now)
-      && !has_spare (queue))
+  if (is_over_share (queue, relay, now))
     {
       refuse (queue, relay, QUEUE_OVER_SHARE, now);
       return 1;
@@ -118,6 +120,29 @@
          && enqueue (queue, relay, now);
 }
 
+/* Sets by what RELAY is ordered in the queue.  */
+static void
+set_turn (struct relay *relay)
+{
+  relay->turn.class = is_continued (relay) ? TURN_CONTINUED
+                                           : turn_class_of (relay->urgency);
+  relay->turn.customer
+      = relay->customer != NULL ? rank_hash (relay->customer->name) : 0;
+  relay->turn.limit_ms = relay->deadline_ms;
+}
+
+/* Returns whether the level leaves RELAY out, whose turn is set.  */
+static int
+is_over_share (const struct relay_queue *queue, const struct relay *relay,
+               clk_ms now)
+{
+  return !relay->is_admitted && relay->turn.class != TURN_CONTINUED
+         && !wait_admits (&queue->wait, relay->turn.class,
+                          relay->turn.customer,
+                          g_rand_double (relay->router->random), now)
+         && !has_spare (queue);
+}
+
 /* Called when no target was chosen for RELAY, which is described in CHOICE.
    Returns whether RELAY waits or was refused, as its service is short of
    capacity.  */
@@ -144,17 +169,9 @@
 static int
 enqueue (struct relay_queue *queue, struct relay *relay, clk_ms now)
 {
-  const struct rt_route *route = relay->route;
-  clk_ms objective_ms = route->kind == RT_STREAM && !relay->head_sent
-                                && route->objective_ms > 0
-                            ? relay->arrived_ms + route->objective_ms
-                            : INT64_MAX;
   struct wait_view view;
 
-  relay->turn.limit_ms
-      = wait_limit_of (&queue->wait, relay->deadline_ms, objective_ms, now);
-  wait_look (&queue->wait, &relay->turn, now, &view);
-  if (!wait_is_in_time (&view, &relay->turn, now))
+  if (!look_ahead (&queue->wait, relay, now, &view))
     {
       if (relay->may_have_run)
         return 0;
@@ -168,6 +185,24 @@
   return 1;
 }
 
+/* Sets until when RELAY may wait, and VIEW to what is known of its wait in
+   WAIT.  Returns whether it would be served in time.  */
+static int
+look_ahead (const struct wait *wait, struct relay *relay, clk_ms now,
+            struct wait_view *view)
+{
+  const struct rt_route *route = relay->route;
+  clk_ms objective_ms = route->kind == RT_STREAM && !relay->head_sent
+                                && route->objective_ms > 0
+                            ? relay->arrived_ms + route->objective_ms
+                            : INT64_MAX;
+
+  relay->turn.limit_ms
+      = wait_limit_of (wait, relay->deadline_ms, objective_ms, now);
+  wait_look (wait, &relay->turn, now, view);
+  return wait_is_in_time (view, &relay->turn, now);
+}
+
 /* Adds RELAY, whose limit is set, to QUEUE.  */
 static void
 begin_wait (struct relay_queue *queue, struct relay *relay, clk_ms now)
@@ -272,47 +307,124 @@
     set_poll (queue, POLL_MS);
 }
 
-/* Marks those of COUNT CANDIDATES for RELAY, which are TARGETS, that are at
-   their limits or have just turned a request away, if its service is short of
-   capacity or all of them are.  One that goes first may take one place more.
-   A stream that goes on does not wait for that.  */
+/* Marks the candidates for RELAY in SELECTION that are at their limits or have
+   just turned a request away, if its service is short of capacity or all of
+   them are.  One that goes first may take one place more.  A stream that goes
+   on does not wait for that.  */
 void
-relay_wait_limit (const struct relay *relay, struct bal_candidate *candidates,
-                  struct reg_target *const *targets, size_t count, clk_ms now)
+relay_wait_limit (const struct relay *relay, struct relay_selection *selection,
+                  clk_ms now)
 {
   const struct relay_queue *queue = relay_queue_find (relay);
   int is_scarce = queue != NULL && wait_is_scarce (&queue->wait, now);
-  int any_free = 0;
   int32_t more = 0;
 
-  if (!relay->router->settings->admission_queue || relay->software != 0)
-    return;
-  for (size_t i = 0; i < count && !is_scarce && !any_free; i++)
-    any_free = candidates[i].state == HEALTH_USABLE
-               && candidates[i].load * 100
-                      < (double)wait_limit_get (&targets[i]->wait_limit,
-                                                targets[i]->slots)
-                            * SIGN_PERCENT;
-  if (any_free)
+  if (!relay->router->settings->admission_queue || relay->software != 0
+      || (!is_scarce && any_is_free (selection)))
     return;
   if (is_scarce)
     more = wait_extra_places (&queue->wait, &relay->turn, now);
-  for (size_t i = 0; i < count; i++)
+  for (size_t i = 0; i < selection->count; i++)
+    if (is_at_limit (&selection->candidates[i], selection->targets[i], more,
+                     now))
+      selection->candidates[i].has_no_room = 1;
+}
+
+/* Returns whether a target in SELECTION has no sign of too little capacity. */
+static int
+any_is_free (const struct relay_selection *selection)
+{
+  for (size_t i = 0; i < selection->count; i++)
+    {
+      const struct bal_candidate *candidate = &selection->candidates[i];
+      const struct reg_target *target = selection->targets[i];
+
+      if (candidate->state == HEALTH_USABLE
+          && candidate->load * 100
+                 < (double)wait_limit_get (&target->wait_limit, target->slots)
+                       * SIGN_PERCENT)
+        return 1;
+    }
+  return 0;
+}
+
+/* Returns whether TARGET, which is CANDIDATE, is at its limit, MORE places
+   added, or has just turned a request away.  */
+static int
+is_at_limit (const struct bal_candidate *candidate,
+             const struct reg_target *target, int32_t more, clk_ms now)
+{
+  const struct wait_limit *limit = &target->wait_limit;
+
+  return now < limit->closed_until_ms
+         || candidate->load
+                >= (double)wait_limit_get (limit, target->slots) + more;
+}
+
+/* Records at the targets in SELECTION, marked by relay_wait_limit, that
+   RELAY's service is short of capacity, if it is: limits that are reached may
+   grow.  */
+void
+relay_wait_note_limits (const struct relay *relay,
+                        const struct relay_selection *selection, clk_ms now)
+{
+  const struct relay_queue *queue = relay_queue_find (relay);
+  int32_t more;
+
+  if (!relay->router->settings->admission_queue || relay->software != 0
+      || queue == NULL || !wait_is_scarce (&queue->wait, now))
+    return;
+  more = wait_extra_places (&queue->wait, &relay->turn, now);
+  for (size_t i = 0; i < selection->count; i++)
     {
-      struct wait_limit *limit = &targets[i]->wait_limit;
-
-      if (is_scarce)
-        limit->scarce_until_ms = now + SCARCE_TOLD_MS;
-      if (now >= limit->closed_until_ms
-          && candidates[i].load
-                 < (double)wait_limit_get (limit, targets[i]->slots) + more)
-        continue;
-      candidates[i].has_no_room = 1;
-      if (is_scarce)
-        wait_limit_reach (limit, targets[i]->slots, candidates[i].load, now);
+      const struct bal_candidate *candidate = &selection->candidates[i];
+      struct reg_target *target = selection->targets[i];
+
+      target->wait_limit.scarce_until_ms = now + SCARCE_TOLD_MS;
+      if (is_at_limit (candidate, target, more, now))
+        wait_limit_reach (&target->wait_limit, target->slots, candidate->load,
+                          now);
     }
 }
 
+/* Sets FORECAST to what relay_wait_before would do with RELAY at NOW, if
+   CHOICE is NULL, or else relay_wait_after with CHOICE.  Only RELAY's turn
+   changes.  */
+void
+relay_wait_foresee (struct relay *relay, const struct bal_choice *choice,
+                    clk_ms now, struct relay_wait_forecast *forecast)
+{
+  const struct relay_queue *queue = relay_queue_find (relay);
+  struct wait empty;
+  struct wait wait;
+  int is_refused;
+
+  *forecast = (struct relay_wait_forecast){ .step = RELAY_WAIT_GOES_ON };
+  if (!may_queue (relay))
+    return;
+  set_turn (relay);
+  if (choice == NULL ? queue == NULL || !wait_is_scarce (&queue->wait, now)
+                     : choice->reason != BAL_ALL_FULL)
+    return;
+  is_refused = choice == NULL && is_over_share (queue, relay, now);
+  if (choice == NULL && !is_refused
+      && turn_ahead (&queue->wait.queue, &relay->turn) == 0)
+    return;
+  wait_init (&empty);
+  wait = queue != NULL ? queue->wait : empty;
+  forecast->refusal = is_refused ? RELAY_OVER_SHARE : RELAY_QUEUE_FULL;
+  if (is_refused)
+    wait_look (&wait, &relay->turn, now, &forecast->view);
+  else
+    is_refused = !look_ahead (&wait, relay, now, &forecast->view);
+  forecast->step = is_refused ? RELAY_WAIT_REFUSED : RELAY_WAIT_QUEUED;
+  /* The booking is made in the copy.  */
+  if (is_refused)
+    forecast->retry_after_ms
+        = wait_book (&wait, &forecast->view, relay->deadline_ms - now, now);
+  wait_clear (&empty);
+}
+
 /* Records that RELAY is sent to a target.  */
 void
 relay_wait_sent (struct relay *relay, clk_ms now)
