Add the command ibisctl route

Operators had no way to ask an instance for its decision without writing the request by hand.

ibisctl route METHOD URL prints the route, the customer, each target with what closes it, the choice and the ages of the inputs. The key comes from a file or standard input.

--- a/Makefile
+++ b/Makefile
@@ -35,9 +35,8 @@
 $(BUILD)/ibisloomd: $(BUILD)/daemon/ibisloomd.o $(BUILD)/libibisloom.a
 	$(CC) $(CFLAGS) $(EXTRA) $^ -o $@ $(PKG_LIBS)
 
-$(BUILD)/ibisctl: $(BUILD)/daemon/ibisctl.o $(BUILD)/daemon/ctl_lines.o $(BUILD)/daemon/ctl_explain.o \
-	$(BUILD)/daemon/ctl_summary.o $(BUILD)/daemon/ctl_audit.o \
-  $(BUILD)/libibisloom.a
+CTL_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard daemon/ctl_*.c))
+$(BUILD)/ibisctl: $(BUILD)/daemon/ibisctl.o $(CTL_OBJ) $(BUILD)/libibisloom.a
 	$(CC) $(CFLAGS) $(EXTRA) $^ -o $@ $(PKG_LIBS)
 
 $(BUILD)/fake_%: $(BUILD)/fakes/fake_%.o $(FAKE_COMMON) $(BUILD)/libibisloom.a
@@ -57,6 +56,8 @@
   $(BUILD)/tests/test_%.o $(BUILD)/tests/shop.o $(FIXTURES) $(BUILD)/libibisloom.a | $(BUILD)/ibisloomd
 	$(CC) $(CFLAGS) $(EXTRA) $^ -o $@ $(PKG_LIBS) -lcunit
 
+$(BUILD)/tests/test_route: | $(BUILD)/ibisctl
+
 SOAK_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/soak*.c))
 $(BUILD)/tests/soak: $(SOAK_OBJ) $(FIXTURES) $(BUILD)/libibisloom.a | $(BUILD)/ibisloomd
 	$(CC) $(CFLAGS) $(EXTRA) $^ -o $@ $(PKG_LIBS)
--- a/daemon/ibisctl.c
+++ b/daemon/ibisctl.c
@@ -8,6 +8,8 @@
 #include <jansson.h>
 
 #include "ctl_log.h"
+#include "ctl_route.h"
+#include "ctl_status.h"
 #include "ibisloom/error.h"
 #include "ibisloom/fetch.h"
 #include "ibisloom/settings.h"
@@ -20,7 +22,8 @@
   TIMEOUT_MS = 5000,
   WORDS_MAX = 6,
   SERVERS_MAX = 64,
-  HTTP_ERROR_MIN = 300
+  HTTP_ERROR_MIN = 300,
+  ROUTE_ARGUMENTS = 2
 };
 
 struct session
@@ -31,6 +34,8 @@
   const char *token_file;
   const char *expected_revision;
   const char *switched_by;
+  const char *key_file;
+  const char *prompt;
   char *token;
   int json;
   char *words[WORDS_MAX];
@@ -40,7 +45,9 @@
 typedef int (*command_handler) (struct session *session);
 
 static error_t parse_option (int key, char *value, struct argp_state *state);
+static int needs_token (const char *name);
 static int is_log_command (const char *name);
+static int route (struct session *session);
 static int explain (struct session *session);
 static int summary (struct session *session);
 static int audit (struct session *session);
@@ -66,9 +73,6 @@
                             const char *method, const char *path,
                             const char *body, int *exit_status);
 static int print_json (struct session *session, json_t *json, int exit_status);
-static void print_instance (const char *server, json_t *json);
-static void print_targets (json_t *json);
-static void print_counters (json_t *json);
 
 const char *argp_program_version = "ibisctl 0.1";
 
@@ -81,6 +85,9 @@
           "write only if the object has this revision (0: does not exist)",
           0 },
         { "by", 'b', "NAME", 0, "name to record for a preset switch", 0 },
+        { "key-file", 'k', "FILE", 0,
+          "file with the client's API key, for route; -: standard input", 0 },
+        { "prompt", 'p', "PARTS", 0, "prompt parts, for route", 0 },
         { 0 } };
 
 static const struct argp argument_parser
@@ -95,6 +102,7 @@
         "  drain target SERVICE/NAME | drain instance\n"
         "  restore target SERVICE/NAME\n"
         "  operation show CUSTOMER SERVICE KEY\n"
+        "  route METHOD URL\n"
         "  explain REQUEST-ID < LOG\n"
         "  summary < LOG\n"
         "  audit < LOG\n\n"
@@ -125,6 +133,9 @@
   { "operation", "show", 3, operation_show },
 };
 
+/* Command that needs no token. */
+static const char route_command[] = "route";
+
 /* Commands that read logs and need no instance. */
 static const struct
 {
@@ -150,13 +161,17 @@
         && session.word_count == 1 + log_commands[i].arguments)
       return log_commands[i].run (&session);
   curl_global_init (CURL_GLOBAL_ALL);
-  session.token = settings_read_secret (session.token_file, &error);
-  if (session.token == NULL)
+  session.fetch = fetch_new ();
+  if (strcmp (session.words[0], route_command) == 0
+      && session.word_count == 1 + ROUTE_ARGUMENTS)
+    return route (&session);
+  if (needs_token (session.words[0]))
+    session.token = settings_read_secret (session.token_file, &error);
+  if (error != NULL)
     {
       fprintf (stderr, "ibisctl: %s\n", error->message);
       return EXIT_USAGE;
     }
-  session.fetch = fetch_new ();
   for (size_t i = 0; i < G_N_ELEMENTS (commands); i++)
     {
       int words = commands[i].second != NULL ? 2 : 1;
@@ -171,6 +186,13 @@
   return EXIT_USAGE;
 }
 
+/* Returns whether the command NAME needs the operators' token.  */
+static int
+needs_token (const char *name)
+{
+  return strcmp (name, route_command) != 0 && !is_log_command (name);
+}
+
 /* Returns whether the command NAME reads logs.  */
 static int
 is_log_command (const char *name)
@@ -188,21 +210,24 @@
   struct session *session = state->input;
   const char **destinations[] = { ['t'] = &session->token_file,
                                   ['e'] = &session->expected_revision,
-                                  ['b'] = &session->switched_by };
+                                  ['b'] = &session->switched_by,
+                                  ['k'] = &session->key_file,
+                                  ['p'] = &session->prompt };
 
   if (key == 's' && session->server_count < SERVERS_MAX)
     session->servers[session->server_count++] = value;
   else if (key == 'j')
     session->json = 1;
-  else if (key == 't' || key == 'e' || key == 'b')
+  else if (key == 't' || key == 'e' || key == 'b' || key == 'k' || key == 'p')
     *destinations[key] = value;
   else if (key == ARGP_KEY_ARG && session->word_count < WORDS_MAX)
     session->words[session->word_count++] = value;
   else if (key == ARGP_KEY_END
            && (session->word_count == 0
                || (!is_log_command (session->words[0])
-                   && (session->server_count == 0
-                       || session->token_file == NULL))))
+                   && session->server_count == 0)
+               || (needs_token (session->words[0])
+                   && session->token_file == NULL)))
     argp_error (state, "give --server, --token-file and a command");
   else if (key != ARGP_KEY_END)
     return ARGP_ERR_UNKNOWN;
@@ -230,6 +255,24 @@
   return ctl_audit (stdin, session->json);
 }
 
+/* Command: route METHOD URL.  */
+static int
+route (struct session *session)
+{
+  const struct ctl_route question = { .server = session->servers[0],
+                                      .method = session->words[1],
+                                      .url = session->words[2],
+                                      .key_file = session->key_file,
+                                      .prompt = session->prompt,
+                                      .timeout_ms = TIMEOUT_MS,
+                                      .as_json = session->json };
+  int exit_status = ctl_route (session->fetch, &question);
+
+  fetch_free (session->fetch);
+  curl_global_cleanup ();
+  return exit_status;
+}
+
 /* Command: presets list.  */
 static int
 presets_list (struct session *session)
@@ -356,14 +399,14 @@
       json_array_append_new (all, json);
       first = first ? first : json;
       if (!session->json)
-        print_instance (session->servers[i], json);
+        ctl_print_instance (session->servers[i], json);
     }
   if (session->json)
     return print_json (session, all, exit_status);
   if (first != NULL)
     {
-      print_targets (first);
-      print_counters (first);
+      ctl_print_targets (first);
+      ctl_print_counters (first);
     }
   json_decref (all);
   return exit_status;
@@ -513,71 +556,3 @@
   }
   return exit_status;
 }
-
-/* Prints the status of one instance as a line.  */
-static void
-print_instance (const char *server, json_t *json)
-{
-  const char *preset = json_string_value (json_object_get (json, "preset"));
-  json_t *members = json_object_get (json, "members");
-  json_t *member;
-  size_t i;
-  int usable = 0;
-
-  json_array_foreach (members, i, member)
-  {
-    usable += json_is_true (json_object_get (member, "usable"));
-  }
-  printf (
-      "%-22s %-14s %-9s %9lld %-12s %5lld %d of %zu\n", server,
-      json_string_value (json_object_get (json, "instance")),
-      json_is_true (json_object_get (json, "stopping")) ? "stopping"
-      : json_is_true (json_object_get (json, "ready"))  ? "ready"
-                                                        : "starting",
-      (long long)json_integer_value (json_object_get (json, "revision")),
-      preset ? preset : "-",
-      (long long)json_integer_value (json_object_get (json, "open_requests")),
-      usable, json_array_size (members));
-}
-
-/* Prints the targets as a table.  */
-static void
-print_targets (json_t *json)
-{
-  json_t *target;
-  size_t i;
-
-  printf ("\n%-16s %-14s %-12s %-8s %5s %5s\n", "SERVICE", "TARGET", "DOMAIN",
-          "STATE", "SLOTS", "LOAD");
-  json_array_foreach (json_object_get (json, "targets"), i, target)
-  {
-    json_t *load = json_object_get (target, "load");
-
-    printf ("%-16s %-14s %-12s %-8s %5lld ",
-            json_string_value (json_object_get (target, "service")),
-            json_string_value (json_object_get (target, "name")),
-            json_string_value (json_object_get (target, "failure_domain")),
-            json_string_value (json_object_get (target, "state")),
-            (long long)json_integer_value (json_object_get (target, "slots")));
-    if (load != NULL)
-      printf ("%5lld\n", (long long)json_integer_value (load));
-    else
-      printf ("%5s\n", "-");
-  }
-}
-
-/* Prints the counters of refusals, retries and denials.  */
-static void
-print_counters (json_t *json)
-{
-  const char *name;
-  json_t *value;
-
-  printf ("\n%10s %s\n", "COUNT", "REFUSALS, RETRIES AND DENIALS");
-  json_object_foreach (json_object_get (json, "counters"), name, value)
-  {
-    if (strstr (name, "refused") || strstr (name, "retries")
-        || strstr (name, "denied"))
-      printf ("%10lld %s\n", (long long)json_integer_value (value), name);
-  }
-}
--- a/include/ibisloom/dialect.h
+++ b/include/ibisloom/dialect.h
@@ -46,6 +46,9 @@
   /* Fields that only the router may set.  They are removed from a client's
      request.  NULL-terminated.  */
   const char *const *reserved;
+  /* What precedes the API key in a credential.  */
+  const char *credential_scheme;
+
   /* Returns the API key in CREDENTIAL, or NULL.  */
   const char *(*key) (const char *credential);
   /* Parse a header value.  Each returns 0, or -1 if VALUE is malformed.
--- a/include/ibisloom/fetch.h
+++ b/include/ibisloom/fetch.h
@@ -13,6 +13,7 @@
   const char *url;
   const char *body;          /* JSON, or NULL */
   const char *bearer;        /* token, or NULL */
+  const char *credential;    /* sent instead of it, as it is; or NULL */
   const char *if_match;      /* header value, or NULL */
   const char *if_none_match; /* header value, or NULL */
   const char *epoch_field;   /* header field with the store's epoch, or NULL */
--- a/process/fetch.c
+++ b/process/fetch.c
@@ -70,6 +70,7 @@
   response->epoch_field = request->epoch_field;
   curl_easy_reset (easy);
   headers = add_header (headers, "Authorization: Bearer", request->bearer);
+  headers = add_header (headers, "Authorization:", request->credential);
   headers = add_header (headers, "If-Match:", request->if_match);
   headers = add_header (headers, "If-None-Match:", request->if_none_match);
   headers = curl_slist_append (headers, "Expect:");
--- a/tests/router_fixture.c
+++ b/tests/router_fixture.c
@@ -184,18 +184,39 @@
   g_free (write_router_settings (0, extra));
 }
 
-/* Returns the response of router INDEX to a request for its metrics, newly
-   allocated.  */
-static char *
-get_router_metrics (int index)
+/* Returns the response of router INDEX at its operators' address to a request
+   for PATH with FIELDS, lines of a head, newly allocated.  */
+char *
+fx_router_ask (int index, const char *path, const char *fields)
 {
   int fd = fx_connect_port (fx_env.routers[index].metrics_port);
+  char *request;
+  char *response;
 
   if (fd < 0)
     return g_strdup ("");
-  fx_write (fd, "GET /metrics HTTP/1.1\r\nHost: m\r\nConnection: close\r\n"
-                "\r\n");
-  return fx_read_all (fd);
+  request = g_strdup_printf (
+      "GET %s HTTP/1.1\r\nHost: m\r\n%sConnection: close\r\n\r\n", path,
+      fields);
+  fx_write (fd, request);
+  response = fx_read_all (fd);
+  g_free (request);
+  return response;
+}
+
+/* Returns the port of router INDEX for operators.  */
+int
+fx_router_operator_port (int index)
+{
+  return fx_env.routers[index].metrics_port;
+}
+
+/* Returns the response of router INDEX to a request for its metrics, newly
+   allocated.  */
+static char *
+get_router_metrics (int index)
+{
+  return fx_router_ask (index, "/metrics", "");
 }
 
 /* Returns the response of the first router to a request for its metrics, newly
--- a/tests/router_fixture.h
+++ b/tests/router_fixture.h
@@ -42,6 +42,8 @@
 int fx_router_listens (int index);
 int fx_router_connect (int index);
 int fx_router_connect_peer (int index); /* as an instance does */
+char *fx_router_ask (int index, const char *path, const char *fields);
+int fx_router_operator_port (int index);
 long fx_router_metric (int index, const char *name);
 long fx_router_peak_kb (int index); /* its largest memory so far */
 
