Keep queued requests from being queued twice or refused while queued

A reader of the code found states in which a request could be entered twice in its queue and be used after it was freed, and others in which a limit stayed.

Cause: a request that had waited for reach kept that mark in the queue, so that its timer dispatched it again. A refusal had the client's next request handled while the refused one was still queued. A pace counted a request without a response as late for ever, also after it had ended. Each poll refused all requests that the level of all instances made late at once. Retry-After of a quarantine trial was used for its failure. A cold target whose entry said warm got no pace.

Each is mended where the state ends; refusals from the queue come one at a time, and what waits is summed in 64 bits.

Measured: test_pace, the limit grows again once unanswered requests have ended, is new; test_pace, test_turn, test_contention, test_route, test_cold and test_stop pass. The other states have no test of their own.

--- a/process/fleet_cold.c
+++ b/process/fleet_cold.c
@@ -54,6 +54,7 @@
 {
   clk_ms now = clk_now (clk_monotonic ());
   int was_cold = reg_is_cold (target, now);
+  int had_limit = target->cold_until_ms != 0;
   clk_ms until_ms = target->warm_at_ms;
 
   target->cold_per_s = fleet->settings->slow_start ? per_s : 0;
@@ -65,6 +66,8 @@
       rate_end (&target->cold);
       if (was_cold)
         log_info ("fleet", NULL, "target_warm", "%s", target->id);
+      if (had_limit && target->cold_per_s > 0)
+        fleet_begin_pace (fleet, target, "warm");
       return;
     }
   begin (fleet, target, until_ms, now);
--- a/process/fleet_demand.c
+++ b/process/fleet_demand.c
@@ -1,12 +1,12 @@
 /* Demand for services that are short of capacity.
 
-   While a service is, each instance with requests for it tells its demand to
-   two coordinators: the instances that rank first for the service among those
-   alive.  Each answers with the admission level that follows from the reports
-   it has.  The second one makes up for the first until its end is noticed.  No
-   coordinator holds anything but reports, which end by themselves, so one that
-   is lost, or that two parts of a divided fleet have of their own, costs
-   nothing but its answers.  The more instances there are, the less often each
+   While a service is short of capacity, each instance with requests for it
+   reports its demand to two coordinators: the instances that rank first for
+   the service among those alive.  Each answers with the admission level that
+   follows from the reports it has.  The second one makes up for the first
+   until its end is noticed.  A coordinator holds only reports, which expire:
+   if it is lost, or each part of a divided fleet has its own, only its answers
+   are missing or partial.  The more instances there are, the less often each
    reports, so that a coordinator handles a bounded number of reports.  */
 #include "ibisloom/rank.h"
 #include "libfleet.h"
--- a/process/fleet_load.c
+++ b/process/fleet_load.c
@@ -63,6 +63,8 @@
 
   fleet_tell_load (fleet, target);
   target->update_pending = 1;
+  if (!started && target->in_flight == 0)
+    pace_count_idle (&target->pace, now);
   if (pace_is_in_force (&target->pace) || reg_is_near_limit (target, now))
     schedule_update (fleet, started || reg_is_scarce (target, now)
                                 ? 0
--- a/process/router_snapshot.c
+++ b/process/router_snapshot.c
@@ -54,8 +54,8 @@
 /* Called when another instance reports what it knows of the store.  If that is
    newer and this instance does not watch the store itself, it fetches the
    snapshot of the other instance.  While an instance of its own failure domain
-   watches the store, it fetches only within that domain.  Versions that come
-   in a storm are fetched at a pace.
+   watches the store, it fetches only within that domain.  Versions that
+   follow each other quickly are fetched at limited intervals.
 
    The connection of a watcher to the store may fail without an error.  What
    other instances have reported for STALE_MS is therefore fetched from any of
--- a/request/pace.c
+++ b/request/pace.c
@@ -1,4 +1,5 @@
-/* Pace at which a target that has started or recovered gets requests.
+/* Slow start: limit of the requests in progress at a target that has started
+   or recovered.
 
    All instances together keep the requests in progress there within a limit,
    which is one at first.  It is a function of the time since it was begun or
@@ -205,6 +206,15 @@
     pace->asked_ms = now;
 }
 
+/* Handles that no request of this instance is left at the target of PACE: none
+   is late any more.  */
+void
+pace_count_idle (struct pace *pace, clk_ms now)
+{
+  pace->paused_ms += overdue_ms (pace, now);
+  pace->asked_ms = 0;
+}
+
 /* Handles a response at NOW of the target of PACE, of SERVICE, to a request
    that was sent at SENT_MS, while LOAD requests are in progress there. Returns
    whether that reduced the limit.  */
--- a/request/relay_refuse.c
+++ b/request/relay_refuse.c
@@ -55,7 +55,8 @@
 relay_retry_after_ms (const struct relay *relay, enum relay_refusal refusal,
                       int64_t *jitter_ms)
 {
-  int is_spread = relay->retry_after_ms > 0 && refusal != RELAY_QUARANTINED;
+  int is_spread = refusal == RELAY_OVER_SHARE || refusal == RELAY_QUEUE_FULL
+                  || refusal == RELAY_QUEUE_LATE;
   int64_t wait_ms = refusal == RELAY_QUARANTINED || is_spread
                         ? relay->retry_after_ms
                         : refusals[refusal].retry_after_ms;
@@ -74,6 +75,9 @@
   int64_t wait_ms = relay_retry_after_ms (relay, refusal, &jitter_ms);
   GString *fields = g_string_new (NULL);
 
+  /* The response may have the client's next request handled, which must not
+     find this one in the queue.  */
+  relay_wait_leave (relay);
   metric_inc (refusals[refusal].counter);
   relay->client = NULL;
   if (!relay->head_sent)
--- a/request/relay_wait.c
+++ b/request/relay_wait.c
@@ -213,6 +213,8 @@
 {
   struct ev_loop *loop = queue->router->loop;
 
+  /* A wait for reach is over: the timer now ends this one.  */
+  relay->waits_for_reach = 0;
   turn_add (&queue->wait.queue, &relay->turn);
   ev_timer_stop (loop, &relay->timer);
   ev_timer_set (&relay->timer,
@@ -240,14 +242,15 @@
                 relay->may_have_run ? RELAY_TARGET_FAILED : refusals[refusal]);
 }
 
-/* Refuses the least urgent requests of QUEUE as long as they will not be
-   served in time.  */
+/* Refuses the least urgent request of QUEUE if it will not be served in time.
+   One at a time: what the level says of all instances does not fall with each
+   refusal here, and all instances have the same level.  */
 static void
 refuse_overdue (struct relay_queue *queue, clk_ms now)
 {
-  struct turn *turn;
+  struct turn *turn = wait_overdue (&queue->wait, now);
 
-  while ((turn = wait_overdue (&queue->wait, now)) != NULL)
+  if (turn != NULL)
     refuse (queue,
             (struct relay *)((char *)turn - offsetof (struct relay, turn)),
             QUEUE_FULL, now);
@@ -266,10 +269,15 @@
                                              : RELAY_DEADLINE_UNSENT);
 }
 
-/* Takes RELAY out of its queue, if it waits.  */
+/* Takes RELAY, which ends, out of its queue if it waits.  The next request may
+   have the same address, and has not been tried.  */
 void
 relay_wait_leave (struct relay *relay)
 {
+  struct relay_queue *queue = relay_queue_find (relay);
+
+  if (queue != NULL && queue->tried == relay)
+    queue->tried = NULL;
   if (relay->turn.flow != NULL)
     turn_remove (&relay_queue_find (relay)->wait.queue, &relay->turn);
 }
--- a/request/wait.c
+++ b/request/wait.c
@@ -124,7 +124,7 @@
 }
 
 /* Returns whether the level admits a request of CUSTOMER in CLASS that draws
-   RANDOM, from 0 to below 1.  Without one, the queue alone decides.  */
+   RANDOM, from 0 to below 1.  Without a level, only the queue decides.  */
 int
 wait_admits (const struct wait *wait, uint32_t class, uint64_t customer,
              double random, clk_ms now)
@@ -163,17 +163,17 @@
   view->level_age_ms = -1;
   if (level != NULL && level->level.served_per_ks > 0)
     {
-      uint32_t waiting = 0;
+      uint64_t waiting = 0;
 
       for (uint32_t i = 0; i <= turn->class; i++)
         waiting += level->level.waiting[i];
-      view->ahead = MAX (view->ahead, waiting);
+      view->ahead = (uint32_t)MIN (MAX (view->ahead, waiting), UINT32_MAX);
       view->per_s = MAX (view->per_s,
                          (double)level->level.served_per_ks / CLK_MS_PER_S);
       view->level_age_ms = now - level->set_ms;
     }
   view->expected_ms
-      = (int64_t)((view->ahead + 1) * CLK_MS_PER_S / view->per_s);
+      = (int64_t)(((double)view->ahead + 1) * CLK_MS_PER_S / view->per_s);
 }
 
 /* Returns whether TURN, of which VIEW is known, is served in time.  */
--- a/tests/test_pace.c
+++ b/tests/test_pace.c
@@ -45,6 +45,8 @@
 static void many_instances_before_one_target (void);
 static void cold_target_of_many_instances (void);
 
+static void unanswered_requests_do_not_stop_the_growth (void);
+
 static const struct test_case cases[] = {
   { "a limit grows with time and ends far above the mean load",
     limit_grows_with_time },
@@ -62,6 +64,8 @@
     many_instances_before_one_target },
   { "many instances keep the rate of a cold target",
     cold_target_of_many_instances },
+  { "the limit grows again once unanswered requests have ended",
+    unanswered_requests_do_not_stop_the_growth },
 };
 
 TEST_MAIN ("pace", cases)
@@ -503,3 +507,23 @@
   printf ("(unheard %d, %d) ", most, sent);
   CU_ASSERT (most < COLD_PER_S * 1.5 + 5);
 }
+
+/* Guards against a limit that stays as it was when a request that got no
+   response was the last one, so that the pace never ends.  */
+static void
+unanswered_requests_do_not_stop_the_growth (void)
+{
+  struct pace_service others = { .mean_load = 8 };
+  struct pace pace = { 0 };
+  clk_ms now = 100000;
+
+  pace_service_observe (&others, 20);
+  pace_begin (&pace, now);
+  pace_scale (&pace, &others);
+  pace_count_sent (&pace, 1, now);
+  now += 2000;
+  CU_ASSERT (pace_limit (&pace, now) < 2);
+  pace_count_idle (&pace, now);
+  now += 4000;
+  CU_ASSERT (pace_is_over (&pace, now));
+}
