Keep the table of codecs within what the linters take

Cause: clang-tidy refuses the size of an array of pointers to structures.

Change: the three tables are looked up one after the other; a declaration is formatted.

Measured: clang-format and clang-tidy are clean on the two files.

--- a/process/router_evacuation.c
+++ b/process/router_evacuation.c
@@ -21,11 +21,10 @@
 void
 router_watch_evacuations (struct router *router)
 {
-  const struct watch_sink sink
-      = { .begin = evacuations_begin,
-          .object = evacuations_object,
-          .end = evacuations_end,
-          .closure = router };
+  const struct watch_sink sink = { .begin = evacuations_begin,
+                                   .object = evacuations_object,
+                                   .end = evacuations_end,
+                                   .closure = router };
 
   if (router->settings->evacuate_ms == 0)
     return;
--- a/process/wire_body.c
+++ b/process/wire_body.c
@@ -21,13 +21,11 @@
 static const struct wire_codec *
 find_codec (enum wire_kind kind)
 {
-  static const struct wire_codec *const tables[]
-      = { wire_member_codecs, wire_capacity_codecs };
-
-  for (size_t i = 0; i < sizeof tables / sizeof *tables; i++)
-    if (tables[i][kind].encode != NULL)
-      return &tables[i][kind];
-  return &wire_fleet_codecs[kind];
+  if (wire_member_codecs[kind].encode != NULL)
+    return &wire_member_codecs[kind];
+  return wire_capacity_codecs[kind].encode != NULL
+             ? &wire_capacity_codecs[kind]
+             : &wire_fleet_codecs[kind];
 }
 
 /* Returns the next item, an unsigned integer of at most MAX.  */
