Take evacuate_ms on the command line

Cause: a placeholder for evacuate_ms in the template of the settings made the cases in review/ write no settings, as they fill in the placeholders of the template that they know: all ended as not run.

--- a/daemon/ibisloomd.c
+++ b/daemon/ibisloomd.c
@@ -13,12 +13,15 @@
 enum
 {
   EXIT_BAD_SETTINGS = 2,
-  EXIT_CANNOT_START = 3
+  EXIT_CANNOT_START = 3,
+  DECIMAL_BASE = 10,
+  EVACUATE_MAX_MS = 600000 /* as in the settings */
 };
 
 struct arguments
 {
   const char *settings;
+  int64_t evacuate_ms; /* 0: as the settings say */
   int check;
 };
 
@@ -35,6 +38,8 @@
     = { { "settings", 's', "FILE", 0, "read settings from FILE", 0 },
         { "check-settings", 'c', "FILE", 0,
           "check FILE, print all errors, and exit", 0 },
+        { "evacuate-ms", 'e', "MS", 0,
+          "set evacuate_ms to MS; empty: as in the settings", 0 },
         { 0 } };
 
 static const struct argp argument_parser
@@ -64,6 +69,8 @@
   settings = load_settings (arguments.settings);
   if (settings == NULL)
     return EXIT_BAD_SETTINGS;
+  if (arguments.evacuate_ms > 0)
+    settings->evacuate_ms = arguments.evacuate_ms;
   if (arguments.check)
     {
       settings_free (settings);
@@ -147,6 +154,15 @@
       arguments->check = key == 'c';
       return 0;
     }
+  if (key == 'e')
+    {
+      if (*value != '\0'
+          && !g_ascii_string_to_signed (value, DECIMAL_BASE, 0,
+                                        EVACUATE_MAX_MS,
+                                        &arguments->evacuate_ms, NULL))
+        argp_error (state, "evacuate-ms: not within 0 to %d", EVACUATE_MAX_MS);
+      return 0;
+    }
   if (key == ARGP_KEY_END && arguments->settings == NULL)
     argp_error (state, "name a settings file with --settings");
   return key == ARGP_KEY_END ? 0 : ARGP_ERR_UNKNOWN;
