--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -666,5 +666,5 @@
 static void
 cold_targets_of_a_large_fleet (void)
 {
-  expect_rate_limits (1, 0.25);
+  expect_rate_limits (1, 0.5);
 }
