Send a response's head, and each chunk, in one packet

Cause: the size, the data and the end of a chunk, and the head before the first of them, were sent by one system call each. With TCP_NODELAY each is a packet of its own, so an event took three packets on its way to the client, and each lost one holds up all that follow it.

Change: a head waits for what follows it, and the parts of a piece are sent by one sendmsg. What the socket does not accept is buffered as before.

--- a/connection/client.c
+++ b/connection/client.c
@@ -74,6 +74,7 @@
   if (client->pipelined != NULL)
     g_string_free (client->pipelined, TRUE);
   client_free_output (client);
+  client_free_head (client);
   buf_release (&client->body_share);
   g_free (client);
 }
--- a/connection/client_response.c
+++ b/connection/client_response.c
@@ -2,6 +2,7 @@
 #include <errno.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/uio.h>
 
 #include "ibisloom/buffer.h"
 #include "libclient.h"
@@ -9,12 +10,28 @@
 enum
 {
   LOW_WATER_BYTES = 16384,
-  HEAD_INITIAL_BYTES = 128
+  HEAD_INITIAL_BYTES = 128,
+  PARTS_MAX = 4 /* head, size of a chunk, chunk, its end */
 };
 
+/* Output that is sent with one system call: each call is a packet of its own,
+   and a lost packet delays all that follow it.  */
+struct output_parts
+{
+  struct iovec part[PARTS_MAX];
+  size_t count;
+};
+
+static void add_part (struct output_parts *parts, const char *data,
+                      size_t length);
+static void send_parts (struct client *client,
+                        const struct output_parts *parts);
+static void buffer_parts (struct client *client,
+                          const struct output_parts *parts, size_t sent);
 static void flush (struct client *client);
 
-/* Sends the status line and the header of a response.  */
+/* Sends the status line and the header of a response, together with the first
+   piece of the body or the end of the response.  */
 void
 client_send_head (struct client *client, uint32_t status, const char *fields,
                   int64_t length)
@@ -34,35 +51,36 @@
   if (client->close_after)
     g_string_append (head, "Connection: close\r\n");
   g_string_append (head, "\r\n");
-  client_write (client, head->str, head->len);
-  g_string_free (head, TRUE);
+  client->head = head;
 }
 
 /* Sends a piece of the response body.  */
 void
 client_send_body (struct client *client, const char *data, size_t length)
 {
+  struct output_parts parts = { .count = 0 };
   char size[24];
 
   if (length == 0 || client->is_head_request)
     return;
-  if (!client->chunked)
-    {
-      client_write (client, data, length);
-      return;
-    }
-  client_write (client, size,
-                (size_t)g_snprintf (size, sizeof size, "%zx\r\n", length));
-  client_write (client, data, length);
-  client_write (client, "\r\n", 2);
+  if (client->chunked)
+    add_part (&parts, size,
+              (size_t)g_snprintf (size, sizeof size, "%zx\r\n", length));
+  add_part (&parts, data, length);
+  if (client->chunked)
+    add_part (&parts, "\r\n", 2);
+  send_parts (client, &parts);
 }
 
 /* Ends a complete response.  */
 void
 client_end_response (struct client *client)
 {
+  struct output_parts parts = { .count = 0 };
+
   if (client->chunked && !client->is_head_request)
-    client_write (client, "0\r\n\r\n", 5);
+    add_part (&parts, "0\r\n\r\n", 5);
+  send_parts (client, &parts);
   client_finish_response (client);
 }
 
@@ -71,6 +89,7 @@
 void
 client_abort_response (struct client *client)
 {
+  send_parts (client, &(struct output_parts){ .count = 0 });
   client->request = NULL;
   client->is_response_complete = 1;
   client->listener->pending_requests--;
@@ -121,22 +140,77 @@
   buf_release (&client->output_share);
 }
 
+/* Frees a head of a response of CLIENT that was not sent.  */
+void
+client_free_head (struct client *client)
+{
+  if (client->head != NULL)
+    g_string_free (client->head, TRUE);
+  client->head = NULL;
+}
+
 /* Sends as much of DATA as the socket accepts, and buffers the rest.  */
 void
 client_write (struct client *client, const char *data, size_t length)
 {
+  struct output_parts parts = { .count = 0 };
+
+  add_part (&parts, data, length);
+  send_parts (client, &parts);
+}
+
+/* Appends DATA to PARTS, which has room for it.  */
+static void
+add_part (struct output_parts *parts, const char *data, size_t length)
+{
+  parts->part[parts->count].iov_base = (void *)(uintptr_t)data;
+  parts->part[parts->count].iov_len = length;
+  parts->count++;
+}
+
+/* Sends the head that waits for it, if there is one, and as much of PARTS as
+   the socket accepts, and buffers the rest.  */
+static void
+send_parts (struct client *client, const struct output_parts *parts)
+{
+  struct output_parts all = { .count = 0 };
+  struct msghdr message = { .msg_iov = all.part };
+  size_t length = 0;
   ssize_t sent = 0;
 
-  if (client_backlog (client) == 0)
-    sent = send (client->readable.fd, data, length, MSG_NOSIGNAL);
-  if (sent == (ssize_t)length)
-    return;
+  if (client->head != NULL)
+    add_part (&all, client->head->str, client->head->len);
+  for (size_t i = 0; i < parts->count; i++)
+    all.part[all.count++] = parts->part[i];
+  for (size_t i = 0; i < all.count; i++)
+    length += all.part[i].iov_len;
+  message.msg_iovlen = all.count;
+  if (client_backlog (client) == 0 && length > 0)
+    sent = sendmsg (client->readable.fd, &message, MSG_NOSIGNAL);
   if (sent < 0)
     sent = 0; /* a failed connection is detected at the next read */
+  if ((size_t)sent < length)
+    buffer_parts (client, &all, (size_t)sent);
+  client_free_head (client);
+}
+
+/* Buffers PARTS without the first SENT bytes, to be sent once the socket
+   accepts more.  */
+static void
+buffer_parts (struct client *client, const struct output_parts *parts,
+              size_t sent)
+{
   if (client->output == NULL)
-    client->output = g_string_sized_new (length - (size_t)sent);
-  g_string_append_len (client->output, data + sent,
-                       (gssize)(length - (size_t)sent));
+    client->output = g_string_new (NULL);
+  for (size_t i = 0; i < parts->count; i++)
+    {
+      size_t skipped = MIN (sent, parts->part[i].iov_len);
+
+      sent -= skipped;
+      g_string_append_len (client->output,
+                           (const char *)parts->part[i].iov_base + skipped,
+                           (gssize)(parts->part[i].iov_len - skipped));
+    }
   client->is_crowded
       = buf_reserve (&client->output_share, client->output->allocated_len)
         != 0;
--- a/connection/libclient.h
+++ b/connection/libclient.h
@@ -21,6 +21,7 @@
   struct http_reader reader;
   GString *body;
   GString *pipelined; /* input received after the current request */
+  GString *head;      /* of a response, to be sent with what follows it */
   GString *output;
   size_t output_offset;
   size_t body_share; /* of the pool of buffers, see buf_reserve */
@@ -49,6 +50,7 @@
 /* client_response.c */
 void client_write (struct client *client, const char *data, size_t length);
 void client_free_output (struct client *client);
+void client_free_head (struct client *client);
 void client_on_writable (struct ev_loop *loop, ev_io *watcher, int events);
 
 #endif
