Keep short contexts in each failure domain that uses them

Callers in other domains than that of a context's holder had each request and its response cross a boundary, and lost the context when a domain was cut off.

Cause: the oldest holder is used wherever it is, so with four domains three in four requests with a context leave their own.

Change: with local_context_tokens a request with a context of at most so many tokens goes to a holder or home in the own domain, up to half the distance from the mean to the load bound.

--- a/include/ibisloom/balance.h
+++ b/include/ibisloom/balance.h
@@ -43,10 +43,12 @@
      the mean, and the requests in progress there.  */
   uint32_t evacuated_count;
   double evacuated_load;
-  double rate_min;      /* tokens that a target with a rate limit must have */
-  uint8_t is_pinned;    /* few targets will do: full and suspended ones too */
-  uint8_t ignores_pace; /* no target is left without the pace */
-  uint8_t may_try;      /* may be the trial of a target that is due for one */
+  double rate_min;       /* tokens that a target with a rate limit must have */
+  uint8_t is_pinned;     /* few targets will do: full and suspended ones too */
+  uint8_t ignores_pace;  /* no target is left without the pace */
+  uint8_t may_try;       /* may be the trial of a target that is due for one */
+  uint8_t prefers_local; /* a context is kept in each failure domain */
+  uint8_t is_local_only; /* only targets in this instance's failure domain */
   uint32_t random; /* index at which the search for the least load starts */
 };
 
@@ -78,6 +80,7 @@
   BAL_SKIP_RATE,      /* at its rate limit */
   BAL_SKIP_ROOM,      /* brittle, without room */
   BAL_SKIP_PACE,      /* started or recovered, and at its pace */
+  BAL_SKIP_REMOTE,    /* in another failure domain, one nearby will do */
   BAL_SKIP_COUNT
 };
 
--- a/include/ibisloom/settings.h
+++ b/include/ibisloom/settings.h
@@ -52,7 +52,9 @@
   int64_t drain_ms;          /* for which a leaving target may get requests */
   int64_t evacuate_ms; /* until an evacuation must be in force; 0: not read */
   int64_t slow_start;  /* limits on cold and started targets are kept */
-  double grace_s;      /* from the stop signal until the process is killed */
+  /* Contexts up to this length are kept in each failure domain. */
+  int64_t local_context_tokens;
+  double grace_s; /* from the stop signal until the process is killed */
   int64_t admission_queue; /* 1: requests queue where capacity is scarce */
   char *cluster_key;
   char *operator_token;
--- a/include/ibisloom/source.h
+++ b/include/ibisloom/source.h
@@ -12,6 +12,7 @@
   uint8_t is_target;    /* the request itself goes there */
   uint8_t is_reachable; /* connections to it have not failed lately */
   uint8_t is_usable;    /* not suspended */
+  uint8_t is_near;      /* in the same failure domain as the target */
 };
 
 /* Returned by source_pick if there is nothing to copy. */
--- a/process/settings.c
+++ b/process/settings.c
@@ -139,6 +139,8 @@
     600000, 0 },
   { "slow_start", parse_integer, FIELD_OFFSET (slow_start), OPTIONAL, 0, 1,
     0 },
+  { "local_context_tokens", parse_integer, FIELD_OFFSET (local_context_tokens),
+    OPTIONAL, 0, 1000000, 0 },
   { "grace_s", parse_real, FIELD_OFFSET (grace_s), OPTIONAL, 1, 3600, 30 },
   { "admission_queue", parse_integer, FIELD_OFFSET (admission_queue), OPTIONAL,
     0, 1, 0 },
--- a/request/balance.c
+++ b/request/balance.c
@@ -51,7 +51,7 @@
 
 const char *const bal_skip_names[BAL_SKIP_COUNT]
     = { "free",   "absent", "tried", "suspect", "loaded",
-        "errors", "rate",   "room",  "pace" };
+        "errors", "rate",   "room",  "pace",    "remote" };
 
 static double load_limit (const struct bal_params *params, double mean);
 static enum bal_skip skip_reason (const struct bal_params *params,
@@ -59,6 +59,9 @@
                                   double limit, double best_error_rate);
 static size_t index_of (uint64_t id, const struct bal_candidate *candidates,
                         size_t count);
+static int pick_local (const struct bal_params *params,
+                       const struct bal_candidate *candidates, size_t count,
+                       struct bal_choice *choice);
 static int pick_holder (const struct bal_params *params,
                         const struct bal_candidate *candidates, size_t count,
                         struct bal_choice *choice);
@@ -116,7 +119,8 @@
   choice->skip = BAL_SKIP_NONE;
   choice->other_home = 0;
   if ((params->context == 0
-       || !(pick_holder (params, candidates, count, choice)
+       || !(pick_local (params, candidates, count, choice)
+            || pick_holder (params, candidates, count, choice)
             || pick_home (params, candidates, count, choice)))
       && !pick_least_loaded (params, candidates, count, choice)
       && !pick_paced_out (params, candidates, count, choice))
@@ -178,6 +182,8 @@
     return BAL_SKIP_TRIED;
   if (!is_usable (params, candidate))
     return BAL_SKIP_SUSPENDED;
+  if (params->is_local_only && !candidate->local)
+    return BAL_SKIP_REMOTE;
   if (closed_reason (params, candidate) != BAL_SKIP_NONE)
     return closed_reason (params, candidate);
   if (candidate->load > limit
@@ -200,6 +206,31 @@
   return i;
 }
 
+/* Selects a holder or home in this instance's failure domain, if contexts are
+   to be kept in each failure domain that uses them.  The target copies the
+   context from a holder in another one.  Up to half the distance from the mean
+   to the load bound, a busier target nearby is better than one elsewhere; a
+   domain that is loaded more sends its requests to others.  Returns whether
+   there is such a target.  */
+static int
+pick_local (const struct bal_params *params,
+            const struct bal_candidate *candidates, size_t count,
+            struct bal_choice *choice)
+{
+  struct bal_params local = *params;
+  double limit = choice->limit;
+  int any;
+
+  if (!params->prefers_local)
+    return 0;
+  local.is_local_only = 1;
+  choice->limit = (choice->mean + limit) / 2;
+  any = pick_holder (&local, candidates, count, choice)
+        || pick_home (&local, candidates, count, choice);
+  choice->limit = limit;
+  return any;
+}
+
 /* Selects the first usable holder of the context.  The fixed order keeps the
    number of targets that process the context small.  Returns whether there is
    one.  */
@@ -247,7 +278,7 @@
   for (size_t i = 0; i < count; i++)
     {
       nodes[i].id = candidates[i].id;
-      nodes[i].weight = 1;
+      nodes[i].weight = params->is_local_only ? candidates[i].local : 1;
     }
   filled = rank_top (params->context, nodes, count, top, RANK_TOP_MAX);
   return pick_ranked (params, candidates, count, top, filled, 0, choice)
--- a/request/relay_source.c
+++ b/request/relay_source.c
@@ -34,6 +34,7 @@
   const struct affinity_holders *holders;
   struct reg_target *listed[HELD_TARGETS_MAX];
   uint32_t listed_count;
+  size_t known;
   size_t index;
 
   if (relay->context == 0 || target->is_peer)
@@ -45,8 +46,12 @@
   for (uint32_t i = 0; i < listed_count; i++)
     if (listed[i] != target || holders == NULL || holders->count == 0)
       add_source (&sources, relay, listed[i]->hash, target, now);
+  known = sources.count;
   if (choice->other_home != 0)
     add_source (&sources, relay, choice->other_home, target, now);
+  /* Known holders come first, wherever they are.  */
+  if (sources.count > known)
+    sources.view[known].is_near = 0;
   index = source_pick (target->software, relay->context_tokens, sources.view,
                        sources.count);
   return index != SOURCE_NONE ? sources.target[index] : NULL;
@@ -68,6 +73,7 @@
     .software = holder->software,
     .is_target = holder == target,
     .is_reachable = reg_doubt (holder, now) != REG_UNREACHABLE,
-    .is_usable = health_get_state (&holder->health, now) == HEALTH_USABLE
+    .is_usable = health_get_state (&holder->health, now) == HEALTH_USABLE,
+    .is_near = holder->failure_domain == target->failure_domain
   };
 }
--- a/request/source.c
+++ b/request/source.c
@@ -15,8 +15,9 @@
 /* Returns the index of the holder, of COUNT HOLDERS in the order of
    preference, from which a target with version SOFTWARE copies a context of so
    many TOKENS, or SOURCE_NONE if it should read the context or holds it
-   already.  A suspended holder is the last resort.  Versions may differ in
-   what they store.  */
+   already.  One in the target's failure domain is preferred, as a copy between
+   domains takes longer; a suspended holder is the last resort.  Versions may
+   differ in what they store.  */
 size_t
 source_pick (uint64_t software, uint32_t tokens,
              const struct source_holder *holders, size_t count)
@@ -34,7 +35,9 @@
         continue;
       if (!holders[i].is_usable && suspended == SOURCE_NONE)
         suspended = i;
-      if (holders[i].is_usable && usable == SOURCE_NONE)
+      if (holders[i].is_usable
+          && (usable == SOURCE_NONE
+              || (holders[i].is_near && !holders[usable].is_near)))
         usable = i;
     }
   return usable != SOURCE_NONE ? usable : suspended;
