Tell peers only of paces that they do not begin themselves

Cause: all paces in force followed each heartbeat, also those that every instance had begun by itself when it read the entry of a new target.

Change: a pace follows heartbeats once it was told, that is after a recovery or a reduction.

--- a/include/ibisloom/pace.h
+++ b/include/ibisloom/pace.h
@@ -28,6 +28,8 @@
   double paused_ms;   /* since then, while a request was late */
   uint32_t confirmed; /* responses since then, at this instance, in time */
   clk_ms asked_ms;    /* sent, and no response since; 0: none */
+  /* Peers are told of it, as it does not follow from the target's entry.  */
+  uint8_t is_announced;
   /* As of the last heartbeat.  */
   double full;        /* limit at which the pace no longer binds */
   double patience_ms; /* after which a response is late; infinite: unknown */
--- a/process/fleet_pace.c
+++ b/process/fleet_pace.c
@@ -4,9 +4,9 @@
    Every instance begins the pace of a target that has started when it reads
    the target's entry.  One that sees a target recover from an outage begins
    its pace and tells all others; so does one whose request shows that the
-   limit is too high.  What is in force follows each heartbeat, for instances
-   that have just started or missed a datagram.  Growth and end need no
-   message: they follow from time and the loads that all know.  */
+   limit is too high.  What was told and is in force follows each heartbeat,
+   for instances that have just started or missed a datagram.  Growth and end
+   need no message: they follow from time and the loads that all know.  */
 #include <math.h>
 #include <string.h>
 
@@ -30,7 +30,7 @@
                   clk_ms now);
 static void report_reduced (struct fleet *fleet, struct reg_target *target,
                             const char *cause, clk_ms sent_ms);
-static void tell (struct fleet *fleet, const struct reg_target *target);
+static void tell (struct fleet *fleet, struct reg_target *target);
 static void log_pace (const struct reg_target *target, const char *reason,
                       const char *cause, clk_ms sent_ms);
 static struct wire_pace encode (const struct reg_target *target, clk_ms now);
@@ -133,8 +133,9 @@
     }
 }
 
-/* Sends ADDRESS the paces in force, as many as one datagram holds; the next
-   ones follow with the next heartbeat.  */
+/* Sends ADDRESS the announced paces in force, as many as one datagram holds;
+   the next ones follow with the next heartbeat.  Those that each instance
+   begins by itself are left out: a release begins one after the other.  */
 void
 fleet_send_paces (struct fleet *fleet, const struct sockaddr_in *address)
 {
@@ -145,15 +146,18 @@
   guint first;
   guint index = 0;
 
-  if (fleet->paced == 0)
+  if (fleet->announced_paces == 0)
     return;
-  first = (guint)(fleet->heartbeat_count * WIRE_PACES_MAX % fleet->paced);
+  first = (guint)(fleet->heartbeat_count * WIRE_PACES_MAX
+                  % fleet->announced_paces);
   for (guint i = 0; i < targets->len && paces->count < WIRE_PACES_MAX; i++)
     {
       const struct reg_target *target = g_ptr_array_index (targets, i);
 
-      if (pace_is_in_force (&target->pace)
-          && (index++ + fleet->paced - first) % fleet->paced < WIRE_PACES_MAX)
+      if (pace_is_in_force (&target->pace) && target->pace.is_announced
+          && (index++ + fleet->announced_paces - first)
+                     % fleet->announced_paces
+                 < WIRE_PACES_MAX)
         paces->pace[paces->count++] = encode (target, now);
     }
   if (paces->count > 0)
@@ -167,6 +171,7 @@
 {
   const GPtrArray *targets = fleet->registry->array;
   guint paced = 0;
+  guint announced = 0;
 
   for (guint i = 0; i < targets->len; i++)
     {
@@ -183,6 +188,7 @@
       scale (fleet, target, now);
       if (paced++ < RANKS_PER_HEARTBEAT)
         rank (fleet, target, now);
+      announced += target->pace.is_announced;
       if (fleet->settings->slow_start && !pace_is_over (&target->pace, now))
         continue;
       log_pace (target, "ended", NULL, now);
@@ -190,6 +196,7 @@
       metric_inc (METRIC_PACES_ENDED);
     }
   fleet->paced = paced;
+  fleet->announced_paces = announced;
 }
 
 /* Compares TARGET with its service.  If more than half of the usable targets
@@ -260,12 +267,13 @@
 
 /* Tells all other instances the pace of TARGET.  */
 static void
-tell (struct fleet *fleet, const struct reg_target *target)
+tell (struct fleet *fleet, struct reg_target *target)
 {
   struct wire_message message = { .kind = WIRE_PACES };
 
   if (!pace_is_in_force (&target->pace))
     return;
+  target->pace.is_announced = 1;
   message.u.paces.count = 1;
   message.u.paces.pace[0] = encode (target, clk_now (clk_monotonic ()));
   fleet_broadcast (fleet, &message);
--- a/process/libfleet.h
+++ b/process/libfleet.h
@@ -123,6 +123,7 @@
   clk_ms turned_ms;
   struct evac_state *evacuations; /* NULL: not read */
   guint paced;           /* targets with a pace, at the last heartbeat */
+  guint announced_paces; /* those of which peers are told */
   clk_ms cold_until_ms;  /* some target may be cold until then */
   guint next_rate;       /* target whose sharers are found next */
   guint first_told_rate; /* target whose limit is told first */
--- a/request/pace.c
+++ b/request/pace.c
@@ -136,6 +136,7 @@
   pace->since_ms = now - told->age_ms;
   pace->paused_ms = 0;
   pace->confirmed = 0;
+  pace->is_announced = 1;
   return 1;
 }
 
