Estimate when a target would begin a request, and choose by it

The balancer counts requests, so that a prompt of 10,000 tokens weighs the same as a look-up, and long prompts collide on one target. request/work.c keeps per target the unread tokens of this instance and of its peers, the reading speed and the last reported slowness. bal_pick passes over a holder or home (reason busy) that would begin noticeably later than the best alternative plus half of what reading the context there takes, and compares by load only targets that would begin about as soon as the soonest one. Without a difference that counts (notice_ms 0) nothing changes.

--- a/include/ibisloom/balance.h
+++ b/include/ibisloom/balance.h
@@ -31,6 +31,10 @@
   double rate_tokens;   /* requests that its rate limit allows now */
   uint8_t is_paced_out; /* started or recovered, and has enough for now */
   uint8_t has_no_room;  /* brittle, and not to be sent another request now */
+  /* Until it would have read the prompt of this request, and how much of that
+     is reading or copying the context; see work_estimate.  */
+  double begin_ms;
+  double read_ms;
 };
 
 struct bal_params
@@ -44,6 +48,7 @@
   uint32_t evacuated_count;
   double evacuated_load;
   double rate_min;      /* tokens that a target with a rate limit must have */
+  double notice_ms;     /* difference of begin_ms that counts; 0: none does */
   uint8_t is_pinned;    /* few targets will do: full and suspended ones too */
   uint8_t ignores_pace; /* no target is left without the pace */
   uint8_t may_try;      /* may be the trial of a target that is due for one */
@@ -78,6 +83,7 @@
   BAL_SKIP_RATE,      /* at its rate limit */
   BAL_SKIP_ROOM,      /* brittle, without room */
   BAL_SKIP_PACE,      /* started or recovered, and at its pace */
+  BAL_SKIP_BUSY,      /* would begin so late that others are sooner */
   BAL_SKIP_COUNT
 };
 
@@ -86,11 +92,13 @@
   size_t index; /* of the selected candidate */
   enum bal_reason reason;
   enum bal_skip skip;
-  uint8_t ignored_pace; /* all targets are at their paces, or full */
-  uint64_t other_home;  /* id of the home that was not selected, 0: none */
-  double load;          /* of the selected candidate */
-  double mean;          /* mean load of the candidates not suspended */
-  double limit;         /* load up to which a target may be selected */
+  uint8_t ignored_pace;  /* all targets are at their paces, or full */
+  uint64_t other_home;   /* id of the home that was not selected, 0: none */
+  double load;           /* of the selected candidate */
+  double mean;           /* mean load of the candidates not suspended */
+  double limit;          /* load up to which a target may be selected */
+  double begin_ms;       /* of the selected candidate */
+  double begin_limit_ms; /* up to which one with the context may be selected */
 };
 
 extern const char *const bal_reason_names[BAL_REASON_COUNT];
--- a/include/ibisloom/registry.h
+++ b/include/ibisloom/registry.h
@@ -14,6 +14,7 @@
 #include "ibisloom/rate.h"
 #include "ibisloom/room.h"
 #include "ibisloom/wait.h"
+#include "ibisloom/work.h"
 
 enum
 {
@@ -92,6 +93,8 @@
   struct position cold_position; /* of the entry that peers named as cold */
   struct room_service *room_service; /* of all targets of its service */
   struct pace_service *pace_service; /* of all targets of its service */
+  struct work_speed *work_service;   /* of all targets of its service */
+  struct work work;
   struct pace pace;  /* while it has lately started or recovered */
   struct room *room; /* NULL: its service has not been brittle lately */
   struct wait_limit wait_limit;
@@ -116,6 +119,7 @@
   GHashTable *evacuated; /* hashes of the names of failure domains */
   GHashTable *services;  /* interned name to struct room_service */
   GHashTable *paces;     /* interned name to struct pace_service */
+  GHashTable *speeds;    /* interned name to struct work_speed */
   uint64_t last_serial;  /* given to a target */
   int listed;            /* a complete list has been read */
   reg_load_fn on_load;   /* may be NULL */
@@ -162,6 +166,9 @@
                          clk_ms now);
 enum reg_doubt reg_doubt (const struct reg_target *target, clk_ms now);
 int reg_report_load (struct reg_target *target, int32_t load, clk_ms now);
+uint32_t reg_work_start (struct reg_target *target, uint32_t tokens,
+                         clk_ms now);
+void reg_work_end (struct reg_target *target, uint32_t tokens, clk_ms now);
 
 /* registry_evacuated.c */
 uint32_t reg_set_evacuated (struct registry *registry, uint64_t failure_domain,
--- a/include/ibisloom/settings.h
+++ b/include/ibisloom/settings.h
@@ -54,6 +54,7 @@
   int64_t slow_start;  /* limits on cold and started targets are kept */
   double grace_s;      /* from the stop signal until the process is killed */
   int64_t admission_queue; /* 1: requests queue where capacity is scarce */
+  int64_t work_aware;      /* 1: targets are chosen by when they would begin */
   char *cluster_key;
   char *operator_token;
 };
--- a/process/registry.c
+++ b/process/registry.c
@@ -36,6 +36,8 @@
                      const struct reg_entry *entry, struct position position);
 static struct room_service *add_service (struct registry *registry,
                                          const char *service);
+static struct work_speed *add_speed (struct registry *registry,
+                                     const char *service);
 static void drop_target (struct registry *registry, struct reg_target *target);
 static void reset_history (struct reg_target *target);
 static void report_load_change (struct reg_target *target, int started);
@@ -52,6 +54,7 @@
   registry->evacuated = g_hash_table_new (NULL, NULL);
   registry->services = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   registry->paces = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  registry->speeds = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   g_queue_init (&registry->gone);
   return registry;
 }
@@ -68,6 +71,7 @@
   g_hash_table_destroy (registry->evacuated);
   g_hash_table_destroy (registry->services);
   g_hash_table_destroy (registry->paces);
+  g_hash_table_destroy (registry->speeds);
   g_ptr_array_free (registry->array, TRUE);
   g_queue_clear_full (&registry->gone, g_free);
   g_free (registry);
@@ -162,6 +166,20 @@
   return state;
 }
 
+/* Returns how fast targets of SERVICE, which is interned, read prompts; added
+   if it is new.  */
+static struct work_speed *
+add_speed (struct registry *registry, const char *service)
+{
+  struct work_speed *speed = g_hash_table_lookup (registry->speeds, service);
+
+  if (speed != NULL)
+    return speed;
+  speed = g_new0 (struct work_speed, 1);
+  g_hash_table_insert (registry->speeds, (gpointer)service, speed);
+  return speed;
+}
+
 /* Returns whether targets of SERVICE, which is interned, are brittle, or NULL
    if it has had no targets.  */
 struct room_service *
@@ -200,6 +218,7 @@
       g_hash_table_insert (registry->paces, (gpointer)target->service,
                            target->pace_service);
     }
+  target->work_service = add_speed (registry, target->service);
   target->failure_domain = g_intern_string (entry->failure_domain);
   target->address = entry->address;
   target->references = 1;
@@ -513,6 +532,26 @@
   return load - 1 > target->load_limit;
 }
 
+/* Counts a request of this instance with so many unread TOKENS that is sent to
+   TARGET at NOW.  Returns how many TARGET reads before these.  */
+uint32_t
+reg_work_start (struct reg_target *target, uint32_t tokens, clk_ms now)
+{
+  return work_start (&target->work, target->work_service, tokens, now);
+}
+
+/* Ends what reg_work_start counted.  The state of the service may be gone if
+   TARGET was removed.  */
+void
+reg_work_end (struct reg_target *target, uint32_t tokens, clk_ms now)
+{
+  const struct work_speed unknown = { 0 };
+
+  work_end (&target->work,
+            target->registry != NULL ? target->work_service : &unknown, tokens,
+            now);
+}
+
 /* Resets the health and the reported load of TARGET, whose process was
    restarted.  */
 static void
@@ -524,6 +563,7 @@
   target->broken_ms = 0;
   target->unreachable_ms = 0;
   memset (&target->wait_limit, 0, sizeof target->wait_limit);
+  work_reset (&target->work);
   if (target->room != NULL)
     target->room->has_said = 0;
 }
--- a/process/registry_candidates.c
+++ b/process/registry_candidates.c
@@ -157,6 +157,8 @@
       candidate->is_paced_out
           = !pace_may_send (&target->pace, reg_counted_load (target), now);
       candidate->has_no_room = (uint8_t)has_no_room (target, now);
+      candidate->begin_ms = 0;
+      candidate->read_ms = 0;
       targets[count++] = target;
     }
   return count;
--- a/request/balance.c
+++ b/request/balance.c
@@ -8,7 +8,11 @@
    these is selected.  When a holder reaches the load bound, as it does under a
    popular prompt, requests go to the next holder, or to a target that becomes
    one.  Requests without a context go to the least loaded target, with a
-   preference for this instance's failure domain.  */
+   preference for this instance's failure domain.  If the times at which
+   targets would begin are estimated (work.c) and differ noticeably, they
+   decide: a holder or home is skipped if reading or copying the context
+   elsewhere is sooner, and of the others those that would begin soonest are
+   compared.  */
 #include <math.h>
 
 #include <sys/param.h>
@@ -45,18 +49,29 @@
    other instances that have not been reported yet.  */
 static const double BOUND_MARGIN = 0.25;
 
+/* Part of the time in which a context is read or copied that counts as a cost
+   to the other requests at that target.  */
+static const double READ_SHARE = 0.5;
+
 const char *const bal_reason_names[BAL_REASON_COUNT]
     = { "holder",    "home", "next_home",     "least_loaded",  "trial",
         "no_target", "full", "rates_used_up", "all_evacuated", "hop" };
 
 const char *const bal_skip_names[BAL_SKIP_COUNT]
     = { "free",   "absent", "tried", "suspect", "loaded",
-        "errors", "rate",   "room",  "pace" };
+        "errors", "rate",   "room",  "pace",    "busy" };
 
 static double load_limit (const struct bal_params *params, double mean);
+static double soonest_ms (const struct bal_params *params,
+                          const struct bal_candidate *candidates, size_t count,
+                          double limit, double read_share);
+static int is_better_home (const struct bal_params *params,
+                           const struct bal_candidate *candidate,
+                           const struct bal_candidate *best);
 static enum bal_skip skip_reason (const struct bal_params *params,
                                   const struct bal_candidate *candidate,
-                                  double limit, double best_error_rate);
+                                  const struct bal_choice *choice,
+                                  double best_error_rate);
 static size_t index_of (uint64_t id, const struct bal_candidate *candidates,
                         size_t count);
 static int pick_holder (const struct bal_params *params,
@@ -112,6 +127,9 @@
   choice->load = 0;
   choice->mean = mean_load (params, candidates, count);
   choice->limit = load_limit (params, choice->mean);
+  choice->begin_ms = 0;
+  choice->begin_limit_ms
+      = soonest_ms (params, candidates, count, choice->limit, READ_SHARE);
   choice->reason = BAL_NO_TARGET;
   choice->skip = BAL_SKIP_NONE;
   choice->other_home = 0;
@@ -122,6 +140,7 @@
       && !pick_paced_out (params, candidates, count, choice))
     return pick_trial (params, candidates, count, choice)
            || pick_trial (&paceless, candidates, count, choice);
+  choice->begin_ms = candidates[choice->index].begin_ms;
   if (candidates[choice->index].state == HEALTH_TRIAL)
     choice->reason = BAL_TRIAL;
   return 1;
@@ -140,7 +159,7 @@
   used.ignores_pace |= choice->ignored_pace;
   if (choice->reason == BAL_HOLDER || choice->reason == BAL_HOME
       || choice->reason == BAL_NEXT_HOME)
-    return skip_reason (&used, &candidates[index], choice->limit,
+    return skip_reason (&used, &candidates[index], choice,
                         lowest_error_rate (candidates, count));
   return full_reason (&used, &candidates[index], choice->limit,
                       highest_fill (candidates, count));
@@ -166,13 +185,62 @@
   return params->cap_factor * mean + params->cap_slack - BOUND_MARGIN;
 }
 
+/* Returns the time up to which a target may begin, noticeably after the
+   soonest of the COUNT CANDIDATES within LIMIT, the load bound; infinity if no
+   times are known.  READ_SHARE of what reading the context there takes is
+   added: it delays others.  A target that fails, or is warming up, may be slow
+   whatever it has to read, and one without a free slot lets requests wait.  */
+static double
+soonest_ms (const struct bal_params *params,
+            const struct bal_candidate *candidates, size_t count, double limit,
+            double read_share)
+{
+  double filled_max;
+  double best_error_rate;
+  double soonest = INFINITY;
+
+  if (params->notice_ms <= 0)
+    return INFINITY;
+  filled_max = highest_fill (candidates, count);
+  best_error_rate = lowest_error_rate (candidates, count);
+  for (size_t i = 0; i < count; i++)
+    {
+      const struct bal_candidate *candidate = &candidates[i];
+      double begin_ms = candidate->begin_ms + read_share * candidate->read_ms;
+
+      if (begin_ms < soonest && candidate->state == HEALTH_USABLE
+          && !candidate->warming_up
+          && (candidate->slots <= 0 || candidate->load < candidate->slots)
+          && (candidate->error_rate - best_error_rate) * ERROR_PENALTY <= 1
+          && full_reason (params, candidate, limit, filled_max)
+                 == BAL_SKIP_NONE)
+        soonest = begin_ms;
+    }
+  return soonest + params->notice_ms;
+}
+
+/* Returns whether a request with PARAMS goes to the home CANDIDATE rather than
+   to BEST: it would begin there noticeably sooner, or else if that has the
+   higher load.  */
+static int
+is_better_home (const struct bal_params *params,
+                const struct bal_candidate *candidate,
+                const struct bal_candidate *best)
+{
+  double gain_ms = best->begin_ms - candidate->begin_ms;
+
+  if (params->notice_ms > 0 && fabs (gain_ms) > params->notice_ms)
+    return gain_ms > 0;
+  return candidate->load < best->load;
+}
+
 /* Returns why CANDIDATE may not be used for a context, or BAL_SKIP_NONE if it
-   may.  LIMIT is the load limit of a target, BEST_ERROR_RATE the lowest error
-   rate of any candidate.  */
+   may.  CHOICE has the limits, BEST_ERROR_RATE is the lowest error rate of any
+   candidate.  */
 static enum bal_skip
 skip_reason (const struct bal_params *params,
-             const struct bal_candidate *candidate, double limit,
-             double best_error_rate)
+             const struct bal_candidate *candidate,
+             const struct bal_choice *choice, double best_error_rate)
 {
   if (candidate->excluded)
     return BAL_SKIP_TRIED;
@@ -180,12 +248,13 @@
     return BAL_SKIP_SUSPENDED;
   if (closed_reason (params, candidate) != BAL_SKIP_NONE)
     return closed_reason (params, candidate);
-  if (candidate->load > limit
+  if (candidate->load > choice->limit
       || (candidate->slots > 0 && candidate->load >= candidate->slots))
     return BAL_SKIP_LOADED;
-  return (candidate->error_rate - best_error_rate) * ERROR_PENALTY > 1
-             ? BAL_SKIP_ERRORS
-             : BAL_SKIP_NONE;
+  if ((candidate->error_rate - best_error_rate) * ERROR_PENALTY > 1)
+    return BAL_SKIP_ERRORS;
+  return candidate->begin_ms > choice->begin_limit_ms ? BAL_SKIP_BUSY
+                                                      : BAL_SKIP_NONE;
 }
 
 /* Returns the index of the target ID among COUNT CANDIDATES, or COUNT if it is
@@ -214,10 +283,9 @@
        n++)
     {
       size_t i = index_of (params->holders->target[n], candidates, count);
-      enum bal_skip skip = i == count
-                               ? BAL_SKIP_ABSENT
-                               : skip_reason (params, &candidates[i],
-                                              choice->limit, best_error_rate);
+      enum bal_skip skip = i == count ? BAL_SKIP_ABSENT
+                                      : skip_reason (params, &candidates[i],
+                                                     choice, best_error_rate);
 
       if (n == 0)
         choice->skip = skip;
@@ -264,7 +332,6 @@
              struct bal_choice *choice)
 {
   double best_error_rate = lowest_error_rate (candidates, count);
-  double best = INFINITY;
   int eligible = 0;
 
   for (size_t i = 0; i < filled && eligible < HOME_CANDIDATES; i++)
@@ -273,17 +340,17 @@
 
       if ((!uses_limited && candidate->rate_limited
            && candidate->rate_tokens < RATE_BURST)
-          || skip_reason (params, candidate, choice->limit, best_error_rate)
+          || skip_reason (params, candidate, choice, best_error_rate)
                  != BAL_SKIP_NONE)
         continue;
       eligible++;
-      if (candidate->load >= best)
+      if (eligible > 1
+          && !is_better_home (params, candidate, &candidates[choice->index]))
         {
           choice->other_home = candidate->id;
           continue;
         }
       choice->other_home = eligible > 1 ? candidates[choice->index].id : 0;
-      best = candidate->load;
       choice->index = top[i];
       choice->load = candidate->load;
       choice->reason = i == 0 ? BAL_HOME : BAL_NEXT_HOME;
@@ -302,6 +369,8 @@
   double best_error_rate = lowest_error_rate (candidates, count);
   double best = INFINITY;
   double filled_max = highest_fill (candidates, count);
+  double begin_limit_ms
+      = soonest_ms (params, candidates, count, choice->limit, 0);
 
   for (size_t n = 0; n < count; n++)
     {
@@ -319,7 +388,7 @@
       if ((skip == BAL_SKIP_ROOM || skip == BAL_SKIP_LOADED)
           && choice->reason != BAL_LEAST_LOADED)
         choice->reason = BAL_ALL_FULL;
-      if (skip != BAL_SKIP_NONE)
+      if (skip != BAL_SKIP_NONE || candidate->begin_ms > begin_limit_ms)
         continue;
       if (!candidate->local)
         cost += REMOTE_PENALTY;
