--- a/include/ibisloom/fleet.h
+++ b/include/ibisloom/fleet.h
@@ -114,6 +114,9 @@
                          clk_ms sent_ms);
 uint32_t fleet_quarantined_count (const struct fleet *fleet);
 
+/* fleet_work.c */
+void fleet_work_changed (struct fleet *fleet, const struct reg_target *target);
+
 /* fleet_evacuation.c */
 void fleet_see_evacuation (struct fleet *fleet, const char *domain,
                            struct position position, int is_in_force);
--- a/include/ibisloom/wire.h
+++ b/include/ibisloom/wire.h
@@ -29,7 +29,8 @@
   WIRE_EVACUATIONS_MAX = 40,
   WIRE_PACES_MAX = 16,
   WIRE_PACE_SCALE = 1000, /* units in a request, or in a millisecond */
-  WIRE_HELD_MAX = 120
+  WIRE_HELD_MAX = 120,
+  WIRE_WORK_MAX = 64
 };
 
 enum wire_kind
@@ -62,6 +63,7 @@
   WIRE_LEVEL,             /* what is admitted of it, by a coordinator */
   WIRE_HELD,              /* prompt parts that a target holds */
   WIRE_HELD_QUERY,        /* asks for those of all targets */
+  WIRE_WORK,              /* tokens still to be read at targets */
   WIRE_KIND_COUNT
 };
 
@@ -362,6 +364,20 @@
   uint64_t part[WIRE_HELD_MAX];
 };
 
+/* Tokens at one target that the sender's requests without a first event have
+   still to be read; 0: few, or none. */
+struct wire_target_work
+{
+  uint64_t target;
+  uint32_t tokens;
+};
+
+struct wire_work
+{
+  uint32_t count;
+  struct wire_target_work item[WIRE_WORK_MAX];
+};
+
 struct wire_message
 {
   enum wire_kind kind;
@@ -397,6 +413,7 @@
     struct demand_report demand;
     struct demand_level level;
     struct wire_held held;
+    struct wire_work work;
   } u;
 };
 
--- a/process/fleet.c
+++ b/process/fleet.c
@@ -55,6 +55,7 @@
   fleet_room_init (fleet);
   fleet_evacuation_init (fleet);
   fleet_watch_loads (fleet);
+  fleet_work_init (fleet);
   fleet_quarantine_init (fleet);
   fleet_crash_init (fleet);
   fleet_origin_init (fleet);
@@ -140,6 +141,7 @@
   ev_timer_stop (fleet->loop, &fleet->rejoin);
   fleet_held_clear (fleet);
   fleet_unwatch_loads (fleet);
+  fleet_work_clear (fleet);
   fleet_room_clear (fleet);
   fleet_evacuation_clear (fleet);
   fleet_origin_store_clear (fleet);
@@ -233,6 +235,9 @@
     case WIRE_DEMAND:
       fleet_apply_demand (fleet, peer, &message->u.demand);
       break;
+    case WIRE_WORK:
+      fleet_apply_work (fleet, peer, &message->u.work);
+      break;
     case WIRE_LEVEL:
       fleet_apply_level (fleet, peer, &message->u.level);
       break;
--- a/process/libfleet.h
+++ b/process/libfleet.h
@@ -97,7 +97,9 @@
   void *reach_closure;
   ev_timer update; /* until the next load update is sent */
   clk_ms update_due_ms;
-  clk_ms updated_ms;         /* time of the last load update */
+  clk_ms updated_ms;   /* time of the last load update */
+  ev_timer work;       /* until the next datagram on unread tokens is sent */
+  clk_ms work_told_ms; /* time of the last one */
   uint8_t affinity_received; /* the table of another instance has arrived */
   struct quarantine *quarantine;
   GQueue *probes;  /* of targets that may have crashed */
@@ -169,6 +171,13 @@
                          const struct wire_loads *loads);
 void fleet_drop_loads (struct fleet *fleet, struct fleet_peer *peer);
 
+/* fleet_work.c */
+void fleet_work_init (struct fleet *fleet);
+void fleet_work_clear (struct fleet *fleet);
+void fleet_work_tick (struct fleet *fleet, clk_ms now);
+void fleet_apply_work (struct fleet *fleet, const struct fleet_peer *peer,
+                       const struct wire_work *work);
+
 /* fleet_pace.c */
 void fleet_pace_tick (struct fleet *fleet, clk_ms now);
 void fleet_send_paces (struct fleet *fleet, const struct sockaddr_in *address);
--- a/process/wire_capacity.c
+++ b/process/wire_capacity.c
@@ -1,6 +1,6 @@
 /* Bodies of the datagrams on the capacity of targets: what those take that are
-   cold or have lately started, and the demand for services that are short of
-   capacity.  */
+   cold or have lately started, what they have still to read, and the demand
+   for services that are short of capacity.  */
 #include "libwire.h"
 
 enum
@@ -73,6 +73,36 @@
   reader->failed |= list.failed;
 }
 
+/* Encodes the tokens at targets, without a count.  */
+static void
+encode_work (msgpack_packer *packer, const struct wire_message *message)
+{
+  const struct wire_work *work = &message->u.work;
+
+  msgpack_pack_array (packer, work->count * 2);
+  for (uint32_t i = 0; i < work->count; i++)
+    {
+      msgpack_pack_uint64 (packer, work->item[i].target);
+      msgpack_pack_uint64 (packer, work->item[i].tokens);
+    }
+}
+
+static void
+decode_work (struct wire_reader *reader, struct wire_message *message)
+{
+  struct wire_work *work = &message->u.work;
+  struct wire_reader list = wire_next_array (reader, WIRE_WORK_MAX * 2);
+
+  while (!list.failed && list.remaining > 0)
+    {
+      struct wire_target_work *item = &work->item[work->count++];
+
+      item->target = wire_next_uint (&list, UINT64_MAX);
+      item->tokens = (uint32_t)wire_next_uint (&list, INT32_MAX);
+    }
+  reader->failed |= list.failed;
+}
+
 /* Encodes the demand for a service.  The customers fill the rest of the
    array.  */
 static void
@@ -173,4 +203,5 @@
   [WIRE_PACES] = { encode_paces, decode_paces },
   [WIRE_DEMAND] = { encode_demand, decode_demand },
   [WIRE_LEVEL] = { encode_level, decode_level },
+  [WIRE_WORK] = { encode_work, decode_work },
 };
