Use the estimates for relayed requests with work_aware: 1

Unread tokens are counted when an attempt starts and until its first event or end; first events of prompts that were read in full measure the speed. A source that is only guessed (the other home) may not hold the context, so the prompt counts as read in full, and an event that comes far too soon is no measurement. X-Ibisloom-Server-Load is read field by field: a fourth figure states the slowness, and what cannot be read is ignored with one log line per target. The place line and ibisctl route show the estimates.

--- a/daemon/ctl_route.c
+++ b/daemon/ctl_route.c
@@ -227,17 +227,18 @@
 
   if (!json_is_array (json_object_get (json, "candidates")))
     return;
-  printf ("%-16s %-12s %7s %5s %-9s %6s %6s %s\n", "TARGET", "DOMAIN", "LOAD",
-          "SLOTS", "HEALTH", "PACE", "RATE", "STATE");
+  printf ("%-16s %-12s %7s %5s %-9s %6s %6s %15s %s\n", "TARGET", "DOMAIN",
+          "LOAD", "SLOTS", "HEALTH", "PACE", "RATE", "BEGIN MS (AGE)",
+          "STATE");
   json_array_foreach (json_object_get (json, "candidates"), i, target)
   {
     print_candidate (target);
   }
   json_array_foreach (json_object_get (json, "left_out"), i, target)
   {
-    printf ("%-16s %-12s %7s %5s %-9s %6s %6s left out: %s\n",
+    printf ("%-16s %-12s %7s %5s %-9s %6s %6s %15s left out: %s\n",
             text_of (target, "target"), text_of (target, "failure_domain"),
-            "-", "-", "-", "-", "-", text_of (target, "reason"));
+            "-", "-", "-", "-", "-", "-", text_of (target, "reason"));
   }
 }
 
@@ -262,6 +263,9 @@
     printf ("%6.1f ", json_number_value (rate));
   else
     printf ("%6s ", "-");
+  printf ("%7.0f %7lld ",
+          json_number_value (json_object_get (candidate, "begin_ms")),
+          number_of (candidate, "begin_age_ms"));
   if (json_is_true (json_object_get (candidate, "chosen")))
     printf ("chosen");
   else if (closed != NULL)
--- a/include/ibisloom/dialect.h
+++ b/include/ibisloom/dialect.h
@@ -24,7 +24,7 @@
   DIALECT_TARGET_ID,       /* target addressed, or sending the response */
   DIALECT_EXPECTED_TARGET, /* the only target that may execute the request */
   DIALECT_SIGNATURE,       /* shows that the response comes from a target */
-  DIALECT_TARGET_LOAD,     /* requests running and waiting, and slots */
+  DIALECT_TARGET_LOAD,     /* requests running and waiting, slots, slowness */
   DIALECT_TARGET_RATE,     /* requests per second that the target takes */
   DIALECT_TARGET_BRITTLE,  /* requests that it may turn away in a second */
   DIALECT_NOT_RUN,         /* the target did not execute the request */
@@ -41,6 +41,16 @@
   uint32_t tokens; /* its length */
 };
 
+/* Load that a target reports.  -1: not named, or unreadable. */
+struct dialect_load
+{
+  int32_t running;
+  int32_t waiting;
+  int32_t slots;
+  int32_t slowness;       /* see WORK_SLOWNESS_NORMAL */
+  uint8_t has_unreadable; /* a figure that is named cannot be read */
+};
+
 struct dialect
 {
   const char *field[DIALECT_FIELD_COUNT];
@@ -52,13 +62,13 @@
 
   /* Returns the API key in CREDENTIAL, or NULL.  */
   const char *(*key) (const char *credential);
-  /* Parse a header value.  Each returns 0, or -1 if VALUE is malformed.
+  /* Parse a header value.  Each returns 0, or -1 if VALUE is malformed; of a
+     load, what can be read is used.
      PARTS, of struct dialect_part, receives the parts of a prompt in order,
      the shared ones first.  */
   int (*prompt) (const char *value, GArray *parts);
   int (*tokens_out) (const char *value, int64_t *tokens);
-  int (*load) (const char *value, int32_t *running, int32_t *waiting,
-               int32_t *slots);
+  void (*load) (const char *value, struct dialect_load *load);
   int (*rate) (const char *value, double *per_s);
   int (*brittle) (const char *value, uint32_t *rejections_max);
   /* Access to the object store, and the kinds of objects in it.  */
--- a/include/ibisloom/metrics.h
+++ b/include/ibisloom/metrics.h
@@ -60,6 +60,7 @@
   METRIC_PLACED_WITHOUT_GRANT, /* the target's owner did not answer */
   METRIC_PLACED_LEAST_LOADED,
   METRIC_PLACED_TRIAL,
+  METRIC_PLACED_BUSY,   /* past the first holder, as others begin sooner */
   METRIC_LISTED_PLACED, /* at holders known from what targets say they hold */
   METRIC_LISTS_READ,    /* of what targets hold */
   METRIC_LISTS_FAILED,
--- a/process/metrics.c
+++ b/process/metrics.c
@@ -99,6 +99,7 @@
   [METRIC_PLACED_WITHOUT_GRANT] = "ibisloom_placed_total{by=\"unowned\"}",
   [METRIC_PLACED_LEAST_LOADED] = "ibisloom_placed_total{by=\"least_loaded\"}",
   [METRIC_PLACED_TRIAL] = "ibisloom_placed_total{by=\"trial\"}",
+  [METRIC_PLACED_BUSY] = "ibisloom_placed_past_busy_total",
   [METRIC_LISTED_PLACED] = "ibisloom_context_lists_placed_total",
   [METRIC_LISTS_READ] = "ibisloom_context_lists_read_total",
   [METRIC_LISTS_FAILED] = "ibisloom_context_lists_failed_total",
--- a/request/librelay.h
+++ b/request/librelay.h
@@ -74,7 +74,11 @@
   uint8_t is_paused;         /* not read until the client has caught up */
   uint8_t is_new_connection; /* not a kept one */
   uint8_t is_final; /* the instance that it went through made all attempts */
-  clk_ms first_event_ms; /* 0: no event yet */
+  clk_ms first_event_ms;   /* 0: no event yet */
+  uint32_t work_tokens;    /* that its target has still to read; 0: none */
+  uint32_t work_ahead;     /* that it read before these */
+  uint8_t work_is_copied;  /* its target copies the context from a holder */
+  uint8_t work_has_source; /* the same, or from one that may be a holder */
   GString *response_fields;
   GString *buffered_body;
   GString *partial_event; /* start of an incomplete event */
@@ -110,6 +114,7 @@
   uint64_t fingerprint; /* of path, caller and body; see QUAR_REQUEST_BIT */
   uint64_t context;     /* hash of the shared prompt parts, 0: none */
   uint32_t context_tokens;
+  uint32_t prompt_tokens;     /* also of the unshared part */
   struct held_key held_key;   /* to look the context up in lists of targets */
   uint8_t has_listed_holders; /* its holders were found there */
   clk_ms arrived_ms;
@@ -207,7 +212,8 @@
 void relay_send (struct relay *relay, struct reg_target *target,
                  const struct bal_choice *choice, size_t candidates);
 void relay_end_attempt (struct relay *relay, enum health_event event);
-void relay_attempt_end (struct relay_attempt *attempt,
+void relay_attempt_end (const struct relay *relay,
+                        struct relay_attempt *attempt,
                         enum health_event event);
 void relay_attempt_clear (struct relay_attempt *attempt);
 void relay_finish (struct relay *relay, const char *outcome);
@@ -285,6 +291,16 @@
 void relay_mark_tried (struct relay *relay);
 void relay_mark_unreachable (struct relay *relay);
 
+/* relay_work.c */
+void relay_work_estimate (const struct relay *relay,
+                          struct relay_selection *selection, clk_ms now);
+void relay_work_start (struct relay *relay, struct reg_target *target,
+                       const struct reg_target *source, clk_ms now);
+void relay_work_end (struct fleet *fleet, struct relay_attempt *attempt);
+void relay_work_first_event (struct relay *relay);
+void relay_work_report (const struct relay *relay,
+                        const struct dialect_load *load, const char *value);
+
 /* relay_held.c */
 uint32_t relay_listed_holders (const struct relay *relay, clk_ms now,
                                struct reg_target *targets[HELD_TARGETS_MAX]);
--- a/request/relay.c
+++ b/request/relay.c
@@ -183,6 +183,7 @@
   const struct reg_target *source
       = relay_find_source (relay, target, choice, now);
 
+  relay_work_start (relay, target, source, now);
   if (relay->context != 0 && !target->is_peer
       && affinity_record (router->affinity, relay->context, target->hash, now))
     fleet_announce_holder (router->fleet, relay->context, target->hash);
@@ -262,12 +263,14 @@
 relay_end_attempt (struct relay *relay, enum health_event event)
 {
   relay_wait_ended (relay, event);
-  relay_attempt_end (&relay->attempt, event);
+  relay_attempt_end (relay, &relay->attempt, event);
 }
 
-/* Ends ATTEMPT and reports EVENT, or none, to the target's health record.  */
+/* Ends ATTEMPT of RELAY and reports EVENT, or none, to the target's health
+   record.  */
 void
-relay_attempt_end (struct relay_attempt *attempt, enum health_event event)
+relay_attempt_end (const struct relay *relay, struct relay_attempt *attempt,
+                   enum health_event event)
 {
   struct reg_target *target = attempt->target;
 
@@ -276,6 +279,7 @@
   attempt->call = NULL;
   if (target == NULL)
     return;
+  relay_work_end (relay->router->fleet, attempt);
   attempt->target = NULL;
   health_end_request (&target->health, attempt->is_trial);
   if (event < HEALTH_EVENT_COUNT)
--- a/request/relay_explain.c
+++ b/request/relay_explain.c
@@ -387,15 +387,18 @@
                                selection->count, &explanation->choice, index);
 
   return json_pack (
-      "{s:s,s:s,s:f,s:i,s:s,s:f,s:b,s:o,s:o,s:b,s:b,s:o,s:b}", "target",
-      target->id, "failure_domain", target->failure_domain, "load",
+      "{s:s,s:s,s:f,s:i,s:s,s:f,s:b,s:o,s:o,s:b,s:b,s:f,s:I,s:f,s:o,s:b}",
+      "target", target->id, "failure_domain", target->failure_domain, "load",
       candidate->load, "slots", (int)candidate->slots, "health",
       health_names[candidate->state], "error_rate", candidate->error_rate,
       "local", (int)candidate->local, "pace",
       real (pace_limit (&target->pace, explanation->now_ms)), "rate_tokens",
       real (candidate->rate_limited ? candidate->rate_tokens : INFINITY),
       "cold", (int)candidate->is_cold, "warming_up",
-      (int)candidate->warming_up, "closed_by",
+      (int)candidate->warming_up, "begin_ms", candidate->begin_ms,
+      "begin_age_ms",
+      (json_int_t)work_age_ms (&target->work, explanation->now_ms), "slowness",
+      work_slowness (&target->work, explanation->now_ms), "closed_by",
       text (skip != BAL_SKIP_NONE ? bal_skip_names[skip] : NULL), "chosen",
       is_chosen);
 }
--- a/request/relay_log.c
+++ b/request/relay_log.c
@@ -66,6 +66,8 @@
   metric_inc (place_counters[choice->reason]);
   if (choice->ignored_pace)
     metric_inc (METRIC_PACED_OUT);
+  if (choice->skip == BAL_SKIP_BUSY)
+    metric_inc (METRIC_PLACED_BUSY);
   if (relay->has_listed_holders && choice->reason == BAL_HOLDER)
     metric_inc (METRIC_LISTED_PLACED);
   if (!log_begin (&line, LOG_LEVEL_INFO, "place", relay->id,
@@ -84,6 +86,8 @@
   log_real (&line, "limit", isfinite (choice->limit) ? choice->limit : 0);
   log_number (&line, "loads_age_ms",
               fleet_loads_age_ms (relay->router->fleet));
+  if (relay->router->settings->work_aware)
+    log_real (&line, "begin_ms", choice->begin_ms);
   if (choice->reason == BAL_ALL_EVACUATED)
     log_number (&line, "evacuated_domains",
                 fleet_evacuated_count (relay->router->fleet));
--- a/request/relay_prepare.c
+++ b/request/relay_prepare.c
@@ -19,6 +19,7 @@
 static int may_start (const struct relay *relay);
 static int64_t expected_duration_ms (const struct relay *relay);
 static int authenticate (struct relay *relay);
+static uint32_t count_tokens (const GArray *prompt);
 static void read_prompt (struct relay *relay, const GArray *prompt);
 static void set_fingerprint (struct relay *relay, const char *host);
 
@@ -127,8 +128,10 @@
       = http_head_get (relay->head, dialect->field[DIALECT_PROMPT_PARTS]);
   GArray *prompt = g_array_new (FALSE, FALSE, sizeof (struct dialect_part));
 
-  if (value != NULL && dialect->prompt (value, prompt) == 0
-      && prompt->len > UNSHARED_PARTS)
+  if (value != NULL && dialect->prompt (value, prompt) != 0)
+    g_array_set_size (prompt, 0);
+  relay->prompt_tokens = count_tokens (prompt);
+  if (prompt->len > UNSHARED_PARTS)
     relay->part_count = prompt->len - UNSHARED_PARTS;
   relay->parts = g_new (uint64_t, relay->part_count + 1);
   if (relay->part_count > 0)
@@ -138,6 +141,18 @@
   relay->parts[relay->part_count] = relay->fingerprint;
 }
 
+/* Returns the tokens of all parts of PROMPT, a client's words, within what is
+   counted.  */
+static uint32_t
+count_tokens (const GArray *prompt)
+{
+  uint64_t tokens = 0;
+
+  for (guint i = 0; i < prompt->len; i++)
+    tokens += g_array_index (prompt, struct dialect_part, i).tokens;
+  return (uint32_t)MIN (tokens, WORK_TOKENS_MAX);
+}
+
 /* Keeps the shared parts of PROMPT, RELAY's, which are all but the last,
    hashes them and sums up their tokens.  */
 static void
--- a/request/relay_response.c
+++ b/request/relay_response.c
@@ -70,6 +70,8 @@
       record_room (relay, head);
       record_pace (relay, head);
     }
+  if (!relay->attempt.is_event_stream)
+    relay_work_end (relay->router->fleet, &relay->attempt);
   if (!relay->head_sent)
     copy_fields (relay, head);
   relay_handle_progress (relay);
@@ -97,6 +99,7 @@
         return 0;
       relay_handle_progress (relay);
       relay_parts_event (relay);
+      relay_work_first_event (relay);
     }
   else if (relay->head_sent && !relay->head_is_stream)
     {
@@ -332,18 +335,21 @@
   const struct dialect *dialect = relay->router->dialect;
   const char *value
       = http_head_get (head, dialect->field[DIALECT_TARGET_LOAD]);
-  int32_t running;
-  int32_t waiting;
-  int32_t slots;
+  struct dialect_load load;
+  int32_t reported;
 
-  if (value == NULL || dialect->load (value, &running, &waiting, &slots) != 0)
+  if (value == NULL)
     return;
-  waiting += relay->attempt.not_run;
-  if (!reg_report_load (relay->attempt.target, running + waiting,
+  dialect->load (value, &load);
+  relay_work_report (relay, &load, value);
+  if (load.running < 0 || load.waiting < 0)
+    return;
+  reported = load.running + load.waiting + relay->attempt.not_run;
+  if (!reg_report_load (relay->attempt.target, reported,
                         relay->attempt.last_received_ms))
     return;
   metric_inc (METRIC_OVER_BOUND);
-  relay_log_over_bound (relay, running + waiting);
+  relay_log_over_bound (relay, reported);
 }
 
 /* Records the request rate to which the target limits all instances together
--- a/request/relay_silence.c
+++ b/request/relay_silence.c
@@ -145,7 +145,7 @@
 {
   if (relay->kept.target == NULL)
     return;
-  relay_attempt_end (&relay->kept, event);
+  relay_attempt_end (relay, &relay->kept, event);
   relay_attempt_clear (&relay->kept);
 }
 
--- a/request/relay_target.c
+++ b/request/relay_target.c
@@ -72,6 +72,7 @@
   if (relay->context != 0)
     params.holders = affinity_find (router->affinity, relay->context);
   selection->params = params;
+  relay_work_estimate (relay, selection, now);
 }
 
 /* Returns the target in SELECTION for RELAY's next attempt at NOW, or NULL,
--- a/tests/fuzz_parsers.c
+++ b/tests/fuzz_parsers.c
@@ -220,7 +220,7 @@
 parse_fields (const char *input, size_t length)
 {
   GArray *prompt = g_array_new (FALSE, FALSE, sizeof (struct dialect_part));
-  int32_t numbers[3];
+  struct dialect_load load;
   uint32_t rejections_max;
   int64_t tokens;
   uint64_t epoch;
@@ -230,8 +230,10 @@
   is_valid = plat_dialect.prompt (input, prompt) == 0;
   g_assert_cmpuint (prompt->len, <=, length);
   g_array_free (prompt, TRUE);
-  is_valid
-      |= plat_dialect.load (input, &numbers[0], &numbers[1], &numbers[2]) == 0;
+  plat_dialect.load (input, &load);
+  g_assert_true (load.running >= -1 && load.waiting >= -1 && load.slots >= -1
+                 && load.slowness >= -1);
+  is_valid |= !load.has_unreadable;
   is_valid |= plat_dialect.brittle (input, &rejections_max) == 0;
   is_valid |= plat_dialect.tokens_out (input, &tokens) == 0;
   if (plat_dialect.rate (input, &per_s) == 0)
