--- a/include/ibisloom/registry.h
+++ b/include/ibisloom/registry.h
@@ -166,9 +166,6 @@
                          clk_ms now);
 enum reg_doubt reg_doubt (const struct reg_target *target, clk_ms now);
 int reg_report_load (struct reg_target *target, int32_t load, clk_ms now);
-uint32_t reg_work_start (struct reg_target *target, uint32_t tokens,
-                         clk_ms now);
-void reg_work_end (struct reg_target *target, uint32_t tokens, clk_ms now);
 
 /* registry_evacuated.c */
 uint32_t reg_set_evacuated (struct registry *registry, uint64_t failure_domain,
--- a/process/registry.c
+++ b/process/registry.c
@@ -532,26 +532,6 @@
   return load - 1 > target->load_limit;
 }
 
-/* Counts a request of this instance with so many unread TOKENS that is sent to
-   TARGET at NOW.  Returns how many TARGET reads before these.  */
-uint32_t
-reg_work_start (struct reg_target *target, uint32_t tokens, clk_ms now)
-{
-  return work_start (&target->work, target->work_service, tokens, now);
-}
-
-/* Ends what reg_work_start counted.  The state of the service may be gone if
-   TARGET was removed.  */
-void
-reg_work_end (struct reg_target *target, uint32_t tokens, clk_ms now)
-{
-  const struct work_speed unknown = { 0 };
-
-  work_end (&target->work,
-            target->registry != NULL ? target->work_service : &unknown, tokens,
-            now);
-}
-
 /* Resets the health and the reported load of TARGET, whose process was
    restarted.  */
 static void
--- a/request/relay_work.c
+++ b/request/relay_work.c
@@ -113,22 +113,27 @@
   if (access == WORK_COPIES && source == NULL)
     access = WORK_READS;
   attempt->work_tokens = work_unread_tokens (&prompt, access);
-  attempt->work_ahead = reg_work_start (target, attempt->work_tokens, now);
+  attempt->work_ahead = work_start (&target->work, target->work_service,
+                                    attempt->work_tokens, now);
   attempt->work_is_copied = access == WORK_COPIES;
   attempt->work_has_source = source != NULL;
   fleet_work_changed (relay->router->fleet, target);
 }
 
 /* Handles that the target of ATTEMPT, of an instance in FLEET, has read the
-   prompt, or that the attempt has ended.  */
+   prompt, or that the attempt has ended.  What is known of the service may be
+   gone if the target was removed.  */
 void
 relay_work_end (struct fleet *fleet, struct relay_attempt *attempt)
 {
+  const struct work_speed unknown = { 0 };
   struct reg_target *target = attempt->target;
 
   if (attempt->work_tokens == 0)
     return;
-  reg_work_end (target, attempt->work_tokens, clk_now (clk_monotonic ()));
+  work_end (&target->work,
+            target->registry != NULL ? target->work_service : &unknown,
+            attempt->work_tokens, clk_now (clk_monotonic ()));
   attempt->work_tokens = 0;
   fleet_work_changed (fleet, target);
 }
