--- a/include/ibisloom/work.h
+++ b/include/ibisloom/work.h
@@ -93,6 +93,7 @@
                                     const struct work_speed *service,
                                     const struct work_prompt *prompt,
                                     enum work_access access, clk_ms now);
+int work_has_read (const struct work *work, uint32_t tokens, clk_ms now);
 int64_t work_age_ms (const struct work *work, clk_ms now);
 double work_notice_ms (int64_t objective_ms);
 
--- a/request/relay_work.c
+++ b/request/relay_work.c
@@ -74,7 +74,8 @@
 
       holders->target[holders->count++] = known->target[i];
       if (target != NULL && relay->context_tokens >= CONTEXT_MIN_TOKENS
-          && reg_doubt (target, now) != REG_UNREACHABLE)
+          && reg_doubt (target, now) != REG_UNREACHABLE
+          && work_has_read (&target->work, relay->context_tokens, now))
         holders->software[holders->software_count++] = target->software;
     }
 }
--- a/request/work.c
+++ b/request/work.c
@@ -299,6 +299,15 @@
   };
 }
 
+/* Returns whether the target has surely read a context of so many TOKENS that
+   a request sent before NOW has: the requests without a first event have
+   fewer. Until then it cannot be copied from there.  */
+int
+work_has_read (const struct work *work, uint32_t tokens, clk_ms now)
+{
+  return pending_tokens (work, now) < tokens;
+}
+
 /* Returns the age of the newest input of an estimate at NOW, or -1 if there is
    none.  */
 int64_t
