Send load updates to other failure domains through relays

Cause: a load update was sent to each peer individually, so that an instance paid for as many datagrams between failure domains as there are peers there.

Change: with load_relays: 1 an update goes to the own domain and to one relay in each other one, which passes it on while it handles the datagram. Instances say in a new kind of datagram that they relay; those that do not get updates directly. Each count is kept with the sequence number of the datagram of its instance, so that relayed and direct datagrams may arrive in any order.

--- a/include/ibisloom/settings.h
+++ b/include/ibisloom/settings.h
@@ -54,6 +54,7 @@
   int64_t slow_start;  /* limits on cold and started targets are kept */
   double grace_s;      /* from the stop signal until the process is killed */
   int64_t admission_queue; /* 1: requests queue where capacity is scarce */
+  int64_t load_relays; /* 1: load updates cross failure domains by relays */
   char *cluster_key;
   char *operator_token;
 };
--- a/include/ibisloom/wire.h
+++ b/include/ibisloom/wire.h
@@ -29,7 +29,8 @@
   WIRE_EVACUATIONS_MAX = 40,
   WIRE_PACES_MAX = 16,
   WIRE_PACE_SCALE = 1000, /* units in a request, or in a millisecond */
-  WIRE_HELD_MAX = 120
+  WIRE_HELD_MAX = 120,
+  WIRE_CAN_RELAY_LOADS = 1 /* bit of the capabilities */
 };
 
 enum wire_kind
@@ -62,6 +63,9 @@
   WIRE_LEVEL,             /* what is admitted of it, by a coordinator */
   WIRE_HELD,              /* prompt parts that a target holds */
   WIRE_HELD_QUERY,        /* asks for those of all targets */
+  WIRE_CAPABILITIES,      /* optional features of the sender */
+  WIRE_RELAY_LOADS,       /* load update for the receiver's failure domain */
+  WIRE_RELAYED_LOADS,     /* load update of another instance, passed on */
   WIRE_KIND_COUNT
 };
 
@@ -362,6 +366,22 @@
   uint64_t part[WIRE_HELD_MAX];
 };
 
+/* Optional features of the sender.  Bits that the receiver does not know mean
+   nothing to it. */
+struct wire_capabilities
+{
+  uint64_t bits;
+};
+
+/* Load update of the instance ORIGIN, passed on by the sender. */
+struct wire_relayed
+{
+  uint32_t origin;
+  uint64_t incarnation; /* of the origin */
+  uint64_t sequence;    /* of the origin's datagram with these loads */
+  struct wire_loads loads;
+};
+
 struct wire_message
 {
   enum wire_kind kind;
@@ -397,6 +417,8 @@
     struct demand_report demand;
     struct demand_level level;
     struct wire_held held;
+    struct wire_capabilities capabilities;
+    struct wire_relayed relayed;
   } u;
 };
 
--- a/process/fleet.c
+++ b/process/fleet.c
@@ -6,7 +6,8 @@
    Each heartbeat carries the number of requests that the sender has in
    progress at each target, so that every instance knows the load that the
    whole fleet puts on each target.  Load updates carry it sooner for targets
-   near their load limit (fleet_load.c).  Notes name the holder of a context,
+   near their load limit (fleet_load.c), to other failure domains through
+   relays (fleet_relay.c).  Notes name the holder of a context,
    which is a target that has the context in its cache.  A lost heartbeat is
    made up for by the next one; after a lost note, another target may have to
    compute the context once more.  */
@@ -54,6 +55,7 @@
   fleet->listed_name = g_string_new (NULL);
   fleet_room_init (fleet);
   fleet_evacuation_init (fleet);
+  fleet_relay_init (fleet);
   fleet_watch_loads (fleet);
   fleet_quarantine_init (fleet);
   fleet_crash_init (fleet);
@@ -116,7 +118,12 @@
 void
 fleet_set_settings (struct fleet *fleet, const struct settings *settings)
 {
+  int changes_capabilities
+      = settings->load_relays != fleet->settings->load_relays;
+
   fleet->settings = settings;
+  if (changes_capabilities)
+    fleet_repeat_capabilities (fleet);
 }
 
 /* Starts to exchange heartbeats and joins the fleet.  */
@@ -140,6 +147,7 @@
   ev_timer_stop (fleet->loop, &fleet->rejoin);
   fleet_held_clear (fleet);
   fleet_unwatch_loads (fleet);
+  fleet_relay_clear (fleet);
   fleet_room_clear (fleet);
   fleet_evacuation_clear (fleet);
   fleet_origin_store_clear (fleet);
@@ -170,6 +178,16 @@
     case WIRE_LOADS:
       fleet_update_loads (fleet, peer, &message->u.loads);
       break;
+    case WIRE_RELAY_LOADS:
+      fleet_forward_loads (fleet, peer, &message->u.loads);
+      fleet_update_loads (fleet, peer, &message->u.loads);
+      break;
+    case WIRE_RELAYED_LOADS:
+      fleet_apply_relayed (fleet, &message->u.relayed);
+      break;
+    case WIRE_CAPABILITIES:
+      fleet_apply_capabilities (peer, &message->u.capabilities);
+      break;
     case WIRE_NOTES:
       fleet_apply_notes (fleet, &message->u.notes);
       break;
--- a/process/fleet_heartbeat.c
+++ b/process/fleet_heartbeat.c
@@ -69,6 +69,8 @@
                  : !gets_heartbeat (fleet, peer, index, stride))
         continue;
       send_heartbeat (fleet, &peer->address, !silent && wants_affinity);
+      if (!silent)
+        fleet_send_capabilities (fleet, peer);
       wants_affinity = wants_affinity && silent; /* one peer at a time */
     }
 }
--- a/process/fleet_load.c
+++ b/process/fleet_load.c
@@ -5,18 +5,25 @@
    several requests more, so near the load limit of a target a change of its
    count is sent to all peers at once, as a load update.  Other changes, and
    ends, are sent soon: the limit follows the mean load of all targets, which
-   would seem higher than it is if ends were known later than starts.  */
+   would seem higher than it is if ends were known later than starts.
+
+   Updates of instances in other failure domains may come through a relay
+   (fleet_relay.c), later or sooner than what they send directly.  Therefore
+   each count is kept with the sequence number of the datagram of its instance
+   that it is from, and none replaces a newer one.  */
 #include <string.h>
 #include <sys/socket.h>
 
 #include "ibisloom/fleet.h"
+#include "ibisloom/metrics.h"
 #include "libfleet.h"
 
 enum
 {
   UPDATE_END_DELAY_MS = 30,    /* of an end near the limit */
   UPDATE_QUIET_DELAY_MS = 100, /* of a change far from it */
-  /* Limits load updates to 2,000 datagrams per second.  */
+  /* Limits load updates to 2,000 datagrams per second, and those that relays
+     send for it to as many.  */
   UPDATES_PER_MS = 2,
   UPDATE_MIN_INTERVAL_MS = 5
 };
@@ -26,10 +33,16 @@
 static void schedule_update (struct fleet *fleet, int64_t delay_ms);
 static void on_update_due (struct ev_loop *loop, ev_timer *timer, int events);
 static void collect_changes (struct fleet *fleet, struct wire_loads *loads);
+static int merge_loads (struct fleet *fleet, struct fleet_peer *peer,
+                        uint64_t incarnation, uint64_t sequence,
+                        const struct wire_loads *loads);
+static void begin_incarnation (struct fleet_peer *peer, uint64_t incarnation);
+static void drop_older (struct fleet *fleet, struct fleet_peer *peer,
+                        uint64_t sequence);
 static struct fleet_load *find_load (const struct fleet_peer *peer,
-                                     uint64_t target);
+                                     guint count, uint64_t target);
 static void add_load (struct fleet *fleet, struct fleet_peer *peer,
-                      const struct wire_load *reported);
+                      const struct wire_load *reported, uint64_t sequence);
 static void count_load (struct fleet *fleet, struct fleet_load *load,
                         int32_t value);
 
@@ -79,7 +92,7 @@
 schedule_update (struct fleet *fleet, int64_t delay_ms)
 {
   clk_ms now = clk_now (clk_monotonic ());
-  int64_t interval_ms = MAX (g_hash_table_size (fleet->peers) / UPDATES_PER_MS,
+  int64_t interval_ms = MAX (fleet_update_datagrams (fleet) / UPDATES_PER_MS,
                              UPDATE_MIN_INTERVAL_MS);
   clk_ms due_ms = MAX (now + delay_ms, fleet->updated_ms + interval_ms);
 
@@ -96,16 +109,16 @@
 on_update_due (struct ev_loop *loop, ev_timer *timer, int events)
 {
   struct fleet *fleet = timer->data;
-  struct wire_message message = { .kind = WIRE_LOADS };
+  struct wire_loads loads = { 0 };
 
   (void)loop;
   (void)events;
-  collect_changes (fleet, &message.u.loads);
-  if (message.u.loads.count == 0)
+  collect_changes (fleet, &loads);
+  if (loads.count == 0)
     return;
   fleet->updated_ms = clk_now (clk_monotonic ());
-  fleet_broadcast (fleet, &message);
-  if (message.u.loads.count == WIRE_UPDATE_LOADS_MAX)
+  fleet_send_update (fleet, &loads);
+  if (loads.count == WIRE_UPDATE_LOADS_MAX)
     schedule_update (fleet, 0);
 }
 
@@ -129,32 +142,121 @@
     }
 }
 
-/* Replaces all counts of PEER by those of HEARTBEAT.  */
+/* Replaces all counts of PEER by those of HEARTBEAT, which has just arrived,
+   but for those that a relay has brought from later datagrams.  */
 void
 fleet_set_loads (struct fleet *fleet, struct fleet_peer *peer,
                  const struct wire_heartbeat *heartbeat)
 {
-  fleet_drop_loads (fleet, peer);
+  guint kept;
+
+  if (peer->incarnation < peer->loads_incarnation)
+    return;
+  begin_incarnation (peer, peer->incarnation);
+  drop_older (fleet, peer, peer->sequence);
+  kept = peer->loads->len;
+  peer->loads_sequence = peer->sequence;
   peer->loads_ms = peer->last_seen_ms;
   for (uint32_t i = 0; i < heartbeat->load_count; i++)
-    add_load (fleet, peer, &heartbeat->loads[i]);
+    if (find_load (peer, kept, heartbeat->loads[i].target) == NULL)
+      add_load (fleet, peer, &heartbeat->loads[i], peer->sequence);
 }
 
-/* Replaces those counts of PEER that are in LOADS.  */
+/* Replaces those counts of PEER that are in LOADS, which have just arrived
+   from it.  */
 void
 fleet_update_loads (struct fleet *fleet, struct fleet_peer *peer,
                     const struct wire_loads *loads)
 {
-  peer->loads_ms = peer->last_seen_ms;
+  merge_loads (fleet, peer, peer->incarnation, peer->sequence, loads);
+}
+
+/* Applies a load update that a relay has passed on.  It changes no more of its
+   origin than the counts.  That of an unknown or silent instance is dropped:
+   only its own datagrams show that it lives.  */
+void
+fleet_apply_relayed (struct fleet *fleet, const struct wire_relayed *relayed)
+{
+  struct fleet_peer *origin
+      = g_hash_table_lookup (fleet->peers, GUINT_TO_POINTER (relayed->origin));
+
+  if (origin == NULL
+      || fleet_is_silent (fleet, origin, clk_now (clk_monotonic ())))
+    metric_inc (METRIC_RELAY_UNKNOWN);
+  else if (relayed->incarnation >= origin->incarnation
+           && merge_loads (fleet, origin, relayed->incarnation,
+                           relayed->sequence, &relayed->loads))
+    metric_inc (METRIC_RELAY_APPLIED);
+  else
+    metric_inc (METRIC_RELAY_OLD);
+}
+
+/* Replaces those counts of PEER that are in LOADS, from its datagram SEQUENCE
+   of INCARNATION, and are not older than the last heartbeat or than the count
+   known.  Returns how many are.  */
+static int
+merge_loads (struct fleet *fleet, struct fleet_peer *peer,
+             uint64_t incarnation, uint64_t sequence,
+             const struct wire_loads *loads)
+{
+  int merged = 0;
+
+  if (incarnation < peer->loads_incarnation)
+    return 0;
+  begin_incarnation (peer, incarnation);
+  if (sequence <= peer->loads_sequence)
+    return 0;
   for (uint32_t i = 0; i < loads->count; i++)
     {
-      struct fleet_load *load = find_load (peer, loads->load[i].target);
+      struct fleet_load *load
+          = find_load (peer, peer->loads->len, loads->load[i].target);
 
+      if (load != NULL && load->sequence >= sequence)
+        continue;
+      merged++;
       if (load == NULL)
-        add_load (fleet, peer, &loads->load[i]);
+        {
+          add_load (fleet, peer, &loads->load[i], sequence);
+          continue;
+        }
+      count_load (fleet, load, (int32_t)loads->load[i].load);
+      load->sequence = sequence;
+    }
+  if (merged > 0)
+    peer->loads_ms = clk_now (clk_monotonic ());
+  return merged;
+}
+
+/* Makes all counts of PEER older than those of INCARNATION, if that is a new
+   one.  They hold until its first heartbeat.  */
+static void
+begin_incarnation (struct fleet_peer *peer, uint64_t incarnation)
+{
+  if (incarnation == peer->loads_incarnation)
+    return;
+  peer->loads_incarnation = incarnation;
+  peer->loads_sequence = 0;
+  for (guint i = 0; i < peer->loads->len; i++)
+    g_array_index (peer->loads, struct fleet_load, i).sequence = 0;
+}
+
+/* Forgets the counts of PEER that are not from datagrams after SEQUENCE.  */
+static void
+drop_older (struct fleet *fleet, struct fleet_peer *peer, uint64_t sequence)
+{
+  guint kept = 0;
+
+  for (guint i = 0; i < peer->loads->len; i++)
+    {
+      struct fleet_load *load
+          = &g_array_index (peer->loads, struct fleet_load, i);
+
+      if (load->sequence > sequence)
+        g_array_index (peer->loads, struct fleet_load, kept++) = *load;
       else
-        count_load (fleet, load, (int32_t)loads->load[i].load);
+        count_load (fleet, load, 0);
     }
+  g_array_set_size (peer->loads, kept);
 }
 
 /* Subtracts the counts of PEER from the targets and forgets them.  */
@@ -166,11 +268,12 @@
   g_array_set_size (peer->loads, 0);
 }
 
-/* Returns what PEER reported for TARGET, or NULL.  */
+/* Returns what PEER reported for TARGET, if it is among the first COUNT of its
+   counts, or NULL.  */
 static struct fleet_load *
-find_load (const struct fleet_peer *peer, uint64_t target)
+find_load (const struct fleet_peer *peer, guint count, uint64_t target)
 {
-  for (guint i = 0; i < peer->loads->len; i++)
+  for (guint i = 0; i < count; i++)
     {
       struct fleet_load *load
           = &g_array_index (peer->loads, struct fleet_load, i);
@@ -181,12 +284,14 @@
   return NULL;
 }
 
-/* Adds the count REPORTED by PEER, which has none for this target yet.  */
+/* Adds the count REPORTED by the datagram SEQUENCE of PEER, which has none for
+   this target yet.  */
 static void
 add_load (struct fleet *fleet, struct fleet_peer *peer,
-          const struct wire_load *reported)
+          const struct wire_load *reported, uint64_t sequence)
 {
-  struct fleet_load load = { .target = reported->target };
+  struct fleet_load load
+      = { .target = reported->target, .sequence = sequence };
 
   count_load (fleet, &load, (int32_t)reported->load);
   g_array_append_val (peer->loads, load);
--- a/process/fleet_send.c
+++ b/process/fleet_send.c
@@ -17,7 +17,7 @@
                            const unsigned char *data, size_t length,
                            const struct sockaddr_in *address);
 static int gets_broadcast (const struct fleet *fleet,
-                           const struct fleet_peer *peer, enum wire_kind kind);
+                           const struct fleet_peer *peer, void *closure);
 
 /* Encodes MESSAGE, as the next one of this instance, to DATA, of
    WIRE_MAX_BYTES.  Returns its length.  */
@@ -111,6 +111,8 @@
           || (message.incarnation == peer->incarnation
               && message.sequence <= peer->sequence))
         continue;
+      if (message.incarnation != peer->incarnation)
+        peer->capability_rounds = 0;
       peer->incarnation = message.incarnation;
       peer->sequence = message.sequence;
       peer->address = from;
@@ -119,14 +121,15 @@
     }
 }
 
-/* Returns whether PEER gets a broadcast of KIND.  In a large fleet only peers
-   of the same failure domain do, since a client sends its next requests to the
-   same failure domain.  */
+/* Returns whether PEER gets a broadcast of the kind in CLOSURE.  In a large
+   fleet only peers of the same failure domain do, since a client sends its
+   next requests to the same failure domain.  */
 static int
 gets_broadcast (const struct fleet *fleet, const struct fleet_peer *peer,
-                enum wire_kind kind)
+                void *closure)
 {
-  uint32_t peers_max = kind == WIRE_NOTES || kind == WIRE_HELD
+  const enum wire_kind *kind = closure;
+  uint32_t peers_max = *kind == WIRE_NOTES || *kind == WIRE_HELD
                            ? NOTE_PEERS_MAX
                            : LOAD_UPDATE_PEERS_MAX;
 
@@ -137,10 +140,20 @@
 /* Sends MESSAGE to the peers that are not silent.  */
 void
 fleet_broadcast (struct fleet *fleet, struct wire_message *message)
+{
+  fleet_send_each (fleet, message, gets_broadcast, &message->kind);
+}
+
+/* Sends MESSAGE, as one datagram, to each peer that is not silent and that
+   SELECT, called with CLOSURE, returns 1 for.  Returns to how many.  */
+uint32_t
+fleet_send_each (struct fleet *fleet, struct wire_message *message,
+                 fleet_select_fn select, void *closure)
 {
   unsigned char data[WIRE_MAX_BYTES];
   size_t length = encode_next (fleet, message, data);
   clk_ms now = clk_now (clk_monotonic ());
+  uint32_t count = 0;
   GHashTableIter iter;
   gpointer value;
 
@@ -149,8 +162,10 @@
     {
       const struct fleet_peer *peer = value;
 
-      if (!fleet_is_silent (fleet, peer, now)
-          && gets_broadcast (fleet, peer, message->kind))
-        send_datagram (fleet, message->kind, data, length, &peer->address);
+      if (fleet_is_silent (fleet, peer, now) || !select (fleet, peer, closure))
+        continue;
+      send_datagram (fleet, message->kind, data, length, &peer->address);
+      count++;
     }
+  return count;
 }
--- a/process/libfleet.h
+++ b/process/libfleet.h
@@ -23,7 +23,8 @@
 struct fleet_load
 {
   uint64_t target;
-  uint64_t serial; /* of the registered target that counts them, 0: none */
+  uint64_t serial;   /* of the registered target that counts them, 0: none */
+  uint64_t sequence; /* of the peer's datagram that reported them */
   int32_t load;
 };
 
@@ -37,9 +38,22 @@
   uint32_t domain;
   enum wire_store store;
   enum member_state state;
-  clk_ms last_seen_ms; /* time of the last datagram; 0: none */
-  GArray *loads;       /* of struct fleet_load, as last reported */
-  clk_ms loads_ms;     /* when they were reported */
+  clk_ms last_seen_ms;        /* time of the last datagram; 0: none */
+  GArray *loads;              /* of struct fleet_load, as last reported */
+  clk_ms loads_ms;            /* when they were reported */
+  uint64_t loads_incarnation; /* of the process that reported them */
+  uint64_t loads_sequence;    /* of its last heartbeat, which replaced all */
+  uint64_t capabilities;
+  uint64_t capabilities_incarnation; /* of the process that told them */
+  uint32_t capability_rounds; /* heartbeats in which those of this instance
+                                 might have been told */
+};
+
+/* Relay of another failure domain for this instance. */
+struct fleet_relay
+{
+  uint32_t domain;
+  uint32_t id; /* 0: none */
 };
 
 /* Services short of capacity that this instance coordinates; see
@@ -57,6 +71,10 @@
 typedef void (*fleet_receive_fn) (struct fleet *fleet, struct fleet_peer *peer,
                                   const struct wire_message *message);
 
+/* Returns whether PEER is to get a message. */
+typedef int (*fleet_select_fn) (const struct fleet *fleet,
+                                const struct fleet_peer *peer, void *closure);
+
 struct fleet
 {
   struct ev_loop *loop;
@@ -98,6 +116,12 @@
   ev_timer update; /* until the next load update is sent */
   clk_ms update_due_ms;
   clk_ms updated_ms;         /* time of the last load update */
+  uint32_t update_datagrams; /* see fleet_update_datagrams */
+  GArray *relays;            /* of struct fleet_relay, as last chosen */
+  int64_t forward_credit;    /* datagrams that a relay may still pass on */
+  clk_ms forward_credit_ms;
+  uint8_t is_forward_limited;
+  uint8_t has_told_capabilities;
   uint8_t affinity_received; /* the table of another instance has arrived */
   struct quarantine *quarantine;
   GQueue *probes;  /* of targets that may have crashed */
@@ -145,6 +169,8 @@
 /* fleet_send.c */
 void fleet_on_datagram (struct ev_loop *loop, ev_io *io, int events);
 void fleet_broadcast (struct fleet *fleet, struct wire_message *message);
+uint32_t fleet_send_each (struct fleet *fleet, struct wire_message *message,
+                          fleet_select_fn select, void *closure);
 void fleet_send (struct fleet *fleet, const struct sockaddr_in *address,
                  struct wire_message *message);
 
@@ -160,6 +186,22 @@
                            const struct wire_rejected *rejected);
 int fleet_tell_load (struct fleet *fleet, struct reg_target *target);
 
+/* fleet_relay.c */
+void fleet_relay_init (struct fleet *fleet);
+void fleet_relay_clear (struct fleet *fleet);
+int fleet_can_relay (const struct fleet_peer *peer);
+const struct fleet_peer *fleet_pick_relay (const struct fleet *fleet,
+                                           uint32_t domain, clk_ms now,
+                                           uint32_t *candidates);
+void fleet_send_update (struct fleet *fleet, const struct wire_loads *loads);
+uint32_t fleet_update_datagrams (const struct fleet *fleet);
+void fleet_forward_loads (struct fleet *fleet, const struct fleet_peer *origin,
+                          const struct wire_loads *loads);
+void fleet_send_capabilities (struct fleet *fleet, struct fleet_peer *peer);
+void fleet_repeat_capabilities (struct fleet *fleet);
+void fleet_apply_capabilities (struct fleet_peer *peer,
+                               const struct wire_capabilities *capabilities);
+
 /* fleet_load.c */
 void fleet_watch_loads (struct fleet *fleet);
 void fleet_unwatch_loads (struct fleet *fleet);
@@ -167,6 +209,8 @@
                       const struct wire_heartbeat *heartbeat);
 void fleet_update_loads (struct fleet *fleet, struct fleet_peer *peer,
                          const struct wire_loads *loads);
+void fleet_apply_relayed (struct fleet *fleet,
+                          const struct wire_relayed *relayed);
 void fleet_drop_loads (struct fleet *fleet, struct fleet_peer *peer);
 
 /* fleet_pace.c */
--- a/process/settings.c
+++ b/process/settings.c
@@ -142,6 +142,8 @@
   { "grace_s", parse_real, FIELD_OFFSET (grace_s), OPTIONAL, 1, 3600, 30 },
   { "admission_queue", parse_integer, FIELD_OFFSET (admission_queue), OPTIONAL,
     0, 1, 0 },
+  { "load_relays", parse_integer, FIELD_OFFSET (load_relays), OPTIONAL, 0, 1,
+    0 },
 };
 
 /* Reads the settings in PATH.  Returns them, to be freed with settings_free,
--- a/process/wire_capacity.c
+++ b/process/wire_capacity.c
@@ -1,13 +1,100 @@
-/* Bodies of the datagrams on the capacity of targets: what those take that are
-   cold or have lately started, and the demand for services that are short of
-   capacity.  */
+/* Bodies of the datagrams on the capacity of targets: their loads, what those
+   take that are cold or have lately started, and the demand for services that
+   are short of capacity.  */
 #include "libwire.h"
 
 enum
 {
-  PACE_ITEMS = 7 /* in the encoding of one pace */
+  PACE_ITEMS = 7,   /* in the encoding of one pace */
+  RELAYED_ITEMS = 3 /* of a relayed load update, before the loads */
 };
 
+/* Appends LOADS to an array.  */
+static void
+pack_loads (msgpack_packer *packer, const struct wire_loads *loads)
+{
+  for (uint32_t i = 0; i < loads->count; i++)
+    {
+      msgpack_pack_uint64 (packer, loads->load[i].target);
+      msgpack_pack_uint64 (packer, loads->load[i].load);
+    }
+}
+
+/* Reads LOADS, which fill the rest of LIST.  */
+static void
+next_loads (struct wire_reader *list, struct wire_loads *loads)
+{
+  while (!list->failed && list->remaining > 0)
+    {
+      struct wire_load *load = &loads->load[loads->count++];
+
+      load->target = wire_next_uint (list, UINT64_MAX);
+      load->load = (uint32_t)wire_next_uint (list, UINT32_MAX);
+    }
+}
+
+/* Encodes a load update, without a count.  */
+static void
+encode_loads (msgpack_packer *packer, const struct wire_message *message)
+{
+  msgpack_pack_array (packer, message->u.loads.count * 2);
+  pack_loads (packer, &message->u.loads);
+}
+
+static void
+decode_loads (struct wire_reader *reader, struct wire_message *message)
+{
+  struct wire_reader list
+      = wire_next_array (reader, WIRE_UPDATE_LOADS_MAX * 2);
+
+  next_loads (&list, &message->u.loads);
+  reader->failed |= list.failed;
+}
+
+/* Encodes the load update of another instance, without a count.  */
+static void
+encode_relayed (msgpack_packer *packer, const struct wire_message *message)
+{
+  const struct wire_relayed *relayed = &message->u.relayed;
+
+  msgpack_pack_array (packer, RELAYED_ITEMS + relayed->loads.count * 2);
+  msgpack_pack_uint64 (packer, relayed->origin);
+  msgpack_pack_uint64 (packer, relayed->incarnation);
+  msgpack_pack_uint64 (packer, relayed->sequence);
+  pack_loads (packer, &relayed->loads);
+}
+
+static void
+decode_relayed (struct wire_reader *reader, struct wire_message *message)
+{
+  struct wire_relayed *relayed = &message->u.relayed;
+  struct wire_reader list
+      = wire_next_array (reader, RELAYED_ITEMS + WIRE_UPDATE_LOADS_MAX * 2);
+
+  relayed->origin = (uint32_t)wire_next_uint (&list, UINT32_MAX);
+  relayed->incarnation = wire_next_uint (&list, UINT64_MAX);
+  relayed->sequence = wire_next_uint (&list, UINT64_MAX);
+  next_loads (&list, &relayed->loads);
+  reader->failed |= list.failed;
+}
+
+static void
+encode_capabilities (msgpack_packer *packer,
+                     const struct wire_message *message)
+{
+  msgpack_pack_array (packer, 1);
+  msgpack_pack_uint64 (packer, message->u.capabilities.bits);
+}
+
+static void
+decode_capabilities (struct wire_reader *reader, struct wire_message *message)
+{
+  struct wire_reader list = wire_next_array (reader, 1);
+
+  message->u.capabilities.bits = wire_next_uint (&list, UINT64_MAX);
+  reader->failed |= list.failed;
+}
+
 static void
 encode_cold (msgpack_packer *packer, const struct wire_message *message)
 {
@@ -169,6 +256,10 @@
 }
 
 const struct wire_codec wire_capacity_codecs[WIRE_KIND_COUNT] = {
+  [WIRE_LOADS] = { encode_loads, decode_loads },
+  [WIRE_RELAY_LOADS] = { encode_loads, decode_loads },
+  [WIRE_RELAYED_LOADS] = { encode_relayed, decode_relayed },
+  [WIRE_CAPABILITIES] = { encode_capabilities, decode_capabilities },
   [WIRE_COLD] = { encode_cold, decode_cold },
   [WIRE_PACES] = { encode_paces, decode_paces },
   [WIRE_DEMAND] = { encode_demand, decode_demand },
--- a/process/wire_fleet.c
+++ b/process/wire_fleet.c
@@ -8,37 +8,6 @@
   EVACUATION_ITEMS = 4 /* in the encoding of one evacuation */
 };
 
-/* Encodes a load update, without a count.  */
-static void
-encode_loads (msgpack_packer *packer, const struct wire_message *message)
-{
-  const struct wire_loads *loads = &message->u.loads;
-
-  msgpack_pack_array (packer, loads->count * 2);
-  for (uint32_t i = 0; i < loads->count; i++)
-    {
-      msgpack_pack_uint64 (packer, loads->load[i].target);
-      msgpack_pack_uint64 (packer, loads->load[i].load);
-    }
-}
-
-static void
-decode_loads (struct wire_reader *reader, struct wire_message *message)
-{
-  struct wire_loads *loads = &message->u.loads;
-  struct wire_reader list
-      = wire_next_array (reader, WIRE_UPDATE_LOADS_MAX * 2);
-
-  while (!list.failed && list.remaining > 0)
-    {
-      struct wire_load *load = &loads->load[loads->count++];
-
-      load->target = wire_next_uint (&list, UINT64_MAX);
-      load->load = (uint32_t)wire_next_uint (&list, UINT32_MAX);
-    }
-  reader->failed |= list.failed;
-}
-
 /* Encodes the end of a target.  The parts fill the rest of the array.  */
 static void
 encode_crash (msgpack_packer *packer, const struct wire_message *message)
@@ -462,7 +431,6 @@
 
 /* Kinds of routers. */
 const struct wire_codec wire_fleet_codecs[WIRE_KIND_COUNT] = {
-  [WIRE_LOADS] = { encode_loads, decode_loads },
   [WIRE_CRASH] = { encode_crash, decode_crash },
   [WIRE_QUARANTINE] = { encode_quarantine, decode_quarantine },
   [WIRE_SUCCESS] = { encode_success, decode_success },
