--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -7,6 +7,7 @@
 
 #include "ibisloom/balance.h"
 #include "ibisloom/fleet.h"
+#include "ibisloom/metrics.h"
 #include "ibisloom/outbound.h"
 #include "platform.h"
 #include "ibisloom/rank.h"
@@ -101,6 +102,7 @@
 
 static void popular_targets_stay_within_bound (void);
 static void larger_fleet_stays_within_bound (void);
+static void bound_holds_with_relays (void);
 static void loads_at_all_targets_are_reported (void);
 static void loads_of_live_instances_are_kept (void);
 static void quarantine_reaches_all_instances (void);
@@ -112,6 +114,8 @@
     popular_targets_stay_within_bound },
   { "popular targets stay within it in a fleet of 150",
     larger_fleet_stays_within_bound },
+  { "popular targets stay within it if relays pass on load updates",
+    bound_holds_with_relays },
   { "an instance reports its loads at all targets",
     loads_at_all_targets_are_reported },
   { "loads of live instances are kept in a fleet of 150",
@@ -126,6 +130,9 @@
 
 TEST_MAIN ("fleet", cases)
 
+/* Value of the setting. */
+static int load_relays;
+
 /* Returns a port that is free on all loopback addresses that are tried.  */
 static in_port_t
 free_port (void)
@@ -195,6 +202,7 @@
       settings->cap_factor = CAP_FACTOR;
       settings->cap_slack = CAP_SLACK;
       settings->slow_start = 1;
+      settings->load_relays = load_relays;
       out_pool_init (&instance->pool, simulation->loop);
       instance->registry = reg_new ();
       instance->affinity = affinity_new ();
@@ -473,6 +481,18 @@
   expect_within_bound (INSTANCES_MAX, OVER_BOUND_ALLOWED);
 }
 
+/* Relays must not make the counts later than the bound allows.  */
+static void
+bound_holds_with_relays (void)
+{
+  uint64_t relayed = metric_get (METRIC_RELAY_APPLIED);
+
+  load_relays = 1;
+  expect_within_bound (INSTANCES, OVER_BOUND_AIM);
+  load_relays = 0;
+  CU_ASSERT (metric_get (METRIC_RELAY_APPLIED) > relayed);
+}
+
 /* Returns the number of requests that the first instance counts for the
    others.  */
 static int
