--- a/tests/test_traffic.c
+++ b/tests/test_traffic.c
@@ -13,10 +13,12 @@
 };
 
 static void datagrams_are_counted_by_kind (void);
+static void relays_are_counted (void);
 static void unknown_datagrams_are_counted (void);
 
 static const struct test_case cases[] = {
   { "datagrams are counted by kind", datagrams_are_counted_by_kind },
+  { "load updates through relays are counted", relays_are_counted },
   { "datagrams that are not understood are counted, and end nothing",
     unknown_datagrams_are_counted },
 };
@@ -59,6 +61,31 @@
   fx_env_stop ();
 }
 
+/* The setting must reach the fleet, and the counters the metrics.  */
+static void
+relays_are_counted (void)
+{
+  long relay_loads = 0;
+
+  fx_routers_add_settings ("load_relays: 1\n");
+  start_fleet ();
+  shop_expect (GET_MAP ("r1"), "200", "well");
+  fx_sleep_ms (HEARTBEATS_MS / 4);
+  for (int i = 0; i < ROUTERS; i++)
+    {
+      CU_ASSERT (fx_router_metric (
+                     i, "ibisloom_datagrams_sent_total{kind=\"capabilities\"}")
+                 > 0);
+      /* Negative at routers that have sent none.  */
+      relay_loads
+          += fx_router_metric (
+                 i, "ibisloom_datagrams_sent_total{kind=\"relay_loads\"}")
+             > 0;
+    }
+  CU_ASSERT (relay_loads > 0);
+  fx_env_stop ();
+}
+
 static void
 unknown_datagrams_are_counted (void)
 {
