--- a/include/ibisloom/settings.h
+++ b/include/ibisloom/settings.h
@@ -57,6 +57,7 @@
   double grace_s; /* from the stop signal until the process is killed */
   int64_t admission_queue; /* 1: requests queue where capacity is scarce */
   int64_t work_aware;      /* 1: targets are chosen by when they would begin */
+  int64_t load_relays; /* 1: load updates cross failure domains by relays */
   char *cluster_key;
   char *operator_token;
 };
--- a/include/ibisloom/wire.h
+++ b/include/ibisloom/wire.h
@@ -30,7 +30,8 @@
   WIRE_PACES_MAX = 16,
   WIRE_PACE_SCALE = 1000, /* units in a request, or in a millisecond */
   WIRE_HELD_MAX = 120,
-  WIRE_WORK_MAX = 64
+  WIRE_WORK_MAX = 64,
+  WIRE_CAN_RELAY_LOADS = 1 /* bit of the capabilities */
 };
 
 enum wire_kind
@@ -64,6 +65,9 @@
   WIRE_HELD,              /* prompt parts that a target holds */
   WIRE_HELD_QUERY,        /* asks for those of all targets */
   WIRE_WORK,              /* tokens still to be read at targets */
+  WIRE_CAPABILITIES,      /* optional features of the sender */
+  WIRE_RELAY_LOADS,       /* load update for the receiver's failure domain */
+  WIRE_RELAYED_LOADS,     /* load update of another instance, passed on */
   WIRE_KIND_COUNT
 };
 
@@ -378,6 +382,22 @@
   struct wire_target_work item[WIRE_WORK_MAX];
 };
 
+/* Optional features of the sender.  Bits that the receiver does not know mean
+   nothing to it. */
+struct wire_capabilities
+{
+  uint64_t bits;
+};
+
+/* Load update of the instance ORIGIN, passed on by the sender. */
+struct wire_relayed
+{
+  uint32_t origin;
+  uint64_t incarnation; /* of the origin */
+  uint64_t sequence;    /* of the origin's datagram with these loads */
+  struct wire_loads loads;
+};
+
 struct wire_message
 {
   enum wire_kind kind;
@@ -414,6 +434,8 @@
     struct demand_level level;
     struct wire_held held;
     struct wire_work work;
+    struct wire_capabilities capabilities;
+    struct wire_relayed relayed;
   } u;
 };
 
--- a/process/settings.c
+++ b/process/settings.c
@@ -146,6 +146,8 @@
     0, 1, 0 },
   { "work_aware", parse_integer, FIELD_OFFSET (work_aware), OPTIONAL, 0, 1,
     0 },
+  { "load_relays", parse_integer, FIELD_OFFSET (load_relays), OPTIONAL, 0, 1,
+    0 },
 };
 
 /* Reads the settings in PATH.  Returns them, to be freed with settings_free,
