Keep what a target's process says of itself, and close it by that

Cause: Server-Leaving and the Retry-After of targets were read nowhere, so that nothing in the registry could hold them. Change: struct pause_notice (request/pause.c) is bound to the process that gave it: an entry of the same incarnation never ends it, nor does one that a restored store has of an earlier process; the record of removed targets keeps it. closed_reason excludes such candidates, which do not count in the mean load.

--- a/include/ibisloom/balance.h
+++ b/include/ibisloom/balance.h
@@ -31,6 +31,8 @@
   double rate_tokens;   /* requests that its rate limit allows now */
   uint8_t is_paced_out; /* started or recovered, and has enough for now */
   uint8_t has_no_room;  /* brittle, and not to be sent another request now */
+  uint8_t is_leaving;   /* by its responses */
+  uint8_t is_paused;    /* by its responses, for a time */
 };
 
 struct bal_params
@@ -62,6 +64,7 @@
   BAL_ALL_FULL,      /* every usable target is at the load bound */
   BAL_RATES_USED_UP, /* every usable target is at its rate limit */
   BAL_ALL_EVACUATED, /* every target is in an evacuated failure domain */
+  BAL_ALL_PAUSED,    /* no usable target is left but paused ones */
   BAL_HOP,           /* through another instance, which chooses the target */
   BAL_REASON_COUNT
 };
@@ -78,6 +81,8 @@
   BAL_SKIP_RATE,      /* at its rate limit */
   BAL_SKIP_ROOM,      /* brittle, without room */
   BAL_SKIP_PACE,      /* started or recovered, and at its pace */
+  BAL_SKIP_LEAVING,   /* has said that it is leaving */
+  BAL_SKIP_PAUSED,    /* has asked for a pause */
   BAL_SKIP_COUNT
 };
 
--- a/include/ibisloom/registry.h
+++ b/include/ibisloom/registry.h
@@ -10,6 +10,7 @@
 #include "ibisloom/clock.h"
 #include "ibisloom/health.h"
 #include "ibisloom/pace.h"
+#include "ibisloom/pause.h"
 #include "ibisloom/position.h"
 #include "ibisloom/rate.h"
 #include "ibisloom/room.h"
@@ -63,19 +64,24 @@
   struct sockaddr_in address;
   int32_t slots;
   uint64_t incarnation;
-  int64_t started_ms;       /* see struct reg_entry */
-  uint64_t reports;         /* see struct reg_entry */
-  uint64_t software;        /* see struct reg_entry */
-  struct position position; /* of the entry */
-  clk_ms warm_at_ms;        /* warmed up from then on */
-  uint32_t references; /* requests in progress, plus one for the registry */
-  uint8_t is_peer;     /* stands for another instance; not registered */
-  uint8_t leaving;
-  uint8_t is_evacuated;      /* its failure domain is; gets no request */
-  uint8_t update_pending;    /* peers are to get its new in_flight */
-  uint8_t unlisted;          /* not yet found in the list that is being read */
-  uint8_t is_restored;       /* missing, but in the store, by an older entry */
-  uint8_t is_withheld;       /* the same, and it had been dropped */
+  int64_t started_ms;               /* see struct reg_entry */
+  uint64_t reports;                 /* see struct reg_entry */
+  uint64_t software;                /* see struct reg_entry */
+  struct position position;         /* of the entry */
+  struct position process_position; /* of the first entry of its process */
+  uint32_t process; /* counts the processes that were seen there */
+  struct pause_notice notice;
+  uint8_t bad_notices;    /* fields found unreadable, see relay_notice.c */
+  clk_ms warm_at_ms;      /* warmed up from then on */
+  uint32_t references;    /* requests in progress, plus one for the registry */
+  uint8_t is_peer;        /* stands for another instance; not registered */
+  uint8_t leaving;        /* by its entry, or by what it has responded */
+  uint8_t entry_leaving;  /* by its entry */
+  uint8_t is_evacuated;   /* its failure domain is; gets no request */
+  uint8_t update_pending; /* peers are to get its new in_flight */
+  uint8_t unlisted;       /* not yet found in the list that is being read */
+  uint8_t is_restored;    /* missing, but in the store, by an older entry */
+  uint8_t is_withheld;    /* the same, and it had been dropped */
   clk_ms missing_until_ms;   /* entry missing, dropped then; 0: present */
   uint32_t in_flight;        /* requests sent by this instance */
   int32_t others_in_flight;  /* sent by the other instances */
@@ -105,6 +111,7 @@
   uint64_t incarnation;
   uint64_t reports;
   uint64_t epoch; /* of the removal */
+  struct pause_notice notice;
 };
 
 struct registry
@@ -163,6 +170,18 @@
 enum reg_doubt reg_doubt (const struct reg_target *target, clk_ms now);
 int reg_report_load (struct reg_target *target, int32_t load, clk_ms now);
 
+/* registry_notice.c */
+void reg_read_process (struct reg_target *target,
+                       const struct reg_entry *entry,
+                       struct position position);
+void reg_recall_notice (const struct registry *registry,
+                        struct reg_target *target);
+struct pause_notice *reg_find_notice (struct registry *registry,
+                                      struct reg_target *target,
+                                      uint32_t process);
+int reg_hear_leaving (struct reg_target *target, uint64_t incarnation,
+                      struct position position);
+
 /* registry_evacuated.c */
 uint32_t reg_set_evacuated (struct registry *registry, uint64_t failure_domain,
                             int is_evacuated);
--- a/process/registry.c
+++ b/process/registry.c
@@ -90,6 +90,7 @@
   int is_new = target == NULL;
   int is_restored = 0;
   int is_withheld = 0;
+  struct pause_notice notice = { 0 };
 
   if (target != NULL && position.revision != 0
       && pos_compare (position, target->position) < 0)
@@ -110,19 +111,28 @@
     is_withheld = was_gone (registry, entry, position);
   else if (target->missing_until_ms != 0)
     is_restored = is_older_report (target, entry, position);
+  if (target != NULL)
+    notice = target->notice;
   if (target != NULL
       && (strcmp (target->service, entry->service) != 0
           || memcmp (&target->address, &entry->address, sizeof target->address)
                  != 0))
     {
+      if (notice.process.incarnation == 0)
+        notice = (struct pause_notice){ 0 };
       drop_target (registry, target);
       target = NULL;
     }
   if (target == NULL)
     {
       target = add_target (registry, entry);
+      target->process_position = position;
+      target->notice = notice;
+      if (is_new)
+        reg_recall_notice (registry, target);
       is_new = 1;
     }
+  reg_read_process (target, entry, position);
   if (entry->incarnation != target->incarnation
       || entry->software != target->software)
     {
@@ -135,9 +145,10 @@
   target->failure_domain = g_intern_string (entry->failure_domain);
   target->is_evacuated
       = (uint8_t)reg_is_evacuated (registry, target->failure_domain);
-  is_new |= target->leaving != (entry->leaving != 0);
+  is_new |= target->entry_leaving != (entry->leaving != 0);
   target->slots = entry->slots;
-  target->leaving = entry->leaving != 0;
+  target->entry_leaving = entry->leaving != 0;
+  target->leaving = target->entry_leaving || target->notice.is_leaving;
   target->warm_at_ms = now + entry->warming_ms;
   target->reports = entry->reports;
   target->position = position;
@@ -231,7 +242,7 @@
 keeps_leaving (const struct reg_target *target, const struct reg_entry *entry,
                struct position position)
 {
-  return target->leaving && is_older_report (target, entry, position);
+  return target->entry_leaving && is_older_report (target, entry, position);
 }
 
 /* Returns whether ENTRY, at POSITION, is of a newer epoch than the known entry
@@ -256,6 +267,7 @@
   gone->incarnation = target->incarnation;
   gone->reports = target->reports;
   gone->epoch = position.epoch;
+  gone->notice = target->notice;
   g_queue_push_tail (&registry->gone, gone);
   if (registry->gone.length > GONE_MAX)
     g_free (g_queue_pop_head (&registry->gone));
--- a/process/registry_candidates.c
+++ b/process/registry_candidates.c
@@ -113,10 +113,11 @@
 
 /* Copies to CANDIDATES and TARGETS up to CAPACITY usable targets of SERVICE,
    which is interned, and returns how many.  Targets in evacuated failure
-   domains are not usable.  A target whose entry is missing is
-   usable only if the store has lost entries both of the service as a whole and
-   of the target's failure domain: a loss in one domain does not explain a
-   target missing in another.  */
+   domains are not usable, nor are those whose entries say that they leave;
+   those that have only responded so are candidates, and closed.  A target
+   whose entry is missing is usable only if the store has lost entries both of
+   the service as a whole and of the target's failure domain: a loss in one
+   domain does not explain a target missing in another.  */
 size_t
 reg_candidates (struct registry *registry, const char *service,
                 const char *failure_domain, clk_ms now,
@@ -132,8 +133,8 @@
       struct reg_target *target = g_ptr_array_index (registry->array, i);
       struct bal_candidate *candidate = &candidates[count];
 
-      if (target->service != service || target->leaving || target->is_withheld
-          || target->is_evacuated
+      if (target->service != service || target->entry_leaving
+          || target->is_withheld || target->is_evacuated
           || (target->missing_until_ms != 0
               && (!include_missing
                   || !is_store_loss (domain_loss_get (
@@ -155,8 +156,11 @@
         candidate->rate_tokens
             = MIN (candidate->rate_tokens, rate_tokens (&target->cold, now));
       candidate->is_paced_out
-          = !pace_may_send (&target->pace, reg_counted_load (target), now);
+          = !pace_may_send (&target->pace, reg_counted_load (target), now)
+            || pause_restrains (&target->notice, target->in_flight, now);
       candidate->has_no_room = (uint8_t)has_no_room (target, now);
+      candidate->is_leaving = target->notice.is_leaving;
+      candidate->is_paused = pause_left_ms (&target->notice, now) > 0;
       targets[count++] = target;
     }
   return count;
--- a/request/balance.c
+++ b/request/balance.c
@@ -46,12 +46,13 @@
 static const double BOUND_MARGIN = 0.25;
 
 const char *const bal_reason_names[BAL_REASON_COUNT]
-    = { "holder",    "home", "next_home",     "least_loaded",  "trial",
-        "no_target", "full", "rates_used_up", "all_evacuated", "hop" };
+    = { "holder",        "home",       "next_home", "least_loaded",
+        "trial",         "no_target",  "full",      "rates_used_up",
+        "all_evacuated", "all_paused", "hop" };
 
 const char *const bal_skip_names[BAL_SKIP_COUNT]
-    = { "free",   "absent", "tried", "suspect", "loaded",
-        "errors", "rate",   "room",  "pace" };
+    = { "free", "absent", "tried", "suspect", "loaded", "errors",
+        "rate", "room",   "pace",  "leaving", "paused" };
 
 static double load_limit (const struct bal_params *params, double mean);
 static enum bal_skip skip_reason (const struct bal_params *params,
@@ -314,7 +315,11 @@
                     + (candidate->error_rate - best_error_rate) * ERROR_PENALTY
                           / slots;
 
-      if (skip == BAL_SKIP_RATE && choice->reason == BAL_NO_TARGET)
+      if (skip == BAL_SKIP_PAUSED && choice->reason == BAL_NO_TARGET)
+        choice->reason = BAL_ALL_PAUSED;
+      if (skip == BAL_SKIP_RATE
+          && (choice->reason == BAL_NO_TARGET
+              || choice->reason == BAL_ALL_PAUSED))
         choice->reason = BAL_RATES_USED_UP;
       if ((skip == BAL_SKIP_ROOM || skip == BAL_SKIP_LOADED)
           && choice->reason != BAL_LEAST_LOADED)
@@ -383,11 +388,12 @@
   return any;
 }
 
-/* Returns the mean load of the CANDIDATES that are not suspended and do not
-   limit their rate, since those left out carry little load and would lower the
-   bound; if all do so, of all that are not suspended.  Targets that are cold
-   or, by PARAMS, evacuated do count: they are sound, and the bound of the load
-   is relative to the mean of all sound targets.  */
+/* Returns the mean load of the CANDIDATES that are not suspended, have not
+   said that they leave or want a pause, and do not limit their rate, since
+   those left out carry little load and would lower the bound; if all do so, of
+   all that are not suspended.  Targets that are cold or, by PARAMS, evacuated
+   do count: they are sound, and the bound of the load is relative to the mean
+   of all sound targets.  */
 static double
 mean_load (const struct bal_params *params,
            const struct bal_candidate *candidates, size_t count)
@@ -399,7 +405,8 @@
 
   for (size_t i = 0; i < count; i++)
     if (candidates[i].state == HEALTH_SUSPENDED
-        || candidates[i].state == HEALTH_DOUBTED)
+        || candidates[i].state == HEALTH_DOUBTED || candidates[i].is_leaving
+        || candidates[i].is_paused)
       continue;
     else if (candidates[i].rate_limited && !candidates[i].is_cold)
       {
@@ -487,6 +494,10 @@
 closed_reason (const struct bal_params *params,
                const struct bal_candidate *candidate)
 {
+  if (candidate->is_leaving)
+    return BAL_SKIP_LEAVING;
+  if (candidate->is_paused)
+    return BAL_SKIP_PAUSED;
   if (candidate->has_no_room)
     return BAL_SKIP_ROOM;
   if (candidate->rate_limited
