Tell other instances of targets that respond that they are leaving

Cause: an instance that has no response of a leaving target goes on to send requests there until the entry says so. Change: WIRE_LEAVES, the last kind, is sent to all peers at the first such response and in one datagram with each heartbeat, in turn if there are more than 32. Without an incarnation, the position of the sender's entry keeps a notice from the next process. Pauses are recorded here too, and not told; lists of contexts are not asked of paused targets.

--- a/include/ibisloom/fleet.h
+++ b/include/ibisloom/fleet.h
@@ -114,6 +114,12 @@
                          clk_ms sent_ms);
 uint32_t fleet_quarantined_count (const struct fleet *fleet);
 
+/* fleet_leaving.c, fleet_pause.c */
+void fleet_observe_leaving (struct fleet *fleet, struct reg_target *target,
+                            uint32_t process);
+void fleet_observe_pause (struct fleet *fleet, struct reg_target *target,
+                          uint32_t process, int64_t asked_ms);
+
 /* fleet_evacuation.c */
 void fleet_see_evacuation (struct fleet *fleet, const char *domain,
                            struct position position, int is_in_force);
--- a/include/ibisloom/metrics.h
+++ b/include/ibisloom/metrics.h
@@ -35,6 +35,7 @@
   METRIC_REFUSED_VERSION_GONE,
   METRIC_REFUSED_HOP,
   METRIC_REFUSED_EVACUATED,
+  METRIC_REFUSED_PAUSED,
   METRIC_REFUSED_OVER_SHARE,
   METRIC_REFUSED_QUEUE_FULL,
   METRIC_REFUSED_QUEUE_LATE,
@@ -73,12 +74,18 @@
   METRIC_PACES_BEGUN,
   METRIC_PACES_REDUCED, /* for what this instance has seen */
   METRIC_PACES_ENDED,
+  METRIC_LEAVES_SEEN, /* targets that have responded that they leave */
+  METRIC_LEAVES_TOLD, /* the same, by what another instance has told */
+  METRIC_PAUSES_BEGUN,
+  METRIC_PAUSES_CAPPED,
+  METRIC_PAUSES_ENDED,
   METRIC_PACED_OUT,  /* requests sent there as no other target was left */
   METRIC_OVER_BOUND, /* responses that report a load over the bound */
   /* Denied admissions, by reason.  */
   METRIC_DENIED_BOUND,
   METRIC_DENIED_RATE,
   METRIC_DENIED_EVACUATED,
+  METRIC_DENIED_PAUSED,
   METRIC_DENIED_CAPACITY,
   METRIC_DENIED_SHARE,
   METRIC_DENIED_DOWN,
--- a/include/ibisloom/wire.h
+++ b/include/ibisloom/wire.h
@@ -29,7 +29,8 @@
   WIRE_EVACUATIONS_MAX = 40,
   WIRE_PACES_MAX = 16,
   WIRE_PACE_SCALE = 1000, /* units in a request, or in a millisecond */
-  WIRE_HELD_MAX = 120
+  WIRE_HELD_MAX = 120,
+  WIRE_LEAVES_MAX = 32
 };
 
 enum wire_kind
@@ -62,6 +63,7 @@
   WIRE_LEVEL,             /* what is admitted of it, by a coordinator */
   WIRE_HELD,              /* prompt parts that a target holds */
   WIRE_HELD_QUERY,        /* asks for those of all targets */
+  WIRE_LEAVES,            /* targets that have said that they leave */
   WIRE_KIND_COUNT
 };
 
@@ -362,6 +364,20 @@
   uint64_t part[WIRE_HELD_MAX];
 };
 
+/* Target that has responded that it is leaving. */
+struct wire_leave
+{
+  uint64_t target;
+  uint64_t incarnation;     /* of its process, 0: unknown */
+  struct position position; /* of its entry, as the sender has read it */
+};
+
+struct wire_leaves
+{
+  uint32_t count;
+  struct wire_leave leave[WIRE_LEAVES_MAX];
+};
+
 struct wire_message
 {
   enum wire_kind kind;
@@ -397,6 +413,7 @@
     struct demand_report demand;
     struct demand_level level;
     struct wire_held held;
+    struct wire_leaves leaves;
   } u;
 };
 
--- a/process/fleet.c
+++ b/process/fleet.c
@@ -54,6 +54,7 @@
   fleet->listed_name = g_string_new (NULL);
   fleet_room_init (fleet);
   fleet_evacuation_init (fleet);
+  fleet_leaving_init (fleet);
   fleet_watch_loads (fleet);
   fleet_quarantine_init (fleet);
   fleet_crash_init (fleet);
@@ -142,6 +143,7 @@
   fleet_unwatch_loads (fleet);
   fleet_room_clear (fleet);
   fleet_evacuation_clear (fleet);
+  fleet_leaving_clear (fleet);
   fleet_origin_store_clear (fleet);
   fleet_crash_clear (fleet);
   fleet_quarantine_clear (fleet);
@@ -203,6 +205,9 @@
     case WIRE_PACES:
       fleet_apply_paces (fleet, &message->u.paces);
       break;
+    case WIRE_LEAVES:
+      fleet_apply_leaves (fleet, &message->u.leaves);
+      break;
     case WIRE_HELD:
       fleet_apply_held (fleet, &message->u.held);
       break;
--- a/process/fleet_heartbeat.c
+++ b/process/fleet_heartbeat.c
@@ -47,6 +47,8 @@
   fleet_rate_tick (fleet, now);
   fleet_room_tick (fleet, now);
   fleet_evacuation_tick (fleet, now);
+  fleet_leaving_tick (fleet, now);
+  fleet_pause_tick (fleet, now);
   fleet_pace_tick (fleet, now);
   fleet_origin_tick (fleet, now);
   fleet_version_tick (fleet, now);
@@ -115,7 +117,8 @@
 /* Sends a heartbeat to ADDRESS.  If WANTS_AFFINITY is not 0, it requests the
    affinity table of the receiver.  Loads that do not fit follow as load
    updates, and then the states of prompt parts, the rate limits of targets,
-   the services whose targets are brittle and the paces, if there are any.
+   the services whose targets are brittle, the paces and the targets that have
+   said that they leave, if there are any.
    Evacuations come first: a heartbeat tells a starting instance that it has
    heard of them.  */
 static void
@@ -151,6 +154,7 @@
   fleet_send_rates (fleet, address);
   fleet_send_brittle (fleet, address);
   fleet_send_paces (fleet, address);
+  fleet_send_leaves (fleet, address);
 }
 
 /* Returns the state that heartbeats report.  */
--- a/process/fleet_held.c
+++ b/process/fleet_held.c
@@ -213,6 +213,7 @@
           = g_ptr_array_index (targets, state->position++ % targets->len);
 
       if (target->leaving || target->missing_until_ms != 0
+          || pause_left_ms (&target->notice, now) > 0
           || g_hash_table_contains (state->asked,
                                     GSIZE_TO_POINTER (target->hash))
           || !asks (fleet, target, now))
--- a/process/fleet_send.c
+++ b/process/fleet_send.c
@@ -121,7 +121,8 @@
 
 /* Returns whether PEER gets a broadcast of KIND.  In a large fleet only peers
    of the same failure domain do, since a client sends its next requests to the
-   same failure domain.  */
+   same failure domain.  That a target leaves concerns all, and is told once.
+   */
 static int
 gets_broadcast (const struct fleet *fleet, const struct fleet_peer *peer,
                 enum wire_kind kind)
@@ -130,7 +131,7 @@
                            ? NOTE_PEERS_MAX
                            : LOAD_UPDATE_PEERS_MAX;
 
-  return g_hash_table_size (fleet->peers) <= peers_max
+  return kind == WIRE_LEAVES || g_hash_table_size (fleet->peers) <= peers_max
          || peer->domain == fleet->domain;
 }
 
--- a/process/libfleet.h
+++ b/process/libfleet.h
@@ -123,6 +123,8 @@
   clk_ms turned_ms;
   struct evac_state *evacuations; /* NULL: not read */
   guint paced;           /* targets with a pace, at the last heartbeat */
+  GArray *leaves;        /* see fleet_leaving.c */
+  clk_ms leaves_told_ms; /* time of the last broadcast of them */
   clk_ms cold_until_ms;  /* some target may be cold until then */
   guint next_rate;       /* target whose sharers are found next */
   guint first_told_rate; /* target whose limit is told first */
@@ -243,6 +245,18 @@
 void fleet_apply_reach (struct fleet *fleet, const struct fleet_peer *peer,
                         const struct wire_reach *reach);
 
+/* fleet_leaving.c */
+void fleet_leaving_init (struct fleet *fleet);
+void fleet_leaving_clear (struct fleet *fleet);
+void fleet_leaving_tick (struct fleet *fleet, clk_ms now);
+void fleet_send_leaves (struct fleet *fleet,
+                        const struct sockaddr_in *address);
+void fleet_apply_leaves (struct fleet *fleet,
+                         const struct wire_leaves *leaves);
+
+/* fleet_pause.c */
+void fleet_pause_tick (struct fleet *fleet, clk_ms now);
+
 /* fleet_evacuation.c */
 void fleet_evacuation_init (struct fleet *fleet);
 void fleet_evacuation_clear (struct fleet *fleet);
--- a/process/metrics.c
+++ b/process/metrics.c
@@ -73,6 +73,7 @@
   = "ibisloom_refused_total{reason=\"over_share\"}",
   [METRIC_REFUSED_QUEUE_FULL]
   = "ibisloom_refused_total{reason=\"queue_full\"}",
+  [METRIC_REFUSED_PAUSED] = "ibisloom_refused_total{reason=\"paused\"}",
   [METRIC_REFUSED_QUEUE_LATE]
   = "ibisloom_refused_total{reason=\"queue_late\"}",
   [METRIC_REFUSED_NO_CONNECTION]
@@ -110,10 +111,17 @@
   [METRIC_PACES_BEGUN] = "ibisloom_paces_total{event=\"begun\"}",
   [METRIC_PACES_REDUCED] = "ibisloom_paces_total{event=\"reduced\"}",
   [METRIC_PACES_ENDED] = "ibisloom_paces_total{event=\"ended\"}",
+  [METRIC_LEAVES_SEEN] = "ibisloom_leaving_notices_total{from=\"response\"}",
+  [METRIC_LEAVES_TOLD] = "ibisloom_leaving_notices_total{from=\"peer\"}",
+  [METRIC_PAUSES_BEGUN] = "ibisloom_pauses_total{event=\"begun\"}",
+  [METRIC_PAUSES_CAPPED] = "ibisloom_pauses_total{event=\"capped\"}",
+  [METRIC_PAUSES_ENDED] = "ibisloom_pauses_total{event=\"ended\"}",
   [METRIC_PACED_OUT] = "ibisloom_pace_ignored_total",
   [METRIC_OVER_BOUND] = "ibisloom_over_bound_total",
   [METRIC_DENIED_RATE]
   = "ibisloom_admission_denied_total{reason=\"rate_limit\"}",
+  [METRIC_DENIED_PAUSED]
+  = "ibisloom_admission_denied_total{reason=\"paused\"}",
   [METRIC_DENIED_EVACUATED]
   = "ibisloom_admission_denied_total{reason=\"evacuated\"}",
   [METRIC_DENIED_BOUND] = "ibisloom_admission_denied_total{reason=\"bound\"}",
--- a/process/router_metrics.c
+++ b/process/router_metrics.c
@@ -106,6 +106,7 @@
   int64_t usable = 0;
   int64_t cold = 0;
   int64_t paced = 0;
+  int64_t paused = 0;
 
   for (guint i = 0; i < router->registry->array->len; i++)
     {
@@ -113,6 +114,7 @@
           = g_ptr_array_index (router->registry->array, i);
 
       cold += reg_is_cold (target, now);
+      paused += pause_left_ms (&target->notice, now) > 0;
       paced += pace_is_in_force (&target->pace);
       if (target->leaving)
         leaving++;
@@ -132,4 +134,5 @@
   add_gauge (out, "ibisloom_targets_evacuated", evacuated);
   add_gauge (out, "ibisloom_targets_cold", cold);
   add_gauge (out, "ibisloom_targets_paced", paced);
+  add_gauge (out, "ibisloom_targets_paused", paused);
 }
--- a/process/wire_fleet.c
+++ b/process/wire_fleet.c
@@ -5,7 +5,8 @@
 
 enum
 {
-  EVACUATION_ITEMS = 4 /* in the encoding of one evacuation */
+  EVACUATION_ITEMS = 4, /* in the encoding of one evacuation */
+  LEAVE_ITEMS = 4       /* in that of a leaving target */
 };
 
 /* Encodes a load update, without a count.  */
@@ -460,6 +461,40 @@
   reader->failed |= list.failed;
 }
 
+/* Encodes the targets that are leaving, without a count.  */
+static void
+encode_leaves (msgpack_packer *packer, const struct wire_message *message)
+{
+  const struct wire_leaves *leaves = &message->u.leaves;
+
+  msgpack_pack_array (packer, leaves->count * LEAVE_ITEMS);
+  for (uint32_t i = 0; i < leaves->count; i++)
+    {
+      msgpack_pack_uint64 (packer, leaves->leave[i].target);
+      msgpack_pack_uint64 (packer, leaves->leave[i].incarnation);
+      msgpack_pack_uint64 (packer, leaves->leave[i].position.epoch);
+      msgpack_pack_uint64 (packer, leaves->leave[i].position.revision);
+    }
+}
+
+static void
+decode_leaves (struct wire_reader *reader, struct wire_message *message)
+{
+  struct wire_leaves *leaves = &message->u.leaves;
+  struct wire_reader list
+      = wire_next_array (reader, WIRE_LEAVES_MAX * LEAVE_ITEMS);
+
+  while (!list.failed && list.remaining > 0)
+    {
+      struct wire_leave *leave = &leaves->leave[leaves->count++];
+
+      leave->target = wire_next_uint (&list, UINT64_MAX);
+      leave->incarnation = wire_next_uint (&list, UINT64_MAX);
+      leave->position = wire_next_position (&list);
+    }
+  reader->failed |= list.failed;
+}
+
 /* Kinds of routers. */
 const struct wire_codec wire_fleet_codecs[WIRE_KIND_COUNT] = {
   [WIRE_LOADS] = { encode_loads, decode_loads },
@@ -480,4 +515,5 @@
   [WIRE_EVACUATIONS] = { encode_evacuations, decode_evacuations },
   [WIRE_HELD] = { encode_held, decode_held },
   [WIRE_HELD_QUERY] = { encode_held_query, decode_held_query },
+  [WIRE_LEAVES] = { encode_leaves, decode_leaves },
 };
