Read Server-Leaving and Retry-After from the responses of targets

Change: each valid response, also of an attempt that is kept beside its replacement, is read for both. A 503 with a pause is no event of the target's health, no sign of scarce capacity and no rejection for room. If all targets are paused, requests are refused with 503 and the shortest time left, spread by up to as much again, at least 0.5 s. ibisctl route shows both reasons.

--- a/daemon/ctl_explain.c
+++ b/daemon/ctl_explain.c
@@ -48,6 +48,7 @@
   { "evacuated",
     "refused: all targets are in failure domains that are evacuated; not "
     "run" },
+  { "paused", "refused: every usable target has asked for a pause; not run" },
   { "hop_refused", "refused: the instance is cut off from the targets, and "
                    "the others that it "
                    "was sent through refused it; not run" },
--- a/include/ibisloom/dialect.h
+++ b/include/ibisloom/dialect.h
@@ -27,6 +27,7 @@
   DIALECT_TARGET_LOAD,     /* requests running and waiting, and slots */
   DIALECT_TARGET_RATE,     /* requests per second that the target takes */
   DIALECT_TARGET_BRITTLE,  /* requests that it may turn away in a second */
+  DIALECT_TARGET_LEAVING,  /* the target is leaving */
   DIALECT_NOT_RUN,         /* the target did not execute the request */
   DIALECT_RETRY_AFTER,
   DIALECT_CONTEXT_SOURCE, /* address of a target to copy the context from */
@@ -61,6 +62,10 @@
                int32_t *slots);
   int (*rate) (const char *value, double *per_s);
   int (*brittle) (const char *value, uint32_t *rejections_max);
+  int (*leaving) (const char *value, int *is_leaving);
+  /* Stores the time for which a target wants no requests; INT64_MAX stands
+     for any that is larger.  */
+  int (*pause) (const char *value, int64_t *pause_ms);
   /* Access to the object store, and the kinds of objects in it.  */
   const struct watch_protocol *store;
   const char *config_kind;
--- a/request/librelay.h
+++ b/request/librelay.h
@@ -37,6 +37,7 @@
   RELAY_VERSION_GONE,
   RELAY_HOP_REFUSED,
   RELAY_EVACUATED,
+  RELAY_PAUSED,     /* all targets have asked for a pause */
   RELAY_OVER_SHARE, /* the admission level left it out */
   RELAY_QUEUE_FULL, /* it would not be served in time */
   RELAY_QUEUE_LATE, /* it waited for as long as it could */
@@ -61,9 +62,11 @@
   clk_ms sent_ms;
   clk_ms last_received_ms;
   uint32_t status;
-  int64_t length; /* of the response body, -1: unknown */
+  int64_t length;   /* of the response body, -1: unknown */
+  uint32_t process; /* of the target when it was sent, see struct reg_target */
   uint8_t not_run;
-  uint8_t is_invalid; /* response is for another request, or out of order */
+  uint8_t asked_pause; /* the target wants no requests for a time */
+  uint8_t is_invalid;  /* response is for another request, or out of order */
   uint8_t is_event_stream;
   uint8_t ends_with_connection; /* body has neither a length nor chunks */
   uint8_t is_trial;             /* trial request to a suspended target */
@@ -317,7 +320,8 @@
 void relay_log_rate (const struct relay *relay);
 void relay_log_brittle (const struct relay *relay);
 void relay_log_room (const struct relay *relay, int32_t limit);
-void relay_log_bad_field (const struct relay *relay, const char *field,
+void relay_log_bad_field (const struct relay *relay,
+                          const struct reg_target *target, const char *field,
                           const char *value);
 void relay_log_fault (const struct relay *relay, enum retry_fault fault,
                       const struct retry_decision *decision, clk_ms now);
@@ -358,6 +362,13 @@
 int relay_events_feed (struct relay *relay, const char *data, size_t length);
 void relay_events_reset (struct relay *relay);
 
+/* relay_notice.c */
+void relay_read_notices (const struct relay *relay,
+                         struct relay_attempt *attempt,
+                         const struct http_head *head);
+int64_t relay_pause_left_ms (const struct relay *relay);
+int64_t relay_pause_spread_ms (int64_t left_ms);
+
 /* relay_refuse.c */
 const struct relay_refusal_rule *
 relay_refusal_rule (enum relay_refusal refusal);
--- a/request/relay.c
+++ b/request/relay.c
@@ -167,6 +167,8 @@
     return RELAY_HOP_REFUSED;
   if (choice->reason == BAL_ALL_FULL)
     return RELAY_ALL_FULL;
+  if (choice->reason == BAL_ALL_PAUSED)
+    return RELAY_PAUSED;
   if (choice->reason == BAL_RATES_USED_UP)
     return RELAY_RATES_USED_UP;
   return relay_origin_is_gone (relay) ? RELAY_VERSION_GONE : RELAY_NO_TARGET;
@@ -232,6 +234,8 @@
   relay->attempt.last_received_ms = now;
   relay->attempt.status = 0;
   relay->attempt.not_run = 0;
+  relay->attempt.asked_pause = 0;
+  relay->attempt.process = target->process;
   relay->attempt.is_invalid = 0;
   relay->attempt.is_silent = 0;
   relay->attempt.is_paused = 0;
--- a/request/relay_explain.c
+++ b/request/relay_explain.c
@@ -387,7 +387,7 @@
                                selection->count, &explanation->choice, index);
 
   return json_pack (
-      "{s:s,s:s,s:f,s:i,s:s,s:f,s:b,s:o,s:o,s:b,s:b,s:o,s:b}", "target",
+      "{s:s,s:s,s:f,s:i,s:s,s:f,s:b,s:o,s:o,s:b,s:b,s:I,s:o,s:b}", "target",
       target->id, "failure_domain", target->failure_domain, "load",
       candidate->load, "slots", (int)candidate->slots, "health",
       health_names[candidate->state], "error_rate", candidate->error_rate,
@@ -395,9 +395,10 @@
       real (pace_limit (&target->pace, explanation->now_ms)), "rate_tokens",
       real (candidate->rate_limited ? candidate->rate_tokens : INFINITY),
       "cold", (int)candidate->is_cold, "warming_up",
-      (int)candidate->warming_up, "closed_by",
-      text (skip != BAL_SKIP_NONE ? bal_skip_names[skip] : NULL), "chosen",
-      is_chosen);
+      (int)candidate->warming_up, "pause_left_ms",
+      (json_int_t)pause_left_ms (&target->notice, explanation->now_ms),
+      "closed_by", text (skip != BAL_SKIP_NONE ? bal_skip_names[skip] : NULL),
+      "chosen", is_chosen);
 }
 
 /* Returns the targets of the service that are no candidates.  The candidates
@@ -431,7 +432,7 @@
 static const char *
 left_out_reason (const struct reg_target *target)
 {
-  if (target->leaving)
+  if (target->entry_leaving)
     return "leaving";
   if (target->is_withheld)
     return "withheld";
--- a/request/relay_fault.c
+++ b/request/relay_fault.c
@@ -53,10 +53,13 @@
 
 /* Returns the health event of the current target that corresponds to FAULT, or
    HEALTH_EVENT_COUNT for a rejection that a limit answers to: the room of a
-   brittle one, or that of a service that is short of capacity.  */
+   brittle one, or that of a service that is short of capacity, or a pause.  */
 static enum health_event
 health_event_of (const struct relay *relay, enum retry_fault fault)
 {
+  if (relay->attempt.asked_pause
+      && (fault == RETRY_FAULT_REJECTED || fault == RETRY_FAULT_ERROR_STATUS))
+    return HEALTH_EVENT_COUNT;
   if (fault == RETRY_FAULT_REJECTED
       && relay->attempt.status == HTTP_STATUS_MISDIRECTED_REQUEST)
     return HEALTH_MISDIRECTED;
@@ -181,6 +184,7 @@
   if (!relay->may_have_run)
     refusal = fault != RETRY_FAULT_REJECTED ? RELAY_NO_CONNECTION
               : is_hop                      ? RELAY_HOP_REFUSED
+              : relay->attempt.asked_pause  ? RELAY_PAUSED
                                             : RELAY_TARGET_FULL;
   else if (decision->reason == RETRY_REASON_BUDGET)
     refusal = RELAY_RETRY_BUDGET;
--- a/request/relay_log.c
+++ b/request/relay_log.c
@@ -25,6 +25,7 @@
   [BAL_ALL_FULL] = METRIC_DENIED_BOUND,
   [BAL_RATES_USED_UP] = METRIC_DENIED_RATE,
   [BAL_ALL_EVACUATED] = METRIC_DENIED_EVACUATED,
+  [BAL_ALL_PAUSED] = METRIC_DENIED_PAUSED,
   [BAL_HOP] = METRIC_HOPS_SENT,
 };
 
@@ -190,16 +191,18 @@
   log_end (&line);
 }
 
-/* Logs that the VALUE of FIELD in a response cannot be read.  */
+/* Logs that the VALUE of FIELD in a response of TARGET to RELAY cannot be
+   read.  */
 void
-relay_log_bad_field (const struct relay *relay, const char *field,
+relay_log_bad_field (const struct relay *relay,
+                     const struct reg_target *target, const char *field,
                      const char *value)
 {
   struct log_line line;
 
   if (!log_begin (&line, LOG_LEVEL_WARN, "attempt", relay->id, "bad_field"))
     return;
-  log_text (&line, "target", relay->attempt.target->id);
+  log_text (&line, "target", target->id);
   log_text (&line, "field", field);
   log_text (&line, "value", value);
   log_end (&line);
--- a/request/relay_refuse.c
+++ b/request/relay_refuse.c
@@ -32,6 +32,7 @@
   [RELAY_QUARANTINED]
   = { "quarantined", METRIC_REFUSED_QUARANTINED, 503, 60000 },
   [RELAY_EVACUATED] = { "evacuated", METRIC_REFUSED_EVACUATED, 503, 1000 },
+  [RELAY_PAUSED] = { "paused", METRIC_REFUSED_PAUSED, 503, 150 },
   [RELAY_RATES_USED_UP] = { "rates_used_up", METRIC_REFUSED_RATE, 503, 400 },
   [RELAY_ORIGIN_UNKNOWN] = { "origin_unknown", METRIC_REFUSED_ORIGIN, 503, 0 },
   [RELAY_HOP_REFUSED] = { "hop_refused", METRIC_REFUSED_HOP, 503, 200 },
@@ -50,17 +51,24 @@
 
 /* Returns the Retry-After of RELAY, which is refused with REFUSAL, or 0 for
    none, and stores in JITTER_MS how much may be added so that clients do not
-   retry all at once.  From the queue, times are spread already.  */
+   retry all at once.  From the queue, times are spread already.  With
+   all targets paused, it is the shortest pause.  */
 int64_t
 relay_retry_after_ms (const struct relay *relay, enum relay_refusal refusal,
                       int64_t *jitter_ms)
 {
   int is_spread = refusal == RELAY_OVER_SHARE || refusal == RELAY_QUEUE_FULL
                   || refusal == RELAY_QUEUE_LATE;
+  int64_t pause_ms = refusal == RELAY_PAUSED ? relay_pause_left_ms (relay) : 0;
   int64_t wait_ms = refusal == RELAY_QUARANTINED || is_spread
                         ? relay->retry_after_ms
                         : refusals[refusal].retry_after_ms;
 
+  if (pause_ms > 0)
+    {
+      *jitter_ms = relay_pause_spread_ms (pause_ms);
+      return pause_ms;
+    }
   *jitter_ms = is_spread ? 0 : wait_ms / RETRY_JITTER_DIVISOR;
   return wait_ms;
 }
--- a/request/relay_response.c
+++ b/request/relay_response.c
@@ -65,6 +65,7 @@
   if (!relay->attempt.target->is_peer)
     {
       router_reach_respond (relay->router, relay->attempt.target);
+      relay_read_notices (relay, &relay->attempt, head);
       record_load (relay, head);
       record_rate (relay, head);
       record_room (relay, head);
@@ -365,7 +366,8 @@
 }
 
 /* Records whether the target says in HEAD that it is brittle, and a rejection
-   by one that is.  Only a success that does not say so ends that state.  */
+   by one that is, unless it asks for a pause.  Only a success that does not
+   say so ends that state.  */
 static void
 record_room (struct relay *relay, const struct http_head *head)
 {
@@ -377,12 +379,14 @@
   uint32_t rejections_max = 0;
 
   if (value != NULL && dialect->brittle (value, &rejections_max) != 0)
-    relay_log_bad_field (relay, dialect->field[DIALECT_TARGET_BRITTLE], value);
+    relay_log_bad_field (relay, attempt->target,
+                         dialect->field[DIALECT_TARGET_BRITTLE], value);
   else if ((value != NULL || http_is_success (head->status))
            && fleet_observe_brittle (fleet, attempt->target, value != NULL,
                                      rejections_max, attempt->sent_ms))
     relay_log_brittle (relay);
-  if (!attempt->not_run || head->status == HTTP_STATUS_MISDIRECTED_REQUEST
+  if (!attempt->not_run || attempt->asked_pause
+      || head->status == HTTP_STATUS_MISDIRECTED_REQUEST
       || !room_is_brittle (attempt->target->room_service,
                            attempt->last_received_ms))
     return;
@@ -399,7 +403,7 @@
   enum fleet_response response
       = http_is_success (head->status) ? FLEET_SUCCEEDED : FLEET_ERROR;
 
-  if (relay->attempt.not_run
+  if (relay->attempt.not_run && !relay->attempt.asked_pause
       && head->status != HTTP_STATUS_MISDIRECTED_REQUEST)
     response = FLEET_REJECTED;
   fleet_pace_response (relay->router->fleet, relay->attempt.target, response,
--- a/request/relay_silence.c
+++ b/request/relay_silence.c
@@ -213,9 +213,10 @@
 {
   struct relay *relay = owner;
 
-  if (!relay_matches_request (relay, relay->kept.call, head)
-      || relay_is_not_run (relay, head)
-      || relay_promises_not_run (head->status)
+  if (!relay_matches_request (relay, relay->kept.call, head))
+    return -1;
+  relay_read_notices (relay, &relay->kept, head);
+  if (relay_is_not_run (relay, head) || relay_promises_not_run (head->status)
       || head->status >= HTTP_STATUS_INTERNAL_SERVER_ERROR)
     return -1;
   cancel_replacement (relay);
@@ -272,7 +273,8 @@
 
   (void)fault;
   relay->kept.call = NULL;
-  relay_drop_kept (relay, HEALTH_DISCONNECTED);
+  relay_drop_kept (relay, relay->kept.asked_pause ? HEALTH_EVENT_COUNT
+                                                  : HEALTH_DISCONNECTED);
   if (relay->attempt.call != NULL)
     relay_arm_timer (relay);
 }
--- a/request/relay_wait.c
+++ b/request/relay_wait.c
@@ -34,6 +34,7 @@
 static int is_at_limit (const struct bal_candidate *candidate,
                         const struct reg_target *target, int32_t more,
                         clk_ms now);
+static int is_rejection (const struct relay *relay);
 static int has_spare (const struct relay_queue *queue);
 static int enqueue (struct relay_queue *queue, struct relay *relay,
                     clk_ms now);
@@ -80,6 +81,7 @@
       const struct reg_target *target = g_ptr_array_index (targets, i);
 
       if (target->service == queue->service && !target->leaving
+          && pause_left_ms (&target->notice, now) == 0
           && !rate_is_limited (&target->rate)
           && !room_is_brittle (target->room_service, now)
           && health_get_state (&target->health, now) == HEALTH_USABLE
@@ -351,7 +353,8 @@
       const struct bal_candidate *candidate = &selection->candidates[i];
       const struct reg_target *target = selection->targets[i];
 
-      if (candidate->state == HEALTH_USABLE
+      if (candidate->state == HEALTH_USABLE && !candidate->is_leaving
+          && !candidate->is_paused
           && candidate->load * 100
                  < (double)wait_limit_get (&target->wait_limit, target->slots)
                        * SIGN_PERCENT)
@@ -479,10 +482,19 @@
 }
 
 /* Returns whether the target of the current attempt of RELAY has turned it
-   away for want of capacity, other than of its rate.  A stream that goes on
-   does not wait, so the target is suspended for it as without a queue.  */
+   away for want of capacity, other than of its rate or by asking for a pause.
+   A stream that goes on does not wait, so the target is suspended for it as
+   without a queue.  */
 int
 relay_wait_is_rejection (const struct relay *relay)
+{
+  return is_rejection (relay) && !relay->attempt.asked_pause;
+}
+
+/* Returns whether the target of the current attempt of RELAY has turned it
+   away for want of capacity, or for a pause.  */
+static int
+is_rejection (const struct relay *relay)
 {
   const struct relay_attempt *attempt = &relay->attempt;
 
@@ -516,7 +528,7 @@
 relay_wait_again (struct relay *relay, const struct retry_decision *decision)
 {
   if (decision->reason != RETRY_REASON_ATTEMPTS || relay->may_have_run
-      || !relay_wait_is_rejection (relay) || relay->rejections > 0
+      || !is_rejection (relay) || relay->rejections > 0
       || relay->rewaits >= REWAITS_MAX
       || !retry_budget_take (
           router_retry_budget (relay->router, relay->service)))
