--- a/tests/fuzz_parsers.c
+++ b/tests/fuzz_parsers.c
@@ -222,6 +222,8 @@
   GArray *prompt = g_array_new (FALSE, FALSE, sizeof (struct dialect_part));
   int32_t numbers[3];
   uint32_t rejections_max;
+  int is_leaving;
+  int64_t pause_ms;
   int64_t tokens;
   uint64_t epoch;
   double per_s;
@@ -232,6 +234,16 @@
   g_array_free (prompt, TRUE);
   is_valid
       |= plat_dialect.load (input, &numbers[0], &numbers[1], &numbers[2]) == 0;
+  if (plat_dialect.leaving (input, &is_leaving) == 0)
+    {
+      g_assert_true (is_leaving == 0 || is_leaving == 1);
+      is_valid = 1;
+    }
+  if (plat_dialect.pause (input, &pause_ms) == 0)
+    {
+      g_assert_cmpint (pause_ms, >=, 0);
+      is_valid = 1;
+    }
   is_valid |= plat_dialect.brittle (input, &rejections_max) == 0;
   is_valid |= plat_dialect.tokens_out (input, &tokens) == 0;
   if (plat_dialect.rate (input, &per_s) == 0)
