Look for a known notice only at targets that are leaving

Cause: each heartbeat compared every target with every notice. Change: targets without a notice are passed over first. Result: tests/test_leaving passes with the address and undefined sanitizers, built from this code.

--- a/process/fleet_leaving.c
+++ b/process/fleet_leaving.c
@@ -36,7 +36,7 @@
 
 static void add_leave (struct fleet *fleet, const struct reg_target *target,
                        int is_untold, const char *from);
-static int contains (const GArray *leaves, const struct leave *leave);
+static int find (const GArray *leaves, const struct leave *leave);
 static void log_end_of (const struct fleet *fleet, const struct leave *leave);
 static void add_to_message (const struct fleet *fleet,
                             struct wire_leaves *leaves,
@@ -111,10 +111,11 @@
       struct leave leave = { .target = target->hash,
                              .incarnation = target->notice.process.incarnation,
                              .process = target->process };
-      int index = contains (before, &leave);
+      int index;
 
       if (!target->notice.is_leaving)
         continue;
+      index = find (before, &leave);
       if (index >= 0)
         g_array_append_val (fleet->leaves,
                             g_array_index (before, struct leave, index));
@@ -125,7 +126,7 @@
     {
       const struct leave *leave = &g_array_index (before, struct leave, i);
 
-      if (contains (fleet->leaves, leave) < 0)
+      if (find (fleet->leaves, leave) < 0)
         log_end_of (fleet, leave);
     }
   g_array_free (before, TRUE);
@@ -180,7 +181,7 @@
 /* Returns the index in LEAVES of the notice of the same process as LEAVE, or
    -1.  */
 static int
-contains (const GArray *leaves, const struct leave *leave)
+find (const GArray *leaves, const struct leave *leave)
 {
   for (guint i = 0; i < leaves->len; i++)
     {
