--- a/include/ibisloom/balance.h
+++ b/include/ibisloom/balance.h
@@ -35,6 +35,8 @@
      is reading or copying the context; see work_estimate.  */
   double begin_ms;
   double read_ms;
+  uint8_t is_leaving; /* by its responses */
+  uint8_t is_paused;  /* by its responses, for a time */
 };
 
 struct bal_params
@@ -69,6 +71,7 @@
   BAL_ALL_FULL,      /* every usable target is at the load bound */
   BAL_RATES_USED_UP, /* every usable target is at its rate limit */
   BAL_ALL_EVACUATED, /* every target is in an evacuated failure domain */
+  BAL_ALL_PAUSED,    /* no usable target is left but paused ones */
   BAL_HOP,           /* through another instance, which chooses the target */
   BAL_REASON_COUNT
 };
@@ -87,6 +90,8 @@
   BAL_SKIP_PACE,      /* started or recovered, and at its pace */
   BAL_SKIP_REMOTE,    /* in another failure domain, one nearby will do */
   BAL_SKIP_BUSY,      /* would begin so late that others are sooner */
+  BAL_SKIP_LEAVING,   /* has said that it is leaving */
+  BAL_SKIP_PAUSED,    /* has asked for a pause */
   BAL_SKIP_COUNT
 };
 
--- a/include/ibisloom/fleet.h
+++ b/include/ibisloom/fleet.h
@@ -116,6 +116,11 @@
 
 /* fleet_work.c */
 void fleet_work_changed (struct fleet *fleet, const struct reg_target *target);
+/* fleet_leaving.c, fleet_pause.c */
+void fleet_observe_leaving (struct fleet *fleet, struct reg_target *target,
+                            uint32_t process);
+void fleet_observe_pause (struct fleet *fleet, struct reg_target *target,
+                          uint32_t process, int64_t asked_ms);
 
 /* fleet_evacuation.c */
 void fleet_see_evacuation (struct fleet *fleet, const char *domain,
--- a/include/ibisloom/wire.h
+++ b/include/ibisloom/wire.h
@@ -31,7 +31,8 @@
   WIRE_PACE_SCALE = 1000, /* units in a request, or in a millisecond */
   WIRE_HELD_MAX = 120,
   WIRE_WORK_MAX = 64,
-  WIRE_CAN_RELAY_LOADS = 1 /* bit of the capabilities */
+  WIRE_CAN_RELAY_LOADS = 1, /* bit of the capabilities */
+  WIRE_LEAVES_MAX = 32
 };
 
 enum wire_kind
@@ -68,6 +69,7 @@
   WIRE_CAPABILITIES,      /* optional features of the sender */
   WIRE_RELAY_LOADS,       /* load update for the receiver's failure domain */
   WIRE_RELAYED_LOADS,     /* load update of another instance, passed on */
+  WIRE_LEAVES,            /* targets that have said that they leave */
   WIRE_KIND_COUNT
 };
 
@@ -398,6 +400,20 @@
   struct wire_loads loads;
 };
 
+/* Target that has responded that it is leaving. */
+struct wire_leave
+{
+  uint64_t target;
+  uint64_t incarnation;     /* of its process, 0: unknown */
+  struct position position; /* of its entry, as the sender has read it */
+};
+
+struct wire_leaves
+{
+  uint32_t count;
+  struct wire_leave leave[WIRE_LEAVES_MAX];
+};
+
 struct wire_message
 {
   enum wire_kind kind;
@@ -436,6 +452,7 @@
     struct wire_work work;
     struct wire_capabilities capabilities;
     struct wire_relayed relayed;
+    struct wire_leaves leaves;
   } u;
 };
 
--- a/process/wire.c
+++ b/process/wire.c
@@ -58,6 +58,7 @@
   [WIRE_CAPABILITIES] = "capabilities",
   [WIRE_RELAY_LOADS] = "relay_loads",
   [WIRE_RELAYED_LOADS] = "relayed_loads",
+  [WIRE_LEAVES] = "leaves",
 };
 
 static int has_allowed_types (const unsigned char *data, size_t length);
--- a/request/relay_explain.c
+++ b/request/relay_explain.c
@@ -387,7 +387,7 @@
                                selection->count, &explanation->choice, index);
 
   return json_pack (
-      "{s:s,s:s,s:f,s:i,s:s,s:f,s:b,s:o,s:o,s:b,s:b,s:f,s:I,s:f,s:o,s:b}",
+      "{s:s,s:s,s:f,s:i,s:s,s:f,s:b,s:o,s:o,s:b,s:b,s:f,s:I,s:f,s:I,s:o,s:b}",
       "target", target->id, "failure_domain", target->failure_domain, "load",
       candidate->load, "slots", (int)candidate->slots, "health",
       health_names[candidate->state], "error_rate", candidate->error_rate,
@@ -398,9 +398,10 @@
       (int)candidate->warming_up, "begin_ms", candidate->begin_ms,
       "begin_age_ms",
       (json_int_t)work_age_ms (&target->work, explanation->now_ms), "slowness",
-      work_slowness (&target->work, explanation->now_ms), "closed_by",
-      text (skip != BAL_SKIP_NONE ? bal_skip_names[skip] : NULL), "chosen",
-      is_chosen);
+      work_slowness (&target->work, explanation->now_ms), "pause_left_ms",
+      (json_int_t)pause_left_ms (&target->notice, explanation->now_ms),
+      "closed_by", text (skip != BAL_SKIP_NONE ? bal_skip_names[skip] : NULL),
+      "chosen", is_chosen);
 }
 
 /* Returns the targets of the service that are no candidates.  The candidates
@@ -434,7 +435,7 @@
 static const char *
 left_out_reason (const struct reg_target *target)
 {
-  if (target->leaving)
+  if (target->entry_leaving)
     return "leaving";
   if (target->is_withheld)
     return "withheld";
--- a/tests/fuzz_parsers.c
+++ b/tests/fuzz_parsers.c
@@ -222,6 +222,8 @@
   GArray *prompt = g_array_new (FALSE, FALSE, sizeof (struct dialect_part));
   struct dialect_load load;
   uint32_t rejections_max;
+  int is_leaving;
+  int64_t pause_ms;
   int64_t tokens;
   uint64_t epoch;
   double per_s;
@@ -234,6 +236,18 @@
   g_assert_true (load.running >= -1 && load.waiting >= -1 && load.slots >= -1
                  && load.slowness >= -1);
   is_valid |= !load.has_unreadable;
+  is_valid
+      |= plat_dialect.load (input, &numbers[0], &numbers[1], &numbers[2]) == 0;
+  if (plat_dialect.leaving (input, &is_leaving) == 0)
+    {
+      g_assert_true (is_leaving == 0 || is_leaving == 1);
+      is_valid = 1;
+    }
+  if (plat_dialect.pause (input, &pause_ms) == 0)
+    {
+      g_assert_cmpint (pause_ms, >=, 0);
+      is_valid = 1;
+    }
   is_valid |= plat_dialect.brittle (input, &rejections_max) == 0;
   is_valid |= plat_dialect.tokens_out (input, &tokens) == 0;
   if (plat_dialect.rate (input, &per_s) == 0)
