Reject heads whose end of message parsers may find elsewhere

Cause: the HTTP parser understands "Transfer-Encoding : chunked", but the head kept the name with its space, so that neither the checks of the framing nor the list of hop-by-hop fields found it: it was forwarded beside a Content-Length, and a target could run a request smuggled in the body. In the same way the parser joins folded lines without a trace, takes any byte after "CR LF CR" for LF, and takes a chunked body in a request of HTTP/1.0.

Change: the lines of a head are checked before the parser sees them; a folded line, a CR without LF, and a field name with white space make it malformed. In a response, white space before the colon is removed, as RFC 9112 asks, and the checks of the framing follow. A request with an empty Content-Length, or of HTTP/1.0 with a transfer coding, is malformed too. Malformed requests get 400.

--- a/connection/http.c
+++ b/connection/http.c
@@ -21,6 +21,22 @@
   READER_BODY
 };
 
+/* Where the next byte of a head is. */
+enum line_state
+{
+  LINE_NONE, /* before the first byte of the message */
+  LINE_INSIDE,
+  LINE_CR,      /* after a CR, which LF must follow */
+  LINE_START,   /* after the end of a line */
+  LINE_START_CR /* after a CR there, which ends the head */
+};
+
+static enum http_read parse_part (struct http_reader *reader, const char *data,
+                                  size_t length, size_t *used);
+static size_t check_lines (struct http_reader *reader, const char *data,
+                           size_t length);
+static int check_byte (struct http_reader *reader, char byte);
+static int end_field_name (struct http_reader *reader);
 static int on_url (http_parser *parser, const char *at, size_t length);
 static int on_field_name (http_parser *parser, const char *at, size_t length);
 static int on_field_value (http_parser *parser, const char *at, size_t length);
@@ -78,17 +94,42 @@
   reader->bytes_before_body = 0;
   reader->interim_count = 0;
   reader->state = READER_START;
+  reader->line = LINE_NONE;
   reader->result = HTTP_READ_MORE;
 }
 
 /* Parses up to LENGTH bytes of DATA and stops after the end of a message.
-   Sets USED to the number of bytes consumed.  The bytes before the body are
-   limited, whatever they are.  */
+   Sets USED to the number of bytes consumed.  */
 enum http_read
 http_reader_feed (struct http_reader *reader, const char *data, size_t length,
                   size_t *used)
+{
+  enum http_read result;
+  size_t parsed;
+
+  *used = 0;
+  do
+    {
+      result = parse_part (reader, data + *used, length - *used, &parsed);
+      *used += parsed;
+    }
+  while (result == HTTP_READ_MORE && parsed > 0 && *used < length);
+  return result;
+}
+
+/* Parses DATA, of LENGTH bytes, up to the end of the head if READER is in one,
+   else up to the end of the message.  The bytes before the body are limited,
+   whatever they are.  */
+static enum http_read
+parse_part (struct http_reader *reader, const char *data, size_t length,
+            size_t *used)
 {
   reader->result = HTTP_READ_MORE;
+  *used = 0;
+  if (reader->state != READER_BODY)
+    length = check_lines (reader, data, length);
+  if (reader->result != HTTP_READ_MORE)
+    return (enum http_read)reader->result;
   http_parser_pause (&reader->parser, 0);
   *used = http_parser_execute (&reader->parser, &callbacks, data, length);
   if (reader->result == HTTP_READ_MORE && reader->state != READER_BODY)
@@ -109,6 +150,57 @@
   return HTTP_READ_MORE;
 }
 
+/* Checks the lines of a head in DATA, of LENGTH bytes.  Returns the number of
+   bytes up to the end of the head.  Sets the result if a line is folded or has
+   a CR without LF: the parser joins folded values and takes any byte after
+   some CRs for LF, where another one may see different fields.  */
+static size_t
+check_lines (struct http_reader *reader, const char *data, size_t length)
+{
+  for (size_t i = 0; i < length; i++)
+    if (check_byte (reader, data[i]))
+      return i + 1;
+  return length;
+}
+
+/* Checks the next BYTE of a head.  Returns whether it ends the head.  */
+static int
+check_byte (struct http_reader *reader, char byte)
+{
+  int is_end = byte == '\r' || byte == '\n';
+
+  switch ((enum line_state)reader->line)
+    {
+    case LINE_NONE:
+      reader->line = is_end ? LINE_NONE : LINE_INSIDE;
+      return 0;
+    case LINE_CR:
+    case LINE_START_CR:
+      if (byte != '\n')
+        reader->result = HTTP_READ_MALFORMED;
+      break;
+    case LINE_START:
+      if (byte == ' ' || byte == '\t')
+        reader->result = HTTP_READ_MALFORMED;
+      break;
+    case LINE_INSIDE:
+      break;
+    }
+  if (byte == '\n')
+    {
+      int is_last
+          = reader->line == LINE_START || reader->line == LINE_START_CR;
+
+      reader->line = LINE_START;
+      return is_last;
+    }
+  if (byte == '\r')
+    reader->line = reader->line == LINE_START ? LINE_START_CR : LINE_CR;
+  else
+    reader->line = LINE_INSIDE;
+  return 0;
+}
+
 /* Handles the orderly close of the connection.  Returns HTTP_READ_COMPLETE if
    the close ends the message, else HTTP_READ_MALFORMED.  */
 enum http_read
@@ -313,6 +405,28 @@
   return append_to_head (reader, at, length);
 }
 
+/* Completes a field name.  White space before the colon is removed in a
+   response (RFC 9112, section 5.1).  Returns -1 if the name has any in a
+   request, or elsewhere: the parser understands such names, which checks of
+   the framing would not find.  */
+static int
+end_field_name (struct http_reader *reader)
+{
+  struct http_head *head = get_or_create_head (reader);
+  GString *text = head->text;
+
+  while (reader->is_response && text->len > head->name[head->count]
+         && text->str[text->len - 1] == ' ')
+    g_string_truncate (text, text->len - 1);
+  if (strchr (text->str + head->name[head->count], ' ') != NULL)
+    {
+      reader->result = HTTP_READ_MALFORMED;
+      return -1;
+    }
+  end_string (reader);
+  return 0;
+}
+
 /* Appends a piece of a field value, which may be empty.  */
 static int
 on_field_value (http_parser *parser, const char *at, size_t length)
@@ -324,7 +438,8 @@
     return 0;
   if (reader->state == READER_NAME)
     {
-      end_string (reader);
+      if (end_field_name (reader) != 0)
+        return -1;
       head->value[head->count] = (uint32_t)head->text->len;
       reader->state = READER_VALUE;
     }
@@ -407,18 +522,23 @@
 /* Returns whether another parser might find a different end of the
    message: its length is given more than once or together with a transfer
    coding, or its transfer coding is not plain "chunked".  Such messages allow
-   request smuggling.  */
+   request smuggling.  So do requests whose length is empty, and those of
+   HTTP/1.0 with a transfer coding, which that version does not know.  */
 static int
 is_framing_ambiguous (const struct http_reader *reader)
 {
   const struct http_head *head = reader->head;
   const char *encoding = http_head_get (head, "Transfer-Encoding");
+  const char *length = http_head_get (head, "Content-Length");
 
   if (http_head_count (head, "Content-Length") > 1)
     return 1;
+  if (!reader->is_response
+      && ((length != NULL && *length == '\0')
+          || (encoding != NULL && reader->parser.http_minor == 0)))
+    return 1;
   if (encoding == NULL)
     return 0;
   return http_head_count (head, "Transfer-Encoding") > 1
-         || g_ascii_strcasecmp (encoding, "chunked") != 0
-         || http_head_get (head, "Content-Length") != NULL;
+         || g_ascii_strcasecmp (encoding, "chunked") != 0 || length != NULL;
 }
--- a/include/ibisloom/http.h
+++ b/include/ibisloom/http.h
@@ -55,6 +55,7 @@
   uint32_t interim_count;
   uint64_t bytes_before_body; /* of the message, interim responses included */
   uint8_t state;
+  uint8_t line; /* of the head, for checks of its lines */
   uint8_t is_response;
   uint8_t no_body; /* this is the response to a HEAD request */
   uint8_t result;
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -448,6 +448,10 @@
                              "s4") "Transfer-Encoding: chunked\r\n\r\n"
                                    "zz\r\nfee\r\n0\r\n\r\n",
                "400", "");
+  shop_expect (REQUEST_HEAD ("POST", "/fee/1",
+                             "s5") "Transfer-Encoding : chunked\r\n\r\n"
+                                   "0\r\n\r\n",
+               "400", "");
   CU_ASSERT_EQUAL (fx_target_request_count (desk), 0);
   fx_env_stop ();
 }
