Read evacuations again when there is room for one left out

Cause: with 256 evacuations in force, the next one was left out. When one of the others ended, nothing asked for it again: its object does not change, and the watch shows changes only. An instance that heard of it from a peer took it for ended, as it began before the list and was not kept, and told the others so.

Change: struct evac_state notes that one was left out. While something is left out, what peers tell is not taken for ended because it is unknown.

--- a/include/ibisloom/evacuation.h
+++ b/include/ibisloom/evacuation.h
@@ -40,8 +40,10 @@
 {
   struct evac_domain domain[EVAC_DOMAINS_MAX];
   uint32_t count;
-  uint8_t is_read;      /* a complete list has been read */
-  struct position read; /* of the last such list */
+  uint8_t is_read;       /* a complete list has been read */
+  uint8_t is_incomplete; /* an evacuation was left out of it, or since */
+  uint8_t lacks_listed;  /* the same, of the list that is being read */
+  struct position read;  /* of the last such list */
 };
 
 enum evac_change evac_put (struct evac_state *state, uint64_t id,
@@ -55,6 +57,7 @@
 void evac_list_end (struct evac_state *state, struct position position,
                     int64_t grace_ms, clk_ms now);
 void evac_expire (struct evac_state *state, clk_ms now);
+int evac_has_room_for_more (struct evac_state *state);
 int evac_is_told (const struct evac_domain *domain, clk_ms now);
 uint32_t evac_count (const struct evac_state *state);
 
--- a/include/ibisloom/fleet.h
+++ b/include/ibisloom/fleet.h
@@ -121,6 +121,7 @@
 void fleet_end_evacuation_list (struct fleet *fleet, struct position position);
 int fleet_evacuations_are_read (const struct fleet *fleet);
 int fleet_knows_evacuations (const struct fleet *fleet);
+int fleet_evacuations_have_room (const struct fleet *fleet);
 uint32_t fleet_evacuated_count (const struct fleet *fleet);
 
 struct origins *fleet_origins (struct fleet *fleet);
--- a/include/ibisloom/metrics.h
+++ b/include/ibisloom/metrics.h
@@ -104,10 +104,11 @@
   METRIC_PLATFORM_WRITES,
   METRIC_PLATFORM_WATCHES,
   METRIC_PLATFORM_ERRORS,
-  METRIC_STORE_RESTORED,   /* from an older copy of its data */
-  METRIC_WATCH_CHECKS,     /* of the store, as a watch was overdue */
-  METRIC_CONFIG_PACED,     /* reports of versions that came in a storm */
-  METRIC_DELTA_REFUSED,    /* differences that build on another text */
+  METRIC_STORE_RESTORED,         /* from an older copy of its data */
+  METRIC_WATCH_CHECKS,           /* of the store, as a watch was overdue */
+  METRIC_EVACUATIONS_READ_AGAIN, /* as there is room for one left out */
+  METRIC_CONFIG_PACED,           /* reports of versions that came in a storm */
+  METRIC_DELTA_REFUSED,          /* differences that build on another text */
   METRIC_STORE_UNREADABLE, /* objects received that name nothing to use */
   /* Calls to the store for the origins of streams.  */
   METRIC_ORIGIN_READS,
--- a/include/ibisloom/watch.h
+++ b/include/ibisloom/watch.h
@@ -143,6 +143,7 @@
 void watch_stop (struct watch *watch);
 void watch_enable (struct watch *watch, int enabled);
 void watch_restart (struct watch *watch);
+int watch_read_again (struct watch *watch, const char *cause);
 void watch_set_epoch (struct watch *watch, uint64_t epoch);
 void watch_advance (struct watch *watch, struct position position);
 
--- a/process/fleet_evacuation.c
+++ b/process/fleet_evacuation.c
@@ -105,6 +105,14 @@
   return fleet_evacuations_are_read (fleet) || fleet->is_informed;
 }
 
+/* Returns whether evacuations were left out for which there is room now.  */
+int
+fleet_evacuations_have_room (const struct fleet *fleet)
+{
+  return fleet->evacuations != NULL
+         && evac_has_room_for_more (fleet->evacuations);
+}
+
 /* Returns how many failure domains are evacuated.  */
 uint32_t
 fleet_evacuated_count (const struct fleet *fleet)
--- a/process/router_evacuation.c
+++ b/process/router_evacuation.c
@@ -49,7 +49,9 @@
    watcher of the store, or has heard no watcher of its failure domain for some
    time, as VIEW shows.  It may be cut off from all instances, and in a large
    fleet its election takes longer than an evacuation may.  While watchers tell
-   that the store is away, the others need not ask it.  */
+   that the store is away, the others need not ask it.  A watcher reads the
+   list again when there is room for what was left out of it; it tells the
+   others.  */
 void
 router_update_evacuations (struct router *router, int is_wanted,
                            const struct elect_view *view, clk_ms now)
@@ -62,6 +64,9 @@
                 is_wanted
                     || now - router->informed_ms
                            >= router_evacuations_wait_ms (router, INT64_MAX));
+  if (fleet_evacuations_have_room (router->fleet)
+      && watch_read_again (&router->evacuations, "room"))
+    metric_inc (METRIC_EVACUATIONS_READ_AGAIN);
 }
 
 /* Returns whether ROUTER reads evacuations at all.  */
--- a/request/evacuation.c
+++ b/request/evacuation.c
@@ -4,7 +4,8 @@
    the later change wins, whoever reports it.  The domains whose evacuation has
    ended are kept, so that a late report does not bring it back.  A restored
    store may have lost an object that its writer writes again: what it no
-   longer lists stays in force for a grace time.  */
+   longer lists stays in force for a grace time.  What there is no room for is
+   left out until the list is read again.  */
 #include <stddef.h>
 #include <string.h>
 
@@ -20,6 +21,7 @@
 static struct evac_domain *add_domain (struct evac_state *state, uint64_t id,
                                        clk_ms now);
 static struct evac_domain *find_oldest_ended (struct evac_state *state);
+static enum evac_change leave_out (struct evac_state *state);
 static int is_after (struct position position, int is_in_force,
                      const struct evac_domain *known);
 static enum evac_change set_domain (struct evac_domain *domain,
@@ -45,15 +47,15 @@
       return is_same ? EVAC_SAME : EVAC_OLDER;
     }
   if (domain == NULL)
-    return is_in_force ? EVAC_FULL : EVAC_SAME;
+    return is_in_force ? leave_out (state) : EVAC_SAME;
   domain->is_listed = 1;
   return set_domain (domain, position, is_in_force, now);
 }
 
 /* Records what another instance has told of the domain ID.  What began before
-   the list that was read, and is not in it, has ended.  If the store was
-   restored since, it may only have lost that, which then stays in force for
-   GRACE_MS.  */
+   the list that was read, and is not in it, has ended, unless something of
+   that list was left out.  If the store was restored since, it may only have
+   lost that, which then stays in force for GRACE_MS.  */
 enum evac_change
 evac_hear (struct evac_state *state, uint64_t id, struct position position,
            int is_in_force, int64_t grace_ms, clk_ms now)
@@ -61,7 +63,7 @@
   struct evac_domain *domain = evac_find (state, id);
   enum evac_change change;
 
-  if (domain != NULL || !is_in_force || !state->is_read
+  if (domain != NULL || !is_in_force || !state->is_read || state->is_incomplete
       || pos_compare (position, state->read) > 0)
     {
       uint8_t was_listed = domain != NULL && domain->is_listed;
@@ -74,7 +76,7 @@
     }
   domain = add_domain (state, id, now);
   if (domain == NULL)
-    return EVAC_FULL;
+    return leave_out (state);
   if (position.epoch == state->read.epoch)
     {
       domain->position = state->read;
@@ -102,6 +104,7 @@
 {
   for (uint32_t i = 0; i < state->count; i++)
     state->domain[i].is_listed = 0;
+  state->lacks_listed = 0;
 }
 
 /* Ends a complete list of what was in force at POSITION.  An evacuation that
@@ -112,6 +115,7 @@
                int64_t grace_ms, clk_ms now)
 {
   state->is_read = 1;
+  state->is_incomplete = state->lacks_listed;
   state->read = position;
   for (uint32_t i = 0; i < state->count; i++)
     {
@@ -141,6 +145,16 @@
     }
 }
 
+/* Returns whether something was left out of STATE for which there is room
+   now, so that the list is to be read again.  */
+int
+evac_has_room_for_more (struct evac_state *state)
+{
+  return state->is_incomplete
+         && (state->count < EVAC_DOMAINS_MAX
+             || find_oldest_ended (state) != NULL);
+}
+
 /* Returns whether other instances are to be told of DOMAIN at NOW.  */
 int
 evac_is_told (const struct evac_domain *domain, clk_ms now)
@@ -177,6 +191,15 @@
   return domain;
 }
 
+/* Records that an evacuation is left out, as there is no room for it.  */
+static enum evac_change
+leave_out (struct evac_state *state)
+{
+  state->is_incomplete = 1;
+  state->lacks_listed = 1;
+  return EVAC_FULL;
+}
+
 /* Returns the domain whose evacuation ended first, of those that the caller
    has handled, or NULL.  */
 static struct evac_domain *
--- a/tests/test_evacuation.c
+++ b/tests/test_evacuation.c
@@ -15,6 +15,7 @@
   REQUESTS = 4,          /* to each router */
   REFUSED_MS = 200,      /* within which a refusal arrives */
   LIST_DELAY_MS = 500,   /* longer than a start takes otherwise */
+  DOMAINS_MAX = 256,     /* that can be evacuated */
   EVENTS = 25,
   EVENT_MS = 100
 };
@@ -25,6 +26,7 @@
 static void stream_goes_on (void);
 static void routers_without_the_store_hear_of_it (void);
 static void restored_store_keeps_it (void);
+static void left_out_one_comes_into_force (void);
 
 static const struct test_case cases[] = {
   { "an evacuated domain gets no requests, and then gets them again",
@@ -38,6 +40,8 @@
     routers_without_the_store_hear_of_it },
   { "an evacuation that a restored store has lost stays, and can end",
     restored_store_keeps_it },
+  { "an evacuation for which there was no room comes into force when there is",
+    left_out_one_comes_into_force },
 };
 
 TEST_MAIN ("evacuation", cases)
@@ -283,3 +287,25 @@
   CU_ASSERT (count_in_domain (0, ROUTERS - 1, NULL) > 0);
   fx_env_stop ();
 }
+
+/* Guards against an evacuation that is not in force, though its object is
+   there, until the list is read again for another reason.  */
+static void
+left_out_one_comes_into_force (void)
+{
+  char name[16];
+
+  start_fleet (NULL, 0);
+  for (int i = 0; i < DOMAINS_MAX; i++)
+    {
+      g_snprintf (name, sizeof name, "n-%03d", i);
+      fx_store_put ("evacuations", name, "{}");
+    }
+  fx_sleep_ms (EVACUATE_MS);
+  evacuate ("{}");
+  CU_ASSERT (count_in_domain (0, ROUTERS - 1, NULL) > 0);
+  fx_store_delete ("evacuations", "n-000");
+  fx_sleep_ms (EVACUATE_MS);
+  expect_evacuated ();
+  fx_env_stop ();
+}
--- a/tests/test_evacuation_state.c
+++ b/tests/test_evacuation_state.c
@@ -15,6 +15,7 @@
 static void lost_evacuation_stays_for_a_time (void);
 static void late_report_is_answered (void);
 static void ended_domains_make_room (void);
+static void left_out_one_is_known_of (void);
 static void marked_object_is_being_deleted (void);
 
 static const struct test_case cases[] = {
@@ -25,6 +26,8 @@
     lost_evacuation_stays_for_a_time },
   { "a late report of an ended one changes nothing", late_report_is_answered },
   { "domains whose evacuation has ended make room", ended_domains_make_room },
+  { "one that there was no room for is known to be left out",
+    left_out_one_is_known_of },
   { "the mark of an object that is being deleted is read",
     marked_object_is_being_deleted },
 };
@@ -130,6 +133,33 @@
   CU_ASSERT_EQUAL (evac_put (&state, 9999, at (2, 1), 1, 1), EVAC_FULL);
 }
 
+/* Guards against an evacuation that stays left out, or is taken for one that
+   has ended, when there is room for it.  */
+static void
+left_out_one_is_known_of (void)
+{
+  memset (&state, 0, sizeof state);
+  evac_list_begin (&state);
+  for (uint64_t id = 1; id <= EVAC_DOMAINS_MAX; id++)
+    evac_put (&state, id, at (1, id), 1, 1);
+  CU_ASSERT (!evac_has_room_for_more (&state));
+  CU_ASSERT_EQUAL (evac_put (&state, 999, at (1, 999), 1, 1), EVAC_FULL);
+  evac_list_end (&state, at (1, 999), GRACE_MS, 1);
+  CU_ASSERT (!evac_has_room_for_more (&state));
+  evac_put (&state, 1, at (1, 1000), 0, 2);
+  CU_ASSERT (evac_has_room_for_more (&state));
+  CU_ASSERT_EQUAL (evac_hear (&state, 999, at (1, 999), 1, GRACE_MS, 3),
+                   EVAC_CHANGED);
+  evac_list_begin (&state);
+  for (uint64_t id = 2; id <= EVAC_DOMAINS_MAX; id++)
+    evac_put (&state, id, at (1, id), 1, 4);
+  CU_ASSERT_EQUAL (evac_put (&state, 999, at (1, 999), 1, 4), EVAC_SAME);
+  evac_list_end (&state, at (1, 1000), GRACE_MS, 4);
+  CU_ASSERT_EQUAL (evac_count (&state), EVAC_DOMAINS_MAX);
+  evac_put (&state, 2, at (1, 1001), 0, 5);
+  CU_ASSERT (!evac_has_room_for_more (&state));
+}
+
 static void
 count_deleting (void *closure, const struct watch_object *object)
 {
--- a/version/watch.c
+++ b/version/watch.c
@@ -156,6 +156,21 @@
     start_call_again (watch, "others_know_more");
 }
 
+/* Reads the list again, because of CAUSE, which is logged, if WATCH has read
+   it and watches for changes.  Returns whether it does.  */
+int
+watch_read_again (struct watch *watch, const char *cause)
+{
+  if (!watch->listed || watch->list_only || watch->down)
+    return 0;
+  if (watch->call != NULL)
+    store_call_cancel (watch->call);
+  watch->call = NULL;
+  log_watch (watch, "restarted", cause, 0);
+  restart_list (watch, 1);
+  return 1;
+}
+
 /* Replaces the call in progress, if there is one, by a new one, because of
    CAUSE, which is logged.  */
 static void
