Ask only targets that keep contexts for their lists

Cause: with context_lists: 1, a fleet that starts asked every registered target which contexts it holds, as the registry does not tell engines from other targets. One that takes each call for a request counted one that no client had sent.

Change: a target is asked only if a route with session_affinity sends requests to its service (rt_has_context), by the configuration in force. The time in which targets are asked therefore begins when the configuration is known too.

Test: tests/test_contexts has a target of a service without such a route now. Before the change it was called in both tests that count calls, and "targets that know no list, or hang, delay nothing" counted a failed list too many.

--- a/include/ibisloom/fleet.h
+++ b/include/ibisloom/fleet.h
@@ -19,6 +19,7 @@
 
 /* View of the other instances, and the exchange of datagrams with them. */
 struct fleet;
+struct rt_table;
 
 /* What another instance reports that it knows of the store. */
 struct fleet_update
@@ -83,7 +84,8 @@
 void fleet_free (struct fleet *fleet);
 void fleet_announce_holder (struct fleet *fleet, uint64_t context,
                             uint64_t target);
-void fleet_keep_held (struct fleet *fleet, struct held *held, const char *path,
+void fleet_keep_held (struct fleet *fleet, struct held *held,
+                      struct rt_table *const *table, const char *path,
                       fleet_read_held_fn read);
 void fleet_report_crash (struct fleet *fleet,
                          const struct sockaddr_in *address,
--- a/include/ibisloom/routes.h
+++ b/include/ibisloom/routes.h
@@ -107,6 +107,7 @@
 const struct rt_customer *rt_customer (const struct rt_table *table,
                                        const char *key);
 const char *rt_pick_service (const struct rt_route *route, uint32_t random);
+int rt_has_context (const struct rt_table *table, const char *service);
 int rt_repeatable (const struct rt_route *route);
 
 #endif
--- a/process/fleet_held.c
+++ b/process/fleet_held.c
@@ -4,13 +4,15 @@
    contexts.  If all end at once, nobody has such a table, while the targets
    still hold what they did.  Each target is then asked by one instance, which
    tells the others.  An instance that starts into a running fleet asks no
-   target.  */
+   target.  Nor are targets asked whose service no route chooses by context:
+   one that knows no lists may take the call for a request.  */
 #include "ibisloom/dialect.h"
 #include "ibisloom/http.h"
 #include "ibisloom/log.h"
 #include "ibisloom/metrics.h"
 #include "ibisloom/quarantine.h"
 #include "ibisloom/rank.h"
+#include "ibisloom/routes.h"
 #include "libfleet.h"
 
 enum
@@ -51,12 +53,13 @@
 struct fleet_held
 {
   struct held *held;
+  struct rt_table *const *table; /* in force; points to NULL: none yet */
   const char *path;
   fleet_read_held_fn read;
   ev_timer step;
   GHashTable *asked; /* hashes of targets that were asked, by any instance */
   GQueue calls;      /* of struct list_call, in progress */
-  clk_ms begun_ms;   /* when targets were known; 0: not yet */
+  clk_ms begun_ms;   /* when targets and routes were known; 0: not yet */
   clk_ms ask_ms;     /* when this instance starts to ask */
   guint position;    /* in the registry, of the next target to look at */
   uint32_t queries;  /* sent so far */
@@ -85,15 +88,18 @@
                       const GArray *parts, uint32_t told, uint32_t status);
 static void finish (struct fleet *fleet, const char *reason);
 
-/* Has FLEET ask its targets at PATH what they hold, if nobody else knows, and
-   keep it in HELD.  READ parses the response.  */
+/* Has FLEET ask its targets at PATH what they hold, if nobody else knows and
+   the TABLE in force has contexts kept there, and keep it in HELD.  READ
+   parses the response.  */
 void
-fleet_keep_held (struct fleet *fleet, struct held *held, const char *path,
+fleet_keep_held (struct fleet *fleet, struct held *held,
+                 struct rt_table *const *table, const char *path,
                  fleet_read_held_fn read)
 {
   struct fleet_held *state = g_new0 (struct fleet_held, 1);
 
   state->held = held;
+  state->table = table;
   state->path = path;
   state->read = read;
   state->asked = g_hash_table_new (NULL, NULL);
@@ -126,8 +132,8 @@
 }
 
 /* Does what is due, from the start of this instance until the fleet is known
-   to be running.  Time counts from when targets are known, as the store may
-   come back later than the instances.  */
+   to be running.  Time counts from when targets and routes are known, as the
+   store may come back later than the instances.  */
 static void
 on_step (struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -137,7 +143,8 @@
 
   (void)loop;
   (void)events;
-  if (state->begun_ms == 0 && !fleet->registry->listed)
+  if (state->begun_ms == 0
+      && (!fleet->registry->listed || *state->table == NULL))
     return;
   if (state->begun_ms == 0)
     {
@@ -215,6 +222,7 @@
       if (target->leaving || target->missing_until_ms != 0
           || g_hash_table_contains (state->asked,
                                     GSIZE_TO_POINTER (target->hash))
+          || !rt_has_context (*state->table, target->service)
           || !asks (fleet, target, now))
         continue;
       ask (fleet, target, now);
--- a/process/router.c
+++ b/process/router.c
@@ -154,8 +154,8 @@
   fleet_start (router->fleet);
   fleet_keep_origins (router->fleet, router->dialect->origins_kind);
   if (router->settings->context_lists)
-    fleet_keep_held (router->fleet, router->held, router->dialect->held_path,
-                     router->dialect->held);
+    fleet_keep_held (router->fleet, router->held, &router->table,
+                     router->dialect->held_path, router->dialect->held);
   log_info ("gate", NULL, "started", "failure domain %s",
             router->failure_domain);
   ev_run (router->loop, 0);
--- a/tests/test_contexts.c
+++ b/tests/test_contexts.c
@@ -58,6 +58,7 @@
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static struct fx_target *targets[TARGETS];
+static struct fx_target *desk; /* of a service that keeps no contexts */
 static enum answer answers[TARGETS];
 static int lists[TARGETS]; /* calls for the list of each */
 static int tells_contexts; /* the lists are not empty */
@@ -165,6 +166,7 @@
       targets[i] = fx_target_add (id, "pool", respond);
       g_free (id);
     }
+  desk = fx_target_add ("d-0", "desk", shop_respond_ok);
   fx_store_start (shop_config);
   fx_routers_add_settings ("context_lists: 1\n");
   fx_routers_start (count);
@@ -213,10 +215,12 @@
   return count;
 }
 
-/* Checks that each target was asked COUNT times.  */
+/* Checks that each target was asked COUNT times, but not the one whose service
+   keeps no contexts: it may take the call for a request.  */
 static void
 expect_lists (int count)
 {
+  CU_ASSERT_EQUAL (fx_target_request_count (desk), 0);
   for (int i = 0; i < TARGETS; i++)
     CU_ASSERT_EQUAL (lists[i], count);
 }
--- a/version/routes.c
+++ b/version/routes.c
@@ -223,6 +223,22 @@
   return NULL;
 }
 
+/* Returns whether TABLE has a route that sends requests to SERVICE, an
+   interned string, and prefers targets that hold the prompt's context.  */
+int
+rt_has_context (const struct rt_table *table, const char *service)
+{
+  for (guint i = 0; i < table->routes->len; i++)
+    {
+      const struct rt_route *route = g_ptr_array_index (table->routes, i);
+
+      for (uint32_t k = 0; route->has_context && k < route->split_count; k++)
+        if (route->split[k].service == service)
+          return 1;
+    }
+  return 0;
+}
+
 /* Returns whether a request of ROUTE may run more than once.  */
 int
 rt_repeatable (const struct rt_route *route)
