Answer instances that start with an earlier time of day

Cause: an instance's incarnation is the time of day at its start. After a start with an earlier one than at the start before, peers dropped all of its datagrams as old ones of the process before.

Change: a peer that drops a heartbeat for its earlier incarnation answers with the one that it knows (new kind at the end of enum wire_kind), and the instance goes above it. Older builds do not answer, but accept the raised incarnation. New gauge ibisloom_instances_heard.

--- a/include/ibisloom/fleet.h
+++ b/include/ibisloom/fleet.h
@@ -158,6 +158,7 @@
                                            enum wire_kind kind);
 uint64_t fleet_unreadable_count (const struct fleet *fleet);
 uint32_t fleet_size (const struct fleet *fleet);
+uint32_t fleet_heard_count (const struct fleet *fleet);
 int fleet_hears_peers (const struct fleet *fleet);
 int64_t fleet_loads_age_ms (const struct fleet *fleet);
 
--- a/include/ibisloom/metrics.h
+++ b/include/ibisloom/metrics.h
@@ -107,6 +107,7 @@
   METRIC_STORE_RESTORED,         /* from an older copy of its data */
   METRIC_WATCH_CHECKS,           /* of the store, as a watch was overdue */
   METRIC_EVACUATIONS_READ_AGAIN, /* as there is room for one left out */
+  METRIC_INCARNATIONS_RAISED,    /* as peers knew a later one */
   METRIC_CONFIG_PACED,           /* reports of versions that came in a storm */
   METRIC_DELTA_REFUSED,          /* differences that build on another text */
   METRIC_STORE_UNREADABLE, /* objects received that name nothing to use */
--- a/include/ibisloom/wire.h
+++ b/include/ibisloom/wire.h
@@ -62,6 +62,7 @@
   WIRE_LEVEL,             /* what is admitted of it, by a coordinator */
   WIRE_HELD,              /* prompt parts that a target holds */
   WIRE_HELD_QUERY,        /* asks for those of all targets */
+  WIRE_INCARNATION,       /* the receiver is known by a later one */
   WIRE_KIND_COUNT
 };
 
@@ -362,6 +363,13 @@
   uint64_t part[WIRE_HELD_MAX];
 };
 
+/* Incarnation by which the sender knows the receiver, whose datagrams it drops
+   as they have an earlier one. */
+struct wire_incarnation
+{
+  uint64_t known;
+};
+
 struct wire_message
 {
   enum wire_kind kind;
@@ -397,6 +405,7 @@
     struct demand_report demand;
     struct demand_level level;
     struct wire_held held;
+    struct wire_incarnation incarnation;
   } u;
 };
 
--- a/process/fleet.c
+++ b/process/fleet.c
@@ -48,6 +48,7 @@
   fleet->affinity = affinity;
   fleet->self = (uint32_t)rank_hash (settings->instance);
   fleet->domain = (uint32_t)rank_hash (settings->failure_domain);
+  /* Peers that know a later one, as the clock was ahead then, say so.  */
   fleet->incarnation = (uint64_t)clk_wall_ms ();
   fleet->peers = fleet_peers_new ();
   fleet->receive = receive;
@@ -233,6 +234,9 @@
     case WIRE_DEMAND:
       fleet_apply_demand (fleet, peer, &message->u.demand);
       break;
+    case WIRE_INCARNATION:
+      fleet_apply_incarnation (fleet, peer, &message->u.incarnation);
+      break;
     case WIRE_LEVEL:
       fleet_apply_level (fleet, peer, &message->u.level);
       break;
--- a/process/fleet_peer.c
+++ b/process/fleet_peer.c
@@ -130,6 +130,21 @@
   return view.watchers > 0;
 }
 
+/* Returns how many other instances are not silent.  */
+uint32_t
+fleet_heard_count (const struct fleet *fleet)
+{
+  clk_ms now = clk_now (clk_monotonic ());
+  uint32_t count = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, fleet->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    count += !fleet_is_silent (fleet, value, now);
+  return count;
+}
+
 /* Returns whether any other instance has been heard lately.  */
 int
 fleet_hears_peers (const struct fleet *fleet)
--- a/process/fleet_send.c
+++ b/process/fleet_send.c
@@ -2,6 +2,8 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "ibisloom/log.h"
+#include "ibisloom/metrics.h"
 #include "libfleet.h"
 
 enum
@@ -16,6 +18,11 @@
 static void send_datagram (struct fleet *fleet, enum wire_kind kind,
                            const unsigned char *data, size_t length,
                            const struct sockaddr_in *address);
+static int is_older (const struct fleet_peer *peer,
+                     const struct wire_message *message);
+static void answer_older (struct fleet *fleet, const struct fleet_peer *peer,
+                          const struct wire_message *message,
+                          const struct sockaddr_in *from);
 static int gets_broadcast (const struct fleet *fleet,
                            const struct fleet_peer *peer, enum wire_kind kind);
 
@@ -107,10 +114,11 @@
           || g_hash_table_size (fleet->peers) >= FLEET_PEERS_MAX)
         continue;
       peer = fleet_get_peer (fleet, message.sender);
-      if (message.incarnation < peer->incarnation
-          || (message.incarnation == peer->incarnation
-              && message.sequence <= peer->sequence))
-        continue;
+      if (is_older (peer, &message))
+        {
+          answer_older (fleet, peer, &message, &from);
+          continue;
+        }
       peer->incarnation = message.incarnation;
       peer->sequence = message.sequence;
       peer->address = from;
@@ -119,6 +127,56 @@
     }
 }
 
+/* Returns whether MESSAGE is older than the last one of PEER, its sender.  */
+static int
+is_older (const struct fleet_peer *peer, const struct wire_message *message)
+{
+  return message->incarnation < peer->incarnation
+         || (message->incarnation == peer->incarnation
+             && message->sequence <= peer->sequence);
+}
+
+/* Answers MESSAGE of PEER, received from FROM, if it is a heartbeat of an
+   earlier incarnation: its process may have started later, after its time of
+   day went back.  */
+static void
+answer_older (struct fleet *fleet, const struct fleet_peer *peer,
+              const struct wire_message *message,
+              const struct sockaddr_in *from)
+{
+  struct wire_message answer
+      = { .kind = WIRE_INCARNATION, .u.incarnation.known = peer->incarnation };
+
+  if (message->kind == WIRE_HEARTBEAT
+      && message->incarnation < peer->incarnation)
+    fleet_send (fleet, from, &answer);
+}
+
+/* Raises the incarnation of this instance above the one by which PEER knows
+   it, which an earlier process had: until then PEER drops its datagrams.  An
+   answer to a late datagram of that process names the present one, or one
+   before.  */
+void
+fleet_apply_incarnation (struct fleet *fleet, const struct fleet_peer *peer,
+                         const struct wire_incarnation *incarnation)
+{
+  struct log_line line;
+
+  if (incarnation->known <= fleet->incarnation
+      || incarnation->known == UINT64_MAX)
+    return;
+  metric_inc (METRIC_INCARNATIONS_RAISED);
+  if (log_begin (&line, LOG_LEVEL_WARN, "fleet", NULL, "clock_behind"))
+    {
+      log_hash (&line, "peer", peer->id);
+      log_number (&line, "incarnation", (int64_t)fleet->incarnation);
+      log_number (&line, "known", (int64_t)incarnation->known);
+      log_end (&line);
+    }
+  fleet->incarnation = incarnation->known + 1;
+  fleet->sequence = 0;
+}
+
 /* Returns whether PEER gets a broadcast of KIND.  In a large fleet only peers
    of the same failure domain do, since a client sends its next requests to the
    same failure domain.  */
--- a/process/libfleet.h
+++ b/process/libfleet.h
@@ -291,6 +291,9 @@
                              int events);
 void fleet_apply_heartbeat (struct fleet *fleet, struct fleet_peer *peer,
                             const struct wire_heartbeat *heartbeat);
+void fleet_apply_incarnation (struct fleet *fleet,
+                              const struct fleet_peer *peer,
+                              const struct wire_incarnation *incarnation);
 void fleet_apply_state (struct fleet *fleet, const struct fleet_peer *peer,
                         const struct wire_store_state *state);
 
--- a/process/metrics.c
+++ b/process/metrics.c
@@ -147,6 +147,7 @@
   [METRIC_PLATFORM_ERRORS] = "ibisloom_platform_errors_total",
   [METRIC_STORE_RESTORED] = "ibisloom_store_restored_total",
   [METRIC_WATCH_CHECKS] = "ibisloom_watch_checks_total",
+  [METRIC_INCARNATIONS_RAISED] = "ibisloom_incarnations_raised_total",
   [METRIC_EVACUATIONS_READ_AGAIN] = "ibisloom_evacuations_read_again_total",
   [METRIC_CONFIG_PACED] = "ibisloom_config_paced_total",
   [METRIC_DELTA_REFUSED] = "ibisloom_config_delta_refused_total",
--- a/process/router_metrics.c
+++ b/process/router_metrics.c
@@ -54,6 +54,8 @@
              (int64_t)(router->config.calls + router->targets.calls
                        + router->evacuations.calls));
   add_gauge (out, "ibisloom_instances", fleet_size (router->fleet));
+  add_gauge (out, "ibisloom_instances_heard",
+             fleet_heard_count (router->fleet));
   add_gauge (out, "ibisloom_quarantined_parts",
              fleet_quarantined_count (router->fleet));
   add_gauge (out, "ibisloom_evacuated_domains",
--- a/process/wire.c
+++ b/process/wire.c
@@ -54,6 +54,7 @@
   [WIRE_LEVEL] = "level",
   [WIRE_HELD] = "held",
   [WIRE_HELD_QUERY] = "held_query",
+  [WIRE_INCARNATION] = "incarnation",
 };
 
 static int has_allowed_types (const unsigned char *data, size_t length);
--- a/process/wire_fleet.c
+++ b/process/wire_fleet.c
@@ -460,6 +460,22 @@
   reader->failed |= list.failed;
 }
 
+static void
+encode_incarnation (msgpack_packer *packer, const struct wire_message *message)
+{
+  msgpack_pack_array (packer, 1);
+  msgpack_pack_uint64 (packer, message->u.incarnation.known);
+}
+
+static void
+decode_incarnation (struct wire_reader *reader, struct wire_message *message)
+{
+  struct wire_reader list = wire_next_array (reader, 1);
+
+  message->u.incarnation.known = wire_next_uint (&list, UINT64_MAX);
+  reader->failed |= list.failed;
+}
+
 /* Kinds of routers. */
 const struct wire_codec wire_fleet_codecs[WIRE_KIND_COUNT] = {
   [WIRE_LOADS] = { encode_loads, decode_loads },
@@ -480,4 +496,5 @@
   [WIRE_EVACUATIONS] = { encode_evacuations, decode_evacuations },
   [WIRE_HELD] = { encode_held, decode_held },
   [WIRE_HELD_QUERY] = { encode_held_query, decode_held_query },
+  [WIRE_INCARNATION] = { encode_incarnation, decode_incarnation },
 };
--- a/tests/peer_fixture.c
+++ b/tests/peer_fixture.c
@@ -231,6 +231,19 @@
   g_free (sender);
 }
 
+/* Sends the first router one heartbeat of the process INCARNATION of instance
+   SENDER.  */
+void
+fx_heartbeat_send (uint32_t sender, uint64_t incarnation)
+{
+  struct heartbeat_sender *once = make_sender (sender, 0);
+
+  once->message.incarnation = incarnation;
+  send_next (once, &once->message);
+  close (once->fd);
+  g_free (once);
+}
+
 /* Starts COUNT instances in the first router's failure domain.  Their
    heartbeats report that they watch the store, but never a new revision.  */
 void
--- a/tests/router_fixture.h
+++ b/tests/router_fixture.h
@@ -111,6 +111,7 @@
 void fx_newer_peer_start (uint64_t version);
 void fx_peers_send_bad_differences (int enabled);
 void fx_ends_report (int count);
+void fx_heartbeat_send (uint32_t sender, uint64_t incarnation);
 
 void fx_stale_watchers_start (int count);
 
