Count a list in pages as complete up to its first page only

Cause: after a list in several pages, what an instance knew of the store was the revision of the last page, though an object of an earlier page could have changed meanwhile. One that watches got the change, as its watch starts from the first page; one that does not watch told and believed that it knew it, and never asked others.

Change: the end of a list names the revision of its first page.

Test: tests/test_watch "a router that does not watch knows of a change between two pages": an object is deleted between two pages (the store of the tests can split a list now).

--- a/process/router_evacuation.c
+++ b/process/router_evacuation.c
@@ -119,14 +119,12 @@
                         !object->deleted && !object->is_deleting);
 }
 
-/* Called when a list of evacuations was read completely, at POSITION.  It
-   shows all changes up to its first page only, from which the watch goes
-   on.  */
+/* Called when a list of evacuations was read completely, up to POSITION.  */
 static void
 evacuations_end (void *closure, struct position position)
 {
   struct router *router = closure;
 
-  fleet_end_evacuation_list (router->fleet, router->evacuations.position);
+  fleet_end_evacuation_list (router->fleet, position);
   router_note_epoch (router, position);
 }
--- a/tests/libfixture.h
+++ b/tests/libfixture.h
@@ -70,6 +70,8 @@
   int late_ms;        /* until these calls come into effect */
   const char *delayed_kind; /* whose list is delayed */
   int list_delay_ms;
+  const char *split_kind; /* whose next list comes in two pages; or NULL */
+  const char *split_name; /* of the object that is deleted between them */
   int store_listener;
   int store_port;
   GArray *store_fds;
--- a/tests/router_fixture.h
+++ b/tests/router_fixture.h
@@ -102,6 +102,7 @@
 void fx_store_set_down (int down);
 void fx_store_block_watches (int blocked);
 void fx_store_delay_list (const char *kind, int ms);
+void fx_store_split_list (const char *kind, const char *name);
 
 /* For the first router. */
 void fx_write_settings (const char *extra);
--- a/tests/store_fixture.c
+++ b/tests/store_fixture.c
@@ -65,26 +65,30 @@
   return NULL;
 }
 
-/* Returns the list of the objects of KIND as JSON, newly allocated.  The lock
-   must be held.  */
+/* Returns the list of the objects of KIND as JSON, newly allocated, without
+   the one named AFTER, if there is one: the only one of the page before.  If
+   the list is to be split, only its first object is returned.  The lock must
+   be held.  */
 static char *
-list_json (const char *kind)
+list_json (const char *kind, const char *after)
 {
   GString *out = g_string_new ("{\"items\":[");
+  int is_split = g_strcmp0 (kind, fx_env.split_kind) == 0;
   int count = 0;
 
-  for (guint i = 0; i < fx_env.changes->len; i++)
+  for (guint i = 0; i < fx_env.changes->len && (!is_split || count == 0); i++)
     {
       const struct change *change = g_ptr_array_index (fx_env.changes, i);
 
       if (strcmp (change->kind, kind) != 0 || change->spec == NULL
+          || g_strcmp0 (change->name, after) == 0
           || fx_store_latest_change (kind, change->name) != change)
         continue;
       g_string_append (out, count++ > 0 ? "," : "");
       append_object (out, change);
     }
-  g_string_append_printf (out, "],\"has_more\":false,\"at\":%u}",
-                          fx_env.changes->len);
+  g_string_append_printf (out, "],\"has_more\":%s,\"at\":%u}",
+                          is_split ? "true" : "false", fx_env.changes->len);
   return g_string_free (out, FALSE);
 }
 
@@ -285,6 +289,25 @@
     fx_env.origin_writes++;
 }
 
+/* Returns the response to REQUEST for a list of KIND.  Between the pages of
+   one that is split, an object is deleted.  The lock must be held.  */
+static struct response
+respond_list (const char *request, const char *kind)
+{
+  char after[128] = "";
+  const char *field = strstr (request, "?since_rev=");
+  struct response response;
+
+  if (field != NULL)
+    sscanf (field, "?since_rev=%127[^ &]", after);
+  response = make_response ("200 OK", list_json (kind, after));
+  if (g_strcmp0 (kind, fx_env.split_kind) != 0)
+    return response;
+  fx_env.split_kind = NULL;
+  add_change_locked (kind, fx_env.split_name, NULL);
+  return response;
+}
+
 /* Returns the response to REQUEST, which is no watch, for the object NAME of
    KIND or for all of KIND.  */
 static struct response
@@ -309,7 +332,7 @@
     response
         = make_response (remove_object (request, kind, name), g_strdup ("{}"));
   else
-    response = make_response ("200 OK", list_json (kind));
+    response = respond_list (request, kind);
   pthread_mutex_unlock (&fx_env.lock);
   return response;
 }
@@ -566,6 +589,17 @@
   pthread_mutex_unlock (&fx_env.lock);
 }
 
+/* Has the next list of KIND come in two pages, between which its object NAME
+   is deleted.  */
+void
+fx_store_split_list (const char *kind, const char *name)
+{
+  pthread_mutex_lock (&fx_env.lock);
+  fx_env.split_kind = kind;
+  fx_env.split_name = name;
+  pthread_mutex_unlock (&fx_env.lock);
+}
+
 /* If BLOCKED, holds back the responses to watches; otherwise sends them
    again.  */
 void
--- a/tests/test_watch.c
+++ b/tests/test_watch.c
@@ -1,5 +1,6 @@
 /* End-to-end tests of routers whose calls to the store get no response: a
    version that the store confirms afterwards comes into force in time.  */
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -23,13 +24,15 @@
   CHANGE_MS = 200,
   KINDS = 2,         /* that are watched */
   STANDBY_PER_S = 1, /* calls of a standby for each kind */
-  SPREAD_MS = 1000
+  SPREAD_MS = 1000,
+  MANY_ROUTERS = 9 /* three in each failure domain, of which two watch */
 };
 
 static void version_after_silence_is_in_force (void);
 static void version_on_dark_connections_is_in_force (void);
 static void calm_watches_are_few (void);
 static void standbys_call_the_store_less (void);
+static void change_between_pages_is_known (void);
 
 static const struct test_case cases[] = {
   { "a version confirmed after a silence of the store is in force in time",
@@ -39,6 +42,8 @@
   { "watches that get their responses are not checked", calm_watches_are_few },
   { "one watcher of a failure domain follows frequent changes, and tells all",
     standbys_call_the_store_less },
+  { "a router that does not watch knows of a change between two pages",
+    change_between_pages_is_known },
 };
 
 TEST_MAIN ("watch", cases)
@@ -176,3 +181,28 @@
   CU_ASSERT_EQUAL (count_behind (), 0);
   fx_env_stop ();
 }
+
+/* Guards against a router that takes the revision of the last page for what it
+   knows, and so does not ask others for what changed after the first one.  */
+static void
+change_between_pages_is_known (void)
+{
+  int index = 0;
+
+  fx_target_add ("d-0", "desk", shop_respond_ok);
+  fx_target_add ("d-1", "desk", shop_respond_ok);
+  fx_store_start (shop_config);
+  fx_routers_start (MANY_ROUTERS);
+  fx_sleep_ms (WATCH_START_MS);
+  while (index < MANY_ROUTERS - 1
+         && fx_router_metric (index, "ibisloom_store_watched") != 0)
+    index++;
+  fx_router_signal (index, SIGKILL);
+  fx_router_wait_for_exit (index);
+  fx_store_split_list ("servers", "d-0");
+  fx_router_spawn (index, "/dev/null");
+  fx_sleep_ms (WATCH_START_MS);
+  CU_ASSERT_EQUAL (fx_router_metric (index, "ibisloom_store_watched"), 0);
+  CU_ASSERT_EQUAL (fx_router_metric (index, "ibisloom_targets_usable"), 1);
+  fx_env_stop ();
+}
--- a/version/watch.c
+++ b/version/watch.c
@@ -390,8 +390,8 @@
       return;
     }
   note_nameless (watch, &page);
-  /* The watch starts at the revision of the first page, since an object may
-     have changed after its page was read.  */
+  /* The list is complete up to the revision of the first page only, where the
+     watch starts, since an object may have changed after its page was read. */
   if (watch->first_page)
     watch->position = page.position;
   watch->first_page = !page.has_more;
@@ -400,7 +400,7 @@
       watch->listing = 0;
       watch->listed = 1;
       watch->watches_since_list = 0;
-      watch->sink.end (watch->sink.closure, page.position);
+      watch->sink.end (watch->sink.closure, watch->position);
     }
   start_next_call (watch);
 }
