Take late streams in a stop only if they end in time

Cause: without the number of tokens to come, the expected duration of a stream is its goal for the first event. A resumable stream therefore counted as a short request and was taken up to 5 s after the signal, and cut when the process ended.

Change: from 2.5 s after the signal on, a stream is taken only if its deadline falls before the instance's last answers, as a request that may not be repeated. Others are refused: 503, not run.

--- a/include/ibisloom/router.h
+++ b/include/ibisloom/router.h
@@ -19,7 +19,7 @@
 {
   int64_t expected_ms; /* its duration */
   clk_ms deadline_ms;
-  uint8_t is_repeatable;
+  uint8_t must_end; /* cannot be answered by the instance at its end */
 };
 
 struct router
--- a/process/router.c
+++ b/process/router.c
@@ -222,7 +222,8 @@
    requests are accepted after LAME_DUCK_MS and none after LAST_REQUEST_MS, so
    that the requests in progress end before the process is killed.  One that
    may not be repeated has to end in time whatever its target does: its client
-   would not know whether it ran.  */
+   would not know whether it ran.  So has a stream, which would be cut: its
+   expected duration may be that to its first event only.  */
 int
 router_may_start (const struct router *router,
                   const struct router_request *request)
@@ -235,7 +236,7 @@
   if (since < LAME_DUCK_MS)
     return 1;
   return request->expected_ms <= SHORT_REQUEST_MS && since < LAST_REQUEST_MS
-         && (request->is_repeatable
+         && (!request->must_end
              || request->deadline_ms - router->stopping_ms
                     <= last_answer_ms (router));
 }
--- a/request/relay_prepare.c
+++ b/request/relay_prepare.c
@@ -65,7 +65,8 @@
   struct router_request request
       = { .expected_ms = expected_duration_ms (relay),
           .deadline_ms = relay->deadline_ms,
-          .is_repeatable = (uint8_t)rt_repeatable (relay->route) };
+          .must_end = (uint8_t)(!rt_repeatable (relay->route)
+                                || relay->route->kind == RT_STREAM) };
 
   return router_may_start (relay->router, &request);
 }
--- a/tests/test_stop.c
+++ b/tests/test_stop.c
@@ -26,11 +26,14 @@
   REQUESTS = 30,
   TARGETS = 30,    /* so that some are left that no request suspended */
   HANG_MS = 20000, /* longer than any deadline */
-  SLOW_MS = 2900   /* a little less than the deadline */
+  EVENTS = 5,
+  EVENT_MS = 588, /* between events: a stream takes 2.94 s */
+  SLOW_MS = 2900  /* a little less than the deadline */
 };
 
 static void late_requests_are_answered (void);
 static void late_unrepeatable_requests_run_or_are_refused (void);
+static void late_streams_end_or_are_refused (void);
 static void responses_after_the_last_answers_reach_nobody (void);
 static void connections_after_the_last_answers_are_not_used (void);
 
@@ -40,6 +43,8 @@
   { "requests that may not be repeated are answered by their targets or "
     "refused",
     late_unrepeatable_requests_run_or_are_refused },
+  { "streams that come late run to their end or are refused",
+    late_streams_end_or_are_refused },
   { "a response that comes after the router's own answer does no harm",
     responses_after_the_last_answers_reach_nobody },
   { "a connection that is pending at the router's own answer is not used",
@@ -228,6 +233,54 @@
   fx_env_stop ();
 }
 
+/* Handler of targets: a stream whose first event comes soon, and whose last
+   one late.  */
+static int
+stream_slowly (const struct fx_request *request)
+{
+  shop_start_stream (request);
+  for (int i = 1; i <= EVENTS; i++)
+    {
+      shop_write_events (request, i, i);
+      fx_sleep_ms (EVENT_MS);
+    }
+  fx_write (request->fd, "0\r\n\r\n");
+  return 0;
+}
+
+/* Guards against streams that are taken since they begin soon, and cut when
+   the process ends.  */
+static void
+late_streams_end_or_are_refused (void)
+{
+  static const char *const texts[] = { POST_PLAN ("s") };
+  GString *config = g_string_new (shop_config);
+  int whole = 0;
+  int answered;
+  int refused;
+
+  for (int i = 0; i < TARGETS; i++)
+    {
+      char *id = g_strdup_printf ("p-%d", i);
+
+      fx_target_add (id, "pool", stream_slowly);
+      g_free (id);
+    }
+  g_string_replace (config, "\"target_latency_ms\":800",
+                    "\"target_latency_ms\":400", 1);
+  fx_env_start (config->str);
+  send_late (texts, G_N_ELEMENTS (texts));
+  CU_ASSERT_EQUAL (fx_wait_for_exit (), 0);
+  for (int i = 0; i < REQUESTS; i++)
+    whole += strstr (late[i].response, "data: e5") != NULL
+             && g_str_has_suffix (late[i].response, "\r\n0\r\n\r\n");
+  count_responses (&answered, &refused);
+  CU_ASSERT (whole > 0);
+  CU_ASSERT_EQUAL (whole + refused, REQUESTS);
+  fx_env_stop ();
+  g_string_free (config, TRUE);
+}
+
 /* Checks that the router ends in order after its clients, whose connections
    stay open until then, got an answer each.  */
 static void
