--- a/include/ibisloom/fleet.h
+++ b/include/ibisloom/fleet.h
@@ -19,6 +19,7 @@
 
 /* View of the other instances, and the exchange of datagrams with them. */
 struct fleet;
+struct rt_table;
 
 /* What another instance reports that it knows of the store. */
 struct fleet_update
@@ -83,7 +84,8 @@
 void fleet_free (struct fleet *fleet);
 void fleet_announce_holder (struct fleet *fleet, uint64_t context,
                             uint64_t target);
-void fleet_keep_held (struct fleet *fleet, struct held *held, const char *path,
+void fleet_keep_held (struct fleet *fleet, struct held *held,
+                      struct rt_table *const *table, const char *path,
                       fleet_read_held_fn read);
 void fleet_report_crash (struct fleet *fleet,
                          const struct sockaddr_in *address,
@@ -129,6 +131,7 @@
 void fleet_end_evacuation_list (struct fleet *fleet, struct position position);
 int fleet_evacuations_are_read (const struct fleet *fleet);
 int fleet_knows_evacuations (const struct fleet *fleet);
+int fleet_evacuations_have_room (const struct fleet *fleet);
 uint32_t fleet_evacuated_count (const struct fleet *fleet);
 
 struct origins *fleet_origins (struct fleet *fleet);
@@ -163,6 +166,7 @@
                                            enum wire_kind kind);
 uint64_t fleet_unreadable_count (const struct fleet *fleet);
 uint32_t fleet_size (const struct fleet *fleet);
+uint32_t fleet_heard_count (const struct fleet *fleet);
 int fleet_hears_peers (const struct fleet *fleet);
 int64_t fleet_loads_age_ms (const struct fleet *fleet);
 
--- a/include/ibisloom/wire.h
+++ b/include/ibisloom/wire.h
@@ -70,6 +70,7 @@
   WIRE_RELAY_LOADS,       /* load update for the receiver's failure domain */
   WIRE_RELAYED_LOADS,     /* load update of another instance, passed on */
   WIRE_LEAVES,            /* targets that have said that they leave */
+  WIRE_INCARNATION,       /* the receiver is known by a later one */
   WIRE_KIND_COUNT
 };
 
@@ -414,6 +415,13 @@
   struct wire_leave leave[WIRE_LEAVES_MAX];
 };
 
+/* Incarnation by which the sender knows the receiver, whose datagrams it drops
+   as they have an earlier one. */
+struct wire_incarnation
+{
+  uint64_t known;
+};
+
 struct wire_message
 {
   enum wire_kind kind;
@@ -453,6 +461,7 @@
     struct wire_capabilities capabilities;
     struct wire_relayed relayed;
     struct wire_leaves leaves;
+    struct wire_incarnation incarnation;
   } u;
 };
 
--- a/process/wire.c
+++ b/process/wire.c
@@ -59,6 +59,7 @@
   [WIRE_RELAY_LOADS] = "relay_loads",
   [WIRE_RELAYED_LOADS] = "relayed_loads",
   [WIRE_LEAVES] = "leaves",
+  [WIRE_INCARNATION] = "incarnation",
 };
 
 static int has_allowed_types (const unsigned char *data, size_t length);
--- a/request/relay_work.c
+++ b/request/relay_work.c
@@ -173,6 +173,7 @@
   if (!load->has_unreadable || work->has_logged_field)
     return;
   work->has_logged_field = 1;
-  relay_log_bad_field (
-      relay, relay->router->dialect->field[DIALECT_TARGET_LOAD], value);
+  relay_log_bad_field (relay, relay->attempt.target,
+                       relay->router->dialect->field[DIALECT_TARGET_LOAD],
+                       value);
 }
--- a/tests/router_fixture.h
+++ b/tests/router_fixture.h
@@ -102,6 +102,7 @@
 void fx_store_set_down (int down);
 void fx_store_block_watches (int blocked);
 void fx_store_delay_list (const char *kind, int ms);
+void fx_store_split_list (const char *kind, const char *name);
 
 /* For the first router. */
 void fx_write_settings (const char *extra);
@@ -111,6 +112,7 @@
 void fx_newer_peer_start (uint64_t version);
 void fx_peers_send_bad_differences (int enabled);
 void fx_ends_report (int count);
+void fx_heartbeat_send (uint32_t sender, uint64_t incarnation);
 
 void fx_stale_watchers_start (int count);
 
--- a/version/watch.c
+++ b/version/watch.c
@@ -156,6 +156,21 @@
     start_call_again (watch, "others_know_more");
 }
 
+/* Reads the list again, because of CAUSE, which is logged, if WATCH has read
+   it and watches for changes.  Returns whether it does.  */
+int
+watch_read_again (struct watch *watch, const char *cause)
+{
+  if (!watch->listed || watch->list_only || watch->down)
+    return 0;
+  if (watch->call != NULL)
+    store_call_cancel (watch->call);
+  watch->call = NULL;
+  log_watch (watch, "restarted", cause, 0);
+  restart_list (watch, 1);
+  return 1;
+}
+
 /* Replaces the call in progress, if there is one, by a new one, because of
    CAUSE, which is logged.  */
 static void
@@ -375,8 +390,8 @@
       return;
     }
   note_nameless (watch, &page);
-  /* The watch starts at the revision of the first page, since an object may
-     have changed after its page was read.  */
+  /* The list is complete up to the revision of the first page only, where the
+     watch starts, since an object may have changed after its page was read. */
   if (watch->first_page)
     watch->position = page.position;
   watch->first_page = !page.has_more;
@@ -385,7 +400,7 @@
       watch->listing = 0;
       watch->listed = 1;
       watch->watches_since_list = 0;
-      watch->sink.end (watch->sink.closure, page.position);
+      watch->sink.end (watch->sink.closure, watch->position);
     }
   start_next_call (watch);
 }
