Buffer for slow clients what the pool has room for, and give up stalled ones

Cause: an instance stopped reading a response when 256 KB waited for its client, however much of the pool was free, and a target cuts off what remains unread for seconds. The cut counted against the target. Output was kept in one string, which needs twice its length while it grows and keeps what was sent. A client that reads nothing was closed by the kernel after 10 s without a line.

Output is a list of blocks. A response that a target breaks off after it had to wait for 1 s or more is the fault "unread", which is not held against the target. A client whose host takes nothing for client_stall_ms (30 s) is reset and handled as disconnected. Metrics by use of the pool, for slowed and for given up clients; log lines "attempt paused" and "client given_up".

--- a/connection/client.c
+++ b/connection/client.c
@@ -16,7 +16,6 @@
   UNREAD_MS = 50,              /* time for input that has arrived to be read */
   CLOSE_TIMEOUT_MS = 1000,     /* time for the client to read the response and
                                   close the connection */
-  USER_TIMEOUT_MS = 10000,     /* limit for sent data to be acknowledged */
   KEEPALIVE_IDLE_S = 5
 };
 
@@ -40,7 +39,7 @@
 {
   struct client *client = g_new0 (struct client, 1);
 
-  sock_set_options (fd, USER_TIMEOUT_MS, KEEPALIVE_IDLE_S);
+  sock_set_options (fd, CLIENT_USER_TIMEOUT_MS, KEEPALIVE_IDLE_S);
   client->listener = listener;
   client->link.data = client;
   g_queue_push_tail_link (&listener->clients, &client->link);
@@ -73,9 +72,9 @@
     g_string_free (client->body, TRUE);
   if (client->pipelined != NULL)
     g_string_free (client->pipelined, TRUE);
-  client_free_output (client);
+  client_output_clear (&client->output);
   client_free_head (client);
-  buf_release (&client->body_share);
+  buf_release (BUF_REQUEST, &client->body_share);
   g_free (client);
 }
 
@@ -209,13 +208,14 @@
   if (client->body->len + length > client->listener->limits.body_max_bytes)
     return -1;
   g_string_append_len (client->body, data, (gssize)length);
-  client->is_crowded
-      = buf_reserve (&client->body_share, client->body->allocated_len) != 0;
+  client->is_crowded = buf_reserve (BUF_REQUEST, &client->body_share,
+                                    client->body->allocated_len)
+                       != 0;
   if (!client->is_crowded)
     return 0;
   g_string_free (client->body, TRUE);
   client->body = NULL;
-  buf_release (&client->body_share);
+  buf_release (BUF_REQUEST, &client->body_share);
   return -1;
 }
 
@@ -260,7 +260,7 @@
   client->request = NULL;
   client->is_response_complete = 1;
   client->listener->pending_requests--;
-  buf_release (&client->body_share);
+  buf_release (BUF_REQUEST, &client->body_share);
   if (!client->in_handler)
     client_next_request (client);
 }
@@ -273,7 +273,6 @@
 
   if (client_backlog (client) > 0)
     return;
-  client_free_output (client);
   /* A request that was read before a shutdown began gets a response.  */
   if (client->close_after
       || (client->listener->is_draining && pipelined == NULL))
@@ -309,7 +308,7 @@
 /* Closes a connection that is idle for too long or was not closed in time by
    the client.  A client that has sent part of a request gets status 408.  A
    request that has arrived but was not read, as the process stood still, is
-   read first.  */
+   read first.  A client that is yet to read its response is looked at.  */
 static void
 on_timer (struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -317,7 +316,9 @@
 
   (void)loop;
   (void)events;
-  if (client->state == CLIENT_READING && client->reader.head != NULL)
+  if (client->state != CLIENT_READING && client_backlog (client) > 0)
+    client_check_reading (client);
+  else if (client->state == CLIENT_READING && client->reader.head != NULL)
     reject_request (client, HTTP_STATUS_REQUEST_TIMEOUT);
   else if (client->state == CLIENT_READING
            && !sock_is_idle (client->readable.fd))
--- a/connection/client_response.c
+++ b/connection/client_response.c
@@ -9,7 +9,6 @@
 
 enum
 {
-  LOW_WATER_BYTES = 16384,
   HEAD_INITIAL_BYTES = 128,
   PARTS_MAX = 4 /* head, size of a chunk, chunk, its end */
 };
@@ -93,7 +92,7 @@
   client->request = NULL;
   client->is_response_complete = 1;
   client->listener->pending_requests--;
-  buf_release (&client->body_share);
+  buf_release (BUF_REQUEST, &client->body_share);
   if (client->in_handler)
     {
       client->is_aborted = 1;
@@ -116,28 +115,7 @@
 size_t
 client_backlog (const struct client *client)
 {
-  return client->output == NULL ? 0
-                                : client->output->len - client->output_offset;
-}
-
-/* Returns whether no more output should be made for CLIENT until it has read
-   some, as no memory is left to buffer it.  */
-int
-client_is_crowded (const struct client *client)
-{
-  return client->is_crowded;
-}
-
-/* Frees the buffer for output of CLIENT, which is empty or of no use.  */
-void
-client_free_output (struct client *client)
-{
-  if (client->output != NULL)
-    g_string_free (client->output, TRUE);
-  client->output = NULL;
-  client->output_offset = 0;
-  client->is_crowded = 0;
-  buf_release (&client->output_share);
+  return client->output.length;
 }
 
 /* Frees a head of a response of CLIENT that was not sent.  */
@@ -189,6 +167,7 @@
     sent = sendmsg (client->readable.fd, &message, MSG_NOSIGNAL);
   if (sent < 0)
     sent = 0; /* a failed connection is detected at the next read */
+  client->sent_bytes += (uint64_t)sent;
   if ((size_t)sent < length)
     buffer_parts (client, &all, (size_t)sent);
   client_free_head (client);
@@ -200,21 +179,17 @@
 buffer_parts (struct client *client, const struct output_parts *parts,
               size_t sent)
 {
-  if (client->output == NULL)
-    client->output = g_string_new (NULL);
   for (size_t i = 0; i < parts->count; i++)
     {
       size_t skipped = MIN (sent, parts->part[i].iov_len);
 
       sent -= skipped;
-      g_string_append_len (client->output,
-                           (const char *)parts->part[i].iov_base + skipped,
-                           (gssize)(parts->part[i].iov_len - skipped));
+      client_output_append (&client->output,
+                            (const char *)parts->part[i].iov_base + skipped,
+                            parts->part[i].iov_len - skipped);
     }
-  client->is_crowded
-      = buf_reserve (&client->output_share, client->output->allocated_len)
-        != 0;
   ev_io_start (client->listener->loop, &client->writable);
+  client_watch_reading (client);
 }
 
 void
@@ -230,32 +205,25 @@
 static void
 flush (struct client *client)
 {
-  size_t remaining = client_backlog (client);
-  ssize_t sent;
+  ssize_t sent = client_output_send (&client->output, client->writable.fd);
 
-  if (remaining > 0)
+  if (sent < 0 && (errno == EAGAIN || errno == EINTR))
+    return;
+  if (sent < 0)
     {
-      sent = send (client->writable.fd,
-                   client->output->str + client->output_offset, remaining,
-                   MSG_NOSIGNAL);
-      if (sent < 0 && (errno == EAGAIN || errno == EINTR))
-        return;
-      if (sent < 0)
-        {
-          client_handle_disconnect (client);
-          return;
-        }
-      client->output_offset += (size_t)sent;
-      remaining -= (size_t)sent;
+      client_handle_disconnect (client);
+      return;
     }
-  if (remaining > 0)
+  client->sent_bytes += (uint64_t)sent;
+  if (client_backlog (client) > 0)
     {
-      if (remaining < LOW_WATER_BYTES && client->request != NULL)
+      if (client->request != NULL && client_may_get_more (client))
         client->listener->ops->drained (client->listener, client->request);
       return;
     }
   ev_io_stop (client->listener->loop, &client->writable);
-  client_free_output (client);
+  if (client->state != CLIENT_READING)
+    ev_timer_stop (client->listener->loop, &client->timer);
   if (client->state == CLIENT_CLOSING)
     client_start_closing (client);
   else if (client->state == CLIENT_RESPONDING && client->is_response_complete)
--- a/include/ibisloom/client.h
+++ b/include/ibisloom/client.h
@@ -15,6 +15,8 @@
   uint32_t body_max_bytes;
   int64_t head_timeout_ms;
   int64_t idle_timeout_ms;
+  int64_t stall_ms; /* after which a client that reads nothing of what is
+                       buffered for it is given up; 0: never */
 };
 
 struct client;
@@ -29,7 +31,7 @@
                     struct http_head *head, GString *body);
   /* The client has disconnected before the response was complete.  */
   void (*disconnected) (struct client_listener *listener, void *request);
-  /* The unsent part of the response has fallen below the low-water mark.  */
+  /* More of the response may be sent, see client_must_catch_up.  */
   void (*drained) (struct client_listener *listener, void *request);
   /* The process is about to end: REQUEST is to get a response now.  */
   void (*stop) (struct client_listener *listener, void *request);
@@ -72,6 +74,6 @@
                      const char *fields, const char *body, size_t length);
 int client_is_at (const struct client *client, struct in_addr address);
 size_t client_backlog (const struct client *client);
-int client_is_crowded (const struct client *client);
+int client_must_catch_up (const struct client *client);
 
 #endif
--- a/include/ibisloom/metrics.h
+++ b/include/ibisloom/metrics.h
@@ -46,12 +46,15 @@
   METRIC_RETRY_RESUME,
   METRIC_RETRY_RESTART,
   METRIC_RETRY_INVALID_RESPONSE,
+  METRIC_RETRY_UNREAD,
   METRIC_RESUMED_OWN,
   METRIC_RESUMED_PEER,
   METRIC_RESUMED_STORED,
   METRIC_RESUMED_ONLY_VERSION,
   METRIC_MISMATCHED_RESPONSES, /* to a request other than the one sent */
   METRIC_CLIENT_DISCONNECTED,  /* before the end of the response */
+  METRIC_CLIENTS_SLOWED,       /* whose target had to wait for them */
+  METRIC_CLIENTS_GIVEN_UP,     /* as they read nothing */
   METRIC_ATTEMPTS,
   /* Placements, by how the target was chosen.  */
   METRIC_PLACED_HOME,
--- a/include/ibisloom/retry.h
+++ b/include/ibisloom/retry.h
@@ -15,6 +15,8 @@
   RETRY_FAULT_DISCONNECTED,     /* closed before the end of the response */
   RETRY_FAULT_READ_TIMEOUT,     /* no byte within the read timeout */
   RETRY_FAULT_INVALID_RESPONSE, /* malformed, or for another request */
+  RETRY_FAULT_UNREAD, /* broken off by the target, as the client's slowness
+                         had kept it waiting */
   RETRY_FAULT_COUNT
 };
 
--- a/include/ibisloom/settings.h
+++ b/include/ibisloom/settings.h
@@ -53,6 +53,7 @@
   int64_t evacuate_ms; /* until an evacuation must be in force; 0: not read */
   int64_t slow_start;  /* limits on cold and started targets are kept */
   double grace_s;      /* from the stop signal until the process is killed */
+  int64_t client_stall_ms; /* until a client that reads nothing is given up */
   int64_t admission_queue; /* 1: requests queue where capacity is scarce */
   char *cluster_key;
   char *operator_token;
--- a/process/metrics.c
+++ b/process/metrics.c
@@ -85,6 +85,7 @@
   [METRIC_RETRY_RESTART] = "ibisloom_retries_total{reason=\"restart\"}",
   [METRIC_RETRY_INVALID_RESPONSE]
   = "ibisloom_retries_total{reason=\"wrong_answer\"}",
+  [METRIC_RETRY_UNREAD] = "ibisloom_retries_total{reason=\"unread\"}",
   [METRIC_RESUMED_OWN] = "ibisloom_resumed_total{origin=\"own\"}",
   [METRIC_RESUMED_PEER] = "ibisloom_resumed_total{origin=\"peer\"}",
   [METRIC_RESUMED_STORED] = "ibisloom_resumed_total{origin=\"stored\"}",
@@ -92,6 +93,8 @@
   = "ibisloom_resumed_total{origin=\"only_version\"}",
   [METRIC_MISMATCHED_RESPONSES] = "ibisloom_crossed_dropped_total",
   [METRIC_CLIENT_DISCONNECTED] = "ibisloom_client_gone_total",
+  [METRIC_CLIENTS_SLOWED] = "ibisloom_clients_slowed_total",
+  [METRIC_CLIENTS_GIVEN_UP] = "ibisloom_clients_given_up_total",
   [METRIC_ATTEMPTS] = "ibisloom_tries_total",
   [METRIC_PLACED_HOME] = "ibisloom_placed_total{by=\"home\"}",
   [METRIC_PLACED_NOTE] = "ibisloom_placed_total{by=\"note\"}",
--- a/process/router.c
+++ b/process/router.c
@@ -91,6 +91,8 @@
   router->readiness_listener.limits.head_timeout_ms = READY_TIMEOUT_MS;
   router->readiness_listener.limits.idle_timeout_ms = READY_TIMEOUT_MS;
   router->peer_listener.limits = router->readiness_listener.limits;
+  router->request_listener.limits.stall_ms = settings->client_stall_ms;
+  router->peer_listener.limits.stall_ms = settings->client_stall_ms;
   router->metrics_listener.limits = router->readiness_listener.limits;
   /* A question for a route names the parts of a prompt.  */
   router->metrics_listener.limits.head_max_bytes = HTTP_HEAD_MAX_BYTES;
@@ -382,6 +384,8 @@
     settings->evacuate_ms = router->settings->evacuate_ms;
   log_set_level ((enum log_level)settings->log_level);
   fleet_set_settings (router->fleet, settings);
+  router->request_listener.limits.stall_ms = settings->client_stall_ms;
+  router->peer_listener.limits.stall_ms = settings->client_stall_ms;
   router->settings = settings;
   settings_free (router->reloaded_settings);
   router->reloaded_settings = settings;
--- a/process/router_metrics.c
+++ b/process/router_metrics.c
@@ -61,6 +61,12 @@
   add_gauge (out, "ibisloom_context_lists_parts", held_count (router->held));
   add_gauge (out, "ibisloom_loads_age_ms", fleet_loads_age_ms (router->fleet));
   add_gauge (out, "ibisloom_buffer_pool_bytes", (int64_t)buf_pool_used ());
+  add_gauge (out, "ibisloom_buffered_output_bytes",
+             (int64_t)buf_used_for (BUF_OUTPUT));
+  add_gauge (out, "ibisloom_buffered_request_bytes",
+             (int64_t)buf_used_for (BUF_REQUEST));
+  add_gauge (out, "ibisloom_buffered_received_bytes",
+             (int64_t)buf_used_for (BUF_RECEIVED));
   add_gauge (out, "ibisloom_log_lines_dropped", (int64_t)log_dropped ());
   relay_queues_print (router, out);
   count_targets (router, now, out);
--- a/process/settings.c
+++ b/process/settings.c
@@ -137,6 +137,8 @@
     2000 },
   { "evacuate_ms", parse_integer, FIELD_OFFSET (evacuate_ms), OPTIONAL, 0,
     600000, 0 },
+  { "client_stall_ms", parse_integer, FIELD_OFFSET (client_stall_ms), OPTIONAL,
+    1000, 600000, 30000 },
   { "slow_start", parse_integer, FIELD_OFFSET (slow_start), OPTIONAL, 0, 1,
     0 },
   { "grace_s", parse_real, FIELD_OFFSET (grace_s), OPTIONAL, 1, 3600, 30 },
--- a/request/librelay.h
+++ b/request/librelay.h
@@ -51,6 +51,15 @@
   uint32_t complete;                  /* events with and without one */
 };
 
+/* Response that is not read on, as the client has to catch up. */
+struct relay_pause
+{
+  uint8_t is_paused;
+  uint8_t is_logged;
+  clk_ms changed_ms; /* the last change of IS_PAUSED */
+  int64_t total_ms;  /* of pauses that have ended */
+};
+
 /* One attempt, at one target, and what was received of its response. */
 struct relay_attempt
 {
@@ -71,9 +80,9 @@
   uint8_t parts_succeeded;   /* its target has gone on after the first event */
   uint8_t input_awaited;     /* its timer was put off for unread input */
   uint8_t is_silent;         /* past its read timeout */
-  uint8_t is_paused;         /* not read until the client has caught up */
   uint8_t is_new_connection; /* not a kept one */
   uint8_t is_final; /* the instance that it went through made all attempts */
+  struct relay_pause pause;
   clk_ms first_event_ms; /* 0: no event yet */
   GString *response_fields;
   GString *buffered_body;
@@ -272,6 +281,11 @@
 void relay_end_overlap (struct relay *relay);
 int relay_waits_for_input (struct relay *relay);
 
+/* relay_pause.c */
+void relay_pause_if_slow (struct relay *relay);
+enum retry_fault relay_pause_fault (const struct relay *relay,
+                                    enum retry_fault fault);
+
 /* relay_target.c */
 struct reg_target *relay_choose_target (const struct relay *relay, clk_ms now,
                                         struct bal_choice *choice,
@@ -322,6 +336,7 @@
 void relay_log_fault (const struct relay *relay, enum retry_fault fault,
                       const struct retry_decision *decision, clk_ms now);
 void relay_log_went_on (const struct relay *relay);
+void relay_log_paused (const struct relay *relay);
 void relay_log_outcome (const struct relay *relay, const char *outcome,
                         clk_ms now);
 
--- a/request/relay.c
+++ b/request/relay.c
@@ -234,7 +234,7 @@
   relay->attempt.not_run = 0;
   relay->attempt.is_invalid = 0;
   relay->attempt.is_silent = 0;
-  relay->attempt.is_paused = 0;
+  memset (&relay->attempt.pause, 0, sizeof relay->attempt.pause);
   relay->attempt.input_awaited = 0;
   relay->attempt.first_event_ms = 0;
   relay->attempt.parts_succeeded = 0;
@@ -293,8 +293,8 @@
     g_string_free (attempt->buffered_body, TRUE);
   if (attempt->partial_event != NULL)
     g_string_free (attempt->partial_event, TRUE);
-  buf_release (&attempt->body_share);
-  buf_release (&attempt->event_share);
+  buf_release (BUF_RECEIVED, &attempt->body_share);
+  buf_release (BUF_RECEIVED, &attempt->event_share);
   memset (attempt, 0, sizeof *attempt);
 }
 
@@ -321,7 +321,7 @@
     expires_ms = MIN (expires_ms, relay->look_again_ms);
   else if (relay->attempt.target != NULL && relay->attempt.target->is_peer)
     expires_ms = MIN (expires_ms, now + HOP_CHECK_MS);
-  else if (read_timeout_ms > 0 && !relay->attempt.is_paused
+  else if (read_timeout_ms > 0 && !relay->attempt.pause.is_paused
            && relay->attempt.last_received_ms + read_timeout_ms < expires_ms)
     expires_ms = relay->attempt.last_received_ms + read_timeout_ms;
   ev_timer_stop (relay->router->loop, &relay->timer);
@@ -409,22 +409,6 @@
   relay_finish (relay, "caller_gone");
 }
 
-/* Handles a client that has read its pending output: resumes reading from
-   the target.  */
-void
-relay_on_drained (struct client_listener *listener, void *request)
-{
-  struct relay *relay = request;
-
-  (void)listener;
-  if (relay->attempt.call == NULL || !relay->attempt.is_paused)
-    return;
-  relay->attempt.is_paused = 0;
-  relay->attempt.last_received_ms = clk_now (clk_monotonic ());
-  out_call_pause (relay->attempt.call, 0);
-  relay_arm_timer (relay);
-}
-
 /* Responds to a request that the end of the process would cut off without a
    response.  */
 void
--- a/request/relay_events.c
+++ b/request/relay_events.c
@@ -53,7 +53,8 @@
     return -1;
   if (partial->len == 0)
     relay_events_reset (relay);
-  else if (buf_reserve (&relay->attempt.event_share, partial->allocated_len)
+  else if (buf_reserve (BUF_RECEIVED, &relay->attempt.event_share,
+                        partial->allocated_len)
            != 0)
     return -1;
   return result;
@@ -80,7 +81,7 @@
     return;
   g_string_free (attempt->partial_event, TRUE);
   attempt->partial_event = NULL;
-  buf_release (&attempt->event_share);
+  buf_release (BUF_RECEIVED, &attempt->event_share);
 }
 
 /* Returns the length of the event at the start of DATA, including its empty
--- a/request/relay_fault.c
+++ b/request/relay_fault.c
@@ -24,7 +24,8 @@
         [RETRY_FAULT_REJECTED] = HEALTH_REJECTED,
         [RETRY_FAULT_DISCONNECTED] = HEALTH_DISCONNECTED,
         [RETRY_FAULT_READ_TIMEOUT] = HEALTH_TIMED_OUT,
-        [RETRY_FAULT_INVALID_RESPONSE] = HEALTH_DISCONNECTED };
+        [RETRY_FAULT_INVALID_RESPONSE] = HEALTH_DISCONNECTED,
+        [RETRY_FAULT_UNREAD] = HEALTH_EVENT_COUNT };
 
 /* Returns how many attempts RELAY may make.  Targets mostly repeat an error
    response, so the error response of the last target that the route allows is
@@ -102,7 +103,7 @@
   struct reg_target *target = relay->attempt.target;
 
   if (!target->is_peer && fault != RETRY_FAULT_REJECTED
-      && fault != RETRY_FAULT_ERROR_STATUS)
+      && fault != RETRY_FAULT_ERROR_STATUS && fault != RETRY_FAULT_UNREAD)
     fleet_pace_failure (relay->router->fleet, target, relay->attempt.sent_ms);
   if (target->is_peer)
     relay_hop_fail (relay, fault);
--- a/request/relay_hop.c
+++ b/request/relay_hop.c
@@ -211,7 +211,7 @@
   if (fault == RETRY_FAULT_ERROR_STATUS || relay->attempt.is_final)
     return;
   /* What it refuses concerns this request; the next one may find a place.  */
-  if (!refused)
+  if (!refused && fault != RETRY_FAULT_UNREAD)
     router_hop_avoid (relay->router, relay->service, relay->attempt.target);
   relay->sends -= refused;
   relay->hop_refusals += refused;
--- a/request/relay_log.c
+++ b/request/relay_log.c
@@ -2,6 +2,7 @@
 #include <inttypes.h>
 #include <math.h>
 
+#include "ibisloom/buffer.h"
 #include "ibisloom/log.h"
 #include "ibisloom/metrics.h"
 #include "librelay.h"
@@ -13,6 +14,7 @@
   [RETRY_FAULT_DISCONNECTED] = "broken",
   [RETRY_FAULT_READ_TIMEOUT] = "silent",
   [RETRY_FAULT_INVALID_RESPONSE] = "wrong",
+  [RETRY_FAULT_UNREAD] = "unread",
 };
 
 static const enum metric_counter place_counters[BAL_REASON_COUNT] = {
@@ -122,6 +124,25 @@
   log_end (&line);
 }
 
+/* Logs that the response of RELAY is not read on until its client has caught
+   up.  */
+void
+relay_log_paused (const struct relay *relay)
+{
+  struct log_line line;
+
+  if (!log_begin (&line, LOG_LEVEL_INFO, "attempt", relay->id, "paused"))
+    return;
+  log_text (&line, "target", relay->attempt.target->id);
+  log_number (&line, "buffered_bytes",
+              (int64_t)client_backlog (relay->client));
+  log_number (&line, "limit_bytes", (int64_t)buf_output_max ());
+  log_number (&line, "pool_bytes", (int64_t)buf_pool_used ());
+  log_number (&line, "after_ms",
+              relay->attempt.last_received_ms - relay->attempt.sent_ms);
+  log_end (&line);
+}
+
 /* Logs which version goes on with the stream that RELAY takes up, and the
    ORIGIN of this knowledge.  */
 void
--- a/request/relay_response.c
+++ b/request/relay_response.c
@@ -7,8 +7,7 @@
 
 enum
 {
-  BUFFERED_BODY_MAX_BYTES = 65536,
-  CLIENT_BACKLOG_MAX_BYTES = 262144
+  BUFFERED_BODY_MAX_BYTES = 65536
 };
 
 static int on_head (void *owner, const struct http_head *head, int64_t length);
@@ -105,13 +104,7 @@
     }
   else if (buffer_body (relay, data, length) != 0)
     return -1;
-  if (client_backlog (relay->client) > CLIENT_BACKLOG_MAX_BYTES
-      || client_is_crowded (relay->client))
-    {
-      out_call_pause (relay->attempt.call, 1);
-      relay->attempt.is_paused = 1;
-      relay_arm_timer (relay);
-    }
+  relay_pause_if_slow (relay);
   return 0;
 }
 
@@ -127,7 +120,7 @@
     relay->attempt.buffered_body = g_string_sized_new (length + 1);
   g_string_append_len (relay->attempt.buffered_body, data, (gssize)length);
   if (relay->attempt.buffered_body->len <= BUFFERED_BODY_MAX_BYTES
-      && buf_reserve (&relay->attempt.body_share,
+      && buf_reserve (BUF_RECEIVED, &relay->attempt.body_share,
                       relay->attempt.buffered_body->allocated_len)
              == 0)
     return 0;
@@ -165,15 +158,18 @@
   struct relay *relay = owner;
 
   relay->attempt.call = NULL;
-  relay_handle_fault (relay, relay->attempt.not_run ? RETRY_FAULT_REJECTED
-                                                    : retry_faults[fault]);
+  relay_handle_fault (relay,
+                      relay->attempt.not_run
+                          ? RETRY_FAULT_REJECTED
+                          : relay_pause_fault (relay, retry_faults[fault]));
 }
 
 /* Handles a complete response: delivers it, or handles it as a fault.  */
 static void
 handle_complete_response (struct relay *relay)
 {
-  enum retry_fault fault = relay_response_fault (relay, &relay->attempt);
+  enum retry_fault fault = relay_pause_fault (
+      relay, relay_response_fault (relay, &relay->attempt));
 
   if (!relay->attempt.not_run && !relay->attempt.is_event_stream)
     relay_request_survived (relay);
@@ -259,7 +255,7 @@
                 relay->attempt.buffered_body->len);
   g_string_free (relay->attempt.buffered_body, TRUE);
   relay->attempt.buffered_body = NULL;
-  buf_release (&relay->attempt.body_share);
+  buf_release (BUF_RECEIVED, &relay->attempt.body_share);
 }
 
 /* Sends a piece of the body to the client.  */
--- a/request/relay_silence.c
+++ b/request/relay_silence.c
@@ -242,7 +242,7 @@
   if (relay->kept.is_event_stream
           ? !relay_events_has_complete (*buffer, before)
           : (*buffer)->len <= KEPT_BODY_MAX_BYTES)
-    return buf_reserve (share, (*buffer)->allocated_len);
+    return buf_reserve (BUF_RECEIVED, share, (*buffer)->allocated_len);
   g_string_truncate (*buffer, before);
   cancel_replacement (relay);
   return relay_upstream_ops.data (relay, data, length);
--- a/request/retry.c
+++ b/request/retry.c
@@ -28,6 +28,7 @@
   [RETRY_FAULT_DISCONNECTED] = RETRY_MAY_HAVE_RUN,
   [RETRY_FAULT_READ_TIMEOUT] = RETRY_MAY_HAVE_RUN,
   [RETRY_FAULT_INVALID_RESPONSE] = RETRY_MAY_HAVE_RUN,
+  [RETRY_FAULT_UNREAD] = RETRY_MAY_HAVE_RUN,
 };
 
 const enum metric_counter retry_counters[RETRY_FAULT_COUNT] = {
@@ -37,6 +38,7 @@
   [RETRY_FAULT_DISCONNECTED] = METRIC_RETRY_DISCONNECTED,
   [RETRY_FAULT_READ_TIMEOUT] = METRIC_RETRY_READ_TIMEOUT,
   [RETRY_FAULT_INVALID_RESPONSE] = METRIC_RETRY_INVALID_RESPONSE,
+  [RETRY_FAULT_UNREAD] = METRIC_RETRY_UNREAD,
 };
 
 /* Initializes BUDGET with a reserve for faults before the first deposits.  */
@@ -111,6 +113,7 @@
   if (state->is_stream && state->tokens > 0 && !state->resumes_at_any_target
       && state->resumes < RESUMES_MAX
       && (state->fault == RETRY_FAULT_DISCONNECTED
+          || state->fault == RETRY_FAULT_UNREAD
           || state->fault == RETRY_FAULT_READ_TIMEOUT))
     {
       decision->action = RETRY_RESUME;
