Wait for targets that go on to take a long body

Cause: the read timeout ran from the start of the attempt, so a target that read a body of 4 MB for longer than that counted as silent, and another one was sent the request as well. A complete body also kept up to twice its length.

Change: when the read timeout ends, a target whose host has acknowledged more of an incomplete request since then is waited for, within the deadline. A complete body is cut to its length.

--- a/connection/client.c
+++ b/connection/client.c
@@ -26,6 +26,7 @@
 static int on_head (struct http_reader *reader);
 static int on_data (struct http_reader *reader, const char *data,
                     size_t length);
+static void trim_body (struct client *client, GString *body);
 static void dispatch (struct client *client);
 static void on_timer (struct ev_loop *loop, ev_timer *timer, int events);
 
@@ -219,6 +220,16 @@
   return -1;
 }
 
+/* Frees what BODY, the complete body of CLIENT, has beyond its length, which
+   may be as much again.  */
+static void
+trim_body (struct client *client, GString *body)
+{
+  body->allocated_len = body->len + 1;
+  body->str = g_realloc (body->str, body->allocated_len);
+  (void)buf_reserve (BUF_REQUEST, &client->body_share, body->allocated_len);
+}
+
 /* Passes a complete request to the listener, which may respond during the
    call.  */
 static void
@@ -233,6 +244,8 @@
       = !http_reader_keeps_alive (&client->reader) || listener->is_draining;
   client->reader.head = NULL;
   client->body = NULL;
+  if (body != NULL)
+    trim_body (client, body);
   client->state = CLIENT_RESPONDING;
   client->is_response_complete = 0;
   client->has_received_request = 1;
--- a/connection/outbound.c
+++ b/connection/outbound.c
@@ -2,10 +2,13 @@
    connections. */
 #include <errno.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
 #include <unistd.h>
 
+#include <linux/sockios.h>
+
 #include "ibisloom/outbound.h"
 #include "libsocket.h"
 
@@ -227,6 +230,20 @@
   return call->sent > 0;
 }
 
+/* Returns whether the server is yet to acknowledge a part of the request of
+   CALL, and stores in TAKEN how many bytes it has acknowledged.  */
+int
+out_call_is_sending (const struct out_call *call, uint64_t *taken)
+{
+  int queued = 0;
+
+  if (call->conn->state != CONN_ACTIVE
+      || ioctl (call->conn->io.fd, SIOCOUTQ, &queued) != 0)
+    return 0;
+  *taken = call->sent - (uint64_t)queued;
+  return *taken < call->head->len + call->body_length;
+}
+
 /* Returns whether CALL was started on a connection that had carried an earlier
    call.  */
 int
--- a/include/ibisloom/outbound.h
+++ b/include/ibisloom/outbound.h
@@ -74,6 +74,7 @@
 void out_call_pause (struct out_call *call, int paused);
 int out_call_has_unread_input (const struct out_call *call);
 int out_call_was_sent (const struct out_call *call);
+int out_call_is_sending (const struct out_call *call, uint64_t *taken);
 int out_call_reused_connection (const struct out_call *call);
 
 #endif
--- a/request/librelay.h
+++ b/request/librelay.h
@@ -83,6 +83,7 @@
   uint8_t is_new_connection; /* not a kept one */
   uint8_t is_final; /* the instance that it went through made all attempts */
   struct relay_pause pause;
+  uint64_t taken_bytes;  /* of the request, when its timer was last put off */
   clk_ms first_event_ms; /* 0: no event yet */
   GString *response_fields;
   GString *buffered_body;
@@ -280,6 +281,7 @@
 void relay_drop_kept (struct relay *relay, enum health_event event);
 void relay_end_overlap (struct relay *relay);
 int relay_waits_for_input (struct relay *relay);
+int relay_waits_for_body (struct relay *relay);
 
 /* relay_pause.c */
 void relay_pause_if_slow (struct relay *relay);
--- a/request/relay.c
+++ b/request/relay.c
@@ -235,6 +235,7 @@
   relay->attempt.is_invalid = 0;
   relay->attempt.is_silent = 0;
   memset (&relay->attempt.pause, 0, sizeof relay->attempt.pause);
+  relay->attempt.taken_bytes = 0;
   relay->attempt.input_awaited = 0;
   relay->attempt.first_event_ms = 0;
   relay->attempt.parts_succeeded = 0;
@@ -375,7 +376,7 @@
     }
   if (now < relay->deadline_ms)
     {
-      if (relay_waits_for_input (relay))
+      if (relay_waits_for_input (relay) || relay_waits_for_body (relay))
         return;
       if (relay->attempt.not_run)
         relay_handle_fault (relay, RETRY_FAULT_REJECTED);
--- a/request/relay_silence.c
+++ b/request/relay_silence.c
@@ -181,6 +181,26 @@
   return 1;
 }
 
+/* Puts off RELAY's timer if the target of the current attempt goes on to take
+   the request, which it has yet to receive whole: it is slow, not silent.
+   Returns whether it did so.  The deadline bounds it.  */
+int
+relay_waits_for_body (struct relay *relay)
+{
+  struct relay_attempt *attempt = &relay->attempt;
+  uint64_t taken;
+
+  if (attempt->call == NULL || attempt->target->is_peer
+      || relay->kept.target != NULL || attempt->is_silent || attempt->not_run
+      || !out_call_is_sending (attempt->call, &taken)
+      || taken <= attempt->taken_bytes)
+    return 0;
+  attempt->taken_bytes = taken;
+  attempt->last_received_ms = clk_now (clk_monotonic ());
+  relay_arm_timer (relay);
+  return 1;
+}
+
 /* Handles a sign of life of the current attempt: a response head, an event, or
    a piece of a body that is forwarded.  */
 void
--- a/tests/test_slow_readers.c
+++ b/tests/test_slow_readers.c
@@ -18,6 +18,7 @@
 enum
 {
   RESPONSE_BYTES = 2000000,
+  BODY_BYTES = 4000000,
   CUT_MS = 2000, /* unread for so long, a target cuts a response off */
   SLOW_MS = 4000,
   SLOW_PIECE_BYTES = 1000, /* read every SLOW_PAUSE_MS: 10 KB/s */
@@ -53,6 +54,7 @@
 static void many_slow_clients_leave_others_served (void);
 static void stream_cut_off_unread_is_resumed (void);
 static void client_that_reads_nothing_is_given_up (void);
+static void slow_target_gets_body_once (void);
 
 static const struct test_case cases[] = {
   { "a slow client gets all of a response that is cut off if unread",
@@ -63,6 +65,8 @@
     stream_cut_off_unread_is_resumed },
   { "a client that reads nothing is given up, a slow one is not",
     client_that_reads_nothing_is_given_up },
+  { "a target that reads a body slowly gets it once",
+    slow_target_gets_body_once },
 };
 
 TEST_MAIN ("slow_readers", cases)
@@ -411,3 +415,43 @@
   close_many (fds, 2);
   fx_env_stop ();
 }
+
+/* Guards against a target that is slow to read a body being taken for a silent
+   one.  Targets of the fixture read byte by byte.  */
+static void
+slow_target_gets_body_once (void)
+{
+  struct fx_target *targets[2];
+  char *body = g_strnfill (BODY_BYTES, 'x');
+  char *text = g_strdup_printf (
+      REQUEST ("POST", "/map/1", "b") "Content-Length: %d\r\n\r\n%s",
+      BODY_BYTES, body);
+  int bytes = TARGET_BUFFER_BYTES;
+  clk_ms without;
+  char *response;
+  int fd;
+
+  targets[0] = fx_target_add ("d-1", "desk", shop_respond_ok);
+  targets[1] = fx_target_add ("d-2", "desk", shop_respond_ok);
+  for (int i = 0; i < 2; i++)
+    setsockopt (targets[i]->listener, SOL_SOCKET, SO_RCVBUF, &bytes,
+                sizeof bytes);
+  fx_target_add ("p-1", "pool", shop_stream_events);
+  start_router ("");
+  without = serve_others ();
+  fd = fx_connect ();
+  fx_send (fd, text);
+  CU_ASSERT (serve_others () <= without + SLACK_MS);
+  CU_ASSERT (fx_router_metric (0, "ibisloom_buffered_request_bytes")
+             < BODY_BYTES + EVENT_BYTES);
+  response = fx_read_all (fd);
+  CU_ASSERT (g_str_has_prefix (response, "HTTP/1.1 200"));
+  CU_ASSERT_EQUAL (fx_router_metric (0, "ibisloom_tries_total"),
+                   2 * OTHERS + 1);
+  CU_ASSERT_EQUAL (
+      fx_router_metric (0, "ibisloom_retries_total{reason=\"silent\"}"), 0);
+  g_free (response);
+  fx_env_stop ();
+  g_free (text);
+  g_free (body);
+}
