--- a/connection/client.c
+++ b/connection/client.c
@@ -16,7 +16,6 @@
   UNREAD_MS = 50,              /* time for input that has arrived to be read */
   CLOSE_TIMEOUT_MS = 1000,     /* time for the client to read the response and
                                   close the connection */
-  USER_TIMEOUT_MS = 10000,     /* limit for sent data to be acknowledged */
   KEEPALIVE_IDLE_S = 5
 };
 
@@ -27,6 +26,7 @@
 static int on_head (struct http_reader *reader);
 static int on_data (struct http_reader *reader, const char *data,
                     size_t length);
+static void trim_body (struct client *client, GString *body);
 static void dispatch (struct client *client);
 static void on_timer (struct ev_loop *loop, ev_timer *timer, int events);
 
@@ -40,7 +40,7 @@
 {
   struct client *client = g_new0 (struct client, 1);
 
-  sock_set_options (fd, USER_TIMEOUT_MS, KEEPALIVE_IDLE_S);
+  sock_set_options (fd, CLIENT_USER_TIMEOUT_MS, KEEPALIVE_IDLE_S);
   client->listener = listener;
   client->link.data = client;
   g_queue_push_tail_link (&listener->clients, &client->link);
@@ -73,9 +73,9 @@
     g_string_free (client->body, TRUE);
   if (client->pipelined != NULL)
     g_string_free (client->pipelined, TRUE);
-  client_free_output (client);
+  client_output_clear (&client->output);
   client_free_head (client);
-  buf_release (&client->body_share);
+  buf_release (BUF_REQUEST, &client->body_share);
   g_free (client);
 }
 
@@ -209,16 +209,27 @@
   if (client->body->len + length > client->listener->limits.body_max_bytes)
     return -1;
   g_string_append_len (client->body, data, (gssize)length);
-  client->is_crowded
-      = buf_reserve (&client->body_share, client->body->allocated_len) != 0;
+  client->is_crowded = buf_reserve (BUF_REQUEST, &client->body_share,
+                                    client->body->allocated_len)
+                       != 0;
   if (!client->is_crowded)
     return 0;
   g_string_free (client->body, TRUE);
   client->body = NULL;
-  buf_release (&client->body_share);
+  buf_release (BUF_REQUEST, &client->body_share);
   return -1;
 }
 
+/* Frees what BODY, the complete body of CLIENT, has beyond its length, which
+   may be as much again.  */
+static void
+trim_body (struct client *client, GString *body)
+{
+  body->allocated_len = body->len + 1;
+  body->str = g_realloc (body->str, body->allocated_len);
+  (void)buf_reserve (BUF_REQUEST, &client->body_share, body->allocated_len);
+}
+
 /* Passes a complete request to the listener, which may respond during the
    call.  */
 static void
@@ -233,6 +244,8 @@
       = !http_reader_keeps_alive (&client->reader) || listener->is_draining;
   client->reader.head = NULL;
   client->body = NULL;
+  if (body != NULL)
+    trim_body (client, body);
   client->state = CLIENT_RESPONDING;
   client->is_response_complete = 0;
   client->has_received_request = 1;
@@ -260,7 +273,7 @@
   client->request = NULL;
   client->is_response_complete = 1;
   client->listener->pending_requests--;
-  buf_release (&client->body_share);
+  buf_release (BUF_REQUEST, &client->body_share);
   if (!client->in_handler)
     client_next_request (client);
 }
@@ -273,7 +286,6 @@
 
   if (client_backlog (client) > 0)
     return;
-  client_free_output (client);
   /* A request that was read before a shutdown began gets a response.  */
   if (client->close_after
       || (client->listener->is_draining && pipelined == NULL))
@@ -309,7 +321,7 @@
 /* Closes a connection that is idle for too long or was not closed in time by
    the client.  A client that has sent part of a request gets status 408.  A
    request that has arrived but was not read, as the process stood still, is
-   read first.  */
+   read first.  A client that is yet to read its response is looked at.  */
 static void
 on_timer (struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -317,7 +329,9 @@
 
   (void)loop;
   (void)events;
-  if (client->state == CLIENT_READING && client->reader.head != NULL)
+  if (client->state != CLIENT_READING && client_backlog (client) > 0)
+    client_check_reading (client);
+  else if (client->state == CLIENT_READING && client->reader.head != NULL)
     reject_request (client, HTTP_STATUS_REQUEST_TIMEOUT);
   else if (client->state == CLIENT_READING
            && !sock_is_idle (client->readable.fd))
--- a/include/ibisloom/settings.h
+++ b/include/ibisloom/settings.h
@@ -55,6 +55,7 @@
   /* Contexts up to this length are kept in each failure domain. */
   int64_t local_context_tokens;
   double grace_s; /* from the stop signal until the process is killed */
+  int64_t client_stall_ms; /* until a client that reads nothing is given up */
   int64_t admission_queue; /* 1: requests queue where capacity is scarce */
   int64_t work_aware;      /* 1: targets are chosen by when they would begin */
   int64_t load_relays; /* 1: load updates cross failure domains by relays */
