Pass over a holder only when the route's objective is at risk

Cause: a holder was passed over for a difference of a twentieth of the objective, though the target chosen in its place keeps the context once more.

Change: that takes a quarter of the objective now; homes and targets without a context are compared as before.

Measured: test_work 13 of 13, test_balance 33 of 33, test_local 6 of 6, test_busy 1 of 1.

--- a/include/ibisloom/work.h
+++ b/include/ibisloom/work.h
@@ -96,5 +96,6 @@
 int work_has_read (const struct work *work, uint32_t tokens, clk_ms now);
 int64_t work_age_ms (const struct work *work, clk_ms now);
 double work_notice_ms (int64_t objective_ms);
+double work_detour_ms (int64_t objective_ms);
 
 #endif
--- a/request/balance.c
+++ b/request/balance.c
@@ -90,7 +90,8 @@
   choice->limit = bal_load_limit (params, choice->mean);
   choice->begin_ms = 0;
   choice->begin_limit_ms
-      = bal_soonest_ms (params, candidates, count, choice->limit, READ_SHARE);
+      = bal_soonest_ms (params, candidates, count, choice->limit, READ_SHARE)
+        + MAX (params->detour_ms, params->notice_ms);
   choice->reason = BAL_NO_TARGET;
   choice->skip = BAL_SKIP_NONE;
   choice->other_home = 0;
@@ -262,7 +263,8 @@
   double best = INFINITY;
   double filled_max = bal_highest_fill (candidates, count);
   double begin_limit_ms
-      = bal_soonest_ms (params, candidates, count, choice->limit, 0);
+      = bal_soonest_ms (params, candidates, count, choice->limit, 0)
+        + params->notice_ms;
 
   for (size_t n = 0; n < count; n++)
     {
--- a/request/balance_skip.c
+++ b/request/balance_skip.c
@@ -119,11 +119,11 @@
   return has_rate_limits (candidates, count) ? SLOTS_FILLED_MAX : INFINITY;
 }
 
-/* Returns the time up to which a target may begin, noticeably after the
-   soonest of the COUNT CANDIDATES within LIMIT, the load bound; infinity if no
-   times are known.  READ_SHARE of what reading the context there takes is
-   added: it delays others.  A target that fails, or is warming up, may be slow
-   whatever it has to read, and one without a free slot lets requests wait.  */
+/* Returns when the soonest of the COUNT CANDIDATES within LIMIT, the load
+   bound, would begin; infinity if no times are known.  READ_SHARE of what
+   reading the context there takes is added: it delays others.  A target that
+   fails, or is warming up, may be slow whatever it has to read, and one
+   without a free slot lets requests wait.  */
 double
 bal_soonest_ms (const struct bal_params *params,
                 const struct bal_candidate *candidates, size_t count,
@@ -150,7 +150,7 @@
                  == BAL_SKIP_NONE)
         soonest = begin_ms;
     }
-  return soonest + params->notice_ms;
+  return soonest;
 }
 
 /* Returns whether a request with PARAMS may be sent to CANDIDATE while others
--- a/request/relay_work.c
+++ b/request/relay_work.c
@@ -36,6 +36,7 @@
     return;
   find_holders (relay, now, &holders);
   selection->params.notice_ms = work_notice_ms (relay->route->objective_ms);
+  selection->params.detour_ms = work_detour_ms (relay->route->objective_ms);
   for (size_t i = 0; i < selection->count; i++)
     {
       const struct reg_target *target = selection->targets[i];
--- a/request/work.c
+++ b/request/work.c
@@ -24,6 +24,7 @@
   COPY_TOKENS = 256, /* read in the time in which a copy begins; as source.c */
   COPY_DIVISOR = 8,  /* tokens copied while one is read; assumed */
   NOTICE_DIVISOR = 20, /* part of its objective that a caller would notice */
+  DETOUR_DIVISOR = 4,  /* part of it for which a context is kept once more */
   NOTICE_MIN_MS = 5,
   NOTICE_MAX_MS = 50,
   NOTICE_DEFAULT_MS = 25
@@ -330,3 +331,14 @@
     return NOTICE_DEFAULT_MS;
   return (double)MAX (MIN (notice_ms, NOTICE_MAX_MS), NOTICE_MIN_MS);
 }
+
+/* Returns by how much sooner a request of a route with OBJECTIVE_MS, 0 for
+   none, must begin elsewhere for a holder of its context to be passed over:
+   the target that gets it instead has to read or copy the context and keeps it
+   once more, which no caller gains from before the objective is at risk.  */
+double
+work_detour_ms (int64_t objective_ms)
+{
+  return MAX ((double)objective_ms / DETOUR_DIVISOR,
+              work_notice_ms (objective_ms));
+}
