Mend what a reading of the merged parts found

An instance with seeds and no peers ended by a division by zero once a target said that it leaves, and at its first heartbeat without optimisation.

Others: the reading speed of a target that had faded came back with the next observation; an instance whose clock was set back was heard, but its loads were not, after a relay had told a later incarnation; what a target asked as a pause counted as a rejection of a brittle one; a message without tokens pushed out the tokens of another instance; contexts of no tokens counted as short with local_context_tokens: 0; over_limit was logged each millisecond; the log of a pause read the notice of another process; broadcasts of leaving targets did not slow down with the size of the fleet.

--- a/connection/client_response.c
+++ b/connection/client_response.c
@@ -50,6 +50,7 @@
   if (client->close_after)
     g_string_append (head, "Connection: close\r\n");
   g_string_append (head, "\r\n");
+  g_assert (client->head == NULL);
   client->head = head;
 }
 
--- a/process/fleet_leaving.c
+++ b/process/fleet_leaving.c
@@ -15,7 +15,9 @@
 {
   /* Between two broadcasts, which a large fleet leaving at once would ask for
      at each response; the rest follows with the next response or heartbeat. */
-  TELL_INTERVAL_MS = 10
+  TELL_INTERVAL_MS = 10,
+  /* Limits these broadcasts to 2,000 datagrams per second.  */
+  TELL_DATAGRAMS_PER_MS = 2
 };
 
 /* Names in the log of how a notice was learned, or why it no longer holds.  */
@@ -140,12 +142,14 @@
 {
   const GArray *leaves = fleet->leaves;
   struct wire_message message = { .kind = WIRE_LEAVES };
-  uint64_t turn = fleet->heartbeat_count / fleet_heartbeat_stride (fleet);
   guint parts = (leaves->len + WIRE_LEAVES_MAX - 1) / WIRE_LEAVES_MAX;
+  uint64_t turn;
   guint first;
 
   if (leaves->len == 0)
     return;
+  /* The stride is 0 without peers, when heartbeats go to seeds.  */
+  turn = fleet->heartbeat_count / MAX (fleet_heartbeat_stride (fleet), 1);
   first = (guint)(turn % parts) * WIRE_LEAVES_MAX;
   for (guint i = first; i < MIN (first + WIRE_LEAVES_MAX, leaves->len); i++)
     add_to_message (fleet, &message.u.leaves,
@@ -236,9 +240,12 @@
 tell (struct fleet *fleet, clk_ms now)
 {
   struct wire_message message = { .kind = WIRE_LEAVES };
+  int64_t interval_ms
+      = MAX (g_hash_table_size (fleet->peers) / TELL_DATAGRAMS_PER_MS,
+             TELL_INTERVAL_MS);
   guint i = 0;
 
-  if (now - fleet->leaves_told_ms < TELL_INTERVAL_MS)
+  if (now - fleet->leaves_told_ms < interval_ms)
     return;
   for (; i < fleet->leaves->len && message.u.leaves.count < WIRE_LEAVES_MAX;
        i++)
--- a/process/fleet_pause.c
+++ b/process/fleet_pause.c
@@ -4,7 +4,8 @@
 #include "ibisloom/metrics.h"
 #include "libfleet.h"
 
-static void log_pause (const struct reg_target *target, const char *reason,
+static void log_pause (const struct reg_target *target,
+                       const struct pause_notice *notice, const char *reason,
                        int64_t asked_ms, clk_ms now);
 
 /* Handles that the PROCESS of TARGET, as counted when a request was sent
@@ -21,11 +22,11 @@
   if (notice == NULL || !pause_begin (notice, asked_ms, now))
     return;
   metric_inc (METRIC_PAUSES_BEGUN);
-  log_pause (target, "begun", asked_ms, now);
+  log_pause (target, notice, "begun", asked_ms, now);
   if (!is_capped)
     return;
   metric_inc (METRIC_PAUSES_CAPPED);
-  log_pause (target, "capped", asked_ms, now);
+  log_pause (target, notice, "capped", asked_ms, now);
 }
 
 /* Does the work that is due with each heartbeat: records which pauses have
@@ -42,17 +43,16 @@
       if (!pause_end (&target->notice, now))
         continue;
       metric_inc (METRIC_PAUSES_ENDED);
-      log_pause (target, "ended", 0, now);
+      log_pause (target, &target->notice, "ended", 0, now);
     }
 }
 
-/* Logs what has become of the pause of TARGET, as REASON, which asked for
-   ASKED_MS, or has ended.  */
+/* Logs what has become of the pause in NOTICE, of a process of TARGET, as
+   REASON, which asked for ASKED_MS, or has ended.  */
 static void
-log_pause (const struct reg_target *target, const char *reason,
-           int64_t asked_ms, clk_ms now)
+log_pause (const struct reg_target *target, const struct pause_notice *notice,
+           const char *reason, int64_t asked_ms, clk_ms now)
 {
-  const struct pause_notice *notice = &target->notice;
   struct log_line line;
 
   if (!log_begin (&line, LOG_LEVEL_INFO, "pause", NULL, reason))
--- a/process/fleet_relay.c
+++ b/process/fleet_relay.c
@@ -177,6 +177,9 @@
 {
   int is_limited;
 
+  /* A limit that lasts is logged once.  */
+  if (fleet->forward_credit > FORWARD_BURST / 2)
+    fleet->is_forward_limited = 0;
   fleet->forward_credit
       = MIN (fleet->forward_credit
                  + (now - fleet->forward_credit_ms) * FORWARDS_PER_MS,
@@ -187,7 +190,7 @@
     log_warn ("relay", NULL, "over_limit",
               "more load updates to pass on than %d datagrams per ms",
               FORWARDS_PER_MS);
-  fleet->is_forward_limited = is_limited != 0;
+  fleet->is_forward_limited |= is_limited != 0;
   return !is_limited;
 }
 
--- a/process/fleet_send.c
+++ b/process/fleet_send.c
@@ -114,11 +114,9 @@
           || g_hash_table_size (fleet->peers) >= FLEET_PEERS_MAX)
         continue;
       peer = fleet_get_peer (fleet, message.sender);
+      answer_older (fleet, peer, &message, &from);
       if (is_older (peer, &message))
-        {
-          answer_older (fleet, peer, &message, &from);
-          continue;
-        }
+        continue;
       if (message.incarnation != peer->incarnation)
         peer->capability_rounds = 0;
       peer->incarnation = message.incarnation;
@@ -139,18 +137,20 @@
 }
 
 /* Answers MESSAGE of PEER, received from FROM, if it is a heartbeat of an
-   earlier incarnation: its process may have started later, after its time of
-   day went back.  */
+   earlier incarnation than one that PEER itself or a relay has told: its
+   process may have started later, after its time of day went back.  */
 static void
 answer_older (struct fleet *fleet, const struct fleet_peer *peer,
               const struct wire_message *message,
               const struct sockaddr_in *from)
 {
   struct wire_message answer
-      = { .kind = WIRE_INCARNATION, .u.incarnation.known = peer->incarnation };
+      = { .kind = WIRE_INCARNATION,
+          .u.incarnation.known
+          = MAX (peer->incarnation, peer->loads_incarnation) };
 
   if (message->kind == WIRE_HEARTBEAT
-      && message->incarnation < peer->incarnation)
+      && message->incarnation < answer.u.incarnation.known)
     fleet_send (fleet, from, &answer);
 }
 
--- a/request/relay_fault.c
+++ b/request/relay_fault.c
@@ -124,7 +124,7 @@
     }
   else if (fault != RETRY_FAULT_REJECTED)
     relay->may_have_run = 1;
-  else if (is_brittle (relay))
+  else if (is_brittle (relay) && !relay->attempt.asked_pause)
     relay->rejections++;
   else if (relay_wait_is_rejection (relay))
     relay_wait_reject (relay);
--- a/request/relay_target.c
+++ b/request/relay_target.c
@@ -60,7 +60,8 @@
           .rate_min = rate_min (relay),
           .may_try = may_try (relay),
           .prefers_local
-          = relay->context_tokens <= router->settings->local_context_tokens,
+          = router->settings->local_context_tokens > 0
+            && relay->context_tokens <= router->settings->local_context_tokens,
           .random = g_rand_int (router->random) };
 
   selection->candidates = candidates;
--- a/request/work.c
+++ b/request/work.c
@@ -45,6 +45,9 @@
    to read more: a request without a first event is not finished.  */
 static const double UNREAD_SHARE_MIN = 0.25;
 
+static uint32_t told_tokens (const struct work_told *told, clk_ms now);
+static struct work_told *find_told (struct work *work, uint32_t sender,
+                                    int is_added, clk_ms now);
 static uint64_t pending_tokens (const struct work *work, clk_ms now);
 static void change_backlog (struct work *work,
                             const struct work_speed *service, double added,
@@ -79,7 +82,7 @@
 
   change_backlog (work, service, tokens, now);
   work->own_tokens += tokens;
-  return (uint32_t)ahead;
+  return (uint32_t)MIN (ahead, (double)UINT32_MAX);
 }
 
 /* Ends what work_start counted: the target has responded, or the request has
@@ -106,8 +109,7 @@
       || (may_be_copied && service->tokens_per_ms > 0
           && observed > service->tokens_per_ms * COPIED_FACTOR))
     return;
-  if (work->speed.tokens_per_ms <= 0)
-    work->speed.tokens_per_ms = service->tokens_per_ms;
+  work->speed.tokens_per_ms = base_speed (work, service, now);
   average (service, observed, SERVICE_WEIGHT, now);
   average (&work->speed, observed, TARGET_WEIGHT, now);
 }
@@ -128,37 +130,53 @@
                             * weight;
 }
 
-/* Records that the instance SENDER has requests with so many unread TOKENS at
-   the target.  The oldest of too many entries is replaced.  */
-void
-work_hear (struct work *work, const struct work_speed *service,
-           uint32_t sender, uint32_t tokens, clk_ms now)
+/* Returns the tokens of TOLD that count at NOW.  */
+static uint32_t
+told_tokens (const struct work_told *told, clk_ms now)
 {
-  struct work_told *entry = NULL;
-  uint32_t before;
+  return now - told->told_ms < TOLD_MS ? told->tokens : 0;
+}
+
+/* Returns the entry of SENDER in WORK, or one for it in place of that with the
+   fewest tokens at NOW, or NULL if it has none and is to get none.  */
+static struct work_told *
+find_told (struct work *work, uint32_t sender, int is_added, clk_ms now)
+{
+  struct work_told *fewest = NULL;
 
   for (uint32_t i = 0; i < work->told_count; i++)
     {
       struct work_told *told = &work->told[i];
 
-      if (entry == NULL || told->told_ms < entry->told_ms)
-        entry = told;
-      if (told->sender != sender)
-        continue;
-      entry = told;
-      break;
-    }
-  if ((entry == NULL || entry->sender != sender)
-      && work->told_count < WORK_TOLD_MAX)
-    {
-      entry = &work->told[work->told_count++];
-      *entry = (struct work_told){ .sender = sender };
+      if (told->sender == sender)
+        return told;
+      if (fewest == NULL
+          || told_tokens (told, now) < told_tokens (fewest, now))
+        fewest = told;
     }
-  before = entry->sender == sender && now - entry->told_ms < TOLD_MS
-               ? entry->tokens
-               : 0;
+  if (!is_added)
+    return NULL;
+  if (work->told_count < WORK_TOLD_MAX)
+    fewest = &work->told[work->told_count++];
+  *fewest = (struct work_told){ .sender = sender };
+  return fewest;
+}
+
+/* Records that the instance SENDER has requests with so many unread TOKENS at
+   the target.  */
+void
+work_hear (struct work *work, const struct work_speed *service,
+           uint32_t sender, uint32_t tokens, clk_ms now)
+{
+  struct work_told *told = find_told (work, sender, tokens > 0, now);
+  uint32_t before;
+
+  if (told == NULL)
+    return;
+  before = told_tokens (told, now);
   change_backlog (work, service, tokens > before ? tokens - before : 0, now);
-  *entry = (struct work_told){ sender, tokens, now };
+  told->tokens = tokens;
+  told->told_ms = now;
 }
 
 /* Records the SLOWNESS that the target reported at NOW.  */
@@ -215,8 +233,7 @@
   uint64_t tokens = work->own_tokens;
 
   for (uint32_t i = 0; i < work->told_count; i++)
-    if (now - work->told[i].told_ms < TOLD_MS)
-      tokens += work->told[i].tokens;
+    tokens += told_tokens (&work->told[i], now);
   return tokens;
 }
 
