Use the field's terms in the new parts

Nothing changes but names: backpressure for responses that wait for a slow client (a pause is what a target asks for), significant_ms for a difference that a caller notices (a notice is what a target has said), reports of unread tokens, and load_relay in metrics and log lines, as relay_ means a relayed request elsewhere.

--- a/include/ibisloom/balance.h
+++ b/include/ibisloom/balance.h
@@ -50,7 +50,7 @@
   uint32_t evacuated_count;
   double evacuated_load;
   double rate_min;       /* tokens that a target with a rate limit must have */
-  double notice_ms;      /* difference of begin_ms that counts; 0: none does */
+  double significant_ms; /* difference of begin_ms that counts; 0: none does */
   double detour_ms;      /* the same, for which a holder is passed over */
   uint8_t is_pinned;     /* few targets will do: full and suspended ones too */
   uint8_t ignores_pace;  /* no target is left without the pace */
--- a/include/ibisloom/metrics.h
+++ b/include/ibisloom/metrics.h
@@ -75,11 +75,12 @@
   METRIC_CUT_OFF,         /* times that it was cut off from a service */
   METRIC_ROOM_REJECTIONS, /* requests that brittle targets turned away */
   /* Load updates of instances in other failure domains.  */
-  METRIC_RELAY_FORWARDED, /* passed on to the own domain */
-  METRIC_RELAY_LIMITED,   /* not passed on: over the limit of datagrams */
-  METRIC_RELAY_APPLIED,   /* received from a relay */
-  METRIC_RELAY_OLD,       /* the same, but older than what was known */
-  METRIC_RELAY_UNKNOWN,   /* the same, but of an unknown or silent instance */
+  METRIC_LOAD_RELAY_FORWARDED, /* passed on to the own domain */
+  METRIC_LOAD_RELAY_LIMITED,   /* not passed on: over the limit of datagrams */
+  METRIC_LOAD_RELAY_APPLIED,   /* received from a relay */
+  METRIC_LOAD_RELAY_OLD,       /* the same, but older than what was known */
+  METRIC_LOAD_RELAY_UNKNOWN, /* the same, but of an unknown or silent instance
+                              */
   /* Limits of targets that have started or recovered.  */
   METRIC_PACES_BEGUN,
   METRIC_PACES_REDUCED, /* for what this instance has seen */
--- a/include/ibisloom/registry.h
+++ b/include/ibisloom/registry.h
@@ -183,8 +183,8 @@
 struct pause_notice *reg_find_notice (struct registry *registry,
                                       struct reg_target *target,
                                       uint32_t process);
-int reg_hear_leaving (struct reg_target *target, uint64_t incarnation,
-                      struct position position);
+int reg_apply_leaving (struct reg_target *target, uint64_t incarnation,
+                       struct position position);
 
 /* registry_evacuated.c */
 uint32_t reg_set_evacuated (struct registry *registry, uint64_t failure_domain,
--- a/include/ibisloom/work.h
+++ b/include/ibisloom/work.h
@@ -9,7 +9,7 @@
 
 enum
 {
-  WORK_TOLD_MAX = 8,         /* instances with much to be read at a target */
+  WORK_REPORTS_MAX = 8,      /* instances with much to be read at a target */
   WORK_TOKENS_MAX = 1000000, /* counted of one prompt, whatever it names */
   /* Tokens worth telling to other instances; they take about 40 ms to read on
      the engines known.  */
@@ -25,7 +25,7 @@
 };
 
 /* Tokens that another instance has at a target. */
-struct work_told
+struct work_report
 {
   uint32_t sender;
   uint32_t tokens;
@@ -40,7 +40,7 @@
   uint64_t announced;  /* value of own_tokens last told to the peers */
   clk_ms announced_ms; /* when it was told */
   uint32_t told_count;
-  struct work_told told[WORK_TOLD_MAX];
+  struct work_report told[WORK_REPORTS_MAX];
   double backlog;    /* tokens still to be read, estimated at BACKLOG_MS */
   clk_ms backlog_ms; /* last change of what is pending; 0: none */
   struct work_speed speed;
@@ -79,11 +79,11 @@
 void work_observe (struct work *work, struct work_speed *service,
                    uint64_t tokens, int64_t elapsed_ms, int may_be_copied,
                    clk_ms now);
-void work_hear (struct work *work, const struct work_speed *service,
-                uint32_t sender, uint32_t tokens, clk_ms now);
+void work_set_reported (struct work *work, const struct work_speed *service,
+                        uint32_t sender, uint32_t tokens, clk_ms now);
 void work_report_slowness (struct work *work, int32_t slowness, clk_ms now);
 void work_reset (struct work *work);
-int work_is_news (const struct work *work, clk_ms now);
+int work_needs_update (const struct work *work, clk_ms now);
 uint32_t work_announce (struct work *work, clk_ms now);
 double work_slowness (const struct work *work, clk_ms now);
 double work_speed (const struct work *work, const struct work_speed *service,
@@ -95,7 +95,7 @@
                                     enum work_access access, clk_ms now);
 int work_has_read (const struct work *work, uint32_t tokens, clk_ms now);
 int64_t work_age_ms (const struct work *work, clk_ms now);
-double work_notice_ms (int64_t objective_ms);
+double work_significant_ms (int64_t objective_ms);
 double work_detour_ms (int64_t objective_ms);
 
 #endif
--- a/process/fleet_leaving.c
+++ b/process/fleet_leaving.c
@@ -33,11 +33,11 @@
   uint64_t target;
   uint64_t incarnation;
   uint32_t process; /* see struct reg_target; for incarnation 0 */
-  uint8_t is_untold;
+  uint8_t is_unsent;
 };
 
 static void add_leave (struct fleet *fleet, const struct reg_target *target,
-                       int is_untold, const char *from);
+                       int is_unsent, const char *from);
 static int find (const GArray *leaves, const struct leave *leave);
 static void log_end_of (const struct fleet *fleet, const struct leave *leave);
 static void add_to_message (const struct fleet *fleet,
@@ -91,7 +91,7 @@
           = reg_find_hash (fleet->registry, told->target);
 
       if (target == NULL
-          || !reg_hear_leaving (target, told->incarnation, told->position))
+          || !reg_apply_leaving (target, told->incarnation, told->position))
         continue;
       metric_inc (METRIC_LEAVES_TOLD);
       add_leave (fleet, target, 0, from_peer);
@@ -160,14 +160,14 @@
 
 /* Adds to what is known that TARGET is leaving, learned FROM there.  */
 static void
-add_leave (struct fleet *fleet, const struct reg_target *target, int is_untold,
+add_leave (struct fleet *fleet, const struct reg_target *target, int is_unsent,
            const char *from)
 {
   const struct leave leave
       = { .target = target->hash,
           .incarnation = target->notice.process.incarnation,
           .process = target->process,
-          .is_untold = (uint8_t)is_untold };
+          .is_unsent = (uint8_t)is_unsent };
   struct log_line line;
 
   g_array_append_val (fleet->leaves, leave);
@@ -252,9 +252,9 @@
     {
       struct leave *leave = &g_array_index (fleet->leaves, struct leave, i);
 
-      if (!leave->is_untold)
+      if (!leave->is_unsent)
         continue;
-      leave->is_untold = 0;
+      leave->is_unsent = 0;
       add_to_message (fleet, &message.u.leaves, leave);
     }
   if (message.u.leaves.count == 0)
--- a/process/fleet_load.c
+++ b/process/fleet_load.c
@@ -182,13 +182,13 @@
 
   if (origin == NULL
       || fleet_is_silent (fleet, origin, clk_now (clk_monotonic ())))
-    metric_inc (METRIC_RELAY_UNKNOWN);
+    metric_inc (METRIC_LOAD_RELAY_UNKNOWN);
   else if (relayed->incarnation >= origin->incarnation
            && merge_loads (fleet, origin, relayed->incarnation,
                            relayed->sequence, &relayed->loads))
-    metric_inc (METRIC_RELAY_APPLIED);
+    metric_inc (METRIC_LOAD_RELAY_APPLIED);
   else
-    metric_inc (METRIC_RELAY_OLD);
+    metric_inc (METRIC_LOAD_RELAY_OLD);
 }
 
 /* Replaces those counts of PEER that are in LOADS, from its datagram SEQUENCE
--- a/process/fleet_relay.c
+++ b/process/fleet_relay.c
@@ -162,12 +162,12 @@
     return;
   if (!may_forward (fleet, clk_now (clk_monotonic ())))
     {
-      metric_inc (METRIC_RELAY_LIMITED);
+      metric_inc (METRIC_LOAD_RELAY_LIMITED);
       return;
     }
   fleet->forward_credit
       -= fleet_send_each (fleet, &message, gets_forward, NULL);
-  metric_inc (METRIC_RELAY_FORWARDED);
+  metric_inc (METRIC_LOAD_RELAY_FORWARDED);
 }
 
 /* Returns whether the limit on what a relay passes on allows an update at NOW.
@@ -187,7 +187,7 @@
   fleet->forward_credit_ms = now;
   is_limited = fleet->forward_credit <= 0;
   if (is_limited && !fleet->is_forward_limited)
-    log_warn ("relay", NULL, "over_limit",
+    log_warn ("load_relay", NULL, "over_limit",
               "more load updates to pass on than %d datagrams per ms",
               FORWARDS_PER_MS);
   fleet->is_forward_limited |= is_limited != 0;
@@ -299,7 +299,7 @@
 
   relay->id = peer != NULL ? peer->id : 0;
   if (relay->id == before
-      || !log_begin (&line, LOG_LEVEL_INFO, "relay", NULL,
+      || !log_begin (&line, LOG_LEVEL_INFO, "load_relay", NULL,
                      peer != NULL ? "chosen" : "none"))
     return;
   log_hash (&line, "domain_hash", relay->domain);
--- a/process/fleet_work.c
+++ b/process/fleet_work.c
@@ -1,10 +1,10 @@
 /* Tokens still to be read at the targets, as the other instances report them.
 
-   Only much is told: a prompt that a target reads for as long as a caller
-   notices.  An instance tells of it at once, and again when it has been read;
-   what changes meanwhile goes into the same datagram.  An amount counts at the
-   receiver for some seconds only (work.c), so that neither a lost datagram nor
-   an instance that has ended leaves one behind.  */
+   Only amounts of WORK_TELL_TOKENS or more are sent: fewer are read before a
+   caller notices.  An instance sends an amount at once, and again when it has
+   been read; what changes meanwhile goes into the same datagram.  An amount
+   counts at the receiver for some seconds only (work.c), so that neither a
+   lost datagram nor an instance that has ended leaves one behind.  */
 #include "libfleet.h"
 
 enum
@@ -21,15 +21,15 @@
 void
 fleet_work_init (struct fleet *fleet)
 {
-  ev_timer_init (&fleet->work, on_due, 0, 0);
-  fleet->work.data = fleet;
+  ev_timer_init (&fleet->work_timer, on_due, 0, 0);
+  fleet->work_timer.data = fleet;
 }
 
 /* Undoes fleet_work_init.  */
 void
 fleet_work_clear (struct fleet *fleet)
 {
-  ev_timer_stop (fleet->loop, &fleet->work);
+  ev_timer_stop (fleet->loop, &fleet->work_timer);
 }
 
 /* Handles a change of this instance's unread tokens at TARGET.  */
@@ -39,7 +39,7 @@
   clk_ms now = clk_now (clk_monotonic ());
 
   if (fleet->settings->work_aware && target->registry != NULL
-      && work_is_news (&target->work, now))
+      && work_needs_update (&target->work, now))
     schedule (fleet, now);
 }
 
@@ -55,7 +55,7 @@
     {
       const struct reg_target *target = g_ptr_array_index (targets, i);
 
-      if (work_is_news (&target->work, now))
+      if (work_needs_update (&target->work, now))
         schedule (fleet, now);
     }
 }
@@ -68,10 +68,10 @@
       = MAX (g_hash_table_size (fleet->peers) / TOLD_PER_MS, TELL_INTERVAL_MS);
   clk_ms due_ms = MAX (now, fleet->work_told_ms + interval_ms);
 
-  if (ev_is_active (&fleet->work))
+  if (ev_is_active (&fleet->work_timer))
     return;
-  ev_timer_set (&fleet->work, (double)(due_ms - now) / CLK_MS_PER_S, 0);
-  ev_timer_start (fleet->loop, &fleet->work);
+  ev_timer_set (&fleet->work_timer, (double)(due_ms - now) / CLK_MS_PER_S, 0);
+  ev_timer_start (fleet->loop, &fleet->work_timer);
 }
 
 /* Tells the peers what has changed; what does not fit follows.  */
@@ -90,7 +90,7 @@
     {
       struct reg_target *target = g_ptr_array_index (targets, i);
 
-      if (!work_is_news (&target->work, now))
+      if (!work_needs_update (&target->work, now))
         continue;
       work->item[work->count].target = target->hash;
       work->item[work->count++].tokens = work_announce (&target->work, now);
@@ -116,7 +116,7 @@
           = reg_find_hash (fleet->registry, work->item[i].target);
 
       if (target != NULL)
-        work_hear (&target->work, target->work_service, peer->id,
-                   work->item[i].tokens, now);
+        work_set_reported (&target->work, target->work_service, peer->id,
+                           work->item[i].tokens, now);
     }
 }
--- a/process/libfleet.h
+++ b/process/libfleet.h
@@ -122,7 +122,7 @@
   clk_ms forward_credit_ms;
   uint8_t is_forward_limited;
   uint8_t has_told_capabilities;
-  ev_timer work;       /* until the next datagram on unread tokens is sent */
+  ev_timer work_timer; /* until the next datagram on unread tokens is sent */
   clk_ms work_told_ms; /* time of the last one */
   uint8_t affinity_received; /* the table of another instance has arrived */
   struct quarantine *quarantine;
--- a/process/metrics.c
+++ b/process/metrics.c
@@ -112,14 +112,16 @@
   [METRIC_HOPS_REFUSED] = "ibisloom_hops_refused_total",
   [METRIC_CUT_OFF] = "ibisloom_cut_off_total",
   [METRIC_ROOM_REJECTIONS] = "ibisloom_room_rejections_total",
-  [METRIC_RELAY_FORWARDED]
-  = "ibisloom_relay_updates_total{result=\"forwarded\"}",
-  [METRIC_RELAY_LIMITED]
-  = "ibisloom_relay_updates_total{result=\"over_limit\"}",
-  [METRIC_RELAY_APPLIED] = "ibisloom_relay_updates_total{result=\"applied\"}",
-  [METRIC_RELAY_OLD] = "ibisloom_relay_updates_total{result=\"old\"}",
-  [METRIC_RELAY_UNKNOWN]
-  = "ibisloom_relay_updates_total{result=\"unknown_origin\"}",
+  [METRIC_LOAD_RELAY_FORWARDED]
+  = "ibisloom_load_relay_updates_total{result=\"forwarded\"}",
+  [METRIC_LOAD_RELAY_LIMITED]
+  = "ibisloom_load_relay_updates_total{result=\"over_limit\"}",
+  [METRIC_LOAD_RELAY_APPLIED]
+  = "ibisloom_load_relay_updates_total{result=\"applied\"}",
+  [METRIC_LOAD_RELAY_OLD]
+  = "ibisloom_load_relay_updates_total{result=\"old\"}",
+  [METRIC_LOAD_RELAY_UNKNOWN]
+  = "ibisloom_load_relay_updates_total{result=\"unknown_origin\"}",
   [METRIC_PACES_BEGUN] = "ibisloom_paces_total{event=\"begun\"}",
   [METRIC_PACES_REDUCED] = "ibisloom_paces_total{event=\"reduced\"}",
   [METRIC_PACES_ENDED] = "ibisloom_paces_total{event=\"ended\"}",
--- a/process/registry_notice.c
+++ b/process/registry_notice.c
@@ -81,8 +81,8 @@
    do not tell the incarnation, the process is the known one if this entry is
    none of an earlier process.  Returns whether that was not known.  */
 int
-reg_hear_leaving (struct reg_target *target, uint64_t incarnation,
-                  struct position position)
+reg_apply_leaving (struct reg_target *target, uint64_t incarnation,
+                   struct position position)
 {
   if (target->notice.is_leaving
       || incarnation != target->notice.process.incarnation
--- a/request/balance.c
+++ b/request/balance.c
@@ -91,7 +91,7 @@
   choice->begin_ms = 0;
   choice->begin_limit_ms
       = bal_soonest_ms (params, candidates, count, choice->limit, READ_SHARE)
-        + MAX (params->detour_ms, params->notice_ms);
+        + MAX (params->detour_ms, params->significant_ms);
   choice->reason = BAL_NO_TARGET;
   choice->skip = BAL_SKIP_NONE;
   choice->other_home = 0;
@@ -119,7 +119,7 @@
 {
   double gain_ms = best->begin_ms - candidate->begin_ms;
 
-  if (params->notice_ms > 0 && fabs (gain_ms) > params->notice_ms)
+  if (params->significant_ms > 0 && fabs (gain_ms) > params->significant_ms)
     return gain_ms > 0;
   return candidate->load < best->load;
 }
@@ -264,7 +264,7 @@
   double filled_max = bal_highest_fill (candidates, count);
   double begin_limit_ms
       = bal_soonest_ms (params, candidates, count, choice->limit, 0)
-        + params->notice_ms;
+        + params->significant_ms;
 
   for (size_t n = 0; n < count; n++)
     {
--- a/request/balance_skip.c
+++ b/request/balance_skip.c
@@ -133,7 +133,7 @@
   double best_error_rate;
   double soonest = INFINITY;
 
-  if (params->notice_ms <= 0)
+  if (params->significant_ms <= 0)
     return INFINITY;
   filled_max = bal_highest_fill (candidates, count);
   best_error_rate = bal_lowest_error_rate (candidates, count);
--- a/request/librelay.h
+++ b/request/librelay.h
@@ -53,7 +53,7 @@
 };
 
 /* Response that is not read on, as the client has to catch up. */
-struct relay_pause
+struct relay_backpressure
 {
   uint8_t is_paused;
   uint8_t is_logged;
@@ -85,7 +85,7 @@
   uint8_t is_silent;         /* past its read timeout */
   uint8_t is_new_connection; /* not a kept one */
   uint8_t is_final; /* the instance that it went through made all attempts */
-  struct relay_pause pause;
+  struct relay_backpressure backpressure;
   uint64_t taken_bytes;   /* of the request, when its timer was last put off */
   clk_ms first_event_ms;  /* 0: no event yet */
   uint32_t work_tokens;   /* that its target has still to read; 0: none */
@@ -292,10 +292,10 @@
 int relay_waits_for_input (struct relay *relay);
 int relay_waits_for_body (struct relay *relay);
 
-/* relay_pause.c */
-void relay_pause_if_slow (struct relay *relay);
-enum retry_fault relay_pause_fault (const struct relay *relay,
-                                    enum retry_fault fault);
+/* relay_backpressure.c */
+void relay_backpressure_apply (struct relay *relay);
+enum retry_fault relay_backpressure_fault (const struct relay *relay,
+                                           enum retry_fault fault);
 
 /* relay_target.c */
 struct reg_target *relay_choose_target (const struct relay *relay, clk_ms now,
--- a/request/relay.c
+++ b/request/relay.c
@@ -239,7 +239,7 @@
   relay->attempt.process = target->process;
   relay->attempt.is_invalid = 0;
   relay->attempt.is_silent = 0;
-  memset (&relay->attempt.pause, 0, sizeof relay->attempt.pause);
+  memset (&relay->attempt.backpressure, 0, sizeof relay->attempt.backpressure);
   relay->attempt.taken_bytes = 0;
   relay->attempt.input_awaited = 0;
   relay->attempt.first_event_ms = 0;
@@ -330,7 +330,7 @@
     expires_ms = MIN (expires_ms, relay->look_again_ms);
   else if (relay->attempt.target != NULL && relay->attempt.target->is_peer)
     expires_ms = MIN (expires_ms, now + HOP_CHECK_MS);
-  else if (read_timeout_ms > 0 && !relay->attempt.pause.is_paused
+  else if (read_timeout_ms > 0 && !relay->attempt.backpressure.is_paused
            && relay->attempt.last_received_ms + read_timeout_ms < expires_ms)
     expires_ms = relay->attempt.last_received_ms + read_timeout_ms;
   ev_timer_stop (relay->router->loop, &relay->timer);
--- a/request/relay_pause.c
+++ b/request/relay_backpressure.c
@@ -6,27 +6,27 @@
   /* Targets cut responses off that remain unread for seconds.  */
   UNREAD_MIN_MS = 1000,
   /* What arrived before the cut is read first.  */
-  NOTICE_MS = 1000
+  CUT_DETECTION_MS = 1000
 };
 
 /* Stops reading the response of the current attempt if the client of RELAY
    has to catch up.  */
 void
-relay_pause_if_slow (struct relay *relay)
+relay_backpressure_apply (struct relay *relay)
 {
-  struct relay_pause *pause = &relay->attempt.pause;
+  struct relay_backpressure *backpressure = &relay->attempt.backpressure;
 
   if (!client_must_catch_up (relay->client))
     return;
   out_call_pause (relay->attempt.call, 1);
-  pause->is_paused = 1;
-  pause->changed_ms = clk_now (clk_monotonic ());
-  if (!pause->is_logged)
+  backpressure->is_paused = 1;
+  backpressure->changed_ms = clk_now (clk_monotonic ());
+  if (!backpressure->is_logged)
     {
       metric_inc (METRIC_CLIENTS_SLOWED);
       relay_log_paused (relay);
     }
-  pause->is_logged = 1;
+  backpressure->is_logged = 1;
   relay_arm_timer (relay);
 }
 
@@ -35,16 +35,16 @@
 relay_on_drained (struct client_listener *listener, void *request)
 {
   struct relay *relay = request;
-  struct relay_pause *pause = &relay->attempt.pause;
+  struct relay_backpressure *backpressure = &relay->attempt.backpressure;
   clk_ms now;
 
   (void)listener;
-  if (relay->attempt.call == NULL || !pause->is_paused)
+  if (relay->attempt.call == NULL || !backpressure->is_paused)
     return;
   now = clk_now (clk_monotonic ());
-  pause->is_paused = 0;
-  pause->total_ms += now - pause->changed_ms;
-  pause->changed_ms = now;
+  backpressure->is_paused = 0;
+  backpressure->total_ms += now - backpressure->changed_ms;
+  backpressure->changed_ms = now;
   relay->attempt.last_received_ms = now;
   out_call_pause (relay->attempt.call, 0);
   relay_arm_timer (relay);
@@ -54,17 +54,18 @@
    FAULT: a target that breaks a response off that was not read for long does
    so for the client's slowness.  */
 enum retry_fault
-relay_pause_fault (const struct relay *relay, enum retry_fault fault)
+relay_backpressure_fault (const struct relay *relay, enum retry_fault fault)
 {
-  const struct relay_pause *pause = &relay->attempt.pause;
-  int64_t since_ms = clk_now (clk_monotonic ()) - pause->changed_ms;
+  const struct relay_backpressure *backpressure = &relay->attempt.backpressure;
+  int64_t since_ms = clk_now (clk_monotonic ()) - backpressure->changed_ms;
 
-  if (fault != RETRY_FAULT_DISCONNECTED || pause->changed_ms == 0)
+  if (fault != RETRY_FAULT_DISCONNECTED || backpressure->changed_ms == 0)
     return fault;
-  if (pause->is_paused)
-    return pause->total_ms + since_ms >= UNREAD_MIN_MS ? RETRY_FAULT_UNREAD
-                                                       : fault;
-  return pause->total_ms >= UNREAD_MIN_MS && since_ms < NOTICE_MS
+  if (backpressure->is_paused)
+    return backpressure->total_ms + since_ms >= UNREAD_MIN_MS
+               ? RETRY_FAULT_UNREAD
+               : fault;
+  return backpressure->total_ms >= UNREAD_MIN_MS && since_ms < CUT_DETECTION_MS
              ? RETRY_FAULT_UNREAD
              : fault;
 }
--- a/request/relay_log.c
+++ b/request/relay_log.c
@@ -136,7 +136,7 @@
 {
   struct log_line line;
 
-  if (!log_begin (&line, LOG_LEVEL_INFO, "attempt", relay->id, "paused"))
+  if (!log_begin (&line, LOG_LEVEL_INFO, "attempt", relay->id, "client_slow"))
     return;
   log_text (&line, "target", relay->attempt.target->id);
   log_number (&line, "buffered_bytes",
--- a/request/relay_response.c
+++ b/request/relay_response.c
@@ -108,7 +108,7 @@
     }
   else if (buffer_body (relay, data, length) != 0)
     return -1;
-  relay_pause_if_slow (relay);
+  relay_backpressure_apply (relay);
   return 0;
 }
 
@@ -162,17 +162,17 @@
   struct relay *relay = owner;
 
   relay->attempt.call = NULL;
-  relay_handle_fault (relay,
-                      relay->attempt.not_run
-                          ? RETRY_FAULT_REJECTED
-                          : relay_pause_fault (relay, retry_faults[fault]));
+  relay_handle_fault (
+      relay, relay->attempt.not_run
+                 ? RETRY_FAULT_REJECTED
+                 : relay_backpressure_fault (relay, retry_faults[fault]));
 }
 
 /* Handles a complete response: delivers it, or handles it as a fault.  */
 static void
 handle_complete_response (struct relay *relay)
 {
-  enum retry_fault fault = relay_pause_fault (
+  enum retry_fault fault = relay_backpressure_fault (
       relay, relay_response_fault (relay, &relay->attempt));
 
   if (!relay->attempt.not_run && !relay->attempt.is_event_stream)
--- a/request/relay_work.c
+++ b/request/relay_work.c
@@ -35,7 +35,8 @@
   if (!relay->router->settings->work_aware)
     return;
   find_holders (relay, now, &holders);
-  selection->params.notice_ms = work_notice_ms (relay->route->objective_ms);
+  selection->params.significant_ms
+      = work_significant_ms (relay->route->objective_ms);
   selection->params.detour_ms = work_detour_ms (relay->route->objective_ms);
   for (size_t i = 0; i < selection->count; i++)
     {
--- a/request/work.c
+++ b/request/work.c
@@ -16,18 +16,20 @@
      other requests than about the reading speed.  */
   OBSERVED_TOKENS_MIN = 2048,
   SPEED_TRUSTED_MS = 10000, /* until the average of the service counts alone */
-  TOLD_MS = 3000, /* a prompt takes less; makes up for a lost datagram */
+  REPORT_EXPIRY_MS
+  = 3000, /* a prompt takes less; makes up for a lost datagram */
   ANNOUNCE_AGAIN_MS = 1500, /* two may get lost before it expires */
   SLOWNESS_MS = 1000,       /* for which a report counts, less and less */
   SLOWNESS_MIN = 25,
   SLOWNESS_MAX = 2000,
   COPY_TOKENS = 256, /* read in the time in which a copy begins; as source.c */
   COPY_DIVISOR = 8,  /* tokens copied while one is read; assumed */
-  NOTICE_DIVISOR = 20, /* part of its objective that a caller would notice */
-  DETOUR_DIVISOR = 4,  /* part of it for which a context is kept once more */
-  NOTICE_MIN_MS = 5,
-  NOTICE_MAX_MS = 50,
-  NOTICE_DEFAULT_MS = 25
+  SIGNIFICANT_DIVISOR
+  = 20,               /* part of its objective that a caller would notice */
+  DETOUR_DIVISOR = 4, /* part of it for which a context is kept once more */
+  SIGNIFICANT_MIN_MS = 5,
+  SIGNIFICANT_MAX_MS = 50,
+  SIGNIFICANT_DEFAULT_MS = 25
 };
 
 /* Weights of one observation in the averages of a target and its service. */
@@ -45,9 +47,9 @@
    to read more: a request without a first event is not finished.  */
 static const double UNREAD_SHARE_MIN = 0.25;
 
-static uint32_t told_tokens (const struct work_told *told, clk_ms now);
-static struct work_told *find_told (struct work *work, uint32_t sender,
-                                    int is_added, clk_ms now);
+static uint32_t reported_tokens (const struct work_report *told, clk_ms now);
+static struct work_report *find_report (struct work *work, uint32_t sender,
+                                        int is_added, clk_ms now);
 static uint64_t pending_tokens (const struct work *work, clk_ms now);
 static void change_backlog (struct work *work,
                             const struct work_speed *service, double added,
@@ -132,48 +134,48 @@
 
 /* Returns the tokens of TOLD that count at NOW.  */
 static uint32_t
-told_tokens (const struct work_told *told, clk_ms now)
+reported_tokens (const struct work_report *told, clk_ms now)
 {
-  return now - told->told_ms < TOLD_MS ? told->tokens : 0;
+  return now - told->told_ms < REPORT_EXPIRY_MS ? told->tokens : 0;
 }
 
 /* Returns the entry of SENDER in WORK, or one for it in place of that with the
    fewest tokens at NOW, or NULL if it has none and is to get none.  */
-static struct work_told *
-find_told (struct work *work, uint32_t sender, int is_added, clk_ms now)
+static struct work_report *
+find_report (struct work *work, uint32_t sender, int is_added, clk_ms now)
 {
-  struct work_told *fewest = NULL;
+  struct work_report *fewest = NULL;
 
   for (uint32_t i = 0; i < work->told_count; i++)
     {
-      struct work_told *told = &work->told[i];
+      struct work_report *told = &work->told[i];
 
       if (told->sender == sender)
         return told;
       if (fewest == NULL
-          || told_tokens (told, now) < told_tokens (fewest, now))
+          || reported_tokens (told, now) < reported_tokens (fewest, now))
         fewest = told;
     }
   if (!is_added)
     return NULL;
-  if (work->told_count < WORK_TOLD_MAX)
+  if (work->told_count < WORK_REPORTS_MAX)
     fewest = &work->told[work->told_count++];
-  *fewest = (struct work_told){ .sender = sender };
+  *fewest = (struct work_report){ .sender = sender };
   return fewest;
 }
 
 /* Records that the instance SENDER has requests with so many unread TOKENS at
    the target.  */
 void
-work_hear (struct work *work, const struct work_speed *service,
-           uint32_t sender, uint32_t tokens, clk_ms now)
+work_set_reported (struct work *work, const struct work_speed *service,
+                   uint32_t sender, uint32_t tokens, clk_ms now)
 {
-  struct work_told *told = find_told (work, sender, tokens > 0, now);
+  struct work_report *told = find_report (work, sender, tokens > 0, now);
   uint32_t before;
 
   if (told == NULL)
     return;
-  before = told_tokens (told, now);
+  before = reported_tokens (told, now);
   change_backlog (work, service, tokens > before ? tokens - before : 0, now);
   told->tokens = tokens;
   told->told_ms = now;
@@ -201,7 +203,7 @@
 /* Returns whether the peers are to be told of this instance's tokens: they are
    many more or fewer than was told, have ended, or were told long ago.  */
 int
-work_is_news (const struct work *work, clk_ms now)
+work_needs_update (const struct work *work, clk_ms now)
 {
   uint64_t own = work->own_tokens;
   uint64_t change
@@ -233,7 +235,7 @@
   uint64_t tokens = work->own_tokens;
 
   for (uint32_t i = 0; i < work->told_count; i++)
-    tokens += told_tokens (&work->told[i], now);
+    tokens += reported_tokens (&work->told[i], now);
   return tokens;
 }
 
@@ -340,13 +342,14 @@
 /* Returns the difference in time to a first event that a caller would notice
    whose route has OBJECTIVE_MS, 0 for none.  */
 double
-work_notice_ms (int64_t objective_ms)
+work_significant_ms (int64_t objective_ms)
 {
-  int64_t notice_ms = objective_ms / NOTICE_DIVISOR;
+  int64_t significant_ms = objective_ms / SIGNIFICANT_DIVISOR;
 
   if (objective_ms <= 0)
-    return NOTICE_DEFAULT_MS;
-  return (double)MAX (MIN (notice_ms, NOTICE_MAX_MS), NOTICE_MIN_MS);
+    return SIGNIFICANT_DEFAULT_MS;
+  return (double)MAX (MIN (significant_ms, SIGNIFICANT_MAX_MS),
+                      SIGNIFICANT_MIN_MS);
 }
 
 /* Returns by how much sooner a request of a route with OBJECTIVE_MS, 0 for
@@ -357,5 +360,5 @@
 work_detour_ms (int64_t objective_ms)
 {
   return MAX ((double)objective_ms / DETOUR_DIVISOR,
-              work_notice_ms (objective_ms));
+              work_significant_ms (objective_ms));
 }
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -485,12 +485,12 @@
 static void
 bound_holds_with_relays (void)
 {
-  uint64_t relayed = metric_get (METRIC_RELAY_APPLIED);
+  uint64_t relayed = metric_get (METRIC_LOAD_RELAY_APPLIED);
 
   load_relays = 1;
   expect_within_bound (INSTANCES, OVER_BOUND_AIM);
   load_relays = 0;
-  CU_ASSERT (metric_get (METRIC_RELAY_APPLIED) > relayed);
+  CU_ASSERT (metric_get (METRIC_LOAD_RELAY_APPLIED) > relayed);
 }
 
 /* Returns the number of requests that the first instance counts for the
--- a/tests/test_leaving.c
+++ b/tests/test_leaving.c
@@ -14,7 +14,7 @@
 {
   ROUTERS = 2,
   START_MS = 1500,
-  TOLD_MS = 300, /* after which all routers know what one was told */
+  REPORT_EXPIRY_MS = 300, /* after which all routers know what one was told */
   WATCH_MS = 2500,
   ENTRY_MS = 1500, /* until a new entry is known */
   REFUSED_MS = 200,
@@ -266,7 +266,7 @@
   while (first_arrival (0, -1) == 0)
     g_free (exchange (0));
   CU_ASSERT_EQUAL (count_arrivals (0, -1, 0, 0, G_MAXINT), 1);
-  fx_sleep_ms (TOLD_MS);
+  fx_sleep_ms (REPORT_EXPIRY_MS);
 }
 
 /* Guards against a router that trusts the entry more than the target, and
@@ -396,7 +396,7 @@
   say_leaving ();
   set_script (1, leaving, NULL, 0);
   g_free (exchange (0));
-  fx_sleep_ms (TOLD_MS);
+  fx_sleep_ms (REPORT_EXPIRY_MS);
   before = count_arrivals (1, -1, 0, 0, G_MAXINT);
   since_us = g_get_monotonic_time ();
   for (int i = 0; i < ROUTERS; i++)
--- a/tests/test_relays.c
+++ b/tests/test_relays.c
@@ -467,16 +467,16 @@
 static void
 relayed_and_direct_in_any_order (void)
 {
-  uint64_t unknown = metric_get (METRIC_RELAY_UNKNOWN);
-  uint64_t old = metric_get (METRIC_RELAY_OLD);
-  uint64_t applied = metric_get (METRIC_RELAY_APPLIED);
+  uint64_t unknown = metric_get (METRIC_LOAD_RELAY_UNKNOWN);
+  uint64_t old = metric_get (METRIC_LOAD_RELAY_OLD);
+  uint64_t applied = metric_get (METRIC_LOAD_RELAY_APPLIED);
   struct fleet_peer *origin;
   struct sockaddr_in address;
 
   create_instances (SMALL_FLEET, 1);
   tell_relayed (1, 5, 0, 3); /* of an unknown origin */
   expect_loads (0, 0);
-  CU_ASSERT_EQUAL (metric_get (METRIC_RELAY_UNKNOWN), unknown + 1);
+  CU_ASSERT_EQUAL (metric_get (METRIC_LOAD_RELAY_UNKNOWN), unknown + 1);
   tell_heartbeat (1, 1, 10, 0, 5);
   expect_loads (5, 0);
   origin = peer_at (0, 1);
@@ -495,15 +495,15 @@
   tell_relayed (1, 14, 1, 1); /* older than the heartbeat */
   tell_relayed (1, 20, 0, 1); /* a duplicate */
   expect_loads (6, 8);
-  CU_ASSERT_EQUAL (metric_get (METRIC_RELAY_OLD), old + 2);
+  CU_ASSERT_EQUAL (metric_get (METRIC_LOAD_RELAY_OLD), old + 2);
   tell_update (WIRE_LOADS, 1, 22, 0, 7);
   tell_relayed (1, 21, 1, 9); /* older, but of another target */
   tell_relayed (1, 21, 0, 1);
   expect_loads (7, 9);
   tell_heartbeat (1, 1, 30, 0, 1);
   expect_loads (1, 0);
-  CU_ASSERT_EQUAL (metric_get (METRIC_RELAY_APPLIED), applied + 2);
-  CU_ASSERT_EQUAL (metric_get (METRIC_RELAY_UNKNOWN), unknown + 1);
+  CU_ASSERT_EQUAL (metric_get (METRIC_LOAD_RELAY_APPLIED), applied + 2);
+  CU_ASSERT_EQUAL (metric_get (METRIC_LOAD_RELAY_UNKNOWN), unknown + 1);
   destroy_instances ();
 }
 
@@ -512,7 +512,7 @@
 static void
 silent_and_restarted_origins (void)
 {
-  uint64_t unknown = metric_get (METRIC_RELAY_UNKNOWN);
+  uint64_t unknown = metric_get (METRIC_LOAD_RELAY_UNKNOWN);
 
   create_instances (SMALL_FLEET, 1);
   tell_heartbeat (1, 1, 100, 0, 5);
@@ -528,7 +528,7 @@
   peer_at (0, 1)->last_seen_ms -= LEARN_MS;
   tell_relayed (2, 5, 1, 3);
   expect_loads (2, 0);
-  CU_ASSERT_EQUAL (metric_get (METRIC_RELAY_UNKNOWN), unknown + 1);
+  CU_ASSERT_EQUAL (metric_get (METRIC_LOAD_RELAY_UNKNOWN), unknown + 1);
   destroy_instances ();
 }
 
@@ -561,8 +561,8 @@
   struct wire_message last = { 0 };
   struct wire_message can = { .kind = WIRE_CAPABILITIES,
                               .u.capabilities.bits = WIRE_CAN_RELAY_LOADS };
-  uint64_t limited = metric_get (METRIC_RELAY_LIMITED);
-  uint64_t forwarded = metric_get (METRIC_RELAY_FORWARDED);
+  uint64_t limited = metric_get (METRIC_LOAD_RELAY_LIMITED);
+  uint64_t forwarded = metric_get (METRIC_LOAD_RELAY_FORWARDED);
 
   create_instances (SMALL_FLEET, 1);
   for (int i = 1; i < SMALL_FLEET; i++)
@@ -586,12 +586,12 @@
   CU_ASSERT_EQUAL (read_relayed (4, &last), 0);
   for (int i = 1; i < SMALL_FLEET; i++)
     CU_ASSERT (i % DOMAINS != 0 || i == 12 || read_relayed (i, &last) == 0);
-  CU_ASSERT_EQUAL (metric_get (METRIC_RELAY_FORWARDED), forwarded + 1);
+  CU_ASSERT_EQUAL (metric_get (METRIC_LOAD_RELAY_FORWARDED), forwarded + 1);
   instances[0].fleet->forward_credit = 0;
   instances[0].fleet->forward_credit_ms = clk_now (clk_monotonic ()) + 1000;
   tell_update (WIRE_RELAY_LOADS, 1, 10, 0, 6);
   expect_loads (10, 0);
-  CU_ASSERT_EQUAL (metric_get (METRIC_RELAY_LIMITED), limited + 1);
+  CU_ASSERT_EQUAL (metric_get (METRIC_LOAD_RELAY_LIMITED), limited + 1);
   CU_ASSERT_EQUAL (read_relayed (4, &last), 0);
   destroy_instances ();
 }
--- a/tests/test_work.c
+++ b/tests/test_work.c
@@ -140,13 +140,13 @@
 /* Returns the index of the chosen one of COUNT candidates.  */
 static size_t
 choose (size_t count, uint64_t context, const struct affinity_holders *holders,
-        double notice_ms, uint32_t random)
+        double significant_ms, uint32_t random)
 {
   struct bal_params params = { .context = context,
                                .holders = holders,
                                .cap_factor = 2,
                                .cap_slack = 3,
-                               .notice_ms = notice_ms,
+                               .significant_ms = significant_ms,
                                .random = random };
   struct bal_choice choice;
 
@@ -163,7 +163,7 @@
 {
   const struct affinity_holders holders = { .count = 1, .target = { 1 } };
 
-  return choose (FEW, 1, &holders, work_notice_ms (OBJECTIVE_MS), 0) == 0;
+  return choose (FEW, 1, &holders, work_significant_ms (OBJECTIVE_MS), 0) == 0;
 }
 
 /* A target whose first event is late may have stopped reading, and would seem
@@ -183,7 +183,7 @@
   CU_ASSERT_DOUBLE_EQUAL (begin_ms (&look_up, START_MS + LONG_MS), LONG_MS,
                           ROUNDING_MS);
   CU_ASSERT (begin_ms (&look_up, START_MS + 10 * LONG_MS)
-             > work_notice_ms (OBJECTIVE_MS));
+             > work_significant_ms (OBJECTIVE_MS));
   work_end (&view.work[0], &view.service, LONG, START_MS + 2 * LONG_MS);
   CU_ASSERT (begin_ms (&look_up, START_MS + 2 * LONG_MS) < ROUNDING_MS);
 }
@@ -198,9 +198,9 @@
   add_long (0, 1, START_MS);
   CU_ASSERT (!work_has_read (&view.work[0], LONG, START_MS));
   work_end (&view.work[0], &view.service, LONG, START_MS);
-  work_hear (&view.work[0], &view.service, 1, LONG, START_MS);
+  work_set_reported (&view.work[0], &view.service, 1, LONG, START_MS);
   CU_ASSERT (!work_has_read (&view.work[0], LONG, START_MS));
-  work_hear (&view.work[0], &view.service, 1, 0, START_MS);
+  work_set_reported (&view.work[0], &view.service, 1, 0, START_MS);
   CU_ASSERT (work_has_read (&view.work[0], LONG, START_MS));
 }
 
@@ -256,17 +256,17 @@
   reset (SPEED);
   for (int i = 0; i < 10; i++)
     work_start (work, &view.service, LOOK_UP, START_MS);
-  CU_ASSERT (!work_is_news (work, START_MS));
+  CU_ASSERT (!work_needs_update (work, START_MS));
   add_long (0, 1, START_MS);
-  CU_ASSERT (work_is_news (work, START_MS));
+  CU_ASSERT (work_needs_update (work, START_MS));
   CU_ASSERT_EQUAL (work_announce (work, START_MS), LONG + 10 * LOOK_UP);
   work_start (work, &view.service, LOOK_UP, START_MS);
-  CU_ASSERT (!work_is_news (work, START_MS));
-  CU_ASSERT (work_is_news (work, START_MS + 2000));
+  CU_ASSERT (!work_needs_update (work, START_MS));
+  CU_ASSERT (work_needs_update (work, START_MS + 2000));
   work_end (work, &view.service, LONG, START_MS);
-  CU_ASSERT (work_is_news (work, START_MS));
+  CU_ASSERT (work_needs_update (work, START_MS));
   CU_ASSERT_EQUAL (work_announce (work, START_MS), 0);
-  CU_ASSERT (!work_is_news (work, START_MS + 2000));
+  CU_ASSERT (!work_needs_update (work, START_MS + 2000));
 }
 
 /* The datagram that tells of the end may be lost, and an instance may end.  */
@@ -276,18 +276,18 @@
   struct work *work = &view.work[0];
 
   reset (SPEED);
-  work_hear (work, &view.service, 1, LONG, START_MS);
-  work_hear (work, &view.service, 2, LONG, START_MS);
-  work_hear (work, &view.service, 1, LONG, START_MS);
+  work_set_reported (work, &view.service, 1, LONG, START_MS);
+  work_set_reported (work, &view.service, 2, LONG, START_MS);
+  work_set_reported (work, &view.service, 1, LONG, START_MS);
   CU_ASSERT_DOUBLE_EQUAL (begin_ms (&look_up, START_MS), 2 * LONG_MS,
                           ROUNDING_MS);
-  work_hear (work, &view.service, 2, 0, START_MS);
+  work_set_reported (work, &view.service, 2, 0, START_MS);
   CU_ASSERT_DOUBLE_EQUAL (begin_ms (&look_up, START_MS), LONG_MS, ROUNDING_MS);
   CU_ASSERT (begin_ms (&look_up, START_MS + 3000) < ROUNDING_MS);
-  for (uint32_t sender = 1; sender <= 3 * WORK_TOLD_MAX; sender++)
-    work_hear (work, &view.service, sender, LONG, START_MS + 4000);
+  for (uint32_t sender = 1; sender <= 3 * WORK_REPORTS_MAX; sender++)
+    work_set_reported (work, &view.service, sender, LONG, START_MS + 4000);
   CU_ASSERT_DOUBLE_EQUAL (begin_ms (&look_up, START_MS + 4000),
-                          WORK_TOLD_MAX * LONG_MS, ROUNDING_MS);
+                          WORK_REPORTS_MAX * LONG_MS, ROUNDING_MS);
 }
 
 static void
@@ -455,7 +455,7 @@
 
   loads[sender][target] += load;
   news[news_count++] = (struct news){ now, sender, target, load,
-                                      work_is_news (work, now)
+                                      work_needs_update (work, now)
                                           ? (int64_t)work_announce (work, now)
                                           : -1 };
 }
@@ -470,9 +470,9 @@
         continue;
       loads[i][heard->target] += heard->load;
       if (heard->tokens >= 0)
-        work_hear (&views[i].work[heard->target], &views[i].service,
-                   (uint32_t)heard->sender, (uint32_t)heard->tokens,
-                   heard->ms + NEWS_MS);
+        work_set_reported (&views[i].work[heard->target], &views[i].service,
+                           (uint32_t)heard->sender, (uint32_t)heard->tokens,
+                           heard->ms + NEWS_MS);
     }
 }
 
@@ -508,7 +508,7 @@
    read all prompts.  Returns the request.  */
 static struct sent
 send_request (size_t instance, size_t context, clk_ms *free_ms,
-              double notice_ms, uint32_t random, clk_ms now)
+              double significant_ms, uint32_t random, clk_ms now)
 {
   struct view *known = &views[instance];
   struct affinity_holders *hold = &holders[context];
@@ -518,7 +518,7 @@
     set_candidate (known, i, loads[instance][i], &long_prompt,
                    access_of (hold, i), now);
   request.target
-      = choose (TARGETS, rank_mix (1, context), hold, notice_ms, random);
+      = choose (TARGETS, rank_mix (1, context), hold, significant_ms, random);
   request.tokens
       = work_unread_tokens (&long_prompt, access_of (hold, request.target));
   if (request.tokens > LONG && hold->count < AFFINITY_HOLDERS_MAX)
@@ -545,7 +545,7 @@
    knows SPEED of the targets.  Returns the time to the first event of 19 in 20
    of the early requests.  MEDIAN_MS receives the median.  */
 static clk_ms
-lose_tables (double notice_ms, double speed, clk_ms *median_ms)
+lose_tables (double significant_ms, double speed, clk_ms *median_ms)
 {
   clk_ms free_ms[TARGETS] = { 0 };
   clk_ms times[EARLY_MS];
@@ -568,7 +568,7 @@
         proceed (&sent[i], START_MS + i, START_MS + ms);
       sent[ms] = send_request ((size_t)g_rand_int_range (random, 0, INSTANCES),
                                (size_t)g_rand_int_range (random, 0, CONTEXTS),
-                               free_ms, notice_ms, g_rand_int (random),
+                               free_ms, significant_ms, g_rand_int (random),
                                START_MS + ms);
       reads += sent[ms].tokens > LONG;
       if (ms < EARLY_MS)
@@ -579,7 +579,7 @@
   *median_ms = times[EARLY_MS / 2];
   printf ("\n    notice %.0f ms, speed %.0f: first event median %" PRId64
           ", 19 in 20 %" PRId64 ", last %" PRId64 " ms; %zu contexts read",
-          notice_ms, speed, *median_ms, times[EARLY_MS * 19 / 20],
+          significant_ms, speed, *median_ms, times[EARLY_MS * 19 / 20],
           times[EARLY_MS - 1], reads);
   return times[EARLY_MS * 19 / 20];
 }
@@ -590,14 +590,15 @@
 static void
 lost_tables (void)
 {
-  double notice_ms = work_notice_ms (OBJECTIVE_MS);
+  double significant_ms = work_significant_ms (OBJECTIVE_MS);
   clk_ms median_before;
   clk_ms median;
   clk_ms late_before = lose_tables (0, 0, &median_before);
 
-  CU_ASSERT (lose_tables (notice_ms, 0, &median) <= late_before);
+  CU_ASSERT (lose_tables (significant_ms, 0, &median) <= late_before);
   CU_ASSERT (median <= median_before);
-  CU_ASSERT ((double)lose_tables (notice_ms, SPEED, &median) + notice_ms
+  CU_ASSERT ((double)lose_tables (significant_ms, SPEED, &median)
+                 + significant_ms
              <= (double)late_before);
-  CU_ASSERT ((double)median + notice_ms <= (double)median_before);
+  CU_ASSERT ((double)median + significant_ms <= (double)median_before);
 }
