soak: Evacuate a failure domain beside the other faults

The soak did not cover evacuations (docs/PLACEMENT.md, part 5).

The word "evacuate" adds an operator that evacuates the failure domain of a third of the targets and takes it back, and writes again what a restored store has lost. A request that reaches the domain later than evacuate_ms after the confirmation is a violation, unless its router was frozen, killed, started or cut off from the store within that time. Routers that knew of the evacuation before such a fault are not excused.

--- a/tests/soak.c
+++ b/tests/soak.c
@@ -17,7 +17,9 @@
    cut       routers lose their paths to all targets, together and in turn, and
              after the other faults serve their clients all the same;
    brittle   targets fall over when they turn away too many requests, which
-             after the other faults they hardly do.
+             after the other faults they hardly do;
+   evacuate  an operator evacuates a failure domain and takes it back, beside
+             all other faults, and no request reaches the domain too late.
 */
 #include <pthread.h>
 #include <signal.h>
@@ -45,6 +47,7 @@
   ODD_SEED = 15485863,       /* added to the seed */
   CUT_SEED = 32452843,       /* added to the seed */
   BRITTLE_SEED = 49979687,   /* added to the seed */
+  EVACUATE_SEED = 67867967,  /* added to the seed */
   REQUEST_MS = 2000,         /* deadline of a request */
   SILENT_MIN_MS = 500,
   SILENT_MAX_MS = 2000,
@@ -157,6 +160,7 @@
   int odd;
   int cut;
   int brittle;
+  int evacuate;
 } extras;
 
 /* Record of a request, for check_executions. */
@@ -164,6 +168,7 @@
 {
   int executions;
   int reported_not_executed;
+  int router; /* that got it from the client */
   enum kind kind;
 };
 
@@ -182,6 +187,7 @@
 static GRand *odd_random;
 static GRand *cut_random;
 static GRand *brittle_random;
+static GRand *evacuate_random;
 static int last_version = 2; /* that the operator has written */
 static int initial_revision; /* of the store, with the first version */
 static gint is_limited[2 * TARGETS_PER_SERVICE]; /* names a rate limit */
@@ -269,6 +275,18 @@
                   state);
 }
 
+/* Checks that request ID, which a client sent to ROUTER, may reach the failure
+   domain of target INDEX.  */
+static void
+check_domain (int index, int router, const char *id)
+{
+  if (!soak_check_domain (index, router))
+    return;
+  pthread_mutex_lock (&lock);
+  soak_report_violation (id, "at a target of an evacuated domain", NULL);
+  pthread_mutex_unlock (&lock);
+}
+
 /* Responds to REQUEST according to the current behavior of target INDEX.
    Returns whether the connection is kept open.  */
 static int
@@ -281,9 +299,12 @@
   int is_silence = g_atomic_int_get (&phase) == PHASE_SILENCES;
   enum behavior behavior;
   int keep_alive = 1;
+  int router = 0;
 
   pthread_mutex_lock (&lock);
   behavior = behaviors[index];
+  if (id != NULL)
+    router = get_record (id)->router;
   if (id == NULL)
     soak_report_violation ("?", "request without an id", request->text);
   if (other != NULL)
@@ -292,6 +313,7 @@
   g_free (other);
   if (id == NULL)
     return 0;
+  check_domain (index, router, id);
   if (behavior == BEHAVIOR_OVERLOADED)
     fx_write (request->fd, "HTTP/1.1 503 Service Unavailable\r\n"
                            "X-Ibisloom-Not-Executed: 1\r\n"
@@ -481,6 +503,7 @@
 
   pthread_mutex_lock (&lock);
   get_record (id)->kind = kind;
+  get_record (id)->router = router;
   pthread_mutex_unlock (&lock);
   if (fd < 0)
     fx_sleep_ms (20);
@@ -567,6 +590,32 @@
   return NULL;
 }
 
+/* Has the store be away if IS_DOWN, else be there.  */
+static void
+set_store_down (int is_down)
+{
+  if (is_down)
+    for (int i = 0; i < router_count; i++)
+      soak_note_cause (i, SOAK_CAUSE_STORE, 1);
+  fx_store_set_down (is_down);
+  if (!is_down)
+    for (int i = 0; i < router_count; i++)
+      soak_note_cause (i, SOAK_CAUSE_STORE, 0);
+}
+
+/* Sets MODE on the path of ROUTER to the store.  */
+static void
+set_store_path (int router, enum proxy_mode mode, int delay_ms)
+{
+  int is_cut = mode != PROXY_PASS && mode != PROXY_DELAY;
+
+  if (is_cut)
+    soak_note_cause (router, SOAK_CAUSE_PATH, 1);
+  proxy_set_mode (store_proxies[router], mode, delay_ms);
+  if (!is_cut)
+    soak_note_cause (router, SOAK_CAUSE_PATH, 0);
+}
+
 /* Injects or clears one random fault of a target, a router or the store.  */
 static void
 inject_fault (char *const *logs)
@@ -593,7 +642,7 @@
   else if (kind == 9)
     soak_reload_settings (router);
   else if (kind == 10)
-    fx_store_set_down (g_rand_boolean (fault_random));
+    set_store_down (g_rand_boolean (fault_random));
   else if (g_rand_boolean (fault_random))
     fx_store_compact ();
   else
@@ -725,7 +774,7 @@
                                  proxy_random, 0, PROXY_MODE_COUNT);
 
   if (kind == 0)
-    proxy_set_mode (store_proxies[router], mode, delay_ms);
+    set_store_path (router, mode, delay_ms);
   else if (kind == 1)
     proxy_set_mode (target_proxies[target], mode, delay_ms);
 }
@@ -735,7 +784,7 @@
 clear_proxy_faults (void)
 {
   for (int i = 0; i < router_count; i++)
-    proxy_set_mode (store_proxies[i], PROXY_PASS, 0);
+    set_store_path (i, PROXY_PASS, 0);
   for (int i = 0; i < 2 * TARGETS_PER_SERVICE; i++)
     proxy_set_mode (target_proxies[i], PROXY_PASS, 0);
 }
@@ -822,7 +871,7 @@
       soak_check_processes (router_count);
       fx_sleep_ms (g_rand_int_range (fault_random, 5, 80));
     }
-  fx_store_set_down (0);
+  set_store_down (0);
   clear_proxy_faults ();
   if (extras.cut)
     soak_end_cuts (router_count);
@@ -956,6 +1005,7 @@
   extras.odd = strstr (text, "odd") != NULL;
   extras.cut = strstr (text, "cut") != NULL;
   extras.brittle = strstr (text, "brittle") != NULL;
+  extras.evacuate = strstr (text, "evacuate") != NULL;
 }
 
 int
@@ -980,11 +1030,16 @@
   odd_random = g_rand_new_with_seed ((guint32)seed + ODD_SEED);
   cut_random = g_rand_new_with_seed ((guint32)seed + CUT_SEED);
   brittle_random = g_rand_new_with_seed ((guint32)seed + BRITTLE_SEED);
+  evacuate_random = g_rand_new_with_seed ((guint32)seed + EVACUATE_SEED);
   proxy_random = g_rand_new_with_seed (~(guint32)seed);
   for (int i = 0; i < router_count; i++)
     logs[i] = keep_logs ? g_strdup_printf ("%s/router-%d.log", argv[3], i)
                         : g_strdup ("/dev/null");
+  if (extras.evacuate)
+    soak_use_evacuations (router_count);
   start_all (logs);
+  if (extras.evacuate)
+    soak_begin_evacuations (evacuate_random);
   if (extras.brittle)
     client_count += PRESSING_CLIENTS;
   for (int i = 0; i < client_count; i++)
@@ -1000,6 +1055,8 @@
   g_atomic_int_set (&stopping, 1);
   for (int i = 0; i < client_count; i++)
     pthread_join (clients[i], NULL);
+  if (extras.evacuate)
+    soak_end_evacuations ();
   if (extras.cut)
     soak_check_cuts ();
   if (extras.odd)
--- a/tests/soak.h
+++ b/tests/soak.h
@@ -14,6 +14,14 @@
   SOAK_VERSION_BYTES = 8
 };
 
+/* What may keep a router from knowing what the store has. */
+enum soak_cause
+{
+  SOAK_CAUSE_PROCESS, /* it is frozen, killed or started */
+  SOAK_CAUSE_PATH,    /* its path to the store is cut */
+  SOAK_CAUSE_STORE    /* the store is down */
+};
+
 /* What a client has of a stream, over all requests that take it up. */
 struct soak_stream
 {
@@ -55,6 +63,14 @@
 void soak_calm_brittle_targets (void);
 void soak_check_brittle_targets (GRand *random);
 
+/* soak_evacuate.c */
+void soak_use_evacuations (int count);
+const char *soak_domain_of (int index);
+void soak_note_cause (int router, enum soak_cause cause, int is_begin);
+void soak_begin_evacuations (GRand *random);
+int soak_check_domain (int index, int router);
+void soak_end_evacuations (void);
+
 /* soak_streams.c */
 void soak_write_stream (const struct fx_request *request, const char *fields,
                         const char *version, int truncated, int pause_ms);
--- a/tests/soak_entries.c
+++ b/tests/soak_entries.c
@@ -26,10 +26,10 @@
   static int sequence;
   char *name = g_strdup_printf ("i-%d", index);
   char *spec = g_strdup_printf (
-      "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"a\","
+      "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"%s\","
       "\"version\":\"%s\",\"slots\":8,\"state\":\"%s\",\"cold_left_ms\":0,"
       "\"sequence\":%d}",
-      service, port, version, state, ++sequence);
+      service, port, soak_domain_of (index), version, state, ++sequence);
 
   fx_store_put ("servers", name, spec);
   g_free (spec);
--- a/tests/soak_routers.c
+++ b/tests/soak_routers.c
@@ -52,6 +52,7 @@
   fx_sleep_ms (restart->pause_ms);
   fx_router_spawn (restart->router, restart->log);
   soak_wait_for_listener (restart->router);
+  soak_note_cause (restart->router, SOAK_CAUSE_PROCESS, 0);
   g_atomic_int_set (&restarting[restart->router], 0);
   g_free (restart);
   return NULL;
@@ -67,6 +68,7 @@
 
   if (!g_atomic_int_compare_and_exchange (&restarting[index], 0, 1))
     return;
+  soak_note_cause (index, SOAK_CAUSE_PROCESS, 1);
   restart = g_new0 (struct restart, 1);
   restart->router = index;
   restart->number = number;
@@ -83,9 +85,11 @@
 {
   if (!g_atomic_int_compare_and_exchange (&restarting[index], 0, 1))
     return;
+  soak_note_cause (index, SOAK_CAUSE_PROCESS, 1);
   fx_router_signal (index, SIGSTOP);
   fx_sleep_ms (g_rand_int_range (random, 50, 700));
   fx_router_signal (index, SIGCONT);
+  soak_note_cause (index, SOAK_CAUSE_PROCESS, 0);
   g_atomic_int_set (&restarting[index], 0);
 }
 
