tests: Freeze an instance while capacity is scarce

CONTENTION was tested with a killed instance only (docs/PLACEMENT.md, part 5). An instance that is frozen and goes on could keep its share of the capacity, or use its old one beside the new ones of the others.

An instance with requests in its queue is frozen for 2 s. Meanwhile urgent requests through the others get 0.95; from 0.7 s after it is continued, when its silence has been known for 1 s, all instances get requests, and 0.95 of the capacity is used.

The test now waits until requests are there.

--- a/tests/test_contention.c
+++ b/tests/test_contention.c
@@ -26,7 +26,8 @@
   DEADLINE_MS = 2000,
   AT_ONCE_MS = 150, /* a refusal that had not to wait, on a busy machine */
   GONE_MS = 2700,   /* an instance is known to be gone, and 1 s more */
-  KILLED = 3,
+  FROZEN_MS = 2000, /* longer than until an instance is known to be silent */
+  KILLED = 3,       /* or frozen */
   STEP_MS = 50,
   SLOW_MS = 1500
 };
@@ -59,6 +60,7 @@
 static void enough_capacity_leaves_no_trace (void);
 static void clients_that_leave_wait_no_more (void);
 static void instances_that_are_killed_hold_nothing (void);
+static void instances_that_are_frozen_hold_nothing (void);
 
 static const struct test_case cases[] = {
   { "targets are told the urgency of requests, and by routers only",
@@ -72,6 +74,8 @@
   { "clients that leave wait no more", clients_that_leave_wait_no_more },
   { "what a killed instance used is used by the others",
     instances_that_are_killed_hold_nothing },
+  { "what a frozen instance used is used by the others",
+    instances_that_are_frozen_hold_nothing },
 };
 
 TEST_MAIN ("contention", cases)
@@ -132,7 +136,7 @@
   response = fx_read_all (fd);
   took_ms = (g_get_monotonic_time () - sent_us) / 1000;
   pthread_mutex_lock (&lock);
-  if (g_atomic_int_get (&measuring))
+  if (g_atomic_int_get (&measuring) && router != g_atomic_int_get (&killed))
     {
       tally.sent[is_few]++;
       if (g_str_has_prefix (response, "HTTP/1.1 200"))
@@ -318,6 +322,43 @@
       kill_router);
 }
 
+/* Returns whether requests wait at the router that is to be frozen.  */
+static int
+router_has_queue (void)
+{
+  return fx_router_metric (KILLED, WAITING) > 0;
+}
+
+/* Freezes a router that has requests in its queue, and checks that the others
+   serve the few meanwhile; waits until its silence is known and its part used.
+   Then clients send to it again.  */
+static void
+freeze_router (void)
+{
+  CU_ASSERT (fx_wait_until (router_has_queue));
+  g_atomic_int_set (&killed, KILLED);
+  fx_router_signal (KILLED, SIGSTOP);
+  begin_measuring ();
+  fx_sleep_ms (FROZEN_MS);
+  fx_router_signal (KILLED, SIGCONT);
+  fx_sleep_ms (GONE_MS - FROZEN_MS);
+  pthread_mutex_lock (&lock);
+  printf ("few %d of %d beside the freeze, ", tally.served[1], tally.sent[1]);
+  CU_ASSERT (tally.served[1] >= SERVED_MIN * tally.sent[1]);
+  pthread_mutex_unlock (&lock);
+  g_atomic_int_set (&killed, -1);
+}
+
+/* Guards against a share of the capacity that stays with an instance which
+   does not use it, and against one that goes on with its old share.  */
+static void
+instances_that_are_frozen_hold_nothing (void)
+{
+  expect_few_served (
+      (struct load){ { "/now/1", "key-big" }, { "/fee/1", "key-big" }, PER_S },
+      freeze_router);
+}
+
 static void
 enough_capacity_leaves_no_trace (void)
 {
