Count bytes after responses, and log how a response ends

Change: extra_input_total, crossed_dropped_total for routers too, and the field until_close of the lines attempt and request.

--- a/connection/outbound.c
+++ b/connection/outbound.c
@@ -9,6 +9,7 @@
 
 #include <linux/sockios.h>
 
+#include "ibisloom/metrics.h"
 #include "ibisloom/outbound.h"
 #include "libsocket.h"
 
@@ -73,6 +74,7 @@
                                         const struct sockaddr_in *address);
 static void conn_close (struct out_conn *conn);
 static void conn_make_idle (struct out_conn *conn);
+static void close_idle (struct out_conn *conn);
 static void set_events (struct out_conn *conn, int events);
 static void set_timer (struct out_conn *conn, int64_t ms);
 static void send_request (struct out_conn *conn);
@@ -298,7 +300,7 @@
      handled yet is unusable.  */
   while (conn != NULL && !sock_is_idle (conn->io.fd))
     {
-      conn_close (conn);
+      close_idle (conn);
       conn = g_queue_peek_head (queue);
     }
   if (conn == NULL)
@@ -340,6 +342,16 @@
   set_timer (conn, conn->keep_alive_ms);
 }
 
+/* Closes CONN, which is idle and was closed by the server, or has input that
+   belongs to no call.  */
+static void
+close_idle (struct out_conn *conn)
+{
+  if (sock_has_bytes (conn->io.fd))
+    metric_inc (METRIC_EXTRA_INPUT);
+  conn_close (conn);
+}
+
 /* Closes and frees CONN, whose call has ended.  */
 static void
 conn_close (struct out_conn *conn)
@@ -407,7 +419,7 @@
   if (conn->state == CONN_IDLE)
     {
       /* Closed by the server, or input that belongs to no call.  */
-      conn_close (conn);
+      close_idle (conn);
       return;
     }
   if (conn->state == CONN_CONNECTING)
@@ -490,7 +502,11 @@
       return;
     }
   if (result == HTTP_READ_COMPLETE)
-    complete_call (conn, received == 0 || used < (size_t)received);
+    {
+      if (received > 0 && used < (size_t)received)
+        metric_inc (METRIC_EXTRA_INPUT);
+      complete_call (conn, received == 0 || used < (size_t)received);
+    }
   else if (received == 0)
     fail_call (conn, OUT_DISCONNECTED);
   else if (result != HTTP_READ_MORE)
--- a/connection/socket.c
+++ b/connection/socket.c
@@ -97,6 +97,16 @@
          && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+/* Returns whether FD has bytes to read, other than an end of input or an
+   error.  */
+int
+sock_has_bytes (int fd)
+{
+  char byte;
+
+  return recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 /* Sets a socket option.  Errors are ignored, since the socket works without
    the option.  */
 static void
--- a/request/relay.c
+++ b/request/relay.c
@@ -234,6 +234,7 @@
   relay->attempt.sent_ms = now;
   relay->attempt.last_received_ms = now;
   relay->attempt.status = 0;
+  relay->attempt.ends_with_connection = 0;
   relay->attempt.not_run = 0;
   relay->attempt.asked_pause = 0;
   relay->attempt.process = target->process;
--- a/request/relay_log.c
+++ b/request/relay_log.c
@@ -249,6 +249,8 @@
   log_number (&line, "target_status", relay->attempt.status);
   log_number (&line, "after_ms", now - relay->attempt.sent_ms);
   log_number (&line, "silent_ms", now - relay->attempt.last_received_ms);
+  if (relay->attempt.ends_with_connection)
+    log_number (&line, "until_close", 1);
   log_number (&line, "sends", relay->sends);
   log_number (&line, "attempts_max", relay->route->attempts_max);
   log_number (&line, "events", relay->events.forwarded);
@@ -306,6 +308,8 @@
   log_text (&line, "service", relay->service);
   log_text (&line, "customer", relay->customer ? relay->customer->name : NULL);
   log_number (&line, "status", relay->attempt.status);
+  if (relay->attempt.ends_with_connection)
+    log_number (&line, "until_close", 1);
   log_number (&line, "sends", relay->sends);
   if (relay->hop_count > 0)
     log_number (&line, "hops", relay->hop_count);
--- a/request/relay_response.c
+++ b/request/relay_response.c
@@ -316,7 +316,10 @@
   const char *id = http_head_get (head, field[DIALECT_ATTEMPT_ID]);
 
   if (id != NULL && strcmp (id, relay->id) != 0)
-    return 0;
+    {
+      metric_inc (METRIC_MISMATCHED_RESPONSES);
+      return 0;
+    }
   if (!http_is_success (head->status))
     return id != NULL || !out_call_reused_connection (call);
   return id != NULL && http_head_get (head, field[DIALECT_SIGNATURE]) != NULL
