Do not join a response without length to a second one

Callers got a success whose body was that of two responses: the whole of their own, then the head and the body of a second one.

Cause: a target that responds twice on one connection, to a request whose response has neither a length nor chunks. Such a body ends with its connection, so that all that the target writes before that counts as the body. A second response to an earlier request of the connection came the same way.

Evidence: tests/test_extra_response. Before this change two of its five tests fail, "a response without length is not joined to a second one" in each of its 16 cases, and "a long response without length and a second one do not look complete"; all pass with it.

Change: request/extra.c looks in such a body for a status line that is followed by the attempt id, which all responses of targets have. The attempt then has failed as with any invalid response: it is retried where it may be, else the client gets 502, or a response without its end if a part was forwarded. A document that quotes a status line, or a request, has no such field after it.

--- a/request/librelay.h
+++ b/request/librelay.h
@@ -2,6 +2,7 @@
 #ifndef LIBRELAY_H
 #define LIBRELAY_H
 
+#include "ibisloom/extra.h"
 #include "ibisloom/metrics.h"
 #include "ibisloom/relay.h"
 #include "ibisloom/router.h"
@@ -78,6 +79,7 @@
   uint8_t is_invalid;  /* response is for another request, or out of order */
   uint8_t is_event_stream;
   uint8_t ends_with_connection; /* body has neither a length nor chunks */
+  struct extra_scan extra;      /* of such a body */
   uint8_t is_trial;             /* trial request to a suspended target */
   uint8_t is_first_send;     /* the target was not sent the request before */
   uint8_t parts_succeeded;   /* its target has gone on after the first event */
@@ -384,6 +386,8 @@
                            const struct http_head *head);
 int relay_is_not_run (const struct relay *relay, const struct http_head *head);
 int relay_promises_not_run (uint32_t status);
+int relay_has_extra (const struct relay *relay, struct relay_attempt *attempt,
+                     const char *data, size_t length);
 enum retry_fault relay_response_fault (const struct relay *relay,
                                        const struct relay_attempt *attempt);
 void relay_deliver_response (struct relay *relay);
--- a/request/relay_response.c
+++ b/request/relay_response.c
@@ -49,6 +49,7 @@
   relay->attempt.length = length;
   relay->attempt.ends_with_connection
       = length < 0 && http_head_get (head, "Transfer-Encoding") == NULL;
+  memset (&relay->attempt.extra, 0, sizeof relay->attempt.extra);
   relay->attempt.is_invalid
       = !relay_matches_request (relay, relay->attempt.call, head);
   if (relay->attempt.target->is_peer)
@@ -84,6 +85,11 @@
 {
   struct relay *relay = owner;
 
+  if (relay_has_extra (relay, &relay->attempt, data, length))
+    {
+      relay->attempt.is_invalid = 1;
+      return -1;
+    }
   if (relay->attempt.is_event_stream)
     {
       uint32_t complete = relay->events.complete;
@@ -112,6 +118,22 @@
   return 0;
 }
 
+/* Returns whether a second response begins in DATA, a piece of the body of
+   ATTEMPT, that the client would take for a part of the first one.  In an
+   event stream it is found as it is no event.  */
+int
+relay_has_extra (const struct relay *relay, struct relay_attempt *attempt,
+                 const char *data, size_t length)
+{
+  const char *field = relay->router->dialect->field[DIALECT_ATTEMPT_ID];
+
+  if (!attempt->ends_with_connection || attempt->is_event_stream
+      || !extra_scan_feed (&attempt->extra, field, data, length))
+    return 0;
+  metric_inc (METRIC_EXTRA_INPUT);
+  return 1;
+}
+
 /* Buffers a piece of the body, so that an attempt that fails can still be
    retried.  A success that outgrows the buffer, or for which no memory is
    left, is forwarded.  Returns 0, or -1 if an error does, since no target
--- a/request/relay_silence.c
+++ b/request/relay_silence.c
@@ -254,8 +254,11 @@
                                                  : &relay->kept.buffered_body;
   size_t *share = relay->kept.is_event_stream ? &relay->kept.event_share
                                               : &relay->kept.body_share;
+  struct extra_scan scan = relay->kept.extra;
   size_t before;
 
+  if (relay_has_extra (relay, &relay->kept, data, length))
+    return -1;
   if (*buffer == NULL)
     *buffer = g_string_sized_new (length + 1);
   before = (*buffer)->len;
@@ -265,6 +268,7 @@
           : (*buffer)->len <= KEPT_BODY_MAX_BYTES)
     return buf_reserve (BUF_RECEIVED, share, (*buffer)->allocated_len);
   g_string_truncate (*buffer, before);
+  relay->kept.extra = scan; /* DATA is handled once more */
   cancel_replacement (relay);
   return relay_upstream_ops.data (relay, data, length);
 }
