Keep what is no final response out of the final one

Callers got a success whose body began with bytes that belong to no response, or with the content of a response that an invalid status had hidden.

Cause: a response with a status below 200 was taken for an interim one, also with one below 100 or of two digits. Its content, which an interim response can't have, was passed on before any head, and so stood in front of the body of the next response on the connection. The content that follows a head with 204 or 304 was sent to the client, which has to take it for its next response.

Evidence: before this change two of the six tests of tests/test_http fail, and "the content of an interim response is not joined to the final one" in tests/test_extra_response, in each of its five cases.

Change: a response with a status below 100 is malformed, so that its attempt has failed. Interim responses, 204 and 304 end with their head, whatever length they name (RFC 9112, section 6.3); bytes after an interim head are then no head, and bytes after a final one close the connection.

--- a/connection/http.c
+++ b/connection/http.c
@@ -6,6 +6,7 @@
 enum
 {
   TEXT_INITIAL_BYTES = 512,
+  STATUS_MIN = 100,
   STATUS_FINAL_MIN = 200, /* lower values are interim responses */
   INTERIM_MAX = 16,       /* before a final response */
   /* Bytes up to the end of a head, per byte that its fields may have: allows
@@ -48,6 +49,7 @@
 static void end_string (struct http_reader *reader);
 static int append_to_head (struct http_reader *reader, const char *at,
                            size_t length);
+static int has_no_content (const struct http_reader *reader);
 static int discard_interim (struct http_reader *reader);
 static int is_framing_ambiguous (const struct http_reader *reader);
 static int list_contains (const char *list, const char *name);
@@ -446,8 +448,9 @@
   return append_to_head (reader, at, length);
 }
 
-/* Completes the head and passes it to the head operation.  Interim
-   responses are skipped.  */
+/* Completes the head and passes it to the head operation.  Interim responses,
+   which have no content, are skipped.  Returns 1 if the parser is not to
+   expect content.  */
 static int
 on_head_complete (http_parser *parser)
 {
@@ -460,9 +463,11 @@
   reader->state = READER_BODY;
   head->status = parser->status_code;
   head->method = http_method_str ((enum http_method)parser->method);
-  if (reader->is_response && head->status < STATUS_FINAL_MIN)
-    return 0;
-  if (is_framing_ambiguous (reader))
+  if (reader->is_response && head->status >= STATUS_MIN
+      && head->status < STATUS_FINAL_MIN)
+    return 1;
+  if ((reader->is_response && head->status < STATUS_MIN)
+      || is_framing_ambiguous (reader))
     {
       reader->result = HTTP_READ_MALFORMED;
       return -1;
@@ -472,7 +477,17 @@
       reader->result = HTTP_READ_STOPPED;
       return -1;
     }
-  return reader->is_response && reader->no_body ? 1 : 0;
+  return has_no_content (reader);
+}
+
+/* Returns whether the current message is a response that its head ends,
+   whatever length it names (RFC 9112, section 6.3).  */
+static int
+has_no_content (const struct http_reader *reader)
+{
+  return reader->is_response
+         && (reader->no_body || reader->head->status == HTTP_STATUS_NO_CONTENT
+             || reader->head->status == HTTP_STATUS_NOT_MODIFIED);
 }
 
 /* Passes a piece of the body to the data operation.  */
--- a/tests/test_extra_response.c
+++ b/tests/test_extra_response.c
@@ -31,6 +31,7 @@
 static void response_is_not_joined_to_a_second (void);
 static void long_response_with_a_second_is_not_complete (void);
 static void second_response_is_not_given_to_another (void);
+static void interim_content_is_not_joined (void);
 
 static const struct test_case cases[] = {
   { "a second response is found in each piece of a body",
@@ -43,6 +44,8 @@
     long_response_with_a_second_is_not_complete },
   { "a second response is not given to another request",
     second_response_is_not_given_to_another },
+  { "the content of an interim response is not joined to the final one",
+    interim_content_is_not_joined },
 };
 
 TEST_MAIN ("extraresponse", cases)
@@ -293,3 +296,25 @@
     pthread_join (threads[i], NULL);
   fx_env_stop ();
 }
+
+/* Guards against a success whose body begins with what came before its
+   head.  */
+static void
+interim_content_is_not_joined (void)
+{
+  static const char *const firsts[]
+      = { "HTTP/1.1 103 E\r\n" OOPS,
+          "HTTP/1.1 103 E\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "4\r\noops\r\n0\r\n\r\n",
+          "HTTP/1.1 000 E\r\n" FIELDS OOPS, "HTTP/1.1 20 E\r\n" FIELDS OOPS,
+          "HTTP/1.1 204 E\r\n" FIELDS OOPS };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (firsts); i++)
+    {
+      struct script next = { firsts[i], STATUS_OK FIELDS WELL, 0 };
+      char *response = play (GET_MAP ("s"), next);
+
+      CU_ASSERT (strstr (response, "oops") == NULL);
+      g_free (response);
+    }
+}
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -18,6 +18,8 @@
 static void ambiguous_responses_are_malformed (void);
 static void plain_messages_are_read (void);
 static void space_after_names_is_removed_in_responses (void);
+static void invalid_statuses_are_malformed (void);
+static void responses_without_content_have_none (void);
 
 static const struct test_case cases[] = {
   { "requests with ambiguous heads are malformed",
@@ -27,6 +29,10 @@
   { "plain messages are read", plain_messages_are_read },
   { "white space after field names is removed in responses",
     space_after_names_is_removed_in_responses },
+  { "responses with a status below 100 are malformed",
+    invalid_statuses_are_malformed },
+  { "what follows a response that has no content is not its content",
+    responses_without_content_have_none },
 };
 
 TEST_MAIN ("http", cases)
@@ -79,7 +85,29 @@
   ANSWER ("Transfer-Encoding : chunked\r\n") EMPTY_CHUNK,
 };
 
-static char *last_name; /* of the last head read */
+static const char *const invalid_statuses[] = {
+  "HTTP/1.1 000 E\r\nContent-Length: 4\r\n\r\noops",
+  "HTTP/1.1 000 E\r\n\r\noops",
+  "HTTP/1.1 099 E\r\nContent-Length: 0\r\n\r\n",
+  "HTTP/1.1 20 OK\r\nContent-Length: 0\r\n\r\n",
+};
+
+/* Interim responses with content, which they can't have.  */
+static const char *const interim_content[] = {
+  "HTTP/1.1 103 E\r\nContent-Length: 4\r\n\r\noops" ANSWER (""),
+  "HTTP/1.1 100 E\r\nTransfer-Encoding: chunked\r\n\r\n"
+  "4\r\noops\r\n" EMPTY_CHUNK ANSWER (""),
+};
+
+/* The same of final responses, which are complete without it.  */
+static const char *const empty_responses[] = {
+  "HTTP/1.1 204 E\r\nContent-Length: 4\r\n\r\noops",
+  "HTTP/1.1 204 E\r\nTransfer-Encoding: chunked\r\n\r\n" EMPTY_CHUNK,
+  "HTTP/1.1 304 E\r\nContent-Length: 4\r\n\r\noops",
+};
+
+static size_t body_bytes; /* of the text being read */
+static char *last_name;   /* of the last head read */
 
 /* Keeps the name of the first field.  */
 static int
@@ -97,7 +125,7 @@
 {
   (void)reader;
   (void)data;
-  (void)length;
+  body_bytes += length;
   return 0;
 }
 
@@ -175,3 +203,25 @@
       HTTP_READ_COMPLETE);
   CU_ASSERT_STRING_EQUAL (last_name, "Transfer-Encoding");
 }
+
+/* Guards against a response that is discarded as an interim one, so that the
+   next one on the connection is taken for it.  */
+static void
+invalid_statuses_are_malformed (void)
+{
+  expect_all (invalid_statuses, G_N_ELEMENTS (invalid_statuses), 1,
+              HTTP_READ_MALFORMED);
+}
+
+/* Guards against content that is put before that of the final response, or
+   sent to a client that takes it for its next response.  */
+static void
+responses_without_content_have_none (void)
+{
+  body_bytes = 0;
+  expect_all (interim_content, G_N_ELEMENTS (interim_content), 1,
+              HTTP_READ_MALFORMED);
+  expect_all (empty_responses, G_N_ELEMENTS (empty_responses), 1,
+              HTTP_READ_COMPLETE);
+  CU_ASSERT_EQUAL (body_bytes, 0);
+}
