Do not take a reset for the end of a response

Callers got a part of a response as a complete one, and streams that ended between two events with the rest missing.

Cause: when a timer of a request expires, its sockets are looked at for input that has arrived (MSG_PEEK). On a connection that had been reset, this recv returned the error and thereby cleared it, and the next recv, by the event loop, returned 0 as after an orderly end. An orderly end completes a response that has neither a length nor chunks. It takes a reset that arrives in the same turn of the event loop in which a timer of the request expires: rare in calm, likely on a machine whose processes wait for their turn.

Change: the look uses poll, which leaves the error pending.

--- a/connection/libsocket.h
+++ b/connection/libsocket.h
@@ -12,5 +12,6 @@
 int sock_error (int fd);
 int sock_is_idle (int fd);
 int sock_has_bytes (int fd);
+int sock_has_event (int fd);
 
 #endif
--- a/connection/outbound.c
+++ b/connection/outbound.c
@@ -218,11 +218,13 @@
                                  : call->conn->events | EV_READ);
 }
 
-/* Returns whether input for CALL has arrived that is yet to be read.  */
+/* Returns whether input for CALL, or the end of its connection, has arrived
+   that is yet to be read.  */
 int
 out_call_has_unread_input (const struct out_call *call)
 {
-  return call->conn->state == CONN_ACTIVE && !sock_is_idle (call->conn->io.fd);
+  return call->conn->state == CONN_ACTIVE
+         && sock_has_event (call->conn->io.fd);
 }
 
 /* Returns whether any byte of CALL was passed to the socket.  */
--- a/connection/socket.c
+++ b/connection/socket.c
@@ -2,6 +2,7 @@
 #define _GNU_SOURCE /* accept4 */
 #include <errno.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -97,6 +98,17 @@
          && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+/* Returns whether FD has input, an end of input or an error to be read.  The
+   error stays pending, unlike with a look by recv, after which the next recv
+   finds what seems an orderly end.  */
+int
+sock_has_event (int fd)
+{
+  struct pollfd poll_fd = { .fd = fd, .events = POLLIN };
+
+  return poll (&poll_fd, 1, 0) > 0;
+}
+
 /* Returns whether FD has bytes to read, other than an end of input or an
    error.  */
 int
