Do not take a success for complete that ends during the upload

Callers of a long upload got a part of a response as a complete success, where the target had responded at once, without a length, and given up the connection while the request was still coming.

Cause: the end of input completes such a response. A target that shuts down its side before it resets the connection, or closes it with the upload unread, ends the input in order first; the reset comes after it, and the router had closed by then.

Change: at the end of input, a response without a length is complete only if no error is pending on the connection and, if it is a success, if the target has acknowledged the whole request. An error is passed on as before: it may say why the target does not take the request.

--- a/connection/outbound.c
+++ b/connection/outbound.c
@@ -79,6 +79,7 @@
 static void set_timer (struct out_conn *conn, int64_t ms);
 static void send_request (struct out_conn *conn);
 static void receive_response (struct out_conn *conn);
+static int ends_orderly (const struct out_conn *conn);
 static void complete_call (struct out_conn *conn, int has_trailing_data);
 static void fail_call (struct out_conn *conn, enum out_fault fault);
 static void call_free (struct out_call *call);
@@ -503,7 +504,9 @@
       out_call_cancel (call);
       return;
     }
-  if (result == HTTP_READ_COMPLETE)
+  if (result == HTTP_READ_COMPLETE && received == 0 && !ends_orderly (conn))
+    fail_call (conn, OUT_DISCONNECTED);
+  else if (result == HTTP_READ_COMPLETE)
     {
       if (received > 0 && used < (size_t)received)
         metric_inc (METRIC_EXTRA_INPUT);
@@ -515,6 +518,23 @@
     fail_call (conn, OUT_INVALID_RESPONSE);
 }
 
+/* Returns whether the end of input of CONN completes a response that has no
+   length.  It does not if a reset followed it, nor a success if the server has
+   not received the whole request: it has given up rather than responded.  */
+static int
+ends_orderly (const struct out_conn *conn)
+{
+  const struct out_call *call = conn->call;
+  uint64_t taken;
+
+  if (sock_error (conn->io.fd) != 0)
+    return 0;
+  if (!http_is_success (conn->reader.head->status))
+    return 1;
+  return call->sent == call->head->len + call->body_length
+         && !out_call_is_sending (call, &taken);
+}
+
 /* Ends a call whose response is complete.  The connection is kept for reuse
    only if the request was sent in full and no input followed the response
    (HAS_TRAILING_DATA).  */
--- a/tests/test_reset.c
+++ b/tests/test_reset.c
@@ -5,8 +5,11 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "shop.h"
+#include "libfixture.h"
 #include "test.h"
 
 #define FIELDS                                                                \
@@ -22,17 +25,26 @@
   EVENTS_BEFORE_RESET = 2,
   STOP_MS = 300, /* the router stands still from then on */
   RESET_MS = 1400,
-  CONTINUE_MS = 1600 /* its read timeout has expired, too */
+  CONTINUE_MS = 1600, /* its read timeout has expired, too */
+  UPLOAD_BYTES = 3000000,
+  READ_BYTES = 1000, /* of the upload, before the response */
+  PART_BYTES = 20000 /* of the response */
 };
 
 static void reset_response_is_not_complete (void);
 static void reset_stream_is_not_complete (void);
+static void reset_during_upload_is_not_complete (void);
+static void error_during_upload_is_passed_on (void);
 
 static const struct test_case cases[] = {
   { "a response that is reset at its read timeout is not complete",
     reset_response_is_not_complete },
   { "a stream that is reset at its read timeout is not complete",
     reset_stream_is_not_complete },
+  { "a success that ends during the upload is not complete",
+    reset_during_upload_is_not_complete },
+  { "an error that ends during the upload is passed on",
+    error_during_upload_is_passed_on },
 };
 
 TEST_MAIN ("reset", cases)
@@ -138,3 +150,117 @@
   g_free (last);
   g_free (response);
 }
+
+/* How a target ends a connection on which the request is still coming.  */
+enum early_end
+{
+  END_RESET,
+  END_HALF_CLOSE, /* its own side first */
+  END_HALF_CLOSE_RESET,
+  END_COUNT
+};
+
+static enum early_end early_end;
+static const char *early_status;
+
+/* Responds to requests on LISTENER as soon as they begin, and ends their
+   connections.  */
+static void *
+respond_early (void *closure)
+{
+  int listener = GPOINTER_TO_INT (closure);
+  char *part = g_strnfill (PART_BYTES, 'p');
+  char *text = g_strdup_printf ("HTTP/1.1 %s\r\n" FIELDS "\r\n%s",
+                                early_status, part);
+  char buffer[READ_BYTES];
+  int fd;
+
+  while ((fd = accept (listener, NULL, NULL)) >= 0)
+    {
+      if (read (fd, buffer, sizeof buffer) > 0)
+        fx_write (fd, text);
+      if (early_end != END_HALF_CLOSE)
+        fx_reset_on_close (fd);
+      if (early_end != END_RESET)
+        shutdown (fd, SHUT_WR);
+      if (early_end == END_HALF_CLOSE)
+        fx_sleep_ms (STOP_MS);
+      close (fd);
+    }
+  g_free (text);
+  g_free (part);
+  return NULL;
+}
+
+/* Returns the configuration of the tests with room for long bodies, newly
+   allocated.  */
+static char *
+make_config (void)
+{
+  static const char limit[] = "\"max_body_bytes\":1000,";
+  const char *at = strstr (shop_config, limit);
+
+  return g_strdup_printf ("%.*s\"max_body_bytes\":4000000,%s",
+                          (int)(at - shop_config), shop_config,
+                          at + sizeof limit - 1);
+}
+
+/* Returns the response to a long request on PATH, newly allocated, at whose
+   beginning a target responds with STATUS and ends the connection by END.  */
+static char *
+upload (const char *path, const char *status, enum early_end end)
+{
+  char *config = make_config ();
+  char *body = g_strnfill (UPLOAD_BYTES, 'x');
+  char *request = g_strdup_printf (
+      REQUEST_HEAD ("POST", "%s", "s") "Content-Length: %d\r\n\r\n%s", path,
+      UPLOAD_BYTES, body);
+  struct fx_target *target = fx_target_add ("i-0", "desk", shop_respond_ok);
+  int listener = fx_listen (&target->port);
+  pthread_t thread;
+  char *response;
+
+  early_status = status;
+  early_end = end;
+  fx_shrink_receive_buffer (listener);
+  fx_target_put_entry (target, "");
+  pthread_create (&thread, NULL, respond_early, GINT_TO_POINTER (listener));
+  fx_env_start (config);
+  response = fx_exchange (request);
+  fx_env_stop ();
+  shutdown (listener, SHUT_RDWR);
+  pthread_join (thread, NULL);
+  close (listener);
+  g_free (request);
+  g_free (body);
+  g_free (config);
+  return response;
+}
+
+/* Guards against a success of which the target has written a part when it gave
+   up a request that it had not received.  */
+static void
+reset_during_upload_is_not_complete (void)
+{
+  for (int end = 0; end < END_COUNT; end++)
+    {
+      char *read = upload ("/map/1", "200 OK", (enum early_end)end);
+      char *call = upload ("/fee/1", "200 OK", (enum early_end)end);
+
+      CU_ASSERT (g_str_has_prefix (read, "HTTP/1.1 502"));
+      CU_ASSERT (g_str_has_prefix (call, "HTTP/1.1 502"));
+      g_free (call);
+      g_free (read);
+    }
+}
+
+/* Guards against the loss of what a target says of a request that it does not
+   take.  */
+static void
+error_during_upload_is_passed_on (void)
+{
+  char *response = upload ("/fee/1", "413 Payload Too Large", END_HALF_CLOSE);
+
+  CU_ASSERT (g_str_has_prefix (response, "HTTP/1.1 413"));
+  g_free (response);
+}
