Own interface: end a success with the request unsent as broken

Callers of a long upload got a part of a response as its result, where the target had responded at once, without a length, and closed its side before it reset the connection.

Evidence: tests/test_backend, "a success that ends during the upload is no result", fails before this change; where the connection is only reset libcurl reports an error.

Change: a success that only the close ends is a broken attempt if libcurl has not sent the whole request.

--- a/connection/backend.c
+++ b/connection/backend.c
@@ -335,6 +335,9 @@
     }
   else if (has_prefix (data, length, "X-Not-Run:"))
     attempt->not_run = 1;
+  else if (has_prefix (data, length, "Content-Length:")
+           || has_prefix (data, length, "Transfer-Encoding:"))
+    attempt->has_length = 1;
   else if (has_prefix (data, length, "Content-Type:"))
     {
       g_free (attempt->content_type);
--- a/request/librequest.h
+++ b/request/librequest.h
@@ -78,6 +78,7 @@
   int got_bytes;
   int is_head_complete; /* to its empty line; not that of an interim one */
   int is_interim;       /* the last status line is that of one */
+  int has_length;       /* or chunks; else the response ends by a close */
   int id_matches;       /* the response repeats the request's id */
   int id_seen;
   int not_run;          /* reported by the target as not executed */
--- a/request/request_fault.c
+++ b/request/request_fault.c
@@ -1,4 +1,5 @@
 /* What the end of an attempt says of its response.  */
+#include "ibisloom/http.h"
 #include "librequest.h"
 
 enum
@@ -7,6 +8,7 @@
 };
 
 static int is_connect_fault (const struct req_attempt *attempt, int code);
+static int is_given_up (const struct req *req);
 static enum retry_fault response_fault (const struct req *req);
 
 /* Returns the fault that REQ's attempt, for which libcurl returned CODE, has
@@ -26,11 +28,27 @@
     return req->events.has_gap ? RETRY_FAULT_INVALID_RESPONSE
                                : RETRY_FAULT_DISCONNECTED;
   /* libcurl takes a head that was cut for a whole one.  */
-  if (!attempt->is_head_complete)
+  if (!attempt->is_head_complete || is_given_up (req))
     return RETRY_FAULT_DISCONNECTED;
   return response_fault (req);
 }
 
+/* Returns whether the target of REQ has ended a success by closing the
+   connection, before it got the whole request.  A chat has an event that ends
+   it.  */
+static int
+is_given_up (const struct req *req)
+{
+  const struct req_attempt *attempt = &req->attempt;
+  curl_off_t sent = 0;
+
+  if (req->kind != VER_KIND_PLAIN || attempt->has_length
+      || !http_is_success ((uint32_t)attempt->status))
+    return 0;
+  curl_easy_getinfo (attempt->easy, CURLINFO_SIZE_UPLOAD_T, &sent);
+  return (size_t)sent < req->body->len;
+}
+
 /* The same, for a complete response.  Only events go on with a stream that has
    begun.  */
 static enum retry_fault
