soak: Have targets respond twice without a length

Change: the word "twice": a fifth of the responses that are no streams end with their connection, and most of these come once more; a success whose body is not that of one response is a violation.

--- a/tests/soak.c
+++ b/tests/soak.c
@@ -57,6 +57,8 @@
   PATIENT_REQUEST_MS = 8000, /* deadline of one that meets silences */
   SETTLE_MS = 5000,          /* until targets are no longer suspended */
   TRUNCATED_SHARE = 3,       /* of streams, if there are two versions */
+  TWICE_SHARE = 5,           /* of responses that only the close ends */
+  TWICE_MS = 15,             /* until the same comes once more */
   TAKE_UPS_MAX = 2,          /* of one stream */
   CLIENT_PAUSE_MS = 10,      /* where the outcomes of clients are measured */
   MEASURED_MS = 2500,        /* of a cut */
@@ -161,6 +163,7 @@
   int cut;
   int brittle;
   int evacuate;
+  int twice;
 } extras;
 
 /* Record of a request, for check_executions. */
@@ -259,6 +262,24 @@
   g_free (text);
 }
 
+/* Writes a response of target INDEX to request ID that only the close ends,
+   and most times once more a little later, as a target that stutters.  */
+static void
+respond_until_close (int index, int fd, const char *id, int number)
+{
+  char *text
+      = g_strdup_printf ("HTTP/1.1 200 OK\r\nX-Ibisloom-Attempt-Id: %s\r\n"
+                         "X-Ibisloom-Response-Signature: s-%s\r\n\r\nwell",
+                         id, id);
+
+  fx_target_wait_until_heard (targets[index]);
+  fx_write (fd, text);
+  fx_sleep_ms (number % 3 * TWICE_MS);
+  if (number % 4 > 0)
+    fx_write (fd, text);
+  g_free (text);
+}
+
 /* Returns the version of the software of target INDEX.  */
 static const char *
 version_of (int index)
@@ -348,8 +369,16 @@
     }
   else if (behavior != BEHAVIOR_OVERLOADED)
     {
+      int until_close = extras.twice
+                        && g_atomic_int_get (&phase) == PHASE_FAULTS
+                        && request->number % TWICE_SHARE == 0;
+
       fx_sleep_ms (behavior == BEHAVIOR_SLOW ? 400 : 5);
-      respond (index, request->fd, id, "200 OK");
+      keep_alive = !until_close;
+      if (until_close)
+        respond_until_close (index, request->fd, id, request->number);
+      else
+        respond (index, request->fd, id, "200 OK");
       if (behavior == BEHAVIOR_EXTRA_RESPONSE)
         respond (index, request->fd, "another", "200 OK");
     }
@@ -417,6 +446,16 @@
   soak_report_violation (id, "response lost in a silence", response);
 }
 
+/* Returns whether RESPONSE has the body of a target's, or the beginning of
+   it.  */
+static int
+has_own_body (const char *response)
+{
+  const char *body = strstr (response, "\r\n\r\n");
+
+  return body == NULL || g_str_has_prefix ("well", body + 4);
+}
+
 /* Checks RESPONSE to request ID, of which a stream belongs to STREAM, and
    counts its outcome.  Returns whether it is complete and a success.  */
 static int
@@ -438,6 +477,9 @@
   if (status == 200 && signature == NULL)
     soak_report_violation (id, "successful response without signature",
                            response);
+  if (status == 200 && !request_kinds[kind].is_stream
+      && !has_own_body (response))
+    soak_report_violation (id, "body is not that of one response", response);
   if (other != NULL)
     soak_report_violation (id, "field at a client", other);
   if (status >= 400 && status < 429)
@@ -1006,6 +1048,7 @@
   extras.cut = strstr (text, "cut") != NULL;
   extras.brittle = strstr (text, "brittle") != NULL;
   extras.evacuate = strstr (text, "evacuate") != NULL;
+  extras.twice = strstr (text, "twice") != NULL;
 }
 
 int
