Move kept connections to servers into a file of their own

Change: the pool and its connections are in outbound_pool.c, the calls in outbound.c. An unused member is gone.

Measured: no change of logic; test_reset, test_router and test_extra_response pass.

--- a/connection/outbound.c
+++ b/connection/outbound.c
@@ -1,5 +1,4 @@
-/* Client side of HTTP connections: calls over a pool of persistent
-   connections. */
+/* Client side of HTTP connections: calls over persistent connections.  */
 #include <errno.h>
 #include <string.h>
 #include <sys/ioctl.h>
@@ -10,40 +9,15 @@
 #include <linux/sockios.h>
 
 #include "ibisloom/metrics.h"
-#include "ibisloom/outbound.h"
+#include "libout.h"
 #include "libsocket.h"
 
 enum
 {
   READ_BYTES = 16384,
-  IDLE_CONNECTIONS_PER_ADDRESS_MAX = 8,
   /* An idle connection is closed this long before the keep-alive timeout that
      its server announced, since the server may already be closing it.  */
-  KEEP_ALIVE_MARGIN_MS = 700,
-  KEEP_ALIVE_DEFAULT_MS = 4000,
-  USER_TIMEOUT_MS = 3000, /* limit for sent data to be acknowledged */
-  KEEPALIVE_IDLE_S = 1
-};
-
-enum conn_state
-{
-  CONN_CONNECTING,
-  CONN_ACTIVE,
-  CONN_IDLE
-};
-
-struct out_conn
-{
-  struct out_pool *pool;
-  struct sockaddr_in address;
-  ev_io io;
-  ev_timer timer; /* time limit for connecting or being idle */
-  int events;
-  struct http_reader reader;
-  struct out_call *call;
-  int64_t keep_alive_ms;
-  uint8_t state;
-  uint8_t is_reused; /* carried an earlier call */
+  KEEP_ALIVE_MARGIN_MS = 700
 };
 
 struct out_call
@@ -56,27 +30,15 @@
   size_t body_length;
   size_t sent;
   uint8_t paused;
-  uint8_t is_response_complete; /* unused */
   uint8_t reused_connection;
   uint8_t in_reader; /* inside the HTTP reader: out_call_cancel is deferred */
   uint8_t cancelled;
 };
 
-static void on_io (struct ev_loop *loop, ev_io *io, int events);
-static void on_timer (struct ev_loop *loop, ev_timer *timer, int events);
 static int on_head (struct http_reader *reader);
 static int on_data (struct http_reader *reader, const char *data,
                     size_t length);
 static struct out_conn *conn_from_reader (struct http_reader *reader);
-static struct out_conn *conn_open (struct out_pool *pool,
-                                   const struct out_request *request);
-static struct out_conn *conn_take_idle (struct out_pool *pool,
-                                        const struct sockaddr_in *address);
-static void conn_close (struct out_conn *conn);
-static void conn_make_idle (struct out_conn *conn);
-static void close_idle (struct out_conn *conn);
-static void set_events (struct out_conn *conn, int events);
-static void set_timer (struct out_conn *conn, int64_t ms);
 static void send_request (struct out_conn *conn);
 static void receive_response (struct out_conn *conn);
 static int ends_orderly (const struct out_conn *conn);
@@ -85,66 +47,10 @@
 static void call_free (struct out_call *call);
 static int64_t parse_keep_alive (const struct http_head *head);
 
-static const struct http_reader_ops reader_ops = { on_head, on_data, NULL };
+const struct http_reader_ops out_reader_ops = { on_head, on_data, NULL };
 
 static char read_buffer[READ_BYTES];
 
-static void
-free_queue (gpointer queue)
-{
-  g_queue_free (queue);
-}
-
-/* Prepares POOL for calls on LOOP.  */
-void
-out_pool_init (struct out_pool *pool, struct ev_loop *loop)
-{
-  memset (pool, 0, sizeof *pool);
-  pool->loop = loop;
-  pool->idle = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free,
-                                      free_queue);
-}
-
-/* Returns ADDRESS as a 64-bit hash key.  */
-static gint64
-address_key (const struct sockaddr_in *address)
-{
-  return (gint64)(((uint64_t)address->sin_addr.s_addr << 16)
-                  | address->sin_port);
-}
-
-/* Returns the queue of idle connections to ADDRESS, or NULL.  */
-static GQueue *
-find_idle_queue (struct out_pool *pool, const struct sockaddr_in *address)
-{
-  gint64 key = address_key (address);
-
-  return g_hash_table_lookup (pool->idle, &key);
-}
-
-/* Closes all idle connections.  */
-void
-out_pool_clear (struct out_pool *pool)
-{
-  GHashTableIter iter;
-  gpointer queue;
-
-  g_hash_table_iter_init (&iter, pool->idle);
-  while (g_hash_table_iter_next (&iter, NULL, &queue))
-    while (!g_queue_is_empty (queue))
-      conn_close (g_queue_peek_head (queue));
-}
-
-/* Closes the idle connections to ADDRESS, as one to it has gone dark.  */
-void
-out_pool_drop_idle (struct out_pool *pool, const struct sockaddr_in *address)
-{
-  GQueue *queue = find_idle_queue (pool, address);
-
-  while (queue != NULL && !g_queue_is_empty (queue))
-    conn_close (g_queue_peek_head (queue));
-}
-
 /* Starts a call.  No operation of OPS is called before this function returns.
    Returns NULL if no connection can be started.  */
 struct out_call *
@@ -153,11 +59,11 @@
 {
   struct out_conn *conn = request->force_new_connection
                               ? NULL
-                              : conn_take_idle (pool, &request->address);
+                              : out_conn_take_idle (pool, &request->address);
   struct out_call *call;
 
   if (conn == NULL)
-    conn = conn_open (pool, request);
+    conn = out_conn_open (pool, request);
   if (conn == NULL)
     {
       g_string_free (request->head, TRUE);
@@ -175,8 +81,8 @@
   request->head = NULL;
   conn->call = call;
   conn->reader.no_body = request->is_head_request != 0;
-  set_events (conn,
-              conn->state == CONN_CONNECTING ? EV_WRITE : EV_READ | EV_WRITE);
+  out_conn_set_events (
+      conn, conn->state == CONN_CONNECTING ? EV_WRITE : EV_READ | EV_WRITE);
   return call;
 }
 
@@ -194,7 +100,7 @@
     }
   conn->call = NULL;
   call_free (call);
-  conn_close (conn);
+  out_conn_close (conn);
 }
 
 /* Passes the events of CALL from now on to OPS of OWNER.  */
@@ -215,8 +121,8 @@
   call->paused = paused != 0;
   if (call->conn->state != CONN_ACTIVE)
     return;
-  set_events (call->conn, paused ? call->conn->events & ~EV_READ
-                                 : call->conn->events | EV_READ);
+  out_conn_set_events (call->conn, paused ? call->conn->events & ~EV_READ
+                                          : call->conn->events | EV_READ);
 }
 
 /* Returns whether input for CALL, or the end of its connection, has arrived
@@ -265,142 +171,10 @@
   g_free (call);
 }
 
-/* Starts a connection for REQUEST.  Returns NULL on error.  */
-static struct out_conn *
-conn_open (struct out_pool *pool, const struct out_request *request)
-{
-  int fd = sock_connect (&request->address);
-  struct out_conn *conn;
-
-  if (fd < 0)
-    return NULL;
-  sock_set_options (fd, USER_TIMEOUT_MS, KEEPALIVE_IDLE_S);
-  conn = g_new0 (struct out_conn, 1);
-  conn->pool = pool;
-  conn->address = request->address;
-  conn->keep_alive_ms = KEEP_ALIVE_DEFAULT_MS;
-  conn->state = CONN_CONNECTING;
-  http_reader_init (&conn->reader, &reader_ops, 1, HTTP_HEAD_MAX_BYTES);
-  ev_io_init (&conn->io, on_io, fd, EV_WRITE);
-  conn->io.data = conn;
-  ev_timer_init (&conn->timer, on_timer, 0, 0);
-  conn->timer.data = conn;
-  set_timer (conn, request->connect_timeout_ms);
-  pool->opened++;
-  pool->open_count++;
-  return conn;
-}
-
-/* Removes from the pool the most recently used idle connection to ADDRESS that
-   is still usable.  Returns NULL if there is none.  */
-static struct out_conn *
-conn_take_idle (struct out_pool *pool, const struct sockaddr_in *address)
-{
-  GQueue *queue = find_idle_queue (pool, address);
-  struct out_conn *conn = queue ? g_queue_peek_head (queue) : NULL;
-
-  /* A connection with input, or an end of input, that the event loop has not
-     handled yet is unusable.  */
-  while (conn != NULL && !sock_is_idle (conn->io.fd))
-    {
-      close_idle (conn);
-      conn = g_queue_peek_head (queue);
-    }
-  if (conn == NULL)
-    return NULL;
-  g_queue_pop_head (queue);
-  pool->idle_count--;
-  ev_timer_stop (pool->loop, &conn->timer);
-  conn->state = CONN_ACTIVE;
-  http_reader_clear (&conn->reader);
-  return conn;
-}
-
-/* Adds CONN to the idle connections.  If its address has too many, the one
-   that has been idle longest is closed.  */
-static void
-conn_make_idle (struct out_conn *conn)
-{
-  GQueue *queue = find_idle_queue (conn->pool, &conn->address);
-  gint64 *key;
-
-  if (queue == NULL)
-    {
-      key = g_new (gint64, 1);
-      *key = address_key (&conn->address);
-      queue = g_queue_new ();
-      g_hash_table_insert (conn->pool->idle, key, queue);
-    }
-  conn->is_reused = 1;
-  conn->state = CONN_IDLE;
-  http_reader_clear (&conn->reader);
-  g_queue_push_head (queue, conn);
-  conn->pool->idle_count++;
-  if (queue->length > IDLE_CONNECTIONS_PER_ADDRESS_MAX)
-    {
-      conn_close (g_queue_peek_tail (queue));
-      return;
-    }
-  set_events (conn, EV_READ);
-  set_timer (conn, conn->keep_alive_ms);
-}
-
-/* Closes CONN, which is idle and was closed by the server, or has input that
-   belongs to no call.  */
-static void
-close_idle (struct out_conn *conn)
-{
-  if (sock_has_bytes (conn->io.fd))
-    metric_inc (METRIC_EXTRA_INPUT);
-  conn_close (conn);
-}
-
-/* Closes and frees CONN, whose call has ended.  */
-static void
-conn_close (struct out_conn *conn)
-{
-  struct out_pool *pool = conn->pool;
-
-  if (conn->state == CONN_IDLE)
-    {
-      GQueue *queue = find_idle_queue (pool, &conn->address);
-
-      g_queue_remove (queue, conn);
-      pool->idle_count--;
-    }
-  ev_io_stop (pool->loop, &conn->io);
-  ev_timer_stop (pool->loop, &conn->timer);
-  close (conn->io.fd);
-  http_reader_clear (&conn->reader);
-  pool->open_count--;
-  g_free (conn);
-}
-
-/* Sets the socket EVENTS to wait for; 0 stops waiting.  */
-static void
-set_events (struct out_conn *conn, int events)
-{
-  conn->events = events;
-  ev_io_stop (conn->pool->loop, &conn->io);
-  if (events == 0)
-    return;
-  ev_io_set (&conn->io, conn->io.fd, events);
-  ev_io_start (conn->pool->loop, &conn->io);
-}
-
-/* Starts the timer of CONN, which expires after MS milliseconds.  */
-static void
-set_timer (struct out_conn *conn, int64_t ms)
-{
-  ev_timer_stop (conn->pool->loop, &conn->timer);
-  ev_timer_set (&conn->timer, (double)(ms > 0 ? ms : 1) / CLK_MS_PER_S, 0);
-  ev_timer_start (conn->pool->loop, &conn->timer);
-}
-
 /* Handles a connection attempt that timed out, or a connection that was idle
    for too long.  */
-static void
-on_timer (struct ev_loop *loop, ev_timer *timer, int events)
+void
+out_conn_handle_timer (struct ev_loop *loop, ev_timer *timer, int events)
 {
   struct out_conn *conn = timer->data;
 
@@ -409,12 +183,12 @@
   if (conn->state == CONN_CONNECTING)
     fail_call (conn, OUT_NOT_SENT);
   else if (conn->state == CONN_IDLE)
-    conn_close (conn);
+    out_conn_close (conn);
 }
 
 /* Handles socket events of CONN.  */
-static void
-on_io (struct ev_loop *loop, ev_io *io, int events)
+void
+out_conn_handle_io (struct ev_loop *loop, ev_io *io, int events)
 {
   struct out_conn *conn = io->data;
 
@@ -422,7 +196,7 @@
   if (conn->state == CONN_IDLE)
     {
       /* Closed by the server, or input that belongs to no call.  */
-      close_idle (conn);
+      out_conn_close_idle (conn);
       return;
     }
   if (conn->state == CONN_CONNECTING)
@@ -434,7 +208,7 @@
         }
       ev_timer_stop (conn->pool->loop, &conn->timer);
       conn->state = CONN_ACTIVE;
-      set_events (conn, EV_READ | EV_WRITE);
+      out_conn_set_events (conn, EV_READ | EV_WRITE);
       if (conn->call->ops->connected != NULL)
         conn->call->ops->connected (conn->call->owner);
       send_request (conn);
@@ -475,7 +249,7 @@
     }
   call->sent += (size_t)sent;
   if (call->sent == call->head->len + call->body_length)
-    set_events (conn, conn->events & ~EV_WRITE);
+    out_conn_set_events (conn, conn->events & ~EV_WRITE);
 }
 
 /* Reads and parses available input of the response.  */
@@ -504,16 +278,16 @@
       out_call_cancel (call);
       return;
     }
-  if (result == HTTP_READ_COMPLETE && received == 0 && !ends_orderly (conn))
+  if (received == 0 && (result != HTTP_READ_COMPLETE || !ends_orderly (conn)))
     fail_call (conn, OUT_DISCONNECTED);
   else if (result == HTTP_READ_COMPLETE)
     {
-      if (received > 0 && used < (size_t)received)
+      int has_trailing_data = received == 0 || used < (size_t)received;
+
+      if (received > 0 && has_trailing_data)
         metric_inc (METRIC_EXTRA_INPUT);
-      complete_call (conn, received == 0 || used < (size_t)received);
+      complete_call (conn, has_trailing_data);
     }
-  else if (received == 0)
-    fail_call (conn, OUT_DISCONNECTED);
   else if (result != HTTP_READ_MORE)
     fail_call (conn, OUT_INVALID_RESPONSE);
 }
@@ -550,9 +324,9 @@
   call_free (call);
   if (!has_trailing_data && is_fully_sent
       && http_reader_keeps_alive (&conn->reader) && conn->keep_alive_ms > 0)
-    conn_make_idle (conn);
+    out_conn_make_idle (conn);
   else
-    conn_close (conn);
+    out_conn_close (conn);
   ops->end (owner);
 }
 
@@ -566,7 +340,7 @@
 
   conn->call = NULL;
   call_free (call);
-  conn_close (conn);
+  out_conn_close (conn);
   ops->fail (owner, fault);
 }
 
@@ -618,8 +392,8 @@
   int64_t ms;
 
   if (timeout == NULL)
-    return KEEP_ALIVE_DEFAULT_MS;
+    return OUT_KEEP_ALIVE_DEFAULT_MS;
   ms = g_ascii_strtoll (timeout + strlen ("timeout="), NULL, 10) * CLK_MS_PER_S
        - KEEP_ALIVE_MARGIN_MS;
-  return CLAMP (ms, 0, KEEP_ALIVE_DEFAULT_MS);
+  return CLAMP (ms, 0, OUT_KEEP_ALIVE_DEFAULT_MS);
 }
