End what a lost sender may have run elsewhere

Callers were not harmed, but two targets worked on one stream for seconds: an instance that is cut off from the targets has its streams run through another one; when the two no longer heard each other, the sender had them go on through a third one after three unanswered questions, while the receiver, whose connection to the sender gets neither data nor an end, and its target went on.

Cause: only the sender looked whether the other end is lost.

Evidence: tests/test_hop, "a lost sender ends what it may have run elsewhere", fails before: the stream is at work 1,400 ms after the sender has stopped.

Change: the receiver looks every 100 ms whether anything of the sender has arrived within 1,200 ms, and ends the request otherwise, if the sender may repeat it. Both times begin when the two stop hearing each other, and the sender takes at least 1,000 ms, so that the overlap stays below 400 ms. Requests that may run once are not sent again, and go on. New: hops_abandoned_total, outcome sender_lost.

--- a/daemon/ctl_explain.c
+++ b/daemon/ctl_explain.c
@@ -21,6 +21,8 @@
 } outcomes[] = {
   { "answered", "the target's answer was passed on whole" },
   { "target_error", "the target answered with an error, which was passed on" },
+  { "sender_lost",
+    "the instance that had sent the request here was no longer heard" },
   { "caller_gone", "the caller left before the answer was complete" },
   { "bad_request", "refused: the request lacks what every request needs" },
   { "unknown_route",
--- a/include/ibisloom/fleet.h
+++ b/include/ibisloom/fleet.h
@@ -147,6 +147,7 @@
 uint32_t fleet_pick_peer (const struct fleet *fleet, int is_local,
                           int (*is_taken) (void *closure, uint32_t peer),
                           void *closure);
+int64_t fleet_peer_silent_ms (const struct fleet *fleet, uint32_t peer);
 const struct sockaddr_in *fleet_peer_address (const struct fleet *fleet,
                                               uint32_t peer);
 uint32_t fleet_self (const struct fleet *fleet);
--- a/include/ibisloom/metrics.h
+++ b/include/ibisloom/metrics.h
@@ -72,6 +72,7 @@
   /* Requests through other instances, while cut off from targets.  */
   METRIC_HOPS_SENT,
   METRIC_HOPS_RECEIVED,
+  METRIC_HOPS_ABANDONED,  /* as their sender was no longer heard */
   METRIC_HOPS_REFUSED,    /* by this instance */
   METRIC_CUT_OFF,         /* times that it was cut off from a service */
   METRIC_ROOM_REJECTIONS, /* requests that brittle targets turned away */
--- a/process/fleet_reach.c
+++ b/process/fleet_reach.c
@@ -83,6 +83,19 @@
   return found != NULL && found->last_seen_ms != 0 ? &found->address : NULL;
 }
 
+/* Returns for how long nothing of the instance PEER has arrived, INT64_MAX if
+   nothing ever has.  */
+int64_t
+fleet_peer_silent_ms (const struct fleet *fleet, uint32_t peer)
+{
+  const struct fleet_peer *found
+      = g_hash_table_lookup (fleet->peers, GUINT_TO_POINTER (peer));
+
+  return found != NULL && found->last_seen_ms != 0
+             ? clk_now (clk_monotonic ()) - found->last_seen_ms
+             : INT64_MAX;
+}
+
 /* Returns the identifier of this instance.  */
 uint32_t
 fleet_self (const struct fleet *fleet)
--- a/process/metrics.c
+++ b/process/metrics.c
@@ -110,6 +110,7 @@
   [METRIC_LISTS_FAILED] = "ibisloom_context_lists_failed_total",
   [METRIC_HOPS_SENT] = "ibisloom_hops_sent_total",
   [METRIC_HOPS_RECEIVED] = "ibisloom_hops_received_total",
+  [METRIC_HOPS_ABANDONED] = "ibisloom_hops_abandoned_total",
   [METRIC_HOPS_REFUSED] = "ibisloom_hops_refused_total",
   [METRIC_CUT_OFF] = "ibisloom_cut_off_total",
   [METRIC_ROOM_REJECTIONS] = "ibisloom_room_rejections_total",
--- a/request/librelay.h
+++ b/request/librelay.h
@@ -108,6 +108,7 @@
   struct rt_route route;
   struct rt_split split[RELAY_HOP_SPLITS]; /* of the route */
   struct rt_customer customer;
+  ev_timer sender_timer; /* looks whether the sender is heard */
 };
 
 struct relay
@@ -277,6 +278,7 @@
 void relay_hop_check (struct relay *relay);
 
 /* relay_accept.c */
+void relay_accept_end (struct relay *relay);
 void relay_accept_append_software (const struct relay *relay, GString *out);
 void relay_accept_append_refused (const struct relay *relay, GString *out);
 
--- a/request/relay.c
+++ b/request/relay.c
@@ -463,8 +463,6 @@
   if (relay->body != NULL)
     g_string_free (relay->body, TRUE);
   relay_attempt_clear (&relay->attempt);
-  if (relay->hop != NULL)
-    relay->router->open_hops--;
-  g_free (relay->hop);
+  relay_accept_end (relay);
   g_free (relay);
 }
--- a/request/relay_accept.c
+++ b/request/relay_accept.c
@@ -7,10 +7,22 @@
 #include "ibisloom/metrics.h"
 #include "librelay.h"
 
+enum
+{
+  /* The sender takes this instance for lost after the third of its questions,
+     500 ms apart, has no answer, and has the request run elsewhere.  When the
+     two no longer hear each other, both times begin at that moment.  */
+  SENDER_SILENT_MS = 1200,
+  SENDER_CHECK_MS = 100
+};
+
 static int is_from_instance (const struct router *router,
                              const struct client *client,
                              const struct hop_mark *mark);
 static int prepare (struct relay *relay, enum relay_refusal *refusal);
+static void watch_sender (struct relay *relay);
+static void on_sender_timer (struct ev_loop *loop, ev_timer *timer,
+                             int events);
 static void apply_mark (struct relay *relay, const char *service);
 
 /* Handles a request of another instance, which is CLIENT.  Returns the relay,
@@ -47,10 +59,58 @@
     relay_count (relay);
   relay->is_counted = 1;
   relay_adopt_holders (relay);
+  watch_sender (relay);
   relay_dispatch (relay);
   return relay;
 }
 
+/* Has RELAY end if its sender is no longer heard, where the sender may have it
+   run by another instance then.  */
+static void
+watch_sender (struct relay *relay)
+{
+  static const double interval_s = (double)SENDER_CHECK_MS / CLK_MS_PER_S;
+  ev_timer *timer = &relay->hop->sender_timer;
+
+  ev_timer_init (timer, on_sender_timer, interval_s, interval_s);
+  timer->data = relay;
+  if (rt_repeatable (relay->route))
+    ev_timer_start (relay->router->loop, timer);
+}
+
+/* Ends the request whose timer this is, if its sender has been silent for too
+   long: its response no longer arrives, and no other target may work on it
+   beside this one.  */
+static void
+on_sender_timer (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct relay *relay = timer->data;
+  struct client *client = relay->client;
+
+  (void)loop;
+  (void)events;
+  if (fleet_peer_silent_ms (relay->router->fleet, relay->hop->mark.sender)
+          < SENDER_SILENT_MS
+      || client == NULL)
+    return;
+  metric_inc (METRIC_HOPS_ABANDONED);
+  relay->client = NULL;
+  client_abort_response (client);
+  relay_finish (relay, "sender_lost");
+}
+
+/* Frees what RELAY has as a request of another instance, if it is one.  */
+void
+relay_accept_end (struct relay *relay)
+{
+  if (relay->hop == NULL)
+    return;
+  ev_timer_stop (relay->router->loop, &relay->hop->sender_timer);
+  relay->router->open_hops--;
+  g_free (relay->hop);
+  relay->hop = NULL;
+}
+
 /* Returns whether CLIENT is the instance that MARK names: it is known, has
    connected from its address, and knows what was told to instances only.  */
 static int
--- a/tests/test_hop.c
+++ b/tests/test_hop.c
@@ -19,6 +19,11 @@
   FOUND_MS = 1500, /* by then, a cut or its end is known */
   STEP_MS = 20,
   SLOW_MS = 1500,
+  LONG_EVENTS = 40,
+  EVENT_MS = 100,
+  /* The earliest time after which a sender that hears nothing has a request
+     run elsewhere, and that for which two targets may work on it.  */
+  ENDED_MS = 1000 + 400,
   LOST_MS = 2800, /* by then, a lost instance has been noticed */
   REFUSED_MS = 200,
   EVENTS = 5,
@@ -28,6 +33,7 @@
 static void call_runs_once_when_the_instance_is_killed (void);
 static void call_runs_once_when_the_instance_freezes (void);
 static void client_that_leaves_ends_the_run (void);
+static void lost_sender_ends_the_run (void);
 static void stream_goes_on_through_another_instance (void);
 static void outsiders_have_no_hops (void);
 static void instances_all_cut_off_refuse_and_return (void);
@@ -40,6 +46,8 @@
     call_runs_once_when_the_instance_freezes },
   { "a client that leaves ends a run through another instance",
     client_that_leaves_ends_the_run },
+  { "a lost sender ends what it may have run elsewhere",
+    lost_sender_ends_the_run },
   { "a stream goes on at its version when its instance is killed",
     stream_goes_on_through_another_instance },
   { "outsiders have no requests sent as instances do",
@@ -75,12 +83,38 @@
   return shop_respond_ok (request);
 }
 
-/* Writes a stream of TEXT that pauses unless it is resumed.  */
+/* Writes a long stream, until its connection is closed.  */
+static int
+stream_long (const struct fx_request *request)
+{
+  char byte;
+
+  shop_start_stream (request);
+  for (int i = 1; i <= LONG_EVENTS; i++)
+    {
+      shop_write_events (request, i, i);
+      fx_sleep_ms (EVENT_MS);
+      if (recv (request->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) != 0)
+        continue;
+      g_atomic_int_inc (&abandoned);
+      return 0;
+    }
+  fx_write (request->fd, "0\r\n\r\n");
+  return 1;
+}
+
+/* Writes a stream of TEXT that pauses unless it is resumed, or a long one if
+   slow.  */
 static int
 stream (const struct fx_request *request, const char *text)
 {
   char *after = fx_header_value (request->text, "Last-Event-Id");
 
+  if (g_atomic_int_get (&is_slow))
+    {
+      g_free (after);
+      return stream_long (request);
+    }
   shop_start_stream (request);
   for (int i = after != NULL ? atoi (after) + 1 : 1; i <= EVENTS; i++)
     {
@@ -241,6 +275,33 @@
   fx_env_stop ();
 }
 
+/* Guards against two targets that work on one request, as its sender no longer
+   hears the instance that runs it.  */
+static void
+lost_sender_ends_the_run (void)
+{
+  int plan_fd;
+  int rules_fd;
+
+  start (1);
+  cut_off (0);
+  g_atomic_int_set (&is_slow, 1);
+  plan_fd = fx_router_connect (0);
+  fx_send (plan_fd, POST_PLAN ("plan"));
+  rules_fd = fx_router_connect (0);
+  fx_send (rules_fd, POST_RULES ("rules"));
+  fx_sleep_ms (SLOW_MS / 4);
+  CU_ASSERT_EQUAL (g_atomic_int_get (&abandoned), 0);
+  fx_router_signal (0, SIGSTOP);
+  fx_sleep_ms (ENDED_MS);
+  /* Not the stream that may not be resumed: nobody sends it again.  */
+  CU_ASSERT_EQUAL (g_atomic_int_get (&abandoned), 1);
+  fx_router_signal (0, SIGCONT);
+  close (plan_fd);
+  close (rules_fd);
+  fx_env_stop ();
+}
+
 static void
 stream_goes_on_through_another_instance (void)
 {
