Name the parts of a pace by the field's terms

Cause: a reader who did not know the code took bend, floor and patience of a pace for something else.

Change: threshold (of the slow start), min_first_byte_ms and late_after_ms; one function for the shortest time, which stood twice. The field patience_ms of the log stays, as it is an interface.

Measured: no change of logic; test_pace and test_fuzz pass.

--- a/include/ibisloom/pace.h
+++ b/include/ibisloom/pace.h
@@ -20,22 +20,22 @@
 /* Limit of the requests in progress at a target, which grows by itself. */
 struct pace
 {
-  uint32_t version;   /* odd: in force; the higher one wins among instances */
-  double base;        /* limit at since_ms */
-  double bend;        /* limit above which it grows slowly; may be infinite */
-  clk_ms since_ms;    /* start, or last reduction */
-  double floor_ms;    /* shortest time to the first byte; 0: unknown */
-  double paused_ms;   /* since then, while a request was late */
+  uint32_t version; /* odd: in force; the higher one wins among instances */
+  double base;      /* limit at since_ms */
+  double threshold; /* limit above which it grows slowly; may be infinite */
+  clk_ms since_ms;  /* start, or last reduction */
+  double min_first_byte_ms; /* shortest time to the first byte; 0: unknown */
+  double paused_ms;         /* since then, while a request was late */
   uint32_t confirmed; /* responses since then, at this instance, in time */
   clk_ms asked_ms;    /* sent, and no response since; 0: none */
   /* Peers are told of it, as it does not follow from the target's entry.  */
   uint8_t is_announced;
   /* As of the last heartbeat.  */
-  double full;        /* limit at which the pace no longer binds */
-  double patience_ms; /* after which a response is late; infinite: unknown */
-  uint32_t rank;      /* of this instance at the target, from 0 */
-  uint32_t instances; /* that may send to it in turn */
-  uint8_t is_open;    /* see struct pace_service */
+  double full;          /* limit at which the pace no longer binds */
+  double late_after_ms; /* after which a response is late; infinite: unknown */
+  uint32_t rank;        /* of this instance at the target, from 0 */
+  uint32_t instances;   /* that may send to it in turn */
+  uint8_t is_open;      /* see struct pace_service */
 };
 
 /* Pace of another instance. */
@@ -43,8 +43,8 @@
 {
   uint32_t version;
   double base;
-  double bend;
-  double floor_ms;
+  double threshold;
+  double min_first_byte_ms;
   int64_t age_ms; /* since its start or last reduction */
 };
 
--- a/include/ibisloom/wire.h
+++ b/include/ibisloom/wire.h
@@ -348,9 +348,9 @@
   uint64_t target;
   uint64_t incarnation; /* of its process */
   uint32_t version;
-  uint32_t base;  /* in units of WIRE_PACE_SCALE, as the next two */
-  uint32_t bend;  /* UINT32_MAX: infinite */
-  uint32_t floor; /* 0: unknown */
+  uint32_t base;           /* in units of WIRE_PACE_SCALE, as the next two */
+  uint32_t threshold;      /* UINT32_MAX: infinite */
+  uint32_t min_first_byte; /* 0: unknown */
   uint32_t age_ms;
 };
 
--- a/process/fleet_pace.c
+++ b/process/fleet_pace.c
@@ -118,10 +118,11 @@
       struct pace_told told
           = { .version = received->version,
               .base = (double)received->base / WIRE_PACE_SCALE,
-              .bend = received->bend == UINT32_MAX
-                          ? INFINITY
-                          : (double)received->bend / WIRE_PACE_SCALE,
-              .floor_ms = (double)received->floor / WIRE_PACE_SCALE,
+              .threshold = received->threshold == UINT32_MAX
+                               ? INFINITY
+                               : (double)received->threshold / WIRE_PACE_SCALE,
+              .min_first_byte_ms
+              = (double)received->min_first_byte / WIRE_PACE_SCALE,
               .age_ms = received->age_ms };
 
       if (target == NULL || target->incarnation != received->incarnation
@@ -301,7 +302,7 @@
   log_real (&line, "mean_load", target->pace_service->mean_load);
   log_number (&line, "after_ms", now - sent_ms);
   log_real (&line, "patience_ms",
-            isfinite (pace->patience_ms) ? pace->patience_ms : 0);
+            isfinite (pace->late_after_ms) ? pace->late_after_ms : 0);
   log_number (&line, "rank", pace->rank);
   log_number (&line, "instances", pace->instances);
   log_end (&line);
@@ -313,14 +314,15 @@
 {
   const struct pace *pace = &target->pace;
 
-  return (struct wire_pace){ .target = target->hash,
-                             .incarnation = target->incarnation,
-                             .version = pace->version,
-                             .base = to_units (pace->base),
-                             .bend = to_units (pace->bend),
-                             .floor = to_units (pace->floor_ms),
-                             .age_ms = (uint32_t)CLAMP (now - pace->since_ms,
-                                                        0, INT32_MAX) };
+  return (struct wire_pace){
+    .target = target->hash,
+    .incarnation = target->incarnation,
+    .version = pace->version,
+    .base = to_units (pace->base),
+    .threshold = to_units (pace->threshold),
+    .min_first_byte = to_units (pace->min_first_byte_ms),
+    .age_ms = (uint32_t)CLAMP (now - pace->since_ms, 0, INT32_MAX)
+  };
 }
 
 /* Returns VALUE in units of WIRE_PACE_SCALE; UINT32_MAX if it is infinite.  */
--- a/process/wire_capacity.c
+++ b/process/wire_capacity.c
@@ -132,8 +132,8 @@
       msgpack_pack_uint64 (packer, paces->pace[i].incarnation);
       msgpack_pack_uint64 (packer, paces->pace[i].version);
       msgpack_pack_uint64 (packer, paces->pace[i].base);
-      msgpack_pack_uint64 (packer, paces->pace[i].bend);
-      msgpack_pack_uint64 (packer, paces->pace[i].floor);
+      msgpack_pack_uint64 (packer, paces->pace[i].threshold);
+      msgpack_pack_uint64 (packer, paces->pace[i].min_first_byte);
       msgpack_pack_uint64 (packer, paces->pace[i].age_ms);
     }
 }
@@ -153,8 +153,8 @@
       pace->incarnation = wire_next_uint (&list, UINT64_MAX);
       pace->version = (uint32_t)wire_next_uint (&list, UINT32_MAX);
       pace->base = (uint32_t)wire_next_uint (&list, UINT32_MAX);
-      pace->bend = (uint32_t)wire_next_uint (&list, UINT32_MAX);
-      pace->floor = (uint32_t)wire_next_uint (&list, UINT32_MAX);
+      pace->threshold = (uint32_t)wire_next_uint (&list, UINT32_MAX);
+      pace->min_first_byte = (uint32_t)wire_next_uint (&list, UINT32_MAX);
       pace->age_ms = (uint32_t)wire_next_uint (&list, INT32_MAX);
     }
   reader->failed |= list.failed;
--- a/request/pace.c
+++ b/request/pace.c
@@ -37,8 +37,8 @@
 static const double FULL_FACTOR = 2;
 static const double FULL_SLACK = 4;
 
-/* Part of the full limit by which it grows in a second above the bend, so that
-   a target that was slow for a time has its share again in 2 s.  */
+/* Part of the full limit by which it grows in a second above the threshold, so
+   that a target that was slow for a time has its share again in 2 s.  */
 static const double GROWTH_SHARE_PER_S = 0.25;
 static const double GROWTH_MIN_PER_S = 2;
 
@@ -54,8 +54,9 @@
    up to so many times that of its service.  */
 static const double SLOW_FACTOR_MAX = 3;
 
-static double patience (const struct pace *pace,
-                        const struct pace_service *service);
+static void note_first_byte (struct pace *pace, double ms);
+static double late_after (const struct pace *pace,
+                          const struct pace_service *service);
 static double overdue_ms (const struct pace *pace, clk_ms now);
 static double grown_ms (const struct pace *pace, clk_ms now);
 
@@ -82,10 +83,10 @@
 {
   *pace = (struct pace){ .version = (pace->version + 1) | 1,
                          .base = LIMIT_MIN,
-                         .bend = INFINITY,
+                         .threshold = INFINITY,
                          .since_ms = now,
                          .full = FULL_SLACK,
-                         .patience_ms = INFINITY,
+                         .late_after_ms = INFINITY,
                          .instances = 1 };
 }
 
@@ -121,9 +122,8 @@
 int
 pace_adopt (struct pace *pace, const struct pace_told *told, clk_ms now)
 {
-  if (told->version == pace->version && told->floor_ms > 0)
-    pace->floor_ms = pace->floor_ms > 0 ? MIN (pace->floor_ms, told->floor_ms)
-                                        : told->floor_ms;
+  if (told->version == pace->version && told->min_first_byte_ms > 0)
+    note_first_byte (pace, told->min_first_byte_ms);
   if (told->version % 2 == 0 || told->version < pace->version
       || (told->version == pace->version && told->base >= pace->base))
     return 0;
@@ -131,8 +131,8 @@
     pace_begin (pace, now);
   pace->version = told->version;
   pace->base = MAX (told->base, LIMIT_MIN);
-  pace->bend = MAX (told->bend, pace->base);
-  pace->floor_ms = told->floor_ms;
+  pace->threshold = MAX (told->threshold, pace->base);
+  pace->min_first_byte_ms = told->min_first_byte_ms;
   pace->since_ms = now - told->age_ms;
   pace->paused_ms = 0;
   pace->confirmed = 0;
@@ -146,7 +146,7 @@
 {
   pace->full = FULL_FACTOR * service->mean_load + FULL_SLACK;
   pace->is_open = service->is_open;
-  pace->patience_ms = patience (pace, service);
+  pace->late_after_ms = late_after (pace, service);
 }
 
 /* Returns how many requests of all instances may be in progress at NOW at the
@@ -162,10 +162,10 @@
     return INFINITY;
   left_ms = grown_ms (pace, now);
   doubled = pace->base * exp2 (left_ms / DOUBLING_MS);
-  if (doubled <= pace->bend)
+  if (doubled <= pace->threshold)
     return doubled;
-  left_ms -= DOUBLING_MS * log2 (pace->bend / pace->base);
-  return pace->bend + per_s * left_ms / CLK_MS_PER_S;
+  left_ms -= DOUBLING_MS * log2 (pace->threshold / pace->base);
+  return pace->threshold + per_s * left_ms / CLK_MS_PER_S;
 }
 
 /* Returns whether this instance may send another request at NOW to the target
@@ -224,15 +224,14 @@
               double load, clk_ms sent_ms, clk_ms now)
 {
   double first_byte_ms = (double)MAX (now - sent_ms, 1);
-  double late_ms = patience (pace, service);
+  double late_ms = late_after (pace, service);
 
   if (sent_ms < pace->since_ms)
     return 0;
   pace->paused_ms += overdue_ms (pace, now);
   pace->asked_ms = 0;
-  pace->floor_ms = pace->floor_ms > 0 ? MIN (pace->floor_ms, first_byte_ms)
-                                      : first_byte_ms;
-  pace->patience_ms = patience (pace, service);
+  note_first_byte (pace, first_byte_ms);
+  pace->late_after_ms = late_after (pace, service);
   if (first_byte_ms > late_ms)
     return pace_reduce (pace, load, pace->since_ms, now);
   pace->confirmed++;
@@ -251,24 +250,33 @@
     return 0;
   pace->version += 2;
   pace->base = MAX (used * REDUCTION, LIMIT_MIN);
-  pace->bend = pace->base;
+  pace->threshold = pace->base;
   pace->since_ms = now;
   pace->paused_ms = 0;
   pace->confirmed = 0;
   return 1;
 }
 
+/* Records that the target of PACE has responded within MS.  */
+static void
+note_first_byte (struct pace *pace, double ms)
+{
+  if (pace->min_first_byte_ms <= 0 || ms < pace->min_first_byte_ms)
+    pace->min_first_byte_ms = ms;
+}
+
 /* Returns how long a request to the target of PACE, of SERVICE, may take to
    the first byte until it is late; infinity if nothing is known.  */
 static double
-patience (const struct pace *pace, const struct pace_service *service)
+late_after (const struct pace *pace, const struct pace_service *service)
 {
   double usual_ms = service->first_byte_ms;
   double late_ms;
 
   if (usual_ms <= 0)
     return INFINITY;
-  usual_ms = MAX (usual_ms, MIN (pace->floor_ms, SLOW_FACTOR_MAX * usual_ms));
+  usual_ms = MAX (usual_ms,
+                  MIN (pace->min_first_byte_ms, SLOW_FACTOR_MAX * usual_ms));
   late_ms = MAX (LATE_FACTOR * usual_ms,
                  usual_ms + LATE_DEVIATIONS * service->deviation_ms);
   return MAX (late_ms, LATE_MIN_MS);
@@ -281,7 +289,7 @@
 {
   double waited_ms = (double)(now - MAX (pace->asked_ms, pace->since_ms));
 
-  return pace->asked_ms != 0 ? MAX (waited_ms - pace->patience_ms, 0) : 0;
+  return pace->asked_ms != 0 ? MAX (waited_ms - pace->late_after_ms, 0) : 0;
 }
 
 /* Returns for how long PACE has grown at NOW.  Responses in time count in
--- a/tests/test_pace.c
+++ b/tests/test_pace.c
@@ -119,8 +119,8 @@
   CU_ASSERT (!pace_reduce (&paces[0], 6, now - 1, now + 1));
   told = (struct pace_told){ .version = paces[0].version,
                              .base = paces[0].base,
-                             .bend = paces[0].bend,
-                             .floor_ms = paces[0].floor_ms,
+                             .threshold = paces[0].threshold,
+                             .min_first_byte_ms = paces[0].min_first_byte_ms,
                              .age_ms = 5 };
   CU_ASSERT (pace_adopt (&paces[1], &told, now + 5));
   CU_ASSERT (!pace_adopt (&paces[1], &told, now + 6));
@@ -285,8 +285,8 @@
   const struct pace *pace = &play->paces[instance];
   struct pace_told told = { .version = pace->version,
                             .base = pace->base,
-                            .bend = pace->bend,
-                            .floor_ms = pace->floor_ms,
+                            .threshold = pace->threshold,
+                            .min_first_byte_ms = pace->min_first_byte_ms,
                             .age_ms = now - pace->since_ms };
 
   for (int i = 0; i < INSTANCES; i++)
