Take the end of a target not for the end of its response

Callers got a part of a response as a complete one, and streams that ended between two events with the rest missing, when the target's process was killed in the middle.

Cause: the system closes the connections of a process that ends in order, and an orderly end completes a response that has neither a length nor chunks. Nothing in such a response tells its end.

Change: request/relay_end.c connects to the target before such a success is delivered, as fleet_crash.c does for broken connections. If the target no longer accepts connections, the response was cut: it is retried or resumed where it may be, else the client sees it end without its end. It costs a round trip and a connection for each response without a length, and nothing for others.

--- a/request/librelay.h
+++ b/request/librelay.h
@@ -4,6 +4,7 @@
 
 #include "ibisloom/extra.h"
 #include "ibisloom/metrics.h"
+#include "ibisloom/probe.h"
 #include "ibisloom/relay.h"
 #include "ibisloom/router.h"
 #include "ibisloom/wait.h"
@@ -142,6 +143,9 @@
      one of them goes on; TARGET is NULL: none.  */
   struct relay_attempt kept;
   clk_ms kept_until_ms;
+  /* Whether the target of the current attempt, whose response seems complete,
+     still accepts connections; NULL: not looked at.  */
+  struct probe *end_probe;
   clk_ms look_again_ms; /* for a replacement of a silent attempt */
   /* All attempts.  */
   uint64_t tried[RELAY_TRIED_MAX]; /* targets that may have received it */
@@ -392,10 +396,15 @@
                      const char *data, size_t length);
 enum retry_fault relay_response_fault (const struct relay *relay,
                                        const struct relay_attempt *attempt);
+void relay_complete (struct relay *relay, enum retry_fault fault);
 void relay_deliver_response (struct relay *relay);
 void relay_events_forward (struct relay *relay, const char *data,
                            size_t length);
 
+/* relay_end.c */
+int relay_end_verify (struct relay *relay, enum retry_fault fault);
+void relay_end_cancel (struct relay *relay);
+
 /* relay_events.c */
 int relay_events_has_complete (const GString *partial, size_t searched);
 int relay_events_feed (struct relay *relay, const char *data, size_t length);
--- a/request/relay.c
+++ b/request/relay.c
@@ -441,6 +441,7 @@
 {
   clk_ms now = clk_now (clk_monotonic ());
 
+  relay_end_cancel (relay);
   relay_end_attempt (relay, HEALTH_EVENT_COUNT);
   relay_drop_kept (relay, HEALTH_EVENT_COUNT);
   if (!relay->has_begun && !relay->takes_up)
--- a/request/relay_response.c
+++ b/request/relay_response.c
@@ -190,13 +190,22 @@
                  : relay_backpressure_fault (relay, retry_faults[fault]));
 }
 
-/* Handles a complete response: delivers it, or handles it as a fault.  */
+/* Handles a complete response, once it is sure that it is complete.  */
 static void
 handle_complete_response (struct relay *relay)
 {
   enum retry_fault fault = relay_backpressure_fault (
       relay, relay_response_fault (relay, &relay->attempt));
 
+  if (!relay_end_verify (relay, fault))
+    relay_complete (relay, fault);
+}
+
+/* Delivers the response of the current attempt of RELAY, or handles the FAULT
+   that it is.  */
+void
+relay_complete (struct relay *relay, enum retry_fault fault)
+{
   if (!relay->attempt.not_run && !relay->attempt.is_event_stream)
     relay_request_survived (relay);
   if (fault != RETRY_FAULT_COUNT)
--- a/tests/test_reset.c
+++ b/tests/test_reset.c
@@ -33,6 +33,9 @@
 
 static void reset_response_is_not_complete (void);
 static void reset_stream_is_not_complete (void);
+static void response_of_ended_target_is_not_complete (void);
+static void stream_of_ended_target_is_not_complete (void);
+static void stream_of_sound_target_is_complete (void);
 static void reset_during_upload_is_not_complete (void);
 static void error_during_upload_is_passed_on (void);
 
@@ -41,6 +44,12 @@
     reset_response_is_not_complete },
   { "a stream that is reset at its read timeout is not complete",
     reset_stream_is_not_complete },
+  { "a response whose target ends is not complete",
+    response_of_ended_target_is_not_complete },
+  { "a stream whose target ends between two events is not complete",
+    stream_of_ended_target_is_not_complete },
+  { "a stream that only the close of a sound target ends is complete",
+    stream_of_sound_target_is_complete },
   { "a success that ends during the upload is not complete",
     reset_during_upload_is_not_complete },
   { "an error that ends during the upload is passed on",
@@ -51,6 +60,10 @@
 
 static int requests; /* so far */
 
+static void write_events_until_close (const struct fx_request *request,
+                                      int last);
+static void expect_whole_stream (const char *response);
+
 static int
 reset_after (const struct fx_request *request, int ms)
 {
@@ -76,14 +89,7 @@
 {
   if (g_atomic_int_add (&requests, 1) > 0)
     return shop_stream_events (request);
-  fx_write (request->fd, STREAM_UNTIL_CLOSE);
-  for (int i = 1; i <= EVENTS_BEFORE_RESET; i++)
-    {
-      char *event = g_strdup_printf ("id: %d\ndata: e%d\n\n", i, i);
-
-      fx_write (request->fd, event);
-      g_free (event);
-    }
+  write_events_until_close (request, EVENTS_BEFORE_RESET);
   return reset_after (request, RESET_MS);
 }
 
@@ -100,9 +106,10 @@
 }
 
 /* Returns the response to REQUEST for SERVICE, whose targets have HANDLER,
-   newly allocated.  */
+   newly allocated.  The router is stopped meanwhile, or not.  */
 static char *
-play (const char *service, fx_handler_fn handler, const char *request)
+play (const char *service, fx_handler_fn handler, const char *request,
+      int is_stopped)
 {
   pthread_t thread;
   char *response;
@@ -116,9 +123,11 @@
       g_free (id);
     }
   fx_env_start (shop_config);
-  pthread_create (&thread, NULL, stop_router, NULL);
+  if (is_stopped)
+    pthread_create (&thread, NULL, stop_router, NULL);
   response = fx_exchange (request);
-  pthread_join (thread, NULL);
+  if (is_stopped)
+    pthread_join (thread, NULL);
   fx_env_stop ();
   return response;
 }
@@ -128,7 +137,7 @@
 static void
 reset_response_is_not_complete (void)
 {
-  char *response = play ("desk", reset_first_response, GET_MAP ("s"));
+  char *response = play ("desk", reset_first_response, GET_MAP ("s"), 1);
 
   if (!g_str_has_suffix (response, "\r\n\r\nwell"))
     printf ("got: %.400s\n", response);
@@ -140,17 +149,110 @@
 static void
 reset_stream_is_not_complete (void)
 {
-  char *response = play ("pool", reset_first_stream, POST_PLAN ("s"));
+  char *response = play ("pool", reset_first_stream, POST_PLAN ("s"), 1);
+
+  expect_whole_stream (response);
+  g_free (response);
+}
+
+/* Writes events up to LAST of a stream that only the close ends.  */
+static void
+write_events_until_close (const struct fx_request *request, int last)
+{
+  fx_write (request->fd, STREAM_UNTIL_CLOSE);
+  for (int i = 1; i <= last; i++)
+    {
+      char *event = g_strdup_printf ("id: %d\ndata: e%d\n\n", i, i);
+
+      fx_write (request->fd, event);
+      g_free (event);
+    }
+}
+
+/* Closes the listener and then the connection of the target of REQUEST in
+   order, as the system does for a process that is killed.  */
+static int
+end_target (const struct fx_request *request)
+{
+  shutdown (request->target->listener, SHUT_RDWR);
+  return 0;
+}
+
+/* Ends the target in the middle of the first response.  */
+static int
+end_in_first_response (const struct fx_request *request)
+{
+  if (g_atomic_int_add (&requests, 1) > 0)
+    return shop_respond_ok (request);
+  fx_write (request->fd, UNTIL_CLOSE "we");
+  return end_target (request);
+}
+
+/* The same in the first stream.  */
+static int
+end_in_first_stream (const struct fx_request *request)
+{
+  if (g_atomic_int_add (&requests, 1) > 0)
+    return shop_stream_events (request);
+  write_events_until_close (request, EVENTS_BEFORE_RESET);
+  return end_target (request);
+}
+
+static int
+write_whole_stream (const struct fx_request *request)
+{
+  write_events_until_close (request, EVENTS);
+  return 0;
+}
+
+/* Guards against the end of a process that passes for the end of its
+   response.  */
+static void
+response_of_ended_target_is_not_complete (void)
+{
+  char *response = play ("desk", end_in_first_response, GET_MAP ("s"), 0);
+
+  CU_ASSERT (g_str_has_suffix (response, "\r\n\r\nwell"));
+  g_free (response);
+}
+
+/* Checks that RESPONSE is a whole stream.  */
+static void
+expect_whole_stream (const char *response)
+{
   char *last = g_strdup_printf ("data: e%d\n", EVENTS);
+  int is_whole = strstr (response, last) != NULL
+                 && g_str_has_suffix (response, "\r\n0\r\n\r\n");
 
-  if (strstr (response, last) == NULL)
+  if (!is_whole)
     printf ("got: %.600s\n", response);
-  CU_ASSERT (strstr (response, last) != NULL);
-  CU_ASSERT (g_str_has_suffix (response, "\r\n0\r\n\r\n"));
+  CU_ASSERT (is_whole);
   g_free (last);
+}
+
+/* Guards against the same between two events.  */
+static void
+stream_of_ended_target_is_not_complete (void)
+{
+  char *response = play ("pool", end_in_first_stream, POST_PLAN ("s"), 0);
+
+  expect_whole_stream (response);
   g_free (response);
 }
 
+/* Guards against whole streams that are taken for cut ones.  */
+static void
+stream_of_sound_target_is_complete (void)
+{
+  char *plan = play ("pool", write_whole_stream, POST_PLAN ("s"), 0);
+  char *rules = play ("pool", write_whole_stream, POST_RULES ("s"), 0);
+
+  expect_whole_stream (plan);
+  expect_whole_stream (rules);
+  g_free (rules);
+  g_free (plan);
+}
+
 /* How a target ends a connection on which the request is still coming.  */
 enum early_end
 {
