Leave the retry budget to the fleet until its size is known

Callers were not harmed by it, but targets could be: an instance that has just started divides the retry budget by the instances that it knows, which are none before it has read the store's list. When all start at once while the store answers late, each takes the whole budget for its own, in front of targets that may just be recovering.

Cause: the share was computed from the peers known at the time, and an instance serves after a second without the list.

Evidence: tests/test_router, "an instance that does not know the others leaves them their retries", fails before: 20 reads at failing targets make more than 5 retries with the list outstanding.

Change: until the list has been read an instance has one retry, and those that its requests add; then its share is full.

--- a/include/ibisloom/fleet.h
+++ b/include/ibisloom/fleet.h
@@ -159,6 +159,7 @@
                             const struct reg_target *target);
 void fleet_see_target (struct fleet *fleet, const struct reg_target *target);
 int fleet_knows_quarantine (const struct fleet *fleet);
+int fleet_knows_members (const struct fleet *fleet);
 void fleet_keep_origins (struct fleet *fleet, const char *kind);
 int fleet_origins_are_read (const struct fleet *fleet);
 void fleet_look_up_origins (struct fleet *fleet);
--- a/include/ibisloom/router.h
+++ b/include/ibisloom/router.h
@@ -66,6 +66,7 @@
   uint32_t open_hops;  /* requests of other instances in progress */
   GHashTable *queues;  /* service, interned, to struct relay_queue */
   GHashTable *budgets; /* service, interned, to struct retry_budget */
+  uint8_t budgets_are_shared; /* with the other instances, which are known */
   const char *failure_domain; /* interned */
   GRand *random;
   ev_timer tick;
--- a/process/fleet_join.c
+++ b/process/fleet_join.c
@@ -152,6 +152,13 @@
   return fleet->is_listed || fleet->is_informed;
 }
 
+/* Returns whether FLEET has read the list of instances.  */
+int
+fleet_knows_members (const struct fleet *fleet)
+{
+  return fleet->is_listed;
+}
+
 /* Handles one entry of the list: a prompt part in quarantine, or an instance,
    which is added to the peers unless it is this one or has no valid
    address.  */
--- a/process/router.c
+++ b/process/router.c
@@ -32,6 +32,10 @@
    sizes.  */
 static const double BUDGET_SHARE = 0.85;
 
+/* Retries of an instance that does not know how many share the budget: less
+   than its part in any fleet with a slack of one retry for each instance.  */
+static const double UNKNOWN_FLEET_SHARE = 1;
+
 static double budget_max (const struct router *router);
 static void on_tick (struct ev_loop *loop, ev_timer *timer, int events);
 static void on_signal (struct ev_loop *loop, ev_signal *signal, int events);
@@ -267,8 +271,15 @@
 struct retry_budget *
 router_retry_budget (struct router *router, const char *service)
 {
-  struct retry_budget *budget = g_hash_table_lookup (router->budgets, service);
+  struct retry_budget *budget;
 
+  /* The share that follows is full when it is known.  */
+  if (!router->budgets_are_shared && fleet_knows_members (router->fleet))
+    {
+      g_hash_table_remove_all (router->budgets);
+      router->budgets_are_shared = 1;
+    }
+  budget = g_hash_table_lookup (router->budgets, service);
   if (budget == NULL)
     {
       budget = g_new0 (struct retry_budget, 1);
@@ -279,12 +290,18 @@
   return budget;
 }
 
-/* Returns this instance's share of the retry budget of the fleet.  */
+/* Returns this instance's share of the retry budget of the fleet.  While it
+   does not know the other instances, as after a start of all, each would take
+   the whole of it for its own.  */
 static double
 budget_max (const struct router *router)
 {
-  return router->settings->retry_slack * BUDGET_SHARE
-         / fleet_size (router->fleet);
+  double share = router->settings->retry_slack * BUDGET_SHARE
+                 / fleet_size (router->fleet);
+
+  return fleet_knows_members (router->fleet)
+             ? share
+             : MIN (share, UNKNOWN_FLEET_SHARE);
 }
 
 /* Returns whether the retry budget for SERVICE allows a retry now.  */
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -12,7 +12,10 @@
 {
   LARGE_EVENT_BYTES = 40000,
   WATCH_START_MS = 1500, /* until a started router watches the store */
-  WATCH_STOP_MS = 3000   /* until it stops, as two other instances watch */
+  WATCH_STOP_MS = 3000,  /* until it stops, as two other instances watch */
+  FAILING_READS = 20,
+  NEVER_MS = 60000,
+  LISTED_MS = 2500 /* until a list that was not answered is read again */
 };
 
 static void each_route_type_is_served (void);
@@ -26,6 +29,7 @@
 static void unverified_responses_are_not_relayed (void);
 static void extra_bytes_are_discarded (void);
 static void only_target_is_retried (void);
+static void unknown_fleet_is_left_its_retries (void);
 static void ambiguous_framing_is_rejected (void);
 static void internal_fields_are_stripped (void);
 static void signals_during_startup_are_handled (void);
@@ -63,6 +67,8 @@
     unverified_responses_are_not_relayed },
   { "bytes after a response are discarded", extra_bytes_are_discarded },
   { "the only target of a service is retried", only_target_is_retried },
+  { "an instance that does not know the others leaves them their retries",
+    unknown_fleet_is_left_its_retries },
   { "requests with ambiguous framing are rejected",
     ambiguous_framing_is_rejected },
   { "internal fields of clients are stripped", internal_fields_are_stripped },
@@ -415,6 +421,41 @@
   fx_env_stop ();
 }
 
+static int
+respond_with_error (const struct fx_request *request)
+{
+  shop_respond (request, "500 E", "oops");
+  return 1;
+}
+
+/* Guards against a fleet that has just started, and of which each instance
+   takes the whole retry budget for its own.  */
+static void
+unknown_fleet_is_left_its_retries (void)
+{
+  struct fx_target *first = fx_target_add ("i-1", "desk", respond_with_error);
+  struct fx_target *second = fx_target_add ("i-2", "desk", respond_with_error);
+  int retries;
+
+  fx_store_start (shop_config);
+  fx_store_delay_list ("ibisloom-instances", NEVER_MS);
+  fx_routers_start (1);
+  for (int i = 0; i < FAILING_READS; i++)
+    shop_expect (GET_MAP ("r"), "500", "oops");
+  retries = fx_target_request_count (first) + fx_target_request_count (second)
+            - FAILING_READS;
+  /* One, and one for each five requests (retry_ratio).  */
+  CU_ASSERT (retries <= 1 + FAILING_READS / 5);
+  fx_store_delay_list ("ibisloom-instances", 0);
+  fx_sleep_ms (LISTED_MS);
+  for (int i = 0; i < FAILING_READS; i++)
+    shop_expect (GET_MAP ("r"), "500", "oops");
+  retries = fx_target_request_count (first) + fx_target_request_count (second)
+            - 2 * FAILING_READS - retries;
+  CU_ASSERT (retries > 1 + FAILING_READS / 5);
+  fx_env_stop ();
+}
+
 static void
 extra_bytes_are_discarded (void)
 {
