--- a/tests/fuzz_parsers.c
+++ b/tests/fuzz_parsers.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "fuzz_parsers.h"
+#include "ibisloom/extra.h"
 #include "ibisloom/hops.h"
 #include "ibisloom/http.h"
 #include "ibisloom/snapshot.h"
@@ -24,6 +25,7 @@
 static int parse_snapshots (const char *input, size_t length);
 static int parse_marks (const char *input, size_t length);
 static int parse_lists (const char *input, size_t length);
+static int parse_bodies (const char *input, size_t length);
 
 const struct fuzz_parser fuzz_parsers[] = {
   { "requests", parse_requests },
@@ -36,6 +38,7 @@
   { "snapshots", parse_snapshots },
   { "marks", parse_marks },
   { "lists", parse_lists },
+  { "bodies", parse_bodies },
 };
 
 const size_t fuzz_parser_count = G_N_ELEMENTS (fuzz_parsers);
@@ -337,3 +340,22 @@
   g_array_free (parts, TRUE);
   return is_valid;
 }
+
+/* Looks for a second response in INPUT, a body without a length: in pieces it
+   is found as in the whole.  Returns whether there is one.  */
+static int
+parse_bodies (const char *input, size_t length)
+{
+  static const char field[] = "X-Ibisloom-Attempt-Id";
+  struct extra_scan whole = { 0 };
+  struct extra_scan pieces = { 0 };
+  int is_found = extra_scan_feed (&whole, field, input, length);
+  int is_found_in_pieces = 0;
+
+  for (size_t at = 0; at < length && !is_found_in_pieces;
+       at += CHUNK_MAX_BYTES)
+    is_found_in_pieces = extra_scan_feed (&pieces, field, input + at,
+                                          MIN (length - at, CHUNK_MAX_BYTES));
+  g_assert_cmpint (is_found, ==, is_found_in_pieces);
+  return is_found;
+}
