Judge the pace of a target by its load, not by the length of prompts

Callers of a service had less of a target that had just started than it could bear: it holds no contexts, reads each prompt whole, and so responds later than the others of its service, which counted as a sign of too much load and halved the limit for all instances.

Cause: times to the first byte were compared whatever had to be read before it.

Change: with work_aware, the time that targets of the service usually take to read what the attempt's target has to read is taken off, both of what is usual and of what is compared. A target that reads slowly is still late.

--- a/include/ibisloom/fleet.h
+++ b/include/ibisloom/fleet.h
@@ -111,7 +111,8 @@
 void fleet_begin_pace (struct fleet *fleet, struct reg_target *target,
                        const char *cause);
 void fleet_pace_response (struct fleet *fleet, struct reg_target *target,
-                          enum fleet_response response, clk_ms sent_ms);
+                          enum fleet_response response, clk_ms sent_ms,
+                          int64_t read_ms);
 void fleet_pace_failure (struct fleet *fleet, struct reg_target *target,
                          clk_ms sent_ms);
 uint32_t fleet_quarantined_count (const struct fleet *fleet);
--- a/include/ibisloom/pace.h
+++ b/include/ibisloom/pace.h
@@ -61,7 +61,7 @@
 void pace_count_sent (struct pace *pace, uint32_t in_flight, clk_ms now);
 void pace_count_idle (struct pace *pace, clk_ms now);
 int pace_observe (struct pace *pace, const struct pace_service *service,
-                  double load, clk_ms sent_ms, clk_ms now);
+                  double load, clk_ms sent_ms, int64_t read_ms, clk_ms now);
 int pace_reduce (struct pace *pace, double load, clk_ms sent_ms, clk_ms now);
 
 #endif
--- a/process/fleet_pace.c
+++ b/process/fleet_pace.c
@@ -53,11 +53,12 @@
   log_pace (target, "begun", cause, now);
 }
 
-/* Handles that TARGET has sent the head of a RESPONSE to a request of
-   SENT_MS.  */
+/* Handles that TARGET has sent the head of a RESPONSE to a request of SENT_MS,
+   whose prompt targets of the service usually read in READ_MS.  */
 void
 fleet_pace_response (struct fleet *fleet, struct reg_target *target,
-                     enum fleet_response response, clk_ms sent_ms)
+                     enum fleet_response response, clk_ms sent_ms,
+                     int64_t read_ms)
 {
   struct pace *pace = &target->pace;
   clk_ms now = clk_now (clk_monotonic ());
@@ -71,7 +72,7 @@
               ? pace_reduce (pace, load, sent_ms, now)
               : response == FLEET_SUCCEEDED
                     && pace_observe (pace, target->pace_service, load, sent_ms,
-                                     now))
+                                     read_ms, now))
         report_reduced (fleet, target,
                         response == FLEET_REJECTED ? "rejection" : "late",
                         sent_ms);
@@ -88,7 +89,8 @@
       tell (fleet, target);
     }
   else
-    pace_service_observe (target->pace_service, (double)(now - sent_ms));
+    pace_service_observe (target->pace_service,
+                          (double)MAX (now - sent_ms - read_ms, 1));
 }
 
 /* Handles that a request to TARGET of SENT_MS failed.  */
--- a/request/librelay.h
+++ b/request/librelay.h
@@ -324,6 +324,7 @@
 void relay_work_start (struct relay *relay, struct reg_target *target,
                        const struct reg_target *source, clk_ms now);
 void relay_work_end (struct fleet *fleet, struct relay_attempt *attempt);
+int64_t relay_work_read_ms (const struct relay_attempt *attempt);
 void relay_work_first_event (struct relay *relay);
 void relay_work_report (const struct relay *relay,
                         const struct dialect_load *load, const char *value);
--- a/request/pace.c
+++ b/request/pace.c
@@ -217,13 +217,14 @@
 }
 
 /* Handles a response at NOW of the target of PACE, of SERVICE, to a request
-   that was sent at SENT_MS, while LOAD requests are in progress there. Returns
-   whether that reduced the limit.  */
+   that was sent at SENT_MS, while LOAD requests are in progress there. Targets
+   of the service usually read its prompt in READ_MS, which says nothing of the
+   load.  Returns whether the response reduced the limit.  */
 int
 pace_observe (struct pace *pace, const struct pace_service *service,
-              double load, clk_ms sent_ms, clk_ms now)
+              double load, clk_ms sent_ms, int64_t read_ms, clk_ms now)
 {
-  double first_byte_ms = (double)MAX (now - sent_ms, 1);
+  double first_byte_ms = (double)MAX (now - sent_ms - read_ms, 1);
   double late_ms = late_after (pace, service);
 
   if (sent_ms < pace->since_ms)
--- a/request/relay_response.c
+++ b/request/relay_response.c
@@ -443,7 +443,8 @@
       && head->status != HTTP_STATUS_MISDIRECTED_REQUEST)
     response = FLEET_REJECTED;
   fleet_pace_response (relay->router->fleet, relay->attempt.target, response,
-                       relay->attempt.sent_ms);
+                       relay->attempt.sent_ms,
+                       relay_work_read_ms (&relay->attempt));
 }
 
 /* Copies the fields of HEAD that are forwarded: all but hop-by-hop ones
--- a/request/relay_work.c
+++ b/request/relay_work.c
@@ -141,6 +141,20 @@
   fleet_work_changed (fleet, target);
 }
 
+/* Returns how long targets of the service usually take to read what the target
+   of ATTEMPT has to read of its prompt, or 0 if that is not known.  */
+int64_t
+relay_work_read_ms (const struct relay_attempt *attempt)
+{
+  const struct reg_target *target = attempt->target;
+  double tokens_per_ms
+      = target->registry != NULL ? target->work_service->tokens_per_ms : 0;
+
+  return tokens_per_ms > 0
+             ? (int64_t)((double)attempt->work_tokens / tokens_per_ms)
+             : 0;
+}
+
 /* Handles the first event of the current attempt of RELAY.  How fast its
    target reads shows only if it has copied nothing, and read little of others
    before: what those have left is an estimate.  */
--- a/tests/test_pace.c
+++ b/tests/test_pace.c
@@ -46,6 +46,7 @@
 static void cold_target_of_many_instances (void);
 
 static void unanswered_requests_do_not_stop_the_growth (void);
+static void long_prompts_are_not_late_for_their_length (void);
 
 static const struct test_case cases[] = {
   { "a limit grows with time and ends far above the mean load",
@@ -66,6 +67,8 @@
     cold_target_of_many_instances },
   { "the limit grows again once unanswered requests have ended",
     unanswered_requests_do_not_stop_the_growth },
+  { "a target is late for its load, not for the length of a prompt",
+    long_prompts_are_not_late_for_their_length },
 };
 
 TEST_MAIN ("pace", cases)
@@ -113,8 +116,8 @@
 
   begin (&paces[0], START_MS);
   begin (&paces[1], START_MS + 40);
-  CU_ASSERT (!pace_observe (&paces[0], &service, 8, now - 60, now));
-  CU_ASSERT (pace_observe (&paces[0], &service, 6, now - 400, now));
+  CU_ASSERT (!pace_observe (&paces[0], &service, 8, now - 60, 0, now));
+  CU_ASSERT (pace_observe (&paces[0], &service, 6, now - 400, 0, now));
   CU_ASSERT_DOUBLE_EQUAL (pace_limit (&paces[0], now), 3, 0.01);
   CU_ASSERT (!pace_reduce (&paces[0], 6, now - 1, now + 1));
   told = (struct pace_told){ .version = paces[0].version,
@@ -166,7 +169,7 @@
       pace_count_sent (&pace, 1, now);
       now += 140;
       reductions += pace_observe (&pace, &service, pace_limit (&pace, now),
-                                  now - 140, now);
+                                  now - 140, 0, now);
     }
   printf ("%d reductions, its share after %d ms ", reductions,
           (int)(now - START_MS));
@@ -305,7 +308,7 @@
 
       if (request->answered_ms == now
           && pace_observe (pace, &service, play->all[now % HISTORY_MS],
-                           request->sent_ms, now))
+                           request->sent_ms, 0, now))
         tell_pace (play, request->instance, random, now);
       if (request->ends_ms > now)
         continue;
@@ -527,3 +530,32 @@
   now += 4000;
   CU_ASSERT (pace_is_over (&pace, now));
 }
+
+/* Guards against a started target that stays at few requests as it gets long
+   prompts, which it has to read whole, and against one that is slow and gets
+   its whole share for that.  */
+static void
+long_prompts_are_not_late_for_their_length (void)
+{
+  enum
+  {
+    USUAL_MS = 20,
+    READ_MS = 400, /* at the usual speed */
+    SENT_MS = START_MS + 1000
+  };
+  struct pace_service others = { .mean_load = 8 };
+  struct pace pace = { 0 };
+
+  for (int i = 0; i < 100; i++)
+    pace_service_observe (&others, USUAL_MS);
+  pace_begin (&pace, START_MS);
+  pace_scale (&pace, &others);
+  CU_ASSERT (!pace_observe (&pace, &others, 4, SENT_MS, READ_MS,
+                            SENT_MS + READ_MS + USUAL_MS));
+  CU_ASSERT (pace_observe (&pace, &others, 4, SENT_MS, READ_MS,
+                           SENT_MS + 2 * READ_MS + USUAL_MS));
+  pace_begin (&pace, START_MS);
+  pace_scale (&pace, &others);
+  CU_ASSERT (pace_observe (&pace, &others, 4, SENT_MS, 0,
+                           SENT_MS + READ_MS + USUAL_MS));
+}
