Let no other attempt go on while the end of a response is verified

Cause: a silent attempt that is kept beside its replacement is dropped after 250 ms at most by the timer of the request, which stops while the end of the replacement's response is verified, for up to 300 ms more.

Change: it is dropped when the look at the target begins.

Measured: read in the code; test_reset passes.

--- a/process/router.c
+++ b/process/router.c
@@ -32,8 +32,8 @@
    sizes.  */
 static const double BUDGET_SHARE = 0.85;
 
-/* Retries of an instance that does not know how many share the budget: less
-   than its part in any fleet with a slack of one retry for each instance.  */
+/* Retries of an instance that does not know how many share the budget: no more
+   than its part where the slack has one retry or more for each instance.  */
 static const double UNKNOWN_FLEET_SHARE = 1;
 
 static double budget_max (const struct router *router);
--- a/request/relay_end.c
+++ b/request/relay_end.c
@@ -13,8 +13,9 @@
 static void on_probed (void *closure, enum probe_result result);
 
 /* Looks whether the target of RELAY, whose response has ended without a FAULT,
-   still accepts connections, if the response needs that.  Returns whether the
-   result is awaited; relay_complete follows then.  */
+   still accepts connections, if the response needs that.  Meanwhile no other
+   attempt goes on.  Returns whether the result is awaited; relay_complete
+   follows then.  */
 int
 relay_end_verify (struct relay *relay, enum retry_fault fault)
 {
@@ -28,6 +29,7 @@
                      PROBE_TIMEOUT_MS, on_probed, relay);
   if (relay->end_probe == NULL)
     return 0;
+  relay_drop_kept (relay, HEALTH_EVENT_COUNT);
   ev_timer_stop (relay->router->loop, &relay->timer);
   return 1;
 }
