Know that responses without content have none

Cause: the length of a 204, a 304 or a response to HEAD that names none counted as unknown, so that the target was connected to once more before each of them was delivered, as if only the close ended it.

Evidence: tests/test_http, "what follows a response that has no content is not its content", fails before in its new line.

Change: the reader says that their length is 0.

--- a/connection/http.c
+++ b/connection/http.c
@@ -224,11 +224,14 @@
   return http_should_keep_alive (&reader->parser) != 0;
 }
 
-/* Returns whether the length of the body is known from the header, and stores
-   it in LENGTH, in bytes.  Valid in the head operation.  */
+/* Returns whether the length of the body is known from the head, and stores it
+   in LENGTH, in bytes.  Valid in the head operation.  */
 int
 http_reader_get_length (const struct http_reader *reader, uint64_t *length)
 {
+  *length = 0;
+  if (has_no_content (reader))
+    return 1;
   if (reader->parser.flags & F_CHUNKED
       || reader->parser.content_length == UINT64_MAX)
     return 0;
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -104,15 +104,20 @@
   "HTTP/1.1 204 E\r\nContent-Length: 4\r\n\r\noops",
   "HTTP/1.1 204 E\r\nTransfer-Encoding: chunked\r\n\r\n" EMPTY_CHUNK,
   "HTTP/1.1 304 E\r\nContent-Length: 4\r\n\r\noops",
+  "HTTP/1.1 204 E\r\n\r\n",
 };
 
-static size_t body_bytes; /* of the text being read */
-static char *last_name;   /* of the last head read */
+static size_t body_bytes;   /* of the text being read */
+static int is_length_known; /* of all bodies read so far */
+static char *last_name;     /* of the last head read */
 
 /* Keeps the name of the first field.  */
 static int
 on_head (struct http_reader *reader)
 {
+  uint64_t length;
+
+  is_length_known &= http_reader_get_length (reader, &length);
   g_free (last_name);
   last_name = reader->head->count > 0
                   ? g_strdup (http_head_name (reader->head, 0))
@@ -221,7 +226,9 @@
   body_bytes = 0;
   expect_all (interim_content, G_N_ELEMENTS (interim_content), 1,
               HTTP_READ_MALFORMED);
+  is_length_known = 1;
   expect_all (empty_responses, G_N_ELEMENTS (empty_responses), 1,
               HTTP_READ_COMPLETE);
+  CU_ASSERT (is_length_known);
   CU_ASSERT_EQUAL (body_bytes, 0);
 }
