Review case 8: streams of a split route are refused after the end of all instances

Cause: which service began a stream of a split route is in the store only while a service has several versions, so it is lost with the instances.

--- a/review/standins-2/lab.sh
+++ b/review/standins-2/lab.sh
@@ -16,7 +16,9 @@
   }
   pids=
   fronts=
+  front_pids=
   entries=
+  service=pool
   work=$(mktemp -d) || exit 2
   trap lab_end EXIT
   trap 'exit 2' INT TERM
@@ -78,13 +80,28 @@
 admission_queue: 1
 peers: [127.60.1.1:$operator_port, 127.60.1.2:$operator_port]
 END
-  "$daemon" --settings "$work/front-$1.yaml" --evacuate-ms= \
-    > "$work/front-$1.log" 2>&1 &
-  pids="$pids $!"
+  run_front "$1"
   fronts="$fronts $address"
   entries="$entries${entries:+,}$address:$entry_port"
 }
 
+# Starts the process of instance $1.
+run_front () {
+  "$daemon" --settings "$work/front-$1.yaml" --evacuate-ms= \
+    >> "$work/front-$1.log" 2>&1 &
+  pids="$pids $!"
+  front_pids="$front_pids $!"
+}
+
+# Kills the processes of all instances at once.
+kill_fronts () {
+  # shellcheck disable=SC2086
+  kill -KILL $front_pids
+  # shellcheck disable=SC2086
+  wait $front_pids 2> /dev/null
+  front_pids=
+}
+
 # Waits until all instances are ready.
 await_fronts () {
   for address in $fronts; do
@@ -94,15 +111,15 @@
   sleep 3
 }
 
-# Starts worker $1, a number, in zone $2 with software version $3 and the
-# further options.  Its process is worker_pid.
+# Starts worker $1, a number, of the service in the variable service, in zone $2
+# with software version $3 and the further options.  Its process is worker_pid.
 start_worker () {
   number=$1
   zone=$2
   version=$3
   shift 3
   "$standin" worker listen=127.60.2."$number":"$worker_port" store="$store" \
-    id=i-"$number" service=pool zone="$zone" version="$version" \
+    id=i-"$number" service="$service" zone="$zone" version="$version" \
     record="$record" "$@" &
   worker_pid=$!
   pids="$pids $worker_pid"
--- a/review/standins-2/streams.c
+++ b/review/standins-2/streams.c
@@ -2,10 +2,14 @@
    breaks, and the check of the events that they got.
 
    Options: record= entries=ADDRESS,... count= tries= retry_ms= deadline_ms=
-   host= path=; mixed_max=, how many streams may hold events of two software
-   versions.  */
+   host= path=; break_ms=, when the clients close the connections of their
+   first attempts; late_count= and late_ms=, of streams that begin later;
+   check=versions (no more than mixed_max= streams hold events of two software
+   versions) or check=taken_up (streams that are taken up later than touch_ms=
+   go on at least half as often as late ones begin).  */
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "standin.h"
@@ -15,6 +19,7 @@
   EXIT_BROKEN = 1,
   EXIT_CANNOT_RUN = 2,
   MIXED_MAX = 2,
+  TAKEN_UP_MIN = 12,
   DECIMAL_BASE = 10,
   STATUS_OK = 200
 };
@@ -29,10 +34,15 @@
   GString *partial;  /* start of an event that is not whole yet */
   GString *versions; /* of the events, one character each */
   uint32_t tries;
+  int fd;
+  int64_t start_ms; /* after the start of the program */
   int is_complete;
+  int is_taken_up; /* by an attempt later than touch_ms */
+  int has_gone_on; /* in such an attempt */
 };
 
 static char **entries;
+static int64_t started_ms;
 
 static void on_piece (void *closure, const char *data, size_t length);
 static void take_event (struct stream *stream, const char *event);
@@ -40,7 +50,9 @@
 static void try_once (struct stream *stream, int64_t deadline_ms);
 static gpointer client_thread (gpointer data);
 static int is_mixed (const struct stream *stream);
-static int judge (struct stream *streams, uint32_t count);
+static int judge_versions (const struct stream *streams, uint32_t count);
+static int judge_taken_up (const struct stream *streams, uint32_t count,
+                           uint32_t late_count);
 
 /* Records EVENT, of the form "id: N\ndata: VERSION WORKER".  */
 static void
@@ -74,6 +86,9 @@
       g_free (event);
       g_string_erase (stream->partial, 0, end - stream->partial->str + 2);
     }
+  if (stream->tries == 0 && stream->start_ms == 0
+      && util_now_ms () - started_ms >= util_number ("break_ms", INT32_MAX))
+    (void)shutdown (stream->fd, SHUT_RDWR);
 }
 
 /* Returns the request of the next attempt, newly allocated.  */
@@ -107,9 +122,12 @@
 {
   const char *entry
       = entries[(stream->number + stream->tries) % g_strv_length (entries)];
-  int fd = net_connect (entry);
   GString *input = g_string_new (NULL);
   struct message response = { 0 };
+  int is_counted
+      = stream->first_id != NULL
+        && util_now_ms () - started_ms >= util_number ("touch_ms", 0);
+  int64_t last_before = stream->last_event;
   char *request;
 
   g_free (stream->id);
@@ -119,17 +137,23 @@
   util_record ("client %u: sends %s to %s%s%s", stream->number, stream->id,
                entry, stream->first_id != NULL ? ", resumes " : "",
                stream->first_id != NULL ? stream->first_id : "");
-  if (fd >= 0 && net_write (fd, request, strlen (request)) == 0)
-    (void)net_read_message (fd, input, &response, on_piece, stream);
+  stream->fd = net_connect (entry);
+  if (stream->fd >= 0
+      && net_write (stream->fd, request, strlen (request)) == 0)
+    (void)net_read_message (stream->fd, input, &response, on_piece, stream);
   stream->is_complete
       = net_status (&response) == STATUS_OK && response.is_complete;
+  stream->is_taken_up |= is_counted;
+  stream->has_gone_on
+      |= is_counted
+         && (stream->is_complete || stream->last_event > last_before);
   util_record ("client %u: %s got status %u, %s, last event %" G_GINT64_FORMAT
                ", versions %s",
                stream->number, stream->id, net_status (&response),
                stream->is_complete ? "complete" : "not complete",
                stream->last_event, stream->versions->str);
-  if (fd >= 0)
-    (void)close (fd);
+  if (stream->fd >= 0)
+    (void)close (stream->fd);
   g_free (request);
   net_clear (&response);
   g_string_free (input, TRUE);
@@ -140,9 +164,11 @@
 client_thread (gpointer data)
 {
   struct stream *stream = data;
-  int64_t end_ms = util_now_ms () + util_number ("deadline_ms", 15000);
   int64_t tries = util_number ("tries", 4);
+  int64_t end_ms;
 
+  util_sleep_ms (stream->start_ms);
+  end_ms = util_now_ms () + util_number ("deadline_ms", 15000);
   while (!stream->is_complete && stream->tries < tries
          && util_now_ms () < end_ms)
     {
@@ -166,9 +192,10 @@
   return 0;
 }
 
-/* Counts what the clients got.  Returns the exit status.  */
+/* Checks that hardly any stream holds events of two software versions.
+   Returns the exit status.  */
 static int
-judge (struct stream *streams, uint32_t count)
+judge_versions (const struct stream *streams, uint32_t count)
 {
   int64_t mixed_max = util_number ("mixed_max", MIXED_MAX);
   uint32_t begun = 0;
@@ -189,28 +216,62 @@
   return mixed > mixed_max ? EXIT_BROKEN : EXIT_SUCCESS;
 }
 
+/* Checks that the first COUNT streams, where they were taken up, go on at
+   least half as often as the LATE_COUNT ones after them begin.  Returns the
+   exit status.  */
+static int
+judge_taken_up (const struct stream *streams, uint32_t count,
+                uint32_t late_count)
+{
+  uint32_t taken_up = 0;
+  uint32_t gone_on = 0;
+  uint32_t begun = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      taken_up += streams[i].is_taken_up != 0;
+      gone_on += streams[i].has_gone_on != 0;
+    }
+  for (uint32_t i = count; i < count + late_count; i++)
+    begun += streams[i].versions->len > 0;
+  util_record ("%u of %u streams were taken up again, %u of these went on; "
+               "%u of %u late ones began",
+               taken_up, count, gone_on, begun, late_count);
+  if (taken_up < TAKEN_UP_MIN || begun == 0)
+    return EXIT_CANNOT_RUN;
+  return (uint64_t)gone_on * 2 * late_count < (uint64_t)begun * taken_up
+             ? EXIT_BROKEN
+             : EXIT_SUCCESS;
+}
+
 /* Runs the clients and checks what they got.  */
 int
 streams_run (void)
 {
   uint32_t count = (uint32_t)util_number ("count", 20);
-  struct stream *streams = g_new0 (struct stream, count);
-  GThread **threads = g_new0 (GThread *, count);
+  uint32_t late_count = (uint32_t)util_number ("late_count", 0);
+  uint32_t all = count + late_count;
+  struct stream *streams = g_new0 (struct stream, all);
+  GThread **threads = g_new0 (GThread *, all);
   int status;
 
   util_open_record (util_option ("record", "/dev/null"));
   entries = g_strsplit (util_option ("entries", ""), ",", -1);
-  for (uint32_t i = 0; i < count; i++)
+  started_ms = util_now_ms ();
+  for (uint32_t i = 0; i < all; i++)
     {
       streams[i].number = i;
+      streams[i].start_ms = i < count ? 0 : util_number ("late_ms", 0);
       streams[i].partial = g_string_new (NULL);
       streams[i].versions = g_string_new (NULL);
       threads[i] = g_thread_new ("client", client_thread, &streams[i]);
     }
-  for (uint32_t i = 0; i < count; i++)
+  for (uint32_t i = 0; i < all; i++)
     (void)g_thread_join (threads[i]);
-  status = judge (streams, count);
-  for (uint32_t i = 0; i < count; i++)
+  status = strcmp (util_option ("check", "versions"), "taken_up") == 0
+               ? judge_taken_up (streams, count, late_count)
+               : judge_versions (streams, all);
+  for (uint32_t i = 0; i < all; i++)
     {
       g_free (streams[i].id);
       g_free (streams[i].first_id);
