--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,44 +1,34 @@
 #!/bin/sh
-# The processes of all instances are killed at once and start again.  Clients
-# take up the streams of a route that is split between two services, also when
-# the instances have been in touch for long.  See claim.txt.
+# A worker crashes, and starts again under its id with another software
+# version, which its entry in the store says at once.  The time of day of the
+# instances is two seconds ahead of that of the worker.  See claim.txt.
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 . review/standins-2/lab.sh
-trouble=${TROUBLE:-1}
+# How far the worker's time of day is from that of the instances.
+clock_ms=-2000
+[ "${TROUBLE:-1}" != 0 ] || clock_ms=0
 
 lab_begin review/8
-start_store review/8/split.json
-service=pool-a
+start_store review/standins-2/streams.json
 start_worker 1 z-a 1
-start_worker 2 z-b 1
-service=pool-b
-start_worker 3 z-a 1
-start_worker 4 z-c 1
+old_pid=$worker_pid
+start_worker 2 z-b 2
 for number in 1 2 3; do
   start_front "$number" "z-$(echo "$number" | tr 123 abc)"
 done
 await_fronts
 
-# The instances start again 1.5 s after the clients, and are in touch 3 s
-# (contact_ms) after that.
-touch_ms=4700
-[ "$trouble" != 0 ] || touch_ms=0
-"$standin" streams record="$record" entries="$entries" count=30 tries=5 \
-  retry_ms=1200 deadline_ms=15000 break_ms=1000 late_count=30 late_ms=4800 \
-  check=taken_up touch_ms="$touch_ms" &
+"$standin" streams record="$record" entries="$entries" count=20 tries=6 \
+  retry_ms=700 deadline_ms=15000 &
 clients=$!
 pids="$pids $clients"
-sleep 1
-if [ "$trouble" != 0 ]; then
-  note "kills the processes of all instances"
-  kill_fronts
-  sleep 0.5
-  note "starts them again"
-  for number in 1 2 3; do
-    run_front "$number"
-  done
-fi
+sleep 0.8
+note "kills worker i-1, version 1"
+kill_worker "$old_pid"
+sleep 0.5
+note "starts worker i-1 again, version 2, clock $clock_ms ms"
+start_worker 1 z-a 2 clock_ms="$clock_ms"
 wait "$clients"
 status=$?
 note "clients ended with $status"
--- a/review/standins-2/main.c
+++ b/review/standins-2/main.c
@@ -66,6 +66,29 @@
   return EXIT_USAGE;
 }
 
+/* Sends a POST for url=URL to the store at=ADDRESS.  */
+int
+tools_post (void)
+{
+  int fd = net_connect (util_option ("at", ""));
+  GString *input = g_string_new (NULL);
+  struct message response = { 0 };
+  uint32_t status = 0;
+  char *request = g_strdup_printf (
+      "POST %s HTTP/1.1\r\nHost: store\r\nContent-Length: 0\r\n\r\n",
+      util_option ("url", ""));
+
+  if (fd >= 0 && net_write (fd, request, strlen (request)) == 0
+      && net_read_message (fd, input, &response, NULL, NULL) == 0)
+    status = net_status (&response);
+  if (fd >= 0)
+    (void)close (fd);
+  g_free (request);
+  net_clear (&response);
+  g_string_free (input, TRUE);
+  return status == STATUS_OK ? EXIT_SUCCESS : EXIT_USAGE;
+}
+
 int
 main (int argc, char **argv)
 {
@@ -80,6 +103,8 @@
     return streams_run ();
   if (strcmp (program, "ready") == 0)
     return tools_ready ();
+  if (strcmp (program, "post") == 0)
+    return tools_post ();
   if (strcmp (program, "ports") == 0 && argc > 2)
     return tools_ports ((int)strtol (argv[2], NULL, DECIMAL_BASE));
   (void)fprintf (stderr, "standin: unknown program %s\n", program);
--- a/review/standins-2/standin.h
+++ b/review/standins-2/standin.h
@@ -47,5 +47,6 @@
 int streams_run (void);
 int tools_ports (int count);
 int tools_ready (void);
+int tools_post (void);
 
 #endif
--- a/review/standins-2/store.c
+++ b/review/standins-2/store.c
@@ -1,7 +1,9 @@
 /* The platform's store: objects by kind and name, lists and watches.
 
    Options: listen=ADDRESS config=FILE, the content of the object "main" of the
-   kind "config".  */
+   kind "config".  A POST to /objects/control/copy keeps a copy of all objects,
+   and one to /objects/control/restore has the store come back from it, in a
+   new era: its connections end, and what was written since is gone.  */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -36,6 +38,15 @@
 static json_t *kinds;  /* kind to name to object */
 static json_t *events; /* all changes, oldest first */
 static json_int_t last_revision = 100;
+static int era = 1;
+
+/* Copy that the store may come back from.  */
+static struct
+{
+  json_t *kinds;
+  json_t *events;
+  json_int_t last_revision;
+} copy;
 
 static json_t *put_object (const char *kind, const char *name, json_t *spec);
 static json_t *answer_call (const struct call *call, uint32_t *status);
@@ -45,8 +56,10 @@
 static json_t *write_object (const struct call *call, json_t *known,
                              uint32_t *status);
 static void delete_object (const struct call *call);
+static void control (const char *name);
 static void read_call (const struct message *request, struct call *call);
 static void clear_call (struct call *call);
+static int respond (int fd, const struct message *request, int era_before);
 static void serve (int fd);
 
 /* Sets the object NAME of KIND to SPEC.  Returns it, a new reference.  The
@@ -127,8 +140,9 @@
 {
   gint64 end_us = g_get_monotonic_time () + call->wait_ms * 1000;
   json_t *found = events_after (call->kind, call->watch);
+  int era_before = era;
 
-  while (json_array_size (found) == 0
+  while (json_array_size (found) == 0 && era == era_before
          && g_cond_wait_until (&changed, &lock, end_us))
     {
       json_decref (found);
@@ -162,6 +176,29 @@
   return put_object (call->kind, call->name, spec);
 }
 
+/* Keeps a copy of all objects, or has the store come back from it.  The caller
+   holds the lock.  */
+static void
+control (const char *name)
+{
+  int restores = strcmp (name, "restore") == 0;
+
+  if (restores && copy.kinds != NULL)
+    {
+      kinds = json_deep_copy (copy.kinds);
+      events = json_deep_copy (copy.events);
+      last_revision = copy.last_revision;
+      era++;
+      g_cond_broadcast (&changed);
+    }
+  else if (!restores)
+    {
+      copy.kinds = json_deep_copy (kinds);
+      copy.events = json_deep_copy (events);
+      copy.last_revision = last_revision;
+    }
+}
+
 /* Carries out CALL.  Returns the body of the response.  */
 static json_t *
 answer_call (const struct call *call, uint32_t *status)
@@ -170,6 +207,11 @@
                                    call->name != NULL ? call->name : "");
 
   *status = STATUS_OK;
+  if (strcmp (call->kind, "control") == 0)
+    {
+      control (call->name);
+      return json_object ();
+    }
   if (strcmp (call->method, "GET") == 0 && call->watch >= 0)
     return watch_objects (call);
   if (strcmp (call->method, "GET") == 0 && call->name == NULL)
@@ -201,6 +243,7 @@
   call->watch = -1;
   call->revision = -1;
   call->method = g_strdup (words[0]);
+  /* /objects/KIND or /objects/KIND/NAME; "control" is a kind of its own.  */
   call->kind = g_strdup (g_strv_length (path) > 2 ? path[2] : "");
   if (g_strv_length (path) > 3)
     call->name = g_uri_unescape_string (path[3], NULL);
@@ -234,37 +277,57 @@
   json_decref (call->body);
 }
 
+/* Responds to REQUEST.  Returns 0, or -1 if the connection is to end, as it
+   has or as the store has come back from a copy since ERA_BEFORE.  */
+static int
+respond (int fd, const struct message *request, int era_before)
+{
+  struct call call;
+  uint32_t status;
+  json_t *body;
+  char *text;
+  char *response;
+  int result = -1;
+  int is_control;
+
+  read_call (request, &call);
+  is_control = strcmp (call.kind, "control") == 0;
+  g_mutex_lock (&lock);
+  body = answer_call (&call, &status);
+  text = json_dumps (body, JSON_COMPACT);
+  response = g_strdup_printf ("HTTP/1.1 %u X\r\nStore-Era: %d\r\n"
+                              "Content-Type: application/json\r\n"
+                              "Content-Length: %zu\r\n\r\n%s",
+                              status, era, strlen (text), text);
+  if (era != era_before && !is_control)
+    status = 0;
+  json_decref (body);
+  g_mutex_unlock (&lock);
+  if (status != 0)
+    result = net_write (fd, response, strlen (response));
+  g_free (response);
+  free (text);
+  clear_call (&call);
+  return result;
+}
+
 /* Serves the connection FD.  */
 static void
 serve (int fd)
 {
   GString *input = g_string_new (NULL);
   struct message request;
+  int era_before;
 
+  g_mutex_lock (&lock);
+  era_before = era;
+  g_mutex_unlock (&lock);
   while (net_read_message (fd, input, &request, NULL, NULL) == 0)
     {
-      struct call call;
-      uint32_t status;
-      json_t *body;
-      char *text;
-      char *response;
       int result;
 
       util_sleep_ms (ANSWER_MS);
-      read_call (&request, &call);
-      g_mutex_lock (&lock);
-      body = answer_call (&call, &status);
-      text = json_dumps (body, JSON_COMPACT);
-      json_decref (body);
-      g_mutex_unlock (&lock);
-      response = g_strdup_printf ("HTTP/1.1 %u X\r\nStore-Era: 1\r\n"
-                                  "Content-Type: application/json\r\n"
-                                  "Content-Length: %zu\r\n\r\n%s",
-                                  status, strlen (text), text);
-      result = net_write (fd, response, strlen (response));
-      g_free (response);
-      free (text);
-      clear_call (&call);
+      result = respond (fd, &request, era_before);
       net_clear (&request);
       if (result != 0)
         break;
