--- a/review/standins-2/lab.sh
+++ b/review/standins-2/lab.sh
@@ -44,9 +44,11 @@
   echo "$(awk '{ print $1 }' /proc/uptime) script: $*" >> "$record"
 }
 
-# Starts the store with the configuration in the file $1.
+# Starts the store with the configuration in the file $1 and further options.
 start_store () {
-  "$standin" store listen="$store" config="$1" &
+  config=$1
+  shift
+  "$standin" store listen="$store" config="$config" "$@" &
   store_pid=$!
   pids="$pids $store_pid"
 }
--- a/review/standins-2/store.c
+++ b/review/standins-2/store.c
@@ -1,9 +1,11 @@
 /* The platform's store: objects by kind and name, lists and watches.
 
    Options: listen=ADDRESS config=FILE, the content of the object "main" of the
-   kind "config".  A POST to /objects/control/copy keeps a copy of all objects,
-   and one to /objects/control/restore has the store come back from it, in a
-   new era: its connections end, and what was written since is gone.  */
+   kind "config"; instances=COUNT, how many instances that are gone by now have
+   registered themselves.  A POST to /objects/control/copy keeps a copy of all
+   objects, and one to /objects/control/restore has the store come back from
+   it, in a new era: its connections end, and what was written since is gone.
+ */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -15,6 +17,7 @@
 enum
 {
   ANSWER_MS = 4,
+  ADDRESSES_PER_NET = 250,
   DECIMAL_BASE = 10,
   STATUS_OK = 200,
   STATUS_NOT_FOUND = 404,
@@ -61,6 +64,7 @@
 static void clear_call (struct call *call);
 static int respond (int fd, const struct message *request, int era_before);
 static void serve (int fd);
+static void put_instances (int64_t count);
 
 /* Sets the object NAME of KIND to SPEC.  Returns it, a new reference.  The
    caller holds the lock.  */
@@ -336,6 +340,25 @@
   g_string_free (input, TRUE);
 }
 
+/* Adds the objects of COUNT instances that are gone.  */
+static void
+put_instances (int64_t count)
+{
+  for (int64_t i = 0; i < count; i++)
+    {
+      char *name = g_strdup_printf ("gone-%" G_GINT64_FORMAT, i);
+      char *address = g_strdup_printf ("127.61.%d.%d:9",
+                                       (int)(i / ADDRESSES_PER_NET) + 1,
+                                       (int)(i % ADDRESSES_PER_NET) + 1);
+      json_t *spec = json_pack ("{s:s}", "address", address);
+
+      json_decref (put_object ("ibisloom-instances", name, spec));
+      json_decref (spec);
+      g_free (address);
+      g_free (name);
+    }
+}
+
 /* Runs the store.  */
 int
 store_run (void)
@@ -350,6 +373,7 @@
   events = json_array ();
   json_decref (put_object ("config", "main", config));
   json_decref (config);
+  put_instances (util_number ("instances", 0));
   net_serve (util_option ("listen", ""), serve);
   return EXIT_SUCCESS;
 }
