--- a/review/standins-2/store.c
+++ b/review/standins-2/store.c
@@ -211,7 +211,7 @@
                                    call->name != NULL ? call->name : "");
 
   *status = STATUS_OK;
-  if (strcmp (call->kind, "control") == 0)
+  if (call->name != NULL && strcmp (call->kind, "control") == 0)
     {
       control (call->name);
       return json_object ();
