--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -12,7 +12,9 @@
 
 lab_begin review/10
 start_store review/standins-2/streams.json
-start_worker 1 z-a 1
+for number in 1 2 3 4; do
+  start_worker "$number" "z-$(echo $((number % 3)) | tr 012 cab)" 1
+done
 for number in 1 2 3; do
   start_front "$number" "z-$(echo "$number" | tr 123 abc)"
 done
@@ -21,11 +23,11 @@
 note "copies the store"
 "$standin" post at="$store" url=/objects/control/copy || exit 2
 sleep 0.3
-note "starts worker i-2, version 2"
-start_worker 2 z-b 2
+note "starts worker i-5, version 2"
+start_worker 5 z-b 2
 sleep 2.6
 
-"$standin" streams record="$record" entries="$entries" count=30 tries=8 \
+"$standin" streams record="$record" entries="$entries" count=60 tries=8 \
   retry_ms=300 deadline_ms=15000 break_ms=1000 &
 clients=$!
 pids="$pids $clients"
--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -10,8 +10,9 @@
 
 lab_begin review/8
 start_store review/standins-2/streams.json
-start_worker 1 z-a 1
-start_worker 2 z-b 1
+for number in 1 2 3 4; do
+  start_worker "$number" "z-$(echo $((number % 3)) | tr 012 cab)" 1
+done
 for number in 1 2 3; do
   start_front "$number" "z-$(echo "$number" | tr 123 abc)"
 done
@@ -34,8 +35,8 @@
 fi
 sleep 0.2
 if [ "${SECOND:-1}" != 0 ]; then
-  note "starts worker i-3, version 2"
-  start_worker 3 z-c 2
+  note "starts worker i-5, version 2"
+  start_worker 5 z-b 2
 fi
 sleep 0.3
 if [ "$trouble" != 0 ]; then
