A store back from a copy confirms no version that it may have lost

Callers saw: the store comes back from a copy 4 s old while all instances are killed, and a second version came after the copy.

Cause: fleet_only_version believes that a version is the only one if the store or another instance confirms it. After such a restart the store names what its copy had, and all other instances know no more than that.

Change: an object names the epoch of the store in which it was written, if its writer knew the past. An instance that finds no object of the present epoch confirms nothing, to itself or to others, until the store has answered for 3 s, in which targets write their entries again. A refusal for an unknown origin names the time that is left in Retry-After. Objects stay readable by older builds, which pass the new member over.

Why it works: whoever knew of the second version and runs on writes the object anew in the new epoch; if nobody does, no object is of that epoch, also not those that instances write before the 3 s are over.

--- a/include/ibisloom/fleet.h
+++ b/include/ibisloom/fleet.h
@@ -163,6 +163,8 @@
 int fleet_knows_members (const struct fleet *fleet);
 void fleet_keep_origins (struct fleet *fleet, const char *kind);
 int fleet_origins_are_read (const struct fleet *fleet);
+int fleet_knows_past (const struct fleet *fleet);
+int64_t fleet_past_wait_ms (const struct fleet *fleet, clk_ms now);
 void fleet_look_up_origins (struct fleet *fleet);
 int fleet_software_is_noted (const struct fleet *fleet, uint64_t software);
 const struct fleet_traffic *fleet_traffic (const struct fleet *fleet,
--- a/include/ibisloom/originjson.h
+++ b/include/ibisloom/originjson.h
@@ -13,6 +13,8 @@
 };
 
 json_t *origin_json_pack (const struct origins *origins);
+void origin_json_set_epoch (json_t *content, uint64_t epoch);
+uint64_t origin_json_epoch (const json_t *content);
 int origin_json_next_version (const json_t *content,
                               struct origin_cursor *cursor,
                               struct origin_version *version);
--- a/process/fleet_origin_store.c
+++ b/process/fleet_origin_store.c
@@ -4,7 +4,13 @@
    Each instance has one object: the versions that it has seen lately, and,
    while there are several versions of a service, the streams that it has begun
    (originjson.h).  It is written at intervals, if it has changed.  At its
-   start an instance reads the objects of all.  */
+   start an instance reads the objects of all.
+
+   A store that has come back from an older copy lacks what came after it.  So
+   an object names the epoch in which it was written, and is current in that
+   one.  An instance that reads no current object does not know which versions
+   the store has lost, until their targets have written their entries again.
+   */
 #include <string.h>
 
 #include "ibisloom/http.h"
@@ -19,7 +25,11 @@
   RETRY_MS = 700,
   WRITE_INTERVAL_MIN_MS = 150,
   READ_INTERVAL_MIN_MS = 1000,
-  VERSIONS_READ_MAX = 256
+  /* In this time after a restoration all live targets are in the registry
+     again: they write their entries within two seconds.  */
+  RETURN_MS = 3000,
+  VERSIONS_READ_MAX = 256,
+  FIRST_EPOCH = 1
 };
 
 /* Share of the store's writes that all instances together may use for
@@ -31,16 +41,22 @@
   const char *kind;
   ev_timer timer; /* until the next write, or a call is repeated */
   struct store_call *call;
-  GString *last_name; /* last one of the list that is being read */
-  uint8_t is_reading; /* some but not all pages have been read */
-  uint8_t is_read;    /* completely, after the start */
-  uint8_t is_wanted;  /* to be read again */
-  clk_ms read_ms;     /* when the last reading began */
-  uint64_t revision;  /* of the object of this instance; 0: not known */
+  GString *last_name;  /* last one of the list that is being read */
+  uint8_t is_reading;  /* some but not all pages have been read */
+  uint8_t is_read;     /* completely, after the start */
+  uint8_t is_wanted;   /* to be read again */
+  clk_ms read_ms;      /* when the last reading began */
+  clk_ms heard_ms;     /* since when the store answers; 0: it never has */
+  uint64_t read_epoch; /* of the store, in the current reading */
+  uint64_t epoch;      /* of the store, as it last answered */
+  uint8_t is_current;  /* some object of the current reading is */
+  uint8_t knows_past;  /* see fleet_knows_past */
+  uint64_t revision;   /* of the object of this instance; 0: not known */
   uint64_t learned_revision;
   json_t *sent;    /* content of the write in progress */
   json_t *written; /* content of the last one that succeeded; NULL: none */
   uint64_t written_epoch;
+  uint32_t objects_read;
   uint32_t streams_read;
   GArray *versions_read; /* of struct origin_version, of other instances */
 };
@@ -52,6 +68,7 @@
                         GString *url, store_call_done_fn done);
 static void read_page (struct fleet *fleet);
 static void on_read (void *closure, const struct store_response *response);
+static int is_unused (const struct fleet *fleet);
 static void end_read (struct fleet *fleet);
 static void on_object (void *closure, const struct watch_object *object);
 static int has_version (const GArray *versions,
@@ -118,6 +135,26 @@
   return fleet->origin_store->kind == NULL || fleet->origin_store->is_read;
 }
 
+/* Returns whether this instance knows all versions that began streams before
+   it started.  */
+int
+fleet_knows_past (const struct fleet *fleet)
+{
+  const struct fleet_origin_store *store = fleet->origin_store;
+
+  return store->kind == NULL || store->knows_past;
+}
+
+/* Returns for how many milliseconds after NOW targets may be missing in the
+   registry since before the start of this instance.  */
+int64_t
+fleet_past_wait_ms (const struct fleet *fleet, clk_ms now)
+{
+  clk_ms heard_ms = fleet->origin_store->heard_ms;
+
+  return heard_ms != 0 ? MAX (heard_ms + RETURN_MS - now, 0) : RETURN_MS;
+}
+
 /* Has the streams of all instances read from the store again, soon and at most
    once in READ_INTERVAL_MIN_MS, and more rarely in a large fleet.  */
 void
@@ -148,7 +185,9 @@
   if (store->call != NULL)
     return;
   origin_expire (fleet->origins, clk_now (clk_monotonic ()));
-  if (!store->is_read || store->is_wanted)
+  if (!store->is_read || store->is_wanted
+      || (!store->knows_past
+          && fleet_past_wait_ms (fleet, clk_now (clk_monotonic ())) == 0))
     read_page (fleet);
   else if (!write_object (fleet) && !remove_object (fleet))
     schedule (fleet, write_interval_ms (fleet));
@@ -209,6 +248,9 @@
   if (!store->is_reading)
     {
       store->read_ms = clk_now (clk_monotonic ());
+      store->read_epoch = 0;
+      store->is_current = 0;
+      store->objects_read = 0;
       store->streams_read = 0;
       g_array_set_size (store->versions_read, 0);
       g_string_truncate (store->last_name, 0);
@@ -228,16 +270,22 @@
       = { .position.epoch = response->epoch, .last_name = store->last_name };
 
   store->call = NULL;
+  if (!store->is_reading)
+    store->read_epoch = response->epoch;
   if (response->status != HTTP_STATUS_OK || response->epoch < fleet->epoch
+      || response->epoch != store->read_epoch
       || fleet->store->read_list (response->text, response->length, &page,
                                   on_object, fleet)
              != 0)
     {
       metric_inc (METRIC_ORIGIN_FAILURES);
       store->is_reading = 0;
+      store->heard_ms = 0;
       schedule (fleet, RETRY_MS);
       return;
     }
+  if (store->heard_ms == 0)
+    store->heard_ms = store->read_ms;
   store->is_reading = page.has_more != 0;
   if (store->is_reading)
     read_page (fleet);
@@ -245,6 +293,16 @@
     end_read (fleet);
 }
 
+/* Returns whether the store has never come back from a copy, as far as it
+   tells, and no instance has written to it, so that none began a stream.  */
+static int
+is_unused (const struct fleet *fleet)
+{
+  const struct fleet_origin_store *store = fleet->origin_store;
+
+  return store->read_epoch <= FIRST_EPOCH && store->objects_read == 0;
+}
+
 /* Called when the list was read completely.  The first writes of the instances
    are spread, as these may have started together.  */
 static void
@@ -252,18 +310,25 @@
 {
   struct fleet_origin_store *store = fleet->origin_store;
   int32_t interval_ms = (int32_t)write_interval_ms (fleet);
+  int is_complete = store->is_current || is_unused (fleet);
   struct log_line line;
 
+  store->epoch = MAX (store->epoch, store->read_epoch);
+  if (is_complete || fleet_past_wait_ms (fleet, store->read_ms) == 0)
+    store->knows_past = 1;
   g_array_set_size (fleet->stored_versions, 0);
   g_array_append_vals (fleet->stored_versions, store->versions_read->data,
                        store->versions_read->len);
-  fleet->stored_ms = store->read_ms;
+  if (store->knows_past)
+    fleet->stored_ms = store->read_ms;
   if (log_begin (&line, LOG_LEVEL_INFO, "origins", NULL,
                  store->is_read ? "looked_up" : "read"))
     {
       log_number (&line, "instances", fleet->origin_objects->len);
       log_number (&line, "versions", fleet->noted->len);
       log_number (&line, "streams", store->streams_read);
+      log_number (&line, "epoch", (int64_t)store->read_epoch);
+      log_number (&line, "knows_past", store->knows_past);
       log_end (&line);
     }
   schedule (fleet, store->is_read ? interval_ms
@@ -288,6 +353,9 @@
          && origin_json_next_version (object->content, &cursor, &version))
     if (!has_version (store->versions_read, &version))
       g_array_append_val (store->versions_read, version);
+  store->objects_read++;
+  store->is_current
+      |= origin_json_epoch (object->content) == store->read_epoch;
   if (!store->is_read)
     fleet_note_stored (fleet, object->content);
   if (!is_own || !store->is_read)
@@ -338,12 +406,16 @@
   struct origin_cursor cursor = { 0 };
   struct origin_version version;
   json_t *content = origin_json_pack (fleet->origins);
-  int is_needed = store->written == NULL
-                      ? origin_next_version (fleet->origins, &cursor, &version)
-                      : store->written_epoch < fleet->epoch
-                            || !json_equal (store->written, content);
+  uint64_t epoch = MAX (store->epoch, fleet->epoch);
+  int is_needed;
   GString *url;
 
+  if (store->knows_past)
+    origin_json_set_epoch (content, epoch);
+  is_needed = store->written == NULL
+                  ? origin_next_version (fleet->origins, &cursor, &version)
+                  : store->written_epoch < fleet->epoch
+                        || !json_equal (store->written, content);
   json_decref (store->sent);
   store->sent = content;
   if (is_needed)
@@ -372,6 +444,7 @@
   uint64_t revision_before = store->revision;
 
   store->call = NULL;
+  store->epoch = MAX (store->epoch, response->epoch);
   learn_revision (fleet, response);
   if (response->epoch >= fleet->epoch && http_is_success (response->status))
     {
--- a/process/fleet_version.c
+++ b/process/fleet_version.c
@@ -2,9 +2,10 @@
 
    An instance that was cut off from the others, or stood still, may have
    missed a version.  So what it has seen itself is believed only if it was
-   confirmed lately: by an instance that hears most of the fleet and has not
-   stood still, or by the store, where each instance notes a version for
-   SETTLE_MS (fleet_origin_note.c) before it has streams begin there.  */
+   confirmed lately: by an instance that hears most of the fleet, has not stood
+   still and knows what the fleet did before it started, or by the store, where
+   each instance notes a version for SETTLE_MS (fleet_origin_note.c) before it
+   has streams begin there, unless the store has lost what was noted last.  */
 #include "ibisloom/rank.h"
 #include "libfleet.h"
 
@@ -67,7 +68,8 @@
 static int
 is_in_step (const struct fleet *fleet, clk_ms now)
 {
-  return fleet_origins_are_read (fleet) && now - fleet->tick_ms <= STALL_MS
+  return fleet_origins_are_read (fleet) && fleet_knows_past (fleet)
+         && now - fleet->tick_ms <= STALL_MS
          && (fleet->stalled_ms == 0 || now - fleet->stalled_ms > CATCH_UP_MS)
          && fleet_hears_most (fleet, now);
 }
@@ -171,8 +173,9 @@
   uint64_t only = origin_only_version (fleet->origins, service);
   clk_ms needed_ms = arrived_ms - NOTED_MS;
 
-  if (only == 0 || fleet_size (fleet) == 1
-      || (confirmed != NULL && confirmed->known_ms >= needed_ms))
+  if (fleet_size (fleet) == 1)
+    return fleet_knows_past (fleet) ? only : 0;
+  if (only == 0 || (confirmed != NULL && confirmed->known_ms >= needed_ms))
     return only;
   if (fleet->stored_ms != 0 && fleet->stored_ms >= needed_ms
       && is_stored_only (fleet, service, only))
--- a/request/origin_json.c
+++ b/request/origin_json.c
@@ -3,8 +3,10 @@
    The object has the member "versions", a string with the service and the
    software of each version, and the member "streams", an object that has for
    each software a string with the attempts of the streams that it began, the
-   newest first.  All numbers are in hexadecimal, of NUMBER_CHARS characters.
-   What does not have this form is passed over.  */
+   newest first.  The member "epoch", a string, is the epoch of the store in
+   which an instance wrote the object that knew all versions of before.  All
+   numbers are in hexadecimal, of NUMBER_CHARS characters.  What does not have
+   this form is passed over.  */
 #include <inttypes.h>
 #include <string.h>
 
@@ -149,6 +151,29 @@
   return 1;
 }
 
+/* Sets the epoch in the object CONTENT to EPOCH.  */
+void
+origin_json_set_epoch (json_t *content, uint64_t epoch)
+{
+  char text[NUMBER_CHARS + 1];
+
+  g_snprintf (text, sizeof text, "%016" PRIx64, epoch);
+  json_object_set_new (content, "epoch", json_string (text));
+}
+
+/* Returns the epoch in the object CONTENT, or 0 if it has none.  */
+uint64_t
+origin_json_epoch (const json_t *content)
+{
+  const char *text = json_string_value (json_object_get (content, "epoch"));
+  uint64_t epoch = 0;
+
+  if (text == NULL || strlen (text) != NUMBER_CHARS
+      || !read_number (text, &epoch))
+    return 0;
+  return epoch;
+}
+
 /* Stores in VERSION the next version at CURSOR in the object CONTENT.  Returns
    0 after the last one.  */
 int
--- a/request/relay_refuse.c
+++ b/request/relay_refuse.c
@@ -52,7 +52,9 @@
 /* Returns the Retry-After of RELAY, which is refused with REFUSAL, or 0 for
    none, and stores in JITTER_MS how much may be added so that clients do not
    retry all at once.  From the queue, times are spread already.  With
-   all targets paused, it is the shortest pause.  */
+   all targets paused, it is the shortest pause; for a stream of unknown
+   origin, the time until this instance knows more of what was before its
+   start.  */
 int64_t
 relay_retry_after_ms (const struct relay *relay, enum relay_refusal refusal,
                       int64_t *jitter_ms)
@@ -64,6 +66,9 @@
                         ? relay->retry_after_ms
                         : refusals[refusal].retry_after_ms;
 
+  if (refusal == RELAY_ORIGIN_UNKNOWN)
+    wait_ms = fleet_past_wait_ms (relay->router->fleet,
+                                  clk_now (clk_monotonic ()));
   if (pause_ms > 0)
     {
       *jitter_ms = relay_pause_spread_ms (pause_ms);
--- a/tests/test_origin_store.c
+++ b/tests/test_origin_store.c
@@ -23,6 +23,7 @@
   LATE_MS = 900,
   STALL_MS = 700,
   CATCH_UP_MS = 2000, /* until a stall, or what was asked, no longer counts */
+  RETURN_MS = 3000,   /* until targets that a store lost are back in it */
   FORGET_STEPS = 9,   /* one is more than ORIGIN_KEPT_MS */
   FUZZ_OBJECTS = 2000,
   SEED = 28
@@ -34,6 +35,8 @@
 static void new_version_waits_until_it_is_noted (void);
 static void instances_serve_while_the_store_is_down (void);
 static void restored_store_is_written_anew (void);
+static void versions_that_a_store_lost_are_not_ruled_out (void);
+static void instance_that_runs_on_remembers_for_the_store (void);
 static void late_write_does_not_undo_a_newer_one (void);
 static void streams_of_a_lost_instance_are_looked_up (void);
 static void versions_are_confirmed_in_step_only (void);
@@ -54,6 +57,10 @@
   { "instances serve while the store is down",
     instances_serve_while_the_store_is_down },
   { "a restored store is written anew", restored_store_is_written_anew },
+  { "versions that a restored store has lost are not ruled out",
+    versions_that_a_store_lost_are_not_ruled_out },
+  { "an instance that runs on writes to a restored store what it knows",
+    instance_that_runs_on_remembers_for_the_store },
   { "a late write does not undo a newer one",
     late_write_does_not_undo_a_newer_one },
   { "streams of a lost instance are looked up",
@@ -405,6 +412,87 @@
   end_test ();
 }
 
+/* Has the first instance ask the others for versions.  Returns the one that is
+   confirmed to be the only one.  */
+static uint64_t
+ask_only_version (void)
+{
+  clk_ms asked_ms = clk_now (clk_monotonic ());
+
+  fleet_ask_versions (instances[0].fleet, service);
+  run_for (START_MS);
+  return fleet_only_version (instances[0].fleet, service, asked_ms);
+}
+
+/* Has the store come back from its copy of REVISION while no instance runs,
+   and starts all.  */
+static void
+restart_all_after_restoration (int revision)
+{
+  for (int i = 0; i < INSTANCES; i++)
+    kill_instance (i);
+  fx_store_restore (revision);
+  start_all ();
+}
+
+/* Guards against a stream of a version that came after the copy of the store
+   being taken for one of the only version that the copy names: also when the
+   instances are killed again, and have written to the store before.  */
+static void
+versions_that_a_store_lost_are_not_ruled_out (void)
+{
+  int copy;
+
+  start_test ();
+  see (old_version);
+  run_for (RETURN_MS + WRITE_MS);
+  copy = fx_store_revision ();
+  see (new_version);
+  begin_stream (0, 5, new_version);
+  run_for (WRITE_MS);
+  restart_all_after_restoration (copy);
+  see (old_version);
+  CU_ASSERT_EQUAL (ask_only_version (), 0);
+  run_for (WRITE_MS);
+  restart_all ();
+  see (old_version);
+  CU_ASSERT_EQUAL (ask_only_version (), 0);
+  fleet_look_up_origins (instances[0].fleet);
+  run_for (START_MS);
+  CU_ASSERT_EQUAL (ask_only_version (), 0);
+  run_for (RETURN_MS);
+  CU_ASSERT_EQUAL (ask_only_version (), old_version);
+  run_for (WRITE_MS);
+  restart_all ();
+  CU_ASSERT_EQUAL (ask_only_version (), old_version);
+  end_test ();
+}
+
+/* One instance runs on through the restoration; the others are started
+   again after it.  */
+static void
+instance_that_runs_on_remembers_for_the_store (void)
+{
+  int copy;
+
+  start_test ();
+  see (old_version);
+  run_for (RETURN_MS + WRITE_MS);
+  copy = fx_store_revision ();
+  for (int i = 1; i < INSTANCES; i++)
+    kill_instance (i);
+  fx_store_restore (copy - 1);
+  fleet_set_epoch (instances[0].fleet, 2);
+  run_for (WRITE_MS);
+  for (int i = 1; i < INSTANCES; i++)
+    start_instance (i);
+  run_for (CATCH_UP_MS / 2);
+  CU_ASSERT_EQUAL (ask_only_version (), old_version);
+  restart_all ();
+  CU_ASSERT_EQUAL (ask_only_version (), old_version);
+  end_test ();
+}
+
 static void
 late_write_does_not_undo_a_newer_one (void)
 {
@@ -446,18 +534,6 @@
   end_test ();
 }
 
-/* Has the first instance ask the others for versions.  Returns the one that is
-   confirmed to be the only one.  */
-static uint64_t
-ask_only_version (void)
-{
-  clk_ms asked_ms = clk_now (clk_monotonic ());
-
-  fleet_ask_versions (instances[0].fleet, service);
-  run_for (START_MS);
-  return fleet_only_version (instances[0].fleet, service, asked_ms);
-}
-
 static void
 versions_are_confirmed_in_step_only (void)
 {
