Streams of before a second version go on after all instances have ended

Callers saw: streams run at the only version of a service, all instances are killed, and a target of a second version is there when they are back.

Cause: while one version serves, streams are in no object of the store, as they are all of that one. That was dropped as soon as a second version was seen, though the store named the first one alone when it was read, and a version is named there for 1 s before it begins streams.

Evidence: each instance reads one version and no streams at its start; all refusals are "origin_unknown"; without the second version all streams go on by "only_version".

Change: the version that was the only one before others came is kept as the prior one (request/prior.c, process/fleet_prior.c), and streams that neither the instances nor the store know are of it. It is in the store, for all that start to take over, until other versions begin streams, which wait for the write that takes it out. Where the store has lost what came last, it follows from the times at which the targets started. The new member of the objects is passed over by older builds.

Why it works: until a version other than the prior one may begin streams, all streams are of the prior one, and the store says so to any instance. From then on each stream of another version is known to four instances, and whoever still has the prior version knows that not all four can have ended.

--- a/include/ibisloom/metrics.h
+++ b/include/ibisloom/metrics.h
@@ -52,6 +52,7 @@
   METRIC_RESUMED_PEER,
   METRIC_RESUMED_STORED,
   METRIC_RESUMED_ONLY_VERSION,
+  METRIC_RESUMED_PRIOR_VERSION,
   METRIC_CUT_RESPONSES, /* that ended with their target */
   METRIC_EXTRA_INPUT, /* connections of targets with bytes after a response */
   METRIC_MISMATCHED_RESPONSES, /* to a request other than the one sent */
--- a/process/fleet.c
+++ b/process/fleet.c
@@ -62,6 +62,7 @@
   fleet_work_init (fleet);
   fleet_quarantine_init (fleet);
   fleet_crash_init (fleet);
+  fleet_prior_init (fleet);
   fleet_origin_init (fleet);
   fleet_version_init (fleet);
   fleet_demand_init (fleet);
@@ -165,6 +166,7 @@
   fleet_version_clear (fleet);
   fleet_demand_clear (fleet);
   fleet_origin_clear (fleet);
+  fleet_prior_clear (fleet);
   g_hash_table_destroy (fleet->peers);
   g_string_free (fleet->listed_name, TRUE);
   g_free (fleet);
--- a/process/fleet_heartbeat.c
+++ b/process/fleet_heartbeat.c
@@ -51,6 +51,7 @@
   fleet_pause_tick (fleet, now);
   fleet_pace_tick (fleet, now);
   fleet_work_tick (fleet, now);
+  fleet_prior_tick (fleet, now);
   fleet_origin_tick (fleet, now);
   fleet_version_tick (fleet, now);
   if (fleet->heartbeat_count % SILENT_PEER_STRIDE == 1)
--- a/process/fleet_origin.c
+++ b/process/fleet_origin.c
@@ -26,8 +26,6 @@
 static struct wire_origin wire_origin_of (const struct fleet *fleet,
                                           const struct origin_record *record);
 static void tell_again (struct fleet *fleet);
-static void see_version (struct fleet *fleet,
-                         const struct origin_version *version, clk_ms now);
 
 /* Prepares FLEET to keep origins.  */
 void
@@ -60,7 +58,7 @@
   struct origin_version version = { .service = rank_hash (target->service),
                                     .software = target->software };
 
-  see_version (fleet, &version, clk_now (clk_monotonic ()));
+  fleet_see_version (fleet, &version, clk_now (clk_monotonic ()));
 }
 
 /* Corrects the origins of the streams that TARGET, which has started again,
@@ -80,23 +78,29 @@
     g_array_append_val (fleet->untold_origins, record);
 }
 
-/* Records that VERSION is seen at NOW, and logs it if it is new.  */
-static void
-see_version (struct fleet *fleet, const struct origin_version *version,
-             clk_ms now)
+/* Records that a target of VERSION was seen at SEEN_MS, and logs it if it is
+   new.  If it is the second one of its service, the first is the prior one. */
+void
+fleet_see_version (struct fleet *fleet, const struct origin_version *version,
+                   clk_ms seen_ms)
 {
-  int differed = origin_versions_differ (fleet->origins);
+  struct origins *origins = fleet->origins;
+  int differed = origin_versions_differ (origins);
+  struct origin_version only
+      = { .service = version->service,
+          .software = origin_only_version (origins, version->service) };
   struct log_line line;
 
-  if (!origin_see_version (fleet->origins, version, now))
+  if (!origin_see_version (origins, version, seen_ms))
     return;
-  if (!differed && origin_versions_differ (fleet->origins))
+  if (only.software != 0)
+    fleet_note_prior (fleet, &only, clk_now (clk_monotonic ()));
+  if (!differed && origin_versions_differ (origins))
     tell_again (fleet);
   if (!log_begin (&line, LOG_LEVEL_INFO, "origin", NULL, "version_seen"))
     return;
   log_hash (&line, "software", version->software);
-  log_number (&line, "versions_differ",
-              origin_versions_differ (fleet->origins));
+  log_number (&line, "versions_differ", origin_versions_differ (origins));
   log_end (&line);
 }
 
@@ -118,7 +122,11 @@
 fleet_add_origin (struct fleet *fleet, const struct origin_record *record)
 {
   int is_known = origin_find (fleet->origins, record->attempt) != 0;
+  struct origin_version version
+      = { .service = origin_service (fleet->origins, record->software),
+          .software = record->software };
 
+  prior_open (fleet->priors, &version);
   origin_add (fleet->origins, record, ORIGIN_OWN, clk_now (clk_monotonic ()));
   if (!is_known)
     tell_origin (fleet, record);
@@ -199,7 +207,7 @@
 
       if (version.software == 0 || version.service == 0)
         continue;
-      see_version (fleet, &version, now);
+      fleet_see_version (fleet, &version, now);
       origin_add_told (fleet->origins, &record, peer->id, now);
     }
 }
--- a/process/fleet_origin_note.c
+++ b/process/fleet_origin_note.c
@@ -34,17 +34,40 @@
 }
 
 /* Returns whether streams may begin at SOFTWARE: the store names it, and that
-   for long enough, or it names no version of the service.  */
+   for long enough, and has no other one as the prior version, or it names no
+   version of the service.  */
 int
 fleet_software_is_noted (const struct fleet *fleet, uint64_t software)
 {
   const struct noted_version *noted = find_noted (fleet->noted, software);
 
   if (noted != NULL)
-    return clk_now (clk_monotonic ()) >= noted->usable_ms;
+    return clk_now (clk_monotonic ()) >= noted->usable_ms
+           && prior_allows (fleet->priors, &noted->version);
   return !has_noted (fleet->noted, find_service (fleet, software));
 }
 
+/* Has the prior versions taken out of the store where streams may begin at
+   others, as far as these are noted.  In the first moments after its start
+   this instance refuses the streams of prior versions: if it ends in these
+   moments, they are for the next one to go on with.  */
+void
+fleet_open_noted (struct fleet *fleet)
+{
+  clk_ms now = clk_now (clk_monotonic ());
+
+  if (fleet_past_wait_ms (fleet, now) > 0)
+    return;
+  for (guint i = 0; i < fleet->noted->len; i++)
+    {
+      const struct noted_version *noted
+          = &g_array_index (fleet->noted, struct noted_version, i);
+
+      if (now >= noted->usable_ms)
+        prior_open (fleet->priors, &noted->version);
+    }
+}
+
 /* Adds the versions in the object CONTENT, which the store has.  */
 void
 fleet_note_stored (struct fleet *fleet, const json_t *content)
--- a/process/fleet_origin_store.c
+++ b/process/fleet_origin_store.c
@@ -69,6 +69,7 @@
 static void read_page (struct fleet *fleet);
 static void on_read (void *closure, const struct store_response *response);
 static int is_unused (const struct fleet *fleet);
+static void learn_past (struct fleet *fleet, int is_complete);
 static void end_read (struct fleet *fleet);
 static void on_object (void *closure, const struct watch_object *object);
 static int has_version (const GArray *versions,
@@ -253,6 +254,7 @@
       store->objects_read = 0;
       store->streams_read = 0;
       g_array_set_size (store->versions_read, 0);
+      fleet_read_priors (fleet);
       g_string_truncate (store->last_name, 0);
     }
   metric_inc (METRIC_ORIGIN_READS);
@@ -303,6 +305,23 @@
   return store->read_epoch <= FIRST_EPOCH && store->objects_read == 0;
 }
 
+/* Learns which versions were the only ones before the start of this instance,
+   if the store, whose list was read, IS_COMPLETE, or has answered for so long
+   that the registry tells.  */
+static void
+learn_past (struct fleet *fleet, int is_complete)
+{
+  struct fleet_origin_store *store = fleet->origin_store;
+
+  if (!is_complete && fleet_past_wait_ms (fleet, store->read_ms) > 0)
+    return;
+  store->knows_past = 1;
+  if (is_complete)
+    fleet_adopt_priors (fleet, store->read_ms);
+  else
+    fleet_infer_priors (fleet, store->read_ms);
+}
+
 /* Called when the list was read completely.  The first writes of the instances
    are spread, as these may have started together.  */
 static void
@@ -314,8 +333,8 @@
   struct log_line line;
 
   store->epoch = MAX (store->epoch, store->read_epoch);
-  if (is_complete || fleet_past_wait_ms (fleet, store->read_ms) == 0)
-    store->knows_past = 1;
+  if (!store->knows_past)
+    learn_past (fleet, is_complete);
   g_array_set_size (fleet->stored_versions, 0);
   g_array_append_vals (fleet->stored_versions, store->versions_read->data,
                        store->versions_read->len);
@@ -356,6 +375,7 @@
   store->objects_read++;
   store->is_current
       |= origin_json_epoch (object->content) == store->read_epoch;
+  fleet_read_prior (fleet, object->content);
   if (!store->is_read)
     fleet_note_stored (fleet, object->content);
   if (!is_own || !store->is_read)
@@ -412,6 +432,8 @@
 
   if (store->knows_past)
     origin_json_set_epoch (content, epoch);
+  fleet_open_noted (fleet);
+  fleet_pack_priors (fleet, content);
   is_needed = store->written == NULL
                   ? origin_next_version (fleet->origins, &cursor, &version)
                   : store->written_epoch < fleet->epoch
@@ -452,6 +474,7 @@
       store->written = json_incref (store->sent);
       store->written_epoch = response->epoch;
       fleet_note_written (fleet, store->written);
+      fleet_priors_written (fleet, store->written);
       schedule (fleet, write_interval_ms (fleet));
       return;
     }
--- a/process/fleet_version.c
+++ b/process/fleet_version.c
@@ -155,8 +155,7 @@
           = { .service = confirmed->service, .software = seen->software };
 
       if (seen->software != 0 && seen->age_ms < ORIGIN_KEPT_MS)
-        (void)origin_see_version (fleet->origins, &version,
-                                  now - (clk_ms)seen->age_ms);
+        fleet_see_version (fleet, &version, now - (clk_ms)seen->age_ms);
     }
   confirmed->known_ms
       = MAX (confirmed->known_ms, (clk_ms)versions->query.asked_ms - NEWS_MS);
@@ -183,6 +182,21 @@
   return 0;
 }
 
+/* Returns the software that began the streams of SERVICE of which neither the
+   instances nor the store know the origin, or 0 if that cannot be said.  In
+   the first moments after its start an instance has yet to learn which targets
+   have started again as other versions, and to hear what the others know.  */
+uint64_t
+fleet_prior_version (const struct fleet *fleet, uint64_t service)
+{
+  clk_ms now = clk_now (clk_monotonic ());
+
+  if (!is_in_step (fleet, now) || fleet_past_wait_ms (fleet, now) > 0)
+    return 0;
+  return prior_find (fleet->priors, service, fleet->ends,
+                     fleet_heard_count (fleet) + 1);
+}
+
 /* Returns whether the store, as last read, names no version of SERVICE but
    SOFTWARE.  */
 static int
--- a/process/libfleet.h
+++ b/process/libfleet.h
@@ -9,6 +9,7 @@
 #include "ibisloom/fleet.h"
 #include "ibisloom/members.h"
 #include "ibisloom/origin.h"
+#include "ibisloom/prior.h"
 #include "ibisloom/probe.h"
 #include "ibisloom/quarantine.h"
 #include "ibisloom/storecall.h"
@@ -47,6 +48,8 @@
   uint64_t capabilities_incarnation; /* of the process that told them */
   uint32_t capability_rounds; /* heartbeats in which those of this instance
                                  might have been told */
+  uint64_t running; /* its incarnation, when ends were last counted; 0: it was
+                       silent */
 };
 
 /* Relay of another failure domain for this instance. */
@@ -141,8 +144,11 @@
   GArray *confirmed;         /* of versions, see fleet_version.c */
   GArray *stored_versions;   /* that the store named in the last reading */
   clk_ms stored_ms;          /* when that reading began; 0: none has ended */
-  clk_ms tick_ms;            /* time of the last heartbeat; 0: none */
-  clk_ms stalled_ms;         /* end of the last time without any; 0: none */
+  struct priors *priors;
+  GArray *priors_read; /* in the store, see fleet_prior.c */
+  uint32_t ends;       /* of other instances, counted while there are priors */
+  clk_ms tick_ms;      /* time of the last heartbeat; 0: none */
+  clk_ms stalled_ms;   /* end of the last time without any; 0: none */
   struct fleet_demands *demands;
   GArray *members; /* of struct fleet_member; empty if none is brittle */
   uint32_t turn;   /* by which the members' ranks at targets change */
@@ -275,9 +281,24 @@
 void fleet_apply_crash (struct fleet *fleet,
                         const struct wire_crash *reported);
 
+/* fleet_prior.c */
+void fleet_prior_init (struct fleet *fleet);
+void fleet_prior_clear (struct fleet *fleet);
+void fleet_prior_tick (struct fleet *fleet, clk_ms now);
+void fleet_note_prior (struct fleet *fleet,
+                       const struct origin_version *version, clk_ms now);
+void fleet_pack_priors (const struct fleet *fleet, json_t *content);
+void fleet_priors_written (struct fleet *fleet, const json_t *content);
+void fleet_read_priors (struct fleet *fleet);
+void fleet_read_prior (struct fleet *fleet, const json_t *content);
+void fleet_adopt_priors (struct fleet *fleet, clk_ms now);
+void fleet_infer_priors (struct fleet *fleet, clk_ms now);
+
 /* fleet_origin.c */
 void fleet_origin_init (struct fleet *fleet);
 void fleet_origin_clear (struct fleet *fleet);
+void fleet_see_version (struct fleet *fleet,
+                        const struct origin_version *version, clk_ms seen_ms);
 void fleet_origin_tick (struct fleet *fleet, clk_ms now);
 void fleet_apply_origins (struct fleet *fleet, const struct fleet_peer *peer,
                           const struct wire_origins *origins);
@@ -338,6 +359,7 @@
 GArray *fleet_noted_new (void);
 void fleet_note_stored (struct fleet *fleet, const json_t *content);
 void fleet_note_written (struct fleet *fleet, const json_t *content);
+void fleet_open_noted (struct fleet *fleet);
 
 /* fleet_origin_gone.c */
 GPtrArray *fleet_objects_new (void);
--- a/process/metrics.c
+++ b/process/metrics.c
@@ -92,6 +92,8 @@
   [METRIC_RESUMED_STORED] = "ibisloom_resumed_total{origin=\"stored\"}",
   [METRIC_RESUMED_ONLY_VERSION]
   = "ibisloom_resumed_total{origin=\"only_version\"}",
+  [METRIC_RESUMED_PRIOR_VERSION]
+  = "ibisloom_resumed_total{origin=\"prior_version\"}",
   [METRIC_CUT_RESPONSES] = "ibisloom_cut_responses_total",
   [METRIC_EXTRA_INPUT] = "ibisloom_extra_input_total",
   [METRIC_MISMATCHED_RESPONSES] = "ibisloom_crossed_dropped_total",
--- a/request/origin_json.c
+++ b/request/origin_json.c
@@ -4,9 +4,11 @@
    software of each version, and the member "streams", an object that has for
    each software a string with the attempts of the streams that it began, the
    newest first.  The member "epoch", a string, is the epoch of the store in
-   which an instance wrote the object that knew all versions of before.  All
-   numbers are in hexadecimal, of NUMBER_CHARS characters.  What does not have
-   this form is passed over.  */
+   which an instance wrote the object that knew all versions of before.  The
+   member "priors", of the form of "versions", has the prior versions of
+   services of which the object names several (prior.h).  All numbers are in
+   hexadecimal, of NUMBER_CHARS characters.  What does not have this form is
+   passed over.  */
 #include <inttypes.h>
 #include <string.h>
 
@@ -21,7 +23,8 @@
   VERSION_NUMBERS = 2 /* service and software */
 };
 
-static json_t *pack_versions (const struct origins *origins);
+static json_t *pack_versions (GArray *versions);
+static GArray *all_versions (const struct origins *origins);
 static json_t *pack_streams (const struct origins *origins);
 static GArray *own_streams (const struct origins *origins);
 static int is_needed (const struct origins *origins, uint64_t software);
@@ -29,6 +32,8 @@
 static uint32_t add_attempts (const char *attempts, struct origins *origins,
                               const struct origin_record *origin,
                               enum origin_source source, clk_ms now);
+static int next_version (const json_t *listed, struct origin_cursor *cursor,
+                         struct origin_version *version);
 static int read_number (const char *text, uint64_t *number);
 
 /* Returns the object of ORIGINS, as a new reference: the versions, and the
@@ -37,33 +42,49 @@
 json_t *
 origin_json_pack (const struct origins *origins)
 {
-  return json_pack ("{s:o,s:o}", "versions", pack_versions (origins),
-                    "streams", pack_streams (origins));
+  GArray *versions = all_versions (origins);
+  json_t *packed
+      = json_pack ("{s:o,s:o}", "versions", pack_versions (versions),
+                   "streams", pack_streams (origins));
+
+  g_array_free (versions, TRUE);
+  return packed;
 }
 
-/* Returns the string of all versions of ORIGINS.  */
-static json_t *
-pack_versions (const struct origins *origins)
+/* Returns all versions of ORIGINS, as an array of struct origin_version, newly
+   allocated.  */
+static GArray *
+all_versions (const struct origins *origins)
 {
   GArray *versions
       = g_array_new (FALSE, FALSE, sizeof (struct origin_version));
-  GString *text = g_string_new (NULL);
   struct origin_cursor cursor = { 0 };
   struct origin_version version;
-  json_t *packed;
 
   while (origin_next_version (origins, &cursor, &version))
     g_array_append_val (versions, version);
+  return versions;
+}
+
+/* Returns the string of VERSIONS, an array of struct origin_version, which it
+   sorts.  */
+static json_t *
+pack_versions (GArray *versions)
+{
+  GString *text = g_string_new (NULL);
+  json_t *packed;
+
   g_array_sort (versions, compare_versions);
   for (guint i = 0; i < versions->len; i++)
     {
-      version = g_array_index (versions, struct origin_version, i);
+      const struct origin_version *version
+          = &g_array_index (versions, struct origin_version, i);
+
       g_string_append_printf (text, "%016" PRIx64 "%016" PRIx64,
-                              version.service, version.software);
+                              version->service, version->software);
     }
   packed = json_string (text->str);
   g_string_free (text, TRUE);
-  g_array_free (versions, TRUE);
   return packed;
 }
 
@@ -174,13 +195,38 @@
   return epoch;
 }
 
+/* Sets the prior versions in the object CONTENT to PRIORS, an array of struct
+   origin_version, which it sorts.  */
+void
+origin_json_set_priors (json_t *content, GArray *priors)
+{
+  json_object_set_new (content, "priors", pack_versions (priors));
+}
+
 /* Stores in VERSION the next version at CURSOR in the object CONTENT.  Returns
    0 after the last one.  */
 int
 origin_json_next_version (const json_t *content, struct origin_cursor *cursor,
                           struct origin_version *version)
 {
-  const char *text = json_string_value (json_object_get (content, "versions"));
+  return next_version (json_object_get (content, "versions"), cursor, version);
+}
+
+/* The same for the prior versions.  */
+int
+origin_json_next_prior (const json_t *content, struct origin_cursor *cursor,
+                        struct origin_version *version)
+{
+  return next_version (json_object_get (content, "priors"), cursor, version);
+}
+
+/* Stores in VERSION the next version at CURSOR in the string LISTED.  Returns
+   0 after the last one.  */
+static int
+next_version (const json_t *listed, struct origin_cursor *cursor,
+              struct origin_version *version)
+{
+  const char *text = json_string_value (listed);
   size_t length = text != NULL ? strlen (text) : 0;
 
   while (cursor->next + VERSION_NUMBERS * NUMBER_CHARS <= length)
--- a/request/relay_origin.c
+++ b/request/relay_origin.c
@@ -10,11 +10,13 @@
   /* Some round trips between instances; a datagram may get lost.  */
   ASK_INTERVAL_MS = 40,
   PEERS_WAIT_MS = 100,
-  WAIT_MAX_MS = 300 /* allows for a look-up in the store */
+  STORE_WAIT_MS = 200, /* a look-up in the store has mostly ended by then */
+  WAIT_MAX_MS = 300
 };
 
 static void wait_for_origin (struct relay *relay);
 static int find_origin (struct relay *relay, int64_t waited_ms);
+static int take_record (struct relay *relay, int64_t waited_ms);
 static int is_split (const struct rt_route *route);
 static uint64_t current_software (const struct relay *relay);
 static int64_t sent_at_ms (const struct relay *relay);
@@ -98,38 +100,50 @@
 }
 
 /* Finds the version that began the stream of RELAY, after WAITED_MS of waiting
-   for it.  If only one version can have, it is that, once that is confirmed:
-   this instance may have missed another one.  Other instances that are alive
-   know better than the store, where a version is noted before the first event.
-   Returns whether it is known.  */
+   for it.  Returns whether it is known.  */
 static int
 find_origin (struct relay *relay, int64_t waited_ms)
 {
   struct fleet *fleet = relay->router->fleet;
-  const struct origins *origins = fleet_origins (fleet);
+  uint64_t service;
 
-  relay->software = origin_find (origins, relay->stream);
+  if (origin_find (fleet_origins (fleet), relay->stream) != 0)
+    return take_record (relay, waited_ms);
+  if (!fleet_origins_are_read (fleet) || only_service (relay) == NULL)
+    return 0;
+  service = rank_hash (only_service (relay));
+  relay->software = fleet_only_version (fleet, service, relay->arrived_ms);
   if (relay->software != 0)
     {
-      enum origin_source source = origin_learned_from (origins, relay->stream);
-
-      if (source == ORIGIN_STORED && waited_ms < PEERS_WAIT_MS)
-        {
-          relay->software = 0;
-          return 0;
-        }
-      metric_inc (sources[source].counter);
-      relay_log_origin (relay, sources[source].name);
+      metric_inc (METRIC_RESUMED_ONLY_VERSION);
+      relay_log_origin (relay, "only_version");
       return 1;
     }
-  if (!fleet_origins_are_read (fleet) || only_service (relay) == NULL)
+  if (waited_ms < STORE_WAIT_MS)
     return 0;
-  relay->software = fleet_only_version (
-      fleet, rank_hash (only_service (relay)), relay->arrived_ms);
+  relay->software = fleet_prior_version (fleet, service);
   if (relay->software == 0)
     return 0;
-  metric_inc (METRIC_RESUMED_ONLY_VERSION);
-  relay_log_origin (relay, "only_version");
+  metric_inc (METRIC_RESUMED_PRIOR_VERSION);
+  relay_log_origin (relay, "prior_version");
+  return 1;
+}
+
+/* Takes the version that began the stream of RELAY, which waits for it since
+   WAITED_MS, from the record of the stream.  Other instances that are alive
+   know better than the store, where a version is noted before the first event.
+   Returns whether the record can be relied on by now.  */
+static int
+take_record (struct relay *relay, int64_t waited_ms)
+{
+  const struct origins *origins = fleet_origins (relay->router->fleet);
+  enum origin_source source = origin_learned_from (origins, relay->stream);
+
+  if (source == ORIGIN_STORED && waited_ms < PEERS_WAIT_MS)
+    return 0;
+  relay->software = origin_find (origins, relay->stream);
+  metric_inc (sources[source].counter);
+  relay_log_origin (relay, sources[source].name);
   return 1;
 }
 
--- a/tests/test_origin_store.c
+++ b/tests/test_origin_store.c
@@ -37,6 +37,8 @@
 static void restored_store_is_written_anew (void);
 static void versions_that_a_store_lost_are_not_ruled_out (void);
 static void instance_that_runs_on_remembers_for_the_store (void);
+static void streams_of_before_are_of_the_prior_version (void);
+static void prior_version_outlives_an_early_end (void);
 static void late_write_does_not_undo_a_newer_one (void);
 static void streams_of_a_lost_instance_are_looked_up (void);
 static void versions_are_confirmed_in_step_only (void);
@@ -61,6 +63,10 @@
     versions_that_a_store_lost_are_not_ruled_out },
   { "an instance that runs on writes to a restored store what it knows",
     instance_that_runs_on_remembers_for_the_store },
+  { "streams from before a start are of the version that served alone",
+    streams_of_before_are_of_the_prior_version },
+  { "the same after a second end, until the second version begins streams",
+    prior_version_outlives_an_early_end },
   { "a late write does not undo a newer one",
     late_write_does_not_undo_a_newer_one },
   { "streams of a lost instance are looked up",
@@ -493,6 +499,64 @@
   end_test ();
 }
 
+/* Checks that all instances take the streams of unknown origin for those of
+   SOFTWARE; if that is 0, for those of any.  */
+static void
+expect_prior_version (uint64_t software)
+{
+  for (int i = 0; i < INSTANCES; i++)
+    CU_ASSERT_EQUAL (fleet_prior_version (instances[i].fleet, service),
+                     software);
+}
+
+/* Guards against streams that nobody remembers being refused, as a second
+   version has come while no instance ran.  */
+static void
+streams_of_before_are_of_the_prior_version (void)
+{
+  start_test ();
+  see (old_version);
+  run_for (WRITE_MS);
+  restart_all ();
+  see (old_version);
+  see (new_version);
+  expect_prior_version (0);
+  run_for (RETURN_MS);
+  expect_only_version (0);
+  expect_prior_version (old_version);
+  run_for (SETTLE_MS + 2 * WRITE_MS);
+  expect_prior_version (old_version);
+  for (int i = 0; i < INSTANCES; i++)
+    CU_ASSERT (fleet_software_is_noted (instances[i].fleet, new_version));
+  end_test ();
+}
+
+/* Guards against a stream of the second version, known to nobody after a
+   second end, being taken for one of the first.  */
+static void
+prior_version_outlives_an_early_end (void)
+{
+  start_test ();
+  see (old_version);
+  run_for (WRITE_MS);
+  for (int i = 0; i < 2; i++)
+    {
+      restart_all ();
+      see (new_version);
+      run_for (WRITE_MS + SETTLE_MS);
+      CU_ASSERT (!fleet_software_is_noted (instances[0].fleet, new_version));
+    }
+  run_for (RETURN_MS);
+  expect_prior_version (old_version);
+  run_for (WRITE_MS);
+  CU_ASSERT (fleet_software_is_noted (instances[0].fleet, new_version));
+  restart_all ();
+  see (new_version);
+  run_for (RETURN_MS);
+  expect_prior_version (0);
+  end_test ();
+}
+
 static void
 late_write_does_not_undo_a_newer_one (void)
 {
--- a/tests/test_resume.c
+++ b/tests/test_resume.c
@@ -25,6 +25,7 @@
   APPLY_MS = 2000, /* until a new entry in the store is known */
   STORE_MS = 1500, /* until an origin is in the store */
   HOLD_MS = 3000,
+  PAST_MS = 4000, /* until routers know what was before their start */
   ROUTERS = 6,
   EVENTS = 5,
   EVENTS_BEFORE_CUT = 2,
@@ -46,6 +47,8 @@
 static void stream_goes_on_at_its_service (void);
 static void stream_goes_on_after_all_were_killed (void);
 static void stream_is_not_joined_after_all_were_killed (void);
+static void streams_go_on_beside_a_version_that_came_late (void);
+static void streams_go_on_after_a_restoration (void);
 
 static const struct test_case cases[] = {
   { "a stream goes on at the version that began it only",
@@ -78,6 +81,10 @@
     stream_goes_on_after_all_were_killed },
   { "a stream whose version left while all were killed is not joined",
     stream_is_not_joined_after_all_were_killed },
+  { "streams go on if a second version came while all were killed",
+    streams_go_on_beside_a_version_that_came_late },
+  { "the same if the store came back from a copy meanwhile",
+    streams_go_on_after_a_restoration },
 };
 
 TEST_MAIN ("resume", cases)
@@ -413,9 +420,19 @@
   return is_whole;
 }
 
-/* Begins STREAMS streams at the first router, and kills it.  */
 static void
-begin_and_kill (void)
+kill_routers (int count)
+{
+  for (int i = 0; i < count; i++)
+    fx_router_signal (i, SIGKILL);
+  for (int i = 0; i < count; i++)
+    fx_router_wait_for_exit (i);
+}
+
+/* Begins STREAMS streams at the first router, and kills the first COUNT
+   routers.  */
+static void
+begin_and_kill (int count)
 {
   int fds[STREAMS];
 
@@ -431,8 +448,7 @@
       g_free (response);
       g_free (request);
     }
-  fx_router_signal (0, SIGKILL);
-  fx_router_wait_for_exit (0);
+  kill_routers (count);
   for (int i = 0; i < STREAMS; i++)
     close (fds[i]);
 }
@@ -463,7 +479,7 @@
   fx_store_start (shop_config);
   fx_routers_start (ROUTERS);
   fx_sleep_ms (APPLY_MS);
-  begin_and_kill ();
+  begin_and_kill (1);
   add_version ("i-2", cut_new_until_taken_up, "v2");
   fx_sleep_ms (APPLY_MS);
   expect_all_taken_up ();
@@ -483,7 +499,7 @@
   fx_store_start (shop_config);
   fx_routers_start (ROUTERS);
   fx_sleep_ms (APPLY_MS);
-  begin_and_kill ();
+  begin_and_kill (1);
   fx_store_put ("config", "main", split);
   fx_sleep_ms (APPLY_MS);
   expect_all_taken_up ();
@@ -509,15 +525,6 @@
   fx_env_stop ();
 }
 
-static void
-kill_all (void)
-{
-  for (int i = 0; i < ROUTERS; i++)
-    fx_router_signal (i, SIGKILL);
-  for (int i = 0; i < ROUTERS; i++)
-    fx_router_wait_for_exit (i);
-}
-
 static void
 stream_goes_on_after_all_were_killed (void)
 {
@@ -532,7 +539,7 @@
   fx_sleep_ms (APPLY_MS);
   is_old = break_off_stream ();
   fx_sleep_ms (STORE_MS);
-  kill_all ();
+  kill_routers (ROUTERS);
   fx_routers_start (ROUTERS);
   expect_taken_up_elsewhere (is_old);
   fx_env_stop ();
@@ -547,9 +554,51 @@
   fx_routers_start (ROUTERS);
   fx_sleep_ms (APPLY_MS);
   CU_ASSERT (break_off_stream ());
-  kill_all ();
+  kill_routers (ROUTERS);
   fx_target_restart (target, "v2");
   fx_routers_start (ROUTERS);
   shop_expect (TAKE_UP ("s2", "s1"), "503", "Content-Length: 0");
   fx_env_stop ();
 }
+
+/* Begins streams while one version serves, and kills all routers.  */
+static void
+begin_at_one_version_and_kill_all (void)
+{
+  add_old ("i-1", hold_old);
+  add_old ("i-3", hold_old);
+  fx_store_start (shop_config);
+  fx_routers_start (ROUTERS);
+  fx_sleep_ms (APPLY_MS);
+  begin_and_kill (ROUTERS);
+}
+
+/* Starts all routers again, beside a target of another version, and has the
+   streams taken up.  */
+static void
+expect_taken_up_beside_another_version (void)
+{
+  add_version ("i-2", cut_new_until_taken_up, "v2");
+  fx_routers_start (ROUTERS);
+  fx_sleep_ms (PAST_MS);
+  expect_all_taken_up ();
+}
+
+/* Guards against streams that nobody remembers being refused, though one
+   version alone can have begun them.  */
+static void
+streams_go_on_beside_a_version_that_came_late (void)
+{
+  begin_at_one_version_and_kill_all ();
+  expect_taken_up_beside_another_version ();
+  fx_env_stop ();
+}
+
+static void
+streams_go_on_after_a_restoration (void)
+{
+  begin_at_one_version_and_kill_all ();
+  fx_store_restore (fx_store_revision ());
+  expect_taken_up_beside_another_version ();
+  fx_env_stop ();
+}
