Instances say that they do not know a stream

Callers could see: an instance takes a stream that neither the others nor the store know for one of the prior version. That no other knows it was concluded from silence, and an instance that has just ended is silent too: if all that know a stream of a newer version end at once, one that runs on would have joined it to the prior version until it notices, some 0.5 s.

Change: an instance that is asked for a stream that it does not know says so, and one that asks relies on the prior version only if those that would have been told of the stream have been heard since. The answer is a record without a software version, which older builds pass over.

--- a/include/ibisloom/fleet.h
+++ b/include/ibisloom/fleet.h
@@ -142,7 +142,8 @@
 void fleet_ask_versions (struct fleet *fleet, uint64_t service);
 uint64_t fleet_only_version (const struct fleet *fleet, uint64_t service,
                              clk_ms arrived_ms);
-uint64_t fleet_prior_version (const struct fleet *fleet, uint64_t service);
+uint64_t fleet_prior_version (const struct fleet *fleet, uint64_t service,
+                              uint64_t attempt, clk_ms asked_ms);
 void fleet_on_reach (struct fleet *fleet, const struct fleet_reach_ops *ops,
                      void *closure);
 void fleet_ask_reach (struct fleet *fleet, uint32_t peer, uint64_t service);
--- a/process/fleet_origin.c
+++ b/process/fleet_origin.c
@@ -172,7 +172,25 @@
     fleet_send (fleet, &peers[i]->address, &message);
 }
 
-/* Answers PEER which version began the stream of QUERY, if that is known.  */
+/* Returns whether the live peers that would have been told of the stream of
+   ATTEMPT have been heard since it was asked for, at ASKED_MS: each of them
+   answers, also if it does not know the stream.  */
+int
+fleet_told_peers_answer (const struct fleet *fleet, uint64_t attempt,
+                         clk_ms asked_ms)
+{
+  const struct fleet_peer *peers[TOLD_PEERS];
+  uint32_t count = fleet_top_peers (fleet, attempt, clk_now (clk_monotonic ()),
+                                    peers, TOLD_PEERS);
+
+  for (uint32_t i = 0; i < count; i++)
+    if (peers[i]->last_seen_ms < asked_ms)
+      return 0;
+  return 1;
+}
+
+/* Answers PEER which version began the stream of QUERY, or, with no software,
+   that this is not known here.  Older builds pass that answer over.  */
 void
 fleet_answer_origin (struct fleet *fleet, const struct fleet_peer *peer,
                      const struct wire_origin_query *query)
@@ -182,9 +200,9 @@
       = { .attempt = query->attempt,
           .software = origin_find (fleet->origins, query->attempt) };
 
-  if (record.software == 0
-      || origin_learned_from (fleet->origins, query->attempt) == ORIGIN_STORED)
-    return;
+  if (record.software != 0
+      && origin_learned_from (fleet->origins, query->attempt) == ORIGIN_STORED)
+    record.software = 0;
   message.u.origins.count = 1;
   message.u.origins.origin[0] = wire_origin_of (fleet, &record);
   fleet_send (fleet, &peer->address, &message);
--- a/process/fleet_version.c
+++ b/process/fleet_version.c
@@ -182,16 +182,19 @@
   return 0;
 }
 
-/* Returns the software that began the streams of SERVICE of which neither the
-   instances nor the store know the origin, or 0 if that cannot be said.  In
-   the first moments after its start an instance has yet to learn which targets
-   have started again as other versions, and to hear what the others know.  */
+/* Returns the software that began the stream of ATTEMPT at SERVICE, of which
+   neither the instances, asked at ASKED_MS, nor the store know the origin, or
+   0 if that cannot be said.  In the first moments after its start an instance
+   has yet to learn which targets have started again as other versions, and to
+   hear what the others know.  */
 uint64_t
-fleet_prior_version (const struct fleet *fleet, uint64_t service)
+fleet_prior_version (const struct fleet *fleet, uint64_t service,
+                     uint64_t attempt, clk_ms asked_ms)
 {
   clk_ms now = clk_now (clk_monotonic ());
 
-  if (!is_in_step (fleet, now) || fleet_past_wait_ms (fleet, now) > 0)
+  if (!is_in_step (fleet, now) || fleet_past_wait_ms (fleet, now) > 0
+      || !fleet_told_peers_answer (fleet, attempt, asked_ms))
     return 0;
   return prior_find (fleet->priors, service, fleet->ends,
                      fleet_heard_count (fleet) + 1);
--- a/process/libfleet.h
+++ b/process/libfleet.h
@@ -300,6 +300,8 @@
 void fleet_see_version (struct fleet *fleet,
                         const struct origin_version *version, clk_ms seen_ms);
 void fleet_origin_tick (struct fleet *fleet, clk_ms now);
+int fleet_told_peers_answer (const struct fleet *fleet, uint64_t attempt,
+                             clk_ms asked_ms);
 void fleet_apply_origins (struct fleet *fleet, const struct fleet_peer *peer,
                           const struct wire_origins *origins);
 void fleet_answer_origin (struct fleet *fleet, const struct fleet_peer *peer,
--- a/request/relay_origin.c
+++ b/request/relay_origin.c
@@ -121,7 +121,8 @@
     }
   if (waited_ms < STORE_WAIT_MS)
     return 0;
-  relay->software = fleet_prior_version (fleet, service);
+  relay->software
+      = fleet_prior_version (fleet, service, relay->stream, relay->arrived_ms);
   if (relay->software == 0)
     return 0;
   metric_inc (METRIC_RESUMED_PRIOR_VERSION);
--- a/tests/test_origin_store.c
+++ b/tests/test_origin_store.c
@@ -22,6 +22,8 @@
   SETTLE_MS = 1200, /* until a version that is written may be used */
   LATE_MS = 900,
   STALL_MS = 700,
+  ASK_MS = 100, /* until others have answered: less than a heartbeat takes */
+  UNKNOWN = 999,
   CATCH_UP_MS = 2000, /* until a stall, or what was asked, no longer counts */
   RETURN_MS = 3000,   /* until targets that a store lost are back in it */
   FORGET_STEPS = 9,   /* one is more than ORIGIN_KEPT_MS */
@@ -39,6 +41,7 @@
 static void instance_that_runs_on_remembers_for_the_store (void);
 static void streams_of_before_are_of_the_prior_version (void);
 static void prior_version_outlives_an_early_end (void);
+static void streams_are_of_none_before_others_have_answered (void);
 static void late_write_does_not_undo_a_newer_one (void);
 static void streams_of_a_lost_instance_are_looked_up (void);
 static void versions_are_confirmed_in_step_only (void);
@@ -67,6 +70,8 @@
     streams_of_before_are_of_the_prior_version },
   { "the same after a second end, until the second version begins streams",
     prior_version_outlives_an_early_end },
+  { "an instance whose peers have just ended takes a stream for that of none",
+    streams_are_of_none_before_others_have_answered },
   { "a late write does not undo a newer one",
     late_write_does_not_undo_a_newer_one },
   { "streams of a lost instance are looked up",
@@ -499,14 +504,20 @@
   end_test ();
 }
 
-/* Checks that all instances take the streams of unknown origin for those of
-   SOFTWARE; if that is 0, for those of any.  */
+/* Has all instances ask for a stream that none knows, and checks that they
+   take it for one of SOFTWARE; if that is 0, for one of any.  */
 static void
 expect_prior_version (uint64_t software)
 {
+  clk_ms asked_ms = clk_now (clk_monotonic ());
+
+  for (int i = 0; i < INSTANCES; i++)
+    fleet_ask_origin (instances[i].fleet, UNKNOWN);
+  run_for (ASK_MS);
   for (int i = 0; i < INSTANCES; i++)
-    CU_ASSERT_EQUAL (fleet_prior_version (instances[i].fleet, service),
-                     software);
+    CU_ASSERT_EQUAL (
+        fleet_prior_version (instances[i].fleet, service, UNKNOWN, asked_ms),
+        software);
 }
 
 /* Guards against streams that nobody remembers being refused, as a second
@@ -557,6 +568,32 @@
   end_test ();
 }
 
+/* Guards against a stream of the second version being taken for one of the
+   first in the moment at which all that know it have ended.  */
+static void
+streams_are_of_none_before_others_have_answered (void)
+{
+  clk_ms asked_ms;
+
+  start_test ();
+  see (old_version);
+  run_for (WRITE_MS);
+  restart_all ();
+  see (new_version);
+  run_for (RETURN_MS);
+  expect_prior_version (old_version);
+  for (int i = 1; i < INSTANCES; i++)
+    kill_instance (i);
+  asked_ms = clk_now (clk_monotonic ()) + 1;
+  fleet_ask_origin (instances[0].fleet, UNKNOWN);
+  run_for (ASK_MS);
+  CU_ASSERT_EQUAL (
+      fleet_prior_version (instances[0].fleet, service, UNKNOWN, asked_ms), 0);
+  for (int i = 1; i < INSTANCES; i++)
+    start_instance (i);
+  end_test ();
+}
+
 static void
 late_write_does_not_undo_a_newer_one (void)
 {
