Rejections by brittle targets tell the rank and what was heard

The counters of placements over the load bound and of rejections came so late among the metrics that the users' collection, which keeps 6 KB, ended before.

Change: rank and heard_ms in the line; both counters come first.

--- a/include/ibisloom/metrics.h
+++ b/include/ibisloom/metrics.h
@@ -9,6 +9,8 @@
 {
   METRIC_REQUESTS,
   METRIC_ANSWERED,
+  METRIC_OVER_BOUND,      /* responses that report a load over the bound */
+  METRIC_ROOM_REJECTIONS, /* requests that brittle targets turned away */
   /* Requests refused, or failed, by reason.  */
   METRIC_REFUSED_BAD_REQUEST,
   METRIC_REFUSED_UNKNOWN_CUSTOMER,
@@ -74,10 +76,9 @@
   /* Requests through other instances, while cut off from targets.  */
   METRIC_HOPS_SENT,
   METRIC_HOPS_RECEIVED,
-  METRIC_HOPS_ABANDONED,  /* as their sender was no longer heard */
-  METRIC_HOPS_REFUSED,    /* by this instance */
-  METRIC_CUT_OFF,         /* times that it was cut off from a service */
-  METRIC_ROOM_REJECTIONS, /* requests that brittle targets turned away */
+  METRIC_HOPS_ABANDONED, /* as their sender was no longer heard */
+  METRIC_HOPS_REFUSED,   /* by this instance */
+  METRIC_CUT_OFF,        /* times that it was cut off from a service */
   /* Load updates of instances in other failure domains.  */
   METRIC_LOAD_RELAY_FORWARDED, /* passed on to the own domain */
   METRIC_LOAD_RELAY_LIMITED,   /* not passed on: over the limit of datagrams */
@@ -94,8 +95,7 @@
   METRIC_PAUSES_BEGUN,
   METRIC_PAUSES_CAPPED,
   METRIC_PAUSES_ENDED,
-  METRIC_PACED_OUT,  /* requests sent there as no other target was left */
-  METRIC_OVER_BOUND, /* responses that report a load over the bound */
+  METRIC_PACED_OUT, /* requests sent there as no other target was left */
   /* Denied admissions, by reason.  */
   METRIC_DENIED_BOUND,
   METRIC_DENIED_RATE,
--- a/include/ibisloom/room.h
+++ b/include/ibisloom/room.h
@@ -30,6 +30,7 @@
 {
   uint8_t has_said;    /* the target itself said that it is brittle */
   uint32_t rank;       /* of this instance at the target, from 0 */
+  clk_ms heard_ms;     /* since when it is told of requests there; 0: not */
   int32_t limit;       /* requests in progress it takes; 0: its slots */
   clk_ms lowered_ms;   /* when the limit was lowered */
   int64_t growth_ms;   /* until it grows by one */
@@ -44,6 +45,7 @@
 int room_is_brittle (const struct room_service *service, clk_ms now);
 void room_count_request (struct room_service *service, clk_ms now);
 void room_init (struct room *room);
+void room_set_rank (struct room *room, uint32_t rank, clk_ms now);
 int32_t room_limit (const struct room *room, int32_t slots, clk_ms now);
 int32_t room_reject (struct room *room, int32_t slots, double others,
                      clk_ms sent_ms, clk_ms now);
--- a/process/fleet_room.c
+++ b/process/fleet_room.c
@@ -24,7 +24,8 @@
 static void list_members (struct fleet *fleet, clk_ms now);
 static int compare_members (const void *left, const void *right);
 static int compare_targets (const void *left, const void *right);
-static void rank_targets (struct fleet *fleet, const char *service);
+static void rank_targets (struct fleet *fleet, const char *service,
+                          clk_ms now);
 static void drop_rooms (struct fleet *fleet, clk_ms now);
 static uint32_t first_member (const struct fleet *fleet,
                               const struct reg_target *target);
@@ -242,7 +243,7 @@
         continue;
       if (fleet->members->len == 0)
         list_members (fleet, now);
-      rank_targets (fleet, service);
+      rank_targets (fleet, service, now);
     }
 }
 
@@ -290,7 +291,7 @@
 /* Determines the rank of this instance at the targets of SERVICE, whose first
    instances are spread evenly over the members.  */
 static void
-rank_targets (struct fleet *fleet, const char *service)
+rank_targets (struct fleet *fleet, const char *service, clk_ms now)
 {
   GPtrArray *targets = g_ptr_array_new ();
   uint32_t members = fleet->members->len;
@@ -312,8 +313,9 @@
     {
       uint32_t first = (uint32_t)((uint64_t)i * members / targets->len);
 
-      reg_get_room (g_ptr_array_index (targets, i))->rank
-          = (own + members - first + fleet->turn % members) % members;
+      room_set_rank (reg_get_room (g_ptr_array_index (targets, i)),
+                     (own + members - first + fleet->turn % members) % members,
+                     now);
     }
   g_ptr_array_free (targets, TRUE);
 }
--- a/request/relay_log.c
+++ b/request/relay_log.c
@@ -201,10 +201,12 @@
 }
 
 /* Logs that the target of RELAY, which is brittle, turned it away, and the
-   LIMIT of requests in progress there from now on.  */
+   LIMIT of requests in progress there from now on; also for how long this
+   instance has been told of requests there, -1 if it is not.  */
 void
 relay_log_room (const struct relay *relay, int32_t limit)
 {
+  const struct room *room = relay->attempt.target->room;
   struct log_line line;
 
   if (!log_begin (&line, LOG_LEVEL_INFO, "attempt", relay->id, "no_room"))
@@ -212,7 +214,12 @@
   log_text (&line, "target", relay->attempt.target->id);
   log_real (&line, "load", reg_counted_load (relay->attempt.target));
   log_number (&line, "limit", limit);
-  log_number (&line, "rejections", relay->attempt.target->room->rejections);
+  log_number (&line, "rejections", room->rejections);
+  log_number (&line, "rank", room->rank);
+  log_number (&line, "heard_ms",
+              room->heard_ms == 0
+                  ? -1
+                  : relay->attempt.last_received_ms - room->heard_ms);
   log_end (&line);
 }
 
--- a/request/room.c
+++ b/request/room.c
@@ -116,6 +116,18 @@
   *room = (struct room){ .rank = ROOM_UNRANKED, .growth_ms = GROWTH_MIN_MS };
 }
 
+/* Sets the RANK of this instance at the target with ROOM at NOW: those that
+   rank before ROOM_SHARERS_MAX are told of requests and rejections there.  */
+void
+room_set_rank (struct room *room, uint32_t rank, clk_ms now)
+{
+  room->rank = rank;
+  if (rank >= ROOM_SHARERS_MAX)
+    room->heard_ms = 0;
+  else if (room->heard_ms == 0)
+    room->heard_ms = now;
+}
+
 /* Returns how many requests of all instances may be in progress at NOW at a
    target with ROOM and SLOTS.  */
 int32_t
