--- a/tests/test_brittle.c
+++ b/tests/test_brittle.c
@@ -10,13 +10,12 @@
 
 enum
 {
-  TARGETS_MAX = 8,
-  CLIENTS = 100,
+  TARGETS_MAX = 40,
+  CLIENTS = 300,
   CALM_MS = 500,
   CONTACT_MS = 3000, /* from the word until less may wait */
   MEASURED_MS = 5000,
   QUEUE = 4,
-  WORK_MS = 60,
   BACK_MS = 3000,
   FALLS_MAX = 2, /* and a tenth of the number of targets */
   FALLS_DIVISOR = 10
@@ -33,6 +32,8 @@
 static void more_instances_than_targets (void);
 static void few_rejections_allowed (void);
 static void targets_that_come_back (void);
+static void more_instances_than_sharers (void);
+static void streams_through_many_instances (void);
 
 static const struct test_case cases[] = {
   { "calls that fit make no brittle target fall", calls_that_fit },
@@ -49,6 +50,11 @@
     few_rejections_allowed },
   { "brittle targets that have started again do not fall",
     targets_that_come_back },
+  { "more instances than share a brittle target make none fall",
+    more_instances_than_sharers },
+  { "streams through more instances than share a brittle target make none "
+    "fall",
+    streams_through_many_instances },
 };
 
 TEST_MAIN ("brittle", cases)
@@ -63,9 +69,29 @@
   int rejections_max;
   int events; /* 0: plain calls */
   int per_s;
+  int work_ms; /* of a request */
   int crashes; /* targets that end when the room shrinks, and come back anew */
 };
 
+/* Four instances before targets with room for 266 requests a second. */
+static const struct setup few_instances = { .routers = 4,
+                                            .targets = 8,
+                                            .slots = 2,
+                                            .entry_slots = 2,
+                                            .rejections_max = 3,
+                                            .per_s = 300,
+                                            .work_ms = 60 };
+
+/* As many instances as a deployment has, before targets with room for 266
+   requests a second, half of what they tell. */
+static const struct setup many_instances = { .routers = 78,
+                                             .targets = 40,
+                                             .slots = 4,
+                                             .entry_slots = 8,
+                                             .rejections_max = 3,
+                                             .per_s = 400,
+                                             .work_ms = 600 };
+
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static struct setup setup;
 static struct brittle_counts before; /* the room shrank */
@@ -206,7 +232,7 @@
   struct brittle_script script = { .entry_slots = next.entry_slots,
                                    .slots = next.slots,
                                    .queue = QUEUE,
-                                   .work_ms = WORK_MS,
+                                   .work_ms = next.work_ms,
                                    .events = next.events,
                                    .contact_ms = CONTACT_MS,
                                    .back_ms = BACK_MS,
@@ -233,47 +259,88 @@
 static void
 calls_that_fit (void)
 {
-  expect_no_falls ((struct setup){ 4, 8, 2, 2, 3, 0, 100, 0 });
+  struct setup few = few_instances;
+
+  few.per_s = 100;
+  expect_no_falls (few);
 }
 
 static void
 calls_near_the_room (void)
 {
-  expect_no_falls ((struct setup){ 4, 8, 2, 2, 3, 0, 200, 0 });
+  struct setup few = few_instances;
+
+  few.per_s = 200;
+  expect_no_falls (few);
 }
 
 static void
 calls_beyond_the_room (void)
 {
-  expect_no_falls ((struct setup){ 4, 8, 2, 2, 3, 0, 300, 0 });
+  expect_no_falls (few_instances);
 }
 
 static void
 streams_beyond_the_room (void)
 {
-  expect_no_falls ((struct setup){ 4, 8, 2, 2, 3, 3, 300, 0 });
+  struct setup few = few_instances;
+
+  few.events = 3;
+  expect_no_falls (few);
 }
 
 static void
 less_room_than_slots (void)
 {
-  expect_no_falls ((struct setup){ 4, 8, 2, 8, 3, 0, 200, 0 });
+  struct setup few = few_instances;
+
+  few.entry_slots = 8;
+  few.per_s = 200;
+  expect_no_falls (few);
 }
 
 static void
 more_instances_than_targets (void)
 {
-  expect_no_falls ((struct setup){ 12, 3, 6, 6, 3, 0, 250, 0 });
+  expect_no_falls ((struct setup){ .routers = 12,
+                                   .targets = 3,
+                                   .slots = 6,
+                                   .entry_slots = 6,
+                                   .rejections_max = 3,
+                                   .per_s = 250,
+                                   .work_ms = 60 });
 }
 
 static void
 few_rejections_allowed (void)
 {
-  expect_no_falls ((struct setup){ 4, 8, 2, 2, 1, 0, 300, 0 });
+  struct setup few = few_instances;
+
+  few.rejections_max = 1;
+  expect_no_falls (few);
 }
 
 static void
 targets_that_come_back (void)
 {
-  expect_no_falls ((struct setup){ 4, 8, 2, 2, 3, 0, 200, 2 });
+  struct setup few = few_instances;
+
+  few.per_s = 200;
+  few.crashes = 2;
+  expect_no_falls (few);
+}
+
+static void
+more_instances_than_sharers (void)
+{
+  expect_no_falls (many_instances);
+}
+
+static void
+streams_through_many_instances (void)
+{
+  struct setup many = many_instances;
+
+  many.events = 3;
+  expect_no_falls (many);
 }
