Instances ask what others were told of a brittle target before they send

Callers saw brittle targets of a deployment of 78 instances fall over, again and again, and requests refused while targets were away.

Cause: requests, ends and rejections are told to the 64 instances that rank first at a target. The ranks move on, and the last instance becomes the first: from 65 instances on it then fills the last places without knowing the limit, the rejections or, for up to a second, the requests in progress. Besides, the place in the circle was taken modulo the number of live instances, so that all ranks changed when one instance was taken for dead, at other times at each.

Change: the 8 instances that rank first next are told too. An instance that is told anew (by rank, after its start, after it stood still for 0.4 s, of a new entry) asks two others for limit, rejections and requests in progress, and sends nothing to the target before it knows (two new kinds of datagrams, at the end). Places move on a circle that does not depend on who lives.

Why it works: whoever may send has been told of all since it asked, and what was before it has from one that knew.

--- a/include/ibisloom/metrics.h
+++ b/include/ibisloom/metrics.h
@@ -11,6 +11,7 @@
   METRIC_ANSWERED,
   METRIC_OVER_BOUND,      /* responses that report a load over the bound */
   METRIC_ROOM_REJECTIONS, /* requests that brittle targets turned away */
+  METRIC_ROOMS_LEARNED,   /* of brittle targets, from others */
   /* Requests refused, or failed, by reason.  */
   METRIC_REFUSED_BAD_REQUEST,
   METRIC_REFUSED_UNKNOWN_CUSTOMER,
--- a/include/ibisloom/wire.h
+++ b/include/ibisloom/wire.h
@@ -8,6 +8,7 @@
 
 #include "ibisloom/demand.h"
 #include "ibisloom/position.h"
+#include "ibisloom/room.h"
 
 enum
 {
@@ -32,7 +33,8 @@
   WIRE_HELD_MAX = 120,
   WIRE_WORK_MAX = 64,
   WIRE_CAN_RELAY_LOADS = 1, /* bit of the capabilities */
-  WIRE_LEAVES_MAX = 32
+  WIRE_LEAVES_MAX = 32,
+  WIRE_ROOMS_MAX = 32
 };
 
 enum wire_kind
@@ -71,6 +73,8 @@
   WIRE_RELAYED_LOADS,     /* load update of another instance, passed on */
   WIRE_LEAVES,            /* targets that have said that they leave */
   WIRE_INCARNATION,       /* the receiver is known by a later one */
+  WIRE_ROOM_QUERY,        /* asks for the room of brittle targets */
+  WIRE_ROOMS,             /* room of brittle targets */
   WIRE_KIND_COUNT
 };
 
@@ -320,6 +324,26 @@
   uint32_t limit; /* of its requests in progress, as the sender knows now */
 };
 
+/* Brittle targets whose room the sender asks for. */
+struct wire_room_query
+{
+  uint32_t count;
+  uint64_t target[WIRE_ROOMS_MAX];
+};
+
+/* What the sender knows of the room of a brittle target. */
+struct wire_room
+{
+  uint64_t target;
+  struct room_news news;
+};
+
+struct wire_rooms
+{
+  uint32_t count;
+  struct wire_room room[WIRE_ROOMS_MAX];
+};
+
 /* Evacuation of a failure domain. */
 struct wire_evacuation
 {
@@ -462,6 +486,8 @@
     struct wire_relayed relayed;
     struct wire_leaves leaves;
     struct wire_incarnation incarnation;
+    struct wire_room_query room_query;
+    struct wire_rooms rooms;
   } u;
 };
 
--- a/process/fleet.c
+++ b/process/fleet.c
@@ -219,6 +219,12 @@
     case WIRE_REJECTED:
       fleet_apply_rejected (fleet, &message->u.rejected);
       break;
+    case WIRE_ROOM_QUERY:
+      fleet_answer_rooms (fleet, peer, &message->u.room_query);
+      break;
+    case WIRE_ROOMS:
+      fleet_apply_rooms (fleet, &message->u.rooms);
+      break;
     case WIRE_EVACUATIONS:
       fleet_apply_evacuations (fleet, peer, &message->u.evacuations);
       break;
--- a/process/fleet_room.c
+++ b/process/fleet_room.c
@@ -2,35 +2,24 @@
 
    The instance that reads in a response that the targets of a service are
    brittle, or no longer are, tells all others; it is one state for a service,
-   and follows each heartbeat while it lasts.  The instances are in the order
-   of their ids, and each target has its first one in a part of this order of
-   its own, so that every instance ranks high at about as many targets; with
-   each turn, all move on by one.  Those that rank highest fill a target; they
-   tell each other at once of each request that starts or ends there, unless it
-   has many places left, and of each rejection.  */
-#include <stdlib.h>
-#include <string.h>
-
+   and follows each heartbeat while it lasts.  Those that rank highest at a
+   target fill it (fleet_room_rank.c).  Each tells the others that are told of
+   it (room_is_told) at once of each request that it starts or ends there,
+   unless the target has many places left, and of each rejection.  What was
+   told before, an instance asks for (fleet_room_news.c).  */
 #include "ibisloom/rank.h"
 #include "libfleet.h"
 
 enum
 {
   TURN_MS = 300,
+  HEARD_MS = 1000, /* in which a state of a service reaches all instances */
+  HEARD_HEARTBEATS = HEARD_MS / FLEET_HEARTBEAT_MS,
   ENDED_TOLD_MS = 60000 /* until all instances know of the end of a state */
 };
 
-static void arrange (struct fleet *fleet, clk_ms now);
-static void list_members (struct fleet *fleet, clk_ms now);
-static int compare_members (const void *left, const void *right);
-static int compare_targets (const void *left, const void *right);
-static void rank_targets (struct fleet *fleet, const char *service,
-                          clk_ms now);
-static void drop_rooms (struct fleet *fleet, clk_ms now);
-static uint32_t first_member (const struct fleet *fleet,
-                              const struct reg_target *target);
-static void tell_sharers (struct fleet *fleet, const struct reg_target *target,
-                          struct wire_message *message);
+static void witness (struct fleet *fleet, const struct room_service *state);
+static int hears_fleet (const struct fleet *fleet, clk_ms now);
 static struct wire_message encode_brittle (const char *service,
                                            const struct room_service *state,
                                            uint32_t turn, clk_ms now);
@@ -64,7 +53,9 @@
   if (!room_observe (state, is_said ? reg_get_room (target) : target->room,
                      is_said, rejections_max, sent_ms, now))
     return 0;
-  arrange (fleet, now);
+  fleet_rank_rooms (fleet, now);
+  if (hears_fleet (fleet, now))
+    witness (fleet, state);
   message = encode_brittle (target->service, state, fleet->turn, now);
   fleet_broadcast (fleet, &message);
   return 1;
@@ -95,6 +86,7 @@
   if (now < fleet->cold_until_ms || fleet->paced > 0
       || (state != NULL && room_is_brittle (state, now)))
     fleet_on_datagram (fleet->loop, &fleet->io, EV_READ);
+  fleet_room_check_stall (fleet, now);
 }
 
 /* Handles a rejection by TARGET, which is brittle, of a request that was sent
@@ -105,14 +97,15 @@
                    clk_ms sent_ms)
 {
   clk_ms now = clk_now (clk_monotonic ());
-  double others = reg_counted_load (target) - 1;
+  double others = reg_counted_load (target) - 1
+                  + room_missing (reg_get_room (target), now);
   int32_t limit = room_reject (reg_get_room (target), target->slots, others,
                                sent_ms, now);
   struct wire_message message
       = { .kind = WIRE_REJECTED,
           .u.rejected = { .target = target->hash, .limit = (uint32_t)limit } };
 
-  tell_sharers (fleet, target, &message);
+  fleet_tell_room (fleet, target, &message);
   return limit;
 }
 
@@ -147,7 +140,7 @@
       || room_is_far (room_limit (target->room, target->slots, now),
                       reg_counted_load (target)))
     return 0;
-  tell_sharers (fleet, target, &message);
+  fleet_tell_room (fleet, target, &message);
   return 1;
 }
 
@@ -157,10 +150,12 @@
 fleet_apply_brittle (struct fleet *fleet, const struct wire_brittle *brittle)
 {
   clk_ms now = clk_now (clk_monotonic ());
+  int hears = hears_fleet (fleet, now);
   GHashTableIter iter;
   gpointer service;
   gpointer state;
   int is_changed = brittle->turn > fleet->turn;
+  struct room_service *begun = NULL;
 
   if (is_changed)
     {
@@ -169,11 +164,39 @@
     }
   g_hash_table_iter_init (&iter, fleet->registry->services);
   while (g_hash_table_iter_next (&iter, &service, &state))
-    if (rank_hash (service) == brittle->service)
-      is_changed |= room_adopt (state, brittle->version,
-                                brittle->rejections_max, brittle->age_ms, now);
-  if (is_changed)
-    arrange (fleet, now);
+    if (rank_hash (service) == brittle->service
+        && room_adopt (state, brittle->version, brittle->rejections_max,
+                       brittle->age_ms, now))
+      begun = state;
+  if (is_changed || begun != NULL)
+    fleet_rank_rooms (fleet, now);
+  if (begun != NULL && hears)
+    witness (fleet, begun);
+}
+
+/* Records that STATE has begun while this instance heard the others, so that
+   there is nothing that it was not told.  */
+static void
+witness (struct fleet *fleet, const struct room_service *state)
+{
+  for (guint i = 0; i < fleet->registry->array->len; i++)
+    {
+      struct reg_target *target
+          = g_ptr_array_index (fleet->registry->array, i);
+
+      if (target->room_service == state && target->room != NULL)
+        target->room->is_known = 1;
+    }
+}
+
+/* Returns whether this instance would have heard before NOW of a state that
+   began earlier.  */
+static int
+hears_fleet (const struct fleet *fleet, clk_ms now)
+{
+  return fleet->heartbeat_count >= HEARD_HEARTBEATS
+         && now - fleet->rooms_forgotten_ms >= HEARD_MS
+         && fleet_hears_most (fleet, now);
 }
 
 /* Sends ADDRESS the states of services that are, or lately were, brittle.  */
@@ -222,152 +245,11 @@
       message = encode_brittle (service, state, fleet->turn, now);
       fleet_broadcast (fleet, &message);
     }
+  fleet_room_check_stall (fleet, now);
   if (any || fleet->members->len > 0)
-    arrange (fleet, now);
-}
-
-/* Determines the rank of this instance at all brittle targets.  */
-static void
-arrange (struct fleet *fleet, clk_ms now)
-{
-  GHashTableIter iter;
-  gpointer service;
-  gpointer state;
-
-  g_array_set_size (fleet->members, 0);
-  drop_rooms (fleet, now);
-  g_hash_table_iter_init (&iter, fleet->registry->services);
-  while (g_hash_table_iter_next (&iter, &service, &state))
-    {
-      if (!room_is_brittle (state, now))
-        continue;
-      if (fleet->members->len == 0)
-        list_members (fleet, now);
-      rank_targets (fleet, service, now);
-    }
-}
-
-/* Lists the instances that are neither silent nor leaving, and this one, in
-   the order of their ids.  */
-static void
-list_members (struct fleet *fleet, clk_ms now)
-{
-  struct fleet_member own = { .id = fleet->self };
-  GHashTableIter iter;
-  gpointer value;
-
-  g_array_append_val (fleet->members, own);
-  g_hash_table_iter_init (&iter, fleet->peers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const struct fleet_peer *peer = value;
-      struct fleet_member member
-          = { .id = peer->id, .address = peer->address };
-
-      if (peer->state != MEMBER_LEAVING && !fleet_is_silent (fleet, peer, now))
-        g_array_append_val (fleet->members, member);
-    }
-  g_array_sort (fleet->members, compare_members);
-}
-
-static int
-compare_members (const void *left, const void *right)
-{
-  const struct fleet_member *a = left;
-  const struct fleet_member *b = right;
-
-  return a->id < b->id ? -1 : a->id > b->id;
-}
-
-static int
-compare_targets (const void *left, const void *right)
-{
-  const struct reg_target *a = *(struct reg_target *const *)left;
-  const struct reg_target *b = *(struct reg_target *const *)right;
-
-  return a->hash < b->hash ? -1 : a->hash > b->hash;
-}
-
-/* Determines the rank of this instance at the targets of SERVICE, whose first
-   instances are spread evenly over the members.  */
-static void
-rank_targets (struct fleet *fleet, const char *service, clk_ms now)
-{
-  GPtrArray *targets = g_ptr_array_new ();
-  uint32_t members = fleet->members->len;
-  uint32_t own = 0;
-
-  while (g_array_index (fleet->members, struct fleet_member, own).id
-         != fleet->self)
-    own++;
-  for (guint i = 0; i < fleet->registry->array->len; i++)
-    {
-      struct reg_target *target
-          = g_ptr_array_index (fleet->registry->array, i);
-
-      if (target->service == service && !target->leaving)
-        g_ptr_array_add (targets, target);
-    }
-  g_ptr_array_sort (targets, compare_targets);
-  for (guint i = 0; i < targets->len; i++)
-    {
-      uint32_t first = (uint32_t)((uint64_t)i * members / targets->len);
-
-      room_set_rank (reg_get_room (g_ptr_array_index (targets, i)),
-                     (own + members - first + fleet->turn % members) % members,
-                     now);
-    }
-  g_ptr_array_free (targets, TRUE);
-}
-
-/* Forgets the rooms of targets that are not brittle.  */
-static void
-drop_rooms (struct fleet *fleet, clk_ms now)
-{
-  for (guint i = 0; i < fleet->registry->array->len; i++)
-    {
-      struct reg_target *target
-          = g_ptr_array_index (fleet->registry->array, i);
-
-      if (target->room == NULL || room_is_brittle (target->room_service, now))
-        continue;
-      g_free (target->room);
-      target->room = NULL;
-    }
-}
-
-/* Returns the position of the member that ranks first at TARGET.  */
-static uint32_t
-first_member (const struct fleet *fleet, const struct reg_target *target)
-{
-  uint32_t members = fleet->members->len;
-  uint32_t own = 0;
-
-  while (g_array_index (fleet->members, struct fleet_member, own).id
-         != fleet->self)
-    own++;
-  return (own + members - target->room->rank % members) % members;
-}
-
-/* Sends MESSAGE to the instances that share the room of TARGET.  */
-static void
-tell_sharers (struct fleet *fleet, const struct reg_target *target,
-              struct wire_message *message)
-{
-  uint32_t members = fleet->members->len;
-  uint32_t first;
-
-  if (members == 0 || target->room->rank == ROOM_UNRANKED)
-    return;
-  first = first_member (fleet, target);
-  for (uint32_t i = 0; i < MIN (members, ROOM_SHARERS_MAX); i++)
-    {
-      const struct fleet_member *member = &g_array_index (
-          fleet->members, struct fleet_member, (first + i) % members);
-
-      if (member->id != fleet->self)
-        fleet_send (fleet, &member->address, message);
-    }
+    fleet_rank_rooms (fleet, now);
+  if (any)
+    fleet_ask_rooms (fleet, now);
 }
 
 /* Returns the STATE of SERVICE, and the TURN, for other instances.  */
--- a/process/libfleet.h
+++ b/process/libfleet.h
@@ -153,6 +153,9 @@
   GArray *members; /* of struct fleet_member; empty if none is brittle */
   uint32_t turn;   /* by which the members' ranks at targets change */
   clk_ms turned_ms;
+  clk_ms rooms_alive_ms;          /* when this instance ran last */
+  clk_ms rooms_forgotten_ms;      /* when it stood still last */
+  uint32_t room_questions;        /* asked so far, see fleet_room_news.c */
   struct evac_state *evacuations; /* NULL: not read */
   guint paced;           /* targets with a pace, at the last heartbeat */
   guint announced_paces; /* those of which peers are told */
@@ -185,6 +188,19 @@
 void fleet_send (struct fleet *fleet, const struct sockaddr_in *address,
                  struct wire_message *message);
 
+/* fleet_room_rank.c */
+void fleet_rank_rooms (struct fleet *fleet, clk_ms now);
+uint32_t fleet_own_member (const struct fleet *fleet);
+void fleet_tell_room (struct fleet *fleet, const struct reg_target *target,
+                      struct wire_message *message);
+
+/* fleet_room_news.c */
+void fleet_room_check_stall (struct fleet *fleet, clk_ms now);
+void fleet_ask_rooms (struct fleet *fleet, clk_ms now);
+void fleet_answer_rooms (struct fleet *fleet, const struct fleet_peer *peer,
+                         const struct wire_room_query *query);
+void fleet_apply_rooms (struct fleet *fleet, const struct wire_rooms *rooms);
+
 /* fleet_room.c */
 void fleet_room_init (struct fleet *fleet);
 void fleet_room_clear (struct fleet *fleet);
--- a/process/metrics.c
+++ b/process/metrics.c
@@ -117,6 +117,7 @@
   [METRIC_HOPS_REFUSED] = "ibisloom_hops_refused_total",
   [METRIC_CUT_OFF] = "ibisloom_cut_off_total",
   [METRIC_ROOM_REJECTIONS] = "ibisloom_room_rejections_total",
+  [METRIC_ROOMS_LEARNED] = "ibisloom_rooms_learned_total",
   [METRIC_LOAD_RELAY_FORWARDED]
   = "ibisloom_load_relay_updates_total{result=\"forwarded\"}",
   [METRIC_LOAD_RELAY_LIMITED]
--- a/process/registry_candidates.c
+++ b/process/registry_candidates.c
@@ -182,9 +182,10 @@
 {
   return room_is_brittle (target->room_service, now)
          && (target->room == NULL
-             || !room_has_place (target->room, target->room_service,
-                                 target->slots, reg_counted_load (target),
-                                 now));
+             || !room_has_place (
+                 target->room, target->room_service, target->slots,
+                 reg_counted_load (target) + room_missing (target->room, now),
+                 now));
 }
 
 /* Returns the requests that all instances count at TARGET.  */
--- a/process/wire.c
+++ b/process/wire.c
@@ -60,6 +60,8 @@
   [WIRE_RELAYED_LOADS] = "relayed_loads",
   [WIRE_LEAVES] = "leaves",
   [WIRE_INCARNATION] = "incarnation",
+  [WIRE_ROOM_QUERY] = "room_query",
+  [WIRE_ROOMS] = "rooms",
 };
 
 static int has_allowed_types (const unsigned char *data, size_t length);
--- a/process/wire_capacity.c
+++ b/process/wire_capacity.c
@@ -1,12 +1,15 @@
 /* Bodies of the datagrams on the capacity of targets: their loads, what those
    take that are cold or have lately started, what they have still to read, and
    the demand for services that are short of capacity.  */
+#include <sys/param.h>
+
 #include "libwire.h"
 
 enum
 {
-  PACE_ITEMS = 7,   /* in the encoding of one pace */
-  RELAYED_ITEMS = 3 /* of a relayed load update, before the loads */
+  PACE_ITEMS = 7,    /* in the encoding of one pace */
+  RELAYED_ITEMS = 3, /* of a relayed load update, before the loads */
+  ROOM_ITEMS = 8     /* of the room of one target */
 };
 
 /* Appends LOADS to an array.  */
@@ -238,6 +241,73 @@
   reader->failed |= list.failed;
 }
 
+/* Encodes the targets that are asked for, without a count.  */
+static void
+encode_room_query (msgpack_packer *packer, const struct wire_message *message)
+{
+  const struct wire_room_query *query = &message->u.room_query;
+
+  msgpack_pack_array (packer, query->count);
+  for (uint32_t i = 0; i < query->count; i++)
+    msgpack_pack_uint64 (packer, query->target[i]);
+}
+
+static void
+decode_room_query (struct wire_reader *reader, struct wire_message *message)
+{
+  struct wire_room_query *query = &message->u.room_query;
+  struct wire_reader list = wire_next_array (reader, WIRE_ROOMS_MAX);
+
+  while (!list.failed && list.remaining > 0)
+    query->target[query->count++] = wire_next_uint (&list, UINT64_MAX);
+  reader->failed |= list.failed;
+}
+
+/* Encodes the room of targets, without a count.  */
+static void
+encode_rooms (msgpack_packer *packer, const struct wire_message *message)
+{
+  const struct wire_rooms *rooms = &message->u.rooms;
+
+  msgpack_pack_array (packer, rooms->count * ROOM_ITEMS);
+  for (uint32_t i = 0; i < rooms->count; i++)
+    {
+      const struct room_news *news = &rooms->room[i].news;
+
+      msgpack_pack_uint64 (packer, rooms->room[i].target);
+      msgpack_pack_uint64 (packer, news->is_known);
+      msgpack_pack_uint64 (packer, (uint32_t)news->limit);
+      msgpack_pack_uint64 (packer, (uint64_t)news->grown_ms);
+      msgpack_pack_uint64 (packer, (uint64_t)news->growth_ms);
+      msgpack_pack_uint64 (packer, news->rejections);
+      msgpack_pack_uint64 (packer, (uint64_t)news->rejected_ago_ms);
+      msgpack_pack_uint64 (packer, (uint64_t)MAX (news->load, 0));
+    }
+}
+
+static void
+decode_rooms (struct wire_reader *reader, struct wire_message *message)
+{
+  struct wire_rooms *rooms = &message->u.rooms;
+  struct wire_reader list
+      = wire_next_array (reader, WIRE_ROOMS_MAX * ROOM_ITEMS);
+
+  while (!list.failed && list.remaining > 0)
+    {
+      struct wire_room *room = &rooms->room[rooms->count++];
+
+      room->target = wire_next_uint (&list, UINT64_MAX);
+      room->news.is_known = (uint8_t)wire_next_uint (&list, 1);
+      room->news.limit = (int32_t)wire_next_uint (&list, INT32_MAX);
+      room->news.grown_ms = (int64_t)wire_next_uint (&list, INT32_MAX);
+      room->news.growth_ms = (int64_t)wire_next_uint (&list, INT32_MAX);
+      room->news.rejections = (uint32_t)wire_next_uint (&list, INT32_MAX);
+      room->news.rejected_ago_ms = (int64_t)wire_next_uint (&list, INT32_MAX);
+      room->news.load = (double)wire_next_uint (&list, INT32_MAX);
+    }
+  reader->failed |= list.failed;
+}
+
 /* Encodes an admission level.  The shares fill the rest of the array.  */
 static void
 encode_level (msgpack_packer *packer, const struct wire_message *message)
@@ -295,4 +365,6 @@
   [WIRE_DEMAND] = { encode_demand, decode_demand },
   [WIRE_LEVEL] = { encode_level, decode_level },
   [WIRE_WORK] = { encode_work, decode_work },
+  [WIRE_ROOM_QUERY] = { encode_room_query, decode_room_query },
+  [WIRE_ROOMS] = { encode_rooms, decode_rooms },
 };
--- a/request/room.c
+++ b/request/room.c
@@ -7,7 +7,13 @@
    remains.  So the fewer places are left, the fewer instances may fill them:
    the last one only the instance that ranks first at the target.  Rejections
    are counted, and a target that has little patience left gets nothing until
-   they are over.  */
+   they are over.
+
+   An instance sends only while it knows what those before it were told: the
+   limit, the rejections, and the requests in progress.  One that is told anew,
+   as its rank has come near to the first, it has just started, or it stood
+   still, asks others for that before it sends.  After QUESTIONS_MAX without an
+   answer it relies on what it has heard itself.  */
 #include <math.h>
 
 #include <sys/param.h>
@@ -27,7 +33,13 @@
   GROWTH_MAX_MS = 16000,
   GROWN_WELL = 4, /* so much growth shows that a limit was too low */
   FAR_MIN = 16,   /* places left that nobody has to be careful with */
-  RESERVE_DIVISOR = 4
+  RESERVE_DIVISOR = 4,
+  QUESTIONS_MAX = 3,
+  ASK_INTERVAL_MS = 150, /* less than a heartbeat */
+  /* In which the others' counts of requests arrive with their changes or their
+     heartbeats.  */
+  CATCH_UP_MS = 2000,
+  MISSING_VALID_MS = 500 /* some questions */
 };
 
 /* Requests on their way, for each place beyond the first, with which more of
@@ -116,16 +128,127 @@
   *room = (struct room){ .rank = ROOM_UNRANKED, .growth_ms = GROWTH_MIN_MS };
 }
 
-/* Sets the RANK of this instance at the target with ROOM at NOW: those that
-   rank before ROOM_SHARERS_MAX are told of requests and rejections there.  */
+/* Returns whether the instance with RANK among MEMBERS is told of requests and
+   rejections at a target: those that rank first, and those that will so
+   next.  */
+int
+room_is_told (uint32_t rank, uint32_t members)
+{
+  return (rank + ROOM_AHEAD) % members < ROOM_TOLD_MAX;
+}
+
+/* Sets the RANK among MEMBERS of this instance at the target with ROOM at
+   NOW.  */
 void
-room_set_rank (struct room *room, uint32_t rank, clk_ms now)
+room_set_rank (struct room *room, uint32_t rank, uint32_t members, clk_ms now)
 {
   room->rank = rank;
-  if (rank >= ROOM_SHARERS_MAX)
+  if (!room_is_told (rank, members))
     room->heard_ms = 0;
   else if (room->heard_ms == 0)
-    room->heard_ms = now;
+    room_forget (room, now);
+}
+
+/* Handles that this instance is told of requests at the target with ROOM from
+   NOW on, and may lack what was told before.  */
+void
+room_forget (struct room *room, clk_ms now)
+{
+  room->heard_ms = now;
+  room->is_known = 0;
+  room->answers = 0;
+  room->questions = 0;
+  room->asked_ms = 0;
+}
+
+/* Returns whether this instance knows at NOW what the others were told of
+   ROOM, or none of them has answered.  */
+int
+room_is_known (const struct room *room, clk_ms now)
+{
+  return room->heard_ms != 0
+         && (room->is_known
+             || (room->questions >= QUESTIONS_MAX
+                 && now - room->asked_ms >= ASK_INTERVAL_MS));
+}
+
+/* Returns whether others are to be asked at NOW what they know of ROOM.  */
+int
+room_wants_news (const struct room *room, clk_ms now)
+{
+  return room->heard_ms != 0 && now - room->asked_ms >= ASK_INTERVAL_MS
+         && (room->is_known ? now - room->heard_ms < CATCH_UP_MS
+                            : room->questions < QUESTIONS_MAX);
+}
+
+/* Records that others are asked at NOW what they know of ROOM.  */
+void
+room_count_question (struct room *room, clk_ms now)
+{
+  room->asked_ms = now;
+  if (room->questions < QUESTIONS_MAX)
+    room->questions++;
+}
+
+/* Sets NEWS to what is known at NOW of ROOM, whose target has SLOTS and LOAD
+   requests in progress.  */
+void
+room_get_news (const struct room *room, int32_t slots, double load, clk_ms now,
+               struct room_news *news)
+{
+  uint32_t last = (room->rejections - 1) % ROOM_REJECTIONS_KEPT;
+
+  *news = (struct room_news){ .is_known = (uint8_t)room_is_known (room, now),
+                              .growth_ms = room->growth_ms,
+                              .rejections
+                              = recent_rejections (room, WINDOW_MS, now),
+                              .load = load + room_missing (room, now) };
+  if (room->limit > 0)
+    {
+      news->limit = room_limit (room, slots, now);
+      news->grown_ms = (now - room->lowered_ms) % room->growth_ms;
+    }
+  if (news->rejections > 0)
+    news->rejected_ago_ms = now - room->rejected_ms[last];
+}
+
+/* Adopts NEWS of another instance on ROOM, whose target has SLOTS and, as this
+   instance knows, LOAD requests in progress.  What this instance was told
+   itself is newer.  Once one that knows all has answered, or ANSWERS_MIN, this
+   one knows what there is to know.  */
+void
+room_learn (struct room *room, int32_t slots, const struct room_news *news,
+            uint32_t answers_min, double load, clk_ms now)
+{
+  int was_lowered = room->limit > 0 && room->lowered_ms >= room->heard_ms;
+
+  if (!room->is_known && news->limit > 0
+      && (!was_lowered || news->limit < room_limit (room, slots, now)))
+    {
+      room->limit = news->limit;
+      room->lowered_ms = now - news->grown_ms;
+      room->growth_ms
+          = MIN (MAX (news->growth_ms, GROWTH_MIN_MS), GROWTH_MAX_MS);
+    }
+  else if (!room->is_known && news->is_known && !was_lowered)
+    room->limit = 0;
+  for (uint32_t known = recent_rejections (room, WINDOW_MS, now);
+       known < MIN (news->rejections, ROOM_REJECTIONS_KEPT); known++)
+    record_rejection (room, now - news->rejected_ago_ms);
+  room->answers++;
+  room->is_known |= news->is_known || room->answers >= answers_min;
+  room->missing = MAX ((int32_t)(news->load - load), 0);
+  room->answered_ms = now;
+}
+
+/* Returns how many requests are in progress at the target with ROOM that only
+   others count, as far as an answer at NOW tells.  */
+double
+room_missing (const struct room *room, clk_ms now)
+{
+  return room->answered_ms != 0 && now - room->answered_ms < MISSING_VALID_MS
+             ? room->missing
+             : 0;
 }
 
 /* Returns how many requests of all instances may be in progress at NOW at a
@@ -182,14 +305,18 @@
 
   if (places < 1 || rejections >= MAX (service->rejections_max, 1))
     return 0;
+  if (room->rank == ROOM_UNRANKED)
+    return room_is_far (limit, load);
+  if (!room_is_known (room, now))
+    return 0;
   if (rejections > 0
       && (rejections >= reserve (service->rejections_max)
           || now - room->rejected_ms[last] < PAUSE_MS))
     return room->rank == 0 && load < 1;
   if (room_is_far (limit, load))
-    return room->rank < ROOM_SHARERS_MAX || room->rank == ROOM_UNRANKED;
+    return room->rank < ROOM_SENDERS_MAX;
   return room->rank
-         < MIN (ROOM_SHARERS_MAX, senders_max (room, service, places, now));
+         < MIN (ROOM_SENDERS_MAX, senders_max (room, service, places, now));
 }
 
 /* Returns whether a target with LIMIT and LOAD has so many places that the
