Places of brittle targets go to instances at which requests wait

Callers got 503 while a tenth of the room was not used at 78 instances, and with admission_queue: 1 brittle targets fell over up to 6 times.

Cause: the last place may be taken only by the first instance, which at 78 instances gets a request every 0.2 s, while places come free every 0.15 s. More places were open to as many instances as get requests seldom enough to be seldom on their way together; but where requests wait, each of these instances sends at once. A target with two rejections in a second then got only what its first instance sends while it is empty, which left slots idle for 1.2 s.

Change: the longer a last place stays free, the more instances may take it, one more every 15 ms. Instances at which requests wait take the place that goes with their rank, or their part of more, and no second one within 15 ms. After two rejections the first instance fills a target whose limit is known but for one place.

Why it works: instances try a place one after the other, with time in between to hear of each other.

--- a/include/ibisloom/room.h
+++ b/include/ibisloom/room.h
@@ -25,6 +25,7 @@
   clk_ms said_ms;          /* when a target said so last */
   double requests;         /* of this instance lately, see room_rate */
   clk_ms counted_ms;       /* time of the last one */
+  clk_ms waited_ms;        /* when some of them waited here last; 0: never */
 };
 
 /* What all instances know together of the room of a brittle target. */
@@ -32,6 +33,10 @@
 {
   uint8_t has_said;    /* the target itself said that it is brittle */
   uint32_t rank;       /* of this instance at the target, from 0 */
+  uint32_t members;    /* instances that are ranked there */
+  clk_ms changed_ms;   /* when the requests in progress changed last */
+  clk_ms burst_ms;     /* start of the latest requests of this instance */
+  uint32_t burst;      /* their number */
   clk_ms heard_ms;     /* since when it is told of requests there; 0: not */
   uint8_t is_known;    /* also what others were told before */
   uint8_t answers;     /* of others that do not know that either */
@@ -64,7 +69,9 @@
                 uint32_t rejections_max, int64_t age_ms, clk_ms now);
 int room_is_brittle (const struct room_service *service, clk_ms now);
 void room_count_request (struct room_service *service, clk_ms now);
+void room_count_wait (struct room_service *service, clk_ms now);
 void room_init (struct room *room);
+void room_count_change (struct room *room, int is_own_start, clk_ms now);
 int room_is_told (uint32_t rank, uint32_t members);
 void room_set_rank (struct room *room, uint32_t rank, uint32_t members,
                     clk_ms now);
--- a/process/fleet_load.c
+++ b/process/fleet_load.c
@@ -74,6 +74,8 @@
   struct fleet *fleet = closure;
   clk_ms now = clk_now (clk_monotonic ());
 
+  if (target->room != NULL)
+    room_count_change (target->room, started, now);
   fleet_tell_load (fleet, target);
   target->update_pending = 1;
   if (!started && target->in_flight == 0)
@@ -307,9 +309,13 @@
 
   if (target != NULL)
     {
-      target->others_in_flight
-          += value - (target->serial == load->serial ? load->load : 0);
+      int32_t change
+          = value - (target->serial == load->serial ? load->load : 0);
+
+      target->others_in_flight += change;
       load->serial = target->serial;
+      if (target->room != NULL && change != 0)
+        room_count_change (target->room, 0, clk_now (clk_monotonic ()));
     }
   load->load = value;
 }
--- a/request/relay_wait.c
+++ b/request/relay_wait.c
@@ -40,6 +40,7 @@
                     clk_ms now);
 static void begin_wait (struct relay_queue *queue, struct relay *relay,
                         clk_ms now);
+static void note_wait (const struct relay_queue *queue, clk_ms now);
 static void refuse (struct relay_queue *queue, struct relay *relay,
                     enum queue_refusal refusal, clk_ms now);
 static void refuse_overdue (struct relay_queue *queue, clk_ms now);
@@ -224,6 +225,18 @@
   ev_timer_start (loop, &relay->timer);
   if (!ev_is_active (&queue->poll))
     set_poll (queue, POLL_MS);
+  note_wait (queue, now);
+}
+
+/* Records that requests wait in QUEUE, if its service has targets.  */
+static void
+note_wait (const struct relay_queue *queue, clk_ms now)
+{
+  struct room_service *state
+      = reg_room_service (queue->router->registry, queue->service);
+
+  if (state != NULL)
+    room_count_wait (state, now);
 }
 
 /* Refuses RELAY, for which there is no capacity in time.  */
@@ -304,6 +317,7 @@
   (void)events;
   queue->round++;
   queue->misses = 0;
+  note_wait (queue, clk_now (clk_monotonic ()));
   refuse_overdue (queue, clk_now (clk_monotonic ()));
   while (queue->misses < MISSES_MAX
          && (turn = turn_first (&queue->wait.queue, queue->round)) != NULL)
--- a/request/room.c
+++ b/request/room.c
@@ -5,7 +5,10 @@
    limit is what was in progress, and grows again by one at a time.  Requests
    that instances send before they hear of each other are the danger that
    remains.  So the fewer places are left, the fewer instances may fill them:
-   the last one only the instance that ranks first at the target.  Rejections
+   the last one only the instance that ranks first at the target, and while it
+   stays free one more after each STEP_MS.  An instance at which requests wait
+   would fill any place at once, as others would, so that it takes no more than
+   the place that goes with its rank.  Rejections
    are counted, and a target that has little patience left gets nothing until
    they are over.
 
@@ -29,6 +32,9 @@
   CAUTION_MS = 4000, /* in which a rejection makes instances careful */
   CAUTION_PER_REJECTION = 4,
   RATE_MS = 1000, /* over which requests are counted */
+  STEP_MS = 15,   /* until the others know that a place is taken or still free;
+                     queues are tried every 5 ms */
+  PRESSED_MS = 20, /* after a request has waited */
   GROWTH_MIN_MS = 2000,
   GROWTH_MAX_MS = 16000,
   GROWN_WELL = 4, /* so much growth shows that a limit was too low */
@@ -46,10 +52,17 @@
    them than there are places are unlikely.  */
 static const double BLIND_PER_PLACE = 1.0;
 
+/* The same for a last place that stays free.  */
+static const double BLIND_AT_LAST_PLACE = 0.1;
+
 static double room_rate (const struct room_service *service, clk_ms now);
 static double senders_max (const struct room *room,
                            const struct room_service *service, double places,
                            clk_ms now);
+static double blind_share (const struct room *room,
+                           const struct room_service *service, clk_ms now);
+static int is_own_place (const struct room *room, double places, clk_ms now);
+static double steps_free (const struct room *room, clk_ms now);
 static void begin_version (struct room_service *service, uint32_t version,
                            uint32_t rejections_max, clk_ms now);
 static void record_rejection (struct room *room, clk_ms now);
@@ -121,6 +134,13 @@
   service->counted_ms = now;
 }
 
+/* Records that a request of this instance for SERVICE waits for a place.  */
+void
+room_count_wait (struct room_service *service, clk_ms now)
+{
+  service->waited_ms = now;
+}
+
 /* Prepares ROOM, of which nothing is known.  */
 void
 room_init (struct room *room)
@@ -128,6 +148,23 @@
   *room = (struct room){ .rank = ROOM_UNRANKED, .growth_ms = GROWTH_MIN_MS };
 }
 
+/* Records that the requests in progress at the target with ROOM have changed
+   at NOW: this instance has started one, if IS_OWN_START, or another change.
+ */
+void
+room_count_change (struct room *room, int is_own_start, clk_ms now)
+{
+  room->changed_ms = now;
+  if (!is_own_start)
+    return;
+  if (now - room->burst_ms >= STEP_MS)
+    {
+      room->burst_ms = now;
+      room->burst = 0;
+    }
+  room->burst++;
+}
+
 /* Returns whether the instance with RANK among MEMBERS is told of requests and
    rejections at a target: those that rank first, and those that will so
    next.  */
@@ -143,6 +180,7 @@
 room_set_rank (struct room *room, uint32_t rank, uint32_t members, clk_ms now)
 {
   room->rank = rank;
+  room->members = members;
   if (!room_is_told (rank, members))
     room->heard_ms = 0;
   else if (room->heard_ms == 0)
@@ -155,6 +193,7 @@
 room_forget (struct room *room, clk_ms now)
 {
   room->heard_ms = now;
+  room->changed_ms = now;
   room->is_known = 0;
   room->answers = 0;
   room->questions = 0;
@@ -319,14 +358,17 @@
     return room_is_far (limit, load);
   if (!room_is_known (room, now))
     return 0;
-  if (rejections > 0
-      && (rejections >= reserve (service->rejections_max)
-          || now - room->rejected_ms[last] < PAUSE_MS))
+  if (rejections > 0 && now - room->rejected_ms[last] < PAUSE_MS)
     return room->rank == 0 && load < 1;
+  if (rejections > 0 && rejections >= reserve (service->rejections_max))
+    return room->rank == 0 && (load < 1 || (room->limit > 0 && places >= 2));
   if (room_is_far (limit, load))
     return room->rank < ROOM_SENDERS_MAX;
-  return room->rank
-         < MIN (ROOM_SENDERS_MAX, senders_max (room, service, places, now));
+  if (room->rank >= ROOM_SENDERS_MAX)
+    return 0;
+  if (service->waited_ms != 0 && now - service->waited_ms < PRESSED_MS)
+    return is_own_place (room, places, now);
+  return room->rank < senders_max (room, service, places, now);
 }
 
 /* Returns whether a target with LIMIT and LOAD has so many places that the
@@ -345,6 +387,36 @@
          * exp (-(double)(now - service->counted_ms) / RATE_MS);
 }
 
+/* Returns whether one of PLACES at a target with ROOM goes with the rank of
+   this instance, at which requests wait: each of those that rank first has
+   one, or its part of more, and for each STEP_MS in which nothing has changed
+   one instance more, as those before it have no request.  */
+static int
+is_own_place (const struct room *room, double places, clk_ms now)
+{
+  uint32_t burst = now - room->burst_ms < STEP_MS ? room->burst : 0;
+  double part = (places + burst) / MAX (room->members, 1);
+
+  return room->rank < places + steps_free (room, now) && burst < MAX (part, 1);
+}
+
+/* Returns for how many STEP_MS nothing has changed at a target with ROOM: the
+   requests in progress, the limit, or that it is left alone after a
+   rejection.  */
+static double
+steps_free (const struct room *room, clk_ms now)
+{
+  clk_ms since_ms = room->changed_ms;
+  uint32_t last = (room->rejections - 1) % ROOM_REJECTIONS_KEPT;
+
+  if (room->limit > 0)
+    since_ms
+        = MAX (since_ms, now - (now - room->lowered_ms) % room->growth_ms);
+  if (room->rejections > 0)
+    since_ms = MAX (since_ms, room->rejected_ms[last] + PAUSE_MS);
+  return (double)(MAX (now - since_ms, 0) / STEP_MS);
+}
+
 /* Returns how many instances may send to a target of SERVICE with ROOM and so
    many PLACES, as often as this one does, without too many requests on their
    way at the same time: fewer, the fewer rejections it bears, and the more it
@@ -352,13 +424,25 @@
 static double
 senders_max (const struct room *room, const struct room_service *service,
              double places, clk_ms now)
+{
+  double blind = blind_share (room, service, now);
+  double later = MIN (steps_free (room, now), BLIND_AT_LAST_PLACE / blind);
+
+  return MAX (1 + later, BLIND_PER_PLACE * (places - 1) / blind);
+}
+
+/* Returns how many requests of this instance for SERVICE are on their way at a
+   time, before others know of them, each weighted by the rejections that a
+   target with ROOM bears and has made.  */
+static double
+blind_share (const struct room *room, const struct room_service *service,
+             clk_ms now)
 {
   double blind = MAX (room_rate (service, now), 1) * BLIND_MS / RATE_MS;
   double caution
       = CAUTION_PER_REJECTION * recent_rejections (room, CAUTION_MS, now);
 
-  caution /= MAX (service->rejections_max, 1);
-  return MAX (1, BLIND_PER_PLACE * (places - 1) / (blind * (1 + caution)));
+  return blind * (1 + caution / MAX (service->rejections_max, 1));
 }
 
 /* Begins VERSION of SERVICE, with REJECTIONS_MAX.  */
--- a/tests/test_brittle.c
+++ b/tests/test_brittle.c
@@ -1,6 +1,7 @@
 /* End-to-end test of targets that fall over when they turn away too many
    requests. */
 #include <pthread.h>
+#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -17,6 +18,8 @@
   MEASURED_MS = 5000,
   QUEUE = 4,
   BACK_MS = 3000,
+  STILL_MS = 500,
+  START_INTERVAL_MS = 250,
   FALLS_MAX = 2, /* and a tenth of the number of targets */
   FALLS_DIVISOR = 10
 };
@@ -34,6 +37,9 @@
 static void targets_that_come_back (void);
 static void more_instances_than_sharers (void);
 static void streams_through_many_instances (void);
+static void requests_that_wait (void);
+static void instances_that_stand_still (void);
+static void instances_that_start (void);
 
 static const struct test_case cases[] = {
   { "calls that fit make no brittle target fall", calls_that_fit },
@@ -55,6 +61,12 @@
   { "streams through more instances than share a brittle target make none "
     "fall",
     streams_through_many_instances },
+  { "requests that wait for a place make no brittle target fall",
+    requests_that_wait },
+  { "instances that stood still make no brittle target fall",
+    instances_that_stand_still },
+  { "instances that have just started make no brittle target fall",
+    instances_that_start },
 };
 
 TEST_MAIN ("brittle", cases)
@@ -71,6 +83,8 @@
   int per_s;
   int work_ms; /* of a request */
   int crashes; /* targets that end when the room shrinks, and come back anew */
+  void (*disturb) (int router); /* called for one after the other meanwhile;
+                                   NULL: none */
 };
 
 /* Four instances before targets with room for 266 requests a second. */
@@ -116,6 +130,11 @@
   char *response;
   int is_served;
 
+  if (fd < 0)
+    {
+      g_free (text);
+      return 0;
+    }
   fx_send (fd, text);
   response = fx_read_all (fd);
   is_served = g_str_has_prefix (response, "HTTP/1.1 200")
@@ -152,6 +171,35 @@
   return NULL;
 }
 
+/* Disturbs one router after the other, as long as it is measured.  */
+static void *
+disturb_routers (void *closure)
+{
+  (void)closure;
+  for (int i = 0; !g_atomic_int_get (&stopping); i++)
+    setup.disturb (i % setup.routers);
+  return NULL;
+}
+
+/* Stops router INDEX for longer than its socket keeps datagrams.  */
+static void
+stand_still (int index)
+{
+  fx_router_signal (index, SIGSTOP);
+  fx_sleep_ms (STILL_MS);
+  fx_router_signal (index, SIGCONT);
+}
+
+/* Has router INDEX end, and start again.  */
+static void
+start_again (int index)
+{
+  fx_router_signal (index, SIGKILL);
+  fx_router_wait_for_exit (index);
+  fx_router_spawn (index, "/dev/null");
+  fx_sleep_ms (START_INTERVAL_MS);
+}
+
 static void
 start_fleet (struct brittle_target **targets,
              const struct brittle_script *script)
@@ -198,6 +246,7 @@
 play (struct brittle_target **targets)
 {
   pthread_t clients[CLIENTS];
+  pthread_t disturbance;
 
   before = (struct brittle_counts){ 0 };
   sent = 0;
@@ -217,11 +266,15 @@
   for (int i = 0; i < setup.crashes; i++)
     brittle_target_crash (targets[i]);
   g_atomic_int_set (&measuring, 1);
+  if (setup.disturb != NULL)
+    pthread_create (&disturbance, NULL, disturb_routers, NULL);
   fx_sleep_ms (MEASURED_MS);
   g_atomic_int_set (&measuring, 0);
   g_atomic_int_set (&stopping, 1);
   for (int i = 0; i < CLIENTS; i++)
     pthread_join (clients[i], NULL);
+  if (setup.disturb != NULL)
+    pthread_join (disturbance, NULL);
 }
 
 /* Checks that no more targets fall in NEXT than allowed, and that what they
@@ -344,3 +397,30 @@
   many.events = 3;
   expect_no_falls (many);
 }
+
+/* As in deployments.  */
+static void
+requests_that_wait (void)
+{
+  fx_routers_add_settings ("admission_queue: 1\n");
+  expect_no_falls (many_instances);
+  fx_routers_add_settings ("");
+}
+
+static void
+instances_that_stand_still (void)
+{
+  struct setup many = many_instances;
+
+  many.disturb = stand_still;
+  expect_no_falls (many);
+}
+
+static void
+instances_that_start (void)
+{
+  struct setup many = many_instances;
+
+  many.disturb = start_again;
+  expect_no_falls (many);
+}
