A message to those that share a brittle target is encoded once

Cause: each request near the room is told to up to 63 instances, and the message was encoded and authenticated for each of them.

Change: fleet_send_many encodes it once.

--- a/process/fleet_room_rank.c
+++ b/process/fleet_room_rank.c
@@ -172,18 +172,23 @@
 fleet_tell_room (struct fleet *fleet, const struct reg_target *target,
                  struct wire_message *message)
 {
+  struct sockaddr_in addresses[ROOM_TOLD_MAX];
   uint32_t members = fleet->members->len;
+  uint32_t count = 0;
   uint32_t first;
 
   if (members == 0 || target->room->rank == ROOM_UNRANKED)
     return;
-  first = fleet_own_member (fleet) + members - target->room->rank % members;
-  for (uint32_t rank = 0; rank < members; rank++)
+  first = fleet_own_member (fleet) + 2 * members - target->room->rank % members
+          - ROOM_AHEAD % members;
+  for (uint32_t i = 0; i < MIN (members, ROOM_TOLD_MAX); i++)
     {
       const struct fleet_member *member = &g_array_index (
-          fleet->members, struct fleet_member, (first + rank) % members);
+          fleet->members, struct fleet_member, (first + i) % members);
 
-      if (member->id != fleet->self && room_is_told (rank, members))
-        fleet_send (fleet, &member->address, message);
+      if (member->id != fleet->self)
+        addresses[count++] = member->address;
     }
+  if (count > 0)
+    fleet_send_many (fleet, message, addresses, count);
 }
--- a/process/fleet_send.c
+++ b/process/fleet_send.c
@@ -49,6 +49,18 @@
   send_datagram (fleet, message->kind, data, length, address);
 }
 
+/* Sends MESSAGE, as one datagram, to the COUNT ADDRESSES.  */
+void
+fleet_send_many (struct fleet *fleet, struct wire_message *message,
+                 const struct sockaddr_in *addresses, uint32_t count)
+{
+  unsigned char data[WIRE_MAX_BYTES];
+  size_t length = encode_next (fleet, message, data);
+
+  for (uint32_t i = 0; i < count; i++)
+    send_datagram (fleet, message->kind, data, length, &addresses[i]);
+}
+
 /* Sends DATA of LENGTH, a message of KIND, to ADDRESS, and counts it.  */
 static void
 send_datagram (struct fleet *fleet, enum wire_kind kind,
--- a/process/libfleet.h
+++ b/process/libfleet.h
@@ -187,6 +187,8 @@
                           fleet_select_fn select, void *closure);
 void fleet_send (struct fleet *fleet, const struct sockaddr_in *address,
                  struct wire_message *message);
+void fleet_send_many (struct fleet *fleet, struct wire_message *message,
+                      const struct sockaddr_in *addresses, uint32_t count);
 
 /* fleet_room_rank.c */
 void fleet_rank_rooms (struct fleet *fleet, clk_ms now);
