What is known of brittle targets is old after a machine was suspended

Cause: an instance notices that it stood still by the monotonic clock, which stops while its machine is suspended; it would fill brittle targets by what it knew before. Read in the code, not seen in a run.

Change: clk_boottime, which counts that time, for this check.

Measured: nothing; no machine here can be suspended. test_clock passes.

--- a/include/ibisloom/clock.h
+++ b/include/ibisloom/clock.h
@@ -31,6 +31,7 @@
 };
 
 const struct clk *clk_monotonic (void);
+const struct clk *clk_boottime (void);
 void clk_virtual_init (struct clk_virtual *clk, clk_ms start_ms);
 void clk_virtual_advance (struct clk_virtual *clk, clk_ms delta_ms);
 clk_ms clk_now (const struct clk *clk);
--- a/process/clock.c
+++ b/process/clock.c
@@ -9,12 +9,15 @@
 };
 
 static clk_ms monotonic_now (const struct clk *clk);
+static clk_ms boottime_now (const struct clk *clk);
 static clk_ms virtual_now (const struct clk *clk);
 static clk_ms read_clock (clockid_t id);
 
 static const struct clk_ops monotonic_ops = { monotonic_now };
+static const struct clk_ops boottime_ops = { boottime_now };
 static const struct clk_ops virtual_ops = { virtual_now };
 static const struct clk monotonic = { &monotonic_ops };
+static const struct clk boottime = { &boottime_ops };
 
 /* Returns the system's monotonic clock.  */
 const struct clk *
@@ -23,6 +26,14 @@
   return &monotonic;
 }
 
+/* Returns the system's monotonic clock that also counts the time in which the
+   machine is suspended.  */
+const struct clk *
+clk_boottime (void)
+{
+  return &boottime;
+}
+
 /* Initializes CLK to START_MS.  */
 void
 clk_virtual_init (struct clk_virtual *clk, clk_ms start_ms)
@@ -61,6 +72,13 @@
   return read_clock (CLOCK_MONOTONIC);
 }
 
+static clk_ms
+boottime_now (const struct clk *clk)
+{
+  (void)clk;
+  return read_clock (CLOCK_BOOTTIME);
+}
+
 static clk_ms
 virtual_now (const struct clk *clk)
 {
--- a/process/fleet_room_news.c
+++ b/process/fleet_room_news.c
@@ -22,14 +22,16 @@
                    clk_ms now);
 
 /* Handles, at each heartbeat and before each choice of a target, that this
-   instance may have stood still before NOW: what it knows of rooms is old.  */
+   instance, or its machine, may have stood still before NOW: what it knows of
+   rooms is old.  */
 void
 fleet_room_check_stall (struct fleet *fleet, clk_ms now)
 {
+  clk_ms alive_ms = clk_now (clk_boottime ());
   clk_ms before_ms = fleet->rooms_alive_ms;
 
-  fleet->rooms_alive_ms = now;
-  if (before_ms == 0 || now - before_ms <= STALL_MS)
+  fleet->rooms_alive_ms = alive_ms;
+  if (before_ms == 0 || alive_ms - before_ms <= STALL_MS)
     return;
   fleet->rooms_forgotten_ms = now;
   for (guint i = 0; i < fleet->registry->array->len; i++)
