An instance that comes to share a rate limit has nothing saved up

Cause: in fleets of over 96 instances a request at a target that names a rate limit is told to the 96 that rank first. When one of these falls silent, the next one takes its place, and its copy of the bucket is full, as it was told of no request: up to 4 requests beyond the limit for each.

Change: an instance that becomes one of those that may send starts with an empty bucket, as with the rates of cold targets.

Measured: test_balance, "an instance that comes to share a rate limit has nothing saved up": 4 tokens -> 0.

--- a/include/ibisloom/rate.h
+++ b/include/ibisloom/rate.h
@@ -43,6 +43,7 @@
                   clk_ms sent_ms, clk_ms now);
 int rate_adopt (struct rate_limit *limit, uint32_t version, double per_s,
                 clk_ms now);
+void rate_set_sharer (struct rate_limit *limit, int is_sharer, clk_ms now);
 void rate_begin (struct rate_limit *limit, clk_ms now);
 void rate_end (struct rate_limit *limit);
 void rate_set (struct rate_limit *limit, const struct rate_share *share,
--- a/process/fleet_rate.c
+++ b/process/fleet_rate.c
@@ -172,9 +172,11 @@
   gpointer value;
 
   target->rate.rank_min = 0;
-  target->rate.is_sharer = 1;
   if (g_hash_table_size (fleet->peers) < SHARERS_MAX)
-    return;
+    {
+      rate_set_sharer (&target->rate, 1, now);
+      return;
+    }
   ranks[count++] = own;
   g_hash_table_iter_init (&iter, fleet->peers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -184,11 +186,12 @@
       if (count <= FLEET_PEERS_MAX && !fleet_is_silent (fleet, peer, now))
         ranks[count++] = rank_mix (target->hash, peer->id);
     }
-  if (count <= SHARERS_MAX)
-    return;
-  qsort (ranks, count, sizeof *ranks, compare_ranks);
-  target->rate.rank_min = ranks[count - SHARERS_MAX];
-  target->rate.is_sharer = own >= target->rate.rank_min;
+  if (count > SHARERS_MAX)
+    {
+      qsort (ranks, count, sizeof *ranks, compare_ranks);
+      target->rate.rank_min = ranks[count - SHARERS_MAX];
+    }
+  rate_set_sharer (&target->rate, own >= target->rate.rank_min, now);
 }
 
 static int
--- a/request/rate.c
+++ b/request/rate.c
@@ -57,6 +57,20 @@
   return 1;
 }
 
+/* Sets whether this instance is one of those that may send, IS_SHARER, from
+   NOW on.  One that becomes so was not told of the requests of before, and has
+   nothing saved up.  */
+void
+rate_set_sharer (struct rate_limit *limit, int is_sharer, clk_ms now)
+{
+  if (is_sharer && !limit->is_sharer)
+    {
+      limit->tokens = MIN (refill (limit, now), 0);
+      limit->refilled_ms = now;
+    }
+  limit->is_sharer = is_sharer != 0;
+}
+
 /* Begins LIMIT, which all instances know without being told by the others,
    with nothing saved up.  */
 void
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -39,6 +39,7 @@
 static void begun_stream_gets_full_or_suspended_target (void);
 static void version_of_unreached_target_is_in_doubt (void);
 static void stale_rate_is_ignored (void);
+static void new_sharer_of_a_rate_has_nothing_saved_up (void);
 static void last_unlimited_target_is_not_flooded (void);
 static void read_timeout_needs_repeatable_request (void);
 static void old_contexts_are_evicted (void);
@@ -91,6 +92,8 @@
   { "the version of a target that was not reached is in doubt",
     version_of_unreached_target_is_in_doubt },
   { "a rate limit follows the latest requests", stale_rate_is_ignored },
+  { "an instance that comes to share a rate limit has nothing saved up",
+    new_sharer_of_a_rate_has_nothing_saved_up },
   { "only repeatable requests have a read timeout",
     read_timeout_needs_repeatable_request },
   { "old contexts are evicted", old_contexts_are_evicted },
@@ -526,6 +529,22 @@
   CU_ASSERT (!rate_is_limited (&limit));
 }
 
+static void
+new_sharer_of_a_rate_has_nothing_saved_up (void)
+{
+  struct rate_limit limit = { 0 };
+
+  rate_observe (&limit, 1, 2, 100, 200);
+  rate_set_sharer (&limit, 1, 200);
+  rate_set_sharer (&limit, 1, 10200);
+  CU_ASSERT_EQUAL (rate_tokens (&limit, 10200), RATE_BURST);
+  rate_set_sharer (&limit, 0, 10200);
+  CU_ASSERT_EQUAL (rate_tokens (&limit, 10200), 0);
+  rate_set_sharer (&limit, 1, 10200);
+  CU_ASSERT_EQUAL (rate_tokens (&limit, 10200), 0);
+  CU_ASSERT_EQUAL (rate_tokens (&limit, 11200), 2);
+}
+
 static void
 read_timeout_needs_repeatable_request (void)
 {
