--- a/request/room.c
+++ b/request/room.c
@@ -8,9 +8,8 @@
    the last one only the instance that ranks first at the target, and while it
    stays free one more after each STEP_MS.  An instance at which requests wait
    would fill any place at once, as others would, so that it takes no more than
-   the place that goes with its rank.  Rejections
-   are counted, and a target that has little patience left gets nothing until
-   they are over.
+   the place that goes with its rank.  Rejections are counted, and a target
+   that has little patience left gets nothing until they are over.
 
    An instance sends only while it knows what those before it were told: the
    limit, the rejections, and the requests in progress.  One that is told anew,
@@ -65,6 +64,8 @@
 static double steps_free (const struct room *room, clk_ms now);
 static void begin_version (struct room_service *service, uint32_t version,
                            uint32_t rejections_max, clk_ms now);
+static void learn_limit (struct room *room, int32_t slots,
+                         const struct room_news *news, clk_ms now);
 static void record_rejection (struct room *room, clk_ms now);
 static void lower (struct room *room, int32_t slots, int32_t limit,
                    clk_ms now);
@@ -252,32 +253,42 @@
 }
 
 /* Adopts NEWS of another instance on ROOM, whose target has SLOTS and, as this
-   instance knows, LOAD requests in progress.  What this instance was told
-   itself is newer.  Once one that knows all has answered, or ANSWERS_MIN, this
-   one knows what there is to know.  */
+   instance knows, LOAD requests in progress.  Once one that knows all has
+   answered, or ANSWERS_MIN, this one knows what there is to know.  */
 void
 room_learn (struct room *room, int32_t slots, const struct room_news *news,
             uint32_t answers_min, double load, clk_ms now)
 {
-  int was_lowered = room->limit > 0 && room->lowered_ms >= room->heard_ms;
+  if (!room->is_known)
+    learn_limit (room, slots, news, now);
+  for (uint32_t known = recent_rejections (room, WINDOW_MS, now);
+       known < MIN (news->rejections, ROOM_REJECTIONS_KEPT); known++)
+    record_rejection (room, now - news->rejected_ago_ms);
+  room->answers++;
+  room->is_known |= news->is_known || room->answers >= answers_min;
+  room->missing = MAX ((int32_t)(news->load - load), 0);
+  room->answered_ms = now;
+}
 
-  if (!room->is_known && news->limit > 0
-      && (!was_lowered || news->limit < room_limit (room, slots, now)))
+/* Adopts the limit in NEWS on ROOM, whose target has SLOTS.  One of before
+   this instance was told of the target is old, whether NEWS have one or not;
+   of two that are not, the lower one holds.  */
+static void
+learn_limit (struct room *room, int32_t slots, const struct room_news *news,
+             clk_ms now)
+{
+  int is_old = room->limit == 0 || room->lowered_ms < room->heard_ms;
+
+  if (news->limit > 0
+      && (is_old || news->limit < room_limit (room, slots, now)))
     {
       room->limit = news->limit;
       room->lowered_ms = now - news->grown_ms;
       room->growth_ms
           = MIN (MAX (news->growth_ms, GROWTH_MIN_MS), GROWTH_MAX_MS);
     }
-  else if (!room->is_known && news->is_known && !was_lowered)
+  else if (news->limit == 0 && news->is_known && is_old)
     room->limit = 0;
-  for (uint32_t known = recent_rejections (room, WINDOW_MS, now);
-       known < MIN (news->rejections, ROOM_REJECTIONS_KEPT); known++)
-    record_rejection (room, now - news->rejected_ago_ms);
-  room->answers++;
-  room->is_known |= news->is_known || room->answers >= answers_min;
-  room->missing = MAX ((int32_t)(news->load - load), 0);
-  room->answered_ms = now;
 }
 
 /* Returns how many requests are in progress at the target with ROOM that only
@@ -305,9 +316,9 @@
 }
 
 /* Handles a rejection at NOW by a target with ROOM and SLOTS of a request that
-   was sent at SENT_MS, while it worked on OTHERS.  Nothing is
-   learned if these were more than the target is given, or if the request was
-   sent before the limit was lowered last.  Returns the limit.  */
+   was sent at SENT_MS, while it worked on OTHERS.  Nothing is learned if these
+   were more than the target is given, or if the request was sent before the
+   limit was lowered last.  Returns the limit.  */
 int32_t
 room_reject (struct room *room, int32_t slots, double others, clk_ms sent_ms,
              clk_ms now)
