Constants of the news on rooms have names

Cause: read as a newcomer, ASKED_AGAIN and a plain 2 had to be looked up.

Change: ASKED_IN_TURN, ANSWERS_MIN, and the reason why a lone instance knows.

Measured: test_room passes; no change of behaviour.

--- a/process/fleet_room_news.c
+++ b/process/fleet_room_news.c
@@ -9,8 +9,9 @@
 
 enum
 {
-  ASKED_AGAIN = 3, /* other instances, before the first ones again */
+  ASKED_IN_TURN = 3, /* pairs of instances */
   QUERIES_PER_HEARTBEAT = 8,
+  ANSWERS_MIN = 2, /* of instances that do not know all, to rely on them */
   /* Longer than a heartbeat: datagrams of meanwhile may be lost.  */
   STALL_MS = 2 * FLEET_HEARTBEAT_MS
 };
@@ -88,8 +89,8 @@
   if (members < 2)
     return;
   own = fleet_own_member (fleet);
-  step = MAX (MIN (ROOM_AHEAD, members / (ASKED_AGAIN + 1)), 1)
-         * (1 + fleet->room_questions % ASKED_AGAIN) % members;
+  step = MAX (MIN (ROOM_AHEAD, members / (ASKED_IN_TURN + 1)), 1)
+         * (1 + fleet->room_questions % ASKED_IN_TURN) % members;
   ask_member (fleet, own + step, message);
   ask_member (fleet, own + members - step, message);
 }
@@ -155,6 +156,6 @@
     return;
   if (!target->room->is_known)
     metric_inc (METRIC_ROOMS_LEARNED);
-  room_learn (target->room, target->slots, &told->news, MIN (others, 2),
-              reg_counted_load (target), now);
+  room_learn (target->room, target->slots, &told->news,
+              MIN (others, ANSWERS_MIN), reg_counted_load (target), now);
 }
--- a/process/fleet_room_rank.c
+++ b/process/fleet_room_rank.c
@@ -100,11 +100,11 @@
   g_ptr_array_sort (targets, compare_targets);
   for (guint i = 0; i < targets->len; i++)
     {
-      uint32_t first = first_at_turn (fleet, i, targets->len);
-
       struct room *room = reg_get_room (g_ptr_array_index (targets, i));
+      uint32_t first = first_at_turn (fleet, i, targets->len);
 
       room_set_rank (room, (own + members - first) % members, members, now);
+      /* There is nobody to ask.  */
       room->is_known |= members == 1;
     }
   g_ptr_array_free (targets, TRUE);
